--- /dev/null
+++ b/test/run.ts
@@ -0,0 +1,106 @@
+/**
+ * Test runner: each `*.test.js` file runs in a process of its own under uvu, several at a time.
+ * Arguments are substrings of file paths to run; none means all. Files named in KNOWN-RED.txt
+ * are run and printed but do not change the exit code.
+ */
+import { spawn } from 'node:child_process';
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
+import { dirname, join, relative } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+const CONCURRENT_FILES = 4;
+const FILE_TIMEOUT_MS = 240_000;
+const testRoot = dirname(fileURLToPath(import.meta.url));
+const repositoryRoot = join(testRoot, '..', '..');
+
+interface FileResult {
+  readonly file: string;
+  readonly exitCode: number;
+  readonly passed: number;
+  readonly total: number;
+  readonly output: string;
+}
+
+function listTestFiles(filters: readonly string[]): string[] {
+  const files = readdirSync(testRoot, { recursive: true, encoding: 'utf8' })
+    .filter((file) => file.endsWith('.test.js'))
+    .sort();
+  if (filters.length === 0) return files;
+  return files.filter((file) => filters.some((filter) => file.includes(filter)));
+}
+
+/** Known failures, one line each: `<test file>: <cause> (<issue>)`. At most three. */
+function readKnownRed(): string[] {
+  const path = join(repositoryRoot, 'KNOWN-RED.txt');
+  if (!existsSync(path)) return [];
+  return readFileSync(path, 'utf8')
+    .split('\n')
+    .map((line) => line.split(':')[0]?.trim() ?? '')
+    .filter((name) => name.length > 0);
+}
+
+function countOf(output: string, label: string): number {
+  const match = new RegExp(`${label}:\\s+(\\d+)`).exec(output);
+  return match?.[1] === undefined ? 0 : Number(match[1]);
+}
+
+function runFile(file: string): Promise<FileResult> {
+  return new Promise((resolve) => {
+    const child = spawn(process.execPath, ['--enable-source-maps', join(testRoot, file)], {
+      cwd: repositoryRoot,
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    let output = '';
+    child.stdout.on('data', (chunk: Buffer) => {
+      output += chunk.toString();
+    });
+    child.stderr.on('data', (chunk: Buffer) => {
+      output += chunk.toString();
+    });
+    const timer = setTimeout(() => {
+      output += `\ntimed out after ${FILE_TIMEOUT_MS} ms\n`;
+      child.kill('SIGKILL');
+    }, FILE_TIMEOUT_MS);
+    child.on('close', (code) => {
+      clearTimeout(timer);
+      const passed = countOf(output, 'Passed');
+      const total = countOf(output, 'Total');
+      resolve({ file, exitCode: code ?? 1, passed, total, output });
+    });
+  });
+}
+
+function report(result: FileResult, known: boolean): void {
+  const failed = isFailed(result);
+  const verdict = failed ? (known ? 'KNOWN RED' : 'FAILED') : 'ok';
+  const source = relative(repositoryRoot, join(testRoot, result.file));
+  console.log(`${verdict}  ${source}  ${result.passed}/${result.total}`);
+  if (failed) console.log(result.output);
+}
+
+function isFailed(result: FileResult): boolean {
+  return result.exitCode !== 0 || result.total === 0 || result.passed !== result.total;
+}
+
+async function main(): Promise<void> {
+  const queue = listTestFiles(process.argv.slice(2));
+  const knownRed = readKnownRed();
+  let passed = 0;
+  let failed = 0;
+  let redFiles = 0;
+  const worker = async (): Promise<void> => {
+    for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
+      const result = await runFile(file);
+      const known = knownRed.some((name) => result.file.includes(name.replace(/\.ts$/, '')));
+      report(result, known);
+      passed += result.passed;
+      if (!known) failed += result.total - result.passed;
+      if (!known && isFailed(result)) redFiles += 1;
+    }
+  };
+  await Promise.all(Array.from({ length: CONCURRENT_FILES }, worker));
+  console.log(`${passed} passed, ${Math.max(failed, redFiles)} failed`);
+  process.exitCode = redFiles > 0 || passed === 0 ? 1 : 0;
+}
+
+await main();
