--- /dev/null
+++ b/src/node/gateway/request-policy.ts
@@ -0,0 +1,75 @@
+/** What the tenant's policy and the statement's markers make of one batch. Pure. */
+import type { RequestKindPolicy, TenantPolicy } from '../../core/configuration/model.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { StatementClass, StatementMarkers } from '../../postgres/contract.js';
+
+/** Kind of requests that carry no marker, or one that the tenant's policy does not list. */
+export const DEFAULT_KIND = 'default';
+/** Longest deadline that a marker may ask for, in ms. */
+const MAX_DEADLINE_MS: Milliseconds = 120_000;
+
+const FALLBACK_KIND: RequestKindPolicy = {
+  kind: DEFAULT_KIND,
+  stalenessBoundMs: 0,
+  repeatable: false,
+  weight: 1,
+  deadlineMs: 10_000,
+};
+
+/** How one request is served, marker and policy taken together. */
+export interface RequestTerms {
+  readonly kind: string;
+  readonly weight: number;
+  readonly stalenessBoundMs: Milliseconds;
+  readonly repeatable: boolean;
+  readonly deadlineMs: Milliseconds;
+}
+
+export function requestTerms(
+  policy: TenantPolicy,
+  markers: StatementMarkers,
+  access: StatementClass['access'],
+): RequestTerms {
+  const kind = kindPolicyOf(policy, markers.kind);
+  // A marker may ask for fresher data than the tenant's bound, never for staler.
+  const staleMs = Math.min(markers.staleMs ?? kind.stalenessBoundMs, kind.stalenessBoundMs);
+  return {
+    kind: kind.kind,
+    weight: kind.weight,
+    stalenessBoundMs: access === 'read' ? staleMs : 0,
+    repeatable: access === 'read' || kind.repeatable,
+    deadlineMs: Math.min(markers.deadlineMs ?? kind.deadlineMs, MAX_DEADLINE_MS),
+  };
+}
+
+function kindPolicyOf(policy: TenantPolicy, kind: string | undefined): RequestKindPolicy {
+  const find = (name: string): RequestKindPolicy | undefined =>
+    policy.requestKinds.find((entry) => entry.kind === name);
+  return find(kind ?? DEFAULT_KIND) ?? find(DEFAULT_KIND) ?? FALLBACK_KIND;
+}
+
+const NO_MARKERS: StatementMarkers = {
+  once: undefined,
+  kind: undefined,
+  staleMs: undefined,
+  deadlineMs: undefined,
+};
+
+/** Markers of a batch: those of its first marked statement. */
+export function firstMarkers(markers: readonly StatementMarkers[]): StatementMarkers {
+  const marked = markers.find((entry) => Object.values(entry).some((value) => value !== undefined));
+  return marked ?? NO_MARKERS;
+}
+
+/** The class of a batch: the strongest of its statements. */
+export function combineClasses(classes: readonly StatementClass[]): StatementClass {
+  const [only] = classes;
+  if (only !== undefined && classes.length === 1) return only;
+  const control = classes.find((entry) => entry.transactionControl !== 'none');
+  return {
+    access: classes.some((entry) => entry.access === 'write') ? 'write' : 'read',
+    transactionControl: control?.transactionControl ?? 'none',
+    unsupported: classes.find((entry) => entry.unsupported !== undefined)?.unsupported,
+    sessionSetting: classes.find((entry) => entry.sessionSetting !== undefined)?.sessionSetting,
+  };
+}
--- /dev/null
+++ b/src/node/owner/backend-connector.ts
@@ -0,0 +1,86 @@
+/**
+ * Opens back-end connections by instance name: knows where each instance listens, with which
+ * credentials its roles log in, and over which transport.
+ */
+import { errAsync, type ResultAsync } from 'neverthrow';
+import { MeadowstackError } from '../../core/errors.js';
+import type { DatabaseRole, InstanceName } from '../../core/request.js';
+import type { DatabaseMachine } from '../../platform/contract.js';
+import { connectBackend } from '../../postgres/backend/connect.js';
+import type { BackendConnection } from '../../postgres/contract.js';
+import type { BackendSettings } from '../settings.js';
+
+/** A connection could not be opened. `refusedByLimit`: the instance has no connection left. */
+export class ConnectFailedError extends MeadowstackError {
+  readonly code = 'MS-CONNECT-FAILED';
+
+  constructor(
+    message: string,
+    readonly refusedByLimit: boolean,
+    cause?: MeadowstackError,
+  ) {
+    super(message, { cause });
+  }
+}
+
+export class BackendConnector {
+  readonly #settings: BackendSettings;
+  #machines: ReadonlyMap<InstanceName, DatabaseMachine> = new Map();
+  #opened = 0;
+
+  constructor(settings: BackendSettings) {
+    this.#settings = settings;
+  }
+
+  /** Replaces what is known of where instances listen. */
+  setMachines(machines: readonly DatabaseMachine[]): void {
+    this.#machines = new Map(machines.map((machine) => [machine.name, machine]));
+  }
+
+  /** Connections opened since start. */
+  get opened(): number {
+    return this.#opened;
+  }
+
+  /** A connection for the pool. */
+  connect(
+    instance: InstanceName,
+    role: DatabaseRole,
+    database: string,
+  ): ResultAsync<BackendConnection, ConnectFailedError> {
+    return this.#open(instance, role, database);
+  }
+
+  /** A connection for probes, as the settings' probe role. */
+  connectForProbe(instance: InstanceName): ResultAsync<BackendConnection, ConnectFailedError> {
+    const { probeRole, probeDatabase } = this.#settings;
+    return this.#open(instance, probeRole, probeDatabase);
+  }
+
+  #open(
+    instance: InstanceName,
+    role: DatabaseRole,
+    database: string,
+  ): ResultAsync<BackendConnection, ConnectFailedError> {
+    const machine = this.#machines.get(instance);
+    if (machine === undefined) {
+      return errAsync(new ConnectFailedError(`instance ${instance} is not listed`, false));
+    }
+    this.#opened += 1;
+    return connectBackend({
+      host: machine.host,
+      port: machine.port,
+      user: role,
+      password: this.#passwordOf(role),
+      database,
+      connectTimeoutMs: this.#settings.connectTimeoutMs,
+      applicationName: 'meadowstack',
+      tls: this.#settings.tls,
+    }).mapErr((error) => new ConnectFailedError(error.message, error.refusedByLimit, error));
+  }
+
+  #passwordOf(role: DatabaseRole): string {
+    const configured = this.#settings.roles.find((entry) => entry.role === role);
+    return configured?.password ?? this.#settings.defaultPassword;
+  }
+}
--- /dev/null
+++ b/src/node/owner/owner-service.ts
@@ -0,0 +1,203 @@
+/**
+ * The owner job of a node: one runtime for each database group that this node owns, created and
+ * closed as the machine list and the members change.
+ */
+import type { Logger } from '../../observability/logger.js';
+import type { ConfigurationSnapshot, TenantPolicy } from '../../core/configuration/model.js';
+import { NotRunError } from '../../core/errors.js';
+import type {
+  GroupMachine,
+  GroupStatistics,
+  InstanceDescription,
+  TenantGroupLimits,
+} from '../../core/group/contract.js';
+import type { GroupName, GroupRequest } from '../../core/request.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { PeerStream, WireValue } from '../../peer/contract.js';
+import type { DatabaseMachine } from '../../platform/contract.js';
+import type { BackendConnector } from './backend-connector.js';
+import { GroupRuntime } from './group-runtime.js';
+import { encodeRequestError, openSchema, type OpenMessage } from './messages.js';
+import { OwnerStream } from './owner-stream.js';
+
+/** How soon a gateway may ask again after reaching a node that is not an owner, in ms. */
+const NOT_OWNER_RETRY_MS = 5;
+
+export interface OwnerServiceOptions {
+  readonly connector: BackendConnector;
+  readonly createMachine: (group: GroupName) => GroupMachine;
+  /** Whether this node is one of the group's owners, in its own view. */
+  readonly owns: (group: GroupName) => boolean;
+  /** This owner's share of an instance's connections. */
+  readonly connectionBudget: (machine: DatabaseMachine) => number;
+  readonly now: () => Milliseconds;
+  readonly logger: Logger;
+}
+
+export class OwnerService {
+  readonly #options: OwnerServiceOptions;
+  readonly #runtimes = new Map<GroupName, GroupRuntime>();
+  #machines: readonly DatabaseMachine[] = [];
+  #limits: readonly TenantPolicy[] = [];
+  #draining = false;
+  #requestsAccepted = 0;
+
+  constructor(options: OwnerServiceOptions) {
+    this.#options = options;
+  }
+
+  /** A gateway, here or elsewhere, opened a stream for one statement or transaction. */
+  accept(header: WireValue, stream: PeerStream): void {
+    const parsed = openSchema.safeParse(header);
+    if (!parsed.success) {
+      stream.abort('malformed open message');
+      return;
+    }
+    this.#submit(parsed.data, stream);
+  }
+
+  setMachines(machines: readonly DatabaseMachine[]): void {
+    this.#machines = machines;
+    this.#options.connector.setMachines(machines);
+    this.reconcile();
+  }
+
+  setConfiguration(snapshot: ConfigurationSnapshot): void {
+    this.#limits = [...snapshot.tenantsByName.values()];
+    for (const [group, runtime] of this.#runtimes) this.#sendLimits(group, runtime);
+  }
+
+  /** Brings runtimes in line with the groups that this node owns now. */
+  reconcile(): void {
+    const groups = new Set(this.#machines.map((machine) => machine.group));
+    for (const group of groups) {
+      if (this.#options.owns(group)) this.#ensure(group);
+    }
+    for (const [group, runtime] of this.#runtimes) this.#refresh(group, runtime, groups.has(group));
+  }
+
+  /** Planned stop: queued requests are refused as not run, running ones finish. */
+  drain(): void {
+    this.#draining = true;
+    for (const runtime of this.#runtimes.values()) runtime.notify({ type: 'drain-started' });
+  }
+
+  get unfinished(): number {
+    let unfinished = 0;
+    for (const runtime of this.#runtimes.values()) unfinished += runtime.unfinished;
+    return unfinished;
+  }
+
+  statistics(): ReadonlyMap<GroupName, GroupStatistics> {
+    return new Map([...this.#runtimes].map(([group, runtime]) => [group, runtime.statistics()]));
+  }
+
+  close(): void {
+    for (const runtime of this.#runtimes.values()) runtime.close();
+    this.#runtimes.clear();
+  }
+
+  #submit(open: OpenMessage, stream: PeerStream): void {
+    const runtime = this.#runtimeFor(open.group);
+    if (runtime === undefined) {
+      const refusal = this.#draining
+        ? new NotRunError('owner-stopping', 'the owner is stopping', NOT_OWNER_RETRY_MS)
+        : new NotRunError('owner-unreachable', 'not an owner of the group', NOT_OWNER_RETRY_MS);
+      stream.send(encodeRequestError(refusal));
+      stream.end();
+      return;
+    }
+    this.#requestsAccepted += 1;
+    const request = this.#requestOf(open, `${stream.id}/${this.#requestsAccepted}`);
+    const work = new OwnerStream(stream, open, {
+      abandoned: () => runtime.abandon(request.id),
+    });
+    runtime.submit(request, work);
+  }
+
+  #requestOf(open: OpenMessage, id: string): GroupRequest {
+    return {
+      id,
+      tenant: open.tenant,
+      databaseRole: open.databaseRole,
+      database: open.database,
+      access: open.access,
+      kind: open.kind,
+      weight: open.weight,
+      stalenessBoundMs: open.stalenessBoundMs,
+      repeatable: open.repeatable,
+      session: open.session,
+      deadline: this.#options.now() + open.remainingMs,
+      hold: open.hold,
+      zone: open.zone,
+    };
+  }
+
+  #runtimeFor(group: GroupName): GroupRuntime | undefined {
+    if (this.#draining) return undefined;
+    if (!this.#options.owns(group)) return undefined;
+    return this.#ensure(group);
+  }
+
+  #ensure(group: GroupName): GroupRuntime | undefined {
+    const existing = this.#runtimes.get(group);
+    if (existing !== undefined) return existing;
+    const instances = this.#instancesOf(group);
+    if (instances.length === 0) return undefined;
+    const runtime = new GroupRuntime({
+      group,
+      machine: this.#options.createMachine(group),
+      connector: this.#options.connector,
+      now: this.#options.now,
+      observer: {
+        primaryChanged: (change) => this.#options.logger.info('primary changed', { ...change }),
+      },
+    });
+    this.#runtimes.set(group, runtime);
+    this.#sendLimits(group, runtime);
+    runtime.setInstances(instances);
+    return runtime;
+  }
+
+  #refresh(group: GroupName, runtime: GroupRuntime, listed: boolean): void {
+    const owned = listed && this.#options.owns(group);
+    if (owned) {
+      runtime.setInstances(this.#instancesOf(group));
+      return;
+    }
+    if (runtime.unfinished > 0) return;
+    runtime.close();
+    this.#runtimes.delete(group);
+  }
+
+  #instancesOf(group: GroupName): InstanceDescription[] {
+    return this.#machines
+      .filter((machine) => machine.group === group)
+      .map((machine) => ({
+        name: machine.name,
+        zone: machine.zone,
+        slots: machine.slots,
+        connectionBudget: this.#options.connectionBudget(machine),
+        leaving: machine.state === 'leaving',
+      }));
+  }
+
+  #sendLimits(group: GroupName, runtime: GroupRuntime): void {
+    const limits = this.#limits
+      .filter((policy) => policy.databases.some((access) => access.group === group))
+      .map(limitsOf);
+    runtime.notify({ type: 'limits-changed', limits });
+  }
+}
+
+function limitsOf(policy: TenantPolicy): TenantGroupLimits {
+  return {
+    tenant: policy.tenant,
+    maxInFlight: policy.enabled ? policy.maxInFlight : 0,
+    maxQueued: policy.maxQueued,
+    queueWeight: policy.queueWeight,
+    maxConnections: policy.maxBackendConnections,
+    requestsPerSecond: policy.requestsPerSecond,
+    burst: policy.burst,
+  };
+}
--- /dev/null
+++ b/src/peer/local-stream.ts
@@ -0,0 +1,137 @@
+/**
+ * A stream whose two ends are in the same process: what a gateway uses when this node owns the group.
+ * Delivery is deferred to a microtask, so that neither end is re-entered.
+ */
+import { MeadowstackError } from '../core/errors.js';
+import type { PeerStream, WireValue } from './contract.js';
+
+/** Bytes in flight towards a paused reader before `write` asks for a pause. */
+const LOCAL_WINDOW_BYTES = 256 * 1024;
+
+/** The other end of a local stream gave up. */
+export class LocalStreamAbortedError extends MeadowstackError {
+  readonly code = 'MS-LOCAL-STREAM-ABORTED';
+}
+
+type Delivery =
+  | { readonly type: 'data'; readonly data: Buffer }
+  | { readonly type: 'message'; readonly message: WireValue }
+  | { readonly type: 'close'; readonly error: MeadowstackError | undefined };
+
+class LocalStreamEnd implements PeerStream {
+  onData: ((data: Buffer) => void) | undefined;
+  onMessage: ((message: WireValue) => void) | undefined;
+  onDrain: (() => void) | undefined;
+  onClose: ((error: MeadowstackError | undefined) => void) | undefined;
+  other: LocalStreamEnd | undefined;
+  readonly #inbox: Delivery[] = [];
+  #inboxBytes = 0;
+  #paused = false;
+  #scheduled = false;
+  #closed = false;
+  #ended = false;
+
+  constructor(readonly id: string) {}
+
+  write(data: Buffer): boolean {
+    const other = this.other;
+    if (this.#ended || other === undefined) return true;
+    other.#enqueue({ type: 'data', data });
+    return other.#inboxBytes < LOCAL_WINDOW_BYTES;
+  }
+
+  send(message: WireValue): void {
+    if (!this.#ended) this.other?.#enqueue({ type: 'message', message });
+  }
+
+  pause(): void {
+    this.#paused = true;
+  }
+
+  resume(): void {
+    this.#paused = false;
+    this.#schedule();
+  }
+
+  end(): void {
+    this.#finish(undefined);
+  }
+
+  abort(reason: string): void {
+    this.#finish(new LocalStreamAbortedError(reason));
+  }
+
+  #finish(error: MeadowstackError | undefined): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.other?.#enqueue({ type: 'close', error });
+    this.#enqueue({ type: 'close', error });
+  }
+
+  #enqueue(delivery: Delivery): void {
+    if (this.#closed) return;
+    this.#inbox.push(delivery);
+    if (delivery.type === 'data') this.#inboxBytes += delivery.data.length;
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    if (this.#scheduled) return;
+    this.#scheduled = true;
+    queueMicrotask(() => {
+      this.#scheduled = false;
+      this.#deliver();
+    });
+  }
+
+  #deliver(): void {
+    while (!this.#paused && !this.#closed) {
+      const delivery = this.#inbox.shift();
+      if (delivery === undefined) return;
+      this.#deliverOne(delivery);
+    }
+  }
+
+  #deliverOne(delivery: Delivery): void {
+    switch (delivery.type) {
+      case 'data':
+        this.#consumed(delivery.data.length);
+        this.onData?.(delivery.data);
+        return;
+      case 'message':
+        this.onMessage?.(delivery.message);
+        return;
+      case 'close':
+        this.#closed = true;
+        this.#ended = true;
+        this.onClose?.(delivery.error);
+        return;
+    }
+  }
+
+  #consumed(bytes: number): void {
+    const wasFull = this.#inboxBytes >= LOCAL_WINDOW_BYTES;
+    this.#inboxBytes -= bytes;
+    if (wasFull && this.#inboxBytes < LOCAL_WINDOW_BYTES) {
+      queueMicrotask(() => this.other?.onDrain?.());
+    }
+  }
+}
+
+/** The two ends of a new local stream: the one that opened it and the one that serves it. */
+export interface LocalStreamPair {
+  readonly opener: PeerStream;
+  readonly acceptor: PeerStream;
+}
+
+let localStreamsOpened = 0;
+
+export function createLocalStreamPair(): LocalStreamPair {
+  localStreamsOpened += 1;
+  const id = `local-${localStreamsOpened}`;
+  const opener = new LocalStreamEnd(id);
+  const acceptor = new LocalStreamEnd(id);
+  opener.other = acceptor;
+  acceptor.other = opener;
+  return { opener, acceptor };
+}
