--- /dev/null
+++ b/src/node/setting-fields.ts
@@ -0,0 +1,118 @@
+/**
+ * The settings that environment variables and flags can give: one entry a field, from which the
+ * names of both follow (`callers.port`: `MEADOWSTACK_CALLERS_PORT`, `--callers-port`).
+ */
+import type { FieldPath } from '../core/configuration/document.js';
+
+/** How the text of a variable or flag becomes a value. */
+export type SettingType = 'string' | 'integer' | 'list' | 'keys' | 'roles';
+
+/** One settable field. */
+export interface SettingField {
+  /** Dotted path in the settings file. */
+  readonly path: string;
+  readonly type: SettingType;
+  readonly description: string;
+}
+
+/** Every field that can be given outside the file. */
+export const SETTING_FIELDS: readonly SettingField[] = [
+  { path: 'nodeId', type: 'string', description: 'name of this node, unique over the fleet' },
+  { path: 'zone', type: 'string', description: 'zone of this node' },
+  { path: 'callers.host', type: 'string', description: 'address that callers connect to' },
+  { path: 'callers.port', type: 'integer', description: 'port that callers connect to' },
+  { path: 'callers.tls.keyFile', type: 'string', description: 'PEM file of the TLS key' },
+  {
+    path: 'callers.tls.certificateFile',
+    type: 'string',
+    description: 'PEM file of the TLS certificate chain',
+  },
+  { path: 'peer.host', type: 'string', description: 'address for links between proxies' },
+  { path: 'peer.port', type: 'integer', description: 'port for links between proxies' },
+  { path: 'admin.host', type: 'string', description: 'address of the admin port' },
+  { path: 'admin.port', type: 'integer', description: 'admin port' },
+  { path: 'store.endpoints', type: 'list', description: 'URLs of the store, with commas between' },
+  { path: 'machines.endpoint', type: 'string', description: 'URL of the machine list' },
+  { path: 'session.keys', type: 'keys', description: 'id:hex,… keys of tokens, current first' },
+  { path: 'backend.roles', type: 'roles', description: 'role=password,… of the back ends' },
+  {
+    path: 'backend.defaultPassword',
+    type: 'string',
+    description: 'password of all other back-end roles',
+  },
+  { path: 'backend.tls', type: 'string', description: 'disable, require or verify' },
+  {
+    path: 'backend.connectTimeoutMs',
+    type: 'integer',
+    description: 'limit of a connection attempt',
+  },
+  {
+    path: 'probe.intervalMs',
+    type: 'integer',
+    description: 'between probes of a healthy instance',
+  },
+  {
+    path: 'probe.suspectIntervalMs',
+    type: 'integer',
+    description: 'between probes while the primary is suspected',
+  },
+  { path: 'probe.timeoutMs', type: 'integer', description: 'limit of one probe' },
+  { path: 'drainLimitMs', type: 'integer', description: 'limit of a planned stop' },
+  { path: 'ownersPerGroup', type: 'integer', description: 'nodes that own a database group' },
+  { path: 'confirmation', type: 'string', description: 'received or term' },
+  { path: 'log.level', type: 'string', description: 'trace, debug, info, warn, error or silent' },
+  { path: 'log.format', type: 'string', description: 'json or text' },
+];
+
+/** Name of the environment variable: `MEADOWSTACK_CALLERS_PORT`. */
+export function environmentName(field: SettingField): string {
+  return `MEADOWSTACK_${wordsOf(field.path).join('_').toUpperCase()}`;
+}
+
+/** Name of the flag without its dashes: `callers-port`. */
+export function flagName(field: SettingField): string {
+  return wordsOf(field.path).join('-').toLowerCase();
+}
+
+/** The field's path as steps. */
+export function fieldPathOf(field: SettingField): FieldPath {
+  return field.path.split('.');
+}
+
+/** The value for the schema to check; text that does not fit the type is passed on as it is. */
+export function valueOfText(text: string, type: SettingType): unknown {
+  switch (type) {
+    case 'string':
+      return text;
+    case 'integer':
+      return /^-?\d+$/.test(text) ? Number(text) : text;
+    case 'list':
+      return splitList(text);
+    case 'keys':
+      return splitList(text).map((item) => pairOf(item, ':', 'id', 'secretHex'));
+    case 'roles':
+      return splitList(text).map((item) => pairOf(item, '=', 'role', 'password'));
+  }
+}
+
+function splitList(text: string): string[] {
+  return text
+    .split(',')
+    .map((item) => item.trim())
+    .filter((item) => item !== '');
+}
+
+function pairOf(
+  item: string,
+  separator: string,
+  firstName: string,
+  secondName: string,
+): Record<string, string> {
+  const at = item.indexOf(separator);
+  if (at < 0) return { [firstName]: item };
+  return { [firstName]: item.slice(0, at), [secondName]: item.slice(at + separator.length) };
+}
+
+function wordsOf(path: string): string[] {
+  return path.split('.').flatMap((step) => step.split(/(?=[A-Z])/));
+}
--- /dev/null
+++ b/src/node/settings-schema.ts
@@ -0,0 +1,135 @@
+/**
+ * The settings of a proxy process: their shape, bounds and defaults. Every field has a default
+ * that lets a single node run on loopback; docs/operations/settings.md lists them.
+ */
+import { hostname } from 'node:os';
+import { z } from 'zod';
+
+const DEFAULT_CALLERS_PORT = 6432;
+const DEFAULT_PEER_PORT = 7432;
+const DEFAULT_ADMIN_PORT = 9432;
+const DEFAULT_CONNECT_TIMEOUT_MS = 2000;
+const DEFAULT_PROBE_INTERVAL_MS = 250;
+const DEFAULT_SUSPECT_PROBE_INTERVAL_MS = 25;
+const DEFAULT_PROBE_TIMEOUT_MS = 200;
+const DEFAULT_DRAIN_LIMIT_MS = 30_000;
+const DEFAULT_OWNERS_PER_GROUP = 2;
+const MAX_OWNERS_PER_GROUP = 8;
+const MAX_DURATION_MS = 3_600_000;
+const MIN_SECRET_BYTES = 32;
+const MAX_SECRET_BYTES = 64;
+
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, {
+  error: 'expected a name of letters, digits, dot, dash and underscore, at most 63 characters',
+});
+const host = z.string().min(1).max(253);
+const port = z.int().min(0).max(65_535);
+const durationMs = z.int().min(1).max(MAX_DURATION_MS);
+const endpoint = z.url({
+  protocol: /^https?$/,
+  error: 'expected a URL such as http://127.0.0.1:2379',
+});
+const secretHex = z
+  .string()
+  .regex(new RegExp(`^(?:[0-9a-fA-F]{2}){${MIN_SECRET_BYTES},${MAX_SECRET_BYTES}}$`), {
+    error: `expected ${MIN_SECRET_BYTES} to ${MAX_SECRET_BYTES} bytes in hexadecimal`,
+  });
+
+const callerTls = z.strictObject({
+  /** PEM file of the private key; relative to the working directory. */
+  keyFile: z.string().min(1),
+  /** PEM file of the certificate chain. */
+  certificateFile: z.string().min(1),
+});
+
+const callers = z.strictObject({
+  host: host.default('127.0.0.1'),
+  /** 0 lets the system choose. */
+  port: port.default(DEFAULT_CALLERS_PORT),
+  /** Absent: callers connect in plain text. */
+  tls: callerTls.optional(),
+});
+
+const peer = z.strictObject({
+  host: host.default('127.0.0.1'),
+  /** TCP and UDP. */
+  port: port.default(DEFAULT_PEER_PORT),
+});
+
+const admin = z.strictObject({
+  host: host.default('127.0.0.1'),
+  port: port.default(DEFAULT_ADMIN_PORT),
+});
+
+const store = z.strictObject({
+  endpoints: z.array(endpoint).min(1).default(['http://127.0.0.1:2379']),
+});
+
+const machines = z.strictObject({ endpoint: endpoint.default('http://127.0.0.1:8600') });
+
+const sessionKey = z.strictObject({
+  /** Names the key inside a token, so that keys can be changed without ending sessions. */
+  id: name,
+  secretHex,
+});
+
+const session = z.strictObject({
+  /**
+   * Keys of session tokens, the same on every node; the first signs, all verify. Empty: the node
+   * makes a key of its own at start, and its tokens are good on that node only.
+   */
+  keys: z.array(sessionKey).refine(haveUniqueIds, { error: 'expected unique key ids' }).default([]),
+});
+
+const backendRole = z.strictObject({ role: z.string().min(1), password: z.string() });
+
+const backend = z.strictObject({
+  /** Passwords of database roles. */
+  roles: z.array(backendRole).default([]),
+  /** Password of roles that `roles` does not name. Absent: such a role can't be used. */
+  defaultPassword: z.string().optional(),
+  /** `disable`: plain text; `require`: TLS, any certificate; `verify`: certificate and name checked. */
+  tls: z.enum(['disable', 'require', 'verify']).default('disable'),
+  connectTimeoutMs: durationMs.default(DEFAULT_CONNECT_TIMEOUT_MS),
+});
+
+const probe = z.strictObject({
+  /** Between probes of a healthy instance. */
+  intervalMs: durationMs.default(DEFAULT_PROBE_INTERVAL_MS),
+  /** Between probes while the primary is suspected. */
+  suspectIntervalMs: durationMs.default(DEFAULT_SUSPECT_PROBE_INTERVAL_MS),
+  timeoutMs: durationMs.default(DEFAULT_PROBE_TIMEOUT_MS),
+});
+
+const log = z.strictObject({
+  level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
+  format: z.enum(['json', 'text']).default('text'),
+});
+
+/** Checks settings and fills in the defaults. */
+export const settingsSchema = z.strictObject({
+  /** Unique over the fleet. Default: host name and process id. */
+  nodeId: name.default(() => `${hostname().slice(0, 50)}-${process.pid}`),
+  zone: name.default('default'),
+  callers: callers.prefault({}),
+  peer: peer.prefault({}),
+  admin: admin.prefault({}),
+  store: store.prefault({}),
+  machines: machines.prefault({}),
+  session: session.prefault({}),
+  backend: backend.prefault({}),
+  probe: probe.prefault({}),
+  /** How long open transactions may take to finish in a planned stop. */
+  drainLimitMs: z.int().min(0).max(MAX_DURATION_MS).default(DEFAULT_DRAIN_LIMIT_MS),
+  ownersPerGroup: z.int().min(1).max(MAX_OWNERS_PER_GROUP).default(DEFAULT_OWNERS_PER_GROUP),
+  /** How an acknowledgement is confirmed; see `ConfirmationMode` of the group machine. */
+  confirmation: z.enum(['received', 'term']).default('received'),
+  log: log.prefault({}),
+});
+
+/** Settings of a proxy process, complete. */
+export type Settings = z.output<typeof settingsSchema>;
+
+function haveUniqueIds(keys: readonly { readonly id: string }[]): boolean {
+  return new Set(keys.map((key) => key.id)).size === keys.length;
+}
