--- /dev/null
+++ b/src/postgres/messages.ts
@@ -0,0 +1,177 @@
+/**
+ * Builders of the small backend messages that a proxy sends of its own accord, by pg-protocol's
+ * writer. Source: PostgreSQL manual, "Message Formats" and "Error and Notice Message Fields".
+ */
+import { Writer } from 'pg-protocol/dist/buffer-writer.js';
+import { NotRunError, type RequestError } from '../core/errors.js';
+import type { TransactionStatus } from './contract.js';
+
+/** Type bytes of backend messages. */
+export const BackendMessageType = {
+  AUTHENTICATION: 0x52,
+  BACKEND_KEY_DATA: 0x4b,
+  BIND_COMPLETE: 0x32,
+  CLOSE_COMPLETE: 0x33,
+  COMMAND_COMPLETE: 0x43,
+  COPY_BOTH_RESPONSE: 0x57,
+  COPY_IN_RESPONSE: 0x47,
+  COPY_OUT_RESPONSE: 0x48,
+  DATA_ROW: 0x44,
+  EMPTY_QUERY_RESPONSE: 0x49,
+  ERROR_RESPONSE: 0x45,
+  NEGOTIATE_PROTOCOL_VERSION: 0x76,
+  NO_DATA: 0x6e,
+  NOTICE_RESPONSE: 0x4e,
+  NOTIFICATION_RESPONSE: 0x41,
+  PARAMETER_DESCRIPTION: 0x74,
+  PARAMETER_STATUS: 0x53,
+  PARSE_COMPLETE: 0x31,
+  PORTAL_SUSPENDED: 0x73,
+  READY_FOR_QUERY: 0x5a,
+  ROW_DESCRIPTION: 0x54,
+} as const;
+
+/** Type bytes of frontend messages. */
+export const FrontendMessageType = {
+  BIND: 0x42,
+  CLOSE: 0x43,
+  COPY_DATA: 0x64,
+  COPY_DONE: 0x63,
+  COPY_FAIL: 0x66,
+  DESCRIBE: 0x44,
+  EXECUTE: 0x45,
+  FLUSH: 0x48,
+  FUNCTION_CALL: 0x46,
+  PARSE: 0x50,
+  PASSWORD: 0x70,
+  QUERY: 0x51,
+  SYNC: 0x53,
+  TERMINATE: 0x58,
+} as const;
+
+export type ErrorSeverity = 'ERROR' | 'FATAL' | 'PANIC';
+export type NoticeSeverity = 'WARNING' | 'NOTICE' | 'INFO';
+
+/** Fields of ErrorResponse and NoticeResponse that this project sets. */
+export interface ErrorFields {
+  readonly severity: ErrorSeverity | NoticeSeverity;
+  /** SQLSTATE. */
+  readonly code: string;
+  readonly message: string;
+  readonly detail?: string | undefined;
+  readonly hint?: string | undefined;
+}
+
+const SQLSTATE_WARNING = '01000';
+const writer = new Writer();
+
+function addField(name: string, value: string | undefined): void {
+  if (value === undefined || value.length === 0) return;
+  writer.addString(name).addCString(withoutNul(value));
+}
+
+function withoutNul(text: string): string {
+  return text.replaceAll('\0', '');
+}
+
+function addFields(fields: ErrorFields): void {
+  addField('S', fields.severity);
+  addField('V', fields.severity);
+  addField('C', fields.code);
+  addField('M', fields.message);
+  addField('D', fields.detail);
+  addField('H', fields.hint);
+  writer.addCString('');
+}
+
+export function errorResponse(fields: ErrorFields): Buffer {
+  addFields(fields);
+  return writer.flush(BackendMessageType.ERROR_RESPONSE);
+}
+
+/**
+ * ErrorResponse of a typed error. Detail: `<code>: <outcome>`, the stable part for programs; the
+ * hint says when a retry makes sense.
+ */
+export function errorResponseOf(error: RequestError, severity: ErrorSeverity): Buffer {
+  return errorResponse({
+    severity,
+    code: error.sqlState,
+    message: error.message,
+    detail: `${error.code}: ${error.outcome}`,
+    hint: retryHintOf(error),
+  });
+}
+
+function retryHintOf(error: RequestError): string | undefined {
+  if (error.retryAfterMs !== undefined) return `retry after ${Math.ceil(error.retryAfterMs)} ms`;
+  if (error instanceof NotRunError) return 'the request did not run and may be sent again';
+  return undefined;
+}
+
+export function noticeResponse(
+  message: string,
+  detail: string,
+  severity: NoticeSeverity = 'WARNING',
+): Buffer {
+  addFields({ severity, code: SQLSTATE_WARNING, message, detail });
+  return writer.flush(BackendMessageType.NOTICE_RESPONSE);
+}
+
+export function parameterStatus(name: string, value: string): Buffer {
+  writer.addCString(withoutNul(name)).addCString(withoutNul(value));
+  return writer.flush(BackendMessageType.PARAMETER_STATUS);
+}
+
+export function backendKeyData(processId: number, secretKey: number): Buffer {
+  writer.addInt32(processId).addInt32(secretKey);
+  return writer.flush(BackendMessageType.BACKEND_KEY_DATA);
+}
+
+/** AuthenticationOk, AuthenticationSASL and its kin: an int32 code and its data. */
+export function authentication(code: number, data?: Buffer): Buffer {
+  writer.addInt32(code);
+  if (data !== undefined) writer.add(data);
+  return writer.flush(BackendMessageType.AUTHENTICATION);
+}
+
+export function commandComplete(tag: string): Buffer {
+  writer.addCString(tag);
+  return writer.flush(BackendMessageType.COMMAND_COMPLETE);
+}
+
+/** NegotiateProtocolVersion: newest minor version served, options that were not understood. */
+export function negotiateProtocolVersion(
+  minorVersion: number,
+  unknownOptions: readonly string[],
+): Buffer {
+  writer.addInt32(minorVersion).addInt32(unknownOptions.length);
+  for (const option of unknownOptions) writer.addCString(option);
+  return writer.flush(BackendMessageType.NEGOTIATE_PROTOCOL_VERSION);
+}
+
+function emptyMessage(type: number): Buffer {
+  return Buffer.from([type, 0, 0, 0, 4]);
+}
+
+function readyForQueryMessage(status: TransactionStatus): Buffer {
+  return Buffer.from([BackendMessageType.READY_FOR_QUERY, 0, 0, 0, 5, status.charCodeAt(0)]);
+}
+
+const READY_FOR_QUERY: Readonly<Record<TransactionStatus, Buffer>> = {
+  I: readyForQueryMessage('I'),
+  T: readyForQueryMessage('T'),
+  E: readyForQueryMessage('E'),
+};
+
+/** Shared buffers: not to be written into. */
+export const PARSE_COMPLETE = emptyMessage(BackendMessageType.PARSE_COMPLETE);
+export const BIND_COMPLETE = emptyMessage(BackendMessageType.BIND_COMPLETE);
+export const CLOSE_COMPLETE = emptyMessage(BackendMessageType.CLOSE_COMPLETE);
+export const NO_DATA = emptyMessage(BackendMessageType.NO_DATA);
+export const EMPTY_QUERY_RESPONSE = emptyMessage(BackendMessageType.EMPTY_QUERY_RESPONSE);
+
+/** Shared buffer: not to be written into. */
+export function readyForQuery(status: TransactionStatus): Buffer {
+  return READY_FOR_QUERY[status];
+}
