Gateway session: classification, terms of service, positions and open transactions

Cause: callers need one place that turns a batch into a request. Change: gateway session over the caller connection and group client.

--- /dev/null
+++ b/src/node/gateway/gateway-session.ts
@@ -0,0 +1,340 @@
+/**
+ * One caller's session on this node: decides what each batch is, sends it to the group's owner, and
+ * relays the answer. Holds the session's positions and the open transaction.
+ */
+import type { TenantPolicy } from '../../core/configuration/model.js';
+import { NotRunError, type RequestError, UnsupportedFeatureError } from '../../core/errors.js';
+import type { Position } from '../../core/position.js';
+import type { GroupName, TenantName, ZoneName } from '../../core/request.js';
+import {
+  decodeSessionToken,
+  encodeSessionToken,
+  freshSession,
+  markUnknown,
+  mergeSessions,
+  observe,
+  requirementFor,
+  type SessionKeys,
+  type SessionState,
+} from '../../core/session/index.js';
+import type { RequestMetrics } from './request-metrics.js';
+import type {
+  CallerBatch,
+  CallerConnection,
+  SessionSetting,
+  StatementClass,
+  TransactionStatus,
+} from '../../postgres/contract.js';
+import { classify } from '../../postgres/statements/classify.js';
+import { parseMarkers } from '../../postgres/statements/markers.js';
+import type { BatchMessage, OpenMessage } from '../owner/messages.js';
+import type { GroupAnswerEnd, GroupCall, GroupClient } from './group-client.js';
+import { combineClasses, firstMarkers, type RequestTerms, requestTerms } from './request-policy.js';
+import { answerSessionSetting } from './session-settings.js';
+import type { SessionDirectory } from './session-directory.js';
+
+/** Parameter that carries the session token both ways. */
+export const SESSION_TOKEN_PARAMETER = 'meadowstack.session';
+/** Parameter that names a session which moves with nothing but its name. */
+export const SESSION_ID_PARAMETER = 'meadowstack.session_id';
+
+export interface GatewaySessionOptions {
+  readonly client: GroupClient;
+  readonly sessionKeys: SessionKeys;
+  /** Positions of sessions that move with nothing but their id. */
+  readonly directory: SessionDirectory;
+  /** The tenant's policy in force now; undefined once it is gone. */
+  readonly policyOf: (tenant: TenantName) => TenantPolicy | undefined;
+  readonly zone: ZoneName;
+  readonly nextRequestId: () => string;
+  readonly metrics: RequestMetrics;
+}
+
+/** One request in progress, for metrics. */
+interface RunningRequest {
+  readonly terms: RequestTerms;
+  readonly access: StatementClass['access'];
+  readonly startedAt: number;
+}
+
+export class GatewaySession {
+  readonly #connection: CallerConnection;
+  readonly #options: GatewaySessionOptions;
+  readonly #group: GroupName;
+  readonly #backendDatabase: string;
+  readonly #sessionId: string | undefined;
+  #state: SessionState = freshSession();
+  #call: GroupCall | undefined;
+  #inTransaction = false;
+  /** The open transaction was lost while the caller was idle; told at its next batch. */
+  #transactionLoss: RequestError | undefined;
+  /** The caller believes in a transaction block that no back end has any more. */
+  #blockWithoutBackend = false;
+  #running: RunningRequest | undefined;
+  #stopping: RequestError | undefined;
+
+  constructor(connection: CallerConnection, options: GatewaySessionOptions) {
+    this.#connection = connection;
+    this.#options = options;
+    const access = connection.policy.databases.find(
+      (entry) => entry.database === connection.database,
+    );
+    this.#group = access?.group ?? '';
+    this.#backendDatabase = access?.backendDatabase ?? connection.database;
+    this.#sessionId = connection.parameters.get(SESSION_ID_PARAMETER);
+    connection.onBatch = (batch) => this.#onBatch(batch);
+    connection.onCancel = () => this.#call?.cancel();
+    connection.onClose = () => this.#call?.abandon();
+    connection.onDrain = () => this.#call?.resume();
+  }
+
+  /** Takes in the token or looks up the session id that came with the start-up message. */
+  async begin(): Promise<void> {
+    const token = this.#connection.parameters.get(SESSION_TOKEN_PARAMETER);
+    if (token !== undefined && token !== '') {
+      this.#adoptToken(token).match(
+        () => undefined,
+        (error) => this.#connection.terminate(error),
+      );
+    }
+    if (this.#sessionId !== undefined) {
+      const known = await this.#options.directory.lookUp(this.#tenant, this.#sessionId);
+      this.#state = mergeSessions(this.#state, known);
+    }
+  }
+
+  /** Planned stop or revoked access: ends the session as soon as no request or transaction is open. */
+  stop(error: RequestError): void {
+    this.#stopping = error;
+    if (!this.#connection.busy && !this.#inTransaction) this.#connection.terminate(error);
+  }
+
+  /** Ends the session whatever it is doing. */
+  cut(error: RequestError): void {
+    this.#call?.abandon();
+    this.#connection.terminate(error);
+  }
+
+  get tenant(): TenantName {
+    return this.#tenant;
+  }
+
+  get #tenant(): TenantName {
+    return this.#connection.policy.tenant;
+  }
+
+  #onBatch(batch: CallerBatch): void {
+    const statementClass = combineClasses(batch.statements.map((text) => classify(text)));
+    if (this.#transactionLoss !== undefined) {
+      this.#reportTransactionLoss(this.#transactionLoss, statementClass);
+      return;
+    }
+    if (statementClass.unsupported !== undefined) {
+      this.#refuse(new UnsupportedFeatureError(statementClass.unsupported));
+      return;
+    }
+    if (statementClass.sessionSetting !== undefined) {
+      this.#onSessionSetting(batch, statementClass.sessionSetting);
+      return;
+    }
+    if (this.#inTransaction) this.#continueTransaction(batch, statementClass);
+    else this.#openRequest(batch, statementClass);
+  }
+
+  #continueTransaction(batch: CallerBatch, statementClass: StatementClass): void {
+    this.#call?.send(batchMessage(batch, statementClass));
+  }
+
+  #openRequest(batch: CallerBatch, statementClass: StatementClass): void {
+    const policy = this.#options.policyOf(this.#tenant);
+    if (policy?.enabled !== true) {
+      this.#refuse(new NotRunError('tenant-revoked', 'the tenant has no access any more'));
+      return;
+    }
+    const markers = this.#markersOf(batch);
+    if (markers === undefined) return;
+    const terms = requestTerms(policy, markers, statementClass.access);
+    const begins = statementClass.transactionControl === 'begin';
+    this.#inTransaction = begins;
+    this.#running = { terms, access: statementClass.access, startedAt: performance.now() };
+    this.#call = this.#options.client.open(this.#openMessage(batch, statementClass, terms, policy), {
+      onData: (data) => this.#onData(data),
+      onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
+      onEnd: (end) => this.#onEnd(end),
+      onError: (error) => this.#onError(error),
+    });
+  }
+
+  #markersOf(batch: CallerBatch): ReturnType<typeof firstMarkers> | undefined {
+    const parsed = batch.statements.map((text) => parseMarkers(text));
+    const failure = parsed.find((result) => result.isErr());
+    if (failure?.isErr()) {
+      this.#refuse(failure.error);
+      return undefined;
+    }
+    return firstMarkers(parsed.flatMap((result) => (result.isOk() ? [result.value] : [])));
+  }
+
+  #openMessage(
+    batch: CallerBatch,
+    statementClass: StatementClass,
+    terms: RequestTerms,
+    policy: TenantPolicy,
+  ): OpenMessage {
+    return {
+      type: 'open',
+      requestId: this.#options.nextRequestId(),
+      group: this.#group,
+      tenant: policy.tenant,
+      databaseRole: policy.databaseRole,
+      database: this.#backendDatabase,
+      access: statementClass.access,
+      kind: terms.kind,
+      weight: terms.weight,
+      stalenessBoundMs: terms.stalenessBoundMs,
+      repeatable: terms.repeatable,
+      session: requirementFor(this.#state, this.#group),
+      remainingMs: terms.deadlineMs,
+      hold: statementClass.transactionControl === 'begin' ? 'transaction' : 'statement',
+      zone: this.#options.zone,
+      batch: batchMessage(batch, statementClass),
+    };
+  }
+
+  #onData(data: Buffer): void {
+    if (!this.#connection.write(data)) this.#call?.pause();
+  }
+
+  #onBatchEnd(status: TransactionStatus, heldBack: Buffer): void {
+    this.#connection.write(heldBack);
+    this.#connection.finish(status);
+  }
+
+  #onEnd(end: GroupAnswerEnd): void {
+    this.#call = undefined;
+    this.#inTransaction = false;
+    this.#blockWithoutBackend = false;
+    this.#countOutcome('done', end.fromReplica);
+    const { position } = end;
+    if (position === undefined) {
+      this.#deliverEnd(end);
+      return;
+    }
+    this.#observe(position, end.fromReplica);
+    this.#recordThen(position, () => this.#deliverEnd(end));
+  }
+
+  #deliverEnd(end: GroupAnswerEnd): void {
+    this.#connection.write(end.heldBack);
+    this.#finish(end.status);
+  }
+
+  #onError(error: RequestError): void {
+    const wasTransaction = this.#inTransaction;
+    this.#call = undefined;
+    this.#inTransaction = false;
+    this.#countOutcome(error.outcome, false);
+    if (error.outcome === 'unknown') this.#state = markUnknown(this.#state, this.#group);
+    if (wasTransaction && !this.#connection.busy) {
+      this.#transactionLoss = error;
+      return;
+    }
+    this.#connection.writeError(error);
+    const blockGoesOn = wasTransaction && error.outcome === 'failed';
+    this.#blockWithoutBackend = blockGoesOn;
+    this.#finish(blockGoesOn ? 'T' : 'I');
+  }
+
+  /** The caller learns at its next batch that its transaction is gone. */
+  #reportTransactionLoss(error: RequestError, statementClass: StatementClass): void {
+    this.#transactionLoss = undefined;
+    const ends = statementClass.transactionControl;
+    const blockEnds = ends === 'commit' || ends === 'rollback';
+    this.#blockWithoutBackend = !blockEnds;
+    this.#connection.writeError(error);
+    this.#finish(blockEnds ? 'I' : 'T');
+  }
+
+  /** Positions in a session that has an id are kept by other nodes before the caller is told. */
+  #recordThen(position: Position, deliver: () => void): void {
+    if (this.#sessionId === undefined) {
+      deliver();
+      return;
+    }
+    const entry = { group: this.#group, position };
+    void this.#options.directory.record(this.#tenant, this.#sessionId, entry).then(deliver);
+  }
+
+  #observe(position: Position, fromReplica: boolean): void {
+    const source = fromReplica ? 'unconfirmed' : 'confirmed-primary';
+    const before = requirementFor(this.#state, this.#group);
+    this.#state = observe(this.#state, this.#group, position, source);
+    const after = requirementFor(this.#state, this.#group);
+    if (before !== after) this.#reportToken();
+  }
+
+  #reportToken(): void {
+    const token = encodeSessionToken(this.#state, this.#tenant, this.#options.sessionKeys);
+    this.#connection.reportParameter(SESSION_TOKEN_PARAMETER, token);
+  }
+
+  #adoptToken(token: string): ReturnType<typeof decodeSessionToken> {
+    const decoded = decodeSessionToken(token, this.#tenant, this.#options.sessionKeys);
+    if (decoded.isOk()) this.#state = mergeSessions(this.#state, decoded.value);
+    return decoded;
+  }
+
+  #onSessionSetting(batch: CallerBatch, setting: SessionSetting): void {
+    if (setting.name === SESSION_TOKEN_PARAMETER && setting.action === 'set') {
+      const adopted = this.#adoptToken(setting.value ?? '');
+      if (adopted.isErr()) {
+        this.#refuse(adopted.error);
+        return;
+      }
+    }
+    const shown =
+      setting.name === SESSION_TOKEN_PARAMETER
+        ? encodeSessionToken(this.#state, this.#tenant, this.#options.sessionKeys)
+        : (this.#connection.parameters.get(setting.name) ?? '');
+    this.#connection.write(answerSessionSetting(batch, setting, shown));
+    this.#finish(this.#inTransaction ? 'T' : 'I');
+  }
+
+  #refuse(error: RequestError): void {
+    this.#connection.writeError(error);
+    this.#finish(this.#inTransaction || this.#blockWithoutBackend ? 'T' : 'I');
+  }
+
+  #finish(status: TransactionStatus): void {
+    this.#connection.finish(status);
+    if (this.#stopping !== undefined && !this.#inTransaction && !this.#connection.busy) {
+      this.#connection.terminate(this.#stopping);
+    }
+  }
+
+  #countOutcome(outcome: 'done' | RequestError['outcome'], fromReplica: boolean): void {
+    const running = this.#running;
+    if (running === undefined) return;
+    this.#running = undefined;
+    this.#options.metrics.requestEnded({
+      kind: running.terms.kind,
+      access: running.access,
+      outcome,
+      route: fromReplica ? 'replica' : 'primary',
+      elapsedMs: performance.now() - running.startedAt,
+    });
+  }
+}
+
+function batchMessage(batch: CallerBatch, statementClass: StatementClass): BatchMessage {
+  return {
+    type: 'batch',
+    requires: batch.requires.map((statement) => ({
+      backendName: statement.backendName,
+      text: statement.text,
+      parameterTypes: [...statement.parameterTypes],
+    })),
+    messages: batch.messages,
+    mayCommit: statementClass.transactionControl === 'commit',
+  };
+}
--- /dev/null
+++ b/src/node/gateway/session-directory.ts
@@ -0,0 +1,16 @@
+/** Where positions of sessions are kept that move between nodes with nothing but their id. */
+import type { GroupName, TenantName } from '../../core/request.js';
+import type { Position } from '../../core/position.js';
+import type { SessionState } from '../../core/session/index.js';
+
+export interface GroupPositionEntry {
+  readonly group: GroupName;
+  readonly position: Position;
+}
+
+export interface SessionDirectory {
+  /** What the home nodes know; groups they can't vouch for are unknown. Never fails. */
+  lookUp(tenant: TenantName, sessionId: string): Promise<SessionState>;
+  /** Resolves once enough home nodes keep the position, or it is sure that they won't. */
+  record(tenant: TenantName, sessionId: string, entry: GroupPositionEntry): Promise<void>;
+}
