Back-end side of the PostgreSQL wire

Cause: the owner needs pooled connections that relay answers, hold back their end until confirmation, and tell what is known of a batch when a connection goes. Conclusion: usable; not yet run against the database stand-in.

--- /dev/null
+++ b/src/postgres/backend/position-query.ts
@@ -0,0 +1,76 @@
+/**
+ * One query that tells an instance's role, timeline and positions, with PostgreSQL's own functions.
+ *
+ * The timeline: `pg_control_checkpoint()` reads the control file, which after a promotion names the
+ * new timeline only from the next checkpoint on (a promotion asks for one, but does not wait for
+ * it). A primary that has just been promoted would report its old timeline, and a write there
+ * would look as if it had run on the deposed primary. So on a primary the timeline comes from
+ * `pg_walfile_name(pg_current_wal_lsn())`, whose first eight hexadecimal digits are the timeline
+ * that is being written at this moment. That function is refused during recovery; there the
+ * control file's timeline is a lower bound, which is the safe side for a replica: it then counts
+ * as less far than it is.
+ *
+ * Both positions are NULL on a replica that never streamed; zero stands for them.
+ */
+import { err, ok, Result } from 'neverthrow';
+import type { MeadowstackError } from '../../core/errors.js';
+import type { InstanceState } from '../../core/group/contract.js';
+import { parseLsn } from '../../core/position.js';
+import { PositionAnswerError } from './errors.js';
+import type { TextRow } from './rows.js';
+
+export const POSITION_QUERY =
+  'SELECT pg_is_in_recovery(), ' +
+  '(SELECT timeline_id FROM pg_control_checkpoint()), ' +
+  'CASE WHEN pg_is_in_recovery() THEN NULL ELSE pg_walfile_name(pg_current_wal_lsn()) END, ' +
+  'CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_lsn() END, ' +
+  'CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn() ELSE pg_current_wal_lsn() END';
+
+const COLUMNS = 5;
+const ZERO_LSN = '0/0';
+const TRUE = 't';
+const FALSE = 'f';
+const TIMELINE_PATTERN = /^\d{1,10}$/;
+const WAL_FILE_PATTERN = /^([0-9A-F]{8})[0-9A-F]{16}$/;
+const HEXADECIMAL = 16;
+
+/** Reads the answer to `POSITION_QUERY`. */
+export function parseInstanceState(
+  rows: readonly TextRow[],
+): Result<InstanceState, MeadowstackError> {
+  const [row] = rows;
+  if (rows.length !== 1 || row === undefined || row.length !== COLUMNS) {
+    return err(new PositionAnswerError('the answer is not one row of five columns'));
+  }
+  const [inRecovery, controlTimeline, walFile, replayed, received] = row;
+  if (inRecovery !== TRUE && inRecovery !== FALSE) {
+    return err(new PositionAnswerError('pg_is_in_recovery() is not a boolean'));
+  }
+  const writable = inRecovery === FALSE;
+  const timelineResult = writable
+    ? timelineOfWalFile(walFile)
+    : timelineOfControlFile(controlTimeline);
+  const lsns = Result.combine([parseLsn(replayed ?? ZERO_LSN), parseLsn(received ?? ZERO_LSN)]);
+  return timelineResult.andThen((timeline) =>
+    lsns.map(
+      ([replayedLsn, receivedLsn]): InstanceState => ({
+        writable,
+        replayed: { timeline, lsn: replayedLsn },
+        received: { timeline, lsn: receivedLsn },
+      }),
+    ),
+  );
+}
+
+function timelineOfControlFile(
+  text: string | null | undefined,
+): Result<number, PositionAnswerError> {
+  if (typeof text === 'string' && TIMELINE_PATTERN.test(text)) return ok(Number(text));
+  return err(new PositionAnswerError('timeline_id is not a number'));
+}
+
+function timelineOfWalFile(text: string | null | undefined): Result<number, PositionAnswerError> {
+  const digits = typeof text === 'string' ? WAL_FILE_PATTERN.exec(text)?.[1] : undefined;
+  if (digits !== undefined) return ok(Number.parseInt(digits, HEXADECIMAL));
+  return err(new PositionAnswerError('pg_walfile_name() is not the name of a log file'));
+}
--- /dev/null
+++ b/test/unit/postgres/backend-answer-reader.test.ts
@@ -0,0 +1,167 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  type AnswerEnd,
+  type AnswerListener,
+  AnswerReader,
+  type ExpectedAnswers,
+  MAXIMUM_HELD_BACK_BYTES,
+} from '../../../src/postgres/backend/answer-reader.js';
+import { FrameReader } from '../../../src/postgres/frames.js';
+import * as messages from '../../../src/postgres/messages.js';
+import { dataRow, ROW_DESCRIPTION, ready } from '../../support/scripted-server.js';
+
+interface Recorded {
+  readonly relayed: string;
+  readonly end: AnswerEnd | undefined;
+  /** Everything else that the reader told, in order. */
+  readonly events: readonly string[];
+}
+
+const BATCH: ExpectedAnswers = { prelude: [], batch: true, trailingQuery: false };
+const ERROR = messages.errorResponse({ severity: 'ERROR', code: '25P02', message: 'aborted' });
+const FATAL = messages.errorResponse({ severity: 'FATAL', code: '57P01', message: 'stopping' });
+const DONE = messages.commandComplete('INSERT 0 1');
+
+function read(expected: ExpectedAnswers | undefined, ...answer: readonly Buffer[]): Recorded {
+  const relayed: Buffer[] = [];
+  const events: string[] = [];
+  let end: AnswerEnd | undefined;
+  const listener: AnswerListener = {
+    relay: (part) => relayed.push(part),
+    ended: (given) => {
+      end = given;
+    },
+    fatal: (error) => events.push(`fatal ${error.sqlState}`),
+    violation: () => events.push('violation'),
+    heldBackTooLarge: () => events.push('too large'),
+    prepared: (name) => events.push(`prepared ${name}`),
+    deallocated: (all) => events.push(all ? 'deallocated all' : 'deallocated one'),
+    parameter: (name, value) => events.push(`${name}=${value}`),
+    notificationDropped: () => events.push('notification'),
+  };
+  const reader = new AnswerReader(listener);
+  if (expected !== undefined) reader.begin(expected);
+  new FrameReader(reader.visit).push(Buffer.concat(answer));
+  reader.chunkEnded();
+  return { relayed: Buffer.concat(relayed).toString('latin1'), end, events };
+}
+
+function bytes(...parts: readonly Buffer[]): string {
+  return Buffer.concat(parts).toString('latin1');
+}
+
+test('the last completion is held back, earlier ones are relayed', () => {
+  const { relayed, end } = read(BATCH, DONE, ROW_DESCRIPTION, dataRow('1'), DONE, ready('T'));
+  assert.is(relayed, bytes(DONE, ROW_DESCRIPTION, dataRow('1')));
+  assert.is(end?.heldBack.toString('latin1'), bytes(DONE));
+  assert.is(end?.status, 'T');
+  assert.is(end?.hadError, false);
+});
+
+test('what carries no result behind a completion is held back with it', () => {
+  const status = messages.parameterStatus('TimeZone', 'UTC');
+  const notice = messages.noticeResponse('careful', '');
+  const { relayed, end } = read(BATCH, DONE, messages.CLOSE_COMPLETE, status, notice, ready());
+  assert.is(relayed, '');
+  assert.is(end?.heldBack.toString('latin1'), bytes(DONE, messages.CLOSE_COMPLETE, status, notice));
+});
+
+test('an error behind a completion is relayed at once, with that completion', () => {
+  const { relayed, end } = read(BATCH, DONE, ERROR, ready());
+  assert.is(relayed, bytes(DONE, ERROR));
+  assert.is(end?.heldBack.length, 0);
+  assert.is(end?.hadError, true);
+});
+
+test('a failed trailing query gives no rows and is never relayed', () => {
+  const { relayed, end } = read(
+    { ...BATCH, trailingQuery: true },
+    ERROR,
+    ready('E'),
+    ERROR,
+    ready('E'),
+  );
+  assert.is(relayed, bytes(ERROR));
+  assert.is(end?.trailingRows, undefined);
+  assert.is(end?.trailingError?.sqlState, '25P02');
+  assert.is(end?.status, 'E');
+});
+
+test('rows of the trailing query are read, not relayed', () => {
+  const { relayed, end } = read(
+    { ...BATCH, trailingQuery: true },
+    DONE,
+    ready(),
+    ROW_DESCRIPTION,
+    dataRow('0/16'),
+    DONE,
+    ready(),
+  );
+  assert.is(relayed, '');
+  assert.equal(end?.trailingRows, [['0/16']]);
+  assert.is(end?.heldBack.toString('latin1'), bytes(DONE));
+});
+
+test('ParseComplete of the prelude is swallowed, the batch own one relayed', () => {
+  const prelude = [{ type: messages.BackendMessageType.PARSE_COMPLETE, prepared: 's1' }];
+  const answer = [messages.PARSE_COMPLETE, messages.PARSE_COMPLETE, DONE, ready()];
+  const { relayed, events } = read({ ...BATCH, prelude }, ...answer);
+  assert.is(relayed, bytes(messages.PARSE_COMPLETE));
+  assert.equal(events, ['prepared s1']);
+});
+
+test('an error in the prelude is the answer, and later names are not remembered', () => {
+  const prelude = ['s1', 's2'].map((prepared) => ({
+    type: messages.BackendMessageType.PARSE_COMPLETE,
+    prepared,
+  }));
+  const { relayed, end, events } = read(
+    { ...BATCH, prelude },
+    messages.PARSE_COMPLETE,
+    ERROR,
+    ready(),
+  );
+  assert.is(relayed, bytes(ERROR));
+  assert.is(end?.hadError, true);
+  assert.equal(events, ['prepared s1']);
+});
+
+test('a FATAL error is not relayed', () => {
+  const { relayed, end, events } = read(BATCH, FATAL);
+  assert.is(relayed, '');
+  assert.is(end, undefined);
+  assert.equal(events, ['fatal 57P01']);
+});
+
+test('notifications are dropped, also in the middle of rows', () => {
+  const notification = Buffer.from([0x41, 0, 0, 0, 10, 0, 0, 0, 1, 0, 0]);
+  const { relayed, events } = read(BATCH, dataRow('1'), notification, dataRow('2'), DONE, ready());
+  assert.is(relayed, bytes(dataRow('1'), dataRow('2')));
+  assert.equal(events, ['notification']);
+});
+
+test('outside a batch: parameters are tracked, results are violations', () => {
+  assert.equal(read(undefined, messages.parameterStatus('a', 'b')).events, ['a=b']);
+  assert.equal(read(undefined, dataRow('1')).events, ['violation']);
+  assert.equal(read(undefined, FATAL).events, ['fatal 57P01']);
+});
+
+test('COPY and malformed ReadyForQuery are violations', () => {
+  const copyIn = Buffer.from([0x47, 0, 0, 0, 7, 0, 0, 0]);
+  assert.equal(read(BATCH, copyIn).events, ['violation']);
+  assert.equal(read(BATCH, Buffer.from([0x5a, 0, 0, 0, 5, 0x51])).events, ['violation']);
+});
+
+test('tags that show that statements have gone', () => {
+  const tags = ['DISCARD ALL', 'DEALLOCATE ALL', 'DEALLOCATE', 'DELETE 3'];
+  const { events } = read(BATCH, ...tags.map(messages.commandComplete), ready());
+  assert.equal(events, ['deallocated all', 'deallocated all', 'deallocated one']);
+});
+
+test('what is held back is bounded', () => {
+  const notice = messages.noticeResponse('x'.repeat(MAXIMUM_HELD_BACK_BYTES), '');
+  assert.equal(read(BATCH, DONE, notice).events, ['too large']);
+});
+
+test.run();
