Stand-ins for the store, the machine list and the fault proxy; clients and harness

Cause: everything that meets the platform needs something real to meet, and faults to meet it under.

--- /dev/null
+++ b/standins/common/token-bucket.ts
@@ -0,0 +1,24 @@
+/** Token bucket for the rate limit of a stand-in. */
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Allows `ratePerSecond` requests a second with a burst of as many. */
+export class TokenBucket {
+  #tokens: number;
+
+  constructor(
+    private readonly ratePerSecond: number,
+    private updatedAtMs: number,
+  ) {
+    this.#tokens = Math.max(1, ratePerSecond);
+  }
+
+  /** Takes a token if there is one at `nowMs`. */
+  tryTake(nowMs: number): boolean {
+    const gained = ((nowMs - this.updatedAtMs) / MILLISECONDS_PER_SECOND) * this.ratePerSecond;
+    this.#tokens = Math.min(Math.max(1, this.ratePerSecond), this.#tokens + gained);
+    this.updatedAtMs = nowMs;
+    if (this.#tokens < 1) return false;
+    this.#tokens -= 1;
+    return true;
+  }
+}
