--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -4,8 +4,11 @@
  */
 import type { Milliseconds } from './units.js';
 
-/** What is known of a request that did not simply succeed. */
-export type FailureOutcome = 'not-run' | 'unknown' | 'failed';
+/**
+ * What is known of a request that did not simply succeed. `done`: an earlier request with the same
+ * key took effect, so this one was not run a second time.
+ */
+export type FailureOutcome = 'done' | 'not-run' | 'unknown' | 'failed';
 
 /** Labels that callers of the core branch on. */
 export type ErrorLabel = 'retryable' | 'protocol-violation' | 'configuration' | 'security';
@@ -48,6 +51,7 @@
   INVALID_PARAMETER_VALUE: '22023',
   INSUFFICIENT_PRIVILEGE: '42501',
   IN_FAILED_TRANSACTION: '25P02',
+  UNIQUE_VIOLATION: '23505',
 } as const;
 
 export type SqlStateCode = (typeof SqlState)[keyof typeof SqlState];
