--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -52,6 +52,7 @@
   INSUFFICIENT_PRIVILEGE: '42501',
   IN_FAILED_TRANSACTION: '25P02',
   UNIQUE_VIOLATION: '23505',
+  OBJECT_NOT_IN_PREREQUISITE_STATE: '55000',
 } as const;
 
 export type SqlStateCode = (typeof SqlState)[keyof typeof SqlState];
