--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -4,8 +4,11 @@
  */
 import type { Milliseconds } from './units.js';
 
-/** What is known of a request that did not simply succeed. */
-export type FailureOutcome = 'not-run' | 'unknown' | 'failed';
+/**
+ * What is known of a request that did not simply succeed. `done`: an earlier request with the same
+ * key took effect, so this one was not run a second time.
+ */
+export type FailureOutcome = 'done' | 'not-run' | 'unknown' | 'failed';
 
 /** Labels that callers of the core branch on. */
 export type ErrorLabel = 'retryable' | 'protocol-violation' | 'configuration' | 'security';
@@ -52,6 +55,8 @@
   DUPLICATE_PREPARED_STATEMENT: '42P05',
   INVALID_SQL_STATEMENT_NAME: '26000',
   INVALID_CURSOR_NAME: '34000',
+  UNIQUE_VIOLATION: '23505',
+  OBJECT_NOT_IN_PREREQUISITE_STATE: '55000',
 } as const;
 
 export type SqlStateCode = (typeof SqlState)[keyof typeof SqlState];
--- a/src/peer/local-stream.ts
+++ b/src/peer/local-stream.ts
@@ -36,12 +36,12 @@
   write(data: Buffer): boolean {
     const other = this.other;
     if (this.#ended || other === undefined) return true;
-    other.#enqueue({ type: 'data', data });
+    other.receive({ type: 'data', data });
     return other.#inboxBytes < LOCAL_WINDOW_BYTES;
   }
 
   send(message: WireValue): void {
-    if (!this.#ended) this.other?.#enqueue({ type: 'message', message });
+    if (!this.#ended) this.other?.receive({ type: 'message', message });
   }
 
   pause(): void {
@@ -64,11 +64,12 @@
   #finish(error: MeadowstackError | undefined): void {
     if (this.#ended) return;
     this.#ended = true;
-    this.other?.#enqueue({ type: 'close', error });
-    this.#enqueue({ type: 'close', error });
+    this.other?.receive({ type: 'close', error });
+    this.receive({ type: 'close', error });
   }
 
-  #enqueue(delivery: Delivery): void {
+  /** Called by the other end. */
+  receive(delivery: Delivery): void {
     if (this.#closed) return;
     this.#inbox.push(delivery);
     if (delivery.type === 'data') this.#inboxBytes += delivery.data.length;
