--- /dev/null
+++ b/src/core/configuration/agent.ts
@@ -0,0 +1,324 @@
+/**
+ * Keeps one node's configuration: puts together the replica, the relay lease, the store's watch,
+ * pushes along the zone's tree and anti-entropy with random peers. No I/O; the adapter in
+ * src/node/configuration carries the effects out.
+ */
+import type { Milliseconds } from '../units.js';
+import type {
+  AgentEffect,
+  AgentEvent,
+  ConfigurationSource,
+  ConfigurationStatus,
+  DigestAnswer,
+} from './agent-contract.js';
+import { jitter, type RandomSource } from './backoff.js';
+import type { ConfigurationRevision } from './model.js';
+import { RelayRole } from './relay-role.js';
+import { type ConfigurationMember, pushTargets, relayCandidates } from './relays.js';
+import {
+  type ConfigurationDelta,
+  type ConfigurationDigest,
+  ConfigurationReplica,
+} from './replica.js';
+import { StoreFollower, type StoreFollowerEvent } from './store-follower.js';
+
+const ANTI_ENTROPY_INTERVAL_MS = 1000;
+const START_INTERVAL_MS = 400;
+/** Peers that a node without a configuration asks at once. */
+const START_PEERS = 5;
+/** A store that has not answered the first read by then counts as in trouble. */
+const START_STORE_WAIT_MS = 1500;
+/** Share of anti-entropy rounds that go to another zone. */
+const OTHER_ZONE_SHARE = 0.25;
+
+/** What the agent is built with. */
+export interface AgentOptions {
+  readonly self: ConfigurationMember;
+  readonly random: RandomSource;
+}
+
+/** The state machine of one node's configuration. */
+export class ConfigurationAgent {
+  readonly replica = new ConfigurationReplica();
+  readonly #self: ConfigurationMember;
+  readonly #random: RandomSource;
+  readonly #role: RelayRole;
+  readonly #follower: StoreFollower;
+  #members: readonly ConfigurationMember[] = [];
+  #startedAt: Milliseconds | undefined;
+  #ready = false;
+  #storeFailed = false;
+  /** Peers asked in the current round of the start, not yet answered. */
+  readonly #awaited = new Set<string>();
+  readonly #fetching = new Set<string>();
+  /** For each root of a push tree, the highest revision that was passed on for it. */
+  readonly #forwarded = new Map<string, ConfigurationRevision>();
+  #peerAnswered = false;
+  #nextPeerAt: Milliseconds | undefined;
+  #source: ConfigurationSource = 'none';
+  #highestSeen: ConfigurationRevision = 0;
+  #behindSince: Milliseconds | undefined;
+  #digestMismatches = 0;
+
+  constructor(options: AgentOptions) {
+    this.#self = options.self;
+    this.#random = options.random;
+    this.#role = new RelayRole(options.random);
+    this.#follower = new StoreFollower(options.random);
+  }
+
+  nextDeadline(): Milliseconds | undefined {
+    const deadlines = [
+      this.#nextPeerAt,
+      this.#role.nextDeadline(),
+      this.#follower.nextDeadline(),
+    ].filter((at) => at !== undefined);
+    return deadlines.length === 0 ? undefined : Math.min(...deadlines);
+  }
+
+  /** Answer to a peer that asks. */
+  digestAnswer(): DigestAnswer {
+    return { digest: this.replica.digest(), ready: this.#ready };
+  }
+
+  status(now: Milliseconds): ConfigurationStatus {
+    return {
+      ready: this.#ready,
+      revision: this.replica.revision,
+      highestSeenRevision: this.#highestSeen,
+      lagMs: this.#behindSince === undefined ? 0 : now - this.#behindSince,
+      source: this.#source,
+      relay: this.#role.active,
+      watching: this.#follower.watching,
+      digest: this.replica.digest().hash,
+      digestMismatches: this.#digestMismatches,
+    };
+  }
+
+  handle(event: AgentEvent, now: Milliseconds): AgentEffect[] {
+    const effects = this.#dispatch(event, now);
+    return [...effects, ...this.#becomeReady(now), ...this.#updateDemand(now)];
+  }
+
+  #dispatch(event: AgentEvent, now: Milliseconds): AgentEffect[] {
+    switch (event.type) {
+      case 'started':
+        this.#startedAt = now;
+        return this.#peerRound(now);
+      case 'members-changed':
+        return this.#setMembers(event.members, now);
+      case 'store-read':
+        return this.#storeRead(event.delta, event.storeRevision, now);
+      case 'store-read-failed':
+        this.#storeFailed = true;
+        return this.#follow(event, now);
+      case 'watch-delta':
+        return this.#watchDelta(event.delta, now);
+      case 'watch-ended':
+      case 'head-check-failed':
+        return this.#follow(event, now);
+      case 'head-checked':
+        this.#hearOf(event.headRevision, now);
+        return this.#follow({ ...event, replicaRevision: this.replica.revision }, now);
+      case 'relay':
+        return this.#role.handle(event.event, now);
+      case 'digest-answered':
+        return this.#digestAnswered(event.nodeId, event.answer, now);
+      case 'peer-failed':
+        this.#awaited.delete(event.nodeId);
+        this.#fetching.delete(event.nodeId);
+        return [];
+      case 'fetched':
+        return this.#fetched(event.nodeId, event.delta, now);
+      case 'push-received':
+        return this.#pushReceived(event.nodeId, event.root, event.delta, now);
+      case 'digest-received':
+        return this.#compareDigest(event.nodeId, event.digest, now);
+      case 'tick':
+        return this.#tick(now);
+    }
+  }
+
+  #setMembers(members: readonly ConfigurationMember[], now: Milliseconds): AgentEffect[] {
+    this.#members = members.filter((member) => member.nodeId !== this.#self.nodeId);
+    for (const root of this.#forwarded.keys()) {
+      if (!this.#isMember(root)) this.#forwarded.delete(root);
+    }
+    const candidate = this.#candidates().some((member) => member.nodeId === this.#self.nodeId);
+    const effects = this.#role.handle({ type: 'candidacy-changed', candidate }, now);
+    const firstPeers = this.#startedAt !== undefined && !this.#ready && this.#awaited.size === 0;
+    return firstPeers ? [...effects, ...this.#peerRound(now)] : effects;
+  }
+
+  #isMember(nodeId: string): boolean {
+    return nodeId === this.#self.nodeId || this.#members.some((each) => each.nodeId === nodeId);
+  }
+
+  #candidates(): readonly ConfigurationMember[] {
+    return relayCandidates(this.#self.zone, [...this.#members, this.#self]);
+  }
+
+  #storeRead(delta: ConfigurationDelta, storeRevision: number, now: Milliseconds): AgentEffect[] {
+    const effects = this.#merge(delta, 'store', now);
+    const ready: AgentEffect[] = this.#ready ? [] : [{ type: 'ready' }];
+    this.#ready = true;
+    const spread = effects.length > 0 && this.#role.active ? this.#pushOwn(delta) : [];
+    return [
+      ...effects,
+      ...ready,
+      ...this.#follow({ type: 'store-read', storeRevision }, now),
+      ...spread,
+    ];
+  }
+
+  #watchDelta(delta: ConfigurationDelta, now: Milliseconds): AgentEffect[] {
+    const effects = this.#merge(delta, 'watch', now);
+    // A relay pushes what its watch brings even if a peer was faster: its tree waits for it.
+    return [...effects, ...this.#pushOwn(delta)];
+  }
+
+  #digestAnswered(nodeId: string, answer: DigestAnswer, now: Milliseconds): AgentEffect[] {
+    this.#awaited.delete(nodeId);
+    if (!answer.ready) return [];
+    this.#peerAnswered = true;
+    return this.#compareDigest(nodeId, answer.digest, now);
+  }
+
+  #compareDigest(nodeId: string, digest: ConfigurationDigest, now: Milliseconds): AgentEffect[] {
+    const own = this.replica.digest();
+    this.#hearOf(digest.revision, now);
+    if (digest.revision < own.revision || digest.hash === own.hash) return [];
+    if (digest.revision > own.revision) return this.#fetch(nodeId, own.revision);
+    this.#digestMismatches += 1;
+    return this.#fetch(nodeId, 0);
+  }
+
+  #fetch(nodeId: string, sinceRevision: ConfigurationRevision): AgentEffect[] {
+    const peer = this.#members.find((member) => member.nodeId === nodeId);
+    if (peer === undefined || this.#fetching.has(nodeId)) return [];
+    this.#fetching.add(nodeId);
+    return [{ type: 'fetch', peer, sinceRevision }];
+  }
+
+  #fetched(nodeId: string, delta: ConfigurationDelta, now: Milliseconds): AgentEffect[] {
+    this.#fetching.delete(nodeId);
+    const effects = this.#merge(delta, 'peer', now);
+    if (effects.length === 0) return [];
+    const peer = this.#members.find((member) => member.nodeId === nodeId);
+    const fromOtherZone = peer !== undefined && peer.zone !== this.#self.zone;
+    return fromOtherZone ? [...effects, ...this.#tellCandidates(delta)] : effects;
+  }
+
+  /** News from another zone means that no relay of this zone had it yet; the candidates spread it. */
+  #tellCandidates(delta: ConfigurationDelta): AgentEffect[] {
+    return this.#candidates().flatMap((peer): AgentEffect[] => {
+      if (peer.nodeId === this.#self.nodeId) return this.#pushOwn(delta);
+      return [{ type: 'push', peer, root: peer.nodeId, delta }];
+    });
+  }
+
+  #pushReceived(
+    nodeId: string,
+    root: string,
+    delta: ConfigurationDelta,
+    now: Milliseconds,
+  ): AgentEffect[] {
+    this.#hearOf(delta.revision, now);
+    if (delta.sinceRevision > this.replica.revision) {
+      return [...this.#fetch(nodeId, this.replica.revision), ...this.#forward(root, delta)];
+    }
+    return [...this.#merge(delta, 'push', now), ...this.#forward(root, delta)];
+  }
+
+  #pushOwn(delta: ConfigurationDelta): AgentEffect[] {
+    return this.#forward(this.#self.nodeId, delta);
+  }
+
+  #forward(root: string, delta: ConfigurationDelta): AgentEffect[] {
+    if (!this.#isMember(root) || delta.revision <= (this.#forwarded.get(root) ?? 0)) return [];
+    this.#forwarded.set(root, delta.revision);
+    return pushTargets(root, this.#self.nodeId, this.#self.zone, [
+      ...this.#members,
+      this.#self,
+    ]).map((peer) => ({ type: 'push', peer, root, delta }));
+  }
+
+  #merge(delta: ConfigurationDelta, source: ConfigurationSource, now: Milliseconds): AgentEffect[] {
+    this.#hearOf(delta.revision, now);
+    if (this.replica.merge(delta) !== 'applied') return [];
+    this.#source = source;
+    if (this.replica.revision >= this.#highestSeen) this.#behindSince = undefined;
+    return [{ type: 'apply', snapshot: this.replica.snapshot() }];
+  }
+
+  #hearOf(revision: ConfigurationRevision, now: Milliseconds): void {
+    this.#highestSeen = Math.max(this.#highestSeen, revision);
+    if (this.#highestSeen > this.replica.revision) this.#behindSince ??= now;
+  }
+
+  /** With the store in trouble: every peer that was asked has answered, and one had something. */
+  #becomeReady(now: Milliseconds): AgentEffect[] {
+    if (this.#ready || !this.#peerAnswered || this.#startedAt === undefined) return [];
+    if (!this.#storeFailed && now - this.#startedAt < START_STORE_WAIT_MS) return [];
+    const waiting = this.#awaited.size > 0 || this.#fetching.size > 0;
+    if (waiting || this.replica.revision < this.#highestSeen) return [];
+    this.#ready = true;
+    return [{ type: 'ready' }];
+  }
+
+  #updateDemand(now: Milliseconds): AgentEffect[] {
+    if (this.#startedAt === undefined) return [];
+    const demand = { watch: this.#role.active, read: !this.#ready };
+    return this.#follow({ type: 'demand-changed', ...demand }, now);
+  }
+
+  #follow(event: StoreFollowerEvent, now: Milliseconds): AgentEffect[] {
+    return this.#follower.handle(event, now);
+  }
+
+  #tick(now: Milliseconds): AgentEffect[] {
+    const peers = this.#nextPeerAt !== undefined && now >= this.#nextPeerAt;
+    return [
+      ...(peers ? this.#peerRound(now) : []),
+      ...this.#role.handle({ type: 'tick' }, now),
+      ...this.#follower.handle({ type: 'tick' }, now),
+    ];
+  }
+
+  #peerRound(now: Milliseconds): AgentEffect[] {
+    const interval = this.#ready ? ANTI_ENTROPY_INTERVAL_MS : START_INTERVAL_MS;
+    this.#nextPeerAt = now + jitter(interval, this.#random);
+    if (this.#ready) return this.#onePeer().map((peer) => ({ type: 'ask-digest', peer }));
+    return this.#startPeers().map((peer) => {
+      this.#awaited.add(peer.nodeId);
+      return { type: 'ask-digest', peer };
+    });
+  }
+
+  #onePeer(): readonly ConfigurationMember[] {
+    const wantOther = this.#random() < OTHER_ZONE_SHARE;
+    const preferred = this.#members.filter(
+      (member) => (member.zone !== this.#self.zone) === wantOther,
+    );
+    return sample(preferred.length > 0 ? preferred : this.#members, 1, this.#random);
+  }
+
+  #startPeers(): readonly ConfigurationMember[] {
+    const free = this.#members.filter((member) => !this.#awaited.has(member.nodeId));
+    return sample(free, START_PEERS - this.#awaited.size, this.#random);
+  }
+}
+
+/** Some members, each at most once. */
+function sample(
+  members: readonly ConfigurationMember[],
+  count: number,
+  random: RandomSource,
+): readonly ConfigurationMember[] {
+  const pool = [...members];
+  const chosen: ConfigurationMember[] = [];
+  while (chosen.length < count && pool.length > 0) {
+    chosen.push(...pool.splice(Math.floor(random() * pool.length), 1));
+  }
+  return chosen;
+}
--- /dev/null
+++ b/src/core/configuration/catalogue.ts
@@ -0,0 +1,123 @@
+/**
+ * All declarations together, and the checks that span them: every tenant's template exists and
+ * accepts its parameters, no two tenants share a user, no template in use is missing.
+ */
+import {
+  type DeclarationKey,
+  keyOf,
+  type LocatedDeclaration,
+  type TemplateDeclaration,
+  type TenantDeclaration,
+} from './declaration.js';
+import type { DocumentProblem } from './document.js';
+import type { ConfigurationRevision, ConfigurationSnapshot, TenantPolicy } from './model.js';
+import { checkDefaults } from './parameters.js';
+import { findReferences, resolveTenant } from './resolve.js';
+
+/** A declaration in a catalogue with the revision at which it was published; 0 if it was not. */
+export interface CatalogueEntry extends LocatedDeclaration {
+  readonly revision: ConfigurationRevision;
+}
+
+/** Declarations by key. Removed ones are absent. */
+export type Catalogue = ReadonlyMap<DeclarationKey, CatalogueEntry>;
+
+/** The outcome of resolving a catalogue: what can be in force, and what is wrong with the rest. */
+export interface ResolvedCatalogue {
+  readonly policies: readonly TenantPolicy[];
+  readonly problems: readonly DocumentProblem[];
+}
+
+/** Resolves every tenant and checks every template. Deterministic: by order of key. */
+export function resolveCatalogue(catalogue: Catalogue): ResolvedCatalogue {
+  const problems: DocumentProblem[] = [];
+  const policies: TenantPolicy[] = [];
+  const users = new Map<string, string>();
+  for (const key of [...catalogue.keys()].sort()) {
+    const entry = catalogue.get(key);
+    if (entry === undefined) continue;
+    if (entry.declaration.kind === 'Template') {
+      problems.push(...checkTemplate(entry.declaration, entry.locate));
+      continue;
+    }
+    const policy = resolveEntry(catalogue, entry, entry.declaration, problems);
+    if (policy === undefined) continue;
+    const other = users.get(policy.user);
+    if (other !== undefined) {
+      problems.push({
+        location: entry.locate(['user']),
+        field: 'user',
+        expected: `a user that no other tenant has (${other} has it)`,
+      });
+      continue;
+    }
+    users.set(policy.user, policy.tenant);
+    policies.push(policy);
+  }
+  return { policies, problems };
+}
+
+/** The snapshot in force at a revision. Tenants that don't resolve are left out. */
+export function snapshotOf(
+  catalogue: Catalogue,
+  revision: ConfigurationRevision,
+): ConfigurationSnapshot {
+  const { policies } = resolveCatalogue(catalogue);
+  return {
+    revision,
+    tenantsByUser: new Map(policies.map((policy) => [policy.user, policy])),
+    tenantsByName: new Map(policies.map((policy) => [policy.tenant, policy])),
+  };
+}
+
+/** A catalogue of declarations from files alone. */
+export function catalogueOf(declarations: readonly LocatedDeclaration[]): Catalogue {
+  return new Map(
+    declarations.map((located) => [keyOf(located.declaration), { ...located, revision: 0 }]),
+  );
+}
+
+function checkTemplate(
+  template: TemplateDeclaration,
+  locate: LocatedDeclaration['locate'],
+): DocumentProblem[] {
+  const references = findReferences(template.policy, ['policy']);
+  const unknown = references
+    .filter(({ parameter }) => !Object.hasOwn(template.parameters, parameter))
+    .map(({ parameter, path }) => ({
+      location: locate(path),
+      field: path.join('.'),
+      expected: `a parameter that the template declares, not ${parameter}`,
+    }));
+  const used = new Set(references.map(({ parameter }) => parameter));
+  const unused = Object.keys(template.parameters)
+    .filter((name) => !used.has(name))
+    .map((name) => ({
+      location: locate(['parameters', name]),
+      field: `parameters.${name}`,
+      expected: 'a parameter that the policy refers to',
+    }));
+  return [...unknown, ...unused, ...checkDefaults(template.parameters, locate)];
+}
+
+function resolveEntry(
+  catalogue: Catalogue,
+  entry: CatalogueEntry,
+  tenant: TenantDeclaration,
+  problems: DocumentProblem[],
+): TenantPolicy | undefined {
+  const template = catalogue.get(`template/${tenant.template}`);
+  if (template === undefined || template.declaration.kind !== 'Template') {
+    problems.push({
+      location: entry.locate(['template']),
+      field: 'template',
+      expected: `a template that is declared; there is none named ${tenant.template}`,
+    });
+    return undefined;
+  }
+  const revision = Math.max(entry.revision, template.revision);
+  const resolved = resolveTenant(template.declaration, tenant, revision, entry.locate);
+  if (resolved.isOk()) return resolved.value;
+  problems.push(...resolved.error.problems);
+  return undefined;
+}
--- /dev/null
+++ b/src/core/configuration/declaration.ts
@@ -0,0 +1,128 @@
+/**
+ * Declarations as operators write them: YAML documents of `kind: Template` or `kind: Tenant`.
+ * docs/operations/publishing.md shows both.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import {
+  type DocumentProblem,
+  type FieldPath,
+  type LocatedDocument,
+  parseYaml,
+  problemsOfIssues,
+  type SourceLocation,
+} from './document.js';
+import { InvalidDeclarationError } from './errors.js';
+import { parameterSchema } from './parameters.js';
+import { nameSchema, postgresNameSchema, templatePolicySchema } from './policy-schema.js';
+
+/** PostgreSQL's own form of a SCRAM verifier, as `pg_authid` holds it. */
+export const SCRAM_VERIFIER_PATTERN =
+  /^SCRAM-SHA-256\$\d{4,7}:[A-Za-z0-9+/]{16,}={0,2}\$[A-Za-z0-9+/]{43}=:[A-Za-z0-9+/]{43}=$/;
+
+const templateSchema = z.strictObject({
+  kind: z.literal('Template'),
+  name: nameSchema,
+  description: z.string().max(1000).optional(),
+  parameters: z.record(nameSchema, parameterSchema).default({}),
+  policy: templatePolicySchema,
+});
+
+const tenantSchema = z.strictObject({
+  kind: z.literal('Tenant'),
+  name: nameSchema,
+  description: z.string().max(1000).optional(),
+  template: nameSchema,
+  /** User name of callers; absent: the tenant's name. */
+  user: postgresNameSchema.optional(),
+  /** May be absent in a file if the command line fills it in from a password. */
+  scramVerifier: z
+    .string()
+    .regex(SCRAM_VERIFIER_PATTERN, {
+      error: 'expected SCRAM-SHA-256$<iterations>:<salt>$<stored key>:<server key>',
+    })
+    .optional(),
+  /** False: callers are refused and open connections are ended. */
+  enabled: z.boolean().default(true),
+  parameters: z.record(nameSchema, z.unknown()).default({}),
+});
+
+/** Checks one declaration. */
+export const declarationSchema = z.discriminatedUnion('kind', [templateSchema, tenantSchema]);
+
+export type TemplateDeclaration = z.output<typeof templateSchema>;
+export type TenantDeclaration = z.output<typeof tenantSchema>;
+export type Declaration = TemplateDeclaration | TenantDeclaration;
+
+/** `template/<name>` or `tenant/<name>`; orders templates before tenants. */
+export type DeclarationKey = `template/${string}` | `tenant/${string}`;
+
+/** A declaration and how to tell where its fields stand. */
+export interface LocatedDeclaration {
+  readonly declaration: Declaration;
+  locate(path: FieldPath): SourceLocation;
+}
+
+/** A file's text with the name to report. */
+export interface DeclarationFile {
+  readonly source: string;
+  readonly text: string;
+}
+
+/** The key of a declaration. */
+export function keyOf(declaration: Pick<Declaration, 'kind' | 'name'>): DeclarationKey {
+  return declaration.kind === 'Template'
+    ? `template/${declaration.name}`
+    : `tenant/${declaration.name}`;
+}
+
+/** Parses all documents of all files; every problem of every file is reported at once. */
+export function parseDeclarations(
+  files: readonly DeclarationFile[],
+): Result<readonly LocatedDeclaration[], InvalidDeclarationError> {
+  const declarations: LocatedDeclaration[] = [];
+  const problems: DocumentProblem[] = [];
+  for (const file of files) {
+    const parsed = parseYaml(file.text, file.source);
+    problems.push(...parsed.problems);
+    for (const document of parsed.documents) {
+      const checked = checkDocument(document);
+      if (checked.isErr()) problems.push(...checked.error);
+      else declarations.push(checked.value);
+    }
+  }
+  problems.push(...findDuplicates(declarations));
+  return problems.length > 0 ? err(new InvalidDeclarationError(problems)) : ok(declarations);
+}
+
+/** A declaration without a file, such as one that the store holds. */
+export function unlocated(declaration: Declaration): LocatedDeclaration {
+  const location = { source: keyOf(declaration), line: undefined, column: undefined };
+  return { declaration, locate: () => location };
+}
+
+function checkDocument(
+  document: LocatedDocument,
+): Result<LocatedDeclaration, readonly DocumentProblem[]> {
+  const locate = (path: FieldPath) => document.locate(path);
+  const parsed = declarationSchema.safeParse(document.value);
+  if (!parsed.success) return err(problemsOfIssues(parsed.error.issues, locate));
+  return ok({ declaration: parsed.data, locate });
+}
+
+function findDuplicates(declarations: readonly LocatedDeclaration[]): DocumentProblem[] {
+  const seen = new Set<DeclarationKey>();
+  const problems: DocumentProblem[] = [];
+  for (const { declaration, locate } of declarations) {
+    const key = keyOf(declaration);
+    if (seen.has(key)) {
+      problems.push({
+        location: locate(['name']),
+        field: 'name',
+        expected: `one declaration of ${key} in a publish`,
+      });
+    }
+    seen.add(key);
+  }
+  return problems;
+}
--- /dev/null
+++ b/src/core/configuration/difference.ts
@@ -0,0 +1,48 @@
+/** Field-by-field differences of two declarations, for dry runs and conflicts. */
+import { formatFieldPath } from './document.js';
+
+/** One field that differs. */
+export interface FieldDifference {
+  /** Dotted path, such as `parameters.maxConnections`. */
+  readonly field: string;
+  /** Undefined if the field is new. */
+  readonly before: unknown;
+  /** Undefined if the field is gone. */
+  readonly after: unknown;
+}
+
+/** The fields whose values differ, in order of path. Arrays are compared item by item. */
+export function differencesOf(before: unknown, after: unknown): FieldDifference[] {
+  return compare(before, after, []).sort((left, right) => (left.field < right.field ? -1 : 1));
+}
+
+function compare(before: unknown, after: unknown, path: (string | number)[]): FieldDifference[] {
+  if (Object.is(before, after)) return [];
+  const left = childrenOf(before);
+  const right = childrenOf(after);
+  if (left === undefined && right === undefined) {
+    return [{ field: formatFieldPath(path), before, after }];
+  }
+  if (isMismatch(before, left, right) || isMismatch(after, right, left)) {
+    return [{ field: formatFieldPath(path), before, after }];
+  }
+  const keys = new Set([...(left?.keys() ?? []), ...(right?.keys() ?? [])]);
+  return [...keys].flatMap((key) => compare(left?.get(key), right?.get(key), [...path, key]));
+}
+
+type Children = ReadonlyMap<string | number, unknown>;
+
+/** A plain value against a container is one difference; an absent one is compared field by field. */
+function isMismatch(
+  value: unknown,
+  own: Children | undefined,
+  other: Children | undefined,
+): boolean {
+  return own === undefined && other !== undefined && value !== undefined;
+}
+
+function childrenOf(value: unknown): Children | undefined {
+  if (Array.isArray(value)) return new Map(value.map((item, index) => [index, item]));
+  if (typeof value !== 'object' || value === null) return undefined;
+  return new Map(Object.entries(value));
+}
--- /dev/null
+++ b/src/core/configuration/errors.ts
@@ -0,0 +1,97 @@
+/** Errors of declarations and of publishing them. */
+import { type ErrorLabel, MeadowstackError } from '../errors.js';
+import { type DocumentProblem, formatProblem } from './document.js';
+import type { ConfigurationRevision } from './model.js';
+
+const CONFIGURATION_LABELS: ReadonlySet<ErrorLabel> = new Set(['configuration']);
+
+/** Declarations that can't be accepted; every problem found is listed. */
+export class InvalidDeclarationError extends MeadowstackError {
+  readonly code = 'MS-DECLARATION';
+  override readonly labels = CONFIGURATION_LABELS;
+
+  constructor(readonly problems: readonly DocumentProblem[]) {
+    super(problems.map(formatProblem).join('\n'));
+  }
+}
+
+/** One version of a declaration, for showing a conflict. */
+export interface ConflictingVersion {
+  /** `template/<name>` or `tenant/<name>`. */
+  readonly key: string;
+  /** Revision that the publish was based on; 0 if it expected no such declaration. */
+  readonly expectedRevision: ConfigurationRevision;
+  /** Revision in force; 0 if there is none. */
+  readonly currentRevision: ConfigurationRevision;
+  /** Declaration in force, undefined if there is none or it was removed. */
+  readonly current: unknown;
+  /** Declaration that was to be published, undefined for a removal. */
+  readonly proposed: unknown;
+}
+
+/** Someone else published a change to the same declarations first; nothing was applied. */
+export class PublishConflictError extends MeadowstackError {
+  readonly code = 'MS-PUBLISH-CONFLICT';
+  override readonly labels = CONFIGURATION_LABELS;
+
+  constructor(readonly conflicts: readonly ConflictingVersion[]) {
+    super(conflicts.map(describeConflict).join('\n'));
+  }
+}
+
+/** Other operators' publishes won every race for the head; nothing was applied. */
+export class PublishContentionError extends MeadowstackError {
+  readonly code = 'MS-PUBLISH-CONTENTION';
+  override readonly labels: ReadonlySet<ErrorLabel> = new Set(['retryable']);
+
+  constructor() {
+    super('other publishes came first every time; nothing was applied');
+  }
+}
+
+/** The publish may or may not have been applied; asking again with the same id is safe. */
+export class PublishOutcomeUnknownError extends MeadowstackError {
+  readonly code = 'MS-PUBLISH-UNKNOWN';
+
+  constructor(
+    readonly publishId: string,
+    options?: ErrorOptions,
+  ) {
+    super(`it is not known whether publish ${publishId} was applied`, options);
+  }
+}
+
+/** The store could not be reached and nothing was applied. */
+export class StoreUnavailableError extends MeadowstackError {
+  readonly code = 'MS-STORE-UNAVAILABLE';
+  override readonly labels: ReadonlySet<ErrorLabel> = new Set(['retryable']);
+
+  constructor(options?: ErrorOptions) {
+    super('the store can not be reached', options);
+  }
+}
+
+/** No declaration or version of that name. */
+export class DeclarationNotFoundError extends MeadowstackError {
+  readonly code = 'MS-DECLARATION-NOT-FOUND';
+  override readonly labels = CONFIGURATION_LABELS;
+
+  constructor(readonly wanted: string) {
+    super(`no ${wanted}`);
+  }
+}
+
+/** A value under the project's keys in the store is not of the expected form. */
+export class StoredValueError extends MeadowstackError {
+  readonly code = 'MS-STORED-VALUE';
+  override readonly labels = CONFIGURATION_LABELS;
+
+  constructor(readonly key: string) {
+    super(`the store's value of ${key} is not a declaration`);
+  }
+}
+
+function describeConflict(conflict: ConflictingVersion): string {
+  const { key, expectedRevision, currentRevision } = conflict;
+  return `${key}: based on revision ${expectedRevision}, but revision ${currentRevision} is in force`;
+}
--- /dev/null
+++ b/src/core/configuration/replica.ts
@@ -0,0 +1,95 @@
+/**
+ * One node's copy of the configuration. It merges what it hears from the store and from peers in
+ * any order, and never goes back: for each key only a higher revision is applied, and the revision
+ * of the whole only grows. Removed declarations stay as tombstones, so that an old copy of them
+ * that is still on its way can't bring them back.
+ */
+import { createHash } from 'node:crypto';
+import { snapshotOf } from './catalogue.js';
+import type { DeclarationKey } from './declaration.js';
+import type { ConfigurationRevision, ConfigurationSnapshot } from './model.js';
+import { decodeEntries, liveCatalogueOf } from './publish.js';
+import type { ConfigurationEntry } from './store-layout.js';
+
+const DIGEST_HEX_DIGITS = 16;
+
+/**
+ * Everything that changed after `sinceRevision` up to and including `revision`. Entries of one
+ * publish are always together in one delta.
+ */
+export interface ConfigurationDelta {
+  readonly sinceRevision: ConfigurationRevision;
+  readonly revision: ConfigurationRevision;
+  readonly entries: readonly ConfigurationEntry[];
+}
+
+/** Says briefly what a replica holds. Equal digests: equal configuration. */
+export interface ConfigurationDigest {
+  readonly revision: ConfigurationRevision;
+  /** Hash over all keys and their revisions. */
+  readonly hash: string;
+}
+
+/** `gap`: changes before the delta are missing here; nothing was applied, fetch them. */
+export type MergeOutcome = 'applied' | 'nothing-new' | 'gap';
+
+/** Holds the entries; a value object with one way to change: `merge`. */
+export class ConfigurationReplica {
+  readonly #entries = new Map<DeclarationKey, ConfigurationEntry>();
+  #revision: ConfigurationRevision = 0;
+  #digest: ConfigurationDigest | undefined;
+  #snapshot: ConfigurationSnapshot | undefined;
+
+  /** Every change up to this revision is held. */
+  get revision(): ConfigurationRevision {
+    return this.#revision;
+  }
+
+  /** Merges a delta; applies it whole or not at all. */
+  merge(delta: ConfigurationDelta): MergeOutcome {
+    if (delta.sinceRevision > this.#revision) return 'gap';
+    const newer = delta.entries.filter((entry) => this.#isNewer(entry));
+    if (newer.length === 0 && delta.revision <= this.#revision) return 'nothing-new';
+    for (const entry of newer) this.#entries.set(entry.key, entry);
+    this.#revision = Math.max(this.#revision, delta.revision);
+    this.#digest = undefined;
+    this.#snapshot = undefined;
+    return 'applied';
+  }
+
+  /** What a peer at `sinceRevision` lacks. */
+  changesSince(sinceRevision: ConfigurationRevision): ConfigurationDelta {
+    const entries = [...this.#entries.values()]
+      .filter((entry) => entry.revision > sinceRevision)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    return { sinceRevision, revision: this.#revision, entries };
+  }
+
+  digest(): ConfigurationDigest {
+    this.#digest ??= { revision: this.#revision, hash: this.#hash() };
+    return this.#digest;
+  }
+
+  /** What is in force here. */
+  snapshot(): ConfigurationSnapshot {
+    this.#snapshot ??= this.#resolve();
+    return this.#snapshot;
+  }
+
+  #isNewer(entry: ConfigurationEntry): boolean {
+    return entry.revision > (this.#entries.get(entry.key)?.revision ?? 0);
+  }
+
+  #resolve(): ConfigurationSnapshot {
+    const entries = decodeEntries(this.#entries.values());
+    return snapshotOf(liveCatalogueOf(entries), this.#revision);
+  }
+
+  #hash(): string {
+    const hash = createHash('sha256');
+    for (const key of [...this.#entries.keys()].sort()) {
+      hash.update(`${key}\0${this.#entries.get(key)?.revision}\n`);
+    }
+    return hash.digest('hex').slice(0, DIGEST_HEX_DIGITS);
+  }
+}
--- /dev/null
+++ b/src/core/configuration/store-layout.ts
@@ -0,0 +1,139 @@
+/**
+ * Where the configuration lies in the store, and the form of its values.
+ *
+ * - `meadowstack/configuration/current/…`: what is in force; relays watch this prefix
+ *   - `current/head`: touched by every publish, so that its mod revision orders all versions
+ *   - `current/template/<name>`, `current/tenant/<name>`: declarations and tombstones
+ * - `meadowstack/configuration/history/<key>/<version>`: the last versions of each declaration
+ * - `meadowstack/configuration/publish/<id>`: which publishes were applied
+ * - `meadowstack/relay/<zone>/<slot>`: leases of the relays
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import type { KeyValue } from '../../platform/contract.js';
+import { type DeclarationKey, declarationSchema } from './declaration.js';
+import { StoredValueError } from './errors.js';
+import type { ConfigurationRevision } from './model.js';
+
+export const CONFIGURATION_PREFIX = 'meadowstack/configuration/';
+export const CURRENT_PREFIX = `${CONFIGURATION_PREFIX}current/`;
+export const HEAD_KEY = `${CURRENT_PREFIX}head`;
+export const PUBLISH_PREFIX = `${CONFIGURATION_PREFIX}publish/`;
+
+const HISTORY_PREFIX = `${CONFIGURATION_PREFIX}history/`;
+const RELAY_PREFIX = 'meadowstack/relay/';
+const VERSION_DIGITS = 10;
+
+const storedEntrySchema = z.object({
+  /** Counts the versions of this name, from 1. */
+  version: z.int().min(1),
+  publishId: z.string().min(1),
+  /** Null: a tombstone. */
+  declaration: declarationSchema.nullable(),
+});
+
+const publishRecordSchema = z.object({
+  publishId: z.string(),
+  /** Milliseconds since the Unix epoch, by the operator's clock; for people only. */
+  publishedAt: z.number(),
+  /** Who published, as the command line was told. */
+  author: z.string(),
+  comment: z.string(),
+  changes: z.array(z.object({ key: z.string(), version: z.int(), removed: z.boolean() })),
+});
+
+/** A declaration as the store holds it. */
+export type StoredEntry = z.output<typeof storedEntrySchema>;
+
+/** What one publish changed. */
+export type PublishRecord = z.output<typeof publishRecordSchema>;
+
+/** One declaration or tombstone with its revision, in the form that replicas pass on. */
+export interface ConfigurationEntry {
+  readonly key: DeclarationKey;
+  readonly revision: ConfigurationRevision;
+  /** JSON text of a `StoredEntry`, as the store holds it. */
+  readonly value: string;
+}
+
+/** Store key of a declaration in force. */
+export function currentKeyOf(key: DeclarationKey): string {
+  return `${CURRENT_PREFIX}${key}`;
+}
+
+/** Store prefix of a declaration's history. */
+export function historyPrefixOf(key: DeclarationKey): string {
+  return `${HISTORY_PREFIX}${key}/`;
+}
+
+/** Store key of one version; sorts by version. */
+export function historyKeyOf(key: DeclarationKey, version: number): string {
+  return `${historyPrefixOf(key)}${String(version).padStart(VERSION_DIGITS, '0')}`;
+}
+
+/** Store key of the record of one publish. */
+export function publishKeyOf(publishId: string): string {
+  return `${PUBLISH_PREFIX}${publishId}`;
+}
+
+/** Store prefix of a zone's relay leases. */
+export function relayPrefixOf(zone: string): string {
+  return `${RELAY_PREFIX}${zone}/`;
+}
+
+/** Store key of one relay's lease. */
+export function relayKeyOf(zone: string, slot: number): string {
+  return `${relayPrefixOf(zone)}${slot}`;
+}
+
+/** The declaration key of a store key under the current prefix; undefined for the head or others. */
+export function declarationKeyOf(storeKey: string): DeclarationKey | undefined {
+  if (!storeKey.startsWith(CURRENT_PREFIX)) return undefined;
+  const key = storeKey.slice(CURRENT_PREFIX.length);
+  return isDeclarationKey(key) ? key : undefined;
+}
+
+/** True if the text has the form of a declaration key. */
+export function isDeclarationKey(text: string): text is DeclarationKey {
+  return /^(template|tenant)\/[A-Za-z][A-Za-z0-9_-]*$/.test(text);
+}
+
+/** Entries of a range over the current prefix. */
+export function entriesOf(keyValues: readonly KeyValue[]): ConfigurationEntry[] {
+  return keyValues.flatMap(({ key, modRevision, value }) => {
+    const declarationKey = declarationKeyOf(key);
+    return declarationKey === undefined
+      ? []
+      : [{ key: declarationKey, revision: modRevision, value }];
+  });
+}
+
+/** Parses a stored declaration. */
+export function decodeEntry(key: string, value: string): Result<StoredEntry, StoredValueError> {
+  return decode(key, value, storedEntrySchema);
+}
+
+/** Parses a publish record. */
+export function decodePublishRecord(
+  key: string,
+  value: string,
+): Result<PublishRecord, StoredValueError> {
+  return decode(key, value, publishRecordSchema);
+}
+
+function decode<Output>(
+  key: string,
+  value: string,
+  schema: z.ZodType<Output>,
+): Result<Output, StoredValueError> {
+  const parsed = schema.safeParse(parseJson(value));
+  return parsed.success ? ok(parsed.data) : err(new StoredValueError(key));
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/node/configuration/peer-client.ts
@@ -0,0 +1,87 @@
+/** Asks other nodes about their configuration and pushes changes to them. */
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import type { z } from 'zod';
+import type { DigestAnswer } from '../../core/configuration/agent-contract.js';
+import type { ConfigurationMember } from '../../core/configuration/relays.js';
+import type { ConfigurationDelta, ConfigurationDigest } from '../../core/configuration/replica.js';
+import type { ConfigurationEntry } from '../../core/configuration/store-layout.js';
+import type { MeadowstackError } from '../../core/errors.js';
+import type { PeerTransport } from '../../peer/contract.js';
+import { ConfigurationFetchError, ConfigurationMessageError } from './errors.js';
+import {
+  DIGEST_METHOD,
+  digestAnswerSchema,
+  FETCH_METHOD,
+  fetchAnswerSchema,
+  fitsOnePush,
+  PUSH_METHOD,
+} from './peer-messages.js';
+
+const CALL_TIMEOUT_MS = 1000;
+const MAX_PAGES = 1000;
+
+/** The calling side of the messages in peer-messages.ts. */
+export class ConfigurationPeerClient {
+  constructor(private readonly transport: PeerTransport) {}
+
+  /** Tells a peer our digest and asks for its own. */
+  askDigest(
+    peer: ConfigurationMember,
+    digest: ConfigurationDigest,
+  ): ResultAsync<DigestAnswer, MeadowstackError> {
+    return this.#call(peer, DIGEST_METHOD, { digest }, digestAnswerSchema);
+  }
+
+  /** Everything that a peer holds beyond a revision; pages are put together. */
+  fetch(
+    peer: ConfigurationMember,
+    sinceRevision: number,
+  ): ResultAsync<ConfigurationDelta, MeadowstackError> {
+    return new ResultAsync(this.#fetchPages(peer, sinceRevision));
+  }
+
+  /** Passes a change on; one too large to push is only announced, and the peer fetches it. */
+  push(
+    peer: ConfigurationMember,
+    root: string,
+    delta: ConfigurationDelta,
+    digest: ConfigurationDigest,
+  ): ResultAsync<void, MeadowstackError> {
+    if (!fitsOnePush(delta)) return this.askDigest(peer, digest).map(() => undefined);
+    return this.transport
+      .call(peer, PUSH_METHOD, { root, delta }, CALL_TIMEOUT_MS)
+      .map(() => undefined);
+  }
+
+  async #fetchPages(
+    peer: ConfigurationMember,
+    sinceRevision: number,
+  ): Promise<Result<ConfigurationDelta, MeadowstackError>> {
+    const entries: ConfigurationEntry[] = [];
+    let revision: number | undefined;
+    for (let page = 0; page < MAX_PAGES; page += 1) {
+      const request = { sinceRevision, afterKey: entries.at(-1)?.key ?? '' };
+      const answer = await this.#call(peer, FETCH_METHOD, request, fetchAnswerSchema);
+      if (answer.isErr()) return err(answer.error);
+      const { delta, more } = answer.value;
+      // Pages of two states together might hold half of a publish.
+      if (revision !== undefined && delta.revision !== revision) break;
+      revision = delta.revision;
+      entries.push(...delta.entries);
+      if (!more) return ok({ sinceRevision, revision, entries });
+    }
+    return err(new ConfigurationFetchError());
+  }
+
+  #call<Output>(
+    peer: ConfigurationMember,
+    method: string,
+    body: unknown,
+    schema: z.ZodType<Output>,
+  ): ResultAsync<Output, MeadowstackError> {
+    return this.transport.call(peer, method, body, CALL_TIMEOUT_MS).andThen((answer) => {
+      const parsed = schema.safeParse(answer);
+      return parsed.success ? ok(parsed.data) : err(new ConfigurationMessageError(method));
+    });
+  }
+}
--- /dev/null
+++ b/src/node/configuration/store-session.ts
@@ -0,0 +1,117 @@
+/** The store's side of a node's configuration: reads, the watch and the relay lease. */
+import { ok, type Result, ResultAsync } from 'neverthrow';
+import { RELAY_LEASE_SECONDS, type RelayLease } from '../../core/configuration/relay-role.js';
+import { RELAYS_PER_ZONE } from '../../core/configuration/relays.js';
+import type { ConfigurationDelta } from '../../core/configuration/replica.js';
+import {
+  CURRENT_PREFIX,
+  entriesOf,
+  HEAD_KEY,
+  relayKeyOf,
+  relayPrefixOf,
+} from '../../core/configuration/store-layout.js';
+import { WatchAssembler } from '../../core/configuration/watch-assembler.js';
+import type { Store, StoreError } from '../../platform/contract.js';
+
+/** All of the configuration, read at one revision of the store. */
+export interface ConfigurationRead {
+  readonly storeRevision: number;
+  readonly delta: ConfigurationDelta;
+}
+
+/** Wraps the store for one node. */
+export class StoreSession {
+  #endWatch: (() => void) | undefined;
+
+  constructor(
+    private readonly store: Store,
+    private readonly nodeId: string,
+    private readonly zone: string,
+  ) {}
+
+  /** Reads everything in force. */
+  read(): ResultAsync<ConfigurationRead, StoreError> {
+    return this.store.range(CURRENT_PREFIX).map(({ revision, entries }) => ({
+      storeRevision: revision,
+      delta: {
+        sinceRevision: 0,
+        revision: entries.find(({ key }) => key === HEAD_KEY)?.modRevision ?? 0,
+        entries: entriesOf(entries),
+      },
+    }));
+  }
+
+  /** Mod revision of the head key; 0 if there is none. */
+  readHead(): ResultAsync<number, StoreError> {
+    return this.store
+      .range(HEAD_KEY)
+      .map(({ entries }) => entries.find(({ key }) => key === HEAD_KEY)?.modRevision ?? 0);
+  }
+
+  /** Watches what is in force; ends the watch before, if any. */
+  openWatch(
+    fromRevision: number,
+    headRevision: number,
+    onDelta: (delta: ConfigurationDelta) => void,
+    onEnd: () => void,
+  ): void {
+    this.closeWatch();
+    const assembler = new WatchAssembler(headRevision);
+    let open = true;
+    const end = this.store.watch(CURRENT_PREFIX, fromRevision, {
+      onEvents: (events) => {
+        const delta = open ? assembler.add(events) : undefined;
+        if (delta !== undefined) onDelta(delta);
+      },
+      onEnd: () => {
+        if (open) onEnd();
+        open = false;
+      },
+    });
+    this.#endWatch = () => {
+      open = false;
+      end();
+    };
+  }
+
+  closeWatch(): void {
+    this.#endWatch?.();
+    this.#endWatch = undefined;
+  }
+
+  /** Claims a free slot of the zone's relays; undefined if there is none. */
+  claimRelay(): ResultAsync<RelayLease | undefined, StoreError> {
+    return this.store.range(relayPrefixOf(this.zone)).andThen(({ entries }) => {
+      const taken = new Set(entries.map(({ key }) => key));
+      const slots = Array.from({ length: RELAYS_PER_ZONE }, (_, slot) => slot);
+      const free = slots.find((slot) => !taken.has(relayKeyOf(this.zone, slot)));
+      if (free === undefined) return ok(undefined);
+      return new ResultAsync(this.#takeSlot(free));
+    });
+  }
+
+  /** True if the lease still stands; false if it has lapsed. */
+  renewLease(lease: RelayLease): ResultAsync<boolean, StoreError> {
+    return this.store.keepLeaseAlive(lease.leaseId).map((seconds) => seconds > 0);
+  }
+
+  /** Gives the slot back. */
+  releaseRelay(lease: RelayLease): ResultAsync<void, StoreError> {
+    return this.store.revokeLease(lease.leaseId);
+  }
+
+  async #takeSlot(slot: number): Promise<Result<RelayLease | undefined, StoreError>> {
+    const leaseId = await this.store.grantLease(RELAY_LEASE_SECONDS);
+    if (leaseId.isErr()) return leaseId.map(() => undefined);
+    const lease = { leaseId: leaseId.value, slot };
+    const key = relayKeyOf(this.zone, slot);
+    const answer = await this.store.transaction(
+      [{ key, modRevision: 0 }],
+      [{ type: 'put', key, value: this.nodeId, leaseId: lease.leaseId }],
+    );
+    const taken = answer.isOk() && answer.value.succeeded;
+    // A slot that was taken without our knowing goes with its lease.
+    if (!taken) await this.store.revokeLease(lease.leaseId);
+    return answer.map(() => (taken ? lease : undefined));
+  }
+}
--- /dev/null
+++ b/test/support/memory-store.ts
@@ -0,0 +1,169 @@
+/**
+ * A store in memory with the contract of src/platform/contract.ts, for tests of what stands on it.
+ * Faults are switched by the test: an outage, answers lost after or before the change took effect,
+ * and answers that wait for the test to let them go.
+ */
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import { MeadowstackError } from '../../src/core/errors.js';
+import type {
+  KeyValue,
+  RangeAnswer,
+  RevisionCompare,
+  Store,
+  StoreError,
+  TransactionAnswer,
+  TransactionOperation,
+  WatchEvent,
+  WatchHandlers,
+} from '../../src/platform/contract.js';
+
+/** The only failure that this store has. */
+export class MemoryStoreError extends MeadowstackError implements StoreError {
+  readonly code = 'MS-TEST-STORE';
+  readonly retryAfterMs = undefined;
+
+  constructor(readonly outcomeUnknown: boolean) {
+    super(outcomeUnknown ? 'answer lost' : 'store down');
+  }
+}
+
+/** What befalls the next request. `lost-before`: it never arrives; `lost-after`: it takes effect. */
+export type StoreFault = 'none' | 'down' | 'lost-before' | 'lost-after';
+
+interface Watcher {
+  readonly prefix: string;
+  readonly handlers: WatchHandlers;
+}
+
+/** Keys with revisions, leases that the test lets lapse, and watches. */
+export class MemoryStore implements Store {
+  /** Asked once for each request. */
+  nextFault: () => StoreFault = () => 'none';
+  /** Awaited before each request takes effect. */
+  delay: () => Promise<void> = () => Promise.resolve();
+  /** Every transaction that succeeded, in order. */
+  readonly applied: { readonly revision: number; readonly keys: readonly string[] }[] = [];
+  readonly entries = new Map<string, KeyValue & { readonly leaseId: string | undefined }>();
+  revision = 1;
+  #watchers = new Set<Watcher>();
+  #leases = new Map<string, number>();
+  #events: { readonly revision: number; readonly events: readonly WatchEvent[] }[] = [];
+  #requests = 0;
+  #nextLease = 1;
+
+  range(prefix: string): ResultAsync<RangeAnswer, StoreError> {
+    return this.#request(() => ({
+      revision: this.revision,
+      entries: [...this.entries.values()]
+        .filter(({ key }) => key.startsWith(prefix))
+        .sort((left, right) => (left.key < right.key ? -1 : 1)),
+    }));
+  }
+
+  transaction(
+    compares: readonly RevisionCompare[],
+    operations: readonly TransactionOperation[],
+  ): ResultAsync<TransactionAnswer, StoreError> {
+    return this.#request(() => this.#commit(compares, operations));
+  }
+
+  grantLease(seconds: number): ResultAsync<string, StoreError> {
+    return this.#request(() => {
+      const leaseId = String(this.#nextLease);
+      this.#nextLease += 1;
+      this.#leases.set(leaseId, seconds);
+      return leaseId;
+    });
+  }
+
+  keepLeaseAlive(leaseId: string): ResultAsync<number, StoreError> {
+    return this.#request(() => this.#leases.get(leaseId) ?? 0);
+  }
+
+  revokeLease(leaseId: string): ResultAsync<void, StoreError> {
+    return this.#request(() => this.lapse(leaseId));
+  }
+
+  watch(prefix: string, fromRevision: number, handlers: WatchHandlers): () => void {
+    const watcher = { prefix, handlers };
+    this.#watchers.add(watcher);
+    for (const { revision, events } of this.#events) {
+      if (revision >= fromRevision) notify(watcher, events, revision);
+    }
+    return () => this.#watchers.delete(watcher);
+  }
+
+  requestCount(): number {
+    return this.#requests;
+  }
+
+  /** Lets a lease lapse: its keys go. */
+  lapse(leaseId: string): void {
+    this.#leases.delete(leaseId);
+    for (const [key, entry] of this.entries)
+      if (entry.leaseId === leaseId) this.entries.delete(key);
+  }
+
+  get watchCount(): number {
+    return this.#watchers.size;
+  }
+
+  /** Ends all watches, as a compaction or a lost connection does. */
+  endWatches(compacted: boolean): void {
+    const watchers = [...this.#watchers];
+    this.#watchers.clear();
+    for (const { handlers } of watchers) handlers.onEnd(new MemoryStoreError(false), compacted);
+  }
+
+  #request<Answer>(carryOut: () => Answer): ResultAsync<Answer, StoreError> {
+    this.#requests += 1;
+    return new ResultAsync(this.#answer(carryOut));
+  }
+
+  async #answer<Answer>(carryOut: () => Answer): Promise<Result<Answer, StoreError>> {
+    const fault = this.nextFault();
+    await this.delay();
+    if (fault === 'down') return err(new MemoryStoreError(false));
+    if (fault === 'lost-before') return err(new MemoryStoreError(true));
+    const answer = carryOut();
+    return fault === 'lost-after' ? err(new MemoryStoreError(true)) : ok(answer);
+  }
+
+  #commit(
+    compares: readonly RevisionCompare[],
+    operations: readonly TransactionOperation[],
+  ): TransactionAnswer {
+    const holds = compares.every(
+      ({ key, modRevision }) => (this.entries.get(key)?.modRevision ?? 0) === modRevision,
+    );
+    const current = compares.flatMap(({ key }) => this.entries.get(key) ?? []);
+    if (!holds) return { succeeded: false, revision: this.revision, current };
+    this.revision += 1;
+    const events = operations.map((operation) => this.#apply(operation));
+    this.applied.push({ revision: this.revision, keys: operations.map(({ key }) => key) });
+    this.#events.push({ revision: this.revision, events });
+    for (const watcher of [...this.#watchers]) notify(watcher, events, this.revision);
+    return { succeeded: true, revision: this.revision, current: [] };
+  }
+
+  #apply(operation: TransactionOperation): WatchEvent {
+    const { key } = operation;
+    const modRevision = this.revision;
+    if (operation.type === 'delete') {
+      this.entries.delete(key);
+      return { type: 'delete', key, modRevision };
+    }
+    const createRevision = this.entries.get(key)?.createRevision ?? modRevision;
+    const { value, leaseId } = operation;
+    const entry = { key, value, createRevision, modRevision, leaseId };
+    this.entries.set(key, entry);
+    return { type: 'put', entry };
+  }
+}
+
+function notify(watcher: Watcher, events: readonly WatchEvent[], revision: number): void {
+  const seen = events.filter((event) =>
+    (event.type === 'put' ? event.entry.key : event.key).startsWith(watcher.prefix),
+  );
+  if (seen.length > 0) watcher.handlers.onEvents(seen, revision);
+}
