Database stand-in: a group of three replicating PostgreSQL processes

Cause: the proxy's tests and benches need a database group that speaks the PostgreSQL protocol, replicates, elects and can be driven into faults. Change: standins/database (v3 wire, SQL subset over memory, replication with majority election, control port) and bench/harness/database-group.ts.

--- /dev/null
+++ b/bench/harness/database-group.ts
@@ -0,0 +1,268 @@
+/**
+ * Starts a database group of stand-in instances for benches and tests, and ends it again. The
+ * instances exit when this process's end of their standard input closes, so none is left behind.
+ */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { createInterface } from 'node:readline';
+import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { MeadowstackError } from '../../src/core/errors.js';
+import type { FaultRequest } from '../../standins/database/faults.js';
+import type { InstanceState } from '../../standins/database/instance.js';
+import type { BoundPorts } from '../../standins/database/main.js';
+import type { LogEntry } from '../../standins/database/storage/commit-record.js';
+
+const MAIN_PATH = fileURLToPath(new URL('../../standins/database/main.js', import.meta.url));
+const POLL_MS = 10;
+const START_TIMEOUT_MS = 30_000;
+
+export class DatabaseGroupError extends MeadowstackError {
+  readonly code = 'MS-HARNESS-DATABASE';
+}
+
+export interface DatabaseGroupOptions {
+  readonly group?: string;
+  /** One instance for each zone name; default three zones `a`, `b`, `c`. */
+  readonly zones?: readonly string[];
+  /** One address for each instance, or one for all; default 127.0.0.1. */
+  readonly hosts?: readonly string[];
+  readonly slots?: number;
+  readonly maxConnections?: number;
+  readonly connectionDelayMs?: number;
+  readonly statementMs?: number;
+  readonly electionTimeoutMs?: number;
+  readonly heartbeatMs?: number;
+  readonly seed?: number;
+  /** Comma-separated roles; default any. */
+  readonly user?: string;
+  readonly password?: string;
+  readonly tls?: { readonly keyFile: string; readonly certFile: string };
+}
+
+export interface DatabaseInstanceHandle {
+  readonly name: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly pgPort: number;
+  readonly controlPort: number;
+  readonly replicationPort: number;
+  readonly pid: number;
+}
+
+export interface CommitLogAnswer {
+  readonly entries: readonly LogEntry[];
+  /** Entries lost by a rewind. */
+  readonly discarded: readonly LogEntry[];
+}
+
+interface RunningInstance {
+  readonly handle: DatabaseInstanceHandle;
+  readonly child: ChildProcess;
+}
+
+export class DatabaseGroup {
+  constructor(private readonly running: readonly RunningInstance[]) {}
+
+  get instances(): readonly DatabaseInstanceHandle[] {
+    return this.running.map(({ handle }) => handle);
+  }
+
+  instance(name: string): DatabaseInstanceHandle {
+    return this.find(name).handle;
+  }
+
+  /** Ends an instance with SIGKILL; resolves when it is gone. */
+  async kill(name: string): Promise<void> {
+    await end(this.find(name).child);
+  }
+
+  /** SIGSTOP: the process keeps its sockets and answers nothing. */
+  pause(name: string): void {
+    this.find(name).child.kill('SIGSTOP');
+  }
+
+  resume(name: string): void {
+    this.find(name).child.kill('SIGCONT');
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.running.map(({ child }) => end(child)));
+  }
+
+  state(name: string): Promise<InstanceState> {
+    return this.request(name, 'GET', '/state');
+  }
+
+  setFaults(name: string, faults: FaultRequest): Promise<unknown> {
+    return this.request(name, 'POST', '/faults', faults);
+  }
+
+  promote(name: string): Promise<unknown> {
+    return this.request(name, 'POST', '/promote', {});
+  }
+
+  /** Committed transactions after the position `from` (a `pg_lsn` text). */
+  commitLog(name: string, from = '0/0'): Promise<CommitLogAnswer> {
+    return this.request(name, 'GET', `/log?from=${encodeURIComponent(from)}`);
+  }
+
+  /** Cuts all replication traffic between an instance and the rest, or mends it. */
+  async isolate(name: string, cut: boolean): Promise<void> {
+    const others = this.running.map(({ handle }) => handle.name).filter((other) => other !== name);
+    await this.setFaults(name, { cutPeers: cut ? others : [] });
+  }
+
+  /** Resolves with an instance's state once it satisfies `condition`. */
+  async waitForState(
+    name: string,
+    condition: (state: InstanceState) => boolean,
+  ): Promise<InstanceState> {
+    for (;;) {
+      const state = await this.state(name);
+      if (condition(state)) return state;
+      await delay(POLL_MS);
+    }
+  }
+
+  /** Resolves with the first instance that leads a timeline of at least `minTimeline`. */
+  async waitForPrimary(minTimeline = 1): Promise<DatabaseInstanceHandle> {
+    for (;;) {
+      for (const { handle, child } of this.running) {
+        if (child.exitCode !== null || child.signalCode !== null) continue;
+        const state = await this.state(handle.name);
+        if (state.role === 'primary' && state.timeline >= minTimeline) return handle;
+      }
+      await delay(POLL_MS);
+    }
+  }
+
+  private find(name: string): RunningInstance {
+    const found = this.running.find(({ handle }) => handle.name === name);
+    if (found === undefined) throw new DatabaseGroupError(`no instance ${name}`);
+    return found;
+  }
+
+  private request<T>(name: string, method: string, path: string, body?: unknown): Promise<T> {
+    return callControl(this.find(name).handle, method, path, body);
+  }
+}
+
+async function callControl<T>(
+  { host, controlPort }: Pick<DatabaseInstanceHandle, 'host' | 'controlPort'>,
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<T> {
+  const response = await fetch(`http://${host}:${controlPort}${path}`, {
+    method,
+    body: body === undefined ? null : JSON.stringify(body),
+  });
+  const answer: unknown = await response.json();
+  if (!response.ok) throw new DatabaseGroupError(`${method} ${path}: ${JSON.stringify(answer)}`);
+  return answer as T;
+}
+
+async function end(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const gone = once(child, 'exit');
+  child.kill('SIGKILL');
+  await gone;
+}
+
+function flags(
+  options: DatabaseGroupOptions,
+  group: string,
+  names: readonly string[],
+  position: number,
+): string[] {
+  const values: Readonly<Record<string, string | number | undefined>> = {
+    name: names[position],
+    group,
+    zone: zonesOf(options)[position],
+    host: hostOf(options, position),
+    slots: options.slots,
+    'max-connections': options.maxConnections,
+    'connection-delay-ms': options.connectionDelayMs,
+    'statement-ms': options.statementMs,
+    'election-timeout-ms': options.electionTimeoutMs,
+    'heartbeat-ms': options.heartbeatMs,
+    'initial-primary': names[0],
+    seed: (options.seed ?? 1) + position,
+    user: options.user,
+    password: options.password,
+    'tls-key': options.tls?.keyFile,
+    'tls-cert': options.tls?.certFile,
+  };
+  const given = Object.entries(values).filter(([, value]) => value !== undefined);
+  return ['--exit-with-stdin', ...given.map(([name, value]) => `--${name}=${value}`)];
+}
+
+function zonesOf(options: DatabaseGroupOptions): readonly string[] {
+  return options.zones ?? ['a', 'b', 'c'];
+}
+
+function hostOf(options: DatabaseGroupOptions, position: number): string {
+  return options.hosts?.[position] ?? options.hosts?.[0] ?? '127.0.0.1';
+}
+
+async function startInstance(args: readonly string[], zone: string): Promise<RunningInstance> {
+  const child = spawn(process.execPath, ['--enable-source-maps', MAIN_PATH, ...args], {
+    stdio: ['pipe', 'pipe', 'inherit'],
+  });
+  const lines = createInterface({ input: child.stdout });
+  const [line] = await Promise.race([
+    once(lines, 'line') as Promise<[string]>,
+    once(child, 'exit').then(() => {
+      throw new DatabaseGroupError(`the stand-in ended at its start: ${args.join(' ')}`);
+    }),
+  ]);
+  const ports = JSON.parse(line) as BoundPorts;
+  return { handle: { ...ports, zone }, child };
+}
+
+/** Starts one instance a zone; the first leads. Resolves when all follow it. */
+export async function startDatabaseGroup(
+  options: DatabaseGroupOptions = {},
+): Promise<DatabaseGroup> {
+  const group = options.group ?? 'group';
+  const zones = zonesOf(options);
+  const names = zones.map((zone) => `${group}-${zone}`);
+  const started = await Promise.allSettled(
+    zones.map((zone, position) => startInstance(flags(options, group, names, position), zone)),
+  );
+  const running = started.flatMap((one) => (one.status === 'fulfilled' ? [one.value] : []));
+  const database = new DatabaseGroup(running);
+  try {
+    for (const one of started) if (one.status === 'rejected') throw one.reason;
+    await wire(database);
+  } catch (error) {
+    await database.stop();
+    throw error;
+  }
+  return database;
+}
+
+async function wire(database: DatabaseGroup): Promise<void> {
+  const peers = database.instances.map(({ name, host, replicationPort }) => ({
+    name,
+    host,
+    port: replicationPort,
+  }));
+  const joined = Promise.all(
+    database.instances.map(async (instance) => {
+      await callControl(instance, 'POST', '/peers', { peers });
+      await database.waitForState(instance.name, (state) => state.timeline >= 1);
+    }),
+  );
+  const timer = new AbortController();
+  const timeout = delay(START_TIMEOUT_MS, undefined, { signal: timer.signal }).then(() => {
+    throw new DatabaseGroupError('the group did not come up');
+  });
+  try {
+    await Promise.race([joined, timeout]);
+  } finally {
+    timer.abort();
+    timeout.catch(() => {});
+  }
+}
--- /dev/null
+++ b/standins/database/replication/election.ts
@@ -0,0 +1,123 @@
+/**
+ * Election of a group's primary by majority vote. Decisions only: no I/O and no timers; time and
+ * randomness are given. A voter refuses a candidate whose log is behind its own, and after a vote
+ * accepts no primary of an older timeline.
+ */
+import type { PeerMessage, Vote, VoteRequest } from './messages.js';
+
+export interface ElectionOptions {
+  readonly name: string;
+  readonly electionTimeoutMs: number;
+  /** Next number in [0, 1). */
+  readonly random: () => number;
+  readonly send: (peer: string, message: PeerMessage) => void;
+  readonly broadcast: (message: PeerMessage) => void;
+  /** Instances in the group, this one included. */
+  readonly groupSize: () => number;
+  readonly position: () => { readonly timeline: number; readonly lsn: number };
+  readonly isPrimary: () => boolean;
+  readonly onElected: (timeline: number) => void;
+}
+
+interface Candidacy {
+  readonly timeline: number;
+  readonly preliminary: boolean;
+  readonly voters: Set<string>;
+}
+
+export class Election {
+  /** Primaries of older timelines are refused. */
+  promisedTimeline = 0;
+  private votedFor: string | undefined;
+  private candidacy: Candidacy | undefined;
+  private deadlineMs = Number.POSITIVE_INFINITY;
+  private heardMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: ElectionOptions) {}
+
+  /** Starts to wait for a primary. */
+  start(nowMs: number): void {
+    this.resetDeadline(nowMs);
+  }
+
+  /** A primary of an accepted timeline spoke (or, for a primary: a replica followed it). */
+  heard(timeline: number, nowMs: number): void {
+    this.heardMs = nowMs;
+    if (timeline > this.promisedTimeline) this.votedFor = undefined;
+    this.promisedTimeline = Math.max(this.promisedTimeline, timeline);
+    this.candidacy = undefined;
+    this.resetDeadline(nowMs);
+  }
+
+  tick(nowMs: number): void {
+    if (nowMs < this.deadlineMs || this.options.isPrimary()) return;
+    this.resetDeadline(nowMs);
+    this.stand(this.promisedTimeline + 1, true);
+  }
+
+  /** Stands at once, without the preliminary round; also for a primary whose timeline is refused. */
+  standNow(timeline: number, nowMs: number): void {
+    if (nowMs < this.deadlineMs && this.options.isPrimary()) return;
+    this.resetDeadline(nowMs);
+    this.stand(Math.max(timeline, this.promisedTimeline + 1), false);
+  }
+
+  private stand(timeline: number, preliminary: boolean): void {
+    const { name } = this.options;
+    if (!preliminary) {
+      this.promisedTimeline = timeline;
+      this.votedFor = name;
+    }
+    this.candidacy = { timeline, preliminary, voters: new Set([name]) };
+    const { timeline: logTimeline, lsn: logLsn } = this.options.position();
+    const kind = 'vote-request';
+    this.options.broadcast({ kind, from: name, timeline, preliminary, logTimeline, logLsn });
+    this.countVotes();
+  }
+
+  onVoteRequest(request: VoteRequest, nowMs: number): void {
+    const granted = this.grants(request, nowMs);
+    const { timeline, preliminary, from } = request;
+    if (granted && !preliminary) {
+      this.promisedTimeline = timeline;
+      this.votedFor = from;
+      this.candidacy = undefined;
+      this.resetDeadline(nowMs);
+    }
+    const vote: Vote = { kind: 'vote', from: this.options.name, timeline, preliminary, granted };
+    this.options.send(from, vote);
+  }
+
+  private grants(request: VoteRequest, nowMs: number): boolean {
+    if (nowMs - this.heardMs < this.options.electionTimeoutMs) return false;
+    if (request.timeline < this.promisedTimeline) return false;
+    const same = request.timeline === this.promisedTimeline;
+    if (same && this.votedFor !== request.from) return false;
+    const own = this.options.position();
+    if (request.logTimeline !== own.timeline) return request.logTimeline > own.timeline;
+    return request.logLsn >= own.lsn;
+  }
+
+  onVote(vote: Vote): void {
+    const { candidacy } = this;
+    if (candidacy === undefined || !vote.granted) return;
+    if (vote.timeline !== candidacy.timeline || vote.preliminary !== candidacy.preliminary) return;
+    candidacy.voters.add(vote.from);
+    this.countVotes();
+  }
+
+  private countVotes(): void {
+    const { candidacy } = this;
+    if (candidacy === undefined) return;
+    if (candidacy.voters.size * 2 <= this.options.groupSize()) return;
+    this.candidacy = undefined;
+    if (candidacy.preliminary) this.stand(candidacy.timeline, false);
+    else this.options.onElected(candidacy.timeline);
+  }
+
+  /** Next try: a random time of one to two election timeouts from now. */
+  private resetDeadline(nowMs: number): void {
+    const { electionTimeoutMs, random } = this.options;
+    this.deadlineMs = nowMs + electionTimeoutMs * (1 + random());
+  }
+}
--- /dev/null
+++ b/standins/database/session/settings.ts
@@ -0,0 +1,108 @@
+/** Run-time settings of a session, with SET LOCAL and the undoing of SET by ROLLBACK. */
+
+import { parameterStatus } from '../wire/backend.js';
+import type { Output } from '../wire/output.js';
+
+export const SERVER_VERSION = '16.0';
+
+const DEFAULTS: ReadonlyMap<string, string> = new Map([
+  ['application_name', ''],
+  ['client_encoding', 'UTF8'],
+  ['datestyle', 'ISO, MDY'],
+  ['default_transaction_read_only', 'off'],
+  ['integer_datetimes', 'on'],
+  ['intervalstyle', 'postgres'],
+  ['is_superuser', 'off'],
+  ['lock_timeout', '0'],
+  ['search_path', '"$user", public'],
+  ['server_encoding', 'UTF8'],
+  ['server_version', SERVER_VERSION],
+  ['server_version_num', '160000'],
+  ['standard_conforming_strings', 'on'],
+  ['statement_timeout', '0'],
+  ['timezone', 'UTC'],
+  ['transaction_isolation', 'read committed'],
+]);
+
+/** Settings a server reports at the start and at every change, in the manual's spelling. */
+const REPORTED: ReadonlyMap<string, string> = new Map([
+  ['application_name', 'application_name'],
+  ['client_encoding', 'client_encoding'],
+  ['datestyle', 'DateStyle'],
+  ['default_transaction_read_only', 'default_transaction_read_only'],
+  ['integer_datetimes', 'integer_datetimes'],
+  ['intervalstyle', 'IntervalStyle'],
+  ['is_superuser', 'is_superuser'],
+  ['server_encoding', 'server_encoding'],
+  ['server_version', 'server_version'],
+  ['standard_conforming_strings', 'standard_conforming_strings'],
+  ['timezone', 'TimeZone'],
+]);
+
+export class Settings {
+  private readonly initial: ReadonlyMap<string, string>;
+  private current: Map<string, string>;
+  private atBegin: ReadonlyMap<string, string> | undefined;
+  private readonly localOriginals = new Map<string, string | undefined>();
+
+  constructor(
+    startup: ReadonlyMap<string, string>,
+    private readonly output: Output,
+  ) {
+    const given = [...startup].map(([name, value]) => [name.toLowerCase(), value] as const);
+    const settings = given.filter(([name]) => !['user', 'database', 'options'].includes(name));
+    this.initial = new Map([...DEFAULTS, ...settings]);
+    this.current = new Map(this.initial);
+  }
+
+  reportAll(): void {
+    for (const name of REPORTED.keys()) this.report(name);
+  }
+
+  private report(name: string): void {
+    const spelling = REPORTED.get(name);
+    if (spelling === undefined) return;
+    this.output.add(parameterStatus(spelling, this.current.get(name) ?? ''));
+  }
+
+  get(name: string): string | undefined {
+    return this.current.get(name);
+  }
+
+  /** `value` undefined: back to the session's initial value. */
+  set(name: string, value: string | undefined, local: boolean): void {
+    if (local && !this.localOriginals.has(name)) {
+      this.localOriginals.set(name, this.current.get(name));
+    }
+    if (!local) this.localOriginals.delete(name);
+    this.put(name, value ?? this.initial.get(name));
+  }
+
+  private put(name: string, value: string | undefined): void {
+    if (this.current.get(name) === value) return;
+    if (value === undefined) this.current.delete(name);
+    else this.current.set(name, value);
+    this.report(name);
+  }
+
+  resetAll(): void {
+    this.restore(this.initial);
+  }
+
+  private restore(values: ReadonlyMap<string, string>): void {
+    for (const name of new Set([...this.current.keys(), ...values.keys()])) {
+      this.put(name, values.get(name));
+    }
+  }
+
+  beginTransaction(): void {
+    this.atBegin = new Map(this.current);
+  }
+
+  endTransaction(committed: boolean): void {
+    if (committed) for (const [name, value] of this.localOriginals) this.put(name, value);
+    else if (this.atBegin !== undefined) this.restore(this.atBegin);
+    this.localOriginals.clear();
+    this.atBegin = undefined;
+  }
+}
--- /dev/null
+++ b/standins/database/sql/types.ts
@@ -0,0 +1,190 @@
+/** Data types of the SQL subset: object identifiers, and the text form of values both ways. */
+import { ServerError, ServerSqlState, unsupported } from '../errors.js';
+
+/** A value in memory. Timestamps are kept in PostgreSQL's text form (UTC), json as its text. */
+export type Value = string | number | boolean | null;
+export type Row = readonly Value[];
+
+/** Object identifiers from PostgreSQL's pg_type catalogue. */
+export const TYPE_OIDS = {
+  bool: 16,
+  int8: 20,
+  int2: 21,
+  int4: 23,
+  text: 25,
+  json: 114,
+  float8: 701,
+  unknown: 705,
+  varchar: 1043,
+  timestamp: 1114,
+  timestamptz: 1184,
+  numeric: 1700,
+  void: 2278,
+  uuid: 2950,
+  pg_lsn: 3220,
+  jsonb: 3802,
+} as const;
+
+export type TypeName = keyof typeof TYPE_OIDS;
+
+const ALIASES: Readonly<Record<string, TypeName>> = {
+  boolean: 'bool',
+  bigint: 'int8',
+  bigserial: 'int8',
+  integer: 'int4',
+  int: 'int4',
+  serial: 'int4',
+  smallint: 'int2',
+  smallserial: 'int2',
+  'character varying': 'varchar',
+  character: 'varchar',
+  char: 'varchar',
+  bpchar: 'varchar',
+  'double precision': 'float8',
+  real: 'float8',
+  float: 'float8',
+  decimal: 'numeric',
+  'timestamp with time zone': 'timestamptz',
+  'timestamp without time zone': 'timestamp',
+};
+
+const INTEGER_LIMITS: Readonly<Partial<Record<TypeName, number>>> = {
+  int2: 32_767,
+  int4: 2_147_483_647,
+  // Integers are JavaScript numbers: the stand-in refuses what they can't hold exactly.
+  int8: Number.MAX_SAFE_INTEGER,
+};
+
+const TYPE_BY_OID = new Map<number, TypeName>(
+  Object.entries(TYPE_OIDS).map(([name, oid]) => [oid, name as TypeName]),
+);
+
+function isTypeName(name: string): name is TypeName {
+  return Object.hasOwn(TYPE_OIDS, name);
+}
+
+/** The type of a name as written in SQL; throws 42704 for others. */
+export function typeByName(name: string): TypeName {
+  const lower = name.toLowerCase();
+  const known = isTypeName(lower) ? lower : ALIASES[lower];
+  if (known !== undefined) return known;
+  throw new ServerError(ServerSqlState.UNDEFINED_OBJECT, `type "${name}" does not exist`);
+}
+
+/** The type of an object identifier; undefined for 0 (unspecified). */
+export function typeByOid(oid: number): TypeName | undefined {
+  if (oid === 0) return undefined;
+  const type = TYPE_BY_OID.get(oid);
+  if (type === undefined) throw unsupported(`parameters of type ${oid}`);
+  return type === 'unknown' ? undefined : type;
+}
+
+export function isIntegerType(type: TypeName): boolean {
+  return INTEGER_LIMITS[type] !== undefined;
+}
+
+export function isNumericType(type: TypeName): boolean {
+  return isIntegerType(type) || type === 'float8' || type === 'numeric';
+}
+
+function invalidInput(type: TypeName, text: string): ServerError {
+  const shown = JSON.stringify(text.slice(0, 40));
+  return new ServerError(
+    ServerSqlState.INVALID_TEXT_REPRESENTATION,
+    `invalid input syntax for type ${type}: ${shown}`,
+  );
+}
+
+function parseInteger(type: TypeName, text: string, limit: number): number {
+  const trimmed = text.trim();
+  if (!/^[+-]?\d+$/.test(trimmed)) throw invalidInput(type, text);
+  return checkInteger(type, Number(trimmed), limit);
+}
+
+function checkInteger(type: TypeName, value: number, limit: number): number {
+  if (value <= limit && value >= -limit - 1) return value;
+  throw new ServerError(ServerSqlState.NUMERIC_OUT_OF_RANGE, `${type} out of range`);
+}
+
+function parseBoolean(text: string): boolean {
+  const lower = text.trim().toLowerCase();
+  if (['t', 'true', 'on', 'yes', '1', 'y'].includes(lower)) return true;
+  if (['f', 'false', 'off', 'no', '0', 'n'].includes(lower)) return false;
+  throw invalidInput('bool', text);
+}
+
+function parseTimestamp(type: TypeName, text: string): string {
+  const hasZone = /(Z|[+-]\d{2}(:?\d{2})?)$/i.test(text.trim()) && /\d:\d/.test(text);
+  const isoText = text
+    .trim()
+    .replace(' ', 'T')
+    .replace(/([+-]\d{2})$/, '$1:00');
+  const milliseconds = Date.parse(hasZone ? isoText : addUtcZone(isoText));
+  if (Number.isNaN(milliseconds)) throw invalidInput(type, text);
+  return formatTimestamp(type, milliseconds);
+}
+
+function addUtcZone(isoText: string): string {
+  return isoText.includes('T') ? `${isoText}Z` : isoText;
+}
+
+/** Text form of a wall time in milliseconds since the epoch. */
+export function formatTimestamp(type: TypeName, milliseconds: number): string {
+  const text = new Date(milliseconds).toISOString().replace('T', ' ').replace('Z', '');
+  return type === 'timestamptz' ? `${text}+00` : text;
+}
+
+/** Reads a value of `type` from its text form; throws 22P02 or 22003. */
+export function parseValue(type: TypeName, text: string): Value {
+  const limit = INTEGER_LIMITS[type];
+  if (limit !== undefined) return parseInteger(type, text, limit);
+  if (type === 'bool') return parseBoolean(text);
+  if (type === 'float8' || type === 'numeric') return parseNumber(type, text);
+  if (type === 'timestamptz' || type === 'timestamp') return parseTimestamp(type, text);
+  if (type === 'json' || type === 'jsonb') return parseJson(type, text);
+  return text;
+}
+
+function parseNumber(type: TypeName, text: string): number {
+  const value = Number(text);
+  if (text.trim() === '' || Number.isNaN(value)) throw invalidInput(type, text);
+  return value;
+}
+
+function parseJson(type: TypeName, text: string): string {
+  try {
+    JSON.parse(text);
+    return text;
+  } catch {
+    throw invalidInput(type, text);
+  }
+}
+
+/** Text form of a value that is not null. */
+export function formatValue(value: string | number | boolean): string {
+  if (typeof value === 'string') return value;
+  if (typeof value === 'number') return String(value);
+  return value ? 't' : 'f';
+}
+
+/** Converts a value to `type`, as an assignment or a cast does. */
+export function castValue(value: Value, from: TypeName, to: TypeName): Value {
+  if (value === null || from === to) return value;
+  const limit = INTEGER_LIMITS[to];
+  if (typeof value === 'number' && limit !== undefined) {
+    return checkInteger(to, Math.round(value), limit);
+  }
+  if (typeof value === 'boolean' && limit !== undefined) return value ? 1 : 0;
+  if (typeof value === 'boolean' && to !== 'bool') return value ? 'true' : 'false';
+  if (typeof value === 'number' && to === 'bool') return value !== 0;
+  return parseValue(to, formatValue(value));
+}
+
+/** Reads a parameter in binary format: only int4, int8 and text are supported. */
+export function parseBinaryValue(type: TypeName, bytes: Buffer): Value {
+  if (type === 'int4' && bytes.length === 4) return bytes.readInt32BE(0);
+  if (type === 'int8' && bytes.length === 8)
+    return parseValue(type, String(bytes.readBigInt64BE(0)));
+  if (type === 'text' || type === 'varchar') return bytes.toString('utf8');
+  throw unsupported(`binary parameters of type ${type}`);
+}
--- /dev/null
+++ b/standins/database/wire/connection.ts
@@ -0,0 +1,315 @@
+/** One client connection: start-up, authentication, then messages in order. */
+import { randomInt } from 'node:crypto';
+import type { Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import { type SecureContext, TLSSocket } from 'node:tls';
+import { ServerError, ServerSqlState, type ServerSqlStateCode } from '../errors.js';
+import { Session, type SessionOptions } from '../session/session.js';
+import * as backend from './backend.js';
+import {
+  type FrontendMessage,
+  FrontendReader,
+  protocolViolation,
+  readBind,
+  readExecute,
+  readParse,
+  readStartupParameters,
+  readTarget,
+  readText,
+  StartupCode,
+  type StartupMessage,
+} from './frontend.js';
+import { Output } from './output.js';
+import { SCRAM_MECHANISM, ScramExchange, type ScramVerifier } from './scram.js';
+
+/** A client that sends on without reading is not read from beyond this. */
+const INPUT_MAX_BYTES = 1024 * 1024;
+const SECRET_KEY_LIMIT = 2 ** 31 - 1;
+
+/** Thrown by a commit whose fault says that the connection ends here, without an answer. */
+export class ConnectionCrashSignal extends Error {}
+
+export interface ConnectionHost {
+  readonly session: Omit<SessionOptions, 'output' | 'startupParameters' | 'signal' | 'functions'>;
+  readonly functions: Omit<SessionOptions['functions'], 'backendPid' | 'userName' | 'databaseName'>;
+  readonly secureContext: SecureContext | undefined;
+  /** Undefined: trust. */
+  readonly verifier: ScramVerifier | undefined;
+  /** Undefined when the role may log in. */
+  refuseRole(name: string): ServerError | undefined;
+  connectionDelayMs(): number;
+  /** Throws 53300; the connection counts from here on. */
+  register(connection: Connection): void;
+  unregister(connection: Connection): void;
+  cancel(processId: number, secretKey: number): void;
+}
+
+type Phase = 'startup' | 'password' | 'ready' | 'closed';
+
+export class Connection {
+  readonly secretKey = randomInt(1, SECRET_KEY_LIMIT);
+  session: Session | undefined;
+  private phase: Phase = 'startup';
+  private readonly reader = new FrontendReader();
+  private stream: Socket;
+  private output: Output;
+  private abort = new AbortController();
+  private busy = false;
+  private skippingToSync = false;
+  private scram: ScramExchange | undefined;
+  private scramStarted = false;
+  private parameters: ReadonlyMap<string, string> = new Map();
+
+  constructor(
+    readonly processId: number,
+    socket: Socket,
+    private readonly host: ConnectionHost,
+  ) {
+    this.stream = socket;
+    this.output = new Output(socket);
+    socket.setNoDelay(true);
+    this.attach(socket);
+  }
+
+  get userName(): string {
+    return this.parameters.get('user') ?? '';
+  }
+
+  private attach(stream: Socket): void {
+    this.stream = stream;
+    this.output = new Output(stream);
+    stream.on('data', (chunk: Buffer) => this.onData(chunk));
+    stream.on('error', () => stream.destroy());
+    stream.on('end', () => this.onLost());
+    stream.on('close', () => this.onLost());
+  }
+
+  private onData(chunk: Buffer): void {
+    this.reader.push(chunk);
+    if (this.reader.buffered > INPUT_MAX_BYTES) this.stream.pause();
+    if (!this.busy) void this.work();
+  }
+
+  private onLost(): void {
+    if (this.phase === 'closed') return;
+    this.phase = 'closed';
+    this.abort.abort(new ServerError(ServerSqlState.ADMIN_SHUTDOWN, 'connection lost'));
+    this.session?.block.rollback();
+    this.host.unregister(this);
+    this.stream.destroy();
+  }
+
+  /** Ends the statement that runs, if any, with 57014. */
+  cancel(reason: string): void {
+    if (!this.busy) return;
+    this.abort.abort(new ServerError(ServerSqlState.QUERY_CANCELED, reason));
+  }
+
+  /** Ends the connection with a FATAL error; its transaction is rolled back at once. */
+  terminate(reason: string): void {
+    const message = `terminating connection due to administrator command: ${reason}`;
+    this.fatal(new ServerError(ServerSqlState.ADMIN_SHUTDOWN, message));
+  }
+
+  private fatal(error: ServerError): void {
+    if (this.phase === 'closed') return;
+    this.phase = 'closed';
+    this.abort.abort(error);
+    this.session?.block.rollback();
+    this.host.unregister(this);
+    this.output.discard();
+    this.output.add(backend.errorResponse(fieldsOf(error, 'FATAL')));
+    void this.output.flush();
+    this.stream.end();
+    // A client that does not read can't hold the socket.
+    this.stream.setTimeout(1_000, () => this.stream.destroy());
+  }
+
+  private async work(): Promise<void> {
+    this.busy = true;
+    try {
+      while (await this.step());
+    } catch (error) {
+      this.onFailure(error);
+    } finally {
+      this.busy = false;
+      if (this.phase !== 'closed') this.stream.resume();
+    }
+  }
+
+  private onFailure(error: unknown): void {
+    if (error instanceof ConnectionCrashSignal) {
+      this.output.discard();
+      this.stream.destroy();
+      this.onLost();
+      return;
+    }
+    this.fatal(toServerError(error));
+  }
+
+  /** Handles one message; false if none is complete. */
+  private async step(): Promise<boolean> {
+    if (this.phase === 'closed') return false;
+    if (this.phase === 'startup') {
+      const startup = this.reader.nextStartup();
+      if (startup === undefined) return false;
+      await this.onStartup(startup);
+      return true;
+    }
+    const message = this.reader.next();
+    if (message === undefined) return false;
+    if (this.phase === 'password') await this.onPassword(message);
+    else await this.onMessage(message);
+    return true;
+  }
+
+  private async onStartup({ code, body }: StartupMessage): Promise<void> {
+    if (code === StartupCode.SSL_REQUEST) return this.onSslRequest();
+    if (code === StartupCode.GSS_ENCRYPTION_REQUEST) {
+      this.stream.write('N');
+      return;
+    }
+    if (code === StartupCode.CANCEL_REQUEST) {
+      this.host.cancel(body.readInt32BE(0), body.readInt32BE(4));
+      this.stream.end();
+      return;
+    }
+    if (code >>> 16 !== 3) throw protocolViolation('protocol version');
+    this.parameters = readStartupParameters(body);
+    this.host.register(this);
+    if (code !== StartupCode.PROTOCOL_3) this.output.add(backend.negotiateProtocolVersion());
+    const refusal = this.host.refuseRole(this.userName);
+    if (refusal !== undefined) throw refusal;
+    await this.authenticate();
+  }
+
+  private onSslRequest(): void {
+    const { secureContext } = this.host;
+    this.stream.write(secureContext === undefined ? 'N' : 'S');
+    if (secureContext === undefined) return;
+    const plain = this.stream;
+    plain.removeAllListeners('data');
+    plain.removeAllListeners('end');
+    this.attach(new TLSSocket(plain, { isServer: true, secureContext }));
+  }
+
+  private async authenticate(): Promise<void> {
+    const { verifier } = this.host;
+    if (verifier === undefined) return this.welcome();
+    this.scram = new ScramExchange(verifier);
+    this.output.add(backend.authenticationSasl(SCRAM_MECHANISM));
+    this.phase = 'password';
+    await this.output.flush();
+  }
+
+  private async onPassword(message: FrontendMessage): Promise<void> {
+    const { scram } = this;
+    if (message.type !== 'p' || scram === undefined) throw protocolViolation('password message');
+    if (!this.scramStarted) {
+      this.scramStarted = true;
+      const mechanism = readText(message.body.subarray(0, message.body.indexOf(0) + 1));
+      if (mechanism !== SCRAM_MECHANISM) throw protocolViolation('SASL mechanism');
+      const data = message.body.subarray(mechanism.length + 5).toString('utf8');
+      this.output.add(backend.authenticationSaslContinue(scram.first(data)));
+      await this.output.flush();
+      return;
+    }
+    this.output.add(backend.authenticationSaslFinal(scram.final(message.body.toString('utf8'))));
+    await this.welcome();
+  }
+
+  private async welcome(): Promise<void> {
+    const delayMs = this.host.connectionDelayMs();
+    if (delayMs > 0) await delay(delayMs);
+    if (this.phase === 'closed') return;
+    const { parameters, processId } = this;
+    const user = this.userName;
+    this.session = new Session({
+      ...this.host.session,
+      functions: {
+        ...this.host.functions,
+        backendPid: () => processId,
+        userName: () => user,
+        databaseName: () => parameters.get('database') ?? user,
+      },
+      output: this.output,
+      startupParameters: parameters,
+      signal: () => this.abort.signal,
+    });
+    this.session.onStatementTimeout = () =>
+      this.cancel('canceling statement due to statement timeout');
+    this.phase = 'ready';
+    this.output.add(backend.authenticationOk());
+    this.session.settings.reportAll();
+    this.output.add(backend.backendKeyData(processId, this.secretKey));
+    await this.ready(this.session);
+  }
+
+  private async ready(session: Session): Promise<void> {
+    if (this.abort.signal.aborted && this.phase !== 'closed') this.abort = new AbortController();
+    this.output.add(backend.readyForQuery(session.block.status));
+    await this.output.flush();
+  }
+
+  private async onMessage(message: FrontendMessage): Promise<void> {
+    const { session } = this;
+    if (session === undefined) return;
+    if (message.type === 'X') {
+      this.stream.end();
+      this.onLost();
+      return;
+    }
+    if (this.skippingToSync && message.type !== 'S') return;
+    try {
+      await this.dispatch(session, message);
+    } catch (error) {
+      if (error instanceof ConnectionCrashSignal || this.phase === 'closed') throw error;
+      this.output.add(backend.errorResponse(fieldsOf(toServerError(error), 'ERROR')));
+      session.block.fail();
+      if (message.type === 'Q' || message.type === 'S') await this.ready(session);
+      else this.skippingToSync = true;
+    }
+  }
+
+  private async dispatch(session: Session, { type, body }: FrontendMessage): Promise<void> {
+    switch (type) {
+      case 'Q':
+        await session.simpleQuery(readText(body));
+        session.sync();
+        return this.ready(session);
+      case 'P':
+        return session.parse(readParse(body));
+      case 'B':
+        return session.bind(readBind(body));
+      case 'D':
+        return session.describe(readTarget(body));
+      case 'E':
+        return session.execute(readExecute(body));
+      case 'C':
+        return session.close(readTarget(body));
+      case 'H':
+        return this.output.flush();
+      case 'S':
+        this.skippingToSync = false;
+        session.sync();
+        return this.ready(session);
+      case 'd':
+      case 'c':
+      case 'f':
+        return;
+      default:
+        throw protocolViolation(`message type ${JSON.stringify(type)}`);
+    }
+  }
+}
+
+function toServerError(error: unknown): ServerError {
+  if (error instanceof ServerError) return error;
+  const message = error instanceof Error ? (error.stack ?? error.message) : String(error);
+  return new ServerError(ServerSqlState.INTERNAL_ERROR, message);
+}
+
+function fieldsOf(error: ServerError, severity: 'ERROR' | 'FATAL'): backend.ErrorFields {
+  const sqlState: ServerSqlStateCode = error.sqlState;
+  return { severity, sqlState, message: error.message, detail: error.detail };
+}
