Owner streams: keyed batches, gathered answers, typed refusals inside transactions

Cause: at-most-once batches and short answers need a step between stream and connection. Change: batch runner and answer relay.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -17,21 +17,22 @@
   type SessionKeys,
   type SessionState,
 } from '../../core/session/index.js';
-import type { RequestMetrics } from './request-metrics.js';
 import type {
   CallerBatch,
   CallerConnection,
   SessionSetting,
   StatementClass,
+  StatementMarkers,
   TransactionStatus,
 } from '../../postgres/contract.js';
 import { classify } from '../../postgres/statements/classify.js';
 import { parseMarkers } from '../../postgres/statements/markers.js';
 import type { BatchMessage, OpenMessage } from '../owner/messages.js';
 import type { GroupAnswerEnd, GroupCall, GroupClient } from './group-client.js';
+import type { RequestMetrics } from './request-metrics.js';
 import { combineClasses, firstMarkers, type RequestTerms, requestTerms } from './request-policy.js';
-import { answerSessionSetting } from './session-settings.js';
 import type { SessionDirectory } from './session-directory.js';
+import { answerSessionSetting } from './session-settings.js';
 
 /** Parameter that carries the session token both ways. */
 export const SESSION_TOKEN_PARAMETER = 'meadowstack.session';
@@ -142,7 +143,9 @@
   }
 
   #continueTransaction(batch: CallerBatch, statementClass: StatementClass): void {
-    this.#call?.send(batchMessage(batch, statementClass));
+    const markers = this.#markersOf(batch);
+    if (markers === undefined) return;
+    this.#call?.send(batchMessage(batch, statementClass, markers));
   }
 
   #openRequest(batch: CallerBatch, statementClass: StatementClass): void {
@@ -157,15 +160,19 @@
     const begins = statementClass.transactionControl === 'begin';
     this.#inTransaction = begins;
     this.#running = { terms, access: statementClass.access, startedAt: performance.now() };
-    this.#call = this.#options.client.open(this.#openMessage(batch, statementClass, terms, policy), {
-      onData: (data) => this.#onData(data),
-      onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
-      onEnd: (end) => this.#onEnd(end),
-      onError: (error) => this.#onError(error),
-    });
+    this.#call = this.#options.client.open(
+      this.#openMessage(batch, statementClass, markers, policy),
+      {
+        onData: (data) => this.#onData(data),
+        onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
+        onBatchError: (status, error) => this.#onBatchError(status, error),
+        onEnd: (end) => this.#onEnd(end),
+        onError: (error) => this.#onError(error),
+      },
+    );
   }
 
-  #markersOf(batch: CallerBatch): ReturnType<typeof firstMarkers> | undefined {
+  #markersOf(batch: CallerBatch): StatementMarkers | undefined {
     const parsed = batch.statements.map((text) => parseMarkers(text));
     const failure = parsed.find((result) => result.isErr());
     if (failure?.isErr()) {
@@ -178,9 +185,11 @@
   #openMessage(
     batch: CallerBatch,
     statementClass: StatementClass,
-    terms: RequestTerms,
+    markers: StatementMarkers,
     policy: TenantPolicy,
   ): OpenMessage {
+    const terms = requestTerms(policy, markers, statementClass.access);
+    const holds = statementClass.transactionControl === 'begin' || markers.once !== undefined;
     return {
       type: 'open',
       requestId: this.#options.nextRequestId(),
@@ -195,9 +204,9 @@
       repeatable: terms.repeatable,
       session: requirementFor(this.#state, this.#group),
       remainingMs: terms.deadlineMs,
-      hold: statementClass.transactionControl === 'begin' ? 'transaction' : 'statement',
+      hold: holds ? 'transaction' : 'statement',
       zone: this.#options.zone,
-      batch: batchMessage(batch, statementClass),
+      batch: batchMessage(batch, statementClass, markers),
     };
   }
 
@@ -210,6 +219,11 @@
     this.#connection.finish(status);
   }
 
+  #onBatchError(status: TransactionStatus, error: RequestError): void {
+    this.#connection.writeError(error);
+    this.#connection.finish(status);
+  }
+
   #onEnd(end: GroupAnswerEnd): void {
     this.#call = undefined;
     this.#inTransaction = false;
@@ -234,7 +248,8 @@
     this.#call = undefined;
     this.#inTransaction = false;
     this.#countOutcome(error.outcome, false);
-    if (error.outcome === 'unknown') this.#state = markUnknown(this.#state, this.#group);
+    const mayLast = error.outcome === 'unknown' || error.outcome === 'done';
+    if (mayLast) this.#state = markUnknown(this.#state, this.#group);
     if (wasTransaction && !this.#connection.busy) {
       this.#transactionLoss = error;
       return;
@@ -326,7 +341,11 @@
   }
 }
 
-function batchMessage(batch: CallerBatch, statementClass: StatementClass): BatchMessage {
+function batchMessage(
+  batch: CallerBatch,
+  statementClass: StatementClass,
+  markers: StatementMarkers,
+): BatchMessage {
   return {
     type: 'batch',
     requires: batch.requires.map((statement) => ({
@@ -336,5 +355,6 @@
     })),
     messages: batch.messages,
     mayCommit: statementClass.transactionControl === 'commit',
+    ...(markers.once === undefined ? {} : { onceKey: markers.once }),
   };
 }
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -48,6 +48,8 @@
   onData(data: Buffer): void;
   /** A batch inside the open transaction ended. */
   onBatchEnd(status: TransactionStatus, heldBack: Buffer): void;
+  /** A batch inside the open transaction was refused by the proxy; the block is failed. */
+  onBatchError(status: TransactionStatus, error: RequestError): void;
   onEnd(end: GroupAnswerEnd): void;
   onError(error: RequestError): void;
 }
@@ -63,16 +65,14 @@
 }
 
 /** Refusals after which another owner, or the same one a little later, may well accept. */
-const OWNER_REASONS: ReadonlySet<NotRunReason> = new Set([
-  'owner-unreachable',
-  'owner-stopping',
-]);
+const OWNER_REASONS: ReadonlySet<NotRunReason> = new Set(['owner-unreachable', 'owner-stopping']);
 
 export class GroupClient {
   constructor(readonly options: GroupClientOptions) {}
 
   /** Sends a statement or opens a transaction. */
   open(message: OpenMessage, handlers: GroupCallHandlers): GroupCall {
+    this.options.retryBudget.recordAttempt();
     const call = new GroupCall(this.options, message, handlers);
     call.start();
     return call;
@@ -105,7 +105,9 @@
     const owner = owners[this.#attempts % Math.max(1, owners.length)];
     this.#attempts += 1;
     if (owner === undefined) {
-      this.#retryOrFail(new NotRunError('owner-unreachable', 'the group has no owner yet', RETRY_STEP_MS));
+      this.#retryOrFail(
+        new NotRunError('owner-unreachable', 'the group has no owner yet', RETRY_STEP_MS),
+      );
       return;
     }
     this.#openStream(owner);
@@ -180,6 +182,11 @@
         this.#commitSent = false;
         this.#handlers.onBatchEnd(message.status, asBuffer(message.heldBack));
         return;
+      case 'batch-error':
+        this.#answered = true;
+        this.#commitSent = false;
+        this.#handlers.onBatchError(message.status, decodeRequestError(message.error));
+        return;
       case 'end':
         this.#finish();
         this.#handlers.onEnd({
@@ -206,7 +213,9 @@
     if (this.#finished || stream !== this.#stream) return;
     const neverLeft = error !== undefined && 'bytesLeft' in error && error.bytesLeft === false;
     if (neverLeft && !this.#answered) {
-      this.#retryOrFail(new NotRunError('owner-unreachable', 'the owner could not be reached', RETRY_STEP_MS));
+      this.#retryOrFail(
+        new NotRunError('owner-unreachable', 'the owner could not be reached', RETRY_STEP_MS),
+      );
       return;
     }
     if (this.#message.hold === 'statement' && this.#message.access === 'read' && !this.#answered) {
@@ -214,7 +223,9 @@
       return;
     }
     if (this.#commitSent) {
-      this.#fail(new UnknownOutcomeError('owner-lost', 'the owner was lost before it told the outcome'));
+      this.#fail(
+        new UnknownOutcomeError('owner-lost', 'the owner was lost before it told the outcome'),
+      );
       return;
     }
     this.#fail(new TransactionAbortedError('the owner of the open transaction was lost'));
@@ -224,7 +235,7 @@
     const now = this.#options.now();
     const pause = Math.min(MAX_RETRY_PAUSE_MS, RETRY_STEP_MS * this.#attempts);
     const firstLap = this.#attempts <= this.#options.ownersOf(this.#message.group).length;
-    const affordable = firstLap || this.#options.retryBudget.tryConsume(now);
+    const affordable = firstLap || this.#options.retryBudget.tryTake();
     if (now + pause >= this.#deadline || !affordable) {
       this.#fail(error);
       return;
--- a/src/node/owner/backend-connector.ts
+++ b/src/node/owner/backend-connector.ts
@@ -7,8 +7,11 @@
 import type { DatabaseRole, InstanceName } from '../../core/request.js';
 import type { DatabaseMachine } from '../../platform/contract.js';
 import { connectBackend } from '../../postgres/backend/connect.js';
+import type { BackendTlsOptions } from '../../postgres/backend/options.js';
 import type { BackendConnection } from '../../postgres/contract.js';
-import type { BackendSettings } from '../settings.js';
+import type { Settings } from '../settings.js';
+
+type BackendSettings = Settings['backend'];
 
 /** A connection could not be opened. `refusedByLimit`: the instance has no connection left. */
 export class ConnectFailedError extends MeadowstackError {
@@ -74,13 +77,20 @@
       password: this.#passwordOf(role),
       database,
       connectTimeoutMs: this.#settings.connectTimeoutMs,
-      applicationName: 'meadowstack',
-      tls: this.#settings.tls,
-    }).mapErr((error) => new ConnectFailedError(error.message, error.refusedByLimit, error));
+      startupParameters: { application_name: 'meadowstack' },
+      tls: tlsOptionsOf(this.#settings),
+    }).mapErr(
+      (error) => new ConnectFailedError(error.message, error.failure === 'refused-by-limit', error),
+    );
   }
 
-  #passwordOf(role: DatabaseRole): string {
+  #passwordOf(role: DatabaseRole): string | undefined {
     const configured = this.#settings.roles.find((entry) => entry.role === role);
     return configured?.password ?? this.#settings.defaultPassword;
   }
 }
+
+function tlsOptionsOf(settings: BackendSettings): BackendTlsOptions | undefined {
+  if (settings.tls === 'disable') return undefined;
+  return { verify: settings.tls === 'verify' };
+}
--- /dev/null
+++ b/src/node/owner/batch-runner.ts
@@ -0,0 +1,184 @@
+/**
+ * Runs one batch of a gateway on an assigned connection, with the claim of its once key around it if
+ * it has one. Tells how it ended; decides nothing about the request as a whole.
+ */
+
+import { serialize } from 'pg-protocol';
+import {
+  continueOnce,
+  needsConfirmation,
+  type OnceAction,
+  type OnceExecution,
+  type OnceMode,
+  type OnceResult,
+  parseOnceClaim,
+  startOnce,
+} from '../../core/at-most-once/index.js';
+import type { RequestError } from '../../core/errors.js';
+import type { TenantName } from '../../core/request.js';
+import type {
+  BackendBatchEnd,
+  BackendConnection,
+  TransactionStatus,
+} from '../../postgres/contract.js';
+import type { BatchMessage } from './messages.js';
+
+/** Rows of the trailing query, as text. */
+type TrailingRows = readonly (readonly (string | null)[])[] | undefined;
+
+/** How a batch ended. */
+export type BatchResult =
+  | {
+      readonly type: 'ready';
+      readonly status: TransactionStatus;
+      readonly heldBack: Buffer;
+      readonly errorSqlState: string | undefined;
+      readonly trailingRows: TrailingRows;
+      /** Reported in place of what is held back; nothing of the batch lasts, or it lasted before. */
+      readonly refusal: RequestError | undefined;
+      /** The refusal itself tells of something that lasts. */
+      readonly refusalNeedsConfirmation: boolean;
+    }
+  | {
+      readonly type: 'lost';
+      readonly bytesWritten: boolean;
+      readonly refusal: RequestError | undefined;
+    };
+
+export interface BatchRun {
+  readonly connection: BackendConnection;
+  readonly batch: BatchMessage;
+  readonly tenant: TenantName;
+  readonly onceMode: OnceMode;
+  readonly trailingQuery: string | undefined;
+  onMessages(messages: Buffer): void;
+  onResult(result: BatchResult): void;
+}
+
+/** Starts the batch; `onResult` is called exactly once. */
+export function runBatch(run: BatchRun): void {
+  if (run.batch.onceKey === undefined) {
+    runPlain(run);
+    return;
+  }
+  parseOnceClaim(run.tenant, run.batch.onceKey).match(
+    (claim) => new OnceRun(run).start(startOnce(claim, run.onceMode)),
+    (error) => run.onResult(refusedBeforeSending(error)),
+  );
+}
+
+function runPlain(run: BatchRun): void {
+  run.connection.run({
+    requires: run.batch.requires,
+    messages: asBuffer(run.batch.messages),
+    trailingQuery: run.trailingQuery,
+    onMessages: run.onMessages,
+    onFinished: (end) => run.onResult(resultOf(end)),
+  });
+}
+
+function resultOf(end: BackendBatchEnd): BatchResult {
+  if (end.type === 'lost') {
+    return { type: 'lost', bytesWritten: end.bytesWritten, refusal: undefined };
+  }
+  return { ...end, refusal: undefined, refusalNeedsConfirmation: false };
+}
+
+function refusedBeforeSending(error: RequestError): BatchResult {
+  return {
+    type: 'ready',
+    status: 'I',
+    heldBack: Buffer.alloc(0),
+    errorSqlState: error.sqlState,
+    trailingRows: undefined,
+    refusal: error,
+    refusalNeedsConfirmation: false,
+  };
+}
+
+/** Drives the at-most-once execution over the connection. */
+class OnceRun {
+  readonly #run: BatchRun;
+  #execution: OnceExecution | undefined;
+  #heldBack: Buffer = Buffer.alloc(0);
+  #last: Extract<BackendBatchEnd, { type: 'ready' }> | undefined;
+
+  constructor(run: BatchRun) {
+    this.#run = run;
+  }
+
+  start(transition: { readonly execution: OnceExecution; readonly action: OnceAction }): void {
+    this.#execution = transition.execution;
+    this.#act(transition.action);
+  }
+
+  #act(action: OnceAction): void {
+    switch (action.type) {
+      case 'run-own':
+        this.#runOwn(action.text);
+        return;
+      case 'run-caller-batch':
+        this.#runCallerBatch();
+        return;
+      case 'finish':
+        this.#finish(action.result);
+        return;
+    }
+  }
+
+  #runOwn(text: string): void {
+    const endsTransaction =
+      this.#execution?.phase === 'commit' || this.#execution?.phase === 'roll-back';
+    this.#run.connection.run({
+      requires: [],
+      messages: serialize.query(text),
+      trailingQuery: endsTransaction ? this.#run.trailingQuery : undefined,
+      onMessages: () => undefined,
+      onFinished: (end) => this.#onEnd(end),
+    });
+  }
+
+  #runCallerBatch(): void {
+    const { batch, connection } = this.#run;
+    connection.run({
+      requires: batch.requires,
+      messages: asBuffer(batch.messages),
+      trailingQuery: undefined,
+      onMessages: this.#run.onMessages,
+      onFinished: (end) => {
+        if (end.type === 'ready') this.#heldBack = end.heldBack;
+        this.#onEnd(end);
+      },
+    });
+  }
+
+  #onEnd(end: BackendBatchEnd): void {
+    if (this.#execution === undefined) return;
+    if (end.type === 'ready') this.#last = end;
+    this.start(continueOnce(this.#execution, end));
+  }
+
+  #finish(result: OnceResult): void {
+    const last = this.#last;
+    const refusal = result.type === 'refused' ? result.error : undefined;
+    const lost = last === undefined;
+    if (lost) {
+      this.#run.onResult({ type: 'lost', bytesWritten: false, refusal });
+      return;
+    }
+    this.#run.onResult({
+      type: 'ready',
+      status: last.status,
+      heldBack: result.type === 'done' ? this.#heldBack : Buffer.alloc(0),
+      errorSqlState:
+        result.type === 'done' ? undefined : (last.errorSqlState ?? refusal?.sqlState ?? ''),
+      trailingRows: last.trailingRows,
+      refusal,
+      refusalNeedsConfirmation: needsConfirmation(result) && refusal !== undefined,
+    });
+  }
+}
+
+function asBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
--- a/src/node/owner/messages.ts
+++ b/src/node/owner/messages.ts
@@ -14,6 +14,8 @@
   type UnknownReason,
 } from '../../core/errors.js';
 
+const bytesSchema = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
+
 const positionSchema = z.object({ timeline: z.number().int(), lsn: z.bigint() });
 
 const preparedStatementSchema = z.object({
@@ -26,7 +28,9 @@
 export const batchSchema = z.object({
   type: z.literal('batch'),
   requires: z.array(preparedStatementSchema),
-  messages: z.instanceof(Uint8Array),
+  messages: bytesSchema,
+  /** Key under which the batch runs at most once. */
+  onceKey: z.string().optional(),
   /** The batch may end the open transaction with COMMIT. */
   mayCommit: z.boolean(),
 });
@@ -69,14 +73,14 @@
 const batchEndSchema = z.object({
   type: z.literal('batch-end'),
   status: z.enum(['I', 'T', 'E']),
-  heldBack: z.instanceof(Uint8Array),
+  heldBack: bytesSchema,
 });
 
 /** The statement or transaction ended and its outcome is final. */
 const endSchema = z.object({
   type: z.literal('end'),
   status: z.enum(['I', 'T', 'E']),
-  heldBack: z.instanceof(Uint8Array),
+  heldBack: bytesSchema,
   position: positionSchema.optional(),
   /** True if a replica served it. */
   fromReplica: z.boolean(),
@@ -85,7 +89,7 @@
 /** The request ended without a database answer. */
 const errorSchema = z.object({
   type: z.literal('error'),
-  outcome: z.enum(['not-run', 'unknown', 'failed']),
+  outcome: z.enum(['done', 'not-run', 'unknown', 'failed']),
   code: z.string(),
   sqlState: z.string(),
   /** Of a NotRunError or UnknownOutcomeError. */
@@ -95,8 +99,16 @@
 });
 export type ErrorMessage = z.infer<typeof errorSchema>;
 
+/** A batch inside a transaction ended with an error of the proxy; the block goes on, failed. */
+const batchErrorSchema = z.object({
+  type: z.literal('batch-error'),
+  status: z.enum(['I', 'T', 'E']),
+  error: errorSchema,
+});
+
 export const ownerMessageSchema = z.discriminatedUnion('type', [
   batchEndSchema,
+  batchErrorSchema,
   endSchema,
   errorSchema,
 ]);
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -7,7 +7,7 @@
 import type { Position } from '../../core/position.js';
 import type { PeerStream, WireValue } from '../../peer/contract.js';
 import { POSITION_QUERY, parseInstanceState } from '../../postgres/backend/position-query.js';
-import type { BackendBatchEnd, BackendConnection, TransactionStatus } from '../../postgres/contract.js';
+import { type BatchResult, runBatch } from './batch-runner.js';
 import {
   type BatchMessage,
   encodeRequestError,
@@ -15,11 +15,14 @@
   type OpenMessage,
   type OwnerMessage,
 } from './messages.js';
+import { AnswerRelay } from './relay.js';
 import type { Assignment, GroupWork } from './work.js';
 
 /** Longest wait for the ROLLBACK of an abandoned transaction before its connection is closed, in ms. */
 const ROLLBACK_TIMEOUT_MS = 2000;
-const NOTHING_HELD_BACK = Buffer.alloc(0);
+const NOTHING = Buffer.alloc(0);
+
+type ReadyResult = Extract<BatchResult, { type: 'ready' }>;
 
 export interface OwnerStreamEvents {
   /** The gateway or its caller has gone before the request ended. */
@@ -30,21 +33,23 @@
   readonly #stream: PeerStream;
   readonly #open: OpenMessage;
   readonly #events: OwnerStreamEvents;
+  readonly #relay: AnswerRelay;
+  /** A keyed statement holds its connection like a transaction, but ends with its first batch. */
+  readonly #callerHoldsTransaction: boolean;
   #assignment: Assignment | undefined;
+  #servedByReplica = false;
   #batchRunning = false;
   #mayHaveCommitted = false;
-  #relayed = false;
-  #servedByReplica = false;
-  /** The caller no longer listens; what still runs is let finish or rolled back. */
   #callerGone = false;
   #settled = false;
-  #heldBack: Buffer = NOTHING_HELD_BACK;
-  #status: TransactionStatus = 'I';
+  #lastResult: ReadyResult | undefined;
 
   constructor(stream: PeerStream, open: OpenMessage, events: OwnerStreamEvents) {
     this.#stream = stream;
     this.#open = open;
     this.#events = events;
+    this.#relay = new AnswerRelay(stream, () => this.#assignment?.connection.pause());
+    this.#callerHoldsTransaction = open.hold === 'transaction' && open.batch.onceKey === undefined;
     stream.onMessage = (message) => this.#onGatewayMessage(message);
     stream.onDrain = () => this.#assignment?.connection.resume();
     stream.onClose = () => this.#onCallerGone();
@@ -57,14 +62,19 @@
       this.#finishRun({ type: 'database-error', position: undefined });
       return;
     }
-    this.#runBatch(this.#open.batch);
+    this.#run(this.#open.batch);
   }
 
   release(position: Position | undefined): void {
+    const result = this.#lastResult;
+    if (result?.refusal !== undefined) {
+      this.#settle(encodeRequestError(result.refusal));
+      return;
+    }
     this.#settle({
       type: 'end',
-      status: this.#status,
-      heldBack: this.#heldBack,
+      status: result?.status ?? 'I',
+      heldBack: this.#relay.take(result?.heldBack ?? NOTHING),
       fromReplica: this.#servedByReplica,
       ...(position === undefined ? {} : { position }),
     });
@@ -78,17 +88,13 @@
 
   connectionClosed(): void {
     if (this.#assignment === undefined || this.#batchRunning) return;
-    this.#finishRun({
-      type: 'connection-lost',
-      bytesWritten: true,
-      answerRelayed: this.#relayed,
-      mayHaveCommitted: this.#mayHaveCommitted,
-    });
+    this.#finishRun(this.#lostResult(true));
   }
 
   #settle(message: OwnerMessage): void {
     if (this.#settled) return;
     this.#settled = true;
+    this.#relay.close();
     if (this.#callerGone) return;
     this.#stream.send(message);
     this.#stream.end();
@@ -105,80 +111,99 @@
   }
 
   #onNextBatch(batch: BatchMessage): void {
-    const idleInTransaction = this.#assignment !== undefined && !this.#batchRunning;
     if (this.#settled) return;
-    if (this.#open.hold !== 'transaction' || !idleInTransaction) {
-      this.#settle(
-        encodeRequestError(new NotRunError('stale-transaction', 'no open transaction on this stream')),
-      );
-      this.#abortTransaction();
+    const idleInTransaction = this.#assignment !== undefined && !this.#batchRunning;
+    if (this.#callerHoldsTransaction && idleInTransaction) {
+      this.#run(batch);
       return;
     }
-    this.#runBatch(batch);
+    const refusal = new NotRunError('stale-transaction', 'no open transaction on this stream');
+    this.#settle(encodeRequestError(refusal));
+    this.#abortTransaction();
   }
 
   #cancelRunning(): void {
-    if (this.#assignment === undefined) {
-      this.#events.abandoned();
-      return;
-    }
-    if (this.#batchRunning) void this.#assignment.connection.cancel();
+    if (this.#assignment === undefined) this.#events.abandoned();
+    else if (this.#batchRunning) void this.#assignment.connection.cancel();
   }
 
-  #runBatch(batch: BatchMessage): void {
+  #run(batch: BatchMessage): void {
     const assignment = this.#assignment;
     if (assignment === undefined) return;
-    const { connection } = assignment;
-    const endsRun = this.#open.hold === 'statement' || batch.mayCommit;
-    const trail = endsRun && assignment.trailPosition;
+    const endsRun = !this.#callerHoldsTransaction || batch.mayCommit;
     this.#batchRunning = true;
-    if (batch.mayCommit || this.#open.hold === 'statement') this.#mayHaveCommitted = true;
-    connection.run({
-      requires: batch.requires,
-      messages: asBuffer(batch.messages),
-      trailingQuery: trail ? POSITION_QUERY : undefined,
-      onMessages: (messages) => this.#relay(connection, messages),
-      onFinished: (end) => this.#onBatchFinished(end, batch),
+    if (endsRun) this.#mayHaveCommitted = true;
+    runBatch({
+      connection: assignment.connection,
+      batch,
+      tenant: this.#open.tenant,
+      onceMode: this.#callerHoldsTransaction ? 'in-transaction' : 'autocommit',
+      trailingQuery: endsRun && assignment.trailPosition ? POSITION_QUERY : undefined,
+      onMessages: (messages) => this.#relay.add(messages),
+      onResult: (result) => this.#onBatchResult(result, batch),
     });
   }
 
-  #relay(connection: BackendConnection, messages: Buffer): void {
-    if (this.#callerGone || this.#settled) return;
-    this.#relayed = true;
-    if (!this.#stream.write(messages)) connection.pause();
-  }
-
-  #onBatchFinished(end: BackendBatchEnd, batch: BatchMessage): void {
+  #onBatchResult(result: BatchResult, batch: BatchMessage): void {
     this.#batchRunning = false;
+    this.#relay.batchEnded();
     this.#assignment?.connection.resume();
-    if (end.type === 'lost') {
-      this.#finishRun({
-        type: 'connection-lost',
-        bytesWritten: end.bytesWritten || this.#open.hold === 'transaction',
-        answerRelayed: this.#relayed,
-        mayHaveCommitted: this.#mayHaveCommitted && end.bytesWritten,
-      });
+    if (result.type === 'lost') {
+      this.#finishRun(this.#lostResult(result.bytesWritten));
       return;
     }
-    this.#heldBack = end.heldBack;
-    this.#status = end.status;
-    if (end.status === 'I') this.#finishRun(resultOf(end, batch, this.#open));
-    else this.#continueTransaction(end);
+    this.#lastResult = result;
+    if (result.status === 'I') this.#finishRun(this.#runResultOf(result, batch));
+    else this.#continueTransaction(result);
+  }
+
+  #lostResult(bytesWritten: boolean): RunResult {
+    const answerRelayed = this.#relay.flowed;
+    this.#relay.withdraw();
+    return {
+      type: 'connection-lost',
+      bytesWritten: bytesWritten || this.#open.hold === 'transaction',
+      answerRelayed,
+      mayHaveCommitted: this.#mayHaveCommitted && bytesWritten,
+    };
+  }
+
+  #runResultOf(result: ReadyResult, batch: BatchMessage): RunResult {
+    const position = positionOf(result);
+    const rolledBack =
+      (result.errorSqlState !== undefined && !result.refusalNeedsConfirmation) ||
+      (this.#callerHoldsTransaction && !batch.mayCommit);
+    if (rolledBack) return { type: 'database-error', position };
+    return { type: 'completed', position, answerRelayed: this.#relay.flowed };
   }
 
-  #continueTransaction(end: Extract<BackendBatchEnd, { type: 'ready' }>): void {
+  #continueTransaction(result: ReadyResult): void {
     this.#mayHaveCommitted = false;
-    if (this.#open.hold === 'statement') {
+    if (!this.#callerHoldsTransaction) {
       // A single statement may not leave a transaction open on a shared connection.
-      this.fail(new TransactionAbortedError('statement opened a transaction'));
-      this.#abortTransaction();
-      return;
+      this.#settle(
+        encodeRequestError(new TransactionAbortedError('statement opened a transaction')),
+      );
     }
     if (this.#callerGone || this.#settled) {
       this.#abortTransaction();
       return;
     }
-    this.#stream.send({ type: 'batch-end', status: end.status, heldBack: end.heldBack });
+    this.#sendBatchEnd(result);
+  }
+
+  #sendBatchEnd(result: ReadyResult): void {
+    if (result.refusal !== undefined) {
+      this.#relay.withdraw();
+      this.#stream.send({
+        type: 'batch-error',
+        status: result.status,
+        error: encodeRequestError(result.refusal),
+      });
+      return;
+    }
+    const heldBack = this.#relay.take(result.heldBack);
+    this.#stream.send({ type: 'batch-end', status: result.status, heldBack });
   }
 
   #onCallerGone(): void {
@@ -186,9 +211,9 @@
     this.#callerGone = true;
     if (this.#settled) return;
     this.#events.abandoned();
-    if (this.#assignment === undefined) return;
-    this.#assignment.connection.resume();
-    if (this.#open.hold === 'transaction') this.#abortTransaction();
+    this.#relay.close();
+    this.#assignment?.connection.resume();
+    if (this.#callerHoldsTransaction) this.#abortTransaction();
     else if (this.#open.access === 'read' && this.#batchRunning) this.#cancelRunning();
   }
 
@@ -200,22 +225,24 @@
       if (!this.#mayHaveCommitted) void assignment.connection.cancel();
       return;
     }
+    this.#rollBack(assignment);
+  }
+
+  #rollBack(assignment: Assignment): void {
     const { connection } = assignment;
+    this.#batchRunning = true;
     const timer = setTimeout(() => connection.close(), ROLLBACK_TIMEOUT_MS);
-    const done = (result: RunResult): void => {
+    const finish = (result: RunResult): void => {
       clearTimeout(timer);
+      this.#batchRunning = false;
       this.#finishRun(result);
     };
     connection.query('ROLLBACK').match(
-      () => done({ type: 'database-error', position: undefined }),
+      () => finish({ type: 'database-error', position: undefined }),
       () => {
         connection.close();
-        done({
-          type: 'connection-lost',
-          bytesWritten: true,
-          answerRelayed: this.#relayed,
-          mayHaveCommitted: false,
-        });
+        this.#mayHaveCommitted = false;
+        finish(this.#lostResult(true));
       },
     );
   }
@@ -229,24 +256,10 @@
   }
 }
 
-function resultOf(
-  end: Extract<BackendBatchEnd, { type: 'ready' }>,
-  batch: BatchMessage,
-  open: OpenMessage,
-): RunResult {
-  const position = positionOf(end);
-  const rolledBack = end.hadError || (open.hold === 'transaction' && !batch.mayCommit);
-  return { type: rolledBack ? 'database-error' : 'completed', position };
-}
-
-function positionOf(end: Extract<BackendBatchEnd, { type: 'ready' }>): Position | undefined {
-  if (end.trailingRows === undefined) return undefined;
-  return parseInstanceState(end.trailingRows).match(
+function positionOf(result: ReadyResult): Position | undefined {
+  if (result.trailingRows === undefined) return undefined;
+  return parseInstanceState(result.trailingRows).match(
     (state) => state.replayed,
     () => undefined,
   );
 }
-
-function asBuffer(bytes: Uint8Array): Buffer {
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
--- a/src/postgres/backend/answer-reader.ts
+++ b/src/postgres/backend/answer-reader.ts
@@ -20,7 +20,7 @@
 export interface AnswerEnd {
   readonly status: TransactionStatus;
   readonly heldBack: Buffer;
-  readonly hadError: boolean;
+  readonly errorSqlState: string | undefined;
   /** Undefined if there was no trailing query or it failed. */
   readonly trailingRows: readonly TextRow[] | undefined;
   /** Why the trailing query failed. */
@@ -96,7 +96,7 @@
   private prelude: readonly PreludeAnswer[] = [];
   private preludeDone = 0;
   private trailingQuery = false;
-  private hadError = false;
+  private errorSqlState: string | undefined;
   private heldBack: Buffer = EMPTY;
   private rows: TextRow[] = [];
   private trailingError: ServerError | undefined;
@@ -111,7 +111,7 @@
     this.prelude = expected.prelude;
     this.preludeDone = 0;
     this.trailingQuery = expected.trailingQuery;
-    this.hadError = false;
+    this.errorSqlState = undefined;
     this.heldBack = EMPTY;
     this.rows = [];
     this.trailingError = undefined;
@@ -210,7 +210,7 @@
       this.listener.fatal(error);
       return;
     }
-    this.hadError = true;
+    this.errorSqlState ??= error.sqlState;
     this.relayed.add(buffer, start, end);
   }
 
@@ -269,7 +269,7 @@
     const end: AnswerEnd = {
       status,
       heldBack: this.heldBack,
-      hadError: this.hadError,
+      errorSqlState: this.errorSqlState,
       trailingRows: rowsKnown ? this.rows : undefined,
       trailingError: this.trailingError,
     };
--- a/src/postgres/backend/connection.ts
+++ b/src/postgres/backend/connection.ts
@@ -284,7 +284,7 @@
         type: 'ready',
         status: end.status,
         heldBack: end.heldBack,
-        hadError: end.hadError,
+        errorSqlState: end.errorSqlState,
         trailingRows: end.trailingRows,
       }),
     onLost: (error, answerRelayed) =>
--- a/src/postgres/contract.ts
+++ b/src/postgres/contract.ts
@@ -132,8 +132,8 @@
       readonly status: TransactionStatus;
       /** The held-back last CommandComplete (or equivalent), to be sent once released. */
       readonly heldBack: Buffer;
-      /** An ErrorResponse was among the messages. */
-      readonly hadError: boolean;
+      /** SQLSTATE of the first ErrorResponse among the messages; undefined if there was none. */
+      readonly errorSqlState: string | undefined;
       readonly trailingRows: readonly (readonly (string | null)[])[] | undefined;
     }
   | {
--- a/test/integration/postgres/backend-connection.test.ts
+++ b/test/integration/postgres/backend-connection.test.ts
@@ -165,7 +165,7 @@
       const batch = { requires: [statement('s1')], messages: executeBatch('s1') };
       const { end, relayed } = await run(connection, batch);
       assert.equal(relayed, ERROR);
-      assert.is(end.type === 'ready' && end.hadError, true);
+      assert.is(end.type === 'ready' ? end.errorSqlState : undefined, '42601');
       await run(connection, batch);
       assert.equal(seen, ['PBES', 'PBES']);
     },
--- a/test/unit/postgres/backend-answer-reader.test.ts
+++ b/test/unit/postgres/backend-answer-reader.test.ts
@@ -56,7 +56,7 @@
   assert.is(relayed, bytes(DONE, ROW_DESCRIPTION, dataRow('1')));
   assert.is(end?.heldBack.toString('latin1'), bytes(DONE));
   assert.is(end?.status, 'T');
-  assert.is(end?.hadError, false);
+  assert.is(end?.errorSqlState, undefined);
 });
 
 test('what carries no result behind a completion is held back with it', () => {
@@ -71,7 +71,7 @@
   const { relayed, end } = read(BATCH, DONE, ERROR, ready());
   assert.is(relayed, bytes(DONE, ERROR));
   assert.is(end?.heldBack.length, 0);
-  assert.is(end?.hadError, true);
+  assert.is(end?.errorSqlState, '25P02');
 });
 
 test('a failed trailing query gives no rows and is never relayed', () => {
@@ -123,7 +123,7 @@
     ready(),
   );
   assert.is(relayed, bytes(ERROR));
-  assert.is(end?.hadError, true);
+  assert.is(end?.errorSqlState, '25P02');
   assert.equal(events, ['prepared s1']);
 });
 
