--- a/src/core/configuration/document.ts
+++ b/src/core/configuration/document.ts
@@ -164,5 +164,5 @@
 /** zod says `Invalid input: expected number, received string`: types, never values. */
 function expectationOf(message: string): string {
   const match = /expected (.*)$/.exec(message);
-  return match?.[1] ?? message;
+  return (match?.[1] ?? message).replace(/, received undefined$/, ', but it is missing');
 }
--- a/src/node/owner/instance-probe.ts
+++ b/src/node/owner/instance-probe.ts
@@ -49,7 +49,8 @@
   }
 
   #ready(): ResultAsync<BackendConnection, MeadowstackError> {
-    if (this.#connection !== undefined) return ResultAsync.fromSafePromise(Promise.resolve(this.#connection));
+    if (this.#connection !== undefined)
+      return ResultAsync.fromSafePromise(Promise.resolve(this.#connection));
     if (this.#connecting !== undefined) return this.#connecting;
     const connecting = this.connector.connectForProbe(this.instance).map((connection) => {
       this.#connecting = undefined;
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -2,7 +2,7 @@
  * The owner job of a node: one runtime for each database group that this node owns, created and
  * closed as the machine list and the members change.
  */
-import type { Logger } from '../../observability/logger.js';
+
 import type { ConfigurationSnapshot, TenantPolicy } from '../../core/configuration/model.js';
 import { NotRunError } from '../../core/errors.js';
 import type {
@@ -13,11 +13,12 @@
 } from '../../core/group/contract.js';
 import type { GroupName, GroupRequest } from '../../core/request.js';
 import type { Milliseconds } from '../../core/units.js';
+import type { Logger } from '../../observability/logger.js';
 import type { PeerStream, WireValue } from '../../peer/contract.js';
 import type { DatabaseMachine } from '../../platform/contract.js';
 import type { BackendConnector } from './backend-connector.js';
 import { GroupRuntime } from './group-runtime.js';
-import { encodeRequestError, openSchema, type OpenMessage } from './messages.js';
+import { encodeRequestError, type OpenMessage, openSchema } from './messages.js';
 import { OwnerStream } from './owner-stream.js';
 
 /** How soon a gateway may ask again after reaching a node that is not an owner, in ms. */
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -7,7 +7,11 @@
 import type { Position } from '../../core/position.js';
 import type { PeerStream, WireValue } from '../../peer/contract.js';
 import { POSITION_QUERY, parseInstanceState } from '../../postgres/backend/position-query.js';
-import type { BackendBatchEnd, BackendConnection, TransactionStatus } from '../../postgres/contract.js';
+import type {
+  BackendBatchEnd,
+  BackendConnection,
+  TransactionStatus,
+} from '../../postgres/contract.js';
 import {
   type BatchMessage,
   encodeRequestError,
@@ -109,7 +113,9 @@
     if (this.#settled) return;
     if (this.#open.hold !== 'transaction' || !idleInTransaction) {
       this.#settle(
-        encodeRequestError(new NotRunError('stale-transaction', 'no open transaction on this stream')),
+        encodeRequestError(
+          new NotRunError('stale-transaction', 'no open transaction on this stream'),
+        ),
       );
       this.#abortTransaction();
       return;
--- /dev/null
+++ b/test/property/configuration-agent.test.ts
@@ -0,0 +1,239 @@
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  type ConfigurationDelta,
+  ConfigurationReplica,
+} from '../../src/core/configuration/replica.js';
+import type { ConfigurationEntry } from '../../src/core/configuration/store-layout.js';
+import {
+  ConfigurationSimulation,
+  type SimulatedNode,
+} from '../support/configuration-simulation.js';
+import { seededRandom } from '../support/random.js';
+
+const SEED = 20_261_202;
+const ZONES = ['a', 'b', 'c'];
+const IN_FORCE_MS = 2000;
+
+function grow(simulation: ConfigurationSimulation, count: number): void {
+  for (let index = 0; index < count; index += 1) {
+    simulation.add(`n${index}`, ZONES[index % ZONES.length] ?? 'a');
+  }
+}
+
+function assertNeverReverted(nodes: readonly SimulatedNode[]): void {
+  for (const { applied, member } of nodes) {
+    const sorted = [...applied].sort((left, right) => left - right);
+    assert.equal(applied, sorted, `${member.nodeId} went back`);
+  }
+}
+
+function assertInForce(simulation: ConfigurationSimulation): void {
+  for (const { agent, member } of simulation.live) {
+    assert.is(agent.replica.revision, simulation.headRevision, member.nodeId);
+    assert.is(agent.status(simulation.now).digestMismatches, 0);
+  }
+  assert.is(new Set(simulation.live.map(({ agent }) => agent.replica.digest().hash)).size, 1);
+}
+
+const publishArbitrary = fc.uniqueArray(fc.constantFrom('t1', 't2', 't3', 't4'), {
+  minLength: 1,
+  maxLength: 3,
+});
+
+/** The state of the store after each publish, as full lists of entries. */
+function historyOf(publishes: readonly (readonly string[])[]): ConfigurationEntry[][] {
+  const entries = new Map<string, ConfigurationEntry>();
+  return publishes.map((names, index) => {
+    for (const name of names) {
+      entries.set(name, { key: `tenant/${name}`, revision: index + 1, value: String(index + 1) });
+    }
+    return [...entries.values()];
+  });
+}
+
+test('a replica never goes back under any order of deltas, and holds exactly one version', () => {
+  const deltas = fc.array(fc.tuple(fc.nat(), fc.nat()), { maxLength: 30 });
+  fc.assert(
+    fc.property(
+      fc.array(publishArbitrary, { minLength: 1, maxLength: 12 }),
+      deltas,
+      (all, picks) => {
+        const history = historyOf(all);
+        const replica = new ConfigurationReplica();
+        for (const [left, right] of picks) {
+          const since = Math.min(left % (all.length + 1), right % (all.length + 1));
+          const revision = Math.max(left % (all.length + 1), right % (all.length + 1));
+          const before = replica.revision;
+          const outcome = replica.merge(deltaOf(history, since, revision));
+          assert.ok(replica.revision >= before);
+          assert.is(outcome === 'gap', since > before);
+          const held = replica.changesSince(0).entries;
+          const expected = history[replica.revision - 1] ?? [];
+          assert.equal(new Set(held), new Set(expected), 'a state that the store has had');
+        }
+      },
+    ),
+    { seed: SEED, numRuns: 500 },
+  );
+});
+
+function deltaOf(
+  history: readonly ConfigurationEntry[][],
+  sinceRevision: number,
+  revision: number,
+): ConfigurationDelta {
+  const entries = (history[revision - 1] ?? []).filter((entry) => entry.revision > sinceRevision);
+  return { sinceRevision, revision, entries };
+}
+
+test('digests are equal exactly when the held versions are', () => {
+  fc.assert(
+    fc.property(
+      fc.array(publishArbitrary, { minLength: 2, maxLength: 12 }),
+      fc.nat(),
+      (all, pick) => {
+        const history = historyOf(all);
+        const cut = pick % all.length;
+        const whole = new ConfigurationReplica();
+        const steps = new ConfigurationReplica();
+        whole.merge(deltaOf(history, 0, all.length));
+        steps.merge(deltaOf(history, 0, cut));
+        assert.is.not(steps.digest().hash, whole.digest().hash);
+        steps.merge(whole.changesSince(steps.revision));
+        assert.equal(steps.digest(), whole.digest());
+        assert.equal(steps.changesSince(0).entries, whole.changesSince(0).entries);
+      },
+    ),
+    { seed: SEED, numRuns: 300 },
+  );
+});
+
+type Step =
+  | { readonly type: 'publish'; readonly names: readonly string[] }
+  | { readonly type: 'store'; readonly down: boolean }
+  | { readonly type: 'restart'; readonly index: number }
+  | { readonly type: 'loss'; readonly share: number }
+  | { readonly type: 'pass'; readonly ms: number };
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  publishArbitrary.map((names) => ({ type: 'publish', names }) as const),
+  fc.boolean().map((down) => ({ type: 'store', down }) as const),
+  fc.nat().map((index) => ({ type: 'restart', index }) as const),
+  fc.constantFrom(0, 0.2, 0.9).map((share) => ({ type: 'loss', share }) as const),
+  fc.integer({ min: 1, max: 20_000 }).map((ms) => ({ type: 'pass', ms }) as const),
+);
+
+function carryOut(simulation: ConfigurationSimulation, step: Step): void {
+  switch (step.type) {
+    case 'publish':
+      if (!simulation.storeDown) simulation.publish(...step.names);
+      return;
+    case 'store':
+      simulation.setStoreDown(step.down);
+      return;
+    case 'restart':
+      restart(simulation, step.index);
+      return;
+    case 'loss':
+      simulation.lossShare = step.share;
+      return;
+    case 'pass':
+      simulation.runUntil(simulation.now + step.ms);
+  }
+}
+
+function restart(simulation: ConfigurationSimulation, index: number): void {
+  const node = simulation.live[index % simulation.live.length];
+  if (node === undefined) return;
+  simulation.kill(node);
+  simulation.add(node.member.nodeId, node.member.zone);
+}
+
+test('no node goes back or serves without a configuration, and all converge once faults end', () => {
+  fc.assert(
+    fc.property(
+      fc.array(stepArbitrary, { maxLength: 25 }),
+      fc.integer({ min: 2, max: 9 }),
+      fc.integer(),
+      (steps, count, seed) => {
+        const simulation = new ConfigurationSimulation(seededRandom(seed));
+        simulation.publish('t1');
+        grow(simulation, count);
+        simulation.runUntil(5000);
+        for (const step of steps) carryOut(simulation, step);
+        simulation.lossShare = 0;
+        simulation.setStoreDown(false);
+        simulation.runUntil(simulation.now + 40_000);
+        assertInForce(simulation);
+        assertNeverReverted(simulation.nodes);
+        for (const node of simulation.nodes) {
+          if (node.readyAt !== undefined) assert.ok(node.applied.length > 0);
+        }
+      },
+    ),
+    { seed: SEED, numRuns: 150 },
+  );
+});
+
+test('a node restarted with the store down takes the highest revision before it is ready', () => {
+  fc.assert(
+    fc.property(fc.integer(), fc.integer({ min: 0, max: 8 }), (seed, index) => {
+      const simulation = new ConfigurationSimulation(seededRandom(seed));
+      simulation.publish('t1');
+      grow(simulation, 9);
+      simulation.runUntil(30_000);
+      simulation.publish('t2');
+      simulation.runUntil(simulation.now + IN_FORCE_MS);
+      simulation.setStoreDown(true);
+      restart(simulation, index);
+      simulation.runUntil(simulation.now + 10_000);
+      const restarted = simulation.nodes.at(-1);
+      assert.is.not(restarted?.readyAt, undefined);
+      assert.equal(restarted?.applied.at(-1), simulation.headRevision);
+      assert.is(restarted?.agent.status(simulation.now).source, 'peer');
+    }),
+    { seed: SEED, numRuns: 100 },
+  );
+});
+
+test('a publish is in force everywhere within two seconds, also with lost pushes', () => {
+  fc.assert(
+    fc.property(fc.integer(), fc.constantFrom(0, 0.05), (seed, lossShare) => {
+      const simulation = new ConfigurationSimulation(seededRandom(seed));
+      simulation.publish('t1');
+      grow(simulation, 30);
+      simulation.runUntil(30_000);
+      assert.is(simulation.live.filter(({ watching }) => watching !== undefined).length, 6);
+      simulation.lossShare = lossShare;
+      simulation.publish('t2');
+      simulation.runUntil(simulation.now + IN_FORCE_MS);
+      assertInForce(simulation);
+    }),
+    { seed: SEED, numRuns: 40 },
+  );
+});
+
+test('requests to the store stay bounded while it is down and when it comes back', () => {
+  const simulation = new ConfigurationSimulation(seededRandom(SEED));
+  simulation.publish('t1');
+  grow(simulation, 60);
+  simulation.runUntil(60_000);
+  simulation.setStoreDown(true);
+  simulation.runUntil(120_000);
+  const before = simulation.storeRequests;
+  simulation.runUntil(180_000);
+  const relays = 6;
+  const perRelay = (simulation.storeRequests - before) / relays;
+  assert.ok(perRelay <= 20, `${perRelay} a minute with the store down`);
+  const atRecovery = simulation.storeRequests;
+  simulation.setStoreDown(false);
+  simulation.runUntil(181_000);
+  assert.ok(simulation.storeRequests - atRecovery <= 2 * relays, 'no herd');
+  simulation.publish('t2');
+  simulation.runUntil(200_000);
+  assertInForce(simulation);
+});
+
+test.run();
