--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -123,7 +123,9 @@
   | 'primary-replaced'
   | 'confirmation-timeout'
   | 'run-timeout'
-  | 'owner-lost';
+  | 'owner-lost'
+  /** Done, but not recorded where the session's next node would look for it. */
+  | 'session-not-recorded';
 
 /** The request may or may not have run and may or may not last. Never retried by the proxy. */
 export class UnknownOutcomeError extends RequestError {
--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -3,7 +3,12 @@
  * relays the answer. Holds the session's positions and the open transaction.
  */
 import type { TenantPolicy } from '../../core/configuration/model.js';
-import { NotRunError, type RequestError, UnsupportedFeatureError } from '../../core/errors.js';
+import {
+  NotRunError,
+  type RequestError,
+  UnknownOutcomeError,
+  UnsupportedFeatureError,
+} from '../../core/errors.js';
 import type { Position } from '../../core/position.js';
 import type { GroupName, TenantName, ZoneName } from '../../core/request.js';
 import {
@@ -65,6 +70,9 @@
   readonly #backendDatabase: string;
   readonly #sessionId: string | undefined;
   #state: SessionState = freshSession();
+  /** False while the session's past is being looked up; the first batch waits for it. */
+  #begun = false;
+  #waiting: CallerBatch | undefined;
   #call: GroupCall | undefined;
   #inTransaction = false;
   /** The open transaction was lost while the caller was idle; told at its next batch. */
@@ -102,6 +110,10 @@
       const known = await this.#options.directory.lookUp(this.#tenant, this.#sessionId);
       this.#state = mergeSessions(this.#state, known);
     }
+    this.#begun = true;
+    const waiting = this.#waiting;
+    this.#waiting = undefined;
+    if (waiting !== undefined) this.#handleBatch(waiting);
   }
 
   /** Planned stop or revoked access: ends the session as soon as no request or transaction is open. */
@@ -125,6 +137,11 @@
   }
 
   #onBatch(batch: CallerBatch): void {
+    if (!this.#begun) this.#waiting = batch;
+    else this.#handleBatch(batch);
+  }
+
+  #handleBatch(batch: CallerBatch): void {
     const statementClass = combineClasses(batch.statements.map((text) => classify(text)));
     if (this.#transactionLoss !== undefined) {
       this.#reportTransactionLoss(this.#transactionLoss, statementClass);
@@ -277,7 +294,15 @@
       return;
     }
     const entry = { group: this.#group, position };
-    void this.#options.directory.record(this.#tenant, this.#sessionId, entry).then(deliver);
+    void this.#options.directory
+      .record(this.#tenant, this.#sessionId, entry)
+      .then((recorded) => (recorded ? deliver() : this.#reportNotRecorded()));
+  }
+
+  #reportNotRecorded(): void {
+    const message = 'the home nodes of the session id could not be reached';
+    this.#connection.writeError(new UnknownOutcomeError('session-not-recorded', message));
+    this.#finish('I');
   }
 
   #observe(position: Position, fromReplica: boolean): void {
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -15,8 +15,10 @@
 import type { RetryBudget } from '../../core/retry/budget.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerAddress, PeerStream, PeerTransport, WireValue } from '../../peer/contract.js';
+import { PeerError } from '../../peer/errors.js';
 import { createLocalStreamPair } from '../../peer/local-stream.js';
 import type { TransactionStatus } from '../../postgres/contract.js';
+import { BatchSender, batchHeader } from '../owner/batch-transfer.js';
 import {
   type BatchMessage,
   decodeRequestError,
@@ -86,6 +88,7 @@
   readonly #handlers: GroupCallHandlers;
   readonly #deadline: Milliseconds;
   #stream: PeerStream | undefined;
+  #sender: BatchSender | undefined;
   #attempts = 0;
   #answered = false;
   #commitSent = false;
@@ -116,7 +119,8 @@
   /** The next batch of the open transaction. */
   send(batch: BatchMessage): void {
     if (batch.mayCommit) this.#commitSent = true;
-    this.#stream?.send(batch);
+    this.#stream?.send(batchHeader(batch));
+    this.#sender?.follow(batch);
   }
 
   /** The caller asked to cancel what is running. */
@@ -143,13 +147,16 @@
   #openStream(owner: OwnerReference): void {
     const header: OpenMessage = {
       ...this.#message,
+      batch: batchHeader(this.#message.batch),
       remainingMs: Math.max(0, this.#deadline - this.#options.now()),
     };
     const stream = this.#streamTo(owner, header);
     this.#stream = stream;
+    this.#sender = new BatchSender(stream);
     stream.onData = (data) => this.#onData(data);
     stream.onMessage = (message) => this.#onMessage(message, stream);
     stream.onClose = (error) => this.#onClose(error, stream);
+    this.#sender.follow(this.#message.batch);
   }
 
   #streamTo(owner: OwnerReference, header: OpenMessage): PeerStream {
@@ -211,7 +218,7 @@
   /** The stream closed before its end was told: the link or the owner is lost. */
   #onClose(error: MeadowstackError | undefined, stream: PeerStream): void {
     if (this.#finished || stream !== this.#stream) return;
-    const neverLeft = error !== undefined && 'bytesLeft' in error && error.bytesLeft === false;
+    const neverLeft = error instanceof PeerError && !error.linkWritten;
     if (neverLeft && !this.#answered) {
       this.#retryOrFail(
         new NotRunError('owner-unreachable', 'the owner could not be reached', RETRY_STEP_MS),
--- /dev/null
+++ b/src/node/gateway/home-node-directory.ts
@@ -0,0 +1,163 @@
+/**
+ * Keeps positions of sessions by id on their home nodes, over peer calls. The rules (who is home,
+ * how many must answer) are the core's; see docs/design/sessions.md.
+ */
+import { z } from 'zod';
+import { MeadowstackError } from '../../core/errors.js';
+import type { TenantName } from '../../core/request.js';
+import {
+  combineAnswers,
+  type HomeAnswer,
+  homeNodesOf,
+  isRecorded,
+  type NodeRanking,
+  type SessionKeyName,
+  SessionPositionTable,
+  type SessionState,
+} from '../../core/session/index.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { PeerAddress, PeerTransport, WireValue } from '../../peer/contract.js';
+import type { GroupPositionEntry, SessionDirectory } from './session-directory.js';
+
+export const SESSION_RECORD_METHOD = 'session.record';
+export const SESSION_LOOK_UP_METHOD = 'session.look-up';
+
+/** Longest wait for one home node, in ms. */
+const CALL_TIMEOUT_MS = 250;
+
+const keySchema = z.object({ tenant: z.string(), sessionId: z.string() });
+const entrySchema = z.object({
+  group: z.string(),
+  position: z.object({ timeline: z.number().int(), lsn: z.bigint() }),
+});
+const recordSchema = z.object({ session: keySchema, positions: z.array(entrySchema) });
+const lookUpSchema = z.object({ session: keySchema });
+const answerSchema = z.object({ positions: z.array(entrySchema), complete: z.boolean() });
+
+/** A peer asked for something that is no session call, or in a malformed way. */
+export class SessionCallError extends MeadowstackError {
+  readonly code = 'MS-SESSION-CALL';
+}
+
+/** A node that can be home to sessions. */
+export interface HomeNode {
+  readonly nodeId: string;
+  readonly address: PeerAddress;
+}
+
+export interface HomeNodeDirectoryOptions {
+  readonly nodeId: string;
+  readonly transport: PeerTransport;
+  readonly rank: NodeRanking;
+  /** All proxies of the machine list, this node included. */
+  readonly nodes: () => readonly HomeNode[];
+  readonly now: () => Milliseconds;
+}
+
+export class HomeNodeDirectory implements SessionDirectory {
+  readonly #options: HomeNodeDirectoryOptions;
+  readonly #table: SessionPositionTable;
+
+  constructor(options: HomeNodeDirectoryOptions) {
+    this.#options = options;
+    this.#table = new SessionPositionTable({ startedAt: options.now() });
+  }
+
+  get sessionCount(): number {
+    return this.#table.sessionCount;
+  }
+
+  async lookUp(tenant: TenantName, sessionId: string): Promise<SessionState> {
+    const session = { tenant, sessionId };
+    const homes = this.#homesOf(session);
+    const asked = homes.map((home) => this.#ask(home, session));
+    const answers = (await Promise.all(asked)).filter((answer) => answer !== undefined);
+    return combineAnswers(answers, homes.length);
+  }
+
+  record(tenant: TenantName, sessionId: string, entry: GroupPositionEntry): Promise<boolean> {
+    const session = { tenant, sessionId };
+    const homes = this.#homesOf(session);
+    return new Promise((resolve) => {
+      let acknowledged = 0;
+      let outstanding = homes.length;
+      const settle = (recorded: boolean): void => {
+        outstanding -= 1;
+        if (recorded) acknowledged += 1;
+        if (isRecorded(acknowledged, homes.length)) resolve(true);
+        else if (outstanding === 0) resolve(false);
+      };
+      if (homes.length === 0) resolve(false);
+      for (const home of homes) void this.#tell(home, session, entry).then(settle);
+    });
+  }
+
+  /** True for the methods that `onCall` answers. */
+  handles(method: string): boolean {
+    return method === SESSION_RECORD_METHOD || method === SESSION_LOOK_UP_METHOD;
+  }
+
+  /** Answers a peer's call; throws `SessionCallError` if it is malformed. */
+  onCall(method: string, body: WireValue): WireValue {
+    if (method === SESSION_RECORD_METHOD) return this.#onRecord(body);
+    if (method === SESSION_LOOK_UP_METHOD) return this.#onLookUp(body);
+    throw new SessionCallError(`no session method ${method}`);
+  }
+
+  #onRecord(body: WireValue): WireValue {
+    const parsed = recordSchema.safeParse(body);
+    if (!parsed.success) throw new SessionCallError('malformed session record');
+    this.#table.handle({ type: 'record', ...parsed.data }, this.#options.now());
+    return { recorded: true };
+  }
+
+  #onLookUp(body: WireValue): WireValue {
+    const parsed = lookUpSchema.safeParse(body);
+    if (!parsed.success) throw new SessionCallError('malformed session look-up');
+    const answer = this.#lookUpHere(parsed.data.session);
+    const positions = [...answer.positions].map(([group, position]) => ({ group, position }));
+    return { positions, complete: answer.complete };
+  }
+
+  #lookUpHere(session: SessionKeyName): HomeAnswer {
+    const answer = this.#table.handle({ type: 'look-up', session }, this.#options.now());
+    return answer.type === 'found' ? answer.answer : { positions: new Map(), complete: false };
+  }
+
+  #homesOf(session: SessionKeyName): readonly HomeNode[] {
+    const nodes = this.#options.nodes();
+    const nodeIds = nodes.map((node) => node.nodeId);
+    const homes = new Set(homeNodesOf(session, nodeIds, this.#options.rank));
+    return nodes.filter((node) => homes.has(node.nodeId));
+  }
+
+  async #ask(home: HomeNode, session: SessionKeyName): Promise<HomeAnswer | undefined> {
+    if (home.nodeId === this.#options.nodeId) return this.#lookUpHere(session);
+    const { transport } = this.#options;
+    const result = await transport.call(
+      home.address,
+      SESSION_LOOK_UP_METHOD,
+      { session },
+      CALL_TIMEOUT_MS,
+    );
+    const parsed = answerSchema.safeParse(result.unwrapOr(undefined));
+    if (!parsed.success) return undefined;
+    const positions = new Map(parsed.data.positions.map((entry) => [entry.group, entry.position]));
+    return { positions, complete: parsed.data.complete };
+  }
+
+  async #tell(
+    home: HomeNode,
+    session: SessionKeyName,
+    entry: GroupPositionEntry,
+  ): Promise<boolean> {
+    const body = { session, positions: [entry] };
+    if (home.nodeId === this.#options.nodeId) {
+      this.#table.handle({ type: 'record', ...body }, this.#options.now());
+      return true;
+    }
+    const { transport } = this.#options;
+    const result = await transport.call(home.address, SESSION_RECORD_METHOD, body, CALL_TIMEOUT_MS);
+    return result.isOk();
+  }
+}
--- a/src/node/gateway/session-directory.ts
+++ b/src/node/gateway/session-directory.ts
@@ -12,6 +12,6 @@
 export interface SessionDirectory {
   /** What the home nodes know; groups they can't vouch for are unknown. Never fails. */
   lookUp(tenant: TenantName, sessionId: string): Promise<SessionState>;
-  /** Resolves once enough home nodes keep the position, or it is sure that they won't. */
-  record(tenant: TenantName, sessionId: string, entry: GroupPositionEntry): Promise<void>;
+  /** True once enough home nodes keep the position, false if they can't be reached. */
+  record(tenant: TenantName, sessionId: string, entry: GroupPositionEntry): Promise<boolean>;
 }
--- a/src/node/owner/messages.ts
+++ b/src/node/owner/messages.ts
@@ -14,6 +14,9 @@
   type UnknownReason,
 } from '../../core/errors.js';
 
+/** Longest batch that an owner takes, in bytes; the gateway refuses longer ones before. */
+const MAX_BATCH_BYTES = 128 * 1024 * 1024;
+
 const bytesSchema = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
 
 const positionSchema = z.object({ timeline: z.number().int(), lsn: z.bigint() });
@@ -28,7 +31,9 @@
 export const batchSchema = z.object({
   type: z.literal('batch'),
   requires: z.array(preparedStatementSchema),
+  /** Empty if `followingBytes` says that they come as data. */
   messages: bytesSchema,
+  followingBytes: z.number().int().positive().max(MAX_BATCH_BYTES).optional(),
   /** Key under which the batch runs at most once. */
   onceKey: z.string().optional(),
   /** The batch may end the open transaction with COMMIT. */
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -17,6 +17,7 @@
 import type { PeerStream, WireValue } from '../../peer/contract.js';
 import type { DatabaseMachine } from '../../platform/contract.js';
 import type { BackendConnector } from './backend-connector.js';
+import { BatchReceiver } from './batch-transfer.js';
 import { GroupRuntime } from './group-runtime.js';
 import { encodeRequestError, type OpenMessage, openSchema } from './messages.js';
 import { OwnerStream } from './owner-stream.js';
@@ -54,7 +55,12 @@
       stream.abort('malformed open message');
       return;
     }
-    this.#submit(parsed.data, stream);
+    const open = parsed.data;
+    const receiver = new BatchReceiver((batch) => this.#submit({ ...open, batch }, stream));
+    stream.onData = (data) => {
+      if (!receiver.data(data)) stream.abort('unexpected data from gateway');
+    };
+    receiver.header(open.batch);
   }
 
   setMachines(machines: readonly DatabaseMachine[]): void {
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -8,6 +8,7 @@
 import type { PeerStream, WireValue } from '../../peer/contract.js';
 import { POSITION_QUERY, parseInstanceState } from '../../postgres/backend/position-query.js';
 import { type BatchResult, runBatch } from './batch-runner.js';
+import { BatchReceiver } from './batch-transfer.js';
 import {
   type BatchMessage,
   encodeRequestError,
@@ -43,6 +44,7 @@
   #callerGone = false;
   #settled = false;
   #lastResult: ReadyResult | undefined;
+  readonly #receiver = new BatchReceiver((batch) => this.#onNextBatch(batch));
 
   constructor(stream: PeerStream, open: OpenMessage, events: OwnerStreamEvents) {
     this.#stream = stream;
@@ -50,6 +52,9 @@
     this.#events = events;
     this.#relay = new AnswerRelay(stream, () => this.#assignment?.connection.pause());
     this.#callerHoldsTransaction = open.hold === 'transaction' && open.batch.onceKey === undefined;
+    stream.onData = (data) => {
+      if (!this.#receiver.data(data)) stream.abort('unexpected data from gateway');
+    };
     stream.onMessage = (message) => this.#onGatewayMessage(message);
     stream.onDrain = () => this.#assignment?.connection.resume();
     stream.onClose = () => this.#onCallerGone();
@@ -107,7 +112,7 @@
       return;
     }
     if (parsed.data.type === 'cancel') this.#cancelRunning();
-    else this.#onNextBatch(parsed.data);
+    else this.#receiver.header(parsed.data);
   }
 
   #onNextBatch(batch: BatchMessage): void {
