--- a/bench/checkers/index.ts
+++ b/bench/checkers/index.ts
@@ -9,6 +9,7 @@
 import { checkTransactions } from './transactions.js';
 import type { PromiseName, Violation } from './violation.js';
 
+export { findNonMonotonicReads } from './session-reads.js';
 export * from './violation.js';
 
 /** One checker for each promise. */
--- a/bench/history/model.ts
+++ b/bench/history/model.ts
@@ -16,7 +16,9 @@
   /** The proxy said goodbye (57P01) before it took the request. */
   | 'terminated'
   /** The connection was lost before the whole answer was there. */
-  | 'cut';
+  | 'cut'
+  /** The caller waited far beyond its deadline and closed the connection. */
+  | 'abandoned';
 
 /** A row's version as a statement returned it; versions of a key only grow. */
 export interface VersionedKey {
--- /dev/null
+++ b/bench/load/outcome.ts
@@ -0,0 +1,60 @@
+/** What a failed attempt tells its caller: ending, outcome, code and retry hint. */
+import pg from 'pg';
+import type { RequestEnding, RequestOutcome } from '../history/model.js';
+
+export interface AttemptFailure {
+  readonly ending: RequestEnding;
+  readonly outcome: RequestOutcome;
+  readonly errorCode: string;
+  readonly retryAfterMs: number | undefined;
+}
+
+const ADMIN_SHUTDOWN = '57P01';
+const RESOLUTION_UNKNOWN = '08007';
+const DETAIL_PATTERN = /^(MS-[A-Z-]+): (done|not-run|unknown|failed)$/;
+const RETRY_HINT_PATTERN = /^retry after (\d+) ms$/;
+const OUTCOMES: ReadonlyMap<string, RequestOutcome> = new Map([
+  ['done', 'done'],
+  ['not-run', 'not-run'],
+  ['unknown', 'unknown'],
+  ['failed', 'failed'],
+]);
+
+/** Reads the outcome from the error's detail (`<code>: <outcome>`) and the delay from its hint. */
+export function failureOf(error: unknown): AttemptFailure {
+  if (error instanceof pg.DatabaseError) return databaseFailure(error);
+  return { ending: 'cut', outcome: 'unknown', errorCode: 'CUT', retryAfterMs: undefined };
+}
+
+/** The proxy could not be connected to, so nothing was sent. */
+export function connectFailure(error: unknown): AttemptFailure {
+  const told = error instanceof pg.DatabaseError ? error.code : undefined;
+  return {
+    ending: 'terminated',
+    outcome: 'not-run',
+    errorCode: told ?? 'CONNECT',
+    retryAfterMs: undefined,
+  };
+}
+
+/** The caller gave up. */
+export const ABANDONED: AttemptFailure = {
+  ending: 'abandoned',
+  outcome: 'unknown',
+  errorCode: 'ABANDONED',
+  retryAfterMs: undefined,
+};
+
+function databaseFailure(error: pg.DatabaseError): AttemptFailure {
+  const [, code, outcomeText] = DETAIL_PATTERN.exec(error.detail ?? '') ?? [];
+  const told = OUTCOMES.get(outcomeText ?? '');
+  const outcome = told ?? (error.code === RESOLUTION_UNKNOWN ? 'unknown' : 'failed');
+  const [, delay] = RETRY_HINT_PATTERN.exec(error.hint ?? '') ?? [];
+  return {
+    ending: error.code === ADMIN_SHUTDOWN ? 'terminated' : 'answered',
+    // A farewell without a word on the request comes between requests: it was not taken.
+    outcome: error.code === ADMIN_SHUTDOWN && told === undefined ? 'not-run' : outcome,
+    errorCode: code ?? error.code ?? 'UNKNOWN',
+    retryAfterMs: delay === undefined ? undefined : Number(delay),
+  };
+}
