Peer transport over TCP: frames, streams with credit, calls, handshake

Cause: gateways reach owners over links between proxies; there was a contract and no transport. Change: src/peer holds the frame codec, a decoder that copies only frames that span chunks, a writer that sends all frames of one event-loop turn at once and gives streams their turns round robin, streams with credit returned in halves of the window, calls, a handshake with an HMAC over both nonces and identities, heartbeats counted in intervals, reconnect back-off with jitter.

--- /dev/null
+++ b/src/peer/frame.ts
@@ -0,0 +1,184 @@
+/**
+ * Frames of a peer link. A frame is a header and a payload:
+ *
+ *     length  u32  bytes that follow this field
+ *     type    u8   see FrameType
+ *     stream  u48  stream or call number; 0 for frames of the link itself
+ *     payload      raw bytes (DATA), a number (CREDIT) or one cbor value
+ *
+ * All integers are big-endian. Stream numbers have 48 bits so that a link never runs out of them.
+ */
+import { PeerProtocolError } from './errors.js';
+
+export const FrameType = {
+  /** Identity, version and nonce; the first frame each way. */
+  HELLO: 1,
+  /** The dialler's answer to the acceptor's challenge. */
+  PROOF: 2,
+  PING: 3,
+  PONG: 4,
+  /** Opens a stream; the payload is its header value. */
+  OPEN: 5,
+  /** Raw bytes of a stream, subject to credit. */
+  DATA: 6,
+  /** One cbor value of a stream, in order with its data. */
+  MESSAGE: 7,
+  /** Returns credit: payload u32, bytes. */
+  CREDIT: 8,
+  /** Orderly end of a stream, both directions. */
+  END: 9,
+  /** Abrupt end of a stream; the payload is the reason. */
+  ABORT: 10,
+  /** A question: `[method, body]`. */
+  CALL: 11,
+  /** Its answer. */
+  RESULT: 12,
+  /** Its failure: `[code, reason]`. */
+  CALL_ERROR: 13,
+} as const;
+
+export type FrameTypeCode = (typeof FrameType)[keyof typeof FrameType];
+
+export const HEADER_BYTES = 11;
+const LENGTH_FIELD_BYTES = 4;
+const TYPE_OFFSET = 4;
+const STREAM_HIGH_OFFSET = 5;
+const STREAM_LOW_OFFSET = 7;
+const LOW_32_BITS = 0x1_0000_0000;
+
+/** Greatest payload of a DATA frame: what one stream may put between two turns of the others. */
+export const MAX_DATA_PAYLOAD_BYTES = 32 * 1024;
+/** Greatest payload of the frames of the handshake, sent before anything is proven. */
+export const MAX_HANDSHAKE_PAYLOAD_BYTES = 1024;
+const CREDIT_PAYLOAD_BYTES = 4;
+
+const KNOWN_TYPES: ReadonlySet<number> = new Set(Object.values(FrameType));
+
+/** Writes a frame header at `offset` of `target`. */
+export function writeHeader(
+  target: Buffer,
+  offset: number,
+  type: FrameTypeCode,
+  stream: number,
+  payloadBytes: number,
+): void {
+  target.writeUInt32BE(HEADER_BYTES - LENGTH_FIELD_BYTES + payloadBytes, offset);
+  target[offset + TYPE_OFFSET] = type;
+  target.writeUInt16BE(Math.floor(stream / LOW_32_BITS), offset + STREAM_HIGH_OFFSET);
+  target.writeUInt32BE(stream % LOW_32_BITS, offset + STREAM_LOW_OFFSET);
+}
+
+/** One whole frame, for the few that are not written through a batch, and for tests. */
+export function encodeFrame(type: FrameTypeCode, stream: number, payload: Buffer): Buffer {
+  const frame = Buffer.allocUnsafe(HEADER_BYTES + payload.length);
+  writeHeader(frame, 0, type, stream, payload.length);
+  payload.copy(frame, HEADER_BYTES);
+  return frame;
+}
+
+/** Receives each whole frame. The payload may share memory with the chunk that it arrived in. */
+export type FrameHandler = (type: FrameTypeCode, stream: number, payload: Buffer) => void;
+
+/**
+ * Cuts a byte stream into frames, whatever the chunks. Frames that lie whole in a chunk are handed
+ * on without copying; a frame that spans chunks is copied once.
+ */
+export class FrameDecoder {
+  readonly #onFrame: FrameHandler;
+  #maxPayloadBytes: number;
+  readonly #header = Buffer.alloc(HEADER_BYTES);
+  /** The frame being put together from several chunks; undefined between frames. */
+  #partial: Buffer | undefined;
+  #filledBytes = 0;
+
+  constructor(onFrame: FrameHandler, maxPayloadBytes: number) {
+    this.#onFrame = onFrame;
+    this.#maxPayloadBytes = maxPayloadBytes;
+  }
+
+  /** Raises the limit once the handshake is over. Takes effect from the next frame on. */
+  setMaxPayloadBytes(maxPayloadBytes: number): void {
+    this.#maxPayloadBytes = maxPayloadBytes;
+  }
+
+  /** True if the bytes so far end inside a frame: the stream was truncated if it ends here. */
+  get insideFrame(): boolean {
+    return this.#partial !== undefined;
+  }
+
+  /** Takes the next bytes. Throws PeerProtocolError if they can't be frames. */
+  push(chunk: Buffer): void {
+    let offset = 0;
+    while (this.#partial !== undefined && offset < chunk.length) {
+      offset = this.#fill(this.#partial, chunk, offset);
+    }
+    while (chunk.length - offset >= HEADER_BYTES) {
+      const frameBytes = this.#frameBytesAt(chunk, offset);
+      if (chunk.length - offset < frameBytes) break;
+      this.#emit(chunk.subarray(offset, offset + frameBytes));
+      offset += frameBytes;
+    }
+    if (offset < chunk.length) this.#begin(chunk, offset);
+  }
+
+  /** Keeps the first bytes of a frame that is not whole yet. */
+  #begin(chunk: Buffer, offset: number): void {
+    this.#partial = this.#header;
+    this.#filledBytes = 0;
+    let position = offset;
+    while (position < chunk.length) position = this.#fill(this.#partial, chunk, position);
+  }
+
+  /** Copies what is missing and handles the header or the frame when it is whole. */
+  #fill(partial: Buffer, chunk: Buffer, offset: number): number {
+    const copied = chunk.copy(partial, this.#filledBytes, offset);
+    this.#filledBytes += copied;
+    if (this.#filledBytes === partial.length) this.#advance(partial);
+    return offset + copied;
+  }
+
+  #advance(partial: Buffer): void {
+    if (partial !== this.#header) {
+      this.#finish(partial);
+      return;
+    }
+    const frameBytes = this.#frameBytesAt(partial, 0);
+    if (frameBytes === HEADER_BYTES) {
+      this.#finish(Buffer.from(partial));
+      return;
+    }
+    this.#partial = Buffer.allocUnsafe(frameBytes);
+    partial.copy(this.#partial);
+  }
+
+  #finish(frame: Buffer): void {
+    this.#partial = undefined;
+    this.#filledBytes = 0;
+    this.#emit(frame);
+  }
+
+  #emit(frame: Buffer): void {
+    const type = (frame[TYPE_OFFSET] ?? 0) as FrameTypeCode;
+    const high = frame.readUInt16BE(STREAM_HIGH_OFFSET);
+    const stream = high * LOW_32_BITS + frame.readUInt32BE(STREAM_LOW_OFFSET);
+    this.#onFrame(type, stream, frame.subarray(HEADER_BYTES));
+  }
+
+  /** Checks the header at `offset` and returns the size of its whole frame. */
+  #frameBytesAt(source: Buffer, offset: number): number {
+    const payloadBytes = source.readUInt32BE(offset) - (HEADER_BYTES - LENGTH_FIELD_BYTES);
+    const type = source[offset + TYPE_OFFSET] ?? 0;
+    if (payloadBytes < 0) throw new PeerProtocolError('frame shorter than its header');
+    if (!KNOWN_TYPES.has(type)) throw new PeerProtocolError(`unknown frame type ${type}`);
+    if (payloadBytes > this.#limitOf(type)) {
+      throw new PeerProtocolError(`frame of type ${type} too large: ${payloadBytes} bytes`);
+    }
+    return HEADER_BYTES + payloadBytes;
+  }
+
+  #limitOf(type: number): number {
+    if (type === FrameType.DATA) return Math.min(MAX_DATA_PAYLOAD_BYTES, this.#maxPayloadBytes);
+    if (type === FrameType.CREDIT) return CREDIT_PAYLOAD_BYTES;
+    return this.#maxPayloadBytes;
+  }
+}
--- /dev/null
+++ b/src/peer/link-calls.ts
@@ -0,0 +1,190 @@
+/** Calls under way on one link: questions asked by this side, and those of the other side. */
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import { z } from 'zod';
+import { MeadowstackError } from '../core/errors.js';
+import { decodeValue, encodeValue } from './codec.js';
+import type { NodeIdentity, PeerHandlers, WireValue } from './contract.js';
+import type { MutableCounters } from './counters.js';
+import {
+  PeerCallFailedError,
+  PeerCallTimeoutError,
+  PeerLinkLostError,
+  PeerMessageRefusedError,
+  PeerProtocolError,
+} from './errors.js';
+import { FrameType, type FrameTypeCode } from './frame.js';
+import type { PeerLinkLimits } from './options.js';
+
+const MAX_METHOD_LENGTH = 64;
+const MAX_REASON_LENGTH = 200;
+const INTERNAL_ERROR_CODE = 'MS-PEER-INTERNAL';
+const BUSY_ERROR_CODE = 'MS-PEER-BUSY';
+
+const callSchema = z.tuple([z.string().max(MAX_METHOD_LENGTH), z.unknown()]);
+const callErrorSchema = z.tuple([z.string(), z.string()]);
+
+type CallResult = Result<WireValue, MeadowstackError>;
+
+interface PendingCall {
+  readonly method: string;
+  readonly settle: (result: CallResult) => void;
+  readonly timer: NodeJS.Timeout;
+  written: boolean;
+}
+
+/** Adds a frame to what the link sends in this event-loop turn. */
+export type AddFrame = (type: FrameTypeCode, stream: number, payload: Buffer) => void;
+
+export class LinkCalls {
+  readonly #addFrame: AddFrame;
+  readonly #handlers: PeerHandlers;
+  readonly #limits: PeerLinkLimits;
+  readonly #counters: MutableCounters;
+  readonly #pending = new Map<number, PendingCall>();
+  #unflushed: PendingCall[] = [];
+  #answering = 0;
+  #closed = false;
+
+  constructor(
+    addFrame: AddFrame,
+    handlers: PeerHandlers,
+    limits: PeerLinkLimits,
+    counters: MutableCounters,
+  ) {
+    this.#addFrame = addFrame;
+    this.#handlers = handlers;
+    this.#limits = limits;
+    this.#counters = counters;
+  }
+
+  /** Calls under way in either direction. */
+  get size(): number {
+    return this.#pending.size + this.#answering;
+  }
+
+  /** Asks the other side; `number` must be fresh on this link. */
+  call(
+    number: number,
+    method: string,
+    body: WireValue,
+    timeoutMs: number,
+  ): ResultAsync<WireValue, MeadowstackError> {
+    const settled = new Promise<CallResult>((resolve) => {
+      const payload = this.#encode([method, body]);
+      if (payload.isErr()) resolve(err(payload.error));
+      else this.#send(number, method, payload.value, timeoutMs, resolve);
+    });
+    return new ResultAsync(settled);
+  }
+
+  /** What was added before has been handed to the socket. */
+  flushed(): void {
+    if (this.#unflushed.length === 0) return;
+    for (const call of this.#unflushed) call.written = true;
+    this.#unflushed = [];
+  }
+
+  /** Handles an answer; false if no call waits for it. */
+  receiveAnswer(type: FrameTypeCode, number: number, payload: Buffer): boolean {
+    const call = this.#pending.get(number);
+    if (call === undefined) return false;
+    const result = type === FrameType.RESULT ? ok(decodeValue(payload)) : failure(call, payload);
+    this.#settle(number, call, result);
+    return true;
+  }
+
+  /** Handles a question of the other side. */
+  receiveCall(number: number, payload: Buffer, from: NodeIdentity): void {
+    const parsed = callSchema.safeParse(decodeValue(payload));
+    if (!parsed.success) throw new PeerProtocolError('malformed call');
+    const [method, body] = parsed.data;
+    if (this.#answering >= this.#limits.maxCallsPerLink) {
+      this.#answerError(number, BUSY_ERROR_CODE, 'too many calls at once');
+      return;
+    }
+    this.#answering += 1;
+    void this.#answer(number, method, body, from);
+  }
+
+  /** The link is gone: every call ends. */
+  close(peer: string, reason: string): void {
+    this.#closed = true;
+    for (const [number, call] of [...this.#pending]) {
+      this.#settle(number, call, err(new PeerLinkLostError(peer, call.written, reason)));
+    }
+  }
+
+  #send(
+    number: number,
+    method: string,
+    payload: Buffer,
+    timeoutMs: number,
+    settle: (result: CallResult) => void,
+  ): void {
+    const timer = setTimeout(() => this.#timeOut(number, timeoutMs), timeoutMs);
+    const call: PendingCall = { method, settle, timer, written: false };
+    this.#pending.set(number, call);
+    this.#unflushed.push(call);
+    this.#counters.callsSent += 1;
+    this.#addFrame(FrameType.CALL, number, payload);
+  }
+
+  #timeOut(number: number, timeoutMs: number): void {
+    const call = this.#pending.get(number);
+    if (call === undefined) return;
+    this.#settle(number, call, err(new PeerCallTimeoutError(call.method, timeoutMs, call.written)));
+  }
+
+  #settle(number: number, call: PendingCall, result: CallResult): void {
+    clearTimeout(call.timer);
+    this.#pending.delete(number);
+    call.settle(result);
+  }
+
+  async #answer(
+    number: number,
+    method: string,
+    body: WireValue,
+    from: NodeIdentity,
+  ): Promise<void> {
+    try {
+      const value = await this.#handlers.onCall(method, body, from);
+      const payload = this.#encode(value);
+      if (payload.isErr()) this.#answerError(number, payload.error.code, payload.error.message);
+      else this.#answerWith(FrameType.RESULT, number, payload.value);
+    } catch (error) {
+      const code = error instanceof MeadowstackError ? error.code : INTERNAL_ERROR_CODE;
+      this.#answerError(number, code, error instanceof Error ? error.message : '');
+    } finally {
+      this.#answering -= 1;
+    }
+  }
+
+  #answerError(number: number, code: string, reason: string): void {
+    const shortened = reason.slice(0, MAX_REASON_LENGTH);
+    const payload = encodeValue([code, shortened], this.#limits.maxMessageBytes);
+    this.#answerWith(FrameType.CALL_ERROR, number, payload);
+  }
+
+  #answerWith(type: FrameTypeCode, number: number, payload: Buffer): void {
+    if (this.#closed) return;
+    this.#counters.callsAnswered += 1;
+    this.#addFrame(type, number, payload);
+  }
+
+  #encode(value: WireValue): Result<Buffer, PeerMessageRefusedError> {
+    try {
+      return ok(encodeValue(value, this.#limits.maxMessageBytes));
+    } catch (error) {
+      if (error instanceof PeerMessageRefusedError) return err(error);
+      throw error;
+    }
+  }
+}
+
+function failure(call: PendingCall, payload: Buffer): CallResult {
+  const parsed = callErrorSchema.safeParse(decodeValue(payload));
+  if (!parsed.success) throw new PeerProtocolError('malformed call error');
+  const [code, reason] = parsed.data;
+  return err(new PeerCallFailedError(call.method, code, reason));
+}
--- /dev/null
+++ b/src/peer/link.ts
@@ -0,0 +1,329 @@
+/**
+ * One link: a TCP connection, its handshake, and what runs over it. Only the dialling side opens
+ * streams and calls; the accepting side answers. Anything malformed closes this link and no other.
+ */
+import type { Socket } from 'node:net';
+import type { ResultAsync } from 'neverthrow';
+import { MeadowstackError } from '../core/errors.js';
+import { decodeValue, encodeValue } from './codec.js';
+import type { NodeIdentity, PeerHandlers, WireValue } from './contract.js';
+import type { MutableCounters } from './counters.js';
+import { PeerHandshakeError, PeerProtocolError, PeerUnreachableError } from './errors.js';
+import {
+  FrameDecoder,
+  FrameType,
+  type FrameTypeCode,
+  MAX_HANDSHAKE_PAYLOAD_BYTES,
+} from './frame.js';
+import { Handshake, type HandshakeRole } from './handshake.js';
+import { LinkCalls } from './link-calls.js';
+import { LinkWriter } from './link-writer.js';
+import type { PeerLinkLimits } from './options.js';
+import { LinkStream, type StreamLink } from './stream.js';
+
+const EMPTY = Buffer.alloc(0);
+const MAX_ABORT_REASON_LENGTH = 200;
+const CREDIT_PAYLOAD_BYTES = 4;
+
+/** Everything a link is made of. */
+export interface PeerLinkParts {
+  readonly linkNumber: number;
+  readonly role: HandshakeRole;
+  readonly socket: Socket;
+  readonly peerName: string;
+  readonly identity: NodeIdentity;
+  readonly secret: Buffer | undefined;
+  readonly handlers: PeerHandlers;
+  readonly limits: PeerLinkLimits;
+  readonly counters: MutableCounters;
+  /** The handshake succeeded. */
+  onReady(link: PeerLink, remote: NodeIdentity): void;
+  /** Called once, whether or not the link was ever ready. */
+  onClosed(link: PeerLink, error: MeadowstackError): void;
+}
+
+type LinkState = 'handshake' | 'ready' | 'closed';
+
+export class PeerLink implements StreamLink {
+  readonly linkNumber: number;
+  readonly role: HandshakeRole;
+  readonly peerName: string;
+  readonly limits: PeerLinkLimits;
+  readonly #parts: PeerLinkParts;
+  readonly #socket: Socket;
+  readonly #counters: MutableCounters;
+  readonly #handshake: Handshake;
+  readonly #decoder: FrameDecoder;
+  readonly #writer: LinkWriter;
+  readonly #calls: LinkCalls;
+  readonly #streams = new Map<number, LinkStream>();
+  readonly #handshakeTimer: NodeJS.Timeout;
+  #state: LinkState = 'handshake';
+  #remote: NodeIdentity | undefined;
+  /** Numbers of streams and calls are never used twice on a link. */
+  #lastNumber = 0;
+  #silentIntervals = 0;
+  #idleIntervals = 0;
+
+  constructor(parts: PeerLinkParts) {
+    this.#parts = parts;
+    this.linkNumber = parts.linkNumber;
+    this.role = parts.role;
+    this.peerName = parts.peerName;
+    this.limits = parts.limits;
+    this.#socket = parts.socket;
+    this.#counters = parts.counters;
+    this.#handshake = new Handshake(parts.role, parts.identity, parts.secret);
+    this.#decoder = new FrameDecoder(
+      (type, stream, payload) => this.#onFrame(type, stream, payload),
+      MAX_HANDSHAKE_PAYLOAD_BYTES,
+    );
+    this.#writer = new LinkWriter(parts.socket, parts.counters, parts.limits.socketBufferBytes);
+    const addFrame = (type: FrameTypeCode, stream: number, payload: Buffer): void =>
+      this.#writer.addFrame(type, stream, payload);
+    this.#calls = new LinkCalls(addFrame, parts.handlers, parts.limits, parts.counters);
+    this.#writer.onFlushed = () => this.#calls.flushed();
+    this.#handshakeTimer = setTimeout(
+      () => this.close(new PeerHandshakeError('handshake timed out')),
+      parts.limits.handshakeTimeoutMs,
+    );
+    this.#listenToSocket();
+  }
+
+  get isReady(): boolean {
+    return this.#state === 'ready';
+  }
+
+  get isClosed(): boolean {
+    return this.#state === 'closed';
+  }
+
+  /** Opens a stream; only on a dialled link. May be used before the handshake is over. */
+  openStream(header: Buffer): LinkStream {
+    const stream = new LinkStream(this, this.#nextNumber(), false);
+    this.#streams.set(stream.number, stream);
+    this.#counters.streamsOpened += 1;
+    stream.open(header);
+    return stream;
+  }
+
+  /** Asks the other side; only on a dialled link. */
+  call(
+    method: string,
+    body: WireValue,
+    timeoutMs: number,
+  ): ResultAsync<WireValue, MeadowstackError> {
+    return this.#calls.call(this.#nextNumber(), method, body, timeoutMs);
+  }
+
+  /** Closes the link at once; its streams and calls end with an error. */
+  close(error: MeadowstackError): void {
+    if (this.#state === 'closed') return;
+    const wasReady = this.#state === 'ready';
+    this.#state = 'closed';
+    clearTimeout(this.#handshakeTimer);
+    this.#writer.stop();
+    this.#socket.destroy();
+    this.#parts.onClosed(this, error);
+    this.#calls.close(this.peerName, error.message);
+    const streams = [...this.#streams.values()];
+    this.#streams.clear();
+    for (const stream of streams) {
+      if (wasReady) stream.linkLost(error.message);
+      else stream.fail(new PeerUnreachableError(this.peerName, error.message, { cause: error }));
+    }
+  }
+
+  /**
+   * Called every `heartbeatMs`. Intervals are counted, not milliseconds, so that a process that
+   * was paused does not take its own silence for the peer's.
+   */
+  onHeartbeat(): void {
+    if (this.#state !== 'ready') return;
+    const inUse = this.#streams.size + this.#calls.size > 0;
+    if (!inUse) {
+      this.#onIdleInterval();
+      return;
+    }
+    this.#idleIntervals = 0;
+    if (this.#silentIntervals >= this.limits.missedHeartbeats) {
+      this.close(new PeerProtocolError('no heartbeat'));
+      return;
+    }
+    this.#silentIntervals += 1;
+    this.#writer.addFrame(FrameType.PING, 0, EMPTY);
+  }
+
+  scheduleStream(stream: LinkStream): void {
+    this.#writer.schedule(stream);
+  }
+
+  sendCredit(stream: number, bytes: number): void {
+    this.#writer.addNumberFrame(FrameType.CREDIT, stream, bytes);
+  }
+
+  sendAbort(stream: number, reason: string): void {
+    const shortened = reason.slice(0, MAX_ABORT_REASON_LENGTH);
+    const payload = encodeValue(shortened, this.limits.maxMessageBytes);
+    this.#writer.addFrame(FrameType.ABORT, stream, payload);
+  }
+
+  forgetStream(stream: LinkStream): void {
+    this.#streams.delete(stream.number);
+    this.#writer.unschedule(stream);
+  }
+
+  #nextNumber(): number {
+    this.#lastNumber += 1;
+    return this.#lastNumber;
+  }
+
+  #listenToSocket(): void {
+    const socket = this.#socket;
+    socket.setNoDelay(true);
+    if (this.role === 'dialler') {
+      socket.on('connect', () => this.#writer.writeNow(this.#handshake.start()));
+    }
+    socket.on('data', (chunk: Buffer) => this.#onChunk(chunk));
+    socket.on('error', (cause) => this.close(connectionError(cause.message, cause)));
+    socket.on('close', () => this.#onSocketClosed());
+  }
+
+  #onSocketClosed(): void {
+    if (this.#state === 'closed') return;
+    if (this.#decoder.insideFrame) this.#counters.framesMalformed += 1;
+    this.close(connectionError('connection closed by the other side'));
+  }
+
+  #onChunk(chunk: Buffer): void {
+    this.#counters.bytesReceived += chunk.length;
+    this.#silentIntervals = 0;
+    try {
+      this.#decoder.push(chunk);
+    } catch (error) {
+      this.#onReceiveError(error);
+    }
+  }
+
+  /** Only what the other side did wrong closes the link quietly; our own faults are not hidden. */
+  #onReceiveError(error: unknown): void {
+    if (error instanceof PeerProtocolError) this.#counters.framesMalformed += 1;
+    else if (error instanceof PeerHandshakeError) this.#counters.handshakesRefused += 1;
+    else throw error;
+    this.close(error);
+  }
+
+  #onFrame(type: FrameTypeCode, number: number, payload: Buffer): void {
+    if (this.#state === 'ready') this.#onReadyFrame(type, number, payload);
+    else if (this.#state === 'handshake') this.#onHandshakeFrame(type, payload);
+  }
+
+  #onHandshakeFrame(type: FrameTypeCode, payload: Buffer): void {
+    const step = this.#handshake.receive(type, payload);
+    if (step.send !== undefined) this.#writer.writeNow(step.send);
+    if (step.identity !== undefined) this.#becomeReady(step.identity);
+  }
+
+  #becomeReady(remote: NodeIdentity): void {
+    this.#state = 'ready';
+    this.#remote = remote;
+    clearTimeout(this.#handshakeTimer);
+    this.#decoder.setMaxPayloadBytes(this.limits.maxMessageBytes);
+    this.#parts.onReady(this, remote);
+    this.#writer.start();
+  }
+
+  #onReadyFrame(type: FrameTypeCode, number: number, payload: Buffer): void {
+    switch (type) {
+      case FrameType.PING:
+        this.#writer.addFrame(FrameType.PONG, 0, EMPTY);
+        return;
+      case FrameType.PONG:
+        return;
+      case FrameType.OPEN:
+      case FrameType.CALL:
+        this.#onOpening(type, number, payload);
+        return;
+      case FrameType.RESULT:
+      case FrameType.CALL_ERROR:
+        this.#countDropped(this.#calls.receiveAnswer(type, number, payload));
+        return;
+      case FrameType.HELLO:
+      case FrameType.PROOF:
+        throw new PeerProtocolError('frame of the handshake after its end');
+      default:
+        this.#onStreamFrame(type, number, payload);
+    }
+  }
+
+  /** A number may only grow: one that was seen before is a fault of the other side. */
+  #onOpening(type: FrameTypeCode, number: number, payload: Buffer): void {
+    const from = this.#remote;
+    if (this.role === 'dialler' || from === undefined) {
+      throw new PeerProtocolError('the accepting side opens nothing');
+    }
+    if (number <= this.#lastNumber) throw new PeerProtocolError('stream number used twice');
+    this.#lastNumber = number;
+    if (type === FrameType.CALL) this.#calls.receiveCall(number, payload, from);
+    else this.#acceptStream(number, decodeValue(payload), from);
+  }
+
+  #acceptStream(number: number, header: WireValue, from: NodeIdentity): void {
+    if (this.#streams.size >= this.limits.maxStreamsPerLink) {
+      this.sendAbort(number, 'too many streams');
+      return;
+    }
+    const stream = new LinkStream(this, number, true);
+    this.#streams.set(number, stream);
+    this.#counters.streamsOpened += 1;
+    this.#parts.handlers.onStream(header, stream, from);
+  }
+
+  #onStreamFrame(type: FrameTypeCode, number: number, payload: Buffer): void {
+    const stream = this.#streams.get(number);
+    if (stream === undefined) this.#counters.framesDropped += 1;
+    else if (type === FrameType.DATA) this.#countDropped(stream.receiveData(payload));
+    else if (type === FrameType.MESSAGE) {
+      this.#countDropped(stream.receiveMessage(decodeValue(payload)));
+    } else if (type === FrameType.CREDIT) stream.receiveCredit(creditOf(payload));
+    else if (type === FrameType.END) stream.receiveEnd();
+    else stream.receiveAbort(String(decodeValue(payload)));
+  }
+
+  #countDropped(delivered: boolean): void {
+    if (!delivered) this.#counters.framesDropped += 1;
+  }
+
+  #onIdleInterval(): void {
+    this.#silentIntervals = 0;
+    this.#idleIntervals += 1;
+    this.#writer.releaseMemory();
+    const idleMs = this.#idleIntervals * this.limits.heartbeatMs;
+    if (this.role === 'dialler' && idleMs >= this.limits.idleCloseMs) {
+      this.close(new PeerLinkIdleError());
+    }
+  }
+}
+
+/** The link was not used for a while; nothing was lost. */
+export class PeerLinkIdleError extends MeadowstackError {
+  readonly code = 'MS-PEER-IDLE';
+
+  constructor() {
+    super('link closed after a time without use');
+  }
+}
+
+/** The connection itself failed or was closed. */
+export class PeerConnectionError extends MeadowstackError {
+  readonly code = 'MS-PEER-CONNECTION';
+}
+
+function connectionError(message: string, cause?: Error): PeerConnectionError {
+  return new PeerConnectionError(message, cause === undefined ? {} : { cause });
+}
+
+function creditOf(payload: Buffer): number {
+  if (payload.length !== CREDIT_PAYLOAD_BYTES) throw new PeerProtocolError('malformed credit');
+  return payload.readUInt32BE();
+}
--- /dev/null
+++ b/test/support/peer.ts
@@ -0,0 +1,75 @@
+/** Helpers for tests of the peer transport: pairs of transports on loopback, and promises of events. */
+import { connect, type Socket } from 'node:net';
+import type { MeadowstackError } from '../../src/core/errors.js';
+import type {
+  NodeIdentity,
+  PeerAddress,
+  PeerHandlers,
+  PeerStream,
+  WireValue,
+} from '../../src/peer/contract.js';
+import type { PeerTransportOptions } from '../../src/peer/options.js';
+import { TcpPeerTransport } from '../../src/peer/transport.js';
+
+const LOOPBACK: PeerAddress = { host: '127.0.0.1', port: 0 };
+
+/** A transport that listens on loopback, and where. */
+export interface ListeningTransport {
+  readonly transport: TcpPeerTransport;
+  readonly address: PeerAddress;
+}
+
+/** Handlers that refuse everything; tests override what they need. */
+export function handlersOf(handlers: Partial<PeerHandlers>): PeerHandlers {
+  return {
+    onStream: (_header, stream) => stream.abort('no streams here'),
+    onCall: async () => null,
+    ...handlers,
+  };
+}
+
+export async function listen(
+  nodeId: string,
+  handlers: Partial<PeerHandlers>,
+  options: Partial<PeerTransportOptions> = {},
+): Promise<ListeningTransport> {
+  const identity: NodeIdentity = { nodeId, incarnation: 1 };
+  const transport = new TcpPeerTransport({ identity, handlers: handlersOf(handlers), ...options });
+  const bound = await transport.listen(LOOPBACK);
+  return { transport, address: bound._unsafeUnwrap() };
+}
+
+/** Resolves when the stream closes, with its error if there is one. */
+export function closed(stream: PeerStream): Promise<MeadowstackError | undefined> {
+  return new Promise((resolve) => {
+    stream.onClose = resolve;
+  });
+}
+
+/** Resolves with the next message of the stream. */
+export function nextMessage(stream: PeerStream): Promise<WireValue> {
+  return new Promise((resolve) => {
+    stream.onMessage = resolve;
+  });
+}
+
+/** Resolves once the condition holds; looked at in every event-loop turn. */
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 1));
+}
+
+/** A raw TCP connection, for what no transport would send. */
+export async function rawConnection(address: PeerAddress): Promise<Socket> {
+  const socket = connect(address.port, address.host);
+  await new Promise<void>((resolve) => socket.once('connect', () => resolve()));
+  return socket;
+}
+
+/** Resolves when the socket is closed by the other side, error or not. */
+export function socketClosed(socket: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve());
+    socket.resume();
+  });
+}
