At most once: 'done earlier' is unknown if its connection breaks before confirmation

Cause: a claim refused with 23505 by a primary that then goes away was reported as done though nothing confirmed it; the load generator kept a token that proxies refuse. Change: loss of the connection during ROLLBACK after 'done earlier' gives unknown (the test that expected 'done' there was wrong and now demands unknown); callers drop a refused token.

--- a/bench/load/caller-session.ts
+++ b/bench/load/caller-session.ts
@@ -88,6 +88,11 @@
     if (client !== undefined && !client.closed) await client.end().catch(() => undefined);
   }
 
+  /** Goes on without the token, which the proxies refuse. */
+  forgetToken(): void {
+    this.#token = undefined;
+  }
+
   /** Cuts the connection without a farewell. */
   abandon(): void {
     const client = this.#client;
--- a/bench/load/generator.ts
+++ b/bench/load/generator.ts
@@ -9,7 +9,7 @@
 import { type AttemptResult, runAttempt } from './attempt.js';
 import { CallerSession, type Credentials, type ProxyAddress } from './caller-session.js';
 import { nowMs } from './clock.js';
-import { ABANDONED, type AttemptFailure, connectFailure } from './outcome.js';
+import { ABANDONED, type AttemptFailure, connectFailure, isTokenRefused } from './outcome.js';
 import { createRandom, type Random } from './random.js';
 import { retryDelayMs } from './retry-policy.js';
 import {
@@ -186,7 +186,11 @@
     const markers = markersOf(planned.kind, undefined);
     const ran = session.connected().then(
       (client) => runAttempt(client, plan, attemptId, markers),
-      (error: unknown) => failed(connectFailure(error)),
+      (error: unknown) => {
+        const failure = connectFailure(error);
+        if (isTokenRefused(failure)) session.forgetToken();
+        return failed(failure);
+      },
     );
     const result = await Promise.race([ran, abandoned]);
     timer.abort();
--- a/bench/load/outcome.ts
+++ b/bench/load/outcome.ts
@@ -28,15 +28,20 @@
 
 /** The proxy could not be connected to, so nothing was sent. */
 export function connectFailure(error: unknown): AttemptFailure {
-  const told = error instanceof pg.DatabaseError ? error.code : undefined;
+  const told = error instanceof pg.DatabaseError ? databaseFailure(error) : undefined;
   return {
     ending: 'terminated',
     outcome: 'not-run',
-    errorCode: told ?? 'CONNECT',
-    retryAfterMs: undefined,
+    errorCode: told?.errorCode ?? 'CONNECT',
+    retryAfterMs: told?.retryAfterMs,
   };
 }
 
+/** The proxy did not take the session's token, for example because its key went out of force. */
+export function isTokenRefused(failure: AttemptFailure): boolean {
+  return failure.errorCode.startsWith('MS-SESSION-TOKEN-');
+}
+
 /** The caller gave up. */
 export const ABANDONED: AttemptFailure = {
   ending: 'abandoned',
--- a/src/core/at-most-once/execution.ts
+++ b/src/core/at-most-once/execution.ts
@@ -161,8 +161,9 @@
 
 /** Before COMMIT was sent the loss of the connection surely rolled the transaction back. */
 function resultOfLoss(execution: OnceExecution, bytesWritten: boolean): OnceResult {
-  if (execution.phase === 'roll-back' && execution.resultAfterRollBack !== undefined) {
-    return execution.resultAfterRollBack;
+  const { resultAfterRollBack } = execution;
+  if (execution.phase === 'roll-back' && resultAfterRollBack !== undefined) {
+    return needsConfirmation(resultAfterRollBack) ? unconfirmable() : resultAfterRollBack;
   }
   if (execution.phase === 'commit' && bytesWritten) {
     const message = 'the connection was lost while COMMIT was running; retry with the same key';
@@ -176,6 +177,13 @@
   return refuse(new NotRunError('connection-lost-before-send', message));
 }
 
+/** "Done earlier" from a connection that broke right after: its primary may have been replaced. */
+function unconfirmable(): OnceResult {
+  const message =
+    'the connection was lost before "done earlier" was confirmed; retry with the same key';
+  return refuse(new UnknownOutcomeError('connection-lost', message));
+}
+
 function sentStatement(execution: OnceExecution): boolean {
   return execution.phase === 'statement' || execution.phase === 'commit';
 }
--- a/test/unit/at-most-once.test.ts
+++ b/test/unit/at-most-once.test.ts
@@ -57,7 +57,7 @@
   const actions = actionsOf('autocommit', [failed('23505'), COMMITTED]);
   assert.equal(actions, ['BEGIN; INSERT', 'ROLLBACK', 'MS-ALREADY-DONE done']);
   const lost = actionsOf('autocommit', [failed('23505'), LOST]);
-  assert.equal(lost.at(-1), 'MS-ALREADY-DONE done');
+  assert.equal(lost.at(-1), 'MS-UNKNOWN-CONNECTION-LOST unknown');
   const inside = actionsOf('in-transaction', [failed('23505')]);
   assert.equal(inside, ['INSERT INTO', 'MS-ALREADY-DONE done']);
 });
--- a/test/unit/load.test.ts
+++ b/test/unit/load.test.ts
@@ -11,7 +11,7 @@
 import type { RequestRecord } from '../../bench/history/model.js';
 import { measureFailoverGap } from '../../bench/load/failover-gap.js';
 import { figuresOf } from '../../bench/load/figures.js';
-import { failureOf } from '../../bench/load/outcome.js';
+import { connectFailure, failureOf, isTokenRefused } from '../../bench/load/outcome.js';
 import { retryDelayMs } from '../../bench/load/retry-policy.js';
 import { isInBurst, planRequests } from '../../bench/load/schedule.js';
 import { type AttemptPlan, planAttempt } from '../../bench/load/statements.js';
@@ -89,6 +89,10 @@
   assert.is(failureOf(databaseError('23505', 'Key (id)=(1) already exists.')).outcome, 'failed');
   assert.is(failureOf(databaseError('08007')).outcome, 'unknown');
   assert.is(failureOf(databaseError('57P01')).ending, 'terminated');
+  const badToken = connectFailure(databaseError('28000', 'MS-SESSION-TOKEN-KEY: not-run'));
+  assert.ok(isTokenRefused(badToken));
+  assert.is(badToken.outcome, 'not-run');
+  assert.is(connectFailure(new Error('refused')).errorCode, 'CONNECT');
   assert.is(failureOf(new Error('Connection terminated unexpectedly')).ending, 'cut');
 });
 
