--- /dev/null
+++ b/bench/harness/cluster.ts
@@ -0,0 +1,226 @@
+/**
+ * A whole cluster of real processes on loopback: store, machine list, database groups, fault proxy
+ * in front of every instance, and proxies; with templates and tenants published.
+ */
+import { randomBytes, randomUUID } from 'node:crypto';
+import { parseDeclarations } from '../../src/core/configuration/declaration.js';
+import { MeadowstackError } from '../../src/core/errors.js';
+import { Publisher } from '../../src/node/configuration/publisher.js';
+import { DEFAULT_STORE_CLIENT_OPTIONS, StoreClient } from '../../src/platform/store-client.js';
+import { createScramVerifier } from '../../src/postgres/scram-verifier.js';
+import {
+  type DatabaseGroup,
+  type DatabaseGroupOptions,
+  startDatabaseGroup,
+} from './database-group.js';
+import {
+  type RunningFaultProxy,
+  type RunningMachines,
+  type RunningStore,
+  startFaultProxy,
+  startMachines,
+  startStore,
+} from './platform.js';
+import { type RunningProxy, startProxy } from './proxy-process.js';
+
+const LOOPBACK = '127.0.0.1';
+const SECRET_BYTES = 32;
+const BACKEND_PASSWORD = 'backend-password';
+
+/** The cluster could not be set up. */
+export class ClusterError extends MeadowstackError {
+  readonly code = 'MS-HARNESS-CLUSTER';
+}
+
+export interface ClusterGroup extends DatabaseGroupOptions {
+  readonly group: string;
+  readonly zones: readonly string[];
+  readonly slots: number;
+  readonly maxConnections: number;
+}
+
+/** A tenant as the cluster publishes it. */
+export interface ClusterTenant {
+  readonly name: string;
+  readonly password: string;
+  /** Database names; each is also the group's name. */
+  readonly databases: readonly string[];
+  /** YAML of the tenant's `parameters`, indented by two; may be empty. */
+  readonly parameters?: string;
+  readonly template: string;
+}
+
+export interface ClusterProxy {
+  readonly nodeId: string;
+  readonly zone: string;
+}
+
+export interface ClusterOptions {
+  readonly groups: readonly ClusterGroup[];
+  readonly proxies: readonly ClusterProxy[];
+  /** YAML documents of the templates. */
+  readonly templates: string;
+  readonly tenants: readonly ClusterTenant[];
+  /** One-way latency in ms of the route to an instance. */
+  readonly instanceLatencyMs?: number;
+  readonly proxyFlags?: readonly string[];
+}
+
+export class Cluster {
+  readonly #options: ClusterOptions;
+  readonly #sessionKeyHex = randomBytes(SECRET_BYTES).toString('hex');
+  readonly groups = new Map<string, DatabaseGroup>();
+  readonly proxies = new Map<string, RunningProxy>();
+
+  private constructor(
+    options: ClusterOptions,
+    readonly store: RunningStore,
+    readonly machines: RunningMachines,
+    readonly faults: RunningFaultProxy,
+  ) {
+    this.#options = options;
+  }
+
+  static async start(options: ClusterOptions): Promise<Cluster> {
+    const [store, machines, faults] = await Promise.all([
+      startStore(),
+      startMachines(),
+      startFaultProxy(),
+    ]);
+    const cluster = new Cluster(options, store, machines, faults);
+    try {
+      await Promise.all([
+        cluster.publishTexts([options.templates, ...options.tenants.map(tenantYaml)]),
+        ...options.groups.map((group) => cluster.#startGroup(group)),
+      ]);
+      await Promise.all(options.proxies.map((proxy) => cluster.startProxy(proxy)));
+      return cluster;
+    } catch (error) {
+      await cluster.stop();
+      throw error;
+    }
+  }
+
+  /** Publishes YAML documents with fresh expectations. */
+  async publishTexts(texts: readonly string[]): Promise<number> {
+    const client = new StoreClient({
+      ...DEFAULT_STORE_CLIENT_OPTIONS,
+      endpoint: { host: LOOPBACK, port: this.store.port },
+      clientName: 'harness',
+    });
+    const publisher = new Publisher({ store: client, random: Math.random, wait: pause });
+    try {
+      return await publishWith(publisher, texts);
+    } finally {
+      client.close();
+    }
+  }
+
+  /** Starts a proxy and lists it as a machine. */
+  async startProxy(proxy: ClusterProxy): Promise<RunningProxy> {
+    const running = await startProxy({
+      ...proxy,
+      storePort: this.store.port,
+      machinesPort: this.machines.port,
+      sessionKeyHex: this.#sessionKeyHex,
+      backendPassword: BACKEND_PASSWORD,
+      extra: this.#options.proxyFlags ?? [],
+    });
+    this.proxies.set(proxy.nodeId, running);
+    await this.machines.upsert({
+      role: 'proxy',
+      name: proxy.nodeId,
+      zone: proxy.zone,
+      host: running.peer.host,
+      peerPort: running.peer.port,
+      state: 'live',
+    });
+    return running;
+  }
+
+  proxy(nodeId: string): RunningProxy {
+    const proxy = this.proxies.get(nodeId);
+    if (proxy === undefined) throw new ClusterError(`no proxy ${nodeId}`);
+    return proxy;
+  }
+
+  group(name: string): DatabaseGroup {
+    const group = this.groups.get(name);
+    if (group === undefined) throw new ClusterError(`no group ${name}`);
+    return group;
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    await Promise.all([...this.proxies.values()].map((proxy) => proxy.kill()));
+    await Promise.all([
+      ...[...this.groups.values()].map((group) => group.stop()),
+      this.store.stop(),
+      this.machines.stop(),
+      this.faults.stop(),
+    ]);
+  }
+
+  async #startGroup(options: ClusterGroup): Promise<void> {
+    const group = await startDatabaseGroup({ ...options, password: BACKEND_PASSWORD });
+    this.groups.set(options.group, group);
+    for (const instance of group.instances) {
+      const route = await this.faults.addRoute({
+        name: instance.name,
+        targetHost: instance.host,
+        targetPort: instance.pgPort,
+      });
+      const latencyMs = this.#options.instanceLatencyMs ?? 0;
+      if (latencyMs > 0) await this.faults.setFaults(instance.name, { up: { latencyMs }, down: { latencyMs } });
+      await this.machines.upsert({
+        role: 'database',
+        name: instance.name,
+        group: options.group,
+        zone: instance.zone,
+        host: route.listenHost,
+        port: route.listenPort,
+        slots: options.slots,
+        maxConnections: options.maxConnections,
+        state: 'live',
+      });
+    }
+  }
+}
+
+/** The tenant's declaration. */
+export function tenantYaml(tenant: ClusterTenant): string {
+  const databases = tenant.databases
+    .map((database) => `    - { database: ${database}, group: ${database} }`)
+    .join('\n');
+  return [
+    'kind: Tenant',
+    `name: ${tenant.name}`,
+    `template: ${tenant.template}`,
+    `scramVerifier: ${createScramVerifier(tenant.password)}`,
+    'parameters:',
+    '  databases:',
+    databases,
+    tenant.parameters ?? '',
+  ].join('\n');
+}
+
+async function publishWith(publisher: Publisher, texts: readonly string[]): Promise<number> {
+  const parsed = parseDeclarations(
+    texts.map((text, index) => ({ source: `declaration-${index + 1}.yaml`, text })),
+  );
+  if (parsed.isErr()) throw parsed.error;
+  const outcome = await publisher.publish({
+    publishId: randomUUID(),
+    publishedAt: Date.now(),
+    author: 'harness',
+    comment: 'set up by the harness',
+    changes: parsed.value.map((located) => ({ type: 'put', located })),
+    expectedRevisions: new Map(),
+  });
+  if (outcome.isErr()) throw outcome.error;
+  return outcome.value.revision;
+}
+
+function pause(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -54,6 +54,8 @@
   readonly zone: ZoneName;
   readonly nextRequestId: () => string;
   readonly metrics: RequestMetrics;
+  /** The caller's connection has closed. */
+  readonly onClosed: () => void;
 }
 
 /** One request in progress, for metrics. */
@@ -93,7 +95,10 @@
     this.#sessionId = connection.parameters.get(SESSION_ID_PARAMETER);
     connection.onBatch = (batch) => this.#onBatch(batch);
     connection.onCancel = () => this.#call?.cancel();
-    connection.onClose = () => this.#call?.abandon();
+    connection.onClose = () => {
+      this.#call?.abandon();
+      options.onClosed();
+    };
     connection.onDrain = () => this.#call?.resume();
   }
 
--- a/src/node/settings-schema.ts
+++ b/src/node/settings-schema.ts
@@ -94,9 +94,6 @@
   /** `disable`: plain text; `require`: TLS, any certificate; `verify`: certificate and name checked. */
   tls: z.enum(['disable', 'require', 'verify']).default('disable'),
   connectTimeoutMs: durationMs.default(DEFAULT_CONNECT_TIMEOUT_MS),
-  /** Role and database with which instances are asked for their state. */
-  probeRole: z.string().min(1).default('meadowstack'),
-  probeDatabase: z.string().min(1).default('postgres'),
 });
 
 const probe = z.strictObject({
