Keyed batches: a lost connection is told as lost; record only what a moved session needs

Cause: found by reading: after a loss the last answer seen was reported instead. Change: the loss clears it; reads on known positions are not recorded at home nodes.

--- a/bench/harness/cluster.ts
+++ b/bench/harness/cluster.ts
@@ -171,7 +171,8 @@
         targetPort: instance.pgPort,
       });
       const latencyMs = this.#options.instanceLatencyMs ?? 0;
-      if (latencyMs > 0) await this.faults.setFaults(instance.name, { up: { latencyMs }, down: { latencyMs } });
+      if (latencyMs > 0)
+        await this.faults.setFaults(instance.name, { up: { latencyMs }, down: { latencyMs } });
       await this.machines.upsert({
         role: 'database',
         name: instance.name,
--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -247,6 +247,7 @@
   }
 
   #onEnd(end: GroupAnswerEnd): void {
+    const access = this.#running?.access;
     this.#call = undefined;
     this.#inTransaction = false;
     this.#blockWithoutBackend = false;
@@ -256,8 +257,11 @@
       this.#deliverEnd(end);
       return;
     }
+    const wasUnknown = requirementFor(this.#state, this.#group).type === 'unknown';
     this.#observe(position, end.fromReplica);
-    this.#recordThen(position, () => this.#deliverEnd(end));
+    // A read that raised a known position is not worth a round to the home nodes.
+    if (access === 'write' || wasUnknown) this.#recordThen(position, () => this.#deliverEnd(end));
+    else this.#deliverEnd(end);
   }
 
   #deliverEnd(end: GroupAnswerEnd): void {
--- a/src/node/owner/batch-runner.ts
+++ b/src/node/owner/batch-runner.ts
@@ -101,7 +101,9 @@
   readonly #run: BatchRun;
   #execution: OnceExecution | undefined;
   #heldBack: Buffer = Buffer.alloc(0);
+  /** Undefined once the connection is lost. */
   #last: Extract<BackendBatchEnd, { type: 'ready' }> | undefined;
+  #lostWithBytes = false;
 
   constructor(run: BatchRun) {
     this.#run = run;
@@ -154,7 +156,8 @@
 
   #onEnd(end: BackendBatchEnd): void {
     if (this.#execution === undefined) return;
-    if (end.type === 'ready') this.#last = end;
+    this.#last = end.type === 'ready' ? end : undefined;
+    this.#lostWithBytes = end.type === 'lost' && end.bytesWritten;
     this.start(continueOnce(this.#execution, end));
   }
 
@@ -163,7 +166,7 @@
     const refusal = result.type === 'refused' ? result.error : undefined;
     const lost = last === undefined;
     if (lost) {
-      this.#run.onResult({ type: 'lost', bytesWritten: false, refusal });
+      this.#run.onResult({ type: 'lost', bytesWritten: this.#lostWithBytes, refusal });
       return;
     }
     this.#run.onResult({
