Keyed batches tell whether COMMIT was under way when the connection was lost

Cause: any loss after the first byte was taken as possibly committed. Change: only a loss in the commit phase is.

--- a/src/node/owner/batch-runner.ts
+++ b/src/node/owner/batch-runner.ts
@@ -42,7 +42,8 @@
   | {
       readonly type: 'lost';
       readonly bytesWritten: boolean;
-      readonly refusal: RequestError | undefined;
+      /** False if what was sent surely rolled back with the connection. */
+      readonly mayHaveCommitted: boolean;
     };
 
 export interface BatchRun {
@@ -79,7 +80,7 @@
 
 function resultOf(end: BackendBatchEnd): BatchResult {
   if (end.type === 'lost') {
-    return { type: 'lost', bytesWritten: end.bytesWritten, refusal: undefined };
+    return { type: 'lost', bytesWritten: end.bytesWritten, mayHaveCommitted: end.bytesWritten };
   }
   return { ...end, refusal: undefined, refusalNeedsConfirmation: false };
 }
@@ -166,7 +167,9 @@
     const refusal = result.type === 'refused' ? result.error : undefined;
     const lost = last === undefined;
     if (lost) {
-      this.#run.onResult({ type: 'lost', bytesWritten: this.#lostWithBytes, refusal });
+      // Before COMMIT was sent the server surely rolls the claim and the statement back.
+      const mayHaveCommitted = this.#lostWithBytes && this.#execution?.phase === 'commit';
+      this.#run.onResult({ type: 'lost', bytesWritten: this.#lostWithBytes, mayHaveCommitted });
       return;
     }
     this.#run.onResult({
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -154,6 +154,7 @@
     this.#relay.batchEnded();
     this.#assignment?.connection.resume();
     if (result.type === 'lost') {
+      this.#mayHaveCommitted &&= result.mayHaveCommitted;
       this.#finishRun(this.#lostResult(result.bytesWritten));
       return;
     }
