Database stand-in: literals become parameters, fewer turns of the queue

Change: literals are taken out of a simple query's text, so plans are shared; messages that need no wait are handled without one; settings are copied on write; the control port closes its connections.

--- a/standins/database/control/server.ts
+++ b/standins/database/control/server.ts
@@ -81,6 +81,7 @@
 }
 
 function send(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' });
+  // Harnesses may block between two requests: no connection is kept for them.
+  response.writeHead(status, { 'content-type': 'application/json', connection: 'close' });
   response.end(JSON.stringify(body));
 }
--- a/standins/database/session/session.ts
+++ b/standins/database/session/session.ts
@@ -2,7 +2,7 @@
 import { ServerError, ServerSqlState, unsupported } from '../errors.js';
 import type { InstanceFunctions } from '../sql/evaluation.js';
 import type { ExecutionContext, Plan, ResultColumn } from '../sql/plan.js';
-import { type ParsedStatement, parseStatements } from '../sql/statements.js';
+import { type ParsedStatement, parseSimpleQuery, parseStatements } from '../sql/statements.js';
 import { parseBinaryValue, parseValue, type Row, type TypeName, typeByOid } from '../sql/types.js';
 import * as backend from '../wire/backend.js';
 import type { BindMessage, ExecuteMessage, ParseMessage, TargetMessage } from '../wire/frontend.js';
@@ -83,10 +83,16 @@
 
   async simpleQuery(text: string): Promise<void> {
     const { output } = this.options;
-    const statements = parseStatements(text);
+    const statements = parseSimpleQuery(text);
     if (statements.length === 0) output.add(backend.emptyQueryResponse);
-    for (const [position, statement] of statements.entries()) {
-      const portal = this.openPortal({ statement, declaredTypes: [] }, []);
+    for (const [position, simple] of statements.entries()) {
+      const prepared = { statement: simple.statement, declaredTypes: simple.types };
+      this.refuseIfFailed(simple.statement);
+      const types = this.planOf(prepared)?.parameters.list() ?? [];
+      const parameters = simple.values.map((value, index) =>
+        parseValue(types[index] ?? 'text', value),
+      );
+      const portal = this.openPortal(prepared, parameters);
       const columns = this.columnsOf(portal.prepared, portal.plan);
       const last = position === statements.length - 1;
       const tag = await this.runPortal(portal, 0, (): void => {
--- a/standins/database/session/settings.ts
+++ b/standins/database/session/settings.ts
@@ -41,7 +41,8 @@
 
 export class Settings {
   private readonly initial: ReadonlyMap<string, string>;
-  private current: Map<string, string>;
+  /** Never modified in place: a transaction's start keeps the map it began with. */
+  private current: ReadonlyMap<string, string>;
   private atBegin: ReadonlyMap<string, string> | undefined;
   private readonly localOriginals = new Map<string, string | undefined>();
 
@@ -52,7 +53,7 @@
     const given = [...startup].map(([name, value]) => [name.toLowerCase(), value] as const);
     const settings = given.filter(([name]) => !['user', 'database', 'options'].includes(name));
     this.initial = new Map([...DEFAULTS, ...settings]);
-    this.current = new Map(this.initial);
+    this.current = this.initial;
   }
 
   reportAll(): void {
@@ -80,8 +81,10 @@
 
   private put(name: string, value: string | undefined): void {
     if (this.current.get(name) === value) return;
-    if (value === undefined) this.current.delete(name);
-    else this.current.set(name, value);
+    const changed = new Map(this.current);
+    if (value === undefined) changed.delete(name);
+    else changed.set(name, value);
+    this.current = changed;
     this.report(name);
   }
 
@@ -90,13 +93,14 @@
   }
 
   private restore(values: ReadonlyMap<string, string>): void {
+    if (values === this.current) return;
     for (const name of new Set([...this.current.keys(), ...values.keys()])) {
       this.put(name, values.get(name));
     }
   }
 
   beginTransaction(): void {
-    this.atBegin = new Map(this.current);
+    this.atBegin = this.current;
   }
 
   endTransaction(committed: boolean): void {
--- a/standins/database/sql/statements.ts
+++ b/standins/database/sql/statements.ts
@@ -4,6 +4,8 @@
  */
 import { parse, type Statement } from 'pgsql-ast-parser';
 import { ServerError, ServerSqlState } from '../errors.js';
+import { parameterize } from './literals.js';
+import type { TypeName } from './types.js';
 
 export interface BeginStatement {
   readonly kind: 'begin';
@@ -53,7 +55,14 @@
 const CACHED_TEXTS = 2_000;
 /** Longer texts (large inline values) are parsed each time rather than kept. */
 const CACHED_TEXT_MAX_LENGTH = 8_192;
-const cache = new Map<string, readonly ParsedStatement[]>();
+const cache = new Map<string, ParsedStatement>();
+
+/** A statement of a simple query, its literals taken out as parameters where that is possible. */
+export interface SimpleStatement {
+  readonly statement: ParsedStatement;
+  readonly types: readonly (TypeName | undefined)[];
+  readonly values: readonly string[];
+}
 
 /** Strings, quoted names, comments, dollar quotes and semicolons: what splitting must see. */
 const TOKENS =
@@ -81,26 +90,46 @@
 
 /** Parses a text of any number of statements, by a bounded cache. Throws 42601. */
 export function parseStatements(text: string): readonly ParsedStatement[] {
-  const cached = cache.get(text);
-  if (cached !== undefined) return cached;
-  const parsed = splitStatements(text).map(parseOne);
-  if (text.length <= CACHED_TEXT_MAX_LENGTH) remember(text, parsed);
-  return parsed;
+  return splitStatements(text).map(parseCached);
+}
+
+/** Parses the text of a simple query. Throws 42601. */
+export function parseSimpleQuery(text: string): readonly SimpleStatement[] {
+  return splitStatements(text).map((statement) => {
+    const parameterized = cache.has(statement) ? undefined : parameterize(statement);
+    if (parameterized === undefined) return literalStatement(statement);
+    try {
+      const { types, values } = parameterized;
+      return { statement: parseCached(parameterized.text), types, values };
+    } catch {
+      // The grammar takes a literal here but no parameter; else the text itself is at fault.
+      return literalStatement(statement);
+    }
+  });
 }
 
-function remember(text: string, parsed: readonly ParsedStatement[]): void {
+function literalStatement(text: string): SimpleStatement {
+  return { statement: parseCached(text), types: [], values: [] };
+}
+
+function parseCached(text: string): ParsedStatement {
+  const cached = cache.get(text);
+  if (cached !== undefined) return cached;
+  const parsed = parseSessionStatement(text) ?? parseQuery(text);
+  if (text.length > CACHED_TEXT_MAX_LENGTH) return parsed;
   if (cache.size >= CACHED_TEXTS) {
     const oldest = cache.keys().next();
     if (!oldest.done) cache.delete(oldest.value);
   }
   cache.set(text, parsed);
+  return parsed;
 }
 
-function parseOne(text: string): ParsedStatement {
-  return parseSessionStatement(text) ?? { kind: 'query', text, syntaxTree: parseQuery(text) };
+function parseQuery(text: string): QueryStatement {
+  return { kind: 'query', text, syntaxTree: parseTree(text) };
 }
 
-function parseQuery(text: string): Statement {
+function parseTree(text: string): Statement {
   let trees: Statement[];
   try {
     trees = parse(text);
--- a/standins/database/wire/connection.ts
+++ b/standins/database/wire/connection.ts
@@ -128,7 +128,11 @@
   private async work(): Promise<void> {
     this.busy = true;
     try {
-      while (await this.step());
+      for (let more: boolean | Promise<boolean> = true; more; ) {
+        // Most messages are handled at once: waiting for each would cost a turn of the queue.
+        more = this.step();
+        if (typeof more !== 'boolean') more = await more;
+      }
     } catch (error) {
       this.onFailure(error);
     } finally {
@@ -148,19 +152,17 @@
   }
 
   /** Handles one message; false if none is complete. */
-  private async step(): Promise<boolean> {
+  private step(): boolean | Promise<boolean> {
     if (this.phase === 'closed') return false;
     if (this.phase === 'startup') {
       const startup = this.reader.nextStartup();
-      if (startup === undefined) return false;
-      await this.onStartup(startup);
-      return true;
+      return startup === undefined ? false : this.onStartup(startup).then(() => true);
     }
     const message = this.reader.next();
     if (message === undefined) return false;
-    if (this.phase === 'password') await this.onPassword(message);
-    else await this.onMessage(message);
-    return true;
+    if (this.phase === 'password') return this.onPassword(message).then(() => true);
+    const handled = this.onMessage(message);
+    return handled === undefined ? true : handled.then(() => true);
   }
 
   private async onStartup({ code, body }: StartupMessage): Promise<void> {
@@ -245,48 +247,60 @@
     await this.ready(this.session);
   }
 
-  private async ready(session: Session): Promise<void> {
+  private ready(session: Session): Promise<void> | undefined {
     if (this.abort.signal.aborted && this.phase !== 'closed') this.abort = new AbortController();
     this.output.add(backend.readyForQuery(session.block.status));
-    await this.output.flush();
+    return this.output.flush();
   }
 
-  private async onMessage(message: FrontendMessage): Promise<void> {
+  private onMessage(message: FrontendMessage): Promise<void> | undefined {
     const { session } = this;
-    if (session === undefined) return;
+    if (session === undefined) return undefined;
     if (message.type === 'X') {
       this.stream.end();
       this.onLost();
-      return;
+      return undefined;
     }
-    if (this.skippingToSync && message.type !== 'S') return;
+    if (this.skippingToSync && message.type !== 'S') return undefined;
     try {
-      await this.dispatch(session, message);
+      const pending = this.dispatch(session, message);
+      return pending?.catch((error: unknown) => this.onStatementError(session, message, error));
     } catch (error) {
-      if (error instanceof ConnectionCrashSignal || this.phase === 'closed') throw error;
-      this.output.add(backend.errorResponse(fieldsOf(toServerError(error), 'ERROR')));
-      session.block.fail();
-      if (message.type === 'Q' || message.type === 'S') await this.ready(session);
-      else this.skippingToSync = true;
+      return this.onStatementError(session, message, error);
     }
   }
 
-  private async dispatch(session: Session, { type, body }: FrontendMessage): Promise<void> {
+  private onStatementError(
+    session: Session,
+    message: FrontendMessage,
+    error: unknown,
+  ): Promise<void> | undefined {
+    if (error instanceof ConnectionCrashSignal || this.phase === 'closed') throw error;
+    this.output.add(backend.errorResponse(fieldsOf(toServerError(error), 'ERROR')));
+    session.block.fail();
+    if (message.type === 'Q' || message.type === 'S') return this.ready(session);
+    this.skippingToSync = true;
+    return undefined;
+  }
+
+  private dispatch(session: Session, { type, body }: FrontendMessage): Promise<void> | undefined {
     switch (type) {
       case 'Q':
-        await session.simpleQuery(readText(body));
-        session.sync();
-        return this.ready(session);
+        return this.simpleQuery(session, readText(body));
       case 'P':
-        return session.parse(readParse(body));
+        session.parse(readParse(body));
+        return undefined;
       case 'B':
-        return session.bind(readBind(body));
+        session.bind(readBind(body));
+        return undefined;
       case 'D':
-        return session.describe(readTarget(body));
+        session.describe(readTarget(body));
+        return undefined;
       case 'E':
         return session.execute(readExecute(body));
       case 'C':
-        return session.close(readTarget(body));
+        session.close(readTarget(body));
+        return undefined;
       case 'H':
         return this.output.flush();
       case 'S':
@@ -296,11 +310,17 @@
       case 'd':
       case 'c':
       case 'f':
-        return;
+        return undefined;
       default:
         throw protocolViolation(`message type ${JSON.stringify(type)}`);
     }
   }
+
+  private async simpleQuery(session: Session, text: string): Promise<void> {
+    await session.simpleQuery(text);
+    session.sync();
+    await this.ready(session);
+  }
 }
 
 function toServerError(error: unknown): ServerError {
--- a/standins/database/wire/frontend.ts
+++ b/standins/database/wire/frontend.ts
@@ -166,5 +166,7 @@
 }
 
 function times<T>(count: number, read: () => T): T[] {
-  return Array.from({ length: Math.max(0, count) }, read);
+  const items: T[] = [];
+  for (let index = 0; index < count; index += 1) items.push(read());
+  return items;
 }
