Caller side of the PostgreSQL wire and statement classes: first version

Change: src/postgres/caller (server, log-in, batches, prepared statements), src/postgres/statements (lexer, classes, markers); contract: Sync is part of a batch's messages, flush marker, acknowledgements are merged by the connection (answerPlan gone).

--- /dev/null
+++ b/src/postgres/caller/server.ts
@@ -0,0 +1,158 @@
+/** Accepts callers over TCP and TLS, logs them in, and hands their connections to the handler. */
+import { randomBytes, randomUUID } from 'node:crypto';
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import { createSecureContext, type SecureContext } from 'node:tls';
+import { ResultAsync } from 'neverthrow';
+import { NotRunError, type RequestError } from '../../core/errors.js';
+import { backendKeyData, parameterStatus, readyForQuery } from '../messages.js';
+import { type CancelKey, CancelKeyRegistry } from './cancel-keys.js';
+import { CallerSocketConnection } from './connection.js';
+import { ListenError, ServerStoppingError } from './errors.js';
+import { closeWith, Login, type LoginOptions, type LoginResult } from './login.js';
+import { type CallerLimits, type CallerServerOptions, DEFAULT_CALLER_LIMITS } from './options.js';
+import { reportedParameters } from './startup-parameters.js';
+
+const DEFAULT_SERVER_VERSION = '15.0';
+const MOCK_SECRET_BYTES = 32;
+
+/** Where the server listens. */
+export interface CallerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Listens for callers from `listen` to `stopAccepting`. */
+export class CallerServer {
+  private readonly limits: CallerLimits;
+  private readonly loginOptions: LoginOptions;
+  private readonly server: Server;
+  private readonly logins = new Set<Login>();
+  private readonly connections = new Map<string, CallerSocketConnection>();
+  private readonly cancelKeys = new CancelKeyRegistry();
+  private readonly sockets = new Set<Socket>();
+
+  constructor(private readonly options: CallerServerOptions) {
+    this.limits = { ...DEFAULT_CALLER_LIMITS, ...options.limits };
+    this.loginOptions = {
+      limits: this.limits,
+      secureContext: secureContextOf(options),
+      tlsRequired: options.tls?.required ?? false,
+      mockSecret: options.mockSecret ?? randomBytes(MOCK_SECRET_BYTES),
+      policyFor: (user, database) => options.policyFor(user, database),
+    };
+    this.server = createServer({ noDelay: true, keepAlive: true }, (socket) => this.accept(socket));
+  }
+
+  /** Begins to accept callers. */
+  listen(): ResultAsync<CallerAddress, ListenError> {
+    const { host, port } = this.options;
+    const listening = new Promise<CallerAddress>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        this.server.on('error', () => {});
+        resolve({ host, port: (this.server.address() as AddressInfo).port });
+      });
+    });
+    return ResultAsync.fromPromise(
+      listening,
+      (cause) => new ListenError(host, port, cause as Error),
+    );
+  }
+
+  /** Connections that have logged in and are open. */
+  openConnections(): readonly CallerSocketConnection[] {
+    return [...this.connections.values()];
+  }
+
+  /** Connections that have not logged in yet. */
+  get unauthenticatedConnections(): number {
+    return this.logins.size;
+  }
+
+  /** Takes no new connections and breaks off log-ins; those that are open go on. */
+  stopAccepting(): void {
+    if (this.server.listening) this.server.close();
+    for (const login of [...this.logins]) login.refuse(new ServerStoppingError());
+  }
+
+  /** Ends everything at once; resolves when the last socket is closed. */
+  close(): ResultAsync<void, never> {
+    this.stopAccepting();
+    for (const connection of this.openConnections())
+      connection.terminate(new ServerStoppingError());
+    const closings = [...this.sockets].map(
+      (socket) => new Promise<void>((resolve) => socket.once('close', () => resolve())),
+    );
+    return ResultAsync.fromSafePromise(Promise.all(closings).then(() => undefined));
+  }
+
+  private accept(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => this.sockets.delete(socket));
+    socket.on('error', () => socket.destroy());
+    if (this.logins.size >= this.limits.unauthenticatedConnections) {
+      closeWith(socket, tooManyLogins(), this.limits.lingerMs);
+      return;
+    }
+    const login: Login = new Login(socket, this.loginOptions, {
+      onLogin: (result) => {
+        this.logins.delete(login);
+        this.admit(result);
+      },
+      onCancelRequest: (key) => this.cancelKeys.cancel(key),
+      onEnd: () => {
+        this.logins.delete(login);
+      },
+    });
+    this.logins.add(login);
+  }
+
+  private admit(login: LoginResult): void {
+    const admitted = this.options.admit(login.policy);
+    if (admitted.isErr()) {
+      closeWith(login.socket, admitted.error, this.limits.lingerMs);
+      return;
+    }
+    const connection = this.connect(login);
+    const key = this.cancelKeys.register(() => connection.cancel());
+    this.connections.set(connection.id, connection);
+    login.socket.once('close', () => {
+      this.connections.delete(connection.id);
+      this.cancelKeys.release(key);
+      admitted.value();
+    });
+    this.greet(login, connection, key);
+  }
+
+  private connect(login: LoginResult): CallerSocketConnection {
+    const { socket, startup, policy } = login;
+    const { database, parameters } = startup;
+    const identity = { id: randomUUID(), policy, database, parameters };
+    return new CallerSocketConnection(socket, identity, this.limits);
+  }
+
+  /** The handler hears of the connection before the caller may send; it may refuse it still. */
+  private greet(login: LoginResult, connection: CallerSocketConnection, key: CancelKey): void {
+    const { user, parameters } = login.startup;
+    const applicationName = parameters.get('application_name') ?? '';
+    const serverVersion = this.options.serverVersion ?? DEFAULT_SERVER_VERSION;
+    const reported = reportedParameters(user, applicationName, serverVersion);
+    const messages = reported.map(([name, value]) => parameterStatus(name, value));
+    messages.push(backendKeyData(key.processId, key.secretKey));
+    connection.write(Buffer.concat(messages));
+    this.options.handler(connection);
+    connection.write(readyForQuery('I'));
+    if (login.rest.length > 0) connection.receive(login.rest);
+  }
+}
+
+function secureContextOf(options: CallerServerOptions): SecureContext | undefined {
+  if (options.tls === undefined) return undefined;
+  const { certificate, privateKey } = options.tls;
+  return createSecureContext({ cert: certificate, key: privateKey });
+}
+
+function tooManyLogins(): RequestError {
+  return new NotRunError('connection-limit', 'too many connections are logging in');
+}
--- a/src/postgres/contract.ts
+++ b/src/postgres/contract.ts
@@ -24,7 +24,10 @@
   readonly transactionControl: 'none' | 'begin' | 'commit' | 'rollback';
   /** Features that pooling can't keep; the statement is refused with this name. */
   readonly unsupported: string | undefined;
-  /** SET/RESET/SHOW of `meadowstack.*`, answered by the gateway itself. */
+  /**
+   * SET/RESET/SHOW of `meadowstack.*`, answered by the gateway itself; also SET of another parameter
+   * to the value that is in force anyway, which is acknowledged and changes nothing.
+   */
   readonly sessionSetting: SessionSetting | undefined;
 }
 
@@ -44,7 +47,7 @@
 
 /**
  * One unit of work of a caller: a simple Query, or extended-query messages up to Sync.
- * The caller gets exactly one ReadyForQuery for it.
+ * The caller gets exactly one ReadyForQuery for it (none if `flush`).
  */
 export interface CallerBatch {
   readonly protocol: 'simple' | 'extended';
@@ -52,18 +55,19 @@
   readonly statements: readonly string[];
   /** Prepared statements that must exist on the back-end connection before `messages`. */
   readonly requires: readonly PreparedStatement[];
-  /** Frontend messages to send, with statement names rewritten to `backendName`. */
+  /**
+   * Frontend messages to send as they are: one Query, or extended messages with statement names
+   * rewritten to `backendName` and one Sync at the end. The back end answers with one ReadyForQuery.
+   */
   readonly messages: Buffer;
   /**
-   * For extended batches: which answers the gateway must add or drop because the message was
-   * handled without the back end (for example ParseComplete for a Parse that was only recorded).
+   * The caller ended the batch by Flush: it gets the answers and no ReadyForQuery, and the next
+   * batch goes on with it. Nothing else to do for a handler: `messages` ends with Sync all the same,
+   * which changes nothing because a flushed batch executes nothing outside a transaction block.
    */
-  readonly answerPlan: readonly AnswerStep[];
+  readonly flush: boolean;
 }
 
-/** Order of acknowledgements within an extended batch's answer. */
-export type AnswerStep = 'relay' | 'synthesize-parse-complete' | 'synthesize-close-complete';
-
 /** One caller's connection after authentication. */
 export interface CallerConnection {
   readonly id: string;
@@ -77,15 +81,23 @@
   onCancel: (() => void) | undefined;
   onClose: (() => void) | undefined;
   onDrain: (() => void) | undefined;
-  /** Raw backend messages; false when the socket's buffer is full: stop until `onDrain`. */
+  /**
+   * Raw whole backend messages, in order and without ReadyForQuery; false when the socket's buffer
+   * is full: stop until `onDrain`. The connection itself puts in ParseComplete and CloseComplete of
+   * messages that were not sent to the back end.
+   */
   write(messages: Buffer): boolean;
   /** ParameterStatus. */
   reportParameter(name: string, value: string): void;
   /** NoticeResponse at level WARNING. */
   warn(message: string, detail: string): void;
-  /** ErrorResponse (not fatal) for a request that ended with a typed error. */
+  /**
+   * ErrorResponse (not fatal) for a request that ended with a typed error. If the batch then ends
+   * with `finish('T')`, the caller sees a failed transaction block: it gets status `E`, its later
+   * statements are refused, and its COMMIT reaches the handler as ROLLBACK.
+   */
   writeError(error: RequestError): void;
-  /** Ends the batch with ReadyForQuery and lets the next one come. */
+  /** Ends the batch with ReadyForQuery and lets the next one come. `status`: the back end's. */
   finish(status: TransactionStatus): void;
   /** FATAL ErrorResponse, then close. Between requests only, unless the caller is being cut off. */
   terminate(error: RequestError): void;
--- a/src/postgres/frames.ts
+++ b/src/postgres/frames.ts
@@ -52,8 +52,11 @@
     this.partialLength = 0;
   }
 
-  /** Takes the next bytes of the stream. After an error the stream can't be read on. */
-  push(chunk: Buffer): Result<void, FrameError> {
+  /**
+   * Takes the next bytes of the stream; gives how many were used, which is all of them unless
+   * `stop` was called meanwhile. After an error the stream can't be read on.
+   */
+  push(chunk: Buffer): Result<number, FrameError> {
     let offset = 0;
     while (offset < chunk.length && !this.stopped) {
       const next =
@@ -63,10 +66,10 @@
       if (next.isErr()) return err(next.error);
       offset = next.value;
     }
-    return ok(undefined);
+    return ok(offset);
   }
 
-  /** Visits whole messages from `offset` and keeps what is left; gives the chunk's end. */
+  /** Visits whole messages from `offset` and keeps what is left; gives the offset up to which it was used. */
   private visitInPlace(chunk: Buffer, start: number): Result<number, FrameError> {
     let offset = start;
     while (chunk.length - offset >= FRAME_HEADER_BYTES && !this.stopped) {
@@ -78,7 +81,8 @@
       this.visit(chunk[offset] ?? 0, chunk, offset, end);
       offset = end;
     }
-    if (offset < chunk.length && !this.stopped) this.append(chunk, offset, chunk.length);
+    if (offset === chunk.length || this.stopped) return ok(offset);
+    this.append(chunk, offset, chunk.length);
     return ok(chunk.length);
   }
 
--- /dev/null
+++ b/src/postgres/statements/markers.ts
@@ -0,0 +1,151 @@
+/**
+ * Markers of this project in sqlcommenter form, in a comment at the start or end of a statement:
+ * `/*meadowstack_kind='unlock',meadowstack_deadline_ms='800'*\/`. Keys and values are URL-encoded.
+ * Other keys in the comment, such as `traceparent`, are left alone. Source: sqlcommenter
+ * specification, "Sql Commenter: comment format".
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { RequestError, SqlState } from '../../core/errors.js';
+import type { StatementMarkers } from '../contract.js';
+import { Lexer, TokenKind } from './lexer.js';
+
+const MARKER_PREFIX = 'meadowstack_';
+/** A longer comment that holds markers is refused. */
+const MAXIMUM_COMMENT_CHARACTERS = 2048;
+const MAXIMUM_VALUE_CHARACTERS = 200;
+/** A day: longer bounds make no sense for a request. */
+const MAXIMUM_DURATION_MS = 86_400_000;
+const PAIR = /^\s*([^=\s]+)\s*=\s*'((?:[^'\\]|\\.)*)'\s*$/;
+/** Splits at commas outside quotes. */
+const PAIRS = /(?:'(?:[^'\\]|\\.)*'|[^,'])+/g;
+
+export const NO_MARKERS: StatementMarkers = {
+  once: undefined,
+  kind: undefined,
+  staleMs: undefined,
+  deadlineMs: undefined,
+};
+
+/** A marker that can't be read. The request does not run: guessing could run it twice. */
+export class InvalidMarkerError extends RequestError {
+  readonly code = 'MS-MARKER';
+  readonly outcome = 'not-run';
+  readonly sqlState = SqlState.INVALID_PARAMETER_VALUE;
+
+  constructor(
+    readonly marker: string,
+    reason: string,
+  ) {
+    super(`marker ${marker}: ${reason}`);
+  }
+}
+
+/** Markers of a statement; where one stands twice with different values it is an error. */
+export function readMarkers(text: string): Result<StatementMarkers, InvalidMarkerError> {
+  if (!text.includes(MARKER_PREFIX)) return ok(NO_MARKERS);
+  let markers = NO_MARKERS;
+  for (const comment of outerComments(text)) {
+    const read = readComment(comment, markers);
+    if (read.isErr()) return err(read.error);
+    markers = read.value;
+  }
+  return ok(markers);
+}
+
+/** Bodies of the block comments before the first and behind the last meaningful token. */
+function outerComments(text: string): readonly string[] {
+  const leading: string[] = [];
+  let trailing: string[] = [];
+  let meaningfulSeen = false;
+  const lexer = new Lexer(text);
+  while (lexer.next()) {
+    if (lexer.kind === TokenKind.UNTERMINATED) return leading;
+    if (lexer.kind === TokenKind.WHITESPACE || lexer.token === ';') continue;
+    if (lexer.kind !== TokenKind.COMMENT) {
+      meaningfulSeen = true;
+      trailing = [];
+    } else if (lexer.token.startsWith('/*')) {
+      (meaningfulSeen ? trailing : leading).push(lexer.token.slice(2, -2));
+    }
+  }
+  return [...leading, ...trailing];
+}
+
+function readComment(
+  comment: string,
+  before: StatementMarkers,
+): Result<StatementMarkers, InvalidMarkerError> {
+  if (!comment.includes(MARKER_PREFIX)) return ok(before);
+  if (comment.length > MAXIMUM_COMMENT_CHARACTERS) {
+    return err(new InvalidMarkerError(`${MARKER_PREFIX}*`, 'the comment is too long'));
+  }
+  let markers = before;
+  for (const pair of comment.match(PAIRS) ?? []) {
+    if (!pair.trimStart().startsWith(MARKER_PREFIX)) continue;
+    const read = readPair(pair, markers);
+    if (read.isErr()) return err(read.error);
+    markers = read.value;
+  }
+  return ok(markers);
+}
+
+function readPair(
+  pair: string,
+  before: StatementMarkers,
+): Result<StatementMarkers, InvalidMarkerError> {
+  const match = PAIR.exec(pair);
+  const name = match?.[1] ?? pair.trim().slice(0, 40);
+  const value = decode(match?.[2]);
+  if (value === undefined) return err(new InvalidMarkerError(name, "expected name='value'"));
+  if (value.length === 0 || value.length > MAXIMUM_VALUE_CHARACTERS) {
+    return err(new InvalidMarkerError(name, `takes 1 to ${MAXIMUM_VALUE_CHARACTERS} characters`));
+  }
+  return assign(name, value, before);
+}
+
+function assign(
+  name: string,
+  value: string,
+  before: StatementMarkers,
+): Result<StatementMarkers, InvalidMarkerError> {
+  switch (name) {
+    case 'meadowstack_once':
+      return once(name, before.once, value).map(() => ({ ...before, once: value }));
+    case 'meadowstack_kind':
+      return once(name, before.kind, value).map(() => ({ ...before, kind: value }));
+    case 'meadowstack_stale_ms':
+      return readDuration(name, value)
+        .andThen((staleMs) => once(name, before.staleMs, staleMs))
+        .map((staleMs) => ({ ...before, staleMs }));
+    case 'meadowstack_deadline_ms':
+      return readDuration(name, value)
+        .andThen((deadlineMs) => once(name, before.deadlineMs, deadlineMs))
+        .map((deadlineMs) => ({ ...before, deadlineMs }));
+    default:
+      return err(new InvalidMarkerError(name, 'no marker of this name exists'));
+  }
+}
+
+function once<Value>(
+  name: string,
+  before: Value | undefined,
+  value: Value,
+): Result<Value, InvalidMarkerError> {
+  if (before === undefined || before === value) return ok(value);
+  return err(new InvalidMarkerError(name, 'stands twice with different values'));
+}
+
+function readDuration(name: string, value: string): Result<number, InvalidMarkerError> {
+  const duration = /^\d{1,8}$/.test(value) ? Number(value) : Number.NaN;
+  if (duration <= MAXIMUM_DURATION_MS) return ok(duration);
+  return err(new InvalidMarkerError(name, `expected 0 to ${MAXIMUM_DURATION_MS} milliseconds`));
+}
+
+/** URL-decodes; sqlcommenter escapes quotes by a backslash besides. */
+function decode(value: string | undefined): string | undefined {
+  try {
+    return value === undefined ? undefined : decodeURIComponent(value.replaceAll("\\'", "'"));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/test/integration/postgres/caller-fixture.ts
@@ -0,0 +1,178 @@
+/** A caller server with a tiny handler, for tests: answers a few statements by itself. */
+import { createHash, createHmac, pbkdf2Sync } from 'node:crypto';
+import { err, ok } from 'neverthrow';
+import type { TenantPolicy } from '../../../src/core/configuration/model.js';
+import { NotRunError, UnsupportedFeatureError } from '../../../src/core/errors.js';
+import { AuthenticationFailedError } from '../../../src/postgres/caller/errors.js';
+import type { CallerLimits, CallerTlsOptions } from '../../../src/postgres/caller/options.js';
+import { CallerServer } from '../../../src/postgres/caller/server.js';
+import type {
+  CallerBatch,
+  CallerConnection,
+  TransactionStatus,
+} from '../../../src/postgres/contract.js';
+import { FrameReader } from '../../../src/postgres/frames.js';
+import {
+  BackendMessageType,
+  BIND_COMPLETE,
+  commandComplete,
+  FrontendMessageType,
+  PARSE_COMPLETE,
+} from '../../../src/postgres/messages.js';
+import { classify } from '../../../src/postgres/statements/classify.js';
+
+export const USER = 'bureau';
+export const PASSWORD = 'correct horse';
+export const DATABASE = 'orders';
+
+function verifierOf(password: string): string {
+  const salt = Buffer.from('salt of the test');
+  const iterations = 4096;
+  const salted = pbkdf2Sync(password, salt, iterations, 32, 'sha256');
+  const clientKey = createHmac('sha256', salted).update('Client Key').digest();
+  const storedKey = createHash('sha256').update(clientKey).digest('base64');
+  const serverKey = createHmac('sha256', salted).update('Server Key').digest('base64');
+  return `SCRAM-SHA-256$${iterations}:${salt.toString('base64')}$${storedKey}:${serverKey}`;
+}
+
+export const POLICY: TenantPolicy = {
+  tenant: 'bureau',
+  user: USER,
+  scramVerifier: verifierOf(PASSWORD),
+  databaseRole: USER,
+  databases: [{ database: DATABASE, group: 'orders', backendDatabase: DATABASE }],
+  maxConnections: 3,
+  maxInFlight: 10,
+  maxQueued: 10,
+  maxBackendConnections: 10,
+  queueWeight: 1,
+  requestsPerSecond: 1000,
+  burst: 100,
+  requestKinds: [],
+  enabled: true,
+  revision: 1,
+};
+
+function message(type: number, body: Buffer): Buffer {
+  const header = Buffer.alloc(5);
+  header[0] = type;
+  header.writeInt32BE(body.length + 4, 1);
+  return Buffer.concat([header, body]);
+}
+
+const ROW_DESCRIPTION = message(
+  BackendMessageType.ROW_DESCRIPTION,
+  Buffer.concat([
+    Buffer.from([0, 1]),
+    Buffer.from('text\0'),
+    Buffer.from([0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0]),
+  ]),
+);
+const NO_PARAMETERS = message(BackendMessageType.PARAMETER_DESCRIPTION, Buffer.from([0, 0]));
+
+/** One row with one text column. */
+export function rowOf(value: string): Buffer {
+  const bytes = Buffer.from(value);
+  const header = Buffer.alloc(6);
+  header.writeInt16BE(1, 0);
+  header.writeInt32BE(bytes.length, 2);
+  return message(BackendMessageType.DATA_ROW, Buffer.concat([header, bytes]));
+}
+
+/** Backend's answer to one frontend message; each execution gives its own text as its one row. */
+function answerOf(type: number, text: string): readonly Buffer[] {
+  switch (type) {
+    case FrontendMessageType.QUERY:
+      return [ROW_DESCRIPTION, rowOf(text), commandComplete('SELECT 1')];
+    case FrontendMessageType.PARSE:
+      return [PARSE_COMPLETE];
+    case FrontendMessageType.BIND:
+      return [BIND_COMPLETE];
+    case FrontendMessageType.EXECUTE:
+      return [rowOf(text), commandComplete('SELECT 1')];
+    default:
+      return [];
+  }
+}
+
+function describe(frame: Buffer): readonly Buffer[] {
+  return frame[5] === 'S'.charCodeAt(0) ? [NO_PARAMETERS, ROW_DESCRIPTION] : [ROW_DESCRIPTION];
+}
+
+/** What a back end would answer to the batch, in one buffer. */
+export function backendAnswer(batch: CallerBatch): Buffer {
+  const answers: Buffer[] = [];
+  let executed = 0;
+  const reader = new FrameReader((type, buffer, start, end) => {
+    if (type === FrontendMessageType.DESCRIBE)
+      answers.push(...describe(buffer.subarray(start, end)));
+    else answers.push(...answerOf(type, batch.statements[executed] ?? ''));
+    if (type === FrontendMessageType.EXECUTE) executed += 1;
+  });
+  reader.push(batch.messages);
+  return Buffer.concat(answers);
+}
+
+/** Handles batches like a back end whose every statement succeeds. */
+export class EchoHandler {
+  readonly batches: CallerBatch[] = [];
+  readonly connections: CallerConnection[] = [];
+  /** Called instead of the ordinary answer if it gives true. */
+  intercept: ((connection: CallerConnection, batch: CallerBatch) => boolean) | undefined;
+
+  readonly handle = (connection: CallerConnection): void => {
+    this.connections.push(connection);
+    let status: TransactionStatus = 'I';
+    connection.onBatch = (batch) => {
+      this.batches.push(batch);
+      if (this.intercept?.(connection, batch) === true) return;
+      const classes = batch.statements.map((text) => classify(text, status !== 'I'));
+      const refused = classes.find(({ unsupported }) => unsupported !== undefined)?.unsupported;
+      if (refused !== undefined) {
+        connection.writeError(new UnsupportedFeatureError(refused));
+      } else {
+        connection.write(backendAnswer(batch));
+        for (const { transactionControl } of classes) {
+          if (transactionControl === 'begin') status = 'T';
+          else if (transactionControl !== 'none') status = 'I';
+        }
+      }
+      connection.finish(status);
+    };
+  };
+}
+
+export interface CallerFixture {
+  readonly server: CallerServer;
+  readonly handler: EchoHandler;
+  readonly port: number;
+}
+
+export interface FixtureOptions {
+  readonly tls?: CallerTlsOptions;
+  readonly limits?: Partial<CallerLimits>;
+}
+
+/** Starts a server on a free port of the loopback. */
+export async function startCallerServer(options: FixtureOptions = {}): Promise<CallerFixture> {
+  const handler = new EchoHandler();
+  let admitted = 0;
+  const server = new CallerServer({
+    host: '127.0.0.1',
+    port: 0,
+    policyFor: (user) => (user === USER ? ok(POLICY) : err(new AuthenticationFailedError(user))),
+    admit: (policy) => {
+      if (admitted >= policy.maxConnections) {
+        return err(new NotRunError('connection-limit', 'too many connections of this tenant'));
+      }
+      admitted += 1;
+      return ok(() => {
+        admitted -= 1;
+      });
+    },
+    handler: handler.handle,
+    ...options,
+  });
+  const address = (await server.listen())._unsafeUnwrap();
+  return { server, handler, port: address.port };
+}
