Stand-in: pg_walfile_name, which the position query asks of primaries

Cause: every probe failed with 42883, so no group had a primary. Change: the stand-in answers the function.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -31,7 +31,7 @@
   TransactionStatus,
 } from '../../postgres/contract.js';
 import { classify } from '../../postgres/statements/classify.js';
-import { parseMarkers } from '../../postgres/statements/markers.js';
+import { readMarkers } from '../../postgres/statements/markers.js';
 import type { BatchMessage, OpenMessage } from '../owner/messages.js';
 import type { GroupAnswerEnd, GroupCall, GroupClient } from './group-client.js';
 import type { RequestMetrics } from './request-metrics.js';
@@ -147,7 +147,9 @@
   }
 
   #handleBatch(batch: CallerBatch): void {
-    const statementClass = combineClasses(batch.statements.map((text) => classify(text)));
+    const statementClass = combineClasses(
+      batch.statements.map((text) => classify(text, this.#inTransaction)),
+    );
     if (this.#transactionLoss !== undefined) {
       this.#reportTransactionLoss(this.#transactionLoss, statementClass);
       return;
@@ -195,7 +197,7 @@
   }
 
   #markersOf(batch: CallerBatch): StatementMarkers | undefined {
-    const parsed = batch.statements.map((text) => parseMarkers(text));
+    const parsed = batch.statements.map((text) => readMarkers(text));
     const failure = parsed.find((result) => result.isErr());
     if (failure?.isErr()) {
       this.#refuse(failure.error);
--- a/standins/database/sql/functions.ts
+++ b/standins/database/sql/functions.ts
@@ -19,9 +19,14 @@
   'pg_last_wal_replay_lsn',
   'pg_last_wal_receive_lsn',
   'pg_control_checkpoint',
+  'pg_walfile_name',
 ]);
 
 const REPEAT_MAX_CHARACTERS = 64 * 1024 * 1024;
+const HEXADECIMAL = 16;
+/** PostgreSQL's default segment size. */
+const WAL_SEGMENT_BYTES = 16 * 1024 * 1024;
+const WAL_NAME_PART_DIGITS = 8;
 const SERVER_VERSION_TEXT = 'PostgreSQL 16.0 (meadowstack stand-in)';
 
 function define(
@@ -53,6 +58,16 @@
   return '';
 }
 
+/** Name of the segment file that holds the LSN: timeline, then log and segment number. */
+function walFileName(lsn: string, instance: EvaluationContext['instance']): string {
+  const [high = '0', low = '0'] = lsn.split('/');
+  const segment = Math.floor(Number.parseInt(low, HEXADECIMAL) / WAL_SEGMENT_BYTES);
+  const digits = (value: number): string =>
+    value.toString(HEXADECIMAL).toUpperCase().padStart(WAL_NAME_PART_DIGITS, '0');
+  const log = Number.parseInt(high, HEXADECIMAL);
+  return `${digits(instance.timeline())}${digits(log)}${digits(segment)}`;
+}
+
 function transactionTime(_values: readonly Value[], context: EvaluationContext): Value {
   return formatTimestamp('timestamptz', context.startedAtMs);
 }
@@ -75,6 +90,7 @@
   pg_current_wal_lsn: define('pg_lsn', NONE, (_, { instance }) => instance.currentLsn()),
   pg_last_wal_replay_lsn: define('pg_lsn', NONE, (_, { instance }) => instance.replayedLsn()),
   pg_last_wal_receive_lsn: define('pg_lsn', NONE, (_, { instance }) => instance.receivedLsn()),
+  pg_walfile_name: define('text', ONE, ([lsn], { instance }) => walFileName(text(lsn), instance)),
   pg_backend_pid: define('int4', NONE, (_, { instance }) => instance.backendPid()),
   pg_sleep: define('void', ONE, ([seconds], context) => sleep(seconds, context)),
   now: define('timestamptz', NONE, transactionTime),
