--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -3,7 +3,12 @@
  * relays the answer. Holds the session's positions and the open transaction.
  */
 import type { TenantPolicy } from '../../core/configuration/model.js';
-import { NotRunError, type RequestError, UnsupportedFeatureError } from '../../core/errors.js';
+import {
+  NotRunError,
+  type RequestError,
+  UnknownOutcomeError,
+  UnsupportedFeatureError,
+} from '../../core/errors.js';
 import type { Position } from '../../core/position.js';
 import type { GroupName, TenantName, ZoneName } from '../../core/request.js';
 import {
@@ -22,6 +27,7 @@
   CallerConnection,
   SessionSetting,
   StatementClass,
+  StatementMarkers,
   TransactionStatus,
 } from '../../postgres/contract.js';
 import { classify } from '../../postgres/statements/classify.js';
@@ -64,6 +70,9 @@
   readonly #backendDatabase: string;
   readonly #sessionId: string | undefined;
   #state: SessionState = freshSession();
+  /** False while the session's past is being looked up; the first batch waits for it. */
+  #begun = false;
+  #waiting: CallerBatch | undefined;
   #call: GroupCall | undefined;
   #inTransaction = false;
   /** The open transaction was lost while the caller was idle; told at its next batch. */
@@ -101,6 +110,10 @@
       const known = await this.#options.directory.lookUp(this.#tenant, this.#sessionId);
       this.#state = mergeSessions(this.#state, known);
     }
+    this.#begun = true;
+    const waiting = this.#waiting;
+    this.#waiting = undefined;
+    if (waiting !== undefined) this.#handleBatch(waiting);
   }
 
   /** Planned stop or revoked access: ends the session as soon as no request or transaction is open. */
@@ -124,6 +137,11 @@
   }
 
   #onBatch(batch: CallerBatch): void {
+    if (!this.#begun) this.#waiting = batch;
+    else this.#handleBatch(batch);
+  }
+
+  #handleBatch(batch: CallerBatch): void {
     const statementClass = combineClasses(batch.statements.map((text) => classify(text)));
     if (this.#transactionLoss !== undefined) {
       this.#reportTransactionLoss(this.#transactionLoss, statementClass);
@@ -142,7 +160,9 @@
   }
 
   #continueTransaction(batch: CallerBatch, statementClass: StatementClass): void {
-    this.#call?.send(batchMessage(batch, statementClass));
+    const markers = this.#markersOf(batch);
+    if (markers === undefined) return;
+    this.#call?.send(batchMessage(batch, statementClass, markers));
   }
 
   #openRequest(batch: CallerBatch, statementClass: StatementClass): void {
@@ -158,17 +178,18 @@
     this.#inTransaction = begins;
     this.#running = { terms, access: statementClass.access, startedAt: performance.now() };
     this.#call = this.#options.client.open(
-      this.#openMessage(batch, statementClass, terms, policy),
+      this.#openMessage(batch, statementClass, markers, policy),
       {
         onData: (data) => this.#onData(data),
         onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
+        onBatchError: (status, error) => this.#onBatchError(status, error),
         onEnd: (end) => this.#onEnd(end),
         onError: (error) => this.#onError(error),
       },
     );
   }
 
-  #markersOf(batch: CallerBatch): ReturnType<typeof firstMarkers> | undefined {
+  #markersOf(batch: CallerBatch): StatementMarkers | undefined {
     const parsed = batch.statements.map((text) => parseMarkers(text));
     const failure = parsed.find((result) => result.isErr());
     if (failure?.isErr()) {
@@ -181,9 +202,11 @@
   #openMessage(
     batch: CallerBatch,
     statementClass: StatementClass,
-    terms: RequestTerms,
+    markers: StatementMarkers,
     policy: TenantPolicy,
   ): OpenMessage {
+    const terms = requestTerms(policy, markers, statementClass.access);
+    const holds = statementClass.transactionControl === 'begin' || markers.once !== undefined;
     return {
       type: 'open',
       requestId: this.#options.nextRequestId(),
@@ -198,9 +221,9 @@
       repeatable: terms.repeatable,
       session: requirementFor(this.#state, this.#group),
       remainingMs: terms.deadlineMs,
-      hold: statementClass.transactionControl === 'begin' ? 'transaction' : 'statement',
+      hold: holds ? 'transaction' : 'statement',
       zone: this.#options.zone,
-      batch: batchMessage(batch, statementClass),
+      batch: batchMessage(batch, statementClass, markers),
     };
   }
 
@@ -213,6 +236,11 @@
     this.#connection.finish(status);
   }
 
+  #onBatchError(status: TransactionStatus, error: RequestError): void {
+    this.#connection.writeError(error);
+    this.#connection.finish(status);
+  }
+
   #onEnd(end: GroupAnswerEnd): void {
     this.#call = undefined;
     this.#inTransaction = false;
@@ -237,7 +265,8 @@
     this.#call = undefined;
     this.#inTransaction = false;
     this.#countOutcome(error.outcome, false);
-    if (error.outcome === 'unknown') this.#state = markUnknown(this.#state, this.#group);
+    const mayLast = error.outcome === 'unknown' || error.outcome === 'done';
+    if (mayLast) this.#state = markUnknown(this.#state, this.#group);
     if (wasTransaction && !this.#connection.busy) {
       this.#transactionLoss = error;
       return;
@@ -265,7 +294,15 @@
       return;
     }
     const entry = { group: this.#group, position };
-    void this.#options.directory.record(this.#tenant, this.#sessionId, entry).then(deliver);
+    void this.#options.directory
+      .record(this.#tenant, this.#sessionId, entry)
+      .then((recorded) => (recorded ? deliver() : this.#reportNotRecorded()));
+  }
+
+  #reportNotRecorded(): void {
+    const message = 'the home nodes of the session id could not be reached';
+    this.#connection.writeError(new UnknownOutcomeError('session-not-recorded', message));
+    this.#finish('I');
   }
 
   #observe(position: Position, fromReplica: boolean): void {
@@ -329,7 +366,11 @@
   }
 }
 
-function batchMessage(batch: CallerBatch, statementClass: StatementClass): BatchMessage {
+function batchMessage(
+  batch: CallerBatch,
+  statementClass: StatementClass,
+  markers: StatementMarkers,
+): BatchMessage {
   return {
     type: 'batch',
     requires: batch.requires.map((statement) => ({
@@ -339,5 +380,6 @@
     })),
     messages: batch.messages,
     mayCommit: statementClass.transactionControl === 'commit',
+    ...(markers.once === undefined ? {} : { onceKey: markers.once }),
   };
 }
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -15,8 +15,10 @@
 import type { RetryBudget } from '../../core/retry/budget.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerAddress, PeerStream, PeerTransport, WireValue } from '../../peer/contract.js';
+import { PeerError } from '../../peer/errors.js';
 import { createLocalStreamPair } from '../../peer/local-stream.js';
 import type { TransactionStatus } from '../../postgres/contract.js';
+import { BatchSender, batchHeader } from '../owner/batch-transfer.js';
 import {
   type BatchMessage,
   decodeRequestError,
@@ -48,6 +50,8 @@
   onData(data: Buffer): void;
   /** A batch inside the open transaction ended. */
   onBatchEnd(status: TransactionStatus, heldBack: Buffer): void;
+  /** A batch inside the open transaction was refused by the proxy; the block is failed. */
+  onBatchError(status: TransactionStatus, error: RequestError): void;
   onEnd(end: GroupAnswerEnd): void;
   onError(error: RequestError): void;
 }
@@ -70,6 +74,7 @@
 
   /** Sends a statement or opens a transaction. */
   open(message: OpenMessage, handlers: GroupCallHandlers): GroupCall {
+    this.options.retryBudget.recordAttempt();
     const call = new GroupCall(this.options, message, handlers);
     call.start();
     return call;
@@ -83,6 +88,7 @@
   readonly #handlers: GroupCallHandlers;
   readonly #deadline: Milliseconds;
   #stream: PeerStream | undefined;
+  #sender: BatchSender | undefined;
   #attempts = 0;
   #answered = false;
   #commitSent = false;
@@ -113,7 +119,8 @@
   /** The next batch of the open transaction. */
   send(batch: BatchMessage): void {
     if (batch.mayCommit) this.#commitSent = true;
-    this.#stream?.send(batch);
+    this.#stream?.send(batchHeader(batch));
+    this.#sender?.follow(batch);
   }
 
   /** The caller asked to cancel what is running. */
@@ -140,13 +147,16 @@
   #openStream(owner: OwnerReference): void {
     const header: OpenMessage = {
       ...this.#message,
+      batch: batchHeader(this.#message.batch),
       remainingMs: Math.max(0, this.#deadline - this.#options.now()),
     };
     const stream = this.#streamTo(owner, header);
     this.#stream = stream;
+    this.#sender = new BatchSender(stream);
     stream.onData = (data) => this.#onData(data);
     stream.onMessage = (message) => this.#onMessage(message, stream);
     stream.onClose = (error) => this.#onClose(error, stream);
+    this.#sender.follow(this.#message.batch);
   }
 
   #streamTo(owner: OwnerReference, header: OpenMessage): PeerStream {
@@ -179,6 +189,11 @@
         this.#commitSent = false;
         this.#handlers.onBatchEnd(message.status, asBuffer(message.heldBack));
         return;
+      case 'batch-error':
+        this.#answered = true;
+        this.#commitSent = false;
+        this.#handlers.onBatchError(message.status, decodeRequestError(message.error));
+        return;
       case 'end':
         this.#finish();
         this.#handlers.onEnd({
@@ -203,7 +218,7 @@
   /** The stream closed before its end was told: the link or the owner is lost. */
   #onClose(error: MeadowstackError | undefined, stream: PeerStream): void {
     if (this.#finished || stream !== this.#stream) return;
-    const neverLeft = error !== undefined && 'bytesLeft' in error && error.bytesLeft === false;
+    const neverLeft = error instanceof PeerError && !error.linkWritten;
     if (neverLeft && !this.#answered) {
       this.#retryOrFail(
         new NotRunError('owner-unreachable', 'the owner could not be reached', RETRY_STEP_MS),
@@ -227,7 +242,7 @@
     const now = this.#options.now();
     const pause = Math.min(MAX_RETRY_PAUSE_MS, RETRY_STEP_MS * this.#attempts);
     const firstLap = this.#attempts <= this.#options.ownersOf(this.#message.group).length;
-    const affordable = firstLap || this.#options.retryBudget.tryConsume(now);
+    const affordable = firstLap || this.#options.retryBudget.tryTake();
     if (now + pause >= this.#deadline || !affordable) {
       this.#fail(error);
       return;
