--- a/src/cli/admin-client.ts
+++ b/src/cli/admin-client.ts
@@ -10,7 +10,7 @@
 export const nodeStatusSchema = z.looseObject({
   nodeId: z.string(),
   zone: z.string(),
-  /** `starting`, `ready`, `stopping`, … */
+  /** `starting`, `serving` or `leaving`. */
   state: z.string(),
   configuration: z.looseObject({
     revision: z.number(),
@@ -18,13 +18,14 @@
     source: z.string(),
     relay: z.boolean(),
   }),
+  /** The groups that this node owns. */
   groups: z.array(
     z.looseObject({
       group: z.string(),
-      /** Nodes that own the group, in order of preference, as this node sees it. */
-      owners: z.array(z.string()),
       primary: z.string().nullish(),
       timeline: z.number().nullish(),
+      queued: z.number().nullish(),
+      running: z.number().nullish(),
     }),
   ),
 });
--- a/src/cli/declaration-files.ts
+++ b/src/cli/declaration-files.ts
@@ -7,7 +7,7 @@
   parseDeclarations,
 } from '../core/configuration/declaration.js';
 import type { InvalidDeclarationError } from '../core/configuration/errors.js';
-import { computeScramVerifier, matchesScramVerifier } from '../postgres/scram-verifier.js';
+import { createScramVerifier, matchesScramVerifier } from '../postgres/scram-verifier.js';
 import { UsageError } from './exit-codes.js';
 
 /** Reads and checks all files; `-` is the standard input. */
@@ -47,7 +47,7 @@
     if (declaration.kind !== 'Tenant' || declaration.scramVerifier !== undefined) return located;
     const inForce = verifierInForce(declaration.name);
     const kept = inForce !== undefined && matchesScramVerifier(password, inForce);
-    const scramVerifier = kept ? inForce : computeScramVerifier(password);
+    const scramVerifier = kept ? inForce : createScramVerifier(password);
     return { ...located, declaration: { ...declaration, scramVerifier } };
   });
 }
--- a/src/cli/publish-command.ts
+++ b/src/cli/publish-command.ts
@@ -3,6 +3,7 @@
 import { userInfo } from 'node:os';
 import { Flags } from '@oclif/core';
 import type { DeclarationKey } from '../core/configuration/declaration.js';
+import { DeclarationNotFoundError } from '../core/configuration/errors.js';
 import {
   keyOfChange,
   liveRevisionOf,
@@ -68,6 +69,18 @@
       : this.#publish(publisher, request);
   }
 
+  /** Removes one declaration. */
+  protected async removeDeclaration(
+    key: DeclarationKey,
+    flags: PublishFlagValues,
+  ): Promise<PublishReport> {
+    const publisher = this.publisherAt(flags.store);
+    const state = await publisher.read();
+    if (state.isErr()) throw state.error;
+    if (liveRevisionOf(state.value, key) === 0) throw new DeclarationNotFoundError(key);
+    return this.publishChanges(publisher, state.value, [{ type: 'remove', key }], flags);
+  }
+
   async #showPlan(
     publisher: Publisher,
     state: PublishedState,
--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -94,17 +94,18 @@
 
   #showGroups(nodes: readonly NodeReport[]): void {
     const rows = nodes.flatMap(({ status }) =>
-      (status?.groups ?? []).map(({ group, owners, primary, timeline }) => [
+      (status?.groups ?? []).map(({ group, primary, timeline, queued, running }) => [
         group,
         status?.nodeId ?? '',
-        owners.join(','),
         primary ?? '-',
         String(timeline ?? '-'),
+        String(queued ?? '-'),
+        String(running ?? '-'),
       ]),
     );
     if (rows.length === 0) return;
     this.log('');
-    const header = ['GROUP', 'SEEN BY', 'OWNERS', 'PRIMARY', 'TIMELINE'];
+    const header = ['GROUP', 'OWNER', 'PRIMARY', 'TIMELINE', 'QUEUED', 'RUNNING'];
     const sorted = rows.sort(([left = ''], [right = '']) => left.localeCompare(right));
     for (const line of tableLines(header, sorted)) this.log(line);
   }
--- a/src/commands/template/remove.ts
+++ b/src/commands/template/remove.ts
@@ -15,10 +15,6 @@
 
   override async run(): Promise<PublishReport> {
     const { args, flags } = await this.parse(TemplateRemove);
-    const publisher = this.publisherAt(flags.store);
-    const state = await publisher.read();
-    if (state.isErr()) throw state.error;
-    const removal = { type: 'remove', key: `template/${args.name}` } as const;
-    return this.publishChanges(publisher, state.value, [removal], flags);
+    return this.removeDeclaration(`template/${args.name}`, flags);
   }
 }
--- a/src/core/configuration/publish.ts
+++ b/src/core/configuration/publish.ts
@@ -18,6 +18,7 @@
   unlocated,
 } from './declaration.js';
 import { differencesOf, type FieldDifference } from './difference.js';
+import type { DocumentProblem } from './document.js';
 import {
   type ConflictingVersion,
   InvalidDeclarationError,
@@ -42,6 +43,8 @@
 export const PUBLISH_RECORDS = 200;
 /** Declarations in one publish: three operations each stay within a store's usual 128. */
 export const MAX_CHANGES_PER_PUBLISH = 40;
+/** A declaration as JSON: bounded by what one message between nodes may carry. */
+export const MAX_DECLARATION_BYTES = 128 * 1024;
 const MAX_RECORDS_PRUNED_PER_PUBLISH = 4;
 
 /** What the store holds, read at one revision. */
@@ -176,6 +179,8 @@
   if (changes.length > MAX_CHANGES_PER_PUBLISH) {
     return new InvalidDeclarationError([tooManyChanges(changes)]);
   }
+  const tooLarge = changes.flatMap(sizeProblem);
+  if (tooLarge.length > 0) return new InvalidDeclarationError(tooLarge);
   const before = liveCatalogueOf(current.entries);
   const known = new Set(resolveCatalogue(before).problems.map(problemIdentity));
   const after = applyChanges(before, changes);
@@ -202,7 +207,7 @@
   return JSON.stringify([problem.location.source, problem.field, problem.expected]);
 }
 
-function tooManyChanges(changes: readonly ProposedChange[]) {
+function tooManyChanges(changes: readonly ProposedChange[]): DocumentProblem {
   const source = `publish of ${changes.length} declarations`;
   return {
     location: { source, line: undefined, column: undefined },
@@ -211,6 +216,14 @@
   };
 }
 
+function sizeProblem(change: ProposedChange): DocumentProblem[] {
+  if (change.type === 'remove') return [];
+  const { declaration, locate } = change.located;
+  if (Buffer.byteLength(JSON.stringify(declaration)) <= MAX_DECLARATION_BYTES) return [];
+  const expected = `a declaration of at most ${MAX_DECLARATION_BYTES} bytes`;
+  return [{ location: locate([]), field: '', expected }];
+}
+
 function planChange(current: PublishedState, change: ProposedChange): PlannedChange {
   const key = keyOfChange(change);
   const entry = current.entries.get(key);
--- a/src/node/configuration/service.ts
+++ b/src/node/configuration/service.ts
@@ -10,7 +10,7 @@
 } from '../../core/configuration/agent-contract.js';
 import type { RandomSource } from '../../core/configuration/backoff.js';
 import type { ConfigurationSnapshot } from '../../core/configuration/model.js';
-import type { RelayRoleEvent } from '../../core/configuration/relay-role.js';
+import type { RelayLease, RelayRoleEvent } from '../../core/configuration/relay-role.js';
 import type { ConfigurationMember } from '../../core/configuration/relays.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { NodeIdentity, PeerTransport, WireValue } from '../../peer/contract.js';
@@ -65,6 +65,8 @@
   #timer: NodeJS.Timeout | undefined;
   #membersTimer: NodeJS.Timeout | undefined;
   #stopped = false;
+  /** The last lease that was given back, on its way. */
+  #released: Promise<void> = Promise.resolve();
   #storeErrors = 0;
   #peerErrors = 0;
   /** Revision that the next watch continues from. */
@@ -88,14 +90,18 @@
     this.#handle({ type: 'started' });
   }
 
-  /** Ends timers, the watch and the lease. */
-  stop(): void {
+  /**
+   * Ends timers, the watch and the lease. Resolves once the store has the lease back or could not
+   * be told, so the store's client should be closed only then.
+   */
+  async stop(): Promise<void> {
     // Without candidacy the lease goes back, so that another node can take the slot at once.
     this.#handleRelay({ type: 'candidacy-changed', candidate: false });
     this.#stopped = true;
     clearTimeout(this.#timer);
     clearInterval(this.#membersTimer);
     this.#store.closeWatch();
+    await this.#released;
   }
 
   /** To be called when the membership changed; it is also looked at once a second. */
@@ -206,7 +212,7 @@
         this.#renewLease(effect);
         return;
       case 'release-relay':
-        this.#store.releaseRelay(effect.lease).mapErr(() => this.#countStoreError());
+        this.#released = this.#releaseRelay(effect.lease);
         return;
       case 'ask-digest':
         this.#askDigest(effect.peer);
@@ -256,6 +262,11 @@
     );
   }
 
+  async #releaseRelay(lease: RelayLease): Promise<void> {
+    const released = await this.#store.releaseRelay(lease);
+    if (released.isErr()) this.#countStoreError();
+  }
+
   #renewLease({ lease }: Extract<AgentEffect, { type: 'renew-lease' }>): void {
     this.#store.renewLease(lease).match(
       (stands) => this.#handleRelay({ type: stands ? 'renewed' : 'lease-lapsed' }),
--- a/src/postgres/scram-verifier.ts
+++ b/src/postgres/scram-verifier.ts
@@ -10,7 +10,7 @@
 const VERIFIER_PATTERN = /^SCRAM-SHA-256\$(\d+):([A-Za-z0-9+/=]+)\$([A-Za-z0-9+/=]+):/;
 
 /** Computes the verifier of a password. The password can't be got back from it. */
-export function computeScramVerifier(
+export function createScramVerifier(
   password: string,
   salt: Buffer = randomBytes(SALT_BYTES),
   iterations: number = DEFAULT_ITERATIONS,
