--- /dev/null
+++ b/test/support/cluster.ts
@@ -0,0 +1,83 @@
+/** Small clusters of real processes for integration tests, and callers that carry their session. */
+import pg from 'pg';
+import { Cluster, type ClusterOptions } from '../../bench/harness/cluster.js';
+
+export const GROUP = 'orders';
+export const TENANT = { name: 'bureau', password: 'a long password' };
+
+/** `lookup` tolerates stale answers; everything else reads from the primary. */
+export const TEMPLATE = `kind: Template
+name: standard
+parameters:
+  databases: { type: databases }
+  connections: { type: integer, default: 600, minimum: 1, maximum: 5000 }
+policy:
+  databaseRole: app
+  databases: { parameter: databases }
+  maxConnections: { parameter: connections }
+  maxInFlight: 1000
+  maxQueued: 1000
+  maxBackendConnections: 20
+  queueWeight: 1
+  requestsPerSecond: 100000
+  burst: 10000
+  requestKinds:
+    lookup: { stalenessBoundMs: 1000 }
+`;
+
+/** One group of three instances in three zones, and two proxies. */
+export function startSmallCluster(options: Partial<ClusterOptions> = {}): Promise<Cluster> {
+  return Cluster.start({
+    groups: [
+      {
+        group: GROUP,
+        zones: ['a', 'b', 'c'],
+        slots: 5,
+        maxConnections: 35,
+        connectionDelayMs: 10,
+      },
+    ],
+    proxies: [
+      { nodeId: 'proxy-1', zone: 'a' },
+      { nodeId: 'proxy-2', zone: 'b' },
+    ],
+    templates: TEMPLATE,
+    tenants: [{ ...TENANT, databases: [GROUP], template: 'standard' }],
+    ...options,
+  });
+}
+
+/** A caller's connection with the session token that it was last told. */
+export interface TestCaller {
+  readonly client: pg.Client;
+  sessionToken(): string;
+}
+
+const SESSION_PARAMETER = 'meadowstack.session';
+
+/** `options`: settings of the start-up message, such as `meadowstack.session`. */
+export async function connectCaller(
+  cluster: Cluster,
+  nodeId: string,
+  options: Readonly<Record<string, string>> = {},
+): Promise<TestCaller> {
+  const { host, port } = cluster.proxy(nodeId).callers;
+  const client = new pg.Client({
+    host,
+    port,
+    user: TENANT.name,
+    password: TENANT.password,
+    database: GROUP,
+    options: Object.entries(options)
+      .map(([name, value]) => `-c ${name}=${value}`)
+      .join(' '),
+  });
+  let token = '';
+  const { connection } = client as unknown as { connection: NodeJS.EventEmitter };
+  connection.on('parameterStatus', (status: { parameterName: string; parameterValue: string }) => {
+    if (status.parameterName === SESSION_PARAMETER) token = status.parameterValue;
+  });
+  client.on('error', () => undefined);
+  await client.connect();
+  return { client, sessionToken: () => token };
+}
