--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -137,6 +137,13 @@
     return this.#tenant;
   }
 
+  /** True if the policy still lets this session reach its database's group. */
+  isAllowedBy(policy: TenantPolicy): boolean {
+    return policy.databases.some(
+      (access) => access.database === this.#connection.database && access.group === this.#group,
+    );
+  }
+
   get #tenant(): TenantName {
     return this.#connection.policy.tenant;
   }
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -32,6 +32,7 @@
 import { GroupClient } from './gateway/group-client.js';
 import { HomeNodeDirectory } from './gateway/home-node-directory.js';
 import type { RequestMetrics } from './gateway/request-metrics.js';
+import { SessionRegistry } from './gateway/session-registry.js';
 import { BackendConnector } from './owner/backend-connector.js';
 import { OwnerService } from './owner/owner-service.js';
 import { OwnerDirectory, rankNodes } from './owner-directory.js';
@@ -78,7 +79,7 @@
   readonly #connector: BackendConnector;
   readonly #owners: OwnerDirectory;
   readonly #owner: OwnerService;
-  readonly #sessions = new Set<GatewaySession>();
+  readonly #sessions = new SessionRegistry();
   readonly #directory: HomeNodeDirectory;
   readonly #client: GroupClient;
   readonly #callers: CallerServer;
@@ -189,7 +190,7 @@
   async #drain(): Promise<void> {
     this.#logger.info('leaving', { callers: this.#callers.openConnections().length });
     this.#callers.stopAccepting();
-    for (const session of this.#sessions) session.stop(new NodeStoppingError());
+    for (const session of this.#sessions.all()) session.stop(new NodeStoppingError());
     const limit = monotonicNow() + this.#settings.drainLimitMs;
     while (this.#busy() && monotonicNow() < limit) await pause(DRAIN_POLL_MS);
     this.#owner.drain();
@@ -203,7 +204,7 @@
   }
 
   async #close(): Promise<void> {
-    for (const session of this.#sessions) session.cut(new NodeStoppingError());
+    for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
     this.#configuration.stop();
     this.#machineList.stop();
     this.#owner.close();
@@ -292,11 +293,10 @@
   #onSnapshot(snapshot: ConfigurationSnapshot): void {
     this.#snapshot = snapshot;
     this.#owner.setConfiguration(snapshot);
-    for (const session of this.#sessions) {
-      if (this.#policyOf(session.tenant)?.enabled !== true) {
-        session.stop(new NotRunError('tenant-revoked', 'the tenant has no access any more'));
-      }
-    }
+    this.#sessions.apply(
+      (tenant) => this.#policyOf(tenant),
+      (policy) => this.#connectionShare(policy),
+    );
   }
 
   #policyOf(tenant: string): TenantPolicy | undefined {
@@ -318,7 +318,7 @@
       zone: this.#settings.zone,
       nextRequestId: () => this.#nextRequestId(),
       metrics: this.options.metrics,
-      onClosed: () => this.#sessions.delete(session),
+      onClosed: () => this.#sessions.remove(session),
     });
     this.#sessions.add(session);
     void session.begin();
