Caller tests: wait on the right connection, rows before their end

Cause: the test of the connection limit waited on whichever connection came first; clients log in in any order. The back-pressure test sent rows without a RowDescription. Change: both tests mended, as strict as before (rows counted now).

--- a/test/integration/postgres/caller-fixture.ts
+++ b/test/integration/postgres/caller-fixture.ts
@@ -60,7 +60,8 @@
   return Buffer.concat([header, body]);
 }
 
-const ROW_DESCRIPTION = message(
+/** One text column named `text`. */
+export const ROW_DESCRIPTION = message(
   BackendMessageType.ROW_DESCRIPTION,
   Buffer.concat([
     Buffer.from([0, 1]),
--- a/test/integration/postgres/caller.test.ts
+++ b/test/integration/postgres/caller.test.ts
@@ -7,11 +7,13 @@
 import { suite } from 'uvu';
 import { NotRunError } from '../../../src/core/errors.js';
 import type { CallerConnection } from '../../../src/postgres/contract.js';
+import { commandComplete } from '../../../src/postgres/messages.js';
 import {
   type CallerFixture,
   DATABASE,
   type FixtureOptions,
   PASSWORD,
+  ROW_DESCRIPTION,
   rowOf,
   startCallerServer,
   USER,
@@ -126,7 +128,7 @@
   const clients = await Promise.all([1, 2, 3].map(() => connected(fixture)));
   await assert.rejects(clientOf(fixture).connect(), { code: '53300' });
   const closed = new Promise<void>((resolve) => {
-    onlyConnection(fixture).onClose = resolve;
+    for (const connection of fixture.handler.connections) connection.onClose = resolve;
   });
   await clients[0]?.end();
   await closed;
@@ -144,7 +146,7 @@
     return true;
   };
   await assert.rejects(client.query('select $1', [1]), {
-    code: '53300'.replace('53300', '57P03'),
+    code: '57P03',
     detail: 'MS-NOT-RUN-QUEUE-FULL: not-run',
     hint: 'retry after 20 ms',
   });
@@ -222,6 +224,10 @@
   const row = rowOf('y'.repeat(64 * 1024));
   const rows = 500;
   let pauses = 0;
+  let reportStopped = (): void => {};
+  const stopped = new Promise<void>((resolve) => {
+    reportStopped = resolve;
+  });
   fixture.handler.intercept = (connection) => {
     let written = 0;
     const writeMore = (): void => {
@@ -229,25 +235,28 @@
         written += 1;
         if (!connection.write(row)) {
           pauses += 1;
+          reportStopped();
           return;
         }
       }
       if (written === rows) {
         written += 1;
+        connection.write(commandComplete(`SELECT ${rows}`));
         connection.finish('I');
       }
     };
     connection.onDrain = writeMore;
+    connection.write(ROW_DESCRIPTION);
     writeMore();
     return true;
   };
   const { stream } = (client as unknown as { connection: { stream: Socket } }).connection;
-  const pending = client.query(new pg.Query('select big'));
+  const pending = client.query('select big');
   stream.pause();
-  await new Promise((resolve) => setImmediate(resolve));
+  await stopped;
+  assert.ok(onlyConnection(fixture).busy);
   stream.resume();
-  const ended = new Promise((resolve) => pending.on('end', resolve));
-  await ended;
+  assert.equal((await pending).rows.length, rows);
   assert.ok(pauses > 0);
 });
 
