--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -4,8 +4,11 @@
  */
 import type { Milliseconds } from './units.js';
 
-/** What is known of a request that did not simply succeed. */
-export type FailureOutcome = 'not-run' | 'unknown' | 'failed';
+/**
+ * What is known of a request that did not simply succeed. `done`: an earlier request with the same
+ * key took effect, so this one was not run a second time.
+ */
+export type FailureOutcome = 'done' | 'not-run' | 'unknown' | 'failed';
 
 /** Labels that callers of the core branch on. */
 export type ErrorLabel = 'retryable' | 'protocol-violation' | 'configuration' | 'security';
@@ -52,6 +55,8 @@
   DUPLICATE_PREPARED_STATEMENT: '42P05',
   INVALID_SQL_STATEMENT_NAME: '26000',
   INVALID_CURSOR_NAME: '34000',
+  UNIQUE_VIOLATION: '23505',
+  OBJECT_NOT_IN_PREREQUISITE_STATE: '55000',
 } as const;
 
 export type SqlStateCode = (typeof SqlState)[keyof typeof SqlState];
@@ -117,7 +122,10 @@
   | 'connection-lost'
   | 'primary-replaced'
   | 'confirmation-timeout'
-  | 'owner-lost';
+  | 'run-timeout'
+  | 'owner-lost'
+  /** Done, but not recorded where the session's next node would look for it. */
+  | 'session-not-recorded';
 
 /** The request may or may not have run and may or may not last. Never retried by the proxy. */
 export class UnknownOutcomeError extends RequestError {
@@ -142,6 +150,31 @@
   override readonly labels: ReadonlySet<ErrorLabel> = new Set(['retryable']);
 }
 
+/** Why a read that had started could not be finished. */
+export type ReadFailureReason =
+  | 'connection-lost'
+  | 'primary-replaced'
+  | 'confirmation-timeout'
+  | 'run-timeout'
+  | 'replica-behind';
+
+/** A read ended without an answer that may be trusted. It changed nothing and may be repeated. */
+export class ReadFailedError extends RequestError {
+  readonly code: string;
+  readonly outcome = 'failed';
+  readonly sqlState = SqlState.CONNECTION_FAILURE;
+  override readonly labels: ReadonlySet<ErrorLabel> = new Set(['retryable']);
+
+  constructor(
+    readonly reason: ReadFailureReason,
+    message: string,
+    retryAfterMs?: Milliseconds,
+  ) {
+    super(message, retryAfterMs);
+    this.code = `MS-READ-${reason.toUpperCase()}`;
+  }
+}
+
 /** A feature that transaction pooling can't keep, such as LISTEN or COPY. */
 export class UnsupportedFeatureError extends RequestError {
   readonly code = 'MS-UNSUPPORTED';
