--- a/src/postgres/messages.ts
+++ b/src/postgres/messages.ts
@@ -140,6 +140,38 @@
   return writer.flush(BackendMessageType.COMMAND_COMPLETE);
 }
 
+const TEXT_TYPE_OID = 25;
+const VARIABLE_SIZE = -1;
+const NO_TYPE_MODIFIER = -1;
+const TEXT_FORMAT = 0;
+const NULL_LENGTH = -1;
+
+/** RowDescription of columns of type text. */
+export function rowDescription(columns: readonly string[]): Buffer {
+  writer.addInt16(columns.length);
+  for (const column of columns) {
+    writer.addCString(column).addInt32(0).addInt16(0).addInt32(TEXT_TYPE_OID);
+    writer.addInt16(VARIABLE_SIZE).addInt32(NO_TYPE_MODIFIER).addInt16(TEXT_FORMAT);
+  }
+  return writer.flush(BackendMessageType.ROW_DESCRIPTION);
+}
+
+/** DataRow of text values. */
+export function dataRow(values: readonly (string | null)[]): Buffer {
+  writer.addInt16(values.length);
+  for (const value of values) {
+    if (value === null) writer.addInt32(NULL_LENGTH);
+    else writer.addInt32PrefixedString(value);
+  }
+  return writer.flush(BackendMessageType.DATA_ROW);
+}
+
+/** ParameterDescription of a statement without parameters. */
+export function noParameters(): Buffer {
+  writer.addInt16(0);
+  return writer.flush(BackendMessageType.PARAMETER_DESCRIPTION);
+}
+
 /** NegotiateProtocolVersion: newest minor version served, options that were not understood. */
 export function negotiateProtocolVersion(
   minorVersion: number,
--- a/test/integration/postgres/caller-fixture.ts
+++ b/test/integration/postgres/caller-fixture.ts
@@ -4,6 +4,7 @@
 import type { TenantPolicy } from '../../../src/core/configuration/model.js';
 import { NotRunError, UnsupportedFeatureError } from '../../../src/core/errors.js';
 import { AuthenticationFailedError } from '../../../src/postgres/caller/errors.js';
+import { localAnswer } from '../../../src/postgres/caller/local-answer.js';
 import type { CallerLimits, CallerTlsOptions } from '../../../src/postgres/caller/options.js';
 import { CallerServer } from '../../../src/postgres/caller/server.js';
 import type {
@@ -11,14 +12,6 @@
   CallerConnection,
   TransactionStatus,
 } from '../../../src/postgres/contract.js';
-import { FrameReader } from '../../../src/postgres/frames.js';
-import {
-  BackendMessageType,
-  BIND_COMPLETE,
-  commandComplete,
-  FrontendMessageType,
-  PARSE_COMPLETE,
-} from '../../../src/postgres/messages.js';
 import { classify } from '../../../src/postgres/statements/classify.js';
 
 export const USER = 'bureau';
@@ -53,65 +46,9 @@
   revision: 1,
 };
 
-function message(type: number, body: Buffer): Buffer {
-  const header = Buffer.alloc(5);
-  header[0] = type;
-  header.writeInt32BE(body.length + 4, 1);
-  return Buffer.concat([header, body]);
-}
-
-/** One text column named `text`. */
-export const ROW_DESCRIPTION = message(
-  BackendMessageType.ROW_DESCRIPTION,
-  Buffer.concat([
-    Buffer.from([0, 1]),
-    Buffer.from('text\0'),
-    Buffer.from([0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0]),
-  ]),
-);
-const NO_PARAMETERS = message(BackendMessageType.PARAMETER_DESCRIPTION, Buffer.from([0, 0]));
-
-/** One row with one text column. */
-export function rowOf(value: string): Buffer {
-  const bytes = Buffer.from(value);
-  const header = Buffer.alloc(6);
-  header.writeInt16BE(1, 0);
-  header.writeInt32BE(bytes.length, 2);
-  return message(BackendMessageType.DATA_ROW, Buffer.concat([header, bytes]));
-}
-
-/** Backend's answer to one frontend message; each execution gives its own text as its one row. */
-function answerOf(type: number, text: string): readonly Buffer[] {
-  switch (type) {
-    case FrontendMessageType.QUERY:
-      return [ROW_DESCRIPTION, rowOf(text), commandComplete('SELECT 1')];
-    case FrontendMessageType.PARSE:
-      return [PARSE_COMPLETE];
-    case FrontendMessageType.BIND:
-      return [BIND_COMPLETE];
-    case FrontendMessageType.EXECUTE:
-      return [rowOf(text), commandComplete('SELECT 1')];
-    default:
-      return [];
-  }
-}
-
-function describe(frame: Buffer): readonly Buffer[] {
-  return frame[5] === 'S'.charCodeAt(0) ? [NO_PARAMETERS, ROW_DESCRIPTION] : [ROW_DESCRIPTION];
-}
-
-/** What a back end would answer to the batch, in one buffer. */
-export function backendAnswer(batch: CallerBatch): Buffer {
-  const answers: Buffer[] = [];
-  let executed = 0;
-  const reader = new FrameReader((type, buffer, start, end) => {
-    if (type === FrontendMessageType.DESCRIBE)
-      answers.push(...describe(buffer.subarray(start, end)));
-    else answers.push(...answerOf(type, batch.statements[executed] ?? ''));
-    if (type === FrontendMessageType.EXECUTE) executed += 1;
-  });
-  reader.push(batch.messages);
-  return Buffer.concat(answers);
+/** What a back end would answer: each statement gives its own text as its one row. */
+export function echoAnswer(batch: CallerBatch): Buffer {
+  return localAnswer(batch, (text) => ({ tag: 'SELECT 1', columns: ['text'], rows: [[text]] }));
 }
 
 /** Handles batches like a back end whose every statement succeeds. */
@@ -132,7 +69,7 @@
       if (refused !== undefined) {
         connection.writeError(new UnsupportedFeatureError(refused));
       } else {
-        connection.write(backendAnswer(batch));
+        connection.write(echoAnswer(batch));
         for (const { transactionControl } of classes) {
           if (transactionControl === 'begin') status = 'T';
           else if (transactionControl !== 'none') status = 'I';
--- a/test/integration/postgres/caller.test.ts
+++ b/test/integration/postgres/caller.test.ts
@@ -7,14 +7,12 @@
 import { suite } from 'uvu';
 import { NotRunError } from '../../../src/core/errors.js';
 import type { CallerConnection } from '../../../src/postgres/contract.js';
-import { commandComplete } from '../../../src/postgres/messages.js';
+import { commandComplete, dataRow, rowDescription } from '../../../src/postgres/messages.js';
 import {
   type CallerFixture,
   DATABASE,
   type FixtureOptions,
   PASSWORD,
-  ROW_DESCRIPTION,
-  rowOf,
   startCallerServer,
   USER,
 } from './caller-fixture.js';
@@ -221,7 +219,7 @@
 test('a caller that does not read stops the handler until it reads', async () => {
   const fixture = await start();
   const client = await connected(fixture);
-  const row = rowOf('y'.repeat(64 * 1024));
+  const row = dataRow(['y'.repeat(64 * 1024)]);
   const rows = 500;
   let pauses = 0;
   let reportStopped = (): void => {};
@@ -246,7 +244,7 @@
       }
     };
     connection.onDrain = writeMore;
-    connection.write(ROW_DESCRIPTION);
+    connection.write(rowDescription(['text']));
     writeMore();
     return true;
   };
