Simulated group with history checks for the group's state machine

The first runs found that a retried request whose deadline passed in the queue was called 'not run' though an earlier attempt had run; it is now failed or unknown.

--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -56,7 +56,7 @@
   resetFailed(run: Run, now: Milliseconds): void {
     this.releaseLoad(run);
     this.context.runs.delete(run.entry.request.id);
-    this.requeue(run.entry, now, run, 0);
+    this.requeue(run, now, 0);
   }
 
   /** Ends what the present knowledge confirms or rules out. */
@@ -113,12 +113,30 @@
     this.context.pool.close(run.connectionId, this.context.effects);
   }
 
-  /** Ends a request that never ran. */
+  /**
+   * Ends a request that waits in the queue. The one place that says "not run" of a request that
+   * was let in; what an earlier attempt may have run is not called so.
+   */
   notRun(entry: QueueEntry, reason: NotRunReason, message: string, retryAfterMs?: number): void {
+    if (entry.mayHaveRun) {
+      this.endAfterRetry(entry, retryAfterMs);
+      return;
+    }
     this.context.counters.notRun += 1;
     this.fail(entry, new NotRunError(reason, message, retryAfterMs));
   }
 
+  private endAfterRetry(entry: QueueEntry, retryAfterMs: number | undefined): void {
+    if (entry.request.access === 'read') {
+      const message = 'the connection was lost and a retry found no place in time';
+      this.fail(entry, new ReadFailedError('connection-lost', message, retryAfterMs));
+      return;
+    }
+    this.context.counters.unknown += 1;
+    const message = 'an earlier attempt may have run';
+    this.fail(entry, new UnknownOutcomeError('connection-lost', message));
+  }
+
   private releaseConnection(run: Run, result: RunResult, now: Milliseconds): void {
     const { pool, monitor, loads } = this.context;
     this.releaseLoad(run);
@@ -230,7 +248,7 @@
     run.answerRelayed = result.answerRelayed;
     if (!result.bytesWritten) {
       this.context.runs.delete(request.id);
-      this.requeue(run.entry, now, run, run.entry.attempts + 1);
+      this.requeue(run, now, run.entry.attempts + 1);
       return;
     }
     if (request.hold === 'transaction') {
@@ -260,17 +278,20 @@
     return isOff(this.context, 'retry-budget') || this.context.retryBudget.tryTake();
   }
 
+  /** Queues again what may have run and may run again. */
   private retry(run: Run, now: Milliseconds): void {
     this.context.counters.retries += 1;
     this.context.runs.delete(run.entry.request.id);
-    this.enqueueAgain(run.entry, now, run, run.entry.attempts + 1);
+    const entry: QueueEntry = { ...run.entry, mayHaveRun: true };
+    this.enqueueAgain(entry, run, run.entry.attempts + 1, now);
   }
 
   /** Queues again what was never sent; refuses it if the retry budget is spent. */
-  private requeue(entry: QueueEntry, now: Milliseconds, run: Run, attempts: number): void {
+  private requeue(run: Run, now: Milliseconds, attempts: number): void {
+    const { entry } = run;
     if (attempts === 0 || this.mayRetry(entry, now)) {
       if (attempts > 0) this.context.counters.retries += 1;
-      this.enqueueAgain(entry, now, run, attempts);
+      this.enqueueAgain(entry, run, attempts, now);
       return;
     }
     const retryAfterMs = this.context.timing.retryBackoffCapMs;
@@ -278,20 +299,15 @@
     this.notRun(entry, 'connection-lost-before-send', message, retryAfterMs);
   }
 
-  private enqueueAgain(entry: QueueEntry, now: Milliseconds, run: Run, attempts: number): void {
+  private enqueueAgain(entry: QueueEntry, run: Run, attempts: number, now: Milliseconds): void {
     const { timing, options } = this.context;
     const { retryBackoffBaseMs, retryBackoffCapMs } = timing;
     const backoff =
       attempts === 0
         ? 0
         : fullJitter(attempts - 1, retryBackoffBaseMs, retryBackoffCapMs, options.random);
-    const again: QueueEntry = {
-      ...entry,
-      attempts,
-      notBefore: now + backoff,
-      avoid: run.instance,
-    };
-    this.dispatcher.enqueue(again, now);
+    const notBefore = now + backoff;
+    this.dispatcher.enqueue({ ...entry, attempts, notBefore, avoid: run.instance }, now);
   }
 
   private release(run: Run): void {
--- a/src/core/group/intake.ts
+++ b/src/core/group/intake.ts
@@ -36,6 +36,7 @@
     const entry: QueueEntry = {
       request,
       arrivedAt: now,
+      mayHaveRun: false,
       attempts: 0,
       notBefore: now,
       avoid: undefined,
--- a/src/core/group/queue.ts
+++ b/src/core/group/queue.ts
@@ -9,6 +9,8 @@
 export interface QueueEntry {
   readonly request: GroupRequest;
   readonly arrivedAt: Milliseconds;
+  /** An earlier attempt may have run: it can no longer be refused as not run. */
+  readonly mayHaveRun: boolean;
   /** How often it was sent before. */
   readonly attempts: number;
   /** Not before this time: back-off of a retry. */
--- /dev/null
+++ b/test/support/history-checks.ts
@@ -0,0 +1,143 @@
+/** Checks of a simulated history: each returns the violations that it found, in words. */
+import { NotRunError } from '../../src/core/errors.js';
+import type { Execution, RequestRecord, SimulatedHistory } from './simulated-history.js';
+
+const CLOCK_TOLERANCE_MS = 0.001;
+const TRANSACTION_CONFIRMATION_MS = 1000;
+/** First attempts that the retry budget starts with, and its share of later ones. */
+const RETRY_CAPACITY = 10;
+const RETRY_RATIO = 0.1;
+
+type Check = (history: SimulatedHistory) => string[];
+
+function released(record: RequestRecord): boolean {
+  return record.finals[0] !== undefined && record.finals[0].error === undefined;
+}
+
+/** The execution whose answer the caller got. */
+function servedBy(record: RequestRecord): Execution | undefined {
+  return record.executions.find((execution) => execution.attempt === record.sentAt.length);
+}
+
+const oneFinalEach: Check = ({ records }) =>
+  records
+    .filter((record) => record.finals.length !== 1)
+    .map((record) => `${record.request.id} ended ${record.finals.length} times`);
+
+const noneHangs: Check = ({ records }) =>
+  records.flatMap((record) => {
+    const [final] = record.finals;
+    if (final === undefined) return [];
+    const { deadline, hold } = record.request;
+    const ended = (record.endedAt ?? 0) + TRANSACTION_CONFIRMATION_MS;
+    const latest = hold === 'statement' ? deadline : Math.max(deadline, ended);
+    return final.at <= latest + CLOCK_TOLERANCE_MS ? [] : [`${record.request.id} hung`];
+  });
+
+const notRunNeverExecuted: Check = ({ records }) =>
+  records
+    .filter((record) => record.finals[0]?.error instanceof NotRunError)
+    .filter((record) => record.executions.length > 0)
+    .map((record) => `${record.request.id} was refused as not run, but ran`);
+
+const atMostOnce: Check = ({ records }) =>
+  records
+    .filter((record) => !record.request.repeatable && record.executions.length > 1)
+    .map((record) => `${record.request.id} ran ${record.executions.length} times`);
+
+const noAckFromDeposedPrimary: Check = ({ records }) =>
+  records
+    .filter((record) => record.request.access === 'write' && released(record))
+    .filter((record) => servedBy(record)?.onDeposed === true)
+    .map((record) => `${record.request.id} was acknowledged from a deposed primary`);
+
+const ackedWritesLast: Check = ({ records, finalLog }) => {
+  const lasting = new Set(finalLog.map((entry) => entry.requestId));
+  return records
+    .filter((record) => released(record) && servedBy(record)?.written !== undefined)
+    .filter((record) => !lasting.has(record.request.id))
+    .map((record) => `${record.request.id} was acknowledged and lost`);
+};
+
+/** Acknowledged writes, with the time of their acknowledgement. */
+function ackedWrites(history: SimulatedHistory): Map<string, { at: number; session: number }> {
+  const acked = new Map<string, { at: number; session: number }>();
+  for (const record of history.records) {
+    const [final] = record.finals;
+    if (!released(record) || final === undefined) continue;
+    if (servedBy(record)?.written === undefined) continue;
+    acked.set(record.request.id, { at: final.at, session: record.session });
+  }
+  return acked;
+}
+
+const readsAreFreshEnough: Check = (history) => {
+  const acked = ackedWrites(history);
+  return releasedReads(history).flatMap((record) => {
+    const sentAt = record.sentAt[record.sentAt.length - 1] ?? 0;
+    const limit = sentAt - record.request.stalenessBoundMs;
+    const seen = new Set(servedBy(record)?.snapshot.map((entry) => entry.requestId));
+    const missed = [...acked].filter(([id, write]) => write.at < limit && !seen.has(id));
+    return missed.map(([id]) => `${record.request.id} was too stale: it missed ${id}`);
+  });
+};
+
+const sessionsSeeTheirWrites: Check = (history) => {
+  const acked = ackedWrites(history);
+  return releasedReads(history).flatMap((record) => {
+    const seen = new Set(servedBy(record)?.snapshot.map((entry) => entry.requestId));
+    const own = [...acked].filter(([, write]) => write.session === record.session);
+    const missed = own.filter(([id, write]) => write.at < record.arrivedAt && !seen.has(id));
+    return missed.map(([id]) => `${record.request.id} did not see its session's ${id}`);
+  });
+};
+
+const sessionsNeverGoBack: Check = (history) => {
+  const acked = ackedWrites(history);
+  const seenBySession = new Map<number, Set<string>>();
+  return releasedReads(history).flatMap((record) => {
+    if (record.request.session.type === 'unknown') return [];
+    const snapshot = servedBy(record)?.snapshot ?? [];
+    const now = new Set(snapshot.map((entry) => entry.requestId));
+    const before = seenBySession.get(record.session) ?? new Set();
+    const missed = [...before].filter((id) => !now.has(id));
+    seenBySession.set(record.session, new Set([...now].filter((id) => acked.has(id))));
+    return missed.map((id) => `${record.request.id} went back before ${id}`);
+  });
+};
+
+function releasedReads(history: SimulatedHistory): RequestRecord[] {
+  return history.records.filter((record) => {
+    return record.request.access === 'read' && released(record) && record.executions.length > 0;
+  });
+}
+
+const retriesWithinBudget: Check = ({ records }) => {
+  const sent = records.reduce((sum, record) => sum + record.sentAt.length, 0);
+  const first = records.filter((record) => record.sentAt.length > 0).length;
+  const allowed = RETRY_CAPACITY + RETRY_RATIO * records.length;
+  return sent - first > allowed ? [`${sent - first} retries, ${allowed} allowed`] : [];
+};
+
+const limitsKept: Check = ({ breaches }) => breaches;
+
+const CHECKS: Record<string, Check> = {
+  oneFinalEach,
+  noneHangs,
+  notRunNeverExecuted,
+  atMostOnce,
+  noAckFromDeposedPrimary,
+  ackedWritesLast,
+  readsAreFreshEnough,
+  sessionsSeeTheirWrites,
+  sessionsNeverGoBack,
+  retriesWithinBudget,
+  limitsKept,
+};
+
+/** All violations found in a history, each with the name of its check. */
+export function violationsOf(history: SimulatedHistory): string[] {
+  return Object.entries(CHECKS).flatMap(([name, check]) => {
+    return check(history).map((violation) => `${name}: ${violation}`);
+  });
+}
--- /dev/null
+++ b/test/support/simulated-group.ts
@@ -0,0 +1,205 @@
+/**
+ * A simulated database group: instances with a log each, replication with lag, election by
+ * majority, and the faults that the tests switch on and off.
+ */
+import type { InstanceState } from '../../src/core/group/contract.js';
+import type { SimulatedClock } from './simulated-clock.js';
+
+/** One committed write. */
+export interface LogEntry {
+  readonly requestId: string;
+  readonly timeline: number;
+}
+
+/** One instance. All fields are the truth, not what anybody knows. */
+export interface SimulatedInstance {
+  readonly name: string;
+  timeline: number;
+  /** Latest timeline it has voted for: it takes no log of an earlier one any more. */
+  votedTimeline: number;
+  writable: boolean;
+  log: LogEntry[];
+  replayedLength: number;
+  lagMs: number;
+  up: boolean;
+  pausedUntil: number;
+  /** Cut off from the other instances. */
+  peersCut: boolean;
+  /** Cut off from the owner: nothing arrives, or only its answers are lost. */
+  ownerCut: 'none' | 'both-ways' | 'answers';
+  /** Rises with every crash: connections of an earlier life are broken. */
+  incarnation: number;
+}
+
+/** How a group behaves. */
+export interface SimulatedGroupOptions {
+  readonly electionTimeoutMs: number;
+  /** True if voters report the new timeline at once; else only when they follow it. */
+  readonly voteShowsTimeline: boolean;
+}
+
+const LSN_PER_ENTRY = 8n;
+const REPLICATION_STEP_MS = 2;
+const ELECTION_STEP_MS = 5;
+const FIRST_TIMELINE = 1;
+
+/** Three instances. */
+export class SimulatedGroup {
+  readonly instances: SimulatedInstance[];
+  private primaryMissingSince: number | undefined;
+
+  constructor(
+    private readonly clock: SimulatedClock,
+    private readonly options: SimulatedGroupOptions,
+  ) {
+    this.instances = ['a', 'b', 'c'].map((name) => newInstance(name));
+    this.scheduleReplication();
+    this.scheduleElection();
+  }
+
+  get(name: string): SimulatedInstance {
+    const found = this.instances.find((instance) => instance.name === name);
+    if (found === undefined) throw new RangeError(`no instance ${name}`);
+    return found;
+  }
+
+  /** The instance on the latest timeline that was promoted. */
+  latestPrimary(): SimulatedInstance | undefined {
+    return this.instances
+      .filter((instance) => instance.writable)
+      .sort((left, right) => right.timeline - left.timeline)[0];
+  }
+
+  /** True if another instance was promoted after this one. */
+  isDeposed(instance: SimulatedInstance): boolean {
+    return this.instances.some((other) => {
+      return other.writable && other.timeline > instance.timeline;
+    });
+  }
+
+  isPaused(instance: SimulatedInstance): boolean {
+    return this.clock.now < instance.pausedUntil;
+  }
+
+  stateOf(instance: SimulatedInstance): InstanceState {
+    const replayed = instance.writable ? instance.log.length : instance.replayedLength;
+    return {
+      writable: instance.writable,
+      replayed: positionOf(instance.timeline, replayed),
+      received: positionOf(instance.timeline, instance.log.length),
+    };
+  }
+
+  crash(instance: SimulatedInstance): void {
+    instance.up = false;
+    instance.incarnation += 1;
+  }
+
+  restart(instance: SimulatedInstance): void {
+    instance.up = true;
+    if (this.isDeposed(instance)) instance.writable = false;
+    // A restarted replica replays again from its last restart point.
+    if (!instance.writable) instance.replayedLength = Math.floor(instance.replayedLength / 2);
+  }
+
+  private talks(instance: SimulatedInstance): boolean {
+    return instance.up && !instance.peersCut && !this.isPaused(instance);
+  }
+
+  private scheduleReplication(): void {
+    this.clock.after(REPLICATION_STEP_MS * this.clock.between(0.5, 1.5), () => {
+      for (const instance of this.instances) this.replicate(instance);
+      this.scheduleReplication();
+    });
+  }
+
+  private replicate(replica: SimulatedInstance): void {
+    const primary = this.latestPrimary();
+    if (!this.talks(replica)) return;
+    if (primary !== undefined && primary !== replica && this.talks(primary)) {
+      if (primary.timeline >= replica.votedTimeline) follow(replica, primary);
+    }
+    if (replica.writable) return;
+    const behind = replica.log.length - replica.replayedLength;
+    const steps = Math.ceil((behind * REPLICATION_STEP_MS) / Math.max(1, replica.lagMs));
+    replica.replayedLength = Math.min(replica.log.length, replica.replayedLength + steps);
+  }
+
+  private scheduleElection(): void {
+    this.clock.after(ELECTION_STEP_MS, () => {
+      this.considerElection();
+      this.scheduleElection();
+    });
+  }
+
+  private considerElection(): void {
+    const primary = this.latestPrimary();
+    if (primary !== undefined && this.talks(primary)) {
+      this.primaryMissingSince = undefined;
+      return;
+    }
+    this.primaryMissingSince ??= this.clock.now;
+    const voters = this.instances.filter((instance) => this.talks(instance));
+    if (voters.length <= this.instances.length / 2) return;
+    if (this.clock.now - this.primaryMissingSince < this.options.electionTimeoutMs) return;
+    this.promote(voters);
+    this.primaryMissingSince = undefined;
+  }
+
+  private promote(voters: readonly SimulatedInstance[]): void {
+    const known = this.instances.map((one) => Math.max(one.timeline, one.votedTimeline));
+    const timeline = Math.max(...known) + 1;
+    const [winner] = [...voters].sort((left, right) => {
+      const byTimeline = lastTimeline(right) - lastTimeline(left);
+      return byTimeline !== 0 ? byTimeline : right.log.length - left.log.length;
+    });
+    if (winner === undefined) return;
+    for (const voter of voters) {
+      voter.votedTimeline = timeline;
+      voter.writable = false;
+      if (this.options.voteShowsTimeline && voter !== winner) voter.timeline = timeline;
+    }
+    winner.timeline = timeline;
+    winner.writable = true;
+    winner.replayedLength = winner.log.length;
+  }
+}
+
+/** The position after `length` entries. */
+export function positionOf(timeline: number, length: number): { timeline: number; lsn: bigint } {
+  return { timeline, lsn: BigInt(length) * LSN_PER_ENTRY };
+}
+
+function newInstance(name: string): SimulatedInstance {
+  return {
+    name,
+    timeline: FIRST_TIMELINE,
+    votedTimeline: FIRST_TIMELINE,
+    writable: name === 'a',
+    log: [],
+    replayedLength: 0,
+    lagMs: 2,
+    up: true,
+    pausedUntil: 0,
+    peersCut: false,
+    ownerCut: 'none',
+    incarnation: 0,
+  };
+}
+
+function lastTimeline(instance: SimulatedInstance): number {
+  return instance.log[instance.log.length - 1]?.timeline ?? 0;
+}
+
+/** Takes the primary's log; what it does not have is dropped, as pg_rewind does. */
+function follow(replica: SimulatedInstance, primary: SimulatedInstance): void {
+  let common = 0;
+  while (common < replica.log.length && replica.log[common] === primary.log[common]) common += 1;
+  const rewound = common < replica.log.length;
+  replica.writable = false;
+  replica.timeline = primary.timeline;
+  replica.votedTimeline = primary.timeline;
+  if (rewound) replica.incarnation += 1;
+  replica.log = [...primary.log];
+  replica.replayedLength = Math.min(replica.replayedLength, common);
+}
--- /dev/null
+++ b/test/support/simulated-owner.ts
@@ -0,0 +1,334 @@
+/**
+ * Carries out a group machine's effects against a simulated group, with delays and losses, and
+ * records what happened. Keeps its own count of what runs where, apart from the machine's.
+ */
+import type {
+  ConnectionId,
+  GroupEffect,
+  GroupEvent,
+  InstanceDescription,
+  RunResult,
+} from '../../src/core/group/contract.js';
+import { DatabaseGroup } from '../../src/core/group/database-group.js';
+import type { DatabaseGroupOptions } from '../../src/core/group/options.js';
+import type { GroupRequest } from '../../src/core/request.js';
+import type { SimulatedClock } from './simulated-clock.js';
+import type { LogEntry } from './simulated-group.js';
+import { positionOf, type SimulatedGroup, type SimulatedInstance } from './simulated-group.js';
+import type { RequestRecord, SimulatedHistory } from './simulated-history.js';
+
+interface OpenConnection {
+  readonly instance: SimulatedInstance;
+  readonly incarnation: number;
+  lastTenant: string | undefined;
+  running: string | undefined;
+}
+
+type RunEffect = Extract<GroupEffect, { type: 'run' }>;
+
+const LOSS_PROBABILITY = 0.01;
+const OPEN_TIMEOUT_MS = 400;
+const RETRANSMISSION_MS = 10;
+/** Requests beyond the slots that open transactions may add; see InstanceLoads.hasSlot. */
+const OVERCOMMIT_SHARE = 0.5;
+
+/** One owner with one group machine. */
+export class SimulatedOwner {
+  readonly history: SimulatedHistory = { records: [], breaches: [], finalLog: [] };
+  readonly machine: DatabaseGroup;
+  private readonly connections = new Map<ConnectionId, OpenConnection>();
+  private readonly records = new Map<string, RequestRecord>();
+  /** Lost while idle; the machine may not know yet. */
+  private readonly broken = new Set<ConnectionId>();
+  private descriptions = new Map<string, InstanceDescription>();
+  private tickAt = Number.POSITIVE_INFINITY;
+  /** Called when a request has ended. */
+  onFinal: ((record: RequestRecord) => void) | undefined;
+
+  constructor(
+    private readonly clock: SimulatedClock,
+    private readonly group: SimulatedGroup,
+    options: Omit<DatabaseGroupOptions, 'random'>,
+  ) {
+    this.machine = new DatabaseGroup({ ...options, random: clock.random });
+  }
+
+  setInstances(instances: readonly InstanceDescription[]): void {
+    this.descriptions = new Map(instances.map((one) => [one.name, one]));
+    this.send({ type: 'instances-changed', instances });
+  }
+
+  submit(request: GroupRequest, session: number): void {
+    const record: RequestRecord = {
+      request,
+      session,
+      arrivedAt: this.clock.now,
+      sentAt: [],
+      executions: [],
+      finals: [],
+      endedAt: undefined,
+    };
+    this.records.set(request.id, record);
+    this.history.records.push(record);
+    this.send({ type: 'request-arrived', request });
+  }
+
+  send(event: GroupEvent): void {
+    for (const effect of this.machine.handle(event, this.clock.now)) this.carryOut(effect);
+    this.scheduleTick();
+  }
+
+  /** Breaks all connections to an instance, as a crash does. */
+  breakConnections(instance: SimulatedInstance): void {
+    for (const [id, connection] of this.connections) {
+      if (connection.instance !== instance || connection.running !== undefined) continue;
+      this.connections.delete(id);
+      this.broken.add(id);
+      this.clock.after(1, () => this.send({ type: 'connection-closed', connectionId: id }));
+    }
+  }
+
+  private scheduleTick(): void {
+    const due = this.machine.nextDeadline();
+    if (due === undefined || due >= this.tickAt) return;
+    this.tickAt = due;
+    this.clock.after(due - this.clock.now, () => {
+      if (this.tickAt > this.clock.now) return;
+      this.tickAt = Number.POSITIVE_INFINITY;
+      this.send({ type: 'tick' });
+    });
+  }
+
+  private carryOut(effect: GroupEffect): void {
+    if (effect.type === 'open-connection') this.open(effect.connectionId, effect.instance);
+    else if (effect.type === 'close-connection') this.close(effect.connectionId);
+    else if (effect.type === 'reset-connection') this.reset(effect.connectionId);
+    else if (effect.type === 'run') this.run(effect);
+    else if (effect.type === 'probe') this.probe(effect.probeId, effect.instance);
+    else if (effect.type === 'release') this.final(effect.requestId, undefined, effect.position);
+    else if (effect.type === 'fail') this.final(effect.requestId, effect.error, undefined);
+  }
+
+  private open(id: ConnectionId, name: string): void {
+    const instance = this.group.get(name);
+    const connection: OpenConnection = {
+      instance,
+      incarnation: instance.incarnation,
+      lastTenant: undefined,
+      running: undefined,
+    };
+    this.connections.set(id, connection);
+    this.checkBudget(name);
+    const answer = (ok: boolean): void => {
+      if (this.connections.get(id) !== connection) return;
+      if (!ok) this.connections.delete(id);
+      if (ok) this.send({ type: 'connection-opened', connectionId: id });
+      else this.send({ type: 'connection-open-failed', connectionId: id, refusedByLimit: false });
+    };
+    if (!instance.up) this.clock.after(1, () => answer(false));
+    else if (this.isSilent(instance)) this.clock.after(OPEN_TIMEOUT_MS, () => answer(false));
+    else this.clock.after(this.clock.between(5, 30), () => answer(this.isWhole(connection)));
+  }
+
+  private close(id: ConnectionId): void {
+    const connection = this.connections.get(id);
+    this.connections.delete(id);
+    if (connection?.running === undefined) return;
+    const requestId = connection.running;
+    this.clock.after(0.1, () => this.lost(requestId, true, true));
+  }
+
+  private reset(id: ConnectionId): void {
+    const connection = this.connections.get(id);
+    if (connection === undefined) return;
+    connection.lastTenant = undefined;
+    this.clock.after(this.clock.between(0.5, 3), () => {
+      if (this.connections.get(id) !== connection) return;
+      const whole = this.isWhole(connection) && !this.isSilent(connection.instance);
+      if (whole) this.send({ type: 'connection-reset', connectionId: id });
+      else {
+        this.connections.delete(id);
+        this.send({ type: 'connection-closed', connectionId: id });
+      }
+    });
+  }
+
+  private run(effect: RunEffect): void {
+    const record = this.records.get(effect.requestId);
+    const connection = this.connections.get(effect.connectionId);
+    if (record !== undefined && this.broken.has(effect.connectionId)) {
+      record.sentAt.push(this.clock.now);
+      this.clock.after(0.1, () => this.lost(effect.requestId, false, false));
+      return;
+    }
+    if (record === undefined || connection === undefined) {
+      this.breach(`run of ${effect.requestId} on a connection that is not open`);
+      return;
+    }
+    const { request } = record;
+    record.sentAt.push(this.clock.now);
+    if (connection.running !== undefined) this.breach('two requests on one connection');
+    if (connection.lastTenant !== undefined && connection.lastTenant !== request.tenant) {
+      this.breach('a connection passed to another tenant without a reset');
+    }
+    connection.lastTenant = request.tenant;
+    connection.running = request.id;
+    this.checkSlots(effect.instance);
+    const description = this.descriptions.get(effect.instance);
+    if (description?.leaving && !effect.onPrimary) this.breach('new work on a leaving replica');
+    this.travel(effect, record, connection);
+  }
+
+  private travel(effect: RunEffect, record: RequestRecord, connection: OpenConnection): void {
+    const { clock } = this;
+    const attempt = record.sentAt.length;
+    const fate = clock.random();
+    const finish = (result: RunResult): void => {
+      if (this.connections.get(effect.connectionId) !== connection) return;
+      connection.running = undefined;
+      if (result.type === 'connection-lost') this.connections.delete(effect.connectionId);
+      record.endedAt = clock.now;
+      this.send({ type: 'run-finished', requestId: effect.requestId, result });
+    };
+    const lose = (bytesWritten: boolean): void => finish(lostResult(bytesWritten));
+    if (fate < LOSS_PROBABILITY) {
+      clock.after(0.2, () => lose(false));
+      return;
+    }
+    const arrival = clock.between(0.3, 2);
+    this.deliver(arrival, connection.instance, 'both-ways', () => {
+      if (!this.isWhole(connection)) return lose(true);
+      const wait = Math.max(0, connection.instance.pausedUntil - clock.now);
+      const service = record.request.hold === 'statement' ? [0.5, 5] : [5, 60];
+      clock.after(wait + clock.between(service[0] ?? 0, service[1] ?? 0), () => {
+        if (!this.isWhole(connection)) return lose(true);
+        const result = this.execute(record, attempt, connection.instance);
+        if (fate < 2 * LOSS_PROBABILITY) return lose(true);
+        this.deliver(clock.between(0.3, 2), connection.instance, 'answers', () => {
+          if (this.isWhole(connection)) finish(result);
+          else lose(true);
+        });
+      });
+    });
+  }
+
+  /** Carries a message; what is cut off arrives when the cut is over, as TCP sends it again. */
+  private deliver(
+    delayMs: number,
+    instance: SimulatedInstance,
+    direction: 'both-ways' | 'answers',
+    action: () => void,
+  ): void {
+    this.clock.after(delayMs, () => {
+      const cut = direction === 'answers' ? instance.ownerCut !== 'none' : this.isCutOff(instance);
+      if (cut && instance.up) this.deliver(RETRANSMISSION_MS, instance, direction, action);
+      else action();
+    });
+  }
+
+  private isCutOff(instance: SimulatedInstance): boolean {
+    return instance.ownerCut === 'both-ways';
+  }
+
+  private execute(record: RequestRecord, attempt: number, instance: SimulatedInstance): RunResult {
+    const { request } = record;
+    const visible = instance.writable ? instance.log.length : instance.replayedLength;
+    const snapshot = instance.log.slice(0, visible);
+    let written: LogEntry | undefined;
+    if (request.access === 'write' && instance.writable) {
+      written = { requestId: request.id, timeline: instance.timeline };
+      instance.log.push(written);
+    }
+    const refused = request.access === 'write' && written === undefined;
+    const onDeposed = this.group.isDeposed(instance);
+    const at = this.clock.now;
+    if (!refused)
+      record.executions.push({
+        attempt,
+        instance: instance.name,
+        at,
+        onDeposed,
+        written,
+        snapshot,
+      });
+    const length = instance.writable ? instance.log.length : visible;
+    const position = positionOf(instance.timeline, length);
+    if (refused) return { type: 'database-error', position };
+    return { type: 'completed', position, answerRelayed: this.clock.chance(0.5) };
+  }
+
+  private probe(probeId: string, name: string): void {
+    const instance = this.group.get(name);
+    this.deliver(this.clock.between(0.3, 3), instance, 'both-ways', () => {
+      if (!instance.up) return this.send({ type: 'probe-failed', probeId });
+      const wait = Math.max(0, instance.pausedUntil - this.clock.now);
+      this.clock.after(wait, () => {
+        const state = this.group.stateOf(instance);
+        const back = this.clock.between(0.3, 3);
+        this.deliver(back, instance, 'answers', () => {
+          this.send({ type: 'probe-answered', probeId, state });
+        });
+      });
+    });
+  }
+
+  private lost(requestId: string, bytesWritten: boolean, mayHaveCommitted: boolean): void {
+    const result: RunResult = { ...lostResult(bytesWritten), mayHaveCommitted };
+    const record = this.records.get(requestId);
+    if (record !== undefined) record.endedAt = this.clock.now;
+    this.send({ type: 'run-finished', requestId, result });
+  }
+
+  private final(
+    requestId: string,
+    error: RequestRecord['finals'][number]['error'],
+    position: RequestRecord['finals'][number]['position'],
+  ): void {
+    const record = this.records.get(requestId);
+    if (record === undefined) return;
+    record.finals.push({ at: this.clock.now, error, position });
+    if (record.finals.length === 1) this.clock.after(0, () => this.onFinal?.(record));
+  }
+
+  private isWhole(connection: OpenConnection): boolean {
+    const { instance, incarnation } = connection;
+    return instance.up && instance.incarnation === incarnation;
+  }
+
+  private isSilent(instance: SimulatedInstance): boolean {
+    return instance.ownerCut !== 'none' || this.group.isPaused(instance);
+  }
+
+  private checkBudget(name: string): void {
+    const open = [...this.connections.values()].filter((one) => one.instance.name === name);
+    const budget = this.descriptions.get(name)?.connectionBudget ?? 0;
+    if (open.length > budget) this.breach(`${open.length} connections to ${name}`);
+  }
+
+  private checkSlots(name: string): void {
+    let running = 0;
+    let transactions = 0;
+    for (const connection of this.connections.values()) {
+      if (connection.instance.name !== name || connection.running === undefined) continue;
+      running += 1;
+      const hold = this.records.get(connection.running)?.request.hold;
+      if (hold === 'transaction') transactions += 1;
+    }
+    const slots = this.descriptions.get(name)?.slots ?? 0;
+    const limit = slots + Math.min(transactions, Math.ceil(slots * OVERCOMMIT_SHARE));
+    if (running > limit) this.breach(`${running} requests at once on ${name}`);
+  }
+
+  private breach(message: string): void {
+    this.history.breaches.push(message);
+  }
+}
+
+function lostResult(bytesWritten: boolean): Extract<RunResult, { type: 'connection-lost' }> {
+  return {
+    type: 'connection-lost',
+    bytesWritten,
+    answerRelayed: false,
+    mayHaveCommitted: bytesWritten,
+  };
+}
--- /dev/null
+++ b/test/support/simulated-run.ts
@@ -0,0 +1,211 @@
+/** One simulated run: sessions, faults and the machine, from a seed to a history. */
+import type { ConfirmationMode } from '../../src/core/group/contract.js';
+import type { Mechanism } from '../../src/core/group/options.js';
+import { ZERO_POSITION } from '../../src/core/position.js';
+import type { GroupRequest, SessionRequirement } from '../../src/core/request.js';
+import { instance } from './group-fixtures.js';
+import { SimulatedClock } from './simulated-clock.js';
+import { SimulatedGroup } from './simulated-group.js';
+import type { RequestRecord, SimulatedHistory } from './simulated-history.js';
+import { SimulatedOwner } from './simulated-owner.js';
+
+export type FaultName =
+  | 'crash'
+  | 'isolate'
+  | 'cut-from-owner'
+  | 'lose-answers'
+  | 'cut-from-peers'
+  | 'pause'
+  | 'lag'
+  | 'leave';
+
+export const FAULT_NAMES: readonly FaultName[] = [
+  'crash',
+  'isolate',
+  'cut-from-owner',
+  'lose-answers',
+  'cut-from-peers',
+  'pause',
+  'lag',
+  'leave',
+];
+
+/** One fault: to whom, when and for how long, in ms. */
+export interface Fault {
+  readonly name: FaultName;
+  /** Index of the instance; `primary` is whoever leads by then. */
+  readonly target: 0 | 1 | 2 | 'primary';
+  readonly at: number;
+  readonly lasts: number;
+}
+
+/** What a run is made of. */
+export interface RunPlan {
+  readonly seed: number;
+  readonly faults: readonly Fault[];
+  readonly mode: ConfirmationMode;
+  readonly voteShowsTimeline: boolean;
+  readonly without?: ReadonlySet<Mechanism>;
+}
+
+const LOAD_MS = 1500;
+const QUIET_END_MS = 5000;
+const SESSIONS = 12;
+const TENANTS = ['bureau', 'trust', 'trust-kiosk'];
+const STALENESS_BOUNDS_MS = [0, 60, 300];
+
+interface Session {
+  readonly index: number;
+  readonly tenant: string;
+  requirement: SessionRequirement;
+  count: number;
+}
+
+/** Runs a plan to its end. */
+export function simulate(plan: RunPlan): {
+  history: SimulatedHistory;
+  owner: SimulatedOwner;
+} {
+  const clock = new SimulatedClock(plan.seed);
+  const group = new SimulatedGroup(clock, {
+    electionTimeoutMs: clock.between(60, 200),
+    voteShowsTimeline: plan.voteShowsTimeline,
+  });
+  const owner = new SimulatedOwner(clock, group, {
+    group: 'orders',
+    ownZone: 'a',
+    confirmationMode: plan.mode,
+    ...(plan.without === undefined ? {} : { without: plan.without }),
+  });
+  const leaving = new Set<string>();
+  const describe = (): void => {
+    const names = ['a', 'b', 'c'];
+    const options = { slots: 2, connectionBudget: 5 };
+    owner.setInstances(
+      names.map((name) => instance(name, { ...options, leaving: leaving.has(name) })),
+    );
+  };
+  describe();
+  for (const fault of plan.faults) {
+    clock.after(fault.at, () => applyFault(fault, { clock, group, owner, leaving, describe }));
+  }
+  startSessions(clock, owner);
+  clock.runUntil(LOAD_MS + QUIET_END_MS);
+  owner.history.finalLog = group.latestPrimary()?.log ?? [];
+  return { history: owner.history, owner };
+}
+
+interface FaultScope {
+  readonly clock: SimulatedClock;
+  readonly group: SimulatedGroup;
+  readonly owner: SimulatedOwner;
+  readonly leaving: Set<string>;
+  readonly describe: () => void;
+}
+
+function applyFault(fault: Fault, scope: FaultScope): void {
+  const { clock, group, owner, leaving, describe } = scope;
+  const chosen = typeof fault.target === 'number' ? group.instances[fault.target] : undefined;
+  const target = chosen ?? group.latestPrimary();
+  if (target === undefined) return;
+  const undo = (action: () => void): void => clock.after(fault.lasts, action);
+  switch (fault.name) {
+    case 'crash':
+      group.crash(target);
+      owner.breakConnections(target);
+      undo(() => group.restart(target));
+      break;
+    case 'isolate':
+      target.ownerCut = 'both-ways';
+      target.peersCut = true;
+      undo(() => {
+        target.ownerCut = 'none';
+        target.peersCut = false;
+      });
+      break;
+    case 'cut-from-owner':
+      target.ownerCut = 'both-ways';
+      undo(() => {
+        target.ownerCut = 'none';
+      });
+      break;
+    case 'lose-answers':
+      target.ownerCut = 'answers';
+      undo(() => {
+        target.ownerCut = 'none';
+      });
+      break;
+    case 'cut-from-peers':
+      target.peersCut = true;
+      undo(() => {
+        target.peersCut = false;
+      });
+      break;
+    case 'pause':
+      target.pausedUntil = clock.now + fault.lasts;
+      break;
+    case 'lag':
+      target.lagMs = 400;
+      undo(() => {
+        target.lagMs = 2;
+      });
+      break;
+    case 'leave':
+      leaving.add(target.name);
+      describe();
+      undo(() => {
+        leaving.delete(target.name);
+        describe();
+      });
+      break;
+  }
+}
+
+function startSessions(clock: SimulatedClock, owner: SimulatedOwner): void {
+  const sessions = new Map<number, Session>();
+  const next = (session: Session): void => {
+    if (clock.now >= LOAD_MS) return;
+    session.count += 1;
+    owner.submit(makeRequest(clock, session), session.index);
+  };
+  owner.onFinal = (record: RequestRecord): void => {
+    const session = sessions.get(record.session);
+    const [final] = record.finals;
+    if (session === undefined || final === undefined) return;
+    if (final.position !== undefined && session.requirement.type === 'known') {
+      session.requirement = { type: 'known', position: final.position };
+    }
+    clock.after(clock.between(0, 8), () => next(session));
+  };
+  for (let index = 0; index < SESSIONS; index += 1) {
+    const session: Session = {
+      index,
+      tenant: TENANTS[index % TENANTS.length] ?? 'bureau',
+      requirement: index === 0 ? { type: 'unknown' } : { type: 'known', position: ZERO_POSITION },
+      count: 0,
+    };
+    sessions.set(index, session);
+    clock.after(clock.between(5, 40), () => next(session));
+  }
+}
+
+function makeRequest(clock: SimulatedClock, session: Session): GroupRequest {
+  const access = clock.chance(0.5) ? 'read' : 'write';
+  const bound = STALENESS_BOUNDS_MS[Math.floor(clock.random() * STALENESS_BOUNDS_MS.length)] ?? 0;
+  const unlock = clock.chance(0.3);
+  return {
+    id: `s${session.index}-${session.count}`,
+    tenant: session.tenant,
+    databaseRole: session.tenant.startsWith('trust') ? 'trust' : 'bureau',
+    database: 'main',
+    access,
+    kind: unlock ? 'unlock' : 'default',
+    weight: unlock ? 2 : 1,
+    stalenessBoundMs: access === 'read' ? bound : 0,
+    repeatable: access === 'read',
+    session: session.requirement,
+    deadline: clock.now + clock.between(100, 900),
+    hold: access === 'write' && clock.chance(0.15) ? 'transaction' : 'statement',
+    zone: 'a',
+  };
+}
