Fault proxy: tests, precise timing as an option; held requests die with their connection

Cause: the fault proxy had no tests; node's timers made 1 ms one way a round trip of 2.8 ms; a hang that turned into a refusal ran the requests it had held; more than ten open calls of a store client made node warn of a listener leak. Conclusion: precise for benches whose latencies matter, coarse elsewhere.

--- a/bench/harness/platform.ts
+++ b/bench/harness/platform.ts
@@ -208,9 +208,18 @@
   routes(): Promise<readonly RouteState[]>;
 }
 
+export interface FaultProxyFlags {
+  /** `precise`: latencies true to a fraction of a millisecond, for up to a core. */
+  readonly timing?: 'coarse' | 'precise';
+}
+
 /** Starts a fault proxy with no routes. */
-export async function startFaultProxy(): Promise<RunningFaultProxy> {
-  const child = await startChild('standins/fault-proxy/main.js', [], proxyAnnouncement);
+export async function startFaultProxy(flags: FaultProxyFlags = {}): Promise<RunningFaultProxy> {
+  const child = await startChild(
+    'standins/fault-proxy/main.js',
+    flagList({ timing: flags.timing }),
+    proxyAnnouncement,
+  );
   const control = controlOf(child);
   const pathOf = (name: string): string => `/routes/${encodeURIComponent(name)}`;
   const setFaults = (name: string, settings: RouteFaultSettings): Promise<RouteState> => {
@@ -251,7 +260,7 @@
 }
 
 /** Flags as arguments; those that are undefined are left out. */
-function flagList(flags: Readonly<Record<string, number | undefined>>): string[] {
+function flagList(flags: Readonly<Record<string, number | string | undefined>>): string[] {
   return Object.entries(flags).flatMap(([name, value]) => {
     return value === undefined ? [] : [`--${name}`, String(value)];
   });
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -2,6 +2,7 @@
  * Client of the platform's key-value store, over etcd v3's JSON gateway. Each call is one request:
  * nothing is retried here, since only the caller knows whether a retry is safe.
  */
+import { setMaxListeners } from 'node:events';
 import { Agent } from 'node:http';
 import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
 import { z } from 'zod';
@@ -102,6 +103,8 @@
 
   constructor(private readonly options: StoreClientOptions) {
     this.#agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections });
+    // Each call that is open listens to the one signal; any number of calls may be.
+    setMaxListeners(0, this.#closing.signal);
   }
 
   range(prefix: string): ResultAsync<RangeAnswer, StoreFailure> {
--- a/standins/common/service-faults.ts
+++ b/standins/common/service-faults.ts
@@ -87,7 +87,8 @@
       return;
     }
     this.#held.push(() => {
-      if (!response.destroyed) this.admit(request, response, proceed);
+      const callerGone = response.destroyed || request.socket.destroyed;
+      if (!callerGone) this.admit(request, response, proceed);
     });
   }
 
--- a/standins/fault-proxy/byte-stream.ts
+++ b/standins/fault-proxy/byte-stream.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import type { RandomSource } from '../common/random.js';
+import type { DelayTimer } from './scheduler.js';
 import type { DirectionFaults } from './settings.js';
 
 /** Bytes kept in the proxy before it stops reading: what a network and two buffers would hold. */
@@ -13,9 +14,6 @@
 /** A throttled chunk is sent in pieces that last about this long. */
 const THROTTLE_PIECE_MS = 10;
 
-/** A timer fires up to a millisecond late; sending half of that early makes the error even. */
-const TIMER_TOLERANCE_MS = 0.5;
-
 interface DataItem {
   readonly type: 'data';
   readonly bytes: Buffer;
@@ -40,7 +38,6 @@
   #lastDueAtMs = 0;
   /** Point before which a throttled stream sends nothing more. */
   #sendableAtMs = 0;
-  #timer: NodeJS.Timeout | undefined;
   #destinationFull = false;
   #sourceOver = false;
   #closed = false;
@@ -51,6 +48,7 @@
     private readonly faults: () => DirectionFaults,
     private readonly random: () => RandomSource,
     private readonly counter: ByteCounter,
+    private readonly timer: DelayTimer,
   ) {
     source.on('data', (bytes: Buffer) => this.#accept(bytes));
     source.on('end', () => this.#finish('end'));
@@ -73,7 +71,7 @@
   /** Ends the stream and reads no more, as if the network behind had forgotten it. */
   abandon(): void {
     this.#closed = true;
-    clearTimeout(this.#timer);
+    this.timer.cancel();
     this.#items = [];
     this.#heldBytes = 0;
     this.source.pause();
@@ -117,15 +115,14 @@
 
   /** Sends what may be sent now. Called when bytes come, time passes or the faults change. */
   flush(): void {
-    clearTimeout(this.#timer);
-    this.#timer = undefined;
+    this.timer.cancel();
     while (!this.#closed && !this.#destinationFull) {
       const first = this.#items[0];
       const faults = this.faults();
       if (first === undefined || faults.cut) break;
       const waitMs = this.#waitFor(first, faults) - performance.now();
-      if (waitMs > TIMER_TOLERANCE_MS) {
-        this.#timer = setTimeout(() => this.flush(), waitMs);
+      if (!this.timer.isDue(waitMs)) {
+        this.timer.schedule(waitMs, () => this.flush());
         break;
       }
       this.#sendFirst(first, faults);
--- a/standins/fault-proxy/connection.ts
+++ b/standins/fault-proxy/connection.ts
@@ -2,6 +2,7 @@
 import { Socket } from 'node:net';
 import type { RandomSource } from '../common/random.js';
 import { type ByteCounter, ByteStream } from './byte-stream.js';
+import type { DelayTimerFactory } from './scheduler.js';
 import type { Direction, DirectionFaults } from './settings.js';
 
 export type Side = 'client' | 'target';
@@ -12,6 +13,7 @@
   readonly targetPort: number;
   faults(direction: Direction): DirectionFaults;
   random(): RandomSource;
+  readonly newTimer: DelayTimerFactory;
   readonly counters: Readonly<Record<Direction, ByteCounter>>;
   onDialFailed(): void;
   onClosed(connection: ProxiedConnection): void;
@@ -32,7 +34,8 @@
     const random = (): RandomSource => context.random();
     const stream = (source: Socket, destination: Socket, direction: Direction): ByteStream => {
       const faults = (): DirectionFaults => context.faults(direction);
-      return new ByteStream(source, destination, faults, random, context.counters[direction]);
+      const counter = context.counters[direction];
+      return new ByteStream(source, destination, faults, random, counter, context.newTimer());
     };
     this.#up = stream(client, this.#target, 'up');
     this.#down = stream(this.#target, client, 'down');
--- a/standins/fault-proxy/main.ts
+++ b/standins/fault-proxy/main.ts
@@ -5,6 +5,7 @@
 import { COMMON_FLAGS, hostFlag, portFlag, readFlags } from '../common/flags.js';
 import { announce, exitWithParent, listen } from '../common/process.js';
 import { Route, type RouteState } from './route.js';
+import { delayTimers } from './scheduler.js';
 import {
   type RouteDefinition,
   routeDefinition,
@@ -24,6 +25,10 @@
         text: 'name=listenHost:port->targetHost:port; listen port 0 chooses a free one',
         multiple: true,
       },
+      timing: {
+        placeholder: 'KIND',
+        text: 'coarse, or precise: below a millisecond, for up to a core (coarse)',
+      },
     },
     examples: [
       "node dist/standins/fault-proxy/main.js --route 'a=127.0.0.1:0->127.0.0.1:5432'",
@@ -34,15 +39,17 @@
     host: hostFlag,
     'control-port': portFlag,
     route: z.array(routeFlag).default([]),
+    timing: z.enum(['coarse', 'precise']).default('coarse'),
   }),
 );
 
 exitWithParent();
+const newTimer = delayTimers(flags.timing === 'precise');
 const routes = new Map<string, Route>();
 
 async function addRoute(definition: RouteDefinition): Promise<RouteState> {
   if (routes.has(definition.name)) throw new ControlRequestError(409, 'route exists');
-  const route = new Route(definition);
+  const route = new Route(definition, newTimer);
   routes.set(definition.name, route);
   try {
     await route.open();
--- a/standins/fault-proxy/route.ts
+++ b/standins/fault-proxy/route.ts
@@ -3,6 +3,7 @@
 import { listen, listenAgain } from '../common/process.js';
 import { type RandomSource, seededRandom } from '../common/random.js';
 import { type ConnectionContext, ProxiedConnection, type Side } from './connection.js';
+import type { DelayTimerFactory } from './scheduler.js';
 import {
   type Direction,
   type DirectionFaults,
@@ -47,12 +48,16 @@
   #accepted = 0;
   #dialsFailed = 0;
 
-  constructor(private readonly definition: RouteDefinition) {
+  constructor(
+    private readonly definition: RouteDefinition,
+    newTimer: DelayTimerFactory,
+  ) {
     const context: ConnectionContext = {
       targetHost: definition.targetHost,
       targetPort: definition.targetPort,
       faults: (direction) => this.#faults[direction],
       random: () => this.#random,
+      newTimer,
       counters: this.#counters,
       onDialFailed: () => {
         this.#dialsFailed += 1;
--- a/test/integration/store-client.test.ts
+++ b/test/integration/store-client.test.ts
@@ -256,6 +256,32 @@
   assert.instance(late._unsafeUnwrapErr(), StoreRequestRejectedError);
 });
 
+test('a hang that turns into a refusal drops the requests that it held', async (context) => {
+  const { store, patient } = context;
+  await store.setFaults({ outage: 'hang' });
+  const pending = patient.transaction([], [put('k')]);
+  await until('the request is held', async () => (await store.counters()).length === 1);
+  await store.setFaults({ outage: 'refuse' });
+  assert.instance((await pending)._unsafeUnwrapErr(), StoreAnswerLostError);
+  await store.heal();
+  assert.equal(await keysIn(patient, ''), []);
+});
+
+test('a closed client fails the calls that are open and makes no others', async (context) => {
+  const { store, patient } = context;
+  await store.setFaults({ outage: 'hang' });
+  const warnings: string[] = [];
+  process.on('warning', (warning) => warnings.push(warning.message));
+  const pending = Array.from({ length: 30 }, () => patient.range('k'));
+  await until('four held', async () => (await store.counters())[0]?.requests === 4);
+  patient.close();
+  for (const answer of await Promise.all(pending)) {
+    assert.instance(answer._unsafeUnwrapErr(), StoreUnavailableError);
+  }
+  assert.instance((await patient.range('k'))._unsafeUnwrapErr(), StoreUnavailableError);
+  assert.equal(warnings, []);
+});
+
 test('a revoked lease takes its keys along', async ({ patient }) => {
   const leaseId = (await patient.grantLease(60))._unsafeUnwrap();
   await patient.transaction([], [{ type: 'put', key: 'held', value: '', leaseId }]);
