--- /dev/null
+++ b/src/node/gateway/session-directory.ts
@@ -0,0 +1,17 @@
+/** Where positions of sessions are kept that move between nodes with nothing but their id. */
+
+import type { Position } from '../../core/position.js';
+import type { GroupName, TenantName } from '../../core/request.js';
+import type { SessionState } from '../../core/session/index.js';
+
+export interface GroupPositionEntry {
+  readonly group: GroupName;
+  readonly position: Position;
+}
+
+export interface SessionDirectory {
+  /** What the home nodes know; groups they can't vouch for are unknown. Never fails. */
+  lookUp(tenant: TenantName, sessionId: string): Promise<SessionState>;
+  /** True once enough home nodes keep the position, false if they can't be reached. */
+  record(tenant: TenantName, sessionId: string, entry: GroupPositionEntry): Promise<boolean>;
+}
