--- /dev/null
+++ b/test/property/membership.test.ts
@@ -0,0 +1,251 @@
+/** Membership over a simulated network: convergence, failure detection, refutation, leaving. */
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  hashState,
+  type Liveness,
+  type MemberUpdate,
+  mergeUpdates,
+} from '../../src/core/membership/member.js';
+import { MembershipNetwork } from '../support/membership-network.js';
+
+const SEED = 20261202;
+const SECOND_MS = 1000;
+const MINUTE_MS = 60 * SECOND_MS;
+
+function startedFleet(seed: number, nodes: number, zones = 3): MembershipNetwork {
+  const network = new MembershipNetwork(seed);
+  network.startFleet(nodes, zones);
+  assert.ok(
+    network.run(MINUTE_MS, () => network.isConverged()),
+    'the fleet converges',
+  );
+  return network;
+}
+
+/** Time within which a death must be known everywhere: two rounds, suspicion, spreading. */
+function deathBoundMs(network: MembershipNetwork): number {
+  const members = network.nodes.size;
+  const { probePeriodMs, suspicionMultiplier, remoteShare } = network.options;
+  const roundPeriods = (2 * members) / Math.min(remoteShare, 1 - remoteShare);
+  const suspicionPeriods = suspicionMultiplier * Math.max(1, Math.log10(members));
+  return (roundPeriods + suspicionPeriods + 10) * probePeriodMs;
+}
+
+const updateArbitrary: fc.Arbitrary<MemberUpdate> = fc.record(
+  {
+    nodeId: fc.constant('n'),
+    incarnation: fc.integer({ min: 1, max: 2 }),
+    version: fc.integer({ min: 0, max: 2 }),
+    liveness: fc.constantFrom<Liveness>('alive', 'suspect', 'dead'),
+    leaving: fc.boolean(),
+    zone: fc.constant('z'),
+    host: fc.constant('h'),
+    peerPort: fc.constant(1),
+    configurationRevision: fc.integer({ min: 0, max: 2 }),
+  },
+  { noNullPrototype: true },
+);
+
+test('merging updates is commutative, associative and idempotent', () => {
+  fc.assert(
+    fc.property(updateArbitrary, updateArbitrary, updateArbitrary, (a, b, c) => {
+      assert.equal(mergeUpdates(a, b), mergeUpdates(b, a));
+      assert.equal(mergeUpdates(mergeUpdates(a, b), c), mergeUpdates(a, mergeUpdates(b, c)));
+      assert.is(mergeUpdates(a, a), a);
+      assert.is(hashState(mergeUpdates(a, b)), hashState(mergeUpdates(b, a)));
+    }),
+    { seed: SEED, numRuns: 1000 },
+  );
+});
+
+test('leaving beats alive within one life, whatever the version', () => {
+  fc.assert(
+    fc.property(updateArbitrary, updateArbitrary, (told, known) => {
+      const merged = mergeUpdates({ ...known, leaving: true }, told);
+      assert.ok(merged.leaving || merged.incarnation > known.incarnation);
+    }),
+    { seed: SEED },
+  );
+});
+
+test('a fleet that starts at once converges, also with a fifth of the datagrams lost', () => {
+  const network = new MembershipNetwork(SEED);
+  network.lossShare = 0.2;
+  network.startFleet(24, 4);
+  network.run(MINUTE_MS);
+  network.lossShare = 0;
+  assert.ok(network.run(MINUTE_MS, () => network.isConverged()));
+});
+
+test('a dead node is found by all within the bound, in every zone', () => {
+  for (let seed = 0; seed < 5; seed += 1) {
+    const network = startedFleet(SEED + seed, 12, 4);
+    const victim = network.node(`n${seed}`);
+    victim.crashed = true;
+    const isFound = (): boolean => {
+      const statuses = network.statusesOf(victim.nodeId);
+      return statuses.size === 1 && statuses.has('dead');
+    };
+    assert.ok(network.run(deathBoundMs(network), isFound), `seed ${seed}`);
+    const [witness] = network.running();
+    assert.ok(witness?.changes.includes(`failed ${victim.nodeId}`));
+  }
+});
+
+test('loss alone leads to no permanent death', () => {
+  const network = startedFleet(SEED, 10);
+  network.lossShare = 0.35;
+  network.run(3 * MINUTE_MS);
+  network.lossShare = 0;
+  assert.ok(network.run(2 * MINUTE_MS, () => network.isConverged()));
+});
+
+test('both sides of a partition find each other again, without the list', () => {
+  const network = startedFleet(SEED, 12);
+  const isLeft = (nodeId: string): boolean => Number(nodeId.slice(1)) < 5;
+  network.isCut = (from, to) => isLeft(from.nodeId) !== isLeft(to.nodeId);
+  for (const node of network.running()) network.dispatch(node, { type: 'list-changed', nodes: [] });
+  network.run(2 * MINUTE_MS);
+  assert.equal(network.node('n0').machine.member('n11')?.status, 'dead');
+  assert.equal(network.node('n11').machine.member('n0')?.status, 'dead');
+  network.isCut = () => false;
+  assert.ok(network.run(3 * MINUTE_MS, () => network.isConverged()));
+});
+
+test('a node paused beyond the suspicion comes back and holds nobody for dead', () => {
+  const network = startedFleet(SEED, 8);
+  const paused = network.node('n3');
+  paused.paused = true;
+  network.run(MINUTE_MS);
+  assert.equal([...network.statusesOf('n3')], ['dead']);
+  const before = paused.changes.length;
+  network.resume(paused);
+  assert.ok(network.run(MINUTE_MS, () => network.isConverged()));
+  const after = paused.changes.slice(before);
+  assert.not.ok(
+    after.some((change) => change.startsWith('failed')),
+    after.join(),
+  );
+});
+
+test('a new life under the same address replaces the old one, also with an earlier clock', () => {
+  for (const incarnationShift of [1, -MINUTE_MS]) {
+    const network = startedFleet(SEED, 8);
+    network.node('n2').crashed = true;
+    network.run(SECOND_MS);
+    const restarted = network.restart('n2', network.now + incarnationShift);
+    const isBack = (): boolean => network.isConverged();
+    assert.ok(network.run(2 * MINUTE_MS, isBack), `shift ${incarnationShift}`);
+    assert.is(restarted.machine.members().length, 7);
+  }
+});
+
+test('a leaving node is leaving everywhere, and its stop is seen as left', () => {
+  const network = startedFleet(SEED, 9);
+  const leaver = network.node('n4');
+  network.dispatch(leaver, { type: 'leave' });
+  const isLeaving = (): boolean => [...network.statusesOf('n4')].join() === 'leaving';
+  assert.ok(network.run(5 * SECOND_MS, isLeaving));
+  network.run(MINUTE_MS);
+  assert.ok(isLeaving(), 'it stays so while it lives');
+  network.dispatch(leaver, { type: 'stop' });
+  leaver.crashed = true;
+  assert.ok(network.run(10 * SECOND_MS, () => [...network.statusesOf('n4')].join() === 'dead'));
+  assert.ok(network.node('n0').changes.includes('left n4'));
+  assert.not.ok(network.node('n0').changes.includes('failed n4'));
+});
+
+test('a list that calls the dead live brings nobody back; its leaving mark is obeyed', () => {
+  const network = startedFleet(SEED, 8);
+  network.node('n1').crashed = true;
+  network.run(deathBoundMs(network));
+  const marked = network.list.map((node) => ({ ...node, leaving: node.nodeId === 'n5' }));
+  for (const node of network.running())
+    network.dispatch(node, { type: 'list-changed', nodes: marked });
+  network.run(MINUTE_MS);
+  assert.equal([...network.statusesOf('n1')], ['dead']);
+  assert.equal([...network.statusesOf('n5')], ['leaving']);
+  assert.ok(network.node('n5').changes.includes('told-to-leave'));
+});
+
+test('a mark that was meant for an earlier life does not stop a new one at once', () => {
+  const network = startedFleet(SEED, 4);
+  network.list = network.list.map((node) => ({ ...node, leaving: node.nodeId === 'n1' }));
+  network.node('n1').crashed = true;
+  const restarted = network.restart('n1');
+  network.run(network.options.listLagMs / 2);
+  assert.not.ok(restarted.changes.includes('told-to-leave'));
+  network.list = network.list.map((node) => ({ ...node, leaving: false }));
+  for (const node of network.running()) {
+    network.dispatch(node, { type: 'list-changed', nodes: network.list });
+  }
+  network.run(network.options.listLagMs);
+  assert.not.ok(restarted.changes.includes('told-to-leave'));
+  assert.ok(network.isConverged());
+});
+
+test('updates in a datagram stay within the bound, and a quiet fleet gossips nothing', () => {
+  const network = startedFleet(SEED, 30, 3);
+  assert.ok(network.largestUpdates <= network.options.maxUpdateBytes);
+  network.run(MINUTE_MS);
+  const before = network.datagrams;
+  network.run(MINUTE_MS);
+  const perNodeAndSecond = (network.datagrams - before) / 30 / 60;
+  // One ping sent and one answered each period.
+  assert.ok(perNodeAndSecond <= 2.1, `${perNodeAndSecond} datagrams`);
+});
+
+type Fault = 'crash' | 'restart' | 'pause' | 'resume' | 'cut' | 'heal' | 'lossy' | 'lossless';
+interface FaultStep {
+  readonly fault: Fault;
+  readonly node: number;
+  readonly afterMs: number;
+}
+
+const faultArbitrary: fc.Arbitrary<FaultStep> = fc.record({
+  fault: fc.constantFrom<Fault>(
+    'crash',
+    'restart',
+    'pause',
+    'resume',
+    'cut',
+    'heal',
+    'lossy',
+    'lossless',
+  ),
+  node: fc.nat(6),
+  afterMs: fc.integer({ min: 100, max: 8000 }),
+});
+
+function inject(network: MembershipNetwork, { fault, node: index }: FaultStep): void {
+  const node = network.node(`n${index}`);
+  if (fault === 'crash') node.crashed = true;
+  else if (fault === 'restart') network.restart(node.nodeId);
+  else if (fault === 'pause') node.paused = true;
+  else if (fault === 'resume') network.resume(node);
+  else if (fault === 'cut') network.isCut = (from, to) => (from === node) !== (to === node);
+  else if (fault === 'heal') network.isCut = () => false;
+  else network.lossShare = fault === 'lossy' ? 0.3 : 0;
+}
+
+test('after any schedule of faults and a heal, all live nodes converge', () => {
+  fc.assert(
+    fc.property(fc.integer(), fc.array(faultArbitrary, { maxLength: 12 }), (seed, steps) => {
+      const network = new MembershipNetwork(seed);
+      network.startFleet(7, 3);
+      for (const step of steps) {
+        network.run(step.afterMs);
+        inject(network, step);
+      }
+      network.isCut = () => false;
+      network.lossShare = 0;
+      for (const node of network.running()) network.resume(node);
+      assert.ok(network.run(5 * MINUTE_MS, () => network.isConverged()));
+    }),
+    { seed: SEED, numRuns: 60 },
+  );
+});
+
+test.run();
