--- a/test/support/random.ts
+++ b/test/support/random.ts
@@ -1,9 +1,10 @@
-/** Seeded randomness for simulations. */
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+/** Seeded random numbers for tests. */
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
-/** Numbers in [0, 1) that depend on the seed only. */
+const RANGE = 2 ** 32;
+
+/** Numbers in [0, 1) that follow from the seed. */
 export function seededRandom(seed: number): () => number {
   const generator = xoroshiro128plus(seed);
-  return () => uniformFloat64(generator);
+  return () => (generator.next() >>> 0) / RANGE;
 }
