Membership service over UDP, anti-entropy over peer calls

Cause: the membership state machine had no adapter. Change: src/node/membership: cbor arrays checked by zod, optional MAC, datagrams of at most 1,200 bytes, one timer, counters of bytes both ways; planned stop and crash.

--- /dev/null
+++ b/src/node/membership/service.ts
@@ -0,0 +1,295 @@
+/**
+ * Membership of one node: carries the state machine's datagrams over UDP and its anti-entropy over
+ * calls of the peer links, and gives it the time.
+ */
+import { createSocket, type Socket } from 'node:dgram';
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import type { MeadowstackError } from '../../core/errors.js';
+import {
+  DEFAULT_MEMBERSHIP_OPTIONS,
+  type ListedNode,
+  type MemberEvent,
+  type MembershipEffect,
+  type MembershipEvent,
+  type MembershipMessage,
+  type MembershipOptions,
+  type NodeAddress,
+  type SyncAnswer,
+} from '../../core/membership/contract.js';
+import { MembershipMachine, type SelfDescription } from '../../core/membership/machine.js';
+import type { Member } from '../../core/membership/member.js';
+import type { PeerTransport, WireValue } from '../../peer/contract.js';
+import { PeerListenError, PeerProtocolError } from '../../peer/errors.js';
+import { monotonicNow } from '../clock.js';
+import {
+  decodeDatagram,
+  encodeDatagram,
+  MAX_DATAGRAM_BYTES,
+  syncAnswerFromWire,
+  syncAnswerToWire,
+  syncPushFromWire,
+  syncPushToWire,
+  syncRequestFromWire,
+  syncRequestToWire,
+} from './wire.js';
+
+export const SYNC_METHOD = 'membership.sync';
+export const SYNC_PUSH_METHOD = 'membership.push';
+const SYNC_TIMEOUT_MS = 2000;
+
+export interface MembershipServiceOptions {
+  /** This node. `peerPort` is the port of its links, and of its datagrams. */
+  readonly self: SelfDescription;
+  readonly transport: Pick<PeerTransport, 'call'>;
+  readonly options?: Partial<MembershipOptions>;
+  /** Datagrams carry a MAC with this key; the same on all nodes. */
+  readonly clusterSecret?: Buffer | undefined;
+  readonly random?: () => number;
+}
+
+export interface MembershipCounters {
+  readonly datagramsSent: number;
+  readonly datagramsReceived: number;
+  readonly datagramsMalformed: number;
+  /** Messages that were too large to be sent; a fault of this program. */
+  readonly datagramsOversized: number;
+  /** Payload bytes of datagrams, without IP and UDP headers. */
+  readonly bytesSent: number;
+  readonly bytesReceived: number;
+  readonly syncsSent: number;
+  readonly syncsFailed: number;
+}
+
+export class MembershipService {
+  /** Called for every change of a member. */
+  onMemberChanged: ((event: MemberEvent) => void) | undefined;
+  /** Called once if the machine list marks this node as leaving. */
+  onToldToLeave: (() => void) | undefined;
+  /** Another life of this node id with a later start was seen; see the core. */
+  onIncarnationRaised: ((incarnation: number) => void) | undefined;
+
+  readonly #machine: MembershipMachine;
+  readonly #transport: Pick<PeerTransport, 'call'>;
+  readonly #address: NodeAddress;
+  readonly #secret: Buffer | undefined;
+  readonly #counters = zeroCounters();
+  /** The answer to the sync request that is being handled. */
+  #syncReply: SyncAnswer | undefined;
+  #socket: Socket | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: MembershipServiceOptions) {
+    const machineOptions = { ...DEFAULT_MEMBERSHIP_OPTIONS, ...options.options };
+    const random = options.random ?? Math.random;
+    this.#machine = new MembershipMachine(options.self, machineOptions, random);
+    this.#transport = options.transport;
+    this.#address = { host: options.self.host, peerPort: options.self.peerPort };
+    this.#secret = options.clusterSecret;
+  }
+
+  /** Opens the datagram socket and joins by the nodes of the machine list. */
+  start(nodes: readonly ListedNode[]): ResultAsync<void, MeadowstackError> {
+    const { host, peerPort } = this.#address;
+    const socket = createSocket('udp4');
+    this.#socket = socket;
+    const bound = new Promise<void>((resolve, reject) => {
+      socket.once('error', reject);
+      socket.bind(peerPort, host, () => resolve());
+    });
+    return ResultAsync.fromPromise(
+      bound,
+      (cause) => new PeerListenError(`can not receive datagrams on ${host}:${peerPort}`, { cause }),
+    ).map(() => this.#onBound(socket, nodes));
+  }
+
+  /** Takes a new machine list. */
+  setListedNodes(nodes: readonly ListedNode[]): void {
+    this.#handle({ type: 'list-changed', nodes });
+  }
+
+  /** Tells the members that this node begins its planned stop. */
+  leave(): void {
+    this.#handle({ type: 'leave' });
+  }
+
+  /** A link to this node was lost or refused: it is probed at once. */
+  reportLinkLost(nodeId: string): void {
+    this.#handle({ type: 'link-lost', nodeId });
+  }
+
+  setConfigurationRevision(configurationRevision: number): void {
+    this.#handle({ type: 'revision-changed', configurationRevision });
+  }
+
+  /** Tells some members that this node is gone, and closes the socket. */
+  async stop(): Promise<void> {
+    this.#handle({ type: 'stop' });
+    clearTimeout(this.#timer);
+    await this.closeSocket();
+  }
+
+  /** Closes the socket without a word, as a crash would. */
+  async closeSocket(): Promise<void> {
+    const socket = this.#socket;
+    this.#socket = undefined;
+    if (socket === undefined) return;
+    await new Promise<void>((resolve) => socket.close(() => resolve()));
+  }
+
+  self(): Member {
+    return this.#machine.self();
+  }
+
+  /** All other members known, dead ones included. */
+  members(): Member[] {
+    return this.#machine.members();
+  }
+
+  member(nodeId: string): Member | undefined {
+    return this.#machine.member(nodeId);
+  }
+
+  get isJoined(): boolean {
+    return this.#machine.isJoined;
+  }
+
+  counters(): MembershipCounters {
+    return { ...this.#counters };
+  }
+
+  /** True if `handleCall` wants calls of this method. */
+  handlesCall(method: string): boolean {
+    return method === SYNC_METHOD || method === SYNC_PUSH_METHOD;
+  }
+
+  /** Answers a call of a peer; throws PeerProtocolError if the body is malformed. */
+  handleCall(method: string, body: WireValue): WireValue {
+    if (method === SYNC_PUSH_METHOD) {
+      this.#handle({ type: 'sync-pushed', push: syncPushFromWire(body) });
+      return null;
+    }
+    this.#syncReply = undefined;
+    this.#handle({ type: 'sync-requested', requestId: 0, request: syncRequestFromWire(body) });
+    const reply: SyncAnswer | undefined = this.#syncReply;
+    if (reply === undefined) throw new PeerProtocolError('not a member now');
+    return syncAnswerToWire(reply);
+  }
+
+  #onBound(socket: Socket, nodes: readonly ListedNode[]): void {
+    // A datagram that can't be sent is like one lost on the way.
+    socket.on('error', () => undefined);
+    socket.on('message', (datagram) => this.#onDatagram(datagram));
+    this.#handle({ type: 'start', nodes });
+  }
+
+  #handle(event: MembershipEvent): void {
+    const effects = this.#machine.handle(event, monotonicNow());
+    for (const effect of effects) this.#carryOut(effect);
+    this.#armTimer();
+  }
+
+  #armTimer(): void {
+    clearTimeout(this.#timer);
+    const deadline = this.#machine.nextDeadline();
+    if (deadline === undefined) return;
+    const delay = Math.max(0, deadline - monotonicNow());
+    this.#timer = setTimeout(() => this.#handle({ type: 'tick' }), Math.ceil(delay));
+  }
+
+  #carryOut(effect: MembershipEffect): void {
+    switch (effect.type) {
+      case 'send':
+        this.#send(effect.to, effect.message);
+        return;
+      case 'sync':
+        void this.#sync(effect);
+        return;
+      case 'sync-reply':
+        this.#syncReply = effect.answer;
+        return;
+      case 'sync-push':
+        void this.#call(effect.to, SYNC_PUSH_METHOD, syncPushToWire(effect.push));
+        return;
+      case 'member-changed':
+        this.onMemberChanged?.(effect.event);
+        return;
+      case 'told-to-leave':
+        this.onToldToLeave?.();
+        return;
+      case 'incarnation-raised':
+        this.onIncarnationRaised?.(effect.incarnation);
+    }
+  }
+
+  #send(to: NodeAddress, message: MembershipMessage): void {
+    const datagram = encodeDatagram(message, this.#secret);
+    if (datagram.length > MAX_DATAGRAM_BYTES) {
+      this.#counters.datagramsOversized += 1;
+      return;
+    }
+    this.#counters.datagramsSent += 1;
+    this.#counters.bytesSent += datagram.length;
+    this.#socket?.send(datagram, to.peerPort, to.host, () => undefined);
+  }
+
+  #onDatagram(datagram: Buffer): void {
+    this.#counters.datagramsReceived += 1;
+    this.#counters.bytesReceived += datagram.length;
+    const message = this.#decode(datagram);
+    if (message !== undefined) this.#handle({ type: 'message', message });
+  }
+
+  #decode(datagram: Buffer): MembershipMessage | undefined {
+    try {
+      return decodeDatagram(datagram, this.#secret);
+    } catch (error) {
+      if (!(error instanceof PeerProtocolError)) throw error;
+      this.#counters.datagramsMalformed += 1;
+      return undefined;
+    }
+  }
+
+  async #sync(effect: Extract<MembershipEffect, { type: 'sync' }>): Promise<void> {
+    const { to, request } = effect;
+    const called = await this.#call(to, SYNC_METHOD, syncRequestToWire(request));
+    const answer = called.andThen(parseAnswer);
+    if (answer.isErr()) {
+      this.#counters.syncsFailed += 1;
+      return;
+    }
+    const { cursor } = request;
+    this.#handle({ type: 'sync-answered', from: to, cursor, answer: answer.value });
+  }
+
+  #call(
+    to: NodeAddress,
+    method: string,
+    body: WireValue,
+  ): ResultAsync<WireValue, MeadowstackError> {
+    this.#counters.syncsSent += 1;
+    const peer = { host: to.host, port: to.peerPort };
+    return this.#transport.call(peer, method, body, SYNC_TIMEOUT_MS);
+  }
+}
+
+function parseAnswer(value: WireValue): Result<SyncAnswer, MeadowstackError> {
+  try {
+    return ok(syncAnswerFromWire(value));
+  } catch (error) {
+    if (error instanceof PeerProtocolError) return err(error);
+    throw error;
+  }
+}
+
+function zeroCounters(): { -readonly [Name in keyof MembershipCounters]: number } {
+  return {
+    datagramsSent: 0,
+    datagramsReceived: 0,
+    datagramsMalformed: 0,
+    datagramsOversized: 0,
+    bytesSent: 0,
+    bytesReceived: 0,
+    syncsSent: 0,
+    syncsFailed: 0,
+  };
+}
--- /dev/null
+++ b/src/node/membership/wire.ts
@@ -0,0 +1,202 @@
+/**
+ * Datagrams and calls of the membership protocol on the wire: cbor arrays in place of objects, an
+ * optional MAC in front, zod on what is received.
+ */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { z } from 'zod';
+import type {
+  MembershipMessage,
+  SyncAnswer,
+  SyncPush,
+  SyncRequest,
+} from '../../core/membership/contract.js';
+import type { Liveness, MemberUpdate } from '../../core/membership/member.js';
+import { BUCKET_COUNT } from '../../core/membership/member-table.js';
+import { decodeValue, encodeValue } from '../../peer/codec.js';
+import type { WireValue } from '../../peer/contract.js';
+import { PeerProtocolError } from '../../peer/errors.js';
+
+/** Fits the smallest usual path without fragments. */
+export const MAX_DATAGRAM_BYTES = 1200;
+/** HMAC-SHA-256, truncated. */
+const MAC_BYTES = 16;
+const MAX_NAME_LENGTH = 128;
+const DIGEST_BYTES = 4;
+const LIVENESS_BY_CODE: readonly Liveness[] = ['alive', 'suspect', 'dead'];
+const LEAVING_FLAG = 4;
+const MAX_STATE_CODE = LEAVING_FLAG + LIVENESS_BY_CODE.length - 1;
+
+const name = z.string().min(1).max(MAX_NAME_LENGTH);
+const count = z.number().int().nonnegative();
+const port = z.number().int().min(1).max(65_535);
+
+/** nodeId, incarnation, version, state code, zone, host, peer port, configuration revision. */
+const updateSchema = z
+  .tuple([name, count, count, count.max(MAX_STATE_CODE), name, name, port, count])
+  .transform(([nodeId, incarnation, version, state, zone, host, peerPort, revision], context) => {
+    const liveness = LIVENESS_BY_CODE[state % LEAVING_FLAG];
+    if (liveness === undefined) {
+      context.addIssue('unknown liveness');
+      return z.NEVER;
+    }
+    const update: MemberUpdate = {
+      nodeId,
+      incarnation,
+      version,
+      liveness,
+      leaving: state >= LEAVING_FLAG,
+      zone,
+      host,
+      peerPort,
+      configurationRevision: revision,
+    };
+    return update;
+  });
+const updatesSchema = z.array(updateSchema);
+
+const MessageCode = { PING: 1, ACK: 2, PING_REQUEST: 3, GOSSIP: 4 } as const;
+
+const pingSchema = z
+  .tuple([z.literal(MessageCode.PING), count, updateSchema, updatesSchema])
+  .transform(([, sequence, sender, updates]) => ({
+    type: 'ping' as const,
+    sequence,
+    sender,
+    updates,
+  }));
+const ackSchema = z
+  .tuple([z.literal(MessageCode.ACK), count, updateSchema, updatesSchema, updateSchema])
+  .transform(([, sequence, sender, updates, subject]) => ({
+    type: 'ack' as const,
+    sequence,
+    subject,
+    sender,
+    updates,
+  }));
+const pingRequestSchema = z
+  .tuple([z.literal(MessageCode.PING_REQUEST), count, updateSchema, updatesSchema, name, port])
+  .transform(([, sequence, sender, updates, host, peerPort]) => ({
+    type: 'ping-request' as const,
+    sequence,
+    target: { host, peerPort },
+    sender,
+    updates,
+  }));
+const gossipSchema = z
+  .tuple([z.literal(MessageCode.GOSSIP), updateSchema, updatesSchema])
+  .transform(([, sender, updates]) => ({ type: 'gossip' as const, sender, updates }));
+const messageSchema: z.ZodType<MembershipMessage> = z.union([
+  pingSchema,
+  ackSchema,
+  pingRequestSchema,
+  gossipSchema,
+]);
+
+const syncRequestSchema = z.tuple([updateSchema, z.instanceof(Uint8Array), count]);
+const syncAnswerSchema = z.tuple([
+  updateSchema,
+  z.instanceof(Uint8Array),
+  updatesSchema,
+  count.nullable(),
+]);
+const syncPushSchema = z.tuple([updateSchema, updatesSchema]);
+
+/** The encoded datagram, which may be too large to send; the caller checks. */
+export function encodeDatagram(message: MembershipMessage, secret: Buffer | undefined): Buffer {
+  const payload = encodeValue(messageToWire(message), Number.POSITIVE_INFINITY);
+  return secret === undefined ? payload : Buffer.concat([macOf(payload, secret), payload]);
+}
+
+/** Throws PeerProtocolError if the datagram is not a message with the right MAC. */
+export function decodeDatagram(datagram: Buffer, secret: Buffer | undefined): MembershipMessage {
+  const payload = secret === undefined ? datagram : checkedPayload(datagram, secret);
+  return parse(messageSchema, decodeValue(payload));
+}
+
+export function syncRequestToWire(request: SyncRequest): WireValue {
+  return [updateToWire(request.sender), packDigests(request.digests), request.cursor];
+}
+
+export function syncRequestFromWire(value: WireValue): SyncRequest {
+  const [sender, digests, cursor] = parse(syncRequestSchema, value);
+  return { sender, digests: unpackDigests(digests), cursor };
+}
+
+export function syncAnswerToWire(answer: SyncAnswer): WireValue {
+  const { sender, digests, updates, nextCursor } = answer;
+  const wireUpdates = updates.map(updateToWire);
+  return [updateToWire(sender), packDigests(digests), wireUpdates, nextCursor ?? null];
+}
+
+export function syncAnswerFromWire(value: WireValue): SyncAnswer {
+  const [sender, digests, updates, nextCursor] = parse(syncAnswerSchema, value);
+  return { sender, digests: unpackDigests(digests), updates, nextCursor: nextCursor ?? undefined };
+}
+
+export function syncPushToWire(push: SyncPush): WireValue {
+  return [updateToWire(push.sender), push.updates.map(updateToWire)];
+}
+
+export function syncPushFromWire(value: WireValue): SyncPush {
+  const [sender, updates] = parse(syncPushSchema, value);
+  return { sender, updates };
+}
+
+function messageToWire(message: MembershipMessage): WireValue {
+  const sender = updateToWire(message.sender);
+  const updates = message.updates.map(updateToWire);
+  switch (message.type) {
+    case 'ping':
+      return [MessageCode.PING, message.sequence, sender, updates];
+    case 'ack':
+      return [MessageCode.ACK, message.sequence, sender, updates, updateToWire(message.subject)];
+    case 'ping-request': {
+      const { host, peerPort } = message.target;
+      return [MessageCode.PING_REQUEST, message.sequence, sender, updates, host, peerPort];
+    }
+    case 'gossip':
+      return [MessageCode.GOSSIP, sender, updates];
+  }
+}
+
+function updateToWire(update: MemberUpdate): WireValue[] {
+  const state = LIVENESS_BY_CODE.indexOf(update.liveness) + (update.leaving ? LEAVING_FLAG : 0);
+  const { nodeId, incarnation, version, zone, host, peerPort, configurationRevision } = update;
+  return [nodeId, incarnation, version, state, zone, host, peerPort, configurationRevision];
+}
+
+function packDigests(digests: readonly number[]): Buffer {
+  const packed = Buffer.alloc(digests.length * DIGEST_BYTES);
+  for (const [index, digest] of digests.entries()) {
+    packed.writeUInt32BE(digest, index * DIGEST_BYTES);
+  }
+  return packed;
+}
+
+function unpackDigests(bytes: Uint8Array): number[] {
+  if (bytes.length !== BUCKET_COUNT * DIGEST_BYTES) {
+    throw new PeerProtocolError(`${bytes.length} bytes of digests`);
+  }
+  const packed = Buffer.from(bytes);
+  return Array.from({ length: BUCKET_COUNT }, (_, index) =>
+    packed.readUInt32BE(index * DIGEST_BYTES),
+  );
+}
+
+function parse<Output>(schema: z.ZodType<Output>, value: WireValue): Output {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return parsed.data;
+  throw new PeerProtocolError('malformed membership message', { cause: parsed.error });
+}
+
+function macOf(payload: Buffer, secret: Buffer): Buffer {
+  return createHmac('sha256', secret).update(payload).digest().subarray(0, MAC_BYTES);
+}
+
+function checkedPayload(datagram: Buffer, secret: Buffer): Buffer {
+  const mac = datagram.subarray(0, MAC_BYTES);
+  const payload = datagram.subarray(MAC_BYTES);
+  const isRight = mac.length === MAC_BYTES && timingSafeEqual(mac, macOf(payload, secret));
+  if (!isRight) throw new PeerProtocolError('datagram without the right MAC');
+  return payload;
+}
--- a/test/integration/membership-service.test.ts
+++ b/test/integration/membership-service.test.ts
@@ -72,7 +72,7 @@
       (node) => node.service.members().filter((one) => one.status === 'alive').length === 3,
     ),
   );
-  assert.ok(nodes.every((node) => node.service.isJoined));
+  await until(() => nodes.every((node) => node.service.isJoined));
   leaver.service.leave();
   await until(() => stayers.every((node) => sees(node, 'n3', 'leaving')));
   await stopAll([leaver]);
