--- a/src/postgres/statements/classify.ts
+++ b/src/postgres/statements/classify.ts
@@ -5,7 +5,7 @@
 import type { Milliseconds } from '../../core/units.js';
 import type { StatementClass } from '../contract.js';
 import { splitStatements, type Token, TokenKind, tokenize } from './lexer.js';
-import { normalize } from './normalize.js';
+import { normalize, TOO_LONG, UNTERMINATED } from './normalize.js';
 import { ParseBudget } from './parse-budget.js';
 import { isSurelyRead } from './read-proof.js';
 import { classifySetting } from './settings.js';
@@ -17,6 +17,9 @@
 /** Longer normal forms are not cached and not parsed. */
 const MAXIMUM_CACHED_CHARACTERS = 8 * 1024;
 
+/** Longer normal forms are refused: looking them through would hold up other callers. */
+const MAXIMUM_NORMAL_CHARACTERS = 128 * 1024;
+
 /** Classes of one text, by where it stands. */
 interface ClassPair {
   readonly outside: StatementClass;
@@ -31,6 +34,10 @@
   sessionSetting: undefined,
 };
 const READ: StatementClass = { ...WRITE, access: 'read' };
+const TOO_LONG_CLASS: StatementClass = {
+  ...WRITE,
+  unsupported: `statement with more than ${MAXIMUM_NORMAL_CHARACTERS} characters besides literals`,
+};
 const WRITE_PAIR = samePair(WRITE);
 
 /** SET, RESET, SHOW: their class depends on literals, which the normal form doesn't have. */
@@ -60,7 +67,8 @@
   /** Class of a statement, or the strongest class of a string with several. */
   classify(text: string, inTransaction = false): StatementClass {
     const normal = normalize(text);
-    if (normal === undefined) return WRITE;
+    if (normal === UNTERMINATED) return WRITE;
+    if (normal === TOO_LONG || normal.length > MAXIMUM_NORMAL_CHARACTERS) return TOO_LONG_CLASS;
     const pair = this.cache.get(normal) ?? this.derive(normal, text);
     return inTransaction ? pair.inside : pair.outside;
   }
--- a/src/postgres/statements/lexer.ts
+++ b/src/postgres/statements/lexer.ts
@@ -147,17 +147,29 @@
   /** From behind the opening quote; a doubled quote stands for itself. */
   private readQuoted(from: number, quote: number, backslashEscapes: boolean): void {
     const kind = quote === QUOTE ? TokenKind.STRING : TokenKind.QUOTED_IDENTIFIER;
-    let index = from;
-    for (; index < this.text.length; index += 1) {
+    const close = backslashEscapes ? this.endOfEscapeString(from) : this.endOfPlain(from, quote);
+    if (close === -1) this.set(TokenKind.UNTERMINATED, this.text.length);
+    else this.set(kind, close + 1);
+  }
+
+  /** Offset of the closing quote; -1 if there is none. */
+  private endOfPlain(from: number, quote: number): number {
+    const character = String.fromCharCode(quote);
+    let close = this.text.indexOf(character, from);
+    while (close !== -1 && this.at(close + 1) === quote) {
+      close = this.text.indexOf(character, close + 2);
+    }
+    return close;
+  }
+
+  private endOfEscapeString(from: number): number {
+    for (let index = from; index < this.text.length; index += 1) {
       const code = this.at(index);
-      if (code === BACKSLASH && backslashEscapes) index += 1;
-      else if (code === quote && this.at(index + 1) === quote) index += 1;
-      else if (code === quote) {
-        this.set(kind, index + 1);
-        return;
-      }
+      if (code === BACKSLASH) index += 1;
+      else if (code === QUOTE && this.at(index + 1) === QUOTE) index += 1;
+      else if (code === QUOTE) return index;
     }
-    this.set(TokenKind.UNTERMINATED, this.text.length);
+    return -1;
   }
 
   /** `$1`, `$$…$$`, `$tag$…$tag$`, or a lone dollar sign. */
--- a/src/postgres/statements/markers.ts
+++ b/src/postgres/statements/markers.ts
@@ -9,6 +9,7 @@
 import type { StatementMarkers } from '../contract.js';
 import { Lexer, TokenKind } from './lexer.js';
 
+const SEMICOLON = 0x3b;
 const MARKER_PREFIX = 'meadowstack_';
 /** A longer comment that holds markers is refused. */
 const MAXIMUM_COMMENT_CHARACTERS = 2048;
@@ -60,7 +61,7 @@
   const lexer = new Lexer(text);
   while (lexer.next()) {
     if (lexer.kind === TokenKind.UNTERMINATED) return leading;
-    if (lexer.kind === TokenKind.WHITESPACE || lexer.token === ';') continue;
+    if (lexer.kind === TokenKind.WHITESPACE || isSemicolon(lexer)) continue;
     if (lexer.kind !== TokenKind.COMMENT) {
       meaningfulSeen = true;
       trailing = [];
@@ -71,6 +72,10 @@
   return [...leading, ...trailing];
 }
 
+function isSemicolon(lexer: Lexer): boolean {
+  return lexer.kind === TokenKind.PUNCTUATION && lexer.text.charCodeAt(lexer.start) === SEMICOLON;
+}
+
 function readComment(
   comment: string,
   before: StatementMarkers,
--- a/test/unit/postgres/classify.test.ts
+++ b/test/unit/postgres/classify.test.ts
@@ -174,6 +174,15 @@
   assert.equal(normalize("select 1from t where a='x'and b"), "select 1 from t where a='1' and b");
 });
 
+test('bulk inserts have one normal form, and overlong texts are refused', () => {
+  const rows = Array.from({ length: 50_000 }, (_, index) => `(${index}, 'x')`).join(', ');
+  assert.equal(normalize(`insert into t values ${rows}`), 'insert into t values (1)');
+  assert.equal(classify(`insert into t values ${rows}`).unsupported, undefined);
+  const columns = Array.from({ length: 50_000 }, (_, index) => `c${index}`).join();
+  assert.match(classify(`select ${columns}`).unsupported ?? '', /^statement with more than/);
+  assert.match(classify(`select ${'1 '.repeat(600_000)}`).unsupported ?? '', /^statement with/);
+});
+
 test('beyond the parse budget statements are writes, and reads again after it', () => {
   let now = 0;
   const classifier = new StatementClassifier({ now: () => (now += 600) });
