--- a/src/postgres/statements/markers.ts
+++ b/src/postgres/statements/markers.ts
@@ -17,9 +17,6 @@
 /** A day: longer bounds make no sense for a request. */
 const MAXIMUM_DURATION_MS = 86_400_000;
 const PAIR = /^\s*([^=\s]+)\s*=\s*'((?:[^'\\]|\\.)*)'\s*$/;
-/** Splits at commas outside quotes. */
-const PAIRS = /(?:'(?:[^'\\]|\\.)*'|[^,'])+/g;
-
 export const NO_MARKERS: StatementMarkers = {
   once: undefined,
   kind: undefined,
@@ -85,7 +82,7 @@
     return err(new InvalidMarkerError(`${MARKER_PREFIX}*`, 'the comment is too long'));
   }
   let markers = before;
-  for (const pair of comment.match(PAIRS) ?? []) {
+  for (const pair of splitPairs(comment)) {
     if (!pair.trimStart().startsWith(MARKER_PREFIX)) continue;
     const read = readPair(pair, markers);
     if (read.isErr()) return err(read.error);
@@ -94,6 +91,24 @@
   return ok(markers);
 }
 
+/** Splits at commas outside quotes, in one pass: a hostile comment must not cost more. */
+function splitPairs(comment: string): readonly string[] {
+  const pairs: string[] = [];
+  let start = 0;
+  let quoted = false;
+  for (let index = 0; index < comment.length; index += 1) {
+    const character = comment[index];
+    if (character === '\\') index += 1;
+    else if (character === "'") quoted = !quoted;
+    else if (character === ',' && !quoted) {
+      pairs.push(comment.slice(start, index));
+      start = index + 1;
+    }
+  }
+  pairs.push(comment.slice(start));
+  return pairs;
+}
+
 function readPair(
   pair: string,
   before: StatementMarkers,
