--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,140 @@
+/** The counters, gauges and histograms of one node, in a prom-client registry of its own. */
+import { Counter, collectDefaultMetrics, Gauge, Histogram, Registry } from 'prom-client';
+import type { NotRunReason, UnknownReason } from '../core/errors.js';
+
+/** How a request ended. */
+export type RequestOutcome = 'done' | 'not-run' | 'unknown' | 'failed';
+/** Where a request ran; `none` if it ran nowhere. */
+export type RequestRoute = 'primary' | 'replica' | 'none';
+/** Who a connection is to. */
+export type ConnectionSide = 'caller' | 'backend' | 'peer';
+
+export interface NodeMetrics {
+  readonly registry: Registry;
+  /** Requests that ended. Kinds are the tenants' markers: bounded by the configuration. */
+  readonly requests: Counter<'outcome' | 'kind' | 'route'>;
+  readonly requestSeconds: Histogram<'kind' | 'route'>;
+  readonly queueWaitSeconds: Histogram<'group'>;
+  readonly confirmationSeconds: Histogram<'group'>;
+  readonly backendConnectSeconds: Histogram<'group'>;
+  readonly queueDepth: Gauge<'group'>;
+  readonly running: Gauge<'group'>;
+  readonly openConnections: Gauge<'side'>;
+  readonly connectionsOpened: Counter<'side' | 'result'>;
+  /** Refusals by the reason in the error. */
+  readonly notRun: Counter<'reason'>;
+  readonly unknown: Counter<'reason'>;
+  readonly retries: Counter;
+  readonly confirmationsSent: Counter<'group'>;
+  readonly writesConfirmed: Counter<'group'>;
+  readonly replicaReads: Counter<'group'>;
+  readonly primaryReads: Counter<'group'>;
+  readonly eligibleReplicaReads: Counter<'group'>;
+  readonly primaryChanges: Counter<'group'>;
+  readonly groupTimeline: Gauge<'group'>;
+  readonly cancelsSent: Counter;
+  readonly notificationsDropped: Counter;
+  readonly protocolViolations: Counter<'side'>;
+  readonly peerLinks: Counter<'event'>;
+  readonly peerFrames: Counter<'fault'>;
+  readonly peerBytes: Counter<'direction'>;
+  readonly configurationRevision: Gauge;
+  readonly configurationAppliedSeconds: Gauge;
+  readonly members: Gauge<'state'>;
+  readonly storeRequests: Counter<'result'>;
+  readonly sessionTokensRefused: Counter<'reason'>;
+  readonly draining: Gauge;
+}
+
+export type RefusalReason = NotRunReason | UnknownReason;
+
+const PREFIX = 'meadowstack_';
+/** Seconds: from a tenth of a millisecond, a loopback statement, to a failover's length. */
+const LATENCY_BUCKETS_SECONDS = [
+  0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5,
+];
+
+/** Creates the set. `node` labels every sample; process metrics are included on request. */
+export function createMetrics(node: string, includeProcess = true): NodeMetrics {
+  const registry = new Registry();
+  registry.setDefaultLabels({ node });
+  if (includeProcess) collectDefaultMetrics({ register: registry });
+  const registers = [registry];
+  const counter = <Label extends string = never>(
+    name: string,
+    help: string,
+    labelNames: Label[] = [],
+  ): Counter<Label> => new Counter({ name: PREFIX + name, help, labelNames, registers });
+  const gauge = <Label extends string = never>(
+    name: string,
+    help: string,
+    labelNames: Label[] = [],
+  ): Gauge<Label> => new Gauge({ name: PREFIX + name, help, labelNames, registers });
+  const histogram = <Label extends string>(
+    name: string,
+    help: string,
+    labelNames: Label[],
+  ): Histogram<Label> =>
+    new Histogram({
+      name: PREFIX + name,
+      help,
+      labelNames,
+      registers,
+      buckets: LATENCY_BUCKETS_SECONDS,
+    });
+  return {
+    registry,
+    requests: counter('requests_total', 'Requests that ended', ['outcome', 'kind', 'route']),
+    requestSeconds: histogram('request_seconds', 'Arrival to answer', ['kind', 'route']),
+    queueWaitSeconds: histogram('queue_wait_seconds', 'Arrival to start', ['group']),
+    confirmationSeconds: histogram('confirmation_seconds', 'Write ran to confirmed', ['group']),
+    backendConnectSeconds: histogram('backend_connect_seconds', 'Opening of a connection', [
+      'group',
+    ]),
+    queueDepth: gauge('queue_depth', 'Requests waiting', ['group']),
+    running: gauge('running_requests', 'Requests running on a back end', ['group']),
+    openConnections: gauge('open_connections', 'Connections open', ['side']),
+    connectionsOpened: counter('connections_opened_total', 'Connections tried', ['side', 'result']),
+    notRun: counter('not_run_total', 'Requests refused as not run', ['reason']),
+    unknown: counter('unknown_total', 'Requests of unknown outcome', ['reason']),
+    retries: counter('retries_total', 'Requests sent again by the proxy'),
+    confirmationsSent: counter('confirmations_total', 'Confirmation rounds', ['group']),
+    writesConfirmed: counter('writes_confirmed_total', 'Writes confirmed', ['group']),
+    replicaReads: counter('replica_reads_total', 'Reads served by replicas', ['group']),
+    primaryReads: counter('primary_reads_total', 'Reads served by primaries', ['group']),
+    eligibleReplicaReads: counter(
+      'eligible_replica_reads_total',
+      'Reads that a replica could lawfully have served',
+      ['group'],
+    ),
+    primaryChanges: counter('primary_changes_total', 'Changes of the primary', ['group']),
+    groupTimeline: gauge('group_timeline', 'Timeline adopted', ['group']),
+    cancelsSent: counter('cancels_total', 'CancelRequests sent to back ends'),
+    notificationsDropped: counter('notifications_dropped_total', 'NotificationResponse dropped'),
+    protocolViolations: counter('protocol_violations_total', 'Unlawful messages', ['side']),
+    peerLinks: counter('peer_links_total', 'Links between proxies', ['event']),
+    peerFrames: counter('peer_frames_refused_total', 'Frames dropped or malformed', ['fault']),
+    peerBytes: counter('peer_bytes_total', 'Bytes between proxies', ['direction']),
+    configurationRevision: gauge('configuration_revision', 'Revision in force'),
+    configurationAppliedSeconds: gauge(
+      'configuration_applied_timestamp_seconds',
+      'Unix time at which the revision in force was applied',
+    ),
+    members: gauge('members', 'Members known, by state', ['state']),
+    storeRequests: counter('store_requests_total', 'Requests to the store', ['result']),
+    sessionTokensRefused: counter('session_tokens_refused_total', 'Tokens refused', ['reason']),
+    draining: gauge('draining', '1 while the node drains'),
+  };
+}
+
+/** Raises a counter to a total that is kept elsewhere, such as a transport's own counters. */
+export function syncCounter<Label extends string>(
+  counter: Counter<Label>,
+  labels: Record<Label, string>,
+): (total: number) => void {
+  let last = 0;
+  return (total) => {
+    if (total > last) counter.inc(labels as Partial<Record<Label, string | number>>, total - last);
+    last = Math.max(last, total);
+  };
+}
