--- a/bench/harness/database-group.ts
+++ b/bench/harness/database-group.ts
@@ -62,6 +62,8 @@
 }
 
 export class DatabaseGroup {
+  private readonly wakers = new Map<string, ChildProcess>();
+
   constructor(private readonly running: readonly RunningInstance[]) {}
 
   get instances(): readonly DatabaseInstanceHandle[] {
@@ -79,14 +81,20 @@
 
   /** SIGSTOP: the process keeps its sockets and answers nothing. */
   pause(name: string): void {
-    this.find(name).child.kill('SIGSTOP');
+    const { child } = this.find(name);
+    if (child.pid === undefined || this.wakers.has(name)) return;
+    this.wakers.set(name, spawnWaker(child.pid));
+    child.kill('SIGSTOP');
   }
 
   resume(name: string): void {
     this.find(name).child.kill('SIGCONT');
+    this.wakers.get(name)?.stdin?.end();
+    this.wakers.delete(name);
   }
 
   async stop(): Promise<void> {
+    for (const name of [...this.wakers.keys()]) this.resume(name);
     await Promise.all(this.running.map(({ child }) => end(child)));
   }
 
@@ -163,6 +171,15 @@
   return answer as T;
 }
 
+/**
+ * A stopped process can't see that its standard input closed. This helper sees it in its place,
+ * when the harness dies or resumes the process, and lets the process run (and so end) then.
+ */
+function spawnWaker(pid: number): ChildProcess {
+  const script = 'read -r line; kill -CONT "$1"';
+  return spawn('sh', ['-c', script, 'sh', String(pid)], { stdio: ['pipe', 'ignore', 'ignore'] });
+}
+
 async function end(child: ChildProcess): Promise<void> {
   if (child.exitCode !== null || child.signalCode !== null) return;
   const gone = once(child, 'exit');
--- a/standins/database/instance.ts
+++ b/standins/database/instance.ts
@@ -36,6 +36,8 @@
   readonly slotsInUse: number;
   readonly queuedStatements: number;
   readonly statementsExecuted: number;
+  /** Answers that clients have not read yet, as far as this process holds them. */
+  readonly bufferedOutputBytes: number;
   readonly connectionsAccepted: number;
   readonly connectionsRefused: number;
   readonly faults: Faults;
@@ -216,6 +218,12 @@
     for (const connection of [...this.connections.values()]) connection.terminate(reason);
   }
 
+  private bufferedOutputBytes(): number {
+    let sum = 0;
+    for (const connection of this.connections.values()) sum += connection.bufferedBytes;
+    return sum;
+  }
+
   state(): InstanceState {
     const { options, member, catalog, slots } = this;
     return {
@@ -235,6 +243,7 @@
       slotsInUse: slots.inUse,
       queuedStatements: slots.queued,
       statementsExecuted: this.statementsExecuted,
+      bufferedOutputBytes: this.bufferedOutputBytes(),
       connectionsAccepted: this.connectionsAccepted,
       connectionsRefused: this.connectionsRefused,
       faults: this.faults,
--- a/standins/database/replication/election.ts
+++ b/standins/database/replication/election.ts
@@ -52,26 +52,40 @@
   tick(nowMs: number): void {
     if (nowMs < this.deadlineMs || this.options.isPrimary()) return;
     this.resetDeadline(nowMs);
-    this.stand(this.promisedTimeline + 1, true);
+    this.stand(this.promisedTimeline + 1, { preliminary: true });
   }
 
   /** Stands at once, without the preliminary round; also for a primary whose timeline is refused. */
   standNow(timeline: number, nowMs: number): void {
     if (nowMs < this.deadlineMs && this.options.isPrimary()) return;
     this.resetDeadline(nowMs);
-    this.stand(Math.max(timeline, this.promisedTimeline + 1), false);
+    this.stand(Math.max(timeline, this.promisedTimeline + 1), { preliminary: false });
   }
 
-  private stand(timeline: number, preliminary: boolean): void {
+  /** Stands in place of a primary that is alive. */
+  takeOver(nowMs: number): void {
+    this.resetDeadline(nowMs);
+    this.stand(this.promisedTimeline + 1, { preliminary: false, handover: true });
+  }
+
+  private stand(timeline: number, round: { preliminary: boolean; handover?: boolean }): void {
     const { name } = this.options;
+    const { preliminary, handover = false } = round;
     if (!preliminary) {
       this.promisedTimeline = timeline;
       this.votedFor = name;
     }
     this.candidacy = { timeline, preliminary, voters: new Set([name]) };
     const { timeline: logTimeline, lsn: logLsn } = this.options.position();
-    const kind = 'vote-request';
-    this.options.broadcast({ kind, from: name, timeline, preliminary, logTimeline, logLsn });
+    this.options.broadcast({
+      kind: 'vote-request',
+      from: name,
+      timeline,
+      preliminary,
+      handover,
+      logTimeline,
+      logLsn,
+    });
     this.countVotes();
   }
 
@@ -89,7 +103,8 @@
   }
 
   private grants(request: VoteRequest, nowMs: number): boolean {
-    if (nowMs - this.heardMs < this.options.electionTimeoutMs) return false;
+    const hearsPrimary = nowMs - this.heardMs < this.options.electionTimeoutMs;
+    if (hearsPrimary && !request.handover) return false;
     if (request.timeline < this.promisedTimeline) return false;
     const same = request.timeline === this.promisedTimeline;
     if (same && this.votedFor !== request.from) return false;
@@ -111,7 +126,7 @@
     if (candidacy === undefined) return;
     if (candidacy.voters.size * 2 <= this.options.groupSize()) return;
     this.candidacy = undefined;
-    if (candidacy.preliminary) this.stand(candidacy.timeline, false);
+    if (candidacy.preliminary) this.stand(candidacy.timeline, { preliminary: false });
     else this.options.onElected(candidacy.timeline);
   }
 
--- a/standins/database/replication/member.ts
+++ b/standins/database/replication/member.ts
@@ -105,9 +105,9 @@
     this.sendHeartbeat();
   }
 
-  /** Stands for the next timeline at once, as `pg_promote()` asks. */
+  /** Stands for the next timeline although a primary may be alive; nothing to do for a primary. */
   promote(): void {
-    this.election.standNow(this.election.promisedTimeline + 1, performance.now());
+    if (this.role === 'replica') this.election.takeOver(performance.now());
   }
 
   /** Logs and sends a commit of this primary. */
--- a/standins/database/replication/messages.ts
+++ b/standins/database/replication/messages.ts
@@ -57,6 +57,8 @@
   readonly kind: 'vote-request';
   /** A preliminary round binds nobody; it keeps a lone instance from disturbing a healthy group. */
   readonly preliminary: boolean;
+  /** Asked for by an operator: voters that hear a primary grant it all the same. */
+  readonly handover: boolean;
   readonly logTimeline: number;
   readonly logLsn: number;
 }
--- a/standins/database/sql/access-path.ts
+++ b/standins/database/sql/access-path.ts
@@ -68,7 +68,10 @@
   if (node.type === 'ref' || node.type === 'select') return false;
   if (node.type === 'binary') return isFreeOfColumns(node.left) && isFreeOfColumns(node.right);
   if (node.type === 'cast' || node.type === 'unary') return isFreeOfColumns(node.operand);
-  if (node.type === 'call') return node.args.every(isFreeOfColumns);
+  // ANY stands for the elements of an array, not for one value.
+  if (node.type === 'call') {
+    return node.function.name !== 'any' && node.args.every(isFreeOfColumns);
+  }
   return ['parameter', 'integer', 'string', 'numeric', 'boolean'].includes(node.type);
 }
 
--- a/standins/database/wire/connection.ts
+++ b/standins/database/wire/connection.ts
@@ -75,6 +75,10 @@
     return this.parameters.get('user') ?? '';
   }
 
+  get bufferedBytes(): number {
+    return this.output.bufferedBytes;
+  }
+
   private attach(stream: Socket): void {
     this.stream = stream;
     this.output = new Output(stream);
--- a/standins/database/wire/output.ts
+++ b/standins/database/wire/output.ts
@@ -14,6 +14,11 @@
     return this.size >= OUTPUT_CHUNK_BYTES;
   }
 
+  /** Bytes that the client has not taken yet, as far as this process holds them. */
+  get bufferedBytes(): number {
+    return this.size + this.stream.writableLength;
+  }
+
   add(message: Buffer): void {
     this.chunks.push(message);
     this.size += message.length;
