--- a/bench/harness/database-group.ts
+++ b/bench/harness/database-group.ts
@@ -57,8 +57,9 @@
 }
 
 interface RunningInstance {
-  readonly handle: DatabaseInstanceHandle;
-  readonly child: ChildProcess;
+  handle: DatabaseInstanceHandle;
+  child: ChildProcess;
+  readonly args: readonly string[];
 }
 
 export class DatabaseGroup {
@@ -79,6 +80,22 @@
     await end(this.find(name).child);
   }
 
+  /** Starts a killed instance again: empty, on the same ports, as a replica. */
+  async restart(name: string): Promise<void> {
+    const instance = this.find(name);
+    const { zone, pgPort, controlPort, replicationPort } = instance.handle;
+    const peers = this.instances.map((peer) => `${peer.name}=${peer.host}:${peer.replicationPort}`);
+    const args = [
+      ...instance.args.filter((flag) => !flag.startsWith('--initial-primary=')),
+      `--port=${pgPort}`,
+      `--control-port=${controlPort}`,
+      `--replication-port=${replicationPort}`,
+      `--peers=${peers.join(',')}`,
+    ];
+    const { handle, child } = await startInstance(args, zone);
+    Object.assign(instance, { handle, child });
+  }
+
   /** SIGSTOP: the process keeps its sockets and answers nothing. */
   pause(name: string): void {
     const { child } = this.find(name);
@@ -235,7 +252,7 @@
     }),
   ]);
   const ports = JSON.parse(line) as BoundPorts;
-  return { handle: { ...ports, zone }, child };
+  return { handle: { ...ports, zone }, child, args };
 }
 
 /** Starts one instance a zone; the first leads. Resolves when all follow it. */
--- a/standins/database/control/server.ts
+++ b/standins/database/control/server.ts
@@ -43,8 +43,7 @@
 function readLog(instance: DatabaseInstance, url: URL): unknown {
   const from = parseLsn(url.searchParams.get('from') ?? '0/0').unwrapOr(0n);
   const { allEntries, discarded } = instance.member.log;
-  const entries = allEntries.filter((entry) => parseLsn(entry.lsn).unwrapOr(0n) > from);
-  return { entries, discarded };
+  return { entries: allEntries.filter((entry) => entry.offset > from), discarded };
 }
 
 export function createControlServer(instance: DatabaseInstance): Server {
--- a/standins/database/replication/commit-log.ts
+++ b/standins/database/replication/commit-log.ts
@@ -1,13 +1,15 @@
 /** An instance's log: its position, the timelines behind it, and the commits kept for replicas. */
 import { formatLsn } from '../../../src/core/position.js';
 import type { Change, LogEntry } from '../storage/commit-record.js';
-import { type EncodedCommit, encodeValue, type TimelineStart } from './messages.js';
+import { type EncodedCommit, encodeValue, type Snapshot, type TimelineStart } from './messages.js';
 
 /** Where the log of a new group starts: `0/1000000`, as after initdb. */
 export const FIRST_LSN = 0x100_0000;
 const COMMIT_HEADER_BYTES = 48;
 const RETAINED_BYTES = 32 * 1024 * 1024;
 const RETAINED_ENTRIES = 200_000;
+/** Entries in a snapshot: encoding more would hold up the primary's heartbeats. */
+const SENT_ENTRIES = 20_000;
 const LOG_KEYS_PER_ENTRY = 20;
 
 export class CommitLog {
@@ -57,6 +59,7 @@
     this.entries.push({
       timeline: commit.timeline,
       lsn: formatLsn(BigInt(commit.lsn)),
+      offset: commit.lsn,
       committedAtMs: commit.committedAtMs,
       keys: keys.slice(0, LOG_KEYS_PER_ENTRY),
       changes: keys.length,
@@ -81,20 +84,29 @@
     return first < 0 ? undefined : this.commits.slice(first);
   }
 
-  /** Replaces the log by another one's state. */
-  replace(
-    timeline: number,
-    lsn: number,
-    history: readonly TimelineStart[],
-    entries: readonly LogEntry[],
-  ): void {
-    const kept = new Set(entries.map(entryIdentity));
-    const lost = this.entries.filter((entry) => !kept.has(entryIdentity(entry)));
+  /** Where a log that ends at this position parts from this one; zero for an unknown timeline. */
+  commonLsn(timeline: number, lsn: number): number {
+    if (!this.history.some((start) => start.timeline === timeline)) return 0;
+    const next = this.history.find((start) => start.timeline > timeline);
+    return Math.min(lsn, next?.startLsn ?? this.lsn);
+  }
+
+  /** Entries after a position, the newest of them if there are many. */
+  entriesAfter(lsn: number): readonly LogEntry[] {
+    const first = this.entries.findIndex((entry) => entry.offset > lsn);
+    return first < 0 ? [] : this.entries.slice(Math.max(first, this.entries.length - SENT_ENTRIES));
+  }
+
+  /** Replaces everything after `commonLsn` by another log's. */
+  replace(snapshot: Omit<Snapshot, 'kind' | 'from' | 'tables'>): void {
+    const { timeline, lsn, history, commonLsn, entries } = snapshot;
+    const lost = this.entries.filter((entry) => entry.offset > commonLsn);
+    const kept = this.entries.filter((entry) => entry.offset <= commonLsn);
     this.discardedEntries = [...this.discardedEntries, ...lost].slice(-RETAINED_ENTRIES);
     this.timeline = timeline;
     this.lsn = lsn;
     this.history = history;
-    this.entries = [...entries];
+    this.entries = [...kept, ...entries];
     this.commits = [];
     this.retainedBytes = 0;
   }
@@ -107,7 +119,3 @@
     return this.discardedEntries;
   }
 }
-
-function entryIdentity(entry: LogEntry): string {
-  return `${entry.timeline}:${entry.lsn}`;
-}
--- a/standins/database/replication/member.ts
+++ b/standins/database/replication/member.ts
@@ -236,16 +236,16 @@
       });
       return;
     }
-    const tables = this.options.catalog.snapshot();
-    const entries = this.log.allEntries;
+    const commonLsn = this.log.commonLsn(request.timeline, request.lsn);
     this.options.send(request.from, {
       kind: 'snapshot',
       from,
       timeline,
       history,
       lsn,
-      tables,
-      entries,
+      tables: this.options.catalog.snapshot(),
+      commonLsn,
+      entries: this.log.entriesAfter(commonLsn),
     });
   }
 
@@ -275,10 +275,9 @@
     this.options.terminateSessions('the data directory is rewound');
     this.replayQueue.length = 0;
     this.options.catalog.restore(message.tables);
-    const { timeline, lsn, history, entries } = message;
     const diverged = this.log.timeline !== 0;
-    this.log.replace(timeline, lsn, history, entries);
-    this.replayedLsn = lsn;
+    this.log.replace(message);
+    this.replayedLsn = message.lsn;
     this.syncAskedMs = Number.NEGATIVE_INFINITY;
     if (diverged) this.note('rewound');
   }
--- a/standins/database/replication/messages.ts
+++ b/standins/database/replication/messages.ts
@@ -51,6 +51,8 @@
   readonly history: readonly TimelineStart[];
   readonly lsn: number;
   readonly tables: readonly TableSnapshot[];
+  /** Both logs are the same up to here; `entries` are those after it. */
+  readonly commonLsn: number;
   readonly entries: readonly LogEntry[];
 }
 export interface VoteRequest extends FromPeer {
--- a/standins/database/storage/commit-record.ts
+++ b/standins/database/storage/commit-record.ts
@@ -13,21 +13,14 @@
       readonly values: Row | null;
     };
 
-export interface CommitRecord {
-  readonly timeline: number;
-  readonly previousLsn: number;
-  readonly lsn: number;
-  /** Wall time of the commit on its primary, in milliseconds since the epoch. */
-  readonly committedAtMs: number;
-  readonly changes: readonly Change[];
-}
-
 /** Line of the log of commits that checkers read by the control port. */
 export interface LogEntry {
   readonly timeline: number;
   readonly lsn: string;
+  /** The same position as a number of bytes. */
+  readonly offset: number;
   readonly committedAtMs: number;
-  /** `<table>/<primary key> put|delete`, or `<table> create|drop`, at most `LOG_KEYS_PER_ENTRY`. */
+  /** `<table>/<primary key> put|delete`, or `<table> create|drop`, the first 20. */
   readonly keys: readonly string[];
   readonly changes: number;
 }
--- a/test/integration/database-replication.test.ts
+++ b/test/integration/database-replication.test.ts
@@ -1,4 +1,8 @@
 /** A group of three database stand-ins: replication, election, divergence and rewind. */
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { createInterface } from 'node:readline';
 import pg from 'pg';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -153,6 +157,45 @@
   await caughtUp('group-b', 'group-a');
 });
 
+test('a killed instance that starts again gets a snapshot and follows', async () => {
+  const client = await open('group-a');
+  await client.query("INSERT INTO item VALUES (1, 'a')");
+  await group.kill('group-c');
+  await client.query("INSERT INTO item VALUES (2, 'b')");
+  await group.restart('group-c');
+  await caughtUp('group-c', 'group-a');
+  assert.equal(await ids('group-c'), [1, 2]);
+  const { entries } = await group.commitLog('group-c');
+  assert.equal(entries, (await group.commitLog('group-a')).entries);
+});
+
+test('no instance outlives its harness, not even a paused one', async () => {
+  const harness = new URL('../../bench/harness/database-group.js', import.meta.url);
+  const script = `import { startDatabaseGroup } from ${JSON.stringify(harness.href)};
+    const group = await startDatabaseGroup({ group: 'orphan' });
+    group.pause('orphan-b');
+    console.log(JSON.stringify(group.instances));`;
+  const child = spawn(process.execPath, ['--input-type=module', '-e', script], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const [line] = (await once(createInterface({ input: child.stdout }), 'line')) as [string];
+  child.kill('SIGKILL');
+  const instances = JSON.parse(line) as DatabaseInstanceHandle[];
+  await Promise.all(instances.map(({ host, pgPort }) => untilRefused(host, pgPort)));
+});
+
+/** Resolves when nothing listens on a port any more. */
+async function untilRefused(host: string, port: number): Promise<void> {
+  for (;;) {
+    const listening = await new Promise<boolean>((resolve) => {
+      const socket = connect(port, host, () => resolve(true));
+      socket.on('error', () => resolve(false));
+      socket.on('connect', () => socket.destroy());
+    });
+    if (!listening) return;
+  }
+}
+
 test('promotion by the control port moves the role', async () => {
   await caughtUp('group-b', 'group-a');
   await group.promote('group-b');
