--- a/standins/database/sql/expression.ts
+++ b/standins/database/sql/expression.ts
@@ -1,9 +1,10 @@
 /** Compiles expressions of the syntax tree to functions over an evaluation context. */
-import type { DataTypeDef, Expr, ExprBinary, ExprCall, ExprCase, ExprRef } from 'pgsql-ast-parser';
+import type { DataTypeDef, Expr, ExprBinary, ExprCase, ExprRef } from 'pgsql-ast-parser';
 import { ServerError, ServerSqlState, unsupported } from '../errors.js';
+import { compileCall, compileKeyword } from './calls.js';
 import type { CompiledExpression, EvaluationContext, Scope } from './evaluation.js';
-import { SCALAR_FUNCTIONS } from './functions.js';
 import * as operators from './operators.js';
+import { compileAny, compileBetween, compileIn } from './predicates.js';
 import {
   castValue,
   isNumericType,
@@ -13,7 +14,6 @@
   type Value,
 } from './types.js';
 
-const AGGREGATES: ReadonlySet<string> = new Set(['count', 'sum', 'min', 'max', 'avg']);
 const INT4_MAX = 2_147_483_647;
 
 /** `hint`: the type that the surroundings expect, for parameters and untyped literals. */
@@ -62,7 +62,8 @@
   }
 }
 
-function constant(type: TypeName, value: Value): CompiledExpression {
+/** An expression of one value. */
+export function constant(type: TypeName, value: Value): CompiledExpression {
   return { type, evaluate: () => value };
 }
 
@@ -135,7 +136,7 @@
 function unaryFunction(operator: string): (value: Value) => Value {
   switch (operator) {
     case 'NOT':
-      return (value) => (value === null ? null : value !== true);
+      return operators.not;
     case 'IS NULL':
       return (value) => value === null;
     case 'IS NOT NULL':
@@ -157,12 +158,13 @@
   }
 }
 
-function isUntyped(node: Expr): boolean {
+/** True for nodes whose type follows from their use. */
+export function isUntyped(node: Expr): boolean {
   return node.type === 'parameter' || node.type === 'string' || node.type === 'null';
 }
 
 /** Compiles two operands so that an untyped one takes the other's type. */
-function compilePair(
+export function compilePair(
   leftNode: Expr,
   rightNode: Expr,
   scope: Scope,
@@ -226,7 +228,8 @@
   return apply(left, right, type, operation);
 }
 
-function apply(
+/** A binary operation on two compiled operands. */
+export function apply(
   left: CompiledExpression,
   right: CompiledExpression,
   type: TypeName,
@@ -256,62 +259,6 @@
   throw new ServerError(ServerSqlState.UNDEFINED_FUNCTION, message);
 }
 
-function compileBetween(
-  node: { value: Expr; lo: Expr; hi: Expr; op: string },
-  scope: Scope,
-): CompiledExpression {
-  const [value, low] = compilePair(node.value, node.lo, scope);
-  const high = compileExpression(node.hi, scope, value.type);
-  const atLeast = apply(value, low, 'bool', operators.comparison('>='));
-  const atMost = apply(value, high, 'bool', operators.comparison('<='));
-  const within = apply(atLeast, atMost, 'bool', operators.and);
-  if (node.op === 'BETWEEN') return within;
-  const negate = unaryFunction('NOT');
-  return { type: 'bool', evaluate: (context) => negate(within.evaluate(context)) };
-}
-
-function compileIn(node: ExprBinary, scope: Scope): CompiledExpression {
-  if (node.right.type !== 'list') throw unsupported('IN with a subselect');
-  const left = compileExpression(node.left, scope);
-  const members = node.right.expressions.map((member) =>
-    compileExpression(member, scope, left.type),
-  );
-  const equals = operators.comparison('=');
-  const negate = node.op === 'NOT IN';
-  const evaluate = (context: EvaluationContext): Value => {
-    const value = left.evaluate(context);
-    let found: Value = false;
-    for (const member of members)
-      found = operators.or(found, equals(value, member.evaluate(context)));
-    return negate && found !== null ? !found : found;
-  };
-  return { type: 'bool', evaluate };
-}
-
-/** `value = ANY(array)`, the array in PostgreSQL's text form without nested quotes. */
-function compileAny(leftNode: Expr, call: ExprCall, scope: Scope): CompiledExpression {
-  const [arrayNode] = call.args;
-  if (arrayNode === undefined) throw unsupported('ANY without an argument');
-  const left = compileExpression(leftNode, scope);
-  const array = compileExpression(arrayNode.type === 'cast' ? arrayNode.operand : arrayNode, scope);
-  const evaluate = (context: EvaluationContext): Value => {
-    const value = left.evaluate(context);
-    const elements = array.evaluate(context);
-    if (value === null || typeof elements !== 'string') return null;
-    return parseArray(elements).some((element) => parseValue(left.type, element) === value);
-  };
-  return { type: 'bool', evaluate };
-}
-
-function parseArray(text: string): string[] {
-  const inner = text.slice(1, -1);
-  if (inner === '') return [];
-  const elements = inner.match(/"(?:\\.|[^"])*"|[^,]+/g) ?? [];
-  return elements.map((element) =>
-    element.startsWith('"') ? element.slice(1, -1).replace(/\\(.)/g, '$1') : element,
-  );
-}
-
 function compileCase(node: ExprCase, scope: Scope, hint: TypeName | undefined): CompiledExpression {
   const value = node.value ? node.value : undefined;
   const branches = node.whens.map((when) => {
@@ -331,79 +278,3 @@
   };
   return { type, evaluate };
 }
-
-function compileCall(node: ExprCall, scope: Scope, hint: TypeName | undefined): CompiledExpression {
-  const name = node.function.name.toLowerCase();
-  if (AGGREGATES.has(name)) return compileAggregate(name, node, scope);
-  const definition = Object.hasOwn(SCALAR_FUNCTIONS, name) ? SCALAR_FUNCTIONS[name] : undefined;
-  const count = node.args.length;
-  if (!definition || count < definition.minArguments || count > definition.maxArguments) {
-    const message = `function ${name} with ${count} arguments does not exist`;
-    throw new ServerError(ServerSqlState.UNDEFINED_FUNCTION, message);
-  }
-  const generic = definition.type === 'of-first-argument';
-  const hints = generic ? hint : ARGUMENT_HINTS[name];
-  const values = compileArguments(node.args, scope, hints);
-  const type = definition.type === 'of-first-argument' ? firstType(values) : definition.type;
-  const { call, strict } = definition;
-  const evaluate = (context: EvaluationContext): Value => {
-    const evaluated = values.map((value) => value.evaluate(context));
-    return strict && evaluated.includes(null) ? null : call(evaluated, context);
-  };
-  return { type, evaluate };
-}
-
-const ARGUMENT_HINTS: Readonly<Record<string, TypeName>> = { pg_sleep: 'float8' };
-
-function compileArguments(
-  nodes: readonly Expr[],
-  scope: Scope,
-  hint: TypeName | undefined,
-): CompiledExpression[] {
-  const typed = nodes.find((node) => !isUntyped(node));
-  const type = hint ?? (typed === undefined ? undefined : compileExpression(typed, scope).type);
-  return nodes.map((node) =>
-    compileExpression(node, scope, node.type === 'parameter' ? type : undefined),
-  );
-}
-
-function firstType(values: readonly CompiledExpression[]): TypeName {
-  return values[0]?.type ?? 'text';
-}
-
-function compileAggregate(name: string, node: ExprCall, scope: Scope): CompiledExpression {
-  if (scope.aggregates === undefined) throw unsupported('aggregates here');
-  const [argumentNode] = node.args;
-  const all =
-    argumentNode === undefined || (argumentNode.type === 'ref' && argumentNode.name === '*');
-  const inner: Scope = { ...scope, aggregates: undefined };
-  const argument = all ? undefined : compileExpression(argumentNode, inner);
-  const distinct = node.distinct === 'distinct';
-  const position = scope.aggregates.push({ functionName: name, argument, distinct }) - 1;
-  const type = aggregateType(name, argument?.type ?? 'int8');
-  return { type, evaluate: (context) => context.aggregates[position] ?? null };
-}
-
-function aggregateType(name: string, argument: TypeName): TypeName {
-  if (name === 'count') return 'int8';
-  if (name === 'avg') return 'numeric';
-  if (name === 'sum' && (argument === 'int4' || argument === 'int2')) return 'int8';
-  if (name === 'sum' && argument === 'int8') return 'numeric';
-  return argument;
-}
-
-function compileKeyword(keyword: string): CompiledExpression {
-  const name = keyword === 'current_timestamp' ? 'now' : undefined;
-  const definition = name === undefined ? undefined : SCALAR_FUNCTIONS[name];
-  if (definition !== undefined) {
-    return { type: 'timestamptz', evaluate: (context) => definition.call([], context) };
-  }
-  if (keyword === 'current_user' || keyword === 'session_user' || keyword === 'user') {
-    return { type: 'text', evaluate: (context) => context.instance.userName() };
-  }
-  if (keyword === 'current_catalog') {
-    return { type: 'text', evaluate: (context) => context.instance.databaseName() };
-  }
-  if (keyword === 'current_schema') return constant('text', 'public');
-  throw unsupported(`keyword ${keyword}`);
-}
--- a/standins/database/sql/operators.ts
+++ b/standins/database/sql/operators.ts
@@ -35,6 +35,10 @@
     left === null || right === null ? null : holds(compareValues(left, right));
 }
 
+export function not(value: Value): Value {
+  return value === null ? null : value !== true;
+}
+
 export function and(left: Value, right: Value): Value {
   if (left === false || right === false) return false;
   return left === null || right === null ? null : true;
--- a/test/integration/database-sessions.test.ts
+++ b/test/integration/database-sessions.test.ts
@@ -1,6 +1,10 @@
 /** One instance of the database stand-in through node-postgres: sessions, limits, faults. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { connect, Socket } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import pg from 'pg';
+import { generate } from 'selfsigned';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { type DatabaseGroup, startDatabaseGroup } from '../../bench/harness/database-group.js';
@@ -179,18 +183,23 @@
     message('S', '', []),
   ];
   const { stream } = (client as unknown as { connection: { stream: Socket } }).connection;
-  const answer = new Promise<string>((resolve) => {
+  const answer = collectTypes(stream, 1);
+  stream.write(Buffer.concat(script));
+  assert.is(await answer, '12DDsDDDCZ');
+});
+
+/** Types of the messages that arrive until so many ReadyForQuery did. */
+function collectTypes(stream: Socket, batches: number): Promise<string> {
+  return new Promise((resolve) => {
     stream.removeAllListeners('data');
     let received = Buffer.alloc(0);
     stream.on('data', (chunk: Buffer) => {
       received = Buffer.concat([received, chunk]);
       const types = messageTypes(received);
-      if (types.endsWith('Z')) resolve(types);
+      if (types.split('Z').length > batches) resolve(types);
     });
   });
-  stream.write(Buffer.concat(script));
-  assert.is(await answer, '12DDsDDDCZ');
-});
+}
 
 function message(type: string, text: string, tail: readonly number[]): Buffer {
   const body = Buffer.concat([Buffer.from(text, 'utf8'), Buffer.from(tail)]);
@@ -208,6 +217,46 @@
   return types;
 }
 
+test('pipelined batches are answered in order; an error skips to its Sync only', async () => {
+  const client = await open();
+  const batch = (text: string): Buffer =>
+    Buffer.concat([
+      message('P', `\0${text}\0`, [0, 0]),
+      message('B', '\0\0', [0, 0, 0, 0, 0, 0]),
+      message('E', '\0', [0, 0, 0, 0]),
+      message('S', '', []),
+    ]);
+  const { stream } = (client as unknown as { connection: { stream: Socket } }).connection;
+  const answer = collectTypes(stream, 3);
+  stream.write(Buffer.concat(['SELECT 1', 'SELECT 1/0', 'SELECT 2'].map(batch)));
+  assert.is(await answer, '12DCZ12EZ12DCZ');
+});
+
+test('TLS is offered with a certificate and refused without', async () => {
+  assert.is(
+    await codeOf(open({ ssl: true })),
+    'Error: The server does not support SSL connections',
+  );
+  const folder = mkdtempSync(join(tmpdir(), 'database-tls-'));
+  const pems = await generate([{ name: 'commonName', value: 'localhost' }]);
+  const tls = { keyFile: join(folder, 'key.pem'), certFile: join(folder, 'cert.pem') };
+  writeFileSync(tls.keyFile, pems.private);
+  writeFileSync(tls.certFile, pems.cert);
+  const secure = await startDatabaseGroup({ zones: ['tls'], tls });
+  try {
+    const { host, pgPort: port } = secure.instance('group-tls');
+    const ssl = { ca: pems.cert, checkServerIdentity: () => undefined };
+    const client = new pg.Client({ host, port, user: 'alice', ssl });
+    await client.connect();
+    const { rows } = await client.query("SELECT repeat('x', 100000) AS v");
+    assert.is(rows[0]?.v.length, 100_000);
+    await client.end();
+  } finally {
+    await secure.stop();
+    rmSync(folder, { recursive: true });
+  }
+});
+
 test('a crash after the commit keeps it, a crash before does not', async () => {
   await group.setFaults(NAME, { crashAfterCommit: 1 });
   const kept = await open();
