--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -6,10 +6,9 @@
 import { MeadowstackError } from '../core/errors.js';
 
 export type LogFormat = 'json' | 'text';
-export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error';
-export type LogValue = string | number | boolean | null | undefined;
+export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'silent';
 /** Fields of one line; undefined ones are left out. */
-export type LogFields = Readonly<Record<string, LogValue>>;
+export type LogFields = Readonly<Record<string, unknown>>;
 
 export interface LoggerOptions {
   readonly format: LogFormat;
@@ -75,7 +74,12 @@
 }
 
 function formatJson({ time, level, event, fields }: LogEntry): string {
-  return JSON.stringify({ ...fields, time, level, event });
+  return JSON.stringify({ ...fields, time, level, event }, jsonValueOf);
+}
+
+/** JSON has no form for a bigint, such as an LSN. */
+function jsonValueOf(_name: string, value: unknown): unknown {
+  return typeof value === 'bigint' ? value.toString() : value;
 }
 
 function formatText({ time, level, event, fields }: LogEntry): string {
--- a/test/unit/observability/logger.test.ts
+++ b/test/unit/observability/logger.test.ts
@@ -17,7 +17,7 @@
     now,
   });
   const child = logger.child({ group: 'orders' });
-  child.info('primary changed', { to: 'orders-2', from: undefined });
+  child.info('primary changed', { to: 'orders-2', from: undefined, lsn: 7n });
   child.debug('not shown');
   assert.equal(
     lines.map((line) => JSON.parse(line)),
@@ -26,6 +26,7 @@
         node: 'n1',
         group: 'orders',
         to: 'orders-2',
+        lsn: '7',
         time: '1970-01-01T00:00:00.000Z',
         level: 'info',
         event: 'primary changed',
