--- a/bench/harness/database-group.ts
+++ b/bench/harness/database-group.ts
@@ -57,11 +57,14 @@
 }
 
 interface RunningInstance {
-  readonly handle: DatabaseInstanceHandle;
-  readonly child: ChildProcess;
+  handle: DatabaseInstanceHandle;
+  child: ChildProcess;
+  readonly args: readonly string[];
 }
 
 export class DatabaseGroup {
+  private readonly wakers = new Map<string, ChildProcess>();
+
   constructor(private readonly running: readonly RunningInstance[]) {}
 
   get instances(): readonly DatabaseInstanceHandle[] {
@@ -77,16 +80,38 @@
     await end(this.find(name).child);
   }
 
+  /** Starts a killed instance again: empty, on the same ports, as a replica. */
+  async restart(name: string): Promise<void> {
+    const instance = this.find(name);
+    const { zone, pgPort, controlPort, replicationPort } = instance.handle;
+    const peers = this.instances.map((peer) => `${peer.name}=${peer.host}:${peer.replicationPort}`);
+    const args = [
+      ...instance.args.filter((flag) => !flag.startsWith('--initial-primary=')),
+      `--port=${pgPort}`,
+      `--control-port=${controlPort}`,
+      `--replication-port=${replicationPort}`,
+      `--peers=${peers.join(',')}`,
+    ];
+    const { handle, child } = await startInstance(args, zone);
+    Object.assign(instance, { handle, child });
+  }
+
   /** SIGSTOP: the process keeps its sockets and answers nothing. */
   pause(name: string): void {
-    this.find(name).child.kill('SIGSTOP');
+    const { child } = this.find(name);
+    if (child.pid === undefined || this.wakers.has(name)) return;
+    this.wakers.set(name, spawnWaker(child.pid));
+    child.kill('SIGSTOP');
   }
 
   resume(name: string): void {
     this.find(name).child.kill('SIGCONT');
+    this.wakers.get(name)?.stdin?.end();
+    this.wakers.delete(name);
   }
 
   async stop(): Promise<void> {
+    for (const name of [...this.wakers.keys()]) this.resume(name);
     await Promise.all(this.running.map(({ child }) => end(child)));
   }
 
@@ -163,6 +188,15 @@
   return answer as T;
 }
 
+/**
+ * A stopped process can't see that its standard input closed. This helper sees it in its place,
+ * when the harness dies or resumes the process, and lets the process run (and so end) then.
+ */
+function spawnWaker(pid: number): ChildProcess {
+  const script = 'read -r line; kill -CONT "$1"';
+  return spawn('sh', ['-c', script, 'sh', String(pid)], { stdio: ['pipe', 'ignore', 'ignore'] });
+}
+
 async function end(child: ChildProcess): Promise<void> {
   if (child.exitCode !== null || child.signalCode !== null) return;
   const gone = once(child, 'exit');
@@ -218,7 +252,7 @@
     }),
   ]);
   const ports = JSON.parse(line) as BoundPorts;
-  return { handle: { ...ports, zone }, child };
+  return { handle: { ...ports, zone }, child, args };
 }
 
 /** Starts one instance a zone; the first leads. Resolves when all follow it. */
