Connection budget as leases, granted by who holds the instance's lock

Cause: owners with different views must not hold more of an instance's connections than its limit. Change: BudgetGranter and BudgetHolder: authority by a lock in the instance itself, shares counted from the request, a wait after taking over, terms against delayed requests, a part of the limit left to the instance's own refusal. Conclusion: needs the lock on the probe connection from the owner side.

--- /dev/null
+++ b/test/unit/budget-lease.test.ts
@@ -0,0 +1,83 @@
+/** The rules of budget leases that rare interleavings need, one by one. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { BudgetGranter } from '../../src/core/ownership/budget-granter.js';
+import { BudgetHolder } from '../../src/core/ownership/budget-holder.js';
+import {
+  DEFAULT_BUDGET_LEASE_OPTIONS,
+  leasableConnections,
+  type ShareRequest,
+  unleasedConnections,
+  withDrift,
+} from '../../src/core/ownership/budget-lease.js';
+
+const OPTIONS = DEFAULT_BUDGET_LEASE_OPTIONS;
+const { authorityMs, leaseMs, maxClockDrift } = OPTIONS;
+const LIMIT = 35;
+const SILENCE_MS = withDrift(authorityMs, maxClockDrift);
+const LAPSE_MS = withDrift(authorityMs + leaseMs, maxClockDrift);
+const TERM = 'g/1';
+
+function granterAt(now: number): BudgetGranter {
+  const granter = new BudgetGranter('g', LIMIT, OPTIONS);
+  granter.handle({ type: 'authority-confirmed', sentAt: 0 }, 0);
+  granter.handle({ type: 'authority-confirmed', sentAt: now }, now);
+  return granter;
+}
+
+function request(change: Partial<ShareRequest> = {}): ShareRequest {
+  return { holder: 'h', number: 1, wanted: 10, holding: 0, term: TERM, ...change };
+}
+
+test('a new granter grants nothing while the one before it may still grant', () => {
+  const now = SILENCE_MS - 1;
+  const answer = granterAt(now).answer(request({ holding: 10 }), now);
+  assert.is(answer.type === 'refused' && answer.reason, 'waiting');
+  assert.is(answer.type === 'refused' && answer.term, undefined, 'the term is not told yet');
+});
+
+test('a request without the term may be old: it gets the term and no share', () => {
+  const answer = granterAt(LAPSE_MS).answer(request({ term: 'another/1' }), LAPSE_MS);
+  assert.equal(answer, { type: 'refused', number: 1, reason: 'term-unknown', term: TERM });
+});
+
+test('what holders report is renewed before the wait is over, and no more', () => {
+  const now = LAPSE_MS - 1;
+  const granter = granterAt(now);
+  const renewed = granter.answer(request({ holding: 4 }), now);
+  assert.equal(renewed, { type: 'granted', number: 1, connections: 4 });
+  const fresh = granter.answer(request({ holder: 'new' }), now);
+  assert.equal(fresh, { type: 'granted', number: 1, connections: 0 });
+});
+
+test('a granter without a fresh confirmation grants nothing', () => {
+  const granter = granterAt(LAPSE_MS);
+  const late = LAPSE_MS + authorityMs;
+  const answer = granter.answer(request(), late);
+  assert.is(answer.type === 'refused' && answer.reason, 'no-authority');
+});
+
+test('a share counts from when its request was sent, not from the answer', () => {
+  const holder = new BudgetHolder('h', OPTIONS);
+  const { number } = holder.request(1000);
+  holder.receive({ type: 'granted', number, connections: 5 }, 1000 + leaseMs - 1);
+  assert.is(holder.connections(1000 + leaseMs - 1), 5);
+  assert.is(holder.connections(1000 + leaseMs), 0);
+});
+
+test('a released share is free for others at the next request', () => {
+  const granter = granterAt(LAPSE_MS);
+  const leasable = leasableConnections(LIMIT, OPTIONS);
+  granter.answer(request({ wanted: LIMIT }), LAPSE_MS);
+  assert.is(granter.outstanding(LAPSE_MS), leasable);
+  granter.answer(request({ number: 2, wanted: 0, holding: 0 }), LAPSE_MS);
+  assert.is(granter.outstanding(LAPSE_MS), 0);
+});
+
+test('what is not leased is divided among the owners, one connection at least', () => {
+  assert.is(leasableConnections(LIMIT, OPTIONS), 28);
+  assert.is(unleasedConnections(LIMIT, 2, OPTIONS), 3);
+  assert.is(unleasedConnections(2, 4, OPTIONS), 1);
+});
+
+test.run();
