--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -31,7 +31,7 @@
   TransactionStatus,
 } from '../../postgres/contract.js';
 import { classify } from '../../postgres/statements/classify.js';
-import { parseMarkers } from '../../postgres/statements/markers.js';
+import { readMarkers } from '../../postgres/statements/markers.js';
 import type { BatchMessage, OpenMessage } from '../owner/messages.js';
 import type { GroupAnswerEnd, GroupCall, GroupClient } from './group-client.js';
 import type { RequestMetrics } from './request-metrics.js';
@@ -137,6 +137,13 @@
     return this.#tenant;
   }
 
+  /** True if the policy still lets this session reach its database's group. */
+  isAllowedBy(policy: TenantPolicy): boolean {
+    return policy.databases.some(
+      (access) => access.database === this.#connection.database && access.group === this.#group,
+    );
+  }
+
   get #tenant(): TenantName {
     return this.#connection.policy.tenant;
   }
@@ -147,7 +154,9 @@
   }
 
   #handleBatch(batch: CallerBatch): void {
-    const statementClass = combineClasses(batch.statements.map((text) => classify(text)));
+    const statementClass = combineClasses(
+      batch.statements.map((text) => classify(text, this.#inTransaction)),
+    );
     if (this.#transactionLoss !== undefined) {
       this.#reportTransactionLoss(this.#transactionLoss, statementClass);
       return;
@@ -195,7 +204,7 @@
   }
 
   #markersOf(batch: CallerBatch): StatementMarkers | undefined {
-    const parsed = batch.statements.map((text) => parseMarkers(text));
+    const parsed = batch.statements.map((text) => readMarkers(text));
     const failure = parsed.find((result) => result.isErr());
     if (failure?.isErr()) {
       this.#refuse(failure.error);
@@ -247,6 +256,7 @@
   }
 
   #onEnd(end: GroupAnswerEnd): void {
+    const access = this.#running?.access;
     this.#call = undefined;
     this.#inTransaction = false;
     this.#blockWithoutBackend = false;
@@ -256,8 +266,11 @@
       this.#deliverEnd(end);
       return;
     }
+    const wasUnknown = requirementFor(this.#state, this.#group).type === 'unknown';
     this.#observe(position, end.fromReplica);
-    this.#recordThen(position, () => this.#deliverEnd(end));
+    // A read that raised a known position is not worth a round to the home nodes.
+    if (access === 'write' || wasUnknown) this.#recordThen(position, () => this.#deliverEnd(end));
+    else this.#deliverEnd(end);
   }
 
   #deliverEnd(end: GroupAnswerEnd): void {
--- a/src/node/owner/batch-runner.ts
+++ b/src/node/owner/batch-runner.ts
@@ -42,7 +42,8 @@
   | {
       readonly type: 'lost';
       readonly bytesWritten: boolean;
-      readonly refusal: RequestError | undefined;
+      /** False if what was sent surely rolled back with the connection. */
+      readonly mayHaveCommitted: boolean;
     };
 
 export interface BatchRun {
@@ -79,7 +80,7 @@
 
 function resultOf(end: BackendBatchEnd): BatchResult {
   if (end.type === 'lost') {
-    return { type: 'lost', bytesWritten: end.bytesWritten, refusal: undefined };
+    return { type: 'lost', bytesWritten: end.bytesWritten, mayHaveCommitted: end.bytesWritten };
   }
   return { ...end, refusal: undefined, refusalNeedsConfirmation: false };
 }
@@ -101,7 +102,9 @@
   readonly #run: BatchRun;
   #execution: OnceExecution | undefined;
   #heldBack: Buffer = Buffer.alloc(0);
+  /** Undefined once the connection is lost. */
   #last: Extract<BackendBatchEnd, { type: 'ready' }> | undefined;
+  #lostWithBytes = false;
 
   constructor(run: BatchRun) {
     this.#run = run;
@@ -154,7 +157,8 @@
 
   #onEnd(end: BackendBatchEnd): void {
     if (this.#execution === undefined) return;
-    if (end.type === 'ready') this.#last = end;
+    this.#last = end.type === 'ready' ? end : undefined;
+    this.#lostWithBytes = end.type === 'lost' && end.bytesWritten;
     this.start(continueOnce(this.#execution, end));
   }
 
@@ -163,7 +167,9 @@
     const refusal = result.type === 'refused' ? result.error : undefined;
     const lost = last === undefined;
     if (lost) {
-      this.#run.onResult({ type: 'lost', bytesWritten: false, refusal });
+      // Before COMMIT was sent the server surely rolls the claim and the statement back.
+      const mayHaveCommitted = this.#lostWithBytes && this.#execution?.phase === 'commit';
+      this.#run.onResult({ type: 'lost', bytesWritten: this.#lostWithBytes, mayHaveCommitted });
       return;
     }
     this.#run.onResult({
