Membership and stream tests that fail without each mechanism

Cause: taking out indirect probes, periodic sync, pause compensation or credit on pause left the tests green. Change: tests for each; a resumed node runs its timers before it reads what came meanwhile, as a real process does. A check in LinkStream that could never matter is gone.

--- a/src/peer/stream.ts
+++ b/src/peer/stream.ts
@@ -220,9 +220,9 @@
     this.#link.scheduleStream(this);
   }
 
+  /** False while paused or while held items are being delivered, so that the order is kept. */
   #canDeliver(): boolean {
-    if (this.#paused || this.#delivering) return false;
-    return this.#incoming.length === 0;
+    return !this.#paused && !this.#delivering;
   }
 
   /** Delivers what is held, until it is used up or the reader pauses again. */
--- a/test/property/membership.test.ts
+++ b/test/property/membership.test.ts
@@ -79,6 +79,17 @@
   assert.ok(network.run(MINUTE_MS, () => network.isConverged()));
 });
 
+test('a newcomer with one seed takes over the whole table, even without a datagram', () => {
+  const network = startedFleet(SEED, 20);
+  const listed = { nodeId: 'n20', zone: 'z0', host: '10.0.0.1', peerPort: 99, leaving: false };
+  const [seed] = network.list;
+  network.lossShare = 1;
+  network.list = seed === undefined ? [listed] : [seed, listed];
+  const newcomer = network.start(listed);
+  assert.ok(network.run(2 * SECOND_MS, () => newcomer.machine.isJoined));
+  assert.is(newcomer.machine.members().length, 20);
+});
+
 test('a dead node is found by all within the bound, in every zone', () => {
   for (let seed = 0; seed < 5; seed += 1) {
     const network = startedFleet(SEED + seed, 12, 4);
@@ -130,6 +141,43 @@
   );
 });
 
+test('a node that one member can not reach is not suspected: others reach it', () => {
+  const network = startedFleet(SEED, 8);
+  const pair = new Set(['n0', 'n1']);
+  network.isCut = (from, to) => pair.has(from.nodeId) && pair.has(to.nodeId);
+  network.run(2 * MINUTE_MS);
+  for (const node of network.running()) {
+    const suspicions = node.changes.filter((change) => change.startsWith('suspected'));
+    assert.equal(suspicions, []);
+  }
+});
+
+test('a node that is paused again and again suspects nobody for its own silence', () => {
+  const network = startedFleet(SEED, 6);
+  const paused = network.node('n3');
+  for (let round = 0; round < 100; round += 1) {
+    paused.paused = true;
+    network.run(2 * SECOND_MS);
+    network.resume(paused);
+    network.run(network.random() * 2 * SECOND_MS);
+  }
+  assert.not.ok(paused.changes.some((change) => change.startsWith('suspected')));
+});
+
+test('a suspicion does not run out while the node that holds it is paused', () => {
+  const network = startedFleet(SEED, 6);
+  const holder = network.node('n3');
+  network.isCut = (_from, to) => to.nodeId === 'n3';
+  const suspects = (): boolean => holder.changes.some((change) => change.startsWith('suspected'));
+  assert.ok(network.run(MINUTE_MS, suspects));
+  holder.paused = true;
+  network.isCut = () => false;
+  network.run(MINUTE_MS);
+  network.resume(holder);
+  assert.ok(network.run(MINUTE_MS, () => network.isConverged()));
+  assert.not.ok(holder.changes.some((change) => change.startsWith('failed')));
+});
+
 test('a new life under the same address replaces the old one, also with an earlier clock', () => {
   for (const incarnationShift of [1, -MINUTE_MS]) {
     const network = startedFleet(SEED, 8);
--- a/test/property/peer-stream.test.ts
+++ b/test/property/peer-stream.test.ts
@@ -180,6 +180,18 @@
   assert.is(side.bytesOnWire, 0);
 });
 
+test('a reader that pauses within onData returns no credit until it resumes', () => {
+  const reader = new Side(true);
+  reader.stream.onData = () => reader.stream.pause();
+  reader.stream.receiveData(Buffer.alloc(WINDOW_BYTES));
+  assert.is(reader.wire.length, 0);
+  reader.stream.resume();
+  assert.equal(
+    reader.wire.map((frame) => frame.type),
+    [FrameType.CREDIT],
+  );
+});
+
 test('a sender beyond its credit is a protocol error', () => {
   const reader = new Side(true);
   reader.stream.pause();
--- a/test/support/membership-network.ts
+++ b/test/support/membership-network.ts
@@ -89,8 +89,10 @@
     return node;
   }
 
+  /** As in a real process, due timers run before what has arrived meanwhile is read. */
   resume(node: SimulatedNode): void {
     node.paused = false;
+    this.dispatch(node, { type: 'tick' });
     const inbox = node.inbox;
     node.inbox = [];
     for (const event of inbox) this.dispatch(node, event);
