--- a/standins/database/replication/election.ts
+++ b/standins/database/replication/election.ts
@@ -19,6 +19,10 @@
   readonly onElected: (timeline: number) => void;
 }
 
+/** Time to the next round, in election timeouts. */
+const RETRY_MIN = 0.1;
+const RETRY_SPREAD = 0.4;
+
 interface Candidacy {
   readonly timeline: number;
   readonly preliminary: boolean;
@@ -28,6 +32,8 @@
 export class Election {
   /** Primaries of older timelines are refused. */
   promisedTimeline = 0;
+  /** Latest timeline that a voter spoke of. */
+  private seenTimeline = 0;
   private votedFor: string | undefined;
   private candidacy: Candidacy | undefined;
   private deadlineMs = Number.POSITIVE_INFINITY;
@@ -51,21 +57,25 @@
 
   tick(nowMs: number): void {
     if (nowMs < this.deadlineMs || this.options.isPrimary()) return;
-    this.resetDeadline(nowMs);
-    this.stand(this.promisedTimeline + 1, { preliminary: true });
+    this.retryLater(nowMs);
+    this.stand(this.nextTimeline, { preliminary: true });
   }
 
   /** Stands at once, without the preliminary round; also for a primary whose timeline is refused. */
   standNow(timeline: number, nowMs: number): void {
     if (nowMs < this.deadlineMs && this.options.isPrimary()) return;
-    this.resetDeadline(nowMs);
-    this.stand(Math.max(timeline, this.promisedTimeline + 1), { preliminary: false });
+    this.retryLater(nowMs);
+    this.stand(Math.max(timeline, this.nextTimeline), { preliminary: false });
   }
 
   /** Stands in place of a primary that is alive. */
   takeOver(nowMs: number): void {
-    this.resetDeadline(nowMs);
-    this.stand(this.promisedTimeline + 1, { preliminary: false, handover: true });
+    this.retryLater(nowMs);
+    this.stand(this.nextTimeline, { preliminary: false, handover: true });
+  }
+
+  private get nextTimeline(): number {
+    return Math.max(this.promisedTimeline, this.seenTimeline) + 1;
   }
 
   private stand(timeline: number, round: { preliminary: boolean; handover?: boolean }): void {
@@ -98,7 +108,16 @@
       this.candidacy = undefined;
       this.resetDeadline(nowMs);
     }
-    const vote: Vote = { kind: 'vote', from: this.options.name, timeline, preliminary, granted };
+    const { promisedTimeline } = this;
+    const voter = this.options.name;
+    const vote: Vote = {
+      kind: 'vote',
+      from: voter,
+      timeline,
+      preliminary,
+      granted,
+      promisedTimeline,
+    };
     this.options.send(from, vote);
   }
 
@@ -115,6 +134,7 @@
 
   onVote(vote: Vote): void {
     const { candidacy } = this;
+    this.seenTimeline = Math.max(this.seenTimeline, vote.promisedTimeline);
     if (candidacy === undefined || !vote.granted) return;
     if (vote.timeline !== candidacy.timeline || vote.preliminary !== candidacy.preliminary) return;
     candidacy.voters.add(vote.from);
@@ -130,6 +150,12 @@
     else this.options.onElected(candidacy.timeline);
   }
 
+  /** After a round that may fail: soon, since the primary was silent for long enough before it. */
+  private retryLater(nowMs: number): void {
+    const { electionTimeoutMs, random } = this.options;
+    this.deadlineMs = nowMs + electionTimeoutMs * (RETRY_MIN + RETRY_SPREAD * random());
+  }
+
   /** Next try: a random time of one to two election timeouts from now. */
   private resetDeadline(nowMs: number): void {
     const { electionTimeoutMs, random } = this.options;
--- a/standins/database/replication/messages.ts
+++ b/standins/database/replication/messages.ts
@@ -68,6 +68,8 @@
   readonly kind: 'vote';
   readonly preliminary: boolean;
   readonly granted: boolean;
+  /** The voter refuses all timelines before this one: a candidate must stand for a later one. */
+  readonly promisedTimeline: number;
 }
 /** Answer to a primary whose timeline is no longer accepted. */
 export interface StalePrimary extends FromPeer {
--- a/standins/database/sql/select.ts
+++ b/standins/database/sql/select.ts
@@ -1,46 +1,24 @@
 /** Compiles SELECT over one table, generate_series or no source at all. */
-import type { Expr, From, OrderByStatement, SelectFromStatement } from 'pgsql-ast-parser';
+import type { Expr, OrderByStatement, SelectFromStatement } from 'pgsql-ast-parser';
 import { unsupported } from '../errors.js';
 import type { Catalog } from '../storage/catalog.js';
-import type { Table } from '../storage/table.js';
 import { chooseAccessPath, type WantedOrder } from './access-path.js';
 import { accumulate } from './aggregate.js';
-import type {
-  AggregateCall,
-  CompiledExpression,
-  ParameterTypes,
-  Scope,
-  ScopeColumn,
-} from './evaluation.js';
+import type { AggregateCall, CompiledExpression, ParameterTypes, Scope } from './evaluation.js';
 import { compileExpression } from './expression.js';
 import { compareValues, STATUS_FUNCTIONS } from './functions.js';
 import type { ExecutionContext, Plan, StatementResult } from './plan.js';
 import { compileProjection, type Projection, project } from './projection.js';
+import { compileSource, NO_SOURCE, type Source } from './source.js';
 import { subselectCompiler } from './subselect.js';
 import type { Row, Value } from './types.js';
 
-/** Where rows come from. */
-interface Source {
-  readonly name: string | undefined;
-  readonly columns: readonly ScopeColumn[];
-  readonly table: Table | undefined;
-  /** Rows of a source that is no table. */
-  readonly generate: ((context: ExecutionContext) => Iterable<Row>) | undefined;
-}
-
 interface SortKey {
   readonly expression: CompiledExpression;
   readonly direction: 1 | -1;
   readonly nullsFirst: boolean;
 }
 
-const NO_SOURCE: Source = {
-  name: undefined,
-  columns: [],
-  table: undefined,
-  generate: () => [[]],
-};
-
 export function compileSelect(
   node: SelectFromStatement,
   catalog: Catalog,
@@ -109,66 +87,6 @@
   return value === null ? Number.POSITIVE_INFINITY : Math.max(0, Number(value));
 }
 
-function compileSource(
-  from: readonly From[],
-  catalog: Catalog,
-  parameters: ParameterTypes,
-): Source {
-  const [node] = from;
-  if (node === undefined) return NO_SOURCE;
-  if (from.length > 1 || node.join) throw unsupported('joins');
-  if (node.type === 'table') {
-    const table = catalog.get(node.name.name);
-    const name = node.name.alias ?? node.name.name;
-    return { name, columns: table.definition.columns, table, generate: undefined };
-  }
-  if (node.type !== 'call') throw unsupported('subselects in FROM');
-  const alias = node.alias?.name;
-  if (node.function.name === 'pg_control_checkpoint') {
-    const columns = [{ name: 'timeline_id', type: 'int4' as const }];
-    const generate: Source['generate'] = ({ instance }) => [[instance.timeline()]];
-    return { name: alias ?? node.function.name, columns, table: undefined, generate };
-  }
-  if (node.function.name !== 'generate_series') throw unsupported(`${node.function.name} in FROM`);
-  const columnName = node.alias?.columns?.[0]?.name ?? alias ?? 'generate_series';
-  return seriesSource(node.args, alias, columnName, catalog, parameters);
-}
-
-function seriesSource(
-  args: readonly Expr[],
-  alias: string | undefined,
-  columnName: string,
-  catalog: Catalog,
-  parameters: ParameterTypes,
-): Source {
-  const scope: Scope = {
-    columns: [],
-    sourceName: undefined,
-    excludedColumns: undefined,
-    parameters,
-    aggregates: undefined,
-    compileSubselect: subselectCompiler(catalog),
-  };
-  const bounds = args.map((arg) => compileExpression(arg, scope, 'int4'));
-  const type = bounds.some((bound) => bound.type === 'int8') ? 'int8' : 'int4';
-  const generate: Source['generate'] = (context) => {
-    const [first, last, step] = bounds.map((bound) => bound.evaluate(context));
-    if (first === null || last === null || step === null) return [];
-    return series(Number(first), Number(last), Number(step ?? 1));
-  };
-  return {
-    name: alias ?? 'generate_series',
-    columns: [{ name: columnName, type }],
-    table: undefined,
-    generate,
-  };
-}
-
-function* series(first: number, last: number, step: number): Generator<Row> {
-  if (step === 0) throw unsupported('a series with step 0');
-  for (let value = first; step > 0 ? value <= last : value >= last; value += step) yield [value];
-}
-
 function compileSortKeys(
   nodes: readonly OrderByStatement[],
   projection: Projection,
--- a/standins/database/sql/types.ts
+++ b/standins/database/sql/types.ts
@@ -113,21 +113,21 @@
   throw invalidInput('bool', text);
 }
 
+/** Date, time of day and offset from UTC; the latter two may be left out. */
+const TIMESTAMP_PATTERN =
+  /^(\d{4,}-\d{2}-\d{2})(?:[T ](\d{2}:\d{2}(?::\d{2}(?:\.\d+)?)?) ?(?:(Z|UTC)|([+-]\d{2}):?(\d{2})?)?)?$/i;
+
+/** Without an offset the time is UTC; precision is milliseconds. */
 function parseTimestamp(type: TypeName, text: string): string {
-  const hasZone = /(Z|[+-]\d{2}(:?\d{2})?)$/i.test(text.trim()) && /\d:\d/.test(text);
-  const isoText = text
-    .trim()
-    .replace(' ', 'T')
-    .replace(/([+-]\d{2})$/, '$1:00');
-  const milliseconds = Date.parse(hasZone ? isoText : addUtcZone(isoText));
+  const match = TIMESTAMP_PATTERN.exec(text.trim());
+  if (match === null) throw invalidInput(type, text);
+  const [, date, time = '00:00', , hours, minutes = '00'] = match;
+  const offset = hours === undefined ? 'Z' : `${hours}:${minutes}`;
+  const milliseconds = Date.parse(`${date}T${time}${offset}`);
   if (Number.isNaN(milliseconds)) throw invalidInput(type, text);
   return formatTimestamp(type, milliseconds);
 }
 
-function addUtcZone(isoText: string): string {
-  return isoText.includes('T') ? `${isoText}Z` : isoText;
-}
-
 /** Text form of a wall time in milliseconds since the epoch. */
 export function formatTimestamp(type: TypeName, milliseconds: number): string {
   const text = new Date(milliseconds).toISOString().replace('T', ' ').replace('Z', '');
--- a/test/unit/database-election.test.ts
+++ b/test/unit/database-election.test.ts
@@ -85,6 +85,14 @@
   assert.is(voters.get('b')?.election.promisedTimeline, voters.get('c')?.electedTimeline);
 });
 
+test('a candidate that missed earlier rounds stands for a later timeline', () => {
+  const voters = createVoters([10, 20, 10], new Set(['a']));
+  const behind = voters.get('c');
+  if (behind !== undefined) behind.election.promisedTimeline = 6;
+  assert.equal(tickUntilElected(voters, ['b', 'c']), ['b']);
+  assert.is(voters.get('b')?.electedTimeline, 7);
+});
+
 test('without a majority nobody is elected', () => {
   const voters = createVoters([10, 10, 10], new Set(['a', 'b']));
   assert.equal(tickUntilElected(voters, ['c']), []);
--- a/test/unit/database-sql.test.ts
+++ b/test/unit/database-sql.test.ts
@@ -7,7 +7,7 @@
 import type { ExecutionContext } from '../../standins/database/sql/plan.js';
 import { compileStatement } from '../../standins/database/sql/planner.js';
 import { parseStatements, splitStatements } from '../../standins/database/sql/statements.js';
-import type { Row, Value } from '../../standins/database/sql/types.js';
+import { parseValue, type Row, type Value } from '../../standins/database/sql/types.js';
 import { Catalog } from '../../standins/database/storage/catalog.js';
 import { RowLockedSignal, type Transaction } from '../../standins/database/storage/transaction.js';
 
@@ -134,6 +134,16 @@
   }
 });
 
+test('timestamps are read with and without a time and an offset', () => {
+  const read = (text: string): Value[] =>
+    query(new Catalog(), 'SELECT $1::timestamptz', parseValue('timestamptz', text)).flat();
+  assert.equal(read('2023-12-31'), ['2023-12-31 00:00:00.000+00']);
+  assert.equal(read('2023-12-31 10:20'), ['2023-12-31 10:20:00.000+00']);
+  assert.equal(read('2023-12-31T10:20:30.5+0530'), ['2023-12-31 04:50:30.500+00']);
+  assert.equal(read('2023-12-31 10:20:30-02'), ['2023-12-31 12:20:30.000+00']);
+  assert.throws(() => read('2023-13-31'));
+});
+
 test('ON CONFLICT', () => {
   const catalog = sampleCatalog();
   query(catalog, "INSERT INTO item (name) VALUES ('pen') ON CONFLICT DO NOTHING");
