--- a/src/core/configuration/difference.ts
+++ b/src/core/configuration/difference.ts
@@ -20,10 +20,7 @@
   if (Object.is(before, after)) return [];
   const left = childrenOf(before);
   const right = childrenOf(after);
-  if (left === undefined && right === undefined) {
-    return [{ field: formatFieldPath(path), before, after }];
-  }
-  if (isMismatch(before, left, right) || isMismatch(after, right, left)) {
+  if (!isComparedByField(before, left, after, right)) {
     return [{ field: formatFieldPath(path), before, after }];
   }
   const keys = new Set([...(left?.keys() ?? []), ...(right?.keys() ?? [])]);
@@ -32,13 +29,18 @@
 
 type Children = ReadonlyMap<string | number, unknown>;
 
-/** A plain value against a container is one difference; an absent one is compared field by field. */
-function isMismatch(
-  value: unknown,
-  own: Children | undefined,
-  other: Children | undefined,
+/** Two containers of one kind, or one with something in it against nothing. */
+function isComparedByField(
+  before: unknown,
+  left: Children | undefined,
+  after: unknown,
+  right: Children | undefined,
 ): boolean {
-  return own === undefined && other !== undefined && value !== undefined;
+  if (left !== undefined && right !== undefined) {
+    return Array.isArray(before) === Array.isArray(after);
+  }
+  const absent = left === undefined ? before : after;
+  return absent === undefined && ((left ?? right)?.size ?? 0) > 0;
 }
 
 function childrenOf(value: unknown): Children | undefined {
--- a/src/core/configuration/publish.ts
+++ b/src/core/configuration/publish.ts
@@ -1,6 +1,6 @@
 /**
  * Plans a publish as one compare-and-swap transaction. All publishes compare and touch the head
- * key, so that they form one line of versions; each one also compares that its publish id is new.
+ * key, so that they form one line of versions, and each leaves a record under its publish id.
  *
  * A lost answer is resolved by reading the record of the publish id back. If it is absent and the
  * head has moved, the transaction can never apply any more, since its compare on the head fails
@@ -253,10 +253,7 @@
   return {
     publishId,
     changes: planned,
-    compares: [
-      { key: HEAD_KEY, modRevision: current.headRevision },
-      { key: publishKeyOf(publishId), modRevision: 0 },
-    ],
+    compares: [{ key: HEAD_KEY, modRevision: current.headRevision }],
     operations: [
       ...writes,
       ...prunes,
--- a/test/property/configuration-agent.test.ts
+++ b/test/property/configuration-agent.test.ts
@@ -215,6 +215,17 @@
   );
 });
 
+test('watches that fall silent are found by a look at the head key', () => {
+  const simulation = new ConfigurationSimulation(seededRandom(SEED));
+  simulation.publish('t1');
+  grow(simulation, 9);
+  simulation.runUntil(30_000);
+  simulation.watchesSilent = true;
+  simulation.publish('t2');
+  simulation.runUntil(simulation.now + 20_000);
+  assertInForce(simulation);
+});
+
 function storeRequestsOf(simulation: ConfigurationSimulation): number[] {
   return simulation.nodes.map(({ storeRequests }) => storeRequests);
 }
--- a/test/support/configuration-simulation.ts
+++ b/test/support/configuration-simulation.ts
@@ -36,6 +36,8 @@
 export class ConfigurationSimulation {
   now = 0;
   storeDown = false;
+  /** Open watches hear nothing and are not told that they are dead. */
+  watchesSilent = false;
   /** Share of peer calls that fail. */
   lossShare = 0;
   headRevision = 0;
@@ -89,7 +91,7 @@
     });
     for (const entry of entries) this.#entries.set(entry.key, entry);
     for (const node of this.live) {
-      if (node.watching !== undefined) this.#sendWatch(node, revision);
+      if (!this.watchesSilent) this.#sendWatch(node, revision);
     }
     return revision;
   }
