Relays claim both slots at once; a change resolves only what it touches

Cause: two candidates that claimed at once left one slot free for seconds (trial: 4 watches instead of 8 after 3 s), and each publish resolved all tenants again, blocking the event loop for 80 to 159 ms at 500 tenants (trial). Change: a candidate that loses one slot tries the next; replicas keep decoded declarations, and policies for as long as the tenant and its template stay the same; schemas of parameters are built once.

--- a/src/core/configuration/catalogue.ts
+++ b/src/core/configuration/catalogue.ts
@@ -28,8 +28,39 @@
   readonly problems: readonly DocumentProblem[];
 }
 
+/**
+ * Keeps the policies of tenants for as long as neither they nor their templates change, so that a
+ * change to one tenant does not resolve all the others again.
+ */
+export class ResolutionCache {
+  readonly #resolved = new WeakMap<CatalogueEntry, CachedResolution>();
+
+  resolve(
+    template: CatalogueEntry & { readonly declaration: TemplateDeclaration },
+    entry: CatalogueEntry,
+    tenant: TenantDeclaration,
+  ): Resolution {
+    const cached = this.#resolved.get(entry);
+    if (cached?.template === template) return cached.resolution;
+    const revision = Math.max(entry.revision, template.revision);
+    const resolution = resolveTenant(template.declaration, tenant, revision, entry.locate);
+    this.#resolved.set(entry, { template, resolution });
+    return resolution;
+  }
+}
+
+type Resolution = ReturnType<typeof resolveTenant>;
+
+interface CachedResolution {
+  readonly template: CatalogueEntry;
+  readonly resolution: Resolution;
+}
+
 /** Resolves every tenant and checks every template. Deterministic: by order of key. */
-export function resolveCatalogue(catalogue: Catalogue): ResolvedCatalogue {
+export function resolveCatalogue(
+  catalogue: Catalogue,
+  cache: ResolutionCache = new ResolutionCache(),
+): ResolvedCatalogue {
   const problems: DocumentProblem[] = [];
   const policies: TenantPolicy[] = [];
   const users = new Map<string, string>();
@@ -40,7 +71,7 @@
       problems.push(...checkTemplate(entry.declaration, entry.locate));
       continue;
     }
-    const policy = resolveEntry(catalogue, entry, entry.declaration, problems);
+    const policy = resolveEntry(catalogue, cache, entry, entry.declaration, problems);
     if (policy === undefined) continue;
     const other = users.get(policy.user);
     if (other !== undefined) {
@@ -61,8 +92,9 @@
 export function snapshotOf(
   catalogue: Catalogue,
   revision: ConfigurationRevision,
+  cache: ResolutionCache = new ResolutionCache(),
 ): ConfigurationSnapshot {
-  const { policies } = resolveCatalogue(catalogue);
+  const { policies } = resolveCatalogue(catalogue, cache);
   return {
     revision,
     tenantsByUser: new Map(policies.map((policy) => [policy.user, policy])),
@@ -102,12 +134,13 @@
 
 function resolveEntry(
   catalogue: Catalogue,
+  cache: ResolutionCache,
   entry: CatalogueEntry,
   tenant: TenantDeclaration,
   problems: DocumentProblem[],
 ): TenantPolicy | undefined {
   const template = catalogue.get(`template/${tenant.template}`);
-  if (template === undefined || template.declaration.kind !== 'Template') {
+  if (template === undefined || !isTemplate(template)) {
     problems.push({
       location: entry.locate(['template']),
       field: 'template',
@@ -115,9 +148,14 @@
     });
     return undefined;
   }
-  const revision = Math.max(entry.revision, template.revision);
-  const resolved = resolveTenant(template.declaration, tenant, revision, entry.locate);
+  const resolved = cache.resolve(template, entry, tenant);
   if (resolved.isOk()) return resolved.value;
   problems.push(...resolved.error.problems);
   return undefined;
 }
+
+function isTemplate(
+  entry: CatalogueEntry,
+): entry is CatalogueEntry & { readonly declaration: TemplateDeclaration } {
+  return entry.declaration.kind === 'Template';
+}
--- a/src/core/configuration/parameters.ts
+++ b/src/core/configuration/parameters.ts
@@ -76,8 +76,17 @@
 /** A parameter of a template. */
 export type ParameterDeclaration = z.output<typeof parameterSchema>;
 
+/** Schemas already built: hundreds of tenants are checked against the same parameters. */
+const valueSchemas = new WeakMap<ParameterDeclaration, z.ZodType>();
+
 /** The schema that a value of this parameter must fit: its type and its bounds. */
 export function valueSchemaOf(parameter: ParameterDeclaration): z.ZodType {
+  const built = valueSchemas.get(parameter) ?? buildValueSchema(parameter);
+  valueSchemas.set(parameter, built);
+  return built;
+}
+
+function buildValueSchema(parameter: ParameterDeclaration): z.ZodType {
   switch (parameter.type) {
     case 'integer':
       return withinNumbers(z.int(), parameter);
--- a/src/core/configuration/replica.ts
+++ b/src/core/configuration/replica.ts
@@ -5,7 +5,7 @@
  * that is still on its way can't bring them back.
  */
 import { createHash } from 'node:crypto';
-import { snapshotOf } from './catalogue.js';
+import { type CatalogueEntry, ResolutionCache, snapshotOf } from './catalogue.js';
 import type { DeclarationKey } from './declaration.js';
 import type { ConfigurationRevision, ConfigurationSnapshot } from './model.js';
 import { decodeEntries, liveCatalogueOf } from './publish.js';
@@ -36,6 +36,9 @@
 /** Holds the entries; a value object with one way to change: `merge`. */
 export class ConfigurationReplica {
   readonly #entries = new Map<DeclarationKey, ConfigurationEntry>();
+  /** The declarations in force, decoded; kept in step with the entries. */
+  readonly #catalogue = new Map<DeclarationKey, CatalogueEntry>();
+  readonly #resolutions = new ResolutionCache();
   #revision: ConfigurationRevision = 0;
   #digest: ConfigurationDigest | undefined;
   #snapshot: ConfigurationSnapshot | undefined;
@@ -50,7 +53,7 @@
     if (delta.sinceRevision > this.#revision) return 'gap';
     const newer = delta.entries.filter((entry) => this.#isNewer(entry));
     if (newer.length === 0 && delta.revision <= this.#revision) return 'nothing-new';
-    for (const entry of newer) this.#entries.set(entry.key, entry);
+    for (const entry of newer) this.#put(entry);
     this.#revision = Math.max(this.#revision, delta.revision);
     this.#digest = undefined;
     this.#snapshot = undefined;
@@ -72,7 +75,7 @@
 
   /** What is in force here. */
   snapshot(): ConfigurationSnapshot {
-    this.#snapshot ??= this.#resolve();
+    this.#snapshot ??= snapshotOf(this.#catalogue, this.#revision, this.#resolutions);
     return this.#snapshot;
   }
 
@@ -80,9 +83,13 @@
     return entry.revision > (this.#entries.get(entry.key)?.revision ?? 0);
   }
 
-  #resolve(): ConfigurationSnapshot {
-    const entries = decodeEntries(this.#entries.values());
-    return snapshotOf(liveCatalogueOf(entries), this.#revision);
+  /** A tombstone, or a value that can't be decoded, leaves nothing in force. */
+  #put(entry: ConfigurationEntry): void {
+    this.#entries.set(entry.key, entry);
+    this.#catalogue.delete(entry.key);
+    for (const [key, live] of liveCatalogueOf(decodeEntries([entry]))) {
+      this.#catalogue.set(key, live);
+    }
   }
 
   #hash(): string {
--- a/src/node/configuration/store-session.ts
+++ b/src/node/configuration/store-session.ts
@@ -85,9 +85,9 @@
     return this.store.range(relayPrefixOf(this.zone)).andThen(({ entries }) => {
       const taken = new Set(entries.map(({ key }) => key));
       const slots = Array.from({ length: RELAYS_PER_ZONE }, (_, slot) => slot);
-      const free = slots.find((slot) => !taken.has(relayKeyOf(this.zone, slot)));
-      if (free === undefined) return ok(undefined);
-      return new ResultAsync(this.#takeSlot(free));
+      const free = slots.filter((slot) => !taken.has(relayKeyOf(this.zone, slot)));
+      if (free.length === 0) return ok(undefined);
+      return new ResultAsync(this.#takeOneOf(free));
     });
   }
 
@@ -104,18 +104,30 @@
     return this.store.revokeLease(lease.leaseId);
   }
 
-  async #takeSlot(slot: number): Promise<Result<RelayLease | undefined, StoreError>> {
-    const leaseId = await this.store.grantLease(RELAY_LEASE_SECONDS);
-    if (leaseId.isErr()) return leaseId.map(() => undefined);
-    const lease = { leaseId: leaseId.value, slot };
-    const key = relayKeyOf(this.zone, slot);
-    const answer = await this.store.transaction(
-      [{ key, modRevision: 0 }],
-      [{ type: 'put', key, value: this.nodeId, leaseId: lease.leaseId }],
-    );
-    const taken = answer.isOk() && answer.value.succeeded;
+  async #takeOneOf(slots: readonly number[]): Promise<Result<RelayLease | undefined, StoreError>> {
+    const granted = await this.store.grantLease(RELAY_LEASE_SECONDS);
+    if (granted.isErr()) return err(granted.error);
+    const leaseId = granted.value;
+    const taken = await this.#firstTaken(slots, leaseId);
     // A slot that was taken without our knowing goes with its lease.
-    if (!taken) await this.store.revokeLease(lease.leaseId);
-    return answer.map(() => (taken ? lease : undefined));
+    if (taken.isErr() || taken.value === undefined) await this.store.revokeLease(leaseId);
+    return taken.map((slot) => (slot === undefined ? undefined : { leaseId, slot }));
+  }
+
+  /** Tries the slots in turn: another candidate may take one at the same moment. */
+  async #firstTaken(
+    slots: readonly number[],
+    leaseId: string,
+  ): Promise<Result<number | undefined, StoreError>> {
+    for (const slot of slots) {
+      const key = relayKeyOf(this.zone, slot);
+      const answer = await this.store.transaction(
+        [{ key, modRevision: 0 }],
+        [{ type: 'put', key, value: this.nodeId, leaseId }],
+      );
+      if (answer.isErr()) return err(answer.error);
+      if (answer.value.succeeded) return ok(slot);
+    }
+    return ok(undefined);
   }
 }
--- a/test/integration/configuration-service.test.ts
+++ b/test/integration/configuration-service.test.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationMember } from '../../src/core/configuration/relays.js';
 import { Publisher } from '../../src/node/configuration/publisher.js';
 import { ConfigurationService } from '../../src/node/configuration/service.js';
+import { StoreSession } from '../../src/node/configuration/store-session.js';
 import { DEFAULT_STORE_CLIENT_OPTIONS, StoreClient } from '../../src/platform/store-client.js';
 import { declared, TEMPLATE_YAML, tenantYaml } from '../support/declarations.js';
 import { type ListeningTransport, listen } from '../support/peer.js';
@@ -117,6 +118,15 @@
   }
 });
 
+test('two candidates that claim at the same moment take both slots', async (context) => {
+  const sessions = ['n0', 'n1'].map((nodeId) => new StoreSession(context.operator, nodeId, 'x'));
+  const leases = await Promise.all(sessions.map((session) => session.claimRelay()));
+  const slots = leases.map((lease) => lease._unsafeUnwrap()?.slot);
+  assert.equal(slots.sort(), [0, 1]);
+  const third = await new StoreSession(context.operator, 'n2', 'x').claimRelay();
+  assert.is(third._unsafeUnwrap(), undefined);
+});
+
 test('a compacted or broken watch is begun again without going back', async (context) => {
   const first = await publish(context, 'first', TEMPLATE_YAML, tenantYaml('a', 10));
   const node = await startNode(context, 'n0', 'x');
