--- a/bench/harness/cluster.ts
+++ b/bench/harness/cluster.ts
@@ -25,7 +25,8 @@
 
 const LOOPBACK = '127.0.0.1';
 const SECRET_BYTES = 32;
-const BACKEND_PASSWORD = 'backend-password';
+/** Password of every role on the back ends. */
+export const BACKEND_PASSWORD = 'backend-password';
 
 /** The cluster could not be set up. */
 export class ClusterError extends MeadowstackError {
@@ -55,6 +56,13 @@
   readonly zone: string;
 }
 
+/** Where callers reach a proxy. */
+export interface CallerAddress {
+  readonly name: string;
+  readonly host: string;
+  readonly port: number;
+}
+
 export interface ClusterOptions {
   readonly groups: readonly ClusterGroup[];
   readonly proxies: readonly ClusterProxy[];
@@ -63,6 +71,11 @@
   readonly tenants: readonly ClusterTenant[];
   /** One-way latency in ms of the route to an instance. */
   readonly instanceLatencyMs?: number;
+  /**
+   * One-way latency in ms between callers and proxies. If given (also as 0), callers connect through
+   * routes of a fault proxy of their own, whose addresses stay when a proxy is replaced.
+   */
+  readonly callerLatencyMs?: number;
   readonly proxyFlags?: readonly string[];
 }
 
@@ -71,23 +84,27 @@
   readonly #sessionKeyHex = randomBytes(SECRET_BYTES).toString('hex');
   readonly groups = new Map<string, DatabaseGroup>();
   readonly proxies = new Map<string, RunningProxy>();
+  readonly #callerAddresses = new Map<string, CallerAddress>();
 
   private constructor(
     options: ClusterOptions,
     readonly store: RunningStore,
     readonly machines: RunningMachines,
     readonly faults: RunningFaultProxy,
+    /** Routes between callers and proxies, by node id; undefined if callers connect directly. */
+    readonly callerFaults: RunningFaultProxy | undefined,
   ) {
     this.#options = options;
   }
 
   static async start(options: ClusterOptions): Promise<Cluster> {
-    const [store, machines, faults] = await Promise.all([
+    const [store, machines, faults, callerFaults] = await Promise.all([
       startStore(),
       startMachines(),
       startFaultProxy(),
+      options.callerLatencyMs === undefined ? undefined : startFaultProxy(),
     ]);
-    const cluster = new Cluster(options, store, machines, faults);
+    const cluster = new Cluster(options, store, machines, faults, callerFaults);
     try {
       await Promise.all([
         cluster.publishTexts([options.templates, ...options.tenants.map(tenantYaml)]),
@@ -116,7 +133,12 @@
     }
   }
 
-  /** Starts a proxy and lists it as a machine. */
+  /** Where callers connect to, in the order in which the proxies were first started. */
+  get callerAddresses(): readonly CallerAddress[] {
+    return [...this.#callerAddresses.values()];
+  }
+
+  /** Starts a proxy, or its replacement under the same node id, and lists it as a machine. */
   async startProxy(proxy: ClusterProxy): Promise<RunningProxy> {
     const running = await startProxy({
       ...proxy,
@@ -127,6 +149,7 @@
       extra: this.#options.proxyFlags ?? [],
     });
     this.proxies.set(proxy.nodeId, running);
+    await this.#routeCallers(running);
     await this.machines.upsert({
       role: 'proxy',
       name: proxy.nodeId,
@@ -158,9 +181,29 @@
       this.store.stop(),
       this.machines.stop(),
       this.faults.stop(),
+      this.callerFaults?.stop(),
     ]);
   }
 
+  async #routeCallers({ nodeId, callers }: RunningProxy): Promise<void> {
+    if (this.callerFaults === undefined) {
+      this.#callerAddresses.set(nodeId, { name: nodeId, ...callers });
+      return;
+    }
+    const earlier = this.#callerAddresses.get(nodeId);
+    if (earlier !== undefined) await this.callerFaults.removeRoute(nodeId);
+    const route = await this.callerFaults.addRoute({
+      name: nodeId,
+      listenPort: earlier?.port ?? 0,
+      targetHost: callers.host,
+      targetPort: callers.port,
+    });
+    const latencyMs = this.#options.callerLatencyMs ?? 0;
+    await this.callerFaults.setFaults(nodeId, { up: { latencyMs }, down: { latencyMs } });
+    const { listenHost: host, listenPort: port } = route;
+    this.#callerAddresses.set(nodeId, { name: nodeId, host, port });
+  }
+
   async #startGroup(options: ClusterGroup): Promise<void> {
     const group = await startDatabaseGroup({ ...options, password: BACKEND_PASSWORD });
     this.groups.set(options.group, group);
--- a/src/commands/proxy.ts
+++ b/src/commands/proxy.ts
@@ -26,7 +26,11 @@
     ...Object.fromEntries(
       SETTING_FIELDS.map((field) => [
         flagName(field),
-        Flags.string({ description: field.description, helpGroup: 'SETTINGS' }),
+        Flags.string({
+          description: field.description,
+          helpGroup: 'SETTINGS',
+          hidden: field.hidden === true,
+        }),
       ]),
     ),
   };
--- a/src/core/group/dispatcher.ts
+++ b/src/core/group/dispatcher.ts
@@ -10,10 +10,12 @@
   isEligible,
   type ReplicaCandidate,
   rankReplicas,
+  toleratesReplica,
 } from '../routing/select.js';
 import type { Milliseconds } from '../units.js';
 import { type GroupContext, isOff, type Run } from './context.js';
 import type { InstanceDescription } from './contract.js';
+import type { RoutingPolicy } from './options.js';
 import type { OfferResult, QueueEntry } from './queue.js';
 
 /** Connections that requests ready to run are short of. */
@@ -33,19 +35,14 @@
   private readonly rules: EligibilityRules;
 
   constructor(private readonly context: GroupContext) {
-    this.rules = {
-      ...ALL_RULES,
-      checkPosition: !isOff(context, 'session-position'),
-      checkStaleness: !isOff(context, 'staleness-bound'),
-      checkLeaving: !isOff(context, 'leaving'),
-    };
+    this.rules = rulesOf(context);
   }
 
   /** Queues a request in the lane it belongs to. */
   enqueue(entry: QueueEntry, now: Milliseconds): void {
     const { lanes, deadlines, timing, admission } = this.context;
     const { request } = entry;
-    const lane = mayUseReplica(entry) ? lanes.replica : lanes.primary;
+    const lane = mayUseReplica(entry, this.context.options.routing) ? lanes.replica : lanes.primary;
     lane.push(entry);
     admission.recordQueued(request.tenant, 1);
     deadlines.add({ at: request.deadline, requestId: request.id });
@@ -90,7 +87,7 @@
 
   private offerPrimary(entry: QueueEntry, now: Milliseconds): OfferResult {
     if (!this.mayStart(entry, now)) return 'blocked';
-    if (mayUseReplica(entry)) {
+    if (mayUseReplica(entry, this.context.options.routing)) {
       const eligible = this.eligibleReplicas(entry, now);
       if (eligible.length > 0 && this.runOnReplica(entry, eligible, now) === 'taken') {
         return 'taken';
@@ -111,7 +108,7 @@
     if (primary === undefined) return 'blocked';
     const description = instances.get(primary.instance);
     if (description === undefined) return 'blocked';
-    if (description.leaving && mayUseReplica(entry)) return 'blocked';
+    if (description.leaving && mayUseReplica(entry, this.context.options.routing)) return 'blocked';
     const { session } = request;
     if (session.type === 'known' && session.position.timeline > primary.timeline) {
       this.laterTimelineExpected = true;
@@ -251,12 +248,21 @@
   }
 }
 
+function rulesOf(context: GroupContext): EligibilityRules {
+  return {
+    ...ALL_RULES,
+    checkPosition: !isOff(context, 'session-position'),
+    checkStaleness: !isOff(context, 'staleness-bound'),
+    checkLeaving: !isOff(context, 'leaving'),
+    checkSession: context.options.routing !== 'any-replica',
+  };
+}
+
 /** True if a replica may serve the entry once one is caught up. */
-export function mayUseReplica(entry: QueueEntry): boolean {
-  const { access, hold, stalenessBoundMs, session } = entry.request;
-  return (
-    access === 'read' && hold === 'statement' && stalenessBoundMs > 0 && session.type === 'known'
-  );
+export function mayUseReplica(entry: QueueEntry, routing?: RoutingPolicy): boolean {
+  const { access, hold } = entry.request;
+  if (access !== 'read' || hold !== 'statement' || routing === 'primary-only') return false;
+  return routing === 'any-replica' || toleratesReplica(entry.request);
 }
 
 /** True if half of the time that the caller gave has gone: then any lawful instance will do. */
--- a/src/core/group/intake.ts
+++ b/src/core/group/intake.ts
@@ -127,7 +127,7 @@
     const primary = monitor.usablePrimary();
     const description = primary === undefined ? undefined : instances.get(primary.instance);
     if (description === undefined) return 0;
-    const lane = mayUseReplica(entry) ? lanes.replica : lanes.primary;
+    const lane = mayUseReplica(entry, this.context.options.routing) ? lanes.replica : lanes.primary;
     if (lane.length === 0) return 0;
     const ahead = lane.expectedAhead(entry.request.tenant);
     return ((ahead + 1) * loads.serviceTimeMs(description.name)) / description.slots;
--- a/src/core/group/options.ts
+++ b/src/core/group/options.ts
@@ -4,19 +4,33 @@
 import type { ConfirmationMode } from './contract.js';
 
 /** Mechanisms that a test may turn off, to prove that their absence is noticed. Never in production. */
-export type Mechanism =
-  | 'confirmation'
-  | 'majority-election'
-  | 'session-position'
-  | 'staleness-bound'
-  | 'at-most-once'
-  | 'slot-limit'
-  | 'connection-budget'
-  | 'leaving'
-  | 'deadline'
-  | 'fair-queue'
-  | 'retry-budget'
-  | 'tenant-reset';
+export const ALL_MECHANISMS = [
+  'confirmation',
+  'majority-election',
+  'session-position',
+  'staleness-bound',
+  'at-most-once',
+  'slot-limit',
+  'connection-budget',
+  'leaving',
+  'deadline',
+  'fair-queue',
+  'retry-budget',
+  'tenant-reset',
+] as const;
+
+export type Mechanism = (typeof ALL_MECHANISMS)[number];
+
+/**
+ * How reads are spread. `session-consistent` is the product's; the others are baselines of the
+ * bench and break its promises or waste its replicas. Never in production.
+ */
+export type RoutingPolicy =
+  | 'session-consistent'
+  /** Every read goes to the primary. */
+  | 'primary-only'
+  /** Any reachable replica serves any single read, whatever it has replayed. */
+  | 'any-replica';
 
 /** Times of a group's state machine. */
 export interface GroupTiming {
@@ -72,6 +86,8 @@
   readonly random: () => number;
   readonly timing?: Partial<GroupTiming>;
   readonly bounds?: Partial<GroupBounds>;
+  /** Default `session-consistent`. */
+  readonly routing?: RoutingPolicy;
   /** Mutation checks only. */
   readonly without?: ReadonlySet<Mechanism>;
 }
--- a/src/core/routing/select.ts
+++ b/src/core/routing/select.ts
@@ -24,12 +24,15 @@
   readonly checkPosition: boolean;
   readonly checkStaleness: boolean;
   readonly checkLeaving: boolean;
+  /** Off: a read needs neither a known session nor a staleness bound. */
+  readonly checkSession: boolean;
 }
 
 export const ALL_RULES: EligibilityRules = {
   checkPosition: true,
   checkStaleness: true,
   checkLeaving: true,
+  checkSession: true,
 };
 
 /** Expected extra time of an instance in another zone than the gateway's. */
@@ -43,6 +46,11 @@
   return reached.timeline >= wanted.timeline && reached.lsn >= wanted.lsn;
 }
 
+/** True if the request leaves room for a replica: its session is known and it has a bound. */
+export function toleratesReplica(request: GroupRequest): boolean {
+  return request.stalenessBoundMs > 0 && request.session.type === 'known';
+}
+
 /** True if the replica may lawfully serve the read. */
 export function isEligible(
   candidate: ReplicaCandidate,
@@ -54,13 +62,16 @@
   if (state === undefined || reachability !== 'reachable' || state.writable) return false;
   if (rules.checkLeaving && candidate.leaving) return false;
   if (request.access !== 'read' || request.hold !== 'statement') return false;
-  if (request.stalenessBoundMs <= 0 || request.session.type === 'unknown') return false;
-  if (rules.checkPosition && !containsPosition(state.replayed, request.session.position)) {
-    return false;
-  }
+  if (rules.checkSession && !toleratesReplica(request)) return false;
+  if (rules.checkPosition && !hasSeenSession(candidate, request)) return false;
   return !rules.checkStaleness || now - candidate.freshAsOf <= request.stalenessBoundMs;
 }
 
+function hasSeenSession({ knowledge }: ReplicaCandidate, { session }: GroupRequest): boolean {
+  if (knowledge.state === undefined || session.type === 'unknown') return false;
+  return containsPosition(knowledge.state.replayed, session.position);
+}
+
 /** Expected time until an instance would have answered one more request. */
 export function expectedTimeMs(candidate: ReplicaCandidate, gatewayZone: ZoneName): Milliseconds {
   const distance = candidate.zone === gatewayZone ? 0 : OTHER_ZONE_MS;
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -36,6 +36,7 @@
 import { OwnerService } from './owner/owner-service.js';
 import { OwnerDirectory, rankNodes } from './owner-directory.js';
 import type { Settings } from './settings.js';
+import { groupPolicyOf, OUR_POLICY } from './test-policy.js';
 
 const SECRET_BYTES = 32;
 /** Connections of each instance that owners leave to operators and probes. */
@@ -171,7 +172,8 @@
   }
 
   async #start(): Promise<Result<ProxyAddresses, ProxyStartError>> {
-    const { peer } = this.#settings;
+    const { peer, testPolicy } = this.#settings;
+    if (testPolicy !== OUR_POLICY) this.#logger.warn('test policy in force', { testPolicy });
     const peerAddress = await this.#transport.listen(peer);
     if (peerAddress.isErr()) return err(startError(peerAddress.error));
     this.#machineList.onChange = (machines) => this.#onMachines(machines);
@@ -229,6 +231,7 @@
       ownZone: this.#settings.zone,
       confirmationMode: this.#settings.confirmation,
       random: Math.random,
+      ...groupPolicyOf(this.#settings.testPolicy),
     });
   }
 
--- a/src/node/setting-fields.ts
+++ b/src/node/setting-fields.ts
@@ -13,6 +13,8 @@
   readonly path: string;
   readonly type: SettingType;
   readonly description: string;
+  /** Left out of `--help`. */
+  readonly hidden?: boolean;
 }
 
 /** Every field that can be given outside the file. */
@@ -64,6 +66,7 @@
   { path: 'confirmation', type: 'string', description: 'received or term' },
   { path: 'log.level', type: 'string', description: 'trace, debug, info, warn, error or silent' },
   { path: 'log.format', type: 'string', description: 'json or text' },
+  { path: 'testPolicy', type: 'string', description: 'baseline of the bench', hidden: true },
 ];
 
 /** Name of the environment variable: `MEADOWSTACK_CALLERS_PORT`. */
--- a/src/node/settings-schema.ts
+++ b/src/node/settings-schema.ts
@@ -4,6 +4,7 @@
  */
 import { hostname } from 'node:os';
 import { z } from 'zod';
+import { OUR_POLICY, TEST_POLICIES } from './test-policy.js';
 
 const DEFAULT_CALLERS_PORT = 6432;
 const DEFAULT_PEER_PORT = 7432;
@@ -128,6 +129,8 @@
   /** How an acknowledgement is confirmed; see `ConfirmationMode` of the group machine. */
   confirmation: z.enum(['received', 'term']).default('received'),
   log: log.prefault({}),
+  /** Baselines of the bench; see test-policy.ts. Never set it in production. */
+  testPolicy: z.enum(TEST_POLICIES).default(OUR_POLICY),
 });
 
 /** Settings of a proxy process, complete. */
--- a/standins/database/instance.ts
+++ b/standins/database/instance.ts
@@ -36,6 +36,8 @@
   readonly slotsInUse: number;
   readonly queuedStatements: number;
   readonly statementsExecuted: number;
+  /** The same by the role that logged in; probes have one of their own. */
+  readonly statementsByRole: Readonly<Record<string, number>>;
   readonly connectionsAccepted: number;
   readonly connectionsRefused: number;
   readonly faults: Faults;
@@ -59,6 +61,7 @@
   private boundPort = 0;
   private runningStatements = 0;
   private statementsExecuted = 0;
+  private readonly statementsByRole = new Map<string, number>();
   private connectionsAccepted = 0;
   private connectionsRefused = 0;
 
@@ -129,13 +132,15 @@
       commit: (transaction) => this.commit(transaction),
       rollback: (transaction) => this.catalog.rollback(transaction),
       isInRecovery: () => this.member.role === 'replica',
-      countStatement: (running) => this.countStatement(running),
+      countStatement: (running, role) => this.countStatement(running, role),
     };
   }
 
-  private countStatement(running: 1 | -1): void {
+  private countStatement(running: 1 | -1, role: string): void {
     this.runningStatements += running;
-    if (running === 1) this.statementsExecuted += 1;
+    if (running === -1) return;
+    this.statementsExecuted += 1;
+    this.statementsByRole.set(role, (this.statementsByRole.get(role) ?? 0) + 1);
   }
 
   private currentLsn(): string {
@@ -235,6 +240,7 @@
       slotsInUse: slots.inUse,
       queuedStatements: slots.queued,
       statementsExecuted: this.statementsExecuted,
+      statementsByRole: Object.fromEntries(this.statementsByRole),
       connectionsAccepted: this.connectionsAccepted,
       connectionsRefused: this.connectionsRefused,
       faults: this.faults,
--- a/standins/database/session/session.ts
+++ b/standins/database/session/session.ts
@@ -21,7 +21,8 @@
 export interface SessionHost extends RunnerHost, TransactionHost {
   readonly plans: PlanCache;
   isInRecovery(): boolean;
-  countStatement(running: 1 | -1): void;
+  /** Called as a statement of this role begins (1) and ends (-1). */
+  countStatement(running: 1 | -1, role: string): void;
 }
 
 interface PreparedStatement {
@@ -257,7 +258,8 @@
     const signal = this.options.signal();
     throwIfAborted(signal);
     this.refuseWriteIfReadOnly(plan);
-    host.countStatement(1);
+    const role = this.options.startupParameters.get('user') ?? '';
+    host.countStatement(1, role);
     const stopTimer = this.startStatementTimer();
     let complete = false;
     try {
@@ -268,7 +270,7 @@
       });
     } finally {
       stopTimer();
-      host.countStatement(-1);
+      host.countStatement(-1, role);
     }
     return complete ? plan.tag(portal.returned, portal.affected) : undefined;
   }
