--- /dev/null
+++ b/bench/faults/machine-list-late.ts
@@ -0,0 +1,30 @@
+/** The machine list tells of changes seconds late, among them that a replica is leaving. */
+import { nowMs } from '../load/clock.js';
+import type { Fault } from './fault.js';
+import { pick, pickReplicas } from './targets.js';
+
+const LAG_MS = 1_500;
+
+export const MACHINE_LIST_LATE: Fault = {
+  name: 'machine-list-late',
+  summary: 'the machine list lags by 1.5 s while a replica is marked as leaving',
+  lengthMs: 7_000,
+  begin: async (context) => {
+    const { machines } = context.cluster;
+    const { replica } = pick(await pickReplicas(context), context.random);
+    const { actual } = await machines.state();
+    const machine = actual.find(({ role, name }) => role === 'database' && name === replica.name);
+    await machines.setLag(LAG_MS);
+    await machines.markLeaving({ role: 'database', name: replica.name });
+    const marked = context.recorder.leaving(replica.name, nowMs() + LAG_MS);
+    return {
+      target: replica.name,
+      primaryFailures: [],
+      end: async () => {
+        marked();
+        await machines.setLag(0);
+        if (machine !== undefined) await machines.upsert({ ...machine, state: 'live' });
+      },
+    };
+  },
+};
--- a/bench/faults/proxy-faults.ts
+++ b/bench/faults/proxy-faults.ts
@@ -61,7 +61,8 @@
   lengthMs: PAUSE_MS,
   begin: async (context) => {
     const { cluster, recorder } = context;
-    const relay = recorder.relays().find((nodeId) => cluster.proxies.has(nodeId));
+    const serving = recorder.servingProxies;
+    const relay = recorder.relays.find((nodeId) => serving.includes(nodeId));
     const proxy = relay === undefined ? pickProxy(context) : cluster.proxy(relay);
     proxy.pause();
     recorder.proxyStopped(proxy.nodeId);
--- a/bench/load/figures.ts
+++ b/bench/load/figures.ts
@@ -50,6 +50,8 @@
   readonly weightedService: number;
   /** Attempts for each request. */
   readonly amplification: number;
+  /** Attempts that were not done, by `<outcome> <code>`. */
+  readonly errors: Readonly<Record<string, number>>;
   readonly connectionsOpened: number;
   readonly violations: ViolationCounts;
   /** Not promised: reads that saw less than an earlier read of their session. */
@@ -98,6 +100,7 @@
     serviceByKind: mapValues(byKind, (requests) => serviceOf(requests, input.deployment)),
     weightedService: weightedService(byKind, input.deployment),
     amplification: ratio(input.requests.length, logical.length),
+    errors: countErrors(input.requests),
     connectionsOpened: input.connectionsOpened,
     violations: countViolations(input.violations),
     nonMonotonicReads: input.nonMonotonicReads,
@@ -125,6 +128,12 @@
   };
 }
 
+function countErrors(requests: readonly RequestRecord[]): Readonly<Record<string, number>> {
+  const failed = requests.filter(({ outcome }) => outcome !== 'done');
+  const byCode = groupBy(failed, ({ outcome, errorCode }) => `${outcome} ${errorCode}`);
+  return mapValues(byCode, (attempts) => attempts.length);
+}
+
 /** Among reads whose answer tells where they were served. */
 function replicaShare(reads: readonly RequestRecord[]): number | null {
   const told = reads.filter(({ servedBy }) => servedBy !== undefined);
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,13 @@
+/** `npm run bench`: dispatches on the sub-command; without one it benches a deployment. */
+import { runDeploymentBench } from './deployment-bench.js';
+
+const SUB_COMMANDS: ReadonlyMap<string, (args: readonly string[]) => Promise<number>> = new Map([
+  ['deployment', runDeploymentBench],
+]);
+
+const [first = '', ...rest] = process.argv.slice(2);
+const subCommand = SUB_COMMANDS.get(first);
+process.exitCode =
+  subCommand === undefined
+    ? await runDeploymentBench(process.argv.slice(2))
+    : await subCommand(rest);
--- /dev/null
+++ b/bench/options.ts
@@ -0,0 +1,112 @@
+/** Flags of `npm run bench`. */
+import { parseArgs } from 'node:util';
+import { z } from 'zod';
+import { MeadowstackError } from '../src/core/errors.js';
+import { TEST_POLICIES } from '../src/node/test-policy.js';
+import { DEPLOYMENTS } from './deployments.js';
+import type { Fault } from './faults/fault.js';
+import { FAULTS, faultNamed } from './faults/registry.js';
+import type { BenchOptions } from './run/run-bench.js';
+
+export const ALL_PAIRS = 'all-pairs';
+
+/** The flags do not fit. */
+export class BenchUsageError extends MeadowstackError {
+  readonly code = 'MS-BENCH-USAGE';
+}
+
+/** What the command is to do. */
+export interface BenchCommand {
+  readonly run: BenchOptions;
+  /** Run the matrix of faults in place of one run. */
+  readonly allPairs: boolean;
+  readonly jsonFile: string | undefined;
+  readonly htmlFile: string | undefined;
+}
+
+const MS_PER_SECOND = 1_000;
+
+export const BENCH_HELP = `npm run bench -- --deployment bureau|trust --seed N --duration SECONDS [flags]
+
+  --deployment NAME   bureau or trust                              [bureau]
+  --seed N            of schedule, keys and faults                 [1]
+  --duration SECONDS  of the measured part                         [20]
+  --warm-up SECONDS   before it, not in the figures                [2]
+  --fault NAME,...    faults at seeded times, or ${ALL_PAIRS}
+  --proxies N         proxy processes                              [3]
+  --policy NAME       ${TEST_POLICIES.slice(0, 3).join(', ')} or without-MECHANISM  [ours]
+  --rate N            requests a second, over all groups           [300]
+  --sessions N        sessions that the requests belong to         [60]
+  --statement-ms N    service time of a statement on an instance   [4]
+  --election-ms N     silence before a group elects                [300]
+  --no-delays         leave the delays of the places out
+  --json FILE         the figures
+  --html FILE         a page with plots
+
+Faults:
+${FAULTS.map(({ name, summary }) => `  ${name.padEnd(26)} ${summary}`).join('\n')}
+
+Policies without one mechanism:
+  ${TEST_POLICIES.slice(3).join('\n  ')}
+`;
+
+const wholeNumber = z.coerce.number().int();
+const schema = z.strictObject({
+  deployment: z.enum(['bureau', 'trust']).default('bureau'),
+  seed: wholeNumber.min(0).default(1),
+  duration: z.coerce.number().positive().default(20),
+  'warm-up': z.coerce.number().min(0).default(2),
+  fault: z.string().default(''),
+  proxies: wholeNumber.min(1).default(3),
+  policy: z.enum(TEST_POLICIES).default('ours'),
+  rate: z.coerce.number().positive().default(300),
+  sessions: wholeNumber.min(1).default(60),
+  'statement-ms': z.coerce.number().min(0).default(4),
+  'election-ms': wholeNumber.min(20).default(300),
+  'no-delays': z.boolean().default(false),
+  json: z.string().optional(),
+  html: z.string().optional(),
+});
+
+/** @throws BenchUsageError */
+export function parseBenchArguments(args: readonly string[]): BenchCommand {
+  const flags = schema.safeParse(readFlags(args));
+  if (!flags.success) throw new BenchUsageError(z.prettifyError(flags.error));
+  const { data } = flags;
+  const allPairs = data.fault === ALL_PAIRS;
+  const run: BenchOptions = {
+    deployment: DEPLOYMENTS[data.deployment],
+    seed: data.seed,
+    durationMs: data.duration * MS_PER_SECOND,
+    warmUpMs: data['warm-up'] * MS_PER_SECOND,
+    proxies: data.proxies,
+    policy: data.policy,
+    faults: allPairs ? [] : faultsOf(data.fault),
+    requestsPerSecond: data.rate,
+    sessions: data.sessions,
+    statementMs: data['statement-ms'],
+    electionTimeoutMs: data['election-ms'],
+    delays: !data['no-delays'],
+  };
+  return { run, allPairs, jsonFile: data.json, htmlFile: data.html };
+}
+
+function readFlags(args: readonly string[]): unknown {
+  const options = Object.fromEntries(
+    Object.keys(schema.shape).map((name) => [name, { type: flagType(name) }] as const),
+  );
+  try {
+    return parseArgs({ args: [...args], options }).values;
+  } catch (cause) {
+    throw new BenchUsageError(cause instanceof Error ? cause.message : 'unreadable', { cause });
+  }
+}
+
+function flagType(name: string): 'boolean' | 'string' {
+  return name === 'no-delays' ? 'boolean' : 'string';
+}
+
+function faultsOf(list: string): Fault[] {
+  const names = list.split(',').filter((name) => name !== '');
+  return names.map(faultNamed);
+}
--- /dev/null
+++ b/bench/recorders/cluster-sampler.ts
@@ -0,0 +1,60 @@
+/** Samples the whole cluster at a fixed period while a run goes on. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Cluster } from '../harness/cluster.js';
+import { nowMs } from '../load/clock.js';
+import { InstanceSampler } from './instance-sampler.js';
+import { ProxySampler } from './proxy-sampler.js';
+import type { RunRecorder } from './run-recorder.js';
+
+const SAMPLE_PERIOD_MS = 250;
+
+export class ClusterSampler {
+  readonly #instances: InstanceSampler;
+  readonly #proxies: ProxySampler;
+  readonly #stopped = new AbortController();
+  readonly #running: Promise<void>;
+
+  constructor(
+    cluster: Cluster,
+    private readonly recorder: RunRecorder,
+    callerRole: string,
+  ) {
+    this.#instances = new InstanceSampler(cluster, recorder, callerRole);
+    this.#proxies = new ProxySampler(cluster, recorder);
+    this.#running = this.#run();
+  }
+
+  /** Share of reads sent to replicas by the proxies' own counts. */
+  get replicaReadShare(): number | null {
+    return this.#proxies.replicaReadShare;
+  }
+
+  /** Ends the sampling with one last sample. */
+  async stop(): Promise<void> {
+    this.#stopped.abort();
+    await this.#running;
+    await this.#sample();
+  }
+
+  async #run(): Promise<void> {
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      await this.#sample();
+      await delay(SAMPLE_PERIOD_MS, undefined, { signal }).catch(() => undefined);
+    }
+  }
+
+  async #sample(): Promise<void> {
+    const at = nowMs();
+    const [instances, queuedAtProxies] = await Promise.all([
+      this.#instances.sample(),
+      this.#proxies.sample(),
+    ]);
+    this.recorder.clusterSample({
+      at,
+      queuedAtProxies,
+      queuedAtInstances: instances.queued,
+      connections: instances.connections,
+    });
+  }
+}
--- /dev/null
+++ b/bench/recorders/proxy-sampler.ts
@@ -0,0 +1,81 @@
+/** Asks the proxies' admin ports for configuration, queues and their own counts of reads. */
+import { z } from 'zod';
+import type { Cluster } from '../harness/cluster.js';
+import type { RunningProxy } from '../harness/proxy-process.js';
+import { nowMs } from '../load/clock.js';
+import type { RunRecorder } from './run-recorder.js';
+
+const groupSchema = z.object({
+  group: z.string(),
+  queued: z.number(),
+  replicaReads: z.number(),
+  primaryReads: z.number(),
+});
+
+/** The part of `GET /status` that is read here. */
+const statusSchema = z.object({
+  configuration: z.object({ revision: z.number(), relay: z.boolean() }),
+  groups: z.array(groupSchema),
+});
+type ProxyStatus = z.output<typeof statusSchema>;
+
+/** Reads that the owners of one proxy process have sent. */
+interface ReadCounts {
+  readonly replicaReads: number;
+  readonly primaryReads: number;
+}
+
+const STATUS_TIMEOUT_MS = 400;
+
+export class ProxySampler {
+  /** By process: a replaced proxy counts anew. */
+  readonly #reads = new Map<number, ReadCounts>();
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly recorder: RunRecorder,
+  ) {}
+
+  /** Requests queued in all proxies that answered in time. */
+  async sample(): Promise<number> {
+    const proxies = [...this.cluster.proxies.values()];
+    const queued = await Promise.all(proxies.map((proxy) => this.#sampleProxy(proxy)));
+    return queued.reduce((sum, count) => sum + count, 0);
+  }
+
+  /** Share of reads sent to replicas by the proxies' own counts; null if none told. */
+  get replicaReadShare(): number | null {
+    let replicaReads = 0;
+    let reads = 0;
+    for (const counts of this.#reads.values()) {
+      replicaReads += counts.replicaReads;
+      reads += counts.replicaReads + counts.primaryReads;
+    }
+    return reads === 0 ? null : replicaReads / reads;
+  }
+
+  async #sampleProxy(proxy: RunningProxy): Promise<number> {
+    const at = nowMs();
+    const status = await readStatus(proxy);
+    if (status === undefined) return 0;
+    const { revision: configurationRevision, relay } = status.configuration;
+    this.recorder.proxySample({ proxy: proxy.nodeId, at, configurationRevision, relay });
+    this.#reads.set(proxy.pid, {
+      replicaReads: status.groups.reduce((sum, group) => sum + group.replicaReads, 0),
+      primaryReads: status.groups.reduce((sum, group) => sum + group.primaryReads, 0),
+    });
+    return status.groups.reduce((sum, group) => sum + group.queued, 0);
+  }
+}
+
+async function readStatus({ admin }: RunningProxy): Promise<ProxyStatus | undefined> {
+  if (admin === undefined) return undefined;
+  try {
+    const signal = AbortSignal.timeout(STATUS_TIMEOUT_MS);
+    const response = await fetch(`http://${admin.host}:${admin.port}/status`, { signal });
+    return statusSchema.parse(await response.json());
+  } catch {
+    // Killed, paused or leaving: the fault is on record elsewhere.
+    return undefined;
+  }
+}
--- a/test/integration/configuration-service.test.ts
+++ b/test/integration/configuration-service.test.ts
@@ -90,7 +90,9 @@
 }
 
 function inForce(context: Context, revision: number): Promise<void> {
-  return until('all nodes to follow', () => context.nodes.every((node) => node.service.status().revision === revision));
+  return until('all nodes to follow', () =>
+    context.nodes.every((node) => node.service.status().revision === revision),
+  );
 }
 
 test('relays watch, the rest is pushed to, and a change is in force on all', async (context) => {
@@ -99,7 +101,10 @@
     await startNode(context, `n${index}`, zone);
   }
   await Promise.all(context.nodes.map(({ service }) => service.ready));
-  await until('all nodes to follow', () => context.nodes.filter(({ service }) => service.status().watching).length === 4);
+  await until(
+    'all nodes to follow',
+    () => context.nodes.filter(({ service }) => service.status().watching).length === 4,
+  );
   const revision = await publish(context, 'second', tenantYaml('a', 30));
   await inForce(context, revision);
   for (const { service, revisions } of context.nodes) {
