Peer link: streams and calls are numbered apart

Cause: a call leaves ahead of a stream that was opened before it in the same turn, so that the other side saw a number go back, took it for a fault and closed the link with all requests on it ('owner lost' without any fault injected). Change: two sequences of numbers, each checked on its own; frames tell calls from streams by their type. The new test does not end without the change.

--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -60,8 +60,12 @@
   readonly #handshakeTimer: NodeJS.Timeout;
   #state: LinkState = 'handshake';
   #remote: NodeIdentity | undefined;
-  /** Numbers of streams and calls are never used twice on a link. */
-  #lastNumber = 0;
+  /**
+   * Streams and calls are numbered apart, each only upwards: calls leave ahead of streams that were
+   * opened before them.
+   */
+  #lastStreamNumber = 0;
+  #lastCallNumber = 0;
   #silentIntervals = 0;
   #idleIntervals = 0;
 
@@ -100,7 +104,7 @@
 
   /** Opens a stream; only on a dialled link. May be used before the handshake is over. */
   openStream(header: Buffer): LinkStream {
-    const stream = new LinkStream(this, this.#nextNumber(), false);
+    const stream = new LinkStream(this, this.#nextStreamNumber(), false);
     this.#streams.set(stream.number, stream);
     this.#counters.streamsOpened += 1;
     stream.open(header);
@@ -113,7 +117,7 @@
     body: WireValue,
     timeoutMs: number,
   ): ResultAsync<WireValue, MeadowstackError> {
-    return this.#calls.call(this.#nextNumber(), method, body, timeoutMs);
+    return this.#calls.call(this.#nextCallNumber(), method, body, timeoutMs);
   }
 
   /** Closes the link at once; its streams and calls end with an error. */
@@ -173,9 +177,14 @@
     this.#writer.unschedule(stream);
   }
 
-  #nextNumber(): number {
-    this.#lastNumber += 1;
-    return this.#lastNumber;
+  #nextStreamNumber(): number {
+    this.#lastStreamNumber += 1;
+    return this.#lastStreamNumber;
+  }
+
+  #nextCallNumber(): number {
+    this.#lastCallNumber += 1;
+    return this.#lastCallNumber;
   }
 
   #listenToSocket(): void {
@@ -262,10 +271,15 @@
     if (this.role === 'dialler' || from === undefined) {
       throw new PeerProtocolError('the accepting side opens nothing');
     }
-    if (number <= this.#lastNumber) throw new PeerProtocolError('stream number used twice');
-    this.#lastNumber = number;
-    if (type === FrameType.CALL) this.#calls.receiveCall(number, payload, from);
-    else this.#acceptStream(number, decodeValue(payload), from);
+    if (type === FrameType.CALL) {
+      if (number <= this.#lastCallNumber) throw new PeerProtocolError('call number used twice');
+      this.#lastCallNumber = number;
+      this.#calls.receiveCall(number, payload, from);
+      return;
+    }
+    if (number <= this.#lastStreamNumber) throw new PeerProtocolError('stream number used twice');
+    this.#lastStreamNumber = number;
+    this.#acceptStream(number, decodeValue(payload), from);
   }
 
   #acceptStream(number: number, header: WireValue, from: NodeIdentity): void {
--- a/test/integration/peer-transport.test.ts
+++ b/test/integration/peer-transport.test.ts
@@ -68,6 +68,17 @@
   await closeAll(a, b);
 });
 
+test('a call made after a stream was opened, in the same turn, disturbs neither', async () => {
+  const [a, b] = await pair({ onStream: echo, onCall: async (_method, body) => body });
+  const stream = a.transport.openStream(b.address, 'first');
+  const answer = a.transport.call(b.address, 'echo', 'second', CALL_TIMEOUT_MS);
+  stream.send('third');
+  assert.is(await nextMessage(stream), 'third');
+  assert.is((await answer)._unsafeUnwrap(), 'second');
+  assert.is(b.transport.counters().framesMalformed, 0);
+  await closeAll(a, b);
+});
+
 test('ten megabytes pass through a window of 256 KB unchanged', async () => {
   const [a, b] = await pair({ onStream: echo });
   const total = 10 * 1024 * 1024;
