--- /dev/null
+++ b/bench/demo/account.ts
@@ -0,0 +1,55 @@
+/** What the demo tells people: lines as things happen, and tables in the end. */
+import type { FaultRecord } from '../faults/injector.js';
+import type { RequestRecord } from '../history/model.js';
+import type { RunFigures } from '../load/figures.js';
+
+const MS_PER_SECOND = 1_000;
+const PERCENT = 100;
+const KIND_WIDTH = 12;
+const NUMBER_WIDTH = 9;
+
+export class Account {
+  readonly #startedAt = performance.now();
+
+  /** One line with the time since the start. */
+  tell(text: string): void {
+    const seconds = ((performance.now() - this.#startedAt) / MS_PER_SECOND).toFixed(1);
+    process.stdout.write(`${seconds.padStart(5)} s  ${text}\n`);
+  }
+
+  /** Requests by kind, with latency from the time at which each was due. */
+  tellFigures(figures: RunFigures): void {
+    const header = ['kind', 'p50 ms', 'p99 ms', 'served'];
+    process.stdout.write(`\n${figures.deployment}: ${figures.requests} requests\n`);
+    process.stdout.write(row(header));
+    for (const [kind, latency] of Object.entries(figures.latencyMs.byKind)) {
+      const served = `${((figures.serviceByKind[kind] ?? 0) * PERCENT).toFixed(1)} %`;
+      process.stdout.write(row([kind, latency.p50.toFixed(1), latency.p99.toFixed(1), served]));
+    }
+    const { done, notRun, unknown, failed } = figures.outcomes;
+    process.stdout.write(
+      `  outcomes: done ${done}, not run ${notRun}, unknown ${unknown}, failed ${failed}\n`,
+    );
+  }
+
+  tellFault({ name, target }: FaultRecord): void {
+    this.tell(`fault ${name}: ${target ?? 'nothing to hit'}`);
+  }
+}
+
+/** Sessions that went on at another proxy, and read their own writes there. */
+export function countMoves(requests: readonly RequestRecord[]): number {
+  const lastProxy = new Map<string, string>();
+  let moves = 0;
+  for (const { sessionId, proxy } of [...requests].sort((a, b) => a.sentAt - b.sentAt)) {
+    const earlier = lastProxy.get(sessionId);
+    if (earlier !== undefined && earlier !== proxy) moves += 1;
+    lastProxy.set(sessionId, proxy);
+  }
+  return moves;
+}
+
+function row([first = '', ...rest]: readonly string[]): string {
+  const cells = rest.map((cell) => cell.padStart(NUMBER_WIDTH));
+  return `  ${first.padEnd(KIND_WIDTH)}${cells.join('')}\n`;
+}
