Admin port, metrics and membership joined to the node

Cause: nodes knew of one another only by the lagging machine list, and nothing told their state. Change: fleet view over list and SWIM membership, leaving is announced at the start of a planned stop, admin port with status, health, metrics and drain.

--- /dev/null
+++ b/src/node/fleet-view.ts
@@ -0,0 +1,113 @@
+/**
+ * This node's view of the fleet: the machine list gives machines and leaving marks, membership
+ * gives liveness. Until membership has heard of a listed node, the list alone counts.
+ */
+import type { Member } from '../core/membership/member.js';
+import type { Milliseconds } from '../core/units.js';
+import type { DatabaseMachine, Machine, ProxyMachine } from '../platform/contract.js';
+import { EMPTY_FLEET, type Fleet, fleetOf } from './fleet.js';
+
+/** A proxy that may be asked to serve. */
+export interface FleetNode {
+  readonly nodeId: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly peerPort: number;
+}
+
+export interface FleetViewOptions {
+  readonly self: FleetNode;
+  /** What membership knows of a node; undefined if it never heard of it. */
+  readonly memberOf: (nodeId: string) => Member | undefined;
+  readonly members: () => readonly Member[];
+  readonly now: () => Milliseconds;
+}
+
+/** How long a node that has left still counts as home of sessions, in ms: a session's life. */
+const REMEMBERED_MS: Milliseconds = 15 * 60_000;
+
+interface RememberedNode {
+  readonly node: FleetNode;
+  readonly lastListedAt: Milliseconds;
+}
+
+export class FleetView {
+  readonly #options: FleetViewOptions;
+  readonly #remembered = new Map<string, RememberedNode>();
+  #fleet: Fleet = EMPTY_FLEET;
+  #selfLeaving = false;
+
+  constructor(options: FleetViewOptions) {
+    this.#options = options;
+  }
+
+  setMachines(machines: readonly Machine[]): void {
+    this.#fleet = fleetOf(machines);
+    const lastListedAt = this.#options.now();
+    for (const proxy of this.#fleet.proxies) {
+      this.#remembered.set(proxy.name, { node: nodeOf(proxy), lastListedAt });
+    }
+    for (const [nodeId, { lastListedAt: last }] of this.#remembered) {
+      if (lastListedAt - last > REMEMBERED_MS) this.#remembered.delete(nodeId);
+    }
+  }
+
+  /** This node's planned stop has begun: it owns nothing any more, in its own view. */
+  setSelfLeaving(): void {
+    this.#selfLeaving = true;
+  }
+
+  get databases(): readonly DatabaseMachine[] {
+    return this.#fleet.databases;
+  }
+
+  /** Proxies as the list names them, for seeds and leaving marks. */
+  get listedProxies(): readonly ProxyMachine[] {
+    return this.#fleet.proxies;
+  }
+
+  /** Nodes that may own groups: live (a suspicion is not yet a death) and not leaving. */
+  liveNodes(): readonly FleetNode[] {
+    const nodes = new Map<string, FleetNode>();
+    for (const member of this.#options.members()) {
+      if (isServing(member)) nodes.set(member.nodeId, memberNode(member));
+    }
+    for (const proxy of this.#fleet.proxies) {
+      if (proxy.state === 'leaving') nodes.delete(proxy.name);
+      else if (this.#options.memberOf(proxy.name) === undefined) {
+        nodes.set(proxy.name, nodeOf(proxy));
+      }
+    }
+    const { self } = this.#options;
+    if (this.#isSelfLeaving()) nodes.delete(self.nodeId);
+    else nodes.set(self.nodeId, self);
+    return [...nodes.values()];
+  }
+
+  /** Nodes that may be home of a live session's positions, gone ones included. */
+  homeNodes(): readonly FleetNode[] {
+    const { self } = this.#options;
+    const nodes = new Map([...this.#remembered].map(([nodeId, { node }]) => [nodeId, node]));
+    if (!nodes.has(self.nodeId)) nodes.set(self.nodeId, self);
+    return [...nodes.values()];
+  }
+
+  #isSelfLeaving(): boolean {
+    const { self } = this.#options;
+    const listed = this.#fleet.proxies.find((proxy) => proxy.name === self.nodeId);
+    return this.#selfLeaving || listed?.state === 'leaving';
+  }
+}
+
+function isServing(member: Member): boolean {
+  return member.status === 'alive' || member.status === 'suspect';
+}
+
+function memberNode(member: Member): FleetNode {
+  const { nodeId, zone, host, peerPort } = member;
+  return { nodeId, zone, host, peerPort };
+}
+
+function nodeOf(proxy: ProxyMachine): FleetNode {
+  return { nodeId: proxy.name, zone: proxy.zone, host: proxy.host, peerPort: proxy.peerPort };
+}
--- /dev/null
+++ b/src/node/node-status.ts
@@ -0,0 +1,36 @@
+/** What a node tells of itself on its admin port; `meadowstack status` shows it. */
+import type { GroupStatistics } from '../core/group/contract.js';
+import type { MemberStatus } from '../core/membership/member.js';
+import type { GroupName } from '../core/request.js';
+import type { PeerCounters } from '../peer/contract.js';
+import type { ConfigurationServiceStatus } from './configuration/service.js';
+import type { MembershipCounters } from './membership/service.js';
+
+export type NodeState = 'starting' | 'serving' | 'leaving';
+
+/** One group that this node owns. */
+export type GroupStatus = { readonly group: GroupName } & GroupStatistics;
+
+export interface MemberSummary {
+  readonly nodeId: string;
+  readonly zone: string;
+  readonly status: MemberStatus;
+}
+
+export interface NodeStatus {
+  readonly nodeId: string;
+  readonly incarnation: number;
+  readonly zone: string;
+  readonly state: NodeState;
+  readonly configuration: ConfigurationServiceStatus;
+  /** Caller connections open. */
+  readonly callers: number;
+  /** Sessions by id whose positions this node keeps. */
+  readonly sessionsKept: number;
+  /** Back-end connections opened since start, probes included. */
+  readonly backendConnectionsOpened: number;
+  readonly groups: readonly GroupStatus[];
+  readonly members: readonly MemberSummary[];
+  readonly membership: MembershipCounters;
+  readonly peers: PeerCounters;
+}
--- a/src/node/owner-directory.ts
+++ b/src/node/owner-directory.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from 'node:crypto';
 import type { GroupName } from '../core/request.js';
-import type { ProxyMachine } from '../platform/contract.js';
+import type { FleetNode } from './fleet-view.js';
 import type { OwnerReference } from './gateway/group-client.js';
 
 export interface OwnerDirectoryOptions {
@@ -14,35 +14,35 @@
 
 export class OwnerDirectory {
   readonly #options: OwnerDirectoryOptions;
-  #proxies: readonly ProxyMachine[] = [];
-  #owners = new Map<GroupName, readonly ProxyMachine[]>();
+  #nodes: readonly FleetNode[] = [];
+  #owners = new Map<GroupName, readonly FleetNode[]>();
 
   constructor(options: OwnerDirectoryOptions) {
     this.#options = options;
   }
 
-  setProxies(proxies: readonly ProxyMachine[]): void {
-    this.#proxies = proxies.filter((proxy) => proxy.state === 'live');
+  setNodes(nodes: readonly FleetNode[]): void {
+    this.#nodes = nodes;
     this.#owners = new Map();
   }
 
   owns(group: GroupName): boolean {
-    return this.#ownersOf(group).some((owner) => owner.name === this.#options.nodeId);
+    return this.#ownersOf(group).some((owner) => owner.nodeId === this.#options.nodeId);
   }
 
   ownersOf(group: GroupName): readonly OwnerReference[] {
     return this.#ownersOf(group).map((owner) => {
-      if (owner.name === this.#options.nodeId) return { type: 'local' };
+      if (owner.nodeId === this.#options.nodeId) return { type: 'local' };
       return { type: 'remote', address: { host: owner.host, port: owner.peerPort } };
     });
   }
 
-  #ownersOf(group: GroupName): readonly ProxyMachine[] {
+  #ownersOf(group: GroupName): readonly FleetNode[] {
     const known = this.#owners.get(group);
     if (known !== undefined) return known;
-    const names = this.#proxies.map((proxy) => proxy.name);
-    const ranked = rankNodes(group, names).slice(0, this.#options.ownersPerGroup);
-    const owners = ranked.flatMap((name) => this.#proxies.filter((proxy) => proxy.name === name));
+    const byId = new Map(this.#nodes.map((node) => [node.nodeId, node]));
+    const ranked = rankNodes(group, [...byId.keys()]).slice(0, this.#options.ownersPerGroup);
+    const owners = ranked.flatMap((nodeId) => byId.get(nodeId) ?? []);
     this.#owners.set(group, owners);
     return owners;
   }
--- /dev/null
+++ b/src/node/peer-router.ts
@@ -0,0 +1,43 @@
+/** Hands what peers ask to the service that answers it. Services are added while the node is put together. */
+import { MeadowstackError } from '../core/errors.js';
+import type { NodeIdentity, PeerHandlers, PeerStream, WireValue } from '../peer/contract.js';
+
+/** Answers some methods. */
+export interface CallService {
+  handles(method: string): boolean;
+  onCall(method: string, body: WireValue, from: NodeIdentity): Promise<WireValue> | WireValue;
+}
+
+/** No service of this node answers the method (yet). */
+export class UnknownMethodError extends MeadowstackError {
+  readonly code = 'MS-PEER-METHOD';
+
+  constructor(method: string) {
+    super(`no service answers ${method}`);
+  }
+}
+
+export class PeerRouter implements PeerHandlers {
+  readonly #services: CallService[] = [];
+  #acceptStream: (header: WireValue, stream: PeerStream) => void = (_, stream) =>
+    stream.abort('the node is starting');
+
+  add(service: CallService): void {
+    this.#services.push(service);
+  }
+
+  /** Streams go to the owner job. */
+  acceptStreams(accept: (header: WireValue, stream: PeerStream) => void): void {
+    this.#acceptStream = accept;
+  }
+
+  onStream(header: WireValue, stream: PeerStream): void {
+    this.#acceptStream(header, stream);
+  }
+
+  async onCall(method: string, body: WireValue, from: NodeIdentity): Promise<WireValue> {
+    const service = this.#services.find((candidate) => candidate.handles(method));
+    if (service === undefined) throw new UnknownMethodError(method);
+    return service.onCall(method, body, from);
+  }
+}
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -6,15 +6,20 @@
 import { readFileSync } from 'node:fs';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import type { ConfigurationSnapshot, TenantPolicy } from '../core/configuration/model.js';
+import type { ConfigurationMember } from '../core/configuration/relays.js';
 import { MeadowstackError, NotRunError, type RequestError } from '../core/errors.js';
 import { DatabaseGroup } from '../core/group/database-group.js';
+import type { ListedNode, MemberEvent } from '../core/membership/contract.js';
+import type { SelfDescription } from '../core/membership/machine.js';
+import type { Member } from '../core/membership/member.js';
 import type { GroupName } from '../core/request.js';
 import { RetryBudget } from '../core/retry/budget.js';
 import type { SessionKeys } from '../core/session/index.js';
+import type { Readiness } from '../observability/admin-server.js';
 import type { Logger } from '../observability/logger.js';
-import type { NodeIdentity, PeerAddress, WireValue } from '../peer/contract.js';
+import type { NodeIdentity, PeerAddress } from '../peer/contract.js';
 import { TcpPeerTransport } from '../peer/transport.js';
-import type { DatabaseMachine, Machine } from '../platform/contract.js';
+import type { DatabaseMachine, Machine, ProxyMachine } from '../platform/contract.js';
 import {
   DEFAULT_MACHINE_LIST_OPTIONS,
   MachineListClient,
@@ -27,15 +32,18 @@
 import { monotonicNow } from './clock.js';
 import { ConfigurationService } from './configuration/service.js';
 import { endpointOf } from './endpoints.js';
-import { EMPTY_FLEET, type Fleet, fleetOf } from './fleet.js';
+import { type FleetNode, FleetView } from './fleet-view.js';
 import { GatewaySession } from './gateway/gateway-session.js';
 import { GroupClient } from './gateway/group-client.js';
 import { HomeNodeDirectory } from './gateway/home-node-directory.js';
 import type { RequestMetrics } from './gateway/request-metrics.js';
 import { SessionRegistry } from './gateway/session-registry.js';
+import { MembershipService } from './membership/service.js';
+import type { MemberSummary, NodeState, NodeStatus } from './node-status.js';
 import { BackendConnector } from './owner/backend-connector.js';
 import { OwnerService } from './owner/owner-service.js';
 import { OwnerDirectory, rankNodes } from './owner-directory.js';
+import { PeerRouter } from './peer-router.js';
 import type { Settings } from './settings.js';
 import { groupPolicyOf, OUR_POLICY } from './test-policy.js';
 
@@ -70,10 +78,13 @@
 }
 
 export class ProxyNode {
+  addresses: ProxyAddresses;
   readonly #settings: Settings;
   readonly #logger: Logger;
   readonly #identity: NodeIdentity;
   readonly #transport: TcpPeerTransport;
+  readonly #membership: MembershipService;
+  readonly #fleet: FleetView;
   readonly #store: StoreClient;
   readonly #machineList: MachineListClient;
   readonly #configuration: ConfigurationService;
@@ -86,97 +97,101 @@
   readonly #callers: CallerServer;
   readonly #admission: CallerAdmission;
   readonly #sessionKeys: SessionKeys;
-  #fleet: Fleet = EMPTY_FLEET;
   #snapshot: ConfigurationSnapshot | undefined;
   #requestsNumbered = 0;
   #draining: Promise<void> | undefined;
 
-  constructor(readonly options: ProxyOptions) {
+  private constructor(
+    readonly options: ProxyOptions,
+    links: NodeLinks,
+  ) {
     const { settings } = options;
     this.#settings = settings;
     this.#logger = options.logger;
-    this.#identity = { nodeId: settings.nodeId, incarnation: Date.now() };
+    this.#identity = links.identity;
+    this.#transport = links.transport;
+    this.addresses = { callers: settings.callers, peer: links.address };
     this.#sessionKeys = sessionKeysOf(settings);
-    this.#transport = new TcpPeerTransport({
-      identity: this.#identity,
-      handlers: {
-        onStream: (header, stream) => this.#owner.accept(header, stream),
-        onCall: (method, body, from) => this.#onCall(method, body, from),
-      },
-    });
-    this.#store = new StoreClient({
-      ...DEFAULT_STORE_CLIENT_OPTIONS,
-      endpoint: endpointOf(settings.store.endpoints[0] ?? ''),
-      clientName: settings.nodeId,
-    });
-    this.#machineList = new MachineListClient({
-      ...DEFAULT_MACHINE_LIST_OPTIONS,
-      endpoint: endpointOf(settings.machines.endpoint),
-      clientName: settings.nodeId,
-      random: Math.random,
-    });
-    this.#owners = new OwnerDirectory({
-      nodeId: settings.nodeId,
-      ownersPerGroup: settings.ownersPerGroup,
+    const self = selfOf(settings, links);
+    this.#membership = new MembershipService({ self, transport: links.transport });
+    this.#fleet = new FleetView({
+      self,
+      memberOf: (nodeId) => this.#membership.member(nodeId),
+      members: () => this.#membership.members(),
+      now: monotonicNow,
     });
+    this.#store = createStore(settings);
+    this.#machineList = createMachineList(settings);
+    this.#owners = new OwnerDirectory(settings);
     this.#connector = new BackendConnector(settings.backend);
     this.#owner = this.#createOwner();
-    this.#directory = new HomeNodeDirectory({
-      nodeId: settings.nodeId,
-      transport: this.#transport,
-      rank: rankNodes,
-      nodes: () => this.#homeNodes(),
-      now: monotonicNow,
-    });
-    this.#client = new GroupClient({
-      ownersOf: (group) => this.#owners.ownersOf(group),
-      transport: this.#transport,
-      acceptLocal: (header, stream) => this.#owner.accept(header, stream),
-      retryBudget: new RetryBudget(RETRY_BUDGET),
-      now: monotonicNow,
-    });
+    this.#directory = this.#createDirectory();
+    this.#client = this.#createClient();
     this.#admission = new CallerAdmission((policy) => this.#connectionShare(policy));
     this.#callers = this.#createCallerServer();
-    this.#configuration = this.#createConfiguration();
+    this.#configuration = this.#createConfiguration(self);
+    this.#route(links.router);
   }
 
   /** Resolves once callers are served. */
-  start(): ResultAsync<ProxyAddresses, ProxyStartError> {
-    return new ResultAsync(this.#start());
+  static start(options: ProxyOptions): ResultAsync<ProxyNode, ProxyStartError> {
+    return new ResultAsync(ProxyNode.#start(options));
   }
 
+  static async #start(options: ProxyOptions): Promise<Result<ProxyNode, ProxyStartError>> {
+    const links = await openLinks(options.settings);
+    if (links.isErr()) return err(startError(links.error));
+    const node = new ProxyNode(options, links.value);
+    return node.#serve();
+  }
+
+  /** Called once the planned stop is over. */
+  onDrained: (() => void) | undefined;
+
   /** Planned stop: resolves once every session has ended or the drain limit has passed. */
   drain(): Promise<void> {
     this.#draining ??= this.#drain();
     return this.#draining;
   }
 
-  get ready(): boolean {
-    return this.#snapshot !== undefined && this.#draining === undefined;
+  /** Whether callers may be sent here. */
+  readiness(): Readiness {
+    const reasons: string[] = [];
+    if (this.#snapshot === undefined) reasons.push('no-configuration');
+    if (this.#draining !== undefined) reasons.push('draining');
+    return { ready: reasons.length === 0, reasons };
   }
 
   /** What `meadowstack status` shows. */
-  status(): WireValue {
-    const groups = [...this.#owner.statistics()].map(([group, figures]) => ({ group, ...figures }));
+  status(): NodeStatus {
     return {
       nodeId: this.#identity.nodeId,
       incarnation: this.#identity.incarnation,
       zone: this.#settings.zone,
-      state: this.#draining === undefined ? (this.ready ? 'serving' : 'starting') : 'leaving',
+      state: this.#state(),
       configuration: this.#configuration.status(),
       callers: this.#callers.openConnections().length,
       sessionsKept: this.#directory.sessionCount,
       backendConnectionsOpened: this.#connector.opened,
-      groups,
+      groups: [...this.#owner.statistics()].map(([group, figures]) => ({ group, ...figures })),
+      members: this.#membership.members().map(summaryOf),
+      membership: this.#membership.counters(),
       peers: this.#transport.counters(),
     };
   }
 
-  async #start(): Promise<Result<ProxyAddresses, ProxyStartError>> {
-    const { peer, testPolicy } = this.#settings;
+  #state(): NodeState {
+    if (this.#draining !== undefined) return 'leaving';
+    return this.#snapshot === undefined ? 'starting' : 'serving';
+  }
+
+  async #serve(): Promise<Result<ProxyNode, ProxyStartError>> {
+    const { testPolicy } = this.#settings;
     if (testPolicy !== OUR_POLICY) this.#logger.warn('test policy in force', { testPolicy });
-    const peerAddress = await this.#transport.listen(peer);
-    if (peerAddress.isErr()) return err(startError(peerAddress.error));
+    const joined = await this.#membership.start([]);
+    if (joined.isErr()) return err(startError(joined.error));
+    this.#membership.onMemberChanged = (event) => this.#onMemberChanged(event);
+    this.#membership.onToldToLeave = () => void this.drain();
     this.#machineList.onChange = (machines) => this.#onMachines(machines);
     this.#machineList.start();
     this.#configuration.onSnapshot = (snapshot) => this.#onSnapshot(snapshot);
@@ -185,12 +200,16 @@
     this.#onSnapshot(this.#configuration.snapshot());
     const callers = await this.#callers.listen();
     if (callers.isErr()) return err(startError(callers.error));
+    this.addresses = { ...this.addresses, callers: callers.value };
     this.#logger.info('serving', { callersPort: callers.value.port });
-    return ok({ callers: callers.value, peer: peerAddress.value });
+    return ok(this);
   }
 
   async #drain(): Promise<void> {
     this.#logger.info('leaving', { callers: this.#callers.openConnections().length });
+    this.#membership.leave();
+    this.#fleet.setSelfLeaving();
+    this.#onFleetChanged();
     this.#callers.stopAccepting();
     for (const session of this.#sessions.all()) session.stop(new NodeStoppingError());
     const limit = monotonicNow() + this.#settings.drainLimitMs;
@@ -199,6 +218,7 @@
     while (this.#owner.unfinished > 0 && monotonicNow() < limit) await pause(DRAIN_POLL_MS);
     await this.#close();
     this.#logger.info('left');
+    this.onDrained?.();
   }
 
   #busy(): boolean {
@@ -207,7 +227,8 @@
 
   async #close(): Promise<void> {
     for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
-    this.#configuration.stop();
+    await this.#membership.stop();
+    await this.#configuration.stop();
     this.#machineList.stop();
     this.#owner.close();
     await this.#callers.close();
@@ -249,52 +270,68 @@
     });
   }
 
-  #createConfiguration(): ConfigurationService {
-    const { settings } = this.options;
+  #createConfiguration(self: FleetNode): ConfigurationService {
     return new ConfigurationService({
-      self: {
-        nodeId: settings.nodeId,
-        host: settings.peer.host,
-        port: settings.peer.port,
-        zone: settings.zone,
-      },
+      self: configurationMember(self),
       store: this.#store,
       transport: this.#transport,
-      members: () => this.#configurationMembers(),
+      members: () => this.#fleet.liveNodes().map(configurationMember),
       random: Math.random,
       now: monotonicNow,
     });
   }
 
-  #configurationMembers(): ReturnType<
-    ConstructorParameters<typeof ConfigurationService>[0]['members']
-  > {
-    return this.#fleet.proxies
-      .filter((proxy) => proxy.state === 'live')
-      .map((proxy) => ({
-        nodeId: proxy.name,
-        host: proxy.host,
-        port: proxy.peerPort,
-        zone: proxy.zone,
-      }));
+  #createDirectory(): HomeNodeDirectory {
+    return new HomeNodeDirectory({
+      nodeId: this.#settings.nodeId,
+      transport: this.#transport,
+      rank: rankNodes,
+      nodes: () =>
+        this.#fleet.homeNodes().map((node) => ({ nodeId: node.nodeId, address: addressOf(node) })),
+      now: monotonicNow,
+    });
   }
 
-  #homeNodes(): ReturnType<ConstructorParameters<typeof HomeNodeDirectory>[0]['nodes']> {
-    return this.#fleet.proxies.map((proxy) => ({
-      nodeId: proxy.name,
-      address: { host: proxy.host, port: proxy.peerPort },
-    }));
+  #createClient(): GroupClient {
+    return new GroupClient({
+      ownersOf: (group) => this.#owners.ownersOf(group),
+      transport: this.#transport,
+      acceptLocal: (header, stream) => this.#owner.accept(header, stream),
+      retryBudget: new RetryBudget(RETRY_BUDGET),
+      now: monotonicNow,
+    });
+  }
+
+  #route(router: PeerRouter): void {
+    router.acceptStreams((header, stream) => this.#owner.accept(header, stream));
+    router.add(this.#configuration);
+    router.add(this.#directory);
+    router.add({
+      handles: (method) => this.#membership.handlesCall(method),
+      onCall: (method, body) => this.#membership.handleCall(method, body),
+    });
   }
 
   #onMachines(machines: readonly Machine[]): void {
-    this.#fleet = fleetOf(machines);
-    this.#owners.setProxies(this.#fleet.proxies);
+    this.#fleet.setMachines(machines);
+    this.#membership.setListedNodes(this.#fleet.listedProxies.map(listedNode));
+    this.#onFleetChanged();
+  }
+
+  #onMemberChanged(event: MemberEvent): void {
+    this.#logger.info(`member ${event.change}`, { member: event.member.nodeId });
+    this.#onFleetChanged();
+  }
+
+  #onFleetChanged(): void {
+    this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.setMachines(this.#fleet.databases);
     this.#configuration.membersChanged();
   }
 
   #onSnapshot(snapshot: ConfigurationSnapshot): void {
     this.#snapshot = snapshot;
+    this.#membership.setConfigurationRevision(snapshot.revision);
     this.#owner.setConfiguration(snapshot);
     this.#sessions.apply(
       (tenant) => this.#policyOf(tenant),
@@ -332,11 +369,6 @@
     return `${this.#identity.nodeId}-${this.#identity.incarnation.toString(36)}-${this.#requestsNumbered}`;
   }
 
-  async #onCall(method: string, body: WireValue, from: NodeIdentity): Promise<WireValue> {
-    if (this.#configuration.handles(method)) return this.#configuration.onCall(method, body, from);
-    return this.#directory.onCall(method, body);
-  }
-
   /** Owners divide an instance's connections evenly. */
   #connectionBudget(machine: DatabaseMachine): number {
     const shared = Math.max(1, machine.maxConnections - RESERVED_CONNECTIONS);
@@ -344,11 +376,74 @@
   }
 
   #connectionShare(policy: TenantPolicy): number {
-    const proxies = this.#fleet.proxies.filter((proxy) => proxy.state === 'live').length;
-    return Math.ceil(policy.maxConnections / Math.max(1, proxies));
+    return Math.ceil(policy.maxConnections / Math.max(1, this.#fleet.liveNodes().length));
   }
 }
 
+/** The links of a node that is being put together, listening already. */
+interface NodeLinks {
+  readonly identity: NodeIdentity;
+  readonly router: PeerRouter;
+  readonly transport: TcpPeerTransport;
+  readonly address: PeerAddress;
+}
+
+async function openLinks(settings: Settings): Promise<Result<NodeLinks, MeadowstackError>> {
+  const identity = { nodeId: settings.nodeId, incarnation: Date.now() };
+  const router = new PeerRouter();
+  const transport = new TcpPeerTransport({ identity, handlers: router });
+  const listening = await transport.listen(settings.peer);
+  return listening.map((address) => ({ identity, router, transport, address }));
+}
+
+function selfOf(settings: Settings, links: NodeLinks): SelfDescription & FleetNode {
+  return {
+    ...links.identity,
+    zone: settings.zone,
+    host: links.address.host,
+    peerPort: links.address.port,
+  };
+}
+
+function createStore(settings: Settings): StoreClient {
+  return new StoreClient({
+    ...DEFAULT_STORE_CLIENT_OPTIONS,
+    endpoint: endpointOf(settings.store.endpoints[0] ?? ''),
+    clientName: settings.nodeId,
+  });
+}
+
+function createMachineList(settings: Settings): MachineListClient {
+  return new MachineListClient({
+    ...DEFAULT_MACHINE_LIST_OPTIONS,
+    endpoint: endpointOf(settings.machines.endpoint),
+    clientName: settings.nodeId,
+    random: Math.random,
+  });
+}
+
+function summaryOf({ nodeId, zone, status }: Member): MemberSummary {
+  return { nodeId, zone, status };
+}
+
+function addressOf(node: FleetNode): PeerAddress {
+  return { host: node.host, port: node.peerPort };
+}
+
+function configurationMember(node: FleetNode): ConfigurationMember {
+  return { nodeId: node.nodeId, zone: node.zone, ...addressOf(node) };
+}
+
+function listedNode(proxy: ProxyMachine): ListedNode {
+  return {
+    nodeId: proxy.name,
+    zone: proxy.zone,
+    host: proxy.host,
+    peerPort: proxy.peerPort,
+    leaving: proxy.state === 'leaving',
+  };
+}
+
 function startError(cause: MeadowstackError): ProxyStartError {
   return new ProxyStartError(`the proxy can not start: ${cause.message}`, { cause });
 }
--- a/src/node/run-proxy.ts
+++ b/src/node/run-proxy.ts
@@ -1,24 +1,64 @@
 /** Runs a proxy as a process: signals, admin server, and the line that tells its addresses. */
-import type { Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
+import type { MeadowstackError } from '../core/errors.js';
+import { startAdminServer } from '../observability/admin-server.js';
 import { createLogger } from '../observability/logger.js';
-import { ProxyNode, type ProxyStartError } from './proxy-node.js';
+import { createMetrics, type NodeMetrics } from '../observability/metrics.js';
+import { recordRequest, refreshGauges } from './node-metrics.js';
+import { ProxyNode } from './proxy-node.js';
 import type { Settings } from './settings.js';
 
 /** Resolves when the process has stopped as planned. `announce` gets one JSON line. */
 export async function runProxy(
   settings: Settings,
   announce: (line: string) => void,
-): Promise<Result<void, ProxyStartError>> {
+): Promise<Result<void, MeadowstackError>> {
   const logger = createLogger({ ...settings.log, fields: { node: settings.nodeId } });
-  const node = new ProxyNode({ settings, logger, metrics: { requestEnded: () => undefined } });
-  const stopped = new Promise<void>((resolve) => {
-    const stop = (): void => void node.drain().then(resolve);
+  const metrics = createMetrics(settings.nodeId);
+  const started = await ProxyNode.start({
+    settings,
+    logger,
+    metrics: { requestEnded: (request) => recordRequest(metrics, request) },
+  });
+  if (started.isErr()) return err(started.error);
+  const node = started.value;
+  const admin = await openAdminPort(settings, node, metrics);
+  if (admin.isErr()) return err(admin.error);
+  const { host, port } = admin.value;
+  const stopped = stopOnSignal(node);
+  announce(
+    JSON.stringify({
+      nodeId: settings.nodeId,
+      pid: process.pid,
+      ...node.addresses,
+      admin: { host, port },
+    }),
+  );
+  await stopped;
+  await admin.value.close();
+  return ok(undefined);
+}
+
+function openAdminPort(
+  settings: Settings,
+  node: ProxyNode,
+  metrics: NodeMetrics,
+): ReturnType<typeof startAdminServer> {
+  return startAdminServer({
+    ...settings.admin,
+    registry: metrics.registry,
+    beforeScrape: () => refreshGauges(metrics, node.status()),
+    readiness: () => node.readiness(),
+    status: () => ({ ...node.status() }),
+    drain: () => void node.drain(),
+  });
+}
+
+function stopOnSignal(node: ProxyNode): Promise<void> {
+  return new Promise((resolve) => {
+    node.onDrained = resolve;
+    const stop = (): void => void node.drain();
     process.once('SIGTERM', stop);
     process.once('SIGINT', stop);
   });
-  const started = await node.start();
-  if (started.isErr()) return started.map(() => undefined);
-  announce(JSON.stringify({ nodeId: settings.nodeId, pid: process.pid, ...started.value }));
-  await stopped;
-  return started.map(() => undefined);
 }
--- a/src/observability/admin-server.ts
+++ b/src/observability/admin-server.ts
@@ -15,15 +15,6 @@
   readonly reasons: readonly string[];
 }
 
-/** A value that JSON can carry. */
-export type JsonValue =
-  | string
-  | number
-  | boolean
-  | null
-  | readonly JsonValue[]
-  | { readonly [name: string]: JsonValue };
-
 export interface AdminServerOptions {
   readonly host: string;
   /** 0 takes any free port. */
@@ -32,7 +23,8 @@
   /** Called before each scrape, to bring gauges up to date. */
   readonly beforeScrape?: (() => void) | undefined;
   readonly readiness: () => Readiness;
-  readonly status: () => JsonValue;
+  /** Anything that JSON can carry; big integers are written as text. */
+  readonly status: () => object;
   /** Starts the drain and returns at once; calling it again changes nothing. */
   readonly drain: () => void;
 }
@@ -144,11 +136,15 @@
   return json(isReady ? HTTP_OK : HTTP_UNAVAILABLE, { ready: isReady, reasons });
 }
 
-function json(status: number, value: JsonValue): Reply {
-  return { status, contentType: 'application/json', body: `${JSON.stringify(value)}\n` };
+function json(status: number, value: object): Reply {
+  return { status, contentType: 'application/json', body: `${JSON.stringify(value, bigintAsText)}\n` };
 }
 
 function send(response: ServerResponse, reply: Reply): void {
   response.writeHead(reply.status, { 'content-type': reply.contentType });
   response.end(reply.body);
 }
+
+function bigintAsText(_key: string, value: unknown): unknown {
+  return typeof value === 'bigint' ? String(value) : value;
+}
