--- a/src/core/configuration/agent.ts
+++ b/src/core/configuration/agent.ts
@@ -13,6 +13,7 @@
 } from './agent-contract.js';
 import { jitter, type RandomSource } from './backoff.js';
 import type { ConfigurationRevision } from './model.js';
+import { antiEntropyPeer, sample } from './peer-selection.js';
 import { RelayRole } from './relay-role.js';
 import { type ConfigurationMember, pushTargets, relayCandidates } from './relays.js';
 import {
@@ -28,8 +29,6 @@
 const START_PEERS = 5;
 /** A store that has not answered the first read by then counts as in trouble. */
 const START_STORE_WAIT_MS = 1500;
-/** Share of anti-entropy rounds that go to another zone. */
-const OTHER_ZONE_SHARE = 0.25;
 
 /** What the agent is built with. */
 export interface AgentOptions {
@@ -288,37 +287,14 @@
   #peerRound(now: Milliseconds): AgentEffect[] {
     const interval = this.#ready ? ANTI_ENTROPY_INTERVAL_MS : START_INTERVAL_MS;
     this.#nextPeerAt = now + jitter(interval, this.#random);
-    if (this.#ready) return this.#onePeer().map((peer) => ({ type: 'ask-digest', peer }));
-    return this.#startPeers().map((peer) => {
+    if (this.#ready) {
+      const peers = antiEntropyPeer(this.#self.zone, this.#members, this.#random);
+      return peers.map((peer) => ({ type: 'ask-digest', peer }));
+    }
+    const free = this.#members.filter((member) => !this.#awaited.has(member.nodeId));
+    return sample(free, START_PEERS - this.#awaited.size, this.#random).map((peer) => {
       this.#awaited.add(peer.nodeId);
       return { type: 'ask-digest', peer };
     });
   }
-
-  #onePeer(): readonly ConfigurationMember[] {
-    const wantOther = this.#random() < OTHER_ZONE_SHARE;
-    const preferred = this.#members.filter(
-      (member) => (member.zone !== this.#self.zone) === wantOther,
-    );
-    return sample(preferred.length > 0 ? preferred : this.#members, 1, this.#random);
-  }
-
-  #startPeers(): readonly ConfigurationMember[] {
-    const free = this.#members.filter((member) => !this.#awaited.has(member.nodeId));
-    return sample(free, START_PEERS - this.#awaited.size, this.#random);
-  }
-}
-
-/** Some members, each at most once. */
-function sample(
-  members: readonly ConfigurationMember[],
-  count: number,
-  random: RandomSource,
-): readonly ConfigurationMember[] {
-  const pool = [...members];
-  const chosen: ConfigurationMember[] = [];
-  while (chosen.length < count && pool.length > 0) {
-    chosen.push(...pool.splice(Math.floor(random() * pool.length), 1));
-  }
-  return chosen;
 }
--- a/src/core/configuration/relays.ts
+++ b/src/core/configuration/relays.ts
@@ -48,6 +48,25 @@
   return order.slice(firstChild - 1, firstChild - 1 + PUSH_FAN_OUT);
 }
 
+/** True if two views list the same members at the same places. */
+export function sameMembers(
+  left: readonly ConfigurationMember[],
+  right: readonly ConfigurationMember[],
+): boolean {
+  if (left === right) return true;
+  if (left.length !== right.length) return false;
+  return left.every((member, index) => {
+    const other = right[index];
+    return (
+      other !== undefined &&
+      member.nodeId === other.nodeId &&
+      member.host === other.host &&
+      member.port === other.port &&
+      member.zone === other.zone
+    );
+  });
+}
+
 function byScore(
   key: string,
   members: readonly ConfigurationMember[],
--- a/src/node/configuration/service.ts
+++ b/src/node/configuration/service.ts
@@ -3,18 +3,13 @@
  * over the store and the links to other nodes.
  */
 import { ConfigurationAgent } from '../../core/configuration/agent.js';
-import type {
-  AgentEffect,
-  AgentEvent,
-  ConfigurationStatus,
-} from '../../core/configuration/agent-contract.js';
-import type { RandomSource } from '../../core/configuration/backoff.js';
+import type { AgentEffect, AgentEvent } from '../../core/configuration/agent-contract.js';
 import type { ConfigurationSnapshot } from '../../core/configuration/model.js';
 import type { RelayLease, RelayRoleEvent } from '../../core/configuration/relay-role.js';
-import type { ConfigurationMember } from '../../core/configuration/relays.js';
+import { type ConfigurationMember, sameMembers } from '../../core/configuration/relays.js';
 import type { Milliseconds } from '../../core/units.js';
-import type { NodeIdentity, PeerTransport, WireValue } from '../../peer/contract.js';
-import type { Store, StoreError } from '../../platform/contract.js';
+import type { NodeIdentity, WireValue } from '../../peer/contract.js';
+import type { StoreError } from '../../platform/contract.js';
 import { ConfigurationMessageError } from './errors.js';
 import { ConfigurationPeerClient } from './peer-client.js';
 import {
@@ -27,28 +22,12 @@
   pushRequestSchema,
 } from './peer-messages.js';
 import { RequestRate } from './request-rate.js';
+import type { ConfigurationServiceOptions, ConfigurationServiceStatus } from './service-options.js';
 import { StoreSession } from './store-session.js';
 
-const MEMBERS_POLL_MS = 1000;
-
-/** What the service is built with. */
-export interface ConfigurationServiceOptions {
-  readonly self: ConfigurationMember;
-  readonly store: Store;
-  readonly transport: PeerTransport;
-  /** Live members; whether this node is among them does not matter. */
-  readonly members: () => readonly ConfigurationMember[];
-  readonly random: RandomSource;
-  /** Monotonic clock in ms. */
-  readonly now: () => Milliseconds;
-}
+export type { ConfigurationServiceOptions, ConfigurationServiceStatus } from './service-options.js';
 
-/** What `status` shows, with the load on the store. */
-export interface ConfigurationServiceStatus extends ConfigurationStatus {
-  readonly storeRequestsLastMinute: number;
-  readonly storeErrors: number;
-  readonly peerErrors: number;
-}
+const MEMBERS_POLL_MS = 1000;
 
 /** The configuration of one proxy process. */
 export class ConfigurationService {
@@ -308,21 +287,3 @@
     this.#storeErrors += 1;
   }
 }
-
-function sameMembers(
-  left: readonly ConfigurationMember[],
-  right: readonly ConfigurationMember[],
-): boolean {
-  if (left === right) return true;
-  if (left.length !== right.length) return false;
-  return left.every((member, index) => {
-    const other = right[index];
-    return (
-      other !== undefined &&
-      member.nodeId === other.nodeId &&
-      member.host === other.host &&
-      member.port === other.port &&
-      member.zone === other.zone
-    );
-  });
-}
