--- a/standins/database/replication/messages.ts
+++ b/standins/database/replication/messages.ts
@@ -51,12 +51,16 @@
   readonly history: readonly TimelineStart[];
   readonly lsn: number;
   readonly tables: readonly TableSnapshot[];
+  /** Both logs are the same up to here; `entries` are those after it. */
+  readonly commonLsn: number;
   readonly entries: readonly LogEntry[];
 }
 export interface VoteRequest extends FromPeer {
   readonly kind: 'vote-request';
   /** A preliminary round binds nobody; it keeps a lone instance from disturbing a healthy group. */
   readonly preliminary: boolean;
+  /** Asked for by an operator: voters that hear a primary grant it all the same. */
+  readonly handover: boolean;
   readonly logTimeline: number;
   readonly logLsn: number;
 }
@@ -64,6 +68,8 @@
   readonly kind: 'vote';
   readonly preliminary: boolean;
   readonly granted: boolean;
+  /** The voter refuses all timelines before this one: a candidate must stand for a later one. */
+  readonly promisedTimeline: number;
 }
 /** Answer to a primary whose timeline is no longer accepted. */
 export interface StalePrimary extends FromPeer {
