--- a/standins/database/wire/connection.ts
+++ b/standins/database/wire/connection.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { type SecureContext, TLSSocket } from 'node:tls';
+import { MeadowstackError } from '../../../src/core/errors.js';
 import { ServerError, ServerSqlState, type ServerSqlStateCode } from '../errors.js';
 import { Session, type SessionOptions } from '../session/session.js';
 import * as backend from './backend.js';
@@ -27,7 +28,13 @@
 const SECRET_KEY_LIMIT = 2 ** 31 - 1;
 
 /** Thrown by a commit whose fault says that the connection ends here, without an answer. */
-export class ConnectionCrashSignal extends Error {}
+export class ConnectionCrashSignal extends MeadowstackError {
+  readonly code = 'MS-STANDIN-CONNECTION-CRASH';
+
+  constructor() {
+    super('the connection is destroyed by a fault');
+  }
+}
 
 export interface ConnectionHost {
   readonly session: Omit<SessionOptions, 'output' | 'startupParameters' | 'signal' | 'functions'>;
