--- a/src/postgres/backend/position-query.ts
+++ b/src/postgres/backend/position-query.ts
@@ -6,9 +6,13 @@
  * it). A primary that has just been promoted would report its old timeline, and a write there
  * would look as if it had run on the deposed primary. So on a primary the timeline comes from
  * `pg_walfile_name(pg_current_wal_lsn())`, whose first eight hexadecimal digits are the timeline
- * that is being written at this moment. That function is refused during recovery; there the
- * control file's timeline is a lower bound, which is the safe side for a replica: it then counts
- * as less far than it is.
+ * that is being written at this moment. That function is refused during recovery.
+ *
+ * On a replica the control file follows only at restart points. For what was replayed that is the
+ * safe side: the replica counts as less far than it is. For the question whether a later timeline
+ * exists it is not: a replica that already follows the new primary would vouch for the deposed
+ * one. So the timeline of what was received is `pg_stat_wal_receiver.received_tli`, if it is later.
+ * It is NULL while no primary is followed, or if the role lacks `pg_read_all_stats`.
  *
  * Both positions are NULL on a replica that never streamed; zero stands for them.
  */
@@ -23,10 +27,11 @@
   'SELECT pg_is_in_recovery(), ' +
   '(SELECT timeline_id FROM pg_control_checkpoint()), ' +
   'CASE WHEN pg_is_in_recovery() THEN NULL ELSE pg_walfile_name(pg_current_wal_lsn()) END, ' +
+  '(SELECT received_tli FROM pg_stat_wal_receiver), ' +
   'CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_lsn() END, ' +
   'CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn() ELSE pg_current_wal_lsn() END';
 
-const COLUMNS = 5;
+const COLUMNS = 6;
 const ZERO_LSN = '0/0';
 const TRUE = 't';
 const FALSE = 'f';
@@ -40,33 +45,30 @@
 ): Result<InstanceState, MeadowstackError> {
   const [row] = rows;
   if (rows.length !== 1 || row === undefined || row.length !== COLUMNS) {
-    return err(new PositionAnswerError('the answer is not one row of five columns'));
+    return err(new PositionAnswerError('the answer is not one row of six columns'));
   }
-  const [inRecovery, controlTimeline, walFile, replayed, received] = row;
+  const [inRecovery, controlTimeline, walFile, receivedTimeline, replayed, received] = row;
   if (inRecovery !== TRUE && inRecovery !== FALSE) {
     return err(new PositionAnswerError('pg_is_in_recovery() is not a boolean'));
   }
   const writable = inRecovery === FALSE;
-  const timelineResult = writable
-    ? timelineOfWalFile(walFile)
-    : timelineOfControlFile(controlTimeline);
+  const replayedTimeline = writable ? timelineOfWalFile(walFile) : timelineOf(controlTimeline);
+  const laterTimeline = receivedTimeline == null ? ok(0) : timelineOf(receivedTimeline);
   const lsns = Result.combine([parseLsn(replayed ?? ZERO_LSN), parseLsn(received ?? ZERO_LSN)]);
-  return timelineResult.andThen((timeline) =>
+  return Result.combine([replayedTimeline, laterTimeline]).andThen(([timeline, later]) =>
     lsns.map(
       ([replayedLsn, receivedLsn]): InstanceState => ({
         writable,
         replayed: { timeline, lsn: replayedLsn },
-        received: { timeline, lsn: receivedLsn },
+        received: { timeline: writable ? timeline : Math.max(timeline, later), lsn: receivedLsn },
       }),
     ),
   );
 }
 
-function timelineOfControlFile(
-  text: string | null | undefined,
-): Result<number, PositionAnswerError> {
+function timelineOf(text: string | null | undefined): Result<number, PositionAnswerError> {
   if (typeof text === 'string' && TIMELINE_PATTERN.test(text)) return ok(Number(text));
-  return err(new PositionAnswerError('timeline_id is not a number'));
+  return err(new PositionAnswerError('a timeline is not a number'));
 }
 
 function timelineOfWalFile(text: string | null | undefined): Result<number, PositionAnswerError> {
--- a/standins/database/sql/select.ts
+++ b/standins/database/sql/select.ts
@@ -28,6 +28,16 @@
   readonly generate: ((context: ExecutionContext) => Iterable<Row>) | undefined;
 }
 
+const WAL_RECEIVER_VIEW = 'pg_stat_wal_receiver';
+
+/** One row while the instance follows a primary, none on a primary. */
+const WAL_RECEIVER_SOURCE: Source = {
+  name: WAL_RECEIVER_VIEW,
+  columns: [{ name: 'received_tli', type: 'int4' }],
+  table: undefined,
+  generate: ({ instance }) => (instance.isInRecovery() ? [[instance.timeline()]] : []),
+};
+
 interface SortKey {
   readonly expression: CompiledExpression;
   readonly direction: 1 | -1;
@@ -117,6 +127,7 @@
   const [node] = from;
   if (node === undefined) return NO_SOURCE;
   if (from.length > 1 || node.join) throw unsupported('joins');
+  if (node.type === 'table' && node.name.name === WAL_RECEIVER_VIEW) return WAL_RECEIVER_SOURCE;
   if (node.type === 'table') {
     const table = catalog.get(node.name.name);
     const name = node.name.alias ?? node.name.name;
