Group machine: hold on later timelines, mutation checks, linear passes

Cause: at 300 queued requests a dispatch pass looked at every queued entry; a read in reset could start on a replica that had begun to leave (found by the property); unknown sessions were confirmed as loosely as their staleness bound; an instance promoted alone made every write unknown. Change: passes stop where no slot is free, connections are indexed by key; writes are held while a later timeline is looked into (3 s, in mode term for good); strict reads send their confirming probes beside the read; unreachable instances lose idle connections and reads; mutation checks for nine mechanisms in the simulation, the rest in unit tests.

--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -33,9 +33,9 @@
 export interface ProbeDemand {
   /** Requests came lately. */
   readonly active: boolean;
-  /** Something finished on the primary waits for confirmation. */
-  readonly confirmation: boolean;
-  /** Order of the latest thing that waits for confirmation. */
+  /** How long the oldest thing that ran on the primary has waited; undefined if none waits. */
+  readonly confirmationAgeMs: Milliseconds | undefined;
+  /** Each replica is to be sent a probe later than this in the owner's order. */
   readonly confirmationSequence: number;
   /** Reads wait for a replica to catch up. */
   readonly replicaProgress: boolean;
@@ -43,6 +43,21 @@
   readonly laterTimelineExpected: boolean;
 }
 
+const CONFIRMATION_PERIOD_SHARE_OF_AGE = 0.2;
+
+/** A timeline later than the primary's that no majority supports. */
+interface LaterTimeline {
+  readonly timeline: number;
+  readonly seenAt: Milliseconds;
+}
+
+/** `confirmedAt` of one topology. */
+interface ConfirmedTime {
+  readonly topology: Topology;
+  readonly primary: PrimaryView;
+  readonly at: Milliseconds;
+}
+
 /** Knowledge of a group's instances. */
 export class InstanceMonitor {
   topology: Topology = EMPTY_TOPOLOGY;
@@ -53,7 +68,9 @@
   private readonly prober: Prober;
   private readonly history = new PrimaryHistory();
   private readonly lastSequence = new Map<InstanceName, number>();
-  private laterTimelineSeenAt = Number.NEGATIVE_INFINITY;
+  private laterTimeline: LaterTimeline | undefined;
+  private confirmed: ConfirmedTime | undefined;
+  private newlyUnreachable: InstanceName[] = [];
   private sequence = 0;
 
   constructor(
@@ -84,18 +101,50 @@
     return this.topology.instances.get(name);
   }
 
-  /** The primary if it may be sent work now: supported by a majority and not under suspicion. */
-  usablePrimary(): PrimaryView | undefined {
+  /**
+   * The primary if it may be sent work now: supported by a majority, not under suspicion, and no
+   * later timeline is being looked into.
+   */
+  usablePrimary(now: Milliseconds): PrimaryView | undefined {
     if (this.primary === undefined) return undefined;
+    if (this.laterTimeline !== undefined && this.strayTimeline(now) === undefined) return undefined;
     const knowledge = this.knowledgeOf(this.primary.instance);
     return knowledge?.reachability === 'reachable' ? this.primary : undefined;
   }
 
+  /**
+   * A later timeline that has found no majority for so long that it is taken for an instance
+   * promoted by mistake. In mode `term` there is no such thing: a vote that has not shown in the
+   * voters' timeline yet would be overlooked, while in mode `received` a voter that has stopped
+   * receiving the old primary's log confirms nothing.
+   */
+  strayTimeline(now: Milliseconds): number | undefined {
+    const later = this.laterTimeline;
+    if (later === undefined || this.options.confirmationMode === 'term') return undefined;
+    return now - later.seenAt >= this.timing.laterTimelineSearchMs ? later.timeline : undefined;
+  }
+
+  /** Instances that have become unreachable since the last call. */
+  takeNewlyUnreachable(): readonly InstanceName[] {
+    const names = this.newlyUnreachable;
+    this.newlyUnreachable = [];
+    return names;
+  }
+
   /** As of when an instance's data are known to be complete. */
   freshAsOf(name: InstanceName): Milliseconds {
     const replayed = this.knowledgeOf(name)?.state?.replayed;
     if (replayed === undefined || this.primary === undefined) return Number.NEGATIVE_INFINITY;
-    return this.history.freshAsOf(replayed, confirmedAt(this.topology, this.primary));
+    return this.history.freshAsOf(replayed, this.confirmedUntil(this.primary));
+  }
+
+  /** Computed once for each topology: it is asked for every request. */
+  private confirmedUntil(primary: PrimaryView): Milliseconds {
+    const { topology } = this;
+    if (this.confirmed?.topology !== topology || this.confirmed.primary !== primary) {
+      this.confirmed = { topology, primary, at: confirmedAt(topology, primary) };
+    }
+    return this.confirmed.at;
   }
 
   /** Takes in an answer; false if the probe was given up before or its instance has gone. */
@@ -168,18 +217,16 @@
   private periodOf(name: InstanceName, demand: ProbeDemand, now: Milliseconds): Milliseconds {
     const { timing } = this;
     const knowledge = this.knowledgeOf(name);
-    const usable = this.usablePrimary();
     const answers = knowledge?.reachability === 'reachable';
-    if (answers && demand.confirmation && name !== this.primary?.instance) {
-      const covered = (this.lastSequence.get(name) ?? 0) > demand.confirmationSequence;
-      return covered ? timing.confirmationProbePeriodMs : 0;
+    if (answers && name !== this.primary?.instance) {
+      if ((this.lastSequence.get(name) ?? 0) < demand.confirmationSequence) return 0;
+      if (demand.confirmationAgeMs !== undefined) {
+        return confirmationPeriod(timing, demand.confirmationAgeMs);
+      }
     }
     if (answers && demand.replicaProgress) return timing.replicaProgressProbePeriodMs;
-    if (usable === undefined || knowledge?.reachability === 'suspect') {
-      return timing.fastProbePeriodMs;
-    }
-    const searching = now - this.laterTimelineSeenAt < timing.laterTimelineSearchMs;
-    if (searching || demand.laterTimelineExpected) return timing.fastProbePeriodMs;
+    const searching = this.usablePrimary(now) === undefined || demand.laterTimelineExpected;
+    if (searching || knowledge?.reachability === 'suspect') return timing.fastProbePeriodMs;
     return demand.active ? timing.probePeriodMs : timing.quietProbePeriodMs;
   }
 
@@ -190,7 +237,10 @@
     effects: GroupEffect[],
   ): void {
     const limit = this.timing.unreachableAfterMisses;
+    const before = this.knowledgeOf(probe.instance)?.reachability;
     this.topology = withProbeMissed(this.topology, probe.instance, limit, failedOutright);
+    const after = this.knowledgeOf(probe.instance)?.reachability;
+    if (after === 'unreachable' && before !== after) this.newlyUnreachable.push(probe.instance);
     this.adoptPrimary(now, effects);
   }
 
@@ -198,14 +248,13 @@
     const requireMajority = !this.options.without?.has('majority-election');
     const elected = electPrimary(this.topology, requireMajority);
     const next = elected !== undefined && elected.timeline >= this.timeline ? elected : undefined;
-    if (latestTimeline(this.topology) > (next?.timeline ?? 0)) this.noteLaterTimeline(now);
+    this.noteLaterTimeline(next?.timeline ?? this.timeline, now);
     const previous = this.primary;
     const same = previous?.instance === next?.instance && previous?.timeline === next?.timeline;
     if (same) return;
     this.primary = next;
     if (next !== undefined) {
       this.timeline = next.timeline;
-      this.laterTimelineSeenAt = Number.NEGATIVE_INFINITY;
       this.history.clear();
       this.recordKnownPosition(next);
     }
@@ -224,7 +273,18 @@
     this.recordPrimaryPosition(knowledge.state.replayed, knowledge.observedAt);
   }
 
-  private noteLaterTimeline(now: Milliseconds): void {
-    if (this.laterTimelineSeenAt === Number.NEGATIVE_INFINITY) this.laterTimelineSeenAt = now;
+  private noteLaterTimeline(adopted: number, now: Milliseconds): void {
+    const latest = latestTimeline(this.topology);
+    if (latest <= adopted) this.laterTimeline = undefined;
+    else if (this.laterTimeline?.timeline !== latest) {
+      this.laterTimeline = { timeline: latest, seenAt: now };
+    }
   }
 }
+
+/** Probes again soon at first, and more slowly the longer the confirmation takes. */
+function confirmationPeriod(timing: GroupTiming, ageMs: Milliseconds): Milliseconds {
+  const adaptive = ageMs * CONFIRMATION_PERIOD_SHARE_OF_AGE;
+  const { confirmationProbePeriodMs, fastProbePeriodMs } = timing;
+  return Math.min(fastProbePeriodMs, Math.max(confirmationProbePeriodMs, adaptive));
+}
--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -13,12 +13,12 @@
   type UnknownReason,
 } from '../errors.js';
 import type { Position } from '../position.js';
-import type { RequestId } from '../request.js';
+import type { InstanceName, RequestId } from '../request.js';
 import { fullJitter } from '../retry/budget.js';
 import { containsPosition } from '../routing/select.js';
 import type { Milliseconds } from '../units.js';
-import type { SettledConfirmation } from './confirmation.js';
-import { type GroupContext, isOff, type Run } from './context.js';
+import { judge, type PendingConfirmation, type SettledConfirmation } from './confirmation.js';
+import { type GroupContext, isOff, type Run, toleratedAgeMs } from './context.js';
 import type { RunResult } from './contract.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { QueueEntry } from './queue.js';
@@ -31,9 +31,6 @@
 
 /** Ends requests. */
 export class Completion {
-  /** Order of the latest thing that waits for confirmation. */
-  confirmationSequence = 0;
-
   constructor(
     private readonly context: GroupContext,
     private readonly dispatcher: Dispatcher,
@@ -63,7 +60,10 @@
   settleConfirmations(now: Milliseconds): void {
     const { confirmations, monitor } = this.context;
     if (confirmations.size === 0) return;
-    for (const settled of confirmations.settle(monitor.topology, now)) this.settled(settled, now);
+    const stray = monitor.strayTimeline(now);
+    for (const settled of confirmations.settle(monitor.topology, now, stray)) {
+      this.settled(settled, now);
+    }
   }
 
   /**
@@ -87,6 +87,25 @@
     this.settleConfirmations(now);
   }
 
+  /**
+   * An instance does not answer any more. Its idle connections may be dead without notice, so they
+   * are closed; reads that run there are given up, to be retried elsewhere if nothing was relayed.
+   */
+  instanceUnreachable(name: InstanceName): void {
+    const { pool, runs, effects } = this.context;
+    const reading = [...runs.values()].filter((run) => {
+      const { access, hold } = run.entry.request;
+      return run.instance === name && access === 'read' && hold === 'statement';
+    });
+    for (const run of reading) {
+      if (run.phase === 'running') pool.close(run.connectionId, effects);
+    }
+    for (const connection of [...pool.table.all()]) {
+      const idle = connection.instance === name && connection.status === 'idle';
+      if (idle) pool.close(connection.id, effects);
+    }
+  }
+
   /** The caller's time is over while its request runs. */
   runOverdue(run: Run, now: Milliseconds): void {
     const { request } = run.entry;
@@ -208,17 +227,20 @@
     }
     const atLeast = request.hold === 'transaction' ? now + timing.transactionConfirmationMs : 0;
     const deadline = Math.max(request.deadline, atLeast);
-    const sequence = isWrite ? monitor.nextSequence() : undefined;
-    confirmations.add({
+    const sequence = monitor.nextSequence();
+    const pending: PendingConfirmation = {
       requestId: request.id,
       primary: run.instance,
       position,
       mode: isWrite ? (options.confirmationMode ?? 'received') : 'term',
-      afterSequence: sequence,
-      sinceTime: isWrite ? run.dispatchedAt : run.dispatchedAt - request.stalenessBoundMs,
+      afterSequence: isWrite ? sequence : undefined,
+      sinceTime: isWrite ? run.dispatchedAt : run.dispatchedAt - toleratedAgeMs(request),
+      finishedAt: now,
       deadline,
-    });
-    this.confirmationSequence = sequence ?? this.confirmationSequence;
+    };
+    confirmations.add(pending);
+    const probeWanted = judge(pending, monitor.topology) === 'pending';
+    if (probeWanted) this.context.confirmationSequence = sequence;
     this.context.deadlines.add({ at: deadline, requestId: request.id });
   }
 
--- a/src/core/group/confirmation.ts
+++ b/src/core/group/confirmation.ts
@@ -22,17 +22,27 @@
   readonly afterSequence: number | undefined;
   /** Only probes sent at or after this time count. */
   readonly sinceTime: Milliseconds;
+  readonly finishedAt: Milliseconds;
   readonly deadline: Milliseconds;
 }
 
 export type ConfirmationVerdict = 'confirmed' | 'replaced' | 'pending';
 
-/** What the instances known now say of one pending confirmation. */
-export function judge(pending: PendingConfirmation, topology: Topology): ConfirmationVerdict {
+/**
+ * What the instances known now say of one pending confirmation. Instances on `strayTimeline` say
+ * nothing.
+ */
+export function judge(
+  pending: PendingConfirmation,
+  topology: Topology,
+  strayTimeline?: number,
+): ConfirmationVerdict {
   let support = 1;
   for (const instance of topology.instances.values()) {
     if (instance.state === undefined) continue;
-    if (timelineOf(instance.state) > pending.position.timeline) return 'replaced';
+    const timeline = timelineOf(instance.state);
+    if (timeline === strayTimeline) continue;
+    if (timeline > pending.position.timeline) return 'replaced';
     if (instance.name === pending.primary) continue;
     if (isSupport(pending, topology, instance.name)) support += 1;
   }
@@ -72,11 +82,21 @@
     this.pending.delete(requestId);
   }
 
+  /** How long the oldest has waited; undefined if none waits. */
+  oldestAgeMs(now: Milliseconds): Milliseconds | undefined {
+    const [oldest] = this.pending.values();
+    return oldest === undefined ? undefined : now - oldest.finishedAt;
+  }
+
   /** Takes out what the present knowledge settles. */
-  settle(topology: Topology, now: Milliseconds): SettledConfirmation[] {
+  settle(
+    topology: Topology,
+    now: Milliseconds,
+    strayTimeline: number | undefined,
+  ): SettledConfirmation[] {
     const settled: SettledConfirmation[] = [];
     for (const pending of this.pending.values()) {
-      const verdict = judge(pending, topology);
+      const verdict = judge(pending, topology, strayTimeline);
       if (verdict !== 'pending') settled.push({ pending, verdict });
       else if (now >= pending.deadline) settled.push({ pending, verdict: 'timed-out' });
     }
--- a/src/core/group/context.ts
+++ b/src/core/group/context.ts
@@ -3,7 +3,7 @@
 import type { TenantAdmission } from '../limits/admission.js';
 import type { ConnectionPool } from '../pool/pool.js';
 import type { Position } from '../position.js';
-import type { InstanceName, RequestId } from '../request.js';
+import type { GroupRequest, InstanceName, RequestId } from '../request.js';
 import type { RetryBudget } from '../retry/budget.js';
 import type { Milliseconds } from '../units.js';
 import type { ConfirmationTable } from './confirmation.js';
@@ -70,6 +70,8 @@
   readonly runs: Map<RequestId, Run>;
   readonly counters: GroupCounters;
   instances: ReadonlyMap<InstanceName, InstanceDescription>;
+  /** Each replica is to be sent a probe later than this in the owner's order. */
+  confirmationSequence: number;
   /** Effects of the event being handled. */
   effects: GroupEffect[];
 }
@@ -78,3 +80,11 @@
 export function isOff(context: GroupContext, mechanism: Mechanism): boolean {
   return context.options.without?.has(mechanism) === true;
 }
+
+/**
+ * How long before it was sent a read's primary may last have been confirmed. A session that can't
+ * tell its position needs one that is confirmed now, whatever staleness its reads tolerate.
+ */
+export function toleratedAgeMs(request: GroupRequest): Milliseconds {
+  return request.session.type === 'unknown' ? 0 : request.stalenessBoundMs;
+}
--- a/src/core/group/database-group.ts
+++ b/src/core/group/database-group.ts
@@ -106,7 +106,7 @@
         this.connectionClosed(event.connectionId, now);
         break;
       case 'connection-reset':
-        this.connectionReset(event.connectionId);
+        this.connectionReset(event.connectionId, now);
         break;
       case 'probe-answered':
         this.probeAnswered(event.probeId, event.state, now);
@@ -134,17 +134,19 @@
   /** Everything that time and new knowledge make possible. */
   private advance(now: Milliseconds): void {
     const { context, completion, dispatcher } = this;
+    for (const name of context.monitor.takeNewlyUnreachable()) completion.instanceUnreachable(name);
     this.intake.takeDueDeadlines(now);
     completion.settleConfirmations(now);
     dispatcher.dispatch(now);
     this.maintain(now);
-    const sentBefore = context.effects.length;
-    context.monitor.advance(this.probeDemand(now), now, context.effects);
-    if (context.confirmations.size > 0) {
-      context.counters.confirmationsSent += context.effects
-        .slice(sentBefore)
-        .filter((effect) => effect.type === 'probe').length;
-    }
+    this.probe(now);
+  }
+
+  private probe(now: Milliseconds): void {
+    const { monitor, confirmations, counters, effects } = this.context;
+    const sentBefore = effects.length;
+    monitor.advance(this.probeDemand(now), now, effects);
+    if (confirmations.size > 0) counters.confirmationsSent += effects.length - sentBefore;
   }
 
   private primaryChanged(now: Milliseconds): void {
@@ -160,8 +162,8 @@
     const { timing, confirmations } = this.context;
     return {
       active: now - this.intake.lastRequestAt < timing.quietAfterMs,
-      confirmation: confirmations.size > 0,
-      confirmationSequence: this.completion.confirmationSequence,
+      confirmationAgeMs: confirmations.oldestAgeMs(now),
+      confirmationSequence: this.context.confirmationSequence,
       replicaProgress: this.dispatcher.replicaProgressWanted,
       laterTimelineExpected: this.dispatcher.laterTimelineExpected,
     };
@@ -186,11 +188,17 @@
     if (run !== undefined) this.completion.resetFailed(run, now);
   }
 
-  private connectionReset(id: ConnectionId): void {
+  private connectionReset(id: ConnectionId, now: Milliseconds): void {
     const connection = this.context.pool.table.get(id);
     const run = this.runOn(id);
     if (connection?.status !== 'resetting' || run === undefined) return;
-    connection.status = 'running';
+    const leaving = this.context.instances.get(run.instance)?.leaving === true;
+    if (leaving && !run.onPrimary) {
+      this.completion.resetFailed(run, now);
+      this.context.pool.giveBack(id, now, this.context.effects);
+      return;
+    }
+    this.context.pool.table.setStatus(connection, 'running');
     this.dispatcher.startAfterReset(run);
   }
 
@@ -267,6 +275,7 @@
       writesConfirmed: 0,
     },
     instances: new Map(),
+    confirmationSequence: 0,
     effects: [],
   };
 }
--- a/src/core/group/dispatcher.ts
+++ b/src/core/group/dispatcher.ts
@@ -2,8 +2,8 @@
  * Takes requests from the queue and gives each a connection: on the primary, or for reads that
  * tolerate it on a replica that is caught up. Opens connections where they are short.
  */
-import { type ConnectionKey, keyOf, type PooledConnection } from '../pool/connections.js';
-import type { InstanceName } from '../request.js';
+import { type ConnectionKey, keyOf, keyText, type PooledConnection } from '../pool/connections.js';
+import type { InstanceName, RequestId } from '../request.js';
 import {
   ALL_RULES,
   type EligibilityRules,
@@ -12,7 +12,7 @@
   rankReplicas,
 } from '../routing/select.js';
 import type { Milliseconds } from '../units.js';
-import { type GroupContext, isOff, type Run } from './context.js';
+import { type GroupContext, isOff, type Run, toleratedAgeMs } from './context.js';
 import type { InstanceDescription } from './contract.js';
 import type { OfferResult, QueueEntry } from './queue.js';
 
@@ -23,13 +23,23 @@
   count: number;
 }
 
+/** What stays the same for all requests offered in one pass, but for the loads. */
+interface Pass {
+  readonly now: Milliseconds;
+  readonly replicas: readonly ReplicaCandidate[];
+  readonly primary: InstanceDescription | undefined;
+  readonly timeline: number;
+  readonly demands: Map<string, ConnectionDemand>;
+}
+
 /** Gives queued requests connections. */
 export class Dispatcher {
   /** True if, in the last pass, a read waited for a replica to catch up. */
   replicaProgressWanted = false;
   /** True if, in the last pass, a session knew of a later timeline than the primary's. */
   laterTimelineExpected = false;
-  private demands = new Map<string, ConnectionDemand>();
+  /** Reads moved to the primary's lane; those that have left it are forgotten later. */
+  private readonly movedReads = new Set<RequestId>();
   private readonly rules: EligibilityRules;
 
   constructor(private readonly context: GroupContext) {
@@ -51,7 +61,9 @@
     deadlines.add({ at: request.deadline, requestId: request.id });
     if (entry.notBefore > now) deadlines.add({ at: entry.notBefore, requestId: request.id });
     if (lane === lanes.replica) {
-      deadlines.add({ at: now + timing.replicaWaitMs, requestId: request.id });
+      const patienceOver = entry.notBefore + timing.replicaWaitMs;
+      deadlines.add({ at: patienceOver, requestId: request.id });
+      deadlines.add({ at: halfTimeOf(entry), requestId: request.id });
     }
   }
 
@@ -60,10 +72,25 @@
     const { lanes } = this.context;
     this.replicaProgressWanted = false;
     this.laterTimelineExpected = false;
-    this.demands = new Map();
-    if (lanes.replica.length > 0) lanes.replica.serve((entry) => this.offerReplica(entry, now));
-    if (lanes.primary.length > 0) lanes.primary.serve((entry) => this.offerPrimary(entry, now));
-    this.openWanted(now);
+    if (lanes.replica.length + lanes.primary.length === 0) return;
+    const pass = this.startPass(now);
+    lanes.replica.serve((entry) => {
+      return this.replicaSlotFree(pass) ? this.offerReplica(entry, pass) : 'stop';
+    });
+    const readsWait = this.readsWaitForPrimary();
+    lanes.primary.serve((entry) => {
+      const slotFree = this.primarySlotFree(pass) || (readsWait && this.replicaSlotFree(pass));
+      return slotFree ? this.offerPrimary(entry, pass) : 'stop';
+    });
+    this.openWanted(pass);
+  }
+
+  /** Half of a queued read's time has gone: from now on the primary may serve it, too. */
+  considerPrimary(entry: QueueEntry, now: Milliseconds): void {
+    const { lanes } = this.context;
+    if (!isHalfOver(entry, now) || lanes.replica.remove(entry.request.id) === undefined) return;
+    lanes.primary.push(entry);
+    this.movedReads.add(entry.request.id);
   }
 
   /** Starts a run whose connection was reset first. */
@@ -72,97 +99,138 @@
     this.emitRun(run);
   }
 
-  private offerReplica(entry: QueueEntry, now: Milliseconds): OfferResult {
-    if (!this.mayStart(entry, now)) return 'blocked';
-    const eligible = this.eligibleReplicas(entry, now);
-    if (eligible.length > 0 && this.runOnReplica(entry, eligible, now) === 'taken') return 'taken';
-    if (eligible.length > 0 && !isHalfOver(entry, now)) return 'blocked';
-    const waited = now - Math.max(entry.arrivedAt, entry.notBefore);
+  private startPass(now: Milliseconds): Pass {
+    const { monitor, instances, loads } = this.context;
+    const usable = monitor.usablePrimary(now);
+    const replicas: ReplicaCandidate[] = [];
+    for (const description of instances.values()) {
+      const { name, zone, leaving, slots } = description;
+      const knowledge = monitor.knowledgeOf(name);
+      if (knowledge === undefined || name === monitor.primary?.instance) continue;
+      const load = loads.running(name);
+      const serviceTimeMs = loads.serviceTimeMs(name);
+      const freshAsOf = monitor.freshAsOf(name);
+      replicas.push({ knowledge, zone, leaving, freshAsOf, load, slots, serviceTimeMs });
+    }
+    return {
+      now,
+      replicas,
+      primary: usable === undefined ? undefined : instances.get(usable.instance),
+      timeline: usable?.timeline ?? 0,
+      demands: new Map(),
+    };
+  }
+
+  private primarySlotFree(pass: Pass): boolean {
+    return pass.primary !== undefined && this.hasSlot(pass.primary, 'statement');
+  }
+
+  private replicaSlotFree(pass: Pass): boolean {
+    return pass.replicas.some((replica) => {
+      const description = this.context.instances.get(replica.knowledge.name);
+      return description !== undefined && this.hasSlot(description, 'statement');
+    });
+  }
+
+  /** True if reads wait among the requests for the primary, so that a replica may serve some. */
+  private readsWaitForPrimary(): boolean {
+    for (const id of this.movedReads) {
+      if (this.context.lanes.primary.get(id) === undefined) this.movedReads.delete(id);
+    }
+    return this.movedReads.size > 0;
+  }
+
+  private hasSlot(description: InstanceDescription, hold: 'statement' | 'transaction'): boolean {
+    return isOff(this.context, 'slot-limit') || this.context.loads.hasSlot(description, hold);
+  }
+
+  private offerReplica(entry: QueueEntry, pass: Pass): OfferResult {
+    if (!this.tenantMayStart(entry)) return 'tenant-blocked';
+    if (entry.notBefore > pass.now) return 'blocked';
+    const eligible = this.eligibleReplicas(entry, pass);
+    if (eligible.length > 0) {
+      const result = this.runOnReplica(entry, eligible, pass);
+      if (result === 'taken' || !isHalfOver(entry, pass.now)) return result;
+    }
+    const waited = pass.now - Math.max(entry.arrivedAt, entry.notBefore);
     const remaining = entry.request.deadline - entry.arrivedAt;
     const patience = Math.min(this.context.timing.replicaWaitMs, remaining / 2);
-    if (waited < patience || this.context.monitor.usablePrimary() === undefined) {
+    if (waited < patience || pass.primary === undefined) {
       this.replicaProgressWanted = true;
       return 'blocked';
     }
     this.context.lanes.primary.push(entry);
+    this.movedReads.add(entry.request.id);
     return 'moved';
   }
 
-  private offerPrimary(entry: QueueEntry, now: Milliseconds): OfferResult {
-    if (!this.mayStart(entry, now)) return 'blocked';
-    if (mayUseReplica(entry)) {
-      const eligible = this.eligibleReplicas(entry, now);
-      if (eligible.length > 0 && this.runOnReplica(entry, eligible, now) === 'taken') {
-        return 'taken';
-      }
-      if (eligible.length > 0 && !isHalfOver(entry, now)) return 'blocked';
-      const result = this.runOnPrimary(entry, now);
-      if (result === 'taken' && eligible.length > 0)
-        this.context.counters.eligibleReplicaReads += 1;
-      return result;
+  private offerPrimary(entry: QueueEntry, pass: Pass): OfferResult {
+    if (!this.tenantMayStart(entry)) return 'tenant-blocked';
+    if (entry.notBefore > pass.now) return 'blocked';
+    if (!mayUseReplica(entry)) return this.runOnPrimary(entry, pass);
+    const eligible = this.eligibleReplicas(entry, pass);
+    if (eligible.length > 0) {
+      const result = this.runOnReplica(entry, eligible, pass);
+      if (result === 'taken' || !isHalfOver(entry, pass.now)) return result;
     }
-    return this.runOnPrimary(entry, now);
+    if (pass.primary?.leaving) return 'blocked';
+    const result = this.runOnPrimary(entry, pass);
+    if (result === 'taken' && eligible.length > 0) this.context.counters.eligibleReplicaReads += 1;
+    return result;
   }
 
-  private runOnPrimary(entry: QueueEntry, now: Milliseconds): OfferResult {
-    const { monitor, loads, instances, counters } = this.context;
+  private runOnPrimary(entry: QueueEntry, pass: Pass): OfferResult {
+    const { counters } = this.context;
     const { request } = entry;
-    const primary = monitor.usablePrimary();
-    if (primary === undefined) return 'blocked';
-    const description = instances.get(primary.instance);
-    if (description === undefined) return 'blocked';
-    if (description.leaving && mayUseReplica(entry)) return 'blocked';
     const { session } = request;
-    if (session.type === 'known' && session.position.timeline > primary.timeline) {
+    if (pass.primary === undefined || !this.hasSlot(pass.primary, request.hold)) return 'blocked';
+    if (session.type === 'known' && session.position.timeline > pass.timeline) {
       this.laterTimelineExpected = true;
       return 'blocked';
     }
-    const slotFree = isOff(this.context, 'slot-limit') || loads.hasSlot(description, request.hold);
-    if (!slotFree) return 'blocked';
-    const connection = this.connectionFor(entry, description);
+    const connection = this.connectionFor(entry, pass.primary, pass);
     if (connection === undefined) return 'blocked';
     if (request.access === 'read') counters.primaryReads += 1;
     else counters.writes += 1;
-    this.start(entry, connection, true, primary.timeline, now);
+    this.start(entry, connection, pass.timeline, pass.now);
     return 'taken';
   }
 
   private runOnReplica(
     entry: QueueEntry,
     eligible: readonly ReplicaCandidate[],
-    now: Milliseconds,
+    pass: Pass,
   ): OfferResult {
-    const { loads, instances, counters, options } = this.context;
-    for (const candidate of rankReplicas(eligible, entry.request, options.ownZone, entry.avoid)) {
+    const { instances, counters, options } = this.context;
+    const ranked = rankReplicas(eligible, entry.request, options.ownZone, entry.avoid);
+    for (const candidate of ranked) {
       const description = instances.get(candidate.knowledge.name);
-      if (description === undefined) continue;
-      const slotFree = isOff(this.context, 'slot-limit') || loads.hasSlot(description, 'statement');
-      if (!slotFree) continue;
-      const connection = this.connectionFor(entry, description);
+      if (description === undefined || !this.hasSlot(description, 'statement')) continue;
+      const connection = this.connectionFor(entry, description, pass);
       if (connection === undefined) continue;
       counters.replicaReads += 1;
       counters.eligibleReplicaReads += 1;
-      this.start(entry, connection, false, 0, now);
+      this.start(entry, connection, undefined, pass.now);
       return 'taken';
     }
     return 'blocked';
   }
 
+  /** Starts an entry; `primaryTimeline` is undefined on a replica. */
   private start(
     entry: QueueEntry,
     connection: PooledConnection,
-    onPrimary: boolean,
-    timeline: number,
+    primaryTimeline: number | undefined,
     now: Milliseconds,
   ): void {
-    const { loads, admission, runs, effects, deadlines } = this.context;
+    const { loads, admission, runs, effects, deadlines, pool } = this.context;
     const { request } = entry;
     const run: Run = {
       entry,
       connectionId: connection.id,
       instance: connection.instance,
-      onPrimary,
-      timeline,
+      onPrimary: primaryTimeline !== undefined,
+      timeline: primaryTimeline ?? 0,
       dispatchedAt: now,
       phase: 'running',
       position: undefined,
@@ -177,18 +245,22 @@
     connection.lastTenant = request.tenant;
     if (foreign && !isOff(this.context, 'tenant-reset')) {
       run.phase = 'resetting';
-      connection.status = 'resetting';
+      pool.table.setStatus(connection, 'resetting');
       effects.push({ type: 'reset-connection', connectionId: connection.id });
       return;
     }
-    connection.status = 'running';
+    pool.table.setStatus(connection, 'running');
     this.emitRun(run);
   }
 
   private emitRun(run: Run): void {
+    const { request } = run.entry;
+    const strictRead = run.onPrimary && request.access === 'read' && toleratedAgeMs(request) === 0;
+    // The confirming probes go out beside the read: they need only be later than its start.
+    if (strictRead) this.context.confirmationSequence = this.context.monitor.nextSequence();
     this.context.effects.push({
       type: 'run',
-      requestId: run.entry.request.id,
+      requestId: request.id,
       connectionId: run.connectionId,
       instance: run.instance,
       onPrimary: run.onPrimary,
@@ -196,57 +268,37 @@
     });
   }
 
-  /** True unless its back-off or its tenant's connection limit makes it wait. */
-  private mayStart(entry: QueueEntry, now: Milliseconds): boolean {
-    if (entry.notBefore > now) return false;
+  private tenantMayStart(entry: QueueEntry): boolean {
     return this.context.admission.mayHoldConnection(entry.request.tenant);
   }
 
-  private eligibleReplicas(entry: QueueEntry, now: Milliseconds): readonly ReplicaCandidate[] {
-    const { monitor, instances, loads } = this.context;
-    const eligible: ReplicaCandidate[] = [];
-    for (const description of instances.values()) {
-      const knowledge = monitor.knowledgeOf(description.name);
-      if (knowledge === undefined || description.name === monitor.primary?.instance) continue;
-      const candidate: ReplicaCandidate = {
-        knowledge,
-        zone: description.zone,
-        leaving: description.leaving,
-        freshAsOf: monitor.freshAsOf(description.name),
-        load: loads.running(description.name),
-        slots: description.slots,
-        serviceTimeMs: loads.serviceTimeMs(description.name),
-      };
-      if (isEligible(candidate, entry.request, now, this.rules)) eligible.push(candidate);
-    }
-    return eligible;
+  private eligibleReplicas(entry: QueueEntry, pass: Pass): readonly ReplicaCandidate[] {
+    return pass.replicas.filter((candidate) => {
+      return isEligible(candidate, entry.request, pass.now, this.rules);
+    });
   }
 
   private connectionFor(
     entry: QueueEntry,
     instance: InstanceDescription,
+    pass: Pass,
   ): PooledConnection | undefined {
     const connection = this.context.pool.findIdle(instance.name, entry.request);
-    if (connection === undefined) this.want(instance.name, keyOf(entry.request));
-    return connection;
-  }
-
-  private want(instance: InstanceName, key: ConnectionKey): void {
-    const id = JSON.stringify([instance, key.databaseRole, key.database]);
-    const demand = this.demands.get(id);
-    if (demand === undefined) this.demands.set(id, { instance, key, count: 1 });
+    if (connection !== undefined) return connection;
+    const key = keyOf(entry.request);
+    const id = `${instance.name}\0${keyText(key)}`;
+    const demand = pass.demands.get(id);
+    if (demand === undefined) pass.demands.set(id, { instance: instance.name, key, count: 1 });
     else demand.count += 1;
+    return undefined;
   }
 
-  private openWanted(now: Milliseconds): void {
+  private openWanted(pass: Pass): void {
     const { pool, instances, effects } = this.context;
-    for (const { instance, key, count } of this.demands.values()) {
+    for (const { instance, key, count } of pass.demands.values()) {
       const slots = instances.get(instance)?.slots ?? 0;
-      const busy =
-        pool.table.countOf(instance, key, 'running') +
-        pool.table.countOf(instance, key, 'resetting');
-      const wanted = busy + Math.min(count, slots);
-      pool.ensure(instance, key, wanted, now, effects);
+      const wanted = pool.table.busyCountOf(instance, key) + Math.min(count, slots);
+      pool.ensure(instance, key, wanted, pass.now, effects);
     }
   }
 }
@@ -261,5 +313,9 @@
 
 /** True if half of the time that the caller gave has gone: then any lawful instance will do. */
 function isHalfOver(entry: QueueEntry, now: Milliseconds): boolean {
-  return now - entry.arrivedAt > (entry.request.deadline - entry.arrivedAt) / 2;
+  return now >= halfTimeOf(entry);
+}
+
+function halfTimeOf(entry: QueueEntry): Milliseconds {
+  return (entry.arrivedAt + entry.request.deadline) / 2;
 }
--- a/src/core/group/intake.ts
+++ b/src/core/group/intake.ts
@@ -3,7 +3,7 @@
  * without having run. Everything refused here is provably not run.
  */
 import { NotRunError } from '../errors.js';
-import { type ConnectionKey, keyOf } from '../pool/connections.js';
+import { type ConnectionKey, keyOf, keyText } from '../pool/connections.js';
 import type { GroupRequest, RequestId } from '../request.js';
 import type { Milliseconds } from '../units.js';
 import type { Completion } from './completion.js';
@@ -41,7 +41,7 @@
       notBefore: now,
       avoid: undefined,
     };
-    const waitMs = this.expectedWaitMs(entry);
+    const waitMs = this.expectedWaitMs(entry, now);
     const refusal =
       this.refusalOf(request, waitMs, now) ??
       this.context.admission.admit(request.tenant, waitMs, now);
@@ -123,9 +123,9 @@
   }
 
   /** Time until a request that joins the queue now is answered; zero if that can't be told. */
-  private expectedWaitMs(entry: QueueEntry): Milliseconds {
+  private expectedWaitMs(entry: QueueEntry, now: Milliseconds): Milliseconds {
     const { lanes, loads, monitor, instances } = this.context;
-    const primary = monitor.usablePrimary();
+    const primary = monitor.usablePrimary(now);
     const description = primary === undefined ? undefined : instances.get(primary.instance);
     if (description === undefined) return 0;
     const lane = mayUseReplica(entry) ? lanes.replica : lanes.primary;
@@ -136,15 +136,18 @@
 
   private expireQueued(entry: QueueEntry, now: Milliseconds): void {
     const { request } = entry;
-    if (now < request.deadline || isOff(this.context, 'deadline')) return;
+    if (now < request.deadline || isOff(this.context, 'deadline')) {
+      this.dispatcher.considerPrimary(entry, now);
+      return;
+    }
     this.removeQueued(request.id);
     const { monitor, timing } = this.context;
-    if (monitor.usablePrimary() === undefined) {
+    if (monitor.usablePrimary(now) === undefined) {
       const retryAfterMs = timing.noPrimaryRetryAfterMs;
       this.completion.notRun(entry, 'no-primary', 'the group has no primary', retryAfterMs);
       return;
     }
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(entry));
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(entry, now));
     this.completion.notRun(entry, 'deadline-passed', 'its time ran out in the queue', retryAfterMs);
   }
 
@@ -159,7 +162,7 @@
 
   private rememberKey(request: GroupRequest, now: Milliseconds): void {
     const key = keyOf(request);
-    const id = JSON.stringify([key.databaseRole, key.database]);
+    const id = keyText(key);
     const known = this.recentKeys.get(id);
     if (known === undefined) this.recentKeys.set(id, { key, lastUsedAt: now });
     else known.lastUsedAt = now;
--- a/src/core/group/queue.ts
+++ b/src/core/group/queue.ts
@@ -21,9 +21,10 @@
 
 /**
  * What became of an entry that was offered: `taken` charges the tenant, `moved` removes without
- * charge, `blocked` leaves it, `stop` leaves it and ends the pass.
+ * charge, `blocked` leaves it, `tenant-blocked` leaves all of its tenant for this pass, `stop`
+ * leaves it and ends the pass.
  */
-export type OfferResult = 'taken' | 'moved' | 'blocked' | 'stop';
+export type OfferResult = 'taken' | 'moved' | 'blocked' | 'tenant-blocked' | 'stop';
 
 interface KindQueue {
   readonly kind: string;
@@ -40,7 +41,7 @@
 }
 
 /** Entries of one kind offered in one pass at most, to bound the cost of a pass. */
-const MAX_OFFERS_PER_KIND = 16;
+const MAX_OFFERS_PER_KIND = 8;
 const MIN_WEIGHT = 0.05;
 const REQUEST_COST = 1;
 
@@ -112,7 +113,7 @@
       }
       const result = this.serveTenant(tenant, offer);
       if (result === 'stop') return;
-      if (result === 'blocked') {
+      if (result === 'blocked' || result === 'tenant-blocked') {
         blocked.add(tenant.tenant);
         this.advance();
         continue;
@@ -127,7 +128,7 @@
       for (const entry of offered) {
         const result = offer(entry);
         if (result === 'blocked') continue;
-        if (result === 'stop') return 'stop';
+        if (result === 'stop' || result === 'tenant-blocked') return result;
         if (result === 'taken') {
           kind.virtualTime += REQUEST_COST / kind.weight;
           tenant.deficit -= REQUEST_COST;
--- a/src/core/pool/pool.ts
+++ b/src/core/pool/pool.ts
@@ -58,7 +58,7 @@
   giveBack(id: ConnectionId, now: Milliseconds, effects: GroupEffect[]): void {
     const connection = this.table.get(id);
     if (connection === undefined) return;
-    connection.status = 'idle';
+    this.table.setStatus(connection, 'idle');
     connection.idleSince = now;
     const instance = this.instances.get(connection.instance);
     const overBudget =
@@ -118,7 +118,7 @@
   recordOpened(id: ConnectionId, now: Milliseconds): PooledConnection | undefined {
     const connection = this.table.get(id);
     if (connection === undefined) return undefined;
-    connection.status = 'idle';
+    this.table.setStatus(connection, 'idle');
     connection.idleSince = now;
     this.backoffs.delete(connection.instance);
     return connection;
--- /dev/null
+++ b/test/property/mechanisms.property.test.ts
@@ -0,0 +1,66 @@
+/** Turns off one mechanism at a time and expects the history checks to notice. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Mechanism } from '../../src/core/group/options.js';
+import { violationsOf } from '../support/history-checks.js';
+import { type Fault, type FaultName, type RunPlan, simulate } from '../support/simulated-run.js';
+
+const SEEDS = [11, 12, 13, 14, 15, 16];
+
+interface MutationCheck {
+  readonly without: Mechanism;
+  readonly faults: readonly Fault[];
+  /** The check that must notice. */
+  readonly noticedBy: string;
+}
+
+function fault(name: FaultName, target: Fault['target'], at = 400, lasts = 600): Fault {
+  return { name, target, at, lasts };
+}
+
+const CHECKS: readonly MutationCheck[] = [
+  {
+    without: 'confirmation',
+    faults: [
+      fault('cut-from-peers', 'primary'),
+      fault('cut-from-owner', 1),
+      fault('cut-from-owner', 2),
+    ],
+    noticedBy: 'noAckFromDeposedPrimary',
+  },
+  { without: 'session-position', faults: [fault('lag', 1)], noticedBy: 'sessionsSeeTheirWrites' },
+  {
+    without: 'staleness-bound',
+    faults: [fault('lag', 1), fault('lag', 2)],
+    noticedBy: 'readsAreFreshEnough',
+  },
+  { without: 'at-most-once', faults: [], noticedBy: 'atMostOnce' },
+  { without: 'slot-limit', faults: [], noticedBy: 'limitsKept' },
+  { without: 'connection-budget', faults: [], noticedBy: 'limitsKept' },
+  { without: 'leaving', faults: [fault('leave', 1)], noticedBy: 'limitsKept' },
+  { without: 'deadline', faults: [fault('isolate', 'primary')], noticedBy: 'noneHangs' },
+  { without: 'tenant-reset', faults: [], noticedBy: 'limitsKept' },
+];
+
+function violationsOver(plan: Omit<RunPlan, 'seed'>): string[] {
+  return SEEDS.flatMap((seed) => violationsOf(simulate({ ...plan, seed }).history));
+}
+
+for (const { without, faults, noticedBy } of CHECKS) {
+  const plan = { faults, mode: 'received' as const, voteShowsTimeline: false };
+
+  test(`without ${without}, ${noticedBy} notices; with it, nothing is wrong`, () => {
+    assert.equal(violationsOver(plan), []);
+    const violations = violationsOver({ ...plan, without: new Set([without]) });
+    assert.ok(violations.some((violation) => violation.startsWith(noticedBy)));
+  });
+}
+
+test('mode term: no acknowledgement from a deposed primary if votes show in the timeline', () => {
+  const faults = [fault('cut-from-peers', 'primary'), fault('pause', 'primary', 900, 300)];
+  const plan: Omit<RunPlan, 'seed'> = { faults, mode: 'term', voteShowsTimeline: true };
+  const violations = violationsOver(plan);
+  assert.not.ok(violations.some((one) => one.startsWith('noAckFromDeposedPrimary')));
+});
+
+test.run();
--- /dev/null
+++ b/test/unit/limits.test.ts
@@ -0,0 +1,69 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DEFAULT_LIMITS, TenantAdmission } from '../../src/core/limits/admission.js';
+import { fullJitter, RetryBudget } from '../../src/core/retry/budget.js';
+
+function admissionWith(overrides: Partial<typeof DEFAULT_LIMITS>): TenantAdmission {
+  const admission = new TenantAdmission();
+  admission.setLimits([{ tenant: 'bureau', ...DEFAULT_LIMITS, ...overrides }]);
+  return admission;
+}
+
+test('a burst passes, then the rate, with the time to come back', () => {
+  const admission = admissionWith({ requestsPerSecond: 100, burst: 3 });
+  const refusals = [0, 0, 0, 0].map((now) => admission.admit('bureau', 0, now));
+  assert.equal(
+    refusals.map((refusal) => refusal?.reason),
+    [undefined, undefined, undefined, 'rate-limit'],
+  );
+  assert.is(refusals[3]?.retryAfterMs, 10);
+  assert.is(admission.admit('bureau', 0, 10), undefined);
+});
+
+test('requests in flight are bounded and let go at their end', () => {
+  const admission = admissionWith({ maxInFlight: 1 });
+  assert.is(admission.admit('bureau', 0, 0), undefined);
+  assert.is(admission.admit('bureau', 7, 0)?.reason, 'in-flight-limit');
+  admission.recordFinal('bureau');
+  assert.is(admission.admit('bureau', 0, 0), undefined);
+});
+
+test('queued requests and held connections are bounded', () => {
+  const admission = admissionWith({ maxQueued: 1, maxConnections: 1 });
+  admission.admit('bureau', 0, 0);
+  admission.recordQueued('bureau', 1);
+  assert.is(admission.admit('bureau', 7, 0)?.reason, 'queue-full');
+  assert.ok(admission.mayHoldConnection('bureau'));
+  admission.recordConnection('bureau', 1);
+  assert.not.ok(admission.mayHoldConnection('bureau'));
+});
+
+test('one tenant at its limit does not touch another', () => {
+  const admission = admissionWith({ maxInFlight: 0 });
+  assert.is(admission.admit('bureau', 0, 0)?.reason, 'in-flight-limit');
+  assert.is(admission.admit('trust', 0, 0), undefined);
+});
+
+test('retries are a tenth of first attempts once the savings are spent', () => {
+  const budget = new RetryBudget({ ratio: 0.1, capacity: 2 });
+  assert.equal([budget.tryTake(), budget.tryTake(), budget.tryTake()], [true, true, false]);
+  for (let attempt = 0; attempt < 100; attempt += 1) budget.recordAttempt();
+  assert.equal([budget.tryTake(), budget.tryTake(), budget.tryTake()], [true, true, false]);
+});
+
+test('full jitter lies between zero and the doubled, capped base', () => {
+  assert.is(
+    fullJitter(3, 5, 100, () => 0),
+    0,
+  );
+  assert.is(
+    fullJitter(3, 5, 100, () => 0.5),
+    20,
+  );
+  assert.is(
+    fullJitter(9, 5, 100, () => 1),
+    100,
+  );
+});
+
+test.run();
