--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -4,8 +4,11 @@
  */
 import type { Milliseconds } from './units.js';
 
-/** What is known of a request that did not simply succeed. */
-export type FailureOutcome = 'not-run' | 'unknown' | 'failed';
+/**
+ * What is known of a request that did not simply succeed. `done`: an earlier request with the same
+ * key took effect, so this one was not run a second time.
+ */
+export type FailureOutcome = 'done' | 'not-run' | 'unknown' | 'failed';
 
 /** Labels that callers of the core branch on. */
 export type ErrorLabel = 'retryable' | 'protocol-violation' | 'configuration' | 'security';
@@ -48,6 +51,12 @@
   INVALID_PARAMETER_VALUE: '22023',
   INSUFFICIENT_PRIVILEGE: '42501',
   IN_FAILED_TRANSACTION: '25P02',
+  PROGRAM_LIMIT_EXCEEDED: '54000',
+  DUPLICATE_PREPARED_STATEMENT: '42P05',
+  INVALID_SQL_STATEMENT_NAME: '26000',
+  INVALID_CURSOR_NAME: '34000',
+  UNIQUE_VIOLATION: '23505',
+  OBJECT_NOT_IN_PREREQUISITE_STATE: '55000',
 } as const;
 
 export type SqlStateCode = (typeof SqlState)[keyof typeof SqlState];
@@ -104,6 +113,7 @@
 
 function sqlStateOfNotRun(reason: NotRunReason): SqlStateCode {
   if (reason === 'connection-limit') return SqlState.TOO_MANY_CONNECTIONS;
+  if (reason === 'tenant-revoked') return SqlState.INVALID_AUTHORIZATION;
   if (LIMIT_REASONS.has(reason)) return SqlState.CONFIGURATION_LIMIT_EXCEEDED;
   return SqlState.CANNOT_CONNECT_NOW;
 }
@@ -114,7 +124,9 @@
   | 'primary-replaced'
   | 'confirmation-timeout'
   | 'run-timeout'
-  | 'owner-lost';
+  | 'owner-lost'
+  /** Done, but not recorded where the session's next node would look for it. */
+  | 'session-not-recorded';
 
 /** The request may or may not have run and may or may not last. Never retried by the proxy. */
 export class UnknownOutcomeError extends RequestError {
--- /dev/null
+++ b/src/node/owner/owner-stream.ts
@@ -0,0 +1,271 @@
+/**
+ * The owner's end of one request: takes batches from the gateway, runs them on the connection that
+ * the state machine assigned, relays the answer and holds back its end until it is released.
+ */
+import { NotRunError, type RequestError, TransactionAbortedError } from '../../core/errors.js';
+import type { RunResult } from '../../core/group/contract.js';
+import type { Position } from '../../core/position.js';
+import type { PeerStream, WireValue } from '../../peer/contract.js';
+import { POSITION_QUERY, parseInstanceState } from '../../postgres/backend/position-query.js';
+import { type BatchResult, runBatch } from './batch-runner.js';
+import { BatchReceiver } from './batch-transfer.js';
+import {
+  type BatchMessage,
+  encodeRequestError,
+  gatewayMessageSchema,
+  type OpenMessage,
+  type OwnerMessage,
+} from './messages.js';
+import { AnswerRelay } from './relay.js';
+import type { Assignment, GroupWork } from './work.js';
+
+/** Longest wait for the ROLLBACK of an abandoned transaction before its connection is closed, in ms. */
+const ROLLBACK_TIMEOUT_MS = 2000;
+const NOTHING = Buffer.alloc(0);
+
+type ReadyResult = Extract<BatchResult, { type: 'ready' }>;
+
+export interface OwnerStreamEvents {
+  /** The gateway or its caller has gone before the request ended. */
+  abandoned(): void;
+}
+
+export class OwnerStream implements GroupWork {
+  readonly #stream: PeerStream;
+  readonly #open: OpenMessage;
+  readonly #events: OwnerStreamEvents;
+  readonly #relay: AnswerRelay;
+  /** A keyed statement holds its connection like a transaction, but ends with its first batch. */
+  readonly #callerHoldsTransaction: boolean;
+  #assignment: Assignment | undefined;
+  #servedByReplica = false;
+  #batchRunning = false;
+  #mayHaveCommitted = false;
+  #callerGone = false;
+  #settled = false;
+  #lastResult: ReadyResult | undefined;
+  readonly #receiver = new BatchReceiver((batch) => this.#onNextBatch(batch));
+
+  constructor(stream: PeerStream, open: OpenMessage, events: OwnerStreamEvents) {
+    this.#stream = stream;
+    this.#open = open;
+    this.#events = events;
+    this.#relay = new AnswerRelay(stream, () => this.#assignment?.connection.pause());
+    this.#callerHoldsTransaction = open.hold === 'transaction' && open.batch.onceKey === undefined;
+    stream.onData = (data) => {
+      if (!this.#receiver.data(data)) stream.abort('unexpected data from gateway');
+    };
+    stream.onMessage = (message) => this.#onGatewayMessage(message);
+    stream.onDrain = () => this.#assignment?.connection.resume();
+    stream.onClose = () => this.#onCallerGone();
+  }
+
+  start(assignment: Assignment): void {
+    this.#assignment = assignment;
+    this.#servedByReplica = !assignment.onPrimary;
+    if (this.#callerGone && this.#open.hold === 'transaction') {
+      this.#finishRun({ type: 'database-error', position: undefined });
+      return;
+    }
+    this.#run(this.#open.batch);
+  }
+
+  release(position: Position | undefined): void {
+    const result = this.#lastResult;
+    if (result?.refusal !== undefined) {
+      this.#settle(encodeRequestError(result.refusal));
+      return;
+    }
+    this.#settle({
+      type: 'end',
+      status: result?.status ?? 'I',
+      heldBack: this.#relay.take(result?.heldBack ?? NOTHING),
+      fromReplica: this.#servedByReplica,
+      ...(position === undefined ? {} : { position }),
+    });
+  }
+
+  fail(error: RequestError): void {
+    this.#settle(encodeRequestError(error));
+    if (this.#open.hold === 'transaction') this.#abortTransaction();
+    else if (this.#open.access === 'read' && this.#batchRunning) this.#cancelRunning();
+  }
+
+  connectionClosed(): void {
+    if (this.#assignment === undefined || this.#batchRunning) return;
+    this.#finishRun(this.#lostResult(true));
+  }
+
+  #settle(message: OwnerMessage): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    this.#relay.close();
+    if (this.#callerGone) return;
+    this.#stream.send(message);
+    this.#stream.end();
+  }
+
+  #onGatewayMessage(value: WireValue): void {
+    const parsed = gatewayMessageSchema.safeParse(value);
+    if (!parsed.success) {
+      this.#stream.abort('malformed message from gateway');
+      return;
+    }
+    if (parsed.data.type === 'cancel') this.#cancelRunning();
+    else this.#receiver.header(parsed.data);
+  }
+
+  #onNextBatch(batch: BatchMessage): void {
+    if (this.#settled) return;
+    const idleInTransaction = this.#assignment !== undefined && !this.#batchRunning;
+    if (this.#callerHoldsTransaction && idleInTransaction) {
+      this.#run(batch);
+      return;
+    }
+    const refusal = new NotRunError('stale-transaction', 'no open transaction on this stream');
+    this.#settle(encodeRequestError(refusal));
+    this.#abortTransaction();
+  }
+
+  #cancelRunning(): void {
+    if (this.#assignment === undefined) this.#events.abandoned();
+    else if (this.#batchRunning) void this.#assignment.connection.cancel();
+  }
+
+  #run(batch: BatchMessage): void {
+    const assignment = this.#assignment;
+    if (assignment === undefined) return;
+    const endsRun = !this.#callerHoldsTransaction || batch.mayCommit;
+    this.#batchRunning = true;
+    if (endsRun) this.#mayHaveCommitted = true;
+    runBatch({
+      connection: assignment.connection,
+      batch,
+      tenant: this.#open.tenant,
+      onceMode: this.#callerHoldsTransaction ? 'in-transaction' : 'autocommit',
+      trailingQuery: endsRun && assignment.trailPosition ? POSITION_QUERY : undefined,
+      onMessages: (messages) => this.#relay.add(messages),
+      onResult: (result) => this.#onBatchResult(result, batch),
+    });
+  }
+
+  #onBatchResult(result: BatchResult, batch: BatchMessage): void {
+    this.#batchRunning = false;
+    this.#relay.batchEnded();
+    this.#assignment?.connection.resume();
+    if (result.type === 'lost') {
+      this.#mayHaveCommitted &&= result.mayHaveCommitted;
+      this.#finishRun(this.#lostResult(result.bytesWritten));
+      return;
+    }
+    this.#lastResult = result;
+    if (result.status === 'I') this.#finishRun(this.#runResultOf(result, batch));
+    else this.#continueTransaction(result);
+  }
+
+  #lostResult(bytesWritten: boolean): RunResult {
+    const answerRelayed = this.#relay.flowed;
+    this.#relay.withdraw();
+    return {
+      type: 'connection-lost',
+      bytesWritten: bytesWritten || this.#open.hold === 'transaction',
+      answerRelayed,
+      mayHaveCommitted: this.#mayHaveCommitted && bytesWritten,
+    };
+  }
+
+  #runResultOf(result: ReadyResult, batch: BatchMessage): RunResult {
+    const position = positionOf(result);
+    const rolledBack =
+      (result.errorSqlState !== undefined && !result.refusalNeedsConfirmation) ||
+      (this.#callerHoldsTransaction && !batch.mayCommit);
+    if (rolledBack) return { type: 'database-error', position };
+    return { type: 'completed', position, answerRelayed: this.#relay.flowed };
+  }
+
+  #continueTransaction(result: ReadyResult): void {
+    this.#mayHaveCommitted = false;
+    if (!this.#callerHoldsTransaction) {
+      // A single statement may not leave a transaction open on a shared connection.
+      this.#settle(
+        encodeRequestError(new TransactionAbortedError('statement opened a transaction')),
+      );
+    }
+    if (this.#callerGone || this.#settled) {
+      this.#abortTransaction();
+      return;
+    }
+    this.#sendBatchEnd(result);
+  }
+
+  #sendBatchEnd(result: ReadyResult): void {
+    if (result.refusal !== undefined) {
+      this.#relay.withdraw();
+      this.#stream.send({
+        type: 'batch-error',
+        status: result.status,
+        error: encodeRequestError(result.refusal),
+      });
+      return;
+    }
+    const heldBack = this.#relay.take(result.heldBack);
+    this.#stream.send({ type: 'batch-end', status: result.status, heldBack });
+  }
+
+  #onCallerGone(): void {
+    if (this.#callerGone) return;
+    this.#callerGone = true;
+    if (this.#settled) return;
+    this.#events.abandoned();
+    this.#relay.close();
+    this.#assignment?.connection.resume();
+    if (this.#callerHoldsTransaction) this.#abortTransaction();
+    else if (this.#open.access === 'read' && this.#batchRunning) this.#cancelRunning();
+  }
+
+  /** Rolls back on the server and gives the connection back only after that was answered. */
+  #abortTransaction(): void {
+    const assignment = this.#assignment;
+    if (assignment === undefined) return;
+    if (this.#batchRunning) {
+      if (!this.#mayHaveCommitted) void assignment.connection.cancel();
+      return;
+    }
+    this.#rollBack(assignment);
+  }
+
+  #rollBack(assignment: Assignment): void {
+    const { connection } = assignment;
+    this.#batchRunning = true;
+    const timer = setTimeout(() => connection.close(), ROLLBACK_TIMEOUT_MS);
+    const finish = (result: RunResult): void => {
+      clearTimeout(timer);
+      this.#batchRunning = false;
+      this.#finishRun(result);
+    };
+    connection.query('ROLLBACK').match(
+      () => finish({ type: 'database-error', position: undefined }),
+      () => {
+        connection.close();
+        this.#mayHaveCommitted = false;
+        finish(this.#lostResult(true));
+      },
+    );
+  }
+
+  #finishRun(result: RunResult): void {
+    const assignment = this.#assignment;
+    if (assignment === undefined) return;
+    // Cleared first: the state machine may assign another connection before this returns.
+    this.#assignment = undefined;
+    assignment.finished(result);
+  }
+}
+
+function positionOf(result: ReadyResult): Position | undefined {
+  if (result.trailingRows === undefined) return undefined;
+  return parseInstanceState(result.trailingRows).match(
+    (state) => state.replayed,
+    () => undefined,
+  );
+}
