--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -14,7 +14,7 @@
 } from '../errors.js';
 import type { Position } from '../position.js';
 import type { InstanceName, RequestId } from '../request.js';
-import { fullJitter } from '../retry/budget.js';
+import { backoffPause } from '../retry/backoff.js';
 import { containsPosition } from '../routing/select.js';
 import type { Milliseconds } from '../units.js';
 import { judge, type PendingConfirmation, type SettledConfirmation } from './confirmation.js';
@@ -323,11 +323,9 @@
 
   private enqueueAgain(entry: QueueEntry, run: Run, attempts: number, now: Milliseconds): void {
     const { timing, options } = this.context;
-    const { retryBackoffBaseMs, retryBackoffCapMs } = timing;
+    const { retryBackoffBaseMs: baseMs, retryBackoffCapMs: maximumMs } = timing;
     const backoff =
-      attempts === 0
-        ? 0
-        : fullJitter(attempts - 1, retryBackoffBaseMs, retryBackoffCapMs, options.random);
+      attempts === 0 ? 0 : backoffPause({ baseMs, maximumMs }, attempts, options.random());
     const notBefore = now + backoff;
     this.dispatcher.enqueue({ ...entry, attempts, notBefore, avoid: run.instance }, now);
   }
--- a/test/unit/limits.test.ts
+++ b/test/unit/limits.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { DEFAULT_LIMITS, TenantAdmission } from '../../src/core/limits/admission.js';
-import { fullJitter, RetryBudget } from '../../src/core/retry/budget.js';
+import { RetryBudget } from '../../src/core/retry/budget.js';
 
 function admissionWith(overrides: Partial<typeof DEFAULT_LIMITS>): TenantAdmission {
   const admission = new TenantAdmission();
@@ -51,19 +51,4 @@
   assert.equal([budget.tryTake(), budget.tryTake(), budget.tryTake()], [true, true, false]);
 });
 
-test('full jitter lies between zero and the doubled, capped base', () => {
-  assert.is(
-    fullJitter(3, 5, 100, () => 0),
-    0,
-  );
-  assert.is(
-    fullJitter(3, 5, 100, () => 0.5),
-    20,
-  );
-  assert.is(
-    fullJitter(9, 5, 100, () => 1),
-    100,
-  );
-});
-
 test.run();
