--- a/src/observability/admin-server.ts
+++ b/src/observability/admin-server.ts
@@ -137,7 +137,11 @@
 }
 
 function json(status: number, value: object): Reply {
-  return { status, contentType: 'application/json', body: `${JSON.stringify(value, bigintAsText)}\n` };
+  return {
+    status,
+    contentType: 'application/json',
+    body: `${JSON.stringify(value, bigintAsText)}\n`,
+  };
 }
 
 function send(response: ServerResponse, reply: Reply): void {
--- a/test/integration/observability/admin-server.test.ts
+++ b/test/integration/observability/admin-server.test.ts
@@ -60,7 +60,7 @@
     port: server.port,
     registry: metrics.registry,
     readiness: () => ({ ready: true, reasons: [] }),
-    status: () => null,
+    status: () => ({}),
     drain: () => undefined,
   });
   assert.is(again._unsafeUnwrapErr().code, 'MS-ADMIN-LISTEN');
