Late answers to probes count

Cause: an instance that answers slower than the probe timeout was never heard, so a slow machine looked like a dead group. Change: a probe that timed out is remembered; its late answer is taken in, its late failure does not count twice.

--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -147,14 +147,14 @@
     return this.confirmed.at;
   }
 
-  /** Takes in an answer; false if the probe was given up before or its instance has gone. */
+  /** Takes in an answer; undefined if the probe is not known any more. */
   recordProbeAnswer(
     id: ProbeId,
     state: InstanceState,
     now: Milliseconds,
     effects: GroupEffect[],
   ): SentProbe | undefined {
-    const probe = this.prober.settle(id);
+    const probe = this.prober.settle(id)?.probe;
     if (probe === undefined) return undefined;
     const { instance, sentAt, sequence } = probe;
     this.topology = withProbeAnswer(this.topology, instance, state, sentAt, sequence);
@@ -167,9 +167,10 @@
 
   /** A probe failed outright. */
   recordProbeFailed(id: ProbeId, now: Milliseconds, effects: GroupEffect[]): void {
-    const probe = this.prober.settle(id);
-    if (probe === undefined) return;
-    this.recordMiss(probe, true, now, effects);
+    const settled = this.prober.settle(id);
+    // One that failed late has counted as missed already.
+    if (settled === undefined || settled.late) return;
+    this.recordMiss(settled.probe, true, now, effects);
   }
 
   recordConnectionError(name: InstanceName): void {
--- a/src/core/failover/prober.ts
+++ b/src/core/failover/prober.ts
@@ -15,6 +15,15 @@
   readonly sequence: number;
 }
 
+/** A probe that was answered or failed, perhaps after it had counted as missed. */
+export interface SettledProbe {
+  readonly probe: SentProbe;
+  readonly late: boolean;
+}
+
+/** Answers to probes older than this many are not taken in any more. */
+const MAX_REMEMBERED_PROBES = 64;
+
 /** Pace of probing and patience with an answer. */
 export interface ProbeTiming {
   readonly timeoutMs: Milliseconds;
@@ -64,30 +73,40 @@
     this.count += 1;
     const probe: SentProbe = { id: `p${this.count}`, instance, sentAt: now, sequence };
     this.schedules.set(instance, { inFlight: probe, lastSentAt: now });
-    this.sent.set(probe.id, probe);
+    this.remember(probe);
     return probe;
   }
 
-  /** Takes back the probe that was answered or failed; undefined if it had timed out already. */
-  settle(id: ProbeId): SentProbe | undefined {
+  /**
+   * Takes back the probe that was answered or failed. A late answer still tells how things were
+   * after it was sent, which is all that an answer ever tells.
+   */
+  settle(id: ProbeId): SettledProbe | undefined {
     const probe = this.sent.get(id);
     if (probe === undefined) return undefined;
     this.sent.delete(id);
     const schedule = this.schedules.get(probe.instance);
-    if (schedule?.inFlight?.id === id) schedule.inFlight = undefined;
-    return probe;
+    if (schedule?.inFlight?.id !== id) return { probe, late: true };
+    schedule.inFlight = undefined;
+    return { probe, late: false };
   }
 
-  /** Gives up the probes whose time is over. */
+  /** Gives up waiting for the probes whose time is over. */
   takeTimedOut(now: Milliseconds): SentProbe[] {
     const timedOut: SentProbe[] = [];
     for (const schedule of this.schedules.values()) {
       const probe = schedule.inFlight;
       if (probe === undefined || now < probe.sentAt + this.timing.timeoutMs) continue;
       schedule.inFlight = undefined;
-      this.sent.delete(probe.id);
       timedOut.push(probe);
     }
     return timedOut;
   }
+
+  private remember(probe: SentProbe): void {
+    this.sent.set(probe.id, probe);
+    if (this.sent.size <= MAX_REMEMBERED_PROBES) return;
+    const [oldest] = this.sent.keys();
+    if (oldest !== undefined) this.sent.delete(oldest);
+  }
 }
