--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -1,17 +1,8 @@
 /**
- * How requests end: what a finished or lost run means for its caller, confirmation of what ran on
- * the primary, retries, and the one final effect that every request gets.
+ * What a finished or lost run means for its caller: release at once, confirmation of what ran on the
+ * primary, retry, or an error.
  */
-import {
-  NotRunError,
-  type NotRunReason,
-  ReadFailedError,
-  type ReadFailureReason,
-  type RequestError,
-  TransactionAbortedError,
-  UnknownOutcomeError,
-  type UnknownReason,
-} from '../errors.js';
+import type { ReadFailureReason } from '../errors.js';
 import type { Position } from '../position.js';
 import type { InstanceName, RequestId } from '../request.js';
 import { backoffPause } from '../retry/backoff.js';
@@ -21,6 +12,7 @@
 import { type GroupContext, isOff, type Run, toleratedAgeMs } from './context.js';
 import type { RunResult } from './contract.js';
 import type { Dispatcher } from './dispatcher.js';
+import type { Outcomes } from './outcomes.js';
 import type { QueueEntry } from './queue.js';
 
 const MAX_ATTEMPTS = 4;
@@ -34,6 +26,7 @@
   constructor(
     private readonly context: GroupContext,
     private readonly dispatcher: Dispatcher,
+    private readonly outcomes: Outcomes,
   ) {}
 
   /** A run ended on its connection. */
@@ -80,7 +73,7 @@
       const ends = request.access === 'write' && request.hold === 'statement';
       if (run.phase === 'running' && ends) {
         this.releaseLoad(run);
-        this.unknown(run, 'primary-replaced');
+        this.outcomes.unknown(run, 'primary-replaced');
       }
       pool.close(run.connectionId, effects);
     }
@@ -111,13 +104,13 @@
     const { request } = run.entry;
     if (run.phase === 'resetting') {
       this.closeAbandoned(run);
-      this.notRun(run.entry, 'deadline-passed', 'its time ran out before it was sent');
+      this.outcomes.notRun(run.entry, 'deadline-passed', 'its time ran out before it was sent');
       return;
     }
     if (request.hold === 'transaction') return;
     if (run.phase === 'running') {
-      if (request.access === 'read') this.readFailed(run, 'run-timeout');
-      else this.unknown(run, 'run-timeout');
+      if (request.access === 'read') this.outcomes.readFailed(run, 'run-timeout');
+      else this.outcomes.unknown(run, 'run-timeout');
       run.phase = 'abandoned';
       this.context.runs.set(request.id, run);
       const at = now + this.context.timing.overdueRunMs;
@@ -132,30 +125,6 @@
     this.context.pool.close(run.connectionId, this.context.effects);
   }
 
-  /**
-   * Ends a request that waits in the queue. The one place that says "not run" of a request that
-   * was let in; what an earlier attempt may have run is not called so.
-   */
-  notRun(entry: QueueEntry, reason: NotRunReason, message: string, retryAfterMs?: number): void {
-    if (entry.mayHaveRun) {
-      this.endAfterRetry(entry, retryAfterMs);
-      return;
-    }
-    this.context.counters.notRun += 1;
-    this.fail(entry, new NotRunError(reason, message, retryAfterMs));
-  }
-
-  private endAfterRetry(entry: QueueEntry, retryAfterMs: number | undefined): void {
-    if (entry.request.access === 'read') {
-      const message = 'the connection was lost and a retry found no place in time';
-      this.fail(entry, new ReadFailedError('connection-lost', message, retryAfterMs));
-      return;
-    }
-    this.context.counters.unknown += 1;
-    const message = 'an earlier attempt may have run';
-    this.fail(entry, new UnknownOutcomeError('connection-lost', message));
-  }
-
   private releaseConnection(run: Run, result: RunResult, now: Milliseconds): void {
     const { pool, monitor, loads } = this.context;
     this.releaseLoad(run);
@@ -181,7 +150,7 @@
     run.answerRelayed = result.type === 'database-error' || result.answerRelayed !== false;
     this.learnPosition(run, now);
     if (!run.onPrimary) this.finishedOnReplica(run, now);
-    else if (isOff(this.context, 'confirmation')) this.release(run);
+    else if (isOff(this.context, 'confirmation')) this.outcomes.release(run);
     else this.finishedOnPrimary(run, result, now);
   }
 
@@ -204,7 +173,7 @@
       !isOff(this.context, 'session-position') &&
       !containsPosition(run.position, session.position);
     if (behind) this.retryRead(run, 'replica-behind', now);
-    else this.release(run);
+    else this.outcomes.release(run);
   }
 
   private finishedOnPrimary(run: Run, result: FinishedResult, now: Milliseconds): void {
@@ -212,11 +181,11 @@
     const { confirmations, options, timing, monitor } = this.context;
     const isWrite = request.access === 'write';
     if (run.position === undefined && result.type === 'database-error') {
-      this.release(run);
+      this.outcomes.release(run);
       return;
     }
     if (run.position === undefined && isWrite) {
-      this.unknown(run, 'confirmation-timeout');
+      this.outcomes.unknown(run, 'confirmation-timeout');
       return;
     }
     const position = run.position ?? { ...NOWHERE, timeline: run.timeline };
@@ -249,7 +218,7 @@
     if (run === undefined) return;
     if (settled.verdict === 'confirmed') {
       if (run.entry.request.access === 'write') this.context.counters.writesConfirmed += 1;
-      this.release(run);
+      this.outcomes.release(run);
       return;
     }
     const reason = settled.verdict === 'replaced' ? 'primary-replaced' : 'confirmation-timeout';
@@ -261,7 +230,7 @@
     reason: 'primary-replaced' | 'confirmation-timeout',
     now: Milliseconds,
   ): void {
-    if (run.entry.request.access === 'write') this.unknown(run, reason);
+    if (run.entry.request.access === 'write') this.outcomes.unknown(run, reason);
     else this.retryRead(run, reason, now);
   }
 
@@ -275,8 +244,8 @@
     }
     if (request.hold === 'transaction') {
       if (result.mayHaveCommitted && request.access === 'write') {
-        this.unknown(run, 'connection-lost');
-      } else this.aborted(run);
+        this.outcomes.unknown(run, 'connection-lost');
+      } else this.outcomes.aborted(run);
       return;
     }
     if (request.access === 'read') {
@@ -285,14 +254,14 @@
     }
     const mayRepeat = request.repeatable || isOff(this.context, 'at-most-once');
     if (mayRepeat && !run.answerRelayed && this.mayRetry(run.entry, now)) this.retry(run, now);
-    else this.unknown(run, 'connection-lost');
+    else this.outcomes.unknown(run, 'connection-lost');
   }
 
   private retryRead(run: Run, reason: ReadFailureReason, now: Milliseconds): void {
     const { hold } = run.entry.request;
     const mayRetry = hold === 'statement' && !run.answerRelayed;
     if (mayRetry && this.mayRetry(run.entry, now)) this.retry(run, now);
-    else this.readFailed(run, reason);
+    else this.outcomes.readFailed(run, reason);
   }
 
   private mayRetry(entry: QueueEntry, now: Milliseconds): boolean {
@@ -318,7 +287,7 @@
     }
     const retryAfterMs = this.context.timing.retryBackoffCapMs;
     const message = 'the connection was lost before anything was sent';
-    this.notRun(entry, 'connection-lost-before-send', message, retryAfterMs);
+    this.outcomes.notRun(entry, 'connection-lost-before-send', message, retryAfterMs);
   }
 
   private enqueueAgain(entry: QueueEntry, run: Run, attempts: number, now: Milliseconds): void {
@@ -329,38 +298,4 @@
     const notBefore = now + backoff;
     this.dispatcher.enqueue({ ...entry, attempts, notBefore, avoid: run.instance }, now);
   }
-
-  private release(run: Run): void {
-    const { request } = run.entry;
-    this.context.runs.delete(request.id);
-    this.context.admission.recordFinal(request.tenant);
-    this.context.effects.push({
-      type: 'release',
-      requestId: request.id,
-      position: run.position,
-    });
-  }
-
-  private unknown(run: Run, reason: UnknownReason): void {
-    this.context.counters.unknown += 1;
-    this.context.runs.delete(run.entry.request.id);
-    this.fail(run.entry, new UnknownOutcomeError(reason, `the outcome is not known: ${reason}`));
-  }
-
-  private aborted(run: Run): void {
-    this.context.runs.delete(run.entry.request.id);
-    const message = 'the connection was lost and the transaction rolled back';
-    this.fail(run.entry, new TransactionAbortedError(message));
-  }
-
-  private readFailed(run: Run, reason: ReadFailureReason): void {
-    this.context.runs.delete(run.entry.request.id);
-    this.fail(run.entry, new ReadFailedError(reason, `the read was not finished: ${reason}`));
-  }
-
-  private fail(entry: QueueEntry, error: RequestError): void {
-    const { request } = entry;
-    this.context.admission.recordFinal(request.tenant);
-    this.context.effects.push({ type: 'fail', requestId: request.id, error });
-  }
 }
--- a/src/core/group/database-group.ts
+++ b/src/core/group/database-group.ts
@@ -27,6 +27,7 @@
 import { Intake } from './intake.js';
 import { InstanceLoads } from './loads.js';
 import { type DatabaseGroupOptions, DEFAULT_BOUNDS, DEFAULT_TIMING } from './options.js';
+import { Outcomes } from './outcomes.js';
 import { FairQueue } from './queue.js';
 
 /** Idle connections and spares are looked after this often. */
@@ -44,8 +45,9 @@
   constructor(options: DatabaseGroupOptions) {
     this.context = createContext(options);
     this.dispatcher = new Dispatcher(this.context);
-    this.completion = new Completion(this.context, this.dispatcher);
-    this.intake = new Intake(this.context, this.dispatcher, this.completion);
+    const outcomes = new Outcomes(this.context);
+    this.completion = new Completion(this.context, this.dispatcher, outcomes);
+    this.intake = new Intake(this.context, this.dispatcher, this.completion, outcomes);
   }
 
   handle(event: GroupEvent, now: Milliseconds): GroupEffect[] {
--- a/src/core/group/intake.ts
+++ b/src/core/group/intake.ts
@@ -9,6 +9,7 @@
 import type { Completion } from './completion.js';
 import { type GroupContext, isOff, type Run } from './context.js';
 import { type Dispatcher, mayUseReplica } from './dispatcher.js';
+import type { Outcomes } from './outcomes.js';
 import type { QueueEntry } from './queue.js';
 
 interface RecentKey {
@@ -28,6 +29,7 @@
     private readonly context: GroupContext,
     private readonly dispatcher: Dispatcher,
     private readonly completion: Completion,
+    private readonly outcomes: Outcomes,
   ) {}
 
   /** Queues a new request, or refuses it at once. */
@@ -58,7 +60,7 @@
   /** The caller has gone: what is still queued is dropped. */
   abandon(requestId: RequestId): void {
     const entry = this.removeQueued(requestId);
-    if (entry !== undefined) this.completion.notRun(entry, 'caller-gone', 'the caller has gone');
+    if (entry !== undefined) this.outcomes.notRun(entry, 'caller-gone', 'the caller has gone');
   }
 
   /** This owner stops: refuses what is queued and what still comes. */
@@ -67,7 +69,7 @@
     const { lanes } = this.context;
     for (const queued of [...lanes.primary.entries(), ...lanes.replica.entries()]) {
       this.removeQueued(queued.request.id);
-      this.completion.notRun(queued, 'owner-stopping', 'this proxy is stopping', 0);
+      this.outcomes.notRun(queued, 'owner-stopping', 'this proxy is stopping', 0);
     }
   }
 
@@ -144,11 +146,11 @@
     const { monitor, timing } = this.context;
     if (monitor.usablePrimary(now) === undefined) {
       const retryAfterMs = timing.noPrimaryRetryAfterMs;
-      this.completion.notRun(entry, 'no-primary', 'the group has no primary', retryAfterMs);
+      this.outcomes.notRun(entry, 'no-primary', 'the group has no primary', retryAfterMs);
       return;
     }
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(entry, now));
-    this.completion.notRun(entry, 'deadline-passed', 'its time ran out in the queue', retryAfterMs);
+    this.outcomes.notRun(entry, 'deadline-passed', 'its time ran out in the queue', retryAfterMs);
   }
 
   private expireRun(run: Run, now: Milliseconds): void {
