--- a/src/core/retry/budget.ts
+++ b/src/core/retry/budget.ts
@@ -2,7 +2,6 @@
  * Retry budget: retries may be only a fixed share of first attempts, so that a failing group is
  * not met with a multiple of its load. A token bucket filled by requests instead of by time.
  */
-import type { Milliseconds } from '../units.js';
 
 /** Shape of a retry budget. */
 export interface RetryBudgetOptions {
@@ -32,13 +31,3 @@
     return true;
   }
 }
-
-/** Exponential back-off with full jitter: uniform between zero and the doubled base, capped. */
-export function fullJitter(
-  attempt: number,
-  baseMs: Milliseconds,
-  capMs: Milliseconds,
-  random: () => number,
-): Milliseconds {
-  return random() * Math.min(capMs, baseMs * 2 ** attempt);
-}
