--- a/standins/database/instance.ts
+++ b/standins/database/instance.ts
@@ -36,6 +36,8 @@
   readonly slotsInUse: number;
   readonly queuedStatements: number;
   readonly statementsExecuted: number;
+  /** Answers that clients have not read yet, as far as this process holds them. */
+  readonly bufferedOutputBytes: number;
   /** The same by the role that logged in; probes have one of their own. */
   readonly statementsByRole: Readonly<Record<string, number>>;
   readonly connectionsAccepted: number;
@@ -221,6 +223,12 @@
     for (const connection of [...this.connections.values()]) connection.terminate(reason);
   }
 
+  private bufferedOutputBytes(): number {
+    let sum = 0;
+    for (const connection of this.connections.values()) sum += connection.bufferedBytes;
+    return sum;
+  }
+
   state(): InstanceState {
     const { options, member, catalog, slots } = this;
     return {
@@ -240,6 +248,7 @@
       slotsInUse: slots.inUse,
       queuedStatements: slots.queued,
       statementsExecuted: this.statementsExecuted,
+      bufferedOutputBytes: this.bufferedOutputBytes(),
       statementsByRole: Object.fromEntries(this.statementsByRole),
       connectionsAccepted: this.connectionsAccepted,
       connectionsRefused: this.connectionsRefused,
