--- a/bench/load/figures.ts
+++ b/bench/load/figures.ts
@@ -73,7 +73,7 @@
 }
 
 /** One request with all of its attempts. */
-interface LogicalRequest {
+export interface LogicalRequest {
   readonly first: RequestRecord;
   readonly last: RequestRecord;
 }
@@ -107,7 +107,8 @@
   };
 }
 
-function logicalRequests(requests: readonly RequestRecord[]): LogicalRequest[] {
+/** Groups attempts into requests. */
+export function logicalRequests(requests: readonly RequestRecord[]): LogicalRequest[] {
   const attempts = [...groupBy(requests, (request) => request.logicalId).values()];
   return attempts.flatMap((group) => {
     const ordered = [...group].sort((left, right) => left.sentAt - right.sentAt);
@@ -173,7 +174,8 @@
   return ratio(served.length, requests.length);
 }
 
-function isServed({ first, last }: LogicalRequest, deployment: Deployment): boolean {
+/** Done within the deadline of its kind, counted from the intended start. */
+export function isServed({ first, last }: LogicalRequest, deployment: Deployment): boolean {
   const kind = deployment.kinds.find((candidate) => candidate.kind === first.kind);
   const withinMs = kind?.deadlineMs ?? Number.POSITIVE_INFINITY;
   return last.outcome === 'done' && last.endedAt - first.intendedAt <= withinMs;
--- a/bench/load/outcome.ts
+++ b/bench/load/outcome.ts
@@ -42,6 +42,14 @@
   return failure.errorCode.startsWith('MS-SESSION-TOKEN-');
 }
 
+/** The caller's time ran out while its session was busy: the request was never sent. */
+export const NOT_SENT: AttemptFailure = {
+  ending: 'terminated',
+  outcome: 'not-run',
+  errorCode: 'NOT-SENT',
+  retryAfterMs: undefined,
+};
+
 /** The caller gave up. */
 export const ABANDONED: AttemptFailure = {
   ending: 'abandoned',
--- a/bench/load/statements.ts
+++ b/bench/load/statements.ts
@@ -18,6 +18,10 @@
 /** What one attempt runs: one statement, or several between BEGIN and COMMIT. */
 export interface AttemptPlan {
   readonly transaction: boolean;
+  /** What is left of the caller's time; not sent if there is nothing left. */
+  readonly remainingMs: number;
+  /** Markers of BEGIN. */
+  readonly markers: string;
   readonly statements: readonly Statement[];
   /** Rows that are there exactly if the attempt ran. */
   readonly effectRows: readonly string[];
@@ -30,6 +34,8 @@
   /** Key for at-most-once; the same for all attempts of a request. */
   readonly onceKey: string;
   readonly keyRank: number;
+  /** What is left of the caller's time, in milliseconds. */
+  readonly remainingMs: number;
   /** Row that the session wrote last (`<table>/<key>`), if it is to be read. */
   readonly ownRow: string | undefined;
 }
@@ -77,12 +83,17 @@
   return PLANNERS[context.kind.operation](context);
 }
 
+/** Deadlines are rounded up to this, so that the texts of statements stay few. */
+const DEADLINE_STEP_MS = 50;
+
 /** Markers in sqlcommenter form, to be put behind a statement. */
-export function markersOf(kind: RequestKind, onceKey: string | undefined): string {
-  const markers = [
-    `meadowstack_kind='${kind.kind}'`,
-    `meadowstack_deadline_ms='${kind.deadlineMs}'`,
-  ];
+export function markersOf(
+  kind: RequestKind,
+  remainingMs: number,
+  onceKey: string | undefined,
+): string {
+  const deadlineMs = Math.ceil(remainingMs / DEADLINE_STEP_MS) * DEADLINE_STEP_MS;
+  const markers = [`meadowstack_kind='${kind.kind}'`, `meadowstack_deadline_ms='${deadlineMs}'`];
   if (kind.stalenessBoundMs > 0) markers.push(`meadowstack_stale_ms='${kind.stalenessBoundMs}'`);
   if (onceKey !== undefined) markers.push(`meadowstack_once='${onceKey}'`);
   return ` /*${markers.join(',')}*/`;
@@ -94,7 +105,7 @@
     `INSERT INTO ${table} (${idColumn}, ${keyColumn}, version) VALUES ($1, $2, 1) ` +
     `RETURNING ${idColumn} AS "key", version, ${idColumn} AS echo`;
   const statement: Statement = {
-    text: text + markersOf(context.kind, context.onceKey),
+    text: text + markersOf(context.kind, context.remainingMs, context.onceKey),
     values: [context.attemptId, keyOf(context)],
     table,
     writes: true,
@@ -103,6 +114,8 @@
   };
   return {
     transaction: false,
+    remainingMs: context.remainingMs,
+    markers: '',
     statements: [statement],
     effectRows: [`${table}/${context.attemptId}`],
   };
@@ -117,7 +130,7 @@
   ownKey: string,
 ): AttemptPlan {
   const { attemptId } = context;
-  const markers = markersOf(context.kind, undefined);
+  const markers = markersOf(context.kind, context.remainingMs, undefined);
   const own: Statement = {
     text: `INSERT INTO ${ownTable} (${ownKey}, ${sharedKey}, version) VALUES ($1, $2, 1)${markers}`,
     values: [attemptId, keyOf(context)],
@@ -143,6 +156,8 @@
   };
   return {
     transaction: true,
+    remainingMs: context.remainingMs,
+    markers,
     statements: [own, shared, audit],
     effectRows: [`${ownTable}/${attemptId}`, `audit/${attemptId}`],
   };
@@ -181,9 +196,15 @@
   expectedRows: number | undefined,
   pointKey: string | undefined,
 ): AttemptPlan {
-  const marked = text + markersOf(context.kind, undefined);
+  const marked = text + markersOf(context.kind, context.remainingMs, undefined);
   const statement = { text: marked, values, table, writes: false, expectedRows, pointKey };
-  return { transaction: false, statements: [statement], effectRows: [] };
+  return {
+    transaction: false,
+    remainingMs: context.remainingMs,
+    markers: '',
+    statements: [statement],
+    effectRows: [],
+  };
 }
 
 /** Rows that the operation's shared table starts with; keys are 1 … rows. */
--- a/bench/options.ts
+++ b/bench/options.ts
@@ -22,6 +22,7 @@
   readonly allPairs: boolean;
   readonly jsonFile: string | undefined;
   readonly htmlFile: string | undefined;
+  readonly markdownFile: string | undefined;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -42,6 +43,7 @@
   --no-delays         leave the delays of the places out
   --json FILE         the figures
   --html FILE         a page with plots
+  --markdown FILE     the table of ${ALL_PAIRS}
 
 Faults:
 ${FAULTS.map(({ name, summary }) => `  ${name.padEnd(26)} ${summary}`).join('\n')}
@@ -66,6 +68,7 @@
   'no-delays': z.boolean().default(false),
   json: z.string().optional(),
   html: z.string().optional(),
+  markdown: z.string().optional(),
 });
 
 /** @throws BenchUsageError */
@@ -88,7 +91,13 @@
     electionTimeoutMs: data['election-ms'],
     delays: !data['no-delays'],
   };
-  return { run, allPairs, jsonFile: data.json, htmlFile: data.html };
+  return {
+    run,
+    allPairs,
+    jsonFile: data.json,
+    htmlFile: data.html,
+    markdownFile: data.markdown,
+  };
 }
 
 function readFlags(args: readonly string[]): unknown {
