Overhead bench: no fault proxy on the proxies' back-end routes, each proxy a target

Cause: the fault proxy's own time counted as the proxy's, and only the owning proxy was measured. Change: Cluster option withoutFaultProxy; proxy-1 and proxy-2 measured apart (one is the owner).

--- a/bench/harness/cluster.ts
+++ b/bench/harness/cluster.ts
@@ -11,6 +11,7 @@
 import {
   type DatabaseGroup,
   type DatabaseGroupOptions,
+  type DatabaseInstanceHandle,
   startDatabaseGroup,
 } from './database-group.js';
 import {
@@ -64,6 +65,8 @@
   /** One-way latency in ms of the route to an instance. */
   readonly instanceLatencyMs?: number;
   readonly proxyFlags?: readonly string[];
+  /** Proxies reach the instances without the fault proxy in between: for measuring overhead. */
+  readonly withoutFaultProxy?: boolean;
 }
 
 export class Cluster {
@@ -165,27 +168,38 @@
     const group = await startDatabaseGroup({ ...options, password: BACKEND_PASSWORD });
     this.groups.set(options.group, group);
     for (const instance of group.instances) {
-      const route = await this.faults.addRoute({
-        name: instance.name,
-        targetHost: instance.host,
-        targetPort: instance.pgPort,
-      });
-      const latencyMs = this.#options.instanceLatencyMs ?? 0;
-      if (latencyMs > 0)
-        await this.faults.setFaults(instance.name, { up: { latencyMs }, down: { latencyMs } });
+      const address = await this.#routeTo(instance);
       await this.machines.upsert({
         role: 'database',
         name: instance.name,
         group: options.group,
         zone: instance.zone,
-        host: route.listenHost,
-        port: route.listenPort,
+        host: address.host,
+        port: address.port,
         slots: options.slots,
         maxConnections: options.maxConnections,
         state: 'live',
       });
     }
   }
+
+  /** Where the proxies find an instance. */
+  async #routeTo(instance: DatabaseInstanceHandle): Promise<{ host: string; port: number }> {
+    if (this.#options.withoutFaultProxy === true) {
+      return { host: instance.host, port: instance.pgPort };
+    }
+    const route = await this.faults.addRoute({
+      name: instance.name,
+      targetHost: instance.host,
+      targetPort: instance.pgPort,
+    });
+    const latencyMs = this.#options.instanceLatencyMs ?? 0;
+    if (latencyMs > 0) {
+      const delayed = { latencyMs };
+      await this.faults.setFaults(instance.name, { up: delayed, down: delayed });
+    }
+    return { host: route.listenHost, port: route.listenPort };
+  }
 }
 
 /** The tenant's declaration. */
--- a/bench/overhead/main.ts
+++ b/bench/overhead/main.ts
@@ -15,7 +15,7 @@
   --seconds S       length of each loop (default 5)
   --rate R          statements a second of the open loop (default 500)
   --slots N         statements that an instance runs at once (default 16)
-  --only NAMES      of direct,pass-through,proxy (default all)
+  --only NAMES      of direct,pass-through,proxy-1,proxy-2 (default all)
   --json FILE       write the figures there`;
 
 interface Percentiles {
@@ -58,7 +58,7 @@
       seconds: { type: 'string', default: '5' },
       rate: { type: 'string', default: '500' },
       slots: { type: 'string', default: '16' },
-      only: { type: 'string', default: 'direct,pass-through,proxy' },
+      only: { type: 'string', default: 'direct,pass-through,proxy-1,proxy-2' },
       json: { type: 'string' },
       help: { type: 'boolean', default: false },
     },
--- a/bench/overhead/targets.ts
+++ b/bench/overhead/targets.ts
@@ -9,7 +9,8 @@
 
 /** One way to the database. */
 export interface OverheadTarget {
-  readonly name: 'direct' | 'pass-through' | 'proxy';
+  /** `direct`, `pass-through`, or a proxy's node id. */
+  readonly name: string;
   readonly connect: BackendConnectOptions;
   /** Processes in between, whose processor time is counted. */
   readonly pids: readonly number[];
@@ -44,7 +45,10 @@
 `;
 const addressSchema = z.object({ host: z.string(), port: z.number().int() });
 
-/** Starts a group, a pass-through before its primary, and two proxies (a gateway and an owner). */
+/**
+ * Starts a group, a pass-through before its primary, and two proxies. Each proxy is a target: one
+ * that owns the group answers in one hop, one that doesn't in two.
+ */
 export async function startTargets(slots: number): Promise<OverheadTargets> {
   const cluster = await Cluster.start({
     groups: [{ group: GROUP, zones: ['a', 'b', 'c'], slots, maxConnections: 100 }],
@@ -53,6 +57,7 @@
       { nodeId: 'proxy-2', zone: 'b' },
     ],
     templates: TEMPLATE,
+    withoutFaultProxy: true,
     tenants: [{ ...TENANT, databases: [GROUP], template: 'overhead' }],
   });
   const primary = await cluster.group(GROUP).waitForPrimary();
@@ -61,7 +66,6 @@
   const target = `--target=${primary.host}:${primary.pgPort}`;
   const passThrough = await startChild('bench/overhead/pass-through.js', [target], addressSchema);
   const proxies = [...cluster.proxies.values()];
-  const { callers } = cluster.proxy('proxy-1');
   const targets: OverheadTarget[] = [
     { name: 'direct', connect: direct, pids: [] },
     {
@@ -69,15 +73,11 @@
       connect: databaseOptions(passThrough.announcement),
       pids: [passThrough.pid],
     },
-    {
-      name: 'proxy',
-      connect: {
-        ...databaseOptions(callers),
-        user: TENANT.name,
-        password: TENANT.password,
-      },
+    ...proxies.map(({ nodeId, callers }) => ({
+      name: nodeId,
+      connect: { ...databaseOptions(callers), user: TENANT.name, password: TENANT.password },
       pids: proxies.map((proxy) => proxy.pid),
-    },
+    })),
   ];
   const stop = async (): Promise<void> => {
     await passThrough.stop();
