--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,15 +1,15 @@
-/** `npm run bench`: dispatches on the sub-command. */
+/** `npm run bench`: dispatches on the sub-command; without one it benches a deployment. */
+import { runDeploymentBench } from './deployment-bench.js';
 import { runOverheadBench } from './overhead/main.js';
 
 const SUB_COMMANDS: ReadonlyMap<string, (args: readonly string[]) => Promise<number>> = new Map([
+  ['deployment', runDeploymentBench],
   ['overhead', runOverheadBench],
 ]);
 
 const [first = '', ...rest] = process.argv.slice(2);
 const subCommand = SUB_COMMANDS.get(first);
-if (subCommand === undefined) {
-  console.error(`usage: npm run bench -- ${[...SUB_COMMANDS.keys()].join('|')} [options]`);
-  process.exitCode = 2;
-} else {
-  process.exitCode = await subCommand(rest);
-}
+process.exitCode =
+  subCommand === undefined
+    ? await runDeploymentBench(process.argv.slice(2))
+    : await subCommand(rest);
