--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,8 +1,10 @@
 /** `npm run bench`: dispatches on the sub-command; without one it benches a deployment. */
 import { runDeploymentBench } from './deployment-bench.js';
+import { runOverheadBench } from './overhead/main.js';
 
 const SUB_COMMANDS: ReadonlyMap<string, (args: readonly string[]) => Promise<number>> = new Map([
   ['deployment', runDeploymentBench],
+  ['overhead', runOverheadBench],
 ]);
 
 const [first = '', ...rest] = process.argv.slice(2);
