Links: heartbeat 300 ms, lost links are probed at once; cluster secret; groups released

Cause: a frozen owner was given up only after 3 s of silence; groups no longer owned kept their connections until the fleet changed; twenty reads lost at once exhausted a retry budget of 10 (seen with pgbench -c 20 when a spurious election closed a replica's connections). Change: three heartbeats of 300 ms on links with work under way, link loss reported to membership, release every second, retry capacity 100, peer.secretHex. A cluster test failed under load 43 because a starved instance lost its lead in the middle of a 10,000-row answer; tests now use a 1.5 s election timeout.

--- a/src/core/group/options.ts
+++ b/src/core/group/options.ts
@@ -115,5 +115,5 @@
   warmSpares: 2,
   idleConnectionTimeoutMs: 60_000,
   retryRatio: 0.1,
-  retryCapacity: 10,
+  retryCapacity: 100,
 };
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -83,6 +83,13 @@
     for (const [group, runtime] of this.#runtimes) this.#refresh(group, runtime, groups.has(group));
   }
 
+  /** Closes runtimes of groups that are no longer owned, once their last request has ended. */
+  releaseGroups(): void {
+    for (const [group, runtime] of this.#runtimes) {
+      if (!this.#options.owns(group)) this.#closeIfIdle(group, runtime);
+    }
+  }
+
   /** Planned stop: queued requests are refused as not run, running ones finish. */
   drain(): void {
     this.#draining = true;
@@ -172,6 +179,10 @@
       runtime.setInstances(this.#instancesOf(group));
       return;
     }
+    this.#closeIfIdle(group, runtime);
+  }
+
+  #closeIfIdle(group: GroupName, runtime: GroupRuntime): void {
     if (runtime.unfinished > 0) return;
     runtime.close();
     this.#runtimes.delete(group);
--- a/src/node/peer-router.ts
+++ b/src/node/peer-router.ts
@@ -1,6 +1,12 @@
 /** Hands what peers ask to the service that answers it. Services are added while the node is put together. */
 import { MeadowstackError } from '../core/errors.js';
-import type { NodeIdentity, PeerHandlers, PeerStream, WireValue } from '../peer/contract.js';
+import type {
+  NodeIdentity,
+  PeerAddress,
+  PeerHandlers,
+  PeerStream,
+  WireValue,
+} from '../peer/contract.js';
 
 /** Answers some methods. */
 export interface CallService {
@@ -22,6 +28,13 @@
   #acceptStream: (header: WireValue, stream: PeerStream) => void = (_, stream) =>
     stream.abort('the node is starting');
 
+  /** Told of links that this node dialled and that are lost. */
+  onLinkDown: ((peer: PeerAddress) => void) | undefined;
+
+  linkDown(peer: PeerAddress): void {
+    this.onLinkDown?.(peer);
+  }
+
   add(service: CallService): void {
     this.#services.push(service);
   }
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -51,6 +51,10 @@
 /** Connections of each instance that owners leave to operators and probes. */
 const RESERVED_CONNECTIONS = 2;
 const DRAIN_POLL_MS = 20;
+/** Only links with work under way are asked; a frozen owner is given up after three of these. */
+const LINK_HEARTBEAT_MS = 300;
+/** How often groups that are no longer owned are looked through, in ms. */
+const RELEASE_GROUPS_MS = 1000;
 const RETRY_BUDGET = { ratio: 0.1, capacity: 100 };
 
 /** The proxy could not start. */
@@ -99,6 +103,7 @@
   readonly #sessionKeys: SessionKeys;
   #snapshot: ConfigurationSnapshot | undefined;
   #requestsNumbered = 0;
+  #releaseTimer: NodeJS.Timeout | undefined;
   #draining: Promise<void> | undefined;
 
   private constructor(
@@ -113,7 +118,11 @@
     this.addresses = { callers: settings.callers, peer: links.address };
     this.#sessionKeys = sessionKeysOf(settings);
     const self = selfOf(settings, links);
-    this.#membership = new MembershipService({ self, transport: links.transport });
+    this.#membership = new MembershipService({
+      self,
+      transport: links.transport,
+      clusterSecret: clusterSecretOf(settings),
+    });
     this.#fleet = new FleetView({
       self,
       memberOf: (nodeId) => this.#membership.member(nodeId),
@@ -192,6 +201,7 @@
     if (joined.isErr()) return err(startError(joined.error));
     this.#membership.onMemberChanged = (event) => this.#onMemberChanged(event);
     this.#membership.onToldToLeave = () => void this.drain();
+    this.#releaseTimer = setInterval(() => this.#owner.releaseGroups(), RELEASE_GROUPS_MS);
     this.#machineList.onChange = (machines) => this.#onMachines(machines);
     this.#machineList.start();
     this.#configuration.onSnapshot = (snapshot) => this.#onSnapshot(snapshot);
@@ -227,6 +237,7 @@
 
   async #close(): Promise<void> {
     for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
+    clearInterval(this.#releaseTimer);
     await this.#membership.stop();
     await this.#configuration.stop();
     this.#machineList.stop();
@@ -304,6 +315,7 @@
 
   #route(router: PeerRouter): void {
     router.acceptStreams((header, stream) => this.#owner.accept(header, stream));
+    router.onLinkDown = (peer) => this.#onLinkDown(peer);
     router.add(this.#configuration);
     router.add(this.#directory);
     router.add({
@@ -323,6 +335,14 @@
     this.#onFleetChanged();
   }
 
+  /** A lost link is a hint: the node behind it is probed at once. */
+  #onLinkDown(peer: PeerAddress): void {
+    const member = this.#membership
+      .members()
+      .find((candidate) => candidate.host === peer.host && candidate.peerPort === peer.port);
+    if (member !== undefined) this.#membership.reportLinkLost(member.nodeId);
+  }
+
   #onFleetChanged(): void {
     this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.setMachines(this.#fleet.databases);
@@ -391,7 +411,14 @@
 async function openLinks(settings: Settings): Promise<Result<NodeLinks, MeadowstackError>> {
   const identity = { nodeId: settings.nodeId, incarnation: Date.now() };
   const router = new PeerRouter();
-  const transport = new TcpPeerTransport({ identity, handlers: router });
+  const clusterSecret = clusterSecretOf(settings);
+  const transport = new TcpPeerTransport({
+    identity,
+    handlers: router,
+    limits: { heartbeatMs: LINK_HEARTBEAT_MS },
+    events: { onLinkDown: (peer) => router.linkDown(peer) },
+    ...(clusterSecret === undefined ? {} : { clusterSecret }),
+  });
   const listening = await transport.listen(settings.peer);
   return listening.map((address) => ({ identity, router, transport, address }));
 }
@@ -456,6 +483,11 @@
   return [first ?? { id: 'local', secret: randomBytes(SECRET_BYTES) }, ...rest];
 }
 
+function clusterSecretOf(settings: Settings): Buffer | undefined {
+  const { secretHex } = settings.peer;
+  return secretHex === undefined ? undefined : Buffer.from(secretHex, 'hex');
+}
+
 function callerTlsOf(settings: Settings): CallerTlsOptions | undefined {
   const { tls } = settings.callers;
   if (tls === undefined) return undefined;
--- a/src/node/setting-fields.ts
+++ b/src/node/setting-fields.ts
@@ -31,6 +31,7 @@
   },
   { path: 'peer.host', type: 'string', description: 'address for links between proxies' },
   { path: 'peer.port', type: 'integer', description: 'port for links between proxies' },
+  { path: 'peer.secretHex', type: 'string', description: 'secret that all nodes share' },
   { path: 'admin.host', type: 'string', description: 'address of the admin port' },
   { path: 'admin.port', type: 'integer', description: 'admin port' },
   { path: 'store.endpoints', type: 'list', description: 'URLs of the store, with commas between' },
--- a/src/node/settings-schema.ts
+++ b/src/node/settings-schema.ts
@@ -55,6 +55,8 @@
   host: host.default('127.0.0.1'),
   /** TCP and UDP. */
   port: port.default(DEFAULT_PEER_PORT),
+  /** Shared by all nodes. Absent: any process that can connect may pose as a node. */
+  secretHex: secretHex.optional(),
 });
 
 const admin = z.strictObject({
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -5,6 +5,8 @@
 export const GROUP = 'orders';
 export const TENANT = { name: 'bureau', password: 'a long password' };
 
+const ELECTION_TIMEOUT_MS = 1500;
+
 /** `lookup` tolerates stale answers; everything else reads from the primary. */
 export const TEMPLATE = `kind: Template
 name: standard
@@ -35,6 +37,8 @@
         slots: 5,
         maxConnections: 35,
         connectionDelayMs: 10,
+        // Far above what a busy test machine delays a heartbeat by: elections only when a test asks.
+        electionTimeoutMs: ELECTION_TIMEOUT_MS,
       },
     ],
     proxies: [
