Callers: test of the back end's own error for a Parse, in a batch and before Flush

Cause: only errors of the gateway were tested to leave no acknowledgement and no statement behind. Change: one more case in caller-messages.test.ts.

--- a/test/integration/postgres/caller-messages.test.ts
+++ b/test/integration/postgres/caller-messages.test.ts
@@ -6,6 +6,7 @@
 import { suite } from 'uvu';
 import { NotRunError } from '../../../src/core/errors.js';
 import { FrameReader } from '../../../src/postgres/frames.js';
+import { errorResponse } from '../../../src/postgres/messages.js';
 import {
   type CallerFixture,
   DATABASE,
@@ -117,6 +118,29 @@
   assert.equal(await caller.until('ZI'), 'E42P05 ZI');
 });
 
+test("the back end's error for a Parse comes alone, and the name stays free", async () => {
+  const [caller, { handler }] = await rawCaller();
+  const failOnce = (): void => {
+    handler.intercept = (connection) => {
+      handler.intercept = undefined;
+      connection.write(errorResponse({ severity: 'ERROR', code: '42601', message: 'syntax' }));
+      connection.finish('I');
+      return true;
+    };
+  };
+  failOnce();
+  caller.send(parse('a', 'selec 1'), describe('S', 'a'), close({ type: 'S', name: 'b' }), sync());
+  assert.equal(await caller.until('ZI'), 'E42601 ZI');
+  caller.send(parse('a', 'select 1'), sync());
+  assert.equal(await caller.until('ZI'), '1 ZI');
+  failOnce();
+  caller.send(parse('c', 'selec 1'), flush(), parse('d', 'select 1'), sync(), sync());
+  assert.equal(await caller.until('ZI'), 'E42601 ZI');
+  assert.equal(await caller.until('ZI'), 'ZI');
+  caller.send(bind({ statement: 'd' }), sync());
+  assert.equal(await caller.until('ZI'), 'E26000 ZI');
+});
+
 test('the unnamed statement outlives its batch until a simple Query', async () => {
   const [caller, { handler }] = await rawCaller();
   caller.send(parse('', 'select 7'), sync(), bind(), execute(), sync());
