--- a/bench/load/figures.ts
+++ b/bench/load/figures.ts
@@ -50,6 +50,8 @@
   readonly weightedService: number;
   /** Attempts for each request. */
   readonly amplification: number;
+  /** Attempts that were not done, by `<outcome> <code>`. */
+  readonly errors: Readonly<Record<string, number>>;
   readonly connectionsOpened: number;
   readonly violations: ViolationCounts;
   /** Not promised: reads that saw less than an earlier read of their session. */
@@ -71,7 +73,7 @@
 }
 
 /** One request with all of its attempts. */
-interface LogicalRequest {
+export interface LogicalRequest {
   readonly first: RequestRecord;
   readonly last: RequestRecord;
 }
@@ -98,13 +100,15 @@
     serviceByKind: mapValues(byKind, (requests) => serviceOf(requests, input.deployment)),
     weightedService: weightedService(byKind, input.deployment),
     amplification: ratio(input.requests.length, logical.length),
+    errors: countErrors(input.requests),
     connectionsOpened: input.connectionsOpened,
     violations: countViolations(input.violations),
     nonMonotonicReads: input.nonMonotonicReads,
   };
 }
 
-function logicalRequests(requests: readonly RequestRecord[]): LogicalRequest[] {
+/** Groups attempts into requests. */
+export function logicalRequests(requests: readonly RequestRecord[]): LogicalRequest[] {
   const attempts = [...groupBy(requests, (request) => request.logicalId).values()];
   return attempts.flatMap((group) => {
     const ordered = [...group].sort((left, right) => left.sentAt - right.sentAt);
@@ -125,6 +129,12 @@
   };
 }
 
+function countErrors(requests: readonly RequestRecord[]): Readonly<Record<string, number>> {
+  const failed = requests.filter(({ outcome }) => outcome !== 'done');
+  const byCode = groupBy(failed, ({ outcome, errorCode }) => `${outcome} ${errorCode}`);
+  return mapValues(byCode, (attempts) => attempts.length);
+}
+
 /** Among reads whose answer tells where they were served. */
 function replicaShare(reads: readonly RequestRecord[]): number | null {
   const told = reads.filter(({ servedBy }) => servedBy !== undefined);
@@ -164,7 +174,8 @@
   return ratio(served.length, requests.length);
 }
 
-function isServed({ first, last }: LogicalRequest, deployment: Deployment): boolean {
+/** Done within the deadline of its kind, counted from the intended start. */
+export function isServed({ first, last }: LogicalRequest, deployment: Deployment): boolean {
   const kind = deployment.kinds.find((candidate) => candidate.kind === first.kind);
   const withinMs = kind?.deadlineMs ?? Number.POSITIVE_INFINITY;
   return last.outcome === 'done' && last.endedAt - first.intendedAt <= withinMs;
--- a/src/core/group/intake.ts
+++ b/src/core/group/intake.ts
@@ -3,12 +3,13 @@
  * without having run. Everything refused here is provably not run.
  */
 import { NotRunError } from '../errors.js';
-import { type ConnectionKey, keyOf } from '../pool/connections.js';
+import { type ConnectionKey, keyOf, keyText } from '../pool/connections.js';
 import type { GroupRequest, RequestId } from '../request.js';
 import type { Milliseconds } from '../units.js';
 import type { Completion } from './completion.js';
 import { type GroupContext, isOff, type Run } from './context.js';
 import { type Dispatcher, mayUseReplica } from './dispatcher.js';
+import type { Outcomes } from './outcomes.js';
 import type { QueueEntry } from './queue.js';
 
 interface RecentKey {
@@ -28,6 +29,7 @@
     private readonly context: GroupContext,
     private readonly dispatcher: Dispatcher,
     private readonly completion: Completion,
+    private readonly outcomes: Outcomes,
   ) {}
 
   /** Queues a new request, or refuses it at once. */
@@ -41,7 +43,7 @@
       notBefore: now,
       avoid: undefined,
     };
-    const waitMs = this.expectedWaitMs(entry);
+    const waitMs = this.expectedWaitMs(entry, now);
     const refusal =
       this.refusalOf(request, waitMs, now) ??
       this.context.admission.admit(request.tenant, waitMs, now);
@@ -58,7 +60,7 @@
   /** The caller has gone: what is still queued is dropped. */
   abandon(requestId: RequestId): void {
     const entry = this.removeQueued(requestId);
-    if (entry !== undefined) this.completion.notRun(entry, 'caller-gone', 'the caller has gone');
+    if (entry !== undefined) this.outcomes.notRun(entry, 'caller-gone', 'the caller has gone');
   }
 
   /** This owner stops: refuses what is queued and what still comes. */
@@ -67,7 +69,7 @@
     const { lanes } = this.context;
     for (const queued of [...lanes.primary.entries(), ...lanes.replica.entries()]) {
       this.removeQueued(queued.request.id);
-      this.completion.notRun(queued, 'owner-stopping', 'this proxy is stopping', 0);
+      this.outcomes.notRun(queued, 'owner-stopping', 'this proxy is stopping', 0);
     }
   }
 
@@ -123,12 +125,12 @@
   }
 
   /** Time until a request that joins the queue now is answered; zero if that can't be told. */
-  private expectedWaitMs(entry: QueueEntry): Milliseconds {
+  private expectedWaitMs(entry: QueueEntry, now: Milliseconds): Milliseconds {
     const { lanes, loads, monitor, instances } = this.context;
-    const primary = monitor.usablePrimary();
+    const primary = monitor.usablePrimary(now);
     const description = primary === undefined ? undefined : instances.get(primary.instance);
     if (description === undefined) return 0;
-    const lane = mayUseReplica(entry) ? lanes.replica : lanes.primary;
+    const lane = mayUseReplica(entry, this.context.options.routing) ? lanes.replica : lanes.primary;
     if (lane.length === 0) return 0;
     const ahead = lane.expectedAhead(entry.request.tenant);
     return ((ahead + 1) * loads.serviceTimeMs(description.name)) / description.slots;
@@ -136,16 +138,19 @@
 
   private expireQueued(entry: QueueEntry, now: Milliseconds): void {
     const { request } = entry;
-    if (now < request.deadline || isOff(this.context, 'deadline')) return;
+    if (now < request.deadline || isOff(this.context, 'deadline')) {
+      this.dispatcher.considerPrimary(entry, now);
+      return;
+    }
     this.removeQueued(request.id);
     const { monitor, timing } = this.context;
-    if (monitor.usablePrimary() === undefined) {
+    if (monitor.usablePrimary(now) === undefined) {
       const retryAfterMs = timing.noPrimaryRetryAfterMs;
-      this.completion.notRun(entry, 'no-primary', 'the group has no primary', retryAfterMs);
+      this.outcomes.notRun(entry, 'no-primary', 'the group has no primary', retryAfterMs);
       return;
     }
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(entry));
-    this.completion.notRun(entry, 'deadline-passed', 'its time ran out in the queue', retryAfterMs);
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(entry, now));
+    this.outcomes.notRun(entry, 'deadline-passed', 'its time ran out in the queue', retryAfterMs);
   }
 
   private expireRun(run: Run, now: Milliseconds): void {
@@ -159,7 +164,7 @@
 
   private rememberKey(request: GroupRequest, now: Milliseconds): void {
     const key = keyOf(request);
-    const id = JSON.stringify([key.databaseRole, key.database]);
+    const id = keyText(key);
     const known = this.recentKeys.get(id);
     if (known === undefined) this.recentKeys.set(id, { key, lastUsedAt: now });
     else known.lastUsedAt = now;
--- a/src/core/pool/pool.ts
+++ b/src/core/pool/pool.ts
@@ -4,7 +4,7 @@
  */
 import type { ConnectionId, GroupEffect, InstanceDescription } from '../group/contract.js';
 import type { GroupRequest, InstanceName } from '../request.js';
-import { fullJitter } from '../retry/budget.js';
+import { backoffPause } from '../retry/backoff.js';
 import type { Milliseconds } from '../units.js';
 import {
   type ConnectionKey,
@@ -58,7 +58,7 @@
   giveBack(id: ConnectionId, now: Milliseconds, effects: GroupEffect[]): void {
     const connection = this.table.get(id);
     if (connection === undefined) return;
-    connection.status = 'idle';
+    this.table.setStatus(connection, 'idle');
     connection.idleSince = now;
     const instance = this.instances.get(connection.instance);
     const overBudget =
@@ -118,7 +118,7 @@
   recordOpened(id: ConnectionId, now: Milliseconds): PooledConnection | undefined {
     const connection = this.table.get(id);
     if (connection === undefined) return undefined;
-    connection.status = 'idle';
+    this.table.setStatus(connection, 'idle');
     connection.idleSince = now;
     this.backoffs.delete(connection.instance);
     return connection;
@@ -128,9 +128,10 @@
     const connection = this.table.remove(id);
     if (connection === undefined) return undefined;
     const backoff = this.backoffs.get(connection.instance) ?? { failures: 0, until: now };
-    const { openBackoffBaseMs, openBackoffCapMs, random } = this.options;
-    const jitter = fullJitter(backoff.failures, openBackoffBaseMs, openBackoffCapMs, random);
-    const until = Math.max(backoff.until, now + openBackoffBaseMs + jitter);
+    const { openBackoffBaseMs: baseMs, openBackoffCapMs: maximumMs, random } = this.options;
+    const policy = { baseMs, maximumMs };
+    const pause = backoffPause(policy, backoff.failures + 1, random(), baseMs);
+    const until = Math.max(backoff.until, now + pause);
     this.backoffs.set(connection.instance, { failures: backoff.failures + 1, until });
     return connection;
   }
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -1,45 +1,99 @@
-/** Structured logging on loglevel: a line for each change of state, as JSON or readable text. */
-import loglevel from 'loglevel';
+/**
+ * Structured logs on loglevel: one line for each change of state, never one for each request
+ * (those are counted, see `metrics.ts`). Loggers carry bound fields, such as the node's name.
+ */
+import loglevel, { type LogLevelDesc } from 'loglevel';
+import { MeadowstackError } from '../core/errors.js';
 
+export type LogFormat = 'json' | 'text';
 export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'silent';
+/** Fields of one line; undefined ones are left out. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
 export interface LoggerOptions {
+  readonly format: LogFormat;
   readonly level: LogLevel;
-  readonly format: 'json' | 'text';
-  /** Bound to every line, such as the node id. */
-  readonly fields: LogFields;
+  /** Fields of every line. */
+  readonly fields?: LogFields;
+  /** Takes a line without its end; standard error by default. */
+  readonly write?: (line: string) => void;
+  /** Time of a line; the wall clock by default. */
+  readonly now?: () => Date;
 }
 
+/** A logger with bound fields. */
 export interface Logger {
   debug(event: string, fields?: LogFields): void;
   info(event: string, fields?: LogFields): void;
   warn(event: string, fields?: LogFields): void;
   error(event: string, fields?: LogFields): void;
+  /** A logger that adds these fields to every line. */
+  child(fields: LogFields): Logger;
+}
+
+/** One line before it is given its form. */
+interface LogEntry {
+  readonly time: string;
+  readonly level: string;
+  readonly event: string;
+  readonly fields: LogFields;
 }
 
-/** A logger that writes to standard error. */
+const NEEDS_QUOTES = /[\s"=]/;
+let loggersCreated = 0;
+
 export function createLogger(options: LoggerOptions): Logger {
-  const logger = loglevel.getLogger('meadowstack');
-  logger.methodFactory = (level) => (event: string, fields: LogFields) => {
-    const line = { time: new Date().toISOString(), level, event, ...options.fields, ...fields };
-    process.stderr.write(`${options.format === 'json' ? asJson(line) : asText(line)}\n`);
-  };
-  logger.setLevel(options.level, false);
+  const write = options.write ?? ((line) => process.stderr.write(`${line}\n`));
+  const now = options.now ?? (() => new Date());
+  const format = options.format === 'json' ? formatJson : formatText;
+  loggersCreated += 1;
+  // A name of its own, so that two nodes in one process don't share a level.
+  const underlying = loglevel.getLogger(`meadowstack-${loggersCreated}`);
+  underlying.methodFactory =
+    (level) =>
+    (event: string, fields: LogFields): void =>
+      write(format({ time: now().toISOString(), level, event, fields }));
+  underlying.setLevel(options.level satisfies LogLevelDesc, false);
+  return bind(underlying, options.fields ?? {});
+}
+
+function bind(underlying: loglevel.Logger, bound: LogFields): Logger {
   return {
-    debug: (event, fields = {}) => logger.debug(event, fields),
-    info: (event, fields = {}) => logger.info(event, fields),
-    warn: (event, fields = {}) => logger.warn(event, fields),
-    error: (event, fields = {}) => logger.error(event, fields),
+    debug: (event, fields) => underlying.debug(event, { ...bound, ...fields }),
+    info: (event, fields) => underlying.info(event, { ...bound, ...fields }),
+    warn: (event, fields) => underlying.warn(event, { ...bound, ...fields }),
+    error: (event, fields) => underlying.error(event, { ...bound, ...fields }),
+    child: (fields) => bind(underlying, { ...bound, ...fields }),
   };
 }
 
-function asJson(line: LogFields): string {
-  return JSON.stringify(line, (_key, value) => (typeof value === 'bigint' ? String(value) : value));
+/** Fields that describe an error, to be spread into a line's fields. */
+export function errorFields(error: Error): LogFields {
+  const code = error instanceof MeadowstackError ? error.code : undefined;
+  return { error: error.name, code, reason: error.message };
+}
+
+function formatJson({ time, level, event, fields }: LogEntry): string {
+  return JSON.stringify({ ...fields, time, level, event }, jsonValueOf);
+}
+
+/** JSON has no form for a bigint, such as an LSN. */
+function jsonValueOf(_name: string, value: unknown): unknown {
+  return typeof value === 'bigint' ? value.toString() : value;
+}
+
+function formatText({ time, level, event, fields }: LogEntry): string {
+  const shown = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => ` ${name}=${quoteIfNeeded(String(value))}`);
+  return `${time} ${level.toUpperCase().padEnd(5)} ${quoteLineBreaks(event)}${shown.join('')}`;
+}
+
+function quoteIfNeeded(text: string): string {
+  return text === '' || NEEDS_QUOTES.test(text) ? JSON.stringify(text) : text;
 }
 
-function asText(line: LogFields): string {
-  const { time, level, event, ...rest } = line;
-  const fields = Object.entries(rest).map(([key, value]) => `${key}=${String(value)}`);
-  return `${String(time)} ${String(level).toUpperCase()} ${String(event)} ${fields.join(' ')}`;
+/** A line stays one line whatever is logged. */
+function quoteLineBreaks(text: string): string {
+  return text.replaceAll('\n', '\\n').replaceAll('\r', '\\r');
 }
--- a/test/support/configuration-simulation.ts
+++ b/test/support/configuration-simulation.ts
@@ -19,6 +19,8 @@
   readonly member: ConfigurationMember;
   readonly agent: ConfigurationAgent;
   alive: boolean;
+  /** Does nothing before this time; what arrives meanwhile waits. */
+  pausedUntil: number;
   readyAt: number | undefined;
   /** Revisions that were applied, in order. */
   readonly applied: number[];
@@ -36,6 +38,8 @@
 export class ConfigurationSimulation {
   now = 0;
   storeDown = false;
+  /** Open watches hear nothing and are not told that they are dead. */
+  watchesSilent = false;
   /** Share of peer calls that fail. */
   lossShare = 0;
   headRevision = 0;
@@ -56,6 +60,7 @@
       member,
       agent,
       alive: true,
+      pausedUntil: 0,
       readyAt: undefined,
       applied: [],
       storeRequests: 0,
@@ -89,7 +94,7 @@
     });
     for (const entry of entries) this.#entries.set(entry.key, entry);
     for (const node of this.live) {
-      if (node.watching !== undefined) this.#sendWatch(node, revision);
+      if (!this.watchesSilent) this.#sendWatch(node, revision);
     }
     return revision;
   }
@@ -145,6 +150,10 @@
 
   #deliver(node: SimulatedNode, event: AgentEvent): void {
     if (!node.alive) return;
+    if (node.pausedUntil > this.now) {
+      this.#schedule(node.pausedUntil - this.now, () => this.#deliver(node, event));
+      return;
+    }
     for (const effect of node.agent.handle(event, this.now)) this.#carryOut(node, effect);
     const deadline = node.agent.nextDeadline();
     if (deadline === undefined) return;
@@ -194,7 +203,8 @@
   ): void {
     this.#schedule(this.#callTime(), () => {
       const peer = this.live.find((other) => other.member.nodeId === member.nodeId);
-      const lost = peer === undefined || this.random() < this.lossShare;
+      const silent = peer === undefined || peer.pausedUntil > this.now;
+      const lost = silent || this.random() < this.lossShare;
       const event: AgentEvent = lost ? { type: 'peer-failed', nodeId: member.nodeId } : ask(peer);
       this.#later(node, () => event, lost ? CALL_TIMEOUT_MS : this.#callTime());
     });
