Session settings are answered by the caller side's own module; mock salts agree

Cause: the same answers stood twice; unknown users could be told by salts that differ between nodes. Change: localAnswer; the mock secret is derived from the session key.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -22,6 +22,7 @@
   type SessionKeys,
   type SessionState,
 } from '../../core/session/index.js';
+import { type LocalResult, localAnswer } from '../../postgres/caller/local-answer.js';
 import type {
   CallerBatch,
   CallerConnection,
@@ -37,7 +38,6 @@
 import type { RequestMetrics } from './request-metrics.js';
 import { combineClasses, firstMarkers, type RequestTerms, requestTerms } from './request-policy.js';
 import type { SessionDirectory } from './session-directory.js';
-import { answerSessionSetting } from './session-settings.js';
 
 /** Parameter that carries the session token both ways. */
 export const SESSION_TOKEN_PARAMETER = 'meadowstack.session';
@@ -354,7 +354,7 @@
       setting.name === SESSION_TOKEN_PARAMETER
         ? encodeSessionToken(this.#state, this.#tenant, this.#options.sessionKeys)
         : (this.#connection.parameters.get(setting.name) ?? '');
-    this.#connection.write(answerSessionSetting(batch, setting, shown));
+    this.#connection.write(localAnswer(batch, () => settingResult(setting, shown)));
     this.#finish(this.#inTransaction ? 'T' : 'I');
   }
 
@@ -384,6 +384,12 @@
   }
 }
 
+function settingResult(setting: SessionSetting, shown: string): LocalResult {
+  const tag = setting.action.toUpperCase();
+  if (setting.action !== 'show') return { tag, columns: [], rows: [] };
+  return { tag, columns: [setting.name], rows: [[shown]] };
+}
+
 function batchMessage(
   batch: CallerBatch,
   statementClass: StatementClass,
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -2,7 +2,7 @@
  * One proxy process put together: gateway, owner, links to peers, platform clients, configuration.
  * Serves no caller before a configuration is in hand; a planned stop cuts no request in progress.
  */
-import { randomBytes } from 'node:crypto';
+import { createHmac, randomBytes } from 'node:crypto';
 import { readFileSync } from 'node:fs';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import type { ConfigurationSnapshot, TenantPolicy } from '../core/configuration/model.js';
@@ -275,6 +275,7 @@
       host: callers.host,
       port: callers.port,
       ...(tls === undefined ? {} : { tls }),
+      mockSecret: mockSecretOf(this.#sessionKeys),
       policyFor: (user) => this.#policyFor(user),
       admit: (policy) => this.#admission.admit(policy),
       handler: (connection) => this.#onCaller(connection),
@@ -483,6 +484,11 @@
   return [first ?? { id: 'local', secret: randomBytes(SECRET_BYTES) }, ...rest];
 }
 
+/** The same on all nodes, so that unknown users can't be told by salts that differ. */
+function mockSecretOf([key]: SessionKeys): Buffer {
+  return createHmac('sha256', key.secret).update('mock authentication').digest();
+}
+
 function clusterSecretOf(settings: Settings): Buffer | undefined {
   const { secretHex } = settings.peer;
   return secretHex === undefined ? undefined : Buffer.from(secretHex, 'hex');
