--- a/bench/checkers/departures.ts
+++ b/bench/checkers/departures.ts
@@ -45,7 +45,7 @@
   return cut.map((request) => ({
     promise: 'plannedStopCutsNothing',
     reason: 'request-cut',
-    detail: `${request.attemptId} was cut by the planned stop of ${stop.proxy}`,
+    detail: `${request.attemptId} was cut by the planned stop of ${stop.proxy}: ${request.errorCode}`,
     at: request.endedAt,
   }));
 }
--- a/bench/demo/main.ts
+++ b/bench/demo/main.ts
@@ -13,7 +13,6 @@
 import { nowMs } from '../load/clock.js';
 import { figuresOf, type RunFigures } from '../load/figures.js';
 import { type LoadResult, runLoad } from '../load/generator.js';
-import { createRandom } from '../load/random.js';
 import { RunRecorder } from '../recorders/run-recorder.js';
 import { collectLogs } from '../run/collect-logs.js';
 import { credentialsOf, startDeploymentCluster, tenantOf } from '../run/deployment-cluster.js';
@@ -83,10 +82,10 @@
     context: {
       cluster: running,
       deployment,
-      random: createRandom(SEED),
       recorder: new RunRecorder(),
       tenant: tenantOf(deployment),
     },
+    seed: SEED,
     startedAt: nowMs(),
     onChange: () => undefined,
   });
--- a/bench/faults/injector.ts
+++ b/bench/faults/injector.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { nowMs } from '../load/clock.js';
 import type { PrimaryFailure } from '../load/failover-gap.js';
+import { createRandom } from '../load/random.js';
 import type { FaultContext, InjectedFault } from './fault.js';
 import type { PlannedFault } from './schedule.js';
 import { NoTargetError } from './targets.js';
@@ -18,7 +19,9 @@
 
 export interface InjectionOptions {
   readonly planned: readonly PlannedFault[];
-  readonly context: FaultContext;
+  readonly context: Omit<FaultContext, 'random'>;
+  /** Each fault draws from a sequence of its own, so that their order does not matter. */
+  readonly seed: number;
   readonly startedAt: number;
   /** Told of each beginning and end. */
   readonly onChange: (text: string) => void;
@@ -26,12 +29,18 @@
 
 /** Resolves when all faults have ended. Faults may overlap. */
 export async function injectFaults(options: InjectionOptions): Promise<FaultRecord[]> {
-  return Promise.all(options.planned.map((planned) => injectFault(planned, options)));
+  return Promise.all(
+    options.planned.map((planned, index) => {
+      const random = createRandom(options.seed + index);
+      return injectFault(planned, { ...options.context, random }, options);
+    }),
+  );
 }
 
 async function injectFault(
   { fault, beginMs, endMs }: PlannedFault,
-  { context, startedAt, onChange }: InjectionOptions,
+  context: FaultContext,
+  { startedAt, onChange }: InjectionOptions,
 ): Promise<FaultRecord> {
   await delay(Math.max(0, startedAt + beginMs - nowMs()));
   const beganAt = nowMs();
--- a/bench/harness/cluster.ts
+++ b/bench/harness/cluster.ts
@@ -136,9 +136,10 @@
     }
   }
 
-  /** Where callers connect to, in the order in which the proxies were first started. */
+  /** Where callers connect to, in the order of the proxies' names. */
   get callerAddresses(): readonly CallerAddress[] {
-    return [...this.#callerAddresses.values()];
+    const addresses = [...this.#callerAddresses.values()];
+    return addresses.sort((left, right) => left.name.localeCompare(right.name));
   }
 
   /** Starts a proxy, or its replacement under the same node id, and lists it as a machine. */
--- a/bench/load/database-setup.ts
+++ b/bench/load/database-setup.ts
@@ -25,6 +25,8 @@
   deployment: Deployment,
 ): Promise<void> {
   const client = new pg.Client({ ...primary, ...credentials });
+  // A lost connection also rejects the query under way; that is where it is handled.
+  client.on('error', () => undefined);
   await client.connect();
   try {
     for (const statement of TABLES) await client.query(statement);
@@ -59,6 +61,10 @@
   for (let first = 1; first <= rows; first += ROWS_PER_INSERT) {
     const length = Math.min(ROWS_PER_INSERT, rows - first + 1);
     const values = Array.from({ length }, (_, index) => `(${first + index}, ${rest})`);
-    await client.query(`INSERT INTO ${table} (${columns}) VALUES ${values.join(', ')}`);
+    const rowsText = values.join(', ');
+    // Rows of an earlier attempt may be there.
+    await client.query(
+      `INSERT INTO ${table} (${columns}) VALUES ${rowsText} ON CONFLICT DO NOTHING`,
+    );
   }
 }
--- a/bench/load/outcome.ts
+++ b/bench/load/outcome.ts
@@ -23,7 +23,13 @@
 /** Reads the outcome from the error's detail (`<code>: <outcome>`) and the delay from its hint. */
 export function failureOf(error: unknown): AttemptFailure {
   if (error instanceof pg.DatabaseError) return databaseFailure(error);
-  return { ending: 'cut', outcome: 'unknown', errorCode: 'CUT', retryAfterMs: undefined };
+  const cause = error instanceof Error ? error.message : String(error);
+  return {
+    ending: 'cut',
+    outcome: 'unknown',
+    errorCode: `CUT (${cause})`,
+    retryAfterMs: undefined,
+  };
 }
 
 /** The proxy could not be connected to, so nothing was sent. */
--- a/bench/run/deployment-cluster.ts
+++ b/bench/run/deployment-cluster.ts
@@ -2,10 +2,12 @@
  * The cluster of one or more deployments with the brief's sizes: groups, zones, delays, templates,
  * tenants, proxies spread over the zones, and databases with their tables and first rows.
  */
+import { parseLsn } from '../../src/core/position.js';
 import type { Deployment } from '../deployments.js';
 import {
   BACKEND_PASSWORD,
   Cluster,
+  ClusterError,
   type ClusterGroup,
   type ClusterOptions,
   type ClusterProxy,
@@ -31,6 +33,8 @@
 /** The role that all tenants of a deployment have on its back ends. */
 export const DATABASE_ROLE = 'app';
 
+const PREPARE_ATTEMPTS = 5;
+
 /** Starts it all; resolves when callers are served and every replica has the tables. */
 export async function startDeploymentCluster(options: DeploymentClusterOptions): Promise<Cluster> {
   const cluster = await Cluster.start(clusterOptionsOf(options));
@@ -137,14 +141,32 @@
   return `${deployment.tenant}-password`;
 }
 
+/** The group may elect another primary meanwhile, on a busy machine: then it is done again. */
 async function prepareGroup(group: DatabaseGroup, deployment: Deployment): Promise<void> {
-  const { name, host, pgPort } = await group.waitForPrimary();
   const credentials = { user: DATABASE_ROLE, password: BACKEND_PASSWORD, database: 'postgres' };
-  await prepareDatabase({ host, port: pgPort }, credentials, deployment);
+  for (let attempt = 1; ; attempt += 1) {
+    const { host, pgPort: port } = await group.waitForPrimary();
+    try {
+      await prepareDatabase({ host, port }, credentials, deployment);
+      break;
+    } catch (cause) {
+      if (attempt < PREPARE_ATTEMPTS) continue;
+      throw new ClusterError('the tables of a group could not be made', { cause });
+    }
+  }
+  await waitForReplicas(group);
+}
+
+async function waitForReplicas(group: DatabaseGroup): Promise<void> {
+  const { name } = await group.waitForPrimary();
   const { lsn } = await group.state(name);
+  const wanted = parseLsn(lsn).unwrapOr(0n);
   await Promise.all(
     group.instances.map((instance) =>
-      group.waitForState(instance.name, (state) => state.replayed === lsn),
+      group.waitForState(
+        instance.name,
+        ({ replayed }) => parseLsn(replayed).unwrapOr(-1n) >= wanted,
+      ),
     ),
   );
 }
--- a/bench/run/run-bench.ts
+++ b/bench/run/run-bench.ts
@@ -99,7 +99,7 @@
   machine: () => MachineFigures,
 ): Promise<BenchRun> {
   const recorder = new RunRecorder();
-  for (const nodeId of cluster.proxies.keys()) recorder.proxyStarted(nodeId);
+  for (const nodeId of [...cluster.proxies.keys()].sort()) recorder.proxyStarted(nodeId);
   const sampler = new ClusterSampler(cluster, recorder, DATABASE_ROLE);
   const progress = new Progress(`${options.deployment.name} ${options.policy}`);
   try {
@@ -147,10 +147,11 @@
   recorder: RunRecorder,
   progress: Progress,
 ): Promise<FaultRecord[]> {
-  const random = createRandom(seed + FAULT_SEED_OFFSET);
+  const faultSeed = seed + FAULT_SEED_OFFSET;
   return injectFaults({
-    planned: planFaults(faults, durationMs, random),
-    context: { cluster, deployment, random, recorder, tenant: tenantOf(deployment) },
+    planned: planFaults(faults, durationMs, createRandom(faultSeed)),
+    context: { cluster, deployment, recorder, tenant: tenantOf(deployment) },
+    seed: faultSeed,
     startedAt: nowMs(),
     onChange: (text) => progress.note(text),
   });
--- /dev/null
+++ b/test/integration/bench/deployment-run.test.ts
@@ -0,0 +1,66 @@
+/** Whole runs of the bench, as short as they show what they must. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DEPLOYMENTS, type Deployment } from '../../../bench/deployments.js';
+import { OPERATORS_RACING } from '../../../bench/faults/operators-racing.js';
+import { PROXY_PLANNED_STOP } from '../../../bench/faults/proxy-faults.js';
+import { REPLICA_FAR_BEHIND } from '../../../bench/faults/replica-far-behind.js';
+import { renderPage } from '../../../bench/report/page.js';
+import { type BenchOptions, type BenchRun, runBench } from '../../../bench/run/run-bench.js';
+
+const DEPLOYMENT: Deployment = {
+  ...DEPLOYMENTS.bureau,
+  groups: DEPLOYMENTS.bureau.groups.slice(0, 1),
+};
+
+const OPTIONS: BenchOptions = {
+  deployment: DEPLOYMENT,
+  seed: 4,
+  durationMs: 4_000,
+  warmUpMs: 500,
+  proxies: 3,
+  policy: 'ours',
+  faults: [],
+  requestsPerSecond: 80,
+  sessions: 24,
+  statementMs: 0,
+  electionTimeoutMs: 300,
+  delays: false,
+};
+
+function ownWritesMissed({ report }: BenchRun): number {
+  return report.violations.sessionReadsOwnWrites;
+}
+
+test('with a planned stop and racing operators no promise is broken, and all are observed', async () => {
+  const run = await runBench({ ...OPTIONS, faults: [PROXY_PLANNED_STOP, OPERATORS_RACING] });
+  const { report, history } = run;
+  assert.equal(report.firstViolations, []);
+  assert.ok(report.outcomes.done > 0);
+  assert.ok((report.replicaReadShare ?? 0) > 0);
+  assert.ok((report.replicaReadShareByProxies ?? 0) > 0);
+  assert.equal(report.unobserved, ['leavingBackEndGetsNoWork']);
+  assert.equal(
+    history.plannedStops.map(({ exitCode }) => exitCode),
+    [0],
+  );
+  const page = await renderPage(run);
+  assert.is(page.match(/<svg/g)?.length, 7);
+  assert.not.match(page, /<script|https?:\/\/(?!www\.w3\.org)/);
+});
+
+test('a replica far behind is harmless to us, and breaks what any-replica would promise', async () => {
+  const faults = [REPLICA_FAR_BEHIND];
+  const ours = await runBench({ ...OPTIONS, faults });
+  assert.equal(ours.report.firstViolations, []);
+  const anyReplica = await runBench({ ...OPTIONS, faults, policy: 'any-replica' });
+  assert.ok(ownWritesMissed(anyReplica) > 0);
+});
+
+test('primary-only reads from no replica', async () => {
+  const run = await runBench({ ...OPTIONS, durationMs: 1_000, policy: 'primary-only' });
+  assert.is(run.report.replicaReadShare, 0);
+  assert.ok(run.report.outcomes.done > 0);
+});
+
+test.run();
--- /dev/null
+++ b/test/unit/bench/recorder.test.ts
@@ -0,0 +1,48 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { checkHistory } from '../../../bench/checkers/index.js';
+import { EMPTY_HISTORY } from '../../../bench/history/model.js';
+import { nowMs } from '../../../bench/load/clock.js';
+import { RunRecorder } from '../../../bench/recorders/run-recorder.js';
+
+test('a proxy serves from its start until it is stopped, and again once replaced', () => {
+  const recorder = new RunRecorder();
+  recorder.proxyStarted('a');
+  recorder.proxyStarted('b');
+  recorder.proxySample({ proxy: 'a', at: 1, configurationRevision: 3, relay: true });
+  assert.equal(recorder.servingProxies, ['a', 'b']);
+  assert.equal(recorder.relays, ['a']);
+  recorder.proxyStopped('a');
+  assert.equal(recorder.servingProxies, ['b']);
+  assert.equal(recorder.relays, []);
+  recorder.proxyStarted('a');
+  assert.equal(recorder.servingProxies, ['b', 'a']);
+  const lives = recorder.history().proxyLives.map(({ proxy, servingUntil }) => {
+    return [proxy, servingUntil === undefined];
+  });
+  assert.equal(lives, [
+    ['a', false],
+    ['b', true],
+    ['a', true],
+  ]);
+});
+
+test('what is recorded is what the checkers of promises 7 to 9 judge', () => {
+  const recorder = new RunRecorder();
+  const visibleAt = nowMs() - 20_000;
+  const markOff = recorder.leaving('db-1', visibleAt);
+  assert.equal(recorder.leavingInstances, ['db-1']);
+  recorder.work({ instance: 'db-1', startedAt: visibleAt + 10_000 });
+  markOff();
+  assert.equal(recorder.leavingInstances, []);
+  recorder.plannedStop({ proxy: 'a', requestedAt: 1, exitedAt: 2, exitCode: 1 });
+  recorder.proxySample({ proxy: 'a', at: 5, configurationRevision: 7, relay: false });
+  recorder.proxySample({ proxy: 'a', at: 6, configurationRevision: 6, relay: false });
+  const violations = checkHistory({ ...EMPTY_HISTORY, ...recorder.history(), endedAt: nowMs() });
+  assert.equal(
+    violations.map(({ reason }) => reason),
+    ['work-after-leaving', 'stop-failed', 'configuration-reverted'],
+  );
+});
+
+test.run();
