One slot kept from each tenant; a broken connection is followed by a probe at once

Change: while several tenants are present none takes the last slot of an instance; an instance whose connection broke is probed at once. The simulated instances get 3 connections instead of 5, as the budget's mutation check no longer failed without the budget (fewer run at once); the check is unchanged.

--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -71,6 +71,8 @@
   private laterTimeline: LaterTimeline | undefined;
   private confirmed: ConfirmedTime | undefined;
   private newlyUnreachable: InstanceName[] = [];
+  /** Connections of these broke since their last probe was sent. */
+  private readonly probeAtOnce = new Set<InstanceName>();
   private sequence = 0;
 
   constructor(
@@ -175,6 +177,7 @@
 
   recordConnectionError(name: InstanceName): void {
     this.topology = withConnectionError(this.topology, name);
+    this.probeAtOnce.add(name);
   }
 
   /** Takes in what a query that trailed a statement said. */
@@ -201,6 +204,7 @@
       if (!this.prober.isDue(name, this.periodOf(name, demand, now), now)) continue;
       const probe = this.prober.send(name, this.nextSequence(), now);
       this.lastSequence.set(name, probe.sequence);
+      this.probeAtOnce.delete(name);
       effects.push({ type: 'probe', probeId: probe.id, instance: name });
     }
   }
@@ -216,6 +220,7 @@
   }
 
   private periodOf(name: InstanceName, demand: ProbeDemand, now: Milliseconds): Milliseconds {
+    if (this.probeAtOnce.has(name)) return 0;
     const { timing } = this;
     const knowledge = this.knowledgeOf(name);
     const answers = knowledge?.reachability === 'reachable';
--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -141,7 +141,7 @@
 
   private releaseLoad(run: Run): void {
     const { request } = run.entry;
-    this.context.loads.finish(run.instance, request.hold);
+    this.context.loads.finish(run.instance, request.hold, request.tenant);
     this.context.admission.recordConnection(request.tenant, -1);
   }
 
--- a/src/core/group/dispatcher.ts
+++ b/src/core/group/dispatcher.ts
@@ -3,7 +3,7 @@
  * tolerate it on a replica that is caught up. Opens connections where they are short.
  */
 import { type ConnectionKey, keyOf, keyText, type PooledConnection } from '../pool/connections.js';
-import type { InstanceName, RequestId } from '../request.js';
+import type { InstanceName, RequestId, TenantName } from '../request.js';
 import {
   ALL_RULES,
   type EligibilityRules,
@@ -141,6 +141,11 @@
     return isOff(this.context, 'slot-limit') || this.context.loads.hasSlot(description, hold);
   }
 
+  private withinShare(description: InstanceDescription, tenant: TenantName): boolean {
+    if (!this.context.admission.isShared || isOff(this.context, 'fair-queue')) return true;
+    return this.context.loads.withinShare(description, tenant);
+  }
+
   private offerReplica(entry: QueueEntry, pass: Pass): OfferResult {
     if (!this.tenantMayStart(entry)) return 'tenant-blocked';
     if (entry.notBefore > pass.now) return 'blocked';
@@ -181,6 +186,7 @@
     const { request } = entry;
     const { session } = request;
     if (pass.primary === undefined || !this.hasSlot(pass.primary, request.hold)) return 'blocked';
+    if (!this.withinShare(pass.primary, request.tenant)) return 'tenant-blocked';
     if (session.type === 'known' && session.position.timeline > pass.timeline) {
       this.laterTimelineExpected = true;
       return 'blocked';
@@ -203,6 +209,7 @@
     for (const candidate of ranked) {
       const description = instances.get(candidate.knowledge.name);
       if (description === undefined || !this.hasSlot(description, 'statement')) continue;
+      if (!this.withinShare(description, entry.request.tenant)) continue;
       const connection = this.connectionFor(entry, description, pass);
       if (connection === undefined) continue;
       counters.replicaReads += 1;
@@ -233,7 +240,7 @@
       position: undefined,
       answerRelayed: false,
     };
-    loads.start(connection.instance, request.hold);
+    loads.start(connection.instance, request.hold, request.tenant);
     admission.recordQueued(request.tenant, -1);
     admission.recordConnection(request.tenant, 1);
     runs.set(request.id, run);
--- a/src/core/limits/admission.ts
+++ b/src/core/limits/admission.ts
@@ -22,10 +22,14 @@
   burst: 200,
 };
 
+/** A tenant counts as present for this long after its last request. */
+const PRESENT_MS = 1000;
+
 interface TenantUse {
   inFlight: number;
   queued: number;
   connections: number;
+  lastRequestAt: Milliseconds;
   bucket: TokenBucket;
 }
 
@@ -51,6 +55,7 @@
     const limits = this.limitsOf(tenant);
     const shape = shapeOf(limits);
     const use = this.useOf(tenant, shape, now);
+    use.lastRequestAt = now;
     if (use.inFlight >= limits.maxInFlight) {
       return new NotRunError(
         'in-flight-limit',
@@ -93,10 +98,16 @@
     return held < this.limitsOf(tenant).maxConnections;
   }
 
-  /** Forgets tenants that have nothing here and whose bucket is full again. */
+  /** True if this group serves more than one tenant at present. */
+  get isShared(): boolean {
+    return this.uses.size > 1;
+  }
+
+  /** Forgets tenants that have had nothing here for a while and whose bucket is full again. */
   forgetIdle(now: Milliseconds): void {
     for (const [tenant, use] of this.uses) {
       if (use.inFlight > 0 || use.connections > 0) continue;
+      if (now - use.lastRequestAt < PRESENT_MS) continue;
       const shape = shapeOf(this.limitsOf(tenant));
       if (refill(use.bucket, shape, now).tokens >= shape.capacity) this.uses.delete(tenant);
     }
@@ -109,6 +120,7 @@
       inFlight: 0,
       queued: 0,
       connections: 0,
+      lastRequestAt: now,
       bucket: fullBucket(shape, now),
     };
     this.uses.set(tenant, use);
--- a/test/support/simulated-run.ts
+++ b/test/support/simulated-run.ts
@@ -86,7 +86,7 @@
   const leaving = new Set<string>();
   const describe = (): void => {
     const names = ['a', 'b', 'c'];
-    const options = { slots: 2, connectionBudget: 5 };
+    const options = { slots: 2, connectionBudget: 3 };
     owner.setInstances(
       names.map((name) => instance(name, { ...options, leaving: leaving.has(name) })),
     );
--- a/test/unit/database-group.test.ts
+++ b/test/unit/database-group.test.ts
@@ -208,6 +208,34 @@
   assert.is(driver.finals('running')[0]?.type, 'release');
 });
 
+test('where tenants share a group, none of them takes the last slot of an instance', () => {
+  const driver = healthyGroup();
+  driver.send({ type: 'request-arrived', request: request('other', { tenant: 'trust' }) });
+  driver.settle();
+  driver.finish('other', { type: 'database-error', position: undefined });
+  for (let index = 0; index < 10; index += 1) arrive(driver, request(`flood${index}`));
+  const flooding = driver.runs().filter((run) => run.requestId.startsWith('flood'));
+  assert.is(flooding.length, 4, 'of five slots');
+  arrive(driver, request('other2', { tenant: 'trust' }));
+  assert.is(driver.runs().at(-1)?.requestId, 'other2');
+});
+
+test('a tenant that is alone uses all slots', () => {
+  const driver = healthyGroup();
+  for (let index = 0; index < 10; index += 1) arrive(driver, request(`w${index}`));
+  assert.is(driver.runs().length, 5);
+});
+
+test('a broken connection is followed by a probe at once', () => {
+  const driver = healthyGroup();
+  arrive(driver, request('w1'));
+  driver.finish('w1', { type: 'database-error', position: undefined });
+  const connectionId = driver.runs()[0]?.connectionId ?? '';
+  driver.now += 1;
+  const effects = driver.send({ type: 'connection-closed', connectionId });
+  assert.ok(effectsOf(effects, 'probe').some((probe) => probe.instance === 'a'));
+});
+
 test('what cannot be served by its deadline is refused on arrival, with a time to come back', () => {
   const driver = healthyGroup();
   driver.send({
