--- a/bench/options.ts
+++ b/bench/options.ts
@@ -22,6 +22,7 @@
   readonly allPairs: boolean;
   readonly jsonFile: string | undefined;
   readonly htmlFile: string | undefined;
+  readonly markdownFile: string | undefined;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -36,12 +37,13 @@
   --proxies N         proxy processes                              [3]
   --policy NAME       ${TEST_POLICIES.slice(0, 3).join(', ')} or without-MECHANISM  [ours]
   --rate N            requests a second, over all groups           [300]
-  --sessions N        sessions that the requests belong to         [60]
+  --sessions N        sessions that the requests belong to         [240]
   --statement-ms N    service time of a statement on an instance   [4]
   --election-ms N     silence before a group elects                [300]
   --no-delays         leave the delays of the places out
   --json FILE         the figures
   --html FILE         a page with plots
+  --markdown FILE     the table of ${ALL_PAIRS}
 
 Faults:
 ${FAULTS.map(({ name, summary }) => `  ${name.padEnd(26)} ${summary}`).join('\n')}
@@ -60,12 +62,13 @@
   proxies: wholeNumber.min(1).default(3),
   policy: z.enum(TEST_POLICIES).default('ours'),
   rate: z.coerce.number().positive().default(300),
-  sessions: wholeNumber.min(1).default(60),
+  sessions: wholeNumber.min(1).default(240),
   'statement-ms': z.coerce.number().min(0).default(4),
   'election-ms': wholeNumber.min(20).default(300),
   'no-delays': z.boolean().default(false),
   json: z.string().optional(),
   html: z.string().optional(),
+  markdown: z.string().optional(),
 });
 
 /** @throws BenchUsageError */
@@ -88,7 +91,13 @@
     electionTimeoutMs: data['election-ms'],
     delays: !data['no-delays'],
   };
-  return { run, allPairs, jsonFile: data.json, htmlFile: data.html };
+  return {
+    run,
+    allPairs,
+    jsonFile: data.json,
+    htmlFile: data.html,
+    markdownFile: data.markdown,
+  };
 }
 
 function readFlags(args: readonly string[]): unknown {
