Scale run: hollow nodes in virtual time

Cause: docs/CAPACITY.md needs slopes measured over sizes of a fleet. Change: scale/ drives the real membership, configuration and ownership machines and codecs with a virtual clock; faults: churn, rack and zone loss, region split, store down, paused relay.

--- /dev/null
+++ b/scale/hollow-store-client.ts
@@ -0,0 +1,222 @@
+/** One node's requests to the simulated store: delayed by place, counted, failing as it fails. */
+import type { AgentEffect, AgentEvent } from '../src/core/configuration/agent-contract.js';
+import type { RelayLease, RelayRoleEvent } from '../src/core/configuration/relay-role.js';
+import type { ZoneName } from '../src/core/request.js';
+import type { Milliseconds } from '../src/core/units.js';
+import { DEFAULT_STORE_CLIENT_OPTIONS } from '../src/platform/store-client.js';
+import type { HollowContext } from './hollow-membership.js';
+import type { NetworkNode } from './network.js';
+import { latencyBetween, STORE_REGION, ZONES_PER_REGION } from './places.js';
+import { SHORT_EXCHANGE_BYTES, type SimulatedStore, type StoreWatcher } from './simulated-store.js';
+
+export type StoreEffect = Exclude<
+  AgentEffect,
+  { readonly type: 'apply' | 'ready' | 'ask-digest' | 'fetch' | 'push' }
+>;
+
+/** Zone that stands for the store's place. */
+const STORE_ZONE_INDEX = STORE_REGION * ZONES_PER_REGION;
+/** Time that the store takes for any request. */
+const SERVICE_MS = 2;
+/** Requests of a claim that succeeds: read the slots, grant a lease, put the key. */
+const CLAIM_REQUESTS = 3;
+
+/** Carries out the store effects of one life of one node. */
+export class HollowStoreClient {
+  readonly #context: HollowContext;
+  readonly #node: NetworkNode;
+  readonly #zone: ZoneName;
+  readonly #store: SimulatedStore;
+  readonly #report: (event: AgentEvent) => void;
+  #watcher: StoreWatcher | undefined;
+  #lease: RelayLease | undefined;
+  /** Configuration revision of the last read: the watch goes on from there. */
+  #readRevision = 0;
+
+  constructor(
+    context: HollowContext,
+    node: NetworkNode,
+    zone: ZoneName,
+    store: SimulatedStore,
+    report: (event: AgentEvent) => void,
+  ) {
+    this.#context = context;
+    this.#node = node;
+    this.#zone = zone;
+    this.#store = store;
+    this.#report = report;
+  }
+
+  get holdsSlot(): boolean {
+    return this.#lease !== undefined;
+  }
+
+  close(): void {
+    this.#endWatch();
+  }
+
+  carryOut(effect: StoreEffect): void {
+    switch (effect.type) {
+      case 'read-store':
+        this.#read();
+        return;
+      case 'check-head':
+        this.#checkHead();
+        return;
+      case 'open-watch':
+        this.#openWatch();
+        return;
+      case 'close-watch':
+        this.#endWatch();
+        return;
+      case 'claim-relay':
+        this.#claim();
+        return;
+      case 'renew-lease':
+        this.#renew(effect.lease);
+        return;
+      case 'release-relay':
+        this.#release(effect.lease);
+    }
+  }
+
+  #read(): void {
+    this.#ask(this.#store.readBytes(), {
+      answer: () => {
+        const delta = this.#store.changesSince(0);
+        const storeRevision = this.#store.revision;
+        return () => {
+          this.#readRevision = delta.revision;
+          this.#report({ type: 'store-read', storeRevision, delta });
+        };
+      },
+      failure: () => this.#report({ type: 'store-read-failed', retryAfterMs: 0 }),
+    });
+  }
+
+  #checkHead(): void {
+    this.#ask(SHORT_EXCHANGE_BYTES, {
+      answer: () => {
+        const { headRevision } = this.#store;
+        return () => this.#report({ type: 'head-checked', headRevision });
+      },
+      failure: () => this.#report({ type: 'head-check-failed', retryAfterMs: 0 }),
+    });
+  }
+
+  #claim(): void {
+    this.#ask(SHORT_EXCHANGE_BYTES, {
+      answer: () => {
+        const event = this.#store.claim(this.#zone);
+        if (event.type === 'claimed') this.#countMore(CLAIM_REQUESTS - 1);
+        return () => {
+          if (event.type === 'claimed') this.#lease = event.lease;
+          this.#reportRelay(event);
+        };
+      },
+      failure: () => this.#reportRelay({ type: 'claim-failed', retryAfterMs: 0 }),
+    });
+  }
+
+  #renew(lease: RelayLease): void {
+    this.#ask(SHORT_EXCHANGE_BYTES, {
+      answer: () => {
+        const event = this.#store.renew(lease);
+        return () => {
+          if (event.type === 'lease-lapsed') this.#lease = undefined;
+          this.#reportRelay(event);
+        };
+      },
+      failure: () => this.#reportRelay({ type: 'renewal-failed', retryAfterMs: 0 }),
+    });
+  }
+
+  #release(lease: RelayLease): void {
+    this.#lease = undefined;
+    this.#ask(SHORT_EXCHANGE_BYTES, {
+      answer: () => {
+        this.#store.release(lease);
+        return () => undefined;
+      },
+      failure: () => undefined,
+    });
+  }
+
+  #openWatch(): void {
+    this.#endWatch();
+    this.#context.meters.storeRequests += 1;
+    this.#context.meters.sent('store', SHORT_EXCHANGE_BYTES);
+    const watcher: StoreWatcher = {
+      sinceRevision: this.#readRevision,
+      onDelta: (delta, bytes) => {
+        this.#context.meters.sent('store', bytes);
+        this.#arrive(watcher, () => this.#report({ type: 'watch-delta', delta }));
+      },
+      onEnd: () => this.#arrive(watcher, () => this.#report({ type: 'watch-ended' })),
+    };
+    this.#watcher = watcher;
+    this.#later(this.#latency(), () => {
+      if (this.#watcher !== watcher) return;
+      if (this.#store.isDown || this.#isCut()) watcher.onEnd();
+      else this.#store.watch(watcher);
+    });
+  }
+
+  /** A watch behind a cut hears nothing, not even progress; the client ends it for its silence. */
+  #arrive(watcher: StoreWatcher, run: () => void): void {
+    const isCut = this.#isCut();
+    if (isCut) this.#store.endWatch(watcher);
+    const delay = isCut ? DEFAULT_STORE_CLIENT_OPTIONS.watchSilenceMs : this.#latency();
+    const report = isCut ? () => this.#report({ type: 'watch-ended' }) : run;
+    this.#later(delay, () => {
+      if (this.#watcher === watcher) report();
+    });
+  }
+
+  #endWatch(): void {
+    if (this.#watcher !== undefined) this.#store.endWatch(this.#watcher);
+    this.#watcher = undefined;
+  }
+
+  #ask(
+    bytes: number,
+    outcome: { readonly answer: () => () => void; readonly failure: () => void },
+  ): void {
+    this.#context.meters.storeRequests += 1;
+    if (this.#isCut()) {
+      this.#later(DEFAULT_STORE_CLIENT_OPTIONS.requestTimeoutMs, outcome.failure);
+      return;
+    }
+    this.#context.meters.sent('store', bytes);
+    this.#later(this.#latency() + SERVICE_MS, () => {
+      const report = this.#store.isDown ? outcome.failure : outcome.answer();
+      this.#later(this.#latency(), report);
+    });
+  }
+
+  #countMore(requests: number): void {
+    this.#context.meters.storeRequests += requests;
+    this.#context.meters.sent('store', requests * SHORT_EXCHANGE_BYTES);
+  }
+
+  #reportRelay(event: RelayRoleEvent): void {
+    this.#report({ type: 'relay', event });
+  }
+
+  #isCut(): boolean {
+    return this.#context.network.isCut(this.#node.zoneIndex, STORE_ZONE_INDEX);
+  }
+
+  #latency(): Milliseconds {
+    const random = { fraction: this.#context.random };
+    return latencyBetween(this.#node.zoneIndex, STORE_ZONE_INDEX, random);
+  }
+
+  #later(delay: Milliseconds, run: () => void): void {
+    this.#context.clock.after(delay, () => {
+      if (!this.#node.isRunning) return;
+      if (this.#node.isPaused) this.#node.keepForLater(run);
+      else run();
+    });
+  }
+}
--- /dev/null
+++ b/scale/main.ts
@@ -0,0 +1,34 @@
+/** `npm run scale`: hollow nodes in virtual time, one size after the other. See docs/design/scale-run.md. */
+import { writeFileSync } from 'node:fs';
+import { loadHash64 } from '../src/core/ownership/hash.js';
+import { ScaleUsageError } from './errors.js';
+import { parseScaleArguments, SCALE_HELP, type ScaleOptions } from './options.js';
+import { type SizeFigures, SizeRun } from './scale-run.js';
+
+async function runScale(options: ScaleOptions): Promise<number> {
+  const { seed, durationMs, tenants, faults } = options;
+  const hash = await loadHash64();
+  const log = (line: string): void => console.log(line);
+  const sizes: SizeFigures[] = [];
+  for (const nodes of options.sizes) {
+    sizes.push(new SizeRun({ nodes, seed, durationMs, tenants, faults, hash, log }).run());
+  }
+  const report = { seed, durationSeconds: durationMs / 1000, tenants, sizes };
+  if (options.jsonFile !== undefined) {
+    writeFileSync(options.jsonFile, `${JSON.stringify(report, undefined, 2)}\n`);
+  }
+  return sizes.every(isGood) ? 0 : 1;
+}
+
+/** Nothing reverted, and every phase came to rest. */
+function isGood({ reverts, settled, faults }: SizeFigures): boolean {
+  return reverts === 0 && settled && faults.every((fault) => fault.settled);
+}
+
+try {
+  process.exitCode = await runScale(parseScaleArguments(process.argv.slice(2)));
+} catch (error) {
+  if (!(error instanceof ScaleUsageError)) throw error;
+  console.error(`${error.message}\n\n${SCALE_HELP}`);
+  process.exitCode = 2;
+}
--- /dev/null
+++ b/scale/meters.ts
@@ -0,0 +1,78 @@
+/**
+ * Counts what nodes spend: bytes by mechanism as they would be on the wire, processor time of the
+ * real handlers and codecs by role. Processor time is the only figure that is not repeatable.
+ */
+import { MILLISECONDS_PER_SECOND } from '../src/core/units.js';
+
+/** What carries bytes. */
+export const MECHANISMS = [
+  'probes-and-gossip',
+  'membership-sync',
+  'configuration-digests',
+  'configuration-pushes',
+  'configuration-fetches',
+  'links',
+  'store',
+] as const;
+export type Mechanism = (typeof MECHANISMS)[number];
+
+/** Who spends processor time. */
+export const CONTROL_ROLES = ['member', 'configuration', 'relay', 'ownership', 'links'] as const;
+export type ControlRole = (typeof CONTROL_ROLES)[number];
+
+export interface TrafficCount {
+  readonly messages: number;
+  readonly bytes: number;
+}
+
+export class Meters {
+  readonly #bytes = new Map<Mechanism, number>();
+  readonly #messages = new Map<Mechanism, number>();
+  readonly #processorMs = new Map<ControlRole, number>();
+  storeRequests = 0;
+
+  /** Bytes of one message on its way, headers of the network included. */
+  sent(mechanism: Mechanism, bytes: number): void {
+    this.#bytes.set(mechanism, (this.#bytes.get(mechanism) ?? 0) + bytes);
+    this.#messages.set(mechanism, (this.#messages.get(mechanism) ?? 0) + 1);
+  }
+
+  /** Runs a real handler or codec and adds the time that it took. */
+  timed<Result>(role: ControlRole, run: () => Result): Result {
+    const startedAt = performance.now();
+    const result = run();
+    const tookMs = performance.now() - startedAt;
+    this.#processorMs.set(role, (this.#processorMs.get(role) ?? 0) + tookMs);
+    return result;
+  }
+
+  traffic(mechanism: Mechanism): TrafficCount {
+    return {
+      messages: this.#messages.get(mechanism) ?? 0,
+      bytes: this.#bytes.get(mechanism) ?? 0,
+    };
+  }
+
+  totalBytes(): number {
+    return MECHANISMS.reduce((sum, mechanism) => sum + this.traffic(mechanism).bytes, 0);
+  }
+
+  totalMessages(): number {
+    return MECHANISMS.reduce((sum, mechanism) => sum + this.traffic(mechanism).messages, 0);
+  }
+
+  processorSeconds(role: ControlRole): number {
+    return (this.#processorMs.get(role) ?? 0) / MILLISECONDS_PER_SECOND;
+  }
+
+  totalProcessorSeconds(): number {
+    return CONTROL_ROLES.reduce((sum, role) => sum + this.processorSeconds(role), 0);
+  }
+
+  reset(): void {
+    this.#bytes.clear();
+    this.#messages.clear();
+    this.#processorMs.clear();
+    this.storeRequests = 0;
+  }
+}
--- /dev/null
+++ b/scale/options.ts
@@ -0,0 +1,68 @@
+/** Flags of `npm run scale`. */
+import { parseArgs } from 'node:util';
+import { z } from 'zod';
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../src/core/units.js';
+import { ScaleUsageError } from './errors.js';
+import { FAULT_SCENARIOS, type FaultScenario, faultNamed } from './faults.js';
+
+export const SCALE_HELP = `npm run scale -- --nodes 50,100,200,400 --json FILE [flags]
+
+  --nodes N,...       sizes of the fleet, one after the other           [50,100,200,400]
+  --seed N            of places, delays, faults and publishes           [1]
+  --duration SECONDS  of the quiet phase and of each fault's own part   [60]
+  --tenants N         in the configuration                              [200]
+  --faults NAME,...   or none                                           [all]
+  --json FILE         the figures
+
+Faults: ${FAULT_SCENARIOS.map(({ name }) => name).join(', ')}
+`;
+
+const ALL_FAULTS = FAULT_SCENARIOS.map(({ name }) => name).join(',');
+const LEAST_NODES = 18;
+
+const schema = z.strictObject({
+  nodes: z.string().default('50,100,200,400'),
+  seed: z.coerce.number().int().min(0).default(1),
+  duration: z.coerce.number().positive().default(60),
+  tenants: z.coerce.number().int().min(1).default(200),
+  faults: z.string().default(ALL_FAULTS),
+  json: z.string().optional(),
+});
+const sizesSchema = z.array(z.coerce.number().int().min(LEAST_NODES)).min(1);
+
+export interface ScaleOptions {
+  readonly sizes: readonly number[];
+  readonly seed: number;
+  readonly durationMs: Milliseconds;
+  readonly tenants: number;
+  readonly faults: readonly FaultScenario[];
+  readonly jsonFile: string | undefined;
+}
+
+/** @throws ScaleUsageError */
+export function parseScaleArguments(args: readonly string[]): ScaleOptions {
+  const flags = schema.safeParse(readFlags(args));
+  if (!flags.success) throw new ScaleUsageError(z.prettifyError(flags.error));
+  const { nodes, seed, duration, tenants, faults, json } = flags.data;
+  const sizes = sizesSchema.safeParse(nodes.split(','));
+  if (!sizes.success) throw new ScaleUsageError(`--nodes: ${z.prettifyError(sizes.error)}`);
+  return {
+    sizes: sizes.data,
+    seed,
+    durationMs: duration * MILLISECONDS_PER_SECOND,
+    tenants,
+    faults: faults === 'none' ? [] : faults.split(',').map(faultNamed),
+    jsonFile: json,
+  };
+}
+
+function readFlags(args: readonly string[]): unknown {
+  const options = Object.fromEntries(
+    Object.keys(schema.shape).map((name) => [name, { type: 'string' }] as const),
+  );
+  try {
+    return parseArgs({ args: [...args], options }).values;
+  } catch (cause) {
+    throw new ScaleUsageError(cause instanceof Error ? cause.message : 'unreadable', { cause });
+  }
+}
