--- a/standins/database/sql/source.ts
+++ b/standins/database/sql/source.ts
@@ -25,6 +25,16 @@
   generate: () => [[]],
 };
 
+const WAL_RECEIVER_VIEW = 'pg_stat_wal_receiver';
+
+/** One row while the instance follows a primary, none on a primary. */
+const WAL_RECEIVER_SOURCE: Source = {
+  name: WAL_RECEIVER_VIEW,
+  columns: [{ name: 'received_tli', type: 'int4' }],
+  table: undefined,
+  generate: ({ instance }) => (instance.isInRecovery() ? [[instance.timeline()]] : []),
+};
+
 export function compileSource(
   from: readonly From[],
   catalog: Catalog,
@@ -33,6 +43,7 @@
   const [node] = from;
   if (node === undefined) return NO_SOURCE;
   if (from.length > 1 || node.join) throw unsupported('joins');
+  if (node.type === 'table' && node.name.name === WAL_RECEIVER_VIEW) return WAL_RECEIVER_SOURCE;
   if (node.type === 'table') {
     const table = catalog.get(node.name.name);
     const name = node.name.alias ?? node.name.name;
