--- /dev/null
+++ b/scale/components/configuration.ts
@@ -0,0 +1,56 @@
+/** One replica of the configuration at several numbers of tenants. */
+
+import { type ConfigurationMember, pushTargets } from '../../src/core/configuration/relays.js';
+import { ConfigurationReplica } from '../../src/core/configuration/replica.js';
+import { rounded } from '../distribution.js';
+import { zoneName } from '../places.js';
+import { storedTemplate, storedTenant } from '../tenants.js';
+import { kept, meanMs } from './measure.js';
+
+const CHANGES = 30;
+const TREES = 50;
+
+export interface ConfigurationCost {
+  readonly tenants: number;
+  readonly memoryBytes: number;
+  /** Merge, snapshot and digest after a change to one tenant. */
+  readonly changeMs: number;
+}
+
+/** Costs of one replica that holds this many tenants. */
+export function configurationCost(tenants: number): ConfigurationCost {
+  const { built: replica, bytes } = kept(() => replicaOf(tenants));
+  const changeMs = meanMs(CHANGES, (index) => {
+    const revision = 2 + index;
+    const changed = storedTenant(index % tenants, revision);
+    replica.merge({
+      sinceRevision: revision - 1,
+      revision,
+      entries: [{ ...changed, revision }],
+    });
+    replica.snapshot();
+    replica.digest();
+  });
+  return { tenants, memoryBytes: bytes, changeMs: rounded(changeMs, 3) };
+}
+
+/** Working out the children of one push, ms, among this many members in 18 zones. */
+export function pushTreeMs(members: readonly ConfigurationMember[]): number {
+  const zone = zoneName(0);
+  const inZone = members.filter((member) => member.zone === zone);
+  const nodeId = inZone[0]?.nodeId ?? '';
+  const perTree = meanMs(TREES, (index) => {
+    pushTargets(inZone[index % inZone.length]?.nodeId ?? nodeId, nodeId, zone, members);
+  });
+  return rounded(perTree, 3);
+}
+
+function replicaOf(tenants: number): ConfigurationReplica {
+  const replica = new ConfigurationReplica();
+  const declarations = Array.from({ length: tenants }, (_, index) => storedTenant(index, 1));
+  const entries = [storedTemplate(), ...declarations].map((one) => ({ ...one, revision: 1 }));
+  replica.merge({ sinceRevision: 0, revision: 1, entries });
+  replica.snapshot();
+  replica.digest();
+  return replica;
+}
--- /dev/null
+++ b/scale/components/ownership.ts
@@ -0,0 +1,59 @@
+/** The owners of the letter's 15,000 groups as one node keeps them, at several fleet sizes. */
+import type { ConfigurationMember } from '../../src/core/configuration/relays.js';
+import { type GroupPlacement, OwnerIndex } from '../../src/core/ownership/owner-index.js';
+import type { Hash64 } from '../../src/core/ownership/rendezvous.js';
+import { rankNodes } from '../../src/node/owner-directory.js';
+import { rounded } from '../distribution.js';
+import { kept, meanMs } from './measure.js';
+
+const CHANGES = 20;
+const LOOK_UPS = 20;
+
+export interface OwnershipCost {
+  readonly members: number;
+  readonly groups: number;
+  readonly memoryBytes: number;
+  /** From nothing, at the start of a node. */
+  readonly buildMs: number;
+  readonly memberAddedMs: number;
+  readonly memberRemovedMs: number;
+  /** Ranking of all nodes for one key: the owners of a group, the home nodes of a session. */
+  readonly rankNodesMs: number;
+}
+
+export function ownershipCost(
+  hash: Hash64,
+  members: readonly ConfigurationMember[],
+  groups: readonly GroupPlacement[],
+): OwnershipCost {
+  let buildMs = 0;
+  const { built: index, bytes } = kept(() => {
+    const fresh = new OwnerIndex(hash);
+    buildMs = meanMs(1, () => {
+      for (const member of members) fresh.addMember(member);
+      for (const group of groups) fresh.setGroup(group);
+    });
+    return fresh;
+  });
+  const moved = members.slice(0, CHANGES);
+  const memberRemovedMs = meanMs(moved.length, (at) => {
+    index.removeMember(moved[at]?.nodeId ?? '');
+  });
+  const memberAddedMs = meanMs(moved.length, (at) => {
+    const member = moved[at];
+    if (member !== undefined) index.addMember(member);
+  });
+  const nodeIds = members.map(({ nodeId }) => nodeId);
+  const rankNodesMs = meanMs(LOOK_UPS, (at) => {
+    rankNodes(`key-${at}`, nodeIds);
+  });
+  return {
+    members: members.length,
+    groups: groups.length,
+    memoryBytes: bytes,
+    buildMs: rounded(buildMs),
+    memberAddedMs: rounded(memberAddedMs, 3),
+    memberRemovedMs: rounded(memberRemovedMs, 3),
+    rankNodesMs: rounded(rankNodesMs, 3),
+  };
+}
--- a/scale/fleet.ts
+++ b/scale/fleet.ts
@@ -53,7 +53,7 @@
     const { clock, meters, random } = this;
     this.network = new HollowNetwork({ clock, random, meters });
     this.#context = { clock, network: this.network, meters, random: random.fraction };
-    this.places = Array.from({ length: options.nodes }, (_, index) => placeOf(index));
+    this.places = placesOf(options.nodes);
   }
 
   /** Lives that run, paused ones too. */
@@ -195,6 +195,11 @@
   }
 }
 
+/** Places spread evenly over all zones. */
+export function placesOf(count: number): NodePlace[] {
+  return Array.from({ length: count }, (_, index) => placeOf(index));
+}
+
 function placeOf(index: number): NodePlace {
   const zoneIndex = index % ZONE_COUNT;
   const third = Math.floor(index / 250) % 250;
--- a/scale/hollow-ownership.ts
+++ b/scale/hollow-ownership.ts
@@ -77,9 +77,13 @@
   }
 }
 
-/** Groups in proportion to the nodes, each with instances in three zones of one region. */
+/** Groups in proportion to the nodes. */
 export function groupsFor(nodeCount: number): GroupPlacement[] {
-  const count = Math.round(nodeCount * GROUPS_PER_NODE);
+  return groupsOf(Math.round(nodeCount * GROUPS_PER_NODE));
+}
+
+/** Groups with instances in the three zones of one region each. */
+export function groupsOf(count: number): GroupPlacement[] {
   return Array.from({ length: count }, (_, index) => {
     const firstZone = (index * ZONES_PER_REGION) % ZONE_COUNT;
     const zones = Array.from({ length: ZONES_PER_REGION }, (__, zone) =>
--- a/scale/main.ts
+++ b/scale/main.ts
@@ -1,6 +1,7 @@
 /** `npm run scale`: hollow nodes in virtual time, one size after the other. See docs/design/scale-run.md. */
 import { writeFileSync } from 'node:fs';
 import { loadHash64 } from '../src/core/ownership/hash.js';
+import { measureComponents } from './components/run.js';
 import { ScaleUsageError } from './errors.js';
 import { parseScaleArguments, SCALE_HELP, type ScaleOptions } from './options.js';
 import { type SizeFigures, SizeRun } from './scale-run.js';
@@ -13,7 +14,8 @@
   for (const nodes of options.sizes) {
     sizes.push(new SizeRun({ nodes, seed, durationMs, tenants, faults, hash, log }).run());
   }
-  const report = { seed, durationSeconds: durationMs / 1000, tenants, sizes };
+  const components = options.components ? measureComponents(seed, hash) : undefined;
+  const report = { seed, durationSeconds: durationMs / 1000, tenants, sizes, components };
   if (options.jsonFile !== undefined) {
     writeFileSync(options.jsonFile, `${JSON.stringify(report, undefined, 2)}\n`);
   }
--- a/scale/options.ts
+++ b/scale/options.ts
@@ -12,6 +12,7 @@
   --duration SECONDS  of the quiet phase and of each fault's own part   [60]
   --tenants N         in the configuration                              [200]
   --faults NAME,...   or none                                           [all]
+  --components        measure single parts at the letter's size as well
   --json FILE         the figures
 
 Faults: ${FAULT_SCENARIOS.map(({ name }) => name).join(', ')}
@@ -26,6 +27,7 @@
   duration: z.coerce.number().positive().default(60),
   tenants: z.coerce.number().int().min(1).default(200),
   faults: z.string().default(ALL_FAULTS),
+  components: z.boolean().default(false),
   json: z.string().optional(),
 });
 const sizesSchema = z.array(z.coerce.number().int().min(LEAST_NODES)).min(1);
@@ -36,6 +38,7 @@
   readonly durationMs: Milliseconds;
   readonly tenants: number;
   readonly faults: readonly FaultScenario[];
+  readonly components: boolean;
   readonly jsonFile: string | undefined;
 }
 
@@ -43,7 +46,7 @@
 export function parseScaleArguments(args: readonly string[]): ScaleOptions {
   const flags = schema.safeParse(readFlags(args));
   if (!flags.success) throw new ScaleUsageError(z.prettifyError(flags.error));
-  const { nodes, seed, duration, tenants, faults, json } = flags.data;
+  const { nodes, seed, duration, tenants, faults, components, json } = flags.data;
   const sizes = sizesSchema.safeParse(nodes.split(','));
   if (!sizes.success) throw new ScaleUsageError(`--nodes: ${z.prettifyError(sizes.error)}`);
   return {
@@ -52,13 +55,14 @@
     durationMs: duration * MILLISECONDS_PER_SECOND,
     tenants,
     faults: faults === 'none' ? [] : faults.split(',').map(faultNamed),
+    components,
     jsonFile: json,
   };
 }
 
 function readFlags(args: readonly string[]): unknown {
   const options = Object.fromEntries(
-    Object.keys(schema.shape).map((name) => [name, { type: 'string' }] as const),
+    Object.keys(schema.shape).map((name) => [name, { type: flagType(name) }] as const),
   );
   try {
     return parseArgs({ args: [...args], options }).values;
@@ -66,3 +70,7 @@
     throw new ScaleUsageError(cause instanceof Error ? cause.message : 'unreadable', { cause });
   }
 }
+
+function flagType(name: string): 'boolean' | 'string' {
+  return name === 'components' ? 'boolean' : 'string';
+}
--- a/scale/scale-run.ts
+++ b/scale/scale-run.ts
@@ -1,8 +1,7 @@
 /** Runs one size of fleet through a quiet phase and all faults, and gives its figures. */
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
 import type { Hash64 } from '../src/core/ownership/rendezvous.js';
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../src/core/units.js';
+import { heapBytes } from './components/measure.js';
 import { type Distribution, rounded } from './distribution.js';
 import { ScaleRunError } from './errors.js';
 import type { FaultScenario } from './faults.js';
@@ -213,15 +212,6 @@
   return Object.fromEntries(keys.map((key) => [key, measure(key)])) as Record<Key, number>;
 }
 
-/** Bytes of the heap and of buffers after a full collection. */
-function heapBytes(): number {
-  setFlagsFromString('--expose-gc');
-  const collect: unknown = runInNewContext('gc');
-  if (typeof collect === 'function') collect();
-  const { heapUsed, external } = process.memoryUsage();
-  return heapUsed + external;
-}
-
 function describe(nodes: number, figures: PhaseFigures): string {
   const { name, virtualSeconds, settled, configInForceMs, membershipConvergeMs } = figures;
   return [
