--- a/scale/components/configuration.ts
+++ b/scale/components/configuration.ts
@@ -1,7 +1,10 @@
 /** One replica of the configuration at several numbers of tenants. */
 
 import { type ConfigurationMember, pushTargets } from '../../src/core/configuration/relays.js';
-import { ConfigurationReplica } from '../../src/core/configuration/replica.js';
+import {
+  type ConfigurationDelta,
+  ConfigurationReplica,
+} from '../../src/core/configuration/replica.js';
 import { rounded } from '../distribution.js';
 import { zoneName } from '../places.js';
 import { storedTemplate, storedTenant } from '../tenants.js';
@@ -20,14 +23,12 @@
 /** Costs of one replica that holds this many tenants. */
 export function configurationCost(tenants: number): ConfigurationCost {
   const { built: replica, bytes } = kept(() => replicaOf(tenants));
+  const deltas = Array.from({ length: CHANGES }, (_, index) =>
+    changeTo(index % tenants, 2 + index),
+  );
   const changeMs = meanMs(CHANGES, (index) => {
-    const revision = 2 + index;
-    const changed = storedTenant(index % tenants, revision);
-    replica.merge({
-      sinceRevision: revision - 1,
-      revision,
-      entries: [{ ...changed, revision }],
-    });
+    const delta = deltas[index];
+    if (delta !== undefined) replica.merge(delta);
     replica.snapshot();
     replica.digest();
   });
@@ -45,6 +46,11 @@
   return rounded(perTree, 3);
 }
 
+function changeTo(tenant: number, revision: number): ConfigurationDelta {
+  const entries = [{ ...storedTenant(tenant, revision), revision }];
+  return { sinceRevision: revision - 1, revision, entries };
+}
+
 function replicaOf(tenants: number): ConfigurationReplica {
   const replica = new ConfigurationReplica();
   const declarations = Array.from({ length: tenants }, (_, index) => storedTenant(index, 1));
--- a/src/core/configuration/catalogue.ts
+++ b/src/core/configuration/catalogue.ts
@@ -132,7 +132,8 @@
   return [...unknown, ...unused, ...checkDefaults(template.parameters, locate)];
 }
 
-function resolveEntry(
+/** One tenant's policy; undefined, with the problems added, if it doesn't resolve. */
+export function resolveEntry(
   catalogue: Catalogue,
   cache: ResolutionCache,
   entry: CatalogueEntry,
--- a/src/core/configuration/replica.ts
+++ b/src/core/configuration/replica.ts
@@ -4,15 +4,14 @@
  * of the whole only grows. Removed declarations stay as tombstones, so that an old copy of them
  * that is still on its way can't bring them back.
  */
-import { createHash } from 'node:crypto';
-import { type CatalogueEntry, ResolutionCache, snapshotOf } from './catalogue.js';
+import type { CatalogueEntry } from './catalogue.js';
 import type { DeclarationKey } from './declaration.js';
+import { EntryDigest } from './entry-digest.js';
 import type { ConfigurationRevision, ConfigurationSnapshot } from './model.js';
 import { decodeEntries, liveCatalogueOf } from './publish.js';
+import { SnapshotBuilder } from './snapshot-builder.js';
 import type { ConfigurationEntry } from './store-layout.js';
 
-const DIGEST_HEX_DIGITS = 16;
-
 /**
  * Everything that changed after `sinceRevision` up to and including `revision`. Entries of one
  * publish are always together in one delta.
@@ -38,9 +37,9 @@
   readonly #entries = new Map<DeclarationKey, ConfigurationEntry>();
   /** The declarations in force, decoded; kept in step with the entries. */
   readonly #catalogue = new Map<DeclarationKey, CatalogueEntry>();
-  readonly #resolutions = new ResolutionCache();
+  readonly #snapshots = new SnapshotBuilder(this.#catalogue);
+  readonly #entryDigest = new EntryDigest();
   #revision: ConfigurationRevision = 0;
-  #digest: ConfigurationDigest | undefined;
   #snapshot: ConfigurationSnapshot | undefined;
 
   /** Every change up to this revision is held. */
@@ -55,7 +54,6 @@
     if (newer.length === 0 && delta.revision <= this.#revision) return 'nothing-new';
     for (const entry of newer) this.#put(entry);
     this.#revision = Math.max(this.#revision, delta.revision);
-    this.#digest = undefined;
     this.#snapshot = undefined;
     return 'applied';
   }
@@ -69,13 +67,12 @@
   }
 
   digest(): ConfigurationDigest {
-    this.#digest ??= { revision: this.#revision, hash: this.#hash() };
-    return this.#digest;
+    return { revision: this.#revision, hash: this.#entryDigest.toString() };
   }
 
   /** What is in force here. */
   snapshot(): ConfigurationSnapshot {
-    this.#snapshot ??= snapshotOf(this.#catalogue, this.#revision, this.#resolutions);
+    this.#snapshot ??= this.#snapshots.build(this.#revision);
     return this.#snapshot;
   }
 
@@ -85,18 +82,14 @@
 
   /** A tombstone, or a value that can't be decoded, leaves nothing in force. */
   #put(entry: ConfigurationEntry): void {
+    const known = this.#entries.get(entry.key);
+    if (known !== undefined) this.#entryDigest.toggle(known);
+    this.#entryDigest.toggle(entry);
     this.#entries.set(entry.key, entry);
     this.#catalogue.delete(entry.key);
+    this.#snapshots.markChanged(entry.key);
     for (const [key, live] of liveCatalogueOf(decodeEntries([entry]))) {
       this.#catalogue.set(key, live);
     }
   }
-
-  #hash(): string {
-    const hash = createHash('sha256');
-    for (const key of [...this.#entries.keys()].sort()) {
-      hash.update(`${key}\0${this.#entries.get(key)?.revision}\n`);
-    }
-    return hash.digest('hex').slice(0, DIGEST_HEX_DIGITS);
-  }
 }
