Terms and failover with real processes; a read run again drops its first answer

Ruled out: a fault of the stand-in (the rows were whole twice) and of the caller's side (the answer came in one command). Change: OwnerStream.start withdraws what an earlier run gathered. Limit found: mode 'received' needs a majority that receives; a dead primary and a replica that receives nothing leave writes unknown until the replica receives again.

--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -61,6 +61,9 @@
   }
 
   start(assignment: Assignment): void {
+    // Of an earlier run that could not be confirmed or was cut short, nothing may be told.
+    this.#relay.withdraw();
+    this.#lastResult = undefined;
     this.#assignment = assignment;
     this.#servedByReplica = !assignment.onPrimary;
     if (this.#callerGone && this.#open.hold === 'transaction') {
--- /dev/null
+++ b/test/support/failover-scenario.ts
@@ -0,0 +1,71 @@
+/** One failure of a primary under load, from warm-up to the collected history. */
+import type { Cluster } from '../../bench/harness/cluster.js';
+import type { DatabaseGroup, DatabaseInstanceHandle } from '../../bench/harness/database-group.js';
+import type { History } from '../../bench/history/model.js';
+import {
+  LOADED_GROUP,
+  type LoadProgress,
+  loadUnderFault,
+  noOpenTransactions,
+} from './loaded-cluster.js';
+
+const DURATION_MS = 2_500;
+const WARM_UP_WRITES = 20;
+/** Writes that have to go through after a fault before it ends. */
+export const WRITES_AFTER = 20;
+
+/** A cluster with the primary that the fault hits. */
+export interface Target {
+  readonly cluster: Cluster;
+  readonly group: DatabaseGroup;
+  readonly primary: DatabaseInstanceHandle;
+  readonly progress: LoadProgress;
+}
+
+export interface Scenario {
+  readonly name: string;
+  readonly seed: number;
+  readonly killedProxies?: readonly string[];
+  fault(target: Target): Promise<void>;
+}
+
+/** Runs a scenario; the cluster is whole again after it. */
+export async function runScenario(cluster: Cluster, scenario: Scenario): Promise<History> {
+  const { seed } = scenario;
+  const group = cluster.group(LOADED_GROUP);
+  const history = await loadUnderFault({
+    cluster,
+    seed,
+    durationMs: DURATION_MS,
+    fault: async (progress) => {
+      await progress.writesDone(WARM_UP_WRITES);
+      const primary = await group.waitForPrimary();
+      await scenario.fault({ cluster, group, primary, progress });
+    },
+  });
+  await noOpenTransactions(group);
+  return history;
+}
+
+/** The timeline that a successor of the primary will lead. */
+export async function nextTimeline({ group, primary }: Target): Promise<number> {
+  const { timeline } = await group.state(primary.name);
+  return timeline + 1;
+}
+
+/** A paused instance answers no question, so only the others are asked. */
+export async function waitForOtherPrimary(
+  group: DatabaseGroup,
+  exceptName: string,
+  timeline: number,
+): Promise<DatabaseInstanceHandle> {
+  const others = group.instances.filter(({ name }) => name !== exceptName);
+  return Promise.any(
+    others.map(async (instance) => {
+      await group.waitForState(instance.name, (state) => {
+        return state.role === 'primary' && state.timeline >= timeline;
+      });
+      return instance;
+    }),
+  );
+}
--- /dev/null
+++ b/test/support/loaded-cluster.ts
@@ -0,0 +1,119 @@
+/**
+ * A cluster of real processes under the bench's open-loop load, and the history of what callers,
+ * databases and proxies saw, for the checkers of the nine promises.
+ */
+import * as assert from 'uvu/assert';
+import { checkHistory } from '../../bench/checkers/index.js';
+import { DEPLOYMENTS, type Deployment } from '../../bench/deployments.js';
+import type { Cluster } from '../../bench/harness/cluster.js';
+import type { DatabaseGroup } from '../../bench/harness/database-group.js';
+import { EMPTY_HISTORY, type History, type RequestRecord } from '../../bench/history/model.js';
+import { runLoad } from '../../bench/load/generator.js';
+import { collectLogs } from '../../bench/run/collect-logs.js';
+import { credentialsOf, startDeploymentCluster } from '../../bench/run/deployment-cluster.js';
+import { until } from './until.js';
+
+/** The bicycle trust with one group: keyed unlocks, hires in transactions, dock lookups. */
+export const LOADED_GROUP = 'trust-1';
+const ZONES = ['kingston-a', 'kingston-b', 'kingston-c'];
+export const LOADED_DEPLOYMENT: Deployment = {
+  ...DEPLOYMENTS.trust,
+  groups: [LOADED_GROUP],
+  zones: ZONES,
+  initialRows: { ...DEPLOYMENTS.trust.initialRows, docks: 50 },
+};
+const ELECTION_TIMEOUT_MS = 300;
+
+export interface LoadedClusterOptions {
+  readonly seed: number;
+  readonly proxies?: number;
+  readonly proxyFlags?: readonly string[];
+}
+
+export function startLoadedCluster(options: LoadedClusterOptions): Promise<Cluster> {
+  return startDeploymentCluster({
+    deployments: [LOADED_DEPLOYMENT],
+    proxies: options.proxies ?? 3,
+    seed: options.seed,
+    statementMs: 1,
+    electionTimeoutMs: ELECTION_TIMEOUT_MS,
+    delays: false,
+    proxyFlags: options.proxyFlags ?? [],
+  });
+}
+
+/** What has come back so far, to wait on. */
+export class LoadProgress {
+  readonly records: RequestRecord[] = [];
+
+  /** Resolves once `count` more records than now fulfil the condition. */
+  async more(
+    count: number,
+    what: string,
+    condition: (record: RequestRecord) => boolean,
+  ): Promise<void> {
+    const from = this.records.length;
+    await until(`${count} more ${what}`, () => {
+      return this.records.slice(from).filter(condition).length >= count;
+    });
+  }
+
+  /** Writes go through. */
+  writesDone(count: number): Promise<void> {
+    const isDone = (record: RequestRecord): boolean =>
+      record.access === 'write' && record.outcome === 'done';
+    return this.more(count, 'writes done', isDone);
+  }
+}
+
+export interface LoadUnderFault {
+  readonly cluster: Cluster;
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly requestsPerSecond?: number;
+  readonly sessions?: number;
+  /** Begins and ends the fault; has to be over before the load is. */
+  readonly fault: (progress: LoadProgress) => Promise<void>;
+}
+
+/** Runs load and fault beside each other and collects the history when the groups have settled. */
+export async function loadUnderFault(run: LoadUnderFault): Promise<History> {
+  const { cluster, seed, durationMs } = run;
+  const progress = new LoadProgress();
+  const [load] = await Promise.all([
+    runLoad({
+      deployment: LOADED_DEPLOYMENT,
+      seed,
+      durationMs,
+      requestsPerSecond: run.requestsPerSecond ?? 150,
+      sessions: run.sessions ?? 24,
+      proxies: cluster.callerAddresses,
+      credentialsOf: (group) => credentialsOf(LOADED_DEPLOYMENT, group),
+      onRecord: (record) => progress.records.push(record),
+    }),
+    run.fault(progress),
+  ]);
+  const { commits, elections } = await collectLogs(cluster);
+  const { requests, transactions } = load;
+  return { ...EMPTY_HISTORY, requests, transactions, commits, elections, endedAt: load.endedAt };
+}
+
+/** No promise is broken, and every caller got a final answer; those of killed proxies are cut. */
+export function assertPromisesKept(history: History, killedProxies: readonly string[] = []): void {
+  assert.equal(checkHistory(history), []);
+  const withoutAnswer = history.requests.filter(({ ending, proxy }) => {
+    return ending === 'abandoned' || (ending === 'cut' && !killedProxies.includes(proxy));
+  });
+  assert.equal(withoutAnswer, []);
+  assert.ok(history.requests.some(({ outcome }) => outcome === 'done'));
+}
+
+/** No instance holds a transaction open. */
+export async function noOpenTransactions(group: DatabaseGroup): Promise<void> {
+  for (const { name } of group.instances) {
+    await until(`no open transaction on ${name}`, async () => {
+      const { openTransactions } = await group.state(name);
+      return openTransactions === 0;
+    });
+  }
+}
