A transaction idle on a closed connection is reported as ended

Cause: reported by the author of the state machine: a close-connection effect on a replaced primary left the idle transaction's slot taken for ever. Change: the work is told.

--- a/src/node/owner/group-runtime.ts
+++ b/src/node/owner/group-runtime.ts
@@ -192,6 +192,8 @@
     this.#connections.delete(connectionId);
     connection.onClose = undefined;
     connection.close();
+    // A transaction that is idle between its statements has no batch that would tell of the loss.
+    this.#running.get(connectionId)?.connectionClosed();
   }
 
   #resetConnection(connectionId: ConnectionId): void {
