Gateway: a BEGIN that fails opens no transaction block

Cause: when the connection was lost under BEGIN itself the caller was told status 'in a failed block'. A caller that gets an error for BEGIN sends no ROLLBACK, so every later statement of its session was refused as MS-FAILED-TRANSACTION. Change: the block goes on as failed only if the caller was told before that it is open.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -77,6 +77,8 @@
   #waiting: CallerBatch | undefined;
   #call: GroupCall | undefined;
   #inTransaction = false;
+  /** The caller was told that its transaction block is open. */
+  #blockOpen = false;
   /** The open transaction was lost while the caller was idle; told at its next batch. */
   #transactionLoss: RequestError | undefined;
   /** The caller believes in a transaction block that no back end has any more. */
@@ -190,6 +192,7 @@
     const terms = requestTerms(policy, markers, statementClass.access);
     const begins = statementClass.transactionControl === 'begin';
     this.#inTransaction = begins;
+    this.#blockOpen = false;
     this.#running = { terms, access: statementClass.access, startedAt: performance.now() };
     this.#call = this.#options.client.open(
       this.#openMessage(batch, statementClass, markers, policy),
@@ -246,11 +249,13 @@
   }
 
   #onBatchEnd(status: TransactionStatus, heldBack: Buffer): void {
+    this.#blockOpen = true;
     this.#connection.write(heldBack);
     this.#connection.finish(status);
   }
 
   #onBatchError(status: TransactionStatus, error: RequestError): void {
+    this.#blockOpen = true;
     this.#connection.writeError(error);
     this.#connection.finish(status);
   }
@@ -290,7 +295,8 @@
       return;
     }
     this.#connection.writeError(error);
-    const blockGoesOn = wasTransaction && error.outcome === 'failed';
+    // A BEGIN that fails opens no block, as in PostgreSQL.
+    const blockGoesOn = wasTransaction && this.#blockOpen && error.outcome === 'failed';
     this.#blockWithoutBackend = blockGoesOn;
     this.#finish(blockGoesOn ? 'T' : 'I');
   }
--- /dev/null
+++ b/test/unit/gateway-session.test.ts
@@ -0,0 +1,140 @@
+/** The gateway's session against an owner of the test's own. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { TenantPolicy } from '../../src/core/configuration/model.js';
+import { type RequestError, TransactionAbortedError } from '../../src/core/errors.js';
+import { RetryBudget } from '../../src/core/retry/budget.js';
+import { freshSession } from '../../src/core/session/index.js';
+import { GatewaySession } from '../../src/node/gateway/gateway-session.js';
+import { GroupClient } from '../../src/node/gateway/group-client.js';
+import { encodeRequestError } from '../../src/node/owner/messages.js';
+import type { PeerStream } from '../../src/peer/contract.js';
+import { TcpPeerTransport } from '../../src/peer/transport.js';
+import type { CallerConnection, TransactionStatus } from '../../src/postgres/contract.js';
+import { handlersOf } from '../support/peer.js';
+
+const POLICY: TenantPolicy = {
+  tenant: 'salish',
+  user: 'salish',
+  scramVerifier: '',
+  databaseRole: 'app',
+  databases: [{ database: 'orders', group: 'orders', backendDatabase: 'orders' }],
+  maxConnections: 1,
+  maxInFlight: 1,
+  maxQueued: 1,
+  maxBackendConnections: 1,
+  queueWeight: 1,
+  requestsPerSecond: 1,
+  burst: 1,
+  requestKinds: [],
+  enabled: true,
+  revision: 1,
+};
+
+/** What the caller was told at the end of one batch. */
+interface BatchEnd {
+  readonly error: RequestError | undefined;
+  readonly status: TransactionStatus;
+}
+
+class ScriptedCaller implements CallerConnection {
+  readonly id = 'caller';
+  readonly policy = POLICY;
+  readonly database = 'orders';
+  readonly parameters = new Map<string, string>();
+  onBatch: CallerConnection['onBatch'];
+  onCancel: CallerConnection['onCancel'];
+  onClose: CallerConnection['onClose'];
+  onDrain: CallerConnection['onDrain'];
+  busy = false;
+  #error: RequestError | undefined;
+  #ended: ((end: BatchEnd) => void) | undefined;
+
+  query(text: string): Promise<BatchEnd> {
+    this.busy = true;
+    this.#error = undefined;
+    const messages = Buffer.from(text);
+    const flush = false;
+    return new Promise((resolve) => {
+      this.#ended = resolve;
+      this.onBatch?.({ protocol: 'simple', statements: [text], requires: [], messages, flush });
+    });
+  }
+
+  write(): boolean {
+    return true;
+  }
+
+  reportParameter(): void {}
+
+  warn(): void {}
+
+  terminate(): void {}
+
+  writeError(error: RequestError): void {
+    this.#error = error;
+  }
+
+  finish(status: TransactionStatus): void {
+    this.busy = false;
+    this.#ended?.({ error: this.#error, status });
+  }
+}
+
+/** A session whose owner answers the n-th batch of every stream with the n-th answer. */
+async function sessionWith(answer: (stream: PeerStream, batch: number) => void) {
+  const identity = { nodeId: 'n', incarnation: 1 };
+  const client = new GroupClient({
+    ownersOf: () => [{ type: 'local' }],
+    transport: new TcpPeerTransport({ identity, handlers: handlersOf({}) }),
+    acceptLocal: (_header, stream) => {
+      let batches = 1;
+      stream.onMessage = () => {
+        batches += 1;
+        answer(stream, batches);
+      };
+      answer(stream, 1);
+    },
+    retryBudget: new RetryBudget({ ratio: 0.1, capacity: 1 }),
+    now: () => 0,
+  });
+  const caller = new ScriptedCaller();
+  const session = new GatewaySession(caller, {
+    client,
+    sessionKeys: [{ id: 'k', secret: Buffer.alloc(32, 1) }],
+    directory: { lookUp: async () => freshSession(), record: async () => true },
+    policyOf: () => POLICY,
+    zone: 'a',
+    nextRequestId: () => 'r',
+    metrics: { requestEnded: () => undefined },
+    onClosed: () => undefined,
+  });
+  await session.begin();
+  return caller;
+}
+
+function abort(stream: PeerStream): void {
+  stream.send(encodeRequestError(new TransactionAbortedError('the connection was lost')));
+  stream.end();
+}
+
+test('a BEGIN that fails opens no transaction block', async () => {
+  const caller = await sessionWith((stream) => abort(stream));
+  const end = await caller.query('BEGIN');
+  assert.is(end.error?.outcome, 'failed');
+  assert.is(end.status, 'I');
+});
+
+test('a transaction that is lost later leaves a block that the caller has to end', async () => {
+  const caller = await sessionWith((stream, batch) => {
+    if (batch > 1) abort(stream);
+    else stream.send({ type: 'batch-end', status: 'T', heldBack: Buffer.alloc(0) });
+  });
+  const begun = await caller.query('BEGIN');
+  assert.equal(begun, { error: undefined, status: 'T' });
+  const lost = await caller.query('INSERT INTO orders VALUES (1)');
+  assert.is(lost.error?.outcome, 'failed');
+  assert.is(lost.status, 'T');
+});
+
+test.run();
