Gateway: a COMMIT that fails ends the transaction block

Cause: as with BEGIN: when the owner told that the transaction was aborted in answer to COMMIT, the caller was left in a failed block that it had no reason to end; the rest of its session was refused as MS-FAILED-TRANSACTION. Change: a batch that ends the block leaves none behind, whatever its answer.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -77,7 +77,7 @@
   #waiting: CallerBatch | undefined;
   #call: GroupCall | undefined;
   #inTransaction = false;
-  /** The caller was told that its transaction block is open. */
+  /** The caller was told that its transaction block is open, and has not asked to end it. */
   #blockOpen = false;
   /** The open transaction was lost while the caller was idle; told at its next batch. */
   #transactionLoss: RequestError | undefined;
@@ -178,6 +178,7 @@
   #continueTransaction(batch: CallerBatch, statementClass: StatementClass): void {
     const markers = this.#markersOf(batch);
     if (markers === undefined) return;
+    if (endsBlock(statementClass)) this.#blockOpen = false;
     this.#call?.send(batchMessage(batch, statementClass, markers));
   }
 
@@ -295,7 +296,7 @@
       return;
     }
     this.#connection.writeError(error);
-    // A BEGIN that fails opens no block, as in PostgreSQL.
+    // As in PostgreSQL, a BEGIN that fails opens no block, and a COMMIT that fails ends it.
     const blockGoesOn = wasTransaction && this.#blockOpen && error.outcome === 'failed';
     this.#blockWithoutBackend = blockGoesOn;
     this.#finish(blockGoesOn ? 'T' : 'I');
@@ -304,8 +305,7 @@
   /** The caller learns at its next batch that its transaction is gone. */
   #reportTransactionLoss(error: RequestError, statementClass: StatementClass): void {
     this.#transactionLoss = undefined;
-    const ends = statementClass.transactionControl;
-    const blockEnds = ends === 'commit' || ends === 'rollback';
+    const blockEnds = endsBlock(statementClass);
     this.#blockWithoutBackend = !blockEnds;
     this.#connection.writeError(error);
     this.#finish(blockEnds ? 'I' : 'T');
@@ -396,6 +396,10 @@
   return { tag, columns: [setting.name], rows: [[shown]] };
 }
 
+function endsBlock({ transactionControl }: StatementClass): boolean {
+  return transactionControl === 'commit' || transactionControl === 'rollback';
+}
+
 function batchMessage(
   batch: CallerBatch,
   statementClass: StatementClass,
--- a/test/unit/gateway-session.test.ts
+++ b/test/unit/gateway-session.test.ts
@@ -137,4 +137,15 @@
   assert.is(lost.status, 'T');
 });
 
+test('a COMMIT that fails ends the transaction block', async () => {
+  const caller = await sessionWith((stream, batch) => {
+    if (batch > 1) abort(stream);
+    else stream.send({ type: 'batch-end', status: 'T', heldBack: Buffer.alloc(0) });
+  });
+  await caller.query('BEGIN');
+  const lost = await caller.query('COMMIT');
+  assert.is(lost.error?.outcome, 'failed');
+  assert.is(lost.status, 'I');
+});
+
 test.run();
