Ownership by the core's index with hand-over; a busy node no longer takes others for dead

Cause: (1) owners were ranked by a hash over all nodes for each group, and a change of view switched gateways at once to a cold owner. Change: OwnerIndex, GroupRoutes and OwnerHandOver joined to the node, with the new owner's announcement as a peer call; home nodes by kept hashes. A probe whose timeout is noticed over 20 ms late gets 20 ms more, once; an instance that seems silent interrupts only reads of which nothing has come. Connections closed by our own side are reported. Ruled out: an election (no instance changed its timeline; 60 large reads alone on the same machine passed).

--- a/scale/components/ownership.ts
+++ b/scale/components/ownership.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationMember } from '../../src/core/configuration/relays.js';
 import { type GroupPlacement, OwnerIndex } from '../../src/core/ownership/owner-index.js';
 import type { Hash64 } from '../../src/core/ownership/rendezvous.js';
-import { rankNodes } from '../../src/node/owner-directory.js';
+import { NodeRanker } from '../../src/core/session/node-ranker.js';
 import { rounded } from '../distribution.js';
 import { kept, meanMs } from './measure.js';
 
@@ -17,7 +17,7 @@
   readonly buildMs: number;
   readonly memberAddedMs: number;
   readonly memberRemovedMs: number;
-  /** Ranking of all nodes for one key: the owners of a group, the home nodes of a session. */
+  /** Choice of the home nodes of one session among all nodes. */
   readonly rankNodesMs: number;
 }
 
@@ -43,9 +43,10 @@
     const member = moved[at];
     if (member !== undefined) index.addMember(member);
   });
+  const ranker = new NodeRanker(hash);
   const nodeIds = members.map(({ nodeId }) => nodeId);
   const rankNodesMs = meanMs(LOOK_UPS, (at) => {
-    rankNodes(`key-${at}`, nodeIds);
+    ranker.rank(`key-${at}`, nodeIds);
   });
   return {
     members: members.length,
--- a/src/core/failover/prober.ts
+++ b/src/core/failover/prober.ts
@@ -23,6 +23,10 @@
 
 /** Answers to probes older than this many are not taken in any more. */
 const MAX_REMEMBERED_PROBES = 64;
+/** A timer that is late by more than this shows that the process stood still. */
+const STANDSTILL_MS: Milliseconds = 20;
+/** Time in which answers that arrived during a standstill are surely read. */
+const EXCUSED_MS: Milliseconds = 20;
 
 /** Pace of probing and patience with an answer. */
 export interface ProbeTiming {
@@ -32,6 +36,10 @@
 interface InstanceSchedule {
   inFlight: SentProbe | undefined;
   lastSentAt: Milliseconds;
+  /** When the probe in flight counts as missed. */
+  missedAt: Milliseconds;
+  /** The probe in flight got more time because this node itself had stood still. */
+  excused: boolean;
 }
 
 /** Probes in flight and when the next are due. */
@@ -49,7 +57,7 @@
     }
     for (const name of names) {
       if (this.schedules.has(name)) continue;
-      this.schedules.set(name, { inFlight: undefined, lastSentAt: Number.NEGATIVE_INFINITY });
+      this.schedules.set(name, newSchedule(undefined, Number.NEGATIVE_INFINITY, 0));
     }
   }
 
@@ -64,7 +72,7 @@
   nextDueAt(name: InstanceName, periodMs: Milliseconds): Milliseconds {
     const schedule = this.schedules.get(name);
     if (schedule === undefined) return Number.POSITIVE_INFINITY;
-    if (schedule.inFlight !== undefined) return schedule.inFlight.sentAt + this.timing.timeoutMs;
+    if (schedule.inFlight !== undefined) return schedule.missedAt;
     return schedule.lastSentAt + periodMs;
   }
 
@@ -72,7 +80,7 @@
   send(instance: InstanceName, sequence: number, now: Milliseconds): SentProbe {
     this.count += 1;
     const probe: SentProbe = { id: `p${this.count}`, instance, sentAt: now, sequence };
-    this.schedules.set(instance, { inFlight: probe, lastSentAt: now });
+    this.schedules.set(instance, newSchedule(probe, now, now + this.timing.timeoutMs));
     this.remember(probe);
     return probe;
   }
@@ -91,18 +99,29 @@
     return { probe, late: false };
   }
 
-  /** Gives up waiting for the probes whose time is over. */
+  /**
+   * Gives up waiting for the probes whose time is over. If that is noticed late, this node has stood
+   * still and the answer may wait unread in its socket: the probe gets a little more time, once.
+   */
   takeTimedOut(now: Milliseconds): SentProbe[] {
     const timedOut: SentProbe[] = [];
     for (const schedule of this.schedules.values()) {
       const probe = schedule.inFlight;
-      if (probe === undefined || now < probe.sentAt + this.timing.timeoutMs) continue;
+      if (probe === undefined || now < schedule.missedAt) continue;
+      if (this.excuse(schedule, now)) continue;
       schedule.inFlight = undefined;
       timedOut.push(probe);
     }
     return timedOut;
   }
 
+  private excuse(schedule: InstanceSchedule, now: Milliseconds): boolean {
+    if (schedule.excused || now - schedule.missedAt < STANDSTILL_MS) return false;
+    schedule.excused = true;
+    schedule.missedAt = now + EXCUSED_MS;
+    return true;
+  }
+
   private remember(probe: SentProbe): void {
     this.sent.set(probe.id, probe);
     if (this.sent.size <= MAX_REMEMBERED_PROBES) return;
@@ -110,3 +129,11 @@
     if (oldest !== undefined) this.sent.delete(oldest);
   }
 }
+
+function newSchedule(
+  inFlight: SentProbe | undefined,
+  lastSentAt: Milliseconds,
+  missedAt: Milliseconds,
+): InstanceSchedule {
+  return { inFlight, lastSentAt, missedAt, excused: false };
+}
--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -82,7 +82,7 @@
 
   /**
    * An instance does not answer any more. Its idle connections may be dead without notice, so they
-   * are closed; reads that run there are given up, to be retried elsewhere if nothing was relayed.
+   * are closed; reads that run there and have no answer yet are given up, to be retried elsewhere.
    */
   instanceUnreachable(name: InstanceName): void {
     const { pool, runs, effects } = this.context;
@@ -91,7 +91,8 @@
       return run.instance === name && access === 'read' && hold === 'statement';
     });
     for (const run of reading) {
-      if (run.phase === 'running') pool.close(run.connectionId, effects);
+      const requestId = run.entry.request.id;
+      if (run.phase === 'running') effects.push({ type: 'interrupt-if-silent', requestId });
     }
     for (const connection of [...pool.table.all()]) {
       const idle = connection.instance === name && connection.status === 'idle';
--- a/src/core/group/contract.ts
+++ b/src/core/group/contract.ts
@@ -132,6 +132,11 @@
    * `run-finished` as `connection-lost`; no `connection-closed` is needed.
    */
   | { readonly type: 'close-connection'; readonly connectionId: ConnectionId }
+  /**
+   * The instance seems not to answer. If nothing of the request's answer has arrived, close its
+   * connection and report `run-finished` as `connection-lost`; if it has, the instance does answer.
+   */
+  | { readonly type: 'interrupt-if-silent'; readonly requestId: RequestId }
   /** Clear session state left by another tenant (DISCARD ALL), then report `connection-reset`. */
   | { readonly type: 'reset-connection'; readonly connectionId: ConnectionId }
   /** Send the request on this connection, then report `run-finished`. */
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -59,6 +59,8 @@
 export interface GroupClientOptions {
   /** Owners in order of preference, by this node's view of the members. */
   readonly ownersOf: (group: GroupName) => readonly OwnerReference[];
+  /** An owner refused because it no longer owns the group. */
+  readonly onOwnerRefused: (group: GroupName) => void;
   readonly transport: PeerTransport;
   /** Serves a stream on this node's own owner job. */
   readonly acceptLocal: (header: WireValue, stream: PeerStream) => void;
@@ -211,6 +213,7 @@
 
   #onRequestError(error: RequestError): void {
     const ownerRefused = error instanceof NotRunError && OWNER_REASONS.has(error.reason);
+    if (ownerRefused) this.#options.onOwnerRefused(this.#message.group);
     if (ownerRefused && !this.#answered) this.#retryOrFail(error);
     else this.#fail(error);
   }
--- a/src/node/owner/group-runtime.ts
+++ b/src/node/owner/group-runtime.ts
@@ -130,6 +130,9 @@
       case 'close-connection':
         this.#closeConnection(effect.connectionId);
         return;
+      case 'interrupt-if-silent':
+        this.#work.get(effect.requestId)?.interruptIfSilent();
+        return;
       case 'reset-connection':
         this.#resetConnection(effect.connectionId);
         return;
@@ -186,6 +189,13 @@
     this.#handle({ type: 'connection-closed', connectionId });
   }
 
+  /** Closed by this side without the state machine having asked for it. */
+  #closeAndReport(connectionId: ConnectionId, connection: BackendConnection): void {
+    connection.onClose = undefined;
+    connection.close();
+    this.#lost(connectionId);
+  }
+
   #closeConnection(connectionId: ConnectionId): void {
     const connection = this.#connections.get(connectionId);
     if (connection === undefined) return;
@@ -201,7 +211,7 @@
     if (connection === undefined) return;
     connection.query(RESET_STATEMENT).match(
       () => this.#handle({ type: 'connection-reset', connectionId }),
-      () => connection.close(),
+      () => this.#closeAndReport(connectionId, connection),
     );
   }
 
@@ -224,6 +234,7 @@
       connection,
       onPrimary: effect.onPrimary,
       trailPosition: effect.trailPosition,
+      closeConnection: () => this.#closeAndReport(connectionId, connection),
       finished: (result) => {
         this.#running.delete(connectionId);
         this.#handle({ type: 'run-finished', requestId, result });
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -22,6 +22,9 @@
 import { encodeRequestError, type OpenMessage, openSchema } from './messages.js';
 import { OwnerStream } from './owner-stream.js';
 
+/** Longest wait for a group's primary to become known, in ms. */
+const WARM_LIMIT_MS = 1500;
+const WARM_POLL_MS = 10;
 /** How soon a gateway may ask again after reaching a node that is not an owner, in ms. */
 const NOT_OWNER_RETRY_MS = 5;
 
@@ -74,6 +77,15 @@
     for (const [group, runtime] of this.#runtimes) this.#sendLimits(group, runtime);
   }
 
+  /** Gets a group ready before gateways use this owner; resolves once its primary is known. */
+  async warm(group: GroupName): Promise<void> {
+    const runtime = this.#ensure(group);
+    const limit = this.#options.now() + WARM_LIMIT_MS;
+    while (runtime?.statistics().primary === undefined && this.#options.now() < limit) {
+      await pause(WARM_POLL_MS);
+    }
+  }
+
   /** Brings runtimes in line with the groups that this node owns now. */
   reconcile(): void {
     const groups = new Set(this.#machines.map((machine) => machine.group));
@@ -208,6 +220,10 @@
   }
 }
 
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
 function limitsOf(policy: TenantPolicy): TenantGroupLimits {
   return {
     tenant: policy.tenant,
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -94,6 +94,10 @@
     else if (this.#open.access === 'read' && this.#batchRunning) this.#cancelRunning();
   }
 
+  interruptIfSilent(): void {
+    if (this.#batchRunning && !this.#relay.hasAnswer) this.#assignment?.closeConnection();
+  }
+
   connectionClosed(): void {
     if (this.#assignment === undefined || this.#batchRunning) return;
     this.#finishRun(this.#lostResult(true));
@@ -240,7 +244,7 @@
   #rollBack(assignment: Assignment): void {
     const { connection } = assignment;
     this.#batchRunning = true;
-    const timer = setTimeout(() => connection.close(), ROLLBACK_TIMEOUT_MS);
+    const timer = setTimeout(() => assignment.closeConnection(), ROLLBACK_TIMEOUT_MS);
     const finish = (result: RunResult): void => {
       clearTimeout(timer);
       this.#batchRunning = false;
@@ -249,7 +253,7 @@
     connection.query('ROLLBACK').match(
       () => finish({ type: 'database-error', position: undefined }),
       () => {
-        connection.close();
+        assignment.closeConnection();
         this.#mayHaveCommitted = false;
         finish(this.#lostResult(true));
       },
--- a/src/node/owner/relay.ts
+++ b/src/node/owner/relay.ts
@@ -30,6 +30,11 @@
     return this.#flowed;
   }
 
+  /** True once any part of the running batch's answer has come. */
+  get hasAnswer(): boolean {
+    return this.#flowed || this.#gatheredBytes > 0;
+  }
+
   /** Whole backend messages. */
   add(messages: Buffer): void {
     if (this.#closed) return;
--- a/src/node/owner/work.ts
+++ b/src/node/owner/work.ts
@@ -12,6 +12,8 @@
   readonly connection: BackendConnection;
   readonly onPrimary: boolean;
   readonly trailPosition: boolean;
+  /** Closes the connection; a running batch ends as lost. */
+  closeConnection(): void;
   /** Reports the end of the run; called exactly once per assignment. */
   finished(result: RunResult): void;
 }
@@ -22,6 +24,8 @@
   start(assignment: Assignment): void;
   /** The assigned connection was lost; reported between batches, a running batch has its own report. */
   connectionClosed(): void;
+  /** Closes the assigned connection unless a part of the answer has come. */
+  interruptIfSilent(): void;
   /** The answer held back may go out; final. */
   release(position: Position | undefined): void;
   /** The request ended with a typed error; final. */
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -12,9 +12,12 @@
 import type { ListedNode, MemberEvent } from '../core/membership/contract.js';
 import type { SelfDescription } from '../core/membership/machine.js';
 import type { Member } from '../core/membership/member.js';
+import { loadHash64 } from '../core/ownership/hash.js';
+import type { Hash64 } from '../core/ownership/rendezvous.js';
 import type { GroupName } from '../core/request.js';
 import { RetryBudget } from '../core/retry/budget.js';
 import type { SessionKeys } from '../core/session/index.js';
+import { NodeRanker } from '../core/session/node-ranker.js';
 import type { Readiness } from '../observability/admin-server.js';
 import type { Logger } from '../observability/logger.js';
 import type { NodeIdentity, PeerAddress } from '../peer/contract.js';
@@ -42,7 +45,7 @@
 import type { MemberSummary, NodeState, NodeStatus } from './node-status.js';
 import { BackendConnector } from './owner/backend-connector.js';
 import { OwnerService } from './owner/owner-service.js';
-import { OwnerDirectory, rankNodes } from './owner-directory.js';
+import { OwnerDirectory } from './owner-directory.js';
 import { PeerRouter } from './peer-router.js';
 import type { Settings } from './settings.js';
 import { groupPolicyOf, OUR_POLICY } from './test-policy.js';
@@ -87,6 +90,7 @@
   readonly #logger: Logger;
   readonly #identity: NodeIdentity;
   readonly #transport: TcpPeerTransport;
+  readonly #hash: Hash64;
   readonly #membership: MembershipService;
   readonly #fleet: FleetView;
   readonly #store: StoreClient;
@@ -115,6 +119,7 @@
     this.#logger = options.logger;
     this.#identity = links.identity;
     this.#transport = links.transport;
+    this.#hash = links.hash;
     this.addresses = { callers: settings.callers, peer: links.address };
     this.#sessionKeys = sessionKeysOf(settings);
     const self = selfOf(settings, links);
@@ -131,7 +136,7 @@
     });
     this.#store = createStore(settings);
     this.#machineList = createMachineList(settings);
-    this.#owners = new OwnerDirectory(settings);
+    this.#owners = this.#createOwners(links);
     this.#connector = new BackendConnector(settings.backend);
     this.#owner = this.#createOwner();
     this.#directory = this.#createDirectory();
@@ -238,6 +243,7 @@
   async #close(): Promise<void> {
     for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
     clearInterval(this.#releaseTimer);
+    this.#owners.stop();
     await this.#membership.stop();
     await this.#configuration.stop();
     this.#machineList.stop();
@@ -293,11 +299,23 @@
     });
   }
 
+  #createOwners(links: NodeLinks): OwnerDirectory {
+    return new OwnerDirectory({
+      nodeId: this.#settings.nodeId,
+      ownersPerGroup: this.#settings.ownersPerGroup,
+      hash: links.hash,
+      transport: links.transport,
+      now: monotonicNow,
+      warm: (group) => this.#owner.warm(group),
+      onChange: () => this.#owner.reconcile(),
+    });
+  }
+
   #createDirectory(): HomeNodeDirectory {
     return new HomeNodeDirectory({
       nodeId: this.#settings.nodeId,
       transport: this.#transport,
-      rank: rankNodes,
+      rank: new NodeRanker(this.#hash).rank,
       nodes: () =>
         this.#fleet.homeNodes().map((node) => ({ nodeId: node.nodeId, address: addressOf(node) })),
       now: monotonicNow,
@@ -308,6 +326,7 @@
     return new GroupClient({
       ownersOf: (group) => this.#owners.ownersOf(group),
       transport: this.#transport,
+      onOwnerRefused: (group) => this.#owners.onRefused(group),
       acceptLocal: (header, stream) => this.#owner.accept(header, stream),
       retryBudget: new RetryBudget(RETRY_BUDGET),
       now: monotonicNow,
@@ -319,6 +338,7 @@
     router.onLinkDown = (peer) => this.#onLinkDown(peer);
     router.add(this.#configuration);
     router.add(this.#directory);
+    router.add(this.#owners);
     router.add({
       handles: (method) => this.#membership.handlesCall(method),
       onCall: (method, body) => this.#membership.handleCall(method, body),
@@ -345,8 +365,10 @@
   }
 
   #onFleetChanged(): void {
-    this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.setMachines(this.#fleet.databases);
+    this.#owners.setGroups(this.#fleet.databases);
+    this.#owners.setNodes(this.#fleet.liveNodes());
+    this.#owner.reconcile();
     this.#configuration.membersChanged();
   }
 
@@ -407,6 +429,7 @@
   readonly router: PeerRouter;
   readonly transport: TcpPeerTransport;
   readonly address: PeerAddress;
+  readonly hash: Hash64;
 }
 
 async function openLinks(settings: Settings): Promise<Result<NodeLinks, MeadowstackError>> {
@@ -420,8 +443,8 @@
     events: { onLinkDown: (peer) => router.linkDown(peer) },
     ...(clusterSecret === undefined ? {} : { clusterSecret }),
   });
-  const listening = await transport.listen(settings.peer);
-  return listening.map((address) => ({ identity, router, transport, address }));
+  const [listening, hash] = await Promise.all([transport.listen(settings.peer), loadHash64()]);
+  return listening.map((address) => ({ identity, router, transport, address, hash }));
 }
 
 function selfOf(settings: Settings, links: NodeLinks): SelfDescription & FleetNode {
--- a/test/support/simulated-owner.ts
+++ b/test/support/simulated-owner.ts
@@ -102,6 +102,7 @@
   private carryOut(effect: GroupEffect): void {
     if (effect.type === 'open-connection') this.open(effect.connectionId, effect.instance);
     else if (effect.type === 'close-connection') this.close(effect.connectionId);
+    else if (effect.type === 'interrupt-if-silent') this.interrupt(effect.requestId);
     else if (effect.type === 'reset-connection') this.reset(effect.connectionId);
     else if (effect.type === 'run') this.run(effect);
     else if (effect.type === 'probe') this.probe(effect.probeId, effect.instance);
@@ -138,6 +139,12 @@
     this.clock.after(0.1, () => this.lost(requestId, true, true));
   }
 
+  private interrupt(requestId: string): void {
+    for (const [id, connection] of this.connections) {
+      if (connection.running === requestId) this.close(id);
+    }
+  }
+
   private reset(id: ConnectionId): void {
     const connection = this.connections.get(id);
     if (connection === undefined) return;
--- a/test/unit/prober.test.ts
+++ b/test/unit/prober.test.ts
@@ -32,4 +32,12 @@
   assert.is(prober.settle(next.id), undefined);
 });
 
+test('a probe whose time runs out while this node stands still gets a little more, once', () => {
+  const prober = proberOf('a');
+  const probe = prober.send('a', 1, 0);
+  assert.equal(prober.takeTimedOut(400), [], 'noticed 300 ms late: the answer may wait unread');
+  assert.is(prober.nextDueAt('a', 20), 420);
+  assert.equal(prober.takeTimedOut(500), [probe], 'late again: given up');
+});
+
 test.run();
