--- a/test/unit/gateway-session.test.ts
+++ b/test/unit/gateway-session.test.ts
@@ -87,6 +87,7 @@
   const client = new GroupClient({
     ownersOf: () => [{ type: 'local' }],
     transport: new TcpPeerTransport({ identity, handlers: handlersOf({}) }),
+    onOwnerRefused: () => undefined,
     acceptLocal: (_header, stream) => {
       let batches = 1;
       stream.onMessage = () => {
