--- a/bench/run/fault-matrix.ts
+++ b/bench/run/fault-matrix.ts
@@ -1,6 +1,6 @@
 /** The matrix of faults: each alone and each pair, one short run for each, and a table of the results. */
 import { MeadowstackError } from '../../src/core/errors.js';
-import type { ViolationCounts } from '../checkers/index.js';
+import type { Violation, ViolationCounts } from '../checkers/index.js';
 import type { Fault } from '../faults/fault.js';
 import { allPairs, MATRIX_FAULTS } from '../faults/registry.js';
 import type { OutcomeCounts } from '../load/figures.js';
@@ -14,6 +14,8 @@
   /** Undefined if the run could not be carried out. */
   readonly violations: ViolationCounts | undefined;
   readonly outcomes: OutcomeCounts | undefined;
+  /** To begin looking from. */
+  readonly firstViolations: readonly Violation[];
   readonly failoverGapMs: readonly number[];
   /** Faults that found nothing to hit, such as a second proxy to kill. */
   readonly withoutTarget: readonly string[];
@@ -70,6 +72,7 @@
       seed,
       violations: report.violations,
       outcomes: report.outcomes,
+      firstViolations: report.firstViolations,
       failoverGapMs: report.failoverGapMs.each,
       withoutTarget: report.faults
         .filter(({ target }) => target === undefined)
@@ -83,6 +86,7 @@
       seed,
       violations: undefined,
       outcomes: undefined,
+      firstViolations: [],
       failoverGapMs: [],
       withoutTarget: [],
       error: error.message,
--- a/test/unit/bench/faults.test.ts
+++ b/test/unit/bench/faults.test.ts
@@ -83,6 +83,7 @@
     seed: 9,
     violations: NO_VIOLATIONS,
     outcomes: undefined,
+    firstViolations: [],
     failoverGapMs: [],
     withoutTarget: [],
     error: undefined,
