--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationMember } from '../core/configuration/relays.js';
 import { MeadowstackError, NotRunError, type RequestError } from '../core/errors.js';
 import { DatabaseGroup } from '../core/group/database-group.js';
+import type { GroupTiming } from '../core/group/options.js';
 import type { ListedNode, MemberEvent } from '../core/membership/contract.js';
 import type { SelfDescription } from '../core/membership/machine.js';
 import type { Member } from '../core/membership/member.js';
@@ -269,6 +270,7 @@
       group,
       ownZone: this.#settings.zone,
       confirmationMode: this.#settings.confirmation,
+      timing: probeTimingOf(this.#settings),
       random: Math.random,
       ...groupPolicyOf(this.#settings.testPolicy),
     });
@@ -512,6 +514,18 @@
   return createHmac('sha256', key.secret).update('mock authentication').digest();
 }
 
+/** Quiet groups are probed this many times more slowly. */
+const QUIET_PROBE_FACTOR = 5;
+
+function probeTimingOf({ probe }: Settings): Partial<GroupTiming> {
+  return {
+    probePeriodMs: probe.intervalMs,
+    quietProbePeriodMs: probe.intervalMs * QUIET_PROBE_FACTOR,
+    fastProbePeriodMs: probe.suspectIntervalMs,
+    probeTimeoutMs: probe.timeoutMs,
+  };
+}
+
 function clusterSecretOf(settings: Settings): Buffer | undefined {
   const { secretHex } = settings.peer;
   return secretHex === undefined ? undefined : Buffer.from(secretHex, 'hex');
--- a/src/node/settings-schema.ts
+++ b/src/node/settings-schema.ts
@@ -10,9 +10,9 @@
 const DEFAULT_PEER_PORT = 7432;
 const DEFAULT_ADMIN_PORT = 9432;
 const DEFAULT_CONNECT_TIMEOUT_MS = 2000;
-const DEFAULT_PROBE_INTERVAL_MS = 250;
-const DEFAULT_SUSPECT_PROBE_INTERVAL_MS = 25;
-const DEFAULT_PROBE_TIMEOUT_MS = 200;
+const DEFAULT_PROBE_INTERVAL_MS = 100;
+const DEFAULT_SUSPECT_PROBE_INTERVAL_MS = 20;
+const DEFAULT_PROBE_TIMEOUT_MS = 100;
 const DEFAULT_DRAIN_LIMIT_MS = 30_000;
 const DEFAULT_OWNERS_PER_GROUP = 2;
 const MAX_OWNERS_PER_GROUP = 8;
@@ -100,7 +100,7 @@
 });
 
 const probe = z.strictObject({
-  /** Between probes of a healthy instance. */
+  /** Between probes of a healthy instance while requests come; five times that when none do. */
   intervalMs: durationMs.default(DEFAULT_PROBE_INTERVAL_MS),
   /** Between probes while the primary is suspected. */
   suspectIntervalMs: durationMs.default(DEFAULT_SUSPECT_PROBE_INTERVAL_MS),
