--- /dev/null
+++ b/src/core/limits/voter-sets.ts
@@ -0,0 +1,102 @@
+/**
+ * The voters of a tenant: an odd number of nodes of the machine list, in different zones as far as
+ * possible. While another node may still go by an earlier list, the voters of that list count, too;
+ * and a candidate needs a majority also of the sets that its voters know. So any two elections have
+ * a voter in common.
+ */
+import {
+  type Hash64,
+  type HashedCandidate,
+  hashCandidate,
+  hashGroup,
+  type OwnerCandidate,
+  selectOwners,
+} from '../ownership/rendezvous.js';
+import type { TenantName } from '../request.js';
+import type { Milliseconds } from '../units.js';
+import type { VoterId, VoterSetList } from './election.js';
+
+/** Sizes of a tenant's set of voters, the largest that the list allows. */
+const VOTER_COUNTS = [5, 3, 1] as const;
+/** Lists remembered at most; with more changes than these, what was before them is unknown. */
+const MAX_EARLIER_LISTS = 8;
+
+interface EarlierList {
+  readonly nodes: readonly HashedCandidate[];
+  /** Until then another node may still go by this list. */
+  readonly until: Milliseconds;
+}
+
+/** What this node knows of a tenant's voters. */
+export interface KnownVoters {
+  /** Each set needs a majority; empty if nobody may be elected now. */
+  readonly voterSets: VoterSetList;
+  /** Every election since then needed a majority of one of the sets. */
+  readonly coveredSince: Milliseconds;
+}
+
+export interface VoterSetsOptions {
+  /** How much later than this node any other may see a change of the machine list. */
+  readonly listLagMs: Milliseconds;
+  /** Elections longer ago than this don't matter any more. */
+  readonly rememberMs: Milliseconds;
+}
+
+export class VoterSets {
+  readonly #hash: Hash64;
+  readonly #options: VoterSetsOptions;
+  #current: readonly HashedCandidate[] = [];
+  #earlier: EarlierList[] = [];
+  #unknownUntil = Number.NEGATIVE_INFINITY;
+
+  constructor(hash: Hash64, options: VoterSetsOptions) {
+    this.#hash = hash;
+    this.#options = options;
+  }
+
+  setList(nodes: readonly OwnerCandidate[], now: Milliseconds): void {
+    if (isSame(nodes, this.#current)) return;
+    if (this.#current.length > 0) {
+      this.#earlier.push({ nodes: this.#current, until: now + this.#options.listLagMs });
+    } else {
+      this.#unknownUntil = now;
+    }
+    if (this.#earlier.length > MAX_EARLIER_LISTS) {
+      this.#earlier.shift();
+      this.#unknownUntil = now + this.#options.listLagMs;
+    }
+    this.#current = nodes.map((node) => hashCandidate(this.#hash, node));
+  }
+
+  votersOf(tenant: TenantName, now: Milliseconds): KnownVoters {
+    this.#forgetOld(now);
+    if (this.#current.length === 0) return { voterSets: [], coveredSince: now };
+    const recent = this.#earlier.filter(({ until }) => until > now).map(({ nodes }) => nodes);
+    const sets = [this.#current, ...recent].map((nodes) => this.#votersAmong(tenant, nodes));
+    const distinct = new Map(sets.map((voters) => [voters.join('\0'), voters]));
+    let coveredSince = this.#unknownUntil;
+    for (const { nodes, until } of this.#earlier) {
+      const isCovered = distinct.has(this.#votersAmong(tenant, nodes).join('\0'));
+      if (!isCovered) coveredSince = Math.max(coveredSince, until);
+    }
+    return { voterSets: [...distinct.values()], coveredSince };
+  }
+
+  #votersAmong(tenant: TenantName, nodes: readonly HashedCandidate[]): readonly VoterId[] {
+    const count = VOTER_COUNTS.find((size) => size <= nodes.length) ?? 1;
+    const key = hashGroup(this.#hash, `tenant-voters:${tenant}`, []);
+    const voters = selectOwners(key, nodes, count).map(({ nodeId }) => nodeId);
+    return voters.sort();
+  }
+
+  #forgetOld(now: Milliseconds): void {
+    const oldest = now - this.#options.rememberMs;
+    this.#earlier = this.#earlier.filter(({ until }) => until > oldest);
+  }
+}
+
+function isSame(left: readonly OwnerCandidate[], right: readonly OwnerCandidate[]): boolean {
+  const key = ({ nodeId, zone }: OwnerCandidate): string => `${nodeId}\0${zone}`;
+  const known = new Set(right.map(key));
+  return left.length === right.length && left.every((node) => known.has(key(node)));
+}
--- a/src/core/ownership/budget-granter.ts
+++ b/src/core/ownership/budget-granter.ts
@@ -9,19 +9,30 @@
 import type { Milliseconds } from '../units.js';
 import {
   type BudgetLeaseOptions,
+  type DivisionInput,
+  divideEvenly,
   type HolderId,
   leasableConnections,
+  type OtherHolder,
   type ShareAnswer,
+  type ShareDivision,
   type ShareRequest,
   withDrift,
 } from './budget-lease.js';
 
 export type GranterEvent =
   /** A probe that was sent at `sentAt` on the connection that holds the lock was answered. */
-  | { readonly type: 'authority-confirmed'; readonly sentAt: Milliseconds }
+  | {
+      readonly type: 'authority-confirmed';
+      readonly sentAt: Milliseconds;
+      /** No other granter has renewed its authority for so long already; default 0. */
+      readonly quietMs?: Milliseconds;
+    }
   /** The connection that held the lock is gone. */
   | { readonly type: 'authority-lost' }
-  | { readonly type: 'limit-changed'; readonly limit: number };
+  | { readonly type: 'limit-changed'; readonly limit: number }
+  /** Every node that could hold a share has sent a request in the present term. */
+  | { readonly type: 'holders-complete' };
 
 /** Connections that a holder may believe to have, until this time on the granter's clock. */
 interface GrantedShare {
@@ -32,7 +43,11 @@
 interface HolderRecord {
   readonly lastNumber: number;
   readonly wanted: number;
+  readonly needed: number;
+  readonly inUse: number;
   readonly shares: readonly GrantedShare[];
+  /** What is left to it of what it held when the limit was last lowered. */
+  readonly loweredTo: number | undefined;
   /** A holder that has not asked again until then is forgotten. */
   readonly activeUntil: Milliseconds;
 }
@@ -40,29 +55,58 @@
 interface Authority {
   /** Identifies this holding of the lock; unique over all granters. */
   readonly term: string;
+  /** Since then no other granter has renewed its authority. */
   readonly acquiredAt: Milliseconds;
   readonly confirmedUntil: Milliseconds;
+  /** All shares granted before are known. */
+  readonly holdersComplete: boolean;
 }
 
 export class BudgetGranter {
   readonly #granterId: string;
   readonly #options: BudgetLeaseOptions;
+  readonly #divide: ShareDivision;
   readonly #holders = new Map<HolderId, HolderRecord>();
   #authority: Authority | undefined;
   #acquisitions = 0;
   #limit: number;
 
   /** `granterId` must be unique for the life of the process, such as node id and incarnation. */
-  constructor(granterId: string, limit: number, options: BudgetLeaseOptions) {
+  constructor(
+    granterId: string,
+    limit: number,
+    options: BudgetLeaseOptions,
+    divide: ShareDivision = divideEvenly,
+  ) {
     this.#granterId = granterId;
     this.#limit = limit;
     this.#options = options;
+    this.#divide = divide;
   }
 
   handle(event: GranterEvent, now: Milliseconds): void {
-    if (event.type === 'limit-changed') this.#limit = event.limit;
+    if (event.type === 'limit-changed') this.#changeLimit(event.limit, now);
     else if (event.type === 'authority-lost') this.#loseAuthority();
-    else this.#confirm(event.sentAt, now);
+    else if (event.type === 'holders-complete') this.#completeHolders();
+    else this.#confirm(event.sentAt, event.quietMs ?? 0, now);
+  }
+
+  /** Names the present holding of the right to grant; undefined without it. */
+  term(now: Milliseconds): string | undefined {
+    return this.hasAuthority(now) ? this.#authority?.term : undefined;
+  }
+
+  /** True while shares of an earlier granter may be out that this one does not know of. */
+  isWaiting(now: Milliseconds): boolean {
+    const authority = this.#authority;
+    if (authority === undefined) return false;
+    return !authority.holdersComplete && now - authority.acquiredAt < this.#lapseMs();
+  }
+
+  /** True once the granter before has surely stopped granting. */
+  isAlone(now: Milliseconds): boolean {
+    const authority = this.#authority;
+    return authority !== undefined && now - authority.acquiredAt >= this.#silenceMs();
   }
 
   /** True if this node may grant now. */
@@ -76,16 +120,15 @@
     if (authority === undefined || now >= authority.confirmedUntil) {
       return refusal(number, 'no-authority');
     }
-    const waited = now - authority.acquiredAt;
-    if (waited < this.#silenceMs()) return refusal(number, 'waiting');
+    if (!this.isAlone(now)) return refusal(number, 'waiting');
     // Without the term the request may have been sent while another granter could still act.
     if (request.term !== authority.term) return refusal(number, 'term-unknown', authority.term);
     const record = this.#holders.get(holder);
     if (record !== undefined && number <= record.lastNumber) return refusal(number, 'stale');
-    const mayGrow = waited >= this.#lapseMs();
-    const connections = this.#decide(request, mayGrow, now);
+    const connections = this.#decide(request, !this.isWaiting(now), now);
+    const mayGrowSoon = this.isWaiting(now) || this.#isUnusedElsewhere(holder, now);
     this.#record(request, connections, now);
-    return { type: 'granted', number, connections };
+    return { type: 'granted', number, connections, mayGrowSoon };
   }
 
   /** Connections that holders may believe to have, in sum. */
@@ -95,19 +138,38 @@
     return sum;
   }
 
-  #confirm(sentAt: Milliseconds, now: Milliseconds): void {
+  #confirm(sentAt: Milliseconds, quietMs: Milliseconds, now: Milliseconds): void {
     const confirmedUntil = sentAt + this.#options.authorityMs;
+    const acquiredAt = now - quietMs;
     const held = this.#authority;
     if (held !== undefined) {
       this.#authority = {
         ...held,
+        acquiredAt: Math.min(held.acquiredAt, acquiredAt),
         confirmedUntil: Math.max(held.confirmedUntil, confirmedUntil),
       };
       return;
     }
     this.#acquisitions += 1;
     const term = `${this.#granterId}/${this.#acquisitions}`;
-    this.#authority = { term, acquiredAt: now, confirmedUntil };
+    this.#authority = { term, acquiredAt, confirmedUntil, holdersComplete: false };
+  }
+
+  #changeLimit(limit: number, now: Milliseconds): void {
+    const isLower = limit < this.#limit;
+    this.#limit = limit;
+    const held = this.outstanding(now);
+    const leasable = leasableConnections(limit, this.#options);
+    if (!isLower || held <= leasable) return;
+    for (const [holder, record] of this.#holders) {
+      const loweredTo = Math.floor((heldBy(record, now) * leasable) / held);
+      this.#holders.set(holder, { ...record, loweredTo });
+    }
+  }
+
+  #completeHolders(): void {
+    if (this.#authority === undefined) return;
+    this.#authority = { ...this.#authority, holdersComplete: true };
   }
 
   #loseAuthority(): void {
@@ -128,29 +190,48 @@
 
   #decide(request: ShareRequest, mayGrow: boolean, now: Milliseconds): number {
     const leasable = leasableConnections(this.#limit, this.#options);
-    const others = [...this.#holders].filter(([holder]) => holder !== request.holder);
-    const active = others.map(([, record]) => record).filter((one) => isActive(one, now));
-    const free = leasable - active.reduce((sum, record) => sum + heldBy(record, now), 0);
-    const fair = Math.floor(leasable / (active.length + 1));
-    // What the others want counts up to an equal share; what they leave may be used.
-    const claimed = active.reduce((sum, record) => sum + Math.min(record.wanted, fair), 0);
-    const ceiling = Math.max(fair, leasable - claimed);
-    const wanted = mayGrow ? request.wanted : Math.min(request.wanted, request.holding);
-    return Math.max(0, Math.min(wanted, ceiling, free));
+    const others: OtherHolder[] = [];
+    for (const [holder, record] of this.#holders) {
+      if (holder === request.holder || !isActive(record, now)) continue;
+      const { wanted, needed } = record;
+      others.push({ wanted, needed, held: heldBy(record, now) });
+    }
+    const { holding, inUse, needed } = request;
+    const wanted = mayGrow ? request.wanted : Math.min(request.wanted, holding);
+    const input = { leasable, wanted, needed, holding, inUse, others };
+    const loweredTo = this.#holders.get(request.holder)?.loweredTo;
+    return Math.max(0, Math.min(wanted, this.#divide(input), freeOf(input, loweredTo)));
+  }
+
+  #isUnusedElsewhere(holder: HolderId, now: Milliseconds): boolean {
+    for (const [other, record] of this.#holders) {
+      if (other !== holder && heldBy(record, now) > record.inUse) return true;
+    }
+    return false;
   }
 
   #record(request: ShareRequest, connections: number, now: Milliseconds): void {
     const { leaseMs, maxClockDrift } = this.#options;
     const until = now + withDrift(leaseMs, maxClockDrift);
-    const previous = this.#holders.get(request.holder)?.shares ?? [];
+    const known = this.#holders.get(request.holder);
+    const previous = known?.shares ?? [];
     // The holder says what it holds; it will act on no answer to an earlier request any more.
     const kept = previous
       .filter((share) => share.until > now)
       .map((share) => ({ ...share, connections: Math.min(share.connections, request.holding) }));
     const reported = { connections: request.holding, until };
     const shares = [...kept, reported, { connections, until }].filter((s) => s.connections > 0);
-    const { number: lastNumber, wanted } = request;
-    this.#holders.set(request.holder, { lastNumber, wanted, shares, activeUntil: until });
+    const { number: lastNumber, wanted, needed, inUse } = request;
+    const loweredTo = known?.loweredTo;
+    this.#holders.set(request.holder, {
+      lastNumber,
+      wanted,
+      needed,
+      inUse,
+      shares,
+      loweredTo,
+      activeUntil: until,
+    });
     this.#forgetLapsed(now);
   }
 
@@ -170,6 +251,16 @@
   return most;
 }
 
+/**
+ * Connections that the asking holder may have beside the others. After the limit was lowered those
+ * that are out exceed it: then each holder gives up the same part of what it has.
+ */
+function freeOf({ leasable, holding, others }: DivisionInput, loweredTo = 0): number {
+  const held = others.reduce((sum, other) => sum + other.held, 0);
+  const free = leasable - held;
+  return holding <= free ? free : Math.max(free, Math.min(holding, loweredTo));
+}
+
 function isActive(record: HolderRecord, now: Milliseconds): boolean {
   return record.activeUntil > now && (record.wanted > 0 || heldBy(record, now) > 0);
 }
--- a/src/core/ownership/budget-holder.ts
+++ b/src/core/ownership/budget-holder.ts
@@ -13,22 +13,33 @@
 const NO_SHARE: Share = { connections: 0, until: Number.NEGATIVE_INFINITY };
 
 export class BudgetHolder {
-  readonly #holder: HolderId;
+  readonly id: HolderId;
   readonly #options: BudgetLeaseOptions;
   #share = NO_SHARE;
   #term: string | undefined;
   #lastNumber = 0;
   #lastSentAt = Number.NEGATIVE_INFINITY;
   #wanted = 0;
+  #needed = 0;
+  #inUse = 0;
+  /** `inUse` of the latest request. */
+  #sentInUse = 0;
 
-  /** `holder` must be unique for the life of the process, such as node id and incarnation. */
-  constructor(holder: HolderId, options: BudgetLeaseOptions) {
-    this.#holder = holder;
+  /** `id` must be unique for the life of the process, such as node id and incarnation. */
+  constructor(id: HolderId, options: BudgetLeaseOptions) {
+    this.id = id;
     this.#options = options;
   }
 
-  setWanted(connections: number): void {
+  /** `needed`: those that are not merely in reserve. */
+  setWanted(connections: number, needed = connections): void {
     this.#wanted = connections;
+    this.#needed = needed;
+  }
+
+  /** Connections that can't be given back without cutting somebody off. */
+  setInUse(connections: number): void {
+    this.#inUse = connections;
   }
 
   /** Connections that may be held now. Ask before each opening; close what is beyond. */
@@ -41,35 +52,65 @@
     return this.#lastSentAt + this.#options.renewMs;
   }
 
+  /** When the share lapses; in the past if there is none. */
+  get heldUntil(): Milliseconds {
+    return this.#share.until;
+  }
+
+  /** A granter has made its term known. The next request will carry it. */
+  learnTerm(term: string): void {
+    this.#term = term;
+  }
+
   /** The request to send now. Answers to earlier ones will be ignored. */
   request(now: Milliseconds): ShareRequest {
     this.#lastNumber += 1;
     this.#lastSentAt = now;
+    this.#sentInUse = this.#inUse;
     return {
-      holder: this.#holder,
+      holder: this.id,
       number: this.#lastNumber,
       wanted: this.#wanted,
+      needed: this.#needed,
       holding: this.connections(now),
+      inUse: this.#inUse,
       term: this.#term,
     };
   }
 
+  /** True if the answer is to an earlier request than the latest. */
+  isLate(answer: ShareAnswer): boolean {
+    return answer.number !== this.#lastNumber;
+  }
+
   /** Takes an answer; true if the share has changed. */
   receive(answer: ShareAnswer, now: Milliseconds): boolean {
-    if (answer.number !== this.#lastNumber) return false;
+    if (this.isLate(answer)) return false;
     if (answer.type === 'refused') {
       this.#onRefused(answer.term);
       return false;
     }
     const previous = this.connections(now);
-    const until = this.#lastSentAt + this.#options.leaseMs;
-    this.#share = { connections: answer.connections, until };
+    this.#share = this.#shareAfter(answer.connections, previous);
     return this.connections(now) !== previous;
   }
 
+  /**
+   * What was taken into use after the request was sent is kept under the old share, which the
+   * granter still counts: the next request will report it.
+   */
+  #shareAfter(granted: number, previous: number): Share {
+    const kept = Math.min(this.#inUse, previous);
+    if (granted >= this.#sentInUse && kept > granted) {
+      this.#lastSentAt = Number.NEGATIVE_INFINITY;
+      return { connections: kept, until: this.#share.until };
+    }
+    return { connections: granted, until: this.#lastSentAt + this.#options.leaseMs };
+  }
+
   /** Gives the share up: a holder that stops lets others have it at its next request. */
   release(): void {
-    this.#wanted = 0;
+    this.setWanted(0);
     this.#share = NO_SHARE;
   }
 
--- a/src/core/ownership/budget-lease.ts
+++ b/src/core/ownership/budget-lease.ts
@@ -36,14 +36,24 @@
   readonly number: number;
   /** Connections that the holder could use. */
   readonly wanted: number;
+  /** Connections of `wanted` that are not merely in reserve. */
+  readonly needed: number;
   /** Connections that its unexpired share allows at the time of sending. */
   readonly holding: number;
+  /** Connections of `holding` that can't be given back without cutting somebody off. */
+  readonly inUse: number;
   /** The granter's term as the holder last heard it: proof that the request is not older. */
   readonly term: string | undefined;
 }
 
 export type ShareAnswer =
-  | { readonly type: 'granted'; readonly number: number; readonly connections: number }
+  | {
+      readonly type: 'granted';
+      readonly number: number;
+      readonly connections: number;
+      /** Others hold more than they use, or old shares lapse: asking again may give more. */
+      readonly mayGrowSoon: boolean;
+    }
   /** Ask again, with this term. */
   | {
       readonly type: 'refused';
@@ -82,3 +92,46 @@
   const unleased = limit - leasableConnections(limit, options);
   return Math.max(1, Math.floor(unleased / ownersPerGroup));
 }
+
+/** What a granter knows of the other holders when it divides the connections. */
+export interface OtherHolder {
+  readonly wanted: number;
+  readonly needed: number;
+  /** The most that it may believe to have. */
+  readonly held: number;
+}
+
+/** What a granter knows when it divides the connections. */
+export interface DivisionInput {
+  readonly leasable: number;
+  /** What the asking holder wants, needs, has, and uses. */
+  readonly wanted: number;
+  readonly needed: number;
+  readonly holding: number;
+  readonly inUse: number;
+  readonly others: readonly OtherHolder[];
+}
+
+/** Connections for the asking holder; the granter never lets them exceed what is free. */
+export type ShareDivision = (input: DivisionInput) => number;
+
+/** An equal share to each holder, and beyond it what the others don't want. */
+export function divideEvenly({ leasable, others }: DivisionInput): number {
+  const fair = Math.floor(leasable / (others.length + 1));
+  const claimed = others.reduce((sum, { wanted }) => sum + Math.min(wanted, fair), 0);
+  return Math.max(fair, leasable - claimed);
+}
+
+/**
+ * What is in use stays with its holder. Needs come first, each up to an equal share; reserves are
+ * given only from what nobody needs.
+ */
+export function divideKeepingInUse(input: DivisionInput): number {
+  const { leasable, needed, holding, inUse, others } = input;
+  const fair = Math.floor(leasable / (others.length + 1));
+  const claimed = others.reduce((sum, other) => sum + Math.min(other.needed, fair), 0);
+  const allNeeded = others.reduce((sum, other) => sum + other.needed, needed);
+  const forNeeds = Math.min(needed, Math.max(fair, leasable - claimed));
+  const reserve = Math.floor(Math.max(0, leasable - allNeeded) / (others.length + 1));
+  return Math.max(forNeeds + reserve, Math.min(inUse, holding));
+}
--- /dev/null
+++ b/test/support/lease-network.ts
@@ -0,0 +1,300 @@
+/**
+ * Nodes that share one tenant's limit: each votes, may believe that it is the allocator, and has
+ * callers. Clocks drift; messages are late or lost; nodes pause, restart and are cut off; the machine
+ * list changes and reaches each node at a time of its own.
+ */
+import { Voter } from '../../src/core/limits/election.js';
+import {
+  DEFAULT_TENANT_LEASE_OPTIONS,
+  lapseMsOf,
+  type TenantLeaseOptions,
+  voteMsOf,
+} from '../../src/core/limits/lease-options.js';
+import { type AllocatorEffect, TenantAllocator } from '../../src/core/limits/tenant-allocator.js';
+import { type TenantShareRequest, TenantShares } from '../../src/core/limits/tenant-shares.js';
+import { VoterSets } from '../../src/core/limits/voter-sets.js';
+import type { Hash64 } from '../../src/core/ownership/rendezvous.js';
+import { seededRandom } from './random.js';
+
+export const LEASE_TEST_OPTIONS: TenantLeaseOptions = {
+  ...DEFAULT_TENANT_LEASE_OPTIONS,
+  leaseMs: 4000,
+  authorityMs: 600,
+  renewMs: 500,
+  electionPeriodMs: 200,
+  listLagMs: 1500,
+  idleMs: 1000,
+};
+
+const TENANT = 'tenant';
+const STEP_MS = 20;
+const GRACE_MS = 100;
+
+export class LeaseNode {
+  paused = false;
+  /** Takes itself for the allocator. */
+  isCandidate = false;
+  /** Node that it asks for its share. */
+  allocatorGuess = 0;
+  /** Callers that would like a place here. */
+  demand = 0;
+  voter!: Voter;
+  voterSets!: VoterSets;
+  shares!: TenantShares;
+  allocator: TenantAllocator | undefined;
+  lives = 0;
+  inbox: (() => void)[] = [];
+
+  constructor(
+    readonly index: number,
+    readonly drift: number,
+    readonly offset: number,
+  ) {}
+
+  get id(): string {
+    return `n${this.index}`;
+  }
+
+  clock(realTime: number): number {
+    return this.offset + realTime * (1 + this.drift);
+  }
+
+  held(realTime: number): number {
+    return this.shares.heldOf(TENANT, this.clock(realTime));
+  }
+
+  get open(): number {
+    return this.shares.openOf(TENANT);
+  }
+}
+
+interface Message {
+  readonly at: number;
+  readonly to: LeaseNode;
+  readonly life: number;
+  readonly action: () => void;
+}
+
+export class LeaseNetwork {
+  readonly options = LEASE_TEST_OPTIONS;
+  readonly nodes: LeaseNode[] = [];
+  readonly random: () => number;
+  now = 0;
+  maxLatencyMs = 20;
+  lossShare = 0;
+  /** Callers that were cut off because their share had gone. */
+  cutCallers = 0;
+  messages = 0;
+  readonly #hash: Hash64;
+  readonly #cutOff = new Set<number>();
+  #list: readonly number[];
+  #listVersion = 0;
+  #pending: Message[] = [];
+
+  constructor(
+    seed: number,
+    count: number,
+    public limit: number,
+    hash: Hash64,
+  ) {
+    this.random = seededRandom(seed);
+    this.#hash = hash;
+    this.#list = Array.from({ length: count }, (_, index) => index);
+    for (const index of this.#list) {
+      const drift = (2 * this.random() - 1) * this.options.maxClockDrift;
+      const node = new LeaseNode(index, drift, this.random() * 1e6);
+      this.nodes.push(node);
+      this.restart(node);
+    }
+  }
+
+  /** Lets time pass and calls `check` after each step. */
+  run(durationMs: number, check: () => void = () => undefined): void {
+    const end = this.now + durationMs;
+    while (this.now < end) {
+      this.now += STEP_MS;
+      this.#deliver();
+      for (const node of this.nodes) if (!node.paused) this.#step(node);
+      check();
+    }
+  }
+
+  sumHeld(): number {
+    return this.nodes.reduce((sum, node) => sum + node.held(this.now), 0);
+  }
+
+  /** Callers that are served: those of a paused node are not. */
+  sumOpen(): number {
+    const served = this.nodes.filter((node) => !node.paused);
+    return served.reduce((sum, node) => sum + node.open, 0);
+  }
+
+  /** A new life: votes, shares and grants are forgotten; the list is read anew. */
+  restart(node: LeaseNode): void {
+    const now = node.clock(this.now);
+    node.lives += 1;
+    const life = `${node.id}#${node.lives}`;
+    const rememberMs = 2 * lapseMsOf(this.options);
+    const voteMs = voteMsOf(this.options);
+    node.voter = new Voter({ life, startedAt: now, voteMs, rememberMs });
+    node.voterSets = new VoterSets(this.#hash, { listLagMs: this.options.listLagMs, rememberMs });
+    node.voterSets.setList(this.#listed(), now);
+    node.shares = new TenantShares(life, this.options);
+    node.shares.setNodeCount(this.#list.length);
+    node.allocator = undefined;
+    node.inbox = [];
+  }
+
+  resume(node: LeaseNode): void {
+    node.paused = false;
+    const { inbox } = node;
+    node.inbox = [];
+    // What is due by the clock comes before what has arrived, as in an event loop.
+    this.#step(node);
+    for (const action of inbox) action();
+  }
+
+  /** Nodes on different sides can't reach each other. */
+  setCutOff(indexes: readonly number[]): void {
+    this.#cutOff.clear();
+    for (const index of indexes) this.#cutOff.add(index);
+  }
+
+  /** Each node hears of the new list within the lag. */
+  changeList(indexes: readonly number[]): void {
+    this.#list = indexes;
+    this.#listVersion += 1;
+    const listed = this.#listed();
+    for (const node of this.nodes) {
+      const at = this.now + this.random() * this.options.listLagMs * 0.9;
+      const version = this.#listVersion;
+      const action = (): void => {
+        if (version === this.#listVersion) node.voterSets.setList(listed, node.clock(this.now));
+      };
+      this.#pending.push({ at, to: node, life: node.lives, action });
+    }
+  }
+
+  get list(): readonly number[] {
+    return this.#list;
+  }
+
+  #listed(): { nodeId: string; zone: string }[] {
+    return this.#list.map((index) => ({ nodeId: `n${index}`, zone: `z${index % 3}` }));
+  }
+
+  #step(node: LeaseNode): void {
+    const clock = node.clock(this.now);
+    this.#serve(node, clock);
+    for (const due of node.shares.dueRequests(() => this.limit, clock)) this.#ask(node, due);
+    this.#allocate(node, clock);
+  }
+
+  #serve(node: LeaseNode, clock: number): void {
+    const { shares } = node;
+    for (let left = shares.excessOf(TENANT, GRACE_MS, clock); left > 0; left -= 1) {
+      shares.release(TENANT, clock);
+      this.cutCallers += 1;
+    }
+    while (node.open > node.demand) shares.release(TENANT, clock);
+    while (node.open < node.demand && shares.take(TENANT, clock));
+    if (node.demand > 0 || node.open > 0) {
+      shares.setWaiting(TENANT, node.demand - node.open, clock);
+    }
+  }
+
+  #allocate(node: LeaseNode, clock: number): void {
+    if (!node.isCandidate) {
+      node.allocator?.resign(clock);
+      return;
+    }
+    node.allocator ??= new TenantAllocator(
+      TENANT,
+      `${node.id}#${node.lives}`,
+      this.limit,
+      this.options,
+      clock,
+    );
+    node.allocator.setLimit(this.limit, clock);
+    const view = { ...node.voterSets.votersOf(TENANT, clock), knownNodes: this.#nodeIds() };
+    for (const effect of node.allocator.tick(view, clock)) this.#carryOut(node, effect);
+  }
+
+  #carryOut(node: LeaseNode, effect: AllocatorEffect): void {
+    const to = this.#nodeOf(effect.type === 'ask-vote' ? effect.voter : effect.nodeId);
+    const { allocator } = node;
+    if (to === undefined || allocator === undefined) return;
+    if (effect.type === 'ask-vote') {
+      const candidate = `${node.id}#${node.lives}`;
+      this.#call(
+        node,
+        to,
+        () => {
+          const clock = to.clock(this.now);
+          const { voterSets } = to.voterSets.votersOf(TENANT, clock);
+          return to.voter.vote(TENANT, candidate, voterSets, clock);
+        },
+        (vote) => allocator.receiveVote(to.id, effect.sentAt, vote, node.clock(this.now)),
+      );
+      return;
+    }
+    this.#call(
+      node,
+      to,
+      () => to.shares.report(TENANT, effect.term, this.limit, to.clock(this.now)),
+      (report) => allocator.receiveReport(to.id, report, this.#nodeIds(), node.clock(this.now)),
+    );
+  }
+
+  #ask(node: LeaseNode, due: TenantShareRequest): void {
+    const to = this.nodes[node.allocatorGuess];
+    if (to === undefined) return;
+    this.#call(
+      node,
+      to,
+      () => to.allocator?.answer(due.request, to.clock(this.now)),
+      (answer) => {
+        if (answer !== undefined) node.shares.receive(due, answer, node.clock(this.now));
+      },
+    );
+  }
+
+  /** One question and its answer; either may be lost. */
+  #call<Answer>(
+    from: LeaseNode,
+    to: LeaseNode,
+    work: () => Answer,
+    receive: (answer: Answer) => void,
+  ): void {
+    this.#post(from, to, () => {
+      const answer = work();
+      this.#post(to, from, () => receive(answer));
+    });
+  }
+
+  #post(from: LeaseNode, to: LeaseNode, action: () => void): void {
+    this.messages += 1;
+    if (from !== to && this.random() < this.lossShare) return;
+    if (this.#cutOff.has(from.index) !== this.#cutOff.has(to.index)) return;
+    const at = this.now + (from === to ? 0 : this.random() * this.maxLatencyMs);
+    this.#pending.push({ at, to, life: to.lives, action });
+  }
+
+  #deliver(): void {
+    const due = this.#pending.filter((message) => message.at <= this.now);
+    this.#pending = this.#pending.filter((message) => message.at > this.now);
+    for (const { to, life, action } of due) {
+      if (to.lives !== life) continue;
+      if (to.paused) to.inbox.push(action);
+      else action();
+    }
+  }
+
+  #nodeOf(id: string): LeaseNode | undefined {
+    return this.nodes.find((node) => node.id === id);
+  }
+
+  #nodeIds(): string[] {
+    return this.nodes.map(({ id }) => id);
+  }
+}
--- a/test/unit/budget-lease.test.ts
+++ b/test/unit/budget-lease.test.ts
@@ -26,7 +26,16 @@
 }
 
 function request(change: Partial<ShareRequest> = {}): ShareRequest {
-  return { holder: 'h', number: 1, wanted: 10, holding: 0, term: TERM, ...change };
+  return {
+    holder: 'h',
+    number: 1,
+    wanted: 10,
+    needed: 10,
+    holding: 0,
+    inUse: 0,
+    term: TERM,
+    ...change,
+  };
 }
 
 test('a new granter grants nothing while the one before it may still grant', () => {
@@ -45,9 +54,9 @@
   const now = LAPSE_MS - 1;
   const granter = granterAt(now);
   const renewed = granter.answer(request({ holding: 4 }), now);
-  assert.equal(renewed, { type: 'granted', number: 1, connections: 4 });
+  assert.equal(renewed, { type: 'granted', number: 1, connections: 4, mayGrowSoon: true });
   const fresh = granter.answer(request({ holder: 'new' }), now);
-  assert.equal(fresh, { type: 'granted', number: 1, connections: 0 });
+  assert.equal(fresh, { type: 'granted', number: 1, connections: 0, mayGrowSoon: true });
 });
 
 test('a granter without a fresh confirmation grants nothing', () => {
@@ -60,7 +69,10 @@
 test('a share counts from when its request was sent, not from the answer', () => {
   const holder = new BudgetHolder('h', OPTIONS);
   const { number } = holder.request(1000);
-  holder.receive({ type: 'granted', number, connections: 5 }, 1000 + leaseMs - 1);
+  holder.receive(
+    { type: 'granted', number, connections: 5, mayGrowSoon: false },
+    1000 + leaseMs - 1,
+  );
   assert.is(holder.connections(1000 + leaseMs - 1), 5);
   assert.is(holder.connections(1000 + leaseMs), 0);
 });
