npm run fuzz: seeds of two simulations, with the few events a violation needs

Cause: the simulations of one group and of the configuration ran as tests only, under fixed seeds; nothing ran them open-ended or told a violation shortly. Change: they move to bench/simulation as scenarios (a plan drawn from a seed, run with all or some of its events); bench/fuzz searches seeds, leaves out what a violation happens without and prints the rest with a command to run it again. The configuration's replica and agent take test-only options that turn a mechanism off; a check compares what each node puts in force with the store's contents. A replica of the simulated group takes over what it lacks in place of the whole log.

--- /dev/null
+++ b/bench/fuzz/main.ts
@@ -0,0 +1,76 @@
+/**
+ * `npm run fuzz`: runs the simulations over seed after seed, open-ended. For a violation it prints
+ * the seed, the few events that it needs and what became of the requests concerned, and ends with
+ * exit code 1.
+ */
+import { FUZZ_HELP, type FuzzOptions, FuzzUsageError, parseFuzzArguments } from './options.js';
+import { type FailedRun, type SearchResult, search } from './search.js';
+import { shrink } from './shrink.js';
+
+const EXIT_VIOLATION = 1;
+const EXIT_USAGE = 2;
+const DRAWN_SEEDS = 1_000_000_000;
+const MAX_VIOLATION_LINES = 10;
+
+function main(args: readonly string[]): number {
+  if (args.includes('--help')) {
+    console.log(FUZZ_HELP);
+    return 0;
+  }
+  try {
+    return runFuzz(parseFuzzArguments(args));
+  } catch (error) {
+    if (!(error instanceof FuzzUsageError)) throw error;
+    console.error(`${error.message}\n\n${FUZZ_HELP}`);
+    return EXIT_USAGE;
+  }
+}
+
+function runFuzz(options: FuzzOptions): number {
+  const firstSeed = options.seed ?? Math.floor(Math.random() * DRAWN_SEEDS);
+  const names = options.scenarios.map(({ name }) => name).join(', ');
+  console.log(`first seed ${firstSeed}, scenarios ${names}`);
+  const startedAt = performance.now();
+  const result = search({
+    scenarios: options.scenarios,
+    firstSeed,
+    without: options.without,
+    goesOn: (runs) => {
+      const seeds = runs / options.scenarios.length;
+      const inTime = performance.now() - startedAt < options.durationMs;
+      return inTime && seeds < (options.seeds ?? Number.POSITIVE_INFINITY);
+    },
+  });
+  const seconds = (performance.now() - startedAt) / 1000;
+  console.log(`${result.runs} runs in ${seconds.toFixed(1)} s, last seed ${result.lastSeed}`);
+  return report(result, options);
+}
+
+function report({ failed }: SearchResult, options: FuzzOptions): number {
+  if (failed === undefined) {
+    console.log('no violation');
+    return 0;
+  }
+  for (const line of linesOf(failed, options)) console.log(line);
+  return EXIT_VIOLATION;
+}
+
+function linesOf(failed: FailedRun, options: FuzzOptions): string[] {
+  const { scenario, seed, plan } = failed;
+  const { kept, outcome } = shrink(plan, failed.outcome);
+  const events = plan.events.filter((_, index) => kept.has(index));
+  const off = options.without.size === 0 ? '' : ` --without ${[...options.without].join(',')}`;
+  const { violations } = outcome;
+  return [
+    `VIOLATION in scenario ${scenario.name}, seed ${seed}`,
+    `again: npm run fuzz -- --scenario ${scenario.name} --seed ${seed} --seeds 1${off}`,
+    `events that it needs (${events.length} of ${plan.events.length}):`,
+    ...events.map((event) => `  ${event}`),
+    `violations (${violations.length}):`,
+    ...violations.slice(0, MAX_VIOLATION_LINES).map((violation) => `  ${violation}`),
+    'account:',
+    ...outcome.account.map((line) => `  ${line}`),
+  ];
+}
+
+process.exitCode = main(process.argv.slice(2));
--- /dev/null
+++ b/bench/fuzz/options.ts
@@ -0,0 +1,77 @@
+/** Flags of `npm run fuzz`. */
+import { parseArgs } from 'node:util';
+import { z } from 'zod';
+import { MeadowstackError } from '../../src/core/errors.js';
+import { SCENARIOS, scenarioNamed } from '../simulation/registry.js';
+import type { Scenario } from '../simulation/scenario.js';
+
+/** The flags do not fit. */
+export class FuzzUsageError extends MeadowstackError {
+  readonly code = 'MS-FUZZ-USAGE';
+}
+
+export interface FuzzOptions {
+  readonly scenarios: readonly Scenario[];
+  /** Undefined: one is drawn. */
+  readonly seed: number | undefined;
+  readonly durationMs: number;
+  /** Undefined: as many as there is time for. */
+  readonly seeds: number | undefined;
+  readonly without: ReadonlySet<string>;
+}
+
+const MS_PER_SECOND = 1000;
+
+export const FUZZ_HELP = `npm run fuzz -- [flags]
+
+  --seconds N        stop after this time                         [10]
+  --seed N           first seed; the next ones follow             [drawn]
+  --seeds N          stop after this many seeds
+  --scenario NAME    one scenario only                            [all]
+  --without NAME,... mechanisms turned off, to see that it is noticed
+
+Scenarios, with the mechanisms that can be turned off:
+${SCENARIOS.map(({ name, summary, mechanisms }) => {
+  return `  ${name}: ${summary}\n    ${mechanisms.join(', ')}`;
+}).join('\n')}
+
+Exit code 0: nothing found; 1: a violation; 2: wrong flags.
+`;
+
+const schema = z.strictObject({
+  seconds: z.coerce.number().positive().default(10),
+  seed: z.coerce.number().int().min(0).optional(),
+  seeds: z.coerce.number().int().min(1).optional(),
+  scenario: z.string().optional(),
+  without: z.string().default(''),
+});
+
+/** @throws FuzzUsageError */
+export function parseFuzzArguments(args: readonly string[]): FuzzOptions {
+  const flags = schema.safeParse(readFlags(args));
+  if (!flags.success) throw new FuzzUsageError(z.prettifyError(flags.error));
+  const { seconds, seed, seeds, scenario, without } = flags.data;
+  const scenarios = scenariosOf(scenario);
+  const off = without.split(',').filter((name) => name !== '');
+  const known = new Set(scenarios.flatMap(({ mechanisms }) => mechanisms));
+  const unknown = off.find((name) => !known.has(name));
+  if (unknown !== undefined) throw new FuzzUsageError(`no mechanism ${unknown}`);
+  return { scenarios, seed, seeds, durationMs: seconds * MS_PER_SECOND, without: new Set(off) };
+}
+
+function scenariosOf(name: string | undefined): readonly Scenario[] {
+  if (name === undefined) return SCENARIOS;
+  const scenario = scenarioNamed(name);
+  if (scenario === undefined) throw new FuzzUsageError(`no scenario ${name}`);
+  return [scenario];
+}
+
+function readFlags(args: readonly string[]): unknown {
+  const names = Object.keys(schema.shape);
+  const options = Object.fromEntries(names.map((name) => [name, { type: 'string' as const }]));
+  try {
+    return parseArgs({ args: [...args], options }).values;
+  } catch (cause) {
+    throw new FuzzUsageError(cause instanceof Error ? cause.message : 'unreadable', { cause });
+  }
+}
--- a/test/support/configuration-simulation.ts
+++ b/bench/simulation/configuration.ts
@@ -5,9 +5,13 @@
 import { ConfigurationAgent } from '../../src/core/configuration/agent.js';
 import type { AgentEffect, AgentEvent } from '../../src/core/configuration/agent-contract.js';
 import type { DeclarationKey } from '../../src/core/configuration/declaration.js';
+import type { ConfigurationMechanism } from '../../src/core/configuration/mechanisms.js';
 import type { RelayLease } from '../../src/core/configuration/relay-role.js';
 import { type ConfigurationMember, RELAYS_PER_ZONE } from '../../src/core/configuration/relays.js';
-import type { ConfigurationDelta } from '../../src/core/configuration/replica.js';
+import {
+  type ConfigurationDelta,
+  ConfigurationReplica,
+} from '../../src/core/configuration/replica.js';
 import type { ConfigurationEntry } from '../../src/core/configuration/store-layout.js';
 
 const MAX_CALL_MS = 10;
@@ -24,6 +28,8 @@
   readyAt: number | undefined;
   /** Revisions that were applied, in order. */
   readonly applied: number[];
+  /** Revisions under which something was in force that the store never had as a whole. */
+  readonly torn: number[];
   storeRequests: number;
   watching: { sinceRevision: number } | undefined;
 }
@@ -45,17 +51,27 @@
   headRevision = 0;
   readonly nodes: SimulatedNode[] = [];
   #entries = new Map<DeclarationKey, ConfigurationEntry>();
+  /** Digest of the store's contents at each revision. */
+  readonly #digests = new Map<number, string>();
+  readonly #whole = new ConfigurationReplica();
   #slots = new Map<string, { leaseId: string; until: number }>();
   #queue: Scheduled[] = [];
   #order = 0;
   #leases = 0;
 
-  constructor(private readonly random: () => number) {}
+  constructor(
+    private readonly random: () => number,
+    private readonly without: ReadonlySet<ConfigurationMechanism> = new Set(),
+  ) {}
 
   /** Adds a node, or a new life of one; the members are told to all. */
   add(nodeId: string, zone: string): SimulatedNode {
     const member = { nodeId, zone, host: nodeId, port: 1 };
-    const agent = new ConfigurationAgent({ self: member, random: this.random });
+    const agent = new ConfigurationAgent({
+      self: member,
+      random: this.random,
+      without: this.without,
+    });
     const node: SimulatedNode = {
       member,
       agent,
@@ -63,6 +79,7 @@
       pausedUntil: 0,
       readyAt: undefined,
       applied: [],
+      torn: [],
       storeRequests: 0,
       watching: undefined,
     };
@@ -93,6 +110,8 @@
       return { key, revision, value };
     });
     for (const entry of entries) this.#entries.set(entry.key, entry);
+    this.#whole.merge({ sinceRevision: revision - 1, revision, entries });
+    this.#digests.set(revision, this.#whole.digest().hash);
     for (const node of this.live) {
       if (!this.watchesSilent) this.#sendWatch(node, revision);
     }
@@ -167,7 +186,7 @@
   #carryOut(node: SimulatedNode, effect: AgentEffect): void {
     switch (effect.type) {
       case 'apply':
-        node.applied.push(effect.snapshot.revision);
+        this.#recordApplied(node, effect.snapshot.revision);
         return;
       case 'ready':
         node.readyAt = this.now;
@@ -196,6 +215,12 @@
     }
   }
 
+  #recordApplied(node: SimulatedNode, revision: number): void {
+    node.applied.push(revision);
+    const expected = this.#digests.get(revision);
+    if (expected !== node.agent.replica.digest().hash) node.torn.push(revision);
+  }
+
   #call(
     node: SimulatedNode,
     member: ConfigurationMember,
--- a/test/support/simulated-run.ts
+++ b/bench/simulation/group-run.ts
@@ -1,13 +1,12 @@
 /** One simulated run: sessions, faults and the machine, from a seed to a history. */
-import type { ConfirmationMode } from '../../src/core/group/contract.js';
+import type { ConfirmationMode, InstanceDescription } from '../../src/core/group/contract.js';
 import type { Mechanism } from '../../src/core/group/options.js';
 import { ZERO_POSITION } from '../../src/core/position.js';
 import type { GroupRequest, SessionRequirement } from '../../src/core/request.js';
-import { instance } from './group-fixtures.js';
-import { SimulatedClock } from './simulated-clock.js';
-import { SimulatedGroup } from './simulated-group.js';
-import type { RequestRecord, SimulatedHistory } from './simulated-history.js';
-import { SimulatedOwner } from './simulated-owner.js';
+import { SimulatedClock } from './clock.js';
+import { SimulatedGroup } from './group.js';
+import type { RequestRecord, SimulatedHistory } from './history.js';
+import { SimulatedOwner } from './owner.js';
 
 export type FaultName =
   | 'crash'
@@ -85,11 +84,7 @@
   });
   const leaving = new Set<string>();
   const describe = (): void => {
-    const names = ['a', 'b', 'c'];
-    const options = { slots: 2, connectionBudget: 3 };
-    owner.setInstances(
-      names.map((name) => instance(name, { ...options, leaving: leaving.has(name) })),
-    );
+    owner.setInstances(['a', 'b', 'c'].map((name) => describeInstance(name, leaving.has(name))));
   };
   describe();
   for (const fault of plan.faults) {
@@ -101,6 +96,10 @@
   return { history: owner.history, owner };
 }
 
+function describeInstance(name: string, leaving: boolean): InstanceDescription {
+  return { name, zone: name, slots: 2, connectionBudget: 3, leaving };
+}
+
 interface FaultScope {
   readonly clock: SimulatedClock;
   readonly group: SimulatedGroup;
--- a/test/support/simulated-group.ts
+++ b/bench/simulation/group.ts
@@ -3,7 +3,7 @@
  * majority, and the faults that the tests switch on and off.
  */
 import type { InstanceState } from '../../src/core/group/contract.js';
-import type { SimulatedClock } from './simulated-clock.js';
+import type { SimulatedClock } from './clock.js';
 
 /** One committed write. */
 export interface LogEntry {
@@ -197,13 +197,20 @@
 
 /** Takes the primary's log; what it does not have is dropped, as pg_rewind does. */
 function follow(replica: SimulatedInstance, primary: SimulatedInstance): void {
-  let common = 0;
-  while (common < replica.log.length && replica.log[common] === primary.log[common]) common += 1;
+  const common = commonLength(replica.log, primary.log);
   const rewound = common < replica.log.length;
   replica.writable = false;
   replica.timeline = primary.timeline;
   replica.votedTimeline = primary.timeline;
   if (rewound) replica.incarnation += 1;
-  replica.log = [...primary.log];
+  replica.log.length = common;
+  for (const entry of primary.log.slice(common)) replica.log.push(entry);
   replica.replayedLength = Math.min(replica.replayedLength, common);
 }
+
+/** An entry is in one place of one history: logs with the same entry are the same up to it. */
+function commonLength(left: readonly LogEntry[], right: readonly LogEntry[]): number {
+  let common = Math.min(left.length, right.length);
+  while (common > 0 && left[common - 1] !== right[common - 1]) common -= 1;
+  return common;
+}
--- a/test/support/history-checks.ts
+++ b/bench/simulation/history-checks.ts
@@ -1,6 +1,6 @@
 /** Checks of a simulated history: each returns the violations that it found, in words. */
 import { NotRunError } from '../../src/core/errors.js';
-import type { Execution, RequestRecord, SimulatedHistory } from './simulated-history.js';
+import type { Execution, RequestRecord, SimulatedHistory } from './history.js';
 
 const CLOCK_TOLERANCE_MS = 0.001;
 const TRANSACTION_CONFIRMATION_MS = 1000;
--- a/test/support/simulated-history.ts
+++ b/bench/simulation/history.ts
@@ -2,7 +2,7 @@
 import type { RequestError } from '../../src/core/errors.js';
 import type { Position } from '../../src/core/position.js';
 import type { GroupRequest } from '../../src/core/request.js';
-import type { LogEntry } from './simulated-group.js';
+import type { LogEntry } from './group.js';
 
 /** One execution of a request on an instance. */
 export interface Execution {
--- a/test/support/simulated-owner.ts
+++ b/bench/simulation/owner.ts
@@ -12,10 +12,10 @@
 import { DatabaseGroup } from '../../src/core/group/database-group.js';
 import type { DatabaseGroupOptions } from '../../src/core/group/options.js';
 import type { GroupRequest } from '../../src/core/request.js';
-import type { SimulatedClock } from './simulated-clock.js';
-import type { LogEntry } from './simulated-group.js';
-import { positionOf, type SimulatedGroup, type SimulatedInstance } from './simulated-group.js';
-import type { RequestRecord, SimulatedHistory } from './simulated-history.js';
+import type { SimulatedClock } from './clock.js';
+import type { LogEntry } from './group.js';
+import { positionOf, type SimulatedGroup, type SimulatedInstance } from './group.js';
+import type { RequestRecord, SimulatedHistory } from './history.js';
 
 interface OpenConnection {
   readonly instance: SimulatedInstance;
--- /dev/null
+++ b/bench/simulation/registry.ts
@@ -0,0 +1,10 @@
+/** All scenarios. */
+import { CONFIGURATION_SCENARIO } from './configuration-scenario.js';
+import { GROUP_SCENARIO } from './group-scenario.js';
+import type { Scenario } from './scenario.js';
+
+export const SCENARIOS: readonly Scenario[] = [GROUP_SCENARIO, CONFIGURATION_SCENARIO];
+
+export function scenarioNamed(name: string): Scenario | undefined {
+  return SCENARIOS.find((scenario) => scenario.name === name);
+}
--- a/src/core/configuration/agent.ts
+++ b/src/core/configuration/agent.ts
@@ -12,6 +12,7 @@
   DigestAnswer,
 } from './agent-contract.js';
 import { jitter, type RandomSource } from './backoff.js';
+import type { ConfigurationMechanism } from './mechanisms.js';
 import type { ConfigurationRevision } from './model.js';
 import { antiEntropyPeer, sample } from './peer-selection.js';
 import { RelayRole } from './relay-role.js';
@@ -34,13 +35,16 @@
 export interface AgentOptions {
   readonly self: ConfigurationMember;
   readonly random: RandomSource;
+  /** Mutation checks only. */
+  readonly without?: ReadonlySet<ConfigurationMechanism>;
 }
 
 /** The state machine of one node's configuration. */
 export class ConfigurationAgent {
-  readonly replica = new ConfigurationReplica();
+  readonly replica: ConfigurationReplica;
   readonly #self: ConfigurationMember;
   readonly #random: RandomSource;
+  readonly #comparesDigests: boolean;
   readonly #role: RelayRole;
   readonly #follower: StoreFollower;
   #members: readonly ConfigurationMember[] = [];
@@ -60,6 +64,8 @@
   #digestMismatches = 0;
 
   constructor(options: AgentOptions) {
+    this.replica = new ConfigurationReplica(options.without);
+    this.#comparesDigests = options.without?.has('anti-entropy') !== true;
     this.#self = options.self;
     this.#random = options.random;
     this.#role = new RelayRole(options.random);
@@ -288,6 +294,7 @@
     const interval = this.#ready ? ANTI_ENTROPY_INTERVAL_MS : START_INTERVAL_MS;
     this.#nextPeerAt = now + jitter(interval, this.#random);
     if (this.#ready) {
+      if (!this.#comparesDigests) return [];
       const peers = antiEntropyPeer(this.#self.zone, this.#members, this.#random);
       return peers.map((peer) => ({ type: 'ask-digest', peer }));
     }
--- a/src/core/configuration/replica.ts
+++ b/src/core/configuration/replica.ts
@@ -7,6 +7,7 @@
 import type { CatalogueEntry } from './catalogue.js';
 import type { DeclarationKey } from './declaration.js';
 import { EntryDigest } from './entry-digest.js';
+import type { ConfigurationMechanism } from './mechanisms.js';
 import type { ConfigurationRevision, ConfigurationSnapshot } from './model.js';
 import { decodeEntries, liveCatalogueOf } from './publish.js';
 import { SnapshotBuilder } from './snapshot-builder.js';
@@ -42,6 +43,9 @@
   #revision: ConfigurationRevision = 0;
   #snapshot: ConfigurationSnapshot | undefined;
 
+  /** `without`: mutation checks only. */
+  constructor(private readonly without?: ReadonlySet<ConfigurationMechanism>) {}
+
   /** Every change up to this revision is held. */
   get revision(): ConfigurationRevision {
     return this.#revision;
@@ -49,11 +53,13 @@
 
   /** Merges a delta; applies it whole or not at all. */
   merge(delta: ConfigurationDelta): MergeOutcome {
-    if (delta.sinceRevision > this.#revision) return 'gap';
+    const checksGap = this.without?.has('gap-check') !== true;
+    if (checksGap && delta.sinceRevision > this.#revision) return 'gap';
     const newer = delta.entries.filter((entry) => this.#isNewer(entry));
     if (newer.length === 0 && delta.revision <= this.#revision) return 'nothing-new';
     for (const entry of newer) this.#put(entry);
-    this.#revision = Math.max(this.#revision, delta.revision);
+    const lowest = this.without?.has('revision-order') ? 0 : this.#revision;
+    this.#revision = Math.max(lowest, delta.revision);
     this.#snapshot = undefined;
     return 'applied';
   }
@@ -77,6 +83,7 @@
   }
 
   #isNewer(entry: ConfigurationEntry): boolean {
+    if (this.without?.has('revision-order')) return true;
     return entry.revision > (this.#entries.get(entry.key)?.revision ?? 0);
   }
 
--- a/test/property/configuration-agent.test.ts
+++ b/test/property/configuration-agent.test.ts
@@ -1,15 +1,15 @@
 import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import {
+  ConfigurationSimulation,
+  type SimulatedNode,
+} from '../../bench/simulation/configuration.js';
 import {
   type ConfigurationDelta,
   ConfigurationReplica,
 } from '../../src/core/configuration/replica.js';
 import type { ConfigurationEntry } from '../../src/core/configuration/store-layout.js';
-import {
-  ConfigurationSimulation,
-  type SimulatedNode,
-} from '../support/configuration-simulation.js';
 import { seededRandom } from '../support/random.js';
 
 const SEED = 20_261_202;
--- a/test/property/database-group.property.test.ts
+++ b/test/property/database-group.property.test.ts
@@ -1,8 +1,13 @@
 import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { violationsOf } from '../support/history-checks.js';
-import { FAULT_NAMES, type Fault, type RunPlan, simulate } from '../support/simulated-run.js';
+import {
+  FAULT_NAMES,
+  type Fault,
+  type RunPlan,
+  simulate,
+} from '../../bench/simulation/group-run.js';
+import { violationsOf } from '../../bench/simulation/history-checks.js';
 
 const FAST_CHECK_SEED = 20_261_202;
 const RUNS = 100;
--- a/test/property/mechanisms.property.test.ts
+++ b/test/property/mechanisms.property.test.ts
@@ -1,9 +1,14 @@
 /** Turns off one mechanism at a time and expects the history checks to notice. */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import {
+  type Fault,
+  type FaultName,
+  type RunPlan,
+  simulate,
+} from '../../bench/simulation/group-run.js';
+import { violationsOf } from '../../bench/simulation/history-checks.js';
 import type { Mechanism } from '../../src/core/group/options.js';
-import { violationsOf } from '../support/history-checks.js';
-import { type Fault, type FaultName, type RunPlan, simulate } from '../support/simulated-run.js';
 
 const SEEDS = [11, 12, 13, 14, 15, 16];
 
