A planned stop says goodbye with 57P01; a FATAL answer ends a connection in the bench too

Cause: the farewell of a stopping proxy came as 57P03 (cannot connect now), which callers take for the answer to a request on a connection that goes on; their next request met the closed connection. The bench counted that as cut by the stop. Change: the caller side's own error (57P01, admin shutdown) is used for farewells; the bench takes any FATAL error for the end of its connection: before the request was taken if it says 'not run', else as cut.

--- a/bench/load/outcome.ts
+++ b/bench/load/outcome.ts
@@ -67,13 +67,20 @@
 function databaseFailure(error: pg.DatabaseError): AttemptFailure {
   const [, code, outcomeText] = DETAIL_PATTERN.exec(error.detail ?? '') ?? [];
   const told = OUTCOMES.get(outcomeText ?? '');
-  const outcome = told ?? (error.code === RESOLUTION_UNKNOWN ? 'unknown' : 'failed');
+  const farewell = error.code === ADMIN_SHUTDOWN;
+  const untold = error.code === RESOLUTION_UNKNOWN ? 'unknown' : 'failed';
+  // A farewell without a word on the request comes between requests: it was not taken.
+  const outcome = told ?? (farewell ? 'not-run' : untold);
   const [, delay] = RETRY_HINT_PATTERN.exec(error.hint ?? '') ?? [];
   return {
-    ending: error.code === ADMIN_SHUTDOWN ? 'terminated' : 'answered',
-    // A farewell without a word on the request comes between requests: it was not taken.
-    outcome: error.code === ADMIN_SHUTDOWN && told === undefined ? 'not-run' : outcome,
+    ending: farewell || error.severity === 'FATAL' ? endingOfFatal(outcome) : 'answered',
+    outcome,
     errorCode: code ?? error.code ?? 'UNKNOWN',
     retryAfterMs: delay === undefined ? undefined : Number(delay),
   };
 }
+
+/** The connection ends with the error: before the request was taken, or in the middle of it. */
+function endingOfFatal(outcome: RequestOutcome): RequestEnding {
+  return outcome === 'not-run' ? 'terminated' : 'cut';
+}
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -29,6 +29,7 @@
   MachineListClient,
 } from '../platform/machine-list-client.js';
 import { DEFAULT_STORE_CLIENT_OPTIONS, StoreClient } from '../platform/store-client.js';
+import { ServerStoppingError } from '../postgres/caller/errors.js';
 import type { CallerTlsOptions } from '../postgres/caller/options.js';
 import { CallerServer } from '../postgres/caller/server.js';
 import type { CallerConnection } from '../postgres/contract.js';
@@ -66,13 +67,6 @@
   readonly code = 'MS-PROXY-START';
 }
 
-/** The node is stopping: callers reconnect elsewhere. */
-export class NodeStoppingError extends NotRunError {
-  constructor() {
-    super('owner-stopping', 'the proxy is stopping; reconnect to another one');
-  }
-}
-
 /** Where a started proxy listens. */
 export interface ProxyAddresses {
   readonly callers: PeerAddress;
@@ -227,7 +221,7 @@
     this.#fleet.setSelfLeaving();
     this.#onFleetChanged();
     this.#callers.stopAccepting();
-    for (const session of this.#sessions.all()) session.stop(new NodeStoppingError());
+    for (const session of this.#sessions.all()) session.stop(new ServerStoppingError());
     const limit = monotonicNow() + this.#settings.drainLimitMs;
     while (this.#busy() && monotonicNow() < limit) await pause(DRAIN_POLL_MS);
     this.#owner.drain();
@@ -242,7 +236,7 @@
   }
 
   async #close(): Promise<void> {
-    for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
+    for (const session of this.#sessions.all()) session.cut(new ServerStoppingError());
     clearInterval(this.#releaseTimer);
     this.#owners.stop();
     await this.#membership.stop();
--- a/test/integration/cluster/planned-stop.test.ts
+++ b/test/integration/cluster/planned-stop.test.ts
@@ -17,7 +17,7 @@
   await cluster.stop();
 });
 
-test('running requests and open transactions finish, idle sessions end, exit code 0', async ({
+test('running requests and open transactions finish, idle sessions end with 57P01, exit code 0', async ({
   cluster,
 }) => {
   const running = await connectCaller(cluster, 'proxy-1');
@@ -25,10 +25,12 @@
   const idle = await connectCaller(cluster, 'proxy-1');
   await transaction.client.query('BEGIN');
   await transaction.client.query(`INSERT INTO orders VALUES (1, 'in a transaction')`);
-  const idleEnded = new Promise<void>((resolve) => idle.client.once('end', () => resolve()));
+  const farewell = new Promise<string | undefined>((resolve) =>
+    idle.client.once('error', (error: { code?: string }) => resolve(error.code)),
+  );
   const slow = running.client.query('SELECT pg_sleep(1)');
   const exited = cluster.proxy('proxy-1').stop();
-  await idleEnded;
+  assert.is(await farewell, '57P01');
   await transaction.client.query(`INSERT INTO orders VALUES (2, 'in a transaction')`);
   await transaction.client.query('COMMIT');
   assert.is((await slow).rowCount, 1);
--- a/test/unit/load.test.ts
+++ b/test/unit/load.test.ts
@@ -97,6 +97,10 @@
   assert.is(failureOf(databaseError('23505', 'Key (id)=(1) already exists.')).outcome, 'failed');
   assert.is(failureOf(databaseError('08007')).outcome, 'unknown');
   assert.is(failureOf(databaseError('57P01')).ending, 'terminated');
+  const fatal = (detail: string) =>
+    failureOf(Object.assign(databaseError('57P03', detail), { severity: 'FATAL' })).ending;
+  assert.is(fatal('MS-NOT-RUN-OWNER-STOPPING: not-run'), 'terminated');
+  assert.is(fatal('MS-UNKNOWN-OWNER-LOST: unknown'), 'cut');
   const badToken = connectFailure(databaseError('28000', 'MS-SESSION-TOKEN-KEY: not-run'));
   assert.ok(isTokenRefused(badToken));
   assert.is(badToken.outcome, 'not-run');
