--- a/bench/faults/fault.ts
+++ b/bench/faults/fault.ts
@@ -29,7 +29,7 @@
   readonly name: string;
   /** One line for `--help` and for the report. */
   readonly summary: string;
-  /** How long it lasts in a run that is long enough. */
+  /** How long it lasts in a run that is long enough; infinite: to the end of the run. */
   readonly lengthMs: number;
   begin(context: FaultContext): Promise<InjectedFault>;
 }
--- a/bench/faults/schedule.ts
+++ b/bench/faults/schedule.ts
@@ -9,7 +9,7 @@
   readonly endMs: number;
 }
 
-/** Faults begin in this part of the run and have all ended by the end of the second. */
+/** Faults begin between the first two; those with a length have ended by the third. */
 const FIRST_BEGIN_SHARE = 0.15;
 const LAST_BEGIN_SHARE = 0.4;
 const LAST_END_SHARE = 0.8;
@@ -22,7 +22,8 @@
   const planned = faults.map((fault) => {
     const span = LAST_BEGIN_SHARE - FIRST_BEGIN_SHARE;
     const beginMs = durationMs * (FIRST_BEGIN_SHARE + span * random.fraction());
-    const endMs = Math.min(beginMs + fault.lengthMs, durationMs * LAST_END_SHARE);
+    const lastEndMs = Number.isFinite(fault.lengthMs) ? durationMs * LAST_END_SHARE : durationMs;
+    const endMs = Math.min(beginMs + fault.lengthMs, lastEndMs);
     return { fault, beginMs, endMs };
   });
   return planned.sort((left, right) => left.beginMs - right.beginMs);
