Fleet changes cost what changed: owners in bulk, groups told again, home nodes kept

Change: OwnerIndex.setGroup with the same zones is free, addMembers selects once for many, member events of one event-loop turn are taken together, live and home nodes are kept between changes, home nodes of sessions in use are kept. Tests: members together own what they own one by one; a group told again; the view never outlives a change.

--- a/scale/components/ownership.ts
+++ b/scale/components/ownership.ts
@@ -30,7 +30,7 @@
   const { built: index, bytes } = kept(() => {
     const fresh = new OwnerIndex(hash);
     buildMs = meanMs(1, () => {
-      for (const member of members) fresh.addMember(member);
+      fresh.addMembers(members);
       for (const group of groups) fresh.setGroup(group);
     });
     return fresh;
--- a/scale/hollow-store-client.ts
+++ b/scale/hollow-store-client.ts
@@ -187,7 +187,7 @@
       this.#later(DEFAULT_STORE_CLIENT_OPTIONS.requestTimeoutMs, outcome.failure);
       return;
     }
-    this.#context.meters.sent('store', bytes);
+    this.#context.meters.sent('store', this.#store.isDown ? SHORT_EXCHANGE_BYTES : bytes);
     this.#later(this.#latency() + SERVICE_MS, () => {
       const report = this.#store.isDown ? outcome.failure : outcome.answer();
       this.#later(this.#latency(), report);
--- a/src/core/ownership/owner-index.ts
+++ b/src/core/ownership/owner-index.ts
@@ -64,9 +64,11 @@
     return owned;
   }
 
-  /** Adds a group, or takes its new zones. */
+  /** Adds a group, or takes its new zones; the same zones as before cost nothing. */
   setGroup(placement: GroupPlacement): OwnersChange[] {
-    const previous = this.#groups.get(placement.group)?.owners ?? [];
+    const known = this.#groups.get(placement.group);
+    if (known !== undefined && isSameZones(known.hashed.zones, placement.zones)) return [];
+    const previous = known?.owners ?? [];
     const hashed = hashGroup(this.#hash, placement.group, placement.zones);
     return this.#assign(hashed, previous, this.#select(hashed));
   }
@@ -77,19 +79,36 @@
 
   /** A member is live: alive or suspect, and not leaving. */
   addMember(candidate: OwnerCandidate): OwnersChange[] {
-    const known = this.#candidates.get(candidate.nodeId);
-    if (known?.zone === candidate.zone) return [];
-    const changes = known === undefined ? [] : this.removeMember(candidate.nodeId);
-    const added = hashCandidate(this.#hash, candidate);
-    this.#candidates.set(added.nodeId, added);
-    this.#byZone.set(added.zone, [...(this.#byZone.get(added.zone) ?? []), added]);
+    return this.addMembers([candidate]);
+  }
+
+  /** Several members at once: one selection a group at most. */
+  addMembers(candidates: readonly OwnerCandidate[]): OwnersChange[] {
+    const changes: OwnersChange[] = [];
+    const added: HashedCandidate[] = [];
+    for (const candidate of candidates) {
+      const known = this.#candidates.get(candidate.nodeId);
+      if (known?.zone === candidate.zone) continue;
+      if (known !== undefined) changes.push(...this.removeMember(candidate.nodeId));
+      added.push(this.#insert(candidate));
+    }
+    if (added.length === 0) return changes;
     for (const { hashed, owners } of this.#groups.values()) {
-      if (!this.#mayOwn(hashed, owners, added)) continue;
+      if (!added.some((member) => this.#mayOwn(hashed, owners, member))) continue;
       changes.push(...this.#assign(hashed, owners, this.#select(hashed)));
     }
     return changes;
   }
 
+  #insert(candidate: OwnerCandidate): HashedCandidate {
+    const added = hashCandidate(this.#hash, candidate);
+    this.#candidates.set(added.nodeId, added);
+    const ofZone = this.#byZone.get(added.zone);
+    if (ofZone === undefined) this.#byZone.set(added.zone, [added]);
+    else ofZone.push(added);
+    return added;
+  }
+
   /** A member is dead or leaving. */
   removeMember(nodeId: string): OwnersChange[] {
     const removed = this.#candidates.get(nodeId);
@@ -140,3 +159,8 @@
 function idsOf(owners: readonly ScoredCandidate[]): readonly string[] {
   return owners.map(({ candidate }) => candidate.nodeId);
 }
+
+function isSameZones(known: ReadonlySet<ZoneName>, zones: readonly ZoneName[]): boolean {
+  const told = new Set(zones);
+  return known.size === told.size && [...told].every((zone) => known.has(zone));
+}
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { DatabaseMachine, Machine, ProxyMachine } from '../platform/contract.js';
 import { EMPTY_FLEET, type Fleet, fleetOf } from './fleet.js';
+import type { HomeNode } from './gateway/home-node-directory.js';
 
 /** A proxy that may be asked to serve. */
 export interface FleetNode {
@@ -36,6 +37,10 @@
   readonly #remembered = new Map<string, RememberedNode>();
   #fleet: Fleet = EMPTY_FLEET;
   #selfLeaving = false;
+  /** Kept between two changes: asked for at every log-in and for every tenant at a snapshot. */
+  #liveNodes: readonly FleetNode[] | undefined;
+  /** Kept between two changes: asked for at every look-up and record of a session. */
+  #homeNodes: readonly HomeNode[] | undefined;
 
   constructor(options: FleetViewOptions) {
     this.#options = options;
@@ -43,6 +48,8 @@
 
   setMachines(machines: readonly Machine[]): void {
     this.#fleet = fleetOf(machines);
+    this.#liveNodes = undefined;
+    this.#homeNodes = undefined;
     const lastListedAt = this.#options.now();
     for (const proxy of this.#fleet.proxies) {
       this.#remembered.set(proxy.name, { node: nodeOf(proxy), lastListedAt });
@@ -55,6 +62,12 @@
   /** This node's planned stop has begun: it owns nothing any more, in its own view. */
   setSelfLeaving(): void {
     this.#selfLeaving = true;
+    this.#liveNodes = undefined;
+  }
+
+  /** Membership knows something else than before. */
+  membersChanged(): void {
+    this.#liveNodes = undefined;
   }
 
   get databases(): readonly DatabaseMachine[] {
@@ -68,6 +81,17 @@
 
   /** Nodes that may own groups: live (a suspicion is not yet a death) and not leaving. */
   liveNodes(): readonly FleetNode[] {
+    this.#liveNodes ??= this.#selectLiveNodes();
+    return this.#liveNodes;
+  }
+
+  /** Nodes that may be home of a live session's positions, gone ones included; the same array until they change. */
+  homeNodes(): readonly HomeNode[] {
+    this.#homeNodes ??= this.#selectHomeNodes();
+    return this.#homeNodes;
+  }
+
+  #selectLiveNodes(): readonly FleetNode[] {
     const nodes = new Map<string, FleetNode>();
     for (const member of this.#options.members()) {
       if (isServing(member)) nodes.set(member.nodeId, memberNode(member));
@@ -84,12 +108,14 @@
     return [...nodes.values()];
   }
 
-  /** Nodes that may be home of a live session's positions, gone ones included. */
-  homeNodes(): readonly FleetNode[] {
+  #selectHomeNodes(): readonly HomeNode[] {
     const { self } = this.#options;
     const nodes = new Map([...this.#remembered].map(([nodeId, { node }]) => [nodeId, node]));
     if (!nodes.has(self.nodeId)) nodes.set(self.nodeId, self);
-    return [...nodes.values()];
+    return [...nodes.values()].map(({ nodeId, host, peerPort }) => ({
+      nodeId,
+      address: { host, port: peerPort },
+    }));
   }
 
   #isSelfLeaving(): boolean {
--- a/src/node/gateway/home-node-directory.ts
+++ b/src/node/gateway/home-node-directory.ts
@@ -8,6 +8,7 @@
 import {
   combineAnswers,
   type HomeAnswer,
+  homeKey,
   homeNodesOf,
   isRecorded,
   type NodeRanking,
@@ -22,6 +23,8 @@
 export const SESSION_RECORD_METHOD = 'session.record';
 export const SESSION_LOOK_UP_METHOD = 'session.look-up';
 
+/** Sessions whose home nodes are kept: more than a node has callers at the size that is aimed at. */
+const MAX_KEPT_HOMES = 32_768;
 /** Longest wait for one home node, in ms. */
 const CALL_TIMEOUT_MS = 250;
 
@@ -49,7 +52,7 @@
   readonly nodeId: string;
   readonly transport: PeerTransport;
   readonly rank: NodeRanking;
-  /** All proxies of the machine list, this node included. */
+  /** All proxies of the machine list, this node included; the same array until they change. */
   readonly nodes: () => readonly HomeNode[];
   readonly now: () => Milliseconds;
 }
@@ -57,6 +60,9 @@
 export class HomeNodeDirectory implements SessionDirectory {
   readonly #options: HomeNodeDirectoryOptions;
   readonly #table: SessionPositionTable;
+  /** Home nodes of sessions in use: choosing them looks at every node of the fleet. */
+  readonly #homes = new Map<string, readonly HomeNode[]>();
+  #homesOfNodes: readonly HomeNode[] = [];
 
   constructor(options: HomeNodeDirectoryOptions) {
     this.#options = options;
@@ -126,6 +132,16 @@
 
   #homesOf(session: SessionKeyName): readonly HomeNode[] {
     const nodes = this.#options.nodes();
+    const isStale = nodes !== this.#homesOfNodes || this.#homes.size >= MAX_KEPT_HOMES;
+    if (isStale) this.#homes.clear();
+    this.#homesOfNodes = nodes;
+    const key = homeKey(session);
+    const homes = this.#homes.get(key) ?? this.#chooseHomes(session, nodes);
+    this.#homes.set(key, homes);
+    return homes;
+  }
+
+  #chooseHomes(session: SessionKeyName, nodes: readonly HomeNode[]): readonly HomeNode[] {
     const nodeIds = nodes.map((node) => node.nodeId);
     const homes = new Set(homeNodesOf(session, nodeIds, this.#options.rank));
     return nodes.filter((node) => homes.has(node.nodeId));
--- a/src/node/owner-directory.ts
+++ b/src/node/owner-directory.ts
@@ -64,7 +64,7 @@
     for (const nodeId of previous.keys()) {
       if (!this.#nodes.has(nodeId)) changes.push(...this.#index.removeMember(nodeId));
     }
-    for (const { nodeId, zone } of nodes) changes.push(...this.#index.addMember({ nodeId, zone }));
+    changes.push(...this.#index.addMembers(nodes));
     this.#apply(changes);
     for (const nodeId of previous.keys()) {
       if (!this.#nodes.has(nodeId)) this.#handle({ type: 'member-gone', nodeId });
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -109,6 +109,8 @@
   #snapshot: ConfigurationSnapshot | undefined;
   #requestsNumbered = 0;
   #releaseTimer: NodeJS.Timeout | undefined;
+  /** Set from a change of members until the end of this event-loop turn. */
+  #fleetChange: NodeJS.Immediate | undefined;
   #draining: Promise<void> | undefined;
 
   private constructor(
@@ -246,6 +248,7 @@
     clearInterval(this.#releaseTimer);
     this.#owners.stop();
     await this.#membership.stop();
+    clearImmediate(this.#fleetChange);
     await this.#configuration.stop();
     this.#machineList.stop();
     this.#owner.close();
@@ -318,8 +321,7 @@
       nodeId: this.#settings.nodeId,
       transport: this.#transport,
       rank: new NodeRanker(this.#hash).rank,
-      nodes: () =>
-        this.#fleet.homeNodes().map((node) => ({ nodeId: node.nodeId, address: addressOf(node) })),
+      nodes: () => this.#fleet.homeNodes(),
       now: monotonicNow,
     });
   }
@@ -355,7 +357,9 @@
 
   #onMemberChanged(event: MemberEvent): void {
     this.#logger.info(`member ${event.change}`, { member: event.member.nodeId });
-    this.#onFleetChanged();
+    this.#fleet.membersChanged();
+    // A node that joins learns of thousands of members in a few messages.
+    this.#fleetChange ??= setImmediate(() => this.#onFleetChanged());
   }
 
   /** A lost link is a hint: the node behind it is probed at once. */
@@ -367,6 +371,8 @@
   }
 
   #onFleetChanged(): void {
+    clearImmediate(this.#fleetChange);
+    this.#fleetChange = undefined;
     this.#owner.setMachines(this.#fleet.databases);
     this.#owners.setGroups(this.#fleet.databases);
     this.#owners.setNodes(this.#fleet.liveNodes());
--- a/test/property/ownership.test.ts
+++ b/test/property/ownership.test.ts
@@ -48,6 +48,33 @@
   );
 });
 
+test('members that come together own what they would own one after the other', () => {
+  const memberSet = fc.uniqueArray(fc.nat(30), { minLength: 1, maxLength: 20 });
+  fc.assert(
+    fc.property(memberSet, memberSet, (first, second) => {
+      const oneByOne = indexOf([...first, ...second], 20);
+      const together = indexOf(first, 20);
+      const changes = together.addMembers(
+        second.map((member) => ({ nodeId: `n${member}`, zone: zoneOf(member) })),
+      );
+      for (const group of range(20)) {
+        assert.equal(together.ownersOf(`g${group}`), oneByOne.ownersOf(`g${group}`));
+      }
+      assert.is(new Set(changes.map(({ group }) => group)).size, changes.length);
+    }),
+    { seed: SEED, numRuns: 200 },
+  );
+});
+
+test('a group that is told again changes only if its zones do', () => {
+  const index = indexOf(range(9), 1);
+  assert.equal(index.setGroup({ group: 'g0', zones: [...ZONES].reverse() }), []);
+  const [zone] = ZONES;
+  index.setGroup({ group: 'g0', zones: zone === undefined ? [] : [zone] });
+  const [owner = ''] = index.ownersOf('g0');
+  assert.is(zoneOf(Number(owner.slice(1))), zone);
+});
+
 test('owners are different members, in different zones, preferably those of the group', () => {
   const index = new OwnerIndex(hash, OWNERS);
   for (const member of range(30)) index.addMember({ nodeId: `n${member}`, zone: zoneOf(member) });
--- /dev/null
+++ b/test/unit/fleet-view.test.ts
@@ -0,0 +1,62 @@
+/** The view of the fleet is kept between changes, and never outlives one. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Member, MemberStatus } from '../../src/core/membership/member.js';
+import { FleetView } from '../../src/node/fleet-view.js';
+import type { ProxyMachine } from '../../src/platform/contract.js';
+
+const SELF = { nodeId: 'self', zone: 'a', host: '127.0.0.1', peerPort: 1 };
+
+function memberOf(nodeId: string, status: MemberStatus): Member {
+  const place = { zone: 'a', host: '127.0.0.1', peerPort: 2 };
+  return { nodeId, incarnation: 1, status, configurationRevision: 0, ...place };
+}
+
+function proxyOf(name: string, state: 'live' | 'leaving' = 'live'): ProxyMachine {
+  return { role: 'proxy', name, zone: 'a', host: '127.0.0.1', peerPort: 2, state };
+}
+
+function viewOf(members: Map<string, Member>): FleetView {
+  return new FleetView({
+    self: SELF,
+    memberOf: (nodeId) => members.get(nodeId),
+    members: () => [...members.values()],
+    now: () => 0,
+  });
+}
+
+function liveIds(view: FleetView): string[] {
+  return view
+    .liveNodes()
+    .map(({ nodeId }) => nodeId)
+    .sort();
+}
+
+test('live nodes are worked out once, and again after every kind of change', () => {
+  const members = new Map([['other', memberOf('other', 'alive')]]);
+  const view = viewOf(members);
+  assert.equal(liveIds(view), ['other', 'self']);
+  assert.is(view.liveNodes(), view.liveNodes());
+  members.set('other', memberOf('other', 'dead'));
+  view.membersChanged();
+  assert.equal(liveIds(view), ['self']);
+  view.setMachines([proxyOf('self'), proxyOf('listed')]);
+  assert.equal(liveIds(view), ['listed', 'self']);
+  view.setSelfLeaving();
+  assert.equal(liveIds(view), ['listed']);
+});
+
+test('home nodes stay the same array until the list changes, and keep who has gone', () => {
+  const view = viewOf(new Map());
+  view.setMachines([proxyOf('one'), proxyOf('two')]);
+  const before = view.homeNodes();
+  assert.is(view.homeNodes(), before);
+  view.setMachines([proxyOf('one')]);
+  assert.is.not(view.homeNodes(), before);
+  assert.equal(
+    view.homeNodes().map(({ nodeId }) => nodeId),
+    ['one', 'two', 'self'],
+  );
+});
+
+test.run();
