Transactions: gateway, owner or caller gone at every step, with real processes

Cause: the promise that a transaction is never left open was held by no test with real processes. Change: test/integration/cluster/transactions.test.ts kills the gateway, kills the owner, and lets the caller vanish, at each of five steps (BEGIN on its way, answered, a statement running, answered, COMMIT on its way), checks what the caller is told, the rows, and the instances' open transactions.

--- /dev/null
+++ b/test/integration/cluster/transactions.test.ts
@@ -0,0 +1,126 @@
+/**
+ * Transactions with real processes: a proxy or a caller that goes at any step leaves no transaction
+ * open and the caller is told rightly; nothing of a session reaches another tenant.
+ */
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Cluster } from '../../../bench/harness/cluster.js';
+import { rankNodes } from '../../../src/node/owner-directory.js';
+import { connectCaller, GROUP, startSmallCluster, type TestCaller } from '../../support/cluster.js';
+import { noOpenTransactions } from '../../support/loaded-cluster.js';
+import { bringTo, failureOf, TRANSACTION_STEPS } from '../../support/open-transaction.js';
+import { until } from '../../support/until.js';
+
+const NODES = ['proxy-1', 'proxy-2'];
+/** With one owner a group, the other node is gateway only. */
+const [OWNER = '', GATEWAY = ''] = rankNodes(GROUP, NODES);
+const ABORTED = 'MS-TRANSACTION-ABORTED: failed';
+const OWNER_LOST = 'MS-UNKNOWN-OWNER-LOST: unknown';
+
+const test = suite<{ cluster: Cluster }>('transactions');
+
+test.before(async (context) => {
+  context.cluster = await startSmallCluster({ proxyFlags: ['--owners-per-group=1'] });
+  const { client } = await connectCaller(context.cluster, GATEWAY);
+  await client.query('CREATE TABLE orders (id int PRIMARY KEY, state text)');
+  await client.end();
+});
+
+test.after(async ({ cluster }) => {
+  await cluster.stop();
+});
+
+async function killAndReplace(cluster: Cluster, nodeId: string): Promise<void> {
+  const { zone, kill } = cluster.proxy(nodeId);
+  const primary = await cluster.group(GROUP).waitForPrimary();
+  await kill();
+  await cluster.faults.heal(primary.name);
+  await cluster.startProxy({ nodeId, zone });
+}
+
+async function rowsOf(cluster: Cluster, id: number): Promise<number> {
+  const { client } = await connectCaller(cluster, OWNER);
+  const found = await client.query('SELECT id FROM orders WHERE id = $1', [id]);
+  await client.end();
+  return found.rows.length;
+}
+
+/** A caller that goes without a farewell. */
+function vanish({ client }: TestCaller): void {
+  const { connection } = client as unknown as { connection: { stream: { destroy(): void } } };
+  connection.stream.destroy();
+}
+
+for (const [index, step] of TRANSACTION_STEPS.entries()) {
+  const committed = step === 'COMMIT is on its way';
+
+  test(`the gateway is killed when ${step}`, async ({ cluster }) => {
+    const caller = await connectCaller(cluster, GATEWAY);
+    const pending = await bringTo(cluster, caller, step, 100 + index);
+    await killAndReplace(cluster, GATEWAY);
+    await pending.answer;
+    await noOpenTransactions(cluster.group(GROUP));
+    assert.is(await rowsOf(cluster, 100 + index), committed ? 1 : 0);
+  });
+
+  test(`the owner is killed when ${step}`, async ({ cluster }) => {
+    const caller = await connectCaller(cluster, GATEWAY);
+    const pending = await bringTo(cluster, caller, step, 200 + index);
+    await killAndReplace(cluster, OWNER);
+    const told = (await pending.answer) ?? (await failureOf(caller.client.query('SELECT 1')));
+    assert.is(told?.detail, committed ? OWNER_LOST : ABORTED);
+    await noOpenTransactions(cluster.group(GROUP));
+    await caller.client.query('ROLLBACK');
+    await caller.client.query('INSERT INTO orders VALUES ($1, $2)', [300 + index, 'goes on']);
+    assert.is(await rowsOf(cluster, 200 + index), committed ? 1 : 0);
+    assert.is(await rowsOf(cluster, 300 + index), 1);
+    await caller.client.end();
+  });
+
+  test(`the caller vanishes when ${step}`, async ({ cluster }) => {
+    const caller = await connectCaller(cluster, GATEWAY);
+    const primary = await cluster.group(GROUP).waitForPrimary();
+    const pending = await bringTo(cluster, caller, step, 400 + index);
+    vanish(caller);
+    await pending.answer;
+    await cluster.faults.heal(primary.name);
+    await noOpenTransactions(cluster.group(GROUP));
+    assert.is(await rowsOf(cluster, 400 + index), committed ? 1 : 0);
+  });
+}
+
+test('a block whose transaction was lost stays failed until the caller ends it', async ({
+  cluster,
+}) => {
+  const caller = await connectCaller(cluster, GATEWAY);
+  await bringTo(cluster, caller, 'a statement was answered', 500);
+  await killAndReplace(cluster, OWNER);
+  const insert = 'INSERT INTO orders VALUES (501, $1)';
+  assert.is((await failureOf(caller.client.query(insert, ['a'])))?.detail, ABORTED);
+  assert.is((await failureOf(caller.client.query(insert, ['b'])))?.code, '25P02');
+  const commit = await caller.client.query('COMMIT');
+  assert.is(commit.command, 'ROLLBACK');
+  assert.is((await rowsOf(cluster, 500)) + (await rowsOf(cluster, 501)), 0);
+  await caller.client.end();
+});
+
+test('many transactions of callers that come and go leave nothing open', async ({ cluster }) => {
+  const rounds = Array.from({ length: 60 }, async (_, index) => {
+    const caller = await connectCaller(cluster, index % 2 === 0 ? GATEWAY : OWNER);
+    await caller.client.query('BEGIN');
+    await caller.client.query('INSERT INTO orders VALUES ($1, $2)', [1000 + index, 'x']);
+    if (index % 3 === 0) vanish(caller);
+    else await caller.client.query('COMMIT');
+    if (index % 3 !== 0) await caller.client.end();
+  });
+  await Promise.all(rounds);
+  await noOpenTransactions(cluster.group(GROUP));
+  const { client } = await connectCaller(cluster, OWNER);
+  await until('exactly the committed rows are there', async () => {
+    const found = await client.query('SELECT id FROM orders WHERE id >= 1000');
+    return found.rows.length === 40;
+  });
+  await client.end();
+});
+
+test.run();
