--- a/bench/load/outcome.ts
+++ b/bench/load/outcome.ts
@@ -23,7 +23,13 @@
 /** Reads the outcome from the error's detail (`<code>: <outcome>`) and the delay from its hint. */
 export function failureOf(error: unknown): AttemptFailure {
   if (error instanceof pg.DatabaseError) return databaseFailure(error);
-  return { ending: 'cut', outcome: 'unknown', errorCode: 'CUT', retryAfterMs: undefined };
+  const cause = error instanceof Error ? error.message : String(error);
+  return {
+    ending: 'cut',
+    outcome: 'unknown',
+    errorCode: `CUT (${cause})`,
+    retryAfterMs: undefined,
+  };
 }
 
 /** The proxy could not be connected to, so nothing was sent. */
@@ -42,6 +48,14 @@
   return failure.errorCode.startsWith('MS-SESSION-TOKEN-');
 }
 
+/** The caller's time ran out while its session was busy: the request was never sent. */
+export const NOT_SENT: AttemptFailure = {
+  ending: 'terminated',
+  outcome: 'not-run',
+  errorCode: 'NOT-SENT',
+  retryAfterMs: undefined,
+};
+
 /** The caller gave up. */
 export const ABANDONED: AttemptFailure = {
   ending: 'abandoned',
--- a/src/core/configuration/replica.ts
+++ b/src/core/configuration/replica.ts
@@ -4,15 +4,15 @@
  * of the whole only grows. Removed declarations stay as tombstones, so that an old copy of them
  * that is still on its way can't bring them back.
  */
-import { createHash } from 'node:crypto';
-import { type CatalogueEntry, ResolutionCache, snapshotOf } from './catalogue.js';
+import type { CatalogueEntry } from './catalogue.js';
 import type { DeclarationKey } from './declaration.js';
+import { EntryDigest } from './entry-digest.js';
+import type { ConfigurationMechanism } from './mechanisms.js';
 import type { ConfigurationRevision, ConfigurationSnapshot } from './model.js';
 import { decodeEntries, liveCatalogueOf } from './publish.js';
+import { SnapshotBuilder } from './snapshot-builder.js';
 import type { ConfigurationEntry } from './store-layout.js';
 
-const DIGEST_HEX_DIGITS = 16;
-
 /**
  * Everything that changed after `sinceRevision` up to and including `revision`. Entries of one
  * publish are always together in one delta.
@@ -38,11 +38,14 @@
   readonly #entries = new Map<DeclarationKey, ConfigurationEntry>();
   /** The declarations in force, decoded; kept in step with the entries. */
   readonly #catalogue = new Map<DeclarationKey, CatalogueEntry>();
-  readonly #resolutions = new ResolutionCache();
+  readonly #snapshots = new SnapshotBuilder(this.#catalogue);
+  readonly #entryDigest = new EntryDigest();
   #revision: ConfigurationRevision = 0;
-  #digest: ConfigurationDigest | undefined;
   #snapshot: ConfigurationSnapshot | undefined;
 
+  /** `without`: mutation checks only. */
+  constructor(private readonly without?: ReadonlySet<ConfigurationMechanism>) {}
+
   /** Every change up to this revision is held. */
   get revision(): ConfigurationRevision {
     return this.#revision;
@@ -50,12 +53,13 @@
 
   /** Merges a delta; applies it whole or not at all. */
   merge(delta: ConfigurationDelta): MergeOutcome {
-    if (delta.sinceRevision > this.#revision) return 'gap';
+    const checksGap = this.without?.has('gap-check') !== true;
+    if (checksGap && delta.sinceRevision > this.#revision) return 'gap';
     const newer = delta.entries.filter((entry) => this.#isNewer(entry));
     if (newer.length === 0 && delta.revision <= this.#revision) return 'nothing-new';
     for (const entry of newer) this.#put(entry);
-    this.#revision = Math.max(this.#revision, delta.revision);
-    this.#digest = undefined;
+    const lowest = this.without?.has('revision-order') ? 0 : this.#revision;
+    this.#revision = Math.max(lowest, delta.revision);
     this.#snapshot = undefined;
     return 'applied';
   }
@@ -69,34 +73,30 @@
   }
 
   digest(): ConfigurationDigest {
-    this.#digest ??= { revision: this.#revision, hash: this.#hash() };
-    return this.#digest;
+    return { revision: this.#revision, hash: this.#entryDigest.toString() };
   }
 
   /** What is in force here. */
   snapshot(): ConfigurationSnapshot {
-    this.#snapshot ??= snapshotOf(this.#catalogue, this.#revision, this.#resolutions);
+    this.#snapshot ??= this.#snapshots.build(this.#revision);
     return this.#snapshot;
   }
 
   #isNewer(entry: ConfigurationEntry): boolean {
+    if (this.without?.has('revision-order')) return true;
     return entry.revision > (this.#entries.get(entry.key)?.revision ?? 0);
   }
 
   /** A tombstone, or a value that can't be decoded, leaves nothing in force. */
   #put(entry: ConfigurationEntry): void {
+    const known = this.#entries.get(entry.key);
+    if (known !== undefined) this.#entryDigest.toggle(known);
+    this.#entryDigest.toggle(entry);
     this.#entries.set(entry.key, entry);
     this.#catalogue.delete(entry.key);
+    this.#snapshots.markChanged(entry.key);
     for (const [key, live] of liveCatalogueOf(decodeEntries([entry]))) {
       this.#catalogue.set(key, live);
     }
   }
-
-  #hash(): string {
-    const hash = createHash('sha256');
-    for (const key of [...this.#entries.keys()].sort()) {
-      hash.update(`${key}\0${this.#entries.get(key)?.revision}\n`);
-    }
-    return hash.digest('hex').slice(0, DIGEST_HEX_DIGITS);
-  }
 }
--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -71,6 +71,8 @@
   private laterTimeline: LaterTimeline | undefined;
   private confirmed: ConfirmedTime | undefined;
   private newlyUnreachable: InstanceName[] = [];
+  /** Connections of these broke since their last probe was sent. */
+  private readonly probeAtOnce = new Set<InstanceName>();
   private sequence = 0;
 
   constructor(
@@ -147,14 +149,14 @@
     return this.confirmed.at;
   }
 
-  /** Takes in an answer; false if the probe was given up before or its instance has gone. */
+  /** Takes in an answer; undefined if the probe is not known any more. */
   recordProbeAnswer(
     id: ProbeId,
     state: InstanceState,
     now: Milliseconds,
     effects: GroupEffect[],
   ): SentProbe | undefined {
-    const probe = this.prober.settle(id);
+    const probe = this.prober.settle(id)?.probe;
     if (probe === undefined) return undefined;
     const { instance, sentAt, sequence } = probe;
     this.topology = withProbeAnswer(this.topology, instance, state, sentAt, sequence);
@@ -167,13 +169,15 @@
 
   /** A probe failed outright. */
   recordProbeFailed(id: ProbeId, now: Milliseconds, effects: GroupEffect[]): void {
-    const probe = this.prober.settle(id);
-    if (probe === undefined) return;
-    this.recordMiss(probe, true, now, effects);
+    const settled = this.prober.settle(id);
+    // One that failed late has counted as missed already.
+    if (settled === undefined || settled.late) return;
+    this.recordMiss(settled.probe, true, now, effects);
   }
 
   recordConnectionError(name: InstanceName): void {
     this.topology = withConnectionError(this.topology, name);
+    this.probeAtOnce.add(name);
   }
 
   /** Takes in what a query that trailed a statement said. */
@@ -200,6 +204,7 @@
       if (!this.prober.isDue(name, this.periodOf(name, demand, now), now)) continue;
       const probe = this.prober.send(name, this.nextSequence(), now);
       this.lastSequence.set(name, probe.sequence);
+      this.probeAtOnce.delete(name);
       effects.push({ type: 'probe', probeId: probe.id, instance: name });
     }
   }
@@ -215,6 +220,7 @@
   }
 
   private periodOf(name: InstanceName, demand: ProbeDemand, now: Milliseconds): Milliseconds {
+    if (this.probeAtOnce.has(name)) return 0;
     const { timing } = this;
     const knowledge = this.knowledgeOf(name);
     const answers = knowledge?.reachability === 'reachable';
--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -22,6 +22,7 @@
   type SessionKeys,
   type SessionState,
 } from '../../core/session/index.js';
+import { type LocalResult, localAnswer } from '../../postgres/caller/local-answer.js';
 import type {
   CallerBatch,
   CallerConnection,
@@ -37,7 +38,6 @@
 import type { RequestMetrics } from './request-metrics.js';
 import { combineClasses, firstMarkers, type RequestTerms, requestTerms } from './request-policy.js';
 import type { SessionDirectory } from './session-directory.js';
-import { answerSessionSetting } from './session-settings.js';
 
 /** Parameter that carries the session token both ways. */
 export const SESSION_TOKEN_PARAMETER = 'meadowstack.session';
@@ -77,6 +77,8 @@
   #waiting: CallerBatch | undefined;
   #call: GroupCall | undefined;
   #inTransaction = false;
+  /** The caller was told that its transaction block is open, and has not asked to end it. */
+  #blockOpen = false;
   /** The open transaction was lost while the caller was idle; told at its next batch. */
   #transactionLoss: RequestError | undefined;
   /** The caller believes in a transaction block that no back end has any more. */
@@ -176,6 +178,7 @@
   #continueTransaction(batch: CallerBatch, statementClass: StatementClass): void {
     const markers = this.#markersOf(batch);
     if (markers === undefined) return;
+    if (endsBlock(statementClass)) this.#blockOpen = false;
     this.#call?.send(batchMessage(batch, statementClass, markers));
   }
 
@@ -190,6 +193,7 @@
     const terms = requestTerms(policy, markers, statementClass.access);
     const begins = statementClass.transactionControl === 'begin';
     this.#inTransaction = begins;
+    this.#blockOpen = false;
     this.#running = { terms, access: statementClass.access, startedAt: performance.now() };
     this.#call = this.#options.client.open(
       this.#openMessage(batch, statementClass, markers, policy),
@@ -246,11 +250,13 @@
   }
 
   #onBatchEnd(status: TransactionStatus, heldBack: Buffer): void {
+    this.#blockOpen = true;
     this.#connection.write(heldBack);
     this.#connection.finish(status);
   }
 
   #onBatchError(status: TransactionStatus, error: RequestError): void {
+    this.#blockOpen = true;
     this.#connection.writeError(error);
     this.#connection.finish(status);
   }
@@ -290,7 +296,8 @@
       return;
     }
     this.#connection.writeError(error);
-    const blockGoesOn = wasTransaction && error.outcome === 'failed';
+    // As in PostgreSQL, a BEGIN that fails opens no block, and a COMMIT that fails ends it.
+    const blockGoesOn = wasTransaction && this.#blockOpen && error.outcome === 'failed';
     this.#blockWithoutBackend = blockGoesOn;
     this.#finish(blockGoesOn ? 'T' : 'I');
   }
@@ -298,8 +305,7 @@
   /** The caller learns at its next batch that its transaction is gone. */
   #reportTransactionLoss(error: RequestError, statementClass: StatementClass): void {
     this.#transactionLoss = undefined;
-    const ends = statementClass.transactionControl;
-    const blockEnds = ends === 'commit' || ends === 'rollback';
+    const blockEnds = endsBlock(statementClass);
     this.#blockWithoutBackend = !blockEnds;
     this.#connection.writeError(error);
     this.#finish(blockEnds ? 'I' : 'T');
@@ -354,7 +360,7 @@
       setting.name === SESSION_TOKEN_PARAMETER
         ? encodeSessionToken(this.#state, this.#tenant, this.#options.sessionKeys)
         : (this.#connection.parameters.get(setting.name) ?? '');
-    this.#connection.write(answerSessionSetting(batch, setting, shown));
+    this.#connection.write(localAnswer(batch, () => settingResult(setting, shown)));
     this.#finish(this.#inTransaction ? 'T' : 'I');
   }
 
@@ -384,6 +390,16 @@
   }
 }
 
+function settingResult(setting: SessionSetting, shown: string): LocalResult {
+  const tag = setting.action.toUpperCase();
+  if (setting.action !== 'show') return { tag, columns: [], rows: [] };
+  return { tag, columns: [setting.name], rows: [[shown]] };
+}
+
+function endsBlock({ transactionControl }: StatementClass): boolean {
+  return transactionControl === 'commit' || transactionControl === 'rollback';
+}
+
 function batchMessage(
   batch: CallerBatch,
   statementClass: StatementClass,
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -2,19 +2,23 @@
  * One proxy process put together: gateway, owner, links to peers, platform clients, configuration.
  * Serves no caller before a configuration is in hand; a planned stop cuts no request in progress.
  */
-import { randomBytes } from 'node:crypto';
+import { createHmac, randomBytes } from 'node:crypto';
 import { readFileSync } from 'node:fs';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import type { ConfigurationSnapshot, TenantPolicy } from '../core/configuration/model.js';
 import type { ConfigurationMember } from '../core/configuration/relays.js';
 import { MeadowstackError, NotRunError, type RequestError } from '../core/errors.js';
 import { DatabaseGroup } from '../core/group/database-group.js';
+import type { GroupTiming } from '../core/group/options.js';
 import type { ListedNode, MemberEvent } from '../core/membership/contract.js';
 import type { SelfDescription } from '../core/membership/machine.js';
 import type { Member } from '../core/membership/member.js';
+import { loadHash64 } from '../core/ownership/hash.js';
+import type { Hash64 } from '../core/ownership/rendezvous.js';
 import type { GroupName } from '../core/request.js';
 import { RetryBudget } from '../core/retry/budget.js';
 import type { SessionKeys } from '../core/session/index.js';
+import { NodeRanker } from '../core/session/node-ranker.js';
 import type { Readiness } from '../observability/admin-server.js';
 import type { Logger } from '../observability/logger.js';
 import type { NodeIdentity, PeerAddress } from '../peer/contract.js';
@@ -42,7 +46,7 @@
 import type { MemberSummary, NodeState, NodeStatus } from './node-status.js';
 import { BackendConnector } from './owner/backend-connector.js';
 import { OwnerService } from './owner/owner-service.js';
-import { OwnerDirectory, rankNodes } from './owner-directory.js';
+import { OwnerDirectory } from './owner-directory.js';
 import { PeerRouter } from './peer-router.js';
 import type { Settings } from './settings.js';
 import { groupPolicyOf, OUR_POLICY } from './test-policy.js';
@@ -51,6 +55,10 @@
 /** Connections of each instance that owners leave to operators and probes. */
 const RESERVED_CONNECTIONS = 2;
 const DRAIN_POLL_MS = 20;
+/** Only links with work under way are asked; a frozen owner is given up after three of these. */
+const LINK_HEARTBEAT_MS = 300;
+/** How often groups that are no longer owned are looked through, in ms. */
+const RELEASE_GROUPS_MS = 1000;
 const RETRY_BUDGET = { ratio: 0.1, capacity: 100 };
 
 /** The proxy could not start. */
@@ -83,6 +91,7 @@
   readonly #logger: Logger;
   readonly #identity: NodeIdentity;
   readonly #transport: TcpPeerTransport;
+  readonly #hash: Hash64;
   readonly #membership: MembershipService;
   readonly #fleet: FleetView;
   readonly #store: StoreClient;
@@ -99,6 +108,7 @@
   readonly #sessionKeys: SessionKeys;
   #snapshot: ConfigurationSnapshot | undefined;
   #requestsNumbered = 0;
+  #releaseTimer: NodeJS.Timeout | undefined;
   #draining: Promise<void> | undefined;
 
   private constructor(
@@ -110,10 +120,15 @@
     this.#logger = options.logger;
     this.#identity = links.identity;
     this.#transport = links.transport;
+    this.#hash = links.hash;
     this.addresses = { callers: settings.callers, peer: links.address };
     this.#sessionKeys = sessionKeysOf(settings);
     const self = selfOf(settings, links);
-    this.#membership = new MembershipService({ self, transport: links.transport });
+    this.#membership = new MembershipService({
+      self,
+      transport: links.transport,
+      clusterSecret: clusterSecretOf(settings),
+    });
     this.#fleet = new FleetView({
       self,
       memberOf: (nodeId) => this.#membership.member(nodeId),
@@ -122,7 +137,7 @@
     });
     this.#store = createStore(settings);
     this.#machineList = createMachineList(settings);
-    this.#owners = new OwnerDirectory(settings);
+    this.#owners = this.#createOwners(links);
     this.#connector = new BackendConnector(settings.backend);
     this.#owner = this.#createOwner();
     this.#directory = this.#createDirectory();
@@ -192,6 +207,7 @@
     if (joined.isErr()) return err(startError(joined.error));
     this.#membership.onMemberChanged = (event) => this.#onMemberChanged(event);
     this.#membership.onToldToLeave = () => void this.drain();
+    this.#releaseTimer = setInterval(() => this.#owner.releaseGroups(), RELEASE_GROUPS_MS);
     this.#machineList.onChange = (machines) => this.#onMachines(machines);
     this.#machineList.start();
     this.#configuration.onSnapshot = (snapshot) => this.#onSnapshot(snapshot);
@@ -227,6 +243,8 @@
 
   async #close(): Promise<void> {
     for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
+    clearInterval(this.#releaseTimer);
+    this.#owners.stop();
     await this.#membership.stop();
     await this.#configuration.stop();
     this.#machineList.stop();
@@ -252,6 +270,7 @@
       group,
       ownZone: this.#settings.zone,
       confirmationMode: this.#settings.confirmation,
+      timing: probeTimingOf(this.#settings),
       random: Math.random,
       ...groupPolicyOf(this.#settings.testPolicy),
     });
@@ -264,6 +283,7 @@
       host: callers.host,
       port: callers.port,
       ...(tls === undefined ? {} : { tls }),
+      mockSecret: mockSecretOf(this.#sessionKeys),
       policyFor: (user) => this.#policyFor(user),
       admit: (policy) => this.#admission.admit(policy),
       handler: (connection) => this.#onCaller(connection),
@@ -281,11 +301,23 @@
     });
   }
 
+  #createOwners(links: NodeLinks): OwnerDirectory {
+    return new OwnerDirectory({
+      nodeId: this.#settings.nodeId,
+      ownersPerGroup: this.#settings.ownersPerGroup,
+      hash: links.hash,
+      transport: links.transport,
+      now: monotonicNow,
+      warm: (group) => this.#owner.warm(group),
+      onChange: () => this.#owner.reconcile(),
+    });
+  }
+
   #createDirectory(): HomeNodeDirectory {
     return new HomeNodeDirectory({
       nodeId: this.#settings.nodeId,
       transport: this.#transport,
-      rank: rankNodes,
+      rank: new NodeRanker(this.#hash).rank,
       nodes: () =>
         this.#fleet.homeNodes().map((node) => ({ nodeId: node.nodeId, address: addressOf(node) })),
       now: monotonicNow,
@@ -296,6 +328,7 @@
     return new GroupClient({
       ownersOf: (group) => this.#owners.ownersOf(group),
       transport: this.#transport,
+      onOwnerRefused: (group) => this.#owners.onRefused(group),
       acceptLocal: (header, stream) => this.#owner.accept(header, stream),
       retryBudget: new RetryBudget(RETRY_BUDGET),
       now: monotonicNow,
@@ -304,8 +337,10 @@
 
   #route(router: PeerRouter): void {
     router.acceptStreams((header, stream) => this.#owner.accept(header, stream));
+    router.onLinkDown = (peer) => this.#onLinkDown(peer);
     router.add(this.#configuration);
     router.add(this.#directory);
+    router.add(this.#owners);
     router.add({
       handles: (method) => this.#membership.handlesCall(method),
       onCall: (method, body) => this.#membership.handleCall(method, body),
@@ -323,9 +358,19 @@
     this.#onFleetChanged();
   }
 
+  /** A lost link is a hint: the node behind it is probed at once. */
+  #onLinkDown(peer: PeerAddress): void {
+    const member = this.#membership
+      .members()
+      .find((candidate) => candidate.host === peer.host && candidate.peerPort === peer.port);
+    if (member !== undefined) this.#membership.reportLinkLost(member.nodeId);
+  }
+
   #onFleetChanged(): void {
-    this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.setMachines(this.#fleet.databases);
+    this.#owners.setGroups(this.#fleet.databases);
+    this.#owners.setNodes(this.#fleet.liveNodes());
+    this.#owner.reconcile();
     this.#configuration.membersChanged();
   }
 
@@ -386,14 +431,22 @@
   readonly router: PeerRouter;
   readonly transport: TcpPeerTransport;
   readonly address: PeerAddress;
+  readonly hash: Hash64;
 }
 
 async function openLinks(settings: Settings): Promise<Result<NodeLinks, MeadowstackError>> {
   const identity = { nodeId: settings.nodeId, incarnation: Date.now() };
   const router = new PeerRouter();
-  const transport = new TcpPeerTransport({ identity, handlers: router });
-  const listening = await transport.listen(settings.peer);
-  return listening.map((address) => ({ identity, router, transport, address }));
+  const clusterSecret = clusterSecretOf(settings);
+  const transport = new TcpPeerTransport({
+    identity,
+    handlers: router,
+    limits: { heartbeatMs: LINK_HEARTBEAT_MS },
+    events: { onLinkDown: (peer) => router.linkDown(peer) },
+    ...(clusterSecret === undefined ? {} : { clusterSecret }),
+  });
+  const [listening, hash] = await Promise.all([transport.listen(settings.peer), loadHash64()]);
+  return listening.map((address) => ({ identity, router, transport, address, hash }));
 }
 
 function selfOf(settings: Settings, links: NodeLinks): SelfDescription & FleetNode {
@@ -456,6 +509,28 @@
   return [first ?? { id: 'local', secret: randomBytes(SECRET_BYTES) }, ...rest];
 }
 
+/** The same on all nodes, so that unknown users can't be told by salts that differ. */
+function mockSecretOf([key]: SessionKeys): Buffer {
+  return createHmac('sha256', key.secret).update('mock authentication').digest();
+}
+
+/** Quiet groups are probed this many times more slowly. */
+const QUIET_PROBE_FACTOR = 5;
+
+function probeTimingOf({ probe }: Settings): Partial<GroupTiming> {
+  return {
+    probePeriodMs: probe.intervalMs,
+    quietProbePeriodMs: probe.intervalMs * QUIET_PROBE_FACTOR,
+    fastProbePeriodMs: probe.suspectIntervalMs,
+    probeTimeoutMs: probe.timeoutMs,
+  };
+}
+
+function clusterSecretOf(settings: Settings): Buffer | undefined {
+  const { secretHex } = settings.peer;
+  return secretHex === undefined ? undefined : Buffer.from(secretHex, 'hex');
+}
+
 function callerTlsOf(settings: Settings): CallerTlsOptions | undefined {
   const { tls } = settings.callers;
   if (tls === undefined) return undefined;
