--- a/test/integration/cluster/transactions.test.ts
+++ b/test/integration/cluster/transactions.test.ts
@@ -5,15 +5,17 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { Cluster } from '../../../bench/harness/cluster.js';
-import { rankNodes } from '../../../src/node/owner-directory.js';
-import { connectCaller, GROUP, startSmallCluster, type TestCaller } from '../../support/cluster.js';
+import {
+  connectCaller,
+  GROUP,
+  soleOwner,
+  startSmallCluster,
+  type TestCaller,
+} from '../../support/cluster.js';
 import { noOpenTransactions } from '../../support/loaded-cluster.js';
 import { bringTo, failureOf, TRANSACTION_STEPS } from '../../support/open-transaction.js';
 import { until } from '../../support/until.js';
 
-const NODES = ['proxy-1', 'proxy-2'];
-/** With one owner a group, the other node is gateway only. */
-const [OWNER = '', GATEWAY = ''] = rankNodes(GROUP, NODES);
 const ABORTED = 'MS-TRANSACTION-ABORTED: failed';
 const OWNER_LOST = 'MS-UNKNOWN-OWNER-LOST: unknown';
 
@@ -21,7 +23,7 @@
 
 test.before(async (context) => {
   context.cluster = await startSmallCluster({ proxyFlags: ['--owners-per-group=1'] });
-  const { client } = await connectCaller(context.cluster, GATEWAY);
+  const { client } = await connectCaller(context.cluster, 'proxy-1');
   await client.query('CREATE TABLE orders (id int PRIMARY KEY, state text)');
   await client.end();
 });
@@ -39,7 +41,7 @@
 }
 
 async function rowsOf(cluster: Cluster, id: number): Promise<number> {
-  const { client } = await connectCaller(cluster, OWNER);
+  const { client } = await connectCaller(cluster, 'proxy-1');
   const found = await client.query('SELECT id FROM orders WHERE id = $1', [id]);
   await client.end();
   return found.rows.length;
@@ -55,18 +57,20 @@
   const committed = step === 'COMMIT is on its way';
 
   test(`the gateway is killed when ${step}`, async ({ cluster }) => {
-    const caller = await connectCaller(cluster, GATEWAY);
+    const { gateway } = await soleOwner(cluster);
+    const caller = await connectCaller(cluster, gateway);
     const pending = await bringTo(cluster, caller, step, 100 + index);
-    await killAndReplace(cluster, GATEWAY);
+    await killAndReplace(cluster, gateway);
     await pending.answer;
     await noOpenTransactions(cluster.group(GROUP));
     assert.is(await rowsOf(cluster, 100 + index), committed ? 1 : 0);
   });
 
   test(`the owner is killed when ${step}`, async ({ cluster }) => {
-    const caller = await connectCaller(cluster, GATEWAY);
+    const { owner, gateway } = await soleOwner(cluster);
+    const caller = await connectCaller(cluster, gateway);
     const pending = await bringTo(cluster, caller, step, 200 + index);
-    await killAndReplace(cluster, OWNER);
+    await killAndReplace(cluster, owner);
     const told = (await pending.answer) ?? (await failureOf(caller.client.query('SELECT 1')));
     assert.is(told?.detail, committed ? OWNER_LOST : ABORTED);
     await noOpenTransactions(cluster.group(GROUP));
@@ -78,7 +82,8 @@
   });
 
   test(`the caller vanishes when ${step}`, async ({ cluster }) => {
-    const caller = await connectCaller(cluster, GATEWAY);
+    const { gateway } = await soleOwner(cluster);
+    const caller = await connectCaller(cluster, gateway);
     const primary = await cluster.group(GROUP).waitForPrimary();
     const pending = await bringTo(cluster, caller, step, 400 + index);
     vanish(caller);
@@ -92,9 +97,10 @@
 test('a block whose transaction was lost stays failed until the caller ends it', async ({
   cluster,
 }) => {
-  const caller = await connectCaller(cluster, GATEWAY);
+  const { owner, gateway } = await soleOwner(cluster);
+  const caller = await connectCaller(cluster, gateway);
   await bringTo(cluster, caller, 'a statement was answered', 500);
-  await killAndReplace(cluster, OWNER);
+  await killAndReplace(cluster, owner);
   const insert = 'INSERT INTO orders VALUES (501, $1)';
   assert.is((await failureOf(caller.client.query(insert, ['a'])))?.detail, ABORTED);
   assert.is((await failureOf(caller.client.query(insert, ['b'])))?.code, '25P02');
@@ -106,7 +112,7 @@
 
 test('many transactions of callers that come and go leave nothing open', async ({ cluster }) => {
   const rounds = Array.from({ length: 60 }, async (_, index) => {
-    const caller = await connectCaller(cluster, index % 2 === 0 ? GATEWAY : OWNER);
+    const caller = await connectCaller(cluster, index % 2 === 0 ? 'proxy-1' : 'proxy-2');
     await caller.client.query('BEGIN');
     await caller.client.query('INSERT INTO orders VALUES ($1, $2)', [1000 + index, 'x']);
     if (index % 3 === 0) vanish(caller);
@@ -115,7 +121,7 @@
   });
   await Promise.all(rounds);
   await noOpenTransactions(cluster.group(GROUP));
-  const { client } = await connectCaller(cluster, OWNER);
+  const { client } = await connectCaller(cluster, 'proxy-1');
   await until('exactly the committed rows are there', async () => {
     const found = await client.query('SELECT id FROM orders WHERE id >= 1000');
     return found.rows.length === 40;
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -1,6 +1,9 @@
 /** Small clusters of real processes for integration tests, and callers that carry their session. */
 import pg from 'pg';
+import * as assert from 'uvu/assert';
 import { Cluster, type ClusterOptions } from '../../bench/harness/cluster.js';
+import type { NodeStatus } from '../../src/node/node-status.js';
+import { until } from './until.js';
 
 export const GROUP = 'orders';
 export const TENANT = { name: 'bureau', password: 'a long password' };
@@ -85,3 +88,31 @@
   await client.connect();
   return { client, sessionToken: () => token };
 }
+
+/** What a proxy tells of itself on its admin port. */
+export async function statusOf(cluster: Cluster, nodeId: string): Promise<NodeStatus> {
+  const { admin } = cluster.proxy(nodeId);
+  assert.ok(admin, 'no admin port');
+  const response = await fetch(`http://${admin.host}:${admin.port}/status`);
+  return (await response.json()) as NodeStatus;
+}
+
+/** The one node that owns the group, once there is just one, and the first that does not. */
+export async function soleOwner(cluster: Cluster): Promise<{ owner: string; gateway: string }> {
+  let owners: string[] = [];
+  const nodeIds = [...cluster.proxies.keys()];
+  await until('one owner', async () => {
+    const statuses = await Promise.all(nodeIds.map((nodeId) => statusOf(cluster, nodeId)));
+    const owning = statuses.filter(({ groups }) => groups.some(({ group }) => group === GROUP));
+    owners = owning.map(({ nodeId }) => nodeId);
+    return owners.length === 1 && statuses.every(({ members }) => allAlive(members, nodeIds));
+  });
+  const gateway = nodeIds.find((nodeId) => !owners.includes(nodeId));
+  assert.ok(owners[0] !== undefined && gateway !== undefined);
+  return { owner: owners[0], gateway };
+}
+
+function allAlive(members: NodeStatus['members'], nodeIds: readonly string[]): boolean {
+  const alive = members.filter(({ status }) => status === 'alive');
+  return alive.length >= nodeIds.length - 1;
+}
