Limits: tenants' connections as leased shares of the whole limit

Cause: each proxy admitted ceil(limit / live proxies) callers of a tenant. A tenant whose callers prefer one proxy was refused too early, the parts could add up to more than the limit, and views of the fleet that differ gave parts that differ.

Change: one allocator a tenant (rendezvous over live members) grants shares with time-limited leases, with the same granter and holder as the connection budget of instances; only the right to grant is another: votes of a majority of one, three or five voters, chosen from the machine list. Shares are asked for on demand and in blocks, given back when idle, kept while in use. Admission waits for the answer. A lowered limit is divided by what is in use. A restarted voter says how long it can vouch for; the new allocator waits, or asks all nodes for what they hold (64 at most).

--- a/src/core/limits/election.ts
+++ b/src/core/limits/election.ts
@@ -129,11 +129,14 @@
 
 interface Tenure {
   readonly since: Milliseconds;
+  /** When the latest round that elected the candidate began. */
+  lastAt: Milliseconds;
   readonly sequences: Map<VoterId, string>;
 }
 
 /** Counts the votes for one candidate of one tenant, round by round. */
 export class Candidacy {
+  readonly #authorityMs: Milliseconds;
   #round: Round | undefined;
   #tenure: Tenure | undefined;
   /** What the voters of the round before knew and this candidate may not know. */
@@ -141,6 +144,11 @@
   /** Rounds since the last election. */
   #roundsInDoubt = 0;
 
+  /** `authorityMs`: an election lasts for so long from the start of its round. */
+  constructor(authorityMs: Milliseconds) {
+    this.#authorityMs = authorityMs;
+  }
+
   /**
    * Begins a round; answers to earlier ones don't count any more. Gives the voters to ask.
    * Every election since `coveredSince` needed a majority of one of `ownSets`.
@@ -169,7 +177,7 @@
     }
     const continued = this.#isContinued(round, now);
     if (!continued && this.#mayStillContinue(round)) return { type: 'pending' };
-    if (!continued) this.#tenure = { since: sentAt, sequences: new Map() };
+    if (!continued) this.#tenure = { since: sentAt, lastAt: sentAt, sequences: new Map() };
     this.#roundsInDoubt = 0;
     this.#remember(round);
     const quiet = round.voterSets.map((voters) => vouchedQuietMs(round.votes, voters));
@@ -191,6 +199,8 @@
   #isContinued(round: Round, now: Milliseconds): boolean {
     const tenure = this.#tenure;
     if (tenure === undefined) return false;
+    // Later on, others may have been elected by voters that don't count any more.
+    if (round.coveredSince > tenure.lastAt + this.#authorityMs) return false;
     const mayVouch = tenure.since >= round.coveredSince;
     const vouchMs = VOUCH_FACTOR * (now - tenure.since);
     const loyal = new Map(
@@ -203,8 +213,9 @@
   }
 
   #remember(round: Round): void {
-    const sequences = this.#tenure?.sequences;
-    if (sequences === undefined) return;
+    if (this.#tenure === undefined) return;
+    const { sequences } = this.#tenure;
+    this.#tenure.lastAt = round.sentAt;
     for (const [voter, { sequence }] of round.votes) sequences.set(voter, sequence);
     const current = new Set(round.voterSets.flat());
     for (const voter of sequences.keys()) if (!current.has(voter)) sequences.delete(voter);
--- a/src/core/limits/tenant-allocator.ts
+++ b/src/core/limits/tenant-allocator.ts
@@ -6,11 +6,8 @@
  * holds. If all answer, it need not wait for old leases to lapse.
  */
 import { BudgetGranter } from '../ownership/budget-granter.js';
-import {
-  divideKeepingInUse,
-  type ShareAnswer,
-  type ShareRequest,
-} from '../ownership/budget-lease.js';
+import type { ShareAnswer, ShareRequest } from '../ownership/budget-lease.js';
+import { divideKeepingInUse } from '../ownership/share-division.js';
 import type { TenantName } from '../request.js';
 import type { Milliseconds } from '../units.js';
 import { Candidacy, type CandidateId, type Vote, type VoterId } from './election.js';
@@ -40,7 +37,7 @@
 export class TenantAllocator {
   readonly #options: TenantLeaseOptions;
   readonly #granter: BudgetGranter;
-  readonly #candidacy = new Candidacy();
+  readonly #candidacy: Candidacy;
   #nextElectionAt = Number.NEGATIVE_INFINITY;
   #reports: ReportRound | undefined;
   #coveredSince = Number.POSITIVE_INFINITY;
@@ -58,6 +55,7 @@
   ) {
     this.#options = options;
     this.#granter = new BudgetGranter(candidate, limit, options, divideKeepingInUse);
+    this.#candidacy = new Candidacy(options.authorityMs);
     this.#lastRequestAt = now;
   }
 
--- a/src/core/limits/tenant-shares.ts
+++ b/src/core/limits/tenant-shares.ts
@@ -119,6 +119,14 @@
     return due;
   }
 
+  /** Gives everything back; for a node that has no callers any more and stops. */
+  returnAll(now: Milliseconds): readonly TenantShareRequest[] {
+    return [...this.#uses].map(([tenant, use]) => {
+      use.holder.release();
+      return { tenant, request: use.holder.request(now) };
+    });
+  }
+
   /** What this node holds, for an allocator that asks under its term. */
   report(tenant: TenantName, term: string, limit: number, now: Milliseconds): ShareRequest {
     const use = this.#useOf(tenant, now);
--- a/src/core/limits/voter-sets.ts
+++ b/src/core/limits/voter-sets.ts
@@ -4,25 +4,23 @@
  * and a candidate needs a majority also of the sets that its voters know. So any two elections have
  * a voter in common.
  */
-import {
-  type Hash64,
-  type HashedCandidate,
-  hashCandidate,
-  hashGroup,
-  type OwnerCandidate,
-  selectOwners,
-} from '../ownership/rendezvous.js';
+import type { Hash64, OwnerCandidate } from '../ownership/rendezvous.js';
 import type { TenantName } from '../request.js';
 import type { Milliseconds } from '../units.js';
 import type { VoterId, VoterSetList } from './election.js';
+import { hashNodes, type NodesByZone, nodesFor } from './tenant-nodes.js';
 
 /** Sizes of a tenant's set of voters, the largest that the list allows. */
 const VOTER_COUNTS = [5, 3, 1] as const;
 /** Lists remembered at most; with more changes than these, what was before them is unknown. */
 const MAX_EARLIER_LISTS = 8;
 
-interface EarlierList {
-  readonly nodes: readonly HashedCandidate[];
+interface KnownList {
+  readonly nodes: readonly OwnerCandidate[];
+  readonly byZone: NodesByZone;
+}
+
+interface EarlierList extends KnownList {
   /** Until then another node may still go by this list. */
   readonly until: Milliseconds;
 }
@@ -45,7 +43,7 @@
 export class VoterSets {
   readonly #hash: Hash64;
   readonly #options: VoterSetsOptions;
-  #current: readonly HashedCandidate[] = [];
+  #current: KnownList = { nodes: [], byZone: [] };
   #earlier: EarlierList[] = [];
   #unknownUntil = Number.NEGATIVE_INFINITY;
 
@@ -55,9 +53,9 @@
   }
 
   setList(nodes: readonly OwnerCandidate[], now: Milliseconds): void {
-    if (isSame(nodes, this.#current)) return;
-    if (this.#current.length > 0) {
-      this.#earlier.push({ nodes: this.#current, until: now + this.#options.listLagMs });
+    if (isSame(nodes, this.#current.nodes)) return;
+    if (this.#current.nodes.length > 0) {
+      this.#earlier.push({ ...this.#current, until: now + this.#options.listLagMs });
     } else {
       this.#unknownUntil = now;
     }
@@ -65,28 +63,26 @@
       this.#earlier.shift();
       this.#unknownUntil = now + this.#options.listLagMs;
     }
-    this.#current = nodes.map((node) => hashCandidate(this.#hash, node));
+    this.#current = { nodes, byZone: hashNodes(this.#hash, nodes) };
   }
 
   votersOf(tenant: TenantName, now: Milliseconds): KnownVoters {
     this.#forgetOld(now);
-    if (this.#current.length === 0) return { voterSets: [], coveredSince: now };
-    const recent = this.#earlier.filter(({ until }) => until > now).map(({ nodes }) => nodes);
-    const sets = [this.#current, ...recent].map((nodes) => this.#votersAmong(tenant, nodes));
+    if (this.#current.nodes.length === 0) return { voterSets: [], coveredSince: now };
+    const recent = this.#earlier.filter(({ until }) => until > now);
+    const sets = [this.#current, ...recent].map((list) => this.#votersAmong(tenant, list));
     const distinct = new Map(sets.map((voters) => [voters.join('\0'), voters]));
     let coveredSince = this.#unknownUntil;
-    for (const { nodes, until } of this.#earlier) {
-      const isCovered = distinct.has(this.#votersAmong(tenant, nodes).join('\0'));
-      if (!isCovered) coveredSince = Math.max(coveredSince, until);
+    for (const list of this.#earlier) {
+      const isCovered = distinct.has(this.#votersAmong(tenant, list).join('\0'));
+      if (!isCovered) coveredSince = Math.max(coveredSince, list.until);
     }
     return { voterSets: [...distinct.values()], coveredSince };
   }
 
-  #votersAmong(tenant: TenantName, nodes: readonly HashedCandidate[]): readonly VoterId[] {
+  #votersAmong(tenant: TenantName, { nodes, byZone }: KnownList): readonly VoterId[] {
     const count = VOTER_COUNTS.find((size) => size <= nodes.length) ?? 1;
-    const key = hashGroup(this.#hash, `tenant-voters:${tenant}`, []);
-    const voters = selectOwners(key, nodes, count).map(({ nodeId }) => nodeId);
-    return voters.sort();
+    return [...nodesFor(this.#hash, `tenant-voters:${tenant}`, byZone, count)].sort();
   }
 
   #forgetOld(now: Milliseconds): void {
--- a/src/core/ownership/budget-granter.ts
+++ b/src/core/ownership/budget-granter.ts
@@ -9,16 +9,21 @@
 import type { Milliseconds } from '../units.js';
 import {
   type BudgetLeaseOptions,
-  type DivisionInput,
-  divideEvenly,
   type HolderId,
   leasableConnections,
-  type OtherHolder,
   type ShareAnswer,
-  type ShareDivision,
   type ShareRequest,
   withDrift,
 } from './budget-lease.js';
+import {
+  type DivisionInput,
+  divideEvenly,
+  freeOf,
+  isOverLimit,
+  type OtherHolder,
+  partOfLoweredLimit,
+  type ShareDivision,
+} from './share-division.js';
 
 export type GranterEvent =
   /** A probe that was sent at `sentAt` on the connection that holds the lock was answered. */
@@ -46,7 +51,7 @@
   readonly needed: number;
   readonly inUse: number;
   readonly shares: readonly GrantedShare[];
-  /** What is left to it of what it held when the limit was last lowered. */
+  /** What is left to it of what it used when the limit was last lowered. */
   readonly loweredTo: number | undefined;
   /** A holder that has not asked again until then is forgotten. */
   readonly activeUntil: Milliseconds;
@@ -85,7 +90,7 @@
   }
 
   handle(event: GranterEvent, now: Milliseconds): void {
-    if (event.type === 'limit-changed') this.#changeLimit(event.limit, now);
+    if (event.type === 'limit-changed') this.#changeLimit(event.limit);
     else if (event.type === 'authority-lost') this.#loseAuthority();
     else if (event.type === 'holders-complete') this.#completeHolders();
     else this.#confirm(event.sentAt, event.quietMs ?? 0, now);
@@ -125,9 +130,11 @@
     if (request.term !== authority.term) return refusal(number, 'term-unknown', authority.term);
     const record = this.#holders.get(holder);
     if (record !== undefined && number <= record.lastNumber) return refusal(number, 'stale');
-    const connections = this.#decide(request, !this.isWaiting(now), now);
+    const input = this.#divisionInput(request, now);
+    const loweredTo = isOverLimit(input) ? this.#loweredTo(input, request) : record?.loweredTo;
+    const connections = this.#decide(input, loweredTo);
     const mayGrowSoon = this.isWaiting(now) || this.#isUnusedElsewhere(holder, now);
-    this.#record(request, connections, now);
+    this.#record(request, connections, loweredTo, now);
     return { type: 'granted', number, connections, mayGrowSoon };
   }
 
@@ -155,15 +162,12 @@
     this.#authority = { term, acquiredAt, confirmedUntil, holdersComplete: false };
   }
 
-  #changeLimit(limit: number, now: Milliseconds): void {
+  #changeLimit(limit: number): void {
     const isLower = limit < this.#limit;
     this.#limit = limit;
-    const held = this.outstanding(now);
-    const leasable = leasableConnections(limit, this.#options);
-    if (!isLower || held <= leasable) return;
+    if (!isLower) return;
     for (const [holder, record] of this.#holders) {
-      const loweredTo = Math.floor((heldBy(record, now) * leasable) / held);
-      this.#holders.set(holder, { ...record, loweredTo });
+      this.#holders.set(holder, { ...record, loweredTo: undefined });
     }
   }
 
@@ -188,19 +192,26 @@
     return withDrift(authorityMs + leaseMs, maxClockDrift);
   }
 
-  #decide(request: ShareRequest, mayGrow: boolean, now: Milliseconds): number {
-    const leasable = leasableConnections(this.#limit, this.#options);
+  #divisionInput(request: ShareRequest, now: Milliseconds): DivisionInput {
     const others: OtherHolder[] = [];
     for (const [holder, record] of this.#holders) {
       if (holder === request.holder || !isActive(record, now)) continue;
-      const { wanted, needed } = record;
-      others.push({ wanted, needed, held: heldBy(record, now) });
+      const { wanted, needed, inUse, loweredTo } = record;
+      others.push({ wanted, needed, inUse, loweredTo, held: heldBy(record, now) });
     }
     const { holding, inUse, needed } = request;
-    const wanted = mayGrow ? request.wanted : Math.min(request.wanted, holding);
-    const input = { leasable, wanted, needed, holding, inUse, others };
-    const loweredTo = this.#holders.get(request.holder)?.loweredTo;
-    return Math.max(0, Math.min(wanted, this.#divide(input), freeOf(input, loweredTo)));
+    const wanted = this.isWaiting(now) ? Math.min(request.wanted, holding) : request.wanted;
+    const leasable = leasableConnections(this.#limit, this.#options);
+    return { leasable, wanted, needed, holding, inUse, others };
+  }
+
+  #decide(input: DivisionInput, loweredTo: number | undefined): number {
+    return Math.max(0, Math.min(input.wanted, this.#divide(input), freeOf(input, loweredTo)));
+  }
+
+  /** Set once for each holder after a limit was lowered, so that nobody is cut twice. */
+  #loweredTo(input: DivisionInput, { holder }: ShareRequest): number {
+    return this.#holders.get(holder)?.loweredTo ?? partOfLoweredLimit(input);
   }
 
   #isUnusedElsewhere(holder: HolderId, now: Milliseconds): boolean {
@@ -210,11 +221,15 @@
     return false;
   }
 
-  #record(request: ShareRequest, connections: number, now: Milliseconds): void {
+  #record(
+    request: ShareRequest,
+    connections: number,
+    loweredTo: number | undefined,
+    now: Milliseconds,
+  ): void {
     const { leaseMs, maxClockDrift } = this.#options;
     const until = now + withDrift(leaseMs, maxClockDrift);
-    const known = this.#holders.get(request.holder);
-    const previous = known?.shares ?? [];
+    const previous = this.#holders.get(request.holder)?.shares ?? [];
     // The holder says what it holds; it will act on no answer to an earlier request any more.
     const kept = previous
       .filter((share) => share.until > now)
@@ -222,7 +237,6 @@
     const reported = { connections: request.holding, until };
     const shares = [...kept, reported, { connections, until }].filter((s) => s.connections > 0);
     const { number: lastNumber, wanted, needed, inUse } = request;
-    const loweredTo = known?.loweredTo;
     this.#holders.set(request.holder, {
       lastNumber,
       wanted,
@@ -251,16 +265,6 @@
   return most;
 }
 
-/**
- * Connections that the asking holder may have beside the others. After the limit was lowered those
- * that are out exceed it: then each holder gives up the same part of what it has.
- */
-function freeOf({ leasable, holding, others }: DivisionInput, loweredTo = 0): number {
-  const held = others.reduce((sum, other) => sum + other.held, 0);
-  const free = leasable - held;
-  return holding <= free ? free : Math.max(free, Math.min(holding, loweredTo));
-}
-
 function isActive(record: HolderRecord, now: Milliseconds): boolean {
   return record.activeUntil > now && (record.wanted > 0 || heldBy(record, now) > 0);
 }
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -84,6 +84,26 @@
     return [...nodes.values()];
   }
 
+  /**
+   * Proxies that the list names and doesn't mark as leaving; if it names none, this node is alone.
+   * Empty until the list was read.
+   */
+  listedNodes(): readonly FleetNode[] {
+    if (this.#fleet === EMPTY_FLEET) return [];
+    const listed = this.#fleet.proxies.filter(({ state }) => state !== 'leaving').map(nodeOf);
+    return listed.length === 0 ? [this.#options.self] : listed;
+  }
+
+  /** Every node that may still run: listed, or a member that has neither failed nor left. */
+  knownNodes(): readonly FleetNode[] {
+    const nodes = new Map(this.#fleet.proxies.map((proxy) => [proxy.name, nodeOf(proxy)]));
+    for (const member of this.#options.members()) {
+      if (isServing(member)) nodes.set(member.nodeId, memberNode(member));
+    }
+    nodes.set(this.#options.self.nodeId, this.#options.self);
+    return [...nodes.values()];
+  }
+
   /** Nodes that may be home of a live session's positions, gone ones included. */
   homeNodes(): readonly FleetNode[] {
     const { self } = this.#options;
--- a/src/node/gateway/session-registry.ts
+++ b/src/node/gateway/session-registry.ts
@@ -9,10 +9,12 @@
 import type { GatewaySession } from './gateway-session.js';
 
 /** How long an open transaction may go on after its tenant's access was taken away, in ms. */
-const GRACE_MS: Milliseconds = 1000;
+export const SESSION_GRACE_MS: Milliseconds = 1000;
 
 export class SessionRegistry {
   readonly #sessions = new Map<TenantName, Set<GatewaySession>>();
+  /** Sessions that were told to end. */
+  readonly #ending = new WeakSet<GatewaySession>();
 
   add(session: GatewaySession): void {
     const sessions = this.#sessions.get(session.tenant) ?? new Set();
@@ -34,46 +36,46 @@
     return [...this.#sessions.values()].flatMap((sessions) => [...sessions]);
   }
 
-  /** Ends what is no longer allowed. `connectionsOf`: this node's share of the tenant's limit. */
-  apply(
-    policyOf: (tenant: TenantName) => TenantPolicy | undefined,
-    connectionsOf: (policy: TenantPolicy) => number,
-  ): void {
+  /** Ends sessions whose tenant, or whose tenant's access to their database, is gone. */
+  applyPolicies(policyOf: (tenant: TenantName) => TenantPolicy | undefined): void {
     for (const [tenant, sessions] of this.#sessions) {
       const policy = policyOf(tenant);
-      if (policy?.enabled !== true) {
-        endAll(
-          [...sessions],
-          new NotRunError('tenant-revoked', 'the tenant has no access any more'),
-        );
-        continue;
-      }
-      endAll(beyond(sessions, policy, connectionsOf(policy)), tooMany(tenant));
+      const refused =
+        policy?.enabled === true
+          ? [...sessions].filter((session) => !session.isAllowedBy(policy))
+          : [...sessions];
+      this.#endAll(refused, noAccess());
     }
   }
+
+  /** Ends the newest sessions of a tenant beyond those that it may have on this node. */
+  endBeyond(tenant: TenantName, allowed: number): void {
+    const sessions = [...(this.#sessions.get(tenant) ?? [])];
+    const staying = sessions.filter((session) => !this.#ending.has(session));
+    const alreadyEnding = sessions.length - staying.length;
+    const ended = Math.max(0, sessions.length - alreadyEnding - allowed);
+    this.#endAll(staying.slice(staying.length - ended), tooMany(tenant));
+  }
+
+  /** Between requests if they end soon, whatever they do after the grace time. */
+  #endAll(sessions: readonly GatewaySession[], error: RequestError): void {
+    const running = sessions.filter((session) => !this.#ending.has(session));
+    if (running.length === 0) return;
+    for (const session of running) {
+      this.#ending.add(session);
+      session.stop(error);
+    }
+    const timer = setTimeout(() => {
+      for (const session of running) session.cut(error);
+    }, SESSION_GRACE_MS);
+    timer.unref();
+  }
 }
 
-/** Sessions that are too many, or whose database the tenant may no longer reach. */
-function beyond(
-  sessions: ReadonlySet<GatewaySession>,
-  policy: TenantPolicy,
-  allowed: number,
-): readonly GatewaySession[] {
-  const reachable = [...sessions].filter((session) => session.isAllowedBy(policy));
-  const unreachable = [...sessions].filter((session) => !session.isAllowedBy(policy));
-  return [...unreachable, ...reachable.slice(allowed)];
+function noAccess(): RequestError {
+  return new NotRunError('tenant-revoked', 'the tenant has no access any more');
 }
 
 function tooMany(tenant: TenantName): RequestError {
   return new NotRunError('connection-limit', `tenant ${tenant} may hold fewer connections now`);
 }
-
-/** Between requests if they end soon, whatever they do after the grace time. */
-function endAll(sessions: readonly GatewaySession[], error: RequestError): void {
-  if (sessions.length === 0) return;
-  for (const session of sessions) session.stop(error);
-  const timer = setTimeout(() => {
-    for (const session of sessions) session.cut(error);
-  }, GRACE_MS);
-  timer.unref();
-}
--- a/src/node/limits/nodes.ts
+++ b/src/node/limits/nodes.ts
@@ -1,18 +1,14 @@
 /** The nodes that take part in sharing limits, by this node's view of the fleet. */
-import {
-  type Hash64,
-  type HashedCandidate,
-  hashCandidate,
-  hashGroup,
-  selectOwners,
-} from '../../core/ownership/rendezvous.js';
+import { hashNodes, type NodesByZone, nodesFor } from '../../core/limits/tenant-nodes.js';
+import type { Hash64 } from '../../core/ownership/rendezvous.js';
 import type { TenantName } from '../../core/request.js';
 import type { PeerAddress } from '../../peer/contract.js';
 import type { FleetNode } from '../fleet-view.js';
 
 export class LimitNodes {
   readonly #hash: Hash64;
-  #live: readonly HashedCandidate[] = [];
+  #live: NodesByZone = [];
+  #liveCount = 0;
   #known = new Map<string, FleetNode>();
   #allocators = new Map<TenantName, string | undefined>();
 
@@ -22,13 +18,14 @@
 
   /** `live` may become allocators; `known` may hold shares, too. */
   set(live: readonly FleetNode[], known: readonly FleetNode[]): void {
-    this.#live = live.map((node) => hashCandidate(this.#hash, node));
+    this.#live = hashNodes(this.#hash, live);
+    this.#liveCount = live.length;
     this.#known = new Map([...known, ...live].map((node) => [node.nodeId, node]));
     this.#allocators = new Map();
   }
 
   get liveCount(): number {
-    return this.#live.length;
+    return this.#liveCount;
   }
 
   get knownIds(): readonly string[] {
@@ -38,8 +35,7 @@
   /** The node that should allocate the tenant's limit; others may believe in another one. */
   allocatorOf(tenant: TenantName): string | undefined {
     if (this.#allocators.has(tenant)) return this.#allocators.get(tenant);
-    const key = hashGroup(this.#hash, `tenant-allocator:${tenant}`, []);
-    const allocator = selectOwners(key, this.#live, 1)[0]?.nodeId;
+    const [allocator] = nodesFor(this.#hash, `tenant-allocator:${tenant}`, this.#live, 1);
     this.#allocators.set(tenant, allocator);
     return allocator;
   }
--- a/src/node/limits/service.ts
+++ b/src/node/limits/service.ts
@@ -82,11 +82,11 @@
     }, TICK_MS);
   }
 
-  /** Nobody is admitted any more, and others may allocate. */
-  stop(error: RequestError): void {
+  /** Gives the shares back: nobody is admitted any more, and others may allocate. */
+  async stop(error: RequestError): Promise<void> {
     clearInterval(this.#timer);
-    this.#shares.stop(error);
     this.#allocators.stop();
+    await this.#shares.stop(error);
   }
 
   /** `listed`: proxies that the machine list names and doesn't mark as leaving. */
--- a/src/node/limits/share-service.ts
+++ b/src/node/limits/share-service.ts
@@ -76,15 +76,7 @@
   tick(): void {
     const { now, limitOf, nodes } = this.#options;
     this.#shares.setNodeCount(nodes.liveCount);
-    const due = new Map<string, TenantShareRequest[]>();
-    for (const entry of this.#shares.dueRequests(limitOf, now())) {
-      const allocator = nodes.allocatorOf(entry.tenant);
-      if (allocator === undefined) continue;
-      const requests = due.get(allocator) ?? [];
-      requests.push(entry);
-      due.set(allocator, requests);
-    }
-    for (const [allocator, requests] of due) void this.#ask(allocator, requests);
+    void this.#send(this.#shares.dueRequests(limitOf, now()));
     for (const tenant of this.#shares.tenants()) this.#applyShare(tenant);
   }
 
@@ -109,11 +101,25 @@
     }));
   }
 
-  /** Refuses everybody who waits. */
-  stop(error: RequestError): void {
+  /** Refuses everybody who waits and gives all shares back; the callers have gone before. */
+  async stop(error: RequestError): Promise<void> {
     for (const [tenant, waiting] of this.#waiting) {
       for (const caller of [...waiting]) this.#settle(tenant, caller, err(error));
     }
+    await this.#send(this.#shares.returnAll(this.#options.now()));
+  }
+
+  /** One call for each allocator. */
+  async #send(requests: readonly TenantShareRequest[]): Promise<void> {
+    const byAllocator = new Map<string, TenantShareRequest[]>();
+    for (const entry of requests) {
+      const allocator = this.#options.nodes.allocatorOf(entry.tenant);
+      if (allocator === undefined) continue;
+      byAllocator.set(allocator, [...(byAllocator.get(allocator) ?? []), entry]);
+    }
+    await Promise.all(
+      [...byAllocator].map(([allocator, entries]) => this.#ask(allocator, entries)),
+    );
   }
 
   async #ask(allocator: string, requests: readonly TenantShareRequest[]): Promise<void> {
--- a/src/node/node-status.ts
+++ b/src/node/node-status.ts
@@ -4,6 +4,7 @@
 import type { GroupName } from '../core/request.js';
 import type { PeerCounters } from '../peer/contract.js';
 import type { ConfigurationServiceStatus } from './configuration/service.js';
+import type { TenantLimitStatus } from './limits/service.js';
 import type { MembershipCounters } from './membership/service.js';
 
 export type NodeState = 'starting' | 'serving' | 'leaving';
@@ -32,5 +33,7 @@
   readonly groups: readonly GroupStatus[];
   readonly members: readonly MemberSummary[];
   readonly membership: MembershipCounters;
+  /** Shares of tenants' connection limits. */
+  readonly limits: TenantLimitStatus;
   readonly peers: PeerCounters;
 }
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -12,7 +12,9 @@
 import type { ListedNode, MemberEvent } from '../core/membership/contract.js';
 import type { SelfDescription } from '../core/membership/machine.js';
 import type { Member } from '../core/membership/member.js';
-import type { GroupName } from '../core/request.js';
+import { loadHash64 } from '../core/ownership/hash.js';
+import type { Hash64 } from '../core/ownership/rendezvous.js';
+import type { GroupName, TenantName } from '../core/request.js';
 import { RetryBudget } from '../core/retry/budget.js';
 import type { SessionKeys } from '../core/session/index.js';
 import type { Readiness } from '../observability/admin-server.js';
@@ -28,7 +30,6 @@
 import type { CallerTlsOptions } from '../postgres/caller/options.js';
 import { CallerServer } from '../postgres/caller/server.js';
 import type { CallerConnection } from '../postgres/contract.js';
-import { CallerAdmission } from './caller-admission.js';
 import { monotonicNow } from './clock.js';
 import { ConfigurationService } from './configuration/service.js';
 import { endpointOf } from './endpoints.js';
@@ -37,7 +38,8 @@
 import { GroupClient } from './gateway/group-client.js';
 import { HomeNodeDirectory } from './gateway/home-node-directory.js';
 import type { RequestMetrics } from './gateway/request-metrics.js';
-import { SessionRegistry } from './gateway/session-registry.js';
+import { SESSION_GRACE_MS, SessionRegistry } from './gateway/session-registry.js';
+import { TenantLimitService } from './limits/service.js';
 import { MembershipService } from './membership/service.js';
 import type { MemberSummary, NodeState, NodeStatus } from './node-status.js';
 import { BackendConnector } from './owner/backend-connector.js';
@@ -99,7 +101,7 @@
   readonly #directory: HomeNodeDirectory;
   readonly #client: GroupClient;
   readonly #callers: CallerServer;
-  readonly #admission: CallerAdmission;
+  readonly #limits: TenantLimitService;
   readonly #sessionKeys: SessionKeys;
   #snapshot: ConfigurationSnapshot | undefined;
   #requestsNumbered = 0;
@@ -109,6 +111,7 @@
   private constructor(
     readonly options: ProxyOptions,
     links: NodeLinks,
+    hash: Hash64,
   ) {
     const { settings } = options;
     this.#settings = settings;
@@ -136,7 +139,7 @@
     this.#owner = this.#createOwner();
     this.#directory = this.#createDirectory();
     this.#client = this.#createClient();
-    this.#admission = new CallerAdmission((policy) => this.#connectionShare(policy));
+    this.#limits = this.#createLimits(hash);
     this.#callers = this.#createCallerServer();
     this.#configuration = this.#createConfiguration(self);
     this.#route(links.router);
@@ -150,7 +153,7 @@
   static async #start(options: ProxyOptions): Promise<Result<ProxyNode, ProxyStartError>> {
     const links = await openLinks(options.settings);
     if (links.isErr()) return err(startError(links.error));
-    const node = new ProxyNode(options, links.value);
+    const node = new ProxyNode(options, links.value, await loadHash64());
     return node.#serve();
   }
 
@@ -185,6 +188,7 @@
       groups: [...this.#owner.statistics()].map(([group, figures]) => ({ group, ...figures })),
       members: this.#membership.members().map(summaryOf),
       membership: this.#membership.counters(),
+      limits: this.#limits.status(),
       peers: this.#transport.counters(),
     };
   }
@@ -208,6 +212,7 @@
     this.#configuration.start();
     await this.#configuration.ready;
     this.#onSnapshot(this.#configuration.snapshot());
+    this.#limits.start();
     const callers = await this.#callers.listen();
     if (callers.isErr()) return err(startError(callers.error));
     this.addresses = { ...this.addresses, callers: callers.value };
@@ -238,6 +243,7 @@
   async #close(): Promise<void> {
     for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
     clearInterval(this.#releaseTimer);
+    await this.#limits.stop(new NodeStoppingError());
     await this.#membership.stop();
     await this.#configuration.stop();
     this.#machineList.stop();
@@ -277,11 +283,23 @@
       ...(tls === undefined ? {} : { tls }),
       mockSecret: mockSecretOf(this.#sessionKeys),
       policyFor: (user) => this.#policyFor(user),
-      admit: (policy) => this.#admission.admit(policy),
+      admit: (policy) => this.#limits.admit(policy),
       handler: (connection) => this.#onCaller(connection),
     });
   }
 
+  #createLimits(hash: Hash64): TenantLimitService {
+    return new TenantLimitService({
+      identity: this.#identity,
+      transport: this.#transport,
+      hash,
+      limitOf: (tenant) => this.#connectionLimit(tenant),
+      now: monotonicNow,
+      graceMs: SESSION_GRACE_MS,
+      onShareLowered: (tenant, allowed) => this.#sessions.endBeyond(tenant, allowed),
+    });
+  }
+
   #createConfiguration(self: FleetNode): ConfigurationService {
     return new ConfigurationService({
       self: configurationMember(self),
@@ -319,6 +337,7 @@
     router.onLinkDown = (peer) => this.#onLinkDown(peer);
     router.add(this.#configuration);
     router.add(this.#directory);
+    router.add(this.#limits);
     router.add({
       handles: (method) => this.#membership.handlesCall(method),
       onCall: (method, body) => this.#membership.handleCall(method, body),
@@ -348,16 +367,23 @@
     this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.setMachines(this.#fleet.databases);
     this.#configuration.membersChanged();
+    this.#limits.setFleet(
+      this.#fleet.liveNodes(),
+      this.#fleet.knownNodes(),
+      this.#fleet.listedNodes(),
+    );
   }
 
   #onSnapshot(snapshot: ConfigurationSnapshot): void {
+    const previous = this.#snapshot;
     this.#snapshot = snapshot;
     this.#membership.setConfigurationRevision(snapshot.revision);
     this.#owner.setConfiguration(snapshot);
-    this.#sessions.apply(
-      (tenant) => this.#policyOf(tenant),
-      (policy) => this.#connectionShare(policy),
-    );
+    this.#sessions.applyPolicies((tenant) => this.#policyOf(tenant));
+    for (const [tenant, policy] of snapshot.tenantsByName) {
+      const before = previous?.tenantsByName.get(tenant);
+      if (before?.maxConnections !== policy.maxConnections) this.#limits.limitChanged(tenant);
+    }
   }
 
   #policyOf(tenant: string): TenantPolicy | undefined {
@@ -396,8 +422,9 @@
     return Math.max(1, Math.floor(shared / this.#settings.ownersPerGroup));
   }
 
-  #connectionShare(policy: TenantPolicy): number {
-    return Math.ceil(policy.maxConnections / Math.max(1, this.#fleet.liveNodes().length));
+  #connectionLimit(tenant: TenantName): number {
+    const policy = this.#policyOf(tenant);
+    return policy?.enabled === true ? policy.maxConnections : 0;
   }
 }
 
--- a/src/postgres/caller/options.ts
+++ b/src/postgres/caller/options.ts
@@ -1,5 +1,5 @@
 /** Settings of the caller side and their defaults. */
-import type { Result } from 'neverthrow';
+import type { Result, ResultAsync } from 'neverthrow';
 import type { TenantPolicy } from '../../core/configuration/model.js';
 import type { RequestError } from '../../core/errors.js';
 import type { CallerHandler } from '../contract.js';
@@ -64,7 +64,7 @@
    */
   policyFor(user: string, database: string): Result<TenantPolicy, RequestError>;
   /** Connection limit: called after the password was right; gives what returns the place. */
-  admit(policy: TenantPolicy): Result<() => void, RequestError>;
+  admit(policy: TenantPolicy): ResultAsync<() => void, RequestError>;
   readonly handler: CallerHandler;
   /** `server_version` that callers are told. Default `15.0`. */
   readonly serverVersion?: string;
--- a/src/postgres/caller/server.ts
+++ b/src/postgres/caller/server.ts
@@ -98,7 +98,7 @@
     const login: Login = new Login(socket, this.loginOptions, {
       onLogin: (result) => {
         this.logins.delete(login);
-        this.admit(result);
+        void this.admit(result);
       },
       onCancelRequest: (key) => this.cancelKeys.cancel(key),
       onEnd: () => {
@@ -108,19 +108,32 @@
     this.logins.add(login);
   }
 
-  private admit(login: LoginResult): void {
-    const admitted = this.options.admit(login.policy);
+  /** The caller's next bytes wait in its socket while it waits for its place. */
+  private async admit(login: LoginResult): Promise<void> {
+    const { socket } = login;
+    socket.pause();
+    const admitted = await this.options.admit(login.policy);
+    socket.resume();
     if (admitted.isErr()) {
-      closeWith(login.socket, admitted.error, this.limits.lingerMs);
-      return;
+      closeWith(socket, admitted.error, this.limits.lingerMs);
+    } else if (socket.destroyed) {
+      admitted.value();
+    } else if (!this.server.listening) {
+      admitted.value();
+      closeWith(socket, new ServerStoppingError(), this.limits.lingerMs);
+    } else {
+      this.open(login, admitted.value);
     }
+  }
+
+  private open(login: LoginResult, giveBack: () => void): void {
     const connection = this.connect(login);
     const key = this.cancelKeys.register(() => connection.cancel());
     this.connections.set(connection.id, connection);
     login.socket.once('close', () => {
       this.connections.delete(connection.id);
       this.cancelKeys.release(key);
-      admitted.value();
+      giveBack();
     });
     this.greet(login, connection, key);
   }
--- a/test/integration/postgres/caller-fixture.ts
+++ b/test/integration/postgres/caller-fixture.ts
@@ -1,6 +1,6 @@
 /** A caller server with a tiny handler, for tests: answers a few statements by itself. */
 import { createHash, createHmac, pbkdf2Sync } from 'node:crypto';
-import { err, ok } from 'neverthrow';
+import { err, errAsync, ok, okAsync } from 'neverthrow';
 import type { TenantPolicy } from '../../../src/core/configuration/model.js';
 import { NotRunError, UnsupportedFeatureError } from '../../../src/core/errors.js';
 import { AuthenticationFailedError } from '../../../src/postgres/caller/errors.js';
@@ -101,10 +101,10 @@
     policyFor: (user) => (user === USER ? ok(POLICY) : err(new AuthenticationFailedError(user))),
     admit: (policy) => {
       if (admitted >= policy.maxConnections) {
-        return err(new NotRunError('connection-limit', 'too many connections of this tenant'));
+        return errAsync(new NotRunError('connection-limit', 'too many connections of this tenant'));
       }
       admitted += 1;
-      return ok(() => {
+      return okAsync(() => {
         admitted -= 1;
       });
     },
--- /dev/null
+++ b/test/unit/election.test.ts
@@ -0,0 +1,88 @@
+/** Votes for the allocator of a tenant's limit, and what they vouch for. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { Candidacy, type Vote, Voter } from '../../src/core/limits/election.js';
+import { VoterSets } from '../../src/core/limits/voter-sets.js';
+import { loadHash64 } from '../../src/core/ownership/hash.js';
+
+const VOTE_MS = 1000;
+const REMEMBER_MS = 50_000;
+const AUTHORITY_MS = 900;
+const LIST_LAG_MS = 5000;
+const SETS = [['a', 'b', 'c']];
+
+function voterStartedAt(startedAt: number): Voter {
+  return new Voter({ life: 'v#1', startedAt, voteMs: VOTE_MS, rememberMs: REMEMBER_MS });
+}
+
+function voteFor(sequence: string, quietMs: number, voterSets = SETS): Vote {
+  return { granted: true, sequence, quietMs, voterSets };
+}
+
+test('a voter votes for one candidate until its vote has lapsed', () => {
+  const voter = voterStartedAt(0);
+  const first = voter.vote('t', 'one', SETS, 10_000);
+  assert.ok(first.granted);
+  assert.not(voter.vote('t', 'two', SETS, 10_000 + VOTE_MS - 1).granted);
+  assert.ok(voter.vote('other tenant', 'two', SETS, 10_000).granted);
+  const second = voter.vote('t', 'two', SETS, 10_000 + VOTE_MS);
+  assert.is(second.quietMs, VOTE_MS, 'since the vote for the other was given');
+  assert.is.not(second.sequence, first.sequence);
+});
+
+test('a restarted voter vouches for no longer than it runs', () => {
+  const vote = voterStartedAt(9000).vote('t', 'one', SETS, 10_000);
+  assert.is(vote.quietMs, 1000);
+});
+
+test('a majority elects, with the time that a majority vouches for', () => {
+  const candidacy = new Candidacy(AUTHORITY_MS);
+  candidacy.startRound(SETS, 0, 100);
+  assert.is(candidacy.receive('a', 100, voteFor('a1', 50), 110).type, 'pending');
+  const elected = candidacy.receive('b', 100, voteFor('b1', 7000), 110);
+  assert.equal(elected, { type: 'elected', sentAt: 100, quietMs: 50, continued: false });
+  const late = candidacy.receive('c', 99, voteFor('c1', 7000), 110);
+  assert.is(late.type, 'pending', 'a vote of an earlier round');
+});
+
+test('a majority is needed also of the voters that a voter knows of', () => {
+  const candidacy = new Candidacy(AUTHORITY_MS);
+  candidacy.startRound([['a']], 0, 100);
+  const known = [['a'], ['x', 'y', 'z']];
+  assert.is(candidacy.receive('a', 100, voteFor('a1', 50, known), 110).type, 'pending');
+  assert.equal(candidacy.startRound([['a']], 0, 200), ['a', 'x', 'y', 'z']);
+});
+
+test('a tenure does not go on if others may have been elected by earlier voters', () => {
+  const candidacy = new Candidacy(AUTHORITY_MS);
+  candidacy.startRound([['a']], 0, 100);
+  candidacy.receive('a', 100, voteFor('a1', 50, [['a']]), 110);
+  candidacy.startRound([['a']], 0, 200);
+  const next = candidacy.receive('a', 200, voteFor('a1', 150, [['a']]), 210);
+  assert.ok(next.type === 'elected' && next.continued);
+  const coveredSince = 200 + AUTHORITY_MS + 1;
+  candidacy.startRound([['a']], coveredSince, 9000);
+  const later = candidacy.receive('a', 9000, voteFor('a1', 8000, [['a']]), 9010);
+  assert.ok(later.type === 'elected' && !later.continued);
+});
+
+test('after a change of the list the voters of both lists count, and then the new ones alone', async () => {
+  const sets = new VoterSets(await loadHash64(), {
+    listLagMs: LIST_LAG_MS,
+    rememberMs: REMEMBER_MS,
+  });
+  const nodes = ['a', 'b', 'c', 'd'].map((nodeId) => ({ nodeId, zone: nodeId }));
+  sets.setList(nodes, 1000);
+  const before = sets.votersOf('t', 1000);
+  assert.is(before.voterSets[0]?.length, 3);
+  assert.is(before.coveredSince, 1000, 'what was before the first list is unknown');
+  const [gone = ''] = before.voterSets[0] ?? [];
+  const rest = nodes.filter(({ nodeId }) => nodeId !== gone);
+  sets.setList(rest, 20_000);
+  assert.is(sets.votersOf('t', 20_000 + LIST_LAG_MS - 1).voterSets.length, 2);
+  const after = sets.votersOf('t', 20_000 + LIST_LAG_MS);
+  assert.equal(after.voterSets, [rest.map(({ nodeId }) => nodeId)]);
+  assert.is(after.coveredSince, 20_000 + LIST_LAG_MS);
+});
+
+test.run();
