--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationMember } from '../core/configuration/relays.js';
 import { MeadowstackError, NotRunError, type RequestError } from '../core/errors.js';
 import { DatabaseGroup } from '../core/group/database-group.js';
+import type { GroupTiming } from '../core/group/options.js';
 import type { ListedNode, MemberEvent } from '../core/membership/contract.js';
 import type { SelfDescription } from '../core/membership/machine.js';
 import type { Member } from '../core/membership/member.js';
@@ -17,6 +18,7 @@
 import type { GroupName, TenantName } from '../core/request.js';
 import { RetryBudget } from '../core/retry/budget.js';
 import type { SessionKeys } from '../core/session/index.js';
+import { NodeRanker } from '../core/session/node-ranker.js';
 import type { Readiness } from '../observability/admin-server.js';
 import type { Logger } from '../observability/logger.js';
 import type { NodeIdentity, PeerAddress } from '../peer/contract.js';
@@ -44,7 +46,7 @@
 import type { MemberSummary, NodeState, NodeStatus } from './node-status.js';
 import { BackendConnector } from './owner/backend-connector.js';
 import { OwnerService } from './owner/owner-service.js';
-import { OwnerDirectory, rankNodes } from './owner-directory.js';
+import { OwnerDirectory } from './owner-directory.js';
 import { PeerRouter } from './peer-router.js';
 import type { Settings } from './settings.js';
 import { groupPolicyOf, OUR_POLICY } from './test-policy.js';
@@ -89,6 +91,7 @@
   readonly #logger: Logger;
   readonly #identity: NodeIdentity;
   readonly #transport: TcpPeerTransport;
+  readonly #hash: Hash64;
   readonly #membership: MembershipService;
   readonly #fleet: FleetView;
   readonly #store: StoreClient;
@@ -111,13 +114,13 @@
   private constructor(
     readonly options: ProxyOptions,
     links: NodeLinks,
-    hash: Hash64,
   ) {
     const { settings } = options;
     this.#settings = settings;
     this.#logger = options.logger;
     this.#identity = links.identity;
     this.#transport = links.transport;
+    this.#hash = links.hash;
     this.addresses = { callers: settings.callers, peer: links.address };
     this.#sessionKeys = sessionKeysOf(settings);
     const self = selfOf(settings, links);
@@ -134,12 +137,12 @@
     });
     this.#store = createStore(settings);
     this.#machineList = createMachineList(settings);
-    this.#owners = new OwnerDirectory(settings);
+    this.#owners = this.#createOwners(links);
     this.#connector = new BackendConnector(settings.backend);
     this.#owner = this.#createOwner();
     this.#directory = this.#createDirectory();
     this.#client = this.#createClient();
-    this.#limits = this.#createLimits(hash);
+    this.#limits = this.#createLimits();
     this.#callers = this.#createCallerServer();
     this.#configuration = this.#createConfiguration(self);
     this.#route(links.router);
@@ -153,7 +156,7 @@
   static async #start(options: ProxyOptions): Promise<Result<ProxyNode, ProxyStartError>> {
     const links = await openLinks(options.settings);
     if (links.isErr()) return err(startError(links.error));
-    const node = new ProxyNode(options, links.value, await loadHash64());
+    const node = new ProxyNode(options, links.value);
     return node.#serve();
   }
 
@@ -244,6 +247,7 @@
     for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
     clearInterval(this.#releaseTimer);
     await this.#limits.stop(new NodeStoppingError());
+    this.#owners.stop();
     await this.#membership.stop();
     await this.#configuration.stop();
     this.#machineList.stop();
@@ -269,6 +273,7 @@
       group,
       ownZone: this.#settings.zone,
       confirmationMode: this.#settings.confirmation,
+      timing: probeTimingOf(this.#settings),
       random: Math.random,
       ...groupPolicyOf(this.#settings.testPolicy),
     });
@@ -288,11 +293,11 @@
     });
   }
 
-  #createLimits(hash: Hash64): TenantLimitService {
+  #createLimits(): TenantLimitService {
     return new TenantLimitService({
       identity: this.#identity,
       transport: this.#transport,
-      hash,
+      hash: this.#hash,
       limitOf: (tenant) => this.#connectionLimit(tenant),
       now: monotonicNow,
       graceMs: SESSION_GRACE_MS,
@@ -311,11 +316,23 @@
     });
   }
 
+  #createOwners(links: NodeLinks): OwnerDirectory {
+    return new OwnerDirectory({
+      nodeId: this.#settings.nodeId,
+      ownersPerGroup: this.#settings.ownersPerGroup,
+      hash: links.hash,
+      transport: links.transport,
+      now: monotonicNow,
+      warm: (group) => this.#owner.warm(group),
+      onChange: () => this.#owner.reconcile(),
+    });
+  }
+
   #createDirectory(): HomeNodeDirectory {
     return new HomeNodeDirectory({
       nodeId: this.#settings.nodeId,
       transport: this.#transport,
-      rank: rankNodes,
+      rank: new NodeRanker(this.#hash).rank,
       nodes: () =>
         this.#fleet.homeNodes().map((node) => ({ nodeId: node.nodeId, address: addressOf(node) })),
       now: monotonicNow,
@@ -326,6 +343,7 @@
     return new GroupClient({
       ownersOf: (group) => this.#owners.ownersOf(group),
       transport: this.#transport,
+      onOwnerRefused: (group) => this.#owners.onRefused(group),
       acceptLocal: (header, stream) => this.#owner.accept(header, stream),
       retryBudget: new RetryBudget(RETRY_BUDGET),
       now: monotonicNow,
@@ -338,6 +356,7 @@
     router.add(this.#configuration);
     router.add(this.#directory);
     router.add(this.#limits);
+    router.add(this.#owners);
     router.add({
       handles: (method) => this.#membership.handlesCall(method),
       onCall: (method, body) => this.#membership.handleCall(method, body),
@@ -364,8 +383,10 @@
   }
 
   #onFleetChanged(): void {
-    this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.setMachines(this.#fleet.databases);
+    this.#owners.setGroups(this.#fleet.databases);
+    this.#owners.setNodes(this.#fleet.liveNodes());
+    this.#owner.reconcile();
     this.#configuration.membersChanged();
     this.#limits.setFleet(
       this.#fleet.liveNodes(),
@@ -434,6 +455,7 @@
   readonly router: PeerRouter;
   readonly transport: TcpPeerTransport;
   readonly address: PeerAddress;
+  readonly hash: Hash64;
 }
 
 async function openLinks(settings: Settings): Promise<Result<NodeLinks, MeadowstackError>> {
@@ -447,8 +469,8 @@
     events: { onLinkDown: (peer) => router.linkDown(peer) },
     ...(clusterSecret === undefined ? {} : { clusterSecret }),
   });
-  const listening = await transport.listen(settings.peer);
-  return listening.map((address) => ({ identity, router, transport, address }));
+  const [listening, hash] = await Promise.all([transport.listen(settings.peer), loadHash64()]);
+  return listening.map((address) => ({ identity, router, transport, address, hash }));
 }
 
 function selfOf(settings: Settings, links: NodeLinks): SelfDescription & FleetNode {
@@ -516,6 +538,18 @@
   return createHmac('sha256', key.secret).update('mock authentication').digest();
 }
 
+/** Quiet groups are probed this many times more slowly. */
+const QUIET_PROBE_FACTOR = 5;
+
+function probeTimingOf({ probe }: Settings): Partial<GroupTiming> {
+  return {
+    probePeriodMs: probe.intervalMs,
+    quietProbePeriodMs: probe.intervalMs * QUIET_PROBE_FACTOR,
+    fastProbePeriodMs: probe.suspectIntervalMs,
+    probeTimeoutMs: probe.timeoutMs,
+  };
+}
+
 function clusterSecretOf(settings: Settings): Buffer | undefined {
   const { secretHex } = settings.peer;
   return secretHex === undefined ? undefined : Buffer.from(secretHex, 'hex');
