--- a/src/core/configuration/model.ts
+++ b/src/core/configuration/model.ts
@@ -49,6 +49,8 @@
   readonly maxQueued: number;
   /** Back-end connections held at once, per group. */
   readonly maxBackendConnections: number;
+  /** How long an open transaction may hold its connection while its caller sends nothing. */
+  readonly idleTransactionTimeoutMs: Milliseconds;
   readonly queueWeight: number;
   readonly requestsPerSecond: number;
   readonly burst: number;
--- a/src/core/configuration/policy-schema.ts
+++ b/src/core/configuration/policy-schema.ts
@@ -12,6 +12,10 @@
 const MAX_DATABASES = 64;
 const MAX_REQUEST_KINDS = 64;
 const DEFAULT_DEADLINE_MS = 30_000;
+/** Short enough that forgotten transactions give scarce connections back while callers wait. */
+export const DEFAULT_IDLE_TRANSACTION_TIMEOUT_MS = 30_000;
+const MIN_IDLE_TRANSACTION_TIMEOUT_MS = 10;
+const MAX_IDLE_TRANSACTION_TIMEOUT_MS = 3_600_000;
 
 /** The kind of requests without a marker. */
 export const DEFAULT_REQUEST_KIND = 'default';
@@ -76,6 +80,11 @@
     maxInFlight: count(MAX_CONNECTIONS),
     maxQueued: count(MAX_QUEUED),
     maxBackendConnections: count(MAX_CONNECTIONS),
+    idleTransactionTimeoutMs: wrap(
+      durationSchema.pipe(
+        z.number().min(MIN_IDLE_TRANSACTION_TIMEOUT_MS).max(MAX_IDLE_TRANSACTION_TIMEOUT_MS),
+      ),
+    ).prefault(DEFAULT_IDLE_TRANSACTION_TIMEOUT_MS),
     queueWeight: wrap(z.number().positive().max(MAX_WEIGHT)),
     requestsPerSecond: wrap(z.number().positive().max(MAX_REQUESTS_PER_SECOND)),
     burst: wrap(z.int().min(1).max(MAX_REQUESTS_PER_SECOND)),
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -55,6 +55,7 @@
   DUPLICATE_PREPARED_STATEMENT: '42P05',
   INVALID_SQL_STATEMENT_NAME: '26000',
   INVALID_CURSOR_NAME: '34000',
+  IDLE_IN_TRANSACTION_SESSION_TIMEOUT: '25P03',
   UNIQUE_VIOLATION: '23505',
   OBJECT_NOT_IN_PREREQUISITE_STATE: '55000',
 } as const;
@@ -145,12 +146,22 @@
 
 /** The transaction was rolled back (by us or by the loss of its connection before COMMIT was sent). */
 export class TransactionAbortedError extends RequestError {
-  readonly code = 'MS-TRANSACTION-ABORTED';
+  readonly code: string = 'MS-TRANSACTION-ABORTED';
   readonly outcome = 'failed';
-  readonly sqlState = SqlState.CONNECTION_FAILURE;
+  readonly sqlState: SqlStateCode = SqlState.CONNECTION_FAILURE;
   override readonly labels: ReadonlySet<ErrorLabel> = new Set(['retryable']);
 }
 
+/** The transaction was rolled back because its caller sent nothing for too long. */
+export class IdleTransactionError extends TransactionAbortedError {
+  override readonly code = 'MS-TRANSACTION-IDLE';
+  override readonly sqlState = SqlState.IDLE_IN_TRANSACTION_SESSION_TIMEOUT;
+
+  constructor(readonly timeoutMs: Milliseconds) {
+    super(`the open transaction was rolled back: it was idle for ${timeoutMs} ms`);
+  }
+}
+
 /** Why a read that had started could not be finished. */
 export type ReadFailureReason =
   | 'connection-lost'
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ConfigurationSnapshot, TenantPolicy } from '../../core/configuration/model.js';
+import { DEFAULT_IDLE_TRANSACTION_TIMEOUT_MS } from '../../core/configuration/policy-schema.js';
 import { NotRunError } from '../../core/errors.js';
 import type {
   GroupMachine,
@@ -11,7 +12,7 @@
   InstanceDescription,
   TenantGroupLimits,
 } from '../../core/group/contract.js';
-import type { GroupName, GroupRequest } from '../../core/request.js';
+import type { GroupName, GroupRequest, TenantName } from '../../core/request.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
 import type { PeerStream, WireValue } from '../../peer/contract.js';
@@ -43,7 +44,7 @@
   readonly #options: OwnerServiceOptions;
   readonly #runtimes = new Map<GroupName, GroupRuntime>();
   #machines: readonly DatabaseMachine[] = [];
-  #limits: readonly TenantPolicy[] = [];
+  #policies: ReadonlyMap<TenantName, TenantPolicy> = new Map();
   #draining = false;
   #requestsAccepted = 0;
 
@@ -73,7 +74,7 @@
   }
 
   setConfiguration(snapshot: ConfigurationSnapshot): void {
-    this.#limits = [...snapshot.tenantsByName.values()];
+    this.#policies = snapshot.tenantsByName;
     for (const [group, runtime] of this.#runtimes) this.#sendLimits(group, runtime);
   }
 
@@ -137,10 +138,16 @@
     const request = this.#requestOf(open, `${stream.id}/${this.#requestsAccepted}`);
     const work = new OwnerStream(stream, open, {
       abandoned: () => runtime.abandon(request.id),
+      idleTransactionTimeoutMs: this.#idleTransactionTimeoutMs(open.tenant),
     });
     runtime.submit(request, work);
   }
 
+  #idleTransactionTimeoutMs(tenant: TenantName): Milliseconds {
+    const policy = this.#policies.get(tenant);
+    return policy?.idleTransactionTimeoutMs ?? DEFAULT_IDLE_TRANSACTION_TIMEOUT_MS;
+  }
+
   #requestOf(open: OpenMessage, id: string): GroupRequest {
     return {
       id,
@@ -213,7 +220,7 @@
   }
 
   #sendLimits(group: GroupName, runtime: GroupRuntime): void {
-    const limits = this.#limits
+    const limits = [...this.#policies.values()]
       .filter((policy) => policy.databases.some((access) => access.group === group))
       .map(limitsOf);
     runtime.notify({ type: 'limits-changed', limits });
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -2,9 +2,15 @@
  * The owner's end of one request: takes batches from the gateway, runs them on the connection that
  * the state machine assigned, relays the answer and holds back its end until it is released.
  */
-import { NotRunError, type RequestError, TransactionAbortedError } from '../../core/errors.js';
+import {
+  IdleTransactionError,
+  NotRunError,
+  type RequestError,
+  TransactionAbortedError,
+} from '../../core/errors.js';
 import type { RunResult } from '../../core/group/contract.js';
 import type { Position } from '../../core/position.js';
+import type { Milliseconds } from '../../core/units.js';
 import type { PeerStream, WireValue } from '../../peer/contract.js';
 import { POSITION_QUERY, parseInstanceState } from '../../postgres/backend/position-query.js';
 import { type BatchResult, runBatch } from './batch-runner.js';
@@ -25,7 +31,9 @@
 
 type ReadyResult = Extract<BatchResult, { type: 'ready' }>;
 
-export interface OwnerStreamEvents {
+export interface OwnerStreamOptions {
+  /** How long an open transaction may hold its connection while its caller sends nothing. */
+  readonly idleTransactionTimeoutMs: Milliseconds;
   /** The gateway or its caller has gone before the request ended. */
   abandoned(): void;
 }
@@ -33,7 +41,7 @@
 export class OwnerStream implements GroupWork {
   readonly #stream: PeerStream;
   readonly #open: OpenMessage;
-  readonly #events: OwnerStreamEvents;
+  readonly #options: OwnerStreamOptions;
   readonly #relay: AnswerRelay;
   /** A keyed statement holds its connection like a transaction, but ends with its first batch. */
   readonly #callerHoldsTransaction: boolean;
@@ -44,12 +52,13 @@
   #callerGone = false;
   #settled = false;
   #lastResult: ReadyResult | undefined;
+  #idleTimer: NodeJS.Timeout | undefined;
   readonly #receiver = new BatchReceiver((batch) => this.#onNextBatch(batch));
 
-  constructor(stream: PeerStream, open: OpenMessage, events: OwnerStreamEvents) {
+  constructor(stream: PeerStream, open: OpenMessage, options: OwnerStreamOptions) {
     this.#stream = stream;
     this.#open = open;
-    this.#events = events;
+    this.#options = options;
     this.#relay = new AnswerRelay(stream, () => this.#assignment?.connection.pause());
     this.#callerHoldsTransaction = open.hold === 'transaction' && open.batch.onceKey === undefined;
     stream.onData = (data) => {
@@ -106,6 +115,7 @@
   #settle(message: OwnerMessage): void {
     if (this.#settled) return;
     this.#settled = true;
+    clearTimeout(this.#idleTimer);
     this.#relay.close();
     if (this.#callerGone) return;
     this.#stream.send(message);
@@ -135,7 +145,7 @@
   }
 
   #cancelRunning(): void {
-    if (this.#assignment === undefined) this.#events.abandoned();
+    if (this.#assignment === undefined) this.#options.abandoned();
     else if (this.#batchRunning) void this.#assignment.connection.cancel();
   }
 
@@ -144,6 +154,7 @@
     if (assignment === undefined) return;
     const endsRun = !this.#callerHoldsTransaction || batch.mayCommit;
     this.#batchRunning = true;
+    clearTimeout(this.#idleTimer);
     if (endsRun) this.#mayHaveCommitted = true;
     runBatch({
       connection: assignment.connection,
@@ -203,6 +214,16 @@
       return;
     }
     this.#sendBatchEnd(result);
+    this.#startIdleTimer();
+  }
+
+  /** From now on the transaction holds its connection for nothing until the next batch comes. */
+  #startIdleTimer(): void {
+    const { idleTransactionTimeoutMs } = this.#options;
+    this.#idleTimer = setTimeout(() => {
+      this.#settle(encodeRequestError(new IdleTransactionError(idleTransactionTimeoutMs)));
+      this.#abortTransaction();
+    }, idleTransactionTimeoutMs);
   }
 
   #sendBatchEnd(result: ReadyResult): void {
@@ -222,8 +243,9 @@
   #onCallerGone(): void {
     if (this.#callerGone) return;
     this.#callerGone = true;
+    clearTimeout(this.#idleTimer);
     if (this.#settled) return;
-    this.#events.abandoned();
+    this.#options.abandoned();
     this.#relay.close();
     this.#assignment?.connection.resume();
     if (this.#callerHoldsTransaction) this.#abortTransaction();
@@ -263,6 +285,7 @@
   #finishRun(result: RunResult): void {
     const assignment = this.#assignment;
     if (assignment === undefined) return;
+    clearTimeout(this.#idleTimer);
     // Cleared first: the state machine may assign another connection before this returns.
     this.#assignment = undefined;
     assignment.finished(result);
--- a/test/integration/postgres/caller-fixture.ts
+++ b/test/integration/postgres/caller-fixture.ts
@@ -38,6 +38,7 @@
   maxInFlight: 10,
   maxQueued: 10,
   maxBackendConnections: 10,
+  idleTransactionTimeoutMs: 30_000,
   queueWeight: 1,
   requestsPerSecond: 1000,
   burst: 100,
--- a/test/unit/gateway-session.test.ts
+++ b/test/unit/gateway-session.test.ts
@@ -23,6 +23,7 @@
   maxInFlight: 1,
   maxQueued: 1,
   maxBackendConnections: 1,
+  idleTransactionTimeoutMs: 30_000,
   queueWeight: 1,
   requestsPerSecond: 1,
   burst: 1,
