A replica that replays the old log under a new timeline is no fresher for it

Cause: the age of a replica's data was judged by timeline first. A replica that already follows a new primary but still replays the log of the old one reports the new timeline with an old LSN; while an owner still had the old primary's samples it took such a replica for complete up to the last of them and served reads staler than their bound. Change: the samples are compared as session positions are (timeline and LSN both no smaller); the comparison by timeline alone had no other use and is gone.

--- a/src/core/position.ts
+++ b/src/core/position.ts
@@ -32,11 +32,6 @@
   return comparePositions(left, right) >= 0 ? left : right;
 }
 
-/** True if a log at `reached` contains everything up to `wanted`. */
-export function hasReached(reached: Position, wanted: Position): boolean {
-  return comparePositions(reached, wanted) >= 0;
-}
-
 /** Parses PostgreSQL's text form of an LSN, such as `0/16B3748`. */
 export function parseLsn(text: string): Result<bigint, InvalidLsnError> {
   const match = LSN_PATTERN.exec(text);
--- a/src/core/routing/staleness.ts
+++ b/src/core/routing/staleness.ts
@@ -2,8 +2,9 @@
  * How old a replica's data may be. Samples say "at time t the primary had written no more than
  * position p"; a replica that has replayed p is no older than t.
  */
-import { hasReached, type Position } from '../position.js';
+import type { Position } from '../position.js';
 import type { Milliseconds } from '../units.js';
+import { containsPosition } from './select.js';
 
 /** At `at`, the primary had written at most up to `position`. */
 export interface PrimarySample {
@@ -42,12 +43,13 @@
 
   /**
    * The latest time as of which a replica at `replayed` is known to be complete, no later than
-   * `confirmedUntil`: beyond it the primary may have been replaced unseen.
+   * `confirmedUntil`: beyond it the primary may have been replaced unseen. A replica that follows a
+   * later timeline may still replay the earlier one, so its timeline alone says nothing.
    */
   freshAsOf(replayed: Position, confirmedUntil: Milliseconds): Milliseconds {
     for (let index = this.samples.length - 1; index >= 0; index -= 1) {
       const sample = this.samples[index];
-      if (sample === undefined || !hasReached(replayed, sample.position)) continue;
+      if (sample === undefined || !containsPosition(replayed, sample.position)) continue;
       return Math.min(sample.at, confirmedUntil);
     }
     return Number.NEGATIVE_INFINITY;
--- a/test/unit/routing.test.ts
+++ b/test/unit/routing.test.ts
@@ -72,4 +72,13 @@
   assert.is(history.freshAsOf(at(5, 90n), 1000), Number.NEGATIVE_INFINITY);
 });
 
+test('a replica that follows a new primary but still replays the old log is as old as before', () => {
+  const history = new PrimaryHistory();
+  history.add({ at: 10, position: at(5, 100n) });
+  history.add({ at: 30, position: at(5, 110n) });
+  assert.is(history.freshAsOf(at(6, 90n), 1000), Number.NEGATIVE_INFINITY);
+  assert.is(history.freshAsOf(at(6, 100n), 1000), 10);
+  assert.is(history.freshAsOf(at(6, 110n), 1000), 30);
+});
+
 test.run();
