Not run: a write that a demoted primary refused waits for the next one

Cause: a write that reached an instance in recovery (25006) was told as the database's error or as unknown, though nothing of it ran. The error alone proves nothing: a tenant can make its own transaction read only, and must not be able to make others wait. The position query that trails the batch says whether the instance is in recovery; both together do. Change: RunResult 'not-writable', reported by the owner stream if 25006 and pg_is_in_recovery() come together and no byte was relayed; the machine takes the instance off as primary and queues the write again, or refuses it as not run (no-primary). So that an error can be withdrawn it is held back like a completion: after 10 ms it had gone out ahead of the trailing query. CREATE TABLE of the keys refused in recovery ends the claim instead of claiming again.

--- a/src/core/at-most-once/execution.ts
+++ b/src/core/at-most-once/execution.ts
@@ -15,6 +15,8 @@
 
 const UNIQUE_VIOLATION = '23505';
 const UNDEFINED_TABLE = '42P01';
+/** SQLSTATE of a write in recovery or in a read-only transaction. */
+export const READ_ONLY_SQL_TRANSACTION = '25006';
 
 /** `autocommit`: the batch gets a transaction of its own. `in-transaction`: the caller has one. */
 export type OnceMode = 'autocommit' | 'in-transaction';
@@ -91,7 +93,7 @@
     case 'clear':
       return runOwn({ ...execution, phase: 'create-table' }, CREATE_ONCE_TABLE);
     case 'create-table':
-      return sendClaim({ ...execution, tableCreated: true });
+      return afterCreateTable({ ...execution, tableCreated: true }, answer.errorSqlState);
     case 'statement':
       return afterStatement(execution, answer.status, answer.errorSqlState);
     case 'commit':
@@ -131,6 +133,15 @@
   return abandon(execution, refuse(new OnceClaimRefusedError(sqlState)));
 }
 
+/**
+ * An error may mean that another proxy made the table at the same time; the next claim shows it.
+ * But an instance in recovery has no table to claim in and will have none.
+ */
+function afterCreateTable(execution: OnceExecution, sqlState: string | undefined): OnceTransition {
+  if (sqlState !== READ_ONLY_SQL_TRANSACTION) return sendClaim(execution);
+  return abandon(execution, refuse(new OnceClaimRefusedError(sqlState)));
+}
+
 /** Inside a caller's transaction the failed claim has aborted it; the table can't be made there. */
 function mayCreateTable(execution: OnceExecution): boolean {
   return execution.mode === 'autocommit' && !execution.tableCreated;
--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -24,6 +24,7 @@
   type Topology,
   withConnectionError,
   withInstances,
+  withNotWritable,
   withPassingState,
   withProbeAnswer,
   withProbeMissed,
@@ -175,6 +176,12 @@
     this.recordMiss(settled.probe, true, now, effects);
   }
 
+  /** An instance refused a write because it is in recovery. */
+  recordNotWritable(name: InstanceName, now: Milliseconds, effects: GroupEffect[]): void {
+    this.topology = withNotWritable(this.topology, name);
+    this.adoptPrimary(now, effects);
+  }
+
   recordConnectionError(name: InstanceName): void {
     this.topology = withConnectionError(this.topology, name);
     this.probeAtOnce.add(name);
--- a/src/core/failover/topology.ts
+++ b/src/core/failover/topology.ts
@@ -108,6 +108,13 @@
   return replaceInstance(topology, { ...known, state: raised });
 }
 
+/** An instance said in passing that it is in recovery: it leads no more, whatever it said before. */
+export function withNotWritable(topology: Topology, name: InstanceName): Topology {
+  const known = topology.instances.get(name);
+  if (known?.state === undefined) return topology;
+  return replaceInstance(topology, { ...known, state: { ...known.state, writable: false } });
+}
+
 /** An error on a connection: suspect until the next answer. */
 export function withConnectionError(topology: Topology, name: InstanceName): Topology {
   const known = topology.instances.get(name);
--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -19,7 +19,7 @@
 const NOWHERE: Position = { timeline: 0, lsn: 0n };
 
 type LostResult = Extract<RunResult, { type: 'connection-lost' }>;
-type FinishedResult = Exclude<RunResult, { type: 'connection-lost' }>;
+type FinishedResult = Exclude<RunResult, { type: 'connection-lost' | 'not-writable' }>;
 
 /** Ends requests. */
 export class Completion {
@@ -39,6 +39,7 @@
       return;
     }
     if (result.type === 'connection-lost') this.lost(run, result, now);
+    else if (result.type === 'not-writable') this.refusedAsNotWritable(run, now);
     else this.finished(run, result, now);
   }
 
@@ -258,6 +259,21 @@
     else this.outcomes.unknown(run, 'connection-lost');
   }
 
+  /** A demoted primary ran nothing of the write: it waits for the next primary. */
+  private refusedAsNotWritable(run: Run, now: Milliseconds): void {
+    const { monitor, effects, runs, timing } = this.context;
+    const { entry } = run;
+    monitor.recordNotWritable(run.instance, now, effects);
+    runs.delete(entry.request.id);
+    if (this.mayRetry(entry, now)) {
+      this.context.counters.retries += 1;
+      this.enqueueAgain(entry, run, entry.attempts + 1, now);
+      return;
+    }
+    const message = 'the primary was demoted before the request reached it';
+    this.outcomes.notRun(entry, 'no-primary', message, timing.noPrimaryRetryAfterMs);
+  }
+
   private retryRead(run: Run, reason: ReadFailureReason, now: Milliseconds): void {
     const { hold } = run.entry.request;
     const mayRetry = hold === 'statement' && !run.answerRelayed;
--- a/src/core/group/contract.ts
+++ b/src/core/group/contract.ts
@@ -79,6 +79,11 @@
     }
   /** The database's own error; for a transaction: it rolled back. */
   | { readonly type: 'database-error'; readonly position: Position | undefined }
+  /**
+   * The instance refused the write as read only and says itself that it is in recovery: it was
+   * demoted, and nothing of the request ran. No byte of the answer has gone towards the caller.
+   */
+  | { readonly type: 'not-writable' }
   /** The connection was lost. `bytesWritten`: any byte of the request had gone to the socket. */
   | {
       readonly type: 'connection-lost';
--- a/src/node/owner/batch-runner.ts
+++ b/src/node/owner/batch-runner.ts
@@ -8,10 +8,12 @@
   continueOnce,
   needsConfirmation,
   type OnceAction,
+  OnceClaimRefusedError,
   type OnceExecution,
   type OnceMode,
   type OnceResult,
   parseOnceClaim,
+  READ_ONLY_SQL_TRANSACTION,
   startOnce,
 } from '../../core/at-most-once/index.js';
 import type { RequestError } from '../../core/errors.js';
@@ -33,6 +35,8 @@
       readonly status: TransactionStatus;
       readonly heldBack: Buffer;
       readonly errorSqlState: string | undefined;
+      /** The server refused to write; nothing of the batch lasts. */
+      readonly refusedAsReadOnly: boolean;
       readonly trailingRows: TrailingRows;
       /** Reported in place of what is held back; nothing of the batch lasts, or it lasted before. */
       readonly refusal: RequestError | undefined;
@@ -82,7 +86,8 @@
   if (end.type === 'lost') {
     return { type: 'lost', bytesWritten: end.bytesWritten, mayHaveCommitted: end.bytesWritten };
   }
-  return { ...end, refusal: undefined, refusalNeedsConfirmation: false };
+  const refusedAsReadOnly = end.errorSqlState === READ_ONLY_SQL_TRANSACTION;
+  return { ...end, refusedAsReadOnly, refusal: undefined, refusalNeedsConfirmation: false };
 }
 
 function refusedBeforeSending(error: RequestError): BatchResult {
@@ -91,6 +96,7 @@
     status: 'I',
     heldBack: Buffer.alloc(0),
     errorSqlState: error.sqlState,
+    refusedAsReadOnly: false,
     trailingRows: undefined,
     refusal: error,
     refusalNeedsConfirmation: false,
@@ -102,6 +108,8 @@
   readonly #run: BatchRun;
   #execution: OnceExecution | undefined;
   #heldBack: Buffer = Buffer.alloc(0);
+  /** What is held back ends with the error of the caller's own batch. */
+  #callerBatchFailed = false;
   /** Undefined once the connection is lost. */
   #last: Extract<BackendBatchEnd, { type: 'ready' }> | undefined;
   #lostWithBytes = false;
@@ -149,7 +157,10 @@
       trailingQuery: undefined,
       onMessages: this.#run.onMessages,
       onFinished: (end) => {
-        if (end.type === 'ready') this.#heldBack = end.heldBack;
+        if (end.type === 'ready') {
+          this.#heldBack = end.heldBack;
+          this.#callerBatchFailed = end.errorSqlState !== undefined;
+        }
         this.#onEnd(end);
       },
     });
@@ -175,14 +186,26 @@
     this.#run.onResult({
       type: 'ready',
       status: last.status,
-      heldBack: result.type === 'done' ? this.#heldBack : Buffer.alloc(0),
+      heldBack: this.#tellsCallerBatch(result) ? this.#heldBack : Buffer.alloc(0),
       errorSqlState:
         result.type === 'done' ? undefined : (last.errorSqlState ?? refusal?.sqlState ?? ''),
+      refusedAsReadOnly: isRefusedAsReadOnly(refusal),
       trailingRows: last.trailingRows,
       refusal,
       refusalNeedsConfirmation: needsConfirmation(result) && refusal !== undefined,
     });
   }
+
+  /** False if something of ours failed: then the answer to the caller's batch is not true. */
+  #tellsCallerBatch(result: OnceResult): boolean {
+    return result.type === 'done' || (result.type === 'database-error' && this.#callerBatchFailed);
+  }
+}
+
+/** The claim is the first thing that a keyed request writes. */
+function isRefusedAsReadOnly(refusal: RequestError | undefined): boolean {
+  const refusedClaim = refusal instanceof OnceClaimRefusedError;
+  return refusedClaim && refusal.databaseSqlState === READ_ONLY_SQL_TRANSACTION;
 }
 
 function asBuffer(bytes: Uint8Array): Buffer {
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -3,7 +3,7 @@
  * the state machine assigned, relays the answer and holds back its end until it is released.
  */
 import { NotRunError, type RequestError, TransactionAbortedError } from '../../core/errors.js';
-import type { RunResult } from '../../core/group/contract.js';
+import type { InstanceState, RunResult } from '../../core/group/contract.js';
 import type { Position } from '../../core/position.js';
 import type { PeerStream, WireValue } from '../../peer/contract.js';
 import { POSITION_QUERY, parseInstanceState } from '../../postgres/backend/position-query.js';
@@ -182,6 +182,7 @@
   }
 
   #runResultOf(result: ReadyResult, batch: BatchMessage): RunResult {
+    if (this.#refusedInRecovery(result)) return { type: 'not-writable' };
     const position = positionOf(result);
     const rolledBack =
       (result.errorSqlState !== undefined && !result.refusalNeedsConfirmation) ||
@@ -190,6 +191,17 @@
     return { type: 'completed', position, answerRelayed: this.#relay.flowed };
   }
 
+  /**
+   * True if a write that was meant for the primary met an instance in recovery, so that nothing of it
+   * ran. The error alone is no proof: a statement may make its own transaction read only.
+   */
+  #refusedInRecovery(result: ReadyResult): boolean {
+    const { access } = this.#open;
+    if (!result.refusedAsReadOnly || access !== 'write' || this.#callerHoldsTransaction)
+      return false;
+    return !this.#relay.flowed && stateOf(result)?.writable === false;
+  }
+
   #continueTransaction(result: ReadyResult): void {
     this.#mayHaveCommitted = false;
     if (!this.#callerHoldsTransaction) {
@@ -270,9 +282,11 @@
 }
 
 function positionOf(result: ReadyResult): Position | undefined {
-  if (result.trailingRows === undefined) return undefined;
-  return parseInstanceState(result.trailingRows).match(
-    (state) => state.replayed,
-    () => undefined,
-  );
+  return stateOf(result)?.replayed;
+}
+
+/** What the instance said of itself behind the batch. */
+function stateOf({ trailingRows }: ReadyResult): InstanceState | undefined {
+  if (trailingRows === undefined) return undefined;
+  return parseInstanceState(trailingRows).unwrapOr(undefined);
 }
--- a/src/postgres/backend/answer-reader.ts
+++ b/src/postgres/backend/answer-reader.ts
@@ -211,7 +211,8 @@
       return;
     }
     this.errorSqlState ??= error.sqlState;
-    this.relayed.add(buffer, start, end);
+    // Nothing of the batch follows an error, so that it is its end.
+    this.relayed.hold(buffer, start, end);
   }
 
   private batchEnded(status: TransactionStatus | undefined): void {
--- a/src/postgres/backend/relay-buffer.ts
+++ b/src/postgres/backend/relay-buffer.ts
@@ -3,7 +3,8 @@
  *
  * The end is the last completion (CommandComplete, EmptyQueryResponse, PortalSuspended) and what
  * carries no result behind it (CloseComplete, ParameterStatus, a notice): none of these shows that
- * another statement follows. A result, a further completion or an error does.
+ * another statement follows. A result, a further completion or an error does. An error is held back
+ * likewise: it may yet turn out that the batch never ran and can be run elsewhere.
  */
 const EMPTY = Buffer.alloc(0);
 
@@ -32,7 +33,7 @@
     this.append(buffer, start, end);
   }
 
-  /** A completion: it may be the last one. */
+  /** A completion or an error: it may be the last one. */
   hold(buffer: Buffer, start: number, end: number): void {
     if (this.heldLength > 0) this.releaseHeld();
     this.appendHeld(buffer, start, end);
--- a/test/unit/database-group.test.ts
+++ b/test/unit/database-group.test.ts
@@ -272,4 +272,34 @@
   assert.ok(retriesOf(new Set(['retry-budget'])) > 2);
 });
 
+test('a write that a demoted primary refused as read only runs on the next primary', () => {
+  const driver = healthyGroup();
+  arrive(driver, request('w1'));
+  driver.states.set('a', state(false, 5, 100));
+  driver.finish('w1', { type: 'not-writable' });
+  driver.settle();
+  assert.equal(driver.finals('w1'), []);
+  for (const name of ['a', 'b', 'c']) driver.states.set(name, state(name === 'b', 6, 100));
+  driver.wait(100);
+  driver.wait(100);
+  assert.equal(
+    driver.runs().map((run) => run.instance),
+    ['a', 'b'],
+  );
+  driver.finish('w1', { type: 'completed', position: { timeline: 6, lsn: 100n } });
+  driver.wait(5);
+  assert.is(driver.finals('w1')[0]?.type, 'release');
+});
+
+test('a write that only a demoted primary has seen is refused as not run', () => {
+  const driver = healthyGroup();
+  arrive(driver, request('w1'));
+  driver.states.set('a', state(false, 5, 100));
+  driver.finish('w1', { type: 'not-writable' });
+  driver.wait(1000);
+  const error = failureOf(driver, 'w1');
+  assert.instance(error, NotRunError);
+  assert.is((error as NotRunError).reason, 'no-primary');
+});
+
 test.run();
