--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -29,6 +29,7 @@
   MachineListClient,
 } from '../platform/machine-list-client.js';
 import { DEFAULT_STORE_CLIENT_OPTIONS, StoreClient } from '../platform/store-client.js';
+import { ServerStoppingError } from '../postgres/caller/errors.js';
 import type { CallerTlsOptions } from '../postgres/caller/options.js';
 import { CallerServer } from '../postgres/caller/server.js';
 import type { CallerConnection } from '../postgres/contract.js';
@@ -66,13 +67,6 @@
   readonly code = 'MS-PROXY-START';
 }
 
-/** The node is stopping: callers reconnect elsewhere. */
-export class NodeStoppingError extends NotRunError {
-  constructor() {
-    super('owner-stopping', 'the proxy is stopping; reconnect to another one');
-  }
-}
-
 /** Where a started proxy listens. */
 export interface ProxyAddresses {
   readonly callers: PeerAddress;
@@ -109,6 +103,8 @@
   #snapshot: ConfigurationSnapshot | undefined;
   #requestsNumbered = 0;
   #releaseTimer: NodeJS.Timeout | undefined;
+  /** Set from a change of members until the end of this event-loop turn. */
+  #fleetChange: NodeJS.Immediate | undefined;
   #draining: Promise<void> | undefined;
 
   private constructor(
@@ -227,7 +223,7 @@
     this.#fleet.setSelfLeaving();
     this.#onFleetChanged();
     this.#callers.stopAccepting();
-    for (const session of this.#sessions.all()) session.stop(new NodeStoppingError());
+    for (const session of this.#sessions.all()) session.stop(new ServerStoppingError());
     const limit = monotonicNow() + this.#settings.drainLimitMs;
     while (this.#busy() && monotonicNow() < limit) await pause(DRAIN_POLL_MS);
     this.#owner.drain();
@@ -242,10 +238,11 @@
   }
 
   async #close(): Promise<void> {
-    for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
+    for (const session of this.#sessions.all()) session.cut(new ServerStoppingError());
     clearInterval(this.#releaseTimer);
     this.#owners.stop();
     await this.#membership.stop();
+    clearImmediate(this.#fleetChange);
     await this.#configuration.stop();
     this.#machineList.stop();
     this.#owner.close();
@@ -318,8 +315,7 @@
       nodeId: this.#settings.nodeId,
       transport: this.#transport,
       rank: new NodeRanker(this.#hash).rank,
-      nodes: () =>
-        this.#fleet.homeNodes().map((node) => ({ nodeId: node.nodeId, address: addressOf(node) })),
+      nodes: () => this.#fleet.homeNodes(),
       now: monotonicNow,
     });
   }
@@ -355,7 +351,9 @@
 
   #onMemberChanged(event: MemberEvent): void {
     this.#logger.info(`member ${event.change}`, { member: event.member.nodeId });
-    this.#onFleetChanged();
+    this.#fleet.membersChanged();
+    // A node that joins learns of thousands of members in a few messages.
+    this.#fleetChange ??= setImmediate(() => this.#onFleetChanged());
   }
 
   /** A lost link is a hint: the node behind it is probed at once. */
@@ -367,6 +365,8 @@
   }
 
   #onFleetChanged(): void {
+    clearImmediate(this.#fleetChange);
+    this.#fleetChange = undefined;
     this.#owner.setMachines(this.#fleet.databases);
     this.#owners.setGroups(this.#fleet.databases);
     this.#owners.setNodes(this.#fleet.liveNodes());
