--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -242,7 +242,7 @@
   async #close(): Promise<void> {
     for (const session of this.#sessions.all()) session.cut(new ServerStoppingError());
     clearInterval(this.#releaseTimer);
-    await this.#limits.stop(new NodeStoppingError());
+    await this.#limits.stop(new ServerStoppingError());
     this.#owners.stop();
     await this.#membership.stop();
     clearImmediate(this.#fleetChange);
