--- /dev/null
+++ b/src/node/fleet-nodes.ts
@@ -0,0 +1,30 @@
+/** A node of the fleet in the forms in which the parts of the program name it. */
+import type { ConfigurationMember } from '../core/configuration/relays.js';
+import type { ListedNode } from '../core/membership/contract.js';
+import type { Member } from '../core/membership/member.js';
+import type { PeerAddress } from '../peer/contract.js';
+import type { ProxyMachine } from '../platform/contract.js';
+import type { FleetNode } from './fleet-view.js';
+import type { MemberSummary } from './node-status.js';
+
+export function summaryOf({ nodeId, zone, status }: Member): MemberSummary {
+  return { nodeId, zone, status };
+}
+
+export function addressOf(node: FleetNode): PeerAddress {
+  return { host: node.host, port: node.peerPort };
+}
+
+export function configurationMember(node: FleetNode): ConfigurationMember {
+  return { nodeId: node.nodeId, zone: node.zone, ...addressOf(node) };
+}
+
+export function listedNode(proxy: ProxyMachine): ListedNode {
+  return {
+    nodeId: proxy.name,
+    zone: proxy.zone,
+    host: proxy.host,
+    peerPort: proxy.peerPort,
+    leaving: proxy.state === 'leaving',
+  };
+}
--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -11,17 +11,7 @@
 } from '../../core/errors.js';
 import type { Position } from '../../core/position.js';
 import type { GroupName, TenantName, ZoneName } from '../../core/request.js';
-import {
-  decodeSessionToken,
-  encodeSessionToken,
-  freshSession,
-  markUnknown,
-  mergeSessions,
-  observe,
-  requirementFor,
-  type SessionKeys,
-  type SessionState,
-} from '../../core/session/index.js';
+import type { SessionKeys } from '../../core/session/index.js';
 import { type LocalResult, localAnswer } from '../../postgres/caller/local-answer.js';
 import type {
   CallerBatch,
@@ -33,11 +23,13 @@
 } from '../../postgres/contract.js';
 import { classify } from '../../postgres/statements/classify.js';
 import { readMarkers } from '../../postgres/statements/markers.js';
-import type { BatchMessage, OpenMessage } from '../owner/messages.js';
+import type { OpenMessage } from '../owner/messages.js';
+import { batchMessage } from './batch-message.js';
 import type { GroupAnswerEnd, GroupCall, GroupClient } from './group-client.js';
 import type { RequestMetrics } from './request-metrics.js';
 import { combineClasses, firstMarkers, type RequestTerms, requestTerms } from './request-policy.js';
 import type { SessionDirectory } from './session-directory.js';
+import { SessionPositions } from './session-positions.js';
 
 /** Parameter that carries the session token both ways. */
 export const SESSION_TOKEN_PARAMETER = 'meadowstack.session';
@@ -70,8 +62,7 @@
   readonly #options: GatewaySessionOptions;
   readonly #group: GroupName;
   readonly #backendDatabase: string;
-  readonly #sessionId: string | undefined;
-  #state: SessionState = freshSession();
+  readonly #positions: SessionPositions;
   /** False while the session's past is being looked up; the first batch waits for it. */
   #begun = false;
   #waiting: CallerBatch | undefined;
@@ -94,7 +85,13 @@
     );
     this.#group = access?.group ?? '';
     this.#backendDatabase = access?.backendDatabase ?? connection.database;
-    this.#sessionId = connection.parameters.get(SESSION_ID_PARAMETER);
+    this.#positions = new SessionPositions({
+      tenant: connection.policy.tenant,
+      group: this.#group,
+      sessionId: connection.parameters.get(SESSION_ID_PARAMETER),
+      keys: options.sessionKeys,
+      directory: options.directory,
+    });
     connection.onBatch = (batch) => this.#onBatch(batch);
     connection.onCancel = () => this.#call?.cancel();
     connection.onClose = () => {
@@ -108,15 +105,10 @@
   async begin(): Promise<void> {
     const token = this.#connection.parameters.get(SESSION_TOKEN_PARAMETER);
     if (token !== undefined && token !== '') {
-      this.#adoptToken(token).match(
-        () => undefined,
-        (error) => this.#connection.terminate(error),
-      );
-    }
-    if (this.#sessionId !== undefined) {
-      const known = await this.#options.directory.lookUp(this.#tenant, this.#sessionId);
-      this.#state = mergeSessions(this.#state, known);
+      const adopted = this.#positions.adopt(token);
+      if (adopted.isErr()) this.#connection.terminate(adopted.error);
     }
+    await this.#positions.lookUp();
     this.#begun = true;
     const waiting = this.#waiting;
     this.#waiting = undefined;
@@ -237,7 +229,7 @@
       weight: terms.weight,
       stalenessBoundMs: terms.stalenessBoundMs,
       repeatable: terms.repeatable,
-      session: requirementFor(this.#state, this.#group),
+      session: this.#positions.requirement(),
       remainingMs: terms.deadlineMs,
       hold: holds ? 'transaction' : 'statement',
       zone: this.#options.zone,
@@ -272,10 +264,9 @@
       this.#deliverEnd(end);
       return;
     }
-    const wasUnknown = requirementFor(this.#state, this.#group).type === 'unknown';
-    this.#observe(position, end.fromReplica);
-    // A read that raised a known position is not worth a round to the home nodes.
-    if (access === 'write' || wasUnknown) this.#recordThen(position, () => this.#deliverEnd(end));
+    const before = this.#positions.requirement();
+    if (this.#positions.observe(position, end.fromReplica)) this.#reportToken();
+    if (this.#positions.needsRecord(access, before)) void this.#recordThenDeliver(position, end);
     else this.#deliverEnd(end);
   }
 
@@ -289,8 +280,7 @@
     this.#call = undefined;
     this.#inTransaction = false;
     this.#countOutcome(error.outcome, false);
-    const mayLast = error.outcome === 'unknown' || error.outcome === 'done';
-    if (mayLast) this.#state = markUnknown(this.#state, this.#group);
+    this.#positions.failed(error);
     if (wasTransaction && !this.#connection.busy) {
       this.#transactionLoss = error;
       return;
@@ -311,16 +301,9 @@
     this.#finish(blockEnds ? 'I' : 'T');
   }
 
-  /** Positions in a session that has an id are kept by other nodes before the caller is told. */
-  #recordThen(position: Position, deliver: () => void): void {
-    if (this.#sessionId === undefined) {
-      deliver();
-      return;
-    }
-    const entry = { group: this.#group, position };
-    void this.#options.directory
-      .record(this.#tenant, this.#sessionId, entry)
-      .then((recorded) => (recorded ? deliver() : this.#reportNotRecorded()));
+  async #recordThenDeliver(position: Position, end: GroupAnswerEnd): Promise<void> {
+    if (await this.#positions.record(position)) this.#deliverEnd(end);
+    else this.#reportNotRecorded();
   }
 
   #reportNotRecorded(): void {
@@ -329,28 +312,13 @@
     this.#finish('I');
   }
 
-  #observe(position: Position, fromReplica: boolean): void {
-    const source = fromReplica ? 'unconfirmed' : 'confirmed-primary';
-    const before = requirementFor(this.#state, this.#group);
-    this.#state = observe(this.#state, this.#group, position, source);
-    const after = requirementFor(this.#state, this.#group);
-    if (before !== after) this.#reportToken();
-  }
-
   #reportToken(): void {
-    const token = encodeSessionToken(this.#state, this.#tenant, this.#options.sessionKeys);
-    this.#connection.reportParameter(SESSION_TOKEN_PARAMETER, token);
-  }
-
-  #adoptToken(token: string): ReturnType<typeof decodeSessionToken> {
-    const decoded = decodeSessionToken(token, this.#tenant, this.#options.sessionKeys);
-    if (decoded.isOk()) this.#state = mergeSessions(this.#state, decoded.value);
-    return decoded;
+    this.#connection.reportParameter(SESSION_TOKEN_PARAMETER, this.#positions.token());
   }
 
   #onSessionSetting(batch: CallerBatch, setting: SessionSetting): void {
     if (setting.name === SESSION_TOKEN_PARAMETER && setting.action === 'set') {
-      const adopted = this.#adoptToken(setting.value ?? '');
+      const adopted = this.#positions.adopt(setting.value ?? '');
       if (adopted.isErr()) {
         this.#refuse(adopted.error);
         return;
@@ -358,7 +326,7 @@
     }
     const shown =
       setting.name === SESSION_TOKEN_PARAMETER
-        ? encodeSessionToken(this.#state, this.#tenant, this.#options.sessionKeys)
+        ? this.#positions.token()
         : (this.#connection.parameters.get(setting.name) ?? '');
     this.#connection.write(localAnswer(batch, () => settingResult(setting, shown)));
     this.#finish(this.#inTransaction ? 'T' : 'I');
@@ -399,21 +367,3 @@
 function endsBlock({ transactionControl }: StatementClass): boolean {
   return transactionControl === 'commit' || transactionControl === 'rollback';
 }
-
-function batchMessage(
-  batch: CallerBatch,
-  statementClass: StatementClass,
-  markers: StatementMarkers,
-): BatchMessage {
-  return {
-    type: 'batch',
-    requires: batch.requires.map((statement) => ({
-      backendName: statement.backendName,
-      text: statement.text,
-      parameterTypes: [...statement.parameterTypes],
-    })),
-    messages: batch.messages,
-    mayCommit: statementClass.transactionControl === 'commit',
-    ...(markers.once === undefined ? {} : { onceKey: markers.once }),
-  };
-}
