Bench and demo: an interrupted command ends also what a fault has paused

Cause: children end when their standard input closes, which one stopped by SIGSTOP does not notice. Change: SIGINT and SIGTERM end the cluster by SIGKILL first.

--- a/bench/demo/main.ts
+++ b/bench/demo/main.ts
@@ -16,6 +16,7 @@
 import { RunRecorder } from '../recorders/run-recorder.js';
 import { collectLogs } from '../run/collect-logs.js';
 import { credentialsOf, startDeploymentCluster, tenantOf } from '../run/deployment-cluster.js';
+import { endOnSignal } from '../run/interruption.js';
 import { Account, countMoves } from './account.js';
 
 const SEED = 1;
@@ -35,9 +36,11 @@
   electionTimeoutMs: 300,
   delays: true,
 });
+const release = endOnSignal(cluster);
 try {
   await demonstrate(cluster);
 } finally {
+  release();
   await cluster.stop();
 }
 
--- a/bench/run/run-bench.ts
+++ b/bench/run/run-bench.ts
@@ -22,6 +22,7 @@
   startDeploymentCluster,
   tenantOf,
 } from './deployment-cluster.js';
+import { endOnSignal } from './interruption.js';
 import { type MachineFigures, observeMachine } from './machine.js';
 import { Progress } from './progress.js';
 import { unobservedPromises } from './unobserved.js';
@@ -87,9 +88,11 @@
     delays: options.delays,
     proxyFlags: options.policy === 'ours' ? [] : [`--test-policy=${options.policy}`],
   });
+  const release = endOnSignal(cluster);
   try {
     return await runOn(cluster, options, machine);
   } finally {
+    release();
     await cluster.stop();
   }
 }
