--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -15,7 +15,7 @@
 import type { Member } from '../core/membership/member.js';
 import { loadHash64 } from '../core/ownership/hash.js';
 import type { Hash64 } from '../core/ownership/rendezvous.js';
-import type { GroupName } from '../core/request.js';
+import type { GroupName, TenantName } from '../core/request.js';
 import { RetryBudget } from '../core/retry/budget.js';
 import type { SessionKeys } from '../core/session/index.js';
 import { NodeRanker } from '../core/session/node-ranker.js';
@@ -33,7 +33,6 @@
 import type { CallerTlsOptions } from '../postgres/caller/options.js';
 import { CallerServer } from '../postgres/caller/server.js';
 import type { CallerConnection } from '../postgres/contract.js';
-import { CallerAdmission } from './caller-admission.js';
 import { monotonicNow } from './clock.js';
 import { ConfigurationService } from './configuration/service.js';
 import { endpointOf } from './endpoints.js';
@@ -42,7 +41,8 @@
 import { GroupClient } from './gateway/group-client.js';
 import { HomeNodeDirectory } from './gateway/home-node-directory.js';
 import type { RequestMetrics } from './gateway/request-metrics.js';
-import { SessionRegistry } from './gateway/session-registry.js';
+import { SESSION_GRACE_MS, SessionRegistry } from './gateway/session-registry.js';
+import { TenantLimitService } from './limits/service.js';
 import { MembershipService } from './membership/service.js';
 import type { MemberSummary, NodeState, NodeStatus } from './node-status.js';
 import { BackendConnector } from './owner/backend-connector.js';
@@ -98,7 +98,7 @@
   readonly #directory: HomeNodeDirectory;
   readonly #client: GroupClient;
   readonly #callers: CallerServer;
-  readonly #admission: CallerAdmission;
+  readonly #limits: TenantLimitService;
   readonly #sessionKeys: SessionKeys;
   #snapshot: ConfigurationSnapshot | undefined;
   #requestsNumbered = 0;
@@ -138,7 +138,7 @@
     this.#owner = this.#createOwner();
     this.#directory = this.#createDirectory();
     this.#client = this.#createClient();
-    this.#admission = new CallerAdmission((policy) => this.#connectionShare(policy));
+    this.#limits = this.#createLimits();
     this.#callers = this.#createCallerServer();
     this.#configuration = this.#createConfiguration(self);
     this.#route(links.router);
@@ -187,6 +187,7 @@
       groups: [...this.#owner.statistics()].map(([group, figures]) => ({ group, ...figures })),
       members: this.#membership.members().map(summaryOf),
       membership: this.#membership.counters(),
+      limits: this.#limits.status(),
       peers: this.#transport.counters(),
     };
   }
@@ -210,6 +211,7 @@
     this.#configuration.start();
     await this.#configuration.ready;
     this.#onSnapshot(this.#configuration.snapshot());
+    this.#limits.start();
     const callers = await this.#callers.listen();
     if (callers.isErr()) return err(startError(callers.error));
     this.addresses = { ...this.addresses, callers: callers.value };
@@ -240,6 +242,7 @@
   async #close(): Promise<void> {
     for (const session of this.#sessions.all()) session.cut(new ServerStoppingError());
     clearInterval(this.#releaseTimer);
+    await this.#limits.stop(new ServerStoppingError());
     this.#owners.stop();
     await this.#membership.stop();
     clearImmediate(this.#fleetChange);
@@ -282,11 +285,23 @@
       ...(tls === undefined ? {} : { tls }),
       mockSecret: mockSecretOf(this.#sessionKeys),
       policyFor: (user) => this.#policyFor(user),
-      admit: (policy) => this.#admission.admit(policy),
+      admit: (policy) => this.#limits.admit(policy),
       handler: (connection) => this.#onCaller(connection),
     });
   }
 
+  #createLimits(): TenantLimitService {
+    return new TenantLimitService({
+      identity: this.#identity,
+      transport: this.#transport,
+      hash: this.#hash,
+      limitOf: (tenant) => this.#connectionLimit(tenant),
+      now: monotonicNow,
+      graceMs: SESSION_GRACE_MS,
+      onShareLowered: (tenant, allowed) => this.#sessions.endBeyond(tenant, allowed),
+    });
+  }
+
   #createConfiguration(self: FleetNode): ConfigurationService {
     return new ConfigurationService({
       self: configurationMember(self),
@@ -336,6 +351,7 @@
     router.onLinkDown = (peer) => this.#onLinkDown(peer);
     router.add(this.#configuration);
     router.add(this.#directory);
+    router.add(this.#limits);
     router.add(this.#owners);
     router.add({
       handles: (method) => this.#membership.handlesCall(method),
@@ -372,16 +388,23 @@
     this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.reconcile();
     this.#configuration.membersChanged();
+    this.#limits.setFleet(
+      this.#fleet.liveNodes(),
+      this.#fleet.knownNodes(),
+      this.#fleet.listedNodes(),
+    );
   }
 
   #onSnapshot(snapshot: ConfigurationSnapshot): void {
+    const previous = this.#snapshot;
     this.#snapshot = snapshot;
     this.#membership.setConfigurationRevision(snapshot.revision);
     this.#owner.setConfiguration(snapshot);
-    this.#sessions.apply(
-      (tenant) => this.#policyOf(tenant),
-      (policy) => this.#connectionShare(policy),
-    );
+    this.#sessions.applyPolicies((tenant) => this.#policyOf(tenant));
+    for (const [tenant, policy] of snapshot.tenantsByName) {
+      const before = previous?.tenantsByName.get(tenant);
+      if (before?.maxConnections !== policy.maxConnections) this.#limits.limitChanged(tenant);
+    }
   }
 
   #policyOf(tenant: string): TenantPolicy | undefined {
@@ -420,8 +443,9 @@
     return Math.max(1, Math.floor(shared / this.#settings.ownersPerGroup));
   }
 
-  #connectionShare(policy: TenantPolicy): number {
-    return Math.ceil(policy.maxConnections / Math.max(1, this.#fleet.liveNodes().length));
+  #connectionLimit(tenant: TenantName): number {
+    const policy = this.#policyOf(tenant);
+    return policy?.enabled === true ? policy.maxConnections : 0;
   }
 }
 
