--- a/scale/meters.ts
+++ b/scale/meters.ts
@@ -1,8 +1,10 @@
 /**
  * Counts what nodes spend: bytes by mechanism as they would be on the wire, processor time of the
- * real handlers and codecs by role. Processor time is the only figure that is not repeatable.
+ * real handlers and codecs by role. Processor time is the only figure that is not repeatable: each
+ * role gets its share of the process's processor time, garbage collection included, so that a busy
+ * machine does not count.
  */
-import { MILLISECONDS_PER_SECOND } from '../src/core/units.js';
+const MICROSECONDS_PER_SECOND = 1_000_000;
 
 /** What carries bytes. */
 export const MECHANISMS = [
@@ -28,7 +30,9 @@
 export class Meters {
   readonly #bytes = new Map<Mechanism, number>();
   readonly #messages = new Map<Mechanism, number>();
-  readonly #processorMs = new Map<ControlRole, number>();
+  readonly #elapsedMs = new Map<ControlRole, number>();
+  #startedAt = performance.now();
+  #processorAtStart = process.cpuUsage();
   storeRequests = 0;
 
   /** Bytes of one message on its way, headers of the network included. */
@@ -42,7 +46,7 @@
     const startedAt = performance.now();
     const result = run();
     const tookMs = performance.now() - startedAt;
-    this.#processorMs.set(role, (this.#processorMs.get(role) ?? 0) + tookMs);
+    this.#elapsedMs.set(role, (this.#elapsedMs.get(role) ?? 0) + tookMs);
     return result;
   }
 
@@ -62,7 +66,9 @@
   }
 
   processorSeconds(role: ControlRole): number {
-    return (this.#processorMs.get(role) ?? 0) / MILLISECONDS_PER_SECOND;
+    const { user, system } = process.cpuUsage(this.#processorAtStart);
+    const share = (this.#elapsedMs.get(role) ?? 0) / (performance.now() - this.#startedAt);
+    return (share * (user + system)) / MICROSECONDS_PER_SECOND;
   }
 
   totalProcessorSeconds(): number {
@@ -72,7 +78,9 @@
   reset(): void {
     this.#bytes.clear();
     this.#messages.clear();
-    this.#processorMs.clear();
+    this.#elapsedMs.clear();
+    this.#startedAt = performance.now();
+    this.#processorAtStart = process.cpuUsage();
     this.storeRequests = 0;
   }
 }
