Fuzz of a fleet: four proxies, moving sessions, keyed retries, changing owners

Cause: only one owner was simulated; what goes wrong between gateways, home nodes and owners with differing views could be seen in runs with real processes alone. Change: scenario fleet: the core's ownership, hand-over, routes, session state, tokens, home-node table, retry budget, keyed execution and group machines in four simulated proxies over links that are cut, one way too, slow or late; proxies killed, frozen, stopped as planned, doubted; callers that move with a token, with their id or with nothing and retry through another gateway. Mechanisms between callers and owners can be turned off.

--- a/bench/simulation/group-run.ts
+++ b/bench/simulation/group-run.ts
@@ -88,7 +88,9 @@
   };
   describe();
   for (const fault of plan.faults) {
-    clock.after(fault.at, () => applyFault(fault, { clock, group, owner, leaving, describe }));
+    clock.after(fault.at, () =>
+      applyFault(fault, { clock, group, owners: () => [owner], leaving, describe }),
+    );
   }
   startSessions(clock, owner);
   clock.runUntil(LOAD_MS + QUIET_END_MS);
@@ -96,20 +98,24 @@
   return { history: owner.history, owner };
 }
 
-function describeInstance(name: string, leaving: boolean): InstanceDescription {
+/** An instance with little room, so that limits are met. */
+export function describeInstance(name: string, leaving: boolean): InstanceDescription {
   return { name, zone: name, slots: 2, connectionBudget: 3, leaving };
 }
 
-interface FaultScope {
+/** What faults act on. */
+export interface FaultScope {
   readonly clock: SimulatedClock;
   readonly group: SimulatedGroup;
-  readonly owner: SimulatedOwner;
+  readonly owners: () => readonly SimulatedOwner[];
   readonly leaving: Set<string>;
+  /** Tells the owners the instances anew. */
   readonly describe: () => void;
 }
 
-function applyFault(fault: Fault, scope: FaultScope): void {
-  const { clock, group, owner, leaving, describe } = scope;
+/** Starts a fault and schedules its end. */
+export function applyFault(fault: Fault, scope: FaultScope): void {
+  const { clock, group, owners, leaving, describe } = scope;
   const chosen = typeof fault.target === 'number' ? group.instances[fault.target] : undefined;
   const target = chosen ?? group.latestPrimary();
   if (target === undefined) return;
@@ -117,7 +123,7 @@
   switch (fault.name) {
     case 'crash':
       group.crash(target);
-      owner.breakConnections(target);
+      for (const owner of owners()) owner.breakConnections(target);
       undo(() => group.restart(target));
       break;
     case 'isolate':
@@ -171,9 +177,9 @@
   const next = (session: Session): void => {
     if (clock.now >= LOAD_MS) return;
     session.count += 1;
-    owner.submit(makeRequest(clock, session), session.index);
+    owner.submit(makeRequest(clock, session), { session: session.index, onFinal });
   };
-  owner.onFinal = (record: RequestRecord): void => {
+  const onFinal = (record: RequestRecord): void => {
     const session = sessions.get(record.session);
     const [final] = record.finals;
     if (session === undefined || final === undefined) return;
--- a/bench/simulation/history.ts
+++ b/bench/simulation/history.ts
@@ -23,6 +23,7 @@
   readonly at: number;
   readonly error: RequestError | undefined;
   readonly position: Position | undefined;
+  readonly fromReplica: boolean;
 }
 
 /** One request with everything that became of it. */
@@ -36,6 +37,11 @@
   readonly finals: FinalRecord[];
   /** When the transaction ended on its connection, if it is one. */
   endedAt: number | undefined;
+  servedByReplica: boolean;
+  /** Reported in place of the answer once the run is released: a key that was used earlier. */
+  refusal: RequestError | undefined;
+  /** Its owner was killed or frozen meanwhile: no end, or a late one, is no fault. */
+  excused: boolean;
 }
 
 /** Everything that the checks look at. */
--- /dev/null
+++ b/bench/simulation/once-run.ts
@@ -0,0 +1,209 @@
+/**
+ * A keyed request on a simulated connection: the core's state machine on the owner's side, claims
+ * that wait for one another on the instance's side, and a message lost or late between any two steps.
+ */
+import {
+  continueOnce,
+  needsConfirmation,
+  type OnceAnswer,
+  type OnceClaim,
+  type OnceResult,
+  type OnceTransition,
+  startOnce,
+} from '../../src/core/at-most-once/index.js';
+import type { RequestError } from '../../src/core/errors.js';
+import type { RunResult } from '../../src/core/group/contract.js';
+import type { Position } from '../../src/core/position.js';
+import type { SimulatedClock } from './clock.js';
+import { type LogEntry, positionOf, type SimulatedGroup, type SimulatedInstance } from './group.js';
+
+const UNIQUE_VIOLATION = '23505';
+const READ_ONLY = '25006';
+const LOCK_POLL_MS = 1;
+/** Of each step: the connection breaks before it is sent, or after the server has done it. */
+const LOSS_PROBABILITY = 0.01;
+/** Higher for the answer to COMMIT: the outcome that callers have to ask for again. */
+const COMMIT_LOSS_PROBABILITY = 0.05;
+
+export interface OnceRunOptions {
+  readonly requestId: string;
+  readonly claim: OnceClaim;
+  /** The server has not broken the connection. */
+  readonly isOpen: () => boolean;
+  readonly process: (action: () => void) => void;
+  readonly deliver: (direction: 'both-ways' | 'answers', action: () => void) => void;
+  readonly onCommit: (written: LogEntry) => void;
+  readonly onFinished: (result: RunResult, refusal: RequestError | undefined) => void;
+}
+
+interface ServerAnswer {
+  readonly status: 'I' | 'T' | 'E';
+  readonly errorSqlState: string | undefined;
+}
+
+/** One execution on one connection. */
+export class SimulatedOnceRun {
+  #transition: OnceTransition;
+  #finished = false;
+  #sessionEnded = false;
+  #position: Position | undefined;
+
+  constructor(
+    private readonly clock: SimulatedClock,
+    private readonly group: SimulatedGroup,
+    private readonly instance: SimulatedInstance,
+    private readonly options: OnceRunOptions,
+  ) {
+    this.#transition = startOnce(options.claim, 'autocommit');
+  }
+
+  start(): void {
+    this.#step();
+  }
+
+  /** The owner's connection is gone. */
+  lost(bytesWritten: boolean): void {
+    this.options.process(() => this.#take({ type: 'lost', bytesWritten }));
+  }
+
+  /** The server rolls back what is open. */
+  sessionEnded(): void {
+    this.#sessionEnded = true;
+    this.#releaseClaim();
+  }
+
+  #step(): void {
+    const { action } = this.#transition;
+    if (action.type === 'finish') {
+      this.#finish(action.result);
+      return;
+    }
+    if (this.clock.chance(LOSS_PROBABILITY)) {
+      this.clock.after(0.2, () => {
+        this.sessionEnded();
+        this.lost(false);
+      });
+      return;
+    }
+    this.options.deliver('both-ways', () => this.#serve());
+  }
+
+  #serve(): void {
+    if (this.#sessionEnded) return;
+    if (!this.options.isOpen()) {
+      this.lost(true);
+      return;
+    }
+    const wait = Math.max(0, this.instance.pausedUntil - this.clock.now);
+    this.clock.after(wait + this.clock.between(0.5, 3), () => this.#execute());
+  }
+
+  #execute(): void {
+    if (this.#sessionEnded) return;
+    if (!this.options.isOpen()) {
+      this.lost(true);
+      return;
+    }
+    if (this.#mustWait()) {
+      this.clock.after(LOCK_POLL_MS, () => this.#execute());
+      return;
+    }
+    this.#answer(this.#executePhase());
+  }
+
+  #mustWait(): boolean {
+    if (this.#transition.execution.phase !== 'claim') return false;
+    const holder = this.instance.claims.get(this.#key);
+    return holder !== undefined && holder !== this;
+  }
+
+  #executePhase(): ServerAnswer {
+    const { writable } = this.instance;
+    switch (this.#transition.execution.phase) {
+      case 'claim':
+        if (!writable) return { status: 'E', errorSqlState: READ_ONLY };
+        if (this.#isUsed()) return { status: 'E', errorSqlState: UNIQUE_VIOLATION };
+        this.instance.claims.set(this.#key, this);
+        return { status: 'T', errorSqlState: undefined };
+      case 'commit':
+        return this.#commit();
+      case 'roll-back':
+        this.#releaseClaim();
+        this.#recordPosition();
+        return { status: 'I', errorSqlState: undefined };
+      default:
+        return writable
+          ? { status: 'T', errorSqlState: undefined }
+          : { status: 'E', errorSqlState: READ_ONLY };
+    }
+  }
+
+  #commit(): ServerAnswer {
+    const holds = this.instance.claims.get(this.#key) === this;
+    this.#releaseClaim();
+    if (!this.instance.writable || !holds) return { status: 'I', errorSqlState: READ_ONLY };
+    const { requestId } = this.options;
+    this.options.onCommit(this.group.commit(this.instance, requestId, this.#key));
+    this.#recordPosition();
+    return { status: 'I', errorSqlState: undefined };
+  }
+
+  #isUsed(): boolean {
+    return this.instance.log.some(({ onceKey }) => onceKey === this.#key);
+  }
+
+  #releaseClaim(): void {
+    if (this.instance.claims.get(this.#key) === this) this.instance.claims.delete(this.#key);
+  }
+
+  #recordPosition(): void {
+    this.#position = positionOf(this.instance.timeline, this.instance.log.length);
+  }
+
+  get #key(): string {
+    const { tenant, onceKey } = this.options.claim;
+    return `${tenant}/${onceKey}`;
+  }
+
+  #answer(answer: ServerAnswer): void {
+    const commits = this.#transition.execution.phase === 'commit';
+    if (this.clock.chance(commits ? COMMIT_LOSS_PROBABILITY : LOSS_PROBABILITY)) {
+      this.sessionEnded();
+      this.lost(true);
+      return;
+    }
+    this.options.deliver('answers', () => {
+      if (this.options.isOpen()) this.#takeLater({ type: 'ready', ...answer });
+      else this.lost(true);
+    });
+  }
+
+  #takeLater(answer: OnceAnswer): void {
+    this.options.process(() => this.#take(answer));
+  }
+
+  #take(answer: OnceAnswer): void {
+    if (this.#finished) return;
+    this.#transition = continueOnce(this.#transition.execution, answer);
+    if (answer.type === 'lost') this.#finishLost(answer.bytesWritten);
+    else this.#step();
+  }
+
+  /** As the owner reports it: only a COMMIT that was sent may have lasted. */
+  #finishLost(bytesWritten: boolean): void {
+    this.#finished = true;
+    const mayHaveCommitted = bytesWritten && this.#transition.execution.phase === 'commit';
+    // The transaction's connection counts as used whatever was lost.
+    const result = { bytesWritten: true, answerRelayed: false, mayHaveCommitted };
+    this.options.onFinished({ type: 'connection-lost', ...result }, undefined);
+  }
+
+  #finish(result: OnceResult): void {
+    this.#finished = true;
+    const refusal = result.type === 'refused' ? result.error : undefined;
+    const position = this.#position;
+    if (needsConfirmation(result))
+      this.options.onFinished({ type: 'completed', position }, refusal);
+    else this.options.onFinished({ type: 'database-error', position }, refusal);
+  }
+}
--- a/bench/simulation/registry.ts
+++ b/bench/simulation/registry.ts
@@ -1,9 +1,14 @@
 /** All scenarios. */
 import { CONFIGURATION_SCENARIO } from './configuration-scenario.js';
+import { FLEET_SCENARIO } from './fleet/scenario.js';
 import { GROUP_SCENARIO } from './group-scenario.js';
 import type { Scenario } from './scenario.js';
 
-export const SCENARIOS: readonly Scenario[] = [GROUP_SCENARIO, CONFIGURATION_SCENARIO];
+export const SCENARIOS: readonly Scenario[] = [
+  GROUP_SCENARIO,
+  FLEET_SCENARIO,
+  CONFIGURATION_SCENARIO,
+];
 
 export function scenarioNamed(name: string): Scenario | undefined {
   return SCENARIOS.find((scenario) => scenario.name === name);
