--- a/bench/run/run-bench.ts
+++ b/bench/run/run-bench.ts
@@ -24,6 +24,7 @@
 } from './deployment-cluster.js';
 import { type MachineFigures, observeMachine } from './machine.js';
 import { Progress } from './progress.js';
+import { unobservedPromises } from './unobserved.js';
 
 export interface BenchOptions {
   readonly deployment: Deployment;
@@ -99,7 +100,7 @@
   machine: () => MachineFigures,
 ): Promise<BenchRun> {
   const recorder = new RunRecorder();
-  for (const nodeId of cluster.proxies.keys()) recorder.proxyStarted(nodeId);
+  for (const nodeId of [...cluster.proxies.keys()].sort()) recorder.proxyStarted(nodeId);
   const sampler = new ClusterSampler(cluster, recorder, DATABASE_ROLE);
   const progress = new Progress(`${options.deployment.name} ${options.policy}`);
   try {
@@ -147,10 +148,11 @@
   recorder: RunRecorder,
   progress: Progress,
 ): Promise<FaultRecord[]> {
-  const random = createRandom(seed + FAULT_SEED_OFFSET);
+  const faultSeed = seed + FAULT_SEED_OFFSET;
   return injectFaults({
-    planned: planFaults(faults, durationMs, random),
-    context: { cluster, deployment, random, recorder, tenant: tenantOf(deployment) },
+    planned: planFaults(faults, durationMs, createRandom(faultSeed)),
+    context: { cluster, deployment, recorder, tenant: tenantOf(deployment) },
+    seed: faultSeed,
     startedAt: nowMs(),
     onChange: (text) => progress.note(text),
   });
@@ -214,20 +216,8 @@
       return next.length === 0 ? null : Math.min(...next.map((one) => one.at)) - at;
     }),
     replicaReadShareByProxies: run.replicaReadShare,
-    unobserved: unobservedIn(history),
+    unobserved: unobservedPromises(history),
     firstViolations: violations.slice(0, SHOWN_VIOLATIONS),
     machine: run.machine,
   };
 }
-
-/** Promises 7 to 9 are about events that a run may not have. */
-function unobservedIn(history: History): string[] {
-  const unobserved = [];
-  if (history.leavings.length === 0) unobserved.push('leavingBackEndGetsNoWork');
-  if (history.plannedStops.length === 0) unobserved.push('plannedStopCutsNothing');
-  const configurations = history.acceptedConfigurations.length > 0;
-  if (!configurations || history.configurationSamples.length === 0) {
-    unobserved.push('configurationInForce');
-  }
-  return unobserved;
-}
--- a/src/core/group/contract.ts
+++ b/src/core/group/contract.ts
@@ -79,6 +79,11 @@
     }
   /** The database's own error; for a transaction: it rolled back. */
   | { readonly type: 'database-error'; readonly position: Position | undefined }
+  /**
+   * The instance refused the write as read only and says itself that it is in recovery: it was
+   * demoted, and nothing of the request ran. No byte of the answer has gone towards the caller.
+   */
+  | { readonly type: 'not-writable' }
   /** The connection was lost. `bytesWritten`: any byte of the request had gone to the socket. */
   | {
       readonly type: 'connection-lost';
@@ -132,6 +137,11 @@
    * `run-finished` as `connection-lost`; no `connection-closed` is needed.
    */
   | { readonly type: 'close-connection'; readonly connectionId: ConnectionId }
+  /**
+   * The instance seems not to answer. If nothing of the request's answer has arrived, close its
+   * connection and report `run-finished` as `connection-lost`; if it has, the instance does answer.
+   */
+  | { readonly type: 'interrupt-if-silent'; readonly requestId: RequestId }
   /** Clear session state left by another tenant (DISCARD ALL), then report `connection-reset`. */
   | { readonly type: 'reset-connection'; readonly connectionId: ConnectionId }
   /** Send the request on this connection, then report `run-finished`. */
--- a/src/core/ownership/budget-lease.ts
+++ b/src/core/ownership/budget-lease.ts
@@ -36,14 +36,24 @@
   readonly number: number;
   /** Connections that the holder could use. */
   readonly wanted: number;
+  /** Connections of `wanted` that are not merely in reserve. */
+  readonly needed: number;
   /** Connections that its unexpired share allows at the time of sending. */
   readonly holding: number;
+  /** Connections of `holding` that can't be given back without cutting somebody off. */
+  readonly inUse: number;
   /** The granter's term as the holder last heard it: proof that the request is not older. */
   readonly term: string | undefined;
 }
 
 export type ShareAnswer =
-  | { readonly type: 'granted'; readonly number: number; readonly connections: number }
+  | {
+      readonly type: 'granted';
+      readonly number: number;
+      readonly connections: number;
+      /** Others hold more than they use, or old shares lapse: asking again may give more. */
+      readonly mayGrowSoon: boolean;
+    }
   /** Ask again, with this term. */
   | {
       readonly type: 'refused';
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ConfigurationSnapshot, TenantPolicy } from '../../core/configuration/model.js';
+import { DEFAULT_IDLE_TRANSACTION_TIMEOUT_MS } from '../../core/configuration/policy-schema.js';
 import { NotRunError } from '../../core/errors.js';
 import type {
   GroupMachine,
@@ -11,7 +12,7 @@
   InstanceDescription,
   TenantGroupLimits,
 } from '../../core/group/contract.js';
-import type { GroupName, GroupRequest } from '../../core/request.js';
+import type { GroupName, GroupRequest, TenantName } from '../../core/request.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
 import type { PeerStream, WireValue } from '../../peer/contract.js';
@@ -22,6 +23,9 @@
 import { encodeRequestError, type OpenMessage, openSchema } from './messages.js';
 import { OwnerStream } from './owner-stream.js';
 
+/** Longest wait for a group's primary to become known, in ms. */
+const WARM_LIMIT_MS = 1500;
+const WARM_POLL_MS = 10;
 /** How soon a gateway may ask again after reaching a node that is not an owner, in ms. */
 const NOT_OWNER_RETRY_MS = 5;
 
@@ -40,7 +44,7 @@
   readonly #options: OwnerServiceOptions;
   readonly #runtimes = new Map<GroupName, GroupRuntime>();
   #machines: readonly DatabaseMachine[] = [];
-  #limits: readonly TenantPolicy[] = [];
+  #policies: ReadonlyMap<TenantName, TenantPolicy> = new Map();
   #draining = false;
   #requestsAccepted = 0;
 
@@ -70,10 +74,19 @@
   }
 
   setConfiguration(snapshot: ConfigurationSnapshot): void {
-    this.#limits = [...snapshot.tenantsByName.values()];
+    this.#policies = snapshot.tenantsByName;
     for (const [group, runtime] of this.#runtimes) this.#sendLimits(group, runtime);
   }
 
+  /** Gets a group ready before gateways use this owner; resolves once its primary is known. */
+  async warm(group: GroupName): Promise<void> {
+    const runtime = this.#ensure(group);
+    const limit = this.#options.now() + WARM_LIMIT_MS;
+    while (runtime?.statistics().primary === undefined && this.#options.now() < limit) {
+      await pause(WARM_POLL_MS);
+    }
+  }
+
   /** Brings runtimes in line with the groups that this node owns now. */
   reconcile(): void {
     const groups = new Set(this.#machines.map((machine) => machine.group));
@@ -125,10 +138,16 @@
     const request = this.#requestOf(open, `${stream.id}/${this.#requestsAccepted}`);
     const work = new OwnerStream(stream, open, {
       abandoned: () => runtime.abandon(request.id),
+      idleTransactionTimeoutMs: this.#idleTransactionTimeoutMs(open.tenant),
     });
     runtime.submit(request, work);
   }
 
+  #idleTransactionTimeoutMs(tenant: TenantName): Milliseconds {
+    const policy = this.#policies.get(tenant);
+    return policy?.idleTransactionTimeoutMs ?? DEFAULT_IDLE_TRANSACTION_TIMEOUT_MS;
+  }
+
   #requestOf(open: OpenMessage, id: string): GroupRequest {
     return {
       id,
@@ -201,13 +220,17 @@
   }
 
   #sendLimits(group: GroupName, runtime: GroupRuntime): void {
-    const limits = this.#limits
+    const limits = [...this.#policies.values()]
       .filter((policy) => policy.databases.some((access) => access.group === group))
       .map(limitsOf);
     runtime.notify({ type: 'limits-changed', limits });
   }
 }
 
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
 function limitsOf(policy: TenantPolicy): TenantGroupLimits {
   return {
     tenant: policy.tenant,
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -9,12 +9,16 @@
 import type { ConfigurationMember } from '../core/configuration/relays.js';
 import { MeadowstackError, NotRunError, type RequestError } from '../core/errors.js';
 import { DatabaseGroup } from '../core/group/database-group.js';
+import type { GroupTiming } from '../core/group/options.js';
 import type { ListedNode, MemberEvent } from '../core/membership/contract.js';
 import type { SelfDescription } from '../core/membership/machine.js';
 import type { Member } from '../core/membership/member.js';
-import type { GroupName } from '../core/request.js';
+import { loadHash64 } from '../core/ownership/hash.js';
+import type { Hash64 } from '../core/ownership/rendezvous.js';
+import type { GroupName, TenantName } from '../core/request.js';
 import { RetryBudget } from '../core/retry/budget.js';
 import type { SessionKeys } from '../core/session/index.js';
+import { NodeRanker } from '../core/session/node-ranker.js';
 import type { Readiness } from '../observability/admin-server.js';
 import type { Logger } from '../observability/logger.js';
 import type { NodeIdentity, PeerAddress } from '../peer/contract.js';
@@ -25,10 +29,10 @@
   MachineListClient,
 } from '../platform/machine-list-client.js';
 import { DEFAULT_STORE_CLIENT_OPTIONS, StoreClient } from '../platform/store-client.js';
+import { ServerStoppingError } from '../postgres/caller/errors.js';
 import type { CallerTlsOptions } from '../postgres/caller/options.js';
 import { CallerServer } from '../postgres/caller/server.js';
 import type { CallerConnection } from '../postgres/contract.js';
-import { CallerAdmission } from './caller-admission.js';
 import { monotonicNow } from './clock.js';
 import { ConfigurationService } from './configuration/service.js';
 import { endpointOf } from './endpoints.js';
@@ -37,12 +41,13 @@
 import { GroupClient } from './gateway/group-client.js';
 import { HomeNodeDirectory } from './gateway/home-node-directory.js';
 import type { RequestMetrics } from './gateway/request-metrics.js';
-import { SessionRegistry } from './gateway/session-registry.js';
+import { SESSION_GRACE_MS, SessionRegistry } from './gateway/session-registry.js';
+import { TenantLimitService } from './limits/service.js';
 import { MembershipService } from './membership/service.js';
 import type { MemberSummary, NodeState, NodeStatus } from './node-status.js';
 import { BackendConnector } from './owner/backend-connector.js';
 import { OwnerService } from './owner/owner-service.js';
-import { OwnerDirectory, rankNodes } from './owner-directory.js';
+import { OwnerDirectory } from './owner-directory.js';
 import { PeerRouter } from './peer-router.js';
 import type { Settings } from './settings.js';
 import { groupPolicyOf, OUR_POLICY } from './test-policy.js';
@@ -62,13 +67,6 @@
   readonly code = 'MS-PROXY-START';
 }
 
-/** The node is stopping: callers reconnect elsewhere. */
-export class NodeStoppingError extends NotRunError {
-  constructor() {
-    super('owner-stopping', 'the proxy is stopping; reconnect to another one');
-  }
-}
-
 /** Where a started proxy listens. */
 export interface ProxyAddresses {
   readonly callers: PeerAddress;
@@ -87,6 +85,7 @@
   readonly #logger: Logger;
   readonly #identity: NodeIdentity;
   readonly #transport: TcpPeerTransport;
+  readonly #hash: Hash64;
   readonly #membership: MembershipService;
   readonly #fleet: FleetView;
   readonly #store: StoreClient;
@@ -99,11 +98,13 @@
   readonly #directory: HomeNodeDirectory;
   readonly #client: GroupClient;
   readonly #callers: CallerServer;
-  readonly #admission: CallerAdmission;
+  readonly #limits: TenantLimitService;
   readonly #sessionKeys: SessionKeys;
   #snapshot: ConfigurationSnapshot | undefined;
   #requestsNumbered = 0;
   #releaseTimer: NodeJS.Timeout | undefined;
+  /** Set from a change of members until the end of this event-loop turn. */
+  #fleetChange: NodeJS.Immediate | undefined;
   #draining: Promise<void> | undefined;
 
   private constructor(
@@ -115,6 +116,7 @@
     this.#logger = options.logger;
     this.#identity = links.identity;
     this.#transport = links.transport;
+    this.#hash = links.hash;
     this.addresses = { callers: settings.callers, peer: links.address };
     this.#sessionKeys = sessionKeysOf(settings);
     const self = selfOf(settings, links);
@@ -131,12 +133,12 @@
     });
     this.#store = createStore(settings);
     this.#machineList = createMachineList(settings);
-    this.#owners = new OwnerDirectory(settings);
+    this.#owners = this.#createOwners(links);
     this.#connector = new BackendConnector(settings.backend);
     this.#owner = this.#createOwner();
     this.#directory = this.#createDirectory();
     this.#client = this.#createClient();
-    this.#admission = new CallerAdmission((policy) => this.#connectionShare(policy));
+    this.#limits = this.#createLimits();
     this.#callers = this.#createCallerServer();
     this.#configuration = this.#createConfiguration(self);
     this.#route(links.router);
@@ -185,6 +187,7 @@
       groups: [...this.#owner.statistics()].map(([group, figures]) => ({ group, ...figures })),
       members: this.#membership.members().map(summaryOf),
       membership: this.#membership.counters(),
+      limits: this.#limits.status(),
       peers: this.#transport.counters(),
     };
   }
@@ -208,6 +211,7 @@
     this.#configuration.start();
     await this.#configuration.ready;
     this.#onSnapshot(this.#configuration.snapshot());
+    this.#limits.start();
     const callers = await this.#callers.listen();
     if (callers.isErr()) return err(startError(callers.error));
     this.addresses = { ...this.addresses, callers: callers.value };
@@ -221,7 +225,7 @@
     this.#fleet.setSelfLeaving();
     this.#onFleetChanged();
     this.#callers.stopAccepting();
-    for (const session of this.#sessions.all()) session.stop(new NodeStoppingError());
+    for (const session of this.#sessions.all()) session.stop(new ServerStoppingError());
     const limit = monotonicNow() + this.#settings.drainLimitMs;
     while (this.#busy() && monotonicNow() < limit) await pause(DRAIN_POLL_MS);
     this.#owner.drain();
@@ -236,9 +240,12 @@
   }
 
   async #close(): Promise<void> {
-    for (const session of this.#sessions.all()) session.cut(new NodeStoppingError());
+    for (const session of this.#sessions.all()) session.cut(new ServerStoppingError());
     clearInterval(this.#releaseTimer);
+    await this.#limits.stop(new ServerStoppingError());
+    this.#owners.stop();
     await this.#membership.stop();
+    clearImmediate(this.#fleetChange);
     await this.#configuration.stop();
     this.#machineList.stop();
     this.#owner.close();
@@ -263,6 +270,7 @@
       group,
       ownZone: this.#settings.zone,
       confirmationMode: this.#settings.confirmation,
+      timing: probeTimingOf(this.#settings),
       random: Math.random,
       ...groupPolicyOf(this.#settings.testPolicy),
     });
@@ -277,11 +285,23 @@
       ...(tls === undefined ? {} : { tls }),
       mockSecret: mockSecretOf(this.#sessionKeys),
       policyFor: (user) => this.#policyFor(user),
-      admit: (policy) => this.#admission.admit(policy),
+      admit: (policy) => this.#limits.admit(policy),
       handler: (connection) => this.#onCaller(connection),
     });
   }
 
+  #createLimits(): TenantLimitService {
+    return new TenantLimitService({
+      identity: this.#identity,
+      transport: this.#transport,
+      hash: this.#hash,
+      limitOf: (tenant) => this.#connectionLimit(tenant),
+      now: monotonicNow,
+      graceMs: SESSION_GRACE_MS,
+      onShareLowered: (tenant, allowed) => this.#sessions.endBeyond(tenant, allowed),
+    });
+  }
+
   #createConfiguration(self: FleetNode): ConfigurationService {
     return new ConfigurationService({
       self: configurationMember(self),
@@ -293,13 +313,24 @@
     });
   }
 
+  #createOwners(links: NodeLinks): OwnerDirectory {
+    return new OwnerDirectory({
+      nodeId: this.#settings.nodeId,
+      ownersPerGroup: this.#settings.ownersPerGroup,
+      hash: links.hash,
+      transport: links.transport,
+      now: monotonicNow,
+      warm: (group) => this.#owner.warm(group),
+      onChange: () => this.#owner.reconcile(),
+    });
+  }
+
   #createDirectory(): HomeNodeDirectory {
     return new HomeNodeDirectory({
       nodeId: this.#settings.nodeId,
       transport: this.#transport,
-      rank: rankNodes,
-      nodes: () =>
-        this.#fleet.homeNodes().map((node) => ({ nodeId: node.nodeId, address: addressOf(node) })),
+      rank: new NodeRanker(this.#hash).rank,
+      nodes: () => this.#fleet.homeNodes(),
       now: monotonicNow,
     });
   }
@@ -308,6 +339,7 @@
     return new GroupClient({
       ownersOf: (group) => this.#owners.ownersOf(group),
       transport: this.#transport,
+      onOwnerRefused: (group) => this.#owners.onRefused(group),
       acceptLocal: (header, stream) => this.#owner.accept(header, stream),
       retryBudget: new RetryBudget(RETRY_BUDGET),
       now: monotonicNow,
@@ -319,6 +351,8 @@
     router.onLinkDown = (peer) => this.#onLinkDown(peer);
     router.add(this.#configuration);
     router.add(this.#directory);
+    router.add(this.#limits);
+    router.add(this.#owners);
     router.add({
       handles: (method) => this.#membership.handlesCall(method),
       onCall: (method, body) => this.#membership.handleCall(method, body),
@@ -333,7 +367,9 @@
 
   #onMemberChanged(event: MemberEvent): void {
     this.#logger.info(`member ${event.change}`, { member: event.member.nodeId });
-    this.#onFleetChanged();
+    this.#fleet.membersChanged();
+    // A node that joins learns of thousands of members in a few messages.
+    this.#fleetChange ??= setImmediate(() => this.#onFleetChanged());
   }
 
   /** A lost link is a hint: the node behind it is probed at once. */
@@ -345,19 +381,30 @@
   }
 
   #onFleetChanged(): void {
-    this.#owners.setNodes(this.#fleet.liveNodes());
+    clearImmediate(this.#fleetChange);
+    this.#fleetChange = undefined;
     this.#owner.setMachines(this.#fleet.databases);
+    this.#owners.setGroups(this.#fleet.databases);
+    this.#owners.setNodes(this.#fleet.liveNodes());
+    this.#owner.reconcile();
     this.#configuration.membersChanged();
+    this.#limits.setFleet(
+      this.#fleet.liveNodes(),
+      this.#fleet.knownNodes(),
+      this.#fleet.listedNodes(),
+    );
   }
 
   #onSnapshot(snapshot: ConfigurationSnapshot): void {
+    const previous = this.#snapshot;
     this.#snapshot = snapshot;
     this.#membership.setConfigurationRevision(snapshot.revision);
     this.#owner.setConfiguration(snapshot);
-    this.#sessions.apply(
-      (tenant) => this.#policyOf(tenant),
-      (policy) => this.#connectionShare(policy),
-    );
+    this.#sessions.applyPolicies((tenant) => this.#policyOf(tenant));
+    for (const [tenant, policy] of snapshot.tenantsByName) {
+      const before = previous?.tenantsByName.get(tenant);
+      if (before?.maxConnections !== policy.maxConnections) this.#limits.limitChanged(tenant);
+    }
   }
 
   #policyOf(tenant: string): TenantPolicy | undefined {
@@ -396,8 +443,9 @@
     return Math.max(1, Math.floor(shared / this.#settings.ownersPerGroup));
   }
 
-  #connectionShare(policy: TenantPolicy): number {
-    return Math.ceil(policy.maxConnections / Math.max(1, this.#fleet.liveNodes().length));
+  #connectionLimit(tenant: TenantName): number {
+    const policy = this.#policyOf(tenant);
+    return policy?.enabled === true ? policy.maxConnections : 0;
   }
 }
 
@@ -407,6 +455,7 @@
   readonly router: PeerRouter;
   readonly transport: TcpPeerTransport;
   readonly address: PeerAddress;
+  readonly hash: Hash64;
 }
 
 async function openLinks(settings: Settings): Promise<Result<NodeLinks, MeadowstackError>> {
@@ -420,8 +469,8 @@
     events: { onLinkDown: (peer) => router.linkDown(peer) },
     ...(clusterSecret === undefined ? {} : { clusterSecret }),
   });
-  const listening = await transport.listen(settings.peer);
-  return listening.map((address) => ({ identity, router, transport, address }));
+  const [listening, hash] = await Promise.all([transport.listen(settings.peer), loadHash64()]);
+  return listening.map((address) => ({ identity, router, transport, address, hash }));
 }
 
 function selfOf(settings: Settings, links: NodeLinks): SelfDescription & FleetNode {
@@ -489,6 +538,18 @@
   return createHmac('sha256', key.secret).update('mock authentication').digest();
 }
 
+/** Quiet groups are probed this many times more slowly. */
+const QUIET_PROBE_FACTOR = 5;
+
+function probeTimingOf({ probe }: Settings): Partial<GroupTiming> {
+  return {
+    probePeriodMs: probe.intervalMs,
+    quietProbePeriodMs: probe.intervalMs * QUIET_PROBE_FACTOR,
+    fastProbePeriodMs: probe.suspectIntervalMs,
+    probeTimeoutMs: probe.timeoutMs,
+  };
+}
+
 function clusterSecretOf(settings: Settings): Buffer | undefined {
   const { secretHex } = settings.peer;
   return secretHex === undefined ? undefined : Buffer.from(secretHex, 'hex');
