--- a/src/node/gateway/gateway-service.ts
+++ b/src/node/gateway/gateway-service.ts
@@ -170,7 +170,7 @@
       ownersOf: (group) => this.#options.owners.ownersOf(group),
       transport: this.#options.links.transport,
       onOwnerRefused: (group) => this.#options.owners.onRefused(group),
-      acceptLocal: (header, stream) => this.#options.owner.accept(header, stream),
+      acceptLocal: (message, stream) => this.#options.owner.acceptOpen(message, stream),
       retryBudget: new RetryBudget(RETRY_BUDGET),
       now: monotonicNow,
     });
--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -21,8 +21,6 @@
   StatementMarkers,
   TransactionStatus,
 } from '../../postgres/contract.js';
-import { classify } from '../../postgres/statements/classify.js';
-import { readMarkers } from '../../postgres/statements/markers.js';
 import type { OpenMessage } from '../owner/messages.js';
 import { batchMessage } from './batch-message.js';
 import type { GroupAnswerEnd, GroupCall, GroupClient } from './group-client.js';
@@ -30,6 +28,7 @@
 import { combineClasses, firstMarkers, type RequestTerms, requestTerms } from './request-policy.js';
 import type { SessionDirectory } from './session-directory.js';
 import { SessionPositions } from './session-positions.js';
+import { factsOf } from './statement-facts.js';
 
 /** Parameter that carries the session token both ways. */
 export const SESSION_TOKEN_PARAMETER = 'meadowstack.session';
@@ -148,8 +147,9 @@
   }
 
   #handleBatch(batch: CallerBatch): void {
+    const facts = batch.statements.map(factsOf);
     const statementClass = combineClasses(
-      batch.statements.map((text) => classify(text, this.#inTransaction)),
+      facts.map((fact) => (this.#inTransaction ? fact.insideBlock : fact.outsideBlock)),
     );
     if (this.#transactionLoss !== undefined) {
       this.#reportTransactionLoss(this.#transactionLoss, statementClass);
@@ -200,7 +200,7 @@
   }
 
   #markersOf(batch: CallerBatch): StatementMarkers | undefined {
-    const parsed = batch.statements.map((text) => readMarkers(text));
+    const parsed = batch.statements.map((text) => factsOf(text).markers);
     const failure = parsed.find((result) => result.isErr());
     if (failure?.isErr()) {
       this.#refuse(failure.error);
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -63,7 +63,7 @@
   readonly onOwnerRefused: (group: GroupName) => void;
   readonly transport: PeerTransport;
   /** Serves a stream on this node's own owner job. */
-  readonly acceptLocal: (header: WireValue, stream: PeerStream) => void;
+  readonly acceptLocal: (message: OpenMessage, stream: PeerStream) => void;
   readonly retryBudget: RetryBudget;
   readonly now: () => Milliseconds;
 }
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -59,7 +59,11 @@
       stream.abort('malformed open message');
       return;
     }
-    const open = parsed.data;
+    this.acceptOpen(parsed.data, stream);
+  }
+
+  /** The same for a message that this process made itself. */
+  acceptOpen(open: OpenMessage, stream: PeerStream): void {
     const receiver = new BatchReceiver((batch) => this.#submit({ ...open, batch }, stream));
     stream.onData = (data) => {
       if (!receiver.data(data)) stream.abort('unexpected data from gateway');
