--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -26,6 +26,7 @@
   type OwnerMessage,
   ownerMessageSchema,
 } from '../owner/messages.js';
+import { openToWire, ownerMessageFromWire } from '../owner/wire-form.js';
 
 /** Pause before another owner is asked, in ms; grows with each attempt. */
 const RETRY_STEP_MS = 5;
@@ -162,7 +163,8 @@
   }
 
   #streamTo(owner: OwnerReference, header: OpenMessage): PeerStream {
-    if (owner.type === 'remote') return this.#options.transport.openStream(owner.address, header);
+    if (owner.type === 'remote')
+      return this.#options.transport.openStream(owner.address, openToWire(header));
     const pair = createLocalStreamPair();
     this.#options.acceptLocal(header, pair.acceptor);
     return pair.opener;
@@ -176,7 +178,7 @@
 
   #onMessage(value: WireValue, stream: PeerStream): void {
     if (this.#finished || stream !== this.#stream) return;
-    const parsed = ownerMessageSchema.safeParse(value);
+    const parsed = ownerMessageSchema.safeParse(ownerMessageFromWire(value));
     if (!parsed.success) {
       stream.abort('malformed message from owner');
       return;
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -22,6 +22,7 @@
 import { GroupRuntime } from './group-runtime.js';
 import { encodeRequestError, type OpenMessage, openSchema } from './messages.js';
 import { OwnerStream } from './owner-stream.js';
+import { openFromWire } from './wire-form.js';
 
 /** Longest wait for a group's primary to become known, in ms. */
 const WARM_LIMIT_MS = 1500;
@@ -54,7 +55,7 @@
 
   /** A gateway, here or elsewhere, opened a stream for one statement or transaction. */
   accept(header: WireValue, stream: PeerStream): void {
-    const parsed = openSchema.safeParse(header);
+    const parsed = openSchema.safeParse(openFromWire(header));
     if (!parsed.success) {
       stream.abort('malformed open message');
       return;
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -23,6 +23,7 @@
   type OwnerMessage,
 } from './messages.js';
 import { AnswerRelay } from './relay.js';
+import { ownerMessageToWire } from './wire-form.js';
 import type { Assignment, GroupWork } from './work.js';
 
 /** Longest wait for the ROLLBACK of an abandoned transaction before its connection is closed, in ms. */
@@ -118,7 +119,7 @@
     clearTimeout(this.#idleTimer);
     this.#relay.close();
     if (this.#callerGone) return;
-    this.#stream.send(message);
+    this.#stream.send(ownerMessageToWire(message));
     this.#stream.end();
   }
 
--- /dev/null
+++ b/src/node/owner/wire-form.ts
@@ -0,0 +1,135 @@
+/**
+ * The messages of each request as arrays: half the bytes and a third of the coding time of maps
+ * with names (docs/MEASUREMENTS.md). What comes in is turned back and checked by the messages' own schemas.
+ */
+import type { WireValue } from '../../peer/contract.js';
+import type { BatchMessage, OpenMessage, OwnerMessage } from './messages.js';
+
+const OPEN = 'open';
+const END = 'end';
+
+/** The array form of the message that opens a stream. */
+export function openToWire(open: OpenMessage): WireValue {
+  return [
+    OPEN,
+    open.requestId,
+    open.group,
+    open.tenant,
+    open.databaseRole,
+    open.database,
+    open.access,
+    open.kind,
+    open.weight,
+    open.stalenessBoundMs,
+    open.repeatable,
+    open.session.type === 'known' ? positionToWire(open.session.position) : null,
+    open.remainingMs,
+    open.hold,
+    open.zone,
+    batchToWire(open.batch),
+  ];
+}
+
+/** An object for `openSchema` to check; anything that is no array is passed on as it is. */
+export function openFromWire(value: WireValue): unknown {
+  if (!Array.isArray(value)) return value;
+  const [
+    type,
+    requestId,
+    group,
+    tenant,
+    databaseRole,
+    database,
+    access,
+    kind,
+    weight,
+    stalenessBoundMs,
+    repeatable,
+    position,
+    remainingMs,
+    hold,
+    zone,
+    batch,
+  ] = value as unknown[];
+  return {
+    type,
+    requestId,
+    group,
+    tenant,
+    databaseRole,
+    database,
+    access,
+    kind,
+    weight,
+    stalenessBoundMs,
+    repeatable,
+    session: sessionFromWire(position),
+    remainingMs,
+    hold,
+    zone,
+    batch: batchFromWire(batch),
+  };
+}
+
+/** Array form of the message that ends most requests; the others keep their names. */
+export function ownerMessageToWire(message: OwnerMessage): WireValue {
+  if (message.type !== 'end') return message;
+  const { status, heldBack, fromReplica, position } = message;
+  return [END, status, heldBack, fromReplica, position && positionToWire(position)];
+}
+
+/** An object for `ownerMessageSchema` to check. */
+export function ownerMessageFromWire(value: WireValue): unknown {
+  if (!Array.isArray(value)) return value;
+  const [type, status, heldBack, fromReplica, position] = value as unknown[];
+  return { type, status, heldBack, fromReplica, position: positionFromWire(position) };
+}
+
+function batchToWire(batch: BatchMessage): WireValue {
+  return [
+    batch.requires.map(({ backendName, text, parameterTypes }) => [
+      backendName,
+      text,
+      parameterTypes,
+    ]),
+    batch.messages,
+    batch.mayCommit,
+    batch.followingBytes,
+    batch.onceKey,
+  ];
+}
+
+function batchFromWire(value: unknown): unknown {
+  if (!Array.isArray(value)) return value;
+  const [requires, messages, mayCommit, followingBytes, onceKey] = value as unknown[];
+  return {
+    type: 'batch',
+    requires: Array.isArray(requires) ? requires.map(statementFromWire) : requires,
+    messages,
+    mayCommit,
+    followingBytes,
+    onceKey,
+  };
+}
+
+function statementFromWire(value: unknown): unknown {
+  if (!Array.isArray(value)) return value;
+  const [backendName, text, parameterTypes] = value as unknown[];
+  return { backendName, text, parameterTypes };
+}
+
+function positionToWire({ timeline, lsn }: { timeline: number; lsn: bigint }): WireValue {
+  return [timeline, lsn];
+}
+
+function positionFromWire(value: unknown): unknown {
+  if (!Array.isArray(value)) return value ?? undefined;
+  const [timeline, lsn] = value as unknown[];
+  // A small integer comes back as a number: CBOR has one kind of integer.
+  return { timeline, lsn: Number.isSafeInteger(lsn) ? BigInt(lsn as number) : lsn };
+}
+
+function sessionFromWire(position: unknown): unknown {
+  if (position === null || position === undefined) return { type: 'unknown' };
+  return { type: 'known', position: positionFromWire(position) };
+}
