Configuration agent: rounds and pushes cost the same at any number of members

Cause: each anti-entropy round and each push filtered all members and hashed those of the zone; the members were listed anew once a second. Change: MemberView works out zone, candidates and push children once between two changes; the node keeps the mapped members.

--- a/scale/hollow-node.ts
+++ b/scale/hollow-node.ts
@@ -50,6 +50,8 @@
   #isLeaving = false;
   #kept: (() => void)[] = [];
   #members: readonly ConfigurationMember[] = [];
+  /** As in the real node, the view is kept until the membership tells of a change. */
+  #isViewStale = true;
 
   constructor(options: HollowNodeOptions) {
     const { context, place, incarnation, store } = options;
@@ -148,6 +150,7 @@
   }
 
   #onMembersChanged(events: readonly MemberEvent[]): void {
+    this.#isViewStale = true;
     this.#updateMembers();
     const { ownership } = this;
     if (ownership !== undefined) {
@@ -158,6 +161,8 @@
 
   /** What the node's composition tells the configuration: the live members. */
   #updateMembers(): void {
+    if (!this.#isViewStale) return;
+    this.#isViewStale = false;
     const members = this.#context.meters.timed('configuration', () => this.#liveMembers());
     if (isSame(members, this.#members)) return;
     this.#members = members;
--- a/src/core/configuration/agent.ts
+++ b/src/core/configuration/agent.ts
@@ -13,10 +13,11 @@
 } from './agent-contract.js';
 import { jitter, type RandomSource } from './backoff.js';
 import type { ConfigurationMechanism } from './mechanisms.js';
+import { MemberView } from './member-view.js';
 import type { ConfigurationRevision } from './model.js';
-import { antiEntropyPeer, sample } from './peer-selection.js';
+import { sample } from './peer-selection.js';
 import { RelayRole } from './relay-role.js';
-import { type ConfigurationMember, pushTargets, relayCandidates } from './relays.js';
+import type { ConfigurationMember } from './relays.js';
 import {
   type ConfigurationDelta,
   type ConfigurationDigest,
@@ -47,7 +48,7 @@
   readonly #comparesDigests: boolean;
   readonly #role: RelayRole;
   readonly #follower: StoreFollower;
-  #members: readonly ConfigurationMember[] = [];
+  #view: MemberView;
   #startedAt: Milliseconds | undefined;
   #ready = false;
   #storeFailed = false;
@@ -68,6 +69,7 @@
     this.#comparesDigests = options.without?.has('anti-entropy') !== true;
     this.#self = options.self;
     this.#random = options.random;
+    this.#view = new MemberView(options.self, []);
     this.#role = new RelayRole(options.random);
     this.#follower = new StoreFollower(options.random);
   }
@@ -145,24 +147,16 @@
   }
 
   #setMembers(members: readonly ConfigurationMember[], now: Milliseconds): AgentEffect[] {
-    this.#members = members.filter((member) => member.nodeId !== this.#self.nodeId);
+    this.#view = new MemberView(this.#self, members);
     for (const root of this.#forwarded.keys()) {
-      if (!this.#isMember(root)) this.#forwarded.delete(root);
+      if (!this.#view.includes(root)) this.#forwarded.delete(root);
     }
-    const candidate = this.#candidates().some((member) => member.nodeId === this.#self.nodeId);
+    const candidate = this.#view.candidates().some((member) => member.nodeId === this.#self.nodeId);
     const effects = this.#role.handle({ type: 'candidacy-changed', candidate }, now);
     const firstPeers = this.#startedAt !== undefined && !this.#ready && this.#awaited.size === 0;
     return firstPeers ? [...effects, ...this.#peerRound(now)] : effects;
   }
 
-  #isMember(nodeId: string): boolean {
-    return nodeId === this.#self.nodeId || this.#members.some((each) => each.nodeId === nodeId);
-  }
-
-  #candidates(): readonly ConfigurationMember[] {
-    return relayCandidates(this.#self.zone, [...this.#members, this.#self]);
-  }
-
   #storeRead(delta: ConfigurationDelta, storeRevision: number, now: Milliseconds): AgentEffect[] {
     const effects = this.#merge(delta, 'store', now);
     const ready: AgentEffect[] = this.#ready ? [] : [{ type: 'ready' }];
@@ -199,7 +193,7 @@
   }
 
   #fetch(nodeId: string, sinceRevision: ConfigurationRevision): AgentEffect[] {
-    const peer = this.#members.find((member) => member.nodeId === nodeId);
+    const peer = this.#view.get(nodeId);
     if (peer === undefined || this.#fetching.has(nodeId)) return [];
     this.#fetching.add(nodeId);
     return [{ type: 'fetch', peer, sinceRevision }];
@@ -209,14 +203,14 @@
     this.#fetching.delete(nodeId);
     const effects = this.#merge(delta, 'peer', now);
     if (effects.length === 0) return [];
-    const peer = this.#members.find((member) => member.nodeId === nodeId);
+    const peer = this.#view.get(nodeId);
     const fromOtherZone = peer !== undefined && peer.zone !== this.#self.zone;
     return fromOtherZone ? [...effects, ...this.#tellCandidates(delta)] : effects;
   }
 
   /** News from another zone means that no relay of this zone had it yet; the candidates spread it. */
   #tellCandidates(delta: ConfigurationDelta): AgentEffect[] {
-    return this.#candidates().flatMap((peer): AgentEffect[] => {
+    return this.#view.candidates().flatMap((peer): AgentEffect[] => {
       if (peer.nodeId === this.#self.nodeId) return this.#pushOwn(delta);
       return [{ type: 'push', peer, root: peer.nodeId, delta }];
     });
@@ -240,12 +234,9 @@
   }
 
   #forward(root: string, delta: ConfigurationDelta): AgentEffect[] {
-    if (!this.#isMember(root) || delta.revision <= (this.#forwarded.get(root) ?? 0)) return [];
+    if (!this.#view.includes(root) || delta.revision <= (this.#forwarded.get(root) ?? 0)) return [];
     this.#forwarded.set(root, delta.revision);
-    return pushTargets(root, this.#self.nodeId, this.#self.zone, [
-      ...this.#members,
-      this.#self,
-    ]).map((peer) => ({ type: 'push', peer, root, delta }));
+    return this.#view.pushTargets(root).map((peer) => ({ type: 'push', peer, root, delta }));
   }
 
   #merge(delta: ConfigurationDelta, source: ConfigurationSource, now: Milliseconds): AgentEffect[] {
@@ -295,10 +286,10 @@
     this.#nextPeerAt = now + jitter(interval, this.#random);
     if (this.#ready) {
       if (!this.#comparesDigests) return [];
-      const peers = antiEntropyPeer(this.#self.zone, this.#members, this.#random);
-      return peers.map((peer) => ({ type: 'ask-digest', peer }));
+      const peer = this.#view.antiEntropyPeer(this.#random);
+      return peer === undefined ? [] : [{ type: 'ask-digest', peer }];
     }
-    const free = this.#members.filter((member) => !this.#awaited.has(member.nodeId));
+    const free = this.#view.others.filter((member) => !this.#awaited.has(member.nodeId));
     return sample(free, START_PEERS - this.#awaited.size, this.#random).map((peer) => {
       this.#awaited.add(peer.nodeId);
       return { type: 'ask-digest', peer };
--- a/src/core/configuration/peer-selection.ts
+++ b/src/core/configuration/peer-selection.ts
@@ -5,15 +5,16 @@
 /** Share of anti-entropy rounds that go to another zone. */
 const OTHER_ZONE_SHARE = 0.25;
 
-/** The peer of one anti-entropy round, mostly of the own zone; none if there is no other member. */
+/** The peer of one anti-entropy round, mostly of the own zone; undefined if there is no other. */
 export function antiEntropyPeer(
-  zone: string,
-  members: readonly ConfigurationMember[],
+  ownZone: readonly ConfigurationMember[],
+  otherZones: readonly ConfigurationMember[],
   random: RandomSource,
-): readonly ConfigurationMember[] {
+): ConfigurationMember | undefined {
   const wantOther = random() < OTHER_ZONE_SHARE;
-  const preferred = members.filter((member) => (member.zone !== zone) === wantOther);
-  return sample(preferred.length > 0 ? preferred : members, 1, random);
+  const [preferred, rest] = wantOther ? [otherZones, ownZone] : [ownZone, otherZones];
+  const members = preferred.length > 0 ? preferred : rest;
+  return members[Math.floor(random() * members.length)];
 }
 
 /** Some members, each at most once. */
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -307,7 +307,7 @@
       self: configurationMember(self),
       store: this.#store,
       transport: this.#transport,
-      members: () => this.#fleet.liveNodes().map(configurationMember),
+      members: keptMapping(() => this.#fleet.liveNodes(), configurationMember),
       random: Math.random,
       now: monotonicNow,
     });
@@ -507,6 +507,21 @@
   return { host: node.host, port: node.peerPort };
 }
 
+/** Maps an array that is the same one until something changed, only when it has changed. */
+function keptMapping<From, To>(
+  read: () => readonly From[],
+  mapItem: (item: From) => To,
+): () => readonly To[] {
+  let from: readonly From[] = [];
+  let to: readonly To[] = [];
+  return () => {
+    const current = read();
+    if (current !== from) to = current.map(mapItem);
+    from = current;
+    return to;
+  };
+}
+
 function configurationMember(node: FleetNode): ConfigurationMember {
   return { nodeId: node.nodeId, zone: node.zone, ...addressOf(node) };
 }
