--- a/src/node/fleet-nodes.ts
+++ b/src/node/fleet-nodes.ts
@@ -28,3 +28,18 @@
     leaving: proxy.state === 'leaving',
   };
 }
+
+/** Maps an array that is the same one until something changed, only when it has changed. */
+export function keptMapping<From, To>(
+  read: () => readonly From[],
+  mapItem: (item: From) => To,
+): () => readonly To[] {
+  let from: readonly From[] = [];
+  let to: readonly To[] = [];
+  return () => {
+    const current = read();
+    if (current !== from) to = current.map(mapItem);
+    from = current;
+    return to;
+  };
+}
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -14,7 +14,7 @@
 import { ServerStoppingError } from '../postgres/caller/errors.js';
 import { monotonicNow } from './clock.js';
 import { ConfigurationService } from './configuration/service.js';
-import { configurationMember, listedNode, summaryOf } from './fleet-nodes.js';
+import { configurationMember, keptMapping, listedNode, summaryOf } from './fleet-nodes.js';
 import { type FleetNode, FleetView } from './fleet-view.js';
 import { GatewayService } from './gateway/gateway-service.js';
 import type { RequestMetrics } from './gateway/request-metrics.js';
@@ -245,7 +245,7 @@
       self: configurationMember(self),
       store: this.#store,
       transport: this.#transport,
-      members: () => this.#fleet.liveNodes().map(configurationMember),
+      members: keptMapping(() => this.#fleet.liveNodes(), configurationMember),
       random: Math.random,
       now: monotonicNow,
     });
