Session position lost: told at once by a confirmed primary; the gateway goes on from there

Cause: a read whose session had seen a position beyond the group's log (data lost) was answered from the shorter log, or, if it knew a later timeline, waited until its deadline. checkPosition was asked by nobody. Change: a read on the primary is checked when the majority has confirmed it; a request with a later timeline is refused once a majority, the primary itself among it, has answered probes sent after it came. The gateway marks the group unknown and reports the new token, also after an unknown outcome.

--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -141,6 +141,13 @@
     return this.history.freshAsOf(replayed, this.confirmedUntil(this.primary));
   }
 
+  /** The latest time at which a majority, the primary itself among it, had no later timeline. */
+  primaryConfirmedAt(): Milliseconds {
+    if (this.primary === undefined) return Number.NEGATIVE_INFINITY;
+    const ownAnswerAt = this.knowledgeOf(this.primary.instance)?.observedAt;
+    return Math.min(ownAnswerAt ?? Number.NEGATIVE_INFINITY, this.confirmedUntil(this.primary));
+  }
+
   /** Computed once for each topology: it is asked for every request. */
   private confirmedUntil(primary: PrimaryView): Milliseconds {
     const { topology } = this;
--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -7,6 +7,8 @@
 import type { InstanceName, RequestId } from '../request.js';
 import { backoffPause } from '../retry/backoff.js';
 import { containsPosition } from '../routing/select.js';
+import type { SessionPositionLostError } from '../session/errors.js';
+import { checkPosition } from '../session/position-check.js';
 import type { Milliseconds } from '../units.js';
 import { judge, type PendingConfirmation, type SettledConfirmation } from './confirmation.js';
 import { type GroupContext, isOff, type Run, toleratedAgeMs } from './context.js';
@@ -219,6 +221,11 @@
     const run = this.context.runs.get(settled.pending.requestId);
     if (run === undefined) return;
     if (settled.verdict === 'confirmed') {
+      const lost = this.lostPosition(run);
+      if (lost !== undefined) {
+        this.outcomes.positionLost(run.entry, lost);
+        return;
+      }
       if (run.entry.request.access === 'write') this.context.counters.writesConfirmed += 1;
       this.outcomes.release(run);
       return;
@@ -227,6 +234,22 @@
     this.unconfirmed(run, reason, now);
   }
 
+  /** The confirmed primary's log ends before the position that a read's session has seen. */
+  private lostPosition({ entry, position }: Run): SessionPositionLostError | undefined {
+    const { access, session } = entry.request;
+    if (access !== 'read' || session.type !== 'known' || position === undefined) return undefined;
+    if (isOff(this.context, 'session-position')) return undefined;
+    const { group } = this.context.options;
+    return checkPosition(session.position, {
+      group,
+      end: position,
+      timelineStart: undefined,
+    }).match(
+      () => undefined,
+      (error) => error,
+    );
+  }
+
   private unconfirmed(
     run: Run,
     reason: 'primary-replaced' | 'confirmation-timeout',
--- a/src/core/group/database-group.ts
+++ b/src/core/group/database-group.ts
@@ -140,6 +140,7 @@
     this.intake.takeDueDeadlines(now);
     completion.settleConfirmations(now);
     dispatcher.dispatch(now);
+    this.intake.refuseLostTimelines(dispatcher.lostTimelines);
     this.maintain(now);
     this.probe(now);
   }
@@ -157,6 +158,7 @@
     this.completion.primaryReplaced(now);
     this.nextMaintenanceAt = now;
     this.dispatcher.dispatch(now);
+    this.intake.refuseLostTimelines(this.dispatcher.lostTimelines);
     this.maintain(now);
   }
 
--- a/src/core/group/dispatcher.ts
+++ b/src/core/group/dispatcher.ts
@@ -40,6 +40,8 @@
   replicaProgressWanted = false;
   /** True if, in the last pass, a session knew of a later timeline than the primary's. */
   laterTimelineExpected = false;
+  /** Requests found in the last pass whose session has seen a timeline that a majority never had. */
+  lostTimelines: QueueEntry[] = [];
   /** Reads moved to the primary's lane; those that have left it are forgotten later. */
   private readonly movedReads = new Set<RequestId>();
   private readonly rules: EligibilityRules;
@@ -69,6 +71,7 @@
     const { lanes } = this.context;
     this.replicaProgressWanted = false;
     this.laterTimelineExpected = false;
+    this.lostTimelines = [];
     if (lanes.replica.length + lanes.primary.length === 0) return;
     const pass = this.startPass(now);
     lanes.replica.serve((entry) => {
@@ -188,7 +191,7 @@
     if (pass.primary === undefined || !this.hasSlot(pass.primary, request.hold)) return 'blocked';
     if (!this.withinShare(pass.primary, request.tenant)) return 'tenant-blocked';
     if (session.type === 'known' && session.position.timeline > pass.timeline) {
-      this.laterTimelineExpected = true;
+      this.expectLaterTimeline(entry);
       return 'blocked';
     }
     const connection = this.connectionFor(entry, pass.primary, pass);
@@ -199,6 +202,19 @@
     return 'taken';
   }
 
+  /**
+   * The session knows of a later timeline than the primary's. That a majority has none after the
+   * request arrived shows that the timeline was lost; until then this owner may be behind.
+   */
+  private expectLaterTimeline(entry: QueueEntry): void {
+    const confirmedAt = this.context.monitor.primaryConfirmedAt();
+    if (confirmedAt > entry.arrivedAt && !isOff(this.context, 'session-position')) {
+      this.lostTimelines.push(entry);
+    } else {
+      this.laterTimelineExpected = true;
+    }
+  }
+
   private runOnReplica(
     entry: QueueEntry,
     eligible: readonly ReplicaCandidate[],
--- a/src/core/group/intake.ts
+++ b/src/core/group/intake.ts
@@ -5,6 +5,7 @@
 import { NotRunError } from '../errors.js';
 import { type ConnectionKey, keyOf, keyText } from '../pool/connections.js';
 import type { GroupRequest, RequestId } from '../request.js';
+import { SessionPositionLostError } from '../session/errors.js';
 import type { Milliseconds } from '../units.js';
 import type { Completion } from './completion.js';
 import { type GroupContext, isOff, type Run } from './context.js';
@@ -73,6 +74,15 @@
     }
   }
 
+  /** Refuses requests whose session has seen a timeline that the group lost. */
+  refuseLostTimelines(entries: readonly QueueEntry[]): void {
+    const { group } = this.context.options;
+    for (const entry of entries) {
+      if (this.removeQueued(entry.request.id) === undefined) continue;
+      this.outcomes.positionLost(entry, new SessionPositionLostError(group, 'beyond-log'));
+    }
+  }
+
   /** Looks at requests whose deadline or other time has come. */
   takeDueDeadlines(now: Milliseconds): void {
     const { deadlines, lanes, runs } = this.context;
--- a/src/core/group/outcomes.ts
+++ b/src/core/group/outcomes.ts
@@ -9,6 +9,7 @@
   UnknownOutcomeError,
   type UnknownReason,
 } from '../errors.js';
+import type { SessionPositionLostError } from '../session/errors.js';
 import type { GroupContext, Run } from './context.js';
 import type { QueueEntry } from './queue.js';
 
@@ -48,6 +49,13 @@
     this.fail(run.entry, new UnknownOutcomeError(reason, `the outcome is not known: ${reason}`));
   }
 
+  /** The group's log does not hold what the session has seen; waiting would never end. */
+  positionLost(entry: QueueEntry, error: SessionPositionLostError): void {
+    this.context.counters.notRun += 1;
+    this.context.runs.delete(entry.request.id);
+    this.fail(entry, error);
+  }
+
   /** The transaction surely rolled back. */
   aborted(run: Run): void {
     this.context.runs.delete(run.entry.request.id);
--- a/src/core/session/errors.ts
+++ b/src/core/session/errors.ts
@@ -57,12 +57,15 @@
   }
 }
 
+/** Code by which a gateway knows the error when another node reports it. */
+export const SESSION_POSITION_LOST_CODE = 'MS-SESSION-POSITION-LOST';
+
 /**
  * The session's position is in no log that the group still has: the group lost data. Waiting would
  * never end, so the read is refused; the caller drops the token and reads the state as it is.
  */
 export class SessionPositionLostError extends RequestError {
-  readonly code = 'MS-SESSION-POSITION-LOST';
+  readonly code = SESSION_POSITION_LOST_CODE;
   readonly outcome: FailureOutcome = 'not-run';
   readonly sqlState: SqlStateCode = SqlState.INVALID_PARAMETER_VALUE;
 
--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -19,6 +19,7 @@
   mergeSessions,
   observe,
   requirementFor,
+  SESSION_POSITION_LOST_CODE,
   type SessionKeys,
   type SessionState,
 } from '../../core/session/index.js';
@@ -290,7 +291,7 @@
     this.#inTransaction = false;
     this.#countOutcome(error.outcome, false);
     const mayLast = error.outcome === 'unknown' || error.outcome === 'done';
-    if (mayLast) this.#state = markUnknown(this.#state, this.#group);
+    if (mayLast || error.code === SESSION_POSITION_LOST_CODE) this.#forgetPosition();
     if (wasTransaction && !this.#connection.busy) {
       this.#transactionLoss = error;
       return;
@@ -329,6 +330,12 @@
     this.#finish('I');
   }
 
+  /** The position known so far does not tell any more what the session has to see. */
+  #forgetPosition(): void {
+    this.#state = markUnknown(this.#state, this.#group);
+    this.#reportToken();
+  }
+
   #observe(position: Position, fromReplica: boolean): void {
     const source = fromReplica ? 'unconfirmed' : 'confirmed-primary';
     const before = requirementFor(this.#state, this.#group);
--- a/test/unit/database-group.test.ts
+++ b/test/unit/database-group.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { NotRunError, UnknownOutcomeError } from '../../src/core/errors.js';
 import type { DatabaseGroupOptions, Mechanism } from '../../src/core/group/options.js';
+import { SessionPositionLostError } from '../../src/core/session/errors.js';
 import { GroupDriver } from '../support/group-driver.js';
 import { effectsOf, instance, request, staleRead, state } from '../support/group-fixtures.js';
 
@@ -302,4 +303,39 @@
   assert.is((error as NotRunError).reason, 'no-primary');
 });
 
+function futureRead(id: string, timeline: number, lsn: bigint): ReturnType<typeof request> {
+  return staleRead(id, { session: { type: 'known', position: { timeline, lsn } } });
+}
+
+test('a session that has seen a timeline which a majority never had is told so at once', () => {
+  const driver = healthyGroup();
+  driver.wait(50);
+  arrive(driver, futureRead('r1', 9, 1n));
+  assert.equal(driver.finals('r1'), [], 'this owner may be behind');
+  driver.wait(30);
+  driver.wait(30);
+  assert.instance(failureOf(driver, 'r1'), SessionPositionLostError);
+  assert.equal(driver.runs(), []);
+});
+
+test('a later timeline is not taken for lost while the primary itself does not answer', () => {
+  const driver = healthyGroup();
+  driver.wait(50);
+  driver.states.delete('a');
+  arrive(driver, futureRead('r1', 6, 1n));
+  driver.wait(30);
+  driver.wait(30);
+  assert.equal(driver.finals('r1'), []);
+});
+
+test('a session beyond the confirmed log of its timeline is told so, not answered', () => {
+  const driver = healthyGroup();
+  arrive(driver, futureRead('r1', 5, 900n));
+  driver.wait(30);
+  driver.finish('r1', { type: 'completed', position: { timeline: 5, lsn: 100n } });
+  driver.wait(5);
+  assert.instance(failureOf(driver, 'r1'), SessionPositionLostError);
+  assert.is(driver.finals('r1').length, 1);
+});
+
 test.run();
