--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -280,7 +280,7 @@
     this.#call = undefined;
     this.#inTransaction = false;
     this.#countOutcome(error.outcome, false);
-    this.#positions.failed(error);
+    if (this.#positions.failed(error)) this.#reportToken();
     if (wasTransaction && !this.#connection.busy) {
       this.#transactionLoss = error;
       return;
--- a/src/node/gateway/session-positions.ts
+++ b/src/node/gateway/session-positions.ts
@@ -15,6 +15,7 @@
   mergeSessions,
   observe,
   requirementFor,
+  SESSION_POSITION_LOST_CODE,
   type SessionKeys,
   type SessionState,
   type SessionTokenError,
@@ -72,10 +73,15 @@
     return before !== this.requirement();
   }
 
-  /** A request of unknown outcome: the next read needs a confirmed primary. */
-  failed(error: RequestError): void {
+  /**
+   * After these errors the position known so far does not tell any more what the session has to see:
+   * the next read needs a confirmed primary. True if so; the caller should be given a new token.
+   */
+  failed(error: RequestError): boolean {
     const mayLast = error.outcome === 'unknown' || error.outcome === 'done';
-    if (mayLast) this.#state = markUnknown(this.#state, this.#options.group);
+    const forgets = mayLast || error.code === SESSION_POSITION_LOST_CODE;
+    if (forgets) this.#state = markUnknown(this.#state, this.#options.group);
+    return forgets;
   }
 
   /**
