A session told "done earlier" sees what was done, wherever it moves

Cause: the owner confirms the primary before it reports a key that was used earlier, but told the gateway no position with it. The gateway marked the session as unknown in its own memory only: the token and the home nodes kept the position from before, so that the session, moved to another gateway, could read a replica without the write that it had been told was done. Change: the owner's error carries the position; the gateway observes it, hands out a token, and has the home nodes keep it before the caller is told. Result: the new integration test fails without the change (no token was handed out) and passes with it.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -202,7 +202,7 @@
         onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
         onBatchError: (status, error) => this.#onBatchError(status, error),
         onEnd: (end) => this.#onEnd(end),
-        onError: (error) => this.#onError(error),
+        onError: (error, position) => this.#onError(error, position),
       },
     );
   }
@@ -284,11 +284,15 @@
     this.#finish(end.status);
   }
 
-  #onError(error: RequestError): void {
+  #onError(error: RequestError, position: Position | undefined): void {
     const wasTransaction = this.#inTransaction;
     this.#call = undefined;
     this.#inTransaction = false;
     this.#countOutcome(error.outcome, false);
+    if (error.outcome === 'done' && position !== undefined) {
+      this.#reportDoneEarlier(error, position);
+      return;
+    }
     const mayLast = error.outcome === 'unknown' || error.outcome === 'done';
     if (mayLast) this.#state = markUnknown(this.#state, this.#group);
     if (wasTransaction && !this.#connection.busy) {
@@ -302,6 +306,15 @@
     this.#finish(blockGoesOn ? 'T' : 'I');
   }
 
+  /** The session must see what an earlier request with the same key did, wherever it moves. */
+  #reportDoneEarlier(error: RequestError, position: Position): void {
+    this.#observe(position, false);
+    this.#recordThen(position, () => {
+      this.#connection.writeError(error);
+      this.#finish('I');
+    });
+  }
+
   /** The caller learns at its next batch that its transaction is gone. */
   #reportTransactionLoss(error: RequestError, statementClass: StatementClass): void {
     this.#transactionLoss = undefined;
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -53,7 +53,8 @@
   /** A batch inside the open transaction was refused by the proxy; the block is failed. */
   onBatchError(status: TransactionStatus, error: RequestError): void;
   onEnd(end: GroupAnswerEnd): void;
-  onError(error: RequestError): void;
+  /** `position`: what the session must see from now on, if something lasts and it is known. */
+  onError(error: RequestError, position?: Position): void;
 }
 
 export interface GroupClientOptions {
@@ -206,16 +207,16 @@
         });
         return;
       case 'error':
-        this.#onRequestError(decodeRequestError(message));
+        this.#onRequestError(decodeRequestError(message), message.position);
         return;
     }
   }
 
-  #onRequestError(error: RequestError): void {
+  #onRequestError(error: RequestError, position: Position | undefined): void {
     const ownerRefused = error instanceof NotRunError && OWNER_REASONS.has(error.reason);
     if (ownerRefused) this.#options.onOwnerRefused(this.#message.group);
     if (ownerRefused && !this.#answered) this.#retryOrFail(error);
-    else this.#fail(error);
+    else this.#fail(error, position);
   }
 
   /** The stream closed before its end was told: the link or the owner is lost. */
@@ -254,10 +255,10 @@
     this.#retryTimer = setTimeout(() => this.start(), pause);
   }
 
-  #fail(error: RequestError): void {
+  #fail(error: RequestError, position?: Position): void {
     if (this.#finished) return;
     this.#finish();
-    this.#handlers.onError(error);
+    this.#handlers.onError(error, position);
   }
 
   #finish(): void {
--- a/src/node/owner/messages.ts
+++ b/src/node/owner/messages.ts
@@ -101,6 +101,8 @@
   reason: z.string().optional(),
   message: z.string(),
   retryAfterMs: z.number().optional(),
+  /** What the session must see from now on, if the error says that something lasts. */
+  position: positionSchema.optional(),
 });
 export type ErrorMessage = z.infer<typeof errorSchema>;
 
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -85,7 +85,8 @@
   release(position: Position | undefined): void {
     const result = this.#lastResult;
     if (result?.refusal !== undefined) {
-      this.#settle(encodeRequestError(result.refusal));
+      const error = encodeRequestError(result.refusal);
+      this.#settle(position === undefined ? error : { ...error, position });
       return;
     }
     this.#settle({
--- a/test/integration/cluster/whole-path.test.ts
+++ b/test/integration/cluster/whole-path.test.ts
@@ -77,6 +77,31 @@
   await Promise.all([first.client.end(), second.client.end()]);
 });
 
+test('a session that is told "done earlier" sees what was done, wherever it moves', async ({
+  cluster,
+}) => {
+  for (let id = 210; id < 220; id += 1) {
+    const unlock = `INSERT INTO orders VALUES (${id}, 'unlock') /*meadowstack_once='unlock-${id}'*/`;
+    const first = await connectCaller(cluster, 'proxy-1');
+    await first.client.query(unlock);
+    const byId = { 'meadowstack.session_id': `asker-${id}` };
+    for (const session of [{}, byId]) {
+      const asker = await connectCaller(cluster, 'proxy-2', session);
+      await runKeyed(asker.client, unlock);
+      const token = asker.sessionToken();
+      assert.is.not(token, '');
+      const moved = session === byId ? byId : { 'meadowstack.session': token };
+      const reader = await connectCaller(cluster, 'proxy-1', moved);
+      const found = await reader.client.query(
+        `SELECT state FROM orders WHERE id = ${id} /*meadowstack_kind='lookup'*/`,
+      );
+      assert.is(found.rows[0]?.state, 'unlock');
+      await Promise.all([asker.client.end(), reader.client.end()]);
+    }
+    await first.client.end();
+  }
+});
+
 test('transactions commit and roll back', async ({ cluster }) => {
   const { client } = await connectCaller(cluster, 'proxy-2');
   await client.query('BEGIN');
