--- a/bench/simulation/fleet/fleet.ts
+++ b/bench/simulation/fleet/fleet.ts
@@ -52,6 +52,7 @@
       sessionKeys: SESSION_KEYS,
       nodeIds: NODES,
       nodeNamed: (nodeId) => this.#nodeNamed(nodeId),
+      homeNamed: (nodeId) => this.#nodeNamed(nodeId).home,
       ownerStarted: (owner) => {
         this.#owners.add(owner);
         this.#describeTo(owner);
--- a/bench/simulation/fleet/gateway.ts
+++ b/bench/simulation/fleet/gateway.ts
@@ -81,7 +81,7 @@
     private readonly handlers: CallerHandlers,
   ) {
     this.wasFrozen = node.process.frozen;
-    this.#directory = new SimulatedDirectory(context, node);
+    this.#directory = new SimulatedDirectory(context, node.process);
     node.connections.add(this);
   }
 
--- a/bench/simulation/fleet/home-nodes.ts
+++ b/bench/simulation/fleet/home-nodes.ts
@@ -10,10 +10,16 @@
   homeNodesOf,
   isRecorded,
   type SessionKeyName,
+  SessionPositionTable,
   type SessionState,
 } from '../../../src/core/session/index.js';
-import type { FleetContext } from './context.js';
-import type { FleetNode } from './node.js';
+import type { SimulatedClock } from '../clock.js';
+import type { FleetMechanism } from './mechanisms.js';
+import type { FleetNetwork } from './network.js';
+import type { SimulatedProcess } from './process.js';
+
+/** Sessions live shorter than real ones, so that node restarts matter to them. */
+export const SESSION_LIFE_MS = 2500;
 
 const CALL_TIMEOUT_MS = 250;
 const REPEATED_SHARE = 0.05;
@@ -27,11 +33,57 @@
   return [...nodeIds].sort((left, right) => (scoreOf(left) < scoreOf(right) ? -1 : 1));
 }
 
+/** What home nodes and those who ask them share. */
+export interface HomeContext {
+  readonly clock: SimulatedClock;
+  readonly network: FleetNetwork;
+  readonly without: ReadonlySet<FleetMechanism>;
+  /** All nodes of the machine list. */
+  readonly nodeIds: readonly string[];
+  homeNamed(nodeId: string): SimulatedHomeNode;
+}
+
+/** One node's table, through the node's lives. */
+export class SimulatedHomeNode {
+  #table: SessionPositionTable;
+
+  constructor(
+    private readonly context: HomeContext,
+    public process: SimulatedProcess,
+  ) {
+    // It runs for longer than any session.
+    this.#table = newTable(-SESSION_LIFE_MS);
+  }
+
+  /** A new life with nothing in memory. */
+  restart(process: SimulatedProcess): void {
+    this.process = process;
+    this.#table = newTable(this.context.clock.now);
+  }
+
+  keep(session: SessionKeyName, entry: GroupPosition): true {
+    const event = { type: 'record', session, positions: [entry] } as const;
+    this.#table.handle(event, this.context.clock.now);
+    return true;
+  }
+
+  answerLookUp(session: SessionKeyName): HomeAnswer {
+    const found = this.#table.handle({ type: 'look-up', session }, this.context.clock.now);
+    if (found.type !== 'found') return { positions: new Map(), complete: false };
+    if (this.context.without.has('home-completeness')) return { ...found.answer, complete: true };
+    return found.answer;
+  }
+}
+
+function newTable(startedAt: number): SessionPositionTable {
+  return new SessionPositionTable({ startedAt, sessionLifeMs: SESSION_LIFE_MS });
+}
+
 /** One gateway's access to the home nodes. */
 export class SimulatedDirectory {
   constructor(
-    private readonly context: FleetContext,
-    private readonly node: FleetNode,
+    private readonly context: HomeContext,
+    private readonly process: SimulatedProcess,
   ) {}
 
   lookUp(session: SessionKeyName, take: (state: SessionState) => void): void {
@@ -73,11 +125,12 @@
 
   #call<Answer>(
     home: string,
-    ask: (asked: FleetNode) => Answer,
+    ask: (asked: SimulatedHomeNode) => Answer,
     settle: (answer: Answer | undefined) => void,
   ): void {
     const { clock, network } = this.context;
-    const { process, nodeId } = this.node;
+    const { process } = this;
+    const { nodeId } = process;
     let settled = false;
     const settleOnce = (answer: Answer | undefined): void => {
       if (settled) return;
@@ -86,7 +139,7 @@
     };
     const send = (): void =>
       network.sendCall(nodeId, home, () => {
-        const asked = this.context.nodeNamed(home);
+        const asked = this.context.homeNamed(home);
         asked.process.run(() => {
           const answer = ask(asked);
           network.sendCall(home, nodeId, () => process.run(() => settleOnce(answer)));
--- a/bench/simulation/fleet/node.ts
+++ b/bench/simulation/fleet/node.ts
@@ -1,13 +1,8 @@
 /** One proxy of the simulated fleet through its lives: home node of sessions, owner, gateway. */
 import type { OwnerCandidate } from '../../../src/core/ownership/rendezvous.js';
-import {
-  type GroupPosition,
-  type HomeAnswer,
-  type SessionKeyName,
-  SessionPositionTable,
-} from '../../../src/core/session/index.js';
-import { type FleetContext, SESSION_LIFE_MS } from './context.js';
+import type { FleetContext } from './context.js';
 import type { GatewayConnection } from './gateway.js';
+import { SimulatedHomeNode } from './home-nodes.js';
 import { OwnerRole } from './owner-role.js';
 import { SimulatedProcess } from './process.js';
 
@@ -28,7 +23,7 @@
   stopping = false;
   readonly connections = new Set<GatewayConnection>();
   readonly plannedStops: PlannedStop[] = [];
-  #table: SessionPositionTable;
+  readonly home: SimulatedHomeNode;
   #lives = 1;
 
   constructor(
@@ -39,27 +34,13 @@
   ) {
     this.process = new SimulatedProcess(context.clock, nodeId, `${nodeId}.1`);
     this.role = new OwnerRole(context, this.process, members, zone);
-    // It runs for longer than any session.
-    this.#table = newTable(-SESSION_LIFE_MS);
+    this.home = new SimulatedHomeNode(context, this.process);
   }
 
   get accepting(): boolean {
     return this.process.alive && !this.stopping;
   }
 
-  keep(session: SessionKeyName, entry: GroupPosition): true {
-    const event = { type: 'record', session, positions: [entry] } as const;
-    this.#table.handle(event, this.context.clock.now);
-    return true;
-  }
-
-  answerLookUp(session: SessionKeyName): HomeAnswer {
-    const found = this.#table.handle({ type: 'look-up', session }, this.context.clock.now);
-    if (found.type !== 'found') return { positions: new Map(), complete: false };
-    if (this.context.without.has('home-completeness')) return { ...found.answer, complete: true };
-    return found.answer;
-  }
-
   /** Ends the process; what it had in memory is gone. */
   kill(): void {
     this.process.alive = false;
@@ -80,7 +61,7 @@
     this.stopping = false;
     const name = `${this.nodeId}.${this.#lives}`;
     this.process = new SimulatedProcess(this.context.clock, this.nodeId, name);
-    this.#table = newTable(this.context.clock.now);
+    this.home.restart(this.process);
     this.role = new OwnerRole(this.context, this.process, members, this.zone);
   }
 
@@ -121,7 +102,3 @@
     exited();
   }
 }
-
-function newTable(startedAt: number): SessionPositionTable {
-  return new SessionPositionTable({ startedAt, sessionLifeMs: SESSION_LIFE_MS });
-}
