--- a/src/node/owner/wire-form.ts
+++ b/src/node/owner/wire-form.ts
@@ -73,6 +73,9 @@
 
 /** Array form of the message that ends most requests; the others keep their names. */
 export function ownerMessageToWire(message: OwnerMessage): WireValue {
+  if (message.type === 'error' && message.position !== undefined) {
+    return { ...message, position: positionToWire(message.position) };
+  }
   if (message.type !== 'end') return message;
   const { status, heldBack, fromReplica, position } = message;
   return [END, status, heldBack, fromReplica, position && positionToWire(position)];
@@ -80,7 +83,7 @@
 
 /** An object for `ownerMessageSchema` to check. */
 export function ownerMessageFromWire(value: WireValue): unknown {
-  if (!Array.isArray(value)) return value;
+  if (!Array.isArray(value)) return withPosition(value);
   const [type, status, heldBack, fromReplica, position] = value as unknown[];
   return { type, status, heldBack, fromReplica, position: positionFromWire(position) };
 }
@@ -133,3 +136,9 @@
   if (position === null || position === undefined) return { type: 'unknown' };
   return { type: 'known', position: positionFromWire(position) };
 }
+
+/** An error message that carries a position has it as an array too. */
+function withPosition(value: WireValue): unknown {
+  if (typeof value !== 'object' || value === null || !('position' in value)) return value;
+  return { ...value, position: positionFromWire(value.position) };
+}
--- a/test/property/wire-form.test.ts
+++ b/test/property/wire-form.test.ts
@@ -109,6 +109,26 @@
   );
 });
 
+test('an error that carries a position comes out as it went in', () => {
+  fc.assert(
+    fc.property(position, (at) => {
+      const message = {
+        type: 'error' as const,
+        outcome: 'done' as const,
+        code: 'MS-ALREADY-DONE',
+        sqlState: '23505',
+        message: 'done earlier',
+        position: at,
+      };
+      const wire = overTheWire(ownerMessageToWire(message));
+      const parsed = ownerMessageSchema.safeParse(ownerMessageFromWire(wire));
+      assert.ok(parsed.success, parsed.error?.message);
+      assert.equal(parsed.data, message);
+    }),
+    RUNS,
+  );
+});
+
 test('arrays of anything else are refused by the schemas, never thrown on', () => {
   fc.assert(
     fc.property(fc.array(fc.anything(), { maxLength: 20 }), (value) => {
