Every declared metric is fed; those that nothing could feed are gone

Cause: 22 of 31 metrics were declared and never written; the docs said so. Change: a recorder brings the parts' own totals into the counters before each scrape; refusals and unknown outcomes are counted by detail code; four metrics without a source are removed. The docs test now fails for a metric that no code writes.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -279,7 +279,7 @@
     const wasTransaction = this.#inTransaction;
     this.#call = undefined;
     this.#inTransaction = false;
-    this.#countOutcome(error.outcome, false);
+    this.#countOutcome(error.outcome, false, error.code);
     if (error.outcome === 'done' && position !== undefined) {
       void this.#reportDoneEarlier(error, position);
       return;
@@ -360,7 +360,11 @@
     }
   }
 
-  #countOutcome(outcome: 'done' | RequestError['outcome'], fromReplica: boolean): void {
+  #countOutcome(
+    outcome: 'done' | RequestError['outcome'],
+    fromReplica: boolean,
+    reason?: string,
+  ): void {
     const running = this.#running;
     if (running === undefined) return;
     this.#running = undefined;
@@ -369,6 +373,7 @@
       access: running.access,
       outcome,
       route: fromReplica ? 'replica' : 'primary',
+      reason,
       elapsedMs: performance.now() - running.startedAt,
     });
   }
--- a/src/node/gateway/request-metrics.ts
+++ b/src/node/gateway/request-metrics.ts
@@ -7,6 +7,8 @@
   readonly access: Access;
   readonly outcome: 'done' | FailureOutcome;
   readonly route: 'primary' | 'replica';
+  /** Of a request that was not run or whose outcome is unknown: the reason in its error. */
+  readonly reason: string | undefined;
   readonly elapsedMs: number;
 }
 
--- a/src/node/node-metrics.ts
+++ b/src/node/node-metrics.ts
@@ -1,31 +1,130 @@
-/** Carries what a node does into its metrics: requests as they end, gauges before each scrape. */
-import type { NodeMetrics, RequestRoute } from '../observability/metrics.js';
+/**
+ * Carries what a node does into its metrics: requests as they end; totals that the parts count
+ * themselves, and gauges, before each scrape.
+ */
+import { type NodeMetrics, type RequestRoute, syncCounter } from '../observability/metrics.js';
 import type { EndedRequest } from './gateway/request-metrics.js';
-import type { NodeStatus } from './node-status.js';
+import type { GroupStatus, NodeStatus } from './node-status.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 const MEMBER_STATES = ['alive', 'suspect', 'leaving', 'dead'] as const;
 
-export function recordRequest(metrics: NodeMetrics, request: EndedRequest): void {
-  const { kind, outcome } = request;
-  const route: RequestRoute = outcome === 'done' ? request.route : 'none';
-  metrics.requests.inc({ outcome, kind, route });
-  metrics.requestSeconds.observe({ kind, route }, request.elapsedMs / MILLISECONDS_PER_SECOND);
+/** Raises a counter to a total. */
+type SetTotal = (total: number) => void;
+
+/** Totals of one group; they start again when the group comes back to this owner. */
+interface GroupTotals {
+  readonly replicaReads: SetTotal;
+  readonly primaryReads: SetTotal;
+  readonly eligibleReplicaReads: SetTotal;
+  readonly confirmationsSent: SetTotal;
+  readonly writesConfirmed: SetTotal;
 }
 
-export function refreshGauges(metrics: NodeMetrics, status: NodeStatus): void {
-  metrics.configurationRevision.set(status.configuration.revision);
-  metrics.draining.set(status.state === 'leaving' ? 1 : 0);
-  metrics.openConnections.set({ side: 'caller' }, status.callers);
-  for (const state of MEMBER_STATES) {
-    metrics.members.set(
-      { state },
-      status.members.filter((member) => member.status === state).length,
-    );
+export class NodeMetricsRecorder {
+  readonly #metrics: NodeMetrics;
+  readonly #totals: ReturnType<typeof nodeTotals>;
+  readonly #groups = new Map<string, GroupTotals>();
+  #revision = 0;
+
+  constructor(metrics: NodeMetrics) {
+    this.#metrics = metrics;
+    this.#totals = nodeTotals(metrics);
+  }
+
+  requestEnded(request: EndedRequest): void {
+    const { kind, outcome, reason, elapsedMs } = request;
+    const route: RequestRoute = outcome === 'done' ? request.route : 'none';
+    this.#metrics.requests.inc({ outcome, kind, route });
+    this.#metrics.requestSeconds.observe({ kind, route }, elapsedMs / MILLISECONDS_PER_SECOND);
+    if (reason === undefined) return;
+    if (outcome === 'not-run') this.#metrics.notRun.inc({ reason });
+    if (outcome === 'unknown') this.#metrics.unknown.inc({ reason });
   }
-  for (const group of status.groups) {
-    metrics.queueDepth.set({ group: group.group }, group.queued);
-    metrics.running.set({ group: group.group }, group.running);
-    metrics.groupTimeline.set({ group: group.group }, group.timeline);
+
+  /** Brings gauges and totals up to date. */
+  refresh(status: NodeStatus): void {
+    const metrics = this.#metrics;
+    metrics.draining.set(status.state === 'leaving' ? 1 : 0);
+    metrics.openConnections.set({ side: 'caller' }, status.callers);
+    this.#noteRevision(status.configuration.revision);
+    for (const state of MEMBER_STATES) {
+      const members = status.members.filter((member) => member.status === state);
+      metrics.members.set({ state }, members.length);
+    }
+    let backendConnections = 0;
+    let retries = 0;
+    for (const group of status.groups) {
+      this.#refreshGroup(group);
+      backendConnections += group.connectionsOpen;
+      retries += group.retries;
+    }
+    metrics.openConnections.set({ side: 'backend' }, backendConnections);
+    this.#totals.retries(retries);
+    this.#refreshTotals(status);
+  }
+
+  #noteRevision(revision: number): void {
+    this.#metrics.configurationRevision.set(revision);
+    if (revision !== this.#revision) this.#metrics.configurationAppliedSeconds.setToCurrentTime();
+    this.#revision = revision;
   }
+
+  #refreshTotals({ backend, peers, ...status }: NodeStatus): void {
+    const totals = this.#totals;
+    totals.backendConnections(status.backendConnectionsOpened);
+    totals.storeRequests(status.storeRequests);
+    totals.primaryChanges(status.primaryChanges);
+    totals.cancels(backend.cancelsSent);
+    totals.notificationsDropped(backend.notificationsDropped);
+    totals.protocolViolations(backend.protocolViolations);
+    totals.linksOpened(peers.linksOpened);
+    totals.linksLost(peers.linksLost);
+    totals.framesDropped(peers.framesDropped);
+    totals.framesMalformed(peers.framesMalformed);
+    totals.bytesSent(peers.bytesSent);
+    totals.bytesReceived(peers.bytesReceived);
+  }
+
+  #refreshGroup(status: GroupStatus): void {
+    const { group } = status;
+    this.#metrics.queueDepth.set({ group }, status.queued);
+    this.#metrics.running.set({ group }, status.running);
+    this.#metrics.groupTimeline.set({ group }, status.timeline);
+    const totals = this.#groups.get(group) ?? groupTotals(this.#metrics, group);
+    this.#groups.set(group, totals);
+    totals.replicaReads(status.replicaReads);
+    totals.primaryReads(status.primaryReads);
+    totals.eligibleReplicaReads(status.eligibleReplicaReads);
+    totals.confirmationsSent(status.confirmationsSent);
+    totals.writesConfirmed(status.writesConfirmed);
+  }
+}
+
+function groupTotals(metrics: NodeMetrics, group: string): GroupTotals {
+  return {
+    replicaReads: syncCounter(metrics.replicaReads, { group }),
+    primaryReads: syncCounter(metrics.primaryReads, { group }),
+    eligibleReplicaReads: syncCounter(metrics.eligibleReplicaReads, { group }),
+    confirmationsSent: syncCounter(metrics.confirmationsSent, { group }),
+    writesConfirmed: syncCounter(metrics.writesConfirmed, { group }),
+  };
+}
+
+function nodeTotals(metrics: NodeMetrics) {
+  return {
+    retries: syncCounter(metrics.retries, {}),
+    backendConnections: syncCounter(metrics.connectionsOpened, {}),
+    storeRequests: syncCounter(metrics.storeRequests, {}),
+    primaryChanges: syncCounter(metrics.primaryChanges, {}),
+    cancels: syncCounter(metrics.cancelsSent, {}),
+    notificationsDropped: syncCounter(metrics.notificationsDropped, {}),
+    protocolViolations: syncCounter(metrics.protocolViolations, {}),
+    linksOpened: syncCounter(metrics.peerLinks, { event: 'opened' }),
+    linksLost: syncCounter(metrics.peerLinks, { event: 'lost' }),
+    framesDropped: syncCounter(metrics.peerFrames, { fault: 'dropped' }),
+    framesMalformed: syncCounter(metrics.peerFrames, { fault: 'malformed' }),
+    bytesSent: syncCounter(metrics.peerBytes, { direction: 'sent' }),
+    bytesReceived: syncCounter(metrics.peerBytes, { direction: 'received' }),
+  };
 }
--- a/src/node/node-status.ts
+++ b/src/node/node-status.ts
@@ -3,6 +3,7 @@
 import type { MemberStatus } from '../core/membership/member.js';
 import type { GroupName } from '../core/request.js';
 import type { PeerCounters } from '../peer/contract.js';
+import type { BackendCounters } from '../postgres/backend/options.js';
 import type { ConfigurationServiceStatus } from './configuration/service.js';
 import type { TenantLimitStatus } from './limits/service.js';
 import type { MembershipCounters } from './membership/service.js';
@@ -30,6 +31,11 @@
   readonly sessionsKept: number;
   /** Back-end connections opened since start, probes included. */
   readonly backendConnectionsOpened: number;
+  readonly backend: BackendCounters;
+  /** Requests sent to the store since start. */
+  readonly storeRequests: number;
+  /** Changes of the primary seen since start, over all groups owned. */
+  readonly primaryChanges: number;
   readonly groups: readonly GroupStatus[];
   readonly members: readonly MemberSummary[];
   readonly membership: MembershipCounters;
--- a/src/node/owner/backend-connector.ts
+++ b/src/node/owner/backend-connector.ts
@@ -7,7 +7,7 @@
 import type { DatabaseRole, InstanceName } from '../../core/request.js';
 import type { DatabaseMachine } from '../../platform/contract.js';
 import { connectBackend } from '../../postgres/backend/connect.js';
-import type { BackendTlsOptions } from '../../postgres/backend/options.js';
+import { type BackendTlsOptions, createBackendCounters } from '../../postgres/backend/options.js';
 import type { BackendConnection } from '../../postgres/contract.js';
 import type { Settings } from '../settings.js';
 
@@ -29,6 +29,7 @@
 export class BackendConnector {
   readonly #settings: BackendSettings;
   #machines: ReadonlyMap<InstanceName, DatabaseMachine> = new Map();
+  readonly counters = createBackendCounters();
   #opened = 0;
 
   constructor(settings: BackendSettings) {
@@ -77,6 +78,7 @@
       password: this.#passwordOf(role),
       database,
       connectTimeoutMs: this.#settings.connectTimeoutMs,
+      counters: this.counters,
       startupParameters: { application_name: 'meadowstack' },
       tls: tlsOptionsOf(this.#settings),
     }).mapErr(
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -19,7 +19,7 @@
 import type { DatabaseMachine } from '../../platform/contract.js';
 import type { BackendConnector } from './backend-connector.js';
 import { BatchReceiver } from './batch-transfer.js';
-import { GroupRuntime } from './group-runtime.js';
+import { type GroupObserver, GroupRuntime } from './group-runtime.js';
 import { encodeRequestError, type OpenMessage, openSchema } from './messages.js';
 import { OwnerStream } from './owner-stream.js';
 import { openFromWire } from './wire-form.js';
@@ -48,6 +48,7 @@
   #policies: ReadonlyMap<TenantName, TenantPolicy> = new Map();
   #draining = false;
   #requestsAccepted = 0;
+  #primaryChanges = 0;
 
   constructor(options: OwnerServiceOptions) {
     this.#options = options;
@@ -114,6 +115,10 @@
     for (const runtime of this.#runtimes.values()) runtime.notify({ type: 'drain-started' });
   }
 
+  get primaryChanges(): number {
+    return this.#primaryChanges;
+  }
+
   get unfinished(): number {
     let unfinished = 0;
     for (const runtime of this.#runtimes.values()) unfinished += runtime.unfinished;
@@ -188,7 +193,7 @@
       connector: this.#options.connector,
       now: this.#options.now,
       observer: {
-        primaryChanged: (change) => this.#options.logger.info('primary changed', { ...change }),
+        primaryChanged: (change) => this.#onPrimaryChanged(change),
       },
     });
     this.#runtimes.set(group, runtime);
@@ -197,6 +202,11 @@
     return runtime;
   }
 
+  #onPrimaryChanged(change: Parameters<GroupObserver['primaryChanged']>[0]): void {
+    this.#primaryChanges += 1;
+    this.#options.logger.info('primary changed', { ...change });
+  }
+
   #refresh(group: GroupName, runtime: GroupRuntime, listed: boolean): void {
     const owned = listed && this.#options.owns(group);
     if (owned) {
--- a/src/node/run-proxy.ts
+++ b/src/node/run-proxy.ts
@@ -4,7 +4,7 @@
 import { startAdminServer } from '../observability/admin-server.js';
 import { createLogger } from '../observability/logger.js';
 import { createMetrics, type NodeMetrics } from '../observability/metrics.js';
-import { recordRequest, refreshGauges } from './node-metrics.js';
+import { NodeMetricsRecorder } from './node-metrics.js';
 import { ProxyNode } from './proxy-node.js';
 import type { Settings } from './settings.js';
 
@@ -15,14 +15,15 @@
 ): Promise<Result<void, MeadowstackError>> {
   const logger = createLogger({ ...settings.log, fields: { node: settings.nodeId } });
   const metrics = createMetrics(settings.nodeId);
+  const recorder = new NodeMetricsRecorder(metrics);
   const started = await ProxyNode.start({
     settings,
     logger,
-    metrics: { requestEnded: (request) => recordRequest(metrics, request) },
+    metrics: recorder,
   });
   if (started.isErr()) return err(started.error);
   const node = started.value;
-  const admin = await openAdminPort(settings, node, metrics);
+  const admin = await openAdminPort(settings, node, metrics, recorder);
   if (admin.isErr()) return err(admin.error);
   const { host, port } = admin.value;
   const stopped = stopOnSignal(node);
@@ -43,11 +44,12 @@
   settings: Settings,
   node: ProxyNode,
   metrics: NodeMetrics,
+  recorder: NodeMetricsRecorder,
 ): ReturnType<typeof startAdminServer> {
   return startAdminServer({
     ...settings.admin,
     registry: metrics.registry,
-    beforeScrape: () => refreshGauges(metrics, node.status()),
+    beforeScrape: () => recorder.refresh(node.status()),
     readiness: () => node.readiness(),
     status: () => ({ ...node.status() }),
     drain: () => void node.drain(),
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -14,13 +14,11 @@
   /** Requests that ended. Kinds are the tenants' markers: bounded by the configuration. */
   readonly requests: Counter<'outcome' | 'kind' | 'route'>;
   readonly requestSeconds: Histogram<'kind' | 'route'>;
-  readonly queueWaitSeconds: Histogram<'group'>;
-  readonly confirmationSeconds: Histogram<'group'>;
-  readonly backendConnectSeconds: Histogram<'group'>;
   readonly queueDepth: Gauge<'group'>;
   readonly running: Gauge<'group'>;
   readonly openConnections: Gauge<'side'>;
-  readonly connectionsOpened: Counter<'side' | 'result'>;
+  /** Back-end connections tried, probes' own included. */
+  readonly connectionsOpened: Counter;
   /** Refusals by the reason in the error. */
   readonly notRun: Counter<'reason'>;
   readonly unknown: Counter<'reason'>;
@@ -30,19 +28,18 @@
   readonly replicaReads: Counter<'group'>;
   readonly primaryReads: Counter<'group'>;
   readonly eligibleReplicaReads: Counter<'group'>;
-  readonly primaryChanges: Counter<'group'>;
+  readonly primaryChanges: Counter;
   readonly groupTimeline: Gauge<'group'>;
   readonly cancelsSent: Counter;
   readonly notificationsDropped: Counter;
-  readonly protocolViolations: Counter<'side'>;
+  readonly protocolViolations: Counter;
   readonly peerLinks: Counter<'event'>;
   readonly peerFrames: Counter<'fault'>;
   readonly peerBytes: Counter<'direction'>;
   readonly configurationRevision: Gauge;
   readonly configurationAppliedSeconds: Gauge;
   readonly members: Gauge<'state'>;
-  readonly storeRequests: Counter<'result'>;
-  readonly sessionTokensRefused: Counter<'reason'>;
+  readonly storeRequests: Counter;
   readonly draining: Gauge;
 }
 
@@ -86,15 +83,10 @@
     registry,
     requests: counter('requests_total', 'Requests that ended', ['outcome', 'kind', 'route']),
     requestSeconds: histogram('request_seconds', 'Arrival to answer', ['kind', 'route']),
-    queueWaitSeconds: histogram('queue_wait_seconds', 'Arrival to start', ['group']),
-    confirmationSeconds: histogram('confirmation_seconds', 'Write ran to confirmed', ['group']),
-    backendConnectSeconds: histogram('backend_connect_seconds', 'Opening of a connection', [
-      'group',
-    ]),
     queueDepth: gauge('queue_depth', 'Requests waiting', ['group']),
     running: gauge('running_requests', 'Requests running on a back end', ['group']),
     openConnections: gauge('open_connections', 'Connections open', ['side']),
-    connectionsOpened: counter('connections_opened_total', 'Connections tried', ['side', 'result']),
+    connectionsOpened: counter('backend_connections_opened_total', 'Back-end connections tried'),
     notRun: counter('not_run_total', 'Requests refused as not run', ['reason']),
     unknown: counter('unknown_total', 'Requests of unknown outcome', ['reason']),
     retries: counter('retries_total', 'Requests sent again by the proxy'),
@@ -107,11 +99,14 @@
       'Reads that a replica could lawfully have served',
       ['group'],
     ),
-    primaryChanges: counter('primary_changes_total', 'Changes of the primary', ['group']),
+    primaryChanges: counter('primary_changes_total', 'Changes of the primary'),
     groupTimeline: gauge('group_timeline', 'Timeline adopted', ['group']),
     cancelsSent: counter('cancels_total', 'CancelRequests sent to back ends'),
     notificationsDropped: counter('notifications_dropped_total', 'NotificationResponse dropped'),
-    protocolViolations: counter('protocol_violations_total', 'Unlawful messages', ['side']),
+    protocolViolations: counter(
+      'backend_protocol_violations_total',
+      'Back-end connections closed over unlawful messages',
+    ),
     peerLinks: counter('peer_links_total', 'Links between proxies', ['event']),
     peerFrames: counter('peer_frames_refused_total', 'Frames dropped or malformed', ['fault']),
     peerBytes: counter('peer_bytes_total', 'Bytes between proxies', ['direction']),
@@ -121,8 +116,7 @@
       'Unix time at which the revision in force was applied',
     ),
     members: gauge('members', 'Members known, by state', ['state']),
-    storeRequests: counter('store_requests_total', 'Requests to the store', ['result']),
-    sessionTokensRefused: counter('session_tokens_refused_total', 'Tokens refused', ['reason']),
+    storeRequests: counter('store_requests_total', 'Requests to the store'),
     draining: gauge('draining', '1 while the node drains'),
   };
 }
--- a/test/unit/docs.test.ts
+++ b/test/unit/docs.test.ts
@@ -79,7 +79,7 @@
   assert.equal(missingFrom(names, listed), [], 'lines without a metric');
 });
 
-test('docs/operations/status.md tells which metrics are written by some code', () => {
+test('every metric that is declared is written by some code', () => {
   const writers = filesBelow('src', '.ts').filter(
     (file) => !file.endsWith('metrics.ts') || file.includes('node-metrics'),
   );
@@ -87,13 +87,8 @@
   const metrics = Object.entries(createMetrics('docs', false)).filter(
     ([key]) => key !== 'registry',
   );
-  const page = read('docs', 'operations', 'status.md');
-  for (const [property, metric] of metrics) {
-    const name: unknown = Reflect.get(metric, 'name');
-    const line = page.split('\n').find((candidate) => candidate.startsWith(`| \`${name}\``));
-    const written = new RegExp(`metrics\\.${property}\\b`).test(code);
-    const filled = line?.split('|').at(-2)?.trim();
-    assert.is(filled, written ? 'yes' : 'no', `${name}`);
+  for (const [property] of metrics) {
+    assert.match(code, new RegExp(`metrics\\.${property}\\b`), property);
   }
 });
 
