--- a/test/run.ts
+++ b/test/run.ts
@@ -9,7 +9,7 @@
 import { fileURLToPath } from 'node:url';
 
 const CONCURRENT_FILES = 4;
-const FILE_TIMEOUT_MS = 240_000;
+const FILE_TIMEOUT_MS = 150_000;
 const testRoot = dirname(fileURLToPath(import.meta.url));
 const repositoryRoot = join(testRoot, '..', '..');
 
--- a/test/support/loaded-cluster.ts
+++ b/test/support/loaded-cluster.ts
@@ -8,7 +8,7 @@
 import type { Cluster } from '../../bench/harness/cluster.js';
 import type { DatabaseGroup } from '../../bench/harness/database-group.js';
 import { EMPTY_HISTORY, type History, type RequestRecord } from '../../bench/history/model.js';
-import { runLoad } from '../../bench/load/generator.js';
+import { type LoadResult, runLoad } from '../../bench/load/generator.js';
 import { collectLogs } from '../../bench/run/collect-logs.js';
 import { credentialsOf, startDeploymentCluster } from '../../bench/run/deployment-cluster.js';
 import { until } from './until.js';
@@ -23,6 +23,8 @@
   initialRows: { ...DEPLOYMENTS.trust.initialRows, docks: 50 },
 };
 const ELECTION_TIMEOUT_MS = 300;
+/** Each part of a run has a seed of its own, so that no request is named twice. */
+const SEEDS_A_RUN = 1_000;
 
 export interface LoadedClusterOptions {
   readonly seed: number;
@@ -69,33 +71,56 @@
 export interface LoadUnderFault {
   readonly cluster: Cluster;
   readonly seed: number;
-  readonly durationMs: number;
+  /** Length of one part of the load; another part follows until the fault is over. */
+  readonly partMs: number;
   readonly requestsPerSecond?: number;
   readonly sessions?: number;
-  /** Begins and ends the fault; has to be over before the load is. */
+  /** Begins and ends the fault. */
   readonly fault: (progress: LoadProgress) => Promise<void>;
 }
 
 /** Runs load and fault beside each other and collects the history when the groups have settled. */
 export async function loadUnderFault(run: LoadUnderFault): Promise<History> {
-  const { cluster, seed, durationMs } = run;
   const progress = new LoadProgress();
-  const [load] = await Promise.all([
-    runLoad({
-      deployment: LOADED_DEPLOYMENT,
-      seed,
-      durationMs,
-      requestsPerSecond: run.requestsPerSecond ?? 150,
-      sessions: run.sessions ?? 24,
-      proxies: cluster.callerAddresses,
-      credentialsOf: (group) => credentialsOf(LOADED_DEPLOYMENT, group),
-      onRecord: (record) => progress.records.push(record),
-    }),
-    run.fault(progress),
-  ]);
-  const { commits, elections } = await collectLogs(cluster);
-  const { requests, transactions } = load;
-  return { ...EMPTY_HISTORY, requests, transactions, commits, elections, endedAt: load.endedAt };
+  const fault = new PendingWork(run.fault(progress));
+  const parts: LoadResult[] = [];
+  do parts.push(await runPart(run, parts.length, progress));
+  while (!fault.ended);
+  await fault.done;
+  const { commits, elections } = await collectLogs(run.cluster);
+  return {
+    ...EMPTY_HISTORY,
+    requests: parts.flatMap(({ requests }) => requests),
+    transactions: parts.flatMap(({ transactions }) => transactions),
+    commits,
+    elections,
+    endedAt: Date.now(),
+  };
+}
+
+/** A promise that can be asked whether it has settled; a failure waits for `done` to be awaited. */
+class PendingWork {
+  ended = false;
+
+  constructor(readonly done: Promise<void>) {
+    const end = (): void => {
+      this.ended = true;
+    };
+    done.then(end, end);
+  }
+}
+
+function runPart(run: LoadUnderFault, part: number, progress: LoadProgress): Promise<LoadResult> {
+  return runLoad({
+    deployment: LOADED_DEPLOYMENT,
+    seed: run.seed * SEEDS_A_RUN + part,
+    durationMs: run.partMs,
+    requestsPerSecond: run.requestsPerSecond ?? 150,
+    sessions: run.sessions ?? 24,
+    proxies: run.cluster.callerAddresses,
+    credentialsOf: (group) => credentialsOf(LOADED_DEPLOYMENT, group),
+    onRecord: (record) => progress.records.push(record),
+  });
 }
 
 /** No promise is broken, and every caller got a final answer; those of killed proxies are cut. */
