--- /dev/null
+++ b/bench/isolation/shared-cluster.ts
@@ -0,0 +1,81 @@
+/** One database group that two tenants of one template share, behind two proxies. */
+import pg from 'pg';
+import { BACKEND_PASSWORD, Cluster, type ClusterTenant } from '../harness/cluster.js';
+
+export const GROUP = 'shared';
+export const DATABASE_ROLE = 'app';
+/** Rows of the table that the load reads and changes. */
+export const ROWS = 1000;
+
+export const QUIET_TENANT = tenantNamed('quiet');
+export const NOISY_TENANT = tenantNamed('noisy');
+
+/** Limits are wide on purpose: the fair queue, slots and connections have to keep the tenants apart. */
+const TEMPLATE = `kind: Template
+name: shared
+parameters:
+  databases: { type: databases }
+policy:
+  databaseRole: ${DATABASE_ROLE}
+  databases: { parameter: databases }
+  maxConnections: 400
+  maxInFlight: 400
+  maxQueued: 400
+  maxBackendConnections: 12
+  queueWeight: 1
+  requestsPerSecond: 100000
+  burst: 10000
+  requestKinds:
+    lookup: { stalenessBoundMs: 1000 }
+`;
+
+export interface SharedClusterOptions {
+  readonly seed: number;
+  readonly statementMs: number;
+  readonly slots: number;
+  /** Silence after which the group elects; long where a busy machine must not cause elections. */
+  readonly electionTimeoutMs: number;
+}
+
+export async function startSharedCluster(options: SharedClusterOptions): Promise<Cluster> {
+  const cluster = await Cluster.start({
+    groups: [
+      {
+        group: GROUP,
+        zones: ['a', 'b', 'c'],
+        maxConnections: 35,
+        connectionDelayMs: 10,
+        ...options,
+      },
+    ],
+    proxies: [
+      { nodeId: 'proxy-1', zone: 'a' },
+      { nodeId: 'proxy-2', zone: 'b' },
+    ],
+    templates: TEMPLATE,
+    tenants: [QUIET_TENANT, NOISY_TENANT],
+  });
+  try {
+    await createTable(cluster);
+    return cluster;
+  } catch (error) {
+    await cluster.stop();
+    throw error;
+  }
+}
+
+async function createTable(cluster: Cluster): Promise<void> {
+  const { host, pgPort: port } = await cluster.group(GROUP).waitForPrimary();
+  const client = new pg.Client({
+    ...{ host, port, user: DATABASE_ROLE, password: BACKEND_PASSWORD, database: 'postgres' },
+  });
+  await client.connect();
+  await client.query('CREATE TABLE items (id int PRIMARY KEY, version int)');
+  const rows = Array.from({ length: ROWS }, (_, id) => `(${id}, 1)`);
+  await client.query(`INSERT INTO items VALUES ${rows.join(', ')}`);
+  await client.end();
+}
+
+function tenantNamed(name: string): ClusterTenant {
+  return { name, password: `${name} password`, databases: [GROUP], template: 'shared' };
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,10 +1,12 @@
 /** `npm run bench`: dispatches on the sub-command; without one it benches a deployment. */
 import { runDeploymentBench } from './deployment-bench.js';
+import { runIsolationBench } from './isolation/main.js';
 import { runOverheadBench } from './overhead/main.js';
 
 const SUB_COMMANDS: ReadonlyMap<string, (args: readonly string[]) => Promise<number>> = new Map([
   ['deployment', runDeploymentBench],
   ['overhead', runOverheadBench],
+  ['isolation', runIsolationBench],
 ]);
 
 const [first = '', ...rest] = process.argv.slice(2);
