--- a/src/core/limits/voter-sets.ts
+++ b/src/core/limits/voter-sets.ts
@@ -8,7 +8,7 @@
 import type { TenantName } from '../request.js';
 import type { Milliseconds } from '../units.js';
 import type { VoterId, VoterSetList } from './election.js';
-import { hashNodes, type NodesByZone, nodesFor } from './tenant-nodes.js';
+import { type NodeChoice, NodeHashes } from './tenant-nodes.js';
 
 /** Sizes of a tenant's set of voters, the largest that the list allows. */
 const VOTER_COUNTS = [5, 3, 1] as const;
@@ -17,7 +17,7 @@
 
 interface KnownList {
   readonly nodes: readonly OwnerCandidate[];
-  readonly byZone: NodesByZone;
+  readonly choice: NodeChoice;
 }
 
 interface EarlierList extends KnownList {
@@ -41,19 +41,20 @@
 }
 
 export class VoterSets {
-  readonly #hash: Hash64;
+  readonly #hashes: NodeHashes;
   readonly #options: VoterSetsOptions;
-  #current: KnownList = { nodes: [], byZone: [] };
+  #current: KnownList;
   #earlier: EarlierList[] = [];
   #unknownUntil = Number.NEGATIVE_INFINITY;
 
   constructor(hash: Hash64, options: VoterSetsOptions) {
-    this.#hash = hash;
+    this.#hashes = new NodeHashes(hash);
     this.#options = options;
+    this.#current = { nodes: [], choice: this.#hashes.choiceOf([]) };
   }
 
   setList(nodes: readonly OwnerCandidate[], now: Milliseconds): void {
-    if (isSame(nodes, this.#current.nodes)) return;
+    if (nodes === this.#current.nodes || isSame(nodes, this.#current.nodes)) return;
     if (this.#current.nodes.length > 0) {
       this.#earlier.push({ ...this.#current, until: now + this.#options.listLagMs });
     } else {
@@ -63,7 +64,7 @@
       this.#earlier.shift();
       this.#unknownUntil = now + this.#options.listLagMs;
     }
-    this.#current = { nodes, byZone: hashNodes(this.#hash, nodes) };
+    this.#current = { nodes, choice: this.#hashes.choiceOf(nodes) };
   }
 
   votersOf(tenant: TenantName, now: Milliseconds): KnownVoters {
@@ -80,9 +81,9 @@
     return { voterSets: [...distinct.values()], coveredSince };
   }
 
-  #votersAmong(tenant: TenantName, { nodes, byZone }: KnownList): readonly VoterId[] {
+  #votersAmong(tenant: TenantName, { nodes, choice }: KnownList): readonly VoterId[] {
     const count = VOTER_COUNTS.find((size) => size <= nodes.length) ?? 1;
-    return [...nodesFor(this.#hash, `tenant-voters:${tenant}`, byZone, count)].sort();
+    return [...choice.first(`tenant-voters:${tenant}`, count)].sort();
   }
 
   #forgetOld(now: Milliseconds): void {
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -35,6 +35,7 @@
   readonly #options: FleetViewOptions;
   readonly #remembered = new Map<string, RememberedNode>();
   #fleet: Fleet = EMPTY_FLEET;
+  #listedNodes: readonly FleetNode[] = [];
   #selfLeaving = false;
 
   constructor(options: FleetViewOptions) {
@@ -43,6 +44,8 @@
 
   setMachines(machines: readonly Machine[]): void {
     this.#fleet = fleetOf(machines);
+    const staying = this.#fleet.proxies.filter(({ state }) => state !== 'leaving');
+    this.#listedNodes = staying.length === 0 ? [this.#options.self] : staying.map(nodeOf);
     const lastListedAt = this.#options.now();
     for (const proxy of this.#fleet.proxies) {
       this.#remembered.set(proxy.name, { node: nodeOf(proxy), lastListedAt });
@@ -86,12 +89,10 @@
 
   /**
    * Proxies that the list names and doesn't mark as leaving; if it names none, this node is alone.
-   * Empty until the list was read.
+   * Empty until the list was read. The same array until the next list.
    */
-  listedNodes(): readonly FleetNode[] {
-    if (this.#fleet === EMPTY_FLEET) return [];
-    const listed = this.#fleet.proxies.filter(({ state }) => state !== 'leaving').map(nodeOf);
-    return listed.length === 0 ? [this.#options.self] : listed;
+  get listedNodes(): readonly FleetNode[] {
+    return this.#listedNodes;
   }
 
   /** Every node that may still run: listed, or a member that has neither failed nor left. */
--- a/src/node/limits/nodes.ts
+++ b/src/node/limits/nodes.ts
@@ -1,31 +1,30 @@
 /** The nodes that take part in sharing limits, by this node's view of the fleet. */
-import { hashNodes, type NodesByZone, nodesFor } from '../../core/limits/tenant-nodes.js';
+import { type NodeChoice, NodeHashes } from '../../core/limits/tenant-nodes.js';
 import type { Hash64 } from '../../core/ownership/rendezvous.js';
 import type { TenantName } from '../../core/request.js';
 import type { PeerAddress } from '../../peer/contract.js';
 import type { FleetNode } from '../fleet-view.js';
 
 export class LimitNodes {
-  readonly #hash: Hash64;
-  #live: NodesByZone = [];
-  #liveCount = 0;
-  #known = new Map<string, FleetNode>();
-  #allocators = new Map<TenantName, string | undefined>();
+  readonly #hashes: NodeHashes;
+  #live: readonly FleetNode[] = [];
+  #known: ReadonlyMap<string, FleetNode> = new Map();
+  /** Made when it is first asked for: members change more often than that. */
+  #choice: NodeChoice | undefined;
 
   constructor(hash: Hash64) {
-    this.#hash = hash;
+    this.#hashes = new NodeHashes(hash);
   }
 
   /** `live` may become allocators; `known` may hold shares, too. */
   set(live: readonly FleetNode[], known: readonly FleetNode[]): void {
-    this.#live = hashNodes(this.#hash, live);
-    this.#liveCount = live.length;
+    this.#live = live;
     this.#known = new Map([...known, ...live].map((node) => [node.nodeId, node]));
-    this.#allocators = new Map();
+    this.#choice = undefined;
   }
 
   get liveCount(): number {
-    return this.#liveCount;
+    return this.#live.length;
   }
 
   get knownIds(): readonly string[] {
@@ -34,10 +33,8 @@
 
   /** The node that should allocate the tenant's limit; others may believe in another one. */
   allocatorOf(tenant: TenantName): string | undefined {
-    if (this.#allocators.has(tenant)) return this.#allocators.get(tenant);
-    const [allocator] = nodesFor(this.#hash, `tenant-allocator:${tenant}`, this.#live, 1);
-    this.#allocators.set(tenant, allocator);
-    return allocator;
+    this.#choice ??= this.#hashes.choiceOf(this.#live);
+    return this.#choice.first(`tenant-allocator:${tenant}`, 1)[0];
   }
 
   addressOf(nodeId: string): PeerAddress | undefined {
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -391,7 +391,7 @@
     this.#limits.setFleet(
       this.#fleet.liveNodes(),
       this.#fleet.knownNodes(),
-      this.#fleet.listedNodes(),
+      this.#fleet.listedNodes,
     );
   }
 
