--- a/bench/isolation/flood.ts
+++ b/bench/isolation/flood.ts
@@ -16,6 +16,7 @@
 });
 export type FloodCounts = z.output<typeof floodCountsSchema>;
 
+const begunSchema = z.object({ begun: z.literal(true) });
 const readySchema = z.object({ ready: z.literal(true) });
 
 /** A process of its own, so that its work is not on the clock of the quiet tenant's load. */
@@ -34,19 +35,24 @@
     return new Flood(child, createInterface({ input: stdout }));
   }
 
-  begin(kind: FloodKind): void {
-    this.child.process.stdin?.write(`${kind}\n`);
+  /** Resolves once the noisy tenant is connected and floods. */
+  async begin(kind: FloodKind): Promise<void> {
+    begunSchema.parse(await this.#ask(kind));
   }
 
   /** Ends what goes on and resolves with its counts. */
   async end(): Promise<FloodCounts> {
-    const line = once(this.lines, 'line') as Promise<[string]>;
-    this.child.process.stdin?.write('end\n');
-    const [text] = await line;
-    return floodCountsSchema.parse(JSON.parse(text));
+    return floodCountsSchema.parse(await this.#ask('end'));
   }
 
   stop(): Promise<void> {
     return this.child.stop();
   }
+
+  async #ask(line: string): Promise<unknown> {
+    const answer = once(this.lines, 'line') as Promise<[string]>;
+    this.child.process.stdin?.write(`${line}\n`);
+    const [text] = await answer;
+    return JSON.parse(text);
+  }
 }
