--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -311,7 +311,7 @@
     this.#gateway.limits.setFleet(
       this.#fleet.liveNodes(),
       this.#fleet.knownNodes(),
-      this.#fleet.listedNodes(),
+      this.#fleet.listedNodes,
     );
   }
 
