--- a/scale/main.ts
+++ b/scale/main.ts
@@ -4,6 +4,7 @@
 import { measureComponents } from './components/run.js';
 import { ScaleUsageError } from './errors.js';
 import { parseScaleArguments, SCALE_HELP, type ScaleOptions } from './options.js';
+import { measureRealProcesses } from './real-processes.js';
 import { type SizeFigures, SizeRun } from './scale-run.js';
 
 async function runScale(options: ScaleOptions): Promise<number> {
@@ -15,7 +16,11 @@
     sizes.push(new SizeRun({ nodes, seed, durationMs, tenants, faults, hash, log }).run());
   }
   const components = options.components ? measureComponents(seed, hash) : undefined;
-  const report = { seed, durationSeconds: durationMs / 1000, tenants, sizes, components };
+  const real =
+    options.realProxies === 0
+      ? undefined
+      : await measureRealProcesses(options.realProxies, durationMs);
+  const report = { seed, durationSeconds: durationMs / 1000, tenants, sizes, components, real };
   if (options.jsonFile !== undefined) {
     writeFileSync(options.jsonFile, `${JSON.stringify(report, undefined, 2)}\n`);
   }
--- a/scale/options.ts
+++ b/scale/options.ts
@@ -13,6 +13,7 @@
   --tenants N         in the configuration                              [200]
   --faults NAME,...   or none                                           [all]
   --components        measure single parts at the letter's size as well
+  --real N            also measure N real proxy processes without callers [0]
   --json FILE         the figures
 
 Faults: ${FAULT_SCENARIOS.map(({ name }) => name).join(', ')}
@@ -20,6 +21,7 @@
 
 const ALL_FAULTS = FAULT_SCENARIOS.map(({ name }) => name).join(',');
 const LEAST_NODES = 18;
+const MAX_REAL_PROXIES = 60;
 
 const schema = z.strictObject({
   nodes: z.string().default('50,100,200,400'),
@@ -28,6 +30,7 @@
   tenants: z.coerce.number().int().min(1).default(200),
   faults: z.string().default(ALL_FAULTS),
   components: z.boolean().default(false),
+  real: z.coerce.number().int().min(0).max(MAX_REAL_PROXIES).default(0),
   json: z.string().optional(),
 });
 const sizesSchema = z.array(z.coerce.number().int().min(LEAST_NODES)).min(1);
@@ -39,6 +42,8 @@
   readonly tenants: number;
   readonly faults: readonly FaultScenario[];
   readonly components: boolean;
+  /** Real proxy processes; 0 for none. */
+  readonly realProxies: number;
   readonly jsonFile: string | undefined;
 }
 
@@ -46,7 +51,7 @@
 export function parseScaleArguments(args: readonly string[]): ScaleOptions {
   const flags = schema.safeParse(readFlags(args));
   if (!flags.success) throw new ScaleUsageError(z.prettifyError(flags.error));
-  const { nodes, seed, duration, tenants, faults, components, json } = flags.data;
+  const { nodes, seed, duration, tenants, faults, components, real, json } = flags.data;
   const sizes = sizesSchema.safeParse(nodes.split(','));
   if (!sizes.success) throw new ScaleUsageError(`--nodes: ${z.prettifyError(sizes.error)}`);
   return {
@@ -56,6 +61,7 @@
     tenants,
     faults: faults === 'none' ? [] : faults.split(',').map(faultNamed),
     components,
+    realProxies: real,
     jsonFile: json,
   };
 }
