--- a/scale/components/ownership.ts
+++ b/scale/components/ownership.ts
@@ -7,7 +7,7 @@
 import { kept, meanMs } from './measure.js';
 
 const CHANGES = 20;
-const LOOK_UPS = 20;
+const LOOK_UPS = 2000;
 
 export interface OwnershipCost {
   readonly members: number;
--- a/scale/scale-run.ts
+++ b/scale/scale-run.ts
@@ -10,8 +10,8 @@
 import { cutOffPhase } from './observer.js';
 
 const BOOT_LIMIT_MS = 120_000;
-/** Quiet time between the boot and what is measured. */
-const BOOT_REST_MS = 20_000;
+/** Quiet time between the boot and what is measured: the news of a boot is spread at a bounded rate. */
+const BOOT_REST_MS = 120_000;
 const REST_BETWEEN_FAULTS_MS = 20_000;
 const SECONDS_PER_MINUTE = 60;
 const STEADY_PHASE = 'steady';
--- a/src/core/session/node-ranker.ts
+++ b/src/core/session/node-ranker.ts
@@ -10,22 +10,42 @@
 export class NodeRanker {
   readonly #hash: Hash64;
   #halves = new Map<string, HashHalves>();
+  /** The list that was ranked last, with the hashes in its order: mostly it is the same one. */
+  #lastIds: readonly string[] = [];
+  #lastHalves: readonly HashHalves[] = [];
 
   constructor(hash: Hash64) {
     this.#hash = hash;
   }
 
-  /** The best nodes for the key, best first, as many as a home set has; the same on every node. */
+  /**
+   * The best nodes for the key, best first, as many as a home set has; the same on every node. An
+   * array must not change after it was given.
+   */
   readonly rank = (key: string, nodeIds: readonly string[]): readonly string[] => {
+    if (nodeIds !== this.#lastIds) this.#hashAll(nodeIds);
     const keyHalves = hashHalves(this.#hash, key);
     const best: RankedNode[] = [];
-    for (const nodeId of nodeIds) {
-      keepBest(best, { nodeId, score: scoreOf(keyHalves, this.#halvesOf(nodeId)) });
+    let leastScore = -1;
+    // A plain loop: it looks at every node of the fleet.
+    let index = 0;
+    for (const halves of this.#lastHalves) {
+      const score = scoreOf(keyHalves, halves);
+      if (score >= leastScore) {
+        keepBest(best, { nodeId: nodeIds[index] ?? '', score });
+        leastScore = best[HOME_SET_SIZE - 1]?.score ?? -1;
+      }
+      index += 1;
     }
-    this.#forgetOld(nodeIds.length);
     return best.map(({ nodeId }) => nodeId);
   };
 
+  #hashAll(nodeIds: readonly string[]): void {
+    this.#lastIds = nodeIds;
+    this.#lastHalves = nodeIds.map((nodeId) => this.#halvesOf(nodeId));
+    this.#forgetOld(nodeIds.length);
+  }
+
   #halvesOf(nodeId: string): HashHalves {
     const known = this.#halves.get(nodeId);
     if (known !== undefined) return known;
--- a/src/node/gateway/home-node-directory.ts
+++ b/src/node/gateway/home-node-directory.ts
@@ -63,6 +63,7 @@
   /** Home nodes of sessions in use: choosing them looks at every node of the fleet. */
   readonly #homes = new Map<string, readonly HomeNode[]>();
   #homesOfNodes: readonly HomeNode[] = [];
+  #nodeIds: readonly string[] = [];
 
   constructor(options: HomeNodeDirectoryOptions) {
     this.#options = options;
@@ -132,18 +133,22 @@
 
   #homesOf(session: SessionKeyName): readonly HomeNode[] {
     const nodes = this.#options.nodes();
-    const isStale = nodes !== this.#homesOfNodes || this.#homes.size >= MAX_KEPT_HOMES;
-    if (isStale) this.#homes.clear();
-    this.#homesOfNodes = nodes;
+    if (nodes !== this.#homesOfNodes) this.#setNodes(nodes);
+    if (this.#homes.size >= MAX_KEPT_HOMES) this.#homes.clear();
     const key = homeKey(session);
     const homes = this.#homes.get(key) ?? this.#chooseHomes(session, nodes);
     this.#homes.set(key, homes);
     return homes;
   }
 
+  #setNodes(nodes: readonly HomeNode[]): void {
+    this.#homesOfNodes = nodes;
+    this.#nodeIds = nodes.map((node) => node.nodeId);
+    this.#homes.clear();
+  }
+
   #chooseHomes(session: SessionKeyName, nodes: readonly HomeNode[]): readonly HomeNode[] {
-    const nodeIds = nodes.map((node) => node.nodeId);
-    const homes = new Set(homeNodesOf(session, nodeIds, this.#options.rank));
+    const homes = new Set(homeNodesOf(session, this.#nodeIds, this.#options.rank));
     return nodes.filter((node) => homes.has(node.nodeId));
   }
 
