--- a/test/support/loaded-cluster.ts
+++ b/test/support/loaded-cluster.ts
@@ -7,10 +7,16 @@
 import { DEPLOYMENTS, type Deployment } from '../../bench/deployments.js';
 import type { Cluster } from '../../bench/harness/cluster.js';
 import type { DatabaseGroup } from '../../bench/harness/database-group.js';
-import { EMPTY_HISTORY, type History, type RequestRecord } from '../../bench/history/model.js';
+import type { History, RequestRecord } from '../../bench/history/model.js';
 import { type LoadResult, runLoad } from '../../bench/load/generator.js';
+import { ClusterSampler } from '../../bench/recorders/cluster-sampler.js';
+import { RunRecorder } from '../../bench/recorders/run-recorder.js';
 import { collectLogs } from '../../bench/run/collect-logs.js';
-import { credentialsOf, startDeploymentCluster } from '../../bench/run/deployment-cluster.js';
+import {
+  credentialsOf,
+  DATABASE_ROLE,
+  startDeploymentCluster,
+} from '../../bench/run/deployment-cluster.js';
 import { until } from './until.js';
 
 /** The bicycle trust with one group: keyed unlocks, hires in transactions, dock lookups. */
@@ -76,20 +82,24 @@
   readonly requestsPerSecond?: number;
   readonly sessions?: number;
   /** Begins and ends the fault. */
-  readonly fault: (progress: LoadProgress) => Promise<void>;
+  readonly fault: (progress: LoadProgress, recorder: RunRecorder) => Promise<void>;
 }
 
 /** Runs load and fault beside each other and collects the history when the groups have settled. */
 export async function loadUnderFault(run: LoadUnderFault): Promise<History> {
   const progress = new LoadProgress();
-  const fault = new PendingWork(run.fault(progress));
+  const recorder = new RunRecorder();
+  for (const nodeId of run.cluster.proxies.keys()) recorder.proxyStarted(nodeId);
+  const sampler = new ClusterSampler(run.cluster, recorder, DATABASE_ROLE);
+  const fault = new PendingWork(run.fault(progress, recorder));
   const parts: LoadResult[] = [];
   do parts.push(await runPart(run, parts.length, progress));
   while (!fault.ended);
+  await sampler.stop();
   await fault.done;
   const { commits, elections } = await collectLogs(run.cluster);
   return {
-    ...EMPTY_HISTORY,
+    ...recorder.history(),
     requests: parts.flatMap(({ requests }) => requests),
     transactions: parts.flatMap(({ transactions }) => transactions),
     commits,
