--- a/bench/run/run-bench.ts
+++ b/bench/run/run-bench.ts
@@ -22,8 +22,10 @@
   startDeploymentCluster,
   tenantOf,
 } from './deployment-cluster.js';
+import { endOnSignal } from './interruption.js';
 import { type MachineFigures, observeMachine } from './machine.js';
 import { Progress } from './progress.js';
+import { unobservedPromises } from './unobserved.js';
 
 export interface BenchOptions {
   readonly deployment: Deployment;
@@ -86,9 +88,11 @@
     delays: options.delays,
     proxyFlags: options.policy === 'ours' ? [] : [`--test-policy=${options.policy}`],
   });
+  const release = endOnSignal(cluster);
   try {
     return await runOn(cluster, options, machine);
   } finally {
+    release();
     await cluster.stop();
   }
 }
@@ -215,20 +219,8 @@
       return next.length === 0 ? null : Math.min(...next.map((one) => one.at)) - at;
     }),
     replicaReadShareByProxies: run.replicaReadShare,
-    unobserved: unobservedIn(history),
+    unobserved: unobservedPromises(history),
     firstViolations: violations.slice(0, SHOWN_VIOLATIONS),
     machine: run.machine,
   };
 }
-
-/** Promises 7 to 9 are about events that a run may not have. */
-function unobservedIn(history: History): string[] {
-  const unobserved = [];
-  if (history.leavings.length === 0) unobserved.push('leavingBackEndGetsNoWork');
-  if (history.plannedStops.length === 0) unobserved.push('plannedStopCutsNothing');
-  const configurations = history.acceptedConfigurations.length > 0;
-  if (!configurations || history.configurationSamples.length === 0) {
-    unobserved.push('configurationInForce');
-  }
-  return unobserved;
-}
--- a/src/core/failover/monitor.ts
+++ b/src/core/failover/monitor.ts
@@ -24,6 +24,7 @@
   type Topology,
   withConnectionError,
   withInstances,
+  withNotWritable,
   withPassingState,
   withProbeAnswer,
   withProbeMissed,
@@ -140,6 +141,13 @@
     return this.history.freshAsOf(replayed, this.confirmedUntil(this.primary));
   }
 
+  /** The latest time at which a majority, the primary itself among it, had no later timeline. */
+  primaryConfirmedAt(): Milliseconds {
+    if (this.primary === undefined) return Number.NEGATIVE_INFINITY;
+    const ownAnswerAt = this.knowledgeOf(this.primary.instance)?.observedAt;
+    return Math.min(ownAnswerAt ?? Number.NEGATIVE_INFINITY, this.confirmedUntil(this.primary));
+  }
+
   /** Computed once for each topology: it is asked for every request. */
   private confirmedUntil(primary: PrimaryView): Milliseconds {
     const { topology } = this;
@@ -175,6 +183,12 @@
     this.recordMiss(settled.probe, true, now, effects);
   }
 
+  /** An instance refused a write because it is in recovery. */
+  recordNotWritable(name: InstanceName, now: Milliseconds, effects: GroupEffect[]): void {
+    this.topology = withNotWritable(this.topology, name);
+    this.adoptPrimary(now, effects);
+  }
+
   recordConnectionError(name: InstanceName): void {
     this.topology = withConnectionError(this.topology, name);
     this.probeAtOnce.add(name);
--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -7,6 +7,8 @@
 import type { InstanceName, RequestId } from '../request.js';
 import { backoffPause } from '../retry/backoff.js';
 import { containsPosition } from '../routing/select.js';
+import type { SessionPositionLostError } from '../session/errors.js';
+import { checkPosition } from '../session/position-check.js';
 import type { Milliseconds } from '../units.js';
 import { judge, type PendingConfirmation, type SettledConfirmation } from './confirmation.js';
 import { type GroupContext, isOff, type Run, toleratedAgeMs } from './context.js';
@@ -19,7 +21,7 @@
 const NOWHERE: Position = { timeline: 0, lsn: 0n };
 
 type LostResult = Extract<RunResult, { type: 'connection-lost' }>;
-type FinishedResult = Exclude<RunResult, { type: 'connection-lost' }>;
+type FinishedResult = Exclude<RunResult, { type: 'connection-lost' | 'not-writable' }>;
 
 /** Ends requests. */
 export class Completion {
@@ -39,6 +41,7 @@
       return;
     }
     if (result.type === 'connection-lost') this.lost(run, result, now);
+    else if (result.type === 'not-writable') this.refusedAsNotWritable(run, now);
     else this.finished(run, result, now);
   }
 
@@ -128,6 +131,10 @@
 
   private releaseConnection(run: Run, result: RunResult, now: Milliseconds): void {
     const { pool, monitor, loads } = this.context;
+    const { hold, tenant } = run.entry.request;
+    if (hold === 'statement' && result.type !== 'connection-lost') {
+      loads.recordServiceTime(run.instance, tenant, now - run.dispatchedAt);
+    }
     this.releaseLoad(run);
     if (result.type === 'connection-lost') {
       if (pool.table.remove(run.connectionId) !== undefined) {
@@ -135,8 +142,6 @@
       }
       return;
     }
-    const { hold } = run.entry.request;
-    if (hold === 'statement') loads.recordServiceTime(run.instance, now - run.dispatchedAt);
     pool.giveBack(run.connectionId, now, this.context.effects);
   }
 
@@ -218,6 +223,11 @@
     const run = this.context.runs.get(settled.pending.requestId);
     if (run === undefined) return;
     if (settled.verdict === 'confirmed') {
+      const lost = this.lostPosition(run);
+      if (lost !== undefined) {
+        this.outcomes.positionLost(run.entry, lost);
+        return;
+      }
       if (run.entry.request.access === 'write') this.context.counters.writesConfirmed += 1;
       this.outcomes.release(run);
       return;
@@ -226,6 +236,22 @@
     this.unconfirmed(run, reason, now);
   }
 
+  /** The confirmed primary's log ends before the position that a read's session has seen. */
+  private lostPosition({ entry, position }: Run): SessionPositionLostError | undefined {
+    const { access, session } = entry.request;
+    if (access !== 'read' || session.type !== 'known' || position === undefined) return undefined;
+    if (isOff(this.context, 'session-position')) return undefined;
+    const { group } = this.context.options;
+    return checkPosition(session.position, {
+      group,
+      end: position,
+      timelineStart: undefined,
+    }).match(
+      () => undefined,
+      (error) => error,
+    );
+  }
+
   private unconfirmed(
     run: Run,
     reason: 'primary-replaced' | 'confirmation-timeout',
@@ -258,6 +284,21 @@
     else this.outcomes.unknown(run, 'connection-lost');
   }
 
+  /** A demoted primary ran nothing of the write: it waits for the next primary. */
+  private refusedAsNotWritable(run: Run, now: Milliseconds): void {
+    const { monitor, effects, runs, timing } = this.context;
+    const { entry } = run;
+    monitor.recordNotWritable(run.instance, now, effects);
+    runs.delete(entry.request.id);
+    if (this.mayRetry(entry, now)) {
+      this.context.counters.retries += 1;
+      this.enqueueAgain(entry, run, entry.attempts + 1, now);
+      return;
+    }
+    const message = 'the primary was demoted before the request reached it';
+    this.outcomes.notRun(entry, 'no-primary', message, timing.noPrimaryRetryAfterMs);
+  }
+
   private retryRead(run: Run, reason: ReadFailureReason, now: Milliseconds): void {
     const { hold } = run.entry.request;
     const mayRetry = hold === 'statement' && !run.answerRelayed;
--- a/src/core/limits/admission.ts
+++ b/src/core/limits/admission.ts
@@ -98,9 +98,9 @@
     return held < this.limitsOf(tenant).maxConnections;
   }
 
-  /** True if this group serves more than one tenant at present. */
-  get isShared(): boolean {
-    return this.uses.size > 1;
+  /** Tenants that this group serves at present. */
+  get presentTenants(): number {
+    return this.uses.size;
   }
 
   /** Forgets tenants that have had nothing here for a while and whose bucket is full again. */
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -8,7 +8,7 @@
   type RequestError,
   TransactionAbortedError,
 } from '../../core/errors.js';
-import type { RunResult } from '../../core/group/contract.js';
+import type { InstanceState, RunResult } from '../../core/group/contract.js';
 import type { Position } from '../../core/position.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerStream, WireValue } from '../../peer/contract.js';
@@ -23,6 +23,7 @@
   type OwnerMessage,
 } from './messages.js';
 import { AnswerRelay } from './relay.js';
+import { ownerMessageToWire } from './wire-form.js';
 import type { Assignment, GroupWork } from './work.js';
 
 /** Longest wait for the ROLLBACK of an abandoned transaction before its connection is closed, in ms. */
@@ -85,7 +86,8 @@
   release(position: Position | undefined): void {
     const result = this.#lastResult;
     if (result?.refusal !== undefined) {
-      this.#settle(encodeRequestError(result.refusal));
+      const error = encodeRequestError(result.refusal);
+      this.#settle(position === undefined ? error : { ...error, position });
       return;
     }
     this.#settle({
@@ -118,7 +120,7 @@
     clearTimeout(this.#idleTimer);
     this.#relay.close();
     if (this.#callerGone) return;
-    this.#stream.send(message);
+    this.#stream.send(ownerMessageToWire(message));
     this.#stream.end();
   }
 
@@ -193,6 +195,7 @@
   }
 
   #runResultOf(result: ReadyResult, batch: BatchMessage): RunResult {
+    if (this.#refusedInRecovery(result)) return { type: 'not-writable' };
     const position = positionOf(result);
     const rolledBack =
       (result.errorSqlState !== undefined && !result.refusalNeedsConfirmation) ||
@@ -201,6 +204,17 @@
     return { type: 'completed', position, answerRelayed: this.#relay.flowed };
   }
 
+  /**
+   * True if a write that was meant for the primary met an instance in recovery, so that nothing of it
+   * ran. The error alone is no proof: a statement may make its own transaction read only.
+   */
+  #refusedInRecovery(result: ReadyResult): boolean {
+    const { access } = this.#open;
+    if (!result.refusedAsReadOnly || access !== 'write' || this.#callerHoldsTransaction)
+      return false;
+    return !this.#relay.flowed && stateOf(result)?.writable === false;
+  }
+
   #continueTransaction(result: ReadyResult): void {
     this.#mayHaveCommitted = false;
     if (!this.#callerHoldsTransaction) {
@@ -293,9 +307,11 @@
 }
 
 function positionOf(result: ReadyResult): Position | undefined {
-  if (result.trailingRows === undefined) return undefined;
-  return parseInstanceState(result.trailingRows).match(
-    (state) => state.replayed,
-    () => undefined,
-  );
+  return stateOf(result)?.replayed;
+}
+
+/** What the instance said of itself behind the batch. */
+function stateOf({ trailingRows }: ReadyResult): InstanceState | undefined {
+  if (trailingRows === undefined) return undefined;
+  return parseInstanceState(trailingRows).unwrapOr(undefined);
 }
