--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -131,6 +131,10 @@
 
   private releaseConnection(run: Run, result: RunResult, now: Milliseconds): void {
     const { pool, monitor, loads } = this.context;
+    const { hold, tenant } = run.entry.request;
+    if (hold === 'statement' && result.type !== 'connection-lost') {
+      loads.recordServiceTime(run.instance, tenant, now - run.dispatchedAt);
+    }
     this.releaseLoad(run);
     if (result.type === 'connection-lost') {
       if (pool.table.remove(run.connectionId) !== undefined) {
@@ -138,8 +142,6 @@
       }
       return;
     }
-    const { hold } = run.entry.request;
-    if (hold === 'statement') loads.recordServiceTime(run.instance, now - run.dispatchedAt);
     pool.giveBack(run.connectionId, now, this.context.effects);
   }
 
--- a/src/core/group/dispatcher.ts
+++ b/src/core/group/dispatcher.ts
@@ -145,8 +145,9 @@
   }
 
   private withinShare(description: InstanceDescription, tenant: TenantName): boolean {
-    if (!this.context.admission.isShared || isOff(this.context, 'fair-queue')) return true;
-    return this.context.loads.withinShare(description, tenant);
+    const { admission, loads } = this.context;
+    if (admission.presentTenants < 2 || isOff(this.context, 'fair-queue')) return true;
+    return loads.withinShare(description, tenant, admission.presentTenants);
   }
 
   private offerReplica(entry: QueueEntry, pass: Pass): OfferResult {
