Mutation checks of the fuzz: each mechanism off is noticed within 60 seeds

Cause: that a simulation finds nothing says little unless it is known to find what it should. Change: a table of scenario, mechanism and check, over all 30 pairs that the scenarios offer; the test fails if a pair is missing.

--- a/bench/simulation/group-run.ts
+++ b/bench/simulation/group-run.ts
@@ -4,8 +4,9 @@
 import { ZERO_POSITION } from '../../src/core/position.js';
 import type { GroupRequest, SessionRequirement } from '../../src/core/request.js';
 import { SimulatedClock } from './clock.js';
-import { SimulatedGroup } from './group.js';
+import { LOSS_PROBABILITY, SimulatedGroup } from './group.js';
 import type { RequestRecord, SimulatedHistory } from './history.js';
+import { RETRY_CAPACITY } from './history-checks.js';
 import { SimulatedOwner } from './owner.js';
 
 export type FaultName =
@@ -16,7 +17,8 @@
   | 'cut-from-peers'
   | 'pause'
   | 'lag'
-  | 'leave';
+  | 'leave'
+  | 'break-connections';
 
 export const FAULT_NAMES: readonly FaultName[] = [
   'crash',
@@ -27,6 +29,7 @@
   'pause',
   'lag',
   'leave',
+  'break-connections',
 ];
 
 /** One fault: to whom, when and for how long, in ms. */
@@ -47,6 +50,7 @@
   readonly without?: ReadonlySet<Mechanism>;
 }
 
+const BROKEN_LOSS_PROBABILITY = 0.4;
 const LOAD_MS = 1500;
 const QUIET_END_MS = 5000;
 const SESSIONS = 12;
@@ -80,6 +84,7 @@
     group: 'orders',
     ownZone: 'a',
     confirmationMode: plan.mode,
+    bounds: { retryCapacity: RETRY_CAPACITY },
     ...(plan.without === undefined ? {} : { without: plan.without }),
   });
   const leaving = new Set<string>();
@@ -161,6 +166,12 @@
         target.lagMs = 2;
       });
       break;
+    case 'break-connections':
+      target.lossProbability = BROKEN_LOSS_PROBABILITY;
+      undo(() => {
+        target.lossProbability = LOSS_PROBABILITY;
+      });
+      break;
     case 'leave':
       leaving.add(target.name);
       describe();
--- a/bench/simulation/group-scenario.ts
+++ b/bench/simulation/group-scenario.ts
@@ -1,5 +1,5 @@
 /** Scenario `group`: one owner's state machine against one database group under faults. */
-import { ALL_MECHANISMS } from '../../src/core/group/options.js';
+import { ALL_MECHANISMS, type Mechanism } from '../../src/core/group/options.js';
 import { FAULT_NAMES, type Fault, type RunPlan, simulate } from './group-run.js';
 import type { RequestRecord } from './history.js';
 import { violationsOf } from './history-checks.js';
@@ -13,10 +13,19 @@
 const LONGEST_FAULT_MS = 900;
 const MAX_ACCOUNT_LINES = 12;
 
+/**
+ * What these simulations can notice the absence of. The rest costs time, not correctness, and is
+ * left to tests of its own: majority election stands behind confirmation, the fair queue is judged
+ * by latency.
+ */
+export const OWNER_MECHANISMS: readonly Mechanism[] = ALL_MECHANISMS.filter((mechanism) => {
+  return mechanism !== 'majority-election' && mechanism !== 'fair-queue';
+});
+
 export const GROUP_SCENARIO: Scenario = {
   name: 'group',
   summary: 'one owner, one database group: crashes, cuts, pauses, lag, leaving instances',
-  mechanisms: ALL_MECHANISMS,
+  mechanisms: OWNER_MECHANISMS,
   plan(seed, without) {
     const random = new SeededRandom(seed);
     const faults = drawFaults(random);
@@ -24,7 +33,7 @@
       seed,
       mode: 'received',
       voteShowsTimeline: random.chance(0.5),
-      without: new Set(ALL_MECHANISMS.filter((mechanism) => without.has(mechanism))),
+      without: new Set(OWNER_MECHANISMS.filter((mechanism) => without.has(mechanism))),
     };
     return {
       events: faults.map(describe),
--- a/bench/simulation/group.ts
+++ b/bench/simulation/group.ts
@@ -44,6 +44,8 @@
   peersCut: boolean;
   /** Cut off from the owner: nothing arrives, or only its answers are lost. */
   ownerCut: 'none' | 'both-ways' | 'answers';
+  /** Of a request: its connection breaks before it is sent; as often, after it has run. */
+  lossProbability: number;
   /** Rises with every crash: connections of an earlier life are broken. */
   incarnation: number;
   /** Connections that all owners hold, and how many it lets in. */
@@ -60,6 +62,7 @@
   readonly voteShowsTimeline: boolean;
 }
 
+export const LOSS_PROBABILITY = 0.01;
 const LSN_PER_ENTRY = 8n;
 const REPLICATION_STEP_MS = 2;
 const ELECTION_STEP_MS = 5;
@@ -222,6 +225,7 @@
     pausedUntil: 0,
     peersCut: false,
     ownerCut: 'none',
+    lossProbability: LOSS_PROBABILITY,
     incarnation: 0,
     connections: 0,
     maxConnections: Number.POSITIVE_INFINITY,
--- /dev/null
+++ b/test/property/fuzz-mechanisms.property.test.ts
@@ -0,0 +1,73 @@
+/**
+ * Turns off one mechanism at a time in the scenarios of `npm run fuzz` and expects that a check
+ * notices within a bounded number of seeds. Every mechanism of every scenario is in the table.
+ */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { SCENARIOS, scenarioNamed } from '../../bench/simulation/registry.js';
+import { allEventsOf, checkOf, type Scenario } from '../../bench/simulation/scenario.js';
+
+const FIRST_SEED = 1;
+const MAX_SEEDS = 60;
+
+/** Scenario, mechanism turned off, check that must notice. */
+const PAIRS: readonly (readonly [string, string, string])[] = [
+  ['group', 'confirmation', 'ackedWritesLast'],
+  ['group', 'session-position', 'sessionsSeeTheirWrites'],
+  ['group', 'staleness-bound', 'readsAreFreshEnough'],
+  ['group', 'at-most-once', 'atMostOnce'],
+  ['group', 'slot-limit', 'limitsKept'],
+  ['group', 'connection-budget', 'limitsKept'],
+  ['group', 'leaving', 'limitsKept'],
+  ['group', 'deadline', 'noneHangs'],
+  ['group', 'retry-budget', 'retriesWithinBudget'],
+  ['group', 'tenant-reset', 'limitsKept'],
+  ['fleet', 'gateway-session-position', 'sessionReadsOwnWrites'],
+  ['fleet', 'once-claim', 'atMostOnce'],
+  ['fleet', 'once-position', 'sessionReadsOwnWrites'],
+  ['fleet', 'no-resend', 'atMostOnce'],
+  ['fleet', 'drain', 'plannedStopCutsNothing'],
+  ['fleet', 'confirmation', 'noAckByReplacedPrimary'],
+  ['fleet', 'session-position', 'sessionReadsOwnWrites'],
+  ['fleet', 'staleness-bound', 'readsAreFreshEnough'],
+  ['fleet', 'at-most-once', 'atMostOnce'],
+  ['fleet', 'slot-limit', 'limitsKept'],
+  ['fleet', 'connection-budget', 'limitsKept'],
+  ['fleet', 'leaving', 'limitsKept'],
+  ['fleet', 'deadline', 'noneHangs'],
+  ['fleet', 'tenant-reset', 'limitsKept'],
+  ['sessions', 'unknown-session', 'homeNodesRemember'],
+  ['sessions', 'home-quorum', 'homeNodesRemember'],
+  ['sessions', 'home-completeness', 'homeNodesRemember'],
+  ['configuration', 'revision-order', 'neverReverts'],
+  ['configuration', 'gap-check', 'neverTorn'],
+  ['configuration', 'anti-entropy', 'configurationInForce'],
+];
+
+/** The first seed at which the check notices, undefined if it does not within the bound. */
+function noticedAt(scenario: Scenario, without: string, check: string): number | undefined {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + MAX_SEEDS; seed += 1) {
+    const plan = scenario.plan(seed, new Set([without]));
+    const { violations } = plan.run(allEventsOf(plan));
+    if (violations.some((violation) => checkOf(violation) === check)) return seed;
+  }
+  return undefined;
+}
+
+for (const [name, without, check] of PAIRS) {
+  test(`${name} without ${without}: ${check} notices`, () => {
+    const scenario = scenarioNamed(name);
+    assert.ok(scenario);
+    assert.is.not(scenario && noticedAt(scenario, without, check), undefined);
+  });
+}
+
+test('every mechanism that a scenario can turn off is in the table', () => {
+  const listed = PAIRS.map(([name, without]) => `${name} ${without}`);
+  const offered = SCENARIOS.flatMap(({ name, mechanisms }) => {
+    return mechanisms.map((mechanism) => `${name} ${mechanism}`);
+  });
+  assert.equal(new Set(listed), new Set(offered));
+});
+
+test.run();
