Keyed requests: a COMMIT that fails tells its error

The error that COMMIT itself raised was swallowed, so that the caller got an end without an error and took its request for done. Ruled out: confirmation (the run ended as database-error and asked for none) and the election (the new primary had all that was committed). Change: what COMMIT says before its end goes to the caller; the simulation shows a database's error as one.

--- a/bench/simulation/once-run.ts
+++ b/bench/simulation/once-run.ts
@@ -11,7 +11,7 @@
   type OnceTransition,
   startOnce,
 } from '../../src/core/at-most-once/index.js';
-import type { RequestError } from '../../src/core/errors.js';
+import { type RequestError, TransactionAbortedError } from '../../src/core/errors.js';
 import type { RunResult } from '../../src/core/group/contract.js';
 import type { Position } from '../../src/core/position.js';
 import type { SimulatedClock } from './clock.js';
@@ -200,10 +200,17 @@
 
   #finish(result: OnceResult): void {
     this.#finished = true;
-    const refusal = result.type === 'refused' ? result.error : undefined;
+    const refusal = errorOf(result);
     const position = this.#position;
     if (needsConfirmation(result))
       this.options.onFinished({ type: 'completed', position }, refusal);
     else this.options.onFinished({ type: 'database-error', position }, refusal);
   }
 }
+
+/** The database's own error, at the statement or at COMMIT, reaches the caller as one of ours does. */
+function errorOf(result: OnceResult): RequestError | undefined {
+  if (result.type === 'refused') return result.error;
+  if (result.type === 'done') return undefined;
+  return new TransactionAbortedError('the database refused the statement or its COMMIT');
+}
--- a/src/node/owner/batch-runner.ts
+++ b/src/node/owner/batch-runner.ts
@@ -108,6 +108,7 @@
   readonly #run: BatchRun;
   #execution: OnceExecution | undefined;
   #heldBack: Buffer = Buffer.alloc(0);
+  readonly #commitError: Buffer[] = [];
   /** What is held back ends with the error of the caller's own batch. */
   #callerBatchFailed = false;
   /** Undefined once the connection is lost. */
@@ -144,11 +145,16 @@
       requires: [],
       messages: serialize.query(text),
       trailingQuery: endsTransaction ? this.#run.trailingQuery : undefined,
-      onMessages: () => undefined,
+      onMessages: (messages) => this.#keepCommitError(messages),
       onFinished: (end) => this.#onEnd(end),
     });
   }
 
+  /** What COMMIT says before its end is an error, and the caller's: nothing of its batch lasts. */
+  #keepCommitError(messages: Buffer): void {
+    if (this.#execution?.phase === 'commit') this.#commitError.push(messages);
+  }
+
   #runCallerBatch(): void {
     const { batch, connection } = this.#run;
     connection.run({
@@ -186,7 +192,7 @@
     this.#run.onResult({
       type: 'ready',
       status: last.status,
-      heldBack: this.#tellsCallerBatch(result) ? this.#heldBack : Buffer.alloc(0),
+      heldBack: this.#tellsCallerBatch(result) ? this.#heldBack : Buffer.concat(this.#commitError),
       errorSqlState:
         result.type === 'done' ? undefined : (last.errorSqlState ?? refusal?.sqlState ?? ''),
       refusedAsReadOnly: isRefusedAsReadOnly(refusal),
