A transaction uses a slot only while one of its statements runs

Change: the owner tells the state machine when a transaction waits for its next statement; open transactions are bounded by three a slot, and one tenant by two a slot while others are present.

--- a/bench/simulation/owner.ts
+++ b/bench/simulation/owner.ts
@@ -47,8 +47,6 @@
 
 const OPEN_TIMEOUT_MS = 400;
 const RETRANSMISSION_MS = 10;
-/** Requests beyond the slots that open transactions may add; see InstanceLoads.hasSlot. */
-const OVERCOMMIT_SHARE = 0.5;
 
 /** One owner with one group machine. */
 export class SimulatedOwner {
@@ -424,16 +422,12 @@
 
   private checkSlots(name: string): void {
     let running = 0;
-    let transactions = 0;
     for (const connection of this.connections.values()) {
       if (connection.instance.name !== name || connection.running === undefined) continue;
       running += 1;
-      const hold = this.records.get(connection.running)?.request.hold;
-      if (hold === 'transaction') transactions += 1;
     }
     const slots = this.descriptions.get(name)?.slots ?? 0;
-    const limit = slots + Math.min(transactions, Math.ceil(slots * OVERCOMMIT_SHARE));
-    if (running > limit) this.breach(`${running} requests at once on ${name}`);
+    if (running > slots) this.breach(`${running} requests at once on ${name}`);
   }
 
   private breach(message: string): void {
--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -145,8 +145,16 @@
     pool.giveBack(run.connectionId, now, this.context.effects);
   }
 
+  /** A transaction between two statements uses no slot. */
+  setTransactionIdle(run: Run, idle: boolean): void {
+    if (run.idle === idle) return;
+    run.idle = idle;
+    this.context.loads.setIdle(run.instance, run.entry.request.tenant, idle);
+  }
+
   private releaseLoad(run: Run): void {
     const { request } = run.entry;
+    this.setTransactionIdle(run, false);
     this.context.loads.finish(run.instance, request.hold, request.tenant);
     this.context.admission.recordConnection(request.tenant, -1);
   }
--- a/src/core/group/context.ts
+++ b/src/core/group/context.ts
@@ -29,6 +29,8 @@
   readonly timeline: number;
   readonly dispatchedAt: Milliseconds;
   phase: RunPhase;
+  /** A transaction between two statements: it holds its connection, but no slot. */
+  idle: boolean;
   /** What the session has seen once it is released. */
   position: Position | undefined;
   /** Any byte of the answer may have gone to the caller. */
--- a/src/core/group/contract.ts
+++ b/src/core/group/contract.ts
@@ -98,6 +98,10 @@
   | { readonly type: 'request-arrived'; readonly request: GroupRequest }
   /** The caller has gone or cancelled; a queued request is dropped, a running one is left to finish. */
   | { readonly type: 'request-abandoned'; readonly requestId: RequestId }
+  /** A statement of the transaction ended and the next one has not come: it uses no slot. */
+  | { readonly type: 'transaction-idle'; readonly requestId: RequestId }
+  /** The next statement of the transaction was sent. */
+  | { readonly type: 'transaction-busy'; readonly requestId: RequestId }
   | { readonly type: 'run-finished'; readonly requestId: RequestId; readonly result: RunResult }
   | { readonly type: 'connection-opened'; readonly connectionId: ConnectionId }
   | {
--- a/src/core/group/database-group.ts
+++ b/src/core/group/database-group.ts
@@ -6,7 +6,7 @@
 import { InstanceMonitor, type ProbeDemand } from '../failover/monitor.js';
 import { TenantAdmission } from '../limits/admission.js';
 import { ConnectionPool } from '../pool/pool.js';
-import type { InstanceName } from '../request.js';
+import type { InstanceName, RequestId } from '../request.js';
 import { RetryBudget } from '../retry/budget.js';
 import type { Milliseconds } from '../units.js';
 import { Completion } from './completion.js';
@@ -95,6 +95,10 @@
       case 'request-abandoned':
         intake.abandon(event.requestId);
         break;
+      case 'transaction-idle':
+      case 'transaction-busy':
+        this.setTransactionIdle(event.requestId, event.type === 'transaction-idle');
+        break;
       case 'run-finished':
         completion.runFinished(event.requestId, event.result, now);
         break;
@@ -133,6 +137,12 @@
     }
   }
 
+  private setTransactionIdle(requestId: RequestId, idle: boolean): void {
+    const run = this.context.runs.get(requestId);
+    const isOpen = run?.phase === 'running' || run?.phase === 'abandoned';
+    if (run !== undefined && isOpen) this.completion.setTransactionIdle(run, idle);
+  }
+
   /** Everything that time and new knowledge make possible. */
   private advance(now: Milliseconds): void {
     const { context, completion, dispatcher } = this;
--- a/src/core/group/dispatcher.ts
+++ b/src/core/group/dispatcher.ts
@@ -3,7 +3,7 @@
  * tolerate it on a replica that is caught up. Opens connections where they are short.
  */
 import { type ConnectionKey, keyOf, keyText, type PooledConnection } from '../pool/connections.js';
-import type { InstanceName, RequestId, TenantName } from '../request.js';
+import type { GroupRequest, InstanceName, RequestId } from '../request.js';
 import {
   ALL_RULES,
   type EligibilityRules,
@@ -144,10 +144,11 @@
     return isOff(this.context, 'slot-limit') || this.context.loads.hasSlot(description, hold);
   }
 
-  private withinShare(description: InstanceDescription, tenant: TenantName): boolean {
+  private withinShare(description: InstanceDescription, request: GroupRequest): boolean {
     const { admission, loads } = this.context;
     if (admission.presentTenants < 2 || isOff(this.context, 'fair-queue')) return true;
-    return loads.withinShare(description, tenant, admission.presentTenants);
+    const { tenant, hold } = request;
+    return loads.withinShare(description, tenant, hold, admission.presentTenants);
   }
 
   private offerReplica(entry: QueueEntry, pass: Pass): OfferResult {
@@ -190,7 +191,7 @@
     const { request } = entry;
     const { session } = request;
     if (pass.primary === undefined || !this.hasSlot(pass.primary, request.hold)) return 'blocked';
-    if (!this.withinShare(pass.primary, request.tenant)) return 'tenant-blocked';
+    if (!this.withinShare(pass.primary, request)) return 'tenant-blocked';
     if (session.type === 'known' && session.position.timeline > pass.timeline) {
       this.expectLaterTimeline(entry);
       return 'blocked';
@@ -226,7 +227,7 @@
     for (const candidate of ranked) {
       const description = instances.get(candidate.knowledge.name);
       if (description === undefined || !this.hasSlot(description, 'statement')) continue;
-      if (!this.withinShare(description, entry.request.tenant)) continue;
+      if (!this.withinShare(description, entry.request)) continue;
       const connection = this.connectionFor(entry, description, pass);
       if (connection === undefined) continue;
       counters.replicaReads += 1;
@@ -256,6 +257,7 @@
       phase: 'running',
       position: undefined,
       answerRelayed: false,
+      idle: false,
     };
     loads.start(connection.instance, request.hold, request.tenant);
     admission.recordQueued(request.tenant, -1);
--- a/src/core/group/loads.ts
+++ b/src/core/group/loads.ts
@@ -6,7 +6,10 @@
 type Hold = GroupRequest['hold'];
 
 interface TenantLoad {
+  /** Slots in use. */
   held: number;
+  /** Open transactions, idle ones included. */
+  transactions: number;
   /** Moving average over the tenant's own statements here. */
   serviceTimeMs: Milliseconds;
 }
@@ -14,14 +17,16 @@
 interface Load {
   statements: number;
   transactions: number;
+  /** Those of them that wait for their next statement. */
+  idleTransactions: number;
   serviceTimeMs: Milliseconds;
   readonly byTenant: Map<TenantName, TenantLoad>;
 }
 
 const INITIAL_SERVICE_TIME_MS = 2;
 const SERVICE_TIME_WEIGHT = 0.1;
-/** Transactions beyond the slots that may be open at once, as a share of the slots. */
-const TRANSACTION_OVERCOMMIT = 0.5;
+/** Open transactions for each slot: as many as wake at once at worst queue in the instance. */
+const TRANSACTIONS_PER_SLOT = 3;
 /** Slots of an instance that no single tenant may use while others are present. */
 const RESERVED_SLOTS = 1;
 /** A tenant whose statements take longer on average gives slots back too seldom to take most. */
@@ -32,16 +37,22 @@
   private readonly loads = new Map<InstanceName, Load>();
 
   /**
-   * True if the instance may be given one more request. A transaction counts as using a slot, but
-   * as it is often idle between its statements, open transactions extend the bound a little, and
-   * the last place is kept for statements.
+   * True if the instance may be given one more request. A transaction uses a slot while one of its
+   * statements runs. Between two statements it uses none; the next one is sent without asking, as
+   * others may wait for what the transaction has locked, so the number of transactions is bounded.
    */
   hasSlot(instance: InstanceDescription, hold: Hold): boolean {
-    const { statements, transactions } = this.of(instance.name);
-    const overcommit = Math.ceil(instance.slots * TRANSACTION_OVERCOMMIT);
-    const limit = instance.slots + Math.min(transactions, overcommit);
-    if (statements + transactions >= limit) return false;
-    return hold === 'statement' || transactions < Math.max(1, instance.slots + overcommit - 1);
+    const { statements, transactions, idleTransactions } = this.of(instance.name);
+    if (statements + transactions - idleTransactions >= instance.slots) return false;
+    return hold === 'statement' || transactions < instance.slots * TRANSACTIONS_PER_SLOT;
+  }
+
+  /** A transaction waits for its next statement, or has been sent it. */
+  setIdle(name: InstanceName, tenant: TenantName, idle: boolean): void {
+    const load = this.of(name);
+    const change = idle ? 1 : -1;
+    load.idleTransactions += change;
+    this.ofTenant(load, tenant).held -= change;
   }
 
   /**
@@ -49,10 +60,18 @@
    * each tenant, so that a flood of one seldom makes another wait for a slot. A tenant with long
    * statements has an equal share only: others would have to do with the slot that is kept.
    */
-  withinShare(instance: InstanceDescription, tenant: TenantName, tenants: number): boolean {
+  withinShare(
+    instance: InstanceDescription,
+    tenant: TenantName,
+    hold: Hold,
+    tenants: number,
+  ): boolean {
     const load = this.of(instance.name).byTenant.get(tenant);
     if (load === undefined) return true;
     const { slots } = instance;
+    // Idle transactions use no slot, but the places for transactions are few, too.
+    const transactionShare = slots * (TRANSACTIONS_PER_SLOT - 1);
+    if (hold === 'transaction' && load.transactions >= transactionShare) return false;
     const isLong = load.serviceTimeMs > LONG_SERVICE_TIME_MS;
     const share = isLong ? Math.floor(slots / Math.max(1, tenants)) : slots - RESERVED_SLOTS;
     return load.held < Math.max(1, share);
@@ -60,16 +79,23 @@
 
   start(name: InstanceName, hold: Hold, tenant: TenantName): void {
     const load = this.of(name);
-    this.ofTenant(load, tenant).held += 1;
-    if (hold === 'statement') load.statements += 1;
-    else load.transactions += 1;
+    const own = this.ofTenant(load, tenant);
+    own.held += 1;
+    if (hold === 'statement') {
+      load.statements += 1;
+      return;
+    }
+    load.transactions += 1;
+    own.transactions += 1;
   }
 
   finish(name: InstanceName, hold: Hold, tenant: TenantName): void {
     const load = this.of(name);
     const own = this.ofTenant(load, tenant);
     own.held -= 1;
-    if (own.held <= 0 && own.serviceTimeMs <= LONG_SERVICE_TIME_MS) load.byTenant.delete(tenant);
+    if (hold === 'transaction') own.transactions -= 1;
+    const unused = own.held <= 0 && own.transactions === 0;
+    if (unused && own.serviceTimeMs <= LONG_SERVICE_TIME_MS) load.byTenant.delete(tenant);
     if (hold === 'statement') load.statements -= 1;
     else load.transactions -= 1;
   }
@@ -84,7 +110,7 @@
 
   running(name: InstanceName): number {
     const load = this.of(name);
-    return load.statements + load.transactions;
+    return load.statements + load.transactions - load.idleTransactions;
   }
 
   /** Moving average of the time from sending a statement to its end. */
@@ -101,7 +127,11 @@
   private ofTenant(load: Load, tenant: TenantName): TenantLoad {
     const known = load.byTenant.get(tenant);
     if (known !== undefined) return known;
-    const created: TenantLoad = { held: 0, serviceTimeMs: INITIAL_SERVICE_TIME_MS };
+    const created: TenantLoad = {
+      held: 0,
+      transactions: 0,
+      serviceTimeMs: INITIAL_SERVICE_TIME_MS,
+    };
     load.byTenant.set(tenant, created);
     return created;
   }
@@ -112,6 +142,7 @@
     const load: Load = {
       statements: 0,
       transactions: 0,
+      idleTransactions: 0,
       serviceTimeMs: INITIAL_SERVICE_TIME_MS,
       byTenant: new Map(),
     };
--- a/src/node/owner/group-runtime.ts
+++ b/src/node/owner/group-runtime.ts
@@ -234,6 +234,8 @@
       connection,
       onPrimary: effect.onPrimary,
       trailPosition: effect.trailPosition,
+      setIdle: (idle) =>
+        this.#handle({ type: idle ? 'transaction-idle' : 'transaction-busy', requestId }),
       closeConnection: () => this.#closeAndReport(connectionId, connection),
       finished: (result) => {
         this.#running.delete(connectionId);
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -138,6 +138,7 @@
     if (this.#settled) return;
     const idleInTransaction = this.#assignment !== undefined && !this.#batchRunning;
     if (this.#callerHoldsTransaction && idleInTransaction) {
+      this.#assignment?.setIdle(false);
       this.#run(batch);
       return;
     }
@@ -234,6 +235,7 @@
   /** From now on the transaction holds its connection for nothing until the next batch comes. */
   #startIdleTimer(): void {
     const { idleTransactionTimeoutMs } = this.#options;
+    this.#assignment?.setIdle(true);
     this.#idleTimer = setTimeout(() => {
       this.#settle(encodeRequestError(new IdleTransactionError(idleTransactionTimeoutMs)));
       this.#abortTransaction();
--- a/src/node/owner/work.ts
+++ b/src/node/owner/work.ts
@@ -12,6 +12,8 @@
   readonly connection: BackendConnection;
   readonly onPrimary: boolean;
   readonly trailPosition: boolean;
+  /** The transaction waits for its next batch, or has been given it. */
+  setIdle(idle: boolean): void;
   /** Closes the connection; a running batch ends as lost. */
   closeConnection(): void;
   /** Reports the end of the run; called exactly once per assignment. */
--- a/test/integration/owner-stream.test.ts
+++ b/test/integration/owner-stream.test.ts
@@ -94,6 +94,7 @@
       connection,
       onPrimary: true,
       trailPosition: true,
+      setIdle: () => undefined,
       closeConnection: () => connection.close(),
       finished: resolve,
     });
--- /dev/null
+++ b/test/unit/loads.test.ts
@@ -0,0 +1,52 @@
+/** Slots: what uses them, and what no tenant may take for itself. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { InstanceDescription } from '../../src/core/group/contract.js';
+import { InstanceLoads } from '../../src/core/group/loads.js';
+
+const PRIMARY: InstanceDescription = {
+  name: 'a',
+  zone: 'z',
+  slots: 4,
+  connectionBudget: 20,
+  leaving: false,
+};
+
+test('a transaction between two statements gives its slot to others and takes it back', () => {
+  const loads = new InstanceLoads();
+  for (let count = 0; count < 4; count += 1) loads.start('a', 'transaction', 'one');
+  assert.not.ok(loads.hasSlot(PRIMARY, 'statement'));
+  loads.setIdle('a', 'one', true);
+  assert.ok(loads.hasSlot(PRIMARY, 'statement'));
+  assert.is(loads.running('a'), 3);
+  loads.setIdle('a', 'one', false);
+  assert.not.ok(loads.hasSlot(PRIMARY, 'statement'));
+});
+
+test('open transactions are bounded even if all are idle, statements still run', () => {
+  const loads = new InstanceLoads();
+  let opened = 0;
+  while (loads.hasSlot(PRIMARY, 'transaction') && opened < 100) {
+    loads.start('a', 'transaction', 'one');
+    loads.setIdle('a', 'one', true);
+    opened += 1;
+  }
+  assert.is(opened, 12);
+  assert.ok(loads.hasSlot(PRIMARY, 'statement'));
+});
+
+test('a tenant with many idle transactions leaves places for those of others', () => {
+  const loads = new InstanceLoads();
+  let opened = 0;
+  while (loads.withinShare(PRIMARY, 'one', 'transaction', 2) && opened < 100) {
+    loads.start('a', 'transaction', 'one');
+    loads.setIdle('a', 'one', true);
+    opened += 1;
+  }
+  assert.is(opened, 8);
+  assert.ok(loads.hasSlot(PRIMARY, 'transaction'));
+  assert.ok(loads.withinShare(PRIMARY, 'two', 'transaction', 2));
+  assert.ok(loads.withinShare(PRIMARY, 'one', 'statement', 2));
+});
+
+test.run();
