A member's new configuration revision is no change of the fleet

Cause: after each publish every member's revision is news; each such piece told the node to work out its live members, its owners and the configuration's members anew (and wrote a log line). Change: MemberEvent 'revision-changed', which the node passes over. Test: member-change fails without it.

--- a/scale/hollow-node.ts
+++ b/scale/hollow-node.ts
@@ -149,7 +149,9 @@
     return true;
   }
 
+  /** As the real node, which looks at nothing anew for a revision alone. */
   #onMembersChanged(events: readonly MemberEvent[]): void {
+    if (events.every(({ change }) => change === 'revision-changed')) return;
     this.#isViewStale = true;
     this.#updateMembers();
     const { ownership } = this;
--- a/src/core/membership/contract.ts
+++ b/src/core/membership/contract.ts
@@ -94,7 +94,8 @@
 
 /** Every change of state of another member, or of this one. */
 export interface MemberEvent {
-  readonly change: 'joined' | 'suspected' | 'failed' | 'left' | 'updated';
+  /** `revision-changed`: nothing but the configuration revision. After a publish, from everybody. */
+  readonly change: 'joined' | 'suspected' | 'failed' | 'left' | 'updated' | 'revision-changed';
   readonly member: Member;
 }
 
--- a/src/core/membership/knowledge.ts
+++ b/src/core/membership/knowledge.ts
@@ -184,7 +184,7 @@
   }
   if (isNewLife || known.liveness === 'dead') return 'joined';
   if (merged.liveness === 'suspect' && known.liveness !== 'suspect') return 'suspected';
-  const sameStatus = statusOf(known, false) === statusOf(merged, false);
+  if (statusOf(known, false) !== statusOf(merged, false)) return 'updated';
   const sameRevision = known.configurationRevision === merged.configurationRevision;
-  return sameStatus && sameRevision ? undefined : 'updated';
+  return sameRevision ? undefined : 'revision-changed';
 }
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -286,6 +286,7 @@
   }
 
   #onMemberChanged(event: MemberEvent): void {
+    if (event.change === 'revision-changed') return;
     this.#logger.info(`member ${event.change}`, { member: event.member.nodeId });
     this.#fleet.membersChanged();
     // A node that joins learns of thousands of members in a few messages.
