Configuration under faults; a relay slot whose holder is not live is taken over

Ruled out: the look at the head key (only relays do it) and anti-entropy (no live peer had it). Change: a candidate claims a slot also from a holder that is no live member, by compare-and-swap on the slot's revision. Two holders do no harm, as before.

--- a/src/node/configuration/service.ts
+++ b/src/node/configuration/service.ts
@@ -232,7 +232,9 @@
   }
 
   #claimRelay(): void {
-    this.#store.claimRelay().match(
+    const isLive = (nodeId: string): boolean =>
+      this.#members.some((member) => member.nodeId === nodeId);
+    this.#store.claimRelay(isLive).match(
       (lease) =>
         this.#handleRelay(
           lease === undefined ? { type: 'claim-refused' } : { type: 'claimed', lease },
--- a/src/node/configuration/store-session.ts
+++ b/src/node/configuration/store-session.ts
@@ -20,6 +20,12 @@
   readonly delta: ConfigurationDelta;
 }
 
+/** A relay slot that may be claimed as long as its key has this revision; 0: it has none. */
+interface FreeSlot {
+  readonly slot: number;
+  readonly modRevision: number;
+}
+
 /** Wraps the store for one node. */
 export class StoreSession {
   #endWatch: (() => void) | undefined;
@@ -80,12 +86,19 @@
     this.#endWatch = undefined;
   }
 
-  /** Claims a free slot of the zone's relays; undefined if there is none. */
-  claimRelay(): ResultAsync<RelayLease | undefined, StoreError> {
+  /**
+   * Claims a slot of the zone's relays; undefined if there is none. A slot is free if nobody holds
+   * it, or a node that is not live: a lease outlasts its holder, and the zone would wait for it.
+   */
+  claimRelay(isLive: (nodeId: string) => boolean): ResultAsync<RelayLease | undefined, StoreError> {
     return this.store.range(relayPrefixOf(this.zone)).andThen(({ entries }) => {
-      const taken = new Set(entries.map(({ key }) => key));
+      const held = new Map(entries.map((entry) => [entry.key, entry]));
       const slots = Array.from({ length: RELAYS_PER_ZONE }, (_, slot) => slot);
-      const free = slots.filter((slot) => !taken.has(relayKeyOf(this.zone, slot)));
+      const free = slots.flatMap((slot): FreeSlot[] => {
+        const holder = held.get(relayKeyOf(this.zone, slot));
+        if (holder === undefined) return [{ slot, modRevision: 0 }];
+        return isLive(holder.value) ? [] : [{ slot, modRevision: holder.modRevision }];
+      });
       if (free.length === 0) return ok(undefined);
       return new ResultAsync(this.#takeOneOf(free));
     });
@@ -104,7 +117,9 @@
     return this.store.revokeLease(lease.leaseId);
   }
 
-  async #takeOneOf(slots: readonly number[]): Promise<Result<RelayLease | undefined, StoreError>> {
+  async #takeOneOf(
+    slots: readonly FreeSlot[],
+  ): Promise<Result<RelayLease | undefined, StoreError>> {
     const granted = await this.store.grantLease(RELAY_LEASE_SECONDS);
     if (granted.isErr()) return err(granted.error);
     const leaseId = granted.value;
@@ -116,13 +131,13 @@
 
   /** Tries the slots in turn: another candidate may take one at the same moment. */
   async #firstTaken(
-    slots: readonly number[],
+    slots: readonly FreeSlot[],
     leaseId: string,
   ): Promise<Result<number | undefined, StoreError>> {
-    for (const slot of slots) {
+    for (const { slot, modRevision } of slots) {
       const key = relayKeyOf(this.zone, slot);
       const answer = await this.store.transaction(
-        [{ key, modRevision: 0 }],
+        [{ key, modRevision }],
         [{ type: 'put', key, value: this.nodeId, leaseId }],
       );
       if (answer.isErr()) return err(answer.error);
--- /dev/null
+++ b/test/integration/cluster/configuration-faults.test.ts
@@ -0,0 +1,206 @@
+/**
+ * An accepted configuration is in force on every proxy within seconds and never reverts: while
+ * operators race and answers are lost, a relay is paused, and proxies restart without the store.
+ */
+import { randomUUID } from 'node:crypto';
+import { setTimeout as pause } from 'node:timers/promises';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { checkConfiguration } from '../../../bench/checkers/configuration.js';
+import { type Cluster, tenantYaml } from '../../../bench/harness/cluster.js';
+import { EMPTY_HISTORY } from '../../../bench/history/model.js';
+import { ClusterSampler } from '../../../bench/recorders/cluster-sampler.js';
+import { RunRecorder } from '../../../bench/recorders/run-recorder.js';
+import {
+  type DeclarationKey,
+  parseDeclarations,
+} from '../../../src/core/configuration/declaration.js';
+import {
+  PublishConflictError,
+  PublishContentionError,
+} from '../../../src/core/configuration/errors.js';
+import { Publisher } from '../../../src/node/configuration/publisher.js';
+import { DEFAULT_STORE_CLIENT_OPTIONS, StoreClient } from '../../../src/platform/store-client.js';
+import { GROUP, startSmallCluster, statusOf, TENANT } from '../../support/cluster.js';
+import { until } from '../../support/until.js';
+
+/** All in one zone, so that two of them relay and the others depend on those. */
+const NODES = ['proxy-1', 'proxy-2', 'proxy-3', 'proxy-4'];
+const ZONE = 'a';
+const RELAYS_A_ZONE = 2;
+const TENANT_KEY: DeclarationKey = `tenant/${TENANT.name}`;
+const ROUNDS = 6;
+const LOST_ANSWERS_SEED = 7;
+
+interface Context {
+  cluster: Cluster;
+  recorder: RunRecorder;
+  sampler: ClusterSampler;
+}
+
+const test = suite<Context>('configuration under faults');
+
+test.before(async (context) => {
+  const proxies = NODES.map((nodeId) => ({ nodeId, zone: ZONE }));
+  context.cluster = await startSmallCluster({ proxies });
+  context.recorder = new RunRecorder();
+  for (const nodeId of NODES) context.recorder.proxyStarted(nodeId);
+  context.sampler = new ClusterSampler(context.cluster, context.recorder, 'app');
+});
+
+test.after(async ({ cluster, sampler }) => {
+  await sampler.stop();
+  await cluster.stop();
+});
+
+test.after.each(({ cluster }) => cluster.store.heal());
+
+/** Nothing of what was sampled so far reverted or came late. */
+function assertKept({ recorder }: Context): void {
+  const history = { ...EMPTY_HISTORY, ...recorder.history(), endedAt: Date.now() };
+  assert.equal(checkConfiguration(history), []);
+}
+
+function declarationText(connections: number): string {
+  const parameters = `  connections: ${connections}`;
+  return tenantYaml({ ...TENANT, databases: [GROUP], template: 'standard', parameters });
+}
+
+async function revisionOf(cluster: Cluster, nodeId: string): Promise<number> {
+  return (await statusOf(cluster, nodeId)).configuration.revision;
+}
+
+/** Publishes and resolves with the accepted revision. */
+async function publish({ cluster, recorder }: Context, connections: number): Promise<number> {
+  const revision = await cluster.publishTexts([declarationText(connections)]);
+  recorder.configurationAccepted(revision);
+  return revision;
+}
+
+async function inForce(
+  cluster: Cluster,
+  revision: number,
+  nodeIds: readonly string[] = NODES,
+): Promise<void> {
+  for (const nodeId of nodeIds) {
+    await until(`${nodeId} has revision ${revision}`, async () => {
+      return (await revisionOf(cluster, nodeId)) >= revision;
+    });
+  }
+}
+
+/** An operator with a connection of its own to the store. */
+function createOperator(
+  cluster: Cluster,
+  name: string,
+): { client: StoreClient; publisher: Publisher } {
+  const client = new StoreClient({
+    ...DEFAULT_STORE_CLIENT_OPTIONS,
+    endpoint: { host: '127.0.0.1', port: cluster.store.port },
+    clientName: name,
+  });
+  const publisher = new Publisher({ store: client, random: Math.random, wait: (ms) => pause(ms) });
+  return { client, publisher };
+}
+
+test('operators who race with lost answers: each accepted publish is applied once, in one order', async (context) => {
+  const { cluster, recorder } = context;
+  await cluster.store.setFaults({ loseAnswerProbability: 0.4, seed: LOST_ANSWERS_SEED });
+  const accepted = new Map<string, number>();
+  const refused: string[] = [];
+  const race = async (name: string, base: number): Promise<void> => {
+    const { client, publisher } = createOperator(cluster, name);
+    for (let round = 0; round < ROUNDS; round += 1) {
+      const publishId = randomUUID();
+      const text = declarationText(base + round);
+      const located = parseDeclarations([{ source: name, text }])._unsafeUnwrap();
+      const known = (await publisher.read())._unsafeUnwrap().entries.get(TENANT_KEY);
+      const outcome = await publisher.publish({
+        publishId,
+        publishedAt: Date.now(),
+        author: name,
+        comment: '',
+        changes: located.map((one) => ({ type: 'put', located: one })),
+        expectedRevisions: new Map([[TENANT_KEY, known?.revision ?? 0]]),
+      });
+      outcome.match(
+        ({ revision }) => {
+          recorder.configurationAccepted(revision);
+          accepted.set(publishId, revision);
+        },
+        (error) => {
+          assert.ok(
+            error instanceof PublishConflictError || error instanceof PublishContentionError,
+            error.message,
+          );
+          refused.push(publishId);
+        },
+      );
+    }
+    client.close();
+  };
+  await Promise.all([race('operator-1', 1000), race('operator-2', 2000)]);
+  await cluster.store.heal();
+  const { client, publisher } = createOperator(cluster, 'reader');
+  const versions = (await publisher.history(TENANT_KEY))._unsafeUnwrap();
+  client.close();
+  const countOf = (id: string): number =>
+    versions.filter(({ publishId }) => publishId === id).length;
+  assert.ok(accepted.size > 0);
+  assert.equal(
+    [...accepted.keys()].map(countOf),
+    [...accepted].map(() => 1),
+  );
+  assert.equal(
+    refused.map(countOf),
+    refused.map(() => 0),
+  );
+  const revisions = [...accepted.values()];
+  assert.is(new Set(revisions).size, revisions.length, 'no two publishes share a revision');
+  await inForce(cluster, Math.max(...revisions));
+  assertKept(context);
+});
+
+test('relays that are paused hold up nobody else and come back to the newest', async (context) => {
+  const { cluster, recorder } = context;
+  await until('the relays are known', () => recorder.relays.length === RELAYS_A_ZONE);
+  const { relays } = recorder;
+  const others = NODES.filter((nodeId) => !relays.includes(nodeId));
+  for (const relay of relays) {
+    cluster.proxy(relay).pause();
+    recorder.proxyStopped(relay);
+  }
+  const first = await publish(context, 3001);
+  await inForce(cluster, first, others);
+  const second = await publish(context, 3002);
+  await inForce(cluster, second, others);
+  for (const relay of relays) {
+    cluster.proxy(relay).resume();
+    recorder.proxyStarted(relay);
+  }
+  await inForce(cluster, second);
+  assertKept(context);
+});
+
+for (const [name, faults] of [
+  ['down', { outage: 'refuse' }],
+  ['slow', { answerDelayMs: 1500 }],
+] as const) {
+  test(`a proxy that restarts while the store is ${name} never shows an older version`, async (context) => {
+    const { cluster, recorder } = context;
+    const revision = await publish(context, name === 'down' ? 4001 : 4002);
+    await inForce(cluster, revision);
+    await cluster.store.setFaults(faults);
+    for (const nodeId of NODES) {
+      const { zone, kill } = cluster.proxy(nodeId);
+      recorder.proxyStopped(nodeId);
+      await kill();
+      await cluster.startProxy({ nodeId, zone });
+      recorder.proxyStarted(nodeId);
+      assert.ok((await revisionOf(cluster, nodeId)) >= revision, `${nodeId} has an older version`);
+    }
+    assertKept(context);
+  });
+}
+
+test.run();
--- a/test/integration/configuration-service.test.ts
+++ b/test/integration/configuration-service.test.ts
@@ -120,13 +120,30 @@
 
 test('two candidates that claim at the same moment take both slots', async (context) => {
   const sessions = ['n0', 'n1'].map((nodeId) => new StoreSession(context.operator, nodeId, 'x'));
-  const leases = await Promise.all(sessions.map((session) => session.claimRelay()));
+  const leases = await Promise.all(sessions.map((session) => session.claimRelay(() => true)));
   const slots = leases.map((lease) => lease._unsafeUnwrap()?.slot);
   assert.equal(slots.sort(), [0, 1]);
-  const third = await new StoreSession(context.operator, 'n2', 'x').claimRelay();
+  const third = await new StoreSession(context.operator, 'n2', 'x').claimRelay(() => true);
   assert.is(third._unsafeUnwrap(), undefined);
 });
 
+test('the slot of a holder that is not live is taken over, once', async (context) => {
+  const sessionOf = (nodeId: string) => new StoreSession(context.operator, nodeId, 'y');
+  const first = (await sessionOf('n0').claimRelay(() => true))._unsafeUnwrap();
+  assert.ok(first);
+  await sessionOf('n1').claimRelay(() => true);
+  const isLive = (nodeId: string): boolean => nodeId !== 'n0';
+  const successors = await Promise.all(['n2', 'n3'].map((id) => sessionOf(id).claimRelay(isLive)));
+  const taken = successors.map((lease) => lease._unsafeUnwrap()?.slot);
+  assert.equal(
+    taken.filter((slot) => slot !== undefined),
+    [first.slot],
+  );
+  await sessionOf('n0').releaseRelay(first);
+  const late = await sessionOf('n4').claimRelay(() => true);
+  assert.is(late._unsafeUnwrap(), undefined, 'the former holder gives nothing back');
+});
+
 test('a compacted or broken watch is begun again without going back', async (context) => {
   const first = await publish(context, 'first', TEMPLATE_YAML, tenantYaml('a', 10));
   const node = await startNode(context, 'n0', 'x');
