--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -194,7 +194,7 @@
         onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
         onBatchError: (status, error) => this.#onBatchError(status, error),
         onEnd: (end) => this.#onEnd(end),
-        onError: (error) => this.#onError(error),
+        onError: (error, position) => this.#onError(error, position),
       },
     );
   }
@@ -275,11 +275,15 @@
     this.#finish(end.status);
   }
 
-  #onError(error: RequestError): void {
+  #onError(error: RequestError, position: Position | undefined): void {
     const wasTransaction = this.#inTransaction;
     this.#call = undefined;
     this.#inTransaction = false;
-    this.#countOutcome(error.outcome, false);
+    this.#countOutcome(error.outcome, false, error.code);
+    if (error.outcome === 'done' && position !== undefined) {
+      void this.#reportDoneEarlier(error, position);
+      return;
+    }
     if (this.#positions.failed(error)) this.#reportToken();
     if (wasTransaction && !this.#connection.busy) {
       this.#transactionLoss = error;
@@ -292,6 +296,18 @@
     this.#finish(blockGoesOn ? 'T' : 'I');
   }
 
+  /** The session must see what an earlier request with the same key did, wherever it moves. */
+  async #reportDoneEarlier(error: RequestError, position: Position): Promise<void> {
+    if (this.#positions.observe(position, false)) this.#reportToken();
+    const recorded = await this.#positions.record(position);
+    if (!recorded) {
+      this.#reportNotRecorded();
+      return;
+    }
+    this.#connection.writeError(error);
+    this.#finish('I');
+  }
+
   /** The caller learns at its next batch that its transaction is gone. */
   #reportTransactionLoss(error: RequestError, statementClass: StatementClass): void {
     this.#transactionLoss = undefined;
@@ -344,7 +360,11 @@
     }
   }
 
-  #countOutcome(outcome: 'done' | RequestError['outcome'], fromReplica: boolean): void {
+  #countOutcome(
+    outcome: 'done' | RequestError['outcome'],
+    fromReplica: boolean,
+    reason?: string,
+  ): void {
     const running = this.#running;
     if (running === undefined) return;
     this.#running = undefined;
@@ -353,6 +373,7 @@
       access: running.access,
       outcome,
       route: fromReplica ? 'replica' : 'primary',
+      reason,
       elapsedMs: performance.now() - running.startedAt,
     });
   }
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -26,6 +26,7 @@
   type OwnerMessage,
   ownerMessageSchema,
 } from '../owner/messages.js';
+import { openToWire, ownerMessageFromWire } from '../owner/wire-form.js';
 
 /** Pause before another owner is asked, in ms; grows with each attempt. */
 const RETRY_STEP_MS = 5;
@@ -53,7 +54,8 @@
   /** A batch inside the open transaction was refused by the proxy; the block is failed. */
   onBatchError(status: TransactionStatus, error: RequestError): void;
   onEnd(end: GroupAnswerEnd): void;
-  onError(error: RequestError): void;
+  /** `position`: what the session must see from now on, if something lasts and it is known. */
+  onError(error: RequestError, position?: Position): void;
 }
 
 export interface GroupClientOptions {
@@ -162,7 +164,8 @@
   }
 
   #streamTo(owner: OwnerReference, header: OpenMessage): PeerStream {
-    if (owner.type === 'remote') return this.#options.transport.openStream(owner.address, header);
+    if (owner.type === 'remote')
+      return this.#options.transport.openStream(owner.address, openToWire(header));
     const pair = createLocalStreamPair();
     this.#options.acceptLocal(header, pair.acceptor);
     return pair.opener;
@@ -176,7 +179,7 @@
 
   #onMessage(value: WireValue, stream: PeerStream): void {
     if (this.#finished || stream !== this.#stream) return;
-    const parsed = ownerMessageSchema.safeParse(value);
+    const parsed = ownerMessageSchema.safeParse(ownerMessageFromWire(value));
     if (!parsed.success) {
       stream.abort('malformed message from owner');
       return;
@@ -206,16 +209,16 @@
         });
         return;
       case 'error':
-        this.#onRequestError(decodeRequestError(message));
+        this.#onRequestError(decodeRequestError(message), message.position);
         return;
     }
   }
 
-  #onRequestError(error: RequestError): void {
+  #onRequestError(error: RequestError, position: Position | undefined): void {
     const ownerRefused = error instanceof NotRunError && OWNER_REASONS.has(error.reason);
     if (ownerRefused) this.#options.onOwnerRefused(this.#message.group);
     if (ownerRefused && !this.#answered) this.#retryOrFail(error);
-    else this.#fail(error);
+    else this.#fail(error, position);
   }
 
   /** The stream closed before its end was told: the link or the owner is lost. */
@@ -254,10 +257,10 @@
     this.#retryTimer = setTimeout(() => this.start(), pause);
   }
 
-  #fail(error: RequestError): void {
+  #fail(error: RequestError, position?: Position): void {
     if (this.#finished) return;
     this.#finish();
-    this.#handlers.onError(error);
+    this.#handlers.onError(error, position);
   }
 
   #finish(): void {
--- a/src/node/gateway/session-positions.ts
+++ b/src/node/gateway/session-positions.ts
@@ -74,14 +74,14 @@
   }
 
   /**
-   * A request of unknown outcome, or a position that the group has lost: the next read needs a
-   * confirmed primary. True if that changes the token.
+   * After these errors the position known so far does not tell any more what the session has to see:
+   * the next read needs a confirmed primary. True if so; the caller should be given a new token.
    */
   failed(error: RequestError): boolean {
     const mayLast = error.outcome === 'unknown' || error.outcome === 'done';
-    if (!mayLast && error.code !== SESSION_POSITION_LOST_CODE) return false;
-    this.#state = markUnknown(this.#state, this.#options.group);
-    return true;
+    const forgets = mayLast || error.code === SESSION_POSITION_LOST_CODE;
+    if (forgets) this.#state = markUnknown(this.#state, this.#options.group);
+    return forgets;
   }
 
   /**
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -19,9 +19,10 @@
 import type { DatabaseMachine } from '../../platform/contract.js';
 import type { BackendConnector } from './backend-connector.js';
 import { BatchReceiver } from './batch-transfer.js';
-import { GroupRuntime } from './group-runtime.js';
+import { type GroupObserver, GroupRuntime } from './group-runtime.js';
 import { encodeRequestError, type OpenMessage, openSchema } from './messages.js';
 import { OwnerStream } from './owner-stream.js';
+import { openFromWire } from './wire-form.js';
 
 /** Longest wait for a group's primary to become known, in ms. */
 const WARM_LIMIT_MS = 1500;
@@ -47,6 +48,7 @@
   #policies: ReadonlyMap<TenantName, TenantPolicy> = new Map();
   #draining = false;
   #requestsAccepted = 0;
+  #primaryChanges = 0;
 
   constructor(options: OwnerServiceOptions) {
     this.#options = options;
@@ -54,7 +56,7 @@
 
   /** A gateway, here or elsewhere, opened a stream for one statement or transaction. */
   accept(header: WireValue, stream: PeerStream): void {
-    const parsed = openSchema.safeParse(header);
+    const parsed = openSchema.safeParse(openFromWire(header));
     if (!parsed.success) {
       stream.abort('malformed open message');
       return;
@@ -113,6 +115,10 @@
     for (const runtime of this.#runtimes.values()) runtime.notify({ type: 'drain-started' });
   }
 
+  get primaryChanges(): number {
+    return this.#primaryChanges;
+  }
+
   get unfinished(): number {
     let unfinished = 0;
     for (const runtime of this.#runtimes.values()) unfinished += runtime.unfinished;
@@ -187,7 +193,7 @@
       connector: this.#options.connector,
       now: this.#options.now,
       observer: {
-        primaryChanged: (change) => this.#options.logger.info('primary changed', { ...change }),
+        primaryChanged: (change) => this.#onPrimaryChanged(change),
       },
     });
     this.#runtimes.set(group, runtime);
@@ -196,6 +202,11 @@
     return runtime;
   }
 
+  #onPrimaryChanged(change: Parameters<GroupObserver['primaryChanged']>[0]): void {
+    this.#primaryChanges += 1;
+    this.#options.logger.info('primary changed', { ...change });
+  }
+
   #refresh(group: GroupName, runtime: GroupRuntime, listed: boolean): void {
     const owned = listed && this.#options.owns(group);
     if (owned) {
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -14,7 +14,7 @@
 import { ServerStoppingError } from '../postgres/caller/errors.js';
 import { monotonicNow } from './clock.js';
 import { ConfigurationService } from './configuration/service.js';
-import { configurationMember, listedNode, summaryOf } from './fleet-nodes.js';
+import { configurationMember, keptMapping, listedNode, summaryOf } from './fleet-nodes.js';
 import { type FleetNode, FleetView } from './fleet-view.js';
 import { GatewayService } from './gateway/gateway-service.js';
 import type { RequestMetrics } from './gateway/request-metrics.js';
@@ -156,6 +156,9 @@
       callers: this.#gateway.callerCount,
       sessionsKept: this.#gateway.directory.sessionCount,
       backendConnectionsOpened: this.#connector.opened,
+      backend: this.#connector.counters,
+      storeRequests: this.#store.requestCount(),
+      primaryChanges: this.#owner.primaryChanges,
       groups: [...this.#owner.statistics()].map(([group, figures]) => ({ group, ...figures })),
       members: this.#membership.members().map(summaryOf),
       membership: this.#membership.counters(),
@@ -245,7 +248,7 @@
       self: configurationMember(self),
       store: this.#store,
       transport: this.#transport,
-      members: () => this.#fleet.liveNodes().map(configurationMember),
+      members: keptMapping(() => this.#fleet.liveNodes(), configurationMember),
       random: Math.random,
       now: monotonicNow,
     });
@@ -308,7 +311,7 @@
     this.#gateway.limits.setFleet(
       this.#fleet.liveNodes(),
       this.#fleet.knownNodes(),
-      this.#fleet.listedNodes(),
+      this.#fleet.listedNodes,
     );
   }
 
