--- a/src/core/group/loads.ts
+++ b/src/core/group/loads.ts
@@ -27,9 +27,9 @@
 const SERVICE_TIME_WEIGHT = 0.1;
 /** Open transactions for each slot: as many as wake at once at worst queue in the instance. */
 const TRANSACTIONS_PER_SLOT = 3;
-/** Slots of an instance that no single tenant may use while others are present. */
-const RESERVED_SLOTS = 1;
-/** A tenant whose statements take longer on average gives slots back too seldom to take most. */
+/** Part of an instance's slots that no single tenant may use while others are present. */
+const RESERVED_SHARE = 1 / 3;
+/** A tenant whose statements take longer on average gives slots back too seldom to have most. */
 const LONG_SERVICE_TIME_MS: Milliseconds = 100;
 
 /** Load by instance. */
@@ -56,9 +56,9 @@
   }
 
   /**
-   * True if the tenant may use one more slot where others want some, too: one slot is kept from
-   * each tenant, so that a flood of one seldom makes another wait for a slot. A tenant with long
-   * statements has an equal share only: others would have to do with the slot that is kept.
+   * True if the tenant may use one more slot where others want some, too: a third of
+   * the slots is kept from each tenant, so that a flood of one seldom makes another wait for a slot.
+   * A tenant with long statements has an equal share only: it gives slots back too seldom.
    */
   withinShare(
     instance: InstanceDescription,
@@ -73,7 +73,7 @@
     const transactionShare = slots * (TRANSACTIONS_PER_SLOT - 1);
     if (hold === 'transaction' && load.transactions >= transactionShare) return false;
     const isLong = load.serviceTimeMs > LONG_SERVICE_TIME_MS;
-    const share = isLong ? Math.floor(slots / Math.max(1, tenants)) : slots - RESERVED_SLOTS;
+    const share = isLong ? Math.floor(slots / tenants) : slots - Math.ceil(slots * RESERVED_SHARE);
     return load.held < Math.max(1, share);
   }
 
@@ -95,7 +95,8 @@
     own.held -= 1;
     if (hold === 'transaction') own.transactions -= 1;
     const unused = own.held <= 0 && own.transactions === 0;
-    if (unused && own.serviceTimeMs <= LONG_SERVICE_TIME_MS) load.byTenant.delete(tenant);
+    // What is known of longer statements stays: a tenant that comes back is likely to go on so.
+    if (unused && own.serviceTimeMs <= INITIAL_SERVICE_TIME_MS) load.byTenant.delete(tenant);
     if (hold === 'statement') load.statements -= 1;
     else load.transactions -= 1;
   }
