Fuzz of the fleet: a database's own error is no "done"; a frozen owner hears later of leaving

Change: the record keeps the database's SQLSTATE and the caller is told failed; the owner's list of instances changes when its process takes it.

--- a/bench/simulation/fleet/caller.ts
+++ b/bench/simulation/fleet/caller.ts
@@ -197,7 +197,9 @@
     if (attempt === undefined) return;
     attempt.answers += 1;
     attempt.record = record;
-    this.#end(attempt, 'answered', error?.outcome ?? 'done', error?.code);
+    const databaseError = error === undefined ? record?.databaseError : undefined;
+    const outcome = databaseError === undefined ? 'done' : 'failed';
+    this.#end(attempt, 'answered', error?.outcome ?? outcome, error?.code ?? databaseError);
   }
 
   #onLost(connection: GatewayConnection): void {
--- a/bench/simulation/history.ts
+++ b/bench/simulation/history.ts
@@ -38,6 +38,8 @@
   /** When the transaction ended on its connection, if it is one. */
   endedAt: number | undefined;
   servedByReplica: boolean;
+  /** SQLSTATE of the database's own error, if that is the answer. */
+  databaseError: string | undefined;
   /** Reported in place of the answer once the run is released: a key that was used earlier. */
   refusal: RequestError | undefined;
   /** Its owner was killed or frozen meanwhile: no end, or a late one, is no fault. */
--- a/bench/simulation/once-run.ts
+++ b/bench/simulation/once-run.ts
@@ -18,7 +18,7 @@
 import { type LogEntry, positionOf, type SimulatedGroup, type SimulatedInstance } from './group.js';
 
 const UNIQUE_VIOLATION = '23505';
-const READ_ONLY = '25006';
+export const READ_ONLY_SQL_STATE = '25006';
 const LOCK_POLL_MS = 1;
 /** Of each step: the connection breaks before it is sent, or after the server has done it. */
 const LOSS_PROBABILITY = 0.01;
@@ -33,7 +33,12 @@
   readonly process: (action: () => void) => void;
   readonly deliver: (direction: 'both-ways' | 'answers', action: () => void) => void;
   readonly onCommit: (written: LogEntry) => void;
-  readonly onFinished: (result: RunResult, refusal: RequestError | undefined) => void;
+  /** `databaseError`: SQLSTATE of the database's own error, if that is the answer. */
+  readonly onFinished: (
+    result: RunResult,
+    refusal: RequestError | undefined,
+    databaseError: string | undefined,
+  ) => void;
 }
 
 interface ServerAnswer {
@@ -121,7 +126,7 @@
     const { writable } = this.instance;
     switch (this.#transition.execution.phase) {
       case 'claim':
-        if (!writable) return { status: 'E', errorSqlState: READ_ONLY };
+        if (!writable) return { status: 'E', errorSqlState: READ_ONLY_SQL_STATE };
         if (this.#isUsed()) return { status: 'E', errorSqlState: UNIQUE_VIOLATION };
         this.instance.claims.set(this.#key, this);
         return { status: 'T', errorSqlState: undefined };
@@ -134,14 +139,15 @@
       default:
         return writable
           ? { status: 'T', errorSqlState: undefined }
-          : { status: 'E', errorSqlState: READ_ONLY };
+          : { status: 'E', errorSqlState: READ_ONLY_SQL_STATE };
     }
   }
 
   #commit(): ServerAnswer {
     const holds = this.instance.claims.get(this.#key) === this;
     this.#releaseClaim();
-    if (!this.instance.writable || !holds) return { status: 'I', errorSqlState: READ_ONLY };
+    if (!this.instance.writable || !holds)
+      return { status: 'I', errorSqlState: READ_ONLY_SQL_STATE };
     const { requestId } = this.options;
     this.options.onCommit(this.group.commit(this.instance, requestId, this.#key));
     this.#recordPosition();
@@ -195,15 +201,15 @@
     const mayHaveCommitted = bytesWritten && this.#transition.execution.phase === 'commit';
     // The transaction's connection counts as used whatever was lost.
     const result = { bytesWritten: true, answerRelayed: false, mayHaveCommitted };
-    this.options.onFinished({ type: 'connection-lost', ...result }, undefined);
+    this.options.onFinished({ type: 'connection-lost', ...result }, undefined, undefined);
   }
 
   #finish(result: OnceResult): void {
     this.#finished = true;
     const refusal = result.type === 'refused' ? result.error : undefined;
     const position = this.#position;
-    if (needsConfirmation(result))
-      this.options.onFinished({ type: 'completed', position }, refusal);
-    else this.options.onFinished({ type: 'database-error', position }, refusal);
+    const type = needsConfirmation(result) ? 'completed' : 'database-error';
+    const databaseError = result.type === 'database-error' ? READ_ONLY_SQL_STATE : undefined;
+    this.options.onFinished({ type, position }, refusal, databaseError);
   }
 }
--- a/bench/simulation/owner.ts
+++ b/bench/simulation/owner.ts
@@ -15,7 +15,7 @@
 import type { SimulatedClock } from './clock.js';
 import { type LogEntry, positionOf, type SimulatedGroup, type SimulatedInstance } from './group.js';
 import type { RequestRecord, SimulatedHistory } from './history.js';
-import { SimulatedOnceRun } from './once-run.js';
+import { READ_ONLY_SQL_STATE, SimulatedOnceRun } from './once-run.js';
 
 interface OpenConnection {
   readonly instance: SimulatedInstance;
@@ -76,7 +76,9 @@
   }
 
   setInstances(instances: readonly InstanceDescription[]): void {
-    this.descriptions = new Map(instances.map((one) => [one.name, one]));
+    this.process(() => {
+      this.descriptions = new Map(instances.map((one) => [one.name, one]));
+    });
     this.send({ type: 'instances-changed', instances });
   }
 
@@ -95,6 +97,7 @@
       finals: [],
       endedAt: undefined,
       servedByReplica: false,
+      databaseError: undefined,
       refusal: undefined,
       excused: false,
     };
@@ -264,11 +267,12 @@
         const { name } = instance;
         record.executions.push({ attempt, instance: name, at, onDeposed, written, snapshot: [] });
       },
-      onFinished: (result, refusal) => {
+      onFinished: (result, refusal, databaseError) => {
         connection.once = undefined;
         connection.running = undefined;
         record.endedAt = this.clock.now;
         record.refusal = refusal;
+        record.databaseError = databaseError;
         if (result.type === 'connection-lost') this.forget(id);
         this.send({ type: 'run-finished', requestId: request.id, result });
       },
@@ -367,6 +371,7 @@
       });
     const length = instance.writable ? instance.log.length : visible;
     const position = positionOf(instance.timeline, length);
+    record.databaseError = refused ? READ_ONLY_SQL_STATE : undefined;
     if (refused) return { type: 'database-error', position };
     return { type: 'completed', position, answerRelayed: this.clock.chance(0.5) };
   }
