--- a/src/core/group/loads.ts
+++ b/src/core/group/loads.ts
@@ -5,11 +5,17 @@
 
 type Hold = GroupRequest['hold'];
 
+interface TenantLoad {
+  held: number;
+  /** Moving average over the tenant's own statements here. */
+  serviceTimeMs: Milliseconds;
+}
+
 interface Load {
   statements: number;
   transactions: number;
   serviceTimeMs: Milliseconds;
-  readonly byTenant: Map<TenantName, number>;
+  readonly byTenant: Map<TenantName, TenantLoad>;
 }
 
 const INITIAL_SERVICE_TIME_MS = 2;
@@ -18,6 +24,8 @@
 const TRANSACTION_OVERCOMMIT = 0.5;
 /** Slots of an instance that no single tenant may use while others are present. */
 const RESERVED_SLOTS = 1;
+/** A tenant whose statements take longer on average gives slots back too seldom to take most. */
+const LONG_SERVICE_TIME_MS: Milliseconds = 100;
 
 /** Load by instance. */
 export class InstanceLoads {
@@ -38,31 +46,39 @@
 
   /**
    * True if the tenant may use one more slot where others want some, too: one slot is kept from
-   * each tenant, so that a flood of one seldom makes another wait for a slot.
+   * each tenant, so that a flood of one seldom makes another wait for a slot. A tenant with long
+   * statements has an equal share only: others would have to do with the slot that is kept.
    */
-  withinShare(instance: InstanceDescription, tenant: TenantName): boolean {
-    const held = this.of(instance.name).byTenant.get(tenant) ?? 0;
-    return held < Math.max(1, instance.slots - RESERVED_SLOTS);
+  withinShare(instance: InstanceDescription, tenant: TenantName, tenants: number): boolean {
+    const load = this.of(instance.name).byTenant.get(tenant);
+    if (load === undefined) return true;
+    const { slots } = instance;
+    const isLong = load.serviceTimeMs > LONG_SERVICE_TIME_MS;
+    const share = isLong ? Math.floor(slots / Math.max(1, tenants)) : slots - RESERVED_SLOTS;
+    return load.held < Math.max(1, share);
   }
 
   start(name: InstanceName, hold: Hold, tenant: TenantName): void {
     const load = this.of(name);
-    load.byTenant.set(tenant, (load.byTenant.get(tenant) ?? 0) + 1);
+    this.ofTenant(load, tenant).held += 1;
     if (hold === 'statement') load.statements += 1;
     else load.transactions += 1;
   }
 
   finish(name: InstanceName, hold: Hold, tenant: TenantName): void {
     const load = this.of(name);
-    const held = (load.byTenant.get(tenant) ?? 0) - 1;
-    if (held > 0) load.byTenant.set(tenant, held);
-    else load.byTenant.delete(tenant);
+    const own = this.ofTenant(load, tenant);
+    own.held -= 1;
+    if (own.held <= 0 && own.serviceTimeMs <= LONG_SERVICE_TIME_MS) load.byTenant.delete(tenant);
     if (hold === 'statement') load.statements -= 1;
     else load.transactions -= 1;
   }
 
-  recordServiceTime(name: InstanceName, elapsedMs: Milliseconds): void {
+  /** Called before `finish`. */
+  recordServiceTime(name: InstanceName, tenant: TenantName, elapsedMs: Milliseconds): void {
     const load = this.of(name);
+    const own = this.ofTenant(load, tenant);
+    own.serviceTimeMs += (elapsedMs - own.serviceTimeMs) * SERVICE_TIME_WEIGHT;
     load.serviceTimeMs += (elapsedMs - load.serviceTimeMs) * SERVICE_TIME_WEIGHT;
   }
 
@@ -82,6 +98,14 @@
     return total;
   }
 
+  private ofTenant(load: Load, tenant: TenantName): TenantLoad {
+    const known = load.byTenant.get(tenant);
+    if (known !== undefined) return known;
+    const created: TenantLoad = { held: 0, serviceTimeMs: INITIAL_SERVICE_TIME_MS };
+    load.byTenant.set(tenant, created);
+    return created;
+  }
+
   private of(name: InstanceName): Load {
     const known = this.loads.get(name);
     if (known !== undefined) return known;
--- a/test/support/failover-scenario.ts
+++ b/test/support/failover-scenario.ts
@@ -9,7 +9,7 @@
   noOpenTransactions,
 } from './loaded-cluster.js';
 
-const DURATION_MS = 2_500;
+const PART_MS = 2_000;
 const WARM_UP_WRITES = 20;
 /** Writes that have to go through after a fault before it ends. */
 export const WRITES_AFTER = 20;
@@ -36,7 +36,7 @@
   const history = await loadUnderFault({
     cluster,
     seed,
-    durationMs: DURATION_MS,
+    partMs: PART_MS,
     fault: async (progress) => {
       await progress.writesDone(WARM_UP_WRITES);
       const primary = await group.waitForPrimary();
