--- a/bench/simulation/clock.ts
+++ b/bench/simulation/clock.ts
@@ -1,5 +1,5 @@
 /** A simulated clock with seeded randomness: runs scheduled actions in order of time. */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { SeededRandom } from './random.js';
 
 interface ScheduledAction {
   readonly at: number;
@@ -10,23 +10,23 @@
 /** Simulated time in milliseconds. */
 export class SimulatedClock {
   now = 0;
-  private readonly generator;
+  private readonly seeded: SeededRandom;
   private order = 0;
   private actions: ScheduledAction[] = [];
 
   constructor(seed: number) {
-    this.generator = xoroshiro128plus(seed);
+    this.seeded = new SeededRandom(seed);
   }
 
   /** Uniform in [0, 1). */
-  readonly random = (): number => (this.generator.next() >>> 0) / 2 ** 32;
+  readonly random = (): number => this.seeded.next();
 
   between(low: number, high: number): number {
-    return low + this.random() * (high - low);
+    return this.seeded.between(low, high);
   }
 
   chance(probability: number): boolean {
-    return this.random() < probability;
+    return this.seeded.chance(probability);
   }
 
   after(milliseconds: number, action: () => void): void {
