A session ended by force tells 'unknown' of what runs; request ids in debug logs

Cause: found while the docs were written: an UPDATE of 8 s whose tenant was disabled was told MS-NOT-RUN-TENANT-REVOKED and lasted. Change: cut() tells MS-UNKNOWN-SESSION-ENDED if a request runs. Also found there: a dot in a session key's id made all tokens unreadable (refused by the settings now), a second SIGTERM ended a planned stop, the hint told a revoked tenant to come back, request ids were carried and never written (debug lines at both hops).

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -127,7 +127,9 @@
   | 'run-timeout'
   | 'owner-lost'
   /** Done, but not recorded where the session's next node would look for it. */
-  | 'session-not-recorded';
+  | 'session-not-recorded'
+  /** The session was ended by force while the request ran. */
+  | 'session-ended';
 
 /** The request may or may not have run and may or may not last. Never retried by the proxy. */
 export class UnknownOutcomeError extends RequestError {
--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -51,6 +51,7 @@
 
 /** One request in progress, for metrics. */
 interface RunningRequest {
+  readonly requestId: string;
   readonly terms: RequestTerms;
   readonly access: StatementClass['access'];
   readonly startedAt: number;
@@ -122,8 +123,9 @@
 
   /** Ends the session whatever it is doing. */
   cut(error: RequestError): void {
+    const running = this.#connection.busy;
     this.#call?.abandon();
-    this.#connection.terminate(error);
+    this.#connection.terminate(running ? endedWhileRunning(error) : error);
   }
 
   get tenant(): TenantName {
@@ -186,9 +188,15 @@
     const begins = statementClass.transactionControl === 'begin';
     this.#inTransaction = begins;
     this.#blockOpen = false;
-    this.#running = { terms, access: statementClass.access, startedAt: performance.now() };
+    const requestId = this.#options.nextRequestId();
+    this.#running = {
+      requestId,
+      terms,
+      access: statementClass.access,
+      startedAt: performance.now(),
+    };
     this.#call = this.#options.client.open(
-      this.#openMessage(batch, statementClass, markers, policy),
+      this.#openMessage(requestId, batch, statementClass, markers, policy),
       {
         onData: (data) => this.#onData(data),
         onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
@@ -210,6 +218,7 @@
   }
 
   #openMessage(
+    requestId: string,
     batch: CallerBatch,
     statementClass: StatementClass,
     markers: StatementMarkers,
@@ -219,7 +228,7 @@
     const holds = statementClass.transactionControl === 'begin' || markers.once !== undefined;
     return {
       type: 'open',
-      requestId: this.#options.nextRequestId(),
+      requestId,
       group: this.#group,
       tenant: policy.tenant,
       databaseRole: policy.databaseRole,
@@ -369,6 +378,7 @@
     if (running === undefined) return;
     this.#running = undefined;
     this.#options.metrics.requestEnded({
+      requestId: running.requestId,
       kind: running.terms.kind,
       access: running.access,
       outcome,
@@ -379,6 +389,12 @@
   }
 }
 
+/** What runs may last: the reason for the end must not be told as `not run`. */
+function endedWhileRunning(reason: RequestError): RequestError {
+  const message = `the session was ended while its request ran: ${reason.message}`;
+  return new UnknownOutcomeError('session-ended', message);
+}
+
 function settingResult(setting: SessionSetting, shown: string): LocalResult {
   const tag = setting.action.toUpperCase();
   if (setting.action !== 'show') return { tag, columns: [], rows: [] };
--- a/src/node/gateway/request-metrics.ts
+++ b/src/node/gateway/request-metrics.ts
@@ -3,6 +3,8 @@
 import type { Access } from '../../core/request.js';
 
 export interface EndedRequest {
+  /** Follows the request over both hops. */
+  readonly requestId: string;
   readonly kind: string;
   readonly access: Access;
   readonly outcome: 'done' | FailureOutcome;
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -20,7 +20,7 @@
 import type { BackendConnector } from './backend-connector.js';
 import { BatchReceiver } from './batch-transfer.js';
 import { type GroupObserver, GroupRuntime } from './group-runtime.js';
-import { encodeRequestError, type OpenMessage, openSchema } from './messages.js';
+import { encodeRequestError, type OpenMessage, type OwnerMessage, openSchema } from './messages.js';
 import { OwnerStream } from './owner-stream.js';
 import { openFromWire } from './wire-form.js';
 
@@ -148,11 +148,18 @@
     const request = this.#requestOf(open, `${stream.id}/${this.#requestsAccepted}`);
     const work = new OwnerStream(stream, open, {
       abandoned: () => runtime.abandon(request.id),
+      settled: (message) => this.#logEnd(open, message),
       idleTransactionTimeoutMs: this.#idleTransactionTimeoutMs(open.tenant),
     });
     runtime.submit(request, work);
   }
 
+  #logEnd(open: OpenMessage, message: OwnerMessage): void {
+    const { requestId, group, tenant } = open;
+    const end = message.type === 'error' ? message.code : message.type;
+    this.#options.logger.debug('request settled', { requestId, group, tenant, end });
+  }
+
   #idleTransactionTimeoutMs(tenant: TenantName): Milliseconds {
     const policy = this.#policies.get(tenant);
     return policy?.idleTransactionTimeoutMs ?? DEFAULT_IDLE_TRANSACTION_TIMEOUT_MS;
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -37,6 +37,8 @@
   readonly idleTransactionTimeoutMs: Milliseconds;
   /** The gateway or its caller has gone before the request ended. */
   abandoned(): void;
+  /** The last message of the request, for logs. */
+  settled?(message: OwnerMessage): void;
 }
 
 export class OwnerStream implements GroupWork {
@@ -118,6 +120,7 @@
     if (this.#settled) return;
     this.#settled = true;
     clearTimeout(this.#idleTimer);
+    this.#options.settled?.(message);
     this.#relay.close();
     if (this.#callerGone) return;
     this.#stream.send(ownerMessageToWire(message));
--- a/src/node/run-proxy.ts
+++ b/src/node/run-proxy.ts
@@ -19,7 +19,12 @@
   const started = await ProxyNode.start({
     settings,
     logger,
-    metrics: recorder,
+    metrics: {
+      requestEnded: (request) => {
+        recorder.requestEnded(request);
+        logger.debug('request ended', { ...request });
+      },
+    },
   });
   if (started.isErr()) return err(started.error);
   const node = started.value;
@@ -60,7 +65,8 @@
   return new Promise((resolve) => {
     node.onDrained = resolve;
     const stop = (): void => void node.drain();
-    process.once('SIGTERM', stop);
-    process.once('SIGINT', stop);
+    // A second signal must not end the process in the middle of its planned stop.
+    process.on('SIGTERM', stop);
+    process.on('SIGINT', stop);
   });
 }
--- a/src/node/settings-schema.ts
+++ b/src/node/settings-schema.ts
@@ -71,8 +71,8 @@
 const machines = z.strictObject({ endpoint: endpoint.default('http://127.0.0.1:8600') });
 
 const sessionKey = z.strictObject({
-  /** Names the key inside a token, so that keys can be changed without ending sessions. */
-  id: name,
+  /** Names the key inside a token, whose parts are separated by dots. */
+  id: name.refine((id) => !id.includes('.'), { error: 'expected a key id without a dot' }),
   secretHex,
 });
 
--- a/src/postgres/messages.ts
+++ b/src/postgres/messages.ts
@@ -105,7 +105,8 @@
 
 function retryHintOf(error: RequestError): string | undefined {
   if (error.retryAfterMs !== undefined) return `retry after ${Math.ceil(error.retryAfterMs)} ms`;
-  if (error instanceof NotRunError) return 'the request did not run and may be sent again';
+  const comesBack = error instanceof NotRunError && error.reason !== 'tenant-revoked';
+  if (comesBack) return 'the request did not run and may be sent again';
   return undefined;
 }
 
--- a/test/unit/gateway-session.test.ts
+++ b/test/unit/gateway-session.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { TenantPolicy } from '../../src/core/configuration/model.js';
-import { type RequestError, TransactionAbortedError } from '../../src/core/errors.js';
+import { NotRunError, type RequestError, TransactionAbortedError } from '../../src/core/errors.js';
 import { RetryBudget } from '../../src/core/retry/budget.js';
 import { freshSession } from '../../src/core/session/index.js';
 import { GatewaySession } from '../../src/node/gateway/gateway-session.js';
@@ -70,7 +70,11 @@
 
   warn(): void {}
 
-  terminate(): void {}
+  terminated: RequestError | undefined;
+
+  terminate(error: RequestError): void {
+    this.terminated = error;
+  }
 
   writeError(error: RequestError): void {
     this.#error = error;
@@ -112,7 +116,7 @@
     onClosed: () => undefined,
   });
   await session.begin();
-  return caller;
+  return Object.assign(caller, { session });
 }
 
 function abort(stream: PeerStream): void {
@@ -150,4 +154,15 @@
   assert.is(lost.status, 'I');
 });
 
+test('a session that is ended by force never tells that its running request did not run', async () => {
+  const caller = await sessionWith(() => undefined);
+  void caller.query('UPDATE orders SET state = 1');
+  const revoked = new NotRunError('tenant-revoked', 'the tenant has no access any more');
+  caller.session.cut(revoked);
+  assert.is(caller.terminated?.outcome, 'unknown');
+  const idle = await sessionWith(() => undefined);
+  idle.session.cut(revoked);
+  assert.is(idle.terminated, revoked);
+});
+
 test.run();
--- a/test/unit/node-metrics.test.ts
+++ b/test/unit/node-metrics.test.ts
@@ -47,6 +47,7 @@
   recorder.refresh(nodeStatus(groupStatus(20)));
   recorder.refresh(nodeStatus(groupStatus(5)));
   recorder.requestEnded({
+    requestId: 'n1-1',
     kind: 'unlock',
     access: 'write',
     outcome: 'not-run',
