--- a/test/unit/election.test.ts
+++ b/test/unit/election.test.ts
@@ -2,6 +2,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { Candidacy, type Vote, Voter } from '../../src/core/limits/election.js';
+import { DEFAULT_TENANT_LEASE_OPTIONS } from '../../src/core/limits/lease-options.js';
+import { TenantAllocator } from '../../src/core/limits/tenant-allocator.js';
 import { VoterSets } from '../../src/core/limits/voter-sets.js';
 import { loadHash64 } from '../../src/core/ownership/hash.js';
 
@@ -85,4 +87,19 @@
   assert.is(after.coveredSince, 20_000 + LIST_LAG_MS);
 });
 
+test('what voters vouch for counts no further back than the elections that they cover', () => {
+  const now = 1_000_000;
+  const reasonWith = (coveredSince: number): string | undefined => {
+    const lease = { ...DEFAULT_TENANT_LEASE_OPTIONS, maxReportingNodes: 0 };
+    const allocator = new TenantAllocator('t', 'n#1', 10, lease, now);
+    allocator.tick({ voterSets: [['a']], coveredSince, knownNodes: [] }, now);
+    allocator.receiveVote('a', now, voteFor('a1', now, [['a']]), now);
+    const counts = { wanted: 1, needed: 1, holding: 0, inUse: 0 };
+    const answer = allocator.answer({ holder: 'h', number: 1, term: undefined, ...counts }, now);
+    return answer.type === 'refused' ? answer.reason : undefined;
+  };
+  assert.is(reasonWith(now - 100), 'waiting', 'another may still grant');
+  assert.is(reasonWith(0), 'term-unknown', 'it may grant to whoever asks with its term');
+});
+
 test.run();
