Simulated instances: two crashes that overlap end with the first restart

Cause: the second crash's end restarted an instance that was up: its replay went back while its connections held, which no database does (fleet: four reads too stale). Change: a restart of an instance that is up does nothing.

--- a/bench/simulation/group.ts
+++ b/bench/simulation/group.ts
@@ -133,7 +133,9 @@
     breakConnections(instance);
   }
 
+  /** Two crashes that overlap end with the first restart. */
   restart(instance: SimulatedInstance): void {
+    if (instance.up) return;
     instance.up = true;
     if (this.isDeposed(instance)) instance.writable = false;
     // A restarted replica replays again from its last restart point.
