--- a/src/node/settings-schema.ts
+++ b/src/node/settings-schema.ts
@@ -27,8 +27,8 @@
 const port = z.int().min(0).max(65_535);
 const durationMs = z.int().min(1).max(MAX_DURATION_MS);
 const endpoint = z.url({
-  protocol: /^https?$/,
-  error: 'expected a URL such as http://127.0.0.1:2379',
+  protocol: /^http$/,
+  error: 'expected a URL such as http://127.0.0.1:2379 (https is not supported)',
 });
 const secretHex = z
   .string()
@@ -41,6 +41,8 @@
   keyFile: z.string().min(1),
   /** PEM file of the certificate chain. */
   certificateFile: z.string().min(1),
+  /** Refuses log-ins over plain TCP; in the settings file only. */
+  required: z.boolean().default(false),
 });
 
 const callers = z.strictObject({
--- a/src/node/settings-values.ts
+++ b/src/node/settings-values.ts
@@ -68,5 +68,6 @@
   return {
     certificate: readFileSync(tls.certificateFile, 'utf8'),
     privateKey: readFileSync(tls.keyFile, 'utf8'),
+    required: tls.required,
   };
 }
