--- a/bench/simulation/owner.ts
+++ b/bench/simulation/owner.ts
@@ -15,7 +15,7 @@
 import type { SimulatedClock } from './clock.js';
 import { type LogEntry, positionOf, type SimulatedGroup, type SimulatedInstance } from './group.js';
 import type { RequestRecord, SimulatedHistory } from './history.js';
-import { SimulatedOnceRun } from './once-run.js';
+import { READ_ONLY_SQL_STATE, SimulatedOnceRun } from './once-run.js';
 
 interface OpenConnection {
   readonly instance: SimulatedInstance;
@@ -45,11 +45,8 @@
 
 type RunEffect = Extract<GroupEffect, { type: 'run' }>;
 
-const LOSS_PROBABILITY = 0.01;
 const OPEN_TIMEOUT_MS = 400;
 const RETRANSMISSION_MS = 10;
-/** Requests beyond the slots that open transactions may add; see InstanceLoads.hasSlot. */
-const OVERCOMMIT_SHARE = 0.5;
 
 /** One owner with one group machine. */
 export class SimulatedOwner {
@@ -77,7 +74,9 @@
   }
 
   setInstances(instances: readonly InstanceDescription[]): void {
-    this.descriptions = new Map(instances.map((one) => [one.name, one]));
+    this.process(() => {
+      this.descriptions = new Map(instances.map((one) => [one.name, one]));
+    });
     this.send({ type: 'instances-changed', instances });
   }
 
@@ -96,6 +95,7 @@
       finals: [],
       endedAt: undefined,
       servedByReplica: false,
+      databaseError: undefined,
       refusal: undefined,
       excused: false,
     };
@@ -265,11 +265,12 @@
         const { name } = instance;
         record.executions.push({ attempt, instance: name, at, onDeposed, written, snapshot: [] });
       },
-      onFinished: (result, refusal) => {
+      onFinished: (result, refusal, databaseError) => {
         connection.once = undefined;
         connection.running = undefined;
         record.endedAt = this.clock.now;
         record.refusal = refusal;
+        record.databaseError = databaseError;
         if (result.type === 'connection-lost') this.forget(id);
         this.send({ type: 'run-finished', requestId: request.id, result });
       },
@@ -294,6 +295,7 @@
     const { clock } = this;
     const attempt = record.sentAt.length;
     const fate = clock.random();
+    const { lossProbability } = connection.instance;
     const finish = (result: RunResult): void => {
       if (this.connections.get(effect.connectionId) !== connection) return;
       connection.running = undefined;
@@ -302,7 +304,7 @@
       this.send({ type: 'run-finished', requestId: effect.requestId, result });
     };
     const lose = (bytesWritten: boolean): void => finish(lostResult(bytesWritten));
-    if (fate < LOSS_PROBABILITY) {
+    if (fate < lossProbability) {
       clock.after(0.2, () => lose(false));
       return;
     }
@@ -314,7 +316,7 @@
       clock.after(wait + clock.between(service[0] ?? 0, service[1] ?? 0), () => {
         if (!this.isWhole(connection)) return lose(true);
         const result = this.execute(record, attempt, connection.instance);
-        if (fate < 2 * LOSS_PROBABILITY) return lose(true);
+        if (fate < 2 * lossProbability) return lose(true);
         this.deliver(clock.between(0.3, 2), connection.instance, 'answers', () => {
           if (this.isWhole(connection)) finish(result);
           else lose(true);
@@ -367,6 +369,7 @@
       });
     const length = instance.writable ? instance.log.length : visible;
     const position = positionOf(instance.timeline, length);
+    record.databaseError = refused ? READ_ONLY_SQL_STATE : undefined;
     if (refused) return { type: 'database-error', position };
     return { type: 'completed', position, answerRelayed: this.clock.chance(0.5) };
   }
@@ -424,16 +427,12 @@
 
   private checkSlots(name: string): void {
     let running = 0;
-    let transactions = 0;
     for (const connection of this.connections.values()) {
       if (connection.instance.name !== name || connection.running === undefined) continue;
       running += 1;
-      const hold = this.records.get(connection.running)?.request.hold;
-      if (hold === 'transaction') transactions += 1;
     }
     const slots = this.descriptions.get(name)?.slots ?? 0;
-    const limit = slots + Math.min(transactions, Math.ceil(slots * OVERCOMMIT_SHARE));
-    if (running > limit) this.breach(`${running} requests at once on ${name}`);
+    if (running > slots) this.breach(`${running} requests at once on ${name}`);
   }
 
   private breach(message: string): void {
--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -131,6 +131,10 @@
 
   private releaseConnection(run: Run, result: RunResult, now: Milliseconds): void {
     const { pool, monitor, loads } = this.context;
+    const { hold, tenant } = run.entry.request;
+    if (hold === 'statement' && result.type !== 'connection-lost') {
+      loads.recordServiceTime(run.instance, tenant, now - run.dispatchedAt);
+    }
     this.releaseLoad(run);
     if (result.type === 'connection-lost') {
       if (pool.table.remove(run.connectionId) !== undefined) {
@@ -138,13 +142,19 @@
       }
       return;
     }
-    const { hold } = run.entry.request;
-    if (hold === 'statement') loads.recordServiceTime(run.instance, now - run.dispatchedAt);
     pool.giveBack(run.connectionId, now, this.context.effects);
   }
 
+  /** A transaction between two statements uses no slot. */
+  setTransactionIdle(run: Run, idle: boolean): void {
+    if (run.idle === idle) return;
+    run.idle = idle;
+    this.context.loads.setIdle(run.instance, run.entry.request.tenant, idle);
+  }
+
   private releaseLoad(run: Run): void {
     const { request } = run.entry;
+    this.setTransactionIdle(run, false);
     this.context.loads.finish(run.instance, request.hold, request.tenant);
     this.context.admission.recordConnection(request.tenant, -1);
   }
