--- a/test/unit/budget-lease.test.ts
+++ b/test/unit/budget-lease.test.ts
@@ -92,4 +92,29 @@
   assert.is(unleasedConnections(2, 4, OPTIONS), 1);
 });
 
+test('what was taken into use meanwhile is kept under the old share, and reported at once', () => {
+  const holder = new BudgetHolder('h', OPTIONS);
+  const grant = (connections: number, at: number): void => {
+    const { number } = holder.request(at);
+    holder.receive({ type: 'granted', number, connections, mayGrowSoon: false }, at);
+  };
+  grant(10, 1000);
+  holder.setInUse(3);
+  const { number } = holder.request(2000);
+  holder.setInUse(7);
+  holder.receive({ type: 'granted', number, connections: 4, mayGrowSoon: false }, 2001);
+  assert.is(holder.connections(2001), 7);
+  assert.ok(holder.nextRequestAt() <= 2001);
+  assert.is(holder.connections(1000 + leaseMs), 0, 'not beyond the end of the old share');
+  assert.is(holder.request(2002).inUse, 7);
+});
+
+test('less than what was reported as in use is meant so', () => {
+  const holder = new BudgetHolder('h', OPTIONS);
+  holder.setInUse(5);
+  const { number } = holder.request(1000);
+  holder.receive({ type: 'granted', number, connections: 2, mayGrowSoon: false }, 1001);
+  assert.is(holder.connections(1001), 2);
+});
+
 test.run();
