--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -21,6 +21,7 @@
   StatementMarkers,
   TransactionStatus,
 } from '../../postgres/contract.js';
+import { monotonicNow } from '../clock.js';
 import type { OpenMessage } from '../owner/messages.js';
 import { batchMessage } from './batch-message.js';
 import type { GroupAnswerEnd, GroupCall, GroupClient } from './group-client.js';
@@ -193,10 +194,10 @@
       requestId,
       terms,
       access: statementClass.access,
-      startedAt: performance.now(),
+      startedAt: monotonicNow(),
     };
     this.#call = this.#options.client.open(
-      this.#openMessage(requestId, batch, statementClass, markers, policy),
+      this.#openMessage(this.#running, batch, statementClass, markers, policy),
       {
         onData: (data) => this.#onData(data),
         onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
@@ -218,13 +219,12 @@
   }
 
   #openMessage(
-    requestId: string,
+    { requestId, terms }: RunningRequest,
     batch: CallerBatch,
     statementClass: StatementClass,
     markers: StatementMarkers,
     policy: TenantPolicy,
   ): OpenMessage {
-    const terms = requestTerms(policy, markers, statementClass.access);
     const holds = statementClass.transactionControl === 'begin' || markers.once !== undefined;
     return {
       type: 'open',
@@ -384,7 +384,7 @@
       outcome,
       route: fromReplica ? 'replica' : 'primary',
       reason,
-      elapsedMs: performance.now() - running.startedAt,
+      elapsedMs: monotonicNow() - running.startedAt,
     });
   }
 }
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -2,6 +2,7 @@
  * Reaches the owners of a group on behalf of callers: opens a stream to the first owner, moves on to
  * the next one when a request provably did not run, and tells what is known when an owner is lost.
  */
+
 import type { RequestError } from '../../core/errors.js';
 import {
   type MeadowstackError,
@@ -19,6 +20,7 @@
 import { createLocalStreamPair } from '../../peer/local-stream.js';
 import type { TransactionStatus } from '../../postgres/contract.js';
 import { BatchSender, batchHeader } from '../owner/batch-transfer.js';
+import { asBuffer } from '../owner/buffers.js';
 import {
   type BatchMessage,
   decodeRequestError,
@@ -268,7 +270,3 @@
     clearTimeout(this.#retryTimer);
   }
 }
-
-function asBuffer(bytes: Uint8Array): Buffer {
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
--- a/src/node/owner-directory.ts
+++ b/src/node/owner-directory.ts
@@ -11,8 +11,9 @@
 import type { Hash64 } from '../core/ownership/rendezvous.js';
 import type { GroupName, ZoneName } from '../core/request.js';
 import type { Milliseconds } from '../core/units.js';
-import type { NodeIdentity, PeerAddress, PeerTransport, WireValue } from '../peer/contract.js';
+import type { NodeIdentity, PeerTransport, WireValue } from '../peer/contract.js';
 import type { DatabaseMachine } from '../platform/contract.js';
+import { addressOf } from './fleet-nodes.js';
 import type { FleetNode } from './fleet-view.js';
 import type { OwnerReference } from './gateway/group-client.js';
 
@@ -170,10 +171,6 @@
   }
 }
 
-function addressOf(node: FleetNode): PeerAddress {
-  return { host: node.host, port: node.peerPort };
-}
-
 function zonesByGroup(
   machines: readonly DatabaseMachine[],
 ): ReadonlyMap<GroupName, readonly ZoneName[]> {
--- a/src/node/owner/batch-runner.ts
+++ b/src/node/owner/batch-runner.ts
@@ -23,6 +23,7 @@
   BackendConnection,
   TransactionStatus,
 } from '../../postgres/contract.js';
+import { asBuffer } from './buffers.js';
 import type { BatchMessage } from './messages.js';
 
 /** Rows of the trailing query, as text. */
@@ -222,7 +223,3 @@
   const refusedClaim = refusal instanceof OnceClaimRefusedError;
   return refusedClaim && refusal.databaseSqlState === READ_ONLY_SQL_TRANSACTION;
 }
-
-function asBuffer(bytes: Uint8Array): Buffer {
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
--- a/src/node/owner/batch-transfer.ts
+++ b/src/node/owner/batch-transfer.ts
@@ -2,7 +2,9 @@
  * Carries batches from gateway to owner. A small one travels inside its message; a large one follows
  * its message as data, so that flow control holds for it as for answers.
  */
+
 import type { PeerStream } from '../../peer/contract.js';
+import { asBuffer } from './buffers.js';
 import type { BatchMessage } from './messages.js';
 
 /** Batches up to this size travel inside their message. */
@@ -35,7 +37,7 @@
     while (this.#rest.length > 0) {
       const chunk = this.#rest.subarray(0, CHUNK_BYTES);
       this.#rest = this.#rest.subarray(CHUNK_BYTES);
-      const goOn = this.stream.write(Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength));
+      const goOn = this.stream.write(asBuffer(chunk));
       if (!goOn) return;
     }
   }
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -3,6 +3,7 @@
  * closed as the machine list and the members change.
  */
 
+import { setTimeout as pause } from 'node:timers/promises';
 import type { ConfigurationSnapshot, TenantPolicy } from '../../core/configuration/model.js';
 import { DEFAULT_IDLE_TRANSACTION_TIMEOUT_MS } from '../../core/configuration/policy-schema.js';
 import { NotRunError } from '../../core/errors.js';
@@ -44,7 +45,8 @@
 export class OwnerService {
   readonly #options: OwnerServiceOptions;
   readonly #runtimes = new Map<GroupName, GroupRuntime>();
-  #machines: readonly DatabaseMachine[] = [];
+  /** Kept by group: a fleet's list has thousands of machines, and is looked into for each group. */
+  #machines: ReadonlyMap<GroupName, readonly DatabaseMachine[]> = new Map();
   #policies: ReadonlyMap<TenantName, TenantPolicy> = new Map();
   #draining = false;
   #requestsAccepted = 0;
@@ -74,7 +76,7 @@
   }
 
   setMachines(machines: readonly DatabaseMachine[]): void {
-    this.#machines = machines;
+    this.#machines = byGroup(machines);
     this.#options.connector.setMachines(machines);
     this.reconcile();
   }
@@ -95,11 +97,10 @@
 
   /** Brings runtimes in line with the groups that this node owns now. */
   reconcile(): void {
-    const groups = new Set(this.#machines.map((machine) => machine.group));
-    for (const group of groups) {
+    for (const group of this.#machines.keys()) {
       if (this.#options.owns(group)) this.#ensure(group);
     }
-    for (const [group, runtime] of this.#runtimes) this.#refresh(group, runtime, groups.has(group));
+    for (const [group, runtime] of this.#runtimes) this.#refresh(group, runtime);
   }
 
   /** Closes runtimes of groups that are no longer owned, once their last request has ended. */
@@ -216,8 +217,8 @@
     this.#options.logger.info('primary changed', { ...change });
   }
 
-  #refresh(group: GroupName, runtime: GroupRuntime, listed: boolean): void {
-    const owned = listed && this.#options.owns(group);
+  #refresh(group: GroupName, runtime: GroupRuntime): void {
+    const owned = this.#machines.has(group) && this.#options.owns(group);
     if (owned) {
       runtime.setInstances(this.#instancesOf(group));
       return;
@@ -232,15 +233,13 @@
   }
 
   #instancesOf(group: GroupName): InstanceDescription[] {
-    return this.#machines
-      .filter((machine) => machine.group === group)
-      .map((machine) => ({
-        name: machine.name,
-        zone: machine.zone,
-        slots: machine.slots,
-        connectionBudget: this.#options.connectionBudget(machine),
-        leaving: machine.state === 'leaving',
-      }));
+    return (this.#machines.get(group) ?? []).map((machine) => ({
+      name: machine.name,
+      zone: machine.zone,
+      slots: machine.slots,
+      connectionBudget: this.#options.connectionBudget(machine),
+      leaving: machine.state === 'leaving',
+    }));
   }
 
   #sendLimits(group: GroupName, runtime: GroupRuntime): void {
@@ -251,10 +250,6 @@
   }
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 function limitsOf(policy: TenantPolicy): TenantGroupLimits {
   return {
     tenant: policy.tenant,
@@ -266,3 +261,15 @@
     burst: policy.burst,
   };
 }
+
+function byGroup(
+  machines: readonly DatabaseMachine[],
+): ReadonlyMap<GroupName, readonly DatabaseMachine[]> {
+  const groups = new Map<GroupName, DatabaseMachine[]>();
+  for (const machine of machines) {
+    const members = groups.get(machine.group);
+    if (members === undefined) groups.set(machine.group, [machine]);
+    else members.push(machine);
+  }
+  return groups;
+}
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import type { ConfigurationSnapshot } from '../core/configuration/model.js';
 import { MeadowstackError } from '../core/errors.js';
@@ -281,6 +282,8 @@
 
   #onMachines(machines: readonly Machine[]): void {
     this.#fleet.setMachines(machines);
+    this.#owner.setMachines(this.#fleet.databases);
+    this.#owners.setGroups(this.#fleet.databases);
     this.#membership.setListedNodes(this.#fleet.listedProxies.map(listedNode));
     this.#onFleetChanged();
   }
@@ -304,8 +307,6 @@
   #onFleetChanged(): void {
     clearImmediate(this.#fleetChange);
     this.#fleetChange = undefined;
-    this.#owner.setMachines(this.#fleet.databases);
-    this.#owners.setGroups(this.#fleet.databases);
     this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.reconcile();
     this.#configuration.membersChanged();
@@ -333,7 +334,3 @@
 function startError(cause: MeadowstackError): ProxyStartError {
   return new ProxyStartError(`the proxy can not start: ${cause.message}`, { cause });
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
