--- /dev/null
+++ b/src/direct/contract.ts
@@ -0,0 +1,116 @@
+/**
+ * Contracts of the direct gateway: a node that serves callers over a statement protocol and holds its
+ * own connections to every database instance. The platform's spelling of all this (wire, store,
+ * documents) stands behind these interfaces; nothing here knows it.
+ */
+import type { ResultAsync } from 'neverthrow';
+import type { MeadowstackError } from '../core/errors.js';
+import type { Position } from '../core/position.js';
+import type { Milliseconds } from '../core/units.js';
+
+export type RouteConsistency = 'primary' | 'bounded-staleness' | 'read-your-writes';
+
+/** One database name that callers may open, and how its requests are served. */
+export interface RouteDescription {
+  readonly name: string;
+  /** The database's name as callers give it at start. */
+  readonly database: string;
+  /** Database group that serves it. */
+  readonly service: string;
+  readonly consistency: RouteConsistency;
+  /** Greatest age of what a read may miss; 0 on `primary` routes. */
+  readonly maxStalenessMs: Milliseconds;
+  /** Bound of one statement. */
+  readonly timeoutMs: Milliseconds;
+  /** Aim for one operation. */
+  readonly targetLatencyMs: Milliseconds;
+  /** 0 is the highest. */
+  readonly priority: number;
+}
+
+/** One database group as the operator declares it. */
+export interface ServiceDescription {
+  readonly name: string;
+  /** Connections that one instance takes from all its callers. */
+  readonly maxConnections: number;
+  /** Replicas that must have received a commit before it is acknowledged. */
+  readonly syncReplicas: number;
+}
+
+/** The operator's configuration; `version` only grows. */
+export interface PublishedConfiguration {
+  readonly version: number;
+  readonly routes: readonly RouteDescription[];
+  readonly services: readonly ServiceDescription[];
+  /** A transaction at rest for longer may be ended. */
+  readonly transactionIdleMs: Milliseconds;
+}
+
+export type InstanceRole = 'primary' | 'replica';
+
+/** One database instance as it announces itself. */
+export interface InstanceEntry {
+  readonly id: string;
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly zone: string;
+  readonly slots: number;
+  readonly draining: boolean;
+  /** As the instance sees itself. */
+  readonly role: InstanceRole;
+}
+
+/** What an instance says of itself. */
+export interface InstanceStatus {
+  readonly role: InstanceRole;
+  readonly term: number;
+  /** Last position of the log it has received. */
+  readonly received: Position;
+  /** Term that a pause holds it at; 0 if none. */
+  readonly heldTerm: number;
+  readonly lagMs: Milliseconds;
+  readonly busySlots: number;
+  readonly connections: number;
+}
+
+/** Calls to one instance that concern its place in the group. Every failure is typed. */
+export interface InstanceControl {
+  status(instance: InstanceEntry, timeoutMs: Milliseconds): ResultAsync<InstanceStatus, MeadowstackError>;
+  /** Stops a replica from receiving until it is resumed, promoted or restarted. */
+  pause(instance: InstanceEntry, term: number, timeoutMs: Milliseconds): ResultAsync<InstanceStatus, MeadowstackError>;
+  resume(instance: InstanceEntry, timeoutMs: Milliseconds): ResultAsync<InstanceStatus, MeadowstackError>;
+  /** Turns a primary of a lower term into a replica. */
+  demote(instance: InstanceEntry, term: number, timeoutMs: Milliseconds): ResultAsync<InstanceStatus, MeadowstackError>;
+  /** Ends connections kept for this purpose. */
+  close(): void;
+}
+
+export type PromoteOutcome =
+  /** Accepted, or it leads already. */
+  | 'accepted'
+  /** The instance is not running, or another reason that will not pass by asking again. */
+  | 'refused'
+  /** Nothing was done; ask again later. */
+  | 'busy'
+  /** No answer; it may take effect yet. */
+  | 'unknown';
+
+/** Asks the platform to make an instance the primary of its service. */
+export interface PromotionCaller {
+  promote(service: string, instanceId: string, holder: string, fencingToken: number): Promise<PromoteOutcome>;
+}
+
+/** Settings of one direct gateway. */
+export interface DirectSettings {
+  readonly nodeName: string;
+  readonly zone: string;
+  readonly callers: { readonly host: string; readonly port: number };
+  readonly readiness: { readonly host: string; readonly port: number };
+  readonly store: { readonly host: string; readonly port: number; readonly minimumLeaseMs: Milliseconds };
+  /** Absent where the platform gives no promotion call. */
+  readonly promotion: { readonly host: string; readonly port: number } | undefined;
+  readonly gracePeriodMs: Milliseconds;
+  readonly drainTimeoutMs: Milliseconds;
+  readonly configurationApplyMs: Milliseconds;
+}
