--- a/standins/common/token-bucket.ts
+++ b/standins/common/token-bucket.ts
@@ -12,13 +12,13 @@
     this.#tokens = Math.max(1, ratePerSecond);
   }
 
-  /** Takes a token if there is one at `nowMs`. */
-  tryTake(nowMs: number): boolean {
+  /** Takes `price` tokens if there are as many at `nowMs`. */
+  tryTake(nowMs: number, price = 1): boolean {
     const gained = ((nowMs - this.updatedAtMs) / MILLISECONDS_PER_SECOND) * this.ratePerSecond;
     this.#tokens = Math.min(Math.max(1, this.ratePerSecond), this.#tokens + gained);
     this.updatedAtMs = nowMs;
-    if (this.#tokens < 1) return false;
-    this.#tokens -= 1;
+    if (this.#tokens < price) return false;
+    this.#tokens -= price;
     return true;
   }
 }
--- /dev/null
+++ b/standins/direct/instance-faults.ts
@@ -0,0 +1,43 @@
+/** Faults of one database instance, set at the control port. */
+import { z } from 'zod';
+
+/** Body of `POST /instances/:id/faults`. Absent fields stay as they are. */
+export const instanceFaultSettings = z.strictObject({
+  /** Time from receiving an entry to applying it. */
+  lagMs: z.number().min(0).optional(),
+  /** It receives nothing, though it is not paused. */
+  isStalled: z.boolean().optional(),
+  /** Work and new connections take so many times as long. */
+  slowFactor: z.number().min(0).optional(),
+  /** So many next answers to reads, writes and commits are lost: run, and the connection breaks. */
+  loseAnswers: z.int().min(0).optional(),
+  /** So many next answers break off after the rows. */
+  breakAnswers: z.int().min(0).optional(),
+  /** So many next reads and writes run and fail. */
+  failNext: z.int().min(0).optional(),
+  /** Every read, write, commit and STATUS is answered with BUSY. */
+  isBusy: z.boolean().optional(),
+  /** Its heartbeats do not reach the store. */
+  isSilentToStore: z.boolean().optional(),
+});
+export type InstanceFaultSettings = z.infer<typeof instanceFaultSettings>;
+
+export interface InstanceFaults {
+  slowFactor: number;
+  loseAnswers: number;
+  breakAnswers: number;
+  failNext: number;
+  isBusy: boolean;
+  isSilentToStore: boolean;
+}
+
+export function noInstanceFaults(): InstanceFaults {
+  return {
+    slowFactor: 1,
+    loseAnswers: 0,
+    breakAnswers: 0,
+    failNext: 0,
+    isBusy: false,
+    isSilentToStore: false,
+  };
+}
