--- /dev/null
+++ b/src/direct/caller-session.ts
@@ -0,0 +1,380 @@
+/**
+ * One caller's session: takes its messages in order and writes exactly one answer to each. Values and
+ * prepared statements live here; connections to instances are borrowed for a statement or transaction.
+ */
+import { createHash } from 'node:crypto';
+import type { Position } from '../core/position.js';
+import type { PreparedStatement } from '../core/statements/session-values.js';
+import type {
+  Statement,
+  StatementErrorCode,
+  TransactionState,
+} from '../core/statements/statement.js';
+import type { Milliseconds } from '../core/units.js';
+import type { RouteDescription } from './contract.js';
+import type { ServiceRuntime } from './service-runtime.js';
+import type { StatementOutcome, StatementRequest, StatementRunner } from './statement-runner.js';
+import { Transaction } from './transaction.js';
+import type { CallerMessage, StatementWire } from './wire.js';
+
+/** Values and prepared statements that one session may hold, so that none exhausts the node. */
+const MAX_SESSION_ENTRIES = 256;
+const SHARED_NAME_LENGTH = 16;
+
+/** What a database name leads to now. */
+export interface RouteLookup {
+  find(database: string): { route: RouteDescription; service: ServiceRuntime } | undefined;
+  readonly transactionIdleMs: Milliseconds;
+}
+
+export interface CallerSessionOptions {
+  readonly wire: StatementWire;
+  readonly runner: StatementRunner;
+  readonly routes: RouteLookup;
+  readonly now: () => Milliseconds;
+  readonly counters: SessionCounters;
+  write(text: string): void;
+  end(): void;
+}
+
+/** Counted over all sessions of the process. */
+export interface SessionCounters {
+  statements: number;
+  refused: number;
+  failed: number;
+  transactionsIdled: number;
+}
+
+type StatementMessage = Extract<CallerMessage, { type: 'statement' }>;
+
+export class CallerSession {
+  #database: string | undefined;
+  readonly #values = new Map<string, string>();
+  readonly #prepared = new Map<string, PreparedStatement>();
+  #transaction: Transaction | undefined;
+  #state: TransactionState = 'idle';
+  #lastWritten: Position | undefined;
+  #writtenService: string | undefined;
+  readonly #queue: CallerMessage[] = [];
+  #busy = false;
+  #ended = false;
+  #idleTimer: NodeJS.Timeout | undefined;
+  /** The transaction was ended for resting too long, and the caller has not heard of it yet. */
+  #idledOut = false;
+  /** Called when a message has been answered. */
+  onRest: (() => void) | undefined;
+
+  constructor(private readonly options: CallerSessionOptions) {}
+
+  /** True between requests and outside any transaction. */
+  get atRest(): boolean {
+    return !this.#busy && this.#queue.length === 0 && this.#state === 'idle';
+  }
+
+  /** True while an answer is owed. */
+  get busy(): boolean {
+    return this.#busy || this.#queue.length > 0;
+  }
+
+  /** Takes one message; answers come in the order of the messages. */
+  receive(message: CallerMessage): void {
+    if (this.#ended) return;
+    this.#queue.push(message);
+    if (!this.#busy) void this.#work();
+  }
+
+  /** The caller has gone: what it began is rolled back. */
+  close(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#queue.length = 0;
+    clearTimeout(this.#idleTimer);
+    if (!this.#busy) this.#dropTransaction();
+  }
+
+  async #work(): Promise<void> {
+    this.#busy = true;
+    for (let message = this.#queue.shift(); message !== undefined; message = this.#queue.shift()) {
+      clearTimeout(this.#idleTimer);
+      await this.#handle(message);
+      if (this.#ended) break;
+    }
+    this.#busy = false;
+    if (this.#ended) this.#dropTransaction();
+    else {
+      this.#watchIdleTransaction();
+      this.onRest?.();
+    }
+  }
+
+  #dropTransaction(): void {
+    this.#transaction?.abandon();
+    this.#transaction = undefined;
+  }
+
+  #watchIdleTransaction(): void {
+    if (this.#transaction === undefined) return;
+    const idleMs = this.options.routes.transactionIdleMs;
+    this.#idleTimer = setTimeout(() => {
+      this.options.counters.transactionsIdled += 1;
+      this.#dropTransaction();
+      this.#state = 'failed';
+      this.#idledOut = true;
+    }, idleMs);
+  }
+
+  async #handle(message: CallerMessage): Promise<void> {
+    switch (message.type) {
+      case 'start':
+        this.#start(message.database);
+        return;
+      case 'terminate':
+        this.#end();
+        return;
+      case 'malformed':
+        this.options.write(this.options.wire.encodeError('malformed', message.reason));
+        this.#end();
+        return;
+      case 'statement':
+        if (this.#database === undefined) {
+          this.options.write(this.options.wire.encodeError('malformed', 'no session was started'));
+          this.#end();
+          return;
+        }
+        this.options.counters.statements += 1;
+        await this.#statement(message, message.statement);
+    }
+  }
+
+  #end(): void {
+    this.#ended = true;
+    this.options.end();
+  }
+
+  #start(database: string): void {
+    const { wire, routes } = this.options;
+    if (this.#database !== undefined) {
+      this.options.write(wire.encodeError('malformed', 'the session was started before'));
+      this.#end();
+      return;
+    }
+    if (routes.find(database) === undefined) {
+      this.options.write(wire.encodeError('no-database', 'no such database'));
+      this.#end();
+      return;
+    }
+    this.#database = database;
+    this.options.write(wire.encodeReady('idle', undefined));
+  }
+
+  async #statement(message: StatementMessage, statement: Statement): Promise<void> {
+    if (this.#state === 'failed' && statement.type !== 'commit' && statement.type !== 'rollback') {
+      const idled = this.#idledOut;
+      this.#idledOut = false;
+      if (idled) this.#refuse('aborted', 'the transaction rested too long');
+      else this.#refuse('malformed', 'the transaction has failed; only its end is possible');
+      return;
+    }
+    switch (statement.type) {
+      case 'begin':
+        this.#begin(statement.readOnly);
+        return;
+      case 'commit':
+        await this.#commit(message);
+        return;
+      case 'rollback':
+        this.#rollback();
+        return;
+      case 'set':
+        this.#set(statement.name, statement.value);
+        return;
+      case 'prepare':
+        this.#prepare(statement);
+        return;
+      case 'deallocate':
+        if (this.#prepared.delete(statement.name)) this.#complete();
+        else this.#refuse('unprepared', statement.name);
+        return;
+      case 'run':
+        await this.#run(message, statement.access, undefined, undefined);
+        return;
+      case 'execute':
+        await this.#execute(message, statement);
+        return;
+      case 'invalid':
+        this.#refuse('malformed', statement.reason);
+    }
+  }
+
+  #begin(readOnly: boolean): void {
+    const found = this.#route();
+    if (this.#state !== 'idle') {
+      this.#refuse('malformed', 'a transaction is open');
+      return;
+    }
+    if (found === undefined) {
+      this.#refuse('no-database', 'no such database');
+      return;
+    }
+    this.#transaction = new Transaction(readOnly, found.route, found.service, this.options.runner);
+    this.#state = 'open';
+    this.#complete();
+  }
+
+  async #commit(message: StatementMessage): Promise<void> {
+    if (this.#state === 'idle') {
+      this.#refuse('malformed', 'no transaction is open');
+      return;
+    }
+    const transaction = this.#transaction;
+    this.#transaction = undefined;
+    const failed = this.#state === 'failed';
+    this.#state = 'idle';
+    this.#idledOut = false;
+    if (failed || transaction === undefined) {
+      this.#refuse('aborted', 'the transaction was rolled back');
+      return;
+    }
+    const { wire } = this.options;
+    const outcome = await transaction.commit({
+      ...this.#request(transaction.route, transaction.service),
+      access: 'write',
+      prepared: undefined,
+      encode: () => wire.encodeStatement(message.id, message.text, undefined),
+    });
+    if (transaction.wrote) this.#noteWritten(outcome, transaction.service);
+    this.#answer(outcome);
+  }
+
+  #rollback(): void {
+    if (this.#state === 'idle') {
+      this.#refuse('malformed', 'no transaction is open');
+      return;
+    }
+    this.#dropTransaction();
+    this.#state = 'idle';
+    this.#idledOut = false;
+    this.#complete();
+  }
+
+  #set(name: string, value: string): void {
+    if (!this.#values.has(name) && this.#values.size >= MAX_SESSION_ENTRIES) {
+      this.#refuse('too-large', 'too many values');
+      return;
+    }
+    this.#values.set(name, value);
+    this.#complete();
+  }
+
+  #prepare(statement: Extract<Statement, { type: 'prepare' }>): void {
+    const { name, access, shape } = statement;
+    if (!this.#prepared.has(name) && this.#prepared.size >= MAX_SESSION_ENTRIES) {
+      this.#refuse('too-large', 'too many prepared statements');
+      return;
+    }
+    this.#prepared.set(name, { access, shape, sharedName: sharedNameOf(access, shape) });
+    this.#complete();
+  }
+
+  async #execute(
+    message: StatementMessage,
+    statement: Extract<Statement, { type: 'execute' }>,
+  ): Promise<void> {
+    const prepared = this.#prepared.get(statement.name);
+    if (prepared === undefined) {
+      this.#fail({ type: 'refused', refusal: { code: 'unprepared', text: statement.name } });
+      return;
+    }
+    await this.#run(message, prepared.access, prepared, statement.argumentText);
+  }
+
+  async #run(
+    message: StatementMessage,
+    access: 'read' | 'write',
+    prepared: PreparedStatement | undefined,
+    argumentText: string | undefined,
+  ): Promise<void> {
+    const { wire, runner } = this.options;
+    const encode = (after: Position | undefined): string =>
+      prepared === undefined || argumentText === undefined
+        ? wire.encodeStatement(message.id, message.text, after)
+        : wire.encodeExecute(message.id, prepared.sharedName, argumentText, after);
+    const transaction = this.#transaction;
+    if (transaction !== undefined) {
+      const base = this.#request(transaction.route, transaction.service);
+      const outcome = await transaction.run({ ...base, access, prepared, encode });
+      this.#answer(outcome);
+      return;
+    }
+    const found = this.#route();
+    if (found === undefined) {
+      this.#refuse('no-database', 'no such database');
+      return;
+    }
+    const { route, service } = found;
+    const base = this.#request(route, service);
+    const outcome = await runner.run({ ...base, route, service, access, prepared, encode });
+    if (access === 'write') this.#noteWritten(outcome, service);
+    this.#answer(outcome);
+  }
+
+  #route(): ReturnType<RouteLookup['find']> {
+    return this.#database === undefined ? undefined : this.options.routes.find(this.#database);
+  }
+
+  #request(
+    route: RouteDescription,
+    service: ServiceRuntime,
+  ): Pick<StatementRequest, 'session' | 'deadline'> {
+    const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
+    return {
+      session: { values: this.#values, lastWritten },
+      deadline: this.options.now() + route.timeoutMs,
+    };
+  }
+
+  #noteWritten(outcome: StatementOutcome, service: ServiceRuntime): void {
+    if (outcome.type !== 'answered' || outcome.answer.error !== undefined) return;
+    this.#lastWritten = outcome.answer.position;
+    this.#writtenService = service.name;
+  }
+
+  #answer(outcome: StatementOutcome): void {
+    if (outcome.type === 'refused' || outcome.answer.error !== undefined) {
+      this.#fail(outcome);
+      return;
+    }
+    const { wire } = this.options;
+    const ready = wire.encodeReady(this.#state, outcome.answer.position);
+    this.options.write(outcome.answer.payload + ready);
+  }
+
+  /** Tells an error; a transaction that was open has failed with it. */
+  #fail(outcome: StatementOutcome): void {
+    const { counters } = this.options;
+    const error = outcome.type === 'refused' ? outcome.refusal : outcome.answer.error;
+    if (outcome.type === 'refused') counters.refused += 1;
+    else counters.failed += 1;
+    this.#refuse(error?.code ?? 'failed', error?.text ?? '');
+  }
+
+  #complete(): void {
+    const { wire } = this.options;
+    this.options.write(wire.encodeCompletion() + wire.encodeReady(this.#state, undefined));
+  }
+
+  #refuse(code: StatementErrorCode, text: string): void {
+    const { wire } = this.options;
+    if (this.#state === 'open') {
+      this.#dropTransaction();
+      this.#state = 'failed';
+    }
+    this.options.write(wire.encodeError(code, text) + wire.encodeReady(this.#state, undefined));
+  }
+}
+
+/** One name for equal content, whoever prepared it. */
+function sharedNameOf(access: string, shape: string): string {
+  const digest = createHash('sha256').update(`${access} ${shape}`).digest('hex');
+  return `p${digest.slice(0, SHARED_NAME_LENGTH)}`;
+}
--- /dev/null
+++ b/src/direct/errors.ts
@@ -0,0 +1,38 @@
+/** Failures between the direct gateway and one instance. */
+import { MeadowstackError } from '../core/errors.js';
+import type { StatementErrorCode } from '../core/statements/statement.js';
+
+/** The connection to an instance could not be opened. Nothing was sent. */
+export class InstanceConnectError extends MeadowstackError {
+  readonly code = 'MS-INSTANCE-CONNECT';
+
+  constructor(
+    message: string,
+    /** What the instance answered, if it did. */
+    readonly answer: StatementErrorCode | undefined,
+  ) {
+    super(message);
+  }
+}
+
+/** The connection ended before the whole answer came; what was sent may have run. */
+export class InstanceConnectionLostError extends MeadowstackError {
+  readonly code = 'MS-INSTANCE-CONNECTION-LOST';
+}
+
+/** No connection became free in the time that the statement could wait. Nothing was sent. */
+export class InstanceWaitTimeoutError extends MeadowstackError {
+  readonly code = 'MS-INSTANCE-WAIT-TIMEOUT';
+}
+
+/** An instance did not answer a control call in time, or refused it. */
+export class InstanceControlError extends MeadowstackError {
+  readonly code = 'MS-INSTANCE-CONTROL';
+
+  constructor(
+    message: string,
+    readonly answer: StatementErrorCode | undefined,
+  ) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/src/direct/gateway.ts
@@ -0,0 +1,214 @@
+/**
+ * The direct gateway put together: routes and instances come in, callers are served, and a planned
+ * stop ends it without cutting what runs.
+ */
+import type { Milliseconds } from '../core/units.js';
+import { CallerServer } from './caller-server.js';
+import type { RouteLookup, SessionCounters } from './caller-session.js';
+import type {
+  DirectSettings,
+  InstanceEntry,
+  PublishedConfiguration,
+  RouteDescription,
+} from './contract.js';
+import type { PoolCounters } from './instance-pool.js';
+import type { PrimaryView } from './primary-view.js';
+import { ServiceRuntime } from './service-runtime.js';
+import { StatementRunner } from './statement-runner.js';
+import type { StatementWire } from './wire.js';
+import { pause } from './within.js';
+
+const CONNECT_TIMEOUT_MS = 500;
+const RECONNECT_DELAY_MS = 200;
+/** The primary's log position is asked for when the newest known one is older than this. */
+const SAMPLE_INTERVAL_MS = 400;
+const SAMPLE_CHECK_MS = 100;
+const SAMPLE_TIMEOUT_MS = 500;
+const SAMPLE_PRIORITY = 0;
+const NO_VALUES: ReadonlyMap<string, string> = new Map();
+/** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
+const DRAIN_DELAY_MS = 2200;
+const DRAIN_CHECK_MS = 50;
+/** Part of the grace period that open transactions get. */
+const TRANSACTION_GRACE_SHARE = 0.8;
+
+export interface DirectGatewayOptions {
+  readonly settings: DirectSettings;
+  readonly wire: StatementWire;
+  readonly view: PrimaryView;
+  readonly now: () => Milliseconds;
+  readonly random: () => number;
+}
+
+export interface DirectCounters extends SessionCounters, PoolCounters {
+  samplesAsked: number;
+}
+
+export class DirectGateway implements RouteLookup {
+  readonly counters: DirectCounters = {
+    statements: 0,
+    refused: 0,
+    failed: 0,
+    transactionsIdled: 0,
+    connectionsOpened: 0,
+    connectFailures: 0,
+    waitTimeouts: 0,
+    samplesAsked: 0,
+  };
+  readonly #services = new Map<string, ServiceRuntime>();
+  readonly #server: CallerServer;
+  readonly #runner: StatementRunner;
+  #routes = new Map<string, RouteDescription>();
+  #configuration: PublishedConfiguration | undefined;
+  #instances: ReadonlyMap<string, InstanceEntry> = new Map();
+  #stopping = false;
+  #sampler: NodeJS.Timeout | undefined;
+  readonly #sampling = new Set<string>();
+
+  constructor(private readonly options: DirectGatewayOptions) {
+    const { wire, view, now, random } = options;
+    this.#runner = new StatementRunner({ wire, view, now, random });
+    this.#server = new CallerServer({
+      wire,
+      runner: this.#runner,
+      routes: this,
+      now,
+      counters: this.counters,
+    });
+  }
+
+  get transactionIdleMs(): Milliseconds {
+    return this.#configuration?.transactionIdleMs ?? 0;
+  }
+
+  get version(): number | undefined {
+    return this.#configuration?.version;
+  }
+
+  /** True once requests can be served, until a stop is asked for. */
+  get ready(): boolean {
+    return !this.#stopping && this.#configuration !== undefined && this.#instances.size > 0;
+  }
+
+  get sessionCount(): number {
+    return this.#server.sessionCount;
+  }
+
+  async start(): Promise<void> {
+    await this.#server.listen(this.options.settings.callers);
+    this.#sampler = setInterval(() => this.#samplePositions(), SAMPLE_CHECK_MS);
+  }
+
+  find(database: string): ReturnType<RouteLookup['find']> {
+    const route = this.#routes.get(database);
+    if (route === undefined) return undefined;
+    const service = this.#services.get(route.service);
+    return service === undefined ? undefined : { route, service };
+  }
+
+  /** Takes a configuration; an older one than that in force is left out. */
+  setConfiguration(configuration: PublishedConfiguration): void {
+    if (this.#configuration !== undefined && configuration.version <= this.#configuration.version) {
+      return;
+    }
+    this.#configuration = configuration;
+    this.#routes = new Map(configuration.routes.map((route) => [route.database, route]));
+    for (const description of configuration.services) {
+      this.#service(description.name).setMaxConnections(description.maxConnections);
+    }
+    this.setInstances(this.#instances);
+  }
+
+  /** Takes the instances that are announced now. */
+  setInstances(instances: ReadonlyMap<string, InstanceEntry>): void {
+    this.#instances = instances;
+    for (const [name, service] of this.#services) {
+      service.setInstances([...instances.values()].filter((entry) => entry.service === name));
+    }
+  }
+
+  /** The number of nodes that share the instances' connections has changed. */
+  shareConnections(): void {
+    for (const service of this.#services.values()) service.shareConnections();
+  }
+
+  /** Planned stop: no request is cut; resolves when the process may end. */
+  async stop(): Promise<void> {
+    if (this.#stopping) return;
+    this.#stopping = true;
+    const { now, settings } = this.options;
+    const end = now() + settings.gracePeriodMs * TRANSACTION_GRACE_SHARE;
+    await pause(Math.min(DRAIN_DELAY_MS, settings.gracePeriodMs / 2));
+    this.#server.drain();
+    while (this.#server.sessionCount > 0 && now() < end) await pause(DRAIN_CHECK_MS);
+    this.#server.close();
+    clearInterval(this.#sampler);
+    for (const service of this.#services.values()) service.close();
+  }
+
+  #service(name: string): ServiceRuntime {
+    const known = this.#services.get(name);
+    if (known !== undefined) return known;
+    const { settings, wire, view, now } = this.options;
+    const service = new ServiceRuntime(name, {
+      zone: settings.zone,
+      drainTimeoutMs: settings.drainTimeoutMs,
+      view,
+      now,
+      pool: {
+        wire,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        reconnectDelayMs: RECONNECT_DELAY_MS,
+        now,
+        counters: this.counters,
+      },
+    });
+    this.#services.set(name, service);
+    return service;
+  }
+
+  /** Only services whose routes allow reads of some age need fresh positions. */
+  #samplePositions(): void {
+    const wanted = new Set<string>();
+    for (const route of this.#routes.values()) {
+      if (route.maxStalenessMs > 0) wanted.add(route.service);
+    }
+    const now = this.options.now();
+    for (const name of wanted) {
+      const service = this.#services.get(name);
+      const newest = service?.samples.newestAt() ?? Number.NEGATIVE_INFINITY;
+      if (service === undefined || this.#sampling.has(name)) continue;
+      if (now - newest < SAMPLE_INTERVAL_MS) continue;
+      void this.#samplePosition(service);
+    }
+  }
+
+  /** Asks the primary for its position by a message that takes no slot there. */
+  async #samplePosition(service: ServiceRuntime): Promise<void> {
+    const { now, view, wire } = this.options;
+    const primary = service.primary(now());
+    if (primary === undefined) return;
+    this.#sampling.add(service.name);
+    this.counters.samplesAsked += 1;
+    const deadline = now() + SAMPLE_TIMEOUT_MS;
+    const acquired = await primary.pool.acquire(NO_VALUES, SAMPLE_PRIORITY, deadline);
+    if (acquired.isErr()) {
+      this.#runner.noteFailure({ service }, primary);
+    } else {
+      const connection = acquired.value;
+      const sentAt = now();
+      connection.values.clear();
+      connection.preparedNames.clear();
+      const exchange = connection.exchange(wire.encodeReset());
+      const answer = await this.#runner.awaitAnswer(exchange, connection, primary, deadline);
+      if (answer?.isOk() === true) {
+        primary.pool.release(connection);
+        service.noteAnswer(primary, sentAt, answer.value.position);
+        view.reportPrimarySuccess(service.name, now());
+      } else {
+        this.#runner.noteFailure({ service }, primary);
+      }
+    }
+    this.#sampling.delete(service.name);
+  }
+}
--- /dev/null
+++ b/src/direct/instance-pool.ts
@@ -0,0 +1,219 @@
+/**
+ * Connections of this node to one instance: a share of what the instance takes, opened on demand,
+ * with a queue for those who wait. A connection is given to one statement or transaction at a time.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { synchronisationCost } from '../core/statements/session-values.js';
+import type { Milliseconds } from '../core/units.js';
+import type { InstanceEntry } from './contract.js';
+import { InstanceConnectError, InstanceWaitTimeoutError } from './errors.js';
+import { type InstanceConnection, openInstanceConnection } from './instance-connection.js';
+import type { StatementWire } from './wire.js';
+
+export interface InstancePoolOptions {
+  readonly wire: StatementWire;
+  readonly connectTimeoutMs: Milliseconds;
+  /** After a failed opening, the next is tried no sooner than this. */
+  readonly reconnectDelayMs: Milliseconds;
+  readonly now: () => Milliseconds;
+  readonly counters: PoolCounters;
+}
+
+/** Counted over all pools of the process. */
+export interface PoolCounters {
+  connectionsOpened: number;
+  connectFailures: number;
+  waitTimeouts: number;
+}
+
+export type AcquireError = InstanceConnectError | InstanceWaitTimeoutError;
+
+interface Waiter {
+  readonly priority: number;
+  readonly values: ReadonlyMap<string, string>;
+  readonly settle: (connection: Result<InstanceConnection, AcquireError>) => void;
+  timer: NodeJS.Timeout | undefined;
+}
+
+const INITIAL_ANSWER_MS = 25;
+const ANSWER_SMOOTHING = 0.1;
+
+export class InstancePool {
+  readonly #idle: InstanceConnection[] = [];
+  readonly #waiters: Waiter[] = [];
+  readonly #all = new Set<InstanceConnection>();
+  #opening = 0;
+  #limit: number;
+  #retryAt: Milliseconds = 0;
+  #closed = false;
+  /** Statements of this node that run at the instance or wait for it. */
+  outstanding = 0;
+  /** Recent time of an answer. */
+  answerMs: Milliseconds = INITIAL_ANSWER_MS;
+  /** Reads avoid the instance until then. */
+  avoidUntil: Milliseconds = 0;
+
+  constructor(
+    public instance: InstanceEntry,
+    limit: number,
+    private readonly options: InstancePoolOptions,
+  ) {
+    this.#limit = limit;
+  }
+
+  get size(): number {
+    return this.#all.size + this.#opening;
+  }
+
+  get waiting(): number {
+    return this.#waiters.length;
+  }
+
+  /** Whether a statement given now would find a connection at once. */
+  get hasIdle(): boolean {
+    return this.#idle.length > 0;
+  }
+
+  setLimit(limit: number): void {
+    this.#limit = limit;
+    while (this.#all.size > limit) {
+      const surplus = this.#idle.shift();
+      if (surplus === undefined) break;
+      surplus.close();
+    }
+    this.#openForWaiters();
+  }
+
+  noteAnswer(elapsedMs: Milliseconds): void {
+    this.answerMs += (elapsedMs - this.answerMs) * ANSWER_SMOOTHING;
+  }
+
+  /** A free connection, opened if need be, by the deadline at the latest. */
+  acquire(
+    values: ReadonlyMap<string, string>,
+    priority: number,
+    deadline: Milliseconds,
+  ): Promise<Result<InstanceConnection, AcquireError>> {
+    const idle = this.#takeIdle(values);
+    if (idle !== undefined) return Promise.resolve(ok(idle));
+    return new Promise((settle) => {
+      const waiter: Waiter = { priority, values, settle, timer: undefined };
+      const waitMs = Math.max(0, deadline - this.options.now());
+      waiter.timer = setTimeout(() => this.#expire(waiter), waitMs);
+      const behind = this.#waiters.findIndex((other) => other.priority > priority);
+      this.#waiters.splice(behind < 0 ? this.#waiters.length : behind, 0, waiter);
+      this.#openForWaiters();
+    });
+  }
+
+  /** Gives a connection back; it is at rest outside any transaction. */
+  release(connection: InstanceConnection): void {
+    if (connection.closed) {
+      this.#openForWaiters();
+      return;
+    }
+    if (this.#closed || this.#all.size > this.#limit) {
+      connection.close();
+      return;
+    }
+    const waiter = this.#waiters.shift();
+    if (waiter === undefined) this.#idle.push(connection);
+    else this.#serve(waiter, connection);
+  }
+
+  /** Ends all idle connections and takes no more; those in use end when they are released. */
+  close(): void {
+    this.#closed = true;
+    for (const connection of this.#idle.splice(0)) connection.close();
+    this.#failWaiters(new InstanceConnectError(`${this.instance.id}: closed`, undefined));
+  }
+
+  /** Cuts everything, as after the instance has gone. */
+  destroy(): void {
+    this.close();
+    for (const connection of [...this.#all]) connection.close();
+  }
+
+  #takeIdle(values: ReadonlyMap<string, string>): InstanceConnection | undefined {
+    let best = -1;
+    let bestCost = Number.POSITIVE_INFINITY;
+    // The latest used first: others may then rest long enough to be surplus.
+    for (let index = this.#idle.length - 1; index >= 0; index -= 1) {
+      const connection = this.#idle[index];
+      if (connection === undefined) continue;
+      const cost = synchronisationCost(values, connection.values);
+      if (cost < bestCost) {
+        best = index;
+        bestCost = cost;
+      }
+      if (cost === 0) break;
+    }
+    return best < 0 ? undefined : this.#idle.splice(best, 1)[0];
+  }
+
+  #serve(waiter: Waiter, connection: InstanceConnection): void {
+    clearTimeout(waiter.timer);
+    waiter.settle(ok(connection));
+  }
+
+  #expire(waiter: Waiter): void {
+    const index = this.#waiters.indexOf(waiter);
+    if (index < 0) return;
+    this.#waiters.splice(index, 1);
+    this.options.counters.waitTimeouts += 1;
+    waiter.settle(err(new InstanceWaitTimeoutError(`${this.instance.id}: no connection was free`)));
+  }
+
+  #failWaiters(error: InstanceConnectError): void {
+    for (const waiter of this.#waiters.splice(0)) {
+      clearTimeout(waiter.timer);
+      waiter.settle(err(error));
+    }
+  }
+
+  #openForWaiters(): void {
+    while (!this.#closed && this.#opening < this.#waiters.length && this.size < this.#limit) {
+      if (this.options.now() < this.#retryAt && this.#all.size > 0) return;
+      if (this.options.now() < this.#retryAt) {
+        this.#failWaiters(
+          new InstanceConnectError(`${this.instance.id}: not reachable`, undefined),
+        );
+        return;
+      }
+      void this.#open();
+    }
+  }
+
+  async #open(): Promise<void> {
+    this.#opening += 1;
+    const opened = await openInstanceConnection({
+      wire: this.options.wire,
+      instance: this.instance,
+      connectTimeoutMs: this.options.connectTimeoutMs,
+    });
+    this.#opening -= 1;
+    if (opened.isErr()) {
+      this.#openFailed(opened.error);
+      return;
+    }
+    const connection = opened.value;
+    this.options.counters.connectionsOpened += 1;
+    this.#all.add(connection);
+    connection.onClose = () => this.#forget(connection);
+    this.release(connection);
+  }
+
+  #openFailed(error: InstanceConnectError): void {
+    this.options.counters.connectFailures += 1;
+    this.#retryAt = this.options.now() + this.options.reconnectDelayMs;
+    // Those who wait may still be served by the connections that are there.
+    if (this.#all.size === 0) this.#failWaiters(error);
+  }
+
+  #forget(connection: InstanceConnection): void {
+    this.#all.delete(connection);
+    const index = this.#idle.indexOf(connection);
+    if (index >= 0) this.#idle.splice(index, 1);
+    this.#openForWaiters();
+  }
+}
--- /dev/null
+++ b/src/direct/line-splitter.ts
@@ -0,0 +1,29 @@
+/** Cuts a byte stream into messages that end with CR LF, with a bound on their length. */
+
+const CARRIAGE_RETURN = 0x0d;
+const LINE_FEED = 0x0a;
+
+export class LineSplitter {
+  #rest: Buffer = Buffer.alloc(0);
+
+  constructor(private readonly maxBytes: number) {}
+
+  /** Whole lines so far, without their ends; `undefined` in place of one that is too long. */
+  push(chunk: Buffer): (string | undefined)[] {
+    const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+    const lines: (string | undefined)[] = [];
+    let start = 0;
+    let from = 0;
+    for (;;) {
+      const end = data.indexOf(LINE_FEED, from);
+      if (end < 0) break;
+      from = end + 1;
+      if (end === start || data[end - 1] !== CARRIAGE_RETURN) continue;
+      lines.push(end - start > this.maxBytes ? undefined : data.toString('utf8', start, end - 1));
+      start = end + 1;
+    }
+    this.#rest = data.subarray(start);
+    if (this.#rest.length > this.maxBytes) lines.push(undefined);
+    return lines;
+  }
+}
--- /dev/null
+++ b/src/direct/service-runtime.ts
@@ -0,0 +1,169 @@
+/** One database group as this node uses it: a pool for each instance, and what is known of its log. */
+import type { Position } from '../core/position.js';
+import type { InstanceLoad } from '../core/statements/instance-choice.js';
+import { PositionSamples } from '../core/statements/position-samples.js';
+import type { Milliseconds } from '../core/units.js';
+import type { InstanceEntry } from './contract.js';
+import { InstancePool, type InstancePoolOptions } from './instance-pool.js';
+import type { PrimaryView } from './primary-view.js';
+
+/** Connections of an instance that are left to control calls of whichever node leads. */
+const RESERVED_CONNECTIONS = 4;
+const MINIMUM_CONNECTIONS = 1;
+/** New work ends so long before a leaving instance may no longer get any. */
+const DRAIN_MARGIN_MS = 1500;
+
+export interface ServiceRuntimeOptions {
+  readonly zone: string;
+  readonly pool: InstancePoolOptions;
+  readonly drainTimeoutMs: Milliseconds;
+  readonly view: PrimaryView;
+  readonly now: () => Milliseconds;
+}
+
+/** One instance with its pool, as a candidate for reads. */
+export interface InstanceRuntime extends InstanceLoad {
+  readonly pool: InstancePool;
+  /** No new work from then on. */
+  usableUntil: Milliseconds;
+  /** A replica is left alone as soon as it is leaving. */
+  leaving: boolean;
+}
+
+class InstanceState implements InstanceRuntime {
+  usableUntil: Milliseconds = Number.POSITIVE_INFINITY;
+  leaving = false;
+  primary = false;
+
+  constructor(
+    readonly id: string,
+    readonly sameZone: boolean,
+    readonly pool: InstancePool,
+  ) {}
+
+  get outstanding(): number {
+    return this.pool.outstanding;
+  }
+
+  get answerMs(): Milliseconds {
+    return this.pool.answerMs;
+  }
+
+  get avoidUntil(): Milliseconds {
+    return this.pool.avoidUntil;
+  }
+}
+
+export class ServiceRuntime {
+  readonly samples = new PositionSamples();
+  readonly #instances = new Map<string, InstanceState>();
+  #maxConnections = 0;
+  #samplesFrom: string | undefined;
+
+  constructor(
+    readonly name: string,
+    private readonly options: ServiceRuntimeOptions,
+  ) {}
+
+  /** Takes the instances that are announced now. Those that have gone get no new work soon. */
+  setInstances(entries: readonly InstanceEntry[]): void {
+    const now = this.options.now();
+    const present = new Set<string>();
+    for (const entry of entries) {
+      present.add(entry.id);
+      this.#takeEntry(entry, now);
+    }
+    for (const [id, state] of this.#instances) {
+      if (!present.has(id)) this.#leave(state, now);
+    }
+    this.#forgetGone(now, present);
+    this.shareConnections();
+  }
+
+  setMaxConnections(maxConnections: number): void {
+    this.#maxConnections = maxConnections;
+    this.shareConnections();
+  }
+
+  /** Divides what the instances take among the nodes that live. */
+  shareConnections(): void {
+    const nodes = Math.max(1, this.options.view.liveNodeCount());
+    const share = Math.floor((this.#maxConnections - RESERVED_CONNECTIONS) / nodes);
+    const limit = Math.max(MINIMUM_CONNECTIONS, share);
+    for (const state of this.#instances.values()) state.pool.setLimit(limit);
+  }
+
+  /** Instances that may get a read now. */
+  readable(now: Milliseconds): InstanceRuntime[] {
+    const primaryId = this.options.view.primaryOf(this.name)?.id;
+    const usable: InstanceState[] = [];
+    for (const state of this.#instances.values()) {
+      state.primary = state.id === primaryId;
+      if (now < state.usableUntil && !state.leaving) usable.push(state);
+    }
+    return usable;
+  }
+
+  /** The primary, if one is known and may get new work. */
+  primary(now: Milliseconds): InstanceRuntime | undefined {
+    const entry = this.options.view.primaryOf(this.name);
+    if (entry === undefined) return undefined;
+    const state = this.#instances.get(entry.id);
+    if (state === undefined || now >= state.usableUntil) return undefined;
+    return state;
+  }
+
+  /** Takes the log position that an instance told in an answer to what was sent at `sentAt`. */
+  noteAnswer(
+    instance: InstanceRuntime,
+    sentAt: Milliseconds,
+    position: Position | undefined,
+  ): void {
+    const { view, now } = this.options;
+    if (position === undefined) return;
+    if (view.primaryOf(this.name)?.id !== instance.id) return;
+    if (!view.mayTrustPrimary(this.name, now())) return;
+    if (this.#samplesFrom !== instance.id) this.samples.clear();
+    this.#samplesFrom = instance.id;
+    this.samples.add({ sentAt, position });
+  }
+
+  close(): void {
+    for (const state of this.#instances.values()) state.pool.close();
+  }
+
+  #takeEntry(entry: InstanceEntry, now: Milliseconds): void {
+    const known = this.#instances.get(entry.id);
+    if (known === undefined) {
+      const pool = new InstancePool(entry, MINIMUM_CONNECTIONS, this.options.pool);
+      const state = new InstanceState(entry.id, entry.zone === this.options.zone, pool);
+      if (entry.draining) {
+        // For how long it has been leaving is unknown.
+        state.leaving = true;
+        state.usableUntil = now;
+      }
+      this.#instances.set(entry.id, state);
+      return;
+    }
+    known.pool.instance = entry;
+    if (entry.draining) this.#leave(known, now);
+    else if (known.leaving) {
+      known.leaving = false;
+      known.usableUntil = Number.POSITIVE_INFINITY;
+    }
+  }
+
+  #leave(state: InstanceState, now: Milliseconds): void {
+    if (state.leaving) return;
+    state.leaving = true;
+    state.usableUntil = now + this.options.drainTimeoutMs - DRAIN_MARGIN_MS;
+  }
+
+  #forgetGone(now: Milliseconds, present: ReadonlySet<string>): void {
+    for (const [id, state] of this.#instances) {
+      if (present.has(id) || now < state.usableUntil) continue;
+      state.pool.close();
+      this.#instances.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/src/direct/statement-runner.ts
@@ -0,0 +1,317 @@
+/**
+ * Runs one statement outside any transaction: picks an instance, sends it, and tries again elsewhere
+ * for as long as the statement surely has not run, or only reads.
+ */
+import type { Result } from 'neverthrow';
+import { laterPosition, type Position } from '../core/position.js';
+import type { Access } from '../core/request.js';
+import { rankInstances } from '../core/statements/instance-choice.js';
+import type { PreparedStatement } from '../core/statements/session-values.js';
+import {
+  isNotRun,
+  type StatementAnswer,
+  type StatementErrorCode,
+} from '../core/statements/statement.js';
+import type { Milliseconds } from '../core/units.js';
+import type { RouteDescription } from './contract.js';
+import { InstanceConnectError, type InstanceConnectionLostError } from './errors.js';
+import type { InstanceConnection } from './instance-connection.js';
+import type { PrimaryView } from './primary-view.js';
+import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
+import { synchronise } from './synchronise.js';
+import type { StatementWire } from './wire.js';
+import { firstWithin, pause } from './within.js';
+
+/** A read must reach its instance within this, or its staleness bound may be missed. */
+const STALENESS_MARGIN_MS = 400;
+/** Pause before asking again after nothing could be done. */
+const RETRY_PAUSE_MS = 15;
+/** An instance that failed gets no reads for so long while others will do. */
+const AVOID_MS = 500;
+/** A read that waits longer than this, or this part of its aim, is sent elsewhere too. */
+const HEDGE_MINIMUM_MS = 60;
+const HEDGE_TARGET_SHARE = 0.5;
+const MAX_READ_ATTEMPTS = 4;
+/** An exchange that nobody waits for any more ends its connection after this. */
+const ABANDON_MS = 3000;
+
+export interface RunnerOptions {
+  readonly wire: StatementWire;
+  readonly view: PrimaryView;
+  readonly now: () => Milliseconds;
+  readonly random: () => number;
+}
+
+/** What one session brings along to every statement. */
+export interface SessionContext {
+  readonly values: ReadonlyMap<string, string>;
+  /** Last position that the session wrote, in the service's log. */
+  readonly lastWritten: Position | undefined;
+}
+
+export interface StatementRequest {
+  readonly access: Access;
+  readonly route: RouteDescription;
+  readonly service: ServiceRuntime;
+  readonly session: SessionContext;
+  readonly prepared: PreparedStatement | undefined;
+  readonly deadline: Milliseconds;
+  /** The message for an instance, with the position it must have. */
+  encode(after: Position | undefined): string;
+}
+
+export interface Refusal {
+  readonly code: StatementErrorCode;
+  readonly text: string;
+}
+
+export type StatementOutcome =
+  | { readonly type: 'answered'; readonly answer: StatementAnswer }
+  | { readonly type: 'refused'; readonly refusal: Refusal };
+
+/** Where a statement goes and what position it needs there. */
+export interface Target {
+  readonly instance: InstanceRuntime;
+  readonly after: Position | undefined;
+}
+
+type ExchangeResult = Result<StatementAnswer, InstanceConnectionLostError>;
+
+type Attempt =
+  | { readonly type: 'answered'; readonly answer: StatementAnswer }
+  /** Nothing of it ran. */
+  | { readonly type: 'not-run'; readonly refusal: Refusal; readonly instance: InstanceRuntime }
+  /** It may have run. */
+  | { readonly type: 'unknown'; readonly instance: InstanceRuntime };
+
+export function refuse(code: StatementErrorCode, text: string): StatementOutcome {
+  return { type: 'refused', refusal: { code, text } };
+}
+
+export class StatementRunner {
+  constructor(readonly options: RunnerOptions) {}
+
+  run(request: StatementRequest): Promise<StatementOutcome> {
+    return request.access === 'read' ? this.#runRead(request) : this.#runWrite(request);
+  }
+
+  /** The instance for a new statement or transaction, or none for now. */
+  chooseTarget(
+    request: Pick<StatementRequest, 'access' | 'route' | 'service' | 'session'>,
+    excluded: ReadonlySet<string>,
+  ): Target | undefined {
+    const now = this.options.now();
+    const required = this.#requiredPosition(request, now);
+    if (request.access === 'write' || request.route.consistency === 'primary') {
+      return this.#primaryTarget(request, required, now);
+    }
+    if (required === undefined) return this.#primaryTarget(request, required, now);
+    const ranked = rankInstances(request.service.readable(now), now);
+    const instance = ranked.find((candidate) => !excluded.has(candidate.id)) ?? ranked[0];
+    return instance === undefined ? undefined : { instance, after: required };
+  }
+
+  /** Whether a target chosen some time ago may still be used as it is. */
+  recheck(
+    request: Pick<StatementRequest, 'access' | 'route' | 'service' | 'session'>,
+    target: Target,
+  ): Target | undefined {
+    const now = this.options.now();
+    if (now >= target.instance.usableUntil) return undefined;
+    const required = this.#requiredPosition(request, now);
+    const needsPrimary =
+      request.access === 'write' ||
+      request.route.consistency === 'primary' ||
+      required === undefined;
+    if (!needsPrimary) return { instance: target.instance, after: required };
+    const primary = this.#primaryTarget(request, required, now);
+    return primary?.instance.id === target.instance.id ? primary : undefined;
+  }
+
+  #primaryTarget(
+    request: Pick<StatementRequest, 'access' | 'service'>,
+    after: Position | undefined,
+    now: Milliseconds,
+  ): Target | undefined {
+    const instance = request.service.primary(now);
+    if (instance === undefined) return undefined;
+    const trusted = this.options.view.mayTrustPrimary(request.service.name, now);
+    if (request.access === 'read' && !trusted) return undefined;
+    return { instance, after: request.access === 'read' ? after : undefined };
+  }
+
+  #requiredPosition(
+    request: Pick<StatementRequest, 'route' | 'service' | 'session'>,
+    now: Milliseconds,
+  ): Position | undefined {
+    const { route, service, session } = request;
+    const staleness = route.maxStalenessMs - STALENESS_MARGIN_MS;
+    const required = service.samples.requiredAt(now, staleness);
+    const { lastWritten } = session;
+    if (required === undefined || lastWritten === undefined) return required;
+    return route.consistency === 'read-your-writes'
+      ? laterPosition(required, lastWritten)
+      : required;
+  }
+
+  async #runWrite(request: StatementRequest): Promise<StatementOutcome> {
+    const { now } = this.options;
+    let refusal: Refusal = { code: 'busy', text: 'no primary' };
+    while (now() < request.deadline) {
+      const target = this.chooseTarget(request, new Set());
+      if (target !== undefined) {
+        const attempt = await this.#attempt(request, target);
+        if (attempt.type === 'answered') return attempt;
+        if (attempt.type === 'unknown') return refuse('in-doubt', 'no answer to a write');
+        refusal = attempt.refusal;
+      }
+      await this.#pauseBeforeRetry();
+    }
+    return { type: 'refused', refusal };
+  }
+
+  async #runRead(request: StatementRequest): Promise<StatementOutcome> {
+    const { now } = this.options;
+    const excluded = new Set<string>();
+    const running = new Set<Promise<Attempt>>();
+    const hedgeMs = Math.max(HEDGE_MINIMUM_MS, request.route.targetLatencyMs * HEDGE_TARGET_SHARE);
+    let refusal: Refusal = { code: 'busy', text: 'no instance' };
+    let sent = false;
+    let attempts = 0;
+    while (now() < request.deadline) {
+      const target =
+        attempts < MAX_READ_ATTEMPTS || running.size === 0
+          ? this.chooseTarget(request, excluded)
+          : undefined;
+      if (target !== undefined && !(excluded.has(target.instance.id) && running.size > 0)) {
+        attempts += 1;
+        const attempt = this.#attempt(request, target);
+        running.add(attempt);
+        void attempt.then(() => running.delete(attempt));
+        excluded.add(target.instance.id);
+      }
+      if (running.size === 0) {
+        await this.#pauseBeforeRetry();
+        continue;
+      }
+      const waitMs = Math.min(hedgeMs, request.deadline - now());
+      const first = await firstWithin(running, waitMs);
+      if (first === undefined) continue;
+      if (first.type === 'answered') return first;
+      if (first.type === 'unknown') sent = true;
+      else refusal = first.refusal;
+      if (excluded.size >= request.service.readable(now()).length) {
+        excluded.clear();
+        await this.#pauseBeforeRetry();
+      }
+    }
+    if (sent || running.size > 0) return refuse('timeout', 'no answer in time');
+    return { type: 'refused', refusal };
+  }
+
+  #pauseBeforeRetry(): Promise<void> {
+    return pause(RETRY_PAUSE_MS * (0.5 + this.options.random()));
+  }
+
+  async #attempt(request: StatementRequest, chosen: Target): Promise<Attempt> {
+    const { instance } = chosen;
+    instance.pool.outstanding += 1;
+    try {
+      const acquired = await instance.pool.acquire(
+        request.session.values,
+        request.route.priority,
+        request.deadline,
+      );
+      if (acquired.isErr()) {
+        if (acquired.error instanceof InstanceConnectError) this.noteFailure(request, instance);
+        return { type: 'not-run', refusal: { code: 'busy', text: 'no connection' }, instance };
+      }
+      return await this.#send(request, chosen, acquired.value);
+    } finally {
+      instance.pool.outstanding -= 1;
+    }
+  }
+
+  async #send(
+    request: StatementRequest,
+    chosen: Target,
+    connection: InstanceConnection,
+  ): Promise<Attempt> {
+    const { wire, now } = this.options;
+    const { instance } = chosen;
+    const target = this.recheck(request, chosen);
+    if (target === undefined || now() >= request.deadline) {
+      instance.pool.release(connection);
+      return { type: 'not-run', refusal: { code: 'busy', text: 'the primary changed' }, instance };
+    }
+    const sentAt = now();
+    connection.cork();
+    synchronise(connection, request.session.values, request.prepared, wire);
+    const exchange = connection.exchange(request.encode(target.after));
+    connection.uncork();
+    const answer = await this.awaitAnswer(exchange, connection, instance, request.deadline);
+    if (answer === undefined || answer.isErr()) {
+      this.noteFailure(request, instance);
+      return { type: 'unknown', instance };
+    }
+    return this.#judge(request, instance, connection, answer.value, sentAt);
+  }
+
+  #judge(
+    request: StatementRequest,
+    instance: InstanceRuntime,
+    connection: InstanceConnection,
+    answer: StatementAnswer,
+    sentAt: Milliseconds,
+  ): Attempt {
+    const { now } = this.options;
+    if (answer.state === 'idle') instance.pool.release(connection);
+    else connection.close();
+    if (answer.error === undefined) {
+      instance.pool.noteAnswer(now() - sentAt);
+      request.service.noteAnswer(instance, sentAt, answer.position);
+      if (instance.primary) this.options.view.reportPrimarySuccess(request.service.name, now());
+      return { type: 'answered', answer };
+    }
+    const { code, text } = answer.error;
+    if (code === 'unprepared') connection.preparedNames.clear();
+    if (isNotRun(code)) return { type: 'not-run', refusal: { code, text }, instance };
+    if (request.access === 'read' && code !== 'malformed') return { type: 'unknown', instance };
+    return { type: 'answered', answer };
+  }
+
+  /**
+   * Waits for an answer until the deadline. If none has come, the exchange goes on alone: its
+   * connection returns to the pool once it is answered, or ends.
+   */
+  async awaitAnswer(
+    exchange: Promise<ExchangeResult>,
+    connection: InstanceConnection,
+    instance: InstanceRuntime,
+    deadline: Milliseconds,
+  ): Promise<ExchangeResult | undefined> {
+    const waitMs = Math.max(0, deadline - this.options.now());
+    const answer = await firstWithin([exchange], waitMs);
+    if (answer === undefined) void this.#abandon(exchange, connection, instance);
+    return answer;
+  }
+
+  async #abandon(
+    exchange: Promise<ExchangeResult>,
+    connection: InstanceConnection,
+    instance: InstanceRuntime,
+  ): Promise<void> {
+    const answer = await firstWithin([exchange], ABANDON_MS);
+    const atRest = answer?.isOk() === true && answer.value.state === 'idle';
+    if (atRest) instance.pool.release(connection);
+    else connection.close();
+  }
+
+  /** An instance did not do what was asked: reads avoid it, and a primary is reported. */
+  noteFailure(request: Pick<StatementRequest, 'service'>, instance: InstanceRuntime): void {
+    const { view, now } = this.options;
+    instance.pool.avoidUntil = now() + AVOID_MS;
+    const primary = view.primaryOf(request.service.name);
+    if (primary?.id === instance.id) view.reportPrimaryFailure(request.service.name, now());
+  }
+}
--- /dev/null
+++ b/src/direct/transaction.ts
@@ -0,0 +1,258 @@
+/**
+ * One transaction of a session: nothing is opened before its first statement, which chooses the
+ * instance; from then on it owns one connection until its end.
+ */
+import type { Position } from '../core/position.js';
+import type { Access } from '../core/request.js';
+import { isNotRun, type StatementAnswer } from '../core/statements/statement.js';
+import type { RouteDescription } from './contract.js';
+import type { InstanceConnection } from './instance-connection.js';
+import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
+import {
+  type Refusal,
+  refuse,
+  type StatementOutcome,
+  type StatementRequest,
+  type StatementRunner,
+} from './statement-runner.js';
+import { synchronise } from './synchronise.js';
+import { firstWithin, pause } from './within.js';
+
+const RETRY_PAUSE_MS = 15;
+/** A rollback that is not answered in this time ends the connection instead. */
+const ROLLBACK_TIMEOUT_MS = 2000;
+
+/** A statement inside a transaction; it must have the log position that the transaction needs. */
+export type TransactionRequest = Omit<StatementRequest, 'route' | 'service'>;
+
+export class Transaction {
+  #connection: InstanceConnection | undefined;
+  #instance: InstanceRuntime | undefined;
+  #wrote = false;
+
+  constructor(
+    readonly readOnly: boolean,
+    readonly route: RouteDescription,
+    readonly service: ServiceRuntime,
+    private readonly runner: StatementRunner,
+  ) {}
+
+  /** Runs one statement. An outcome with an error means that the transaction has failed. */
+  async run(request: TransactionRequest): Promise<StatementOutcome> {
+    if (this.#connection === undefined) return this.#runFirst(request);
+    const outcome = await this.#runNext(request);
+    if (succeeded(outcome)) this.#noteRun(request.access);
+    else this.abandon();
+    return outcome;
+  }
+
+  /** Commits. `request.encode` gives the commit's message. */
+  async commit(request: TransactionRequest): Promise<StatementOutcome> {
+    if (this.#connection === undefined) {
+      const refusal = await this.#open(request);
+      if (refusal !== undefined) return { type: 'refused', refusal };
+    }
+    const connection = this.#connection;
+    const instance = this.#instance;
+    if (connection === undefined || instance === undefined) return refuse('aborted', 'not open');
+    if (connection.closed) return refuse('aborted', 'the connection to the instance ended');
+    this.#connection = undefined;
+    return this.#sendCommit(request, connection, instance);
+  }
+
+  /** Gives the connection back after a rollback; nothing of the transaction is kept. */
+  abandon(): void {
+    const connection = this.#connection;
+    const instance = this.#instance;
+    this.#connection = undefined;
+    if (connection === undefined || instance === undefined) return;
+    void rollBack(connection, instance, this.runner.options.wire.encodeRollback());
+  }
+
+  async #sendCommit(
+    request: TransactionRequest,
+    connection: InstanceConnection,
+    instance: InstanceRuntime,
+  ): Promise<StatementOutcome> {
+    const { now, view } = this.runner.options;
+    const sentAt = now();
+    const exchange = connection.exchange(request.encode(undefined));
+    const answer = await this.runner.awaitAnswer(exchange, connection, instance, request.deadline);
+    if (answer === undefined || answer.isErr()) {
+      this.runner.noteFailure(this, instance);
+      // Without a write, nothing is kept whatever became of the commit.
+      return this.#wrote
+        ? refuse('in-doubt', 'no answer to a commit')
+        : refuse('aborted', 'no answer to the commit of a transaction that wrote nothing');
+    }
+    if (answer.value.state === 'idle') instance.pool.release(connection);
+    else connection.close();
+    if (answer.value.error === undefined) {
+      this.service.noteAnswer(instance, sentAt, answer.value.position);
+      if (instance.primary) view.reportPrimarySuccess(this.service.name, now());
+    }
+    return { type: 'answered', answer: answer.value };
+  }
+
+  get wrote(): boolean {
+    return this.#wrote;
+  }
+
+  async #runFirst(request: TransactionRequest): Promise<StatementOutcome> {
+    const { now } = this.runner.options;
+    let refusal: Refusal = { code: 'busy', text: 'no instance' };
+    const excluded = new Set<string>();
+    while (now() < request.deadline) {
+      const failure = await this.#open(request, excluded);
+      if (failure !== undefined) return { type: 'refused', refusal: failure };
+      const outcome = await this.#runNext(request);
+      if (succeeded(outcome)) {
+        this.#noteRun(request.access);
+        return outcome;
+      }
+      if (this.#instance !== undefined) excluded.add(this.#instance.id);
+      this.abandon();
+      const retry = this.#refusalToRetry(outcome);
+      if (retry === undefined) return outcome;
+      refusal = retry;
+      await pause(RETRY_PAUSE_MS);
+    }
+    return { type: 'refused', refusal };
+  }
+
+  /** The refusal, if the whole transaction so far may be begun again at another instance. */
+  #refusalToRetry(outcome: StatementOutcome): Refusal | undefined {
+    if (outcome.type === 'refused')
+      return outcome.refusal.code === 'aborted' ? outcome.refusal : undefined;
+    const { error } = outcome.answer;
+    return error !== undefined && isNotRun(error.code) ? error : undefined;
+  }
+
+  async #runNext(request: TransactionRequest): Promise<StatementOutcome> {
+    const { now, wire } = this.runner.options;
+    for (;;) {
+      const connection = this.#connection;
+      const instance = this.#instance;
+      if (connection === undefined || instance === undefined || connection.closed) {
+        return refuse('aborted', 'the connection to the instance ended');
+      }
+      const sentAt = now();
+      connection.cork();
+      synchronise(connection, request.session.values, request.prepared, wire);
+      const exchange = connection.exchange(request.encode(undefined));
+      connection.uncork();
+      const answer = await firstWithin([exchange], request.deadline - now());
+      if (answer === undefined) {
+        connection.close();
+        this.runner.noteFailure(this, instance);
+        return refuse('aborted', 'no answer in time; the transaction was rolled back');
+      }
+      if (answer.isErr()) {
+        this.runner.noteFailure(this, instance);
+        return refuse('aborted', 'the connection to the instance ended');
+      }
+      if (answer.value.error === undefined) instance.pool.noteAnswer(now() - sentAt);
+      if (!mayRepeat(answer.value) || now() >= request.deadline) {
+        return { type: 'answered', answer: answer.value };
+      }
+      if (answer.value.error?.code === 'unprepared') connection.preparedNames.clear();
+      await pause(RETRY_PAUSE_MS);
+    }
+  }
+
+  /** Opens the transaction at an instance; gives why not, if it can't. */
+  async #open(
+    request: TransactionRequest,
+    excluded: ReadonlySet<string> = new Set(),
+  ): Promise<Refusal | undefined> {
+    const { now } = this.runner.options;
+    let refusal: Refusal = { code: 'busy', text: 'no instance' };
+    while (now() < request.deadline) {
+      const failure = await this.#openOnce(request, excluded);
+      if (failure === undefined) return undefined;
+      refusal = failure;
+      await pause(RETRY_PAUSE_MS);
+    }
+    return refusal;
+  }
+
+  async #openOnce(
+    request: TransactionRequest,
+    excluded: ReadonlySet<string>,
+  ): Promise<Refusal | undefined> {
+    const { now, wire } = this.runner.options;
+    const placement = {
+      access: this.readOnly ? ('read' as const) : ('write' as const),
+      route: this.route,
+      service: this.service,
+      session: request.session,
+    };
+    const chosen = this.runner.chooseTarget(placement, excluded);
+    if (chosen === undefined) return { code: 'busy', text: 'no primary' };
+    const { instance } = chosen;
+    const { values } = request.session;
+    const acquired = await instance.pool.acquire(values, this.route.priority, request.deadline);
+    if (acquired.isErr()) {
+      this.runner.noteFailure(placement, instance);
+      return { code: 'busy', text: 'no connection' };
+    }
+    const connection = acquired.value;
+    const target = this.runner.recheck(placement, chosen);
+    if (target === undefined) {
+      instance.pool.release(connection);
+      return { code: 'busy', text: 'the primary changed' };
+    }
+    connection.cork();
+    synchronise(connection, values, undefined, wire);
+    const exchange = connection.exchange(
+      wire.encodeBegin(this.readOnly, this.#beginPosition(target.after)),
+    );
+    connection.uncork();
+    const begun = await firstWithin([exchange], request.deadline - now());
+    if (begun === undefined || begun.isErr()) {
+      connection.close();
+      this.runner.noteFailure(placement, instance);
+      return { code: 'busy', text: 'no answer to BEGIN' };
+    }
+    if (begun.value.error !== undefined || begun.value.state !== 'open') {
+      void rollBack(connection, instance, wire.encodeRollback(), begun.value.state);
+      return begun.value.error ?? { code: 'busy', text: 'BEGIN had no effect' };
+    }
+    this.#connection = connection;
+    this.#instance = instance;
+    return undefined;
+  }
+
+  #beginPosition(after: Position | undefined): Position | undefined {
+    return this.readOnly ? after : undefined;
+  }
+
+  #noteRun(access: Access): void {
+    if (access === 'write') this.#wrote = true;
+  }
+}
+
+function succeeded(outcome: StatementOutcome): boolean {
+  return outcome.type === 'answered' && outcome.answer.error === undefined;
+}
+
+/** The instance did not run the statement, and the transaction is as it was. */
+function mayRepeat(answer: StatementAnswer): boolean {
+  if (answer.error === undefined || answer.state !== 'open') return false;
+  return answer.error.code === 'busy' || answer.error.code === 'unprepared';
+}
+
+async function rollBack(
+  connection: InstanceConnection,
+  instance: InstanceRuntime,
+  message: string,
+  state: StatementAnswer['state'] = 'open',
+): Promise<void> {
+  if (state === 'idle') {
+    instance.pool.release(connection);
+    return;
+  }
+  const answer = await firstWithin([connection.exchange(message)], ROLLBACK_TIMEOUT_MS);
+  if (answer?.isOk() === true && answer.value.state === 'idle') instance.pool.release(connection);
+  else connection.close();
+}
--- /dev/null
+++ b/src/direct/wire.ts
@@ -0,0 +1,67 @@
+/** The statement protocol as the direct gateway needs it. The platform's folder spells it out. */
+import type { Position } from '../core/position.js';
+import type { Access } from '../core/request.js';
+import type {
+  Statement,
+  StatementErrorCode,
+  TransactionState,
+} from '../core/statements/statement.js';
+
+/** What a caller sends. */
+export type CallerMessage =
+  | { readonly type: 'start'; readonly database: string }
+  | {
+      readonly type: 'statement';
+      readonly id: string;
+      readonly statement: Statement;
+      /** The statement as the caller wrote it; passed on unchanged. */
+      readonly text: string;
+    }
+  | { readonly type: 'terminate' }
+  | { readonly type: 'malformed'; readonly reason: string };
+
+/** What an instance sends. */
+export type InstanceMessage =
+  | { readonly type: 'row'; readonly line: string; readonly text: string }
+  | { readonly type: 'complete'; readonly line: string }
+  | { readonly type: 'error'; readonly code: StatementErrorCode; readonly text: string }
+  | {
+      readonly type: 'ready';
+      readonly state: TransactionState;
+      readonly position: Position | undefined;
+    }
+  | { readonly type: 'malformed'; readonly reason: string };
+
+/** Commands that concern an instance's place in its group. */
+export type ControlCommand =
+  | { readonly type: 'status' }
+  | { readonly type: 'pause'; readonly term: number }
+  | { readonly type: 'resume' }
+  | { readonly type: 'demote'; readonly term: number };
+
+/** Spelling of the statement protocol. */
+export interface StatementWire {
+  /** Ends each message in a byte stream. */
+  readonly terminator: string;
+  readonly maxMessageBytes: number;
+  decodeCallerMessage(line: string): CallerMessage;
+  encodeCompletion(): string;
+  encodeError(code: StatementErrorCode, text: string): string;
+  encodeReady(state: TransactionState, position: Position | undefined): string;
+  decodeInstanceMessage(line: string): InstanceMessage;
+  encodeStart(service: string, instanceId: string): string;
+  encodeStatement(id: string, text: string, after: Position | undefined): string;
+  encodeExecute(
+    id: string,
+    sharedName: string,
+    argumentText: string,
+    after: Position | undefined,
+  ): string;
+  encodePrepare(sharedName: string, access: Access, shape: string): string;
+  encodeSet(name: string, value: string): string;
+  encodeBegin(readOnly: boolean, after: Position | undefined): string;
+  encodeRollback(): string;
+  encodeReset(): string;
+  encodeControl(command: ControlCommand): string;
+  encodeTerminate(): string;
+}
