--- /dev/null
+++ b/src/direct/announced-primary-view.ts
@@ -0,0 +1,35 @@
+/**
+ * Primaries as the instances announce themselves: enough where the platform replaces primaries by
+ * itself and gives no promotion call.
+ */
+import type { InstanceEntry } from './contract.js';
+import type { PrimaryView } from './primary-view.js';
+
+export class AnnouncedPrimaryView implements PrimaryView {
+  #instances: ReadonlyMap<string, InstanceEntry> = new Map();
+
+  constructor(private readonly nodeCount: number) {}
+
+  noteInstances(instances: ReadonlyMap<string, InstanceEntry>): void {
+    this.#instances = instances;
+  }
+
+  primaryOf(service: string): InstanceEntry | undefined {
+    for (const entry of this.#instances.values()) {
+      if (entry.service === service && entry.role === 'primary') return entry;
+    }
+    return undefined;
+  }
+
+  mayTrustPrimary(): boolean {
+    return true;
+  }
+
+  reportPrimaryFailure(): void {}
+
+  reportPrimarySuccess(): void {}
+
+  liveNodeCount(): number {
+    return this.nodeCount;
+  }
+}
