--- /dev/null
+++ b/src/direct/directory-follower.ts
@@ -0,0 +1,196 @@
+/**
+ * Keeps the operator's configuration and the list of instances current from the store: each is read
+ * once and then watched. Nothing that fails takes back what is known; the configuration only ever
+ * takes a higher version.
+ */
+import type { Result } from 'neverthrow';
+import {
+  type DirectoryChange,
+  EntryDirectory,
+  type RemovedEntry,
+} from '../core/directory/entry-directory.js';
+import type { MeadowstackError } from '../core/errors.js';
+import type { BackoffPolicy } from '../core/retry/backoff.js';
+import type { Milliseconds } from '../core/units.js';
+import type { KeyValue, RangeAnswer, Store, WatchEvent } from '../platform/contract.js';
+import type { InstanceEntry, PublishedConfiguration } from './contract.js';
+import { PrefixReader } from './prefix-reader.js';
+
+/** Ceilings of the pauses after failures: short enough that a bound of some seconds still holds. */
+const BACKOFF: BackoffPolicy = { baseMs: 50, maximumMs: 1000 };
+
+/** Where the two kinds of documents lie in the store. */
+export interface DirectoryPrefixes {
+  /** The one key of the operator's configuration. */
+  readonly configurationKey: string;
+  /** What the keys of all instances begin with; the id follows. */
+  readonly instancePrefix: string;
+}
+
+/** Told of changes, in their order. */
+export interface DirectoryHandlers {
+  /** A configuration of a higher version than all before. */
+  onConfiguration(configuration: PublishedConfiguration): void;
+  /**
+   * The instances after a change; `changed` are the ids that were added, are another or are gone.
+   * The map is the follower's own and changes with it. Also called once after the first read.
+   */
+  onInstances(instances: ReadonlyMap<string, InstanceEntry>, changed: readonly string[]): void;
+  /** An entry is gone; called before `onInstances`. How long it is still used is for others to say. */
+  onInstanceRemoved(removed: RemovedEntry<InstanceEntry>): void;
+  /** A document could not be understood (what was known stays), or a call failed (it is repeated). */
+  onProblem(error: MeadowstackError): void;
+}
+
+export interface DirectoryFollowerOptions {
+  readonly store: Store;
+  parseConfiguration(text: string): Result<PublishedConfiguration, MeadowstackError>;
+  parseInstance(key: string, text: string): Result<InstanceEntry, MeadowstackError>;
+  readonly prefixes: DirectoryPrefixes;
+  readonly handlers: DirectoryHandlers;
+  /** Monotonic time. */
+  clock(): Milliseconds;
+  /** Runs something later; the returned function takes it back. */
+  schedule(delayMs: Milliseconds, run: () => void): () => void;
+  /** A number in [0, 1). */
+  random(): number;
+}
+
+/** Follows both prefixes from `start` until `stop`. */
+export class DirectoryFollower {
+  readonly #configurationReader: PrefixReader;
+  readonly #instanceReader: PrefixReader;
+  readonly #instances = new EntryDirectory<InstanceEntry>(sameInstance);
+  #configuration: PublishedConfiguration | undefined;
+  #configurationRevision = 0;
+  #instancesRead = false;
+
+  constructor(private readonly options: DirectoryFollowerOptions) {
+    const { configurationKey, instancePrefix } = options.prefixes;
+    const common = { ...options, backoff: BACKOFF, onProblem: options.handlers.onProblem };
+    this.#configurationReader = new PrefixReader({
+      ...common,
+      prefix: configurationKey,
+      onRange: ({ entries }) => this.#takeConfigurations(entries),
+      onEvents: (events) => this.#takeConfigurations(events.flatMap(putEntries)),
+    });
+    this.#instanceReader = new PrefixReader({
+      ...common,
+      prefix: instancePrefix,
+      onRange: (answer) => this.#takeInstances(answer),
+      onEvents: (events) => this.#updateInstances(events),
+    });
+  }
+
+  start(): void {
+    this.#configurationReader.start();
+    this.#instanceReader.start();
+  }
+
+  /** Ends all watches and pauses; no handler is called any more. */
+  stop(): void {
+    this.#configurationReader.stop();
+    this.#instanceReader.stop();
+  }
+
+  configuration(): PublishedConfiguration | undefined {
+    return this.#configuration;
+  }
+
+  /** The map is the follower's own and changes with it. */
+  instances(): ReadonlyMap<string, InstanceEntry> {
+    return this.#instances.entries();
+  }
+
+  /**
+   * Time at which the last answered call was sent: what is known here was current then. The earlier
+   * one of the two prefixes; undefined until both were read.
+   */
+  lastConfirmedAt(): Milliseconds | undefined {
+    const configuration = this.#configurationReader.lastConfirmedAt();
+    const instances = this.#instanceReader.lastConfirmedAt();
+    if (configuration === undefined || instances === undefined) return undefined;
+    return Math.min(configuration, instances);
+  }
+
+  /** As `lastConfirmedAt`, of the configuration alone. */
+  configurationConfirmedAt(): Milliseconds | undefined {
+    return this.#configurationReader.lastConfirmedAt();
+  }
+
+  /** As `lastConfirmedAt`, of the instances alone. */
+  instancesConfirmedAt(): Milliseconds | undefined {
+    return this.#instanceReader.lastConfirmedAt();
+  }
+
+  /** Only the newest text is parsed: what lies before it is not in force any more. */
+  #takeConfigurations(entries: readonly KeyValue[]): void {
+    const { configurationKey } = this.options.prefixes;
+    const newest = entries.filter(({ key }) => key === configurationKey).at(-1);
+    if (newest === undefined || newest.modRevision <= this.#configurationRevision) return;
+    this.#configurationRevision = newest.modRevision;
+    this.options.parseConfiguration(newest.value).match(
+      (configuration) => this.#takeConfiguration(configuration),
+      (error) => this.options.handlers.onProblem(error),
+    );
+  }
+
+  #takeConfiguration(configuration: PublishedConfiguration): void {
+    if (configuration.version <= (this.#configuration?.version ?? -1)) return;
+    this.#configuration = configuration;
+    this.options.handlers.onConfiguration(configuration);
+  }
+
+  #takeInstances({ entries, revision }: RangeAnswer): void {
+    const change = this.#instances.replace(
+      entries.map((item) => this.#readInstance(item)),
+      revision,
+    );
+    const first = !this.#instancesRead;
+    this.#instancesRead = true;
+    this.#tell(change, first);
+  }
+
+  #updateInstances(events: readonly WatchEvent[]): void {
+    if (events.length === 0) return;
+    const { instancePrefix } = this.options.prefixes;
+    const updates = events.map((event) => {
+      if (event.type === 'put') {
+        return { type: 'put' as const, stored: this.#readInstance(event.entry) };
+      }
+      const id = event.key.slice(instancePrefix.length);
+      return { type: 'delete' as const, id, revision: event.modRevision };
+    });
+    this.#tell(this.#instances.update(updates), false);
+  }
+
+  #readInstance({ key, value, modRevision }: KeyValue) {
+    const id = key.slice(this.options.prefixes.instancePrefix.length);
+    const parsed = this.options.parseInstance(key, value);
+    if (parsed.isErr()) this.options.handlers.onProblem(parsed.error);
+    return { id, entry: parsed.unwrapOr(undefined), revision: modRevision };
+  }
+
+  #tell(change: DirectoryChange<InstanceEntry>, always: boolean): void {
+    const { handlers } = this.options;
+    for (const removed of change.removed) handlers.onInstanceRemoved(removed);
+    const changed = [...change.put, ...change.removed.map(({ id }) => id)];
+    if (always || changed.length > 0) handlers.onInstances(this.#instances.entries(), changed);
+  }
+}
+
+function putEntries(event: WatchEvent): readonly KeyValue[] {
+  return event.type === 'put' ? [event.entry] : [];
+}
+
+function sameInstance(left: InstanceEntry, right: InstanceEntry): boolean {
+  return (
+    left.service === right.service &&
+    left.host === right.host &&
+    left.port === right.port &&
+    left.zone === right.zone &&
+    left.slots === right.slots &&
+    left.draining === right.draining &&
+    left.role === right.role
+  );
+}
--- /dev/null
+++ b/src/direct/prefix-reader.ts
@@ -0,0 +1,105 @@
+/** Runs what a `PrefixFollower` decides: reads and watches one prefix of the store. */
+import { PrefixFollower, type PrefixFollowerEvent } from '../core/directory/prefix-follower.js';
+import type { MeadowstackError } from '../core/errors.js';
+import type { BackoffPolicy } from '../core/retry/backoff.js';
+import type { Milliseconds } from '../core/units.js';
+import type { RangeAnswer, Store, WatchEvent } from '../platform/contract.js';
+import { StoreFailure, StoreWatchEndedError } from '../platform/errors.js';
+
+export interface PrefixReaderOptions {
+  readonly store: Store;
+  readonly prefix: string;
+  readonly backoff: BackoffPolicy;
+  clock(): Milliseconds;
+  schedule(delayMs: Milliseconds, run: () => void): () => void;
+  random(): number;
+  onRange(answer: RangeAnswer): void;
+  onEvents(events: readonly WatchEvent[]): void;
+  onProblem(error: MeadowstackError): void;
+}
+
+export class PrefixReader {
+  readonly #follower: PrefixFollower;
+  /** Ends the watch or the pause that is on. */
+  #cancel: (() => void) | undefined;
+  #stopped = false;
+  /** When the call that is out was sent, or a little earlier. */
+  #sentAt: Milliseconds = 0;
+  #confirmedAt: Milliseconds | undefined;
+
+  constructor(private readonly options: PrefixReaderOptions) {
+    this.#follower = new PrefixFollower(options.backoff, () => options.random());
+  }
+
+  start(): void {
+    this.#step({ type: 'start' });
+  }
+
+  /** No handler is called any more. */
+  stop(): void {
+    this.#stopped = true;
+    this.#cancel?.();
+    this.#cancel = undefined;
+  }
+
+  /** Time at which the last answered call was sent; undefined if none was answered. */
+  lastConfirmedAt(): Milliseconds | undefined {
+    return this.#confirmedAt;
+  }
+
+  #step(event: PrefixFollowerEvent): void {
+    if (this.#stopped) return;
+    const effect = this.#follower.handle(event);
+    if (effect === undefined) return;
+    this.#cancel = undefined;
+    if (effect.type === 'read-range') this.#readRange();
+    else if (effect.type === 'open-watch') this.#openWatch(effect.fromRevision);
+    else this.#pause(effect.pauseMs);
+  }
+
+  #pause(pauseMs: Milliseconds): void {
+    this.#cancel = this.options.schedule(pauseMs, () => this.#step({ type: 'pause-over' }));
+  }
+
+  #readRange(): void {
+    this.#sentAt = this.options.clock();
+    void this.options.store.range(this.options.prefix).match(
+      (answer) => {
+        if (this.#stopped) return;
+        this.#confirmedAt = this.#sentAt;
+        this.options.onRange(answer);
+        this.#step({ type: 'range-read', revision: answer.revision });
+      },
+      (error) => this.#fail(error, { type: 'range-failed', retryAfterMs: retryAfterOf(error) }),
+    );
+  }
+
+  #openWatch(fromRevision: number): void {
+    this.#sentAt = this.options.clock();
+    this.#cancel = this.options.store.watch(this.options.prefix, fromRevision, {
+      onEvents: (events, revision) => {
+        if (this.#stopped) return;
+        this.#confirmedAt = this.#sentAt;
+        // The watch's next poll is sent after this returned, so that its time is not overstated.
+        this.#sentAt = this.options.clock();
+        this.options.onEvents(events);
+        this.#step({ type: 'watch-progress', revision });
+      },
+      onEnd: (error, compacted) => {
+        const lost = error instanceof StoreWatchEndedError;
+        const retryAfterMs = retryAfterOf(error);
+        this.#fail(error, { type: 'watch-ended', compacted, lost, retryAfterMs });
+      },
+    });
+  }
+
+  #fail(error: MeadowstackError, event: PrefixFollowerEvent): void {
+    if (this.#stopped) return;
+    this.options.onProblem(error);
+    this.#step(event);
+  }
+}
+
+function retryAfterOf(error: MeadowstackError): Milliseconds | undefined {
+  return error instanceof StoreFailure ? error.retryAfterMs : undefined;
+}
--- a/src/platform/errors.ts
+++ b/src/platform/errors.ts
@@ -52,7 +52,7 @@
   readonly code = 'MS-STORE-REJECTED';
 
   constructor(
-    /** gRPC status code, as etcd reports it. */
+    /** Code of the refusal: gRPC's where etcd reports one, else the HTTP status. */
     readonly grpcCode: number,
     message: string,
   ) {
--- a/src/platform/http-exchange.ts
+++ b/src/platform/http-exchange.ts
@@ -18,12 +18,16 @@
   readonly agent: Agent;
   /** Sent as `user-agent`, by which the service tells its clients apart. */
   readonly clientName: string;
-  readonly method: 'GET' | 'POST';
+  readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
+  /** Headers beyond those that all our requests have. */
+  readonly headers?: Readonly<Record<string, string>>;
   /** JSON text; absent for GET. */
   readonly body?: string;
   /** From the call to the last byte of the answer. */
   readonly timeoutMs: Milliseconds;
+  /** Bound of opening a new connection; `timeoutMs` alone if absent. */
+  readonly connectTimeoutMs?: Milliseconds;
   readonly maxAnswerBytes: number;
   /** Aborting ends the exchange with an error. */
   readonly signal?: AbortSignal;
@@ -75,7 +79,7 @@
     agent: options.agent,
     method: options.method,
     path: options.path,
-    headers: { 'user-agent': options.clientName, ...bodyHeaders },
+    headers: { 'user-agent': options.clientName, ...bodyHeaders, ...options.headers },
   });
 }
 
@@ -85,8 +89,10 @@
 ): void {
   const outgoing = openRequest(options);
   let maybeSent = false;
+  let connectTimer: NodeJS.Timeout | undefined;
   const finish = (outcome: HttpAnswer | HttpExchangeError): void => {
     clearTimeout(timer);
+    clearTimeout(connectTimer);
     options.signal?.removeEventListener('abort', abort);
     settle(outcome);
   };
@@ -97,8 +103,21 @@
   const abort = (): void => fail('aborted');
   const timer = setTimeout(() => fail(`no answer in ${options.timeoutMs} ms`), options.timeoutMs);
   outgoing.on('socket', (socket) => {
-    if (!socket.connecting) maybeSent = true;
-    else socket.once('connect', () => (maybeSent = true));
+    if (!socket.connecting) {
+      maybeSent = true;
+      return;
+    }
+    const { connectTimeoutMs } = options;
+    if (connectTimeoutMs !== undefined) {
+      connectTimer = setTimeout(
+        () => fail(`no connection in ${connectTimeoutMs} ms`),
+        connectTimeoutMs,
+      );
+    }
+    socket.once('connect', () => {
+      maybeSent = true;
+      clearTimeout(connectTimer);
+    });
   });
   outgoing.on('error', (error) => fail(error.message));
   outgoing.on('response', (incoming) => {
--- a/test/unit/docs.test.ts
+++ b/test/unit/docs.test.ts
@@ -49,7 +49,8 @@
 }
 
 function codesOfSource(): Set<string> {
-  const sources = filesBelow('src', '.ts').map((file) => read(file));
+  const files = [...filesBelow('src', '.ts'), ...filesBelow('platform', '.ts')];
+  const sources = files.map((file) => read(file));
   return new Set(
     sources.flatMap((source) => [...firstGroups(source, CODE_IN_SOURCE), ...builtCodes(source)]),
   );
