--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -8,6 +8,7 @@
   type DirectoryChange,
   EntryDirectory,
   type RemovedEntry,
+  type StoredEntry,
 } from '../core/directory/entry-directory.js';
 import type { MeadowstackError } from '../core/errors.js';
 import type { BackoffPolicy } from '../core/retry/backoff.js';
@@ -67,7 +68,14 @@
 
   constructor(private readonly options: DirectoryFollowerOptions) {
     const { configurationKey, instancePrefix } = options.prefixes;
-    const common = { ...options, backoff: BACKOFF, onProblem: options.handlers.onProblem };
+    const common = {
+      store: options.store,
+      backoff: BACKOFF,
+      clock: () => options.clock(),
+      schedule: (delayMs: Milliseconds, run: () => void) => options.schedule(delayMs, run),
+      random: () => options.random(),
+      onProblem: (error: MeadowstackError) => options.handlers.onProblem(error),
+    };
     this.#configurationReader = new PrefixReader({
       ...common,
       prefix: configurationKey,
@@ -164,7 +172,7 @@
     this.#tell(this.#instances.update(updates), false);
   }
 
-  #readInstance({ key, value, modRevision }: KeyValue) {
+  #readInstance({ key, value, modRevision }: KeyValue): StoredEntry<InstanceEntry> {
     const id = key.slice(this.options.prefixes.instancePrefix.length);
     const parsed = this.options.parseInstance(key, value);
     if (parsed.isErr()) this.options.handlers.onProblem(parsed.error);
--- /dev/null
+++ b/test/unit/platform/directory-follower.test.ts
@@ -0,0 +1,283 @@
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  CONFIGURATION_KEY,
+  INSTANCE_KEY_PREFIX,
+  parseConfiguration,
+  parseInstance,
+} from '../../../platform/documents.js';
+import type { MeadowstackError } from '../../../src/core/errors.js';
+import { DirectoryFollower } from '../../../src/direct/directory-follower.js';
+import type {
+  KeyValue,
+  RangeAnswer,
+  Store,
+  StoreError,
+  WatchEvent,
+  WatchHandlers,
+} from '../../../src/platform/contract.js';
+import {
+  StoreCompactedError,
+  StoreUnavailableError,
+  StoreWatchEndedError,
+} from '../../../src/platform/errors.js';
+
+interface OpenWatch {
+  readonly fromRevision: number;
+  readonly handlers: WatchHandlers;
+  open: boolean;
+}
+
+/** Both prefixes of a store, answered by the test. */
+class FakeStore implements Pick<Store, 'range' | 'watch'> {
+  readonly ranges = new Map<string, RangeAnswer | StoreError>();
+  readonly reads: string[] = [];
+  readonly watches = new Map<string, OpenWatch[]>();
+
+  range(prefix: string): ResultAsync<RangeAnswer, StoreError> {
+    this.reads.push(prefix);
+    const answer = this.ranges.get(prefix) ?? { revision: 1, entries: [] };
+    return answer instanceof Error ? errAsync(answer) : okAsync(answer as RangeAnswer);
+  }
+
+  watch(prefix: string, fromRevision: number, handlers: WatchHandlers): () => void {
+    const watch = { fromRevision, handlers, open: true };
+    this.watches.set(prefix, [...(this.watches.get(prefix) ?? []), watch]);
+    return () => {
+      watch.open = false;
+    };
+  }
+
+  last(prefix: string): OpenWatch {
+    const watch = this.watches.get(prefix)?.at(-1);
+    if (watch === undefined) throw new Error(`no watch of ${prefix}`);
+    return watch;
+  }
+
+  opened(prefix: string): number[] {
+    return (this.watches.get(prefix) ?? []).map(({ fromRevision }) => fromRevision);
+  }
+}
+
+interface Setup {
+  readonly store: FakeStore;
+  readonly follower: DirectoryFollower;
+  /** What was told, in order. */
+  readonly told: string[];
+  readonly pauses: { readonly delayMs: number; run(): void }[];
+  now: number;
+}
+
+function setUp(): Setup {
+  const store = new FakeStore();
+  const told: string[] = [];
+  const pauses: { delayMs: number; run(): void }[] = [];
+  const setup = { store, told, pauses, now: 0 };
+  const follower = new DirectoryFollower({
+    store: store as Pick<Store, 'range' | 'watch'> as Store,
+    parseConfiguration,
+    parseInstance,
+    prefixes: { configurationKey: CONFIGURATION_KEY, instancePrefix: INSTANCE_KEY_PREFIX },
+    handlers: {
+      onConfiguration: ({ version }) => told.push(`configuration ${version}`),
+      onInstances: (instances, changed) =>
+        told.push(`instances ${[...instances.keys()]} changed ${changed}`),
+      onInstanceRemoved: ({ id, revision }) => told.push(`removed ${id} at ${revision}`),
+      onProblem: (error: MeadowstackError) => told.push(error.code),
+    },
+    clock: () => setup.now,
+    schedule: (delayMs, run) => {
+      pauses.push({ delayMs, run });
+      return () => undefined;
+    },
+    random: () => 0.5,
+  });
+  return Object.assign(setup, { follower });
+}
+
+function item(key: string, value: object | string, modRevision: number): KeyValue {
+  const text = typeof value === 'string' ? value : JSON.stringify(value);
+  return { key, value: text, createRevision: 1, modRevision };
+}
+
+function put(key: string, value: object | string, modRevision: number): WatchEvent {
+  return { type: 'put', entry: item(key, value, modRevision) };
+}
+
+function configuration(version: number, revision: number): KeyValue {
+  return item(CONFIGURATION_KEY, { version, routes: [], services: [] }, revision);
+}
+
+function entry(change: object = {}): object {
+  const whole = { service: 'svc', address: '10.0.0.1:80', zone: 'a', slots: 3, state: 'ready' };
+  return { ...whole, database_role: 'replica', sequence: 1, ...change };
+}
+
+/** Lets the answers that are on their way arrive. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+async function started(prepare: (store: FakeStore) => void): Promise<Setup> {
+  const setup = setUp();
+  prepare(setup.store);
+  setup.follower.start();
+  await settle();
+  return setup;
+}
+
+test('what is read first is told, and watched from the next revision on', async () => {
+  const { store, told, follower } = await started((one) => {
+    one.ranges.set(CONFIGURATION_KEY, { revision: 9, entries: [configuration(7, 4)] });
+    one.ranges.set(INSTANCE_KEY_PREFIX, {
+      revision: 12,
+      entries: [item('servers/i-1', entry(), 5)],
+    });
+  });
+  assert.equal(told.sort(), ['configuration 7', 'instances i-1 changed i-1']);
+  assert.equal(store.opened(CONFIGURATION_KEY), [10]);
+  assert.equal(store.opened(INSTANCE_KEY_PREFIX), [13]);
+  assert.is(follower.configuration()?.version, 7);
+  assert.is(follower.instances().get('i-1')?.host, '10.0.0.1');
+});
+
+test('the configuration takes only a higher version', async () => {
+  const { store, told, follower } = await started((one) => {
+    one.ranges.set(CONFIGURATION_KEY, { revision: 9, entries: [configuration(7, 4)] });
+  });
+  told.length = 0;
+  const { handlers } = store.last(CONFIGURATION_KEY);
+  handlers.onEvents([{ type: 'put', entry: configuration(6, 10) }], 10);
+  handlers.onEvents([{ type: 'delete', key: CONFIGURATION_KEY, modRevision: 11 }], 11);
+  handlers.onEvents([put(CONFIGURATION_KEY, '{"version":', 12)], 12);
+  handlers.onEvents([put(`${CONFIGURATION_KEY}2`, { version: 99 }, 13)], 13);
+  assert.equal(told, ['MS-PLATFORM-DOCUMENT']);
+  assert.is(follower.configuration()?.version, 7);
+  handlers.onEvents([{ type: 'put', entry: configuration(11, 14) }], 14);
+  handlers.onEvents([{ type: 'put', entry: configuration(12, 14) }], 14);
+  assert.equal(told.slice(1), ['configuration 11'], 'an event told twice is taken once');
+});
+
+test('a heartbeat is no change; another field is, and a removal tells its revision', async () => {
+  const { store, told } = await started((one) => {
+    const entries = [item('servers/i-1', entry(), 5), item('servers/i-2', entry(), 6)];
+    one.ranges.set(INSTANCE_KEY_PREFIX, { revision: 12, entries });
+  });
+  told.length = 0;
+  const { handlers } = store.last(INSTANCE_KEY_PREFIX);
+  handlers.onEvents([put('servers/i-1', entry({ sequence: 2 }), 13)], 13);
+  handlers.onEvents([], 20);
+  assert.equal(told, []);
+  handlers.onEvents([put('servers/i-1', entry({ state: 'draining' }), 21)], 21);
+  handlers.onEvents([{ type: 'delete', key: 'servers/i-2', modRevision: 22 }], 22);
+  assert.equal(told, [
+    'instances i-1,i-2 changed i-1',
+    'removed i-2 at 22',
+    'instances i-1 changed i-2',
+  ]);
+});
+
+test('a malformed entry leaves what was known; events older than it are passed over', async () => {
+  const { store, told, follower } = await started((one) => {
+    const entries = [item('servers/i-1', entry(), 15)];
+    one.ranges.set(INSTANCE_KEY_PREFIX, { revision: 12, entries });
+  });
+  told.length = 0;
+  const { handlers } = store.last(INSTANCE_KEY_PREFIX);
+  handlers.onEvents([put('servers/i-1', entry({ slots: 9 }), 13)], 13);
+  handlers.onEvents([{ type: 'delete', key: 'servers/i-1', modRevision: 14 }], 14);
+  handlers.onEvents([put('servers/i-1', 'junk', 16)], 16);
+  assert.equal(told, ['MS-PLATFORM-DOCUMENT']);
+  assert.is(follower.instances().get('i-1')?.slots, 3);
+});
+
+test('a lost poll is sent again at once from where it was; the next failures back off', async () => {
+  const { store, pauses } = await started(() => undefined);
+  store.last(CONFIGURATION_KEY).handlers.onEvents([], 30);
+  store.last(CONFIGURATION_KEY).handlers.onEnd(new StoreWatchEndedError('silent'), false);
+  assert.equal(store.opened(CONFIGURATION_KEY), [2, 31]);
+  assert.equal(pauses, []);
+  store.last(CONFIGURATION_KEY).handlers.onEnd(new StoreWatchEndedError('silent'), false);
+  assert.is(store.opened(CONFIGURATION_KEY).length, 2, 'not before the pause');
+  assert.is(pauses[0]?.delayMs, 50, 'half of a ceiling that has doubled once');
+  pauses[0]?.run();
+  assert.equal(store.opened(CONFIGURATION_KEY), [2, 31, 31]);
+  assert.equal(store.reads, [CONFIGURATION_KEY, INSTANCE_KEY_PREFIX], 'nothing is read anew');
+});
+
+test('a refusal backs off at once', async () => {
+  const { store, pauses } = await started(() => undefined);
+  store.last(CONFIGURATION_KEY).handlers.onEnd(new StoreUnavailableError('503'), false);
+  assert.is(store.opened(CONFIGURATION_KEY).length, 1);
+  assert.is(pauses[0]?.delayMs, 25);
+});
+
+test('after history is gone the range is read anew; what vanished meanwhile is removed', async () => {
+  const { store, told } = await started((one) => {
+    const entries = [item('servers/i-1', entry(), 5), item('servers/i-2', entry(), 6)];
+    one.ranges.set(INSTANCE_KEY_PREFIX, { revision: 12, entries });
+    one.ranges.set(CONFIGURATION_KEY, { revision: 12, entries: [configuration(7, 4)] });
+  });
+  told.length = 0;
+  store.ranges.set(INSTANCE_KEY_PREFIX, {
+    revision: 90,
+    entries: [item('servers/i-2', entry({ sequence: 9 }), 80), item('servers/i-3', entry(), 85)],
+  });
+  store.ranges.set(CONFIGURATION_KEY, { revision: 90, entries: [configuration(6, 70)] });
+  store.last(INSTANCE_KEY_PREFIX).handlers.onEnd(new StoreCompactedError(50), true);
+  store.last(CONFIGURATION_KEY).handlers.onEnd(new StoreCompactedError(50), true);
+  await settle();
+  assert.equal(told, [
+    'MS-STORE-COMPACTED',
+    'MS-STORE-COMPACTED',
+    'removed i-1 at 90',
+    'instances i-2,i-3 changed i-3,i-1',
+  ]);
+  assert.equal(store.opened(INSTANCE_KEY_PREFIX), [13, 91]);
+});
+
+test('a read that fails is repeated after a pause, and nothing is taken back', async () => {
+  const setup = await started((one) => {
+    one.ranges.set(CONFIGURATION_KEY, new StoreUnavailableError('down'));
+  });
+  assert.equal(setup.store.opened(CONFIGURATION_KEY), []);
+  setup.store.ranges.set(CONFIGURATION_KEY, { revision: 9, entries: [configuration(7, 4)] });
+  setup.pauses[0]?.run();
+  await settle();
+  assert.is(setup.follower.configuration()?.version, 7);
+});
+
+test('what is known is confirmed as of the time its last answered call was sent', async () => {
+  const setup = setUp();
+  setup.now = 100;
+  setup.follower.start();
+  assert.is(setup.follower.lastConfirmedAt(), undefined);
+  setup.now = 150;
+  await settle();
+  assert.is(setup.follower.lastConfirmedAt(), 100);
+  setup.now = 2000;
+  for (const prefix of [CONFIGURATION_KEY, INSTANCE_KEY_PREFIX]) {
+    setup.store.last(prefix).handlers.onEvents([], 30);
+  }
+  assert.is(setup.follower.lastConfirmedAt(), 150, 'when the first poll was sent');
+  setup.now = 4000;
+  setup.store.last(CONFIGURATION_KEY).handlers.onEvents([], 40);
+  assert.is(setup.follower.configurationConfirmedAt(), 2000);
+  assert.is(setup.follower.lastConfirmedAt(), 150, 'the earlier one of the two');
+  setup.now = 5000;
+  setup.store.last(CONFIGURATION_KEY).handlers.onEnd(new StoreWatchEndedError('lost'), false);
+  assert.is(setup.follower.configurationConfirmedAt(), 2000, 'a lost poll confirms nothing');
+});
+
+test('a follower that was stopped tells nothing and holds no watch', async () => {
+  const { store, told, follower } = await started(() => undefined);
+  told.length = 0;
+  const watch = store.last(CONFIGURATION_KEY);
+  follower.stop();
+  assert.not(watch.open);
+  watch.handlers.onEvents([{ type: 'put', entry: configuration(8, 50) }], 50);
+  assert.equal(told, []);
+});
+
+test.run();
--- /dev/null
+++ b/test/unit/platform/settings.test.ts
@@ -0,0 +1,66 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { parseSettings, readSettings } from '../../../platform/settings.js';
+
+const BOUNDS = { grace_period_s: 6, drain_timeout_ms: 7000, config_apply_ms: 3000, more: true };
+const SETTINGS = {
+  node_name: 'frontend-1',
+  zone: 'zone-a',
+  listen_addresses: { frontend: '10.1.0.8:8784', readiness: '10.1.0.8:8785', control_plane: '' },
+  bounds: BOUNDS,
+  platform: { address: '10.200.1.7:8783', form: 'kv', min_ttl_ms: 1000 },
+  cloud_api: { address: '10.200.0.160:8783', duties: ['promotion'] },
+  data_directory: null,
+};
+
+function settingsOf(change: object) {
+  return parseSettings(JSON.stringify({ ...SETTINGS, ...change }));
+}
+
+function fieldsOf(change: object): string[] {
+  return settingsOf(change)
+    ._unsafeUnwrapErr()
+    .problems.map(({ field }) => field);
+}
+
+test('the settings file is translated, and fields that are not known are ignored', () => {
+  assert.equal(settingsOf({})._unsafeUnwrap(), {
+    nodeName: 'frontend-1',
+    zone: 'zone-a',
+    callers: { host: '10.1.0.8', port: 8784 },
+    readiness: { host: '10.1.0.8', port: 8785 },
+    store: { host: '10.200.1.7', port: 8783, minimumLeaseMs: 1000 },
+    promotion: { host: '10.200.0.160', port: 8783 },
+    gracePeriodMs: 6000,
+    drainTimeoutMs: 7000,
+    configurationApplyMs: 3000,
+  });
+});
+
+test('without the promotion duty there is no promotion call', () => {
+  assert.is(settingsOf({ cloud_api: null })._unsafeUnwrap().promotion, undefined);
+  const other = { address: '10.200.0.160:8783', duties: ['other'] };
+  assert.is(settingsOf({ cloud_api: other })._unsafeUnwrap().promotion, undefined);
+});
+
+test('each problem names its field', () => {
+  assert.equal(fieldsOf({ node_name: 7 }), ['node_name']);
+  assert.equal(fieldsOf({ listen_addresses: { frontend: '10.1.0.8:8784' } }), [
+    'listen_addresses.readiness',
+  ]);
+  assert.equal(fieldsOf({ bounds: { ...BOUNDS, grace_period_s: '6', drain_timeout_ms: null } }), [
+    'bounds.grace_period_s',
+    'bounds.drain_timeout_ms',
+  ]);
+  assert.equal(fieldsOf({ platform: undefined }), ['platform']);
+  const error = parseSettings('{')._unsafeUnwrapErr();
+  assert.is(error.code, 'MS-PLATFORM-SETTINGS');
+  assert.is(error.problems[0]?.field, '.');
+});
+
+test('a file that is not there is told', () => {
+  const error = readSettings('/nowhere/boot.json')._unsafeUnwrapErr();
+  assert.match(error.message, '/nowhere/boot.json');
+});
+
+test.run();
