--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -20,10 +20,14 @@
 /** Values and prepared statements that one session may hold, so that none exhausts the node. */
 const MAX_SESSION_ENTRIES = 256;
 const SHARED_NAME_LENGTH = 16;
+/** A caller that comes before this node knows its routes is answered after this at the latest. */
+const START_WAIT_MS = 1500;
 
 /** What a database name leads to now. */
 export interface RouteLookup {
   find(database: string): { route: RouteDescription; service: ServiceRuntime } | undefined;
+  /** Resolves once routes are known: true, or false if they are still unknown after so long. */
+  known(withinMs: Milliseconds): Promise<boolean>;
   readonly transactionIdleMs: Milliseconds;
 }
 
@@ -126,7 +130,7 @@
   async #handle(message: CallerMessage): Promise<void> {
     switch (message.type) {
       case 'start':
-        this.#start(message.database);
+        await this.#start(message.database);
         return;
       case 'terminate':
         this.#end();
@@ -151,13 +155,18 @@
     this.options.end();
   }
 
-  #start(database: string): void {
+  async #start(database: string): Promise<void> {
     const { wire, routes } = this.options;
     if (this.#database !== undefined) {
       this.options.write(wire.encodeError('malformed', 'the session was started before'));
       this.#end();
       return;
     }
+    if (!(await routes.known(START_WAIT_MS))) {
+      this.options.write(wire.encodeError('busy', 'no configuration yet'));
+      this.#end();
+      return;
+    }
     if (routes.find(database) === undefined) {
       this.options.write(wire.encodeError('no-database', 'no such database'));
       this.#end();
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -16,7 +16,7 @@
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
 import type { StatementWire } from './wire.js';
-import { pause } from './within.js';
+import { firstWithin, pause } from './within.js';
 
 const CONNECT_TIMEOUT_MS = 500;
 const RECONNECT_DELAY_MS = 200;
@@ -64,9 +64,14 @@
   #stopping = false;
   #sampler: NodeJS.Timeout | undefined;
   readonly #sampling = new Set<string>();
+  readonly #firstConfiguration: Promise<true>;
+  #tellFirstConfiguration: () => void = () => {};
 
   constructor(private readonly options: DirectGatewayOptions) {
     const { wire, view, now, random } = options;
+    this.#firstConfiguration = new Promise((resolve) => {
+      this.#tellFirstConfiguration = () => resolve(true);
+    });
     this.#runner = new StatementRunner({ wire, view, now, random });
     this.#server = new CallerServer({
       wire,
@@ -106,6 +111,11 @@
     return service === undefined ? undefined : { route, service };
   }
 
+  async known(withinMs: Milliseconds): Promise<boolean> {
+    if (this.#configuration !== undefined) return true;
+    return (await firstWithin([this.#firstConfiguration], withinMs)) ?? false;
+  }
+
   /** Takes a configuration; an older one than that in force is left out. */
   setConfiguration(configuration: PublishedConfiguration): void {
     if (this.#configuration !== undefined && configuration.version <= this.#configuration.version) {
@@ -117,6 +127,7 @@
       this.#service(description.name).setMaxConnections(description.maxConnections);
     }
     this.setInstances(this.#instances);
+    this.#tellFirstConfiguration();
   }
 
   /** Takes the instances that are announced now. */
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -37,6 +37,9 @@
 
 const INITIAL_ANSWER_MS = 25;
 const ANSWER_SMOOTHING = 0.1;
+/** An answer that takes longer than this, or so many times the recent time, is taken for lost. */
+const LOST_MINIMUM_MS = 250;
+const LOST_FACTOR = 8;
 
 export class InstancePool {
   readonly #idle: InstanceConnection[] = [];
@@ -84,6 +87,11 @@
     this.#openForWaiters();
   }
 
+  /** How long an answer may take before it is taken for lost. */
+  get patienceMs(): Milliseconds {
+    return Math.max(LOST_MINIMUM_MS, this.answerMs * LOST_FACTOR);
+  }
+
   noteAnswer(elapsedMs: Milliseconds): void {
     this.answerMs += (elapsedMs - this.answerMs) * ANSWER_SMOOTHING;
   }
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -178,13 +178,15 @@
     let refusal: Refusal = { code: 'busy', text: 'no instance' };
     let sent = false;
     let attempts = 0;
+    let lastSentAt = now();
     while (now() < request.deadline) {
       const target =
         attempts < MAX_READ_ATTEMPTS || running.size === 0
           ? this.chooseTarget(request, excluded)
           : undefined;
-      if (target !== undefined && !(excluded.has(target.instance.id) && running.size > 0)) {
+      if (target !== undefined && this.#mayAttempt(target, excluded, running.size, lastSentAt)) {
         attempts += 1;
+        lastSentAt = now();
         const attempt = this.#attempt(request, target);
         running.add(attempt);
         void attempt.then(() => running.delete(attempt));
@@ -209,6 +211,18 @@
     return { type: 'refused', refusal };
   }
 
+  /** The same instance gets a read again only after it failed, or once its answer is taken for lost. */
+  #mayAttempt(
+    target: Target,
+    tried: ReadonlySet<string>,
+    running: number,
+    lastSentAt: Milliseconds,
+  ): boolean {
+    const { id, pool } = target.instance;
+    if (running === 0 || !tried.has(id)) return true;
+    return this.options.now() - lastSentAt >= pool.patienceMs;
+  }
+
   #pauseBeforeRetry(): Promise<void> {
     return pause(RETRY_PAUSE_MS * (0.5 + this.options.random()));
   }
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -141,7 +141,9 @@
       synchronise(connection, request.session.values, request.prepared, wire);
       const exchange = connection.exchange(request.encode(undefined));
       connection.uncork();
-      const answer = await firstWithin([exchange], request.deadline - now());
+      // Nothing of an open transaction is kept once its connection is closed: the caller may repeat it.
+      const patienceMs = Math.min(request.deadline - now(), instance.pool.patienceMs);
+      const answer = await firstWithin([exchange], patienceMs);
       if (answer === undefined) {
         connection.close();
         this.runner.noteFailure(this, instance);
