--- /dev/null
+++ b/src/core/promotion/duty-store.ts
@@ -0,0 +1,137 @@
+/**
+ * What the leader reads and writes in the store for its duty. Every write has the condition that the
+ * leader's key is still this leader's, and that what it replaces is what was read.
+ */
+import type { TransactionOperation } from '../../platform/contract.js';
+import type { Election } from './election.js';
+import type { Primaries } from './primaries.js';
+import {
+  acknowledgementForm,
+  acknowledgementKeyOf,
+  DUTY_PREFIX,
+  type DutyNote,
+  decodeRecord,
+  dutyNoteForm,
+  FLEET_KEY,
+  type FleetRecord,
+  fleetForm,
+  LEADER_KEY,
+  nodeForm,
+  nodeOfNodeKey,
+  noteKeyOf,
+  type PrimaryRecord,
+  primaryKeyOf,
+  suspicionForm,
+  suspicionPrefixOf,
+} from './records.js';
+import { isTrouble, type PromotionRuntime } from './runtime.js';
+import type { StoreView } from './store-view.js';
+
+/** A service's record or note to be written; both are replaced as they are known now. */
+export interface DutyWrite {
+  readonly service: string;
+  readonly record?: PrimaryRecord;
+  readonly note?: DutyNote;
+}
+
+const NODE_PREFIX = `${DUTY_PREFIX}nodes/`;
+const EMPTY_NOTE: DutyNote = {
+  members: [],
+  primary: undefined,
+  candidate: undefined,
+  change: 0,
+};
+
+export class DutyStore {
+  constructor(
+    private readonly runtime: PromotionRuntime,
+    private readonly election: Election,
+    private readonly primaries: Primaries,
+    private readonly records: StoreView,
+    private readonly duty: StoreView,
+  ) {}
+
+  noteOf(service: string): DutyNote {
+    return decodeRecord(this.duty.get(noteKeyOf(service)), dutyNoteForm) ?? EMPTY_NOTE;
+  }
+
+  /** Nodes whose lease has not run out. */
+  liveNodes(): number {
+    return [...this.duty.under(NODE_PREFIX)].length;
+  }
+
+  publishedNodes(): number | undefined {
+    return decodeRecord(this.records.get(FLEET_KEY), fleetForm)?.nodes;
+  }
+
+  /** Nodes that suspect this primary. */
+  suspicionsOf(service: string, instance: string): number {
+    let count = 0;
+    for (const entry of this.duty.under(suspicionPrefixOf(service))) {
+      if (decodeRecord(entry, suspicionForm)?.instance === instance) count += 1;
+    }
+    return count;
+  }
+
+  /**
+   * Nodes that may use the primary which the change replaces; undefined if that is not known yet,
+   * since what the leader knows may be older than the change.
+   */
+  nodesInUse(service: string, record: PrimaryRecord): string[] | undefined {
+    const begunAt = Math.max(this.primaries.recordRevisionOf(service), this.election.token ?? 0);
+    if (this.duty.revision < begunAt) return undefined;
+    const inUse: string[] = [];
+    for (const entry of this.duty.under(NODE_PREFIX)) {
+      const node = nodeOfNodeKey(entry.key);
+      if (node !== undefined && !this.#hasAcknowledged(service, record, node)) inUse.push(node);
+    }
+    return inUse;
+  }
+
+  /** Reads the duty's keys anew, for when the watch is behind. */
+  readAnew(): void {
+    this.duty.read();
+  }
+
+  write({ service, record, note }: DutyWrite, onDone: (succeeded: boolean) => void): void {
+    const operations: TransactionOperation[] = [];
+    const recordKey = primaryKeyOf(service);
+    const noteKey = noteKeyOf(service);
+    const recordText = JSON.stringify(record);
+    const noteText = JSON.stringify(note);
+    if (record !== undefined) operations.push({ type: 'put', key: recordKey, value: recordText });
+    if (note !== undefined) operations.push({ type: 'put', key: noteKey, value: noteText });
+    const compares = [
+      { key: LEADER_KEY, modRevision: this.election.token ?? 0 },
+      { key: recordKey, modRevision: this.records.get(recordKey)?.modRevision ?? 0 },
+      { key: noteKey, modRevision: this.duty.get(noteKey)?.modRevision ?? 0 },
+    ];
+    this.runtime.transaction(compares, operations, (answer) => {
+      const succeeded = !isTrouble(answer) && answer.succeeded;
+      if (succeeded && note !== undefined) {
+        this.duty.noteOwnPut(noteKey, noteText, answer.revision);
+      }
+      if (succeeded && record !== undefined) {
+        this.records.noteOwnPut(recordKey, recordText, answer.revision);
+      }
+      onDone(succeeded);
+    });
+  }
+
+  publishNodes(nodes: number, onDone: () => void): void {
+    const value = JSON.stringify({ nodes } satisfies FleetRecord);
+    const compares = [{ key: LEADER_KEY, modRevision: this.election.token ?? 0 }];
+    this.runtime.transaction(compares, [{ type: 'put', key: FLEET_KEY, value }], () => onDone());
+  }
+
+  #hasAcknowledged(service: string, record: PrimaryRecord, node: string): boolean {
+    const registered = decodeRecord(
+      this.duty.get(`${NODE_PREFIX}${encodeURIComponent(node)}`),
+      nodeForm,
+    );
+    const key = acknowledgementKeyOf(service, node);
+    const acknowledged = decodeRecord(this.duty.get(key), acknowledgementForm);
+    if (registered === undefined || acknowledged === undefined) return false;
+    return acknowledged.change === record.change && acknowledged.leaseId === registered.leaseId;
+  }
+}
--- /dev/null
+++ b/src/core/promotion/leader.ts
@@ -0,0 +1,124 @@
+/** The duty of promotions while this node holds it: one part for each service, and the node count. */
+import type { ServiceDescription } from '../../direct/contract.js';
+import type { Milliseconds } from '../units.js';
+import { DutyStore } from './duty-store.js';
+import type { Election } from './election.js';
+import type { NodeLease } from './lease.js';
+import type { Primaries } from './primaries.js';
+import { DUTY_PREFIX } from './records.js';
+import type { PromotionRuntime } from './runtime.js';
+import { Scope } from './scope.js';
+import { ServiceDuty } from './service-duty.js';
+import { StoreView } from './store-view.js';
+
+/** The count of nodes is published at most this often. */
+const PUBLISH_EVERY_MS = 1000;
+
+export class Leader {
+  readonly #duty: StoreView;
+  readonly #store: DutyStore;
+  #scope: Scope;
+  #services = new Map<string, ServiceDescription>();
+  #duties = new Map<string, ServiceDuty>();
+  #isLeading = false;
+  #publishing = false;
+  #publishedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly runtime: PromotionRuntime,
+    private readonly election: Election,
+    private readonly lease: NodeLease,
+    private readonly primaries: Primaries,
+    records: StoreView,
+  ) {
+    this.#scope = new Scope(runtime);
+    this.#duty = new StoreView(runtime, DUTY_PREFIX);
+    this.#duty.onChange = () => this.update();
+    this.#store = new DutyStore(runtime, election, primaries, records, this.#duty);
+  }
+
+  /** View of the keys that only the leader follows. */
+  get duty(): StoreView {
+    return this.#duty;
+  }
+
+  get isCalling(): boolean {
+    return [...this.#duties.values()].some(({ isCalling }) => isCalling);
+  }
+
+  noteServices(services: readonly ServiceDescription[]): void {
+    this.#services = new Map(services.map((service) => [service.name, service]));
+    this.update();
+  }
+
+  noteAlive(service: string, instance: string): void {
+    this.#duties.get(service)?.noteAlive(instance);
+  }
+
+  /** This node has taken or lost the lead. */
+  noteElection(): void {
+    if (this.#isLeading) this.stop();
+    if (this.election.token === undefined) return;
+    this.#isLeading = true;
+    this.#scope = new Scope(this.runtime);
+    this.#duty.start();
+  }
+
+  /** Records, the duty's keys, instances or services have changed. */
+  update(): void {
+    if (!this.#isLeading || !this.#duty.isReady) return;
+    for (const service of this.#services.keys()) {
+      const known = this.#duties.get(service);
+      if (known !== undefined) {
+        known.update();
+        continue;
+      }
+      const duty = this.#createDuty(service);
+      this.#duties.set(service, duty);
+      duty.start();
+    }
+    for (const [service, duty] of this.#duties) {
+      if (this.#services.has(service)) continue;
+      duty.stop();
+      this.#duties.delete(service);
+    }
+    this.#publishNodes();
+  }
+
+  stop(): void {
+    this.#isLeading = false;
+    this.#scope.end();
+    for (const duty of this.#duties.values()) duty.stop();
+    this.#duties.clear();
+    this.#duty.stop();
+  }
+
+  #createDuty(service: string): ServiceDuty {
+    const context = {
+      runtime: this.runtime,
+      election: this.election,
+      lease: this.lease,
+      primaries: this.primaries,
+      store: this.#store,
+      syncReplicasOf: (name: string) => this.#services.get(name)?.syncReplicas ?? 1,
+    };
+    return new ServiceDuty(context, service);
+  }
+
+  #publishNodes(): void {
+    const nodes = this.#store.liveNodes();
+    if (this.#publishing || nodes === this.#store.publishedNodes()) return;
+    this.#publishing = true;
+    const waitMs = Math.max(0, this.#publishedAt + PUBLISH_EVERY_MS - this.runtime.now);
+    this.#scope.after(waitMs, () => {
+      this.#publishedAt = this.runtime.now;
+      const onDone = this.#scope.guard(() => {
+        this.#publishing = false;
+        this.#scope.after(PUBLISH_EVERY_MS, () => this.#publishNodes());
+      });
+      if (this.election.mayAct())
+        this.#store.publishNodes(this.#store.liveNodes(), () => onDone(undefined));
+      else onDone(undefined);
+    });
+  }
+}
--- /dev/null
+++ b/src/core/promotion/lease.ts
@@ -0,0 +1,117 @@
+/**
+ * A node's lease at the store. It is over by the node's own clock earlier than it can be over at the
+ * store: it runs there from the arrival of the renewal, and here from before it was sent.
+ */
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../units.js';
+import { isTrouble, type PromotionRuntime, type StoreTrouble } from './runtime.js';
+
+const BACKOFF_MAXIMUM_MS = 2000;
+
+export class NodeLease {
+  /** Called with every new lease. */
+  onGranted: (leaseId: string) => void = () => {};
+  #leaseId: string | undefined;
+  #validUntil: Milliseconds = 0;
+  #troubleAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #failures = 0;
+  #stopped = false;
+  #cancelNext = (): void => {};
+
+  constructor(private readonly runtime: PromotionRuntime) {}
+
+  /** The lease that was granted last, also if it may be over. */
+  get leaseId(): string | undefined {
+    return this.#leaseId;
+  }
+
+  /** Until when the lease surely holds at the store. */
+  get validUntil(): Milliseconds {
+    return this.#validUntil;
+  }
+
+  /** Last time that the store did not answer, or not in time. */
+  get troubleAt(): Milliseconds {
+    return this.#troubleAt;
+  }
+
+  isValid(now: Milliseconds): boolean {
+    return !this.#stopped && this.#leaseId !== undefined && now < this.#validUntil;
+  }
+
+  start(): void {
+    const { leaseSeconds } = this.runtime.timings;
+    const sentAt = this.runtime.now;
+    this.runtime.grantLease(leaseSeconds, (answer) => {
+      if (this.#stopped) return;
+      if (isTrouble(answer)) {
+        this.#noteTrouble();
+        this.runtime.after(this.#backoff(answer), () => this.#stopped || this.start());
+        return;
+      }
+      this.#failures = 0;
+      this.#leaseId = answer;
+      this.#validUntil = this.#endOf(sentAt);
+      this.#renewAfter(this.runtime.timings.leaseRenewMs - (this.runtime.now - sentAt));
+      this.onGranted(answer);
+    });
+  }
+
+  /** Ends the lease's use at once; the lease itself is left to the caller. */
+  stop(): string | undefined {
+    this.#stopped = true;
+    this.#cancelNext();
+    return this.#leaseId;
+  }
+
+  #endOf(sentAt: Milliseconds): Milliseconds {
+    const { leaseSeconds, leaseMarginMs } = this.runtime.timings;
+    return sentAt + leaseSeconds * MILLISECONDS_PER_SECOND - leaseMarginMs;
+  }
+
+  #renewAfter(delayMs: Milliseconds): void {
+    this.#cancelNext();
+    this.#cancelNext = this.runtime.after(delayMs, () => this.#renew());
+  }
+
+  #renew(): void {
+    const leaseId = this.#leaseId;
+    if (leaseId === undefined) return;
+    const { leaseRenewMs, leaseRetryMs } = this.runtime.timings;
+    const sentAt = this.runtime.now;
+    this.#cancelNext = this.runtime.after(leaseRetryMs, () => {
+      this.#noteTrouble();
+      this.#renew();
+    });
+    this.runtime.keepLease(leaseId, (answer) => {
+      if (this.#stopped || leaseId !== this.#leaseId) return;
+      if (answer === true) {
+        this.#failures = 0;
+        this.#validUntil = Math.max(this.#validUntil, this.#endOf(sentAt));
+        this.#renewAfter(Math.max(0, leaseRenewMs - (this.runtime.now - sentAt)));
+      } else if (answer.leaseOver) {
+        this.#replace();
+      } else {
+        this.#noteTrouble();
+        this.#renewAfter(this.#backoff(answer));
+      }
+    });
+  }
+
+  #replace(): void {
+    this.runtime.log('warn', 'lease lost', { lease: this.#leaseId });
+    this.#leaseId = undefined;
+    this.#validUntil = 0;
+    this.#cancelNext();
+    this.start();
+  }
+
+  #noteTrouble(): void {
+    this.#troubleAt = this.runtime.now;
+  }
+
+  #backoff({ retryAfterMs }: StoreTrouble): Milliseconds {
+    const bound = this.runtime.timings.storeRetryMs * 2 ** this.#failures;
+    this.#failures += 1;
+    return Math.max(retryAfterMs, this.runtime.jittered(Math.min(BACKOFF_MAXIMUM_MS, bound)));
+  }
+}
--- /dev/null
+++ b/src/core/promotion/machine.ts
@@ -0,0 +1,200 @@
+/**
+ * The promotion machine of one node: its lease and registration, the records it follows, its part in
+ * changes, and the duty of promotions while it leads. Pure: events and times in, effects out.
+ */
+import type { InstanceEntry } from '../../direct/contract.js';
+import type { Milliseconds } from '../units.js';
+import type { PromotionEffect, PromotionEvent } from './contract.js';
+import { Election } from './election.js';
+import { Leader } from './leader.js';
+import { NodeLease } from './lease.js';
+import type { PromotionOptions } from './options.js';
+import { Participation } from './participation.js';
+import { Primaries } from './primaries.js';
+import {
+  decodeRecord,
+  FLEET_KEY,
+  fleetForm,
+  LEADER_KEY,
+  RECORD_PREFIX,
+  serviceOfPrimaryKey,
+} from './records.js';
+import { PromotionRuntime } from './runtime.js';
+import { StoreView } from './store-view.js';
+import { Suspicions } from './suspicion.js';
+
+const RELEASE_CHECK_MS = 50;
+
+export class PromotionMachine {
+  readonly #runtime: PromotionRuntime;
+  readonly #lease: NodeLease;
+  readonly #records: StoreView;
+  readonly #participation: Participation;
+  readonly #primaries: Primaries;
+  readonly #election: Election;
+  readonly #leader: Leader;
+  readonly #suspicions: Suspicions;
+  /** Primary of each service as it was told last. */
+  readonly #told = new Map<string, string | undefined>();
+  #services: readonly string[] = [];
+  #isReleasing = false;
+  #isStopped = false;
+
+  constructor(options: PromotionOptions) {
+    const runtime = new PromotionRuntime(options);
+    this.#runtime = runtime;
+    this.#lease = new NodeLease(runtime);
+    this.#records = new StoreView(runtime, RECORD_PREFIX);
+    this.#participation = new Participation(runtime, this.#lease, this.#records);
+    this.#primaries = new Primaries(this.#records, options.timings, () => this.#lease.troubleAt);
+    this.#election = new Election(runtime, this.#lease, this.#participation, this.#records);
+    this.#leader = new Leader(runtime, this.#election, this.#lease, this.#primaries, this.#records);
+    this.#suspicions = new Suspicions(runtime, this.#lease);
+    this.#lease.onGranted = (leaseId) => this.#participation.register(leaseId);
+    this.#participation.onRegistered = () => this.#noteRecords();
+    this.#records.onChange = () => this.#noteRecords();
+    this.#election.onChange = () => this.#leader.noteElection();
+  }
+
+  /** Earliest time at which a tick is wanted. */
+  nextDeadline(): Milliseconds | undefined {
+    return this.#runtime.agenda.next();
+  }
+
+  handle(event: PromotionEvent, now: Milliseconds): PromotionEffect[] {
+    if (this.#isStopped && event.type !== 'answer' && event.type !== 'tick') return [];
+    this.#runtime.now = Math.max(this.#runtime.now, now);
+    this.#take(event);
+    this.#runtime.agenda.run(this.#runtime.now);
+    return this.#runtime.takeEffects();
+  }
+
+  /** The instance that takes writes now; undefined while it changes or is unknown. */
+  primaryOf(service: string, now: Milliseconds): InstanceEntry | undefined {
+    return this.#primaries.primaryOf(service, now);
+  }
+
+  /** True if what the primary answers now is surely not that of a deposed one. */
+  mayTrustPrimary(service: string, now: Milliseconds): boolean {
+    if (!this.#participation.isPermitted(now)) return false;
+    return this.#primaries.primaryOf(service, now) !== undefined;
+  }
+
+  /** Nodes that there are, as the leader counted them last; at least this one. */
+  liveNodeCount(): number {
+    return Math.max(1, decodeRecord(this.#records.get(FLEET_KEY), fleetForm)?.nodes ?? 1);
+  }
+
+  get isLeader(): boolean {
+    return this.#election.mayAct();
+  }
+
+  #take(event: PromotionEvent): void {
+    switch (event.type) {
+      case 'start':
+        this.#lease.start();
+        return;
+      case 'tick':
+        return;
+      case 'answer':
+        this.#runtime.answer(event.request, event.answer);
+        return;
+      case 'watch-events':
+        this.#records.watchEvents(event.watch, event.events, event.revision);
+        this.#leader.duty.watchEvents(event.watch, event.events, event.revision);
+        return;
+      case 'watch-ended':
+        this.#records.watchEnded(event.watch);
+        this.#leader.duty.watchEnded(event.watch);
+        return;
+      case 'instances-changed':
+        this.#primaries.noteInstances(event.entries, this.#runtime.now);
+        this.#tellChanges();
+        this.#leader.update();
+        return;
+      case 'services-changed':
+        this.#services = event.services.map(({ name }) => name);
+        this.#tellChanges();
+        this.#leader.noteServices(event.services);
+        return;
+      case 'primary-failed':
+        this.#noteUse(event.service, (instance) =>
+          this.#suspicions.noteFailure(event.service, instance, event.use),
+        );
+        return;
+      case 'primary-succeeded':
+        this.#noteUse(event.service, (instance) => {
+          this.#suspicions.noteSuccess(event.service, instance, event.use);
+          this.#leader.noteAlive(event.service, instance);
+        });
+        return;
+      case 'use-ended':
+        this.#participation.noteUseEnded(event.service, event.change);
+        return;
+      case 'release-leadership':
+        this.#release();
+        return;
+      case 'stop':
+        this.#stop();
+    }
+  }
+
+  #noteUse(service: string, note: (instance: string) => void): void {
+    const instance = this.#primaries.primaryIdOf(service);
+    if (instance !== undefined) note(instance);
+  }
+
+  #noteRecords(): void {
+    this.#tellChanges();
+    for (const entry of this.#records.under(RECORD_PREFIX)) {
+      const service = serviceOfPrimaryKey(entry.key);
+      if (service === undefined) continue;
+      this.#participation.noteRecord(service, this.#primaries.recordOf(service));
+    }
+    this.#election.update();
+    this.#leader.update();
+  }
+
+  #tellChanges(): void {
+    for (const service of this.#services) {
+      const id = this.#primaries.primaryIdOf(service);
+      if (this.#told.has(service) && this.#told.get(service) === id) continue;
+      this.#told.set(service, id);
+      this.#suspicions.notePrimary(service, id);
+      this.#runtime.emit({ type: 'primary-changed', service });
+    }
+  }
+
+  /** Hands the lead on, once no call of the promotion is on its way. */
+  #release(): void {
+    this.#isReleasing = true;
+    this.#election.stop();
+    if (this.#leader.isCalling) {
+      this.#runtime.after(RELEASE_CHECK_MS, () => this.#release());
+      return;
+    }
+    const hasToken =
+      this.#records.get(LEADER_KEY) !== undefined && this.#election.token !== undefined;
+    if (hasToken) this.#election.resign(0, () => this.#noteReleased());
+    else this.#noteReleased();
+  }
+
+  #noteReleased(): void {
+    if (!this.#isReleasing) return;
+    this.#isReleasing = false;
+    this.#runtime.emit({ type: 'leadership-released' });
+  }
+
+  #stop(): void {
+    this.#isStopped = true;
+    this.#participation.stop();
+    this.#election.stop();
+    this.#leader.stop();
+    this.#records.stop();
+    const leaseId = this.#lease.stop();
+    this.#runtime.clear();
+    const onRevoked = (): void => this.#runtime.emit({ type: 'stopped' });
+    if (leaseId === undefined) onRevoked();
+    else this.#runtime.revokeLease(leaseId, onRevoked);
+  }
+}
--- /dev/null
+++ b/src/core/promotion/members.ts
@@ -0,0 +1,150 @@
+/**
+ * Every instance of a service that may hold an acknowledged commit which no other has received. One
+ * that is gone is forgotten only once it is shown that the others have what it had.
+ */
+import type { InstanceEntry, InstanceStatus } from '../../direct/contract.js';
+import { comparePositions, type Position } from '../position.js';
+import type { Milliseconds } from '../units.js';
+import type { ControlFailure } from './contract.js';
+import type { DutyStore } from './duty-store.js';
+import type { Primaries } from './primaries.js';
+import type { PromotionRuntime } from './runtime.js';
+import { Scope } from './scope.js';
+
+const CHECK_EVERY_MS = 1000;
+const GONE_BEFORE_CHECK_MS = 1000;
+
+export class GroupMembers {
+  readonly #scope: Scope;
+  #writing = false;
+  /** End of the primary's log, seen after a member that is gone was found dead. */
+  readonly #endAfterDeath = new Map<string, Position>();
+
+  constructor(
+    private readonly runtime: PromotionRuntime,
+    private readonly primaries: Primaries,
+    private readonly store: DutyStore,
+    readonly service: string,
+  ) {
+    this.#scope = new Scope(runtime);
+  }
+
+  start(): void {
+    this.update();
+    this.#scope.after(CHECK_EVERY_MS, () => this.#check());
+  }
+
+  stop(): void {
+    this.#scope.end();
+  }
+
+  /** All members, as the store or the instances themselves tell. */
+  current(): InstanceEntry[] {
+    const present = this.primaries.present(this.service);
+    const addresses = new Set(present.map(addressOf));
+    // The log of one that is gone goes to its successor at the same address.
+    const gone = this.store
+      .noteOf(this.service)
+      .members.filter((member) => !this.primaries.isPresent(member.id))
+      .filter((member) => !addresses.has(addressOf(member)));
+    return [...present, ...gone];
+  }
+
+  /** Brings the note in the store up to date. */
+  update(): void {
+    const members = this.current();
+    const note = this.store.noteOf(this.service);
+    const primary = this.primaries.primaryIdOf(this.service) ?? note.primary;
+    const isSame = primary === note.primary && sameMembers(members, note.members);
+    if (isSame || members.length === 0) return;
+    this.#write(members, primary);
+  }
+
+  #write(members: readonly InstanceEntry[], primary: string | undefined): void {
+    if (this.#writing) return;
+    this.#writing = true;
+    const note = { ...this.store.noteOf(this.service), members, primary };
+    const onDone = this.#scope.guard((succeeded: boolean) => {
+      this.#writing = false;
+      const waitMs = succeeded ? 0 : this.runtime.timings.storeRetryMs;
+      this.#scope.after(waitMs, () => this.update());
+    });
+    this.store.write({ service: this.service, note }, onDone);
+  }
+
+  #check(): void {
+    this.#scope.after(CHECK_EVERY_MS, () => this.#check());
+    const gone = this.current().filter(({ id }) => {
+      const goneForMs = this.primaries.goneForMs(id, this.runtime.now);
+      return goneForMs !== undefined && goneForMs >= GONE_BEFORE_CHECK_MS;
+    });
+    for (const id of this.#endAfterDeath.keys()) {
+      if (!gone.some((member) => member.id === id)) this.#endAfterDeath.delete(id);
+    }
+    const primaryId = this.primaries.primaryIdOf(this.service);
+    if (primaryId === undefined) return;
+    for (const member of gone) if (member.id !== primaryId) this.#checkGone(member, primaryId);
+  }
+
+  #checkGone(member: InstanceEntry, primaryId: string): void {
+    const end = this.#endAfterDeath.get(member.id);
+    if (end !== undefined) {
+      this.#lookForReplicaWith(end, member, primaryId);
+      return;
+    }
+    const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
+      if (this.#isDead(member, answer)) this.#noteEndOf(member, primaryId);
+    });
+    this.runtime.control('status', member, 0, onAnswer);
+  }
+
+  #isDead({ id }: InstanceEntry, answer: InstanceStatus | ControlFailure): boolean {
+    if (answer === 'refused') return true;
+    const goneForMs: Milliseconds = this.primaries.goneForMs(id, this.runtime.now) ?? 0;
+    return answer === 'silent' && goneForMs >= this.runtime.timings.memberSilentMs;
+  }
+
+  #noteEndOf(member: InstanceEntry, primaryId: string): void {
+    const primary = this.primaries.instance(primaryId);
+    if (primary === undefined) return;
+    const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
+      if (typeof answer === 'string' || answer.role !== 'primary') return;
+      this.#endAfterDeath.set(member.id, answer.received);
+      this.#lookForReplicaWith(answer.received, member, primaryId);
+    });
+    this.runtime.control('status', primary, 0, onAnswer);
+  }
+
+  #lookForReplicaWith(end: Position, member: InstanceEntry, primaryId: string): void {
+    for (const replica of this.primaries.present(this.service)) {
+      if (replica.id === primaryId) continue;
+      const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
+        if (typeof answer === 'string' || answer.role !== 'replica') return;
+        if (comparePositions(answer.received, end) >= 0) this.#forget(member);
+      });
+      this.runtime.control('status', replica, 0, onAnswer);
+    }
+  }
+
+  #forget({ id }: InstanceEntry): void {
+    this.#endAfterDeath.delete(id);
+    const note = this.store.noteOf(this.service);
+    const members = note.members.filter((member) => member.id !== id);
+    if (members.length === note.members.length || this.primaries.isPresent(id)) return;
+    if (this.primaries.primaryIdOf(this.service) === undefined) return;
+    this.#write(members, note.primary);
+  }
+}
+
+function addressOf({ host, port }: InstanceEntry): string {
+  return `${host}:${port}`;
+}
+
+function sameMembers(left: readonly InstanceEntry[], right: readonly InstanceEntry[]): boolean {
+  if (left.length !== right.length) return false;
+  return left.every((member) =>
+    right.some(({ id, host, port }) => {
+      return id === member.id && host === member.host && port === member.port;
+    }),
+  );
+}
--- /dev/null
+++ b/src/core/promotion/monitor.ts
@@ -0,0 +1,154 @@
+/**
+ * Watches one service's primary for the leader: probes it while nothing else shows that it lives, and
+ * tells when it has to be replaced and why.
+ */
+import type { InstanceStatus } from '../../direct/contract.js';
+import type { Milliseconds } from '../units.js';
+import type { ControlFailure } from './contract.js';
+import type { DutyStore } from './duty-store.js';
+import type { Primaries } from './primaries.js';
+import type { PromotionRuntime } from './runtime.js';
+import { Scope } from './scope.js';
+
+/** Why a primary is replaced. */
+export type ChangeReason =
+  /** Nothing listens there, or it is silent. */
+  | 'dead'
+  /** It is leaving. */
+  | 'draining'
+  /** Its entry is gone, with the store well. */
+  | 'entry-gone'
+  /** Many nodes can't reach it, or get no commit acknowledged. */
+  | 'suspected'
+  /** It says that it is a replica. */
+  | 'lost-lead';
+
+const SUSPICION_SHARE = 3;
+const MINIMUM_SUSPICIONS = 2;
+const MISSES_UNTIL_DEAD = 2;
+
+export class PrimaryMonitor {
+  readonly #scope: Scope;
+  #aliveAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #refusals = 0;
+  #silences = 0;
+  #timesReplica = 0;
+  #primaryId: string | undefined;
+  #restUntil: Milliseconds = 0;
+
+  constructor(
+    private readonly runtime: PromotionRuntime,
+    private readonly primaries: Primaries,
+    private readonly store: DutyStore,
+    readonly service: string,
+    private readonly onReason: (primaryId: string, reason: ChangeReason) => void,
+  ) {
+    this.#scope = new Scope(runtime);
+  }
+
+  start(): void {
+    this.#scope.after(this.runtime.jittered(this.runtime.timings.probeEveryMs), () =>
+      this.#probeIfNeeded(),
+    );
+  }
+
+  stop(): void {
+    this.#scope.end();
+  }
+
+  /** This node got an answer of the primary. */
+  noteAlive(instance: string): void {
+    if (instance !== this.#primaryId) return;
+    this.#aliveAt = this.runtime.now;
+    this.#silences = 0;
+    this.#refusals = 0;
+  }
+
+  /** Suspicions are let rest for a while after a change. */
+  noteChanged(): void {
+    this.#restUntil = this.runtime.now + this.runtime.timings.suspectRestMs;
+  }
+
+  /** Looks for a reason in what is known without a probe. */
+  evaluate(): void {
+    const id = this.#followPrimary();
+    if (id === undefined || this.#scope.isEnded) return;
+    const reason = this.#reasonOf(id);
+    if (reason !== undefined) this.onReason(id, reason);
+  }
+
+  #reasonOf(id: string): ChangeReason | undefined {
+    if (this.#silences >= MISSES_UNTIL_DEAD || this.#refusals >= MISSES_UNTIL_DEAD) return 'dead';
+    const isPresent = this.primaries.isPresent(id);
+    if (isPresent && this.primaries.instance(id)?.draining) return 'draining';
+    const goneForMs = this.primaries.goneForMs(id, this.runtime.now);
+    if (goneForMs !== undefined && goneForMs >= this.runtime.timings.entryGoneMs) {
+      return 'entry-gone';
+    }
+    if (this.#timesReplica >= MISSES_UNTIL_DEAD) return 'lost-lead';
+    return this.#isSuspected(id) ? 'suspected' : undefined;
+  }
+
+  #isSuspected(id: string): boolean {
+    if (this.runtime.now < this.#restUntil) return false;
+    const nodes = this.store.liveNodes();
+    const needed =
+      nodes < SUSPICION_SHARE
+        ? 1
+        : Math.max(MINIMUM_SUSPICIONS, Math.ceil(nodes / SUSPICION_SHARE));
+    return this.store.suspicionsOf(this.service, id) >= needed;
+  }
+
+  #followPrimary(): string | undefined {
+    const id = this.primaries.primaryIdOf(this.service);
+    if (id !== this.#primaryId) {
+      this.#primaryId = id;
+      this.#silences = 0;
+      this.#refusals = 0;
+      this.#timesReplica = 0;
+      this.#aliveAt = this.runtime.now;
+    }
+    return id;
+  }
+
+  #probeIfNeeded(): void {
+    const { probeEveryMs } = this.runtime.timings;
+    const id = this.#followPrimary();
+    const instance = id === undefined ? undefined : this.primaries.instance(id);
+    const dueInMs = this.#aliveAt + probeEveryMs - this.runtime.now;
+    if (instance === undefined || dueInMs > 0) {
+      const waitMs = instance === undefined ? probeEveryMs : dueInMs;
+      this.#scope.after(waitMs, () => this.#probeIfNeeded());
+      this.evaluate();
+      return;
+    }
+    const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
+      if (this.#primaryId === instance.id) this.#noteProbe(answer);
+      this.evaluate();
+      this.#scope.after(this.#nextProbeMs(), () => this.#probeIfNeeded());
+    });
+    this.runtime.control('status', instance, 0, onAnswer);
+  }
+
+  #noteProbe(answer: InstanceStatus | ControlFailure): void {
+    if (answer === 'refused') {
+      this.#refusals += 1;
+      return;
+    }
+    if (answer === 'silent') {
+      this.#silences += 1;
+      return;
+    }
+    this.#aliveAt = this.runtime.now;
+    this.#silences = 0;
+    this.#refusals = 0;
+    if (typeof answer === 'string') return;
+    this.#timesReplica = answer.role === 'replica' ? this.#timesReplica + 1 : 0;
+  }
+
+  #nextProbeMs(): Milliseconds {
+    const { probeConfirmMs, probeEveryMs } = this.runtime.timings;
+    if (this.#refusals === 1) return probeConfirmMs;
+    return this.#silences === 1 ? 0 : probeEveryMs;
+  }
+}
--- /dev/null
+++ b/src/core/promotion/participation.ts
@@ -0,0 +1,165 @@
+/**
+ * A node's part in changes of a primary: it registers under its lease, and stops using a primary and
+ * says so when that is being replaced. What relies on the primary being no deposed one needs the
+ * permission that this gives; a promotion waits for every node that may have it.
+ */
+import type { Milliseconds } from '../units.js';
+import type { NodeLease } from './lease.js';
+import {
+  type AcknowledgementRecord,
+  acknowledgementForm,
+  acknowledgementKeyOf,
+  decodeRecord,
+  nodeForm,
+  nodeKeyOf,
+  type PrimaryRecord,
+} from './records.js';
+import { isTrouble, type PromotionRuntime } from './runtime.js';
+import type { StoreView } from './store-view.js';
+
+/** How far a node has got with its acknowledgement of a change. */
+interface AcknowledgementState {
+  readonly change: number;
+  readonly leaseId: string;
+  cancel: () => void;
+  step: 'ending-use' | 'writing' | 'written';
+}
+
+export class Participation {
+  /** Called when the node got its permission, or may have lost it. */
+  onRegistered: () => void = () => {};
+  #registeredLease: string | undefined;
+  #registeredRevision = 0;
+  #acknowledgements = new Map<string, AcknowledgementState>();
+  #stopped = false;
+
+  constructor(
+    private readonly runtime: PromotionRuntime,
+    private readonly lease: NodeLease,
+    private readonly records: StoreView,
+  ) {}
+
+  /** True if no promotion can be called without this node's acknowledgement. */
+  isPermitted(now: Milliseconds): boolean {
+    if (!this.isRegistered) return false;
+    return this.lease.isValid(now) || this.runtime.isDisabled('permission-lapse');
+  }
+
+  /** Registered under the present lease, and the records are known from after that. */
+  get isRegistered(): boolean {
+    const { leaseId } = this.lease;
+    if (this.#stopped || leaseId === undefined || leaseId !== this.#registeredLease) return false;
+    return this.records.revision >= this.#registeredRevision;
+  }
+
+  /** Begins to follow the records once the node's key is written: only then are they binding. */
+  register(leaseId: string): void {
+    this.#register(leaseId, 0);
+  }
+
+  /** Ends what of the node's permission is left. */
+  stop(): void {
+    this.#stopped = true;
+    for (const state of this.#acknowledgements.values()) state.cancel();
+    this.#acknowledgements.clear();
+  }
+
+  /** The record of a service as it is now. */
+  noteRecord(service: string, record: PrimaryRecord | undefined): void {
+    const state = this.#acknowledgements.get(service);
+    const { leaseId } = this.lease;
+    if (record?.phase !== 'changing') {
+      state?.cancel();
+      this.#acknowledgements.delete(service);
+      return;
+    }
+    if (!this.isRegistered || leaseId === undefined) return;
+    if (state?.change === record.change && state.leaseId === leaseId) return;
+    state?.cancel();
+    this.#acknowledge(service, record, leaseId);
+  }
+
+  /** The data path has nothing on its way to the old primary any more. */
+  noteUseEnded(service: string, change: number): void {
+    const state = this.#acknowledgements.get(service);
+    if (state?.change !== change || state.step !== 'ending-use') return;
+    state.cancel();
+    this.#write(service, state, 0);
+  }
+
+  #register(leaseId: string, knownRevision: number): void {
+    const { nodeName, incarnation } = this.runtime.options;
+    const key = nodeKeyOf(nodeName);
+    const put = {
+      type: 'put',
+      key,
+      value: JSON.stringify({ incarnation, leaseId }),
+      leaseId,
+    } as const;
+    const compares = [{ key, modRevision: knownRevision }];
+    this.runtime.transaction(compares, [put], (answer) => {
+      if (this.#stopped || leaseId !== this.lease.leaseId) return;
+      if (isTrouble(answer)) {
+        const again = (): void => this.#register(leaseId, knownRevision);
+        this.runtime.after(this.#retryDelay(answer.retryAfterMs), () => {
+          if (!this.#stopped && leaseId === this.lease.leaseId) again();
+        });
+        return;
+      }
+      const current = answer.current.find((entry) => entry.key === key);
+      const currentRevision = current?.modRevision ?? 0;
+      const isOwn = decodeRecord(current, nodeForm)?.leaseId === leaseId;
+      if (answer.succeeded) this.#noteRegistered(leaseId, answer.revision);
+      else if (isOwn) this.#noteRegistered(leaseId, currentRevision);
+      else this.#register(leaseId, currentRevision);
+    });
+  }
+
+  #noteRegistered(leaseId: string, revision: number): void {
+    this.#registeredLease = leaseId;
+    this.#registeredRevision = revision;
+    this.records.start();
+    if (this.records.revision < revision) this.records.read();
+    this.onRegistered();
+  }
+
+  #acknowledge(service: string, record: PrimaryRecord, leaseId: string): void {
+    const { change } = record;
+    const state: AcknowledgementState = {
+      change,
+      leaseId,
+      cancel: () => {},
+      step: 'ending-use',
+    };
+    this.#acknowledgements.set(service, state);
+    const { endUseMs } = this.runtime.timings;
+    state.cancel = this.runtime.after(endUseMs, () => this.#write(service, state, 0));
+    this.runtime.emit({ type: 'end-use', service, change });
+  }
+
+  #write(service: string, state: AcknowledgementState, knownRevision: number): void {
+    state.step = 'writing';
+    state.cancel = () => {};
+    const { leaseId, change } = state;
+    const key = acknowledgementKeyOf(service, this.runtime.options.nodeName);
+    const value = JSON.stringify({ change, leaseId } satisfies AcknowledgementRecord);
+    const put = { type: 'put', key, value, leaseId } as const;
+    this.runtime.transaction([{ key, modRevision: knownRevision }], [put], (answer) => {
+      if (this.#acknowledgements.get(service) !== state) return;
+      if (isTrouble(answer)) {
+        const again = (): void => this.#write(service, state, knownRevision);
+        state.cancel = this.runtime.after(this.#retryDelay(answer.retryAfterMs), again);
+        return;
+      }
+      const current = answer.current.find((entry) => entry.key === key);
+      const written = decodeRecord(current, acknowledgementForm);
+      const isOwn = written?.change === change && written.leaseId === leaseId;
+      if (answer.succeeded || isOwn) state.step = 'written';
+      else this.#write(service, state, current?.modRevision ?? 0);
+    });
+  }
+
+  #retryDelay(atLeastMs: Milliseconds): Milliseconds {
+    return Math.max(atLeastMs, this.runtime.jittered(this.runtime.timings.storeRetryMs));
+  }
+}
--- /dev/null
+++ b/src/core/promotion/preflight.ts
@@ -0,0 +1,66 @@
+/**
+ * A look at all members before a change is announced: a change that can't be carried through would
+ * leave the service without any primary, where the old one may still serve most callers.
+ */
+import type { InstanceEntry, InstanceStatus } from '../../direct/contract.js';
+import type { ControlFailure } from './contract.js';
+import type { ChangeReason } from './monitor.js';
+import type { PromotionRuntime } from './runtime.js';
+import type { Scope } from './scope.js';
+
+export interface PreflightOptions {
+  readonly from: InstanceEntry;
+  readonly others: readonly InstanceEntry[];
+  readonly reason: ChangeReason;
+  readonly syncReplicas: number;
+  readonly isPresent: (id: string) => boolean;
+}
+
+export type PreflightResult =
+  | { readonly type: 'go'; readonly planned: boolean; readonly term: number }
+  /** It can't be carried through now. */
+  | { readonly type: 'wait'; readonly heardAny: boolean }
+  /** The primary that was taken for dead answers. */
+  | { readonly type: 'alive' };
+
+type Answer = InstanceStatus | ControlFailure;
+
+/** Asks every member once, and tells whether the change may begin. */
+export function preflight(
+  runtime: PromotionRuntime,
+  scope: Scope,
+  options: PreflightOptions,
+  onResult: (result: PreflightResult) => void,
+): void {
+  const members = [options.from, ...options.others];
+  const answers = new Map<string, Answer>();
+  for (const member of members) {
+    const onAnswer = scope.guard((answer: Answer) => {
+      answers.set(member.id, answer);
+      if (answers.size === members.length) onResult(judge(options, answers));
+    });
+    runtime.control('status', member, 0, onAnswer);
+  }
+}
+
+function judge(options: PreflightOptions, answers: ReadonlyMap<string, Answer>): PreflightResult {
+  const { from, others, reason, syncReplicas } = options;
+  const statuses = [...answers.values()].filter((answer) => typeof answer !== 'string');
+  const term = statuses.reduce((highest, status) => Math.max(highest, status.term), 0);
+  const fromAnswers = isAnswer(answers.get(from.id));
+  if (reason === 'dead' && fromAnswers) return { type: 'alive' };
+  const answering = others.filter(({ id }) => isAnswer(answers.get(id)));
+  const isReady = others.some(
+    ({ id, draining }) => !draining && options.isPresent(id) && typeof answers.get(id) === 'object',
+  );
+  const provesEnd = others.length - answering.length < Math.max(1, syncReplicas);
+  if (isReady && (fromAnswers || provesEnd)) {
+    const planned = fromAnswers && (reason === 'draining' || reason === 'entry-gone');
+    return { type: 'go', planned, term };
+  }
+  return { type: 'wait', heardAny: fromAnswers || answering.length > 0 };
+}
+
+function isAnswer(answer: Answer | undefined): boolean {
+  return answer !== undefined && answer !== 'refused' && answer !== 'silent';
+}
--- /dev/null
+++ b/src/core/promotion/primaries.ts
@@ -0,0 +1,99 @@
+/**
+ * Who is the primary of each service, from the records and from what the instances announce of
+ * themselves. A record binds; before the first change the one that calls itself primary is it.
+ */
+import type { InstanceEntry } from '../../direct/contract.js';
+import type { Milliseconds } from '../units.js';
+import type { PromotionTimings } from './options.js';
+import { decodeRecord, type PrimaryRecord, primaryForm, primaryKeyOf } from './records.js';
+import type { StoreView } from './store-view.js';
+
+interface KnownInstance {
+  readonly entry: InstanceEntry;
+  /** Since when the store has no entry of it. */
+  readonly goneAt: Milliseconds | undefined;
+}
+
+/** Entries that are gone are remembered so long, for calls that concern a change. */
+const REMEMBERED_MS = 600_000;
+
+export class Primaries {
+  readonly #instances = new Map<string, KnownInstance>();
+
+  constructor(
+    private readonly records: StoreView,
+    private readonly timings: PromotionTimings,
+    /** Last time that the store was not well: what it lacks then says nothing. */
+    private readonly troubleAt: () => Milliseconds,
+  ) {}
+
+  noteInstances(entries: readonly InstanceEntry[], now: Milliseconds): void {
+    const present = new Set(entries.map(({ id }) => id));
+    for (const entry of entries) this.#instances.set(entry.id, { entry, goneAt: undefined });
+    for (const [id, { entry, goneAt }] of this.#instances) {
+      if (present.has(id)) continue;
+      if (goneAt === undefined) this.#instances.set(id, { entry, goneAt: now });
+      else if (now - goneAt > REMEMBERED_MS) this.#instances.delete(id);
+    }
+  }
+
+  /** An instance by its id, also if its entry is gone. */
+  instance(id: string): InstanceEntry | undefined {
+    return this.#instances.get(id)?.entry;
+  }
+
+  /** Entries of a service that the store has now. */
+  present(service: string): InstanceEntry[] {
+    return [...this.#instances.values()]
+      .filter(({ entry, goneAt }) => entry.service === service && goneAt === undefined)
+      .map(({ entry }) => entry);
+  }
+
+  isPresent(id: string): boolean {
+    const known = this.#instances.get(id);
+    return known !== undefined && known.goneAt === undefined;
+  }
+
+  /** How long the entry has been gone while the store was well; undefined while it is there. */
+  goneForMs(id: string, now: Milliseconds): Milliseconds | undefined {
+    const known = this.#instances.get(id);
+    if (known === undefined) return Number.POSITIVE_INFINITY;
+    if (known.goneAt === undefined) return undefined;
+    return now - Math.max(known.goneAt, this.troubleAt());
+  }
+
+  recordOf(service: string): PrimaryRecord | undefined {
+    return decodeRecord(this.records.get(primaryKeyOf(service)), primaryForm);
+  }
+
+  /** Mod revision of the service's record; 0 if it has none. */
+  recordRevisionOf(service: string): number {
+    return this.records.get(primaryKeyOf(service))?.modRevision ?? 0;
+  }
+
+  /** Id of the primary, whether or not the store has an entry of it; undefined while it changes. */
+  primaryIdOf(service: string): string | undefined {
+    const record = this.recordOf(service);
+    if (record !== undefined) return record.phase === 'serving' ? record.instance : undefined;
+    if (!this.records.isReady) return undefined;
+    return this.#selfDeclared(service);
+  }
+
+  /** The primary, while its entry counts. */
+  primaryOf(service: string, now: Milliseconds): InstanceEntry | undefined {
+    const id = this.primaryIdOf(service);
+    if (id === undefined) return undefined;
+    const goneForMs = this.goneForMs(id, now);
+    if (goneForMs !== undefined && goneForMs >= this.timings.entryUsedMs) return undefined;
+    return this.instance(id);
+  }
+
+  #selfDeclared(service: string): string | undefined {
+    const claims = [...this.#instances.values()].filter(
+      ({ entry }) => entry.service === service && entry.role === 'primary',
+    );
+    const present = claims.filter(({ goneAt }) => goneAt === undefined);
+    const counted = present.length > 0 ? present : claims;
+    return counted.length === 1 ? counted[0]?.entry.id : undefined;
+  }
+}
--- /dev/null
+++ b/src/core/promotion/records.ts
@@ -0,0 +1,194 @@
+/**
+ * What the nodes write to the store to agree on primaries: keys, and values as JSON. All nodes follow
+ * the records; the keys of a duty are followed by the leader alone, since a key that every node
+ * writes and every node follows costs the square of the nodes.
+ */
+import type { InstanceEntry, InstanceRole } from '../../direct/contract.js';
+import type { KeyValue } from '../../platform/contract.js';
+
+/** Prefix that every node follows. */
+export const RECORD_PREFIX = 'meadowstack/';
+/** Prefix that the leader follows. */
+export const DUTY_PREFIX = 'meadowstack-duty/';
+export const LEADER_KEY = `${RECORD_PREFIX}leader`;
+export const FLEET_KEY = `${RECORD_PREFIX}fleet`;
+const PRIMARY_PREFIX = `${RECORD_PREFIX}primary/`;
+const NODE_PREFIX = `${DUTY_PREFIX}nodes/`;
+const ACKNOWLEDGEMENT_PREFIX = `${DUTY_PREFIX}acks/`;
+const SUSPICION_PREFIX = `${DUTY_PREFIX}suspects/`;
+const NOTE_PREFIX = `${DUTY_PREFIX}notes/`;
+
+export const primaryKeyOf = (service: string): string => PRIMARY_PREFIX + encode(service);
+export const nodeKeyOf = (node: string): string => NODE_PREFIX + encode(node);
+export const noteKeyOf = (service: string): string => NOTE_PREFIX + encode(service);
+export const acknowledgementKeyOf = (service: string, node: string): string =>
+  `${ACKNOWLEDGEMENT_PREFIX}${encode(service)}/${encode(node)}`;
+export const suspicionKeyOf = (service: string, node: string): string =>
+  `${SUSPICION_PREFIX}${encode(service)}/${encode(node)}`;
+
+/** Service that a key's record is of. */
+export function serviceOfPrimaryKey(key: string): string | undefined {
+  return key.startsWith(PRIMARY_PREFIX) ? decode(key.slice(PRIMARY_PREFIX.length)) : undefined;
+}
+
+export function nodeOfNodeKey(key: string): string | undefined {
+  return key.startsWith(NODE_PREFIX) ? decode(key.slice(NODE_PREFIX.length)) : undefined;
+}
+
+export function suspicionPrefixOf(service: string): string {
+  return `${SUSPICION_PREFIX}${encode(service)}/`;
+}
+
+/** Who holds the duty of promotions; the revision at which it was written is the fencing token. */
+export interface LeaderRecord {
+  readonly node: string;
+  readonly incarnation: string;
+  /** Lease that the key hangs on. */
+  readonly leaseId: string;
+}
+
+/** A node that follows the records. Its lease holds the key. */
+export interface NodeRecord {
+  readonly incarnation: string;
+  readonly leaseId: string;
+}
+
+/** How many nodes there are, as the leader counts them. */
+export interface FleetRecord {
+  readonly nodes: number;
+}
+
+/** A node no longer uses the primary that this change replaces. */
+export interface AcknowledgementRecord {
+  readonly change: number;
+  readonly leaseId: string;
+}
+
+/** A node can't reach a primary, or gets no commit acknowledged there. */
+export interface SuspicionRecord {
+  readonly instance: string;
+}
+
+/** Who is the primary of a service. Counted by changes: each begins one higher. */
+export type PrimaryRecord =
+  | {
+      readonly phase: 'changing';
+      readonly change: number;
+      /** Primary that is replaced. */
+      readonly from: string;
+      /** Highest term seen when the change began. */
+      readonly term: number;
+      readonly planned: boolean;
+    }
+  | {
+      readonly phase: 'serving';
+      readonly change: number;
+      readonly instance: string;
+      readonly term: number;
+    };
+
+/** What one leader leaves to the next about a service. */
+export interface DutyNote {
+  /** Every instance that may have counted towards an acknowledged commit. */
+  readonly members: readonly InstanceEntry[];
+  /** Last known primary. */
+  readonly primary: string | undefined;
+  /** The instance that the promotion may have been called for, and in which change. */
+  readonly candidate: string | undefined;
+  readonly change: number;
+}
+
+/** Decodes a value of this module's making; anything else gives undefined. */
+export function decodeRecord<Form>(
+  entry: KeyValue | undefined,
+  form: (value: Fields) => Form | undefined,
+): Form | undefined {
+  if (entry === undefined) return undefined;
+  try {
+    const value: unknown = JSON.parse(entry.value);
+    return isFields(value) ? form(value) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+export function leaderForm({ node, incarnation, leaseId }: Fields): LeaderRecord | undefined {
+  if (!isText(node) || !isText(incarnation) || !isText(leaseId)) return undefined;
+  return { node, incarnation, leaseId };
+}
+
+export function nodeForm({ incarnation, leaseId }: Fields): NodeRecord | undefined {
+  return isText(incarnation) && isText(leaseId) ? { incarnation, leaseId } : undefined;
+}
+
+export function fleetForm({ nodes }: Fields): FleetRecord | undefined {
+  return isNumber(nodes) ? { nodes } : undefined;
+}
+
+export function acknowledgementForm(fields: Fields): AcknowledgementRecord | undefined {
+  const { change, leaseId } = fields;
+  return isNumber(change) && isText(leaseId) ? { change, leaseId } : undefined;
+}
+
+export function suspicionForm({ instance }: Fields): SuspicionRecord | undefined {
+  return isText(instance) ? { instance } : undefined;
+}
+
+export function primaryForm(fields: Fields): PrimaryRecord | undefined {
+  const { phase, change, from, term, planned, instance } = fields;
+  if (!isNumber(change) || !isNumber(term)) return undefined;
+  if (phase === 'serving' && isText(instance)) return { phase, change, instance, term };
+  if (phase !== 'changing' || !isText(from) || typeof planned !== 'boolean') return undefined;
+  return { phase, change, from, term, planned };
+}
+
+export function dutyNoteForm(fields: Fields): DutyNote | undefined {
+  const { members, primary, candidate, change } = fields;
+  if (!Array.isArray(members) || !isNumber(change)) return undefined;
+  const entries = members.map(instanceForm);
+  if (!entries.every((entry) => entry !== undefined)) return undefined;
+  return {
+    members: entries,
+    primary: isText(primary) ? primary : undefined,
+    candidate: isText(candidate) ? candidate : undefined,
+    change,
+  };
+}
+
+type Fields = Readonly<Record<string, unknown>>;
+
+function instanceForm(value: unknown): InstanceEntry | undefined {
+  if (!isFields(value)) return undefined;
+  const { id, service, host, port, zone, slots, draining, role } = value;
+  if (!isText(id) || !isText(service) || !isText(host) || !isNumber(port)) return undefined;
+  if (!isText(zone) || !isNumber(slots) || typeof draining !== 'boolean') return undefined;
+  return isRole(role) ? { id, service, host, port, zone, slots, draining, role } : undefined;
+}
+
+function isRole(value: unknown): value is InstanceRole {
+  return value === 'primary' || value === 'replica';
+}
+
+function isFields(value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null;
+}
+
+function isText(value: unknown): value is string {
+  return typeof value === 'string';
+}
+
+function isNumber(value: unknown): value is number {
+  return typeof value === 'number';
+}
+
+function encode(name: string): string {
+  return encodeURIComponent(name);
+}
+
+function decode(text: string): string | undefined {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/core/promotion/service-duty.ts
@@ -0,0 +1,165 @@
+/** What the leader does for one service: watches its primary, changes it, and cleans up after. */
+import type { InstanceEntry } from '../../direct/contract.js';
+import type { Milliseconds } from '../units.js';
+import { Aftercare } from './aftercare.js';
+import { type ChangeContext, PrimaryChange } from './change.js';
+import { GroupMembers } from './members.js';
+import { type ChangeReason, PrimaryMonitor } from './monitor.js';
+import { type PreflightResult, preflight } from './preflight.js';
+import { Scope } from './scope.js';
+
+const PREFLIGHT_EVERY_MS = 300;
+/** A leader that hears nobody, though the primary seems to be dead, resigns after so many looks. */
+const DEAF_LOOKS_UNTIL_RESIGNING = 3;
+
+export class ServiceDuty {
+  readonly #scope: Scope;
+  readonly #monitor: PrimaryMonitor;
+  readonly #members: GroupMembers;
+  #change: PrimaryChange | undefined;
+  #aftercare: Aftercare | undefined;
+  #aftercareOf: string | undefined;
+  #looking = false;
+  #nextLookAt: Milliseconds = 0;
+  #deafLooks = 0;
+
+  constructor(
+    private readonly context: Omit<ChangeContext, 'membersOf'>,
+    readonly service: string,
+  ) {
+    const { runtime, primaries, store } = context;
+    this.#scope = new Scope(runtime);
+    this.#members = new GroupMembers(runtime, primaries, store, service);
+    this.#monitor = new PrimaryMonitor(runtime, primaries, store, service, (id, reason) =>
+      this.#consider(id, reason),
+    );
+  }
+
+  get isCalling(): boolean {
+    return this.#change?.isCalling ?? false;
+  }
+
+  start(): void {
+    this.#members.start();
+    this.#monitor.start();
+    this.update();
+  }
+
+  stop(): void {
+    this.#scope.end();
+    this.#monitor.stop();
+    this.#members.stop();
+    this.#change?.stop();
+    this.#aftercare?.stop();
+  }
+
+  noteAlive(instance: string): void {
+    this.#monitor.noteAlive(instance);
+  }
+
+  /** Records, notes, acknowledgements or instances may have changed. */
+  update(): void {
+    const record = this.context.primaries.recordOf(this.service);
+    if (record?.phase === 'changing') {
+      if (this.#change?.record.change !== record.change) {
+        this.#endChange();
+        this.#aftercare?.stop();
+        this.#aftercareOf = undefined;
+        const onFinished = (): void => this.#noteFinished();
+        const context: ChangeContext = {
+          ...this.context,
+          membersOf: () => this.#members.current(),
+        };
+        this.#change = new PrimaryChange(context, this.service, record, onFinished);
+        this.#change.start();
+      } else {
+        this.#change.step();
+      }
+      return;
+    }
+    this.#endChange();
+    this.#members.update();
+    if (record?.phase === 'serving') this.#careFor(record.instance, record.term, false);
+    this.#monitor.evaluate();
+  }
+
+  #noteFinished(): void {
+    const record = this.context.primaries.recordOf(this.service);
+    this.#endChange();
+    this.#monitor.noteChanged();
+    if (record?.phase === 'serving') this.#careFor(record.instance, record.term, true);
+  }
+
+  #endChange(): void {
+    this.#change?.stop();
+    this.#change = undefined;
+  }
+
+  #careFor(leaderId: string, term: number, areHeld: boolean): void {
+    const key = `${leaderId} ${term}`;
+    if (this.#aftercareOf === key) return;
+    this.#aftercare?.stop();
+    this.#aftercareOf = key;
+    const members = this.#members.current();
+    this.#aftercare = new Aftercare(this.context.runtime, { leaderId, term, members });
+    this.#aftercare.start(areHeld);
+  }
+
+  #consider(fromId: string, reason: ChangeReason): void {
+    const { runtime, primaries, election } = this.context;
+    if (this.#change !== undefined || this.#looking || !election.mayAct()) return;
+    if (runtime.now < this.#nextLookAt) return;
+    const members = this.#members.current();
+    const from = members.find(({ id }) => id === fromId) ?? primaries.instance(fromId);
+    if (from === undefined) return;
+    this.#looking = true;
+    this.#nextLookAt = runtime.now + PREFLIGHT_EVERY_MS;
+    const options = {
+      from,
+      others: members.filter(({ id }) => id !== fromId),
+      reason,
+      syncReplicas: this.context.syncReplicasOf(this.service),
+      isPresent: (id: string) => primaries.isPresent(id),
+    };
+    preflight(runtime, this.#scope, options, (result) => {
+      this.#looking = false;
+      this.#noteLook(from, reason, result);
+    });
+  }
+
+  #noteLook(from: InstanceEntry, reason: ChangeReason, result: PreflightResult): void {
+    const { runtime, primaries, store, election } = this.context;
+    if (result.type === 'alive') this.#monitor.noteAlive(from.id);
+    if (result.type === 'wait') this.#noteDeafness(result.heardAny);
+    else this.#deafLooks = 0;
+    const isStillPrimary = primaries.primaryIdOf(this.service) === from.id;
+    if (result.type !== 'go' || !isStillPrimary || !election.mayAct()) return;
+    const known = primaries.recordOf(this.service);
+    const change = (known?.change ?? 0) + 1;
+    const term = Math.max(result.term, known?.term ?? 0);
+    const { planned } = result;
+    const record = { phase: 'changing', change, from: from.id, term, planned } as const;
+    const note = {
+      ...store.noteOf(this.service),
+      members: this.#members.current(),
+      primary: from.id,
+      candidate: undefined,
+      change,
+    };
+    this.#looking = true;
+    runtime.log('info', 'primary to be replaced', { service: this.service, from: from.id, reason });
+    const onDone = this.#scope.guard(() => {
+      this.#looking = false;
+      this.update();
+    });
+    store.write({ service: this.service, record, note }, onDone);
+  }
+
+  #noteDeafness(heardAny: boolean): void {
+    const { runtime, store, election } = this.context;
+    this.#deafLooks = heardAny ? 0 : this.#deafLooks + 1;
+    if (this.#deafLooks < DEAF_LOOKS_UNTIL_RESIGNING || store.liveNodes() <= 1) return;
+    runtime.log('warn', 'no member answers, resigning', { service: this.service });
+    election.resign(runtime.timings.abstainMs);
+  }
+}
--- /dev/null
+++ b/src/core/promotion/store-view.ts
@@ -0,0 +1,164 @@
+/**
+ * The keys under a prefix of the store, as this node knows them: read once, then followed by a watch.
+ * What is known never goes back: older news of a key is passed over.
+ */
+import type { KeyValue, WatchEvent } from '../../platform/contract.js';
+import { isTrouble, type PromotionRuntime } from './runtime.js';
+
+const BACKOFF_MAXIMUM_MS = 1000;
+
+export class StoreView {
+  /** Called after a change or a whole read, with the keys that changed. */
+  onChange: (keys: ReadonlySet<string>) => void = () => {};
+  readonly #entries = new Map<string, KeyValue>();
+  /** Everything up to this revision is known. */
+  #revision = 0;
+  /** Revision of the last whole read: events up to it are old. */
+  #readRevision = 0;
+  #watch: number | undefined;
+  #reading = false;
+  /** Asked for while another read was on its way, which may be older than what is wanted. */
+  #readAgain = false;
+  #running = false;
+  #failures = 0;
+
+  constructor(
+    private readonly runtime: PromotionRuntime,
+    private readonly prefix: string,
+  ) {}
+
+  /** True once everything was read. */
+  get isReady(): boolean {
+    return this.#revision > 0;
+  }
+
+  get revision(): number {
+    return this.#revision;
+  }
+
+  get(key: string): KeyValue | undefined {
+    return this.#entries.get(key);
+  }
+
+  *under(prefix: string): Iterable<KeyValue> {
+    for (const entry of this.#entries.values()) if (entry.key.startsWith(prefix)) yield entry;
+  }
+
+  start(): void {
+    if (this.#running) return;
+    this.#running = true;
+    this.read();
+  }
+
+  /** Ends the watch and forgets everything. */
+  stop(): void {
+    this.#running = false;
+    this.#closeWatch();
+    this.#entries.clear();
+    this.#revision = 0;
+    this.#readRevision = 0;
+  }
+
+  /** Reads everything anew, for when the watch may be behind. */
+  read(): void {
+    if (!this.#running) return;
+    this.#readAgain = this.#reading;
+    if (this.#reading) return;
+    this.#reading = true;
+    this.runtime.range(this.prefix, (answer) => {
+      this.#reading = false;
+      if (!this.#running) return;
+      if (isTrouble(answer)) {
+        this.#later(() => this.read(), answer.retryAfterMs);
+        return;
+      }
+      this.#failures = 0;
+      this.#replace(answer.entries, answer.revision);
+      if (this.#watch === undefined) this.#openWatch();
+      if (this.#readAgain) this.read();
+    });
+  }
+
+  watchEvents(watch: number, events: readonly WatchEvent[], revision: number): void {
+    if (watch !== this.#watch) return;
+    const changed = new Set<string>();
+    for (const event of events) if (this.#apply(event)) changed.add(keyOf(event));
+    this.#failures = 0;
+    this.#revision = Math.max(this.#revision, revision);
+    if (changed.size > 0) this.onChange(changed);
+  }
+
+  watchEnded(watch: number): void {
+    if (watch !== this.#watch) return;
+    this.#watch = undefined;
+    this.#later(() => this.read(), 0);
+  }
+
+  /** A change of this node's own that the store has acknowledged; the watch will tell it too. */
+  noteOwnPut(key: string, value: string, modRevision: number): void {
+    if (!this.#running || modRevision <= this.#revision) return;
+    const known = this.#entries.get(key);
+    if (known !== undefined && known.modRevision >= modRevision) return;
+    const createRevision = known?.createRevision ?? modRevision;
+    this.#entries.set(key, { key, value, createRevision, modRevision });
+    this.onChange(new Set([key]));
+  }
+
+  #replace(entries: readonly KeyValue[], revision: number): void {
+    if (revision < this.#revision) return;
+    const changed = new Set<string>();
+    const present = new Map(entries.map((entry) => [entry.key, entry]));
+    for (const [key, { modRevision }] of this.#entries) {
+      if (present.has(key) || modRevision > revision) continue;
+      this.#entries.delete(key);
+      changed.add(key);
+    }
+    for (const entry of entries) {
+      const known = this.#entries.get(entry.key);
+      if (known !== undefined && known.modRevision >= entry.modRevision) continue;
+      this.#entries.set(entry.key, entry);
+      changed.add(entry.key);
+    }
+    this.#revision = revision;
+    this.#readRevision = revision;
+    // Also without a change: what is known is known to be newer.
+    this.onChange(changed);
+  }
+
+  #apply(event: WatchEvent): boolean {
+    const key = keyOf(event);
+    const modRevision = event.type === 'put' ? event.entry.modRevision : event.modRevision;
+    if (modRevision <= this.#readRevision) return false;
+    const known = this.#entries.get(key);
+    if (known !== undefined && known.modRevision >= modRevision) return false;
+    if (event.type === 'put') this.#entries.set(key, event.entry);
+    else return this.#entries.delete(key);
+    return true;
+  }
+
+  #openWatch(): void {
+    const id = this.runtime.nextId();
+    this.#watch = id;
+    const fromRevision = this.#revision + 1;
+    this.runtime.emit({ type: 'open-watch', id, prefix: this.prefix, fromRevision });
+  }
+
+  #closeWatch(): void {
+    if (this.#watch === undefined) return;
+    this.runtime.emit({ type: 'close-watch', id: this.#watch });
+    this.#watch = undefined;
+  }
+
+  #later(action: () => void, atLeastMs: number): void {
+    const bound = Math.min(
+      BACKOFF_MAXIMUM_MS,
+      this.runtime.timings.storeRetryMs * 2 ** this.#failures,
+    );
+    this.#failures += 1;
+    this.runtime.after(Math.max(atLeastMs, this.runtime.jittered(bound)), action);
+  }
+}
+
+function keyOf(event: WatchEvent): string {
+  return event.type === 'put' ? event.entry.key : event.key;
+}
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -76,12 +76,26 @@
 
 /** Calls to one instance that concern its place in the group. Every failure is typed. */
 export interface InstanceControl {
-  status(instance: InstanceEntry, timeoutMs: Milliseconds): ResultAsync<InstanceStatus, MeadowstackError>;
+  status(
+    instance: InstanceEntry,
+    timeoutMs: Milliseconds,
+  ): ResultAsync<InstanceStatus, MeadowstackError>;
   /** Stops a replica from receiving until it is resumed, promoted or restarted. */
-  pause(instance: InstanceEntry, term: number, timeoutMs: Milliseconds): ResultAsync<InstanceStatus, MeadowstackError>;
-  resume(instance: InstanceEntry, timeoutMs: Milliseconds): ResultAsync<InstanceStatus, MeadowstackError>;
+  pause(
+    instance: InstanceEntry,
+    term: number,
+    timeoutMs: Milliseconds,
+  ): ResultAsync<InstanceStatus, MeadowstackError>;
+  resume(
+    instance: InstanceEntry,
+    timeoutMs: Milliseconds,
+  ): ResultAsync<InstanceStatus, MeadowstackError>;
   /** Turns a primary of a lower term into a replica. */
-  demote(instance: InstanceEntry, term: number, timeoutMs: Milliseconds): ResultAsync<InstanceStatus, MeadowstackError>;
+  demote(
+    instance: InstanceEntry,
+    term: number,
+    timeoutMs: Milliseconds,
+  ): ResultAsync<InstanceStatus, MeadowstackError>;
   /** Ends connections kept for this purpose. */
   close(): void;
 }
@@ -98,7 +112,12 @@
 
 /** Asks the platform to make an instance the primary of its service. */
 export interface PromotionCaller {
-  promote(service: string, instanceId: string, holder: string, fencingToken: number): Promise<PromoteOutcome>;
+  promote(
+    service: string,
+    instanceId: string,
+    holder: string,
+    fencingToken: number,
+  ): Promise<PromoteOutcome>;
 }
 
 /** Settings of one direct gateway. */
@@ -107,7 +126,11 @@
   readonly zone: string;
   readonly callers: { readonly host: string; readonly port: number };
   readonly readiness: { readonly host: string; readonly port: number };
-  readonly store: { readonly host: string; readonly port: number; readonly minimumLeaseMs: Milliseconds };
+  readonly store: {
+    readonly host: string;
+    readonly port: number;
+    readonly minimumLeaseMs: Milliseconds;
+  };
   /** Absent where the platform gives no promotion call. */
   readonly promotion: { readonly host: string; readonly port: number } | undefined;
   readonly gracePeriodMs: Milliseconds;
--- /dev/null
+++ b/src/direct/promotion/contract.ts
@@ -0,0 +1,46 @@
+/** What the data path of a node asks of, and tells to, whoever keeps track of the primaries. */
+import type { PrimaryUse } from '../../core/promotion/contract.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { InstanceEntry, PromoteOutcome, PromotionCaller } from '../contract.js';
+
+export type { PrimaryUse } from '../../core/promotion/contract.js';
+
+/** Which instance leads each service, and whether it may be relied on. Times are monotonic. */
+export interface PrimaryView {
+  /** The instance that takes writes now, or undefined while it is changing or unknown. */
+  primaryOf(service: string): InstanceEntry | undefined;
+  /**
+   * True if a read that began by `now` and is sent to `primaryOf` now misses no commit that was
+   * acknowledged at a later primary. To be asked after the read's first byte has come.
+   */
+  mayTrustPrimary(service: string, now: Milliseconds): boolean;
+  /** Called when the primary of a service has changed, or began to change. */
+  onChange: (service: string) => void;
+  /** A request could not reach the primary, or got no commit acknowledged there in time. */
+  reportPrimaryFailure(service: string, now: Milliseconds, use?: PrimaryUse): void;
+  /** The primary answered; with `commit`, a commit was acknowledged. */
+  reportPrimarySuccess(service: string, now: Milliseconds, use?: PrimaryUse): void;
+  /** Nodes that are alive, this one included. */
+  liveNodeCount(): number;
+}
+
+/**
+ * Ends this node's use of a primary that is being replaced: resolves once no write is on its way
+ * there whose acknowledgement could still be passed on. The change goes on without it after a while.
+ */
+export type EndPrimaryUse = (service: string) => Promise<void>;
+
+/**
+ * The platform's promotion call with a bound: by `endsAt` (monotonic) nothing of the call may be on
+ * its way any more. An implementation looks at its clock right before it writes the request, and
+ * resets the connection at that time; one that knows no bound will do where fences are enforced.
+ */
+export interface BoundedPromotionCaller extends PromotionCaller {
+  promote(
+    service: string,
+    instanceId: string,
+    holder: string,
+    fencingToken: number,
+    endsAt?: Milliseconds,
+  ): Promise<PromoteOutcome>;
+}
--- /dev/null
+++ b/src/direct/promotion/service.ts
@@ -0,0 +1,207 @@
+/**
+ * Runs the promotion machine of one node on the real store, instances and clock. Start, feed it the
+ * instances and services as they change, release the lead ahead of a planned stop, then stop.
+ */
+import type {
+  PromotionEffect,
+  PromotionEvent,
+  PromotionRequest,
+} from '../../core/promotion/contract.js';
+import { PromotionMachine } from '../../core/promotion/machine.js';
+import { DEFAULT_PROMOTION_TIMINGS, type PromotionTimings } from '../../core/promotion/options.js';
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../../core/units.js';
+import type { Logger } from '../../observability/logger.js';
+import type { Store } from '../../platform/contract.js';
+import type { InstanceControl, InstanceEntry, PublishedConfiguration } from '../contract.js';
+import type { BoundedPromotionCaller, EndPrimaryUse, PrimaryUse, PrimaryView } from './contract.js';
+import { type ClassifyControlFailure, classifyBySystemCall } from './control-failure.js';
+import { RequestRunner } from './request-runner.js';
+
+export interface PromotionServiceOptions {
+  readonly nodeName: string;
+  /** Differs with every start of the process. */
+  readonly incarnation: string;
+  readonly minimumLeaseMs: Milliseconds;
+  readonly store: Store;
+  readonly control: InstanceControl;
+  readonly promotion: BoundedPromotionCaller;
+  readonly logger: Logger;
+  readonly timings?: Partial<PromotionTimings>;
+  readonly classifyFailure?: ClassifyControlFailure;
+  /** Without it, a node acknowledges a change without waiting for its writes. */
+  readonly endPrimaryUse?: EndPrimaryUse;
+  /** Monotonic clock; the process's own by default. */
+  readonly now?: () => Milliseconds;
+  readonly random?: () => number;
+}
+
+export class PromotionService implements PrimaryView {
+  onChange: (service: string) => void = () => {};
+  readonly #machine: PromotionMachine;
+  readonly #runner: RequestRunner;
+  readonly #now: () => Milliseconds;
+  readonly #watches = new Map<number, () => void>();
+  readonly #released: (() => void)[] = [];
+  readonly #stopped: (() => void)[] = [];
+  readonly #queue: PromotionEvent[] = [];
+  #isHandling = false;
+  #timer: NodeJS.Timeout | undefined;
+  #timerAt = Number.POSITIVE_INFINITY;
+  #isStopped = false;
+
+  constructor(private readonly options: PromotionServiceOptions) {
+    const { nodeName, incarnation, store, control, promotion } = options;
+    const timings = { ...DEFAULT_PROMOTION_TIMINGS, ...options.timings };
+    const minimumSeconds = Math.ceil(options.minimumLeaseMs / MILLISECONDS_PER_SECOND);
+    const leaseSeconds = Math.max(timings.leaseSeconds, minimumSeconds);
+    this.#now = options.now ?? (() => performance.now());
+    this.#machine = new PromotionMachine({
+      nodeName,
+      incarnation,
+      timings: { ...timings, leaseSeconds },
+      random: options.random ?? Math.random,
+    });
+    const classifyFailure = options.classifyFailure ?? classifyBySystemCall;
+    this.#runner = new RequestRunner({ store, control, promotion, classifyFailure, nodeName });
+  }
+
+  start(): void {
+    this.#handle({ type: 'start' });
+  }
+
+  /** Hands on the duty of promotions, for a planned stop; the node goes on as before otherwise. */
+  releaseLeadership(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#released.push(resolve);
+      this.#handle({ type: 'release-leadership' });
+    });
+  }
+
+  /** Ends the permission to use primaries, and then the node's lease. */
+  stop(): Promise<void> {
+    return new Promise((resolve) => {
+      if (this.#isStopped) {
+        resolve();
+        return;
+      }
+      this.#stopped.push(resolve);
+      this.#handle({ type: 'stop' });
+    });
+  }
+
+  noteInstances(entries: readonly InstanceEntry[]): void {
+    this.#handle({ type: 'instances-changed', entries });
+  }
+
+  noteServices({ services }: PublishedConfiguration): void {
+    this.#handle({ type: 'services-changed', services });
+  }
+
+  primaryOf(service: string): InstanceEntry | undefined {
+    return this.#machine.primaryOf(service, this.#now());
+  }
+
+  mayTrustPrimary(service: string, now: Milliseconds): boolean {
+    return this.#machine.mayTrustPrimary(service, now);
+  }
+
+  reportPrimaryFailure(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
+    this.#handle({ type: 'primary-failed', service, use });
+  }
+
+  reportPrimarySuccess(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
+    this.#handle({ type: 'primary-succeeded', service, use });
+  }
+
+  liveNodeCount(): number {
+    return this.#machine.liveNodeCount();
+  }
+
+  get isLeader(): boolean {
+    return this.#machine.isLeader;
+  }
+
+  /** What an effect brings about at once comes after the effects of the event at hand. */
+  #handle(event: PromotionEvent): void {
+    this.#queue.push(event);
+    if (this.#isHandling) return;
+    this.#isHandling = true;
+    for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+      for (const effect of this.#machine.handle(next, this.#now())) this.#carryOut(effect);
+    }
+    this.#isHandling = false;
+    if (!this.#isStopped) this.#setTimer();
+  }
+
+  #setTimer(): void {
+    const at = this.#machine.nextDeadline() ?? Number.POSITIVE_INFINITY;
+    if (at === this.#timerAt) return;
+    clearTimeout(this.#timer);
+    this.#timerAt = at;
+    if (at === Number.POSITIVE_INFINITY) return;
+    const onTime = (): void => {
+      this.#timerAt = Number.POSITIVE_INFINITY;
+      this.#handle({ type: 'tick' });
+    };
+    this.#timer = setTimeout(onTime, Math.max(0, Math.ceil(at - this.#now())));
+  }
+
+  #carryOut(effect: PromotionEffect): void {
+    switch (effect.type) {
+      case 'request':
+        void this.#run(effect.id, effect.request);
+        return;
+      case 'open-watch':
+        this.#openWatch(effect.id, effect.prefix, effect.fromRevision);
+        return;
+      case 'close-watch':
+        this.#watches.get(effect.id)?.();
+        this.#watches.delete(effect.id);
+        return;
+      case 'primary-changed':
+        this.onChange(effect.service);
+        return;
+      case 'end-use':
+        void this.#endUse(effect.service, effect.change);
+        return;
+      case 'leadership-released':
+        for (const resolve of this.#released.splice(0)) resolve();
+        return;
+      case 'stopped':
+        this.#noteStopped();
+        return;
+      case 'log':
+        this.options.logger[effect.level](effect.event, effect.fields);
+    }
+  }
+
+  async #run(request: number, asked: PromotionRequest): Promise<void> {
+    const answer = await this.#runner.run(asked);
+    this.#handle({ type: 'answer', request, answer });
+  }
+
+  async #endUse(service: string, change: number): Promise<void> {
+    await this.options.endPrimaryUse?.(service).catch(() => {});
+    this.#handle({ type: 'use-ended', service, change });
+  }
+
+  #openWatch(id: number, prefix: string, fromRevision: number): void {
+    const close = this.options.store.watch(prefix, fromRevision, {
+      onEvents: (events, revision) =>
+        this.#handle({ type: 'watch-events', watch: id, events, revision }),
+      onEnd: (_error, compacted) => {
+        this.#watches.delete(id);
+        this.#handle({ type: 'watch-ended', watch: id, compacted });
+      },
+    });
+    this.#watches.set(id, close);
+  }
+
+  #noteStopped(): void {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+    for (const close of this.#watches.values()) close();
+    this.#watches.clear();
+    for (const resolve of [...this.#stopped.splice(0), ...this.#released.splice(0)]) resolve();
+  }
+}
--- /dev/null
+++ b/test/property/promotion.test.ts
@@ -0,0 +1,40 @@
+/** Primaries are replaced under any schedule of faults without a broken promise. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { PromotionSimulation } from '../support/promotion/simulation.js';
+
+const RUNS = Number(process.env.PROMOTION_RUNS ?? 60);
+const FIRST_SEED = Number(process.env.PROMOTION_SEED ?? 20261202);
+
+test('a crashed primary is replaced, and writes go on', () => {
+  const simulation = new PromotionSimulation({ seed: 1 });
+  simulation.run(4000);
+  const old = simulation.group.leader;
+  simulation.group.crash(old);
+  simulation.run(2000);
+  assert.is.not(simulation.group.leader.id, old.id);
+  for (const { machine, now } of simulation.nodes) {
+    assert.is(machine?.primaryOf('group-0', now)?.id, simulation.group.leader.id);
+    assert.is(machine?.mayTrustPrimary('group-0', now), true);
+  }
+  assert.equal(simulation.violations, []);
+});
+
+test('no schedule of faults breaks a promise, and all heals', () => {
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
+    const simulation = new PromotionSimulation({ seed });
+    simulation.run(3000);
+    simulation.strike(30_000);
+    simulation.heal();
+    simulation.run(12_000);
+    const story = [...simulation.faults, ...simulation.nodes.flatMap(({ log }) => log)];
+    story.sort((left, right) => Number.parseInt(left, 10) - Number.parseInt(right, 10));
+    const context = `seed ${seed}\n${story.join('\n')}`;
+    assert.equal(simulation.violations, [], context);
+    const before = simulation.group.acknowledged.length;
+    simulation.run(2000);
+    assert.ok(simulation.group.acknowledged.length > before, `writes stopped, ${context}`);
+  }
+});
+
+test.run();
--- /dev/null
+++ b/test/support/promotion/group.ts
@@ -0,0 +1,296 @@
+/**
+ * One database group in virtual time, as adverse as the platform's pages allow: synchronous
+ * replication to any one replica, holds that a restart ends, an old primary that goes on, a promoted
+ * instance that has what it had received and nothing more.
+ */
+import type { ControlRequest, RequestAnswer } from '../../../src/core/promotion/contract.js';
+import type { InstanceEntry } from '../../../src/direct/contract.js';
+import type { SimulatedNetwork } from './network.js';
+
+const PROMOTE_MS = 300;
+const STEPS_DOWN_AFTER_MS = 1000;
+
+interface LogEntry {
+  readonly term: number;
+  readonly id: number;
+}
+
+interface PendingCommit {
+  readonly index: number;
+  readonly id: number;
+  readonly onAcknowledged: () => void;
+}
+
+export class SimulatedInstance {
+  alive = true;
+  /** Receives nothing until then. */
+  deafUntil = 0;
+  role: 'primary' | 'replica';
+  term = 1;
+  heldTerm = 0;
+  log: LogEntry[] = [];
+  pending: PendingCommit[] = [];
+  draining = false;
+  /** Whether its entry stands in the store. */
+  announced = true;
+  stepsDownAt: number | undefined;
+
+  constructor(
+    readonly id: string,
+    role: 'primary' | 'replica',
+    readonly index: number,
+  ) {
+    this.role = role;
+  }
+}
+
+/** A commit that the instance has acknowledged. */
+export interface AcknowledgedCommit {
+  readonly id: number;
+  readonly at: number;
+  readonly index: number;
+}
+
+export class SimulatedGroup {
+  readonly instances: SimulatedInstance[];
+  /** By time of their acknowledgement; those that a promotion lost are reported and taken out. */
+  acknowledged: AcknowledgedCommit[] = [];
+  readonly violations: string[] = [];
+  promotions = 0;
+  /** As the platform has it. */
+  leader: SimulatedInstance;
+  #nextCommit = 1;
+  #highestTerm = 1;
+
+  constructor(
+    readonly service: string,
+    private readonly network: SimulatedNetwork,
+    size: number,
+  ) {
+    this.instances = Array.from({ length: size }, (_, index) => {
+      return new SimulatedInstance(
+        `${service}-${index}`,
+        index === 0 ? 'primary' : 'replica',
+        index,
+      );
+    });
+    const [first] = this.instances;
+    if (first === undefined) throw new Error('a group has instances');
+    this.leader = first;
+    this.#replicate();
+  }
+
+  get #clock() {
+    return this.network.clock;
+  }
+
+  instance(id: string): SimulatedInstance {
+    const found = this.instances.find((instance) => instance.id === id);
+    if (found === undefined) throw new Error(`no instance ${id}`);
+    return found;
+  }
+
+  entries(): InstanceEntry[] {
+    return this.instances
+      .filter(({ announced, alive }) => announced && alive)
+      .map(({ id, role, draining, index }) => ({
+        id,
+        service: this.service,
+        host: id,
+        port: 1,
+        zone: `zone-${index % 3}`,
+        slots: 3,
+        draining,
+        role,
+      }));
+  }
+
+  crash(instance: SimulatedInstance): void {
+    instance.alive = false;
+    instance.pending = [];
+  }
+
+  restart(instance: SimulatedInstance): void {
+    instance.alive = true;
+    instance.heldTerm = 0;
+    instance.stepsDownAt = undefined;
+    instance.role = this.leader === instance ? 'primary' : 'replica';
+  }
+
+  /** A write of a node; the commit's number comes with its arrival. */
+  write(machine: string, id: string, onAcknowledged: () => void): void {
+    const instance = this.instance(id);
+    this.network.send(machine, id, () => {
+      if (!instance.alive || instance.role !== 'primary') return;
+      const commit = this.#nextCommit;
+      this.#nextCommit += 1;
+      instance.log.push({ term: instance.term, id: commit });
+      const index = instance.log.length - 1;
+      const wasLeader = this.leader === instance;
+      const acknowledge = (): void => {
+        this.acknowledged.push({ id: commit, at: this.#clock.now, index });
+        this.network.send(id, machine, () => {
+          if (!wasLeader) this.violations.push(`ONE: commit ${commit} at deposed ${id}`);
+          onAcknowledged();
+        });
+      };
+      instance.pending.push({ index, id: commit, onAcknowledged: acknowledge });
+      this.#ship(instance);
+    });
+  }
+
+  /** A read of a node that began at `begunAt`; it runs when it arrives. */
+  read(machine: string, id: string, begunAt: number, onAnswer: () => void): void {
+    const instance = this.instance(id);
+    const run = (): void => {
+      if (!instance.alive) return;
+      this.#checkRead(instance, begunAt, machine);
+      this.network.send(id, machine, onAnswer);
+    };
+    this.network.send(machine, id, run, 0.5, 25);
+  }
+
+  control(machine: string, request: ControlRequest, onAnswer: (answer: RequestAnswer) => void) {
+    const instance = this.instance(request.instance.id);
+    const answerBack = (answer: RequestAnswer): void =>
+      this.network.send(instance.id, machine, () => onAnswer(answer));
+    this.network.send(machine, instance.id, () => {
+      if (!instance.alive) answerBack({ type: 'control-failed', failure: 'refused' });
+      else if (this.#clock.chance(0.05)) answerBack({ type: 'control-failed', failure: 'busy' });
+      else answerBack(this.#carryOut(instance, request));
+    });
+  }
+
+  /** The platform has taken a call; it takes effect later. */
+  promote(id: string): 'accepted' | 'refused' {
+    const instance = this.instance(id);
+    if (!instance.alive) return 'refused';
+    if (this.leader === instance && instance.role === 'primary') return 'accepted';
+    this.#clock.after(PROMOTE_MS, () => this.#promoted(instance));
+    return 'accepted';
+  }
+
+  #promoted(instance: SimulatedInstance): void {
+    if (!instance.alive || (this.leader === instance && instance.role === 'primary')) return;
+    const present = new Set(instance.log.map(({ id }) => id));
+    const lost = this.acknowledged.filter(({ id }) => !present.has(id));
+    for (const { id } of lost) {
+      this.violations.push(`LOST: commit ${id} at the promotion of ${instance.id}`);
+    }
+    this.acknowledged = this.acknowledged.filter(({ id }) => present.has(id));
+    this.#highestTerm += 1;
+    this.promotions += 1;
+    this.leader = instance;
+    instance.role = 'primary';
+    instance.term = this.#highestTerm;
+    instance.heldTerm = 0;
+    instance.pending = [];
+    this.#ship(instance);
+  }
+
+  #checkRead(instance: SimulatedInstance, begunAt: number, machine: string): void {
+    for (let index = this.acknowledged.length - 1; index >= 0; index -= 1) {
+      const commit = this.acknowledged[index];
+      if (commit === undefined) return;
+      if (commit.at >= begunAt) continue;
+      if (instance.log[commit.index]?.id !== commit.id) {
+        this.violations.push(
+          `STALE: read by ${machine} at ${instance.id} begun ${begunAt} misses ${commit.id} of ${commit.at}`,
+        );
+      }
+      return;
+    }
+  }
+
+  #carryOut(instance: SimulatedInstance, request: ControlRequest): RequestAnswer {
+    const { action, term } = request;
+    if (action === 'pause') {
+      if (instance.role !== 'replica' || term <= instance.term) return REJECTED;
+      instance.heldTerm = term;
+    } else if (action === 'resume') {
+      instance.heldTerm = 0;
+    } else if (action === 'demote') {
+      if (instance.role !== 'primary' || instance.term >= term) return REJECTED;
+      instance.role = 'replica';
+      instance.pending = [];
+    }
+    return {
+      type: 'status',
+      status: {
+        role: instance.role,
+        term: instance.term,
+        received: {
+          timeline: instance.log.at(-1)?.term ?? 0,
+          lsn: BigInt(instance.log.length),
+        },
+        heldTerm: instance.heldTerm,
+        lagMs: 0,
+        busySlots: 0,
+        connections: 0,
+      },
+    };
+  }
+
+  #replicate(): void {
+    this.#clock.after(25, () => {
+      for (const instance of this.instances) {
+        if (!instance.alive || instance.role !== 'primary') continue;
+        this.#ship(instance);
+        this.#stepDownLater(instance);
+      }
+      this.#replicate();
+    });
+  }
+
+  /** An old primary goes on until a second after it can reach the new one. */
+  #stepDownLater(instance: SimulatedInstance): void {
+    if (instance === this.leader || !this.network.reaches(instance.id, this.leader.id)) {
+      instance.stepsDownAt = undefined;
+      return;
+    }
+    instance.stepsDownAt ??= this.#clock.now + STEPS_DOWN_AFTER_MS;
+    if (this.#clock.now < instance.stepsDownAt) return;
+    instance.role = 'replica';
+    instance.pending = [];
+  }
+
+  #ship(primary: SimulatedInstance): void {
+    const { term, log } = primary;
+    const length = log.length;
+    for (const replica of this.instances) {
+      if (replica === primary) continue;
+      this.network.send(primary.id, replica.id, () => {
+        if (!this.#receives(replica, term)) return;
+        if (replica.term === term && replica.log.length >= length) {
+          this.#noteReceived(primary, replica, term, length);
+          return;
+        }
+        replica.term = term;
+        // What the replica had beyond the new primary's log is rolled back.
+        replica.log = log.slice(0, length);
+        this.#noteReceived(primary, replica, term, length);
+      });
+    }
+  }
+
+  #receives(replica: SimulatedInstance, term: number): boolean {
+    if (!replica.alive || replica.role !== 'replica' || replica.heldTerm > 0) return false;
+    return replica.term <= term && this.#clock.now >= replica.deafUntil;
+  }
+
+  #noteReceived(
+    primary: SimulatedInstance,
+    replica: SimulatedInstance,
+    term: number,
+    length: number,
+  ): void {
+    this.network.send(replica.id, primary.id, () => {
+      if (!primary.alive || primary.role !== 'primary' || primary.term !== term) return;
+      const done = primary.pending.filter(({ index }) => index < length);
+      primary.pending = primary.pending.filter(({ index }) => index >= length);
+      for (const { onAcknowledged } of done) onAcknowledged();
+    });
+  }
+}
+
+const REJECTED: RequestAnswer = { type: 'control-failed', failure: 'rejected' };
--- /dev/null
+++ b/test/support/promotion/network.ts
@@ -0,0 +1,30 @@
+/** Who reaches whom: machines by name, with cuts in one or both directions. */
+import type { SimulatedClock } from './clock.js';
+
+export class SimulatedNetwork {
+  readonly #cuts = new Map<string, number>();
+
+  constructor(readonly clock: SimulatedClock) {}
+
+  /** Cuts `from` off from `to` for a time, in that direction only. */
+  cutOneWay(from: string, to: string, forMs: number): void {
+    this.#cuts.set(`${from}>${to}`, this.clock.now + forMs);
+  }
+
+  cut(left: string, right: string, forMs: number): void {
+    this.cutOneWay(left, right, forMs);
+    this.cutOneWay(right, left, forMs);
+  }
+
+  reaches(from: string, to: string): boolean {
+    return (this.#cuts.get(`${from}>${to}`) ?? 0) <= this.clock.now;
+  }
+
+  /** Delivers after a delay, unless the way is cut at the start or the end of it. */
+  send(from: string, to: string, action: () => void, lowMs = 0.5, highMs = 4): void {
+    if (!this.reaches(from, to)) return;
+    this.clock.after(this.clock.between(lowMs, highMs), () => {
+      if (this.reaches(from, to)) action();
+    });
+  }
+}
--- /dev/null
+++ b/test/support/promotion/node.ts
@@ -0,0 +1,239 @@
+/** One node in virtual time: its machine, a clock that drifts, and a data path that reads and writes. */
+import type {
+  PromotionEffect,
+  PromotionEvent,
+  PromotionMechanism,
+  PromotionRequest,
+  RequestAnswer,
+} from '../../../src/core/promotion/contract.js';
+import { PromotionMachine } from '../../../src/core/promotion/machine.js';
+import { DEFAULT_PROMOTION_TIMINGS } from '../../../src/core/promotion/options.js';
+import type { SimulatedGroup } from './group.js';
+import type { SimulatedNetwork } from './network.js';
+import type { SimulatedPlatform } from './platform.js';
+import type { SimulatedStore } from './store.js';
+
+const REQUEST_TIMEOUT_MS = 350;
+
+export interface NodeWorld {
+  readonly network: SimulatedNetwork;
+  readonly store: SimulatedStore;
+  readonly platform: SimulatedPlatform;
+  readonly groups: ReadonlyMap<string, SimulatedGroup>;
+  readonly disabled: ReadonlySet<PromotionMechanism>;
+}
+
+export class SimulatedNode {
+  machine: PromotionMachine | undefined;
+  frozenUntil = 0;
+  readonly log: string[] = [];
+  writesAcknowledged = 0;
+  readsServed = 0;
+  #life = 0;
+  #watches = new Map<number, () => void>();
+  #inbox: (() => void)[] = [];
+  #wakeAt = Number.POSITIVE_INFINITY;
+  readonly #offset: number;
+  readonly #rate: number;
+
+  constructor(
+    readonly name: string,
+    private readonly world: NodeWorld,
+  ) {
+    this.#offset = this.#clock.between(0, 1_000_000);
+    this.#rate = this.#clock.between(0.999, 1.001);
+  }
+
+  get #clock() {
+    return this.world.network.clock;
+  }
+
+  get isFrozen(): boolean {
+    return this.#clock.now < this.frozenUntil;
+  }
+
+  /** Time on the node's own monotonic clock. */
+  get now(): number {
+    return this.#offset + this.#clock.now * this.#rate;
+  }
+
+  start(): void {
+    this.#life += 1;
+    this.#inbox = [];
+    this.frozenUntil = 0;
+    this.machine = new PromotionMachine({
+      nodeName: this.name,
+      incarnation: `${this.name}-${this.#life}`,
+      timings: DEFAULT_PROMOTION_TIMINGS,
+      random: this.#clock.random,
+      disabled: this.world.disabled,
+    });
+    const services = [...this.world.groups.keys()].map((name) => {
+      return { name, maxConnections: 34, syncReplicas: 1 };
+    });
+    this.handle({ type: 'services-changed', services });
+    this.handle({ type: 'start' });
+    this.#followInstances(this.#life);
+    for (const service of this.world.groups.keys()) this.#work(service, this.#life);
+  }
+
+  kill(): void {
+    this.machine = undefined;
+    this.#life += 1;
+    for (const close of this.#watches.values()) close();
+    this.#watches.clear();
+  }
+
+  freeze(forMs: number): void {
+    this.frozenUntil = this.#clock.now + forMs;
+    this.#clock.at(this.frozenUntil, () => {
+      for (const action of this.#inbox.splice(0)) action();
+      this.#wake();
+    });
+  }
+
+  handle(event: PromotionEvent): void {
+    if (this.machine === undefined) return;
+    const effects = this.machine.handle(event, this.now);
+    for (const effect of effects) this.#carryOut(effect);
+    this.#wake();
+  }
+
+  /** Runs when the process does: at once, or once it is no longer frozen. */
+  #run(life: number, action: () => void): void {
+    if (life !== this.#life) return;
+    if (this.isFrozen) this.#inbox.push(() => this.#run(life, action));
+    else action();
+  }
+
+  #wake(): void {
+    const at = this.machine?.nextDeadline();
+    if (at === undefined || this.isFrozen) return;
+    const time = Math.max(this.#clock.now, (at - this.#offset) / this.#rate + 0.01);
+    if (time >= this.#wakeAt && this.#wakeAt > this.#clock.now) return;
+    this.#wakeAt = time;
+    const life = this.#life;
+    this.#clock.at(time, () => {
+      if (this.#wakeAt === time) this.#wakeAt = Number.POSITIVE_INFINITY;
+      this.#run(life, () => this.handle({ type: 'tick' }));
+    });
+  }
+
+  #carryOut(effect: PromotionEffect): void {
+    const life = this.#life;
+    switch (effect.type) {
+      case 'request':
+        this.#request(effect.request, (answer) =>
+          this.#run(life, () => this.handle({ type: 'answer', request: effect.id, answer })),
+        );
+        return;
+      case 'open-watch': {
+        const { id, prefix, fromRevision } = effect;
+        const close = this.world.store.watch(
+          this.name,
+          prefix,
+          (events, revision) =>
+            this.#run(life, () =>
+              this.handle({ type: 'watch-events', watch: id, events, revision }),
+            ),
+          () =>
+            this.#run(life, () => this.handle({ type: 'watch-ended', watch: id, compacted: true })),
+          fromRevision,
+        );
+        this.#watches.set(id, close);
+        return;
+      }
+      case 'close-watch':
+        this.#watches.get(effect.id)?.();
+        this.#watches.delete(effect.id);
+        return;
+      case 'end-use':
+        this.#clock.after(this.#clock.between(0, 20), () =>
+          this.#run(life, () =>
+            this.handle({ type: 'use-ended', service: effect.service, change: effect.change }),
+          ),
+        );
+        return;
+      case 'log':
+        this.log.push(
+          `${this.#clock.now.toFixed(0)} ${this.name} ${effect.event} ${JSON.stringify(effect.fields)}`,
+        );
+        return;
+      default:
+    }
+  }
+
+  #request(request: PromotionRequest, onAnswer: (answer: RequestAnswer) => void): void {
+    const { store, platform, groups } = this.world;
+    if (request.type === 'promote') {
+      const life = this.#life;
+      const isOnItsWay = (): boolean => life === this.#life && this.now < request.endsAt;
+      platform.promote(this.name, this.name, request, isOnItsWay, onAnswer);
+    } else if (request.type === 'control') {
+      groups.get(request.instance.service)?.control(this.name, request, onAnswer);
+    } else {
+      store.request(this.name, request, onAnswer);
+    }
+  }
+
+  #followInstances(life: number): void {
+    const { network, store, groups } = this.world;
+    if (life !== this.#life) return;
+    if (!store.isDown && network.reaches('store', this.name)) {
+      this.#run(life, () => {
+        const entries = [...groups.values()].flatMap((group) => group.entries());
+        this.handle({ type: 'instances-changed', entries });
+      });
+    }
+    this.#clock.after(100, () => this.#followInstances(life));
+  }
+
+  /** Reads and writes at the primary, one after the other. */
+  #work(service: string, life: number): void {
+    if (life !== this.#life) return;
+    this.#run(life, () => {
+      if (this.#clock.chance(0.5)) this.#write(service);
+      else this.#read(service);
+    });
+    this.#clock.after(this.#clock.between(10, 60), () => this.#work(service, life));
+  }
+
+  #write(service: string): void {
+    const primary = this.machine?.primaryOf(service, this.now);
+    if (primary === undefined) return;
+    const finish = this.#expectAnswer(service, primary.id, 'commit');
+    this.world.groups.get(service)?.write(this.name, primary.id, () => {
+      this.writesAcknowledged += 1;
+      finish();
+    });
+  }
+
+  #read(service: string): void {
+    const { machine } = this;
+    const begunAt = this.#clock.now;
+    const primary = machine?.primaryOf(service, this.now);
+    if (primary === undefined || !machine?.mayTrustPrimary(service, this.now)) return;
+    const finish = this.#expectAnswer(service, primary.id, 'reach');
+    this.world.groups.get(service)?.read(this.name, primary.id, begunAt, () => {
+      this.readsServed += 1;
+      finish();
+    });
+  }
+
+  #expectAnswer(service: string, instance: string, use: 'reach' | 'commit'): () => void {
+    const life = this.#life;
+    let isAnswered = false;
+    const report = (type: 'primary-succeeded' | 'primary-failed'): void =>
+      this.#run(life, () => {
+        if (this.machine?.primaryOf(service, this.now)?.id !== instance) return;
+        this.handle({ type, service, use });
+      });
+    this.#clock.after(REQUEST_TIMEOUT_MS, () => {
+      if (!isAnswered) report('primary-failed');
+    });
+    return () => {
+      if (!isAnswered) report('primary-succeeded');
+      isAnswered = true;
+    };
+  }
+}
--- /dev/null
+++ b/test/support/promotion/simulation.ts
@@ -0,0 +1,221 @@
+/** Nodes, groups, store and platform in virtual time, with faults drawn from a seed. */
+import type { PromotionMechanism } from '../../../src/core/promotion/contract.js';
+import { SimulatedClock } from './clock.js';
+import { SimulatedGroup } from './group.js';
+import { SimulatedNetwork } from './network.js';
+import { SimulatedNode } from './node.js';
+import { PLATFORM, SimulatedPlatform } from './platform.js';
+import { SimulatedStore, STORE } from './store.js';
+
+export interface SimulationOptions {
+  readonly seed: number;
+  readonly nodes?: number;
+  readonly services?: number;
+  readonly instances?: number;
+  readonly disabled?: readonly PromotionMechanism[];
+}
+
+export class PromotionSimulation {
+  readonly clock: SimulatedClock;
+  readonly network: SimulatedNetwork;
+  readonly store: SimulatedStore;
+  readonly platform: SimulatedPlatform;
+  readonly groups = new Map<string, SimulatedGroup>();
+  readonly nodes: SimulatedNode[];
+  readonly faults: string[] = [];
+
+  constructor(options: SimulationOptions) {
+    this.clock = new SimulatedClock(options.seed);
+    this.network = new SimulatedNetwork(this.clock);
+    this.store = new SimulatedStore(this.network);
+    this.platform = new SimulatedPlatform(this.network, this.groups);
+    for (let index = 0; index < (options.services ?? 2); index += 1) {
+      const service = `group-${index}`;
+      const group = new SimulatedGroup(service, this.network, options.instances ?? 3);
+      this.groups.set(service, group);
+    }
+    const { network, store, platform, groups } = this;
+    const disabled = new Set(options.disabled);
+    const world = { network, store, platform, groups, disabled };
+    const names = Array.from({ length: options.nodes ?? 4 }, (_, index) => `node-${index}`);
+    this.nodes = names.map((name) => new SimulatedNode(name, world));
+    for (const node of this.nodes) this.clock.after(this.clock.between(0, 300), () => node.start());
+  }
+
+  /** The first group. */
+  get group(): SimulatedGroup {
+    const [first] = this.groups.values();
+    if (first === undefined) throw new Error('no groups');
+    return first;
+  }
+
+  get leader(): SimulatedNode | undefined {
+    return this.nodes.find(({ machine }) => machine?.isLeader);
+  }
+
+  get violations(): string[] {
+    return [...this.platform.violations, ...[...this.groups.values()].flatMap((g) => g.violations)];
+  }
+
+  run(forMs: number): void {
+    this.clock.runUntil(this.clock.now + forMs);
+  }
+
+  /** Strikes with faults drawn from the seed, one after the other, for a time. */
+  strike(forMs: number): void {
+    const end = this.clock.now + forMs;
+    while (this.clock.now < end) {
+      const [name, fault] = this.clock.pick(Object.entries(this.#faults));
+      this.faults.push(`${this.clock.now.toFixed(0)} ${name} ${fault() ?? ''}`);
+      this.run(this.clock.between(0, 2500));
+    }
+  }
+
+  /** Every fault ends within 7 s, all are over after that. */
+  heal(): void {
+    this.run(8000);
+  }
+
+  readonly #faults: Record<string, () => string | undefined> = {
+    'primary crash': () => this.#crash(this.#anyGroup(), 'primary'),
+    'primary crash again': () => this.#crash(this.#anyGroup(), 'primary'),
+    'replica crash': () => this.#crash(this.#anyGroup(), 'replica'),
+    'primary draining': () => this.#drain(),
+    'replica deaf': () => {
+      const group = this.#anyGroup();
+      const instance = this.clock.pick(group.instances);
+      instance.deafUntil = this.clock.now + this.#length();
+      return instance.id;
+    },
+    'all replicas deaf': () => {
+      const group = this.#anyGroup();
+      const until = this.clock.now + this.#length();
+      for (const instance of group.instances) instance.deafUntil = until;
+      return group.service;
+    },
+    'primary cut from replicas': () => {
+      const group = this.#anyGroup();
+      const forMs = this.#length();
+      for (const { id } of group.instances) {
+        if (id !== group.leader.id) this.network.cut(group.leader.id, id, forMs);
+      }
+      return group.leader.id;
+    },
+    'primary cut from nodes': () => {
+      const { leader } = this.#anyGroup();
+      const forMs = this.#length();
+      const nodes = this.nodes.filter(() => this.clock.chance(0.6));
+      for (const { name } of nodes) this.#cutAnyWay(leader.id, name, forMs);
+      return `${leader.id} ${nodes.map(({ name }) => name).join()}`;
+    },
+    'primary cut from leader': () => {
+      const { leader } = this.#anyGroup();
+      const node = this.leader ?? this.clock.pick(this.nodes);
+      this.#cutAnyWay(leader.id, node.name, this.#length());
+      return leader.id;
+    },
+    'node cut from store': () => {
+      const node = this.#anyNode();
+      this.#cutAnyWay(node.name, STORE, this.#length());
+      return node.name;
+    },
+    'node cut from platform': () => {
+      const node = this.#anyNode();
+      this.network.cut(node.name, PLATFORM, this.#length());
+      return node.name;
+    },
+    'node cut from all': () => {
+      const node = this.#anyNode();
+      const forMs = this.#length();
+      this.network.cut(node.name, STORE, forMs);
+      this.network.cut(node.name, PLATFORM, forMs);
+      for (const group of this.groups.values()) {
+        for (const { id } of group.instances) this.network.cut(node.name, id, forMs);
+      }
+      return node.name;
+    },
+    'node freeze': () => {
+      const node = this.#anyNode();
+      node.freeze(this.#length());
+      return node.name;
+    },
+    'node kill': () => {
+      const node = this.#anyNode();
+      node.kill();
+      this.clock.after(this.clock.between(300, 2500), () => node.start());
+      return node.name;
+    },
+    'store down': () => {
+      const leasesLapse = this.clock.chance(0.5);
+      this.store.goDown(this.#length(), leasesLapse);
+      return String(leasesLapse);
+    },
+    'store slow': () => {
+      this.store.slowUntil = this.clock.now + this.#length();
+      return undefined;
+    },
+    'store answers lost': () => {
+      this.store.lossUntil = this.clock.now + this.#length();
+      return undefined;
+    },
+    'store changes late': () => {
+      this.store.lateUntil = this.clock.now + this.#length();
+      return undefined;
+    },
+    'store watches deaf': () => {
+      this.store.goDeaf(1000);
+      return undefined;
+    },
+    'platform slow': () => {
+      this.platform.slowUntil = this.clock.now + this.#length();
+      return undefined;
+    },
+    'platform answers lost': () => {
+      this.platform.lossUntil = this.clock.now + this.#length();
+      return undefined;
+    },
+    'platform down': () => {
+      this.platform.downUntil = this.clock.now + this.#length();
+      return undefined;
+    },
+  };
+
+  #length(): number {
+    return this.clock.between(300, 7000);
+  }
+
+  #anyGroup(): SimulatedGroup {
+    return this.clock.pick([...this.groups.values()]);
+  }
+
+  /** The leader half of the time. */
+  #anyNode(): SimulatedNode {
+    return (this.clock.chance(0.5) ? this.leader : undefined) ?? this.clock.pick(this.nodes);
+  }
+
+  #cutAnyWay(left: string, right: string, forMs: number): void {
+    if (this.clock.chance(0.6)) this.network.cut(left, right, forMs);
+    else if (this.clock.chance(0.5)) this.network.cutOneWay(left, right, forMs);
+    else this.network.cutOneWay(right, left, forMs);
+  }
+
+  #crash(group: SimulatedGroup, role: 'primary' | 'replica'): string {
+    const victims = group.instances.filter(
+      (instance) => instance.alive && (instance === group.leader) === (role === 'primary'),
+    );
+    if (victims.length === 0) return 'none';
+    const victim = this.clock.pick(victims);
+    group.crash(victim);
+    this.clock.after(this.clock.between(200, 6500), () => group.restart(victim));
+    return victim.id;
+  }
+
+  #drain(): string {
+    const { leader } = this.#anyGroup();
+    leader.draining = true;
+    this.clock.after(6000, () => {
+      leader.draining = false;
+    });
+    return leader.id;
+  }
+}
