Direct gateway takes its primaries from the promotion service

Cause: nobody replaced a primary: leaving ones got work for too long, dead ones stopped their service. Change: the promotion machine decides who leads; node count divides the instances' connections; control calls tell refused from silent.

--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -3,13 +3,12 @@
  * itself and gives no promotion call.
  */
 import type { InstanceEntry } from './contract.js';
-import type { PrimaryView } from './primary-view.js';
+import type { PrimaryView } from './promotion/contract.js';
 
 export class AnnouncedPrimaryView implements PrimaryView {
+  onChange: (service: string) => void = () => {};
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
 
-  constructor(private readonly nodeCount: number) {}
-
   noteInstances(instances: ReadonlyMap<string, InstanceEntry>): void {
     this.#instances = instances;
   }
@@ -30,6 +29,6 @@
   reportPrimarySuccess(): void {}
 
   liveNodeCount(): number {
-    return this.nodeCount;
+    return 1;
   }
 }
--- a/src/direct/errors.ts
+++ b/src/direct/errors.ts
@@ -10,8 +10,9 @@
     message: string,
     /** What the instance answered, if it did. */
     readonly answer: StatementErrorCode | undefined,
+    options?: ErrorOptions,
   ) {
-    super(message);
+    super(message, options);
   }
 }
 
@@ -32,7 +33,8 @@
   constructor(
     message: string,
     readonly answer: StatementErrorCode | undefined,
+    options?: ErrorOptions,
   ) {
-    super(message);
+    super(message, options);
   }
 }
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -12,7 +12,7 @@
   RouteDescription,
 } from './contract.js';
 import type { PoolCounters } from './instance-pool.js';
-import type { PrimaryView } from './primary-view.js';
+import type { PrimaryView } from './promotion/contract.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
 import type { StatementWire } from './wire.js';
@@ -61,6 +61,7 @@
   #routes = new Map<string, RouteDescription>();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
+  #nodeCount = 0;
   #stopping = false;
   #sampler: NodeJS.Timeout | undefined;
   readonly #sampling = new Set<string>();
@@ -101,7 +102,10 @@
 
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
-    this.#sampler = setInterval(() => this.#samplePositions(), SAMPLE_CHECK_MS);
+    this.#sampler = setInterval(() => {
+      this.#shareConnections();
+      this.#samplePositions();
+    }, SAMPLE_CHECK_MS);
   }
 
   find(database: string): ReturnType<RouteLookup['find']> {
@@ -138,8 +142,15 @@
     }
   }
 
-  /** The number of nodes that share the instances' connections has changed. */
-  shareConnections(): void {
+  /** Resolves once no write of this node is on its way to the service's instances. */
+  async writesEnded(service: string): Promise<void> {
+    await this.#services.get(service)?.writesEnded();
+  }
+
+  #shareConnections(): void {
+    const nodeCount = this.options.view.liveNodeCount();
+    if (nodeCount === this.#nodeCount) return;
+    this.#nodeCount = nodeCount;
     for (const service of this.#services.values()) service.shareConnections();
   }
 
--- a/src/direct/instance-connection.ts
+++ b/src/direct/instance-connection.ts
@@ -150,12 +150,12 @@
     const socket = connect({ host: instance.host, port: instance.port, noDelay: true });
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
     let settled = false;
-    const fail = (reason: string, answer?: StatementErrorCode): void => {
+    const fail = (reason: string, answer?: StatementErrorCode, cause?: Error): void => {
       if (settled) return;
       settled = true;
       clearTimeout(timer);
       socket.destroy();
-      resolve(err(new InstanceConnectError(`${instance.id}: ${reason}`, answer)));
+      resolve(err(new InstanceConnectError(`${instance.id}: ${reason}`, answer, { cause })));
     };
     const timer = setTimeout(() => fail('no answer in time'), connectTimeoutMs);
     const splitter = new LineSplitter(wire.maxMessageBytes);
@@ -178,7 +178,7 @@
       }
     };
     socket.on('data', receive);
-    socket.on('error', (error) => fail(error.message));
+    socket.on('error', (error) => fail(error.message, undefined, error));
     socket.on('close', () => fail('closed'));
     socket.on('connect', () => socket.write(wire.encodeStart(instance.service, instance.id)));
   });
--- a/src/direct/instance-control.ts
+++ b/src/direct/instance-control.ts
@@ -1,16 +1,27 @@
 /** Control calls to instances, each on a connection of this module's own that is kept while it works. */
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import type { MeadowstackError } from '../core/errors.js';
+import type { ControlFailure } from '../core/promotion/contract.js';
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceControl, InstanceEntry, InstanceStatus } from './contract.js';
 import { InstanceControlError } from './errors.js';
 import { type InstanceConnection, openInstanceConnection } from './instance-connection.js';
+import { classifyBySystemCall } from './promotion/control-failure.js';
 import type { ControlCommand, StatementWire } from './wire.js';
 import { firstWithin } from './within.js';
 
 /** Reads the row that an instance tells of itself; none if it is not in its form. */
 export type StatusRowParser = (row: string) => InstanceStatus | undefined;
 
+/** What a failed control call says of the instance. */
+export function classifyControlFailure(error: MeadowstackError): ControlFailure {
+  const answer = error instanceof InstanceControlError ? error.answer : undefined;
+  if (answer === undefined) return classifyBySystemCall(error);
+  if (answer === 'busy' || answer === 'connection-limit') return 'busy';
+  // Another instance has its address: the one that was meant is gone.
+  return answer === 'misrouted' ? 'refused' : 'rejected';
+}
+
 export class WireInstanceControl implements InstanceControl {
   readonly #connections = new Map<string, InstanceConnection>();
 
@@ -79,12 +90,18 @@
     timeoutMs: Milliseconds,
   ): Promise<InstanceStatus | InstanceControlError> {
     const deadline = this.now() + timeoutMs;
+    const isKept = this.#connections.get(instance.id)?.closed === false;
     const connection = await this.#connection(instance, timeoutMs);
     if (connection instanceof InstanceControlError) return connection;
     const exchange = connection.exchangeRows(this.wire.encodeControl(command));
     const settled = await firstWithin([exchange], deadline - this.now());
     if (settled === undefined || settled.answer.isErr()) {
       connection.close();
+      const remainingMs = deadline - this.now();
+      // A kept connection may have ended long ago: a new one tells whether the instance is there.
+      if (settled !== undefined && isKept && remainingMs > 0) {
+        return this.#exchange(instance, command, remainingMs);
+      }
       return new InstanceControlError(`${instance.id}: no answer to ${command.type}`, undefined);
     }
     const { error } = settled.answer.value;
@@ -103,7 +120,8 @@
     if (known !== undefined && !known.closed) return known;
     const opened = await openInstanceConnection({ wire: this.wire, instance, connectTimeoutMs });
     if (opened.isErr()) {
-      return new InstanceControlError(opened.error.message, opened.error.answer);
+      const { message, answer, cause } = opened.error;
+      return new InstanceControlError(message, answer, { cause });
     }
     const connection = opened.value;
     this.#connections.get(instance.id)?.close();
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -5,7 +5,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceEntry } from './contract.js';
 import { InstancePool, type InstancePoolOptions } from './instance-pool.js';
-import type { PrimaryView } from './primary-view.js';
+import type { PrimaryView } from './promotion/contract.js';
 
 /** Connections of an instance that are left to control calls of whichever node leads. */
 const RESERVED_CONNECTIONS = 4;
@@ -59,6 +59,8 @@
   readonly #instances = new Map<string, InstanceState>();
   #maxConnections = 0;
   #samplesFrom: string | undefined;
+  #writes = 0;
+  readonly #writesEnded: (() => void)[] = [];
 
   constructor(
     readonly name: string,
@@ -128,6 +130,24 @@
     this.samples.add({ sentAt, position });
   }
 
+  /** A write or a commit is on its way to the primary until the returned function is called. */
+  beginWrite(): () => void {
+    this.#writes += 1;
+    return () => {
+      this.#writes -= 1;
+      if (this.#writes > 0) return;
+      for (const settle of this.#writesEnded.splice(0)) settle();
+    };
+  }
+
+  /** Resolves once no write is on its way; at once if the instances lately failed to answer. */
+  writesEnded(): Promise<void> {
+    const now = this.options.now();
+    const failing = [...this.#instances.values()].some((state) => state.avoidUntil > now);
+    if (this.#writes === 0 || failing) return Promise.resolve();
+    return new Promise((resolve) => this.#writesEnded.push(resolve));
+  }
+
   close(): void {
     for (const state of this.#instances.values()) state.pool.close();
   }
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -16,7 +16,7 @@
 import type { RouteDescription } from './contract.js';
 import { InstanceConnectError, type InstanceConnectionLostError } from './errors.js';
 import type { InstanceConnection } from './instance-connection.js';
-import type { PrimaryView } from './primary-view.js';
+import type { PrimaryUse, PrimaryView } from './promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import { synchronise } from './synchronise.js';
 import type { StatementWire } from './wire.js';
@@ -160,7 +160,9 @@
     while (now() < request.deadline) {
       const target = this.chooseTarget(request, new Set());
       if (target !== undefined) {
+        const endWrite = request.service.beginWrite();
         const attempt = await this.#attempt(request, target);
+        endWrite();
         if (attempt.type === 'answered') return attempt;
         if (attempt.type === 'unknown') return refuse('in-doubt', 'no answer to a write');
         refusal = attempt.refusal;
@@ -265,7 +267,8 @@
     connection.uncork();
     const answer = await this.awaitAnswer(exchange, connection, instance, request.deadline);
     if (answer === undefined || answer.isErr()) {
-      this.noteFailure(request, instance);
+      const silentWrite = answer === undefined && request.access === 'write';
+      this.noteFailure(request, instance, silentWrite ? 'commit' : 'reach');
       return { type: 'unknown', instance };
     }
     return this.#judge(request, instance, connection, answer.value, sentAt);
@@ -284,7 +287,7 @@
     if (answer.error === undefined) {
       instance.pool.noteAnswer(now() - sentAt);
       request.service.noteAnswer(instance, sentAt, answer.position);
-      if (instance.primary) this.options.view.reportPrimarySuccess(request.service.name, now());
+      if (instance.primary) this.noteSuccess(request.service, request.access);
       return { type: 'answered', answer };
     }
     const { code, text } = answer.error;
@@ -321,11 +324,22 @@
     else connection.close();
   }
 
+  /** The primary did what was asked of it. */
+  noteSuccess(service: ServiceRuntime, access: Access): void {
+    const use = access === 'write' ? 'commit' : 'reach';
+    this.options.view.reportPrimarySuccess(service.name, this.options.now(), use);
+  }
+
   /** An instance did not do what was asked: reads avoid it, and a primary is reported. */
-  noteFailure(request: Pick<StatementRequest, 'service'>, instance: InstanceRuntime): void {
+  noteFailure(
+    request: Pick<StatementRequest, 'service'>,
+    instance: InstanceRuntime,
+    use: PrimaryUse = 'reach',
+  ): void {
     const { view, now } = this.options;
     instance.pool.avoidUntil = now() + AVOID_MS;
     const primary = view.primaryOf(request.service.name);
-    if (primary?.id === instance.id) view.reportPrimaryFailure(request.service.name, now());
+    if (primary?.id !== instance.id) return;
+    view.reportPrimaryFailure(request.service.name, now(), use);
   }
 }
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -74,12 +74,15 @@
     connection: InstanceConnection,
     instance: InstanceRuntime,
   ): Promise<StatementOutcome> {
-    const { now, view } = this.runner.options;
+    const { now } = this.runner.options;
     const sentAt = now();
+    const endWrite = this.service.beginWrite();
     const exchange = connection.exchange(request.encode(undefined));
     const answer = await this.runner.awaitAnswer(exchange, connection, instance, request.deadline);
+    endWrite();
     if (answer === undefined || answer.isErr()) {
-      this.runner.noteFailure(this, instance);
+      const silent = answer === undefined && this.#wrote;
+      this.runner.noteFailure(this, instance, silent ? 'commit' : 'reach');
       // Without a write, nothing is kept whatever became of the commit.
       return this.#wrote
         ? refuse('in-doubt', 'no answer to a commit')
@@ -89,7 +92,7 @@
     else connection.close();
     if (answer.value.error === undefined) {
       this.service.noteAnswer(instance, sentAt, answer.value.position);
-      if (instance.primary) view.reportPrimarySuccess(this.service.name, now());
+      if (instance.primary) this.runner.noteSuccess(this.service, this.#wrote ? 'write' : 'read');
     }
     return { type: 'answered', answer: answer.value };
   }
