Transactions begin only at a trusted primary; ended sessions leave unread what comes later

Change: a transaction needs trust at its BEGIN; an ended session reads no more; open transactions get half of the grace period, requests nine tenths.

--- a/src/direct/caller-server.ts
+++ b/src/direct/caller-server.ts
@@ -6,6 +6,8 @@
 const KEEP_ALIVE_DELAY_MS = 10_000;
 /** A caller that does not read holds its own session up once so much waits for it. */
 const MAX_UNSENT_BYTES = 256 * 1024;
+/** An ended session's last answer has this long to arrive before the connection is dropped. */
+const LINGER_MS = 500;
 
 export type SessionDependencies = Omit<CallerSessionOptions, 'write' | 'end'>;
 
@@ -17,7 +19,7 @@
 export class CallerServer {
   readonly #server: Server;
   readonly #sessions = new Set<OpenSession>();
-  #draining = false;
+  #drain: 'none' | 'idle' | 'any' = 'none';
   #accepted = 0;
 
   constructor(private readonly dependencies: SessionDependencies) {
@@ -53,9 +55,12 @@
     this.#server.close();
   }
 
-  /** From now on each session ends as soon as it is at rest. */
-  drain(): void {
-    this.#draining = true;
+  /**
+   * From now on each session ends between requests: outside any transaction, or with
+   * `inTransactions` inside one too.
+   */
+  drain(inTransactions: boolean): void {
+    this.#drain = inTransactions ? 'any' : 'idle';
     for (const open of [...this.#sessions]) this.#endAtRest(open);
   }
 
@@ -79,9 +84,11 @@
     const open = { session, socket };
     this.#sessions.add(open);
     session.onRest = () => {
-      if (this.#draining) this.#endAtRest(open);
+      this.#endAtRest(open);
     };
-    socket.on('drain', () => socket.resume());
+    socket.on('drain', () => {
+      if (!socket.writableEnded) socket.resume();
+    });
     socket.on('data', (chunk: Buffer) => this.#receive(session, socket, splitter, chunk));
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
@@ -101,7 +108,13 @@
     }
   }
 
-  #endAtRest(open: OpenSession): void {
-    if (open.session.atRest) open.socket.end();
+  #endAtRest({ session, socket }: OpenSession): void {
+    const mayEnd = this.#drain === 'idle' ? session.atRest : !session.busy;
+    if (this.#drain === 'none' || !mayEnd) return;
+    // What the caller sends from now on must stay unread, so that it counts as never taken.
+    socket.pause();
+    socket.removeAllListeners('data');
+    socket.end();
+    setTimeout(() => socket.destroy(), LINGER_MS);
   }
 }
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -29,8 +29,9 @@
 /** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
 const DRAIN_DELAY_MS = 2200;
 const DRAIN_CHECK_MS = 50;
-/** Part of the grace period that open transactions get. */
-const TRANSACTION_GRACE_SHARE = 0.8;
+/** Parts of the grace period that open transactions and running requests get. */
+const TRANSACTION_GRACE_SHARE = 0.5;
+const REQUEST_GRACE_SHARE = 0.9;
 
 export interface DirectGatewayOptions {
   readonly settings: DirectSettings;
@@ -159,15 +160,23 @@
     if (this.#stopping) return;
     this.#stopping = true;
     const { now, settings } = this.options;
-    const end = now() + settings.gracePeriodMs * TRANSACTION_GRACE_SHARE;
-    await pause(Math.min(DRAIN_DELAY_MS, settings.gracePeriodMs / 2));
-    this.#server.drain();
-    while (this.#server.sessionCount > 0 && now() < end) await pause(DRAIN_CHECK_MS);
+    const stoppedAt = now();
+    await pause(Math.min(DRAIN_DELAY_MS, settings.gracePeriodMs * TRANSACTION_GRACE_SHARE));
+    this.#server.drain(false);
+    await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * TRANSACTION_GRACE_SHARE);
+    this.#server.drain(true);
+    await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
     this.#server.close();
     clearInterval(this.#sampler);
     for (const service of this.#services.values()) service.close();
   }
 
+  async #sessionsEnded(deadline: Milliseconds): Promise<void> {
+    while (this.#server.sessionCount > 0 && this.options.now() < deadline) {
+      await pause(DRAIN_CHECK_MS);
+    }
+  }
+
   #service(name: string): ServiceRuntime {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -69,6 +69,12 @@
   | { readonly type: 'answered'; readonly answer: StatementAnswer }
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
+/** What decides where a statement or transaction may go. */
+export type Placement = Pick<StatementRequest, 'access' | 'route' | 'service' | 'session'> & {
+  /** A transaction that may write also reads, so that it must not begin at a deposed primary. */
+  readonly isTransaction?: boolean;
+};
+
 /** Where a statement goes and what position it needs there. */
 export interface Target {
   readonly instance: InstanceRuntime;
@@ -96,10 +102,7 @@
   }
 
   /** The instance for a new statement or transaction, or none for now. */
-  chooseTarget(
-    request: Pick<StatementRequest, 'access' | 'route' | 'service' | 'session'>,
-    excluded: ReadonlySet<string>,
-  ): Target | undefined {
+  chooseTarget(request: Placement, excluded: ReadonlySet<string>): Target | undefined {
     const now = this.options.now();
     const required = this.#requiredPosition(request, now);
     if (request.access === 'write' || request.route.consistency === 'primary') {
@@ -112,10 +115,7 @@
   }
 
   /** Whether a target chosen some time ago may still be used as it is. */
-  recheck(
-    request: Pick<StatementRequest, 'access' | 'route' | 'service' | 'session'>,
-    target: Target,
-  ): Target | undefined {
+  recheck(request: Placement, target: Target): Target | undefined {
     const now = this.options.now();
     if (now >= target.instance.usableUntil) return undefined;
     const required = this.#requiredPosition(request, now);
@@ -129,14 +129,15 @@
   }
 
   #primaryTarget(
-    request: Pick<StatementRequest, 'access' | 'service'>,
+    request: Pick<Placement, 'access' | 'service' | 'isTransaction'>,
     after: Position | undefined,
     now: Milliseconds,
   ): Target | undefined {
     const instance = request.service.primary(now);
     if (instance === undefined) return undefined;
     const trusted = this.options.view.mayTrustPrimary(request.service.name, now);
-    if (request.access === 'read' && !trusted) return undefined;
+    const reads = request.access === 'read' || request.isTransaction === true;
+    if (reads && !trusted) return undefined;
     return { instance, after: request.access === 'read' ? after : undefined };
   }
 
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -191,6 +191,7 @@
       route: this.route,
       service: this.service,
       session: request.session,
+      isTransaction: true,
     };
     const chosen = this.runner.chooseTarget(placement, excluded);
     if (chosen === undefined) return { code: 'busy', text: 'no primary' };
