Trust by the members' answers when the store can't vouch; stalled instances are refused at once

Ruled out: the promotions' own time (0.1 s from call to use). Change: when the lease does not vouch, all members of a group are asked for their positions, and a primary is trusted for what began before the question; an instance that answers nothing for 400 ms gets one statement in 200 ms; what can't be tried is refused after a fifth of its aim; nodes that vanished count 30 s for the division of connections; few connections are kept at rest.

--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -80,6 +80,11 @@
     return this.#primaries.primaryOf(service, now) !== undefined;
   }
 
+  /** True while the record says that another primary is being made. */
+  isChanging(service: string): boolean {
+    return this.#primaries.recordOf(service)?.phase === 'changing';
+  }
+
   /** Nodes that there are, as the leader counted them last; at least this one. */
   liveNodeCount(): number {
     return Math.max(1, decodeRecord(this.#records.get(FLEET_KEY), fleetForm)?.nodes ?? 1);
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -24,6 +24,10 @@
     return true;
   }
 
+  isChanging(): boolean {
+    return false;
+  }
+
   reportPrimaryFailure(): void {}
 
   reportPrimarySuccess(): void {}
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -334,11 +334,13 @@
   #request(
     route: RouteDescription,
     service: ServiceRuntime,
-  ): Pick<StatementRequest, 'session' | 'deadline'> {
+  ): Pick<StatementRequest, 'session' | 'beganAt' | 'deadline'> {
+    const now = this.options.now();
     const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
     return {
       session: { values: this.#values, lastWritten },
-      deadline: this.options.now() + route.timeoutMs,
+      beganAt: now,
+      deadline: now + route.timeoutMs,
     };
   }
 
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -15,6 +15,7 @@
 import type { PrimaryView } from './promotion/contract.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
+import { type ProverCounters, TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
 import { firstWithin, pause } from './within.js';
 
@@ -29,6 +30,8 @@
 /** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
 const DRAIN_DELAY_MS = 2200;
 const DRAIN_CHECK_MS = 50;
+/** A node that is not seen any more counts for so long among those that share connections. */
+const NODE_MEMORY_MS = 30_000;
 /** Parts of the grace period that open transactions and running requests get. */
 const TRANSACTION_GRACE_SHARE = 0.5;
 const REQUEST_GRACE_SHARE = 0.9;
@@ -41,7 +44,7 @@
   readonly random: () => number;
 }
 
-export interface DirectCounters extends SessionCounters, PoolCounters {
+export interface DirectCounters extends SessionCounters, PoolCounters, ProverCounters {
   samplesAsked: number;
 }
 
@@ -55,14 +58,18 @@
     connectFailures: 0,
     waitTimeouts: 0,
     samplesAsked: 0,
+    proofRounds: 0,
+    proofsFailed: 0,
   };
   readonly #services = new Map<string, ServiceRuntime>();
   readonly #server: CallerServer;
+  readonly #prover: TrustProver;
   readonly #runner: StatementRunner;
   #routes = new Map<string, RouteDescription>();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
-  #nodeCount = 0;
+  #nodeCount = 1;
+  #nodeCountSeenAt: Milliseconds = 0;
   #stopping = false;
   #sampler: NodeJS.Timeout | undefined;
   readonly #sampling = new Set<string>();
@@ -74,7 +81,8 @@
     this.#firstConfiguration = new Promise((resolve) => {
       this.#tellFirstConfiguration = () => resolve(true);
     });
-    this.#runner = new StatementRunner({ wire, view, now, random });
+    this.#prover = new TrustProver({ wire, now, counters: this.counters });
+    this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
     this.#server = new CallerServer({
       wire,
       runner: this.#runner,
@@ -106,6 +114,7 @@
     this.#sampler = setInterval(() => {
       this.#shareConnections();
       this.#samplePositions();
+      for (const service of this.#services.values()) service.trim();
     }, SAMPLE_CHECK_MS);
   }
 
@@ -148,11 +157,16 @@
     await this.#services.get(service)?.writesEnded();
   }
 
+  /** Nodes that this one does not see any more may hold their connections still. */
   #shareConnections(): void {
-    const nodeCount = this.options.view.liveNodeCount();
-    if (nodeCount === this.#nodeCount) return;
-    this.#nodeCount = nodeCount;
-    for (const service of this.#services.values()) service.shareConnections();
+    const now = this.options.now();
+    const live = this.options.view.liveNodeCount();
+    if (live >= this.#nodeCount) this.#nodeCountSeenAt = now;
+    const isSettled = now - this.#nodeCountSeenAt > NODE_MEMORY_MS;
+    if (live === this.#nodeCount || (live < this.#nodeCount && !isSettled)) return;
+    this.#nodeCount = live;
+    this.#nodeCountSeenAt = now;
+    for (const service of this.#services.values()) service.setNodeCount(live);
   }
 
   /** Planned stop: no request is cut; resolves when the process may end. */
@@ -182,6 +196,7 @@
     if (known !== undefined) return known;
     const { settings, wire, view, now } = this.options;
     const service = new ServiceRuntime(name, {
+      nodeCount: this.#nodeCount,
       zone: settings.zone,
       drainTimeoutMs: settings.drainTimeoutMs,
       view,
@@ -224,7 +239,7 @@
     const deadline = now() + SAMPLE_TIMEOUT_MS;
     const acquired = await primary.pool.acquire(NO_VALUES, SAMPLE_PRIORITY, deadline);
     if (acquired.isErr()) {
-      this.#runner.noteFailure({ service }, primary);
+      this.#runner.noteUnreachable({ service }, primary, acquired.error);
     } else {
       const connection = acquired.value;
       const sentAt = now();
@@ -234,7 +249,9 @@
       const answer = await this.#runner.awaitAnswer(exchange, connection, primary, deadline);
       if (answer?.isOk() === true) {
         primary.pool.release(connection);
-        service.noteAnswer(primary, sentAt, answer.value.position);
+        const isTrusted = view.mayTrustPrimary(service.name, now());
+        const isProven = !isTrusted && (await this.#prover.prove(service));
+        service.noteAnswer(primary, sentAt, answer.value.position, isProven);
         view.reportPrimarySuccess(service.name, now());
       } else {
         this.#runner.noteFailure({ service }, primary);
--- a/src/direct/instance-connection.ts
+++ b/src/direct/instance-connection.ts
@@ -34,6 +34,8 @@
   /** Session values that are set on it now. */
   readonly values = new Map<string, string>();
   readonly preparedNames = new Set<string>();
+  /** When it was last given back. */
+  restingSince: Milliseconds = 0;
   readonly #pending: PendingExchange[] = [];
   readonly #splitter: LineSplitter;
   #closed = false;
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -3,7 +3,9 @@
  * with a queue for those who wait. A connection is given to one statement or transaction at a time.
  */
 import { err, ok, type Result } from 'neverthrow';
+import type { Access } from '../core/request.js';
 import { synchronisationCost } from '../core/statements/session-values.js';
+import { StallDetector } from '../core/statements/stall.js';
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceEntry } from './contract.js';
 import { InstanceConnectError, InstanceWaitTimeoutError } from './errors.js';
@@ -40,13 +42,26 @@
 /** An answer that takes longer than this, or so many times the recent time, is taken for lost. */
 const LOST_MINIMUM_MS = 250;
 const LOST_FACTOR = 8;
+/** An instance that answers nothing for so long gets no new work but a probe now and then. */
+const STALL_MS = 400;
+/** A stalled instance gets one statement in so long, which shows whether it answers again. */
+const STALL_PROBE_MS = 200;
+/** An idle connection above the soft limit ends after this. */
+const SURPLUS_IDLE_MS = 3000;
+/** A statement waits so long for one of few connections before another one is opened. */
+const SOFT_WAIT_MS = 12;
 
 export class InstancePool {
   readonly #idle: InstanceConnection[] = [];
   readonly #waiters: Waiter[] = [];
   readonly #all = new Set<InstanceConnection>();
+  readonly #answers = new StallDetector(STALL_MS);
+  readonly #commits = new StallDetector(STALL_MS);
+  #stallProbedAt: Milliseconds = 0;
   #opening = 0;
   #limit: number;
+  #softLimit: number;
+  #growTimer: NodeJS.Timeout | undefined;
   #retryAt: Milliseconds = 0;
   #closed = false;
   /** Statements of this node that run at the instance or wait for it. */
@@ -62,6 +77,7 @@
     private readonly options: InstancePoolOptions,
   ) {
     this.#limit = limit;
+    this.#softLimit = limit;
   }
 
   get size(): number {
@@ -77,8 +93,10 @@
     return this.#idle.length > 0;
   }
 
-  setLimit(limit: number): void {
+  /** Beyond `softLimit`, connections are opened only for those who wait, and end when they rest. */
+  setLimit(limit: number, softLimit = limit): void {
     this.#limit = limit;
+    this.#softLimit = Math.min(limit, softLimit);
     while (this.#all.size > limit) {
       const surplus = this.#idle.shift();
       if (surplus === undefined) break;
@@ -87,6 +105,28 @@
     this.#openForWaiters();
   }
 
+  /** True while it answers nothing; now and then false, so that one statement tries it. */
+  isStalled(access: Access): boolean {
+    const now = this.options.now();
+    const stalled =
+      this.#answers.isStalled(now) || (access === 'write' && this.#commits.isStalled(now));
+    if (!stalled || now - this.#stallProbedAt < STALL_PROBE_MS) return stalled;
+    this.#stallProbedAt = now;
+    return false;
+  }
+
+  /** A statement was sent; the returned function tells whether it was answered. */
+  watchAnswer(access: Access): (answered: boolean) => void {
+    const detectors = access === 'write' ? [this.#answers, this.#commits] : [this.#answers];
+    for (const detector of detectors) detector.begin(this.options.now());
+    return (answered) => {
+      for (const detector of detectors) {
+        if (answered) detector.answered(this.options.now());
+        else detector.givenUp();
+      }
+    };
+  }
+
   /** How long an answer may take before it is taken for lost. */
   get patienceMs(): Milliseconds {
     return Math.max(LOST_MINIMUM_MS, this.answerMs * LOST_FACTOR);
@@ -125,6 +165,7 @@
       return;
     }
     const waiter = this.#waiters.shift();
+    connection.restingSince = this.options.now();
     if (waiter === undefined) this.#idle.push(connection);
     else this.#serve(waiter, connection);
   }
@@ -179,8 +220,28 @@
     }
   }
 
+  /** Ends connections above the soft limit that have rested for long. */
+  trim(): void {
+    const restedSince = this.options.now() - SURPLUS_IDLE_MS;
+    while (this.#all.size > this.#softLimit) {
+      const oldest = this.#idle[0];
+      if (oldest === undefined || oldest.restingSince > restedSince) return;
+      oldest.close();
+    }
+  }
+
+  /** Above the soft limit a connection is opened only for those who have waited a little. */
   #openForWaiters(): void {
-    while (!this.#closed && this.#opening < this.#waiters.length && this.size < this.#limit) {
+    this.#openUpTo(this.#softLimit);
+    if (this.#waiters.length === 0 || this.#growTimer !== undefined) return;
+    this.#growTimer = setTimeout(() => {
+      this.#growTimer = undefined;
+      this.#openUpTo(this.#limit);
+    }, SOFT_WAIT_MS);
+  }
+
+  #openUpTo(limit: number): void {
+    while (!this.#closed && this.#opening < this.#waiters.length && this.size < limit) {
       if (this.options.now() < this.#retryAt && this.#all.size > 0) return;
       if (this.options.now() < this.#retryAt) {
         this.#failWaiters(
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -14,6 +14,8 @@
    * acknowledged at a later primary. To be asked after the read's first byte has come.
    */
   mayTrustPrimary(service: string, now: Milliseconds): boolean;
+  /** True while another primary is being made; one may be expected soon. */
+  isChanging(service: string): boolean;
   /** Called when the primary of a service has changed, or began to change. */
   onChange: (service: string) => void;
   /** A request could not reach the primary, or got no commit acknowledged there in time. */
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -105,6 +105,10 @@
     return this.#machine.mayTrustPrimary(service, now);
   }
 
+  isChanging(service: string): boolean {
+    return this.#machine.isChanging(service);
+  }
+
   reportPrimaryFailure(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
     this.#handle({ type: 'primary-failed', service, use });
   }
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -10,11 +10,18 @@
 /** Connections of an instance that are left to control calls of whichever node leads. */
 const RESERVED_CONNECTIONS = 4;
 const MINIMUM_CONNECTIONS = 1;
+/**
+ * Part of what an instance takes that is used at ease: a node that lost power leaves its connections
+ * behind for seconds, and needs new ones as soon as it is back.
+ */
+const SOFT_SHARE = 0.45;
 /** New work ends so long before a leaving instance may no longer get any. */
 const DRAIN_MARGIN_MS = 1500;
 
 export interface ServiceRuntimeOptions {
   readonly zone: string;
+  /** Nodes that share the instances' connections at first. */
+  readonly nodeCount: number;
   readonly pool: InstancePoolOptions;
   readonly drainTimeoutMs: Milliseconds;
   readonly view: PrimaryView;
@@ -58,6 +65,7 @@
   readonly samples = new PositionSamples();
   readonly #instances = new Map<string, InstanceState>();
   #maxConnections = 0;
+  #nodeCount: number;
   #samplesFrom: string | undefined;
   #writes = 0;
   readonly #writesEnded: (() => void)[] = [];
@@ -65,7 +73,9 @@
   constructor(
     readonly name: string,
     private readonly options: ServiceRuntimeOptions,
-  ) {}
+  ) {
+    this.#nodeCount = options.nodeCount;
+  }
 
   /** Takes the instances that are announced now. Those that have gone get no new work soon. */
   setInstances(entries: readonly InstanceEntry[]): void {
@@ -79,20 +89,37 @@
       if (!present.has(id)) this.#leave(state, now);
     }
     this.#forgetGone(now, present);
-    this.shareConnections();
+    this.#shareConnections();
   }
 
   setMaxConnections(maxConnections: number): void {
     this.#maxConnections = maxConnections;
-    this.shareConnections();
+    this.#shareConnections();
+  }
+
+  setNodeCount(nodeCount: number): void {
+    this.#nodeCount = nodeCount;
+    this.#shareConnections();
   }
 
-  /** Divides what the instances take among the nodes that live. */
-  shareConnections(): void {
-    const nodes = Math.max(1, this.options.view.liveNodeCount());
+  /** Divides what the instances take among the nodes. */
+  #shareConnections(): void {
+    const nodes = Math.max(1, this.#nodeCount);
     const share = Math.floor((this.#maxConnections - RESERVED_CONNECTIONS) / nodes);
     const limit = Math.max(MINIMUM_CONNECTIONS, share);
-    for (const state of this.#instances.values()) state.pool.setLimit(limit);
+    const softShare = Math.floor((this.#maxConnections * SOFT_SHARE) / nodes);
+    const softLimit = Math.max(MINIMUM_CONNECTIONS, softShare);
+    for (const state of this.#instances.values()) state.pool.setLimit(limit, softLimit);
+  }
+
+  /** Ends connections that are not needed any more. */
+  trim(): void {
+    for (const state of this.#instances.values()) state.pool.trim();
+  }
+
+  /** All instances that are known, leaving ones too. */
+  members(): InstanceRuntime[] {
+    return [...this.#instances.values()];
   }
 
   /** Instances that may get a read now. */
@@ -120,11 +147,12 @@
     instance: InstanceRuntime,
     sentAt: Milliseconds,
     position: Position | undefined,
+    isProven = false,
   ): void {
     const { view, now } = this.options;
     if (position === undefined) return;
     if (view.primaryOf(this.name)?.id !== instance.id) return;
-    if (!view.mayTrustPrimary(this.name, now())) return;
+    if (!isProven && !view.mayTrustPrimary(this.name, now())) return;
     if (this.#samplesFrom !== instance.id) this.samples.clear();
     this.#samplesFrom = instance.id;
     this.samples.add({ sentAt, position });
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -16,9 +16,11 @@
 import type { RouteDescription } from './contract.js';
 import { InstanceConnectError, type InstanceConnectionLostError } from './errors.js';
 import type { InstanceConnection } from './instance-connection.js';
+import type { AcquireError } from './instance-pool.js';
 import type { PrimaryUse, PrimaryView } from './promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import { synchronise } from './synchronise.js';
+import type { TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
 import { firstWithin, pause } from './within.js';
 
@@ -28,16 +30,21 @@
 const RETRY_PAUSE_MS = 15;
 /** An instance that failed gets no reads for so long while others will do. */
 const AVOID_MS = 500;
+/** The same, after all connections to it were in use. */
+const AVOID_FULL_MS = 100;
 /** A read that waits longer than this, or this part of its aim, is sent elsewhere too. */
 const HEDGE_MINIMUM_MS = 60;
 const HEDGE_TARGET_SHARE = 0.5;
 const MAX_READ_ATTEMPTS = 4;
+/** Part of the aim that a request waits while no instance could be tried. */
+const UNTRIED_PATIENCE_SHARE = 0.2;
 /** An exchange that nobody waits for any more ends its connection after this. */
 const ABANDON_MS = 3000;
 
 export interface RunnerOptions {
   readonly wire: StatementWire;
   readonly view: PrimaryView;
+  readonly prover: TrustProver;
   readonly now: () => Milliseconds;
   readonly random: () => number;
 }
@@ -55,6 +62,8 @@
   readonly service: ServiceRuntime;
   readonly session: SessionContext;
   readonly prepared: PreparedStatement | undefined;
+  /** When the statement came. */
+  readonly beganAt: Milliseconds;
   readonly deadline: Milliseconds;
   /** The message for an instance, with the position it must have. */
   encode(after: Position | undefined): string;
@@ -70,7 +79,10 @@
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
 /** What decides where a statement or transaction may go. */
-export type Placement = Pick<StatementRequest, 'access' | 'route' | 'service' | 'session'> & {
+export type Placement = Pick<
+  StatementRequest,
+  'access' | 'route' | 'service' | 'session' | 'beganAt'
+> & {
   /** A transaction that may write also reads, so that it must not begin at a deposed primary. */
   readonly isTransaction?: boolean;
 };
@@ -129,13 +141,16 @@
   }
 
   #primaryTarget(
-    request: Pick<Placement, 'access' | 'service' | 'isTransaction'>,
+    request: Placement,
     after: Position | undefined,
     now: Milliseconds,
   ): Target | undefined {
-    const instance = request.service.primary(now);
-    if (instance === undefined) return undefined;
-    const trusted = this.options.view.mayTrustPrimary(request.service.name, now);
+    const { service, beganAt } = request;
+    const instance = service.primary(now);
+    if (instance === undefined || instance.pool.isStalled(request.access)) return undefined;
+    const trusted =
+      this.options.view.mayTrustPrimary(service.name, now) ||
+      this.options.prover.covers(service, instance.id, beganAt);
     const reads = request.access === 'read' || request.isTransaction === true;
     if (reads && !trusted) return undefined;
     return { instance, after: request.access === 'read' ? after : undefined };
@@ -155,6 +170,23 @@
       : required;
   }
 
+  /**
+   * Waits until it makes sense to choose a target again. False if nothing is to be expected soon:
+   * the caller is better told at once, so that it asks another node.
+   */
+  async awaitTarget(request: Placement): Promise<boolean> {
+    const { view, prover, now } = this.options;
+    const { service } = request;
+    const primary = service.primary(now());
+    const reads = request.access === 'read' || request.isTransaction === true;
+    const isTrusted = view.mayTrustPrimary(service.name, now());
+    if (primary !== undefined && reads && !isTrusted && (await prover.prove(service))) return true;
+    await this.#pauseBeforeRetry();
+    if (view.isChanging(service.name)) return true;
+    const patienceMs = request.route.targetLatencyMs * UNTRIED_PATIENCE_SHARE;
+    return now() - request.beganAt < patienceMs;
+  }
+
   async #runWrite(request: StatementRequest): Promise<StatementOutcome> {
     const { now } = this.options;
     let refusal: Refusal = { code: 'busy', text: 'no primary' };
@@ -168,7 +200,7 @@
         if (attempt.type === 'unknown') return refuse('in-doubt', 'no answer to a write');
         refusal = attempt.refusal;
       }
-      await this.#pauseBeforeRetry();
+      if (!(await this.awaitTarget(request))) break;
     }
     return { type: 'refused', refusal };
   }
@@ -196,7 +228,7 @@
         excluded.add(target.instance.id);
       }
       if (running.size === 0) {
-        await this.#pauseBeforeRetry();
+        if (!(await this.awaitTarget(request))) break;
         continue;
       }
       const waitMs = Math.min(hedgeMs, request.deadline - now());
@@ -240,7 +272,7 @@
         request.deadline,
       );
       if (acquired.isErr()) {
-        if (acquired.error instanceof InstanceConnectError) this.noteFailure(request, instance);
+        this.noteUnreachable(request, instance, acquired.error);
         return { type: 'not-run', refusal: { code: 'busy', text: 'no connection' }, instance };
       }
       return await this.#send(request, chosen, acquired.value);
@@ -266,7 +298,9 @@
     synchronise(connection, request.session.values, request.prepared, wire);
     const exchange = connection.exchange(request.encode(target.after));
     connection.uncork();
+    const endWatch = instance.pool.watchAnswer(request.access);
     const answer = await this.awaitAnswer(exchange, connection, instance, request.deadline);
+    endWatch(answer?.isOk() === true);
     if (answer === undefined || answer.isErr()) {
       const silentWrite = answer === undefined && request.access === 'write';
       this.noteFailure(request, instance, silentWrite ? 'commit' : 'reach');
@@ -325,6 +359,17 @@
     else connection.close();
   }
 
+  /** No connection was had: a failure of the instance only if it did not answer at all. */
+  noteUnreachable(
+    request: Pick<StatementRequest, 'service'>,
+    instance: InstanceRuntime,
+    error: AcquireError,
+  ): void {
+    const isSilent = error instanceof InstanceConnectError && error.answer === undefined;
+    if (isSilent) this.noteFailure(request, instance);
+    else instance.pool.avoidUntil = this.options.now() + AVOID_FULL_MS;
+  }
+
   /** The primary did what was asked of it. */
   noteSuccess(service: ServiceRuntime, access: Access): void {
     const use = access === 'write' ? 'commit' : 'reach';
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -9,6 +9,7 @@
 import type { InstanceConnection } from './instance-connection.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import {
+  type Placement,
   type Refusal,
   refuse,
   type StatementOutcome,
@@ -25,6 +26,16 @@
 /** A statement inside a transaction; it must have the log position that the transaction needs. */
 export type TransactionRequest = Omit<StatementRequest, 'route' | 'service'>;
 
+/** Why a transaction could not be opened, and where that was tried. */
+interface OpenFailure {
+  readonly refusal: Refusal;
+  readonly instanceId: string | undefined;
+}
+
+function failureToOpen(instance: InstanceRuntime | undefined, text: string): OpenFailure {
+  return { refusal: { code: 'busy', text }, instanceId: instance?.id };
+}
+
 export class Transaction {
   #connection: InstanceConnection | undefined;
   #instance: InstanceRuntime | undefined;
@@ -78,7 +89,13 @@
     const sentAt = now();
     const endWrite = this.service.beginWrite();
     const exchange = connection.exchange(request.encode(undefined));
-    const answer = await this.runner.awaitAnswer(exchange, connection, instance, request.deadline);
+    // Whatever became of the commit of a transaction that wrote nothing, it may be repeated.
+    const deadline = this.#wrote
+      ? request.deadline
+      : Math.min(request.deadline, sentAt + instance.pool.patienceMs);
+    const endWatch = instance.pool.watchAnswer(this.#wrote ? 'write' : 'read');
+    const answer = await this.runner.awaitAnswer(exchange, connection, instance, deadline);
+    endWatch(answer?.isOk() === true);
     endWrite();
     if (answer === undefined || answer.isErr()) {
       const silent = answer === undefined && this.#wrote;
@@ -146,7 +163,9 @@
       connection.uncork();
       // Nothing of an open transaction is kept once its connection is closed: the caller may repeat it.
       const patienceMs = Math.min(request.deadline - now(), instance.pool.patienceMs);
+      const endWatch = instance.pool.watchAnswer('read');
       const answer = await firstWithin([exchange], patienceMs);
+      endWatch(answer?.isOk() === true);
       if (answer === undefined) {
         connection.close();
         this.runner.noteFailure(this, instance);
@@ -168,15 +187,21 @@
   /** Opens the transaction at an instance; gives why not, if it can't. */
   async #open(
     request: TransactionRequest,
-    excluded: ReadonlySet<string> = new Set(),
+    excluded = new Set<string>(),
   ): Promise<Refusal | undefined> {
     const { now } = this.runner.options;
     let refusal: Refusal = { code: 'busy', text: 'no instance' };
     while (now() < request.deadline) {
       const failure = await this.#openOnce(request, excluded);
       if (failure === undefined) return undefined;
-      refusal = failure;
-      await pause(RETRY_PAUSE_MS);
+      refusal = failure.refusal;
+      const { instanceId } = failure;
+      const isFresh = instanceId !== undefined && !excluded.has(instanceId);
+      if (isFresh) excluded.add(instanceId);
+      // Another instance is tried at once; only a round without success is worth a pause.
+      if (isFresh && excluded.size < this.service.readable(now()).length) continue;
+      excluded.clear();
+      if (!(await this.runner.awaitTarget(this.#placement(request)))) break;
     }
     return refusal;
   }
@@ -184,29 +209,23 @@
   async #openOnce(
     request: TransactionRequest,
     excluded: ReadonlySet<string>,
-  ): Promise<Refusal | undefined> {
+  ): Promise<OpenFailure | undefined> {
     const { now, wire } = this.runner.options;
-    const placement = {
-      access: this.readOnly ? ('read' as const) : ('write' as const),
-      route: this.route,
-      service: this.service,
-      session: request.session,
-      isTransaction: true,
-    };
+    const placement = this.#placement(request);
     const chosen = this.runner.chooseTarget(placement, excluded);
-    if (chosen === undefined) return { code: 'busy', text: 'no primary' };
+    if (chosen === undefined) return failureToOpen(undefined, 'no primary');
     const { instance } = chosen;
     const { values } = request.session;
     const acquired = await instance.pool.acquire(values, this.route.priority, request.deadline);
     if (acquired.isErr()) {
-      this.runner.noteFailure(placement, instance);
-      return { code: 'busy', text: 'no connection' };
+      this.runner.noteUnreachable(placement, instance, acquired.error);
+      return failureToOpen(instance, 'no connection');
     }
     const connection = acquired.value;
     const target = this.runner.recheck(placement, chosen);
     if (target === undefined) {
       instance.pool.release(connection);
-      return { code: 'busy', text: 'the primary changed' };
+      return failureToOpen(undefined, 'the primary changed');
     }
     connection.cork();
     synchronise(connection, values, undefined, wire);
@@ -214,21 +233,34 @@
       wire.encodeBegin(this.readOnly, this.#beginPosition(target.after)),
     );
     connection.uncork();
-    const begun = await firstWithin([exchange], request.deadline - now());
+    const patienceMs = Math.min(request.deadline - now(), instance.pool.patienceMs);
+    const begun = await firstWithin([exchange], patienceMs);
     if (begun === undefined || begun.isErr()) {
       connection.close();
       this.runner.noteFailure(placement, instance);
-      return { code: 'busy', text: 'no answer to BEGIN' };
+      return failureToOpen(instance, 'no answer to BEGIN');
     }
     if (begun.value.error !== undefined || begun.value.state !== 'open') {
       void rollBack(connection, instance, wire.encodeRollback(), begun.value.state);
-      return begun.value.error ?? { code: 'busy', text: 'BEGIN had no effect' };
+      const refusal = begun.value.error ?? { code: 'busy' as const, text: 'BEGIN had no effect' };
+      return { refusal, instanceId: instance.id };
     }
     this.#connection = connection;
     this.#instance = instance;
     return undefined;
   }
 
+  #placement(request: TransactionRequest): Placement {
+    return {
+      access: this.readOnly ? 'read' : 'write',
+      route: this.route,
+      service: this.service,
+      session: request.session,
+      beganAt: request.beganAt,
+      isTransaction: true,
+    };
+  }
+
   #beginPosition(after: Position | undefined): Position | undefined {
     return this.readOnly ? after : undefined;
   }
