--- /dev/null
+++ b/test/integration/direct/lifecycle.test.ts
@@ -0,0 +1,147 @@
+/** A direct gateway's own life: planned stop, changes of the configuration, an outage of the store. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DirectCluster, ROUTES, type TestRoute } from '../../support/direct-cluster.js';
+import { LoadClient } from '../../support/direct-load.js';
+import { LineClient } from '../../support/line-client.js';
+import { until } from '../../support/until.js';
+
+const NEW_ROUTE: TestRoute = { database: 'archive', service: 'orders', routeType: 'primary' };
+
+let cluster: DirectCluster;
+let clients: LoadClient[] = [];
+
+async function start(gateways: number): Promise<void> {
+  cluster = await DirectCluster.start({ gateways });
+  clients = [];
+}
+
+function load(database: string, gateway: number, seed: number): LoadClient {
+  const client = new LoadClient(cluster, { database, gateway, seed });
+  clients.push(client);
+  return client;
+}
+
+test.after.each(async () => {
+  await Promise.allSettled(clients.map((client) => client.stop()));
+  await cluster.stop();
+});
+
+async function endWithNoRuleBroken(): Promise<void> {
+  await Promise.all(clients.map((client) => client.stop()));
+  assert.equal(await cluster.violations(), []);
+}
+
+async function startCode(database: string, gateway = 0): Promise<string | undefined> {
+  const { callersPort } = cluster.gateway(gateway);
+  const client = await LineClient.connect('127.0.0.1', callersPort);
+  const { error } = await client.start(database, 'probe');
+  client.close();
+  return error?.code;
+}
+
+test('on SIGTERM an open transaction may end, idle sessions close, and the process ends', async () => {
+  await start(2);
+  const session = await cluster.open('intake', 0);
+  const idle = await cluster.open('intake', 0);
+  const other = load('intake', 1, 1);
+  await idle.read('k');
+  await session.begin();
+  await session.write('k', 'v');
+  const gateway = cluster.gateway(0);
+  gateway.process.kill('SIGTERM');
+  await until('it is not ready', async () => {
+    const url = `http://127.0.0.1:${gateway.readinessPort}/v1/readiness`;
+    return await fetch(url).then(
+      ({ status }) => status !== 200,
+      () => true,
+    );
+  });
+  assert.is((await session.write('k', 'w')).state, 'T');
+  assert.equal((await session.read('k')).rows, ['w']);
+  const commit = await session.commit();
+  assert.equal([commit.state, commit.error], ['I', undefined]);
+  await idle.client.closed;
+  assert.equal(idle.client.unasked, []);
+  assert.is(await gateway.ended, 0);
+  await other.moreWrites(5);
+  await endWithNoRuleBroken();
+});
+
+test('a SIGKILL of a gateway leaves no transaction behind', async () => {
+  await start(2);
+  const session = await cluster.open('intake', 0);
+  await session.begin();
+  await session.write('lonely', 'never');
+  cluster.gateway(0).process.kill('SIGKILL');
+  await session.client.closed;
+  const other = await cluster.open('intake', 1);
+  assert.equal((await other.read('lonely')).rows, ['-']);
+  assert.type((await other.write('lonely', 'v')).completion, 'string');
+  await endWithNoRuleBroken();
+});
+
+test('a change of the configuration adds and removes a route', async () => {
+  await start(2);
+  const steady = [load('intake', 0, 1), load('assign', 1, 2)];
+  assert.is(await startCode('archive'), 'NODATABASE');
+  await cluster.publish([...ROUTES, NEW_ROUTE]);
+  for (const gateway of [0, 1]) {
+    await until('the new route', async () => (await startCode('archive', gateway)) === undefined);
+  }
+  const archive = await cluster.open('archive', 0);
+  assert.type((await archive.write('k', 'v')).completion, 'string');
+  await cluster.publish(ROUTES);
+  for (const gateway of [0, 1]) {
+    await until('no such route', async () => {
+      return (await startCode('archive', gateway)) === 'NODATABASE';
+    });
+  }
+  const dropped = await archive.read('k').then(
+    ({ error }) => error?.code,
+    () => 'closed',
+  );
+  assert.ok(dropped !== undefined, 'a dropped route serves an open session');
+  await Promise.all(steady.map((client) => client.moreWrites(5)));
+  assert.equal(
+    steady.map(({ errors }) => errors),
+    [{}, {}],
+  );
+  await endWithNoRuleBroken();
+});
+
+for (const down of ['silent', 'unavailable'] as const) {
+  test(`requests are served while the store is down (${down})`, async () => {
+    await start(2);
+    const steady = [load('intake', 0, 1), load('assign', 1, 2)];
+    await Promise.all(steady.map((client) => client.moreWrites(5)));
+    await cluster.platform.set('/store/faults', { down, leasesWait: false, entriesLapse: true });
+    await Promise.all(steady.map((client) => client.moreWrites(150)));
+    await cluster.platform.set('/store/faults', { down: 'no' });
+    await cluster.publish([...ROUTES, NEW_ROUTE]);
+    for (const gateway of [0, 1]) {
+      await until('the new route', async () => (await startCode('archive', gateway)) === undefined);
+    }
+    await Promise.all(steady.map((client) => client.moreWrites(5)));
+    assert.equal(
+      steady.map(({ errors }) => errors),
+      [{}, {}],
+    );
+    await endWithNoRuleBroken();
+  });
+}
+
+test('a primary that crashes while the store is down is replaced once it is back', async () => {
+  await start(2);
+  const steady = [load('intake', 0, 1), load('assign', 1, 2)];
+  await Promise.all(steady.map((client) => client.moreWrites(5)));
+  await cluster.platform.set('/store/faults', { down: 'silent', leasesWait: false });
+  await cluster.platform.set('/instances/i-orders-1/crash');
+  await until('the clients notice', () => steady.every(({ errors }) => errors !== undefined));
+  await cluster.platform.set('/store/faults', { down: 'no' });
+  await cluster.platform.newPrimary('orders', 'i-orders-1');
+  await Promise.all(steady.map((client) => client.moreWrites(5)));
+  await endWithNoRuleBroken();
+});
+
+test.run();
--- a/test/unit/direct-history.test.ts
+++ b/test/unit/direct-history.test.ts
@@ -74,6 +74,10 @@
   const lost = { ...WROTE, signature: 'none' };
   assert.equal(rulesOf([], logOf([ran('-', 'COMMIT', { transaction: 7 })])), ['UNASKED']);
   assert.equal(rulesOf([lost], logOf([ran('w', 'WRITE k x')])), ['MIXED', 'UNASKED']);
+  const execute = asked('e', 'EXECUTE s1 k v', { kind: 'write', shape: 'q' });
+  const executed = (text: string) => logOf([ran('e', text, { kind: 'write', shape: 'q' })]);
+  assert.equal(rulesOf([execute], executed('EXECUTE renamed k v')), []);
+  assert.equal(rulesOf([execute], executed('EXECUTE s1 k w')), ['MIXED', 'UNASKED']);
 });
 
 test('PINNED: outside or inside a transaction wrongly, or on another connection', () => {
@@ -86,6 +90,10 @@
   assert.equal(rulesOf([alone], logOf([runOf('a', 7, 1)])), ['PINNED']);
   const moved = logOf([runOf('a', 7, 1), runOf('b', 8, 2)]);
   assert.equal(rulesOf([first, second], moved), ['PINNED']);
+  const begunAgain = [runOf('a', 7, 1), runOf('a', 8, 2), runOf('b', 8, 2)];
+  assert.equal(rulesOf([first, second], logOf(begunAgain)), []);
+  const tooLate = [runOf('a', 7, 1), runOf('b', 7, 1), runOf('a', 8, 2)];
+  assert.equal(rulesOf([first, second], logOf(tooLate)), ['PINNED']);
   const shared = logOf([runOf('a', 7, 1), runOf('b', 7, 1)]);
   assert.equal(rulesOf([first, { ...second, attempt: 2 }], shared), ['PINNED']);
 });
