--- a/standins/direct/kv-calls.ts
+++ b/standins/direct/kv-calls.ts
@@ -117,10 +117,9 @@
 const readRange = checked(rangeParameters, query, (store, { path_prefix, after }, { isStale }) => {
   const revision = isStale ? store.staleRevision() : store.engine.revision;
   const range = prefixRange(bytes(path_prefix));
-  const start = after === undefined ? '' : `${bytes(after)}\0`;
-  const first = start < range.key ? range.key : start;
+  const next = after === undefined ? range.key : `${bytes(after)}\0`;
   const limit = store.faults.pageItems;
-  const found = store.engine.range({ ...range, key: first, revision, limit });
+  const found = store.engine.range({ ...range, key: next, revision, limit });
   let size = 0;
   const items: Record<string, unknown>[] = [];
   for (const entry of found.entries) {
--- a/standins/direct/kv-store.ts
+++ b/standins/direct/kv-store.ts
@@ -72,6 +72,7 @@
       if (rate === null) this.#buckets.delete(kind);
       else if (rate !== undefined) this.#buckets.set(kind, new TokenBucket(rate, now));
     }
+    if (this.#faults.down === 'unavailable') this.cutWatches();
     const stops = this.isDown && this.#faults.leasesWait;
     if (stops) this.#leaseStoppedAt ??= now;
     else if (this.#leaseStoppedAt !== undefined) {
--- /dev/null
+++ b/standins/direct/session.ts
@@ -0,0 +1,300 @@
+/** A session at a database instance: its values, prepared names, transaction and statements. */
+import { setTimeout as pause } from 'node:timers/promises';
+import type { Milliseconds } from '../../src/core/units.js';
+import type { SyncOutcome } from './group.js';
+import type { Instance } from './instance.js';
+import { formatPosition, type LogEntry } from './member.js';
+import { monotonicMs } from './monotonic.js';
+import type { RunRecord } from './run-log.js';
+import {
+  type ControlStatement,
+  type ParsedText,
+  type Prepared,
+  parseText,
+  type Statement,
+  type WorkStatement,
+} from './statements.js';
+
+const NO_SIGNATURE = '-';
+
+type State = 'I' | 'T' | 'E';
+export type ErrorCode =
+  | 'BUSY'
+  | 'CONNLIMIT'
+  | 'FAILED'
+  | 'LAGGING'
+  | 'MALFORMED'
+  | 'MISROUTED'
+  | 'READONLY'
+  | 'ABORTED'
+  | 'TIMEOUT'
+  | 'UNPREPARED';
+
+/** `broken`: the answer breaks off after the rows; `gone`: nothing is said. Both end the connection. */
+export type Outcome =
+  | { readonly type: 'complete'; readonly rows: readonly string[]; readonly signature: string }
+  | { readonly type: 'error'; readonly code: ErrorCode }
+  | { readonly type: 'broken'; readonly rows: readonly string[] }
+  | { readonly type: 'gone' };
+
+interface Transaction {
+  readonly number: number;
+  readonly isRead: boolean;
+  /** Term that the instance led when a plain transaction began. */
+  readonly term: number;
+  readonly writes: { thing: string; data: string }[];
+}
+
+/** What a work statement comes down to. */
+interface Work {
+  readonly kind: RunRecord['kind'];
+  readonly thing: string;
+  readonly data: string;
+  readonly shape?: string;
+}
+
+const DONE = completed([]);
+const GONE: Outcome = { type: 'gone' };
+
+function completed(rows: readonly string[]): Outcome {
+  return { type: 'complete', rows, signature: NO_SIGNATURE };
+}
+
+function failure(code: ErrorCode): Outcome {
+  return { type: 'error', code };
+}
+
+export class InstanceSession {
+  #state: State = 'I';
+  #transaction: Transaction | undefined;
+  readonly #values = new Map<string, string>();
+  readonly #prepared = new Map<string, Prepared>();
+
+  /** `gone` aborts when the connection ends. */
+  constructor(
+    private readonly instance: Instance,
+    private readonly connection: number,
+    private readonly gone: AbortSignal,
+  ) {}
+
+  get state(): State {
+    return this.#state;
+  }
+
+  async query(id: string, whole: string): Promise<Outcome> {
+    const parsed = parseText(whole);
+    const { statement } = parsed;
+    const outcome =
+      this.#state === 'E' ? this.#inFailed(statement) : await this.#run(id, parsed, statement);
+    if (outcome.type === 'error' && this.#state === 'T') this.#state = 'E';
+    return outcome;
+  }
+
+  #inFailed(statement: Statement | undefined): Outcome {
+    if (statement?.type !== 'rollback' && statement?.type !== 'commit') return failure('MALFORMED');
+    this.#endTransaction();
+    return statement.type === 'rollback' ? DONE : failure('ABORTED');
+  }
+
+  #endTransaction(): void {
+    this.#transaction = undefined;
+    this.#state = 'I';
+  }
+
+  #run(
+    id: string,
+    parsed: ParsedText,
+    statement: Statement | undefined,
+  ): Outcome | Promise<Outcome> {
+    switch (statement?.type) {
+      case 'work':
+      case 'execute':
+      case 'commit':
+        return this.#work(id, parsed, statement);
+      case 'status':
+        return this.instance.refusesAsBusy() ? failure('BUSY') : this.#statusRow();
+      case 'pause':
+      case 'resume':
+      case 'demote':
+        return this.#control(statement);
+      case 'begin':
+        return this.#begin(parsed, statement.isRead);
+      default:
+        return this.#session(statement);
+    }
+  }
+
+  #session(statement: Statement | undefined): Outcome {
+    if (statement?.type === 'rollback') this.#endTransaction();
+    else if (this.#hasLostLead()) return failure('READONLY');
+    else if (statement?.type === 'set') this.#values.set(statement.name, statement.value);
+    else if (statement?.type === 'prepare') {
+      this.#prepared.set(statement.name, statement.prepared);
+    } else if (statement?.type === 'deallocate') {
+      if (!this.#prepared.delete(statement.name)) return failure('UNPREPARED');
+    } else if (statement?.type === 'reset') {
+      this.#values.clear();
+      this.#prepared.clear();
+    } else return failure('MALFORMED');
+    return DONE;
+  }
+
+  #control(statement: ControlStatement): Outcome {
+    const { member, group } = this.instance;
+    if (statement.type === 'resume') member.heldTerm = 0;
+    if (statement.type === 'pause' && member.role === 'replica' && statement.term > member.term) {
+      member.heldTerm = Math.max(member.heldTerm, statement.term);
+    }
+    if (statement.type === 'demote' && member.role === 'primary' && member.term < statement.term) {
+      group.demote(member);
+    }
+    return this.#statusRow();
+  }
+
+  #statusRow(): Outcome {
+    const { member, slots, connectionCount } = this.instance;
+    const received = formatPosition(member.received);
+    const lag = Math.round(member.lagAt(monotonicMs()));
+    const fields = [member.role, member.term, received, member.heldTerm, lag];
+    return completed([[...fields, slots.inUse, connectionCount].join(' ')]);
+  }
+
+  #begin({ after }: ParsedText, isRead: boolean): Outcome {
+    const { member, runLog } = this.instance;
+    if (this.#transaction !== undefined) return failure('MALFORMED');
+    if (!isRead && member.role !== 'primary') return failure('READONLY');
+    if (after !== undefined && !member.hasApplied(after, monotonicMs())) return failure('LAGGING');
+    const number = runLog.nextTransaction();
+    this.#transaction = { number, isRead, term: member.term, writes: [] };
+    this.#state = 'T';
+    return DONE;
+  }
+
+  #hasLostLead(): boolean {
+    const transaction = this.#transaction;
+    if (transaction === undefined || transaction.isRead) return false;
+    const { role, term } = this.instance.member;
+    return role !== 'primary' || term !== transaction.term;
+  }
+
+  #resolve(statement: WorkStatement): Work | undefined {
+    if (statement.type === 'commit') return { kind: 'commit', thing: '', data: '' };
+    if (statement.type === 'work') return statement;
+    const prepared = this.#prepared.get(statement.name);
+    return prepared && { ...prepared, thing: statement.thing, data: statement.data };
+  }
+
+  async #work(id: string, parsed: ParsedText, statement: WorkStatement): Promise<Outcome> {
+    const { slots, faults, options } = this.instance;
+    const work = this.#resolve(statement);
+    if (work === undefined) return failure('UNPREPARED');
+    if (work.kind === 'commit' && this.#transaction === undefined) return failure('MALFORMED');
+    if (this.instance.refusesAsBusy()) return failure('BUSY');
+    if (!(await slots.acquire(this.gone))) return GONE;
+    let finish: () => Promise<Outcome>;
+    let record: RunRecord;
+    try {
+      const refusal = this.#refusal(work, parsed);
+      if (refusal !== undefined) return failure(refusal);
+      record = this.#record(id, parsed.text, work);
+      const { term } = this.instance.member;
+      await pause(options.workMs * faults.slowFactor);
+      if (this.gone.aborted) return GONE;
+      finish = this.#effect(work, record, term);
+    } finally {
+      slots.release();
+    }
+    const outcome = await finish();
+    if (outcome.type === 'error') record.error = outcome.code;
+    return this.#spoil(outcome, record);
+  }
+
+  #refusal({ kind }: Work, { after }: ParsedText): ErrorCode | undefined {
+    const { member } = this.instance;
+    const transaction = this.#transaction;
+    const isEmptyCommit = kind === 'commit' && transaction?.writes.length === 0;
+    if (this.#hasLostLead() && !isEmptyCommit) return 'READONLY';
+    const mayWrite = member.role === 'primary' && transaction?.isRead !== true;
+    if (kind === 'write' && !mayWrite) return 'READONLY';
+    if (after !== undefined && !member.hasApplied(after, monotonicMs())) return 'LAGGING';
+    return undefined;
+  }
+
+  #record(id: string, text: string, work: Work): RunRecord {
+    const { member, options, runLog } = this.instance;
+    const now = monotonicMs();
+    return runLog.start({
+      service: options.service,
+      instance: member.id,
+      connection: this.connection,
+      id,
+      text,
+      kind: work.kind,
+      ...(work.shape === undefined ? {} : { shape: work.shape }),
+      transaction: this.#transaction?.number ?? 0,
+      values: Object.fromEntries(this.#values),
+      startedAt: now,
+      position: member.applied(now),
+      rows: this.#rowsOf(work, now),
+    });
+  }
+
+  #rowsOf({ kind, thing, shape }: Work, now: Milliseconds): string[] {
+    if (kind !== 'read') return [];
+    const own = this.#transaction?.writes.findLast((write) => write.thing === thing)?.data;
+    const data = own ?? this.instance.member.read(thing, now) ?? '-';
+    return [shape === undefined ? data : `${shape} ${data}`];
+  }
+
+  /** Lets the statement take effect; gives what waits for its answer. */
+  #effect(work: Work, record: RunRecord, term: number): () => Promise<Outcome> {
+    const { faults, member } = this.instance;
+    const complete: Outcome = { type: 'complete', rows: record.rows, signature: record.signature };
+    if (work.kind !== 'commit' && faults.failNext > 0) {
+      faults.failNext -= 1;
+      return async () => failure('FAILED');
+    }
+    const transaction = this.#transaction;
+    const { thing, data } = work;
+    if (work.kind === 'write' && transaction !== undefined)
+      transaction.writes.push({ thing, data });
+    const isCommitted = work.kind === 'commit' || (work.kind === 'write' && !transaction);
+    const writes = isCommitted ? (transaction?.writes ?? [{ thing, data }]) : [];
+    if (writes.length > 0 && (member.role !== 'primary' || member.term !== term)) {
+      return async () => failure('READONLY');
+    }
+    if (work.kind === 'commit') this.#endTransaction();
+    if (writes.length === 0) return async () => complete;
+    return () => this.#commit(record, writes, complete);
+  }
+
+  async #commit(
+    record: RunRecord,
+    writes: LogEntry['writes'],
+    complete: Outcome,
+  ): Promise<Outcome> {
+    const { group, member, options } = this.instance;
+    const [{ term, number }, received] = group.commit(member, record.run, writes);
+    record.committed = { term, number };
+    record.committedAt = monotonicMs();
+    const late = pause(options.syncTimeoutMs, 'late' as const);
+    const outcome: SyncOutcome | 'late' = await Promise.race([received, late]);
+    if (outcome === 'late') return failure('TIMEOUT');
+    return outcome === 'received' ? complete : GONE;
+  }
+
+  /** Loses the answer or breaks it off, if that is asked for. */
+  #spoil(outcome: Outcome, record: RunRecord): Outcome {
+    const { faults } = this.instance;
+    if (outcome.type !== 'complete') return outcome;
+    if (faults.loseAnswers > 0) {
+      faults.loseAnswers -= 1;
+      record.isAnswerLost = true;
+      return GONE;
+    }
+    if (faults.breakAnswers === 0) return outcome;
+    faults.breakAnswers -= 1;
+    record.isAnswerLost = true;
+    return { type: 'broken', rows: outcome.rows };
+  }
+}
--- a/test/unit/direct-standin.test.ts
+++ b/test/unit/direct-standin.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { DirectPlatform, type InstanceState } from '../support/direct-cluster.js';
+import { DirectPlatform, type InstanceState } from '../support/direct-platform.js';
 import { type LineAnswer, LineClient, LineConnectionLost } from '../support/line-client.js';
 import { until } from '../support/until.js';
 
