A replaced primary that follows its successor proves nothing; bytes pass through; metrics and flags

A node without a lease proved it by the members' answers: the replaced primary had become a replica and showed the successor's term like all others. Ruled out: the lease (it had lapsed, as it should). The new test in property/primary-evidence fails without the term.

--- a/src/core/statements/primary-evidence.ts
+++ b/src/core/statements/primary-evidence.ts
@@ -12,12 +12,22 @@
   readonly position: Position | undefined;
 }
 
-/** True if the answers of a round prove that `primaryId` was not replaced when it was sent. */
-export function provesPrimary(primaryId: string, answers: readonly MemberAnswer[]): boolean {
-  const own = answers.find((answer) => answer.instanceId === primaryId)?.position;
-  if (own === undefined) return false;
+/** A primary and the term in which it surely was one. */
+export interface KnownPrimary {
+  readonly instanceId: string;
+  readonly term: number;
+}
+
+/**
+ * True if the answers of a round prove that the primary was not replaced when it was sent. Its own
+ * log must still be of the term in which it was known to lead: a replaced one that follows its
+ * successor answers with the later term, as all others do.
+ */
+export function provesPrimary(primary: KnownPrimary, answers: readonly MemberAnswer[]): boolean {
+  const own = answers.find((answer) => answer.instanceId === primary.instanceId)?.position;
+  if (own?.timeline !== primary.term) return false;
   return answers.every(
-    ({ position }) => position !== undefined && position.timeline <= own.timeline,
+    ({ position }) => position !== undefined && position.timeline <= primary.term,
   );
 }
 
@@ -27,8 +37,13 @@
   #provenAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   /** Takes a round's answers; true if they are a proof. */
-  noteRound(primaryId: string, sentAt: Milliseconds, answers: readonly MemberAnswer[]): boolean {
-    if (!provesPrimary(primaryId, answers)) return false;
+  noteRound(
+    primary: KnownPrimary,
+    sentAt: Milliseconds,
+    answers: readonly MemberAnswer[],
+  ): boolean {
+    if (!provesPrimary(primary, answers)) return false;
+    const primaryId = primary.instanceId;
     if (this.#primaryId !== primaryId) this.#provenAt = Number.NEGATIVE_INFINITY;
     this.#primaryId = primaryId;
     this.#provenAt = Math.max(this.#provenAt, sentAt);
--- a/src/direct/caller-server.ts
+++ b/src/direct/caller-server.ts
@@ -1,7 +1,7 @@
 /** Accepts callers and ties each connection to a session. */
 import { createServer, type Server, type Socket } from 'node:net';
 import { CallerSession, type CallerSessionOptions } from './caller-session.js';
-import { LineSplitter } from './line-splitter.js';
+import { LineSplitter, WIRE_ENCODING } from './line-splitter.js';
 
 const KEEP_ALIVE_DELAY_MS = 10_000;
 /** A caller that does not read holds its own session up once so much waits for it. */
@@ -77,7 +77,8 @@
     const session = new CallerSession({
       ...this.dependencies,
       write: (text) => {
-        if (!socket.write(text) && socket.writableLength > MAX_UNSENT_BYTES) socket.pause();
+        if (!socket.write(text, WIRE_ENCODING) && socket.writableLength > MAX_UNSENT_BYTES)
+          socket.pause();
       },
       end: () => socket.end(),
     });
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -12,6 +12,7 @@
 } from '../core/statements/statement.js';
 import type { Milliseconds } from '../core/units.js';
 import type { RouteDescription } from './contract.js';
+import { WIRE_ENCODING } from './line-splitter.js';
 import type { ServiceRuntime } from './service-runtime.js';
 import type { StatementOutcome, StatementRequest, StatementRunner } from './statement-runner.js';
 import { Transaction } from './transaction.js';
@@ -20,6 +21,8 @@
 /** Values and prepared statements that one session may hold, so that none exhausts the node. */
 const MAX_SESSION_ENTRIES = 256;
 const SHARED_NAME_LENGTH = 16;
+/** Messages that a caller may send ahead of their answers. */
+const MAX_QUEUED_MESSAGES = 64;
 /** A caller that comes before this node knows its routes is answered after this at the latest. */
 const START_WAIT_MS = 1500;
 
@@ -83,6 +86,12 @@
   /** Takes one message; answers come in the order of the messages. */
   receive(message: CallerMessage): void {
     if (this.#ended) return;
+    if (this.#queue.length >= MAX_QUEUED_MESSAGES) {
+      this.options.write(this.options.wire.encodeError('too-large', 'too many messages at once'));
+      this.#end();
+      this.close();
+      return;
+    }
     this.#queue.push(message);
     if (!this.#busy) void this.#work();
   }
@@ -386,6 +395,6 @@
 
 /** One name for equal content, whoever prepared it. */
 function sharedNameOf(access: string, shape: string): string {
-  const digest = createHash('sha256').update(`${access} ${shape}`).digest('hex');
+  const digest = createHash('sha256').update(`${access} ${shape}`, WIRE_ENCODING).digest('hex');
   return `p${digest.slice(0, SHARED_NAME_LENGTH)}`;
 }
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -126,6 +126,8 @@
   readonly zone: string;
   readonly callers: { readonly host: string; readonly port: number };
   readonly readiness: { readonly host: string; readonly port: number };
+  /** Where the node tells its figures; absent where no port is given for it. */
+  readonly metrics: { readonly host: string; readonly port: number } | undefined;
   readonly store: {
     readonly host: string;
     readonly port: number;
@@ -135,5 +137,4 @@
   readonly promotion: { readonly host: string; readonly port: number } | undefined;
   readonly gracePeriodMs: Milliseconds;
   readonly drainTimeoutMs: Milliseconds;
-  readonly configurationApplyMs: Milliseconds;
 }
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -32,6 +32,8 @@
 const DRAIN_CHECK_MS = 50;
 /** A node that is not seen any more counts for so long among those that share connections. */
 const NODE_MEMORY_MS = 30_000;
+/** Nodes that share the instances' connections, before this one has seen how many there are. */
+const ASSUMED_NODE_COUNT = 8;
 /** Parts of the grace period that open transactions and running requests get. */
 const TRANSACTION_GRACE_SHARE = 0.5;
 const REQUEST_GRACE_SHARE = 0.9;
@@ -68,8 +70,9 @@
   #routes = new Map<string, RouteDescription>();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
-  #nodeCount = 1;
-  #nodeCountSeenAt: Milliseconds = 0;
+  #nodeCount = ASSUMED_NODE_COUNT;
+  #nodeCountSeenAt: Milliseconds | undefined;
+  readonly #createdAt: Milliseconds;
   #stopping = false;
   #sampler: NodeJS.Timeout | undefined;
   readonly #sampling = new Set<string>();
@@ -78,6 +81,7 @@
 
   constructor(private readonly options: DirectGatewayOptions) {
     const { wire, view, now, random } = options;
+    this.#createdAt = now();
     this.#firstConfiguration = new Promise((resolve) => {
       this.#tellFirstConfiguration = () => resolve(true);
     });
@@ -109,6 +113,13 @@
     return this.#server.sessionCount;
   }
 
+  /** Connections to instances, open or being opened. */
+  get connectionCount(): number {
+    let count = 0;
+    for (const service of this.#services.values()) count += service.connectionCount;
+    return count;
+  }
+
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
     this.#sampler = setInterval(() => {
@@ -140,10 +151,20 @@
     for (const description of configuration.services) {
       this.#service(description.name).setMaxConnections(description.maxConnections);
     }
+    this.#dropServices(new Set(configuration.services.map(({ name }) => name)));
     this.setInstances(this.#instances);
     this.#tellFirstConfiguration();
   }
 
+  /** Sessions that still hold a service which has left the configuration end their work with it. */
+  #dropServices(kept: ReadonlySet<string>): void {
+    for (const [name, service] of this.#services) {
+      if (kept.has(name)) continue;
+      service.close();
+      this.#services.delete(name);
+    }
+  }
+
   /** Takes the instances that are announced now. */
   setInstances(instances: ReadonlyMap<string, InstanceEntry>): void {
     this.#instances = instances;
@@ -162,7 +183,9 @@
     const now = this.options.now();
     const live = this.options.view.liveNodeCount();
     if (live >= this.#nodeCount) this.#nodeCountSeenAt = now;
-    const isSettled = now - this.#nodeCountSeenAt > NODE_MEMORY_MS;
+    // Until others are seen, a count of one means only that nothing is known yet.
+    const seenAt = this.#nodeCountSeenAt ?? (live > 1 ? Number.NEGATIVE_INFINITY : this.#createdAt);
+    const isSettled = now - seenAt > NODE_MEMORY_MS;
     if (live === this.#nodeCount || (live < this.#nodeCount && !isSettled)) return;
     this.#nodeCount = live;
     this.#nodeCountSeenAt = now;
--- a/src/direct/instance-connection.ts
+++ b/src/direct/instance-connection.ts
@@ -8,7 +8,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceEntry } from './contract.js';
 import { InstanceConnectError, InstanceConnectionLostError } from './errors.js';
-import { LineSplitter } from './line-splitter.js';
+import { LineSplitter, WIRE_ENCODING } from './line-splitter.js';
 import type { InstanceMessage, StatementWire } from './wire.js';
 
 /** Probes of an idle connection begin after this, so that a dark machine is noticed. */
@@ -82,7 +82,7 @@
         return;
       }
       this.#pending.push({ payload: '', rows, error: undefined, settle });
-      this.socket.write(message);
+      this.socket.write(message, WIRE_ENCODING);
     });
   }
 
@@ -182,6 +182,8 @@
     socket.on('data', receive);
     socket.on('error', (error) => fail(error.message, undefined, error));
     socket.on('close', () => fail('closed'));
-    socket.on('connect', () => socket.write(wire.encodeStart(instance.service, instance.id)));
+    socket.on('connect', () =>
+      socket.write(wire.encodeStart(instance.service, instance.id), WIRE_ENCODING),
+    );
   });
 }
--- a/src/direct/line-splitter.ts
+++ b/src/direct/line-splitter.ts
@@ -1,5 +1,8 @@
 /** Cuts a byte stream into messages that end with CR LF, with a bound on their length. */
 
+/** One character a byte: what is not text passes through unchanged. */
+export const WIRE_ENCODING = 'latin1';
+
 const CARRIAGE_RETURN = 0x0d;
 const LINE_FEED = 0x0a;
 
@@ -19,7 +22,9 @@
       if (end < 0) break;
       from = end + 1;
       if (end === start || data[end - 1] !== CARRIAGE_RETURN) continue;
-      lines.push(end - start > this.maxBytes ? undefined : data.toString('utf8', start, end - 1));
+      lines.push(
+        end - start > this.maxBytes ? undefined : data.toString(WIRE_ENCODING, start, end - 1),
+      );
       start = end + 1;
     }
     this.#rest = data.subarray(start);
--- /dev/null
+++ b/src/direct/metrics.ts
@@ -0,0 +1,49 @@
+/**
+ * The direct gateway's figures as text for Prometheus. The library is loaded with the first question,
+ * since a start costs time while the machine serves nobody.
+ */
+import type { DirectCounters, DirectGateway } from './gateway.js';
+
+const COUNTER_HELP: Readonly<Record<keyof DirectCounters, string>> = {
+  statements: 'statements of callers taken',
+  refused: 'statements refused by this node',
+  failed: 'statements that an instance answered with an error',
+  transactionsIdled: 'transactions ended for resting too long',
+  connectionsOpened: 'connections opened to instances',
+  connectFailures: 'connections to instances that could not be opened',
+  waitTimeouts: 'waits for a connection that ended without one',
+  samplesAsked: 'questions to primaries for their log position',
+  proofRounds: 'rounds of questions to all members of a group, to prove its primary',
+  proofsFailed: 'such rounds that proved nothing',
+};
+
+const PREFIX = 'meadowstack_direct_';
+
+/** Figures in the text form that Prometheus reads. */
+export interface Exposition {
+  readonly contentType: string;
+  readonly text: string;
+}
+
+/** What the gateway has counted since it started, and what it holds now. */
+export async function exposeMetrics(gateway: DirectGateway): Promise<Exposition> {
+  const { Counter, Gauge, Registry } = await import('prom-client');
+  const registry = new Registry();
+  const registers = [registry];
+  for (const [name, help] of Object.entries(COUNTER_HELP)) {
+    const value = gateway.counters[name as keyof DirectCounters];
+    new Counter({ name: `${metricName(name)}_total`, help, registers }).inc(value);
+  }
+  const gauge = (name: string, help: string, value: number): void =>
+    new Gauge({ name: PREFIX + name, help, registers }).set(value);
+  gauge('sessions', 'sessions of callers that are open', gateway.sessionCount);
+  gauge('instance_connections', 'connections to instances', gateway.connectionCount);
+  gauge('configuration_version', 'version in force, 0 before the first', gateway.version ?? 0);
+  gauge('ready', '1 if new connections are taken', gateway.ready ? 1 : 0);
+  return { contentType: registry.contentType, text: await registry.metrics() };
+}
+
+/** `connectFailures` becomes `meadowstack_direct_connect_failures`. */
+function metricName(counter: string): string {
+  return PREFIX + counter.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
--- a/src/direct/readiness-server.ts
+++ b/src/direct/readiness-server.ts
@@ -1,20 +1,23 @@
-/** Answers the platform's question whether this node takes new connections. */
-import { createServer, type Server } from 'node:http';
+/** Answers the platform's question whether this node takes new connections, and tells its figures. */
+import { createServer, type RequestListener, type Server, type ServerResponse } from 'node:http';
+import type { Exposition } from './metrics.js';
 
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_NOT_FOUND = 404;
+const HTTP_INTERNAL_ERROR = 500;
 
-export class ReadinessServer {
+/** A small HTTP server with one path. */
+export class SinglePathServer {
   readonly #server: Server;
 
-  constructor(path: string, isReady: () => boolean) {
-    this.#server = createServer((request, response) => {
+  constructor(path: string, answer: (response: ServerResponse) => void) {
+    const listener: RequestListener = (request, response) => {
       request.resume();
-      if (request.url?.split('?')[0] !== path) response.statusCode = HTTP_NOT_FOUND;
-      else response.statusCode = isReady() ? HTTP_OK : HTTP_UNAVAILABLE;
-      response.end();
-    });
+      if (request.url?.split('?')[0] === path) answer(response);
+      else response.writeHead(HTTP_NOT_FOUND).end();
+    };
+    this.#server = createServer(listener);
   }
 
   listen(address: { readonly host: string; readonly port: number }): Promise<void> {
@@ -24,8 +27,36 @@
     });
   }
 
+  /** Where it listens; useful if the port was chosen by the system. */
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  }
+
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
   }
 }
+
+/** 200 while the node takes new connections, else 503. */
+export function createReadinessServer(path: string, isReady: () => boolean): SinglePathServer {
+  return new SinglePathServer(path, (response) => {
+    response.writeHead(isReady() ? HTTP_OK : HTTP_UNAVAILABLE).end();
+  });
+}
+
+/** The node's figures as text. */
+export function createMetricsServer(
+  path: string,
+  expose: () => Promise<Exposition>,
+): SinglePathServer {
+  return new SinglePathServer(path, (response) => {
+    expose().then(
+      ({ contentType, text }) => {
+        response.writeHead(HTTP_OK, { 'content-type': contentType }).end(text);
+      },
+      () => response.writeHead(HTTP_INTERNAL_ERROR).end(),
+    );
+  });
+}
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -2,6 +2,7 @@
 import type { Position } from '../core/position.js';
 import type { InstanceLoad } from '../core/statements/instance-choice.js';
 import { PositionSamples } from '../core/statements/position-samples.js';
+import type { KnownPrimary } from '../core/statements/primary-evidence.js';
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceEntry } from './contract.js';
 import { InstancePool, type InstancePoolOptions } from './instance-pool.js';
@@ -67,6 +68,7 @@
   #maxConnections = 0;
   #nodeCount: number;
   #samplesFrom: string | undefined;
+  #trustedPrimary: KnownPrimary | undefined;
   #writes = 0;
   readonly #writesEnded: (() => void)[] = [];
 
@@ -112,6 +114,13 @@
     for (const state of this.#instances.values()) state.pool.setLimit(limit, softLimit);
   }
 
+  /** Connections to its instances, open or being opened. */
+  get connectionCount(): number {
+    let count = 0;
+    for (const state of this.#instances.values()) count += state.pool.size;
+    return count;
+  }
+
   /** Ends connections that are not needed any more. */
   trim(): void {
     for (const state of this.#instances.values()) state.pool.trim();
@@ -142,6 +151,12 @@
     return state;
   }
 
+  /** Term of an instance's log when it last was trusted as the primary. */
+  trustedTermOf(instanceId: string): number | undefined {
+    const trusted = this.#trustedPrimary;
+    return trusted?.instanceId === instanceId ? trusted.term : undefined;
+  }
+
   /** Takes the log position that an instance told in an answer to what was sent at `sentAt`. */
   noteAnswer(
     instance: InstanceRuntime,
@@ -152,7 +167,9 @@
     const { view, now } = this.options;
     if (position === undefined) return;
     if (view.primaryOf(this.name)?.id !== instance.id) return;
-    if (!isProven && !view.mayTrustPrimary(this.name, now())) return;
+    const isTrusted = view.mayTrustPrimary(this.name, now());
+    if (!isProven && !isTrusted) return;
+    if (isTrusted) this.#trustedPrimary = { instanceId: instance.id, term: position.timeline };
     if (this.#samplesFrom !== instance.id) this.samples.clear();
     this.#samplesFrom = instance.id;
     this.samples.add({ sentAt, position });
--- a/src/direct/trust-prover.ts
+++ b/src/direct/trust-prover.ts
@@ -73,11 +73,12 @@
     const { now, counters } = this.options;
     const sentAt = now();
     const primary = service.primary(sentAt);
-    if (primary === undefined) return false;
+    const term = primary === undefined ? undefined : service.trustedTermOf(primary.id);
+    if (primary === undefined || term === undefined) return false;
     counters.proofRounds += 1;
     const questions = service.members().map((member) => this.#ask(member, sentAt));
     const answers = await Promise.all(questions);
-    return evidence.noteRound(primary.id, sentAt, answers);
+    return evidence.noteRound({ instanceId: primary.id, term }, sentAt, answers);
   }
 
   async #ask(member: InstanceRuntime, sentAt: Milliseconds): Promise<MemberAnswer> {
--- a/src/platform/http-exchange.ts
+++ b/src/platform/http-exchange.ts
@@ -29,6 +29,8 @@
   /** Bound of opening a new connection; `timeoutMs` alone if absent. */
   readonly connectTimeoutMs?: Milliseconds;
   readonly maxAnswerBytes: number;
+  /** Asked right before the first byte leaves, once connected: false means that none may. */
+  readonly maySend?: () => boolean;
   /** Aborting ends the exchange with an error. */
   readonly signal?: AbortSignal;
 }
@@ -101,10 +103,18 @@
     outgoing.destroy();
   };
   const abort = (): void => fail('aborted');
+  const send = (): void => {
+    if (options.maySend?.() === false) {
+      fail('too late to be sent');
+      return;
+    }
+    maybeSent = true;
+    outgoing.end(options.body);
+  };
   const timer = setTimeout(() => fail(`no answer in ${options.timeoutMs} ms`), options.timeoutMs);
   outgoing.on('socket', (socket) => {
     if (!socket.connecting) {
-      maybeSent = true;
+      send();
       return;
     }
     const { connectTimeoutMs } = options;
@@ -115,8 +125,8 @@
       );
     }
     socket.once('connect', () => {
-      maybeSent = true;
       clearTimeout(connectTimer);
+      send();
     });
   });
   outgoing.on('error', (error) => fail(error.message));
@@ -128,7 +138,6 @@
   });
   if (options.signal?.aborted) abort();
   else options.signal?.addEventListener('abort', abort, { once: true });
-  outgoing.end(options.body);
 }
 
 function collectBody(
--- a/test/property/primary-evidence.test.ts
+++ b/test/property/primary-evidence.test.ts
@@ -2,13 +2,21 @@
 import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { PrimaryEvidence, provesPrimary } from '../../src/core/statements/primary-evidence.js';
+import {
+  type KnownPrimary,
+  PrimaryEvidence,
+  provesPrimary,
+} from '../../src/core/statements/primary-evidence.js';
 import { StallDetector } from '../../src/core/statements/stall.js';
 
 const SEED = 20261202;
 const RUNS = 500;
 const THRESHOLD_MS = 400;
 
+function primary(instanceId: string, term: number): KnownPrimary {
+  return { instanceId, term };
+}
+
 const position = fc.record({
   timeline: fc.integer({ min: 1, max: 4 }),
   lsn: fc.bigInt({ min: 0n, max: 50n }),
@@ -26,15 +34,26 @@
         (other) => other !== undefined && other.timeline > own.timeline,
       );
       const isSilent = others.some((other) => other === undefined);
-      assert.is(provesPrimary('primary', answers), !isDeposed && !isSilent);
+      const known = primary('primary', own.timeline);
+      assert.is(provesPrimary(known, answers), !isDeposed && !isSilent);
     }),
     { seed: SEED, numRuns: RUNS },
   );
 });
 
 test('a primary that is not among the answers is not proven', () => {
-  assert.not(provesPrimary('primary', [{ instanceId: 'other', position: undefined }]));
-  assert.not(provesPrimary('primary', []));
+  const known = primary('primary', 1);
+  assert.not(provesPrimary(known, [{ instanceId: 'other', position: undefined }]));
+  assert.not(provesPrimary(known, []));
+});
+
+test('a replaced primary that follows its successor proves nothing, though no log is later', () => {
+  const answers = ['replaced', 'successor', 'other'].map((instanceId) => ({
+    instanceId,
+    position: { timeline: 2, lsn: 94n },
+  }));
+  assert.not(provesPrimary(primary('replaced', 1), answers));
+  assert.ok(provesPrimary(primary('successor', 2), answers));
 });
 
 test('a round covers reads that began before it was sent, at that primary only', () => {
@@ -43,11 +62,11 @@
     { instanceId: 'a', position: { timeline: 2, lsn: 9n } },
     { instanceId: 'b', position: { timeline: 2, lsn: 8n } },
   ];
-  assert.ok(evidence.noteRound('a', 100, answers));
+  assert.ok(evidence.noteRound(primary('a', 2), 100, answers));
   assert.ok(evidence.covers('a', 100));
   assert.not(evidence.covers('a', 101));
   assert.not(evidence.covers('b', 50));
-  assert.ok(evidence.noteRound('b', 120, answers));
+  assert.ok(evidence.noteRound(primary('b', 2), 120, answers));
   assert.not(evidence.covers('a', 100));
 });
 
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -29,14 +29,20 @@
     zone: 'zone-a',
     callers: { host: '10.1.0.8', port: 8784 },
     readiness: { host: '10.1.0.8', port: 8785 },
+    metrics: undefined,
     store: { host: '10.200.1.7', port: 8783, minimumLeaseMs: 1000 },
     promotion: { host: '10.200.0.160', port: 8783 },
     gracePeriodMs: 6000,
     drainTimeoutMs: 7000,
-    configurationApplyMs: 3000,
   });
 });
 
+test('figures are told at the first port of the nodes', () => {
+  const ports = { ip_address: '10.1.0.8', internal_port_range: [7440, 7455] };
+  const { metrics } = settingsOf(ports)._unsafeUnwrap();
+  assert.equal(metrics, { host: '10.1.0.8', port: 7440 });
+});
+
 test('without the promotion duty there is no promotion call', () => {
   assert.is(settingsOf({ cloud_api: null })._unsafeUnwrap().promotion, undefined);
   const other = { address: '10.200.0.160:8783', duties: ['other'] };
