--- a/src/core/promotion/aftercare.ts
+++ b/src/core/promotion/aftercare.ts
@@ -14,6 +14,8 @@
   readonly leaderId: string;
   readonly term: number;
   readonly members: readonly InstanceEntry[];
+  /** This node is the leader yet: a deposed one would end the holds of the next. */
+  readonly mayAct: () => boolean;
 }
 
 export class Aftercare {
@@ -40,6 +42,10 @@
   }
 
   #letGo(member: InstanceEntry, failures: number): void {
+    if (!this.options.mayAct()) {
+      this.#again(member, failures);
+      return;
+    }
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
       if (typeof answer === 'string') this.#again(member, failures);
       else this.#follow(member, answer, false);
@@ -68,6 +74,10 @@
   }
 
   #demote(member: InstanceEntry): void {
+    if (!this.options.mayAct()) {
+      this.#again(member, 0);
+      return;
+    }
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
       if (typeof answer === 'string') this.#again(member, 0);
       else this.#follow(member, answer, false);
--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -11,14 +11,12 @@
 import { GroupHold } from './hold.js';
 import type { NodeLease } from './lease.js';
 import type { Primaries } from './primaries.js';
-import type { PrimaryRecord } from './records.js';
+import type { ChangingRecord } from './records.js';
 import type { PromotionRuntime } from './runtime.js';
 import { Scope } from './scope.js';
 
 const STEP_EVERY_MS = 100;
 
-export type ChangingRecord = Extract<PrimaryRecord, { phase: 'changing' }>;
-
 /** What a change works with. */
 export interface ChangeContext {
   readonly runtime: PromotionRuntime;
@@ -35,16 +33,16 @@
   readonly #hold: GroupHold;
   readonly #begunAt: Milliseconds;
   #holding = false;
+  /** No node uses the old primary any more. */
+  #isFree: boolean;
+  #found: { readonly instance: InstanceEntry; readonly term: number } | undefined;
   #writing = false;
   #calling = false;
   #confirming = false;
-  /** This leader has called the promotion of the named candidate, or an earlier one may have. */
-  #mayBeCalled: boolean;
   /** Since when no call may be on its way that could still take effect. */
   #settledAt: Milliseconds;
   #calledAt = Number.NEGATIVE_INFINITY;
   #nextCallAt = Number.NEGATIVE_INFINITY;
-  #candidateLostSince: Milliseconds | undefined;
   #progressAt: Milliseconds;
   #readAt: Milliseconds;
 
@@ -59,14 +57,17 @@
     this.#begunAt = runtime.now;
     this.#progressAt = runtime.now;
     this.#readAt = runtime.now;
-    this.#mayBeCalled = this.#namedCandidate() !== undefined;
-    this.#settledAt = runtime.now + (this.#mayBeCalled ? runtime.timings.callSettledMs : 0);
+    // An earlier leader may have called for the candidate that it named.
+    const isNamed = this.#namedCandidate() !== undefined;
+    this.#isFree = isNamed;
+    this.#settledAt = runtime.now + (isNamed ? runtime.timings.callSettledMs : 0);
     const members = context.membersOf(service);
     this.#hold = new GroupHold(runtime, {
       from: members.find(({ id }) => id === record.from) ?? primaries.instance(record.from),
       replicas: members.filter(({ id }) => id !== record.from),
       term: record.term,
       isPresent: (id) => primaries.isPresent(id),
+      mayAct: () => context.election.mayAct(),
       onFinding: () => this.step(),
     });
     runtime.log('info', 'change of primary', {
@@ -101,13 +102,14 @@
 
   /** Goes as far as what is known allows. */
   step(): void {
-    const { election, runtime, store } = this.context;
+    const { election, runtime } = this.context;
     if (this.#scope.isEnded || !election.mayAct()) return;
-    const inUse = store.nodesInUse(this.service, this.record);
-    const isFree = inUse?.length === 0 || runtime.isDisabled('acknowledgements');
-    if (isFree || runtime.now - this.#begunAt >= runtime.timings.plannedGraceMs) this.#startHold();
+    this.#noteAcknowledgements();
+    const isLate = runtime.now - this.#begunAt >= runtime.timings.plannedGraceMs;
+    if (this.#isFree || isLate) this.#startHold();
+    if (this.#found !== undefined) return;
     this.#lookForLeader();
-    if (!isFree) {
+    if (!this.#isFree) {
       this.#readDuty();
       return;
     }
@@ -116,6 +118,17 @@
     else this.#promote(named);
   }
 
+  /**
+   * Once all nodes have acknowledged, the old primary stays out of use: those that come later read
+   * the record before they use any.
+   */
+  #noteAcknowledgements(): void {
+    const { store, runtime } = this.context;
+    this.#isFree ||=
+      runtime.isDisabled('acknowledgements') ||
+      store.nodesInUse(this.service, this.record)?.length === 0;
+  }
+
   #tick(): void {
     this.step();
     if (this.#scope.isEnded) return;
@@ -124,7 +137,7 @@
   }
 
   #startHold(): void {
-    if (this.#holding) return;
+    if (this.#holding || this.#found !== undefined) return;
     this.#holding = true;
     this.#hold.start();
   }
@@ -176,12 +189,10 @@
     const { runtime, election, lease } = this.context;
     const { promoteTimeoutMs, promoteMarginMs } = runtime.timings;
     if (this.#calling || this.#writing || runtime.now < this.#nextCallAt) return;
-    if (!this.#mayBeCalled && !this.#isStillCertain(candidate)) return;
-    if (this.#giveUpLostCandidate()) return;
+    if (!this.#isStillCertain(candidate)) return;
     const token = election.token;
     if (token === undefined || !election.mayAct(promoteMarginMs)) return;
     this.#calling = true;
-    this.#mayBeCalled = true;
     this.#calledAt = runtime.now;
     this.#progressAt = runtime.now;
     const endsAt = Math.min(runtime.now + promoteTimeoutMs, lease.validUntil);
@@ -194,13 +205,15 @@
     this.#scope.after(runtime.timings.confirmFirstMs, () => this.#confirm(candidate));
   }
 
-  /** Before the first call: what was certain when the candidate was named may be no longer. */
+  /**
+   * What was certain when the candidate was named may be no longer: a replica that restarted is not
+   * held. Another one is named only if no call for this one can take effect any more.
+   */
   #isStillCertain(candidate: string): boolean {
     const certain = certainMembers(this.#question());
     if (certain.some(({ entry }) => entry.id === candidate)) return true;
-    const isOther = certain.length > 0;
-    const { now, timings } = this.context.runtime;
-    if (isOther || now - this.#progressAt > timings.callSettledMs) this.#writeCandidate(undefined);
+    const isSettled = this.context.runtime.now >= this.#settledAt;
+    if (isSettled && certain.length > 0) this.#writeCandidate(undefined);
     return false;
   }
 
@@ -225,23 +238,20 @@
     const { runtime } = this.context;
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
       this.#confirming = false;
-      if (answer === 'refused' || answer === 'silent') {
-        this.#candidateLostSince ??= runtime.now;
-      } else if (answer !== 'busy' && answer !== 'rejected') {
-        this.#candidateLostSince = undefined;
-        if (this.#leads(answer)) {
-          this.#finish(instance, answer.term);
-          return;
-        }
-      }
+      if (typeof answer !== 'string') this.#noteStatus(instance, answer);
       this.#scope.after(runtime.timings.confirmEveryMs, () => this.#confirm(candidate));
     });
-    if (this.#namedCandidate() === candidate) runtime.control('status', instance, 0, onAnswer);
+    const isWanted = this.#found === undefined && this.#namedCandidate() === candidate;
+    if (isWanted) runtime.control('status', instance, 0, onAnswer);
     else this.#confirming = false;
   }
 
-  #leads({ role, term }: InstanceStatus): boolean {
-    return role === 'primary' && term > this.record.term;
+  /** The first that is seen to lead a later term is the new primary, whatever becomes of it. */
+  #noteStatus(instance: InstanceEntry, { role, term }: InstanceStatus): void {
+    if (role !== 'primary' || term <= this.record.term || this.#found !== undefined) return;
+    this.#found = { instance, term };
+    this.#hold.stop();
+    this.#finish(instance, term);
   }
 
   /** A member leads a later term already: an earlier call took effect. */
@@ -256,28 +266,15 @@
     const { runtime } = this.context;
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
       this.#confirming = false;
-      if (typeof answer !== 'string' && this.#leads(answer)) this.#finish(instance, answer.term);
+      if (typeof answer !== 'string') this.#noteStatus(instance, answer);
     });
     runtime.control('status', instance, 0, onAnswer);
   }
 
-  /** Names no candidate any more if this one is dead, and no call for it can take effect. */
-  #giveUpLostCandidate(): boolean {
-    const { now, timings } = this.context.runtime;
-    const lostSince = this.#candidateLostSince;
-    if (lostSince === undefined || now < this.#settledAt) return false;
-    if (now - lostSince < timings.resignAfterMs / 2) return false;
-    this.#candidateLostSince = undefined;
-    this.#mayBeCalled = false;
-    this.#writeCandidate(undefined);
-    return true;
-  }
-
   #finish(instance: InstanceEntry, term: number): void {
     const { store, runtime, election } = this.context;
-    const inUse = store.nodesInUse(this.service, this.record);
-    const isFree = inUse?.length === 0 || runtime.isDisabled('acknowledgements');
-    if (this.#writing || !isFree || !election.mayAct()) {
+    this.#noteAcknowledgements();
+    if (this.#writing || !this.#isFree || !election.mayAct()) {
       this.#scope.after(STEP_EVERY_MS, () => this.#finish(instance, term));
       return;
     }
@@ -303,7 +300,7 @@
   #resignIfStuck(): void {
     const { runtime, store, election } = this.context;
     if (this.#calling || this.#writing || store.liveNodes() <= 1) return;
-    if (store.nodesInUse(this.service, this.record)?.length !== 0) {
+    if (!this.#isFree) {
       this.#progressAt = runtime.now;
       return;
     }
--- a/src/core/promotion/hold.ts
+++ b/src/core/promotion/hold.ts
@@ -25,6 +25,8 @@
   /** Highest term known. */
   readonly term: number;
   readonly isPresent: (id: string) => boolean;
+  /** This node is the leader yet: a deposed one would hold what the next has let go. */
+  readonly mayAct: () => boolean;
   /** Called with each answer. */
   readonly onFinding: () => void;
 }
@@ -88,11 +90,16 @@
   }
 
   #secure(member: MemberState): void {
+    const { secureEveryMs } = this.runtime.timings;
+    if (!this.options.mayAct()) {
+      this.#scope.after(secureEveryMs, () => this.#secure(member));
+      return;
+    }
     const term = this.#term + 1;
     const { action } = member;
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
       this.#noteAnswer(member, answer);
-      const waitMs = answer === 'busy' ? BUSY_RETRY_MS : this.runtime.timings.secureEveryMs;
+      const waitMs = answer === 'busy' ? BUSY_RETRY_MS : secureEveryMs;
       this.#scope.after(waitMs, () => this.#secure(member));
       this.options.onFinding();
     });
@@ -104,7 +111,8 @@
     if (answer === 'rejected') member.action = 'status';
     if (typeof answer === 'string') return;
     this.#heardAt = this.runtime.now;
-    this.#term = Math.max(this.#term, answer.term);
+    // Of one that leads: it is the new one, and the others are about to follow it.
+    if (answer.role === 'replica') this.#term = Math.max(this.#term, answer.term);
     member.status = answer;
     member.answeredAt = this.runtime.now;
     member.action = this.#nextAction(member, answer);
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -45,8 +45,9 @@
     this.#runtime = runtime;
     this.#lease = new NodeLease(runtime);
     this.#records = new StoreView(runtime, RECORD_PREFIX);
-    this.#participation = new Participation(runtime, this.#lease, this.#records);
     this.#primaries = new Primaries(this.#records, options.timings, () => this.#lease.troubleAt);
+    const instanceOf = (id: string): InstanceEntry | undefined => this.#primaries.instance(id);
+    this.#participation = new Participation(runtime, this.#lease, this.#records, instanceOf);
     this.#election = new Election(runtime, this.#lease, this.#participation, this.#records);
     this.#leader = new Leader(runtime, this.#election, this.#lease, this.#primaries, this.#records);
     this.#suspicions = new Suspicions(runtime, this.#lease);
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -3,12 +3,14 @@
  * says so when that is being replaced. What relies on the primary being no deposed one needs the
  * permission that this gives; a promotion waits for every node that may have it.
  */
+import type { InstanceEntry } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { NodeLease } from './lease.js';
 import {
   type AcknowledgementRecord,
   acknowledgementForm,
   acknowledgementKeyOf,
+  type ChangingRecord,
   decodeRecord,
   nodeForm,
   nodeKeyOf,
@@ -19,6 +21,7 @@
 
 /** How far a node has got with its acknowledgement of a change. */
 interface AcknowledgementState {
+  readonly record: ChangingRecord;
   readonly change: number;
   readonly leaseId: string;
   cancel: () => void;
@@ -37,6 +40,7 @@
     private readonly runtime: PromotionRuntime,
     private readonly lease: NodeLease,
     private readonly records: StoreView,
+    private readonly instanceOf: (id: string) => InstanceEntry | undefined,
   ) {}
 
   /** True if no promotion can be called without this node's acknowledgement. */
@@ -123,9 +127,10 @@
     this.onRegistered();
   }
 
-  #acknowledge(service: string, record: PrimaryRecord, leaseId: string): void {
+  #acknowledge(service: string, record: ChangingRecord, leaseId: string): void {
     const { change } = record;
     const state: AcknowledgementState = {
+      record,
       change,
       leaseId,
       cancel: () => {},
@@ -138,6 +143,7 @@
   }
 
   #write(service: string, state: AcknowledgementState, knownRevision: number): void {
+    if (state.step === 'ending-use') this.#demote(state.record);
     state.step = 'writing';
     state.cancel = () => {};
     const { leaseId, change } = state;
@@ -159,6 +165,15 @@
     });
   }
 
+  /**
+   * The leader may be cut off from an old primary that this node reaches. A planned change leaves
+   * this to the leader, which waits until no node has a write on its way.
+   */
+  #demote({ from, term, planned }: ChangingRecord): void {
+    const instance = planned ? undefined : this.instanceOf(from);
+    if (instance !== undefined) this.runtime.control('demote', instance, term + 1, () => {});
+  }
+
   #retryDelay(atLeastMs: Milliseconds): Milliseconds {
     return Math.max(atLeastMs, this.runtime.jittered(this.runtime.timings.storeRetryMs));
   }
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -87,6 +87,8 @@
       readonly term: number;
     };
 
+export type ChangingRecord = Extract<PrimaryRecord, { phase: 'changing' }>;
+
 /** What one leader leaves to the next about a service. */
 export interface DutyNote {
   /** Every instance that may have counted towards an acknowledged commit. */
--- a/src/core/promotion/service-duty.ts
+++ b/src/core/promotion/service-duty.ts
@@ -101,7 +101,8 @@
     this.#aftercare?.stop();
     this.#aftercareOf = key;
     const members = this.#members.current();
-    this.#aftercare = new Aftercare(this.context.runtime, { leaderId, term, members });
+    const mayAct = (): boolean => this.context.election.mayAct();
+    this.#aftercare = new Aftercare(this.context.runtime, { leaderId, term, members, mayAct });
     this.#aftercare.start(areHeld);
   }
 
