--- /dev/null
+++ b/test/integration/direct/sessions.test.ts
@@ -0,0 +1,124 @@
+/** Sessions through one direct gateway: what a client reads, and what it must not share. */
+import { setTimeout as pause } from 'node:timers/promises';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DirectCluster } from '../../support/direct-cluster.js';
+import { LoadClient } from '../../support/direct-load.js';
+import type { RecordedSession } from '../../support/direct-session.js';
+import { type LineAnswer, LineClient } from '../../support/line-client.js';
+
+let cluster: DirectCluster;
+
+async function start(...flags: string[]): Promise<void> {
+  cluster = await DirectCluster.start({ flags });
+}
+
+test.after.each(async () => {
+  await cluster.stop();
+});
+
+async function noRuleBroken(): Promise<void> {
+  assert.equal(await cluster.violations(), []);
+}
+
+test('a session reads what it wrote, on every type of route', async () => {
+  await start('--lag-ms', '300');
+  for (const database of ['intake', 'assign']) {
+    const session = await cluster.open(database);
+    for (let round = 0; round < 10; round += 1) {
+      const data = `${database} ${round}`;
+      await session.succeed(() => session.write('k', data));
+      assert.equal((await session.succeed(() => session.read('k'))).rows, [data]);
+    }
+  }
+  const lookup = await cluster.open('lookup');
+  assert.is((await lookup.succeed(() => lookup.read('k'))).rows.length, 1);
+  await noRuleBroken();
+});
+
+test('a database that no route names is refused', async () => {
+  await start();
+  const client = await LineClient.connect('127.0.0.1', cluster.gateway(0).callersPort);
+  assert.is((await client.start('nowhere', 'u1')).error?.code, 'NODATABASE');
+  await client.closed;
+});
+
+/** A transaction with pauses that writes and reads by prepared names, whose end is given. */
+async function transact(
+  session: RecordedSession,
+  thing: string,
+  data: string,
+  row: string,
+  isKept: boolean,
+): Promise<LineAnswer> {
+  const begun = await session.begin();
+  if (begun.error !== undefined) return begun;
+  await pause(3);
+  const written = await session.execute('s1', thing, data);
+  if (written.error !== undefined) return written;
+  await pause(5);
+  const read = await session.execute('s2', thing);
+  if (read.error !== undefined) return read;
+  assert.equal(read.rows, [row]);
+  return isKept ? await session.commit() : await session.rollback();
+}
+
+test('transactions that pause keep their names, values and connections apart', async () => {
+  await start('--max-connections', '6');
+  const sessions = await Promise.all(Array.from({ length: 3 }, () => cluster.open('intake')));
+  for (const [index, session] of sessions.entries()) {
+    await session.set('zone', `zone-${index}`);
+    await session.prepare('s1', 'write', `write-shape-${index}`);
+    await session.prepare('s2', 'read', `read-shape-${index}`);
+  }
+  const rounds = sessions.map(async (session, index) => {
+    let kept = '-';
+    for (let round = 0; round < 8; round += 1) {
+      const isKept = round % 4 !== 3;
+      const thing = `k${index}`;
+      const data = `v${round}`;
+      const shape = `read-shape-${index}`;
+      await session.succeed(() => transact(session, thing, data, `${shape} ${data}`, isKept));
+      if (isKept) kept = data;
+      const { rows } = await session.succeed(() => session.execute('s2', thing));
+      assert.equal(rows, [`${shape} ${kept}`]);
+      if (round === 4) await session.set('zone', `other-${index}`);
+      if (round === 5) await session.prepare('s1', 'write', `other-shape-${index}`);
+    }
+  });
+  await Promise.all(rounds);
+  assert.is((await sessions[0]?.deallocate('s1'))?.error, undefined);
+  await noRuleBroken();
+});
+
+test('a client that leaves in the middle of a transaction takes nothing along', async () => {
+  await start();
+  const leaver = await cluster.open('intake');
+  await leaver.set('zone', 'west');
+  await leaver.succeed(async () => {
+    await leaver.begin();
+    return leaver.write('k', 'never');
+  });
+  leaver.client.destroy();
+  const session = await cluster.open('intake');
+  for (let round = 0; round < 10; round += 1) {
+    assert.equal((await session.succeed(() => session.read('k'))).rows, ['-']);
+  }
+  await noRuleBroken();
+});
+
+test('answers that are lost or broken off lead to no second effect', async () => {
+  await start();
+  const clients = [1, 2, 3, 4].map((seed) => {
+    return new LoadClient(cluster, { database: seed % 2 ? 'intake' : 'assign', seed });
+  });
+  await Promise.all(clients.map((client) => client.moreWrites(3)));
+  for (const fault of [{ loseAnswers: 2 }, { breakAnswers: 2 }, { failNext: 2 }]) {
+    await cluster.platform.set('/instances/i-orders-1/faults', fault);
+    await Promise.all(clients.map((client) => client.moreWrites(5)));
+  }
+  await Promise.all(clients.map((client) => client.stop()));
+  await noRuleBroken();
+});
+
+test.run();
