--- /dev/null
+++ b/test/integration/direct/isolated-gateway.test.ts
@@ -0,0 +1,95 @@
+/** A direct gateway that can't see what the others decide: cut from the store, or frozen. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DirectCluster } from '../../support/direct-cluster.js';
+import { LoadClient } from '../../support/direct-load.js';
+import { until } from '../../support/until.js';
+
+const SERVICE = 'orders';
+const OLD = 'i-orders-1';
+const ISOLATED = 1;
+
+let cluster: DirectCluster;
+let steady: LoadClient[] = [];
+let isolated: LoadClient[] = [];
+
+test.before.each(async () => {
+  cluster = await DirectCluster.start({ gateways: 3, cuttable: true });
+  const clientOf = (gateway: number) => (database: string, index: number) =>
+    new LoadClient(cluster, {
+      ...{ database, gateway, seed: 10 * gateway + index + 1 },
+      writes: database === 'lookup' ? 0 : 0.4,
+    });
+  const databases = ['intake', 'assign', 'lookup'];
+  steady = [0, 2].flatMap((gateway) => databases.map(clientOf(gateway)));
+  isolated = databases.map(clientOf(ISOLATED));
+  await served([...steady, ...isolated]);
+});
+
+test.after.each(async () => {
+  cluster.gateway(ISOLATED).process.kill('SIGCONT');
+  await Promise.allSettled([...steady, ...isolated].map((client) => client.stop()));
+  await cluster.stop();
+});
+
+/** Each client succeeds some times more. */
+async function served(clients: readonly LoadClient[]): Promise<void> {
+  await Promise.all(
+    clients.map((client) =>
+      client.database === 'lookup' ? client.moreReads(5) : client.moreWrites(5),
+    ),
+  );
+}
+
+async function endWithNoRuleBroken(): Promise<void> {
+  await served([...steady, ...isolated]);
+  await Promise.all([...steady, ...isolated].map((client) => client.stop()));
+  assert.equal(await cluster.violations(), []);
+}
+
+/** The primary reaches no replica, though every gateway reaches it. */
+async function cutPrimary(isCut: boolean): Promise<void> {
+  const pairs = isCut ? ['i-orders-2', 'i-orders-3'].map((other) => [OLD, other]) : [];
+  await cluster.platform.set(`/groups/${SERVICE}/cuts`, { pairs });
+}
+
+async function oldPrimaryFollows(): Promise<void> {
+  await until('the old primary follows', async () => {
+    return (await cluster.platform.instance(OLD)).role === 'replica';
+  });
+}
+
+test('a gateway that is cut from the store serves nothing stale from a primary that is replaced', async () => {
+  await cluster.setCutFromStore(ISOLATED, true);
+  await cutPrimary(true);
+  await cluster.platform.newPrimary(SERVICE, OLD);
+  await served(steady);
+  await cutPrimary(false);
+  await oldPrimaryFollows();
+  await cluster.setCutFromStore(ISOLATED, false);
+  await endWithNoRuleBroken();
+});
+
+test('the others replace a crashed primary while any one gateway is cut from the store', async () => {
+  await cluster.setCutFromStore(ISOLATED, true);
+  await cluster.platform.set(`/instances/${OLD}/crash`);
+  await cluster.platform.newPrimary(SERVICE, OLD);
+  await served(steady);
+  await cluster.setCutFromStore(ISOLATED, false);
+  await cluster.platform.set(`/instances/${OLD}/return`);
+  await endWithNoRuleBroken();
+});
+
+test('a gateway that was frozen while a primary was replaced does no harm when it wakes', async () => {
+  const { process: frozen } = cluster.gateway(ISOLATED);
+  frozen.kill('SIGSTOP');
+  await cutPrimary(true);
+  await cluster.platform.newPrimary(SERVICE, OLD);
+  await served(steady);
+  frozen.kill('SIGCONT');
+  await cutPrimary(false);
+  await oldPrimaryFollows();
+  await endWithNoRuleBroken();
+});
+
+test.run();
--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { type RunningFaultProxy, startFaultProxy } from '../../bench/harness/platform.js';
 import { listen } from '../../standins/common/process.js';
 import { checkDirectHistory, type RouteType, type Violation } from './direct-history.js';
 import { DirectPlatform } from './direct-platform.js';
@@ -83,6 +84,8 @@
   readonly routes?: readonly TestRoute[];
   /** Flags of the stand-in. */
   readonly flags?: readonly string[];
+  /** Each gateway reaches the store through a fault proxy, so that it can be cut off. */
+  readonly cuttable?: boolean;
   /** Bounds that differ from the settings' own. */
   readonly bounds?: Readonly<Record<string, number>>;
 }
@@ -93,6 +96,7 @@
   readonly #folder = mkdtempSync(join(tmpdir(), 'direct-cluster-'));
   #routes: readonly TestRoute[];
   #version = 0;
+  #links: RunningFaultProxy | undefined;
 
   private constructor(
     readonly platform: DirectPlatform,
@@ -106,6 +110,7 @@
     const platform = await DirectPlatform.start(options.flags);
     const cluster = new DirectCluster(platform, options);
     try {
+      if (options.cuttable === true) cluster.#links = await startFaultProxy();
       await cluster.publish(cluster.#routes);
       for (let index = 0; index < (options.gateways ?? 1); index += 1) await cluster.startGateway();
       await Promise.all(cluster.gateways.map((gateway) => cluster.ready(gateway)));
@@ -127,7 +132,8 @@
     const name = `frontend-${this.gateways.length + 1}`;
     const [callersPort = 0, readinessPort = 0, controlPort = 0] = await freePorts(3);
     const path = join(this.#folder, `${name}.json`);
-    const ports = { callersPort, readinessPort, controlPort };
+    const storePort = await this.#storePortOf(name);
+    const ports = { callersPort, readinessPort, controlPort, storePort };
     writeFileSync(path, JSON.stringify(this.#settings(name, ports)));
     const child = spawn(process.execPath, ['--enable-source-maps', GATEWAY_PROGRAM], {
       env: { PATH: process.env.PATH, MEADOWSTACK_SETTINGS: path },
@@ -146,6 +152,18 @@
     return running;
   }
 
+  /** The port at which a gateway reaches the store. */
+  async #storePortOf(name: string): Promise<number> {
+    const { storePort } = this.platform;
+    const route = { name, targetHost: HOST, targetPort: storePort };
+    return (await this.#links?.addRoute(route))?.listenPort ?? storePort;
+  }
+
+  /** Cuts a gateway from the store, silently, or heals that. */
+  async setCutFromStore(index: number, cut: boolean): Promise<void> {
+    await this.#links?.setFaults(this.gateway(index).name, { up: { cut }, down: { cut } });
+  }
+
   gateway(index: number): DirectGatewayProcess {
     const gateway = this.gateways[index];
     if (gateway === undefined) throw new Error(`no gateway ${index}`);
@@ -178,16 +196,16 @@
   async stop(): Promise<void> {
     for (const { process: child } of this.gateways) child.kill('SIGKILL');
     await Promise.all(this.gateways.map(({ ended }) => ended));
-    await this.platform.stop();
+    await Promise.all([this.platform.stop(), this.#links?.stop()]);
     rmSync(this.#folder, { recursive: true });
   }
 
   #settings(
     name: string,
-    ports: { callersPort: number; readinessPort: number; controlPort: number },
+    ports: Readonly<Record<'callersPort' | 'readinessPort' | 'controlPort' | 'storePort', number>>,
   ): object {
     const control = `${HOST}:${ports.controlPort}`;
-    const { storePort, promotionPort, heartbeatMs } = this.platform;
+    const { promotionPort, heartbeatMs } = this.platform;
     return {
       ...{ node_name: name, role: 'gateway', machine_class: 'frontend', serves: ['frontend'] },
       ...{ ip_address: HOST, zone: 'zone-a', region: 'region' },
@@ -214,7 +232,12 @@
         ...this.options.bounds,
       },
       platform: {
-        ...{ address: `${HOST}:${storePort}`, form: 'kv', writes_per_s: 400, reads_per_s: 2000 },
+        ...{
+          address: `${HOST}:${ports.storePort}`,
+          form: 'kv',
+          writes_per_s: 400,
+          reads_per_s: 2000,
+        },
         ...{ history_s: 20, value_bytes: 1_048_576, min_ttl_ms: 1000 },
       },
       cloud_api: {
--- a/test/support/direct-load.ts
+++ b/test/support/direct-load.ts
@@ -37,6 +37,10 @@
     this.#ended = this.#run();
   }
 
+  get database(): string {
+    return this.options.database;
+  }
+
   /** Waits for so many more writes, single or in transactions, to succeed. */
   async moreWrites(count: number): Promise<void> {
     const wanted = this.done.writes + this.done.transactions + count;
