Direct gateway: nothing is acknowledged beside the replica that is about to lead

Change: instances may be deaf to control statements; a test promotes while the old primary serves a gateway that is cut from the store and reaches the other replica.

--- a/standins/direct/instance-faults.ts
+++ b/standins/direct/instance-faults.ts
@@ -17,6 +17,8 @@
   failNext: z.int().min(0).optional(),
   /** Every read, write, commit and STATUS is answered with BUSY. */
   isBusy: z.boolean().optional(),
+  /** STATUS, PAUSE, RESUME and DEMOTE are neither heard nor answered, as if those who ask were cut off. */
+  isDeafToControl: z.boolean().optional(),
   /** Its heartbeats do not reach the store. */
   isSilentToStore: z.boolean().optional(),
 });
@@ -28,6 +30,7 @@
   breakAnswers: number;
   failNext: number;
   isBusy: boolean;
+  isDeafToControl: boolean;
   isSilentToStore: boolean;
 }
 
@@ -38,6 +41,7 @@
     breakAnswers: 0,
     failNext: 0,
     isBusy: false,
+    isDeafToControl: false,
     isSilentToStore: false,
   };
 }
--- a/standins/direct/session.ts
+++ b/standins/direct/session.ts
@@ -112,7 +112,6 @@
       case 'commit':
         return this.#work(id, parsed, statement);
       case 'status':
-        return this.instance.refusesAsBusy() ? failure('BUSY') : this.#statusRow();
       case 'pause':
       case 'resume':
       case 'demote':
@@ -139,8 +138,10 @@
     return DONE;
   }
 
-  #control(statement: ControlStatement): Outcome {
-    const { member, group } = this.instance;
+  #control(statement: ControlStatement): Outcome | Promise<Outcome> {
+    const { member, group, faults } = this.instance;
+    if (faults.isDeafToControl) return this.#silence();
+    if (statement.type === 'status' && this.instance.refusesAsBusy()) return failure('BUSY');
     if (statement.type === 'resume') member.heldTerm = 0;
     if (statement.type === 'pause' && member.role === 'replica' && statement.term > member.term) {
       member.heldTerm = Math.max(member.heldTerm, statement.term);
@@ -151,6 +152,13 @@
     return this.#statusRow();
   }
 
+  /** Says nothing until the connection ends. */
+  #silence(): Promise<Outcome> {
+    return new Promise((resolve) => {
+      this.gone.addEventListener('abort', () => resolve(GONE));
+    });
+  }
+
   #statusRow(): Outcome {
     const { member, slots, connectionCount } = this.instance;
     const received = formatPosition(member.received);
--- a/test/integration/direct/isolated-gateway.test.ts
+++ b/test/integration/direct/isolated-gateway.test.ts
@@ -13,8 +13,8 @@
 let steady: LoadClient[] = [];
 let isolated: LoadClient[] = [];
 
-test.before.each(async () => {
-  cluster = await DirectCluster.start({ gateways: 3, cuttable: true });
+async function start(...flags: string[]): Promise<void> {
+  cluster = await DirectCluster.start({ gateways: 3, cuttable: true, flags });
   const clientOf = (gateway: number) => (database: string, index: number) =>
     new LoadClient(cluster, {
       ...{ database, gateway, seed: 10 * gateway + index + 1 },
@@ -24,7 +24,7 @@
   steady = [0, 2].flatMap((gateway) => databases.map(clientOf(gateway)));
   isolated = databases.map(clientOf(ISOLATED));
   await served([...steady, ...isolated]);
-});
+}
 
 test.after.each(async () => {
   cluster.gateway(ISOLATED).process.kill('SIGCONT');
@@ -49,7 +49,11 @@
 
 /** The primary reaches no replica, though every gateway reaches it. */
 async function cutPrimary(isCut: boolean): Promise<void> {
-  const pairs = isCut ? ['i-orders-2', 'i-orders-3'].map((other) => [OLD, other]) : [];
+  await cutPrimaryFrom(isCut ? ['i-orders-2', 'i-orders-3'] : []);
+}
+
+async function cutPrimaryFrom(replicas: readonly string[]): Promise<void> {
+  const pairs = replicas.map((replica) => [OLD, replica]);
   await cluster.platform.set(`/groups/${SERVICE}/cuts`, { pairs });
 }
 
@@ -60,6 +64,7 @@
 }
 
 test('a gateway that is cut from the store serves nothing stale from a primary that is replaced', async () => {
+  await start();
   await cluster.setCutFromStore(ISOLATED, true);
   await cutPrimary(true);
   await cluster.platform.newPrimary(SERVICE, OLD);
@@ -71,6 +76,7 @@
 });
 
 test('the others replace a crashed primary while any one gateway is cut from the store', async () => {
+  await start();
   await cluster.setCutFromStore(ISOLATED, true);
   await cluster.platform.set(`/instances/${OLD}/crash`);
   await cluster.platform.newPrimary(SERVICE, OLD);
@@ -80,7 +86,27 @@
   await endWithNoRuleBroken();
 });
 
+test('nothing is acknowledged beside the replica that is about to lead', async () => {
+  await start('--promote-ms', '1500');
+  await cluster.setCutFromStore(ISOLATED, true);
+  await cluster.platform.set(`/instances/${OLD}/faults`, { isDeafToControl: true });
+  await cutPrimary(true);
+  let chosen: string | undefined;
+  await until('the promotion call', async () => {
+    chosen = (await cluster.platform.log()).promotionCalls[0]?.id;
+    return chosen !== undefined;
+  });
+  await cutPrimaryFrom([chosen ?? '']);
+  await cluster.platform.newPrimary(SERVICE, OLD);
+  await served(steady);
+  await cutPrimary(false);
+  await oldPrimaryFollows();
+  await cluster.setCutFromStore(ISOLATED, false);
+  await endWithNoRuleBroken();
+});
+
 test('a gateway that was frozen while a primary was replaced does no harm when it wakes', async () => {
+  await start();
   const { process: frozen } = cluster.gateway(ISOLATED);
   frozen.kill('SIGSTOP');
   await cutPrimary(true);
