Instances whose entries vanished are used on while the store can't bring them back

Cause: integration/direct/lifecycle, 'store is down (unavailable)': the store dropped all instances' entries as it went down, and 5.5 s later the node had nobody to ask (only BUSY). Ruled out: the lease (writes need none) and the promotion's view, which still named the primary. Change: an entry that vanished, of an instance that never said it would leave, counts only while the store answers.

--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -42,6 +42,8 @@
   readonly settings: DirectSettings;
   readonly wire: StatementWire;
   readonly view: PrimaryView;
+  /** False while what the store last told of the instances may be out of date. */
+  readonly isStoreWell: () => boolean;
   readonly now: () => Milliseconds;
   readonly random: () => number;
 }
@@ -217,12 +219,13 @@
   #service(name: string): ServiceRuntime {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
-    const { settings, wire, view, now } = this.options;
+    const { settings, wire, view, isStoreWell, now } = this.options;
     const service = new ServiceRuntime(name, {
       nodeCount: this.#nodeCount,
       zone: settings.zone,
       drainTimeoutMs: settings.drainTimeoutMs,
       view,
+      isStoreWell,
       now,
       pool: {
         wire,
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -26,29 +26,39 @@
   readonly pool: InstancePoolOptions;
   readonly drainTimeoutMs: Milliseconds;
   readonly view: PrimaryView;
+  /** False while what the store last told of the instances may be out of date. */
+  readonly isStoreWell: () => boolean;
   readonly now: () => Milliseconds;
 }
 
 /** One instance with its pool, as a candidate for reads. */
 export interface InstanceRuntime extends InstanceLoad {
   readonly pool: InstancePool;
-  /** No new work from then on. */
-  usableUntil: Milliseconds;
-  /** A replica is left alone as soon as it is leaving. */
-  leaving: boolean;
+  /** Whether it may get new work. */
+  isUsable(now: Milliseconds): boolean;
 }
 
 class InstanceState implements InstanceRuntime {
+  /** No new work from then on. */
   usableUntil: Milliseconds = Number.POSITIVE_INFINITY;
+  /** A replica is left alone as soon as it is leaving. */
   leaving = false;
+  /** Its entry has gone, and it never said that it would leave. */
+  vanished = false;
   primary = false;
 
   constructor(
     readonly id: string,
     readonly sameZone: boolean,
     readonly pool: InstancePool,
+    private readonly isStoreWell: () => boolean,
   ) {}
 
+  /** An entry that vanished counts only while the store is there to bring it back. */
+  isUsable(now: Milliseconds): boolean {
+    return now < this.usableUntil || (this.vanished && !this.isStoreWell());
+  }
+
   get outstanding(): number {
     return this.pool.outstanding;
   }
@@ -88,7 +98,9 @@
       this.#takeEntry(entry, now);
     }
     for (const [id, state] of this.#instances) {
-      if (!present.has(id)) this.#leave(state, now);
+      if (present.has(id)) continue;
+      if (!state.leaving) state.vanished = true;
+      this.#leave(state, now);
     }
     this.#forgetGone(now, present);
     this.#shareConnections();
@@ -137,7 +149,8 @@
     const usable: InstanceState[] = [];
     for (const state of this.#instances.values()) {
       state.primary = state.id === primaryId;
-      if (now < state.usableUntil && !state.leaving) usable.push(state);
+      const isAvailable = !state.leaving || (state.vanished && !this.options.isStoreWell());
+      if (isAvailable && state.isUsable(now)) usable.push(state);
     }
     return usable;
   }
@@ -147,7 +160,7 @@
     const entry = this.options.view.primaryOf(this.name);
     if (entry === undefined) return undefined;
     const state = this.#instances.get(entry.id);
-    if (state === undefined || now >= state.usableUntil) return undefined;
+    if (state?.isUsable(now) !== true) return undefined;
     return state;
   }
 
@@ -201,7 +214,8 @@
     const known = this.#instances.get(entry.id);
     if (known === undefined) {
       const pool = new InstancePool(entry, MINIMUM_CONNECTIONS, this.options.pool);
-      const state = new InstanceState(entry.id, entry.zone === this.options.zone, pool);
+      const sameZone = entry.zone === this.options.zone;
+      const state = new InstanceState(entry.id, sameZone, pool, this.options.isStoreWell);
       if (entry.draining) {
         // For how long it has been leaving is unknown.
         state.leaving = true;
@@ -211,6 +225,7 @@
       return;
     }
     known.pool.instance = entry;
+    known.vanished = false;
     if (entry.draining) this.#leave(known, now);
     else if (known.leaving) {
       known.leaving = false;
@@ -226,7 +241,7 @@
 
   #forgetGone(now: Milliseconds, present: ReadonlySet<string>): void {
     for (const [id, state] of this.#instances) {
-      if (present.has(id) || now < state.usableUntil) continue;
+      if (present.has(id) || state.isUsable(now)) continue;
       state.pool.close();
       this.#instances.delete(id);
     }
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -129,7 +129,7 @@
   /** Whether a target chosen some time ago may still be used as it is. */
   recheck(request: Placement, target: Target): Target | undefined {
     const now = this.options.now();
-    if (now >= target.instance.usableUntil) return undefined;
+    if (!target.instance.isUsable(now)) return undefined;
     const required = this.#requiredPosition(request, now);
     const needsPrimary =
       request.access === 'write' ||
