--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -219,7 +219,7 @@
   #service(name: string): ServiceRuntime {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
-    const { settings, wire, view, isStoreWell, now } = this.options;
+    const { settings, wire, view, isStoreWell, now, random } = this.options;
     const service = new ServiceRuntime(name, {
       nodeCount: this.#nodeCount,
       zone: settings.zone,
@@ -232,6 +232,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         reconnectDelayMs: RECONNECT_DELAY_MS,
         now,
+        random,
         counters: this.counters,
       },
     });
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -18,6 +18,7 @@
   /** After a failed opening, the next is tried no sooner than this. */
   readonly reconnectDelayMs: Milliseconds;
   readonly now: () => Milliseconds;
+  readonly random: () => number;
   readonly counters: PoolCounters;
 }
 
@@ -37,6 +38,8 @@
   timer: NodeJS.Timeout | undefined;
 }
 
+/** Doublings of the pause between openings: up to 1.6 s after a first pause of 200 ms. */
+const MAX_BACKOFF_STEPS = 4;
 const INITIAL_ANSWER_MS = 25;
 const ANSWER_SMOOTHING = 0.1;
 /** An answer that takes longer than this, or so many times the recent time, is taken for lost. */
@@ -63,6 +66,8 @@
   #softLimit: number;
   #growTimer: NodeJS.Timeout | undefined;
   #retryAt: Milliseconds = 0;
+  /** Openings that failed in a row. */
+  #failures = 0;
   #closed = false;
   /** Statements of this node that run at the instance or wait for it. */
   outstanding = 0;
@@ -267,6 +272,7 @@
     }
     const connection = opened.value;
     this.options.counters.connectionsOpened += 1;
+    this.#failures = 0;
     this.#all.add(connection);
     connection.onClose = () => this.#forget(connection);
     this.release(connection);
@@ -274,7 +280,9 @@
 
   #openFailed(error: InstanceConnectError): void {
     this.options.counters.connectFailures += 1;
-    this.#retryAt = this.options.now() + this.options.reconnectDelayMs;
+    this.#failures = Math.min(this.#failures + 1, MAX_BACKOFF_STEPS);
+    const ceilingMs = this.options.reconnectDelayMs * 2 ** (this.#failures - 1);
+    this.#retryAt = this.options.now() + ceilingMs * (0.5 + this.options.random() / 2);
     // Those who wait may still be served by the connections that are there.
     if (this.#all.size === 0) this.#failWaiters(error);
   }
