Fair queue for connections by tenant; writes without a lease are checked for a later term; smaller modules

Cause: connections went to whoever came first of a priority, so that one tenant's flood delayed the others; a node without a lease passed on what a primary acknowledged that had been replaced meanwhile (found by the simulation of promotions); an instance that was full counted as silent after the first refusal. Change: the tenant that holds the fewest connections goes next, 200 may wait for each; an acknowledged write without a lease is told as in doubt if a member shows a later term; target-chooser, session-variables split off.

--- a/src/core/statements/primary-evidence.ts
+++ b/src/core/statements/primary-evidence.ts
@@ -31,6 +31,11 @@
   );
 }
 
+/** True if a member's log shows that another primary has committed something since. */
+export function showsLaterTerm(primary: KnownPrimary, answers: readonly MemberAnswer[]): boolean {
+  return answers.some(({ position }) => position !== undefined && position.timeline > primary.term);
+}
+
 /** The latest proof of one service. */
 export class PrimaryEvidence {
   #primaryId: string | undefined;
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -5,6 +5,7 @@
 import { createHash } from 'node:crypto';
 import type { Position } from '../core/position.js';
 import type { PreparedStatement } from '../core/statements/session-values.js';
+import { SessionVariables } from '../core/statements/session-variables.js';
 import type {
   Statement,
   StatementErrorCode,
@@ -18,8 +19,6 @@
 import { Transaction } from './transaction.js';
 import type { CallerMessage, StatementWire } from './wire.js';
 
-/** Values and prepared statements that one session may hold, so that none exhausts the node. */
-const MAX_SESSION_ENTRIES = 256;
 const SHARED_NAME_LENGTH = 16;
 /** Messages that a caller may send ahead of their answers. */
 const MAX_QUEUED_MESSAGES = 64;
@@ -56,8 +55,7 @@
 
 export class CallerSession {
   #database: string | undefined;
-  readonly #values = new Map<string, string>();
-  readonly #prepared = new Map<string, PreparedStatement>();
+  readonly #variables = new SessionVariables(sharedNameOf);
   #transaction: Transaction | undefined;
   #state: TransactionState = 'idle';
   #lastWritten: Position | undefined;
@@ -204,13 +202,15 @@
         this.#rollback();
         return;
       case 'set':
-        this.#set(statement.name, statement.value);
+        this.#completeIf(this.#variables.set(statement.name, statement.value));
         return;
       case 'prepare':
-        this.#prepare(statement);
+        this.#completeIf(
+          this.#variables.prepare(statement.name, statement.access, statement.shape),
+        );
         return;
       case 'deallocate':
-        if (this.#prepared.delete(statement.name)) this.#complete();
+        if (this.#variables.deallocate(statement.name)) this.#complete();
         else this.#refuse('unprepared', statement.name);
         return;
       case 'run':
@@ -275,30 +275,17 @@
     this.#complete();
   }
 
-  #set(name: string, value: string): void {
-    if (!this.#values.has(name) && this.#values.size >= MAX_SESSION_ENTRIES) {
-      this.#refuse('too-large', 'too many values');
-      return;
-    }
-    this.#values.set(name, value);
-    this.#complete();
-  }
-
-  #prepare(statement: Extract<Statement, { type: 'prepare' }>): void {
-    const { name, access, shape } = statement;
-    if (!this.#prepared.has(name) && this.#prepared.size >= MAX_SESSION_ENTRIES) {
-      this.#refuse('too-large', 'too many prepared statements');
-      return;
-    }
-    this.#prepared.set(name, { access, shape, sharedName: sharedNameOf(access, shape) });
-    this.#complete();
+  /** Completes what was kept in the session, or refuses it for want of room. */
+  #completeIf(kept: boolean): void {
+    if (kept) this.#complete();
+    else this.#refuse('too-large', 'the session holds too many values or prepared statements');
   }
 
   async #execute(
     message: StatementMessage,
     statement: Extract<Statement, { type: 'execute' }>,
   ): Promise<void> {
-    const prepared = this.#prepared.get(statement.name);
+    const prepared = this.#variables.prepared(statement.name);
     if (prepared === undefined) {
       this.#fail({ type: 'refused', refusal: { code: 'unprepared', text: statement.name } });
       return;
@@ -347,7 +334,7 @@
     const now = this.options.now();
     const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
     return {
-      session: { values: this.#values, lastWritten },
+      session: { values: this.#variables.values, lastWritten },
       beganAt: now,
       deadline: now + route.timeoutMs,
     };
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -11,7 +11,7 @@
   PublishedConfiguration,
   RouteDescription,
 } from './contract.js';
-import type { PoolCounters } from './instance-pool.js';
+import { ownRequest, type PoolCounters } from './instance-pool.js';
 import type { PrimaryView } from './promotion/contract.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
@@ -25,8 +25,6 @@
 const SAMPLE_INTERVAL_MS = 400;
 const SAMPLE_CHECK_MS = 100;
 const SAMPLE_TIMEOUT_MS = 500;
-const SAMPLE_PRIORITY = 0;
-const NO_VALUES: ReadonlyMap<string, string> = new Map();
 /** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
 const DRAIN_DELAY_MS = 2200;
 const DRAIN_CHECK_MS = 50;
@@ -264,7 +262,7 @@
     this.#sampling.add(service.name);
     this.counters.samplesAsked += 1;
     const deadline = now() + SAMPLE_TIMEOUT_MS;
-    const acquired = await primary.pool.acquire(NO_VALUES, SAMPLE_PRIORITY, deadline);
+    const acquired = await primary.pool.acquire(ownRequest(deadline));
     if (acquired.isErr()) {
       this.#runner.noteUnreachable({ service }, primary, acquired.error);
     } else {
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { Access } from '../core/request.js';
+import { FairQueue } from '../core/statements/fair-queue.js';
 import { synchronisationCost } from '../core/statements/session-values.js';
 import { StallDetector } from '../core/statements/stall.js';
 import type { Milliseconds } from '../core/units.js';
@@ -31,13 +32,32 @@
 
 export type AcquireError = InstanceConnectError | InstanceWaitTimeoutError;
 
-interface Waiter {
+/** Asks for a connection. */
+export interface ConnectionRequest {
+  /** Whose statement it is for: its route's name. */
+  readonly tenant: string;
+  /** 0 is the highest. */
   readonly priority: number;
+  /** Session values that the connection should have already, if one has them. */
   readonly values: ReadonlyMap<string, string>;
+  readonly deadline: Milliseconds;
+}
+
+interface Waiter extends ConnectionRequest {
   readonly settle: (connection: Result<InstanceConnection, AcquireError>) => void;
   timer: NodeJS.Timeout | undefined;
 }
 
+const OWN_TENANT = '';
+const NO_VALUES: ReadonlyMap<string, string> = new Map();
+
+/** A request for a question of the node's own, which goes before those of callers. */
+export function ownRequest(deadline: Milliseconds): ConnectionRequest {
+  return { tenant: OWN_TENANT, priority: 0, values: NO_VALUES, deadline };
+}
+
+/** Statements of one tenant that may wait for one instance; more are refused at once. */
+const MAX_WAITING_PER_TENANT = 200;
 /** Doublings of the pause between openings: up to 1.6 s after a first pause of 200 ms. */
 const MAX_BACKOFF_STEPS = 4;
 const INITIAL_ANSWER_MS = 25;
@@ -56,7 +76,11 @@
 
 export class InstancePool {
   readonly #idle: InstanceConnection[] = [];
-  readonly #waiters: Waiter[] = [];
+  readonly #waiters = new FairQueue<Waiter>(MAX_WAITING_PER_TENANT);
+  /** Connections that each tenant holds. */
+  readonly #held = new Map<string, number>();
+  readonly #holders = new Map<InstanceConnection, string>();
+  #lastError: InstanceConnectError | undefined;
   readonly #all = new Set<InstanceConnection>();
   readonly #answers = new StallDetector(STALL_MS);
   readonly #commits = new StallDetector(STALL_MS);
@@ -142,25 +166,27 @@
   }
 
   /** A free connection, opened if need be, by the deadline at the latest. */
-  acquire(
-    values: ReadonlyMap<string, string>,
-    priority: number,
-    deadline: Milliseconds,
-  ): Promise<Result<InstanceConnection, AcquireError>> {
-    const idle = this.#takeIdle(values);
-    if (idle !== undefined) return Promise.resolve(ok(idle));
+  acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>> {
+    const idle = this.#takeIdle(request.values);
+    if (idle !== undefined) {
+      this.#hold(idle, request.tenant);
+      return Promise.resolve(ok(idle));
+    }
     return new Promise((settle) => {
-      const waiter: Waiter = { priority, values, settle, timer: undefined };
-      const waitMs = Math.max(0, deadline - this.options.now());
+      const waiter: Waiter = { ...request, settle, timer: undefined };
+      if (!this.#waiters.push(waiter)) {
+        settle(err(new InstanceWaitTimeoutError(`${this.instance.id}: too many wait`)));
+        return;
+      }
+      const waitMs = Math.max(0, request.deadline - this.options.now());
       waiter.timer = setTimeout(() => this.#expire(waiter), waitMs);
-      const behind = this.#waiters.findIndex((other) => other.priority > priority);
-      this.#waiters.splice(behind < 0 ? this.#waiters.length : behind, 0, waiter);
       this.#openForWaiters();
     });
   }
 
   /** Gives a connection back; it is at rest outside any transaction. */
   release(connection: InstanceConnection): void {
+    this.#letGo(connection);
     if (connection.closed) {
       this.#openForWaiters();
       return;
@@ -169,7 +195,7 @@
       connection.close();
       return;
     }
-    const waiter = this.#waiters.shift();
+    const waiter = this.#waiters.takeNext(this.#held);
     connection.restingSince = this.options.now();
     if (waiter === undefined) this.#idle.push(connection);
     else this.#serve(waiter, connection);
@@ -207,19 +233,18 @@
 
   #serve(waiter: Waiter, connection: InstanceConnection): void {
     clearTimeout(waiter.timer);
+    this.#hold(connection, waiter.tenant);
     waiter.settle(ok(connection));
   }
 
   #expire(waiter: Waiter): void {
-    const index = this.#waiters.indexOf(waiter);
-    if (index < 0) return;
-    this.#waiters.splice(index, 1);
+    if (!this.#waiters.remove(waiter)) return;
     this.options.counters.waitTimeouts += 1;
     waiter.settle(err(new InstanceWaitTimeoutError(`${this.instance.id}: no connection was free`)));
   }
 
   #failWaiters(error: InstanceConnectError): void {
-    for (const waiter of this.#waiters.splice(0)) {
+    for (const waiter of this.#waiters.takeAll()) {
       clearTimeout(waiter.timer);
       waiter.settle(err(error));
     }
@@ -249,9 +274,11 @@
     while (!this.#closed && this.#opening < this.#waiters.length && this.size < limit) {
       if (this.options.now() < this.#retryAt && this.#all.size > 0) return;
       if (this.options.now() < this.#retryAt) {
-        this.#failWaiters(
-          new InstanceConnectError(`${this.instance.id}: not reachable`, undefined),
+        const unreachable = new InstanceConnectError(
+          `${this.instance.id}: not reachable`,
+          this.#lastError?.answer,
         );
+        this.#failWaiters(unreachable);
         return;
       }
       void this.#open();
@@ -280,6 +307,7 @@
 
   #openFailed(error: InstanceConnectError): void {
     this.options.counters.connectFailures += 1;
+    this.#lastError = error;
     this.#failures = Math.min(this.#failures + 1, MAX_BACKOFF_STEPS);
     const ceilingMs = this.options.reconnectDelayMs * 2 ** (this.#failures - 1);
     this.#retryAt = this.options.now() + ceilingMs * (0.5 + this.options.random() / 2);
@@ -287,7 +315,22 @@
     if (this.#all.size === 0) this.#failWaiters(error);
   }
 
+  #hold(connection: InstanceConnection, tenant: string): void {
+    this.#holders.set(connection, tenant);
+    this.#held.set(tenant, (this.#held.get(tenant) ?? 0) + 1);
+  }
+
+  #letGo(connection: InstanceConnection): void {
+    const tenant = this.#holders.get(connection);
+    if (tenant === undefined) return;
+    this.#holders.delete(connection);
+    const left = (this.#held.get(tenant) ?? 1) - 1;
+    if (left > 0) this.#held.set(tenant, left);
+    else this.#held.delete(tenant);
+  }
+
   #forget(connection: InstanceConnection): void {
+    this.#letGo(connection);
     this.#all.delete(connection);
     const index = this.#idle.indexOf(connection);
     if (index >= 0) this.#idle.splice(index, 1);
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -3,9 +3,8 @@
  * for as long as the statement surely has not run, or only reads.
  */
 import type { Result } from 'neverthrow';
-import { laterPosition, type Position } from '../core/position.js';
+import type { Position } from '../core/position.js';
 import type { Access } from '../core/request.js';
-import { rankInstances } from '../core/statements/instance-choice.js';
 import type { PreparedStatement } from '../core/statements/session-values.js';
 import {
   isNotRun,
@@ -13,19 +12,17 @@
   type StatementErrorCode,
 } from '../core/statements/statement.js';
 import type { Milliseconds } from '../core/units.js';
-import type { RouteDescription } from './contract.js';
 import { InstanceConnectError, type InstanceConnectionLostError } from './errors.js';
 import type { InstanceConnection } from './instance-connection.js';
 import type { AcquireError } from './instance-pool.js';
 import type { PrimaryUse, PrimaryView } from './promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import { synchronise } from './synchronise.js';
+import { type Placement, type Target, TargetChooser } from './target-chooser.js';
 import type { TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
 import { firstWithin, pause } from './within.js';
 
-/** A read must reach its instance within this, or its staleness bound may be missed. */
-const STALENESS_MARGIN_MS = 400;
 /** Pause before asking again after nothing could be done. */
 const RETRY_PAUSE_MS = 15;
 /** An instance that failed gets no reads for so long while others will do. */
@@ -49,21 +46,8 @@
   readonly random: () => number;
 }
 
-/** What one session brings along to every statement. */
-export interface SessionContext {
-  readonly values: ReadonlyMap<string, string>;
-  /** Last position that the session wrote, in the service's log. */
-  readonly lastWritten: Position | undefined;
-}
-
-export interface StatementRequest {
-  readonly access: Access;
-  readonly route: RouteDescription;
-  readonly service: ServiceRuntime;
-  readonly session: SessionContext;
+export interface StatementRequest extends Placement {
   readonly prepared: PreparedStatement | undefined;
-  /** When the statement came. */
-  readonly beganAt: Milliseconds;
   readonly deadline: Milliseconds;
   /** The message for an instance, with the position it must have. */
   encode(after: Position | undefined): string;
@@ -78,21 +62,6 @@
   | { readonly type: 'answered'; readonly answer: StatementAnswer }
   | { readonly type: 'refused'; readonly refusal: Refusal };
 
-/** What decides where a statement or transaction may go. */
-export type Placement = Pick<
-  StatementRequest,
-  'access' | 'route' | 'service' | 'session' | 'beganAt'
-> & {
-  /** A transaction that may write also reads, so that it must not begin at a deposed primary. */
-  readonly isTransaction?: boolean;
-};
-
-/** Where a statement goes and what position it needs there. */
-export interface Target {
-  readonly instance: InstanceRuntime;
-  readonly after: Position | undefined;
-}
-
 type ExchangeResult = Result<StatementAnswer, InstanceConnectionLostError>;
 
 type Attempt =
@@ -107,67 +76,14 @@
 }
 
 export class StatementRunner {
-  constructor(readonly options: RunnerOptions) {}
+  readonly targets: TargetChooser;
 
-  run(request: StatementRequest): Promise<StatementOutcome> {
-    return request.access === 'read' ? this.#runRead(request) : this.#runWrite(request);
+  constructor(readonly options: RunnerOptions) {
+    this.targets = new TargetChooser(options);
   }
 
-  /** The instance for a new statement or transaction, or none for now. */
-  chooseTarget(request: Placement, excluded: ReadonlySet<string>): Target | undefined {
-    const now = this.options.now();
-    const required = this.#requiredPosition(request, now);
-    if (request.access === 'write' || request.route.consistency === 'primary') {
-      return this.#primaryTarget(request, required, now);
-    }
-    if (required === undefined) return this.#primaryTarget(request, required, now);
-    const ranked = rankInstances(request.service.readable(now), now);
-    const instance = ranked.find((candidate) => !excluded.has(candidate.id)) ?? ranked[0];
-    return instance === undefined ? undefined : { instance, after: required };
-  }
-
-  /** Whether a target chosen some time ago may still be used as it is. */
-  recheck(request: Placement, target: Target): Target | undefined {
-    const now = this.options.now();
-    if (!target.instance.isUsable(now)) return undefined;
-    const required = this.#requiredPosition(request, now);
-    const needsPrimary =
-      request.access === 'write' ||
-      request.route.consistency === 'primary' ||
-      required === undefined;
-    if (!needsPrimary) return { instance: target.instance, after: required };
-    const primary = this.#primaryTarget(request, required, now);
-    return primary?.instance.id === target.instance.id ? primary : undefined;
-  }
-
-  #primaryTarget(
-    request: Placement,
-    after: Position | undefined,
-    now: Milliseconds,
-  ): Target | undefined {
-    const { service, beganAt } = request;
-    const instance = service.primary(now);
-    if (instance === undefined || instance.pool.isStalled(request.access)) return undefined;
-    const trusted =
-      this.options.view.mayTrustPrimary(service.name, now) ||
-      this.options.prover.covers(service, instance.id, beganAt);
-    const reads = request.access === 'read' || request.isTransaction === true;
-    if (reads && !trusted) return undefined;
-    return { instance, after: request.access === 'read' ? after : undefined };
-  }
-
-  #requiredPosition(
-    request: Pick<StatementRequest, 'route' | 'service' | 'session'>,
-    now: Milliseconds,
-  ): Position | undefined {
-    const { route, service, session } = request;
-    const staleness = route.maxStalenessMs - STALENESS_MARGIN_MS;
-    const required = service.samples.requiredAt(now, staleness);
-    const { lastWritten } = session;
-    if (required === undefined || lastWritten === undefined) return required;
-    return route.consistency === 'read-your-writes'
-      ? laterPosition(required, lastWritten)
-      : required;
+  run(request: StatementRequest): Promise<StatementOutcome> {
+    return request.access === 'read' ? this.#runRead(request) : this.#runWrite(request);
   }
 
   /**
@@ -177,26 +93,38 @@
   async awaitTarget(request: Placement): Promise<boolean> {
     const { view, prover, now } = this.options;
     const { service } = request;
-    const primary = service.primary(now());
-    const reads = request.access === 'read' || request.isTransaction === true;
-    const isTrusted = view.mayTrustPrimary(service.name, now());
-    if (primary !== undefined && reads && !isTrusted && (await prover.prove(service))) return true;
+    if (this.targets.lacksTrust(request) && (await prover.prove(service))) return true;
     await this.#pauseBeforeRetry();
     if (view.isChanging(service.name)) return true;
     const patienceMs = request.route.targetLatencyMs * UNTRIED_PATIENCE_SHARE;
     return now() - request.beganAt < patienceMs;
   }
 
+  /**
+   * What a primary acknowledged is passed on as it is while the lease vouches for it. Without, the
+   * members are asked: if another has led since, the write may be lost with its log.
+   */
+  async confirmWrite(
+    service: ServiceRuntime,
+    outcome: StatementOutcome,
+  ): Promise<StatementOutcome> {
+    const { view, prover, now } = this.options;
+    const isDone = outcome.type === 'answered' && outcome.answer.error === undefined;
+    if (!isDone || view.mayTrustPrimary(service.name, now())) return outcome;
+    if ((await prover.examine(service)) !== 'deposed') return outcome;
+    return refuse('in-doubt', 'the primary was replaced meanwhile');
+  }
+
   async #runWrite(request: StatementRequest): Promise<StatementOutcome> {
     const { now } = this.options;
     let refusal: Refusal = { code: 'busy', text: 'no primary' };
     while (now() < request.deadline) {
-      const target = this.chooseTarget(request, new Set());
+      const target = this.targets.choose(request, new Set());
       if (target !== undefined) {
         const endWrite = request.service.beginWrite();
         const attempt = await this.#attempt(request, target);
         endWrite();
-        if (attempt.type === 'answered') return attempt;
+        if (attempt.type === 'answered') return this.confirmWrite(request.service, attempt);
         if (attempt.type === 'unknown') return refuse('in-doubt', 'no answer to a write');
         refusal = attempt.refusal;
       }
@@ -217,7 +145,7 @@
     while (now() < request.deadline) {
       const target =
         attempts < MAX_READ_ATTEMPTS || running.size === 0
-          ? this.chooseTarget(request, excluded)
+          ? this.targets.choose(request, excluded)
           : undefined;
       if (target !== undefined && this.#mayAttempt(target, excluded, running.size, lastSentAt)) {
         attempts += 1;
@@ -266,11 +194,12 @@
     const { instance } = chosen;
     instance.pool.outstanding += 1;
     try {
-      const acquired = await instance.pool.acquire(
-        request.session.values,
-        request.route.priority,
-        request.deadline,
-      );
+      const acquired = await instance.pool.acquire({
+        tenant: request.route.name,
+        priority: request.route.priority,
+        values: request.session.values,
+        deadline: request.deadline,
+      });
       if (acquired.isErr()) {
         this.noteUnreachable(request, instance, acquired.error);
         return { type: 'not-run', refusal: { code: 'busy', text: 'no connection' }, instance };
@@ -288,7 +217,7 @@
   ): Promise<Attempt> {
     const { wire, now } = this.options;
     const { instance } = chosen;
-    const target = this.recheck(request, chosen);
+    const target = this.targets.recheck(request, chosen);
     if (target === undefined || now() >= request.deadline) {
       instance.pool.release(connection);
       return { type: 'not-run', refusal: { code: 'busy', text: 'the primary changed' }, instance };
--- /dev/null
+++ b/src/direct/target-chooser.ts
@@ -0,0 +1,110 @@
+/** Chooses the instance of a statement or transaction, and the log position that it needs there. */
+import { laterPosition, type Position } from '../core/position.js';
+import type { Access } from '../core/request.js';
+import { rankInstances } from '../core/statements/instance-choice.js';
+import type { Milliseconds } from '../core/units.js';
+import type { RouteDescription } from './contract.js';
+import type { PrimaryView } from './promotion/contract.js';
+import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
+import type { TrustProver } from './trust-prover.js';
+
+/** A read must reach its instance within this, or its staleness bound may be missed. */
+const STALENESS_MARGIN_MS = 400;
+
+/** What one session brings along to every statement. */
+export interface SessionContext {
+  readonly values: ReadonlyMap<string, string>;
+  /** Last position that the session wrote, in the service's log. */
+  readonly lastWritten: Position | undefined;
+}
+
+/** What decides where a statement or transaction may go. */
+export interface Placement {
+  readonly access: Access;
+  readonly route: RouteDescription;
+  readonly service: ServiceRuntime;
+  readonly session: SessionContext;
+  /** When the statement came. */
+  readonly beganAt: Milliseconds;
+  /** A transaction that may write also reads, so that it must not begin at a deposed primary. */
+  readonly isTransaction?: boolean;
+}
+
+/** Where a statement goes and what position it needs there. */
+export interface Target {
+  readonly instance: InstanceRuntime;
+  readonly after: Position | undefined;
+}
+
+export interface TargetChooserOptions {
+  readonly view: PrimaryView;
+  readonly prover: TrustProver;
+  readonly now: () => Milliseconds;
+}
+
+export class TargetChooser {
+  constructor(private readonly options: TargetChooserOptions) {}
+
+  /** The instance for a new statement or transaction, or none for now. */
+  choose(placement: Placement, excluded: ReadonlySet<string>): Target | undefined {
+    const now = this.options.now();
+    const required = requiredPosition(placement, now);
+    if (needsPrimary(placement, required)) return this.#primaryTarget(placement, required, now);
+    const ranked = rankInstances(placement.service.readable(now), now);
+    const instance = ranked.find((candidate) => !excluded.has(candidate.id)) ?? ranked[0];
+    return instance === undefined ? undefined : { instance, after: required };
+  }
+
+  /** Whether a target chosen some time ago may still be used, and the position it needs now. */
+  recheck(placement: Placement, target: Target): Target | undefined {
+    const now = this.options.now();
+    if (!target.instance.isUsable(now)) return undefined;
+    const required = requiredPosition(placement, now);
+    if (!needsPrimary(placement, required)) return { instance: target.instance, after: required };
+    const primary = this.#primaryTarget(placement, required, now);
+    return primary?.instance.id === target.instance.id ? primary : undefined;
+  }
+
+  /** True if the primary is there, and only the proof that it still leads is missing. */
+  lacksTrust(placement: Placement): boolean {
+    const { view, now } = this.options;
+    const { service } = placement;
+    return (
+      reads(placement) &&
+      service.primary(now()) !== undefined &&
+      !view.mayTrustPrimary(service.name, now())
+    );
+  }
+
+  #primaryTarget(
+    placement: Placement,
+    after: Position | undefined,
+    now: Milliseconds,
+  ): Target | undefined {
+    const { service, beganAt, access } = placement;
+    const instance = service.primary(now);
+    if (instance === undefined || instance.pool.isStalled(access)) return undefined;
+    const isTrusted =
+      this.options.view.mayTrustPrimary(service.name, now) ||
+      this.options.prover.covers(service, instance.id, beganAt);
+    if (reads(placement) && !isTrusted) return undefined;
+    return { instance, after: access === 'read' ? after : undefined };
+  }
+}
+
+function reads({ access, isTransaction }: Placement): boolean {
+  return access === 'read' || isTransaction === true;
+}
+
+/** Without a position to ask for, only the primary is sure to have what the read must see. */
+function needsPrimary({ access, route }: Placement, required: Position | undefined): boolean {
+  return access === 'write' || route.consistency === 'primary' || required === undefined;
+}
+
+function requiredPosition(placement: Placement, now: Milliseconds): Position | undefined {
+  const { route, service, session } = placement;
+  const required = service.samples.requiredAt(now, route.maxStalenessMs - STALENESS_MARGIN_MS);
+  const { lastWritten } = session;
+  if (required === undefined || lastWritten === undefined) return required;
+  return route.consistency === 'read-your-writes' ? laterPosition(required, lastWritten) : required;
+}
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -9,7 +9,6 @@
 import type { InstanceConnection } from './instance-connection.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import {
-  type Placement,
   type Refusal,
   refuse,
   type StatementOutcome,
@@ -17,6 +16,7 @@
   type StatementRunner,
 } from './statement-runner.js';
 import { synchronise } from './synchronise.js';
+import type { Placement } from './target-chooser.js';
 import { firstWithin, pause } from './within.js';
 
 const RETRY_PAUSE_MS = 15;
@@ -111,7 +111,8 @@
       this.service.noteAnswer(instance, sentAt, answer.value.position);
       if (instance.primary) this.runner.noteSuccess(this.service, this.#wrote ? 'write' : 'read');
     }
-    return { type: 'answered', answer: answer.value };
+    const outcome = { type: 'answered' as const, answer: answer.value };
+    return this.#wrote ? this.runner.confirmWrite(this.service, outcome) : outcome;
   }
 
   get wrote(): boolean {
@@ -212,17 +213,22 @@
   ): Promise<OpenFailure | undefined> {
     const { now, wire } = this.runner.options;
     const placement = this.#placement(request);
-    const chosen = this.runner.chooseTarget(placement, excluded);
+    const chosen = this.runner.targets.choose(placement, excluded);
     if (chosen === undefined) return failureToOpen(undefined, 'no primary');
     const { instance } = chosen;
     const { values } = request.session;
-    const acquired = await instance.pool.acquire(values, this.route.priority, request.deadline);
+    const acquired = await instance.pool.acquire({
+      tenant: this.route.name,
+      priority: this.route.priority,
+      values,
+      deadline: request.deadline,
+    });
     if (acquired.isErr()) {
       this.runner.noteUnreachable(placement, instance, acquired.error);
       return failureToOpen(instance, 'no connection');
     }
     const connection = acquired.value;
-    const target = this.runner.recheck(placement, chosen);
+    const target = this.runner.targets.recheck(placement, chosen);
     if (target === undefined) {
       instance.pool.release(connection);
       return failureToOpen(undefined, 'the primary changed');
--- a/src/direct/trust-prover.ts
+++ b/src/direct/trust-prover.ts
@@ -2,15 +2,18 @@
  * Asks all members of a group for their log positions when the store can't vouch for its primary.
  * One round at a time serves everyone who waits for it when it is sent.
  */
-import { type MemberAnswer, PrimaryEvidence } from '../core/statements/primary-evidence.js';
+import {
+  type MemberAnswer,
+  PrimaryEvidence,
+  showsLaterTerm,
+} from '../core/statements/primary-evidence.js';
 import type { Milliseconds } from '../core/units.js';
+import { ownRequest } from './instance-pool.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import type { StatementWire } from './wire.js';
 import { firstWithin } from './within.js';
 
 const ROUND_TIMEOUT_MS = 150;
-const PRIORITY = 0;
-const NO_VALUES: ReadonlyMap<string, string> = new Map();
 
 export interface TrustProverOptions {
   readonly wire: StatementWire;
@@ -23,10 +26,16 @@
   proofsFailed: number;
 }
 
+/**
+ * What a round has shown: `proven`, that the primary led when it was sent; `deposed`, that another
+ * has led since; `unknown`, neither, as when a member did not answer.
+ */
+export type Verdict = 'proven' | 'deposed' | 'unknown';
+
 interface ServiceProof {
   readonly evidence: PrimaryEvidence;
-  running: Promise<boolean> | undefined;
-  next: Promise<boolean> | undefined;
+  running: Promise<Verdict> | undefined;
+  next: Promise<Verdict> | undefined;
 }
 
 export class TrustProver {
@@ -40,7 +49,12 @@
   }
 
   /** Resolves after a round that was sent after this call: true if it was a proof. */
-  prove(service: ServiceRuntime): Promise<boolean> {
+  async prove(service: ServiceRuntime): Promise<boolean> {
+    return (await this.examine(service)) === 'proven';
+  }
+
+  /** Resolves with what a round has shown that was sent after this call. */
+  examine(service: ServiceRuntime): Promise<Verdict> {
     const proof = this.#proofOf(service.name);
     if (proof.running === undefined) return this.#start(service, proof);
     proof.next ??= proof.running.then(() => {
@@ -59,31 +73,33 @@
     return proof;
   }
 
-  #start(service: ServiceRuntime, proof: ServiceProof): Promise<boolean> {
-    const round = this.#round(service, proof.evidence).then((proven) => {
+  #start(service: ServiceRuntime, proof: ServiceProof): Promise<Verdict> {
+    const round = this.#round(service, proof.evidence).then((verdict) => {
       proof.running = undefined;
-      if (!proven) this.options.counters.proofsFailed += 1;
-      return proven;
+      if (verdict !== 'proven') this.options.counters.proofsFailed += 1;
+      return verdict;
     });
     proof.running = round;
     return round;
   }
 
-  async #round(service: ServiceRuntime, evidence: PrimaryEvidence): Promise<boolean> {
+  async #round(service: ServiceRuntime, evidence: PrimaryEvidence): Promise<Verdict> {
     const { now, counters } = this.options;
     const sentAt = now();
     const primary = service.primary(sentAt);
     const term = primary === undefined ? undefined : service.trustedTermOf(primary.id);
-    if (primary === undefined || term === undefined) return false;
+    if (primary === undefined || term === undefined) return 'unknown';
     counters.proofRounds += 1;
     const questions = service.members().map((member) => this.#ask(member, sentAt));
     const answers = await Promise.all(questions);
-    return evidence.noteRound({ instanceId: primary.id, term }, sentAt, answers);
+    const known = { instanceId: primary.id, term };
+    if (evidence.noteRound(known, sentAt, answers)) return 'proven';
+    return showsLaterTerm(known, answers) ? 'deposed' : 'unknown';
   }
 
   async #ask(member: InstanceRuntime, sentAt: Milliseconds): Promise<MemberAnswer> {
     const deadline = sentAt + ROUND_TIMEOUT_MS;
-    const acquired = await member.pool.acquire(NO_VALUES, PRIORITY, deadline);
+    const acquired = await member.pool.acquire(ownRequest(deadline));
     if (acquired.isErr()) return { instanceId: member.id, position: undefined };
     const connection = acquired.value;
     connection.values.clear();
--- /dev/null
+++ b/test/property/fair-queue.test.ts
@@ -0,0 +1,81 @@
+/** A tenant that floods a queue waits behind its own requests, not in front of others. */
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { FairQueue, type QueuedRequest } from '../../src/core/statements/fair-queue.js';
+
+const SEED = 20261202;
+const RUNS = 300;
+const CONNECTIONS = 4;
+
+interface NumberedRequest extends QueuedRequest {
+  readonly number: number;
+}
+
+function request(tenant: string, number: number, priority = 1): NumberedRequest {
+  return { tenant, number, priority };
+}
+
+test('with a flood before it, another tenant gets the next connection that is free', () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 5, max: 60 }), (flood) => {
+      const queue = new FairQueue<NumberedRequest>(100);
+      for (let number = 0; number < flood; number += 1) queue.push(request('flood', number));
+      queue.push(request('quiet', 0));
+      const held = new Map([['flood', CONNECTIONS - 1]]);
+      assert.is(queue.takeNext(held)?.tenant, 'quiet');
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
+
+test('while all have requests waiting, no tenant holds two more than another', () => {
+  fc.assert(
+    fc.property(fc.array(fc.constantFrom('a', 'b', 'c'), { maxLength: 60 }), (arrivals) => {
+      const queue = new FairQueue<NumberedRequest>(100);
+      const waiting = new Map<string, number>();
+      for (const [number, tenant] of arrivals.entries()) {
+        queue.push(request(tenant, number));
+        waiting.set(tenant, (waiting.get(tenant) ?? 0) + 1);
+      }
+      const held = new Map<string, number>();
+      for (let next = queue.takeNext(held); next !== undefined; next = queue.takeNext(held)) {
+        held.set(next.tenant, (held.get(next.tenant) ?? 0) + 1);
+        waiting.set(next.tenant, (waiting.get(next.tenant) ?? 1) - 1);
+        for (const [tenant, left] of waiting) {
+          if (left === 0) continue;
+          assert.ok((held.get(next.tenant) ?? 0) - (held.get(tenant) ?? 0) <= 1);
+        }
+      }
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
+
+test('a higher priority goes first, and equals go in the order of their arrival', () => {
+  const queue = new FairQueue<NumberedRequest>(10);
+  queue.push(request('a', 1, 2));
+  queue.push(request('a', 2, 2));
+  queue.push(request('b', 3, 1));
+  const order = [1, 2, 3].map(() => queue.takeNext(new Map())?.number);
+  assert.equal(order, [3, 1, 2]);
+  assert.is(queue.takeNext(new Map()), undefined);
+});
+
+test('one tenant may have so many waiting and no more; what is removed is not taken', () => {
+  const queue = new FairQueue<NumberedRequest>(2);
+  const first = request('a', 1);
+  assert.ok(queue.push(first));
+  assert.ok(queue.push(request('a', 2)));
+  assert.not(queue.push(request('a', 3)));
+  assert.ok(queue.push(request('b', 4)));
+  assert.ok(queue.remove(first));
+  assert.not(queue.remove(first));
+  assert.equal(
+    queue.takeAll().map(({ number }) => number),
+    [2, 4],
+  );
+  assert.is(queue.length, 0);
+});
+
+test.run();
--- a/test/property/primary-evidence.test.ts
+++ b/test/property/primary-evidence.test.ts
@@ -6,6 +6,7 @@
   type KnownPrimary,
   PrimaryEvidence,
   provesPrimary,
+  showsLaterTerm,
 } from '../../src/core/statements/primary-evidence.js';
 import { StallDetector } from '../../src/core/statements/stall.js';
 
@@ -56,6 +57,14 @@
   assert.ok(provesPrimary(primary('successor', 2), answers));
 });
 
+test('a later term shows whoever has it, also if others are silent', () => {
+  const silent = { instanceId: 'other', position: undefined };
+  const later = { instanceId: 'successor', position: { timeline: 2, lsn: 1n } };
+  assert.ok(showsLaterTerm(primary('replaced', 1), [silent, later]));
+  assert.not(showsLaterTerm(primary('replaced', 1), [silent]));
+  assert.not(showsLaterTerm(primary('successor', 2), [silent, later]));
+});
+
 test('a round covers reads that began before it was sent, at that primary only', () => {
   const evidence = new PrimaryEvidence();
   const answers = [
