Lost answers free their connections; one lost answer is no stall

Change: a read's answer is waited for twice its patience, an abandoned exchange ends after 200 ms, two unanswered questions make a stall.

--- a/src/core/statements/stall.ts
+++ b/src/core/statements/stall.ts
@@ -6,7 +6,11 @@
   #unanswered = 0;
   #silentSince: Milliseconds = 0;
 
-  constructor(private readonly thresholdMs: Milliseconds) {}
+  constructor(
+    private readonly thresholdMs: Milliseconds,
+    /** One answer alone may be lost without the instance being any worse for it. */
+    private readonly minimumUnanswered: number,
+  ) {}
 
   /** Something was asked. */
   begin(now: Milliseconds): void {
@@ -27,6 +31,8 @@
 
   /** True while questions are open and none was answered for long. */
   isStalled(now: Milliseconds): boolean {
-    return this.#unanswered > 0 && now - this.#silentSince >= this.thresholdMs;
+    return (
+      this.#unanswered >= this.minimumUnanswered && now - this.#silentSince >= this.thresholdMs
+    );
   }
 }
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -67,6 +67,7 @@
 const LOST_FACTOR = 8;
 /** An instance that answers nothing for so long gets no new work but a probe now and then. */
 const STALL_MS = 400;
+const STALL_UNANSWERED = 2;
 /** A stalled instance gets one statement in so long, which shows whether it answers again. */
 const STALL_PROBE_MS = 200;
 /** An idle connection above the soft limit ends after this. */
@@ -82,8 +83,8 @@
   readonly #holders = new Map<InstanceConnection, string>();
   #lastError: InstanceConnectError | undefined;
   readonly #all = new Set<InstanceConnection>();
-  readonly #answers = new StallDetector(STALL_MS);
-  readonly #commits = new StallDetector(STALL_MS);
+  readonly #answers = new StallDetector(STALL_MS, STALL_UNANSWERED);
+  readonly #commits = new StallDetector(STALL_MS, STALL_UNANSWERED);
   #stallProbedAt: Milliseconds = 0;
   #opening = 0;
   #limit: number;
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -36,7 +36,9 @@
 /** Part of the aim that a request waits while no instance could be tried. */
 const UNTRIED_PATIENCE_SHARE = 0.2;
 /** An exchange that nobody waits for any more ends its connection after this. */
-const ABANDON_MS = 3000;
+const ABANDON_MS = 200;
+/** An answer to a read that takes so many times what it may take is waited for no longer. */
+const READ_PATIENCE_FACTOR = 2;
 
 export interface RunnerOptions {
   readonly wire: StatementWire;
@@ -228,7 +230,11 @@
     const exchange = connection.exchange(request.encode(target.after));
     connection.uncork();
     const endWatch = instance.pool.watchAnswer(request.access);
-    const answer = await this.awaitAnswer(exchange, connection, instance, request.deadline);
+    // A lost answer must not keep its connection from others; a write's may come late, and counts.
+    const readDeadline = sentAt + instance.pool.patienceMs * READ_PATIENCE_FACTOR;
+    const deadline =
+      request.access === 'read' ? Math.min(request.deadline, readDeadline) : request.deadline;
+    const answer = await this.awaitAnswer(exchange, connection, instance, deadline);
     endWatch(answer?.isOk() === true);
     if (answer === undefined || answer.isErr()) {
       const silentWrite = answer === undefined && request.access === 'write';
