Promotion: evidence by rounds of questions where the lease has lapsed

Change: reads and acknowledgements need the lease's trust or a round to all members that shows no later term; the simulated data path keeps to it, without an excuse for cut links.

--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -304,7 +304,7 @@
       this.#progressAt = runtime.now;
       return;
     }
-    const stuckMs = runtime.now - this.#progressAt;
+    const stuckMs = runtime.now - Math.max(this.#progressAt, this.#settledAt);
     if (stuckMs < runtime.timings.resignAfterMs) return;
     runtime.log('warn', 'change of primary stuck, resigning', { service: this.service });
     election.resign(runtime.timings.abstainMs);
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -75,10 +75,16 @@
     return this.#primaries.primaryOf(service, now);
   }
 
-  /** True if what the primary answers now is surely not that of a deposed one. */
-  mayTrustPrimary(service: string, now: Milliseconds): boolean {
+  /** True if what the primary, or this instance, answers now is surely not of a deposed one. */
+  mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
     if (!this.#participation.isPermitted(now)) return false;
-    return this.#primaries.primaryOf(service, now) !== undefined;
+    const primary = this.#primaries.primaryOf(service, now);
+    return primary !== undefined && (instance === undefined || instance === primary.id);
+  }
+
+  /** Members of a service that this node has seen lately, also if they are gone. */
+  membersOf(service: string): InstanceEntry[] {
+    return this.#primaries.remembered(service);
   }
 
   /** Nodes that there are, as the leader counted them last; at least this one. */
--- a/src/core/promotion/primaries.ts
+++ b/src/core/promotion/primaries.ts
@@ -49,6 +49,13 @@
       .map(({ entry }) => entry);
   }
 
+  /** Entries of a service that the store has, or had within memory. */
+  remembered(service: string): InstanceEntry[] {
+    return [...this.#instances.values()]
+      .map(({ entry }) => entry)
+      .filter((entry) => entry.service === service);
+  }
+
   isPresent(id: string): boolean {
     const known = this.#instances.get(id);
     return known !== undefined && known.goneAt === undefined;
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -10,10 +10,17 @@
   /** The instance that takes writes now, or undefined while it is changing or unknown. */
   primaryOf(service: string): InstanceEntry | undefined;
   /**
-   * True if a read that began by `now` and is sent to `primaryOf` now misses no commit that was
-   * acknowledged at a later primary. To be asked after the read's first byte has come.
+   * True if what this instance answers now is surely not of a deposed primary. To be asked before a
+   * read that relies on the primary is sent, after its first byte has come; and before a commit's
+   * acknowledgement is passed on. The instance is `primaryOf` the service if none is given.
    */
-  mayTrustPrimary(service: string, now: Milliseconds): boolean;
+  mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean;
+  /**
+   * Where `mayTrustPrimary` is false: asks the members themselves. True if no later primary had
+   * acknowledged anything when this was called. Costs a round trip and a slot at every member; many
+   * callers share one round.
+   */
+  confirmPrimary(service: string, instance: string): Promise<boolean>;
   /** Called when the primary of a service has changed, or began to change. */
   onChange: (service: string) => void;
   /** A request could not reach the primary, or got no commit acknowledged there in time. */
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -16,6 +16,9 @@
 import type { BoundedPromotionCaller, EndPrimaryUse, PrimaryUse, PrimaryView } from './contract.js';
 import { type ClassifyControlFailure, classifyBySystemCall } from './control-failure.js';
 import { RequestRunner } from './request-runner.js';
+import { TermConfirmation } from './term-confirmation.js';
+
+const CONFIRMATION_GAP_MS = 60;
 
 export interface PromotionServiceOptions {
   readonly nodeName: string;
@@ -39,6 +42,7 @@
   onChange: (service: string) => void = () => {};
   readonly #machine: PromotionMachine;
   readonly #runner: RequestRunner;
+  readonly #confirmation: TermConfirmation;
   readonly #now: () => Milliseconds;
   readonly #watches = new Map<number, () => void>();
   readonly #released: (() => void)[] = [];
@@ -63,6 +67,14 @@
     });
     const classifyFailure = options.classifyFailure ?? classifyBySystemCall;
     this.#runner = new RequestRunner({ store, control, promotion, classifyFailure, nodeName });
+    this.#confirmation = new TermConfirmation({
+      control,
+      classifyFailure,
+      membersOf: (service) => this.#machine.membersOf(service),
+      now: this.#now,
+      minimumGapMs: CONFIRMATION_GAP_MS,
+      timeoutMs: timings.controlTimeoutMs,
+    });
   }
 
   start(): void {
@@ -101,8 +113,12 @@
     return this.#machine.primaryOf(service, this.#now());
   }
 
-  mayTrustPrimary(service: string, now: Milliseconds): boolean {
-    return this.#machine.mayTrustPrimary(service, now);
+  mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
+    return this.#machine.mayTrustPrimary(service, now, instance);
+  }
+
+  confirmPrimary(service: string, instance: string): Promise<boolean> {
+    return this.#confirmation.confirm(service, instance);
   }
 
   reportPrimaryFailure(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
--- /dev/null
+++ b/src/direct/promotion/term-confirmation.ts
@@ -0,0 +1,88 @@
+/**
+ * Asks the members of a group whether any leads a later term, for all who wait at once: whoever asks
+ * while a round is on its way waits for the next, since a round proves nothing of what came after it.
+ */
+import { PrimaryEvidence, type RoundAnswer } from '../../core/promotion/evidence.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { InstanceControl, InstanceEntry } from '../contract.js';
+import type { ClassifyControlFailure } from './control-failure.js';
+
+export interface TermConfirmationOptions {
+  readonly control: Pick<InstanceControl, 'status'>;
+  readonly classifyFailure: ClassifyControlFailure;
+  /** Every member of the service that is known, also if its entry is gone. */
+  readonly membersOf: (service: string) => readonly InstanceEntry[];
+  readonly now: () => Milliseconds;
+  /** Rounds of one service are at least so far apart: each takes a slot at every member. */
+  readonly minimumGapMs: Milliseconds;
+  readonly timeoutMs: Milliseconds;
+}
+
+interface Waiter {
+  readonly primary: string;
+  readonly at: Milliseconds;
+  readonly resolve: (isProven: boolean) => void;
+}
+
+export class TermConfirmation {
+  readonly #evidence: PrimaryEvidence;
+  readonly #waiting = new Map<string, Waiter[]>();
+  readonly #planned = new Set<string>();
+
+  constructor(private readonly options: TermConfirmationOptions) {
+    this.#evidence = new PrimaryEvidence(options.minimumGapMs);
+  }
+
+  /** True if no primary later than this one had acknowledged anything when this was called. */
+  confirm(service: string, primary: string): Promise<boolean> {
+    return new Promise((resolve) => {
+      const waiter = { primary, at: this.options.now(), resolve };
+      const waiting = this.#waiting.get(service);
+      if (waiting === undefined) this.#waiting.set(service, [waiter]);
+      else waiting.push(waiter);
+      this.#plan(service);
+    });
+  }
+
+  #plan(service: string): void {
+    if (this.#planned.has(service)) return;
+    this.#planned.add(service);
+    const now = this.options.now();
+    const delayMs = this.#evidence.nextRoundAt(service, now) - now;
+    if (delayMs <= 0) void this.#round(service);
+    else setTimeout(() => void this.#round(service), delayMs);
+  }
+
+  async #round(service: string): Promise<void> {
+    const waiters = this.#waiting.get(service) ?? [];
+    this.#waiting.delete(service);
+    const sentAt = this.options.now();
+    this.#evidence.noteSent(service, sentAt);
+    const members = this.options.membersOf(service);
+    const answers = new Map<string, RoundAnswer>();
+    const questions = members.map(async (member) =>
+      answers.set(member.id, await this.#ask(member)),
+    );
+    await Promise.all(questions);
+    this.#planned.delete(service);
+    for (const primary of new Set(waiters.map((waiter) => waiter.primary))) {
+      this.#evidence.noteRound({ service, primary, sentAt, answers });
+    }
+    for (const { primary, at, resolve } of waiters) {
+      resolve(this.#evidence.covers(service, primary, at));
+    }
+    if (this.#waiting.has(service)) this.#plan(service);
+  }
+
+  async #ask(member: InstanceEntry): Promise<RoundAnswer> {
+    const { control, classifyFailure, timeoutMs, now } = this.options;
+    const endsAt = now() + timeoutMs;
+    for (;;) {
+      const answer = await control.status(member, Math.max(1, endsAt - now()));
+      if (answer.isOk()) return answer.value;
+      const failure = classifyFailure(answer.error);
+      if (failure === 'refused') return 'refused';
+      if (failure !== 'busy' || now() >= endsAt) return 'unknown';
+    }
+  }
+}
--- a/test/support/promotion/group.ts
+++ b/test/support/promotion/group.ts
@@ -6,10 +6,7 @@
 import type { ControlRequest, RequestAnswer } from '../../../src/core/promotion/contract.js';
 import type { InstanceEntry } from '../../../src/direct/contract.js';
 import type { SimulatedNetwork } from './network.js';
-import { STORE } from './store.js';
 
-/** A sender whose links were disrupted so recently is excused. */
-const THAW_SLACK_MS = 300;
 const PROMOTE_MS = 300;
 const STEPS_DOWN_AFTER_MS = 1000;
 
@@ -134,7 +131,7 @@
         const isDeposed = this.leader !== instance;
         if (!isDeposed) this.acknowledged.push({ id: commit, at: this.#clock.now, index });
         const passOn = (): void => {
-          if (!isDeposed || this.network.wasDisrupted(machine, STORE, THAW_SLACK_MS)) return;
+          if (!isDeposed) return;
           const at = this.#clock.now.toFixed(0);
           this.violations.push(`ONE: commit ${commit} at deposed ${id}, by ${machine} at ${at}`);
         };
--- a/test/support/promotion/network.ts
+++ b/test/support/promotion/network.ts
@@ -20,15 +20,6 @@
     return (this.#cuts.get(`${from}>${to}`) ?? 0) <= this.clock.now;
   }
 
-  /** The way between the two was cut, in any direction, within the last `slackMs`. */
-  wasDisrupted(left: string, right: string, slackMs: number): boolean {
-    const end = Math.max(
-      this.#cuts.get(`${left}>${right}`) ?? Number.NEGATIVE_INFINITY,
-      this.#cuts.get(`${right}>${left}`) ?? Number.NEGATIVE_INFINITY,
-    );
-    return end + slackMs > this.clock.now;
-  }
-
   /** Delivers after a delay, unless the way is cut at the start or the end of it. */
   send(from: string, to: string, action: () => void, lowMs = 0.5, highMs = 4): void {
     if (!this.reaches(from, to)) return;
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -6,6 +6,7 @@
   PromotionRequest,
   RequestAnswer,
 } from '../../../src/core/promotion/contract.js';
+import { provesPrimary, type RoundAnswer } from '../../../src/core/promotion/evidence.js';
 import { PromotionMachine } from '../../../src/core/promotion/machine.js';
 import { DEFAULT_PROMOTION_TIMINGS } from '../../../src/core/promotion/options.js';
 import type { SimulatedGroup } from './group.js';
@@ -32,6 +33,7 @@
   readonly log: string[] = [];
   writesAcknowledged = 0;
   readsServed = 0;
+  confirmedByRounds = 0;
   #life = 0;
   #watches = new Map<number, () => void>();
   #inbox: (() => void)[] = [];
@@ -210,9 +212,11 @@
       this.#run(life, () => {
         this.#writes.delete(write);
         finish();
-        if (write.isGivenUp) return;
-        this.writesAcknowledged += 1;
-        passOn();
+        this.#ifTrusted(service, primary.id, () => {
+          if (write.isGivenUp) return;
+          this.writesAcknowledged += 1;
+          passOn();
+        });
       }),
     );
   }
@@ -236,17 +240,50 @@
   }
 
   #read(service: string): void {
-    const { machine } = this;
     const begunAt = this.#clock.now;
-    const primary = machine?.primaryOf(service, this.now);
-    if (primary === undefined || !machine?.mayTrustPrimary(service, this.now)) return;
-    const finish = this.#expectAnswer(service, primary.id, 'reach');
-    this.world.groups.get(service)?.read(this.name, primary.id, begunAt, () => {
-      this.readsServed += 1;
-      finish();
+    const primary = this.machine?.primaryOf(service, this.now);
+    if (primary === undefined) return;
+    this.#ifTrusted(service, primary.id, () => {
+      const finish = this.#expectAnswer(service, primary.id, 'reach');
+      this.world.groups.get(service)?.read(this.name, primary.id, begunAt, () => {
+        this.readsServed += 1;
+        finish();
+      });
     });
   }
 
+  /** Goes on if the primary can be trusted by the lease, or else by a round to all members. */
+  #ifTrusted(service: string, primary: string, action: () => void): void {
+    const { machine } = this;
+    if (machine === undefined) return;
+    if (machine.mayTrustPrimary(service, this.now, primary)) {
+      action();
+      return;
+    }
+    const life = this.#life;
+    const members = machine.membersOf(service);
+    const answers = new Map<string, RoundAnswer>();
+    const sentAt = this.now;
+    for (const instance of members) {
+      const request = {
+        type: 'control',
+        action: 'status',
+        instance,
+        term: 0,
+        timeoutMs: 300,
+      } as const;
+      this.world.groups.get(service)?.control(this.name, request, (answer) =>
+        this.#run(life, () => {
+          answers.set(instance.id, roundAnswerOf(answer));
+          const isWhole = answers.size === members.length;
+          if (!isWhole || !provesPrimary({ service, primary, sentAt, answers })) return;
+          this.confirmedByRounds += 1;
+          action();
+        }),
+      );
+    }
+  }
+
   #expectAnswer(service: string, instance: string, use: 'reach' | 'commit'): () => void {
     const life = this.#life;
     let isAnswered = false;
@@ -264,3 +301,9 @@
     };
   }
 }
+
+function roundAnswerOf(answer: RequestAnswer): RoundAnswer {
+  if (answer.type === 'status') return answer.status;
+  const isRefused = answer.type === 'control-failed' && answer.failure === 'refused';
+  return isRefused ? 'refused' : 'unknown';
+}
