--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -39,7 +39,7 @@
   #writing = false;
   #calling = false;
   #confirming = false;
-  /** Since when no call may be on its way that could still take effect. */
+  /** From when on no call that has ended can take effect any more. */
   #settledAt: Milliseconds;
   #calledAt = Number.NEGATIVE_INFINITY;
   #nextCallAt = Number.NEGATIVE_INFINITY;
@@ -212,11 +212,16 @@
   #isStillCertain(candidate: string): boolean {
     const certain = certainMembers(this.#question());
     if (certain.some(({ entry }) => entry.id === candidate)) return true;
-    const isSettled = this.context.runtime.now >= this.#settledAt;
-    if (isSettled && certain.length > 0) this.#writeCandidate(undefined);
+    if (this.#isSettled && certain.length > 0) this.#writeCandidate(undefined);
     return false;
   }
 
+  /** No call of the promotion is on its way that could still take effect. */
+  get #isSettled(): boolean {
+    if (this.context.runtime.isDisabled('settled-calls')) return true;
+    return !this.#calling && this.context.runtime.now >= this.#settledAt;
+  }
+
   #notePromotion(outcome: PromoteOutcome): void {
     const { now, timings } = this.context.runtime;
     this.#calling = false;
@@ -246,9 +251,13 @@
     else this.#confirming = false;
   }
 
-  /** The first that is seen to lead a later term is the new primary, whatever becomes of it. */
+  /**
+   * One that leads a later term is the new primary, whatever becomes of it: the candidate, or another
+   * that an earlier leader called for, unless a call for the candidate may still depose it.
+   */
   #noteStatus(instance: InstanceEntry, { role, term }: InstanceStatus): void {
     if (role !== 'primary' || term <= this.record.term || this.#found !== undefined) return;
+    if (instance.id !== this.#namedCandidate() && !this.#isSettled) return;
     this.#found = { instance, term };
     this.#hold.stop();
     this.#finish(instance, term);
--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -130,7 +130,7 @@
   | 'hold'
   /** A leader stops by its own clock before its lease can run out at the store. */
   | 'own-clock'
-  /** The named candidate is kept by the next leader. */
-  | 'named-candidate'
+  /** No other candidate while a call for one may still take effect. */
+  | 'settled-calls'
   /** A node's permission ends with its lease, by its own clock. */
   | 'permission-lapse';
--- a/src/core/promotion/evidence.ts
+++ b/src/core/promotion/evidence.ts
@@ -1,14 +1,16 @@
 /**
  * The second source of trust in a primary, for when the lease has lapsed because the store is away: a
- * round of questions to every member of the group. If none of them leads a later term, or follows
- * one, then no later primary had acknowledged anything when the round was sent. So whatever began by
- * then, a read or the passing on of a commit, is as good as if no later primary existed.
+ * round of questions to every member of the group. A later primary that had acknowledged a commit
+ * would have given its term to as many replicas as a commit needs. So if few enough members don't
+ * answer, and none that does knows of a later term, no later primary had acknowledged anything when
+ * the round was sent: whatever began by then, a read or the passing on of a commit, is as good as if
+ * no later primary existed.
  */
 import type { InstanceStatus } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
 
-/** `refused`: nothing listens there, so it leads nothing. `unknown`: no answer, or none that tells. */
-export type RoundAnswer = InstanceStatus | 'refused' | 'unknown';
+/** `none`: no answer, or none that tells. */
+export type RoundAnswer = InstanceStatus | 'none';
 
 /** One finished round. */
 export interface TermRound {
@@ -16,20 +18,26 @@
   /** The instance that is taken for the primary. */
   readonly primary: string;
   readonly sentAt: Milliseconds;
+  readonly syncReplicas: number;
   /** Of every member that is known, the primary included, by id. */
   readonly answers: ReadonlyMap<string, RoundAnswer>;
 }
 
 /** True if the round proves that no later primary had acknowledged anything when it was sent. */
-export function provesPrimary({ primary, answers }: TermRound): boolean {
+export function provesPrimary({ primary, answers, syncReplicas }: TermRound): boolean {
   const leader = answers.get(primary);
   if (typeof leader !== 'object' || leader.role !== 'primary') return false;
+  let unanswered = 0;
   for (const [id, answer] of answers) {
-    if (id === primary || answer === 'refused') continue;
-    if (answer === 'unknown' || answer.role === 'primary') return false;
-    if (answer.term > leader.term) return false;
+    if (id === primary) continue;
+    if (answer === 'none') unanswered += 1;
+    else if (answer.role === 'primary' || termOf(answer) > leader.term) return false;
   }
-  return true;
+  return unanswered <= syncReplicas;
+}
+
+function termOf({ term, received }: InstanceStatus): number {
+  return Math.max(term, received.timeline);
 }
 
 interface Proof {
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -54,7 +54,7 @@
   /** A call that took no effect for so long is made again. */
   readonly promoteAgainMs: Milliseconds;
   readonly promoteBusyMs: Milliseconds;
-  /** A dead candidate is given up when no call for it can take effect any more. */
+  /** So long after its end, a call of the promotion can take effect no more. */
   readonly callSettledMs: Milliseconds;
   /** A leader that reaches none of the members for so long during a change resigns. */
   readonly resignAfterMs: Milliseconds;
@@ -95,7 +95,7 @@
   confirmEveryMs: 80,
   promoteAgainMs: 1500,
   promoteBusyMs: 200,
-  callSettledMs: 3000,
+  callSettledMs: 5000,
   resignAfterMs: 2500,
   dutyReadMs: 300,
   aftercareEveryMs: 250,
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -47,6 +47,7 @@
   readonly #watches = new Map<number, () => void>();
   readonly #released: (() => void)[] = [];
   readonly #stopped: (() => void)[] = [];
+  #syncReplicas: ReadonlyMap<string, number> = new Map();
   readonly #queue: PromotionEvent[] = [];
   #isHandling = false;
   #timer: NodeJS.Timeout | undefined;
@@ -71,6 +72,7 @@
       control,
       classifyFailure,
       membersOf: (service) => this.#machine.membersOf(service),
+      syncReplicasOf: (service) => this.#syncReplicas.get(service) ?? 0,
       now: this.#now,
       minimumGapMs: CONFIRMATION_GAP_MS,
       timeoutMs: timings.controlTimeoutMs,
@@ -106,6 +108,7 @@
   }
 
   noteServices({ services }: PublishedConfiguration): void {
+    this.#syncReplicas = new Map(services.map(({ name, syncReplicas }) => [name, syncReplicas]));
     this.#handle({ type: 'services-changed', services });
   }
 
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -12,6 +12,7 @@
   readonly classifyFailure: ClassifyControlFailure;
   /** Every member of the service that is known, also if its entry is gone. */
   readonly membersOf: (service: string) => readonly InstanceEntry[];
+  readonly syncReplicasOf: (service: string) => number;
   readonly now: () => Milliseconds;
   /** Rounds of one service are at least so far apart: each takes a slot at every member. */
   readonly minimumGapMs: Milliseconds;
@@ -59,6 +60,7 @@
     const sentAt = this.options.now();
     this.#evidence.noteSent(service, sentAt);
     const members = this.options.membersOf(service);
+    const syncReplicas = this.options.syncReplicasOf(service);
     const answers = new Map<string, RoundAnswer>();
     const questions = members.map(async (member) =>
       answers.set(member.id, await this.#ask(member)),
@@ -66,7 +68,7 @@
     await Promise.all(questions);
     this.#planned.delete(service);
     for (const primary of new Set(waiters.map((waiter) => waiter.primary))) {
-      this.#evidence.noteRound({ service, primary, sentAt, answers });
+      this.#evidence.noteRound({ service, primary, sentAt, syncReplicas, answers });
     }
     for (const { primary, at, resolve } of waiters) {
       resolve(this.#evidence.covers(service, primary, at));
@@ -80,9 +82,7 @@
     for (;;) {
       const answer = await control.status(member, Math.max(1, endsAt - now()));
       if (answer.isOk()) return answer.value;
-      const failure = classifyFailure(answer.error);
-      if (failure === 'refused') return 'refused';
-      if (failure !== 'busy' || now() >= endsAt) return 'unknown';
+      if (classifyFailure(answer.error) !== 'busy' || now() >= endsAt) return 'none';
     }
   }
 }
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -18,6 +18,7 @@
 /** A node waits so long for writes at a primary that is replaced. */
 const GIVE_UP_MS = 250;
 const WAIT_STEP_MS = 10;
+const ROUND_TIMEOUT_MS = 100;
 
 export interface NodeWorld {
   readonly network: SimulatedNetwork;
@@ -264,6 +265,15 @@
     const members = machine.membersOf(service);
     const answers = new Map<string, RoundAnswer>();
     const sentAt = this.now;
+    let isFinished = false;
+    const finish = (): void => {
+      if (isFinished) return;
+      isFinished = true;
+      for (const { id } of members) if (!answers.has(id)) answers.set(id, 'none');
+      if (!provesPrimary({ service, primary, sentAt, syncReplicas: 1, answers })) return;
+      this.confirmedByRounds += 1;
+      action();
+    };
     for (const instance of members) {
       const request = {
         type: 'control',
@@ -275,13 +285,11 @@
       this.world.groups.get(service)?.control(this.name, request, (answer) =>
         this.#run(life, () => {
           answers.set(instance.id, roundAnswerOf(answer));
-          const isWhole = answers.size === members.length;
-          if (!isWhole || !provesPrimary({ service, primary, sentAt, answers })) return;
-          this.confirmedByRounds += 1;
-          action();
+          if (answers.size === members.length) finish();
         }),
       );
     }
+    this.#clock.after(ROUND_TIMEOUT_MS, () => this.#run(life, finish));
   }
 
   #expectAnswer(service: string, instance: string, use: 'reach' | 'commit'): () => void {
@@ -303,7 +311,5 @@
 }
 
 function roundAnswerOf(answer: RequestAnswer): RoundAnswer {
-  if (answer.type === 'status') return answer.status;
-  const isRefused = answer.type === 'control-failed' && answer.failure === 'refused';
-  return isRefused ? 'refused' : 'unknown';
+  return answer.type === 'status' ? answer.status : 'none';
 }
