--- a/src/core/statements/primary-evidence.ts
+++ b/src/core/statements/primary-evidence.ts
@@ -48,11 +48,15 @@
     answers: readonly MemberAnswer[],
   ): boolean {
     if (!provesPrimary(primary, answers)) return false;
-    const primaryId = primary.instanceId;
+    this.noteProof(primary.instanceId, sentAt);
+    return true;
+  }
+
+  /** Another proof than a round of this kind covers what began by `provenAt`. */
+  noteProof(primaryId: string, provenAt: Milliseconds): void {
     if (this.#primaryId !== primaryId) this.#provenAt = Number.NEGATIVE_INFINITY;
     this.#primaryId = primaryId;
-    this.#provenAt = Math.max(this.#provenAt, sentAt);
-    return true;
+    this.#provenAt = Math.max(this.#provenAt, provenAt);
   }
 
   /** True if a read that began at `beganAt` may rely on this primary. */
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -24,6 +24,10 @@
     return true;
   }
 
+  async confirmPrimary(): Promise<boolean> {
+    return false;
+  }
+
   isChanging(): boolean {
     return false;
   }
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -85,7 +85,12 @@
     this.#firstConfiguration = new Promise((resolve) => {
       this.#tellFirstConfiguration = () => resolve(true);
     });
-    this.#prover = new TrustProver({ wire, now, counters: this.counters });
+    this.#prover = new TrustProver({
+      wire,
+      now,
+      counters: this.counters,
+      confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId),
+    });
     this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
     this.#server = new CallerServer({
       wire,
--- a/src/direct/trust-prover.ts
+++ b/src/direct/trust-prover.ts
@@ -14,11 +14,18 @@
 import { firstWithin } from './within.js';
 
 const ROUND_TIMEOUT_MS = 150;
+/** With more members silent, asking them for more than their positions can't prove anything either. */
+const MAX_SILENT_MEMBERS = 1;
 
 export interface TrustProverOptions {
   readonly wire: StatementWire;
   readonly now: () => Milliseconds;
   readonly counters: ProverCounters;
+  /**
+   * Asks the members for more than their positions, at the cost of a slot at each; it may do with
+   * fewer answers. True if the instance led when it was called.
+   */
+  confirmPrimary(service: string, instanceId: string): Promise<boolean>;
 }
 
 export interface ProverCounters {
@@ -94,7 +101,12 @@
     const answers = await Promise.all(questions);
     const known = { instanceId: primary.id, term };
     if (evidence.noteRound(known, sentAt, answers)) return 'proven';
-    return showsLaterTerm(known, answers) ? 'deposed' : 'unknown';
+    if (showsLaterTerm(known, answers)) return 'deposed';
+    const silent = answers.filter(({ position }) => position === undefined).length;
+    if (silent > MAX_SILENT_MEMBERS) return 'unknown';
+    if (!(await this.options.confirmPrimary(service.name, primary.id))) return 'unknown';
+    evidence.noteProof(primary.id, sentAt);
+    return 'proven';
   }
 
   async #ask(member: InstanceRuntime, sentAt: Milliseconds): Promise<MemberAnswer> {
