--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -6,12 +6,10 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { z } from 'zod';
-import { type StartedChild, startChild } from '../../bench/harness/child-process.js';
-import { ControlClient } from '../../bench/harness/control-client.js';
+import { type RunningFaultProxy, startFaultProxy } from '../../bench/harness/platform.js';
 import { listen } from '../../standins/common/process.js';
-import { type DirectLog, logSchema } from '../../standins/direct/run-log.js';
 import { checkDirectHistory, type RouteType, type Violation } from './direct-history.js';
+import { DirectPlatform } from './direct-platform.js';
 import { HistoryRecorder, RecordedSession } from './direct-session.js';
 import { until } from './until.js';
 
@@ -19,81 +17,6 @@
 const KEPT_OUTPUT_CHARACTERS = 20_000;
 const GATEWAY_PROGRAM = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
 
-const instanceSchema = z.object({
-  ...{ id: z.string(), service: z.string(), zone: z.string(), address: z.string() },
-  ...{ role: z.enum(['primary', 'replica']), term: z.int(), heldTerm: z.int() },
-  ...{ isRunning: z.boolean(), isDark: z.boolean(), connectionCount: z.int() },
-  ...{ received: z.string(), applied: z.string(), slotsInUse: z.int() },
-});
-const stateSchema = z.object({ instances: z.array(instanceSchema), leases: z.array(z.string()) });
-const announcementSchema = z.object({
-  ...{ storePort: z.int(), promotionPort: z.int(), controlPort: z.int() },
-  instances: z.array(instanceSchema),
-});
-export type InstanceState = z.infer<typeof instanceSchema>;
-
-/** The stand-in alone, with its control port. */
-export class DirectPlatform {
-  readonly control: ControlClient;
-
-  private constructor(
-    readonly child: StartedChild<z.output<typeof announcementSchema>>,
-    readonly heartbeatMs: number,
-  ) {
-    this.control = new ControlClient(HOST, child.announcement.controlPort);
-  }
-
-  static async start(flags: readonly string[] = [], heartbeatMs = 300): Promise<DirectPlatform> {
-    const all = [...flags, '--heartbeat-ms', String(heartbeatMs)];
-    const child = await startChild('standins/direct/main.js', all, announcementSchema);
-    return new DirectPlatform(child, heartbeatMs);
-  }
-
-  get storePort(): number {
-    return this.child.announcement.storePort;
-  }
-
-  get promotionPort(): number {
-    return this.child.announcement.promotionPort;
-  }
-
-  /** `POST` to the control port. */
-  async set(path: string, body: unknown = {}): Promise<void> {
-    await this.control.call('POST', path, z.looseObject({}), body);
-  }
-
-  async instances(): Promise<readonly InstanceState[]> {
-    return (await this.control.call('GET', '/state', stateSchema)).instances;
-  }
-
-  async instance(id: string): Promise<InstanceState> {
-    const found = (await this.instances()).find((one) => one.id === id);
-    if (found === undefined) throw new Error(`no instance ${id}`);
-    return found;
-  }
-
-  /** Waits until an instance other than `old` leads the service. */
-  async newPrimary(service: string, old: string): Promise<InstanceState> {
-    let found: InstanceState | undefined;
-    await until(`a primary of ${service} other than ${old}`, async () => {
-      const instances = await this.instances();
-      const isNew = (one: InstanceState): boolean => one.service === service && one.id !== old;
-      found = instances.find((one) => isNew(one) && one.role === 'primary');
-      return found !== undefined;
-    });
-    if (found === undefined) throw new Error('no new primary');
-    return found;
-  }
-
-  log(): Promise<DirectLog> {
-    return this.control.call('GET', '/log', logSchema);
-  }
-
-  stop(): Promise<void> {
-    return this.child.stop();
-  }
-}
-
 export interface TestRoute {
   readonly database: string;
   readonly service: string;
@@ -161,6 +84,8 @@
   readonly routes?: readonly TestRoute[];
   /** Flags of the stand-in. */
   readonly flags?: readonly string[];
+  /** Each gateway reaches the store through a fault proxy, so that it can be cut off. */
+  readonly cuttable?: boolean;
   /** Bounds that differ from the settings' own. */
   readonly bounds?: Readonly<Record<string, number>>;
 }
@@ -171,6 +96,7 @@
   readonly #folder = mkdtempSync(join(tmpdir(), 'direct-cluster-'));
   #routes: readonly TestRoute[];
   #version = 0;
+  #links: RunningFaultProxy | undefined;
 
   private constructor(
     readonly platform: DirectPlatform,
@@ -184,6 +110,7 @@
     const platform = await DirectPlatform.start(options.flags);
     const cluster = new DirectCluster(platform, options);
     try {
+      if (options.cuttable === true) cluster.#links = await startFaultProxy();
       await cluster.publish(cluster.#routes);
       for (let index = 0; index < (options.gateways ?? 1); index += 1) await cluster.startGateway();
       await Promise.all(cluster.gateways.map((gateway) => cluster.ready(gateway)));
@@ -205,7 +132,8 @@
     const name = `frontend-${this.gateways.length + 1}`;
     const [callersPort = 0, readinessPort = 0, controlPort = 0] = await freePorts(3);
     const path = join(this.#folder, `${name}.json`);
-    const ports = { callersPort, readinessPort, controlPort };
+    const storePort = await this.#storePortOf(name);
+    const ports = { callersPort, readinessPort, controlPort, storePort };
     writeFileSync(path, JSON.stringify(this.#settings(name, ports)));
     const child = spawn(process.execPath, ['--enable-source-maps', GATEWAY_PROGRAM], {
       env: { PATH: process.env.PATH, MEADOWSTACK_SETTINGS: path },
@@ -224,6 +152,18 @@
     return running;
   }
 
+  /** The port at which a gateway reaches the store. */
+  async #storePortOf(name: string): Promise<number> {
+    const { storePort } = this.platform;
+    const route = { name, targetHost: HOST, targetPort: storePort };
+    return (await this.#links?.addRoute(route))?.listenPort ?? storePort;
+  }
+
+  /** Cuts a gateway from the store, silently, or heals that. */
+  async setCutFromStore(index: number, cut: boolean): Promise<void> {
+    await this.#links?.setFaults(this.gateway(index).name, { up: { cut }, down: { cut } });
+  }
+
   gateway(index: number): DirectGatewayProcess {
     const gateway = this.gateways[index];
     if (gateway === undefined) throw new Error(`no gateway ${index}`);
@@ -256,16 +196,16 @@
   async stop(): Promise<void> {
     for (const { process: child } of this.gateways) child.kill('SIGKILL');
     await Promise.all(this.gateways.map(({ ended }) => ended));
-    await this.platform.stop();
+    await Promise.all([this.platform.stop(), this.#links?.stop()]);
     rmSync(this.#folder, { recursive: true });
   }
 
   #settings(
     name: string,
-    ports: { callersPort: number; readinessPort: number; controlPort: number },
+    ports: Readonly<Record<'callersPort' | 'readinessPort' | 'controlPort' | 'storePort', number>>,
   ): object {
     const control = `${HOST}:${ports.controlPort}`;
-    const { storePort, promotionPort, heartbeatMs } = this.platform;
+    const { promotionPort, heartbeatMs } = this.platform;
     return {
       ...{ node_name: name, role: 'gateway', machine_class: 'frontend', serves: ['frontend'] },
       ...{ ip_address: HOST, zone: 'zone-a', region: 'region' },
@@ -292,7 +232,12 @@
         ...this.options.bounds,
       },
       platform: {
-        ...{ address: `${HOST}:${storePort}`, form: 'kv', writes_per_s: 400, reads_per_s: 2000 },
+        ...{
+          address: `${HOST}:${ports.storePort}`,
+          form: 'kv',
+          writes_per_s: 400,
+          reads_per_s: 2000,
+        },
         ...{ history_s: 20, value_bytes: 1_048_576, min_ttl_ms: 1000 },
       },
       cloud_api: {
