--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -20,6 +20,10 @@
 import type { CallerMessage, StatementWire } from './wire.js';
 
 const SHARED_NAME_LENGTH = 16;
+/** Told to callers whose statement has not run: when to ask again. */
+const RETRY_AFTER_MS = 100;
+/** The same, while a primary is being replaced. */
+const RETRY_AFTER_CHANGE_MS = 500;
 /** Messages that a caller may send ahead of their answers. */
 const MAX_QUEUED_MESSAGES = 64;
 /** A caller that comes before this node knows its routes is answered after this at the latest. */
@@ -362,7 +366,16 @@
     const error = outcome.type === 'refused' ? outcome.refusal : outcome.answer.error;
     if (outcome.type === 'refused') counters.refused += 1;
     else counters.failed += 1;
-    this.#refuse(error?.code ?? 'failed', error?.text ?? '');
+    const hint = error?.code === 'busy' ? `; ${this.#retryHint()}` : '';
+    this.#refuse(error?.code ?? 'failed', `${error?.text ?? ''}${hint}`);
+  }
+
+  /** When it is worth asking again for what has not run. */
+  #retryHint(): string {
+    const service = this.#transaction?.service ?? this.#route()?.service;
+    const { view } = this.options.runner.options;
+    const isChanging = service !== undefined && view.isChanging(service.name);
+    return `retry after ${isChanging ? RETRY_AFTER_CHANGE_MS : RETRY_AFTER_MS} ms`;
   }
 
   #complete(): void {
