--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -90,8 +90,8 @@
     if (this.#ended) return;
     if (this.#queue.length >= MAX_QUEUED_MESSAGES) {
       this.options.write(this.options.wire.encodeError('too-large', 'too many messages at once'));
+      this.#queue.length = 0;
       this.#end();
-      this.close();
       return;
     }
     this.#queue.push(message);
--- /dev/null
+++ b/test/unit/direct/caller-session.test.ts
@@ -0,0 +1,144 @@
+/** A session's own rules: what it answers by itself, and in which order. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { lineWire } from '../../../platform/line-wire.js';
+import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
+import { CallerSession } from '../../../src/direct/caller-session.js';
+import type { RouteDescription } from '../../../src/direct/contract.js';
+import { ServiceRuntime } from '../../../src/direct/service-runtime.js';
+import { StatementRunner } from '../../../src/direct/statement-runner.js';
+import { TrustProver } from '../../../src/direct/trust-prover.js';
+
+const ROUTE: RouteDescription = {
+  name: 'route-1',
+  database: 'orders',
+  service: 'db-1',
+  consistency: 'primary',
+  maxStalenessMs: 0,
+  timeoutMs: 50,
+  targetLatencyMs: 10,
+  priority: 1,
+};
+
+/** The session's own pauses do not keep a process alive. */
+const KEEP_ALIVE_MS = 1000;
+let keepAlive: NodeJS.Timeout | undefined;
+
+test.before(() => {
+  keepAlive = setInterval(() => {}, KEEP_ALIVE_MS);
+});
+test.after(() => clearInterval(keepAlive));
+
+/** A session whose service has no instance at all. */
+function startSession() {
+  const now = () => performance.now();
+  const random = () => 0.5;
+  const view = new AnnouncedPrimaryView();
+  const poolCounters = { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0 };
+  const service = new ServiceRuntime('db-1', {
+    zone: 'a',
+    nodeCount: 1,
+    drainTimeoutMs: 7000,
+    view,
+    isStoreWell: () => true,
+    now,
+    pool: {
+      wire: lineWire,
+      connectTimeoutMs: 100,
+      reconnectDelayMs: 100,
+      now,
+      random,
+      counters: poolCounters,
+    },
+  });
+  const prover = new TrustProver({
+    wire: lineWire,
+    now,
+    counters: { proofRounds: 0, proofsFailed: 0 },
+    confirmPrimary: async () => false,
+  });
+  const lines: string[] = [];
+  const ended: true[] = [];
+  const session = new CallerSession({
+    wire: lineWire,
+    runner: new StatementRunner({ wire: lineWire, view, prover, now, random }),
+    routes: {
+      find: (database) => (database === 'orders' ? { route: ROUTE, service } : undefined),
+      known: async () => true,
+      transactionIdleMs: 3000,
+    },
+    now,
+    counters: { statements: 0, refused: 0, failed: 0, transactionsIdled: 0 },
+    write: (text) => lines.push(...text.split('\r\n').filter((line) => line !== '')),
+    end: () => ended.push(true),
+  });
+  /** Resolves once the session is at rest again. */
+  const send = (line: string): Promise<void> =>
+    new Promise((resolve) => {
+      session.onRest = resolve;
+      session.receive(lineWire.decodeCallerMessage(line));
+    });
+  return { session, lines, ended, send };
+}
+
+test('values and prepared statements are answered without any instance', async () => {
+  const { lines, send } = startSession();
+  await send('START orders u1');
+  await send('QUERY 1 SET role clerk');
+  await send('QUERY 2 PREPARE s1 READ shape');
+  await send('QUERY 3 DEALLOCATE s1');
+  await send('QUERY 4 EXECUTE s1 key');
+  assert.equal(lines.slice(0, 7), [
+    'READY I -',
+    'COMPLETE -',
+    'READY I -',
+    'COMPLETE -',
+    'READY I -',
+    'COMPLETE -',
+    'READY I -',
+  ]);
+  assert.equal(lines.slice(7), ['ERROR UNPREPARED s1', 'READY I -']);
+});
+
+test('what has not run is refused with a time to ask again', async () => {
+  const { lines, send } = startSession();
+  await send('START orders u1');
+  await send('QUERY 1 WRITE key value');
+  assert.match(lines[1] ?? '', /^ERROR BUSY .*retry after \d+ ms$/);
+  assert.is(lines[2], 'READY I -');
+});
+
+test('a transaction that failed takes only its end', async () => {
+  const { lines, send } = startSession();
+  await send('START orders u1');
+  await send('QUERY 1 BEGIN');
+  await send('QUERY 2 READ key');
+  assert.is(lines.at(-1), 'READY E -');
+  await send('QUERY 3 READ key');
+  assert.match(lines.at(-2) ?? '', /^ERROR MALFORMED /);
+  await send('QUERY 4 COMMIT');
+  assert.match(lines.at(-2) ?? '', /^ERROR ABORTED /);
+  assert.is(lines.at(-1), 'READY I -');
+});
+
+test('an unknown database, and a statement before the start, end the session', async () => {
+  const unknown = startSession();
+  unknown.session.receive(lineWire.decodeCallerMessage('START other u1'));
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.match(unknown.lines[0] ?? '', /^ERROR NODATABASE /);
+  assert.equal(unknown.ended, [true]);
+  const early = startSession();
+  early.session.receive(lineWire.decodeCallerMessage('QUERY 1 READ key'));
+  assert.match(early.lines[0] ?? '', /^ERROR MALFORMED /);
+  assert.equal(early.ended, [true]);
+});
+
+test('a caller that sends too far ahead is cut off instead of filling the memory', () => {
+  const { session, lines, ended } = startSession();
+  const message = lineWire.decodeCallerMessage('START orders u1');
+  for (let count = 0; count < 100; count += 1) session.receive(message);
+  assert.match(lines[0] ?? '', /^ERROR TOOLARGE /);
+  assert.equal(ended, [true]);
+});
+
+test.run();
