--- a/src/core/statements/primary-evidence.ts
+++ b/src/core/statements/primary-evidence.ts
@@ -31,6 +31,11 @@
   );
 }
 
+/** True if a member's log shows that another primary has committed something since. */
+export function showsLaterTerm(primary: KnownPrimary, answers: readonly MemberAnswer[]): boolean {
+  return answers.some(({ position }) => position !== undefined && position.timeline > primary.term);
+}
+
 /** The latest proof of one service. */
 export class PrimaryEvidence {
   #primaryId: string | undefined;
@@ -43,11 +48,15 @@
     answers: readonly MemberAnswer[],
   ): boolean {
     if (!provesPrimary(primary, answers)) return false;
-    const primaryId = primary.instanceId;
+    this.noteProof(primary.instanceId, sentAt);
+    return true;
+  }
+
+  /** Another proof than a round of this kind covers what began by `provenAt`. */
+  noteProof(primaryId: string, provenAt: Milliseconds): void {
     if (this.#primaryId !== primaryId) this.#provenAt = Number.NEGATIVE_INFINITY;
     this.#primaryId = primaryId;
-    this.#provenAt = Math.max(this.#provenAt, sentAt);
-    return true;
+    this.#provenAt = Math.max(this.#provenAt, provenAt);
   }
 
   /** True if a read that began at `beganAt` may rely on this primary. */
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -5,6 +5,7 @@
 import { createHash } from 'node:crypto';
 import type { Position } from '../core/position.js';
 import type { PreparedStatement } from '../core/statements/session-values.js';
+import { SessionVariables } from '../core/statements/session-variables.js';
 import type {
   Statement,
   StatementErrorCode,
@@ -18,9 +19,11 @@
 import { Transaction } from './transaction.js';
 import type { CallerMessage, StatementWire } from './wire.js';
 
-/** Values and prepared statements that one session may hold, so that none exhausts the node. */
-const MAX_SESSION_ENTRIES = 256;
 const SHARED_NAME_LENGTH = 16;
+/** Told to callers whose statement has not run: when to ask again. */
+const RETRY_AFTER_MS = 100;
+/** The same, while a primary is being replaced. */
+const RETRY_AFTER_CHANGE_MS = 500;
 /** Messages that a caller may send ahead of their answers. */
 const MAX_QUEUED_MESSAGES = 64;
 /** A caller that comes before this node knows its routes is answered after this at the latest. */
@@ -56,8 +59,7 @@
 
 export class CallerSession {
   #database: string | undefined;
-  readonly #values = new Map<string, string>();
-  readonly #prepared = new Map<string, PreparedStatement>();
+  readonly #variables = new SessionVariables(sharedNameOf);
   #transaction: Transaction | undefined;
   #state: TransactionState = 'idle';
   #lastWritten: Position | undefined;
@@ -88,8 +90,8 @@
     if (this.#ended) return;
     if (this.#queue.length >= MAX_QUEUED_MESSAGES) {
       this.options.write(this.options.wire.encodeError('too-large', 'too many messages at once'));
+      this.#queue.length = 0;
       this.#end();
-      this.close();
       return;
     }
     this.#queue.push(message);
@@ -204,13 +206,15 @@
         this.#rollback();
         return;
       case 'set':
-        this.#set(statement.name, statement.value);
+        this.#completeIf(this.#variables.set(statement.name, statement.value));
         return;
       case 'prepare':
-        this.#prepare(statement);
+        this.#completeIf(
+          this.#variables.prepare(statement.name, statement.access, statement.shape),
+        );
         return;
       case 'deallocate':
-        if (this.#prepared.delete(statement.name)) this.#complete();
+        if (this.#variables.deallocate(statement.name)) this.#complete();
         else this.#refuse('unprepared', statement.name);
         return;
       case 'run':
@@ -275,30 +279,17 @@
     this.#complete();
   }
 
-  #set(name: string, value: string): void {
-    if (!this.#values.has(name) && this.#values.size >= MAX_SESSION_ENTRIES) {
-      this.#refuse('too-large', 'too many values');
-      return;
-    }
-    this.#values.set(name, value);
-    this.#complete();
-  }
-
-  #prepare(statement: Extract<Statement, { type: 'prepare' }>): void {
-    const { name, access, shape } = statement;
-    if (!this.#prepared.has(name) && this.#prepared.size >= MAX_SESSION_ENTRIES) {
-      this.#refuse('too-large', 'too many prepared statements');
-      return;
-    }
-    this.#prepared.set(name, { access, shape, sharedName: sharedNameOf(access, shape) });
-    this.#complete();
+  /** Completes what was kept in the session, or refuses it for want of room. */
+  #completeIf(kept: boolean): void {
+    if (kept) this.#complete();
+    else this.#refuse('too-large', 'the session holds too many values or prepared statements');
   }
 
   async #execute(
     message: StatementMessage,
     statement: Extract<Statement, { type: 'execute' }>,
   ): Promise<void> {
-    const prepared = this.#prepared.get(statement.name);
+    const prepared = this.#variables.prepared(statement.name);
     if (prepared === undefined) {
       this.#fail({ type: 'refused', refusal: { code: 'unprepared', text: statement.name } });
       return;
@@ -347,7 +338,7 @@
     const now = this.options.now();
     const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
     return {
-      session: { values: this.#values, lastWritten },
+      session: { values: this.#variables.values, lastWritten },
       beganAt: now,
       deadline: now + route.timeoutMs,
     };
@@ -375,7 +366,16 @@
     const error = outcome.type === 'refused' ? outcome.refusal : outcome.answer.error;
     if (outcome.type === 'refused') counters.refused += 1;
     else counters.failed += 1;
-    this.#refuse(error?.code ?? 'failed', error?.text ?? '');
+    const hint = error?.code === 'busy' ? `; ${this.#retryHint()}` : '';
+    this.#refuse(error?.code ?? 'failed', `${error?.text ?? ''}${hint}`);
+  }
+
+  /** When it is worth asking again for what has not run. */
+  #retryHint(): string {
+    const service = this.#transaction?.service ?? this.#route()?.service;
+    const { view } = this.options.runner.options;
+    const isChanging = service !== undefined && view.isChanging(service.name);
+    return `retry after ${isChanging ? RETRY_AFTER_CHANGE_MS : RETRY_AFTER_MS} ms`;
   }
 
   #complete(): void {
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -11,7 +11,7 @@
   PublishedConfiguration,
   RouteDescription,
 } from './contract.js';
-import type { PoolCounters } from './instance-pool.js';
+import { ownRequest, type PoolCounters } from './instance-pool.js';
 import type { PrimaryView } from './promotion/contract.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
@@ -25,8 +25,6 @@
 const SAMPLE_INTERVAL_MS = 400;
 const SAMPLE_CHECK_MS = 100;
 const SAMPLE_TIMEOUT_MS = 500;
-const SAMPLE_PRIORITY = 0;
-const NO_VALUES: ReadonlyMap<string, string> = new Map();
 /** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
 const DRAIN_DELAY_MS = 2200;
 const DRAIN_CHECK_MS = 50;
@@ -42,6 +40,8 @@
   readonly settings: DirectSettings;
   readonly wire: StatementWire;
   readonly view: PrimaryView;
+  /** False while what the store last told of the instances may be out of date. */
+  readonly isStoreWell: () => boolean;
   readonly now: () => Milliseconds;
   readonly random: () => number;
 }
@@ -85,7 +85,12 @@
     this.#firstConfiguration = new Promise((resolve) => {
       this.#tellFirstConfiguration = () => resolve(true);
     });
-    this.#prover = new TrustProver({ wire, now, counters: this.counters });
+    this.#prover = new TrustProver({
+      wire,
+      now,
+      counters: this.counters,
+      confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId),
+    });
     this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
     this.#server = new CallerServer({
       wire,
@@ -217,18 +222,20 @@
   #service(name: string): ServiceRuntime {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
-    const { settings, wire, view, now } = this.options;
+    const { settings, wire, view, isStoreWell, now, random } = this.options;
     const service = new ServiceRuntime(name, {
       nodeCount: this.#nodeCount,
       zone: settings.zone,
       drainTimeoutMs: settings.drainTimeoutMs,
       view,
+      isStoreWell,
       now,
       pool: {
         wire,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         reconnectDelayMs: RECONNECT_DELAY_MS,
         now,
+        random,
         counters: this.counters,
       },
     });
@@ -260,7 +267,7 @@
     this.#sampling.add(service.name);
     this.counters.samplesAsked += 1;
     const deadline = now() + SAMPLE_TIMEOUT_MS;
-    const acquired = await primary.pool.acquire(NO_VALUES, SAMPLE_PRIORITY, deadline);
+    const acquired = await primary.pool.acquire(ownRequest(deadline));
     if (acquired.isErr()) {
       this.#runner.noteUnreachable({ service }, primary, acquired.error);
     } else {
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { Access } from '../core/request.js';
+import { FairQueue } from '../core/statements/fair-queue.js';
 import { synchronisationCost } from '../core/statements/session-values.js';
 import { StallDetector } from '../core/statements/stall.js';
 import type { Milliseconds } from '../core/units.js';
@@ -18,6 +19,7 @@
   /** After a failed opening, the next is tried no sooner than this. */
   readonly reconnectDelayMs: Milliseconds;
   readonly now: () => Milliseconds;
+  readonly random: () => number;
   readonly counters: PoolCounters;
 }
 
@@ -30,13 +32,34 @@
 
 export type AcquireError = InstanceConnectError | InstanceWaitTimeoutError;
 
-interface Waiter {
+/** Asks for a connection. */
+export interface ConnectionRequest {
+  /** Whose statement it is for: its route's name. */
+  readonly tenant: string;
+  /** 0 is the highest. */
   readonly priority: number;
+  /** Session values that the connection should have already, if one has them. */
   readonly values: ReadonlyMap<string, string>;
+  readonly deadline: Milliseconds;
+}
+
+interface Waiter extends ConnectionRequest {
   readonly settle: (connection: Result<InstanceConnection, AcquireError>) => void;
   timer: NodeJS.Timeout | undefined;
 }
 
+const OWN_TENANT = '';
+const NO_VALUES: ReadonlyMap<string, string> = new Map();
+
+/** A request for a question of the node's own, which goes before those of callers. */
+export function ownRequest(deadline: Milliseconds): ConnectionRequest {
+  return { tenant: OWN_TENANT, priority: 0, values: NO_VALUES, deadline };
+}
+
+/** Statements of one tenant that may wait for one instance; more are refused at once. */
+const MAX_WAITING_PER_TENANT = 200;
+/** Doublings of the pause between openings: up to 1.6 s after a first pause of 200 ms. */
+const MAX_BACKOFF_STEPS = 4;
 const INITIAL_ANSWER_MS = 25;
 const ANSWER_SMOOTHING = 0.1;
 /** An answer that takes longer than this, or so many times the recent time, is taken for lost. */
@@ -44,6 +67,7 @@
 const LOST_FACTOR = 8;
 /** An instance that answers nothing for so long gets no new work but a probe now and then. */
 const STALL_MS = 400;
+const STALL_UNANSWERED = 2;
 /** A stalled instance gets one statement in so long, which shows whether it answers again. */
 const STALL_PROBE_MS = 200;
 /** An idle connection above the soft limit ends after this. */
@@ -53,16 +77,22 @@
 
 export class InstancePool {
   readonly #idle: InstanceConnection[] = [];
-  readonly #waiters: Waiter[] = [];
+  readonly #waiters = new FairQueue<Waiter>(MAX_WAITING_PER_TENANT);
+  /** Connections that each tenant holds. */
+  readonly #held = new Map<string, number>();
+  readonly #holders = new Map<InstanceConnection, string>();
+  #lastError: InstanceConnectError | undefined;
   readonly #all = new Set<InstanceConnection>();
-  readonly #answers = new StallDetector(STALL_MS);
-  readonly #commits = new StallDetector(STALL_MS);
+  readonly #answers = new StallDetector(STALL_MS, STALL_UNANSWERED);
+  readonly #commits = new StallDetector(STALL_MS, STALL_UNANSWERED);
   #stallProbedAt: Milliseconds = 0;
   #opening = 0;
   #limit: number;
   #softLimit: number;
   #growTimer: NodeJS.Timeout | undefined;
   #retryAt: Milliseconds = 0;
+  /** Openings that failed in a row. */
+  #failures = 0;
   #closed = false;
   /** Statements of this node that run at the instance or wait for it. */
   outstanding = 0;
@@ -137,25 +167,27 @@
   }
 
   /** A free connection, opened if need be, by the deadline at the latest. */
-  acquire(
-    values: ReadonlyMap<string, string>,
-    priority: number,
-    deadline: Milliseconds,
-  ): Promise<Result<InstanceConnection, AcquireError>> {
-    const idle = this.#takeIdle(values);
-    if (idle !== undefined) return Promise.resolve(ok(idle));
+  acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>> {
+    const idle = this.#takeIdle(request.values);
+    if (idle !== undefined) {
+      this.#hold(idle, request.tenant);
+      return Promise.resolve(ok(idle));
+    }
     return new Promise((settle) => {
-      const waiter: Waiter = { priority, values, settle, timer: undefined };
-      const waitMs = Math.max(0, deadline - this.options.now());
+      const waiter: Waiter = { ...request, settle, timer: undefined };
+      if (!this.#waiters.push(waiter)) {
+        settle(err(new InstanceWaitTimeoutError(`${this.instance.id}: too many wait`)));
+        return;
+      }
+      const waitMs = Math.max(0, request.deadline - this.options.now());
       waiter.timer = setTimeout(() => this.#expire(waiter), waitMs);
-      const behind = this.#waiters.findIndex((other) => other.priority > priority);
-      this.#waiters.splice(behind < 0 ? this.#waiters.length : behind, 0, waiter);
       this.#openForWaiters();
     });
   }
 
   /** Gives a connection back; it is at rest outside any transaction. */
   release(connection: InstanceConnection): void {
+    this.#letGo(connection);
     if (connection.closed) {
       this.#openForWaiters();
       return;
@@ -164,7 +196,7 @@
       connection.close();
       return;
     }
-    const waiter = this.#waiters.shift();
+    const waiter = this.#waiters.takeNext(this.#held);
     connection.restingSince = this.options.now();
     if (waiter === undefined) this.#idle.push(connection);
     else this.#serve(waiter, connection);
@@ -202,19 +234,18 @@
 
   #serve(waiter: Waiter, connection: InstanceConnection): void {
     clearTimeout(waiter.timer);
+    this.#hold(connection, waiter.tenant);
     waiter.settle(ok(connection));
   }
 
   #expire(waiter: Waiter): void {
-    const index = this.#waiters.indexOf(waiter);
-    if (index < 0) return;
-    this.#waiters.splice(index, 1);
+    if (!this.#waiters.remove(waiter)) return;
     this.options.counters.waitTimeouts += 1;
     waiter.settle(err(new InstanceWaitTimeoutError(`${this.instance.id}: no connection was free`)));
   }
 
   #failWaiters(error: InstanceConnectError): void {
-    for (const waiter of this.#waiters.splice(0)) {
+    for (const waiter of this.#waiters.takeAll()) {
       clearTimeout(waiter.timer);
       waiter.settle(err(error));
     }
@@ -244,9 +275,11 @@
     while (!this.#closed && this.#opening < this.#waiters.length && this.size < limit) {
       if (this.options.now() < this.#retryAt && this.#all.size > 0) return;
       if (this.options.now() < this.#retryAt) {
-        this.#failWaiters(
-          new InstanceConnectError(`${this.instance.id}: not reachable`, undefined),
+        const unreachable = new InstanceConnectError(
+          `${this.instance.id}: not reachable`,
+          this.#lastError?.answer,
         );
+        this.#failWaiters(unreachable);
         return;
       }
       void this.#open();
@@ -267,6 +300,7 @@
     }
     const connection = opened.value;
     this.options.counters.connectionsOpened += 1;
+    this.#failures = 0;
     this.#all.add(connection);
     connection.onClose = () => this.#forget(connection);
     this.release(connection);
@@ -274,12 +308,30 @@
 
   #openFailed(error: InstanceConnectError): void {
     this.options.counters.connectFailures += 1;
-    this.#retryAt = this.options.now() + this.options.reconnectDelayMs;
+    this.#lastError = error;
+    this.#failures = Math.min(this.#failures + 1, MAX_BACKOFF_STEPS);
+    const ceilingMs = this.options.reconnectDelayMs * 2 ** (this.#failures - 1);
+    this.#retryAt = this.options.now() + ceilingMs * (0.5 + this.options.random() / 2);
     // Those who wait may still be served by the connections that are there.
     if (this.#all.size === 0) this.#failWaiters(error);
   }
 
+  #hold(connection: InstanceConnection, tenant: string): void {
+    this.#holders.set(connection, tenant);
+    this.#held.set(tenant, (this.#held.get(tenant) ?? 0) + 1);
+  }
+
+  #letGo(connection: InstanceConnection): void {
+    const tenant = this.#holders.get(connection);
+    if (tenant === undefined) return;
+    this.#holders.delete(connection);
+    const left = (this.#held.get(tenant) ?? 1) - 1;
+    if (left > 0) this.#held.set(tenant, left);
+    else this.#held.delete(tenant);
+  }
+
   #forget(connection: InstanceConnection): void {
+    this.#letGo(connection);
     this.#all.delete(connection);
     const index = this.#idle.indexOf(connection);
     if (index >= 0) this.#idle.splice(index, 1);
