--- /dev/null
+++ b/src/core/promotion/calls.ts
@@ -0,0 +1,101 @@
+/**
+ * Calls of the platform's promotion for one service, by this leader. A call without an answer may
+ * take effect later; while one can, no other instance may be called for, since the late one would
+ * depose it and what it has acknowledged would be lost.
+ */
+import type { PromoteOutcome } from '../../direct/contract.js';
+import type { Milliseconds } from '../units.js';
+import type { Election } from './election.js';
+import type { NodeLease } from './lease.js';
+import type { PromotionRuntime } from './runtime.js';
+
+export class PromotionCalls {
+  #isCalling = false;
+  /** Instance that the calls which are not settled were for. */
+  #instanceId: string | undefined;
+  /** Calls that may have taken effect, or may yet. */
+  #open = 0;
+  #settledAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #nextAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #isOfEarlierLeader = false;
+
+  constructor(
+    private readonly runtime: PromotionRuntime,
+    private readonly election: Election,
+    private readonly lease: NodeLease,
+    private readonly service: string,
+  ) {}
+
+  get isCalling(): boolean {
+    return this.#isCalling;
+  }
+
+  /** When the last call can take effect no more. */
+  get settledAt(): Milliseconds {
+    return this.#settledAt;
+  }
+
+  /** No call that was made can take effect any more. */
+  get isSettled(): boolean {
+    if (this.runtime.isDisabled('settled-calls')) return true;
+    return !this.#isCalling && this.runtime.now >= this.#settledAt;
+  }
+
+  /** An earlier leader named this instance, and may have called for it. */
+  noteEarlierLeader(instanceId: string): void {
+    const { callSettledMs, confirmFirstMs } = this.runtime.timings;
+    this.#instanceId = instanceId;
+    this.#isOfEarlierLeader = true;
+    this.#settledAt = Math.max(this.#settledAt, this.runtime.now + callSettledMs);
+    // Looks before it calls again.
+    this.#nextAt = Math.max(this.#nextAt, this.runtime.now + confirmFirstMs);
+  }
+
+  /** The instance leads: that accounts for one of the calls. */
+  noteLeads(instanceId: string): void {
+    const isWhole = instanceId === this.#instanceId && !this.#isOfEarlierLeader;
+    if (isWhole && this.#open <= 1 && !this.#isCalling) {
+      this.#settledAt = Number.NEGATIVE_INFINITY;
+      this.#open = 0;
+    }
+  }
+
+  /** Calls for an instance, if that may be done now; true if a call was made. */
+  call(instanceId: string): boolean {
+    const { runtime, election, lease } = this;
+    const { promoteTimeoutMs, promoteMarginMs } = runtime.timings;
+    const token = election.token;
+    if (this.#isCalling || runtime.now < this.#nextAt || token === undefined) return false;
+    if (instanceId !== this.#instanceId && !this.isSettled) return false;
+    if (!election.mayAct(promoteMarginMs)) return false;
+    if (instanceId !== this.#instanceId || this.isSettled) this.#begin(instanceId);
+    this.#isCalling = true;
+    election.noteCall();
+    const endsAt = Math.min(runtime.now + promoteTimeoutMs, lease.validUntil);
+    const request = { service: this.service, instanceId, fencingToken: token, endsAt };
+    const calledAt = runtime.now;
+    runtime.promote(request, (outcome) => this.#noteOutcome(instanceId, outcome, calledAt));
+    return true;
+  }
+
+  #begin(instanceId: string): void {
+    this.#instanceId = instanceId;
+    this.#isOfEarlierLeader = false;
+    this.#open = 0;
+  }
+
+  #noteOutcome(instanceId: string, outcome: PromoteOutcome, calledAt: Milliseconds): void {
+    const { now, timings } = this.runtime;
+    this.#isCalling = false;
+    if (outcome === 'accepted' || outcome === 'unknown') {
+      this.#open += 1;
+      this.#settledAt = now + timings.callSettledMs;
+      this.#nextAt = now + timings.promoteAgainMs;
+    } else {
+      this.#nextAt = now + timings.promoteBusyMs;
+    }
+    const afterMs = Math.round(now - calledAt);
+    const fields = { service: this.service, instance: instanceId, outcome, afterMs };
+    this.runtime.log('info', 'promotion called', fields);
+  }
+}
--- a/src/core/promotion/candidate.ts
+++ b/src/core/promotion/candidate.ts
@@ -19,6 +19,8 @@
   readonly stopped: boolean;
   /** Its entry is in the store. */
   readonly present: boolean;
+  /** This node reaches it. */
+  readonly isReached: boolean;
 }
 
 export interface CandidateQuestion {
@@ -36,7 +38,9 @@
 /** The instance to promote, if one is certain. */
 export function chooseCandidate(question: CandidateQuestion): InstanceEntry | undefined {
   const certain = certainMembers(question);
-  const eligible = certain.filter((member) => question.acceptAny || isGood(member, question.from));
+  const eligible = certain
+    .filter(({ isReached }) => isReached)
+    .filter((member) => question.acceptAny || isGood(member, question.from));
   const [best] = eligible.sort((left, right) => compareCandidates(left, right, question.from));
   return best?.entry;
 }
--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -2,14 +2,19 @@
  * One change of a service's primary, from the record that announces it to the record that names the
  * new one. Begins anew from the store's records under a later leader: every step can be repeated.
  */
-import type { InstanceEntry, InstanceStatus, PromoteOutcome } from '../../direct/contract.js';
+import type { InstanceEntry, InstanceStatus } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
-import { type CandidateQuestion, certainMembers, chooseCandidate } from './candidate.js';
+import type { PromotionCalls } from './calls.js';
+import {
+  type CandidateQuestion,
+  certainMembers,
+  chooseCandidate,
+  type MemberFinding,
+} from './candidate.js';
 import type { ControlFailure } from './contract.js';
 import type { DutyStore } from './duty-store.js';
 import type { Election } from './election.js';
 import { GroupHold } from './hold.js';
-import type { NodeLease } from './lease.js';
 import type { Primaries } from './primaries.js';
 import type { ChangingRecord } from './records.js';
 import type { PromotionRuntime } from './runtime.js';
@@ -21,11 +26,12 @@
 export interface ChangeContext {
   readonly runtime: PromotionRuntime;
   readonly election: Election;
-  readonly lease: NodeLease;
+  readonly calls: PromotionCalls;
   readonly primaries: Primaries;
   readonly store: DutyStore;
   syncReplicasOf(service: string): number;
   membersOf(service: string): readonly InstanceEntry[];
+  departedOf(service: string): readonly InstanceEntry[];
 }
 
 export class PrimaryChange {
@@ -37,12 +43,7 @@
   #isFree: boolean;
   #found: { readonly instance: InstanceEntry; readonly term: number } | undefined;
   #writing = false;
-  #calling = false;
-  #confirming = false;
-  /** From when on no call that has ended can take effect any more. */
-  #settledAt: Milliseconds;
-  #calledAt = Number.NEGATIVE_INFINITY;
-  #nextCallAt = Number.NEGATIVE_INFINITY;
+  #cancelConfirm = (): void => {};
   #progressAt: Milliseconds;
   #readAt: Milliseconds;
 
@@ -52,15 +53,15 @@
     readonly record: ChangingRecord,
     private readonly onFinished: () => void,
   ) {
-    const { runtime, primaries, store } = context;
+    const { runtime, primaries } = context;
     this.#scope = new Scope(runtime);
     this.#begunAt = runtime.now;
     this.#progressAt = runtime.now;
     this.#readAt = runtime.now;
-    // An earlier leader may have called for the candidate that it named.
-    const isNamed = this.#namedCandidate() !== undefined;
-    this.#isFree = isNamed;
-    this.#settledAt = runtime.now + (isNamed ? runtime.timings.callSettledMs : 0);
+    const named = this.#namedCandidate();
+    // One is named only once all nodes have acknowledged.
+    this.#isFree = named !== undefined;
+    if (named !== undefined) context.calls.noteEarlierLeader(named);
     const members = context.membersOf(service);
     this.#hold = new GroupHold(runtime, {
       from: members.find(({ id }) => id === record.from) ?? primaries.instance(record.from),
@@ -75,23 +76,13 @@
       from: record.from,
       planned: record.planned,
       change: record.change,
-      candidate: store.noteOf(service).candidate,
+      candidate: named,
     });
   }
 
-  /** A call of the promotion is on its way. */
-  get isCalling(): boolean {
-    return this.#calling;
-  }
-
   start(): void {
     if (!this.record.planned) this.#startHold();
-    const named = this.#namedCandidate();
-    if (named !== undefined) {
-      // Called for by an earlier leader, perhaps: looks before it calls again.
-      this.#nextCallAt = this.context.runtime.now + this.context.runtime.timings.confirmFirstMs;
-      this.#confirm(named);
-    }
+    this.#confirm();
     this.#tick();
   }
 
@@ -105,6 +96,7 @@
     const { election, runtime } = this.context;
     if (this.#scope.isEnded || !election.mayAct()) return;
     this.#noteAcknowledgements();
+    this.#hold.noteReplicas(this.#replicas());
     const isLate = runtime.now - this.#begunAt >= runtime.timings.plannedGraceMs;
     if (this.#isFree || isLate) this.#startHold();
     if (this.#found !== undefined) return;
@@ -156,17 +148,34 @@
 
   #question(): CandidateQuestion {
     const { runtime } = this.context;
-    const members = this.context.membersOf(this.service);
-    const replicas = members.filter(({ id }) => id !== this.record.from);
+    const departed = new Set(this.context.departedOf(this.service).map(({ id }) => id));
+    const replicas = this.#replicas().filter((entry) => {
+      // One that was forgotten counts again if it is back.
+      return !departed.has(entry.id) || !this.#hold.isUnheard(entry.id);
+    });
     return {
       replicas: replicas.map((entry) => this.#hold.findingOf(entry.id) ?? unheard(entry)),
-      from: this.#hold.findingOf(this.record.from),
+      from: this.#findingOfOld(),
       syncReplicas: this.context.syncReplicasOf(this.service),
       acceptAny: runtime.now - this.#begunAt >= runtime.timings.betterCandidateMs,
       withoutProof: runtime.isDisabled('hold'),
     };
   }
 
+  /** The leader's own finding, or that of a node which demoted the old primary. */
+  #findingOfOld(): MemberFinding | undefined {
+    const own = this.#hold.findingOf(this.record.from);
+    const end = this.context.store.endOf(this.service, this.record);
+    if (own === undefined || end === undefined || own.received !== undefined) return own;
+    return { ...own, received: end, stopped: true, isReached: false };
+  }
+
+  #replicas(): InstanceEntry[] {
+    const { membersOf, departedOf } = this.context;
+    const members = [...membersOf(this.service), ...departedOf(this.service)];
+    return members.filter(({ id }) => id !== this.record.from);
+  }
+
   #nameCandidate(): void {
     const candidate = chooseCandidate(this.#question());
     if (candidate !== undefined) this.#writeCandidate(candidate.id);
@@ -186,23 +195,10 @@
   }
 
   #promote(candidate: string): void {
-    const { runtime, election, lease } = this.context;
-    const { promoteTimeoutMs, promoteMarginMs } = runtime.timings;
-    if (this.#calling || this.#writing || runtime.now < this.#nextCallAt) return;
-    if (!this.#isStillCertain(candidate)) return;
-    const token = election.token;
-    if (token === undefined || !election.mayAct(promoteMarginMs)) return;
-    this.#calling = true;
-    this.#calledAt = runtime.now;
+    const { runtime, calls } = this.context;
+    if (this.#writing || !this.#isStillCertain(candidate) || !calls.call(candidate)) return;
     this.#progressAt = runtime.now;
-    const endsAt = Math.min(runtime.now + promoteTimeoutMs, lease.validUntil);
-    const request = { service: this.service, instanceId: candidate, fencingToken: token, endsAt };
-    runtime.log('info', 'promotion called', { ...request, change: this.record.change });
-    runtime.promote(
-      request,
-      this.#scope.guard((outcome) => this.#notePromotion(outcome)),
-    );
-    this.#scope.after(runtime.timings.confirmFirstMs, () => this.#confirm(candidate));
+    this.#confirmAfter(runtime.timings.confirmFirstMs);
   }
 
   /**
@@ -212,43 +208,26 @@
   #isStillCertain(candidate: string): boolean {
     const certain = certainMembers(this.#question());
     if (certain.some(({ entry }) => entry.id === candidate)) return true;
-    if (this.#isSettled && certain.length > 0) this.#writeCandidate(undefined);
+    if (this.context.calls.isSettled && certain.length > 0) this.#writeCandidate(undefined);
     return false;
   }
 
-  /** No call of the promotion is on its way that could still take effect. */
-  get #isSettled(): boolean {
-    if (this.context.runtime.isDisabled('settled-calls')) return true;
-    return !this.#calling && this.context.runtime.now >= this.#settledAt;
+  #confirmAfter(delayMs: Milliseconds): void {
+    this.#cancelConfirm();
+    this.#cancelConfirm = this.#scope.after(delayMs, () => this.#confirm());
   }
 
-  #notePromotion(outcome: PromoteOutcome): void {
-    const { now, timings } = this.context.runtime;
-    this.#calling = false;
-    const { promoteBusyMs, promoteAgainMs, callSettledMs } = timings;
-    if (outcome === 'accepted' || outcome === 'unknown') {
-      this.#settledAt = now + callSettledMs;
-      this.#nextCallAt = now + promoteAgainMs;
-    } else {
-      this.#nextCallAt = now + promoteBusyMs;
-    }
-    const fields = { service: this.service, outcome, afterMs: Math.round(now - this.#calledAt) };
-    this.context.runtime.log('info', 'promotion answered', fields);
-  }
-
-  #confirm(candidate: string): void {
-    const instance = this.#entryOf(candidate);
-    if (instance === undefined || this.#confirming) return;
-    this.#confirming = true;
+  /** Looks whether the named candidate leads, until it does. */
+  #confirm(): void {
+    const candidate = this.#namedCandidate();
+    const instance = candidate === undefined ? undefined : this.#entryOf(candidate);
+    if (this.#found !== undefined || instance === undefined) return;
     const { runtime } = this.context;
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
-      this.#confirming = false;
       if (typeof answer !== 'string') this.#noteStatus(instance, answer);
-      this.#scope.after(runtime.timings.confirmEveryMs, () => this.#confirm(candidate));
+      this.#confirmAfter(runtime.timings.confirmEveryMs);
     });
-    const isWanted = this.#found === undefined && this.#namedCandidate() === candidate;
-    if (isWanted) runtime.control('status', instance, 0, onAnswer);
-    else this.#confirming = false;
+    runtime.control('status', instance, 0, onAnswer);
   }
 
   /**
@@ -257,7 +236,9 @@
    */
   #noteStatus(instance: InstanceEntry, { role, term }: InstanceStatus): void {
     if (role !== 'primary' || term <= this.record.term || this.#found !== undefined) return;
-    if (instance.id !== this.#namedCandidate() && !this.#isSettled) return;
+    const { calls } = this.context;
+    if (instance.id !== this.#namedCandidate() && !calls.isSettled) return;
+    calls.noteLeads(instance.id);
     this.#found = { instance, term };
     this.#hold.stop();
     this.#finish(instance, term);
@@ -266,18 +247,7 @@
   /** A member leads a later term already: an earlier call took effect. */
   #lookForLeader(): void {
     const leader = this.#hold.leaderAfter(this.record.term);
-    if (leader !== undefined) this.#confirmFound(leader);
-  }
-
-  #confirmFound(instance: InstanceEntry): void {
-    if (this.#confirming) return;
-    this.#confirming = true;
-    const { runtime } = this.context;
-    const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
-      this.#confirming = false;
-      if (typeof answer !== 'string') this.#noteStatus(instance, answer);
-    });
-    runtime.control('status', instance, 0, onAnswer);
+    if (leader !== undefined) this.#noteStatus(leader.entry, leader.status);
   }
 
   #finish(instance: InstanceEntry, term: number): void {
@@ -307,13 +277,13 @@
 
   /** Another node may reach what this one does not. */
   #resignIfStuck(): void {
-    const { runtime, store, election } = this.context;
-    if (this.#calling || this.#writing || store.liveNodes() <= 1) return;
+    const { runtime, store, election, calls } = this.context;
+    if (calls.isCalling || this.#writing || store.liveNodes() <= 1 || !election.mayHandOn) return;
     if (!this.#isFree) {
       this.#progressAt = runtime.now;
       return;
     }
-    const stuckMs = runtime.now - Math.max(this.#progressAt, this.#settledAt);
+    const stuckMs = runtime.now - Math.max(this.#progressAt, calls.settledAt);
     if (stuckMs < runtime.timings.resignAfterMs) return;
     runtime.log('warn', 'change of primary stuck, resigning', { service: this.service });
     election.resign(runtime.timings.abstainMs);
@@ -328,5 +298,5 @@
 }
 
 function unheard(entry: InstanceEntry) {
-  return { entry, received: undefined, stopped: false, present: false };
+  return { entry, received: undefined, stopped: false, present: false, isReached: false };
 }
--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -2,12 +2,14 @@
  * What the leader reads and writes in the store for its duty. Every write has the condition that the
  * leader's key is still this leader's, and that what it replaces is what was read.
  */
-import type { TransactionOperation } from '../../platform/contract.js';
+import type { KeyValue, TransactionOperation } from '../../platform/contract.js';
+import { laterPosition, type Position } from '../position.js';
 import type { Election } from './election.js';
 import type { Primaries } from './primaries.js';
 import {
   acknowledgementForm,
   acknowledgementKeyOf,
+  acknowledgementPrefixOf,
   DUTY_PREFIX,
   type DutyNote,
   decodeRecord,
@@ -37,12 +39,15 @@
 const NODE_PREFIX = `${DUTY_PREFIX}nodes/`;
 const EMPTY_NOTE: DutyNote = {
   members: [],
+  departed: [],
   primary: undefined,
   candidate: undefined,
   change: 0,
 };
 
 export class DutyStore {
+  readonly #decodedNotes = new Map<string, { readonly entry: KeyValue; readonly note: DutyNote }>();
+
   constructor(
     private readonly runtime: PromotionRuntime,
     private readonly election: Election,
@@ -52,7 +57,13 @@
   ) {}
 
   noteOf(service: string): DutyNote {
-    return decodeRecord(this.duty.get(noteKeyOf(service)), dutyNoteForm) ?? EMPTY_NOTE;
+    const entry = this.duty.get(noteKeyOf(service));
+    if (entry === undefined) return EMPTY_NOTE;
+    const known = this.#decodedNotes.get(service);
+    if (known?.entry === entry) return known.note;
+    const note = decodeRecord(entry, dutyNoteForm) ?? EMPTY_NOTE;
+    this.#decodedNotes.set(service, { entry, note });
+    return note;
   }
 
   /** Nodes whose lease has not run out. */
@@ -88,6 +99,17 @@
     return inUse;
   }
 
+  /** End of the old primary's log, as the nodes that demoted it tell. */
+  endOf(service: string, { change }: PrimaryRecord): Position | undefined {
+    let latest: Position | undefined;
+    for (const entry of this.duty.under(acknowledgementPrefixOf(service))) {
+      const record = decodeRecord(entry, acknowledgementForm);
+      if (record?.change !== change || record.end === undefined) continue;
+      latest = latest === undefined ? record.end : laterPosition(latest, record.end);
+    }
+    return latest;
+  }
+
   /** Reads the duty's keys anew, for when the watch is behind. */
   readAnew(): void {
     this.duty.read();
--- a/src/core/promotion/election.ts
+++ b/src/core/promotion/election.ts
@@ -2,7 +2,7 @@
  * Which node holds the duty of promotions. The leader's key hangs on that node's lease; the revision
  * at which it was written is the fencing token, and so grows with every holder.
  */
-import type { Milliseconds } from '../units.js';
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../units.js';
 import type { NodeLease } from './lease.js';
 import type { Participation } from './participation.js';
 import { decodeRecord, LEADER_KEY, type LeaderRecord, leaderForm } from './records.js';
@@ -19,6 +19,7 @@
   #abstainUntil: Milliseconds = 0;
   #stopped = false;
   #removing: number | undefined;
+  #calledAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly runtime: PromotionRuntime,
@@ -40,6 +41,17 @@
     return this.lease.isValid(this.runtime.now + marginMs);
   }
 
+  /** A call of the promotion has begun. */
+  noteCall(): void {
+    this.#calledAt = this.runtime.now;
+  }
+
+  /** False while a promotion by the next holder would follow too soon upon one by this. */
+  get mayHandOn(): boolean {
+    const { leaseSeconds } = this.runtime.timings;
+    return this.runtime.now - this.#calledAt > leaseSeconds * MILLISECONDS_PER_SECOND;
+  }
+
   /** The leader's key or this node's registration may have changed. */
   update(): void {
     const entry = this.records.get(LEADER_KEY);
--- a/src/core/promotion/evidence.ts
+++ b/src/core/promotion/evidence.ts
@@ -1,16 +1,20 @@
 /**
  * The second source of trust in a primary, for when the lease has lapsed because the store is away: a
- * round of questions to every member of the group. A later primary that had acknowledged a commit
- * would have given its term to as many replicas as a commit needs. So if few enough members don't
- * answer, and none that does knows of a later term, no later primary had acknowledged anything when
- * the round was sent: whatever began by then, a read or the passing on of a commit, is as good as if
- * no later primary existed.
+ * round of questions to every member of the group proves something of what began before it was sent.
+ *
+ * - A read: that no later primary had acknowledged a commit. One that had would have given its term
+ *   to as many replicas as a commit needs, so as many members may be left without an answer.
+ * - The passing on of a commit's acknowledgement: that there was no later primary at all. It tells of
+ *   itself, so each member has to answer, or to be gone.
  */
 import type { InstanceStatus } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
 
-/** `none`: no answer, or none that tells. */
-export type RoundAnswer = InstanceStatus | 'none';
+/** `refused`: nothing listens there. `none`: no answer, or none that tells. */
+export type RoundAnswer = InstanceStatus | 'refused' | 'none';
+
+/** What a primary is trusted for. */
+export type TrustedUse = 'read' | 'commit';
 
 /** One finished round. */
 export interface TermRound {
@@ -23,15 +27,20 @@
   readonly answers: ReadonlyMap<string, RoundAnswer>;
 }
 
-/** True if the round proves that no later primary had acknowledged anything when it was sent. */
-export function provesPrimary({ primary, answers, syncReplicas }: TermRound): boolean {
+/** True if the round proves that the primary could be trusted when it was sent. */
+export function provesPrimary(round: TermRound, use: TrustedUse): boolean {
+  const { primary, answers, syncReplicas } = round;
   const leader = answers.get(primary);
   if (typeof leader !== 'object' || leader.role !== 'primary') return false;
   let unanswered = 0;
   for (const [id, answer] of answers) {
     if (id === primary) continue;
-    if (answer === 'none') unanswered += 1;
-    else if (answer.role === 'primary' || termOf(answer) > leader.term) return false;
+    if (typeof answer === 'string') {
+      if (answer === 'none' && use === 'commit') return false;
+      unanswered += 1;
+    } else if (answer.role === 'primary' || termOf(answer) > leader.term) {
+      return false;
+    }
   }
   return unanswered <= syncReplicas;
 }
@@ -47,14 +56,14 @@
 
 /** Until when the primary of each service is proven, and when the next round may be sent. */
 export class PrimaryEvidence {
-  readonly #proofs = new Map<string, Proof>();
+  readonly #proofs = { read: new Map<string, Proof>(), commit: new Map<string, Proof>() };
   readonly #lastSentAt = new Map<string, Milliseconds>();
 
   constructor(private readonly minimumGapMs: Milliseconds) {}
 
   /** True if what happened by `at` needs no further round. */
-  covers(service: string, primary: string, at: Milliseconds): boolean {
-    const proof = this.#proofs.get(service);
+  covers(service: string, primary: string, use: TrustedUse, at: Milliseconds): boolean {
+    const proof = this.#proofs[use].get(service);
     return proof !== undefined && proof.primary === primary && at <= proof.until;
   }
 
@@ -68,13 +77,14 @@
     this.#lastSentAt.set(service, now);
   }
 
-  /** Takes a finished round in; true if it proves its primary. */
-  noteRound(round: TermRound): boolean {
+  /** Takes a finished round in. */
+  noteRound(round: TermRound): void {
     const { service, primary, sentAt } = round;
-    if (!provesPrimary(round)) return false;
-    const known = this.#proofs.get(service);
-    const isOlder = known?.primary === primary && known.until >= sentAt;
-    if (!isOlder) this.#proofs.set(service, { primary, until: sentAt });
-    return true;
+    for (const use of ['read', 'commit'] as const) {
+      const known = this.#proofs[use].get(service);
+      const isOlder = known?.primary === primary && known.until >= sentAt;
+      if (isOlder || !provesPrimary(round, use)) continue;
+      this.#proofs[use].set(service, { primary, until: sentAt });
+    }
   }
 }
--- a/src/core/promotion/hold.ts
+++ b/src/core/promotion/hold.ts
@@ -17,6 +17,8 @@
   status: InstanceStatus | undefined;
   answeredAt: Milliseconds;
   action: ControlAction;
+  /** When a call was last answered or failed. */
+  triedAt: Milliseconds;
 }
 
 export interface HoldOptions {
@@ -33,7 +35,8 @@
 
 export class GroupHold {
   readonly #scope: Scope;
-  readonly #members: MemberState[];
+  #members: MemberState[];
+  #isStarted = false;
   #term: number;
   #heardAt: Milliseconds;
 
@@ -54,6 +57,7 @@
   }
 
   start(): void {
+    this.#isStarted = true;
     for (const member of this.#members) this.#secure(member);
   }
 
@@ -61,6 +65,20 @@
     this.#scope.end();
   }
 
+  /** The replicas that there are now: some may have joined, or have been replaced. */
+  noteReplicas(replicas: readonly InstanceEntry[]): void {
+    const fromId = this.options.from?.id;
+    this.#members = this.#members.filter(({ entry }) => {
+      return entry.id === fromId || replicas.some(({ id }) => id === entry.id);
+    });
+    for (const replica of replicas) {
+      if (this.#members.some(({ entry }) => entry.id === replica.id)) continue;
+      const member = memberState(replica, 'pause');
+      this.#members.push(member);
+      if (this.#isStarted) this.#secure(member);
+    }
+  }
+
   /** What is known of a member now. */
   findingOf(id: string): MemberFinding | undefined {
     const member = this.#members.find(({ entry }) => entry.id === id);
@@ -73,15 +91,24 @@
       received: known?.received,
       stopped: known !== undefined && this.#isStopped(member, known),
       present: this.options.isPresent(id),
+      isReached: known !== undefined,
     };
   }
 
-  /** A member that leads a term later than the given one. */
-  leaderAfter(term: number): InstanceEntry | undefined {
-    const leader = this.#members.find(
-      ({ status }) => status?.role === 'primary' && status.term > term,
-    );
-    return leader?.entry;
+  /** True if nothing was heard of a member though it was lately tried. */
+  isUnheard(id: string): boolean {
+    const member = this.#members.find(({ entry }) => entry.id === id);
+    const { now, timings } = this.runtime;
+    if (member === undefined || now - member.triedAt > timings.evidenceMaxAgeMs) return false;
+    return now - member.answeredAt > timings.evidenceMaxAgeMs;
+  }
+
+  /** A member that answered as the leader of a later term than the given one. */
+  leaderAfter(term: number): { entry: InstanceEntry; status: InstanceStatus } | undefined {
+    for (const { entry, status } of this.#members) {
+      if (status?.role === 'primary' && status.term > term) return { entry, status };
+    }
+    return undefined;
   }
 
   #isStopped({ entry }: MemberState, status: InstanceStatus): boolean {
@@ -91,6 +118,7 @@
 
   #secure(member: MemberState): void {
     const { secureEveryMs } = this.runtime.timings;
+    if (!this.#members.includes(member)) return;
     if (!this.options.mayAct()) {
       this.#scope.after(secureEveryMs, () => this.#secure(member));
       return;
@@ -98,6 +126,7 @@
     const term = this.#term + 1;
     const { action } = member;
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
+      member.triedAt = this.runtime.now;
       this.#noteAnswer(member, answer);
       const waitMs = answer === 'busy' ? BUSY_RETRY_MS : secureEveryMs;
       this.#scope.after(waitMs, () => this.#secure(member));
@@ -125,5 +154,6 @@
 }
 
 function memberState(entry: InstanceEntry, action: ControlAction): MemberState {
-  return { entry, status: undefined, answeredAt: Number.NEGATIVE_INFINITY, action };
+  const never = Number.NEGATIVE_INFINITY;
+  return { entry, status: undefined, answeredAt: never, triedAt: never, action };
 }
--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -97,12 +97,11 @@
     const context = {
       runtime: this.runtime,
       election: this.election,
-      lease: this.lease,
       primaries: this.primaries,
       store: this.#store,
       syncReplicasOf: (name: string) => this.#services.get(name)?.syncReplicas ?? 1,
     };
-    return new ServiceDuty(context, service);
+    return new ServiceDuty(context, this.lease, service);
   }
 
   #publishNodes(): void {
--- a/src/core/promotion/lease.ts
+++ b/src/core/promotion/lease.ts
@@ -3,9 +3,11 @@
  * store: it runs there from the arrival of the renewal, and here from before it was sent.
  */
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../units.js';
+import { LEADER_KEY } from './records.js';
 import { isTrouble, type PromotionRuntime, type StoreTrouble } from './runtime.js';
 
 const BACKOFF_MAXIMUM_MS = 2000;
+const SILENCES_UNTIL_LOOKING = 2;
 
 export class NodeLease {
   /** Called with every new lease. */
@@ -14,6 +16,8 @@
   #validUntil: Milliseconds = 0;
   #troubleAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #failures = 0;
+  /** Renewals without an answer since the last one that had one. */
+  #silences = 0;
   #stopped = false;
   #cancelNext = (): void => {};
 
@@ -76,14 +80,20 @@
   #renew(): void {
     const leaseId = this.#leaseId;
     if (leaseId === undefined) return;
+    if (this.#silences >= SILENCES_UNTIL_LOOKING) {
+      this.#look();
+      return;
+    }
     const { leaseRenewMs, leaseRetryMs } = this.runtime.timings;
     const sentAt = this.runtime.now;
     this.#cancelNext = this.runtime.after(leaseRetryMs, () => {
+      this.#silences += 1;
       this.#noteTrouble();
       this.#renew();
     });
     this.runtime.keepLease(leaseId, (answer) => {
       if (this.#stopped || leaseId !== this.#leaseId) return;
+      this.#silences = 0;
       if (answer === true) {
         this.#failures = 0;
         this.#validUntil = Math.max(this.#validUntil, this.#endOf(sentAt));
@@ -97,6 +107,24 @@
     });
   }
 
+  /**
+   * Renewals may reach the store though its answers don't come back: then the lease would hold up
+   * promotions, which wait for this node's acknowledgement. Renews no more until an answer comes.
+   */
+  #look(): void {
+    this.#cancelNext = this.runtime.after(this.runtime.timings.leaseRetryMs, () => {
+      this.#noteTrouble();
+      this.#look();
+    });
+    const cancel = this.#cancelNext;
+    this.runtime.range(LEADER_KEY, (answer) => {
+      if (this.#stopped || isTrouble(answer) || this.#silences === 0) return;
+      cancel();
+      this.#silences = 0;
+      this.#renewAfter(0);
+    });
+  }
+
   #replace(): void {
     this.runtime.log('warn', 'lease lost', { lease: this.#leaseId });
     this.#leaseId = undefined;
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -4,7 +4,7 @@
  */
 import type { InstanceEntry } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
-import type { PromotionEffect, PromotionEvent } from './contract.js';
+import type { PrimaryUse, PromotionEffect, PromotionEvent } from './contract.js';
 import { Election } from './election.js';
 import { Leader } from './leader.js';
 import { NodeLease } from './lease.js';
@@ -15,7 +15,6 @@
   decodeRecord,
   FLEET_KEY,
   fleetForm,
-  LEADER_KEY,
   RECORD_PREFIX,
   serviceOfPrimaryKey,
 } from './records.js';
@@ -24,6 +23,7 @@
 import { Suspicions } from './suspicion.js';
 
 const RELEASE_CHECK_MS = 50;
+const READ_WHEN_SUSPECT_MS = 1000;
 
 export class PromotionMachine {
   readonly #runtime: PromotionRuntime;
@@ -37,7 +37,7 @@
   /** Primary of each service as it was told last. */
   readonly #told = new Map<string, string | undefined>();
   #services: readonly string[] = [];
-  #isReleasing = false;
+  #readAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #isStopped = false;
 
   constructor(options: PromotionOptions) {
@@ -92,6 +92,11 @@
     return Math.max(1, decodeRecord(this.#records.get(FLEET_KEY), fleetForm)?.nodes ?? 1);
   }
 
+  /** True if a success of the primary needs no telling: nothing depends on it. */
+  isSuccessIdle(service: string): boolean {
+    return this.#election.token === undefined && this.#suspicions.isWell(service);
+  }
+
   get isLeader(): boolean {
     return this.#election.mayAct();
   }
@@ -125,15 +130,10 @@
         this.#leader.noteServices(event.services);
         return;
       case 'primary-failed':
-        this.#noteUse(event.service, (instance) =>
-          this.#suspicions.noteFailure(event.service, instance, event.use),
-        );
+        this.#noteFailure(event.service, event.use);
         return;
       case 'primary-succeeded':
-        this.#noteUse(event.service, (instance) => {
-          this.#suspicions.noteSuccess(event.service, instance, event.use);
-          this.#leader.noteAlive(event.service, instance);
-        });
+        this.#noteSuccess(event.service, event.use);
         return;
       case 'use-ended':
         this.#participation.noteUseEnded(event.service, event.change);
@@ -146,9 +146,22 @@
     }
   }
 
-  #noteUse(service: string, note: (instance: string) => void): void {
+  #noteFailure(service: string, use: PrimaryUse): void {
+    const instance = this.#primaries.primaryIdOf(service);
+    if (instance === undefined) return;
+    this.#suspicions.noteFailure(service, instance, use);
+    // The news that it is being replaced may be held up on the way.
+    if (this.#suspicions.suspectOf(service) === undefined) return;
+    if (this.#runtime.now - this.#readAt < READ_WHEN_SUSPECT_MS) return;
+    this.#readAt = this.#runtime.now;
+    this.#records.read();
+  }
+
+  #noteSuccess(service: string, use: PrimaryUse): void {
     const instance = this.#primaries.primaryIdOf(service);
-    if (instance !== undefined) note(instance);
+    if (instance === undefined) return;
+    this.#suspicions.noteSuccess(service, instance, use);
+    this.#leader.noteAlive(service, instance);
   }
 
   #noteRecords(): void {
@@ -172,24 +185,15 @@
     }
   }
 
-  /** Hands the lead on, once no call of the promotion is on its way. */
+  /** Hands the lead on, once the next holder may call promotions without following too soon. */
   #release(): void {
-    this.#isReleasing = true;
-    this.#election.stop();
-    if (this.#leader.isCalling) {
+    const isLeader = this.#election.token !== undefined;
+    if (isLeader && (this.#leader.isCalling || !this.#election.mayHandOn)) {
       this.#runtime.after(RELEASE_CHECK_MS, () => this.#release());
       return;
     }
-    const hasToken =
-      this.#records.get(LEADER_KEY) !== undefined && this.#election.token !== undefined;
-    if (hasToken) this.#election.resign(0, () => this.#noteReleased());
-    else this.#noteReleased();
-  }
-
-  #noteReleased(): void {
-    if (!this.#isReleasing) return;
-    this.#isReleasing = false;
-    this.#runtime.emit({ type: 'leadership-released' });
+    this.#election.stop();
+    this.#election.resign(0, () => this.#runtime.emit({ type: 'leadership-released' }));
   }
 
   #stop(): void {
--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -13,6 +13,7 @@
 
 const CHECK_EVERY_MS = 1000;
 const GONE_BEFORE_CHECK_MS = 1000;
+const DEPARTED_KEPT = 6;
 
 export class GroupMembers {
   readonly #scope: Scope;
@@ -50,6 +51,14 @@
     return [...present, ...gone];
   }
 
+  /** Forgotten members that have no entry yet, should they come back. */
+  departed(): InstanceEntry[] {
+    const current = this.current();
+    return this.store
+      .noteOf(this.service)
+      .departed.filter(({ id }) => current.every((member) => member.id !== id));
+  }
+
   /** Brings the note in the store up to date. */
   update(): void {
     const members = this.current();
@@ -60,10 +69,15 @@
     this.#write(members, primary);
   }
 
-  #write(members: readonly InstanceEntry[], primary: string | undefined): void {
+  #write(
+    members: readonly InstanceEntry[],
+    primary: string | undefined,
+    departed?: readonly InstanceEntry[],
+  ): void {
     if (this.#writing) return;
     this.#writing = true;
-    const note = { ...this.store.noteOf(this.service), members, primary };
+    const known = this.store.noteOf(this.service);
+    const note = { ...known, members, primary, departed: departed ?? known.departed };
     const onDone = this.#scope.guard((succeeded: boolean) => {
       this.#writing = false;
       const waitMs = succeeded ? 0 : this.runtime.timings.storeRetryMs;
@@ -132,7 +146,9 @@
     const members = note.members.filter((member) => member.id !== id);
     if (members.length === note.members.length || this.primaries.isPresent(id)) return;
     if (this.primaries.primaryIdOf(this.service) === undefined) return;
-    this.#write(members, note.primary);
+    const member = note.members.filter((one) => one.id === id);
+    const departed = [...member, ...note.departed.filter((one) => one.id !== id)];
+    this.#write(members, note.primary, departed.slice(0, DEPARTED_KEPT));
   }
 }
 
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -45,6 +45,8 @@
   readonly betterCandidateMs: Milliseconds;
   /** A node acknowledges after so long, also if writes at the old primary are on their way. */
   readonly endUseMs: Milliseconds;
+  /** A node waits so long for an old primary's answer to its demotion before it acknowledges. */
+  readonly demoteWaitMs: Milliseconds;
   readonly promoteTimeoutMs: Milliseconds;
   /** No call of the promotion begins with less than this left of the leader's lease. */
   readonly promoteMarginMs: Milliseconds;
@@ -89,6 +91,7 @@
   plannedGraceMs: 500,
   betterCandidateMs: 700,
   endUseMs: 400,
+  demoteWaitMs: 150,
   promoteTimeoutMs: 1000,
   promoteMarginMs: 400,
   confirmFirstMs: 250,
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -4,14 +4,15 @@
  * permission that this gives; a promotion waits for every node that may have it.
  */
 import type { InstanceEntry } from '../../direct/contract.js';
+import type { Position } from '../position.js';
 import type { Milliseconds } from '../units.js';
 import type { NodeLease } from './lease.js';
 import {
-  type AcknowledgementRecord,
   acknowledgementForm,
   acknowledgementKeyOf,
   type ChangingRecord,
   decodeRecord,
+  encodeAcknowledgement,
   nodeForm,
   nodeKeyOf,
   type PrimaryRecord,
@@ -25,7 +26,8 @@
   readonly change: number;
   readonly leaseId: string;
   cancel: () => void;
-  step: 'ending-use' | 'writing' | 'written';
+  step: 'ending-use' | 'demoting' | 'writing' | 'written';
+  end: Position | undefined;
 }
 
 export class Participation {
@@ -88,7 +90,7 @@
     const state = this.#acknowledgements.get(service);
     if (state?.change !== change || state.step !== 'ending-use') return;
     state.cancel();
-    this.#write(service, state, 0);
+    this.#demote(service, state);
   }
 
   #register(leaseId: string, knownRevision: number): void {
@@ -135,20 +137,20 @@
       leaseId,
       cancel: () => {},
       step: 'ending-use',
+      end: undefined,
     };
     this.#acknowledgements.set(service, state);
     const { endUseMs } = this.runtime.timings;
-    state.cancel = this.runtime.after(endUseMs, () => this.#write(service, state, 0));
+    state.cancel = this.runtime.after(endUseMs, () => this.#demote(service, state));
     this.runtime.emit({ type: 'end-use', service, change });
   }
 
   #write(service: string, state: AcknowledgementState, knownRevision: number): void {
-    if (state.step === 'ending-use') this.#demote(state.record);
     state.step = 'writing';
     state.cancel = () => {};
     const { leaseId, change } = state;
     const key = acknowledgementKeyOf(service, this.runtime.options.nodeName);
-    const value = JSON.stringify({ change, leaseId } satisfies AcknowledgementRecord);
+    const value = encodeAcknowledgement({ change, leaseId, end: state.end });
     const put = { type: 'put', key, value, leaseId } as const;
     this.runtime.transaction([{ key, modRevision: knownRevision }], [put], (answer) => {
       if (this.#acknowledgements.get(service) !== state) return;
@@ -166,12 +168,30 @@
   }
 
   /**
-   * The leader may be cut off from an old primary that this node reaches. A planned change leaves
-   * this to the leader, which waits until no node has a write on its way.
+   * The leader may be cut off from an old primary that this node reaches, and that may still get
+   * commits acknowledged: this node demotes it too, and tells the end of its log. A planned change
+   * leaves this to the leader, which waits until no node has a write on its way.
    */
-  #demote({ from, term, planned }: ChangingRecord): void {
+  #demote(service: string, state: AcknowledgementState): void {
+    const { from, term, planned } = state.record;
     const instance = planned ? undefined : this.instanceOf(from);
-    if (instance !== undefined) this.runtime.control('demote', instance, term + 1, () => {});
+    if (instance === undefined) {
+      this.#write(service, state, 0);
+      return;
+    }
+    state.step = 'demoting';
+    let isOver = false;
+    const goOn = (): void => {
+      if (isOver || this.#acknowledgements.get(service) !== state) return;
+      isOver = true;
+      state.cancel();
+      this.#write(service, state, 0);
+    };
+    state.cancel = this.runtime.after(this.runtime.timings.demoteWaitMs, goOn);
+    this.runtime.control('demote', instance, term + 1, (answer) => {
+      if (typeof answer !== 'string' && answer.role === 'replica') state.end = answer.received;
+      goOn();
+    });
   }
 
   #retryDelay(atLeastMs: Milliseconds): Milliseconds {
--- a/src/core/promotion/primaries.ts
+++ b/src/core/promotion/primaries.ts
@@ -3,11 +3,17 @@
  * themselves. A record binds; before the first change the one that calls itself primary is it.
  */
 import type { InstanceEntry } from '../../direct/contract.js';
+import type { KeyValue } from '../../platform/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { PromotionTimings } from './options.js';
 import { decodeRecord, type PrimaryRecord, primaryForm, primaryKeyOf } from './records.js';
 import type { StoreView } from './store-view.js';
 
+interface DecodedRecord {
+  readonly entry: KeyValue;
+  readonly record: PrimaryRecord | undefined;
+}
+
 interface KnownInstance {
   readonly entry: InstanceEntry;
   /** Since when the store has no entry of it. */
@@ -19,6 +25,9 @@
 
 export class Primaries {
   readonly #instances = new Map<string, KnownInstance>();
+  readonly #decoded = new Map<string, DecodedRecord>();
+  /** Who calls itself primary, by service; made anew when the instances change. */
+  readonly #claims = new Map<string, string | undefined>();
 
   constructor(
     private readonly records: StoreView,
@@ -28,6 +37,7 @@
   ) {}
 
   noteInstances(entries: readonly InstanceEntry[], now: Milliseconds): void {
+    this.#claims.clear();
     const present = new Set(entries.map(({ id }) => id));
     for (const entry of entries) this.#instances.set(entry.id, { entry, goneAt: undefined });
     for (const [id, { entry, goneAt }] of this.#instances) {
@@ -69,8 +79,15 @@
     return now - Math.max(known.goneAt, this.troubleAt());
   }
 
+  /** Asked for with every request: each entry is decoded once. */
   recordOf(service: string): PrimaryRecord | undefined {
-    return decodeRecord(this.records.get(primaryKeyOf(service)), primaryForm);
+    const entry = this.records.get(primaryKeyOf(service));
+    if (entry === undefined) return undefined;
+    const known = this.#decoded.get(service);
+    if (known?.entry === entry) return known.record;
+    const record = decodeRecord(entry, primaryForm);
+    this.#decoded.set(service, { entry, record });
+    return record;
   }
 
   /** Mod revision of the service's record; 0 if it has none. */
@@ -96,6 +113,11 @@
   }
 
   #selfDeclared(service: string): string | undefined {
+    if (!this.#claims.has(service)) this.#claims.set(service, this.#claimOf(service));
+    return this.#claims.get(service);
+  }
+
+  #claimOf(service: string): string | undefined {
     const claims = [...this.#instances.values()].filter(
       ({ entry }) => entry.service === service && entry.role === 'primary',
     );
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -5,6 +5,7 @@
  */
 import type { InstanceEntry, InstanceRole } from '../../direct/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
+import type { Position } from '../position.js';
 
 /** Prefix that every node follows. */
 export const RECORD_PREFIX = 'meadowstack/';
@@ -21,8 +22,10 @@
 export const primaryKeyOf = (service: string): string => PRIMARY_PREFIX + encode(service);
 export const nodeKeyOf = (node: string): string => NODE_PREFIX + encode(node);
 export const noteKeyOf = (service: string): string => NOTE_PREFIX + encode(service);
+export const acknowledgementPrefixOf = (service: string): string =>
+  `${ACKNOWLEDGEMENT_PREFIX}${encode(service)}/`;
 export const acknowledgementKeyOf = (service: string, node: string): string =>
-  `${ACKNOWLEDGEMENT_PREFIX}${encode(service)}/${encode(node)}`;
+  acknowledgementPrefixOf(service) + encode(node);
 export const suspicionKeyOf = (service: string, node: string): string =>
   `${SUSPICION_PREFIX}${encode(service)}/${encode(node)}`;
 
@@ -62,6 +65,8 @@
 export interface AcknowledgementRecord {
   readonly change: number;
   readonly leaseId: string;
+  /** End of the old primary's log, if this node demoted it. */
+  readonly end: Position | undefined;
 }
 
 /** A node can't reach a primary, or gets no commit acknowledged there. */
@@ -93,6 +98,8 @@
 export interface DutyNote {
   /** Every instance that may have counted towards an acknowledged commit. */
   readonly members: readonly InstanceEntry[];
+  /** Members that were forgotten last: one that comes back may count once more at once. */
+  readonly departed: readonly InstanceEntry[];
   /** Last known primary. */
   readonly primary: string | undefined;
   /** The instance that the promotion may have been called for, and in which change. */
@@ -100,6 +107,17 @@
   readonly change: number;
 }
 
+/** JSON has no form for a bigint. */
+export function encodeAcknowledgement({ change, leaseId, end }: AcknowledgementRecord): string {
+  const text = end && { timeline: end.timeline, lsn: end.lsn.toString() };
+  return JSON.stringify({ change, leaseId, end: text });
+}
+
+function positionForm({ timeline, lsn }: Fields): Position | undefined {
+  if (!isNumber(timeline) || !isText(lsn) || !/^\d+$/.test(lsn)) return undefined;
+  return { timeline, lsn: BigInt(lsn) };
+}
+
 /** Decodes a value of this module's making; anything else gives undefined. */
 export function decodeRecord<Form>(
   entry: KeyValue | undefined,
@@ -128,8 +146,9 @@
 }
 
 export function acknowledgementForm(fields: Fields): AcknowledgementRecord | undefined {
-  const { change, leaseId } = fields;
-  return isNumber(change) && isText(leaseId) ? { change, leaseId } : undefined;
+  const { change, leaseId, end } = fields;
+  if (!isNumber(change) || !isText(leaseId)) return undefined;
+  return { change, leaseId, end: isFields(end) ? positionForm(end) : undefined };
 }
 
 export function suspicionForm({ instance }: Fields): SuspicionRecord | undefined {
@@ -145,12 +164,13 @@
 }
 
 export function dutyNoteForm(fields: Fields): DutyNote | undefined {
-  const { members, primary, candidate, change } = fields;
-  if (!Array.isArray(members) || !isNumber(change)) return undefined;
-  const entries = members.map(instanceForm);
-  if (!entries.every((entry) => entry !== undefined)) return undefined;
+  const { members, departed, primary, candidate, change } = fields;
+  const present = instancesForm(members);
+  const gone = instancesForm(departed);
+  if (present === undefined || gone === undefined || !isNumber(change)) return undefined;
   return {
-    members: entries,
+    members: present,
+    departed: gone,
     primary: isText(primary) ? primary : undefined,
     candidate: isText(candidate) ? candidate : undefined,
     change,
@@ -159,6 +179,12 @@
 
 type Fields = Readonly<Record<string, unknown>>;
 
+function instancesForm(value: unknown): InstanceEntry[] | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const entries = value.map(instanceForm).filter((entry) => entry !== undefined);
+  return entries.length === value.length ? entries : undefined;
+}
+
 function instanceForm(value: unknown): InstanceEntry | undefined {
   if (!isFields(value)) return undefined;
   const { id, service, host, port, zone, slots, draining, role } = value;
--- a/src/core/promotion/service-duty.ts
+++ b/src/core/promotion/service-duty.ts
@@ -2,13 +2,17 @@
 import type { InstanceEntry } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
 import { Aftercare } from './aftercare.js';
+import { PromotionCalls } from './calls.js';
 import { type ChangeContext, PrimaryChange } from './change.js';
+import type { NodeLease } from './lease.js';
 import { GroupMembers } from './members.js';
 import { type ChangeReason, PrimaryMonitor } from './monitor.js';
 import { type PreflightResult, preflight } from './preflight.js';
 import { Scope } from './scope.js';
 
 const PREFLIGHT_EVERY_MS = 300;
+/** After a change that had to take the old primary once more. */
+const REST_AFTER_RETURN_MS = 1000;
 /** A leader that hears nobody, though the primary seems to be dead, resigns after so many looks. */
 const DEAF_LOOKS_UNTIL_RESIGNING = 3;
 
@@ -16,6 +20,7 @@
   readonly #scope: Scope;
   readonly #monitor: PrimaryMonitor;
   readonly #members: GroupMembers;
+  readonly #calls: PromotionCalls;
   #change: PrimaryChange | undefined;
   #aftercare: Aftercare | undefined;
   #aftercareOf: string | undefined;
@@ -24,10 +29,12 @@
   #deafLooks = 0;
 
   constructor(
-    private readonly context: Omit<ChangeContext, 'membersOf'>,
+    private readonly context: Omit<ChangeContext, 'membersOf' | 'departedOf' | 'calls'>,
+    lease: NodeLease,
     readonly service: string,
   ) {
-    const { runtime, primaries, store } = context;
+    const { runtime, primaries, store, election } = context;
+    this.#calls = new PromotionCalls(runtime, election, lease, service);
     this.#scope = new Scope(runtime);
     this.#members = new GroupMembers(runtime, primaries, store, service);
     this.#monitor = new PrimaryMonitor(runtime, primaries, store, service, (id, reason) =>
@@ -36,7 +43,7 @@
   }
 
   get isCalling(): boolean {
-    return this.#change?.isCalling ?? false;
+    return this.#calls.isCalling;
   }
 
   start(): void {
@@ -68,7 +75,9 @@
         const onFinished = (): void => this.#noteFinished();
         const context: ChangeContext = {
           ...this.context,
+          calls: this.#calls,
           membersOf: () => this.#members.current(),
+          departedOf: () => this.#members.departed(),
         };
         this.#change = new PrimaryChange(context, this.service, record, onFinished);
         this.#change.start();
@@ -85,8 +94,11 @@
 
   #noteFinished(): void {
     const record = this.context.primaries.recordOf(this.service);
+    const from = this.#change?.record.from;
     this.#endChange();
     this.#monitor.noteChanged();
+    const isSame = record?.phase === 'serving' && record.instance === from;
+    if (isSame) this.#nextLookAt = this.context.runtime.now + REST_AFTER_RETURN_MS;
     if (record?.phase === 'serving') this.#careFor(record.instance, record.term, true);
   }
 
@@ -159,7 +171,8 @@
   #noteDeafness(heardAny: boolean): void {
     const { runtime, store, election } = this.context;
     this.#deafLooks = heardAny ? 0 : this.#deafLooks + 1;
-    if (this.#deafLooks < DEAF_LOOKS_UNTIL_RESIGNING || store.liveNodes() <= 1) return;
+    if (this.#deafLooks < DEAF_LOOKS_UNTIL_RESIGNING) return;
+    if (store.liveNodes() <= 1 || !election.mayHandOn) return;
     runtime.log('warn', 'no member answers, resigning', { service: this.service });
     election.resign(runtime.timings.abstainMs);
   }
--- a/src/core/promotion/suspicion.ts
+++ b/src/core/promotion/suspicion.ts
@@ -59,6 +59,11 @@
     this.#update(service);
   }
 
+  /** No request failed since the last success. */
+  isWell(service: string): boolean {
+    return !this.#health.has(service);
+  }
+
   /** The primary of the service may have changed. */
   notePrimary(service: string, instance: string | undefined): void {
     const health = this.#health.get(service);
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -1,9 +1,11 @@
 /** What the data path of a node asks of, and tells to, whoever keeps track of the primaries. */
 import type { PrimaryUse } from '../../core/promotion/contract.js';
+import type { TrustedUse } from '../../core/promotion/evidence.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { InstanceEntry, PromoteOutcome, PromotionCaller } from '../contract.js';
 
 export type { PrimaryUse } from '../../core/promotion/contract.js';
+export type { TrustedUse } from '../../core/promotion/evidence.js';
 
 /** Which instance leads each service, and whether it may be relied on. Times are monotonic. */
 export interface PrimaryView {
@@ -16,11 +18,11 @@
    */
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean;
   /**
-   * Where `mayTrustPrimary` is false: asks the members themselves. True if no later primary had
-   * acknowledged anything when this was called. Costs a round trip and a slot at every member; many
-   * callers share one round.
+   * Where `mayTrustPrimary` is false: asks the members themselves. True if the instance could be
+   * trusted when this was called: to begin a read there, or to pass on a commit that it had already
+   * acknowledged. Costs a round trip and a slot at every member; many callers share one round.
    */
-  confirmPrimary(service: string, instance: string): Promise<boolean>;
+  confirmPrimary(service: string, instance: string, use: TrustedUse): Promise<boolean>;
   /** Called when the primary of a service has changed, or began to change. */
   onChange: (service: string) => void;
   /** A request could not reach the primary, or got no commit acknowledged there in time. */
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -13,7 +13,13 @@
 import type { Logger } from '../../observability/logger.js';
 import type { Store } from '../../platform/contract.js';
 import type { InstanceControl, InstanceEntry, PublishedConfiguration } from '../contract.js';
-import type { BoundedPromotionCaller, EndPrimaryUse, PrimaryUse, PrimaryView } from './contract.js';
+import type {
+  BoundedPromotionCaller,
+  EndPrimaryUse,
+  PrimaryUse,
+  PrimaryView,
+  TrustedUse,
+} from './contract.js';
 import { type ClassifyControlFailure, classifyBySystemCall } from './control-failure.js';
 import { RequestRunner } from './request-runner.js';
 import { TermConfirmation } from './term-confirmation.js';
@@ -120,8 +126,8 @@
     return this.#machine.mayTrustPrimary(service, now, instance);
   }
 
-  confirmPrimary(service: string, instance: string): Promise<boolean> {
-    return this.#confirmation.confirm(service, instance);
+  confirmPrimary(service: string, instance: string, use: TrustedUse): Promise<boolean> {
+    return this.#confirmation.confirm(service, instance, use);
   }
 
   reportPrimaryFailure(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
@@ -129,6 +135,7 @@
   }
 
   reportPrimarySuccess(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
+    if (this.#machine.isSuccessIdle(service)) return;
     this.#handle({ type: 'primary-succeeded', service, use });
   }
 
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -2,7 +2,11 @@
  * Asks the members of a group whether any leads a later term, for all who wait at once: whoever asks
  * while a round is on its way waits for the next, since a round proves nothing of what came after it.
  */
-import { PrimaryEvidence, type RoundAnswer } from '../../core/promotion/evidence.js';
+import {
+  PrimaryEvidence,
+  type RoundAnswer,
+  type TrustedUse,
+} from '../../core/promotion/evidence.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { InstanceControl, InstanceEntry } from '../contract.js';
 import type { ClassifyControlFailure } from './control-failure.js';
@@ -21,6 +25,7 @@
 
 interface Waiter {
   readonly primary: string;
+  readonly use: TrustedUse;
   readonly at: Milliseconds;
   readonly resolve: (isProven: boolean) => void;
 }
@@ -34,10 +39,10 @@
     this.#evidence = new PrimaryEvidence(options.minimumGapMs);
   }
 
-  /** True if no primary later than this one had acknowledged anything when this was called. */
-  confirm(service: string, primary: string): Promise<boolean> {
+  /** True if the primary could be trusted for this use when this was called. */
+  confirm(service: string, primary: string, use: TrustedUse): Promise<boolean> {
     return new Promise((resolve) => {
-      const waiter = { primary, at: this.options.now(), resolve };
+      const waiter = { primary, use, at: this.options.now(), resolve };
       const waiting = this.#waiting.get(service);
       if (waiting === undefined) this.#waiting.set(service, [waiter]);
       else waiting.push(waiter);
@@ -70,8 +75,8 @@
     for (const primary of new Set(waiters.map((waiter) => waiter.primary))) {
       this.#evidence.noteRound({ service, primary, sentAt, syncReplicas, answers });
     }
-    for (const { primary, at, resolve } of waiters) {
-      resolve(this.#evidence.covers(service, primary, at));
+    for (const { primary, use, at, resolve } of waiters) {
+      resolve(this.#evidence.covers(service, primary, use, at));
     }
     if (this.#waiting.has(service)) this.#plan(service);
   }
@@ -82,7 +87,9 @@
     for (;;) {
       const answer = await control.status(member, Math.max(1, endsAt - now()));
       if (answer.isOk()) return answer.value;
-      if (classifyFailure(answer.error) !== 'busy' || now() >= endsAt) return 'none';
+      const failure = classifyFailure(answer.error);
+      if (failure === 'refused') return 'refused';
+      if (failure !== 'busy' || now() >= endsAt) return 'none';
     }
   }
 }
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -6,7 +6,11 @@
   PromotionRequest,
   RequestAnswer,
 } from '../../../src/core/promotion/contract.js';
-import { provesPrimary, type RoundAnswer } from '../../../src/core/promotion/evidence.js';
+import {
+  provesPrimary,
+  type RoundAnswer,
+  type TrustedUse,
+} from '../../../src/core/promotion/evidence.js';
 import { PromotionMachine } from '../../../src/core/promotion/machine.js';
 import { DEFAULT_PROMOTION_TIMINGS } from '../../../src/core/promotion/options.js';
 import type { SimulatedGroup } from './group.js';
@@ -213,7 +217,7 @@
       this.#run(life, () => {
         this.#writes.delete(write);
         finish();
-        this.#ifTrusted(service, primary.id, () => {
+        this.#ifTrusted(service, primary.id, 'commit', () => {
           if (write.isGivenUp) return;
           this.writesAcknowledged += 1;
           passOn();
@@ -244,7 +248,7 @@
     const begunAt = this.#clock.now;
     const primary = this.machine?.primaryOf(service, this.now);
     if (primary === undefined) return;
-    this.#ifTrusted(service, primary.id, () => {
+    this.#ifTrusted(service, primary.id, 'read', () => {
       const finish = this.#expectAnswer(service, primary.id, 'reach');
       this.world.groups.get(service)?.read(this.name, primary.id, begunAt, () => {
         this.readsServed += 1;
@@ -254,7 +258,7 @@
   }
 
   /** Goes on if the primary can be trusted by the lease, or else by a round to all members. */
-  #ifTrusted(service: string, primary: string, action: () => void): void {
+  #ifTrusted(service: string, primary: string, use: TrustedUse, action: () => void): void {
     const { machine } = this;
     if (machine === undefined) return;
     if (machine.mayTrustPrimary(service, this.now, primary)) {
@@ -270,7 +274,7 @@
       if (isFinished) return;
       isFinished = true;
       for (const { id } of members) if (!answers.has(id)) answers.set(id, 'none');
-      if (!provesPrimary({ service, primary, sentAt, syncReplicas: 1, answers })) return;
+      if (!provesPrimary({ service, primary, sentAt, syncReplicas: 1, answers }, use)) return;
       this.confirmedByRounds += 1;
       action();
     };
@@ -311,5 +315,7 @@
 }
 
 function roundAnswerOf(answer: RequestAnswer): RoundAnswer {
-  return answer.type === 'status' ? answer.status : 'none';
+  if (answer.type === 'status') return answer.status;
+  const isRefused = answer.type === 'control-failed' && answer.failure === 'refused';
+  return isRefused ? 'refused' : 'none';
 }
--- a/test/support/promotion/simulation.ts
+++ b/test/support/promotion/simulation.ts
@@ -7,6 +7,33 @@
 import { PLATFORM, SimulatedPlatform } from './platform.js';
 import { SimulatedStore, STORE } from './store.js';
 
+const FAULT_KINDS = [
+  'primary crash',
+  'primary crash again',
+  'replica crash',
+  'primary draining',
+  'replica deaf',
+  'all replicas deaf',
+  'primary cut from replicas',
+  'primary cut from nodes',
+  'primary cut from leader',
+  'node cut from store',
+  'node cut from platform',
+  'node cut from all',
+  'node freeze',
+  'node kill',
+  'store down',
+  'store slow',
+  'store answers lost',
+  'store changes late',
+  'store watches deaf',
+  'platform slow',
+  'platform answers lost',
+  'platform down',
+] as const;
+
+export type FaultKind = (typeof FAULT_KINDS)[number];
+
 export interface SimulationOptions {
   readonly seed: number;
   readonly nodes?: number;
@@ -61,11 +88,12 @@
     this.clock.runUntil(this.clock.now + forMs);
   }
 
-  /** Strikes with faults drawn from the seed, one after the other, for a time. */
-  strike(forMs: number): void {
+  /** Strikes with faults drawn from the seed, one after the other, for a time; all kinds or some. */
+  strike(forMs: number, kinds?: readonly FaultKind[]): void {
     const end = this.clock.now + forMs;
     while (this.clock.now < end) {
-      const [name, fault] = this.clock.pick(Object.entries(this.#faults));
+      const name = this.clock.pick(kinds ?? FAULT_KINDS);
+      const fault = this.#faults[name];
       this.faults.push(`${this.clock.now.toFixed(0)} ${name} ${fault() ?? ''}`);
       this.run(this.clock.between(0, 2500));
     }
@@ -76,7 +104,7 @@
     this.run(8000);
   }
 
-  readonly #faults: Record<string, () => string | undefined> = {
+  readonly #faults: Record<FaultKind, () => string | undefined> = {
     'primary crash': () => this.#crash(this.#anyGroup(), 'primary'),
     'primary crash again': () => this.#crash(this.#anyGroup(), 'primary'),
     'replica crash': () => this.#crash(this.#anyGroup(), 'replica'),
