--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -89,7 +89,7 @@
       wire,
       now,
       counters: this.counters,
-      confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId),
+      confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId, 'read'),
     });
     this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
     this.#server = new CallerServer({
