--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -51,7 +51,6 @@
     private readonly context: ChangeContext,
     readonly service: string,
     readonly record: ChangingRecord,
-    private readonly onFinished: () => void,
   ) {
     const { runtime, primaries } = context;
     this.#scope = new Scope(runtime);
@@ -80,6 +79,11 @@
     });
   }
 
+  /** Time since this leader took the change up. */
+  get tookMs(): Milliseconds {
+    return Math.round(this.context.runtime.now - this.#begunAt);
+  }
+
   start(): void {
     if (!this.record.planned) this.#startHold();
     this.#confirm();
@@ -251,7 +255,7 @@
   }
 
   #finish(instance: InstanceEntry, term: number): void {
-    const { store, runtime, election } = this.context;
+    const { store, election } = this.context;
     this.#noteAcknowledgements();
     if (this.#writing || !this.#isFree || !election.mayAct()) {
       this.#scope.after(STEP_EVERY_MS, () => this.#finish(instance, term));
@@ -262,15 +266,10 @@
     const record = { phase: 'serving', change, instance: instance.id, term } as const;
     const known = store.noteOf(this.service);
     const note = { ...known, primary: instance.id, candidate: undefined, change };
-    const onDone = this.#scope.guard((succeeded: boolean) => {
+    // The record itself ends this change, see `ServiceDuty`; without it, the write is made again.
+    const onDone = this.#scope.guard(() => {
       this.#writing = false;
-      if (succeeded) {
-        const tookMs = Math.round(runtime.now - this.#begunAt);
-        runtime.log('info', 'primary changed', { service: this.service, ...record, tookMs });
-        this.onFinished();
-      } else {
-        this.#scope.after(STEP_EVERY_MS, () => this.#finish(instance, term));
-      }
+      this.#scope.after(STEP_EVERY_MS, () => this.#finish(instance, term));
     });
     store.write({ service: this.service, record, note }, onDone);
   }
--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -94,7 +94,13 @@
   | { readonly type: 'watch-ended'; readonly watch: number; readonly compacted: boolean }
   | { readonly type: 'instances-changed'; readonly entries: readonly InstanceEntry[] }
   | { readonly type: 'services-changed'; readonly services: readonly ServiceDescription[] }
-  | { readonly type: 'primary-failed'; readonly service: string; readonly use: PrimaryUse }
+  | {
+      readonly type: 'primary-failed';
+      readonly service: string;
+      readonly use: PrimaryUse;
+      /** For how long already nothing that was asked of it has been answered. */
+      readonly silentForMs: Milliseconds;
+    }
   | { readonly type: 'primary-succeeded'; readonly service: string; readonly use: PrimaryUse }
   /** Nothing of this node is on its way to the old primary that could still be acknowledged. */
   | { readonly type: 'use-ended'; readonly service: string; readonly change: number }
--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -55,6 +55,10 @@
     this.#duties.get(service)?.noteAlive(instance);
   }
 
+  noteFailing(service: string, instance: string): void {
+    this.#duties.get(service)?.noteFailing(instance);
+  }
+
   /** This node has taken or lost the lead. */
   noteElection(): void {
     if (this.#isLeading) this.stop();
--- a/src/core/promotion/lease.ts
+++ b/src/core/promotion/lease.ts
@@ -6,7 +6,8 @@
 import { LEADER_KEY } from './records.js';
 import { isTrouble, type PromotionRuntime, type StoreTrouble } from './runtime.js';
 
-const BACKOFF_MAXIMUM_MS = 2000;
+/** A node without a lease can't vouch for any primary, so it must notice soon that the store is back. */
+const BACKOFF_MAXIMUM_MS = 500;
 const SILENCES_UNTIL_LOOKING = 2;
 
 export class NodeLease {
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -22,6 +22,8 @@
 import { StoreView } from './store-view.js';
 import { Suspicions } from './suspicion.js';
 
+type PrimaryFailedEvent = Extract<PromotionEvent, { type: 'primary-failed' }>;
+
 const RELEASE_CHECK_MS = 50;
 const READ_WHEN_SUSPECT_MS = 1000;
 
@@ -135,7 +137,7 @@
         this.#leader.noteServices(event.services);
         return;
       case 'primary-failed':
-        this.#noteFailure(event.service, event.use);
+        this.#noteFailure(event);
         return;
       case 'primary-succeeded':
         this.#noteSuccess(event.service, event.use);
@@ -151,10 +153,11 @@
     }
   }
 
-  #noteFailure(service: string, use: PrimaryUse): void {
+  #noteFailure({ service, use, silentForMs }: PrimaryFailedEvent): void {
     const instance = this.#primaries.primaryIdOf(service);
     if (instance === undefined) return;
-    this.#suspicions.noteFailure(service, instance, use);
+    this.#suspicions.noteFailure(service, instance, use, silentForMs);
+    this.#leader.noteFailing(service, instance);
     // The news that it is being replaced may be held up on the way.
     if (this.#suspicions.suspectOf(service) === undefined) return;
     if (this.#runtime.now - this.#readAt < READ_WHEN_SUSPECT_MS) return;
--- a/src/core/promotion/monitor.ts
+++ b/src/core/promotion/monitor.ts
@@ -29,6 +29,8 @@
 
 export class PrimaryMonitor {
   readonly #scope: Scope;
+  #cancelProbe = (): void => {};
+  #isProbing = false;
   #aliveAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #refusals = 0;
   #silences = 0;
@@ -46,10 +48,11 @@
     this.#scope = new Scope(runtime);
   }
 
+  /** Looks at once: the primary may have died with the leader before, and nobody would have noticed. */
   start(): void {
-    this.#scope.after(this.runtime.jittered(this.runtime.timings.probeEveryMs), () =>
-      this.#probeIfNeeded(),
-    );
+    this.#followPrimary();
+    this.#aliveAt = Number.NEGATIVE_INFINITY;
+    this.#probeIfNeeded();
   }
 
   stop(): void {
@@ -64,6 +67,13 @@
     this.#refusals = 0;
   }
 
+  /** A request of this node failed there: that is looked into at once. */
+  noteFailing(instance: string): void {
+    if (instance !== this.#primaryId || this.#isProbing || this.#hasMissed) return;
+    this.#aliveAt = Number.NEGATIVE_INFINITY;
+    this.#probeIfNeeded();
+  }
+
   /** Suspicions are let rest for a while after a change. */
   noteChanged(): void {
     this.#restUntil = this.runtime.now + this.runtime.timings.suspectRestMs;
@@ -111,22 +121,34 @@
     return id;
   }
 
+  get #hasMissed(): boolean {
+    return this.#silences > 0 || this.#refusals > 0;
+  }
+
+  #probeAfter(delayMs: Milliseconds): void {
+    this.#cancelProbe();
+    this.#cancelProbe = this.#scope.after(delayMs, () => this.#probeIfNeeded());
+  }
+
   #probeIfNeeded(): void {
+    this.#cancelProbe();
     const { probeEveryMs } = this.runtime.timings;
     const id = this.#followPrimary();
     const instance = id === undefined ? undefined : this.primaries.instance(id);
     const dueInMs = this.#aliveAt + probeEveryMs - this.runtime.now;
     if (instance === undefined || dueInMs > 0) {
       const waitMs = instance === undefined ? probeEveryMs : dueInMs;
-      this.#scope.after(waitMs, () => this.#probeIfNeeded());
+      this.#probeAfter(waitMs);
       this.evaluate();
       return;
     }
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
+      this.#isProbing = false;
       if (this.#primaryId === instance.id) this.#noteProbe(answer);
       this.evaluate();
-      this.#scope.after(this.#nextProbeMs(), () => this.#probeIfNeeded());
+      this.#probeAfter(this.#nextProbeMs());
     });
+    this.#isProbing = true;
     this.runtime.control('status', instance, 0, onAnswer);
   }
 
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -27,6 +27,8 @@
   readonly leaseId: string;
   cancel: () => void;
   step: 'ending-use' | 'demoting' | 'writing' | 'written';
+  /** Revision at which it was written. */
+  revision: number;
   end: Position | undefined;
 }
 
@@ -124,8 +126,8 @@
   #noteRegistered(leaseId: string, revision: number): void {
     this.#registeredLease = leaseId;
     this.#registeredRevision = revision;
-    this.records.start();
-    if (this.records.revision < revision) this.records.read();
+    if (!this.records.isRunning) this.records.start();
+    else if (this.records.revision < revision) this.records.readAnew();
     this.onRegistered();
   }
 
@@ -137,6 +139,7 @@
       leaseId,
       cancel: () => {},
       step: 'ending-use',
+      revision: 0,
       end: undefined,
     };
     this.#acknowledgements.set(service, state);
@@ -148,9 +151,9 @@
   #write(service: string, state: AcknowledgementState, knownRevision: number): void {
     state.step = 'writing';
     state.cancel = () => {};
-    const { leaseId, change } = state;
+    const { leaseId, change, end } = state;
     const key = acknowledgementKeyOf(service, this.runtime.options.nodeName);
-    const value = encodeAcknowledgement({ change, leaseId, end: state.end });
+    const value = encodeAcknowledgement({ change, leaseId, end });
     const put = { type: 'put', key, value, leaseId } as const;
     this.runtime.transaction([{ key, modRevision: knownRevision }], [put], (answer) => {
       if (this.#acknowledgements.get(service) !== state) return;
@@ -162,15 +165,21 @@
       const current = answer.current.find((entry) => entry.key === key);
       const written = decodeRecord(current, acknowledgementForm);
       const isOwn = written?.change === change && written.leaseId === leaseId;
-      if (answer.succeeded || isOwn) state.step = 'written';
-      else this.#write(service, state, current?.modRevision ?? 0);
+      if (!answer.succeeded && !isOwn) {
+        this.#write(service, state, current?.modRevision ?? 0);
+        return;
+      }
+      state.step = 'written';
+      state.revision = answer.succeeded ? answer.revision : (current?.modRevision ?? 0);
+      if (state.end !== end) this.#write(service, state, state.revision);
     });
   }
 
   /**
    * The leader may be cut off from an old primary that this node reaches, and that may still get
    * commits acknowledged: this node demotes it too, and tells the end of its log. A planned change
-   * leaves this to the leader, which waits until no node has a write on its way.
+   * leaves this to the leader, which waits until no node has a write on its way. A silent one is
+   * not waited for long: what it tells later is written later.
    */
   #demote(service: string, state: AcknowledgementState): void {
     const { from, term, planned } = state.record;
@@ -190,10 +199,15 @@
     state.cancel = this.runtime.after(this.runtime.timings.demoteWaitMs, goOn);
     this.runtime.control('demote', instance, term + 1, (answer) => {
       if (typeof answer !== 'string' && answer.role === 'replica') state.end = answer.received;
-      goOn();
+      if (state.step === 'written' && state.end !== undefined) this.#writeEnd(service, state);
+      else goOn();
     });
   }
 
+  #writeEnd(service: string, state: AcknowledgementState): void {
+    if (this.#acknowledgements.get(service) === state) this.#write(service, state, state.revision);
+  }
+
   #retryDelay(atLeastMs: Milliseconds): Milliseconds {
     return Math.max(atLeastMs, this.runtime.jittered(this.runtime.timings.storeRetryMs));
   }
--- a/src/core/promotion/preflight.ts
+++ b/src/core/promotion/preflight.ts
@@ -34,15 +34,31 @@
 ): void {
   const members = [options.from, ...options.others];
   const answers = new Map<string, Answer>();
+  let isOver = false;
   for (const member of members) {
     const onAnswer = scope.guard((answer: Answer) => {
       answers.set(member.id, answer);
-      if (answers.size === members.length) onResult(judge(options, answers));
+      if (isOver || !isEnough(options, answers)) return;
+      isOver = true;
+      onResult(judge(options, answers));
     });
     runtime.control('status', member, 0, onAnswer);
   }
 }
 
+/**
+ * One that was found dead or is suspected by many is not waited for: it is likely to stay silent, and
+ * the others suffice for a change.
+ */
+function isEnough(
+  { from, others, reason }: PreflightOptions,
+  answers: ReadonlyMap<string, Answer>,
+): boolean {
+  if (answers.size === others.length + 1) return true;
+  if (answers.has(from.id) || (reason !== 'dead' && reason !== 'suspected')) return false;
+  return others.every(({ id }) => isAnswer(answers.get(id)));
+}
+
 function judge(options: PreflightOptions, answers: ReadonlyMap<string, Answer>): PreflightResult {
   const { from, others, reason, syncReplicas } = options;
   const statuses = [...answers.values()].filter((answer) => typeof answer !== 'string');
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -93,6 +93,7 @@
     };
 
 export type ChangingRecord = Extract<PrimaryRecord, { phase: 'changing' }>;
+export type ServingRecord = Extract<PrimaryRecord, { phase: 'serving' }>;
 
 /** What one leader leaves to the next about a service. */
 export interface DutyNote {
--- a/src/core/promotion/service-duty.ts
+++ b/src/core/promotion/service-duty.ts
@@ -8,6 +8,7 @@
 import { GroupMembers } from './members.js';
 import { type ChangeReason, PrimaryMonitor } from './monitor.js';
 import { type PreflightResult, preflight } from './preflight.js';
+import type { ServingRecord } from './records.js';
 import { Scope } from './scope.js';
 
 const PREFLIGHT_EVERY_MS = 300;
@@ -64,6 +65,10 @@
     this.#monitor.noteAlive(instance);
   }
 
+  noteFailing(instance: string): void {
+    if (this.#change === undefined) this.#monitor.noteFailing(instance);
+  }
+
   /** Records, notes, acknowledgements or instances may have changed. */
   update(): void {
     const record = this.context.primaries.recordOf(this.service);
@@ -72,34 +77,39 @@
         this.#endChange();
         this.#aftercare?.stop();
         this.#aftercareOf = undefined;
-        const onFinished = (): void => this.#noteFinished();
         const context: ChangeContext = {
           ...this.context,
           calls: this.#calls,
           membersOf: () => this.#members.current(),
           departedOf: () => this.#members.departed(),
         };
-        this.#change = new PrimaryChange(context, this.service, record, onFinished);
+        this.#change = new PrimaryChange(context, this.service, record);
         this.#change.start();
       } else {
         this.#change.step();
       }
       return;
     }
+    if (record?.phase === 'serving' && this.#change?.record.change === record.change) {
+      this.#noteFinished(this.#change, record);
+    }
     this.#endChange();
     this.#members.update();
     if (record?.phase === 'serving') this.#careFor(record.instance, record.term, false);
     this.#monitor.evaluate();
   }
 
-  #noteFinished(): void {
-    const record = this.context.primaries.recordOf(this.service);
-    const from = this.#change?.record.from;
+  /** The record that ends this leader's change is written, by whichever way that became known. */
+  #noteFinished(change: PrimaryChange, record: ServingRecord): void {
+    const { runtime } = this.context;
+    const { tookMs } = change;
+    runtime.log('info', 'primary changed', { service: this.service, ...record, tookMs });
     this.#endChange();
     this.#monitor.noteChanged();
-    const isSame = record?.phase === 'serving' && record.instance === from;
-    if (isSame) this.#nextLookAt = this.context.runtime.now + REST_AFTER_RETURN_MS;
-    if (record?.phase === 'serving') this.#careFor(record.instance, record.term, true);
+    if (record.instance === change.record.from) {
+      this.#nextLookAt = runtime.now + REST_AFTER_RETURN_MS;
+    }
+    this.#careFor(record.instance, record.term, true);
   }
 
   #endChange(): void {
--- a/src/core/promotion/store-view.ts
+++ b/src/core/promotion/store-view.ts
@@ -17,6 +17,8 @@
   #readRevision = 0;
   #watch: number | undefined;
   #reading = false;
+  /** Reads that were asked for, to tell the latest. */
+  #reads = 0;
   /** Asked for while another read was on its way, which may be older than what is wanted. */
   #readAgain = false;
   #running = false;
@@ -32,6 +34,10 @@
     return this.#revision > 0;
   }
 
+  get isRunning(): boolean {
+    return this.#running;
+  }
+
   get revision(): number {
     return this.#revision;
   }
@@ -63,19 +69,30 @@
   read(): void {
     if (!this.#running) return;
     this.#readAgain = this.#reading;
-    if (this.#reading) return;
+    if (!this.#reading) this.#ask();
+  }
+
+  /** The same, when the store is known to answer: a read that is on its way may have been lost. */
+  readAnew(): void {
+    if (this.#running) this.#ask();
+  }
+
+  #ask(): void {
     this.#reading = true;
+    this.#reads += 1;
+    const read = this.#reads;
     this.runtime.range(this.prefix, (answer) => {
-      this.#reading = false;
+      const isLatest = read === this.#reads;
+      if (isLatest) this.#reading = false;
       if (!this.#running) return;
       if (isTrouble(answer)) {
-        this.#later(() => this.read(), answer.retryAfterMs);
+        if (isLatest) this.#later(() => this.read(), answer.retryAfterMs);
         return;
       }
       this.#failures = 0;
       this.#replace(answer.entries, answer.revision);
       if (this.#watch === undefined) this.#openWatch();
-      if (this.#readAgain) this.read();
+      if (isLatest && this.#readAgain) this.read();
     });
   }
 
--- a/src/core/promotion/suspicion.ts
+++ b/src/core/promotion/suspicion.ts
@@ -36,14 +36,17 @@
     private readonly lease: NodeLease,
   ) {}
 
-  noteFailure(service: string, instance: string, use: PrimaryUse): void {
+  /** A request failed; nothing that was asked of the primary has been answered for `silentForMs`. */
+  noteFailure(service: string, instance: string, use: PrimaryUse, silentForMs: Milliseconds): void {
+    const { now, timings } = this.runtime;
     const health = this.#healthOf(service, instance);
     const failing = health.failingSince.get(use);
     if (failing !== undefined) {
       failing.count += 1;
     } else {
-      health.failingSince.set(use, { at: this.runtime.now, count: 1 });
-      this.runtime.after(this.runtime.timings.suspectAfterMs, () => this.#update(service));
+      health.failingSince.set(use, { at: now - silentForMs, count: 1 });
+      const restMs = Math.max(0, timings.suspectAfterMs - silentForMs);
+      this.runtime.after(restMs, () => this.#update(service));
     }
     this.#update(service);
   }
@@ -145,7 +148,12 @@
     const compares = [{ key, modRevision: written.revision }];
     this.runtime.transaction(compares, [operation], (answer) => {
       written.writing = false;
-      if (!isTrouble(answer)) {
+      if (isTrouble(answer)) {
+        // Nothing was told yet: the pause between tellings has no say.
+        const { storeRetryMs } = this.runtime.timings;
+        const delayMs = Math.max(answer.retryAfterMs, this.runtime.jittered(storeRetryMs));
+        written.nextAt = this.runtime.now + delayMs;
+      } else {
         const currentRevision = answer.current.find((entry) => entry.key === key)?.modRevision;
         if (answer.succeeded) {
           written.instance = instance;
--- a/src/core/statements/stall.ts
+++ b/src/core/statements/stall.ts
@@ -29,6 +29,11 @@
     this.#unanswered = Math.max(0, this.#unanswered - 1);
   }
 
+  /** How long nothing that was asked has been answered; 0 while nothing is open. */
+  silentForMs(now: Milliseconds): Milliseconds {
+    return this.#unanswered === 0 ? 0 : now - this.#silentSince;
+  }
+
   /** True while questions are open and none was answered for long. */
   isStalled(now: Milliseconds): boolean {
     return (
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -150,6 +150,12 @@
     return false;
   }
 
+  /** How long nothing of this kind that was asked has been answered. */
+  silentForMs(access: Access): Milliseconds {
+    const detector = access === 'write' ? this.#commits : this.#answers;
+    return detector.silentForMs(this.options.now());
+  }
+
   /** A statement was sent; the returned function tells whether it was answered. */
   watchAnswer(access: Access): (answered: boolean) => void {
     const detectors = access === 'write' ? [this.#answers, this.#commits] : [this.#answers];
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -27,8 +27,16 @@
   isChanging(service: string): boolean;
   /** Called when the primary of a service has changed, or began to change. */
   onChange: (service: string) => void;
-  /** A request could not reach the primary, or got no commit acknowledged there in time. */
-  reportPrimaryFailure(service: string, now: Milliseconds, use?: PrimaryUse): void;
+  /**
+   * A request could not reach the primary, or got no commit acknowledged there in time; nothing that
+   * was asked of it has been answered for `silentForMs`.
+   */
+  reportPrimaryFailure(
+    service: string,
+    now: Milliseconds,
+    use?: PrimaryUse,
+    silentForMs?: Milliseconds,
+  ): void;
   /** The primary answered; with `commit`, a commit was acknowledged. */
   reportPrimarySuccess(service: string, now: Milliseconds, use?: PrimaryUse): void;
   /** Nodes that are alive, this one included. */
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -134,8 +134,13 @@
     return this.#machine.isChanging(service);
   }
 
-  reportPrimaryFailure(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
-    this.#handle({ type: 'primary-failed', service, use });
+  reportPrimaryFailure(
+    service: string,
+    _now: Milliseconds,
+    use: PrimaryUse = 'reach',
+    silentForMs: Milliseconds = 0,
+  ): void {
+    this.#handle({ type: 'primary-failed', service, use, silentForMs });
   }
 
   reportPrimarySuccess(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -247,10 +247,11 @@
     const deadline =
       request.access === 'read' ? Math.min(request.deadline, readDeadline) : request.deadline;
     const answer = await this.awaitAnswer(exchange, connection, instance, deadline);
+    const silentWrite = answer === undefined && request.access === 'write';
+    const silentForMs = instance.pool.silentForMs(silentWrite ? 'write' : 'read');
     endWatch(answer?.isOk() === true);
     if (answer === undefined || answer.isErr()) {
-      const silentWrite = answer === undefined && request.access === 'write';
-      this.noteFailure(request, instance, silentWrite ? 'commit' : 'reach');
+      this.noteFailure(request, instance, silentWrite ? 'commit' : 'reach', silentForMs);
       return { type: 'unknown', instance };
     }
     return this.#judge(request, instance, connection, answer.value, sentAt);
@@ -330,11 +331,12 @@
     request: Pick<StatementRequest, 'service'>,
     instance: InstanceRuntime,
     use: PrimaryUse = 'reach',
+    silentForMs: Milliseconds = 0,
   ): void {
     const { view, now } = this.options;
     instance.pool.avoidUntil = now() + AVOID_MS;
     const primary = view.primaryOf(request.service.name);
     if (primary?.id !== instance.id) return;
-    view.reportPrimaryFailure(request.service.name, now(), use);
+    view.reportPrimaryFailure(request.service.name, now(), use, silentForMs);
   }
 }
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -95,11 +95,12 @@
       : Math.min(request.deadline, sentAt + instance.pool.patienceMs);
     const endWatch = instance.pool.watchAnswer(this.#wrote ? 'write' : 'read');
     const answer = await this.runner.awaitAnswer(exchange, connection, instance, deadline);
+    const silent = answer === undefined && this.#wrote;
+    const silentForMs = instance.pool.silentForMs(silent ? 'write' : 'read');
     endWatch(answer?.isOk() === true);
     endWrite();
     if (answer === undefined || answer.isErr()) {
-      const silent = answer === undefined && this.#wrote;
-      this.runner.noteFailure(this, instance, silent ? 'commit' : 'reach');
+      this.runner.noteFailure(this, instance, silent ? 'commit' : 'reach', silentForMs);
       // Without a write, nothing is kept whatever became of the commit.
       return this.#wrote
         ? refuse('in-doubt', 'no answer to a commit')
@@ -166,10 +167,11 @@
       const patienceMs = Math.min(request.deadline - now(), instance.pool.patienceMs);
       const endWatch = instance.pool.watchAnswer('read');
       const answer = await firstWithin([exchange], patienceMs);
+      const silentForMs = instance.pool.silentForMs('read');
       endWatch(answer?.isOk() === true);
       if (answer === undefined) {
         connection.close();
-        this.runner.noteFailure(this, instance);
+        this.runner.noteFailure(this, instance, 'reach', silentForMs);
         return refuse('aborted', 'no answer in time; the transaction was rolled back');
       }
       if (answer.isErr()) {
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -302,7 +302,11 @@
     const report = (type: 'primary-succeeded' | 'primary-failed'): void =>
       this.#run(life, () => {
         if (this.machine?.primaryOf(service, this.now)?.id !== instance) return;
-        this.handle({ type, service, use });
+        this.handle(
+          type === 'primary-failed'
+            ? { type, service, use, silentForMs: 0 }
+            : { type, service, use },
+        );
       });
     this.#clock.after(REQUEST_TIMEOUT_MS, () => {
       if (!isAnswered) report('primary-failed');
