--- a/bench/run/collect-logs.ts
+++ b/bench/run/collect-logs.ts
@@ -21,12 +21,16 @@
 /** An instance's log with what else of it is needed. */
 interface InstanceReport extends InstanceLog {
   readonly primary: string | undefined;
+  /** The instance refuses primaries of earlier timelines. */
+  readonly promisedTimeline: number;
   readonly lsn: string;
   readonly connectionsAccepted: number;
 }
 
 const SETTLE_LIMIT_MS = 15_000;
 const SETTLE_POLL_MS = 50;
+/** Latest election events of each instance that the error tells. */
+const EVENTS_TOLD = 4;
 const CONTROL_TIMEOUT_MS = 2_000;
 
 /** @throws GroupNotSettledError (as a rejection) if a group has no primary in the end. */
@@ -51,12 +55,32 @@
 
 async function settledLogs(name: string, group: DatabaseGroup): Promise<InstanceReport[]> {
   const until = Date.now() + SETTLE_LIMIT_MS;
+  let reports: readonly InstanceReport[] = [];
   while (Date.now() < until) {
-    const reports = await readReports(group);
-    if (isSettled(reports)) return reports;
+    const latest = await readReports(group);
+    if (isSettled(latest)) return latest;
+    reports = latest;
     await delay(SETTLE_POLL_MS);
   }
-  throw new GroupNotSettledError(`${name} did not settle within ${SETTLE_LIMIT_MS} ms`);
+  throw new GroupNotSettledError(
+    `${name} did not settle within ${SETTLE_LIMIT_MS} ms: ${describeInstances(group, reports)}`,
+  );
+}
+
+/** What each instance said of itself, so that the cause can be read from the error alone. */
+function describeInstances(group: DatabaseGroup, reports: readonly InstanceReport[]): string {
+  const described = group.instances.map(({ name }) => {
+    const report = reports.find(({ instance }) => instance === name);
+    if (report === undefined) return `${name}: no answer`;
+    const { isPrimary, timeline, promisedTimeline, primary, lsn, events } = report;
+    const role = isPrimary ? 'primary' : `replica of ${primary ?? 'none'}`;
+    const last = events
+      .slice(-EVENTS_TOLD)
+      .map(({ event, timeline: of }) => `${event} in ${of}`)
+      .join(', ');
+    return `${name}: ${role}, timeline ${timeline} (promised ${promisedTimeline}), lsn ${lsn}, last: ${last}`;
+  });
+  return described.join('; ');
 }
 
 /** One primary, which all others follow in the same timeline with the same log. */
@@ -85,6 +109,7 @@
     instance: name,
     isPrimary: state.role === 'primary',
     timeline: state.timeline,
+    promisedTimeline: state.promisedTimeline,
     primary: state.primary,
     lsn: state.lsn,
     connectionsAccepted: state.connectionsAccepted,
