Database stand-in: a refused primary stands again, a handover waits for its log

The states read from two red runs were the same: the candidate of a handover had promised itself timeline 2 but lacked a commit that was still on its way, so nobody voted for it; it then refused the primary's timeline 1 for ever and its log stood still. The primary was told so, but did not stand as long as its other replica followed it, and the other replica would have refused its vote since it heard a primary: that very one. Ruled out: two primaries, a lost resync, a dead timeline (one primary, both replicas name it, all in timeline 1 at the end of both runs). Change: a primary that is still refused after the time of a round stands for a later timeline; a voter grants the primary it hears; replies of followers no longer end that candidacy. A handover asks in a preliminary round first, which binds nobody, and asks again until elected or until another primary is heard. Tests: four unit tests of the election without clock; each fails with its part of the change taken back (tried one by one).

--- a/standins/database/replication/election.ts
+++ b/standins/database/replication/election.ts
@@ -22,10 +22,16 @@
 /** Time to the next round, in election timeouts. */
 const RETRY_MIN = 0.1;
 const RETRY_SPREAD = 0.4;
+/** A handover that found no majority asks again after this: a commit was on its way to a voter. */
+const HANDOVER_RETRY_MS = 50;
 
-interface Candidacy {
-  readonly timeline: number;
+interface Round {
   readonly preliminary: boolean;
+  readonly handover: boolean;
+}
+
+interface Candidacy extends Round {
+  readonly timeline: number;
   readonly voters: Set<string>;
 }
 
@@ -38,6 +44,11 @@
   private candidacy: Candidacy | undefined;
   private deadlineMs = Number.POSITIVE_INFINITY;
   private heardMs = Number.NEGATIVE_INFINITY;
+  private heardFrom: string | undefined;
+  /** When a handover asks next; undefined if none is wanted. */
+  private handoverDueMs: number | undefined;
+  /** When a refused primary stands; undefined if it leads nobody or was not refused. */
+  private refusedDueMs: number | undefined;
 
   constructor(private readonly options: ElectionOptions) {}
 
@@ -46,46 +57,87 @@
     this.resetDeadline(nowMs);
   }
 
-  /** A primary of an accepted timeline spoke (or, for a primary: a replica followed it). */
-  heard(timeline: number, nowMs: number): void {
-    this.heardMs = nowMs;
+  /** A primary of an accepted timeline spoke. */
+  heard(primary: string, timeline: number, nowMs: number): void {
     if (timeline > this.promisedTimeline) this.votedFor = undefined;
     this.promisedTimeline = Math.max(this.promisedTimeline, timeline);
-    this.candidacy = undefined;
+    // The primary that a handover is to replace speaks on while the votes are on their way.
+    const { candidacy } = this;
+    if (candidacy?.handover !== true || candidacy.timeline <= timeline) this.candidacy = undefined;
+    if (primary !== this.heardFrom) this.handoverDueMs = undefined;
+    this.heardFrom = primary;
+    this.heardMs = nowMs;
+    this.resetDeadline(nowMs);
+  }
+
+  /**
+   * A replica follows this primary. A candidacy goes on: it is one for a later timeline, which
+   * this replica may not have heard of yet.
+   */
+  followed(nowMs: number): void {
+    this.heardFrom = this.options.name;
+    this.heardMs = nowMs;
     this.resetDeadline(nowMs);
   }
 
   tick(nowMs: number): void {
-    if (nowMs < this.deadlineMs || this.options.isPrimary()) return;
+    if (this.options.isPrimary()) return;
+    // Votes of a binding round are waited for: to stand again would throw them away.
+    const isBinding = this.candidacy?.preliminary === false;
+    const dueMs = this.handoverDueMs;
+    if (dueMs !== undefined && nowMs >= dueMs && !isBinding) this.takeOver(nowMs);
+    if (nowMs < this.deadlineMs) return;
     this.retryLater(nowMs);
-    this.stand(this.nextTimeline, { preliminary: true });
+    this.stand(this.nextTimeline, { preliminary: true, handover: false });
   }
 
-  /** Stands at once, without the preliminary round; also for a primary whose timeline is refused. */
-  standNow(timeline: number, nowMs: number): void {
-    if (nowMs < this.deadlineMs && this.options.isPrimary()) return;
-    this.retryLater(nowMs);
-    this.stand(Math.max(timeline, this.nextTimeline), { preliminary: false });
+  /**
+   * A voter refuses this primary's timeline. Whoever was voted for may lead in a moment, so this
+   * primary stands for a later timeline only if it's still refused after the time of a round. It
+   * does so also while other replicas follow it: the voter can't take back what it promised.
+   */
+  refused(timeline: number, nowMs: number): void {
+    const dueMs = this.refusedDueMs;
+    const isDue = dueMs !== undefined && nowMs >= dueMs;
+    if (dueMs === undefined || isDue) {
+      this.refusedDueMs = nowMs + this.options.electionTimeoutMs * RETRY_MIN;
+    }
+    if (!isDue) return;
+    this.stand(Math.max(timeline + 1, this.nextTimeline), { preliminary: false, handover: false });
   }
 
-  /** Stands in place of a primary that is alive. */
+  /** This primary gave way to one of a later timeline. */
+  demoted(timeline: number, nowMs: number): void {
+    this.refusedDueMs = undefined;
+    this.candidacy = undefined;
+    if (timeline > this.promisedTimeline) this.votedFor = undefined;
+    this.promisedTimeline = Math.max(this.promisedTimeline, timeline);
+    this.heardFrom = undefined;
+    this.heardMs = nowMs;
+    this.resetDeadline(nowMs);
+  }
+
+  /**
+   * Stands in place of a primary that is alive, until elected or until another primary is heard.
+   * The preliminary round binds nobody: a candidate that lacks a commit refuses no primary.
+   */
   takeOver(nowMs: number): void {
-    this.retryLater(nowMs);
-    this.stand(this.nextTimeline, { preliminary: false, handover: true });
+    this.handoverDueMs = nowMs + HANDOVER_RETRY_MS;
+    this.stand(this.nextTimeline, { preliminary: true, handover: true });
   }
 
   private get nextTimeline(): number {
     return Math.max(this.promisedTimeline, this.seenTimeline) + 1;
   }
 
-  private stand(timeline: number, round: { preliminary: boolean; handover?: boolean }): void {
+  private stand(timeline: number, round: Round): void {
     const { name } = this.options;
-    const { preliminary, handover = false } = round;
+    const { preliminary, handover } = round;
     if (!preliminary) {
       this.promisedTimeline = timeline;
       this.votedFor = name;
     }
-    this.candidacy = { timeline, preliminary, voters: new Set([name]) };
+    this.candidacy = { timeline, preliminary, handover, voters: new Set([name]) };
     const { timeline: logTimeline, lsn: logLsn } = this.options.position();
     this.options.broadcast({
       kind: 'vote-request',
@@ -123,7 +175,8 @@
 
   private grants(request: VoteRequest, nowMs: number): boolean {
     const hearsPrimary = nowMs - this.heardMs < this.options.electionTimeoutMs;
-    if (hearsPrimary && !request.handover) return false;
+    const replacesPrimary = request.from !== this.heardFrom;
+    if (hearsPrimary && replacesPrimary && !request.handover) return false;
     if (request.timeline < this.promisedTimeline) return false;
     const same = request.timeline === this.promisedTimeline;
     if (same && this.votedFor !== request.from) return false;
@@ -146,8 +199,14 @@
     if (candidacy === undefined) return;
     if (candidacy.voters.size * 2 <= this.options.groupSize()) return;
     this.candidacy = undefined;
-    if (candidacy.preliminary) this.stand(candidacy.timeline, { preliminary: false });
-    else this.options.onElected(candidacy.timeline);
+    const { timeline, preliminary, handover } = candidacy;
+    if (preliminary) {
+      this.stand(timeline, { preliminary: false, handover });
+      return;
+    }
+    this.handoverDueMs = undefined;
+    this.refusedDueMs = undefined;
+    this.options.onElected(timeline);
   }
 
   /** After a round that may fail: soon, since the primary was silent for long enough before it. */
--- a/standins/database/replication/member.ts
+++ b/standins/database/replication/member.ts
@@ -127,7 +127,7 @@
         break;
       case 'heartbeat-reply':
         if (this.role === 'primary' && message.timeline === this.log.timeline) {
-          this.election.heard(message.timeline, nowMs);
+          this.election.followed(nowMs);
         }
         break;
       case 'append':
@@ -161,7 +161,7 @@
       return;
     }
     this.follow(from, timeline);
-    this.election.heard(timeline, nowMs);
+    this.election.heard(from, timeline, nowMs);
     const receivedLsn = this.log.lsn;
     const kind = 'heartbeat-reply';
     this.options.send(from, { kind, from: this.options.name, timeline, receivedLsn });
@@ -185,7 +185,7 @@
   private onStalePrimary(message: StalePrimary, nowMs: number): void {
     if (this.role !== 'primary' || message.timeline <= this.log.timeline) return;
     if (message.primaryTimeline > this.log.timeline) this.demote(message.primaryTimeline);
-    else this.election.standNow(message.timeline + 1, nowMs);
+    else this.election.refused(message.timeline, nowMs);
   }
 
   private follow(primary: string, timeline: number): void {
@@ -204,7 +204,7 @@
     this.primaryName = undefined;
     this.wasReplica = true;
     this.replayedLsn = this.log.lsn;
-    this.election.heard(timeline, performance.now());
+    this.election.demoted(timeline, performance.now());
     this.note('demoted');
   }
 
--- a/test/unit/database-election.test.ts
+++ b/test/unit/database-election.test.ts
@@ -68,7 +68,7 @@
 function tickUntilElected(voters: ReadonlyMap<string, Voter>, names: readonly string[]): string[] {
   for (const name of names) {
     const voter = voters.get(name);
-    voter?.election.heard(1, 0);
+    voter?.election.heard('a', 1, 0);
   }
   for (nowMs = 0; nowMs < 20 * ELECTION_TIMEOUT_MS; nowMs += 10) {
     for (const name of names) voters.get(name)?.election.tick(nowMs);
@@ -102,12 +102,88 @@
 test('voters that hear a primary refuse a candidate', () => {
   const voters = createVoters([10, 10, 10], new Set());
   nowMs = 1_000;
-  for (const name of ['a', 'b']) voters.get(name)?.election.heard(1, nowMs);
-  voters.get('c')?.election.heard(1, 0);
+  for (const name of ['a', 'b']) voters.get(name)?.election.heard('a', 1, nowMs);
+  voters.get('c')?.election.heard('a', 1, 0);
   voters.get('c')?.election.tick(nowMs);
   assert.is(voters.get('c')?.primary, false);
 });
 
+/** Voter `a` leads timeline 1; all heard it at the given time. */
+function createLed(lsns: readonly number[], atMs: number): Record<'a' | 'b' | 'c', Voter> {
+  const [a, b, c] = createVoters(lsns, new Set()).values();
+  assert.ok(a && b && c);
+  nowMs = atMs;
+  a.primary = true;
+  a.election.followed(nowMs);
+  for (const { election } of [b, c]) election.heard('a', 1, nowMs);
+  return { a, b, c };
+}
+
+test('a primary that one replica refuses stands again though the other follows it', () => {
+  const { a, b, c } = createLed([20, 20, 10], 1_000);
+  // Lost a round: it promised itself timeline 2, and lacks what the others have.
+  c.election.promisedTimeline = 2;
+  a.election.refused(2, nowMs);
+  assert.is(a.electedTimeline, 0, 'whoever was voted for may lead in a moment');
+  nowMs += ELECTION_TIMEOUT_MS / 2;
+  a.election.followed(nowMs);
+  b.election.heard('a', 1, nowMs);
+  a.election.refused(2, nowMs);
+  assert.is(a.electedTimeline, 3);
+  assert.is(b.election.promisedTimeline, 3);
+  assert.is(c.election.promisedTimeline, 3);
+});
+
+test('a refused primary keeps its votes while replicas still follow its timeline', () => {
+  const { a, b, c } = createLed([20, 20, 20], 1_000);
+  a.election.refused(2, nowMs);
+  nowMs += ELECTION_TIMEOUT_MS / 2;
+  // No vote at once: one replica's comes later.
+  for (const { election } of [b, c]) election.promisedTimeline = 9;
+  a.election.refused(2, nowMs);
+  assert.is(a.electedTimeline, 0);
+  a.election.followed(nowMs);
+  a.election.onVote({
+    kind: 'vote',
+    from: 'b',
+    timeline: 3,
+    preliminary: false,
+    granted: true,
+    promisedTimeline: 3,
+  });
+  assert.is(a.electedTimeline, 3);
+});
+
+test('a handover waits for the commits that are on their way and refuses no primary until then', () => {
+  const { a, b, c } = createLed([20, 20, 10], 1_000);
+  c.election.takeOver(nowMs);
+  assert.equal(
+    [a, b, c].map(({ election }) => election.promisedTimeline),
+    [0, 1, 1],
+  );
+  c.position = { timeline: 1, lsn: 20 };
+  c.election.heard('a', 1, nowMs);
+  nowMs += ELECTION_TIMEOUT_MS;
+  c.election.tick(nowMs);
+  assert.is(c.electedTimeline, 2);
+  assert.equal(
+    [a, b, c].map(({ election }) => election.promisedTimeline),
+    [2, 2, 2],
+  );
+});
+
+test('a handover ends once another primary is heard', () => {
+  const { b, c } = createLed([20, 20, 10], 1_000);
+  c.election.takeOver(nowMs);
+  c.election.heard('b', 2, nowMs);
+  c.position = { timeline: 2, lsn: 20 };
+  nowMs += ELECTION_TIMEOUT_MS / 2;
+  b.election.followed(nowMs);
+  c.election.heard('b', 2, nowMs);
+  c.election.tick(nowMs);
+  assert.is(c.electedTimeline, 0);
+});
+
 test('a log contains exactly the beginnings of itself', () => {
   const log = new CommitLog();
   log.startTimeline(1);
