Load: a farewell that comes with the acceptance is no request cut

The session took the connection for open, its first request was refused by the client library itself, nothing was sent, and the record said that the planned stop had cut a request. Ruled out: a cut in a transaction or between statements (the request was a single statement). Change: a connection that ended while it was opened is a failed connect (not run). Test: prepared bytes in one packet; red without the change.

--- a/bench/load/caller-session.ts
+++ b/bench/load/caller-session.ts
@@ -2,6 +2,7 @@
  * One caller's session: a connection to one proxy at a time, and what the session carries when it
  * goes on at another. Runs one request after the other.
  */
+import { MeadowstackError } from '../../src/core/errors.js';
 import type { SessionCarriage } from './schedule.js';
 import { SESSION_ID_PARAMETER, SESSION_TOKEN_PARAMETER, SessionClient } from './session-client.js';
 
@@ -28,6 +29,11 @@
   readonly firstProxy: number;
 }
 
+/** The proxy ended the connection before anything was sent on it. */
+export class ConnectionEndedError extends MeadowstackError {
+  readonly code = 'MS-BENCH-CONNECTION-ENDED';
+}
+
 const CONNECT_TIMEOUT_MS = 2_000;
 
 export class CallerSession {
@@ -63,7 +69,7 @@
     this.#proxyIndex += 1;
   }
 
-  /** The open connection, or a new one. Rejects if the proxy can't be reached. */
+  /** The open connection, or a new one. Rejects if the proxy can't be reached or sends the caller away. */
   async connected(): Promise<SessionClient> {
     if (this.#client !== undefined && !this.#client.closed) return this.#client;
     this.#keepToken();
@@ -76,6 +82,8 @@
       startupParameters: this.#startupParameters(),
     });
     await client.connect();
+    // A proxy that is being stopped may say farewell in the same packet that it accepts with.
+    if (client.closed) throw client.closedBy ?? new ConnectionEndedError('ended once accepted');
     this.#client = client;
     return client;
   }
--- a/bench/load/session-client.ts
+++ b/bench/load/session-client.ts
@@ -39,6 +39,8 @@
   sessionToken: string | undefined;
   /** The connection has ended or is broken. */
   closed = false;
+  /** Why the connection broke or was ended by the proxy, if it was. */
+  closedBy: Error | undefined;
   readonly #startupParameters: Readonly<Record<string, string>>;
 
   constructor(options: SessionClientOptions) {
@@ -51,8 +53,9 @@
         this.sessionToken = message.parameterValue;
       }
     });
-    this.on('error', () => {
+    this.on('error', (error) => {
       this.closed = true;
+      this.closedBy ??= error;
     });
     this.on('end', () => {
       this.closed = true;
--- /dev/null
+++ b/test/unit/bench/caller-session.test.ts
@@ -0,0 +1,54 @@
+/** A caller's session of the load, against a proxy made of prepared bytes. */
+import { once } from 'node:events';
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { CallerSession } from '../../../bench/load/caller-session.js';
+import { connectFailure } from '../../../bench/load/outcome.js';
+
+const AUTHENTICATION_OK = Buffer.from('R\0\0\0\x08\0\0\0\0', 'latin1');
+const READY = Buffer.from('Z\0\0\0\x05I', 'latin1');
+
+function farewell(): Buffer {
+  const fields = Buffer.from('SFATAL\0VFATAL\0C57P01\0Mthe proxy is being stopped\0\0', 'latin1');
+  const head = Buffer.alloc(5, 'E');
+  head.writeInt32BE(fields.length + 4, 1);
+  return Buffer.concat([head, fields]);
+}
+
+/** Answers each start-up message with these bytes in one packet. */
+async function answerWith(bytes: Buffer): Promise<Server> {
+  const server = createServer((socket: Socket) => {
+    socket.on('error', () => socket.destroy());
+    socket.once('data', () => socket.end(bytes));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return server;
+}
+
+test('a farewell in the packet that accepts a caller leaves nothing sent, so nothing cut', async () => {
+  const server = await answerWith(Buffer.concat([AUTHENTICATION_OK, READY, farewell()]));
+  const { port } = server.address() as AddressInfo;
+  const session = new CallerSession({
+    sessionId: 'session',
+    carriage: 'session-id',
+    credentials: { user: 'app', password: '', database: 'app' },
+    proxies: [{ name: 'proxy-1', host: '127.0.0.1', port }],
+    firstProxy: 0,
+  });
+  const refused = await session.connected().then(
+    () => undefined,
+    (error: unknown) => connectFailure(error),
+  );
+  assert.equal(refused, {
+    ending: 'terminated',
+    outcome: 'not-run',
+    errorCode: '57P01',
+    retryAfterMs: undefined,
+  });
+  server.close();
+  await once(server, 'close');
+});
+
+test.run();
