Home nodes are told a session's position again within the request's time

Of the three home nodes one is the gateway, one was being restarted, and the third did not answer within the 250 ms that a call was given, or its link was being made; nobody asked it again. The failed calls of a trial copy were logged: unreachable for the restarted node, and answers missing after 250 ms for the other. Ruled out: the restarted node's old address (the list had the new one at the next call). Change: a home node is told again until two have recorded or the request's time is up, at least 250 ms, at most 2 s; the address is looked up at each try.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -12,6 +12,7 @@
 import type { Position } from '../../core/position.js';
 import type { GroupName, TenantName, ZoneName } from '../../core/request.js';
 import type { SessionKeys } from '../../core/session/index.js';
+import type { Milliseconds } from '../../core/units.js';
 import { type LocalResult, localAnswer } from '../../postgres/caller/local-answer.js';
 import type {
   CallerBatch,
@@ -308,7 +309,7 @@
   /** The session must see what an earlier request with the same key did, wherever it moves. */
   async #reportDoneEarlier(error: RequestError, position: Position): Promise<void> {
     if (this.#positions.observe(position, false)) this.#reportToken();
-    const recorded = await this.#positions.record(position);
+    const recorded = await this.#positions.record(position, this.#remainingMs);
     if (!recorded) {
       this.#reportNotRecorded();
       return;
@@ -327,10 +328,18 @@
   }
 
   async #recordThenDeliver(position: Position, end: GroupAnswerEnd): Promise<void> {
-    if (await this.#positions.record(position)) this.#deliverEnd(end);
+    if (await this.#positions.record(position, this.#remainingMs)) this.#deliverEnd(end);
     else this.#reportNotRecorded();
   }
 
+  /** What is left of the running request's time. */
+  get #remainingMs(): Milliseconds {
+    const running = this.#running;
+    return running === undefined
+      ? 0
+      : running.startedAt + running.terms.deadlineMs - monotonicNow();
+  }
+
   #reportNotRecorded(): void {
     const message = 'the home nodes of the session id could not be reached';
     this.#connection.writeError(new UnknownOutcomeError('session-not-recorded', message));
--- a/src/node/gateway/home-node-directory.ts
+++ b/src/node/gateway/home-node-directory.ts
@@ -2,6 +2,7 @@
  * Keeps positions of sessions by id on their home nodes, over peer calls. The rules (who is home,
  * how many must answer) are the core's; see docs/design/sessions.md.
  */
+import { setTimeout as pause } from 'node:timers/promises';
 import { z } from 'zod';
 import { MeadowstackError } from '../../core/errors.js';
 import type { TenantName } from '../../core/request.js';
@@ -25,8 +26,14 @@
 
 /** Sessions whose home nodes are kept: more than a node has callers at the size that is aimed at. */
 const MAX_KEPT_HOMES = 32_768;
-/** Longest wait for one home node, in ms. */
-const CALL_TIMEOUT_MS = 250;
+/** Longest wait for one home node in a look-up, in ms. */
+const LOOK_UP_TIMEOUT_MS = 250;
+/** Shortest time for a record, also if the request's own time is up: its write is done. */
+const RECORD_MIN_MS = 250;
+/** Longest time for a record: after it the caller is told that the outcome is unknown. */
+const RECORD_MAX_MS = 2_000;
+/** A home node that could not be told is told again after this. */
+const RECORD_RETRY_MS = 50;
 
 const keySchema = z.object({ tenant: z.string(), sessionId: z.string() });
 const entrySchema = z.object({
@@ -48,6 +55,15 @@
   readonly address: PeerAddress;
 }
 
+/** A record on its way to the home nodes. */
+interface PendingRecord {
+  readonly session: SessionKeyName;
+  readonly entry: GroupPositionEntry;
+  readonly deadlineAt: Milliseconds;
+  /** Aborted once enough home nodes have recorded. */
+  readonly enough: AbortSignal;
+}
+
 export interface HomeNodeDirectoryOptions {
   readonly nodeId: string;
   readonly transport: PeerTransport;
@@ -82,23 +98,54 @@
     return combineAnswers(answers, homes.length);
   }
 
-  record(tenant: TenantName, sessionId: string, entry: GroupPositionEntry): Promise<boolean> {
+  record(
+    tenant: TenantName,
+    sessionId: string,
+    entry: GroupPositionEntry,
+    remainingMs: Milliseconds,
+  ): Promise<boolean> {
     const session = { tenant, sessionId };
     const homes = this.#homesOf(session);
+    const limitMs = Math.min(RECORD_MAX_MS, Math.max(RECORD_MIN_MS, remainingMs));
+    const deadlineAt = this.#options.now() + limitMs;
+    const enough = new AbortController();
     return new Promise((resolve) => {
       let acknowledged = 0;
       let outstanding = homes.length;
       const settle = (recorded: boolean): void => {
         outstanding -= 1;
         if (recorded) acknowledged += 1;
-        if (isRecorded(acknowledged, homes.length)) resolve(true);
-        else if (outstanding === 0) resolve(false);
+        if (!isRecorded(acknowledged, homes.length) && outstanding > 0) return;
+        resolve(isRecorded(acknowledged, homes.length));
+        enough.abort();
       };
       if (homes.length === 0) resolve(false);
-      for (const home of homes) void this.#tell(home, session, entry).then(settle);
+      for (const { nodeId } of homes) {
+        void this.#tellUntil(nodeId, { session, entry, deadlineAt, enough: enough.signal }).then(
+          settle,
+        );
+      }
     });
   }
 
+  /**
+   * Tells a home node until it has recorded, others were enough, or the time is up. A link that is
+   * lost or a node that was restarted elsewhere is found again at the next try.
+   */
+  async #tellUntil(nodeId: string, record: PendingRecord): Promise<boolean> {
+    const { session, entry, deadlineAt, enough } = record;
+    for (;;) {
+      const home = this.#homesOf(session).find((node) => node.nodeId === nodeId);
+      const remainingMs = deadlineAt - this.#options.now();
+      const told = home !== undefined && (await this.#tell(home, session, entry, remainingMs));
+      if (told) return true;
+      const timeIsUp = this.#options.now() + RECORD_RETRY_MS >= deadlineAt;
+      if (timeIsUp || enough.aborted) return false;
+      await pause(RECORD_RETRY_MS);
+      if (enough.aborted) return false;
+    }
+  }
+
   /** True for the methods that `onCall` answers. */
   handles(method: string): boolean {
     return method === SESSION_RECORD_METHOD || method === SESSION_LOOK_UP_METHOD;
@@ -159,7 +206,7 @@
       home.address,
       SESSION_LOOK_UP_METHOD,
       { session },
-      CALL_TIMEOUT_MS,
+      LOOK_UP_TIMEOUT_MS,
     );
     const parsed = answerSchema.safeParse(result.unwrapOr(undefined));
     if (!parsed.success) return undefined;
@@ -171,6 +218,7 @@
     home: HomeNode,
     session: SessionKeyName,
     entry: GroupPositionEntry,
+    timeoutMs: Milliseconds,
   ): Promise<boolean> {
     const body = { session, positions: [entry] };
     if (home.nodeId === this.#options.nodeId) {
@@ -178,7 +226,7 @@
       return true;
     }
     const { transport } = this.#options;
-    const result = await transport.call(home.address, SESSION_RECORD_METHOD, body, CALL_TIMEOUT_MS);
+    const result = await transport.call(home.address, SESSION_RECORD_METHOD, body, timeoutMs);
     return result.isOk();
   }
 }
--- a/src/node/gateway/session-directory.ts
+++ b/src/node/gateway/session-directory.ts
@@ -3,6 +3,7 @@
 import type { Position } from '../../core/position.js';
 import type { GroupName, TenantName } from '../../core/request.js';
 import type { SessionState } from '../../core/session/index.js';
+import type { Milliseconds } from '../../core/units.js';
 
 export interface GroupPositionEntry {
   readonly group: GroupName;
@@ -12,6 +13,14 @@
 export interface SessionDirectory {
   /** What the home nodes know; groups they can't vouch for are unknown. Never fails. */
   lookUp(tenant: TenantName, sessionId: string): Promise<SessionState>;
-  /** True once enough home nodes keep the position, false if they can't be reached. */
-  record(tenant: TenantName, sessionId: string, entry: GroupPositionEntry): Promise<boolean>;
+  /**
+   * True once enough home nodes keep the position; false if they could not be reached in what is
+   * left of the request's time.
+   */
+  record(
+    tenant: TenantName,
+    sessionId: string,
+    entry: GroupPositionEntry,
+    remainingMs: Milliseconds,
+  ): Promise<boolean>;
 }
--- a/src/node/gateway/session-positions.ts
+++ b/src/node/gateway/session-positions.ts
@@ -20,6 +20,7 @@
   type SessionState,
   type SessionTokenError,
 } from '../../core/session/index.js';
+import type { Milliseconds } from '../../core/units.js';
 import type { SessionDirectory } from './session-directory.js';
 
 export interface SessionPositionsOptions {
@@ -93,10 +94,10 @@
     return access === 'write' || before.type === 'unknown';
   }
 
-  /** True once enough home nodes keep the position. */
-  async record(position: Position): Promise<boolean> {
+  /** True once enough home nodes keep the position; tried for what is left of the request's time. */
+  async record(position: Position, remainingMs: Milliseconds): Promise<boolean> {
     const { tenant, sessionId, directory, group } = this.#options;
     if (sessionId === undefined) return true;
-    return directory.record(tenant, sessionId, { group, position });
+    return directory.record(tenant, sessionId, { group, position }, remainingMs);
   }
 }
