A position is recorded in the time of its request, not in the shortest

Change: the session keeps the time until which its latest request may take. Test: the directory is given time that is left; red without the change.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -77,6 +77,8 @@
   /** The caller believes in a transaction block that no back end has any more. */
   #blockWithoutBackend = false;
   #running: RunningRequest | undefined;
+  /** When the time of the latest request is up. */
+  #deadlineAt: Milliseconds = 0;
   #stopping: RequestError | undefined;
 
   constructor(connection: CallerConnection, options: GatewaySessionOptions) {
@@ -191,12 +193,9 @@
     this.#inTransaction = begins;
     this.#blockOpen = false;
     const requestId = this.#options.nextRequestId();
-    this.#running = {
-      requestId,
-      terms,
-      access: statementClass.access,
-      startedAt: monotonicNow(),
-    };
+    const startedAt = monotonicNow();
+    this.#running = { requestId, terms, access: statementClass.access, startedAt };
+    this.#deadlineAt = startedAt + terms.deadlineMs;
     this.#call = this.#options.client.open(
       this.#openMessage(this.#running, batch, statementClass, markers, policy),
       {
@@ -332,12 +331,9 @@
     else this.#reportNotRecorded();
   }
 
-  /** What is left of the running request's time. */
+  /** What is left of the latest request's time. */
   get #remainingMs(): Milliseconds {
-    const running = this.#running;
-    return running === undefined
-      ? 0
-      : running.startedAt + running.terms.deadlineMs - monotonicNow();
+    return this.#deadlineAt - monotonicNow();
   }
 
   #reportNotRecorded(): void {
--- a/test/unit/gateway-session.test.ts
+++ b/test/unit/gateway-session.test.ts
@@ -5,8 +5,9 @@
 import { NotRunError, type RequestError, TransactionAbortedError } from '../../src/core/errors.js';
 import { RetryBudget } from '../../src/core/retry/budget.js';
 import { freshSession } from '../../src/core/session/index.js';
-import { GatewaySession } from '../../src/node/gateway/gateway-session.js';
+import { GatewaySession, SESSION_ID_PARAMETER } from '../../src/node/gateway/gateway-session.js';
 import { GroupClient } from '../../src/node/gateway/group-client.js';
+import type { SessionDirectory } from '../../src/node/gateway/session-directory.js';
 import { encodeRequestError } from '../../src/node/owner/messages.js';
 import type { PeerStream } from '../../src/peer/contract.js';
 import { TcpPeerTransport } from '../../src/peer/transport.js';
@@ -42,7 +43,7 @@
   readonly id = 'caller';
   readonly policy = POLICY;
   readonly database = 'orders';
-  readonly parameters = new Map<string, string>();
+  readonly parameters = new Map([[SESSION_ID_PARAMETER, 'session']]);
   onBatch: CallerConnection['onBatch'];
   onCancel: CallerConnection['onCancel'];
   onClose: CallerConnection['onClose'];
@@ -87,7 +88,10 @@
 }
 
 /** A session whose owner answers the n-th batch of every stream with the n-th answer. */
-async function sessionWith(answer: (stream: PeerStream, batch: number) => void) {
+async function sessionWith(
+  answer: (stream: PeerStream, batch: number) => void,
+  record: SessionDirectory['record'] = async () => true,
+) {
   const identity = { nodeId: 'n', incarnation: 1 };
   const client = new GroupClient({
     ownersOf: () => [{ type: 'local' }],
@@ -108,7 +112,7 @@
   const session = new GatewaySession(caller, {
     client,
     sessionKeys: [{ id: 'k', secret: Buffer.alloc(32, 1) }],
-    directory: { lookUp: async () => freshSession(), record: async () => true },
+    directory: { lookUp: async () => freshSession(), record },
     policyOf: () => POLICY,
     zone: 'a',
     nextRequestId: () => 'r',
@@ -165,4 +169,24 @@
   assert.is(idle.terminated, revoked);
 });
 
+test('a position is recorded in the time that is left of the request', async () => {
+  const position = { timeline: 1, lsn: 7n };
+  const remaining: number[] = [];
+  const caller = await sessionWith(
+    (stream) => {
+      const heldBack = Buffer.alloc(0);
+      stream.send({ type: 'end', status: 'I', heldBack, position, fromReplica: false });
+      stream.end();
+    },
+    async (_tenant, _session, _entry, remainingMs) => {
+      remaining.push(remainingMs);
+      return false;
+    },
+  );
+  const end = await caller.query('INSERT INTO orders VALUES (1)');
+  assert.is(end.error?.outcome, 'unknown');
+  assert.is(remaining.length, 1);
+  assert.ok((remaining[0] ?? 0) > 0);
+});
+
 test.run();
