Heartbeats of links are a setting; tests without a frozen proxy wait longer for them

Cause: departures and answers were red with MS-UNKNOWN-OWNER-LOST: a machine with three to five ready processes a core kept a proxy from its turn for the 900 ms after which a link is lost by silence. The product did as it should; the tests show planned stops and whole answers, in which no proxy freezes, and did not rule out this other failure. Ruled out: the drain limit of the planned stop (both gateways lost the link to the same owner within 100 ms, a second after the load began). Change: peer.heartbeatMs (300 as before). A refused primary of the stand-in stands again only after an election timeout, since to stand sooner throws away votes on their way; the unit test has that step and is red without it. The test of the farewell closes its server also when red.

--- a/src/node/node-links.ts
+++ b/src/node/node-links.ts
@@ -11,9 +11,6 @@
 import type { Settings } from './settings.js';
 import { clusterSecretOf } from './settings-values.js';
 
-/** Only links with work under way are asked; a frozen owner is given up after three of these. */
-const LINK_HEARTBEAT_MS = 300;
-
 export interface NodeLinks {
   readonly identity: NodeIdentity;
   readonly router: PeerRouter;
@@ -30,7 +27,8 @@
   const transport = new TcpPeerTransport({
     identity,
     handlers: router,
-    limits: { heartbeatMs: LINK_HEARTBEAT_MS },
+    // Only links with work under way are asked; a frozen owner is given up after three of these.
+    limits: { heartbeatMs: settings.peer.heartbeatMs },
     events: { onLinkDown: (peer) => router.linkDown(peer) },
     ...(clusterSecret === undefined ? {} : { clusterSecret }),
   });
--- a/src/node/setting-fields.ts
+++ b/src/node/setting-fields.ts
@@ -31,6 +31,11 @@
   },
   { path: 'peer.host', type: 'string', description: 'address for links between proxies' },
   { path: 'peer.port', type: 'integer', description: 'port for links between proxies' },
+  {
+    path: 'peer.heartbeatMs',
+    type: 'integer',
+    description: 'interval of heartbeats on a link with work under way; lost after three',
+  },
   { path: 'peer.secretHex', type: 'string', description: 'secret that all nodes share' },
   { path: 'admin.host', type: 'string', description: 'address of the admin port' },
   { path: 'admin.port', type: 'integer', description: 'admin port' },
--- a/src/node/settings-schema.ts
+++ b/src/node/settings-schema.ts
@@ -9,6 +9,7 @@
 const DEFAULT_CALLERS_PORT = 6432;
 const DEFAULT_PEER_PORT = 7432;
 const DEFAULT_ADMIN_PORT = 9432;
+const DEFAULT_LINK_HEARTBEAT_MS = 300;
 const DEFAULT_CONNECT_TIMEOUT_MS = 2000;
 const DEFAULT_PROBE_INTERVAL_MS = 100;
 const DEFAULT_SUSPECT_PROBE_INTERVAL_MS = 20;
@@ -57,6 +58,8 @@
   host: host.default('127.0.0.1'),
   /** TCP and UDP. */
   port: port.default(DEFAULT_PEER_PORT),
+  /** A link with work under way is lost after three of these without a byte. */
+  heartbeatMs: durationMs.default(DEFAULT_LINK_HEARTBEAT_MS),
   /** Shared by all nodes. Absent: any process that can connect may pose as a node. */
   secretHex: secretHex.optional(),
 });
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -31,6 +31,12 @@
 `;
 
 /** One group of three instances in three zones, and two proxies. */
+/**
+ * For tests in which no proxy freezes: a busy test machine may keep one from its turn for a second,
+ * and a link that is taken for lost then is no part of what they show.
+ */
+export const PATIENT_LINKS = '--peer-heartbeat-ms=5000';
+
 export function startSmallCluster(options: Partial<ClusterOptions> = {}): Promise<Cluster> {
   return Cluster.start({
     groups: [
--- a/test/unit/bench/caller-session.test.ts
+++ b/test/unit/bench/caller-session.test.ts
@@ -41,14 +41,15 @@
     () => undefined,
     (error: unknown) => connectFailure(error),
   );
+  session.abandon();
+  server.close();
+  await once(server, 'close');
   assert.equal(refused, {
     ending: 'terminated',
     outcome: 'not-run',
     errorCode: '57P01',
     retryAfterMs: undefined,
   });
-  server.close();
-  await once(server, 'close');
 });
 
 test.run();
--- a/test/unit/database-election.test.ts
+++ b/test/unit/database-election.test.ts
@@ -143,6 +143,8 @@
   a.election.refused(2, nowMs);
   assert.is(a.electedTimeline, 0);
   a.election.followed(nowMs);
+  nowMs += ELECTION_TIMEOUT_MS / 2;
+  a.election.refused(2, nowMs);
   a.election.onVote({
     kind: 'vote',
     from: 'b',
