Rolling restart test: callers give requests time that a busy machine keeps

Change: the rolling restart's callers give each request 10 s. No assertion is changed: any unknown outcome or lost transaction still fails it.

--- a/test/integration/cluster/departures.test.ts
+++ b/test/integration/cluster/departures.test.ts
@@ -21,6 +21,8 @@
 const PART_MS = 2_000;
 /** Far above what a busy machine delays a heartbeat by: a leaving replica must not be elected. */
 const ELECTION_TIMEOUT_MS = 5_000;
+/** Far above what a busy machine takes for a request: only the restarts may make one fail. */
+const DEADLINE_MS = 10_000;
 const WRITES_BETWEEN = 20;
 /** No new work from then on after the mark is visible. */
 const GRACE_MS = 2_000;
@@ -113,6 +115,7 @@
     cluster,
     seed: 303,
     partMs: PART_MS,
+    deadlineMs: DEADLINE_MS,
     fault: async (progress, recorder) => {
       for (const { nodeId, zone, stop } of [...cluster.proxies.values()]) {
         await progress.writesDone(WRITES_BETWEEN);
