--- a/src/node/limits/allocator-service.ts
+++ b/src/node/limits/allocator-service.ts
@@ -84,7 +84,11 @@
     const now = this.#options.now();
     const isFirst = this.#options.nodes.allocatorOf(tenant) === this.#options.nodeId;
     const running = this.#running.get(tenant) ?? (isFirst ? this.#start(tenant, now) : undefined);
-    if (running !== undefined) return running.allocator.answer(request, now);
+    if (running !== undefined) {
+      // A limit raised since the last tick must not end callers that are within it.
+      running.allocator.setLimit(this.#options.limitOf(tenant), now);
+      return running.allocator.answer(request, now);
+    }
     return { type: 'refused', number: request.number, reason: 'no-authority', term: undefined };
   }
 
--- a/test/integration/cluster/configuration-faults.test.ts
+++ b/test/integration/cluster/configuration-faults.test.ts
@@ -21,7 +21,14 @@
 } from '../../../src/core/configuration/errors.js';
 import { Publisher } from '../../../src/node/configuration/publisher.js';
 import { DEFAULT_STORE_CLIENT_OPTIONS, StoreClient } from '../../../src/platform/store-client.js';
-import { allHeard, GROUP, startSmallCluster, statusOf, TENANT } from '../../support/cluster.js';
+import {
+  allHeard,
+  GROUP,
+  inForce,
+  startSmallCluster,
+  statusOf,
+  TENANT,
+} from '../../support/cluster.js';
 import { until } from '../../support/until.js';
 
 /** All in one zone, so that two of them relay and the others depend on those. */
@@ -77,18 +84,6 @@
   return revision;
 }
 
-async function inForce(
-  cluster: Cluster,
-  revision: number,
-  nodeIds: readonly string[] = NODES,
-): Promise<void> {
-  for (const nodeId of nodeIds) {
-    await until(`${nodeId} has revision ${revision}`, async () => {
-      return (await revisionOf(cluster, nodeId)) >= revision;
-    });
-  }
-}
-
 /** An operator with a connection of its own to the store. */
 function createOperator(
   cluster: Cluster,
--- a/test/integration/cluster/configuration.test.ts
+++ b/test/integration/cluster/configuration.test.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert';
 import { type Cluster, tenantYaml } from '../../../bench/harness/cluster.js';
 import type { TestCaller } from '../../support/cluster.js';
-import { connectCaller, GROUP, startSmallCluster, TENANT } from '../../support/cluster.js';
+import { connectCaller, GROUP, inForce, startSmallCluster, TENANT } from '../../support/cluster.js';
 
 const test = suite<{ cluster: Cluster }>('configuration in force');
 
@@ -45,7 +45,8 @@
   );
   assert.is(survivors.filter((survived) => survived).length, 1);
   await Promise.all(callers.map((caller) => caller.client.end()));
-  await cluster.publishTexts([tenantYaml(tenant)]);
+  // Until then a share may still be lowered, and a caller of the next test would be ended with it.
+  await inForce(cluster, await cluster.publishTexts([tenantYaml(tenant)]));
 });
 
 test('revoked access ends open sessions on every proxy, also inside a transaction', async ({
--- a/test/integration/cluster/silent-from-start.test.ts
+++ b/test/integration/cluster/silent-from-start.test.ts
@@ -6,8 +6,7 @@
 import * as assert from 'uvu/assert';
 import { type Cluster, tenantYaml } from '../../../bench/harness/cluster.js';
 import { relayCandidates } from '../../../src/core/configuration/relays.js';
-import { GROUP, startSmallCluster, statusOf, TENANT } from '../../support/cluster.js';
-import { until } from '../../support/until.js';
+import { GROUP, inForce, startSmallCluster, statusOf, TENANT } from '../../support/cluster.js';
 
 const NODES = ['proxy-1', 'proxy-2', 'proxy-3', 'proxy-4'];
 const ZONE = 'a';
@@ -44,9 +43,7 @@
       heard.some((one) => SILENT.includes(one)),
       `${nodeId} heard from a silent one`,
     );
-    await until(`${nodeId} has revision ${revision}`, async () => {
-      return (await statusOf(cluster, nodeId)).configuration.revision >= revision;
-    });
+    await inForce(cluster, revision, [nodeId]);
   }
 });
 
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -98,6 +98,19 @@
   return (await response.json()) as NodeStatus;
 }
 
+/** Resolves once every one of these proxies has the revision in force. */
+export async function inForce(
+  cluster: Cluster,
+  revision: number,
+  nodeIds: Iterable<string> = cluster.proxies.keys(),
+): Promise<void> {
+  for (const nodeId of nodeIds) {
+    await until(`${nodeId} has revision ${revision}`, async () => {
+      return (await statusOf(cluster, nodeId)).configuration.revision >= revision;
+    });
+  }
+}
+
 /** Resolves once every one of these proxies has heard from all the others. */
 export async function allHeard(cluster: Cluster, nodeIds: readonly string[]): Promise<void> {
   for (const nodeId of nodeIds) {
--- /dev/null
+++ b/test/unit/allocator-service.test.ts
@@ -0,0 +1,98 @@
+/** An allocator of one tenant's limit on a node that votes for itself, on a clock of the test's. */
+import { setImmediate as nextTurn } from 'node:timers/promises';
+import { errAsync } from 'neverthrow';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DEFAULT_TENANT_LEASE_OPTIONS } from '../../src/core/limits/lease-options.js';
+import type { ShareAnswer } from '../../src/core/ownership/budget-lease.js';
+import { loadHash64 } from '../../src/core/ownership/hash.js';
+import { AllocatorService } from '../../src/node/limits/allocator-service.js';
+import { parseCall, VOTE_METHOD, voteRequestSchema } from '../../src/node/limits/messages.js';
+import { LimitNodes } from '../../src/node/limits/nodes.js';
+import { LimitsPeerClient } from '../../src/node/limits/peer-client.js';
+import { UnknownMethodError } from '../../src/node/peer-router.js';
+
+const NODE = { nodeId: 'proxy-1', zone: 'a', host: '', peerPort: 0 };
+const TENANT = 'bureau';
+const LOWERED_LIMIT = 1;
+const RAISED_LIMIT = 10;
+const USED = 2;
+const STEP_MS = 500;
+/** Longer than any share that an earlier allocator could have granted. */
+const ELECTED_AFTER_STEPS = 100;
+
+const test = suite('allocator service');
+const hash = await loadHash64();
+
+class Allocation {
+  limit = RAISED_LIMIT;
+  #now = 1_000;
+  #requests = 0;
+  readonly #service: AllocatorService;
+
+  constructor() {
+    const nodes = new LimitNodes(hash);
+    nodes.set([NODE], [NODE]);
+    const peers = new LimitsPeerClient({
+      nodeId: NODE.nodeId,
+      transport: { call: () => errAsync(new UnknownMethodError('there is no other node')) },
+      nodes,
+      answerLocally: (method, body) => {
+        assert.is(method, VOTE_METHOD);
+        return { votes: this.#service.vote(parseCall(voteRequestSchema, body).elections) };
+      },
+    });
+    this.#service = new AllocatorService({
+      nodeId: NODE.nodeId,
+      life: 'proxy-1#1',
+      hash,
+      nodes,
+      peers,
+      limitOf: () => this.limit,
+      now: () => this.#now,
+      // Reports of holders are not what is tested here.
+      lease: { ...DEFAULT_TENANT_LEASE_OPTIONS, maxReportingNodes: 0 },
+    });
+    this.#service.setList([NODE]);
+  }
+
+  async elect(): Promise<void> {
+    for (let step = 0; step < ELECTED_AFTER_STEPS; step += 1) {
+      this.ask({ holding: 0, inUse: 0 });
+      await this.tick();
+    }
+  }
+
+  async tick(): Promise<void> {
+    this.#now += STEP_MS;
+    this.#service.tick();
+    await nextTurn();
+  }
+
+  /** Asks as the only holder; a first refusal tells the term. */
+  ask(use: { holding: number; inUse: number }): ShareAnswer {
+    const refused = this.#ask(use, undefined);
+    if (refused.type === 'granted') return refused;
+    return this.#ask(use, refused.term);
+  }
+
+  #ask(use: { holding: number; inUse: number }, term: string | undefined): ShareAnswer {
+    this.#requests += 1;
+    const request = { holder: 'proxy-2#1/1', number: this.#requests, wanted: USED, needed: USED };
+    return this.#service.answer({ tenant: TENANT, request: { ...request, ...use, term } });
+  }
+}
+
+test('a raised limit counts for the next request, before the next tick', async () => {
+  const allocation = new Allocation();
+  await allocation.elect();
+  const first = allocation.ask({ holding: 0, inUse: 0 });
+  assert.is(first.type === 'granted' && first.connections, USED);
+  allocation.limit = LOWERED_LIMIT;
+  await allocation.tick();
+  allocation.limit = RAISED_LIMIT;
+  const renewed = allocation.ask({ holding: USED, inUse: USED });
+  assert.is(renewed.type === 'granted' && renewed.connections, USED);
+});
+
+test.run();
