--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -12,6 +12,7 @@
 import type { Position } from '../../core/position.js';
 import type { GroupName, TenantName, ZoneName } from '../../core/request.js';
 import type { SessionKeys } from '../../core/session/index.js';
+import type { Milliseconds } from '../../core/units.js';
 import { type LocalResult, localAnswer } from '../../postgres/caller/local-answer.js';
 import type {
   CallerBatch,
@@ -76,6 +77,8 @@
   /** The caller believes in a transaction block that no back end has any more. */
   #blockWithoutBackend = false;
   #running: RunningRequest | undefined;
+  /** When the time of the latest request is up. */
+  #deadlineAt: Milliseconds = 0;
   #stopping: RequestError | undefined;
 
   constructor(connection: CallerConnection, options: GatewaySessionOptions) {
@@ -190,12 +193,9 @@
     this.#inTransaction = begins;
     this.#blockOpen = false;
     const requestId = this.#options.nextRequestId();
-    this.#running = {
-      requestId,
-      terms,
-      access: statementClass.access,
-      startedAt: monotonicNow(),
-    };
+    const startedAt = monotonicNow();
+    this.#running = { requestId, terms, access: statementClass.access, startedAt };
+    this.#deadlineAt = startedAt + terms.deadlineMs;
     this.#call = this.#options.client.open(
       this.#openMessage(this.#running, batch, statementClass, markers, policy),
       {
@@ -308,7 +308,7 @@
   /** The session must see what an earlier request with the same key did, wherever it moves. */
   async #reportDoneEarlier(error: RequestError, position: Position): Promise<void> {
     if (this.#positions.observe(position, false)) this.#reportToken();
-    const recorded = await this.#positions.record(position);
+    const recorded = await this.#positions.record(position, this.#remainingMs);
     if (!recorded) {
       this.#reportNotRecorded();
       return;
@@ -327,10 +327,15 @@
   }
 
   async #recordThenDeliver(position: Position, end: GroupAnswerEnd): Promise<void> {
-    if (await this.#positions.record(position)) this.#deliverEnd(end);
+    if (await this.#positions.record(position, this.#remainingMs)) this.#deliverEnd(end);
     else this.#reportNotRecorded();
   }
 
+  /** What is left of the latest request's time. */
+  get #remainingMs(): Milliseconds {
+    return this.#deadlineAt - monotonicNow();
+  }
+
   #reportNotRecorded(): void {
     const message = 'the home nodes of the session id could not be reached';
     this.#connection.writeError(new UnknownOutcomeError('session-not-recorded', message));
