Gateway session: transaction block, request timing and open message are modules of their own

Cause: gateway-session.ts had 406 lines and four jobs; the state of a transaction block was three flags set in nine places. Change: TransactionBlock holds what the caller was told of its block, RequestObserver times a request for the metrics, open-message builds the owner's message. Behaviour as before; tests unchanged. Result: gateway-session.ts 336 lines; gateway-session, whole-path and transactions tests pass.

--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -10,7 +10,7 @@
   UnsupportedFeatureError,
 } from '../../core/errors.js';
 import type { Position } from '../../core/position.js';
-import type { GroupName, TenantName, ZoneName } from '../../core/request.js';
+import type { TenantName, ZoneName } from '../../core/request.js';
 import type { SessionKeys } from '../../core/session/index.js';
 import { type LocalResult, localAnswer } from '../../postgres/caller/local-answer.js';
 import type {
@@ -21,21 +21,23 @@
   StatementMarkers,
   TransactionStatus,
 } from '../../postgres/contract.js';
-import { monotonicNow } from '../clock.js';
-import type { OpenMessage } from '../owner/messages.js';
 import { batchMessage } from './batch-message.js';
 import type { GroupAnswerEnd, GroupCall, GroupClient } from './group-client.js';
+import { openMessage, type SessionRoute } from './open-message.js';
 import type { RequestMetrics } from './request-metrics.js';
-import { combineClasses, firstMarkers, type RequestTerms, requestTerms } from './request-policy.js';
+import { RequestObserver, type SentRequest } from './request-observer.js';
+import { combineClasses, firstMarkers, requestTerms } from './request-policy.js';
 import type { SessionDirectory } from './session-directory.js';
 import { SessionPositions } from './session-positions.js';
 import { factsOf } from './statement-facts.js';
+import { TransactionBlock } from './transaction-block.js';
 
 /** Parameter that carries the session token both ways. */
 export const SESSION_TOKEN_PARAMETER = 'meadowstack.session';
 /** Parameter that names a session which moves with nothing but its name. */
 export const SESSION_ID_PARAMETER = 'meadowstack.session_id';
 
+/** What a session is made of beside its caller's connection. */
 export interface GatewaySessionOptions {
   readonly client: GroupClient;
   readonly sessionKeys: SessionKeys;
@@ -50,45 +52,35 @@
   readonly onClosed: () => void;
 }
 
-/** One request in progress, for metrics. */
-interface RunningRequest {
-  readonly requestId: string;
-  readonly terms: RequestTerms;
-  readonly access: StatementClass['access'];
-  readonly startedAt: number;
-}
-
+/** One caller's session. */
 export class GatewaySession {
   readonly #connection: CallerConnection;
   readonly #options: GatewaySessionOptions;
-  readonly #group: GroupName;
-  readonly #backendDatabase: string;
+  readonly #route: SessionRoute;
   readonly #positions: SessionPositions;
   /** False while the session's past is being looked up; the first batch waits for it. */
   #begun = false;
   #waiting: CallerBatch | undefined;
   #call: GroupCall | undefined;
-  #inTransaction = false;
-  /** The caller was told that its transaction block is open, and has not asked to end it. */
-  #blockOpen = false;
-  /** The open transaction was lost while the caller was idle; told at its next batch. */
-  #transactionLoss: RequestError | undefined;
-  /** The caller believes in a transaction block that no back end has any more. */
-  #blockWithoutBackend = false;
-  #running: RunningRequest | undefined;
+  readonly #block = new TransactionBlock();
+  readonly #observer: RequestObserver;
   #stopping: RequestError | undefined;
 
   constructor(connection: CallerConnection, options: GatewaySessionOptions) {
     this.#connection = connection;
     this.#options = options;
+    this.#observer = new RequestObserver(options.metrics);
     const access = connection.policy.databases.find(
       (entry) => entry.database === connection.database,
     );
-    this.#group = access?.group ?? '';
-    this.#backendDatabase = access?.backendDatabase ?? connection.database;
+    this.#route = {
+      group: access?.group ?? '',
+      database: access?.backendDatabase ?? connection.database,
+      zone: options.zone,
+    };
     this.#positions = new SessionPositions({
       tenant: connection.policy.tenant,
-      group: this.#group,
+      group: this.#route.group,
       sessionId: connection.parameters.get(SESSION_ID_PARAMETER),
       keys: options.sessionKeys,
       directory: options.directory,
@@ -119,7 +111,7 @@
   /** Planned stop or revoked access: ends the session as soon as no request or transaction is open. */
   stop(error: RequestError): void {
     this.#stopping = error;
-    if (!this.#connection.busy && !this.#inTransaction) this.#connection.terminate(error);
+    if (!this.#connection.busy && !this.#block.isOpen) this.#connection.terminate(error);
   }
 
   /** Ends the session whatever it is doing. */
@@ -136,7 +128,8 @@
   /** True if the policy still lets this session reach its database's group. */
   isAllowedBy(policy: TenantPolicy): boolean {
     return policy.databases.some(
-      (access) => access.database === this.#connection.database && access.group === this.#group,
+      (access) =>
+        access.database === this.#connection.database && access.group === this.#route.group,
     );
   }
 
@@ -152,10 +145,12 @@
   #handleBatch(batch: CallerBatch): void {
     const facts = batch.statements.map(factsOf);
     const statementClass = combineClasses(
-      facts.map((fact) => (this.#inTransaction ? fact.insideBlock : fact.outsideBlock)),
+      facts.map((fact) => (this.#block.isOpen ? fact.insideBlock : fact.outsideBlock)),
     );
-    if (this.#transactionLoss !== undefined) {
-      this.#reportTransactionLoss(this.#transactionLoss, statementClass);
+    const { loss } = this.#block;
+    if (loss !== undefined) {
+      this.#connection.writeError(loss);
+      this.#finish(this.#block.lossTold(statementClass));
       return;
     }
     if (statementClass.unsupported !== undefined) {
@@ -166,14 +161,14 @@
       this.#onSessionSetting(batch, statementClass.sessionSetting);
       return;
     }
-    if (this.#inTransaction) this.#continueTransaction(batch, statementClass);
+    if (this.#block.isOpen) this.#continueTransaction(batch, statementClass);
     else this.#openRequest(batch, statementClass);
   }
 
   #continueTransaction(batch: CallerBatch, statementClass: StatementClass): void {
     const markers = this.#markersOf(batch);
     if (markers === undefined) return;
-    if (endsBlock(statementClass)) this.#blockOpen = false;
+    this.#block.batchSent(statementClass);
     this.#call?.send(batchMessage(batch, statementClass, markers));
   }
 
@@ -185,19 +180,19 @@
     }
     const markers = this.#markersOf(batch);
     if (markers === undefined) return;
-    const terms = requestTerms(policy, markers, statementClass.access);
-    const begins = statementClass.transactionControl === 'begin';
-    this.#inTransaction = begins;
-    this.#blockOpen = false;
-    const requestId = this.#options.nextRequestId();
-    this.#running = {
-      requestId,
-      terms,
-      access: statementClass.access,
-      startedAt: monotonicNow(),
-    };
+    this.#block.requestOpened(statementClass.transactionControl === 'begin');
+    const { access } = statementClass;
+    const terms = requestTerms(policy, markers, access);
+    const request: SentRequest = { requestId: this.#options.nextRequestId(), terms, access };
+    this.#observer.started(request);
     this.#call = this.#options.client.open(
-      this.#openMessage(this.#running, batch, statementClass, markers, policy),
+      openMessage(
+        request,
+        { batch, statementClass, markers },
+        policy,
+        this.#route,
+        this.#positions.requirement(),
+      ),
       {
         onData: (data) => this.#onData(data),
         onBatchEnd: (status, heldBack) => this.#onBatchEnd(status, heldBack),
@@ -218,56 +213,27 @@
     return firstMarkers(parsed.flatMap((result) => (result.isOk() ? [result.value] : [])));
   }
 
-  #openMessage(
-    { requestId, terms }: RunningRequest,
-    batch: CallerBatch,
-    statementClass: StatementClass,
-    markers: StatementMarkers,
-    policy: TenantPolicy,
-  ): OpenMessage {
-    const holds = statementClass.transactionControl === 'begin' || markers.once !== undefined;
-    return {
-      type: 'open',
-      requestId,
-      group: this.#group,
-      tenant: policy.tenant,
-      databaseRole: policy.databaseRole,
-      database: this.#backendDatabase,
-      access: statementClass.access,
-      kind: terms.kind,
-      weight: terms.weight,
-      stalenessBoundMs: terms.stalenessBoundMs,
-      repeatable: terms.repeatable,
-      session: this.#positions.requirement(),
-      remainingMs: terms.deadlineMs,
-      hold: holds ? 'transaction' : 'statement',
-      zone: this.#options.zone,
-      batch: batchMessage(batch, statementClass, markers),
-    };
-  }
-
   #onData(data: Buffer): void {
     if (!this.#connection.write(data)) this.#call?.pause();
   }
 
   #onBatchEnd(status: TransactionStatus, heldBack: Buffer): void {
-    this.#blockOpen = true;
+    this.#block.batchEnded();
     this.#connection.write(heldBack);
     this.#connection.finish(status);
   }
 
   #onBatchError(status: TransactionStatus, error: RequestError): void {
-    this.#blockOpen = true;
+    this.#block.batchEnded();
     this.#connection.writeError(error);
     this.#connection.finish(status);
   }
 
   #onEnd(end: GroupAnswerEnd): void {
-    const access = this.#running?.access;
+    const { access } = this.#observer;
     this.#call = undefined;
-    this.#inTransaction = false;
-    this.#blockWithoutBackend = false;
-    this.#countOutcome('done', end.fromReplica);
+    this.#block.requestEnded();
+    this.#observer.done(end.fromReplica);
     const { position } = end;
     if (position === undefined) {
       this.#deliverEnd(end);
@@ -285,24 +251,20 @@
   }
 
   #onError(error: RequestError, position: Position | undefined): void {
-    const wasTransaction = this.#inTransaction;
+    const wasTransaction = this.#block.requestFailed();
     this.#call = undefined;
-    this.#inTransaction = false;
-    this.#countOutcome(error.outcome, false, error.code);
+    this.#observer.failed(error);
     if (error.outcome === 'done' && position !== undefined) {
       void this.#reportDoneEarlier(error, position);
       return;
     }
     if (this.#positions.failed(error)) this.#reportToken();
     if (wasTransaction && !this.#connection.busy) {
-      this.#transactionLoss = error;
+      this.#block.lostWhileIdle(error);
       return;
     }
     this.#connection.writeError(error);
-    // As in PostgreSQL, a BEGIN that fails opens no block, and a COMMIT that fails ends it.
-    const blockGoesOn = wasTransaction && this.#blockOpen && error.outcome === 'failed';
-    this.#blockWithoutBackend = blockGoesOn;
-    this.#finish(blockGoesOn ? 'T' : 'I');
+    this.#finish(this.#block.failureTold(error, wasTransaction));
   }
 
   /** The session must see what an earlier request with the same key did, wherever it moves. */
@@ -317,15 +279,6 @@
     this.#finish('I');
   }
 
-  /** The caller learns at its next batch that its transaction is gone. */
-  #reportTransactionLoss(error: RequestError, statementClass: StatementClass): void {
-    this.#transactionLoss = undefined;
-    const blockEnds = endsBlock(statementClass);
-    this.#blockWithoutBackend = !blockEnds;
-    this.#connection.writeError(error);
-    this.#finish(blockEnds ? 'I' : 'T');
-  }
-
   async #recordThenDeliver(position: Position, end: GroupAnswerEnd): Promise<void> {
     if (await this.#positions.record(position)) this.#deliverEnd(end);
     else this.#reportNotRecorded();
@@ -354,39 +307,20 @@
         ? this.#positions.token()
         : (this.#connection.parameters.get(setting.name) ?? '');
     this.#connection.write(localAnswer(batch, () => settingResult(setting, shown)));
-    this.#finish(this.#inTransaction ? 'T' : 'I');
+    this.#finish(this.#block.status);
   }
 
   #refuse(error: RequestError): void {
     this.#connection.writeError(error);
-    this.#finish(this.#inTransaction || this.#blockWithoutBackend ? 'T' : 'I');
+    this.#finish(this.#block.statusAfterRefusal);
   }
 
   #finish(status: TransactionStatus): void {
     this.#connection.finish(status);
-    if (this.#stopping !== undefined && !this.#inTransaction && !this.#connection.busy) {
+    if (this.#stopping !== undefined && !this.#block.isOpen && !this.#connection.busy) {
       this.#connection.terminate(this.#stopping);
     }
   }
-
-  #countOutcome(
-    outcome: 'done' | RequestError['outcome'],
-    fromReplica: boolean,
-    reason?: string,
-  ): void {
-    const running = this.#running;
-    if (running === undefined) return;
-    this.#running = undefined;
-    this.#options.metrics.requestEnded({
-      requestId: running.requestId,
-      kind: running.terms.kind,
-      access: running.access,
-      outcome,
-      route: fromReplica ? 'replica' : 'primary',
-      reason,
-      elapsedMs: monotonicNow() - running.startedAt,
-    });
-  }
 }
 
 /** What runs may last: the reason for the end must not be told as `not run`. */
@@ -400,7 +334,3 @@
   if (setting.action !== 'show') return { tag, columns: [], rows: [] };
   return { tag, columns: [setting.name], rows: [[shown]] };
 }
-
-function endsBlock({ transactionControl }: StatementClass): boolean {
-  return transactionControl === 'commit' || transactionControl === 'rollback';
-}
