--- a/bench/simulation/configuration.ts
+++ b/bench/simulation/configuration.ts
@@ -4,19 +4,14 @@
  */
 import { ConfigurationAgent } from '../../src/core/configuration/agent.js';
 import type { AgentEffect, AgentEvent } from '../../src/core/configuration/agent-contract.js';
-import type { DeclarationKey } from '../../src/core/configuration/declaration.js';
 import type { ConfigurationMechanism } from '../../src/core/configuration/mechanisms.js';
-import type { RelayLease } from '../../src/core/configuration/relay-role.js';
-import { type ConfigurationMember, RELAYS_PER_ZONE } from '../../src/core/configuration/relays.js';
-import {
-  type ConfigurationDelta,
-  ConfigurationReplica,
-} from '../../src/core/configuration/replica.js';
-import type { ConfigurationEntry } from '../../src/core/configuration/store-layout.js';
+import type { ConfigurationMember } from '../../src/core/configuration/relays.js';
+import type { ConfigurationDelta } from '../../src/core/configuration/replica.js';
+import { SimulatedConfigurationStore } from './configuration-store.js';
+import { Schedule } from './schedule.js';
 
 const MAX_CALL_MS = 10;
 const CALL_TIMEOUT_MS = 1000;
-const LEASE_MS = 15_000;
 
 /** One life of one node. */
 export interface SimulatedNode {
@@ -34,36 +29,34 @@
   watching: { sinceRevision: number } | undefined;
 }
 
-interface Scheduled {
-  readonly at: number;
-  readonly order: number;
-  readonly run: () => void;
-}
-
 /** The whole simulation. */
 export class ConfigurationSimulation {
-  now = 0;
-  storeDown = false;
   /** Open watches hear nothing and are not told that they are dead. */
   watchesSilent = false;
   /** Share of peer calls that fail. */
   lossShare = 0;
-  headRevision = 0;
   readonly nodes: SimulatedNode[] = [];
-  #entries = new Map<DeclarationKey, ConfigurationEntry>();
-  /** Digest of the store's contents at each revision. */
-  readonly #digests = new Map<number, string>();
-  readonly #whole = new ConfigurationReplica();
-  #slots = new Map<string, { leaseId: string; until: number }>();
-  #queue: Scheduled[] = [];
-  #order = 0;
-  #leases = 0;
+  readonly #store = new SimulatedConfigurationStore();
+  readonly #schedule = new Schedule();
 
   constructor(
     private readonly random: () => number,
     private readonly without: ReadonlySet<ConfigurationMechanism> = new Set(),
   ) {}
 
+  get now(): number {
+    return this.#schedule.now;
+  }
+
+  get storeDown(): boolean {
+    return this.#store.down;
+  }
+
+  /** Revision of the last publish. */
+  get headRevision(): number {
+    return this.#store.headRevision;
+  }
+
   /** Adds a node, or a new life of one; the members are told to all. */
   add(nodeId: string, zone: string): SimulatedNode {
     const member = { nodeId, zone, host: nodeId, port: 1 };
@@ -102,16 +95,7 @@
 
   /** Publishes a change of these declarations; only with the store up. */
   publish(...names: readonly string[]): number {
-    this.headRevision += 1;
-    const revision = this.headRevision;
-    const entries = names.map((name): ConfigurationEntry => {
-      const key: DeclarationKey = `tenant/${name}`;
-      const value = JSON.stringify({ version: revision, publishId: 'p', declaration: null });
-      return { key, revision, value };
-    });
-    for (const entry of entries) this.#entries.set(entry.key, entry);
-    this.#whole.merge({ sinceRevision: revision - 1, revision, entries });
-    this.#digests.set(revision, this.#whole.digest().hash);
+    const revision = this.#store.publish(names);
     for (const node of this.live) {
       if (!this.watchesSilent) this.#sendWatch(node, revision);
     }
@@ -120,7 +104,7 @@
 
   /** Takes the store down or up. Down: watches end. */
   setStoreDown(down: boolean): void {
-    this.storeDown = down;
+    this.#store.down = down;
     if (!down) return;
     for (const node of this.live.filter(({ watching }) => watching !== undefined)) {
       node.watching = undefined;
@@ -130,28 +114,11 @@
 
   /** Runs until the clock shows this time. */
   runUntil(end: number): void {
-    for (let next = this.#take(end); next !== undefined; next = this.#take(end)) {
-      this.now = Math.max(this.now, next.at);
-      next.run();
-    }
-    this.now = end;
-  }
-
-  #take(end: number): Scheduled | undefined {
-    let first: Scheduled | undefined;
-    for (const item of this.#queue) if (first === undefined || isBefore(item, first)) first = item;
-    if (first === undefined || first.at > end) return undefined;
-    this.#queue = this.#queue.filter((item) => item !== first);
-    return first;
-  }
-
-  #schedule(delay: number, run: () => void): void {
-    this.#order += 1;
-    this.#queue.push({ at: this.now + delay, order: this.#order, run });
+    this.#schedule.runUntil(end);
   }
 
   #later(node: SimulatedNode, event: () => AgentEvent, delay = this.#callTime()): void {
-    this.#schedule(delay, () => this.#deliver(node, event()));
+    this.#schedule.after(delay, () => this.#deliver(node, event()));
   }
 
   #callTime(): number {
@@ -170,13 +137,13 @@
   #deliver(node: SimulatedNode, event: AgentEvent): void {
     if (!node.alive) return;
     if (node.pausedUntil > this.now) {
-      this.#schedule(node.pausedUntil - this.now, () => this.#deliver(node, event));
+      this.#schedule.after(node.pausedUntil - this.now, () => this.#deliver(node, event));
       return;
     }
     for (const effect of node.agent.handle(event, this.now)) this.#carryOut(node, effect);
     const deadline = node.agent.nextDeadline();
     if (deadline === undefined) return;
-    this.#schedule(Math.max(0, deadline - this.now), () => {
+    this.#schedule.after(Math.max(0, deadline - this.now), () => {
       // Superseded timers do no harm: the agent looks at its own deadlines.
       const due = node.agent.nextDeadline();
       if (due !== undefined && due <= this.now) this.#deliver(node, { type: 'tick' });
@@ -217,7 +184,7 @@
 
   #recordApplied(node: SimulatedNode, revision: number): void {
     node.applied.push(revision);
-    const expected = this.#digests.get(revision);
+    const expected = this.#store.digestAt(revision);
     if (expected !== node.agent.replica.digest().hash) node.torn.push(revision);
   }
 
@@ -226,7 +193,7 @@
     member: ConfigurationMember,
     ask: (peer: SimulatedNode) => AgentEvent,
   ): void {
-    this.#schedule(this.#callTime(), () => {
+    this.#schedule.after(this.#callTime(), () => {
       const peer = this.live.find((other) => other.member.nodeId === member.nodeId);
       const silent = peer === undefined || peer.pausedUntil > this.now;
       const lost = silent || this.random() < this.lossShare;
@@ -250,7 +217,7 @@
     delta: ConfigurationDelta,
   ): void {
     if (this.random() < this.lossShare) return;
-    this.#schedule(this.#callTime(), () => {
+    this.#schedule.after(this.#callTime(), () => {
       const peer = this.live.find((other) => other.member.nodeId === member.nodeId);
       if (peer === undefined) return;
       this.#deliver(peer, { type: 'push-received', nodeId: node.member.nodeId, root, delta });
@@ -259,55 +226,12 @@
 
   #askStore(node: SimulatedNode, effect: AgentEffect): void {
     node.storeRequests += 1;
-    this.#schedule(this.#callTime(), () => {
-      const event = this.storeDown ? failureOf(effect) : this.#storeAnswer(node, effect);
+    this.#schedule.after(this.#callTime(), () => {
+      const event = this.#store.answer(node.member.zone, effect, this.now);
       if (event !== undefined) this.#later(node, () => event);
     });
   }
 
-  #storeAnswer(node: SimulatedNode, effect: AgentEffect): AgentEvent | undefined {
-    switch (effect.type) {
-      case 'read-store':
-        return {
-          type: 'store-read',
-          storeRevision: this.headRevision,
-          delta: this.#changesSince(0),
-        };
-      case 'check-head':
-        return { type: 'head-checked', headRevision: this.headRevision };
-      case 'claim-relay':
-        return { type: 'relay', event: this.#claim(node.member.zone) };
-      case 'renew-lease':
-        return { type: 'relay', event: { type: this.#renew(effect.lease) } };
-      case 'release-relay':
-        for (const [key, { leaseId }] of this.#slots) {
-          if (leaseId === effect.lease.leaseId) this.#slots.delete(key);
-        }
-        return undefined;
-      default:
-        return undefined;
-    }
-  }
-
-  #claim(zone: string) {
-    for (let slot = 0; slot < RELAYS_PER_ZONE; slot += 1) {
-      const key = `${zone}/${slot}`;
-      if ((this.#slots.get(key)?.until ?? 0) > this.now) continue;
-      this.#leases += 1;
-      const lease = { leaseId: String(this.#leases), slot };
-      this.#slots.set(key, { leaseId: lease.leaseId, until: this.now + LEASE_MS });
-      return { type: 'claimed', lease } as const;
-    }
-    return { type: 'claim-refused' } as const;
-  }
-
-  #renew(lease: RelayLease): 'renewed' | 'lease-lapsed' {
-    const held = [...this.#slots.values()].find(({ leaseId }) => leaseId === lease.leaseId);
-    if (held === undefined || held.until <= this.now) return 'lease-lapsed';
-    held.until = this.now + LEASE_MS;
-    return 'renewed';
-  }
-
   #openWatch(node: SimulatedNode, sinceRevision: number): void {
     if (this.storeDown) {
       this.#later(node, () => ({ type: 'watch-ended' }));
@@ -320,32 +244,8 @@
   #sendWatch(node: SimulatedNode, revision: number): void {
     const watch = node.watching;
     if (watch === undefined || watch.sinceRevision >= revision) return;
-    const delta = this.#changesSince(watch.sinceRevision);
+    const delta = this.#store.changesSince(watch.sinceRevision);
     watch.sinceRevision = delta.revision;
     this.#later(node, () => ({ type: 'watch-delta', delta }));
   }
-
-  #changesSince(sinceRevision: number): ConfigurationDelta {
-    const entries = [...this.#entries.values()].filter(({ revision }) => revision > sinceRevision);
-    return { sinceRevision, revision: this.headRevision, entries };
-  }
-}
-
-function failureOf(effect: AgentEffect): AgentEvent | undefined {
-  switch (effect.type) {
-    case 'read-store':
-      return { type: 'store-read-failed', retryAfterMs: 0 };
-    case 'check-head':
-      return { type: 'head-check-failed', retryAfterMs: 0 };
-    case 'claim-relay':
-      return { type: 'relay', event: { type: 'claim-failed', retryAfterMs: 0 } };
-    case 'renew-lease':
-      return { type: 'relay', event: { type: 'renewal-failed', retryAfterMs: 0 } };
-    default:
-      return undefined;
-  }
-}
-
-function isBefore(left: Scheduled, right: Scheduled): boolean {
-  return left.at === right.at ? left.order < right.order : left.at < right.at;
 }
