Group machine: dispatch pass, retries and release of runs are modules of their own

Change: DispatchPass holds what is fixed for one pass and the connections wanted; Retries queues again; RunRelease gives back connection, slot and share. 'Abandoned' runs are closed by closeRun, for both callers.

--- a/src/core/group/completion.ts
+++ b/src/core/group/completion.ts
@@ -5,7 +5,6 @@
 import type { ReadFailureReason } from '../errors.js';
 import type { Position } from '../position.js';
 import type { InstanceName, RequestId } from '../request.js';
-import { backoffPause } from '../retry/backoff.js';
 import { containsPosition } from '../routing/select.js';
 import type { SessionPositionLostError } from '../session/errors.js';
 import { checkPosition } from '../session/position-check.js';
@@ -15,9 +14,9 @@
 import type { RunResult } from './contract.js';
 import type { Dispatcher } from './dispatcher.js';
 import type { Outcomes } from './outcomes.js';
-import type { QueueEntry } from './queue.js';
+import { Retries } from './retries.js';
+import type { RunRelease } from './run-release.js';
 
-const MAX_ATTEMPTS = 4;
 const NOWHERE: Position = { timeline: 0, lsn: 0n };
 
 type LostResult = Extract<RunResult, { type: 'connection-lost' }>;
@@ -25,17 +24,22 @@
 
 /** Ends requests. */
 export class Completion {
+  private readonly retries: Retries;
+
   constructor(
     private readonly context: GroupContext,
-    private readonly dispatcher: Dispatcher,
+    dispatcher: Dispatcher,
     private readonly outcomes: Outcomes,
-  ) {}
+    private readonly release: RunRelease,
+  ) {
+    this.retries = new Retries(context, dispatcher);
+  }
 
   /** A run ended on its connection. */
   runFinished(requestId: RequestId, result: RunResult, now: Milliseconds): void {
     const run = this.context.runs.get(requestId);
     if (run === undefined || run.phase === 'confirming') return;
-    this.releaseConnection(run, result, now);
+    this.release.runEnded(run, result, now);
     if (run.phase === 'abandoned') {
       this.context.runs.delete(requestId);
       return;
@@ -47,9 +51,9 @@
 
   /** The connection was lost while it was being reset: nothing of the request was sent. */
   resetFailed(run: Run, now: Milliseconds): void {
-    this.releaseLoad(run);
+    this.release.releaseLoad(run);
     this.context.runs.delete(run.entry.request.id);
-    this.requeue(run, now, 0);
+    this.retries.requeueAtOnce(run, now);
   }
 
   /** Ends what the present knowledge confirms or rules out. */
@@ -75,7 +79,7 @@
       const { request } = run.entry;
       const ends = request.access === 'write' && request.hold === 'statement';
       if (run.phase === 'running' && ends) {
-        this.releaseLoad(run);
+        this.release.releaseLoad(run);
         this.outcomes.unknown(run, 'primary-replaced');
       }
       pool.close(run.connectionId, effects);
@@ -107,7 +111,7 @@
   runOverdue(run: Run, now: Milliseconds): void {
     const { request } = run.entry;
     if (run.phase === 'resetting') {
-      this.closeAbandoned(run);
+      this.release.closeRun(run);
       this.outcomes.notRun(run.entry, 'deadline-passed', 'its time ran out before it was sent');
       return;
     }
@@ -122,43 +126,6 @@
     }
   }
 
-  /** An abandoned run still holds its connection after its grace: close it. */
-  closeAbandoned(run: Run): void {
-    this.releaseLoad(run);
-    this.context.runs.delete(run.entry.request.id);
-    this.context.pool.close(run.connectionId, this.context.effects);
-  }
-
-  private releaseConnection(run: Run, result: RunResult, now: Milliseconds): void {
-    const { pool, monitor, loads } = this.context;
-    const { hold, tenant } = run.entry.request;
-    if (hold === 'statement' && result.type !== 'connection-lost') {
-      loads.recordServiceTime(run.instance, tenant, now - run.dispatchedAt);
-    }
-    this.releaseLoad(run);
-    if (result.type === 'connection-lost') {
-      if (pool.table.remove(run.connectionId) !== undefined) {
-        monitor.recordConnectionError(run.instance);
-      }
-      return;
-    }
-    pool.giveBack(run.connectionId, now, this.context.effects);
-  }
-
-  /** A transaction between two statements uses no slot. */
-  setTransactionIdle(run: Run, idle: boolean): void {
-    if (run.idle === idle) return;
-    run.idle = idle;
-    this.context.loads.setIdle(run.instance, run.entry.request.tenant, idle);
-  }
-
-  private releaseLoad(run: Run): void {
-    const { request } = run.entry;
-    this.setTransactionIdle(run, false);
-    this.context.loads.finish(run.instance, request.hold, request.tenant);
-    this.context.admission.recordConnection(request.tenant, -1);
-  }
-
   private finished(run: Run, result: FinishedResult, now: Milliseconds): void {
     run.position = result.position;
     run.answerRelayed = result.type === 'database-error' || result.answerRelayed !== false;
@@ -273,8 +240,7 @@
     const { request } = run.entry;
     run.answerRelayed = result.answerRelayed;
     if (!result.bytesWritten) {
-      this.context.runs.delete(request.id);
-      this.requeue(run, now, run.entry.attempts + 1);
+      this.notSent(run, now);
       return;
     }
     if (request.hold === 'transaction') {
@@ -288,8 +254,9 @@
       return;
     }
     const mayRepeat = request.repeatable || isOff(this.context, 'at-most-once');
-    if (mayRepeat && !run.answerRelayed && this.mayRetry(run.entry, now)) this.retry(run, now);
-    else this.outcomes.unknown(run, 'connection-lost');
+    const mayRetry = mayRepeat && !run.answerRelayed;
+    if (mayRetry && this.retries.retryRepeatable(run, now)) return;
+    this.outcomes.unknown(run, 'connection-lost');
   }
 
   /** A demoted primary ran nothing of the write: it waits for the next primary. */
@@ -298,11 +265,7 @@
     const { entry } = run;
     monitor.recordNotWritable(run.instance, now, effects);
     runs.delete(entry.request.id);
-    if (this.mayRetry(entry, now)) {
-      this.context.counters.retries += 1;
-      this.enqueueAgain(entry, run, entry.attempts + 1, now);
-      return;
-    }
+    if (this.retries.retryNotRun(run, now)) return;
     const message = 'the primary was demoted before the request reached it';
     this.outcomes.notRun(entry, 'no-primary', message, timing.noPrimaryRetryAfterMs);
   }
@@ -310,42 +273,16 @@
   private retryRead(run: Run, reason: ReadFailureReason, now: Milliseconds): void {
     const { hold } = run.entry.request;
     const mayRetry = hold === 'statement' && !run.answerRelayed;
-    if (mayRetry && this.mayRetry(run.entry, now)) this.retry(run, now);
-    else this.outcomes.readFailed(run, reason);
+    if (mayRetry && this.retries.retryRepeatable(run, now)) return;
+    this.outcomes.readFailed(run, reason);
   }
 
-  private mayRetry(entry: QueueEntry, now: Milliseconds): boolean {
-    if (entry.attempts + 1 >= MAX_ATTEMPTS || now >= entry.request.deadline) return false;
-    return isOff(this.context, 'retry-budget') || this.context.retryBudget.tryTake();
-  }
-
-  /** Queues again what may have run and may run again. */
-  private retry(run: Run, now: Milliseconds): void {
-    this.context.counters.retries += 1;
+  /** Nothing of the request left; it is refused if no retry is left. */
+  private notSent(run: Run, now: Milliseconds): void {
     this.context.runs.delete(run.entry.request.id);
-    const entry: QueueEntry = { ...run.entry, mayHaveRun: true };
-    this.enqueueAgain(entry, run, run.entry.attempts + 1, now);
-  }
-
-  /** Queues again what was never sent; refuses it if the retry budget is spent. */
-  private requeue(run: Run, now: Milliseconds, attempts: number): void {
-    const { entry } = run;
-    if (attempts === 0 || this.mayRetry(entry, now)) {
-      if (attempts > 0) this.context.counters.retries += 1;
-      this.enqueueAgain(entry, run, attempts, now);
-      return;
-    }
+    if (this.retries.retryNotRun(run, now)) return;
     const retryAfterMs = this.context.timing.retryBackoffCapMs;
     const message = 'the connection was lost before anything was sent';
-    this.outcomes.notRun(entry, 'connection-lost-before-send', message, retryAfterMs);
-  }
-
-  private enqueueAgain(entry: QueueEntry, run: Run, attempts: number, now: Milliseconds): void {
-    const { timing, options } = this.context;
-    const { retryBackoffBaseMs: baseMs, retryBackoffCapMs: maximumMs } = timing;
-    const backoff =
-      attempts === 0 ? 0 : backoffPause({ baseMs, maximumMs }, attempts, options.random());
-    const notBefore = now + backoff;
-    this.dispatcher.enqueue({ ...entry, attempts, notBefore, avoid: run.instance }, now);
+    this.outcomes.notRun(run.entry, 'connection-lost-before-send', message, retryAfterMs);
   }
 }
--- a/src/core/group/confirmation.ts
+++ b/src/core/group/confirmation.ts
@@ -26,6 +26,7 @@
   readonly deadline: Milliseconds;
 }
 
+/** What present knowledge says of a run. */
 export type ConfirmationVerdict = 'confirmed' | 'replaced' | 'pending';
 
 /**
--- a/src/core/group/contract.ts
+++ b/src/core/group/contract.ts
@@ -16,7 +16,9 @@
 } from '../request.js';
 import type { Milliseconds } from '../units.js';
 
+/** Names a connection. */
 export type ConnectionId = string;
+/** Names a probe. */
 export type ProbeId = string;
 
 /** One database instance of the group, as the machine list tells it. */
@@ -94,6 +96,7 @@
       readonly mayHaveCommitted: boolean;
     };
 
+/** What goes into the machine. */
 export type GroupEvent =
   | { readonly type: 'request-arrived'; readonly request: GroupRequest }
   /** The caller has gone or cancelled; a queued request is dropped, a running one is left to finish. */
@@ -128,6 +131,7 @@
   /** Time has passed; sent when `nextDeadline()` is due. */
   | { readonly type: 'tick' };
 
+/** What comes out of the machine. */
 export type GroupEffect =
   | {
       readonly type: 'open-connection';
--- a/src/core/group/database-group.ts
+++ b/src/core/group/database-group.ts
@@ -29,6 +29,7 @@
 import { type DatabaseGroupOptions, DEFAULT_BOUNDS, DEFAULT_TIMING } from './options.js';
 import { Outcomes } from './outcomes.js';
 import { FairQueue } from './queue.js';
+import { RunRelease } from './run-release.js';
 
 /** Idle connections and spares are looked after this often. */
 const MAINTENANCE_PERIOD_MS = 50;
@@ -37,6 +38,7 @@
 export class DatabaseGroup implements GroupMachine {
   private readonly context: GroupContext;
   private readonly dispatcher: Dispatcher;
+  private readonly release: RunRelease;
   private readonly completion: Completion;
   private readonly intake: Intake;
   private nextMaintenanceAt = Number.NEGATIVE_INFINITY;
@@ -46,8 +48,15 @@
     this.context = createContext(options);
     this.dispatcher = new Dispatcher(this.context);
     const outcomes = new Outcomes(this.context);
-    this.completion = new Completion(this.context, this.dispatcher, outcomes);
-    this.intake = new Intake(this.context, this.dispatcher, this.completion, outcomes);
+    this.release = new RunRelease(this.context);
+    this.completion = new Completion(this.context, this.dispatcher, outcomes, this.release);
+    this.intake = new Intake(
+      this.context,
+      this.dispatcher,
+      this.completion,
+      outcomes,
+      this.release,
+    );
   }
 
   handle(event: GroupEvent, now: Milliseconds): GroupEffect[] {
@@ -140,7 +149,7 @@
   private setTransactionIdle(requestId: RequestId, idle: boolean): void {
     const run = this.context.runs.get(requestId);
     const isOpen = run?.phase === 'running' || run?.phase === 'abandoned';
-    if (run !== undefined && isOpen) this.completion.setTransactionIdle(run, idle);
+    if (run !== undefined && isOpen) this.release.setTransactionIdle(run, idle);
   }
 
   /** Everything that time and new knowledge make possible. */
--- /dev/null
+++ b/src/core/group/dispatch-pass.ts
@@ -0,0 +1,70 @@
+/** What stays the same for all requests that are offered in one pass of the dispatcher. */
+import { type ConnectionKey, keyOf, keyText, type PooledConnection } from '../pool/connections.js';
+import type { InstanceName } from '../request.js';
+import type { ReplicaCandidate } from '../routing/select.js';
+import type { Milliseconds } from '../units.js';
+import type { GroupContext } from './context.js';
+import type { InstanceDescription } from './contract.js';
+import type { QueueEntry } from './queue.js';
+
+/** Connections that requests ready to run are short of. */
+interface ConnectionDemand {
+  readonly instance: InstanceName;
+  readonly key: ConnectionKey;
+  count: number;
+}
+
+/** One pass: the instances as they are known now, and the connections found to be missing. */
+export class DispatchPass {
+  readonly replicas: readonly ReplicaCandidate[];
+  /** The primary, if it may be sent work. */
+  readonly primary: InstanceDescription | undefined;
+  /** Timeline of the primary; zero without one. */
+  readonly timeline: number;
+  private readonly demands = new Map<string, ConnectionDemand>();
+
+  constructor(
+    private readonly context: GroupContext,
+    readonly now: Milliseconds,
+  ) {
+    const usable = context.monitor.usablePrimary(now);
+    this.replicas = replicasOf(context);
+    this.primary = usable === undefined ? undefined : context.instances.get(usable.instance);
+    this.timeline = usable?.timeline ?? 0;
+  }
+
+  /** An idle connection for the entry; if there is none, one more is wanted. */
+  connectionFor(entry: QueueEntry, instance: InstanceDescription): PooledConnection | undefined {
+    const connection = this.context.pool.findIdle(instance.name, entry.request);
+    if (connection !== undefined) return connection;
+    const key = keyOf(entry.request);
+    const id = `${instance.name}\0${keyText(key)}`;
+    const demand = this.demands.get(id);
+    if (demand === undefined) this.demands.set(id, { instance: instance.name, key, count: 1 });
+    else demand.count += 1;
+    return undefined;
+  }
+
+  /** Opens the connections that were found to be missing. */
+  openWanted(): void {
+    const { pool, instances, effects } = this.context;
+    for (const { instance, key, count } of this.demands.values()) {
+      const slots = instances.get(instance)?.slots ?? 0;
+      const wanted = pool.table.busyCountOf(instance, key) + Math.min(count, slots);
+      pool.ensure(instance, key, wanted, this.now, effects);
+    }
+  }
+}
+
+function replicasOf({ monitor, instances, loads }: GroupContext): readonly ReplicaCandidate[] {
+  const replicas: ReplicaCandidate[] = [];
+  for (const { name, zone, leaving, slots } of instances.values()) {
+    const knowledge = monitor.knowledgeOf(name);
+    if (knowledge === undefined || name === monitor.primary?.instance) continue;
+    const load = loads.running(name);
+    const serviceTimeMs = loads.serviceTimeMs(name);
+    const freshAsOf = monitor.freshAsOf(name);
+    replicas.push({ knowledge, zone, leaving, freshAsOf, load, slots, serviceTimeMs });
+  }
+  return replicas;
+}
--- a/src/core/group/dispatcher.ts
+++ b/src/core/group/dispatcher.ts
@@ -2,8 +2,8 @@
  * Takes requests from the queue and gives each a connection: on the primary, or for reads that
  * tolerate it on a replica that is caught up. Opens connections where they are short.
  */
-import { type ConnectionKey, keyOf, keyText, type PooledConnection } from '../pool/connections.js';
-import type { GroupRequest, InstanceName, RequestId } from '../request.js';
+import type { PooledConnection } from '../pool/connections.js';
+import type { GroupRequest, RequestId } from '../request.js';
 import {
   ALL_RULES,
   type EligibilityRules,
@@ -15,25 +15,10 @@
 import type { Milliseconds } from '../units.js';
 import { type GroupContext, isOff, type Run, toleratedAgeMs } from './context.js';
 import type { InstanceDescription } from './contract.js';
+import { DispatchPass } from './dispatch-pass.js';
 import type { RoutingPolicy } from './options.js';
 import type { OfferResult, QueueEntry } from './queue.js';
 
-/** Connections that requests ready to run are short of. */
-interface ConnectionDemand {
-  readonly instance: InstanceName;
-  readonly key: ConnectionKey;
-  count: number;
-}
-
-/** What stays the same for all requests offered in one pass, but for the loads. */
-interface Pass {
-  readonly now: Milliseconds;
-  readonly replicas: readonly ReplicaCandidate[];
-  readonly primary: InstanceDescription | undefined;
-  readonly timeline: number;
-  readonly demands: Map<string, ConnectionDemand>;
-}
-
 /** Gives queued requests connections. */
 export class Dispatcher {
   /** True if, in the last pass, a read waited for a replica to catch up. */
@@ -73,7 +58,7 @@
     this.laterTimelineExpected = false;
     this.lostTimelines = [];
     if (lanes.replica.length + lanes.primary.length === 0) return;
-    const pass = this.startPass(now);
+    const pass = new DispatchPass(this.context, now);
     lanes.replica.serve((entry) => {
       return this.replicaSlotFree(pass) ? this.offerReplica(entry, pass) : 'stop';
     });
@@ -82,7 +67,7 @@
       const slotFree = this.primarySlotFree(pass) || (readsWait && this.replicaSlotFree(pass));
       return slotFree ? this.offerPrimary(entry, pass) : 'stop';
     });
-    this.openWanted(pass);
+    pass.openWanted();
   }
 
   /** Half of a queued read's time has gone: from now on the primary may serve it, too. */
@@ -99,33 +84,11 @@
     this.emitRun(run);
   }
 
-  private startPass(now: Milliseconds): Pass {
-    const { monitor, instances, loads } = this.context;
-    const usable = monitor.usablePrimary(now);
-    const replicas: ReplicaCandidate[] = [];
-    for (const description of instances.values()) {
-      const { name, zone, leaving, slots } = description;
-      const knowledge = monitor.knowledgeOf(name);
-      if (knowledge === undefined || name === monitor.primary?.instance) continue;
-      const load = loads.running(name);
-      const serviceTimeMs = loads.serviceTimeMs(name);
-      const freshAsOf = monitor.freshAsOf(name);
-      replicas.push({ knowledge, zone, leaving, freshAsOf, load, slots, serviceTimeMs });
-    }
-    return {
-      now,
-      replicas,
-      primary: usable === undefined ? undefined : instances.get(usable.instance),
-      timeline: usable?.timeline ?? 0,
-      demands: new Map(),
-    };
-  }
-
-  private primarySlotFree(pass: Pass): boolean {
+  private primarySlotFree(pass: DispatchPass): boolean {
     return pass.primary !== undefined && this.hasSlot(pass.primary, 'statement');
   }
 
-  private replicaSlotFree(pass: Pass): boolean {
+  private replicaSlotFree(pass: DispatchPass): boolean {
     return pass.replicas.some((replica) => {
       const description = this.context.instances.get(replica.knowledge.name);
       return description !== undefined && this.hasSlot(description, 'statement');
@@ -151,7 +114,7 @@
     return loads.withinShare(description, tenant, hold, admission.presentTenants);
   }
 
-  private offerReplica(entry: QueueEntry, pass: Pass): OfferResult {
+  private offerReplica(entry: QueueEntry, pass: DispatchPass): OfferResult {
     if (!this.tenantMayStart(entry)) return 'tenant-blocked';
     if (entry.notBefore > pass.now) return 'blocked';
     const eligible = this.eligibleReplicas(entry, pass);
@@ -171,7 +134,7 @@
     return 'moved';
   }
 
-  private offerPrimary(entry: QueueEntry, pass: Pass): OfferResult {
+  private offerPrimary(entry: QueueEntry, pass: DispatchPass): OfferResult {
     if (!this.tenantMayStart(entry)) return 'tenant-blocked';
     if (entry.notBefore > pass.now) return 'blocked';
     if (!mayUseReplica(entry, this.context.options.routing)) return this.runOnPrimary(entry, pass);
@@ -186,7 +149,7 @@
     return result;
   }
 
-  private runOnPrimary(entry: QueueEntry, pass: Pass): OfferResult {
+  private runOnPrimary(entry: QueueEntry, pass: DispatchPass): OfferResult {
     const { counters } = this.context;
     const { request } = entry;
     const { session } = request;
@@ -196,7 +159,7 @@
       this.expectLaterTimeline(entry);
       return 'blocked';
     }
-    const connection = this.connectionFor(entry, pass.primary, pass);
+    const connection = pass.connectionFor(entry, pass.primary);
     if (connection === undefined) return 'blocked';
     if (request.access === 'read') counters.primaryReads += 1;
     else counters.writes += 1;
@@ -220,7 +183,7 @@
   private runOnReplica(
     entry: QueueEntry,
     eligible: readonly ReplicaCandidate[],
-    pass: Pass,
+    pass: DispatchPass,
   ): OfferResult {
     const { instances, counters, options } = this.context;
     const ranked = rankReplicas(eligible, entry.request, options.ownZone, entry.avoid);
@@ -228,7 +191,7 @@
       const description = instances.get(candidate.knowledge.name);
       if (description === undefined || !this.hasSlot(description, 'statement')) continue;
       if (!this.withinShare(description, entry.request)) continue;
-      const connection = this.connectionFor(entry, description, pass);
+      const connection = pass.connectionFor(entry, description);
       if (connection === undefined) continue;
       counters.replicaReads += 1;
       counters.eligibleReplicaReads += 1;
@@ -295,35 +258,11 @@
     return this.context.admission.mayHoldConnection(entry.request.tenant);
   }
 
-  private eligibleReplicas(entry: QueueEntry, pass: Pass): readonly ReplicaCandidate[] {
+  private eligibleReplicas(entry: QueueEntry, pass: DispatchPass): readonly ReplicaCandidate[] {
     return pass.replicas.filter((candidate) => {
       return isEligible(candidate, entry.request, pass.now, this.rules);
     });
   }
-
-  private connectionFor(
-    entry: QueueEntry,
-    instance: InstanceDescription,
-    pass: Pass,
-  ): PooledConnection | undefined {
-    const connection = this.context.pool.findIdle(instance.name, entry.request);
-    if (connection !== undefined) return connection;
-    const key = keyOf(entry.request);
-    const id = `${instance.name}\0${keyText(key)}`;
-    const demand = pass.demands.get(id);
-    if (demand === undefined) pass.demands.set(id, { instance: instance.name, key, count: 1 });
-    else demand.count += 1;
-    return undefined;
-  }
-
-  private openWanted(pass: Pass): void {
-    const { pool, instances, effects } = this.context;
-    for (const { instance, key, count } of pass.demands.values()) {
-      const slots = instances.get(instance)?.slots ?? 0;
-      const wanted = pool.table.busyCountOf(instance, key) + Math.min(count, slots);
-      pool.ensure(instance, key, wanted, pass.now, effects);
-    }
-  }
 }
 
 function rulesOf(context: GroupContext): EligibilityRules {
--- a/src/core/group/intake.ts
+++ b/src/core/group/intake.ts
@@ -12,6 +12,7 @@
 import { type Dispatcher, mayUseReplica } from './dispatcher.js';
 import type { Outcomes } from './outcomes.js';
 import type { QueueEntry } from './queue.js';
+import type { RunRelease } from './run-release.js';
 
 interface RecentKey {
   readonly key: ConnectionKey;
@@ -31,6 +32,7 @@
     private readonly dispatcher: Dispatcher,
     private readonly completion: Completion,
     private readonly outcomes: Outcomes,
+    private readonly release: RunRelease,
   ) {}
 
   /** Queues a new request, or refuses it at once. */
@@ -168,7 +170,7 @@
     if (now < deadline || isOff(this.context, 'deadline')) return;
     if (run.phase !== 'abandoned') this.completion.runOverdue(run, now);
     else if (now >= deadline + this.context.timing.overdueRunMs) {
-      this.completion.closeAbandoned(run);
+      this.release.closeRun(run);
     }
   }
 
--- a/src/core/group/options.ts
+++ b/src/core/group/options.ts
@@ -19,6 +19,7 @@
   'tenant-reset',
 ] as const;
 
+/** A mechanism that a test may turn off. */
 export type Mechanism = (typeof ALL_MECHANISMS)[number];
 
 /**
@@ -92,6 +93,7 @@
   readonly without?: ReadonlySet<Mechanism>;
 }
 
+/** Timing unless a test asks otherwise. */
 export const DEFAULT_TIMING: GroupTiming = {
   probePeriodMs: 100,
   quietProbePeriodMs: 500,
@@ -110,6 +112,7 @@
   noPrimaryRetryAfterMs: 250,
 };
 
+/** Bounds unless a test asks otherwise. */
 export const DEFAULT_BOUNDS: GroupBounds = {
   maxQueued: 4096,
   warmSpares: 2,
--- /dev/null
+++ b/src/core/group/retries.ts
@@ -0,0 +1,53 @@
+/** Queues requests again, as far as their attempts, their time and the retry budget allow. */
+import { backoffPause } from '../retry/backoff.js';
+import type { Milliseconds } from '../units.js';
+import { type GroupContext, isOff, type Run } from './context.js';
+import type { Dispatcher } from './dispatcher.js';
+import type { QueueEntry } from './queue.js';
+
+const MAX_ATTEMPTS = 4;
+
+/** Retries of one group's requests. */
+export class Retries {
+  constructor(
+    private readonly context: GroupContext,
+    private readonly dispatcher: Dispatcher,
+  ) {}
+
+  /** Retries what may have run and may run again; false if no retry is left. */
+  retryRepeatable(run: Run, now: Milliseconds): boolean {
+    return this.retryEntry(run, { ...run.entry, mayHaveRun: true }, now);
+  }
+
+  /** Retries what was sent and surely did not run; false if no retry is left. */
+  retryNotRun(run: Run, now: Milliseconds): boolean {
+    return this.retryEntry(run, run.entry, now);
+  }
+
+  /** Queues again what was never sent, as if it had just come. */
+  requeueAtOnce(run: Run, now: Milliseconds): void {
+    this.enqueue(run, run.entry, 0, now);
+  }
+
+  private retryEntry(run: Run, entry: QueueEntry, now: Milliseconds): boolean {
+    if (!this.mayRetry(entry, now)) return false;
+    this.context.counters.retries += 1;
+    this.context.runs.delete(entry.request.id);
+    this.enqueue(run, entry, entry.attempts + 1, now);
+    return true;
+  }
+
+  private mayRetry(entry: QueueEntry, now: Milliseconds): boolean {
+    if (entry.attempts + 1 >= MAX_ATTEMPTS || now >= entry.request.deadline) return false;
+    return isOff(this.context, 'retry-budget') || this.context.retryBudget.tryTake();
+  }
+
+  private enqueue(run: Run, entry: QueueEntry, attempts: number, now: Milliseconds): void {
+    const { timing, options } = this.context;
+    const { retryBackoffBaseMs: baseMs, retryBackoffCapMs: maximumMs } = timing;
+    const backoff =
+      attempts === 0 ? 0 : backoffPause({ baseMs, maximumMs }, attempts, options.random());
+    const notBefore = now + backoff;
+    this.dispatcher.enqueue({ ...entry, attempts, notBefore, avoid: run.instance }, now);
+  }
+}
