Peer link: heartbeat is a module of its own, errors stand with the other errors

Change: LinkHeartbeat decides what an interval means, pure; PeerLinkIdleError and PeerConnectionError in errors.ts.

--- a/src/peer/back-off.ts
+++ b/src/peer/back-off.ts
@@ -3,6 +3,7 @@
 
 const GROWTH = 2;
 
+/** When an address may be dialled again. */
 export class BackOff {
   readonly #initialMs: Milliseconds;
   readonly #maxMs: Milliseconds;
--- a/src/peer/contract.ts
+++ b/src/peer/contract.ts
@@ -76,6 +76,7 @@
   counters(): PeerCounters;
 }
 
+/** What the links of a node have done. */
 export interface PeerCounters {
   readonly linksOpened: number;
   readonly linksLost: number;
--- a/src/peer/counters.ts
+++ b/src/peer/counters.ts
@@ -1,6 +1,7 @@
 /** Counters of the peer transport, for metrics. */
 import type { PeerCounters } from './contract.js';
 
+/** What the links of a node have done, bytes included. */
 export interface TcpPeerCounters extends PeerCounters {
   /** Links refused in the handshake: wrong secret, wrong version, or too many at once. */
   readonly handshakesRefused: number;
@@ -14,6 +15,7 @@
 /** The same, to be counted up. */
 export type MutableCounters = { -readonly [Name in keyof TcpPeerCounters]: number };
 
+/** Counters at the start. */
 export function zeroCounters(): MutableCounters {
   return {
     linksOpened: 0,
--- a/src/peer/errors.ts
+++ b/src/peer/errors.ts
@@ -101,3 +101,17 @@
   readonly code = 'MS-PEER-HANDSHAKE';
   override readonly labels: ReadonlySet<ErrorLabel> = new Set(['security']);
 }
+
+/** The link was not used for a while; nothing was lost. */
+export class PeerLinkIdleError extends MeadowstackError {
+  readonly code = 'MS-PEER-IDLE';
+
+  constructor() {
+    super('link closed after a time without use');
+  }
+}
+
+/** The connection itself failed or was closed. */
+export class PeerConnectionError extends MeadowstackError {
+  readonly code = 'MS-PEER-CONNECTION';
+}
--- a/src/peer/frame-batch.ts
+++ b/src/peer/frame-batch.ts
@@ -9,6 +9,7 @@
 /** Payloads from this size on are not copied: an extra write vector is cheaper than the copy. */
 const COPY_LIMIT_BYTES = 4 * 1024;
 
+/** Frames on their way to the socket. */
 export class FrameBatch {
   /** Memory that was not yet handed out; never written to again once handed out. */
   #slab = NO_SLAB;
--- a/src/peer/frame.ts
+++ b/src/peer/frame.ts
@@ -10,6 +10,7 @@
  */
 import { PeerProtocolError } from './errors.js';
 
+/** What a frame holds. */
 export const FrameType = {
   /** Identity, version and nonce; the first frame each way. */
   HELLO: 1,
@@ -37,8 +38,10 @@
   CALL_ERROR: 13,
 } as const;
 
+/** One byte of a frame that tells what it holds. */
 export type FrameTypeCode = (typeof FrameType)[keyof typeof FrameType];
 
+/** Length of the header of a frame. */
 export const HEADER_BYTES = 11;
 const LENGTH_FIELD_BYTES = 4;
 const TYPE_OFFSET = 4;
--- a/src/peer/handshake.ts
+++ b/src/peer/handshake.ts
@@ -40,6 +40,7 @@
 
 type Hello = z.infer<typeof helloSchema>;
 
+/** Who opened the connection. */
 export type HandshakeRole = 'dialler' | 'acceptor';
 
 /** What to do after a frame of the handshake: send this, and go on if the identity is proven. */
@@ -48,6 +49,7 @@
   readonly identity: NodeIdentity | undefined;
 }
 
+/** One side of the handshake. */
 export class Handshake {
   readonly #role: HandshakeRole;
   readonly #identity: NodeIdentity;
--- a/src/peer/link-calls.ts
+++ b/src/peer/link-calls.ts
@@ -35,6 +35,7 @@
 /** Adds a frame to what the link sends in this event-loop turn. */
 export type AddFrame = (type: FrameTypeCode, stream: number, payload: Buffer) => void;
 
+/** The calls of one link. */
 export class LinkCalls {
   readonly #addFrame: AddFrame;
   readonly #handlers: PeerHandlers;
--- a/src/peer/link-writer.ts
+++ b/src/peer/link-writer.ts
@@ -11,6 +11,7 @@
 
 const CREDIT_BYTES = 4;
 
+/** Writes what a link sends. */
 export class LinkWriter {
   readonly #socket: Socket;
   readonly #counters: MutableCounters;
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -4,11 +4,17 @@
  */
 import type { Socket } from 'node:net';
 import type { ResultAsync } from 'neverthrow';
-import { MeadowstackError } from '../core/errors.js';
+import type { MeadowstackError } from '../core/errors.js';
 import { decodeValue, encodeValue } from './codec.js';
 import type { NodeIdentity, PeerHandlers, WireValue } from './contract.js';
 import type { MutableCounters } from './counters.js';
-import { PeerHandshakeError, PeerProtocolError, PeerUnreachableError } from './errors.js';
+import {
+  PeerConnectionError,
+  PeerHandshakeError,
+  PeerLinkIdleError,
+  PeerProtocolError,
+  PeerUnreachableError,
+} from './errors.js';
 import {
   FrameDecoder,
   FrameType,
@@ -17,6 +23,7 @@
 } from './frame.js';
 import { Handshake, type HandshakeRole } from './handshake.js';
 import { LinkCalls } from './link-calls.js';
+import { LinkHeartbeat } from './link-heartbeat.js';
 import { LinkWriter } from './link-writer.js';
 import type { PeerLinkLimits } from './options.js';
 import { LinkStream, type StreamLink } from './stream.js';
@@ -44,6 +51,7 @@
 
 type LinkState = 'handshake' | 'ready' | 'closed';
 
+/** One link. */
 export class PeerLink implements StreamLink {
   readonly linkNumber: number;
   readonly role: HandshakeRole;
@@ -56,6 +64,7 @@
   readonly #decoder: FrameDecoder;
   readonly #writer: LinkWriter;
   readonly #calls: LinkCalls;
+  readonly #heartbeat: LinkHeartbeat;
   readonly #streams = new Map<number, LinkStream>();
   readonly #handshakeTimer: NodeJS.Timeout;
   #state: LinkState = 'handshake';
@@ -66,8 +75,6 @@
    */
   #lastStreamNumber = 0;
   #lastCallNumber = 0;
-  #silentIntervals = 0;
-  #idleIntervals = 0;
 
   constructor(parts: PeerLinkParts) {
     this.#parts = parts;
@@ -86,6 +93,7 @@
     const addFrame = (type: FrameTypeCode, stream: number, payload: Buffer): void =>
       this.#writer.addFrame(type, stream, payload);
     this.#calls = new LinkCalls(addFrame, parts.handlers, parts.limits, parts.counters);
+    this.#heartbeat = new LinkHeartbeat(parts.limits);
     this.#writer.onFlushed = () => this.#calls.flushed();
     this.#handshakeTimer = setTimeout(
       () => this.close(new PeerHandshakeError('handshake timed out')),
@@ -138,24 +146,17 @@
     }
   }
 
-  /**
-   * Called every `heartbeatMs`. Intervals are counted, not milliseconds, so that a process that
-   * was paused does not take its own silence for the peer's.
-   */
+  /** To be called every `heartbeatMs`. */
   onHeartbeat(): void {
     if (this.#state !== 'ready') return;
     const inUse = this.#streams.size + this.#calls.size > 0;
-    if (!inUse) {
-      this.#onIdleInterval();
-      return;
-    }
-    this.#idleIntervals = 0;
-    if (this.#silentIntervals >= this.limits.missedHeartbeats) {
-      this.close(new PeerProtocolError('no heartbeat'));
-      return;
+    const action = this.#heartbeat.intervalOver(inUse);
+    if (!inUse) this.#writer.releaseMemory();
+    if (action === 'send-ping') this.#writer.addFrame(FrameType.PING, 0, EMPTY);
+    else if (action === 'close-silent') this.close(new PeerProtocolError('no heartbeat'));
+    else if (action === 'close-idle' && this.role === 'dialler') {
+      this.close(new PeerLinkIdleError());
     }
-    this.#silentIntervals += 1;
-    this.#writer.addFrame(FrameType.PING, 0, EMPTY);
   }
 
   scheduleStream(stream: LinkStream): void {
@@ -206,7 +207,7 @@
 
   #onChunk(chunk: Buffer): void {
     this.#counters.bytesReceived += chunk.length;
-    this.#silentIntervals = 0;
+    this.#heartbeat.heard();
     try {
       this.#decoder.push(chunk);
     } catch (error) {
@@ -307,30 +308,6 @@
   #countDropped(delivered: boolean): void {
     if (!delivered) this.#counters.framesDropped += 1;
   }
-
-  #onIdleInterval(): void {
-    this.#silentIntervals = 0;
-    this.#idleIntervals += 1;
-    this.#writer.releaseMemory();
-    const idleMs = this.#idleIntervals * this.limits.heartbeatMs;
-    if (this.role === 'dialler' && idleMs >= this.limits.idleCloseMs) {
-      this.close(new PeerLinkIdleError());
-    }
-  }
-}
-
-/** The link was not used for a while; nothing was lost. */
-export class PeerLinkIdleError extends MeadowstackError {
-  readonly code = 'MS-PEER-IDLE';
-
-  constructor() {
-    super('link closed after a time without use');
-  }
-}
-
-/** The connection itself failed or was closed. */
-export class PeerConnectionError extends MeadowstackError {
-  readonly code = 'MS-PEER-CONNECTION';
 }
 
 function connectionError(message: string, cause?: Error): PeerConnectionError {
--- a/src/peer/local-stream.ts
+++ b/src/peer/local-stream.ts
@@ -127,6 +127,7 @@
 
 let localStreamsOpened = 0;
 
+/** Two ends of a stream within this process. */
 export function createLocalStreamPair(): LocalStreamPair {
   localStreamsOpened += 1;
   const id = `local-${localStreamsOpened}`;
--- a/src/peer/options.ts
+++ b/src/peer/options.ts
@@ -38,6 +38,7 @@
   readonly backOffMaxMs: number;
 }
 
+/** Limits unless a test asks otherwise. */
 export const DEFAULT_LIMITS: PeerLinkLimits = {
   windowBytes: 256 * 1024,
   maxQueuedBytes: 16 * 1024 * 1024,
@@ -54,6 +55,7 @@
   backOffMaxMs: 2000,
 };
 
+/** What the transport is made of. */
 export interface PeerTransportOptions {
   readonly identity: NodeIdentity;
   readonly handlers: PeerHandlers;
--- a/src/peer/outgoing-queue.ts
+++ b/src/peer/outgoing-queue.ts
@@ -20,6 +20,7 @@
   readonly ended: boolean;
 }
 
+/** What a stream has to send. */
 export class OutgoingQueue {
   #items: OutgoingItem[] = [];
   #head = 0;
--- a/src/peer/stream.ts
+++ b/src/peer/stream.ts
@@ -40,6 +40,7 @@
 /** Messages that a paused stream holds; one more aborts it, since messages are not subject to credit. */
 const MAX_HELD_MESSAGES = 1024;
 
+/** One stream of a link. */
 export class LinkStream implements PeerStream {
   readonly id: string;
   readonly number: number;
--- a/src/peer/transport.ts
+++ b/src/peer/transport.ts
@@ -15,9 +15,15 @@
   WireValue,
 } from './contract.js';
 import { type MutableCounters, type TcpPeerCounters, zeroCounters } from './counters.js';
-import { PeerListenError, PeerMessageRefusedError, PeerUnreachableError } from './errors.js';
+import {
+  PeerConnectionError,
+  PeerLinkIdleError,
+  PeerListenError,
+  PeerMessageRefusedError,
+  PeerUnreachableError,
+} from './errors.js';
 import type { HandshakeRole } from './handshake.js';
-import { PeerConnectionError, PeerLink, PeerLinkIdleError } from './link.js';
+import { PeerLink } from './link.js';
 import { DEFAULT_LIMITS, type PeerLinkLimits, type PeerTransportOptions } from './options.js';
 import { LinkStream, type StreamLink } from './stream.js';
 
@@ -29,6 +35,7 @@
   identity: NodeIdentity | undefined;
 }
 
+/** A node's links. */
 export class TcpPeerTransport implements PeerTransport {
   readonly #options: PeerTransportOptions;
   readonly #limits: PeerLinkLimits;
