--- a/bench/fuzz/options.ts
+++ b/bench/fuzz/options.ts
@@ -1,7 +1,7 @@
 /** Flags of `npm run fuzz`. */
-import { parseArgs } from 'node:util';
 import { z } from 'zod';
 import { MeadowstackError } from '../../src/core/errors.js';
+import { readFlags } from '../flags.js';
 import { SCENARIOS, scenarioNamed } from '../simulation/registry.js';
 import type { Scenario } from '../simulation/scenario.js';
 
@@ -46,9 +46,14 @@
   without: z.string().default(''),
 });
 
+/** Flags without a value. */
+const SWITCHES: readonly string[] = [];
+
 /** @throws FuzzUsageError */
 export function parseFuzzArguments(args: readonly string[]): FuzzOptions {
-  const flags = schema.safeParse(readFlags(args));
+  const flags = schema.safeParse(
+    readFlags(args, Object.keys(schema.shape), SWITCHES, FuzzUsageError),
+  );
   if (!flags.success) throw new FuzzUsageError(z.prettifyError(flags.error));
   const { seconds, seed, seeds, scenario, without } = flags.data;
   const scenarios = scenariosOf(scenario);
@@ -65,13 +70,3 @@
   if (scenario === undefined) throw new FuzzUsageError(`no scenario ${name}`);
   return [scenario];
 }
-
-function readFlags(args: readonly string[]): unknown {
-  const names = Object.keys(schema.shape);
-  const options = Object.fromEntries(names.map((name) => [name, { type: 'string' as const }]));
-  try {
-    return parseArgs({ args: [...args], options }).values;
-  } catch (cause) {
-    throw new FuzzUsageError(cause instanceof Error ? cause.message : 'unreadable', { cause });
-  }
-}
--- a/bench/options.ts
+++ b/bench/options.ts
@@ -1,11 +1,11 @@
 /** Flags of `npm run bench`. */
-import { parseArgs } from 'node:util';
 import { z } from 'zod';
 import { MeadowstackError } from '../src/core/errors.js';
 import { TEST_POLICIES } from '../src/node/test-policy.js';
 import { DEPLOYMENTS } from './deployments.js';
 import type { Fault } from './faults/fault.js';
 import { FAULTS, faultNamed } from './faults/registry.js';
+import { readFlags } from './flags.js';
 import type { BenchOptions } from './run/run-bench.js';
 
 export const ALL_PAIRS = 'all-pairs';
@@ -71,9 +71,14 @@
   markdown: z.string().optional(),
 });
 
+/** Flags without a value. */
+const SWITCHES: readonly string[] = ['no-delays'];
+
 /** @throws BenchUsageError */
 export function parseBenchArguments(args: readonly string[]): BenchCommand {
-  const flags = schema.safeParse(readFlags(args));
+  const flags = schema.safeParse(
+    readFlags(args, Object.keys(schema.shape), SWITCHES, BenchUsageError),
+  );
   if (!flags.success) throw new BenchUsageError(z.prettifyError(flags.error));
   const { data } = flags;
   const allPairs = data.fault === ALL_PAIRS;
@@ -100,21 +105,6 @@
   };
 }
 
-function readFlags(args: readonly string[]): unknown {
-  const options = Object.fromEntries(
-    Object.keys(schema.shape).map((name) => [name, { type: flagType(name) }] as const),
-  );
-  try {
-    return parseArgs({ args: [...args], options }).values;
-  } catch (cause) {
-    throw new BenchUsageError(cause instanceof Error ? cause.message : 'unreadable', { cause });
-  }
-}
-
-function flagType(name: string): 'boolean' | 'string' {
-  return name === 'no-delays' ? 'boolean' : 'string';
-}
-
 function faultsOf(list: string): Fault[] {
   const names = list.split(',').filter((name) => name !== '');
   return names.map(faultNamed);
--- a/scale/options.ts
+++ b/scale/options.ts
@@ -1,6 +1,6 @@
 /** Flags of `npm run scale`. */
-import { parseArgs } from 'node:util';
 import { z } from 'zod';
+import { readFlags } from '../bench/flags.js';
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../src/core/units.js';
 import { ScaleUsageError } from './errors.js';
 import { FAULT_SCENARIOS, type FaultScenario, faultNamed } from './faults.js';
@@ -47,9 +47,14 @@
   readonly jsonFile: string | undefined;
 }
 
+/** Flags without a value. */
+const SWITCHES: readonly string[] = ['components'];
+
 /** @throws ScaleUsageError */
 export function parseScaleArguments(args: readonly string[]): ScaleOptions {
-  const flags = schema.safeParse(readFlags(args));
+  const flags = schema.safeParse(
+    readFlags(args, Object.keys(schema.shape), SWITCHES, ScaleUsageError),
+  );
   if (!flags.success) throw new ScaleUsageError(z.prettifyError(flags.error));
   const { nodes, seed, duration, tenants, faults, components, real, json } = flags.data;
   const sizes = sizesSchema.safeParse(nodes.split(','));
@@ -65,18 +70,3 @@
     jsonFile: json,
   };
 }
-
-function readFlags(args: readonly string[]): unknown {
-  const options = Object.fromEntries(
-    Object.keys(schema.shape).map((name) => [name, { type: flagType(name) }] as const),
-  );
-  try {
-    return parseArgs({ args: [...args], options }).values;
-  } catch (cause) {
-    throw new ScaleUsageError(cause instanceof Error ? cause.message : 'unreadable', { cause });
-  }
-}
-
-function flagType(name: string): 'boolean' | 'string' {
-  return name === 'components' ? 'boolean' : 'string';
-}
--- a/src/cli/publish-files.ts
+++ b/src/cli/publish-files.ts
@@ -3,18 +3,25 @@
 import type { Declaration } from '../core/configuration/declaration.js';
 import type { PublishedState } from '../core/configuration/publish.js';
 import { fillVerifiers, passwordFrom, readDeclarations } from './declaration-files.js';
-import { UsageError } from './exit-codes.js';
+import { EXIT_CODES_HELP, UsageError } from './exit-codes.js';
 import { PublishCommand, type PublishFlagValues, type PublishReport } from './publish-command.js';
 
+/** The argument of the `publish` commands. */
 export const filesArgument = {
   files: Args.string({ description: 'YAML files; - is the standard input', required: true }),
 };
 
+/** Where the passwords of new tenants come from. */
 export const passwordFlag = Flags.string({
   description: 'environment variable with the password of the tenants that have no verifier',
   helpValue: 'NAME',
 });
 
+/** Description of the `publish` commands. */
+export const PUBLISH_DESCRIPTION = `All documents of all files go into one transaction. A declaration that someone else has changed since it was read (or since the revision given by --expect) is a conflict, and both versions are shown.
+
+${EXIT_CODES_HELP}`;
+
 /** Publishes the declarations of several files in one transaction. */
 export abstract class PublishFilesCommand extends PublishCommand {
   protected async publishFiles(
--- a/src/cli/read-commands.ts
+++ b/src/cli/read-commands.ts
@@ -6,16 +6,30 @@
 import { BaseCommand, storeFlag } from './base-command.js';
 import { declarationYaml, redact, tableLines } from './declaration-text.js';
 
+/** The argument of the commands on one declaration. */
 export const nameArgument = {
   name: Args.string({ description: 'name of the declaration', required: true }),
 };
 
+/** The flags of the `show` commands. */
 export const showFlags = {
   store: storeFlag,
   version: Flags.integer({ description: 'an earlier version instead of the one in force', min: 1 }),
   'show-verifier': Flags.boolean({ description: "show a tenant's SCRAM verifier" }),
 };
 
+/** Examples of the `show` commands. */
+export const SHOW_EXAMPLES = [
+  '<%= config.bin %> <%= command.id %> NAME',
+  '<%= config.bin %> <%= command.id %> NAME --version 3 --json',
+];
+
+/** Examples of the `list` commands. */
+export const LIST_EXAMPLES = [
+  '<%= config.bin %> <%= command.id %>',
+  '<%= config.bin %> <%= command.id %> --json',
+];
+
 /** The values of `showFlags`. */
 export interface ShowFlagValues {
   readonly store: string;
--- a/src/commands/config/history.ts
+++ b/src/commands/config/history.ts
@@ -1,3 +1,4 @@
+/** The command `meadowstack config history`. */
 import { Args } from '@oclif/core';
 import { BaseCommand, storeFlag } from '../../cli/base-command.js';
 import { redact, tableLines } from '../../cli/declaration-text.js';
--- a/src/commands/config/rollback.ts
+++ b/src/commands/config/rollback.ts
@@ -1,3 +1,4 @@
+/** The command `meadowstack config rollback`. */
 import { Args, Flags } from '@oclif/core';
 import { EXIT_CODES_HELP } from '../../cli/exit-codes.js';
 import {
--- a/src/commands/config/validate.ts
+++ b/src/commands/config/validate.ts
@@ -1,3 +1,4 @@
+/** The command `meadowstack config validate`. */
 import { BaseCommand } from '../../cli/base-command.js';
 import { fillVerifiers, passwordFrom, readDeclarations } from '../../cli/declaration-files.js';
 import { EXIT_CODES_HELP } from '../../cli/exit-codes.js';
--- a/src/commands/drain.ts
+++ b/src/commands/drain.ts
@@ -1,3 +1,4 @@
+/** The command `meadowstack drain`. */
 import { Flags } from '@oclif/core';
 import { adminAddresses, startDrain } from '../cli/admin-client.js';
 import { BaseCommand } from '../cli/base-command.js';
--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -1,3 +1,4 @@
+/** The command `meadowstack status`. */
 import { Flags } from '@oclif/core';
 import {
   type AdminRequestError,
--- a/src/commands/tenant/list.ts
+++ b/src/commands/tenant/list.ts
@@ -1,6 +1,7 @@
+/** The command `meadowstack tenant list`. */
 import { storeFlag } from '../../cli/base-command.js';
 import { EXIT_CODES_HELP } from '../../cli/exit-codes.js';
-import { type DeclarationReport, ReadCommand } from '../../cli/read-commands.js';
+import { type DeclarationReport, LIST_EXAMPLES, ReadCommand } from '../../cli/read-commands.js';
 import type { TenantDeclaration } from '../../core/configuration/declaration.js';
 import type { PublishedEntry } from '../../core/configuration/publish.js';
 
@@ -8,10 +9,7 @@
 export default class TenantList extends ReadCommand {
   static override summary = 'Lists the tenants in force.';
   static override description = EXIT_CODES_HELP;
-  static override examples = [
-    '<%= config.bin %> <%= command.id %>',
-    '<%= config.bin %> <%= command.id %> --json',
-  ];
+  static override examples = LIST_EXAMPLES;
   static override flags = { store: storeFlag };
 
   override async run(): Promise<readonly DeclarationReport[]> {
--- a/src/commands/tenant/publish.ts
+++ b/src/commands/tenant/publish.ts
@@ -1,14 +1,16 @@
-import { EXIT_CODES_HELP } from '../../cli/exit-codes.js';
+/** The command `meadowstack tenant publish`. */
 import { type PublishReport, publishFlags } from '../../cli/publish-command.js';
-import { filesArgument, PublishFilesCommand, passwordFlag } from '../../cli/publish-files.js';
+import {
+  filesArgument,
+  PUBLISH_DESCRIPTION,
+  PublishFilesCommand,
+  passwordFlag,
+} from '../../cli/publish-files.js';
 
 /** `meadowstack tenant publish` */
 export default class TenantPublish extends PublishFilesCommand {
   static override summary = 'Publishes declarations, at least one of them a tenant, all or none.';
-  static override description =
-    `All documents of all files go into one transaction. A declaration that someone else has changed since it was read (or since the revision given by --expect) is a conflict, and both versions are shown.
-
-${EXIT_CODES_HELP}`;
+  static override description = PUBLISH_DESCRIPTION;
   static override examples = [
     '<%= config.bin %> <%= command.id %> tenant.yaml --dry-run',
     '<%= config.bin %> <%= command.id %> template.yaml tenants.yaml -m "more connections"',
--- a/src/commands/tenant/remove.ts
+++ b/src/commands/tenant/remove.ts
@@ -1,3 +1,4 @@
+/** The command `meadowstack tenant remove`. */
 import { EXIT_CODES_HELP } from '../../cli/exit-codes.js';
 import { PublishCommand, type PublishReport, publishFlags } from '../../cli/publish-command.js';
 import { nameArgument } from '../../cli/read-commands.js';
--- a/src/commands/tenant/show.ts
+++ b/src/commands/tenant/show.ts
@@ -1,8 +1,10 @@
+/** The command `meadowstack tenant show`. */
 import { EXIT_CODES_HELP } from '../../cli/exit-codes.js';
 import {
   type DeclarationReport,
   nameArgument,
   ReadCommand,
+  SHOW_EXAMPLES,
   showFlags,
 } from '../../cli/read-commands.js';
 
@@ -10,10 +12,7 @@
 export default class TenantShow extends ReadCommand {
   static override summary = 'Shows a tenant as it is in force, or one of its kept versions.';
   static override description = EXIT_CODES_HELP;
-  static override examples = [
-    '<%= config.bin %> <%= command.id %> NAME',
-    '<%= config.bin %> <%= command.id %> NAME --version 3 --json',
-  ];
+  static override examples = SHOW_EXAMPLES;
   static override args = nameArgument;
   static override flags = showFlags;
 
--- a/src/core/at-most-once/execution.ts
+++ b/src/core/at-most-once/execution.ts
@@ -46,6 +46,7 @@
   /** The end. */
   | { readonly type: 'finish'; readonly result: OnceResult };
 
+/** How a keyed request ended. */
 export type OnceResult =
   /** Release the held-back end, once the write is confirmed; in a transaction at once. */
   | { readonly type: 'done' }
--- a/src/core/configuration/agent-contract.ts
+++ b/src/core/configuration/agent-contract.ts
@@ -13,6 +13,7 @@
   readonly ready: boolean;
 }
 
+/** What goes into the agent. */
 export type AgentEvent =
   | { readonly type: 'started' }
   /** Live members without this node. */
@@ -48,6 +49,7 @@
     }
   | { readonly type: 'tick' };
 
+/** What comes out of the agent. */
 export type AgentEffect =
   | StoreFollowerEffect
   | RelayRoleEffect
--- a/src/core/configuration/declaration.ts
+++ b/src/core/configuration/declaration.ts
@@ -50,8 +50,11 @@
 /** Checks one declaration. */
 export const declarationSchema = z.discriminatedUnion('kind', [templateSchema, tenantSchema]);
 
+/** A template as it is published. */
 export type TemplateDeclaration = z.output<typeof templateSchema>;
+/** A tenant as it is published. */
 export type TenantDeclaration = z.output<typeof tenantSchema>;
+/** What is published. */
 export type Declaration = TemplateDeclaration | TenantDeclaration;
 
 /** `template/<name>` or `tenant/<name>`; orders templates before tenants. */
--- a/src/core/configuration/entry-digest.ts
+++ b/src/core/configuration/entry-digest.ts
@@ -8,6 +8,7 @@
 const HEX_DIGITS = 16;
 const HEX_RADIX = 16;
 
+/** Digest of a set of entries, kept up to date entry by entry. */
 export class EntryDigest {
   #bits = 0n;
 
--- a/src/core/configuration/mechanisms.ts
+++ b/src/core/configuration/mechanisms.ts
@@ -8,4 +8,5 @@
   'anti-entropy',
 ] as const;
 
+/** A mechanism that a test may turn off. */
 export type ConfigurationMechanism = (typeof CONFIGURATION_MECHANISMS)[number];
--- a/src/core/configuration/member-view.ts
+++ b/src/core/configuration/member-view.ts
@@ -6,6 +6,7 @@
 import { antiEntropyPeer } from './peer-selection.js';
 import { type ConfigurationMember, pushTargets, relayCandidates } from './relays.js';
 
+/** The live members between two changes. */
 export class MemberView {
   /** All live members but this node. */
   readonly others: readonly ConfigurationMember[];
--- a/src/core/configuration/policy-schema.ts
+++ b/src/core/configuration/policy-schema.ts
@@ -46,12 +46,14 @@
 
 /** How one request kind is served, as declared; `weight` and the others have defaults. */
 export const requestKindSchema = requestKindShape((schema) => schema);
+/** A policy's request kinds by name. */
 export const requestKindsSchema = z.record(nameSchema, requestKindSchema).refine(withinKinds, {
   error: `expected at most ${MAX_REQUEST_KINDS} request kinds`,
 });
 
 /** A database name and the group behind it, as declared. */
 export const databaseSchema = databaseShape((schema) => schema);
+/** A policy's databases. */
 export const databasesSchema = z.array(databaseSchema).min(1).max(MAX_DATABASES);
 
 /** The policy of one tenant after its parameters were filled in. */
@@ -60,8 +62,11 @@
 /** The policy of a template, with references in any place. */
 export const templatePolicySchema = policyShape(orReference);
 
+/** A policy with its parameters filled in. */
 export type ResolvedPolicy = z.output<typeof resolvedPolicySchema>;
+/** A request kind as it is published. */
 export type RequestKindDeclaration = z.output<typeof requestKindSchema>;
+/** A database as it is published. */
 export type DatabaseDeclaration = z.output<typeof databaseSchema>;
 
 type Wrap = <Schema extends z.ZodType>(schema: Schema) => Schema;
--- a/src/core/configuration/relay-role.ts
+++ b/src/core/configuration/relay-role.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from '../units.js';
 import { Backoff, jitter, type RandomSource } from './backoff.js';
 
+/** Length of a relay's lease. */
 export const RELAY_LEASE_SECONDS = 15;
 const RENEW_INTERVAL_MS = 5000;
 const REFUSED_RETRY_MS = 8000;
@@ -17,6 +18,7 @@
   readonly slot: number;
 }
 
+/** What goes into the role. */
 export type RelayRoleEvent =
   | { readonly type: 'candidacy-changed'; readonly candidate: boolean }
   | { readonly type: 'claimed'; readonly lease: RelayLease }
@@ -29,6 +31,7 @@
   | { readonly type: 'lease-lapsed' }
   | { readonly type: 'tick' };
 
+/** What comes out of the role. */
 export type RelayRoleEffect =
   | { readonly type: 'claim-relay' }
   | { readonly type: 'renew-lease'; readonly lease: RelayLease }
--- a/src/core/configuration/snapshot-builder.ts
+++ b/src/core/configuration/snapshot-builder.ts
@@ -15,6 +15,7 @@
 
 const TENANT_PREFIX = 'tenant/';
 
+/** Builds the snapshot that follows from a replica. */
 export class SnapshotBuilder {
   readonly #catalogue: Catalogue;
   readonly #resolutions = new ResolutionCache();
--- a/src/core/configuration/store-follower.ts
+++ b/src/core/configuration/store-follower.ts
@@ -10,6 +10,7 @@
 const HEAD_CHECK_INTERVAL_MS = 15_000;
 const READ_BACKOFF = { initialMs: 250, maximumMs: 10_000 };
 
+/** What goes into the follower. */
 export type StoreFollowerEvent =
   /** `wanted`: this node relays, or has no configuration yet. */
   | { readonly type: 'demand-changed'; readonly watch: boolean; readonly read: boolean }
@@ -24,6 +25,7 @@
   | { readonly type: 'head-check-failed'; readonly retryAfterMs: Milliseconds }
   | { readonly type: 'tick' };
 
+/** What comes out of the follower. */
 export type StoreFollowerEffect =
   | { readonly type: 'read-store' }
   | { readonly type: 'open-watch'; readonly fromRevision: number }
--- a/src/core/configuration/store-layout.ts
+++ b/src/core/configuration/store-layout.ts
@@ -15,9 +15,13 @@
 import { StoredValueError } from './errors.js';
 import type { ConfigurationRevision } from './model.js';
 
+/** Prefix of everything about the configuration. */
 export const CONFIGURATION_PREFIX = 'meadowstack/configuration/';
+/** Prefix of what is in force. */
 export const CURRENT_PREFIX = `${CONFIGURATION_PREFIX}current/`;
+/** Key of the last publish. */
 export const HEAD_KEY = `${CURRENT_PREFIX}head`;
+/** Prefix of the records of publishes. */
 export const PUBLISH_PREFIX = `${CONFIGURATION_PREFIX}publish/`;
 
 const HISTORY_PREFIX = `${CONFIGURATION_PREFIX}history/`;
--- a/src/core/failover/topology.ts
+++ b/src/core/failover/topology.ts
@@ -37,6 +37,7 @@
   readonly timeline: number;
 }
 
+/** Before any instance was named. */
 export const EMPTY_TOPOLOGY: Topology = { instances: new Map() };
 
 /** Smallest number of instances that is more than half. */
--- a/src/core/limits/election.ts
+++ b/src/core/limits/election.ts
@@ -14,6 +14,7 @@
 
 /** One life of one node, as candidate. */
 export type CandidateId = string;
+/** Node id of a voter. */
 export type VoterId = string;
 
 /** A voter's answer. */
@@ -27,6 +28,7 @@
   readonly voterSets: VoterSetList;
 }
 
+/** Sets of voters; an election needs a majority of each. */
 export type VoterSetList = readonly (readonly VoterId[])[];
 
 interface GivenVote {
@@ -38,6 +40,7 @@
   readonly lastOtherAt: Milliseconds;
 }
 
+/** What a voter is made of. */
 export interface VoterOptions {
   /** Names this life of this node. */
   readonly life: string;
--- a/src/core/limits/lease-options.ts
+++ b/src/core/limits/lease-options.ts
@@ -3,6 +3,7 @@
 import { withDrift } from '../ownership/budget-lease.js';
 import type { Milliseconds } from '../units.js';
 
+/** Timing of tenants' leases. */
 export interface TenantLeaseOptions extends BudgetLeaseOptions {
   /** How often a candidate asks its voters. */
   readonly electionPeriodMs: Milliseconds;
@@ -16,6 +17,7 @@
   readonly maxReportingNodes: number;
 }
 
+/** Timing unless a test asks otherwise. */
 export const DEFAULT_TENANT_LEASE_OPTIONS: TenantLeaseOptions = {
   leaseMs: 20_000,
   authorityMs: 1500,
--- a/src/core/limits/tenant-allocator.ts
+++ b/src/core/limits/tenant-allocator.ts
@@ -34,6 +34,7 @@
   askedAt: Milliseconds;
 }
 
+/** Divides one tenant's limit among nodes. */
 export class TenantAllocator {
   readonly #options: TenantLeaseOptions;
   readonly #granter: BudgetGranter;
--- a/src/core/limits/tenant-shares.ts
+++ b/src/core/limits/tenant-shares.ts
@@ -30,6 +30,7 @@
   lastSentAt: Milliseconds;
 }
 
+/** A node's shares of tenants' limits. */
 export class TenantShares {
   readonly #holderPrefix: string;
   readonly #options: TenantLeaseOptions;
--- a/src/core/limits/token-bucket.ts
+++ b/src/core/limits/token-bucket.ts
@@ -13,6 +13,7 @@
   readonly capacity: number;
 }
 
+/** A bucket that nothing was taken from. */
 export function fullBucket(shape: TokenBucketShape, now: Milliseconds): TokenBucket {
   return { tokens: shape.capacity, at: now };
 }
--- a/src/core/limits/voter-sets.ts
+++ b/src/core/limits/voter-sets.ts
@@ -33,6 +33,7 @@
   readonly coveredSince: Milliseconds;
 }
 
+/** What the voter sets are made of. */
 export interface VoterSetsOptions {
   /** How much later than this node any other may see a change of the machine list. */
   readonly listLagMs: Milliseconds;
@@ -40,6 +41,7 @@
   readonly rememberMs: Milliseconds;
 }
 
+/** Voters of tenants, by this node's machine list and the lists before it. */
 export class VoterSets {
   readonly #hashes: NodeHashes;
   readonly #options: VoterSetsOptions;
--- a/src/core/membership/chance.ts
+++ b/src/core/membership/chance.ts
@@ -5,6 +5,7 @@
 /** Periods vary by this share either way, so that nodes do not fall into step. */
 const JITTER_SHARE = 0.25;
 
+/** Draws of the membership. */
 export class Chance {
   readonly #random: Random;
 
--- a/src/core/membership/contract.ts
+++ b/src/core/membership/contract.ts
@@ -54,6 +54,7 @@
   readonly cursor: number;
 }
 
+/** What a node answers to a sync. */
 export interface SyncAnswer {
   readonly sender: MemberUpdate;
   readonly digests: readonly number[];
@@ -69,6 +70,7 @@
   readonly updates: readonly MemberUpdate[];
 }
 
+/** What goes into the machine. */
 export type MembershipEvent =
   /** The first event: the seeds. */
   | { readonly type: 'start'; readonly nodes: readonly ListedNode[] }
@@ -99,6 +101,7 @@
   readonly member: Member;
 }
 
+/** What comes out of the machine. */
 export type MembershipEffect =
   | { readonly type: 'send'; readonly to: NodeAddress; readonly message: MembershipMessage }
   /** Call the peer over TCP and report `sync-answered`. */
@@ -111,6 +114,7 @@
   /** Another life of this node id was seen with a later incarnation; this one was raised above it. */
   | { readonly type: 'incarnation-raised'; readonly incarnation: number };
 
+/** Timing and bounds. */
 export interface MembershipOptions {
   /** How often one member is probed. */
   readonly probePeriodMs: Milliseconds;
@@ -143,6 +147,7 @@
   readonly listLagMs: Milliseconds;
 }
 
+/** Timing and bounds unless a test asks otherwise. */
 export const DEFAULT_MEMBERSHIP_OPTIONS: MembershipOptions = {
   probePeriodMs: 500,
   probeTimeoutMs: 200,
--- a/src/core/membership/deadlines.ts
+++ b/src/core/membership/deadlines.ts
@@ -1,6 +1,7 @@
 /** Deadlines of members: when a suspicion becomes a death, when a dead member is forgotten. */
 import type { Milliseconds } from '../units.js';
 
+/** Times by key, the earliest first. */
 export class Deadlines {
   readonly #deadlines = new Map<string, Milliseconds>();
 
--- a/src/core/membership/dissemination.ts
+++ b/src/core/membership/dissemination.ts
@@ -9,6 +9,7 @@
   readonly sent: number;
 }
 
+/** Updates to be spread, the least often sent first. */
 export class DisseminationQueue {
   readonly #fresh = new Map<string, QueuedUpdate>();
   readonly #repeated = new Map<string, QueuedUpdate>();
--- a/src/core/membership/knowledge.ts
+++ b/src/core/membership/knowledge.ts
@@ -26,6 +26,7 @@
   isListedLeaving(nodeId: string): boolean;
 }
 
+/** What a node knows of itself and the others. */
 export class MembershipKnowledge {
   readonly table = new MemberTable();
   readonly queue = new DisseminationQueue();
--- a/src/core/membership/machine-list-view.ts
+++ b/src/core/membership/machine-list-view.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from '../units.js';
 import type { ListedNode } from './contract.js';
 
+/** The proxies of the machine list. */
 export class MachineListView {
   readonly #selfId: string;
   #nodes = new Map<string, ListedNode>();
--- a/src/core/membership/machine.ts
+++ b/src/core/membership/machine.ts
@@ -30,6 +30,7 @@
 /** Seeds that a starting node contacts at once, and members told of a planned stop. */
 const INITIAL_PINGS = 3;
 
+/** One node's membership. */
 export class MembershipMachine {
   readonly #options: MembershipOptions;
   readonly #knowledge: MembershipKnowledge;
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -6,6 +6,7 @@
 /** Buckets of the digests: at 4,600 members a bucket holds 18. */
 export const BUCKET_COUNT = 256;
 
+/** All members known, with digests by bucket. */
 export class MemberTable {
   readonly #members = new Map<string, MemberUpdate>();
   readonly #digests = new Uint32Array(BUCKET_COUNT);
@@ -88,10 +89,12 @@
   };
 }
 
+/** Bucket of a node id. */
 export function bucketOf(nodeId: string): number {
   return hashText(nodeId) % BUCKET_COUNT;
 }
 
+/** True if two addresses are the same. */
 export function sameAddress(left: NodeAddress, right: NodeAddress): boolean {
   return left.host === right.host && left.peerPort === right.peerPort;
 }
--- a/src/core/membership/outbox.ts
+++ b/src/core/membership/outbox.ts
@@ -20,6 +20,7 @@
   readonly updates: readonly MemberUpdate[];
 }
 
+/** Effects and messages of the event that is being handled. */
 export class Outbox {
   readonly #knowledge: MembershipKnowledge;
   readonly #options: MembershipOptions;
--- a/src/core/membership/prober.ts
+++ b/src/core/membership/prober.ts
@@ -23,6 +23,7 @@
 const MAX_RELAYS = 256;
 const SEQUENCE_LIMIT = 0xffff_ffff;
 
+/** Probes under way. */
 export class Prober {
   readonly #options: MembershipOptions;
   readonly #probes = new Map<number, Probe>();
--- a/src/core/membership/synchroniser.ts
+++ b/src/core/membership/synchroniser.ts
@@ -12,6 +12,7 @@
 
 const PERIOD_GROWTH = 2;
 
+/** Anti-entropy with one member at a time. */
 export class Synchroniser {
   readonly #knowledge: MembershipKnowledge;
   readonly #outbox: Outbox;
--- a/src/core/membership/target-rings.ts
+++ b/src/core/membership/target-rings.ts
@@ -9,6 +9,7 @@
 /** Uniform in [0, 1); seeded by whoever builds the machine. */
 export type Random = () => number;
 
+/** What a ring needs to know of a member. */
 export interface RingMember extends Pick<Member, 'nodeId' | 'zone'> {}
 
 /** Tells whether a node id still is a member to be probed. */
@@ -69,6 +70,7 @@
   }
 }
 
+/** Whom to probe and to gossip to next. */
 export class TargetRings {
   readonly #zone: ZoneName;
   readonly #remoteShare: number;
--- a/src/core/ownership/budget-granter.ts
+++ b/src/core/ownership/budget-granter.ts
@@ -25,6 +25,7 @@
   type ShareDivision,
 } from './share-division.js';
 
+/** What goes into the granter. */
 export type GranterEvent =
   /** A probe that was sent at `sentAt` on the connection that holds the lock was answered. */
   | {
@@ -67,6 +68,7 @@
   readonly holdersComplete: boolean;
 }
 
+/** Divides an instance's connections among its owners. */
 export class BudgetGranter {
   readonly #granterId: string;
   readonly #options: BudgetLeaseOptions;
--- a/src/core/ownership/budget-holder.ts
+++ b/src/core/ownership/budget-holder.ts
@@ -12,6 +12,7 @@
 
 const NO_SHARE: Share = { connections: 0, until: Number.NEGATIVE_INFINITY };
 
+/** An owner's share of an instance's connections. */
 export class BudgetHolder {
   readonly id: HolderId;
   readonly #options: BudgetLeaseOptions;
--- a/src/core/ownership/budget-lease.ts
+++ b/src/core/ownership/budget-lease.ts
@@ -8,6 +8,7 @@
 /** One life of one node, as holder of a share. */
 export type HolderId = string;
 
+/** Timing of leased connections. */
 export interface BudgetLeaseOptions {
   /** A share ends this long after its holder sent the request that renewed it. */
   readonly leaseMs: Milliseconds;
@@ -21,6 +22,7 @@
   readonly unleasedShare: number;
 }
 
+/** Timing unless a test asks otherwise. */
 export const DEFAULT_BUDGET_LEASE_OPTIONS: BudgetLeaseOptions = {
   leaseMs: 4000,
   authorityMs: 1000,
@@ -46,6 +48,7 @@
   readonly term: string | undefined;
 }
 
+/** What a granter answers. */
 export type ShareAnswer =
   | {
       readonly type: 'granted';
--- a/src/core/ownership/group-routes.ts
+++ b/src/core/ownership/group-routes.ts
@@ -15,6 +15,7 @@
   readonly until: Milliseconds;
 }
 
+/** The owners of a group, as far as they can be reached. */
 export class GroupRoutes {
   readonly #handOverMs: Milliseconds;
   readonly #isLive: (nodeId: string) => boolean;
--- a/src/core/ownership/hand-over.ts
+++ b/src/core/ownership/hand-over.ts
@@ -13,6 +13,7 @@
 /** What this node does for a group. */
 export type OwnerPhase = 'none' | 'warming' | 'serving' | 'retiring';
 
+/** What goes into a hand-over. */
 export type HandOverEvent =
   | { readonly type: 'owners-changed'; readonly change: OwnersChange }
   /** The connections asked for by `warm` are open, or as many as can be had. */
@@ -23,6 +24,7 @@
   | { readonly type: 'member-gone'; readonly nodeId: string }
   | { readonly type: 'tick' };
 
+/** What comes out of a hand-over. */
 export type HandOverEffect =
   /** Open connections, then report `warmed`. */
   | { readonly type: 'warm'; readonly group: GroupName }
@@ -35,6 +37,7 @@
   /** Finish what runs, accept nothing new, then close the connections. */
   | { readonly type: 'retire'; readonly group: GroupName };
 
+/** Timing of a hand-over. */
 export interface HandOverOptions {
   /** A new owner serves after this time even if its connections are not open. */
   readonly warmTimeoutMs: Milliseconds;
@@ -42,6 +45,7 @@
   readonly retireTimeoutMs: Milliseconds;
 }
 
+/** Timing unless a test asks otherwise. */
 export const DEFAULT_HAND_OVER_OPTIONS: HandOverOptions = {
   warmTimeoutMs: 2000,
   retireTimeoutMs: 5000,
--- a/src/core/ownership/owner-index.ts
+++ b/src/core/ownership/owner-index.ts
@@ -37,6 +37,7 @@
 /** Owners of a group unless an option says otherwise. */
 export const DEFAULT_OWNERS_PER_GROUP = 2;
 
+/** The owners of all groups, kept up to date member by member. */
 export class OwnerIndex {
   readonly #hash: Hash64;
   readonly #ownersPerGroup: number;
--- a/src/core/ownership/rendezvous.ts
+++ b/src/core/ownership/rendezvous.ts
@@ -46,6 +46,7 @@
 const LOW_32_BITS = 0xffff_ffffn;
 const HALF_BITS = 32n;
 
+/** Hash of a text in two halves. */
 export function hashHalves(hash: Hash64, text: string): HashHalves {
   const value = hash(text);
   return { high: Number(value >> HALF_BITS), low: Number(value & LOW_32_BITS) };
@@ -53,11 +54,13 @@
 
 // Literals, not spreads: V8 makes slow dictionary objects of spreads, and weights read these
 // millions of times at start.
+/** A candidate with its hashes. */
 export function hashCandidate(hash: Hash64, { nodeId, zone }: OwnerCandidate): HashedCandidate {
   const { high, low } = hashHalves(hash, `member:${nodeId}`);
   return { nodeId, zone, high, low };
 }
 
+/** A group with its hashes. */
 export function hashGroup(hash: Hash64, group: GroupName, zones: readonly ZoneName[]): HashedGroup {
   const { high, low } = hashHalves(hash, `group:${group}`);
   return { group, zones: new Set(zones), high, low };
--- a/src/core/pool/connections.ts
+++ b/src/core/pool/connections.ts
@@ -9,6 +9,7 @@
   readonly database: string;
 }
 
+/** What a connection is doing. */
 export type ConnectionStatus = 'opening' | 'idle' | 'resetting' | 'running';
 
 /** One connection. */
--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -7,9 +7,13 @@
 
 /** Identifies a request within one owner; unique for the life of the process. */
 export type RequestId = string;
+/** Name of a tenant. */
 export type TenantName = string;
+/** Name of a database group. */
 export type GroupName = string;
+/** Name of a database instance. */
 export type InstanceName = string;
+/** Name of a zone. */
 export type ZoneName = string;
 /** A database role (PostgreSQL user) on the back ends. Connections are never shared between roles. */
 export type DatabaseRole = string;
--- a/src/core/routing/select.ts
+++ b/src/core/routing/select.ts
@@ -28,6 +28,7 @@
   readonly checkSession: boolean;
 }
 
+/** The rules with nothing turned off. */
 export const ALL_RULES: EligibilityRules = {
   checkPosition: true,
   checkStaleness: true,
--- a/src/core/session/home-nodes.ts
+++ b/src/core/session/home-nodes.ts
@@ -8,7 +8,9 @@
 import type { GroupName, SessionRequirement, TenantName } from '../request.js';
 import { type SessionState, unknownSession } from './state.js';
 
+/** Home nodes of a session. */
 export const HOME_SET_SIZE = 3;
+/** Home nodes that must have taken or given a position. */
 export const HOME_QUORUM = 2;
 
 /** Names one session of one tenant; two tenants never share a session. */
--- a/src/core/session/node-ranker.ts
+++ b/src/core/session/node-ranker.ts
@@ -7,6 +7,7 @@
   readonly score: number;
 }
 
+/** Ranks nodes for a key. */
 export class NodeRanker {
   readonly #hash: Hash64;
   #halves = new Map<string, HashHalves>();
--- a/src/core/session/position-table.ts
+++ b/src/core/session/position-table.ts
@@ -12,6 +12,7 @@
 
 /** Time after its last record at which a session is taken to have ended. */
 export const SESSION_LIFE_MS: Milliseconds = 15 * 60_000;
+/** Most memory that the positions take. */
 export const MAX_TABLE_BYTES = 64 * 1024 * 1024;
 /** Longest session id that is kept. */
 export const MAX_SESSION_ID_BYTES = 128;
@@ -21,6 +22,7 @@
 const GROUP_OVERHEAD_BYTES = 64;
 const BYTES_PER_CHARACTER = 2;
 
+/** Bounds of the table. */
 export interface PositionTableOptions {
   /** Start of this node's life on the clock that `handle` is given. */
   readonly startedAt: Milliseconds;
@@ -28,6 +30,7 @@
   readonly maxBytes?: number;
 }
 
+/** What goes into the table. */
 export type PositionTableEvent =
   | {
       readonly type: 'record';
@@ -36,6 +39,7 @@
     }
   | { readonly type: 'look-up'; readonly session: SessionKeyName };
 
+/** What the table answers. */
 export type PositionTableAnswer =
   | { readonly type: 'recorded' }
   | { readonly type: 'found'; readonly answer: HomeAnswer };
--- a/src/core/session/token.ts
+++ b/src/core/session/token.ts
@@ -21,6 +21,7 @@
 
 /** Longest token that is handed out or accepted. */
 export const MAX_TOKEN_BYTES = 1024;
+/** Least length of a key. */
 export const MIN_SECRET_BYTES = 16;
 
 const VERSION = 'v1';
--- a/src/node/configuration/peer-messages.ts
+++ b/src/node/configuration/peer-messages.ts
@@ -4,8 +4,11 @@
 import type { ConfigurationDelta } from '../../core/configuration/replica.js';
 import { isDeclarationKey } from '../../core/configuration/store-layout.js';
 
+/** Compares digests. */
 export const DIGEST_METHOD = 'configuration.digest';
+/** Fetches what changed after a revision. */
 export const FETCH_METHOD = 'configuration.fetch';
+/** Passes a change on. */
 export const PUSH_METHOD = 'configuration.push';
 
 const MAX_VALUE_LENGTH = 1_000_000;
@@ -42,6 +45,7 @@
 /** A change on its way along the tree of `root`. */
 export const pushRequestSchema = z.object({ root: z.string().max(200), delta: deltaSchema });
 
+/** One page of a fetch. */
 export type FetchAnswer = z.output<typeof fetchAnswerSchema>;
 
 /** Bytes of values in one page or push, about; one entry is sent even if it is longer. */
--- a/src/node/configuration/publisher.ts
+++ b/src/node/configuration/publisher.ts
@@ -57,6 +57,7 @@
   readonly changes: readonly { readonly key: string; readonly version: number }[];
 }
 
+/** Why a publish failed. */
 export type PublishError =
   | PublishConflictError
   | PublishContentionError
--- a/src/node/fleet-nodes.ts
+++ b/src/node/fleet-nodes.ts
@@ -7,18 +7,22 @@
 import type { FleetNode } from './fleet-view.js';
 import type { MemberSummary } from './node-status.js';
 
+/** A member as the status shows it. */
 export function summaryOf({ nodeId, zone, status }: Member): MemberSummary {
   return { nodeId, zone, status };
 }
 
+/** A node's address for links. */
 export function addressOf(node: FleetNode): PeerAddress {
   return { host: node.host, port: node.peerPort };
 }
 
+/** A node as the configuration names it. */
 export function configurationMember(node: FleetNode): ConfigurationMember {
   return { nodeId: node.nodeId, zone: node.zone, ...addressOf(node) };
 }
 
+/** A listed proxy as the membership names it. */
 export function listedNode(proxy: ProxyMachine): ListedNode {
   return {
     nodeId: proxy.name,
--- a/src/node/fleet-view.ts
+++ b/src/node/fleet-view.ts
@@ -18,6 +18,7 @@
   readonly peerPort: number;
 }
 
+/** Where the view gets its knowledge. */
 export interface FleetViewOptions {
   readonly self: FleetNode;
   /** What membership knows of a node; undefined if it never heard of it. */
@@ -40,6 +41,7 @@
   readonly lastListedAt: Milliseconds;
 }
 
+/** This node's view of the fleet. */
 export class FleetView {
   readonly #options: FleetViewOptions;
   readonly #remembered = new Map<string, RememberedNode>();
--- a/src/node/gateway/batch-message.ts
+++ b/src/node/gateway/batch-message.ts
@@ -2,6 +2,7 @@
 import type { CallerBatch, StatementClass, StatementMarkers } from '../../postgres/contract.js';
 import type { BatchMessage } from '../owner/messages.js';
 
+/** The owner's form of a batch. */
 export function batchMessage(
   batch: CallerBatch,
   statementClass: StatementClass,
--- a/src/node/gateway/gateway-service.ts
+++ b/src/node/gateway/gateway-service.ts
@@ -28,6 +28,7 @@
 
 const RETRY_BUDGET = { ratio: 0.1, capacity: 100 };
 
+/** What the gateway is made of. */
 export interface GatewayServiceOptions {
   readonly settings: Settings;
   readonly links: NodeLinks;
@@ -38,6 +39,7 @@
   readonly fleet: FleetView;
 }
 
+/** The gateway's part of a node: its callers, their sessions and limits. */
 export class GatewayService {
   readonly #options: GatewayServiceOptions;
   readonly #sessions = new SessionRegistry();
--- a/src/node/gateway/group-client.ts
+++ b/src/node/gateway/group-client.ts
@@ -60,6 +60,7 @@
   onError(error: RequestError, position?: Position): void;
 }
 
+/** What the client is made of. */
 export interface GroupClientOptions {
   /** Owners in order of preference, by this node's view of the members. */
   readonly ownersOf: (group: GroupName) => readonly OwnerReference[];
@@ -75,6 +76,7 @@
 /** Refusals after which another owner, or the same one a little later, may well accept. */
 const OWNER_REASONS: ReadonlySet<NotRunReason> = new Set(['owner-unreachable', 'owner-stopping']);
 
+/** Sends requests to their groups' owners. */
 export class GroupClient {
   constructor(readonly options: GroupClientOptions) {}
 
--- a/src/node/gateway/home-node-directory.ts
+++ b/src/node/gateway/home-node-directory.ts
@@ -20,7 +20,9 @@
 import type { PeerAddress, PeerTransport, WireValue } from '../../peer/contract.js';
 import type { GroupPositionEntry, SessionDirectory } from './session-directory.js';
 
+/** Records a session's position at a home node. */
 export const SESSION_RECORD_METHOD = 'session.record';
+/** Looks a session's positions up at a home node. */
 export const SESSION_LOOK_UP_METHOD = 'session.look-up';
 
 /** Sessions whose home nodes are kept: more than a node has callers at the size that is aimed at. */
@@ -48,6 +50,7 @@
   readonly address: PeerAddress;
 }
 
+/** What the directory is made of. */
 export interface HomeNodeDirectoryOptions {
   readonly nodeId: string;
   readonly transport: PeerTransport;
@@ -57,6 +60,7 @@
   readonly now: () => Milliseconds;
 }
 
+/** Positions of sessions by id, kept by three home nodes each. */
 export class HomeNodeDirectory implements SessionDirectory {
   readonly #options: HomeNodeDirectoryOptions;
   readonly #table: SessionPositionTable;
--- a/src/node/gateway/request-metrics.ts
+++ b/src/node/gateway/request-metrics.ts
@@ -2,6 +2,7 @@
 import type { FailureOutcome } from '../../core/errors.js';
 import type { Access } from '../../core/request.js';
 
+/** One request that ended. */
 export interface EndedRequest {
   /** Follows the request over both hops. */
   readonly requestId: string;
@@ -14,6 +15,7 @@
   readonly elapsedMs: number;
 }
 
+/** Takes the ends of requests. */
 export interface RequestMetrics {
   requestEnded(request: EndedRequest): void;
 }
--- a/src/node/gateway/request-policy.ts
+++ b/src/node/gateway/request-policy.ts
@@ -25,6 +25,7 @@
   readonly deadlineMs: Milliseconds;
 }
 
+/** The terms of a request under the tenant's policy. */
 export function requestTerms(
   policy: TenantPolicy,
   markers: StatementMarkers,
--- a/src/node/gateway/session-directory.ts
+++ b/src/node/gateway/session-directory.ts
@@ -4,11 +4,13 @@
 import type { GroupName, TenantName } from '../../core/request.js';
 import type { SessionState } from '../../core/session/index.js';
 
+/** A session's position in one group. */
 export interface GroupPositionEntry {
   readonly group: GroupName;
   readonly position: Position;
 }
 
+/** Keeps the positions of sessions that move with nothing but their id. */
 export interface SessionDirectory {
   /** What the home nodes know; groups they can't vouch for are unknown. Never fails. */
   lookUp(tenant: TenantName, sessionId: string): Promise<SessionState>;
--- a/src/node/gateway/session-positions.ts
+++ b/src/node/gateway/session-positions.ts
@@ -22,6 +22,7 @@
 } from '../../core/session/index.js';
 import type { SessionDirectory } from './session-directory.js';
 
+/** What a session's positions are made of. */
 export interface SessionPositionsOptions {
   readonly tenant: TenantName;
   readonly group: GroupName;
@@ -31,6 +32,7 @@
   readonly directory: SessionDirectory;
 }
 
+/** What one session has seen, and where that is written down. */
 export class SessionPositions {
   readonly #options: SessionPositionsOptions;
   #state: SessionState = freshSession();
--- a/src/node/gateway/session-registry.ts
+++ b/src/node/gateway/session-registry.ts
@@ -11,6 +11,7 @@
 /** How long an open transaction may go on after its tenant's access was taken away, in ms. */
 export const SESSION_GRACE_MS: Milliseconds = 1000;
 
+/** The open sessions of this gateway. */
 export class SessionRegistry {
   readonly #sessions = new Map<TenantName, Set<GatewaySession>>();
   /** Sessions that were told to end. */
--- a/src/node/gateway/statement-facts.ts
+++ b/src/node/gateway/statement-facts.ts
@@ -12,6 +12,7 @@
 const MAXIMUM_ENTRIES = 4096;
 const MAXIMUM_CHARACTERS = 2 * 1024 * 1024;
 
+/** What is known of a statement from its text alone. */
 export interface StatementFacts {
   readonly outsideBlock: StatementClass;
   readonly insideBlock: StatementClass;
--- a/src/node/limits/allocator-service.ts
+++ b/src/node/limits/allocator-service.ts
@@ -17,6 +17,7 @@
 /** Votes are remembered for this many times as long as any share can last. */
 const REMEMBER_FACTOR = 2;
 
+/** What the allocator service is made of. */
 export interface AllocatorServiceOptions {
   readonly nodeId: string;
   /** Names this life of this node. */
@@ -42,6 +43,7 @@
   readonly allocator: TenantAllocator;
 }
 
+/** Runs the allocators of the tenants that this node was elected for. */
 export class AllocatorService {
   readonly #options: AllocatorServiceOptions;
   readonly #voter: Voter;
--- a/src/node/limits/messages.ts
+++ b/src/node/limits/messages.ts
@@ -4,8 +4,11 @@
 import type { Vote } from '../../core/limits/election.js';
 import type { ShareAnswer, ShareRequest } from '../../core/ownership/budget-lease.js';
 
+/** Asks a voter for its vote. */
 export const VOTE_METHOD = 'limits.vote';
+/** Asks an allocator for a share. */
 export const SHARE_METHOD = 'limits.share';
+/** Asks a holder what it holds. */
 export const REPORT_METHOD = 'limits.report';
 
 /** Longest list in one call: tenants of one pair of nodes. */
@@ -64,6 +67,7 @@
 
 /** A new allocator asks what a node holds. */
 export const reportRequestSchema = z.object({ tenant: name, term: name });
+/** What a holder tells of its share. */
 export const reportAnswerSchema = z.object({ report: shareRequest });
 
 /** A call about limits was malformed. */
--- a/src/node/limits/nodes.ts
+++ b/src/node/limits/nodes.ts
@@ -5,6 +5,7 @@
 import type { PeerAddress } from '../../peer/contract.js';
 import type { FleetNode } from '../fleet-view.js';
 
+/** The nodes that the limits talk to. */
 export class LimitNodes {
   readonly #hashes: NodeHashes;
   #live: readonly FleetNode[] = [];
--- a/src/node/limits/peer-client.ts
+++ b/src/node/limits/peer-client.ts
@@ -21,6 +21,7 @@
 
 const CALL_TIMEOUT_MS = 1000;
 
+/** What the client is made of. */
 export interface LimitsPeerClientOptions {
   readonly nodeId: string;
   readonly transport: Pick<PeerTransport, 'call'>;
@@ -29,6 +30,7 @@
   readonly answerLocally: (method: string, body: WireValue) => WireValue;
 }
 
+/** The calling side of the limits' messages. */
 export class LimitsPeerClient {
   constructor(private readonly options: LimitsPeerClientOptions) {}
 
--- a/src/node/limits/service.ts
+++ b/src/node/limits/service.ts
@@ -31,6 +31,7 @@
 
 const TICK_MS: Milliseconds = 50;
 
+/** What the limit service is made of. */
 export interface TenantLimitServiceOptions {
   readonly identity: NodeIdentity;
   readonly transport: Pick<PeerTransport, 'call'>;
@@ -50,6 +51,7 @@
   readonly allocating: readonly TenantName[];
 }
 
+/** Tenants' limits on this node: its shares, and the allocators that it runs. */
 export class TenantLimitService implements CallService {
   readonly #nodes: LimitNodes;
   readonly #allocators: AllocatorService;
--- a/src/node/limits/share-service.ts
+++ b/src/node/limits/share-service.ts
@@ -20,6 +20,7 @@
 /** How soon a refused caller may ask again, in ms. */
 const RETRY_AFTER_MS: Milliseconds = 500;
 
+/** What the share service is made of. */
 export interface ShareServiceOptions {
   readonly life: string;
   readonly nodes: LimitNodes;
@@ -50,6 +51,7 @@
   readonly waiting: number;
 }
 
+/** Admits callers within this node's shares of their tenants' limits. */
 export class ShareService {
   readonly #options: ShareServiceOptions;
   readonly #shares: TenantShares;
--- a/src/node/membership/service.ts
+++ b/src/node/membership/service.ts
@@ -33,10 +33,13 @@
   syncRequestToWire,
 } from './wire.js';
 
+/** Compares tables; the answer holds what the asker lacked. */
 export const SYNC_METHOD = 'membership.sync';
+/** Gives what the answering side of a sync lacked. */
 export const SYNC_PUSH_METHOD = 'membership.push';
 const SYNC_TIMEOUT_MS = 2000;
 
+/** What the service is made of. */
 export interface MembershipServiceOptions {
   /** This node. `peerPort` is the port of its links, and of its datagrams. */
   readonly self: SelfDescription;
@@ -47,6 +50,7 @@
   readonly random?: () => number;
 }
 
+/** What the service has done since it was made. */
 export interface MembershipCounters {
   readonly datagramsSent: number;
   readonly datagramsReceived: number;
@@ -60,6 +64,7 @@
   readonly syncsFailed: number;
 }
 
+/** One node's membership. */
 export class MembershipService {
   /** Called for every change of a member. */
   onMemberChanged: ((event: MemberEvent) => void) | undefined;
--- a/src/node/membership/wire.ts
+++ b/src/node/membership/wire.ts
@@ -113,30 +113,36 @@
   return parse(messageSchema, decodeValue(payload));
 }
 
+/** Wire form of a request. */
 export function syncRequestToWire(request: SyncRequest): WireValue {
   return [updateToWire(request.sender), packDigests(request.digests), request.cursor];
 }
 
+/** Reads a request; throws PeerProtocolError if it is malformed. */
 export function syncRequestFromWire(value: WireValue): SyncRequest {
   const [sender, digests, cursor] = parse(syncRequestSchema, value);
   return { sender, digests: unpackDigests(digests), cursor };
 }
 
+/** Wire form of an answer. */
 export function syncAnswerToWire(answer: SyncAnswer): WireValue {
   const { sender, digests, updates, nextCursor } = answer;
   const wireUpdates = updates.map(updateToWire);
   return [updateToWire(sender), packDigests(digests), wireUpdates, nextCursor ?? null];
 }
 
+/** Reads an answer; throws PeerProtocolError if it is malformed. */
 export function syncAnswerFromWire(value: WireValue): SyncAnswer {
   const [sender, digests, updates, nextCursor] = parse(syncAnswerSchema, value);
   return { sender, digests: unpackDigests(digests), updates, nextCursor: nextCursor ?? undefined };
 }
 
+/** Wire form of a push. */
 export function syncPushToWire(push: SyncPush): WireValue {
   return [updateToWire(push.sender), push.updates.map(updateToWire)];
 }
 
+/** Reads a push; throws PeerProtocolError if it is malformed. */
 export function syncPushFromWire(value: WireValue): SyncPush {
   const [sender, updates] = parse(syncPushSchema, value);
   return { sender, updates };
--- a/src/node/node-links.ts
+++ b/src/node/node-links.ts
@@ -14,6 +14,7 @@
 /** Only links with work under way are asked; a frozen owner is given up after three of these. */
 const LINK_HEARTBEAT_MS = 300;
 
+/** The open links of a node, and what came to be known while they were opened. */
 export interface NodeLinks {
   readonly identity: NodeIdentity;
   readonly router: PeerRouter;
--- a/src/node/node-metrics.ts
+++ b/src/node/node-metrics.ts
@@ -21,6 +21,7 @@
   readonly writesConfirmed: SetTotal;
 }
 
+/** Copies what a node tells of itself into its metrics. */
 export class NodeMetricsRecorder {
   readonly #metrics: NodeMetrics;
   readonly #totals: ReturnType<typeof nodeTotals>;
--- a/src/node/node-status.ts
+++ b/src/node/node-status.ts
@@ -8,17 +8,20 @@
 import type { TenantLimitStatus } from './limits/service.js';
 import type { MembershipCounters } from './membership/service.js';
 
+/** Stage of life of a node. */
 export type NodeState = 'starting' | 'serving' | 'leaving';
 
 /** One group that this node owns. */
 export type GroupStatus = { readonly group: GroupName } & GroupStatistics;
 
+/** Another node as this one sees it. */
 export interface MemberSummary {
   readonly nodeId: string;
   readonly zone: string;
   readonly status: MemberStatus;
 }
 
+/** Everything that a node tells of itself. */
 export interface NodeStatus {
   readonly nodeId: string;
   readonly incarnation: number;
--- a/src/node/owner-directory.ts
+++ b/src/node/owner-directory.ts
@@ -17,6 +17,7 @@
 import type { FleetNode } from './fleet-view.js';
 import type { OwnerReference } from './gateway/group-client.js';
 
+/** Tells a node that served a group before that the caller serves it now. */
 export const SERVING_METHOD = 'ownership.serving';
 const CALL_TIMEOUT_MS = 1000;
 /** Gateways use former owners at most this long after a change; longer than warming takes. */
@@ -29,6 +30,7 @@
   readonly code = 'MS-OWNERSHIP-CALL';
 }
 
+/** What the directory of owners is made of. */
 export interface OwnerDirectoryOptions {
   readonly nodeId: string;
   readonly ownersPerGroup: number;
@@ -41,6 +43,7 @@
   readonly onChange: () => void;
 }
 
+/** Knows the owners of each group, and hands groups over when they change. */
 export class OwnerDirectory {
   readonly #options: OwnerDirectoryOptions;
   readonly #index: OwnerIndex;
--- a/src/node/owner/backend-connector.ts
+++ b/src/node/owner/backend-connector.ts
@@ -26,6 +26,7 @@
   }
 }
 
+/** Opens connections to instances. */
 export class BackendConnector {
   readonly #settings: BackendSettings;
   #machines: ReadonlyMap<InstanceName, DatabaseMachine> = new Map();
--- a/src/node/owner/batch-runner.ts
+++ b/src/node/owner/batch-runner.ts
@@ -51,6 +51,7 @@
       readonly mayHaveCommitted: boolean;
     };
 
+/** One batch and the connection it runs on. */
 export interface BatchRun {
   readonly connection: BackendConnection;
   readonly batch: BatchMessage;
--- a/src/node/owner/group-runtime.ts
+++ b/src/node/owner/group-runtime.ts
@@ -27,6 +27,7 @@
   primaryChanged(change: Extract<GroupEffect, { type: 'primary-changed' }>): void;
 }
 
+/** What the runtime is made of. */
 export interface GroupRuntimeOptions {
   readonly group: GroupName;
   readonly machine: GroupMachine;
@@ -35,6 +36,7 @@
   readonly observer: GroupObserver;
 }
 
+/** Carries out the effects of one group's state machine. */
 export class GroupRuntime {
   readonly #options: GroupRuntimeOptions;
   readonly #work = new Map<RequestId, GroupWork>();
--- a/src/node/owner/instance-probe.ts
+++ b/src/node/owner/instance-probe.ts
@@ -22,6 +22,7 @@
   }
 }
 
+/** Probes one instance over a connection of its own. */
 export class InstanceProbe {
   #connection: BackendConnection | undefined;
   #connecting: ResultAsync<BackendConnection, MeadowstackError> | undefined;
--- a/src/node/owner/messages.ts
+++ b/src/node/owner/messages.ts
@@ -39,6 +39,7 @@
   /** The batch may end the open transaction with COMMIT. */
   mayCommit: z.boolean(),
 });
+/** One batch on its way to the owner. */
 export type BatchMessage = z.infer<typeof batchSchema>;
 
 /** Opens a stream: what to run, for whom, and until when. */
@@ -65,13 +66,17 @@
   zone: z.string(),
   batch: batchSchema,
 });
+/** Opens a request. */
 export type OpenMessage = z.infer<typeof openSchema>;
 
 /** The caller asked to cancel the batch that is running. */
 export const cancelSchema = z.object({ type: z.literal('cancel') });
+/** The caller wants its running statement cancelled. */
 export type CancelMessage = z.infer<typeof cancelSchema>;
 
+/** What a gateway sends after the opening. */
 export const gatewayMessageSchema = z.discriminatedUnion('type', [batchSchema, cancelSchema]);
+/** What a gateway sends after the opening. */
 export type GatewayMessage = z.infer<typeof gatewayMessageSchema>;
 
 /** A batch inside a transaction ended; the transaction goes on. */
@@ -104,6 +109,7 @@
   /** What the session must see from now on, if the error says that something lasts. */
   position: positionSchema.optional(),
 });
+/** The request failed. */
 export type ErrorMessage = z.infer<typeof errorSchema>;
 
 /** A batch inside a transaction ended with an error of the proxy; the block goes on, failed. */
@@ -113,12 +119,14 @@
   error: errorSchema,
 });
 
+/** What an owner sends. */
 export const ownerMessageSchema = z.discriminatedUnion('type', [
   batchEndSchema,
   batchErrorSchema,
   endSchema,
   errorSchema,
 ]);
+/** What an owner sends. */
 export type OwnerMessage = z.infer<typeof ownerMessageSchema>;
 
 /** A typed error as another node reported it, of a class that needs no handling of its own here. */
--- a/src/node/owner/owner-service.ts
+++ b/src/node/owner/owner-service.ts
@@ -31,6 +31,7 @@
 /** How soon a gateway may ask again after reaching a node that is not an owner, in ms. */
 const NOT_OWNER_RETRY_MS = 5;
 
+/** What the service is made of. */
 export interface OwnerServiceOptions {
   readonly connector: BackendConnector;
   readonly createMachine: (group: GroupName) => GroupMachine;
@@ -42,6 +43,7 @@
   readonly logger: Logger;
 }
 
+/** The groups that this node owns. */
 export class OwnerService {
   readonly #options: OwnerServiceOptions;
   readonly #runtimes = new Map<GroupName, GroupRuntime>();
--- a/src/node/owner/owner-stream.ts
+++ b/src/node/owner/owner-stream.ts
@@ -32,6 +32,7 @@
 
 type ReadyResult = Extract<BatchResult, { type: 'ready' }>;
 
+/** What the owner's end of a request is told. */
 export interface OwnerStreamOptions {
   /** How long an open transaction may hold its connection while its caller sends nothing. */
   readonly idleTransactionTimeoutMs: Milliseconds;
@@ -41,6 +42,7 @@
   settled?(message: OwnerMessage): void;
 }
 
+/** The owner's end of one request. */
 export class OwnerStream implements GroupWork {
   readonly #stream: PeerStream;
   readonly #open: OpenMessage;
--- a/src/node/owner/relay.ts
+++ b/src/node/owner/relay.ts
@@ -9,6 +9,7 @@
 /** Rows of a slow statement wait at most this long, in ms. */
 const GATHERING_MS = 10;
 
+/** Gathers and relays the answer of the batch that runs. */
 export class AnswerRelay {
   readonly #stream: PeerStream;
   #gathered: Buffer[] = [];
--- a/src/node/peer-router.ts
+++ b/src/node/peer-router.ts
@@ -23,6 +23,7 @@
   }
 }
 
+/** Routes peers' calls by method and their streams to the owner. */
 export class PeerRouter implements PeerHandlers {
   readonly #services: CallService[] = [];
   #acceptStream: (header: WireValue, stream: PeerStream) => void = (_, stream) =>
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -1,3 +1,4 @@
+/** One proxy node put together: its links, membership, configuration, gateway and owner, from start to planned stop. */
 import { setTimeout as pause } from 'node:timers/promises';
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
 import type { ConfigurationSnapshot } from '../core/configuration/model.js';
@@ -52,12 +53,14 @@
   readonly peer: PeerAddress;
 }
 
+/** What a proxy node is started with. */
 export interface ProxyOptions {
   readonly settings: Settings;
   readonly logger: Logger;
   readonly metrics: RequestMetrics;
 }
 
+/** One proxy node. */
 export class ProxyNode {
   addresses: ProxyAddresses;
   readonly #settings: Settings;
--- a/src/node/settings-values.ts
+++ b/src/node/settings-values.ts
@@ -16,6 +16,7 @@
 /** Quiet groups are probed this many times more slowly. */
 const QUIET_PROBE_FACTOR = 5;
 
+/** The store's client. */
 export function createStore(settings: Settings): StoreClient {
   return new StoreClient({
     ...DEFAULT_STORE_CLIENT_OPTIONS,
@@ -24,6 +25,7 @@
   });
 }
 
+/** The machine list's client. */
 export function createMachineList(settings: Settings): MachineListClient {
   return new MachineListClient({
     ...DEFAULT_MACHINE_LIST_OPTIONS,
@@ -47,6 +49,7 @@
   return createHmac('sha256', key.secret).update('mock authentication').digest();
 }
 
+/** How often instances are probed. */
 export function probeTimingOf({ probe }: Settings): Partial<GroupTiming> {
   return {
     probePeriodMs: probe.intervalMs,
@@ -62,6 +65,7 @@
   return secretHex === undefined ? undefined : Buffer.from(secretHex, 'hex');
 }
 
+/** TLS towards callers; undefined if the settings name none. */
 export function callerTlsOf(settings: Settings): CallerTlsOptions | undefined {
   const { tls } = settings.callers;
   if (tls === undefined) return undefined;
--- a/src/node/test-policy.ts
+++ b/src/node/test-policy.ts
@@ -11,6 +11,7 @@
 /** What a policy changes in the options of every group. */
 export type GroupPolicy = Pick<DatabaseGroupOptions, 'routing' | 'without'>;
 
+/** Name of the policy that is no baseline. */
 export const OUR_POLICY = 'ours';
 const WITHOUT_PREFIX = 'without-';
 
--- a/src/observability/admin-server.ts
+++ b/src/observability/admin-server.ts
@@ -15,6 +15,7 @@
   readonly reasons: readonly string[];
 }
 
+/** What the admin port shows. */
 export interface AdminServerOptions {
   readonly host: string;
   /** 0 takes any free port. */
@@ -29,6 +30,7 @@
   readonly drain: () => void;
 }
 
+/** An open admin port. */
 export interface AdminServer {
   readonly host: string;
   readonly port: number;
@@ -55,6 +57,7 @@
 const REQUEST_TIMEOUT_MS = 5000;
 const MAXIMUM_CONNECTIONS = 64;
 
+/** Opens the admin port. */
 export function startAdminServer(
   options: AdminServerOptions,
 ): ResultAsync<AdminServer, AdminListenError> {
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -5,11 +5,14 @@
 import loglevel, { type LogLevelDesc } from 'loglevel';
 import { MeadowstackError } from '../core/errors.js';
 
+/** Form of the lines. */
 export type LogFormat = 'json' | 'text';
+/** Least level that is written. */
 export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'silent';
 /** Fields of one line; undefined ones are left out. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
+/** What the logger is made of. */
 export interface LoggerOptions {
   readonly format: LogFormat;
   readonly level: LogLevel;
@@ -43,6 +46,7 @@
 const NEEDS_QUOTES = /[\s"=]/;
 let loggersCreated = 0;
 
+/** A logger that writes lines to the standard error. */
 export function createLogger(options: LoggerOptions): Logger {
   const write = options.write ?? ((line) => process.stderr.write(`${line}\n`));
   const now = options.now ?? (() => new Date());
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -9,6 +9,7 @@
 /** Who a connection is to. */
 export type ConnectionSide = 'caller' | 'backend' | 'peer';
 
+/** The metrics of a node. */
 export interface NodeMetrics {
   readonly registry: Registry;
   /** Requests that ended. Kinds are the tenants' markers: bounded by the configuration. */
@@ -43,6 +44,7 @@
   readonly draining: Gauge;
 }
 
+/** Why a request was not run, or its outcome is unknown. */
 export type RefusalReason = NotRunReason | UnknownReason;
 
 const PREFIX = 'meadowstack_';
--- a/src/platform/contract.ts
+++ b/src/platform/contract.ts
@@ -27,6 +27,7 @@
   readonly modRevision: number;
 }
 
+/** One change of a transaction. */
 export type TransactionOperation =
   | {
       readonly type: 'put';
@@ -43,6 +44,7 @@
   readonly current: readonly KeyValue[];
 }
 
+/** One change that a watch tells of. */
 export type WatchEvent =
   | { readonly type: 'put'; readonly entry: KeyValue }
   | { readonly type: 'delete'; readonly key: string; readonly modRevision: number };
@@ -79,8 +81,10 @@
 /** One machine of the list: a proxy or a database instance. */
 export type Machine = ProxyMachine | DatabaseMachine;
 
+/** A machine's state on the list; `leaving`: it is to get no new work. */
 export type MachineState = 'live' | 'leaving';
 
+/** A proxy on the list. */
 export interface ProxyMachine {
   readonly role: 'proxy';
   readonly name: string;
@@ -91,6 +95,7 @@
   readonly state: MachineState;
 }
 
+/** A database instance on the list. */
 export interface DatabaseMachine {
   readonly role: 'database';
   readonly name: InstanceName;
--- a/src/platform/http-exchange.ts
+++ b/src/platform/http-exchange.ts
@@ -13,6 +13,7 @@
   readonly port: number;
 }
 
+/** One request. */
 export interface HttpExchange {
   readonly endpoint: ServiceEndpoint;
   readonly agent: Agent;
@@ -35,6 +36,7 @@
   readonly signal?: AbortSignal;
 }
 
+/** The answer to one request. */
 export interface HttpAnswer {
   readonly status: number;
   readonly retryAfterMs: Milliseconds | undefined;
--- a/src/platform/line-reader.ts
+++ b/src/platform/line-reader.ts
@@ -13,6 +13,7 @@
   }
 }
 
+/** Puts lines together from chunks. */
 export class LineReader {
   #partial: Buffer[] = [];
   #partialBytes = 0;
--- a/src/platform/machine-list-client.ts
+++ b/src/platform/machine-list-client.ts
@@ -17,6 +17,7 @@
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 const HTTP_OK = 200;
 
+/** What the client is made of. */
 export interface MachineListClientOptions {
   readonly endpoint: ServiceEndpoint;
   readonly clientName: string;
@@ -31,6 +32,7 @@
   random(): number;
 }
 
+/** Timing unless a test asks otherwise. */
 export const DEFAULT_MACHINE_LIST_OPTIONS = {
   pollWaitMs: 10_000,
   answerTimeoutMs: 2000,
@@ -51,6 +53,7 @@
 const listAnswer = z.object({ version: z.int().min(0), machines: z.array(z.unknown()) });
 type ListAnswer = z.output<typeof listAnswer>;
 
+/** The machine list's client. */
 export class MachineListClient implements MachineListWatcher {
   onChange: ((machines: readonly Machine[]) => void) | undefined;
   /** Called when reading the list fails, and with `undefined` when it works again. */
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -53,6 +53,7 @@
 const GRPC_NOT_FOUND = 5;
 const GRPC_RESOURCE_EXHAUSTED = 8;
 
+/** What the client is made of. */
 export interface StoreClientOptions {
   readonly endpoint: ServiceEndpoint;
   /** Names this node to the store, for its counters. */
@@ -65,6 +66,7 @@
   readonly maxConnections: number;
 }
 
+/** Timing unless a test asks otherwise. */
 export const DEFAULT_STORE_CLIENT_OPTIONS = {
   requestTimeoutMs: 2000,
   watchSilenceMs: 5000,
@@ -90,6 +92,7 @@
   readonly answer: Schema;
 }
 
+/** The store's client. */
 export class StoreClient implements Store {
   readonly #agent: Agent;
   readonly #watches = new Set<StoreWatch>();
--- a/src/platform/store-messages.ts
+++ b/src/platform/store-messages.ts
@@ -33,12 +33,14 @@
     }),
   );
 
+/** Answer to a read of a range. */
 export const rangeAnswer = z.object({
   header,
   kvs: z.array(keyValue).default([]),
   more: z.boolean().default(false),
 });
 
+/** Answer to a transaction. */
 export const transactionAnswer = z.object({
   header,
   succeeded: z.boolean().default(false),
@@ -49,10 +51,13 @@
     .default([]),
 });
 
+/** Answer to the grant of a lease. */
 export const leaseGrantAnswer = z.object({ ID: idText, TTL: int64 });
+/** Answer to the renewal of a lease. */
 export const leaseKeepAliveAnswer = z.object({
   result: z.object({ ID: idText, TTL: int64 }),
 });
+/** Answer to the end of a lease. */
 export const leaseRevokeAnswer = z.object({ header });
 
 /** The body of every refusal. */
@@ -82,6 +87,7 @@
   }),
   z.object({ error: z.object({ message: z.string().default('no message') }) }),
 ]);
+/** One line of a watch. */
 export type WatchLine = z.output<typeof watchLine>;
 
 function base64(text: string): string {
--- a/src/platform/store-watch.ts
+++ b/src/platform/store-watch.ts
@@ -19,6 +19,7 @@
 const HTTP_OK = 200;
 const HTTP_TOO_MANY_REQUESTS = 429;
 
+/** What a watch is made of. */
 export interface StoreWatchOptions {
   readonly endpoint: ServiceEndpoint;
   readonly clientName: string;
@@ -31,6 +32,7 @@
   onClosed(): void;
 }
 
+/** One open watch. */
 export class StoreWatch {
   readonly #agent = new Agent({ keepAlive: false, maxSockets: 1 });
   #request: ClientRequest | undefined;
