--- a/src/node/gateway/home-node-directory.ts
+++ b/src/node/gateway/home-node-directory.ts
@@ -21,7 +21,9 @@
 import type { PeerAddress, PeerTransport, WireValue } from '../../peer/contract.js';
 import type { GroupPositionEntry, SessionDirectory } from './session-directory.js';
 
+/** Records a session's position at a home node. */
 export const SESSION_RECORD_METHOD = 'session.record';
+/** Looks a session's positions up at a home node. */
 export const SESSION_LOOK_UP_METHOD = 'session.look-up';
 
 /** Sessions whose home nodes are kept: more than a node has callers at the size that is aimed at. */
@@ -64,6 +66,7 @@
   readonly enough: AbortSignal;
 }
 
+/** What the directory is made of. */
 export interface HomeNodeDirectoryOptions {
   readonly nodeId: string;
   readonly transport: PeerTransport;
@@ -73,6 +76,7 @@
   readonly now: () => Milliseconds;
 }
 
+/** Positions of sessions by id, kept by three home nodes each. */
 export class HomeNodeDirectory implements SessionDirectory {
   readonly #options: HomeNodeDirectoryOptions;
   readonly #table: SessionPositionTable;
--- a/src/node/node-links.ts
+++ b/src/node/node-links.ts
@@ -11,6 +11,7 @@
 import type { Settings } from './settings.js';
 import { clusterSecretOf } from './settings-values.js';
 
+/** The open links of a node, and what came to be known while they were opened. */
 export interface NodeLinks {
   readonly identity: NodeIdentity;
   readonly router: PeerRouter;
