Machine list: two readers a zone, differences by push tree, digests, and self-reading without a reader

Cause: every node polls the list and gets it whole: 8.1 MB a change at 4,600 nodes (docs/CAPACITY.md). Change: src/core/machine-list (replica with hashes by bucket, agent), src/node/machine-list (messages, peer client, service). The two nodes of a zone that rank first read; differences go along the push tree; a comparison with a random peer every 2 s finds what was missed and spreads the readers' heartbeat; a node that has heard of none for 30 to 45 s reads for itself.

--- a/src/node/node-status.ts
+++ b/src/node/node-status.ts
@@ -6,6 +6,7 @@
 import type { BackendCounters } from '../postgres/backend/options.js';
 import type { ConfigurationServiceStatus } from './configuration/service.js';
 import type { TenantLimitStatus } from './limits/service.js';
+import type { MachineListServiceStatus } from './machine-list/service.js';
 import type { MembershipCounters } from './membership/service.js';
 
 /** Stage of life of a node. */
@@ -41,6 +42,7 @@
   readonly primaryChanges: number;
   readonly groups: readonly GroupStatus[];
   readonly members: readonly MemberSummary[];
+  readonly machineList: MachineListServiceStatus;
   readonly membership: MembershipCounters;
   /** Shares of tenants' connection limits. */
   readonly limits: TenantLimitStatus;
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -11,7 +11,6 @@
 import type { NodeIdentity, PeerAddress } from '../peer/contract.js';
 import type { TcpPeerTransport } from '../peer/transport.js';
 import type { DatabaseMachine, Machine } from '../platform/contract.js';
-import type { MachineListClient } from '../platform/machine-list-client.js';
 import type { StoreClient } from '../platform/store-client.js';
 import { ServerStoppingError } from '../postgres/caller/errors.js';
 import { monotonicNow } from './clock.js';
@@ -20,6 +19,7 @@
 import { type FleetNode, FleetView } from './fleet-view.js';
 import { GatewayService } from './gateway/gateway-service.js';
 import type { RequestMetrics } from './gateway/request-metrics.js';
+import { MachineListService } from './machine-list/service.js';
 import { MembershipService } from './membership/service.js';
 import { type NodeLinks, openLinks, selfOf } from './node-links.js';
 import type { NodeState, NodeStatus } from './node-status.js';
@@ -70,7 +70,7 @@
   readonly #membership: MembershipService;
   readonly #fleet: FleetView;
   readonly #store: StoreClient;
-  readonly #machineList: MachineListClient;
+  readonly #machineList: MachineListService;
   readonly #configuration: ConfigurationService;
   readonly #connector: BackendConnector;
   readonly #owners: OwnerDirectory;
@@ -105,7 +105,7 @@
       now: monotonicNow,
     });
     this.#store = createStore(settings);
-    this.#machineList = createMachineList(settings);
+    this.#machineList = this.#createMachineList(self, links);
     this.#owners = this.#createOwners(links);
     this.#connector = new BackendConnector(settings.backend);
     this.#owner = this.#createOwner();
@@ -165,6 +165,7 @@
       primaryChanges: this.#owner.primaryChanges,
       groups: [...this.#owner.statistics()].map(([group, figures]) => ({ group, ...figures })),
       members: this.#membership.members().map(summaryOf),
+      machineList: this.#machineList.status(),
       membership: this.#membership.counters(),
       limits: this.#gateway.limits.status(),
       peers: this.#transport.counters(),
@@ -258,6 +259,18 @@
     });
   }
 
+  #createMachineList(self: FleetNode, links: NodeLinks): MachineListService {
+    return new MachineListService({
+      self: configurationMember(self),
+      client: createMachineList(this.#settings),
+      transport: links.transport,
+      members: keptMapping(() => this.#fleet.liveNodes(), configurationMember),
+      hash: links.hash,
+      random: Math.random,
+      now: monotonicNow,
+    });
+  }
+
   #createOwners(links: NodeLinks): OwnerDirectory {
     return new OwnerDirectory({
       nodeId: this.#settings.nodeId,
@@ -274,6 +287,7 @@
     router.acceptStreams((header, stream) => this.#owner.accept(header, stream));
     router.onLinkDown = (peer) => this.#onLinkDown(peer);
     router.add(this.#configuration);
+    router.add(this.#machineList);
     router.add(this.#gateway.directory);
     router.add(this.#gateway.limits);
     router.add(this.#owners);
@@ -318,6 +332,7 @@
     this.#owners.setNodes(this.#fleet.liveNodes());
     this.#owner.reconcile();
     this.#configuration.membersChanged();
+    this.#machineList.membersChanged();
     this.#gateway.limits.setFleet(
       this.#fleet.liveNodes(),
       this.#fleet.knownNodes(),
--- a/src/platform/machine-list-client.ts
+++ b/src/platform/machine-list-client.ts
@@ -40,6 +40,15 @@
   backoff: { baseMs: 100, maximumMs: 5000 },
 } as const;
 
+/** One well-formed answer to a poll. */
+export interface MachineListReading {
+  /** Version that the poll named as known. */
+  readonly asked: number;
+  readonly version: number;
+  /** Undefined: nothing new since the version that was known when the answer came. */
+  readonly machines: readonly Machine[] | undefined;
+}
+
 /** What the client has done since it was made. */
 export interface MachineListCounters {
   readonly polls: number;
@@ -56,6 +65,8 @@
 /** The machine list's client. */
 export class MachineListClient implements MachineListWatcher {
   onChange: ((machines: readonly Machine[]) => void) | undefined;
+  /** Called with every well-formed answer, before `onChange`. */
+  onReading: ((reading: MachineListReading) => void) | undefined;
   /** Called when reading the list fails, and with `undefined` when it works again. */
   onAvailability: ((error: MeadowstackError | undefined) => void) | undefined;
   #agent: Agent | undefined;
@@ -87,6 +98,12 @@
     this.#agent = undefined;
   }
 
+  /** Goes on from a list that was learned otherwise; the next poll asks for what comes after it. */
+  adopt(version: number, machines: readonly Machine[]): void {
+    this.#version = version;
+    this.#machines = machines;
+  }
+
   current(): readonly Machine[] {
     return this.#machines;
   }
@@ -104,10 +121,11 @@
   async #run(signal: AbortSignal, agent: Agent): Promise<void> {
     while (!signal.aborted) {
       const startedAt = performance.now();
+      const asked = this.#version;
       const answer = await this.#poll(signal, agent);
       if (signal.aborted) return;
       const pauseMs = answer.match(
-        (list) => this.#accept(list, performance.now() - startedAt),
+        (list) => this.#accept(list, asked, performance.now() - startedAt),
         (error) => this.#fail(error),
       );
       await pause(pauseMs, undefined, { signal }).catch(() => undefined);
@@ -135,14 +153,16 @@
   }
 
   /** Takes an answer over; gives the pause before the next poll. */
-  #accept(list: ListAnswer, tookMs: Milliseconds): Milliseconds {
+  #accept(list: ListAnswer, asked: number, tookMs: Milliseconds): Milliseconds {
     if (this.#consecutiveFailures > 0) this.onAvailability?.(undefined);
     this.#consecutiveFailures = 0;
-    if (list.version !== this.#version) this.#takeOver(list);
+    const { version } = list;
+    if (version !== this.#version) this.#takeOver(list, asked);
+    else this.onReading?.({ asked, version, machines: undefined });
     return Math.max(0, this.options.minimumIntervalMs - tookMs);
   }
 
-  #takeOver(list: ListAnswer): void {
+  #takeOver(list: ListAnswer, asked: number): void {
     const machines = this.#wellFormed(list.machines);
     const wentBack = list.version < this.#version;
     this.#version = list.version;
@@ -151,6 +171,7 @@
     if (emptied && (wentBack || list.machines.length > 0)) return;
     this.#machines = machines;
     this.#changes += 1;
+    this.onReading?.({ asked, version: list.version, machines });
     this.onChange?.(machines);
   }
 
--- /dev/null
+++ b/test/property/machine-list-agent.test.ts
@@ -0,0 +1,201 @@
+/** The machine list on many nodes: two readers a zone, differences by push, digests, no reader at all. */
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  isCurrent,
+  type ListNode,
+  MachineListNetwork,
+  type MachineState,
+  shownBy,
+} from '../support/machine-list-network.js';
+
+const SEED = 20_261_202;
+const ZONES = ['a', 'b', 'c'];
+const NODES = 15;
+const START_MS = 20_000;
+/** A push, or a comparison or two after a loss. */
+const PASSED_ON_MS = 15_000;
+/** No reader is heard of, then nodes read for themselves: one and a half times the limit and a poll. */
+const ALONE_MS = 60_000;
+/** Membership tells of a death, and the next in rank reads. */
+const SUCCESSION_MS = 10_000;
+const READERS = 2 * ZONES.length;
+
+function startedNetwork(seed: number): MachineListNetwork {
+  const network = new MachineListNetwork(seed);
+  for (let index = 0; index < NODES; index += 1) {
+    network.start(`n${index}`, ZONES[index % ZONES.length] ?? 'a');
+  }
+  network.publish('m0', 'live');
+  network.publish('m1', 'live');
+  network.run(START_MS);
+  return network;
+}
+
+function readersOf(network: MachineListNetwork): ListNode[] {
+  return network.live.filter(({ isReading }) => isReading);
+}
+
+function assertCurrent(network: MachineListNetwork, nodes = network.live): void {
+  for (const node of nodes) {
+    assert.ok(isCurrent(node, network), `${node.member.nodeId} lacks version ${network.version}`);
+  }
+}
+
+/** Each list that was in force was one of the service's, and none came before an earlier one. */
+function assertNothingLost(network: MachineListNetwork): void {
+  for (const { applied, member } of network.nodes) {
+    for (const [index, { stamp, shown }] of applied.entries()) {
+      assert.equal(shown, network.history.get(stamp.version), `${member.nodeId}, a torn list`);
+      const before = applied[index - 1]?.stamp.version ?? 0;
+      assert.ok(stamp.version >= before, `${member.nodeId} went back to ${stamp.version}`);
+    }
+  }
+}
+
+test('two nodes of each zone read, all have the list, and nobody else polls', () => {
+  const network = startedNetwork(SEED);
+  assert.is(readersOf(network).length, READERS);
+  assertCurrent(network);
+  const polls = network.nodes.map((node) => (node.isReading ? 0 : node.polls));
+  network.publish('m1', 'leaving');
+  network.run(PASSED_ON_MS);
+  assertCurrent(network);
+  network.run(10 * ALONE_MS);
+  assert.equal(
+    network.nodes.map((node) => (node.isReading ? 0 : node.polls)),
+    polls,
+    'nodes without the role have polled',
+  );
+});
+
+test('readers that are killed or paused are replaced by the next in rank', () => {
+  for (const fault of ['killed', 'paused'] as const) {
+    const network = startedNetwork(SEED);
+    for (const reader of readersOf(network)) {
+      if (fault === 'killed') network.kill(reader);
+      else network.pause(reader, 10 * ALONE_MS);
+    }
+    network.publish('m0', 'leaving');
+    network.run(SUCCESSION_MS + PASSED_ON_MS);
+    assertCurrent(
+      network,
+      network.live.filter(({ pausedUntil }) => pausedUntil <= network.now),
+    );
+    network.run(10 * ALONE_MS);
+    assertCurrent(network);
+    assertNothingLost(network);
+  }
+});
+
+test('with all readers cut off from the service the others read for themselves, and stop again', () => {
+  const network = startedNetwork(SEED);
+  const readers = readersOf(network);
+  for (const reader of readers) reader.isCutFromService = true;
+  network.run(ALONE_MS);
+  assert.is(readersOf(network).length, NODES, 'nobody hears of a reader');
+  network.publish('m0', 'leaving');
+  network.run(PASSED_ON_MS);
+  assertCurrent(network);
+  for (const reader of readers) reader.isCutFromService = false;
+  network.run(ALONE_MS);
+  assert.is(readersOf(network).length, READERS);
+  assertNothingLost(network);
+});
+
+test('a zone whose readers are cut off learns from other zones', () => {
+  const network = startedNetwork(SEED);
+  for (const node of network.live) node.isCutFromService = node.member.zone === 'a';
+  network.publish('m0', 'leaving');
+  network.run(ALONE_MS);
+  assertCurrent(network);
+});
+
+test('a service that lost its memory is followed, one late answer is not', () => {
+  const network = startedNetwork(SEED);
+  for (let index = 0; index < 5; index += 1) network.publish('m0', index % 2 ? 'live' : 'leaving');
+  network.run(PASSED_ON_MS);
+  network.loseMemory(3, new Map<string, MachineState>([['m2', 'leaving']]));
+  network.run(2 * PASSED_ON_MS);
+  assertCurrent(network);
+  assert.ok(network.live.every(({ agent }) => agent.replica.stamp.epoch === 1));
+  network.publish('m3', 'live');
+  network.run(PASSED_ON_MS);
+  assertCurrent(network);
+});
+
+type Step =
+  | { readonly type: 'publish'; readonly name: string; readonly state: MachineState | 'absent' }
+  | { readonly type: 'kill' | 'restart' | 'cut-service' | 'heal-service'; readonly index: number }
+  | { readonly type: 'pause'; readonly index: number; readonly ms: number }
+  | { readonly type: 'loss'; readonly share: number }
+  | { readonly type: 'service'; readonly down: boolean }
+  | { readonly type: 'pass'; readonly ms: number };
+
+const indexArbitrary = fc.nat({ max: NODES - 1 });
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      type: fc.constant('publish' as const),
+      name: fc.constantFrom('m0', 'm1', 'm2', 'm3'),
+      state: fc.constantFrom<MachineState | 'absent'>('live', 'leaving', 'absent'),
+    }),
+  },
+  fc.record({
+    type: fc.constantFrom('kill' as const, 'restart', 'cut-service', 'heal-service'),
+    index: indexArbitrary,
+  }),
+  fc.record({
+    type: fc.constant('pause' as const),
+    index: indexArbitrary,
+    ms: fc.integer({ min: 1, max: 60_000 }),
+  }),
+  fc.record({ type: fc.constant('loss' as const), share: fc.constantFrom(0, 0.2, 0.9) }),
+  fc.record({ type: fc.constant('service' as const), down: fc.boolean() }),
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      type: fc.constant('pass' as const),
+      ms: fc.integer({ min: 1, max: 40_000 }),
+    }),
+  },
+);
+
+function carryOut(network: MachineListNetwork, step: Step): void {
+  const node = 'index' in step ? network.live[step.index % network.live.length] : undefined;
+  if (step.type === 'publish') network.publish(step.name, step.state);
+  else if (step.type === 'loss') network.lossShare = step.share;
+  else if (step.type === 'service') network.isServiceDown = step.down;
+  else if (step.type === 'pass') network.run(step.ms);
+  else if (node === undefined) return;
+  else if (step.type === 'pause') network.pause(node, step.ms);
+  else if (step.type === 'cut-service') node.isCutFromService = true;
+  else if (step.type === 'heal-service') node.isCutFromService = false;
+  else if (step.type === 'restart' || network.live.length > ZONES.length) {
+    network.kill(node);
+    if (step.type === 'restart') network.start(node.member.nodeId, node.member.zone);
+  }
+}
+
+test('whatever fails, no node loses what the list said, and all come to the same list', () => {
+  fc.assert(
+    fc.property(fc.nat(), fc.array(stepArbitrary, { maxLength: 30 }), (seed, steps) => {
+      const network = startedNetwork(seed);
+      for (const step of steps) carryOut(network, step);
+      network.lossShare = 0;
+      network.isServiceDown = false;
+      for (const node of network.nodes) node.isCutFromService = false;
+      network.run(2 * ALONE_MS);
+      network.publish('m0', 'leaving');
+      network.run(PASSED_ON_MS);
+      assertCurrent(network);
+      for (const node of network.live) assert.is(shownBy(node).get('m0'), 'leaving');
+      assertNothingLost(network);
+    }),
+    { seed: SEED, numRuns: 60 },
+  );
+});
+
+test.run();
