--- a/scale/components/run.ts
+++ b/scale/components/run.ts
@@ -39,7 +39,7 @@
     })),
     configuration: TENANT_COUNTS.map(configurationCost),
     machineList: fleets.map((places) =>
-      machineListCost(places, Math.round((LETTER.groups * places.length) / LETTER.nodes)),
+      machineListCost(places, Math.round((LETTER.groups * places.length) / LETTER.nodes), hash),
     ),
     owner: REQUEST_RATES.map(ownerCost),
     sessionTable: sessionTableCost(),
--- a/scale/fleet.ts
+++ b/scale/fleet.ts
@@ -3,19 +3,26 @@
 import type { Hash64 } from '../src/core/ownership/rendezvous.js';
 import type { Milliseconds } from '../src/core/units.js';
 import { ConvergenceWatch } from './convergence.js';
+import type { ListReaders } from './hollow-machine-list.js';
 import type { HollowContext } from './hollow-membership.js';
 import { HollowNode, type NodePlace } from './hollow-node.js';
 import { groupsFor, HollowOwnership } from './hollow-ownership.js';
+import { ListTimes } from './list-times.js';
 import { Meters } from './meters.js';
 import { HollowNetwork } from './network.js';
 import { FleetObserver } from './observer.js';
 import { regionOf, ZONE_COUNT, zoneName } from './places.js';
+import { SimulatedMachineList } from './simulated-machine-list.js';
 import { SimulatedStore } from './simulated-store.js';
 import { storedTemplate, storedTenant } from './tenants.js';
 import { VirtualClock } from './virtual-clock.js';
 
 /** Changes of configuration a day at the letter's size; the same at any number of nodes. */
 const PUBLISHES_PER_DAY = 38_000;
+/** Changes of the machine list a day at the letter's size; the same at any number of nodes. */
+const LIST_CHANGES_PER_DAY = 4_878;
+/** The list's changes have random numbers of their own, apart from those of the faults. */
+const LIST_SEED_OFFSET = 1_000_003;
 const DAY_MS = 86_400_000;
 /** Incarnations are times since the Unix epoch; virtual time starts here. */
 const EPOCH_MS = 1_790_000_000_000;
@@ -29,6 +36,7 @@
   readonly nodes: number;
   readonly tenants: number;
   readonly seed: number;
+  readonly listReaders: ListReaders;
   readonly hash: Hash64;
 }
 
@@ -38,7 +46,10 @@
   readonly store = new SimulatedStore(() => this.clock.now);
   readonly observer = new FleetObserver(() => this.clock.now);
   readonly convergence = new ConvergenceWatch(this.clock, () => this.#observers());
+  readonly machineList: SimulatedMachineList;
+  readonly listTimes: ListTimes;
   readonly random: Random;
+  readonly #listRandom: Random;
   readonly places: readonly NodePlace[];
   readonly network: HollowNetwork;
   readonly #options: FleetOptions;
@@ -54,6 +65,9 @@
     this.network = new HollowNetwork({ clock, random, meters });
     this.#context = { clock, network: this.network, meters, random: random.fraction };
     this.places = placesOf(options.nodes);
+    this.#listRandom = createRandom(options.seed + LIST_SEED_OFFSET);
+    this.machineList = new SimulatedMachineList(this.places, groupsFor(options.nodes).length);
+    this.listTimes = new ListTimes(this.machineList, () => clock.now);
   }
 
   /** Lives that run, paused ones too. */
@@ -77,6 +91,15 @@
       this.clock.after(delay, () => this.#start(place, this.#ownershipFor(index)));
     }
     this.#schedulePublish();
+    this.#scheduleListChange();
+  }
+
+  /** Nodes that poll the machine list at present. */
+  get listReaders(): number {
+    const { now } = this.clock;
+    return this.running.filter(({ machineList }) => {
+      return machineList.agent.status(now).reading !== 'none';
+    }).length;
   }
 
   run(durationMs: Milliseconds): void {
@@ -145,7 +168,20 @@
     const incarnation = EPOCH_MS + Math.floor(this.clock.now);
     const { store, observer } = this;
     const context = this.#context;
-    const node = new HollowNode({ context, place, incarnation, store, observer, ownership });
+    const node = new HollowNode({
+      context,
+      place,
+      incarnation,
+      store,
+      observer,
+      ownership,
+      machineList: {
+        service: this.machineList,
+        readers: this.#options.listReaders,
+        hash: this.#options.hash,
+        onApplied: (version) => this.listTimes.onApplied(version),
+      },
+    });
     this.#running.set(place.nodeId, node);
     this.network.attach(node);
     observer.onStarted(node);
@@ -177,6 +213,14 @@
     return node.isPaused || regionOf(node.zoneIndex) === this.#cutRegion;
   }
 
+  #scheduleListChange(): void {
+    const delay = this.#listRandom.exponential(DAY_MS / LIST_CHANGES_PER_DAY);
+    this.clock.after(delay, () => {
+      this.machineList.toggle(this.#listRandom.fraction(), this.clock.now);
+      this.#scheduleListChange();
+    });
+  }
+
   #schedulePublish(): void {
     const delay = this.random.exponential(DAY_MS / PUBLISHES_PER_DAY);
     this.clock.after(delay, () => {
--- a/scale/hollow-node.ts
+++ b/scale/hollow-node.ts
@@ -5,6 +5,7 @@
 import type { Member } from '../src/core/membership/member.js';
 import type { NodeIdentity, WireValue } from '../src/peer/contract.js';
 import { HollowConfiguration } from './hollow-configuration.js';
+import { HollowMachineList, type HollowMachineListOptions } from './hollow-machine-list.js';
 import { type HollowContext, HollowMembership } from './hollow-membership.js';
 import type { HollowOwnership } from './hollow-ownership.js';
 import type { NetworkNode } from './network.js';
@@ -31,6 +32,10 @@
   readonly incarnation: number;
   readonly store: SimulatedStore;
   readonly observer: HollowNodeObserver;
+  readonly machineList: Pick<
+    HollowMachineListOptions,
+    'service' | 'readers' | 'hash' | 'onApplied'
+  >;
   /** Undefined on most nodes: the owners that one node works out are those of all. */
   readonly ownership: HollowOwnership | undefined;
 }
@@ -42,6 +47,7 @@
   readonly place: NodePlace;
   readonly membership: HollowMembership;
   readonly configuration: HollowConfiguration;
+  readonly machineList: HollowMachineList;
   readonly ownership: HollowOwnership | undefined;
   readonly #context: HollowContext;
   readonly #observer: HollowNodeObserver;
@@ -68,6 +74,12 @@
       onMembersChanged: (events) => this.#onMembersChanged(events),
     });
     const member = { nodeId, zone, host, port: peerPort };
+    this.machineList = new HollowMachineList({
+      ...options.machineList,
+      context,
+      node: this,
+      self: member,
+    });
     this.configuration = new HollowConfiguration(context, this, member, store, {
       onApplied: (snapshot) => this.#onApplied(snapshot),
       onReady: () => options.observer.onReady(this),
@@ -91,6 +103,7 @@
   start(nodes: readonly ListedNode[]): void {
     this.membership.start(nodes);
     this.configuration.start();
+    this.machineList.start();
     this.#context.clock.every(MEMBERS_POLL_MS, () => this.#poll());
   }
 
@@ -124,6 +137,7 @@
     this.#isPaused = false;
     this.membership.tick();
     this.configuration.tick();
+    this.machineList.tick();
     const kept = this.#kept;
     this.#kept = [];
     for (const arrival of kept) if (this.#isRunning) arrival();
@@ -138,9 +152,9 @@
   }
 
   receiveCall(method: string, body: WireValue, from: NodeIdentity): WireValue {
-    return method.startsWith('membership.')
-      ? this.membership.receiveCall(method, body)
-      : this.configuration.receiveCall(method, body, from);
+    if (method.startsWith('membership.')) return this.membership.receiveCall(method, body);
+    const role = method.startsWith('machine-list.') ? this.machineList : this.configuration;
+    return role.receiveCall(method, body, from);
   }
 
   #poll(): boolean {
@@ -169,6 +183,7 @@
     if (isSame(members, this.#members)) return;
     this.#members = members;
     this.configuration.handle({ type: 'members-changed', members });
+    this.machineList.setMembers(members);
   }
 
   #liveMembers(): ConfigurationMember[] {
--- a/scale/main.ts
+++ b/scale/main.ts
@@ -8,12 +8,14 @@
 import { type SizeFigures, SizeRun } from './scale-run.js';
 
 async function runScale(options: ScaleOptions): Promise<number> {
-  const { seed, durationMs, tenants, faults } = options;
+  const { seed, durationMs, tenants, faults, listReaders } = options;
   const hash = await loadHash64();
   const log = (line: string): void => console.log(line);
   const sizes: SizeFigures[] = [];
   for (const nodes of options.sizes) {
-    sizes.push(new SizeRun({ nodes, seed, durationMs, tenants, faults, hash, log }).run());
+    sizes.push(
+      new SizeRun({ nodes, seed, durationMs, tenants, faults, listReaders, hash, log }).run(),
+    );
   }
   const components = options.components ? measureComponents(seed, hash) : undefined;
   const real =
--- a/scale/meters.ts
+++ b/scale/meters.ts
@@ -13,13 +13,24 @@
   'configuration-digests',
   'configuration-pushes',
   'configuration-fetches',
+  'machine-list-service',
+  'machine-list-pushes',
+  'machine-list-reports',
+  'machine-list-fetches',
   'links',
   'store',
 ] as const;
 export type Mechanism = (typeof MECHANISMS)[number];
 
 /** Who spends processor time. */
-export const CONTROL_ROLES = ['member', 'configuration', 'relay', 'ownership', 'links'] as const;
+export const CONTROL_ROLES = [
+  'member',
+  'configuration',
+  'relay',
+  'machine-list',
+  'ownership',
+  'links',
+] as const;
 export type ControlRole = (typeof CONTROL_ROLES)[number];
 
 export interface TrafficCount {
--- a/scale/options.ts
+++ b/scale/options.ts
@@ -4,6 +4,7 @@
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../src/core/units.js';
 import { ScaleUsageError } from './errors.js';
 import { FAULT_SCENARIOS, type FaultScenario, faultNamed } from './faults.js';
+import type { ListReaders } from './hollow-machine-list.js';
 
 export const SCALE_HELP = `npm run scale -- --nodes 50,100,200,400 --json FILE [flags]
 
@@ -12,6 +13,7 @@
   --duration SECONDS  of the quiet phase and of each fault's own part   [60]
   --tenants N         in the configuration                              [200]
   --faults NAME,...   or none                                           [all]
+  --list-readers WHO  two-a-zone or every-node, as it was before        [two-a-zone]
   --components        measure single parts at the letter's size as well
   --real N            also measure N real proxy processes without callers [0]
   --json FILE         the figures
@@ -29,6 +31,7 @@
   duration: z.coerce.number().positive().default(60),
   tenants: z.coerce.number().int().min(1).default(200),
   faults: z.string().default(ALL_FAULTS),
+  'list-readers': z.enum(['two-a-zone', 'every-node']).default('two-a-zone'),
   components: z.boolean().default(false),
   real: z.coerce.number().int().min(0).max(MAX_REAL_PROXIES).default(0),
   json: z.string().optional(),
@@ -41,6 +44,7 @@
   readonly durationMs: Milliseconds;
   readonly tenants: number;
   readonly faults: readonly FaultScenario[];
+  readonly listReaders: ListReaders;
   readonly components: boolean;
   /** Real proxy processes; 0 for none. */
   readonly realProxies: number;
@@ -66,6 +70,7 @@
     tenants,
     faults: faults === 'none' ? [] : faults.split(',').map(faultNamed),
     components,
+    listReaders: flags.data['list-readers'],
     realProxies: real,
     jsonFile: json,
   };
--- a/scale/scale-run.ts
+++ b/scale/scale-run.ts
@@ -6,6 +6,7 @@
 import { ScaleRunError } from './errors.js';
 import type { FaultScenario } from './faults.js';
 import { HollowFleet } from './fleet.js';
+import type { ListReaders } from './hollow-machine-list.js';
 import { CONTROL_ROLES, type ControlRole, MECHANISMS, type Mechanism } from './meters.js';
 import { cutOffPhase } from './observer.js';
 
@@ -25,6 +26,7 @@
   readonly seed: number;
   readonly durationMs: Milliseconds;
   readonly faults: readonly FaultScenario[];
+  readonly listReaders: ListReaders;
   readonly hash: Hash64;
   readonly log: (line: string) => void;
 }
@@ -46,6 +48,9 @@
   /** The same on nodes that were paused or behind a cut when it was published. */
   readonly configInForceCutOffMs: Distribution;
   readonly membershipConvergeMs: Distribution;
+  /** From the publication of a machine list until a node has it; nodes that were down count. */
+  readonly machineListInForceMs: Distribution;
+  readonly listReaders: number;
   readonly storeRequestsPerNodePerMinute: number;
   readonly reverts: number;
   readonly moves: MoveFigures;
@@ -141,6 +146,7 @@
     const before = { at: fleet.clock.now, reverts: fleet.observer.reverts, moves: this.#moves() };
     fleet.observer.phase = name;
     fleet.convergence.phase = name;
+    fleet.listTimes.phase = name;
     fleet.meters.reset();
     const settled = run();
     const seconds = (fleet.clock.now - before.at) / MILLISECONDS_PER_SECOND;
@@ -156,6 +162,8 @@
       configInForceMs: fleet.observer.inForce(name),
       configInForceCutOffMs: fleet.observer.inForce(cutOffPhase(name)),
       membershipConvergeMs: fleet.convergence.figures(name),
+      machineListInForceMs: fleet.listTimes.figures(name),
+      listReaders: fleet.listReaders,
       reverts: fleet.observer.reverts - before.reverts,
       moves: movesSince(before.moves, this.#moves()),
     };
@@ -219,6 +227,7 @@
     `${(100 * figures.cpuCoreShare).toFixed(3)} % of a core`,
     `in force p99 ${configInForceMs.p99} ms`,
     `converged p99 ${membershipConvergeMs.p99} max ${membershipConvergeMs.max} ms`,
+    `list p99 ${figures.machineListInForceMs.p99} ms, ${figures.listReaders} readers`,
     `${figures.reverts} reverts`,
     settled ? 'settled' : 'NOT SETTLED',
   ].join(', ');
--- a/test/property/machine-list-agent.test.ts
+++ b/test/property/machine-list-agent.test.ts
@@ -20,6 +20,10 @@
 const ALONE_MS = 60_000;
 /** Membership tells of a death, and the next in rank reads. */
 const SUCCESSION_MS = 10_000;
+const LARGE_ZONE = 255;
+/** The least age of a reader's last heartbeat at which a node reads for itself. */
+const HEARTBEAT_MS = 30_000;
+const LONG_MS = 1_000_000;
 const READERS = 2 * ZONES.length;
 
 function startedNetwork(seed: number): MachineListNetwork {
@@ -125,6 +129,21 @@
   assertCurrent(network);
 });
 
+test('in a zone of the size of the letter heartbeats reach all before any reads alone', () => {
+  const network = new MachineListNetwork(SEED);
+  network.startZone('a', LARGE_ZONE);
+  network.run(START_MS);
+  const oldest = () =>
+    Math.max(
+      ...network.live.map(({ agent }) => agent.status(network.now).heartbeatAgeMs ?? LONG_MS),
+    );
+  for (let round = 0; round < 30; round += 1) {
+    network.run(2000);
+    assert.ok(oldest() < HEARTBEAT_MS, `a heartbeat of ${oldest()} ms`);
+  }
+  assert.is(readersOf(network).length, 2);
+});
+
 type Step =
   | { readonly type: 'publish'; readonly name: string; readonly state: MachineState | 'absent' }
   | { readonly type: 'kill' | 'restart' | 'cut-service' | 'heal-service'; readonly index: number }
--- a/test/property/scale-run.test.ts
+++ b/test/property/scale-run.test.ts
@@ -19,6 +19,7 @@
     seed,
     durationMs: 15_000,
     faults,
+    listReaders: 'two-a-zone',
     hash,
     log: () => undefined,
   }).run();
--- a/test/support/machine-list-network.ts
+++ b/test/support/machine-list-network.ts
@@ -78,7 +78,18 @@
   }
 
   /** Starts a node, or a new life of one. */
-  start(nodeId: string, zone: string): ListNode {
+  start(nodeId: string, zone: string): void {
+    this.#begin(nodeId, zone);
+    this.#tellMembers(MAX_CALL_MS);
+  }
+
+  /** Starts nodes of one zone, that come to know each other at once. */
+  startZone(zone: string, count: number): void {
+    for (let index = 0; index < count; index += 1) this.#begin(`${zone}${index}`, zone);
+    this.#tellMembers(MAX_CALL_MS);
+  }
+
+  #begin(nodeId: string, zone: string): void {
     const member = { nodeId, zone, host: nodeId, port: 1 };
     const node: ListNode = {
       member,
@@ -94,8 +105,6 @@
     };
     this.nodes.push(node);
     this.#deliver(node, { type: 'started' });
-    this.#tellMembers(MAX_CALL_MS);
-    return node;
   }
 
   kill(node: ListNode): void {
