--- a/src/node/gateway/gateway-session.ts
+++ b/src/node/gateway/gateway-session.ts
@@ -270,7 +270,7 @@
   /** The session must see what an earlier request with the same key did, wherever it moves. */
   async #reportDoneEarlier(error: RequestError, position: Position): Promise<void> {
     if (this.#positions.observe(position, false)) this.#reportToken();
-    const recorded = await this.#positions.record(position);
+    const recorded = await this.#positions.record(position, this.#observer.remainingMs);
     if (!recorded) {
       this.#reportNotRecorded();
       return;
@@ -280,7 +280,7 @@
   }
 
   async #recordThenDeliver(position: Position, end: GroupAnswerEnd): Promise<void> {
-    if (await this.#positions.record(position)) this.#deliverEnd(end);
+    if (await this.#positions.record(position, this.#observer.remainingMs)) this.#deliverEnd(end);
     else this.#reportNotRecorded();
   }
 
--- a/src/node/gateway/request-observer.ts
+++ b/src/node/gateway/request-observer.ts
@@ -1,6 +1,7 @@
 /** Times the request that a session runs, and reports its end to the metrics. */
 import type { RequestError } from '../../core/errors.js';
 import type { Access } from '../../core/request.js';
+import type { Milliseconds } from '../../core/units.js';
 import { monotonicNow } from '../clock.js';
 import type { RequestMetrics } from './request-metrics.js';
 import type { RequestTerms } from './request-policy.js';
@@ -15,7 +16,8 @@
 /** Follows one request at a time; each is reported once. */
 export class RequestObserver {
   #running: SentRequest | undefined;
-  #startedAt = 0;
+  #startedAt: Milliseconds = 0;
+  #deadlineAt: Milliseconds = 0;
 
   constructor(private readonly metrics: RequestMetrics) {}
 
@@ -24,10 +26,16 @@
     return this.#running?.access;
   }
 
+  /** What is left of the latest request's time, also once it has ended. */
+  get remainingMs(): Milliseconds {
+    return this.#deadlineAt - monotonicNow();
+  }
+
   /** The request is about to be sent. */
   started(request: SentRequest): void {
     this.#running = request;
     this.#startedAt = monotonicNow();
+    this.#deadlineAt = this.#startedAt + request.terms.deadlineMs;
   }
 
   /** The request's answer is whole. */
