--- a/src/node/gateway/session-positions.ts
+++ b/src/node/gateway/session-positions.ts
@@ -20,8 +20,10 @@
   type SessionState,
   type SessionTokenError,
 } from '../../core/session/index.js';
+import type { Milliseconds } from '../../core/units.js';
 import type { SessionDirectory } from './session-directory.js';
 
+/** What a session's positions are made of. */
 export interface SessionPositionsOptions {
   readonly tenant: TenantName;
   readonly group: GroupName;
@@ -31,6 +33,7 @@
   readonly directory: SessionDirectory;
 }
 
+/** What one session has seen, and where that is written down. */
 export class SessionPositions {
   readonly #options: SessionPositionsOptions;
   #state: SessionState = freshSession();
@@ -93,10 +96,10 @@
     return access === 'write' || before.type === 'unknown';
   }
 
-  /** True once enough home nodes keep the position. */
-  async record(position: Position): Promise<boolean> {
+  /** True once enough home nodes keep the position; tried for what is left of the request's time. */
+  async record(position: Position, remainingMs: Milliseconds): Promise<boolean> {
     const { tenant, sessionId, directory, group } = this.#options;
     if (sessionId === undefined) return true;
-    return directory.record(tenant, sessionId, { group, position });
+    return directory.record(tenant, sessionId, { group, position }, remainingMs);
   }
 }
--- a/src/node/node-status.ts
+++ b/src/node/node-status.ts
@@ -6,19 +6,23 @@
 import type { BackendCounters } from '../postgres/backend/options.js';
 import type { ConfigurationServiceStatus } from './configuration/service.js';
 import type { TenantLimitStatus } from './limits/service.js';
+import type { MachineListServiceStatus } from './machine-list/service.js';
 import type { MembershipCounters } from './membership/service.js';
 
+/** Stage of life of a node. */
 export type NodeState = 'starting' | 'serving' | 'leaving';
 
 /** One group that this node owns. */
 export type GroupStatus = { readonly group: GroupName } & GroupStatistics;
 
+/** Another node as this one sees it. */
 export interface MemberSummary {
   readonly nodeId: string;
   readonly zone: string;
   readonly status: MemberStatus;
 }
 
+/** Everything that a node tells of itself. */
 export interface NodeStatus {
   readonly nodeId: string;
   readonly incarnation: number;
@@ -38,6 +42,7 @@
   readonly primaryChanges: number;
   readonly groups: readonly GroupStatus[];
   readonly members: readonly MemberSummary[];
+  readonly machineList: MachineListServiceStatus;
   readonly membership: MembershipCounters;
   /** Shares of tenants' connection limits. */
   readonly limits: TenantLimitStatus;
