--- a/src/core/promotion/calls.ts
+++ b/src/core/promotion/calls.ts
@@ -71,7 +71,8 @@
     if (instanceId !== this.#instanceId || this.isSettled) this.#begin(instanceId);
     this.#isCalling = true;
     election.noteCall();
-    const endsAt = Math.min(runtime.now + promoteTimeoutMs, lease.validUntil);
+    const latest = runtime.isDisabled('own-clock') ? Number.POSITIVE_INFINITY : lease.validUntil;
+    const endsAt = Math.min(runtime.now + promoteTimeoutMs, latest);
     const request = { service: this.service, instanceId, fencingToken: token, endsAt };
     const calledAt = runtime.now;
     runtime.promote(request, (outcome) => this.#noteOutcome(instanceId, outcome, calledAt));
