--- a/src/core/promotion/evidence.ts
+++ b/src/core/promotion/evidence.ts
@@ -6,6 +6,8 @@
  *   to as many replicas as a commit needs, so as many members may be left without an answer.
  * - The passing on of a commit's acknowledgement: that there was no later primary at all. It tells of
  *   itself, so each member has to answer, or to be gone.
+ *
+ * `core/statements/primary-evidence.ts` proves less for less: positions alone, without a slot.
  */
 import type { InstanceStatus } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
--- a/src/core/statements/primary-evidence.ts
+++ b/src/core/statements/primary-evidence.ts
@@ -2,6 +2,10 @@
  * Proof that a primary was not replaced, without the store: every member of the group answers, and
  * none has the log of a later term. A commit at a later primary would show in that primary's own
  * log; so a read that began before the question was sent misses nothing acknowledged.
+ *
+ * Not the same as `core/promotion/evidence.ts`: here members tell a position only, by a message that
+ * takes no slot, so that all of them must answer and a commit can't be vouched for. There they tell role
+ * and term, at the price of a slot each, and some may be silent. This one is tried first.
  */
 import type { Position } from '../position.js';
 import type { Milliseconds } from '../units.js';
