--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -30,7 +30,6 @@
     lookup: { stalenessBoundMs: 1000 }
 `;
 
-/** One group of three instances in three zones, and two proxies. */
 /**
  * For tests in which no proxy freezes: a busy test machine may keep one from its turn for a second,
  * and a link that is taken for lost then is no part of what they show.
@@ -40,6 +39,7 @@
 /** The same for instances: reads that run on one that misses two probes are given up. */
 export const PATIENT_PROBES = '--probe-timeout-ms=5000';
 
+/** One group of three instances in three zones, and two proxies. */
 export function startSmallCluster(options: Partial<ClusterOptions> = {}): Promise<Cluster> {
   return Cluster.start({
     groups: [
