Direct gateway: giving up a connection takes back what it has not answered

A statement given up was left in the socket's buffer by an orderly close, and ran when the instance came back from the dark.

Change: a connection with open exchanges is reset, which loses what a partition holds up. A unit test that fails without it (the far end sees an orderly end).

--- a/src/direct/instance-connection.ts
+++ b/src/direct/instance-connection.ts
@@ -98,7 +98,9 @@
   close(): void {
     if (this.#closed) return;
     this.#closed = true;
-    this.socket.destroy();
+    // What was sent and not answered must not run once a partition heals: a reset takes it back.
+    if (this.#pending.length > 0) this.socket.resetAndDestroy();
+    else this.socket.destroy();
     const lost = new InstanceConnectionLostError('the connection to the instance ended');
     for (const exchange of this.#pending.splice(0)) exchange.settle(err(lost));
     this.onClose?.();
