Peer links: a stopping node tells which streams it has accepted

Cause: departures, rolling restart, was red under load: six transactions were told as aborted within 3 ms, 2.3 s after their callers had sent them, when one link closed. A stopping owner looks at the requests that it knows of; streams that lie unread in its socket are not among them, and the other side can only take them for lost with the owner. Read from the code and the log of that run; the moment itself was not caught.

Ruled out: requests that the owner had taken (it waits for these), and calls.

Change: the accepting side of a link says GOAWAY with the last stream that it has accepted, drops what comes after, and waits up to 0.5 s for the other side to close. Streams beyond it fail as unreachable, which is a proof of not run, so the gateway asks another owner.

--- a/src/peer/frame.ts
+++ b/src/peer/frame.ts
@@ -36,6 +36,8 @@
   RESULT: 12,
   /** Its failure: `[code, reason]`. */
   CALL_ERROR: 13,
+  /** The accepting side stops: it takes no stream beyond the number in the header. */
+  GOAWAY: 14,
 } as const;
 
 /** One byte of a frame that tells what it holds. */
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -45,6 +45,8 @@
   readonly counters: MutableCounters;
   /** The handshake succeeded. */
   onReady(link: PeerLink, remote: NodeIdentity): void;
+  /** The other side takes no new streams; those that it has accepted go on. */
+  onLeaving(link: PeerLink): void;
   /** Called once, whether or not the link was ever ready. */
   onClosed(link: PeerLink, error: MeadowstackError): void;
 }
@@ -69,6 +71,8 @@
   readonly #handshakeTimer: NodeJS.Timeout;
   #state: LinkState = 'handshake';
   #remote: NodeIdentity | undefined;
+  /** The accepting side is stopping: no stream is opened any more. */
+  #leaving = false;
   /**
    * Streams and calls are numbered apart, each only upwards: calls leave ahead of streams that were
    * opened before them.
@@ -128,6 +132,15 @@
     return this.#calls.call(this.#nextCallNumber(), method, body, timeoutMs);
   }
 
+  /**
+   * Planned stop of the accepting side: tells which streams it has accepted. Those that are on their
+   * way are thereby proven not to have been acted on. The other side closes the link.
+   */
+  leave(): void {
+    this.#leaving = true;
+    this.#writer.addFrame(FrameType.GOAWAY, this.#lastStreamNumber, EMPTY);
+  }
+
   /** Closes the link at once; its streams and calls end with an error. */
   close(error: MeadowstackError): void {
     if (this.#state === 'closed') return;
@@ -176,6 +189,7 @@
   forgetStream(stream: LinkStream): void {
     this.#streams.delete(stream.number);
     this.#writer.unschedule(stream);
+    this.#closeIfLeft();
   }
 
   #nextStreamNumber(): number {
@@ -257,6 +271,10 @@
       case FrameType.RESULT:
       case FrameType.CALL_ERROR:
         this.#countDropped(this.#calls.receiveAnswer(type, number, payload));
+        this.#closeIfLeft();
+        return;
+      case FrameType.GOAWAY:
+        this.#onGoAway(number);
         return;
       case FrameType.HELLO:
       case FrameType.PROOF:
@@ -278,11 +296,33 @@
       this.#calls.receiveCall(number, payload, from);
       return;
     }
+    if (this.#leaving) {
+      this.#counters.framesDropped += 1;
+      return;
+    }
     if (number <= this.#lastStreamNumber) throw new PeerProtocolError('stream number used twice');
     this.#lastStreamNumber = number;
     this.#acceptStream(number, decodeValue(payload), from);
   }
 
+  /** Streams that the other side has not accepted were not acted on, though they were written. */
+  #onGoAway(lastAccepted: number): void {
+    if (this.role === 'acceptor') throw new PeerProtocolError('only the accepting side leaves');
+    this.#leaving = true;
+    this.#parts.onLeaving(this);
+    for (const stream of [...this.#streams.values()]) {
+      if (stream.number <= lastAccepted) continue;
+      stream.fail(new PeerUnreachableError(this.peerName, 'the other side is stopping'));
+    }
+    this.#closeIfLeft();
+  }
+
+  /** The dialling side closes a link that the other side leaves, once nothing runs over it. */
+  #closeIfLeft(): void {
+    const isOver = this.#streams.size + this.#calls.size === 0;
+    if (this.#leaving && this.role === 'dialler' && isOver) this.close(new PeerLinkIdleError());
+  }
+
   #acceptStream(number: number, header: WireValue, from: NodeIdentity): void {
     if (this.#streams.size >= this.limits.maxStreamsPerLink) {
       this.sendAbort(number, 'too many streams');
--- a/src/peer/options.ts
+++ b/src/peer/options.ts
@@ -6,6 +6,7 @@
 /** Told of every change of a link's state. */
 export interface PeerLinkEvents {
   onLinkUp?(peer: PeerAddress, identity: NodeIdentity): void;
+  /** The link was lost, or its other side is stopping. */
   onLinkDown?(peer: PeerAddress, error: MeadowstackError): void;
   /** The address answers with another node id or incarnation than it did before. */
   onIdentityChanged?(peer: PeerAddress, previous: NodeIdentity, identity: NodeIdentity): void;
--- a/src/peer/transport.ts
+++ b/src/peer/transport.ts
@@ -27,6 +27,9 @@
 import { DEFAULT_LIMITS, type PeerLinkLimits, type PeerTransportOptions } from './options.js';
 import { LinkStream, type StreamLink } from './stream.js';
 
+/** Longest wait of a stopping node for the others to close the links that they dialled, in ms. */
+const LEAVE_LIMIT_MS = 500;
+
 /** What is known of one address that this node dials. */
 interface DialledPeer {
   readonly address: PeerAddress;
@@ -42,11 +45,14 @@
   readonly #counters: MutableCounters = zeroCounters();
   readonly #dialled = new Map<string, DialledPeer>();
   readonly #accepted = new Set<PeerLink>();
+  /** Dialled links whose other side is stopping; another link is dialled beside them if need be. */
+  readonly #left = new Set<PeerLink>();
   readonly #heartbeat: NodeJS.Timeout;
   #pendingHandshakes = 0;
   #lastLinkNumber = 0;
   #server: Server | undefined;
   #closed = false;
+  #onAcceptedClosed: (() => void) | undefined;
 
   constructor(options: PeerTransportOptions) {
     this.#options = options;
@@ -91,6 +97,10 @@
     return link.call(method, body, timeoutMs);
   }
 
+  /**
+   * Closes all links. Nodes that dialled here are told first, so that what they have sent and this
+   * node has not read is known to them as not accepted.
+   */
   async close(): Promise<void> {
     if (this.#closed) return;
     this.#closed = true;
@@ -101,10 +111,27 @@
       else resolve();
     });
     const reason = new PeerConnectionError('this node is stopping');
-    for (const link of this.#allLinks()) link.close(reason);
+    for (const link of this.#dialledLinks()) link.close(reason);
+    await this.#leaveAccepted();
+    for (const link of [...this.#accepted]) link.close(reason);
     await serverClosed;
   }
 
+  /** Resolves once the other sides have closed their links, within a limit. */
+  #leaveAccepted(): Promise<void> {
+    const ready = [...this.#accepted].filter((link) => link.isReady);
+    if (ready.length === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      const limit = setTimeout(resolve, LEAVE_LIMIT_MS);
+      this.#onAcceptedClosed = () => {
+        if (ready.some((link) => !link.isClosed)) return;
+        clearTimeout(limit);
+        resolve();
+      };
+      for (const link of ready) link.leave();
+    });
+  }
+
   counters(): TcpPeerCounters {
     return { ...this.#counters };
   }
@@ -185,11 +212,13 @@
         if (peer === undefined) this.#pendingHandshakes -= 1;
         else this.#onDialled(peer, remote);
       },
+      onLeaving: (link) => this.#onLeaving(link, peer),
       onClosed: (link, error) => {
         if (ready && !(error instanceof PeerLinkIdleError)) this.#counters.linksLost += 1;
+        if (this.#left.delete(link)) return;
         if (peer !== undefined) this.#onDialledLinkClosed(peer, ready, error);
         else if (!ready) this.#pendingHandshakes -= 1;
-        this.#accepted.delete(link);
+        if (this.#accepted.delete(link)) this.#onAcceptedClosed?.();
       },
     });
   }
@@ -204,6 +233,14 @@
     this.#options.events?.onIdentityChanged?.(peer.address, previous, remote);
   }
 
+  #onLeaving(link: PeerLink, peer: DialledPeer | undefined): void {
+    this.#left.add(link);
+    if (peer?.link !== link) return;
+    peer.link = undefined;
+    const error = new PeerConnectionError('the other side is stopping');
+    this.#options.events?.onLinkDown?.(peer.address, error);
+  }
+
   #onDialledLinkClosed(peer: DialledPeer, wasReady: boolean, error: MeadowstackError): void {
     peer.link = undefined;
     if (error instanceof PeerLinkIdleError) return;
@@ -223,7 +260,11 @@
   }
 
   #allLinks(): PeerLink[] {
-    const links = [...this.#accepted];
+    return [...this.#accepted, ...this.#dialledLinks()];
+  }
+
+  #dialledLinks(): PeerLink[] {
+    const links = [...this.#left];
     for (const peer of this.#dialled.values()) {
       if (peer.link !== undefined) links.push(peer.link);
     }
