The leader asks primaries for their status only while nothing else shows that they live

Cause: the leader probes a primary by STATUS, which takes a slot and is priced, when no answer of it came for 400 ms; its own position samples, which take no slot, came every 400 to 500 ms, a little too late to make the probe needless. Ruled out: RESET, SET, PREPARE and AFTER samples; a trace shows some 12,000 of them, and none counts. Change: the node that watches the primaries samples after 250 ms. An answer to a sample shows that an instance lives, not that it leads: a primary that announces itself as a replica is asked at once.

--- a/src/core/promotion/monitor.ts
+++ b/src/core/promotion/monitor.ts
@@ -38,8 +38,11 @@
 
   constructor(
     private readonly runtime: PromotionRuntime,
-    private readonly primaries: Primaries,
-    private readonly store: DutyStore,
+    private readonly primaries: Pick<
+      Primaries,
+      'goneForMs' | 'instance' | 'isPresent' | 'primaryIdOf'
+    >,
+    private readonly store: Pick<DutyStore, 'liveNodes' | 'suspicionsOf'>,
     readonly service: string,
     private readonly onReason: (primaryId: string, reason: ChangeReason) => void,
   ) {
@@ -115,7 +118,9 @@
     const { probeEveryMs } = this.runtime.timings;
     const id = this.#followPrimary();
     const instance = id === undefined ? undefined : this.primaries.instance(id);
-    const dueInMs = this.#aliveAt + probeEveryMs - this.runtime.now;
+    // An answer shows that it lives; whether it leads, only its own word does.
+    const isDenied = instance?.role === 'replica';
+    const dueInMs = isDenied ? 0 : this.#aliveAt + probeEveryMs - this.runtime.now;
     if (instance === undefined || dueInMs > 0) {
       const waitMs = instance === undefined ? probeEveryMs : dueInMs;
       this.#scope.after(waitMs, () => this.#probeIfNeeded());
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -6,6 +6,7 @@
 import type { PrimaryView } from './promotion/contract.js';
 
 export class AnnouncedPrimaryView implements PrimaryView {
+  readonly watchesPrimaries = false;
   onChange: (service: string) => void = () => {};
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
 
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -23,6 +23,11 @@
 const RECONNECT_DELAY_MS = 200;
 /** The primary's log position is asked for when the newest known one is older than this. */
 const SAMPLE_INTERVAL_MS = 400;
+/**
+ * The same at the node that watches the primaries. An answer to this question, which takes no slot,
+ * saves it the probe that does; with the pause between checks it has to come before that is due.
+ */
+const WATCHER_SAMPLE_INTERVAL_MS = 250;
 const SAMPLE_CHECK_MS = 100;
 const SAMPLE_TIMEOUT_MS = 500;
 /** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
@@ -249,12 +254,14 @@
     for (const route of this.#routes.values()) {
       if (route.maxStalenessMs > 0) wanted.add(route.service);
     }
+    const { view } = this.options;
     const now = this.options.now();
+    const intervalMs = view.watchesPrimaries ? WATCHER_SAMPLE_INTERVAL_MS : SAMPLE_INTERVAL_MS;
     for (const name of wanted) {
       const service = this.#services.get(name);
       const newest = service?.samples.newestAt() ?? Number.NEGATIVE_INFINITY;
       if (service === undefined || this.#sampling.has(name)) continue;
-      if (now - newest < SAMPLE_INTERVAL_MS) continue;
+      if (now - newest < intervalMs) continue;
       void this.#samplePosition(service);
     }
   }
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -31,6 +31,8 @@
   reportPrimaryFailure(service: string, now: Milliseconds, use?: PrimaryUse): void;
   /** The primary answered; with `commit`, a commit was acknowledged. */
   reportPrimarySuccess(service: string, now: Milliseconds, use?: PrimaryUse): void;
+  /** True while it is this node that finds out when a primary is gone. */
+  readonly watchesPrimaries: boolean;
   /** Nodes that are alive, this one included. */
   liveNodeCount(): number;
 }
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -151,6 +151,10 @@
     return this.#machine.isLeader;
   }
 
+  get watchesPrimaries(): boolean {
+    return this.isLeader;
+  }
+
   /** What an effect brings about at once comes after the effects of the event at hand. */
   #handle(event: PromotionEvent): void {
     this.#queue.push(event);
