--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -8,7 +8,7 @@
 import type { Position } from '../position.js';
 
 /** Prefix that every node follows. */
-export const RECORD_PREFIX = 'meadowstack/';
+export const RECORD_PREFIX = 'server-groups/';
 /** Prefix that the leader follows. */
 export const DUTY_PREFIX = 'meadowstack-duty/';
 export const LEADER_KEY = `${RECORD_PREFIX}leader`;
--- /dev/null
+++ b/src/platform/shared-watch.ts
@@ -0,0 +1,130 @@
+/**
+ * One watch of the store for several prefixes that begin alike: each poll has its price, whatever it
+ * covers. Everything else is the store's own.
+ */
+import type { ResultAsync } from 'neverthrow';
+import type { MeadowstackError } from '../core/errors.js';
+import type {
+  RangeAnswer,
+  RevisionCompare,
+  Store,
+  StoreError,
+  TransactionAnswer,
+  TransactionOperation,
+  WatchEvent,
+  WatchHandlers,
+} from './contract.js';
+
+interface Subscriber {
+  readonly prefix: string;
+  readonly handlers: WatchHandlers;
+  /** Everything up to this revision was told, or is known from elsewhere. */
+  told: number;
+}
+
+export class SharedWatchStore implements Store {
+  readonly #subscribers = new Set<Subscriber>();
+  #close: (() => void) | undefined;
+  #isPlanned = false;
+
+  constructor(
+    private readonly store: Store,
+    /** Watches of prefixes that begin so share one. */
+    private readonly sharedPrefix: string,
+  ) {}
+
+  watch(prefix: string, fromRevision: number, handlers: WatchHandlers): () => void {
+    if (!prefix.startsWith(this.sharedPrefix)) {
+      return this.store.watch(prefix, fromRevision, handlers);
+    }
+    const subscriber = { prefix, handlers, told: fromRevision - 1 };
+    this.#subscribers.add(subscriber);
+    this.#planOpening();
+    return () => {
+      this.#subscribers.delete(subscriber);
+      if (this.#subscribers.size === 0) this.#closeWatch();
+    };
+  }
+
+  range(prefix: string): ResultAsync<RangeAnswer, StoreError> {
+    return this.store.range(prefix);
+  }
+
+  transaction(
+    compares: readonly RevisionCompare[],
+    operations: readonly TransactionOperation[],
+  ): ResultAsync<TransactionAnswer, StoreError> {
+    return this.store.transaction(compares, operations);
+  }
+
+  grantLease(seconds: number): ResultAsync<string, StoreError> {
+    return this.store.grantLease(seconds);
+  }
+
+  keepLeaseAlive(leaseId: string): ResultAsync<number, StoreError> {
+    return this.store.keepLeaseAlive(leaseId);
+  }
+
+  revokeLease(leaseId: string): ResultAsync<void, StoreError> {
+    return this.store.revokeLease(leaseId);
+  }
+
+  requestCount(): number {
+    return this.store.requestCount();
+  }
+
+  /**
+   * Whoever joins takes an answered poll for a sign that it was current when it joined. So the watch
+   * is opened anew then, from the earliest revision that anyone needs; those who join together share it.
+   */
+  #planOpening(): void {
+    if (this.#isPlanned) return;
+    this.#isPlanned = true;
+    queueMicrotask(() => {
+      this.#isPlanned = false;
+      this.#closeWatch();
+      if (this.#subscribers.size > 0) this.#open();
+    });
+  }
+
+  #open(): void {
+    const told = [...this.#subscribers].map((subscriber) => subscriber.told);
+    this.#close = this.store.watch(this.sharedPrefix, Math.min(...told) + 1, {
+      onEvents: (events, revision) => this.#tell(events, revision),
+      onEnd: (error, compacted) => this.#end(error, compacted),
+    });
+  }
+
+  #closeWatch(): void {
+    this.#close?.();
+    this.#close = undefined;
+  }
+
+  /** Also without events: the watch was current when its poll was sent. */
+  #tell(events: readonly WatchEvent[], revision: number): void {
+    for (const subscriber of [...this.#subscribers]) {
+      if (!this.#subscribers.has(subscriber)) continue;
+      const { prefix, told, handlers } = subscriber;
+      const own = events.filter(
+        (event) => keyOf(event).startsWith(prefix) && revisionOf(event) > told,
+      );
+      subscriber.told = Math.max(told, revision);
+      handlers.onEvents(own, subscriber.told);
+    }
+  }
+
+  #end(error: MeadowstackError, compacted: boolean): void {
+    this.#close = undefined;
+    const ended = [...this.#subscribers];
+    this.#subscribers.clear();
+    for (const { handlers } of ended) handlers.onEnd(error, compacted);
+  }
+}
+
+function keyOf(event: WatchEvent): string {
+  return event.type === 'put' ? event.entry.key : event.key;
+}
+
+function revisionOf(event: WatchEvent): number {
+  return event.type === 'put' ? event.entry.modRevision : event.modRevision;
+}
--- /dev/null
+++ b/test/unit/platform/shared-watch.test.ts
@@ -0,0 +1,80 @@
+/** Watches of prefixes that begin alike share one at the store, and each hears only its own. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DIRECTORY_PREFIX, INSTANCE_KEY_PREFIX } from '../../../platform/documents.js';
+import { RECORD_PREFIX } from '../../../src/core/promotion/records.js';
+import type { WatchHandlers } from '../../../src/platform/contract.js';
+import { SharedWatchStore } from '../../../src/platform/shared-watch.js';
+import { MemoryStore } from '../../support/memory-store.js';
+
+class Listener implements WatchHandlers {
+  readonly heard: string[] = [];
+  readonly ends: boolean[] = [];
+
+  onEvents(events: Parameters<WatchHandlers['onEvents']>[0]): void {
+    for (const event of events) this.heard.push(event.type === 'put' ? event.entry.key : event.key);
+  }
+
+  onEnd(_error: Error, compacted: boolean): void {
+    this.ends.push(compacted);
+  }
+}
+
+const put = async (store: MemoryStore, key: string): Promise<void> => {
+  await store.transaction([], [{ type: 'put', key, value: '' }]);
+};
+const joined = (): Promise<void> => Promise.resolve();
+
+test('two prefixes are followed by one watch, and a third that begins otherwise by its own', async () => {
+  const store = new MemoryStore();
+  const shared = new SharedWatchStore(store, 'ab');
+  const [first, second, other] = [new Listener(), new Listener(), new Listener()];
+  shared.watch('ab1/', 2, first);
+  shared.watch('ab2/', 2, second);
+  shared.watch('c/', 2, other);
+  await joined();
+  assert.is(store.watchCount, 2);
+  for (const key of ['ab1/x', 'ab2/y', 'ab3/z', 'c/w']) await put(store, key);
+  assert.equal([first.heard, second.heard, other.heard], [['ab1/x'], ['ab2/y'], ['c/w']]);
+});
+
+test('one that joins from an earlier revision misses nothing, and nobody hears anything twice', async () => {
+  const store = new MemoryStore();
+  const shared = new SharedWatchStore(store, 'ab');
+  const [first, second] = [new Listener(), new Listener()];
+  shared.watch('ab', 2, first);
+  await joined();
+  await put(store, 'ab2/x');
+  await put(store, 'ab2/y');
+  shared.watch('ab2/', 3, second);
+  await joined();
+  assert.is(store.watchCount, 1);
+  await put(store, 'ab2/z');
+  assert.equal(first.heard, ['ab2/x', 'ab2/y', 'ab2/z']);
+  assert.equal(second.heard, ['ab2/y', 'ab2/z']);
+});
+
+test('all are told when it ends, and the last one to leave closes it', async () => {
+  const store = new MemoryStore();
+  const shared = new SharedWatchStore(store, 'ab');
+  const [first, second] = [new Listener(), new Listener()];
+  const watchBoth = () => [shared.watch('ab1/', 2, first), shared.watch('ab2/', 2, second)];
+  watchBoth();
+  await joined();
+  store.endWatches(true);
+  assert.equal([first.ends, second.ends], [[true], [true]]);
+  assert.is(store.watchCount, 0);
+  const [leaveFirst, leaveSecond] = watchBoth();
+  await joined();
+  leaveFirst?.();
+  assert.is(store.watchCount, 1);
+  leaveSecond?.();
+  assert.is(store.watchCount, 0);
+});
+
+test("instances and the nodes' records begin alike, so that one poll follows both", () => {
+  assert.ok(INSTANCE_KEY_PREFIX.startsWith(DIRECTORY_PREFIX));
+  assert.ok(RECORD_PREFIX.startsWith(DIRECTORY_PREFIX));
+});
+
+test.run();
