--- a/src/node/limits/allocator-service.ts
+++ b/src/node/limits/allocator-service.ts
@@ -17,6 +17,7 @@
 /** Votes are remembered for this many times as long as any share can last. */
 const REMEMBER_FACTOR = 2;
 
+/** What the allocator service is made of. */
 export interface AllocatorServiceOptions {
   readonly nodeId: string;
   /** Names this life of this node. */
@@ -42,6 +43,7 @@
   readonly allocator: TenantAllocator;
 }
 
+/** Runs the allocators of the tenants that this node was elected for. */
 export class AllocatorService {
   readonly #options: AllocatorServiceOptions;
   readonly #voter: Voter;
@@ -84,7 +86,11 @@
     const now = this.#options.now();
     const isFirst = this.#options.nodes.allocatorOf(tenant) === this.#options.nodeId;
     const running = this.#running.get(tenant) ?? (isFirst ? this.#start(tenant, now) : undefined);
-    if (running !== undefined) return running.allocator.answer(request, now);
+    if (running !== undefined) {
+      // A limit raised since the last tick must not end callers that are within it.
+      running.allocator.setLimit(this.#options.limitOf(tenant), now);
+      return running.allocator.answer(request, now);
+    }
     return { type: 'refused', number: request.number, reason: 'no-authority', term: undefined };
   }
 
