--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -26,6 +26,7 @@
 function primaryView(isTrusted: boolean): PrimaryView {
   return {
     primaryOf: () => undefined,
+    watchesPrimaries: false,
     mayTrustPrimary: () => isTrusted,
     confirmPrimary: () => Promise.resolve(true),
     isChanging: () => !isTrusted,
