--- a/src/core/promotion/monitor.ts
+++ b/src/core/promotion/monitor.ts
@@ -26,6 +26,8 @@
 const SUSPICION_SHARE = 3;
 const MINIMUM_SUSPICIONS = 2;
 const MISSES_UNTIL_DEAD = 2;
+/** A new leader looks at the primary after this. */
+const FIRST_LOOK_MS = 100;
 
 export class PrimaryMonitor {
   readonly #scope: Scope;
@@ -51,10 +53,13 @@
     this.#scope = new Scope(runtime);
   }
 
-  /** Looks at once: the primary may have died with the leader before, and nobody would have noticed. */
+  /**
+   * Looks soon, unless requests of this node show life: the primary may have died with the leader
+   * before, and nobody would have noticed.
+   */
   start(): void {
     this.#followPrimary();
-    this.#aliveAt = Number.NEGATIVE_INFINITY;
+    this.#aliveAt = this.runtime.now + FIRST_LOOK_MS - this.runtime.timings.probeEveryMs;
     this.#probeIfNeeded();
   }
 
