--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -3,6 +3,7 @@
  * leader's key is still this leader's, and that what it replaces is what was read.
  */
 import type { KeyValue, TransactionOperation } from '../../platform/contract.js';
+import type { ReachableNode } from '../ownership/owner-roster.js';
 import { laterPosition, type Position } from '../position.js';
 import type { Election } from './election.js';
 import type { Primaries } from './primaries.js';
@@ -71,8 +72,19 @@
     return [...this.duty.under(NODE_PREFIX)].length;
   }
 
-  publishedNodes(): number | undefined {
-    return decodeRecord(this.records.get(FLEET_KEY), fleetForm)?.nodes;
+  /** The live nodes that others can reach. */
+  reachableNodes(): ReachableNode[] {
+    const reachable: ReachableNode[] = [];
+    for (const entry of this.duty.under(NODE_PREFIX)) {
+      const nodeId = nodeOfNodeKey(entry.key);
+      const peer = decodeRecord(entry, nodeForm)?.peer;
+      if (nodeId !== undefined && peer !== undefined) reachable.push({ nodeId, ...peer });
+    }
+    return reachable;
+  }
+
+  publishedFleet(): FleetRecord | undefined {
+    return decodeRecord(this.records.get(FLEET_KEY), fleetForm);
   }
 
   /** Nodes that suspect this primary. */
@@ -140,8 +152,8 @@
     });
   }
 
-  publishNodes(nodes: number, onDone: () => void): void {
-    const value = JSON.stringify({ nodes } satisfies FleetRecord);
+  publishFleet(fleet: FleetRecord, onDone: () => void): void {
+    const value = JSON.stringify(fleet);
     const compares = [{ key: LEADER_KEY, modRevision: this.election.token ?? 0 }];
     this.runtime.transaction(compares, [{ type: 'put', key: FLEET_KEY, value }], () => onDone());
   }
--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -1,8 +1,9 @@
-/** The duty of promotions while this node holds it: one part for each service, and the node count. */
+/** The duty of promotions while this node holds it: one part for each service, and the fleet. */
 import type { ServiceDescription } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
 import { DutyStore } from './duty-store.js';
 import type { Election } from './election.js';
+import { FleetPublisher } from './fleet-publisher.js';
 import type { NodeLease } from './lease.js';
 import type { Primaries } from './primaries.js';
 import { DUTY_PREFIX } from './records.js';
@@ -11,17 +12,21 @@
 import { ServiceDuty } from './service-duty.js';
 import { StoreView } from './store-view.js';
 
-/** The count of nodes is published at most this often. */
+/** The fleet is published at most this often. */
 const PUBLISH_EVERY_MS = 1000;
+/** A fleet with owners is looked at so often, also if nothing changes. */
+const LOOK_AGAIN_MS = 5000;
 
 export class Leader {
   readonly #duty: StoreView;
   readonly #store: DutyStore;
+  readonly #fleet: FleetPublisher;
   #scope: Scope;
   #services = new Map<string, ServiceDescription>();
   #duties = new Map<string, ServiceDuty>();
   #isLeading = false;
   #publishing = false;
+  #looking = false;
   #publishedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(
@@ -35,6 +40,7 @@
     this.#duty = new StoreView(runtime, DUTY_PREFIX);
     this.#duty.onChange = () => this.update();
     this.#store = new DutyStore(runtime, election, primaries, records, this.#duty);
+    this.#fleet = new FleetPublisher(runtime, this.#store, () => this.#services.values());
   }
 
   /** View of the keys that only the leader follows. */
@@ -60,6 +66,8 @@
     if (this.#isLeading) this.stop();
     if (this.election.token === undefined) return;
     this.#isLeading = true;
+    this.#publishing = false;
+    this.#looking = false;
     this.#scope = new Scope(this.runtime);
     this.#duty.start();
   }
@@ -82,7 +90,7 @@
       duty.stop();
       this.#duties.delete(service);
     }
-    this.#publishNodes();
+    this.#publishFleet();
   }
 
   stop(): void {
@@ -104,19 +112,31 @@
     return new ServiceDuty(context, this.lease, service);
   }
 
-  #publishNodes(): void {
-    const nodes = this.#store.liveNodes();
-    if (this.#publishing || nodes === this.#store.publishedNodes()) return;
+  /** That a fleet counts as small again is a matter of time. */
+  #lookAgain(): void {
+    if (!this.#fleet.hasOwners || this.#looking) return;
+    this.#looking = true;
+    this.#scope.after(LOOK_AGAIN_MS, () => {
+      this.#looking = false;
+      this.#publishFleet();
+    });
+  }
+
+  #publishFleet(): void {
+    if (this.#publishing) return;
+    if (!this.#fleet.isOutdated()) {
+      this.#lookAgain();
+      return;
+    }
     this.#publishing = true;
     const waitMs = Math.max(0, this.#publishedAt + PUBLISH_EVERY_MS - this.runtime.now);
     this.#scope.after(waitMs, () => {
       this.#publishedAt = this.runtime.now;
       const onDone = this.#scope.guard(() => {
         this.#publishing = false;
-        this.#scope.after(PUBLISH_EVERY_MS, () => this.#publishNodes());
+        this.#scope.after(PUBLISH_EVERY_MS, () => this.#publishFleet());
       });
-      if (this.election.mayAct())
-        this.#store.publishNodes(this.#store.liveNodes(), () => onDone(undefined));
+      if (this.election.mayAct()) this.#fleet.publish(() => onDone(undefined));
       else onDone(undefined);
     });
   }
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -3,6 +3,8 @@
  * changes, and the duty of promotions while it leads. Pure: events and times in, effects out.
  */
 import type { InstanceEntry } from '../../direct/contract.js';
+import type { KeyValue } from '../../platform/contract.js';
+import type { OwnerRoster } from '../ownership/owner-roster.js';
 import type { Milliseconds } from '../units.js';
 import type { PrimaryUse, PromotionEffect, PromotionEvent } from './contract.js';
 import { Election } from './election.js';
@@ -14,6 +16,7 @@
 import {
   decodeRecord,
   FLEET_KEY,
+  type FleetRecord,
   fleetForm,
   RECORD_PREFIX,
   serviceOfPrimaryKey,
@@ -37,6 +40,8 @@
   /** Primary of each service as it was told last. */
   readonly #told = new Map<string, string | undefined>();
   #services: readonly string[] = [];
+  #fleetEntry: KeyValue | undefined;
+  #fleetRecord: FleetRecord | undefined;
   #readAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #isStopped = false;
 
@@ -94,7 +99,12 @@
 
   /** Nodes that there are, as the leader counted them last; at least this one. */
   liveNodeCount(): number {
-    return Math.max(1, decodeRecord(this.#records.get(FLEET_KEY), fleetForm)?.nodes ?? 1);
+    return Math.max(1, this.#fleet()?.nodes ?? 1);
+  }
+
+  /** The nodes that own instances, if the fleet is too large for all to connect to all. */
+  ownerRoster(): OwnerRoster | undefined {
+    return this.#fleet()?.owners;
   }
 
   /** True if a success of the primary needs no telling: nothing depends on it. */
@@ -106,6 +116,15 @@
     return this.#election.mayAct();
   }
 
+  #fleet(): FleetRecord | undefined {
+    const entry = this.#records.get(FLEET_KEY);
+    if (entry !== this.#fleetEntry) {
+      this.#fleetEntry = entry;
+      this.#fleetRecord = decodeRecord(entry, fleetForm);
+    }
+    return this.#fleetRecord;
+  }
+
   #take(event: PromotionEvent): void {
     switch (event.type) {
       case 'start':
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -1,6 +1,7 @@
 /** Times of the promotion machine. */
 import type { Milliseconds } from '../units.js';
 import type { PromotionMechanism } from './contract.js';
+import type { PeerPlace } from './records.js';
 
 /** Times and bounds; the defaults suit a store that answers within some ten milliseconds. */
 export interface PromotionTimings {
@@ -110,6 +111,10 @@
   /** Differs with every start of the process. */
   readonly incarnation: string;
   readonly timings: PromotionTimings;
+  /** Where other nodes reach this one; absent if they can't. */
+  readonly peer?: PeerPlace | undefined;
+  /** Larger fleets share connections through owners; by default the instances' limits decide. */
+  readonly largestDirectFleet?: number | undefined;
   /** Numbers in [0, 1). */
   readonly random: () => number;
   /** For tests only. */
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -5,6 +5,7 @@
  */
 import type { InstanceEntry, InstanceRole } from '../../direct/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
+import type { OwnerRoster, ReachableNode } from '../ownership/owner-roster.js';
 import type { Position } from '../position.js';
 
 /** Prefix that every node follows. */
@@ -54,11 +55,18 @@
 export interface NodeRecord {
   readonly incarnation: string;
   readonly leaseId: string;
+  /** Where other nodes reach it; absent if they can't. */
+  readonly peer?: PeerPlace | undefined;
 }
 
-/** How many nodes there are, as the leader counts them. */
+/** Where other nodes reach a node. */
+export type PeerPlace = Omit<ReachableNode, 'nodeId'>;
+
+/** How many nodes there are, as the leader counts them, and how they share connections. */
 export interface FleetRecord {
   readonly nodes: number;
+  /** Absent while every node connects to every instance. */
+  readonly owners?: OwnerRoster | undefined;
 }
 
 /** A node no longer uses the primary that this change replaces. */
@@ -118,15 +126,23 @@
   return { timeline, lsn: BigInt(lsn) };
 }
 
+/** The leader looks at every node's entry at every change: each is parsed once. */
+const PARSED = new WeakMap<KeyValue, unknown>();
+
 /** Decodes a value of this module's making; anything else gives undefined. */
 export function decodeRecord<Form>(
   entry: KeyValue | undefined,
   form: (value: Fields) => Form | undefined,
 ): Form | undefined {
   if (entry === undefined) return undefined;
+  if (!PARSED.has(entry)) PARSED.set(entry, parse(entry.value));
+  const value = PARSED.get(entry);
+  return isFields(value) ? form(value) : undefined;
+}
+
+function parse(text: string): unknown {
   try {
-    const value: unknown = JSON.parse(entry.value);
-    return isFields(value) ? form(value) : undefined;
+    return JSON.parse(text);
   } catch {
     return undefined;
   }
@@ -137,12 +153,30 @@
   return { node, incarnation, leaseId };
 }
 
-export function nodeForm({ incarnation, leaseId }: Fields): NodeRecord | undefined {
-  return isText(incarnation) && isText(leaseId) ? { incarnation, leaseId } : undefined;
+export function nodeForm({ incarnation, leaseId, peer }: Fields): NodeRecord | undefined {
+  if (!isText(incarnation) || !isText(leaseId)) return undefined;
+  return { incarnation, leaseId, peer: isFields(peer) ? peerForm(peer) : undefined };
+}
+
+export function fleetForm({ nodes, owners }: Fields): FleetRecord | undefined {
+  if (!isNumber(nodes)) return undefined;
+  return { nodes, owners: isFields(owners) ? rosterForm(owners) : undefined };
+}
+
+function peerForm({ zone, host, port }: Fields): PeerPlace | undefined {
+  return isText(zone) && isText(host) && isNumber(port) ? { zone, host, port } : undefined;
+}
+
+function rosterForm({ ownersPerInstance, nodes }: Fields): OwnerRoster | undefined {
+  if (!isNumber(ownersPerInstance) || !Array.isArray(nodes)) return undefined;
+  const members = nodes.map(reachableForm).filter((node) => node !== undefined);
+  return members.length === nodes.length ? { ownersPerInstance, nodes: members } : undefined;
 }
 
-export function fleetForm({ nodes }: Fields): FleetRecord | undefined {
-  return isNumber(nodes) ? { nodes } : undefined;
+function reachableForm(value: unknown): ReachableNode | undefined {
+  if (!isFields(value) || !isText(value.nodeId)) return undefined;
+  const place = peerForm(value);
+  return place === undefined ? undefined : { nodeId: value.nodeId, ...place };
 }
 
 export function acknowledgementForm(fields: Fields): AcknowledgementRecord | undefined {
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -39,4 +39,6 @@
   liveNodeCount(): number {
     return 1;
   }
+
+  ownerRoster(): undefined {}
 }
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -128,6 +128,8 @@
   readonly readiness: { readonly host: string; readonly port: number };
   /** Where the node tells its figures; absent where no port is given for it. */
   readonly metrics: { readonly host: string; readonly port: number } | undefined;
+  /** Where other nodes reach this one; absent where no port is given for it. */
+  readonly peer: { readonly host: string; readonly port: number } | undefined;
   readonly store: {
     readonly host: string;
     readonly port: number;
--- a/src/direct/errors.ts
+++ b/src/direct/errors.ts
@@ -19,6 +19,15 @@
 /** The connection ended before the whole answer came; what was sent may have run. */
 export class InstanceConnectionLostError extends MeadowstackError {
   readonly code = 'MS-INSTANCE-CONNECTION-LOST';
+
+  constructor(
+    message: string,
+    /** Who failed: with `owner`, nothing is known of the instance itself. */
+    readonly fault: 'instance' | 'owner' = 'instance',
+    options?: ErrorOptions,
+  ) {
+    super(message, options);
+  }
 }
 
 /** No connection became free in the time that the statement could wait. Nothing was sent. */
@@ -26,6 +35,11 @@
   readonly code = 'MS-INSTANCE-WAIT-TIMEOUT';
 }
 
+/** None of the nodes that own the instance lends a connection. Nothing was sent. */
+export class InstanceOwnersUnreachableError extends MeadowstackError {
+  readonly code = 'MS-INSTANCE-OWNERS-UNREACHABLE';
+}
+
 /** An instance did not answer a control call in time, or refused it. */
 export class InstanceControlError extends MeadowstackError {
   readonly code = 'MS-INSTANCE-CONTROL';
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -2,6 +2,7 @@
  * The direct gateway put together: routes and instances come in, callers are served, and a planned
  * stop ends it without cutting what runs.
  */
+import type { Position } from '../core/position.js';
 import type { Milliseconds } from '../core/units.js';
 import { CallerServer } from './caller-server.js';
 import type { RouteLookup, SessionCounters } from './caller-session.js';
@@ -12,8 +13,11 @@
   RouteDescription,
 } from './contract.js';
 import { ownRequest, type PoolCounters } from './instance-pool.js';
+import { askPosition } from './position-question.js';
 import type { PrimaryView } from './promotion/contract.js';
-import { ServiceRuntime } from './service-runtime.js';
+import type { RelayCounters } from './relay/contract.js';
+import { RelayHost } from './relay/relay-host.js';
+import { type InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
 import { type ProverCounters, TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
@@ -46,7 +50,11 @@
   readonly random: () => number;
 }
 
-export interface DirectCounters extends SessionCounters, PoolCounters, ProverCounters {
+export interface DirectCounters
+  extends SessionCounters,
+    PoolCounters,
+    ProverCounters,
+    RelayCounters {
   samplesAsked: number;
 }
 
@@ -62,11 +70,16 @@
     samplesAsked: 0,
     proofRounds: 0,
     proofsFailed: 0,
+    leasesAsked: 0,
+    leasesRefused: 0,
+    leasesLost: 0,
+    leasesGiven: 0,
   };
   readonly #services = new Map<string, ServiceRuntime>();
   readonly #server: CallerServer;
   readonly #prover: TrustProver;
   readonly #runner: StatementRunner;
+  readonly #relay: RelayHost;
   #routes = new Map<string, RouteDescription>();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
@@ -92,6 +105,17 @@
       confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId, 'read'),
     });
     this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
+    this.#relay = new RelayHost({
+      nodeName: options.settings.nodeName,
+      listen: options.settings.peer,
+      wire,
+      find: (service, instanceId) => this.#services.get(service)?.lendable(instanceId),
+      counters: this.counters,
+      now,
+    });
+    this.#relay.onChange = () => {
+      for (const service of this.#services.values()) service.setOwners();
+    };
     this.#server = new CallerServer({
       wire,
       runner: this.#runner,
@@ -125,10 +149,18 @@
     return count;
   }
 
+  /** Connections that other nodes lend now. */
+  get leasedCount(): number {
+    let count = 0;
+    for (const service of this.#services.values()) count += service.leasedCount;
+    return count;
+  }
+
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
     this.#sampler = setInterval(() => {
       this.#shareConnections();
+      this.#relay.update(this.options.view.ownerRoster());
       this.#samplePositions();
       for (const service of this.#services.values()) service.trim();
     }, SAMPLE_CHECK_MS);
@@ -203,14 +235,17 @@
     this.#stopping = true;
     const { now, settings } = this.options;
     const stoppedAt = now();
+    this.#relay.stopGranting();
     await pause(Math.min(DRAIN_DELAY_MS, settings.gracePeriodMs * TRANSACTION_GRACE_SHARE));
     this.#server.drain(false);
     await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * TRANSACTION_GRACE_SHARE);
     this.#server.drain(true);
     await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
+    await this.#relay.drained(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
     this.#server.close();
     clearInterval(this.#sampler);
     for (const service of this.#services.values()) service.close();
+    this.#relay.close();
   }
 
   async #sessionsEnded(deadline: Milliseconds): Promise<void> {
@@ -226,6 +261,7 @@
     const service = new ServiceRuntime(name, {
       nodeCount: this.#nodeCount,
       zone: settings.zone,
+      ownership: this.#relay,
       drainTimeoutMs: settings.drainTimeoutMs,
       view,
       isStoreWell,
@@ -261,12 +297,17 @@
 
   /** Asks the primary for its position by a message that takes no slot there. */
   async #samplePosition(service: ServiceRuntime): Promise<void> {
-    const { now, view, wire } = this.options;
+    const { now, wire } = this.options;
     const primary = service.primary(now());
     if (primary === undefined) return;
     this.#sampling.add(service.name);
     this.counters.samplesAsked += 1;
     const deadline = now() + SAMPLE_TIMEOUT_MS;
+    if (primary.pool.lessor !== undefined) {
+      await this.#sampleThroughOwner(service, primary, deadline);
+      this.#sampling.delete(service.name);
+      return;
+    }
     const acquired = await primary.pool.acquire(ownRequest(deadline));
     if (acquired.isErr()) {
       this.#runner.noteUnreachable({ service }, primary, acquired.error);
@@ -279,14 +320,36 @@
       const answer = await this.#runner.awaitAnswer(exchange, connection, primary, deadline);
       if (answer?.isOk() === true) {
         primary.pool.release(connection);
-        const isTrusted = view.mayTrustPrimary(service.name, now());
-        const isProven = !isTrusted && (await this.#prover.prove(service));
-        service.noteAnswer(primary, sentAt, answer.value.position, isProven);
-        view.reportPrimarySuccess(service.name, now());
+        await this.#noteSample(service, primary, sentAt, answer.value.position);
       } else {
         this.#runner.noteFailure({ service }, primary);
       }
     }
     this.#sampling.delete(service.name);
   }
+
+  /** An owner that can't tell says nothing of the primary: nothing is reported of it. */
+  async #sampleThroughOwner(
+    service: ServiceRuntime,
+    primary: InstanceRuntime,
+    deadline: Milliseconds,
+  ): Promise<void> {
+    const { now, wire } = this.options;
+    const sentAt = now();
+    const position = await askPosition({ pool: primary.pool, wire, now, deadline });
+    if (position !== undefined) await this.#noteSample(service, primary, sentAt, position);
+  }
+
+  async #noteSample(
+    service: ServiceRuntime,
+    primary: InstanceRuntime,
+    sentAt: Milliseconds,
+    position: Position | undefined,
+  ): Promise<void> {
+    const { now, view } = this.options;
+    const isTrusted = view.mayTrustPrimary(service.name, now());
+    const isProven = !isTrusted && (await this.#prover.prove(service));
+    service.noteAnswer(primary, sentAt, position, isProven);
+    view.reportPrimarySuccess(service.name, now());
+  }
 }
--- a/src/direct/instance-connection.ts
+++ b/src/direct/instance-connection.ts
@@ -14,7 +14,32 @@
 /** Probes of an idle connection begin after this, so that a dark machine is noticed. */
 const KEEP_ALIVE_DELAY_MS = 1000;
 
-type AnswerResult = Result<StatementAnswer, InstanceConnectionLostError>;
+/** The whole answer to one message, or that none will come. */
+export type AnswerResult = Result<StatementAnswer, InstanceConnectionLostError>;
+
+/**
+ * A connection to an instance as statements use it: this node's own, or one that is leased from the
+ * node that owns the instance.
+ */
+export interface InstanceConnection {
+  /** Session values that are set on it now. */
+  readonly values: Map<string, string>;
+  readonly preparedNames: Set<string>;
+  readonly closed: boolean;
+  /** Sends one message and resolves with its whole answer. */
+  exchange(message: string): Promise<AnswerResult>;
+  /** Holds messages back until `uncork`, so that several leave together. */
+  cork(): void;
+  uncork(): void;
+  /** Ends it; the instance rolls back what is open on it. */
+  close(): void;
+  /** Called once when it ended, for whatever reason. */
+  onClose: (() => void) | undefined;
+  /** On a leased connection: nothing was heard of its owner since the last message was sent. */
+  readonly isOwnerSilent?: boolean;
+  /** Present on a leased connection: returns it, at rest, to its owner. */
+  giveBack?(): void;
+}
 
 interface PendingExchange {
   payload: string;
@@ -29,8 +54,8 @@
   readonly connectTimeoutMs: Milliseconds;
 }
 
-/** An open connection; made by {@link openInstanceConnection}. */
-export class InstanceConnection {
+/** An open connection of this node's own; made by {@link openInstanceConnection}. */
+export class SocketConnection implements InstanceConnection {
   /** Session values that are set on it now. */
   readonly values = new Map<string, string>();
   readonly preparedNames = new Set<string>();
@@ -146,7 +171,7 @@
 /** Opens a connection to exactly the instance that is named. */
 export function openInstanceConnection(
   options: InstanceConnectionOptions,
-): Promise<Result<InstanceConnection, InstanceConnectError>> {
+): Promise<Result<SocketConnection, InstanceConnectError>> {
   const { wire, instance, connectTimeoutMs } = options;
   return new Promise((resolve) => {
     const socket = connect({ host: instance.host, port: instance.port, noDelay: true });
@@ -175,7 +200,7 @@
         settled = true;
         clearTimeout(timer);
         socket.removeAllListeners();
-        resolve(ok(new InstanceConnection(socket, wire, instance)));
+        resolve(ok(new SocketConnection(socket, wire, instance)));
         return;
       }
     };
--- a/src/direct/instance-control.ts
+++ b/src/direct/instance-control.ts
@@ -5,7 +5,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceControl, InstanceEntry, InstanceStatus } from './contract.js';
 import { InstanceControlError } from './errors.js';
-import { type InstanceConnection, openInstanceConnection } from './instance-connection.js';
+import { openInstanceConnection, type SocketConnection } from './instance-connection.js';
 import { classifyBySystemCall } from './promotion/control-failure.js';
 import type { ControlCommand, StatementWire } from './wire.js';
 import { firstWithin } from './within.js';
@@ -23,7 +23,7 @@
 }
 
 export class WireInstanceControl implements InstanceControl {
-  readonly #connections = new Map<string, InstanceConnection>();
+  readonly #connections = new Map<string, SocketConnection>();
 
   constructor(
     private readonly wire: StatementWire,
@@ -115,7 +115,7 @@
   async #connection(
     instance: InstanceEntry,
     connectTimeoutMs: Milliseconds,
-  ): Promise<InstanceConnection | InstanceControlError> {
+  ): Promise<SocketConnection | InstanceControlError> {
     const known = this.#connections.get(instance.id);
     if (known !== undefined && !known.closed) return known;
     const opened = await openInstanceConnection({ wire: this.wire, instance, connectTimeoutMs });
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -1,6 +1,6 @@
 /**
  * Connections of this node to one instance: a share of what the instance takes, opened on demand,
- * with a queue for those who wait. A connection is given to one statement or transaction at a time.
+ * with a queue for those who wait; or, where other nodes own the instance, connections of theirs. A connection is given to one statement or transaction at a time.
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { Access } from '../core/request.js';
@@ -9,8 +9,17 @@
 import { StallDetector } from '../core/statements/stall.js';
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceEntry } from './contract.js';
-import { InstanceConnectError, InstanceWaitTimeoutError } from './errors.js';
-import { type InstanceConnection, openInstanceConnection } from './instance-connection.js';
+import {
+  InstanceConnectError,
+  type InstanceOwnersUnreachableError,
+  InstanceWaitTimeoutError,
+} from './errors.js';
+import {
+  type InstanceConnection,
+  openInstanceConnection,
+  SocketConnection,
+} from './instance-connection.js';
+import type { ConnectionLessor } from './relay/contract.js';
 import type { StatementWire } from './wire.js';
 
 export interface InstancePoolOptions {
@@ -30,7 +39,10 @@
   waitTimeouts: number;
 }
 
-export type AcquireError = InstanceConnectError | InstanceWaitTimeoutError;
+export type AcquireError =
+  | InstanceConnectError
+  | InstanceWaitTimeoutError
+  | InstanceOwnersUnreachableError;
 
 /** Asks for a connection. */
 export interface ConnectionRequest {
@@ -76,13 +88,16 @@
 const SOFT_WAIT_MS = 12;
 
 export class InstancePool {
-  readonly #idle: InstanceConnection[] = [];
+  readonly #idle: SocketConnection[] = [];
   readonly #waiters = new FairQueue<Waiter>(MAX_WAITING_PER_TENANT);
   /** Connections that each tenant holds. */
   readonly #held = new Map<string, number>();
-  readonly #holders = new Map<InstanceConnection, string>();
+  readonly #holders = new Map<SocketConnection, string>();
   #lastError: InstanceConnectError | undefined;
-  readonly #all = new Set<InstanceConnection>();
+  readonly #all = new Set<SocketConnection>();
+  /** Connections that other nodes lend. */
+  readonly #leased = new Set<InstanceConnection>();
+  #lessor: ConnectionLessor | undefined;
   readonly #answers = new StallDetector(STALL_MS, STALL_UNANSWERED);
   readonly #commits = new StallDetector(STALL_MS, STALL_UNANSWERED);
   #stallProbedAt: Milliseconds = 0;
@@ -110,10 +125,31 @@
     this.#softLimit = limit;
   }
 
+  /** Connections of this node's own, open or being opened. */
   get size(): number {
     return this.#all.size + this.#opening;
   }
 
+  /** Connections that other nodes lend now. */
+  get leasedCount(): number {
+    return this.#leased.size;
+  }
+
+  /** Lends connections of other nodes, if these own the instance. */
+  get lessor(): ConnectionLessor | undefined {
+    return this.#lessor;
+  }
+
+  /** From now on connections are leased there; without one, this node opens its own. */
+  setLessor(lessor: ConnectionLessor | undefined): void {
+    this.#lessor = lessor;
+    if (lessor === undefined) return;
+    for (const waiter of this.#waiters.takeAll()) {
+      clearTimeout(waiter.timer);
+      void this.#lease(lessor, waiter).then(waiter.settle);
+    }
+  }
+
   get waiting(): number {
     return this.#waiters.length;
   }
@@ -168,6 +204,7 @@
 
   /** A free connection, opened if need be, by the deadline at the latest. */
   acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>> {
+    if (this.#lessor !== undefined) return this.#lease(this.#lessor, request);
     const idle = this.#takeIdle(request.values);
     if (idle !== undefined) {
       this.#hold(idle, request.tenant);
@@ -187,6 +224,30 @@
 
   /** Gives a connection back; it is at rest outside any transaction. */
   release(connection: InstanceConnection): void {
+    if (connection instanceof SocketConnection) {
+      this.#takeBack(connection);
+      return;
+    }
+    this.#leased.delete(connection);
+    connection.giveBack?.();
+  }
+
+  async #lease(
+    lessor: ConnectionLessor,
+    request: ConnectionRequest,
+  ): Promise<Result<InstanceConnection, AcquireError>> {
+    if (this.#closed) {
+      return err(new InstanceConnectError(`${this.instance.id}: closed`, undefined));
+    }
+    const acquired = await lessor.acquire(request);
+    if (acquired.isErr()) return acquired;
+    const connection = acquired.value;
+    if (!connection.closed) this.#leased.add(connection);
+    connection.onClose = () => this.#leased.delete(connection);
+    return acquired;
+  }
+
+  #takeBack(connection: SocketConnection): void {
     this.#letGo(connection);
     if (connection.closed) {
       this.#openForWaiters();
@@ -215,7 +276,7 @@
     for (const connection of [...this.#all]) connection.close();
   }
 
-  #takeIdle(values: ReadonlyMap<string, string>): InstanceConnection | undefined {
+  #takeIdle(values: ReadonlyMap<string, string>): SocketConnection | undefined {
     let best = -1;
     let bestCost = Number.POSITIVE_INFINITY;
     // The latest used first: others may then rest long enough to be surplus.
@@ -232,7 +293,7 @@
     return best < 0 ? undefined : this.#idle.splice(best, 1)[0];
   }
 
-  #serve(waiter: Waiter, connection: InstanceConnection): void {
+  #serve(waiter: Waiter, connection: SocketConnection): void {
     clearTimeout(waiter.timer);
     this.#hold(connection, waiter.tenant);
     waiter.settle(ok(connection));
@@ -316,12 +377,12 @@
     if (this.#all.size === 0) this.#failWaiters(error);
   }
 
-  #hold(connection: InstanceConnection, tenant: string): void {
+  #hold(connection: SocketConnection, tenant: string): void {
     this.#holders.set(connection, tenant);
     this.#held.set(tenant, (this.#held.get(tenant) ?? 0) + 1);
   }
 
-  #letGo(connection: InstanceConnection): void {
+  #letGo(connection: SocketConnection): void {
     const tenant = this.#holders.get(connection);
     if (tenant === undefined) return;
     this.#holders.delete(connection);
@@ -330,7 +391,7 @@
     else this.#held.delete(tenant);
   }
 
-  #forget(connection: InstanceConnection): void {
+  #forget(connection: SocketConnection): void {
     this.#letGo(connection);
     this.#all.delete(connection);
     const index = this.#idle.indexOf(connection);
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -15,6 +15,10 @@
   samplesAsked: 'questions to primaries for their log position',
   proofRounds: 'rounds of questions to all members of a group, to prove its primary',
   proofsFailed: 'such rounds that proved nothing',
+  leasesAsked: 'connections asked for at the owners of instances',
+  leasesRefused: 'such requests that an owner refused or did not answer',
+  leasesLost: 'leased connections that ended with their owner or its link',
+  leasesGiven: 'connections lent to other nodes',
 };
 
 const PREFIX = 'meadowstack_direct_';
@@ -38,6 +42,7 @@
     new Gauge({ name: PREFIX + name, help, registers }).set(value);
   gauge('sessions', 'sessions of callers that are open', gateway.sessionCount);
   gauge('instance_connections', 'connections to instances', gateway.connectionCount);
+  gauge('leased_connections', 'connections that other nodes lend', gateway.leasedCount);
   gauge('configuration_version', 'version in force, 0 before the first', gateway.version ?? 0);
   gauge('ready', '1 if new connections are taken', gateway.ready ? 1 : 0);
   return { contentType: registry.contentType, text: await registry.metrics() };
--- /dev/null
+++ b/src/direct/position-question.ts
@@ -0,0 +1,30 @@
+/** Asks an instance for its log position by a message that takes no slot there. */
+import type { Position } from '../core/position.js';
+import type { Milliseconds } from '../core/units.js';
+import { type InstancePool, ownRequest } from './instance-pool.js';
+import type { StatementWire } from './wire.js';
+import { firstWithin } from './within.js';
+
+export interface PositionQuestion {
+  readonly pool: InstancePool;
+  readonly wire: StatementWire;
+  readonly deadline: Milliseconds;
+  readonly now: () => Milliseconds;
+}
+
+/** The position at or after this call, or undefined if it could not be had in time. */
+export async function askPosition(question: PositionQuestion): Promise<Position | undefined> {
+  const { pool, wire, deadline, now } = question;
+  if (pool.lessor !== undefined) return pool.lessor.position(deadline - now());
+  const acquired = await pool.acquire(ownRequest(deadline));
+  if (acquired.isErr()) return undefined;
+  const connection = acquired.value;
+  connection.values.clear();
+  connection.preparedNames.clear();
+  const exchange = connection.exchange(wire.encodeReset());
+  const answer = await firstWithin([exchange], deadline - now());
+  const isWhole = answer?.isOk() === true && answer.value.state === 'idle';
+  if (!isWhole) connection.close();
+  pool.release(connection);
+  return isWhole ? answer.value.position : undefined;
+}
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -1,4 +1,5 @@
 /** What the data path of a node asks of, and tells to, whoever keeps track of the primaries. */
+import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { PrimaryUse } from '../../core/promotion/contract.js';
 import type { TrustedUse } from '../../core/promotion/evidence.js';
 import type { Milliseconds } from '../../core/units.js';
@@ -33,6 +34,8 @@
   reportPrimarySuccess(service: string, now: Milliseconds, use?: PrimaryUse): void;
   /** Nodes that are alive, this one included. */
   liveNodeCount(): number;
+  /** The nodes that own instances; undefined while every node connects to every instance. */
+  ownerRoster(): OwnerRoster | undefined;
 }
 
 /**
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -2,6 +2,7 @@
  * Runs the promotion machine of one node on the real store, instances and clock. Start, feed it the
  * instances and services as they change, release the lead ahead of a planned stop, then stop.
  */
+import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type {
   PromotionEffect,
   PromotionEvent,
@@ -9,6 +10,7 @@
 } from '../../core/promotion/contract.js';
 import { PromotionMachine } from '../../core/promotion/machine.js';
 import { DEFAULT_PROMOTION_TIMINGS, type PromotionTimings } from '../../core/promotion/options.js';
+import type { PeerPlace } from '../../core/promotion/records.js';
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
 import type { Store } from '../../platform/contract.js';
@@ -31,6 +33,10 @@
   /** Differs with every start of the process. */
   readonly incarnation: string;
   readonly minimumLeaseMs: Milliseconds;
+  /** Where other nodes reach this one; absent if they can't. */
+  readonly peer?: PeerPlace | undefined;
+  /** Larger fleets share connections through owners; by default the instances' limits decide. */
+  readonly largestDirectFleet?: number | undefined;
   readonly store: Store;
   readonly control: InstanceControl;
   readonly promotion: BoundedPromotionCaller;
@@ -69,6 +75,8 @@
     this.#machine = new PromotionMachine({
       nodeName,
       incarnation,
+      peer: options.peer,
+      largestDirectFleet: options.largestDirectFleet,
       timings: { ...timings, leaseSeconds },
       random: options.random ?? Math.random,
     });
@@ -147,6 +155,10 @@
     return this.#machine.liveNodeCount();
   }
 
+  ownerRoster(): OwnerRoster | undefined {
+    return this.#machine.ownerRoster();
+  }
+
   get isLeader(): boolean {
     return this.#machine.isLeader;
   }
--- /dev/null
+++ b/src/direct/relay/contract.ts
@@ -0,0 +1,119 @@
+/**
+ * What nodes say to each other about connections of an instance. A stream of a peer link is one lease:
+ * the opener asks for a connection, gets it, sends messages for the instance and takes their answers,
+ * and gives it back. Whatever else ends the stream ends the leased connection.
+ */
+import type { Result } from 'neverthrow';
+import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
+import type { Position } from '../../core/position.js';
+import type { StatementAnswer, StatementErrorCode } from '../../core/statements/statement.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { InstanceEntry } from '../contract.js';
+import type { InstanceConnection } from '../instance-connection.js';
+import type { AcquireError, ConnectionRequest, InstancePool } from '../instance-pool.js';
+
+/** Session values, as pairs: names are the callers' own. */
+export type ValueList = readonly (readonly [name: string, value: string])[];
+
+/** Opens a stream. */
+export interface LeaseRequest {
+  readonly type: 'lease';
+  readonly service: string;
+  readonly instanceId: string;
+  readonly tenant: string;
+  readonly priority: number;
+  /** Values that the connection should have already, if one has them. */
+  readonly values: ValueList;
+  /** How long a connection is waited for. */
+  readonly waitMs: Milliseconds;
+}
+
+/** Why an owner gave no connection. Nothing was sent to the instance. */
+export type LeaseRefusal =
+  /** The owner ends. */
+  | { readonly reason: 'stopping' }
+  /** By its own view, this node is no owner of the instance. */
+  | { readonly reason: 'not-owner' }
+  /** It knows no such instance of this service. */
+  | { readonly reason: 'unknown-instance' }
+  /** The instance is leaving or gone. */
+  | { readonly reason: 'unusable' }
+  /** None became free in time, or too many wait. */
+  | { readonly reason: 'no-connection' }
+  /** The instance could not be reached; `answer` is what it answered, if it did. */
+  | { readonly reason: 'unreachable'; readonly answer: StatementErrorCode | undefined };
+
+/** What the opener of a lease says. */
+export type LeaseCommand =
+  /** Messages for the instance, handed over together. */
+  | { readonly type: 'run'; readonly messages: readonly string[] }
+  /** The connection is at rest, with these values and prepared statements. */
+  | {
+      readonly type: 'return';
+      readonly values: ValueList;
+      readonly preparedNames: readonly string[];
+    };
+
+/** What the owner says. */
+export type LeaseEvent =
+  /** The request has come; a connection is waited for. */
+  | { readonly type: 'queued' }
+  | {
+      readonly type: 'granted';
+      readonly values: ValueList;
+      readonly preparedNames: readonly string[];
+    }
+  | ({ readonly type: 'refused' } & LeaseRefusal)
+  /** The answers to one `run`, in its order. */
+  | { readonly type: 'answers'; readonly answers: readonly StatementAnswer[] }
+  /** The connection to the instance ended before all answers came. */
+  | { readonly type: 'lost' };
+
+/** Asks an owner for the log position of an instance that it owns. */
+export const POSITION_METHOD = 'direct.position';
+
+export interface PositionRequest {
+  readonly service: string;
+  readonly instanceId: string;
+}
+
+/** Gives connections of one instance that others own. */
+export interface ConnectionLessor {
+  acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>>;
+  /** The instance's log position, at or after this call. */
+  position(timeoutMs: Milliseconds): Promise<Position | undefined>;
+}
+
+/** An instance as its owner lends its connections. */
+export interface LendableInstance {
+  readonly pool: InstancePool;
+  /** Whether this node holds connections to it for others. */
+  readonly isOwned: boolean;
+  isUsable(now: Milliseconds): boolean;
+}
+
+/** Finds instances by what others call them. */
+export type LendableLookup = (service: string, instanceId: string) => LendableInstance | undefined;
+
+/** Counted over all leases of the process. */
+export interface RelayCounters {
+  leasesAsked: number;
+  leasesRefused: number;
+  leasesLost: number;
+  leasesGiven: number;
+}
+
+/** Who owns an instance, for the node that asks. */
+export interface InstanceOwnership {
+  /** This node holds connections to the instance. */
+  readonly isOwned: boolean;
+  /** Otherwise, gives connections of its owners. */
+  readonly lessor: ConnectionLessor | undefined;
+}
+
+/** Tells who owns an instance in the roster that is in force. */
+export interface OwnershipView {
+  readonly roster: OwnerRoster | undefined;
+  /** Undefined if this node is to connect by itself. */
+  ownershipOf(instance: InstanceEntry): InstanceOwnership | undefined;
+}
--- /dev/null
+++ b/src/direct/relay/relay-host.ts
@@ -0,0 +1,71 @@
+/** Starts the relay when the fleet gets owners, and tells who owns an instance. */
+import { type OwnerRoster, sameRoster } from '../../core/ownership/owner-roster.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { InstanceEntry } from '../contract.js';
+import type { InstanceOwnership } from './contract.js';
+import type { Relay, RelayOptions } from './relay.js';
+
+export class RelayHost {
+  /** Called when the roster in force is another. */
+  onChange: () => void = () => {};
+  #wanted: OwnerRoster | undefined;
+  #roster: OwnerRoster | undefined;
+  #relay: Relay | undefined;
+  #starting = false;
+  #stopping = false;
+
+  constructor(private readonly options: RelayOptions) {}
+
+  /** The roster in force; undefined while every node connects to every instance. */
+  get roster(): OwnerRoster | undefined {
+    return this.#roster;
+  }
+
+  /** Takes the roster that is published now. */
+  update(roster: OwnerRoster | undefined): void {
+    if (sameOwners(roster, this.#wanted)) return;
+    this.#wanted = roster;
+    if (roster === undefined || this.#relay !== undefined) this.#apply();
+    else if (!this.#starting) void this.#start();
+  }
+
+  /** Who owns an instance; undefined if this node is to connect by itself. */
+  ownershipOf(instance: InstanceEntry): InstanceOwnership | undefined {
+    if (this.#roster === undefined || this.#relay === undefined) return undefined;
+    return this.#relay.ownershipOf(instance, this.#roster);
+  }
+
+  stopGranting(): void {
+    this.#stopping = true;
+    this.#relay?.stopGranting();
+  }
+
+  async drained(deadline: Milliseconds): Promise<void> {
+    await this.#relay?.drained(deadline);
+  }
+
+  close(): void {
+    void this.#relay?.close();
+  }
+
+  async #start(): Promise<void> {
+    this.#starting = true;
+    const { Relay } = await import('./relay.js');
+    const relay = new Relay(this.options);
+    await relay.start();
+    if (this.#stopping) relay.stopGranting();
+    this.#relay = relay;
+    this.#apply();
+  }
+
+  #apply(): void {
+    this.#roster = this.#wanted;
+    this.onChange();
+  }
+}
+
+function sameOwners(left: OwnerRoster | undefined, right: OwnerRoster | undefined): boolean {
+  if (left === undefined || right === undefined) return left === right;
+  const isSameCount = left.ownersPerInstance === right.ownersPerInstance;
+  return isSameCount && sameRoster(left.nodes, right.nodes);
+}
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -1,4 +1,6 @@
 /** One database group as this node uses it: a pool for each instance, and what is known of its log. */
+import { connectionsPerOwner, RESERVED_CONNECTIONS } from '../core/ownership/connection-sharing.js';
+import type { OwnerRoster } from '../core/ownership/owner-roster.js';
 import type { Position } from '../core/position.js';
 import type { InstanceLoad } from '../core/statements/instance-choice.js';
 import { PositionSamples } from '../core/statements/position-samples.js';
@@ -7,9 +9,8 @@
 import type { InstanceEntry } from './contract.js';
 import { InstancePool, type InstancePoolOptions } from './instance-pool.js';
 import type { PrimaryView } from './promotion/contract.js';
+import type { InstanceOwnership, LendableInstance, OwnershipView } from './relay/contract.js';
 
-/** Connections of an instance that are left to control calls of whichever node leads. */
-const RESERVED_CONNECTIONS = 4;
 const MINIMUM_CONNECTIONS = 1;
 /**
  * Part of what an instance takes that is used at ease: a node that lost power leaves its connections
@@ -26,6 +27,7 @@
   readonly pool: InstancePoolOptions;
   readonly drainTimeoutMs: Milliseconds;
   readonly view: PrimaryView;
+  readonly ownership: OwnershipView;
   /** False while what the store last told of the instances may be out of date. */
   readonly isStoreWell: () => boolean;
   readonly now: () => Milliseconds;
@@ -38,7 +40,7 @@
   isUsable(now: Milliseconds): boolean;
 }
 
-class InstanceState implements InstanceRuntime {
+class InstanceState implements InstanceRuntime, LendableInstance {
   /** No new work from then on. */
   usableUntil: Milliseconds = Number.POSITIVE_INFINITY;
   /** A replica is left alone as soon as it is leaving. */
@@ -46,6 +48,10 @@
   /** Its entry has gone, and it never said that it would leave. */
   vanished = false;
   primary = false;
+  /** Undefined while every node connects by itself. */
+  ownership: InstanceOwnership | undefined;
+  /** Roster that `ownership` was worked out for. */
+  roster: OwnerRoster | undefined;
 
   constructor(
     readonly id: string,
@@ -54,6 +60,10 @@
     private readonly isStoreWell: () => boolean,
   ) {}
 
+  get isOwned(): boolean {
+    return this.ownership?.isOwned === true;
+  }
+
   /** An entry that vanished counts only while the store is there to bring it back. */
   isUsable(now: Milliseconds): boolean {
     return now < this.usableUntil || (this.vanished && !this.isStoreWell());
@@ -123,7 +133,42 @@
     const limit = Math.max(MINIMUM_CONNECTIONS, share);
     const softShare = Math.floor((this.#maxConnections * SOFT_SHARE) / nodes);
     const softLimit = Math.max(MINIMUM_CONNECTIONS, softShare);
-    for (const state of this.#instances.values()) state.pool.setLimit(limit, softLimit);
+    for (const state of this.#instances.values()) {
+      this.#followOwners(state);
+      if (state.ownership === undefined) state.pool.setLimit(limit, softLimit);
+      else state.pool.setLimit(state.isOwned ? this.#ownerShare() : 0);
+    }
+  }
+
+  /** Owners may change at any time; who owns an instance is worked out once for each roster. */
+  #followOwners(state: InstanceState): void {
+    const { ownership } = this.options;
+    if (state.roster === ownership.roster) return;
+    state.roster = ownership.roster;
+    state.ownership = ownership.ownershipOf(state.pool.instance);
+    state.pool.setLessor(state.ownership?.lessor);
+  }
+
+  #ownerShare(): number {
+    const owners = this.options.ownership.roster?.ownersPerInstance ?? 1;
+    return connectionsPerOwner(owners, this.#maxConnections);
+  }
+
+  /** The owners of instances are others now. */
+  setOwners(): void {
+    this.#shareConnections();
+  }
+
+  /** An instance as other nodes may borrow it. */
+  lendable(instanceId: string): LendableInstance | undefined {
+    return this.#instances.get(instanceId);
+  }
+
+  /** Connections that other nodes lend now. */
+  get leasedCount(): number {
+    let count = 0;
+    for (const state of this.#instances.values()) count += state.pool.leasedCount;
+    return count;
   }
 
   /** Connections to its instances, open or being opened. */
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -238,7 +238,7 @@
     endWatch(answer?.isOk() === true);
     if (answer === undefined || answer.isErr()) {
       const silentWrite = answer === undefined && request.access === 'write';
-      this.noteFailure(request, instance, silentWrite ? 'commit' : 'reach');
+      this.noteNoAnswer(request, instance, connection, answer, silentWrite ? 'commit' : 'reach');
       return { type: 'unknown', instance };
     }
     return this.#judge(request, instance, connection, answer.value, sentAt);
@@ -311,6 +311,20 @@
     this.options.view.reportPrimarySuccess(service.name, this.options.now(), use);
   }
 
+  /** No answer came. What an owner of the instance failed at says nothing of the instance itself. */
+  noteNoAnswer(
+    request: Pick<StatementRequest, 'service'>,
+    instance: InstanceRuntime,
+    connection: InstanceConnection,
+    answer: ExchangeResult | undefined,
+    use: PrimaryUse = 'reach',
+  ): void {
+    const isOwnersFault = answer?.isErr()
+      ? answer.error.fault === 'owner'
+      : connection.isOwnerSilent === true;
+    if (!isOwnersFault) this.noteFailure(request, instance, use);
+  }
+
   /** An instance did not do what was asked: reads avoid it, and a primary is reported. */
   noteFailure(
     request: Pick<StatementRequest, 'service'>,
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -99,7 +99,7 @@
     endWrite();
     if (answer === undefined || answer.isErr()) {
       const silent = answer === undefined && this.#wrote;
-      this.runner.noteFailure(this, instance, silent ? 'commit' : 'reach');
+      this.runner.noteNoAnswer(this, instance, connection, answer, silent ? 'commit' : 'reach');
       // Without a write, nothing is kept whatever became of the commit.
       return this.#wrote
         ? refuse('in-doubt', 'no answer to a commit')
@@ -169,11 +169,11 @@
       endWatch(answer?.isOk() === true);
       if (answer === undefined) {
         connection.close();
-        this.runner.noteFailure(this, instance);
+        this.runner.noteNoAnswer(this, instance, connection, answer);
         return refuse('aborted', 'no answer in time; the transaction was rolled back');
       }
       if (answer.isErr()) {
-        this.runner.noteFailure(this, instance);
+        this.runner.noteNoAnswer(this, instance, connection, answer);
         return refuse('aborted', 'the connection to the instance ended');
       }
       if (answer.value.error === undefined) instance.pool.noteAnswer(now() - sentAt);
@@ -243,7 +243,7 @@
     const begun = await firstWithin([exchange], patienceMs);
     if (begun === undefined || begun.isErr()) {
       connection.close();
-      this.runner.noteFailure(placement, instance);
+      this.runner.noteNoAnswer(placement, instance, connection, begun);
       return failureToOpen(instance, 'no answer to BEGIN');
     }
     if (begun.value.error !== undefined || begun.value.state !== 'open') {
--- a/src/direct/trust-prover.ts
+++ b/src/direct/trust-prover.ts
@@ -8,10 +8,9 @@
   showsLaterTerm,
 } from '../core/statements/primary-evidence.js';
 import type { Milliseconds } from '../core/units.js';
-import { ownRequest } from './instance-pool.js';
+import { askPosition } from './position-question.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import type { StatementWire } from './wire.js';
-import { firstWithin } from './within.js';
 
 const ROUND_TIMEOUT_MS = 150;
 /** With more members silent, asking them for more than their positions can't prove anything either. */
@@ -110,17 +109,9 @@
   }
 
   async #ask(member: InstanceRuntime, sentAt: Milliseconds): Promise<MemberAnswer> {
+    const { wire, now } = this.options;
     const deadline = sentAt + ROUND_TIMEOUT_MS;
-    const acquired = await member.pool.acquire(ownRequest(deadline));
-    if (acquired.isErr()) return { instanceId: member.id, position: undefined };
-    const connection = acquired.value;
-    connection.values.clear();
-    connection.preparedNames.clear();
-    const exchange = connection.exchange(this.options.wire.encodeReset());
-    const answer = await firstWithin([exchange], deadline - this.options.now());
-    const isWhole = answer?.isOk() === true && answer.value.state === 'idle';
-    if (!isWhole) connection.close();
-    member.pool.release(connection);
-    return { instanceId: member.id, position: isWhole ? answer.value.position : undefined };
+    const position = await askPosition({ pool: member.pool, wire, now, deadline });
+    return { instanceId: member.id, position };
   }
 }
--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -72,6 +72,7 @@
   readonly name: string;
   readonly callersPort: number;
   readonly readinessPort: number;
+  readonly metricsPort: number;
   readonly process: ChildProcess;
   /** Its exit code, or the signal that ended it. */
   readonly ended: Promise<number | NodeJS.Signals | null>;
@@ -86,6 +87,8 @@
   readonly flags?: readonly string[];
   /** Each gateway reaches the store through a fault proxy, so that it can be cut off. */
   readonly cuttable?: boolean;
+  /** Flags of every gateway. */
+  readonly gatewayFlags?: readonly string[];
   /** Bounds that differ from the settings' own. */
   readonly bounds?: Readonly<Record<string, number>>;
 }
@@ -130,12 +133,14 @@
 
   async startGateway(): Promise<DirectGatewayProcess> {
     const name = `frontend-${this.gateways.length + 1}`;
-    const [callersPort = 0, readinessPort = 0, controlPort = 0] = await freePorts(3);
+    const [callersPort = 0, readinessPort = 0, controlPort = 0, peerPort = 0] = await freePorts(4);
     const path = join(this.#folder, `${name}.json`);
     const storePort = await this.#storePortOf(name);
-    const ports = { callersPort, readinessPort, controlPort, storePort };
+    const ports = { callersPort, readinessPort, controlPort, peerPort, storePort };
     writeFileSync(path, JSON.stringify(this.#settings(name, ports)));
-    const child = spawn(process.execPath, ['--enable-source-maps', GATEWAY_PROGRAM], {
+    const { gatewayFlags = [] } = this.options;
+    const words = ['--enable-source-maps', GATEWAY_PROGRAM, ...gatewayFlags];
+    const child = spawn(process.execPath, words, {
       env: { PATH: process.env.PATH, MEADOWSTACK_SETTINGS: path },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -146,7 +151,14 @@
       });
     }
     const ended = once(child, 'exit').then(([code, signal]) => code ?? signal);
-    const gateway = { name, callersPort, readinessPort, process: child, ended };
+    const gateway = {
+      name,
+      callersPort,
+      readinessPort,
+      metricsPort: controlPort,
+      process: child,
+      ended,
+    };
     const running = { ...gateway, output: () => output };
     this.gateways.push(running);
     return running;
@@ -179,6 +191,13 @@
     });
   }
 
+  /** One of a gateway's figures. */
+  async figure(index: number, name: string): Promise<number> {
+    const answer = await fetch(`http://${HOST}:${this.gateway(index).metricsPort}/metrics`);
+    const line = (await answer.text()).split('\n').find((one) => one.startsWith(`${name} `));
+    return Number(line?.split(' ')[1]);
+  }
+
   /** A session at a gateway whose statements are judged at the end. */
   open(database: string, index = 0): Promise<RecordedSession> {
     const route = this.#routes.find((one) => one.database === database);
@@ -202,7 +221,9 @@
 
   #settings(
     name: string,
-    ports: Readonly<Record<'callersPort' | 'readinessPort' | 'controlPort' | 'storePort', number>>,
+    ports: Readonly<
+      Record<'callersPort' | 'readinessPort' | 'controlPort' | 'peerPort' | 'storePort', number>
+    >,
   ): object {
     const control = `${HOST}:${ports.controlPort}`;
     const { promotionPort, heartbeatMs } = this.platform;
@@ -215,7 +236,7 @@
         readiness: `${HOST}:${ports.readinessPort}`,
         control_plane: control,
       },
-      ...{ internal_port_range: [ports.controlPort, ports.controlPort], seed_nodes: [control] },
+      ...{ internal_port_range: [ports.controlPort, ports.peerPort], seed_nodes: [control] },
       ...{ bootstrap: true, in_tolerance: false, data_directory: null, discovery: 'platform' },
       limits: {
         ...{ cpu_share: 1, cpu_cores: 1, memory_mb: 350, max_file_descriptors: 4300 },
--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -39,6 +39,7 @@
     zone: 'a',
     nodeCount: 1,
     drainTimeoutMs: 7000,
+    ownership: { roster: undefined, ownershipOf: () => undefined },
     view,
     isStoreWell: () => true,
     now,
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -30,6 +30,7 @@
     callers: { host: '10.1.0.8', port: 8784 },
     readiness: { host: '10.1.0.8', port: 8785 },
     metrics: undefined,
+    peer: undefined,
     store: { host: '10.200.1.7', port: 8783, minimumLeaseMs: 1000 },
     promotion: { host: '10.200.0.160', port: 8783 },
     gracePeriodMs: 6000,
@@ -37,10 +38,16 @@
   });
 });
 
-test('figures are told at the first port of the nodes', () => {
+test('figures are told at the first port of the nodes, and peers are heard at the last', () => {
   const ports = { ip_address: '10.1.0.8', internal_port_range: [7440, 7455] };
-  const { metrics } = settingsOf(ports)._unsafeUnwrap();
+  const { metrics, peer } = settingsOf(ports)._unsafeUnwrap();
   assert.equal(metrics, { host: '10.1.0.8', port: 7440 });
+  assert.equal(peer, { host: '10.1.0.8', port: 7455 });
+});
+
+test('with a single port, peers are not heard', () => {
+  const ports = { ip_address: '10.1.0.8', internal_port_range: [7440, 7440] };
+  assert.is(settingsOf(ports)._unsafeUnwrap().peer, undefined);
 });
 
 test('without the promotion duty there is no promotion call', () => {
