--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -74,6 +74,7 @@
     leasesRefused: 0,
     leasesLost: 0,
     leasesGiven: 0,
+    positionsTold: 0,
   };
   readonly #services = new Map<string, ServiceRuntime>();
   readonly #server: CallerServer;
@@ -156,6 +157,11 @@
     return count;
   }
 
+  /** Leases of other nodes at this one. */
+  get lentCount(): number {
+    return this.#relay.lentCount;
+  }
+
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
     this.#sampler = setInterval(() => {
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -19,6 +19,7 @@
   leasesRefused: 'such requests that an owner refused or did not answer',
   leasesLost: 'leased connections that ended with their owner or its link',
   leasesGiven: 'connections lent to other nodes',
+  positionsTold: 'positions of instances told to other nodes',
 };
 
 const PREFIX = 'meadowstack_direct_';
@@ -43,6 +44,7 @@
   gauge('sessions', 'sessions of callers that are open', gateway.sessionCount);
   gauge('instance_connections', 'connections to instances', gateway.connectionCount);
   gauge('leased_connections', 'connections that other nodes lend', gateway.leasedCount);
+  gauge('lent_connections', 'leases of other nodes at this one', gateway.lentCount);
   gauge('configuration_version', 'version in force, 0 before the first', gateway.version ?? 0);
   gauge('ready', '1 if new connections are taken', gateway.ready ? 1 : 0);
   return { contentType: registry.contentType, text: await registry.metrics() };
--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -101,6 +101,8 @@
   leasesRefused: number;
   leasesLost: number;
   leasesGiven: number;
+  /** Answers to others that asked for the position of an instance. */
+  positionsTold: number;
 }
 
 /** Who owns an instance, for the node that asks. */
--- a/src/direct/relay/lease-server.ts
+++ b/src/direct/relay/lease-server.ts
@@ -75,7 +75,9 @@
     const instance = this.options.find(request.service, request.instanceId);
     if (instance === undefined || this.#refusalOf(instance) !== undefined) return null;
     const position = await this.options.positions.read(instance.pool);
-    return position === undefined ? null : encodePosition(position);
+    if (position === undefined) return null;
+    this.options.counters.positionsTold += 1;
+    return encodePosition(position);
   }
 
   #refusalOf(instance: LendableInstance | undefined): LeaseRefusal | undefined {
--- a/src/direct/relay/relay-host.ts
+++ b/src/direct/relay/relay-host.ts
@@ -35,6 +35,11 @@
     return this.#relay.ownershipOf(instance, this.#roster);
   }
 
+  /** Leases of other nodes, in use or waited for. */
+  get lentCount(): number {
+    return this.#relay?.lentCount ?? 0;
+  }
+
   stopGranting(): void {
     this.#stopping = true;
     this.#relay?.stopGranting();
--- a/src/direct/relay/relay.ts
+++ b/src/direct/relay/relay.ts
@@ -66,6 +66,11 @@
     return { isOwned: false, lessor };
   }
 
+  /** Leases of other nodes, in use or waited for. */
+  get lentCount(): number {
+    return this.#server.size;
+  }
+
   /** Refuses new leases, so that others ask another owner. */
   stopGranting(): void {
     this.#server.stopGranting();
--- a/test/integration/direct/owners.test.ts
+++ b/test/integration/direct/owners.test.ts
@@ -3,10 +3,13 @@
 import * as assert from 'uvu/assert';
 import { DirectCluster } from '../../support/direct-cluster.js';
 import { LoadClient } from '../../support/direct-load.js';
+import type { RecordedSession } from '../../support/direct-session.js';
 import { until } from '../../support/until.js';
 
 const GATEWAYS = 5;
 const LEASED = 'meadowstack_direct_leases_asked_total';
+const LENT = 'meadowstack_direct_lent_connections';
+const POSITIONS = 'meadowstack_direct_positions_told_total';
 const GIVEN = 'meadowstack_direct_leases_given_total';
 
 let cluster: DirectCluster;
@@ -53,4 +56,75 @@
   await endWithNoRuleBroken();
 });
 
+interface LeasedTransaction {
+  readonly session: RecordedSession;
+  readonly gateway: number;
+  readonly owner: number;
+}
+
+/** A transaction that has written, at a gateway that leases the connection, and who lends it. */
+async function leasedTransaction(): Promise<LeasedTransaction> {
+  for (const gateway of cluster.gateways.keys()) {
+    const session = await cluster.open('intake', gateway);
+    await session.succeed(async () => {
+      await session.begin();
+      return session.write('lonely', 'never');
+    });
+    const lent = cluster.gateways.map((_, index) => cluster.figure(index, LENT));
+    const owner = (await Promise.all(lent)).indexOf(1);
+    if (owner >= 0) return { session, gateway, owner };
+    await session.rollback();
+    session.close();
+  }
+  throw new Error('no gateway leases');
+}
+
+test('an owner that is killed inside a transaction leaves nothing of it behind', async () => {
+  await start();
+  await until('leases', async () => (await total(POSITIONS)) > 0);
+  const { session, gateway, owner } = await leasedTransaction();
+  cluster.gateway(owner).process.kill('SIGKILL');
+  await cluster.gateway(owner).ended;
+  const commit = await session.commit();
+  assert.ok(['ABORTED', 'INDOUBT'].includes(commit.error?.code ?? ''), commit.error?.code);
+  const others = cluster.gateways.map((_, index) => index).filter((index) => index !== owner);
+  const steady = others.map((index) => load('intake', index, index));
+  await Promise.all(steady.map((client) => client.moreWrites(5)));
+  const reader = await cluster.open('intake', gateway);
+  assert.equal((await reader.succeed(() => reader.read('lonely'))).rows, ['-']);
+  await endWithNoRuleBroken();
+});
+
+test('an owner that is stopped as planned ends no transaction and refuses no statement', async () => {
+  await start();
+  await until('leases', async () => (await total(POSITIONS)) > 0);
+  const { session, owner } = await leasedTransaction();
+  const others = cluster.gateways.map((_, index) => index).filter((index) => index !== owner);
+  const steady = others.flatMap((index) => [
+    load('intake', index, index),
+    load('lookup', index, 9),
+  ]);
+  await Promise.all(steady.map((client) => client.moreReads(5)));
+  cluster.gateway(owner).process.kill('SIGTERM');
+  await until('it stops', () => cluster.gateway(owner).output().includes('"stopping"'));
+  assert.is((await session.write('lonely', 'kept')).state, 'T');
+  assert.is((await session.commit()).error, undefined);
+  assert.is(await cluster.gateway(owner).ended, 0);
+  await Promise.all(steady.map((client) => client.moreReads(20)));
+  for (const client of steady) assert.equal(client.errors, {});
+  await endWithNoRuleBroken();
+});
+
+test('a primary that crashes under leases is replaced, and sessions go on', async () => {
+  await start();
+  const steady = cluster.gateways.map((_, index) => load('assign', index, index));
+  await Promise.all(steady.map((client) => client.moreWrites(5)));
+  const old = (await cluster.platform.instances()).find(({ role }) => role === 'primary');
+  assert.ok(old);
+  await cluster.platform.set(`/instances/${old.id}/crash`);
+  await cluster.platform.newPrimary('orders', old.id);
+  await Promise.all(steady.map((client) => client.moreWrites(5)));
+  await endWithNoRuleBroken();
+});
+
 test.run();
--- /dev/null
+++ b/test/support/relay-fleet.ts
@@ -0,0 +1,125 @@
+/** Owners of one scripted instance and a node that leases from them, in this process over real links. */
+import { createServer, type Server, type Socket } from 'node:net';
+import { lineWire } from '../../platform/line-wire.js';
+import type { ReachableNode } from '../../src/core/ownership/owner-roster.js';
+import type { Milliseconds } from '../../src/core/units.js';
+import { type ConnectionRequest, InstancePool } from '../../src/direct/instance-pool.js';
+import type { LendableInstance, RelayCounters } from '../../src/direct/relay/contract.js';
+import { LeaseServer } from '../../src/direct/relay/lease-server.js';
+import { OwnerHealth } from '../../src/direct/relay/owner-health.js';
+import { OwnerLessor } from '../../src/direct/relay/owner-lessor.js';
+import { PositionReader } from '../../src/direct/relay/position-reader.js';
+import { TcpPeerTransport } from '../../src/peer/transport.js';
+import { listen } from '../../standins/common/process.js';
+import type { ScriptedInstance } from './scripted-instance.js';
+
+const HOST = '127.0.0.1';
+const HEARTBEAT_MS = 100;
+const REQUEST_MS = 10_000;
+const LIMIT = 2;
+
+const now = (): Milliseconds => performance.now();
+const NO_HANDLERS = { onStream: () => undefined, onCall: async () => null };
+
+export function newCounters(): RelayCounters {
+  return { leasesAsked: 0, leasesRefused: 0, leasesLost: 0, leasesGiven: 0, positionsTold: 0 };
+}
+
+/** A node that owns the instance. */
+export class TestOwner implements LendableInstance {
+  isOwned = true;
+  usable = true;
+  known = true;
+  readonly pool: InstancePool;
+  readonly server: LeaseServer;
+  readonly transport: TcpPeerTransport;
+  node: ReachableNode;
+
+  private constructor(nodeId: string, instance: ScriptedInstance) {
+    this.node = { nodeId, zone: 'a', host: HOST, port: 0 };
+    this.pool = new InstancePool(instance.entry, LIMIT, {
+      ...{ wire: lineWire, connectTimeoutMs: 500, reconnectDelayMs: 50, now, random: () => 0.5 },
+      counters: { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0 },
+    });
+    const positions = new PositionReader({ wire: lineWire, now });
+    const find = () => (this.known ? this : undefined);
+    this.server = new LeaseServer({ find, positions, counters: newCounters(), now });
+    this.transport = new TcpPeerTransport({
+      identity: { nodeId, incarnation: 1 },
+      handlers: this.server,
+      limits: { heartbeatMs: HEARTBEAT_MS },
+    });
+  }
+
+  static async start(nodeId: string, instance: ScriptedInstance): Promise<TestOwner> {
+    const owner = new TestOwner(nodeId, instance);
+    const address = (await owner.transport.listen({ host: HOST, port: 0 }))._unsafeUnwrap();
+    owner.node = { ...owner.node, ...address };
+    return owner;
+  }
+
+  isUsable(): boolean {
+    return this.usable;
+  }
+
+  async stop(): Promise<void> {
+    this.pool.destroy();
+    await this.transport.close();
+  }
+}
+
+/** A node's address where connections are taken and nothing is ever said. */
+export class SilentNode {
+  readonly #sockets: Socket[] = [];
+
+  private constructor(
+    private readonly server: Server,
+    readonly node: ReachableNode,
+  ) {
+    server.on('connection', (socket) => this.#sockets.push(socket));
+  }
+
+  static async start(nodeId: string): Promise<SilentNode> {
+    const server = createServer();
+    const port = await listen(server, HOST, 0);
+    return new SilentNode(server, { nodeId, zone: 'a', host: HOST, port });
+  }
+
+  stop(): void {
+    for (const socket of this.#sockets) socket.destroy();
+    this.server.close();
+  }
+}
+
+/** The node that owns nothing: its pool leases. */
+export class TestBorrower {
+  readonly counters = newCounters();
+  readonly health = new OwnerHealth(now);
+  readonly transport = new TcpPeerTransport({
+    identity: { nodeId: 'borrower', incarnation: 1 },
+    handlers: NO_HANDLERS,
+    limits: { heartbeatMs: HEARTBEAT_MS },
+  });
+  readonly pool: InstancePool;
+
+  constructor(instance: ScriptedInstance, owners: readonly ReachableNode[]) {
+    this.pool = new InstancePool(instance.entry, 0, {
+      ...{ wire: lineWire, connectTimeoutMs: 500, reconnectDelayMs: 50, now, random: () => 0.5 },
+      counters: { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0 },
+    });
+    const { transport, health, counters } = this;
+    const lessor = new OwnerLessor({
+      ...{ instance: instance.entry, owners, transport, health, counters, now },
+    });
+    this.pool.setLessor(lessor);
+  }
+
+  acquire(request: Partial<ConnectionRequest> = {}) {
+    const deadline = now() + REQUEST_MS;
+    return this.pool.acquire({ tenant: 't', priority: 1, values: new Map(), deadline, ...request });
+  }
+
+  async stop(): Promise<void> {
+    await this.transport.close();
+  }
+}
--- /dev/null
+++ b/test/unit/direct/relay.test.ts
@@ -0,0 +1,283 @@
+/** Leases of connections to an instance: what a lost owner, link or instance does to them. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { lineWire } from '../../../platform/line-wire.js';
+import type { StatementAnswer } from '../../../src/core/statements/statement.js';
+import {
+  InstanceConnectError,
+  type InstanceConnectionLostError,
+  InstanceOwnersUnreachableError,
+  InstanceWaitTimeoutError,
+} from '../../../src/direct/errors.js';
+import type { AnswerResult, InstanceConnection } from '../../../src/direct/instance-connection.js';
+import { synchronise } from '../../../src/direct/synchronise.js';
+import { SilentNode, TestBorrower, TestOwner } from '../../support/relay-fleet.js';
+import { ScriptedInstance } from '../../support/scripted-instance.js';
+import { until } from '../../support/until.js';
+
+let instance: ScriptedInstance;
+let owners: TestOwner[] = [];
+let borrower: TestBorrower;
+let silent: SilentNode | undefined;
+
+async function start(ownerCount: number): Promise<void> {
+  instance = await ScriptedInstance.start('i-1');
+  const names = Array.from({ length: ownerCount }, (_, index) => `owner-${index}`);
+  owners = await Promise.all(names.map((name) => TestOwner.start(name, instance)));
+  const nodes = owners.map(({ node }) => node);
+  borrower = new TestBorrower(instance, silent === undefined ? nodes : [silent.node, ...nodes]);
+}
+
+test.after.each(async () => {
+  await borrower.stop();
+  await Promise.all(owners.map((owner) => owner.stop()));
+  await instance.stop();
+  silent?.stop();
+  silent = undefined;
+});
+
+function owner(index: number): TestOwner {
+  return owners[index] as TestOwner;
+}
+
+async function lease(): Promise<InstanceConnection> {
+  return (await borrower.acquire())._unsafeUnwrap();
+}
+
+function ask(connection: InstanceConnection, text: string): Promise<AnswerResult> {
+  return connection.exchange(lineWire.encodeStatement('s1', text, undefined));
+}
+
+async function answerTo(connection: InstanceConnection, text: string): Promise<StatementAnswer> {
+  return (await ask(connection, text))._unsafeUnwrap();
+}
+
+async function lossOf(exchange: Promise<AnswerResult>): Promise<InstanceConnectionLostError> {
+  return (await exchange)._unsafeUnwrapErr();
+}
+
+test('a statement passes unchanged, and its answer comes back as the instance wrote it', async () => {
+  await start(1);
+  const connection = await lease();
+  const { payload, error, state, position } = await answerTo(connection, 'WRITE k \xe9\xff v');
+  assert.is(payload, 'ROW WRITE k \xe9\xff v\r\nCOMPLETE sig-WRITE k \xe9\xff v\r\n');
+  assert.equal([error, state], [undefined, 'idle']);
+  assert.equal(position, { timeline: 1, lsn: 2n });
+  borrower.pool.release(connection);
+  assert.equal(instance.heard, [{ connection: 1, text: 'WRITE k \xe9\xff v' }]);
+});
+
+test('values and prepared statements of a connection travel with the lease, both ways', async () => {
+  await start(1);
+  const first = await lease();
+  const prepared = { access: 'read', shape: 'q1', sharedName: 'p1' } as const;
+  synchronise(first, new Map([['tz', 'utc']]), prepared, lineWire);
+  await answerTo(first, 'READ a');
+  borrower.pool.release(first);
+  await until('the connection is back', () => owner(0).server.size === 0);
+  const second = await lease();
+  assert.equal([...second.values], [['tz', 'utc']]);
+  assert.equal([...second.preparedNames], ['p1']);
+  synchronise(second, new Map(), undefined, lineWire);
+  await answerTo(second, 'READ b');
+  borrower.pool.release(second);
+  const texts = instance.heard.map(({ text }) => text);
+  assert.equal(texts, ['SET tz utc', 'PREPARE p1 READ q1', 'READ a', 'RESET', 'READ b']);
+  assert.is(instance.connectionCount, 1);
+});
+
+test('an owner that says nothing is passed over before anything was sent', async () => {
+  silent = await SilentNode.start('silent');
+  await start(1);
+  const connection = await lease();
+  await answerTo(connection, 'READ a');
+  borrower.pool.release(connection);
+  assert.ok(borrower.health.isAvoided('silent'));
+  assert.is(borrower.counters.leasesAsked, 2);
+});
+
+test('an owner that is gone is passed over, and no owner at all is told as not sent', async () => {
+  await start(2);
+  await owner(0).stop();
+  const connection = await lease();
+  await answerTo(connection, 'READ a');
+  borrower.pool.release(connection);
+  await owner(1).stop();
+  const failed = await borrower.acquire();
+  assert.instance(failed._unsafeUnwrapErr(), InstanceOwnersUnreachableError);
+  assert.is(instance.heard.length, 1);
+});
+
+test('a link that is lost after the grant and before the statement: nothing has run', async () => {
+  await start(2);
+  const connection = await lease();
+  await owner(0).transport.close();
+  await until('the lease is over', () => connection.closed);
+  const lost = await lossOf(ask(connection, 'WRITE k v'));
+  assert.is(lost.code, 'MS-INSTANCE-CONNECTION-LOST');
+  assert.is(borrower.counters.leasesLost, 1);
+  const other = await lease();
+  await answerTo(other, 'WRITE k v');
+  borrower.pool.release(other);
+  assert.is(instance.heard.filter(({ text }) => text === 'WRITE k v').length, 1);
+});
+
+test('a link that is lost after the statement was handed over: it may have run', async () => {
+  await start(2);
+  instance.hold = 'WRITE';
+  const connection = await lease();
+  const exchange = ask(connection, 'WRITE k v');
+  await instance.hears('WRITE k v');
+  await owner(0).transport.close();
+  assert.is((await lossOf(exchange)).fault, 'owner');
+  assert.ok(borrower.health.isAvoided('owner-0'));
+  await until('the instance is left', () => instance.ended.includes(1));
+});
+
+test('an open transaction ends with its link: the owner closes the connection', async () => {
+  await start(1);
+  const connection = await lease();
+  assert.is((await answerTo(connection, 'BEGIN')).state, 'open');
+  connection.close();
+  await until('the instance is left', () => instance.ended.includes(1));
+  assert.is(owner(0).server.size, 0);
+});
+
+test('a connection that is given back inside a transaction is not used again', async () => {
+  await start(1);
+  const connection = await lease();
+  await answerTo(connection, 'BEGIN');
+  borrower.pool.release(connection);
+  await until('the instance is left', () => instance.ended.includes(1));
+  const next = await lease();
+  await answerTo(next, 'READ a');
+  borrower.pool.release(next);
+  assert.is((await instance.hears('READ a')).connection, 2);
+});
+
+test('an answer that comes after its lease was given up reaches nobody', async () => {
+  await start(1);
+  instance.hold = 'READ late';
+  const first = await lease();
+  const exchange = ask(first, 'READ late');
+  await instance.hears('READ late');
+  first.close();
+  assert.is((await lossOf(exchange)).fault, 'instance');
+  const second = await lease();
+  const answer = answerTo(second, 'READ mine');
+  instance.answerHeld();
+  assert.match((await answer).payload, 'ROW READ mine');
+  borrower.pool.release(second);
+});
+
+test('an instance that ends its connection is told apart from an owner that is lost', async () => {
+  await start(1);
+  instance.hold = 'WRITE';
+  const connection = await lease();
+  const exchange = ask(connection, 'WRITE k v');
+  await instance.hears('WRITE k v');
+  owner(0).pool.destroy();
+  assert.is((await lossOf(exchange)).fault, 'instance');
+  assert.not(borrower.health.isAvoided('owner-0'));
+});
+
+test('a stopping owner refuses new leases at once, and those in use finish', async () => {
+  await start(2);
+  const connection = await lease();
+  await answerTo(connection, 'BEGIN');
+  owner(0).server.stopGranting();
+  const other = await lease();
+  await answerTo(other, 'READ elsewhere');
+  borrower.pool.release(other);
+  await until('the other owner was asked', () => owner(1).pool.size === 1);
+  assert.is((await answerTo(connection, 'WRITE k v inside')).state, 'open');
+  assert.is((await answerTo(connection, 'COMMIT')).state, 'idle');
+  borrower.pool.release(connection);
+  await owner(0).server.drained(Number.POSITIVE_INFINITY);
+  assert.is(owner(0).pool.size, 1);
+});
+
+test('an owner that knows no such instance, or does not own it, is passed over', async () => {
+  await start(3);
+  owner(0).known = false;
+  owner(1).isOwned = false;
+  const connection = await lease();
+  await answerTo(connection, 'READ a');
+  borrower.pool.release(connection);
+  assert.equal(
+    owners.map(({ pool }) => pool.size),
+    [0, 0, 1],
+  );
+});
+
+test('an owner that knows the instance to leave lends no connection', async () => {
+  await start(2);
+  owner(0).usable = false;
+  assert.instance((await borrower.acquire())._unsafeUnwrapErr(), InstanceWaitTimeoutError);
+  assert.is(instance.connectionCount, 0);
+});
+
+test('nothing new is handed over to a leaving instance, but an open transaction goes on', async () => {
+  await start(1);
+  const fresh = await lease();
+  const inside = await lease();
+  await answerTo(inside, 'BEGIN');
+  owner(0).usable = false;
+  const refused = await answerTo(fresh, 'WRITE k v');
+  assert.is(refused.error?.code, 'busy');
+  assert.is((await answerTo(inside, 'COMMIT')).error, undefined);
+  assert.not(instance.heard.some(({ text }) => text === 'WRITE k v'));
+});
+
+test('messages that are refused together end no connection before all of them are told', async () => {
+  await start(1);
+  const connection = await lease();
+  owner(0).usable = false;
+  connection.cork();
+  synchronise(connection, new Map([['tz', 'utc']]), undefined, lineWire);
+  const exchange = ask(connection, 'WRITE k v');
+  connection.uncork();
+  assert.is((await exchange)._unsafeUnwrap().error?.code, 'busy');
+});
+
+test('an instance that its owner can not reach is told as unreachable', async () => {
+  await start(2);
+  await instance.stop();
+  const failed = await borrower.acquire();
+  assert.instance(failed._unsafeUnwrapErr(), InstanceConnectError);
+  assert.is(borrower.counters.leasesAsked, 1);
+  instance = await ScriptedInstance.start('i-2');
+});
+
+test('leases wait their turn with the owner, and one that is given up leaves the queue', async () => {
+  await start(1);
+  const held = [await lease(), await lease()];
+  const soon = performance.now() + 100;
+  const late = await borrower.acquire({ deadline: soon });
+  assert.instance(late._unsafeUnwrapErr(), InstanceWaitTimeoutError);
+  const waiting = lease();
+  for (const connection of held) borrower.pool.release(connection);
+  borrower.pool.release(await waiting);
+  await until('all are back', () => owner(0).server.size === 0);
+  assert.is(instance.connectionCount, 2);
+});
+
+test('one question to the instance tells its position to all who ask meanwhile', async () => {
+  await start(1);
+  const asked = Array.from({ length: 20 }, () => borrower.pool.lessor?.position(2000));
+  const answers = await Promise.all(asked);
+  for (const position of answers) assert.equal(position, { timeline: 1, lsn: 2n });
+  assert.is(instance.heard.length, 1);
+});
+
+test('what is no request for a lease is refused', async () => {
+  await start(1);
+  const stream = borrower.transport.openStream(owner(0).node, { type: 'lease', service: 7 });
+  const ended = new Promise((resolve) => {
+    stream.onClose = resolve;
+  });
+  assert.ok(await ended);
+  assert.is(owner(0).server.size, 0);
+});
+
+test.run();
