Owners: nodes that hold no connections to an instance ask it nothing by themselves

A change of primary made every node open a control connection to the old one to demote it, and a proof without a lease made every node ask all members for their status: an instance of 34 connections refuses that in a fleet of hundreds.

--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -1,4 +1,5 @@
 /** Times of the promotion machine. */
+import type { InstanceEntry } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { PromotionMechanism } from './contract.js';
 import type { PeerPlace } from './records.js';
@@ -115,6 +116,8 @@
   readonly peer?: PeerPlace | undefined;
   /** Larger fleets share connections through owners; by default the instances' limits decide. */
   readonly largestDirectFleet?: number | undefined;
+  /** Whether this node may open connections to an instance; by default it may. */
+  readonly mayConnect?: ((instance: InstanceEntry) => boolean) | undefined;
   /** Numbers in [0, 1). */
   readonly random: () => number;
   /** For tests only. */
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -171,12 +171,14 @@
   /**
    * The leader may be cut off from an old primary that this node reaches, and that may still get
    * commits acknowledged: this node demotes it too, and tells the end of its log. A planned change
-   * leaves this to the leader, which waits until no node has a write on its way.
+   * leaves this to the leader, which waits until no node has a write on its way. In a fleet with
+   * owners only these do it: the instance has no connections for all.
    */
   #demote(service: string, state: AcknowledgementState): void {
     const { from, term, planned } = state.record;
+    const { mayConnect } = this.runtime.options;
     const instance = planned ? undefined : this.instanceOf(from);
-    if (instance === undefined) {
+    if (instance === undefined || mayConnect?.(instance) === false) {
       this.#write(service, state, 0);
       return;
     }
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -216,6 +216,11 @@
     }
   }
 
+  /** False while other nodes hold the connections to an instance. */
+  mayConnect(service: string, instanceId: string): boolean {
+    return this.#services.get(service)?.lendable(instanceId)?.mayConnect ?? true;
+  }
+
   /** Resolves once no write of this node is on its way to the service's instances. */
   async writesEnded(service: string): Promise<void> {
     await this.#services.get(service)?.writesEnded();
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -37,6 +37,8 @@
   readonly peer?: PeerPlace | undefined;
   /** Larger fleets share connections through owners; by default the instances' limits decide. */
   readonly largestDirectFleet?: number | undefined;
+  /** Whether this node may open connections to an instance; by default it may. */
+  readonly mayConnect?: (instance: InstanceEntry) => boolean;
   readonly store: Store;
   readonly control: InstanceControl;
   readonly promotion: BoundedPromotionCaller;
@@ -77,6 +79,7 @@
       incarnation,
       peer: options.peer,
       largestDirectFleet: options.largestDirectFleet,
+      mayConnect: options.mayConnect,
       timings: { ...timings, leaseSeconds },
       random: options.random ?? Math.random,
     });
@@ -135,6 +138,10 @@
   }
 
   confirmPrimary(service: string, instance: string, use: TrustedUse): Promise<boolean> {
+    // Where owners hold the connections, an instance has none left for this node's questions.
+    const { mayConnect = () => true } = this.options;
+    const members = this.#machine.membersOf(service);
+    if (!members.every((member) => mayConnect(member))) return Promise.resolve(false);
     return this.#confirmation.confirm(service, instance, use);
   }
 
--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -89,6 +89,8 @@
   readonly pool: InstancePool;
   /** Whether this node holds connections to it for others. */
   readonly isOwned: boolean;
+  /** Whether this node connects to it at all: as an owner, or since there are none. */
+  readonly mayConnect: boolean;
   isUsable(now: Milliseconds): boolean;
 }
 
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -60,6 +60,10 @@
     private readonly isStoreWell: () => boolean,
   ) {}
 
+  get mayConnect(): boolean {
+    return this.ownership === undefined || this.ownership.isOwned;
+  }
+
   get isOwned(): boolean {
     return this.ownership?.isOwned === true;
   }
--- a/test/support/relay-fleet.ts
+++ b/test/support/relay-fleet.ts
@@ -28,6 +28,7 @@
 /** A node that owns the instance. */
 export class TestOwner implements LendableInstance {
   isOwned = true;
+  readonly mayConnect = true;
   usable = true;
   known = true;
   readonly pool: InstancePool;
