--- a/src/core/promotion/fleet-publisher.ts
+++ b/src/core/promotion/fleet-publisher.ts
@@ -27,7 +27,16 @@
   }
 
   publish(onDone: () => void): void {
-    this.store.publishFleet(this.#current(this.store.publishedFleet()), onDone);
+    const published = this.store.publishedFleet();
+    const fleet = this.#current(published);
+    if (fleet.owners?.ownersPerInstance !== published?.owners?.ownersPerInstance) this.#tell(fleet);
+    this.store.publishFleet(fleet, onDone);
+  }
+
+  #tell({ nodes, owners }: FleetRecord): void {
+    const ownersPerInstance = owners?.ownersPerInstance;
+    const through = owners === undefined ? 'all nodes' : 'owners';
+    this.runtime.log('info', 'connections shared', { through, nodes, ownersPerInstance });
   }
 
   #current(published: FleetRecord | undefined): FleetRecord {
