--- a/test/integration/direct/owners.test.ts
+++ b/test/integration/direct/owners.test.ts
@@ -1,4 +1,5 @@
 /** Fleets too large for every node to connect to every instance: statements pass through owners. */
+import { setTimeout as pause } from 'node:timers/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { DirectCluster } from '../../support/direct-cluster.js';
@@ -7,6 +8,8 @@
 import { until } from '../../support/until.js';
 
 const GATEWAYS = 5;
+const TRANSACTION_STEPS = 8;
+const TRANSACTION_PAUSE_MS = 350;
 const LEASED = 'meadowstack_direct_leases_asked_total';
 const LENT = 'meadowstack_direct_lent_connections';
 const POSITIONS = 'meadowstack_direct_positions_told_total';
@@ -107,7 +110,11 @@
   await Promise.all(steady.map((client) => client.moreReads(5)));
   cluster.gateway(owner).process.kill('SIGTERM');
   await until('it stops', () => cluster.gateway(owner).output().includes('"stopping"'));
-  assert.is((await session.write('lonely', 'kept')).state, 'T');
+  // Longer than the owner's own sessions go on, and less than half of its grace period.
+  for (let step = 0; step < TRANSACTION_STEPS; step += 1) {
+    assert.is((await session.write('lonely', `kept-${step}`)).state, 'T');
+    await pause(TRANSACTION_PAUSE_MS);
+  }
   assert.is((await session.commit()).error, undefined);
   assert.is(await cluster.gateway(owner).ended, 0);
   await Promise.all(steady.map((client) => client.moreReads(20)));
--- a/test/unit/direct/relay.test.ts
+++ b/test/unit/direct/relay.test.ts
@@ -89,7 +89,9 @@
 test('an owner that says nothing is passed over before anything was sent', async () => {
   silent = await SilentNode.start('silent');
   await start(1);
-  const connection = await lease();
+  // Before the link's own handshake is given up.
+  const deadline = performance.now() + 2000;
+  const connection = (await borrower.acquire({ deadline }))._unsafeUnwrap();
   await answerTo(connection, 'READ a');
   borrower.pool.release(connection);
   assert.ok(borrower.health.isAvoided('silent'));
