--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -2,7 +2,6 @@
  * The direct gateway put together: routes and instances come in, callers are served, and a planned
  * stop ends it without cutting what runs.
  */
-import type { Position } from '../core/position.js';
 import type { Milliseconds } from '../core/units.js';
 import { CallerServer } from './caller-server.js';
 import type { RouteLookup, SessionCounters } from './caller-session.js';
@@ -12,12 +11,12 @@
   PublishedConfiguration,
   RouteDescription,
 } from './contract.js';
-import { ownRequest, type PoolCounters } from './instance-pool.js';
-import { askPosition } from './position-question.js';
+import type { PoolCounters } from './instance-pool.js';
+import { PositionSampler, type SamplerCounters } from './position-sampler.js';
 import type { PrimaryView } from './promotion/contract.js';
 import type { RelayCounters } from './relay/contract.js';
 import { RelayHost } from './relay/relay-host.js';
-import { type InstanceRuntime, ServiceRuntime } from './service-runtime.js';
+import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
 import { type ProverCounters, TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
@@ -25,10 +24,8 @@
 
 const CONNECT_TIMEOUT_MS = 500;
 const RECONNECT_DELAY_MS = 200;
-/** The primary's log position is asked for when the newest known one is older than this. */
-const SAMPLE_INTERVAL_MS = 400;
-const SAMPLE_CHECK_MS = 100;
-const SAMPLE_TIMEOUT_MS = 500;
+/** How often shares, positions and surplus connections are looked at. */
+const CHECK_MS = 100;
 /** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
 const DRAIN_DELAY_MS = 2200;
 const DRAIN_CHECK_MS = 50;
@@ -54,9 +51,8 @@
   extends SessionCounters,
     PoolCounters,
     ProverCounters,
-    RelayCounters {
-  samplesAsked: number;
-}
+    RelayCounters,
+    SamplerCounters {}
 
 export class DirectGateway implements RouteLookup {
   readonly counters: DirectCounters = {
@@ -88,8 +84,8 @@
   #nodeCountSeenAt: Milliseconds | undefined;
   readonly #createdAt: Milliseconds;
   #stopping = false;
-  #sampler: NodeJS.Timeout | undefined;
-  readonly #sampling = new Set<string>();
+  #checks: NodeJS.Timeout | undefined;
+  readonly #sampler: PositionSampler;
   readonly #firstConfiguration: Promise<true>;
   #tellFirstConfiguration: () => void = () => {};
 
@@ -106,6 +102,10 @@
       confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId, 'read'),
     });
     this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
+    this.#sampler = new PositionSampler({
+      ...{ wire, view, now, prover: this.#prover, runner: this.#runner },
+      counters: this.counters,
+    });
     this.#relay = new RelayHost({
       nodeName: options.settings.nodeName,
       listen: options.settings.peer,
@@ -164,12 +164,12 @@
 
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
-    this.#sampler = setInterval(() => {
+    this.#checks = setInterval(() => {
       this.#shareConnections();
       this.#relay.update(this.options.view.ownerRoster());
-      this.#samplePositions();
+      this.#sampler.sample(this.#servicesToSample());
       for (const service of this.#services.values()) service.trim();
-    }, SAMPLE_CHECK_MS);
+    }, CHECK_MS);
   }
 
   find(database: string): ReturnType<RouteLookup['find']> {
@@ -254,7 +254,7 @@
     await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
     await this.#relay.drained(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
     this.#server.close();
-    clearInterval(this.#sampler);
+    clearInterval(this.#checks);
     for (const service of this.#services.values()) service.close();
     this.#relay.close();
   }
@@ -291,76 +291,12 @@
   }
 
   /** Only services whose routes allow reads of some age need fresh positions. */
-  #samplePositions(): void {
-    const wanted = new Set<string>();
+  #servicesToSample(): Set<ServiceRuntime> {
+    const wanted = new Set<ServiceRuntime>();
     for (const route of this.#routes.values()) {
-      if (route.maxStalenessMs > 0) wanted.add(route.service);
-    }
-    const now = this.options.now();
-    for (const name of wanted) {
-      const service = this.#services.get(name);
-      const newest = service?.samples.newestAt() ?? Number.NEGATIVE_INFINITY;
-      if (service === undefined || this.#sampling.has(name)) continue;
-      if (now - newest < SAMPLE_INTERVAL_MS) continue;
-      void this.#samplePosition(service);
-    }
-  }
-
-  /** Asks the primary for its position by a message that takes no slot there. */
-  async #samplePosition(service: ServiceRuntime): Promise<void> {
-    const { now, wire } = this.options;
-    const primary = service.primary(now());
-    if (primary === undefined) return;
-    this.#sampling.add(service.name);
-    this.counters.samplesAsked += 1;
-    const deadline = now() + SAMPLE_TIMEOUT_MS;
-    if (primary.pool.lessor !== undefined) {
-      await this.#sampleThroughOwner(service, primary, deadline);
-      this.#sampling.delete(service.name);
-      return;
+      const service = route.maxStalenessMs > 0 ? this.#services.get(route.service) : undefined;
+      if (service !== undefined) wanted.add(service);
     }
-    const acquired = await primary.pool.acquire(ownRequest(deadline));
-    if (acquired.isErr()) {
-      this.#runner.noteUnreachable({ service }, primary, acquired.error);
-    } else {
-      const connection = acquired.value;
-      const sentAt = now();
-      connection.values.clear();
-      connection.preparedNames.clear();
-      const exchange = connection.exchange(wire.encodeReset());
-      const answer = await this.#runner.awaitAnswer(exchange, connection, primary, deadline);
-      if (answer?.isOk() === true) {
-        primary.pool.release(connection);
-        await this.#noteSample(service, primary, sentAt, answer.value.position);
-      } else {
-        this.#runner.noteFailure({ service }, primary);
-      }
-    }
-    this.#sampling.delete(service.name);
-  }
-
-  /** An owner that can't tell says nothing of the primary: nothing is reported of it. */
-  async #sampleThroughOwner(
-    service: ServiceRuntime,
-    primary: InstanceRuntime,
-    deadline: Milliseconds,
-  ): Promise<void> {
-    const { now, wire } = this.options;
-    const sentAt = now();
-    const position = await askPosition({ pool: primary.pool, wire, now, deadline });
-    if (position !== undefined) await this.#noteSample(service, primary, sentAt, position);
-  }
-
-  async #noteSample(
-    service: ServiceRuntime,
-    primary: InstanceRuntime,
-    sentAt: Milliseconds,
-    position: Position | undefined,
-  ): Promise<void> {
-    const { now, view } = this.options;
-    const isTrusted = view.mayTrustPrimary(service.name, now());
-    const isProven = !isTrusted && (await this.#prover.prove(service));
-    service.noteAnswer(primary, sentAt, position, isProven);
-    view.reportPrimarySuccess(service.name, now());
+    return wanted;
   }
 }
