--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -1,6 +1,8 @@
 /** Times of the promotion machine. */
+import type { InstanceEntry } from '../../direct/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { PromotionMechanism } from './contract.js';
+import type { PeerPlace } from './records.js';
 
 /** Times and bounds; the defaults suit a store that answers within some ten milliseconds. */
 export interface PromotionTimings {
@@ -113,6 +115,12 @@
   /** Differs with every start of the process. */
   readonly incarnation: string;
   readonly timings: PromotionTimings;
+  /** Where other nodes reach this one; absent if they can't. */
+  readonly peer?: PeerPlace | undefined;
+  /** Larger fleets share connections through owners; by default the instances' limits decide. */
+  readonly largestDirectFleet?: number | undefined;
+  /** Whether this node may open connections to an instance; by default it may. */
+  readonly mayConnect?: ((instance: InstanceEntry) => boolean) | undefined;
   /** Numbers in [0, 1). */
   readonly random: () => number;
   /** For tests only. */
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -13,6 +13,7 @@
   type ChangingRecord,
   decodeRecord,
   encodeAcknowledgement,
+  type NodeRecord,
   nodeForm,
   nodeKeyOf,
   type PrimaryRecord,
@@ -96,12 +97,12 @@
   }
 
   #register(leaseId: string, knownRevision: number): void {
-    const { nodeName, incarnation } = this.runtime.options;
+    const { nodeName, incarnation, peer } = this.runtime.options;
     const key = nodeKeyOf(nodeName);
     const put = {
       type: 'put',
       key,
-      value: JSON.stringify({ incarnation, leaseId }),
+      value: JSON.stringify({ incarnation, leaseId, peer } satisfies NodeRecord),
       leaseId,
     } as const;
     const compares = [{ key, modRevision: knownRevision }];
@@ -179,12 +180,14 @@
    * The leader may be cut off from an old primary that this node reaches, and that may still get
    * commits acknowledged: this node demotes it too, and tells the end of its log. A planned change
    * leaves this to the leader, which waits until no node has a write on its way. A silent one is
-   * not waited for long: what it tells later is written later.
+   * not waited for long: what it tells later is written later. In a fleet with owners only these do
+   * it: the instance has no connections for all.
    */
   #demote(service: string, state: AcknowledgementState): void {
     const { from, term, planned } = state.record;
+    const { mayConnect } = this.runtime.options;
     const instance = planned ? undefined : this.instanceOf(from);
-    if (instance === undefined) {
+    if (instance === undefined || mayConnect?.(instance) === false) {
       this.#write(service, state, 0);
       return;
     }
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -11,8 +11,11 @@
   PublishedConfiguration,
   RouteDescription,
 } from './contract.js';
-import { ownRequest, type PoolCounters } from './instance-pool.js';
+import type { PoolCounters } from './instance-pool.js';
+import { PositionSampler, type SamplerCounters } from './position-sampler.js';
 import type { PrimaryView } from './promotion/contract.js';
+import type { RelayCounters } from './relay/contract.js';
+import { RelayHost } from './relay/relay-host.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
 import { type ProverCounters, TrustProver } from './trust-prover.js';
@@ -21,15 +24,8 @@
 
 const CONNECT_TIMEOUT_MS = 500;
 const RECONNECT_DELAY_MS = 200;
-/** The primary's log position is asked for when the newest known one is older than this. */
-const SAMPLE_INTERVAL_MS = 400;
-/**
- * The same at the node that watches the primaries. An answer to this question, which takes no slot,
- * saves it the probe that does; with the pause between checks it has to come before that is due.
- */
-const WATCHER_SAMPLE_INTERVAL_MS = 250;
-const SAMPLE_CHECK_MS = 100;
-const SAMPLE_TIMEOUT_MS = 500;
+/** How often shares, positions and surplus connections are looked at. */
+const CHECK_MS = 100;
 /** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
 const DRAIN_DELAY_MS = 2200;
 const DRAIN_CHECK_MS = 50;
@@ -51,9 +47,12 @@
   readonly random: () => number;
 }
 
-export interface DirectCounters extends SessionCounters, PoolCounters, ProverCounters {
-  samplesAsked: number;
-}
+export interface DirectCounters
+  extends SessionCounters,
+    PoolCounters,
+    ProverCounters,
+    RelayCounters,
+    SamplerCounters {}
 
 export class DirectGateway implements RouteLookup {
   readonly counters: DirectCounters = {
@@ -67,11 +66,17 @@
     samplesAsked: 0,
     proofRounds: 0,
     proofsFailed: 0,
+    leasesAsked: 0,
+    leasesRefused: 0,
+    leasesLost: 0,
+    leasesGiven: 0,
+    positionsTold: 0,
   };
   readonly #services = new Map<string, ServiceRuntime>();
   readonly #server: CallerServer;
   readonly #prover: TrustProver;
   readonly #runner: StatementRunner;
+  readonly #relay: RelayHost;
   #routes = new Map<string, RouteDescription>();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
@@ -79,8 +84,8 @@
   #nodeCountSeenAt: Milliseconds | undefined;
   readonly #createdAt: Milliseconds;
   #stopping = false;
-  #sampler: NodeJS.Timeout | undefined;
-  readonly #sampling = new Set<string>();
+  #checks: NodeJS.Timeout | undefined;
+  readonly #sampler: PositionSampler;
   readonly #firstConfiguration: Promise<true>;
   #tellFirstConfiguration: () => void = () => {};
 
@@ -97,6 +102,21 @@
       confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId, 'read'),
     });
     this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
+    this.#sampler = new PositionSampler({
+      ...{ wire, view, now, prover: this.#prover, runner: this.#runner },
+      counters: this.counters,
+    });
+    this.#relay = new RelayHost({
+      nodeName: options.settings.nodeName,
+      listen: options.settings.peer,
+      wire,
+      find: (service, instanceId) => this.#services.get(service)?.lendable(instanceId),
+      counters: this.counters,
+      now,
+    });
+    this.#relay.onChange = () => {
+      for (const service of this.#services.values()) service.setOwners();
+    };
     this.#server = new CallerServer({
       wire,
       runner: this.#runner,
@@ -130,13 +150,26 @@
     return count;
   }
 
+  /** Connections that other nodes lend now. */
+  get leasedCount(): number {
+    let count = 0;
+    for (const service of this.#services.values()) count += service.leasedCount;
+    return count;
+  }
+
+  /** Leases of other nodes at this one. */
+  get lentCount(): number {
+    return this.#relay.lentCount;
+  }
+
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
-    this.#sampler = setInterval(() => {
+    this.#checks = setInterval(() => {
       this.#shareConnections();
-      this.#samplePositions();
+      this.#relay.update(this.options.view.ownerRoster());
+      this.#sampler.sample(this.#servicesToSample());
       for (const service of this.#services.values()) service.trim();
-    }, SAMPLE_CHECK_MS);
+    }, CHECK_MS);
   }
 
   find(database: string): ReturnType<RouteLookup['find']> {
@@ -183,6 +216,11 @@
     }
   }
 
+  /** False while other nodes hold the connections to an instance. */
+  mayConnect(service: string, instanceId: string): boolean {
+    return this.#services.get(service)?.lendable(instanceId)?.mayConnect ?? true;
+  }
+
   /** Resolves once no write of this node is on its way to the service's instances. */
   async writesEnded(service: string): Promise<void> {
     await this.#services.get(service)?.writesEnded();
@@ -208,14 +246,17 @@
     this.#stopping = true;
     const { now, settings } = this.options;
     const stoppedAt = now();
+    this.#relay.stopGranting();
     await pause(Math.min(DRAIN_DELAY_MS, settings.gracePeriodMs * TRANSACTION_GRACE_SHARE));
     this.#server.drain(false);
     await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * TRANSACTION_GRACE_SHARE);
     this.#server.drain(true);
     await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
+    await this.#relay.drained(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
     this.#server.close();
-    clearInterval(this.#sampler);
+    clearInterval(this.#checks);
     for (const service of this.#services.values()) service.close();
+    this.#relay.close();
   }
 
   async #sessionsEnded(deadline: Milliseconds): Promise<void> {
@@ -231,6 +272,7 @@
     const service = new ServiceRuntime(name, {
       nodeCount: this.#nodeCount,
       zone: settings.zone,
+      ownership: this.#relay,
       drainTimeoutMs: settings.drainTimeoutMs,
       view,
       isStoreWell,
@@ -249,51 +291,12 @@
   }
 
   /** Only services whose routes allow reads of some age need fresh positions. */
-  #samplePositions(): void {
-    const wanted = new Set<string>();
+  #servicesToSample(): Set<ServiceRuntime> {
+    const wanted = new Set<ServiceRuntime>();
     for (const route of this.#routes.values()) {
-      if (route.maxStalenessMs > 0) wanted.add(route.service);
-    }
-    const { view } = this.options;
-    const now = this.options.now();
-    const intervalMs = view.watchesPrimaries ? WATCHER_SAMPLE_INTERVAL_MS : SAMPLE_INTERVAL_MS;
-    for (const name of wanted) {
-      const service = this.#services.get(name);
-      const newest = service?.samples.newestAt() ?? Number.NEGATIVE_INFINITY;
-      if (service === undefined || this.#sampling.has(name)) continue;
-      if (now - newest < intervalMs) continue;
-      void this.#samplePosition(service);
-    }
-  }
-
-  /** Asks the primary for its position by a message that takes no slot there. */
-  async #samplePosition(service: ServiceRuntime): Promise<void> {
-    const { now, view, wire } = this.options;
-    const primary = service.primary(now());
-    if (primary === undefined) return;
-    this.#sampling.add(service.name);
-    this.counters.samplesAsked += 1;
-    const deadline = now() + SAMPLE_TIMEOUT_MS;
-    const acquired = await primary.pool.acquire(ownRequest(deadline));
-    if (acquired.isErr()) {
-      this.#runner.noteUnreachable({ service }, primary, acquired.error);
-    } else {
-      const connection = acquired.value;
-      const sentAt = now();
-      connection.values.clear();
-      connection.preparedNames.clear();
-      const exchange = connection.exchange(wire.encodeReset());
-      const answer = await this.#runner.awaitAnswer(exchange, connection, primary, deadline);
-      if (answer?.isOk() === true) {
-        primary.pool.release(connection);
-        const isTrusted = view.mayTrustPrimary(service.name, now());
-        const isProven = !isTrusted && (await this.#prover.prove(service));
-        service.noteAnswer(primary, sentAt, answer.value.position, isProven);
-        view.reportPrimarySuccess(service.name, now());
-      } else {
-        this.#runner.noteFailure({ service }, primary);
-      }
+      const service = route.maxStalenessMs > 0 ? this.#services.get(route.service) : undefined;
+      if (service !== undefined) wanted.add(service);
     }
-    this.#sampling.delete(service.name);
+    return wanted;
   }
 }
--- a/src/direct/transaction-opening.ts
+++ b/src/direct/transaction-opening.ts
@@ -74,7 +74,7 @@
   const begun = await firstWithin([exchange], patienceMs);
   if (begun === undefined || begun.isErr()) {
     connection.close();
-    runner.noteFailure(placement, instance);
+    runner.noteNoAnswer(placement, instance, connection, begun);
     return err(failureToOpen(instance, 'no answer to BEGIN'));
   }
   const { error, state } = begun.value;
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -34,6 +34,7 @@
     reportPrimaryFailure: () => {},
     reportPrimarySuccess: () => {},
     liveNodeCount: () => 1,
+    ownerRoster: () => undefined,
   };
 }
 
