Take back transactions opened ahead of their first statement: PINNED once when a primary goes dark

Read from the code, not reproduced: the first statement goes to a primary that went dark after it had begun, is repeated elsewhere after no answer, and runs at the old one too when that is back. Opening ahead stretches the time between the two from nothing to a pause of the caller. The hazard is smaller without, and still there: it stands among the residual risks.

--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -241,12 +241,6 @@
     this.#transaction = new Transaction(readOnly, found.route, found.service, this.options.runner);
     this.#state = 'open';
     this.#complete();
-    this.#transaction.openAhead({
-      ...this.#request(found.route, found.service),
-      access: 'read',
-      prepared: undefined,
-      encode: () => '',
-    });
   }
 
   async #commit(message: StatementMessage): Promise<void> {
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -2,6 +2,7 @@
  * One transaction of a session: nothing is opened before its first statement, which chooses the
  * instance; from then on it owns one connection until its end.
  */
+import type { Position } from '../core/position.js';
 import type { Access } from '../core/request.js';
 import { isNotRun, type StatementAnswer } from '../core/statements/statement.js';
 import type { RouteDescription } from './contract.js';
@@ -16,29 +17,29 @@
 } from './statement-runner.js';
 import { synchronise } from './synchronise.js';
 import type { Placement } from './target-chooser.js';
-import {
-  AheadOpening,
-  failureToOpen,
-  type OpenFailure,
-  openTransaction,
-  rollBack,
-  type TransactionOpening,
-  USED_AHEAD_MS,
-} from './transaction-opening.js';
 import { firstWithin, pause } from './within.js';
 
 const RETRY_PAUSE_MS = 15;
+/** A rollback that is not answered in this time ends the connection instead. */
+const ROLLBACK_TIMEOUT_MS = 2000;
+
 /** A statement inside a transaction; it must have the log position that the transaction needs. */
 export type TransactionRequest = Omit<StatementRequest, 'route' | 'service'>;
 
+/** Why a transaction could not be opened, and where that was tried. */
+interface OpenFailure {
+  readonly refusal: Refusal;
+  readonly instanceId: string | undefined;
+}
+
+function failureToOpen(instance: InstanceRuntime | undefined, text: string): OpenFailure {
+  return { refusal: { code: 'busy', text }, instanceId: instance?.id };
+}
+
 export class Transaction {
   #connection: InstanceConnection | undefined;
   #instance: InstanceRuntime | undefined;
   #wrote = false;
-  #hasRun = false;
-  /** Where it could not be opened, or its first statement not be run. */
-  readonly #excluded = new Set<string>();
-  #ahead: AheadOpening | undefined;
 
   constructor(
     readonly readOnly: boolean,
@@ -47,24 +48,9 @@
     private readonly runner: StatementRunner,
   ) {}
 
-  /**
-   * Opens it while its caller has not sent the first statement yet, if that keeps nobody waiting.
-   * Nothing depends on it: a failure is not told, and the first statement opens it anew.
-   */
-  openAhead(request: TransactionRequest): void {
-    const chosen = this.runner.targets.choose(this.#placement(request), this.#excluded);
-    if (chosen?.instance.pool.hasIdle !== true) return;
-    const { now } = this.runner.options;
-    const opened = openTransaction(this.runner, this.#openingOf(request), chosen);
-    this.#ahead = new AheadOpening(opened, chosen, now());
-    // A caller that rests keeps no connection from others until it has sent a statement.
-    setTimeout(() => this.#dropAhead(), USED_AHEAD_MS);
-  }
-
   /** Runs one statement. An outcome with an error means that the transaction has failed. */
   async run(request: TransactionRequest): Promise<StatementOutcome> {
-    await this.#takeAhead(request);
-    if (this.#connection === undefined || !this.#hasRun) return this.#runFirst(request);
+    if (this.#connection === undefined) return this.#runFirst(request);
     const outcome = await this.#runNext(request);
     if (succeeded(outcome)) this.#noteRun(request.access);
     else this.abandon();
@@ -73,7 +59,6 @@
 
   /** Commits. `request.encode` gives the commit's message. */
   async commit(request: TransactionRequest): Promise<StatementOutcome> {
-    await this.#takeAhead(request);
     if (this.#connection === undefined) {
       const refusal = await this.#open(request);
       if (refusal !== undefined) return { type: 'refused', refusal };
@@ -88,16 +73,11 @@
 
   /** Gives the connection back after a rollback; nothing of the transaction is kept. */
   abandon(): void {
-    this.#dropAhead();
-    this.#giveBack();
-  }
-
-  #giveBack(): void {
     const connection = this.#connection;
     const instance = this.#instance;
     this.#connection = undefined;
     if (connection === undefined || instance === undefined) return;
-    void rollBack({ connection, instance }, this.runner.options.wire.encodeRollback());
+    void rollBack(connection, instance, this.runner.options.wire.encodeRollback());
   }
 
   async #sendCommit(
@@ -143,19 +123,17 @@
   async #runFirst(request: TransactionRequest): Promise<StatementOutcome> {
     const { now } = this.runner.options;
     let refusal: Refusal = { code: 'busy', text: 'no instance' };
-    const excluded = this.#excluded;
+    const excluded = new Set<string>();
     while (now() < request.deadline) {
-      if (this.#connection === undefined) {
-        const failure = await this.#open(request, excluded);
-        if (failure !== undefined) return { type: 'refused', refusal: failure };
-      }
+      const failure = await this.#open(request, excluded);
+      if (failure !== undefined) return { type: 'refused', refusal: failure };
       const outcome = await this.#runNext(request);
       if (succeeded(outcome)) {
         this.#noteRun(request.access);
         return outcome;
       }
       if (this.#instance !== undefined) excluded.add(this.#instance.id);
-      this.#giveBack();
+      this.abandon();
       const retry = this.#refusalToRetry(outcome);
       if (retry === undefined) return outcome;
       refusal = retry;
@@ -164,31 +142,6 @@
     return { type: 'refused', refusal };
   }
 
-  /** Takes over what was opened ahead, if the first statement may still rely on it. */
-  async #takeAhead(request: TransactionRequest): Promise<void> {
-    const ahead = this.#ahead;
-    if (ahead === undefined) return;
-    this.#ahead = undefined;
-    const { now } = this.runner.options;
-    const opened = await ahead.opened;
-    if (opened.isErr()) {
-      if (opened.error.instanceId !== undefined) this.#excluded.add(opened.error.instanceId);
-      return;
-    }
-    this.#connection = opened.value.connection;
-    this.#instance = opened.value.instance;
-    const target = this.runner.targets.recheck(this.#placement(request), ahead.chosen);
-    if (target === undefined || !ahead.isFresh(now()) || opened.value.connection.closed) {
-      this.#giveBack();
-    }
-  }
-
-  #dropAhead(): void {
-    const ahead = this.#ahead;
-    this.#ahead = undefined;
-    void ahead?.drop(this.runner.options.wire.encodeRollback());
-  }
-
   /** The refusal, if the whole transaction so far may be begun again at another instance. */
   #refusalToRetry(outcome: StatementOutcome): Refusal | undefined {
     if (outcome.type === 'refused')
@@ -260,21 +213,51 @@
     request: TransactionRequest,
     excluded: ReadonlySet<string>,
   ): Promise<OpenFailure | undefined> {
+    const { now, wire } = this.runner.options;
     const placement = this.#placement(request);
     const chosen = this.runner.targets.choose(placement, excluded);
     if (chosen === undefined) return failureToOpen(undefined, 'no primary');
-    const opened = await openTransaction(this.runner, this.#openingOf(request), chosen);
-    if (opened.isErr()) return opened.error;
-    this.#connection = opened.value.connection;
-    this.#instance = opened.value.instance;
+    const { instance } = chosen;
+    const { values } = request.session;
+    const acquired = await instance.pool.acquire({
+      tenant: this.route.name,
+      priority: this.route.priority,
+      values,
+      deadline: request.deadline,
+    });
+    if (acquired.isErr()) {
+      this.runner.noteUnreachable(placement, instance, acquired.error);
+      return failureToOpen(instance, 'no connection');
+    }
+    const connection = acquired.value;
+    const target = this.runner.targets.recheck(placement, chosen);
+    if (target === undefined) {
+      instance.pool.release(connection);
+      return failureToOpen(undefined, 'the primary changed');
+    }
+    connection.cork();
+    synchronise(connection, values, undefined, wire);
+    const exchange = connection.exchange(
+      wire.encodeBegin(this.readOnly, this.#beginPosition(target.after)),
+    );
+    connection.uncork();
+    const patienceMs = Math.min(request.deadline - now(), instance.pool.patienceMs);
+    const begun = await firstWithin([exchange], patienceMs);
+    if (begun === undefined || begun.isErr()) {
+      connection.close();
+      this.runner.noteFailure(placement, instance);
+      return failureToOpen(instance, 'no answer to BEGIN');
+    }
+    if (begun.value.error !== undefined || begun.value.state !== 'open') {
+      void rollBack(connection, instance, wire.encodeRollback(), begun.value.state);
+      const refusal = begun.value.error ?? { code: 'busy' as const, text: 'BEGIN had no effect' };
+      return { refusal, instanceId: instance.id };
+    }
+    this.#connection = connection;
+    this.#instance = instance;
     return undefined;
   }
 
-  #openingOf(request: TransactionRequest): TransactionOpening {
-    const { deadline } = request;
-    return { placement: this.#placement(request), readOnly: this.readOnly, deadline };
-  }
-
   #placement(request: TransactionRequest): Placement {
     return {
       access: this.readOnly ? 'read' : 'write',
@@ -286,8 +269,11 @@
     };
   }
 
+  #beginPosition(after: Position | undefined): Position | undefined {
+    return this.readOnly ? after : undefined;
+  }
+
   #noteRun(access: Access): void {
-    this.#hasRun = true;
     if (access === 'write') this.#wrote = true;
   }
 }
@@ -301,3 +287,18 @@
   if (answer.error === undefined || answer.state !== 'open') return false;
   return answer.error.code === 'busy' || answer.error.code === 'unprepared';
 }
+
+async function rollBack(
+  connection: InstanceConnection,
+  instance: InstanceRuntime,
+  message: string,
+  state: StatementAnswer['state'] = 'open',
+): Promise<void> {
+  if (state === 'idle') {
+    instance.pool.release(connection);
+    return;
+  }
+  const answer = await firstWithin([connection.exchange(message)], ROLLBACK_TIMEOUT_MS);
+  if (answer?.isOk() === true && answer.value.state === 'idle') instance.pool.release(connection);
+  else connection.close();
+}
