--- a/src/core/configuration/catalogue.ts
+++ b/src/core/configuration/catalogue.ts
@@ -13,6 +13,8 @@
 import type { ConfigurationRevision, ConfigurationSnapshot, TenantPolicy } from './model.js';
 import { checkDefaults } from './parameters.js';
 import { findReferences, resolveTenant } from './resolve.js';
+import type { RouteTemplateDeclaration } from './route-template-schema.js';
+import { checkRouteTemplate, isRouteTemplate } from './route-templates.js';
 
 /** A declaration in a catalogue with the revision at which it was published; 0 if it was not. */
 export interface CatalogueEntry extends LocatedDeclaration {
@@ -110,7 +112,7 @@
 }
 
 function checkTemplate(
-  template: TemplateDeclaration,
+  template: TemplateDeclaration | RouteTemplateDeclaration,
   locate: LocatedDeclaration['locate'],
 ): DocumentProblem[] {
   const references = findReferences(template.policy, ['policy']);
@@ -129,7 +131,10 @@
       field: `parameters.${name}`,
       expected: 'a parameter that the policy refers to',
     }));
-  return [...unknown, ...unused, ...checkDefaults(template.parameters, locate)];
+  const ofItsGateway = isRouteTemplate(template)
+    ? checkRouteTemplate(template, locate)
+    : checkDefaults(template.parameters, locate);
+  return [...unknown, ...unused, ...ofItsGateway];
 }
 
 /** One tenant's policy; undefined, with the problems added, if it doesn't resolve. */
@@ -145,7 +150,7 @@
     problems.push({
       location: entry.locate(['template']),
       field: 'template',
-      expected: `a template that is declared; there is none named ${tenant.template}`,
+      expected: `a template that is declared for the proxy; there is none named ${tenant.template}`,
     });
     return undefined;
   }
@@ -158,5 +163,5 @@
 function isTemplate(
   entry: CatalogueEntry,
 ): entry is CatalogueEntry & { readonly declaration: TemplateDeclaration } {
-  return entry.declaration.kind === 'Template';
+  return entry.declaration.kind === 'Template' && !isRouteTemplate(entry.declaration);
 }
--- a/src/core/configuration/declaration.ts
+++ b/src/core/configuration/declaration.ts
@@ -15,6 +15,7 @@
 import { InvalidDeclarationError } from './errors.js';
 import { parameterSchema } from './parameters.js';
 import { nameSchema, postgresNameSchema, templatePolicySchema } from './policy-schema.js';
+import { type RouteTemplateDeclaration, routeTemplateSchema } from './route-template-schema.js';
 
 /** PostgreSQL's own form of a SCRAM verifier, as `pg_authid` holds it. */
 export const SCRAM_VERIFIER_PATTERN =
@@ -22,6 +23,8 @@
 
 const templateSchema = z.strictObject({
   kind: z.literal('Template'),
+  /** Which gateway it is for; absent: `meadowstack proxy`. */
+  gateway: z.literal('proxy').optional(),
   name: nameSchema,
   description: z.string().max(1000).optional(),
   parameters: z.record(nameSchema, parameterSchema).default({}),
@@ -48,14 +51,17 @@
 });
 
 /** Checks one declaration. */
-export const declarationSchema = z.discriminatedUnion('kind', [templateSchema, tenantSchema]);
+export const declarationSchema = z.discriminatedUnion('kind', [
+  z.discriminatedUnion('gateway', [templateSchema, routeTemplateSchema]),
+  tenantSchema,
+]);
 
 /** A template as it is published. */
 export type TemplateDeclaration = z.output<typeof templateSchema>;
 /** A tenant as it is published. */
 export type TenantDeclaration = z.output<typeof tenantSchema>;
-/** What is published. */
-export type Declaration = TemplateDeclaration | TenantDeclaration;
+/** What operators write. Templates of the direct gateway are checked like others, but not published. */
+export type Declaration = TemplateDeclaration | RouteTemplateDeclaration | TenantDeclaration;
 
 /** `template/<name>` or `tenant/<name>`; orders templates before tenants. */
 export type DeclarationKey = `template/${string}` | `tenant/${string}`;
--- a/src/core/configuration/policy-schema.ts
+++ b/src/core/configuration/policy-schema.ts
@@ -120,7 +120,7 @@
 }
 
 /** Accepts a reference in place of a value; keeps the messages of the value's own schema. */
-function orReference<Schema extends z.ZodType>(schema: Schema): Schema {
+export function orReference<Schema extends z.ZodType>(schema: Schema): Schema {
   const accepting = z.unknown().transform((value, context) => {
     if (isParameterReference(value)) return value;
     const parsed = schema.safeParse(value);
--- a/src/core/configuration/publish.ts
+++ b/src/core/configuration/publish.ts
@@ -25,6 +25,7 @@
   PublishConflictError,
 } from './errors.js';
 import type { ConfigurationRevision } from './model.js';
+import { isRouteTemplate } from './route-templates.js';
 import {
   type ConfigurationEntry,
   currentKeyOf,
@@ -179,6 +180,8 @@
   if (changes.length > MAX_CHANGES_PER_PUBLISH) {
     return new InvalidDeclarationError([tooManyChanges(changes)]);
   }
+  const elsewhere = changes.flatMap(gatewayProblem);
+  if (elsewhere.length > 0) return new InvalidDeclarationError(elsewhere);
   const tooLarge = changes.flatMap(sizeProblem);
   if (tooLarge.length > 0) return new InvalidDeclarationError(tooLarge);
   const before = liveCatalogueOf(current.entries);
@@ -190,6 +193,13 @@
   return problems.length > 0 ? new InvalidDeclarationError(problems) : undefined;
 }
 
+/** Templates of the direct gateway are built into it; its nodes read nothing from this store. */
+function gatewayProblem(change: ProposedChange): DocumentProblem[] {
+  if (change.type !== 'put' || !isRouteTemplate(change.located.declaration)) return [];
+  const expected = 'a template for the proxy; those of the direct gateway are built into it';
+  return [{ location: change.located.locate(['gateway']), field: 'gateway', expected }];
+}
+
 function applyChanges(before: Catalogue, changes: readonly ProposedChange[]): Catalogue {
   const after = new Map(before);
   for (const change of changes) {
--- a/src/core/statements/fair-queue.ts
+++ b/src/core/statements/fair-queue.ts
@@ -1,29 +1,37 @@
 /**
  * Who waits for a connection, and who gets the next: the highest priority first, then the tenant that
- * holds the fewest, then whoever came first. So a tenant that floods an instance waits behind its own
- * requests, not in front of others.
+ * holds the fewest for its weight, then whoever came first. So a tenant that floods an instance waits
+ * behind its own requests, not in front of others.
  */
 
 export interface QueuedRequest {
   readonly tenant: string;
   /** 0 is the highest. */
   readonly priority: number;
+  /** Connections of a tenant count the less, the greater this is; more than 0. */
+  readonly weight: number;
+  /** Requests that its tenant may have waiting. */
+  readonly maxWaiting: number;
 }
 
 export class FairQueue<Request extends QueuedRequest> {
   #requests: Request[] = [];
-
-  /** Bound on what one tenant may have waiting. */
-  constructor(private readonly maxPerTenant: number) {}
+  readonly #waiting = new Map<string, number>();
 
   get length(): number {
     return this.#requests.length;
   }
 
+  /** Requests that each tenant has waiting; tenants without any are absent. */
+  get waiting(): ReadonlyMap<string, number> {
+    return this.#waiting;
+  }
+
   /** False if the tenant has too many waiting already; nothing is taken then. */
   push(request: Request): boolean {
-    const waiting = this.#requests.filter(({ tenant }) => tenant === request.tenant).length;
-    if (waiting >= this.maxPerTenant) return false;
+    const waiting = this.#waiting.get(request.tenant) ?? 0;
+    if (waiting >= request.maxWaiting) return false;
+    this.#waiting.set(request.tenant, waiting + 1);
     this.#requests.push(request);
     return true;
   }
@@ -33,13 +41,24 @@
     const index = this.#requests.indexOf(request);
     if (index < 0) return false;
     this.#requests.splice(index, 1);
+    const left = (this.#waiting.get(request.tenant) ?? 1) - 1;
+    if (left > 0) this.#waiting.set(request.tenant, left);
+    else this.#waiting.delete(request.tenant);
     return true;
   }
 
-  /** Takes the next, given how many connections each tenant holds. */
-  takeNext(held: ReadonlyMap<string, number>): Request | undefined {
+  /**
+   * Takes the next of those tenants that may hold one more.
+   * @param held how many connections each tenant holds
+   */
+  takeNext(
+    held: ReadonlyMap<string, number>,
+    mayHoldMore: (tenant: string) => boolean = () => true,
+  ): Request | undefined {
+    const permitted = new Set([...this.#waiting.keys()].filter(mayHoldMore));
     let best: Request | undefined;
     for (const request of this.#requests) {
+      if (!permitted.has(request.tenant)) continue;
       if (best === undefined || isBefore(request, best, held)) best = request;
     }
     if (best !== undefined) this.remove(best);
@@ -50,6 +69,7 @@
   takeAll(): Request[] {
     const requests = this.#requests;
     this.#requests = [];
+    this.#waiting.clear();
     return requests;
   }
 }
@@ -60,5 +80,9 @@
   held: ReadonlyMap<string, number>,
 ): boolean {
   if (left.priority !== right.priority) return left.priority < right.priority;
-  return (held.get(left.tenant) ?? 0) < (held.get(right.tenant) ?? 0);
+  return loadOf(left, held) < loadOf(right, held);
+}
+
+function loadOf({ tenant, weight }: QueuedRequest, held: ReadonlyMap<string, number>): number {
+  return (held.get(tenant) ?? 0) / weight;
 }
--- a/src/core/statements/session-variables.ts
+++ b/src/core/statements/session-variables.ts
@@ -2,9 +2,6 @@
 import type { Access } from '../request.js';
 import type { PreparedStatement } from './session-values.js';
 
-/** Values, and prepared statements, that one session may hold. */
-export const MAX_SESSION_ENTRIES = 256;
-
 /** Names a prepared statement by its content: equal content has one name, whoever prepared it. */
 export type SharedNaming = (access: Access, shape: string) => string;
 
@@ -12,7 +9,11 @@
   readonly #values = new Map<string, string>();
   readonly #prepared = new Map<string, PreparedStatement>();
 
-  constructor(private readonly nameOf: SharedNaming) {}
+  /** @param maxEntries values, and prepared statements, that the session may hold */
+  constructor(
+    private readonly nameOf: SharedNaming,
+    private readonly maxEntries: () => number,
+  ) {}
 
   get values(): ReadonlyMap<string, string> {
     return this.#values;
@@ -20,14 +21,14 @@
 
   /** False if the session holds too many values. */
   set(name: string, value: string): boolean {
-    if (!hasRoom(this.#values, name)) return false;
+    if (!this.#hasRoom(this.#values, name)) return false;
     this.#values.set(name, value);
     return true;
   }
 
   /** False if the session holds too many prepared statements. */
   prepare(name: string, access: Access, shape: string): boolean {
-    if (!hasRoom(this.#prepared, name)) return false;
+    if (!this.#hasRoom(this.#prepared, name)) return false;
     this.#prepared.set(name, { access, shape, sharedName: this.nameOf(access, shape) });
     return true;
   }
@@ -40,8 +41,8 @@
   deallocate(name: string): boolean {
     return this.#prepared.delete(name);
   }
-}
 
-function hasRoom(entries: ReadonlyMap<string, unknown>, name: string): boolean {
-  return entries.has(name) || entries.size < MAX_SESSION_ENTRIES;
+  #hasRoom(entries: ReadonlyMap<string, unknown>, name: string): boolean {
+    return entries.has(name) || entries.size < this.maxEntries();
+  }
 }
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -16,6 +16,7 @@
 import { WIRE_ENCODING } from './line-splitter.js';
 import type { ServiceRuntime } from './service-runtime.js';
 import type { StatementOutcome, StatementRequest, StatementRunner } from './statement-runner.js';
+import type { Tenant } from './tenant.js';
 import { Transaction } from './transaction.js';
 import type { CallerMessage, StatementWire } from './wire.js';
 
@@ -29,9 +30,16 @@
 /** A caller that comes before this node knows its routes is answered after this at the latest. */
 const START_WAIT_MS = 1500;
 
+/** A route with what serves it, and its tenant's policy and use of this node. */
+export interface FoundRoute {
+  readonly route: RouteDescription;
+  readonly service: ServiceRuntime;
+  readonly tenant: Tenant;
+}
+
 /** What a database name leads to now. */
 export interface RouteLookup {
-  find(database: string): { route: RouteDescription; service: ServiceRuntime } | undefined;
+  find(database: string): FoundRoute | undefined;
   /** Resolves once routes are known: true, or false if they are still unknown after so long. */
   known(withinMs: Milliseconds): Promise<boolean>;
   readonly transactionIdleMs: Milliseconds;
@@ -59,7 +67,9 @@
 
 export class CallerSession {
   #database: string | undefined;
-  readonly #variables = new SessionVariables(sharedNameOf);
+  /** The tenant that this session counts for, from its start to its end. */
+  #tenant: Tenant | undefined;
+  readonly #variables = new SessionVariables(sharedNameOf, () => this.#maxEntries());
   #transaction: Transaction | undefined;
   #state: TransactionState = 'idle';
   #lastWritten: Position | undefined;
@@ -100,6 +110,8 @@
 
   /** The caller has gone: what it began is rolled back. */
   close(): void {
+    this.#tenant?.closeSession();
+    this.#tenant = undefined;
     if (this.#ended) return;
     this.#ended = true;
     this.#queue.length = 0;
@@ -178,11 +190,22 @@
       this.#end();
       return;
     }
-    if (routes.find(database) === undefined) {
+    const found = routes.find(database);
+    if (found === undefined) {
       this.options.write(wire.encodeError('no-database', 'no such database'));
       this.#end();
       return;
     }
+    // The caller may have gone while the routes were waited for.
+    if (this.#ended) return;
+    if (!found.tenant.openSession()) {
+      this.options.counters.refused += 1;
+      const text = `too many sessions; retry after ${RETRY_AFTER_MS} ms`;
+      this.options.write(wire.encodeError('busy', text));
+      this.#end();
+      return;
+    }
+    this.#tenant = found.tenant;
     this.#database = database;
     this.options.write(wire.encodeReady('idle', undefined));
   }
@@ -238,7 +261,8 @@
       this.#refuse('no-database', 'no such database');
       return;
     }
-    this.#transaction = new Transaction(readOnly, found.route, found.service, this.options.runner);
+    const { route, service, tenant } = found;
+    this.#transaction = new Transaction(readOnly, route, service, tenant, this.options.runner);
     this.#state = 'open';
     this.#complete();
   }
@@ -259,7 +283,7 @@
     }
     const { wire } = this.options;
     const outcome = await transaction.commit({
-      ...this.#request(transaction.route, transaction.service),
+      ...this.#request(transaction),
       access: 'write',
       prepared: undefined,
       encode: () => wire.encodeStatement(message.id, message.text, undefined),
@@ -310,7 +334,7 @@
         : wire.encodeExecute(message.id, prepared.sharedName, argumentText, after);
     const transaction = this.#transaction;
     if (transaction !== undefined) {
-      const base = this.#request(transaction.route, transaction.service);
+      const base = this.#request(transaction);
       const outcome = await transaction.run({ ...base, access, prepared, encode });
       this.#answer(outcome);
       return;
@@ -321,24 +345,30 @@
       return;
     }
     const { route, service } = found;
-    const base = this.#request(route, service);
+    const base = this.#request(found);
     const outcome = await runner.run({ ...base, route, service, access, prepared, encode });
     if (access === 'write') this.#noteWritten(outcome, service);
     this.#answer(outcome);
   }
 
-  #route(): ReturnType<RouteLookup['find']> {
+  #maxEntries(): number {
+    return this.#route()?.tenant.policy.maxSessionEntries ?? 0;
+  }
+
+  #route(): FoundRoute | undefined {
     return this.#database === undefined ? undefined : this.options.routes.find(this.#database);
   }
 
-  #request(
-    route: RouteDescription,
-    service: ServiceRuntime,
-  ): Pick<StatementRequest, 'session' | 'beganAt' | 'deadline'> {
+  #request({
+    route,
+    service,
+    tenant,
+  }: FoundRoute): Pick<StatementRequest, 'session' | 'beganAt' | 'deadline' | 'tenant'> {
     const now = this.options.now();
     const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
     return {
       session: { values: this.#variables.values, lastWritten },
+      tenant,
       beganAt: now,
       deadline: now + route.timeoutMs,
     };
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -6,9 +6,10 @@
 import type { ResultAsync } from 'neverthrow';
 import type { MeadowstackError } from '../core/errors.js';
 import type { Position } from '../core/position.js';
+import type { RouteType } from '../core/tenancy/route-template.js';
 import type { Milliseconds } from '../core/units.js';
 
-export type RouteConsistency = 'primary' | 'bounded-staleness' | 'read-your-writes';
+export type RouteConsistency = RouteType;
 
 /** One database name that callers may open, and how its requests are served. */
 export interface RouteDescription {
--- a/src/direct/errors.ts
+++ b/src/direct/errors.ts
@@ -26,6 +26,11 @@
   readonly code = 'MS-INSTANCE-WAIT-TIMEOUT';
 }
 
+/** The tenant has as many statements waiting for the instance as it may. Nothing was sent. */
+export class InstanceQueueFullError extends MeadowstackError {
+  readonly code = 'MS-INSTANCE-QUEUE-FULL';
+}
+
 /** An instance did not answer a control call in time, or refused it. */
 export class InstanceControlError extends MeadowstackError {
   readonly code = 'MS-INSTANCE-CONTROL';
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -2,6 +2,7 @@
  * The direct gateway put together: routes and instances come in, callers are served, and a planned
  * stop ends it without cutting what runs.
  */
+import { resolveRoutePolicy } from '../core/tenancy/route-template.js';
 import type { Milliseconds } from '../core/units.js';
 import { CallerServer } from './caller-server.js';
 import type { RouteLookup, SessionCounters } from './caller-session.js';
@@ -15,6 +16,8 @@
 import type { PrimaryView } from './promotion/contract.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
+import { Tenant } from './tenant.js';
+import { ROUTE_TEMPLATES } from './tenant-templates.generated.js';
 import { type ProverCounters, TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
 import { firstWithin, pause } from './within.js';
@@ -59,6 +62,7 @@
     connectionsOpened: 0,
     connectFailures: 0,
     waitTimeouts: 0,
+    queueRefusals: 0,
     samplesAsked: 0,
     proofRounds: 0,
     proofsFailed: 0,
@@ -68,6 +72,8 @@
   readonly #prover: TrustProver;
   readonly #runner: StatementRunner;
   #routes = new Map<string, RouteDescription>();
+  /** By route name. */
+  #tenants = new Map<string, Tenant>();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
   #nodeCount = ASSUMED_NODE_COUNT;
@@ -138,7 +144,9 @@
     const route = this.#routes.get(database);
     if (route === undefined) return undefined;
     const service = this.#services.get(route.service);
-    return service === undefined ? undefined : { route, service };
+    const tenant = this.#tenants.get(route.name);
+    if (service === undefined || tenant === undefined) return undefined;
+    return { route, service, tenant };
   }
 
   async known(withinMs: Milliseconds): Promise<boolean> {
@@ -153,6 +161,7 @@
     }
     this.#configuration = configuration;
     this.#routes = new Map(configuration.routes.map((route) => [route.database, route]));
+    this.#setTenants(configuration.routes);
     for (const description of configuration.services) {
       this.#service(description.name).setMaxConnections(description.maxConnections);
     }
@@ -161,6 +170,18 @@
     this.#tellFirstConfiguration();
   }
 
+  /** A tenant keeps its sessions and its retry budget over changes of its route. */
+  #setTenants(routes: readonly RouteDescription[]): void {
+    const before = this.#tenants;
+    this.#tenants = new Map();
+    for (const route of routes) {
+      const policy = resolveRoutePolicy(ROUTE_TEMPLATES, route.consistency, route);
+      const tenant = before.get(route.name) ?? new Tenant(route.name, policy);
+      tenant.setPolicy(policy);
+      this.#tenants.set(route.name, tenant);
+    }
+  }
+
   /** Sessions that still hold a service which has left the configuration end their work with it. */
   #dropServices(kept: ReadonlySet<string>): void {
     for (const [name, service] of this.#services) {
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -4,12 +4,17 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { Access } from '../core/request.js';
-import { FairQueue } from '../core/statements/fair-queue.js';
+import { FairQueue, type QueuedRequest } from '../core/statements/fair-queue.js';
 import { synchronisationCost } from '../core/statements/session-values.js';
 import { StallDetector } from '../core/statements/stall.js';
+import { type ConnectionPolicy, connectionAllowance } from '../core/tenancy/allowance.js';
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceEntry } from './contract.js';
-import { InstanceConnectError, InstanceWaitTimeoutError } from './errors.js';
+import {
+  InstanceConnectError,
+  InstanceQueueFullError,
+  InstanceWaitTimeoutError,
+} from './errors.js';
 import { type InstanceConnection, openInstanceConnection } from './instance-connection.js';
 import type { StatementWire } from './wire.js';
 
@@ -28,9 +33,11 @@
   connectionsOpened: number;
   connectFailures: number;
   waitTimeouts: number;
+  /** Statements refused because too many of their tenant waited. */
+  queueRefusals: number;
 }
 
-export type AcquireError = InstanceConnectError | InstanceWaitTimeoutError;
+export type AcquireError = InstanceConnectError | InstanceQueueFullError | InstanceWaitTimeoutError;
 
 /** Asks for a connection. */
 export interface ConnectionRequest {
@@ -38,26 +45,34 @@
   readonly tenant: string;
   /** 0 is the highest. */
   readonly priority: number;
+  readonly policy: ConnectionPolicy;
   /** Session values that the connection should have already, if one has them. */
   readonly values: ReadonlyMap<string, string>;
   readonly deadline: Milliseconds;
 }
 
-interface Waiter extends ConnectionRequest {
+interface Waiter extends ConnectionRequest, QueuedRequest {
   readonly settle: (connection: Result<InstanceConnection, AcquireError>) => void;
   timer: NodeJS.Timeout | undefined;
 }
 
 const OWN_TENANT = '';
 const NO_VALUES: ReadonlyMap<string, string> = new Map();
+/** The node's own questions are few, and wait for no tenant's share. */
+const OWN_POLICY: ConnectionPolicy = {
+  queueWeight: 1,
+  maxWaiting: Number.POSITIVE_INFINITY,
+  inFlightShare: 1,
+  inFlightFloor: Number.POSITIVE_INFINITY,
+};
 
 /** A request for a question of the node's own, which goes before those of callers. */
 export function ownRequest(deadline: Milliseconds): ConnectionRequest {
-  return { tenant: OWN_TENANT, priority: 0, values: NO_VALUES, deadline };
+  return { tenant: OWN_TENANT, priority: 0, policy: OWN_POLICY, values: NO_VALUES, deadline };
 }
 
-/** Statements of one tenant that may wait for one instance; more are refused at once. */
-const MAX_WAITING_PER_TENANT = 200;
+/** A tenant that asked so lately is one of those that share the instance. */
+const SHARED_MS = 1000;
 /** Doublings of the pause between openings: up to 1.6 s after a first pause of 200 ms. */
 const MAX_BACKOFF_STEPS = 4;
 const INITIAL_ANSWER_MS = 25;
@@ -75,9 +90,16 @@
 /** A statement waits so long for one of few connections before another one is opened. */
 const SOFT_WAIT_MS = 12;
 
+interface TenantUse {
+  readonly at: Milliseconds;
+  readonly policy: ConnectionPolicy;
+}
+
 export class InstancePool {
   readonly #idle: InstanceConnection[] = [];
-  readonly #waiters = new FairQueue<Waiter>(MAX_WAITING_PER_TENANT);
+  readonly #waiters = new FairQueue<Waiter>();
+  /** When each tenant last asked for a connection, and its policy then. */
+  readonly #asked = new Map<string, TenantUse>();
   /** Connections that each tenant holds. */
   readonly #held = new Map<string, number>();
   readonly #holders = new Map<InstanceConnection, string>();
@@ -89,6 +111,7 @@
   #opening = 0;
   #limit: number;
   #softLimit: number;
+  #nodeCount = 1;
   #growTimer: NodeJS.Timeout | undefined;
   #retryAt: Milliseconds = 0;
   /** Openings that failed in a row. */
@@ -123,9 +146,13 @@
     return this.#idle.length > 0;
   }
 
-  /** Beyond `softLimit`, connections are opened only for those who wait, and end when they rest. */
-  setLimit(limit: number, softLimit = limit): void {
+  /**
+   * Beyond `softLimit`, connections are opened only for those who wait, and end when they rest.
+   * @param nodeCount nodes that share the instance
+   */
+  setLimit(limit: number, softLimit = limit, nodeCount = 1): void {
     this.#limit = limit;
+    this.#nodeCount = nodeCount;
     this.#softLimit = Math.min(limit, softLimit);
     while (this.#all.size > limit) {
       const surplus = this.#idle.shift();
@@ -168,15 +195,19 @@
 
   /** A free connection, opened if need be, by the deadline at the latest. */
   acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>> {
-    const idle = this.#takeIdle(request.values);
+    const { tenant, policy } = request;
+    this.#asked.set(tenant, { at: this.options.now(), policy });
+    const idle = this.#mayHoldMore(tenant) ? this.#takeIdle(request.values) : undefined;
     if (idle !== undefined) {
-      this.#hold(idle, request.tenant);
+      this.#hold(idle, tenant);
       return Promise.resolve(ok(idle));
     }
     return new Promise((settle) => {
-      const waiter: Waiter = { ...request, settle, timer: undefined };
+      const bounds = { weight: policy.queueWeight, maxWaiting: policy.maxWaiting };
+      const waiter: Waiter = { ...request, ...bounds, settle, timer: undefined };
       if (!this.#waiters.push(waiter)) {
-        settle(err(new InstanceWaitTimeoutError(`${this.instance.id}: too many wait`)));
+        this.options.counters.queueRefusals += 1;
+        settle(err(new InstanceQueueFullError(`${this.instance.id}: too many of ${tenant} wait`)));
         return;
       }
       const waitMs = Math.max(0, request.deadline - this.options.now());
@@ -196,10 +227,9 @@
       connection.close();
       return;
     }
-    const waiter = this.#waiters.takeNext(this.#held);
     connection.restingSince = this.options.now();
-    if (waiter === undefined) this.#idle.push(connection);
-    else this.#serve(waiter, connection);
+    this.#idle.push(connection);
+    this.#serveWaiters();
   }
 
   /** Ends all idle connections and takes no more; those in use end when they are released. */
@@ -232,10 +262,62 @@
     return best < 0 ? undefined : this.#idle.splice(best, 1)[0];
   }
 
-  #serve(waiter: Waiter, connection: InstanceConnection): void {
-    clearTimeout(waiter.timer);
-    this.#hold(connection, waiter.tenant);
-    waiter.settle(ok(connection));
+  #serveWaiters(): void {
+    while (this.#idle.length > 0) {
+      const waiter = this.#waiters.takeNext(this.#held, (tenant) => this.#mayHoldMore(tenant));
+      const connection = waiter === undefined ? undefined : this.#takeIdle(waiter.values);
+      if (waiter === undefined || connection === undefined) return;
+      clearTimeout(waiter.timer);
+      this.#hold(connection, waiter.tenant);
+      waiter.settle(ok(connection));
+    }
+  }
+
+  #mayHoldMore(tenant: string): boolean {
+    return (this.#held.get(tenant) ?? 0) < this.#allowanceOf(tenant);
+  }
+
+  /** Connections that a tenant may hold at once. */
+  #allowanceOf(tenant: string): number {
+    const policy = this.#asked.get(tenant)?.policy;
+    if (tenant === OWN_TENANT || policy === undefined) return Number.POSITIVE_INFINITY;
+    return connectionAllowance(policy, {
+      slots: this.instance.slots,
+      nodeCount: this.#nodeCount,
+      connectionLimit: this.#limit,
+      isShared: this.#isSharedWithOthers(tenant),
+    });
+  }
+
+  #isSharedWithOthers(tenant: string): boolean {
+    const since = this.options.now() - SHARED_MS;
+    for (const [other, { at }] of this.#asked) {
+      if (other === tenant || other === OWN_TENANT) continue;
+      if (at >= since || this.#uses(other)) return true;
+    }
+    return false;
+  }
+
+  /** Connections that those who wait could take now. */
+  get #wanted(): number {
+    let wanted = 0;
+    for (const [tenant, waiting] of this.#waiters.waiting) {
+      const room = this.#allowanceOf(tenant) - (this.#held.get(tenant) ?? 0);
+      wanted += Math.max(0, Math.min(waiting, room));
+    }
+    return wanted;
+  }
+
+  /** Tenants that have not asked for long count no more. */
+  #forgetQuietTenants(): void {
+    const since = this.options.now() - SHARED_MS;
+    for (const [tenant, { at }] of this.#asked) {
+      if (at < since && !this.#uses(tenant)) this.#asked.delete(tenant);
+    }
+  }
+
+  #uses(tenant: string): boolean {
+    return this.#held.has(tenant) || this.#waiters.waiting.has(tenant);
   }
 
   #expire(waiter: Waiter): void {
@@ -253,6 +335,7 @@
 
   /** Ends connections above the soft limit that have rested for long. */
   trim(): void {
+    this.#forgetQuietTenants();
     const restedSince = this.options.now() - SURPLUS_IDLE_MS;
     while (this.#all.size > this.#softLimit) {
       const oldest = this.#idle[0];
@@ -272,7 +355,7 @@
   }
 
   #openUpTo(limit: number): void {
-    while (!this.#closed && this.#opening < this.#waiters.length && this.size < limit) {
+    while (!this.#closed && this.#opening < this.#wanted && this.size < limit) {
       if (this.options.now() < this.#retryAt && this.#all.size > 0) return;
       if (this.options.now() < this.#retryAt) {
         const unreachable = new InstanceConnectError(
@@ -335,6 +418,7 @@
     this.#all.delete(connection);
     const index = this.#idle.indexOf(connection);
     if (index >= 0) this.#idle.splice(index, 1);
+    this.#serveWaiters();
     this.#openForWaiters();
   }
 }
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -12,6 +12,7 @@
   connectionsOpened: 'connections opened to instances',
   connectFailures: 'connections to instances that could not be opened',
   waitTimeouts: 'waits for a connection that ended without one',
+  queueRefusals: 'statements refused because too many of their tenant waited',
   samplesAsked: 'questions to primaries for their log position',
   proofRounds: 'rounds of questions to all members of a group, to prove its primary',
   proofsFailed: 'such rounds that proved nothing',
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -123,7 +123,7 @@
     const limit = Math.max(MINIMUM_CONNECTIONS, share);
     const softShare = Math.floor((this.#maxConnections * SOFT_SHARE) / nodes);
     const softLimit = Math.max(MINIMUM_CONNECTIONS, softShare);
-    for (const state of this.#instances.values()) state.pool.setLimit(limit, softLimit);
+    for (const state of this.#instances.values()) state.pool.setLimit(limit, softLimit, nodes);
   }
 
   /** Connections to its instances, open or being opened. */
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -12,13 +12,18 @@
   type StatementErrorCode,
 } from '../core/statements/statement.js';
 import type { Milliseconds } from '../core/units.js';
-import { InstanceConnectError, type InstanceConnectionLostError } from './errors.js';
+import {
+  InstanceConnectError,
+  type InstanceConnectionLostError,
+  InstanceQueueFullError,
+} from './errors.js';
 import type { InstanceConnection } from './instance-connection.js';
-import type { AcquireError } from './instance-pool.js';
+import type { AcquireError, ConnectionRequest } from './instance-pool.js';
 import type { PrimaryUse, PrimaryView } from './promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import { synchronise } from './synchronise.js';
 import { type Placement, type Target, TargetChooser } from './target-chooser.js';
+import type { Tenant } from './tenant.js';
 import type { TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
 import { firstWithin, pause } from './within.js';
@@ -33,8 +38,6 @@
 const HEDGE_MINIMUM_MS = 60;
 const HEDGE_TARGET_SHARE = 0.5;
 const MAX_READ_ATTEMPTS = 4;
-/** Part of the aim that a request waits while no instance could be tried. */
-const UNTRIED_PATIENCE_SHARE = 0.2;
 /** An exchange that nobody waits for any more ends its connection after this. */
 const ABANDON_MS = 200;
 /** An answer to a read that takes so many times what it may take is waited for no longer. */
@@ -70,6 +73,8 @@
   | { readonly type: 'answered'; readonly answer: StatementAnswer }
   /** Nothing of it ran. */
   | { readonly type: 'not-run'; readonly refusal: Refusal; readonly instance: InstanceRuntime }
+  /** Nothing of it ran: its tenant has too much waiting there, and asking again is of no use now. */
+  | { readonly type: 'over-limit'; readonly refusal: Refusal; readonly instance: InstanceRuntime }
   /** It may have run. */
   | { readonly type: 'unknown'; readonly instance: InstanceRuntime };
 
@@ -77,6 +82,33 @@
   return { type: 'refused', refusal: { code, text } };
 }
 
+/** Asks for a connection for this statement, within its tenant's policy. */
+export function connectionRequestOf(
+  request: Pick<StatementRequest, 'tenant' | 'session' | 'deadline'>,
+): ConnectionRequest {
+  const { name, policy } = request.tenant;
+  return {
+    tenant: name,
+    priority: policy.priority,
+    policy: policy.connections,
+    values: request.session.values,
+    deadline: request.deadline,
+  };
+}
+
+/** What the caller is told if no connection was had. */
+export function refusalOf(error: AcquireError): Refusal {
+  const isOverLimit = error instanceof InstanceQueueFullError;
+  return { code: 'busy', text: isOverLimit ? 'too many statements wait' : 'no connection' };
+}
+
+/** Attempts after the first are counted against the tenant's budget. */
+export function mayAttemptAgain(tenant: Tenant, attempts: number): boolean {
+  if (attempts > 0) return tenant.mayRetry();
+  tenant.noteFirstAttempt();
+  return true;
+}
+
 export class StatementRunner {
   readonly targets: TargetChooser;
 
@@ -98,8 +130,7 @@
     if (this.targets.lacksTrust(request) && (await prover.prove(service))) return true;
     await this.#pauseBeforeRetry();
     if (view.isChanging(service.name)) return true;
-    const patienceMs = request.route.targetLatencyMs * UNTRIED_PATIENCE_SHARE;
-    return now() - request.beganAt < patienceMs;
+    return now() - request.beganAt < request.tenant.policy.untriedPatienceMs;
   }
 
   /**
@@ -120,15 +151,19 @@
   async #runWrite(request: StatementRequest): Promise<StatementOutcome> {
     const { now } = this.options;
     let refusal: Refusal = { code: 'busy', text: 'no primary' };
+    let attempts = 0;
     while (now() < request.deadline) {
       const target = this.targets.choose(request, new Set());
       if (target !== undefined) {
+        if (!mayAttemptAgain(request.tenant, attempts)) break;
+        attempts += 1;
         const endWrite = request.service.beginWrite();
         const attempt = await this.#attempt(request, target);
         endWrite();
         if (attempt.type === 'answered') return this.confirmWrite(request.service, attempt);
         if (attempt.type === 'unknown') return refuse('in-doubt', 'no answer to a write');
         refusal = attempt.refusal;
+        if (attempt.type === 'over-limit') break;
       }
       if (!(await this.awaitTarget(request))) break;
     }
@@ -138,6 +173,7 @@
   async #runRead(request: StatementRequest): Promise<StatementOutcome> {
     const { now } = this.options;
     const excluded = new Set<string>();
+    const overLimit = new Set<string>();
     const running = new Set<Promise<Attempt>>();
     const hedgeMs = Math.max(HEDGE_MINIMUM_MS, request.route.targetLatencyMs * HEDGE_TARGET_SHARE);
     let refusal: Refusal = { code: 'busy', text: 'no instance' };
@@ -150,12 +186,16 @@
           ? this.targets.choose(request, excluded)
           : undefined;
       if (target !== undefined && this.#mayAttempt(target, excluded, running.size, lastSentAt)) {
-        attempts += 1;
-        lastSentAt = now();
-        const attempt = this.#attempt(request, target);
-        running.add(attempt);
-        void attempt.then(() => running.delete(attempt));
-        excluded.add(target.instance.id);
+        const mayAttempt = mayAttemptAgain(request.tenant, attempts);
+        if (!mayAttempt && running.size === 0) break;
+        if (mayAttempt) {
+          attempts += 1;
+          lastSentAt = now();
+          const attempt = this.#attempt(request, target);
+          running.add(attempt);
+          void attempt.then(() => running.delete(attempt));
+          excluded.add(target.instance.id);
+        }
       }
       if (running.size === 0) {
         if (!(await this.awaitTarget(request))) break;
@@ -167,6 +207,10 @@
       if (first.type === 'answered') return first;
       if (first.type === 'unknown') sent = true;
       else refusal = first.refusal;
+      if (first.type === 'over-limit') {
+        overLimit.add(first.instance.id);
+        if (running.size === 0 && this.#isOverLimitEverywhere(request, overLimit)) break;
+      }
       if (excluded.size >= request.service.readable(now()).length) {
         excluded.clear();
         await this.#pauseBeforeRetry();
@@ -188,6 +232,12 @@
     return this.options.now() - lastSentAt >= pool.patienceMs;
   }
 
+  /** Whether its tenant has too much waiting wherever the read may go. */
+  #isOverLimitEverywhere(request: StatementRequest, overLimit: ReadonlySet<string>): boolean {
+    const next = this.targets.choose(request, overLimit);
+    return next === undefined || overLimit.has(next.instance.id);
+  }
+
   #pauseBeforeRetry(): Promise<void> {
     return pause(RETRY_PAUSE_MS * (0.5 + this.options.random()));
   }
@@ -196,15 +246,12 @@
     const { instance } = chosen;
     instance.pool.outstanding += 1;
     try {
-      const acquired = await instance.pool.acquire({
-        tenant: request.route.name,
-        priority: request.route.priority,
-        values: request.session.values,
-        deadline: request.deadline,
-      });
+      const acquired = await instance.pool.acquire(connectionRequestOf(request));
       if (acquired.isErr()) {
         this.noteUnreachable(request, instance, acquired.error);
-        return { type: 'not-run', refusal: { code: 'busy', text: 'no connection' }, instance };
+        const refusal = refusalOf(acquired.error);
+        const isOverLimit = acquired.error instanceof InstanceQueueFullError;
+        return { type: isOverLimit ? 'over-limit' : 'not-run', refusal, instance };
       }
       return await this.#send(request, chosen, acquired.value);
     } finally {
@@ -300,6 +347,8 @@
     instance: InstanceRuntime,
     error: AcquireError,
   ): void {
+    // What one tenant has waiting says nothing of the instance.
+    if (error instanceof InstanceQueueFullError) return;
     const isSilent = error instanceof InstanceConnectError && error.answer === undefined;
     if (isSilent) this.noteFailure(request, instance);
     else instance.pool.avoidUntil = this.options.now() + AVOID_FULL_MS;
--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -6,6 +6,7 @@
 import type { RouteDescription } from './contract.js';
 import type { PrimaryView } from './promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
+import type { Tenant } from './tenant.js';
 import type { TrustProver } from './trust-prover.js';
 
 /** A read must reach its instance within this, or its staleness bound may be missed. */
@@ -22,6 +23,7 @@
 export interface Placement {
   readonly access: Access;
   readonly route: RouteDescription;
+  readonly tenant: Tenant;
   readonly service: ServiceRuntime;
   readonly session: SessionContext;
   /** When the statement came. */
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -6,10 +6,14 @@
 import type { Access } from '../core/request.js';
 import { isNotRun, type StatementAnswer } from '../core/statements/statement.js';
 import type { RouteDescription } from './contract.js';
+import { InstanceQueueFullError } from './errors.js';
 import type { InstanceConnection } from './instance-connection.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import {
+  connectionRequestOf,
+  mayAttemptAgain,
   type Refusal,
+  refusalOf,
   refuse,
   type StatementOutcome,
   type StatementRequest,
@@ -17,6 +21,7 @@
 } from './statement-runner.js';
 import { synchronise } from './synchronise.js';
 import type { Placement } from './target-chooser.js';
+import type { Tenant } from './tenant.js';
 import { firstWithin, pause } from './within.js';
 
 const RETRY_PAUSE_MS = 15;
@@ -30,6 +35,8 @@
 interface OpenFailure {
   readonly refusal: Refusal;
   readonly instanceId: string | undefined;
+  /** The tenant has too much waiting there. */
+  readonly isOverLimit?: boolean;
 }
 
 function failureToOpen(instance: InstanceRuntime | undefined, text: string): OpenFailure {
@@ -45,6 +52,7 @@
     readonly readOnly: boolean,
     readonly route: RouteDescription,
     readonly service: ServiceRuntime,
+    readonly tenant: Tenant,
     private readonly runner: StatementRunner,
   ) {}
 
@@ -192,15 +200,18 @@
   ): Promise<Refusal | undefined> {
     const { now } = this.runner.options;
     let refusal: Refusal = { code: 'busy', text: 'no instance' };
-    while (now() < request.deadline) {
+    let attempts = 0;
+    while (now() < request.deadline && mayAttemptAgain(request.tenant, attempts)) {
       const failure = await this.#openOnce(request, excluded);
       if (failure === undefined) return undefined;
       refusal = failure.refusal;
       const { instanceId } = failure;
+      if (instanceId !== undefined) attempts += 1;
       const isFresh = instanceId !== undefined && !excluded.has(instanceId);
       if (isFresh) excluded.add(instanceId);
       // Another instance is tried at once; only a round without success is worth a pause.
       if (isFresh && excluded.size < this.service.readable(now()).length) continue;
+      if (failure.isOverLimit === true) break;
       excluded.clear();
       if (!(await this.runner.awaitTarget(this.#placement(request)))) break;
     }
@@ -217,15 +228,11 @@
     if (chosen === undefined) return failureToOpen(undefined, 'no primary');
     const { instance } = chosen;
     const { values } = request.session;
-    const acquired = await instance.pool.acquire({
-      tenant: this.route.name,
-      priority: this.route.priority,
-      values,
-      deadline: request.deadline,
-    });
+    const acquired = await instance.pool.acquire(connectionRequestOf(request));
     if (acquired.isErr()) {
       this.runner.noteUnreachable(placement, instance, acquired.error);
-      return failureToOpen(instance, 'no connection');
+      const isOverLimit = acquired.error instanceof InstanceQueueFullError;
+      return { refusal: refusalOf(acquired.error), instanceId: instance.id, isOverLimit };
     }
     const connection = acquired.value;
     const target = this.runner.targets.recheck(placement, chosen);
@@ -260,6 +267,7 @@
     return {
       access: this.readOnly ? 'read' : 'write',
       route: this.route,
+      tenant: request.tenant,
       service: this.service,
       session: request.session,
       beganAt: request.beganAt,
--- a/test/property/fair-queue.test.ts
+++ b/test/property/fair-queue.test.ts
@@ -12,14 +12,19 @@
   readonly number: number;
 }
 
-function request(tenant: string, number: number, priority = 1): NumberedRequest {
-  return { tenant, number, priority };
+function request(
+  tenant: string,
+  number: number,
+  priority = 1,
+  bounds: Partial<NumberedRequest> = {},
+): NumberedRequest {
+  return { tenant, number, priority, weight: 1, maxWaiting: 100, ...bounds };
 }
 
 test('with a flood before it, another tenant gets the next connection that is free', () => {
   fc.assert(
     fc.property(fc.integer({ min: 5, max: 60 }), (flood) => {
-      const queue = new FairQueue<NumberedRequest>(100);
+      const queue = new FairQueue<NumberedRequest>();
       for (let number = 0; number < flood; number += 1) queue.push(request('flood', number));
       queue.push(request('quiet', 0));
       const held = new Map([['flood', CONNECTIONS - 1]]);
@@ -32,7 +37,7 @@
 test('while all have requests waiting, no tenant holds two more than another', () => {
   fc.assert(
     fc.property(fc.array(fc.constantFrom('a', 'b', 'c'), { maxLength: 60 }), (arrivals) => {
-      const queue = new FairQueue<NumberedRequest>(100);
+      const queue = new FairQueue<NumberedRequest>();
       const waiting = new Map<string, number>();
       for (const [number, tenant] of arrivals.entries()) {
         queue.push(request(tenant, number));
@@ -52,8 +57,44 @@
   );
 });
 
+test('while all have requests waiting, tenants hold by their weights', () => {
+  const weights = fc.record({
+    a: fc.integer({ min: 1, max: 5 }),
+    b: fc.integer({ min: 1, max: 5 }),
+  });
+  fc.assert(
+    fc.property(weights, fc.integer({ min: 1, max: 40 }), ({ a, b }, served) => {
+      const queue = new FairQueue<NumberedRequest>();
+      for (let number = 0; number < served; number += 1) {
+        queue.push(request('a', number, 1, { weight: a }));
+        queue.push(request('b', number, 1, { weight: b }));
+      }
+      const held = new Map<string, number>();
+      for (let count = 0; count < served; count += 1) {
+        const next = queue.takeNext(held);
+        if (next !== undefined) held.set(next.tenant, (held.get(next.tenant) ?? 0) + 1);
+      }
+      // No tenant is ahead of another by more than the one connection that it got last.
+      const heldByA = held.get('a') ?? 0;
+      const heldByB = held.get('b') ?? 0;
+      assert.ok((heldByA - 1) * b <= heldByB * a && (heldByB - 1) * a <= heldByA * b);
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
+
+test('a tenant that may hold no more is passed over, whatever its priority', () => {
+  const queue = new FairQueue<NumberedRequest>();
+  queue.push(request('flood', 1, 0));
+  queue.push(request('quiet', 2, 5));
+  const isQuiet = (tenant: string): boolean => tenant === 'quiet';
+  assert.is(queue.takeNext(new Map(), isQuiet)?.number, 2);
+  assert.is(queue.takeNext(new Map(), isQuiet), undefined);
+  assert.is(queue.takeNext(new Map())?.number, 1);
+});
+
 test('a higher priority goes first, and equals go in the order of their arrival', () => {
-  const queue = new FairQueue<NumberedRequest>(10);
+  const queue = new FairQueue<NumberedRequest>();
   queue.push(request('a', 1, 2));
   queue.push(request('a', 2, 2));
   queue.push(request('b', 3, 1));
@@ -63,12 +104,20 @@
 });
 
 test('one tenant may have so many waiting and no more; what is removed is not taken', () => {
-  const queue = new FairQueue<NumberedRequest>(2);
-  const first = request('a', 1);
+  const queue = new FairQueue<NumberedRequest>();
+  const bounds = { maxWaiting: 2 };
+  const first = request('a', 1, 1, bounds);
   assert.ok(queue.push(first));
-  assert.ok(queue.push(request('a', 2)));
-  assert.not(queue.push(request('a', 3)));
-  assert.ok(queue.push(request('b', 4)));
+  assert.ok(queue.push(request('a', 2, 1, bounds)));
+  assert.not(queue.push(request('a', 3, 1, bounds)));
+  assert.ok(queue.push(request('b', 4, 1, bounds)));
+  assert.equal(
+    [...queue.waiting],
+    [
+      ['a', 2],
+      ['b', 1],
+    ],
+  );
   assert.ok(queue.remove(first));
   assert.not(queue.remove(first));
   assert.equal(
@@ -76,6 +125,7 @@
     [2, 4],
   );
   assert.is(queue.length, 0);
+  assert.is(queue.waiting.size, 0);
 });
 
 test.run();
--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -2,11 +2,14 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
+import { type RoutePolicy, resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
 import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
 import { CallerSession } from '../../../src/direct/caller-session.js';
 import type { RouteDescription } from '../../../src/direct/contract.js';
 import { ServiceRuntime } from '../../../src/direct/service-runtime.js';
 import { StatementRunner } from '../../../src/direct/statement-runner.js';
+import { Tenant } from '../../../src/direct/tenant.js';
+import { ROUTE_TEMPLATES } from '../../../src/direct/tenant-templates.generated.js';
 import { TrustProver } from '../../../src/direct/trust-prover.js';
 
 const ROUTE: RouteDescription = {
@@ -29,12 +32,23 @@
 });
 test.after(() => clearInterval(keepAlive));
 
+const POLICY = resolveRoutePolicy(ROUTE_TEMPLATES, ROUTE.consistency, ROUTE);
+
+function tenantWith(changes: Partial<RoutePolicy> = {}): Tenant {
+  return new Tenant(ROUTE.name, { ...POLICY, ...changes });
+}
+
 /** A session whose service has no instance at all. */
-function startSession() {
+function startSession(tenant = tenantWith()) {
   const now = () => performance.now();
   const random = () => 0.5;
   const view = new AnnouncedPrimaryView();
-  const poolCounters = { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0 };
+  const poolCounters = {
+    connectionsOpened: 0,
+    connectFailures: 0,
+    waitTimeouts: 0,
+    queueRefusals: 0,
+  };
   const service = new ServiceRuntime('db-1', {
     zone: 'a',
     nodeCount: 1,
@@ -63,7 +77,7 @@
     wire: lineWire,
     runner: new StatementRunner({ wire: lineWire, view, prover, now, random }),
     routes: {
-      find: (database) => (database === 'orders' ? { route: ROUTE, service } : undefined),
+      find: (database) => (database === 'orders' ? { route: ROUTE, service, tenant } : undefined),
       known: async () => true,
       transactionIdleMs: 3000,
     },
@@ -108,6 +122,38 @@
   assert.is(lines[2], 'READY I -');
 });
 
+test('a tenant opens so many sessions and no more, until one of them closes', async () => {
+  const tenant = tenantWith({ maxSessions: 1 });
+  const first = startSession(tenant);
+  await first.send('START orders u1');
+  const second = startSession(tenant);
+  second.session.receive(lineWire.decodeCallerMessage('START orders u2'));
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.match(second.lines[0] ?? '', /^ERROR BUSY too many sessions; retry after \d+ ms$/);
+  assert.equal(second.ended, [true]);
+  second.session.close();
+  assert.is(tenant.sessions, 1);
+  first.session.close();
+  first.session.close();
+  assert.is(tenant.sessions, 0);
+  const third = startSession(tenant);
+  await third.send('START orders u3');
+  assert.equal(third.lines, ['READY I -']);
+});
+
+test('a session holds as many values, and prepared statements, as its tenant may', async () => {
+  const { lines, send } = startSession(tenantWith({ maxSessionEntries: 1 }));
+  await send('START orders u1');
+  await send('QUERY 1 SET role clerk');
+  await send('QUERY 2 SET role judge');
+  await send('QUERY 3 SET other value');
+  assert.match(lines.at(-2) ?? '', /^ERROR TOOLARGE /);
+  await send('QUERY 4 PREPARE s1 READ shape');
+  await send('QUERY 5 PREPARE s2 READ shape');
+  assert.match(lines.at(-2) ?? '', /^ERROR TOOLARGE /);
+  assert.is(lines.filter((line) => line.startsWith('ERROR')).length, 2);
+});
+
 test('a transaction that failed takes only its end', async () => {
   const { lines, send } = startSession();
   await send('START orders u1');
--- /dev/null
+++ b/test/unit/direct/tenant.test.ts
@@ -0,0 +1,115 @@
+/** A tenant's retry budget: what it bounds, and what becomes of it when the policy changes. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { lineWire } from '../../../platform/line-wire.js';
+import { type RoutePolicy, resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
+import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
+import type { InstanceEntry, RouteDescription } from '../../../src/direct/contract.js';
+import { ServiceRuntime } from '../../../src/direct/service-runtime.js';
+import { StatementRunner } from '../../../src/direct/statement-runner.js';
+import { Tenant } from '../../../src/direct/tenant.js';
+import { ROUTE_TEMPLATES } from '../../../src/direct/tenant-templates.generated.js';
+import { TrustProver } from '../../../src/direct/trust-prover.js';
+
+const ROUTE: RouteDescription = {
+  name: 'route-1',
+  database: 'orders',
+  service: 'db-1',
+  consistency: 'primary',
+  maxStalenessMs: 0,
+  timeoutMs: 300,
+  targetLatencyMs: 100,
+  priority: 1,
+};
+/** Nobody listens there. */
+const UNREACHABLE_PORT = 1;
+const PRIMARY: InstanceEntry = {
+  ...{ id: 'i-1', service: 'db-1', host: '127.0.0.1', port: UNREACHABLE_PORT, zone: 'a' },
+  ...{ slots: 3, draining: false, role: 'primary' },
+};
+
+/** Pauses between attempts do not keep a process alive. */
+const KEEP_ALIVE_MS = 1000;
+let keepAlive: NodeJS.Timeout | undefined;
+
+test.before(() => {
+  keepAlive = setInterval(() => {}, KEEP_ALIVE_MS);
+});
+test.after(() => clearInterval(keepAlive));
+
+function tenantWith(retries: RoutePolicy['retries']): Tenant {
+  const policy = resolveRoutePolicy(ROUTE_TEMPLATES, ROUTE.consistency, ROUTE);
+  return new Tenant(ROUTE.name, { ...policy, untriedPatienceMs: ROUTE.timeoutMs, retries });
+}
+
+/** Openings that fail while one write for this tenant is tried, and how it ends. */
+async function tryWrite(tenant: Tenant) {
+  const now = () => performance.now();
+  const random = () => 0.5;
+  const view = new AnnouncedPrimaryView();
+  view.noteInstances(new Map([[PRIMARY.id, PRIMARY]]));
+  const counters = {
+    ...{ connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0, queueRefusals: 0 },
+    ...{ proofRounds: 0, proofsFailed: 0 },
+  };
+  const pool = {
+    wire: lineWire,
+    connectTimeoutMs: 100,
+    reconnectDelayMs: 1,
+    now,
+    random,
+    counters,
+  };
+  const service = new ServiceRuntime('db-1', {
+    ...{ zone: 'a', nodeCount: 1, drainTimeoutMs: 7000, view, isStoreWell: () => true, now, pool },
+  });
+  service.setMaxConnections(10);
+  service.setInstances([PRIMARY]);
+  const prover = new TrustProver({
+    wire: lineWire,
+    now,
+    counters,
+    confirmPrimary: async () => false,
+  });
+  const runner = new StatementRunner({ wire: lineWire, view, prover, now, random });
+  const beganAt = now();
+  const outcome = await runner.run({
+    ...{ access: 'write', route: ROUTE, service, tenant, prepared: undefined },
+    session: { values: new Map(), lastWritten: undefined },
+    beganAt,
+    deadline: beganAt + ROUTE.timeoutMs,
+    encode: () => '',
+  });
+  return { outcome, attempts: counters.connectFailures };
+}
+
+test('a statement is tried again for as long as its tenant has retries left', async () => {
+  const alone = await tryWrite(tenantWith({ ratio: 0, capacity: 0 }));
+  assert.is(alone.attempts, 1);
+  assert.is(alone.outcome.type, 'refused');
+  const saved = await tryWrite(tenantWith({ ratio: 0, capacity: 2 }));
+  assert.is(saved.attempts, 3);
+});
+
+test('first attempts earn retries, up to what may be saved', () => {
+  const tenant = tenantWith({ ratio: 0.5, capacity: 1 });
+  assert.ok(tenant.mayRetry());
+  assert.not(tenant.mayRetry());
+  for (let count = 0; count < 10; count += 1) tenant.noteFirstAttempt();
+  assert.ok(tenant.mayRetry());
+  assert.not(tenant.mayRetry());
+});
+
+test('a change of the policy keeps the sessions, and the budget if that has not changed', () => {
+  const tenant = tenantWith({ ratio: 0, capacity: 1 });
+  assert.ok(tenant.openSession());
+  assert.ok(tenant.mayRetry());
+  tenant.setPolicy({ ...tenant.policy, maxSessions: 1 });
+  assert.not(tenant.openSession());
+  assert.not(tenant.mayRetry());
+  tenant.setPolicy({ ...tenant.policy, maxSessions: 2, retries: { ratio: 0, capacity: 2 } });
+  assert.ok(tenant.openSession());
+  assert.ok(tenant.mayRetry());
+});
+
+test.run();
