--- a/bench/isolation/flood.ts
+++ b/bench/isolation/flood.ts
@@ -19,6 +19,9 @@
 const begunSchema = z.object({ begun: z.literal(true) });
 const readySchema = z.object({ ready: z.literal(true) });
 
+/** Floods `meadowstack proxy`. */
+const POSTGRES_FLOOD = 'bench/isolation/flood-process.js';
+
 /** A process of its own, so that its work is not on the clock of the quiet tenant's load. */
 export class Flood {
   private constructor(
@@ -26,10 +29,14 @@
     private readonly lines: Interface,
   ) {}
 
-  static async start(proxies: readonly ProxyEndpoint[], seed: number): Promise<Flood> {
+  static async start(
+    proxies: readonly ProxyEndpoint[],
+    seed: number,
+    program = POSTGRES_FLOOD,
+  ): Promise<Flood> {
     const addresses = proxies.map(({ host, port }) => `${host}:${port}`).join(',');
     const flags = [`--proxies=${addresses}`, `--seed=${seed}`];
-    const child = await startChild('bench/isolation/flood-process.js', flags, readySchema);
+    const child = await startChild(program, flags, readySchema);
     const { stdout } = child.process;
     if (stdout === null) throw new RangeError('the flood has no output');
     return new Flood(child, createInterface({ input: stdout }));
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 /** `npm run bench`: dispatches on the sub-command; without one it benches a deployment. */
 import { runDeploymentBench } from './deployment-bench.js';
+import { runDirectIsolationBench } from './direct-isolation/main.js';
 import { runIsolationBench } from './isolation/main.js';
 import { runOverheadBench } from './overhead/main.js';
 
@@ -7,6 +8,7 @@
   ['deployment', runDeploymentBench],
   ['overhead', runOverheadBench],
   ['isolation', runIsolationBench],
+  ['direct-isolation', runDirectIsolationBench],
 ]);
 
 const [first = '', ...rest] = process.argv.slice(2);
