--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -7,6 +7,7 @@
 import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
 import type { StatementAnswer, StatementErrorCode } from '../../core/statements/statement.js';
+import type { ConnectionPolicy } from '../../core/tenancy/allowance.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { InstanceEntry } from '../contract.js';
 import type { InstanceConnection } from '../instance-connection.js';
@@ -22,6 +23,8 @@
   readonly instanceId: string;
   readonly tenant: string;
   readonly priority: number;
+  /** What the tenant may use of the instance, through this owner. */
+  readonly policy: ConnectionPolicy;
   /** Values that the connection should have already, if one has them. */
   readonly values: ValueList;
   /** How long a connection is waited for. */
@@ -38,8 +41,10 @@
   | { readonly reason: 'unknown-instance' }
   /** The instance is leaving or gone. */
   | { readonly reason: 'unusable' }
-  /** None became free in time, or too many wait. */
+  /** None became free in time. */
   | { readonly reason: 'no-connection' }
+  /** The tenant has as many statements waiting there as it may. */
+  | { readonly reason: 'queue-full' }
   /** The instance could not be reached; `answer` is what it answered, if it did. */
   | { readonly reason: 'unreachable'; readonly answer: StatementErrorCode | undefined };
 
--- a/src/direct/relay/lease-server.ts
+++ b/src/direct/relay/lease-server.ts
@@ -4,7 +4,7 @@
  */
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerHandlers, PeerStream, WireValue } from '../../peer/contract.js';
-import { InstanceConnectError } from '../errors.js';
+import { InstanceConnectError, InstanceQueueFullError } from '../errors.js';
 import type { AcquireError } from '../instance-pool.js';
 import { pause } from '../within.js';
 import {
@@ -100,7 +100,7 @@
     this.#waiting += 1;
     const { pool } = instance;
     const acquired = await pool.acquire({
-      ...{ tenant: request.tenant, priority: request.priority },
+      ...{ tenant: request.tenant, priority: request.priority, policy: request.policy },
       values: new Map(request.values),
       deadline: this.options.now() + request.waitMs,
     });
@@ -129,6 +129,7 @@
 }
 
 function refusalFor(error: AcquireError): LeaseRefusal {
+  if (error instanceof InstanceQueueFullError) return { reason: 'queue-full' };
   if (!(error instanceof InstanceConnectError)) return { reason: 'no-connection' };
   return { reason: 'unreachable', answer: error.answer };
 }
--- a/src/direct/relay/messages.ts
+++ b/src/direct/relay/messages.ts
@@ -19,9 +19,16 @@
   .object({ timeline: z.number().int(), lsn: z.string().regex(/^\d+$/) })
   .transform(({ timeline, lsn }): Position => ({ timeline, lsn: BigInt(lsn) }));
 
+/** A tenant without a bound has infinity for it. */
+const bound = z.union([z.number(), z.literal(Number.POSITIVE_INFINITY)]);
+const connectionPolicy = z.object({
+  ...{ queueWeight: bound, maxWaiting: bound, inFlightShare: bound, inFlightFloor: bound },
+});
+
 const leaseRequest = z.object({
   ...{ type: z.literal('lease'), service: z.string(), instanceId: z.string() },
-  ...{ tenant: z.string(), priority: z.number().int(), values: valueList },
+  ...{ tenant: z.string(), priority: z.number().int(), policy: connectionPolicy },
+  values: valueList,
   waitMs: z.number(),
 });
 
@@ -45,7 +52,10 @@
   z.object({ type: z.literal('lost') }),
   z.object({
     ...refusal,
-    reason: z.enum(['stopping', 'not-owner', 'unknown-instance', 'unusable', 'no-connection']),
+    reason: z.enum([
+      ...(['stopping', 'not-owner', 'unknown-instance', 'unusable'] as const),
+      ...(['no-connection', 'queue-full'] as const),
+    ]),
   }),
   z.object({ ...refusal, reason: z.literal('unreachable'), answer: errorCode.optional() }),
 ]);
--- a/src/direct/relay/owner-lessor.ts
+++ b/src/direct/relay/owner-lessor.ts
@@ -11,6 +11,7 @@
 import {
   InstanceConnectError,
   InstanceOwnersUnreachableError,
+  InstanceQueueFullError,
   InstanceWaitTimeoutError,
 } from '../errors.js';
 import type { InstanceConnection } from '../instance-connection.js';
@@ -93,10 +94,10 @@
     waitMs: Milliseconds,
   ): Promise<LeaseOutcome> {
     const { instance, transport, health } = this.options;
-    const { tenant, priority, values } = request;
+    const { tenant, priority, policy, values } = request;
     const header: LeaseRequest = {
       ...{ type: 'lease', service: instance.service, instanceId: instance.id },
-      ...{ tenant, priority, values: [...values], waitMs },
+      ...{ tenant, priority, policy, values: [...values], waitMs },
     };
     const stream = transport.openStream(owner, header);
     return new Promise((resolve) => {
@@ -156,6 +157,8 @@
   switch (refusal.reason) {
     case 'unreachable':
       return new InstanceConnectError(`${instanceId}: its owner can't reach it`, refusal.answer);
+    case 'queue-full':
+      return new InstanceQueueFullError(`${instanceId}: too many wait at its owner`);
     case 'no-connection':
     case 'unusable':
       return new InstanceWaitTimeoutError(`${instanceId}: its owner gives no connection`);
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -139,8 +139,8 @@
     const softLimit = Math.max(MINIMUM_CONNECTIONS, softShare);
     for (const state of this.#instances.values()) {
       this.#followOwners(state);
-      if (state.ownership === undefined) state.pool.setLimit(limit, softLimit);
-      else state.pool.setLimit(state.isOwned ? this.#ownerShare() : 0);
+      if (state.ownership === undefined) state.pool.setLimit(limit, softLimit, nodes);
+      else this.#limitByOwners(state);
     }
   }
 
@@ -153,9 +153,11 @@
     state.pool.setLessor(state.ownership?.lessor);
   }
 
-  #ownerShare(): number {
+  /** Only an owner holds connections; the owners share the slots of the instance. */
+  #limitByOwners(state: InstanceState): void {
     const owners = this.options.ownership.roster?.ownersPerInstance ?? 1;
-    return connectionsPerOwner(owners, this.#maxConnections);
+    const limit = state.isOwned ? connectionsPerOwner(owners, this.#maxConnections) : 0;
+    state.pool.setLimit(limit, limit, owners);
   }
 
   /** The owners of instances are others now. */
--- a/test/support/relay-fleet.ts
+++ b/test/support/relay-fleet.ts
@@ -26,6 +26,13 @@
 }
 
 /** A node that owns the instance. */
+/** A tenant that its policy holds back from nothing. */
+export const TEST_TENANT = {
+  tenant: 't',
+  priority: 1,
+  policy: { queueWeight: 1, maxWaiting: 200, inFlightShare: 1, inFlightFloor: 200 },
+};
+
 export class TestOwner implements LendableInstance {
   isOwned = true;
   readonly mayConnect = true;
@@ -40,7 +47,7 @@
     this.node = { nodeId, zone: 'a', host: HOST, port: 0 };
     this.pool = new InstancePool(instance.entry, LIMIT, {
       ...{ wire: lineWire, connectTimeoutMs: 500, reconnectDelayMs: 50, now, random: () => 0.5 },
-      counters: { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0 },
+      counters: { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0, queueRefusals: 0 },
     });
     const positions = new PositionReader({ wire: lineWire, now });
     const find = () => (this.known ? this : undefined);
@@ -106,7 +113,7 @@
   constructor(instance: ScriptedInstance, owners: readonly ReachableNode[]) {
     this.pool = new InstancePool(instance.entry, 0, {
       ...{ wire: lineWire, connectTimeoutMs: 500, reconnectDelayMs: 50, now, random: () => 0.5 },
-      counters: { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0 },
+      counters: { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0, queueRefusals: 0 },
     });
     const { transport, health, counters } = this;
     const lessor = new OwnerLessor({
@@ -117,7 +124,7 @@
 
   acquire(request: Partial<ConnectionRequest> = {}) {
     const deadline = now() + REQUEST_MS;
-    return this.pool.acquire({ tenant: 't', priority: 1, values: new Map(), deadline, ...request });
+    return this.pool.acquire({ ...TEST_TENANT, values: new Map(), deadline, ...request });
   }
 
   async stop(): Promise<void> {
--- a/test/unit/direct/relay.test.ts
+++ b/test/unit/direct/relay.test.ts
@@ -13,7 +13,7 @@
 import { GrantedLease } from '../../../src/direct/relay/granted-lease.js';
 import { synchronise } from '../../../src/direct/synchronise.js';
 import { createLocalStreamPair } from '../../../src/peer/local-stream.js';
-import { SilentNode, TestBorrower, TestOwner } from '../../support/relay-fleet.js';
+import { SilentNode, TEST_TENANT, TestBorrower, TestOwner } from '../../support/relay-fleet.js';
 import { ScriptedInstance } from '../../support/scripted-instance.js';
 import { until } from '../../support/until.js';
 
@@ -178,7 +178,7 @@
   await start(1);
   const { pool } = owner(0);
   const now = (): number => performance.now();
-  const request = { tenant: 't', priority: 1, values: new Map(), deadline: now() + 5000 };
+  const request = { ...TEST_TENANT, values: new Map(), deadline: now() + 5000 };
   const connection = (await pool.acquire(request))._unsafeUnwrap();
   // Both ends deliver what is there in one go, as a link does after its node stood still.
   const { opener, acceptor } = createLocalStreamPair();
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -2,16 +2,28 @@
 import { err } from 'neverthrow';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
+import type { RouteDescription } from '../../../src/direct/contract.js';
 import { InstanceConnectError } from '../../../src/direct/errors.js';
 import type { PrimaryView } from '../../../src/direct/promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from '../../../src/direct/service-runtime.js';
 import { type StatementRequest, StatementRunner } from '../../../src/direct/statement-runner.js';
 import type { Placement } from '../../../src/direct/target-chooser.js';
+import { Tenant } from '../../../src/direct/tenant.js';
+import { ROUTE_TEMPLATES } from '../../../src/direct/tenant-templates.generated.js';
 import type { TrustProver } from '../../../src/direct/trust-prover.js';
 import type { StatementWire } from '../../../src/direct/wire.js';
 
 const TARGET_LATENCY_MS = 100;
 const DEADLINE_MS = 1000;
+const ROUTE: RouteDescription = {
+  ...{ name: 'orders', database: 'orders', service: 'ledger', consistency: 'primary' },
+  ...{ maxStalenessMs: 0, timeoutMs: DEADLINE_MS, targetLatencyMs: TARGET_LATENCY_MS, priority: 1 },
+};
+
+function newTenant(): Tenant {
+  return new Tenant(ROUTE.name, resolveRoutePolicy(ROUTE_TEMPLATES, ROUTE.consistency, ROUTE));
+}
 
 /** Pauses of the code under test don't keep the process alive by themselves. */
 const keepAlive = setInterval(() => {}, 1000);
@@ -61,7 +73,8 @@
     isTransaction: true,
     service,
     beganAt: 0,
-    route: { targetLatencyMs: TARGET_LATENCY_MS },
+    route: ROUTE,
+    tenant: newTenant(),
     session: { values: new Map(), lastWritten: undefined },
   } as unknown as Placement;
   return { runner, placement, proofs: () => proofs };
@@ -114,7 +127,8 @@
     service,
     beganAt: 0,
     deadline: DEADLINE_MS,
-    route: { targetLatencyMs: TARGET_LATENCY_MS, consistency: 'primary', maxStalenessMs: 0 },
+    route: ROUTE,
+    tenant: newTenant(),
     session: { values: new Map(), lastWritten: undefined },
   } as unknown as StatementRequest);
   assert.is(outcome.type, 'refused');
