--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -9,7 +9,7 @@
 import type { Position } from '../position.js';
 
 /** Prefix that every node follows. */
-export const RECORD_PREFIX = 'meadowstack/';
+export const RECORD_PREFIX = 'server-groups/';
 /** Prefix that the leader follows. */
 export const DUTY_PREFIX = 'meadowstack-duty/';
 export const LEADER_KEY = `${RECORD_PREFIX}leader`;
@@ -101,6 +101,7 @@
     };
 
 export type ChangingRecord = Extract<PrimaryRecord, { phase: 'changing' }>;
+export type ServingRecord = Extract<PrimaryRecord, { phase: 'serving' }>;
 
 /** What one leader leaves to the next about a service. */
 export interface DutyNote {
--- a/src/direct/position-sampler.ts
+++ b/src/direct/position-sampler.ts
@@ -11,6 +11,11 @@
 
 /** The primary's log position is asked for when the newest known one is older than this. */
 const SAMPLE_INTERVAL_MS: Milliseconds = 400;
+/**
+ * The same at the node that watches the primaries. An answer to this question, which takes no slot,
+ * saves it the probe that does; with the pause between checks it has to come before that is due.
+ */
+const WATCHER_SAMPLE_INTERVAL_MS: Milliseconds = 250;
 const SAMPLE_TIMEOUT_MS: Milliseconds = 500;
 
 export interface SamplerCounters {
@@ -33,11 +38,13 @@
 
   /** Asks the primaries of those services whose newest position is old. */
   sample(services: Iterable<ServiceRuntime>): void {
+    const { view } = this.options;
     const now = this.options.now();
+    const intervalMs = view.watchesPrimaries ? WATCHER_SAMPLE_INTERVAL_MS : SAMPLE_INTERVAL_MS;
     for (const service of services) {
       const newest = service.samples.newestAt() ?? Number.NEGATIVE_INFINITY;
       if (this.#sampling.has(service.name)) continue;
-      if (now - newest < SAMPLE_INTERVAL_MS) continue;
+      if (now - newest < intervalMs) continue;
       void this.#samplePosition(service);
     }
   }
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -149,8 +149,13 @@
     return this.#machine.isChanging(service);
   }
 
-  reportPrimaryFailure(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
-    this.#handle({ type: 'primary-failed', service, use });
+  reportPrimaryFailure(
+    service: string,
+    _now: Milliseconds,
+    use: PrimaryUse = 'reach',
+    silentForMs: Milliseconds = 0,
+  ): void {
+    this.#handle({ type: 'primary-failed', service, use, silentForMs });
   }
 
   reportPrimarySuccess(service: string, _now: Milliseconds, use: PrimaryUse = 'reach'): void {
@@ -170,6 +175,10 @@
     return this.#machine.isLeader;
   }
 
+  get watchesPrimaries(): boolean {
+    return this.isLeader;
+  }
+
   /** What an effect brings about at once comes after the effects of the event at hand. */
   #handle(event: PromotionEvent): void {
     this.#queue.push(event);
