--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -88,6 +88,15 @@
   /** It may have run. */
   | { readonly type: 'unknown'; readonly instance: InstanceRuntime };
 
+/** An exchange that had no answer. */
+export interface LostAnswer {
+  readonly request: Pick<StatementRequest, 'service'>;
+  readonly instance: InstanceRuntime;
+  readonly connection: InstanceConnection;
+  /** Undefined if none came in time. */
+  readonly answer: ExchangeResult | undefined;
+}
+
 export function refuse(code: StatementErrorCode, text: string): StatementOutcome {
   return { type: 'refused', refusal: { code, text } };
 }
@@ -308,7 +317,7 @@
     endWatch(answer?.isOk() === true);
     if (answer === undefined || answer.isErr()) {
       const use = silentWrite ? 'commit' : 'reach';
-      this.noteNoAnswer(request, instance, connection, answer, use, silentForMs);
+      this.noteNoAnswer({ request, instance, connection, answer }, use, silentForMs);
       return { type: 'unknown', instance };
     }
     return this.#judge(request, instance, connection, answer.value, sentAt);
@@ -387,10 +396,7 @@
 
   /** No answer came. What an owner of the instance failed at says nothing of the instance itself. */
   noteNoAnswer(
-    request: Pick<StatementRequest, 'service'>,
-    instance: InstanceRuntime,
-    connection: InstanceConnection,
-    answer: ExchangeResult | undefined,
+    { request, instance, connection, answer }: LostAnswer,
     use: PrimaryUse = 'reach',
     silentForMs: Milliseconds = 0,
   ): void {
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -108,8 +108,8 @@
     endWatch(answer?.isOk() === true);
     endWrite();
     if (answer === undefined || answer.isErr()) {
-      const use = silent ? 'commit' : 'reach';
-      this.runner.noteNoAnswer(this, instance, connection, answer, use, silentForMs);
+      const lost = { request: this, instance, connection, answer };
+      this.runner.noteNoAnswer(lost, silent ? 'commit' : 'reach', silentForMs);
       // Without a write, nothing is kept whatever became of the commit.
       return this.#wrote
         ? refuse('in-doubt', 'no answer to a commit')
@@ -180,11 +180,12 @@
       endWatch(answer?.isOk() === true);
       if (answer === undefined) {
         connection.close();
-        this.runner.noteNoAnswer(this, instance, connection, answer, 'reach', silentForMs);
+        const lost = { request: this, instance, connection, answer };
+        this.runner.noteNoAnswer(lost, 'reach', silentForMs);
         return refuse('aborted', 'no answer in time; the transaction was rolled back');
       }
       if (answer.isErr()) {
-        this.runner.noteNoAnswer(this, instance, connection, answer);
+        this.runner.noteNoAnswer({ request: this, instance, connection, answer });
         return refuse('aborted', 'the connection to the instance ended');
       }
       if (answer.value.error === undefined) instance.pool.noteAnswer(now() - sentAt);
@@ -253,7 +254,7 @@
     const begun = await firstWithin([exchange], patienceMs);
     if (begun === undefined || begun.isErr()) {
       connection.close();
-      this.runner.noteNoAnswer(placement, instance, connection, begun);
+      this.runner.noteNoAnswer({ request: placement, instance, connection, answer: begun });
       return failureToOpen(instance, 'no answer to BEGIN');
     }
     if (begun.value.error !== undefined || begun.value.state !== 'open') {
