Peer links check their own values by hand, without the schema library

The link reads three values itself: hello, call and call error.

Ruled out: the schema library's small build (another dependency for three values); loading it with the first link (every start takes links within a second).

Change: `src/peer/message-forms.ts` has these forms, as strict as before, and a unit test of its own; UnknownMethodError stands with the other errors of the links, where the direct gateway can use it.

--- a/src/node/limits/service.ts
+++ b/src/node/limits/service.ts
@@ -13,8 +13,9 @@
 import type { TenantName } from '../../core/request.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { NodeIdentity, PeerTransport, WireValue } from '../../peer/contract.js';
+import { UnknownMethodError } from '../../peer/errors.js';
 import type { FleetNode } from '../fleet-view.js';
-import { type CallService, UnknownMethodError } from '../peer-router.js';
+import type { CallService } from '../peer-router.js';
 import { AllocatorService } from './allocator-service.js';
 import {
   parseCall,
--- a/src/node/peer-router.ts
+++ b/src/node/peer-router.ts
@@ -1,5 +1,4 @@
 /** Hands what peers ask to the service that answers it. Services are added while the node is put together. */
-import { MeadowstackError } from '../core/errors.js';
 import type {
   NodeIdentity,
   PeerAddress,
@@ -7,6 +6,7 @@
   PeerStream,
   WireValue,
 } from '../peer/contract.js';
+import { UnknownMethodError } from '../peer/errors.js';
 
 /** Answers some methods. */
 export interface CallService {
@@ -14,15 +14,6 @@
   onCall(method: string, body: WireValue, from: NodeIdentity): Promise<WireValue> | WireValue;
 }
 
-/** No service of this node answers the method (yet). */
-export class UnknownMethodError extends MeadowstackError {
-  readonly code = 'MS-PEER-METHOD';
-
-  constructor(method: string) {
-    super(`no service answers ${method}`);
-  }
-}
-
 /** Routes peers' calls by method and their streams to the owner. */
 export class PeerRouter implements PeerHandlers {
   readonly #services: CallService[] = [];
--- a/src/peer/errors.ts
+++ b/src/peer/errors.ts
@@ -102,6 +102,15 @@
   override readonly labels: ReadonlySet<ErrorLabel> = new Set(['security']);
 }
 
+/** No service of this node answers the method (yet). */
+export class UnknownMethodError extends MeadowstackError {
+  readonly code = 'MS-PEER-METHOD';
+
+  constructor(method: string) {
+    super(`no service answers ${method}`);
+  }
+}
+
 /** The link was not used for a while; nothing was lost. */
 export class PeerLinkIdleError extends MeadowstackError {
   readonly code = 'MS-PEER-IDLE';
--- a/src/peer/handshake.ts
+++ b/src/peer/handshake.ts
@@ -11,7 +11,6 @@
  * The dialler may send its first frames right behind PROOF.
  */
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
-import { z } from 'zod';
 import { decodeValue, encodeValue } from './codec.js';
 import type { NodeIdentity } from './contract.js';
 import { PeerHandshakeError, PeerProtocolError } from './errors.js';
@@ -21,25 +20,13 @@
   type FrameTypeCode,
   MAX_HANDSHAKE_PAYLOAD_BYTES,
 } from './frame.js';
+import { type Hello, helloForm, NONCE_BYTES } from './message-forms.js';
 
 const PROTOCOL_NAME = 'meadowstack-peer';
 /** Version of the frames and of the handshake; both sides must have the same. */
 export const PROTOCOL_VERSION = 1;
-const NONCE_BYTES = 32;
-const MAX_NODE_ID_LENGTH = 128;
 const NO_PROOF = Buffer.alloc(0);
 
-const helloSchema = z.object({
-  protocol: z.literal(PROTOCOL_NAME),
-  version: z.number().int(),
-  nodeId: z.string().min(1).max(MAX_NODE_ID_LENGTH),
-  incarnation: z.number().int().nonnegative(),
-  nonce: z.instanceof(Uint8Array).refine((nonce) => nonce.length === NONCE_BYTES),
-  proof: z.instanceof(Uint8Array),
-});
-
-type Hello = z.infer<typeof helloSchema>;
-
 /** Who opened the connection. */
 export type HandshakeRole = 'dialler' | 'acceptor';
 
@@ -126,12 +113,12 @@
 }
 
 function parseHello(payload: Buffer): Hello {
-  const parsed = helloSchema.safeParse(decodeValue(payload));
-  if (!parsed.success) throw new PeerProtocolError('malformed hello');
-  if (parsed.data.version !== PROTOCOL_VERSION) {
-    throw new PeerHandshakeError(`protocol version ${parsed.data.version} is not supported`);
+  const hello = helloForm(decodeValue(payload));
+  if (hello?.protocol !== PROTOCOL_NAME) throw new PeerProtocolError('malformed hello');
+  if (hello.version !== PROTOCOL_VERSION) {
+    throw new PeerHandshakeError(`protocol version ${hello.version} is not supported`);
   }
-  return parsed.data;
+  return hello;
 }
 
 function identityOf(hello: Hello): NodeIdentity {
--- a/src/peer/link-calls.ts
+++ b/src/peer/link-calls.ts
@@ -1,6 +1,5 @@
 /** Calls under way on one link: questions asked by this side, and those of the other side. */
 import { err, ok, type Result, ResultAsync } from 'neverthrow';
-import { z } from 'zod';
 import { MeadowstackError } from '../core/errors.js';
 import { decodeValue, encodeValue } from './codec.js';
 import type { NodeIdentity, PeerHandlers, WireValue } from './contract.js';
@@ -13,16 +12,13 @@
   PeerProtocolError,
 } from './errors.js';
 import { FrameType, type FrameTypeCode } from './frame.js';
+import { callErrorForm, callForm } from './message-forms.js';
 import type { PeerLinkLimits } from './options.js';
 
-const MAX_METHOD_LENGTH = 64;
 const MAX_REASON_LENGTH = 200;
 const INTERNAL_ERROR_CODE = 'MS-PEER-INTERNAL';
 const BUSY_ERROR_CODE = 'MS-PEER-BUSY';
 
-const callSchema = z.tuple([z.string().max(MAX_METHOD_LENGTH), z.unknown()]);
-const callErrorSchema = z.tuple([z.string(), z.string()]);
-
 type CallResult = Result<WireValue, MeadowstackError>;
 
 interface PendingCall {
@@ -96,9 +92,9 @@
 
   /** Handles a question of the other side. */
   receiveCall(number: number, payload: Buffer, from: NodeIdentity): void {
-    const parsed = callSchema.safeParse(decodeValue(payload));
-    if (!parsed.success) throw new PeerProtocolError('malformed call');
-    const [method, body] = parsed.data;
+    const asked = callForm(decodeValue(payload));
+    if (asked === undefined) throw new PeerProtocolError('malformed call');
+    const { method, body } = asked;
     if (this.#answering >= this.#limits.maxCallsPerLink) {
       this.#answerError(number, BUSY_ERROR_CODE, 'too many calls at once');
       return;
@@ -184,8 +180,7 @@
 }
 
 function failure(call: PendingCall, payload: Buffer): CallResult {
-  const parsed = callErrorSchema.safeParse(decodeValue(payload));
-  if (!parsed.success) throw new PeerProtocolError('malformed call error');
-  const [code, reason] = parsed.data;
-  return err(new PeerCallFailedError(call.method, code, reason));
+  const failed = callErrorForm(decodeValue(payload));
+  if (failed === undefined) throw new PeerProtocolError('malformed call error');
+  return err(new PeerCallFailedError(call.method, failed.code, failed.reason));
 }
--- a/test/unit/allocator-service.test.ts
+++ b/test/unit/allocator-service.test.ts
@@ -10,7 +10,7 @@
 import { parseCall, VOTE_METHOD, voteRequestSchema } from '../../src/node/limits/messages.js';
 import { LimitNodes } from '../../src/node/limits/nodes.js';
 import { LimitsPeerClient } from '../../src/node/limits/peer-client.js';
-import { UnknownMethodError } from '../../src/node/peer-router.js';
+import { UnknownMethodError } from '../../src/peer/errors.js';
 
 const NODE = { nodeId: 'proxy-1', zone: 'a', host: '', peerPort: 0 };
 const TENANT = 'bureau';
--- /dev/null
+++ b/test/unit/peer-message-forms.test.ts
@@ -0,0 +1,52 @@
+/** The values that a link reads itself: anything but their form is refused. */
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { callErrorForm, callForm, helloForm } from '../../src/peer/message-forms.js';
+
+const SETTINGS = { seed: 20261202, numRuns: 500 };
+const HELLO = {
+  ...{ protocol: 'p', version: 1, nodeId: 'node-1', incarnation: 5 },
+  ...{ nonce: new Uint8Array(32), proof: new Uint8Array(0) },
+};
+
+test('a hello has all its fields in their form', () => {
+  assert.equal(helloForm({ ...HELLO, more: true }), HELLO);
+  const faults = [
+    { protocol: undefined },
+    { version: 1.5 },
+    { nodeId: '' },
+    { nodeId: 'n'.repeat(129) },
+    { nodeId: 7 },
+    { incarnation: -1 },
+    { incarnation: '5' },
+    { nonce: new Uint8Array(31) },
+    { nonce: 'x'.repeat(32) },
+    { proof: null },
+  ];
+  for (const fault of faults) assert.is(helloForm({ ...HELLO, ...fault }), undefined);
+});
+
+test('a call is a method and a body, its error a code and a reason', () => {
+  assert.equal(callForm(['m', { a: 1 }]), { method: 'm', body: { a: 1 } });
+  for (const fault of [['m'], ['m', 1, 2], [1, 2], ['m'.repeat(65), 1], { 0: 'm', 1: 2 }]) {
+    assert.is(callForm(fault), undefined);
+  }
+  assert.equal(callErrorForm(['MS-X', 'why']), { code: 'MS-X', reason: 'why' });
+  for (const fault of [['MS-X'], ['MS-X', 1], [1, 'why'], 'MS-X']) {
+    assert.is(callErrorForm(fault), undefined);
+  }
+});
+
+test('no value is taken for one that lacks a field, and none throws', () => {
+  fc.assert(
+    fc.property(fc.anything(), (value) => {
+      helloForm(value);
+      callForm(value);
+      callErrorForm(value);
+    }),
+    SETTINGS,
+  );
+});
+
+test.run();
