--- a/src/core/directory/prefix-follower.ts
+++ b/src/core/directory/prefix-follower.ts
@@ -32,6 +32,7 @@
 export class PrefixFollower {
   /** Revision up to which everything was told; undefined if the range is to be read. */
   #revision: number | undefined;
+  #highestRevision = 0;
   /** In a row, without any progress of a watch. */
   #failures = 0;
 
@@ -41,20 +42,25 @@
     private readonly random: () => number,
   ) {}
 
+  /** Highest revision up to which everything was told, also if it must be read anew; at first 0. */
+  get highestRevision(): number {
+    return this.#highestRevision;
+  }
+
   handle(event: PrefixFollowerEvent): PrefixFollowerEffect | undefined {
     switch (event.type) {
       case 'start':
       case 'pause-over':
         return this.#proceed();
       case 'range-read':
-        this.#revision = event.revision;
+        this.#noteRevision(event.revision);
         return this.#proceed();
       case 'range-failed':
         this.#failures += 1;
         return this.#pause(event.retryAfterMs);
       case 'watch-progress':
         this.#failures = 0;
-        this.#revision = Math.max(this.#revision ?? 0, event.revision);
+        this.#noteRevision(Math.max(this.#revision ?? 0, event.revision));
         return undefined;
       case 'watch-ended':
         this.#failures += 1;
@@ -64,6 +70,11 @@
     }
   }
 
+  #noteRevision(revision: number): void {
+    this.#revision = revision;
+    this.#highestRevision = Math.max(this.#highestRevision, revision);
+  }
+
   #proceed(): PrefixFollowerEffect {
     if (this.#revision === undefined) return { type: 'read-range' };
     return { type: 'open-watch', fromRevision: this.#revision + 1 };
--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -4,6 +4,7 @@
 import { DutyStore } from './duty-store.js';
 import type { Election } from './election.js';
 import type { NodeLease } from './lease.js';
+import { PeerPublisher } from './peer-publisher.js';
 import type { Primaries } from './primaries.js';
 import { DUTY_PREFIX } from './records.js';
 import type { PromotionRuntime } from './runtime.js';
@@ -17,6 +18,7 @@
 export class Leader {
   readonly #duty: StoreView;
   readonly #store: DutyStore;
+  readonly #peers: PeerPublisher;
   #scope: Scope;
   #services = new Map<string, ServiceDescription>();
   #duties = new Map<string, ServiceDuty>();
@@ -35,6 +37,7 @@
     this.#duty = new StoreView(runtime, DUTY_PREFIX);
     this.#duty.onChange = () => this.update();
     this.#store = new DutyStore(runtime, election, primaries, records, this.#duty);
+    this.#peers = new PeerPublisher(runtime, election, records, this.#duty);
   }
 
   /** View of the keys that only the leader follows. */
@@ -83,6 +86,7 @@
       this.#duties.delete(service);
     }
     this.#publishNodes();
+    this.#peers.update(this.#scope);
   }
 
   stop(): void {
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -3,6 +3,7 @@
  * changes, and the duty of promotions while it leads. Pure: events and times in, effects out.
  */
 import type { InstanceEntry } from '../../direct/contract.js';
+import type { PeerAddress } from '../../peer/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { PrimaryUse, PromotionEffect, PromotionEvent } from './contract.js';
 import { Election } from './election.js';
@@ -15,6 +16,8 @@
   decodeRecord,
   FLEET_KEY,
   fleetForm,
+  PEERS_KEY,
+  peersForm,
   RECORD_PREFIX,
   serviceOfPrimaryKey,
 } from './records.js';
@@ -97,11 +100,21 @@
     return Math.max(1, decodeRecord(this.#records.get(FLEET_KEY), fleetForm)?.nodes ?? 1);
   }
 
+  /** Where nodes answer questions for their directory, as the leader told last. */
+  peerAddresses(): readonly PeerAddress[] {
+    return decodeRecord(this.#records.get(PEERS_KEY), peersForm)?.addresses ?? [];
+  }
+
   /** True if a success of the primary needs no telling: nothing depends on it. */
   isSuccessIdle(service: string): boolean {
     return this.#election.token === undefined && this.#suspicions.isWell(service);
   }
 
+  /** Revision up to which the records are known; 0 if they are not. */
+  get recordsRevision(): number {
+    return this.#records.revision;
+  }
+
   get isLeader(): boolean {
     return this.#election.mayAct();
   }
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -1,4 +1,5 @@
 /** Times of the promotion machine. */
+import type { PeerAddress } from '../../peer/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { PromotionMechanism } from './contract.js';
 
@@ -110,6 +111,8 @@
   /** Differs with every start of the process. */
   readonly incarnation: string;
   readonly timings: PromotionTimings;
+  /** Where this node answers other nodes' questions for its directory. */
+  readonly directoryAt?: PeerAddress | undefined;
   /** Numbers in [0, 1). */
   readonly random: () => number;
   /** For tests only. */
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -13,6 +13,7 @@
   type ChangingRecord,
   decodeRecord,
   encodeAcknowledgement,
+  type NodeRecord,
   nodeForm,
   nodeKeyOf,
   type PrimaryRecord,
@@ -94,12 +95,12 @@
   }
 
   #register(leaseId: string, knownRevision: number): void {
-    const { nodeName, incarnation } = this.runtime.options;
+    const { nodeName, incarnation, directoryAt } = this.runtime.options;
     const key = nodeKeyOf(nodeName);
     const put = {
       type: 'put',
       key,
-      value: JSON.stringify({ incarnation, leaseId }),
+      value: JSON.stringify({ incarnation, leaseId, directoryAt } satisfies NodeRecord),
       leaseId,
     } as const;
     const compares = [{ key, modRevision: knownRevision }];
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -4,17 +4,24 @@
  * writes and every node follows costs the square of the nodes.
  */
 import type { InstanceEntry, InstanceRole } from '../../direct/contract.js';
+import type { PeerAddress } from '../../peer/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
 import type { Position } from '../position.js';
 
+const MAX_PORT = 65_535;
+/** IPv4 by number: no name is ever looked up. */
+const HOST_PATTERN = /^\d{1,3}(\.\d{1,3}){3}$/;
+
 /** Prefix that every node follows. */
 export const RECORD_PREFIX = 'meadowstack/';
 /** Prefix that the leader follows. */
 export const DUTY_PREFIX = 'meadowstack-duty/';
 export const LEADER_KEY = `${RECORD_PREFIX}leader`;
 export const FLEET_KEY = `${RECORD_PREFIX}fleet`;
+export const PEERS_KEY = `${RECORD_PREFIX}peers`;
 const PRIMARY_PREFIX = `${RECORD_PREFIX}primary/`;
-const NODE_PREFIX = `${DUTY_PREFIX}nodes/`;
+/** Keys of the nodes, one each. */
+export const NODE_PREFIX = `${DUTY_PREFIX}nodes/`;
 const ACKNOWLEDGEMENT_PREFIX = `${DUTY_PREFIX}acks/`;
 const SUSPICION_PREFIX = `${DUTY_PREFIX}suspects/`;
 const NOTE_PREFIX = `${DUTY_PREFIX}notes/`;
@@ -54,6 +61,13 @@
 export interface NodeRecord {
   readonly incarnation: string;
   readonly leaseId: string;
+  /** Where it answers other nodes' questions for its directory. */
+  readonly directoryAt?: PeerAddress | undefined;
+}
+
+/** Where nodes answer such questions, those too that are gone and may come back. */
+export interface PeersRecord {
+  readonly addresses: readonly PeerAddress[];
 }
 
 /** How many nodes there are, as the leader counts them. */
@@ -137,8 +151,15 @@
   return { node, incarnation, leaseId };
 }
 
-export function nodeForm({ incarnation, leaseId }: Fields): NodeRecord | undefined {
-  return isText(incarnation) && isText(leaseId) ? { incarnation, leaseId } : undefined;
+export function nodeForm(fields: Fields): NodeRecord | undefined {
+  const { incarnation, leaseId, directoryAt } = fields;
+  if (!isText(incarnation) || !isText(leaseId)) return undefined;
+  return { incarnation, leaseId, directoryAt: addressForm(directoryAt) };
+}
+
+export function peersForm({ addresses }: Fields): PeersRecord | undefined {
+  if (!Array.isArray(addresses)) return undefined;
+  return { addresses: addresses.map(addressForm).filter((address) => address !== undefined) };
 }
 
 export function fleetForm({ nodes }: Fields): FleetRecord | undefined {
@@ -185,7 +206,8 @@
   return entries.length === value.length ? entries : undefined;
 }
 
-function instanceForm(value: unknown): InstanceEntry | undefined {
+/** An instance as a record or a peer tells it; undefined if the value is none. */
+export function instanceForm(value: unknown): InstanceEntry | undefined {
   if (!isFields(value)) return undefined;
   const { id, service, host, port, zone, slots, draining, role } = value;
   if (!isText(id) || !isText(service) || !isText(host) || !isNumber(port)) return undefined;
@@ -193,6 +215,15 @@
   return isRole(role) ? { id, service, host, port, zone, slots, draining, role } : undefined;
 }
 
+/** Where a node listens; undefined if the value is no such address. */
+export function addressForm(value: unknown): PeerAddress | undefined {
+  if (!isFields(value)) return undefined;
+  const { host, port } = value;
+  if (!isText(host) || !HOST_PATTERN.test(host) || !isNumber(port)) return undefined;
+  const isPort = Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+  return isPort ? { host, port } : undefined;
+}
+
 function isRole(value: unknown): value is InstanceRole {
   return value === 'primary' || value === 'replica';
 }
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -6,6 +6,8 @@
 import type { PrimaryView } from './promotion/contract.js';
 
 export class AnnouncedPrimaryView implements PrimaryView {
+  /** The announcements bind at once: nothing that a peer tells of primaries is newer. */
+  readonly recordsRevision = Number.MAX_SAFE_INTEGER;
   onChange: (service: string) => void = () => {};
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
 
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -7,6 +7,7 @@
 import type { MeadowstackError } from '../core/errors.js';
 import type { Position } from '../core/position.js';
 import type { Milliseconds } from '../core/units.js';
+import type { PeerAddress } from '../peer/contract.js';
 
 export type RouteConsistency = 'primary' | 'bounded-staleness' | 'read-your-writes';
 
@@ -120,6 +121,16 @@
   ): Promise<PromoteOutcome>;
 }
 
+/** Links between the nodes. */
+export interface PeerSettings {
+  /** Where this node takes links. */
+  readonly own: PeerAddress;
+  /** Where other nodes may be; some of them may be gone. */
+  readonly seeds: readonly PeerAddress[];
+  /** The same text on all nodes of one deployment, and another elsewhere. */
+  readonly deployment: string;
+}
+
 /** Settings of one direct gateway. */
 export interface DirectSettings {
   readonly nodeName: string;
@@ -133,6 +144,8 @@
     readonly port: number;
     readonly minimumLeaseMs: Milliseconds;
   };
+  /** Absent where the node has no address for links of other nodes. */
+  readonly peers: PeerSettings | undefined;
   /** Absent where the platform gives no promotion call. */
   readonly promotion: { readonly host: string; readonly port: number } | undefined;
   readonly gracePeriodMs: Milliseconds;
--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps the operator's configuration and the list of instances current from the store: each is read
  * once and then watched. Nothing that fails takes back what is known; the configuration only ever
- * takes a higher version.
+ * takes a higher version. What a peer tells stands in until the store answers.
  */
 import type { Result } from 'neverthrow';
 import {
@@ -10,6 +10,7 @@
   type RemovedEntry,
   type StoredEntry,
 } from '../core/directory/entry-directory.js';
+import type { ConfigurationPart, InstancesPart } from '../core/directory/snapshot.js';
 import type { MeadowstackError } from '../core/errors.js';
 import type { BackoffPolicy } from '../core/retry/backoff.js';
 import type { Milliseconds } from '../core/units.js';
@@ -28,6 +29,9 @@
   readonly instancePrefix: string;
 }
 
+/** Who has told what is known of the instances. */
+export type DirectorySource = 'store' | 'peer';
+
 /** Told of changes, in their order. */
 export interface DirectoryHandlers {
   /** A configuration of a higher version than all before. */
@@ -36,7 +40,11 @@
    * The instances after a change; `changed` are the ids that were added, are another or are gone.
    * The map is the follower's own and changes with it. Also called once after the first read.
    */
-  onInstances(instances: ReadonlyMap<string, InstanceEntry>, changed: readonly string[]): void;
+  onInstances(
+    instances: ReadonlyMap<string, InstanceEntry>,
+    changed: readonly string[],
+    told: DirectorySource,
+  ): void;
   /** An entry is gone; called before `onInstances`. How long it is still used is for others to say. */
   onInstanceRemoved(removed: RemovedEntry<InstanceEntry>): void;
   /** A document could not be understood (what was known stays), or a call failed (it is repeated). */
@@ -64,7 +72,10 @@
   readonly #instances = new EntryDirectory<InstanceEntry>(sameInstance);
   #configuration: PublishedConfiguration | undefined;
   #configurationRevision = 0;
+  #configurationText = '';
   #instancesRead = false;
+  /** What a peer told, until the store answers. */
+  #adopted: InstancesPart<InstanceEntry> | undefined;
 
   constructor(private readonly options: DirectoryFollowerOptions) {
     const { configurationKey, instancePrefix } = options.prefixes;
@@ -107,7 +118,32 @@
 
   /** The map is the follower's own and changes with it. */
   instances(): ReadonlyMap<string, InstanceEntry> {
-    return this.#instances.entries();
+    if (this.#adopted === undefined) return this.#instances.entries();
+    return new Map(this.#adopted.instances.map((entry) => [entry.id, entry]));
+  }
+
+  /** The configuration in force as the store has it, for other nodes. */
+  configurationPart(): ConfigurationPart | undefined {
+    if (this.#configuration === undefined) return undefined;
+    return { version: this.#configuration.version, text: this.#configurationText };
+  }
+
+  /** Revision up to which the instances are known; 0 if nothing is. */
+  instancesRevision(): number {
+    return Math.max(this.#instanceReader.highestRevision, this.#adopted?.revision ?? 0);
+  }
+
+  /** Takes a configuration that a peer has, as one of the store's: only a higher version counts. */
+  adoptConfiguration({ text }: ConfigurationPart): void {
+    this.#readConfiguration(text);
+  }
+
+  /** Takes the instances as a peer knows them, if that is newer than what is known here. */
+  adoptInstances(part: InstancesPart<InstanceEntry>): void {
+    if (part.revision <= this.instancesRevision()) return;
+    this.#adopted = part;
+    const instances = this.instances();
+    this.options.handlers.onInstances(instances, [...instances.keys()], 'peer');
   }
 
   /**
@@ -137,15 +173,20 @@
     const newest = entries.filter(({ key }) => key === configurationKey).at(-1);
     if (newest === undefined || newest.modRevision <= this.#configurationRevision) return;
     this.#configurationRevision = newest.modRevision;
-    this.options.parseConfiguration(newest.value).match(
-      (configuration) => this.#takeConfiguration(configuration),
+    this.#readConfiguration(newest.value);
+  }
+
+  #readConfiguration(text: string): void {
+    this.options.parseConfiguration(text).match(
+      (configuration) => this.#takeConfiguration(configuration, text),
       (error) => this.options.handlers.onProblem(error),
     );
   }
 
-  #takeConfiguration(configuration: PublishedConfiguration): void {
+  #takeConfiguration(configuration: PublishedConfiguration, text: string): void {
     if (configuration.version <= (this.#configuration?.version ?? -1)) return;
     this.#configuration = configuration;
+    this.#configurationText = text;
     this.options.handlers.onConfiguration(configuration);
   }
 
@@ -154,13 +195,16 @@
       entries.map((item) => this.#readInstance(item)),
       revision,
     );
-    const first = !this.#instancesRead;
+    const isNews = !this.#instancesRead || this.#adopted !== undefined;
     this.#instancesRead = true;
-    this.#tell(change, first);
+    this.#adopted = undefined;
+    this.#tell(change, isNews);
   }
 
   #updateInstances(events: readonly WatchEvent[]): void {
-    if (events.length === 0) return;
+    const isNews = this.#adopted !== undefined;
+    this.#adopted = undefined;
+    if (events.length === 0 && !isNews) return;
     const { instancePrefix } = this.options.prefixes;
     const updates = events.map((event) => {
       if (event.type === 'put') {
@@ -169,7 +213,7 @@
       const id = event.key.slice(instancePrefix.length);
       return { type: 'delete' as const, id, revision: event.modRevision };
     });
-    this.#tell(this.#instances.update(updates), false);
+    this.#tell(this.#instances.update(updates), isNews);
   }
 
   #readInstance({ key, value, modRevision }: KeyValue): StoredEntry<InstanceEntry> {
@@ -183,7 +227,8 @@
     const { handlers } = this.options;
     for (const removed of change.removed) handlers.onInstanceRemoved(removed);
     const changed = [...change.put, ...change.removed.map(({ id }) => id)];
-    if (always || changed.length > 0) handlers.onInstances(this.#instances.entries(), changed);
+    if (!always && changed.length === 0) return;
+    handlers.onInstances(this.#instances.entries(), changed, 'store');
   }
 }
 
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -2,6 +2,7 @@
  * The direct gateway put together: routes and instances come in, callers are served, and a planned
  * stop ends it without cutting what runs.
  */
+import type { ServiceTerm } from '../core/directory/snapshot.js';
 import type { Milliseconds } from '../core/units.js';
 import { CallerServer } from './caller-server.js';
 import type { RouteLookup, SessionCounters } from './caller-session.js';
@@ -11,6 +12,7 @@
   PublishedConfiguration,
   RouteDescription,
 } from './contract.js';
+import type { DirectorySource } from './directory-follower.js';
 import { ownRequest, type PoolCounters } from './instance-pool.js';
 import type { PrimaryView } from './promotion/contract.js';
 import { ServiceRuntime } from './service-runtime.js';
@@ -70,6 +72,7 @@
   #routes = new Map<string, RouteDescription>();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
+  #instancesTold: DirectorySource = 'store';
   #nodeCount = ASSUMED_NODE_COUNT;
   #nodeCountSeenAt: Milliseconds | undefined;
   readonly #createdAt: Milliseconds;
@@ -157,7 +160,7 @@
       this.#service(description.name).setMaxConnections(description.maxConnections);
     }
     this.#dropServices(new Set(configuration.services.map(({ name }) => name)));
-    this.setInstances(this.#instances);
+    this.setInstances(this.#instances, this.#instancesTold);
     this.#tellFirstConfiguration();
   }
 
@@ -171,10 +174,44 @@
   }
 
   /** Takes the instances that are announced now. */
-  setInstances(instances: ReadonlyMap<string, InstanceEntry>): void {
+  setInstances(
+    instances: ReadonlyMap<string, InstanceEntry>,
+    told: DirectorySource = 'store',
+  ): void {
     this.#instances = instances;
+    this.#instancesTold = told;
     for (const [name, service] of this.#services) {
-      service.setInstances([...instances.values()].filter((entry) => entry.service === name));
+      const entries = [...instances.values()].filter((entry) => entry.service === name);
+      service.setInstances(entries, told);
+    }
+  }
+
+  /** Members of the groups that are not announced any more and still count among them. */
+  departedMembers(): InstanceEntry[] {
+    return [...this.#services.values()]
+      .flatMap((service) => service.members())
+      .map(({ pool }) => pool.instance)
+      .filter(({ id }) => !this.#instances.has(id));
+  }
+
+  /** Takes members that are not announced any more: they are asked for proofs, and get no work. */
+  noteDeparted(members: readonly InstanceEntry[]): void {
+    for (const [name, service] of this.#services) {
+      service.noteDeparted(members.filter((entry) => entry.service === name));
+    }
+  }
+
+  /** Primaries, and terms in which they were found leading. */
+  primaryTerms(): ServiceTerm[] {
+    return [...this.#services.values()].flatMap(({ name, trustedPrimary }) =>
+      trustedPrimary === undefined ? [] : [{ service: name, ...trustedPrimary }],
+    );
+  }
+
+  /** Takes over such terms; one of a service that is not known is left out. */
+  notePrimaryTerms(terms: readonly ServiceTerm[]): void {
+    for (const { service, instanceId, term } of terms) {
+      this.#services.get(service)?.noteTerm({ instanceId, term });
     }
   }
 
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -3,6 +3,7 @@
  * since a start costs time while the machine serves nobody.
  */
 import type { DirectCounters, DirectGateway } from './gateway.js';
+import type { PeerSnapshots, SnapshotCounters } from './snapshots/service.js';
 
 const COUNTER_HELP: Readonly<Record<keyof DirectCounters, string>> = {
   statements: 'statements of callers taken',
@@ -17,6 +18,13 @@
   proofsFailed: 'such rounds that proved nothing',
 };
 
+const SNAPSHOT_HELP: Readonly<Record<keyof SnapshotCounters, string>> = {
+  asked: 'questions to other nodes for their directory',
+  answered: 'such questions of other nodes that were answered',
+  malformed: 'answers of other nodes that had not their form',
+  adopted: 'answers of other nodes that were looked at',
+};
+
 const PREFIX = 'meadowstack_direct_';
 
 /** Figures in the text form that Prometheus reads. */
@@ -26,19 +34,33 @@
 }
 
 /** What the gateway has counted since it started, and what it holds now. */
-export async function exposeMetrics(gateway: DirectGateway): Promise<Exposition> {
+export async function exposeMetrics(
+  gateway: DirectGateway,
+  snapshots?: PeerSnapshots,
+): Promise<Exposition> {
   const { Counter, Gauge, Registry } = await import('prom-client');
   const registry = new Registry();
   const registers = [registry];
+  const count = (name: string, help: string, value: number): void =>
+    new Counter({ name: `${metricName(name)}_total`, help, registers }).inc(value);
   for (const [name, help] of Object.entries(COUNTER_HELP)) {
     const value = gateway.counters[name as keyof DirectCounters];
-    new Counter({ name: `${metricName(name)}_total`, help, registers }).inc(value);
+    count(name, help, value);
+  }
+  if (snapshots !== undefined) {
+    for (const [name, help] of Object.entries(SNAPSHOT_HELP)) {
+      count(`snapshots_${name}`, help, snapshots.counters[name as keyof SnapshotCounters]);
+    }
+    const { framesMalformed, handshakesRefused } = snapshots.transport.counters();
+    count('peer_frames_malformed', 'links of other nodes ended for a bad frame', framesMalformed);
+    count('peer_handshakes_refused', 'links of strangers that were refused', handshakesRefused);
   }
   const gauge = (name: string, help: string, value: number): void =>
     new Gauge({ name: PREFIX + name, help, registers }).set(value);
   gauge('sessions', 'sessions of callers that are open', gateway.sessionCount);
   gauge('instance_connections', 'connections to instances', gateway.connectionCount);
   gauge('configuration_version', 'version in force, 0 before the first', gateway.version ?? 0);
+  gauge('peers_known', 'other nodes that may be asked', snapshots?.peersKnown ?? 0);
   gauge('ready', '1 if new connections are taken', gateway.ready ? 1 : 0);
   return { contentType: registry.contentType, text: await registry.metrics() };
 }
--- a/src/direct/prefix-reader.ts
+++ b/src/direct/prefix-reader.ts
@@ -47,6 +47,11 @@
     return this.#confirmedAt;
   }
 
+  /** Highest revision of the store up to which everything was told; 0 before the first read. */
+  get highestRevision(): number {
+    return this.#follower.highestRevision;
+  }
+
   #step(event: PrefixFollowerEvent): void {
     if (this.#stopped) return;
     const effect = this.#follower.handle(event);
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -11,6 +11,7 @@
 import { DEFAULT_PROMOTION_TIMINGS, type PromotionTimings } from '../../core/promotion/options.js';
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
+import type { PeerAddress } from '../../peer/contract.js';
 import type { Store } from '../../platform/contract.js';
 import type { InstanceControl, InstanceEntry, PublishedConfiguration } from '../contract.js';
 import type {
@@ -31,6 +32,8 @@
   /** Differs with every start of the process. */
   readonly incarnation: string;
   readonly minimumLeaseMs: Milliseconds;
+  /** Where this node answers other nodes' questions for its directory. */
+  readonly directoryAt?: PeerAddress | undefined;
   readonly store: Store;
   readonly control: InstanceControl;
   readonly promotion: BoundedPromotionCaller;
@@ -69,6 +72,7 @@
     this.#machine = new PromotionMachine({
       nodeName,
       incarnation,
+      directoryAt: options.directoryAt,
       timings: { ...timings, leaseSeconds },
       random: options.random ?? Math.random,
     });
@@ -147,6 +151,16 @@
     return this.#machine.liveNodeCount();
   }
 
+  /** Where nodes answer questions for their directory. */
+  peerAddresses(): readonly PeerAddress[] {
+    return this.#machine.peerAddresses();
+  }
+
+  /** Revision up to which the records of primaries are known; 0 if they are not. */
+  get recordsRevision(): number {
+    return this.#machine.recordsRevision;
+  }
+
   get isLeader(): boolean {
     return this.#machine.isLeader;
   }
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -5,6 +5,7 @@
 import type { KnownPrimary } from '../core/statements/primary-evidence.js';
 import type { Milliseconds } from '../core/units.js';
 import type { InstanceEntry } from './contract.js';
+import type { DirectorySource } from './directory-follower.js';
 import { InstancePool, type InstancePoolOptions } from './instance-pool.js';
 import type { PrimaryView } from './promotion/contract.js';
 
@@ -18,6 +19,11 @@
 const SOFT_SHARE = 0.45;
 /** New work ends so long before a leaving instance may no longer get any. */
 const DRAIN_MARGIN_MS = 1500;
+/**
+ * The same for an instance that only a peer told of and that the store does not have: it may have left
+ * long ago, so that its use ends before this node has been in touch with the store for some seconds.
+ */
+const UNCONFIRMED_GRACE_MS = 2500;
 
 export interface ServiceRuntimeOptions {
   readonly zone: string;
@@ -46,6 +52,8 @@
   /** Its entry has gone, and it never said that it would leave. */
   vanished = false;
   primary = false;
+  /** The store itself has told of it. */
+  confirmed = false;
 
   constructor(
     readonly id: string,
@@ -90,12 +98,13 @@
   }
 
   /** Takes the instances that are announced now. Those that have gone get no new work soon. */
-  setInstances(entries: readonly InstanceEntry[]): void {
+  setInstances(entries: readonly InstanceEntry[], told: DirectorySource = 'store'): void {
     const now = this.options.now();
     const present = new Set<string>();
     for (const entry of entries) {
       present.add(entry.id);
-      this.#takeEntry(entry, now);
+      const state = this.#takeEntry(entry, now);
+      if (told === 'store') state.confirmed = true;
     }
     for (const [id, state] of this.#instances) {
       if (present.has(id)) continue;
@@ -106,6 +115,15 @@
     this.#shareConnections();
   }
 
+  /** Takes members that only a peer knows still: no work for them, and a place in every proof. */
+  noteDeparted(entries: readonly InstanceEntry[]): void {
+    const now = this.options.now();
+    for (const entry of entries) {
+      if (!this.#instances.has(entry.id)) this.#takeEntry({ ...entry, draining: true }, now);
+    }
+    this.#shareConnections();
+  }
+
   setMaxConnections(maxConnections: number): void {
     this.#maxConnections = maxConnections;
     this.#shareConnections();
@@ -164,6 +182,16 @@
     return state;
   }
 
+  /** Takes over in which term a primary was found leading by a node that could know. */
+  noteTerm(known: KnownPrimary): void {
+    if (known.term > (this.#trustedPrimary?.term ?? -1)) this.#trustedPrimary = known;
+  }
+
+  /** The primary that was trusted last, and its term. */
+  get trustedPrimary(): KnownPrimary | undefined {
+    return this.#trustedPrimary;
+  }
+
   /** Term of an instance's log when it last was trusted as the primary. */
   trustedTermOf(instanceId: string): number | undefined {
     const trusted = this.#trustedPrimary;
@@ -210,7 +238,7 @@
     for (const state of this.#instances.values()) state.pool.close();
   }
 
-  #takeEntry(entry: InstanceEntry, now: Milliseconds): void {
+  #takeEntry(entry: InstanceEntry, now: Milliseconds): InstanceState {
     const known = this.#instances.get(entry.id);
     if (known === undefined) {
       const pool = new InstancePool(entry, MINIMUM_CONNECTIONS, this.options.pool);
@@ -222,7 +250,7 @@
         state.usableUntil = now;
       }
       this.#instances.set(entry.id, state);
-      return;
+      return state;
     }
     known.pool.instance = entry;
     known.vanished = false;
@@ -231,17 +259,27 @@
       known.leaving = false;
       known.usableUntil = Number.POSITIVE_INFINITY;
     }
+    return known;
   }
 
   #leave(state: InstanceState, now: Milliseconds): void {
     if (state.leaving) return;
     state.leaving = true;
-    state.usableUntil = now + this.options.drainTimeoutMs - DRAIN_MARGIN_MS;
+    state.usableUntil = now + this.#leavingUseMs(state);
+  }
+
+  /** For how long one that only a peer told of has been draining is unknown. */
+  #leavingUseMs({ confirmed, vanished }: InstanceState): Milliseconds {
+    const drainMs = this.options.drainTimeoutMs - DRAIN_MARGIN_MS;
+    if (confirmed) return drainMs;
+    return vanished ? Math.min(UNCONFIRMED_GRACE_MS, drainMs) : 0;
   }
 
   #forgetGone(now: Milliseconds, present: ReadonlySet<string>): void {
     for (const [id, state] of this.#instances) {
       if (present.has(id) || state.isUsable(now)) continue;
+      // The store may have it still: without its answer no proof would be one.
+      if (!state.confirmed && !this.options.isStoreWell()) continue;
       state.pool.close();
       this.#instances.delete(id);
     }
--- /dev/null
+++ b/src/direct/snapshots/node-directory.ts
@@ -0,0 +1,100 @@
+/** A node's own directory as the exchange of snapshots sees it: what it can tell, and how it takes more. */
+import {
+  type DirectoryMarks,
+  type InstancesPart,
+  newerParts,
+} from '../../core/directory/snapshot.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { Logger } from '../../observability/logger.js';
+import type { PeerAddress } from '../../peer/contract.js';
+import type { InstanceEntry } from '../contract.js';
+import type { DirectoryFollower } from '../directory-follower.js';
+import type { DirectGateway } from '../gateway.js';
+import type { InstanceSnapshot } from './form.js';
+import type { SnapshotNode } from './service.js';
+import type { ToldPrimaries } from './told-primaries.js';
+
+export interface NodeDirectoryOptions {
+  readonly follower: DirectoryFollower;
+  readonly gateway: DirectGateway;
+  readonly primaries: ToldPrimaries;
+  readonly logger: Logger;
+  /** True while the store keeps the directory current. */
+  isStoreWell(): boolean;
+  /** Where the store says that other nodes answer. */
+  peers(): readonly PeerAddress[];
+  /** Told of members that the store has no more, before the instances that it has. */
+  noteMembers(members: readonly InstanceEntry[]): void;
+  now(): Milliseconds;
+}
+
+export class NodeDirectory implements SnapshotNode {
+  /** When the store confirmed what a peer told last, by this node's clock. */
+  #adoptedFrom: Milliseconds | undefined;
+
+  constructor(private readonly options: NodeDirectoryOptions) {}
+
+  isWanted(): boolean {
+    const { follower, isStoreWell } = this.options;
+    return follower.lastConfirmedAt() === undefined || !isStoreWell();
+  }
+
+  peers(): readonly PeerAddress[] {
+    return this.options.peers();
+  }
+
+  known(): DirectoryMarks {
+    const { follower, primaries } = this.options;
+    return {
+      version: follower.configuration()?.version ?? 0,
+      instancesRevision: follower.instancesRevision(),
+      primariesRevision: primaries.revision,
+    };
+  }
+
+  describe(known: DirectoryMarks): InstanceSnapshot | undefined {
+    const { follower, gateway, primaries, now } = this.options;
+    const confirmedAt = follower.lastConfirmedAt() ?? this.#adoptedFrom;
+    const configuration = follower.configurationPart();
+    if (confirmedAt === undefined || configuration === undefined) return undefined;
+    return newerParts(known, {
+      configuration,
+      instances: {
+        revision: follower.instancesRevision(),
+        instances: [...follower.instances().values()],
+        departed: gateway.departedMembers(),
+      },
+      primaries: primaries.describe(this.#services()),
+      terms: gateway.primaryTerms(),
+      ageMs: Math.max(0, now() - confirmedAt),
+    });
+  }
+
+  /** The configuration goes first: what follows is of its services. */
+  adopt(snapshot: InstanceSnapshot): void {
+    const { follower, gateway, primaries, logger, now } = this.options;
+    const newer = newerParts(this.known(), snapshot);
+    const isFirst = follower.configuration() === undefined;
+    if (newer.configuration !== undefined) follower.adoptConfiguration(newer.configuration);
+    if (newer.instances !== undefined) {
+      this.#adoptInstances(newer.instances);
+      this.#adoptedFrom = now() - snapshot.ageMs;
+    }
+    if (newer.primaries !== undefined) primaries.take(newer.primaries);
+    gateway.notePrimaryTerms(snapshot.terms);
+    if (!isFirst || newer.configuration === undefined) return;
+    logger.info('serving from a snapshot of a peer', { ageMs: Math.round(snapshot.ageMs) });
+  }
+
+  #services(): string[] {
+    return this.options.follower.configuration()?.services.map(({ name }) => name) ?? [];
+  }
+
+  /** A proof without the lease asks every member: also those that the peer has not forgotten yet. */
+  #adoptInstances(part: InstancesPart<InstanceEntry>): void {
+    const { follower, gateway, noteMembers } = this.options;
+    gateway.noteDeparted(part.departed);
+    noteMembers([...part.departed, ...part.instances]);
+    follower.adoptInstances(part);
+  }
+}
--- /dev/null
+++ b/src/direct/snapshots/service.ts
@@ -0,0 +1,190 @@
+/**
+ * Exchanges the directory with other nodes over peer links: answers their questions from memory, and
+ * asks them for what is newer for as long as the store does not tell it.
+ */
+import type { DirectoryMarks } from '../../core/directory/snapshot.js';
+import type { MeadowstackError } from '../../core/errors.js';
+import { fullBucket, refill, type TokenBucket, takeToken } from '../../core/limits/token-bucket.js';
+import type { Milliseconds } from '../../core/units.js';
+import type { PeerAddress, PeerHandlers, WireValue } from '../../peer/contract.js';
+import { UnknownMethodError } from '../../peer/errors.js';
+import { TcpPeerTransport } from '../../peer/transport.js';
+import { SnapshotBusyError } from './errors.js';
+import { type InstanceSnapshot, parseQuestion, parseSnapshot, SNAPSHOT_METHOD } from './form.js';
+import { PeerList } from './peer-list.js';
+
+/** The store is given so long to answer first: peers are asked only where it has not. */
+const FIRST_QUESTION_MS = 60;
+/** Pause between questions while this node has no directory at all. */
+const EMPTY_PAUSE_MS = 150;
+/** The same, once it has one. */
+const REFRESH_PAUSE_MS = 600;
+/**
+ * Of the pauses at a node that the store keeps current, this share ends with a question to one other
+ * node: one that has started anew and hears nothing of the store learns from it whom it can ask.
+ */
+const GREETING_SHARE = 0.35;
+const QUESTION_TIMEOUT_MS = 800;
+/** Addresses that are asked at once. */
+const MAX_ASKED = 8;
+/** Answers of this node: so many at once, and so many a second. */
+const ANSWER_BUCKET = { capacity: 20, tokensPerSecond: 20 } as const;
+/** A configuration is at most 1 MiB at the store; entries of some hundred instances come with it. */
+const MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+const MAX_CALLS_PER_LINK = 4;
+const MAX_PENDING_HANDSHAKES = 32;
+/** A machine without power answers nothing; it may be back before a longer wait is over. */
+const HANDSHAKE_TIMEOUT_MS = 500;
+const BACK_OFF_MAX_MS = 300;
+const NO_STREAMS = 0;
+
+/** What the exchange needs of the node. */
+export interface SnapshotNode {
+  /** True while the store does not keep this node's directory current. */
+  isWanted(): boolean;
+  /** Where the store says that other nodes answer; none while it says nothing. */
+  peers(): readonly PeerAddress[];
+  known(): DirectoryMarks;
+  /** What this node knows that is newer; undefined if it has no directory itself. */
+  describe(known: DirectoryMarks): InstanceSnapshot | undefined;
+  /** Takes an answer of a peer. */
+  adopt(snapshot: InstanceSnapshot): void;
+}
+
+export interface PeerSnapshotsOptions {
+  readonly nodeName: string;
+  /** Where this node answers. */
+  readonly own: PeerAddress;
+  readonly seeds: readonly PeerAddress[];
+  /** The same on all nodes of a deployment; links from elsewhere are refused. No secret. */
+  readonly deployment: string;
+  readonly node: SnapshotNode;
+  now(): Milliseconds;
+  /** A number in [0, 1). */
+  random(): number;
+}
+
+/** Counted since the start, beside the links' own counters. */
+export interface SnapshotCounters {
+  asked: number;
+  /** Questions of peers that were answered. */
+  answered: number;
+  /** Answers of peers that were malformed. */
+  malformed: number;
+  adopted: number;
+}
+
+export class PeerSnapshots {
+  readonly counters: SnapshotCounters = { asked: 0, answered: 0, malformed: 0, adopted: 0 };
+  readonly transport: TcpPeerTransport;
+  readonly #peers: PeerList;
+  #bucket: TokenBucket;
+  #timer: NodeJS.Timeout | undefined;
+  #isStopped = false;
+
+  constructor(private readonly options: PeerSnapshotsOptions) {
+    this.#peers = new PeerList(options.own, options.seeds);
+    this.#bucket = fullBucket(ANSWER_BUCKET, options.now());
+    this.transport = new TcpPeerTransport({
+      identity: { nodeId: options.nodeName, incarnation: Date.now() },
+      handlers: this.#handlers(),
+      clusterSecret: Buffer.from(options.deployment),
+      limits: {
+        maxMessageBytes: MAX_MESSAGE_BYTES,
+        maxCallsPerLink: MAX_CALLS_PER_LINK,
+        maxPendingHandshakes: MAX_PENDING_HANDSHAKES,
+        handshakeTimeoutMs: HANDSHAKE_TIMEOUT_MS,
+        backOffMaxMs: BACK_OFF_MAX_MS,
+        maxStreamsPerLink: NO_STREAMS,
+      },
+      random: () => options.random(),
+    });
+  }
+
+  /** Other nodes that may be asked. */
+  get peersKnown(): number {
+    return this.#peers.size;
+  }
+
+  /** Begins to answer, and to ask if the store keeps silent. */
+  async start(): Promise<void> {
+    this.#askAfter(FIRST_QUESTION_MS);
+    const listening = await this.transport.listen(this.options.own);
+    if (listening.isErr()) throw listening.error;
+  }
+
+  stop(): Promise<void> {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+    return this.transport.close();
+  }
+
+  #askAfter(delayMs: Milliseconds): void {
+    if (this.#isStopped) return;
+    this.#timer = setTimeout(() => void this.#askOthers(), delayMs);
+    this.#timer.unref();
+  }
+
+  async #askOthers(): Promise<void> {
+    const { node, random } = this.options;
+    for (const peer of node.peers()) this.#peers.noteKnown(peer);
+    const isGreeting = !node.isWanted() && random() < GREETING_SHARE;
+    const atMost = node.isWanted() ? MAX_ASKED : Number(isGreeting);
+    const peers = this.#peers.toAsk(atMost, random());
+    await Promise.all(peers.map((peer) => this.#ask(peer)));
+    const pauseMs = node.known().instancesRevision === 0 ? EMPTY_PAUSE_MS : REFRESH_PAUSE_MS;
+    this.#askAfter(pauseMs * (0.5 + random()));
+  }
+
+  /** Each answer is taken as it comes: the first one lets this node serve. */
+  async #ask(peer: PeerAddress): Promise<void> {
+    const { node, own } = this.options;
+    this.counters.asked += 1;
+    const question = { known: node.known(), from: own };
+    const answer = await this.transport.call(peer, SNAPSHOT_METHOD, question, QUESTION_TIMEOUT_MS);
+    if (this.#isStopped || answer.isErr() || answer.value === null || !node.isWanted()) return;
+    parseSnapshot(answer.value).match(
+      (snapshot) => {
+        this.counters.adopted += 1;
+        node.adopt(snapshot);
+      },
+      () => {
+        this.counters.malformed += 1;
+      },
+    );
+  }
+
+  #handlers(): PeerHandlers {
+    return {
+      onStream: (_header, stream) => stream.abort('no streams here'),
+      onCall: async (method, body) => this.#answer(method, body),
+    };
+  }
+
+  /** Null if this node has no directory. Throws typed errors, which go back as the call's failure. */
+  #answer(method: string, body: WireValue): InstanceSnapshot | null {
+    if (method !== SNAPSHOT_METHOD) throw new UnknownMethodError(method);
+    const question = parseQuestion(body);
+    if (question.isErr()) throw question.error satisfies MeadowstackError;
+    this.#spendAnswer();
+    const { known, from } = question.value;
+    this.#peers.noteKnown(from);
+    this.counters.answered += 1;
+    this.#askIfAhead(from, known);
+    return this.options.node.describe(known) ?? null;
+  }
+
+  /** Who asks may know more, where none of the seeds does: it is asked back. */
+  #askIfAhead(peer: PeerAddress, its: DirectoryMarks): void {
+    const { node } = this.options;
+    const own = node.known();
+    const isAhead = its.version > own.version || its.instancesRevision > own.instancesRevision;
+    if (isAhead && node.isWanted()) void this.#ask(peer);
+  }
+
+  #spendAnswer(): void {
+    const left = takeToken(refill(this.#bucket, ANSWER_BUCKET, this.options.now()));
+    if (left === undefined) throw new SnapshotBusyError('too many questions for a snapshot');
+    this.#bucket = left;
+  }
+}
--- /dev/null
+++ b/test/property/directory-snapshot.test.ts
@@ -0,0 +1,165 @@
+/** Of any snapshots, in any order, the newest parts are taken, nothing goes back, and faults are refused. */
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  type DirectoryMarks,
+  marksAfter,
+  NO_MARKS,
+  newerParts,
+} from '../../src/core/directory/snapshot.js';
+import {
+  type InstanceSnapshot,
+  parseQuestion,
+  parseSnapshot,
+} from '../../src/direct/snapshots/form.js';
+import { PeerList } from '../../src/direct/snapshots/peer-list.js';
+import { decodeValue, encodeValue } from '../../src/peer/codec.js';
+
+const SETTINGS = { seed: 20261202, numRuns: 500 };
+const MAX_BYTES = 1 << 20;
+
+/** Objects as the codec makes them. */
+const PLAIN = { noNullPrototype: true } as const;
+
+const mark = fc.integer({ min: 0, max: 6 });
+const name = fc.constantFrom('a', 'b', 'c');
+const instance = fc.record(
+  {
+    ...{ id: name, service: name, host: fc.constant('10.0.0.1'), zone: name },
+    port: fc.integer({ min: 1, max: 65_535 }),
+    slots: fc.integer({ min: 0, max: 9 }),
+    draining: fc.boolean(),
+    role: fc.constantFrom('primary' as const, 'replica' as const),
+  },
+  PLAIN,
+);
+const instances = fc.array(instance, { maxLength: 3 });
+const absent = { nil: undefined };
+const configuration = fc.record({ version: mark, text: fc.string() }, PLAIN);
+const instancesPart = fc.record({ revision: mark, instances, departed: instances }, PLAIN);
+const primary = fc.record({ service: name, instanceId: name }, PLAIN);
+const primaries = fc.array(primary, { maxLength: 3 });
+const primariesPart = fc.record({ revision: mark, primaries }, PLAIN);
+const term = fc.record({ service: name, instanceId: name, term: mark }, PLAIN);
+const snapshot: fc.Arbitrary<InstanceSnapshot> = fc.record(
+  {
+    configuration: fc.option(configuration, absent),
+    instances: fc.option(instancesPart, absent),
+    primaries: fc.option(primariesPart, absent),
+    terms: fc.array(term, { maxLength: 3 }),
+    ageMs: fc.nat(),
+  },
+  PLAIN,
+);
+const marks = fc.record({ version: mark, instancesRevision: mark, primariesRevision: mark }, PLAIN);
+
+/** Takes all in this order, and checks that no mark ever falls. */
+function takeAll(known: DirectoryMarks, offers: readonly InstanceSnapshot[]): DirectoryMarks {
+  return offers.reduce((before, offer) => {
+    const taken = newerParts(before, offer);
+    const after = marksAfter(before, taken);
+    if (taken.configuration !== undefined) assert.ok(taken.configuration.version > before.version);
+    if (taken.instances !== undefined) {
+      assert.ok(taken.instances.revision > before.instancesRevision);
+    }
+    if (taken.primaries !== undefined) {
+      assert.ok(taken.primaries.revision > before.primariesRevision);
+    }
+    assert.ok(after.version >= before.version);
+    assert.ok(after.instancesRevision >= before.instancesRevision);
+    assert.ok(after.primariesRevision >= before.primariesRevision);
+    return after;
+  }, known);
+}
+
+test('the highest of each part wins in any order, and nothing goes back', () => {
+  fc.assert(
+    fc.property(marks, fc.array(snapshot, { maxLength: 6 }), (known, offers) => {
+      const highest = {
+        version: Math.max(known.version, ...offers.map((one) => one.configuration?.version ?? 0)),
+        instancesRevision: Math.max(
+          known.instancesRevision,
+          ...offers.map((one) => one.instances?.revision ?? 0),
+        ),
+        primariesRevision: Math.max(
+          known.primariesRevision,
+          ...offers.map((one) => one.primaries?.revision ?? 0),
+        ),
+      };
+      assert.equal(takeAll(known, offers), highest);
+      assert.equal(takeAll(known, [...offers].reverse()), highest);
+    }),
+    SETTINGS,
+  );
+});
+
+test('a snapshot is the same after the link', () => {
+  fc.assert(
+    fc.property(snapshot, (sent) => {
+      const received = parseSnapshot(decodeValue(encodeValue(sent, MAX_BYTES)));
+      assert.equal(received._unsafeUnwrap(), sent);
+    }),
+    SETTINGS,
+  );
+});
+
+test('what has not the form is refused as a whole, whatever it is', () => {
+  const whole = {
+    configuration: { version: 3, text: '{}' },
+    instances: { revision: 4, instances: [], departed: [] },
+    primaries: { revision: 4, primaries: [{ service: 's', instanceId: 'i' }] },
+    terms: [{ service: 's', instanceId: 'i', term: 2 }],
+    ageMs: 5,
+  };
+  assert.ok(parseSnapshot(whole).isOk());
+  const entry = { id: 'i', service: 's', host: '10.0.0.1', port: 80, zone: 'z', slots: 2 };
+  const badEntry = { ...entry, draining: false, role: 'primary', port: 70_000 };
+  const changes: object[] = [
+    { configuration: { version: -1, text: '' } },
+    { configuration: { version: 2 ** 60, text: '' } },
+    { configuration: 'text' },
+    { instances: { revision: 4, instances: [badEntry], departed: [] } },
+    { instances: { revision: 4, instances: [], departed: [entry] } },
+    { instances: { revision: 4, instances: new Array(5000).fill({}), departed: [] } },
+    { primaries: { revision: 1.5, primaries: [] } },
+    { terms: undefined },
+    { terms: [{ service: 's', instanceId: 'i', term: Number.NaN }] },
+    { ageMs: -1 },
+    { ageMs: Number.POSITIVE_INFINITY },
+  ];
+  for (const change of changes) {
+    assert.is(parseSnapshot({ ...whole, ...change }).isErr(), true, JSON.stringify(change));
+  }
+  fc.assert(
+    fc.property(fc.anything(), (value) => {
+      parseSnapshot(value);
+      parseQuestion(value);
+    }),
+    SETTINGS,
+  );
+});
+
+test('a question names a mark of each part and an address by number', () => {
+  const from = { host: '10.0.0.1', port: 8782 };
+  assert.equal(parseQuestion({ known: NO_MARKS, from })._unsafeUnwrap(), { known: NO_MARKS, from });
+  for (const bad of [{ ...from, host: 'a.name' }, { ...from, port: 0 }, { host: from.host }]) {
+    assert.ok(parseQuestion({ known: NO_MARKS, from: bad }).isErr());
+  }
+  assert.ok(parseQuestion({ known: { ...NO_MARKS, version: '1' }, from }).isErr());
+});
+
+test('peers that were heard of are bounded, and a node never asks itself', () => {
+  const own = { host: '10.0.0.1', port: 1 };
+  const seed = { host: '10.0.0.2', port: 1 };
+  const list = new PeerList(own, [own, seed]);
+  list.noteKnown(own);
+  list.noteKnown(seed);
+  assert.equal(list.toAsk(9, 0), [seed]);
+  for (let port = 2; port < 100; port += 1) list.noteKnown({ host: '10.0.0.3', port });
+  assert.is(list.toAsk(1000, 0).length, 65);
+  const asked = list.toAsk(3, 0.999).map(({ port }) => port);
+  assert.equal(asked, [99, 1, 36]);
+});
+
+test.run();
--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -72,6 +72,11 @@
   readonly name: string;
   readonly callersPort: number;
   readonly readinessPort: number;
+  /** Where it tells its figures. */
+  readonly internalPort: number;
+  /** Where it takes links of other gateways. */
+  readonly peerPort: number;
+  readonly settingsPath: string;
   readonly process: ChildProcess;
   /** Its exit code, or the signal that ended it. */
   readonly ended: Promise<number | NodeJS.Signals | null>;
@@ -130,28 +135,34 @@
 
   async startGateway(): Promise<DirectGatewayProcess> {
     const name = `frontend-${this.gateways.length + 1}`;
-    const [callersPort = 0, readinessPort = 0, controlPort = 0] = await freePorts(3);
-    const path = join(this.#folder, `${name}.json`);
+    const [callersPort = 0, readinessPort = 0] = await freePorts(2);
+    const internalPort = await freePortPair();
+    const peerPort = internalPort + 1;
+    const settingsPath = join(this.#folder, `${name}.json`);
     const storePort = await this.#storePortOf(name);
-    const ports = { callersPort, readinessPort, controlPort, storePort };
-    writeFileSync(path, JSON.stringify(this.#settings(name, ports)));
-    const child = spawn(process.execPath, ['--enable-source-maps', GATEWAY_PROGRAM], {
-      env: { PATH: process.env.PATH, MEADOWSTACK_SETTINGS: path },
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
-    let output = '';
-    for (const stream of [child.stdout, child.stderr]) {
-      stream.on('data', (chunk: Buffer) => {
-        output = (output + chunk.toString()).slice(-KEPT_OUTPUT_CHARACTERS);
-      });
-    }
-    const ended = once(child, 'exit').then(([code, signal]) => code ?? signal);
-    const gateway = { name, callersPort, readinessPort, process: child, ended };
-    const running = { ...gateway, output: () => output };
+    const ports = { callersPort, readinessPort, internalPort, storePort };
+    writeFileSync(settingsPath, JSON.stringify(this.#settings(name, ports)));
+    const gateway = { name, callersPort, readinessPort, internalPort, peerPort, settingsPath };
+    const running = { ...gateway, ...startProcess(settingsPath) };
     this.gateways.push(running);
     return running;
   }
 
+  /** Kills a gateway. */
+  async kill(index: number): Promise<void> {
+    const gateway = this.gateway(index);
+    gateway.process.kill('SIGKILL');
+    await gateway.ended;
+  }
+
+  /** Starts a gateway that has ended once more, with the same settings. */
+  restart(index: number): DirectGatewayProcess {
+    const gateway = this.gateway(index);
+    const running = { ...gateway, ...startProcess(gateway.settingsPath) };
+    this.gateways[index] = running;
+    return running;
+  }
+
   /** The port at which a gateway reaches the store. */
   async #storePortOf(name: string): Promise<number> {
     const { storePort } = this.platform;
@@ -179,6 +190,24 @@
     });
   }
 
+  /** One of a gateway's figures, by its name after `meadowstack_direct_`. */
+  async figure(index: number, name: string): Promise<number> {
+    const answer = await fetch(`http://${HOST}:${this.gateway(index).internalPort}/metrics`);
+    const line = new RegExp(`^meadowstack_direct_${name} (.+)$`, 'm').exec(await answer.text());
+    return Number(line?.[1]);
+  }
+
+  /** Waits until each gateway knows where the others are. */
+  async peersKnown(): Promise<void> {
+    const others = this.gateways.length - 1;
+    for (const index of this.gateways.keys()) {
+      await until(
+        'other gateways',
+        async () => (await this.figure(index, 'peers_known')) >= others,
+      );
+    }
+  }
+
   /** A session at a gateway whose statements are judged at the end. */
   open(database: string, index = 0): Promise<RecordedSession> {
     const route = this.#routes.find((one) => one.database === database);
@@ -202,9 +231,9 @@
 
   #settings(
     name: string,
-    ports: Readonly<Record<'callersPort' | 'readinessPort' | 'controlPort' | 'storePort', number>>,
+    ports: Readonly<Record<'callersPort' | 'readinessPort' | 'internalPort' | 'storePort', number>>,
   ): object {
-    const control = `${HOST}:${ports.controlPort}`;
+    const { internalPort } = ports;
     const { promotionPort, heartbeatMs } = this.platform;
     return {
       ...{ node_name: name, role: 'gateway', machine_class: 'frontend', serves: ['frontend'] },
@@ -213,9 +242,8 @@
       listen_addresses: {
         frontend: `${HOST}:${ports.callersPort}`,
         readiness: `${HOST}:${ports.readinessPort}`,
-        control_plane: control,
       },
-      ...{ internal_port_range: [ports.controlPort, ports.controlPort], seed_nodes: [control] },
+      ...{ internal_port_range: [internalPort, internalPort + 1], seed_nodes: [] },
       ...{ bootstrap: true, in_tolerance: false, data_directory: null, discovery: 'platform' },
       limits: {
         ...{ cpu_share: 1, cpu_cores: 1, memory_mb: 350, max_file_descriptors: 4300 },
@@ -248,6 +276,23 @@
   }
 }
 
+function startProcess(
+  settingsPath: string,
+): Pick<DirectGatewayProcess, 'process' | 'ended' | 'output'> {
+  const child = spawn(process.execPath, ['--enable-source-maps', GATEWAY_PROGRAM], {
+    env: { PATH: process.env.PATH, MEADOWSTACK_SETTINGS: settingsPath },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  let output = '';
+  for (const stream of [child.stdout, child.stderr]) {
+    stream.on('data', (chunk: Buffer) => {
+      output = (output + chunk.toString()).slice(-KEPT_OUTPUT_CHARACTERS);
+    });
+  }
+  const ended = once(child, 'exit').then(([code, signal]) => code ?? signal);
+  return { process: child, ended, output: () => output };
+}
+
 async function isReady({ readinessPort }: DirectGatewayProcess): Promise<boolean> {
   try {
     const answer = await fetch(`http://${HOST}:${readinessPort}/v1/readiness`);
@@ -258,6 +303,31 @@
   }
 }
 
+/** Pairs lie below the ports that systems give to outgoing connections: those may be taken any time. */
+const PAIRS_FROM = 20_000;
+const PAIRS_TO = 32_000;
+let nextPair = PAIRS_FROM + ((process.pid * 8) % (PAIRS_TO - PAIRS_FROM));
+
+/** The first of two ports in a row that were free a moment ago. */
+async function freePortPair(): Promise<number> {
+  for (;;) {
+    const first = nextPair;
+    nextPair = first + 3 < PAIRS_TO ? first + 2 : PAIRS_FROM;
+    if ((await isFree(first)) && (await isFree(first + 1))) return first;
+  }
+}
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  try {
+    await listen(server, HOST, port);
+  } catch {
+    return false;
+  }
+  await new Promise((resolve) => server.close(resolve));
+  return true;
+}
+
 /** Ports that were free a moment ago. */
 async function freePorts(count: number): Promise<number[]> {
   const servers = Array.from({ length: count }, () => createServer());
--- a/test/unit/platform/directory-follower.test.ts
+++ b/test/unit/platform/directory-follower.test.ts
@@ -280,4 +280,49 @@
   assert.equal(told, []);
 });
 
+const FROM_PEER = {
+  ...{ id: 'i-2', service: 'svc', host: '10.0.0.2', port: 80, zone: 'b', slots: 3 },
+  ...{ draining: false, role: 'primary' as const },
+};
+
+function fromPeer(revision: number, ids: readonly string[]) {
+  return { revision, instances: ids.map((id) => ({ ...FROM_PEER, id })), departed: [] };
+}
+
+test('what a peer tells stands in until the store answers, and the store binds', async () => {
+  const { store, told, follower, pauses } = await started((one) => {
+    one.ranges.set(INSTANCE_KEY_PREFIX, new StoreUnavailableError('down'));
+    one.ranges.set(CONFIGURATION_KEY, new StoreUnavailableError('down'));
+  });
+  told.length = 0;
+  follower.adoptInstances(fromPeer(20, ['i-2', 'i-3']));
+  assert.equal(told.splice(0), ['instances i-2,i-3 changed i-2,i-3']);
+  assert.is(follower.instancesConfirmedAt(), undefined);
+  store.ranges.set(INSTANCE_KEY_PREFIX, {
+    revision: 22,
+    entries: [item('servers/i-1', entry(), 5)],
+  });
+  for (const { run } of pauses) run();
+  await settle();
+  assert.equal([...follower.instances().keys()], ['i-1']);
+});
+
+test('a snapshot that is no newer than what is known changes nothing', async () => {
+  const { told, follower } = await started((one) => {
+    one.ranges.set(CONFIGURATION_KEY, { revision: 9, entries: [configuration(7, 4)] });
+    one.ranges.set(INSTANCE_KEY_PREFIX, {
+      revision: 12,
+      entries: [item('servers/i-1', entry(), 5)],
+    });
+  });
+  told.length = 0;
+  follower.adoptInstances(fromPeer(12, ['i-2']));
+  follower.adoptConfiguration({ version: 7, text: configuration(7, 4).value });
+  follower.adoptConfiguration({ version: 9, text: configuration(6, 4).value });
+  assert.equal(told, []);
+  follower.adoptConfiguration({ version: 8, text: configuration(8, 4).value });
+  assert.equal(told, ['configuration 8']);
+  assert.equal([...follower.instances().keys()], ['i-1']);
+});
+
 test.run();
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -30,6 +30,7 @@
     callers: { host: '10.1.0.8', port: 8784 },
     readiness: { host: '10.1.0.8', port: 8785 },
     metrics: undefined,
+    peers: undefined,
     store: { host: '10.200.1.7', port: 8783, minimumLeaseMs: 1000 },
     promotion: { host: '10.200.0.160', port: 8783 },
     gracePeriodMs: 6000,
@@ -43,6 +44,24 @@
   assert.equal(metrics, { host: '10.1.0.8', port: 7440 });
 });
 
+test('links of other nodes are taken where the role serves them; a seed that is none is left out', () => {
+  const change = {
+    serves: ['frontend', 'control_plane'],
+    listen_addresses: { ...SETTINGS.listen_addresses, control_plane: '10.1.0.8:8782' },
+    seed_nodes: ['10.1.0.8:8782', 'nowhere', 7, '10.2.0.6:8782'],
+    zones: { 'zone-b': 'region', 'zone-a': 'region' },
+  };
+  assert.equal(settingsOf(change)._unsafeUnwrap().peers, {
+    own: { host: '10.1.0.8', port: 8782 },
+    seeds: [
+      { host: '10.1.0.8', port: 8782 },
+      { host: '10.2.0.6', port: 8782 },
+    ],
+    deployment: '["zone-a","zone-b"]',
+  });
+  assert.is(settingsOf({ ...change, serves: ['frontend'] })._unsafeUnwrap().peers, undefined);
+});
+
 test('without the promotion duty there is no promotion call', () => {
   assert.is(settingsOf({ cloud_api: null })._unsafeUnwrap().promotion, undefined);
   const other = { address: '10.200.0.160:8783', duties: ['other'] };
