--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -13,7 +13,7 @@
   RouteDescription,
 } from './contract.js';
 import type { DirectorySource } from './directory-follower.js';
-import { ownRequest, type PoolCounters } from './instance-pool.js';
+import { type InstancePool, ownRequest, type PoolCounters } from './instance-pool.js';
 import type { PrimaryView } from './promotion/contract.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
@@ -79,6 +79,8 @@
   #stopping = false;
   #sampler: NodeJS.Timeout | undefined;
   readonly #sampling = new Set<string>();
+  /** Pools whose first connection was asked for. */
+  readonly #firstOpened = new WeakSet<InstancePool>();
   readonly #firstConfiguration: Promise<true>;
   #tellFirstConfiguration: () => void = () => {};
 
@@ -184,6 +186,23 @@
       const entries = [...instances.values()].filter((entry) => entry.service === name);
       service.setInstances(entries, told);
     }
+    this.#openFirst();
+  }
+
+  /**
+   * A connection to each new instance is opened at once: what a first statement would wait for happens
+   * while a starting node waits for its lease.
+   */
+  #openFirst(): void {
+    for (const service of this.#services.values()) {
+      for (const { pool } of service.readable(this.options.now())) {
+        if (this.#firstOpened.has(pool)) continue;
+        this.#firstOpened.add(pool);
+        if (pool.size > 0) continue;
+        const acquired = pool.acquire(ownRequest(this.options.now() + CONNECT_TIMEOUT_MS));
+        void acquired.then((result) => result.isOk() && pool.release(result.value));
+      }
+    }
   }
 
   /** Members of the groups that are not announced any more and still count among them. */
