--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -13,7 +13,7 @@
 const HOST_PATTERN = /^\d{1,3}(\.\d{1,3}){3}$/;
 
 /** Prefix that every node follows. */
-export const RECORD_PREFIX = 'meadowstack/';
+export const RECORD_PREFIX = 'server-groups/';
 /** Prefix that the leader follows. */
 export const DUTY_PREFIX = 'meadowstack-duty/';
 export const LEADER_KEY = `${RECORD_PREFIX}leader`;
@@ -107,6 +107,7 @@
     };
 
 export type ChangingRecord = Extract<PrimaryRecord, { phase: 'changing' }>;
+export type ServingRecord = Extract<PrimaryRecord, { phase: 'serving' }>;
 
 /** What one leader leaves to the next about a service. */
 export interface DutyNote {
--- a/src/direct/snapshots/told-primaries.ts
+++ b/src/direct/snapshots/told-primaries.ts
@@ -23,6 +23,10 @@
     private readonly now: () => Milliseconds,
   ) {}
 
+  get watchesPrimaries(): boolean {
+    return this.recorded.watchesPrimaries;
+  }
+
   get onChange(): (service: string) => void {
     return this.recorded.onChange;
   }
--- a/test/unit/direct/told-primaries.test.ts
+++ b/test/unit/direct/told-primaries.test.ts
@@ -18,6 +18,7 @@
 function recorded(revision: number, primary: string | undefined, isPermitted: boolean) {
   const view: RecordedPrimaries = {
     recordsRevision: revision,
+    watchesPrimaries: false,
     onChange: () => {},
     primaryOf: () => (primary === undefined ? undefined : instance(primary)),
     mayTrustPrimary: (_service, _now, asked) =>
