--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -1,7 +1,10 @@
 /** Times of the promotion machine. */
+
+import type { InstanceEntry } from '../../direct/contract.js';
 import type { PeerAddress } from '../../peer/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { PromotionMechanism } from './contract.js';
+import type { PeerPlace } from './records.js';
 
 /** Times and bounds; the defaults suit a store that answers within some ten milliseconds. */
 export interface PromotionTimings {
@@ -116,6 +119,12 @@
   readonly timings: PromotionTimings;
   /** Where this node answers other nodes' questions for its directory. */
   readonly directoryAt?: PeerAddress | undefined;
+  /** Where other nodes reach this one; absent if they can't. */
+  readonly peer?: PeerPlace | undefined;
+  /** Larger fleets share connections through owners; by default the instances' limits decide. */
+  readonly largestDirectFleet?: number | undefined;
+  /** Whether this node may open connections to an instance; by default it may. */
+  readonly mayConnect?: ((instance: InstanceEntry) => boolean) | undefined;
   /** Numbers in [0, 1). */
   readonly random: () => number;
   /** For tests only. */
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -6,6 +6,7 @@
 import type { InstanceEntry, InstanceRole } from '../../direct/contract.js';
 import type { PeerAddress } from '../../peer/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
+import type { OwnerRoster, ReachableNode } from '../ownership/owner-roster.js';
 import type { Position } from '../position.js';
 
 const MAX_PORT = 65_535;
@@ -63,16 +64,23 @@
   readonly leaseId: string;
   /** Where it answers other nodes' questions for its directory. */
   readonly directoryAt?: PeerAddress | undefined;
+  /** Where other nodes reach it for connections that it owns; absent if they can't. */
+  readonly peer?: PeerPlace | undefined;
 }
 
-/** Where nodes answer such questions, those too that are gone and may come back. */
+/** Where nodes answer questions for their directory, those too that are gone and may come back. */
 export interface PeersRecord {
   readonly addresses: readonly PeerAddress[];
 }
 
-/** How many nodes there are, as the leader counts them. */
+/** Where other nodes reach a node. */
+export type PeerPlace = Omit<ReachableNode, 'nodeId'>;
+
+/** How many nodes there are, as the leader counts them, and how they share connections. */
 export interface FleetRecord {
   readonly nodes: number;
+  /** Absent while every node connects to every instance. */
+  readonly owners?: OwnerRoster | undefined;
 }
 
 /** A node no longer uses the primary that this change replaces. */
@@ -133,15 +141,23 @@
   return { timeline, lsn: BigInt(lsn) };
 }
 
+/** The leader looks at every node's entry at every change: each is parsed once. */
+const PARSED = new WeakMap<KeyValue, unknown>();
+
 /** Decodes a value of this module's making; anything else gives undefined. */
 export function decodeRecord<Form>(
   entry: KeyValue | undefined,
   form: (value: Fields) => Form | undefined,
 ): Form | undefined {
   if (entry === undefined) return undefined;
+  if (!PARSED.has(entry)) PARSED.set(entry, parse(entry.value));
+  const value = PARSED.get(entry);
+  return isFields(value) ? form(value) : undefined;
+}
+
+function parse(text: string): unknown {
   try {
-    const value: unknown = JSON.parse(entry.value);
-    return isFields(value) ? form(value) : undefined;
+    return JSON.parse(text);
   } catch {
     return undefined;
   }
@@ -153,9 +169,10 @@
 }
 
 export function nodeForm(fields: Fields): NodeRecord | undefined {
-  const { incarnation, leaseId, directoryAt } = fields;
+  const { incarnation, leaseId, directoryAt, peer } = fields;
   if (!isText(incarnation) || !isText(leaseId)) return undefined;
-  return { incarnation, leaseId, directoryAt: addressForm(directoryAt) };
+  const place = isFields(peer) ? peerForm(peer) : undefined;
+  return { incarnation, leaseId, directoryAt: addressForm(directoryAt), peer: place };
 }
 
 export function peersForm({ addresses }: Fields): PeersRecord | undefined {
@@ -163,8 +180,25 @@
   return { addresses: addresses.map(addressForm).filter((address) => address !== undefined) };
 }
 
-export function fleetForm({ nodes }: Fields): FleetRecord | undefined {
-  return isNumber(nodes) ? { nodes } : undefined;
+export function fleetForm({ nodes, owners }: Fields): FleetRecord | undefined {
+  if (!isNumber(nodes)) return undefined;
+  return { nodes, owners: isFields(owners) ? rosterForm(owners) : undefined };
+}
+
+function peerForm({ zone, host, port }: Fields): PeerPlace | undefined {
+  return isText(zone) && isText(host) && isNumber(port) ? { zone, host, port } : undefined;
+}
+
+function rosterForm({ ownersPerInstance, nodes }: Fields): OwnerRoster | undefined {
+  if (!isNumber(ownersPerInstance) || !Array.isArray(nodes)) return undefined;
+  const members = nodes.map(reachableForm).filter((node) => node !== undefined);
+  return members.length === nodes.length ? { ownersPerInstance, nodes: members } : undefined;
+}
+
+function reachableForm(value: unknown): ReachableNode | undefined {
+  if (!isFields(value) || !isText(value.nodeId)) return undefined;
+  const place = peerForm(value);
+  return place === undefined ? undefined : { nodeId: value.nodeId, ...place };
 }
 
 export function acknowledgementForm(fields: Fields): AcknowledgementRecord | undefined {
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -42,4 +42,6 @@
   liveNodeCount(): number {
     return 1;
   }
+
+  ownerRoster(): undefined {}
 }
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -139,12 +139,14 @@
   readonly readiness: { readonly host: string; readonly port: number };
   /** Where the node tells its figures; absent where no port is given for it. */
   readonly metrics: { readonly host: string; readonly port: number } | undefined;
+  /** Where other nodes reach this one for connections that it owns; absent where no port is given for it. */
+  readonly peer: { readonly host: string; readonly port: number } | undefined;
   readonly store: {
     readonly host: string;
     readonly port: number;
     readonly minimumLeaseMs: Milliseconds;
   };
-  /** Absent where the node has no address for links of other nodes. */
+  /** For snapshots; absent where the node has no address for such links besides `peer`. */
   readonly peers: PeerSettings | undefined;
   /** Absent where the platform gives no promotion call. */
   readonly promotion: { readonly host: string; readonly port: number } | undefined;
--- a/src/direct/snapshots/told-primaries.ts
+++ b/src/direct/snapshots/told-primaries.ts
@@ -4,6 +4,7 @@
  * a read at it needs the proof by its members' positions.
  */
 import type { PrimariesPart } from '../../core/directory/snapshot.js';
+import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { InstanceEntry } from '../contract.js';
 import type { PrimaryUse, PrimaryView, TrustedUse } from '../promotion/contract.js';
@@ -92,6 +93,11 @@
     return this.recorded.liveNodeCount();
   }
 
+  /** Peers tell of no owners: only the records do. */
+  ownerRoster(): OwnerRoster | undefined {
+    return this.recorded.ownerRoster();
+  }
+
   /** The records bind a node that no promotion can pass by. */
   #newerThanRecords(service: string): PrimariesPart | undefined {
     const { recorded } = this;
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -251,7 +251,8 @@
     const silentForMs = instance.pool.silentForMs(silentWrite ? 'write' : 'read');
     endWatch(answer?.isOk() === true);
     if (answer === undefined || answer.isErr()) {
-      this.noteFailure(request, instance, silentWrite ? 'commit' : 'reach', silentForMs);
+      const use = silentWrite ? 'commit' : 'reach';
+      this.noteNoAnswer(request, instance, connection, answer, use, silentForMs);
       return { type: 'unknown', instance };
     }
     return this.#judge(request, instance, connection, answer.value, sentAt);
@@ -326,6 +327,21 @@
     this.options.view.reportPrimarySuccess(service.name, this.options.now(), use);
   }
 
+  /** No answer came. What an owner of the instance failed at says nothing of the instance itself. */
+  noteNoAnswer(
+    request: Pick<StatementRequest, 'service'>,
+    instance: InstanceRuntime,
+    connection: InstanceConnection,
+    answer: ExchangeResult | undefined,
+    use: PrimaryUse = 'reach',
+    silentForMs: Milliseconds = 0,
+  ): void {
+    const isOwnersFault = answer?.isErr()
+      ? answer.error.fault === 'owner'
+      : connection.isOwnerSilent === true;
+    if (!isOwnersFault) this.noteFailure(request, instance, use, silentForMs);
+  }
+
   /** An instance did not do what was asked: reads avoid it, and a primary is reported. */
   noteFailure(
     request: Pick<StatementRequest, 'service'>,
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -120,7 +120,8 @@
     endWatch(answer?.isOk() === true);
     endWrite();
     if (answer === undefined || answer.isErr()) {
-      this.runner.noteFailure(this, instance, silent ? 'commit' : 'reach', silentForMs);
+      const use = silent ? 'commit' : 'reach';
+      this.runner.noteNoAnswer(this, instance, connection, answer, use, silentForMs);
       // Without a write, nothing is kept whatever became of the commit.
       return this.#wrote
         ? refuse('in-doubt', 'no answer to a commit')
@@ -218,11 +219,11 @@
       endWatch(answer?.isOk() === true);
       if (answer === undefined) {
         connection.close();
-        this.runner.noteFailure(this, instance, 'reach', silentForMs);
+        this.runner.noteNoAnswer(this, instance, connection, answer, 'reach', silentForMs);
         return refuse('aborted', 'no answer in time; the transaction was rolled back');
       }
       if (answer.isErr()) {
-        this.runner.noteFailure(this, instance);
+        this.runner.noteNoAnswer(this, instance, connection, answer);
         return refuse('aborted', 'the connection to the instance ended');
       }
       if (answer.value.error === undefined) instance.pool.noteAnswer(now() - sentAt);
--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -39,9 +39,14 @@
 ];
 
 const DEFAULT_TIMEOUT_MS = 2000;
+const DEFAULT_TRANSACTION_IDLE_MS = 3000;
 
 /** The operator's configuration with these routes. */
-export function configurationOf(version: number, routes: readonly TestRoute[]): object {
+export function configurationOf(
+  version: number,
+  routes: readonly TestRoute[],
+  transactionIdleMs = DEFAULT_TRANSACTION_IDLE_MS,
+): object {
   return {
     version,
     routes: routes.map((route) => ({
@@ -62,7 +67,7 @@
     })),
     limits: {
       ...{ max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3000 },
-      ...{ idle_timeout_ms: 15_000, transaction_idle_ms: 3000 },
+      ...{ idle_timeout_ms: 15_000, transaction_idle_ms: transactionIdleMs },
     },
   };
 }
@@ -74,7 +79,7 @@
   readonly readinessPort: number;
   /** Where it tells its figures. */
   readonly internalPort: number;
-  /** Where it takes links of other gateways. */
+  /** Where it takes links of other gateways for snapshots. */
   readonly peerPort: number;
   readonly settingsPath: string;
   readonly process: ChildProcess;
@@ -91,6 +96,9 @@
   readonly flags?: readonly string[];
   /** Each gateway reaches the store through a fault proxy, so that it can be cut off. */
   readonly cuttable?: boolean;
+  readonly transactionIdleMs?: number;
+  /** Flags of every gateway. */
+  readonly gatewayFlags?: readonly string[];
   /** Bounds that differ from the settings' own. */
   readonly bounds?: Readonly<Record<string, number>>;
 }
@@ -130,20 +138,23 @@
   async publish(routes: readonly TestRoute[]): Promise<void> {
     this.#routes = routes;
     this.#version += 1;
-    await this.platform.set('/config', configurationOf(this.#version, routes));
+    await this.platform.set(
+      '/config',
+      configurationOf(this.#version, routes, this.options.transactionIdleMs),
+    );
   }
 
   async startGateway(): Promise<DirectGatewayProcess> {
     const name = `frontend-${this.gateways.length + 1}`;
     const [callersPort = 0, readinessPort = 0] = await freePorts(2);
-    const internalPort = await freePortPair();
+    const internalPort = await freePortTriple();
     const peerPort = internalPort + 1;
     const settingsPath = join(this.#folder, `${name}.json`);
     const storePort = await this.#storePortOf(name);
     const ports = { callersPort, readinessPort, internalPort, storePort };
     writeFileSync(settingsPath, JSON.stringify(this.#settings(name, ports)));
     const gateway = { name, callersPort, readinessPort, internalPort, peerPort, settingsPath };
-    const running = { ...gateway, ...startProcess(settingsPath) };
+    const running = { ...gateway, ...startProcess(settingsPath, this.options.gatewayFlags) };
     this.gateways.push(running);
     return running;
   }
@@ -158,7 +169,10 @@
   /** Starts a gateway that has ended once more, with the same settings. */
   restart(index: number): DirectGatewayProcess {
     const gateway = this.gateway(index);
-    const running = { ...gateway, ...startProcess(gateway.settingsPath) };
+    const running = {
+      ...gateway,
+      ...startProcess(gateway.settingsPath, this.options.gatewayFlags),
+    };
     this.gateways[index] = running;
     return running;
   }
@@ -243,7 +257,8 @@
         frontend: `${HOST}:${ports.callersPort}`,
         readiness: `${HOST}:${ports.readinessPort}`,
       },
-      ...{ internal_port_range: [internalPort, internalPort + 1], seed_nodes: [] },
+      // Figures, links for snapshots, links for owners.
+      ...{ internal_port_range: [internalPort, internalPort + 2], seed_nodes: [] },
       ...{ bootstrap: true, in_tolerance: false, data_directory: null, discovery: 'platform' },
       limits: {
         ...{ cpu_share: 1, cpu_cores: 1, memory_mb: 350, max_file_descriptors: 4300 },
@@ -278,8 +293,9 @@
 
 function startProcess(
   settingsPath: string,
+  flags: readonly string[] = [],
 ): Pick<DirectGatewayProcess, 'process' | 'ended' | 'output'> {
-  const child = spawn(process.execPath, ['--enable-source-maps', GATEWAY_PROGRAM], {
+  const child = spawn(process.execPath, ['--enable-source-maps', GATEWAY_PROGRAM, ...flags], {
     env: { PATH: process.env.PATH, MEADOWSTACK_SETTINGS: settingsPath },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
@@ -303,17 +319,18 @@
   }
 }
 
-/** Pairs lie below the ports that systems give to outgoing connections: those may be taken any time. */
-const PAIRS_FROM = 20_000;
-const PAIRS_TO = 32_000;
-let nextPair = PAIRS_FROM + ((process.pid * 8) % (PAIRS_TO - PAIRS_FROM));
+/** Triples lie below the ports that systems give to outgoing connections: those may be taken any time. */
+const TRIPLES_FROM = 20_000;
+const TRIPLES_TO = 32_000;
+let nextTriple = TRIPLES_FROM + ((process.pid * 12) % (TRIPLES_TO - TRIPLES_FROM));
 
-/** The first of two ports in a row that were free a moment ago. */
-async function freePortPair(): Promise<number> {
+/** The first of three ports in a row that were free a moment ago. */
+async function freePortTriple(): Promise<number> {
   for (;;) {
-    const first = nextPair;
-    nextPair = first + 3 < PAIRS_TO ? first + 2 : PAIRS_FROM;
-    if ((await isFree(first)) && (await isFree(first + 1))) return first;
+    const first = nextTriple;
+    nextTriple = first + 5 < TRIPLES_TO ? first + 3 : TRIPLES_FROM;
+    const areFree = await Promise.all([isFree(first), isFree(first + 1), isFree(first + 2)]);
+    if (areFree.every((free) => free)) return first;
   }
 }
 
--- a/test/unit/direct/service-runtime.test.ts
+++ b/test/unit/direct/service-runtime.test.ts
@@ -19,6 +19,7 @@
   const service = new ServiceRuntime('orders', {
     zone: 'a',
     nodeCount: 1,
+    ownership: { roster: undefined, ownershipOf: () => undefined },
     drainTimeoutMs: DRAIN_MS,
     view: new AnnouncedPrimaryView(),
     isStoreWell: () => world.isWell,
--- a/test/unit/direct/told-primaries.test.ts
+++ b/test/unit/direct/told-primaries.test.ts
@@ -28,6 +28,7 @@
     reportPrimaryFailure: () => {},
     reportPrimarySuccess: () => {},
     liveNodeCount: () => 1,
+    ownerRoster: () => undefined,
   };
   return new ToldPrimaries(view, instance, () => 0);
 }
--- a/test/unit/direct/transaction.test.ts
+++ b/test/unit/direct/transaction.test.ts
@@ -89,6 +89,7 @@
   const limits = { connectTimeoutMs: DEADLINE_MS, reconnectDelayMs: 1 };
   const service = new ServiceRuntime('db-1', {
     ...{ zone: 'a', nodeCount: 1, drainTimeoutMs: DEADLINE_MS, view, isStoreWell: () => true, now },
+    ownership: { roster: undefined, ownershipOf: () => undefined },
     pool: { wire: lineWire, ...limits, now, random, counters },
   });
   service.setMaxConnections(6);
