--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -5,6 +5,7 @@
 import type { Election } from './election.js';
 import { FleetPublisher } from './fleet-publisher.js';
 import type { NodeLease } from './lease.js';
+import { PeerPublisher } from './peer-publisher.js';
 import type { Primaries } from './primaries.js';
 import { DUTY_PREFIX } from './records.js';
 import type { PromotionRuntime } from './runtime.js';
@@ -20,6 +21,7 @@
 export class Leader {
   readonly #duty: StoreView;
   readonly #store: DutyStore;
+  readonly #peers: PeerPublisher;
   readonly #fleet: FleetPublisher;
   #scope: Scope;
   #services = new Map<string, ServiceDescription>();
@@ -40,6 +42,7 @@
     this.#duty = new StoreView(runtime, DUTY_PREFIX);
     this.#duty.onChange = () => this.update();
     this.#store = new DutyStore(runtime, election, primaries, records, this.#duty);
+    this.#peers = new PeerPublisher(runtime, election, records, this.#duty);
     this.#fleet = new FleetPublisher(runtime, this.#store, () => this.#services.values());
   }
 
@@ -95,6 +98,7 @@
       this.#duties.delete(service);
     }
     this.#publishFleet();
+    this.#peers.update(this.#scope);
   }
 
   stop(): void {
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -1,5 +1,7 @@
 /** Times of the promotion machine. */
+
 import type { InstanceEntry } from '../../direct/contract.js';
+import type { PeerAddress } from '../../peer/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { PromotionMechanism } from './contract.js';
 import type { PeerPlace } from './records.js';
@@ -115,6 +117,8 @@
   /** Differs with every start of the process. */
   readonly incarnation: string;
   readonly timings: PromotionTimings;
+  /** Where this node answers other nodes' questions for its directory. */
+  readonly directoryAt?: PeerAddress | undefined;
   /** Where other nodes reach this one; absent if they can't. */
   readonly peer?: PeerPlace | undefined;
   /** Larger fleets share connections through owners; by default the instances' limits decide. */
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -8,6 +8,7 @@
 import type { Position } from '../core/position.js';
 import type { RouteType } from '../core/tenancy/route-template.js';
 import type { Milliseconds } from '../core/units.js';
+import type { PeerAddress } from '../peer/contract.js';
 
 export type RouteConsistency = RouteType;
 
@@ -121,6 +122,16 @@
   ): Promise<PromoteOutcome>;
 }
 
+/** Links between the nodes. */
+export interface PeerSettings {
+  /** Where this node takes links. */
+  readonly own: PeerAddress;
+  /** Where other nodes may be; some of them may be gone. */
+  readonly seeds: readonly PeerAddress[];
+  /** The same text on all nodes of one deployment, and another elsewhere. */
+  readonly deployment: string;
+}
+
 /** Settings of one direct gateway. */
 export interface DirectSettings {
   readonly nodeName: string;
@@ -129,13 +140,15 @@
   readonly readiness: { readonly host: string; readonly port: number };
   /** Where the node tells its figures; absent where no port is given for it. */
   readonly metrics: { readonly host: string; readonly port: number } | undefined;
-  /** Where other nodes reach this one; absent where no port is given for it. */
+  /** Where other nodes reach this one for connections that it owns; absent where no port is given for it. */
   readonly peer: { readonly host: string; readonly port: number } | undefined;
   readonly store: {
     readonly host: string;
     readonly port: number;
     readonly minimumLeaseMs: Milliseconds;
   };
+  /** For snapshots; absent where the node has no address for such links besides `peer`. */
+  readonly peers: PeerSettings | undefined;
   /** Absent where the platform gives no promotion call. */
   readonly promotion: { readonly host: string; readonly port: number } | undefined;
   readonly gracePeriodMs: Milliseconds;
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -2,6 +2,7 @@
  * The direct gateway put together: routes and instances come in, callers are served, and a planned
  * stop ends it without cutting what runs.
  */
+import type { ServiceTerm } from '../core/directory/snapshot.js';
 import { resolveRoutePolicy } from '../core/tenancy/route-template.js';
 import type { Milliseconds } from '../core/units.js';
 import { CallerServer } from './caller-server.js';
@@ -12,7 +13,8 @@
   PublishedConfiguration,
   RouteDescription,
 } from './contract.js';
-import type { PoolCounters } from './instance-pool.js';
+import type { DirectorySource } from './directory-follower.js';
+import { type InstancePool, ownRequest, type PoolCounters } from './instance-pool.js';
 import { PositionSampler, type SamplerCounters } from './position-sampler.js';
 import type { PrimaryView } from './promotion/contract.js';
 import type { RelayCounters } from './relay/contract.js';
@@ -86,12 +88,15 @@
   #tenants = new Map<string, Tenant>();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
+  #instancesTold: DirectorySource = 'store';
   #nodeCount = ASSUMED_NODE_COUNT;
   #nodeCountSeenAt: Milliseconds | undefined;
   readonly #createdAt: Milliseconds;
   #stopping = false;
   #checks: NodeJS.Timeout | undefined;
   readonly #sampler: PositionSampler;
+  /** Pools whose first connection was asked for. */
+  readonly #firstOpened = new WeakSet<InstancePool>();
   readonly #firstConfiguration: Promise<true>;
   #tellFirstConfiguration: () => void = () => {};
 
@@ -204,7 +209,7 @@
       this.#service(description.name).setMaxConnections(description.maxConnections);
     }
     this.#dropServices(new Set(configuration.services.map(({ name }) => name)));
-    this.setInstances(this.#instances);
+    this.setInstances(this.#instances, this.#instancesTold);
     this.#tellFirstConfiguration();
   }
 
@@ -230,10 +235,61 @@
   }
 
   /** Takes the instances that are announced now. */
-  setInstances(instances: ReadonlyMap<string, InstanceEntry>): void {
+  setInstances(
+    instances: ReadonlyMap<string, InstanceEntry>,
+    told: DirectorySource = 'store',
+  ): void {
     this.#instances = instances;
+    this.#instancesTold = told;
     for (const [name, service] of this.#services) {
-      service.setInstances([...instances.values()].filter((entry) => entry.service === name));
+      const entries = [...instances.values()].filter((entry) => entry.service === name);
+      service.setInstances(entries, told);
+    }
+    this.#openFirst();
+  }
+
+  /**
+   * A connection to each new instance is opened at once: what a first statement would wait for happens
+   * while a starting node waits for its lease.
+   */
+  #openFirst(): void {
+    for (const service of this.#services.values()) {
+      for (const { pool } of service.readable(this.options.now())) {
+        if (this.#firstOpened.has(pool)) continue;
+        this.#firstOpened.add(pool);
+        if (pool.size > 0 || pool.lessor !== undefined) continue;
+        const acquired = pool.acquire(ownRequest(this.options.now() + CONNECT_TIMEOUT_MS));
+        void acquired.then((result) => result.isOk() && pool.release(result.value));
+      }
+    }
+  }
+
+  /** Members of the groups that are not announced any more and still count among them. */
+  departedMembers(): InstanceEntry[] {
+    return [...this.#services.values()]
+      .flatMap((service) => service.members())
+      .map(({ pool }) => pool.instance)
+      .filter(({ id }) => !this.#instances.has(id));
+  }
+
+  /** Takes members that are not announced any more: they are asked for proofs, and get no work. */
+  noteDeparted(members: readonly InstanceEntry[]): void {
+    for (const [name, service] of this.#services) {
+      service.noteDeparted(members.filter((entry) => entry.service === name));
+    }
+  }
+
+  /** Primaries, and terms in which they were found leading. */
+  primaryTerms(): ServiceTerm[] {
+    return [...this.#services.values()].flatMap(({ name, trustedPrimary }) =>
+      trustedPrimary === undefined ? [] : [{ service: name, ...trustedPrimary }],
+    );
+  }
+
+  /** Takes over such terms; one of a service that is not known is left out. */
+  notePrimaryTerms(terms: readonly ServiceTerm[]): void {
+    for (const { service, instanceId, term } of terms) {
+      this.#services.get(service)?.noteTerm({ instanceId, term });
     }
   }
 
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -13,6 +13,7 @@
 import type { PeerPlace } from '../../core/promotion/records.js';
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
+import type { PeerAddress } from '../../peer/contract.js';
 import type { Store } from '../../platform/contract.js';
 import type { InstanceControl, InstanceEntry, PublishedConfiguration } from '../contract.js';
 import type {
@@ -33,6 +34,8 @@
   /** Differs with every start of the process. */
   readonly incarnation: string;
   readonly minimumLeaseMs: Milliseconds;
+  /** Where this node answers other nodes' questions for its directory. */
+  readonly directoryAt?: PeerAddress | undefined;
   /** Where other nodes reach this one; absent if they can't. */
   readonly peer?: PeerPlace | undefined;
   /** Larger fleets share connections through owners; by default the instances' limits decide. */
@@ -77,6 +80,7 @@
     this.#machine = new PromotionMachine({
       nodeName,
       incarnation,
+      directoryAt: options.directoryAt,
       peer: options.peer,
       largestDirectFleet: options.largestDirectFleet,
       mayConnect: options.mayConnect,
@@ -167,6 +171,16 @@
     return this.#machine.liveNodeCount();
   }
 
+  /** Where nodes answer questions for their directory. */
+  peerAddresses(): readonly PeerAddress[] {
+    return this.#machine.peerAddresses();
+  }
+
+  /** Revision up to which the records of primaries are known; 0 if they are not. */
+  get recordsRevision(): number {
+    return this.#machine.recordsRevision;
+  }
+
   ownerRoster(): OwnerRoster | undefined {
     return this.#machine.ownerRoster();
   }
--- a/test/integration/direct/owners.test.ts
+++ b/test/integration/direct/owners.test.ts
@@ -12,10 +12,10 @@
 const TRANSACTION_IDLE_MS = 15_000;
 /** An owner without leases ends 2.2 s after the signal, and half of its grace period is 3 s. */
 const TRANSACTION_PAUSE_MS = 2700;
-const LEASED = 'meadowstack_direct_leases_asked_total';
-const LENT = 'meadowstack_direct_lent_connections';
-const POSITIONS = 'meadowstack_direct_positions_told_total';
-const GIVEN = 'meadowstack_direct_leases_given_total';
+const LEASED = 'leases_asked_total';
+const LENT = 'lent_connections';
+const POSITIONS = 'positions_told_total';
+const GIVEN = 'leases_given_total';
 
 let cluster: DirectCluster;
 let clients: LoadClient[] = [];
--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -77,7 +77,11 @@
   readonly name: string;
   readonly callersPort: number;
   readonly readinessPort: number;
-  readonly metricsPort: number;
+  /** Where it tells its figures. */
+  readonly internalPort: number;
+  /** Where it takes links of other gateways for snapshots. */
+  readonly peerPort: number;
+  readonly settingsPath: string;
   readonly process: ChildProcess;
   /** Its exit code, or the signal that ended it. */
   readonly ended: Promise<number | NodeJS.Signals | null>;
@@ -142,37 +146,38 @@
 
   async startGateway(): Promise<DirectGatewayProcess> {
     const name = `frontend-${this.gateways.length + 1}`;
-    const [callersPort = 0, readinessPort = 0, controlPort = 0, peerPort = 0] = await freePorts(4);
-    const path = join(this.#folder, `${name}.json`);
+    const callersPort = await freePortRow();
+    const readinessPort = callersPort + 1;
+    const internalPort = callersPort + 2;
+    const peerPort = internalPort + 1;
+    const settingsPath = join(this.#folder, `${name}.json`);
     const storePort = await this.#storePortOf(name);
-    const ports = { callersPort, readinessPort, controlPort, peerPort, storePort };
-    writeFileSync(path, JSON.stringify(this.#settings(name, ports)));
-    const { gatewayFlags = [] } = this.options;
-    const words = ['--enable-source-maps', GATEWAY_PROGRAM, ...gatewayFlags];
-    const child = spawn(process.execPath, words, {
-      env: { PATH: process.env.PATH, MEADOWSTACK_SETTINGS: path },
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
-    let output = '';
-    for (const stream of [child.stdout, child.stderr]) {
-      stream.on('data', (chunk: Buffer) => {
-        output = (output + chunk.toString()).slice(-KEPT_OUTPUT_CHARACTERS);
-      });
-    }
-    const ended = once(child, 'exit').then(([code, signal]) => code ?? signal);
-    const gateway = {
-      name,
-      callersPort,
-      readinessPort,
-      metricsPort: controlPort,
-      process: child,
-      ended,
-    };
-    const running = { ...gateway, output: () => output };
+    const ports = { callersPort, readinessPort, internalPort, storePort };
+    writeFileSync(settingsPath, JSON.stringify(this.#settings(name, ports)));
+    const gateway = { name, callersPort, readinessPort, internalPort, peerPort, settingsPath };
+    const running = { ...gateway, ...startProcess(settingsPath, this.options.gatewayFlags) };
     this.gateways.push(running);
     return running;
   }
 
+  /** Kills a gateway. */
+  async kill(index: number): Promise<void> {
+    const gateway = this.gateway(index);
+    gateway.process.kill('SIGKILL');
+    await gateway.ended;
+  }
+
+  /** Starts a gateway that has ended once more, with the same settings. */
+  restart(index: number): DirectGatewayProcess {
+    const gateway = this.gateway(index);
+    const running = {
+      ...gateway,
+      ...startProcess(gateway.settingsPath, this.options.gatewayFlags),
+    };
+    this.gateways[index] = running;
+    return running;
+  }
+
   /** The port at which a gateway reaches the store. */
   async #storePortOf(name: string): Promise<number> {
     const { storePort } = this.platform;
@@ -200,11 +205,22 @@
     });
   }
 
-  /** One of a gateway's figures. */
+  /** One of a gateway's figures, by its name after `meadowstack_direct_`. */
   async figure(index: number, name: string): Promise<number> {
-    const answer = await fetch(`http://${HOST}:${this.gateway(index).metricsPort}/metrics`);
-    const line = (await answer.text()).split('\n').find((one) => one.startsWith(`${name} `));
-    return Number(line?.split(' ')[1]);
+    const answer = await fetch(`http://${HOST}:${this.gateway(index).internalPort}/metrics`);
+    const line = new RegExp(`^meadowstack_direct_${name} (.+)$`, 'm').exec(await answer.text());
+    return Number(line?.[1]);
+  }
+
+  /** Waits until each gateway knows where the others are. */
+  async peersKnown(): Promise<void> {
+    const others = this.gateways.length - 1;
+    for (const index of this.gateways.keys()) {
+      await until(
+        'other gateways',
+        async () => (await this.figure(index, 'peers_known')) >= others,
+      );
+    }
   }
 
   /** A session at a gateway whose statements are judged at the end. */
@@ -230,11 +246,9 @@
 
   #settings(
     name: string,
-    ports: Readonly<
-      Record<'callersPort' | 'readinessPort' | 'controlPort' | 'peerPort' | 'storePort', number>
-    >,
+    ports: Readonly<Record<'callersPort' | 'readinessPort' | 'internalPort' | 'storePort', number>>,
   ): object {
-    const control = `${HOST}:${ports.controlPort}`;
+    const { internalPort } = ports;
     const { promotionPort, heartbeatMs } = this.platform;
     return {
       ...{ node_name: name, role: 'gateway', machine_class: 'frontend', serves: ['frontend'] },
@@ -243,9 +257,9 @@
       listen_addresses: {
         frontend: `${HOST}:${ports.callersPort}`,
         readiness: `${HOST}:${ports.readinessPort}`,
-        control_plane: control,
       },
-      ...{ internal_port_range: [ports.controlPort, ports.peerPort], seed_nodes: [control] },
+      // Figures, links for snapshots, links for owners.
+      ...{ internal_port_range: [internalPort, internalPort + 2], seed_nodes: [] },
       ...{ bootstrap: true, in_tolerance: false, data_directory: null, discovery: 'platform' },
       limits: {
         ...{ cpu_share: 1, cpu_cores: 1, memory_mb: 350, max_file_descriptors: 4300 },
@@ -278,6 +292,24 @@
   }
 }
 
+function startProcess(
+  settingsPath: string,
+  flags: readonly string[] = [],
+): Pick<DirectGatewayProcess, 'process' | 'ended' | 'output'> {
+  const child = spawn(process.execPath, ['--enable-source-maps', GATEWAY_PROGRAM, ...flags], {
+    env: { PATH: process.env.PATH, MEADOWSTACK_SETTINGS: settingsPath },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  let output = '';
+  for (const stream of [child.stdout, child.stderr]) {
+    stream.on('data', (chunk: Buffer) => {
+      output = (output + chunk.toString()).slice(-KEPT_OUTPUT_CHARACTERS);
+    });
+  }
+  const ended = once(child, 'exit').then(([code, signal]) => code ?? signal);
+  return { process: child, ended, output: () => output };
+}
+
 async function isReady({ readinessPort }: DirectGatewayProcess): Promise<boolean> {
   try {
     const answer = await fetch(`http://${HOST}:${readinessPort}/v1/readiness`);
@@ -288,10 +320,36 @@
   }
 }
 
-/** Ports that were free a moment ago. */
-async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(servers.map((server) => listen(server, HOST, 0)));
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+/**
+ * A gateway's ports: callers, readiness, and three in a row for other nodes. They lie below the ports
+ * that systems give to outgoing connections: those may be taken before the gateway listens. Each test
+ * process begins elsewhere, as several run at once.
+ */
+const PORTS_A_GATEWAY = 5;
+const FIRST_PORT = 10_000;
+const END_PORT = 32_000;
+const PROCESS_STRIDE = 997;
+let nextPort = FIRST_PORT + ((process.pid * PROCESS_STRIDE) % (END_PORT - FIRST_PORT));
+
+/** The first of as many ports in a row as a gateway needs, all free a moment ago. */
+async function freePortRow(): Promise<number> {
+  for (;;) {
+    if (nextPort + PORTS_A_GATEWAY > END_PORT) nextPort = FIRST_PORT;
+    const first = nextPort;
+    nextPort += PORTS_A_GATEWAY;
+    const row = Array.from({ length: PORTS_A_GATEWAY }, (_, index) => first + index);
+    const areFree = await Promise.all(row.map(isFree));
+    if (areFree.every((free) => free)) return first;
+  }
+}
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  try {
+    await listen(server, HOST, port);
+  } catch {
+    return false;
+  }
+  await new Promise((resolve) => server.close(resolve));
+  return true;
 }
