--- a/test/integration/direct/lifecycle.test.ts
+++ b/test/integration/direct/lifecycle.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { DirectCluster, ROUTES, type TestRoute } from '../../support/direct-cluster.js';
-import { LoadClient } from '../../support/direct-load.js';
+import { DirectLoad, type LoadClient } from '../../support/direct-load.js';
 import { LineClient } from '../../support/line-client.js';
 import { until } from '../../support/until.js';
 
@@ -12,28 +12,18 @@
 const NEW_ROUTE: TestRoute = { database: 'archive', service: 'orders', routeType: 'primary' };
 
 let cluster: DirectCluster;
-let clients: LoadClient[] = [];
+let clients: DirectLoad;
 
 async function start(gateways: number): Promise<void> {
   cluster = await DirectCluster.start({ gateways });
-  clients = [];
+  clients = new DirectLoad(cluster);
 }
 
 function load(database: string, gateway: number, seed: number): LoadClient {
-  const client = new LoadClient(cluster, { database, gateway, seed });
-  clients.push(client);
-  return client;
+  return clients.add({ database, gateway, seed });
 }
 
-test.after.each(async () => {
-  await Promise.allSettled(clients.map((client) => client.stop()));
-  await cluster.stop();
-});
-
-async function endWithNoRuleBroken(): Promise<void> {
-  await Promise.all(clients.map((client) => client.stop()));
-  assert.equal(await cluster.violations(), []);
-}
+test.after.each(() => clients.stop());
 
 async function startCode(database: string, gateway = 0): Promise<string | undefined> {
   const { callersPort } = cluster.gateway(gateway);
@@ -70,7 +60,7 @@
   assert.equal(idle.client.unasked, []);
   assert.is(await gateway.ended, 0);
   await other.moreWrites(5);
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 test('a SIGKILL of a gateway leaves no transaction behind', async () => {
@@ -85,7 +75,7 @@
   const other = await cluster.open('intake', 1);
   assert.equal((await other.succeed(() => other.read('lonely'))).rows, ['-']);
   await other.succeed(() => other.write('lonely', 'v'));
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 test('a change of the configuration adds and removes a route', async () => {
@@ -110,7 +100,7 @@
   );
   assert.ok(dropped !== undefined, 'a dropped route serves an open session');
   await Promise.all(steady.map((client) => client.moreWrites(5)));
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 for (const down of ['silent', 'unavailable'] as const) {
@@ -127,7 +117,7 @@
       await until('the new route', async () => (await startCode('archive', gateway)) === undefined);
     }
     await Promise.all(steady.map((client) => client.moreWrites(5)));
-    await endWithNoRuleBroken();
+    await clients.endWithNoRuleBroken();
   });
 }
 
@@ -142,7 +132,7 @@
   await cluster.platform.set('/store/faults', { down: 'no' });
   await cluster.platform.newPrimary('orders', 'i-orders-1');
   await Promise.all(steady.map((client) => client.moreWrites(5)));
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 test.run();
--- a/test/integration/direct/owners.test.ts
+++ b/test/integration/direct/owners.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { DirectCluster } from '../../support/direct-cluster.js';
-import { LoadClient } from '../../support/direct-load.js';
+import { DirectLoad, type LoadClient } from '../../support/direct-load.js';
 import type { RecordedSession } from '../../support/direct-session.js';
 import { until } from '../../support/until.js';
 
@@ -18,31 +18,21 @@
 const GIVEN = 'leases_given_total';
 
 let cluster: DirectCluster;
-let clients: LoadClient[] = [];
+let clients: DirectLoad;
 
 /** Two owners and a spare one of each instance; some gateways own none of some instance. */
 async function start(): Promise<void> {
   const gatewayFlags = ['--largest-direct-fleet', '1'];
   const transactionIdleMs = TRANSACTION_IDLE_MS;
   cluster = await DirectCluster.start({ gateways: GATEWAYS, gatewayFlags, transactionIdleMs });
-  clients = [];
+  clients = new DirectLoad(cluster);
 }
 
 function load(database: string, gateway: number, seed: number): LoadClient {
-  const client = new LoadClient(cluster, { database, gateway, seed });
-  clients.push(client);
-  return client;
+  return clients.add({ database, gateway, seed });
 }
 
-test.after.each(async () => {
-  await Promise.allSettled(clients.map((client) => client.stop()));
-  await cluster.stop();
-});
-
-async function endWithNoRuleBroken(): Promise<void> {
-  await Promise.all(clients.map((client) => client.stop()));
-  assert.equal(await cluster.violations(), []);
-}
+test.after.each(() => clients.stop());
 
 async function total(name: string): Promise<number> {
   const figures = cluster.gateways.map((_, index) => cluster.figure(index, name));
@@ -59,7 +49,7 @@
   await until('leases', async () => (await total(GIVEN)) > 50);
   await Promise.all(steady.slice(0, 10).map((client) => client.moreWrites(5)));
   assert.ok((await total(LEASED)) > 50);
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 interface LeasedTransaction {
@@ -98,7 +88,7 @@
   await Promise.all(steady.map((client) => client.moreWrites(5)));
   const reader = await cluster.open('intake', gateway);
   assert.equal((await reader.succeed(() => reader.read('lonely'))).rows, ['-']);
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 test('an owner that is stopped as planned ends no transaction, and others go on', async () => {
@@ -116,7 +106,7 @@
   ]);
   assert.is(await cluster.gateway(owner).ended, 0);
   await Promise.all(steady.map((client) => client.moreReads(20)));
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 test('a primary that crashes under leases is replaced, and sessions go on', async () => {
@@ -128,7 +118,7 @@
   await cluster.platform.set(`/instances/${old.id}/crash`);
   await cluster.platform.newPrimary('orders', old.id);
   await Promise.all(steady.map((client) => client.moreWrites(5)));
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 test.run();
--- a/test/integration/direct/snapshots.test.ts
+++ b/test/integration/direct/snapshots.test.ts
@@ -5,7 +5,7 @@
 import * as assert from 'uvu/assert';
 import { encodeFrame, FrameType } from '../../../src/peer/frame.js';
 import { DirectCluster, ROUTES, type TestRoute } from '../../support/direct-cluster.js';
-import { LoadClient } from '../../support/direct-load.js';
+import { DirectLoad, type LoadClient } from '../../support/direct-load.js';
 import { LineClient } from '../../support/line-client.js';
 import { until } from '../../support/until.js';
 
@@ -14,29 +14,19 @@
 const SNAPSHOT_LINE = 'serving from a snapshot of a peer';
 
 let cluster: DirectCluster;
-let clients: LoadClient[] = [];
+let clients: DirectLoad;
 
 async function start(cuttable = false): Promise<void> {
   cluster = await DirectCluster.start({ gateways: 2, cuttable });
   await cluster.peersKnown();
-  clients = [];
+  clients = new DirectLoad(cluster);
 }
 
 function load(database: string, gateway: number, seed: number): LoadClient {
-  const client = new LoadClient(cluster, { database, gateway, seed });
-  clients.push(client);
-  return client;
+  return clients.add({ database, gateway, seed });
 }
 
-test.after.each(async () => {
-  await Promise.allSettled(clients.map((client) => client.stop()));
-  await cluster.stop();
-});
-
-async function endWithNoRuleBroken(): Promise<void> {
-  await Promise.all(clients.map((client) => client.stop()));
-  assert.equal(await cluster.violations(), []);
-}
+test.after.each(() => clients.stop());
 
 async function hasRoute(database: string, gateway: number): Promise<boolean> {
   const client = await LineClient.connect(HOST, cluster.gateway(gateway).callersPort);
@@ -63,7 +53,7 @@
       await until('the new route', () => hasRoute('archive', gateway));
     }
     await Promise.all(there.slice(0, 2).map((client) => client.moreWrites(5)));
-    await endWithNoRuleBroken();
+    await clients.endWithNoRuleBroken();
   });
 }
 
@@ -82,7 +72,7 @@
   for (const gateway of [0, 1]) {
     await until('no such route', async () => !(await hasRoute('archive', gateway)));
   }
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 test('a gateway that serves from a snapshot follows a change of primary that it can not hear of', async () => {
@@ -97,7 +87,7 @@
   await cluster.platform.set('/instances/i-orders-1/crash');
   await cluster.platform.newPrimary('orders', 'i-orders-1');
   await Promise.all([steady.moreWrites(5), there.moreWrites(5)]);
-  await endWithNoRuleBroken();
+  await clients.endWithNoRuleBroken();
 });
 
 test('a stranger and a malformed frame get nothing but the end of their own link', async () => {
--- a/test/support/direct-load.ts
+++ b/test/support/direct-load.ts
@@ -1,5 +1,6 @@
 /** Clients that keep asking a direct gateway, as the users' own do: sessions, retries of none. */
 import { setTimeout as pause } from 'node:timers/promises';
+import * as assert from 'uvu/assert';
 import type { DirectCluster } from './direct-cluster.js';
 import type { RecordedSession } from './direct-session.js';
 import { type LineAnswer, LineConnectionLost } from './line-client.js';
@@ -126,6 +127,31 @@
   }
 }
 
+/** The clients of one test at one cluster. */
+export class DirectLoad {
+  readonly #clients: LoadClient[] = [];
+
+  constructor(private readonly cluster: DirectCluster) {}
+
+  add(options: LoadOptions): LoadClient {
+    const client = new LoadClient(this.cluster, options);
+    this.#clients.push(client);
+    return client;
+  }
+
+  /** Stops all clients; what they and the instances saw must break no rule. */
+  async endWithNoRuleBroken(): Promise<void> {
+    await Promise.all(this.#clients.map((client) => client.stop()));
+    assert.equal(await this.cluster.violations(), []);
+  }
+
+  /** For the end of a test, whatever became of it. */
+  async stop(): Promise<void> {
+    await Promise.allSettled(this.#clients.map((client) => client.stop()));
+    await this.cluster.stop();
+  }
+}
+
 function isConnectionError(error: unknown): boolean {
   if (!(error instanceof Error)) return false;
   return 'code' in error || error.message.startsWith('START');
