Direct gateway: a statement sent with no time left says nothing of the primary

Statements wait for a connection until shortly before their deadline; one that is then sent and gets no answer in the few milliseconds left was reported as a failure of the primary, a write's as one of its commits, which only another commit takes back. Read from the code; ruled out: locks in the stand-in (it has none).

Change: no answer counts only if at least half of what an answer may take was waited for. A primary that is dead is still reported by every statement that had its time.

The new unit test fails without the change (one report in place of none).

--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -40,6 +40,11 @@
 const MAX_READ_ATTEMPTS = 4;
 /** An exchange that nobody waits for any more ends its connection after this. */
 const ABANDON_MS = 200;
+/**
+ * A statement that was sent with less than this part of an instance's patience left says nothing of
+ * the instance if it got no answer: it waited too long before.
+ */
+const TELLING_PATIENCE_SHARE = 0.5;
 /** An answer to a read that takes so many times what it may take is waited for no longer. */
 const READ_PATIENCE_FACTOR = 2;
 
@@ -95,6 +100,7 @@
   readonly connection: InstanceConnection;
   /** Undefined if none came in time. */
   readonly answer: ExchangeResult | undefined;
+  readonly sentAt: Milliseconds;
 }
 
 export function refuse(code: StatementErrorCode, text: string): StatementOutcome {
@@ -317,7 +323,7 @@
     endWatch(answer?.isOk() === true);
     if (answer === undefined || answer.isErr()) {
       const use = silentWrite ? 'commit' : 'reach';
-      this.noteNoAnswer({ request, instance, connection, answer }, use, silentForMs);
+      this.noteNoAnswer({ request, instance, connection, answer, sentAt }, use, silentForMs);
       return { type: 'unknown', instance };
     }
     return this.#judge(request, instance, connection, answer.value, sentAt);
@@ -396,10 +402,13 @@
 
   /** No answer came. What an owner of the instance failed at says nothing of the instance itself. */
   noteNoAnswer(
-    { request, instance, connection, answer }: LostAnswer,
+    { request, instance, connection, answer, sentAt }: LostAnswer,
     use: PrimaryUse = 'reach',
     silentForMs: Milliseconds = 0,
   ): void {
+    const waitedMs = this.options.now() - sentAt;
+    const { patienceMs } = instance.pool;
+    if (answer === undefined && waitedMs < patienceMs * TELLING_PATIENCE_SHARE) return;
     const isOwnersFault = answer?.isErr()
       ? answer.error.fault === 'owner'
       : connection.isOwnerSilent === true;
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -108,7 +108,7 @@
     endWatch(answer?.isOk() === true);
     endWrite();
     if (answer === undefined || answer.isErr()) {
-      const lost = { request: this, instance, connection, answer };
+      const lost = { request: this, instance, connection, answer, sentAt };
       this.runner.noteNoAnswer(lost, silent ? 'commit' : 'reach', silentForMs);
       // Without a write, nothing is kept whatever became of the commit.
       return this.#wrote
@@ -180,12 +180,12 @@
       endWatch(answer?.isOk() === true);
       if (answer === undefined) {
         connection.close();
-        const lost = { request: this, instance, connection, answer };
+        const lost = { request: this, instance, connection, answer, sentAt };
         this.runner.noteNoAnswer(lost, 'reach', silentForMs);
         return refuse('aborted', 'no answer in time; the transaction was rolled back');
       }
       if (answer.isErr()) {
-        this.runner.noteNoAnswer({ request: this, instance, connection, answer });
+        this.runner.noteNoAnswer({ request: this, instance, connection, answer, sentAt });
         return refuse('aborted', 'the connection to the instance ended');
       }
       if (answer.value.error === undefined) instance.pool.noteAnswer(now() - sentAt);
@@ -244,6 +244,7 @@
       instance.pool.release(connection);
       return failureToOpen(undefined, 'the primary changed');
     }
+    const sentAt = now();
     connection.cork();
     synchronise(connection, values, undefined, wire);
     const exchange = connection.exchange(
@@ -254,7 +255,8 @@
     const begun = await firstWithin([exchange], patienceMs);
     if (begun === undefined || begun.isErr()) {
       connection.close();
-      this.runner.noteNoAnswer({ request: placement, instance, connection, answer: begun });
+      const lost = { request: placement, instance, connection, answer: begun, sentAt };
+      this.runner.noteNoAnswer(lost);
       return failureToOpen(instance, 'no answer to BEGIN');
     }
     if (begun.value.error !== undefined || begun.value.state !== 'open') {
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -1,5 +1,5 @@
 /** When a statement without a target waits, and for what. */
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
@@ -16,6 +16,7 @@
 
 const TARGET_LATENCY_MS = 100;
 const DEADLINE_MS = 1000;
+const SHORT_WAIT_MS = 20;
 const ROUTE: RouteDescription = {
   ...{ name: 'orders', database: 'orders', service: 'ledger', consistency: 'primary' },
   ...{ maxStalenessMs: 0, timeoutMs: DEADLINE_MS, targetLatencyMs: TARGET_LATENCY_MS, priority: 1 },
@@ -135,4 +136,58 @@
   assert.ok(openings < TARGET_LATENCY_MS);
 });
 
+/** Uses of the primary that a write without an answer reported as failed. */
+async function reportedAfterSilence(patienceMs: number): Promise<number> {
+  let reports = 0;
+  const connection = {
+    values: new Map(),
+    preparedNames: new Set(),
+    cork: () => {},
+    uncork: () => {},
+    close: () => {},
+    exchange: () => new Promise(() => {}),
+  };
+  const pool = {
+    ...{ instance: { id: 'primary' }, outstanding: 0, avoidUntil: 0, patienceMs },
+    isStalled: () => false,
+    answersNothing: () => false,
+    silentForMs: () => 0,
+    watchAnswer: () => () => {},
+    acquire: () => Promise.resolve(ok(connection)),
+  };
+  const primary = { id: 'primary', pool, isUsable: () => true } as unknown as InstanceRuntime;
+  const service = {
+    name: 'ledger',
+    primary: () => primary,
+    beginWrite: () => () => {},
+    samples: { requiredAt: () => undefined },
+  } as unknown as ServiceRuntime;
+  const now = () => performance.now();
+  const view = {
+    ...primaryView(true),
+    primaryOf: () => ({ id: 'primary' }),
+    reportPrimaryFailure: () => {
+      reports += 1;
+    },
+  } as unknown as PrimaryView;
+  const prover = { covers: () => true } as unknown as TrustProver;
+  const wire = {} as unknown as StatementWire;
+  const runner = new StatementRunner({ wire, view, prover, now, random: () => 0 });
+  const beganAt = now();
+  await runner.run({
+    ...{ access: 'write', service, beganAt, deadline: beganAt + SHORT_WAIT_MS },
+    ...{ route: ROUTE, tenant: newTenant(), prepared: undefined, encode: () => '' },
+    session: { values: new Map(), lastWritten: undefined },
+  } as unknown as StatementRequest);
+  return reports;
+}
+
+test('a write that was sent too late to be answered says nothing of the primary', async () => {
+  assert.is(await reportedAfterSilence(SHORT_WAIT_MS * 100), 0);
+});
+
+test('a write that was not answered for as long as an answer may take tells of its primary', async () => {
+  assert.is(await reportedAfterSilence(SHORT_WAIT_MS), 1);
+});
+
 test.run();
