Direct gateway: reads through owners in one message each way, nothing sent after its answer, values change at rest

Second way to it, found by reading: the first statement of a transaction got no answer through an owner and was begun again elsewhere, while the owner could still hand it over. Third: waiting at owners. 9,790 requests took more than half of their aim to reach an instance though no node used more than 0.13 cores: at an owner a tenant was held to two connections, its share of the slots, while 8 were open and transactions of the whole fleet rest on them. Ruled out: load (0.067 cores a node on average, 0.13 at most).

Change: - an attempt whose read has been answered is not sent; an owner is told, and a SET waits for what still runs; - what an owner may still hand over is not begun again elsewhere: the caller repeats it (ABORTED); - an owner runs single reads by itself: 2 messages instead of 5; - at an owner a tenant's share is one of its connections; - a write with less time left than an answer takes is not run; - a fleet that starts for the first time opens no connections before it knows its size (185 and 198 were reset); - names that a leased connection does not know are forgotten before it is given back, not after.

--- a/src/core/tenancy/allowance.ts
+++ b/src/core/tenancy/allowance.ts
@@ -26,6 +26,8 @@
   readonly connectionLimit: number;
   /** Whether another tenant uses the instance through this node too. */
   readonly isShared: boolean;
+  /** Whether this node lends its connections: it serves the statements of many nodes. */
+  readonly isOwner?: boolean;
 }
 
 const MINIMUM_ALLOWANCE = 1;
@@ -43,8 +45,11 @@
       ? Math.max(MINIMUM_ALLOWANCE, connectionLimit)
       : mostToTake;
   }
-  const slotsOfNode = capacity.slots / Math.max(1, capacity.nodeCount);
-  const share = Math.floor(policy.inFlightShare * slotsOfNode);
+  // Transactions of many nodes rest on an owner's connections without using a slot.
+  const shareable = capacity.isOwner
+    ? connectionLimit
+    : capacity.slots / Math.max(1, capacity.nodeCount);
+  const share = Math.floor(policy.inFlightShare * shareable);
   const wanted = Math.max(policy.inFlightFloor, share);
   return Math.max(MINIMUM_ALLOWANCE, Math.min(wanted, mostToTake));
 }
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -16,6 +16,7 @@
 import { WIRE_ENCODING } from './line-splitter.js';
 import type { ServiceRuntime } from './service-runtime.js';
 import type { StatementOutcome, StatementRequest, StatementRunner } from './statement-runner.js';
+import { StatementsUnderWay } from './statements-under-way.js';
 import type { Tenant } from './tenant.js';
 import { Transaction } from './transaction.js';
 import type { CallerMessage, StatementWire } from './wire.js';
@@ -29,6 +30,8 @@
 const MAX_QUEUED_MESSAGES = 64;
 /** A caller that comes before this node knows its routes is answered after this at the latest. */
 const START_WAIT_MS = 1500;
+/** A new value waits so long for what still runs with the old ones. */
+const VALUE_WAIT_MS = 1500;
 
 /** A route with what serves it, and its tenant's policy and use of this node. */
 export interface FoundRoute {
@@ -74,6 +77,7 @@
   #state: TransactionState = 'idle';
   #lastWritten: Position | undefined;
   #writtenService: string | undefined;
+  readonly #underWay = new StatementsUnderWay();
   readonly #queue: CallerMessage[] = [];
   #busy = false;
   #ended = false;
@@ -229,7 +233,7 @@
         this.#rollback();
         return;
       case 'set':
-        this.#completeIf(this.#variables.set(statement.name, statement.value));
+        await this.#set(statement.name, statement.value);
         return;
       case 'prepare':
         this.#completeIf(
@@ -303,6 +307,12 @@
     this.#complete();
   }
 
+  async #set(name: string, value: string): Promise<void> {
+    if (await this.#underWay.ended(VALUE_WAIT_MS)) {
+      this.#completeIf(this.#variables.set(name, value));
+    } else this.#refuse('busy', `an earlier statement has not ended; ${this.#retryHint()}`);
+  }
+
   /** Completes what was kept in the session, or refuses it for want of room. */
   #completeIf(kept: boolean): void {
     if (kept) this.#complete();
@@ -367,7 +377,7 @@
     const now = this.options.now();
     const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
     return {
-      session: { values: this.#variables.values, lastWritten },
+      session: { values: this.#variables.values, lastWritten, underWay: this.#underWay },
       tenant,
       beganAt: now,
       deadline: now + route.timeoutMs,
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -38,6 +38,8 @@
 const NODE_MEMORY_MS = 30_000;
 /** Nodes that share the instances' connections, before this one has seen how many there are. */
 const ASSUMED_NODE_COUNT = 8;
+/** Until then a fleet that starts for the first time may not know yet how large it is. */
+const FIRST_START_SETTLED_MS = 2500;
 /** Parts of the grace period that open transactions and running requests get. */
 const TRANSACTION_GRACE_SHARE = 0.5;
 const REQUEST_GRACE_SHARE = 0.9;
@@ -76,6 +78,8 @@
     leasesRefused: 0,
     leasesLost: 0,
     leasesGiven: 0,
+    readsAsked: 0,
+    readsRun: 0,
     positionsTold: 0,
   };
   readonly #services = new Map<string, ServiceRuntime>();
@@ -178,6 +182,7 @@
     this.#checks = setInterval(() => {
       this.#shareConnections();
       this.#relay.update(this.options.view.ownerRoster());
+      this.#openFirst();
       this.#sampler.sample(this.#servicesToSample());
       for (const service of this.#services.values()) service.trim();
     }, CHECK_MS);
@@ -250,9 +255,13 @@
 
   /**
    * A connection to each new instance is opened at once: what a first statement would wait for happens
-   * while a starting node waits for its lease.
+   * while a starting node waits for its lease. In a fleet of unknown size that could be more than the
+   * instance takes.
    */
   #openFirst(): void {
+    const { settings, now } = this.options;
+    const isSettled = now() - this.#createdAt > FIRST_START_SETTLED_MS;
+    if (settings.isFirstStart && !isSettled) return;
     for (const service of this.#services.values()) {
       for (const { pool } of service.readable(this.options.now())) {
         if (this.#firstOpened.has(pool)) continue;
--- a/src/direct/instance-connection.ts
+++ b/src/direct/instance-connection.ts
@@ -35,6 +35,11 @@
   close(): void;
   /** Called once when it ended, for whatever reason. */
   onClose: (() => void) | undefined;
+  /**
+   * What was sent and not answered may still be handed to the instance after `close`: by an owner that
+   * has not heard of it yet. A socket of this node's own takes it back with a reset.
+   */
+  readonly mayRunLate: boolean;
   /** On a leased connection: nothing was heard of its owner since the last message was sent. */
   readonly isOwnerSilent?: boolean;
   /** Present on a leased connection: returns it, at rest, to its owner. */
@@ -56,6 +61,7 @@
 
 /** An open connection of this node's own; made by {@link openInstanceConnection}. */
 export class SocketConnection implements InstanceConnection {
+  readonly mayRunLate = false;
   /** Session values that are set on it now. */
   readonly values = new Map<string, string>();
   readonly preparedNames = new Set<string>();
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -125,6 +125,7 @@
   #limit: number;
   #softLimit: number;
   #nodeCount = 1;
+  #isOwner = false;
   #growTimer: NodeJS.Timeout | undefined;
   #retryAt: Milliseconds = 0;
   /** Openings that failed in a row. */
@@ -183,10 +184,12 @@
   /**
    * Beyond `softLimit`, connections are opened only for those who wait, and end when they rest.
    * @param nodeCount nodes that share the instance
+   * @param isOwner whether this node lends its connections to those that hold none
    */
-  setLimit(limit: number, softLimit = limit, nodeCount = 1): void {
+  setLimit(limit: number, softLimit = limit, nodeCount = 1, isOwner = false): void {
     this.#limit = limit;
     this.#nodeCount = nodeCount;
+    this.#isOwner = isOwner;
     this.#softLimit = Math.min(limit, softLimit);
     while (this.#all.size > limit) {
       const surplus = this.#idle.shift();
@@ -356,6 +359,7 @@
       nodeCount: this.#nodeCount,
       connectionLimit: this.#limit,
       isShared: this.#isSharedWithOthers(tenant),
+      isOwner: this.#isOwner,
     });
   }
 
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -21,6 +21,8 @@
   leasesRefused: 'such requests that an owner refused or did not answer',
   leasesLost: 'leased connections that ended with their owner or its link',
   leasesGiven: 'connections lent to other nodes',
+  readsAsked: 'reads that owners of instances were asked to run',
+  readsRun: 'reads run for other nodes',
   positionsTold: 'positions of instances told to other nodes',
 };
 
--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -6,19 +6,20 @@
 import type { Result } from 'neverthrow';
 import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
+import type { PreparedStatement } from '../../core/statements/session-values.js';
 import type { StatementAnswer, StatementErrorCode } from '../../core/statements/statement.js';
 import type { ConnectionPolicy } from '../../core/tenancy/allowance.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { InstanceEntry } from '../contract.js';
+import type { InstanceConnectionLostError } from '../errors.js';
 import type { InstanceConnection } from '../instance-connection.js';
 import type { AcquireError, ConnectionRequest, InstancePool } from '../instance-pool.js';
 
 /** Session values, as pairs: names are the callers' own. */
 export type ValueList = readonly (readonly [name: string, value: string])[];
 
-/** Opens a stream. */
-export interface LeaseRequest {
-  readonly type: 'lease';
+/** What every stream asks for first: a connection of an instance, within a tenant's policy. */
+interface OwnerRequest {
   readonly service: string;
   readonly instanceId: string;
   readonly tenant: string;
@@ -31,6 +32,25 @@
   readonly waitMs: Milliseconds;
 }
 
+/** Opens a stream that is one lease. */
+export interface LeaseRequest extends OwnerRequest {
+  readonly type: 'lease';
+}
+
+/**
+ * Opens a stream for one read outside any transaction, which the owner runs by itself: one message each
+ * way. What it may run late does no harm, since it is repeated anyway.
+ */
+export interface ReadRequest extends OwnerRequest {
+  readonly type: 'read';
+  readonly prepared: PreparedStatement | undefined;
+  /** The statement for the instance, with the position that it must have. */
+  readonly message: string;
+}
+
+/** What opens a stream. */
+export type StreamRequest = LeaseRequest | ReadRequest;
+
 /** Why an owner gave no connection. Nothing was sent to the instance. */
 export type LeaseRefusal =
   /** The owner ends. */
@@ -59,9 +79,12 @@
       readonly preparedNames: readonly string[];
     };
 
+/** What the opener of a read may say: it has been answered elsewhere, and need not be sent any more. */
+export const CANCEL_READ = { type: 'cancel' } as const;
+
 /** What the owner says. */
 export type LeaseEvent =
-  /** The request has come; a connection is waited for. */
+  /** The request has come; a connection or an answer is waited for. */
   | { readonly type: 'queued' }
   | {
       readonly type: 'granted';
@@ -69,7 +92,7 @@
       readonly preparedNames: readonly string[];
     }
   | ({ readonly type: 'refused' } & LeaseRefusal)
-  /** The answers to one `run`, in its order. */
+  /** The answers to one `run`, in its order; or the one answer to a read. */
   | { readonly type: 'answers'; readonly answers: readonly StatementAnswer[] }
   /** The connection to the instance ended before all answers came. */
   | { readonly type: 'lost' };
@@ -82,9 +105,23 @@
   readonly instanceId: string;
 }
 
+/** A read that an owner is to run by itself. */
+export interface OwnerRead extends ConnectionRequest {
+  readonly prepared: PreparedStatement | undefined;
+  /** The statement for the instance, with the position that it must have. */
+  readonly message: string;
+  /** Aborted once nobody wants the answer any more. */
+  readonly settled: AbortSignal | undefined;
+}
+
+/** Why an owner gave no answer to a read; only after a lost connection it may have run. */
+export type OwnerReadError = AcquireError | InstanceConnectionLostError;
+
 /** Gives connections of one instance that others own. */
 export interface ConnectionLessor {
   acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>>;
+  /** Has an owner run one read outside any transaction. */
+  read(read: OwnerRead): Promise<Result<StatementAnswer, OwnerReadError>>;
   /** The instance's log position, at or after this call. */
   position(timeoutMs: Milliseconds): Promise<Position | undefined>;
 }
@@ -108,6 +145,10 @@
   leasesRefused: number;
   leasesLost: number;
   leasesGiven: number;
+  /** Reads that this node had owners run. */
+  readsAsked: number;
+  /** Reads that this node ran for others. */
+  readsRun: number;
   /** Answers to others that asked for the position of an instance. */
   positionsTold: number;
 }
--- a/src/direct/relay/lease-server.ts
+++ b/src/direct/relay/lease-server.ts
@@ -1,42 +1,45 @@
 /**
- * Lends this node's connections to other nodes. A lease waits in the queue of its instance like a
- * statement of this node's own callers.
+ * Lends this node's connections to other nodes, and runs single reads for them. Both wait in the queue
+ * of their instance like a statement of this node's own callers.
  */
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerHandlers, PeerStream, WireValue } from '../../peer/contract.js';
 import { InstanceConnectError, InstanceQueueFullError } from '../errors.js';
 import type { AcquireError } from '../instance-pool.js';
+import type { StatementWire } from '../wire.js';
 import { pause } from '../within.js';
 import {
   type LeaseRefusal,
-  type LeaseRequest,
   type LendableInstance,
   type LendableLookup,
   POSITION_METHOD,
   type RelayCounters,
+  type StreamRequest,
 } from './contract.js';
 import { GrantedLease } from './granted-lease.js';
 import {
   encodeLeaseEvent,
   encodePosition,
-  parseLeaseRequest,
   parsePositionRequest,
+  parseStreamRequest,
 } from './messages.js';
+import { OwnedRead } from './owned-read.js';
 import type { PositionReader } from './position-reader.js';
 
 /** A request that waits longer than this is told that it has come. */
-const QUEUED_AFTER_MS: Milliseconds = 40;
+const QUEUED_AFTER_MS: Milliseconds = 80;
 const DRAIN_CHECK_MS: Milliseconds = 50;
 
 export interface LeaseServerOptions {
   readonly find: LendableLookup;
   readonly positions: PositionReader;
+  readonly wire: StatementWire;
   readonly counters: RelayCounters;
   readonly now: () => Milliseconds;
 }
 
 export class LeaseServer implements PeerHandlers {
-  readonly #leases = new Set<GrantedLease>();
+  readonly #leases = new Set<GrantedLease | OwnedRead>();
   #waiting = 0;
   #stopping = false;
 
@@ -58,9 +61,9 @@
   }
 
   onStream(header: WireValue, stream: PeerStream): void {
-    const request = parseLeaseRequest(header);
+    const request = parseStreamRequest(header);
     if (request === undefined) {
-      stream.abort('no request for a lease');
+      stream.abort('no request for a lease or a read');
       return;
     }
     const instance = this.options.find(request.service, request.instanceId);
@@ -88,14 +91,19 @@
   }
 
   async #grant(
-    request: LeaseRequest,
+    request: StreamRequest,
     instance: LendableInstance,
     stream: PeerStream,
   ): Promise<void> {
     let isGone = false;
-    stream.onClose = () => {
+    const leave = (): void => {
       isGone = true;
     };
+    stream.onClose = leave;
+    stream.onMessage = () => {
+      leave();
+      stream.end();
+    };
     const tellQueued = setTimeout(() => stream.send({ type: 'queued' }), QUEUED_AFTER_MS);
     this.#waiting += 1;
     const { pool } = instance;
@@ -105,21 +113,32 @@
       deadline: this.options.now() + request.waitMs,
     });
     this.#waiting -= 1;
-    clearTimeout(tellQueued);
+    if (request.type === 'lease' || acquired.isErr()) clearTimeout(tellQueued);
     if (acquired.isErr()) {
       refuse(stream, refusalFor(acquired.error));
       return;
     }
     if (isGone) {
+      clearTimeout(tellQueued);
       pool.release(acquired.value);
       return;
     }
-    this.options.counters.leasesGiven += 1;
-    const lease = new GrantedLease({
-      ...{ stream, instance, connection: acquired.value, now: this.options.now },
-      onEnd: () => this.#leases.delete(lease),
-    });
-    this.#leases.add(lease);
+    const { wire, now, counters } = this.options;
+    const granted = { stream, instance, connection: acquired.value, now };
+    if (request.type === 'lease') {
+      counters.leasesGiven += 1;
+      const onEnd = (): void => void this.#leases.delete(lease);
+      const lease = new GrantedLease({ ...granted, onEnd });
+      this.#leases.add(lease);
+      return;
+    }
+    counters.readsRun += 1;
+    const onEnd = (): void => {
+      clearTimeout(tellQueued);
+      this.#leases.delete(read);
+    };
+    const read = new OwnedRead({ ...granted, request, wire, onEnd });
+    this.#leases.add(read);
   }
 }
 
--- a/src/direct/relay/leased-connection.ts
+++ b/src/direct/relay/leased-connection.ts
@@ -26,6 +26,7 @@
 
 /** Made by {@link OwnerLessor} when a lease was granted. */
 export class LeasedConnection implements InstanceConnection {
+  readonly mayRunLate = true;
   readonly values: Map<string, string>;
   readonly preparedNames: Set<string>;
   /** Messages that are held back while corked, and who waits for their answers. */
--- a/src/direct/relay/messages.ts
+++ b/src/direct/relay/messages.ts
@@ -3,7 +3,7 @@
 import type { Position } from '../../core/position.js';
 import type { StatementAnswer, StatementErrorCode } from '../../core/statements/statement.js';
 import type { WireValue } from '../../peer/contract.js';
-import type { LeaseCommand, LeaseEvent, LeaseRequest, PositionRequest } from './contract.js';
+import type { LeaseCommand, LeaseEvent, PositionRequest, StreamRequest } from './contract.js';
 
 const MAX_MESSAGES_PER_RUN = 256;
 
@@ -25,12 +25,20 @@
   ...{ queueWeight: bound, maxWaiting: bound, inFlightShare: bound, inFlightFloor: bound },
 });
 
-const leaseRequest = z.object({
-  ...{ type: z.literal('lease'), service: z.string(), instanceId: z.string() },
+const ownerRequest = {
+  ...{ service: z.string(), instanceId: z.string(), values: valueList, waitMs: z.number() },
   ...{ tenant: z.string(), priority: z.number().int(), policy: connectionPolicy },
-  values: valueList,
-  waitMs: z.number(),
+};
+const prepared = z.object({
+  ...{ access: z.enum(['read', 'write']), shape: z.string(), sharedName: z.string() },
 });
+const streamRequest = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('lease'), ...ownerRequest }),
+  z.object({
+    ...{ type: z.literal('read'), ...ownerRequest },
+    ...{ prepared: prepared.optional(), message: z.string() },
+  }),
+]);
 
 const leaseCommand = z.discriminatedUnion('type', [
   z.object({ type: z.literal('run'), messages: z.array(z.string()).max(MAX_MESSAGES_PER_RUN) }),
@@ -63,8 +71,8 @@
 const positionRequest = z.object({ service: z.string(), instanceId: z.string() });
 
 /** Each gives undefined for what is not in its form. */
-export function parseLeaseRequest(value: WireValue): LeaseRequest | undefined {
-  return leaseRequest.safeParse(value).data;
+export function parseStreamRequest(value: WireValue): StreamRequest | undefined {
+  return streamRequest.safeParse(value).data as StreamRequest | undefined;
 }
 
 export function parseLeaseCommand(value: WireValue): LeaseCommand | undefined {
--- a/src/direct/relay/owner-lessor.ts
+++ b/src/direct/relay/owner-lessor.ts
@@ -1,15 +1,18 @@
 /**
- * Connections of one instance that its owners lend. Owners are asked one after the other until one
- * grants: nothing is sent to the instance before that, so that another may always be asked.
+ * Connections of one instance that its owners lend, and reads that they run. Owners are asked one after
+ * the other until one serves: before a lease is granted nothing is sent to the instance, and a read may
+ * be repeated, so that another may always be asked.
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { ReachableNode } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
+import type { StatementAnswer } from '../../core/statements/statement.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerStream, PeerTransport } from '../../peer/contract.js';
 import type { InstanceEntry } from '../contract.js';
 import {
   InstanceConnectError,
+  InstanceConnectionLostError,
   InstanceOwnersUnreachableError,
   InstanceQueueFullError,
   InstanceWaitTimeoutError,
@@ -17,18 +20,22 @@
 import type { InstanceConnection } from '../instance-connection.js';
 import type { AcquireError, ConnectionRequest } from '../instance-pool.js';
 import {
+  CANCEL_READ,
   type ConnectionLessor,
   type LeaseEvent,
   type LeaseRefusal,
   type LeaseRequest,
+  type OwnerRead,
+  type OwnerReadError,
   POSITION_METHOD,
   type RelayCounters,
+  type StreamRequest,
 } from './contract.js';
 import { LeasedConnection } from './leased-connection.js';
 import { parseLeaseEvent, parsePosition } from './messages.js';
 import type { OwnerHealth } from './owner-health.js';
 
-/** An owner that has not even said that the request came is taken for lost after this. */
+/** An owner that has said nothing, not even that the request came, is taken for lost after this. */
 const SILENCE_MS: Milliseconds = 250;
 
 export interface OwnerLessorOptions {
@@ -41,30 +48,108 @@
   readonly now: () => Milliseconds;
 }
 
-/** What became of one request for a lease. */
-type LeaseOutcome =
-  | { readonly type: 'granted'; readonly connection: LeasedConnection }
+/** Not granted, whatever was asked for: another owner may be asked. */
+type Unserved =
   | { readonly type: 'refused'; readonly refusal: LeaseRefusal }
   /** Not reached, lost, or silent. */
   | { readonly type: 'no-answer' };
 
+/** What became of one stream. */
+type StreamOutcome =
+  | { readonly type: 'granted'; readonly connection: LeasedConnection }
+  | { readonly type: 'answered'; readonly answer: StatementAnswer }
+  /** The connection to the instance ended, or it did not answer in time. */
+  | { readonly type: 'lost' }
+  | Unserved;
+
+/** What an event of the owner says of a stream that waits; nothing yet if undefined. */
+type EventHandlers = {
+  readonly [Type in LeaseEvent['type']]: (
+    event: Extract<LeaseEvent, { type: Type }>,
+    owner: ReachableNode,
+    stream: PeerStream,
+  ) => StreamOutcome | undefined;
+};
+
 export class OwnerLessor implements ConnectionLessor {
+  readonly #handlers: EventHandlers = {
+    queued: () => undefined,
+    granted: (event, owner, stream) => ({
+      type: 'granted',
+      connection: this.#connection(owner, stream, event),
+    }),
+    refused: (refusal, _owner, stream) => {
+      stream.end();
+      return { type: 'refused', refusal };
+    },
+    answers: ({ answers: [answer] }, _owner, stream) => {
+      stream.end();
+      return answer === undefined ? { type: 'no-answer' } : { type: 'answered', answer };
+    },
+    lost: (_event, _owner, stream) => {
+      stream.end();
+      return { type: 'lost' };
+    },
+  };
+
   constructor(private readonly options: OwnerLessorOptions) {}
 
   async acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>> {
+    const { counters } = this.options;
+    const asked = await this.#askInTurn(request, (owner, waitMs) => {
+      counters.leasesAsked += 1;
+      return this.#open(owner, { type: 'lease', ...this.#headerOf(request, waitMs) }, waitMs);
+    });
+    if (asked.isErr()) return err(asked.error);
+    if (asked.value.type === 'granted') return ok(asked.value.connection);
+    return err(this.#unreachable('no owner lends a connection'));
+  }
+
+  async read(read: OwnerRead): Promise<Result<StatementAnswer, OwnerReadError>> {
+    const { counters, instance } = this.options;
+    const { prepared, message, settled } = read;
+    const ask = (owner: ReachableNode, waitMs: Milliseconds): Promise<StreamOutcome> => {
+      counters.readsAsked += 1;
+      const header = this.#headerOf(read, waitMs);
+      return this.#open(owner, { type: 'read', ...header, prepared, message }, waitMs, settled);
+    };
+    const asked = await this.#askInTurn(read, ask, () => settled?.aborted === true);
+    if (asked.isErr()) return err(asked.error);
+    if (asked.value.type === 'answered') return ok(asked.value.answer);
+    return err(new InstanceConnectionLostError(`${instance.id}: no answer through its owner`));
+  }
+
+  /** Asks owners one after the other until one serves; the error if none does. */
+  async #askInTurn(
+    request: ConnectionRequest,
+    ask: (owner: ReachableNode, waitMs: Milliseconds) => Promise<StreamOutcome>,
+    isSettled: () => boolean = () => false,
+  ): Promise<Result<Exclude<StreamOutcome, Unserved>, AcquireError>> {
     const { instance, health, counters, now } = this.options;
     for (const owner of this.#inOrder()) {
       const waitMs = request.deadline - now();
-      if (waitMs <= 0) break;
-      counters.leasesAsked += 1;
-      const outcome = await this.#lease(owner, request, waitMs);
-      if (outcome.type === 'granted') return ok(outcome.connection);
+      if (waitMs <= 0 || isSettled()) break;
+      const outcome = await ask(owner, waitMs);
+      if (outcome.type !== 'refused' && outcome.type !== 'no-answer') return ok(outcome);
+      if (isSettled()) break;
       counters.leasesRefused += 1;
       const error = outcome.type === 'refused' && finalError(instance.id, outcome.refusal);
       if (error) return err(error);
       health.noteFailure(owner.nodeId);
     }
-    return err(new InstanceOwnersUnreachableError(`${instance.id}: no owner lends a connection`));
+    return err(this.#unreachable('no owner lends a connection'));
+  }
+
+  #unreachable(reason: string): InstanceOwnersUnreachableError {
+    return new InstanceOwnersUnreachableError(`${this.options.instance.id}: ${reason}`);
+  }
+
+  #headerOf(
+    { tenant, priority, policy, values }: ConnectionRequest,
+    waitMs: Milliseconds,
+  ): Omit<LeaseRequest, 'type'> {
+    const { service, id: instanceId } = this.options.instance;
+    return { service, instanceId, tenant, priority, policy, values: [...values], waitMs };
   }
 
   async position(timeoutMs: Milliseconds): Promise<Position | undefined> {
@@ -88,41 +173,46 @@
     return [...owners.filter((owner) => !avoided.includes(owner)), ...avoided];
   }
 
-  #lease(
+  #open(
     owner: ReachableNode,
-    request: ConnectionRequest,
+    header: StreamRequest,
     waitMs: Milliseconds,
-  ): Promise<LeaseOutcome> {
-    const { instance, transport, health } = this.options;
-    const { tenant, priority, policy, values } = request;
-    const header: LeaseRequest = {
-      ...{ type: 'lease', service: instance.service, instanceId: instance.id },
-      ...{ tenant, priority, policy, values: [...values], waitMs },
-    };
+    settled?: AbortSignal,
+  ): Promise<StreamOutcome> {
+    const { transport, health } = this.options;
     const stream = transport.openStream(owner, header);
     return new Promise((resolve) => {
-      const settle = (outcome: LeaseOutcome): void => {
+      const settle = (outcome: StreamOutcome): void => {
         clearTimeout(timer);
+        settled?.removeEventListener('abort', cancel);
         resolve(outcome);
       };
       const giveUp = (): void => {
-        stream.abort('lease given up');
+        stream.abort('given up');
         settle({ type: 'no-answer' });
       };
+      // What the instance has been sent already is waited for: it runs with the session's values.
+      const cancel = (): void => stream.send(CANCEL_READ);
       let timer = setTimeout(giveUp, Math.min(SILENCE_MS, waitMs));
+      settled?.addEventListener('abort', cancel);
       stream.onClose = () => settle({ type: 'no-answer' });
       stream.onMessage = (message) => {
         health.noteHeard(owner.nodeId);
         const event = parseLeaseEvent(message);
-        if (event?.type === 'queued') {
-          clearTimeout(timer);
-          timer = setTimeout(giveUp, waitMs + SILENCE_MS);
-        } else if (event?.type === 'granted') {
-          settle({ type: 'granted', connection: this.#connection(owner, stream, event) });
-        } else if (event?.type === 'refused') {
-          stream.end();
-          settle({ type: 'refused', refusal: event });
-        } else giveUp();
+        if (event === undefined) {
+          giveUp();
+          return;
+        }
+        const handle = this.#handlers[event.type] as (
+          ...args: [LeaseEvent, ReachableNode, PeerStream]
+        ) => StreamOutcome | undefined;
+        const outcome = handle(event, owner, stream);
+        if (outcome !== undefined) {
+          settle(outcome);
+          return;
+        }
+        clearTimeout(timer);
+        timer = setTimeout(giveUp, waitMs + SILENCE_MS);
       };
     });
   }
--- a/src/direct/relay/relay.ts
+++ b/src/direct/relay/relay.ts
@@ -39,7 +39,7 @@
   constructor(private readonly options: RelayOptions) {
     const { wire, find, counters, now, nodeName } = options;
     const positions = new PositionReader({ wire, now });
-    this.#server = new LeaseServer({ find, positions, counters, now });
+    this.#server = new LeaseServer({ find, positions, wire, counters, now });
     this.#health = new OwnerHealth(now);
     this.#transport = new TcpPeerTransport({
       identity: { nodeId: nodeName, incarnation: Date.now() },
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -175,7 +175,7 @@
   #limitByOwners(state: InstanceState): void {
     const owners = this.options.ownership.roster?.ownersPerInstance ?? 1;
     const limit = state.isOwned ? connectionsPerOwner(owners, this.#maxConnections) : 0;
-    state.pool.setLimit(limit, limit, owners);
+    state.pool.setLimit(limit, limit, owners, state.isOwned);
   }
 
   /** The owners of instances are others now. */
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -14,12 +14,13 @@
 import type { Milliseconds } from '../core/units.js';
 import {
   InstanceConnectError,
-  type InstanceConnectionLostError,
+  InstanceConnectionLostError,
   InstanceQueueFullError,
 } from './errors.js';
 import type { InstanceConnection } from './instance-connection.js';
 import type { AcquireError, ConnectionRequest } from './instance-pool.js';
 import type { PrimaryUse, PrimaryView } from './promotion/contract.js';
+import type { ConnectionLessor } from './relay/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import { synchronise } from './synchronise.js';
 import { type Placement, type Target, TargetChooser } from './target-chooser.js';
@@ -127,6 +128,15 @@
   return { code: 'busy', text: isOverLimit ? 'too many statements wait' : 'no connection' };
 }
 
+/** A write that is sent with less time left than its answer takes would only leave its caller in doubt. */
+function leastTimeFor(access: Access, { pool }: InstanceRuntime): Milliseconds {
+  return access === 'write' ? pool.answerMs : 0;
+}
+
+function notSent(instance: InstanceRuntime, text: string): Attempt {
+  return { type: 'not-run', refusal: { code: 'busy', text }, instance, isReached: false };
+}
+
 /** Attempts after the first are counted against the tenant's budget. */
 export function mayAttemptAgain(tenant: Tenant, attempts: number): boolean {
   if (attempts > 0) return tenant.mayRetry();
@@ -195,7 +205,15 @@
     return { type: 'refused', refusal };
   }
 
+  /** Attempts that still wait for a connection when one has been answered are not sent any more. */
   async #runRead(request: StatementRequest): Promise<StatementOutcome> {
+    const settled = new AbortController();
+    const outcome = await this.#tryRead(request, settled.signal);
+    settled.abort();
+    return outcome;
+  }
+
+  async #tryRead(request: StatementRequest, settled: AbortSignal): Promise<StatementOutcome> {
     const { now } = this.options;
     const excluded = new Set<string>();
     const overLimit = new Set<string>();
@@ -224,7 +242,7 @@
         if (mayAttempt) {
           attempts += 1;
           lastSentAt = now();
-          const attempt = this.#attempt(request, target);
+          const attempt = this.#attempt(request, target, settled);
           running.add(attempt);
           void attempt.then(() => running.delete(attempt));
           excluded.add(target.instance.id);
@@ -272,21 +290,27 @@
     return pause(RETRY_PAUSE_MS * (0.5 + this.options.random()));
   }
 
-  async #attempt(request: StatementRequest, chosen: Target): Promise<Attempt> {
+  /** @param settled aborted once the request has its outcome from another attempt */
+  async #attempt(
+    request: StatementRequest,
+    chosen: Target,
+    settled?: AbortSignal,
+  ): Promise<Attempt> {
     const { instance } = chosen;
     instance.pool.outstanding += 1;
     try {
+      const { lessor } = instance.pool;
+      if (lessor !== undefined && request.access === 'read') {
+        return await this.#readThroughOwner(request, chosen, lessor, settled);
+      }
       const acquired = await instance.pool.acquire(connectionRequestOf(request));
       if (acquired.isErr()) {
         this.noteUnreachable(request, instance, acquired.error);
-        const refusal = refusalOf(acquired.error);
-        const isOverLimit = acquired.error instanceof InstanceQueueFullError;
-        return {
-          type: isOverLimit ? 'over-limit' : 'not-run',
-          refusal,
-          instance,
-          isReached: false,
-        };
+        return this.#notReached(instance, acquired.error);
+      }
+      if (settled?.aborted === true) {
+        instance.pool.release(acquired.value);
+        return notSent(instance, 'answered elsewhere');
       }
       return await this.#send(request, chosen, acquired.value);
     } finally {
@@ -294,6 +318,37 @@
     }
   }
 
+  /**
+   * The owner sends the read as it is: the position that it needs, and that the primary leads, were
+   * checked after its first byte had come, and hold for it however long it waits there.
+   */
+  async #readThroughOwner(
+    request: StatementRequest,
+    { instance, after }: Target,
+    lessor: ConnectionLessor,
+    settled: AbortSignal | undefined,
+  ): Promise<Attempt> {
+    const sentAt = this.options.now();
+    const read = { prepared: request.prepared, message: request.encode(after), settled };
+    const exchange = lessor.read({ ...connectionRequestOf(request), ...read });
+    request.session.underWay.add(exchange);
+    const answer = await exchange;
+    if (settled?.aborted === true) return notSent(instance, 'answered elsewhere');
+    if (answer.isOk()) return this.#judge(request, instance, answer.value, sentAt);
+    if (answer.error instanceof InstanceConnectionLostError) {
+      this.noteFailure(request, instance);
+      return { type: 'unknown', instance };
+    }
+    this.noteUnreachable(request, instance, answer.error);
+    return this.#notReached(instance, answer.error);
+  }
+
+  #notReached(instance: InstanceRuntime, error: AcquireError): Attempt {
+    const isOverLimit = error instanceof InstanceQueueFullError;
+    const refusal = refusalOf(error);
+    return { type: isOverLimit ? 'over-limit' : 'not-run', refusal, instance, isReached: false };
+  }
+
   async #send(
     request: StatementRequest,
     chosen: Target,
@@ -302,16 +357,17 @@
     const { wire, now } = this.options;
     const { instance } = chosen;
     const target = this.targets.recheck(request, chosen);
-    if (target === undefined || now() >= request.deadline) {
+    const isTooLate = now() + leastTimeFor(request.access, instance) >= request.deadline;
+    if (target === undefined || isTooLate) {
       instance.pool.release(connection);
-      const refusal = { code: 'busy', text: 'the primary changed' } as const;
-      return { type: 'not-run', refusal, instance, isReached: false };
+      return notSent(instance, isTooLate ? 'no time is left' : 'the primary changed');
     }
     const sentAt = now();
     connection.cork();
     synchronise(connection, request.session.values, request.prepared, wire);
     const exchange = connection.exchange(request.encode(target.after));
     connection.uncork();
+    request.session.underWay.add(exchange);
     const endWatch = instance.pool.watchAnswer(request.access);
     // A lost answer must not keep its connection from others; a write's may come late, and counts.
     const readDeadline = sentAt + instance.pool.patienceMs * READ_PATIENCE_FACTOR;
@@ -326,19 +382,20 @@
       this.noteNoAnswer({ request, instance, connection, answer, sentAt }, use, silentForMs);
       return { type: 'unknown', instance };
     }
-    return this.#judge(request, instance, connection, answer.value, sentAt);
+    // Before it is given back: a leased connection tells its owner then what stands on it.
+    if (answer.value.error?.code === 'unprepared') connection.preparedNames.clear();
+    if (answer.value.state === 'idle') instance.pool.release(connection);
+    else connection.close();
+    return this.#judge(request, instance, answer.value, sentAt);
   }
 
   #judge(
     request: StatementRequest,
     instance: InstanceRuntime,
-    connection: InstanceConnection,
     answer: StatementAnswer,
     sentAt: Milliseconds,
   ): Attempt {
     const { now } = this.options;
-    if (answer.state === 'idle') instance.pool.release(connection);
-    else connection.close();
     if (answer.error === undefined) {
       instance.pool.noteAnswer(now() - sentAt);
       request.service.noteAnswer(instance, sentAt, answer.position);
@@ -346,7 +403,6 @@
       return { type: 'answered', answer };
     }
     const { code, text } = answer.error;
-    if (code === 'unprepared') connection.preparedNames.clear();
     if (isNotRun(code)) {
       return { type: 'not-run', refusal: { code, text }, instance, isReached: true };
     }
--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -6,6 +6,7 @@
 import type { RouteDescription } from './contract.js';
 import type { PrimaryView } from './promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
+import type { StatementsUnderWay } from './statements-under-way.js';
 import type { Tenant } from './tenant.js';
 import type { TrustProver } from './trust-prover.js';
 
@@ -17,6 +18,8 @@
   readonly values: ReadonlyMap<string, string>;
   /** Last position that the session wrote, in the service's log. */
   readonly lastWritten: Position | undefined;
+  /** What of the session may still run at an instance, also after it was answered or given up. */
+  readonly underWay: StatementsUnderWay;
 }
 
 /** What decides where a statement or transaction may go. */
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -47,6 +47,8 @@
   #connection: InstanceConnection | undefined;
   #instance: InstanceRuntime | undefined;
   #wrote = false;
+  /** A statement without an answer may still be handed to its instance. */
+  #mayRunLate = false;
 
   constructor(
     readonly readOnly: boolean,
@@ -151,8 +153,13 @@
     return { type: 'refused', refusal };
   }
 
-  /** The refusal, if the whole transaction so far may be begun again at another instance. */
+  /**
+   * The refusal, if the whole transaction so far may be begun again at another instance. Its first
+   * statement must not run there while it may still run where it was sent before: the two would stand
+   * in different transactions. The caller repeats it under another id.
+   */
   #refusalToRetry(outcome: StatementOutcome): Refusal | undefined {
+    if (this.#mayRunLate) return undefined;
     if (outcome.type === 'refused')
       return outcome.refusal.code === 'aborted' ? outcome.refusal : undefined;
     const { error } = outcome.answer;
@@ -179,12 +186,14 @@
       const silentForMs = instance.pool.silentForMs('read');
       endWatch(answer?.isOk() === true);
       if (answer === undefined) {
+        this.#mayRunLate = connection.mayRunLate;
         connection.close();
         const lost = { request: this, instance, connection, answer, sentAt };
         this.runner.noteNoAnswer(lost, 'reach', silentForMs);
         return refuse('aborted', 'no answer in time; the transaction was rolled back');
       }
       if (answer.isErr()) {
+        this.#mayRunLate = connection.mayRunLate && answer.error.fault === 'owner';
         this.runner.noteNoAnswer({ request: this, instance, connection, answer, sentAt });
         return refuse('aborted', 'the connection to the instance ended');
       }
--- a/test/property/tenancy.test.ts
+++ b/test/property/tenancy.test.ts
@@ -62,6 +62,20 @@
   );
 });
 
+test('at an owner a tenant keeps to its share of the connections, however few slots there are', () => {
+  fc.assert(
+    fc.property(policies, capacities, (policy, capacity) => {
+      const { connectionLimit } = capacity;
+      const allowance = connectionAllowance(policy, { ...capacity, isOwner: true });
+      const share = Math.floor(policy.inFlightShare * connectionLimit);
+      assert.ok(allowance >= Math.min(share, connectionLimit - 1));
+      assert.ok(allowance <= Math.max(policy.inFlightFloor, share));
+      if (connectionLimit > 1) assert.ok(allowance < connectionLimit);
+    }),
+    SETTINGS,
+  );
+});
+
 test('more slots never mean fewer connections, and more nodes never mean more', () => {
   fc.assert(
     fc.property(policies, capacities, fc.nat(10), (policy, capacity, more) => {
--- a/test/support/relay-fleet.ts
+++ b/test/support/relay-fleet.ts
@@ -22,7 +22,10 @@
 const NO_HANDLERS = { onStream: () => undefined, onCall: async () => null };
 
 export function newCounters(): RelayCounters {
-  return { leasesAsked: 0, leasesRefused: 0, leasesLost: 0, leasesGiven: 0, positionsTold: 0 };
+  return {
+    ...{ leasesAsked: 0, leasesRefused: 0, leasesLost: 0, leasesGiven: 0 },
+    ...{ readsAsked: 0, readsRun: 0, positionsTold: 0 },
+  };
 }
 
 /** A node that owns the instance. */
@@ -51,7 +54,13 @@
     });
     const positions = new PositionReader({ wire: lineWire, now });
     const find = () => (this.known ? this : undefined);
-    this.server = new LeaseServer({ find, positions, counters: newCounters(), now });
+    this.server = new LeaseServer({
+      find,
+      positions,
+      wire: lineWire,
+      counters: newCounters(),
+      now,
+    });
     this.transport = new TcpPeerTransport({
       identity: { nodeId, incarnation: 1 },
       handlers: this.server,
--- a/test/support/scripted-instance.ts
+++ b/test/support/scripted-instance.ts
@@ -20,6 +20,8 @@
   readonly ended: number[] = [];
   /** While set, statements that contain it get no answer until `answerHeld`. */
   hold: string | undefined;
+  /** While set, statements that contain it are answered with this error code. */
+  fail: { readonly text: string; readonly code: string } | undefined;
   readonly #held: { readonly socket: Socket; readonly text: string }[] = [];
   readonly #sockets: Socket[] = [];
 
@@ -82,7 +84,9 @@
     const text = line.split(' ').slice(2).join(' ');
     this.heard.push({ connection, text });
     if (this.hold !== undefined && text.includes(this.hold)) this.#held.push({ socket, text });
-    else answer(socket, text);
+    else if (this.fail !== undefined && text.includes(this.fail.text)) {
+      socket.write(`ERROR ${this.fail.code} ${text}\r\nREADY I 1.2\r\n`, 'latin1');
+    } else answer(socket, text);
   }
 }
 
--- a/test/unit/direct/relay.test.ts
+++ b/test/unit/direct/relay.test.ts
@@ -2,10 +2,11 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
+import type { PreparedStatement } from '../../../src/core/statements/session-values.js';
 import type { StatementAnswer } from '../../../src/core/statements/statement.js';
 import {
   InstanceConnectError,
-  type InstanceConnectionLostError,
+  InstanceConnectionLostError,
   InstanceOwnersUnreachableError,
   InstanceWaitTimeoutError,
 } from '../../../src/direct/errors.js';
@@ -297,6 +298,100 @@
   assert.is(instance.heard.length, 1);
 });
 
+interface ReadOptions {
+  readonly values?: ReadonlyMap<string, string>;
+  readonly prepared?: PreparedStatement;
+  readonly settled?: AbortSignal;
+  readonly waitMs?: number;
+}
+
+/** Has an owner run a read; `text` as the instance gets it. */
+function read(text: string, options: ReadOptions = {}) {
+  const { values = new Map(), prepared, settled, waitMs = 10_000 } = options;
+  const request = { ...TEST_TENANT, values, deadline: performance.now() + waitMs };
+  const message = lineWire.encodeStatement('s1', text, undefined);
+  const { lessor } = borrower.pool;
+  assert.ok(lessor);
+  return lessor.read({ ...request, prepared, message, settled });
+}
+
+const PREPARED: PreparedStatement = { access: 'read', shape: 'q1', sharedName: 'shared' };
+
+test('an owner runs a read with the values and names of its session, and keeps the connection', async () => {
+  await start(1);
+  const values = new Map([['zone', 'a']]);
+  const answer = (await read('EXECUTE shared k', { values, prepared: PREPARED }))._unsafeUnwrap();
+  assert.match(answer.payload, 'ROW EXECUTE shared k');
+  (await read('EXECUTE shared l', { values, prepared: PREPARED }))._unsafeUnwrap();
+  (await read('READ m'))._unsafeUnwrap();
+  assert.equal(
+    instance.heard.map(({ connection, text }) => `${connection}: ${text}`),
+    [
+      ...['1: SET zone a', '1: PREPARE shared READ q1', '1: EXECUTE shared k'],
+      ...['1: EXECUTE shared l', '1: RESET', '1: READ m'],
+    ],
+  );
+});
+
+test('names that an instance does not know are prepared again', async () => {
+  await start(1);
+  instance.fail = { text: 'EXECUTE', code: 'UNPREPARED' };
+  const first = (await read('EXECUTE shared k', { prepared: PREPARED }))._unsafeUnwrap();
+  assert.is(first.error?.code, 'unprepared');
+  instance.fail = undefined;
+  (await read('EXECUTE shared k', { prepared: PREPARED }))._unsafeUnwrap();
+  assert.is(instance.heard.filter(({ text }) => text.startsWith('PREPARE')).length, 2);
+});
+
+test('an owner that is silent about a read is passed over', async () => {
+  silent = await SilentNode.start('silent');
+  await start(1);
+  assert.match((await read('READ k'))._unsafeUnwrap().payload, 'ROW READ k');
+  assert.ok(borrower.health.isAvoided('silent'));
+});
+
+test('a read that nobody waits for any more is not handed over', async () => {
+  await start(1);
+  const { pool } = owner(0);
+  const request = { ...TEST_TENANT, values: new Map(), deadline: performance.now() + 5000 };
+  const held = [
+    (await pool.acquire(request))._unsafeUnwrap(),
+    (await pool.acquire(request))._unsafeUnwrap(),
+  ];
+  const settled = new AbortController();
+  const answer = read('READ late', { settled: settled.signal });
+  await until('the read waits at its owner', () => pool.waiting === 1);
+  settled.abort();
+  assert.ok((await answer).isErr());
+  assert.not(borrower.health.isAvoided('owner-0'));
+  // Frames come in order: the owner has heard of it before this one's answer is there.
+  const next = read('READ next');
+  await until('the next one waits too', () => pool.waiting === 2);
+  for (const connection of held) pool.release(connection);
+  (await next)._unsafeUnwrap();
+  assert.equal(
+    instance.heard.map(({ text }) => text),
+    ['READ next'],
+  );
+});
+
+test('an instance that does not answer a read loses the connection, and its owner is not blamed', async () => {
+  await start(1);
+  instance.hold = 'READ';
+  assert.instance((await read('READ k'))._unsafeUnwrapErr(), InstanceConnectionLostError);
+  await until('the connection ended', () => instance.ended.length === 1);
+  assert.not(borrower.health.isAvoided('owner-0'));
+  instance.hold = undefined;
+  (await read('READ l'))._unsafeUnwrap();
+});
+
+test('no read is handed over to a leaving instance', async () => {
+  await start(1);
+  owner(0).usable = false;
+  assert.instance((await read('READ k'))._unsafeUnwrapErr(), InstanceWaitTimeoutError);
+  assert.is(instance.connectionCount, 0);
+});
+
 test('what is no request for a lease is refused', async () => {
   await start(1);
   const stream = borrower.transport.openStream(owner(0).node, { type: 'lease', service: 7 });
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -2,17 +2,24 @@
 import { err, ok } from 'neverthrow';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { lineWire } from '../../../platform/line-wire.js';
 import { resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
 import type { RouteDescription } from '../../../src/direct/contract.js';
 import { InstanceConnectError } from '../../../src/direct/errors.js';
 import type { PrimaryView } from '../../../src/direct/promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from '../../../src/direct/service-runtime.js';
-import { type StatementRequest, StatementRunner } from '../../../src/direct/statement-runner.js';
+import {
+  type StatementOutcome,
+  type StatementRequest,
+  StatementRunner,
+} from '../../../src/direct/statement-runner.js';
+import { StatementsUnderWay } from '../../../src/direct/statements-under-way.js';
 import type { Placement } from '../../../src/direct/target-chooser.js';
 import { Tenant } from '../../../src/direct/tenant.js';
 import { ROUTE_TEMPLATES } from '../../../src/direct/tenant-templates.generated.js';
 import type { TrustProver } from '../../../src/direct/trust-prover.js';
 import type { StatementWire } from '../../../src/direct/wire.js';
+import { pause } from '../../../src/direct/within.js';
 
 const TARGET_LATENCY_MS = 100;
 const DEADLINE_MS = 1000;
@@ -76,7 +83,7 @@
     beganAt: 0,
     route: ROUTE,
     tenant: newTenant(),
-    session: { values: new Map(), lastWritten: undefined },
+    session: { values: new Map(), lastWritten: undefined, underWay: new StatementsUnderWay() },
   } as unknown as Placement;
   return { runner, placement, proofs: () => proofs };
 }
@@ -130,12 +137,85 @@
     deadline: DEADLINE_MS,
     route: ROUTE,
     tenant: newTenant(),
-    session: { values: new Map(), lastWritten: undefined },
+    session: { values: new Map(), lastWritten: undefined, underWay: new StatementsUnderWay() },
   } as unknown as StatementRequest);
   assert.is(outcome.type, 'refused');
   assert.ok(openings < TARGET_LATENCY_MS);
 });
 
+interface Read {
+  readonly outcome: StatementOutcome;
+  /** Instances that were sent the read. */
+  readonly sent: readonly string[];
+  readonly released: () => number;
+  readonly underWay: StatementsUnderWay;
+}
+
+/**
+ * A read whose first instance has no free connection until it was answered by the second one, which
+ * is tried meanwhile.
+ */
+async function readWithLateConnection(): Promise<Read> {
+  const sent: string[] = [];
+  let released = 0;
+  let free: (() => void) | undefined;
+  const replica = (id: string, connected: Promise<void>): InstanceRuntime => {
+    const connection = {
+      ...{ values: new Map(), preparedNames: new Set(), cork: () => {}, uncork: () => {} },
+      exchange: () => {
+        sent.push(id);
+        return Promise.resolve(ok({ payload: 'row', error: undefined, state: 'idle' }));
+      },
+    };
+    const pool = {
+      ...{ instance: { id }, answerMs: 5, patienceMs: 250, outstanding: 0, avoidUntil: 0 },
+      acquire: () => connected.then(() => ok(connection)),
+      release: () => {
+        released += 1;
+      },
+      watchAnswer: () => () => {},
+      silentForMs: () => 0,
+      noteAnswer: () => {},
+    };
+    const load = { sameZone: true, primary: false, outstanding: 0, answerMs: 5, avoidUntil: 0 };
+    return { id, pool, ...load, isUsable: () => true } as unknown as InstanceRuntime;
+  };
+  const late = new Promise<void>((resolve) => {
+    free = resolve;
+  });
+  const replicas = [replica('replica-1', late), replica('replica-2', Promise.resolve())];
+  const service = {
+    name: 'ledger',
+    readable: () => replicas,
+    noteAnswer: () => {},
+    samples: { requiredAt: () => ({ timeline: 1, lsn: 1n }) },
+  } as unknown as ServiceRuntime;
+  const now = (): number => performance.now();
+  const view = primaryView(true);
+  const prover = {} as unknown as TrustProver;
+  const runner = new StatementRunner({ wire: lineWire, view, prover, now, random: () => 0 });
+  const underWay = new StatementsUnderWay();
+  const beganAt = now();
+  const outcome = await runner.run({
+    ...{ access: 'read', service, beganAt, deadline: beganAt + DEADLINE_MS, tenant: newTenant() },
+    route: { ...ROUTE, consistency: 'bounded-staleness', maxStalenessMs: 1500 },
+    session: { values: new Map(), lastWritten: undefined, underWay },
+    prepared: undefined,
+    encode: () => lineWire.encodeStatement('s1', 'READ k', undefined),
+  });
+  free?.();
+  await pause(1);
+  return { outcome, sent, released: () => released, underWay };
+}
+
+test('a read that has been answered elsewhere is not sent once a connection is free', async () => {
+  const { outcome, sent, released, underWay } = await readWithLateConnection();
+  assert.is(outcome.type, 'answered');
+  assert.equal(sent, ['replica-2']);
+  assert.is(released(), 2);
+  assert.ok(await underWay.ended(0));
+});
+
 /** Uses of the primary that a write without an answer reported as failed. */
 async function reportedAfterSilence(patienceMs: number): Promise<number> {
   let reports = 0;
@@ -177,7 +257,7 @@
   await runner.run({
     ...{ access: 'write', service, beganAt, deadline: beganAt + SHORT_WAIT_MS },
     ...{ route: ROUTE, tenant: newTenant(), prepared: undefined, encode: () => '' },
-    session: { values: new Map(), lastWritten: undefined },
+    session: { values: new Map(), lastWritten: undefined, underWay: new StatementsUnderWay() },
   } as unknown as StatementRequest);
   return reports;
 }
--- a/test/unit/direct/tenant.test.ts
+++ b/test/unit/direct/tenant.test.ts
@@ -7,6 +7,7 @@
 import type { InstanceEntry, RouteDescription } from '../../../src/direct/contract.js';
 import { ServiceRuntime } from '../../../src/direct/service-runtime.js';
 import { StatementRunner } from '../../../src/direct/statement-runner.js';
+import { StatementsUnderWay } from '../../../src/direct/statements-under-way.js';
 import { Tenant } from '../../../src/direct/tenant.js';
 import { ROUTE_TEMPLATES } from '../../../src/direct/tenant-templates.generated.js';
 import { TrustProver } from '../../../src/direct/trust-prover.js';
@@ -76,7 +77,7 @@
   const beganAt = now();
   const outcome = await runner.run({
     ...{ access: 'write', route: ROUTE, service, tenant, prepared: undefined },
-    session: { values: new Map(), lastWritten: undefined },
+    session: { values: new Map(), lastWritten: undefined, underWay: new StatementsUnderWay() },
     beganAt,
     deadline: beganAt + ROUTE.timeoutMs,
     encode: () => '',
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -34,6 +34,7 @@
     peer: undefined,
     store: { host: '10.200.1.7', port: 8783, minimumLeaseMs: 1000 },
     promotion: { host: '10.200.0.160', port: 8783 },
+    isFirstStart: false,
     gracePeriodMs: 6000,
     drainTimeoutMs: 7000,
   });
@@ -46,6 +47,12 @@
   assert.equal(peer, { host: '10.1.0.8', port: 7455 });
 });
 
+test('whether the whole system starts for the first time is true, false, or absent', () => {
+  assert.is(settingsOf({ bootstrap: true })._unsafeUnwrap().isFirstStart, true);
+  assert.is(settingsOf({ bootstrap: false })._unsafeUnwrap().isFirstStart, false);
+  assert.equal(fieldsOf({ bootstrap: 'yes' }), ['bootstrap']);
+});
+
 test('with a single port, peers are not heard', () => {
   const ports = { ip_address: '10.1.0.8', internal_port_range: [7440, 7440] };
   assert.is(settingsOf(ports)._unsafeUnwrap().peer, undefined);
