--- /dev/null
+++ b/src/direct/belief-log.ts
@@ -0,0 +1,67 @@
+/**
+ * Lines about what this node believes: each change is told once, with the age of what stands behind it.
+ * Beliefs are looked at now and then, so that one that changes to and fro is told that often at most.
+ */
+import type { Milliseconds } from '../core/units.js';
+import type { Logger } from '../observability/logger.js';
+import type { PrimaryView } from './promotion/contract.js';
+
+/** Newest known positions that are older than this leave reads of some age to the primary. */
+const OLD_SAMPLE_MS: Milliseconds = 1000;
+
+/** A service as far as beliefs about it are told. */
+export interface BelievedService {
+  readonly name: string;
+  readonly samples: { newestAt(): Milliseconds | undefined };
+}
+
+export interface BeliefLogOptions {
+  readonly logger: Logger;
+  readonly view: PrimaryView;
+  readonly isStoreWell: () => boolean;
+  readonly now: () => Milliseconds;
+}
+
+/** What is believed of one thing, and since when. */
+interface Belief {
+  readonly text: string;
+  readonly since: Milliseconds;
+}
+
+/** Tells changes of belief. */
+export class BeliefLog {
+  readonly #beliefs = new Map<string, Belief>();
+
+  constructor(private readonly options: BeliefLogOptions) {}
+
+  /** Looks at everything; `sampled` are services whose positions are asked for. */
+  look(services: Iterable<BelievedService>, sampled: ReadonlySet<BelievedService>): void {
+    const { view, isStoreWell, now } = this.options;
+    const at = now();
+    this.#tell('store', undefined, isStoreWell() ? 'current' : 'out of touch');
+    const roster = view.ownerRoster();
+    const owners = roster?.nodes.map(({ nodeId }) => nodeId).join(' ') ?? 'every node for itself';
+    this.#tell('owners', undefined, owners);
+    this.#tell('watches primaries', undefined, view.watchesPrimaries ? 'this node' : 'another');
+    for (const service of services) {
+      const { name } = service;
+      this.#tell('primary', name, view.primaryOf(name)?.id ?? 'none');
+      this.#tell('change of primary', name, view.isChanging(name) ? 'under way' : 'none');
+      this.#tell('trust in primary', name, view.mayTrustPrimary(name, at) ? 'yes' : 'no');
+      if (!sampled.has(service)) continue;
+      const sampledAt = service.samples.newestAt() ?? Number.NEGATIVE_INFINITY;
+      this.#tell('known position', name, at - sampledAt > OLD_SAMPLE_MS ? 'too old' : 'fresh');
+    }
+  }
+
+  #tell(belief: string, service: string | undefined, text: string): void {
+    const key = `${belief}/${service ?? ''}`;
+    const before = this.#beliefs.get(key);
+    if (before?.text === text) return;
+    const { now, logger } = this.options;
+    this.#beliefs.set(key, { text, since: now() });
+    const forMs = before === undefined ? undefined : Math.round(now() - before.since);
+    const fields = { belief, service, now: text, before: before?.text, beforeForMs: forMs };
+    logger.info('belief changed', fields);
+  }
+}
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -14,6 +14,8 @@
 import type { Milliseconds } from '../core/units.js';
 import type { RouteDescription } from './contract.js';
 import { WIRE_ENCODING } from './line-splitter.js';
+import type { RequestLog } from './request-log.js';
+import { RequestTrace } from './request-trace.js';
 import type { ServiceRuntime } from './service-runtime.js';
 import type { StatementOutcome, StatementRequest, StatementRunner } from './statement-runner.js';
 import { StatementsUnderWay } from './statements-under-way.js';
@@ -54,6 +56,7 @@
   readonly routes: RouteLookup;
   readonly now: () => Milliseconds;
   readonly counters: SessionCounters;
+  readonly requests: RequestLog;
   write(text: string): void;
   end(): void;
 }
@@ -68,6 +71,12 @@
 
 type StatementMessage = Extract<CallerMessage, { type: 'statement' }>;
 
+/** What is alike in all requests of a session. */
+interface RequestBase
+  extends Pick<StatementRequest, 'session' | 'beganAt' | 'deadline' | 'tenant'> {
+  readonly trace: RequestTrace;
+}
+
 export class CallerSession {
   #database: string | undefined;
   /** The tenant that this session counts for, from its start to its end. */
@@ -286,13 +295,15 @@
       return;
     }
     const { wire } = this.options;
+    const base = this.#request(transaction);
     const outcome = await transaction.commit({
-      ...this.#request(transaction),
+      ...base,
       access: 'write',
       prepared: undefined,
       encode: () => wire.encodeStatement(message.id, message.text, undefined),
     });
     if (transaction.wrote) this.#noteWritten(outcome, transaction.service);
+    this.#tellEnd(message, transaction, base.trace, outcome);
     this.#answer(outcome);
   }
 
@@ -346,6 +357,7 @@
     if (transaction !== undefined) {
       const base = this.#request(transaction);
       const outcome = await transaction.run({ ...base, access, prepared, encode });
+      this.#tellEnd(message, transaction, base.trace, outcome);
       this.#answer(outcome);
       return;
     }
@@ -358,9 +370,22 @@
     const base = this.#request(found);
     const outcome = await runner.run({ ...base, route, service, access, prepared, encode });
     if (access === 'write') this.#noteWritten(outcome, service);
+    this.#tellEnd(message, found, base.trace, outcome);
     this.#answer(outcome);
   }
 
+  #tellEnd(
+    { id }: StatementMessage,
+    { route, service }: FoundRoute,
+    trace: RequestTrace,
+    outcome: StatementOutcome,
+  ): void {
+    const error = outcome.type === 'refused' ? outcome.refusal : outcome.answer.error;
+    const { database, targetLatencyMs } = route;
+    const end = { id, database, service: service.name, targetLatencyMs, trace };
+    this.options.requests.requestEnded({ ...end, code: error?.code, text: error?.text ?? '' });
+  }
+
   #maxEntries(): number {
     return this.#route()?.tenant.policy.maxSessionEntries ?? 0;
   }
@@ -369,11 +394,7 @@
     return this.#database === undefined ? undefined : this.options.routes.find(this.#database);
   }
 
-  #request({
-    route,
-    service,
-    tenant,
-  }: FoundRoute): Pick<StatementRequest, 'session' | 'beganAt' | 'deadline' | 'tenant'> {
+  #request({ route, service, tenant }: FoundRoute): RequestBase {
     const now = this.options.now();
     const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
     return {
@@ -381,6 +402,7 @@
       tenant,
       beganAt: now,
       deadline: now + route.timeoutMs,
+      trace: new RequestTrace(now, this.options.now),
     };
   }
 
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -5,6 +5,8 @@
 import type { ServiceTerm } from '../core/directory/snapshot.js';
 import { resolveRoutePolicy } from '../core/tenancy/route-template.js';
 import type { Milliseconds } from '../core/units.js';
+import type { Logger } from '../observability/logger.js';
+import { BeliefLog } from './belief-log.js';
 import { CallerServer } from './caller-server.js';
 import type { RouteLookup, SessionCounters } from './caller-session.js';
 import type {
@@ -19,6 +21,7 @@
 import type { PrimaryView } from './promotion/contract.js';
 import type { RelayCounters } from './relay/contract.js';
 import { RelayHost } from './relay/relay-host.js';
+import { NO_REQUEST_LOG, RequestLogger } from './request-log.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
 import { Tenant } from './tenant.js';
@@ -50,6 +53,8 @@
   readonly view: PrimaryView;
   /** False while what the store last told of the instances may be out of date. */
   readonly isStoreWell: () => boolean;
+  /** Takes lines about requests and beliefs; nothing is told without one. */
+  readonly logger?: Logger;
   readonly now: () => Milliseconds;
   readonly random: () => number;
 }
@@ -99,13 +104,14 @@
   #stopping = false;
   #checks: NodeJS.Timeout | undefined;
   readonly #sampler: PositionSampler;
+  readonly #beliefs: BeliefLog | undefined;
   /** Pools whose first connection was asked for. */
   readonly #firstOpened = new WeakSet<InstancePool>();
   readonly #firstConfiguration: Promise<true>;
   #tellFirstConfiguration: () => void = () => {};
 
   constructor(private readonly options: DirectGatewayOptions) {
-    const { wire, view, now, random } = options;
+    const { wire, view, isStoreWell, logger, now, random } = options;
     this.#createdAt = now();
     this.#firstConfiguration = new Promise((resolve) => {
       this.#tellFirstConfiguration = () => resolve(true);
@@ -132,12 +138,14 @@
     this.#relay.onChange = () => {
       for (const service of this.#services.values()) service.setOwners();
     };
+    this.#beliefs = logger && new BeliefLog({ logger, view, isStoreWell, now });
     this.#server = new CallerServer({
       wire,
       runner: this.#runner,
       routes: this,
       now,
       counters: this.counters,
+      requests: logger === undefined ? NO_REQUEST_LOG : new RequestLogger(logger, now),
     });
   }
 
@@ -183,7 +191,9 @@
       this.#shareConnections();
       this.#relay.update(this.options.view.ownerRoster());
       this.#openFirst();
-      this.#sampler.sample(this.#servicesToSample());
+      const toSample = this.#servicesToSample();
+      this.#sampler.sample(toSample);
+      this.#beliefs?.look(this.#services.values(), toSample);
       for (const service of this.#services.values()) service.trim();
     }, CHECK_MS);
   }
--- /dev/null
+++ b/src/direct/request-log.ts
@@ -0,0 +1,69 @@
+/**
+ * Lines about requests: one for each decision about a request that failed or came late, and one line in
+ * all for a sample of the others. The sample follows from the request's id, so that all nodes keep the
+ * lines of the same requests.
+ */
+import type { StatementErrorCode } from '../core/statements/statement.js';
+import type { Milliseconds } from '../core/units.js';
+import { EventLimit } from '../observability/event-limit.js';
+import type { Logger } from '../observability/logger.js';
+import type { RequestTrace } from './request-trace.js';
+
+/** Failed or late requests of each outcome whose decisions are written, in a second. */
+const TOLD_PER_SECOND = 5;
+/** One in so many requests that went well. */
+const SAMPLE_OF = 1024;
+
+/** How a request ended for its caller. */
+export interface RequestEnd {
+  readonly id: string;
+  readonly database: string;
+  readonly service: string;
+  /** Undefined if it succeeded. */
+  readonly code: StatementErrorCode | undefined;
+  readonly text: string;
+  readonly targetLatencyMs: Milliseconds;
+  readonly trace: RequestTrace;
+}
+
+/** Takes the end of each request. */
+export interface RequestLog {
+  requestEnded(end: RequestEnd): void;
+}
+
+/** Says nothing, as where nobody reads it. */
+export const NO_REQUEST_LOG: RequestLog = { requestEnded: () => {} };
+
+/** Writes lines with a logger. */
+export class RequestLogger implements RequestLog {
+  readonly #limit = new EventLimit(TOLD_PER_SECOND);
+
+  constructor(
+    private readonly logger: Logger,
+    private readonly now: () => Milliseconds,
+  ) {}
+
+  requestEnded(end: RequestEnd): void {
+    const tookMs = Math.round(this.now() - end.trace.beganAt);
+    const outcome = end.code ?? (tookMs > end.targetLatencyMs ? 'late' : 'done');
+    if (outcome === 'done' && !isSampled(end.id)) return;
+    const { isAdmitted, leftOut } = this.#limit.admit(outcome, this.now());
+    if (!isAdmitted) return;
+    if (outcome !== 'done') this.#tellSteps(end);
+    const { id, database, service, text, trace } = end;
+    this.logger.info('request ended', {
+      ...{ request: id, database, service, outcome, text: text || undefined, tookMs },
+      stepsLeftOut: trace.leftOut || undefined,
+      alikeLeftOut: leftOut || undefined,
+    });
+  }
+
+  #tellSteps({ id, trace }: RequestEnd): void {
+    for (const step of trace.steps) this.logger.info('request decided', { request: id, ...step });
+  }
+}
+
+/** The ids are random text: the end of one decides as well as any hash. */
+function isSampled(id: string): boolean {
+  return Number.parseInt(id.slice(-6), 36) % SAMPLE_OF === 0;
+}
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -21,10 +21,10 @@
 import type { AcquireError, ConnectionRequest } from './instance-pool.js';
 import type { PrimaryUse, PrimaryView } from './promotion/contract.js';
 import type { ConnectionLessor } from './relay/contract.js';
+import type { RequestTrace } from './request-trace.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import { synchronise } from './synchronise.js';
 import { type Placement, type Target, TargetChooser } from './target-chooser.js';
-import type { Tenant } from './tenant.js';
 import type { TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
 import { firstWithin, pause } from './within.js';
@@ -76,7 +76,11 @@
 type ExchangeResult = Result<StatementAnswer, InstanceConnectionLostError>;
 
 type Attempt =
-  | { readonly type: 'answered'; readonly answer: StatementAnswer }
+  | {
+      readonly type: 'answered';
+      readonly answer: StatementAnswer;
+      readonly instance: InstanceRuntime;
+    }
   /** Nothing of it ran; whether it got as far as the instance. */
   | {
       readonly type: 'not-run';
@@ -92,7 +96,7 @@
       readonly isReached: false;
     }
   /** It may have run. */
-  | { readonly type: 'unknown'; readonly instance: InstanceRuntime };
+  | { readonly type: 'unknown'; readonly instance: InstanceRuntime; readonly fault: string };
 
 /** An exchange that had no answer. */
 export interface LostAnswer {
@@ -137,11 +141,34 @@
   return { type: 'not-run', refusal: { code: 'busy', text }, instance, isReached: false };
 }
 
+/** Why there was no answer: none in time, or whose connection ended. */
+export function faultOf(answer: ExchangeResult | undefined): string {
+  return answer?.isErr() ? answer.error.fault : 'silence';
+}
+
+function noteAttempt(trace: RequestTrace | undefined, attempt: Attempt): void {
+  const instance = attempt.instance.id;
+  if (attempt.type === 'answered') {
+    trace?.note({ step: 'answered', instance, code: attempt.answer.error?.code });
+  } else if (attempt.type === 'unknown') {
+    trace?.note({ step: 'unanswered', instance, fault: attempt.fault });
+  } else {
+    trace?.note({ step: 'not-sent', instance, reason: attempt.refusal.text });
+  }
+}
+
 /** Attempts after the first are counted against the tenant's budget. */
-export function mayAttemptAgain(tenant: Tenant, attempts: number): boolean {
-  if (attempts > 0) return tenant.mayRetry();
-  tenant.noteFirstAttempt();
-  return true;
+export function mayAttemptAgain(
+  { tenant, trace }: Pick<StatementRequest, 'tenant' | 'trace'>,
+  attempts: number,
+): boolean {
+  if (attempts === 0) {
+    tenant.noteFirstAttempt();
+    return true;
+  }
+  const mayRetry = tenant.mayRetry();
+  if (!mayRetry) trace?.note({ step: 'budget-spent', attempts });
+  return mayRetry;
 }
 
 export class StatementRunner {
@@ -175,11 +202,14 @@
   async confirmWrite(
     service: ServiceRuntime,
     outcome: StatementOutcome,
+    trace?: RequestTrace,
   ): Promise<StatementOutcome> {
     const { view, prover, now } = this.options;
     const isDone = outcome.type === 'answered' && outcome.answer.error === undefined;
     if (!isDone || view.mayTrustPrimary(service.name, now())) return outcome;
-    if ((await prover.examine(service)) !== 'deposed') return outcome;
+    const verdict = await prover.examine(service);
+    trace?.note({ step: 'commit-confirmed', verdict });
+    if (verdict !== 'deposed') return outcome;
     return refuse('in-doubt', 'the primary was replaced meanwhile');
   }
 
@@ -190,12 +220,14 @@
     while (now() < request.deadline) {
       const target = this.targets.choose(request, new Set());
       if (target !== undefined) {
-        if (!mayAttemptAgain(request.tenant, attempts)) break;
+        if (!mayAttemptAgain(request, attempts)) break;
         attempts += 1;
         const endWrite = request.service.beginWrite();
         const attempt = await this.#attempt(request, target);
         endWrite();
-        if (attempt.type === 'answered') return this.confirmWrite(request.service, attempt);
+        if (attempt.type === 'answered') {
+          return this.confirmWrite(request.service, attempt, request.trace);
+        }
         if (attempt.type === 'unknown') return refuse('in-doubt', 'no answer to a write');
         refusal = attempt.refusal;
         if (attempt.type === 'over-limit') break;
@@ -237,7 +269,7 @@
         continue;
       }
       if (target !== undefined && this.#mayAttempt(target, excluded, running.size, lastSentAt)) {
-        const mayAttempt = mayAttemptAgain(request.tenant, attempts);
+        const mayAttempt = mayAttemptAgain(request, attempts);
         if (!mayAttempt && running.size === 0) break;
         if (mayAttempt) {
           attempts += 1;
@@ -299,25 +331,36 @@
     const { instance } = chosen;
     instance.pool.outstanding += 1;
     try {
-      const { lessor } = instance.pool;
-      if (lessor !== undefined && request.access === 'read') {
-        return await this.#readThroughOwner(request, chosen, lessor, settled);
-      }
-      const acquired = await instance.pool.acquire(connectionRequestOf(request));
-      if (acquired.isErr()) {
-        this.noteUnreachable(request, instance, acquired.error);
-        return this.#notReached(instance, acquired.error);
-      }
-      if (settled?.aborted === true) {
-        instance.pool.release(acquired.value);
-        return notSent(instance, 'answered elsewhere');
-      }
-      return await this.#send(request, chosen, acquired.value);
+      const attempt = await this.#tryAt(request, chosen, settled);
+      if (settled?.aborted !== true) noteAttempt(request.trace, attempt);
+      return attempt;
     } finally {
       instance.pool.outstanding -= 1;
     }
   }
 
+  async #tryAt(
+    request: StatementRequest,
+    chosen: Target,
+    settled: AbortSignal | undefined,
+  ): Promise<Attempt> {
+    const { instance } = chosen;
+    const { lessor } = instance.pool;
+    if (lessor !== undefined && request.access === 'read') {
+      return this.#readThroughOwner(request, chosen, lessor, settled);
+    }
+    const acquired = await instance.pool.acquire(connectionRequestOf(request));
+    if (acquired.isErr()) {
+      this.noteUnreachable(request, instance, acquired.error);
+      return this.#notReached(instance, acquired.error);
+    }
+    if (settled?.aborted === true) {
+      instance.pool.release(acquired.value);
+      return notSent(instance, 'answered elsewhere');
+    }
+    return this.#send(request, chosen, acquired.value);
+  }
+
   /**
    * The owner sends the read as it is: the position that it needs, and that the primary leads, were
    * checked after its first byte had come, and hold for it however long it waits there.
@@ -330,6 +373,7 @@
   ): Promise<Attempt> {
     const sentAt = this.options.now();
     const read = { prepared: request.prepared, message: request.encode(after), settled };
+    request.trace?.note({ step: 'sent', instance: instance.id, through: 'owner' });
     const exchange = lessor.read({ ...connectionRequestOf(request), ...read });
     request.session.underWay.add(exchange);
     const answer = await exchange;
@@ -337,7 +381,7 @@
     if (answer.isOk()) return this.#judge(request, instance, answer.value, sentAt);
     if (answer.error instanceof InstanceConnectionLostError) {
       this.noteFailure(request, instance);
-      return { type: 'unknown', instance };
+      return { type: 'unknown', instance, fault: answer.error.fault };
     }
     this.noteUnreachable(request, instance, answer.error);
     return this.#notReached(instance, answer.error);
@@ -367,6 +411,8 @@
     synchronise(connection, request.session.values, request.prepared, wire);
     const exchange = connection.exchange(request.encode(target.after));
     connection.uncork();
+    const through = connection.giveBack === undefined ? 'own' : 'owner';
+    request.trace?.note({ step: 'sent', instance: instance.id, through });
     request.session.underWay.add(exchange);
     const endWatch = instance.pool.watchAnswer(request.access);
     // A lost answer must not keep its connection from others; a write's may come late, and counts.
@@ -380,7 +426,7 @@
     if (answer === undefined || answer.isErr()) {
       const use = silentWrite ? 'commit' : 'reach';
       this.noteNoAnswer({ request, instance, connection, answer, sentAt }, use, silentForMs);
-      return { type: 'unknown', instance };
+      return { type: 'unknown', instance, fault: faultOf(answer) };
     }
     // Before it is given back: a leased connection tells its owner then what stands on it.
     if (answer.value.error?.code === 'unprepared') connection.preparedNames.clear();
@@ -400,14 +446,16 @@
       instance.pool.noteAnswer(now() - sentAt);
       request.service.noteAnswer(instance, sentAt, answer.position);
       if (instance.primary) this.noteSuccess(request.service, request.access);
-      return { type: 'answered', answer };
+      return { type: 'answered', answer, instance };
     }
     const { code, text } = answer.error;
     if (isNotRun(code)) {
       return { type: 'not-run', refusal: { code, text }, instance, isReached: true };
     }
-    if (request.access === 'read' && code !== 'malformed') return { type: 'unknown', instance };
-    return { type: 'answered', answer };
+    if (request.access === 'read' && code !== 'malformed') {
+      return { type: 'unknown', instance, fault: code };
+    }
+    return { type: 'answered', answer, instance };
   }
 
   /**
--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { RouteDescription } from './contract.js';
 import type { PrimaryView } from './promotion/contract.js';
+import type { RequestTrace } from './request-trace.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import type { StatementsUnderWay } from './statements-under-way.js';
 import type { Tenant } from './tenant.js';
@@ -33,6 +34,8 @@
   readonly beganAt: Milliseconds;
   /** A transaction that may write also reads, so that it must not begin at a deposed primary. */
   readonly isTransaction?: boolean;
+  /** Takes what is decided about it. */
+  readonly trace?: RequestTrace;
 }
 
 /** Where a statement goes and what position it needs there. */
@@ -52,6 +55,29 @@
 
   /** The instance for a new statement or transaction, or none for now. */
   choose(placement: Placement, excluded: ReadonlySet<string>): Target | undefined {
+    const target = this.#choose(placement, excluded);
+    this.#note(placement, target);
+    return target;
+  }
+
+  #note({ service, trace }: Placement, target: Target | undefined): void {
+    if (trace === undefined) return;
+    const { view, now } = this.options;
+    const isTrusted = view.mayTrustPrimary(service.name, now());
+    const primary = view.primaryOf(service.name)?.id;
+    if (target === undefined) {
+      const isChanging = view.isChanging(service.name);
+      trace.note({ step: 'no-instance', primary, isTrusted, isChanging });
+      return;
+    }
+    const sampledAt = service.samples.newestAt();
+    const sampleAgeMs = sampledAt === undefined ? undefined : Math.round(now() - sampledAt);
+    const { instance, after } = target;
+    const isPrimary = instance.id === primary;
+    trace.note({ step: 'chosen', instance: instance.id, isPrimary, isTrusted, after, sampleAgeMs });
+  }
+
+  #choose(placement: Placement, excluded: ReadonlySet<string>): Target | undefined {
     const now = this.options.now();
     const required = requiredPosition(placement, now);
     if (needsPrimary(placement, required)) return this.#primaryTarget(placement, required, now);
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -11,6 +11,7 @@
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import {
   connectionRequestOf,
+  faultOf,
   mayAttemptAgain,
   type Refusal,
   refusalOf,
@@ -98,6 +99,7 @@
     const { now } = this.runner.options;
     const sentAt = now();
     const endWrite = this.service.beginWrite();
+    request.trace?.note({ step: 'sent', instance: instance.id, through: throughOf(connection) });
     const exchange = connection.exchange(request.encode(undefined));
     // Whatever became of the commit of a transaction that wrote nothing, it may be repeated.
     const deadline = this.#wrote
@@ -112,6 +114,8 @@
     if (answer === undefined || answer.isErr()) {
       const lost = { request: this, instance, connection, answer, sentAt };
       this.runner.noteNoAnswer(lost, silent ? 'commit' : 'reach', silentForMs);
+      const fault = faultOf(answer);
+      request.trace?.note({ step: 'unanswered', instance: instance.id, fault });
       // Without a write, nothing is kept whatever became of the commit.
       return this.#wrote
         ? refuse('in-doubt', 'no answer to a commit')
@@ -123,8 +127,11 @@
       this.service.noteAnswer(instance, sentAt, answer.value.position);
       if (instance.primary) this.runner.noteSuccess(this.service, this.#wrote ? 'write' : 'read');
     }
+    const { error } = answer.value;
+    request.trace?.note({ step: 'answered', instance: instance.id, code: error?.code });
     const outcome = { type: 'answered' as const, answer: answer.value };
-    return this.#wrote ? this.runner.confirmWrite(this.service, outcome) : outcome;
+    if (!this.#wrote) return outcome;
+    return this.runner.confirmWrite(this.service, outcome, request.trace);
   }
 
   get wrote(): boolean {
@@ -179,12 +186,20 @@
       synchronise(connection, request.session.values, request.prepared, wire);
       const exchange = connection.exchange(request.encode(undefined));
       connection.uncork();
+      request.trace?.note({ step: 'sent', instance: instance.id, through: throughOf(connection) });
       // Nothing of an open transaction is kept once its connection is closed: the caller may repeat it.
       const patienceMs = Math.min(request.deadline - now(), instance.pool.patienceMs);
       const endWatch = instance.pool.watchAnswer('read');
       const answer = await firstWithin([exchange], patienceMs);
       const silentForMs = instance.pool.silentForMs('read');
       endWatch(answer?.isOk() === true);
+      if (answer?.isOk()) {
+        const { error } = answer.value;
+        request.trace?.note({ step: 'answered', instance: instance.id, code: error?.code });
+      } else {
+        const fault = faultOf(answer);
+        request.trace?.note({ step: 'unanswered', instance: instance.id, fault });
+      }
       if (answer === undefined) {
         this.#mayRunLate = connection.mayRunLate;
         connection.close();
@@ -214,7 +229,7 @@
     const { now } = this.runner.options;
     let refusal: Refusal = { code: 'busy', text: 'no instance' };
     let attempts = 0;
-    while (now() < request.deadline && mayAttemptAgain(request.tenant, attempts)) {
+    while (now() < request.deadline && mayAttemptAgain(request, attempts)) {
       const failure = await this.#openOnce(request, excluded);
       if (failure === undefined) return undefined;
       refusal = failure.refusal;
@@ -244,6 +259,8 @@
     const acquired = await instance.pool.acquire(connectionRequestOf(request));
     if (acquired.isErr()) {
       this.runner.noteUnreachable(placement, instance, acquired.error);
+      const reason = acquired.error.code;
+      request.trace?.note({ step: 'not-sent', instance: instance.id, reason });
       const isOverLimit = acquired.error instanceof InstanceQueueFullError;
       return { refusal: refusalOf(acquired.error), instanceId: instance.id, isOverLimit };
     }
@@ -251,7 +268,9 @@
     const target = this.runner.targets.recheck(placement, chosen);
     if (target === undefined) {
       instance.pool.release(connection);
-      return failureToOpen(undefined, 'the primary changed');
+      const reason = 'the primary changed';
+      request.trace?.note({ step: 'not-sent', instance: instance.id, reason });
+      return failureToOpen(undefined, reason);
     }
     const sentAt = now();
     connection.cork();
@@ -266,6 +285,7 @@
       connection.close();
       const lost = { request: placement, instance, connection, answer: begun, sentAt };
       this.runner.noteNoAnswer(lost);
+      request.trace?.note({ step: 'unanswered', instance: instance.id, fault: faultOf(begun) });
       return failureToOpen(instance, 'no answer to BEGIN');
     }
     if (begun.value.error !== undefined || begun.value.state !== 'open') {
@@ -287,6 +307,7 @@
       session: request.session,
       beganAt: request.beganAt,
       isTransaction: true,
+      ...(request.trace === undefined ? {} : { trace: request.trace }),
     };
   }
 
@@ -299,6 +320,10 @@
   }
 }
 
+function throughOf(connection: InstanceConnection): 'own' | 'owner' {
+  return connection.giveBack === undefined ? 'own' : 'owner';
+}
+
 function succeeded(outcome: StatementOutcome): boolean {
   return outcome.type === 'answered' && outcome.answer.error === undefined;
 }
--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -6,6 +6,7 @@
 import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
 import { CallerSession } from '../../../src/direct/caller-session.js';
 import type { RouteDescription } from '../../../src/direct/contract.js';
+import type { RequestEnd } from '../../../src/direct/request-log.js';
 import { ServiceRuntime } from '../../../src/direct/service-runtime.js';
 import { StatementRunner } from '../../../src/direct/statement-runner.js';
 import { Tenant } from '../../../src/direct/tenant.js';
@@ -73,6 +74,7 @@
     confirmPrimary: async () => false,
   });
   const lines: string[] = [];
+  const ends: RequestEnd[] = [];
   const ended: true[] = [];
   const session = new CallerSession({
     wire: lineWire,
@@ -84,6 +86,7 @@
     },
     now,
     counters: { statements: 0, refused: 0, failed: 0, transactionsIdled: 0 },
+    requests: { requestEnded: (end) => ends.push(end) },
     write: (text) => lines.push(...text.split('\r\n').filter((line) => line !== '')),
     end: () => ended.push(true),
   });
@@ -93,7 +96,7 @@
       session.onRest = resolve;
       session.receive(lineWire.decodeCallerMessage(line));
     });
-  return { session, lines, ended, send };
+  return { session, lines, ends, ended, send };
 }
 
 test('values and prepared statements are answered without any instance', async () => {
--- /dev/null
+++ b/test/unit/direct/request-log.test.ts
@@ -0,0 +1,97 @@
+/** Which requests are told in the log, and what is told of them. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { BeliefLog } from '../../../src/direct/belief-log.js';
+import type { PrimaryView } from '../../../src/direct/promotion/contract.js';
+import { type RequestEnd, RequestLogger } from '../../../src/direct/request-log.js';
+import { RequestTrace } from '../../../src/direct/request-trace.js';
+import { createLogger } from '../../../src/observability/logger.js';
+
+const TARGET_MS = 100;
+/** Ends in zeros, so that it belongs to the sample. */
+const SAMPLED = '5c0e7a21d9000000';
+const OTHER = '5c0e7a21d9000001';
+
+function situation() {
+  let time = 0;
+  const lines: Record<string, unknown>[] = [];
+  const write = (line: string): void => void lines.push(JSON.parse(line));
+  const logger = createLogger({ format: 'json', level: 'info', write });
+  const now = (): number => time;
+  const log = new RequestLogger(logger, now);
+  const end = (id: string, tookMs: number, code?: RequestEnd['code']): void => {
+    const trace = new RequestTrace(time, now);
+    trace.note({ step: 'sent', instance: 'i-1', through: 'own' });
+    time += tookMs;
+    const route = { database: 'd', service: 's', targetLatencyMs: TARGET_MS };
+    log.requestEnded({ id, ...route, code, text: '', trace });
+  };
+  const advance = (ms: number): void => {
+    time += ms;
+  };
+  return { lines, logger, now, end, advance };
+}
+
+test('requests that went well are told for a sample of ids, in one line', () => {
+  const { lines, end } = situation();
+  end(SAMPLED, 5);
+  end(OTHER, 5);
+  assert.equal(
+    lines.map(({ event, request, outcome }) => `${event} ${request} ${outcome}`),
+    [`request ended ${SAMPLED} done`],
+  );
+});
+
+test('those that failed or came late are told with each decision', () => {
+  const { lines, end } = situation();
+  end(OTHER, 5, 'in-doubt');
+  end(OTHER, TARGET_MS + 1);
+  assert.equal(
+    lines.map(({ event, step, outcome }) => `${event} ${step ?? outcome}`),
+    [
+      ...['request decided sent', 'request ended in-doubt'],
+      ...['request decided sent', 'request ended late'],
+    ],
+  );
+});
+
+test('a flood of failures is told in part, and what was left out is counted', () => {
+  const { lines, end, advance } = situation();
+  for (let number = 0; number < 100; number += 1) end(OTHER, 0, 'busy');
+  const told = lines.filter(({ event }) => event === 'request ended').length;
+  assert.ok(told > 0 && told < 20);
+  advance(1000);
+  end(OTHER, 0, 'busy');
+  assert.is(lines.at(-1)?.alikeLeftOut, 100 - told);
+});
+
+test('a request with very many decisions keeps the first of them and says so', () => {
+  const trace = new RequestTrace(0, () => 0);
+  for (let number = 0; number < 100; number += 1) trace.note({ step: 'budget-spent', attempts: 1 });
+  assert.is(trace.steps.length + trace.leftOut, 100);
+  assert.ok(trace.leftOut > 0);
+});
+
+test('each change of a belief is told once, with what was believed before and for how long', () => {
+  const { lines, logger, now, advance } = situation();
+  let primary = 'i-1';
+  const view = {
+    ...{ watchesPrimaries: false, ownerRoster: () => undefined, isChanging: () => false },
+    ...{ primaryOf: () => ({ id: primary }), mayTrustPrimary: () => true },
+  } as unknown as PrimaryView;
+  const beliefs = new BeliefLog({ logger, view, isStoreWell: () => true, now });
+  const service = { name: 's', samples: { newestAt: () => now() } };
+  const look = (): void => beliefs.look([service], new Set([service]));
+  look();
+  const first = lines.length;
+  look();
+  assert.is(lines.length, first);
+  advance(300);
+  primary = 'i-2';
+  look();
+  assert.is(lines.length, first + 1);
+  const { belief, now: held, before, beforeForMs } = lines.at(-1) ?? {};
+  assert.equal([belief, held, before, beforeForMs], ['primary', 'i-2', 'i-1', 300]);
+});
+
+test.run();
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -2,7 +2,10 @@
 import * as assert from 'uvu/assert';
 import { parseSettings, readSettings } from '../../../platform/settings.js';
 
-const BOUNDS = { grace_period_s: 6, drain_timeout_ms: 7000, config_apply_ms: 3000, more: true };
+const BOUNDS = {
+  ...{ grace_period_s: 6, drain_timeout_ms: 7000, contact_timeout_ms: 4000 },
+  ...{ config_apply_ms: 3000, more: true },
+};
 const SETTINGS = {
   node_name: 'frontend-1',
   zone: 'zone-a',
@@ -37,6 +40,7 @@
     isFirstStart: false,
     gracePeriodMs: 6000,
     drainTimeoutMs: 7000,
+    contactTimeoutMs: 4000,
   });
 });
 
--- a/test/unit/platform/watch-waits.test.ts
+++ b/test/unit/platform/watch-waits.test.ts
@@ -2,22 +2,37 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { CONFIGURATION_KEY, INSTANCE_KEY_PREFIX } from '../../../platform/documents.js';
-import { WATCH_SLACK_MS, watchWaitMs } from '../../../platform/watch-waits.js';
+import { WATCH_SLACK_MS, type WatchBounds, watchWaitMs } from '../../../platform/watch-waits.js';
 
 /** From when on a machine counts again after a disturbance of its path or of the store. */
 const CONTACT_MS = 4000;
 const DRAIN_MS = 7000;
 /** For a second poll that is lost too, at half the wait, and its answer. */
 const SPARE_MS = 1500;
+const BOUNDS: WatchBounds = { contactTimeoutMs: CONTACT_MS, drainTimeoutMs: DRAIN_MS };
 
 test('a configuration is known once a machine counts again, though two polls were swallowed', () => {
-  const firstMs = watchWaitMs(CONFIGURATION_KEY) + WATCH_SLACK_MS;
+  const firstMs = watchWaitMs(CONFIGURATION_KEY, BOUNDS) + WATCH_SLACK_MS;
   assert.ok(firstMs + SPARE_MS <= CONTACT_MS);
 });
 
 test('a leaving instance is known of within the time that it may still be used', () => {
-  const firstMs = watchWaitMs(INSTANCE_KEY_PREFIX) + WATCH_SLACK_MS;
+  const firstMs = watchWaitMs(INSTANCE_KEY_PREFIX, BOUNDS) + WATCH_SLACK_MS;
   assert.ok(firstMs + SPARE_MS <= DRAIN_MS);
 });
 
+test('the waits follow the bounds of the deployment, longer and shorter ones', () => {
+  for (const factor of [0.5, 1.25, 2]) {
+    const bounds = { contactTimeoutMs: CONTACT_MS * factor, drainTimeoutMs: DRAIN_MS * factor };
+    for (const [prefix, boundMs] of [
+      [CONFIGURATION_KEY, bounds.contactTimeoutMs],
+      [INSTANCE_KEY_PREFIX, bounds.drainTimeoutMs],
+    ] as const) {
+      const firstMs = watchWaitMs(prefix, bounds) + WATCH_SLACK_MS;
+      assert.ok(firstMs < boundMs, `${prefix} at ${factor}`);
+      assert.ok(firstMs >= boundMs * 0.4, `${prefix} at ${factor}: each poll has its price`);
+    }
+  }
+});
+
 test.run();
