--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -291,7 +291,7 @@
     this.#state = 'idle';
     this.#idledOut = false;
     if (failed || transaction === undefined) {
-      this.#refuse('aborted', 'the transaction was rolled back');
+      this.#refuseEnded(message);
       return;
     }
     const { wire } = this.options;
@@ -307,6 +307,17 @@
     this.#answer(outcome);
   }
 
+  /** The transaction failed before; its own request told why. */
+  #refuseEnded(message: StatementMessage): void {
+    const refusal = { code: 'aborted', text: 'the transaction was rolled back' } as const;
+    const found = this.#route();
+    if (found !== undefined) {
+      const { trace } = this.#request(found);
+      this.#tellEnd(message, found, trace, { type: 'refused', refusal });
+    }
+    this.#refuse(refusal.code, refusal.text);
+  }
+
   #rollback(): void {
     if (this.#state === 'idle') {
       this.#refuse('malformed', 'no transaction is open');
--- a/src/direct/request-log.ts
+++ b/src/direct/request-log.ts
@@ -10,7 +10,7 @@
 import type { RequestTrace } from './request-trace.js';
 
 /** Failed or late requests of each outcome whose decisions are written, in a second. */
-const TOLD_PER_SECOND = 5;
+const TOLD_PER_SECOND = 20;
 /** One in so many requests that went well. */
 const SAMPLE_OF = 1024;
 
