Direct gateway: who waits for a primary is told when it is replaced; another look after a change; new owners take half at first

Cause, found with `explain` on a run of our own (two gateways, dark primary): request s4055 waited 1,940 ms in the queue of the old primary though the change was done after 829 ms (nothing told those who wait there), and s12211 was refused 18 ms after its primary's change had ended (the look after the pause saw no change under way any more). Ruled out: load (0.10 cores a node at most).

--- a/src/core/ownership/connection-sharing.ts
+++ b/src/core/ownership/connection-sharing.ts
@@ -12,8 +12,12 @@
 export const RESERVED_CONNECTIONS = 4;
 /** Each instance has at least so many owners, so that one may be lost. */
 const MINIMUM_OWNERS = 2;
-/** One more owner of each instance for so many nodes: their statements pass through the owners. */
-const NODES_PER_OWNER = 100;
+/**
+ * One more owner of each instance for so many nodes: their statements pass through the owners, and more
+ * of them are lost at once. With two and a spare one, half of 67 nodes without power took all three of
+ * one instance in seven with them.
+ */
+const NODES_PER_OWNER = 50;
 /** With fewer connections an owner queues statements that the instance could run. */
 const MINIMUM_OWNER_CONNECTIONS = 4;
 /**
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -135,6 +135,7 @@
       counters: this.counters,
       now,
     });
+    view.onChange = (service) => this.#services.get(service)?.notePrimaryChange();
     this.#relay.onChange = () => {
       for (const service of this.#services.values()) service.setOwners();
     };
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -9,6 +9,7 @@
 import { StallDetector } from '../core/statements/stall.js';
 import { type ConnectionPolicy, connectionAllowance } from '../core/tenancy/allowance.js';
 import type { Milliseconds } from '../core/units.js';
+import { type Cancellation, isAnyCancelled, listenToAll } from './cancellation.js';
 import type { InstanceEntry } from './contract.js';
 import {
   InstanceConnectError,
@@ -59,6 +60,8 @@
   /** Session values that the connection should have already, if one has them. */
   readonly values: ReadonlyMap<string, string>;
   readonly deadline: Milliseconds;
+  /** Each ends the waiting: the statement was answered elsewhere, or belongs elsewhere now. */
+  readonly cancelledBy: readonly Cancellation[];
 }
 
 interface Waiter extends ConnectionRequest, QueuedRequest {
@@ -78,7 +81,8 @@
 
 /** A request for a question of the node's own, which goes before those of callers. */
 export function ownRequest(deadline: Milliseconds): ConnectionRequest {
-  return { tenant: OWN_TENANT, priority: 0, policy: OWN_POLICY, values: NO_VALUES, deadline };
+  const own = { tenant: OWN_TENANT, priority: 0, policy: OWN_POLICY, values: NO_VALUES };
+  return { ...own, deadline, cancelledBy: [] };
 }
 
 /** A tenant that asked so lately is one of those that share the instance. */
@@ -152,6 +156,11 @@
     return this.#all.size + this.#opening;
   }
 
+  /** The most connections that this node may open. */
+  get limit(): number {
+    return this.#limit;
+  }
+
   /** Connections that other nodes lend now. */
   get leasedCount(): number {
     return this.#leased.size;
@@ -245,6 +254,9 @@
   acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>> {
     if (this.#lessor !== undefined) return this.#lease(this.#lessor, request);
     const { tenant, policy } = request;
+    if (isAnyCancelled(request.cancelledBy)) {
+      return Promise.resolve(err(this.#noneFree()));
+    }
     this.#asked.set(tenant, { at: this.options.now(), policy });
     const idle = this.#mayHoldMore(tenant) ? this.#takeIdle(request.values) : undefined;
     if (idle !== undefined) {
@@ -253,10 +265,17 @@
     }
     return new Promise((settle) => {
       const bounds = { weight: policy.queueWeight, maxWaiting: policy.maxWaiting };
-      const waiter: Waiter = { ...request, ...bounds, settle, timer: undefined };
+      const stopListening = listenToAll(request.cancelledBy, () => this.#expire(waiter));
+      const settleOnce = (connection: Result<InstanceConnection, AcquireError>): void => {
+        stopListening();
+        settle(connection);
+      };
+      const waiter: Waiter = { ...request, ...bounds, settle: settleOnce, timer: undefined };
       if (!this.#waiters.push(waiter)) {
         this.options.counters.queueRefusals += 1;
-        settle(err(new InstanceQueueFullError(`${this.instance.id}: too many of ${tenant} wait`)));
+        settleOnce(
+          err(new InstanceQueueFullError(`${this.instance.id}: too many of ${tenant} wait`)),
+        );
         return;
       }
       const waitMs = Math.max(0, request.deadline - this.options.now());
@@ -396,8 +415,13 @@
 
   #expire(waiter: Waiter): void {
     if (!this.#waiters.remove(waiter)) return;
+    clearTimeout(waiter.timer);
     this.options.counters.waitTimeouts += 1;
-    waiter.settle(err(new InstanceWaitTimeoutError(`${this.instance.id}: no connection was free`)));
+    waiter.settle(err(this.#noneFree()));
+  }
+
+  #noneFree(): InstanceWaitTimeoutError {
+    return new InstanceWaitTimeoutError(`${this.instance.id}: no connection was free`);
   }
 
   #failWaiters(error: InstanceConnectError): void {
--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -110,8 +110,6 @@
   readonly prepared: PreparedStatement | undefined;
   /** The statement for the instance, with the position that it must have. */
   readonly message: string;
-  /** Aborted once nobody wants the answer any more. */
-  readonly settled: AbortSignal | undefined;
 }
 
 /** Why an owner gave no answer to a read; only after a lost connection it may have run. */
--- a/src/direct/relay/lease-server.ts
+++ b/src/direct/relay/lease-server.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerHandlers, PeerStream, WireValue } from '../../peer/contract.js';
+import { Cancellation } from '../cancellation.js';
 import { InstanceConnectError, InstanceQueueFullError } from '../errors.js';
 import type { AcquireError } from '../instance-pool.js';
 import type { StatementWire } from '../wire.js';
@@ -95,13 +96,10 @@
     instance: LendableInstance,
     stream: PeerStream,
   ): Promise<void> {
-    let isGone = false;
-    const leave = (): void => {
-      isGone = true;
-    };
-    stream.onClose = leave;
+    const givenUp = new Cancellation();
+    stream.onClose = () => givenUp.cancel();
     stream.onMessage = () => {
-      leave();
+      givenUp.cancel();
       stream.end();
     };
     const tellQueued = setTimeout(() => stream.send({ type: 'queued' }), QUEUED_AFTER_MS);
@@ -111,6 +109,7 @@
       ...{ tenant: request.tenant, priority: request.priority, policy: request.policy },
       values: new Map(request.values),
       deadline: this.options.now() + request.waitMs,
+      cancelledBy: [givenUp],
     });
     this.#waiting -= 1;
     if (request.type === 'lease' || acquired.isErr()) clearTimeout(tellQueued);
@@ -118,7 +117,7 @@
       refuse(stream, refusalFor(acquired.error));
       return;
     }
-    if (isGone) {
+    if (givenUp.isCancelled) {
       clearTimeout(tellQueued);
       pool.release(acquired.value);
       return;
--- a/src/direct/relay/owner-lessor.ts
+++ b/src/direct/relay/owner-lessor.ts
@@ -9,6 +9,7 @@
 import type { StatementAnswer } from '../../core/statements/statement.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerStream, PeerTransport } from '../../peer/contract.js';
+import { isAnyCancelled, listenToAll } from '../cancellation.js';
 import type { InstanceEntry } from '../contract.js';
 import {
   InstanceConnectError,
@@ -92,13 +93,22 @@
     },
   };
 
+  /** What the instance was sent already is waited for: it runs with the session's values. */
+  readonly #cancellers: Readonly<
+    Record<StreamRequest['type'], (stream: PeerStream, giveUp: () => void) => void>
+  > = {
+    lease: (_stream, giveUp) => giveUp(),
+    read: (stream) => stream.send(CANCEL_READ),
+  };
+
   constructor(private readonly options: OwnerLessorOptions) {}
 
   async acquire(request: ConnectionRequest): Promise<Result<InstanceConnection, AcquireError>> {
     const { counters } = this.options;
     const asked = await this.#askInTurn(request, (owner, waitMs) => {
       counters.leasesAsked += 1;
-      return this.#open(owner, { type: 'lease', ...this.#headerOf(request, waitMs) }, waitMs);
+      const header = this.#headerOf(request, waitMs);
+      return this.#open(owner, { type: 'lease', ...header }, request, waitMs);
     });
     if (asked.isErr()) return err(asked.error);
     if (asked.value.type === 'granted') return ok(asked.value.connection);
@@ -107,13 +117,12 @@
 
   async read(read: OwnerRead): Promise<Result<StatementAnswer, OwnerReadError>> {
     const { counters, instance } = this.options;
-    const { prepared, message, settled } = read;
-    const ask = (owner: ReachableNode, waitMs: Milliseconds): Promise<StreamOutcome> => {
+    const { prepared, message } = read;
+    const asked = await this.#askInTurn(read, (owner, waitMs) => {
       counters.readsAsked += 1;
       const header = this.#headerOf(read, waitMs);
-      return this.#open(owner, { type: 'read', ...header, prepared, message }, waitMs, settled);
-    };
-    const asked = await this.#askInTurn(read, ask, () => settled?.aborted === true);
+      return this.#open(owner, { type: 'read', ...header, prepared, message }, read, waitMs);
+    });
     if (asked.isErr()) return err(asked.error);
     if (asked.value.type === 'answered') return ok(asked.value.answer);
     return err(new InstanceConnectionLostError(`${instance.id}: no answer through its owner`));
@@ -123,15 +132,14 @@
   async #askInTurn(
     request: ConnectionRequest,
     ask: (owner: ReachableNode, waitMs: Milliseconds) => Promise<StreamOutcome>,
-    isSettled: () => boolean = () => false,
   ): Promise<Result<Exclude<StreamOutcome, Unserved>, AcquireError>> {
     const { instance, health, counters, now } = this.options;
     for (const owner of this.#inOrder()) {
       const waitMs = request.deadline - now();
-      if (waitMs <= 0 || isSettled()) break;
+      if (waitMs <= 0 || isAnyCancelled(request.cancelledBy)) break;
       const outcome = await ask(owner, waitMs);
       if (outcome.type !== 'refused' && outcome.type !== 'no-answer') return ok(outcome);
-      if (isSettled()) break;
+      if (isAnyCancelled(request.cancelledBy)) break;
       counters.leasesRefused += 1;
       const error = outcome.type === 'refused' && finalError(instance.id, outcome.refusal);
       if (error) return err(error);
@@ -176,25 +184,25 @@
   #open(
     owner: ReachableNode,
     header: StreamRequest,
+    { cancelledBy }: ConnectionRequest,
     waitMs: Milliseconds,
-    settled?: AbortSignal,
   ): Promise<StreamOutcome> {
     const { transport, health } = this.options;
     const stream = transport.openStream(owner, header);
     return new Promise((resolve) => {
       const settle = (outcome: StreamOutcome): void => {
         clearTimeout(timer);
-        settled?.removeEventListener('abort', cancel);
+        stopListening();
         resolve(outcome);
       };
       const giveUp = (): void => {
         stream.abort('given up');
         settle({ type: 'no-answer' });
       };
-      // What the instance has been sent already is waited for: it runs with the session's values.
-      const cancel = (): void => stream.send(CANCEL_READ);
       let timer = setTimeout(giveUp, Math.min(SILENCE_MS, waitMs));
-      settled?.addEventListener('abort', cancel);
+      const stopListening = listenToAll(cancelledBy, () =>
+        this.#cancellers[header.type](stream, giveUp),
+      );
       stream.onClose = () => settle({ type: 'no-answer' });
       stream.onMessage = (message) => {
         health.noteHeard(owner.nodeId);
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -6,6 +6,7 @@
 import { PositionSamples } from '../core/statements/position-samples.js';
 import type { KnownPrimary } from '../core/statements/primary-evidence.js';
 import type { Milliseconds } from '../core/units.js';
+import { Cancellation } from './cancellation.js';
 import type { InstanceEntry } from './contract.js';
 import type { DirectorySource } from './directory-follower.js';
 import { InstancePool, type InstancePoolOptions } from './instance-pool.js';
@@ -26,6 +27,13 @@
  */
 const UNCONFIRMED_GRACE_MS = 2500;
 
+/**
+ * An instance drops a connection whose far end is dark after 3 s. Until then the connections of owners
+ * that lost power count beside those of the owners after them, which take half of their share at first.
+ */
+const OWNERS_SETTLED_MS = 3500;
+const UNSETTLED_SHARE = 0.5;
+
 export interface ServiceRuntimeOptions {
   readonly zone: string;
   /** Nodes that share the instances' connections at first. */
@@ -60,6 +68,8 @@
   ownership: InstanceOwnership | undefined;
   /** Roster that `ownership` was worked out for. */
   roster: OwnerRoster | undefined;
+  /** Since when this node has been an owner without a break. */
+  ownedSince: Milliseconds = Number.POSITIVE_INFINITY;
 
   constructor(
     readonly id: string,
@@ -103,6 +113,7 @@
   #trustedPrimary: KnownPrimary | undefined;
   #writes = 0;
   readonly #writesEnded: (() => void)[] = [];
+  #changeOfPrimary = new Cancellation();
 
   constructor(
     readonly name: string,
@@ -167,14 +178,20 @@
     const { ownership } = this.options;
     if (state.roster === ownership.roster) return;
     state.roster = ownership.roster;
+    const wasOwned = state.isOwned;
     state.ownership = ownership.ownershipOf(state.pool.instance);
+    if (!state.isOwned) state.ownedSince = Number.POSITIVE_INFINITY;
+    else if (!wasOwned) state.ownedSince = this.options.now();
     state.pool.setLessor(state.ownership?.lessor);
   }
 
   /** Only an owner holds connections; the owners share the slots of the instance. */
   #limitByOwners(state: InstanceState): void {
     const owners = this.options.ownership.roster?.ownersPerInstance ?? 1;
-    const limit = state.isOwned ? connectionsPerOwner(owners, this.#maxConnections) : 0;
+    const share = connectionsPerOwner(owners, this.#maxConnections);
+    const isSettled = this.options.now() - state.ownedSince >= OWNERS_SETTLED_MS;
+    const ownedLimit = isSettled ? share : Math.ceil(share * UNSETTLED_SHARE);
+    const limit = state.isOwned ? ownedLimit : 0;
     state.pool.setLimit(limit, limit, owners, state.isOwned);
   }
 
@@ -202,9 +219,12 @@
     return count;
   }
 
-  /** Ends connections that are not needed any more. */
+  /** Ends connections that are not needed any more, and gives an owner its whole share in time. */
   trim(): void {
-    for (const state of this.#instances.values()) state.pool.trim();
+    for (const state of this.#instances.values()) {
+      if (state.isOwned) this.#limitByOwners(state);
+      state.pool.trim();
+    }
   }
 
   /** All instances that are known, leaving ones too. */
@@ -233,6 +253,18 @@
     return state;
   }
 
+  /** Cancelled once the primary of now is being replaced: who waits for it chooses anew. */
+  get changeOfPrimary(): Cancellation {
+    return this.#changeOfPrimary;
+  }
+
+  /** The primary has changed, or began to. */
+  notePrimaryChange(): void {
+    const before = this.#changeOfPrimary;
+    this.#changeOfPrimary = new Cancellation();
+    before.cancel();
+  }
+
   /** Takes over in which term a primary was found leading by a node that could know. */
   noteTerm(known: KnownPrimary): void {
     if (known.term > (this.#trustedPrimary?.term ?? -1)) this.#trustedPrimary = known;
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -12,6 +12,7 @@
   type StatementErrorCode,
 } from '../core/statements/statement.js';
 import type { Milliseconds } from '../core/units.js';
+import { Cancellation } from './cancellation.js';
 import {
   InstanceConnectError,
   InstanceConnectionLostError,
@@ -115,6 +116,7 @@
 /** Asks for a connection for this statement, within its tenant's policy. */
 export function connectionRequestOf(
   request: Pick<StatementRequest, 'tenant' | 'session' | 'deadline'>,
+  cancelledBy: readonly Cancellation[],
 ): ConnectionRequest {
   const { name, policy } = request.tenant;
   return {
@@ -123,6 +125,7 @@
     policy: policy.connections,
     values: request.session.values,
     deadline: request.deadline,
+    cancelledBy,
   };
 }
 
@@ -190,8 +193,10 @@
     const { view, prover, now } = this.options;
     const { service } = request;
     if (this.targets.lacksTrust(request) && (await prover.prove(service))) return true;
+    // One that has just ended is worth another look too.
+    const wasChanging = view.isChanging(service.name);
     await this.#pauseBeforeRetry();
-    if (view.isChanging(service.name)) return true;
+    if (wasChanging || view.isChanging(service.name)) return true;
     return now() - request.beganAt < request.tenant.policy.untriedPatienceMs;
   }
 
@@ -239,13 +244,13 @@
 
   /** Attempts that still wait for a connection when one has been answered are not sent any more. */
   async #runRead(request: StatementRequest): Promise<StatementOutcome> {
-    const settled = new AbortController();
-    const outcome = await this.#tryRead(request, settled.signal);
-    settled.abort();
+    const settled = new Cancellation();
+    const outcome = await this.#tryRead(request, settled);
+    settled.cancel();
     return outcome;
   }
 
-  async #tryRead(request: StatementRequest, settled: AbortSignal): Promise<StatementOutcome> {
+  async #tryRead(request: StatementRequest, settled: Cancellation): Promise<StatementOutcome> {
     const { now } = this.options;
     const excluded = new Set<string>();
     const overLimit = new Set<string>();
@@ -322,17 +327,17 @@
     return pause(RETRY_PAUSE_MS * (0.5 + this.options.random()));
   }
 
-  /** @param settled aborted once the request has its outcome from another attempt */
+  /** @param settled cancelled once the request has its outcome from another attempt */
   async #attempt(
     request: StatementRequest,
     chosen: Target,
-    settled?: AbortSignal,
+    settled?: Cancellation,
   ): Promise<Attempt> {
     const { instance } = chosen;
     instance.pool.outstanding += 1;
     try {
       const attempt = await this.#tryAt(request, chosen, settled);
-      if (settled?.aborted !== true) noteAttempt(request.trace, attempt);
+      if (settled?.isCancelled !== true) noteAttempt(request.trace, attempt);
       return attempt;
     } finally {
       instance.pool.outstanding -= 1;
@@ -342,19 +347,20 @@
   async #tryAt(
     request: StatementRequest,
     chosen: Target,
-    settled: AbortSignal | undefined,
+    settled: Cancellation | undefined,
   ): Promise<Attempt> {
     const { instance } = chosen;
     const { lessor } = instance.pool;
     if (lessor !== undefined && request.access === 'read') {
       return this.#readThroughOwner(request, chosen, lessor, settled);
     }
-    const acquired = await instance.pool.acquire(connectionRequestOf(request));
+    const cancelledBy = this.cancellationsOf(request.service, instance, settled);
+    const acquired = await instance.pool.acquire(connectionRequestOf(request, cancelledBy));
     if (acquired.isErr()) {
       this.noteUnreachable(request, instance, acquired.error);
       return this.#notReached(instance, acquired.error);
     }
-    if (settled?.aborted === true) {
+    if (settled?.isCancelled === true) {
       instance.pool.release(acquired.value);
       return notSent(instance, 'answered elsewhere');
     }
@@ -369,15 +375,16 @@
     request: StatementRequest,
     { instance, after }: Target,
     lessor: ConnectionLessor,
-    settled: AbortSignal | undefined,
+    settled: Cancellation | undefined,
   ): Promise<Attempt> {
     const sentAt = this.options.now();
-    const read = { prepared: request.prepared, message: request.encode(after), settled };
+    const read = { prepared: request.prepared, message: request.encode(after) };
+    const cancelledBy = this.cancellationsOf(request.service, instance, settled);
     request.trace?.note({ step: 'sent', instance: instance.id, through: 'owner' });
-    const exchange = lessor.read({ ...connectionRequestOf(request), ...read });
+    const exchange = lessor.read({ ...connectionRequestOf(request, cancelledBy), ...read });
     request.session.underWay.add(exchange);
     const answer = await exchange;
-    if (settled?.aborted === true) return notSent(instance, 'answered elsewhere');
+    if (settled?.isCancelled === true) return notSent(instance, 'answered elsewhere');
     if (answer.isOk()) return this.#judge(request, instance, answer.value, sentAt);
     if (answer.error instanceof InstanceConnectionLostError) {
       this.noteFailure(request, instance);
@@ -387,6 +394,17 @@
     return this.#notReached(instance, answer.error);
   }
 
+  /** What makes a connection to this instance useless for a request that waits for it. */
+  cancellationsOf(
+    service: ServiceRuntime,
+    instance: InstanceRuntime,
+    settled?: Cancellation,
+  ): readonly Cancellation[] {
+    const isPrimary = this.options.view.primaryOf(service.name)?.id === instance.id;
+    const cancellations = isPrimary ? [service.changeOfPrimary] : [];
+    return settled === undefined ? cancellations : [...cancellations, settled];
+  }
+
   #notReached(instance: InstanceRuntime, error: AcquireError): Attempt {
     const isOverLimit = error instanceof InstanceQueueFullError;
     const refusal = refusalOf(error);
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -256,7 +256,8 @@
     if (chosen === undefined) return failureToOpen(undefined, 'no primary');
     const { instance } = chosen;
     const { values } = request.session;
-    const acquired = await instance.pool.acquire(connectionRequestOf(request));
+    const cancelledBy = this.runner.cancellationsOf(this.service, instance);
+    const acquired = await instance.pool.acquire(connectionRequestOf(request, cancelledBy));
     if (acquired.isErr()) {
       this.runner.noteUnreachable(placement, instance, acquired.error);
       const reason = acquired.error.code;
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -4,8 +4,11 @@
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
 import { resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
+import { Cancellation, listenToAll } from '../../../src/direct/cancellation.js';
 import type { RouteDescription } from '../../../src/direct/contract.js';
-import { InstanceConnectError } from '../../../src/direct/errors.js';
+import { InstanceConnectError, InstanceWaitTimeoutError } from '../../../src/direct/errors.js';
+import type { InstanceConnection } from '../../../src/direct/instance-connection.js';
+import type { InstancePool } from '../../../src/direct/instance-pool.js';
 import type { PrimaryView } from '../../../src/direct/promotion/contract.js';
 import type { InstanceRuntime, ServiceRuntime } from '../../../src/direct/service-runtime.js';
 import {
@@ -143,6 +146,85 @@
   assert.ok(openings < TARGET_LATENCY_MS);
 });
 
+test('a change of primary that ends during the pause is worth another look', async () => {
+  const { runner, placement } = withoutLease(true);
+  let isChanging = true;
+  const view = { ...primaryView(true), isChanging: () => isChanging };
+  const late = new StatementRunner({ ...runner.options, view, now: () => DEADLINE_MS });
+  const looking = late.awaitTarget(placement);
+  isChanging = false;
+  assert.is(await looking, true);
+  assert.is(await late.awaitTarget(placement), false);
+});
+
+test('a write that waits for a connection to a primary goes to the next one when that is replaced', async () => {
+  let primaryId = 'old';
+  const sent: string[] = [];
+  let changeOfPrimary = new Cancellation();
+  const instance = (id: string, acquire: InstancePool['acquire']): InstanceRuntime => {
+    const pool = {
+      ...{ instance: { id }, outstanding: 0, avoidUntil: 0, answerMs: 5, patienceMs: 250, acquire },
+      isStalled: () => false,
+      answersNothing: () => false,
+      release: () => {},
+      watchAnswer: () => () => {},
+      silentForMs: () => 0,
+      noteAnswer: () => {},
+    };
+    return { id, pool, primary: true, isUsable: () => true } as unknown as InstanceRuntime;
+  };
+  const connection = {
+    ...{ values: new Map(), preparedNames: new Set(), cork: () => {}, uncork: () => {} },
+    exchange: () => {
+      sent.push(primaryId);
+      return Promise.resolve(ok({ payload: '', error: undefined, state: 'idle' }));
+    },
+  } as unknown as InstanceConnection;
+  const full: InstancePool['acquire'] = ({ cancelledBy }) =>
+    new Promise((resolve) => {
+      const error = new InstanceWaitTimeoutError('cancelled');
+      listenToAll(cancelledBy, () => resolve(err(error)));
+      // The primary is replaced while the write waits.
+      setImmediate(() => {
+        const before = changeOfPrimary;
+        changeOfPrimary = new Cancellation();
+        primaryId = 'new';
+        before.cancel();
+      });
+    });
+  const instances: Record<string, InstanceRuntime> = {
+    old: instance('old', full),
+    new: instance('new', () => Promise.resolve(ok(connection))),
+  };
+  const service = {
+    name: 'ledger',
+    primary: () => instances[primaryId],
+    get changeOfPrimary() {
+      return changeOfPrimary;
+    },
+    beginWrite: () => () => {},
+    noteAnswer: () => {},
+    samples: { requiredAt: () => undefined },
+  } as unknown as ServiceRuntime;
+  const now = (): number => performance.now();
+  const view = {
+    ...primaryView(true),
+    primaryOf: () => ({ id: primaryId }),
+    isChanging: () => false,
+  } as unknown as PrimaryView;
+  const prover = {} as unknown as TrustProver;
+  const runner = new StatementRunner({ wire: lineWire, view, prover, now, random: () => 0 });
+  const beganAt = now();
+  const outcome = await runner.run({
+    ...{ access: 'write', service, beganAt, deadline: beganAt + DEADLINE_MS, tenant: newTenant() },
+    ...{ route: ROUTE, prepared: undefined },
+    session: { values: new Map(), lastWritten: undefined, underWay: new StatementsUnderWay() },
+    encode: () => lineWire.encodeStatement('s1', 'WRITE k v', undefined),
+  });
+  assert.is(outcome.type, 'answered');
+  assert.equal(sent, ['new']);
+});
+
 interface Read {
   readonly outcome: StatementOutcome;
   /** Instances that were sent the read. */
