Direct gateway: a slow instance is still tried with writes; looks for an instance are told once for each reason

A request that waits for a primary filled its trace with alike steps. Change: at most 50 ms are asked for; the same reason is noted once.

--- a/src/direct/request-trace.ts
+++ b/src/direct/request-trace.ts
@@ -65,10 +65,19 @@
   }
 
   note(step: TraceStep): void {
+    if (step.step === 'no-instance' && this.#isAsBefore(step)) return;
     if (this.#steps.length >= MAX_STEPS) {
       this.#leftOut += 1;
       return;
     }
     this.#steps.push({ ...step, atMs: Math.round(this.now() - this.beganAt) });
   }
+
+  /** A request that waits for an instance looks again and again. */
+  #isAsBefore(step: Extract<TraceStep, { step: 'no-instance' }>): boolean {
+    const before = this.#steps.at(-1);
+    if (before?.step !== 'no-instance') return false;
+    const isSameTrust = before.isTrusted === step.isTrusted;
+    return isSameTrust && before.isChanging === step.isChanging && before.primary === step.primary;
+  }
 }
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -47,6 +47,8 @@
  * the instance if it got no answer: it waited too long before.
  */
 const TELLING_PATIENCE_SHARE = 0.5;
+/** The most that a write is expected to need. */
+const MOST_TIME_NEEDED_MS = 50;
 /** An answer to a read that takes so many times what it may take is waited for no longer. */
 const READ_PATIENCE_FACTOR = 2;
 
@@ -135,9 +137,12 @@
   return { code: 'busy', text: isOverLimit ? 'too many statements wait' : 'no connection' };
 }
 
-/** A write that is sent with less time left than its answer takes would only leave its caller in doubt. */
+/**
+ * A write that is sent with less time left than its answer takes would only leave its caller in doubt.
+ * Bounded: an instance that was slow must be tried to be seen quicker.
+ */
 function leastTimeFor(access: Access, { pool }: InstanceRuntime): Milliseconds {
-  return access === 'write' ? pool.answerMs : 0;
+  return access === 'write' ? Math.min(pool.answerMs, MOST_TIME_NEEDED_MS) : 0;
 }
 
 function notSent(instance: InstanceRuntime, text: string): Attempt {
--- a/test/unit/direct/request-log.test.ts
+++ b/test/unit/direct/request-log.test.ts
@@ -72,6 +72,15 @@
   assert.ok(trace.leftOut > 0);
 });
 
+test('a request that looks again and again for an instance says so once for each reason', () => {
+  const trace = new RequestTrace(0, () => 0);
+  const looks = [true, true, true, false, false];
+  for (const isChanging of looks) {
+    trace.note({ step: 'no-instance', primary: undefined, isTrusted: false, isChanging });
+  }
+  assert.is(trace.steps.length, 2);
+});
+
 test('each change of a belief is told once, with what was believed before and for how long', () => {
   const { lines, logger, now, advance } = situation();
   let primary = 'i-1';
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -298,6 +298,67 @@
   assert.ok(await underWay.ended(0));
 });
 
+interface LateWrite {
+  readonly outcome: StatementOutcome;
+  readonly sent: number;
+}
+
+/** A write that gets a connection with so much time left, at an instance that lately took so long. */
+async function writeWithTimeLeft(leftMs: number, answerMs: number): Promise<LateWrite> {
+  let time = 0;
+  let sent = 0;
+  const connection = {
+    ...{ values: new Map(), preparedNames: new Set(), cork: () => {}, uncork: () => {} },
+    exchange: () => {
+      sent += 1;
+      return Promise.resolve(ok({ payload: '', error: undefined, state: 'idle' }));
+    },
+  };
+  const pool = {
+    ...{ instance: { id: 'primary' }, outstanding: 0, avoidUntil: 0, answerMs, patienceMs: 250 },
+    isStalled: () => false,
+    answersNothing: () => false,
+    silentForMs: () => 0,
+    release: () => {},
+    noteAnswer: () => {},
+    watchAnswer: () => () => {},
+    acquire: () => {
+      time = DEADLINE_MS - leftMs;
+      return Promise.resolve(ok(connection));
+    },
+  };
+  const primary = { id: 'primary', pool, isUsable: () => true } as unknown as InstanceRuntime;
+  const service = {
+    name: 'ledger',
+    primary: () => primary,
+    beginWrite: () => () => {},
+    noteAnswer: () => {},
+    samples: { requiredAt: () => undefined },
+  } as unknown as ServiceRuntime;
+  const prover = { covers: () => true } as unknown as TrustProver;
+  const view = primaryView(true);
+  const now = (): number => time;
+  const runner = new StatementRunner({ wire: lineWire, view, prover, now, random: () => 0 });
+  const outcome = await runner.run({
+    ...{ access: 'write', service, beganAt: 0, deadline: DEADLINE_MS, tenant: newTenant() },
+    ...{ route: ROUTE, prepared: undefined },
+    session: { values: new Map(), lastWritten: undefined, underWay: new StatementsUnderWay() },
+    encode: () => lineWire.encodeStatement('s1', 'WRITE k v', undefined),
+  });
+  return { outcome, sent };
+}
+
+test('a write with less time left than an answer takes is told as not run', async () => {
+  const { outcome, sent } = await writeWithTimeLeft(20, 30);
+  assert.is(outcome.type === 'refused' && outcome.refusal.code, 'busy');
+  assert.is(sent, 0);
+});
+
+test('an instance that was very slow is tried all the same while there is some time', async () => {
+  assert.is((await writeWithTimeLeft(100, 5000)).sent, 1);
+  assert.is((await writeWithTimeLeft(20, 5000)).sent, 0);
+});
+
 /** Uses of the primary that a write without an answer reported as failed. */
 async function reportedAfterSilence(patienceMs: number): Promise<number> {
   let reports = 0;
