--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -192,6 +192,17 @@
     await this.#links?.setFaults(this.gateway(index).name, { up: { cut }, down: { cut } });
   }
 
+  /** Delays what a gateway and the store say to each other, each way. */
+  async setStoreLinkDelay(index: number, latencyMs: number): Promise<void> {
+    const faults = { latencyMs };
+    await this.#links?.setFaults(this.gateway(index).name, { up: faults, down: faults });
+  }
+
+  /** Resets a gateway's connections to the store. */
+  async resetStoreLink(index: number): Promise<void> {
+    await this.#links?.reset(this.gateway(index).name);
+  }
+
   gateway(index: number): DirectGatewayProcess {
     const gateway = this.gateways[index];
     if (gateway === undefined) throw new Error(`no gateway ${index}`);
--- a/test/support/direct-load.ts
+++ b/test/support/direct-load.ts
@@ -10,6 +10,8 @@
 const THINGS = 6;
 const PAUSE_MS = 5;
 const MOST_STATEMENTS = 4;
+/** Part of the operations that set a value and use a prepared name. */
+const VALUES_SHARE = 0.25;
 const REOPEN_PAUSE_MS = 20;
 
 export interface LoadOptions {
@@ -18,6 +20,8 @@
   readonly seed: number;
   /** Share of operations that write. */
   readonly writes?: number;
+  /** Sets values now and then, and reads by a prepared name. */
+  readonly usesValues?: boolean;
 }
 
 /** One client: its operations one after the other until it is stopped. */
@@ -90,6 +94,9 @@
     this.#operation += 1;
     const thing = `k${Math.floor(this.#random() * THINGS)}`;
     const data = `v${this.options.seed}-${this.#operation}`;
+    if (this.options.usesValues === true && this.#random() < VALUES_SHARE) {
+      return this.#useValues(session, thing);
+    }
     const writes = this.#random() < (this.options.writes ?? 0.5);
     if (this.#random() < 0.4) return this.#transaction(session, thing, data, writes);
     const answer = await (writes ? session.write(thing, data) : session.read(thing));
@@ -97,6 +104,17 @@
     return answer.state === 'I';
   }
 
+  /** An error here ends a session, as the users' clients have it. */
+  async #useValues(session: RecordedSession, thing: string): Promise<boolean> {
+    const set = await session.set('tone', `t${this.#operation}`);
+    if (!this.#succeeded(set)) return false;
+    const shape = `q${this.options.seed}`;
+    if (!this.#succeeded(await session.prepare('p1', 'read', shape))) return false;
+    const answer = await session.execute('p1', thing);
+    if (this.#succeeded(answer)) this.done.reads += 1;
+    return this.#succeeded(await session.deallocate('p1')) && answer.state === 'I';
+  }
+
   async #transaction(
     session: RecordedSession,
     thing: string,
--- /dev/null
+++ b/test/unit/bench/soak-schedule.test.ts
@@ -0,0 +1,36 @@
+/** Faults of a soak's round follow from its seed. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { drawSchedule, FAULT_KINDS } from '../../../bench/soak/schedule.js';
+import { seededRandom } from '../../support/random.js';
+
+const SPAN_MS = 8000;
+const ROUNDS = 500;
+
+function schedule(seed: number) {
+  return drawSchedule(seed, seededRandom(seed), SPAN_MS);
+}
+
+test('the same seed gives the same faults, and another one others', () => {
+  assert.equal(schedule(7), schedule(7));
+  assert.not.equal(schedule(7), schedule(8));
+});
+
+test('every kind comes up, each with and without owners, and ends within the span', () => {
+  const kinds = new Set<string>();
+  const ways = new Set<boolean>();
+  for (let seed = 0; seed < ROUNDS; seed += 1) {
+    const { faults, hasOwners } = schedule(seed * 1000);
+    ways.add(hasOwners);
+    let before = 0;
+    for (const { atMs, forMs, fault } of faults) {
+      kinds.add(fault.kind);
+      assert.ok(atMs >= before && forMs > 0 && atMs + forMs <= SPAN_MS);
+      before = atMs;
+    }
+  }
+  assert.is(kinds.size, FAULT_KINDS.length);
+  assert.is(ways.size, 2);
+});
+
+test.run();
