Callers do not wait for an instance that answers nothing at its address

Change: the pool itself tries such an instance every 0.1 to 0.4 s; until it is reached, reads rank it last, and a request that has no other choice is told at once. Test fails without.

--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -88,8 +88,8 @@
   return { ...own, deadline, cancelledBy: [] };
 }
 
-/** Doublings of the pause between openings: up to 1.6 s after a first pause of 200 ms. */
-const MAX_BACKOFF_STEPS = 4;
+/** Doublings of the pause between openings: up to 0.4 s after a first pause of 200 ms. */
+const MAX_BACKOFF_STEPS = 2;
 /** An idle connection above the soft limit ends after this. */
 const SURPLUS_IDLE_MS = 3000;
 /** A statement waits so long for one of few connections before another one is opened. */
@@ -118,6 +118,9 @@
   /** Openings that failed in a row. */
   #failures = 0;
   #closed = false;
+  /** The last opening got no answer, and there is no connection. */
+  #isUnreachable = false;
+  #probeTimer: NodeJS.Timeout | undefined;
   /** Statements of this node that run at the instance or wait for it. */
   outstanding = 0;
 
@@ -163,6 +166,11 @@
     }
   }
 
+  /** True while nothing answers at its address: only this pool's own openings try it then. */
+  get isUnreachable(): boolean {
+    return this.#isUnreachable;
+  }
+
   get waiting(): number {
     return this.#waiters.length;
   }
@@ -216,6 +224,9 @@
       this.#give(idle, tenant);
       return Promise.resolve(ok(idle));
     }
+    if (this.#isUnreachable && tenant !== OWN_TENANT) {
+      return Promise.resolve(err(this.#notReachable()));
+    }
     if (this.#isWaitTooLong(request)) {
       this.options.counters.queueRefusals += 1;
       return Promise.resolve(
@@ -287,6 +298,7 @@
   /** Ends all idle connections and takes no more; those in use end when they are released. */
   close(): void {
     this.#closed = true;
+    clearTimeout(this.#probeTimer);
     for (const connection of this.#idle.splice(0)) connection.close();
     this.#failWaiters(new InstanceConnectError(`${this.instance.id}: closed`, undefined));
   }
@@ -412,11 +424,7 @@
     while (!this.#closed && this.#opening < wanted() && this.size < limit) {
       if (this.options.now() < this.#retryAt && this.#all.size > 0) return;
       if (this.options.now() < this.#retryAt) {
-        const unreachable = new InstanceConnectError(
-          `${this.instance.id}: not reachable`,
-          this.#lastError?.answer,
-        );
-        this.#failWaiters(unreachable);
+        this.#failWaiters(this.#notReachable());
         return;
       }
       void this.#open();
@@ -438,6 +446,7 @@
     const connection = opened.value;
     this.options.counters.connectionsOpened += 1;
     this.#failures = 0;
+    this.#isUnreachable = false;
     this.#all.add(connection);
     connection.onClose = () => this.#forget(connection);
     this.release(connection);
@@ -451,7 +460,29 @@
     const ceilingMs = this.options.reconnectDelayMs * 2 ** (this.#failures - 1);
     this.#retryAt = this.options.now() + ceilingMs * (0.5 + this.options.random() / 2);
     // Those who wait may still be served by the connections that are there.
-    if (this.#all.size === 0) this.#failWaiters(error);
+    if (this.#all.size > 0) return;
+    this.#failWaiters(error);
+    this.#isUnreachable = error.answer === undefined;
+    if (this.#isUnreachable) this.#probeLater();
+  }
+
+  /**
+   * Callers don't wait for an instance that answers nothing: the pool itself finds when it is back. While they did,
+   * each opening of 500 ms to a dark instance made reads late that another one could have served at once.
+   */
+  #probeLater(): void {
+    clearTimeout(this.#probeTimer);
+    this.#probeTimer = setTimeout(
+      () => {
+        if (!this.#closed && this.size === 0) void this.#open();
+      },
+      Math.max(0, this.#retryAt - this.options.now()),
+    );
+    this.#probeTimer.unref();
+  }
+
+  #notReachable(): InstanceConnectError {
+    return new InstanceConnectError(`${this.instance.id}: not reachable`, this.#lastError?.answer);
   }
 
   #supply(): ConnectionSupply {
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -112,7 +112,7 @@
   }
 
   get avoidUntil(): Milliseconds {
-    return this.pool.health.avoidUntil;
+    return this.pool.isUnreachable ? Number.POSITIVE_INFINITY : this.pool.health.avoidUntil;
   }
 }
 
@@ -390,7 +390,7 @@
   /** Resolves once no write is on its way; at once if the instances lately failed to answer. */
   writesEnded(): Promise<void> {
     const now = this.options.now();
-    const failing = [...this.#instances.values()].some((state) => state.avoidUntil > now);
+    const failing = [...this.#instances.values()].some(({ pool }) => pool.health.avoidUntil > now);
     if (this.#writes === 0 || failing) return Promise.resolve();
     return new Promise((resolve) => this.#writesEnded.push(resolve));
   }
--- a/test/unit/direct/instance-pool.test.ts
+++ b/test/unit/direct/instance-pool.test.ts
@@ -6,7 +6,11 @@
 import { lineWire } from '../../../platform/line-wire.js';
 import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
 import type { InstanceEntry } from '../../../src/direct/contract.js';
-import { InstancePool, ownRequest } from '../../../src/direct/instance-pool.js';
+import {
+  type ConnectionRequest,
+  InstancePool,
+  ownRequest,
+} from '../../../src/direct/instance-pool.js';
 import { ServiceRuntime } from '../../../src/direct/service-runtime.js';
 import { until } from '../../support/until.js';
 
@@ -73,6 +77,39 @@
   instance.stop();
 });
 
+/** An address where nothing listens: every opening is refused by the machine. */
+async function deadAddress(): Promise<InstanceEntry> {
+  const instance = new SlowInstance();
+  const entry = await instance.start();
+  instance.stop();
+  return entry;
+}
+
+function callerRequest(): ConnectionRequest {
+  const { values, cancelledBy, priority } = ownRequest(0);
+  const policy = { queueWeight: 1, maxWaiting: 10, inFlightShare: 1, inFlightFloor: 1 };
+  const deadline = performance.now() + LONG_MS;
+  return { tenant: 'orders', priority, policy, values, deadline, cancelledBy };
+}
+
+test('callers do not wait for an instance that answers nothing, and it is found when it is back', async () => {
+  const entry = await deadAddress();
+  const pool = new InstancePool(entry, 2, { ...POOL_OPTIONS, now: () => performance.now() });
+  const counters = POOL_OPTIONS.counters;
+  assert.ok((await pool.acquire(callerRequest())).isErr());
+  assert.ok(pool.isUnreachable);
+  const failures = counters.connectFailures;
+  const later = pool.acquire(callerRequest());
+  assert.is(counters.connectFailures, failures, 'the caller opens nothing');
+  assert.ok((await later).isErr());
+  const server = createServer((socket) => socket.once('data', () => socket.write(READY)));
+  server.listen(entry.port, entry.host);
+  await until('it is reached again', () => !pool.isUnreachable);
+  assert.ok((await pool.acquire(callerRequest())).isOk());
+  pool.destroy();
+  server.close();
+});
+
 test('while the size of the fleet is unknown a node opens few connections', () => {
   const service = new ServiceRuntime('orders', {
     ...{ zone: 'a', nodeCount: 8, isNodeCountKnown: false, drainTimeoutMs: 7000 },
