Test of retry budgets: attempts are counted by what is told of the request

Cause: it counted failed openings of connections as attempts of a statement. Since a pool opens by itself to find an instance that answers nothing, so that the count was 9 for 1 attempt. The test now counts the attempts that the request's own trace tells; the expected figures (1, and 3 with two retries saved) are unchanged.

--- a/test/unit/direct/tenant.test.ts
+++ b/test/unit/direct/tenant.test.ts
@@ -5,6 +5,7 @@
 import { type RoutePolicy, resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
 import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
 import type { InstanceEntry, RouteDescription } from '../../../src/direct/contract.js';
+import { RequestTrace } from '../../../src/direct/request-trace.js';
 import { ServiceRuntime } from '../../../src/direct/service-runtime.js';
 import { StatementRunner } from '../../../src/direct/statement-runner.js';
 import { StatementsUnderWay } from '../../../src/direct/statements-under-way.js';
@@ -43,7 +44,7 @@
   return new Tenant(ROUTE.name, { ...policy, untriedPatienceMs: ROUTE.timeoutMs, retries });
 }
 
-/** Openings that fail while one write for this tenant is tried, and how it ends. */
+/** How often one write for this tenant is tried at its instance, and how it ends. */
 async function tryWrite(tenant: Tenant) {
   const now = () => performance.now();
   const random = () => 0.5;
@@ -75,14 +76,16 @@
   });
   const runner = new StatementRunner({ wire: lineWire, view, prover, now, random });
   const beganAt = now();
+  const trace = new RequestTrace(beganAt, now);
   const outcome = await runner.run({
     ...{ access: 'write', route: ROUTE, service, tenant, prepared: undefined },
     session: { values: new Map(), lastWritten: undefined, underWay: new StatementsUnderWay() },
-    beganAt,
+    ...{ beganAt, trace },
     deadline: beganAt + ROUTE.timeoutMs,
     encode: () => '',
   });
-  return { outcome, attempts: counters.connectFailures };
+  const attempts = trace.steps.filter(({ step }) => step === 'not-sent').length;
+  return { outcome, attempts };
 }
 
 test('a statement is tried again for as long as its tenant has retries left', async () => {
