After a loss of power, nodes find room at instances, and ask the store for all they lack at once

Cause: an instance drops connections of a dark node after 3 s and takes 16. Beside that each of lease, records, configuration and instances waited for its own back-off after the store was back: trusted primaries at 36.77 to 37.13 s, with the store back at 36.6 s. Change: a question for the status goes over a connection of the pool where one rests or none is open; an instance that is full is not asked; a process that replaces another takes half of its share for 3.5 s, as owners did; the first answer of the store after an absence ends the other pauses.

--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -104,6 +104,8 @@
   | { readonly type: 'primary-succeeded'; readonly service: string; readonly use: PrimaryUse }
   /** Nothing of this node is on its way to the old primary that could still be acknowledged. */
   | { readonly type: 'use-ended'; readonly service: string; readonly change: number }
+  /** The store answers again, after a while in which it answered nothing. */
+  | { readonly type: 'store-returned' }
   | { readonly type: 'release-leadership' }
   | { readonly type: 'stop' };
 
--- a/src/core/promotion/lease.ts
+++ b/src/core/promotion/lease.ts
@@ -16,6 +16,8 @@
   #leaseId: string | undefined;
   #validUntil: Milliseconds = 0;
   #troubleAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  /** Asks for a grant before its pause is over; undefined while none is waited for. */
+  #startNow: (() => void) | undefined;
   #failures = 0;
   /** Renewals without an answer since the last one that had one. */
   #silences = 0;
@@ -50,7 +52,7 @@
       if (this.#stopped) return;
       if (isTrouble(answer)) {
         this.#noteTrouble();
-        this.runtime.after(this.#backoff(answer), () => this.#stopped || this.start());
+        this.#startAfter(this.#backoff(answer));
         return;
       }
       this.#failures = 0;
@@ -61,6 +63,21 @@
     });
   }
 
+  /** The store answers again: a grant that waits to be asked for once more is asked for now. */
+  retryNow(): void {
+    this.#startNow?.();
+  }
+
+  #startAfter(delayMs: Milliseconds): void {
+    const start = (): void => {
+      cancel();
+      this.#startNow = undefined;
+      if (!this.#stopped) this.start();
+    };
+    const cancel = this.runtime.after(delayMs, start);
+    this.#startNow = start;
+  }
+
   /** Ends the lease's use at once; the lease itself is left to the caller. */
   stop(): string | undefined {
     this.#stopped = true;
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -183,6 +183,10 @@
       case 'use-ended':
         this.#participation.noteUseEnded(event.service, event.change);
         return;
+      case 'store-returned':
+        this.#lease.retryNow();
+        this.#records.retryNow();
+        return;
       case 'release-leadership':
         this.#release();
         return;
--- a/src/core/promotion/store-view.ts
+++ b/src/core/promotion/store-view.ts
@@ -23,6 +23,8 @@
   /** Asked for while another read was on its way, which may be older than what is wanted. */
   #readAgain = false;
   #running = false;
+  /** Tries again before the pause is over; undefined while there is none. */
+  #actNow: (() => void) | undefined;
   #failures = 0;
 
   constructor(
@@ -57,6 +59,11 @@
     this.read();
   }
 
+  /** The store answers again: what waits to be tried once more is tried now. */
+  retryNow(): void {
+    this.#actNow?.();
+  }
+
   /** Ends the watch and forgets everything. */
   stop(): void {
     this.#running = false;
@@ -173,6 +180,12 @@
       this.runtime.timings.storeRetryMs * 2 ** this.#failures,
     );
     this.#failures += 1;
-    this.runtime.after(Math.max(atLeastMs, this.runtime.jittered(bound)), action);
+    const act = (): void => {
+      cancel();
+      this.#actNow = undefined;
+      action();
+    };
+    const cancel = this.runtime.after(Math.max(atLeastMs, this.runtime.jittered(bound)), act);
+    this.#actNow = act;
   }
 }
--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -112,6 +112,12 @@
     this.#instanceReader.stop();
   }
 
+  /** The store answers again: what waits to be tried once more is tried now. */
+  retryNow(): void {
+    this.#configurationReader.retryNow();
+    this.#instanceReader.retryNow();
+  }
+
   configuration(): PublishedConfiguration | undefined {
     return this.#configuration;
   }
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -355,6 +355,11 @@
     });
   }
 
+  /** Connections of this node to an instance; none if it is not known. */
+  poolOf({ service, id }: Pick<InstanceEntry, 'service' | 'id'>): InstancePool | undefined {
+    return this.#services.get(service)?.lendable(id)?.pool;
+  }
+
   /** False while other nodes hold the connections to an instance. */
   mayConnect(service: string, instanceId: string): boolean {
     return this.#services.get(service)?.lendable(instanceId)?.mayConnect ?? true;
@@ -414,6 +419,8 @@
       nodeCount: this.#nodeCount,
       isNodeCountKnown: this.#nodeCountSeenAt !== undefined,
       zone: settings.zone,
+      startedAt: this.#createdAt,
+      isFirstStart: settings.isFirstStart,
       ownership: this.#relay,
       drainTimeoutMs: settings.drainTimeoutMs,
       view,
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -95,6 +95,12 @@
 /** A statement waits so long for one of few connections before another one is opened. */
 const SOFT_WAIT_MS = 12;
 
+/**
+ * How a question of this node's own reaches the instance without waiting behind statements: over a connection of the
+ * pool, not at all since the instance takes no more, or over a separate connection.
+ */
+export type QuestionWay = 'pooled' | 'full' | 'separate';
+
 export class InstancePool {
   readonly health: InstanceHealth;
   readonly #idle: SocketConnection[] = [];
@@ -166,6 +172,15 @@
     }
   }
 
+  /** The way for a question asked now. */
+  get questionWay(): QuestionWay {
+    if (this.#lessor !== undefined) return 'separate';
+    if (this.hasIdle) return 'pooled';
+    if (this.size > 0) return 'separate';
+    if (this.options.now() >= this.#retryAt) return 'pooled';
+    return this.#lastError?.answer === 'connection-limit' ? 'full' : 'separate';
+  }
+
   /** True while nothing answers at its address: only this pool's own openings try it then. */
   get isUnreachable(): boolean {
     return this.#isUnreachable;
--- /dev/null
+++ b/src/direct/pooled-status.ts
@@ -0,0 +1,87 @@
+/**
+ * Asks instances for their status over connections that this node has anyway. A connection of its own for each
+ * question takes room: when a fleet starts after a loss of power, with the connections that it left behind still
+ * counted at the instances, statements of whole nodes found none.
+ */
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import type { MeadowstackError } from '../core/errors.js';
+import type { Milliseconds } from '../core/units.js';
+import type { InstanceControl, InstanceEntry, InstanceStatus } from './contract.js';
+import { InstanceConnectError, InstanceControlError } from './errors.js';
+import { SocketConnection } from './instance-connection.js';
+import type { StatusRowParser } from './instance-control.js';
+import { type InstancePool, ownRequest, type QuestionWay } from './instance-pool.js';
+import type { StatementWire } from './wire.js';
+import { firstWithin } from './within.js';
+
+export interface PooledStatusOptions {
+  /** The pool of an instance; none of one that this node does not use. */
+  readonly poolOf: (instance: InstanceEntry) => InstancePool | undefined;
+  /** Asks where the pool's connections are all in use. */
+  readonly separate: Pick<InstanceControl, 'status'>;
+  readonly wire: StatementWire;
+  readonly parseStatusRow: StatusRowParser;
+  readonly now: () => Milliseconds;
+}
+
+type StatusAnswer = ResultAsync<InstanceStatus, MeadowstackError>;
+type AskStatus = (
+  instance: InstanceEntry,
+  timeoutMs: Milliseconds,
+  pool: InstancePool,
+) => StatusAnswer;
+
+/** Tells the status of instances, as {@link InstanceControl} does. */
+export class PooledStatus implements Pick<InstanceControl, 'status'> {
+  readonly #ways: Readonly<Record<QuestionWay, AskStatus>> = {
+    pooled: (instance, timeoutMs, pool) =>
+      ResultAsync.fromSafePromise(this.#askPool(instance, timeoutMs, pool)).andThen((outcome) =>
+        outcome instanceof InstanceControlError ? errAsync(outcome) : okAsync(outcome),
+      ),
+    full: ({ id }) =>
+      errAsync(new InstanceControlError(`${id}: takes no more connections`, 'connection-limit')),
+    separate: (instance, timeoutMs) => this.options.separate.status(instance, timeoutMs),
+  };
+
+  constructor(private readonly options: PooledStatusOptions) {}
+
+  status(instance: InstanceEntry, timeoutMs: Milliseconds): StatusAnswer {
+    const pool = this.options.poolOf(instance);
+    if (pool === undefined) return this.options.separate.status(instance, timeoutMs);
+    return this.#ways[pool.questionWay](instance, timeoutMs, pool);
+  }
+
+  async #askPool(
+    { id }: InstanceEntry,
+    timeoutMs: Milliseconds,
+    pool: InstancePool,
+  ): Promise<InstanceStatus | InstanceControlError> {
+    const { wire, parseStatusRow, now } = this.options;
+    const deadline = now() + timeoutMs;
+    const acquired = await pool.acquire(ownRequest(deadline));
+    if (acquired.isErr()) {
+      const { error } = acquired;
+      const answer = error instanceof InstanceConnectError ? error.answer : undefined;
+      return new InstanceControlError(error.message, answer, { cause: error });
+    }
+    const connection = acquired.value;
+    if (!(connection instanceof SocketConnection)) {
+      pool.release(connection);
+      return new InstanceControlError(`${id}: its connections are lent by others`, undefined);
+    }
+    const exchange = connection.exchangeRows(wire.encodeControl({ type: 'status' }));
+    const settled = await firstWithin([exchange], deadline - now());
+    if (settled === undefined || settled.answer.isErr()) {
+      connection.close();
+      pool.release(connection);
+      return new InstanceControlError(`${id}: no answer to status`, undefined);
+    }
+    pool.release(connection);
+    const { error } = settled.answer.value;
+    if (error !== undefined) {
+      return new InstanceControlError(`${id}: status refused`, error.code);
+    }
+    const status = parseStatusRow(settled.rows[0] ?? '');
+    return status ?? new InstanceControlError(`${id}: unknown status row`, undefined);
+  }
+}
--- a/src/direct/prefix-reader.ts
+++ b/src/direct/prefix-reader.ts
@@ -22,6 +22,7 @@
   readonly #follower: PrefixFollower;
   /** Ends the watch or the pause that is on. */
   #cancel: (() => void) | undefined;
+  #isPausing = false;
   #stopped = false;
   /** When the call that is out was sent, or a little earlier. */
   #sentAt: Milliseconds = 0;
@@ -42,6 +43,13 @@
     this.#cancel = undefined;
   }
 
+  /** The store answers again: a pause after a failure ends now. */
+  retryNow(): void {
+    if (!this.#isPausing) return;
+    this.#cancel?.();
+    this.#endPause();
+  }
+
   /** Time at which the last answered call was sent; undefined if none was answered. */
   lastConfirmedAt(): Milliseconds | undefined {
     return this.#confirmedAt;
@@ -63,7 +71,13 @@
   }
 
   #pause(pauseMs: Milliseconds): void {
-    this.#cancel = this.options.schedule(pauseMs, () => this.#step({ type: 'pause-over' }));
+    this.#isPausing = true;
+    this.#cancel = this.options.schedule(pauseMs, () => this.#endPause());
+  }
+
+  #endPause(): void {
+    this.#isPausing = false;
+    this.#step({ type: 'pause-over' });
   }
 
   #readRange(): void {
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -47,6 +47,8 @@
   readonly mayConnect?: (instance: InstanceEntry) => boolean;
   readonly store: Store;
   readonly control: InstanceControl;
+  /** Asks members whether any leads a later term; `control` by default. */
+  readonly status?: Pick<InstanceControl, 'status'>;
   readonly promotion: BoundedPromotionCaller;
   readonly logger: Logger;
   readonly timings?: Partial<PromotionTimings>;
@@ -94,7 +96,7 @@
     const classifyFailure = options.classifyFailure ?? classifyBySystemCall;
     this.#runner = new RequestRunner({ store, control, promotion, classifyFailure, nodeName });
     this.#confirmation = new TermConfirmation({
-      control,
+      control: options.status ?? control,
       classifyFailure,
       membersOf: (service) => this.#machine.membersOf(service),
       syncReplicasOf: (service) => this.#syncReplicas.get(service) ?? 0,
@@ -128,6 +130,11 @@
     });
   }
 
+  /** The store answers again, after a while in which it answered nothing. */
+  noteStoreReturned(): void {
+    this.#handle({ type: 'store-returned' });
+  }
+
   noteInstances(entries: readonly InstanceEntry[]): void {
     this.#handle({ type: 'instances-changed', entries });
   }
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -31,10 +31,10 @@
 const UNCONFIRMED_GRACE_MS = 2500;
 
 /**
- * An instance drops a connection whose far end is dark after 3 s. Until then the connections of owners
- * that lost power count beside those of the owners after them, which take half of their share at first.
+ * An instance drops a connection whose far end is dark after 3 s. Until then the connections of nodes
+ * that lost power count beside those of the nodes after them, which take half of their share at first.
  */
-const OWNERS_SETTLED_MS = 3500;
+const SETTLED_MS = 3500;
 const UNSETTLED_SHARE = 0.5;
 
 /** One that is asked again and again without an answer counts as away between the questions too. */
@@ -48,6 +48,10 @@
   readonly nodeCount: number;
   /** False while that is assumed; true by default. */
   readonly isNodeCountKnown?: boolean;
+  /** When the process started; a process that has run for long by default. */
+  readonly startedAt?: Milliseconds;
+  /** Whether no process ran here before; false by default. */
+  readonly isFirstStart?: boolean;
   readonly pool: InstancePoolOptions;
   readonly drainTimeoutMs: Milliseconds;
   readonly view: PrimaryView;
@@ -131,6 +135,8 @@
   #nodeCount: number;
   #isNodeCountKnown: boolean;
   #samplesFrom: string | undefined;
+  /** The whole share was given. */
+  #hasSettled = false;
   #trustedPrimary: KnownPrimary | undefined;
   /** Since when a change of primary has been under way. */
   #changeBeganAt: Milliseconds | undefined;
@@ -189,7 +195,8 @@
     const nodes = Math.max(1, this.#nodeCount);
     const share = Math.floor((this.#maxConnections - RESERVED_CONNECTIONS) / nodes);
     const most = this.#isNodeCountKnown ? Number.POSITIVE_INFINITY : UNKNOWN_FLEET_CONNECTIONS;
-    const limit = Math.min(most, Math.max(MINIMUM_CONNECTIONS, share));
+    const settledLimit = Math.min(most, Math.max(MINIMUM_CONNECTIONS, share));
+    const limit = this.#isSettled() ? settledLimit : Math.ceil(settledLimit * UNSETTLED_SHARE);
     const softShare = Math.floor((this.#maxConnections * SOFT_SHARE) / nodes);
     const softLimit = Math.max(MINIMUM_CONNECTIONS, softShare);
     for (const state of this.#instances.values()) {
@@ -199,6 +206,12 @@
     }
   }
 
+  /** A process that replaces another may meet the connections that the other left behind. */
+  #isSettled(): boolean {
+    const { startedAt, isFirstStart = false, now } = this.options;
+    return isFirstStart || startedAt === undefined || now() - startedAt >= SETTLED_MS;
+  }
+
   /** Owners may change at any time; who owns an instance is worked out once for each roster. */
   #followOwners(state: InstanceState): void {
     const { ownership } = this.options;
@@ -215,7 +228,7 @@
   #limitByOwners(state: InstanceState): void {
     const owners = this.options.ownership.roster?.ownersPerInstance ?? 1;
     const share = connectionsPerOwner(owners, this.#maxConnections);
-    const isSettled = this.options.now() - state.ownedSince >= OWNERS_SETTLED_MS;
+    const isSettled = this.options.now() - state.ownedSince >= SETTLED_MS;
     const ownedLimit = isSettled ? share : Math.ceil(share * UNSETTLED_SHARE);
     const limit = state.isOwned ? ownedLimit : 0;
     state.pool.setLimit(limit, limit, owners, state.isOwned);
@@ -245,8 +258,12 @@
     return count;
   }
 
-  /** Ends connections that are not needed any more, and gives an owner its whole share in time. */
+  /** Ends connections that are not needed any more, and gives this node its whole share in time. */
   trim(): void {
+    if (!this.#hasSettled && this.#isSettled()) {
+      this.#hasSettled = true;
+      this.#shareConnections();
+    }
     for (const state of this.#instances.values()) {
       if (state.isOwned) this.#limitByOwners(state);
       state.pool.trim();
--- /dev/null
+++ b/test/unit/direct/pooled-status.test.ts
@@ -0,0 +1,64 @@
+/** Which connection an instance is asked for its status over. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { lineWire, parseStatusRow } from '../../../platform/line-wire.js';
+import { InstanceControlError } from '../../../src/direct/errors.js';
+import { WireInstanceControl } from '../../../src/direct/instance-control.js';
+import { InstancePool, ownRequest } from '../../../src/direct/instance-pool.js';
+import { PooledStatus } from '../../../src/direct/pooled-status.js';
+import { StatusInstance } from '../../support/status-instance.js';
+
+const LONG_MS = 60_000;
+
+async function setUp() {
+  const instance = new StatusInstance();
+  const entry = await instance.start();
+  const now = (): number => performance.now();
+  const counters = { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0, queueRefusals: 0 };
+  const pool = new InstancePool(entry, 1, {
+    ...{ wire: lineWire, connectTimeoutMs: LONG_MS, reconnectDelayMs: LONG_MS, counters },
+    ...{ now, random: () => 0 },
+  });
+  const separate = new WireInstanceControl(lineWire, parseStatusRow, now);
+  const status = new PooledStatus({
+    ...{ poolOf: () => pool, separate, wire: lineWire, parseStatusRow, now },
+  });
+  const stop = (): void => {
+    separate.close();
+    pool.destroy();
+    instance.stop();
+  };
+  return { instance, entry, pool, status, stop };
+}
+
+test('a question opens the connection that statements use afterwards', async () => {
+  const { instance, entry, pool, status, stop } = await setUp();
+  const told = await status.status(entry, LONG_MS);
+  assert.is(told.isOk() && told.value.role, 'replica');
+  assert.is(pool.size, 1);
+  assert.ok((await pool.acquire(ownRequest(performance.now() + LONG_MS))).isOk());
+  assert.is(instance.opened, 1);
+  stop();
+});
+
+test('a question does not wait behind statements that hold every connection', async () => {
+  const { instance, entry, pool, status, stop } = await setUp();
+  await pool.acquire(ownRequest(performance.now() + LONG_MS));
+  assert.ok((await status.status(entry, LONG_MS)).isOk());
+  assert.is(instance.opened, 2);
+  stop();
+});
+
+test('an instance that takes no more connections is not tried by each question', async () => {
+  const { instance, entry, status, stop } = await setUp();
+  instance.isFull = true;
+  for (let question = 0; question < 5; question += 1) {
+    const told = await status.status(entry, LONG_MS);
+    const error = told.isErr() ? told.error : undefined;
+    assert.is(error instanceof InstanceControlError ? error.answer : '', 'connection-limit');
+  }
+  assert.is(instance.opened, 1);
+  stop();
+});
+
+test.run();
--- a/test/unit/direct/service-runtime.test.ts
+++ b/test/unit/direct/service-runtime.test.ts
@@ -15,7 +15,7 @@
   return { id, ...place, draining, role: 'replica' };
 }
 
-function setUp() {
+function setUp(start: { readonly startedAt?: number; readonly isFirstStart?: boolean } = {}) {
   const ownership: OwnershipView = { roster: undefined, ownershipOf: () => undefined };
   const world = { now: 0, isWell: false, ownership };
   const counters = { connectionsOpened: 0, connectFailures: 0, waitTimeouts: 0, queueRefusals: 0 };
@@ -26,6 +26,7 @@
     drainTimeoutMs: DRAIN_MS,
     view: new AnnouncedPrimaryView(),
     isStoreWell: () => world.isWell,
+    ...start,
     now: () => world.now,
     pool: {
       ...{ wire: lineWire, connectTimeoutMs: 1, reconnectDelayMs: 1, counters },
@@ -134,6 +135,23 @@
   assert.is(limit(), 8);
 });
 
+for (const [name, start, atFirst] of [
+  ['a node that replaces another takes half of its share at first', { startedAt: 0 }, 2],
+  ['a node of a first start takes its whole share', { startedAt: 0, isFirstStart: true }, 4],
+] as const) {
+  test(name, () => {
+    const { world, service } = setUp(start);
+    service.setInstances([entry('i-1')]);
+    service.setNodeCount(8);
+    service.setMaxConnections(36);
+    const limit = (): number | undefined => service.members()[0]?.pool.limit;
+    assert.is(limit(), atFirst);
+    world.now = 3500;
+    service.trim();
+    assert.is(limit(), 4);
+  });
+}
+
 test('who waits for a primary is told once when it is replaced', () => {
   const { service } = setUp();
   const before = service.changeOfPrimary;
--- /dev/null
+++ b/test/unit/store-return.test.ts
@@ -0,0 +1,81 @@
+/** After an absence of the store, what waits to be tried once more is tried at the first answer. */
+import { errAsync } from 'neverthrow';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { StoreReturn } from '../../src/core/directory/store-return.js';
+import type { PromotionEvent } from '../../src/core/promotion/contract.js';
+import { PromotionMachine } from '../../src/core/promotion/machine.js';
+import { DEFAULT_PROMOTION_TIMINGS } from '../../src/core/promotion/options.js';
+import { PrefixReader } from '../../src/direct/prefix-reader.js';
+import type { Store } from '../../src/platform/contract.js';
+import { StoreUnavailableError } from '../../src/platform/errors.js';
+
+test('the first answer after an absence is told once, also the first of all', () => {
+  const seen = new StoreReturn();
+  assert.not(seen.noteCall(false, 0));
+  assert.ok(seen.noteCall(true, 100));
+  assert.not(seen.noteCall(true, 200));
+  assert.not(seen.noteCall(false, 1000));
+  assert.ok(seen.noteCall(true, 1100));
+});
+
+test('a store that refuses some calls beside others that it answers was not away', () => {
+  const seen = new StoreReturn();
+  seen.noteCall(true, 0);
+  for (let at = 100; at < 1000; at += 100) {
+    assert.not(seen.noteCall(false, at - 50));
+    assert.not(seen.noteCall(true, at));
+  }
+});
+
+test('a lease and records that were refused are asked for at once when the store answers again', () => {
+  const machine = new PromotionMachine({
+    ...{ nodeName: 'node', incarnation: 'i', timings: DEFAULT_PROMOTION_TIMINGS },
+    random: () => 0.5,
+  });
+  const ask = (event: PromotionEvent, at: number): { id: number; type: string }[] =>
+    machine
+      .handle(event, at)
+      .flatMap((effect) =>
+        effect.type === 'request' ? [{ id: effect.id, type: effect.request.type }] : [],
+      );
+  const refuse = (requests: readonly { id: number }[], at: number): void => {
+    for (const { id } of requests) {
+      const answer = { type: 'store-failed', leaseOver: false, retryAfterMs: undefined } as const;
+      machine.handle({ type: 'answer', request: id, answer }, at);
+    }
+  };
+  refuse(ask({ type: 'start' }, 0), 1);
+  const { readUnregisteredMs } = DEFAULT_PROMOTION_TIMINGS;
+  refuse(ask({ type: 'tick' }, readUnregisteredMs), readUnregisteredMs);
+  const asked = ask({ type: 'store-returned' }, readUnregisteredMs + 1);
+  assert.equal(asked.map(({ type }) => type).sort(), ['grant-lease', 'range']);
+});
+
+test('a prefix that could not be read is read at once when the store answers again', () => {
+  let reads = 0;
+  let cancelled = 0;
+  const failure = errAsync(new StoreUnavailableError('away'));
+  const store = {
+    range: () => {
+      reads += 1;
+      return failure;
+    },
+  } as unknown as Store;
+  const reader = new PrefixReader({
+    ...{ store, prefix: 'p/', backoff: { baseMs: 1000, maximumMs: 1000 } },
+    ...{ clock: () => 0, random: () => 0.5, schedule: () => () => (cancelled += 1) },
+    ...{ onRange: () => {}, onEvents: () => {}, onProblem: () => {} },
+  });
+  reader.start();
+  return Promise.resolve(failure).then(() => {
+    assert.is(reads, 1);
+    reader.retryNow();
+    assert.is(reads, 2);
+    assert.is(cancelled, 1);
+    reader.retryNow();
+    assert.is(reads, 2, 'a read that is on its way is not repeated');
+  });
+});
+
+test.run();
