How long a primary has been silent reaches the suspicion

Cause: ToldPrimaries stands between the data path and the records and passed a failure on without its last argument, so that a commit that had hung for 0.8 s counted as a failure of this moment; the primary was suspected 0.4 s later. Test fails without.

--- a/src/direct/snapshots/told-primaries.ts
+++ b/src/direct/snapshots/told-primaries.ts
@@ -86,8 +86,13 @@
     return this.recorded.isChanging(service);
   }
 
-  reportPrimaryFailure(service: string, now: Milliseconds, use?: PrimaryUse): void {
-    this.recorded.reportPrimaryFailure(service, now, use);
+  reportPrimaryFailure(
+    service: string,
+    now: Milliseconds,
+    use?: PrimaryUse,
+    silentForMs?: Milliseconds,
+  ): void {
+    this.recorded.reportPrimaryFailure(service, now, use, silentForMs);
   }
 
   reportPrimarySuccess(service: string, now: Milliseconds, use?: PrimaryUse): void {
--- a/test/unit/direct/told-primaries.test.ts
+++ b/test/unit/direct/told-primaries.test.ts
@@ -38,6 +38,16 @@
   return { revision, primaries: [{ service: SERVICE, instanceId }] };
 }
 
+test('how long a primary has been silent is passed on with its failure', () => {
+  const reported: unknown[][] = [];
+  const view = {
+    recordsRevision: 0,
+    reportPrimaryFailure: (...report: unknown[]) => reported.push(report),
+  } as unknown as RecordedPrimaries;
+  new ToldPrimaries(view, instance, () => 0).reportPrimaryFailure(SERVICE, 100, 'commit', 400);
+  assert.equal(reported, [[SERVICE, 100, 'commit', 400]]);
+});
+
 test('without records the newest that was told is the primary, and it is not trusted', () => {
   const view = recorded(0, undefined, false);
   assert.is(view.primaryOf(SERVICE), undefined);
