--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -2,27 +2,9 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
-import { type RoutePolicy, resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
-import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
 import { CallerSession } from '../../../src/direct/caller-session.js';
-import type { RouteDescription } from '../../../src/direct/contract.js';
 import type { RequestEnd } from '../../../src/direct/request-log.js';
-import { ServiceRuntime } from '../../../src/direct/service-runtime.js';
-import { StatementRunner } from '../../../src/direct/statement-runner.js';
-import { Tenant } from '../../../src/direct/tenant.js';
-import { ROUTE_TEMPLATES } from '../../../src/direct/tenant-templates.generated.js';
-import { TrustProver } from '../../../src/direct/trust-prover.js';
-
-const ROUTE: RouteDescription = {
-  name: 'route-1',
-  database: 'orders',
-  service: 'db-1',
-  consistency: 'primary',
-  maxStalenessMs: 0,
-  timeoutMs: 50,
-  targetLatencyMs: 10,
-  priority: 1,
-};
+import { sessionDependencies, tenantWith } from '../../support/caller-session-fixture.js';
 
 /** The session's own pauses do not keep a process alive. */
 const KEEP_ALIVE_MS = 1000;
@@ -33,60 +15,13 @@
 });
 test.after(() => clearInterval(keepAlive));
 
-const POLICY = resolveRoutePolicy(ROUTE_TEMPLATES, ROUTE.consistency, ROUTE);
-
-function tenantWith(changes: Partial<RoutePolicy> = {}): Tenant {
-  return new Tenant(ROUTE.name, { ...POLICY, ...changes });
-}
-
 /** A session whose service has no instance at all. */
 function startSession(tenant = tenantWith()) {
-  const now = () => performance.now();
-  const random = () => 0.5;
-  const view = new AnnouncedPrimaryView();
-  const poolCounters = {
-    connectionsOpened: 0,
-    connectFailures: 0,
-    waitTimeouts: 0,
-    queueRefusals: 0,
-  };
-  const service = new ServiceRuntime('db-1', {
-    zone: 'a',
-    nodeCount: 1,
-    drainTimeoutMs: 7000,
-    ownership: { roster: undefined, ownershipOf: () => undefined },
-    view,
-    isStoreWell: () => true,
-    now,
-    pool: {
-      wire: lineWire,
-      connectTimeoutMs: 100,
-      reconnectDelayMs: 100,
-      now,
-      random,
-      counters: poolCounters,
-    },
-  });
-  const prover = new TrustProver({
-    wire: lineWire,
-    now,
-    counters: { proofRounds: 0, proofsFailed: 0 },
-    confirmPrimary: async () => false,
-  });
   const lines: string[] = [];
   const ends: RequestEnd[] = [];
   const ended: true[] = [];
   const session = new CallerSession({
-    wire: lineWire,
-    runner: new StatementRunner({ wire: lineWire, view, prover, now, random }),
-    routes: {
-      find: (database) => (database === 'orders' ? { route: ROUTE, service, tenant } : undefined),
-      known: async () => true,
-      transactionIdleMs: 3000,
-    },
-    now,
-    counters: { statements: 0, refused: 0, failed: 0, transactionsIdled: 0 },
-    requests: { requestEnded: (end) => ends.push(end) },
+    ...sessionDependencies(tenant, ends),
     write: (text) => lines.push(...text.split('\r\n').filter((line) => line !== '')),
     end: () => ended.push(true),
   });
