A stopping node tells its callers to leave, and answers what crosses that

Cause: sessions at rest were ended by closing their connection, by a timer that runs before what has arrived is read. A request that waited unread was then read (a paused socket reads on) and never answered; one on its way met a closed connection, without a promise, so that a write was not repeated. Change: what has arrived is read first; then the caller is told (BUSY, ABORTED inside a transaction) and leaves by itself, as callers do at any message while they ask nothing; a request that crosses the word is completed as refused by it, and has not run. A caller that has not left after 0.5 s is closed. The stop moves to a module of its own and writes how late it was, and what was left and cut.

--- a/src/direct/caller-server.ts
+++ b/src/direct/caller-server.ts
@@ -6,7 +6,9 @@
 const KEEP_ALIVE_DELAY_MS = 10_000;
 /** A caller that does not read holds its own session up once so much waits for it. */
 const MAX_UNSENT_BYTES = 256 * 1024;
-/** An ended session's last answer has this long to arrive before the connection is dropped. */
+/** A caller that was told to leave has this long to do so before its connection is ended. */
+const LEAVE_MS = 500;
+/** The last word to a caller has this long to arrive before the connection is dropped. */
 const LINGER_MS = 500;
 
 export type SessionDependencies = Omit<CallerSessionOptions, 'write' | 'end'>;
@@ -14,6 +16,7 @@
 interface OpenSession {
   readonly session: CallerSession;
   readonly socket: Socket;
+  leaveTimer?: NodeJS.Timeout;
 }
 
 export class CallerServer {
@@ -30,6 +33,11 @@
     return this.#sessions.size;
   }
 
+  /** Sessions that are owed an answer. */
+  get busyCount(): number {
+    return [...this.#sessions].filter(({ session }) => session.busy).length;
+  }
+
   get acceptedCount(): number {
     return this.#accepted;
   }
@@ -61,7 +69,9 @@
    */
   drain(inTransactions: boolean): void {
     this.#drain = inTransactions ? 'any' : 'idle';
-    for (const open of [...this.#sessions]) this.#endAtRest(open);
+    afterInput(() => {
+      for (const open of [...this.#sessions]) this.#endAtRest(open);
+    });
   }
 
   /** Ends whatever is left. */
@@ -82,7 +92,7 @@
       },
       end: () => socket.end(),
     });
-    const open = { session, socket };
+    const open: OpenSession = { session, socket };
     this.#sessions.add(open);
     session.onRest = () => {
       this.#endAtRest(open);
@@ -93,6 +103,7 @@
     socket.on('data', (chunk: Buffer) => this.#receive(session, socket, splitter, chunk));
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
+      clearTimeout(open.leaveTimer);
       this.#sessions.delete(open);
       session.close();
     });
@@ -109,14 +120,35 @@
     }
   }
 
-  #endAtRest({ session, socket }: OpenSession): void {
-    const mayEnd = this.#drain === 'idle' ? session.atRest : !session.busy;
-    if (this.#drain === 'none' || !mayEnd) return;
-    session.stop();
-    // What the caller sends from now on must stay unread, so that it counts as never taken.
-    socket.pause();
-    socket.removeAllListeners('data');
+  /**
+   * Ending the connection at once would lose a request that arrived unread or is on its way, since a paused socket
+   * still reads: the caller is told, answered if it asks all the same, and leaves by itself.
+   */
+  #endAtRest(open: OpenSession): void {
+    if (!this.#mayEnd(open)) return;
+    open.session.tellToLeave();
+    clearTimeout(open.leaveTimer);
+    open.leaveTimer = setTimeout(() => afterInput(() => this.#endLingering(open)), LEAVE_MS);
+  }
+
+  #mayEnd({ session }: OpenSession): boolean {
+    if (this.#drain === 'none') return false;
+    return this.#drain === 'idle' ? session.atRest : !session.busy;
+  }
+
+  /** The caller has heard and not left: it may be out of reach. */
+  #endLingering(open: OpenSession): void {
+    const { socket } = open;
+    if (socket.destroyed || !this.#mayEnd(open)) return;
     socket.end();
     setTimeout(() => socket.destroy(), LINGER_MS);
   }
 }
+
+/**
+ * Runs once what has arrived is read: a timer that is late would run before it. Of two turns of the event loop the
+ * second has polled the sockets, wherever in its first the caller stands.
+ */
+function afterInput(run: () => void): void {
+  setImmediate(() => setImmediate(run));
+}
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -17,7 +17,7 @@
 import type { RequestLog } from './request-log.js';
 import { RequestTrace } from './request-trace.js';
 import type { ServiceRuntime } from './service-runtime.js';
-import type { StatementOutcome, StatementRequest } from './statement-request.js';
+import type { Refusal, StatementOutcome, StatementRequest } from './statement-request.js';
 import type { StatementRunner } from './statement-runner.js';
 import { StatementsUnderWay } from './statements-under-way.js';
 import type { Tenant } from './tenant.js';
@@ -70,6 +70,8 @@
   statements: number;
   refused: number;
   failed: number;
+  /** Requests that crossed the word of a stopping node, and were refused with it. */
+  refusedAtStop: number;
   transactionsIdled: number;
 }
 
@@ -97,6 +99,8 @@
   #idleTimer: NodeJS.Timeout | undefined;
   /** The transaction was ended for resting too long, and the caller has not heard of it yet. */
   #idledOut = false;
+  /** What the caller was told when the node stopped; undefined once it has asked something after that. */
+  #toldToLeave: 'busy' | 'aborted' | undefined;
   /** Called when a message has been answered. */
   onRest: (() => void) | undefined;
 
@@ -126,15 +130,21 @@
   }
 
   /**
-   * The node stops, and the caller rests: a transaction that it left open is rolled back, and it is told so before its
-   * connection ends.
+   * The node stops, and the caller rests: it is told so, and a transaction that it left open is rolled back. The session
+   * goes on until the caller leaves, so that a request which crosses this word on its way is answered too.
    */
-  stop(): void {
-    if (this.#ended || this.#state !== 'open') return;
-    this.#dropTransaction();
-    this.#state = 'failed';
-    this.options.counters.refused += 1;
-    this.options.write(this.options.wire.encodeError('aborted', STOPPING_TEXT));
+  tellToLeave(): void {
+    if (this.#ended || this.#toldToLeave !== undefined) return;
+    const { wire, counters, write } = this.options;
+    const code = this.#state === 'idle' ? 'busy' : 'aborted';
+    if (this.#state === 'open') {
+      this.#dropTransaction();
+      this.#state = 'failed';
+      counters.refused += 1;
+    }
+    write(wire.encodeError(code, STOPPING_TEXT));
+    if (this.#database === undefined) this.#end();
+    else this.#toldToLeave = code;
   }
 
   /** The caller has gone: what it began is rolled back. */
@@ -198,7 +208,8 @@
           return;
         }
         this.options.counters.statements += 1;
-        await this.#statement(message, message.statement);
+        if (this.#toldToLeave !== undefined) this.#endRefusal(message, this.#toldToLeave);
+        else await this.#statement(message, message.statement);
     }
   }
 
@@ -280,6 +291,17 @@
     }
   }
 
+  /** A statement that crossed the word to leave takes that word for its refusal; it has not run. */
+  #endRefusal(message: StatementMessage, code: 'busy' | 'aborted'): void {
+    const { wire, counters, write } = this.options;
+    this.#toldToLeave = undefined;
+    counters.refusedAtStop += 1;
+    const { type } = message.statement;
+    if (type === 'commit' || type === 'rollback') this.#state = 'idle';
+    this.#tellRefused(message, { code, text: STOPPING_TEXT });
+    write(wire.encodeReady(this.#state, undefined));
+  }
+
   #begin(readOnly: boolean): void {
     const found = this.#route();
     if (this.#state !== 'idle') {
@@ -326,14 +348,18 @@
   /** The transaction failed before; its own request told why. */
   #refuseEnded(message: StatementMessage): void {
     const refusal = { code: 'aborted', text: 'the transaction was rolled back' } as const;
-    const found = this.#route();
-    if (found !== undefined) {
-      const { trace } = this.#request(found);
-      this.#tellEnd(message, found, trace, { type: 'refused', refusal });
-    }
+    this.#tellRefused(message, refusal);
     this.#refuse(refusal.code, refusal.text);
   }
 
+  /** Notes a request that was refused before anything was tried for it. */
+  #tellRefused(message: StatementMessage, refusal: Refusal): void {
+    const found = this.#route();
+    if (found === undefined) return;
+    const { trace } = this.#request(found);
+    this.#tellEnd(message, found, trace, { type: 'refused', refusal });
+  }
+
   #rollback(): void {
     if (this.#state === 'idle') {
       this.#refuse('malformed', 'no transaction is open');
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -19,6 +19,7 @@
 import type { DirectorySource } from './directory-follower.js';
 import { type InstancePool, ownRequest, type PoolCounters } from './instance-pool.js';
 import { createLatencies, RequestLatencies } from './latencies.js';
+import { endSessions } from './planned-stop.js';
 import { PositionSampler, type SamplerCounters } from './position-sampler.js';
 import type { PrimaryView } from './promotion/contract.js';
 import type { ToldPosition, ZonePositions } from './readers/zone-positions.js';
@@ -31,15 +32,12 @@
 import { ROUTE_TEMPLATES } from './tenant-templates.generated.js';
 import { type ProverCounters, TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
-import { firstWithin, pause } from './within.js';
+import { firstWithin } from './within.js';
 
 const CONNECT_TIMEOUT_MS = 500;
 const RECONNECT_DELAY_MS = 200;
 /** How often shares, positions and surplus connections are looked at. */
 const CHECK_MS = 100;
-/** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
-const DRAIN_DELAY_MS = 2200;
-const DRAIN_CHECK_MS = 50;
 /** A node that is not seen any more counts for so long among those that share connections. */
 const NODE_MEMORY_MS = 30_000;
 /** Nodes that share the instances' connections, before this one has seen how many there are. */
@@ -48,10 +46,6 @@
 const LARGEST_SMALL_FLEET = 23;
 /** Until then a fleet that starts for the first time may not know yet how large it is. */
 const FIRST_START_SETTLED_MS = 2500;
-/** Parts of the grace period that open transactions and running requests get. */
-const TRANSACTION_GRACE_SHARE = 0.5;
-const REQUEST_GRACE_SHARE = 0.9;
-
 export interface DirectGatewayOptions {
   readonly settings: DirectSettings;
   readonly wire: StatementWire;
@@ -78,6 +72,7 @@
     statements: 0,
     refused: 0,
     failed: 0,
+    refusedAtStop: 0,
     transactionsIdled: 0,
     connectionsOpened: 0,
     connectFailures: 0,
@@ -390,27 +385,15 @@
   async stop(): Promise<void> {
     if (this.#stopping) return;
     this.#stopping = true;
-    const { now, settings } = this.options;
-    const stoppedAt = now();
-    this.#relay.stopGranting();
-    await pause(Math.min(DRAIN_DELAY_MS, settings.gracePeriodMs * TRANSACTION_GRACE_SHARE));
-    this.#server.drain(false);
-    await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * TRANSACTION_GRACE_SHARE);
-    this.#server.drain(true);
-    await this.#sessionsEnded(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
-    await this.#relay.drained(stoppedAt + settings.gracePeriodMs * REQUEST_GRACE_SHARE);
-    this.#server.close();
+    const { now, settings, logger } = this.options;
+    const { counters } = this;
+    const parts = { server: this.#server, relay: this.#relay, counters, now, logger };
+    await endSessions({ ...parts, gracePeriodMs: settings.gracePeriodMs });
     clearInterval(this.#checks);
     for (const service of this.#services.values()) service.close();
     this.#relay.close();
   }
 
-  async #sessionsEnded(deadline: Milliseconds): Promise<void> {
-    while (this.#server.sessionCount > 0 && this.options.now() < deadline) {
-      await pause(DRAIN_CHECK_MS);
-    }
-  }
-
   #service(name: string): ServiceRuntime {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -12,6 +12,8 @@
   statements: 'statements of callers taken',
   refused: 'statements refused by this node',
   failed: 'statements that an instance answered with an error',
+  refusedAtStop:
+    'requests that came as a stopping node told their session to leave, refused by that',
   transactionsIdled: 'transactions ended for resting too long',
   connectionsOpened: 'connections opened to instances',
   connectFailures: 'connections to instances that could not be opened',
--- /dev/null
+++ b/src/direct/planned-stop.ts
@@ -0,0 +1,50 @@
+/** The planned stop of a gateway, seen by its callers: sessions end between requests, and no request is cut. */
+import type { Milliseconds } from '../core/units.js';
+import type { Logger } from '../observability/logger.js';
+import type { CallerServer } from './caller-server.js';
+import type { SessionCounters } from './caller-session.js';
+import type { RelayHost } from './relay/relay-host.js';
+import { pause } from './within.js';
+
+/** Sessions end this long after the stop was asked for, so that no new callers come meanwhile. */
+const DRAIN_DELAY_MS = 2200;
+const DRAIN_CHECK_MS = 50;
+/** Parts of the grace period that open transactions and running requests get. */
+const TRANSACTION_GRACE_SHARE = 0.5;
+const REQUEST_GRACE_SHARE = 0.9;
+
+/** What a stop ends, and how long it may take. */
+export interface StopParts {
+  readonly server: CallerServer;
+  readonly relay: RelayHost;
+  readonly counters: Pick<SessionCounters, 'refusedAtStop'>;
+  readonly gracePeriodMs: Milliseconds;
+  readonly now: () => Milliseconds;
+  readonly logger: Logger | undefined;
+}
+
+/** Ends all sessions; resolves once none is left, or the time for it is over. */
+export async function endSessions(parts: StopParts): Promise<void> {
+  const { server, relay, counters, gracePeriodMs, now, logger } = parts;
+  const stoppedAt = now();
+  const endsAt = stoppedAt + gracePeriodMs * REQUEST_GRACE_SHARE;
+  relay.stopGranting();
+  const delayMs = Math.min(DRAIN_DELAY_MS, gracePeriodMs * TRANSACTION_GRACE_SHARE);
+  await pause(delayMs);
+  // A process that is late here has left requests unread for as long.
+  const lateMs = Math.round(now() - stoppedAt - delayMs);
+  logger?.info('sessions told to leave', { sessions: server.sessionCount, lateMs });
+  server.drain(false);
+  await sessionsEnded(parts, stoppedAt + gracePeriodMs * TRANSACTION_GRACE_SHARE);
+  server.drain(true);
+  await sessionsEnded(parts, endsAt);
+  await relay.drained(endsAt);
+  const { refusedAtStop } = counters;
+  const left = { sessionsLeft: server.sessionCount, requestsCut: server.busyCount };
+  logger?.info('sessions ended', { ...left, refusedAtStop, tookMs: Math.round(now() - stoppedAt) });
+  server.close();
+}
+
+async function sessionsEnded({ server, now }: StopParts, deadline: Milliseconds): Promise<void> {
+  while (server.sessionCount > 0 && now() < deadline) await pause(DRAIN_CHECK_MS);
+}
