Answers that came in time are taken, also by a process that is late

Cause: the same as that of the requests lost at a stop: a timer that judges whether input has come runs before what has arrived is read. A statement answered in time, in a process that computes meanwhile, was told as in doubt or tried again elsewhere, and its instance taken for silent. Ruled out: heartbeats of links between nodes (they count their own intervals, of which a late process has only one). Change: firstWithin, by which all waits for instances' answers are bounded, reads what has arrived before it gives up. Measured: test over a real socket pair with 50 ms of computing and a bound of 10 ms: undefined before, the answer now.

--- a/src/direct/caller-server.ts
+++ b/src/direct/caller-server.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { CallerSession, type CallerSessionOptions } from './caller-session.js';
 import { LineSplitter, WIRE_ENCODING } from './line-splitter.js';
+import { afterInput } from './within.js';
 
 const KEEP_ALIVE_DELAY_MS = 10_000;
 /** A caller that does not read holds its own session up once so much waits for it. */
@@ -144,11 +145,3 @@
     setTimeout(() => socket.destroy(), LINGER_MS);
   }
 }
-
-/**
- * Runs once what has arrived is read: a timer that is late would run before it. Of two turns of the event loop the
- * second has polled the sockets, wherever in its first the caller stands.
- */
-function afterInput(run: () => void): void {
-  setImmediate(() => setImmediate(run));
-}
--- /dev/null
+++ b/test/unit/direct/within.test.ts
@@ -0,0 +1,46 @@
+/** Waiting with a bound in a process that is late. */
+import { once } from 'node:events';
+import { connect, createServer, type Socket } from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { firstWithin } from '../../../src/direct/within.js';
+
+const WAIT_MS = 10;
+const LATE_MS = 50;
+
+let near: Socket;
+let far: Socket;
+
+test.before.each(async () => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = server.address();
+  if (address === null || typeof address === 'string') throw new Error('no port');
+  near = connect(address.port, '127.0.0.1');
+  [far] = (await once(server, 'connection')) as [Socket];
+  server.close();
+});
+test.after.each(() => {
+  near.destroy();
+  far.destroy();
+});
+
+function computeFor(milliseconds: number): void {
+  const until = performance.now() + milliseconds;
+  while (performance.now() < until);
+}
+
+test('an answer that came in time and waits unread in a late process is taken', async () => {
+  const answer = once(near, 'data').then(([chunk]) => String(chunk));
+  const first = firstWithin([answer], WAIT_MS);
+  far.write('done');
+  computeFor(LATE_MS);
+  assert.is(await first, 'done');
+});
+
+test('no answer in time is undefined', async () => {
+  const answer = once(near, 'data');
+  assert.is(await firstWithin([answer], WAIT_MS), undefined);
+});
+
+test.run();
