A stopping node takes no more callers once its own have left

Where most nodes of a zone stop at once, the platform still sends callers there. Ruled out: telling these callers to leave alone (they are told after their start, and their first request may cross that at the very end). Change: the stop listens no more from the moment that open transactions are ended. Measured: the new test, without the change: the caller is taken (no error code); with it: ECONNREFUSED.

--- a/src/direct/caller-server.ts
+++ b/src/direct/caller-server.ts
@@ -61,7 +61,7 @@
 
   /** Takes no more connections. */
   stopAccepting(): void {
-    this.#server.close();
+    if (this.#server.listening) this.#server.close();
   }
 
   /**
@@ -77,7 +77,7 @@
 
   /** Ends whatever is left. */
   close(): void {
-    this.#server.close();
+    this.stopAccepting();
     for (const { socket } of [...this.#sessions]) socket.destroy();
   }
 
--- a/src/direct/planned-stop.ts
+++ b/src/direct/planned-stop.ts
@@ -16,7 +16,7 @@
 /** What a stop ends, and how long it may take. */
 export interface StopParts {
   readonly server: CallerServer;
-  readonly relay: RelayHost;
+  readonly relay: Pick<RelayHost, 'stopGranting' | 'drained'>;
   readonly counters: Pick<SessionCounters, 'refusedAtStop'>;
   readonly gracePeriodMs: Milliseconds;
   readonly now: () => Milliseconds;
@@ -37,6 +37,8 @@
   server.drain(false);
   await sessionsEnded(parts, stoppedAt + gracePeriodMs * TRANSACTION_GRACE_SHARE);
   server.drain(true);
+  // Whoever came now, while nodes give back the connections that were lent to them, would be cut at the end of that.
+  server.stopAccepting();
   await sessionsEnded(parts, endsAt);
   await relay.drained(endsAt);
   const { refusedAtStop } = counters;
--- /dev/null
+++ b/test/unit/direct/planned-stop.test.ts
@@ -0,0 +1,54 @@
+/**
+ * The planned stop of a node that lends connections. Its own callers have left, and it waits for other nodes to give back
+ * what they were lent. A caller that came meanwhile was taken, and cut in the middle of its request at the end of that wait.
+ */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { CallerServer } from '../../../src/direct/caller-server.js';
+import { endSessions, type StopParts } from '../../../src/direct/planned-stop.js';
+import { sessionDependencies } from '../../support/caller-session-fixture.js';
+import { LineClient } from '../../support/line-client.js';
+
+const HOST = '127.0.0.1';
+const GRACE_MS = 400;
+
+/** Its `waiting` resolves once the stop waits for what was lent; `giveBack` ends that. */
+function lendingRelay() {
+  let giveBack = (): void => {};
+  const givenBack = new Promise<void>((resolve) => {
+    giveBack = resolve;
+  });
+  let tellWaiting = (): void => {};
+  const waiting = new Promise<void>((resolve) => {
+    tellWaiting = resolve;
+  });
+  const relay: StopParts['relay'] = {
+    stopGranting: () => {},
+    drained: () => {
+      tellWaiting();
+      return givenBack;
+    },
+  };
+  return { relay, waiting, giveBack };
+}
+
+test('a stopping node that waits for what it has lent takes no more callers', async () => {
+  const dependencies = sessionDependencies();
+  const server = new CallerServer(dependencies);
+  await server.listen({ host: HOST, port: 0 });
+  const { port } = server;
+  const { relay, waiting, giveBack } = lendingRelay();
+  const { counters, now } = dependencies;
+  const parts = { server, relay, counters, now, gracePeriodMs: GRACE_MS, logger: undefined };
+  const ended = endSessions(parts);
+  await waiting;
+  const code = await LineClient.connect(HOST, port).then(
+    (client) => client.destroy(),
+    (error: NodeJS.ErrnoException) => error.code,
+  );
+  assert.is(code, 'ECONNREFUSED');
+  giveBack();
+  await ended;
+});
+
+test.run();
