Test that fails: a second signal to stop ends the process at once

Cause: a stop that is asked for while one is under way returns at once, and the program ends the process when it returns. Measured: the test fails: the process is gone before its callers were told to leave, in the middle of a transaction.

--- a/test/integration/direct/lifecycle.test.ts
+++ b/test/integration/direct/lifecycle.test.ts
@@ -63,6 +63,31 @@
   await clients.endWithNoRuleBroken();
 });
 
+/**
+ * Stops that overlap send the signal again. The second one found the stop under way, took it for done and ended the process
+ * at once: what was passed on to an instance was cut, and its caller had no answer.
+ */
+test('a second SIGTERM does not shorten the stop', async () => {
+  await start(2);
+  const session = await cluster.open('intake', 0);
+  await session.succeed(async () => {
+    await session.begin();
+    return session.write('k', 'v');
+  });
+  const gateway = cluster.gateway(0);
+  gateway.process.kill('SIGTERM');
+  await until('it stops', () => gateway.output().includes('"stopping"'));
+  gateway.process.kill('SIGTERM');
+  assert.is((await session.write('k', 'w')).state, 'T');
+  await until('its callers are told to leave', () => {
+    return gateway.output().includes('"sessions told to leave"');
+  });
+  const commit = await session.commit();
+  assert.equal([commit.state, commit.error], ['I', undefined]);
+  assert.is(await gateway.ended, 0);
+  await clients.endWithNoRuleBroken();
+});
+
 test('a SIGKILL of a gateway leaves no transaction behind', async () => {
   await start(2);
   const session = await cluster.open('intake', 0);
