A stop that is asked for again is the same stop

Ruled out: ignoring further signals in main.ts alone, since the promise of a stop is wrong for every caller.

--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -106,7 +106,8 @@
   #nodeCountSeenAt: Milliseconds | undefined;
   readonly #createdAt: Milliseconds;
   readonly #readiness = new StartReadiness();
-  #stopping = false;
+  /** Set once a stop was asked for; settles when it is over. */
+  #stopped: Promise<void> | undefined;
   #checks: NodeJS.Timeout | undefined;
   readonly #sampler: PositionSampler;
   readonly #beliefs: BeliefLog | undefined;
@@ -171,7 +172,7 @@
   get ready(): boolean {
     const hasDirectory = this.#configuration !== undefined && this.#instances.size > 0;
     const known = { hasDirectory, hasPrimaries: this.#hasPrimaries() };
-    return !this.#stopping && this.#readiness.isReady(this.options.now(), known);
+    return this.#stopped === undefined && this.#readiness.isReady(this.options.now(), known);
   }
 
   /** A service whose primary is being replaced will have one soon. */
@@ -382,9 +383,12 @@
   }
 
   /** Planned stop: no request is cut; resolves when the process may end. */
-  async stop(): Promise<void> {
-    if (this.#stopping) return;
-    this.#stopping = true;
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const { now, settings, logger } = this.options;
     const { counters } = this;
     const parts = { server: this.#server, relay: this.#relay, counters, now, logger };
