Test of the planned stop closes its server also when it fails

Cause: the runner waited 400 s for it: it failed against a compiled file that had been edited by hand to see the test fail, and was not built anew (the compiler keeps what it believes to be current); a failed assertion left the server listening.

--- a/test/unit/direct/planned-stop.test.ts
+++ b/test/unit/direct/planned-stop.test.ts
@@ -12,6 +12,10 @@
 const HOST = '127.0.0.1';
 const GRACE_MS = 400;
 
+let server: CallerServer;
+
+test.after.each(() => server.close());
+
 /** Its `waiting` resolves once the stop waits for what was lent; `giveBack` ends that. */
 function lendingRelay() {
   let giveBack = (): void => {};
@@ -34,7 +38,7 @@
 
 test('a stopping node that waits for what it has lent takes no more callers', async () => {
   const dependencies = sessionDependencies();
-  const server = new CallerServer(dependencies);
+  server = new CallerServer(dependencies);
   await server.listen({ host: HOST, port: 0 });
   const { port } = server;
   const { relay, waiting, giveBack } = lendingRelay();
