Test: a second signal to stop cuts no statement (fails)

Cause: shown by the test: the second call of the stop finds the gateway stopping already, waits for nothing and ends the process. Measured: 0 of 1 passed, the write that its instance works on gets no answer. Conclusion: a request that was read whole and passed on ends without an answer at a planned stop.

--- /dev/null
+++ b/test/integration/direct/planned-stop.test.ts
@@ -0,0 +1,68 @@
+/**
+ * A planned stop while answers are owed. A second signal to stop ended the process at once, and with it
+ * requests that had been read whole and were at work at their instance.
+ */
+import { setTimeout as pause } from 'node:timers/promises';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DirectCluster, type TestRoute } from '../../support/direct-cluster.js';
+import type { RecordedSession } from '../../support/direct-session.js';
+import type { LineAnswer } from '../../support/line-client.js';
+import { until } from '../../support/until.js';
+
+/** A statement may take longer than the whole grace period of 6 s. */
+const LONG_TIMEOUT_MS = 20_000;
+const ROUTES: readonly TestRoute[] = [
+  {
+    ...{ database: 'intake', service: 'orders', routeType: 'primary' },
+    timeoutMs: LONG_TIMEOUT_MS,
+  },
+];
+const PRIMARY = 'i-orders-1';
+/** The stand-in works 2 ms on a statement: 2 s. */
+const SLOW_FACTOR = 1000;
+const SIGNAL_GAP_MS = 200;
+
+let cluster: DirectCluster;
+
+async function start(): Promise<void> {
+  cluster = await DirectCluster.start({ gateways: 1, routes: ROUTES });
+}
+
+test.after.each(() => cluster.stop());
+
+/** The outcome of a statement: `done`, its error's code, or that the connection ended without any. */
+function outcomeOf(statement: Promise<LineAnswer>): Promise<string> {
+  return statement.then(
+    ({ error }) => error?.code ?? 'done',
+    () => 'no answer',
+  );
+}
+
+/** A write that its instance works on for so many times the usual time; its outcome comes later. */
+async function beginSlowWrite(
+  session: RecordedSession,
+  slowFactor: number,
+): Promise<{ readonly outcome: Promise<string> }> {
+  await cluster.platform.set(`/instances/${PRIMARY}/faults`, { slowFactor });
+  const outcome = outcomeOf(session.write('k', 'v'));
+  await until('the instance works on it', async () => {
+    return (await cluster.platform.instance(PRIMARY)).slotsInUse > 0;
+  });
+  return { outcome };
+}
+
+test('a second signal to stop cuts no statement', async () => {
+  await start();
+  const session = await cluster.open('intake');
+  await session.succeed(() => session.write('k', 'first'));
+  const { outcome } = await beginSlowWrite(session, SLOW_FACTOR);
+  const { process: gateway, ended } = cluster.gateway(0);
+  gateway.kill('SIGTERM');
+  await pause(SIGNAL_GAP_MS);
+  gateway.kill('SIGTERM');
+  assert.is(await outcome, 'done');
+  assert.is(await ended, 0);
+});
+
+test.run();
