--- a/test/integration/direct/planned-stop.test.ts
+++ b/test/integration/direct/planned-stop.test.ts
@@ -1,6 +1,7 @@
 /**
- * A planned stop while answers are owed. A second signal to stop ended the process at once, and with it
- * requests that had been read whole and were at work at their instance.
+ * A planned stop while answers are owed. Two ways were found in which a request that had been read whole
+ * ended without an answer: a second signal to stop ended the process at once, whatever still ran; and what
+ * still waited at nine tenths of the grace period was cut without a word.
  */
 import { setTimeout as pause } from 'node:timers/promises';
 import { test } from 'uvu';
@@ -21,6 +22,8 @@
 const PRIMARY = 'i-orders-1';
 /** The stand-in works 2 ms on a statement: 2 s. */
 const SLOW_FACTOR = 1000;
+/** 200 s, longer than any test. */
+const STUCK_FACTOR = 100_000;
 const SIGNAL_GAP_MS = 200;
 
 let cluster: DirectCluster;
@@ -65,4 +68,17 @@
   assert.is(await ended, 0);
 });
 
+test('a statement that outlasts the stop is answered before its connection ends', async () => {
+  await start();
+  const session = await cluster.open('intake');
+  await session.succeed(() => session.write('k', 'first'));
+  const { outcome } = await beginSlowWrite(session, STUCK_FACTOR);
+  const { process: gateway, ended } = cluster.gateway(0);
+  gateway.kill('SIGTERM');
+  assert.is(await outcome, 'TIMEOUT');
+  await session.client.closed;
+  assert.equal(session.client.unasked, []);
+  assert.is(await ended, 0);
+});
+
 test.run();
