Callers that are owed an answer when the node ends are told that there is none

Cause: at nine tenths of the grace period CallerServer.close destroyed every connection, also those of callers whose statement waited for a connection, for a primary that was being replaced, or for its instance. A statement that was sent up to 2.2 s after the signal (3 s inside a transaction) on a route with a time-out of 4 s or more is bounded by its route only after that. Ruled out: a longer wait, since the process is killed at the end of the grace period; a promise that nothing is kept, since what was sent may run yet. Change: a session gives up before its connection ends: TIMEOUT, which promises nothing, for each statement owed, BUSY for a start; nothing is written after that. The connection ends when that has been handed to the kernel.

--- a/src/direct/caller-server.ts
+++ b/src/direct/caller-server.ts
@@ -75,10 +75,13 @@
     });
   }
 
-  /** Ends whatever is left. */
+  /** Ends whatever is left; callers that are owed answers are told that there are none. */
   close(): void {
     this.stopAccepting();
-    for (const { socket } of [...this.#sessions]) socket.destroy();
+    for (const { session, socket } of [...this.#sessions]) {
+      session.giveUp();
+      closeUnread(socket);
+    }
   }
 
   #accept(socket: Socket): void {
@@ -140,8 +143,12 @@
   /** The caller has heard and not left: it may be out of reach. */
   #endLingering(open: OpenSession): void {
     const { socket } = open;
-    if (socket.destroyed || !this.#mayEnd(open)) return;
-    socket.end();
-    setTimeout(() => socket.destroy(), LINGER_MS);
+    if (!socket.destroyed && this.#mayEnd(open)) closeUnread(socket);
   }
 }
+
+/** Sends what is written and closes, reading no more: a socket that is only ended or paused reads on. */
+function closeUnread(socket: Socket): void {
+  socket.destroySoon();
+  setTimeout(() => socket.destroy(), LINGER_MS).unref();
+}
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -64,6 +64,8 @@
 
 /** Another node takes the transaction at once. */
 const STOPPING_TEXT = `this node is stopping; retry after ${RETRY_AFTER_MS} ms`;
+/** The grace period of the node is over. */
+const GIVEN_UP_TEXT = 'this node ends; whether it ran is unknown';
 
 /** Counted over all sessions of the process. */
 export interface SessionCounters {
@@ -95,6 +97,8 @@
   readonly #underWay = new StatementsUnderWay();
   readonly #queue: CallerMessage[] = [];
   #busy = false;
+  /** The message that is being answered. */
+  #inHand: CallerMessage | undefined;
   #ended = false;
   #idleTimer: NodeJS.Timeout | undefined;
   /** The transaction was ended for resting too long, and the caller has not heard of it yet. */
@@ -120,7 +124,7 @@
   receive(message: CallerMessage): void {
     if (this.#ended) return;
     if (this.#queue.length >= MAX_QUEUED_MESSAGES) {
-      this.options.write(this.options.wire.encodeError('too-large', 'too many messages at once'));
+      this.#write(this.options.wire.encodeError('too-large', 'too many messages at once'));
       this.#queue.length = 0;
       this.#end();
       return;
@@ -135,18 +139,39 @@
    */
   tellToLeave(): void {
     if (this.#ended || this.#toldToLeave !== undefined) return;
-    const { wire, counters, write } = this.options;
+    const { wire, counters } = this.options;
     const code = this.#state === 'idle' ? 'busy' : 'aborted';
     if (this.#state === 'open') {
       this.#dropTransaction();
       this.#state = 'failed';
       counters.refused += 1;
     }
-    write(wire.encodeError(code, STOPPING_TEXT));
+    this.#write(wire.encodeError(code, STOPPING_TEXT));
     if (this.#database === undefined) this.#end();
     else this.#toldToLeave = code;
   }
 
+  /**
+   * The node ends now: callers that are owed answers are told that there are none, and the session ends. What was sent
+   * to an instance may have run, so that nothing is promised.
+   */
+  giveUp(): void {
+    if (this.#ended) return;
+    const owed = this.#inHand === undefined ? this.#queue : [this.#inHand, ...this.#queue];
+    for (const message of owed) this.#giveUpOn(message);
+    this.#queue.length = 0;
+    this.#end();
+  }
+
+  #giveUpOn({ type }: CallerMessage): void {
+    const { wire, counters } = this.options;
+    if (type === 'start') this.#write(wire.encodeError('busy', STOPPING_TEXT));
+    if (type !== 'statement') return;
+    counters.failed += 1;
+    const state = this.#state === 'open' ? 'failed' : this.#state;
+    this.#write(wire.encodeError('timeout', GIVEN_UP_TEXT) + wire.encodeReady(state, undefined));
+  }
+
   /** The caller has gone: what it began is rolled back. */
   close(): void {
     this.#tenant?.closeSession();
@@ -162,10 +187,12 @@
     this.#busy = true;
     for (let message = this.#queue.shift(); message !== undefined; message = this.#queue.shift()) {
       clearTimeout(this.#idleTimer);
+      this.#inHand = message;
       await this.#handle(message);
       if (this.#ended) break;
     }
     this.#busy = false;
+    this.#inHand = undefined;
     if (this.#ended) this.#dropTransaction();
     else {
       this.#watchIdleTransaction();
@@ -198,12 +225,12 @@
         this.#end();
         return;
       case 'malformed':
-        this.options.write(this.options.wire.encodeError('malformed', message.reason));
+        this.#write(this.options.wire.encodeError('malformed', message.reason));
         this.#end();
         return;
       case 'statement':
         if (this.#database === undefined) {
-          this.options.write(this.options.wire.encodeError('malformed', 'no session was started'));
+          this.#write(this.options.wire.encodeError('malformed', 'no session was started'));
           this.#end();
           return;
         }
@@ -214,6 +241,7 @@
   }
 
   #end(): void {
+    if (this.#ended) return;
     this.#ended = true;
     this.options.end();
   }
@@ -221,18 +249,18 @@
   async #start(database: string): Promise<void> {
     const { wire, routes } = this.options;
     if (this.#database !== undefined) {
-      this.options.write(wire.encodeError('malformed', 'the session was started before'));
+      this.#write(wire.encodeError('malformed', 'the session was started before'));
       this.#end();
       return;
     }
     if (!(await routes.known(START_WAIT_MS))) {
-      this.options.write(wire.encodeError('busy', 'no configuration yet'));
+      this.#write(wire.encodeError('busy', 'no configuration yet'));
       this.#end();
       return;
     }
     const found = routes.find(database);
     if (found === undefined) {
-      this.options.write(wire.encodeError('no-database', 'no such database'));
+      this.#write(wire.encodeError('no-database', 'no such database'));
       this.#end();
       return;
     }
@@ -241,13 +269,13 @@
     if (!found.tenant.openSession()) {
       this.options.counters.refused += 1;
       const text = `too many sessions; retry after ${RETRY_AFTER_MS} ms`;
-      this.options.write(wire.encodeError('busy', text));
+      this.#write(wire.encodeError('busy', text));
       this.#end();
       return;
     }
     this.#tenant = found.tenant;
     this.#database = database;
-    this.options.write(wire.encodeReady('idle', undefined));
+    this.#write(wire.encodeReady('idle', undefined));
   }
 
   async #statement(message: StatementMessage, statement: Statement): Promise<void> {
@@ -293,13 +321,13 @@
 
   /** A statement that crossed the word to leave takes that word for its refusal; it has not run. */
   #endRefusal(message: StatementMessage, code: 'busy' | 'aborted'): void {
-    const { wire, counters, write } = this.options;
+    const { wire, counters } = this.options;
     this.#toldToLeave = undefined;
     counters.refusedAtStop += 1;
     const { type } = message.statement;
     if (type === 'commit' || type === 'rollback') this.#state = 'idle';
     this.#tellRefused(message, { code, text: STOPPING_TEXT });
-    write(wire.encodeReady(this.#state, undefined));
+    this.#write(wire.encodeReady(this.#state, undefined));
   }
 
   #begin(readOnly: boolean): void {
@@ -472,7 +500,7 @@
     }
     const { wire } = this.options;
     const ready = wire.encodeReady(this.#state, outcome.answer.position);
-    this.options.write(outcome.answer.payload + ready);
+    this.#write(outcome.answer.payload + ready);
   }
 
   /** Tells an error; a transaction that was open has failed with it. */
@@ -493,9 +521,14 @@
     return `retry after ${isChanging ? RETRY_AFTER_CHANGE_MS : RETRY_AFTER_MS} ms`;
   }
 
+  /** Nothing follows what ended the session. */
+  #write(text: string): void {
+    if (!this.#ended) this.options.write(text);
+  }
+
   #complete(): void {
     const { wire } = this.options;
-    this.options.write(wire.encodeCompletion() + wire.encodeReady(this.#state, undefined));
+    this.#write(wire.encodeCompletion() + wire.encodeReady(this.#state, undefined));
   }
 
   #refuse(code: StatementErrorCode, text: string): void {
@@ -504,7 +537,7 @@
       this.#dropTransaction();
       this.#state = 'failed';
     }
-    this.options.write(wire.encodeError(code, text) + wire.encodeReady(this.#state, undefined));
+    this.#write(wire.encodeError(code, text) + wire.encodeReady(this.#state, undefined));
   }
 }
 
--- a/test/support/caller-session-fixture.ts
+++ b/test/support/caller-session-fixture.ts
@@ -11,7 +11,8 @@
 import { ROUTE_TEMPLATES } from '../../src/direct/tenant-templates.generated.js';
 import { TrustProver } from '../../src/direct/trust-prover.js';
 
-const ROUTE: RouteDescription = {
+/** The only route that is known. */
+export const ROUTE: RouteDescription = {
   name: 'route-1',
   database: 'orders',
   service: 'db-1',
--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -1,10 +1,11 @@
 /** A session's own rules: what it answers by itself, and in which order. */
+import { setTimeout as pause } from 'node:timers/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
 import { CallerSession } from '../../../src/direct/caller-session.js';
 import type { RequestEnd } from '../../../src/direct/request-log.js';
-import { sessionDependencies, tenantWith } from '../../support/caller-session-fixture.js';
+import { ROUTE, sessionDependencies, tenantWith } from '../../support/caller-session-fixture.js';
 
 /** The session's own pauses do not keep a process alive. */
 const KEEP_ALIVE_MS = 1000;
@@ -140,6 +141,42 @@
   assert.equal(ended, [true]);
 });
 
+test('a caller whose answer is owed when the node ends is told that there is none, and nothing after that', async () => {
+  const { session, lines, ended } = startSession();
+  const receive = (line: string) => session.receive(lineWire.decodeCallerMessage(line));
+  receive('START orders u1');
+  await new Promise((resolve) => setImmediate(resolve));
+  receive('QUERY 1 READ key');
+  receive('QUERY 2 READ key');
+  session.giveUp();
+  const toldThen = [...lines];
+  assert.match(toldThen[1] ?? '', /^ERROR TIMEOUT /);
+  assert.is(toldThen[2], 'READY I -');
+  assert.match(toldThen[3] ?? '', /^ERROR TIMEOUT /);
+  assert.is(toldThen[4], 'READY I -');
+  await pause(ROUTE.timeoutMs * 2);
+  assert.equal(lines, toldThen);
+  assert.equal(ended, [true]);
+});
+
+test('a start that is owed when the node ends is refused', async () => {
+  const { session, lines, ended } = startSession();
+  session.receive(lineWire.decodeCallerMessage('START orders u1'));
+  session.giveUp();
+  assert.match(lines[0] ?? '', /^ERROR BUSY /);
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.is(lines.length, 1);
+  assert.equal(ended, [true]);
+});
+
+test('a caller at rest when the node ends hears nothing', async () => {
+  const { session, lines, ended, send } = startSession();
+  await send('START orders u1');
+  session.giveUp();
+  assert.equal(lines, ['READY I -']);
+  assert.equal(ended, [true]);
+});
+
 test('an unknown database, and a statement before the start, end the session', async () => {
   const unknown = startSession();
   unknown.session.receive(lineWire.decodeCallerMessage('START other u1'));
