Test: a caller whose transaction was ended before the node stops is told so too

Cause: the stop told only callers whose transaction was still open. One whose transaction had been ended for resting too long heard nothing.

--- a/test/support/caller-session-fixture.ts
+++ b/test/support/caller-session-fixture.ts
@@ -23,6 +23,7 @@
   priority: 1,
 };
 
+const TRANSACTION_IDLE_MS = 3000;
 const POLICY = resolveRoutePolicy(ROUTE_TEMPLATES, ROUTE.consistency, ROUTE);
 
 /** The tenant of the route, with some of its policy replaced. */
@@ -34,6 +35,7 @@
 export function sessionDependencies(
   tenant = tenantWith(),
   ends: RequestEnd[] = [],
+  transactionIdleMs = TRANSACTION_IDLE_MS,
 ): SessionDependencies {
   const now = () => performance.now();
   const random = () => 0.5;
@@ -73,7 +75,7 @@
     routes: {
       find: (database) => (database === 'orders' ? { route: ROUTE, service, tenant } : undefined),
       known: async () => true,
-      transactionIdleMs: 3000,
+      transactionIdleMs,
     },
     now,
     counters: { statements: 0, refused: 0, failed: 0, refusedAtStop: 0, transactionsIdled: 0 },
--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -17,12 +17,12 @@
 test.after(() => clearInterval(keepAlive));
 
 /** A session whose service has no instance at all. */
-function startSession(tenant = tenantWith()) {
+function startSession(tenant = tenantWith(), transactionIdleMs?: number) {
   const lines: string[] = [];
   const ends: RequestEnd[] = [];
   const ended: true[] = [];
   const session = new CallerSession({
-    ...sessionDependencies(tenant, ends),
+    ...sessionDependencies(tenant, ends, transactionIdleMs),
     write: (text) => lines.push(...text.split('\r\n').filter((line) => line !== '')),
     end: () => ended.push(true),
   });
@@ -115,6 +115,19 @@
   assert.match(lines.at(-1) ?? '', /^ERROR ABORTED .*retry after \d+ ms$/);
 });
 
+/**
+ * Its transaction was ended for resting too long, of which it hears with its next statement. The node stopped first,
+ * and its connection ended without a word, as if the transaction were open still.
+ */
+test('a caller whose transaction was ended before the node stops is told so too', async () => {
+  const { session, lines, send } = startSession(tenantWith(), 1);
+  await send('START orders u1');
+  await send('QUERY 1 BEGIN');
+  await pause(ROUTE.timeoutMs);
+  session.tellToLeave();
+  assert.match(lines.at(-1) ?? '', /^ERROR ABORTED .*retry after \d+ ms$/);
+});
+
 test('one that rests outside any transaction when the node stops is told once to go elsewhere', async () => {
   const { session, lines, send } = startSession();
   await send('START orders u1');
