--- a/src/direct/instance-connection.ts
+++ b/src/direct/instance-connection.ts
@@ -10,6 +10,7 @@
 import { InstanceConnectError, InstanceConnectionLostError } from './errors.js';
 import { LineSplitter, WIRE_ENCODING } from './line-splitter.js';
 import type { InstanceMessage, StatementWire } from './wire.js';
+import { afterReading } from './within.js';
 
 /** Probes of an idle connection begin after this, so that a dark machine is noticed. */
 const KEEP_ALIVE_DELAY_MS = 1000;
@@ -188,11 +189,11 @@
     const fail = (reason: string, answer?: StatementErrorCode, cause?: Error): void => {
       if (settled) return;
       settled = true;
-      clearTimeout(timer);
+      stopWaiting();
       socket.destroy();
       resolve(err(new InstanceConnectError(`${instance.id}: ${reason}`, answer, { cause })));
     };
-    const timer = setTimeout(() => fail('no answer in time'), connectTimeoutMs);
+    const stopWaiting = afterReading(connectTimeoutMs, () => fail('no answer in time'));
     const splitter = new LineSplitter(wire.maxMessageBytes);
     const receive = (chunk: Buffer): void => {
       for (const line of splitter.push(chunk)) {
@@ -206,7 +207,7 @@
           return;
         }
         settled = true;
-        clearTimeout(timer);
+        stopWaiting();
         socket.removeAllListeners();
         resolve(ok(new SocketConnection(socket, wire, instance)));
         return;
--- a/src/direct/relay/owner-lessor.ts
+++ b/src/direct/relay/owner-lessor.ts
@@ -21,6 +21,7 @@
 import type { InstanceConnection } from '../instance-connection.js';
 import type { AcquireError, ConnectionRequest } from '../instance-pool.js';
 import { parsePosition } from '../position-form.js';
+import { afterReading } from '../within.js';
 import {
   CANCEL_READ,
   type ConnectionLessor,
@@ -192,7 +193,7 @@
     const stream = transport.openStream(owner, header);
     return new Promise((resolve) => {
       const settle = (outcome: StreamOutcome): void => {
-        clearTimeout(timer);
+        stopWaiting();
         stopListening();
         resolve(outcome);
       };
@@ -200,7 +201,7 @@
         stream.abort('given up');
         settle({ type: 'no-answer' });
       };
-      let timer = setTimeout(giveUp, Math.min(SILENCE_MS, waitMs));
+      let stopWaiting = afterReading(Math.min(SILENCE_MS, waitMs), giveUp);
       const stopListening = listenToAll(cancelledBy, () =>
         this.#cancellers[header.type](stream, giveUp),
       );
@@ -220,8 +221,8 @@
           settle(outcome);
           return;
         }
-        clearTimeout(timer);
-        timer = setTimeout(giveUp, waitMs + SILENCE_MS);
+        stopWaiting();
+        stopWaiting = afterReading(waitMs + SILENCE_MS, giveUp);
       };
     });
   }
--- a/src/direct/within.ts
+++ b/src/direct/within.ts
@@ -17,19 +17,31 @@
 }
 
 /**
- * The first of the promises' values, or `undefined` if none comes in time. An answer that came in time and waits unread,
- * since the process is late, is taken: a request that is answered already would be told as in doubt.
+ * Calls back after a time, unless the function that is given back was called: what came in time and waits unread, since
+ * the process is late, must not be taken for silence. A statement that is answered would be told as in doubt.
  */
+export function afterReading(milliseconds: Milliseconds, run: () => void): () => void {
+  let isWaiting = true;
+  const giveUp = (): void => {
+    if (isWaiting) run();
+  };
+  const timer = setTimeout(() => afterInput(giveUp), Math.max(0, milliseconds));
+  return () => {
+    isWaiting = false;
+    clearTimeout(timer);
+  };
+}
+
+/** The first of the promises' values, or `undefined` if none comes in time. */
 export function firstWithin<Value>(
   promises: Iterable<Promise<Value>>,
   milliseconds: Milliseconds,
 ): Promise<Value | undefined> {
   return new Promise((resolve, reject) => {
-    const giveUp = (): void => afterInput(() => resolve(undefined));
-    const timer = setTimeout(giveUp, Math.max(0, milliseconds));
+    const stopWaiting = afterReading(milliseconds, () => resolve(undefined));
     for (const promise of promises) {
       promise.then((value) => {
-        clearTimeout(timer);
+        stopWaiting();
         resolve(value);
       }, reject);
     }
