Simulation of promotions: stalls, restarts within a hold, members that leave with their logs

Cause: the simulation froze nodes for 0.3 to 7 s and restarted replicas after 0.2 to 6.5 s, but had no stall that runs due timers before what has arrived (or after it), no replica that restarts within the age that findings may have, no member that ends with its log and no control call that takes effect late. Change: seven kinds of faults, struck only where a test names them, so that the seeds of the other tests stay what they were; a test with two mixes of them, fixed seeds.

--- /dev/null
+++ b/test/property/promotion-lateness.test.ts
@@ -0,0 +1,51 @@
+/**
+ * No acknowledged commit is lost where processes run late, members leave with their logs, and restarts end holds.
+ * The simulation behind it: `test/support/promotion/`.
+ */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  EVERY_FAULT_KIND,
+  type FaultKind,
+  LATENESS_FAULT_KINDS,
+  PromotionSimulation,
+} from '../support/promotion/simulation.js';
+
+const RUNS = Number(process.env.PROMOTION_RUNS ?? 40);
+const FIRST_SEED = Number(process.env.PROMOTION_SEED ?? 20261202);
+
+/** What begins a change while the old primary lives on, so that commits may go on beside it. */
+const CHANGE_FAULTS: readonly FaultKind[] = [
+  'primary cut from leader',
+  'primary cut from nodes',
+  'primary draining',
+  'primary crash',
+  'replica deaf',
+];
+
+function violationsOf(seed: number, kinds: readonly FaultKind[]): string {
+  const simulation = new PromotionSimulation({ seed });
+  simulation.run(3000);
+  simulation.strike(30_000, kinds);
+  simulation.heal();
+  simulation.run(12_000);
+  if (simulation.violations.length === 0) return '';
+  const story = [...simulation.faults, ...simulation.nodes.flatMap(({ log }) => log)];
+  story.sort((left, right) => Number.parseInt(left, 10) - Number.parseInt(right, 10));
+  return `seed ${seed}\n${simulation.violations.join('\n')}\n${story.join('\n')}`;
+}
+
+const MIXES: Readonly<Record<string, readonly FaultKind[]>> = {
+  'all kinds': [...EVERY_FAULT_KIND, ...LATENESS_FAULT_KINDS],
+  'lateness beside changes': [...CHANGE_FAULTS, ...LATENESS_FAULT_KINDS],
+};
+
+for (const [name, kinds] of Object.entries(MIXES)) {
+  test(`no promise is broken: ${name}`, () => {
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
+      assert.is(violationsOf(seed, kinds), '');
+    }
+  });
+}
+
+test.run();
--- a/test/support/promotion/group.ts
+++ b/test/support/promotion/group.ts
@@ -11,6 +11,8 @@
 
 const PROMOTE_MS = 300;
 const STEPS_DOWN_AFTER_MS = 1000;
+const LATE_CONTROL_MS = 1500;
+const LATE_CONTROL_SHARE = 0.3;
 
 interface LogEntry {
   readonly term: number;
@@ -65,10 +67,13 @@
   acknowledged: AcknowledgedCommit[] = [];
   readonly violations: string[] = [];
   promotions = 0;
+  /** Some control calls take effect late until then. */
+  controlLateUntil = 0;
   /** As the platform has it. */
   leader: SimulatedInstance;
   readonly #formerAddresses = new Map<string, string>();
   #nextCommit = 1;
+  #nextIndex: number;
   #highestTerm = 1;
 
   constructor(
@@ -83,6 +88,7 @@
         index,
       );
     });
+    this.#nextIndex = size;
     const [first] = this.instances;
     if (first === undefined) throw new Error('a group has instances');
     this.leader = first;
@@ -139,6 +145,25 @@
     this.restart(instance);
   }
 
+  /** An instance ends for good; its log goes with it. */
+  remove(instance: SimulatedInstance): void {
+    this.crash(instance);
+    this.#formerAddresses.set(instance.id, instance.address);
+    this.instances.splice(this.instances.indexOf(instance), 1);
+  }
+
+  /** A replica with an empty log joins at an address of its own. */
+  join(): void {
+    const instance = new SimulatedInstance(
+      `${this.service}-${this.#nextIndex}`,
+      'replica',
+      this.#nextIndex,
+    );
+    instance.term = 0;
+    this.#nextIndex += 1;
+    this.instances.push(instance);
+  }
+
   /** A write of a node; the commit's number comes with its arrival. */
   write(machine: string, id: string, onAcknowledged: (passOn: () => void) => void): void {
     const address = this.#addressOf(id);
@@ -199,13 +224,19 @@
     const address = this.#addressOf(request.instance.id);
     const answerBack = (answer: RequestAnswer): void =>
       this.network.send(address, machine, () => onAnswer(answer));
-    this.network.send(machine, address, () => {
+    const highMs = this.#isControlLate() ? LATE_CONTROL_MS : undefined;
+    const onArrival = (): void => {
       const instance = this.#present(request.instance.id);
       // Another instance at its address refuses what is meant for it.
       if (instance?.alive !== true) answerBack({ type: 'control-failed', failure: 'refused' });
       else if (this.#clock.chance(0.05)) answerBack({ type: 'control-failed', failure: 'busy' });
       else answerBack(this.#carryOut(instance, request));
-    });
+    };
+    this.network.send(machine, address, onArrival, undefined, highMs);
+  }
+
+  #isControlLate(): boolean {
+    return this.#clock.now < this.controlLateUntil && this.#clock.chance(LATE_CONTROL_SHARE);
   }
 
   /** The platform has taken a call; it takes effect later. */
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -36,6 +36,12 @@
   readonly replicaReadsTrusting?: number | undefined;
 }
 
+/** What a process that does not run gets to do later. */
+interface HeldBack {
+  readonly isTimer: boolean;
+  readonly action: () => void;
+}
+
 export class SimulatedNode {
   machine: PromotionMachine | undefined;
   frozenUntil = 0;
@@ -46,7 +52,7 @@
   readsAtReplicas = 0;
   #life = 0;
   #watches = new Map<number, () => void>();
-  #inbox: (() => void)[] = [];
+  #inbox: HeldBack[] = [];
   #writes = new Set<{ readonly service: string; isGivenUp: boolean }>();
   #wakeAt = Number.POSITIVE_INFINITY;
   readonly #offset: number;
@@ -107,7 +113,26 @@
   freeze(forMs: number): void {
     this.frozenUntil = this.#clock.now + forMs;
     this.#clock.at(this.frozenUntil, () => {
-      for (const action of this.#inbox.splice(0)) action();
+      for (const { action } of this.#inbox.splice(0)) action();
+      this.#wake();
+    });
+  }
+
+  /**
+   * The event loop stalls: afterwards it runs the timers that are due first, or what has arrived first, as the
+   * phase of the loop has it.
+   */
+  stall(forMs: number): void {
+    if (this.isFrozen) return;
+    this.frozenUntil = this.#clock.now + forMs;
+    const areTimersFirst = this.#clock.chance(0.5);
+    const life = this.#life;
+    this.#clock.at(this.frozenUntil, () => {
+      if (life !== this.#life) return;
+      const heldBack = this.#inbox.splice(0);
+      const first = heldBack.filter(({ isTimer }) => isTimer === areTimersFirst);
+      const second = heldBack.filter(({ isTimer }) => isTimer !== areTimersFirst);
+      for (const { action } of [...first, ...second]) action();
       this.#wake();
     });
   }
@@ -120,9 +145,9 @@
   }
 
   /** Runs when the process does: at once, or once it is no longer frozen. */
-  #run(life: number, action: () => void): void {
+  #run(life: number, action: () => void, isTimer = false): void {
     if (life !== this.#life) return;
-    if (this.isFrozen) this.#inbox.push(() => this.#run(life, action));
+    if (this.isFrozen) this.#inbox.push({ isTimer, action: () => this.#run(life, action) });
     else action();
   }
 
@@ -135,7 +160,7 @@
     const life = this.#life;
     this.#clock.at(time, () => {
       if (this.#wakeAt === time) this.#wakeAt = Number.POSITIVE_INFINITY;
-      this.#run(life, () => this.handle({ type: 'tick' }));
+      this.#run(life, () => this.handle({ type: 'tick' }), true);
     });
   }
 
--- a/test/support/promotion/simulation.ts
+++ b/test/support/promotion/simulation.ts
@@ -1,7 +1,7 @@
 /** Nodes, groups, store and platform in virtual time, with faults drawn from a seed. */
 import type { PromotionMechanism } from '../../../src/core/promotion/contract.js';
 import { SimulatedClock } from './clock.js';
-import { SimulatedGroup } from './group.js';
+import { SimulatedGroup, type SimulatedInstance } from './group.js';
 import { SimulatedNetwork } from './network.js';
 import { SimulatedNode } from './node.js';
 import { PLATFORM, SimulatedPlatform } from './platform.js';
@@ -32,12 +32,27 @@
   'platform down',
 ] as const;
 
+/** Late processes, members that leave, restarts within a hold: struck only where a test names them. */
+export const LATENESS_FAULT_KINDS = [
+  'leader stall',
+  'node stall',
+  'replica blink',
+  'replica leaves',
+  'replica leaves unannounced',
+  'entries lapse',
+  'control late',
+] as const;
+
 /** Struck only where a test names them. */
 const NAMED_FAULT_KINDS = ['primary replaced in place'] as const;
 
 export const EVERY_FAULT_KIND: readonly FaultKind[] = [...FAULT_KINDS, ...NAMED_FAULT_KINDS];
 
-export type FaultKind = (typeof FAULT_KINDS | typeof NAMED_FAULT_KINDS)[number];
+export type FaultKind = (
+  | typeof FAULT_KINDS
+  | typeof NAMED_FAULT_KINDS
+  | typeof LATENESS_FAULT_KINDS
+)[number];
 
 export interface SimulationOptions {
   readonly seed: number;
@@ -225,6 +240,24 @@
       this.platform.downUntil = this.clock.now + this.#length();
       return undefined;
     },
+    'leader stall': () => this.#stall(this.leader),
+    'node stall': () => this.#stall(this.clock.pick(this.nodes)),
+    'replica blink': () => {
+      const group = this.#anyGroup();
+      const replica = this.#anyReplica(group);
+      if (replica === undefined) return 'none';
+      group.crash(replica);
+      this.clock.after(this.clock.between(20, 250), () => group.restart(replica));
+      return replica.id;
+    },
+    'replica leaves': () => this.#leave(true),
+    'replica leaves unannounced': () => this.#leave(false),
+    'entries lapse': () => this.#lapse(),
+    'control late': () => {
+      const group = this.#anyGroup();
+      group.controlLateUntil = this.clock.now + this.#length();
+      return group.service;
+    },
   };
 
   #length(): number {
@@ -257,6 +290,51 @@
     return victim.id;
   }
 
+  #stall(node: SimulatedNode | undefined): string {
+    node?.stall(this.clock.between(200, 2000));
+    return node?.name ?? 'none';
+  }
+
+  #anyReplica({ instances, leader }: SimulatedGroup): SimulatedInstance | undefined {
+    const replicas = instances.filter((instance) => instance.alive && instance !== leader);
+    return replicas.length === 0 ? undefined : this.clock.pick(replicas);
+  }
+
+  /** A replica serves on for a while and then ends; its log goes with it, and another joins elsewhere. */
+  #leave(isAnnounced: boolean): string {
+    const group = this.#anyGroup();
+    const replica = this.#anyReplica(group);
+    if (replica === undefined) return 'none';
+    if (isAnnounced) replica.draining = true;
+    else replica.announced = false;
+    this.clock.after(this.clock.between(500, 7000), () => {
+      if (replica === group.leader || !group.instances.includes(replica)) {
+        replica.draining = false;
+        replica.announced = true;
+        return;
+      }
+      group.remove(replica);
+      this.clock.after(this.clock.between(0, 3000), () => group.join());
+    });
+    return replica.id;
+  }
+
+  /** Entries lapse while the store is away; they are back within two seconds of its return. */
+  #lapse(): string {
+    const forMs = this.#length();
+    this.store.goDown(forMs, this.clock.chance(0.5));
+    const lapsed = [...this.groups.values()]
+      .flatMap(({ instances }) => instances)
+      .filter(({ announced }) => announced && this.clock.chance(0.6));
+    for (const instance of lapsed) {
+      instance.announced = false;
+      this.clock.after(forMs + this.clock.between(100, 2000), () => {
+        instance.announced = true;
+      });
+    }
+    return lapsed.map(({ id }) => id).join();
+  }
+
   #drain(): string {
     const { leader } = this.#anyGroup();
     leader.draining = true;
