--- /dev/null
+++ b/test/property/leaving-members.test.ts
@@ -0,0 +1,77 @@
+/**
+ * A replica without an entry serves on and is, for a while, the only one that receives commits. It was not heard
+ * once, which is less than the silence after which a member counts as dead. Then it ends with its log, and the
+ * primary crashes: who takes over must not lack what only the two of them had.
+ */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DEFAULT_PROMOTION_TIMINGS } from '../../src/core/promotion/options.js';
+import type { SimulatedInstance } from '../support/promotion/group.js';
+import { PromotionSimulation } from '../support/promotion/simulation.js';
+
+const { memberSilentMs } = DEFAULT_PROMOTION_TIMINGS;
+const SEEDS = [1, 2, 3, 4, 5];
+
+/** A primary, a replica that leaves without saying so, and one that stays. */
+function groupOf({ group }: PromotionSimulation): readonly SimulatedInstance[] {
+  return [group.leader, ...group.instances.filter((instance) => instance !== group.leader)];
+}
+
+function cutFromNodes(simulation: PromotionSimulation, instance: SimulatedInstance, forMs: number) {
+  for (const { name } of simulation.nodes) simulation.network.cut(name, instance.address, forMs);
+}
+
+/** The one that stays lags; the one that leaves ends with its log, and the primary crashes right then. */
+function endWithPrimary(simulation: PromotionSimulation): void {
+  const [primary, leaver, other] = groupOf(simulation);
+  if (primary === undefined || leaver === undefined || other === undefined) {
+    throw new Error('a group has three instances');
+  }
+  other.deafUntil = simulation.clock.now + 3000;
+  simulation.run(1000);
+  simulation.group.crash(primary);
+  simulation.group.remove(leaver);
+  simulation.run(5000);
+  simulation.group.restart(primary);
+  simulation.run(8000);
+}
+
+function assertNothingLost(simulation: PromotionSimulation, seed: number): void {
+  const log = simulation.nodes.flatMap((node) => node.log).join('\n');
+  assert.equal(simulation.violations, [], `seed ${seed}\n${log}`);
+}
+
+test('one silence late in a long leave makes no member dead', () => {
+  for (const seed of SEEDS) {
+    const simulation = new PromotionSimulation({ seed });
+    simulation.run(3000);
+    const [, leaver] = groupOf(simulation);
+    if (leaver === undefined) throw new Error('a group has replicas');
+    leaver.announced = false;
+    simulation.run(memberSilentMs + 1000);
+    cutFromNodes(simulation, leaver, 1200);
+    simulation.run(3000);
+    endWithPrimary(simulation);
+    assertNothingLost(simulation, seed);
+  }
+});
+
+test('nodes that start anew take no leaving member for dead at once', () => {
+  for (const seed of SEEDS) {
+    const simulation = new PromotionSimulation({ seed });
+    simulation.run(3000);
+    const [, leaver] = groupOf(simulation);
+    if (leaver === undefined) throw new Error('a group has replicas');
+    leaver.announced = false;
+    simulation.run(500);
+    for (const node of simulation.nodes) node.kill();
+    simulation.run(500);
+    for (const node of simulation.nodes) node.start();
+    cutFromNodes(simulation, leaver, 5000);
+    simulation.run(7000);
+    endWithPrimary(simulation);
+    assertNothingLost(simulation, seed);
+  }
+});
+
+test.run();
