A member that is gone counts as dead only after a silence of its own

Cause: one question without an answer within 220 ms made a member dead once its entry had been gone for long enough, whether or not it had answered a second before; and for a leader that had never seen the entry that time was infinite, so that after a restart of the whole fleet one late answer sufficed. Such a member was forgotten while it went on counting for sync_replicas, and its later commits were missing at a promotion. Ruled out: that the list of departed members covers it: one that has ended by then refuses, and is not counted. Change: the silence is counted from the last answer, from the loss of the entry or from the begin of this leader's duty, whichever is latest. The bounds (4 s, 15 s) stay; refused connections count at once as before. Conclusion: what it costs is that a later leader waits up to 15 s more before it forgets a member that is dark.

--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -21,6 +21,9 @@
   #writing = false;
   /** End of the primary's log, seen after a member that is gone was found dead. */
   readonly #endAfterDeath = new Map<string, Position>();
+  /** When a member that is gone last gave any answer. */
+  readonly #heardAt = new Map<string, Milliseconds>();
+  #begunAt: Milliseconds = Number.POSITIVE_INFINITY;
 
   constructor(
     private readonly runtime: PromotionRuntime,
@@ -32,6 +35,7 @@
   }
 
   start(): void {
+    this.#begunAt = this.runtime.now;
     this.update();
     this.#scope.after(CHECK_EVERY_MS, () => this.#check());
   }
@@ -93,8 +97,10 @@
       const goneForMs = this.primaries.goneForMs(id, this.runtime.now);
       return goneForMs !== undefined && goneForMs >= GONE_BEFORE_CHECK_MS;
     });
-    for (const id of this.#endAfterDeath.keys()) {
-      if (!gone.some((member) => member.id === id)) this.#endAfterDeath.delete(id);
+    for (const known of [this.#endAfterDeath, this.#heardAt]) {
+      for (const id of known.keys()) {
+        if (!gone.some((member) => member.id === id)) known.delete(id);
+      }
     }
     const primaryId = this.primaries.primaryIdOf(this.service);
     if (primaryId === undefined) return;
@@ -108,14 +114,23 @@
       return;
     }
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
-      const goneForMs = this.primaries.goneForMs(member.id, this.runtime.now) ?? 0;
+      if (answer !== 'silent') this.#heardAt.set(member.id, this.runtime.now);
+      const silentForMs = this.#silentForMs(member.id);
       const { draining } = this.primaries.instance(member.id) ?? member;
-      const isDead = isMemberDead(answer, { goneForMs, draining }, this.runtime.timings);
+      const isDead = isMemberDead(answer, { silentForMs, draining }, this.runtime.timings);
       if (isDead) this.#noteEndOf(member, primaryId);
     });
     this.runtime.control('status', member, 0, onAnswer);
   }
 
+  /** One that answered meanwhile is alive, and this leader knows of no silence before its own first question. */
+  #silentForMs(id: string): Milliseconds {
+    const { now } = this.runtime;
+    const goneForMs = this.primaries.goneForMs(id, now) ?? 0;
+    const heardAt = this.#heardAt.get(id) ?? Number.NEGATIVE_INFINITY;
+    return Math.min(goneForMs, now - Math.max(this.#begunAt, heardAt));
+  }
+
   #noteEndOf(member: InstanceEntry, primaryId: string): void {
     const primary = this.primaries.instance(primaryId);
     if (primary === undefined) return;
@@ -152,8 +167,8 @@
 
 /** What is known of a member whose entry is gone. */
 export interface GoneMember {
-  /** Since when the entry has been gone, with the store well. */
-  readonly goneForMs: Milliseconds;
+  /** How long the entry has been gone, with the store well, and nothing was heard of it. */
+  readonly silentForMs: Milliseconds;
   /** It had said that it leaves. */
   readonly draining: boolean;
 }
@@ -161,12 +176,12 @@
 /** Whether a member that is gone receives nothing any more, by its answer to a question now. */
 export function isMemberDead(
   answer: InstanceStatus | ControlFailure,
-  { goneForMs, draining }: GoneMember,
+  { silentForMs, draining }: GoneMember,
   timings: Pick<PromotionTimings, 'memberSilentMs' | 'leaverSilentMs'>,
 ): boolean {
   if (answer === 'refused') return true;
-  const silentMs = draining ? timings.leaverSilentMs : timings.memberSilentMs;
-  return answer === 'silent' && goneForMs >= silentMs;
+  const enoughMs = draining ? timings.leaverSilentMs : timings.memberSilentMs;
+  return answer === 'silent' && silentForMs >= enoughMs;
 }
 
 function addressOf({ host, port }: InstanceEntry): string {
--- a/test/unit/group-members.test.ts
+++ b/test/unit/group-members.test.ts
@@ -5,8 +5,8 @@
 
 const { leaverSilentMs, memberSilentMs } = DEFAULT_PROMOTION_TIMINGS;
 
-function isDead(answer: 'refused' | 'silent' | 'busy', goneForMs: number, draining: boolean) {
-  return isMemberDead(answer, { goneForMs, draining }, DEFAULT_PROMOTION_TIMINGS);
+function isDead(answer: 'refused' | 'silent' | 'busy', silentForMs: number, draining: boolean) {
+  return isMemberDead(answer, { silentForMs, draining }, DEFAULT_PROMOTION_TIMINGS);
 }
 
 test('a member that had said it leaves is dead soon after its entry went, if it is silent', () => {
