Test, red: a late leader chooses by what a replica said before its restart

A leader that stalls for 0.6 to 1.1 s reads answers to its holds that lay unread, and takes them for new.

--- /dev/null
+++ b/test/property/late-findings.test.ts
@@ -0,0 +1,57 @@
+/**
+ * The leader's process stalls while answers to its holds wait to be read. A replica restarts meanwhile, which ends
+ * its hold, and alone receives what a node that has not heard of the change still writes. What the leader reads
+ * afterwards tells of the time before that: who takes over must not be chosen by it.
+ */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { PromotionSimulation } from '../support/promotion/simulation.js';
+import { STORE } from '../support/promotion/store.js';
+
+const SERVICE = 'group-0';
+const CUT_MS = 8000;
+const STEP_MS = 0.2;
+const RUNS = 120;
+const FIRST_SEED = 1;
+
+/** Runs in small steps until something is so; false if that takes too long. */
+function runUntil(simulation: PromotionSimulation, isSo: () => boolean): boolean {
+  const end = simulation.clock.now + 3000;
+  while (!isSo() && simulation.clock.now < end) simulation.run(STEP_MS);
+  return isSo();
+}
+
+/** True if the change began as the story has it. */
+function play(simulation: PromotionSimulation): boolean {
+  simulation.run(3000);
+  const { network, clock, group, leader } = simulation;
+  const primary = group.leader;
+  const [held, restarting] = group.instances.filter((instance) => instance !== primary);
+  const unaware = simulation.nodes.find((node) => node !== leader);
+  if (leader === undefined || held === undefined || restarting === undefined) return false;
+  if (unaware === undefined) return false;
+  simulation.run(clock.between(0, 700));
+  for (const { name } of simulation.nodes) {
+    if (name !== unaware.name) network.cut(name, primary.address, CUT_MS);
+  }
+  network.cut(unaware.name, STORE, CUT_MS);
+  if (!runUntil(simulation, () => held.heldTerm > 0 && restarting.heldTerm > 0)) return false;
+  leader.stall(clock.between(600, 1100));
+  group.crash(restarting);
+  clock.after(20, () => group.restart(restarting));
+  simulation.run(10_000);
+  return true;
+}
+
+test('a candidate is chosen by what was asked after nobody used the old primary any more', () => {
+  let played = 0;
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
+    const simulation = new PromotionSimulation({ seed, services: 1 });
+    if (play(simulation)) played += 1;
+    const log = simulation.nodes.flatMap((node) => node.log).join('\n');
+    assert.equal(simulation.violations, [], `seed ${seed} of ${SERVICE}\n${log}`);
+  }
+  assert.ok(played > RUNS / 2);
+});
+
+test.run();
