A primary that the records name counts among the members also where this node never saw it

Cause: the members that a node asks are those whose entries it has seen. One that starts after a primary's entry went leaves that primary out, and allows one silent member more than the proof does: a stale read. Change: the instance that the record names counts as silent while it is unknown, in rounds of the simulation and in TermConfirmation. Conclusion: part of the fault.

--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -98,6 +98,14 @@
     return this.#primaries.remembered(service);
   }
 
+  /** Members that the records name and this node has not seen: their answers can't be asked for. */
+  unseenMembersOf(service: string): string[] {
+    const record = this.#primaries.recordOf(service);
+    if (record === undefined) return [];
+    const named = record.phase === 'changing' ? record.from : record.instance;
+    return this.#primaries.instance(named) === undefined ? [named] : [];
+  }
+
   /** True while the record says that another primary is being made. */
   isChanging(service: string): boolean {
     return this.#primaries.recordOf(service)?.phase === 'changing';
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -99,6 +99,7 @@
       control: options.status ?? control,
       classifyFailure,
       membersOf: (service) => this.#machine.membersOf(service),
+      unseenMembersOf: (service) => this.#machine.unseenMembersOf(service),
       syncReplicasOf: (service) => this.#syncReplicas.get(service) ?? 0,
       now: this.#now,
       minimumGapMs: CONFIRMATION_GAP_MS,
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -23,6 +23,8 @@
   readonly classifyFailure: ClassifyControlFailure;
   /** Every member of the service that is known, also if its entry is gone. */
   readonly membersOf: (service: string) => readonly InstanceEntry[];
+  /** Ids of members that there are and that this node can't ask: they count as silent. */
+  readonly unseenMembersOf: (service: string) => readonly string[];
   readonly syncReplicasOf: (service: string) => number;
   readonly now: () => Milliseconds;
   /** Rounds of one service are at least so far apart: each takes a slot at every member. */
@@ -92,7 +94,11 @@
   async #askAll(service: string): Promise<ReadonlyMap<string, RoundAnswer>> {
     const members = this.options.membersOf(service);
     const answers = await Promise.all(members.map((member) => this.#ask(member)));
-    return new Map(members.map(({ id }, index) => [id, answers[index] ?? 'none']));
+    const unseen = this.options.unseenMembersOf(service);
+    return new Map([
+      ...members.map(({ id }, index) => [id, answers[index] ?? 'none'] as const),
+      ...unseen.map((id) => [id, 'none'] as const),
+    ]);
   }
 
   async #ask(member: InstanceEntry): Promise<RoundAnswer> {
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -341,6 +341,7 @@
       if (isFinished) return;
       isFinished = true;
       for (const { id } of members) if (!answers.has(id)) answers.set(id, 'none');
+      for (const id of this.machine?.unseenMembersOf(service) ?? []) answers.set(id, 'none');
       onAnswers(answers);
     };
     for (const instance of members) {
