Soak: planned work in series and overlapping, gateways that run late, many gateways

Cause: rounds had one planned stop now and then and no check of the answers around it; SIGHUP, changes of routes and late processes were not played.

Change: seven kinds of planned work are drawn from the seed, alone (45 % of rounds), beside unplanned faults (40 %), or not at all (15 %). Answers that a pause may excuse are counted and printed as late.

--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -1,45 +1,86 @@
 /** Injects the faults of a schedule into a running cluster, from outside its processes, and heals them. */
-import { setTimeout as pause } from 'node:timers/promises';
 import type { Milliseconds } from '../../src/core/units.js';
-import type { DirectCluster, TestRoute } from '../../test/support/direct-cluster.js';
-import { until } from '../../test/support/until.js';
+import type { DirectCluster } from '../../test/support/direct-cluster.js';
+import type { Violation } from '../../test/support/direct-history.js';
 import { ControlCallError } from '../harness/control-client.js';
-import type { Fault, FaultKind, FaultOf } from './schedule.js';
-
-/** Undoes a fault. */
-type Heal = () => Promise<void>;
+import type { ConditionLog } from './conditions.js';
+import type { OperatorConfiguration } from './configuration.js';
+import { type Heal, nothing, type Operator } from './operator.js';
+import type { Disruption, DisruptionKind, DisruptionOf } from './schedule.js';
 
 const STORE_LINK_DELAY_MS: Milliseconds = 150;
 const REPLICA_LAG_MS: Milliseconds = 1500;
 const LOST_CALLS = 8;
 const FAILED_STATEMENTS = 30;
 
+/** Whom a fault strikes: gateways by their numbers, all of them, or none, as with planned work. */
+type Struck = readonly number[] | 'all' | 'none';
+const all = (): Struck => 'all';
+const one = ({ gateway }: { readonly gateway: number }): Struck => [gateway];
+
+const STRUCK: {
+  readonly [Kind in DisruptionKind]: (fault: DisruptionOf<Kind>) => Struck;
+} = {
+  kill: one,
+  pause: one,
+  'cut-from-store': one,
+  'slow-store-link': one,
+  'reset-store-link': one,
+  'kill-many': ({ gateway, count }) => Array.from({ length: count }, (_, index) => gateway + index),
+  ...{ 'kill-leader': all, 'publish-kill-all': all },
+  ...{ 'store-down': all, 'store-slow': all, 'store-loses': all, 'store-forgets': all },
+  ...{ 'leases-lapse': all, 'promotion-silent': all },
+  ...{ 'primary-crash': all, 'primary-dark': all, 'primary-cut': all },
+  ...{ 'primary-loses-answers': all, 'replica-deaf': all, 'replica-behind': all },
+  'replica-fails': all,
+  // Replacing an instance is planned work.
+  'primary-drain': () => 'none',
+};
+
 /** What faults are done to. */
 export class FaultInjector {
-  #published = 0;
+  /** What was found while a fault was on. */
+  readonly violations: Violation[] = [];
   #replaced = 0;
 
   constructor(
     private readonly cluster: DirectCluster,
     /** The service whose instances are struck. */
     private readonly service: string,
-    private readonly routes: readonly TestRoute[],
+    private readonly operator: Operator,
+    private readonly configuration: OperatorConfiguration,
+    private readonly conditions: ConditionLog,
   ) {}
 
   /** Begins a fault; the answer ends it. */
-  begin(fault: Fault): Promise<Heal> {
-    const begin = this.#handlers[fault.kind] as (fault: Fault) => Promise<Heal>;
-    return begin(fault);
+  async begin(fault: Disruption): Promise<Heal> {
+    const begin = this.#handlers[fault.kind] as (fault: Disruption) => Promise<Heal>;
+    const ends = this.#struckBy(fault).map((gateway) =>
+      this.conditions.disrupted(fault.kind, gateway),
+    );
+    const heal = await begin(fault);
+    return async () => {
+      await heal();
+      for (const end of ends) end();
+    };
+  }
+
+  /** Names of gateways; undefined stands for all. */
+  #struckBy(fault: Disruption): readonly (string | undefined)[] {
+    const struckBy = STRUCK[fault.kind] as (fault: Disruption) => Struck;
+    const struck = struckBy(fault);
+    if (struck === 'none') return [];
+    if (struck === 'all') return [undefined];
+    return struck.map((number) => this.cluster.gateway(this.#gatewayAt(number)).name);
   }
 
   readonly #handlers: {
-    readonly [Kind in FaultKind]: (fault: FaultOf<Kind>) => Promise<Heal>;
+    readonly [Kind in DisruptionKind]: (fault: DisruptionOf<Kind>) => Promise<Heal>;
   } = {
     kill: ({ gateway }) => this.#kill([this.#gatewayAt(gateway)]),
     'kill-many': ({ gateway, count }) =>
       this.#kill(Array.from({ length: count }, (_, index) => this.#gatewayAt(gateway + index))),
     'kill-leader': () => this.#kill([this.#leader()]),
-    stop: ({ gateway }) => this.#stop(this.#gatewayAt(gateway)),
     pause: ({ gateway }) => this.#pause(this.#gatewayAt(gateway)),
     'cut-from-store': async ({ gateway }) => {
       const index = this.#gatewayAt(gateway);
@@ -95,27 +136,17 @@
       this.#replica(instance, { lagMs: REPLICA_LAG_MS }, { lagMs: 0 }),
     'replica-fails': ({ instance }) =>
       this.#replica(instance, { failNext: FAILED_STATEMENTS }, { failNext: 0 }),
-    publish: async () => {
-      const isPublished = await this.#publish();
-      return async () => {
-        if (!isPublished) await until('the store takes a configuration', () => this.#publish());
-      };
+    'publish-kill-all': async () => {
+      const lacking = await this.configuration.publishAndDo(async () => {
+        const everyone = [...this.cluster.gateways.keys()];
+        await Promise.all(everyone.map((index) => this.cluster.kill(index)));
+        this.operator.restart(everyone);
+      });
+      this.violations.push(...lacking.map((detail) => ({ rule: 'LOST', detail }) as const));
+      return nothing;
     },
   };
 
-  /** False while the store takes nothing. */
-  async #publish(): Promise<boolean> {
-    this.#published += 1;
-    const timeoutMs = 2000 + this.#published;
-    try {
-      await this.cluster.publish(this.routes.map((route) => ({ ...route, timeoutMs })));
-      return true;
-    } catch (error) {
-      if (error instanceof ControlCallError) return false;
-      throw error;
-    }
-  }
-
   #gatewayAt(number: number): number {
     return number % this.cluster.gateways.length;
   }
@@ -132,24 +163,7 @@
   async #kill(indexes: readonly number[]): Promise<Heal> {
     const distinct = [...new Set(indexes)];
     await Promise.all(distinct.map((index) => this.cluster.kill(index)));
-    return async () => this.#restart(distinct);
-  }
-
-  async #stop(index: number): Promise<Heal> {
-    const { process: child, ended } = this.cluster.gateway(index);
-    child.kill('SIGTERM');
-    return async () => {
-      await ended;
-      this.#restart([index]);
-    };
-  }
-
-  /** Two faults may end the same gateway: it is started once. */
-  #restart(indexes: readonly number[]): void {
-    for (const index of indexes) {
-      const { process: child } = this.cluster.gateway(index);
-      if (child.exitCode !== null || child.signalCode !== null) this.cluster.restart(index);
-    }
+    return async () => this.operator.restart(distinct);
   }
 
   async #pause(index: number): Promise<Heal> {
@@ -201,7 +215,3 @@
     }
   }
 }
-
-async function nothing(): Promise<void> {
-  await pause(0);
-}
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -18,6 +18,7 @@
   --seed S        first seed; the next rounds count up (default: drawn)
   --replay S      plays the round of one seed
   --regressions   plays all seeds that ever failed
+  --gateways N    gateways of each round, at most 40 (default 5)
   --json FILE     writes what each round came to
   --html FILE     writes a page: all rounds, and plots of those that served least
 
@@ -32,12 +33,15 @@
 const SEED_STEP = 1000;
 const MS_PER_MINUTE = 60_000;
 const MOST_FINDINGS_SHOWN = 5;
+/** Each is a process of some 60 MB. */
+const MOST_GATEWAYS = 40;
 
 const optionsSchema = z.object({
   minutes: z.coerce.number().positive().default(5),
   seed: z.coerce.number().int().min(0).optional(),
   replay: z.coerce.number().int().min(0).optional(),
   regressions: z.boolean().default(false),
+  gateways: z.coerce.number().int().min(1).max(MOST_GATEWAYS).optional(),
   json: z.string().optional(),
   html: z.string().optional(),
 });
@@ -49,6 +53,7 @@
       ...{ minutes: { type: 'string' }, seed: { type: 'string' }, replay: { type: 'string' } },
       ...{
         regressions: { type: 'boolean' },
+        gateways: { type: 'string' },
         json: { type: 'string' },
         html: { type: 'string' },
         help: { type: 'boolean' },
@@ -66,7 +71,7 @@
   }
   const results: RoundResult[] = [];
   for (const seed of seedsOf(options.data)) {
-    const result = await playRound(scheduleOf(seed));
+    const result = await playRound(scheduleOf(seed), options.data);
     results.push(result);
     report(result);
     if (result.findings.length > 0 && !options.data.regressions) break;
@@ -96,14 +101,16 @@
   return drawSchedule(seed, seededRandom(seed), FAULT_SPAN_MS);
 }
 
-function report({ schedule, findings, statements, failed, tookMs }: RoundResult): void {
+function report({ schedule, findings, late, statements, failed, tookMs }: RoundResult): void {
   const { seed, hasOwners, faults } = schedule;
   const way = hasOwners ? 'owners' : 'direct';
   const failures = Object.values(failed).reduce((sum, count) => sum + count, 0);
   const verdict = findings.length === 0 ? 'ok' : `${findings.length} findings`;
   const kinds = faults.map(({ fault }) => fault.kind).join(', ');
-  const figures = `${statements} statements, ${failures} failed, ${Math.round(tookMs / 1000)} s`;
+  const seconds = Math.round(tookMs / 1000);
+  const figures = `${statements} statements, ${failures} failed, ${late.length} late, ${seconds} s`;
   console.log(`seed ${seed} (${way}): ${verdict}; ${figures}; ${kinds}`);
+  for (const one of late.slice(0, MOST_FINDINGS_SHOWN)) console.log(`  late: ${one}`);
 }
 
 async function conclude(
@@ -118,7 +125,9 @@
   if (html !== undefined) writeFileSync(html, await renderSoakPage(results, machine));
   const bad = results.filter(({ findings }) => findings.length > 0);
   const statements = results.reduce((sum, result) => sum + result.statements, 0);
-  console.log(`${results.length} rounds, ${statements} statements, ${bad.length} with findings`);
+  const late = results.reduce((sum, result) => sum + result.late.length, 0);
+  const counted = `${statements} statements, ${late} late, ${bad.length} with findings`;
+  console.log(`${results.length} rounds, ${counted}`);
   for (const result of bad) showFindings(result);
   return bad.length === 0 ? 0 : EXIT_FINDING;
 }
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -1,15 +1,14 @@
 /** Which faults a round injects, and when: all of it follows from the seed. */
 import type { Milliseconds } from '../../src/core/units.js';
+import { type Draw, pick, whole } from './draw.js';
+import { DRAWN_WORK, PLANNED_KINDS, type PlannedWork } from './planned-schedule.js';
 
-/** Draws in [0, 1). */
-export type Draw = () => number;
-
-/** What a fault is done to; `gateway` and `instance` are numbers, taken modulo how many there are. */
-export type Fault =
-  | { readonly kind: 'kill' | 'stop' | 'pause' | 'cut-from-store'; readonly gateway: number }
+/** An unplanned fault, and what it is done to; `gateway` and `instance` are numbers, taken modulo how many there are. */
+export type Disruption =
+  | { readonly kind: 'kill' | 'pause' | 'cut-from-store'; readonly gateway: number }
   | { readonly kind: 'slow-store-link' | 'reset-store-link'; readonly gateway: number }
   | { readonly kind: 'kill-many'; readonly gateway: number; readonly count: number }
-  | { readonly kind: 'kill-leader' }
+  | { readonly kind: 'kill-leader' | 'publish-kill-all' }
   | { readonly kind: 'store-down'; readonly isSilent: boolean; readonly doLeasesWait: boolean }
   | { readonly kind: 'store-slow'; readonly factor: number }
   | { readonly kind: 'store-loses'; readonly mode: 'done' | 'late' | 'dropped' }
@@ -19,12 +18,14 @@
   | {
       readonly kind: 'replica-deaf' | 'replica-behind' | 'replica-fails';
       readonly instance: number;
-    }
-  | { readonly kind: 'publish' };
+    };
+
+export type DisruptionKind = Disruption['kind'];
+/** A disruption of this kind. */
+export type DisruptionOf<Kind extends DisruptionKind> = Disruption & { readonly kind: Kind };
 
-export type FaultKind = Fault['kind'];
-/** A fault of this kind. */
-export type FaultOf<Kind extends FaultKind> = Fault & { readonly kind: Kind };
+/** Whatever is done to the cluster, planned or not. */
+export type Fault = Disruption | PlannedWork;
 
 /** A fault from `atMs` on, for so long; both from the start of the faults. */
 export interface PlannedFault {
@@ -43,21 +44,25 @@
 
 /** A generator's first numbers are alike for seeds that lie near each other. */
 const MIXING_DRAWS = 16;
-const MOST_FAULTS = 5;
-const FEWEST_FAULTS = 2;
+/** How many of each there are in a round. */
+const DISRUPTIONS = { fewest: 2, most: 5 } as const;
+const PLANNED_WORK = { fewest: 3, most: 8 } as const;
+/** Shares of the rounds: planned work alone, unplanned faults alone; both in all others. */
+const PLANNED_ONLY_SHARE = 0.45;
+const UNPLANNED_ONLY_SHARE = 0.15;
 const SHORTEST_MS: Milliseconds = 300;
 const LONGEST_MS: Milliseconds = 3500;
 
 /** How each kind is drawn. */
-const DRAWN: { readonly [Kind in FaultKind]: (draw: Draw) => FaultOf<Kind> } = {
+const DRAWN: { readonly [Kind in DisruptionKind]: (draw: Draw) => DisruptionOf<Kind> } = {
   kill: (draw) => ({ kind: 'kill', gateway: whole(draw) }),
-  stop: (draw) => ({ kind: 'stop', gateway: whole(draw) }),
   pause: (draw) => ({ kind: 'pause', gateway: whole(draw) }),
   'cut-from-store': (draw) => ({ kind: 'cut-from-store', gateway: whole(draw) }),
   'slow-store-link': (draw) => ({ kind: 'slow-store-link', gateway: whole(draw) }),
   'reset-store-link': (draw) => ({ kind: 'reset-store-link', gateway: whole(draw) }),
   'kill-many': (draw) => ({ kind: 'kill-many', gateway: whole(draw), count: 2 + whole(draw, 2) }),
   'kill-leader': () => ({ kind: 'kill-leader' }),
+  'publish-kill-all': () => ({ kind: 'publish-kill-all' }),
   'store-down': (draw) => ({
     ...{ kind: 'store-down', isSilent: draw() < 0.5, doLeasesWait: draw() < 0.5 },
   }),
@@ -77,28 +82,32 @@
   'replica-deaf': (draw) => ({ kind: 'replica-deaf', instance: whole(draw) }),
   'replica-behind': (draw) => ({ kind: 'replica-behind', instance: whole(draw) }),
   'replica-fails': (draw) => ({ kind: 'replica-fails', instance: whole(draw) }),
-  publish: () => ({ kind: 'publish' }),
 };
 const LOSE_MODES = ['done', 'late', 'dropped'] as const;
-export const FAULT_KINDS = Object.keys(DRAWN) as readonly FaultKind[];
+/** Every kind of unplanned fault. */
+export const DISRUPTION_KINDS = Object.keys(DRAWN) as readonly DisruptionKind[];
 
 /** The schedule of a seed, within `spanMs`. */
 export function drawSchedule(seed: number, draw: Draw, spanMs: Milliseconds): Schedule {
   for (let number = 0; number < MIXING_DRAWS; number += 1) draw();
   const hasOwners = draw() < 0.5;
-  const count = FEWEST_FAULTS + whole(draw, MOST_FAULTS - FEWEST_FAULTS + 1);
-  const faults = Array.from({ length: count }, (): PlannedFault => {
-    const fault = DRAWN[pick(draw, FAULT_KINDS)](draw);
-    const forMs = Math.round(SHORTEST_MS + draw() * (LONGEST_MS - SHORTEST_MS));
-    return { atMs: Math.round(draw() * (spanMs - forMs)), forMs, fault };
-  });
+  const mix = draw();
+  const isPlannedOnly = mix < PLANNED_ONLY_SHARE;
+  const isUnplannedOnly = mix >= 1 - UNPLANNED_ONLY_SHARE;
+  const planned = isUnplannedOnly ? 0 : between(draw, PLANNED_WORK);
+  const unplanned = isPlannedOnly ? 0 : between(draw, DISRUPTIONS);
+  const faults = [
+    ...Array.from({ length: planned }, () => DRAWN_WORK[pick(draw, PLANNED_KINDS)](draw)),
+    ...Array.from({ length: unplanned }, () => DRAWN[pick(draw, DISRUPTION_KINDS)](draw)),
+  ].map((fault) => place(draw, fault, spanMs));
   return { seed, hasOwners, faults: faults.sort((left, right) => left.atMs - right.atMs) };
 }
 
-function whole(draw: Draw, below = 1000): number {
-  return Math.floor(draw() * below);
+function between(draw: Draw, { fewest, most }: { fewest: number; most: number }): number {
+  return fewest + whole(draw, most - fewest + 1);
 }
 
-function pick<Item>(draw: Draw, items: readonly Item[]): Item {
-  return items[whole(draw, items.length)] as Item;
+function place(draw: Draw, fault: Fault, spanMs: Milliseconds): PlannedFault {
+  const forMs = Math.round(SHORTEST_MS + draw() * (LONGEST_MS - SHORTEST_MS));
+  return { atMs: Math.round(draw() * (spanMs - forMs)), forMs, fault };
 }
--- a/test/unit/bench/soak-page.test.ts
+++ b/test/unit/bench/soak-page.test.ts
@@ -24,7 +24,14 @@
 
 function round(seed: number, failed: number, findings: RoundResult['findings'] = []): RoundResult {
   return {
-    ...{ findings, statements: 100, failed: { BUSY: failed }, tookMs: 9000, plots: PLOTS },
+    ...{
+      findings,
+      late: [],
+      statements: 100,
+      failed: { BUSY: failed },
+      tookMs: 9000,
+      plots: PLOTS,
+    },
     ...{ schedule: { seed, hasOwners: false, faults: [FAULT] }, logs: new Map() },
   };
 }
--- a/test/unit/bench/soak-schedule.test.ts
+++ b/test/unit/bench/soak-schedule.test.ts
@@ -1,7 +1,8 @@
 /** Faults of a soak's round follow from its seed. */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { drawSchedule, FAULT_KINDS } from '../../../bench/soak/schedule.js';
+import { isPlannedWork, PLANNED_KINDS } from '../../../bench/soak/planned-schedule.js';
+import { DISRUPTION_KINDS, drawSchedule } from '../../../bench/soak/schedule.js';
 import { seededRandom } from '../../support/random.js';
 
 const SPAN_MS = 8000;
@@ -19,9 +20,11 @@
 test('every kind comes up, each with and without owners, and ends within the span', () => {
   const kinds = new Set<string>();
   const ways = new Set<boolean>();
+  const mixes = new Set<string>();
   for (let seed = 0; seed < ROUNDS; seed += 1) {
     const { faults, hasOwners } = schedule(seed * 1000);
     ways.add(hasOwners);
+    mixes.add([...new Set(faults.map(({ fault }) => isPlannedWork(fault)))].sort().join());
     let before = 0;
     for (const { atMs, forMs, fault } of faults) {
       kinds.add(fault.kind);
@@ -29,8 +32,9 @@
       before = atMs;
     }
   }
-  assert.is(kinds.size, FAULT_KINDS.length);
+  assert.is(kinds.size, DISRUPTION_KINDS.length + PLANNED_KINDS.length);
   assert.is(ways.size, 2);
+  assert.equal([...mixes].sort(), ['false', 'false,true', 'true']);
 });
 
 test.run();
