--- a/test/integration/direct/lifecycle.test.ts
+++ b/test/integration/direct/lifecycle.test.ts
@@ -33,35 +33,38 @@
   return error?.code;
 }
 
-test('on SIGTERM an open transaction may end, idle sessions close, and the process ends', async () => {
-  await start(2);
-  const session = await cluster.open('intake', 0);
-  const idle = await cluster.open('intake', 0);
-  const other = load('intake', 1, 1);
-  await idle.succeed(() => idle.read('k'));
-  await session.succeed(async () => {
-    await session.begin();
-    return session.write('k', 'v');
-  });
-  const gateway = cluster.gateway(0);
-  gateway.process.kill('SIGTERM');
-  await until('it is not ready', async () => {
-    const url = `http://127.0.0.1:${gateway.readinessPort}/v1/readiness`;
-    return await fetch(url).then(
-      ({ status }) => status !== 200,
-      () => true,
-    );
+for (const signals of ['one SIGTERM', 'a second SIGTERM after it'] as const) {
+  test(`on ${signals} an open transaction may end, idle sessions close, and the process ends`, async () => {
+    await start(2);
+    const session = await cluster.open('intake', 0);
+    const idle = await cluster.open('intake', 0);
+    const other = load('intake', 1, 1);
+    await idle.succeed(() => idle.read('k'));
+    await session.succeed(async () => {
+      await session.begin();
+      return session.write('k', 'v');
+    });
+    const gateway = cluster.gateway(0);
+    gateway.process.kill('SIGTERM');
+    await until('it is not ready', async () => {
+      const url = `http://127.0.0.1:${gateway.readinessPort}/v1/readiness`;
+      return await fetch(url).then(
+        ({ status }) => status !== 200,
+        () => true,
+      );
+    });
+    if (signals !== 'one SIGTERM') gateway.process.kill('SIGTERM');
+    assert.is((await session.write('k', 'w')).state, 'T');
+    assert.equal((await session.read('k')).rows, ['w']);
+    const commit = await session.commit();
+    assert.equal([commit.state, commit.error], ['I', undefined]);
+    await idle.client.closed;
+    assert.match(idle.client.unasked.join('\n'), /^ERROR BUSY [^\n]*retry after \d+ ms$/);
+    assert.is(await gateway.ended, 0);
+    await other.moreWrites(5);
+    await clients.endWithNoRuleBroken();
   });
-  assert.is((await session.write('k', 'w')).state, 'T');
-  assert.equal((await session.read('k')).rows, ['w']);
-  const commit = await session.commit();
-  assert.equal([commit.state, commit.error], ['I', undefined]);
-  await idle.client.closed;
-  assert.match(idle.client.unasked.join('\n'), /^ERROR BUSY [^\n]*retry after \d+ ms$/);
-  assert.is(await gateway.ended, 0);
-  await other.moreWrites(5);
-  await clients.endWithNoRuleBroken();
-});
+}
 
 /**
  * Stops that overlap send the signal again. The second one found the stop under way, took it for done and ended the process
