--- a/bench/soak/round.ts
+++ b/bench/soak/round.ts
@@ -66,10 +66,12 @@
     gatewayFlags: schedule.hasOwners ? ['--largest-direct-fleet', '1'] : [],
     ...{ flags: SERVICE_FLAGS, keptOutput: Number.POSITIVE_INFINITY },
   });
-  const played = await new Round(cluster, schedule).play();
-  await cluster.stop();
-  const tookMs = Math.round(performance.now() - startedAt);
-  return { schedule, tookMs, ...played };
+  try {
+    const played = await new Round(cluster, schedule).play();
+    return { schedule, ...played, tookMs: Math.round(performance.now() - startedAt) };
+  } finally {
+    await cluster.stop();
+  }
 }
 
 class Round {
