--- a/bench/soak/regressions.ts
+++ b/bench/soak/regressions.ts
@@ -14,5 +14,5 @@
   seed,
   found: 'requests that ran at an instance went without an answer while their gateway stopped',
   cause: 'a second SIGTERM ended the process at once',
-  mendedBy: 'A second SIGTERM is the same stop as the first',
+  mendedBy: 'A stop that is asked for again is the same stop',
 }));
