Nodes with the fastest links of their zone read the store for the others

Cause: each change that a reader hears goes from it to all nodes of its zone, some 20 messages of up to 16,000 characters, on a link of 10 Mbit/s where the leader named it; what its own callers are told waits behind them. The nodes whose callers lost requests at their stop answered in 240 to 350 ms then. Change: a node registers what its link carries (as the platform's settings tell); the leader names readers among those of a zone whose links are no slower than its two fastest, and replaces slower ones. Nodes that don't tell count as slowest.

--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -4,6 +4,7 @@
  */
 import type { KeyValue, TransactionOperation } from '../../platform/contract.js';
 import type { ReachableNode } from '../ownership/owner-roster.js';
+import type { ReaderCandidate } from '../ownership/watch-readers.js';
 import { laterPosition, type Position } from '../position.js';
 import type { Election } from './election.js';
 import type { Primaries } from './primaries.js';
@@ -84,13 +85,13 @@
   }
 
   /** The live nodes that may read the store for others, where they answer questions for their directory. */
-  possibleReaders(): ReachableNode[] {
-    const nodes: ReachableNode[] = [];
+  possibleReaders(): ReaderCandidate[] {
+    const nodes: ReaderCandidate[] = [];
     for (const entry of this.duty.under(NODE_PREFIX)) {
       const nodeId = nodeOfNodeKey(entry.key);
-      const { peer, directoryAt } = decodeRecord(entry, nodeForm) ?? {};
+      const { peer, directoryAt, linkMbps = 0 } = decodeRecord(entry, nodeForm) ?? {};
       if (nodeId === undefined || peer === undefined || directoryAt === undefined) continue;
-      nodes.push({ nodeId, zone: peer.zone, ...directoryAt });
+      nodes.push({ nodeId, zone: peer.zone, ...directoryAt, linkMbps });
     }
     return nodes;
   }
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -131,6 +131,8 @@
   readonly directoryAt?: PeerAddress | undefined;
   /** Where other nodes reach this one; absent if they can't. */
   readonly peer?: PeerPlace | undefined;
+  /** What this node's link carries, as far as it is known. */
+  readonly linkMbps?: number | undefined;
   /** Larger fleets share connections through owners; by default the instances' limits decide. */
   readonly largestDirectFleet?: number | undefined;
   /** From so many nodes on, a few read the store for the others. */
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -97,12 +97,14 @@
   }
 
   #register(leaseId: string, knownRevision: number): void {
-    const { nodeName, incarnation, directoryAt, peer } = this.runtime.options;
+    const { nodeName, incarnation, directoryAt, peer, linkMbps } = this.runtime.options;
     const key = nodeKeyOf(nodeName);
     const put = {
       type: 'put',
       key,
-      value: JSON.stringify({ incarnation, leaseId, directoryAt, peer } satisfies NodeRecord),
+      value: JSON.stringify({
+        ...{ incarnation, leaseId, directoryAt, peer, linkMbps },
+      } satisfies NodeRecord),
       leaseId,
     } as const;
     const compares = [{ key, modRevision: knownRevision }];
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -68,6 +68,8 @@
   readonly directoryAt?: PeerAddress | undefined;
   /** Where other nodes reach it for connections that it owns; absent if they can't. */
   readonly peer?: PeerPlace | undefined;
+  /** What its link carries; absent if it is not known. */
+  readonly linkMbps?: number | undefined;
 }
 
 /** Where nodes answer questions for their directory, those too that are gone and may come back. */
@@ -173,10 +175,11 @@
 }
 
 export function nodeForm(fields: Fields): NodeRecord | undefined {
-  const { incarnation, leaseId, directoryAt, peer } = fields;
+  const { incarnation, leaseId, directoryAt, peer, linkMbps } = fields;
   if (!isText(incarnation) || !isText(leaseId)) return undefined;
   const place = isFields(peer) ? peerForm(peer) : undefined;
-  return { incarnation, leaseId, directoryAt: addressForm(directoryAt), peer: place };
+  const record = { incarnation, leaseId, directoryAt: addressForm(directoryAt), peer: place };
+  return isNumber(linkMbps) ? { ...record, linkMbps } : record;
 }
 
 export function peersForm({ addresses }: Fields): PeersRecord | undefined {
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -151,6 +151,8 @@
   readonly peers: PeerSettings | undefined;
   /** Absent where the platform gives no promotion call. */
   readonly promotion: { readonly host: string; readonly port: number } | undefined;
+  /** What this node's link carries, as far as it is known. */
+  readonly linkMbps?: number | undefined;
   /** The whole system starts for the first time, with no record of the fleet yet. */
   readonly isFirstStart: boolean;
   readonly gracePeriodMs: Milliseconds;
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -37,6 +37,7 @@
     peer: undefined,
     store: { host: '10.200.1.7', port: 8783, minimumLeaseMs: 1000 },
     promotion: { host: '10.200.0.160', port: 8783 },
+    linkMbps: undefined,
     isFirstStart: false,
     gracePeriodMs: 6000,
     drainTimeoutMs: 7000,
@@ -44,6 +45,11 @@
   });
 });
 
+test('what the link carries is taken where it is told', () => {
+  assert.is(settingsOf({ limits: { link_mbps: 7.5 } })._unsafeUnwrap().linkMbps, 7.5);
+  assert.equal(fieldsOf({ limits: { link_mbps: 'fast' } }), ['limits.link_mbps']);
+});
+
 test('figures are told at the first port of the nodes, and peers are heard at the last', () => {
   const ports = { ip_address: '10.1.0.8', internal_port_range: [7440, 7455] };
   const { metrics, peer } = settingsOf(ports)._unsafeUnwrap();
--- a/test/unit/watch-readers.test.ts
+++ b/test/unit/watch-readers.test.ts
@@ -4,7 +4,11 @@
 import { READER_SILENCE_MS, ReaderEvidence } from '../../src/core/directory/reader-evidence.js';
 import { WatchHistory } from '../../src/core/directory/watch-history.js';
 import type { ReachableNode } from '../../src/core/ownership/owner-roster.js';
-import { nextReaders, readersOf } from '../../src/core/ownership/watch-readers.js';
+import {
+  nextReaders,
+  type ReaderCandidate,
+  readersOf,
+} from '../../src/core/ownership/watch-readers.js';
 import { parseToldStretch, parseWatchRequest } from '../../src/direct/readers/messages.js';
 import type { WatchEvent } from '../../src/platform/contract.js';
 
@@ -16,8 +20,14 @@
   host: '127.0.0.1',
   port: 7000 + number,
 });
-const fleet = (zones: readonly string[], perZone: number): ReachableNode[] =>
-  zones.flatMap((zone) => Array.from({ length: perZone }, (_, number) => node(zone, number)));
+const candidate = (place: ReachableNode, linkMbps = 10): ReaderCandidate => ({
+  ...place,
+  linkMbps,
+});
+const fleet = (zones: readonly string[], perZone: number): ReaderCandidate[] =>
+  zones.flatMap((zone) =>
+    Array.from({ length: perZone }, (_, number) => candidate(node(zone, number))),
+  );
 const put = (key: string, modRevision: number, value = ''): WatchEvent => ({
   type: 'put',
   entry: { key, value, createRevision: modRevision, modRevision },
@@ -42,6 +52,17 @@
   assert.equal(nextReaders(before, all.slice(0, 11)), []);
 });
 
+test('nodes with the fastest links of their zone read, also instead of slower ones that read before', () => {
+  const slow = fleet(['a'], 24);
+  const fast = [candidate(node('a', 30), 200), candidate(node('a', 31), 200)];
+  const names = (nodes: readonly ReachableNode[]): string[] => nodes.map(({ nodeId }) => nodeId);
+  const before = nextReaders([], slow);
+  assert.equal(names(before), ['a-0', 'a-1']);
+  const after = nextReaders(before, [...slow, ...fast]);
+  assert.equal(after, [node('a', 30), node('a', 31)]);
+  assert.equal(names(nextReaders(after, [...slow, ...fast.slice(1)])), ['a-0', 'a-31']);
+});
+
 test('a node follows the readers of its zone, and a reader itself', () => {
   const readers = nextReaders([], fleet(['a', 'b'], 12));
   assert.equal(readersOf(node('a', 0), readers), { type: 'self' });
