--- a/test/support/raw-caller.ts
+++ b/test/support/raw-caller.ts
@@ -6,6 +6,8 @@
   /** All that was heard. */
   text = '';
   readonly closed: Promise<void>;
+  /** Resolves once the other side says no more. */
+  readonly ended: Promise<void>;
   #onText: () => void = () => {};
 
   private constructor(readonly socket: Socket) {
@@ -14,11 +16,13 @@
       this.text += chunk.toString('latin1');
       this.#onText();
     });
+    this.ended = new Promise((resolve) => socket.once('end', () => resolve()));
     this.closed = new Promise((resolve) => socket.once('close', () => resolve()));
   }
 
   static async connect(host: string, port: number): Promise<RawCaller> {
-    const socket = connect(port, host);
+    // Its own side stays open when the other one ends, so that it can still ask.
+    const socket = connect({ port, host, allowHalfOpen: true });
     await once(socket, 'connect');
     return new RawCaller(socket);
   }
@@ -35,7 +39,7 @@
       };
       this.#onText();
     });
-    const isHeard = await Promise.race([heard, this.closed]);
+    const isHeard = await Promise.race([heard, this.ended, this.closed]);
     if (isHeard !== true) throw new Error(`closed after ${JSON.stringify(this.text)}`);
   }
 
--- a/test/unit/direct/caller-server.test.ts
+++ b/test/unit/direct/caller-server.test.ts
@@ -27,6 +27,15 @@
   return client;
 }
 
+/** A caller whose read waits for an instance, of which there is none, and was taken. */
+async function waitingForInstance(first?: string) {
+  const client = await open();
+  if (first !== undefined) await client.query('1', first);
+  const answer = client.query('2', 'READ key');
+  while (server.busyCount === 0) await turn();
+  return { client, answer };
+}
+
 /** What runs after this has seen the server end its sessions, and the client has read nothing since. */
 async function sessionsToldToEnd(): Promise<void> {
   await turn();
@@ -76,4 +85,20 @@
   await client.closed;
 });
 
+test('a caller that is owed an answer when the node ends is told that there is none', async () => {
+  const { client, answer } = await waitingForInstance();
+  server.close();
+  const { error, state } = await answer;
+  assert.equal([error?.code, state], ['TIMEOUT', 'I']);
+  await client.closed;
+});
+
+test('one in a transaction is told too, and the transaction has failed', async () => {
+  const { client, answer } = await waitingForInstance('BEGIN');
+  server.close();
+  const { error, state } = await answer;
+  assert.equal([error?.code, state], ['TIMEOUT', 'E']);
+  await client.closed;
+});
+
 test.run();
--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -147,6 +147,16 @@
   assert.match(lines.at(-1) ?? '', /^ERROR BUSY /);
 });
 
+test('a rollback that crosses the word ends its transaction', async () => {
+  const { session, lines, send } = startSession();
+  await send('START orders u1');
+  await send('QUERY 1 BEGIN');
+  session.tellToLeave();
+  await send('QUERY 2 ROLLBACK');
+  assert.match(lines.at(-2) ?? '', /^ERROR ABORTED /);
+  assert.is(lines.at(-1), 'READY I -');
+});
+
 test('a caller that has not started when the node stops is refused and its connection ended', () => {
   const { session, lines, ended } = startSession();
   session.tellToLeave();
--- a/test/unit/direct/leave-time.test.ts
+++ b/test/unit/direct/leave-time.test.ts
@@ -1,19 +1,22 @@
 /** The time that a caller has to leave a stopping node. */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { CallerServer } from '../../../src/direct/caller-server.js';
+import { CallerServer, type SessionDependencies } from '../../../src/direct/caller-server.js';
 import { sessionDependencies } from '../../support/caller-session-fixture.js';
 import { RawCaller } from '../../support/raw-caller.js';
+import { until } from '../../support/until.js';
 
 const HOST = '127.0.0.1';
 const LEAVE_MS = 60;
 const LATE_MS = 100;
 
+let dependencies: SessionDependencies;
 let server: CallerServer;
 let caller: RawCaller;
 
 test.before.each(async () => {
-  server = new CallerServer(sessionDependencies(), LEAVE_MS);
+  dependencies = sessionDependencies();
+  server = new CallerServer(dependencies, LEAVE_MS);
   await server.listen({ host: HOST, port: 0 });
   caller = await RawCaller.connect(HOST, server.port);
   caller.send('START orders u1');
@@ -37,13 +40,16 @@
   computeFor(LATE_MS);
   await caller.hears(/ERROR BUSY [^\n]*\nREADY I -\r\nERROR BUSY [^\n]*\n$/);
   assert.is(server.sessionCount, 1);
-  await caller.closed;
+  await caller.ended;
 });
 
 test('a caller that stays all the same is closed', async () => {
   server.drain(false);
-  await caller.closed;
+  await caller.ended;
   assert.match(caller.text, /^READY I -\r\nERROR BUSY [^\n]*\r\n$/);
+  caller.send('QUERY 1 SET a b');
+  await until('the session has ended', () => server.sessionCount === 0);
+  assert.is(dependencies.counters.statements, 0, 'what is sent after the end is not read');
 });
 
 test.run();
