Tests share what they had each: a late process, a runner that answers, outcomes, refused starts, readiness, a leaving replica

Cause (reading the whole change again): computeFor stood three times, runnerWith, outcomeOf and the listening server twice, startCode and the wait for readiness three times, the start of the stories of leaving members twice. Change: one of each in test/support (readiness: isReady, which was there already); assertions as they were.

--- a/bench/soak/configuration.ts
+++ b/bench/soak/configuration.ts
@@ -6,12 +6,11 @@
 } from '../../test/support/direct-answers.js';
 import { type DirectCluster, ROUTES, type TestRoute } from '../../test/support/direct-cluster.js';
 import type { DirectGatewayProcess } from '../../test/support/direct-process.js';
-import { LineClient } from '../../test/support/line-client.js';
+import { startCode } from '../../test/support/line-client.js';
 import { until } from '../../test/support/until.js';
 import { ControlCallError } from '../harness/control-client.js';
 import type { ConfigurationChange } from './planned-schedule.js';
 
-const HOST = '127.0.0.1';
 const SERVICE = 'orders';
 const OTHER_SERVICE = 'ledger';
 /** The stand-in's flags for the services that routes lead to. */
@@ -124,7 +123,7 @@
       return await Promise.all(
         [...databases].map(async (database) => ({
           ...{ gateway: gateway.name, database, isExpected: expected.includes(database) },
-          code: await startCode(gateway, database),
+          code: await startCode(gateway.callersPort, database),
         })),
       );
     } catch {
@@ -132,15 +131,3 @@
     }
   }
 }
-
-async function startCode(
-  { callersPort }: DirectGatewayProcess,
-  database: string,
-): Promise<string | undefined> {
-  const client = await LineClient.connect(HOST, callersPort);
-  try {
-    return (await client.start(database, 'probe')).error?.code;
-  } finally {
-    client.close();
-  }
-}
--- a/test/integration/direct/late-stop.test.ts
+++ b/test/integration/direct/late-stop.test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'uvu/assert';
 import { DirectCluster } from '../../support/direct-cluster.js';
 import { DirectLoad } from '../../support/direct-load.js';
+import { isReady } from '../../support/direct-process.js';
 import { until } from '../../support/until.js';
 
 /** Longer than a stopping gateway lets its sessions be, so that their end is due when it runs again. */
@@ -22,12 +23,7 @@
   await session.succeed(() => session.write('k', 'v'));
   const gateway = cluster.gateway(0);
   gateway.process.kill('SIGTERM');
-  await until('it is not ready', () =>
-    fetch(`http://127.0.0.1:${gateway.readinessPort}/v1/readiness`).then(
-      ({ status }) => status !== 200,
-      () => true,
-    ),
-  );
+  await until('it is not ready', async () => !(await isReady(gateway)));
   gateway.process.kill('SIGSTOP');
   const answer = session.write('k', 'w');
   await pause(LATE_MS);
--- a/test/integration/direct/lifecycle.test.ts
+++ b/test/integration/direct/lifecycle.test.ts
@@ -4,7 +4,8 @@
 import * as assert from 'uvu/assert';
 import { DirectCluster, ROUTES, type TestRoute } from '../../support/direct-cluster.js';
 import { DirectLoad, type LoadClient } from '../../support/direct-load.js';
-import { LineClient } from '../../support/line-client.js';
+import { isReady } from '../../support/direct-process.js';
+import { startCode } from '../../support/line-client.js';
 import { until } from '../../support/until.js';
 
 /** Longer than the gateways' leases. */
@@ -25,12 +26,8 @@
 
 test.after.each(() => clients.stop());
 
-async function startCode(database: string, gateway = 0): Promise<string | undefined> {
-  const { callersPort } = cluster.gateway(gateway);
-  const client = await LineClient.connect('127.0.0.1', callersPort);
-  const { error } = await client.start(database, 'probe');
-  client.close();
-  return error?.code;
+function startCodeAt(gateway: number, database: string): Promise<string | undefined> {
+  return startCode(cluster.gateway(gateway).callersPort, database);
 }
 
 for (const signals of ['one SIGTERM', 'a second SIGTERM after it'] as const) {
@@ -46,13 +43,7 @@
     });
     const gateway = cluster.gateway(0);
     gateway.process.kill('SIGTERM');
-    await until('it is not ready', async () => {
-      const url = `http://127.0.0.1:${gateway.readinessPort}/v1/readiness`;
-      return await fetch(url).then(
-        ({ status }) => status !== 200,
-        () => true,
-      );
-    });
+    await until('it is not ready', async () => !(await isReady(gateway)));
     if (signals !== 'one SIGTERM') gateway.process.kill('SIGTERM');
     assert.is((await session.write('k', 'w')).state, 'T');
     assert.equal((await session.read('k')).rows, ['w']);
@@ -109,17 +100,17 @@
 test('a change of the configuration adds and removes a route', async () => {
   await start(2);
   const steady = [load('intake', 0, 1), load('assign', 1, 2)];
-  assert.is(await startCode('archive'), 'NODATABASE');
+  assert.is(await startCodeAt(0, 'archive'), 'NODATABASE');
   await cluster.publish([...ROUTES, NEW_ROUTE]);
   for (const gateway of [0, 1]) {
-    await until('the new route', async () => (await startCode('archive', gateway)) === undefined);
+    await until('the new route', async () => (await startCodeAt(gateway, 'archive')) === undefined);
   }
   const archive = await cluster.open('archive', 0);
   await archive.succeed(() => archive.write('k', 'v'));
   await cluster.publish(ROUTES);
   for (const gateway of [0, 1]) {
     await until('no such route', async () => {
-      return (await startCode('archive', gateway)) === 'NODATABASE';
+      return (await startCodeAt(gateway, 'archive')) === 'NODATABASE';
     });
   }
   const dropped = await archive.read('k').then(
@@ -142,7 +133,10 @@
     await cluster.platform.set('/store/faults', { down: 'no' });
     await cluster.publish([...ROUTES, NEW_ROUTE]);
     for (const gateway of [0, 1]) {
-      await until('the new route', async () => (await startCode('archive', gateway)) === undefined);
+      await until(
+        'the new route',
+        async () => (await startCodeAt(gateway, 'archive')) === undefined,
+      );
     }
     await Promise.all(steady.map((client) => client.moreWrites(5)));
     await clients.endWithNoRuleBroken();
--- a/test/integration/direct/planned-stop.test.ts
+++ b/test/integration/direct/planned-stop.test.ts
@@ -8,7 +8,7 @@
 import * as assert from 'uvu/assert';
 import { DirectCluster, type TestRoute } from '../../support/direct-cluster.js';
 import type { RecordedSession } from '../../support/direct-session.js';
-import type { LineAnswer } from '../../support/line-client.js';
+import { outcomeOf } from '../../support/line-client.js';
 import { until } from '../../support/until.js';
 
 /** A statement may take longer than the whole grace period of 6 s. */
@@ -34,14 +34,6 @@
 
 test.after.each(() => cluster.stop());
 
-/** The outcome of a statement: `done`, its error's code, or that the connection ended without any. */
-function outcomeOf(statement: Promise<LineAnswer>): Promise<string> {
-  return statement.then(
-    ({ error }) => error?.code ?? 'done',
-    () => 'no answer',
-  );
-}
-
 /** A write that its instance works on for so many times the usual time; its outcome comes later. */
 async function beginSlowWrite(
   session: RecordedSession,
--- a/test/integration/direct/planned-work.test.ts
+++ b/test/integration/direct/planned-work.test.ts
@@ -7,13 +7,12 @@
 import * as assert from 'uvu/assert';
 import { DirectCluster, ROUTES, type TestRoute } from '../../support/direct-cluster.js';
 import { DirectLoad, type LoadClient } from '../../support/direct-load.js';
-import { type LineAnswer, LineClient } from '../../support/line-client.js';
+import { NO_ANSWER, outcomeOf, startCode } from '../../support/line-client.js';
 import { until } from '../../support/until.js';
 
 const PRIMARY = 'i-orders-1';
 const GATEWAYS = 3;
 const VERSIONS = 8;
-const NO_ANSWER = 'no answer';
 const VERSION_GAP_MS = 150;
 const NEW_ROUTE: TestRoute = { database: 'archive', service: 'orders', routeType: 'primary' };
 const OTHER_SERVICE: TestRoute = { database: 'books', service: 'stock', routeType: 'primary' };
@@ -50,21 +49,6 @@
   return steady.reduce((sum, { errors }) => sum + (errors.connection ?? 0), 0);
 }
 
-/** The outcome of a statement: `done`, its error's code, or that the connection ended without any. */
-function outcomeOf(statement: Promise<LineAnswer>): Promise<string> {
-  return statement.then(
-    ({ error }) => error?.code ?? 'done',
-    () => NO_ANSWER,
-  );
-}
-
-async function startCode(database: string): Promise<string | undefined> {
-  const client = await LineClient.connect('127.0.0.1', cluster.gateway(0).callersPort);
-  const { error } = await client.start(database, 'probe');
-  client.close();
-  return error?.code;
-}
-
 const FLEETS: Readonly<Record<string, readonly string[]>> = {
   'each node connects by itself': [],
   'connections are lent by owners': ['--largest-direct-fleet', '1'],
@@ -98,7 +82,10 @@
     return (await cluster.platform.instance(PRIMARY)).slotsInUse > 0;
   });
   await cluster.publish([OTHER_SERVICE]);
-  await until('the route is gone', async () => (await startCode('intake')) === 'NODATABASE');
+  const { callersPort } = cluster.gateway(0);
+  await until('the route is gone', async () => {
+    return (await startCode(callersPort, 'intake')) === 'NODATABASE';
+  });
   await cluster.publish(ROUTES);
   await cluster.publish([OTHER_SERVICE]);
   await cluster.publish(ROUTES);
--- a/test/property/leaving-members.test.ts
+++ b/test/property/leaving-members.test.ts
@@ -17,6 +17,16 @@
   return [group.leader, ...group.instances.filter((instance) => instance !== group.leader)];
 }
 
+/** One of the replicas has lost its entry, and serves on. */
+function startWithLeaver(seed: number) {
+  const simulation = new PromotionSimulation({ seed });
+  simulation.run(3000);
+  const [, leaver] = groupOf(simulation);
+  if (leaver === undefined) throw new Error('a group has replicas');
+  leaver.announced = false;
+  return { simulation, leaver };
+}
+
 function cutFromNodes(simulation: PromotionSimulation, instance: SimulatedInstance, forMs: number) {
   for (const { name } of simulation.nodes) simulation.network.cut(name, instance.address, forMs);
 }
@@ -43,11 +53,7 @@
 
 test('one silence late in a long leave makes no member dead', () => {
   for (const seed of SEEDS) {
-    const simulation = new PromotionSimulation({ seed });
-    simulation.run(3000);
-    const [, leaver] = groupOf(simulation);
-    if (leaver === undefined) throw new Error('a group has replicas');
-    leaver.announced = false;
+    const { simulation, leaver } = startWithLeaver(seed);
     simulation.run(memberSilentMs + 1000);
     cutFromNodes(simulation, leaver, 1200);
     simulation.run(3000);
@@ -58,11 +64,7 @@
 
 test('nodes that start anew take no leaving member for dead at once', () => {
   for (const seed of SEEDS) {
-    const simulation = new PromotionSimulation({ seed });
-    simulation.run(3000);
-    const [, leaver] = groupOf(simulation);
-    if (leaver === undefined) throw new Error('a group has replicas');
-    leaver.announced = false;
+    const { simulation, leaver } = startWithLeaver(seed);
     simulation.run(500);
     for (const node of simulation.nodes) node.kill();
     simulation.run(500);
--- a/test/support/caller-session-fixture.ts
+++ b/test/support/caller-session-fixture.ts
@@ -82,3 +82,17 @@
     requests: { requestEnded: (end) => ends.push(end) },
   };
 }
+
+/** A runner that answers every statement with these rows, and notes that it ran. */
+export function runnerWith(payload: string, ran: string[]): StatementRunner {
+  const real = sessionDependencies().runner;
+  return Object.assign(Object.create(real), {
+    run: async (request: { encode(after: undefined): string }) => {
+      ran.push(request.encode(undefined));
+      return {
+        type: 'answered',
+        answer: { payload, state: 'idle', position: undefined, error: undefined },
+      };
+    },
+  });
+}
--- a/test/support/line-client.ts
+++ b/test/support/line-client.ts
@@ -6,6 +6,8 @@
 import { splitFields } from '../../standins/direct/statements.js';
 
 const MAX_MESSAGE_BYTES = 1024 * 1024;
+/** The outcome of a statement whose connection ended first. */
+export const NO_ANSWER = 'no answer';
 
 export interface LineAnswer {
   readonly rows: readonly string[];
@@ -166,3 +168,21 @@
     this.#lost ??= { at: monotonicMs(), wasTaken: false };
   }
 }
+
+/** The outcome of a statement: `done`, its error's code, or that the connection ended without any. */
+export function outcomeOf(statement: Promise<LineAnswer>): Promise<string> {
+  return statement.then(
+    ({ error }) => error?.code ?? 'done',
+    () => NO_ANSWER,
+  );
+}
+
+/** What the start of a session is refused with; undefined if it is not. */
+export async function startCode(port: number, database: string): Promise<string | undefined> {
+  const client = await LineClient.connect('127.0.0.1', port);
+  try {
+    return (await client.start(database, 'probe')).error?.code;
+  } finally {
+    client.close();
+  }
+}
--- a/test/unit/direct/late-idle-transaction.test.ts
+++ b/test/unit/direct/late-idle-transaction.test.ts
@@ -1,34 +1,26 @@
 /** A transaction that rests in a process that is late. */
-import type { Socket } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { CallerServer, type SessionDependencies } from '../../../src/direct/caller-server.js';
+import { CallerServer } from '../../../src/direct/caller-server.js';
 import { sessionDependencies, tenantWith } from '../../support/caller-session-fixture.js';
+import { computeFor } from '../../support/compute-for.js';
 import { LineClient } from '../../support/line-client.js';
 
 const HOST = '127.0.0.1';
-let server: CallerServer | undefined;
-let socket: Socket | undefined;
-test.after.each(() => {
-  server?.close();
-  socket?.destroy();
-});
+const IDLE_MS = 30;
+const LATE_MS = 80;
+const server = new CallerServer(sessionDependencies(tenantWith(), [], IDLE_MS));
 
-async function listen(dependencies: SessionDependencies): Promise<CallerServer> {
-  server = new CallerServer(dependencies);
-  await server.listen({ host: HOST, port: 0 });
-  return server;
-}
+test.before(() => server.listen({ host: HOST, port: 0 }));
+test.after(() => server.close());
 
 /** The timer of a resting transaction judges before what has come is read. */
 test('a statement that came before its transaction rested too long, unread by a late process, is taken', async () => {
-  const { port } = await listen(sessionDependencies(tenantWith(), [], 30));
-  const client = await LineClient.connect(HOST, port);
+  const client = await LineClient.connect(HOST, server.port);
   await client.start('orders', 'u1');
   await client.query('1', 'BEGIN');
   const answer = client.query('2', 'SET role clerk');
-  const until = performance.now() + 80;
-  while (performance.now() < until);
+  computeFor(LATE_MS);
   const { error, completion } = await answer;
   assert.equal([error, completion], [undefined, '-']);
 });
--- a/test/unit/direct/leave-time.test.ts
+++ b/test/unit/direct/leave-time.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import { CallerServer, type SessionDependencies } from '../../../src/direct/caller-server.js';
 import { sessionDependencies } from '../../support/caller-session-fixture.js';
+import { computeFor } from '../../support/compute-for.js';
 import { RawCaller } from '../../support/raw-caller.js';
 import { until } from '../../support/until.js';
 
@@ -27,11 +28,6 @@
   server.close();
 });
 
-function computeFor(milliseconds: number): void {
-  const until = performance.now() + milliseconds;
-  while (performance.now() < until);
-}
-
 /** The leave timer has fired, what was read meanwhile was answered and the caller told anew: its time begins anew too. */
 test('a caller that asks as its time to leave runs out gets a new one', async () => {
   server.drain(false);
--- a/test/unit/direct/sent-ahead-at-stop.test.ts
+++ b/test/unit/direct/sent-ahead-at-stop.test.ts
@@ -4,22 +4,7 @@
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
 import { CallerSession } from '../../../src/direct/caller-session.js';
-import type { StatementRunner } from '../../../src/direct/statement-runner.js';
-import { sessionDependencies } from '../../support/caller-session-fixture.js';
-
-/** A runner that answers every statement with these rows, and notes that it ran. */
-function runnerWith(payload: string, ran: string[]): StatementRunner {
-  const real = sessionDependencies().runner;
-  return Object.assign(Object.create(real), {
-    run: async (request: { encode(after: undefined): string }) => {
-      ran.push(request.encode(undefined));
-      return {
-        type: 'answered',
-        answer: { payload, state: 'idle', position: undefined, error: undefined },
-      };
-    },
-  });
-}
+import { runnerWith, sessionDependencies } from '../../support/caller-session-fixture.js';
 
 /**
  * A caller that sends ahead: BEGIN, WRITE, COMMIT in one piece cross the word to leave. BEGIN takes the word for its refusal
--- a/test/unit/direct/within.test.ts
+++ b/test/unit/direct/within.test.ts
@@ -4,6 +4,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { firstWithin } from '../../../src/direct/within.js';
+import { computeFor } from '../../support/compute-for.js';
 
 const WAIT_MS = 10;
 const LATE_MS = 50;
@@ -25,11 +26,6 @@
   far.destroy();
 });
 
-function computeFor(milliseconds: number): void {
-  const until = performance.now() + milliseconds;
-  while (performance.now() < until);
-}
-
 test('an answer that came in time and waits unread in a late process is taken', async () => {
   const answer = once(near, 'data').then(([chunk]) => String(chunk));
   const first = firstWithin([answer], WAIT_MS);
