Members that count are a record all nodes follow; a successor in place proves its predecessor's log

The leader's note of members is published, in the same transaction, as a record that every node follows; a node counts those beside the ones that it has seen, and proves nothing while neither the records nor a peer that has read them has told. Records of primaries have the address. A held instance of the group at the old primary's address has its log: who has as much is certain, unless another member is ahead of it.

--- a/src/core/promotion/candidate.ts
+++ b/src/core/promotion/candidate.ts
@@ -1,9 +1,11 @@
 /**
  * Which instance may be promoted without losing an acknowledged commit, and which one is best. A
  * commit is acknowledged once `syncReplicas` replicas have received it, and logs are prefixes of one
- * another, so there are two proofs that an instance has every acknowledged commit:
+ * another, so there are three proofs that an instance has every acknowledged commit:
  *
  * - the old primary was demoted and told the end of its log, and the instance has received as much;
+ * - the old primary has ended and its log has gone to its successor at the same address, which is held, and the
+ *   instance has received as much as that one;
  * - so few replicas are not held that they can't be all that have received a commit, and no held one
  *   has received more than the instance.
  */
@@ -28,6 +30,8 @@
   readonly replicas: readonly MemberFinding[];
   /** The old primary; `stopped` if it was demoted. */
   readonly from: MemberFinding | undefined;
+  /** The member that has the old primary's address and log, if that one was replaced in place. */
+  readonly successor?: MemberFinding | undefined;
   readonly syncReplicas: number;
   /** Takes one that is leaving, or the old primary itself, if there is no better one. */
   readonly acceptAny: boolean;
@@ -47,7 +51,7 @@
 
 /** Members that surely have every acknowledged commit. */
 export function certainMembers(question: CandidateQuestion): MemberFinding[] {
-  const { replicas, from, syncReplicas, acceptAny } = question;
+  const { replicas, from, successor, syncReplicas, acceptAny } = question;
   const answered = replicas.filter(({ received }) => received !== undefined);
   if (question.withoutProof) return answered;
   const certain: MemberFinding[] = [];
@@ -55,6 +59,8 @@
     const end = from.received;
     certain.push(from, ...answered.filter((member) => reaches(member, end)));
   }
+  const inherited = successor && endOfInherited(successor, answered);
+  if (inherited !== undefined) certain.push(...answered.filter((it) => reaches(it, inherited)));
   const held = answered.filter(({ stopped }) => stopped);
   const unknown = replicas.length - held.length;
   // Without synchronous replicas no proof is to be had: the most that is known has to do.
@@ -62,12 +68,27 @@
   if (held.length > 0 && provesEnd) {
     const ends = held.flatMap(({ received }) => received ?? []);
     const end = ends.reduce((left, right) => (comparePositions(left, right) >= 0 ? left : right));
-    certain.push(...held.filter((member) => reaches(member, end) && !certain.includes(member)));
+    certain.push(...held.filter((member) => reaches(member, end)));
   }
-  return certain;
+  return [...new Set(certain)];
 }
 
-function reaches({ received }: MemberFinding, end: Position): boolean {
+/**
+ * End of the log that a successor in place has from the old primary; undefined while that may still grow, or if the
+ * successor lacks what another member has: then it began without the log.
+ */
+function endOfInherited(
+  { received, stopped }: MemberFinding,
+  answered: readonly MemberFinding[],
+): Position | undefined {
+  if (!stopped || received === undefined) return undefined;
+  const isBehind = answered.some(
+    (member) => member.received !== undefined && !reaches({ received }, member.received),
+  );
+  return isBehind ? undefined : received;
+}
+
+function reaches({ received }: Pick<MemberFinding, 'received'>, end: Position): boolean {
   return received !== undefined && comparePositions(received, end) >= 0;
 }
 
--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -16,7 +16,7 @@
 import type { Election } from './election.js';
 import { GroupHold } from './hold.js';
 import type { Primaries } from './primaries.js';
-import type { ChangingRecord } from './records.js';
+import { type ChangingRecord, placeOf } from './records.js';
 import type { PromotionRuntime } from './runtime.js';
 import { Scope } from './scope.js';
 
@@ -162,6 +162,7 @@
     return {
       replicas: replicas.map((entry) => this.#hold.findingOf(entry.id) ?? unheard(entry)),
       from: this.#findingOfOld(),
+      successor: this.#findingOfSuccessor(),
       syncReplicas: this.context.syncReplicasOf(this.service),
       acceptAny: runtime.now - this.#begunAt >= runtime.timings.betterCandidateMs,
       withoutProof: runtime.isDisabled('hold'),
@@ -176,6 +177,15 @@
     return { ...own, received: end, stopped: true, isReached: false };
   }
 
+  /** Another instance at the old primary's address: that one has ended, and its log has gone to this one. */
+  #findingOfSuccessor(): MemberFinding | undefined {
+    const { at } = this.record;
+    const successor = this.#replicas().find(({ host, port }) => {
+      return at !== undefined && host === at.host && port === at.port;
+    });
+    return successor && this.#hold.findingOf(successor.id);
+  }
+
   #replicas(): InstanceEntry[] {
     const { membersOf, departedOf } = this.context;
     const members = [...membersOf(this.service), ...departedOf(this.service)];
@@ -265,7 +275,8 @@
     }
     this.#writing = true;
     const { change } = this.record;
-    const record = { phase: 'serving', change, instance: instance.id, term } as const;
+    const at = placeOf(instance);
+    const record = { phase: 'serving', change, instance: instance.id, at, term } as const;
     const known = store.noteOf(this.service);
     const note = { ...known, primary: instance.id, candidate: undefined, change };
     // The record itself ends this change, see `ServiceDuty`; without it, the write is made again.
--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -93,6 +93,8 @@
     }
   | { readonly type: 'watch-ended'; readonly watch: number; readonly compacted: boolean }
   | { readonly type: 'instances-changed'; readonly entries: readonly InstanceEntry[] }
+  /** By a peer: all members, those too that are gone and count. */
+  | { readonly type: 'members-told'; readonly entries: readonly InstanceEntry[] }
   | { readonly type: 'services-changed'; readonly services: readonly ServiceDescription[] }
   | {
       readonly type: 'primary-failed';
--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -20,6 +20,8 @@
   type FleetRecord,
   fleetForm,
   LEADER_KEY,
+  type MembersRecord,
+  membersKeyOf,
   nodeForm,
   nodeOfNodeKey,
   noteKeyOf,
@@ -148,6 +150,8 @@
     const noteText = JSON.stringify(note);
     if (record !== undefined) operations.push({ type: 'put', key: recordKey, value: recordText });
     if (note !== undefined) operations.push({ type: 'put', key: noteKey, value: noteText });
+    const members = note && this.#membersToPublish(service, note);
+    if (members !== undefined) operations.push({ type: 'put', ...members });
     const compares = [
       { key: LEADER_KEY, modRevision: this.election.token ?? 0 },
       { key: recordKey, modRevision: this.records.get(recordKey)?.modRevision ?? 0 },
@@ -161,10 +165,28 @@
       if (succeeded && record !== undefined) {
         this.records.noteOwnPut(recordKey, recordText, answer.revision);
       }
+      if (succeeded && members !== undefined) {
+        this.records.noteOwnPut(members.key, members.value, answer.revision);
+      }
       onDone(succeeded);
     });
   }
 
+  /** True if the nodes have heard of a note's members. */
+  areMembersPublished(service: string): boolean {
+    return this.#membersToPublish(service, this.noteOf(service)) === undefined;
+  }
+
+  /** The members of a note where all nodes hear of them; undefined if they have heard. */
+  #membersToPublish(
+    service: string,
+    { members }: DutyNote,
+  ): { readonly key: string; readonly value: string } | undefined {
+    const key = membersKeyOf(service);
+    const value = JSON.stringify({ members } satisfies MembersRecord);
+    return value === this.records.get(key)?.value ? undefined : { key, value };
+  }
+
   publishFleet(fleet: FleetRecord, onDone: () => void): void {
     const value = JSON.stringify(fleet);
     const compares = [{ key: LEADER_KEY, modRevision: this.election.token ?? 0 }];
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -93,17 +93,14 @@
     return primary !== undefined && (instance === undefined || instance === primary.id);
   }
 
-  /** Members of a service that this node has seen lately, also if they are gone. */
+  /** Members of a service that this node has seen lately or the leader counts, also if they are gone. */
   membersOf(service: string): InstanceEntry[] {
-    return this.#primaries.remembered(service);
+    return this.#primaries.countedMembers(service);
   }
 
-  /** Members that the records name and this node has not seen: their answers can't be asked for. */
-  unseenMembersOf(service: string): string[] {
-    const record = this.#primaries.recordOf(service);
-    if (record === undefined) return [];
-    const named = record.phase === 'changing' ? record.from : record.instance;
-    return this.#primaries.instance(named) === undefined ? [named] : [];
+  /** Members that there may be and that can't be asked: they count as silent. Undefined while nothing can be proven. */
+  unseenMembersOf(service: string): string[] | undefined {
+    return this.#primaries.unseenMembers(service);
   }
 
   /** True while the record says that another primary is being made. */
@@ -177,6 +174,9 @@
         this.#tellChanges();
         this.#leader.update();
         return;
+      case 'members-told':
+        this.#primaries.noteMembersTold(event.entries, this.#runtime.now);
+        return;
       case 'services-changed':
         this.#services = event.services.map(({ name }) => name);
         this.#tellChanges();
--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -70,7 +70,8 @@
     const note = this.store.noteOf(this.service);
     const primary = this.primaries.primaryIdOf(this.service) ?? note.primary;
     const isSame = primary === note.primary && sameMembers(members, note.members);
-    if (isSame || members.length === 0) return;
+    const isPublished = this.store.areMembersPublished(this.service);
+    if ((isSame && isPublished) || members.length === 0) return;
     this.#write(members, primary);
   }
 
--- a/src/core/promotion/primaries.ts
+++ b/src/core/promotion/primaries.ts
@@ -6,7 +6,15 @@
 import type { KeyValue } from '../../platform/contract.js';
 import type { Milliseconds } from '../units.js';
 import type { PromotionTimings } from './options.js';
-import { decodeRecord, type PrimaryRecord, primaryForm, primaryKeyOf } from './records.js';
+import {
+  decodeRecord,
+  type MembersRecord,
+  membersForm,
+  membersKeyOf,
+  type PrimaryRecord,
+  primaryForm,
+  primaryKeyOf,
+} from './records.js';
 import type { StoreView } from './store-view.js';
 
 interface DecodedRecord {
@@ -26,6 +34,8 @@
 export class Primaries {
   readonly #instances = new Map<string, KnownInstance>();
   readonly #decoded = new Map<string, DecodedRecord>();
+  /** Services whose members a peer has told. */
+  readonly #toldServices = new Set<string>();
   /** Who calls itself primary, by service; made anew when the instances change. */
   readonly #claims = new Map<string, string | undefined>();
 
@@ -66,6 +76,40 @@
       .filter((entry) => entry.service === service);
   }
 
+  /**
+   * All that may have counted towards an acknowledged commit: those that this node has seen, and those that were gone
+   * before it began, by the leader's word.
+   */
+  countedMembers(service: string): InstanceEntry[] {
+    const seen = this.remembered(service);
+    const ids = new Set(seen.map(({ id }) => id));
+    const told = this.#membersRecordOf(service)?.members ?? [];
+    return [...seen, ...told.filter(({ id }) => !ids.has(id))];
+  }
+
+  /**
+   * Ids of members that the records tell of and whose address is not known; undefined while neither the records nor a
+   * peer has told who else there may be.
+   */
+  unseenMembers(service: string): string[] | undefined {
+    const isTold = this.#toldServices.has(service);
+    if (!isTold && this.#membersRecordOf(service) === undefined) return undefined;
+    const counted = this.countedMembers(service);
+    const record = this.recordOf(service);
+    const named = record?.phase === 'changing' ? record.from : record?.instance;
+    return named === undefined || counted.some(({ id }) => id === named) ? [] : [named];
+  }
+
+  /** A peer that knows the records told these members, those too that were gone before this node began. */
+  noteMembersTold(entries: readonly InstanceEntry[], now: Milliseconds): void {
+    this.noteInstances(entries, now);
+    for (const { service } of entries) this.#toldServices.add(service);
+  }
+
+  #membersRecordOf(service: string): MembersRecord | undefined {
+    return decodeRecord(this.records.get(membersKeyOf(service)), membersForm);
+  }
+
   isPresent(id: string): boolean {
     const known = this.#instances.get(id);
     return known !== undefined && known.goneAt === undefined;
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -23,6 +23,7 @@
 export const FLEET_KEY = `${RECORD_PREFIX}fleet`;
 export const PEERS_KEY = `${RECORD_PREFIX}peers`;
 const PRIMARY_PREFIX = `${RECORD_PREFIX}primary/`;
+const MEMBERS_PREFIX = `${RECORD_PREFIX}members/`;
 /** Keys of the nodes, one each. */
 export const NODE_PREFIX = `${DUTY_PREFIX}nodes/`;
 const ACKNOWLEDGEMENT_PREFIX = `${DUTY_PREFIX}acks/`;
@@ -30,6 +31,7 @@
 const NOTE_PREFIX = `${DUTY_PREFIX}notes/`;
 
 export const primaryKeyOf = (service: string): string => PRIMARY_PREFIX + encode(service);
+export const membersKeyOf = (service: string): string => MEMBERS_PREFIX + encode(service);
 export const nodeKeyOf = (node: string): string => NODE_PREFIX + encode(node);
 export const noteKeyOf = (service: string): string => NOTE_PREFIX + encode(service);
 export const acknowledgementPrefixOf = (service: string): string =>
@@ -109,6 +111,8 @@
       readonly change: number;
       /** Primary that is replaced. */
       readonly from: string;
+      /** Where that primary was reached; absent in records of older programs. */
+      readonly at?: PeerAddress | undefined;
       /** Highest term seen when the change began. */
       readonly term: number;
       readonly planned: boolean;
@@ -117,12 +121,22 @@
       readonly phase: 'serving';
       readonly change: number;
       readonly instance: string;
+      /** Where it is reached; absent in records of older programs. */
+      readonly at?: PeerAddress | undefined;
       readonly term: number;
     };
 
 export type ChangingRecord = Extract<PrimaryRecord, { phase: 'changing' }>;
 export type ServingRecord = Extract<PrimaryRecord, { phase: 'serving' }>;
 
+/**
+ * Every instance that may have counted towards an acknowledged commit, for the nodes that weren't there when one lost
+ * its entry.
+ */
+export interface MembersRecord {
+  readonly members: readonly InstanceEntry[];
+}
+
 /** What one leader leaves to the next about a service. */
 export interface DutyNote {
   /** Every instance that may have counted towards an acknowledged commit. */
@@ -229,11 +243,28 @@
 }
 
 export function primaryForm(fields: Fields): PrimaryRecord | undefined {
-  const { phase, change, from, term, planned, instance } = fields;
+  const { phase, change, from, at, term, planned, instance } = fields;
   if (!isNumber(change) || !isNumber(term)) return undefined;
-  if (phase === 'serving' && isText(instance)) return { phase, change, instance, term };
+  const place = placeForm(at);
+  if (phase === 'serving' && isText(instance)) return { phase, change, instance, at: place, term };
   if (phase !== 'changing' || !isText(from) || typeof planned !== 'boolean') return undefined;
-  return { phase, change, from, term, planned };
+  return { phase, change, from, at: place, term, planned };
+}
+
+/** Where an instance is reached, as a record keeps it. */
+export function placeOf({ host, port }: InstanceEntry): PeerAddress {
+  return { host, port };
+}
+
+/** An instance's address, of whatever form the platform gives it. */
+function placeForm(value: unknown): PeerAddress | undefined {
+  if (!isFields(value) || !isText(value.host) || !isNumber(value.port)) return undefined;
+  return { host: value.host, port: value.port };
+}
+
+export function membersForm({ members }: Fields): MembersRecord | undefined {
+  const known = instancesForm(members);
+  return known === undefined ? undefined : { members: known };
 }
 
 export function dutyNoteForm(fields: Fields): DutyNote | undefined {
--- a/src/core/promotion/service-duty.ts
+++ b/src/core/promotion/service-duty.ts
@@ -8,7 +8,7 @@
 import { GroupMembers } from './members.js';
 import { type ChangeReason, PrimaryMonitor } from './monitor.js';
 import { type PreflightResult, preflight } from './preflight.js';
-import type { ServingRecord } from './records.js';
+import { placeOf, type ServingRecord } from './records.js';
 import { Scope } from './scope.js';
 
 const PREFLIGHT_EVERY_MS = 300;
@@ -137,7 +137,7 @@
     if (this.#change !== undefined || this.#looking || !election.mayAct()) return;
     if (runtime.now < this.#nextLookAt) return;
     const members = this.#members.current();
-    const from = members.find(({ id }) => id === fromId) ?? primaries.instance(fromId);
+    const from = this.#entryOf(fromId, members);
     if (from === undefined) return;
     this.#looking = true;
     this.#nextLookAt = runtime.now + PREFLIGHT_EVERY_MS;
@@ -154,6 +154,16 @@
     });
   }
 
+  /** A primary that this leader has never seen is known by its record: another may have its address and its log. */
+  #entryOf(id: string, members: readonly InstanceEntry[]): InstanceEntry | undefined {
+    const { primaries } = this.context;
+    const known = members.find((member) => member.id === id) ?? primaries.instance(id);
+    const record = primaries.recordOf(this.service);
+    if (known !== undefined || record?.at === undefined) return known;
+    const unseen = { zone: '', slots: 0, draining: false, role: 'replica' } as const;
+    return { id, service: this.service, ...record.at, ...unseen };
+  }
+
   #noteLook(from: InstanceEntry, reason: ChangeReason, result: PreflightResult): void {
     const { runtime, primaries, store, election } = this.context;
     if (result.type === 'alive') this.#monitor.noteAlive(from.id);
@@ -171,7 +181,8 @@
     const change = (known?.change ?? 0) + 1;
     const term = Math.max(result.term, known?.term ?? 0);
     const { planned } = result;
-    const record = { phase: 'changing', change, from: from.id, term, planned } as const;
+    const at = placeOf(from);
+    const record = { phase: 'changing', change, from: from.id, at, term, planned } as const;
     const note = {
       ...store.noteOf(this.service),
       members: this.#members.current(),
@@ -193,7 +204,8 @@
     const { runtime, primaries, store } = this.context;
     const known = primaries.recordOf(this.service);
     if (known?.phase !== 'serving' || known.term !== term) return;
-    const record = { phase: 'serving', change: known.change + 1, instance: by, term } as const;
+    const at = placeOf(from);
+    const record = { phase: 'serving', change: known.change + 1, instance: by, at, term } as const;
     const note = { ...store.noteOf(this.service), members: this.#members.current(), primary: by };
     this.#looking = true;
     runtime.log('info', 'primary succeeded at its address', {
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -143,6 +143,16 @@
     this.#handle({ type: 'instances-changed', entries });
   }
 
+  /** Takes members as a peer knows them that has read the records. */
+  noteMembersTold(entries: readonly InstanceEntry[]): void {
+    this.#handle({ type: 'members-told', entries });
+  }
+
+  /** Members of all services that count, whether or not the store has an entry of them. */
+  countedMembers(): InstanceEntry[] {
+    return [...this.#syncReplicas.keys()].flatMap((service) => this.#machine.membersOf(service));
+  }
+
   noteServices({ services }: PublishedConfiguration): void {
     this.#syncReplicas = new Map(services.map(({ name, syncReplicas }) => [name, syncReplicas]));
     this.#handle({ type: 'services-changed', services });
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -23,8 +23,11 @@
   readonly classifyFailure: ClassifyControlFailure;
   /** Every member of the service that is known, also if its entry is gone. */
   readonly membersOf: (service: string) => readonly InstanceEntry[];
-  /** Ids of members that there are and that this node can't ask: they count as silent. */
-  readonly unseenMembersOf: (service: string) => readonly string[];
+  /**
+   * Ids of members that there are and that this node can't ask: they count as silent. Undefined while this node can't
+   * tell who is a member: then nothing is proven.
+   */
+  readonly unseenMembersOf: (service: string) => readonly string[] | undefined;
   readonly syncReplicasOf: (service: string) => number;
   readonly now: () => Milliseconds;
   /** Rounds of one service are at least so far apart: each takes a slot at every member. */
@@ -62,7 +65,8 @@
   /** The position that every commit acknowledged before this call is at or before, if enough members tell theirs. */
   async acknowledgedPosition(service: string): Promise<Position | undefined> {
     const syncReplicas = this.options.syncReplicasOf(service);
-    return acknowledgedPosition(await this.#askAll(service), syncReplicas);
+    const answers = await this.#askAll(service);
+    return answers && acknowledgedPosition(answers, syncReplicas);
   }
 
   #plan(service: string): void {
@@ -83,6 +87,7 @@
     const answers = await this.#askAll(service);
     this.#planned.delete(service);
     for (const primary of new Set(waiters.map((waiter) => waiter.primary))) {
+      if (answers === undefined) break;
       this.#evidence.noteRound({ service, primary, sentAt, syncReplicas, answers });
     }
     for (const { primary, use, at, resolve } of waiters) {
@@ -91,10 +96,11 @@
     if (this.#waiting.has(service)) this.#plan(service);
   }
 
-  async #askAll(service: string): Promise<ReadonlyMap<string, RoundAnswer>> {
+  async #askAll(service: string): Promise<ReadonlyMap<string, RoundAnswer> | undefined> {
     const members = this.options.membersOf(service);
-    const answers = await Promise.all(members.map((member) => this.#ask(member)));
     const unseen = this.options.unseenMembersOf(service);
+    if (unseen === undefined) return undefined;
+    const answers = await Promise.all(members.map((member) => this.#ask(member)));
     return new Map([
       ...members.map(({ id }, index) => [id, answers[index] ?? 'none'] as const),
       ...unseen.map((id) => [id, 'none'] as const),
--- a/src/direct/snapshots/node-directory.ts
+++ b/src/direct/snapshots/node-directory.ts
@@ -23,8 +23,13 @@
   isStoreWell(): boolean;
   /** Where the store says that other nodes answer. */
   peers(): readonly PeerAddress[];
-  /** Told of members that the store has no more, before the instances that it has. */
-  noteMembers(members: readonly InstanceEntry[]): void;
+  /** Members that count by the records, gone ones too. */
+  countedMembers(): readonly InstanceEntry[];
+  /**
+   * Told of members that the store has no more and of those that it has, before the latter alone; `isWhole` if whoever
+   * tells has read the records, which name those that were gone before it began.
+   */
+  noteMembers(members: readonly InstanceEntry[], isWhole: boolean): void;
   now(): Milliseconds;
 }
 
@@ -53,7 +58,7 @@
   }
 
   describe(known: DirectoryMarks): InstanceSnapshot | undefined {
-    const { follower, gateway, primaries, now } = this.options;
+    const { follower, primaries, now } = this.options;
     const confirmedAt = follower.lastConfirmedAt() ?? this.#adoptedFrom;
     const configuration = follower.configurationPart();
     if (confirmedAt === undefined || configuration === undefined) return undefined;
@@ -62,10 +67,10 @@
       instances: {
         revision: follower.instancesRevision(),
         instances: [...follower.instances().values()],
-        departed: gateway.departedMembers(),
+        departed: this.#departed(),
       },
       primaries: primaries.describe(this.#services()),
-      terms: gateway.primaryTerms(),
+      terms: this.options.gateway.primaryTerms(),
       ageMs: Math.max(0, now() - confirmedAt),
     });
   }
@@ -77,7 +82,7 @@
     const isFirst = follower.configuration() === undefined;
     if (newer.configuration !== undefined) follower.adoptConfiguration(newer.configuration);
     if (newer.instances !== undefined) {
-      this.#adoptInstances(newer.instances);
+      this.#adoptInstances(newer.instances, snapshot.primaries !== undefined);
       this.#adoptedFrom = now() - snapshot.ageMs;
     }
     if (newer.primaries !== undefined) primaries.take(newer.primaries);
@@ -86,15 +91,25 @@
     logger.info('serving from a snapshot of a peer', { ageMs: Math.round(snapshot.ageMs) });
   }
 
+  /** Members that have no entry any more and count: used by this node, or named by the records. */
+  #departed(): InstanceEntry[] {
+    const { follower, gateway, countedMembers } = this.options;
+    const present = follower.instances();
+    const gone = [...countedMembers(), ...gateway.departedMembers()];
+    return [...new Map(gone.map((entry) => [entry.id, entry])).values()].filter(
+      ({ id }) => !present.has(id),
+    );
+  }
+
   #services(): string[] {
     return this.options.follower.configuration()?.services.map(({ name }) => name) ?? [];
   }
 
   /** A proof without the lease asks every member: also those that the peer has not forgotten yet. */
-  #adoptInstances(part: InstancesPart<InstanceEntry>): void {
+  #adoptInstances(part: InstancesPart<InstanceEntry>, isWhole: boolean): void {
     const { follower, gateway, noteMembers } = this.options;
     gateway.noteDeparted(part.departed);
-    noteMembers([...part.departed, ...part.instances]);
+    noteMembers([...part.departed, ...part.instances], isWhole);
     follower.adoptInstances(part);
   }
 }
--- a/test/property/promotion-mechanisms.test.ts
+++ b/test/property/promotion-mechanisms.test.ts
@@ -37,7 +37,7 @@
   {
     mechanism: 'acknowledgements',
     broken: /^(ONE|STALE|LOST)/,
-    seeds: [1, 5, 6],
+    seeds: [1, 5, 6, 2, 3, 4],
     strike: random(['primary cut from leader', 'store watches deaf', 'primary draining']),
   },
   { mechanism: 'hold', broken: /^LOST/, seeds: [21, 24, 73, 7, 8, 12], strike: random() },
--- /dev/null
+++ b/test/property/successor-proof.test.ts
@@ -0,0 +1,53 @@
+/**
+ * A primary is replaced in place and a member ends with its log, both in one change of primary: the successor at the
+ * old primary's address has its log, which no promotion may lack and which is enough to promote by.
+ */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { PromotionSimulation } from '../support/promotion/simulation.js';
+
+const SEEDS = [1, 2, 3, 4, 5];
+const STEP_MS = 5;
+const LAG_MS = 4000;
+/** The platform takes no calls for so long, so that the change is still open when its members end. */
+const OUTAGE_MS = 3000;
+const SETTLE_MS = 12_000;
+
+function isChanging({ leader, group }: PromotionSimulation): boolean {
+  return leader?.machine?.isChanging(group.service) ?? false;
+}
+
+function play(seed: number): PromotionSimulation {
+  const simulation = new PromotionSimulation({ seed, services: 1 });
+  simulation.run(4000);
+  const { group, clock, platform } = simulation;
+  const primary = group.leader;
+  const [ending, lagging] = group.instances.filter((instance) => instance !== primary);
+  if (ending === undefined || lagging === undefined) throw new Error('a group has three instances');
+  lagging.deafUntil = clock.now + LAG_MS;
+  simulation.run(500);
+  platform.downUntil = clock.now + OUTAGE_MS;
+  group.crash(primary);
+  const end = clock.now + OUTAGE_MS;
+  while (!isChanging(simulation) && clock.now < end) simulation.run(STEP_MS);
+  assert.ok(isChanging(simulation), `no change was begun, seed ${seed}`);
+  group.remove(ending);
+  group.join();
+  simulation.run(500);
+  group.replace(primary);
+  simulation.run(SETTLE_MS);
+  return simulation;
+}
+
+test('the successor in place of a primary is proof enough', () => {
+  for (const seed of SEEDS) {
+    const simulation = play(seed);
+    const log = simulation.nodes.flatMap((node) => node.log).join('\n');
+    assert.equal(simulation.violations, [], `seed ${seed}\n${log}`);
+    const before = simulation.group.commits;
+    simulation.run(1000);
+    assert.ok(simulation.group.commits > before, `writes stopped, seed ${seed}\n${log}`);
+  }
+});
+
+test.run();
--- a/test/support/promotion/group.ts
+++ b/test/support/promotion/group.ts
@@ -67,6 +67,8 @@
   acknowledged: AcknowledgedCommit[] = [];
   readonly violations: string[] = [];
   promotions = 0;
+  /** Commits that were ever acknowledged by the group's leader. */
+  commits = 0;
   /** Some control calls take effect late until then. */
   controlLateUntil = 0;
   /** As the platform has it. */
@@ -177,7 +179,10 @@
       const acknowledge = (): void => {
         // What a deposed primary acknowledges is lost; the node must not pass it on.
         const isDeposed = this.leader !== instance;
-        if (!isDeposed) this.acknowledged.push({ id: commit, at: this.#clock.now, index });
+        if (!isDeposed) {
+          this.commits += 1;
+          this.acknowledged.push({ id: commit, at: this.#clock.now, index });
+        }
         const passOn = (): void => {
           if (!isDeposed) return;
           const at = this.#clock.now.toFixed(0);
--- /dev/null
+++ b/test/support/promotion/mix.ts
@@ -0,0 +1,51 @@
+/** One seed of the mixed model: every kind of fault, overlapping, with reads at replicas and a check that all heals. */
+import {
+  EVERY_FAULT_KIND,
+  type FaultKind,
+  LATENESS_FAULT_KINDS,
+  PARTIAL_STORE_FAULT_KINDS,
+  PromotionSimulation,
+} from './simulation.js';
+
+const WARM_UP_MS = 3000;
+const STRIKE_MS = 30_000;
+/** Longer than a leaving member may be silent before it counts as dead, and than a call of the promotion settles. */
+const SETTLE_MS = 30_000;
+const PROGRESS_MS = 2000;
+
+export const MIXED_FAULT_KINDS: readonly FaultKind[] = [
+  ...EVERY_FAULT_KIND,
+  ...LATENESS_FAULT_KINDS,
+  ...PARTIAL_STORE_FAULT_KINDS,
+];
+
+/** What a seed showed: broken promises, and services that no write gets through to. */
+export interface MixOutcome {
+  readonly seed: number;
+  readonly violations: readonly string[];
+  readonly stopped: readonly string[];
+  /** Faults and log lines in order of time. */
+  readonly story: string;
+}
+
+export function playMix(seed: number, kinds: readonly FaultKind[] = MIXED_FAULT_KINDS): MixOutcome {
+  const simulation = new PromotionSimulation({ seed, replicaReadsTrusting: 1 });
+  simulation.run(WARM_UP_MS);
+  simulation.strike(STRIKE_MS, kinds);
+  simulation.heal();
+  simulation.run(SETTLE_MS);
+  const groups = [...simulation.groups.values()];
+  const before = new Map(groups.map(({ service, commits }) => [service, commits]));
+  simulation.run(PROGRESS_MS);
+  const stopped = groups
+    .filter(({ service, commits }) => commits === before.get(service))
+    .map(({ service }) => service);
+  const lines = [...simulation.faults, ...simulation.nodes.flatMap(({ log }) => log)];
+  lines.sort((left, right) => Number.parseInt(left, 10) - Number.parseInt(right, 10));
+  return { seed, violations: simulation.violations, stopped, story: lines.join('\n') };
+}
+
+/** True if the seed broke nothing and every service takes writes again. */
+export function isClean({ violations, stopped }: MixOutcome): boolean {
+  return violations.length === 0 && stopped.length === 0;
+}
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -341,7 +341,9 @@
       if (isFinished) return;
       isFinished = true;
       for (const { id } of members) if (!answers.has(id)) answers.set(id, 'none');
-      for (const id of this.machine?.unseenMembersOf(service) ?? []) answers.set(id, 'none');
+      const unseen = this.machine?.unseenMembersOf(service);
+      if (unseen === undefined) return;
+      for (const id of unseen) answers.set(id, 'none');
       onAnswers(answers);
     };
     for (const instance of members) {
--- a/test/support/promotion/simulation.ts
+++ b/test/support/promotion/simulation.ts
@@ -43,6 +43,9 @@
   'control late',
 ] as const;
 
+/** A store that serves some nodes and not others; struck only where a test names them. */
+export const PARTIAL_STORE_FAULT_KINDS = ['store refuses nodes', 'store refuses leader'] as const;
+
 /** Struck only where a test names them. */
 const NAMED_FAULT_KINDS = ['primary replaced in place'] as const;
 
@@ -52,6 +55,7 @@
   | typeof FAULT_KINDS
   | typeof NAMED_FAULT_KINDS
   | typeof LATENESS_FAULT_KINDS
+  | typeof PARTIAL_STORE_FAULT_KINDS
 )[number];
 
 export interface SimulationOptions {
@@ -253,6 +257,17 @@
     'replica leaves': () => this.#leave(true),
     'replica leaves unannounced': () => this.#leave(false),
     'entries lapse': () => this.#lapse(),
+    'store refuses nodes': () => {
+      const forMs = this.#length();
+      const refused = this.nodes.filter(() => this.clock.chance(0.4)).map(({ name }) => name);
+      this.store.refuse(refused, forMs);
+      return refused.join();
+    },
+    'store refuses leader': () => {
+      const { name } = this.leader ?? this.clock.pick(this.nodes);
+      this.store.refuse([name], this.#length());
+      return name;
+    },
     'control late': () => {
       const group = this.#anyGroup();
       group.controlLateUntil = this.clock.now + this.#length();
--- a/test/support/promotion/store.ts
+++ b/test/support/promotion/store.ts
@@ -40,6 +40,8 @@
   lossUntil = 0;
   lateUntil = 0;
   requests = 0;
+  /** Until when the store turns these nodes away, by name. */
+  readonly #refusedUntil = new Map<string, number>();
   #revision = 1;
   #nextLease = 1;
   readonly #leases = new Map<string, { expiresAt: number; readonly ttlMs: number }>();
@@ -65,6 +67,17 @@
     for (const watch of this.#watches) this.#endLater(watch, 20);
   }
 
+  /** Turns some nodes away and serves the others; their watches end, and open no more meanwhile. */
+  refuse(machines: readonly string[], forMs: number): void {
+    for (const machine of machines) this.#refusedUntil.set(machine, this.#clock.now + forMs);
+    for (const watch of this.#watches)
+      if (machines.includes(watch.machine)) this.#endLater(watch, 20);
+  }
+
+  #refuses(machine: string): boolean {
+    return this.#clock.now < (this.#refusedUntil.get(machine) ?? 0);
+  }
+
   /** Watches hear nothing for a while, and are then cut. */
   goDeaf(forMs: number): void {
     for (const watch of this.#watches) {
@@ -79,7 +92,7 @@
     const answerBack = (answer: RequestAnswer): void =>
       network.send(STORE, machine, () => onAnswer(answer));
     network.send(machine, STORE, () => {
-      if (this.isDown) {
+      if (this.isDown || this.#refuses(machine)) {
         if (this.#clock.chance(0.5)) answerBack(FAILED);
         return;
       }
@@ -107,6 +120,7 @@
     this.requests += 1;
     const watch = { machine, prefix, onEvents, onEnd, deafUntil: 0, ended: false };
     this.#watches.add(watch);
+    if (this.#refuses(machine)) this.#endLater(watch, 5);
     // What changed between the read and the watch is told by a whole new read.
     if (fromRevision <= this.#revision && this.#changedSince(prefix, fromRevision)) {
       this.#endLater(watch, 5);
