--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -117,9 +117,9 @@
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
       if (answer !== 'silent') this.#heardAt.set(member.id, this.runtime.now);
       const silentForMs = this.#silentForMs(member.id);
-      const { draining } = this.primaries.instance(member.id) ?? member;
-      const isDead = isMemberDead(answer, { silentForMs, draining }, this.runtime.timings);
-      if (isDead) this.#noteEndOf(member, primaryId);
+      if (isMemberDead(answer, silentForMs, this.runtime.timings)) {
+        this.#noteEndOf(member, primaryId);
+      }
     });
     this.runtime.control('status', member, 0, onAnswer);
   }
@@ -166,23 +166,17 @@
   }
 }
 
-/** What is known of a member whose entry is gone. */
-export interface GoneMember {
-  /** How long the entry has been gone, with the store well, and nothing was heard of it. */
-  readonly silentForMs: Milliseconds;
-  /** It had said that it leaves. */
-  readonly draining: boolean;
-}
-
-/** Whether a member that is gone receives nothing any more, by its answer to a question now. */
+/**
+ * Whether a member that is gone receives nothing any more, by its answer to a question now and how long its entry has
+ * been gone, with the store well, and nothing was heard of it. That it had said that it leaves makes no difference: cut
+ * off from the store and this node it may serve on, and be the only one that receives commits.
+ */
 export function isMemberDead(
   answer: InstanceStatus | ControlFailure,
-  { silentForMs, draining }: GoneMember,
-  timings: Pick<PromotionTimings, 'memberSilentMs' | 'leaverSilentMs'>,
+  silentForMs: Milliseconds,
+  { memberSilentMs }: Pick<PromotionTimings, 'memberSilentMs'>,
 ): boolean {
-  if (answer === 'refused') return true;
-  const enoughMs = draining ? timings.leaverSilentMs : timings.memberSilentMs;
-  return answer === 'silent' && silentForMs >= enoughMs;
+  return answer === 'refused' || (answer === 'silent' && silentForMs >= memberSilentMs);
 }
 
 function addressOf({ host, port }: InstanceEntry): string {
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -46,8 +46,6 @@
   readonly entryUsedMs: Milliseconds;
   /** A member that is gone and silent for so long counts as dead. */
   readonly memberSilentMs: Milliseconds;
-  /** The same for one that had said that it leaves: its entry goes when it has ended. */
-  readonly leaverSilentMs: Milliseconds;
   /** Calls that hold replicas or demote the old primary are made anew after so long. */
   readonly secureEveryMs: Milliseconds;
   /** Older answers to these calls don't count when the promotion is called. */
@@ -101,7 +99,6 @@
   entryGoneMs: 2600,
   entryUsedMs: 5000,
   memberSilentMs: 15_000,
-  leaverSilentMs: 4000,
   secureEveryMs: 150,
   evidenceMaxAgeMs: 600,
   controlTimeoutMs: 300,
--- a/src/direct/caller-server.ts
+++ b/src/direct/caller-server.ts
@@ -104,6 +104,7 @@
       },
       end: () => socket.end(),
     });
+    if (this.#drain !== 'none') session.refuseStart();
     const open: OpenSession = { session, socket };
     this.#sessions.add(open);
     session.onRest = () => {
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -17,6 +17,7 @@
 import type { RequestLog } from './request-log.js';
 import { RequestTrace } from './request-trace.js';
 import type { ServiceRuntime } from './service-runtime.js';
+import { GIVEN_UP, SessionLeaving } from './session-leaving.js';
 import type { Refusal, StatementOutcome, StatementRequest } from './statement-request.js';
 import type { StatementRunner } from './statement-runner.js';
 import { StatementsUnderWay } from './statements-under-way.js';
@@ -63,11 +64,6 @@
   end(): void;
 }
 
-/** Another node takes the transaction at once. */
-const STOPPING_TEXT = `this node is stopping; retry after ${RETRY_AFTER_MS} ms`;
-/** The grace period of the node is over. */
-const GIVEN_UP_TEXT = 'this node ends; whether it ran is unknown';
-
 /** Counted over all sessions of the process. */
 export interface SessionCounters {
   statements: number;
@@ -105,15 +101,13 @@
   #stopIdleWatch: (() => void) | undefined;
   /** The transaction was ended for resting too long, and the caller has not heard of it yet. */
   #idledOut = false;
-  /**
-   * Once the caller was told to leave nothing is run any more: what it sent ahead belongs to an attempt of which it was
-   * told that nothing is kept. `told` until a request takes that word for its refusal.
-   */
-  #leaving: 'no' | 'told' | 'refused' = 'no';
+  readonly #leaving: SessionLeaving;
   /** Called when a message has been answered. */
   onRest: (() => void) | undefined;
 
-  constructor(private readonly options: CallerSessionOptions) {}
+  constructor(private readonly options: CallerSessionOptions) {
+    this.#leaving = new SessionLeaving(options.wire, (text) => this.#write(text));
+  }
 
   /** True between requests and outside any transaction. */
   get atRest(): boolean {
@@ -143,26 +137,20 @@
    * goes on until the caller leaves, so that a request which crosses this word on its way is answered too.
    */
   tellToLeave(): void {
-    if (this.#ended || this.#leaving === 'told') return;
+    if (this.#ended || this.#leaving.isWordOpen) return;
     this.#stopIdleWatch?.();
     if (this.#state === 'open') {
       this.#dropTransaction();
       this.#state = 'failed';
       this.options.counters.refused += 1;
     }
-    this.#leaving = 'told';
-    this.#writeStopping();
+    this.#leaving.tell(this.#state);
     if (this.#database === undefined) this.#end();
   }
 
-  /** What a caller is told while the node stops: nothing of its attempt is kept. */
-  get #stopRefusal(): Refusal {
-    return { code: this.#state === 'idle' ? 'busy' : 'aborted', text: STOPPING_TEXT };
-  }
-
-  #writeStopping(): void {
-    const { code, text } = this.#stopRefusal;
-    this.#write(this.options.wire.encodeError(code, text));
+  /** The caller came after the stop had begun: the node starts no session for it. */
+  refuseStart(): void {
+    this.#leaving.refuseStart();
   }
 
   /**
@@ -177,13 +165,12 @@
     this.#end();
   }
 
-  #giveUpOn({ type }: CallerMessage): void {
-    const { wire, counters } = this.options;
-    if (type === 'start') this.#write(wire.encodeError('busy', STOPPING_TEXT));
-    if (type !== 'statement') return;
-    counters.failed += 1;
-    const state = this.#state === 'open' ? 'failed' : this.#state;
-    this.#write(wire.encodeError('timeout', GIVEN_UP_TEXT) + wire.encodeReady(state, undefined));
+  #giveUpOn(message: CallerMessage): void {
+    if (message.type === 'start') this.#leaving.writeRefusal('idle');
+    if (message.type !== 'statement') return;
+    this.options.counters.failed += 1;
+    this.#tellRefused(message, GIVEN_UP);
+    this.#leaving.writeGivenUp(this.#state);
   }
 
   /** The caller has gone: what it began is rolled back. */
@@ -249,7 +236,7 @@
           return;
         }
         this.options.counters.statements += 1;
-        if (this.#leaving === 'no') await this.#statement(message, message.statement);
+        if (!this.#leaving.isTold) await this.#statement(message, message.statement);
         else this.#endRefusal(message);
     }
   }
@@ -267,6 +254,12 @@
       this.#end();
       return;
     }
+    if (this.#leaving.refusesStart) {
+      this.options.counters.refused += 1;
+      this.#leaving.writeRefusal('idle');
+      this.#end();
+      return;
+    }
     if (!(await routes.known(START_WAIT_MS))) {
       this.#write(wire.encodeError('busy', 'no configuration yet'));
       this.#end();
@@ -333,12 +326,11 @@
     }
   }
 
-  /** A statement that crossed the word to leave takes that word for its refusal; those behind it get their own. */
+  /** A statement that crossed the word to leave. */
   #endRefusal(message: StatementMessage): void {
-    if (this.#leaving !== 'told') this.#writeStopping();
-    this.#leaving = 'refused';
+    this.#leaving.refuseCrossing(this.#state);
     this.options.counters.refusedAtStop += 1;
-    this.#tellRefused(message, this.#stopRefusal);
+    this.#tellRefused(message, this.#leaving.refusal(this.#state));
     const { type } = message.statement;
     if (type === 'commit' || type === 'rollback') this.#state = 'idle';
     this.#write(this.options.wire.encodeReady(this.#state, undefined));
--- /dev/null
+++ b/src/direct/session-leaving.ts
@@ -0,0 +1,77 @@
+/**
+ * One session's part in the planned stop of its node: the word to leave, the refusal of what crosses it, and the last
+ * word to callers that are still owed answers.
+ */
+import type { TransactionState } from '../core/statements/statement.js';
+import type { Refusal } from './statement-request.js';
+import type { StatementWire } from './wire.js';
+
+/** Told to callers of a node that stops: another node takes them at once. */
+const RETRY_AFTER_MS = 100;
+const STOPPING_TEXT = `this node is stopping; retry after ${RETRY_AFTER_MS} ms`;
+/** The grace period of the node is over. */
+const GIVEN_UP_TEXT = 'this node ends; whether it ran is unknown';
+
+/** What a caller is owed when the time for its answer is over: what was sent may have run. */
+export const GIVEN_UP: Refusal = { code: 'timeout', text: GIVEN_UP_TEXT };
+
+export class SessionLeaving {
+  /**
+   * Once the caller was told to leave nothing is run any more: what it sent ahead belongs to an attempt of which it was
+   * told that nothing is kept. `told` until a request takes that word for its refusal.
+   */
+  #state: 'no' | 'told' | 'refused' = 'no';
+  #refusesStart = false;
+
+  constructor(
+    private readonly wire: StatementWire,
+    private readonly write: (text: string) => void,
+  ) {}
+
+  /** The caller has been told. */
+  get isTold(): boolean {
+    return this.#state !== 'no';
+  }
+
+  /** The word stands, and no request has taken it for its refusal yet. */
+  get isWordOpen(): boolean {
+    return this.#state === 'told';
+  }
+
+  /** The caller came when the node was stopping already: it is refused when it asks for a session. */
+  get refusesStart(): boolean {
+    return this.#refusesStart;
+  }
+
+  refuseStart(): void {
+    this.#refusesStart = true;
+  }
+
+  tell(state: TransactionState): void {
+    this.#state = 'told';
+    this.writeRefusal(state);
+  }
+
+  /** A statement that crossed the word takes that word for its refusal; those behind it get their own. */
+  refuseCrossing(state: TransactionState): void {
+    if (!this.isWordOpen) this.writeRefusal(state);
+    this.#state = 'refused';
+  }
+
+  /** What a caller is told while the node stops: nothing of its attempt is kept. */
+  refusal(state: TransactionState): Refusal {
+    return { code: state === 'idle' ? 'busy' : 'aborted', text: STOPPING_TEXT };
+  }
+
+  writeRefusal(state: TransactionState): void {
+    const { code, text } = this.refusal(state);
+    this.write(this.wire.encodeError(code, text));
+  }
+
+  /** The last word to a statement that has no answer. */
+  writeGivenUp(state: TransactionState): void {
+    const { code, text } = GIVEN_UP;
+    const left = state === 'open' ? 'failed' : state;
+    this.write(this.wire.encodeError(code, text) + this.wire.encodeReady(left, undefined));
+  }
+}
--- a/test/property/leaving-members.test.ts
+++ b/test/property/leaving-members.test.ts
@@ -11,6 +11,8 @@
 
 const { memberSilentMs } = DEFAULT_PROMOTION_TIMINGS;
 const SEEDS = [1, 2, 3, 4, 5];
+/** An instance that leaves serves on for the time to drain and some seconds more; longer than a change of primary takes. */
+const LONG_LEAVE_MS = 8000;
 
 /** A primary, a replica that leaves without saying so, and one that stays. */
 function groupOf({ group }: PromotionSimulation): readonly SimulatedInstance[] {
@@ -62,6 +64,20 @@
   }
 });
 
+test('a member that said it leaves, and is out of reach of nodes and store, is not forgotten', () => {
+  for (const seed of SEEDS) {
+    const { simulation, leaver } = startWithLeaver(seed);
+    leaver.announced = true;
+    leaver.draining = true;
+    simulation.run(500);
+    leaver.announced = false;
+    cutFromNodes(simulation, leaver, 60_000);
+    simulation.run(LONG_LEAVE_MS);
+    endWithPrimary(simulation);
+    assertNothingLost(simulation, seed);
+  }
+});
+
 test('nodes that start anew take no leaving member for dead at once', () => {
   for (const seed of SEEDS) {
     const { simulation, leaver } = startWithLeaver(seed);
--- a/test/support/status-instance.ts
+++ b/test/support/status-instance.ts
@@ -12,6 +12,8 @@
   opened = 0;
   /** Whether it refuses connections since it has too many. */
   isFull = false;
+  /** Whether it resets what is opened to it. */
+  resets = false;
   readonly sockets: Socket[] = [];
   readonly #server: Server = createServer((socket) => {
     this.opened += 1;
@@ -35,7 +37,8 @@
   }
 
   #answer(socket: Socket, text: string): void {
-    if (this.isFull) socket.end(FULL);
+    if (this.resets) socket.resetAndDestroy();
+    else if (this.isFull) socket.end(FULL);
     else socket.write(text.startsWith('START') ? READY : STATUS_ROW);
   }
 }
--- a/test/unit/direct/instance-control.test.ts
+++ b/test/unit/direct/instance-control.test.ts
@@ -4,7 +4,10 @@
 import * as assert from 'uvu/assert';
 import { lineWire, parseStatusRow } from '../../../platform/line-wire.js';
 import { InstanceControlError } from '../../../src/direct/errors.js';
-import { WireInstanceControl } from '../../../src/direct/instance-control.js';
+import {
+  classifyControlFailure,
+  WireInstanceControl,
+} from '../../../src/direct/instance-control.js';
 import { StatusInstance } from '../../support/status-instance.js';
 
 const LONG_MS = 60_000;
@@ -53,4 +56,18 @@
   instance.stop();
 });
 
+test('a connection that is reset while it opens tells of no death, and a port where nothing listens does', async () => {
+  const instance = new StatusInstance();
+  const entry = await instance.start();
+  instance.resets = true;
+  const control = new WireInstanceControl(lineWire, parseStatusRow, () => performance.now());
+  const failure = async () => {
+    const status = await control.status(entry, LONG_MS);
+    return status.isErr() ? classifyControlFailure(status.error) : 'answered';
+  };
+  assert.is(await failure(), 'silent');
+  instance.stop();
+  assert.is(await failure(), 'refused');
+});
+
 test.run();
--- a/test/unit/direct/planned-stop.test.ts
+++ b/test/unit/direct/planned-stop.test.ts
@@ -6,7 +6,7 @@
 import * as assert from 'uvu/assert';
 import { CallerServer } from '../../../src/direct/caller-server.js';
 import { endSessions, type StopParts } from '../../../src/direct/planned-stop.js';
-import { sessionDependencies } from '../../support/caller-session-fixture.js';
+import { ROUTE, sessionDependencies } from '../../support/caller-session-fixture.js';
 import { LineClient } from '../../support/line-client.js';
 
 const HOST = '127.0.0.1';
@@ -55,4 +55,14 @@
   await ended;
 });
 
+test('a caller that comes after the stop has begun is refused when it asks for a session', async () => {
+  server = new CallerServer(sessionDependencies());
+  await server.listen({ host: HOST, port: 0 });
+  server.drain(false);
+  const client = await LineClient.connect(HOST, server.port);
+  const answer = await client.start(ROUTE.database, 'late');
+  assert.is(answer.error?.code, 'BUSY');
+  client.destroy();
+});
+
 test.run();
