Members are told first once a leader has led for three seconds, if none is gone

The record of members is one write a service at a fleet's start, when each node still polls the store by itself; each record wakes every poll.

The first record of a service waits 3 s from the leader's taking over, by when readers are named, unless a member has already lost its entry. A node that starts meanwhile has no proof by positions.

--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -6,6 +6,7 @@
 import type { ReachableNode } from '../ownership/owner-roster.js';
 import type { ReaderCandidate } from '../ownership/watch-readers.js';
 import { laterPosition, type Position } from '../position.js';
+import type { Milliseconds } from '../units.js';
 import type { Election } from './election.js';
 import type { Primaries } from './primaries.js';
 import {
@@ -49,9 +50,17 @@
   change: 0,
 };
 
+/**
+ * Members are told first once this leader has led for so long, if no node could miss one of them by then: in the first
+ * moments of a fleet each node polls the store by itself, and each record costs a poll of every node.
+ */
+const FIRST_MEMBERS_MS: Milliseconds = 3000;
+
 export class DutyStore {
   readonly #decodedNotes = new Map<string, { readonly entry: KeyValue; readonly note: DutyNote }>();
 
+  #begunAt: Milliseconds = Number.NEGATIVE_INFINITY;
+
   constructor(
     private readonly runtime: PromotionRuntime,
     private readonly election: Election,
@@ -60,6 +69,11 @@
     private readonly duty: StoreView,
   ) {}
 
+  /** This node has taken the lead. */
+  begin(): void {
+    this.#begunAt = this.runtime.now;
+  }
+
   noteOf(service: string): DutyNote {
     const entry = this.duty.get(noteKeyOf(service));
     if (entry === undefined) return EMPTY_NOTE;
@@ -183,8 +197,12 @@
     { members }: DutyNote,
   ): { readonly key: string; readonly value: string } | undefined {
     const key = membersKeyOf(service);
+    const known = this.records.get(key);
+    const mayWait = this.runtime.now - this.#begunAt < FIRST_MEMBERS_MS;
+    const areAllPresent = members.every(({ id }) => this.primaries.isPresent(id));
+    if (known === undefined && mayWait && areAllPresent) return undefined;
     const value = JSON.stringify({ members } satisfies MembersRecord);
-    return value === this.records.get(key)?.value ? undefined : { key, value };
+    return value === known?.value ? undefined : { key, value };
   }
 
   publishFleet(fleet: FleetRecord, onDone: () => void): void {
--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -73,6 +73,7 @@
     if (this.#isLeading) this.stop();
     if (this.election.token === undefined) return;
     this.#isLeading = true;
+    this.#store.begin();
     this.#publishing = false;
     this.#looking = false;
     this.#scope = new Scope(this.runtime);
--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -94,6 +94,7 @@
 
   #check(): void {
     this.#scope.after(CHECK_EVERY_MS, () => this.#check());
+    this.update();
     const gone = this.current().filter(({ id }) => {
       const goneForMs = this.primaries.goneForMs(id, this.runtime.now);
       return goneForMs !== undefined && goneForMs >= GONE_BEFORE_CHECK_MS;
