A primary's own position counts in the proof of reads at replicas; a fleet that starts anew leaves its first watch to readers

What calls itself primary counts as silent as before, and its position is a lower bound all the same: it can only be too high, which refuses a read and never serves a stale one. Second: a node's first watch, where it knows readers from its first read, is left to them for 0.5 s. Only restarts gain: before the first leader nobody names readers.

--- a/src/core/promotion/evidence.ts
+++ b/src/core/promotion/evidence.ts
@@ -55,7 +55,9 @@
 /**
  * The position that every commit acknowledged before the round was sent is at or before; undefined if too few
  * members told. Such a commit stands on its primary and on `syncReplicas` more: with no more members than that
- * silent, one that has it answered. What calls itself primary counts as silent: its log may not be the group's.
+ * silent, one that has it answered. What calls itself primary counts as silent: its log may not be the group's. Its
+ * position counts all the same, since it can only be too high: with it a commit is seen that a replica alone has which
+ * has just joined and which nobody knows.
  */
 export function acknowledgedPosition(
   answers: ReadonlyMap<string, RoundAnswer>,
@@ -64,8 +66,10 @@
   let position: Position | undefined;
   let silent = 0;
   for (const answer of answers.values()) {
-    if (typeof answer === 'string' || answer.role === 'primary') silent += 1;
-    else position = laterPosition(position ?? answer.received, answer.received);
+    const isReplica = typeof answer === 'object' && answer.role === 'replica';
+    if (!isReplica) silent += 1;
+    if (typeof answer === 'string') continue;
+    position = laterPosition(position ?? answer.received, answer.received);
   }
   return silent <= syncReplicas ? position : undefined;
 }
--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -13,6 +13,12 @@
 
 /** That nothing has changed is passed on so often at most. */
 const UNCHANGED_EVERY_MS: Milliseconds = 1000;
+/**
+ * The first watch of a node begins right after a read of everything: readers that it knows by then have so long to serve
+ * it before the store itself is polled. A fleet that starts anew changes its own records several times in its first
+ * second, and each change cost a poll of every node.
+ */
+const FIRST_WATCH_GRACE_MS: Milliseconds = 500;
 /** A reader that was lost is asked again after half of this to all of it. */
 const ASK_AGAIN_MS: Milliseconds = 1200;
 
@@ -60,6 +66,10 @@
   readonly #subscriptions = new Map<string, Subscription>();
   #isReader = false;
   #watcher: Watcher | undefined;
+  /** When this node first watched; undefined before that. */
+  #firstWatchAt: Milliseconds | undefined;
+  /** Readers have served this node: a watch of its own is a fallback from then on. */
+  #wasServed = false;
   #direct: DirectWatch | undefined;
 
   constructor(private readonly options: FollowedPrefixOptions) {
@@ -85,6 +95,7 @@
     this.#closeDirect();
     const watcher = { handlers, told: fromRevision - 1, toldAt: Number.NEGATIVE_INFINITY };
     this.#watcher = watcher;
+    this.#firstWatchAt ??= this.options.now();
     this.#catchUp(watcher);
     this.look();
     return () => {
@@ -132,7 +143,12 @@
   }
 
   #wantsDirect({ told }: Watcher): boolean {
-    return this.#isReader || !this.#evidence.isServed(this.options.now(), told);
+    const now = this.options.now();
+    const isServed = this.#evidence.isServed(now, told);
+    this.#wasServed ||= isServed;
+    const isFirst = now - (this.#firstWatchAt ?? now) < FIRST_WATCH_GRACE_MS;
+    const isAsking = isFirst && this.#subscriptions.size > 0;
+    return this.#isReader || !(isServed || isAsking);
   }
 
   /** What this node knows already is told later in this turn, as the store would. */
@@ -147,7 +163,7 @@
   }
 
   #openDirect(watcher: Watcher): void {
-    if (this.#subscriptions.size > 0) this.options.counters.fallbacks += 1;
+    if (this.#wasServed) this.options.counters.fallbacks += 1;
     const direct: DirectWatch = {
       close: () => {},
       sentAt: this.options.now(),
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -95,6 +95,7 @@
   watch(prefix: string, fromRevision: number, handlers: WatchHandlers): () => void {
     const followed = this.#prefixes.get(prefix);
     if (followed === undefined) return this.options.store.watch(prefix, fromRevision, handlers);
+    this.#followReaders();
     return followed.watch(fromRevision, handlers);
   }
 
@@ -125,13 +126,16 @@
     return this.options.store.requestCount();
   }
 
-  #look(): void {
+  #followReaders(): void {
     const readers = this.options.readers();
-    if (readers !== this.#readers) {
-      this.#readers = readers;
-      this.#readersOfNode = readersOf(this.options.node, readers);
-      for (const followed of this.#prefixes.values()) followed.setReaders(this.#readersOfNode);
-    }
+    if (readers === this.#readers) return;
+    this.#readers = readers;
+    this.#readersOfNode = readersOf(this.options.node, readers);
+    for (const followed of this.#prefixes.values()) followed.setReaders(this.#readersOfNode);
+  }
+
+  #look(): void {
+    this.#followReaders();
     for (const followed of this.#prefixes.values()) followed.look();
     this.#looks += 1;
     if (this.#looks % LOOKS_PER_HEARTBEAT === 0) this.#server.tellAll();
--- a/test/property/acknowledged-position.test.ts
+++ b/test/property/acknowledged-position.test.ts
@@ -121,6 +121,19 @@
   assert.ok(proven > 500, `proven in ${proven} of 2000`);
 });
 
+test('a commit that only its primary and a replica just joined have is seen by the position of the primary', () => {
+  const status = (role: 'primary' | 'replica', lsn: bigint): RoundAnswer => ({
+    ...{ role, term: 4, received: { timeline: 4, lsn } },
+    ...{ heldTerm: 0, lagMs: 0, busySlots: 0, connections: 0 },
+  });
+  // Nobody knows the one that has joined, so that it is not asked; the other replica lags.
+  const answers = new Map([
+    ['primary', status('primary', 9n)],
+    ['lagging', status('replica', 5n)],
+  ]);
+  assert.equal(acknowledgedPosition(answers, 1), { timeline: 4, lsn: 9n });
+});
+
 test('one more member silent than commits are sure to stand on besides the primary proves nothing', () => {
   const group = new Group(3, 1);
   group.play({ type: 'commit', receivers: [1] });
