Right after a restart a node of a large fleet opens one connection to an instance, not half of its share

Until a process that replaces another has settled, connections follow the instance's slots (six of all nodes together for each), and half of the share is the most. Fleets of 6 and 8 nodes keep what they had; owners too. The first two seconds stay poor: what else binds there isn't traced.

--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -1,6 +1,7 @@
 /** One database group as this node uses it: a pool for each instance, and what is known of its log. */
 import { connectionsPerOwner, RESERVED_CONNECTIONS } from '../core/ownership/connection-sharing.js';
 import type { OwnerRoster } from '../core/ownership/owner-roster.js';
+import { UNSETTLED_SHARE, unsettledConnections } from '../core/ownership/unsettled-share.js';
 import type { Position } from '../core/position.js';
 import { type InstanceLoad, rankInstances } from '../core/statements/instance-choice.js';
 import { type PositionSample, PositionSamples } from '../core/statements/position-samples.js';
@@ -35,7 +36,6 @@
  * that lost power count beside those of the nodes after them, which take half of their share at first.
  */
 const SETTLED_MS = 3500;
-const UNSETTLED_SHARE = 0.5;
 
 /** One that is asked again and again without an answer counts as away between the questions too. */
 const FAILED_LATELY_MS: Milliseconds = 700;
@@ -196,13 +196,18 @@
     const share = Math.floor((this.#maxConnections - RESERVED_CONNECTIONS) / nodes);
     const most = this.#isNodeCountKnown ? Number.POSITIVE_INFINITY : UNKNOWN_FLEET_CONNECTIONS;
     const settledLimit = Math.min(most, Math.max(MINIMUM_CONNECTIONS, share));
-    const limit = this.#isSettled() ? settledLimit : Math.ceil(settledLimit * UNSETTLED_SHARE);
+    const isSettled = this.#isSettled();
     const softShare = Math.floor((this.#maxConnections * SOFT_SHARE) / nodes);
     const softLimit = Math.max(MINIMUM_CONNECTIONS, softShare);
     for (const state of this.#instances.values()) {
       this.#followOwners(state);
-      if (state.ownership === undefined) state.pool.setLimit(limit, softLimit, nodes);
-      else this.#limitByOwners(state);
+      if (state.ownership !== undefined) {
+        this.#limitByOwners(state);
+        continue;
+      }
+      const { slots } = state.pool.instance;
+      const limit = isSettled ? settledLimit : unsettledConnections(settledLimit, { slots, nodes });
+      state.pool.setLimit(limit, softLimit, nodes);
     }
   }
 
