--- /dev/null
+++ b/test/unit/direct/node-directory.test.ts
@@ -0,0 +1,75 @@
+/** Members whose entries are gone, as nodes tell each other of them. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { NO_MARKS } from '../../../src/core/directory/snapshot.js';
+import type { InstanceEntry } from '../../../src/direct/contract.js';
+import type { DirectoryFollower } from '../../../src/direct/directory-follower.js';
+import type { DirectGateway } from '../../../src/direct/gateway.js';
+import { NodeDirectory } from '../../../src/direct/snapshots/node-directory.js';
+import type { ToldPrimaries } from '../../../src/direct/snapshots/told-primaries.js';
+import type { Logger } from '../../../src/observability/logger.js';
+
+const PRIMARIES = { revision: 7, primaries: [{ service: 'orders', instanceId: 'present' }] };
+
+function instance(id: string): InstanceEntry {
+  const place = { service: 'orders', host: '10.0.0.1', port: 80, zone: 'a', slots: 3 };
+  return { id, ...place, draining: false, role: 'replica' };
+}
+
+interface Told {
+  readonly ids: readonly string[];
+  readonly isWhole: boolean;
+}
+
+/** A node that uses one member which has left, with others named by the records. */
+function nodeWith(counted: readonly string[]) {
+  const told: Told[] = [];
+  const follower = {
+    configuration: () => ({ version: 1, services: [{ name: 'orders' }] }),
+    configurationPart: () => ({ version: 1, text: '{}' }),
+    instances: () => new Map([['present', instance('present')]]),
+    instancesRevision: () => 5,
+    lastConfirmedAt: () => 100,
+    adoptInstances: () => {},
+  } as unknown as DirectoryFollower;
+  const gateway = {
+    departedMembers: () => [instance('used-once')],
+    noteDeparted: () => {},
+    primaryTerms: () => [],
+    notePrimaryTerms: () => {},
+  } as unknown as DirectGateway;
+  const primaries = {
+    revision: 5,
+    describe: () => PRIMARIES,
+    take: () => {},
+  } as unknown as ToldPrimaries;
+  const directory = new NodeDirectory({
+    ...{ follower, gateway, primaries, logger: { info: () => {} } as unknown as Logger },
+    isStoreWell: () => true,
+    peers: () => [],
+    countedMembers: () => counted.map(instance),
+    noteMembers: (members, isWhole) => told.push({ ids: members.map(({ id }) => id), isWhole }),
+    now: () => 200,
+  });
+  return { directory, told };
+}
+
+test('a node tells of the members that the records name, and of each once', () => {
+  const { directory } = nodeWith(['present', 'left-before', 'used-once']);
+  const departed = directory.describe(NO_MARKS)?.instances?.departed ?? [];
+  assert.equal(departed.map(({ id }) => id).sort(), ['left-before', 'used-once']);
+});
+
+test('members are all told only by a node that has read the records', () => {
+  const { directory, told } = nodeWith([]);
+  const instances = { revision: 9, instances: [instance('present')], departed: [instance('left')] };
+  const snapshot = { configuration: undefined, instances, terms: [], ageMs: 0 };
+  directory.adopt({ ...snapshot, primaries: undefined });
+  directory.adopt({ ...snapshot, primaries: PRIMARIES });
+  assert.equal(told, [
+    { ids: ['left', 'present'], isWhole: false },
+    { ids: ['left', 'present'], isWhole: true },
+  ]);
+});
+
+test.run();
--- /dev/null
+++ b/test/unit/direct/term-confirmation.test.ts
@@ -0,0 +1,64 @@
+/** What a round of questions to the members of a group proves where this node may not know all of them. */
+import { okAsync } from 'neverthrow';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { InstanceEntry, InstanceStatus } from '../../../src/direct/contract.js';
+import { classifyBySystemCall } from '../../../src/direct/promotion/control-failure.js';
+import { TermConfirmation } from '../../../src/direct/promotion/term-confirmation.js';
+
+const SERVICE = 'orders';
+const PRIMARY = 'primary';
+const POSITION = { timeline: 4, lsn: 9n };
+
+function member(id: string): InstanceEntry {
+  const place = { service: SERVICE, host: '10.0.0.1', port: 80, zone: 'a', slots: 3 };
+  return { id, ...place, draining: false, role: id === PRIMARY ? 'primary' : 'replica' };
+}
+
+function status({ role }: InstanceEntry): InstanceStatus {
+  const rest = { heldTerm: 0, lagMs: 0, busySlots: 0, connections: 0 };
+  return { role, term: POSITION.timeline, received: POSITION, ...rest };
+}
+
+/** Every member that is known answers. */
+function confirmation(unseen: readonly string[] | undefined) {
+  let asked = 0;
+  const rounds = new TermConfirmation({
+    control: {
+      status: (instance) => {
+        asked += 1;
+        return okAsync(status(instance));
+      },
+    },
+    classifyFailure: classifyBySystemCall,
+    membersOf: () => [member(PRIMARY), member('replica')],
+    unseenMembersOf: () => unseen,
+    syncReplicasOf: () => 1,
+    now: () => performance.now(),
+    minimumGapMs: 0,
+    timeoutMs: 60_000,
+  });
+  return { rounds, asked: () => asked };
+}
+
+test('with all members known their answers prove the primary and a position', async () => {
+  const { rounds } = confirmation([]);
+  assert.is(await rounds.confirm(SERVICE, PRIMARY, 'read'), true);
+  assert.equal(await rounds.acknowledgedPosition(SERVICE), POSITION);
+});
+
+test('a member that can not be asked counts as silent', async () => {
+  const { rounds } = confirmation(['left']);
+  assert.is(await rounds.confirm(SERVICE, PRIMARY, 'read'), true);
+  assert.is(await rounds.confirm(SERVICE, PRIMARY, 'commit'), false);
+  assert.is(await rounds.acknowledgedPosition(SERVICE), undefined);
+});
+
+test('while nobody has told who the members are nothing is proven, and nobody is asked', async () => {
+  const { rounds, asked } = confirmation(undefined);
+  assert.is(await rounds.confirm(SERVICE, PRIMARY, 'read'), false);
+  assert.is(await rounds.acknowledgedPosition(SERVICE), undefined);
+  assert.is(asked(), 0);
+});
+
+test.run();
