--- a/test/property/late-findings.test.ts
+++ b/test/property/late-findings.test.ts
@@ -48,8 +48,7 @@
   for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
     const simulation = new PromotionSimulation({ seed, services: 1 });
     if (play(simulation)) played += 1;
-    const log = simulation.nodes.flatMap((node) => node.log).join('\n');
-    assert.equal(simulation.violations, [], `seed ${seed} of ${SERVICE}\n${log}`);
+    assert.equal(simulation.violations, [], `seed ${seed} of ${SERVICE}\n${simulation.story}`);
   }
   assert.ok(played > RUNS / 2);
 });
--- a/test/property/leaving-members.test.ts
+++ b/test/property/leaving-members.test.ts
@@ -49,8 +49,7 @@
 }
 
 function assertNothingLost(simulation: PromotionSimulation, seed: number): void {
-  const log = simulation.nodes.flatMap((node) => node.log).join('\n');
-  assert.equal(simulation.violations, [], `seed ${seed}\n${log}`);
+  assert.equal(simulation.violations, [], `seed ${seed}\n${simulation.story}`);
 }
 
 test('one silence late in a long leave makes no member dead', () => {
--- a/test/property/promotion-lateness.test.ts
+++ b/test/property/promotion-lateness.test.ts
@@ -30,9 +30,7 @@
   simulation.heal();
   simulation.run(12_000);
   if (simulation.violations.length === 0) return '';
-  const story = [...simulation.faults, ...simulation.nodes.flatMap(({ log }) => log)];
-  story.sort((left, right) => Number.parseInt(left, 10) - Number.parseInt(right, 10));
-  return `seed ${seed}\n${simulation.violations.join('\n')}\n${story.join('\n')}`;
+  return `seed ${seed}\n${simulation.violations.join('\n')}\n${simulation.story}`;
 }
 
 const MIXES: Readonly<Record<string, readonly FaultKind[]>> = {
--- a/test/property/promotion.test.ts
+++ b/test/property/promotion.test.ts
@@ -27,9 +27,7 @@
     simulation.strike(30_000);
     simulation.heal();
     simulation.run(12_000);
-    const story = [...simulation.faults, ...simulation.nodes.flatMap(({ log }) => log)];
-    story.sort((left, right) => Number.parseInt(left, 10) - Number.parseInt(right, 10));
-    const context = `seed ${seed}\n${story.join('\n')}`;
+    const context = `seed ${seed}\n${simulation.story}`;
     assert.equal(simulation.violations, [], context);
     const before = simulation.group.acknowledged.length;
     simulation.run(2000);
--- a/test/property/successor-proof.test.ts
+++ b/test/property/successor-proof.test.ts
@@ -42,11 +42,13 @@
 test('the successor in place of a primary is proof enough', () => {
   for (const seed of SEEDS) {
     const simulation = play(seed);
-    const log = simulation.nodes.flatMap((node) => node.log).join('\n');
-    assert.equal(simulation.violations, [], `seed ${seed}\n${log}`);
+    assert.equal(simulation.violations, [], `seed ${seed}\n${simulation.story}`);
     const before = simulation.group.commits;
     simulation.run(1000);
-    assert.ok(simulation.group.commits > before, `writes stopped, seed ${seed}\n${log}`);
+    assert.ok(
+      simulation.group.commits > before,
+      `writes stopped, seed ${seed}\n${simulation.story}`,
+    );
   }
 });
 
--- a/test/support/promotion/mix.ts
+++ b/test/support/promotion/mix.ts
@@ -40,9 +40,7 @@
   const stopped = groups
     .filter(({ service, commits }) => commits === before.get(service))
     .map(({ service }) => service);
-  const lines = [...simulation.faults, ...simulation.nodes.flatMap(({ log }) => log)];
-  lines.sort((left, right) => Number.parseInt(left, 10) - Number.parseInt(right, 10));
-  return { seed, violations: simulation.violations, stopped, story: lines.join('\n') };
+  return { seed, violations: simulation.violations, stopped, story: simulation.story };
 }
 
 /** True if the seed broke nothing and every service takes writes again. */
--- a/test/support/promotion/simulation.ts
+++ b/test/support/promotion/simulation.ts
@@ -111,6 +111,13 @@
     return [...this.platform.violations, ...[...this.groups.values()].flatMap((g) => g.violations)];
   }
 
+  /** Faults and lines of all nodes' logs, in order of time. */
+  get story(): string {
+    const lines = [...this.faults, ...this.nodes.flatMap(({ log }) => log)];
+    lines.sort((left, right) => Number.parseInt(left, 10) - Number.parseInt(right, 10));
+    return lines.join('\n');
+  }
+
   run(forMs: number): void {
     this.clock.runUntil(this.clock.now + forMs);
   }
