--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -335,14 +335,15 @@
   ): void {
     const life = this.#life;
     const members = this.machine?.membersOf(service) ?? [];
+    // As with the members: who is known by the end of the round was not asked.
+    const unseen = this.machine?.unseenMembersOf(service);
+    if (unseen === undefined) return;
     const answers = new Map<string, RoundAnswer>();
     let isFinished = false;
     const finish = (): void => {
       if (isFinished) return;
       isFinished = true;
       for (const { id } of members) if (!answers.has(id)) answers.set(id, 'none');
-      const unseen = this.machine?.unseenMembersOf(service);
-      if (unseen === undefined) return;
       for (const id of unseen) answers.set(id, 'none');
       onAnswers(answers);
     };
