Small fleets tell members at once again

Waiting in the test for the record: what it shows is owed to callers. Only fleets that have readers wait (24 nodes), where each record costs a poll of every node.

--- a/src/core/ownership/watch-readers.ts
+++ b/src/core/ownership/watch-readers.ts
@@ -7,7 +7,7 @@
 /** Two, so that the loss of one delays nothing. */
 const READERS_PER_ZONE = 2;
 /** Below this size each node reads the store by itself: there is little to spare. */
-const SMALLEST_FLEET = 24;
+export const SMALLEST_READER_FLEET = 24;
 /** A fleet that has readers keeps them down to this size: many nodes may restart at once. */
 const SMALLEST_FLEET_KEPT = 12;
 
@@ -24,7 +24,7 @@
 export function nextReaders(
   previous: readonly ReachableNode[],
   live: readonly ReaderCandidate[],
-  smallestFleet = SMALLEST_FLEET,
+  smallestFleet = SMALLEST_READER_FLEET,
 ): readonly ReachableNode[] {
   const smallest =
     previous.length > 0 ? Math.min(smallestFleet, SMALLEST_FLEET_KEPT) : smallestFleet;
--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -4,7 +4,7 @@
  */
 import type { KeyValue, TransactionOperation } from '../../platform/contract.js';
 import type { ReachableNode } from '../ownership/owner-roster.js';
-import type { ReaderCandidate } from '../ownership/watch-readers.js';
+import { type ReaderCandidate, SMALLEST_READER_FLEET } from '../ownership/watch-readers.js';
 import { laterPosition, type Position } from '../position.js';
 import type { Milliseconds } from '../units.js';
 import type { Election } from './election.js';
@@ -51,8 +51,8 @@
 };
 
 /**
- * Members are told first once this leader has led for so long, if no node could miss one of them by then: in the first
- * moments of a fleet each node polls the store by itself, and each record costs a poll of every node.
+ * In a large fleet members are told first once this leader has led for so long, if none has lost its entry by then: in
+ * the first moments of a fleet each node polls the store by itself, and each record costs a poll of every node.
  */
 const FIRST_MEMBERS_MS: Milliseconds = 3000;
 
@@ -198,7 +198,8 @@
   ): { readonly key: string; readonly value: string } | undefined {
     const key = membersKeyOf(service);
     const known = this.records.get(key);
-    const mayWait = this.runtime.now - this.#begunAt < FIRST_MEMBERS_MS;
+    const isLarge = this.liveNodes() >= SMALLEST_READER_FLEET;
+    const mayWait = isLarge && this.runtime.now - this.#begunAt < FIRST_MEMBERS_MS;
     const areAllPresent = members.every(({ id }) => this.primaries.isPresent(id));
     if (known === undefined && mayWait && areAllPresent) return undefined;
     const value = JSON.stringify({ members } satisfies MembersRecord);
