--- a/src/core/promotion/candidate.ts
+++ b/src/core/promotion/candidate.ts
@@ -55,12 +55,15 @@
   const answered = replicas.filter(({ received }) => received !== undefined);
   if (question.withoutProof) return answered;
   const certain: MemberFinding[] = [];
-  if (from?.stopped && from.received !== undefined) {
-    const end = from.received;
-    certain.push(from, ...answered.filter((member) => reaches(member, end)));
+  const isFromEnded = from?.stopped === true && from.received !== undefined;
+  if (isFromEnded) certain.push(from);
+  const ends = [
+    isFromEnded ? from.received : undefined,
+    successor && endOfInherited(successor, answered),
+  ];
+  for (const end of ends) {
+    if (end !== undefined) certain.push(...answered.filter((member) => reaches(member, end)));
   }
-  const inherited = successor && endOfInherited(successor, answered);
-  if (inherited !== undefined) certain.push(...answered.filter((it) => reaches(it, inherited)));
   const held = answered.filter(({ stopped }) => stopped);
   const unknown = replicas.length - held.length;
   // Without synchronous replicas no proof is to be had: the most that is known has to do.
--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -2,7 +2,8 @@
  * What the leader reads and writes in the store for its duty. Every write has the condition that the
  * leader's key is still this leader's, and that what it replaces is what was read.
  */
-import type { KeyValue, TransactionOperation } from '../../platform/contract.js';
+import type { InstanceEntry } from '../../direct/contract.js';
+import type { KeyValue } from '../../platform/contract.js';
 import type { ReachableNode } from '../ownership/owner-roster.js';
 import { type ReaderCandidate, SMALLEST_READER_FLEET } from '../ownership/watch-readers.js';
 import { laterPosition, type Position } from '../position.js';
@@ -41,6 +42,13 @@
   readonly note?: DutyNote;
 }
 
+/** One value of a write, and the view of the store that it belongs to. */
+interface Put {
+  readonly view: StoreView;
+  readonly key: string;
+  readonly value: string;
+}
+
 const NODE_PREFIX = `${DUTY_PREFIX}nodes/`;
 const EMPTY_NOTE: DutyNote = {
   members: [],
@@ -157,15 +165,18 @@
   }
 
   write({ service, record, note }: DutyWrite, onDone: (succeeded: boolean) => void): void {
-    const operations: TransactionOperation[] = [];
     const recordKey = primaryKeyOf(service);
     const noteKey = noteKeyOf(service);
-    const recordText = JSON.stringify(record);
-    const noteText = JSON.stringify(note);
-    if (record !== undefined) operations.push({ type: 'put', key: recordKey, value: recordText });
-    if (note !== undefined) operations.push({ type: 'put', key: noteKey, value: noteText });
+    const puts: Put[] = [];
+    if (note !== undefined) {
+      puts.push({ view: this.duty, key: noteKey, value: JSON.stringify(note) });
+    }
+    if (record !== undefined) {
+      puts.push({ view: this.records, key: recordKey, value: JSON.stringify(record) });
+    }
     const members = note && this.#membersToPublish(service, note);
-    if (members !== undefined) operations.push({ type: 'put', ...members });
+    if (members !== undefined) puts.push({ view: this.records, ...members });
+    const operations = puts.map(({ key, value }) => ({ type: 'put', key, value }) as const);
     const compares = [
       { key: LEADER_KEY, modRevision: this.election.token ?? 0 },
       { key: recordKey, modRevision: this.records.get(recordKey)?.modRevision ?? 0 },
@@ -173,14 +184,8 @@
     ];
     this.runtime.transaction(compares, operations, (answer) => {
       const succeeded = !isTrouble(answer) && answer.succeeded;
-      if (succeeded && note !== undefined) {
-        this.duty.noteOwnPut(noteKey, noteText, answer.revision);
-      }
-      if (succeeded && record !== undefined) {
-        this.records.noteOwnPut(recordKey, recordText, answer.revision);
-      }
-      if (succeeded && members !== undefined) {
-        this.records.noteOwnPut(members.key, members.value, answer.revision);
+      if (succeeded) {
+        for (const { view, key, value } of puts) view.noteOwnPut(key, value, answer.revision);
       }
       onDone(succeeded);
     });
@@ -191,21 +196,22 @@
     return this.#membersToPublish(service, this.noteOf(service)) === undefined;
   }
 
-  /** The members of a note where all nodes hear of them; undefined if they have heard. */
-  #membersToPublish(
-    service: string,
-    { members }: DutyNote,
-  ): { readonly key: string; readonly value: string } | undefined {
+  /** The members of a note where all nodes hear of them; undefined if they have heard, or may hear later. */
+  #membersToPublish(service: string, { members }: DutyNote): Omit<Put, 'view'> | undefined {
     const key = membersKeyOf(service);
     const known = this.records.get(key);
-    const isLarge = this.liveNodes() >= SMALLEST_READER_FLEET;
-    const mayWait = isLarge && this.runtime.now - this.#begunAt < FIRST_MEMBERS_MS;
-    const areAllPresent = members.every(({ id }) => this.primaries.isPresent(id));
-    if (known === undefined && mayWait && areAllPresent) return undefined;
+    if (known === undefined && this.#mayTellLater(members)) return undefined;
     const value = JSON.stringify({ members } satisfies MembersRecord);
     return value === known?.value ? undefined : { key, value };
   }
 
+  /** Asked at every update of the leader: what looks at all nodes comes last. */
+  #mayTellLater(members: readonly InstanceEntry[]): boolean {
+    if (this.runtime.now - this.#begunAt >= FIRST_MEMBERS_MS) return false;
+    const areAllPresent = members.every(({ id }) => this.primaries.isPresent(id));
+    return areAllPresent && this.liveNodes() >= SMALLEST_READER_FLEET;
+  }
+
   publishFleet(fleet: FleetRecord, onDone: () => void): void {
     const value = JSON.stringify(fleet);
     const compares = [{ key: LEADER_KEY, modRevision: this.election.token ?? 0 }];
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -18,7 +18,12 @@
 import { RequestTrace } from './request-trace.js';
 import type { ServiceRuntime } from './service-runtime.js';
 import { GIVEN_UP, SessionLeaving } from './session-leaving.js';
-import type { Refusal, StatementOutcome, StatementRequest } from './statement-request.js';
+import {
+  RETRY_AFTER_MS,
+  type Refusal,
+  type StatementOutcome,
+  type StatementRequest,
+} from './statement-request.js';
 import type { StatementRunner } from './statement-runner.js';
 import { StatementsUnderWay } from './statements-under-way.js';
 import type { Tenant } from './tenant.js';
@@ -27,9 +32,7 @@
 import { afterReading } from './within.js';
 
 const SHARED_NAME_LENGTH = 16;
-/** Told to callers whose statement has not run: when to ask again. */
-const RETRY_AFTER_MS = 100;
-/** The same, while a primary is being replaced. */
+/** When to ask again is told as later than usual while a primary is being replaced. */
 const RETRY_AFTER_CHANGE_MS = 500;
 /** Messages that a caller may send ahead of their answers. */
 const MAX_QUEUED_MESSAGES = 64;
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -86,9 +86,10 @@
     const syncReplicas = this.options.syncReplicasOf(service);
     const answers = await this.#askAll(service);
     this.#planned.delete(service);
-    for (const primary of new Set(waiters.map((waiter) => waiter.primary))) {
-      if (answers === undefined) break;
-      this.#evidence.noteRound({ service, primary, sentAt, syncReplicas, answers });
+    if (answers !== undefined) {
+      for (const primary of new Set(waiters.map((waiter) => waiter.primary))) {
+        this.#evidence.noteRound({ service, primary, sentAt, syncReplicas, answers });
+      }
     }
     for (const { primary, use, at, resolve } of waiters) {
       resolve(this.#evidence.covers(service, primary, use, at));
--- a/src/direct/session-leaving.ts
+++ b/src/direct/session-leaving.ts
@@ -3,17 +3,17 @@
  * word to callers that are still owed answers.
  */
 import type { TransactionState } from '../core/statements/statement.js';
-import type { Refusal } from './statement-request.js';
+import { RETRY_AFTER_MS, type Refusal } from './statement-request.js';
 import type { StatementWire } from './wire.js';
 
-/** Told to callers of a node that stops: another node takes them at once. */
-const RETRY_AFTER_MS = 100;
+/** Another node takes the caller at once. */
 const STOPPING_TEXT = `this node is stopping; retry after ${RETRY_AFTER_MS} ms`;
-/** The grace period of the node is over. */
-const GIVEN_UP_TEXT = 'this node ends; whether it ran is unknown';
 
-/** What a caller is owed when the time for its answer is over: what was sent may have run. */
-export const GIVEN_UP: Refusal = { code: 'timeout', text: GIVEN_UP_TEXT };
+/** What a caller is told when the grace period of the node is over: what was sent may have run. */
+export const GIVEN_UP: Refusal = {
+  code: 'timeout',
+  text: 'this node ends; whether it ran is unknown',
+};
 
 export class SessionLeaving {
   /**
--- a/src/direct/statement-request.ts
+++ b/src/direct/statement-request.ts
@@ -18,6 +18,9 @@
   encode(after: Position | undefined): string;
 }
 
+/** Told to callers whose statement has not run: when to ask again. */
+export const RETRY_AFTER_MS: Milliseconds = 100;
+
 export interface Refusal {
   readonly code: StatementErrorCode;
   readonly text: string;
--- a/test/property/late-findings.test.ts
+++ b/test/property/late-findings.test.ts
@@ -11,16 +11,10 @@
 const SERVICE = 'group-0';
 const CUT_MS = 8000;
 const STEP_MS = 0.2;
+const WITHIN_MS = 3000;
 const RUNS = 120;
 const FIRST_SEED = 1;
 
-/** Runs in small steps until something is so; false if that takes too long. */
-function runUntil(simulation: PromotionSimulation, isSo: () => boolean): boolean {
-  const end = simulation.clock.now + 3000;
-  while (!isSo() && simulation.clock.now < end) simulation.run(STEP_MS);
-  return isSo();
-}
-
 /** True if the change began as the story has it. */
 function play(simulation: PromotionSimulation): boolean {
   simulation.run(3000);
@@ -35,7 +29,8 @@
     if (name !== unaware.name) network.cut(name, primary.address, CUT_MS);
   }
   network.cut(unaware.name, STORE, CUT_MS);
-  if (!runUntil(simulation, () => held.heldTerm > 0 && restarting.heldTerm > 0)) return false;
+  const areHeld = (): boolean => held.heldTerm > 0 && restarting.heldTerm > 0;
+  if (!simulation.runUntil(areHeld, STEP_MS, WITHIN_MS)) return false;
   leader.stall(clock.between(600, 1100));
   group.crash(restarting);
   clock.after(20, () => group.restart(restarting));
--- a/test/property/late-joiner.test.ts
+++ b/test/property/late-joiner.test.ts
@@ -12,6 +12,7 @@
 /** Who is a member has been told by then. */
 const WARM_UP_MS = 6000;
 const STEP_MS = 2;
+const WITHIN_MS = 5000;
 const LONG_MS = 20_000;
 /** A lease is over by then, and a member that refuses is forgotten. */
 const SETTLE_MS = 4000;
@@ -22,17 +23,6 @@
   readonly passedOn: number;
 }
 
-/** Runs until the replica at this address is held for a change. */
-function runUntilHeld(simulation: PromotionSimulation, address: string): void {
-  const { clock, group } = simulation;
-  const end = clock.now + 5000;
-  const isHeld = (): boolean => {
-    return group.instances.some((one) => one.address === address && one.heldTerm > 0);
-  };
-  while (!isHeld() && clock.now < end) simulation.run(STEP_MS);
-  assert.ok(isHeld(), 'a replica is held');
-}
-
 function play(seed: number): Played {
   const simulation = new PromotionSimulation({ seed, services: 1 });
   simulation.run(WARM_UP_MS);
@@ -49,7 +39,10 @@
   for (const { name } of nodes) {
     if (name !== unaware.name) network.cut(name, primary.address, LONG_MS);
   }
-  runUntilHeld(simulation, held.address);
+  assert.ok(
+    simulation.runUntil(() => held.heldTerm > 0, STEP_MS, WITHIN_MS),
+    'a replica is held',
+  );
   simulation.run(250);
   const before = unaware.writesAcknowledged;
   group.join();
--- a/test/property/successor-proof.test.ts
+++ b/test/property/successor-proof.test.ts
@@ -28,9 +28,8 @@
   simulation.run(500);
   platform.downUntil = clock.now + OUTAGE_MS;
   group.crash(primary);
-  const end = clock.now + OUTAGE_MS;
-  while (!isChanging(simulation) && clock.now < end) simulation.run(STEP_MS);
-  assert.ok(isChanging(simulation), `no change was begun, seed ${seed}`);
+  const isBegun = simulation.runUntil(() => isChanging(simulation), STEP_MS, OUTAGE_MS);
+  assert.ok(isBegun, `no change was begun, seed ${seed}`);
   group.remove(ending);
   group.join();
   simulation.run(500);
--- a/test/support/promotion/simulation.ts
+++ b/test/support/promotion/simulation.ts
@@ -122,6 +122,13 @@
     this.clock.runUntil(this.clock.now + forMs);
   }
 
+  /** Runs in small steps until something is so; false if that takes too long. */
+  runUntil(isSo: () => boolean, stepMs: number, atMostMs: number): boolean {
+    const end = this.clock.now + atMostMs;
+    while (!isSo() && this.clock.now < end) this.run(stepMs);
+    return isSo();
+  }
+
   /** Strikes with faults drawn from the seed, one after the other, for a time; all kinds or some. */
   strike(forMs: number, kinds?: readonly FaultKind[]): void {
     const end = this.clock.now + forMs;
