--- a/src/core/directory/snapshot.ts
+++ b/src/core/directory/snapshot.ts
@@ -44,6 +44,8 @@
   readonly terms: readonly ServiceTerm[];
   /** How long ago the store confirmed this to whoever heard it from the store. */
   readonly ageMs: number;
+  /** How long ago the store surely had no newer configuration than who tells this; absent if that can't be shown. */
+  readonly configurationAgeMs?: number | undefined;
 }
 
 /** How far a node knows the store's line; 0 for what it knows nothing of. */
--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -25,6 +25,7 @@
   type MembersRecord,
   membersKeyOf,
   nodeForm,
+  nodeKeyOf,
   nodeOfNodeKey,
   noteKeyOf,
   type PrimaryRecord,
@@ -77,6 +78,11 @@
     private readonly duty: StoreView,
   ) {}
 
+  /** Since when this node has led. */
+  get begunAt(): Milliseconds {
+    return this.#begunAt;
+  }
+
   /** This node has taken the lead. */
   begin(): void {
     this.#begunAt = this.runtime.now;
@@ -212,9 +218,13 @@
     return areAllPresent && this.liveNodes() >= SMALLEST_READER_FLEET;
   }
 
-  publishFleet(fleet: FleetRecord, onDone: () => void): void {
+  /** @param gone nodes that must have no lease, for the record to be written */
+  publishFleet(fleet: FleetRecord, gone: readonly string[], onDone: () => void): void {
     const value = JSON.stringify(fleet);
-    const compares = [{ key: LEADER_KEY, modRevision: this.election.token ?? 0 }];
+    const compares = [
+      { key: LEADER_KEY, modRevision: this.election.token ?? 0 },
+      ...gone.map((node) => ({ key: nodeKeyOf(node), modRevision: 0 })),
+    ];
     this.runtime.transaction(compares, [{ type: 'put', key: FLEET_KEY, value }], () => onDone());
   }
 
--- a/src/core/promotion/fleet-publisher.ts
+++ b/src/core/promotion/fleet-publisher.ts
@@ -6,12 +6,23 @@
 import { type ConnectionSharing, SharingDecision } from '../ownership/connection-sharing.js';
 import { nextRoster, type ReachableNode, sameRoster } from '../ownership/owner-roster.js';
 import { nextReaders } from '../ownership/watch-readers.js';
+import {
+  FIRST_KEEPERS_MS,
+  KEEPER_REPLACED_MS,
+  type KeeperCandidate,
+  nextKeepers,
+  type QuotaKeepers,
+  sameKeepers,
+} from '../tenancy/quota-keepers.js';
+import type { Milliseconds } from '../units.js';
 import type { DutyStore } from './duty-store.js';
 import type { FleetRecord } from './records.js';
 import type { PromotionRuntime } from './runtime.js';
 
 export class FleetPublisher {
   readonly #decision = new SharingDecision();
+  /** Keepers without a lease, and since when. */
+  readonly #missingSince = new Map<string, Milliseconds>();
 
   constructor(
     private readonly runtime: PromotionRuntime,
@@ -25,6 +36,11 @@
     return published === undefined || !sameFleet(published, this.#current(published));
   }
 
+  /** True while what is to be published may change by the time alone. */
+  get changesWithTime(): boolean {
+    return this.hasOwners || this.runtime.options.hasQuotas === true;
+  }
+
   /** True while connections are shared through owners. */
   get hasOwners(): boolean {
     return this.store.publishedFleet()?.owners !== undefined;
@@ -34,7 +50,7 @@
     const published = this.store.publishedFleet();
     const fleet = this.#current(published);
     if (fleet.owners?.ownersPerInstance !== published?.owners?.ownersPerInstance) this.#tell(fleet);
-    this.store.publishFleet(fleet, onDone);
+    this.store.publishFleet(fleet, replacedKeepers(published, fleet), onDone);
   }
 
   #tell({ nodes, owners }: FleetRecord): void {
@@ -51,12 +67,13 @@
       this.#sizeOf(nodes),
       this.runtime.now,
     );
-    if (sharing.type === 'direct') return { nodes, readers };
+    const keepers = this.#keepersAfter(published);
+    if (sharing.type === 'direct') return { nodes, readers, keepers };
     const roster = nextRoster(published?.owners?.nodes ?? [], this.store.reachableNodes());
     // Without a node that others reach there is no other way than each for itself.
-    if (roster.length === 0) return { nodes, readers };
+    if (roster.length === 0) return { nodes, readers, keepers };
     const owners = { ownersPerInstance: sharing.ownersPerInstance, nodes: roster };
-    return { nodes, owners, readers };
+    return { nodes, owners, readers, keepers };
   }
 
   #readers(published: FleetRecord | undefined): readonly ReachableNode[] | undefined {
@@ -66,6 +83,35 @@
     return readers.length === 0 ? undefined : readers;
   }
 
+  /** Keepers whose lease is over count as live until they surely have stopped. */
+  #keepersAfter(published: FleetRecord | undefined): QuotaKeepers | undefined {
+    const { options, now } = this.runtime;
+    const previous = published?.keepers;
+    if (options.hasQuotas !== true) return previous;
+    if (previous === undefined && now - this.store.begunAt < FIRST_KEEPERS_MS) return undefined;
+    const live = this.store.possibleReaders();
+    return nextKeepers(previous ?? [], [...live, ...this.#lateKeepers(previous ?? [], live)]);
+  }
+
+  #lateKeepers(
+    previous: QuotaKeepers,
+    live: readonly KeeperCandidate[],
+  ): readonly KeeperCandidate[] {
+    const { now } = this.runtime;
+    const present = new Set(live.map(({ nodeId }) => nodeId));
+    const missing = new Map(
+      previous.filter(({ nodeId }) => !present.has(nodeId)).map((node) => [node.nodeId, node]),
+    );
+    for (const nodeId of this.#missingSince.keys()) {
+      if (!missing.has(nodeId)) this.#missingSince.delete(nodeId);
+    }
+    return [...missing.values()].flatMap((node) => {
+      const since = this.#missingSince.get(node.nodeId) ?? now;
+      this.#missingSince.set(node.nodeId, since);
+      return now - since < KEEPER_REPLACED_MS ? [{ ...node, linkMbps: 0 }] : [];
+    });
+  }
+
   #sizeOf(liveNodes: number) {
     const limits = [...this.services()].map(({ maxConnections }) => maxConnections);
     const maxConnections = limits.length === 0 ? undefined : Math.min(...limits);
@@ -74,6 +120,13 @@
   }
 }
 
+/** Keepers that are not named any more: their leases must be over. */
+function replacedKeepers(before: FleetRecord | undefined, after: FleetRecord): readonly string[] {
+  const staying = new Set(after.keepers?.map(({ nodeId }) => nodeId));
+  const gone = before?.keepers?.filter(({ nodeId }) => !staying.has(nodeId)) ?? [];
+  return [...new Set(gone.map(({ nodeId }) => nodeId))];
+}
+
 function sharingOf(published: FleetRecord | undefined): ConnectionSharing {
   const owners = published?.owners;
   if (owners === undefined) return { type: 'direct' };
@@ -83,6 +136,7 @@
 function sameFleet(left: FleetRecord, right: FleetRecord): boolean {
   if (left.nodes !== right.nodes) return false;
   if (!sameRoster(left.readers ?? [], right.readers ?? [])) return false;
+  if (!sameKeepers(left.keepers, right.keepers)) return false;
   if (left.owners === undefined || right.owners === undefined) return left.owners === right.owners;
   const isSameCount = left.owners.ownersPerInstance === right.owners.ownersPerInstance;
   return isSameCount && sameRoster(left.owners.nodes, right.owners.nodes);
--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -15,8 +15,8 @@
 
 /** The fleet is published at most this often. */
 const PUBLISH_EVERY_MS = 1000;
-/** A fleet with owners is looked at so often, also if nothing changes. */
-const LOOK_AGAIN_MS = 5000;
+/** A fleet with owners or quotas is looked at so often, also if nothing changes. */
+const LOOK_AGAIN_MS = 1000;
 
 export class Leader {
   readonly #duty: StoreView;
@@ -123,7 +123,7 @@
 
   /** That a fleet counts as small again is a matter of time. */
   #lookAgain(): void {
-    if (!this.#fleet.hasOwners || this.#looking) return;
+    if (!this.#fleet.changesWithTime || this.#looking) return;
     this.#looking = true;
     this.#scope.after(LOOK_AGAIN_MS, () => {
       this.#looking = false;
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -6,6 +6,7 @@
 import type { PeerAddress } from '../../peer/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
 import type { OwnerRoster, ReachableNode } from '../ownership/owner-roster.js';
+import { KEEPER_GRACE_MS, type QuotaKeepers } from '../tenancy/quota-keepers.js';
 import type { Milliseconds } from '../units.js';
 import type { PrimaryUse, PromotionEffect, PromotionEvent } from './contract.js';
 import { Election } from './election.js';
@@ -123,6 +124,16 @@
     return this.#fleet()?.readers ?? NO_READERS;
   }
 
+  /** The nodes that keep the tenants' quotas, as the leader named them last. */
+  quotaKeepers(): QuotaKeepers | undefined {
+    return this.#fleet()?.keepers;
+  }
+
+  /** True while the leader can't have named another keeper for what this node keeps. */
+  mayKeepQuotas(now: Milliseconds): boolean {
+    return this.#participation.isRegistered && now < this.#lease.validUntil + KEEPER_GRACE_MS;
+  }
+
   /** Where nodes answer questions for their directory, as the leader told last. */
   peerAddresses(): readonly PeerAddress[] {
     return decodeRecord(this.#records.get(PEERS_KEY), peersForm)?.addresses ?? [];
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -134,6 +134,8 @@
   readonly largestDirectFleet?: number | undefined;
   /** From so many nodes on, a few read the store for the others. */
   readonly smallestReaderFleet?: number | undefined;
+  /** Tenants have quotas, which some nodes keep. */
+  readonly hasQuotas?: boolean | undefined;
   /** Whether this node may open connections to an instance; by default it may. */
   readonly mayConnect?: ((instance: InstanceEntry) => boolean) | undefined;
   /** Numbers in [0, 1). */
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -10,6 +10,7 @@
 import { type Fields, isFields } from '../fields.js';
 import type { OwnerRoster, ReachableNode } from '../ownership/owner-roster.js';
 import type { Position } from '../position.js';
+import type { QuotaKeepers } from '../tenancy/quota-keepers.js';
 
 const MAX_PORT = 65_535;
 /** IPv4 by number: no name is ever looked up. */
@@ -89,6 +90,8 @@
   readonly owners?: OwnerRoster | undefined;
   /** Nodes that read the store for the others; absent while each reads it by itself. */
   readonly readers?: readonly ReachableNode[] | undefined;
+  /** Nodes that keep the tenants' quotas, by part; absent where tenants have none. */
+  readonly keepers?: QuotaKeepers | undefined;
 }
 
 /** A node no longer uses the primary that this change replaces. */
@@ -201,12 +204,13 @@
   return { addresses: addresses.map(addressForm).filter((address) => address !== undefined) };
 }
 
-export function fleetForm({ nodes, owners, readers }: Fields): FleetRecord | undefined {
+export function fleetForm({ nodes, owners, readers, keepers }: Fields): FleetRecord | undefined {
   if (!isNumber(nodes)) return undefined;
   return {
     nodes,
     owners: isFields(owners) ? rosterForm(owners) : undefined,
     readers: nodesForm(readers),
+    keepers: nodesForm(keepers),
   };
 }
 
--- a/src/core/statements/fair-queue.ts
+++ b/src/core/statements/fair-queue.ts
@@ -27,6 +27,11 @@
     return this.#waiting;
   }
 
+  /** Those that wait, in the order in which they came. */
+  get requests(): readonly Request[] {
+    return this.#requests;
+  }
+
   /** False if the tenant has too many waiting already; nothing is taken then. */
   push(request: Request): boolean {
     const waiting = this.#waiting.get(request.tenant) ?? 0;
@@ -50,15 +55,17 @@
   /**
    * Takes the next of those tenants that may hold one more.
    * @param held how many connections each tenant holds
+   * @param canServe whether there is a connection for this request
    */
   takeNext(
     held: ReadonlyMap<string, number>,
     mayHoldMore: (tenant: string) => boolean = () => true,
+    canServe: (request: Request) => boolean = () => true,
   ): Request | undefined {
     const permitted = new Set([...this.#waiting.keys()].filter(mayHoldMore));
     let best: Request | undefined;
     for (const request of this.#requests) {
-      if (!permitted.has(request.tenant)) continue;
+      if (!permitted.has(request.tenant) || !canServe(request)) continue;
       if (best === undefined || isBefore(request, best, held)) best = request;
     }
     if (best !== undefined) this.remove(best);
--- a/src/core/statements/statement.ts
+++ b/src/core/statements/statement.ts
@@ -35,6 +35,7 @@
   | 'failed'
   | 'unprepared'
   | 'no-database'
+  | 'unknown-key'
   | 'malformed'
   | 'too-large';
 
--- a/src/core/tenancy/holdings.ts
+++ b/src/core/tenancy/holdings.ts
@@ -52,12 +52,16 @@
     return this.#roomOf(tenant) > 0;
   }
 
+  /** Connections that those of a tenant who wait could take now. */
+  wantedBy(tenant: string): number {
+    const waiting = this.waiting.get(tenant) ?? 0;
+    return Math.max(0, Math.min(waiting, this.#roomOf(tenant)));
+  }
+
   /** Connections that those who wait could take now. */
   get wanted(): number {
     let wanted = 0;
-    for (const [tenant, waiting] of this.waiting) {
-      wanted += Math.max(0, Math.min(waiting, this.#roomOf(tenant)));
-    }
+    for (const tenant of this.waiting.keys()) wanted += this.wantedBy(tenant);
     return wanted;
   }
 
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -43,6 +43,10 @@
 
 /** A route with what serves it, and its tenant's policy and use of this node. */
 export interface FoundRoute {
+  /** Who asks, by the caller's key; undefined where callers need none. */
+  readonly account?: string | undefined;
+  /** Why nothing is run for this caller now. */
+  readonly refusal?: Refusal | undefined;
   readonly route: RouteDescription;
   readonly service: ServiceRuntime;
   readonly tenant: Tenant;
@@ -50,7 +54,9 @@
 
 /** What a database name leads to now. */
 export interface RouteLookup {
-  find(database: string): FoundRoute | undefined;
+  find(database: string, keyDigest: string): FoundRoute | undefined;
+  /** Counts one operation against an account's quota; gives why not if it is beyond that. */
+  spend?(account: string): Spending;
   /** Resolves once routes are known: true, or false if they are still unknown after so long. */
   known(withinMs: Milliseconds): Promise<boolean>;
   readonly transactionIdleMs: Milliseconds;
@@ -77,16 +83,21 @@
   transactionsIdled: number;
 }
 
+/** One operation counted, or why not; at once where that is known here. */
+export type Spending = Refusal | undefined | Promise<Refusal | undefined>;
+
 type StatementMessage = Extract<CallerMessage, { type: 'statement' }>;
 
 /** What is alike in all requests of a session. */
 interface RequestBase
-  extends Pick<StatementRequest, 'session' | 'beganAt' | 'deadline' | 'tenant'> {
+  extends Pick<StatementRequest, 'session' | 'beganAt' | 'deadline' | 'tenant' | 'account'> {
   readonly trace: RequestTrace;
 }
 
 export class CallerSession {
   #database: string | undefined;
+  /** Stands for the caller's key. */
+  #keyDigest = '';
   /** The tenant that this session counts for, from its start to its end. */
   #tenant: Tenant | undefined;
   readonly #variables = new SessionVariables(sharedNameOf, () => this.#maxEntries());
@@ -223,7 +234,7 @@
   async #handle(message: CallerMessage): Promise<void> {
     switch (message.type) {
       case 'start':
-        await this.#start(message.database);
+        await this.#start(message.database, message.keyDigest);
         return;
       case 'terminate':
         this.#end();
@@ -250,7 +261,7 @@
     this.options.end();
   }
 
-  async #start(database: string): Promise<void> {
+  async #start(database: string, keyDigest: string): Promise<void> {
     const { wire, routes } = this.options;
     if (this.#database !== undefined) {
       this.#write(wire.encodeError('malformed', 'the session was started before'));
@@ -268,12 +279,18 @@
       this.#end();
       return;
     }
-    const found = routes.find(database);
+    const found = routes.find(database, keyDigest);
     if (found === undefined) {
       this.#write(wire.encodeError('no-database', 'no such database'));
       this.#end();
       return;
     }
+    if (found.refusal !== undefined) {
+      this.options.counters.refused += 1;
+      this.#write(wire.encodeError(found.refusal.code, found.refusal.text));
+      this.#end();
+      return;
+    }
     // The caller may have gone while the routes were waited for.
     if (this.#ended) return;
     if (!found.tenant.openSession()) {
@@ -285,6 +302,7 @@
     }
     this.#tenant = found.tenant;
     this.#database = database;
+    this.#keyDigest = keyDigest;
     this.#write(wire.encodeReady('idle', undefined));
   }
 
@@ -298,7 +316,7 @@
     }
     switch (statement.type) {
       case 'begin':
-        this.#begin(statement.readOnly);
+        await this.#begin(message, statement.readOnly);
         return;
       case 'commit':
         await this.#commit(message);
@@ -339,7 +357,7 @@
     this.#write(this.options.wire.encodeReady(this.#state, undefined));
   }
 
-  #begin(readOnly: boolean): void {
+  async #begin(message: StatementMessage, readOnly: boolean): Promise<void> {
     const found = this.#route();
     if (this.#state !== 'idle') {
       this.#refuse('malformed', 'a transaction is open');
@@ -349,8 +367,14 @@
       this.#refuse('no-database', 'no such database');
       return;
     }
-    const { route, service, tenant } = found;
-    this.#transaction = new Transaction(readOnly, route, service, tenant, this.options.runner);
+    const refusal = await this.#refusalFor(found);
+    if (refusal !== undefined) {
+      this.#refuseBeforehand(message, found, refusal);
+      return;
+    }
+    const { route, service, tenant, account } = found;
+    const parts = { route, service, tenant, account };
+    this.#transaction = new Transaction(readOnly, parts, this.options.runner);
     this.#state = 'open';
     this.#complete();
   }
@@ -369,6 +393,12 @@
       this.#refuseEnded(message);
       return;
     }
+    const revoked = this.#revokedFor(transaction);
+    if (revoked !== undefined) {
+      transaction.abandon();
+      this.#refuseBeforehand(message, transaction, revoked);
+      return;
+    }
     const { wire } = this.options;
     const base = this.#request(transaction);
     const outcome = await transaction.commit({
@@ -445,6 +475,11 @@
         : wire.encodeExecute(message.id, prepared.sharedName, argumentText, after);
     const transaction = this.#transaction;
     if (transaction !== undefined) {
+      const revoked = this.#revokedFor(transaction);
+      if (revoked !== undefined) {
+        this.#refuseBeforehand(message, transaction, revoked);
+        return;
+      }
       const base = this.#request(transaction);
       const outcome = await transaction.run({ ...base, access, prepared, encode });
       this.#tellEnd(message, transaction, base.trace, outcome);
@@ -456,6 +491,11 @@
       this.#refuse('no-database', 'no such database');
       return;
     }
+    const refusal = await this.#refusalFor(found);
+    if (refusal !== undefined) {
+      this.#refuseBeforehand(message, found, refusal);
+      return;
+    }
     const { route, service } = found;
     const base = this.#request(found);
     const outcome = await runner.run({ ...base, route, service, access, prepared, encode });
@@ -464,6 +504,31 @@
     this.#answer(outcome);
   }
 
+  /** Why an operation of this caller is not begun now; counts it against the account's quota otherwise. */
+  async #refusalFor({ refusal, account }: FoundRoute): Promise<Refusal | undefined> {
+    if (refusal !== undefined || account === undefined) return refusal;
+    return this.options.routes.spend?.(account);
+  }
+
+  /** Why an open transaction must not go on: its key was taken away or given to another, or that can't be known. */
+  #revokedFor({ account }: Transaction): Refusal | undefined {
+    if (account === undefined) return undefined;
+    const found = this.#route();
+    // A route that is gone binds from the next transaction on.
+    if (found === undefined || (found.refusal === undefined && found.account === account)) {
+      return undefined;
+    }
+    return { code: 'aborted', text: found.refusal?.text ?? 'the key is held by another tenant' };
+  }
+
+  /** Answers a request that is refused before anything is tried for it, and notes it. */
+  #refuseBeforehand(message: StatementMessage, found: FoundRoute, refusal: Refusal): void {
+    const { trace } = this.#request(found);
+    this.#tellEnd(message, found, trace, { type: 'refused', refusal });
+    this.options.counters.refused += 1;
+    this.#refuse(refusal.code, refusal.text);
+  }
+
   #tellEnd(
     { id }: StatementMessage,
     { route, service }: FoundRoute,
@@ -481,15 +546,18 @@
   }
 
   #route(): FoundRoute | undefined {
-    return this.#database === undefined ? undefined : this.options.routes.find(this.#database);
+    return this.#database === undefined
+      ? undefined
+      : this.options.routes.find(this.#database, this.#keyDigest);
   }
 
-  #request({ route, service, tenant }: FoundRoute): RequestBase {
+  #request({ route, service, tenant, account }: FoundRoute): RequestBase {
     const now = this.options.now();
     const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
     return {
       session: { values: this.#variables.values, lastWritten, underWay: this.#underWay },
       tenant,
+      account,
       beganAt: now,
       deadline: now + route.timeoutMs,
       trace: new RequestTrace(now, this.options.now),
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -28,6 +28,8 @@
   readonly targetLatencyMs: Milliseconds;
   /** 0 is the highest. */
   readonly priority: number;
+  /** Callers need no key; where the configuration names no tenants, they need none anywhere. */
+  readonly isPublic?: boolean;
 }
 
 /** One database group as the operator declares it. */
@@ -39,11 +41,34 @@
   readonly syncReplicas: number;
 }
 
+/** What one tenant may run on all nodes together. */
+export interface TenantQuota {
+  readonly ratePerSecond: number;
+  /** Operations beyond the rate that may come at once. */
+  readonly burst: number;
+}
+
+/** How far the quotas of tenants may be missed. */
+export interface QuotaBounds {
+  /** Operations beyond its limit that a tenant may run in a window. */
+  readonly slack: number;
+}
+
+/** A tenant as the operator declares it. Keys are secrets: only what stands for them is known here. */
+export interface TenantDescription {
+  readonly name: string;
+  readonly keyDigests: readonly string[];
+  /** Absent if nothing bounds it. */
+  readonly quota: TenantQuota | undefined;
+}
+
 /** The operator's configuration; `version` only grows. */
 export interface PublishedConfiguration {
   readonly version: number;
   readonly routes: readonly RouteDescription[];
   readonly services: readonly ServiceDescription[];
+  /** Who may use the routes that are not public; absent where callers give no keys. */
+  readonly tenants?: readonly TenantDescription[];
   /** A transaction at rest for longer may be ended. */
   readonly transactionIdleMs: Milliseconds;
 }
@@ -155,6 +180,13 @@
   readonly linkMbps?: number | undefined;
   /** The whole system starts for the first time, with no record of the fleet yet. */
   readonly isFirstStart: boolean;
+  /**
+   * Nothing may run with a key so long after the operator took it away, on whatever node; absent where only nodes in
+   * touch with the store are bound.
+   */
+  readonly revocationMs?: Milliseconds | undefined;
+  /** Absent where tenants have no quotas; nodes share these out among themselves. */
+  readonly quotas?: QuotaBounds | undefined;
   readonly gracePeriodMs: Milliseconds;
   readonly drainTimeoutMs: Milliseconds;
 }
--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -73,6 +73,10 @@
   #configuration: PublishedConfiguration | undefined;
   #configurationRevision = 0;
   #configurationText = '';
+  /** The newest text that is known could not be understood: what is in force is older. */
+  #isTextUnread = false;
+  /** When the store surely had no newer configuration, as a peer showed last. */
+  #adoptedProof: Milliseconds = Number.NEGATIVE_INFINITY;
   #instancesRead = false;
   /** What a peer told, until the store answers. */
   #adopted: InstancesPart<InstanceEntry> | undefined;
@@ -163,6 +167,22 @@
     return Math.min(configuration, instances);
   }
 
+  /**
+   * When the store surely had no newer configuration than the one in force here, never later than the truth; undefined
+   * if that can't be shown.
+   */
+  configurationProvenAt(): Milliseconds | undefined {
+    if (this.#isTextUnread || this.#configuration === undefined) return undefined;
+    const own = this.#configurationReader.lastProvenAt() ?? Number.NEGATIVE_INFINITY;
+    const provenAt = Math.max(own, this.#adoptedProof);
+    return provenAt === Number.NEGATIVE_INFINITY ? undefined : provenAt;
+  }
+
+  /** Takes a peer's word that the store had nothing newer than what is in force here at that time. */
+  adoptConfigurationProof(provenAt: Milliseconds): void {
+    this.#adoptedProof = Math.max(this.#adoptedProof, provenAt);
+  }
+
   /** As `lastConfirmedAt`, of the configuration alone. */
   configurationConfirmedAt(): Milliseconds | undefined {
     return this.#configurationReader.lastConfirmedAt();
@@ -184,8 +204,14 @@
 
   #readConfiguration(text: string): void {
     this.options.parseConfiguration(text).match(
-      (configuration) => this.#takeConfiguration(configuration, text),
-      (error) => this.options.handlers.onProblem(error),
+      (configuration) => {
+        this.#isTextUnread = false;
+        this.#takeConfiguration(configuration, text);
+      },
+      (error) => {
+        this.#isTextUnread = true;
+        this.options.handlers.onProblem(error);
+      },
     );
   }
 
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -4,17 +4,18 @@
  */
 import type { ServiceTerm } from '../core/directory/snapshot.js';
 import { StartReadiness } from '../core/directory/start-readiness.js';
-import { resolveRoutePolicy } from '../core/tenancy/route-template.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Logger } from '../observability/logger.js';
+import { Admission, type AdmissionCounters } from './admission.js';
 import { BeliefLog } from './belief-log.js';
 import { CallerServer } from './caller-server.js';
-import type { RouteLookup, SessionCounters } from './caller-session.js';
+import type { RouteLookup, SessionCounters, Spending } from './caller-session.js';
 import type {
   DirectSettings,
   InstanceEntry,
   PublishedConfiguration,
   RouteDescription,
+  TenantDescription,
 } from './contract.js';
 import type { DirectorySource } from './directory-follower.js';
 import { type InstancePool, ownRequest, type PoolCounters } from './instance-pool.js';
@@ -22,14 +23,14 @@
 import { endSessions } from './planned-stop.js';
 import { PositionSampler, type SamplerCounters } from './position-sampler.js';
 import type { PrimaryView } from './promotion/contract.js';
+import type { Quotas } from './quota/quotas.js';
 import type { ToldPosition, ZonePositions } from './readers/zone-positions.js';
 import type { RelayCounters } from './relay/contract.js';
 import { RelayHost } from './relay/relay-host.js';
 import { RequestLogger, tellAll } from './request-log.js';
 import { ServiceRuntime } from './service-runtime.js';
 import { StatementRunner } from './statement-runner.js';
-import { Tenant } from './tenant.js';
-import { ROUTE_TEMPLATES } from './tenant-templates.generated.js';
+import { TenantTable } from './tenant-table.js';
 import { type ProverCounters, TrustProver } from './trust-prover.js';
 import type { StatementWire } from './wire.js';
 import { firstWithin } from './within.js';
@@ -53,8 +54,12 @@
   readonly view: PrimaryView;
   /** False while what the store last told of the instances may be out of date. */
   readonly isStoreWell: () => boolean;
+  /** When the store surely had no newer configuration; absent where nothing depends on that. */
+  readonly configurationProvenAt?: () => Milliseconds | undefined;
   /** Positions by way of readers; without it each node asks the primaries. */
   readonly zone?: ZonePositions;
+  /** Counts operations of tenants; without it, no quota binds. */
+  readonly quotas?: Pick<Quotas, 'spend'> | undefined;
   /** Takes lines about requests and beliefs; nothing is told without one. */
   readonly logger?: Logger;
   readonly now: () => Milliseconds;
@@ -66,7 +71,8 @@
     PoolCounters,
     ProverCounters,
     RelayCounters,
-    SamplerCounters {}
+    SamplerCounters,
+    AdmissionCounters {}
 
 export class DirectGateway implements RouteLookup {
   readonly counters: DirectCounters = {
@@ -90,6 +96,11 @@
     readsAsked: 0,
     readsRun: 0,
     positionsTold: 0,
+    keysUnknown: 0,
+    keysUnproven: 0,
+    quotaRefusals: 0,
+    quotaUnknown: 0,
+    quotaAsked: 0,
   };
   readonly latencies = createLatencies();
   readonly #services = new Map<string, ServiceRuntime>();
@@ -98,8 +109,8 @@
   readonly #runner: StatementRunner;
   readonly #relay: RelayHost;
   #routes = new Map<string, RouteDescription>();
-  /** By route name. */
-  #tenants = new Map<string, Tenant>();
+  readonly #admission: Admission;
+  readonly #tenants = new TenantTable();
   #configuration: PublishedConfiguration | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
   #instancesTold: DirectorySource = 'store';
@@ -123,6 +134,12 @@
     this.#firstConfiguration = new Promise((resolve) => {
       this.#tellFirstConfiguration = () => resolve(true);
     });
+    this.#admission = new Admission({
+      revocationMs: options.settings.revocationMs,
+      configurationProvenAt: options.configurationProvenAt ?? (() => undefined),
+      counters: this.counters,
+      now,
+    });
     this.#prover = new TrustProver({
       wire,
       now,
@@ -221,13 +238,26 @@
     }, CHECK_MS);
   }
 
-  find(database: string): ReturnType<RouteLookup['find']> {
+  /** A tenant as it is declared now. */
+  tenant(name: string): TenantDescription | undefined {
+    return this.#admission.tenant(name);
+  }
+
+  /** Counts one operation against an account's quota; gives why not, if it is beyond that. */
+  spend(account: string): Spending {
+    return this.options.quotas?.spend(account);
+  }
+
+  find(database: string, keyDigest: string): ReturnType<RouteLookup['find']> {
     const route = this.#routes.get(database);
     if (route === undefined) return undefined;
     const service = this.#services.get(route.service);
-    const tenant = this.#tenants.get(route.name);
-    if (service === undefined || tenant === undefined) return undefined;
-    return { route, service, tenant };
+    if (service === undefined) return undefined;
+    const admittance = this.#admission.admit(route, keyDigest);
+    const account = admittance.type === 'admitted' ? admittance.account : undefined;
+    const tenant = this.#tenants.get(route, account);
+    const found = { route, service, tenant, account };
+    return admittance.type === 'admitted' ? found : { ...found, refusal: admittance.refusal };
   }
 
   async known(withinMs: Milliseconds): Promise<boolean> {
@@ -242,7 +272,8 @@
     }
     this.#configuration = configuration;
     this.#routes = new Map(configuration.routes.map((route) => [route.database, route]));
-    this.#setTenants(configuration.routes);
+    this.#tenants.setRoutes(configuration.routes);
+    this.#admission.setConfiguration(configuration);
     for (const description of configuration.services) {
       this.#service(description.name).setMaxConnections(description.maxConnections);
     }
@@ -251,18 +282,6 @@
     this.#tellFirstConfiguration();
   }
 
-  /** A tenant keeps its sessions and its retry budget over changes of its route. */
-  #setTenants(routes: readonly RouteDescription[]): void {
-    const before = this.#tenants;
-    this.#tenants = new Map();
-    for (const route of routes) {
-      const policy = resolveRoutePolicy(ROUTE_TEMPLATES, route.consistency, route);
-      const tenant = before.get(route.name) ?? new Tenant(route.name, policy);
-      tenant.setPolicy(policy);
-      this.#tenants.set(route.name, tenant);
-    }
-  }
-
   /** Sessions that still hold a service which has left the configuration end their work with it. */
   #dropServices(kept: ReadonlySet<string>): void {
     for (const [name, service] of this.#services) {
@@ -294,6 +313,8 @@
    */
   #openFirst(): void {
     const { settings, now } = this.options;
+    // A connection is of one tenant: none can be opened before one asks.
+    if (this.#admission.asksForKeys) return;
     const isSettled = now() - this.#createdAt > FIRST_START_SETTLED_MS;
     if (settings.isFirstStart && !isSettled) return;
     for (const service of this.#services.values()) {
--- a/src/direct/instance-connection.ts
+++ b/src/direct/instance-connection.ts
@@ -57,6 +57,8 @@
 export interface InstanceConnectionOptions {
   readonly wire: StatementWire;
   readonly instance: InstanceEntry;
+  /** The tenant that the connection is for, to its end; undefined where callers give no keys. */
+  readonly account?: string | undefined;
   readonly connectTimeoutMs: Milliseconds;
 }
 
@@ -78,6 +80,8 @@
     private readonly socket: Socket,
     private readonly wire: StatementWire,
     readonly instance: InstanceEntry,
+    /** The tenant that it is for. */
+    readonly account?: string | undefined,
   ) {
     this.#splitter = new LineSplitter(wire.maxMessageBytes);
     socket.on('data', (chunk: Buffer) => this.#receive(chunk));
@@ -181,7 +185,7 @@
 export function openInstanceConnection(
   options: InstanceConnectionOptions,
 ): Promise<Result<SocketConnection, InstanceConnectError>> {
-  const { wire, instance, connectTimeoutMs } = options;
+  const { wire, instance, account, connectTimeoutMs } = options;
   return new Promise((resolve) => {
     const socket = connect({ host: instance.host, port: instance.port, noDelay: true });
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
@@ -209,7 +213,7 @@
         settled = true;
         stopWaiting();
         socket.removeAllListeners();
-        resolve(ok(new SocketConnection(socket, wire, instance)));
+        resolve(ok(new SocketConnection(socket, wire, instance, account)));
         return;
       }
     };
@@ -217,7 +221,7 @@
     socket.on('error', (error) => fail(error.message, undefined, error));
     socket.on('close', () => fail('closed'));
     socket.on('connect', () =>
-      socket.write(wire.encodeStart(instance.service, instance.id), WIRE_ENCODING),
+      socket.write(wire.encodeStart(instance.service, instance.id, account), WIRE_ENCODING),
     );
   });
 }
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -55,8 +55,10 @@
 
 /** Asks for a connection. */
 export interface ConnectionRequest {
-  /** Whose statement it is for: its route's name. */
+  /** Whose statement it is for: the tenant's name, or its route's where callers give no keys. */
   readonly tenant: string;
+  /** Instances know a connection by its tenant, to its end; undefined where callers give no keys. */
+  readonly account?: string | undefined;
   /** 0 is the highest. */
   readonly priority: number;
   readonly policy: ConnectionPolicy;
@@ -114,6 +116,8 @@
   readonly #leased = new Set<InstanceConnection>();
   #lessor: ConnectionLessor | undefined;
   #opening = 0;
+  /** Connections being opened for each account. */
+  readonly #openingFor = new Map<string | undefined, number>();
   #limit: number;
   #softLimit: number;
   #nodeCount = 1;
@@ -234,7 +238,7 @@
       return Promise.resolve(err(this.#noneFree()));
     }
     this.#holdings.noteRequest(tenant, policy);
-    const idle = this.#mayStart(tenant) ? this.#takeIdle(request.values) : undefined;
+    const idle = this.#mayStart(tenant) ? this.#takeIdle(request) : undefined;
     if (idle !== undefined) {
       this.#give(idle, tenant);
       return Promise.resolve(ok(idle));
@@ -324,14 +328,14 @@
     for (const connection of [...this.#all]) connection.close();
   }
 
-  #takeIdle(values: ReadonlyMap<string, string>): SocketConnection | undefined {
+  #takeIdle(request: ConnectionRequest): SocketConnection | undefined {
     let best = -1;
     let bestCost = Number.POSITIVE_INFINITY;
     // The latest used first: others may then rest long enough to be surplus.
     for (let index = this.#idle.length - 1; index >= 0; index -= 1) {
       const connection = this.#idle[index];
-      if (connection === undefined) continue;
-      const cost = synchronisationCost(values, connection.values);
+      if (connection === undefined || !isFor(connection, request)) continue;
+      const cost = synchronisationCost(request.values, connection.values);
       if (cost < bestCost) {
         best = index;
         bestCost = cost;
@@ -344,8 +348,12 @@
   #serveWaiters(): void {
     while (this.#idle.length > 0) {
       const { held } = this.#holdings;
-      const waiter = this.#waiters.takeNext(held, (tenant) => this.#mayStart(tenant));
-      const connection = waiter === undefined ? undefined : this.#takeIdle(waiter.values);
+      const waiter = this.#waiters.takeNext(
+        held,
+        (tenant) => this.#mayStart(tenant),
+        (request) => this.#idle.some((connection) => isFor(connection, request)),
+      );
+      const connection = waiter === undefined ? undefined : this.#takeIdle(waiter);
       if (waiter === undefined || connection === undefined) break;
       clearTimeout(waiter.timer);
       this.#give(connection, waiter.tenant);
@@ -414,13 +422,16 @@
     }
   }
 
-  /** Above the soft limit a connection is opened only for those who have waited a little. */
+  /**
+   * Above the soft limit a connection is opened only for those who have waited a little; so is a second one of an
+   * account, as its first may be back by then.
+   */
   #openForWaiters(): void {
-    this.#openUpTo(this.#softLimit);
+    this.#openUpTo(this.#softLimit, true);
     if (this.#waiters.length === 0 || this.#growTimer !== undefined) return;
     this.#growTimer = setTimeout(() => {
       this.#growTimer = undefined;
-      this.#openUpTo(this.#limit);
+      this.#openUpTo(this.#limit, false);
     }, SOFT_WAIT_MS);
   }
 
@@ -428,7 +439,7 @@
    * As many at once as there are already: an instance that a whole fleet connects to at the same time would
    * have no slots left for statements.
    */
-  #openUpTo(limit: number): void {
+  #openUpTo(limit: number, isAtOnce: boolean): void {
     // An opening takes a slot as well.
     if (!this.health.pace.mayStart(this.options.now())) {
       this.#serveInTime();
@@ -436,24 +447,65 @@
     }
     const mostOpening = Math.max(1, this.#all.size);
     const wanted = (): number => Math.min(this.#holdings.wanted, mostOpening);
-    while (!this.#closed && this.#opening < wanted() && this.size < limit) {
+    while (!this.#closed && this.#opening < wanted()) {
+      const next = this.#nextToOpenFor(isAtOnce);
+      if (next === undefined || !this.#hasRoomFor(next, limit)) return;
       if (this.options.now() < this.#retryAt && this.#all.size > 0) return;
       if (this.options.now() < this.#retryAt) {
         this.#failWaiters(this.#notReachable());
         return;
       }
-      void this.#open();
+      void this.#open(next.account);
+    }
+  }
+
+  /** The request that has waited longest of those whose account lacks a connection that is being opened. */
+  #nextToOpenFor(isAtOnce: boolean): ConnectionRequest | undefined {
+    const opening = new Map(this.#openingFor);
+    for (const waiter of this.#waiters.requests) {
+      const { account, tenant } = waiter;
+      const under = opening.get(account) ?? 0;
+      if (under > 0) {
+        opening.set(account, under - 1);
+        continue;
+      }
+      if (account === undefined) return waiter;
+      const underWay = this.#openingFor.get(account) ?? 0;
+      if (underWay >= this.#holdings.wantedBy(tenant)) continue;
+      if (!isAtOnce || !this.#hasConnectionFor(account)) return waiter;
     }
+    return undefined;
   }
 
-  async #open(): Promise<void> {
+  #hasConnectionFor(account: string): boolean {
+    if ((this.#openingFor.get(account) ?? 0) > 0) return true;
+    for (const connection of this.#all) if (connection.account === account) return true;
+    return false;
+  }
+
+  /** At the limit, the connection of another account that has rested longest gives way. */
+  #hasRoomFor({ account }: ConnectionRequest, limit: number): boolean {
+    const mostOpen = account === undefined ? limit : this.#limit;
+    if (this.size < mostOpen) return true;
+    if (account === undefined) return false;
+    const surplus = this.#idle.find((connection) => connection.account !== account);
+    surplus?.close();
+    return surplus !== undefined && this.size < this.#limit;
+  }
+
+  async #open(account?: string): Promise<void> {
     this.#opening += 1;
+    this.#openingFor.set(account, (this.#openingFor.get(account) ?? 0) + 1);
     const opened = await openInstanceConnection({
       wire: this.options.wire,
       instance: this.instance,
+      account,
       connectTimeoutMs: this.options.connectTimeoutMs,
     });
     this.#opening -= 1;
+    const left = (this.#openingFor.get(account) ?? 1) - 1;
+    if (left > 0) this.#openingFor.set(account, left);
+    else this.#openingFor.delete(account);
     if (opened.isErr()) {
       this.#openFailed(opened.error);
       return;
@@ -530,3 +582,8 @@
     this.#openForWaiters();
   }
 }
+
+/** Questions of the node's own may go over any connection; a tenant's statement only over one of that tenant. */
+function isFor(connection: SocketConnection, { tenant, account }: ConnectionRequest): boolean {
+  return tenant === OWN_TENANT || connection.account === account;
+}
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -30,6 +30,12 @@
   readsAsked: 'reads that owners of instances were asked to run',
   readsRun: 'reads run for other nodes',
   positionsTold: 'positions of instances told to other nodes',
+  keysUnknown: 'requests and sessions refused since no tenant holds their key',
+  keysUnproven:
+    'requests and sessions refused since the configuration may be older than the bound of revocation',
+  quotaRefusals: 'operations refused since their tenant has used up its quota',
+  quotaUnknown: 'operations refused since no node could be asked for the quota of their tenant',
+  quotaAsked: 'questions to other nodes for the quota of a tenant',
 };
 
 const SNAPSHOT_HELP: Readonly<Record<keyof SnapshotCounters, string>> = {
--- a/src/direct/prefix-reader.ts
+++ b/src/direct/prefix-reader.ts
@@ -27,6 +27,7 @@
   /** When the call that is out was sent, or a little earlier. */
   #sentAt: Milliseconds = 0;
   #confirmedAt: Milliseconds | undefined;
+  #provenAt: Milliseconds | undefined;
 
   constructor(private readonly options: PrefixReaderOptions) {
     this.#follower = new PrefixFollower(options.backoff, () => options.random());
@@ -55,6 +56,11 @@
     return this.#confirmedAt;
   }
 
+  /** Time at which the store surely had nothing that was not told here; undefined if it told nothing. */
+  lastProvenAt(): Milliseconds | undefined {
+    return this.#provenAt;
+  }
+
   /** Highest revision of the store up to which everything was told; 0 before the first read. */
   get highestRevision(): number {
     return this.#follower.highestRevision;
@@ -86,6 +92,7 @@
       (answer) => {
         if (this.#stopped) return;
         this.#confirmedAt = this.#sentAt;
+        this.#noteProven(this.#sentAt);
         this.options.onRange(answer);
         this.#step({ type: 'range-read', revision: answer.revision });
       },
@@ -96,8 +103,9 @@
   #openWatch(fromRevision: number): void {
     this.#sentAt = this.options.clock();
     this.#cancel = this.options.store.watch(this.options.prefix, fromRevision, {
-      onEvents: (events, revision, currentAt = this.#sentAt) => {
+      onEvents: (events, revision, currentAt = this.#sentAt, provenAt = currentAt) => {
         if (this.#stopped) return;
+        this.#noteProven(provenAt);
         this.#confirmedAt = Math.max(this.#confirmedAt ?? currentAt, currentAt);
         // The watch's next poll is sent after this returned, so that its time is not overstated.
         this.#sentAt = this.options.clock();
@@ -112,6 +120,10 @@
     });
   }
 
+  #noteProven(at: Milliseconds): void {
+    this.#provenAt = Math.max(this.#provenAt ?? at, at);
+  }
+
   #fail(error: MeadowstackError, event: PrefixFollowerEvent): void {
     if (this.#stopped) return;
     this.options.onProblem(error);
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -12,6 +12,7 @@
 import { PromotionMachine } from '../../core/promotion/machine.js';
 import { DEFAULT_PROMOTION_TIMINGS, type PromotionTimings } from '../../core/promotion/options.js';
 import type { PeerPlace } from '../../core/promotion/records.js';
+import type { QuotaKeepers } from '../../core/tenancy/quota-keepers.js';
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
 import type { PeerAddress } from '../../peer/contract.js';
@@ -45,6 +46,8 @@
   readonly largestDirectFleet?: number | undefined;
   /** From so many nodes on, a few read the store for the others. */
   readonly smallestReaderFleet?: number | undefined;
+  /** Tenants have quotas, which some nodes keep. */
+  readonly hasQuotas?: boolean | undefined;
   /** Whether this node may open connections to an instance; by default it may. */
   readonly mayConnect?: (instance: InstanceEntry) => boolean;
   readonly store: Store;
@@ -92,6 +95,7 @@
       peer: options.peer,
       largestDirectFleet: options.largestDirectFleet,
       smallestReaderFleet: options.smallestReaderFleet,
+      hasQuotas: options.hasQuotas,
       mayConnect: options.mayConnect,
       timings: { ...timings, leaseSeconds },
       random: options.random ?? Math.random,
@@ -209,6 +213,16 @@
     return this.#machine.watchReaders();
   }
 
+  /** The nodes that keep the tenants' quotas. */
+  quotaKeepers(): QuotaKeepers | undefined {
+    return this.#machine.quotaKeepers();
+  }
+
+  /** True while no other node can have been named for what this one keeps. */
+  mayKeepQuotas(): boolean {
+    return this.#machine.mayKeepQuotas(this.#now());
+  }
+
   /** Where nodes answer questions for their directory. */
   peerAddresses(): readonly PeerAddress[] {
     return this.#machine.peerAddresses();
--- a/src/direct/readers/contract.ts
+++ b/src/direct/readers/contract.ts
@@ -18,6 +18,9 @@
 export interface ToldStretch extends WatchStretch {
   /** How long ago the store vouched for it. */
   readonly ageMs: Milliseconds;
+  /** The reader's steady clock, now and when the poll was sent that this rests on. */
+  readonly clockMs: Milliseconds;
+  readonly provenMs: Milliseconds;
 }
 
 /** Hears one reader. */
--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -2,6 +2,7 @@
  * One prefix of the store as this node follows it: by the store's own watch if it is a reader, or if its
  * readers don't serve it, and through them otherwise. Whoever watches sees one watch without gaps.
  */
+import { PeerClock } from '../../core/directory/peer-clock.js';
 import { ReaderEvidence } from '../../core/directory/reader-evidence.js';
 import { revisionOf, WatchHistory, type WatchStretch } from '../../core/directory/watch-history.js';
 import type { MeadowstackError } from '../../core/errors.js';
@@ -24,6 +25,8 @@
 
 export interface FollowedPrefixOptions {
   readonly prefix: string;
+  /** Who watches needs every word of the store, also that nothing has changed, and when that surely held. */
+  readonly isProof?: boolean | undefined;
   /** What readers tell is relied on until the store's word for it is so old. */
   readonly maxAgeMs: Milliseconds;
   /** Opens the store's own watch. */
@@ -39,6 +42,14 @@
   /** Undefined while the reader is not asked. */
   close: (() => void) | undefined;
   askAt: Milliseconds;
+  /** The reader's clock; another with each question. */
+  clock: PeerClock;
+}
+
+/** When the store had no more than a reader told: as far as can be judged, and no later than the truth. */
+interface ToldTimes {
+  readonly currentAt: Milliseconds;
+  readonly provenAt: Milliseconds;
 }
 
 interface Watcher {
@@ -54,6 +65,8 @@
   sentAt: Milliseconds;
   /** When the last answer came; undefined before the first. */
   answeredAt: Milliseconds | undefined;
+  /** When the poll was sent that was answered last, or a little earlier. */
+  provenAt: Milliseconds | undefined;
 }
 
 export class FollowedPrefix {
@@ -90,6 +103,16 @@
     return this.#direct?.answeredAt;
   }
 
+  /** No later than when the store had nothing newer than what is known; undefined as `answeredAt` is. */
+  get provenAt(): Milliseconds | undefined {
+    return this.#direct?.provenAt;
+  }
+
+  /** True if followers are told each word of the store. */
+  get isProof(): boolean {
+    return this.options.isProof === true;
+  }
+
   /** Follows from a revision on; there is one such watch at a time. The returned function ends it. */
   watch(fromRevision: number, handlers: WatchHandlers): () => void {
     this.#closeDirect();
@@ -119,7 +142,9 @@
     }
     for (const [key, reader] of named) {
       if (this.#subscriptions.has(key)) continue;
-      this.#subscriptions.set(key, { reader, close: undefined, askAt: this.options.now() });
+      const askAt = this.options.now();
+      const clock = new PeerClock(askAt);
+      this.#subscriptions.set(key, { reader, close: undefined, askAt, clock });
     }
   }
 
@@ -168,6 +193,7 @@
       close: () => {},
       sentAt: this.options.now(),
       answeredAt: undefined,
+      provenAt: undefined,
     };
     this.#direct = direct;
     direct.close = this.options.openDirect(watcher.told + 1, {
@@ -186,6 +212,7 @@
     if (this.#direct !== direct) return;
     const { now } = this.options;
     direct.answeredAt = now();
+    direct.provenAt = direct.sentAt;
     const news = this.#advance(watcher, { after: watcher.told, revision, events });
     this.#tell(watcher, news, direct.sentAt);
     if (this.#direct !== direct) return;
@@ -216,11 +243,13 @@
 
   #ask(key: string, subscription: Subscription, after: number): void {
     const { subscribe, prefix } = this.options;
+    const clock = new PeerClock(this.options.now());
+    subscription.clock = clock;
     subscription.close = subscribe(
       subscription.reader,
       { prefix, after },
       {
-        onTold: (told) => this.#noteTold(key, told),
+        onTold: (told) => this.#noteTold(key, clock, told),
         onLost: () => {
           subscription.close = undefined;
           subscription.askAt =
@@ -232,22 +261,25 @@
     );
   }
 
-  #noteTold(key: string, { ageMs, ...stretch }: ToldStretch): void {
+  #noteTold(key: string, clock: PeerClock, told: ToldStretch): void {
+    const { ageMs, clockMs, provenMs, ...stretch } = told;
+    clock.noteAnswer(clockMs);
     const now = this.options.now();
     const currentAt = now - ageMs;
     const watcher = this.#watcher;
     const isGap = watcher === undefined || stretch.after > watcher.told;
     this.#evidence.noteTold(key, now, currentAt, isGap ? stretch.revision : 0);
     if (watcher === undefined) return;
-    if (!isGap) this.#tellFromReader(watcher, stretch, currentAt);
+    const provenAt = clock.earliest(provenMs) ?? Number.NEGATIVE_INFINITY;
+    if (!isGap) this.#tellFromReader(watcher, stretch, { currentAt, provenAt });
     this.look();
   }
 
-  #tellFromReader(watcher: Watcher, stretch: WatchStretch, currentAt: Milliseconds): void {
+  #tellFromReader(watcher: Watcher, stretch: WatchStretch, at: ToldTimes): void {
     const told = this.#advance(watcher, stretch);
     this.options.counters.eventsFromReaders += told.length;
-    const isDue = this.options.now() - watcher.toldAt >= UNCHANGED_EVERY_MS;
-    if (told.length > 0 || isDue) this.#tell(watcher, told, currentAt);
+    const isDue = this.isProof || this.options.now() - watcher.toldAt >= UNCHANGED_EVERY_MS;
+    if (told.length > 0 || isDue) this.#tell(watcher, told, at.currentAt, at.provenAt);
   }
 
   /** Takes a stretch that leaves no gap, and gives what of it is new. */
@@ -259,9 +291,14 @@
     return news;
   }
 
-  #tell(watcher: Watcher, news: readonly WatchEvent[], currentAt: Milliseconds): void {
+  #tell(
+    watcher: Watcher,
+    news: readonly WatchEvent[],
+    currentAt: Milliseconds,
+    provenAt = currentAt,
+  ): void {
     watcher.toldAt = this.options.now();
-    watcher.handlers.onEvents(news, watcher.told, currentAt);
+    watcher.handlers.onEvents(news, watcher.told, currentAt, provenAt);
   }
 }
 
--- a/src/direct/readers/messages.ts
+++ b/src/direct/readers/messages.ts
@@ -15,12 +15,14 @@
 
 /** Undefined for what is not in its form. */
 export function parseToldStretch(value: WireValue): ToldStretch | undefined {
-  const { after, revision, ageMs, events } = fieldsOf(value) ?? {};
+  const { after, revision, ageMs, clockMs, provenMs, events } = fieldsOf(value) ?? {};
   if (!isRevision(after) || !isRevision(revision) || revision < after) return undefined;
-  if (typeof ageMs !== 'number' || !Number.isFinite(ageMs) || ageMs < 0) return undefined;
+  if (!isTime(ageMs) || ageMs < 0 || !isTime(clockMs) || !isTime(provenMs)) return undefined;
+  if (provenMs > clockMs) return undefined;
   if (!Array.isArray(events)) return undefined;
   const read = events.map(parseEvent).filter((event) => event !== undefined);
-  return read.length === events.length ? { after, revision, ageMs, events: read } : undefined;
+  if (read.length !== events.length) return undefined;
+  return { after, revision, ageMs, clockMs, provenMs, events: read };
 }
 
 /** By type of event. */
@@ -48,6 +50,10 @@
   return { key, value: text, createRevision, modRevision };
 }
 
+function isTime(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value);
+}
+
 function isRevision(value: unknown): value is number {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -31,6 +31,8 @@
   readonly prefix: string;
   /** A poll of the store that is older than this has been lost. */
   readonly maxAgeMs: Milliseconds;
+  /** Followers are told each word of the store. */
+  readonly isProof?: boolean;
 }
 
 export interface ReaderStoreOptions {
@@ -55,9 +57,9 @@
 
   constructor(private readonly options: ReaderStoreOptions) {
     const { now, random, store, prefixes } = options;
-    const create = ({ prefix, maxAgeMs }: RelayedPrefix): FollowedPrefix =>
+    const create = ({ prefix, maxAgeMs, isProof }: RelayedPrefix): FollowedPrefix =>
       new FollowedPrefix({
-        ...{ prefix, maxAgeMs, now, random, counters: this.counters },
+        ...{ prefix, maxAgeMs, isProof, now, random, counters: this.counters },
         openDirect: (fromRevision, handlers) => store.watch(prefix, fromRevision, handlers),
         subscribe: (reader, request, listener) => this.#subscribe(reader, request, listener),
       });
--- a/src/direct/readers/watch-server.ts
+++ b/src/direct/readers/watch-server.ts
@@ -58,22 +58,24 @@
 
   #tellNews(followed: FollowedPrefix): void {
     for (const follower of this.#followers) {
-      const isBehind = follower.told < followed.history.revision;
+      const isBehind = followed.isProof || follower.told < followed.history.revision;
       if (follower.followed === followed && isBehind) this.#tell(follower);
     }
   }
 
   /** False if this node has nothing to tell. */
   #tell(follower: Follower): boolean {
-    const { answeredAt, history } = follower.followed;
-    if (answeredAt === undefined) return false;
+    const { answeredAt, provenAt, history } = follower.followed;
+    if (answeredAt === undefined || provenAt === undefined) return false;
     const stretch = history.since(follower.told);
     const isPassedOn = stretch !== undefined && sizeOfEvents(stretch.events) <= MAX_TOLD_CHARACTERS;
     // A stretch that begins where it ends tells that there is more, at the store.
     const { revision } = history;
     const passed = isPassedOn ? stretch : { after: revision, revision, events: [] };
-    const ageMs = Math.max(0, this.now() - answeredAt);
-    follower.stream.send({ ...passed, ageMs } satisfies ToldStretch);
+    const clockMs = this.now();
+    const ageMs = Math.max(0, clockMs - answeredAt);
+    const told: ToldStretch = { ...passed, ageMs, clockMs, provenMs: provenAt };
+    follower.stream.send(told);
     this.counters.eventsTold += passed.events.length;
     follower.told = passed.revision;
     return true;
--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -23,6 +23,8 @@
   readonly service: string;
   readonly instanceId: string;
   readonly tenant: string;
+  /** The tenant that the connection must be of; absent where callers give no keys. */
+  readonly account?: string | undefined;
   readonly priority: number;
   /** What the tenant may use of the instance, through this owner. */
   readonly policy: ConnectionPolicy;
--- a/src/direct/relay/lease-server.ts
+++ b/src/direct/relay/lease-server.ts
@@ -102,7 +102,8 @@
     this.#waiting += 1;
     const { pool } = instance;
     const acquired = await pool.acquire({
-      ...{ tenant: request.tenant, priority: request.priority, policy: request.policy },
+      ...{ tenant: request.tenant, account: request.account },
+      ...{ priority: request.priority, policy: request.policy },
       values: new Map(request.values),
       deadline: this.options.now() + request.waitMs,
       cancelledBy: [givenUp],
--- a/src/direct/relay/messages.ts
+++ b/src/direct/relay/messages.ts
@@ -30,7 +30,7 @@
 const ERROR_CODES: ReadonlySet<string> = new Set<StatementErrorCode>([
   ...(['busy', 'aborted', 'lagging', 'read-only', 'misrouted', 'connection-limit'] as const),
   ...(['in-doubt', 'timeout', 'failed', 'unprepared', 'no-database', 'malformed'] as const),
-  'too-large',
+  ...(['too-large', 'unknown-key'] as const),
 ]);
 const STATES: ReadonlySet<string> = new Set<TransactionState>(['idle', 'open', 'failed']);
 /** Refusals without anything more to tell. */
@@ -96,14 +96,18 @@
   const service = text(fields.service);
   const instanceId = text(fields.instanceId);
   const tenant = text(fields.tenant);
+  const account = text(fields.account);
   const priority = whole(fields.priority);
   const connections = policy(fields.policy);
   const values = valueList(fields.values);
   const waitMs = finite(fields.waitMs);
   if (service === undefined || instanceId === undefined || tenant === undefined) return undefined;
+  // A name that can't be read must not become none.
+  if (account === undefined && fields.account !== undefined) return undefined;
   if (priority === undefined || connections === undefined) return undefined;
   if (values === undefined || waitMs === undefined) return undefined;
-  return { service, instanceId, tenant, priority, policy: connections, values, waitMs };
+  const header = { service, instanceId, tenant, priority, policy: connections, values, waitMs };
+  return account === undefined ? header : { ...header, account };
 }
 
 const answer: Form<StatementAnswer> = (value) => {
--- a/src/direct/relay/owner-lessor.ts
+++ b/src/direct/relay/owner-lessor.ts
@@ -155,11 +155,12 @@
   }
 
   #headerOf(
-    { tenant, priority, policy, values }: ConnectionRequest,
+    { tenant, account, priority, policy, values }: ConnectionRequest,
     waitMs: Milliseconds,
   ): Omit<LeaseRequest, 'type'> {
     const { service, id: instanceId } = this.options.instance;
-    return { service, instanceId, tenant, priority, policy, values: [...values], waitMs };
+    const header = { service, instanceId, tenant, priority, policy, values: [...values], waitMs };
+    return account === undefined ? header : { ...header, account };
   }
 
   async position(timeoutMs: Milliseconds): Promise<Position | undefined> {
--- a/src/direct/snapshots/form.ts
+++ b/src/direct/snapshots/form.ts
@@ -47,13 +47,15 @@
   const instances = optional(value.instances, instancesForm);
   const primaries = optional(value.primaries, primariesForm);
   const terms = listForm(value.terms, termForm);
-  const { ageMs } = value;
+  const { ageMs, configurationAgeMs: proofAge } = value;
   if (configuration === null) return malformed('configuration');
   if (instances === null) return malformed('instances');
   if (primaries === null) return malformed('primaries');
   if (terms === undefined) return malformed('terms');
   if (typeof ageMs !== 'number' || !Number.isFinite(ageMs) || ageMs < 0) return malformed('age');
-  return ok({ configuration, instances, primaries, terms, ageMs });
+  const told = { configuration, instances, primaries, terms, ageMs };
+  const isProof = typeof proofAge === 'number' && Number.isFinite(proofAge) && proofAge >= 0;
+  return ok(isProof ? { ...told, configurationAgeMs: proofAge } : told);
 }
 
 function malformed(part: string): Result<never, SnapshotFormError> {
--- a/src/direct/snapshots/node-directory.ts
+++ b/src/direct/snapshots/node-directory.ts
@@ -21,6 +21,8 @@
   readonly logger: Logger;
   /** True while the store keeps the directory current. */
   isStoreWell(): boolean;
+  /** Older proofs of the configuration are worth asking peers for younger ones; none is by default. */
+  readonly maxProofAgeMs?: Milliseconds | undefined;
   /** Where the store says that other nodes answer. */
   peers(): readonly PeerAddress[];
   /** Members that count by the records, gone ones too. */
@@ -40,7 +42,9 @@
   constructor(private readonly options: NodeDirectoryOptions) {}
 
   isWanted(): boolean {
-    const { follower, isStoreWell } = this.options;
+    const { follower, isStoreWell, now, maxProofAgeMs = Number.POSITIVE_INFINITY } = this.options;
+    const provenAt = follower.configurationProvenAt() ?? Number.NEGATIVE_INFINITY;
+    if (maxProofAgeMs < now() - provenAt) return true;
     return follower.lastConfirmedAt() === undefined || !isStoreWell();
   }
 
@@ -72,15 +76,17 @@
       primaries: primaries.describe(this.#services()),
       terms: this.options.gateway.primaryTerms(),
       ageMs: Math.max(0, now() - confirmedAt),
+      ...this.#proof(),
     });
   }
 
   /** The configuration goes first: what follows is of its services. */
-  adopt(snapshot: InstanceSnapshot): void {
+  adopt(snapshot: InstanceSnapshot, askedAt: Milliseconds): void {
     const { follower, gateway, primaries, logger, now } = this.options;
     const newer = newerParts(this.known(), snapshot);
     const isFirst = follower.configuration() === undefined;
     if (newer.configuration !== undefined) follower.adoptConfiguration(newer.configuration);
+    this.#adoptProof(snapshot, askedAt);
     if (newer.instances !== undefined) {
       this.#adoptInstances(newer.instances, snapshot.primaries !== undefined);
       this.#adoptedFrom = now() - snapshot.ageMs;
@@ -91,6 +97,26 @@
     logger.info('serving from a snapshot of a peer', { ageMs: Math.round(snapshot.ageMs) });
   }
 
+  #proof(): Pick<InstanceSnapshot, 'configurationAgeMs'> {
+    const provenAt = this.options.follower.configurationProvenAt();
+    if (provenAt === undefined) return {};
+    return { configurationAgeMs: Math.max(0, this.options.now() - provenAt) };
+  }
+
+  /**
+   * The peer answered after it was asked: what it could show then held no earlier than its age before that. What this
+   * node has is no older than what the peer has, so that the proof is one of its own too.
+   */
+  #adoptProof(
+    { configuration, configurationAgeMs }: InstanceSnapshot,
+    askedAt: Milliseconds,
+  ): void {
+    const { follower } = this.options;
+    const isTaken = (configuration?.version ?? 0) <= (follower.configuration()?.version ?? -1);
+    if (configurationAgeMs === undefined || !isTaken) return;
+    follower.adoptConfigurationProof(askedAt - configurationAgeMs);
+  }
+
   /** Members that have no entry any more and count: used by this node, or named by the records. */
   #departed(): InstanceEntry[] {
     const { follower, gateway, countedMembers } = this.options;
--- a/src/direct/snapshots/service.ts
+++ b/src/direct/snapshots/service.ts
@@ -31,7 +31,8 @@
 const ANSWER_BUCKET = { capacity: 20, tokensPerSecond: 20 } as const;
 /** A configuration is at most 1 MiB at the store; entries of some hundred instances come with it. */
 const MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
-const MAX_CALLS_PER_LINK = 4;
+/** Questions for permits come with the callers' operations. */
+const MAX_CALLS_PER_LINK = 64;
 const MAX_PENDING_HANDSHAKES = 32;
 /** A machine without power answers nothing; it may be back before a longer wait is over. */
 const HANDSHAKE_TIMEOUT_MS = 500;
@@ -50,8 +51,8 @@
   known(): DirectoryMarks;
   /** What this node knows that is newer; undefined if it has no directory itself. */
   describe(known: DirectoryMarks): InstanceSnapshot | undefined;
-  /** Takes an answer of a peer. */
-  adopt(snapshot: InstanceSnapshot): void;
+  /** Takes an answer of a peer to what was asked at a time. */
+  adopt(snapshot: InstanceSnapshot, askedAt: Milliseconds): void;
 }
 
 export interface PeerSnapshotsOptions {
@@ -148,13 +149,14 @@
   async #ask(peer: PeerAddress): Promise<void> {
     const { node, own } = this.options;
     this.counters.asked += 1;
+    const askedAt = this.options.now();
     const question = { known: node.known(), from: own };
     const answer = await this.transport.call(peer, SNAPSHOT_METHOD, question, QUESTION_TIMEOUT_MS);
     if (this.#isStopped || answer.isErr() || answer.value === null || !node.isWanted()) return;
     parseSnapshot(answer.value).match(
       (snapshot) => {
         this.counters.adopted += 1;
-        node.adopt(snapshot);
+        node.adopt(snapshot, askedAt);
       },
       () => {
         this.counters.malformed += 1;
--- a/src/direct/statement-request.ts
+++ b/src/direct/statement-request.ts
@@ -73,12 +73,13 @@
 
 /** Asks for a connection for this statement, within its tenant's policy. */
 export function connectionRequestOf(
-  request: Pick<StatementRequest, 'tenant' | 'session' | 'deadline'>,
+  request: Pick<StatementRequest, 'tenant' | 'account' | 'session' | 'deadline'>,
   cancelledBy: readonly Cancellation[],
 ): ConnectionRequest {
   const { name, policy } = request.tenant;
   return {
     tenant: name,
+    account: request.account,
     priority: policy.priority,
     policy: policy.connections,
     values: request.session.values,
--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -34,6 +34,8 @@
   readonly access: Access;
   readonly route: RouteDescription;
   readonly tenant: Tenant;
+  /** Who asks, by the caller's key; undefined where callers need none. */
+  readonly account?: string | undefined;
   readonly service: ServiceRuntime;
   readonly session: SessionContext;
   /** When the statement came. */
--- /dev/null
+++ b/src/direct/tenant-table.ts
@@ -0,0 +1,41 @@
+/** The tenants of this node: one for each account on each route that it has asked for. */
+import { type RoutePolicy, resolveRoutePolicy } from '../core/tenancy/route-template.js';
+import type { RouteDescription } from './contract.js';
+import { Tenant } from './tenant.js';
+import { ROUTE_TEMPLATES } from './tenant-templates.generated.js';
+
+/** Where callers give no keys, a route is its own tenant. */
+type Account = string | undefined;
+
+interface RouteTenants {
+  readonly policy: RoutePolicy;
+  readonly tenants: Map<Account, Tenant>;
+}
+
+export class TenantTable {
+  /** By route name. */
+  #routes = new Map<string, RouteTenants>();
+
+  /** A tenant keeps its sessions and its retry budget over changes of its route. */
+  setRoutes(routes: readonly RouteDescription[]): void {
+    const before = this.#routes;
+    this.#routes = new Map();
+    for (const route of routes) {
+      const policy = resolveRoutePolicy(ROUTE_TEMPLATES, route.consistency, route);
+      const tenants = before.get(route.name)?.tenants ?? new Map<Account, Tenant>();
+      for (const tenant of tenants.values()) tenant.setPolicy(policy);
+      this.#routes.set(route.name, { policy, tenants });
+    }
+  }
+
+  /** The tenant of an account on a route that was set. */
+  get(route: RouteDescription, account: Account): Tenant {
+    const known = this.#routes.get(route.name);
+    const tenant = known?.tenants.get(account);
+    if (tenant !== undefined) return tenant;
+    const policy = known?.policy ?? resolveRoutePolicy(ROUTE_TEMPLATES, route.consistency, route);
+    const created = new Tenant(account ?? route.name, policy);
+    known?.tenants.set(account, created);
+    return created;
+  }
+}
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -32,6 +32,9 @@
 /** A statement inside a transaction; it must have the log position that the transaction needs. */
 export type TransactionRequest = Omit<StatementRequest, 'route' | 'service'>;
 
+/** Where a transaction runs, and for whom. */
+export type TransactionPlace = Pick<Placement, 'route' | 'service' | 'tenant' | 'account'>;
+
 /** Why a transaction could not be opened, and where that was tried. */
 interface OpenFailure {
   readonly refusal: Refusal;
@@ -51,13 +54,22 @@
   /** A statement without an answer may still be handed to its instance. */
   #mayRunLate = false;
 
+  readonly route: RouteDescription;
+  readonly service: ServiceRuntime;
+  readonly tenant: Tenant;
+  /** Whose it is from its beginning to its end; undefined where callers give no keys. */
+  readonly account: string | undefined;
+
   constructor(
     readonly readOnly: boolean,
-    readonly route: RouteDescription,
-    readonly service: ServiceRuntime,
-    readonly tenant: Tenant,
+    { route, service, tenant, account }: TransactionPlace,
     private readonly runner: StatementRunner,
-  ) {}
+  ) {
+    this.route = route;
+    this.service = service;
+    this.tenant = tenant;
+    this.account = account;
+  }
 
   /** Runs one statement. An outcome with an error means that the transaction has failed. */
   async run(request: TransactionRequest): Promise<StatementOutcome> {
@@ -322,6 +334,7 @@
       access: this.readOnly ? 'read' : 'write',
       route: this.route,
       tenant: request.tenant,
+      account: this.account,
       service: this.service,
       session: request.session,
       beganAt: request.beganAt,
--- a/src/direct/wire.ts
+++ b/src/direct/wire.ts
@@ -9,7 +9,12 @@
 
 /** What a caller sends. */
 export type CallerMessage =
-  | { readonly type: 'start'; readonly database: string }
+  | {
+      readonly type: 'start';
+      readonly database: string;
+      /** Stands for the key that the caller gave; the key itself is known to nobody. */
+      readonly keyDigest: string;
+    }
   | {
       readonly type: 'statement';
       readonly id: string;
@@ -49,7 +54,8 @@
   encodeError(code: StatementErrorCode, text: string): string;
   encodeReady(state: TransactionState, position: Position | undefined): string;
   decodeInstanceMessage(line: string): InstanceMessage;
-  encodeStart(service: string, instanceId: string): string;
+  /** @param account the tenant that the connection is for; the node's own questions have none */
+  encodeStart(service: string, instanceId: string, account?: string): string;
   encodeStatement(id: string, text: string, after: Position | undefined): string;
   encodeExecute(
     id: string,
--- a/src/platform/contract.ts
+++ b/src/platform/contract.ts
@@ -53,9 +53,15 @@
 export interface WatchHandlers {
   /**
    * `currentAt`: time of the steady clock at which the store surely had nothing more than this, for a watch
-   * that may hear it by way of others. Without it, that is when the poll was sent.
+   * that may hear it by way of others. Without it, that is when the poll was sent. `provenAt`: the same, and never
+   * later than the truth, however long the word of others was on its way; `currentAt` if it is absent.
    */
-  onEvents(events: readonly WatchEvent[], revision: number, currentAt?: number): void;
+  onEvents(
+    events: readonly WatchEvent[],
+    revision: number,
+    currentAt?: number,
+    provenAt?: number,
+  ): void;
   onEnd(error: MeadowstackError, compacted: boolean): void;
 }
 
--- a/standins/direct/connection.ts
+++ b/standins/direct/connection.ts
@@ -90,7 +90,7 @@
   }
 
   async #start(line: string): Promise<void> {
-    const [word, service, , id] = splitFields(line, 4);
+    const [word, service, account = '', id] = splitFields(line, 4);
     const { member, options, slots } = this.instance;
     const isRight = service === options.service && (id === undefined || id === member.id);
     const refuse = (code: ErrorCode): void => {
@@ -104,6 +104,7 @@
     await pause(options.connectMs * this.instance.faults.slowFactor);
     slots.release();
     this.#isStarted = true;
+    this.#session.account = account;
     this.#send(this.#ready());
   }
 
--- a/standins/direct/run-log.ts
+++ b/standins/direct/run-log.ts
@@ -14,6 +14,8 @@
   instance: z.string(),
   /** Number of the connection, one for all instances. */
   connection: z.int(),
+  /** Who the connection was opened for, as its `START` said. */
+  account: z.string(),
   /** Id and text as received, without a leading `AFTER`. */
   id: z.string(),
   text: z.string(),
--- a/standins/direct/session.ts
+++ b/standins/direct/session.ts
@@ -65,6 +65,8 @@
 }
 
 export class InstanceSession {
+  /** Who its connection was opened for. */
+  account = '';
   #state: State = 'I';
   #transaction: Transaction | undefined;
   readonly #values = new Map<string, string>();
@@ -235,6 +237,7 @@
       service: options.service,
       instance: member.id,
       connection: this.connection,
+      account: this.account,
       id,
       text,
       kind: work.kind,
--- /dev/null
+++ b/test/integration/direct/keys.test.ts
@@ -0,0 +1,167 @@
+/** Callers with keys: who runs what, keys that are taken away or passed on, quotas, and that no key is ever shown. */
+import { setTimeout as pause } from 'node:timers/promises';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { DirectCluster, ROUTES, type TestTenant } from '../../support/direct-cluster.js';
+import { LineClient } from '../../support/line-client.js';
+import { until } from '../../support/until.js';
+
+const KEYS = { first: 'k-first-5f1c9a', second: 'k-second-77aa01', other: 'k-other-0b1d2e' };
+const TENANTS: readonly TestTenant[] = [
+  { name: 'acme', keys: [KEYS.first, KEYS.second] },
+  { name: 'zeta', keys: [KEYS.other] },
+];
+const REVOKE_MS = 2500;
+const STRICT = { strict_revocation: true, revoke_timeout_ms: REVOKE_MS };
+const HOST = '127.0.0.1';
+const MANY = 100_000_000;
+
+let cluster: DirectCluster;
+
+test.after.each(async () => {
+  await cluster.stop();
+});
+
+async function connect(gateway = 0): Promise<LineClient> {
+  return LineClient.connect(HOST, cluster.gateway(gateway).callersPort, {});
+}
+
+async function open(key: string, gateway = 0): Promise<LineClient> {
+  const client = await connect(gateway);
+  const answer = await client.start('intake', key);
+  assert.is(answer.error, undefined);
+  return client;
+}
+
+let lastId = 0;
+function write(client: LineClient, thing: string) {
+  lastId += 1;
+  return client.query(`id${lastId}`, `WRITE ${thing} v`);
+}
+
+/** Who the instances were told for each text that ran. */
+async function accountsOf(thing: string): Promise<string[]> {
+  const { runs } = await cluster.platform.log();
+  return runs
+    .filter(({ text }) => text.startsWith(`WRITE ${thing} `))
+    .map(({ account }) => account);
+}
+
+/** All that the gateways wrote, and all of their figures. */
+async function everythingShown(): Promise<string> {
+  const figures = cluster.gateways.map(async ({ internalPort }) => {
+    const answer = await fetch(`http://${HOST}:${internalPort}/metrics`);
+    return answer.text();
+  });
+  const outputs = cluster.lives.map((gateway) => gateway.output());
+  return [...outputs, ...(await Promise.all(figures))].join('\n');
+}
+
+test('statements run as the tenant that holds the key, and keys are shown nowhere', async () => {
+  cluster = await DirectCluster.start({ tenants: TENANTS, bounds: STRICT, keptOutput: MANY });
+  const [acme, zeta] = [await open(KEYS.first), await open(KEYS.other)];
+  assert.is((await write(acme, 'a')).error, undefined);
+  assert.is((await write(zeta, 'z')).error, undefined);
+  assert.equal(await accountsOf('a'), ['acme']);
+  assert.equal(await accountsOf('z'), ['zeta']);
+
+  const stranger = await connect();
+  assert.is((await stranger.start('intake', 'k-nobody-11')).error?.code, 'UNKNOWNKEY');
+
+  // One key passes on to another tenant, the other one goes; the sessions stay open.
+  const second = await open(KEYS.second);
+  await cluster.publish(ROUTES, [
+    { name: 'acme', keys: [] },
+    { name: 'zeta', keys: [KEYS.other, KEYS.first] },
+  ]);
+  await until('the key is refused', async () => (await write(second, 's')).error !== undefined);
+  assert.is((await write(second, 's')).error?.code, 'UNKNOWNKEY');
+  assert.is((await write(acme, 'b')).error, undefined);
+  assert.equal(await accountsOf('b'), ['zeta']);
+
+  const shown = await everythingShown();
+  for (const key of [...Object.values(KEYS), 'k-nobody-11']) assert.not.match(shown, key);
+});
+
+test('an open transaction ends when its key is taken away, and nothing of it is kept', async () => {
+  cluster = await DirectCluster.start({ tenants: TENANTS, bounds: STRICT });
+  const client = await open(KEYS.first);
+  const bystander = await open(KEYS.second);
+  assert.is((await client.query('t1', 'BEGIN')).error, undefined);
+  assert.is((await client.query('t2', 'WRITE t v')).error, undefined);
+  await cluster.publish(ROUTES, [{ name: 'acme', keys: [KEYS.second] }]);
+  const late = await open(KEYS.second);
+  await until('the change is in force', async () => {
+    const answer = await connect();
+    return (await answer.start('intake', KEYS.other)).error?.code === 'UNKNOWNKEY';
+  });
+  assert.is((await client.query('t3', 'COMMIT')).error?.code, 'ABORTED');
+  assert.is((await write(bystander, 'x')).error, undefined);
+  const { services } = await cluster.platform.log();
+  assert.ok(services.every(({ entries }) => entries.length <= 1));
+  late.destroy();
+});
+
+test('a gateway that can ask nobody stops at the bound, and goes on once the store answers', async () => {
+  cluster = await DirectCluster.start({ tenants: TENANTS, bounds: STRICT, cuttable: true });
+  const client = await open(KEYS.first);
+  assert.is((await write(client, 'a')).error, undefined);
+  await cluster.setCutFromStore(0, true);
+  const cutAt = performance.now();
+  await until('refused for want of a proof', async () => {
+    const { error } = await write(client, 'b');
+    return error?.code === 'BUSY' && /confirmed by the store; retry after \d+ ms/.test(error.text);
+  });
+  assert.ok(performance.now() - cutAt < REVOKE_MS + 1000);
+  const before = (await accountsOf('b')).length;
+  await write(client, 'b');
+  assert.is((await accountsOf('b')).length, before);
+  await cluster.setCutFromStore(0, false);
+  await until('served again', async () => (await write(client, 'c')).error === undefined);
+});
+
+test('a gateway cut off from the store goes on by the word of another one', async () => {
+  const options = { tenants: TENANTS, bounds: STRICT, cuttable: true, gateways: 2 };
+  cluster = await DirectCluster.start(options);
+  await cluster.peersKnown();
+  const client = await open(KEYS.first);
+  await cluster.setCutFromStore(0, true);
+  await pause(REVOKE_MS + 1500);
+  const { error } = await client.query('r1', 'READ a');
+  // The primary may not be trusted without the store; the key is.
+  assert.not.match(error?.text ?? '', /confirmed by the store/);
+  assert.is(await cluster.figure(0, 'keys_unproven_total'), 0);
+});
+
+test('a tenant runs no more than its quota over all gateways, and others are not touched', async () => {
+  const [ratePerSecond, burst] = [20, 20];
+  const tenants = [
+    { name: 'acme', keys: [KEYS.first], ratePerSecond, burst },
+    { name: 'zeta', keys: [KEYS.other], ratePerSecond: 1000, burst: 1000 },
+  ];
+  const bounds = { ...STRICT, quota_window_s: 5, quota_overshoot: 0.1, quota_slack: 4 };
+  cluster = await DirectCluster.start({ tenants, bounds, gateways: 2, contracts: ['quota'] });
+  const hot = await Promise.all([0, 1, 0, 1].map((gateway) => open(KEYS.first, gateway)));
+  const quiet = await open(KEYS.other, 1);
+  await until('keepers are named', async () => (await write(quiet, 'q')).error === undefined);
+  const beganAt = performance.now();
+  const refusals: string[] = [];
+  await Promise.all(
+    hot.map(async (client) => {
+      for (let number = 0; number < 100; number += 1) {
+        const { error } = await write(client, 'h');
+        if (error !== undefined) refusals.push(`${error.code} ${error.text}`);
+        await pause(10);
+      }
+    }),
+  );
+  const tookS = (performance.now() - beganAt) / 1000;
+  const ran = (await accountsOf('h')).length;
+  assert.ok(ran <= ratePerSecond * tookS + burst + 4, `${ran} in ${tookS} s`);
+  assert.ok(ran >= burst, `${ran} ran`);
+  assert.is(ran + refusals.length, 400);
+  for (const refusal of refusals) assert.match(refusal, /^BUSY beyond .*retry after \d+ ms$/);
+  assert.is((await write(quiet, 'q')).error, undefined);
+});
+
+test.run();
--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -23,6 +23,14 @@
   readonly mayMove?: boolean;
 }
 
+/** A tenant of the operator's configuration. */
+export interface TestTenant {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly ratePerSecond?: number;
+  readonly burst?: number;
+}
+
 /** One route of each type on the service `orders`. */
 export const ROUTES: readonly TestRoute[] = [
   { database: 'intake', service: 'orders', routeType: 'primary' },
@@ -48,9 +56,11 @@
   version: number,
   routes: readonly TestRoute[],
   transactionIdleMs = DEFAULT_TRANSACTION_IDLE_MS,
+  tenants?: readonly TestTenant[],
 ): object {
   return {
     version,
+    ...(tenants === undefined ? {} : { tenants: tenants.map(tenantOf) }),
     routes: routes.map((route) => ({
       name: `r-${route.database}`,
       hostname: route.database,
@@ -74,6 +84,11 @@
   };
 }
 
+function tenantOf({ name, keys, ratePerSecond, burst }: TestTenant): object {
+  const tenant = { name, api_keys: keys, priority: 1 };
+  return ratePerSecond === undefined ? tenant : { ...tenant, rate_per_s: ratePerSecond, burst };
+}
+
 export interface DirectClusterOptions {
   readonly gateways?: number;
   readonly routes?: readonly TestRoute[];
@@ -87,7 +102,11 @@
   /** Characters of a gateway's output that are kept; the end of it by default. */
   readonly keptOutput?: number;
   /** Bounds that differ from the settings' own. */
-  readonly bounds?: Readonly<Record<string, number>>;
+  readonly bounds?: Readonly<Record<string, number | boolean>>;
+  /** Contracts beside the usual ones. */
+  readonly contracts?: readonly string[];
+  /** Who may use the routes; without it callers need no keys. */
+  readonly tenants?: readonly TestTenant[];
   /** Clients find out whether a request without an answer was read. */
   readonly looksWhetherTaken?: boolean;
 }
@@ -133,12 +152,12 @@
   }
 
   /** Publishes these routes as the next version. */
-  async publish(routes: readonly TestRoute[]): Promise<void> {
+  async publish(routes: readonly TestRoute[], tenants = this.options.tenants): Promise<void> {
     for (const route of routes) this.#known.set(route.database, route);
     this.#version += 1;
     await this.platform.set(
       '/config',
-      configurationOf(this.#version, routes, this.options.transactionIdleMs),
+      configurationOf(this.#version, routes, this.options.transactionIdleMs, tenants),
     );
   }
 
@@ -160,7 +179,10 @@
     const { promotionPort, heartbeatMs } = this.platform;
     const ports = { callersPort, readinessPort, internalPort, storePort };
     const place = { name, ...ports, promotionPort, heartbeatMs };
-    writeFileSync(settingsPath, JSON.stringify(gatewaySettings(place, this.options.bounds)));
+    writeFileSync(
+      settingsPath,
+      JSON.stringify(gatewaySettings(place, this.options.bounds, this.options.contracts)),
+    );
     const gateway = { name, callersPort, readinessPort, internalPort, peerPort, settingsPath };
     const running = { ...gateway, ...startProcess(settingsPath, this.options) };
     this.gateways.push(running);
--- a/test/support/direct-settings.ts
+++ b/test/support/direct-settings.ts
@@ -17,7 +17,8 @@
 /** Settings with these bounds in place of the usual ones. */
 export function gatewaySettings(
   place: GatewayPlace,
-  bounds: Readonly<Record<string, number>> = {},
+  bounds: Readonly<Record<string, number | boolean>> = {},
+  contracts: readonly string[] = [],
 ): object {
   const { name, internalPort, promotionPort, heartbeatMs } = place;
   return {
@@ -36,7 +37,7 @@
       ...{ link_mbps: 1000, disk_mb: 0 },
     },
     ...{ entry_point: 'virtual_ip', heartbeat_interval_ms: heartbeatMs },
-    contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sql', 'platform'],
+    contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sql', 'platform', ...contracts],
     fault_tolerance: { machines: 1, zones: 0, regions: 0 },
     bounds: {
       ...{ seed_lag_s: 3, address_reuse_s: 2, contact_timeout_ms: 4000, ack_timeout_ms: 5000 },
--- a/test/unit/direct-answers.test.ts
+++ b/test/unit/direct-answers.test.ts
@@ -26,6 +26,7 @@
 
 const RUN: RunRecord = {
   ...{ run: 1, service: 'orders', instance: 'i-1', connection: 1, id: 's1', text: 'READ k' },
+  account: 'meadowstack',
   ...{ kind: 'read', transaction: 0, values: {}, startedAt: SENT_AT + 5, rows: [] },
   ...{ position: { term: 1, number: 0 }, signature: 'sign' },
 };
--- a/test/unit/direct-history.test.ts
+++ b/test/unit/direct-history.test.ts
@@ -19,7 +19,16 @@
 function ran(id: string, text: string, changes: Partial<RunRecord> = {}): RunRecord {
   const kind = text.startsWith('READ') ? 'read' : text.startsWith('WRITE') ? 'write' : 'commit';
   return {
-    ...{ run: 1, service: SERVICE, instance: 'i-1', connection: 1, id, text, kind },
+    ...{
+      run: 1,
+      service: SERVICE,
+      instance: 'i-1',
+      account: 'meadowstack',
+      connection: 1,
+      id,
+      text,
+      kind,
+    },
     ...{ transaction: 0, values: {}, startedAt: 12, position: { term: 1, number: 0 } },
     ...{ rows: [], signature: `sign-${id}` },
     ...changes,
--- a/test/unit/direct/node-directory.test.ts
+++ b/test/unit/direct/node-directory.test.ts
@@ -30,6 +30,7 @@
     instances: () => new Map([['present', instance('present')]]),
     instancesRevision: () => 5,
     lastConfirmedAt: () => 100,
+    configurationProvenAt: () => 100,
     adoptInstances: () => {},
   } as unknown as DirectoryFollower;
   const gateway = {
@@ -64,8 +65,8 @@
   const { directory, told } = nodeWith([]);
   const instances = { revision: 9, instances: [instance('present')], departed: [instance('left')] };
   const snapshot = { configuration: undefined, instances, terms: [], ageMs: 0 };
-  directory.adopt({ ...snapshot, primaries: undefined });
-  directory.adopt({ ...snapshot, primaries: PRIMARIES });
+  directory.adopt({ ...snapshot, primaries: undefined }, 200);
+  directory.adopt({ ...snapshot, primaries: PRIMARIES }, 200);
   assert.equal(told, [
     { ids: ['left', 'present'], isWhole: false },
     { ids: ['left', 'present'], isWhole: true },
--- a/test/unit/direct/transaction.test.ts
+++ b/test/unit/direct/transaction.test.ts
@@ -71,7 +71,7 @@
     ROUTE.name,
     resolveRoutePolicy(ROUTE_TEMPLATES, ROUTE.consistency, ROUTE),
   );
-  const transaction = new Transaction(true, ROUTE, service, tenant, runner);
+  const transaction = new Transaction(true, { route: ROUTE, service, tenant }, runner);
   const beganAt = now();
   const req: TransactionRequest = {
     ...{ access: 'read', tenant, prepared: undefined, beganAt, deadline: beganAt + DEADLINE_MS },
--- a/test/unit/platform/documents.test.ts
+++ b/test/unit/platform/documents.test.ts
@@ -46,15 +46,41 @@
         timeoutMs: 2000,
         targetLatencyMs: 500,
         priority: 2,
+        isPublic: false,
       },
     ],
     services: [{ name: 'svc', maxConnections: 34, syncReplicas: 1 }],
     transactionIdleMs: 3000,
     routesLeftOut: 0,
     servicesLeftOut: 0,
+    tenantsLeftOut: 0,
   });
 });
 
+test('tenants are translated with what stands for their keys; one that is malformed is left out', () => {
+  const limited = { name: 'a', key_digests: ['d1', 'd2'], rate_per_s: 12, burst: 30 };
+  const unlimited = { name: 'b', key_digests: ['d3', null] };
+  const malformed = [
+    { ...limited, name: 'two words' },
+    { ...limited, rate_per_s: 'fast' },
+    { ...limited, burst: -1 },
+    { key_digests: ['d4'] },
+    null,
+  ];
+  const tenants = [limited, unlimited, ...malformed];
+  const configuration = configurationOf({ tenants })._unsafeUnwrap();
+  assert.equal(configuration.tenants, [
+    { name: 'a', keyDigests: ['d1', 'd2'], quota: { ratePerSecond: 12, burst: 30 } },
+    { name: 'b', keyDigests: ['d3'], quota: undefined },
+  ]);
+  assert.is(configuration.tenantsLeftOut, malformed.length);
+});
+
+test('a configuration without tenants asks for no keys, one without any tenant for keys that nobody has', () => {
+  assert.is(configurationOf({})._unsafeUnwrap().tenants, undefined);
+  assert.equal(configurationOf({ tenants: [] })._unsafeUnwrap().tenants, []);
+});
+
 test('a route without a bound of staleness may miss nothing', () => {
   const route = { ...ROUTE, route_type: 'primary', max_staleness_ms: undefined };
   const { routes } = configurationOf({ routes: [route] })._unsafeUnwrap();
--- /dev/null
+++ b/test/unit/platform/key-digests.test.ts
@@ -0,0 +1,66 @@
+/** Keys of callers are known only in the folder that reads the platform's messages. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { digestOfKey, sealConfiguration } from '../../../platform/key-digests.js';
+import { lineWire } from '../../../platform/line-wire.js';
+import { readItem, readPollAnswer, readRangePage } from '../../../platform/store-messages.js';
+
+const KEY = 'k3y-of-a-stranger';
+const CONFIGURATION = JSON.stringify({
+  version: 3,
+  tenants: [{ name: 'a', api_keys: [KEY, 7], rate_per_s: 3 }, { name: 'b' }, 'c'],
+});
+
+function item(key: string, text: string): object {
+  const value = Buffer.from(text).toString('base64');
+  return { private_key: key, value, revision: 4, created: 2, lease_id: 0 };
+}
+
+test('a configuration is sealed: digests stand for keys, all else stays', () => {
+  const sealed = JSON.parse(sealConfiguration(CONFIGURATION));
+  assert.equal(sealed, {
+    version: 3,
+    tenants: [
+      { name: 'a', key_digests: [digestOfKey(KEY), null], rate_per_s: 3 },
+      { name: 'b' },
+      null,
+    ],
+  });
+});
+
+test('what is no JSON may hold keys, and is left out whole', () => {
+  assert.is(sealConfiguration(CONFIGURATION.slice(0, -1)), '');
+  assert.is(sealConfiguration(`["${KEY}"]`), '');
+});
+
+test('a configuration without tenants is passed on as it is', () => {
+  const text = '{ "version": 3 }';
+  assert.is(sealConfiguration(text), text);
+});
+
+test('no answer of the store brings a key with it, by whatever call', () => {
+  const config = item('op/config', CONFIGURATION);
+  const answers = [
+    readItem(config),
+    readRangePage({ items: [config], has_more: false, at_revision: 9 }),
+    readPollAnswer({ events: [config], at_revision: 9 }),
+  ];
+  for (const answer of answers) {
+    assert.ok(answer);
+    assert.not.match(JSON.stringify(answer), KEY);
+    assert.match(JSON.stringify(answer), digestOfKey(KEY));
+  }
+});
+
+test('a caller is known by the digest of its key from its first message on', () => {
+  const message = lineWire.decodeCallerMessage(`START orders ${KEY}`);
+  assert.equal(message, { type: 'start', database: 'orders', keyDigest: digestOfKey(KEY) });
+});
+
+test('digests of different keys differ, and none holds its key', () => {
+  const digests = ['', 'a', 'b', KEY].map(digestOfKey);
+  assert.is(new Set(digests).size, digests.length);
+  for (const digest of digests) assert.match(digest, /^[\w-]{22}$/);
+});
+
+test.run();
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -42,9 +42,27 @@
     gracePeriodMs: 6000,
     drainTimeoutMs: 7000,
     contactTimeoutMs: 4000,
+    revocationMs: undefined,
+    quotas: undefined,
   });
 });
 
+test('the bound of revocation binds where it is strict, and quotas where the contract names them', () => {
+  const bounds = { grace_period_s: 6, drain_timeout_ms: 7000, contact_timeout_ms: 4000 };
+  const strict = { ...bounds, strict_revocation: true, revoke_timeout_ms: 5000, quota_slack: 20 };
+  const { revocationMs, quotas } = settingsOf({
+    bounds: strict,
+    contracts: ['tenants', 'quota'],
+  })._unsafeUnwrap();
+  assert.is(revocationMs, 5000);
+  assert.equal(quotas, { slack: 20 });
+  const lax = { ...strict, strict_revocation: false };
+  assert.is(settingsOf({ bounds: lax })._unsafeUnwrap().revocationMs, undefined);
+  assert.equal(fieldsOf({ bounds: { ...bounds, strict_revocation: true } }), [
+    'bounds.revoke_timeout_ms',
+  ]);
+});
+
 test('what the link carries is taken where it is told', () => {
   assert.is(settingsOf({ limits: { link_mbps: 7.5 } })._unsafeUnwrap().linkMbps, 7.5);
   assert.equal(fieldsOf({ limits: { link_mbps: 'fast' } }), ['limits.link_mbps']);
--- /dev/null
+++ b/test/unit/quota-keepers.test.ts
@@ -0,0 +1,74 @@
+/** Who keeps the tenants' quotas, and when a part goes to another node. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  type KeeperCandidate,
+  nextKeepers,
+  PARTS_PER_TENANT,
+  partsOf,
+  QUOTA_PARTS,
+} from '../../src/core/tenancy/quota-keepers.js';
+
+function nodes(count: number, zones = 3): KeeperCandidate[] {
+  return Array.from({ length: count }, (_, index) => ({
+    ...{ nodeId: `n${index}`, zone: `z${index % zones}`, host: '10.0.0.1', port: index },
+    linkMbps: index < 6 ? 140 : 7,
+  }));
+}
+
+function namesOf(keepers: ReturnType<typeof nextKeepers>): string[] {
+  return (keepers ?? []).map(({ nodeId }) => nodeId);
+}
+
+test('each part has a keeper, spread over nodes and zones, on fast links first', () => {
+  const keepers = nextKeepers([], nodes(83));
+  const names = namesOf(keepers);
+  assert.is(names.length, QUOTA_PARTS);
+  assert.is(new Set(names).size, QUOTA_PARTS);
+  assert.equal(names.slice(0, 6).sort(), ['n0', 'n1', 'n2', 'n3', 'n4', 'n5']);
+  const perZone = new Map<string, number>();
+  for (const { zone } of keepers ?? []) perZone.set(zone, (perZone.get(zone) ?? 0) + 1);
+  assert.equal([...perZone.values()], [4, 4, 4]);
+});
+
+test('a small fleet keeps several parts on each node', () => {
+  const names = namesOf(nextKeepers([], nodes(6)));
+  assert.is(names.length, QUOTA_PARTS);
+  for (const name of new Set(names)) {
+    assert.is(names.filter((other) => other === name).length, QUOTA_PARTS / 6);
+  }
+});
+
+test('a keeper stays while its node lives, however many others come', () => {
+  const first = nextKeepers([], nodes(6)) ?? [];
+  assert.equal(namesOf(nextKeepers(first, nodes(83))), namesOf(first));
+});
+
+test('only the parts of a node that is gone go to others', () => {
+  const first = nextKeepers([], nodes(20)) ?? [];
+  const gone = first[3]?.nodeId;
+  const live = nodes(20).filter(({ nodeId }) => nodeId !== gone);
+  const second = namesOf(nextKeepers(first, live));
+  for (const [part, name] of namesOf(first).entries()) {
+    if (name === gone) assert.not.equal(second[part], gone);
+    else assert.is(second[part], name);
+  }
+});
+
+test('while no node lives the keepers stay named', () => {
+  const first = nextKeepers([], nodes(6)) ?? [];
+  assert.equal(nextKeepers(first, []), first);
+  assert.is(nextKeepers([], []), undefined);
+});
+
+test('a tenant is split over different parts, and tenants spread over all', () => {
+  const counts = new Array<number>(QUOTA_PARTS).fill(0);
+  for (let hash = 0; hash < 12_000; hash += 1) {
+    const parts = partsOf(hash * 2654435761);
+    assert.is(new Set(parts).size, PARTS_PER_TENANT);
+    for (const part of parts) counts[part] = (counts[part] ?? 0) + 1;
+  }
+  for (const count of counts) assert.ok(count > 1500 && count < 2500, String(counts));
+});
+
+test.run();
--- a/test/unit/watch-readers.test.ts
+++ b/test/unit/watch-readers.test.ts
@@ -120,7 +120,7 @@
 
 test('what is not in its form is not taken', () => {
   const event = { type: 'put', entry: { key: 'k', value: 'v', createRevision: 1, modRevision: 2 } };
-  const told = { after: 1, revision: 2, ageMs: 3, events: [event] };
+  const told = { after: 1, revision: 2, ageMs: 3, clockMs: 9, provenMs: 5, events: [event] };
   assert.equal(parseToldStretch(told), told);
   const gone = { type: 'delete', key: 'k', modRevision: 2 };
   assert.ok(parseToldStretch({ ...told, events: [gone] }));
@@ -128,6 +128,9 @@
     ...[undefined, null, [], 'text', { ...told, after: -1 }, { ...told, revision: 0 }],
     ...[
       { ...told, ageMs: Number.NaN },
+      { ...told, clockMs: undefined },
+      { ...told, provenMs: 'old' },
+      { ...told, provenMs: 10 },
       { ...told, events: {} },
       { ...told, events: [null] },
     ],
