--- a/src/core/ownership/connection-sharing.ts
+++ b/src/core/ownership/connection-sharing.ts
@@ -51,9 +51,23 @@
   return Math.max(MINIMUM_OWNERS, Math.min(forLoad, shares - SPARE_SHARES));
 }
 
-/** Connections that one owner may open to one instance. */
-export function connectionsPerOwner(owners: number, maxConnections: number): number {
-  return Math.max(1, Math.floor(usable(maxConnections) / (owners + SPARE_SHARES)));
+/**
+ * Where connections are of one tenant each, an owner that has few opens one for most statements: the share of a node
+ * that still takes itself for an owner is used too, since an owner's connections give way to one another.
+ */
+const SPARE_SHARES_BY_TENANT = 1;
+
+/**
+ * Connections that one owner may open to one instance.
+ * @param isByTenant whether each connection is of one tenant
+ */
+export function connectionsPerOwner(
+  owners: number,
+  maxConnections: number,
+  isByTenant = false,
+): number {
+  const spareShares = isByTenant ? SPARE_SHARES_BY_TENANT : SPARE_SHARES;
+  return Math.max(1, Math.floor(usable(maxConnections) / (owners + spareShares)));
 }
 
 function usable(maxConnections: number): number {
--- a/src/core/ownership/instance-owners.ts
+++ b/src/core/ownership/instance-owners.ts
@@ -46,13 +46,16 @@
   return spare?.nodeId === nodeId || owners.some((owner) => owner.nodeId === nodeId);
 }
 
-/** The owners in the order in which one node tries them, so that the nodes spread over them. */
+/**
+ * The owners in the order in which they are tried, by whoever asks: a node, so that the nodes spread over them; or a
+ * tenant where connections are of one tenant each, so that all nodes find its connections at the same owner.
+ */
 export function preferenceOf(
   { owners, spare }: InstanceOwners,
-  nodeId: string,
+  asker: string,
   hash: Hash64,
 ): readonly ReachableNode[] {
-  const self = hashHalves(hash, `caller:${nodeId}`);
+  const self = hashHalves(hash, `caller:${asker}`);
   const scored = owners.map((node) => ({
     node,
     score: scoreOf(self, hashHalves(hash, `member:${node.nodeId}`)),
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -431,6 +431,7 @@
       startedAt: this.#createdAt,
       isFirstStart: settings.isFirstStart,
       ownership: this.#relay,
+      isByTenant: () => this.#admission.asksForKeys,
       drainTimeoutMs: settings.drainTimeoutMs,
       view,
       isStoreWell,
--- a/src/direct/readers/watch-server.ts
+++ b/src/direct/readers/watch-server.ts
@@ -12,7 +12,7 @@
  */
 const LEAST_TOLD_CHARACTERS = 16 * 1024;
 /** A faster link passes on what takes no longer than this for all that follow, so that callers' answers wait no longer. */
-const LONGEST_TELLING_MS: Milliseconds = 60;
+const LONGEST_TELLING_MS: Milliseconds = 100;
 const BITS_PER_CHARACTER = 8;
 
 interface Follower {
@@ -74,7 +74,8 @@
     if (answeredAt === undefined || provenAt === undefined) return false;
     const stretch = history.since(follower.told);
     const isPassedOn =
-      stretch !== undefined && sizeOfEvents(stretch.events) <= this.#mostCharacters();
+      stretch !== undefined &&
+      sizeOfEvents(stretch.events) <= this.#mostCharacters(follower.followed);
     // A stretch that begins where it ends tells that there is more, at the store.
     const { revision } = history;
     const passed = isPassedOn ? stretch : { after: revision, revision, events: [] };
@@ -87,9 +88,10 @@
     return true;
   }
 
-  #mostCharacters(): number {
+  #mostCharacters(told: FollowedPrefix): number {
+    const followers = [...this.#followers].filter(({ followed }) => followed === told).length;
     const bitsPerMs = this.linkMbps * 1000;
-    const bits = (bitsPerMs * LONGEST_TELLING_MS) / Math.max(1, this.#followers.size);
+    const bits = (bitsPerMs * LONGEST_TELLING_MS) / Math.max(1, followers);
     return Math.max(LEAST_TOLD_CHARACTERS, Math.floor(bits / BITS_PER_CHARACTER));
   }
 
--- a/src/direct/relay/owner-lessor.ts
+++ b/src/direct/relay/owner-lessor.ts
@@ -40,11 +40,15 @@
 
 /** An owner that has said nothing, not even that the request came, is taken for lost after this. */
 const SILENCE_MS: Milliseconds = 250;
+/** Orders that are remembered; more tenants than this are worked out again. */
+const MOST_ACCOUNTS = 512;
 
 export interface OwnerLessorOptions {
   readonly instance: InstanceEntry;
   /** In the order in which they are asked. */
   readonly owners: readonly ReachableNode[];
+  /** The same, in the order for one tenant where connections are of one tenant each. */
+  readonly ownersFor: (account: string) => readonly ReachableNode[];
   readonly transport: PeerTransport;
   readonly health: OwnerHealth;
   readonly counters: RelayCounters;
@@ -75,6 +79,7 @@
 };
 
 export class OwnerLessor implements ConnectionLessor {
+  readonly #byAccount = new Map<string, readonly ReachableNode[]>();
   readonly #handlers: EventHandlers = {
     queued: () => undefined,
     granted: (event, owner, stream) => ({
@@ -136,7 +141,7 @@
     ask: (owner: ReachableNode, waitMs: Milliseconds) => Promise<StreamOutcome>,
   ): Promise<Result<Exclude<StreamOutcome, Unserved>, AcquireError>> {
     const { instance, health, counters, now } = this.options;
-    for (const owner of this.#inOrder()) {
+    for (const owner of this.#inOrder(request.account)) {
       const waitMs = request.deadline - now();
       if (waitMs <= 0 || isAnyCancelled(request.cancelledBy)) break;
       const outcome = await ask(owner, waitMs);
@@ -177,9 +182,19 @@
     return parsePosition(answer.value);
   }
 
+  #ownersFor(account: string): readonly ReachableNode[] {
+    const known = this.#byAccount.get(account);
+    if (known !== undefined) return known;
+    const owners = this.options.ownersFor(account);
+    if (this.#byAccount.size >= MOST_ACCOUNTS) this.#byAccount.clear();
+    this.#byAccount.set(account, owners);
+    return owners;
+  }
+
   /** Those that failed lately come last; the order is kept among the others. */
-  #inOrder(): readonly ReachableNode[] {
-    const { owners, health } = this.options;
+  #inOrder(account?: string): readonly ReachableNode[] {
+    const { health } = this.options;
+    const owners = account === undefined ? this.options.owners : this.#ownersFor(account);
     const avoided = owners.filter(({ nodeId }) => health.isAvoided(nodeId));
     return [...owners.filter((owner) => !avoided.includes(owner)), ...avoided];
   }
--- a/src/direct/relay/relay.ts
+++ b/src/direct/relay/relay.ts
@@ -62,6 +62,7 @@
     const lessor = new OwnerLessor({
       ...{ instance, counters, now, transport: this.#transport, health: this.#health },
       owners: preferenceOf(owners, nodeName, hash64),
+      ownersFor: (account) => preferenceOf(owners, account, hash64),
     });
     return { isOwned: false, lessor };
   }
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -56,6 +56,8 @@
   readonly drainTimeoutMs: Milliseconds;
   readonly view: PrimaryView;
   readonly ownership: OwnershipView;
+  /** Whether each connection is of one tenant; it is of none by default. */
+  readonly isByTenant?: () => boolean;
   /** False while what the store last told of the instances may be out of date. */
   readonly isStoreWell: () => boolean;
   /** Counts how long changes of the primary take. */
@@ -232,7 +234,8 @@
   /** Only an owner holds connections; the owners share the slots of the instance. */
   #limitByOwners(state: InstanceState): void {
     const owners = this.options.ownership.roster?.ownersPerInstance ?? 1;
-    const share = connectionsPerOwner(owners, this.#maxConnections);
+    const { isByTenant } = this.options;
+    const share = connectionsPerOwner(owners, this.#maxConnections, isByTenant?.());
     const isSettled = this.options.now() - state.ownedSince >= SETTLED_MS;
     const ownedLimit = isSettled ? share : Math.ceil(share * UNSETTLED_SHARE);
     const limit = state.isOwned ? ownedLimit : 0;
--- a/test/support/relay-fleet.ts
+++ b/test/support/relay-fleet.ts
@@ -127,6 +127,7 @@
     const { transport, health, counters } = this;
     const lessor = new OwnerLessor({
       ...{ instance: instance.entry, owners, transport, health, counters, now },
+      ownersFor: () => owners,
     });
     this.pool.setLessor(lessor);
   }
