Instances that start again under their id are other ones; entries that can't be understood name no instance

And an entry that had turned damaged left what was known before in use.

Ruled out: comparing `born` wherever a belief is kept (positions, members, pools, candidates, holds: each forgotten place is a lost commit). Change: an id of this project is of one life (the platform's id with its start behind it), so that every belief kept by id ends with it; platform/ puts the two together and takes them apart. The follower turns a change of life into a removal and an addition. A life that is over answers nothing: calls to it are refused (forOneLife), its connections end at once, and its log does not pass to whoever has its address; it is forgotten as other dead members are. An entry that can't be understood ends the instance that it named.

Open: between a rebirth and its entry, whatever answers under the id is taken for the old life.

--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -124,6 +124,11 @@
     return this.#fleet()?.readers ?? NO_READERS;
   }
 
+  /** Whether another life of this instance has its id now. */
+  isBornAgain(instance: InstanceEntry): boolean {
+    return this.#primaries.isBornAgain(instance);
+  }
+
   /** The nodes that keep the tenants' quotas, as the leader named them last. */
   quotaKeepers(): QuotaKeepers | undefined {
     return this.#fleet()?.keepers;
--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -48,11 +48,11 @@
   current(): InstanceEntry[] {
     const present = this.primaries.present(this.service);
     const addresses = new Set(present.map(addressOf));
-    // The log of one that is gone goes to its successor at the same address.
+    // The log of one that is gone goes to its successor at the same address, unless that is the instance itself born again.
     const gone = this.store
       .noteOf(this.service)
       .members.filter((member) => !this.primaries.isPresent(member.id))
-      .filter((member) => !addresses.has(addressOf(member)));
+      .filter((member) => this.primaries.isBornAgain(member) || !addresses.has(addressOf(member)));
     return [...present, ...gone];
   }
 
@@ -115,6 +115,10 @@
       this.#lookForReplicaWith(end, member, primaryId);
       return;
     }
+    if (this.primaries.isBornAgain(member)) {
+      this.#noteEndOf(member, primaryId);
+      return;
+    }
     const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
       if (answer !== 'silent') this.#heardAt.set(member.id, this.runtime.now);
       const silentForMs = this.#silentForMs(member.id);
--- a/src/core/promotion/primaries.ts
+++ b/src/core/promotion/primaries.ts
@@ -5,6 +5,7 @@
 import type { InstanceEntry } from '../../direct/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
 import type { Milliseconds } from '../units.js';
+import { isOtherLife } from './lives.js';
 import type { PromotionTimings } from './options.js';
 import {
   decodeRecord,
@@ -62,6 +63,12 @@
     return this.#instances.get(id)?.entry;
   }
 
+  /** Whether the store has an entry of another life of this instance: the one that is meant is over, with its log. */
+  isBornAgain(instance: InstanceEntry): boolean {
+    if (instance.lifeOf === undefined || this.isPresent(instance.id)) return false;
+    return this.present(instance.service).some((other) => isOtherLife(instance, other));
+  }
+
   /** Entries of a service that the store has now. */
   present(service: string): InstanceEntry[] {
     return [...this.#instances.values()]
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -294,10 +294,12 @@
 /** An instance as a record or a peer tells it; undefined if the value is none. */
 export function instanceForm(value: unknown): InstanceEntry | undefined {
   if (!isFields(value)) return undefined;
-  const { id, service, host, port, zone, slots, draining, role } = value;
+  const { id, lifeOf, service, host, port, zone, slots, draining, role } = value;
   if (!isText(id) || !isText(service) || !isText(host) || !isNumber(port)) return undefined;
   if (!isText(zone) || !isNumber(slots) || typeof draining !== 'boolean') return undefined;
-  return isRole(role) ? { id, service, host, port, zone, slots, draining, role } : undefined;
+  if (!isRole(role)) return undefined;
+  const entry = { id, service, host, port, zone, slots, draining, role };
+  return isText(lifeOf) ? { ...entry, lifeOf } : entry;
 }
 
 /** Where a node listens; undefined if the value is no such address. */
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -77,7 +77,10 @@
 
 /** One database instance as it announces itself. */
 export interface InstanceEntry {
+  /** Of one life: an instance that starts again under its id and holds nothing of before is another one. */
   readonly id: string;
+  /** What all its lives have in common; absent where the platform does not tell them apart. */
+  readonly lifeOf?: string | undefined;
   readonly service: string;
   readonly host: string;
   readonly port: number;
--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -7,6 +7,7 @@
 import {
   type DirectoryChange,
   EntryDirectory,
+  type EntryUpdate,
   type RemovedEntry,
   type StoredEntry,
 } from '../core/directory/entry-directory.js';
@@ -65,12 +66,20 @@
   random(): number;
 }
 
+/** The instance that an entry names, and the revision at which it did. */
+interface NamedInstance {
+  readonly id: string;
+  readonly revision: number;
+}
+
 /** Follows both prefixes from `start` until `stop`. */
 export class DirectoryFollower {
   readonly #configurationReader: PrefixReader;
   readonly #instanceReader: PrefixReader;
   readonly #instances = new EntryDirectory<InstanceEntry>(sameInstance);
   #configuration: PublishedConfiguration | undefined;
+  /** Which instance an entry named last, by what follows the prefix in its key. */
+  readonly #named = new Map<string, NamedInstance>();
   #configurationRevision = 0;
   #configurationText = '';
   /** The newest text that is known could not be understood: what is in force is older. */
@@ -223,8 +232,9 @@
   }
 
   #takeInstances({ entries, revision }: RangeAnswer): void {
+    const stored = entries.map((item) => this.#readInstance(item));
     const change = this.#instances.replace(
-      entries.map((item) => this.#readInstance(item)),
+      stored.filter((one) => one !== undefined),
       revision,
     );
     const isNews = !this.#instancesRead || this.#adopted !== undefined;
@@ -237,22 +247,42 @@
     const isNews = this.#adopted !== undefined;
     this.#adopted = undefined;
     if (events.length === 0 && !isNews) return;
-    const { instancePrefix } = this.options.prefixes;
-    const updates = events.map((event) => {
-      if (event.type === 'put') {
-        return { type: 'put' as const, stored: this.#readInstance(event.entry) };
-      }
-      const id = event.key.slice(instancePrefix.length);
-      return { type: 'delete' as const, id, revision: event.modRevision };
-    });
+    const updates = events.flatMap((event) =>
+      event.type === 'put' ? this.#updatesOf(event.entry) : this.#removal(event),
+    );
     this.#tell(this.#instances.update(updates), isNews);
   }
 
-  #readInstance({ key, value, modRevision }: KeyValue): StoredEntry<InstanceEntry> {
-    const id = key.slice(this.options.prefixes.instancePrefix.length);
+  /** An entry that names another life than before, or none that can be understood, ends the one it named. */
+  #updatesOf(item: KeyValue): readonly EntryUpdate<InstanceEntry>[] {
+    const before = this.#named.get(this.#nameOf(item.key));
+    const revision = item.modRevision;
+    if (before !== undefined && revision <= before.revision) return [];
+    const stored = this.#readInstance(item);
+    const isEnded = before !== undefined && before.id !== stored?.id;
+    const removals = isEnded ? [{ type: 'delete' as const, id: before.id, revision }] : [];
+    return stored === undefined ? removals : [...removals, { type: 'put', stored }];
+  }
+
+  #removal({ key, modRevision }: { key: string; modRevision: number }): EntryUpdate<InstanceEntry> {
+    const name = this.#nameOf(key);
+    return { type: 'delete', id: this.#named.get(name)?.id ?? name, revision: modRevision };
+  }
+
+  #nameOf(key: string): string {
+    return key.slice(this.options.prefixes.instancePrefix.length);
+  }
+
+  /** Undefined if it can't be understood: it names no instance to use. */
+  #readInstance({ key, value, modRevision }: KeyValue): StoredEntry<InstanceEntry> | undefined {
     const parsed = this.options.parseInstance(key, value);
-    if (parsed.isErr()) this.options.handlers.onProblem(parsed.error);
-    return { id, entry: parsed.unwrapOr(undefined), revision: modRevision };
+    if (parsed.isErr()) {
+      this.options.handlers.onProblem(parsed.error);
+      return undefined;
+    }
+    const { id } = parsed.value;
+    this.#named.set(this.#nameOf(key), { id, revision: modRevision });
+    return { id, entry: parsed.value, revision: modRevision };
   }
 
   #tell(change: DirectoryChange<InstanceEntry>, always: boolean): void {
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -26,6 +26,7 @@
   TrustedUse,
 } from './contract.js';
 import { type ClassifyControlFailure, classifyBySystemCall } from './control-failure.js';
+import { forOneLife } from './lives.js';
 import { RequestRunner } from './request-runner.js';
 import { TermConfirmation } from './term-confirmation.js';
 
@@ -82,7 +83,10 @@
   #isStopped = false;
 
   constructor(private readonly options: PromotionServiceOptions) {
-    const { nodeName, incarnation, store, control, promotion } = options;
+    const { nodeName, incarnation, store, promotion } = options;
+    const isOver = (instance: InstanceEntry): boolean => this.#machine.isBornAgain(instance);
+    const control = forOneLife(options.control, isOver);
+    const asking = options.status && forOneLife({ ...control, ...bound(options.status) }, isOver);
     const timings = { ...DEFAULT_PROMOTION_TIMINGS, ...options.timings };
     const minimumSeconds = Math.ceil(options.minimumLeaseMs / MILLISECONDS_PER_SECOND);
     const leaseSeconds = Math.max(timings.leaseSeconds, minimumSeconds);
@@ -103,7 +107,7 @@
     const classifyFailure = options.classifyFailure ?? classifyBySystemCall;
     this.#runner = new RequestRunner({ store, control, promotion, classifyFailure, nodeName });
     this.#confirmation = new TermConfirmation({
-      control: options.status ?? control,
+      control: asking ?? control,
       classifyFailure,
       membersOf: (service) => this.#machine.membersOf(service),
       unseenMembersOf: (service) => this.#machine.unseenMembersOf(service),
@@ -329,3 +333,7 @@
     for (const resolve of [...this.#stopped.splice(0), ...this.#released.splice(0)]) resolve();
   }
 }
+
+function bound(status: Pick<InstanceControl, 'status'>): Pick<InstanceControl, 'status'> {
+  return { status: (instance, timeoutMs) => status.status(instance, timeoutMs) };
+}
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -3,6 +3,7 @@
 import type { OwnerRoster } from '../core/ownership/owner-roster.js';
 import { UNSETTLED_SHARE, unsettledConnections } from '../core/ownership/unsettled-share.js';
 import type { Position } from '../core/position.js';
+import { isOtherLife } from '../core/promotion/lives.js';
 import { type InstanceLoad, rankInstances } from '../core/statements/instance-choice.js';
 import { type PositionSample, PositionSamples } from '../core/statements/position-samples.js';
 import type { KnownPrimary } from '../core/statements/primary-evidence.js';
@@ -165,6 +166,7 @@
     }
     for (const [id, state] of this.#instances) {
       if (present.has(id)) continue;
+      if (entries.some((entry) => isOtherLife(state.pool.instance, entry))) this.#end(state, now);
       if (!state.leaving) state.vanished = true;
       this.#leave(state, now);
     }
@@ -448,6 +450,13 @@
     return known;
   }
 
+  /** Nothing answers for it any more: who answers under its id holds nothing of what it held. */
+  #end(state: InstanceState, now: Milliseconds): void {
+    state.leaving = true;
+    state.usableUntil = now;
+    state.pool.destroy();
+  }
+
   #leave(state: InstanceState, now: Milliseconds): void {
     if (state.leaving) return;
     state.leaving = true;
--- /dev/null
+++ b/test/unit/lives.test.ts
@@ -0,0 +1,62 @@
+/** An instance that starts again under its id holds nothing of before: it is another one in all that is believed of it. */
+import { errAsync, okAsync } from 'neverthrow';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { lineWire } from '../../platform/line-wire.js';
+import { lifeIdOf, platformIdOf } from '../../platform/lives.js';
+import { isOtherLife } from '../../src/core/promotion/lives.js';
+import { instanceForm } from '../../src/core/promotion/records.js';
+import type { InstanceControl, InstanceEntry, InstanceStatus } from '../../src/direct/contract.js';
+import { classifyControlFailure } from '../../src/direct/instance-control.js';
+import { forOneLife } from '../../src/direct/promotion/lives.js';
+
+const FIRST: InstanceEntry = {
+  ...{ id: lifeIdOf('i-1', 100), lifeOf: 'i-1', service: 'orders', host: '10.0.0.1', port: 80 },
+  ...{ zone: 'a', slots: 3, draining: false, role: 'replica' },
+};
+const SECOND: InstanceEntry = { ...FIRST, id: lifeIdOf('i-1', 200) };
+const STATUS: InstanceStatus = {
+  ...{ role: 'replica', term: 0, received: { timeline: 0, lsn: 0n }, heldTerm: 0 },
+  ...{ lagMs: 0, busySlots: 0, connections: 0 },
+};
+
+test('lives of one instance differ, and are no lives of another', () => {
+  assert.ok(isOtherLife(FIRST, SECOND));
+  assert.not(isOtherLife(FIRST, FIRST));
+  assert.not(isOtherLife(FIRST, { ...SECOND, lifeOf: 'i-2' }));
+  assert.not(isOtherLife({ id: 'a' }, { id: 'b' }), 'where lives are not told apart');
+});
+
+test('the platform is told its own ids', () => {
+  assert.is(platformIdOf(FIRST.id), 'i-1');
+  assert.is(platformIdOf(lifeIdOf('i-1', undefined)), 'i-1');
+  assert.is(lineWire.encodeStart('orders', FIRST.id), 'START orders meadowstack i-1\r\n');
+});
+
+test('records and peers carry lives', () => {
+  assert.equal(instanceForm(JSON.parse(JSON.stringify(FIRST))), FIRST);
+  const { lifeOf: _, ...plain } = FIRST;
+  assert.equal(instanceForm(plain), plain);
+});
+
+test('a life that is over answers nothing, whoever answers under its id', async () => {
+  const answer = () => okAsync(STATUS);
+  const control: InstanceControl = {
+    ...{ status: answer, pause: answer, resume: answer, demote: answer, close: () => {} },
+  };
+  const checked = forOneLife(control, ({ id }) => id === FIRST.id);
+  for (const asked of [
+    checked.status(FIRST, 100),
+    checked.pause(FIRST, 4, 100),
+    checked.resume(FIRST, 100),
+    checked.demote(FIRST, 4, 100),
+  ]) {
+    const { error } = (await asked.orElse((cause) => errAsync(cause))) as unknown as {
+      error: Parameters<typeof classifyControlFailure>[0];
+    };
+    assert.is(classifyControlFailure(error), 'refused');
+  }
+  assert.equal((await checked.status(SECOND, 100))._unsafeUnwrap(), STATUS);
+});
+
+test.run();
