--- /dev/null
+++ b/test/property/foreign-documents.test.ts
@@ -0,0 +1,129 @@
+/**
+ * Documents and messages of other writers, of any form: nothing throws, nothing that is not in its form is taken, and
+ * what was read is bounded by what was told.
+ */
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { parseConfiguration, parseInstance } from '../../platform/documents.js';
+import { sealConfiguration } from '../../platform/key-digests.js';
+import { lineWire } from '../../platform/line-wire.js';
+import { readItem, readPollAnswer, readRangePage } from '../../platform/store-messages.js';
+import {
+  decodeRecord,
+  fleetForm,
+  instanceForm,
+  membersForm,
+  nodeForm,
+  primaryForm,
+} from '../../src/core/promotion/records.js';
+import { parsePartRequest, parsePermitGrant } from '../../src/direct/quota/messages.js';
+import { parseToldStretch, parseWatchRequest } from '../../src/direct/readers/messages.js';
+import { parseLeaseEvent, parseStreamRequest } from '../../src/direct/relay/messages.js';
+import { parseQuestion, parseSnapshot } from '../../src/direct/snapshots/form.js';
+
+const SEED = 20261203;
+const RUNS = 1500;
+const SETTINGS = { seed: SEED, numRuns: RUNS };
+
+/** Names that stand in the platform's documents and in our own messages. */
+const NAMES = [
+  ...['version', 'routes', 'services', 'tenants', 'limits', 'name', 'api_keys', 'key_digests'],
+  ...['rate_per_s', 'burst', 'hostname', 'route_type', 'timeout_ms', 'service', 'address', 'zone'],
+  ...['slots', 'state', 'database_role', 'born', 'sequence', 'public', 'max_connections'],
+  ...['type', 'events', 'after', 'revision', 'ageMs', 'clockMs', 'provenMs', 'part', 'tenant'],
+  ...['node', 'needed', 'held', 'wanted', 'granted', 'retryAfterMs', 'nodes', 'keepers', 'owners'],
+  ...['configuration', 'instances', 'primaries', 'terms', 'known', 'from', 'items', 'at_revision'],
+];
+const LEAVES = fc.oneof(
+  ...[fc.string(), fc.double(), fc.integer(), fc.boolean(), fc.constant(null)],
+  ...[fc.constantFrom('ready', 'draining', 'primary', 'replica', 'put', 'delete', '10.0.0.1:80')],
+);
+const { value: anything } = fc.letrec((tie) => ({
+  value: fc.oneof(
+    { depthSize: 'small', withCrossShrink: true },
+    LEAVES,
+    fc.array(tie('value'), { maxLength: 5 }),
+    fc.dictionary(fc.constantFrom(...NAMES), tie('value'), { maxKeys: 8 }),
+  ),
+}));
+const texts = fc.oneof(
+  anything.map((value) => JSON.stringify(value) ?? ''),
+  fc.string(),
+  fc.string({ unit: 'binary' }),
+);
+
+/** A whole entry with some fields replaced or left out. */
+const damagedEntries = fc
+  .record({
+    field: fc.constantFrom('service', 'address', 'zone', 'slots', 'state', 'database_role', 'born'),
+    value: fc.option(anything, { nil: undefined }),
+  })
+  .map(({ field, value }) => {
+    const whole = { service: 'svc', address: '10.0.0.1:80', zone: 'a', slots: 3, state: 'ready' };
+    return JSON.stringify({ ...whole, database_role: 'replica', born: 100, [field]: value });
+  });
+
+test('no entry makes the program throw, and one that is taken is whole', () => {
+  fc.assert(
+    fc.property(fc.oneof(texts, damagedEntries), (text) => {
+      const parsed = parseInstance('servers/i-1', text);
+      if (parsed.isErr()) return;
+      const entry = parsed.value;
+      assert.equal(instanceForm(JSON.parse(JSON.stringify(entry))), entry);
+      assert.ok(Number.isSafeInteger(entry.slots) && entry.slots >= 0);
+      assert.ok(entry.port >= 0 && entry.port <= 65_535);
+      assert.ok(entry.id === 'i-1' || entry.lifeOf === 'i-1');
+    }),
+    SETTINGS,
+  );
+});
+
+test('no configuration makes the program throw, and its tenants are whole', () => {
+  fc.assert(
+    fc.property(texts, (text) => {
+      parseConfiguration(sealConfiguration(text)).map(({ tenants = [] }) => {
+        for (const { name, keyDigests, quota } of tenants) {
+          assert.match(name, /^[\x21-\x7e]+$/);
+          assert.ok(keyDigests.every((digest) => typeof digest === 'string'));
+          assert.ok(quota === undefined || (quota.ratePerSecond >= 0 && quota.burst >= 0));
+        }
+      });
+    }),
+    SETTINGS,
+  );
+});
+
+test('no line of a caller or an instance makes the program throw', () => {
+  const words = fc.constantFrom('START', 'QUERY', 'READY', 'ROW', 'ERROR', 'COMPLETE', 'TERMINATE');
+  fc.assert(
+    fc.property(words, fc.string(), (word, rest) => {
+      const line = `${word} ${rest}`;
+      assert.ok(lineWire.decodeCallerMessage(line).type);
+      assert.ok(lineWire.decodeInstanceMessage(line).type);
+    }),
+    SETTINGS,
+  );
+});
+
+/** Reads of what stores and peers tell; each gives undefined, an error or a value. */
+const READERS: Readonly<Record<string, (value: unknown) => unknown>> = {
+  ...{ readItem, readPollAnswer, readRangePage, parsePartRequest, parsePermitGrant },
+  ...{ parseToldStretch, parseWatchRequest, parseLeaseEvent, parseStreamRequest },
+  ...{ parseQuestion, parseSnapshot, instanceForm },
+};
+const FORMS = [fleetForm, membersForm, nodeForm, primaryForm];
+
+test('no message of a store or a peer, and no record, makes the program throw', () => {
+  fc.assert(
+    fc.property(anything, (value) => {
+      for (const read of Object.values(READERS)) read(value);
+      const text = JSON.stringify(value) ?? '';
+      const entry = { key: 'k', value: text, createRevision: 1, modRevision: 1 };
+      for (const form of FORMS) decodeRecord<unknown>(entry, form);
+    }),
+    SETTINGS,
+  );
+});
+
+test.run();
