A life that is over gets nothing more, also one whose entry had lapsed; tests of lives, a comment corrected

Cause: found by reading: an instance whose entry lapsed counts as usable while the store is away, and went on doing so when another life had its id. Change: one line. Test: unit/direct/service-runtime (fails without).

--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -227,9 +227,8 @@
   }
 
   /**
-   * What a reader tells after a gap begins where it told last, which the store's own answer may not reach: it is asked
-   * anew from there. Without that every node polled the store for good after one change that was not passed on (979
-   * polls of 83 nodes in 9 s, two thirds of them of nodes whose readers were well).
+   * What a reader tells after a gap begins where it told last, which the store's own answer may not reach while words and
+   * answers cross: the reader is asked anew from there. A guard: no measured day was seen to need it.
    */
   #askAfterGaps(watcher: Watcher): void {
     for (const [key, subscription] of this.#subscriptions) {
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -453,6 +453,7 @@
   /** Nothing answers for it any more: who answers under its id holds nothing of what it held. */
   #end(state: InstanceState, now: Milliseconds): void {
     state.leaving = true;
+    state.vanished = false;
     state.usableUntil = now;
     state.pool.destroy();
   }
--- a/test/unit/direct/service-runtime.test.ts
+++ b/test/unit/direct/service-runtime.test.ts
@@ -64,6 +64,21 @@
   assert.equal(usable(), ['i-1']);
 });
 
+test('one that was born again is another one: the life before gets nothing more, however the store is', () => {
+  const { world, service, usable } = setUp();
+  const first = { ...entry('i-1@100'), lifeOf: 'i-1' };
+  const second = { ...entry('i-1@200'), lifeOf: 'i-1' };
+  world.isWell = true;
+  service.setInstances([first, entry('i-2')]);
+  service.setInstances([entry('i-2')]);
+  world.isWell = false;
+  assert.equal(usable(), ['i-1@100', 'i-2'], 'its entry may have lapsed');
+  service.setInstances([second, entry('i-2')]);
+  assert.equal(usable(), ['i-2', 'i-1@200']);
+  world.now = DRAIN_MS;
+  assert.equal(usable(), ['i-2', 'i-1@200']);
+});
+
 test('a replica whose entry lapsed while the store was away is read until its entry could be back', () => {
   const { world, service } = setUp();
   const readable = (): string[] => service.readable(world.now).map(({ id }) => id);
--- a/test/unit/lives.test.ts
+++ b/test/unit/lives.test.ts
@@ -5,7 +5,10 @@
 import { lineWire } from '../../platform/line-wire.js';
 import { lifeIdOf, platformIdOf } from '../../platform/lives.js';
 import { isOtherLife } from '../../src/core/promotion/lives.js';
+import { DEFAULT_PROMOTION_TIMINGS } from '../../src/core/promotion/options.js';
+import { Primaries } from '../../src/core/promotion/primaries.js';
 import { instanceForm } from '../../src/core/promotion/records.js';
+import type { StoreView } from '../../src/core/promotion/store-view.js';
 import type { InstanceControl, InstanceEntry, InstanceStatus } from '../../src/direct/contract.js';
 import { classifyControlFailure } from '../../src/direct/instance-control.js';
 import { forOneLife } from '../../src/direct/promotion/lives.js';
@@ -33,6 +36,20 @@
   assert.is(lineWire.encodeStart('orders', FIRST.id), 'START orders meadowstack i-1\r\n');
 });
 
+test('a life is over once the store has an entry of another one, and only then', () => {
+  const never = () => Number.NEGATIVE_INFINITY;
+  const primaries = new Primaries({} as StoreView, DEFAULT_PROMOTION_TIMINGS, never);
+  primaries.noteInstances([FIRST], 0);
+  assert.not(primaries.isBornAgain(FIRST));
+  primaries.noteInstances([], 10);
+  assert.not(primaries.isBornAgain(FIRST), 'its entry may have lapsed');
+  primaries.noteInstances([SECOND], 20);
+  assert.ok(primaries.isBornAgain(FIRST));
+  assert.not(primaries.isBornAgain(SECOND));
+  const { lifeOf: _, ...untold } = FIRST;
+  assert.not(primaries.isBornAgain({ ...untold, id: 'i-1' }));
+});
+
 test('records and peers carry lives', () => {
   assert.equal(instanceForm(JSON.parse(JSON.stringify(FIRST))), FIRST);
   const { lifeOf: _, ...plain } = FIRST;
