--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -167,6 +167,8 @@
     if (this.primaries.primaryIdOf(this.service) === undefined) return;
     const member = note.members.filter((one) => one.id === id);
     const departed = [...member, ...note.departed.filter((one) => one.id !== id)];
+    const left = members.map((one) => one.id);
+    this.runtime.log('info', 'member forgotten', { service: this.service, member: id, left });
     this.#write(members, note.primary, departed.slice(0, DEPARTED_KEPT));
   }
 }
--- a/test/integration/direct/isolated-gateway.test.ts
+++ b/test/integration/direct/isolated-gateway.test.ts
@@ -8,6 +8,9 @@
 const SERVICE = 'orders';
 const OLD = 'i-orders-1';
 const ISOLATED = 1;
+const HELD = 'i-orders-2';
+const BACK = 'i-orders-3';
+const FORGOTTEN = '"event":"member forgotten"';
 
 let cluster: DirectCluster;
 let steady: LoadClient[] = [];
@@ -105,6 +108,34 @@
   await endWithNoRuleBroken();
 });
 
+/**
+ * A replica ends and is forgotten. The primary then reaches no replica and does not hear the leader, so that the other
+ * replica is held and about to be promoted. The one that had ended comes back beside it, and receives what the gateway
+ * that hears of none of this still writes: acknowledged there, it is lost with the promotion. What showed the cause: the
+ * held replica tells of its hold to whoever asks its status, and the gateway only looked for a later term.
+ */
+test('nothing is acknowledged by a replica that comes back beside the one that is about to lead', async () => {
+  await start('--promote-ms', '1500');
+  await cluster.platform.set(`/instances/${BACK}/crash`);
+  await until('the replica is forgotten', () =>
+    cluster.gateways.some((gateway) => gateway.output().includes(FORGOTTEN)),
+  );
+  await cluster.setCutFromStore(ISOLATED, true);
+  await cluster.platform.set(`/instances/${OLD}/faults`, { isDeafToControl: true });
+  await cutPrimary(true);
+  await until('the promotion call', async () => {
+    return (await cluster.platform.log()).promotionCalls.length > 0;
+  });
+  await cutPrimaryFrom([HELD]);
+  await cluster.platform.set(`/instances/${BACK}/return`);
+  await cluster.platform.newPrimary(SERVICE, OLD);
+  await served(steady);
+  await cutPrimary(false);
+  await oldPrimaryFollows();
+  await cluster.setCutFromStore(ISOLATED, false);
+  await endWithNoRuleBroken();
+});
+
 test('a gateway that was frozen while a primary was replaced does no harm when it wakes', async () => {
   await start();
   const { process: frozen } = cluster.gateway(ISOLATED);
