A node without a lease writes only what the members vouch for, and demotes a primary in whose place a replica is held

Symptom: property/late-joiner (KNOWN-RED): acknowledged commits lost; by real processes integration/direct/isolated-gateway.

Cause: no promotion waits for a node without a lease, and such a node asked the members only for a later term, after its write, and passed the acknowledgement on unless one was shown. A replica that is held for a change tells so in its status (heldTerm), and nobody looked. A replica that joins or returns while the promotion is on its way is held by nobody: the old primary gets its commits acknowledged by it, and the promoted one lacks them.

Ruled out: holding the newcomer sooner (the call can't be taken back once it is on its way); a longer wait of the leader (it can't know of a member without an entry).

Change: core/promotion/commit-verdict.ts judges a round of statuses: safe, deposed, held, unknown. direct/commit-trust.ts asks before a write is sent (refused as not run at once if not safe) and before an acknowledgement is passed on (in doubt if not safe); where only positions can be asked for (owners), a commit is told once every other member has it. Whoever sees a hold demotes the primary for that term. Trust is asked of the instance that answered, not of whoever leads by then.

--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -143,4 +143,8 @@
   /** No other candidate while a call for one may still take effect. */
   | 'settled-calls'
   /** A node's permission ends with its lease, by its own clock. */
-  | 'permission-lapse';
+  | 'permission-lapse'
+  /** A node without a lease writes only where no member speaks against it. */
+  | 'withheld-writes'
+  /** Whoever learns of a held replica demotes the primary in whose place it may be promoted. */
+  | 'demotion-by-any';
--- a/src/core/promotion/evidence.ts
+++ b/src/core/promotion/evidence.ts
@@ -4,54 +4,37 @@
  *
  * - A read: that no later primary had acknowledged a commit. One that had would have given its term
  *   to as many replicas as a commit needs, so as many members may be left without an answer.
- * - The passing on of a commit's acknowledgement: that there was no later primary at all. It tells of
- *   itself, so each member has to answer, or to be gone.
+ * - The passing on of a commit's acknowledgement: that there was no later primary at all, and none about to be made
+ *   without the commit, see `commit-verdict.ts`; each member has to answer, or to be gone.
  *
  * `core/statements/primary-evidence.ts` proves less for less: positions alone, without a slot.
  */
-import type { InstanceStatus } from '../../direct/contract.js';
 import { laterPosition, type Position } from '../position.js';
 import type { Milliseconds } from '../units.js';
+import { judgeCommits, leadsAfter, type MemberAnswers, type TermRound } from './commit-verdict.js';
 
-/** `refused`: nothing listens there. `none`: no answer, or none that tells. */
-export type RoundAnswer = InstanceStatus | 'refused' | 'none';
+export type { RoundAnswer, TermRound } from './commit-verdict.js';
 
 /** What a primary is trusted for. */
 export type TrustedUse = 'read' | 'commit';
 
-/** One finished round. */
-export interface TermRound {
-  readonly service: string;
-  /** The instance that is taken for the primary. */
-  readonly primary: string;
-  readonly sentAt: Milliseconds;
-  readonly syncReplicas: number;
-  /** Of every member that is known, the primary included, by id. */
-  readonly answers: ReadonlyMap<string, RoundAnswer>;
-}
-
 /** True if the round proves that the primary could be trusted when it was sent. */
 export function provesPrimary(round: TermRound, use: TrustedUse): boolean {
-  const { primary, answers, syncReplicas } = round;
+  return use === 'read' ? provesForReads(round) : judgeCommits(round) === 'safe';
+}
+
+function provesForReads({ primary, answers, syncReplicas }: TermRound): boolean {
   const leader = answers.get(primary);
   if (typeof leader !== 'object' || leader.role !== 'primary') return false;
   let unanswered = 0;
   for (const [id, answer] of answers) {
     if (id === primary) continue;
-    if (typeof answer === 'string') {
-      if (answer === 'none' && use === 'commit') return false;
-      unanswered += 1;
-    } else if (answer.role === 'primary' || termOf(answer) > leader.term) {
-      return false;
-    }
+    if (typeof answer === 'string') unanswered += 1;
+    else if (leadsAfter(answer, leader)) return false;
   }
   return unanswered <= syncReplicas;
 }
 
-function termOf({ term, received }: InstanceStatus): number {
-  return Math.max(term, received.timeline);
-}
-
 /**
  * The position that every commit acknowledged before the round was sent is at or before; undefined if too few
  * members told. Such a commit stands on its primary and on `syncReplicas` more: with no more members than that
@@ -60,7 +43,7 @@
  * has just joined and which nobody knows.
  */
 export function acknowledgedPosition(
-  answers: ReadonlyMap<string, RoundAnswer>,
+  answers: MemberAnswers,
   syncReplicas: number,
 ): Position | undefined {
   let position: Position | undefined;
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -31,6 +31,10 @@
     return false;
   }
 
+  async judgeCommits(): Promise<undefined> {}
+
+  async judgeWrite(): Promise<undefined> {}
+
   async acknowledgedPosition(): Promise<undefined> {}
 
   isChanging(): boolean {
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -144,7 +144,7 @@
       wire,
       now,
       counters: this.counters,
-      confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId, 'read'),
+      confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId),
     });
     this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
     this.#sampler = new PositionSampler({
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -1,13 +1,12 @@
 /** What the data path of a node asks of, and tells to, whoever keeps track of the primaries. */
 import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
+import type { CommitVerdict } from '../../core/promotion/commit-verdict.js';
 import type { PrimaryUse } from '../../core/promotion/contract.js';
-import type { TrustedUse } from '../../core/promotion/evidence.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { InstanceEntry, PromoteOutcome, PromotionCaller } from '../contract.js';
 
 export type { PrimaryUse } from '../../core/promotion/contract.js';
-export type { TrustedUse } from '../../core/promotion/evidence.js';
 
 /** Which instance leads each service, and whether it may be relied on. Times are monotonic. */
 export interface PrimaryView {
@@ -21,10 +20,21 @@
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean;
   /**
    * Where `mayTrustPrimary` is false: asks the members themselves. True if the instance could be
-   * trusted when this was called: to begin a read there, or to pass on a commit that it had already
-   * acknowledged. Costs a round trip and a slot at every member; many callers share one round.
+   * trusted when this was called, to begin a read there. Costs a round trip and a slot at every member; many callers
+   * share one round.
    */
-  confirmPrimary(service: string, instance: string, use: TrustedUse): Promise<boolean>;
+  confirmPrimary(service: string, instance: string): Promise<boolean>;
+  /**
+   * What the members say of commits that the instance had acknowledged before this call; of one, by its position.
+   * Undefined where this node can't ask them.
+   */
+  judgeCommits(
+    service: string,
+    instance: string,
+    position?: Position,
+  ): Promise<CommitVerdict | undefined>;
+  /** What they say of a write that is to be sent there now, or said a moment ago; undefined as above. */
+  judgeWrite(service: string, instance: string): Promise<CommitVerdict | undefined>;
   /**
    * The position that every commit acknowledged before this call is at or before, by what the replicas have received:
    * for when no primary tells it. Undefined if too few of them answer. Costs a slot at every member.
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -4,6 +4,7 @@
  */
 import type { OwnerRoster, ReachableNode } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
+import type { CommitVerdict } from '../../core/promotion/commit-verdict.js';
 import type {
   PromotionEffect,
   PromotionEvent,
@@ -18,13 +19,7 @@
 import type { PeerAddress } from '../../peer/contract.js';
 import type { Store } from '../../platform/contract.js';
 import type { InstanceControl, InstanceEntry, PublishedConfiguration } from '../contract.js';
-import type {
-  BoundedPromotionCaller,
-  EndPrimaryUse,
-  PrimaryUse,
-  PrimaryView,
-  TrustedUse,
-} from './contract.js';
+import type { BoundedPromotionCaller, EndPrimaryUse, PrimaryUse, PrimaryView } from './contract.js';
 import { type ClassifyControlFailure, classifyBySystemCall } from './control-failure.js';
 import { forOneLife } from './lives.js';
 import { RequestRunner } from './request-runner.js';
@@ -109,6 +104,7 @@
     this.#confirmation = new TermConfirmation({
       control: asking ?? control,
       classifyFailure,
+      onHeld: (primary, term) => this.#demote(control, primary, term, timings.controlTimeoutMs),
       membersOf: (service) => this.#machine.membersOf(service),
       unseenMembersOf: (service) => this.#machine.unseenMembersOf(service),
       syncReplicasOf: (service) => this.#syncReplicas.get(service) ?? 0,
@@ -174,9 +170,23 @@
     return this.#machine.mayTrustPrimary(service, now, instance);
   }
 
-  confirmPrimary(service: string, instance: string, use: TrustedUse): Promise<boolean> {
+  confirmPrimary(service: string, instance: string): Promise<boolean> {
     if (!this.#mayAskMembers(service)) return Promise.resolve(false);
-    return this.#confirmation.confirm(service, instance, use);
+    return this.#confirmation.confirm(service, instance, 'read');
+  }
+
+  judgeCommits(
+    service: string,
+    instance: string,
+    position?: Position,
+  ): Promise<CommitVerdict | undefined> {
+    if (!this.#mayAskMembers(service)) return Promise.resolve(undefined);
+    return this.#confirmation.judge(service, instance, position);
+  }
+
+  judgeWrite(service: string, instance: string): Promise<CommitVerdict | undefined> {
+    if (!this.#mayAskMembers(service)) return Promise.resolve(undefined);
+    return this.#confirmation.judgeAhead(service, instance);
   }
 
   acknowledgedPosition(service: string): Promise<Position | undefined> {
@@ -184,6 +194,26 @@
     return this.#confirmation.acknowledgedPosition(service);
   }
 
+  /**
+   * The leader of the change may not reach the old primary, where commits that were sent before may be acknowledged yet
+   * by a replica that has just joined. Whoever learns of a hold demotes it.
+   */
+  #demote(
+    control: InstanceControl,
+    primary: InstanceEntry,
+    term: number,
+    timeoutMs: Milliseconds,
+  ): void {
+    const { id: instance, service } = primary;
+    this.options.logger.info('primary to be demoted, a replica is held', {
+      ...{ service, instance, term },
+    });
+    void control.demote(primary, term, timeoutMs).match(
+      ({ role }) => this.options.logger.info('primary demoted', { service, instance, term, role }),
+      ({ code }) => this.options.logger.warn('primary not demoted', { service, instance, code }),
+    );
+  }
+
   /** Where owners hold the connections, an instance has none left for this node's questions. */
   #mayAskMembers(service: string): boolean {
     const { mayConnect = () => true } = this.options;
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -1,13 +1,20 @@
 /**
- * Asks the members of a group whether any leads a later term, for all who wait at once: whoever asks
- * while a round is on its way waits for the next, since a round proves nothing of what came after it.
+ * Asks the members of a group whether any leads a later term, or is held for one, for all who wait at once: whoever
+ * asks while a round is on its way waits for the next, since a round proves nothing of what came after it.
  */
 
 import type { Position } from '../../core/position.js';
+import {
+  type CommitVerdict,
+  isSafe,
+  judgeCommits,
+  type MemberAnswers,
+  type RoundAnswer,
+  termOfHold,
+} from '../../core/promotion/commit-verdict.js';
 import {
   acknowledgedPosition,
   PrimaryEvidence,
-  type RoundAnswer,
   type TrustedUse,
 } from '../../core/promotion/evidence.js';
 import type { Milliseconds } from '../../core/units.js';
@@ -17,10 +24,17 @@
 
 /** A member whose slots are all taken is asked again after this. */
 const BUSY_PAUSE_MS = 40;
+/**
+ * A round speaks for writes that are sent within this time after it: each takes a slot at every member. What is
+ * acknowledged is looked at once more, so that a longer time costs callers no commit, only answers in doubt.
+ */
+const AHEAD_MAX_AGE_MS: Milliseconds = 100;
 
 export interface TermConfirmationOptions {
   readonly control: Pick<InstanceControl, 'status'>;
   readonly classifyFailure: ClassifyControlFailure;
+  /** A replica is held for this term, which may be promoted in the primary's place. */
+  readonly onHeld?: (primary: InstanceEntry, term: number) => void;
   /** Every member of the service that is known, also if its entry is gone. */
   readonly membersOf: (service: string) => readonly InstanceEntry[];
   /**
@@ -35,16 +49,22 @@
   readonly timeoutMs: Milliseconds;
 }
 
-interface Waiter {
-  readonly primary: string;
-  readonly use: TrustedUse;
-  readonly at: Milliseconds;
-  readonly resolve: (isProven: boolean) => void;
+/** What the members answered, all asked at once. */
+interface Round {
+  readonly sentAt: Milliseconds;
+  readonly endedAt: Milliseconds;
+  readonly syncReplicas: number;
+  readonly answers: MemberAnswers;
 }
 
+/** Undefined: nobody could be asked. */
+type Waiter = (round: Round | undefined) => void;
+
 export class TermConfirmation {
   readonly #evidence: PrimaryEvidence;
   readonly #waiting = new Map<string, Waiter[]>();
+  readonly #lastRounds = new Map<string, Round>();
+  readonly #toldOfHold = new WeakSet<Round>();
   readonly #planned = new Set<string>();
 
   constructor(private readonly options: TermConfirmationOptions) {
@@ -52,14 +72,41 @@
   }
 
   /** True if the primary could be trusted for this use when this was called. */
-  confirm(service: string, primary: string, use: TrustedUse): Promise<boolean> {
-    return new Promise((resolve) => {
-      const waiter = { primary, use, at: this.options.now(), resolve };
-      const waiting = this.#waiting.get(service);
-      if (waiting === undefined) this.#waiting.set(service, [waiter]);
-      else waiting.push(waiter);
-      this.#plan(service);
-    });
+  async confirm(service: string, primary: string, use: TrustedUse): Promise<boolean> {
+    const at = this.options.now();
+    const round = await this.#nextRound(service);
+    if (round !== undefined) this.#evidence.noteRound({ service, primary, ...round });
+    return this.#evidence.covers(service, primary, use, at);
+  }
+
+  /** What the members say of commits that the primary had acknowledged before this call; of one, by its position. */
+  async judge(service: string, primary: string, position?: Position): Promise<CommitVerdict> {
+    const round = await this.#nextRound(service);
+    if (round === undefined) return 'unknown';
+    this.#tellOfHold(service, primary, round);
+    return judgeCommits({ primary, ...round }, position);
+  }
+
+  /** What they say of a write that is sent now, by a round that is hardly over if there is one. */
+  async judgeAhead(service: string, primary: string): Promise<CommitVerdict> {
+    const now = this.options.now();
+    const last = this.#lastRounds.get(service);
+    if (last !== undefined) {
+      const verdict = judgeCommits({ primary, ...last });
+      // A refusal does no harm by being old, and a round with a silent member takes long.
+      const from = isSafe(verdict) ? last.sentAt : last.endedAt;
+      if (now - from <= AHEAD_MAX_AGE_MS) return verdict;
+    }
+    return this.judge(service, primary);
+  }
+
+  /** Once a round, however many wait for it. */
+  #tellOfHold(service: string, primary: string, round: Round): void {
+    if (this.#toldOfHold.has(round)) return;
+    this.#toldOfHold.add(round);
+    const term = termOfHold({ primary, ...round });
+    const instance = this.options.membersOf(service).find(({ id }) => id === primary);
+    if (term !== undefined && instance !== undefined) this.options.onHeld?.(instance, term);
   }
 
   /** The position that every commit acknowledged before this call is at or before, if enough members tell theirs. */
@@ -69,6 +116,15 @@
     return answers && acknowledgedPosition(answers, syncReplicas);
   }
 
+  #nextRound(service: string): Promise<Round | undefined> {
+    return new Promise((resolve) => {
+      const waiting = this.#waiting.get(service);
+      if (waiting === undefined) this.#waiting.set(service, [resolve]);
+      else waiting.push(resolve);
+      this.#plan(service);
+    });
+  }
+
   #plan(service: string): void {
     if (this.#planned.has(service)) return;
     this.#planned.add(service);
@@ -86,18 +142,13 @@
     const syncReplicas = this.options.syncReplicasOf(service);
     const answers = await this.#askAll(service);
     this.#planned.delete(service);
-    if (answers !== undefined) {
-      for (const primary of new Set(waiters.map((waiter) => waiter.primary))) {
-        this.#evidence.noteRound({ service, primary, sentAt, syncReplicas, answers });
-      }
-    }
-    for (const { primary, use, at, resolve } of waiters) {
-      resolve(this.#evidence.covers(service, primary, use, at));
-    }
+    const round = answers && { sentAt, endedAt: this.options.now(), syncReplicas, answers };
+    if (round !== undefined) this.#lastRounds.set(service, round);
+    for (const resolve of waiters) resolve(round);
     if (this.#waiting.has(service)) this.#plan(service);
   }
 
-  async #askAll(service: string): Promise<ReadonlyMap<string, RoundAnswer> | undefined> {
+  async #askAll(service: string): Promise<MemberAnswers | undefined> {
     const members = this.options.membersOf(service);
     const unseen = this.options.unseenMembersOf(service);
     if (unseen === undefined) return undefined;
--- a/src/direct/request-trace.ts
+++ b/src/direct/request-trace.ts
@@ -34,6 +34,8 @@
     }
   /** No answer came: it may have run. */
   | { readonly step: 'unanswered'; readonly instance: string; readonly fault: string }
+  /** The members were asked since the primary was not trusted, and did not vouch for a write there. */
+  | { readonly step: 'write-withheld'; readonly instance: string; readonly verdict: string }
   /** Acknowledged by an instance that was not trusted then; the members were asked. */
   | { readonly step: 'commit-confirmed'; readonly verdict: string }
   /** Another attempt is beyond the tenant's budget. */
--- a/src/direct/snapshots/told-primaries.ts
+++ b/src/direct/snapshots/told-primaries.ts
@@ -6,9 +6,10 @@
 import type { PrimariesPart } from '../../core/directory/snapshot.js';
 import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
+import type { CommitVerdict } from '../../core/promotion/commit-verdict.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { InstanceEntry } from '../contract.js';
-import type { PrimaryUse, PrimaryView, TrustedUse } from '../promotion/contract.js';
+import type { PrimaryUse, PrimaryView } from '../promotion/contract.js';
 
 /** What is known by this node itself. */
 export interface RecordedPrimaries extends PrimaryView {
@@ -74,8 +75,20 @@
     return asked !== undefined && this.recorded.mayTrustPrimary(service, now, asked);
   }
 
-  confirmPrimary(service: string, instance: string, use: TrustedUse): Promise<boolean> {
-    return this.recorded.confirmPrimary(service, instance, use);
+  confirmPrimary(service: string, instance: string): Promise<boolean> {
+    return this.recorded.confirmPrimary(service, instance);
+  }
+
+  judgeCommits(
+    service: string,
+    instance: string,
+    position?: Position,
+  ): Promise<CommitVerdict | undefined> {
+    return this.recorded.judgeCommits(service, instance, position);
+  }
+
+  judgeWrite(service: string, instance: string): Promise<CommitVerdict | undefined> {
+    return this.recorded.judgeWrite(service, instance);
   }
 
   acknowledgedPosition(service: string): Promise<Position | undefined> {
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -5,13 +5,14 @@
 import { statementPause } from '../core/retry/statement-pause.js';
 import type { Milliseconds } from '../core/units.js';
 import { Cancellation } from './cancellation.js';
+import { CommitTrust } from './commit-trust.js';
 import { InstanceFeedback } from './instance-feedback.js';
 import type { PrimaryView } from './promotion/contract.js';
-import type { RequestTrace } from './request-trace.js';
-import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
+import type { InstanceRuntime } from './service-runtime.js';
 import { StatementAttempts } from './statement-attempts.js';
 import {
   type Attempt,
+  notSent,
   type Refusal,
   refuse,
   type StatementOutcome,
@@ -26,6 +27,8 @@
 const HEDGE_MINIMUM_MS: Milliseconds = 60;
 const HEDGE_TARGET_SHARE = 0.5;
 const MAX_READ_ATTEMPTS = 4;
+/** Told where the members don't vouch for a write. */
+const WITHHELD_TEXT = 'whether the primary is being replaced is not known';
 
 export interface RunnerOptions {
   readonly wire: StatementWire;
@@ -53,8 +56,10 @@
   readonly targets: TargetChooser;
   readonly feedback: InstanceFeedback;
   readonly attempts: StatementAttempts;
+  readonly commits: CommitTrust;
 
   constructor(readonly options: RunnerOptions) {
+    this.commits = new CommitTrust(options);
     this.targets = new TargetChooser(options);
     this.feedback = new InstanceFeedback(options);
     const { targets, feedback } = this;
@@ -81,24 +86,6 @@
     return now() - request.beganAt < request.tenant.policy.untriedPatienceMs;
   }
 
-  /**
-   * What a primary acknowledged is passed on as it is while the lease vouches for it. Without, the
-   * members are asked: if another has led since, the write may be lost with its log.
-   */
-  async confirmWrite(
-    service: ServiceRuntime,
-    outcome: StatementOutcome,
-    trace?: RequestTrace,
-  ): Promise<StatementOutcome> {
-    const { view, prover, now } = this.options;
-    const isDone = outcome.type === 'answered' && outcome.answer.error === undefined;
-    if (!isDone || view.mayTrustPrimary(service.name, now())) return outcome;
-    const verdict = await prover.examine(service);
-    trace?.note({ step: 'commit-confirmed', verdict });
-    if (verdict !== 'deposed') return outcome;
-    return refuse('in-doubt', 'the primary was replaced meanwhile');
-  }
-
   async #runWrite(request: StatementRequest): Promise<StatementOutcome> {
     const { now } = this.options;
     let refusal: Refusal = { code: 'busy', text: 'no primary' };
@@ -109,11 +96,9 @@
       if (target !== undefined) {
         if (!mayAttemptAgain(request, attempts)) break;
         attempts += 1;
-        const endWrite = request.service.beginWrite();
-        const attempt = await this.attempts.run(request, target);
-        endWrite();
+        const attempt = await this.#tryWrite(request, target);
         if (attempt.type === 'answered') {
-          return this.confirmWrite(request.service, attempt, request.trace);
+          return this.commits.confirm(request.service, attempt.instance, attempt, request.trace);
         }
         if (attempt.type === 'unknown') return refuse('in-doubt', 'no answer to a write');
         refusal = attempt.refusal;
@@ -126,6 +111,18 @@
     return { type: 'refused', refusal };
   }
 
+  async #tryWrite(request: StatementRequest, target: Target): Promise<Attempt> {
+    const { service, trace } = request;
+    const { instance } = target;
+    if (!(await this.commits.maySend(service, instance, trace))) {
+      return notSent(instance, WITHHELD_TEXT);
+    }
+    const endWrite = service.beginWrite();
+    const attempt = await this.attempts.run(request, target);
+    endWrite();
+    return attempt;
+  }
+
   /** Another primary leads than the one that was tried: it is tried at once, however long that took. */
   isReplaced({ service }: Pick<Placement, 'service'>, tried: InstanceRuntime): boolean {
     const primary = this.options.view.primaryOf(service.name);
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -109,6 +109,10 @@
     instance: InstanceRuntime,
   ): Promise<StatementOutcome> {
     const { now } = this.runner.options;
+    if (this.#wrote && !(await this.#maySendCommit(request, instance))) {
+      void rollBack(connection, instance, this.runner.options.wire.encodeRollback());
+      return refuse('aborted', 'whether the primary is being replaced is not known; rolled back');
+    }
     const sentAt = now();
     const endWrite = this.service.beginWrite();
     request.trace?.note({ step: 'sent', instance: instance.id, through: throughOf(connection) });
@@ -146,7 +150,11 @@
     request.trace?.note({ step: 'answered', instance: instance.id, code: error?.code });
     const outcome = { type: 'answered' as const, answer: answer.value };
     if (!this.#wrote) return outcome;
-    return this.runner.confirmWrite(this.service, outcome, request.trace);
+    return this.runner.commits.confirm(this.service, instance, outcome, request.trace);
+  }
+
+  #maySendCommit(request: TransactionRequest, instance: InstanceRuntime): Promise<boolean> {
+    return this.runner.commits.maySend(this.service, instance, request.trace);
   }
 
   get wrote(): boolean {
--- a/src/direct/trust-prover.ts
+++ b/src/direct/trust-prover.ts
@@ -38,12 +38,20 @@
  */
 export type Verdict = 'proven' | 'deposed' | 'unknown';
 
+/** What one round has shown, and the positions that it is shown by; none where it went by other words. */
+export interface ProofRound {
+  readonly verdict: Verdict;
+  readonly answers: readonly MemberAnswer[];
+}
+
 interface ServiceProof {
   readonly evidence: PrimaryEvidence;
-  running: Promise<Verdict> | undefined;
-  next: Promise<Verdict> | undefined;
+  running: Promise<ProofRound> | undefined;
+  next: Promise<ProofRound> | undefined;
 }
 
+const NOTHING_ASKED = { verdict: 'unknown', answers: [] } as const;
+
 export class TrustProver {
   readonly #proofs = new Map<string, ServiceProof>();
 
@@ -60,7 +68,12 @@
   }
 
   /** Resolves with what a round has shown that was sent after this call. */
-  examine(service: ServiceRuntime): Promise<Verdict> {
+  async examine(service: ServiceRuntime): Promise<Verdict> {
+    return (await this.round(service)).verdict;
+  }
+
+  /** The same with what the members told. */
+  round(service: ServiceRuntime): Promise<ProofRound> {
     const proof = this.#proofOf(service.name);
     if (proof.running === undefined) return this.#start(service, proof);
     proof.next ??= proof.running.then(() => {
@@ -79,33 +92,35 @@
     return proof;
   }
 
-  #start(service: ServiceRuntime, proof: ServiceProof): Promise<Verdict> {
-    const round = this.#round(service, proof.evidence).then((verdict) => {
+  #start(service: ServiceRuntime, proof: ServiceProof): Promise<ProofRound> {
+    const round = this.#round(service, proof.evidence).then((shown) => {
       proof.running = undefined;
-      if (verdict !== 'proven') this.options.counters.proofsFailed += 1;
-      return verdict;
+      if (shown.verdict !== 'proven') this.options.counters.proofsFailed += 1;
+      return shown;
     });
     proof.running = round;
     return round;
   }
 
-  async #round(service: ServiceRuntime, evidence: PrimaryEvidence): Promise<Verdict> {
+  async #round(service: ServiceRuntime, evidence: PrimaryEvidence): Promise<ProofRound> {
     const { now, counters } = this.options;
     const sentAt = now();
     const primary = service.primary(sentAt);
-    if (primary === undefined) return 'unknown';
+    if (primary === undefined) return NOTHING_ASKED;
     counters.proofRounds += 1;
     const term = service.trustedTermOf(primary.id);
     // A node that has just started can't tell from positions alone whose term it is.
-    if (term === undefined) return this.#confirm(service, primary, sentAt, evidence);
+    if (term === undefined) {
+      return { verdict: await this.#confirm(service, primary, sentAt, evidence), answers: [] };
+    }
     const questions = service.members().map((member) => this.#ask(member, sentAt));
     const answers = await Promise.all(questions);
     const known = { instanceId: primary.id, term };
-    if (evidence.noteRound(known, sentAt, answers)) return 'proven';
-    if (showsLaterTerm(known, answers)) return 'deposed';
+    if (evidence.noteRound(known, sentAt, answers)) return { verdict: 'proven', answers };
+    if (showsLaterTerm(known, answers)) return { verdict: 'deposed', answers };
     const silent = answers.filter(({ position }) => position === undefined).length;
-    if (silent > MAX_SILENT_MEMBERS) return 'unknown';
-    return this.#confirm(service, primary, sentAt, evidence);
+    if (silent > MAX_SILENT_MEMBERS) return { verdict: 'unknown', answers };
+    return { verdict: await this.#confirm(service, primary, sentAt, evidence), answers };
   }
 
   async #confirm(
--- a/src/observability/explanation.ts
+++ b/src/observability/explanation.ts
@@ -190,6 +190,9 @@
   if (confirmed?.fields.verdict === 'deposed') {
     return 'another primary led before its acknowledgement could be relied on';
   }
+  if (confirmed !== undefined && confirmed.fields.verdict !== 'safe') {
+    return `whoever leads next may lack it: its node had no lease, and the members told "${textOf(confirmed.fields.verdict)}"`;
+  }
   const unanswered = last(story, 'unanswered');
   if (unanswered === undefined) return causeOfRefusal(story);
   const instance = textOf(unanswered.fields.instance);
@@ -203,6 +206,8 @@
   const notSent = last(story, 'not-sent');
   const spent = last(story, 'budget-spent');
   if (spent !== undefined) return 'its tenant had spent its budget of repeated attempts';
+  const withheld = last(story, 'write-withheld');
+  if (withheld !== undefined) return withheldBy(withheld, story);
   if (none !== undefined && (notSent === undefined || none.atMs >= notSent.atMs)) {
     if (none.fields.isChanging === true)
       return `its primary was being replaced${changeNear(story)}`;
@@ -216,6 +221,12 @@
   return `${textOf(notSent.fields.instance)} was not sent it: ${textOf(notSent.fields.reason)}`;
 }
 
+function withheldBy({ fields }: ExplainedStep, story: Story): string {
+  const instance = textOf(fields.instance);
+  const verdict = textOf(fields.verdict);
+  return `its node had no lease, and the members did not vouch for ${instance} ("${verdict}")${changeNear(story)}`;
+}
+
 /** Where most of the time went. */
 function causeOfLate(story: Story): string {
   let slowest = { ms: -1, between: '' };
--- a/test/support/promotion/group.ts
+++ b/test/support/promotion/group.ts
@@ -59,6 +59,8 @@
   readonly id: number;
   readonly at: number;
   readonly index: number;
+  /** A node has passed the acknowledgement on to its caller. */
+  isTold: boolean;
 }
 
 export class SimulatedGroup {
@@ -66,6 +68,9 @@
   /** By time of their acknowledgement; those that a promotion lost are reported and taken out. */
   acknowledged: AcknowledgedCommit[] = [];
   readonly violations: string[] = [];
+  /** Of the commits that a promotion lost, those that a caller was told of. */
+  readonly lostAndTold: number[] = [];
+  readonly #lost = new Set<number>();
   promotions = 0;
   /** Commits that were ever acknowledged by the group's leader. */
   commits = 0;
@@ -179,11 +184,14 @@
       const acknowledge = (): void => {
         // What a deposed primary acknowledges is lost; the node must not pass it on.
         const isDeposed = this.leader !== instance;
+        const acknowledged = { id: commit, at: this.#clock.now, index, isTold: false };
         if (!isDeposed) {
           this.commits += 1;
-          this.acknowledged.push({ id: commit, at: this.#clock.now, index });
+          this.acknowledged.push(acknowledged);
         }
         const passOn = (): void => {
+          acknowledged.isTold = true;
+          if (this.#lost.has(commit)) this.lostAndTold.push(commit);
           if (!isDeposed) return;
           const at = this.#clock.now.toFixed(0);
           this.violations.push(`ONE: commit ${commit} at deposed ${id}, by ${machine} at ${at}`);
@@ -257,8 +265,10 @@
     if (!instance.alive || (this.leader === instance && instance.role === 'primary')) return;
     const present = new Set(instance.log.map(({ id }) => id));
     const lost = this.acknowledged.filter(({ id }) => !present.has(id));
-    for (const { id } of lost) {
+    for (const { id, isTold } of lost) {
+      this.#lost.add(id);
       this.violations.push(`LOST: commit ${id} at the promotion of ${instance.id}`);
+      if (isTold) this.lostAndTold.push(id);
     }
     this.acknowledged = this.acknowledged.filter(({ id }) => present.has(id));
     this.#highestTerm += 1;
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -1,4 +1,11 @@
 /** One node in virtual time: its machine, a clock that drifts, and a data path that reads and writes. */
+
+import {
+  isSafe,
+  judgeCommits,
+  type MemberAnswers,
+  termOfHold,
+} from '../../../src/core/promotion/commit-verdict.js';
 import type {
   PromotionEffect,
   PromotionEvent,
@@ -242,15 +249,41 @@
   #write(service: string): void {
     const primary = this.machine?.primaryOf(service, this.now);
     if (primary === undefined) return;
-    const finish = this.#expectAnswer(service, primary.id, 'commit');
+    this.#unlessWithheld(service, primary.id, () => this.#sendWrite(service, primary.id));
+  }
+
+  /** As the product has it: a node without a lease asks the members first, and sends only what they vouch for. */
+  #unlessWithheld(service: string, primary: string, send: () => void): void {
+    const { disabled } = this.world;
+    if (this.machine?.mayTrustPrimary(service, this.now, primary) === true) send();
+    else if (disabled.has('withheld-writes')) send();
+    else
+      this.#askMembers(service, (answers) => {
+        this.#demoteIfHeld(service, primary, answers);
+        if (!isSafe(judgeCommits({ primary, syncReplicas: 1, answers }))) return;
+        if (this.machine?.primaryOf(service, this.now)?.id === primary) send();
+      });
+  }
+
+  #demoteIfHeld(service: string, primary: string, answers: MemberAnswers): void {
+    if (this.world.disabled.has('demotion-by-any')) return;
+    const term = termOfHold({ primary, answers });
+    const instance = this.machine?.membersOf(service).find(({ id }) => id === primary);
+    if (term === undefined || instance === undefined) return;
+    const request = { type: 'control', action: 'demote', instance, term, timeoutMs: 300 } as const;
+    this.world.groups.get(service)?.control(this.name, request, () => {});
+  }
+
+  #sendWrite(service: string, primary: string): void {
+    const finish = this.#expectAnswer(service, primary, 'commit');
     const life = this.#life;
     const write = { service, isGivenUp: false };
     this.#writes.add(write);
-    this.world.groups.get(service)?.write(this.name, primary.id, (passOn) =>
+    this.world.groups.get(service)?.write(this.name, primary, (passOn) =>
       this.#run(life, () => {
         this.#writes.delete(write);
         finish();
-        this.#ifTrusted(service, primary.id, 'commit', () => {
+        this.#ifTrusted(service, primary, 'commit', () => {
           if (write.isGivenUp) return;
           this.writesAcknowledged += 1;
           passOn();
@@ -322,6 +355,7 @@
     }
     const sentAt = this.now;
     this.#askMembers(service, (answers) => {
+      if (use === 'commit') this.#demoteIfHeld(service, primary, answers);
       if (!provesPrimary({ service, primary, sentAt, syncReplicas: 1, answers }, use)) return;
       this.confirmedByRounds += 1;
       action();
--- /dev/null
+++ b/test/unit/commit-verdict.test.ts
@@ -0,0 +1,70 @@
+/** What the members of a group say of commits at a primary that no lease vouches for. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  type CommitVerdict,
+  isSafe,
+  judgeCommits,
+  type RoundAnswer,
+} from '../../src/core/promotion/commit-verdict.js';
+import type { InstanceStatus } from '../../src/direct/contract.js';
+
+const PRIMARY = 'primary';
+const TERM = 4;
+
+function status(changes: Partial<InstanceStatus> = {}): InstanceStatus {
+  const rest = { heldTerm: 0, lagMs: 0, busySlots: 0, connections: 0 };
+  const received = { timeline: TERM, lsn: 10n };
+  return { role: 'replica', term: TERM, received, ...rest, ...changes };
+}
+
+const LEADS = status({ role: 'primary' });
+const HELD = status({ heldTerm: TERM + 1 });
+
+function verdict(others: readonly RoundAnswer[], lsn?: bigint, leader: RoundAnswer = LEADS) {
+  const answers = new Map<string, RoundAnswer>([
+    [PRIMARY, leader],
+    ...others.map((answer, index) => [`other-${index}`, answer] as const),
+  ]);
+  const position = lsn === undefined ? undefined : { timeline: TERM, lsn };
+  return judgeCommits({ primary: PRIMARY, syncReplicas: 1, answers }, position);
+}
+
+test('commits are safe while every member follows the primary, or is gone', () => {
+  assert.is(verdict([status(), status()]), 'safe');
+  assert.is(verdict([status(), 'refused']), 'safe');
+});
+
+test('a held replica may be promoted without the commit, whatever the others say', () => {
+  assert.is(verdict([status(), HELD]), 'held');
+  assert.is(verdict([HELD, 'none']), 'held');
+  assert.is(verdict([HELD, 'refused'], 11n), 'held');
+});
+
+test('a held replica that has received the commit does no harm', () => {
+  assert.is(verdict([HELD, status()], 10n), 'safe');
+});
+
+test('a hold for an earlier change than the one that the primary leads by counts no more', () => {
+  assert.is(verdict([status({ heldTerm: TERM }), status()]), 'safe');
+});
+
+test('another that leads, or a later term anywhere, tells of a later primary', () => {
+  assert.is(verdict([LEADS, status()]), 'deposed');
+  assert.is(verdict([status({ term: TERM + 1 }), HELD]), 'deposed');
+  assert.is(verdict([status({ received: { timeline: TERM + 1, lsn: 1n } })]), 'deposed');
+  assert.is(verdict([status()], undefined, status()), 'deposed');
+});
+
+test('a silent member, or more gone than a commit needs, leaves it unknown', () => {
+  assert.is(verdict([status(), 'none']), 'unknown');
+  assert.is(verdict(['refused', 'refused']), 'unknown');
+  assert.is(verdict([status()], undefined, 'none'), 'unknown');
+});
+
+test('only what the members vouch for is sent and passed on', () => {
+  const verdicts: readonly CommitVerdict[] = ['safe', 'unknown', 'held', 'deposed'];
+  assert.equal(verdicts.filter(isSafe), ['safe']);
+});
+
+test.run();
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -52,6 +52,8 @@
     watchesPrimaries: false,
     mayTrustPrimary: () => isTrusted,
     confirmPrimary: () => Promise.resolve(true),
+    judgeCommits: async () => undefined,
+    judgeWrite: async () => 'unknown' as const,
     acknowledgedPosition: () => Promise.resolve(undefined),
     isChanging: () => !isTrusted,
     onChange: () => {},
--- a/test/unit/direct/told-primaries.test.ts
+++ b/test/unit/direct/told-primaries.test.ts
@@ -24,6 +24,8 @@
     mayTrustPrimary: (_service, _now, asked) =>
       isPermitted && primary !== undefined && (asked === undefined || asked === primary),
     confirmPrimary: () => Promise.resolve(false),
+    judgeCommits: async () => undefined,
+    judgeWrite: async () => 'unknown' as const,
     acknowledgedPosition: () => Promise.resolve(undefined),
     isChanging: () => false,
     reportPrimaryFailure: () => {},
