A late initial primary of a stand-in group gives way; dev tells what is up and prepares a group again after an election

Cause: timeline 1 of a stand-in group is led by its initial primary without a vote. If that process is late at its start, the two others elect one of them within 300 to 600 ms, and the first election was to timeline 1 as well: two primaries on one timeline, neither of which gives way. The replica follows one and the other in turn; whoever waits for it waits for ever. Evidence: dev with its database processes paused at random (0.3 to 2.1 s, eight at once): 4 of 32 starts never ended (45 s). States of such a start, every 3 s until its end: 'a primary tl 1 lsn 0/1015D24 | b primary tl 1 lsn 0/1000000 | c replica tl 1'. Ruled out: slowness alone (all others of the 32 were there after 10 to 22 s of which the pauses are most); a hanging query ('prepared' had been told each time).

Preparing a group waits for the present timeline's primary and is done again if another was elected, which may lack rows; before, it waited for a log position that could be lost with the old primary. dev tells each part that is up on standard error, and the harness shows that of a child that stays silent.

--- a/bench/dev/main.ts
+++ b/bench/dev/main.ts
@@ -13,6 +13,7 @@
   statementMs: 0,
   electionTimeoutMs: 300,
   delays: false,
+  onStep: (step: string): void => void process.stderr.write(`${step}\n`),
 } as const;
 
 const cluster = await startDeploymentCluster(SETTINGS);
--- a/bench/harness/child-process.ts
+++ b/bench/harness/child-process.ts
@@ -69,7 +69,8 @@
   });
   return new Promise((resolve, reject) => {
     const fail = (reason: string): void => reject(new ChildStartError(`${name}: ${reason}`));
-    const timer = setTimeout(() => fail(`silent for ${START_TIMEOUT_MS} ms`), START_TIMEOUT_MS);
+    const silent = (): void => fail(`silent for ${START_TIMEOUT_MS} ms: ${errors}`);
+    const timer = setTimeout(silent, START_TIMEOUT_MS);
     const lines = createInterface({ input: stdout });
     lines.once('line', (line) => {
       clearTimeout(timer);
--- a/bench/harness/cluster.ts
+++ b/bench/harness/cluster.ts
@@ -80,6 +80,8 @@
   readonly proxyFlags?: readonly string[];
   /** Proxies reach the instances without the fault proxy in between: for measuring overhead. */
   readonly withoutFaultProxy?: boolean;
+  /** Told of each part that is up. */
+  readonly onStep?: (step: string) => void;
 }
 
 export class Cluster {
@@ -107,6 +109,7 @@
       startFaultProxy(),
       options.callerLatencyMs === undefined ? undefined : startFaultProxy(),
     ]);
+    options.onStep?.('store, machine list and fault proxy are up');
     const cluster = new Cluster(options, store, machines, faults, callerFaults);
     try {
       await Promise.all([
@@ -152,6 +155,7 @@
       backendPassword: BACKEND_PASSWORD,
       extra: this.#options.proxyFlags ?? [],
     });
+    this.#options.onStep?.(`${proxy.nodeId} serves`);
     this.proxies.set(proxy.nodeId, running);
     await this.#routeCallers(running);
     await this.machines.upsert({
@@ -211,6 +215,7 @@
   async #startGroup(options: ClusterGroup): Promise<void> {
     const group = await startDatabaseGroup({ ...options, password: BACKEND_PASSWORD });
     this.groups.set(options.group, group);
+    this.#options.onStep?.(`group ${options.group} is up`);
     for (const instance of group.instances) {
       const address = await this.#routeTo(instance);
       await this.machines.upsert({
--- a/bench/run/deployment-cluster.ts
+++ b/bench/run/deployment-cluster.ts
@@ -2,7 +2,8 @@
  * The cluster of one or more deployments with the brief's sizes: groups, zones, delays, templates,
  * tenants, proxies spread over the zones, and databases with their tables and first rows.
  */
-import { parseLsn } from '../../src/core/position.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { InstanceState } from '../../standins/database/instance.js';
 import type { Deployment } from '../deployments.js';
 import {
   BACKEND_PASSWORD,
@@ -28,12 +29,15 @@
   /** Delays of the deployments' places; false for the shortest ways that there are. */
   readonly delays: boolean;
   readonly proxyFlags?: readonly string[];
+  /** Told of each part that is up. */
+  readonly onStep?: (step: string) => void;
 }
 
 /** The role that all tenants of a deployment have on its back ends. */
 export const DATABASE_ROLE = 'app';
 
 const PREPARE_ATTEMPTS = 5;
+const POLL_MS = 10;
 
 /** Starts it all; resolves when callers are served and every replica has the tables. */
 export async function startDeploymentCluster(options: DeploymentClusterOptions): Promise<Cluster> {
@@ -41,7 +45,10 @@
   try {
     await Promise.all(
       options.deployments.flatMap((deployment) =>
-        deployment.groups.map((name) => prepareGroup(cluster.group(name), deployment)),
+        deployment.groups.map(async (name) => {
+          await prepareGroup(cluster.group(name), deployment);
+          options.onStep?.(`group ${name} has its tables`);
+        }),
       ),
     );
     return cluster;
@@ -94,7 +101,7 @@
 }
 
 function clusterOptionsOf(options: DeploymentClusterOptions): ClusterOptions {
-  const { deployments, delays } = options;
+  const { deployments, delays, onStep } = options;
   const zoneDelayMs = Math.max(...deployments.map((deployment) => deployment.zoneDelayMs));
   const callerLatencyMs = Math.max(...deployments.map((deployment) => deployment.clientDelayMs));
   return {
@@ -105,6 +112,7 @@
     templates: deployments.map(templateYaml).join('---\n'),
     tenants: deployments.map(tenantOf),
     proxyFlags: options.proxyFlags ?? [],
+    ...(onStep === undefined ? {} : { onStep }),
     ...(delays ? { instanceLatencyMs: zoneDelayMs, callerLatencyMs } : {}),
   };
 }
@@ -141,32 +149,32 @@
   return `${deployment.tenant}-password`;
 }
 
-/** The group may elect another primary meanwhile, on a busy machine: then it is done again. */
+/** The group may elect another primary meanwhile, on a busy machine, which may lack rows: then it is done again. */
 async function prepareGroup(group: DatabaseGroup, deployment: Deployment): Promise<void> {
   const credentials = { user: DATABASE_ROLE, password: BACKEND_PASSWORD, database: 'postgres' };
-  for (let attempt = 1; ; attempt += 1) {
-    const { host, pgPort: port } = await group.waitForPrimary();
+  let cause: unknown;
+  for (let attempt = 0; attempt < PREPARE_ATTEMPTS; attempt += 1) {
+    const { name, host, pgPort: port } = await group.waitForPrimary();
+    const { timeline } = await group.state(name);
     try {
       await prepareDatabase({ host, port }, credentials, deployment);
-      break;
-    } catch (cause) {
-      if (attempt < PREPARE_ATTEMPTS) continue;
-      throw new ClusterError('the tables of a group could not be made', { cause });
+      if (await haveAllReplayed(group, timeline)) return;
+    } catch (error) {
+      cause = error;
     }
   }
-  await waitForReplicas(group);
+  throw new ClusterError('the tables of a group could not be made', { cause });
 }
 
-async function waitForReplicas(group: DatabaseGroup): Promise<void> {
-  const { name } = await group.waitForPrimary();
-  const { lsn } = await group.state(name);
-  const wanted = parseLsn(lsn).unwrapOr(0n);
-  await Promise.all(
-    group.instances.map((instance) =>
-      group.waitForState(
-        instance.name,
-        ({ replayed }) => parseLsn(replayed).unwrapOr(-1n) >= wanted,
-      ),
-    ),
-  );
+/** Waits until every replica has what the primary of this timeline has; false if a later one has begun. */
+async function haveAllReplayed(group: DatabaseGroup, timeline: number): Promise<boolean> {
+  for (;;) {
+    const states = await Promise.all(group.instances.map(({ name }) => group.state(name)));
+    if (states.some((state) => state.timeline > timeline)) return false;
+    const wanted = states.find(({ role }) => role === 'primary')?.lsn;
+    const hasIt = (state: InstanceState): boolean =>
+      state.timeline === timeline && state.replayed === wanted;
+    if (states.every(hasIt)) return true;
+    await delay(POLL_MS);
+  }
 }
--- a/standins/database/replication/election.ts
+++ b/standins/database/replication/election.ts
@@ -19,6 +19,8 @@
   readonly onElected: (timeline: number) => void;
 }
 
+/** Led by the initial primary without a vote: whoever is elected leads a later one, so that the other gives way. */
+export const INITIAL_TIMELINE = 1;
 /** Time to the next round, in election timeouts. */
 const RETRY_MIN = 0.1;
 const RETRY_SPREAD = 0.4;
@@ -127,7 +129,7 @@
   }
 
   private get nextTimeline(): number {
-    return Math.max(this.promisedTimeline, this.seenTimeline) + 1;
+    return Math.max(INITIAL_TIMELINE, this.promisedTimeline, this.seenTimeline) + 1;
   }
 
   private stand(timeline: number, round: Round): void {
--- a/standins/database/replication/member.ts
+++ b/standins/database/replication/member.ts
@@ -6,7 +6,7 @@
 import type { Catalog } from '../storage/catalog.js';
 import type { Change } from '../storage/commit-record.js';
 import { CommitLog } from './commit-log.js';
-import { Election } from './election.js';
+import { Election, INITIAL_TIMELINE } from './election.js';
 import {
   type Append,
   type CatchUp,
@@ -79,7 +79,8 @@
 
   start(initialPrimary: boolean): void {
     this.election.start(performance.now());
-    if (initialPrimary) this.lead(1);
+    // If it starts late, another may have been elected, or its vote been given.
+    if (initialPrimary && this.election.promisedTimeline === 0) this.lead(INITIAL_TIMELINE);
     this.ticks = setInterval(() => this.tick(performance.now()), TICK_MS);
   }
 
