--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -12,7 +12,6 @@
 import { StatementAttempts } from './statement-attempts.js';
 import {
   type Attempt,
-  notSent,
   type Refusal,
   refuse,
   type StatementOutcome,
@@ -28,7 +27,10 @@
 const HEDGE_TARGET_SHARE = 0.5;
 const MAX_READ_ATTEMPTS = 4;
 /** Told where the members don't vouch for a write. */
-const WITHHELD_TEXT = 'whether the primary is being replaced is not known';
+export const WITHHELD: Refusal = {
+  code: 'busy',
+  text: 'whether the primary is being replaced is not known',
+};
 
 export interface RunnerOptions {
   readonly wire: StatementWire;
@@ -76,9 +78,16 @@
    * @param refusals how often instances have refused it
    */
   async awaitTarget(request: Placement, refusals = 0): Promise<boolean> {
-    const { view, prover, now } = this.options;
     const { service } = request;
-    if (this.targets.lacksTrust(request) && (await prover.prove(service))) return true;
+    const lacksTrust = this.targets.lacksTrust(request);
+    if (lacksTrust && (await this.options.prover.prove(service))) return true;
+    return this.awaitChange(request, refusals);
+  }
+
+  /** The same where a proof of the present primary would help nothing. */
+  async awaitChange(request: Placement, refusals = 0): Promise<boolean> {
+    const { view, now } = this.options;
+    const { service } = request;
     // One that has just ended is worth another look too.
     const wasChanging = view.isChanging(service.name);
     await this.#pauseBeforeRetry(request, refusals);
@@ -93,10 +102,14 @@
     let refusals = 0;
     while (now() < request.deadline) {
       const target = this.targets.choose(request, new Set());
-      if (target !== undefined) {
+      if (target !== undefined && !(await this.#maySend(request, target))) {
+        refusal = WITHHELD;
+      } else if (target !== undefined) {
         if (!mayAttemptAgain(request, attempts)) break;
         attempts += 1;
-        const attempt = await this.#tryWrite(request, target);
+        const endWrite = request.service.beginWrite();
+        const attempt = await this.attempts.run(request, target);
+        endWrite();
         if (attempt.type === 'answered') {
           return this.commits.confirm(request.service, attempt.instance, attempt, request.trace);
         }
@@ -111,16 +124,8 @@
     return { type: 'refused', refusal };
   }
 
-  async #tryWrite(request: StatementRequest, target: Target): Promise<Attempt> {
-    const { service, trace } = request;
-    const { instance } = target;
-    if (!(await this.commits.maySend(service, instance, trace))) {
-      return notSent(instance, WITHHELD_TEXT);
-    }
-    const endWrite = service.beginWrite();
-    const attempt = await this.attempts.run(request, target);
-    endWrite();
-    return attempt;
+  #maySend({ service, trace }: StatementRequest, { instance }: Target): Promise<boolean> {
+    return this.commits.maySend(service, instance, trace);
   }
 
   /** Another primary leads than the one that was tried: it is tried at once, however long that took. */
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -20,7 +20,7 @@
   type StatementOutcome,
   type StatementRequest,
 } from './statement-request.js';
-import { mayAttemptAgain, type StatementRunner } from './statement-runner.js';
+import { mayAttemptAgain, type StatementRunner, WITHHELD } from './statement-runner.js';
 import { synchronise } from './synchronise.js';
 import type { Placement } from './target-chooser.js';
 import type { Tenant } from './tenant.js';
@@ -41,6 +41,8 @@
   readonly instanceId: string | undefined;
   /** The tenant has too much waiting there. */
   readonly isOverLimit?: boolean;
+  /** The members don't vouch for what it would write. */
+  readonly isWithheld?: boolean;
 }
 
 function failureToOpen(instance: InstanceRuntime | undefined, text: string): OpenFailure {
@@ -109,9 +111,9 @@
     instance: InstanceRuntime,
   ): Promise<StatementOutcome> {
     const { now } = this.runner.options;
-    if (this.#wrote && !(await this.#maySendCommit(request, instance))) {
+    if (this.#wrote && !(await this.#maySend(request, instance))) {
       void rollBack(connection, instance, this.runner.options.wire.encodeRollback());
-      return refuse('aborted', 'whether the primary is being replaced is not known; rolled back');
+      return refuse('aborted', `${WITHHELD.text}; rolled back`);
     }
     const sentAt = now();
     const endWrite = this.service.beginWrite();
@@ -153,7 +155,7 @@
     return this.runner.commits.confirm(this.service, instance, outcome, request.trace);
   }
 
-  #maySendCommit(request: TransactionRequest, instance: InstanceRuntime): Promise<boolean> {
+  #maySend(request: TransactionRequest, instance: InstanceRuntime): Promise<boolean> {
     return this.runner.commits.maySend(this.service, instance, request.trace);
   }
 
@@ -266,6 +268,11 @@
       const failure = await this.#openOnce(request, excluded);
       if (failure === undefined) return undefined;
       refusal = failure.refusal;
+      if (failure.isWithheld === true) {
+        rounds += 1;
+        if (await this.runner.awaitChange(this.#placement(request), rounds)) continue;
+        break;
+      }
       const { instanceId } = failure;
       if (instanceId !== undefined) attempts += 1;
       const isFresh = instanceId !== undefined && !excluded.has(instanceId);
@@ -289,6 +296,9 @@
     const chosen = this.runner.targets.choose(placement, excluded);
     if (chosen === undefined) return failureToOpen(undefined, 'no primary');
     const { instance } = chosen;
+    if (!this.readOnly && !(await this.#maySend(request, instance))) {
+      return { refusal: WITHHELD, instanceId: undefined, isWithheld: true };
+    }
     const { values } = request.session;
     const cancelledBy = this.runner.attempts.cancellationsOf(this.service, instance);
     const acquired = await instance.pool.acquire(connectionRequestOf(request, cancelledBy));
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -419,6 +419,52 @@
   assert.is(sent, 0);
 });
 
+test('a write that the members do not vouch for is told as not run in its patience, and spends no retries', async () => {
+  let time = 0;
+  let connections = 0;
+  const acquire = () => {
+    connections += 1;
+    return Promise.resolve(err(new InstanceConnectError('refused', undefined)));
+  };
+  const pool = {
+    ...{ instance: { id: 'primary' }, outstanding: 0 },
+    health: steadyHealth(),
+    acquire,
+  };
+  const primary = { id: 'primary', pool, isUsable: () => true } as unknown as InstanceRuntime;
+  const service = {
+    ...{ name: 'ledger', primary: () => primary, beginWrite: () => () => {} },
+    samples: { requiredAt: () => undefined },
+  } as unknown as ServiceRuntime;
+  const view = {
+    ...primaryView(false),
+    isChanging: () => false,
+    judgeWrite: async () => 'held' as const,
+  };
+  const now = (): number => {
+    time += 1;
+    return time;
+  };
+  const prover = { covers: () => false } as unknown as TrustProver;
+  const runner = new StatementRunner({ wire: lineWire, view, prover, now, random: () => 0 });
+  const tenant = newTenant();
+  let retries = 0;
+  tenant.mayRetry = () => {
+    retries += 1;
+    return true;
+  };
+  const outcome = await runner.run({
+    ...{ access: 'write', service, beganAt: 0, deadline: DEADLINE_MS, tenant },
+    ...{ route: ROUTE, prepared: undefined },
+    session: { values: new Map(), lastWritten: undefined, underWay: new StatementsUnderWay() },
+    encode: () => lineWire.encodeStatement('s1', 'WRITE k v', undefined),
+  });
+  assert.is(outcome.type === 'refused' && outcome.refusal.code, 'busy');
+  assert.is(connections, 0);
+  assert.is(retries, 0);
+  assert.ok(time < DEADLINE_MS / 2, `told after ${time} ms`);
+});
+
 test('an instance that was very slow is tried all the same while there is some time', async () => {
   assert.is((await writeWithTimeLeft(100, 5000)).sent, 1);
   assert.is((await writeWithTimeLeft(20, 5000)).sent, 0);
