A group whose members all start anew without data elects to timeline 1 again

Sessions of before were then not told that their position is in no log. The fault was mine, in the stand-in.

--- a/standins/database/instance.ts
+++ b/standins/database/instance.ts
@@ -88,6 +88,7 @@
     const generator = xoroshiro128plus(options.seed);
     return new Member({
       name: options.name,
+      hasInitialPrimary: options['initial-primary'] !== undefined,
       electionTimeoutMs: options['election-timeout-ms'],
       heartbeatMs: options['heartbeat-ms'],
       random: () => (generator.next() >>> 0) / RANDOM_RANGE,
--- a/standins/database/replication/election.ts
+++ b/standins/database/replication/election.ts
@@ -7,6 +7,11 @@
 
 export interface ElectionOptions {
   readonly name: string;
+  /**
+   * One member leads the first timeline without a vote: whoever is elected leads a later one, so that the other gives
+   * way. Where all were started anew without their data nobody does.
+   */
+  readonly hasInitialPrimary?: boolean;
   readonly electionTimeoutMs: number;
   /** Next number in [0, 1). */
   readonly random: () => number;
@@ -19,7 +24,7 @@
   readonly onElected: (timeline: number) => void;
 }
 
-/** Led by the initial primary without a vote: whoever is elected leads a later one, so that the other gives way. */
+/** The first one of a group. */
 export const INITIAL_TIMELINE = 1;
 /** Time to the next round, in election timeouts. */
 const RETRY_MIN = 0.1;
@@ -129,7 +134,8 @@
   }
 
   private get nextTimeline(): number {
-    return Math.max(INITIAL_TIMELINE, this.promisedTimeline, this.seenTimeline) + 1;
+    const taken = this.options.hasInitialPrimary === true ? INITIAL_TIMELINE : 0;
+    return Math.max(taken, this.promisedTimeline, this.seenTimeline) + 1;
   }
 
   private stand(timeline: number, round: Round): void {
--- a/standins/database/replication/member.ts
+++ b/standins/database/replication/member.ts
@@ -30,6 +30,8 @@
 
 export interface MemberOptions {
   readonly name: string;
+  /** One member of the group leads at first without a vote. */
+  readonly hasInitialPrimary: boolean;
   readonly electionTimeoutMs: number;
   readonly heartbeatMs: number;
   readonly random: () => number;
--- a/test/unit/database-late-start.test.ts
+++ b/test/unit/database-late-start.test.ts
@@ -30,6 +30,7 @@
     const others = NAMES.filter((other) => other !== name);
     const member = new Member({
       name,
+      hasInitialPrimary: true,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       heartbeatMs: HEARTBEAT_MS,
       // Each waits for another time.
