--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -144,7 +144,7 @@
   | 'settled-calls'
   /** A node's permission ends with its lease, by its own clock. */
   | 'permission-lapse'
-  /** A node without a lease writes only where no member speaks against it. */
+  /** A node without a lease writes only where all members vouch for it. */
   | 'withheld-writes'
   /** Whoever learns of a held replica demotes the primary in whose place it may be promoted. */
   | 'demotion-by-any';
--- a/src/direct/commit-trust.ts
+++ b/src/direct/commit-trust.ts
@@ -13,7 +13,10 @@
 import type { TrustProver } from './trust-prover.js';
 import { pause } from './within.js';
 
-/** Where only positions can be asked for, all replicas are given so long to receive a commit. */
+/**
+ * Where only positions can be asked for, all replicas are given so long to receive a commit: twice the 150 ms that the
+ * slowest replicas of a known deployment are behind.
+ */
 const REACH_PATIENCE_MS: Milliseconds = 300;
 const REACH_PAUSE_MS: Milliseconds = 20;
 
