Read once more: a round's proof is judged by that round; one text of a withheld write

Cause: since each question waits for its own round, the table of earlier proofs in core/promotion/evidence.ts held nothing that a later one could use, beside a class of the same name in core/statements. It goes; the pause between rounds stays with the rounds. The text of a withheld write stood twice. Behaviour is the same: 215 tests of these parts pass, none was changed.

--- a/src/core/promotion/evidence.ts
+++ b/src/core/promotion/evidence.ts
@@ -10,7 +10,6 @@
  * `core/statements/primary-evidence.ts` proves less for less: positions alone, without a slot.
  */
 import { laterPosition, type Position } from '../position.js';
-import type { Milliseconds } from '../units.js';
 import { judgeCommits, leadsAfter, type MemberAnswers, type TermRound } from './commit-verdict.js';
 
 export type { RoundAnswer, TermRound } from './commit-verdict.js';
@@ -56,43 +55,3 @@
   }
   return silent <= syncReplicas ? position : undefined;
 }
-
-interface Proof {
-  readonly primary: string;
-  readonly until: Milliseconds;
-}
-
-/** Until when the primary of each service is proven, and when the next round may be sent. */
-export class PrimaryEvidence {
-  readonly #proofs = { read: new Map<string, Proof>(), commit: new Map<string, Proof>() };
-  readonly #lastSentAt = new Map<string, Milliseconds>();
-
-  constructor(private readonly minimumGapMs: Milliseconds) {}
-
-  /** True if what happened by `at` needs no further round. */
-  covers(service: string, primary: string, use: TrustedUse, at: Milliseconds): boolean {
-    const proof = this.#proofs[use].get(service);
-    return proof !== undefined && proof.primary === primary && at <= proof.until;
-  }
-
-  /** Earliest time of the next round: many wait for the same one. */
-  nextRoundAt(service: string, now: Milliseconds): Milliseconds {
-    const lastSentAt = this.#lastSentAt.get(service) ?? Number.NEGATIVE_INFINITY;
-    return Math.max(now, lastSentAt + this.minimumGapMs);
-  }
-
-  noteSent(service: string, now: Milliseconds): void {
-    this.#lastSentAt.set(service, now);
-  }
-
-  /** Takes a finished round in. */
-  noteRound(round: TermRound): void {
-    const { service, primary, sentAt } = round;
-    for (const use of ['read', 'commit'] as const) {
-      const known = this.#proofs[use].get(service);
-      const isOlder = known?.primary === primary && known.until >= sentAt;
-      if (isOlder || !provesPrimary(round, use)) continue;
-      this.#proofs[use].set(service, { primary, until: sentAt });
-    }
-  }
-}
--- a/src/direct/commit-trust.ts
+++ b/src/direct/commit-trust.ts
@@ -9,7 +9,7 @@
 import type { PrimaryView } from './promotion/contract.js';
 import type { RequestTrace } from './request-trace.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
-import { refuse, type StatementOutcome } from './statement-request.js';
+import { type Refusal, refuse, type StatementOutcome } from './statement-request.js';
 import type { TrustProver } from './trust-prover.js';
 import { pause } from './within.js';
 
@@ -20,11 +20,17 @@
 const REACH_PATIENCE_MS: Milliseconds = 300;
 const REACH_PAUSE_MS: Milliseconds = 20;
 
+/** Told where the members don't vouch for a write. */
+export const WITHHELD: Refusal = {
+  code: 'busy',
+  text: 'whether the primary is being replaced is not known',
+};
+
 /** Why what was acknowledged is told as in doubt, by what the members said. */
 const DOUBTS: Readonly<Record<Exclude<CommitVerdict, 'safe'>, string>> = {
   deposed: 'the primary was replaced meanwhile',
   held: 'the primary is being replaced',
-  unknown: 'whether the primary is being replaced is not known',
+  unknown: WITHHELD.text,
 };
 
 export interface CommitTrustOptions {
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -14,7 +14,7 @@
 } from '../../core/promotion/commit-verdict.js';
 import {
   acknowledgedPosition,
-  PrimaryEvidence,
+  provesPrimary,
   type TrustedUse,
 } from '../../core/promotion/evidence.js';
 import type { Milliseconds } from '../../core/units.js';
@@ -61,22 +61,18 @@
 type Waiter = (round: Round | undefined) => void;
 
 export class TermConfirmation {
-  readonly #evidence: PrimaryEvidence;
+  readonly #lastSentAt = new Map<string, Milliseconds>();
   readonly #waiting = new Map<string, Waiter[]>();
   readonly #lastRounds = new Map<string, Round>();
   readonly #toldOfHold = new WeakSet<Round>();
   readonly #planned = new Set<string>();
 
-  constructor(private readonly options: TermConfirmationOptions) {
-    this.#evidence = new PrimaryEvidence(options.minimumGapMs);
-  }
+  constructor(private readonly options: TermConfirmationOptions) {}
 
   /** True if the primary could be trusted for this use when this was called. */
   async confirm(service: string, primary: string, use: TrustedUse): Promise<boolean> {
-    const at = this.options.now();
     const round = await this.#nextRound(service);
-    if (round !== undefined) this.#evidence.noteRound({ service, primary, ...round });
-    return this.#evidence.covers(service, primary, use, at);
+    return round !== undefined && provesPrimary({ service, primary, ...round }, use);
   }
 
   /** What the members say of commits that the primary had acknowledged before this call; of one, by its position. */
@@ -128,8 +124,9 @@
   #plan(service: string): void {
     if (this.#planned.has(service)) return;
     this.#planned.add(service);
-    const now = this.options.now();
-    const delayMs = this.#evidence.nextRoundAt(service, now) - now;
+    const { now, minimumGapMs } = this.options;
+    const lastSentAt = this.#lastSentAt.get(service) ?? Number.NEGATIVE_INFINITY;
+    const delayMs = lastSentAt + minimumGapMs - now();
     if (delayMs <= 0) void this.#round(service);
     else setTimeout(() => void this.#round(service), delayMs);
   }
@@ -138,7 +135,7 @@
     const waiters = this.#waiting.get(service) ?? [];
     this.#waiting.delete(service);
     const sentAt = this.options.now();
-    this.#evidence.noteSent(service, sentAt);
+    this.#lastSentAt.set(service, sentAt);
     const syncReplicas = this.options.syncReplicasOf(service);
     const answers = await this.#askAll(service);
     this.#planned.delete(service);
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -5,7 +5,7 @@
 import { statementPause } from '../core/retry/statement-pause.js';
 import type { Milliseconds } from '../core/units.js';
 import { Cancellation } from './cancellation.js';
-import { CommitTrust } from './commit-trust.js';
+import { CommitTrust, WITHHELD } from './commit-trust.js';
 import { InstanceFeedback } from './instance-feedback.js';
 import type { PrimaryView } from './promotion/contract.js';
 import type { InstanceRuntime } from './service-runtime.js';
@@ -26,11 +26,6 @@
 const HEDGE_MINIMUM_MS: Milliseconds = 60;
 const HEDGE_TARGET_SHARE = 0.5;
 const MAX_READ_ATTEMPTS = 4;
-/** Told where the members don't vouch for a write. */
-export const WITHHELD: Refusal = {
-  code: 'busy',
-  text: 'whether the primary is being replaced is not known',
-};
 
 export interface RunnerOptions {
   readonly wire: StatementWire;
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -7,6 +7,7 @@
 import { statementPause } from '../core/retry/statement-pause.js';
 import { isNotRun, type StatementAnswer } from '../core/statements/statement.js';
 import type { Milliseconds } from '../core/units.js';
+import { WITHHELD } from './commit-trust.js';
 import type { RouteDescription } from './contract.js';
 import { InstanceQueueFullError } from './errors.js';
 import type { InstanceConnection } from './instance-connection.js';
@@ -20,7 +21,7 @@
   type StatementOutcome,
   type StatementRequest,
 } from './statement-request.js';
-import { mayAttemptAgain, type StatementRunner, WITHHELD } from './statement-runner.js';
+import { mayAttemptAgain, type StatementRunner } from './statement-runner.js';
 import { synchronise } from './synchronise.js';
 import type { Placement } from './target-chooser.js';
 import type { Tenant } from './tenant.js';
