Sight: the store's era, histories that are gone and configurations passed over are logged and counted; a stand-in store that comes back from a copy

Cause: logs and figures could not tell the incident's hypotheses apart: with which revision a version reaches a node, what the node holds against it, and what a watch was refused for was nowhere told. No decision rests on any of it yet.

--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -46,12 +46,21 @@
     changed: readonly string[],
     told: DirectorySource,
   ): void;
+  /** A version above the one in force was not taken, since the store's revision of it is lower than one heard of. */
+  onConfigurationPassed(passed: PassedConfiguration): void;
   /** An entry is gone; called before `onInstances`. How long it is still used is for others to say. */
   onInstanceRemoved(removed: RemovedEntry<InstanceEntry>): void;
   /** A document could not be understood (what was known stays), or a call failed (it is repeated). */
   onProblem(error: MeadowstackError): void;
 }
 
+/** A configuration that was taken for an older one. */
+export interface PassedConfiguration {
+  readonly version: number;
+  readonly revision: number;
+  readonly knownRevision: number;
+}
+
 export interface DirectoryFollowerOptions {
   readonly store: Store;
   parseConfiguration(text: string): Result<PublishedConfiguration, MeadowstackError>;
@@ -206,11 +215,24 @@
   #takeConfigurations(entries: readonly KeyValue[]): void {
     const { configurationKey } = this.options.prefixes;
     const newest = entries.filter(({ key }) => key === configurationKey).at(-1);
-    if (newest === undefined || newest.modRevision <= this.#configurationRevision) return;
+    if (newest === undefined) return;
+    if (newest.modRevision <= this.#configurationRevision) {
+      this.#notePassed(newest);
+      return;
+    }
     this.#configurationRevision = newest.modRevision;
     this.#readConfiguration(newest.value);
   }
 
+  /** What was told before comes again with the same revision; a lower one says that the store went back. */
+  #notePassed({ value, modRevision: revision }: KeyValue): void {
+    const knownRevision = this.#configurationRevision;
+    if (revision === knownRevision) return;
+    const version = this.options.parseConfiguration(value).unwrapOr(undefined)?.version ?? -1;
+    if (version <= (this.#configuration?.version ?? -1)) return;
+    this.options.handlers.onConfigurationPassed({ version, revision, knownRevision });
+  }
+
   #readConfiguration(text: string): void {
     this.options.parseConfiguration(text).match(
       (configuration) => {
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -48,6 +48,7 @@
 const READER_HELP: Readonly<Record<keyof ReaderCounters, string>> = {
   eventsFromReaders: 'changes of the store that readers told this node',
   fallbacks: 'times that this node went back to the store since its readers did not serve it',
+  eventsPassed: 'changes that the store told and that were taken for known',
   eventsTold: 'changes of the store told to other nodes',
 };
 
@@ -59,18 +60,30 @@
   readonly text: string;
 }
 
+/** What a store client tells of the store's returns from a copy. */
+export interface StoreFigures {
+  readonly era: number;
+  /** Rises of the era heard of. */
+  readonly returns: number;
+  /** Watches refused since the store has not their history. */
+  readonly historiesGone: number;
+  /** Answers that could not be placed in an era. */
+  readonly unusable: number;
+}
+
 /** Where the figures come from. */
 export interface FigureSources {
   readonly gateway: DirectGateway;
   readonly snapshots?: PeerSnapshots | undefined;
   readonly readers?: ReaderStore | undefined;
+  readonly store?: StoreFigures | undefined;
   /** Lines of the log that nobody read in time. */
   readonly logLinesDropped: number;
 }
 
 /** What the gateway has counted since it started, and what it holds now. */
 export async function exposeMetrics(sources: FigureSources): Promise<Exposition> {
-  const { gateway, snapshots, readers, logLinesDropped } = sources;
+  const { gateway, snapshots, readers, store, logLinesDropped } = sources;
   const { Counter, Gauge, Registry } = await import('prom-client');
   const registry = new Registry();
   const registers = [registry];
@@ -93,6 +106,15 @@
       count(`readers_${name}`, help, readers.counters[name as keyof ReaderCounters]);
     }
   }
+  if (store !== undefined) {
+    count('store_returns', 'times that the store came back from a copy', store.returns);
+    count('store_histories_gone', 'watches whose history the store had not', store.historiesGone);
+    count(
+      'store_answers_unusable',
+      'answers that name no era, or one that is over',
+      store.unusable,
+    );
+  }
   count('log_lines_dropped', 'lines of the log that were not read in time', logLinesDropped);
   const gauge = (name: string, help: string, value: number): void =>
     new Gauge({ name: PREFIX + name, help, registers }).set(value);
@@ -102,6 +124,7 @@
   gauge('lent_connections', 'leases of other nodes at this one', gateway.lentCount);
   gauge('configuration_version', 'version in force, 0 before the first', gateway.version ?? 0);
   gauge('peers_known', 'other nodes that may be asked', snapshots?.peersKnown ?? 0);
+  gauge('store_era', 'how often the store came back from a copy, by its own word', store?.era ?? 0);
   gauge('store_watches', 'prefixes watched at the store itself', readers?.directWatches ?? 0);
   gauge('ready', '1 if new connections are taken', gateway.ready ? 1 : 0);
   const histograms = Object.values<LatencyHistogram>({ ...gateway.latencies });
--- a/src/direct/readers/contract.ts
+++ b/src/direct/readers/contract.ts
@@ -43,6 +43,8 @@
   eventsFromReaders: number;
   /** Times that this node went back to the store since its readers did not serve it. */
   fallbacks: number;
+  /** Changes that the store told and that were taken for known, since a higher revision was. */
+  eventsPassed: number;
   /** Changes told to other nodes, one for each that was told. */
   eventsTold: number;
 }
--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -217,6 +217,7 @@
     direct.answeredAt = now();
     direct.provenAt = direct.sentAt;
     const news = this.#advance(watcher, { after: watcher.told, revision, events });
+    this.options.counters.eventsPassed += events.length - news.length;
     this.#tell(watcher, news, direct.sentAt);
     if (this.#direct !== direct) return;
     // The next poll is sent after this returned.
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -48,7 +48,12 @@
 }
 
 export class ReaderStore implements Store {
-  readonly counters: ReaderCounters = { eventsFromReaders: 0, fallbacks: 0, eventsTold: 0 };
+  readonly counters: ReaderCounters = {
+    eventsFromReaders: 0,
+    fallbacks: 0,
+    eventsPassed: 0,
+    eventsTold: 0,
+  };
   readonly #prefixes: ReadonlyMap<string, FollowedPrefix>;
   readonly #server: WatchServer;
   #readersOfNode: ReadersOfNode = { type: 'others', readers: [] };
--- a/src/platform/http-exchange.ts
+++ b/src/platform/http-exchange.ts
@@ -2,7 +2,13 @@
  * One HTTP request with one bounded JSON answer over a keep-alive agent. Tells whether a request that
  * failed can have reached the other side.
  */
-import { type Agent, type ClientRequest, type IncomingMessage, request } from 'node:http';
+import {
+  type Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  request,
+} from 'node:http';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { MeadowstackError } from '../core/errors.js';
 import type { Milliseconds } from '../core/units.js';
@@ -40,6 +46,8 @@
 export interface HttpAnswer {
   readonly status: number;
   readonly retryAfterMs: Milliseconds | undefined;
+  /** By name in small letters. */
+  readonly headers: IncomingHttpHeaders;
   readonly body: string;
 }
 
@@ -134,8 +142,9 @@
   outgoing.on('error', (error) => fail(error.message));
   outgoing.on('response', (incoming) => {
     collectBody(incoming, options.maxAnswerBytes, fail, (body) => {
-      const retryAfterMs = parseRetryAfter(incoming.headers['retry-after']);
-      finish({ status: incoming.statusCode ?? 0, retryAfterMs, body });
+      const { headers } = incoming;
+      const retryAfterMs = parseRetryAfter(headers['retry-after']);
+      finish({ status: incoming.statusCode ?? 0, retryAfterMs, headers, body });
     });
   });
   if (options.signal?.aborted) abort();
--- a/standins/common/control-server.ts
+++ b/standins/common/control-server.ts
@@ -96,9 +96,15 @@
 }
 
 /** Sends a JSON answer. */
-export function sendJson(response: ServerResponse, status: number, value: unknown): void {
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
   const body = JSON.stringify(value);
   response.writeHead(status, {
+    ...headers,
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
   });
--- a/standins/direct/instance.ts
+++ b/standins/direct/instance.ts
@@ -50,6 +50,8 @@
   #port = 0;
   #isDraining = false;
   #sequence = 0;
+  /** What its entry says, but for the sequence. */
+  #announced = '';
   #announcedAt: Milliseconds = 0;
   #darkSince: Milliseconds = 0;
   #onAnnounced: (() => void) | undefined;
@@ -104,6 +106,7 @@
     const { id, role, isRunning, isDark } = this.member;
     if (!isRunning || isDark || this.faults.isSilentToStore) return;
     const { service, zone, slots } = this.options;
+    const key = `servers/${id}`;
     const entry = {
       service,
       address: this.address,
@@ -113,9 +116,15 @@
       state: this.#isDraining ? 'draining' : 'ready',
       cold_remaining_ms: 0,
       database_role: role,
-      sequence: this.#sequence,
     };
-    if (this.store.put(`servers/${id}`, JSON.stringify(entry)) === undefined) return;
+    const text = JSON.stringify(entry);
+    const isSame = text === this.#announced && this.store.has(key);
+    if (isSame && this.store.isDown) return;
+    if (!isSame) {
+      const value = JSON.stringify({ ...entry, sequence: this.#sequence });
+      if (this.store.put(key, value) === undefined) return;
+    }
+    this.#announced = text;
     this.#sequence += 1;
     this.#announcedAt = monotonicMs();
     this.#onAnnounced?.();
--- a/standins/direct/kv-calls.ts
+++ b/standins/direct/kv-calls.ts
@@ -143,7 +143,8 @@
         if (event.type === 'PUT') return [itemOf(event.entry)];
         return [{ private_key: event.key, revision: event.modRevision, deleted: true }];
       });
-  const isForgotten = input.after + 1 < engine.compactedRevision;
+  // A revision that the store does not have is one that it lost, too.
+  const isForgotten = input.after + 1 < engine.compactedRevision || input.after > engine.revision;
   if (isForgotten) return refuse(410, 'history is gone');
   let events = eventsOf(engine.commitsFrom(input.after + 1));
   if (events.length === 0) events = await nextEvents(store, input.wait_ms, eventsOf, isGone);
--- a/standins/direct/kv-store.ts
+++ b/standins/direct/kv-store.ts
@@ -8,7 +8,7 @@
 import { MILLISECONDS_PER_SECOND } from '../../src/core/units.js';
 import { readJsonBody, sendJson } from '../common/control-server.js';
 import { TokenBucket } from '../common/token-bucket.js';
-import { StoreEngine } from '../store/engine.js';
+import { type StoreCopy, StoreEngine } from '../store/engine.js';
 import type { Commit } from '../store/model.js';
 import { type Answer, type CallKind, KV_CALLS, type KvCall, type KvRequest } from './kv-calls.js';
 import { type KvFaultSettings, type KvFaults, NO_KV_FAULTS } from './kv-faults.js';
@@ -16,10 +16,26 @@
 
 const LEASE_CHECK_INTERVAL_MS = 20;
 const RENEWAL_PRICE = 0.1;
+/** Copies older than this are not kept. */
+const OLDEST_COPY_MS: Milliseconds = 12_000;
+/** A copy is taken so often. */
+const COPY_EVERY_MS: Milliseconds = 50;
+const ERA_HEADER = 'store-era';
+const OPERATOR_PREFIX = 'op/';
 const TOO_MANY: Answer = { status: 429, body: { error: 'too many calls' } };
 const UNAVAILABLE: Answer = { status: 503, body: { error: 'the store is down' } };
 const NOT_FOUND: Answer = { status: 404, body: { error: 'no such call' } };
 
+/** How the store comes back from a copy. */
+export interface ReturnPlan {
+  /** Age of the copy when the store goes away. */
+  readonly ageMs: Milliseconds;
+  /** How long it answers nothing. */
+  readonly awayMs: Milliseconds;
+  /** So long after its return the operator writes again what is gone. */
+  readonly rewriteMs: Milliseconds;
+}
+
 /** What was called since start, by path. */
 export type CallCounts = Record<string, number>;
 
@@ -37,6 +53,9 @@
   #leaseStoppedAt: Milliseconds | undefined;
   #leaseStoppedMs = 0;
   #nextLeaseId = 77_120;
+  #copies: { readonly copy: StoreCopy; readonly at: Milliseconds }[] = [];
+  /** How often the store came back from a copy. */
+  #era = 0;
 
   constructor(
     readonly limits: { readonly minTtlMs: number; readonly valueBytes: number },
@@ -48,6 +67,7 @@
     this.server.requestTimeout = 0;
     this.engine.subscribe((commit) => this.#remember(commit));
     setInterval(() => this.#tick(), LEASE_CHECK_INTERVAL_MS).unref();
+    setInterval(() => this.#copy(), COPY_EVERY_MS).unref();
   }
 
   get faults(): KvFaults {
@@ -93,6 +113,39 @@
     this.engine.deleteRange({ key, rangeEnd: '' });
   }
 
+  has(key: string): boolean {
+    return this.engine.range({ key, rangeEnd: '', revision: 0, limit: 1 }).count > 0;
+  }
+
+  /** Goes away for a while and comes back as it was; settles when the operator has written again what was gone. */
+  async returnFromCopy({ ageMs, awayMs, rewriteMs }: ReturnPlan): Promise<void> {
+    const asOf = monotonicMs() - ageMs;
+    const { copy } = this.#copies.findLast(({ at }) => at <= asOf) ?? this.#copies[0] ?? {};
+    const written = this.#operatorEntries();
+    this.applyFaults({ down: 'silent' });
+    await pause(awayMs);
+    if (copy !== undefined) this.engine.restore(copy, this.leaseNow);
+    this.#era += 1;
+    this.#copies = [];
+    this.#history = this.#history.filter(({ revision }) => revision <= this.engine.revision);
+    this.applyFaults({ down: 'no' });
+    await pause(rewriteMs);
+    const held = new Map(this.#operatorEntries().map(({ key, value }) => [key, value]));
+    for (const { key, value } of written) if (held.get(key) !== value) this.put(key, value);
+  }
+
+  #operatorEntries(): readonly { readonly key: string; readonly value: string }[] {
+    const range = { key: OPERATOR_PREFIX, rangeEnd: `${OPERATOR_PREFIX}\xff` };
+    return this.engine.range({ ...range, revision: 0, limit: 0 }).entries;
+  }
+
+  #copy(): void {
+    const now = monotonicMs();
+    if (this.isDown) return;
+    this.#copies.push({ copy: this.engine.copy(this.leaseNow), at: now });
+    if ((this.#copies[0]?.at ?? now) < now - OLDEST_COPY_MS) this.#copies.shift();
+  }
+
   grantLease(ttlMs: Milliseconds): number {
     this.#nextLeaseId += 1;
     this.engine.grantLease(
@@ -175,7 +228,7 @@
   #answer(socket: Socket, response: ServerResponse, answer: Answer): void {
     if (this.#faults.down === 'silent') this.#mute.add(socket);
     if (this.#mute.has(socket) || response.destroyed) return;
-    sendJson(response, answer.status, answer.body);
+    sendJson(response, answer.status, answer.body, { [ERA_HEADER]: String(this.#era) });
   }
 }
 
--- a/standins/direct/main.ts
+++ b/standins/direct/main.ts
@@ -113,6 +113,11 @@
 
 const nothing = z.object({});
 const pairs = z.object({ pairs: z.array(z.tuple([z.string(), z.string()])) });
+const returnPlan = z.object({
+  ageMs: z.number().min(0),
+  awayMs: z.number().min(0).default(0),
+  rewriteMs: z.number().min(0).default(0),
+});
 const drainPlan = z.object({
   extraMs: z.number().min(0).default(0),
   /** Null: no instance follows at the address. */
@@ -134,6 +139,9 @@
   controlRoute('POST', '/store/compact', nothing, () =>
     store.engine.compact(store.engine.revision),
   ),
+  controlRoute('POST', '/store/return-from-copy', returnPlan, (body) => {
+    void store.returnFromCopy(body);
+  }),
   controlRoute('POST', '/store/leases/expire', nothing, () => {
     for (const id of store.engine.leaseIds()) store.engine.revokeLease(id);
   }),
--- a/standins/store/engine.ts
+++ b/standins/store/engine.ts
@@ -4,7 +4,7 @@
  */
 import type { Milliseconds } from '../../src/core/units.js';
 import { isInRange, KeySpace, type KeySpaceChange } from './key-space.js';
-import { Leases } from './leases.js';
+import { type CopiedLease, Leases } from './leases.js';
 import {
   type ByteString,
   type Commit,
@@ -21,6 +21,12 @@
   type TransactionResponse,
 } from './model.js';
 
+/** A copy of the store: the keys as of a revision, and the leases. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly leases: readonly CopiedLease[];
+}
+
 /** Told of each commit, in order. */
 export type CommitListener = (commit: Commit) => void;
 
@@ -152,6 +158,16 @@
     return this.#keys.commitsFrom(revision);
   }
 
+  copy(now: Milliseconds): StoreCopy {
+    return { revision: this.revision, leases: this.#leases.copy(now) };
+  }
+
+  /** Goes back to a copy; nobody is told. @throws StoreStandinError if its history is compacted. */
+  restore({ revision, leases }: StoreCopy, now: Milliseconds): void {
+    this.#keys.revertTo(revision);
+    this.#leases.restore(leases, now);
+  }
+
   /** Calls `listener` after each commit until the returned function is called. */
   subscribe(listener: CommitListener): () => void {
     this.#listeners.add(listener);
--- a/standins/store/key-space.ts
+++ b/standins/store/key-space.ts
@@ -161,6 +161,23 @@
     this.#keys = this.#keys.filter((key) => this.#histories.has(key));
   }
 
+  /**
+   * Goes back to an earlier revision: what was written since is gone, and its revisions are given out again.
+   * @throws StoreStandinError if the revision is compacted or in the future.
+   */
+  revertTo(revision: number): void {
+    if (revision > this.#revision) throw futureRevision();
+    if (revision < this.#compactedRevision) throw compacted();
+    this.#revision = revision;
+    this.#commits = this.#commits.filter((commit) => commit.revision <= revision);
+    for (const [key, history] of this.#histories) {
+      const kept = history.filter(({ modRevision }) => modRevision <= revision);
+      if (kept.length === 0) this.#histories.delete(key);
+      else this.#histories.set(key, kept);
+    }
+    this.#keys = this.#keys.filter((key) => this.#histories.has(key));
+  }
+
   #compactKey(key: ByteString, history: readonly KeyVersion[], revision: number): void {
     const newest = history.findLastIndex((version) => version.modRevision <= revision);
     const first = history[newest];
--- a/standins/store/leases.ts
+++ b/standins/store/leases.ts
@@ -12,6 +12,15 @@
   readonly keys: Set<ByteString>;
 }
 
+/** A lease as a copy of the store holds it. */
+export interface CopiedLease {
+  readonly id: string;
+  readonly ttlSeconds: number;
+  /** What is left of it; it runs on from there. */
+  readonly leftMs: Milliseconds;
+  readonly keys: readonly ByteString[];
+}
+
 /** All leases. The caller supplies the clock. */
 export class Leases {
   readonly #leases = new Map<string, Lease>();
@@ -75,6 +84,21 @@
       .map((lease) => lease.id);
   }
 
+  /** All leases as they are now. */
+  copy(now: Milliseconds): CopiedLease[] {
+    return [...this.#leases.values()].map(({ id, ttlSeconds, expiresAt, keys }) => {
+      return { id, ttlSeconds, leftMs: expiresAt - now, keys: [...keys] };
+    });
+  }
+
+  /** Goes back to a copy: leases granted since are gone, others are back. */
+  restore(copied: readonly CopiedLease[], now: Milliseconds): void {
+    this.#leases.clear();
+    for (const { id, ttlSeconds, leftMs, keys } of copied) {
+      this.#leases.set(id, { id, ttlSeconds, expiresAt: now + leftMs, keys: new Set(keys) });
+    }
+  }
+
   /** Ids of all leases. */
   ids(): string[] {
     return [...this.#leases.keys()];
--- a/test/support/reader-network.ts
+++ b/test/support/reader-network.ts
@@ -155,7 +155,7 @@
   /** Everything up to this revision is known to the watcher. */
   known = 0;
   isAlive = true;
-  readonly counters = { eventsFromReaders: 0, fallbacks: 0, eventsTold: 0 };
+  readonly counters = { eventsFromReaders: 0, fallbacks: 0, eventsPassed: 0, eventsTold: 0 };
 
   constructor(
     private readonly network: ReaderNetwork,
--- a/test/unit/platform/directory-follower.test.ts
+++ b/test/unit/platform/directory-follower.test.ts
@@ -83,6 +83,8 @@
       onConfiguration: ({ version }) => told.push(`configuration ${version}`),
       onInstances: (instances, changed) =>
         told.push(`instances ${[...instances.keys()]} changed ${changed}`),
+      onConfigurationPassed: ({ version, revision }) =>
+        told.push(`passed over ${version} at ${revision}`),
       onInstanceRemoved: ({ id, revision }) => told.push(`removed ${id} at ${revision}`),
       onProblem: (error: MeadowstackError) => told.push(error.code),
     },
