Positions in the store's history rise over returns from a copy: a configuration confirmed after one is in force in time

Callers saw: requests served by a route that a confirmed configuration had dropped, on every node, for up to 34 s after the store had been away for a few seconds. Cause: the store came back from a copy some seconds old and gave out revisions again. Nodes compared these with revisions of the history that was lost and took newer changes for known: the kept changes of a followed prefix (FollowedPrefix tells them once more to whoever reads anew, which counts as told up to the old revision), DirectoryFollower's revision of the configuration, the entries of instances, StoreView (the leader's loop of refusals), and the position of a watch. Ruled out: documents that can't be read (no such line; the next lives read them), hung watches (polls were answered, the count of passed changes rises with each publication), news by peers or readers (none are asked in a fleet of 8). Change: a revision is read together with the era of its answer into one number that only rises (core/directory/store-position), at the one place that decodes the wire; all comparisons stay as they are and hold again. A watch of an earlier era ends as one without history, without a call; a condition of an earlier era is sent so that it fails; a change done in another era than its conditions has an unknown outcome; pages of two eras are no read; an answer that can't be placed is a typed error and a line. Prefixes that are followed through readers are read anew when this node hears of the rise.

--- a/src/core/directory/store-era.ts
+++ b/src/core/directory/store-era.ts
@@ -17,8 +17,7 @@
 
 /** Era of a store that names none. */
 export const ERA_OF_SILENT_STORE = 0;
-/** Eras beyond this don't fit into a position. */
-export const MAX_ERA = 2 ** 12 - 1;
+const ERA_PATTERN = /^\d{1,15}$/;
 
 /** Follows the era over all answers of one store, in the order in which they come. */
 export class StoreEra {
@@ -49,7 +48,7 @@
 
   #problemOf(named: string | undefined): EraProblem | undefined {
     if (named === undefined) return this.#isNamed ? 'missing' : undefined;
-    if (!/^\d{1,9}$/.test(named) || Number(named) > MAX_ERA) return 'malformed';
+    if (!ERA_PATTERN.test(named)) return 'malformed';
     return Number(named) < this.#era ? 'over' : undefined;
   }
 }
--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -10,6 +10,7 @@
 import type { ReadersOfNode } from '../../core/ownership/watch-readers.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { WatchEvent, WatchHandlers } from '../../platform/contract.js';
+import { StoreCompactedError } from '../../platform/errors.js';
 import type { ReaderCounters, SubscribeToReader, ToldStretch } from './contract.js';
 
 /** That nothing has changed is passed on so often at most. */
@@ -130,6 +131,15 @@
     };
   }
 
+  /** The store came back from a copy: what was told, also by readers, is read anew. */
+  noteReturn(): void {
+    const watcher = this.#watcher;
+    if (watcher === undefined) return;
+    this.#watcher = undefined;
+    this.#closeDirect();
+    watcher.handlers.onEnd(new StoreCompactedError(watcher.told), true);
+  }
+
   /** Takes the readers that the leader names now. */
   setReaders(readers: ReadersOfNode): void {
     this.#isReader = readers.type === 'self';
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -96,6 +96,11 @@
     for (const followed of this.#prefixes.values()) followed.close();
   }
 
+  /** The store came back from a copy: every prefix is read anew. */
+  noteReturn(): void {
+    for (const followed of this.#prefixes.values()) followed.noteReturn();
+  }
+
   /** A node wants to follow a prefix through this one. */
   onStream(header: WireValue, stream: PeerStream): void {
     this.#server.onStream(header, stream);
--- a/src/platform/errors.ts
+++ b/src/platform/errors.ts
@@ -60,6 +60,19 @@
   }
 }
 
+/** The answer is of no era of the store that can be placed, or of another one than what was asked rests on. */
+export class StoreEraError extends StoreFailure {
+  readonly code = 'MS-STORE-ERA';
+  override readonly labels = PROTOCOL_VIOLATION;
+
+  constructor(
+    reason: string,
+    override readonly outcomeUnknown: boolean,
+  ) {
+    super(`the store's answer is of no known era: ${reason}`);
+  }
+}
+
 /** The lease has lapsed or was revoked. */
 export class StoreLeaseNotFoundError extends StoreFailure {
   readonly code = 'MS-STORE-LEASE-NOT-FOUND';
--- a/test/integration/direct/store-return.test.ts
+++ b/test/integration/direct/store-return.test.ts
@@ -1,6 +1,12 @@
 /**
  * What users saw: configurations that had been confirmed were in force on no node for up to 34 s, so that a route which had been dropped
- * was still served. The store had been away for a few seconds before, without anything else in its record.
+ * was still served. In order: the store goes away for seconds and comes back as it was some time before; it gives out again revisions that nodes
+ * know; the operator publishes; nodes are told, and take it for something that they know already.
+ *
+ * Cause: revisions were compared though they were of different histories, at each place where a node keeps one: the kept changes of a followed
+ * prefix (told once more to whoever reads anew, so that it counted as told up to the old revision), the highest revision of the
+ * configuration, entries of instances, records. Evidence: "history of the store gone" again and again for one position; the era rose; `readers_events_passed` rose
+ * by one with each publication (3, 4, 5, 6) while `configuration_version` stood at 7; "newer configuration passed over" after a whole read.
  */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
--- a/test/support/scripted-http-server.ts
+++ b/test/support/scripted-http-server.ts
@@ -14,7 +14,12 @@
 }
 
 export type ScriptedAnswer =
-  | { readonly status: number; readonly json?: unknown; readonly text?: string }
+  | {
+      readonly status: number;
+      readonly json?: unknown;
+      readonly text?: string;
+      readonly headers?: Readonly<Record<string, string>>;
+    }
   /** Nothing is said; the connection stays open. */
   | 'silent'
   /** The connection ends without an answer. */
@@ -67,7 +72,8 @@
     outgoing.destroy();
     return;
   }
-  outgoing.writeHead(answer.status, { 'content-type': 'application/json' });
+  const { status, headers } = answer;
+  outgoing.writeHead(status, { 'content-type': 'application/json', ...headers });
   outgoing.end(answer.text ?? (answer.json === undefined ? '' : JSON.stringify(answer.json)));
 }
 
--- /dev/null
+++ b/test/unit/platform/store-era.test.ts
@@ -0,0 +1,158 @@
+/** A store that came back from a copy, as its client sees it: what its answers are worth, and what is asked of it. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { KeyValueStore } from '../../../platform/store.js';
+import { type EraReading, StoreEra } from '../../../src/core/directory/store-era.js';
+import { HIGHEST_REVISION, positionOf } from '../../../src/core/directory/store-position.js';
+import {
+  type ScriptedAnswer,
+  type ScriptedServer,
+  startScriptedServer,
+  storeItem,
+} from '../../support/scripted-http-server.js';
+
+const WAIT_MS = 50;
+const PUT = [{ type: 'put', key: 'my/a', value: 'x' }] as const;
+
+/** An answer of the store in this era; undefined for one that names none. */
+function inEra(era: string | undefined, json: unknown, status = 200): ScriptedAnswer {
+  return { status, json, headers: era === undefined ? {} : { 'Store-Era': era } };
+}
+
+const range = (era: string | undefined, revision: number): ScriptedAnswer =>
+  inEra(era, { items: [storeItem('my/a', 'a', revision)], has_more: false, at_revision: revision });
+
+async function withStore(
+  answers: readonly ScriptedAnswer[],
+  run: (store: KeyValueStore, server: ScriptedServer, told: EraReading[]) => Promise<void>,
+): Promise<void> {
+  const server = await startScriptedServer((_request, earlier) => answers[earlier] ?? 'silent');
+  const told: EraReading[] = [];
+  const store = new KeyValueStore({
+    endpoint: server.endpoint,
+    clientName: 'test',
+    watchWaitMs: () => WAIT_MS,
+    onEra: (reading) => told.push(reading),
+  });
+  try {
+    await run(store, server, told);
+  } finally {
+    store.close();
+    await server.close();
+  }
+}
+
+/** How a watch ends. */
+function endOf(store: KeyValueStore, fromRevision: number): Promise<[string, boolean]> {
+  return new Promise((resolve) => {
+    store.watch('my/', fromRevision, {
+      onEvents: () => {},
+      onEnd: (error, compacted) => resolve([error.code, compacted]),
+    });
+  });
+}
+
+test('a store that names no era is placed as it was', async () => {
+  await withStore([range(undefined, 7)], async (store) => {
+    const { revision, entries } = (await store.range('my/'))._unsafeUnwrap();
+    assert.equal([revision, entries[0]?.modRevision, store.era], [7, 7, 0]);
+  });
+});
+
+test('what is told after a return lies behind all that was told before', async () => {
+  await withStore([range('3', 900), range('4', 20)], async (store, _server, told) => {
+    const before = (await store.range('my/'))._unsafeUnwrap();
+    const after = (await store.range('my/'))._unsafeUnwrap();
+    assert.ok(after.revision > before.revision);
+    assert.ok((after.entries[0]?.modRevision ?? 0) > (before.entries[0]?.modRevision ?? 0));
+    assert.equal(told, [{ type: 'risen', era: 4, before: 3 }]);
+  });
+});
+
+test('a refusal and a poll tell of the rise, too', async () => {
+  const refused = inEra('4', {}, 503);
+  await withStore([range('3', 9), refused], async (store, _server, told) => {
+    await store.range('my/');
+    await store.range('my/');
+    assert.is(told.length, 1);
+  });
+  const polled = inEra('4', { events: [], at_revision: 9 });
+  await withStore([range('3', 9), polled], async (store, _server, told) => {
+    await store.range('my/');
+    assert.equal(await endOf(store, positionOf(3, 10)), ['MS-STORE-COMPACTED', true]);
+    assert.is(told.length, 1);
+  });
+});
+
+test('a watch from an earlier era ends as one without history, though the store has the revision again', async () => {
+  await withStore([range('3', 9), range('4', 9)], async (store, server) => {
+    await store.range('my/');
+    await store.range('my/');
+    assert.equal(await endOf(store, positionOf(3, 10)), ['MS-STORE-COMPACTED', true]);
+    assert.is(server.requests.length, 2, 'without a call');
+  });
+});
+
+test('a watch that waits ends when another call hears of the rise', async () => {
+  await withStore([range('3', 9), 'silent', range('4', 9)], async (store) => {
+    await store.range('my/');
+    const ended = endOf(store, positionOf(3, 10));
+    await store.range('my/');
+    assert.equal(await ended, ['MS-STORE-COMPACTED', true]);
+  });
+});
+
+test('a condition of an earlier era is asked for so that it fails, and the present entries are told', async () => {
+  const failed = inEra('4', { items: [storeItem('my/a', 'other', 9)] }, 412);
+  await withStore([range('3', 9), range('4', 8), failed], async (store, server) => {
+    await store.range('my/');
+    await store.range('my/');
+    const compares = [
+      { key: 'my/a', modRevision: positionOf(3, 9) },
+      { key: 'my/b', modRevision: 0 },
+    ];
+    const answer = (await store.transaction(compares, PUT))._unsafeUnwrap();
+    assert.equal([answer.succeeded, answer.current[0]?.modRevision], [false, positionOf(4, 9)]);
+    const body = server.requests[2]?.body as { expected_revision: { revision: number }[] };
+    assert.equal(
+      body.expected_revision.map(({ revision }) => revision),
+      [HIGHEST_REVISION, 0],
+    );
+  });
+});
+
+test('a change that was done in an era other than its conditions has an unknown outcome', async () => {
+  await withStore([range('3', 9), inEra('4', { revision: 10 })], async (store) => {
+    await store.range('my/');
+    const compares = [{ key: 'my/a', modRevision: positionOf(3, 9) }];
+    const error = (await store.transaction(compares, PUT))._unsafeUnwrapErr();
+    assert.equal([error.code, error.outcomeUnknown], ['MS-STORE-ERA', true]);
+  });
+});
+
+test('pages of two eras are no read', async () => {
+  const first = inEra('3', { items: [storeItem('my/a', 'a', 9)], has_more: true, at_revision: 9 });
+  await withStore([first, range('4', 9)], async (store) => {
+    assert.is((await store.range('my/'))._unsafeUnwrapErr().code, 'MS-STORE-ERA');
+  });
+});
+
+test('an era that goes back, is missing or is no number is a typed error, and takes nothing back', async () => {
+  for (const era of ['2', undefined, 'x', '-1', '1.5', '']) {
+    await withStore([range('3', 9), range(era, 20)], async (store, _server, told) => {
+      await store.range('my/');
+      const error = (await store.range('my/'))._unsafeUnwrapErr();
+      assert.equal([error.code, store.era], ['MS-STORE-ERA', 3], String(era));
+      assert.is(told[0]?.type, 'unusable');
+    });
+  }
+});
+
+test('the era that is heard of first is no rise', () => {
+  const era = new StoreEra();
+  assert.equal(era.note('17'), { type: 'present', era: 17 });
+  assert.equal(era.note('19'), { type: 'risen', era: 19, before: 17 });
+  assert.equal(era.note('18'), { type: 'unusable', reason: 'over' });
+});
+
+test.run();
