A candidate that the platform refuses and that is not reached is named no longer: no service stays without a primary for it

Cause: a candidate stays certain by its log alone. An old primary that was demoted told the end of its log, and counts as certain for good, whether or not it runs; named as the candidate and then replaced in place, it is called for by every leader, is refused each time, and nobody chooses again, since another is named only when this one is no longer certain. What proves that it can't lead: every call for it has settled (of this leader or the one before), the platform has refused the last one (its page: the instance is not running), and this leader does not reach it. With any of these missing it is waited for as before.

--- a/src/core/promotion/calls.ts
+++ b/src/core/promotion/calls.ts
@@ -18,6 +18,8 @@
   #settledAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #nextAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #isOfEarlierLeader = false;
+  /** Refusals in a row of calls for the same instance. */
+  #refusals = 0;
 
   constructor(
     private readonly runtime: PromotionRuntime,
@@ -30,6 +32,11 @@
     return this.#isCalling;
   }
 
+  /** Calls in a row that were refused. */
+  get refusals(): number {
+    return this.#refusals;
+  }
+
   /** When the last call can take effect no more. */
   get settledAt(): Milliseconds {
     return this.#settledAt;
@@ -41,10 +48,16 @@
     return !this.#isCalling && this.runtime.now >= this.#settledAt;
   }
 
+  /** The last call for this instance was refused: when that was answered, the platform would not let it lead. */
+  isRefused(instanceId: string): boolean {
+    return instanceId === this.#instanceId && this.#refusals > 0;
+  }
+
   /** An earlier leader named this instance, and may have called for it. */
   noteEarlierLeader(instanceId: string): void {
     const { callSettledMs, confirmFirstMs } = this.runtime.timings;
     this.#instanceId = instanceId;
+    this.#refusals = 0;
     this.#isOfEarlierLeader = true;
     this.#settledAt = Math.max(this.#settledAt, this.runtime.now + callSettledMs);
     // Looks before it calls again.
@@ -68,6 +81,7 @@
     if (this.#isCalling || runtime.now < this.#nextAt || token === undefined) return false;
     if (instanceId !== this.#instanceId && !this.isSettled) return false;
     if (!election.mayAct(promoteMarginMs)) return false;
+    if (instanceId !== this.#instanceId) this.#refusals = 0;
     if (instanceId !== this.#instanceId || this.isSettled) this.#begin(instanceId);
     this.#isCalling = true;
     election.noteCall();
@@ -79,6 +93,13 @@
     return true;
   }
 
+  /** Refused calls count against the rate that all services share, and an instance that is down may take its time. */
+  #pauseAfterNothing(): Milliseconds {
+    const { promoteBusyMs, promoteAgainMs } = this.runtime.timings;
+    const doublings = Math.max(0, this.#refusals - 1);
+    return Math.min(promoteAgainMs, promoteBusyMs * 2 ** doublings);
+  }
+
   #begin(instanceId: string): void {
     this.#instanceId = instanceId;
     this.#isOfEarlierLeader = false;
@@ -88,12 +109,13 @@
   #noteOutcome(instanceId: string, outcome: PromoteOutcome, calledAt: Milliseconds): void {
     const { now, timings } = this.runtime;
     this.#isCalling = false;
+    this.#refusals = outcome === 'refused' ? this.#refusals + 1 : 0;
     if (outcome === 'accepted' || outcome === 'unknown') {
       this.#open += 1;
       this.#settledAt = now + timings.callSettledMs;
       this.#nextAt = now + timings.promoteAgainMs;
     } else {
-      this.#nextAt = now + timings.promoteBusyMs;
+      this.#nextAt = now + this.#pauseAfterNothing();
     }
     const afterMs = Math.round(now - calledAt);
     const fields = { service: this.service, instance: instanceId, outcome, afterMs };
--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -218,16 +218,27 @@
   }
 
   /**
-   * What was certain when the candidate was named may be no longer: a replica that restarted is not
-   * held. Another one is named only if no call for this one can take effect any more.
+   * What was certain when the candidate was named may be no longer: a replica that restarted is not held, and an old
+   * primary whose log is known may have ended since. Another one is named only if no call for this one can take
+   * effect any more.
    */
   #isStillCertain(candidate: string): boolean {
+    const { calls } = this.context;
     const certain = certainMembers(this.#question());
-    if (certain.some(({ entry }) => entry.id === candidate)) return true;
-    if (this.context.calls.isSettled && certain.length > 0) this.#writeCandidate(undefined);
+    const isCertain = certain.some(({ entry }) => entry.id === candidate);
+    if (isCertain && !this.#isGone(candidate)) return true;
+    if (!calls.isSettled || certain.length === 0) return isCertain;
+    this.#writeCandidate(undefined);
     return false;
   }
 
+  /** The platform refuses to let it lead, and this leader does not reach it: named, it would hold the service up. */
+  #isGone(candidate: string): boolean {
+    if (this.context.runtime.isDisabled('gone-candidates')) return false;
+    const isReached = this.#hold.findingOf(candidate)?.isReached === true;
+    return this.context.calls.isRefused(candidate) && !isReached;
+  }
+
   #confirmAfter(delayMs: Milliseconds): void {
     this.#cancelConfirm();
     this.#cancelConfirm = this.#scope.after(delayMs, () => this.#confirm());
@@ -297,10 +308,20 @@
     }
     const stuckMs = runtime.now - Math.max(this.#progressAt, calls.settledAt);
     if (stuckMs < runtime.timings.resignAfterMs) return;
-    runtime.log('warn', 'change of primary stuck, resigning', { service: this.service });
+    runtime.log('warn', 'change of primary stuck, resigning', {
+      ...{ service: this.service, change: this.record.change, candidate: this.#namedCandidate() },
+      ...{ refusals: calls.refusals, unheard: this.#unheardMembers() },
+    });
     election.resign(runtime.timings.abstainMs);
   }
 
+  /** Members whose logs this leader can't vouch for now. */
+  #unheardMembers(): string[] {
+    const { replicas, from } = this.#question();
+    const all = from === undefined ? replicas : [...replicas, from];
+    return all.filter(({ received }) => received === undefined).map(({ entry }) => entry.id);
+  }
+
   #entryOf(id: string): InstanceEntry | undefined {
     return (
       this.context.primaries.instance(id) ??
--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -142,6 +142,8 @@
   | 'own-clock'
   /** No other candidate while a call for one may still take effect. */
   | 'settled-calls'
+  /** A candidate that the platform refuses and that is not reached is named no longer. */
+  | 'gone-candidates'
   /** A node's permission ends with its lease, by its own clock. */
   | 'permission-lapse'
   /** A node without a lease writes only where all members vouch for it. */
--- a/test/support/promotion/mix.ts
+++ b/test/support/promotion/mix.ts
@@ -1,5 +1,7 @@
 /** One seed of the mixed model: every kind of fault, overlapping, with reads at replicas and a check that all heals. */
+import type { PromotionMechanism } from '../../../src/core/promotion/contract.js';
 import {
+  CANDIDATE_FAULT_KINDS,
   EVERY_FAULT_KIND,
   type FaultKind,
   LATENESS_FAULT_KINDS,
@@ -19,6 +21,20 @@
   ...PARTIAL_STORE_FAULT_KINDS,
 ];
 
+/** What makes an old primary the best candidate for its own place, and candidates that end amid their calls. */
+export const GONE_CANDIDATE_KINDS: readonly FaultKind[] = [
+  ...CANDIDATE_FAULT_KINDS,
+  ...CANDIDATE_FAULT_KINDS,
+  'primary cut from replicas',
+  'primary cut from leader',
+  'all replicas deaf',
+  'replica crash',
+  'replica leaves unannounced',
+  'platform answers lost',
+  'primary replaced in place',
+  'node kill',
+];
+
 /** What a seed showed: broken promises, and services that no write gets through to. */
 export interface MixOutcome {
   readonly seed: number;
@@ -28,8 +44,12 @@
   readonly story: string;
 }
 
-export function playMix(seed: number, kinds: readonly FaultKind[] = MIXED_FAULT_KINDS): MixOutcome {
-  const simulation = new PromotionSimulation({ seed, replicaReadsTrusting: 1 });
+export function playMix(
+  seed: number,
+  kinds: readonly FaultKind[] = MIXED_FAULT_KINDS,
+  disabled: readonly PromotionMechanism[] = [],
+): MixOutcome {
+  const simulation = new PromotionSimulation({ seed, replicaReadsTrusting: 1, disabled });
   simulation.run(WARM_UP_MS);
   simulation.strike(STRIKE_MS, kinds);
   simulation.heal();
--- a/test/support/promotion/platform.ts
+++ b/test/support/promotion/platform.ts
@@ -11,6 +11,8 @@
   downUntil = 0;
   readonly violations: string[] = [];
   calls = 0;
+  /** The instance that was called for last, by service. */
+  readonly calledFor = new Map<string, string>();
   #highestToken = 0;
   #holder = '';
 
@@ -33,6 +35,7 @@
     this.network.send(machine, PLATFORM, () => {
       if (!isOnItsWay() || clock.now < this.downUntil) return;
       this.#noteToken(holder, request.fencingToken);
+      this.calledFor.set(request.service, request.instanceId);
       if (clock.chance(0.1)) {
         answerBack('busy');
         return;
--- a/test/support/promotion/simulation.ts
+++ b/test/support/promotion/simulation.ts
@@ -46,6 +46,9 @@
 /** A store that serves some nodes and not others; struck only where a test names them. */
 export const PARTIAL_STORE_FAULT_KINDS = ['store refuses nodes', 'store refuses leader'] as const;
 
+/** An instance that is called for ends, and another has its address later or none has; struck only where a test names them. */
+export const CANDIDATE_FAULT_KINDS = ['candidate replaced in place', 'candidate leaves'] as const;
+
 /** Struck only where a test names them. */
 const NAMED_FAULT_KINDS = ['primary replaced in place'] as const;
 
@@ -56,6 +59,7 @@
   | typeof NAMED_FAULT_KINDS
   | typeof LATENESS_FAULT_KINDS
   | typeof PARTIAL_STORE_FAULT_KINDS
+  | typeof CANDIDATE_FAULT_KINDS
 )[number];
 
 export interface SimulationOptions {
@@ -282,6 +286,21 @@
       this.store.refuse([name], this.#length());
       return name;
     },
+    'candidate replaced in place': () => {
+      const [group, candidate] = this.#candidate();
+      if (candidate === undefined) return 'none';
+      group.crash(candidate);
+      this.clock.after(this.clock.between(20, 4000), () => group.replace(candidate));
+      return candidate.id;
+    },
+    'candidate leaves': () => {
+      const [group, candidate] = this.#candidate();
+      // One that leads in the end is not removed with its log.
+      if (candidate === undefined || candidate === group.leader) return 'none';
+      group.remove(candidate);
+      this.clock.after(this.clock.between(0, 3000), () => group.join());
+      return candidate.id;
+    },
     'control late': () => {
       const group = this.#anyGroup();
       group.controlLateUntil = this.clock.now + this.#length();
@@ -289,6 +308,15 @@
     },
   };
 
+  /** Of a group without a primary, the instance that was called for; of another one, none. */
+  #candidate(): [SimulatedGroup, SimulatedInstance | undefined] {
+    const group = this.#anyGroup();
+    const id = this.platform.calledFor.get(group.service);
+    const candidate = group.instances.find((instance) => instance.id === id && instance.alive);
+    const isLed = group.leader.alive && group.leader.role === 'primary';
+    return [group, isLed ? undefined : candidate];
+  }
+
   #length(): number {
     return this.clock.between(300, 7000);
   }
