A store that comes back from a copy: leases, registrations, records and leadership hold over the return

What callers could have seen: two leaders at a time, reads at a deposed primary, an acknowledged commit lost at a promotion, a service that nobody leads any more. Cause: the copy lacks what was written since, and holds again what was taken back.

--- a/src/core/directory/store-era.ts
+++ b/src/core/directory/store-era.ts
@@ -5,8 +5,10 @@
 
 /** What one answer tells of the era that it is of. */
 export type EraReading =
-  /** The era that is known, or the first one heard of. */
+  /** The era that is known, or a store that names none. */
   | { readonly type: 'present'; readonly era: number }
+  /** The first era heard of: since when it is, is not known. */
+  | { readonly type: 'first'; readonly era: number }
   /** The store came back from a copy since the answer before. */
   | { readonly type: 'risen'; readonly era: number; readonly before: number }
   /** The answer says nothing of what the store holds now. */
@@ -41,9 +43,8 @@
     this.#isNamed = true;
     this.#era = Number(named);
     const isRisen = !isFirst && this.#era > before;
-    return isRisen
-      ? { type: 'risen', era: this.#era, before }
-      : { type: 'present', era: this.#era };
+    if (isRisen) return { type: 'risen', era: this.#era, before };
+    return { type: isFirst ? 'first' : 'present', era: this.#era };
   }
 
   #problemOf(named: string | undefined): EraProblem | undefined {
--- a/src/core/promotion/calls.ts
+++ b/src/core/promotion/calls.ts
@@ -64,6 +64,15 @@
     this.#nextAt = Math.max(this.#nextAt, this.runtime.now + confirmFirstMs);
   }
 
+  /**
+   * Who was called for by a leader before the store came back from a copy is not known: no other may be called for before
+   * such a call can take effect no more.
+   */
+  noteUnnamedCalls(): void {
+    this.#isOfEarlierLeader = true;
+    this.#settledAt = Math.max(this.#settledAt, this.runtime.era.callsSettledAt);
+  }
+
   /** The instance leads: that accounts for one of the calls. */
   noteLeads(instanceId: string): void {
     const isWhole = instanceId === this.#instanceId && !this.#isOfEarlierLeader;
--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -51,6 +51,8 @@
     private readonly context: ChangeContext,
     readonly service: string,
     readonly record: ChangingRecord,
+    /** An earlier leader may have called for a candidate, though no record names one. */
+    mayHaveBeenCalled = false,
   ) {
     const { runtime, primaries } = context;
     this.#scope = new Scope(runtime);
@@ -61,6 +63,7 @@
     // One is named only once all nodes have acknowledged.
     this.#isFree = named !== undefined;
     if (named !== undefined) context.calls.noteEarlierLeader(named);
+    else if (mayHaveBeenCalled) context.calls.noteUnnamedCalls();
     const members = context.membersOf(service);
     this.#hold = new GroupHold(runtime, {
       from: members.find(({ id }) => id === record.from) ?? primaries.instance(record.from),
--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -108,6 +108,8 @@
   | { readonly type: 'use-ended'; readonly service: string; readonly change: number }
   /** The store answers again, after a while in which it answered nothing. */
   | { readonly type: 'store-returned' }
+  /** The store has named its era for the first time, or has come back from a copy: what it held since may be gone. */
+  | { readonly type: 'store-era'; readonly era: number }
   | { readonly type: 'release-leadership' }
   | { readonly type: 'stop' };
 
@@ -144,6 +146,16 @@
   | 'settled-calls'
   /** A candidate that the platform refuses and that is not reached is named no longer. */
   | 'gone-candidates'
+  /** After a return of the store a leader does not act while a lease of the era before may be relied on. */
+  | 'era-wait'
+  /** After a return of the store a node renews its lease and registers anew before it relies on either. */
+  | 'era-registration'
+  /** After a return of the store, records that nodes know and the copy lacks are kept and written again. */
+  | 'lost-records'
+  /** A process that has only heard of the present era relies on no record until that is settled. */
+  | 'era-memory'
+  /** After a return of the store a new leader waits for calls whose candidate no record names any more. */
+  | 'unnamed-calls'
   /** A node's permission ends with its lease, by its own clock. */
   | 'permission-lapse'
   /** A node without a lease writes only where all members vouch for it. */
--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -23,6 +23,7 @@
   fleetForm,
   LEADER_KEY,
   type MembersRecord,
+  membersForm,
   membersKeyOf,
   nodeForm,
   nodeKeyOf,
@@ -98,6 +99,17 @@
     return note;
   }
 
+  /**
+   * Members by the record that all nodes follow, where it is later than the note: both are written together, but the note
+   * is known to leaders alone, and a return of the store from a copy may have taken it back.
+   */
+  membersBeyondNote(service: string): readonly InstanceEntry[] {
+    const record = this.records.get(membersKeyOf(service));
+    const note = this.duty.get(noteKeyOf(service));
+    if (record === undefined || (note?.modRevision ?? 0) >= record.modRevision) return [];
+    return decodeRecord(record, membersForm)?.members ?? [];
+  }
+
   /** Nodes whose lease has not run out. */
   liveNodes(): number {
     return [...this.duty.under(NODE_PREFIX)].length;
--- a/src/core/promotion/election.ts
+++ b/src/core/promotion/election.ts
@@ -36,11 +36,18 @@
   /** True if this node is the leader, and will surely be it for `marginMs` yet. */
   mayAct(marginMs: Milliseconds = 0): boolean {
     if (this.#token === undefined || this.#stopped) return false;
+    if (!this.#isEraSettled) return false;
     if (this.runtime.isDisabled('own-clock')) return true;
     if (this.#leaseId !== this.lease.leaseId) return false;
     return this.lease.isValid(this.runtime.now + marginMs);
   }
 
+  /** A holder of the era before may not have heard of its end, nor nodes that registered then and that the copy lacks. */
+  get #isEraSettled(): boolean {
+    const { era, now } = this.runtime;
+    return era.isSettled(now) || this.runtime.isDisabled('era-wait');
+  }
+
   /** A call of the promotion has begun. */
   noteCall(): void {
     this.#calledAt = this.runtime.now;
@@ -58,7 +65,7 @@
     if (leader !== undefined && this.#isOwn(leader)) this.#setToken(entry?.modRevision, leader);
     else this.#setToken(undefined);
     if (entry === undefined) this.#planAttempt();
-    else if (leader !== undefined && this.#isOfEarlierLife(leader)) this.#remove(entry.modRevision);
+    else if (leader !== undefined && this.#isLeftOver(leader)) this.#remove(entry.modRevision);
   }
 
   /** Gives up the lead, and does not stand for it for a while. */
@@ -94,21 +101,33 @@
   }
 
   #isOwn({ node, incarnation }: LeaderRecord): boolean {
-    const { options, now } = this.runtime;
-    if (now < this.#abstainUntil) return false;
+    const { options } = this.runtime;
+    if (this.#isAbstaining) return false;
     return node === options.nodeName && incarnation === options.incarnation;
   }
 
-  /** The process that wrote it is gone: this one has taken its place. */
-  #isOfEarlierLife({ node, incarnation }: LeaderRecord): boolean {
+  get #isAbstaining(): boolean {
+    return this.runtime.now < this.#abstainUntil;
+  }
+
+  /**
+   * Nobody holds the lead by this key: the process that wrote it is gone, and this one has taken its place, or this one
+   * has resigned and a return of the store brought the key back, on a lease that lives on.
+   */
+  #isLeftOver({ node, incarnation }: LeaderRecord): boolean {
     const { nodeName, incarnation: own } = this.runtime.options;
-    return node === nodeName && incarnation !== own && this.participation.isRegistered;
+    if (node !== nodeName || !this.participation.isRegistered) return false;
+    return incarnation !== own || this.#isAbstaining;
   }
 
   #setToken(token: number | undefined, leader?: LeaderRecord): void {
     if (token === this.#token) return;
+    const isSameHold = leader !== undefined && this.#leaseId === leader.leaseId;
+    const isHeld = token !== undefined && this.#token !== undefined && isSameHold;
     this.#token = token;
     this.#leaseId = leader?.leaseId;
+    // The key outlived a return of the store from a copy: what this holder knows of its duty is the newest there is.
+    if (isHeld) return;
     this.runtime.log('info', token === undefined ? 'leadership lost' : 'leadership taken', {
       token,
     });
--- /dev/null
+++ b/src/core/promotion/era-settling.ts
@@ -0,0 +1,79 @@
+/**
+ * How long after a return of the store from a copy something of the era before may still bind: leases that the copy has
+ * not, records that are yet to be written again, and calls of the promotion that no record names. Counted from when this
+ * process first heard of the era, which is no earlier than the return, or over at once where a leader has recorded that
+ * it has waited.
+ */
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../units.js';
+import type { PromotionTimings } from './options.js';
+
+export class EraSettling {
+  #heardAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  /** Undefined for a store that names none. */
+  #era: number | undefined;
+  /** The era that a leader has recorded as settled. */
+  #recorded: number | undefined;
+  /** This process has no memory of an era before, in which the store may have held more. */
+  #isWithoutMemory = false;
+
+  #hasRisen = false;
+  /** The era in which the whole system started. */
+  #firstOfAll: number | undefined;
+
+  constructor(
+    private readonly timings: PromotionTimings,
+    /** The whole system starts for the first time: there is no era before. */
+    private readonly isFirstStart: boolean,
+  ) {}
+
+  /** The store named its era for the first time, or one that is higher. */
+  note(era: number, now: Milliseconds): void {
+    const isFirst = this.#era === undefined;
+    if (isFirst && this.isFirstStart) this.#firstOfAll = era;
+    this.#isWithoutMemory = isFirst || !this.mayRelyOnRecords(now);
+    this.#hasRisen ||= !isFirst;
+    this.#era = era;
+    this.#heardAt = now;
+  }
+
+  /** What the records say of the era that is settled. */
+  noteRecorded(era: number | undefined): void {
+    this.#recorded = era;
+  }
+
+  /** The present era, if no leader has recorded it yet. */
+  get unrecorded(): number | undefined {
+    return this.#recorded === this.#era ? undefined : this.#era;
+  }
+
+  /** The store came back from a copy in the life of this process: what leaders kept for themselves may be lost. */
+  get hasRisen(): boolean {
+    return this.#hasRisen;
+  }
+
+  /** When this process heard of the present era; minus infinity for a store that names none. */
+  get heardAt(): Milliseconds {
+    return this.#heardAt;
+  }
+
+  /** From then on no node relies on a lease that it had before: the last renewal was answered before the return. */
+  get leasesOverAt(): Milliseconds {
+    return this.#heardAt + this.timings.leaseSeconds * MILLISECONDS_PER_SECOND;
+  }
+
+  /** From then on no call of a leader of the era before can take effect. */
+  get callsSettledAt(): Milliseconds {
+    return this.leasesOverAt + this.timings.promoteTimeoutMs + this.timings.callSettledMs;
+  }
+
+  /** No lease of the era before is relied on any more. */
+  isSettled(now: Milliseconds): boolean {
+    if (this.unrecorded === undefined || this.#firstOfAll === this.#era) return true;
+    return now >= this.leasesOverAt;
+  }
+
+  /** What the store holds, with what this process remembers, is all that was acted on. */
+  mayRelyOnRecords(now: Milliseconds): boolean {
+    return !this.#isWithoutMemory || this.isSettled(now);
+  }
+}
--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '../units.js';
 import { DutyStore } from './duty-store.js';
 import type { Election } from './election.js';
+import { EraPublisher } from './era-publisher.js';
 import { FleetPublisher } from './fleet-publisher.js';
 import type { NodeLease } from './lease.js';
 import { PeerPublisher } from './peer-publisher.js';
@@ -22,6 +23,7 @@
   readonly #duty: StoreView;
   readonly #store: DutyStore;
   readonly #peers: PeerPublisher;
+  readonly #era: EraPublisher;
   readonly #fleet: FleetPublisher;
   #scope: Scope;
   #services = new Map<string, ServiceDescription>();
@@ -43,6 +45,7 @@
     this.#duty.onChange = () => this.update();
     this.#store = new DutyStore(runtime, election, primaries, records, this.#duty);
     this.#peers = new PeerPublisher(runtime, election, records, this.#duty);
+    this.#era = new EraPublisher(runtime, election);
     this.#fleet = new FleetPublisher(runtime, this.#store, () => this.#services.values());
   }
 
@@ -100,6 +103,7 @@
     }
     this.#publishFleet();
     this.#peers.update(this.#scope);
+    this.#era.update(this.#scope);
   }
 
   stop(): void {
--- a/src/core/promotion/lease.ts
+++ b/src/core/promotion/lease.ts
@@ -71,6 +71,14 @@
     this.#pause.end();
   }
 
+  /** The store came back from a copy: it may lack the lease, or its last renewals. */
+  noteEra(): void {
+    this.#validUntil = 0;
+    if (this.#stopped || this.#leaseId === undefined) return;
+    this.#silences = 0;
+    this.#renewAfter(0);
+  }
+
   /** Ends the lease's use at once; the lease itself is left to the caller. */
   stop(): string | undefined {
     this.#stopped = true;
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -17,6 +17,8 @@
 import { Primaries } from './primaries.js';
 import {
   decodeRecord,
+  ERA_KEY,
+  eraForm,
   FLEET_KEY,
   type FleetRecord,
   fleetForm,
@@ -89,7 +91,7 @@
 
   /** True if what the primary, or this instance, answers now is surely not of a deposed one. */
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
-    if (!this.#participation.isPermitted(now)) return false;
+    if (!this.#participation.isPermitted(now) || !this.#mayRelyOnRecords(now)) return false;
     const primary = this.#primaries.primaryOf(service, now);
     return primary !== undefined && (instance === undefined || instance === primary.id);
   }
@@ -101,9 +103,15 @@
 
   /** Members that there may be and that can't be asked: they count as silent. Undefined while nothing can be proven. */
   unseenMembersOf(service: string): string[] | undefined {
+    if (!this.#mayRelyOnRecords(this.#runtime.now)) return undefined;
     return this.#primaries.unseenMembers(service);
   }
 
+  /** What this process reads may be older than what was acted on, and it remembers nothing. */
+  #mayRelyOnRecords(now: Milliseconds): boolean {
+    return this.#runtime.era.mayRelyOnRecords(now) || this.#runtime.isDisabled('era-memory');
+  }
+
   /** True while the record says that another primary is being made. */
   isChanging(service: string): boolean {
     return this.#primaries.recordOf(service)?.phase === 'changing';
@@ -211,6 +219,9 @@
         this.#lease.retryNow();
         this.#records.retryNow();
         return;
+      case 'store-era':
+        this.#noteStoreEra(event.era);
+        return;
       case 'release-leadership':
         this.#release();
         return;
@@ -228,6 +239,15 @@
     this.#runtime.after(this.#runtime.timings.readUnregisteredMs, () => this.#records.start());
   }
 
+  /** Leases, registrations and what hangs on them may be gone, or back: each is shown or written anew before it counts. */
+  #noteStoreEra(era: number): void {
+    this.#runtime.era.note(era, this.#runtime.now);
+    if (this.#runtime.isDisabled('era-registration')) return;
+    this.#lease.noteEra();
+    this.#participation.noteEra();
+    this.#suspicions.noteEra();
+  }
+
   #noteFailure({ service, use, silentForMs }: PrimaryFailedEvent): void {
     const instance = this.#primaries.primaryIdOf(service);
     if (instance === undefined) return;
@@ -248,6 +268,8 @@
   }
 
   #noteRecords(): void {
+    const settled = decodeRecord(this.#records.get(ERA_KEY), eraForm);
+    this.#runtime.era.noteRecorded(settled?.era);
     this.#tellChanges();
     for (const entry of this.#records.under(RECORD_PREFIX)) {
       const service = serviceOfPrimaryKey(entry.key);
--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -49,19 +49,31 @@
     const present = this.primaries.present(this.service);
     const addresses = new Set(present.map(addressOf));
     // The log of one that is gone goes to its successor at the same address, unless that is the instance itself born again.
-    const gone = this.store
-      .noteOf(this.service)
-      .members.filter((member) => !this.primaries.isPresent(member.id))
+    const gone = this.#noted()
+      .filter((member) => !this.primaries.isPresent(member.id))
       .filter((member) => this.primaries.isBornAgain(member) || !addresses.has(addressOf(member)));
     return [...present, ...gone];
   }
 
+  #noted(): readonly InstanceEntry[] {
+    const { members } = this.store.noteOf(this.service);
+    const ids = new Set(members.map(({ id }) => id));
+    const others = this.store.membersBeyondNote(this.service).filter(({ id }) => !ids.has(id));
+    return others.length === 0 ? members : [...members, ...others];
+  }
+
   /** Forgotten members that have no entry yet, should they come back. */
   departed(): InstanceEntry[] {
     const current = this.current();
-    return this.store
-      .noteOf(this.service)
-      .departed.filter(({ id }) => current.every((member) => member.id !== id));
+    const noted = this.store.noteOf(this.service).departed;
+    const departed = this.runtime.era.hasRisen ? [...noted, ...this.#remembered(noted)] : noted;
+    return departed.filter(({ id }) => current.every((member) => member.id !== id));
+  }
+
+  /** A return of the store may have taken the note back: whoever was seen may have been forgotten since, and come back. */
+  #remembered(noted: readonly InstanceEntry[]): InstanceEntry[] {
+    const ids = new Set(noted.map(({ id }) => id));
+    return this.primaries.remembered(this.service).filter(({ id }) => !ids.has(id));
   }
 
   /** Brings the note in the store up to date. */
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -136,6 +136,8 @@
   readonly smallestReaderFleet?: number | undefined;
   /** Tenants have quotas, which some nodes keep. */
   readonly hasQuotas?: boolean | undefined;
+  /** The whole system starts for the first time. */
+  readonly isFirstStart?: boolean | undefined;
   /** Whether this node may open connections to an instance; by default it may. */
   readonly mayConnect?: ((instance: InstanceEntry) => boolean) | undefined;
   /** Numbers in [0, 1). */
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -66,6 +66,15 @@
     this.#register(leaseId, 0);
   }
 
+  /** The store came back from a copy, which may lack the registration and what was acknowledged. */
+  noteEra(): void {
+    const { leaseId } = this.lease;
+    this.#registeredLease = undefined;
+    for (const state of this.#acknowledgements.values()) state.cancel();
+    this.#acknowledgements.clear();
+    if (!this.#stopped && leaseId !== undefined) this.#register(leaseId, 0);
+  }
+
   /** Ends what of the node's permission is left. */
   stop(): void {
     this.#stopped = true;
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -22,6 +22,8 @@
 export const DUTY_PREFIX = 'meadowstack-duty/';
 export const LEADER_KEY = `${RECORD_PREFIX}leader`;
 export const FLEET_KEY = `${RECORD_PREFIX}fleet`;
+/** The era of the store after whose beginning a leader has waited until nothing of the one before binds. */
+export const ERA_KEY = `${RECORD_PREFIX}era`;
 export const PEERS_KEY = `${RECORD_PREFIX}peers`;
 const PRIMARY_PREFIX = `${RECORD_PREFIX}primary/`;
 const MEMBERS_PREFIX = `${RECORD_PREFIX}members/`;
@@ -47,6 +49,16 @@
   return key.startsWith(PRIMARY_PREFIX) ? decode(key.slice(PRIMARY_PREFIX.length)) : undefined;
 }
 
+/** Whether a key holds the members of a service. */
+export function isMembersKey(key: string): boolean {
+  return key.startsWith(MEMBERS_PREFIX);
+}
+
+/** Whether a key holds what one leader leaves to the next. */
+export function isNoteKey(key: string): boolean {
+  return key.startsWith(NOTE_PREFIX);
+}
+
 export function nodeOfNodeKey(key: string): string | undefined {
   return key.startsWith(NODE_PREFIX) ? decode(key.slice(NODE_PREFIX.length)) : undefined;
 }
@@ -80,6 +92,10 @@
   readonly addresses: readonly PeerAddress[];
 }
 
+export interface EraRecord {
+  readonly era: number;
+}
+
 /** Where other nodes reach a node. */
 export type PeerPlace = Omit<ReachableNode, 'nodeId'>;
 
@@ -199,6 +215,10 @@
   return isNumber(linkMbps) ? { ...record, linkMbps } : record;
 }
 
+export function eraForm({ era }: Fields): EraRecord | undefined {
+  return isNumber(era) ? { era } : undefined;
+}
+
 export function peersForm({ addresses }: Fields): PeersRecord | undefined {
   if (!Array.isArray(addresses)) return undefined;
   return { addresses: addresses.map(addressForm).filter((address) => address !== undefined) };
--- a/src/core/promotion/runtime.ts
+++ b/src/core/promotion/runtime.ts
@@ -20,6 +20,7 @@
   PromotionRequest,
   RequestAnswer,
 } from './contract.js';
+import { EraSettling } from './era-settling.js';
 import type { PromotionOptions } from './options.js';
 
 /** A call to the store failed, or no answer came in time: then it may have been done. */
@@ -39,11 +40,14 @@
 export class PromotionRuntime {
   now: Milliseconds = 0;
   readonly agenda = new Agenda();
+  readonly era: EraSettling;
   #effects: PromotionEffect[] = [];
   #pending = new Map<number, PendingRequest>();
   #nextId = 1;
 
-  constructor(readonly options: PromotionOptions) {}
+  constructor(readonly options: PromotionOptions) {
+    this.era = new EraSettling(options.timings, options.isFirstStart === true);
+  }
 
   get timings() {
     return this.options.timings;
--- a/src/core/promotion/service-duty.ts
+++ b/src/core/promotion/service-duty.ts
@@ -30,6 +30,8 @@
   #looking = false;
   #nextLookAt: Milliseconds = 0;
   #deafLooks = 0;
+  /** The change that this leader wrote last, or tried to. */
+  #begunChange: number | undefined;
   /** What stood in the way of a change, as it was logged last. */
   #obstacle = '';
 
@@ -87,7 +89,8 @@
           membersOf: () => this.#members.current(),
           departedOf: () => this.#members.departed(),
         };
-        this.#change = new PrimaryChange(context, this.service, record);
+        const mayHaveBeenCalled = this.#mayHaveBeenCalled(record.change);
+        this.#change = new PrimaryChange(context, this.service, record, mayHaveBeenCalled);
         this.#change.start();
       } else {
         this.#change.step();
@@ -116,6 +119,14 @@
     this.#careFor(record.instance, record.term, true);
   }
 
+  /** A change that another leader began before the store came back from a copy may have lost its candidate's name. */
+  #mayHaveBeenCalled(change: number): boolean {
+    const { runtime, store } = this.context;
+    const { heardAt, callsSettledAt } = runtime.era;
+    if (change === this.#begunChange || runtime.isDisabled('unnamed-calls')) return false;
+    return store.begunAt >= heardAt && runtime.now < callsSettledAt;
+  }
+
   #endChange(): void {
     this.#change?.stop();
     this.#change = undefined;
@@ -183,6 +194,7 @@
     const { planned } = result;
     const at = placeOf(from);
     const record = { phase: 'changing', change, from: from.id, at, term, planned } as const;
+    this.#begunChange = change;
     const note = {
       ...store.noteOf(this.service),
       members: this.#members.current(),
--- a/src/core/promotion/suspicion.ts
+++ b/src/core/promotion/suspicion.ts
@@ -10,6 +10,8 @@
 
 /** Failures are told by at least so many requests. */
 const MINIMUM_FAILURES = 2;
+/** Stands for whatever the store may hold: differs from every instance, and from none. */
+const UNKNOWN_INSTANCE = '';
 
 interface ServiceHealth {
   /** Primary that this is of. */
@@ -113,6 +115,16 @@
     this.#write(service, wanted, written, leaseId);
   }
 
+  /** The store came back from a copy, which may lack what was written, or hold what was taken back. */
+  noteEra(): void {
+    for (const [service, written] of this.#written) {
+      written.instance = UNKNOWN_INSTANCE;
+      written.revision = 0;
+      // Not before the lease is renewed.
+      this.runtime.after(this.runtime.timings.leaseRenewMs, () => this.#update(service));
+    }
+  }
+
   #writtenOf(service: string): WrittenSuspicion {
     const known = this.#written.get(service);
     if (known !== undefined) return known;
--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -19,6 +19,12 @@
 import type { InstanceEntry, PublishedConfiguration } from './contract.js';
 import { PrefixReader } from './prefix-reader.js';
 
+/**
+ * A store that came back from a copy may lack the newest configuration until the operator has written it again, as late as
+ * the instances write their entries.
+ */
+const WRITTEN_AGAIN_AFTER_MS: Milliseconds = 2500;
+
 /** Ceilings of the pauses after failures: short enough that a bound of some seconds still holds. */
 const BACKOFF: BackoffPolicy = { baseMs: 50, maximumMs: 1000 };
 
@@ -95,6 +101,9 @@
   #isTextUnread = false;
   /** When the store surely had no newer configuration, as a peer showed last. */
   #adoptedProof: Milliseconds = Number.NEGATIVE_INFINITY;
+  /** When this node heard that the store came back from a copy, and what was proven before that. */
+  #returnedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #provenBeforeReturn: Milliseconds = Number.NEGATIVE_INFINITY;
   #instancesRead = false;
   /** What a peer told, until the store answers. */
   #adopted: InstancesPart<InstanceEntry> | undefined;
@@ -191,11 +200,22 @@
    */
   configurationProvenAt(): Milliseconds | undefined {
     if (this.#isTextUnread || this.#configuration === undefined) return undefined;
-    const own = this.#configurationReader.lastProvenAt() ?? Number.NEGATIVE_INFINITY;
-    const provenAt = Math.max(own, this.#adoptedProof);
+    const provenAt = Math.max(this.#ownProof(), this.#adoptedProof);
     return provenAt === Number.NEGATIVE_INFINITY ? undefined : provenAt;
   }
 
+  /** The store came back from a copy: what it tells at first proves nothing of the newest configuration. */
+  noteStoreReturn(): void {
+    this.#provenBeforeReturn = this.#ownProof();
+    this.#returnedAt = this.options.clock();
+  }
+
+  #ownProof(): Milliseconds {
+    const provenAt = this.#configurationReader.lastProvenAt() ?? Number.NEGATIVE_INFINITY;
+    const isOfReturn = provenAt < this.#returnedAt + WRITTEN_AGAIN_AFTER_MS;
+    return isOfReturn ? this.#provenBeforeReturn : provenAt;
+  }
+
   /** Takes a peer's word that the store had nothing newer than what is in force here at that time. */
   adoptConfigurationProof(provenAt: Milliseconds): void {
     this.#adoptedProof = Math.max(this.#adoptedProof, provenAt);
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -44,6 +44,7 @@
   readonly smallestReaderFleet?: number | undefined;
   /** Tenants have quotas, which some nodes keep. */
   readonly hasQuotas?: boolean | undefined;
+  readonly isFirstStart?: boolean | undefined;
   /** Whether this node may open connections to an instance; by default it may. */
   readonly mayConnect?: (instance: InstanceEntry) => boolean;
   readonly store: Store;
@@ -95,6 +96,7 @@
       largestDirectFleet: options.largestDirectFleet,
       smallestReaderFleet: options.smallestReaderFleet,
       hasQuotas: options.hasQuotas,
+      isFirstStart: options.isFirstStart,
       mayConnect: options.mayConnect,
       timings: { ...timings, leaseSeconds },
       random: options.random ?? Math.random,
@@ -143,6 +145,11 @@
     this.#handle({ type: 'store-returned' });
   }
 
+  /** The store has named its era for the first time, or one that is higher. */
+  noteStoreEra(era: number): void {
+    this.#handle({ type: 'store-era', era });
+  }
+
   noteInstances(entries: readonly InstanceEntry[]): void {
     this.#handle({ type: 'instances-changed', entries });
   }
--- a/test/support/promotion/mix.ts
+++ b/test/support/promotion/mix.ts
@@ -7,6 +7,7 @@
   LATENESS_FAULT_KINDS,
   PARTIAL_STORE_FAULT_KINDS,
   PromotionSimulation,
+  STORE_RETURN_FAULT_KINDS,
 } from './simulation.js';
 
 const WARM_UP_MS = 3000;
@@ -35,6 +36,16 @@
   'node kill',
 ];
 
+/** Returns of the store from a copy, beside all else. */
+export const STORE_RETURN_KINDS: readonly FaultKind[] = [
+  ...MIXED_FAULT_KINDS,
+  ...Array.from({ length: 5 }, () => STORE_RETURN_FAULT_KINDS).flat(),
+];
+
+function isStoreReturn(kind: FaultKind): boolean {
+  return STORE_RETURN_FAULT_KINDS.some((one) => one === kind);
+}
+
 /** What a seed showed: broken promises, and services that no write gets through to. */
 export interface MixOutcome {
   readonly seed: number;
@@ -50,6 +61,7 @@
   disabled: readonly PromotionMechanism[] = [],
 ): MixOutcome {
   const simulation = new PromotionSimulation({ seed, replicaReadsTrusting: 1, disabled });
+  if (kinds.some((kind) => isStoreReturn(kind))) simulation.store.keepCopies();
   simulation.run(WARM_UP_MS);
   simulation.strike(STRIKE_MS, kinds);
   simulation.heal();
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -98,6 +98,10 @@
       random: this.#clock.random,
       disabled: this.world.disabled,
     });
+    const life = this.#life;
+    this.world.store.connect(this.name, (era) => {
+      this.#run(life, () => this.handle({ type: 'store-era', era }));
+    });
     const services = [...this.world.groups.keys()].map((name) => {
       return { name, maxConnections: 34, syncReplicas: 1 };
     });
--- a/test/support/promotion/simulation.ts
+++ b/test/support/promotion/simulation.ts
@@ -49,6 +49,9 @@
 /** An instance that is called for ends, and another has its address later or none has; struck only where a test names them. */
 export const CANDIDATE_FAULT_KINDS = ['candidate replaced in place', 'candidate leaves'] as const;
 
+/** The store comes back from a copy of itself, once or twice in a row; struck only where a test names them. */
+export const STORE_RETURN_FAULT_KINDS = ['store returns', 'store returns twice'] as const;
+
 /** Struck only where a test names them. */
 const NAMED_FAULT_KINDS = ['primary replaced in place'] as const;
 
@@ -60,6 +63,7 @@
   | typeof LATENESS_FAULT_KINDS
   | typeof PARTIAL_STORE_FAULT_KINDS
   | typeof CANDIDATE_FAULT_KINDS
+  | typeof STORE_RETURN_FAULT_KINDS
 )[number];
 
 export interface SimulationOptions {
@@ -286,6 +290,11 @@
       this.store.refuse([name], this.#length());
       return name;
     },
+    'store returns': () => this.#returnFromCopy(),
+    'store returns twice': () => {
+      this.clock.after(this.clock.between(200, 4000), () => this.#returnFromCopy());
+      return this.#returnFromCopy();
+    },
     'candidate replaced in place': () => {
       const [group, candidate] = this.#candidate();
       if (candidate === undefined) return 'none';
@@ -308,6 +317,13 @@
     },
   };
 
+  #returnFromCopy(): string {
+    const ageMs = this.clock.between(100, 10_000);
+    const awayMs = this.clock.chance(0.5) ? 0 : this.clock.between(0, 5000);
+    this.store.returnFromCopy(ageMs, awayMs);
+    return `${ageMs.toFixed(0)} ms old, away ${awayMs.toFixed(0)} ms`;
+  }
+
   /** Of a group without a primary, the instance that was called for; of another one, none. */
   #candidate(): [SimulatedGroup, SimulatedInstance | undefined] {
     const group = this.#anyGroup();
--- a/test/support/promotion/store.ts
+++ b/test/support/promotion/store.ts
@@ -2,6 +2,13 @@
  * The platform's store in virtual time: compare-and-swap, leases, watches, and its faults: outages
  * with leases that wait or run out, slowness, answers lost, changes done late, watches gone deaf.
  */
+
+import {
+  HIGHEST_REVISION,
+  isOfEra,
+  positionOf,
+  revisionWithinEra,
+} from '../../../src/core/directory/store-position.js';
 import type {
   PromotionRequest,
   RequestAnswer,
@@ -27,10 +34,36 @@
   readonly prefix: string;
   readonly onEvents: (events: readonly WatchEvent[], revision: number) => void;
   readonly onEnd: () => void;
+  readonly era: number;
   deafUntil: number;
   ended: boolean;
 }
 
+/** What one process knows of the store's era; undefined before its first answer. */
+interface StoreClient {
+  era: number | undefined;
+  readonly onEra: (era: number) => void;
+}
+
+interface CopiedLease {
+  readonly id: string;
+  readonly ttlMs: number;
+  readonly leftMs: number;
+}
+
+/** The store as it was. */
+interface StoreCopy {
+  readonly at: number;
+  readonly revision: number;
+  readonly entries: ReadonlyMap<string, StoredEntry>;
+  readonly leases: readonly CopiedLease[];
+}
+
+const COPY_EVERY_MS = 100;
+const OLDEST_COPY_MS = 11_000;
+/** A poll that was out as the store went is given up by then. */
+const LONGEST_POLL_MS = 2400;
+
 export class SimulatedStore {
   readonly entries = new Map<string, StoredEntry>();
   downUntil = 0;
@@ -46,6 +79,10 @@
   #nextLease = 1;
   readonly #leases = new Map<string, { expiresAt: number; readonly ttlMs: number }>();
   #watches = new Set<SimulatedWatch>();
+  /** How often it came back from a copy, and one more; 0 for a store that names no era. */
+  era = 0;
+  readonly #clients = new Map<string, StoreClient>();
+  #copies: StoreCopy[] = [];
 
   constructor(private readonly network: SimulatedNetwork) {
     this.#sweep();
@@ -67,6 +104,81 @@
     for (const watch of this.#watches) this.#endLater(watch, 20);
   }
 
+  /** From now on the store names its era and keeps copies of itself. */
+  keepCopies(): void {
+    if (this.era === 0) this.era = 1;
+    const { now } = this.#clock;
+    if (!this.isDown) {
+      this.#copies.push({
+        at: now,
+        revision: this.#revision,
+        entries: new Map(this.entries),
+        leases: [...this.#leases].map(([id, { ttlMs, expiresAt }]) => {
+          return { id, ttlMs, leftMs: expiresAt - now };
+        }),
+      });
+    }
+    this.#copies = this.#copies.filter(({ at }) => at >= now - OLDEST_COPY_MS);
+    this.#clock.after(COPY_EVERY_MS, () => this.keepCopies());
+  }
+
+  /** Goes away for a while, and comes back as it was. */
+  returnFromCopy(ageMs: number, awayMs: number): void {
+    const copy = this.#copies.findLast(({ at }) => at <= this.#clock.now - ageMs);
+    this.goDown(awayMs, false);
+    this.#clock.after(awayMs, () => this.#restore(copy ?? this.#copies[0]));
+  }
+
+  #restore(copy: StoreCopy | undefined): void {
+    if (copy === undefined) return;
+    this.era += 1;
+    this.#copies = this.#copies.filter(({ at }) => at <= copy.at);
+    this.#revision = copy.revision;
+    this.#changes = this.#changes.filter(({ revision }) => revision <= copy.revision);
+    this.entries.clear();
+    for (const [key, entry] of copy.entries) this.entries.set(key, entry);
+    this.#leases.clear();
+    for (const { id, ttlMs, leftMs } of copy.leases) {
+      this.#leases.set(id, { ttlMs, expiresAt: this.#clock.now + leftMs });
+    }
+    for (const watch of this.#watches) {
+      watch.deafUntil = Number.POSITIVE_INFINITY;
+      this.#endLater(watch, this.#clock.between(5, LONGEST_POLL_MS));
+    }
+  }
+
+  /** A process begins; it is told when it hears of an era for the first time, and of each rise. */
+  connect(machine: string, onEra: (era: number) => void): void {
+    this.#clients.set(machine, { era: undefined, onEra });
+  }
+
+  /** An answer of this era has come; false if it says nothing of the present. */
+  #noteEra(machine: string, era: number): boolean {
+    const client = this.#clients.get(machine);
+    if (client === undefined || era === 0 || client.era === era) return true;
+    if (client.era !== undefined && era < client.era) return false;
+    client.era = era;
+    for (const watch of [...this.#watches]) {
+      if (watch.machine === machine && watch.era !== era) this.#endLater(watch, 0);
+    }
+    client.onEra(era);
+    return true;
+  }
+
+  #eraKnownTo(machine: string): number {
+    return this.#clients.get(machine)?.era ?? this.era;
+  }
+
+  /** As the client sends it: positions become revisions, and those of another era never hold. */
+  #asked(request: StoreRequest, era: number): StoreRequest {
+    if (request.type !== 'transaction') return request;
+    const compares = request.compares.map(({ key, modRevision }) => {
+      const isKnown = modRevision === 0 || isOfEra(modRevision, era);
+      return { key, modRevision: isKnown ? revisionWithinEra(modRevision) : HIGHEST_REVISION };
+    });
+    return { ...request, compares };
+  }
+
   /** Turns some nodes away and serves the others; their watches end, and open no more meanwhile. */
   refuse(machines: readonly string[], forMs: number): void {
     for (const machine of machines) this.#refusedUntil.set(machine, this.#clock.now + forMs);
@@ -89,8 +201,20 @@
   request(machine: string, request: StoreRequest, onAnswer: (answer: RequestAnswer) => void): void {
     this.requests += 1;
     const { network } = this;
-    const answerBack = (answer: RequestAnswer): void =>
-      network.send(STORE, machine, () => onAnswer(answer));
+    const client = this.#clients.get(machine);
+    const eraAsked = this.#eraKnownTo(machine);
+    const asked = this.#asked(request, eraAsked);
+    const hasConditions =
+      request.type === 'transaction' && request.compares.some(({ modRevision }) => modRevision > 0);
+    const answerBack = (answer: RequestAnswer): void => {
+      const { era } = this;
+      network.send(STORE, machine, () => {
+        if (client !== this.#clients.get(machine)) return;
+        const isDone = answer.type === 'transaction' && answer.transaction.succeeded;
+        const isMeant = !(isDone && hasConditions && era !== eraAsked);
+        onAnswer(this.#noteEra(machine, era) && isMeant ? answer : FAILED);
+      });
+    };
     network.send(machine, STORE, () => {
       if (this.isDown || this.#refuses(machine)) {
         if (this.#clock.chance(0.5)) answerBack(FAILED);
@@ -100,10 +224,10 @@
       this.#clock.after(slowness + this.#clock.between(1, 4), () => {
         const isWrite = request.type === 'transaction' || request.type === 'grant-lease';
         if (isWrite && this.#clock.now < this.lateUntil && this.#clock.chance(0.35)) {
-          this.#clock.after(this.#clock.between(1000, 6000), () => this.#carryOut(request));
+          this.#clock.after(this.#clock.between(1000, 6000), () => this.#carryOut(asked));
           return;
         }
-        const answer = this.#carryOut(request);
+        const answer = this.#carryOut(asked);
         const isLost = isWrite && this.#clock.now < this.lossUntil && this.#clock.chance(0.35);
         if (!isLost) answerBack(answer);
       });
@@ -118,13 +242,14 @@
     fromRevision: number,
   ): () => void {
     this.requests += 1;
-    const watch = { machine, prefix, onEvents, onEnd, deafUntil: 0, ended: false };
+    const { era } = this;
+    const watch = { machine, prefix, onEvents, onEnd, era, deafUntil: 0, ended: false };
     this.#watches.add(watch);
     if (this.#refuses(machine)) this.#endLater(watch, 5);
+    if (!isOfEra(fromRevision, era)) this.#endLater(watch, 5);
     // What changed between the read and the watch is told by a whole new read.
-    if (fromRevision <= this.#revision && this.#changedSince(prefix, fromRevision)) {
-      this.#endLater(watch, 5);
-    }
+    const from = revisionWithinEra(fromRevision);
+    if (from > this.#revision + 1 || this.#changedSince(prefix, from)) this.#endLater(watch, 5);
     return () => {
       watch.ended = true;
       this.#watches.delete(watch);
@@ -155,10 +280,10 @@
     this.#expire();
     switch (request.type) {
       case 'range': {
-        const entries = [...this.entries.values()].filter(({ key }) =>
-          key.startsWith(request.prefix),
-        );
-        return { type: 'range', range: { revision: this.#revision, entries } };
+        const entries = [...this.entries.values()]
+          .filter(({ key }) => key.startsWith(request.prefix))
+          .map((entry) => this.#placed(entry));
+        return { type: 'range', range: { revision: this.#position(this.#revision), entries } };
       }
       case 'grant-lease': {
         const leaseId = String(this.#nextLease);
@@ -190,12 +315,14 @@
       ({ leaseId }) => leaseId !== undefined && !this.#leases.has(leaseId),
     );
     if (lacksLease) return LEASE_OVER;
-    const current = compares.flatMap(({ key }) => this.entries.get(key) ?? []);
+    const found = compares.flatMap(({ key }) => this.entries.get(key) ?? []);
+    const current = found.map((entry) => this.#placed(entry));
     const succeeded = compares.every(
       ({ key, modRevision }) => (this.entries.get(key)?.modRevision ?? 0) === modRevision,
     );
     if (succeeded) this.#change(operations);
-    return { type: 'transaction', transaction: { succeeded, revision: this.#revision, current } };
+    const revision = this.#position(this.#revision);
+    return { type: 'transaction', transaction: { succeeded, revision, current } };
   }
 
   #change(operations: Extract<StoreRequest, { type: 'transaction' }>['operations']): void {
@@ -206,15 +333,30 @@
       this.#changes.push({ key, revision: modRevision });
       if (operation.type === 'delete') {
         this.entries.delete(key);
-        return { type: 'delete', key, modRevision };
+        return { type: 'delete', key, modRevision: this.#position(modRevision) };
       }
       const createRevision = this.entries.get(key)?.createRevision ?? modRevision;
       const { value, leaseId } = operation;
       const entry = { key, value, createRevision, modRevision, leaseId };
       this.entries.set(key, entry);
-      return { type: 'put', entry };
+      return { type: 'put', entry: this.#placed(entry) };
     });
-    for (const watch of this.#watches) this.#tell(watch, events, modRevision);
+    const position = this.#position(modRevision);
+    for (const watch of this.#watches) this.#tell(watch, events, position);
+  }
+
+  #position(revision: number): number {
+    return positionOf(this.era, revision);
+  }
+
+  #placed(entry: StoredEntry): StoredEntry {
+    if (this.era === 0) return entry;
+    const { createRevision, modRevision } = entry;
+    return {
+      ...entry,
+      createRevision: this.#position(createRevision),
+      modRevision: this.#position(modRevision),
+    };
   }
 
   #tell(watch: SimulatedWatch, events: readonly WatchEvent[], revision: number): void {
--- a/test/unit/platform/directory-follower.test.ts
+++ b/test/unit/platform/directory-follower.test.ts
@@ -367,4 +367,21 @@
   assert.equal([...follower.instances().keys()], ['i-1']);
 });
 
+test('what the store tells right after its return from a copy proves nothing of the newest configuration', async () => {
+  const setup = await started((one) => {
+    one.ranges.set(CONFIGURATION_KEY, { revision: 9, entries: [configuration(7, 4)] });
+  });
+  const { store, follower } = setup;
+  const answerAt = (sentAt: number): number | undefined => {
+    store.last(CONFIGURATION_KEY).handlers.onEvents([], 9, sentAt, sentAt);
+    return follower.configurationProvenAt();
+  };
+  assert.is(answerAt(1000), 1000);
+  setup.now = 5000;
+  follower.noteStoreReturn();
+  assert.is(answerAt(4900), 1000, 'asked before the return was heard of');
+  assert.is(answerAt(7000), 1000, 'the operator may not have written again');
+  assert.is(answerAt(7500), 7500);
+});
+
 test.run();
--- a/test/unit/platform/store-era.test.ts
+++ b/test/unit/platform/store-era.test.ts
@@ -32,7 +32,9 @@
     endpoint: server.endpoint,
     clientName: 'test',
     watchWaitMs: () => WAIT_MS,
-    onEra: (reading) => told.push(reading),
+    onEra: (reading) => {
+      if (reading.type !== 'first') told.push(reading);
+    },
   });
   try {
     await run(store, server, told);
@@ -150,6 +152,7 @@
 
 test('the era that is heard of first is no rise', () => {
   const era = new StoreEra();
+  assert.equal(era.note('17'), { type: 'first', era: 17 });
   assert.equal(era.note('17'), { type: 'present', era: 17 });
   assert.equal(era.note('19'), { type: 'risen', era: 19, before: 17 });
   assert.equal(era.note('18'), { type: 'unusable', reason: 'over' });
