--- a/src/platform/contract.ts
+++ b/src/platform/contract.ts
@@ -6,7 +6,10 @@
 import type { MeadowstackError } from '../core/errors.js';
 import type { GroupName, InstanceName, ZoneName } from '../core/request.js';
 
-/** One key with its value and revisions, as etcd names them. */
+/**
+ * One key with its value and revisions, as etcd names them. Of a store that may come back from a copy, these and all other
+ * revisions of this contract are positions, which rise over that, too.
+ */
 export interface KeyValue {
   readonly key: string;
   readonly value: string;
