--- a/src/core/promotion/lost-records.ts
+++ b/src/core/promotion/lost-records.ts
@@ -4,6 +4,7 @@
  */
 import type { KeyValue } from '../../platform/contract.js';
 import { revisionWithinEra } from '../directory/store-position.js';
+import type { Milliseconds } from '../units.js';
 import {
   decodeRecord,
   isMembersKey,
@@ -12,16 +13,92 @@
   primaryForm,
   serviceOfPrimaryKey,
 } from './records.js';
+import { isTrouble, type PromotionRuntime } from './runtime.js';
+
+/** All nodes know what is lost: most of them hear that another has written it again. */
+const WRITE_AGAIN_SPREAD_MS: Milliseconds = 300;
+
+/** Whoever holds the entries. */
+export interface LostRecordsHost {
+  /** Revision at which the store has a key now, as far as is known; 0 for none. */
+  storedRevisionOf(key: string): number;
+  /** Takes an entry that the store has now. */
+  take(entry: KeyValue): void;
+}
+
+/** Records that the store has lost, as they were known, until they are written again. */
+export class LostRecords {
+  readonly #records = new Map<string, KeyValue>();
+  #isPlanned = false;
+
+  constructor(
+    private readonly runtime: PromotionRuntime,
+    private readonly host: LostRecordsHost,
+  ) {}
+
+  has(key: string): boolean {
+    return this.#records.has(key);
+  }
+
+  clear(): void {
+    this.#records.clear();
+  }
+
+  /** A later change of the key is known. */
+  forget(key: string): void {
+    this.#records.delete(key);
+  }
+
+  /** The store came back with this entry of a key, or with none. */
+  noteReturn(known: KeyValue, stored: KeyValue | undefined): void {
+    if (this.runtime.isDisabled('lost-records') || !isLostRecord(known, stored, true)) return;
+    if (!this.#records.has(known.key)) this.#records.set(known.key, known);
+    this.#writeLater();
+  }
+
+  /**
+   * What holds of a key though the store has this entry: the record that is known, with the store's revision. Undefined
+   * if the entry itself holds.
+   */
+  heldOver(stored: KeyValue, isRead: boolean): KeyValue | undefined {
+    const known = this.#records.get(stored.key);
+    if (known === undefined) return undefined;
+    if (!isLostRecord(known, stored, isRead)) {
+      this.#records.delete(stored.key);
+      return undefined;
+    }
+    return { ...known, modRevision: stored.modRevision };
+  }
+
+  #writeLater(): void {
+    if (this.#records.size === 0 || this.#isPlanned) return;
+    this.#isPlanned = true;
+    this.runtime.after(this.runtime.jittered(WRITE_AGAIN_SPREAD_MS), () => {
+      this.#isPlanned = false;
+      for (const record of this.#records.values()) this.#write(record);
+      this.#writeLater();
+    });
+  }
+
+  #write({ key, value }: KeyValue): void {
+    const compares = [{ key, modRevision: this.host.storedRevisionOf(key) }];
+    this.runtime.transaction(compares, [{ type: 'put', key, value }], (answer) => {
+      if (isTrouble(answer) || !this.#records.has(key)) return;
+      const [stored] = answer.current;
+      if (answer.succeeded) {
+        this.runtime.log('warn', 'record written again after a return of the store', { key });
+        this.#records.delete(key);
+        this.host.take({ key, value, createRevision: 0, modRevision: answer.revision });
+      } else if (stored !== undefined) this.host.take(this.heldOver(stored, false) ?? stored);
+    });
+  }
+}
 
 /**
  * Whether what is known of a key is newer than what the store holds of it after its return.
  * @param isRead the store's entry is of the first read after that, and not of a change made since
  */
-export function isLostRecord(
-  known: KeyValue,
-  stored: KeyValue | undefined,
-  isRead: boolean,
-): boolean {
+function isLostRecord(known: KeyValue, stored: KeyValue | undefined, isRead: boolean): boolean {
   if (known.value === stored?.value) return false;
   if (serviceOfPrimaryKey(known.key) !== undefined) {
     return isLaterRecord(decodeRecord(known, primaryForm), decodeRecord(stored, primaryForm));
--- a/src/core/promotion/store-view.ts
+++ b/src/core/promotion/store-view.ts
@@ -5,22 +5,18 @@
 import type { KeyValue, WatchEvent } from '../../platform/contract.js';
 import { isOfSameEra } from '../directory/store-position.js';
 import { keyOf } from '../directory/watch-history.js';
-import type { Milliseconds } from '../units.js';
-import { isLostRecord } from './lost-records.js';
+import { LostRecords } from './lost-records.js';
 import { RetryPause } from './retry-pause.js';
 import { isTrouble, type PromotionRuntime } from './runtime.js';
 
 const BACKOFF_MAXIMUM_MS = 1000;
-/** All nodes know what is lost: most of them hear that another has written it again. */
-const WRITE_AGAIN_SPREAD_MS: Milliseconds = 300;
 
 export class StoreView {
   /** Called after a change or a whole read, with the keys that changed. */
   onChange: (keys: ReadonlySet<string>) => void = () => {};
   readonly #entries = new Map<string, KeyValue>();
-  /** Records that the store has lost, as they were known; in the entries they stand with the revision that the store has. */
-  readonly #lost = new Map<string, KeyValue>();
-  #isWritingAgain = false;
+  /** In the entries these stand with the revision that the store has. */
+  readonly #lost: LostRecords;
   /** Everything up to this revision is known. */
   #revision = 0;
   /** Revision of the last whole read: events up to it are old. */
@@ -41,6 +37,10 @@
     private readonly prefix: string,
   ) {
     this.#pause = new RetryPause(runtime);
+    this.#lost = new LostRecords(runtime, {
+      storedRevisionOf: (key) => this.#storedRevisionOf(key),
+      take: (entry) => this.#takeStored(entry),
+    });
   }
 
   /** True once everything was read. */
@@ -136,7 +136,7 @@
     if (!this.#running || modRevision <= this.#revision) return;
     const known = this.#entries.get(key);
     if (known !== undefined && known.modRevision >= modRevision) return;
-    this.#lost.delete(key);
+    this.#lost.forget(key);
     const createRevision = known?.createRevision ?? modRevision;
     this.#entries.set(key, { key, value, createRevision, modRevision });
     this.onChange(new Set([key]));
@@ -147,15 +147,20 @@
     const changed = new Set<string>();
     const present = new Map(entries.map((entry) => [entry.key, entry]));
     const isReturn = this.#revision > 0 && !isOfSameEra(this.#revision, revision);
-    if (isReturn)
-      for (const [key, known] of this.#entries) this.#noteIfLost(known, present.get(key));
+    if (isReturn) {
+      for (const [key, known] of this.#entries) this.#lost.noteReturn(known, present.get(key));
+    }
     for (const [key, { modRevision }] of this.#entries) {
       if (present.has(key) || modRevision > revision || this.#lost.has(key)) continue;
       this.#entries.delete(key);
       changed.add(key);
     }
     for (const entry of entries) {
-      if (this.#keepsLost(entry, isReturn)) continue;
+      const held = this.#lost.heldOver(entry, isReturn);
+      if (held !== undefined) {
+        this.#entries.set(entry.key, held);
+        continue;
+      }
       const known = this.#entries.get(entry.key);
       if (known !== undefined && known.modRevision >= entry.modRevision) continue;
       this.#entries.set(entry.key, entry);
@@ -165,7 +170,6 @@
     this.#readRevision = revision;
     // Also without a change: what is known is known to be newer.
     this.onChange(changed);
-    this.#writeAgain();
   }
 
   #apply(event: WatchEvent): boolean {
@@ -174,59 +178,22 @@
     if (modRevision <= this.#readRevision) return false;
     const known = this.#entries.get(key);
     if (known !== undefined && known.modRevision >= modRevision) return false;
-    if (event.type === 'put' && this.#keepsLost(event.entry, false)) return false;
-    if (event.type === 'put') this.#entries.set(key, event.entry);
-    else return this.#entries.delete(key);
-    return true;
-  }
-
-  #noteIfLost(known: KeyValue, stored: KeyValue | undefined): void {
-    if (this.runtime.isDisabled('lost-records') || !isLostRecord(known, stored, true)) return;
-    this.#lost.set(known.key, this.#lost.get(known.key) ?? known);
+    if (event.type === 'delete') return this.#entries.delete(key);
+    const held = this.#lost.heldOver(event.entry, false);
+    this.#entries.set(key, held ?? event.entry);
+    return held === undefined;
   }
 
-  /** True if what is known of a key holds, though the store has this entry: only its revision is taken. */
-  #keepsLost(stored: KeyValue, isRead: boolean): boolean {
-    const known = this.#lost.get(stored.key);
-    if (known === undefined) return false;
-    if (!isLostRecord(known, stored, isRead)) {
-      this.#lost.delete(stored.key);
-      return false;
-    }
-    this.#entries.set(stored.key, { ...known, modRevision: stored.modRevision });
-    this.#writeAgain();
-    return true;
+  /** What is known from an era before the store has not. */
+  #storedRevisionOf(key: string): number {
+    const modRevision = this.#entries.get(key)?.modRevision ?? 0;
+    return isOfSameEra(modRevision, this.#revision) ? modRevision : 0;
   }
 
-  /** Writes what the store has lost, unless another node has done so meanwhile. */
-  #writeAgain(): void {
-    if (this.#lost.size === 0 || this.#isWritingAgain) return;
-    this.#isWritingAgain = true;
-    this.runtime.after(this.runtime.jittered(WRITE_AGAIN_SPREAD_MS), () => {
-      this.#isWritingAgain = false;
-      if (!this.#running) return;
-      for (const known of this.#lost.values()) this.#writeLost(known);
-      this.#writeAgain();
-    });
-  }
-
-  #writeLost({ key, value }: KeyValue): void {
-    const entry = this.#entries.get(key);
-    // Of the era before: the store has none.
-    const modRevision = isKnownAt(entry, this.#revision) ? entry.modRevision : 0;
-    this.runtime.transaction([{ key, modRevision }], [{ type: 'put', key, value }], (answer) => {
-      if (isTrouble(answer) || !this.#running || !this.#lost.has(key)) return;
-      const [stored] = answer.current;
-      if (answer.succeeded) {
-        this.runtime.log('warn', 'record written again after a return of the store', { key });
-        this.#lost.delete(key);
-        this.#entries.set(key, { key, value, createRevision: 0, modRevision: answer.revision });
-        this.onChange(new Set([key]));
-      } else if (stored !== undefined && !this.#keepsLost(stored, false)) {
-        this.#entries.set(key, stored);
-        this.onChange(new Set([key]));
-      }
-    });
+  #takeStored(entry: KeyValue): void {
+    if (!this.#running) return;
+    this.#entries.set(entry.key, entry);
+    this.onChange(new Set([entry.key]));
   }
 
   #openWatch(): void {
@@ -251,8 +218,3 @@
     this.#pause.begin(Math.max(atLeastMs, this.runtime.jittered(bound)), action);
   }
 }
-
-/** Whether an entry stands with a revision of the same era. */
-function isKnownAt(entry: KeyValue | undefined, revision: number): entry is KeyValue {
-  return entry !== undefined && isOfSameEra(entry.modRevision, revision);
-}
