--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -6,7 +6,12 @@
 import type { ConditionLog } from './conditions.js';
 import type { OperatorConfiguration } from './configuration.js';
 import { type Heal, nothing, type Operator } from './operator.js';
-import type { Disruption, DisruptionKind, DisruptionOf } from './schedule.js';
+import {
+  type Disruption,
+  type DisruptionKind,
+  type DisruptionOf,
+  WRITTEN_AGAIN_MS,
+} from './schedule.js';
 
 const STORE_LINK_DELAY_MS: Milliseconds = 150;
 const REPLICA_LAG_MS: Milliseconds = 1500;
@@ -29,7 +34,7 @@
   'kill-many': ({ gateway, count }) => Array.from({ length: count }, (_, index) => gateway + index),
   ...{ 'kill-leader': all, 'publish-kill-all': all },
   ...{ 'store-down': all, 'store-slow': all, 'store-loses': all, 'store-forgets': all },
-  ...{ 'leases-lapse': all, 'promotion-silent': all },
+  ...{ 'leases-lapse': all, 'promotion-silent': all, 'store-returns': all },
   ...{ 'primary-crash': all, 'primary-dark': all, 'primary-cut': all },
   ...{ 'primary-loses-answers': all, 'replica-deaf': all, 'replica-behind': all },
   'replica-fails': all,
@@ -107,6 +112,8 @@
     'store-loses': ({ mode }) =>
       this.#set('/store/faults', { loseNext: LOST_CALLS, loseMode: mode }, { loseNext: 0 }),
     'store-forgets': () => this.#set('/store/compact'),
+    'store-returns': ({ ageMs, awayMs }) =>
+      this.#set('/store/return-from-copy', { ageMs, awayMs, rewriteMs: WRITTEN_AGAIN_MS / 2 }),
     'leases-lapse': () => this.#set('/store/leases/expire'),
     'promotion-silent': () => this.#set('/promotion/faults', { down: 'silent' }, { down: 'no' }),
     'primary-crash': () => this.#take('crash'),
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -11,13 +11,14 @@
 import { renderSoakPage } from './page.js';
 import { REGRESSIONS } from './regressions.js';
 import { FAULT_SPAN_MS, type Finding, playRound, type RoundResult } from './round.js';
-import { drawSchedule, type PlannedFault, type Schedule } from './schedule.js';
+import { drawSchedule, type PlannedFault, type Schedule, withStoreReturns } from './schedule.js';
 
 const USAGE = `npm run soak -- [options]
   --minutes N     plays rounds with fresh seeds for so long (default 5)
   --seed S        first seed; the next rounds count up (default: drawn)
   --replay S      plays the round of one seed
   --regressions   plays all seeds that ever failed
+  --store-returns the store comes back from a copy once or twice in each round
   --gateways N    gateways of each round, at most 40 (default 5)
   --json FILE     writes what each round came to
   --html FILE     writes a page: all rounds, and plots of those that served least
@@ -41,6 +42,7 @@
   seed: z.coerce.number().int().min(0).optional(),
   replay: z.coerce.number().int().min(0).optional(),
   regressions: z.boolean().default(false),
+  'store-returns': z.boolean().default(false),
   gateways: z.coerce.number().int().min(1).max(MOST_GATEWAYS).optional(),
   json: z.string().optional(),
   html: z.string().optional(),
@@ -53,6 +55,7 @@
       ...{ minutes: { type: 'string' }, seed: { type: 'string' }, replay: { type: 'string' } },
       ...{
         regressions: { type: 'boolean' },
+        'store-returns': { type: 'boolean' },
         gateways: { type: 'string' },
         json: { type: 'string' },
         html: { type: 'string' },
@@ -71,7 +74,7 @@
   }
   const results: RoundResult[] = [];
   for (const seed of seedsOf(options.data)) {
-    const result = await playRound(scheduleOf(seed), options.data);
+    const result = await playRound(scheduleOf(seed, options.data), options.data);
     results.push(result);
     report(result);
     if (result.findings.length > 0 && !options.data.regressions) break;
@@ -97,8 +100,10 @@
   }
 }
 
-function scheduleOf(seed: number): Schedule {
-  return drawSchedule(seed, seededRandom(seed), FAULT_SPAN_MS);
+function scheduleOf(seed: number, options: SoakOptions): Schedule {
+  const draw = seededRandom(seed);
+  const schedule = drawSchedule(seed, draw, FAULT_SPAN_MS);
+  return options['store-returns'] ? withStoreReturns(schedule, draw, FAULT_SPAN_MS) : schedule;
 }
 
 function report({ schedule, findings, late, statements, failed, tookMs }: RoundResult): void {
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -13,6 +13,7 @@
   | { readonly kind: 'store-slow'; readonly factor: number }
   | { readonly kind: 'store-loses'; readonly mode: 'done' | 'late' | 'dropped' }
   | { readonly kind: 'store-forgets' | 'leases-lapse' | 'promotion-silent' }
+  | { readonly kind: 'store-returns'; readonly ageMs: Milliseconds; readonly awayMs: Milliseconds }
   | { readonly kind: 'primary-crash' | 'primary-dark' | 'primary-drain' | 'primary-cut' }
   | { readonly kind: 'primary-loses-answers'; readonly count: number }
   | {
@@ -50,11 +51,21 @@
 /** Shares of the rounds: planned work alone, unplanned faults alone; both in all others. */
 const PLANNED_ONLY_SHARE = 0.45;
 const UNPLANNED_ONLY_SHARE = 0.15;
+const STORE_RETURNS = { fewest: 1, most: 2 } as const;
+const OLDEST_COPY_MS: Milliseconds = 10_000;
+const LONGEST_ABSENCE_MS: Milliseconds = 3000;
+/** The operator writes again what is gone within so long. */
+export const WRITTEN_AGAIN_MS: Milliseconds = 1000;
 const SHORTEST_MS: Milliseconds = 300;
 const LONGEST_MS: Milliseconds = 3500;
 
-/** How each kind is drawn. */
-const DRAWN: { readonly [Kind in DisruptionKind]: (draw: Draw) => DisruptionOf<Kind> } = {
+/** Drawn where a round asks for them: seeds that ever failed stay what they were. */
+type AskedKind = 'store-returns';
+
+/** How each other kind is drawn. */
+const DRAWN: {
+  readonly [Kind in Exclude<DisruptionKind, AskedKind>]: (draw: Draw) => DisruptionOf<Kind>;
+} = {
   kill: (draw) => ({ kind: 'kill', gateway: whole(draw) }),
   pause: (draw) => ({ kind: 'pause', gateway: whole(draw) }),
   'cut-from-store': (draw) => ({ kind: 'cut-from-store', gateway: whole(draw) }),
@@ -85,7 +96,7 @@
 };
 const LOSE_MODES = ['done', 'late', 'dropped'] as const;
 /** Every kind of unplanned fault. */
-export const DISRUPTION_KINDS = Object.keys(DRAWN) as readonly DisruptionKind[];
+export const DISRUPTION_KINDS = Object.keys(DRAWN) as readonly Exclude<DisruptionKind, AskedKind>[];
 
 /** The schedule of a seed, within `spanMs`. */
 export function drawSchedule(seed: number, draw: Draw, spanMs: Milliseconds): Schedule {
@@ -103,6 +114,19 @@
   return { seed, hasOwners, faults: faults.sort((left, right) => left.atMs - right.atMs) };
 }
 
+/** The same with returns of the store from a copy beside all else. */
+export function withStoreReturns(schedule: Schedule, draw: Draw, spanMs: Milliseconds): Schedule {
+  const returns = Array.from({ length: between(draw, STORE_RETURNS) }, (): PlannedFault => {
+    const ageMs = Math.round(OLDEST_COPY_MS * draw());
+    const awayMs = Math.round(LONGEST_ABSENCE_MS * draw() * draw());
+    const forMs = awayMs + WRITTEN_AGAIN_MS;
+    const atMs = Math.round(draw() * (spanMs - forMs));
+    return { atMs, forMs, fault: { kind: 'store-returns', ageMs, awayMs } };
+  });
+  const faults = [...schedule.faults, ...returns];
+  return { ...schedule, faults: faults.sort((left, right) => left.atMs - right.atMs) };
+}
+
 function between(draw: Draw, { fewest, most }: { fewest: number; most: number }): number {
   return fewest + whole(draw, most - fewest + 1);
 }
--- a/standins/direct/instance.ts
+++ b/standins/direct/instance.ts
@@ -50,8 +50,8 @@
   #port = 0;
   #isDraining = false;
   #sequence = 0;
-  /** What its entry says, but for the sequence. */
-  #announced = '';
+  /** The entry as it was written last, and what it says but for the sequence. */
+  #announced = { value: '', text: '' };
   #announcedAt: Milliseconds = 0;
   #darkSince: Milliseconds = 0;
   #onAnnounced: (() => void) | undefined;
@@ -118,13 +118,15 @@
       database_role: role,
     };
     const text = JSON.stringify(entry);
-    const isSame = text === this.#announced && this.store.has(key);
+    // Also what a return of the store from a copy has taken back is written again.
+    const { value: written } = this.#announced;
+    const isSame = text === this.#announced.text && this.store.valueOf(key) === written;
     if (isSame && this.store.isDown) return;
     if (!isSame) {
       const value = JSON.stringify({ ...entry, sequence: this.#sequence });
       if (this.store.put(key, value) === undefined) return;
+      this.#announced = { value, text };
     }
-    this.#announced = text;
     this.#sequence += 1;
     this.#announcedAt = monotonicMs();
     this.#onAnnounced?.();
--- a/standins/direct/kv-store.ts
+++ b/standins/direct/kv-store.ts
@@ -114,8 +114,9 @@
     this.engine.deleteRange({ key, rangeEnd: '' });
   }
 
-  has(key: string): boolean {
-    return this.engine.range({ key, rangeEnd: '', revision: 0, limit: 1 }).count > 0;
+  /** What a key holds now; undefined if it is absent. */
+  valueOf(key: string): string | undefined {
+    return this.engine.range({ key, rangeEnd: '', revision: 0, limit: 1 }).entries[0]?.value;
   }
 
   /** Takes the copy for a return that names no age. */
