--- a/src/core/promotion/era-settling.ts
+++ b/src/core/promotion/era-settling.ts
@@ -51,11 +51,6 @@
     return this.#hasRisen;
   }
 
-  /** When this process heard of the present era; minus infinity for a store that names none. */
-  get heardAt(): Milliseconds {
-    return this.#heardAt;
-  }
-
   /** From then on no node relies on a lease that it had before: the last renewal was answered before the return. */
   get leasesOverAt(): Milliseconds {
     return this.#heardAt + this.timings.leaseSeconds * MILLISECONDS_PER_SECOND;
@@ -68,8 +63,18 @@
 
   /** No lease of the era before is relied on any more. */
   isSettled(now: Milliseconds): boolean {
-    if (this.unrecorded === undefined || this.#firstOfAll === this.#era) return true;
-    return now >= this.leasesOverAt;
+    return !this.#mayHaveBegunLately || now >= this.leasesOverAt;
+  }
+
+  /** A leader that leads since then may have taken over from one of the era before, whose calls are not settled. */
+  mayHaveLostCalls(leadsSince: Milliseconds, now: Milliseconds): boolean {
+    if (!this.#hasRisen && !this.#mayHaveBegunLately) return false;
+    return leadsSince >= this.#heardAt && now < this.callsSettledAt;
+  }
+
+  /** Neither has a leader recorded the era, nor did the system start in it. */
+  get #mayHaveBegunLately(): boolean {
+    return this.unrecorded !== undefined && this.#firstOfAll !== this.#era;
   }
 
   /** What the store holds, with what this process remembers, is all that was acted on. */
--- a/src/core/promotion/service-duty.ts
+++ b/src/core/promotion/service-duty.ts
@@ -122,9 +122,8 @@
   /** A change that another leader began before the store came back from a copy may have lost its candidate's name. */
   #mayHaveBeenCalled(change: number): boolean {
     const { runtime, store } = this.context;
-    const { heardAt, callsSettledAt } = runtime.era;
     if (change === this.#begunChange || runtime.isDisabled('unnamed-calls')) return false;
-    return store.begunAt >= heardAt && runtime.now < callsSettledAt;
+    return runtime.era.mayHaveLostCalls(store.begunAt, runtime.now);
   }
 
   #endChange(): void {
