The stand-in's operator writes its newest configuration again, never an older one

Cause in the stand-in: it put back what the store had held as it went, not the operator's last word. The soak prints the flag that a replay needs.

--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -137,12 +137,18 @@
   return bad.length === 0 ? 0 : EXIT_FINDING;
 }
 
+/** Flags that play a schedule again. */
+function replayOf({ seed, faults }: Schedule): string {
+  const hasReturns = faults.some(({ fault }) => fault.kind === 'store-returns');
+  return `--replay ${seed}${hasReturns ? ' --store-returns' : ''}`;
+}
+
 function showFindings({ schedule, findings, logs }: RoundResult): void {
   const folder = join(tmpdir(), `meadowstack-soak-${schedule.seed}`);
   mkdirSync(folder, { recursive: true });
   for (const [name, text] of logs) writeFileSync(join(folder, `${name}.log`), text);
   console.log(
-    `seed ${schedule.seed}: logs in ${folder}; again: npm run soak -- --replay ${schedule.seed}`,
+    `seed ${schedule.seed}: logs in ${folder}; again: npm run soak -- ${replayOf(schedule)}`,
   );
   for (const planned of schedule.faults) console.log(`  ${faultText(planned)}`);
   for (const finding of findings.slice(0, MOST_FINDINGS_SHOWN))
--- a/standins/direct/kv-store.ts
+++ b/standins/direct/kv-store.ts
@@ -55,6 +55,8 @@
   #nextLeaseId = 77_120;
   #copies: { readonly copy: StoreCopy; readonly at: Milliseconds }[] = [];
   #askedCopy: StoreCopy | undefined;
+  /** What the operator wrote last, whether or not the store has it yet. */
+  readonly #operatorValues = new Map<string, string>();
   /** How often the store came back from a copy. */
   #era = 0;
 
@@ -106,6 +108,7 @@
   put(key: string, value: string): number | undefined {
     if (this.isDown) return undefined;
     this.engine.put({ key, value, leaseId: '0' });
+    if (key.startsWith(OPERATOR_PREFIX)) this.#operatorValues.set(key, value);
     return this.engine.revision;
   }
 
@@ -132,7 +135,6 @@
   /** Goes away for a while and comes back as it was; settles when the operator has written again what was gone. */
   async returnFromCopy({ ageMs, awayMs, rewriteMs }: ReturnPlan): Promise<void> {
     const copy = ageMs === undefined ? this.#askedCopy : this.#copyOfAge(ageMs);
-    const written = this.#operatorEntries();
     this.applyFaults({ down: 'silent' });
     await pause(awayMs);
     if (copy !== undefined) this.engine.restore(copy, this.leaseNow);
@@ -141,13 +143,9 @@
     this.#history = this.#history.filter(({ revision }) => revision <= this.engine.revision);
     this.applyFaults({ down: 'no' });
     await pause(rewriteMs);
-    const held = new Map(this.#operatorEntries().map(({ key, value }) => [key, value]));
-    for (const { key, value } of written) if (held.get(key) !== value) this.put(key, value);
-  }
-
-  #operatorEntries(): readonly { readonly key: string; readonly value: string }[] {
-    const range = { key: OPERATOR_PREFIX, rangeEnd: `${OPERATOR_PREFIX}\xff` };
-    return this.engine.range({ ...range, revision: 0, limit: 0 }).entries;
+    for (const [key, value] of this.#operatorValues) {
+      if (this.valueOf(key) !== value) this.put(key, value);
+    }
   }
 
   #copy(): void {
