--- a/standins/store/engine.ts
+++ b/standins/store/engine.ts
@@ -162,9 +162,9 @@
     return { revision: this.revision, leases: this.#leases.copy(now) };
   }
 
-  /** Goes back to a copy; nobody is told. @throws StoreStandinError if its history is compacted. */
+  /** Goes back to a copy, as far as the history is kept; nobody is told. */
   restore({ revision, leases }: StoreCopy, now: Milliseconds): void {
-    this.#keys.revertTo(revision);
+    this.#keys.revertTo(Math.max(revision, this.#keys.compactedRevision));
     this.#leases.restore(leases, now);
   }
 
