A statement whose tenant has no connection gets the place of one that comes to rest

Cause: where connections are of one tenant each and all of them were in use when a statement came, nothing looked at it again: a connection that came back rested, since it is of another tenant, and openings are only tried when the next statement comes, a connection ends or the pace allows. Change: a connection that comes to rest while others wait lets the pool look for openings. Test: unit/direct/instance-pool, which waits for ever without the change.

--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -312,6 +312,8 @@
     connection.restingSince = this.options.now();
     this.#idle.push(connection);
     this.#serveWaiters();
+    // What rests now may give way to a connection of an account that has none.
+    if (this.#idle.length > 0) this.#openForWaiters();
   }
 
   /** Ends all idle connections and takes no more; those in use end when they are released. */
--- a/test/unit/direct/instance-pool.test.ts
+++ b/test/unit/direct/instance-pool.test.ts
@@ -6,6 +6,7 @@
 import { lineWire } from '../../../platform/line-wire.js';
 import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
 import type { InstanceEntry } from '../../../src/direct/contract.js';
+import type { SocketConnection } from '../../../src/direct/instance-connection.js';
 import {
   type ConnectionRequest,
   InstancePool,
@@ -110,6 +111,38 @@
   server.close();
 });
 
+/** A pool of so many connections to an instance that takes every connection. */
+async function accountPool(limit: number) {
+  const instance = new SlowInstance();
+  const pool = new InstancePool(await instance.start(), limit, {
+    ...{ ...POOL_OPTIONS, now: () => performance.now() },
+  });
+  const acquire = (account: string, more: Partial<ConnectionRequest> = {}) => {
+    const acquired = pool.acquire({ ...callerRequest(), tenant: account, account, ...more });
+    void until('the opening', () => instance.waiting.length > 0).then(() => instance.takeAll());
+    return acquired;
+  };
+  return { instance, pool, acquire };
+}
+
+test('who waits with every connection in use gets the place of one that comes to rest', async () => {
+  const { instance, pool, acquire } = await accountPool(1);
+  const first = (await acquire('one'))._unsafeUnwrap();
+  let isServed = false;
+  const second = acquire('two').then((acquired) => {
+    isServed = true;
+    return acquired;
+  });
+  // Longer than the pool waits before it opens beyond its soft limit.
+  await new Promise((resolve) => setTimeout(resolve, 40));
+  assert.not(isServed, 'the only connection is in use');
+  pool.release(first);
+  const connection = (await second)._unsafeUnwrap();
+  assert.is((connection as SocketConnection).account, 'two');
+  pool.destroy();
+  instance.stop();
+});
+
 test('while the size of the fleet is unknown a node opens few connections', () => {
   const service = new ServiceRuntime('orders', {
     ...{ zone: 'a', nodeCount: 8, isNodeCountKnown: false, drainTimeoutMs: 7000 },
