Admission where priorities compete: order at the queue, room and level by instance, refusals by estimate (in work)

Pure modules in src/core/admission, wired into the pool of an instance, at the owner too: the request tells it how long its aim lasts and whether it is a transaction.

--- a/src/core/statements/fair-queue.ts
+++ b/src/core/statements/fair-queue.ts
@@ -56,20 +56,22 @@
    * Takes the next of those tenants that may hold one more.
    * @param held how many connections each tenant holds
    * @param canServe whether there is a connection for this request
+   * @param choose another order than that of this queue, over those that may be served
    */
   takeNext(
     held: ReadonlyMap<string, number>,
     mayHoldMore: (tenant: string) => boolean = () => true,
     canServe: (request: Request) => boolean = () => true,
+    choose: (candidates: readonly Request[]) => Request | undefined = (candidates) =>
+      firstOf(candidates, held),
   ): Request | undefined {
     const permitted = new Set([...this.#waiting.keys()].filter(mayHoldMore));
-    let best: Request | undefined;
-    for (const request of this.#requests) {
-      if (!permitted.has(request.tenant) || !canServe(request)) continue;
-      if (best === undefined || isBefore(request, best, held)) best = request;
-    }
-    if (best !== undefined) this.remove(best);
-    return best;
+    const candidates = this.#requests.filter(
+      (request) => permitted.has(request.tenant) && canServe(request),
+    );
+    const next = choose(candidates);
+    if (next !== undefined) this.remove(next);
+    return next;
   }
 
   /** Takes all, in the order in which they came. */
@@ -81,6 +83,17 @@
   }
 }
 
+function firstOf<Request extends QueuedRequest>(
+  candidates: readonly Request[],
+  held: ReadonlyMap<string, number>,
+): Request | undefined {
+  let first: Request | undefined;
+  for (const request of candidates) {
+    if (first === undefined || isBefore(request, first, held)) first = request;
+  }
+  return first;
+}
+
 function isBefore(
   left: QueuedRequest,
   right: QueuedRequest,
--- a/src/core/tenancy/route-template.ts
+++ b/src/core/tenancy/route-template.ts
@@ -61,6 +61,8 @@
 export interface RoutePolicy {
   readonly template: string;
   readonly priority: number;
+  /** Aim for one operation. */
+  readonly targetLatencyMs: Milliseconds;
   readonly connections: ConnectionPolicy;
   readonly maxSessions: number;
   readonly maxSessionEntries: number;
@@ -84,6 +86,7 @@
   return {
     template: template.name,
     priority: fill('priority'),
+    targetLatencyMs: fill('targetLatencyMs'),
     connections: {
       queueWeight: fill('queueWeight'),
       maxWaiting: fill('maxWaiting'),
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -2,6 +2,8 @@
  * The direct gateway put together: routes and instances come in, callers are served, and a planned
  * stop ends it without cutting what runs.
  */
+
+import { type AdmissionRules, admissionRules } from '../core/admission/instance-admission.js';
 import type { ServiceTerm } from '../core/directory/snapshot.js';
 import { StartReadiness } from '../core/directory/start-readiness.js';
 import type { Milliseconds } from '../core/units.js';
@@ -85,6 +87,8 @@
     connectFailures: 0,
     waitTimeouts: 0,
     queueRefusals: 0,
+    turnRefusals: 0,
+    untriedRefusals: 0,
     samplesAsked: 0,
     replicaRounds: 0,
     proofRounds: 0,
@@ -112,6 +116,7 @@
   readonly #admission: Admission;
   readonly #tenants = new TenantTable();
   #configuration: PublishedConfiguration | undefined;
+  #admissionRules: AdmissionRules | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
   #instancesTold: DirectorySource = 'store';
   #nodeCount = ASSUMED_NODE_COUNT;
@@ -274,6 +279,7 @@
     this.#routes = new Map(configuration.routes.map((route) => [route.database, route]));
     this.#tenants.setRoutes(configuration.routes);
     this.#admission.setConfiguration(configuration);
+    this.#admissionRules = admissionRules(configuration.routes);
     for (const description of configuration.services) {
       this.#service(description.name).setMaxConnections(description.maxConnections);
     }
@@ -423,7 +429,7 @@
   #service(name: string): ServiceRuntime {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
-    const { settings, wire, view, isStoreWell, now, random } = this.options;
+    const { settings, wire, view, isStoreWell, logger, now, random } = this.options;
     const service = new ServiceRuntime(name, {
       nodeCount: this.#nodeCount,
       isNodeCountKnown: this.#nodeCountSeenAt !== undefined,
@@ -445,6 +451,9 @@
         now,
         random,
         counters: this.counters,
+        admissionRules: () => this.#admissionRules,
+        onAdmission: ({ service, id }, state) =>
+          logger?.info('admission changed', { service, instance: id, ...state }),
       },
     });
     this.#services.set(name, service);
--- a/src/direct/instance-health.ts
+++ b/src/direct/instance-health.ts
@@ -33,6 +33,8 @@
   readonly #answers = new StallDetector(STALL_MS, STALL_UNANSWERED);
   readonly #commits = new StallDetector(STALL_MS, STALL_UNANSWERED);
   #stallProbedAt: Milliseconds = 0;
+  /** Called when the instance refused a statement since all its slots were busy. */
+  onBusy: (() => void) | undefined;
 
   constructor(private readonly options: InstanceHealthOptions) {}
 
@@ -95,5 +97,6 @@
   /** The instance refused since all its slots were busy. */
   noteBusy(): void {
     this.pace.noteBusy(this.options.now(), this.nodeCount);
+    this.onBusy?.();
   }
 }
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -4,6 +4,8 @@
  * connection is given to one statement or transaction at a time.
  */
 import { err, ok, type Result } from 'neverthrow';
+import type { AdmissionRules, AdmissionWork } from '../core/admission/instance-admission.js';
+import type { RoomState } from '../core/admission/instance-room.js';
 import { FairQueue, type QueuedRequest } from '../core/statements/fair-queue.js';
 import { synchronisationCost } from '../core/statements/session-values.js';
 import type { ConnectionPolicy } from '../core/tenancy/allowance.js';
@@ -24,6 +26,7 @@
 } from './instance-connection.js';
 import { InstanceHealth } from './instance-health.js';
 import type { GatewayLatencies } from './latencies.js';
+import { type AdmissionRefusals, type AdmissionRequest, PoolAdmission } from './pool-admission.js';
 import type { ConnectionLessor } from './relay/contract.js';
 import type { StatementWire } from './wire.js';
 
@@ -36,10 +39,13 @@
   readonly random: () => number;
   readonly counters: PoolCounters;
   readonly latencies?: Pick<GatewayLatencies, 'connectionWaits' | 'instanceAnswers'>;
+  /** Undefined where callers don't compete by priorities; absent where that is never looked at. */
+  readonly admissionRules?: () => AdmissionRules | undefined;
+  readonly onAdmission?: (instance: InstanceEntry, state: RoomState) => void;
 }
 
 /** Counted over all pools of the process. */
-export interface PoolCounters {
+export interface PoolCounters extends AdmissionRefusals {
   connectionsOpened: number;
   connectFailures: number;
   waitTimeouts: number;
@@ -54,7 +60,7 @@
   | InstanceOwnersUnreachableError;
 
 /** Asks for a connection. */
-export interface ConnectionRequest {
+export interface ConnectionRequest extends AdmissionRequest {
   /** Whose statement it is for: the tenant's name, or its route's where callers give no keys. */
   readonly tenant: string;
   /** Instances know a connection by its tenant, to its end; undefined where callers give no keys. */
@@ -69,7 +75,8 @@
   readonly cancelledBy: readonly Cancellation[];
 }
 
-interface Waiter extends ConnectionRequest, QueuedRequest {
+interface Waiter extends ConnectionRequest, QueuedRequest, AdmissionWork {
+  readonly aimAt: Milliseconds;
   readonly settle: (connection: Result<InstanceConnection, AcquireError>) => void;
   timer: NodeJS.Timeout | undefined;
 }
@@ -96,6 +103,8 @@
 const SURPLUS_IDLE_MS = 3000;
 /** A statement waits so long for one of few connections before another one is opened. */
 const SOFT_WAIT_MS = 12;
+/** Who waits for room is looked at again after so long, also if nothing has ended. */
+const ROOM_CHECK_MS = 10;
 
 /**
  * How a question of this node's own reaches the instance without waiting behind statements: over a connection of the
@@ -108,6 +117,7 @@
   readonly #idle: SocketConnection[] = [];
   readonly #waiters = new FairQueue<Waiter>();
   readonly #holdings: TenantHoldings;
+  readonly admission: PoolAdmission;
   /** Who holds a connection that is not idle. */
   readonly #holders = new Map<SocketConnection, string>();
   #lastError: InstanceConnectError | undefined;
@@ -144,6 +154,15 @@
     this.health = new InstanceHealth(options);
     const { waiting } = this.#waiters;
     this.#holdings = new TenantHoldings(OWN_TENANT, () => this.#supply(), waiting, options.now);
+    this.admission = new PoolAdmission({
+      rules: options.admissionRules ?? (() => undefined),
+      instance: () => ({ slots: this.instance.slots, sharers: this.#nodeCount }),
+      opening: () => this.#opening,
+      counters: options.counters,
+      onChange: (state) => options.onAdmission?.(this.instance, state),
+      now: options.now,
+    });
+    this.health.onBusy = () => this.admission.noteRefused();
   }
 
   /** Connections of this node's own, open or being opened. */
@@ -238,9 +257,11 @@
       return Promise.resolve(err(this.#noneFree()));
     }
     this.#holdings.noteRequest(tenant, policy);
-    const idle = this.#mayStart(tenant) ? this.#takeIdle(request) : undefined;
+    const work = this.admission.workOf(request, policy.queueWeight);
+    const mayStart = this.#mayStart(tenant) && this.#hasRoom(work);
+    const idle = mayStart ? this.#takeIdle(request) : undefined;
     if (idle !== undefined) {
-      this.#give(idle, tenant);
+      this.#give(idle, request);
       return Promise.resolve(ok(idle));
     }
     if (this.#isUnreachable && tenant !== OWN_TENANT) {
@@ -252,6 +273,13 @@
         err(new InstanceQueueFullError(`${this.instance.id}: more wait than it can serve in time`)),
       );
     }
+    const reason =
+      tenant === OWN_TENANT
+        ? undefined
+        : this.admission.refusalOf(work, this.#waiters.requests, this.#holdings.held);
+    if (reason !== undefined) {
+      return Promise.resolve(err(new InstanceQueueFullError(`${this.instance.id}: ${reason}`)));
+    }
     return new Promise((settle) => {
       const bounds = { weight: policy.queueWeight, maxWaiting: policy.maxWaiting };
       const stopListening = listenToAll(request.cancelledBy, () => this.#expire(waiter));
@@ -259,7 +287,10 @@
         stopListening();
         settle(connection);
       };
-      const waiter: Waiter = { ...request, ...bounds, settle: settleOnce, timer: undefined };
+      const waiter: Waiter = {
+        ...{ ...request, ...work, ...bounds },
+        ...{ settle: settleOnce, timer: undefined },
+      };
       if (!this.#waiters.push(waiter)) {
         this.options.counters.queueRefusals += 1;
         settleOnce(
@@ -267,7 +298,7 @@
         );
         return;
       }
-      const waitMs = Math.max(0, request.deadline - this.options.now());
+      const waitMs = Math.max(0, Math.min(request.deadline, work.startBy) - this.options.now());
       waiter.timer = setTimeout(() => this.#expire(waiter), waitMs);
       this.#openForWaiters();
       this.#serveInTime();
@@ -353,12 +384,14 @@
       const waiter = this.#waiters.takeNext(
         held,
         (tenant) => this.#mayStart(tenant),
-        (request) => this.#idle.some((connection) => isFor(connection, request)),
+        (request) =>
+          this.#idle.some((connection) => isFor(connection, request)) && this.#hasRoom(request),
+        this.admission.isInForce ? (waiting) => this.admission.next(waiting, held) : undefined,
       );
       const connection = waiter === undefined ? undefined : this.#takeIdle(waiter);
       if (waiter === undefined || connection === undefined) break;
       clearTimeout(waiter.timer);
-      this.#give(connection, waiter.tenant);
+      this.#give(connection, waiter);
       waiter.settle(ok(connection));
     }
     this.#serveInTime();
@@ -370,8 +403,16 @@
     return isInPace && this.#holdings.mayHoldMore(tenant);
   }
 
-  #give(connection: SocketConnection, tenant: string): void {
-    if (tenant !== OWN_TENANT) this.health.pace.noteStart(this.options.now());
+  #hasRoom(work: AdmissionWork): boolean {
+    return work.tenant === OWN_TENANT || this.admission.mayStart(work);
+  }
+
+  #give(connection: SocketConnection, request: ConnectionRequest): void {
+    const { tenant } = request;
+    if (tenant !== OWN_TENANT) {
+      this.health.pace.noteStart(this.options.now());
+      this.admission.hold(connection, request);
+    }
     this.#hold(connection, tenant);
   }
 
@@ -382,14 +423,16 @@
     return waitMs > 0 && this.options.now() + waitMs >= deadline;
   }
 
-  /** Looks again when the pace lets the next statement start. */
+  /** Looks again when the pace lets the next statement start, or there may be room. */
   #serveInTime(): void {
     const { now } = this.options;
     if (this.#paceTimer !== undefined || this.#waiters.length === 0) return;
-    if (this.health.pace.mayStart(now())) return;
-    const waitMs = Math.max(1, this.health.pace.nextStartAt - now());
+    const isInPace = this.health.pace.mayStart(now());
+    if (isInPace && !this.admission.isInForce) return;
+    const waitMs = isInPace ? ROOM_CHECK_MS : Math.max(1, this.health.pace.nextStartAt - now());
     this.#paceTimer = setTimeout(() => {
       this.#paceTimer = undefined;
+      this.admission.step();
       this.#serveWaiters();
       this.#openForWaiters();
     }, waitMs);
@@ -398,10 +441,25 @@
   #expire(waiter: Waiter): void {
     if (!this.#waiters.remove(waiter)) return;
     clearTimeout(waiter.timer);
+    if (waiter.startBy < waiter.deadline && this.options.now() < waiter.deadline) {
+      this.#giveUpUntried(waiter);
+      return;
+    }
     this.options.counters.waitTimeouts += 1;
     waiter.settle(err(this.#noneFree()));
   }
 
+  /** Its caller has time left to ask elsewhere. */
+  #giveUpUntried(waiter: Waiter): void {
+    if (isAnyCancelled(waiter.cancelledBy)) {
+      waiter.settle(err(this.#noneFree()));
+      return;
+    }
+    this.admission.noteUntried();
+    const text = `${this.instance.id}: half of its time is over`;
+    waiter.settle(err(new InstanceQueueFullError(text)));
+  }
+
   #noneFree(): InstanceWaitTimeoutError {
     return new InstanceWaitTimeoutError(`${this.instance.id}: no connection was free`);
   }
@@ -464,7 +522,7 @@
   /** The request that has waited longest of those whose account lacks a connection that is being opened. */
   #nextToOpenFor(isAtOnce: boolean): ConnectionRequest | undefined {
     const opening = new Map(this.#openingFor);
-    for (const waiter of this.#waiters.requests) {
+    for (const waiter of this.#inTurn()) {
       const { account, tenant } = waiter;
       const under = opening.get(account) ?? 0;
       if (under > 0) {
@@ -479,6 +537,14 @@
     return undefined;
   }
 
+  /** Those that wait, in the order in which connections are opened for them. */
+  #inTurn(): readonly Waiter[] {
+    const { requests } = this.#waiters;
+    if (!this.admission.isInForce) return requests;
+    const mayStart = requests.filter((waiter) => this.#hasRoom(waiter));
+    return mayStart.sort((left, right) => left.priority - right.priority);
+  }
+
   #hasConnectionFor(account: string): boolean {
     if ((this.#openingFor.get(account) ?? 0) > 0) return true;
     for (const connection of this.#all) if (connection.account === account) return true;
@@ -573,6 +639,7 @@
     if (tenant === undefined) return;
     this.#holders.delete(connection);
     this.#holdings.letGo(tenant);
+    this.admission.letGo(connection);
   }
 
   #forget(connection: SocketConnection): void {
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -19,6 +19,9 @@
   connectFailures: 'connections to instances that could not be opened',
   waitTimeouts: 'waits for a connection that ended without one',
   queueRefusals: 'statements refused because too many of their tenant waited',
+  turnRefusals: 'statements refused at once since their turn at the instance would come too late',
+  untriedRefusals:
+    'statements refused since they had waited half of their time without being tried',
   samplesAsked: 'questions to primaries for their log position',
   replicaRounds: 'rounds of questions to replicas for their positions, while a primary is away',
   proofRounds: 'rounds of questions to all members of a group, to prove its primary',
--- /dev/null
+++ b/src/direct/pool-admission.ts
@@ -0,0 +1,144 @@
+/** What admission needs to know of one pool: who holds its connections, for what, and since when. */
+import {
+  type AdmissionRefusal,
+  type AdmissionRules,
+  type AdmissionWork,
+  InstanceAdmission,
+  type InstanceUse,
+  startByOf,
+} from '../core/admission/instance-admission.js';
+import type { RoomState } from '../core/admission/instance-room.js';
+import type { Milliseconds } from '../core/units.js';
+import type { SocketConnection } from './instance-connection.js';
+
+/** Counted over all pools of the process. */
+export interface AdmissionRefusals {
+  /** Refused since their turn would come too late. */
+  turnRefusals: number;
+  /** Refused since they had waited half of their time untried. */
+  untriedRefusals: number;
+}
+
+export interface PoolAdmissionOptions {
+  /** Undefined where nobody competes. */
+  readonly rules: () => AdmissionRules | undefined;
+  readonly instance: () => { readonly slots: number; readonly sharers: number };
+  /** Connections being opened: each takes a slot. */
+  readonly opening: () => number;
+  readonly counters: AdmissionRefusals;
+  readonly onChange?: ((state: RoomState) => void) | undefined;
+  readonly now: () => Milliseconds;
+}
+
+/** What a request asks of a pool, as far as admission looks at it. */
+export interface AdmissionRequest {
+  readonly tenant: string;
+  readonly priority: number;
+  readonly deadline: Milliseconds;
+  /** An answer after this is late; the deadline by default. */
+  readonly aimAt?: Milliseconds | undefined;
+  /** It keeps its connection between statements. */
+  readonly isTransaction?: boolean | undefined;
+}
+
+interface Holder {
+  readonly priority: number;
+  readonly isTransaction: boolean;
+  readonly since: Milliseconds;
+}
+
+export class PoolAdmission {
+  readonly decisions: InstanceAdmission;
+  readonly #holders = new Map<SocketConnection, Holder>();
+  #told: RoomState = { room: undefined, level: undefined };
+
+  constructor(private readonly options: PoolAdmissionOptions) {
+    this.decisions = new InstanceAdmission(options.rules);
+  }
+
+  get isInForce(): boolean {
+    return this.decisions.isInForce;
+  }
+
+  /** A request as work that waits from now on. */
+  workOf(request: AdmissionRequest, weight: number): AdmissionWork {
+    const { tenant, priority, deadline, aimAt = deadline } = request;
+    const queuedAt = this.options.now();
+    const startBy = this.isInForce ? startByOf(queuedAt, deadline) : deadline;
+    this.decisions.noteWanted(priority);
+    return { tenant, priority, weight, queuedAt, aimAt, deadline, startBy };
+  }
+
+  mayStart(work: AdmissionWork): boolean {
+    return !this.isInForce || this.decisions.mayStart(work, this.#use(), this.options.now());
+  }
+
+  refusalOf(
+    work: AdmissionWork,
+    waiting: readonly AdmissionWork[],
+    held: ReadonlyMap<string, number>,
+  ): AdmissionRefusal | undefined {
+    if (!this.isInForce) return undefined;
+    const { counters, now } = this.options;
+    const refusal = this.decisions.refusalOf(work, waiting, held, this.#use(), now());
+    if (refusal !== undefined) counters.turnRefusals += 1;
+    return refusal;
+  }
+
+  next<Work extends AdmissionWork>(
+    candidates: readonly Work[],
+    held: ReadonlyMap<string, number>,
+  ): Work | undefined {
+    return this.decisions.next(candidates, held, this.options.now());
+  }
+
+  noteUntried(): void {
+    this.options.counters.untriedRefusals += 1;
+  }
+
+  noteRefused(): void {
+    this.decisions.noteRefused();
+  }
+
+  hold(connection: SocketConnection, request: AdmissionRequest): void {
+    const { priority, isTransaction = false } = request;
+    this.#holders.set(connection, { priority, isTransaction, since: this.options.now() });
+  }
+
+  letGo(connection: SocketConnection): void {
+    const holder = this.#holders.get(connection);
+    this.#holders.delete(connection);
+    const now = this.options.now();
+    // How long a transaction kept its connection tells nothing of the instance, and a lost answer neither.
+    if (holder === undefined || holder.isTransaction || connection.closed) return;
+    this.decisions.noteEnd(holder.priority, now - holder.since, this.#use(), now);
+    this.#tellChange();
+  }
+
+  /** Called while statements wait, so that what is short of answers is looked at too. */
+  step(): void {
+    this.decisions.step(this.#use(), this.options.now());
+    this.#tellChange();
+  }
+
+  #use(): InstanceUse {
+    const { instance, opening } = this.options;
+    let inFlight = opening();
+    let highest = 0;
+    for (const [connection, { priority, isTransaction }] of this.#holders) {
+      if (isTransaction && connection.pendingCount === 0) continue;
+      inFlight += 1;
+      if (this.decisions.room.isHighest(priority)) highest += 1;
+    }
+    return { ...instance(), inFlight, highest };
+  }
+
+  #tellChange(): void {
+    const { onChange } = this.options;
+    const { level, room } = this.decisions.state;
+    const wasShort = this.#told.room !== undefined;
+    if (wasShort === (room !== undefined) && this.#told.level === level) return;
+    this.#told = { level, room };
+    onChange?.(this.#told);
+  }
+}
--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -32,6 +32,10 @@
   readonly values: ValueList;
   /** How long a connection is waited for. */
   readonly waitMs: Milliseconds;
+  /** Time left until an answer is late; absent where the opener does not tell it. */
+  readonly aimMs?: Milliseconds | undefined;
+  /** The connection is kept between the statements of a transaction. */
+  readonly isTransaction?: true | undefined;
 }
 
 /** Opens a stream that is one lease. */
--- a/src/direct/relay/lease-server.ts
+++ b/src/direct/relay/lease-server.ts
@@ -101,11 +101,13 @@
     const tellQueued = setTimeout(() => stream.send({ type: 'queued' }), QUEUED_AFTER_MS);
     this.#waiting += 1;
     const { pool } = instance;
+    const now = this.options.now();
+    const { aimMs = request.waitMs, isTransaction } = request;
     const acquired = await pool.acquire({
       ...{ tenant: request.tenant, account: request.account },
       ...{ priority: request.priority, policy: request.policy },
       values: new Map(request.values),
-      deadline: this.options.now() + request.waitMs,
+      ...{ deadline: now + request.waitMs, aimAt: now + aimMs, isTransaction },
       cancelledBy: [givenUp],
     });
     this.#waiting -= 1;
@@ -119,8 +121,8 @@
       pool.release(acquired.value);
       return;
     }
-    const { wire, now, counters } = this.options;
-    const granted = { stream, instance, connection: acquired.value, now };
+    const { wire, now: clock, counters } = this.options;
+    const granted = { stream, instance, connection: acquired.value, now: clock };
     if (request.type === 'lease') {
       counters.leasesGiven += 1;
       const onEnd = (): void => void this.#leases.delete(lease);
--- a/src/direct/relay/messages.ts
+++ b/src/direct/relay/messages.ts
@@ -78,6 +78,7 @@
   const inFlightShare = bound(fields?.inFlightShare);
   const inFlightFloor = bound(fields?.inFlightFloor);
   if (queueWeight === undefined || maxWaiting === undefined) return undefined;
+  if (queueWeight <= 0) return undefined;
   if (inFlightShare === undefined || inFlightFloor === undefined) return undefined;
   return { queueWeight, maxWaiting, inFlightShare, inFlightFloor };
 };
@@ -104,10 +105,23 @@
   if (service === undefined || instanceId === undefined || tenant === undefined) return undefined;
   // A name that can't be read must not become none.
   if (account === undefined && fields.account !== undefined) return undefined;
-  if (priority === undefined || connections === undefined) return undefined;
+  if (priority === undefined || priority < 0 || connections === undefined) return undefined;
   if (values === undefined || waitMs === undefined) return undefined;
   const header = { service, instanceId, tenant, priority, policy: connections, values, waitMs };
-  return account === undefined ? header : { ...header, account };
+  const urgency = urgencyOf(fields);
+  if (urgency === undefined) return undefined;
+  return { ...header, ...urgency, ...(account === undefined ? {} : { account }) };
+}
+
+/** What an older node does not tell; undefined if it is not in its form. */
+function urgencyOf(fields: Fields): Pick<LeaseRequest, 'aimMs' | 'isTransaction'> | undefined {
+  const { aimMs, isTransaction } = fields;
+  if (aimMs !== undefined && finite(aimMs) === undefined) return undefined;
+  if (isTransaction !== undefined && isTransaction !== true) return undefined;
+  return {
+    ...(aimMs === undefined ? {} : { aimMs: finite(aimMs) }),
+    ...(isTransaction === true ? { isTransaction } : {}),
+  };
 }
 
 const answer: Form<StatementAnswer> = (value) => {
--- a/src/direct/relay/owner-lessor.ts
+++ b/src/direct/relay/owner-lessor.ts
@@ -160,12 +160,17 @@
   }
 
   #headerOf(
-    { tenant, account, priority, policy, values }: ConnectionRequest,
+    { tenant, account, priority, policy, values, aimAt, isTransaction }: ConnectionRequest,
     waitMs: Milliseconds,
   ): Omit<LeaseRequest, 'type'> {
     const { service, id: instanceId } = this.options.instance;
-    const header = { service, instanceId, tenant, priority, policy, values: [...values], waitMs };
-    return account === undefined ? header : { ...header, account };
+    const aimMs = aimAt === undefined ? undefined : Math.round(aimAt - this.options.now());
+    return {
+      ...{ service, instanceId, tenant, priority, policy, values: [...values], waitMs },
+      ...(aimMs === undefined ? {} : { aimMs }),
+      ...(isTransaction === true ? { isTransaction } : {}),
+      ...(account === undefined ? {} : { account }),
+    };
   }
 
   async position(timeoutMs: Milliseconds): Promise<Position | undefined> {
--- a/src/direct/statement-request.ts
+++ b/src/direct/statement-request.ts
@@ -73,11 +73,14 @@
 
 /** Asks for a connection for this statement, within its tenant's policy. */
 export function connectionRequestOf(
-  request: Pick<StatementRequest, 'tenant' | 'account' | 'session' | 'deadline'>,
+  request: Pick<StatementRequest, 'tenant' | 'account' | 'session' | 'deadline' | 'beganAt'>,
   cancelledBy: readonly Cancellation[],
+  isTransaction = false,
 ): ConnectionRequest {
   const { name, policy } = request.tenant;
   return {
+    aimAt: request.beganAt + policy.targetLatencyMs,
+    isTransaction,
     tenant: name,
     account: request.account,
     priority: policy.priority,
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -302,7 +302,7 @@
     }
     const { values } = request.session;
     const cancelledBy = this.runner.attempts.cancellationsOf(this.service, instance);
-    const acquired = await instance.pool.acquire(connectionRequestOf(request, cancelledBy));
+    const acquired = await instance.pool.acquire(connectionRequestOf(request, cancelledBy, true));
     if (acquired.isErr()) {
       this.runner.feedback.noteUnreachable(placement, instance, acquired.error);
       const reason = acquired.error.code;
--- /dev/null
+++ b/test/support/admission-fleet.ts
@@ -0,0 +1,198 @@
+/** A fleet before one instance in virtual time: Poisson arrivals of three kinds, a first-come queue at the instance. */
+import {
+  type AdmissionRules,
+  type AdmissionWork,
+  InstanceAdmission,
+  startByOf,
+} from '../../src/core/admission/instance-admission.js';
+import { FairQueue, type QueuedRequest } from '../../src/core/statements/fair-queue.js';
+import { seededRandom } from './random.js';
+
+export interface Kind {
+  readonly priority: number;
+  readonly workMs: number;
+  readonly aimMs: number;
+  readonly timeoutMs: number;
+  /** Part of all requests. */
+  readonly share: number;
+}
+
+export const KINDS: readonly Kind[] = [
+  { priority: 0, workMs: 8, aimMs: 250, timeoutMs: 1000, share: 0.15 },
+  { priority: 1, workMs: 24, aimMs: 500, timeoutMs: 1000, share: 0.6 },
+  { priority: 2, workMs: 40, aimMs: 1200, timeoutMs: 2000, share: 0.25 },
+];
+export const SLOTS = 5;
+const INSTANCE_QUEUE = 40;
+const TENANTS = 40;
+const MEAN_WORK_MS = KINDS.reduce((sum, { workMs, share }) => sum + workMs * share, 0);
+/** Answers a second that the instance can give of this mix. */
+export const ROOM_PER_SECOND = (SLOTS * 1000) / MEAN_WORK_MS;
+
+interface Request extends AdmissionWork, QueuedRequest {
+  readonly kind: Kind;
+  readonly node: Node;
+  readonly workMs: number;
+}
+
+interface Node {
+  readonly queue: FairQueue<Request>;
+  readonly admission: InstanceAdmission;
+  readonly held: Map<string, number>;
+  inFlight: number;
+  highest: number;
+}
+
+export interface FleetOptions {
+  readonly nodes: number;
+  readonly connections: number;
+  /** Offered load, in parts of the room, by time. */
+  readonly load: (now: number) => number;
+  readonly seconds: number;
+  readonly seed: number;
+  readonly rules: AdmissionRules | undefined;
+  /** The nodes that take requests of a kind; all by default. */
+  readonly takes?: (node: number, kind: Kind) => boolean;
+}
+
+export interface KindCount {
+  asked: number;
+  inAim: number;
+  late: number;
+  refused: number;
+}
+
+export interface FleetReport {
+  readonly kinds: readonly KindCount[];
+  /** Slot time of answers in their deadline, in each tenth of a second, in parts of the room. */
+  readonly goodput: readonly number[];
+  /** Longest time without a try of those that were never tried, in parts of their time. */
+  longestUntried: number;
+  /** Most in flight in each tenth of a second, over all nodes. */
+  readonly inFlight: readonly number[];
+}
+
+function kindAt(draw: number): Kind {
+  let left = draw;
+  for (const kind of KINDS) {
+    if (left < kind.share) return kind;
+    left -= kind.share;
+  }
+  return KINDS[0] as Kind;
+}
+
+export function playFleet(options: FleetOptions): FleetReport {
+  const { seconds, rules, connections } = options;
+  const random = seededRandom(options.seed);
+  const nodes: Node[] = Array.from({ length: options.nodes }, () => ({
+    queue: new FairQueue<Request>(),
+    admission: new InstanceAdmission(() => rules),
+    held: new Map<string, number>(),
+    inFlight: 0,
+    highest: 0,
+  }));
+  const kinds = KINDS.map(() => ({ asked: 0, inAim: 0, late: 0, refused: 0 }));
+  const goodput = new Array<number>(seconds * 10).fill(0);
+  const inFlight = new Array<number>(seconds * 10).fill(0);
+  const report: FleetReport = { kinds, goodput, longestUntried: 0, inFlight };
+  const running: { request: Request; startedAt: number; endsAt: number }[] = [];
+  const queued: { request: Request; startedAt: number }[] = [];
+  const countOf = ({ kind }: Request): KindCount => kinds[KINDS.indexOf(kind)] as KindCount;
+  const use = (node: Node) => ({
+    slots: SLOTS,
+    sharers: nodes.length,
+    inFlight: node.inFlight,
+    highest: node.highest,
+  });
+
+  const refuse = (request: Request, now: number): void => {
+    countOf(request).refused += 1;
+    const share = (now - request.queuedAt) / request.kind.timeoutMs;
+    report.longestUntried = Math.max(report.longestUntried, share);
+  };
+  const letGo = (node: Node, { tenant, priority }: Request): void => {
+    node.inFlight -= 1;
+    if (priority === 0) node.highest -= 1;
+    node.held.set(tenant, (node.held.get(tenant) ?? 1) - 1);
+  };
+  const serve = (node: Node, now: number): void => {
+    while (node.inFlight < connections) {
+      const { admission, queue, held } = node;
+      const request = queue.takeNext(
+        held,
+        undefined,
+        (waiting) => admission.mayStart(waiting, use(node), now),
+        admission.isInForce ? (waiting) => admission.next(waiting, held, now) : undefined,
+      );
+      if (request === undefined) return;
+      node.inFlight += 1;
+      if (request.priority === 0) node.highest += 1;
+      held.set(request.tenant, (held.get(request.tenant) ?? 0) + 1);
+      if (queued.length < INSTANCE_QUEUE) queued.push({ request, startedAt: now });
+      else {
+        letGo(node, request);
+        admission.noteRefused();
+        refuse(request, now);
+      }
+    }
+  };
+  const arrive = (now: number): void => {
+    const kind = kindAt(random());
+    const takers = nodes.filter((_, index) => options.takes?.(index, kind) ?? true);
+    const node = takers[Math.floor(random() * takers.length)] as Node;
+    const { priority, workMs, aimMs, timeoutMs } = kind;
+    const [aimAt, deadline] = [now + aimMs, now + timeoutMs];
+    const request: Request = {
+      ...{ kind, node, priority, aimAt, deadline, weight: 1, maxWaiting: 200, queuedAt: now },
+      tenant: `t${Math.floor(random() * TENANTS)}`,
+      startBy: rules === undefined ? deadline : startByOf(now, deadline),
+      workMs: workMs * (0.3 + 1.4 * random()),
+    };
+    countOf(request).asked += 1;
+    node.admission.noteWanted(priority);
+    const refusal = node.admission.refusalOf(
+      request,
+      node.queue.requests,
+      node.held,
+      use(node),
+      now,
+    );
+    if (refusal !== undefined || !node.queue.push(request)) refuse(request, now);
+  };
+  const end = ({ request, startedAt }: (typeof running)[number], now: number): void => {
+    const { node, workMs } = request;
+    letGo(node, request);
+    node.admission.noteEnd(request.priority, now - startedAt, use(node), now);
+    const count = countOf(request);
+    if (now > request.deadline) return;
+    if (now <= request.aimAt) count.inAim += 1;
+    else count.late += 1;
+    const tenth = Math.floor(now / 100);
+    goodput[tenth] = (goodput[tenth] ?? 0) + workMs / (SLOTS * 100);
+  };
+
+  for (let now = 0; now < seconds * 1000; now += 1) {
+    const perMs = (ROOM_PER_SECOND * options.load(now)) / 1000;
+    for (let chance = perMs; chance > 0; chance -= 1) if (random() < chance) arrive(now);
+    for (const one of running.filter(({ endsAt }) => endsAt <= now)) {
+      running.splice(running.indexOf(one), 1);
+      end(one, now);
+    }
+    for (const node of nodes) {
+      node.admission.step(use(node), now);
+      for (const request of [...node.queue.requests]) {
+        if (now < request.startBy) continue;
+        node.queue.remove(request);
+        refuse(request, now);
+      }
+      serve(node, now);
+    }
+    while (running.length < SLOTS && queued.length > 0) {
+      const next = queued.shift();
+      if (next !== undefined) running.push({ ...next, endsAt: now + next.request.workMs });
+    }
+    const tenth = Math.floor(now / 100);
+    inFlight[tenth] = Math.max(inFlight[tenth] ?? 0, running.length + queued.length);
+  }
+  return report;
+}
--- a/test/support/caller-session-fixture.ts
+++ b/test/support/caller-session-fixture.ts
@@ -45,6 +45,8 @@
     connectFailures: 0,
     waitTimeouts: 0,
     queueRefusals: 0,
+    turnRefusals: 0,
+    untriedRefusals: 0,
   };
   const service = new ServiceRuntime('db-1', {
     zone: 'a',
