--- a/src/core/admission/instance-admission.ts
+++ b/src/core/admission/instance-admission.ts
@@ -3,13 +3,22 @@
  * where callers compete by different priorities; without rules everything is let in. No I/O and no clock.
  */
 import type { Milliseconds } from '../units.js';
-import { InstanceRoom, type RoomState } from './instance-room.js';
-import { type OrderView, PassedOver, startsBefore, type WaitingWork } from './queue-order.js';
+import { InstanceRoom, type RoomOptions, type RoomState } from './instance-room.js';
+import {
+  type OrderView,
+  PassedOver,
+  STARTS_PER_OLDEST,
+  startsBefore,
+  type WaitingWork,
+} from './queue-order.js';
 
 /** What callers need, as far as admission depends on it. */
 export interface AdmissionRules {
   /** A wait for a slot of an instance up to this is no scarcity. */
   readonly targetDelayMs: Milliseconds;
+  /** The priorities that compete: `highest` is the least number. */
+  readonly highest: number;
+  readonly lowest: number;
 }
 
 /** A statement that asks for room. */
@@ -52,10 +61,11 @@
 
 /** Undefined where nobody competes: all routes have the same priority. */
 export function admissionRules(routes: readonly CompetingRoute[]): AdmissionRules | undefined {
-  const priorities = new Set(routes.map(({ priority }) => priority));
-  if (priorities.size < 2) return undefined;
+  const priorities = routes.map(({ priority }) => priority);
+  const [highest, lowest] = [Math.min(...priorities), Math.max(...priorities)];
+  if (!(highest < lowest)) return undefined;
   const shortest = Math.min(...routes.map(({ targetLatencyMs }) => targetLatencyMs));
-  return { targetDelayMs: shortest * TARGET_SHARE };
+  return { targetDelayMs: shortest * TARGET_SHARE, highest, lowest };
 }
 
 /** By when a statement that came at `beganAt` is to be started. */
@@ -88,9 +98,10 @@
    * takes no room of the highest.
    */
   mayStart({ priority, tenant }: WaitingWork, use: InstanceUse, now: Milliseconds): boolean {
-    if (!this.isInForce) return true;
+    const rules = this.rules();
+    if (rules === undefined) return true;
     const room = this.room.roomOf(use);
-    if (this.room.isHighest(priority)) return use.highest < room;
+    if (priority <= rules.highest) return use.highest < Math.max(room, use.slots);
     return use.inFlight < room && this.room.admits(priority, spreadOf(tenant, now));
   }
 
@@ -119,11 +130,17 @@
   ): Milliseconds {
     if (waiting.length === 0) return 0;
     const view = this.#view(held, now);
+    const first = Math.min(...waiting.map(({ priority }) => priority));
     let aheadMs = 0;
+    let passedOver = 0;
     for (const other of waiting) {
       if (startsBefore(other, work, view)) aheadMs += view.answerMs(other.priority);
+      if (other.priority > first) passedOver += 1;
     }
-    return aheadMs / this.room.roomOf(use);
+    // However much goes before it, it has a turn as the oldest.
+    const startsUntilOldest = (passedOver + 1) * STARTS_PER_OLDEST;
+    const asOldestMs = startsUntilOldest * view.answerMs(first);
+    return Math.min(aheadMs, asOldestMs) / this.room.roomOf(use);
   }
 
   /** The statement that starts next of those that may; undefined if none may. */
@@ -143,17 +160,12 @@
     return this.#passedOver.choose(first, oldest, view);
   }
 
-  noteWanted(priority: number): void {
-    if (this.isInForce) this.room.noteWanted(priority);
-  }
-
   /** A statement gave its connection back. */
   noteEnd(priority: number, tookMs: Milliseconds, use: InstanceUse, now: Milliseconds): void {
     const rules = this.rules();
     if (rules === undefined) return;
-    const { slots, sharers, inFlight } = use;
-    const options = { slots, sharers, targetMs: rules.targetDelayMs };
-    this.room.noteAnswer({ priority, tookMs, inFlight }, options, now);
+    const { inFlight } = use;
+    this.room.noteAnswer({ priority, tookMs, inFlight }, optionsOf(rules, use), now);
   }
 
   noteRefused(): void {
@@ -161,10 +173,13 @@
   }
 
   /** Time goes on without an answer. */
-  step({ slots, sharers, inFlight }: InstanceUse, now: Milliseconds): void {
+  step(use: InstanceUse, now: Milliseconds): void {
     const rules = this.rules();
-    if (rules === undefined) return;
-    this.room.step({ slots, sharers, targetMs: rules.targetDelayMs }, inFlight, now);
+    if (rules !== undefined) this.room.step(optionsOf(rules, use), use.inFlight, now);
+  }
+
+  isHighest(priority: number): boolean {
+    return priority <= (this.rules()?.highest ?? Number.NEGATIVE_INFINITY);
   }
 
   #view(held: ReadonlyMap<string, number>, now: Milliseconds): OrderView {
@@ -172,6 +187,11 @@
   }
 }
 
+function optionsOf(rules: AdmissionRules, { slots, sharers }: InstanceUse): RoomOptions {
+  const { targetDelayMs: targetMs, highest, lowest } = rules;
+  return { slots, sharers, targetMs, highest, lowest };
+}
+
 /** Place of a tenant among those of its priority, in [0, 1); another one from turn to turn. */
 export function spreadOf(tenant: string, now: Milliseconds): number {
   let hash = 0x811c9dc5 ^ Math.floor(now / TURN_MS);
--- a/src/core/admission/instance-room.ts
+++ b/src/core/admission/instance-room.ts
@@ -14,6 +14,9 @@
   readonly sharers: number;
   /** A wait for a slot up to this is no scarcity. */
   readonly targetMs: Milliseconds;
+  /** The priorities that compete: `highest` is the least number. */
+  readonly highest: number;
+  readonly lowest: number;
 }
 
 /** What came of a statement that had been let in. */
@@ -35,10 +38,12 @@
 const ROOM_FALL = 0.8;
 const ROOM_RISE = 1.15;
 const LEVEL_FALL = 0.25;
-const LEVEL_RISE = 0.1;
+const LEVEL_RISE = 0.05;
 /** Between half of the target and the target nothing changes. */
 const EASE_SHARE = 0.5;
+/** A step is judged by answers to what was let in after the one before it. */
 const LEAST_STEP_MS: Milliseconds = 40;
+const LONGEST_STEP_MS: Milliseconds = 150;
 /** Without any answer for so long, what was learned of the delay is void. */
 const SILENCE_MS: Milliseconds = 400;
 /** More statements of one node in flight than so many times the slots would only wait at the instance. */
@@ -53,8 +58,6 @@
   #answeredAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #answers = 0;
   #wasRefused = false;
-  #highest = Number.POSITIVE_INFINITY;
-  #lowest = 0;
 
   /** @param fleetDelayMs what other nodes see of the wait for a slot, if that is known */
   constructor(private readonly fleetDelayMs: () => Milliseconds | undefined = () => undefined) {}
@@ -74,22 +77,12 @@
     return Math.floor(this.#room ?? mostOf(slots));
   }
 
-  /** A statement of this priority wants to start. */
-  noteWanted(priority: number): void {
-    this.#highest = Math.min(this.#highest, priority);
-    this.#lowest = Math.max(this.#lowest, priority);
-  }
-
   /**
    * Whether the level lets work in.
    * @param spread of its tenant, in [0, 1)
    */
   admits(priority: number, spread: number): boolean {
-    return priority <= this.#highest || priority + spread < this.#level;
-  }
-
-  isHighest(priority: number): boolean {
-    return priority <= this.#highest;
+    return priority + spread < this.#level;
   }
 
   noteAnswer({ priority, tookMs, inFlight }: RoomOutcome, options: RoomOptions, now: Milliseconds) {
@@ -106,7 +99,8 @@
 
   /** Looks at what has come since the last step; called with each answer, and now and then without one. */
   step(options: RoomOptions, inFlight: number, now: Milliseconds): void {
-    if (now - this.#steppedAt < Math.max(LEAST_STEP_MS, this.times.delayMs)) return;
+    const stepMs = Math.min(LONGEST_STEP_MS, Math.max(LEAST_STEP_MS, this.times.delayMs));
+    if (now - this.#steppedAt < stepMs) return;
     const isSilent = now - this.#answeredAt >= SILENCE_MS;
     const told = this.fleetDelayMs();
     if (this.#answers === 0 && !this.#wasRefused && !isSilent && told === undefined) return;
@@ -122,21 +116,20 @@
     this.#wasRefused = false;
   }
 
-  #fall({ slots, sharers }: RoomOptions, inFlight: number): void {
+  #fall({ slots, sharers, highest, lowest }: RoomOptions, inFlight: number): void {
     const least = Math.max(1, Math.ceil(slots / Math.max(1, sharers)));
     const before = this.#room;
     const used = Math.min(mostOf(slots), inFlight + 1);
     this.#room = Math.max(least, (before ?? used) * ROOM_FALL);
     if (before === undefined || before > least) return;
-    const whole = this.#lowest + 1;
     // The highest priority is let in whole at every node, as others may let in lower ones.
-    this.#level = Math.max(this.#highest + 1, Math.min(whole, this.#level) - LEVEL_FALL);
+    this.#level = Math.max(highest + 1, Math.min(lowest + 1, this.#level) - LEVEL_FALL);
   }
 
-  #rise({ slots }: RoomOptions): void {
+  #rise({ slots, lowest }: RoomOptions): void {
     if (this.#level !== Number.POSITIVE_INFINITY) {
       const level = this.#level + LEVEL_RISE;
-      this.#level = level > this.#lowest + 1 ? Number.POSITIVE_INFINITY : level;
+      this.#level = level >= lowest + 1 ? Number.POSITIVE_INFINITY : level;
       return;
     }
     if (this.#room === undefined) return;
--- a/src/core/admission/queue-order.ts
+++ b/src/core/admission/queue-order.ts
@@ -27,7 +27,7 @@
 }
 
 /** Of so many starts in a row that passed an older statement of lower priority, the next is the oldest's. */
-export const STARTS_PER_OLDEST = 16;
+export const STARTS_PER_OLDEST = 32;
 
 /** Whether the left one starts before the right one. */
 export function startsBefore(left: WaitingWork, right: WaitingWork, view: OrderView): boolean {
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -378,7 +378,22 @@
     return best < 0 ? undefined : this.#idle.splice(best, 1)[0];
   }
 
+  /**
+   * At the limit, a connection that rests gives way to one for a statement of a higher priority than all that it could
+   * serve: else those whose tenant holds connections would pass it for as long as they come.
+   */
+  #yieldToHigher(): void {
+    if (!this.admission.isInForce || this.size < this.#limit) return;
+    const [first] = this.#inTurn();
+    if (first === undefined || this.#idle.some((connection) => isFor(connection, first))) return;
+    if ((this.#openingFor.get(first.account) ?? 0) > 0) return;
+    const isServable = ({ priority, account }: Waiter): boolean =>
+      priority <= first.priority && this.#idle.some((idle) => idle.account === account);
+    if (!this.#waiters.requests.some(isServable)) this.#openForWaiters();
+  }
+
   #serveWaiters(): void {
+    this.#yieldToHigher();
     while (this.#idle.length > 0) {
       const { held } = this.#holdings;
       const waiter = this.#waiters.takeNext(
--- a/src/direct/pool-admission.ts
+++ b/src/direct/pool-admission.ts
@@ -65,7 +65,6 @@
     const { tenant, priority, deadline, aimAt = deadline } = request;
     const queuedAt = this.options.now();
     const startBy = this.isInForce ? startByOf(queuedAt, deadline) : deadline;
-    this.decisions.noteWanted(priority);
     return { tenant, priority, weight, queuedAt, aimAt, deadline, startBy };
   }
 
@@ -128,7 +127,7 @@
     for (const [connection, { priority, isTransaction }] of this.#holders) {
       if (isTransaction && connection.pendingCount === 0) continue;
       inFlight += 1;
-      if (this.decisions.room.isHighest(priority)) highest += 1;
+      if (this.decisions.isHighest(priority)) highest += 1;
     }
     return { ...instance(), inFlight, highest };
   }
