--- a/test/unit/direct/instance-pool.test.ts
+++ b/test/unit/direct/instance-pool.test.ts
@@ -4,9 +4,14 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
+import type { AdmissionRules } from '../../../src/core/admission/instance-admission.js';
 import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
 import type { InstanceEntry } from '../../../src/direct/contract.js';
-import type { SocketConnection } from '../../../src/direct/instance-connection.js';
+import { InstanceQueueFullError } from '../../../src/direct/errors.js';
+import type {
+  InstanceConnection,
+  SocketConnection,
+} from '../../../src/direct/instance-connection.js';
 import {
   type ConnectionRequest,
   InstancePool,
@@ -29,14 +34,18 @@
   },
 };
 
-/** An instance that takes connections only when it is told to. */
+/** An instance that takes connections only when it is told to, or at once. */
 class SlowInstance {
+  takesAtOnce = false;
   readonly waiting: Socket[] = [];
   readonly #open = new Set<Socket>();
   readonly #server: Server = createServer((socket) => {
     this.#open.add(socket);
     socket.on('error', () => {});
-    socket.once('data', () => this.waiting.push(socket));
+    socket.once('data', () => {
+      if (this.takesAtOnce) socket.write(READY);
+      else this.waiting.push(socket);
+    });
   });
 
   async start(): Promise<InstanceEntry> {
@@ -95,7 +104,7 @@
 
 function callerRequest(): ConnectionRequest {
   const { values, cancelledBy, priority } = ownRequest(0);
-  const policy = { queueWeight: 1, maxWaiting: 10, inFlightShare: 1, inFlightFloor: 1 };
+  const policy = { queueWeight: 1, maxWaiting: 100, inFlightShare: 1, inFlightFloor: 20 };
   const deadline = performance.now() + LONG_MS;
   return { tenant: 'orders', priority, policy, values, deadline, cancelledBy };
 }
@@ -118,17 +127,17 @@
   server.close();
 });
 
+const RULES = { targetDelayMs: 50, highest: 0, lowest: 2 };
+
 /** A pool of so many connections to an instance that takes every connection. */
-async function accountPool(limit: number) {
+async function accountPool(limit: number, rules?: AdmissionRules) {
   const instance = new SlowInstance();
   const pool = new InstancePool(await instance.start(), limit, {
-    ...{ ...POOL_OPTIONS, now: () => performance.now() },
+    ...{ ...POOL_OPTIONS, now: () => performance.now(), admissionRules: () => rules },
   });
-  const acquire = (account: string, more: Partial<ConnectionRequest> = {}) => {
-    const acquired = pool.acquire({ ...callerRequest(), tenant: account, account, ...more });
-    void until('the opening', () => instance.waiting.length > 0).then(() => instance.takeAll());
-    return acquired;
-  };
+  instance.takesAtOnce = true;
+  const acquire = (account: string, more: Partial<ConnectionRequest> = {}) =>
+    pool.acquire({ ...callerRequest(), tenant: account, account, ...more });
   return { instance, pool, acquire };
 }
 
@@ -150,6 +159,73 @@
   instance.stop();
 });
 
+test('at the limit a connection that rests gives way to a statement of a higher priority', async () => {
+  for (const rules of [RULES, undefined]) {
+    const { instance, pool, acquire } = await accountPool(1, rules);
+    const first = (await acquire('one', { priority: 1 }))._unsafeUnwrap();
+    const order: string[] = [];
+    const take = async (account: string, priority: number): Promise<void> => {
+      const connection = (await acquire(account, { priority }))._unsafeUnwrap();
+      order.push(account);
+      pool.release(connection);
+    };
+    const served = [take('one', 1), take('two', 0)];
+    await until('both wait', () => pool.waiting === 2);
+    pool.release(first);
+    await Promise.all(served);
+    assert.equal(order, rules === undefined ? ['one', 'two'] : ['two', 'one']);
+    pool.destroy();
+    instance.stop();
+  }
+});
+
+test('with as many in flight as the instance can use, who waits starts by priority; the highest starts beside them', async () => {
+  const { instance, pool, acquire } = await accountPool(20, RULES);
+  // One and a half times the three slots.
+  const room = 5;
+  const running = await Promise.all(
+    Array.from({ length: room }, () => acquire('one', { priority: 2 })),
+  );
+  const order: string[] = [];
+  const take = async (name: string, priority: number): Promise<void> => {
+    const connection = (await acquire('one', { priority }))._unsafeUnwrap();
+    order.push(name);
+    pool.release(connection);
+  };
+  const served = [take('low', 2), take('middle', 1)];
+  await until('both wait', () => pool.waiting === 2);
+  await take('high', 0);
+  assert.equal(order, ['high']);
+  const [one] = running;
+  pool.release(one?._unsafeUnwrap() as InstanceConnection);
+  await Promise.all(served);
+  assert.equal(order, ['high', 'middle', 'low']);
+  pool.destroy();
+  instance.stop();
+});
+
+test('a statement that can have no turn in time is refused at once, with rules only', async () => {
+  for (const rules of [RULES, undefined]) {
+    const { instance, pool, acquire } = await accountPool(20, rules);
+    const running = await Promise.all(
+      Array.from({ length: 20 }, () => acquire('one', { priority: 0 })),
+    );
+    const waiting = Array.from({ length: 60 }, () => acquire('one', { priority: 0 }));
+    await until('they wait', () => pool.waiting === 60);
+    const late = acquire('one', { priority: 1, deadline: performance.now() + 500 });
+    if (rules === undefined) {
+      assert.is(pool.waiting, 61, 'it waits like the others');
+    } else {
+      assert.instance((await late)._unsafeUnwrapErr(), InstanceQueueFullError);
+      assert.is(pool.waiting, 60);
+    }
+    pool.destroy();
+    for (const one of running) pool.release(one._unsafeUnwrap());
+    await Promise.all(waiting);
+    instance.stop();
+  }
+});
+
 test('while the size of the fleet is unknown a node opens few connections', () => {
   const service = new ServiceRuntime('orders', {
     ...{ zone: 'a', nodeCount: 8, isNodeCountKnown: false, drainTimeoutMs: 7000 },
