--- a/test/unit/direct/instance-pool.test.ts
+++ b/test/unit/direct/instance-pool.test.ts
@@ -206,18 +206,21 @@
 
 test('a statement that can have no turn in time is refused at once, with rules only', async () => {
   for (const rules of [RULES, undefined]) {
-    const { instance, pool, acquire } = await accountPool(20, rules);
+    // One is left to others.
+    const { instance, pool, acquire } = await accountPool(6, rules);
     const running = await Promise.all(
-      Array.from({ length: 20 }, () => acquire('one', { priority: 0 })),
+      Array.from({ length: 5 }, () => acquire('one', { priority: 0 })),
     );
-    const waiting = Array.from({ length: 60 }, () => acquire('one', { priority: 0 }));
-    await until('they wait', () => pool.waiting === 60);
+    const waiting = Array.from({ length: 80 }, (_, index) =>
+      acquire('one', { priority: index < 75 ? 0 : 1 }),
+    );
+    await until('they wait', () => pool.waiting === 80);
     const late = acquire('one', { priority: 1, deadline: performance.now() + 500 });
     if (rules === undefined) {
-      assert.is(pool.waiting, 61, 'it waits like the others');
+      assert.is(pool.waiting, 81, 'it waits like the others');
     } else {
       assert.instance((await late)._unsafeUnwrapErr(), InstanceQueueFullError);
-      assert.is(pool.waiting, 60);
+      assert.is(pool.waiting, 80);
     }
     pool.destroy();
     for (const one of running) pool.release(one._unsafeUnwrap());
--- a/test/unit/direct/relay.test.ts
+++ b/test/unit/direct/relay.test.ts
@@ -13,6 +13,7 @@
 } from '../../../src/direct/errors.js';
 import type { AnswerResult, InstanceConnection } from '../../../src/direct/instance-connection.js';
 import { GrantedLease } from '../../../src/direct/relay/granted-lease.js';
+import type { ConnectionRequest } from '../../../src/direct/instance-pool.js';
 import { synchronise } from '../../../src/direct/synchronise.js';
 import { createLocalStreamPair } from '../../../src/peer/local-stream.js';
 import { SilentNode, TEST_TENANT, TestBorrower, TestOwner } from '../../support/relay-fleet.js';
@@ -71,6 +72,29 @@
   assert.equal(instance.heard, [{ connection: 1, text: 'WRITE k \xe9\xff v' }]);
 });
 
+test('what a request has left of its aim and whether it is a transaction reach the pool of the owner', async () => {
+  await start(1);
+  const { pool } = owner(0);
+  const asked: ConnectionRequest[] = [];
+  const acquire = pool.acquire.bind(pool);
+  pool.acquire = (request) => {
+    asked.push(request);
+    return acquire(request);
+  };
+  const aimAt = performance.now() + 3000;
+  const bounds = { priority: 2, deadline: aimAt + 2000, aimAt, isTransaction: true };
+  borrower.pool.release((await borrower.acquire(bounds))._unsafeUnwrap());
+  borrower.pool.release(await lease());
+  const [told, plain] = asked;
+  assert.is(told?.priority, 2);
+  assert.is(told?.isTransaction, true);
+  // Both were counted in the time that is left, so that clocks need not agree.
+  const betweenMs = (told?.deadline ?? 0) - (told?.aimAt ?? 0);
+  assert.ok(betweenMs >= 1999 && betweenMs <= 2001, String(betweenMs));
+  assert.is(plain?.isTransaction, undefined);
+  assert.is(plain?.aimAt, plain?.deadline);
+});
+
 test('values and prepared statements of a connection travel with the lease, both ways', async () => {
   await start(1);
   const first = await lease();
