--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -4,7 +4,6 @@
  */
 import { createHash } from 'node:crypto';
 import type { Position } from '../core/position.js';
-import { EarlyReturn } from '../core/retry/early-return.js';
 import type { PreparedStatement } from '../core/statements/session-values.js';
 import { SessionVariables } from '../core/statements/session-variables.js';
 import type {
@@ -15,7 +14,6 @@
 import type { Milliseconds } from '../core/units.js';
 import type { RouteDescription } from './contract.js';
 import { WIRE_ENCODING } from './line-splitter.js';
-import { quotaRefusal } from './quota/quotas.js';
 import type { RequestLog } from './request-log.js';
 import { RequestTrace } from './request-trace.js';
 import type { ServiceRuntime } from './service-runtime.js';
@@ -83,8 +81,6 @@
   /** Requests that crossed the word of a stopping node, and were refused with it. */
   refusedAtStop: number;
   transactionsIdled: number;
-  /** Refused since they came back before the time that they were told for their tenant's quota. */
-  earlyReturns: number;
 }
 
 /** One operation counted, or why not; at once where that is known here. */
@@ -120,7 +116,6 @@
   /** The transaction was ended for resting too long, and the caller has not heard of it yet. */
   #idledOut = false;
   readonly #leaving: SessionLeaving;
-  readonly #earlyReturn = new EarlyReturn();
   /** Called when a message has been answered. */
   onRest: (() => void) | undefined;
 
@@ -512,17 +507,7 @@
   /** Why an operation of this caller is not begun now; counts it against the account's quota otherwise. */
   async #refusalFor({ refusal, account }: FoundRoute): Promise<Refusal | undefined> {
     if (refusal !== undefined || account === undefined) return refusal;
-    const { now, counters, routes } = this.options;
-    const leftMs = this.#earlyReturn.leftMs(account, now());
-    if (leftMs !== undefined) {
-      counters.earlyReturns += 1;
-      return quotaRefusal(Math.ceil(leftMs));
-    }
-    const spent = await routes.spend?.(account);
-    if (spent?.quotaBackMs !== undefined) {
-      this.#earlyReturn.noteRefused(account, spent.quotaBackMs, now());
-    }
-    return spent;
+    return this.options.routes.spend?.(account);
   }
 
   /** Why an open transaction must not go on: its key was taken away or given to another, or that can't be known. */
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -83,7 +83,6 @@
     failed: 0,
     refusedAtStop: 0,
     transactionsIdled: 0,
-    earlyReturns: 0,
     connectionsOpened: 0,
     connectFailures: 0,
     waitTimeouts: 0,
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -15,8 +15,6 @@
   refusedAtStop:
     'requests that came as a stopping node told their session to leave, refused by that',
   transactionsIdled: 'transactions ended for resting too long',
-  earlyReturns:
-    "operations refused since they came back before the time told for their tenant's quota",
   connectionsOpened: 'connections opened to instances',
   connectFailures: 'connections to instances that could not be opened',
   waitTimeouts: 'waits for a connection that ended without one',
--- a/src/direct/quota/quotas.ts
+++ b/src/direct/quota/quotas.ts
@@ -7,7 +7,6 @@
 import { PermitHolder } from '../../core/tenancy/permit-holder.js';
 import { partsOf, type QuotaKeepers } from '../../core/tenancy/quota-keepers.js';
 import type { PermitGrant } from '../../core/tenancy/quota-ledger.js';
-import { Shortage } from '../../core/tenancy/shortage.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerTransport } from '../../peer/contract.js';
 import type { AdmissionCounters } from '../admission.js';
@@ -41,7 +40,6 @@
 interface TenantState {
   readonly holder: PermitHolder;
   readonly parts: readonly number[];
-  readonly shortage: Shortage;
   /** Nothing is left at any keeper until then. */
   emptyUntil: Milliseconds;
   /** Operations that wait for the answer to the question that is out. */
@@ -62,10 +60,7 @@
     if (quotaOf(tenant)?.quota === undefined) return undefined;
     const state = this.#stateOf(tenant);
     state.holder.noteDemand(now());
-    if (state.waiting.length === 0 && state.holder.take(now())) {
-      state.shortage.noteServed(now());
-      return undefined;
-    }
+    if (state.waiting.length === 0 && state.holder.take(now())) return undefined;
     if (now() < state.emptyUntil) return this.#beyond(state);
     const answered = new Promise<Refusal | undefined>((resolve) => state.waiting.push(resolve));
     if (!state.isAsking) void this.#ask(tenant, state);
@@ -79,7 +74,6 @@
     const state: TenantState = {
       holder: new PermitHolder(this.options.now()),
       parts: partsOf(hash),
-      shortage: new Shortage(),
       emptyUntil: 0,
       waiting: [],
       isAsking: false,
@@ -159,29 +153,17 @@
       for (const settle of settled) settle({ code: 'busy', text });
       return;
     }
-    for (const settle of settled.splice(0, grant.granted)) {
-      state.shortage.noteServed(now());
-      settle(undefined);
-    }
+    for (const settle of settled.splice(0, grant.granted)) settle(undefined);
     if (settled.length === 0) return;
     state.emptyUntil = now() + Math.min(MOST_RETRY_MS, grant.retryAfterMs);
     for (const settle of settled) settle(this.#beyond(state));
   }
 
-  /** There may be one permit when the keepers say so, and others ask for it as well. */
-  #beyond({ emptyUntil, shortage }: TenantState): Refusal {
+  #beyond({ emptyUntil }: TenantState): Refusal {
     const { now, counters } = this.options;
     counters().quotaRefusals += 1;
-    shortage.noteRefused(now());
-    const nextMs = Math.max(LEAST_RETRY_MS, emptyUntil - now());
-    const turnMs = nextMs / shortage.servedShare(now());
-    const retryAfterMs = Math.max(nextMs, Math.min(MOST_RETRY_MS, turnMs));
-    return quotaRefusal(Math.ceil(retryAfterMs));
+    const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.ceil(emptyUntil - now()));
+    const text = `beyond the tenant's quota; retry after ${retryAfterMs} ms`;
+    return { code: 'busy', text };
   }
 }
-
-/** What the caller of a tenant that is beyond its quota is told. */
-export function quotaRefusal(retryAfterMs: Milliseconds): Refusal {
-  const text = `beyond the tenant's quota; retry after ${retryAfterMs} ms`;
-  return { code: 'busy', text, quotaBackMs: retryAfterMs };
-}
--- a/src/direct/statement-request.ts
+++ b/src/direct/statement-request.ts
@@ -24,8 +24,6 @@
 export interface Refusal {
   readonly code: StatementErrorCode;
   readonly text: string;
-  /** The tenant is beyond its quota; asking sooner is of no use. */
-  readonly quotaBackMs?: Milliseconds;
 }
 
 export type StatementOutcome =
--- a/test/support/caller-session-fixture.ts
+++ b/test/support/caller-session-fixture.ts
@@ -80,14 +80,7 @@
       transactionIdleMs,
     },
     now,
-    counters: {
-      statements: 0,
-      refused: 0,
-      failed: 0,
-      refusedAtStop: 0,
-      transactionsIdled: 0,
-      earlyReturns: 0,
-    },
+    counters: { statements: 0, refused: 0, failed: 0, refusedAtStop: 0, transactionsIdled: 0 },
     requests: { requestEnded: (end) => ends.push(end) },
   };
 }
--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -4,14 +4,8 @@
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
 import { CallerSession } from '../../../src/direct/caller-session.js';
-import { quotaRefusal } from '../../../src/direct/quota/quotas.js';
 import type { RequestEnd } from '../../../src/direct/request-log.js';
-import {
-  ROUTE,
-  runnerWith,
-  sessionDependencies,
-  tenantWith,
-} from '../../support/caller-session-fixture.js';
+import { ROUTE, sessionDependencies, tenantWith } from '../../support/caller-session-fixture.js';
 
 /** The session's own pauses do not keep a process alive. */
 const KEEP_ALIVE_MS = 1000;
@@ -60,48 +54,6 @@
   assert.equal(lines.slice(7), ['ERROR UNPREPARED s1', 'READY I -']);
 });
 
-test('who comes back before the time told for its quota passes nobody who asks for the first time', async () => {
-  const spent: string[] = [];
-  const dependencies = sessionDependencies();
-  const { find, ...routes } = dependencies.routes;
-  const keyed = (database: string) => {
-    const found = find(database, '');
-    return found && { ...found, account: 'acme' };
-  };
-  let now = 0;
-  const lines: string[] = [];
-  const session = new CallerSession({
-    ...dependencies,
-    now: () => now,
-    runner: runnerWith('ROW x\r\nCOMPLETE 1\r\n', []),
-    routes: {
-      ...{ ...routes, find: keyed },
-      spend: (account) => {
-        spent.push(account);
-        return now < 300 ? quotaRefusal(250) : undefined;
-      },
-    },
-    write: (text) => lines.push(...text.split('\r\n').filter((line) => line !== '')),
-    end: () => {},
-  });
-  const send = (line: string): Promise<void> =>
-    new Promise((resolve) => {
-      session.onRest = resolve;
-      session.receive(lineWire.decodeCallerMessage(line));
-    });
-  await send('START orders u1');
-  await send('QUERY 1 READ key');
-  now = 100;
-  await send('QUERY 2 READ key');
-  assert.is(spent.length, 1, 'the second is refused without a permit');
-  assert.is(lines.at(-2), `ERROR BUSY beyond the tenant's quota; retry after 150 ms`);
-  now = 300;
-  await send('QUERY 3 READ key');
-  assert.is(spent.length, 2);
-  assert.is(lines.at(-2), 'COMPLETE 1');
-  assert.is(dependencies.counters.earlyReturns, 1);
-});
-
 test('what has not run is refused with a time to ask again', async () => {
   const { lines, send } = startSession();
   await send('START orders u1');
--- a/test/unit/direct/relay.test.ts
+++ b/test/unit/direct/relay.test.ts
@@ -12,8 +12,8 @@
   InstanceWaitTimeoutError,
 } from '../../../src/direct/errors.js';
 import type { AnswerResult, InstanceConnection } from '../../../src/direct/instance-connection.js';
-import { GrantedLease } from '../../../src/direct/relay/granted-lease.js';
 import type { ConnectionRequest } from '../../../src/direct/instance-pool.js';
+import { GrantedLease } from '../../../src/direct/relay/granted-lease.js';
 import { synchronise } from '../../../src/direct/synchronise.js';
 import { createLocalStreamPair } from '../../../src/peer/local-stream.js';
 import { SilentNode, TEST_TENANT, TestBorrower, TestOwner } from '../../support/relay-fleet.js';
