--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -453,7 +453,12 @@
         counters: this.counters,
         admissionRules: () => this.#admissionRules,
         onAdmission: ({ service, id }, state) =>
-          logger?.info('admission changed', { service, instance: id, ...state }),
+          logger?.info('admission changed', {
+            service,
+            instance: id,
+            room: state.room,
+            admitsBelow: state.level,
+          }),
       },
     });
     this.#services.set(name, service);
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -26,7 +26,13 @@
 } from './instance-connection.js';
 import { InstanceHealth } from './instance-health.js';
 import type { GatewayLatencies } from './latencies.js';
-import { type AdmissionRefusals, type AdmissionRequest, PoolAdmission } from './pool-admission.js';
+import {
+  type AdmissionLatencies,
+  type AdmissionRefusals,
+  type AdmissionRequest,
+  PoolAdmission,
+  type QueuedWork,
+} from './pool-admission.js';
 import type { ConnectionLessor } from './relay/contract.js';
 import type { StatementWire } from './wire.js';
 
@@ -38,7 +44,8 @@
   readonly now: () => Milliseconds;
   readonly random: () => number;
   readonly counters: PoolCounters;
-  readonly latencies?: Pick<GatewayLatencies, 'connectionWaits' | 'instanceAnswers'>;
+  readonly latencies?: Pick<GatewayLatencies, 'connectionWaits' | 'instanceAnswers'> &
+    Partial<AdmissionLatencies>;
   /** Undefined where callers don't compete by priorities; absent where that is never looked at. */
   readonly admissionRules?: () => AdmissionRules | undefined;
   readonly onAdmission?: (instance: InstanceEntry, state: RoomState) => void;
@@ -75,7 +82,7 @@
   readonly cancelledBy: readonly Cancellation[];
 }
 
-interface Waiter extends ConnectionRequest, QueuedRequest, AdmissionWork {
+interface Waiter extends ConnectionRequest, QueuedRequest, QueuedWork {
   readonly aimAt: Milliseconds;
   readonly settle: (connection: Result<InstanceConnection, AcquireError>) => void;
   timer: NodeJS.Timeout | undefined;
@@ -159,6 +166,7 @@
       instance: () => ({ slots: this.instance.slots, sharers: this.#nodeCount }),
       opening: () => this.#opening,
       counters: options.counters,
+      latencies: options.latencies,
       onChange: (state) => options.onAdmission?.(this.instance, state),
       now: options.now,
     });
@@ -281,6 +289,7 @@
       return Promise.resolve(err(new InstanceQueueFullError(`${this.instance.id}: ${reason}`)));
     }
     return new Promise((settle) => {
+      const queued = this.admission.queued(work, this.#waiters.requests, this.#holdings.held);
       const bounds = { weight: policy.queueWeight, maxWaiting: policy.maxWaiting };
       const stopListening = listenToAll(request.cancelledBy, () => this.#expire(waiter));
       const settleOnce = (connection: Result<InstanceConnection, AcquireError>): void => {
@@ -288,7 +297,7 @@
         settle(connection);
       };
       const waiter: Waiter = {
-        ...{ ...request, ...work, ...bounds },
+        ...{ ...request, ...queued, ...bounds },
         ...{ settle: settleOnce, timer: undefined },
       };
       if (!this.#waiters.push(waiter)) {
@@ -407,6 +416,7 @@
       if (waiter === undefined || connection === undefined) break;
       clearTimeout(waiter.timer);
       this.#give(connection, waiter);
+      this.admission.noteStart(waiter);
       waiter.settle(ok(connection));
     }
     this.#serveInTime();
@@ -470,7 +480,7 @@
       waiter.settle(err(this.#noneFree()));
       return;
     }
-    this.admission.noteUntried();
+    this.admission.noteUntried(waiter);
     const text = `${this.instance.id}: half of its time is over`;
     waiter.settle(err(new InstanceQueueFullError(text)));
   }
--- a/src/direct/latencies.ts
+++ b/src/direct/latencies.ts
@@ -9,6 +9,8 @@
   readonly instanceAnswers: LatencyHistogram;
   readonly storeCalls: LatencyHistogram;
   readonly primaryChanges: LatencyHistogram;
+  readonly admissionRefusals: LatencyHistogram;
+  readonly admissionErrors: LatencyHistogram;
 }
 
 /** All of them, empty. */
@@ -39,6 +41,16 @@
       help: 'from hearing that a primary is being replaced to the next one',
       labelNames: [],
     }),
+    admissionRefusals: new LatencyHistogram({
+      name: 'admission_refusal',
+      help: 'wait of statements that admission refused, until then',
+      labelNames: ['cause', 'priority'],
+    }),
+    admissionErrors: new LatencyHistogram({
+      name: 'admission_error',
+      help: 'by how much the expected wait of a statement was wrong, either way',
+      labelNames: ['priority'],
+    }),
   };
 }
 
--- a/src/direct/pool-admission.ts
+++ b/src/direct/pool-admission.ts
@@ -10,6 +10,7 @@
 import type { RoomState } from '../core/admission/instance-room.js';
 import type { Milliseconds } from '../core/units.js';
 import type { SocketConnection } from './instance-connection.js';
+import type { GatewayLatencies } from './latencies.js';
 
 /** Counted over all pools of the process. */
 export interface AdmissionRefusals {
@@ -26,10 +27,19 @@
   /** Connections being opened: each takes a slot. */
   readonly opening: () => number;
   readonly counters: AdmissionRefusals;
+  readonly latencies: Partial<AdmissionLatencies> | undefined;
   readonly onChange?: ((state: RoomState) => void) | undefined;
   readonly now: () => Milliseconds;
 }
 
+export type AdmissionLatencies = Pick<GatewayLatencies, 'admissionRefusals' | 'admissionErrors'>;
+
+/** A statement that was let into the queue. */
+export interface QueuedWork extends AdmissionWork {
+  /** Expected wait; undefined where nothing competes. */
+  readonly expectedMs: Milliseconds | undefined;
+}
+
 /** What a request asks of a pool, as far as admission looks at it. */
 export interface AdmissionRequest {
   readonly tenant: string;
@@ -47,6 +57,8 @@
   readonly since: Milliseconds;
 }
 
+const MOST_PRIORITY_LABEL = 7;
+
 export class PoolAdmission {
   readonly decisions: InstanceAdmission;
   readonly #holders = new Map<SocketConnection, Holder>();
@@ -80,10 +92,36 @@
     if (!this.isInForce) return undefined;
     const { counters, now } = this.options;
     const refusal = this.decisions.refusalOf(work, waiting, held, this.#use(), now());
-    if (refusal !== undefined) counters.turnRefusals += 1;
+    if (refusal !== undefined) {
+      counters.turnRefusals += 1;
+      this.#observeRefusal(work, refusal);
+    }
     return refusal;
   }
 
+  /** The work with what is expected of its wait, to be compared once it starts. */
+  queued(
+    work: AdmissionWork,
+    waiting: readonly AdmissionWork[],
+    held: ReadonlyMap<string, number>,
+  ): QueuedWork {
+    if (!this.isInForce) return { ...work, expectedMs: undefined };
+    const now = this.options.now();
+    const expectedMs = this.decisions.expectedWaitMs(work, waiting, held, this.#use(), now);
+    return { ...work, expectedMs };
+  }
+
+  noteStart({ expectedMs, queuedAt, priority }: QueuedWork): void {
+    if (expectedMs === undefined) return;
+    const errorMs = Math.abs(this.options.now() - queuedAt - expectedMs);
+    this.options.latencies?.admissionErrors?.observe(errorMs, labelOf(priority));
+  }
+
+  #observeRefusal({ queuedAt, priority }: AdmissionWork, cause: AdmissionRefusal): void {
+    const waitedMs = this.options.now() - queuedAt;
+    this.options.latencies?.admissionRefusals?.observe(waitedMs, cause, labelOf(priority));
+  }
+
   next<Work extends AdmissionWork>(
     candidates: readonly Work[],
     held: ReadonlyMap<string, number>,
@@ -91,8 +129,9 @@
     return this.decisions.next(candidates, held, this.options.now());
   }
 
-  noteUntried(): void {
+  noteUntried(work: AdmissionWork): void {
     this.options.counters.untriedRefusals += 1;
+    this.#observeRefusal(work, 'waited-too-long');
   }
 
   noteRefused(): void {
@@ -141,3 +180,8 @@
     onChange?.(this.#told);
   }
 }
+
+/** Labels of figures are few, whatever priorities are declared. */
+function labelOf(priority: number): string {
+  return String(Math.min(priority, MOST_PRIORITY_LABEL));
+}
