A statement of a public route gets the place of a tenant's connection that rests

Cause: where connections are of one tenant each, a caller without a key (a public route) needs one of no tenant. With the pool at its limit and all its connections of tenants and at rest, none was closed for it: hasRoomFor gave up for whoever has no account. It waited its whole time with three idle connections beside it (trial with a line more,: size 3, limit 3, idle 3, held 0, 500 ms). Ruled out: pace, shares, room, openings that fail (none), transactions (none held). Change: at the limit a connection of another account gives way to it, too. Where callers give no keys all connections are alike, and nothing changes. Test: unit/direct/instance-pool, which waits for ever without the change.

--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -580,7 +580,7 @@
   #hasRoomFor({ account }: ConnectionRequest, limit: number): boolean {
     const mostOpen = account === undefined ? limit : this.#limit;
     if (this.size < mostOpen) return true;
-    if (account === undefined) return false;
+    if (this.size < this.#limit) return false;
     const surplus = this.#idle.find((connection) => connection.account !== account);
     surplus?.close();
     return surplus !== undefined && this.size < this.#limit;
--- a/test/unit/direct/instance-pool.test.ts
+++ b/test/unit/direct/instance-pool.test.ts
@@ -159,6 +159,20 @@
   instance.stop();
 });
 
+test("a statement of a public route gets the place of a tenant's connection that rests, and the other way", async () => {
+  const { instance, pool, acquire } = await accountPool(1);
+  const order: (string | undefined)[] = [];
+  for (const account of ['one', undefined, 'two', undefined]) {
+    const connection = (await acquire(account ?? 'public', { account }))._unsafeUnwrap();
+    order.push((connection as SocketConnection).account);
+    pool.release(connection);
+  }
+  assert.equal(order, ['one', undefined, 'two', undefined]);
+  assert.is(pool.size, 1);
+  pool.destroy();
+  instance.stop();
+});
+
 test('at the limit a connection that rests gives way to a statement of a higher priority', async () => {
   for (const rules of [RULES, undefined]) {
     const { instance, pool, acquire } = await accountPool(1, rules);
