Calls to the store counted by what they are for

Cause: the store prices each call, and the one figure that there was, a histogram without polls, does not tell which calls a node makes.

--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -59,6 +59,16 @@
   return key.startsWith(NOTE_PREFIX);
 }
 
+/** Whether a key holds a node's acknowledgement of a change. */
+export function isAcknowledgementKey(key: string): boolean {
+  return key.startsWith(ACKNOWLEDGEMENT_PREFIX);
+}
+
+/** Whether a key holds a node's suspicion of a primary. */
+export function isSuspicionKey(key: string): boolean {
+  return key.startsWith(SUSPICION_PREFIX);
+}
+
 export function nodeOfNodeKey(key: string): string | undefined {
   return key.startsWith(NODE_PREFIX) ? decode(key.slice(NODE_PREFIX.length)) : undefined;
 }
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -3,6 +3,7 @@
  * since a start costs time while the machine serves nobody.
  */
 import type { LatencyHistogram } from '../observability/latency-histogram.js';
+import type { StoreCallTally } from '../observability/store-call-tally.js';
 import type { DirectCounters, DirectGateway } from './gateway.js';
 import type { ReaderCounters } from './readers/contract.js';
 import type { ReaderStore } from './readers/reader-store.js';
@@ -77,13 +78,14 @@
   readonly snapshots?: PeerSnapshots | undefined;
   readonly readers?: ReaderStore | undefined;
   readonly store?: StoreFigures | undefined;
+  readonly storeCalls?: StoreCallTally | undefined;
   /** Lines of the log that nobody read in time. */
   readonly logLinesDropped: number;
 }
 
 /** What the gateway has counted since it started, and what it holds now. */
 export async function exposeMetrics(sources: FigureSources): Promise<Exposition> {
-  const { gateway, snapshots, readers, store, logLinesDropped } = sources;
+  const { gateway, snapshots, readers, store, storeCalls, logLinesDropped } = sources;
   const { Counter, Gauge, Registry } = await import('prom-client');
   const registry = new Registry();
   const registers = [registry];
@@ -115,6 +117,15 @@
       store.unusable,
     );
   }
+  if (storeCalls !== undefined) {
+    const calls = new Counter({
+      name: `${metricName('store_calls')}_total`,
+      help: 'calls to the store by what they are for, polls of watches included',
+      labelNames: ['kind', 'outcome'],
+      registers,
+    });
+    for (const { kind, outcome, count } of storeCalls.counts()) calls.inc({ kind, outcome }, count);
+  }
   count('log_lines_dropped', 'lines of the log that were not read in time', logLinesDropped);
   const gauge = (name: string, help: string, value: number): void =>
     new Gauge({ name: PREFIX + name, help, registers }).set(value);
