Two readers follow the store for the fleet, and those of the other zones follow these

Change: every node derives from the record which two readers follow the store, in the first two zones by name; the others of the readers relay what these tell. Ages and proofs are carried from hop to hop, so that how late a node may be is bounded as before; a relay that hears nothing asks the store itself and goes on telling with the age as it is. Ruled out: two readers for all nodes without relays: each change would cross zones once for each node.

--- a/src/core/ownership/watch-readers.ts
+++ b/src/core/ownership/watch-readers.ts
@@ -1,11 +1,14 @@
 /**
- * Which nodes read the store for the others. In a large fleet two nodes of each zone follow it and pass
- * changes on, so that its calls grow with the zones and not with the nodes. Named by the leader.
+ * Which nodes read the store for the others. In a large fleet two nodes follow it, two of each other zone follow these,
+ * and all others the two of their zone, so that its calls grow neither with the nodes nor with the zones. The readers of
+ * the zones are named by the leader; every node derives from them which two follow the store.
  */
 import { nextRoster, type ReachableNode } from './owner-roster.js';
 
 /** Two, so that the loss of one delays nothing. */
 const READERS_PER_ZONE = 2;
+/** The same: both polls must be lost before anyone else has to ask the store. */
+const READERS_OF_STORE = 2;
 /** Below this size each node reads the store by itself: there is little to spare. */
 export const SMALLEST_READER_FLEET = 24;
 /** A fleet that has readers keeps them down to this size: many nodes may restart at once. */
@@ -45,9 +48,12 @@
     .map(({ linkMbps: _linkMbps, ...node }) => node);
 }
 
-/** Through whom a node follows the store: itself if it is a reader, else the readers of its zone. */
+/** Through whom a node follows the store. */
 export type ReadersOfNode =
+  /** It follows the store itself, and tells others. */
   | { readonly type: 'self' }
+  /** It follows readers of other zones, and tells its own. */
+  | { readonly type: 'relay'; readonly readers: readonly ReachableNode[] }
   | { readonly type: 'others'; readonly readers: readonly ReachableNode[] };
 
 /** The readers that a node follows. */
@@ -55,7 +61,17 @@
   node: Pick<ReachableNode, 'nodeId' | 'zone'>,
   readers: readonly ReachableNode[],
 ): ReadersOfNode {
+  const isNode = ({ nodeId }: ReachableNode): boolean => nodeId === node.nodeId;
   const inZone = readers.filter(({ zone }) => zone === node.zone);
-  if (inZone.some(({ nodeId }) => nodeId === node.nodeId)) return { type: 'self' };
-  return { type: 'others', readers: inZone };
+  if (!inZone.some(isNode)) return { type: 'others', readers: inZone };
+  const ofStore = readersOfStore(readers);
+  return ofStore.some(isNode) ? { type: 'self' } : { type: 'relay', readers: ofStore };
+}
+
+/** One of each of the first zones by name, so that the loss of a reader moves no other; two where there is one zone. */
+function readersOfStore(readers: readonly ReachableNode[]): readonly ReachableNode[] {
+  const zones = [...new Set(readers.map(({ zone }) => zone))].sort();
+  const firsts = zones.flatMap((zone) => readers.find((reader) => reader.zone === zone) ?? []);
+  const others = readers.filter((reader) => !firsts.includes(reader));
+  return [...firsts, ...others].slice(0, READERS_OF_STORE);
 }
--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -1,9 +1,10 @@
 /**
- * One prefix of the store as this node follows it: by the store's own watch if it is a reader, or if its
+ * One prefix of the store as this node follows it: by the store's own watch if it reads the store for others, or if its
  * readers don't serve it, and through them otherwise. Whoever watches sees one watch without gaps.
  */
 import { PeerClock } from '../../core/directory/peer-clock.js';
 import { ReaderEvidence } from '../../core/directory/reader-evidence.js';
+import { RelayedWord, type WordTimes } from '../../core/directory/relayed-word.js';
 import { revisionOf, WatchHistory, type WatchStretch } from '../../core/directory/watch-history.js';
 import type { MeadowstackError } from '../../core/errors.js';
 import type { ReachableNode } from '../../core/ownership/owner-roster.js';
@@ -30,6 +31,8 @@
   readonly isProof?: boolean | undefined;
   /** What readers tell is relied on until the store's word for it is so old. */
   readonly maxAgeMs: Milliseconds;
+  /** How often a relay passes on at once that nothing has changed. */
+  readonly passEveryMs: Milliseconds;
   /** Opens the store's own watch. */
   readonly openDirect: (fromRevision: number, handlers: WatchHandlers) => () => void;
   readonly subscribe: SubscribeToReader;
@@ -49,12 +52,6 @@
   hasGap: boolean;
 }
 
-/** When the store had no more than a reader told: as far as can be judged, and no later than the truth. */
-interface ToldTimes {
-  readonly currentAt: Milliseconds;
-  readonly provenAt: Milliseconds;
-}
-
 interface Watcher {
   readonly handlers: WatchHandlers;
   /** Everything up to this revision was told. */
@@ -75,12 +72,16 @@
 export class FollowedPrefix {
   /** Called when the store has told something, also that nothing has changed. */
   onAnswered: () => void = () => {};
-  /** Called when the store's own watch has ended. */
-  onDirectEnded: () => void = () => {};
+  /** Called when readers have told a relay what its own followers should hear at once. */
+  onRelayed: () => void = () => {};
+  /** Called when this node has nothing to tell followers any more. */
+  onTellingEnded: () => void = () => {};
   readonly history = new WatchHistory();
   readonly #evidence: ReaderEvidence;
   readonly #subscriptions = new Map<string, Subscription>();
-  #isReader = false;
+  #role: ReadersOfNode['type'] = 'others';
+  /** What a relay heard last. */
+  readonly #relayed: RelayedWord;
   #watcher: Watcher | undefined;
   /** When this node first watched; undefined before that. */
   #firstWatchAt: Milliseconds | undefined;
@@ -90,6 +91,7 @@
 
   constructor(private readonly options: FollowedPrefixOptions) {
     this.#evidence = new ReaderEvidence(options.maxAgeMs);
+    this.#relayed = new RelayedWord(options.passEveryMs);
   }
 
   get prefix(): string {
@@ -101,14 +103,14 @@
     return this.#direct !== undefined;
   }
 
-  /** When the store last answered the watch that is open; undefined if none is, or has an answer. */
+  /** When the store last vouched for what followers may be told; undefined while there is nothing to tell. */
   get answeredAt(): Milliseconds | undefined {
-    return this.#direct?.answeredAt;
+    return latest(this.#direct?.answeredAt, this.#relayed.times?.currentAt);
   }
 
   /** No later than when the store had nothing newer than what is known; undefined as `answeredAt` is. */
   get provenAt(): Milliseconds | undefined {
-    return this.#direct?.provenAt;
+    return latest(this.#direct?.provenAt, this.#relayed.times?.provenAt);
   }
 
   /** True if followers are told each word of the store. */
@@ -118,7 +120,7 @@
 
   /** Follows from a revision on; there is one such watch at a time. The returned function ends it. */
   watch(fromRevision: number, handlers: WatchHandlers): () => void {
-    this.#closeDirect();
+    this.#endTelling();
     const watcher = { handlers, told: fromRevision - 1, toldAt: Number.NEGATIVE_INFINITY };
     this.#watcher = watcher;
     this.#firstWatchAt ??= this.options.now();
@@ -127,7 +129,7 @@
     return () => {
       if (this.#watcher !== watcher) return;
       this.#watcher = undefined;
-      this.#closeDirect();
+      this.#endTelling();
     };
   }
 
@@ -136,13 +138,14 @@
     const watcher = this.#watcher;
     if (watcher === undefined) return;
     this.#watcher = undefined;
-    this.#closeDirect();
+    this.#endTelling();
     watcher.handlers.onEnd(new StoreCompactedError(watcher.told), true);
   }
 
   /** Takes the readers that the leader names now. */
   setReaders(readers: ReadersOfNode): void {
-    this.#isReader = readers.type === 'self';
+    this.#role = readers.type;
+    if (this.#role === 'others') this.#forgetRelayed();
     const named = new Map(
       readers.type === 'self' ? [] : readers.readers.map((reader) => [keyOfNode(reader), reader]),
     );
@@ -176,7 +179,7 @@
   /** Ends everything; the watcher is not told. */
   close(): void {
     this.#watcher = undefined;
-    this.#closeDirect();
+    this.#endTelling();
     this.setReaders({ type: 'others', readers: [] });
   }
 
@@ -186,7 +189,7 @@
     this.#wasServed ||= isServed;
     const isFirst = now - (this.#firstWatchAt ?? now) < FIRST_WATCH_GRACE_MS;
     const isAsking = isFirst && this.#subscriptions.size > 0;
-    return this.#isReader || !(isServed || isAsking);
+    return this.#role === 'self' || !(isServed || isAsking);
   }
 
   /** What this node knows already is told later in this turn, as the store would. */
@@ -254,9 +257,11 @@
   #directEnded(direct: DirectWatch, error: MeadowstackError, compacted: boolean): void {
     if (this.#direct !== direct) return;
     this.#direct = undefined;
-    this.onDirectEnded();
     const watcher = this.#watcher;
-    if (watcher === undefined || (!compacted && !this.#wantsDirect(watcher))) return;
+    const isServed = watcher !== undefined && !compacted && !this.#wantsDirect(watcher);
+    if (!isServed) this.#relayed.forget();
+    if (this.answeredAt === undefined) this.onTellingEnded();
+    if (watcher === undefined || isServed) return;
     this.#watcher = undefined;
     watcher.handlers.onEnd(error, compacted);
   }
@@ -266,7 +271,19 @@
     if (direct === undefined) return;
     this.#direct = undefined;
     direct.close();
-    this.onDirectEnded();
+    if (this.answeredAt === undefined) this.onTellingEnded();
+  }
+
+  #forgetRelayed(): void {
+    if (this.#relayed.times === undefined) return;
+    this.#relayed.forget();
+    if (this.answeredAt === undefined) this.onTellingEnded();
+  }
+
+  /** What was told is read anew, or nobody here follows it any more. */
+  #endTelling(): void {
+    this.#forgetRelayed();
+    this.#closeDirect();
   }
 
   #ask(key: string, subscription: Subscription, after: number): void {
@@ -305,11 +322,13 @@
     this.look();
   }
 
-  #tellFromReader(watcher: Watcher, stretch: WatchStretch, at: ToldTimes): void {
+  #tellFromReader(watcher: Watcher, stretch: WatchStretch, at: WordTimes): void {
     const told = this.#advance(watcher, stretch);
+    if (this.#role === 'relay') this.#relayed.note(at);
     this.options.counters.eventsFromReaders += told.length;
     const isDue = this.isProof || this.options.now() - watcher.toldAt >= UNCHANGED_EVERY_MS;
     if (told.length > 0 || isDue) this.#tell(watcher, told, at.currentAt, at.provenAt);
+    if (this.#relayed.takeNews(told.length > 0)) this.onRelayed();
   }
 
   /** Takes a stretch that leaves no gap, and gives what of it is new. */
@@ -332,6 +351,13 @@
   }
 }
 
+function latest(
+  left: Milliseconds | undefined,
+  right: Milliseconds | undefined,
+): Milliseconds | undefined {
+  return left === undefined || right === undefined ? (left ?? right) : Math.max(left, right);
+}
+
 function keyOfNode({ nodeId, host, port }: ReachableNode): string {
   return `${nodeId}@${host}:${port}`;
 }
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -31,6 +31,8 @@
   readonly prefix: string;
   /** A poll of the store that is older than this has been lost. */
   readonly maxAgeMs: Milliseconds;
+  /** How often a relay passes on at once that nothing has changed. */
+  readonly passEveryMs: Milliseconds;
   /** Followers are told each word of the store. */
   readonly isProof?: boolean;
 }
@@ -64,9 +66,9 @@
 
   constructor(private readonly options: ReaderStoreOptions) {
     const { now, random, store, prefixes } = options;
-    const create = ({ prefix, maxAgeMs, isProof }: RelayedPrefix): FollowedPrefix =>
+    const create = ({ prefix, ...bounds }: RelayedPrefix): FollowedPrefix =>
       new FollowedPrefix({
-        ...{ prefix, maxAgeMs, isProof, now, random, counters: this.counters },
+        ...{ prefix, ...bounds, now, random, counters: this.counters },
         openDirect: (fromRevision, handlers) => store.watch(prefix, fromRevision, handlers),
         subscribe: (reader, request, listener) => this.#subscribe(reader, request, listener),
       });
--- a/src/direct/readers/watch-server.ts
+++ b/src/direct/readers/watch-server.ts
@@ -34,7 +34,8 @@
   ) {
     for (const followed of prefixes.values()) {
       followed.onAnswered = () => this.#tellNews(followed);
-      followed.onDirectEnded = () => this.#endFollowers(followed);
+      followed.onRelayed = () => this.#tellFollowers(followed);
+      followed.onTellingEnded = () => this.#endFollowers(followed);
     }
   }
 
@@ -61,6 +62,11 @@
     for (const follower of this.#followers) this.#tell(follower);
   }
 
+  #tellFollowers(followed: FollowedPrefix): void {
+    for (const follower of this.#followers)
+      if (follower.followed === followed) this.#tell(follower);
+  }
+
   #tellNews(followed: FollowedPrefix): void {
     for (const follower of this.#followers) {
       const isBehind = followed.isProof || follower.told < followed.history.revision;
--- a/src/direct/readers/zone-positions.ts
+++ b/src/direct/readers/zone-positions.ts
@@ -52,7 +52,7 @@
 
   /** True if other nodes rely on the positions of this one. */
   get isReader(): boolean {
-    return this.options.readers().type === 'self';
+    return this.options.readers().type !== 'others';
   }
 
   /** True if a reader can be asked. */
@@ -80,7 +80,7 @@
 
   #reader(): ReachableNode | undefined {
     const own = this.options.readers();
-    if (own.type === 'self') return undefined;
+    if (own.type !== 'others') return undefined;
     const now = this.options.now();
     const first = Math.floor(this.#start * own.readers.length);
     const inTurn = [...own.readers.slice(first), ...own.readers.slice(0, first)];
--- a/test/property/watch-readers.test.ts
+++ b/test/property/watch-readers.test.ts
@@ -131,6 +131,84 @@
   assert.ok(network.store.polls - before <= 4, `${network.store.polls - before} polls`);
 });
 
+const ZONES = ['a', 'b', 'c'] as const;
+const NODES_PER_ZONE = 3;
+/** Two of each zone; the first ones of zones a and b follow the store. */
+const ZONE_READERS = [0, 1, 3, 4, 6, 7];
+const STORE_READERS = [0, 3];
+
+function zonedNetwork(random: () => number, isProof = false): ReaderNetwork {
+  const network = new ReaderNetwork(random, isProof);
+  for (const zone of ZONES) {
+    for (let number = 0; number < NODES_PER_ZONE; number += 1) network.add(zone).follow();
+  }
+  return network;
+}
+
+/** Nodes of this network, without those of these numbers. */
+function without(network: ReaderNetwork, numbers: readonly number[]): VirtualNode[] {
+  return network.nodes.filter((_, number) => !numbers.includes(number));
+}
+
+test('of the readers of several zones two ask the store, and all nodes are told', async () => {
+  for (const isProof of [false, true]) {
+    const network = zonedNetwork(seededRandom(8), isProof);
+    nameReaders(network, places(network, ZONE_READERS));
+    await network.time.runUntil(6000);
+    const before = network.store.polls;
+    network.store.write(`${PREFIX}/x`);
+    await network.time.runUntil(6200);
+    for (const { told } of network.nodes) assert.equal(told, [2]);
+    await network.time.runUntil(26_200);
+    // Two nodes, 20 s of polls of 2.5 s, and one poll more each for the change.
+    assert.ok(network.store.polls - before <= 20, `${network.store.polls - before} polls`);
+    for (const { counters } of network.nodes) assert.is(counters.fallbacks, 0);
+  }
+});
+
+test('a reader of the store that is lost delays no zone, and without both the others ask it', async () => {
+  const network = zonedNetwork(seededRandom(9));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  const [first, second] = STORE_READERS.map((number) => network.nodes[number] as VirtualNode);
+  if (first !== undefined) first.isAlive = false;
+  network.store.write(`${PREFIX}/x`);
+  await network.time.runUntil(6200);
+  for (const { told } of without(network, [0])) assert.equal(told, [2]);
+  if (second !== undefined) second.isAlive = false;
+  network.store.write(`${PREFIX}/y`);
+  await network.time.runUntil(8400);
+  for (const { told } of without(network, STORE_READERS)) assert.equal(told, [2, 3]);
+  // Zone c still has both its readers: its other node has no need of the store.
+  assert.is((network.nodes[8] as VirtualNode).counters.fallbacks, 0);
+});
+
+test('readers of the store that it ignores are not relied on for longer than a poll may take', async () => {
+  const network = zonedNetwork(seededRandom(10));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  for (const { nodeId } of places(network, STORE_READERS)) network.store.cutOff.add(nodeId);
+  network.store.write(`${PREFIX}/x`);
+  await network.time.runUntil(6000 + BOUND_MS);
+  for (const { told } of without(network, STORE_READERS)) assert.equal(told, [2]);
+});
+
+test('what a follower of a relay is proven is no younger than what the store told', async () => {
+  const network = zonedNetwork(seededRandom(11), true);
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  for (const { nodeId } of places(network, STORE_READERS)) network.store.cutOff.add(nodeId);
+  await network.time.runUntil(6100);
+  network.store.write(`${PREFIX}/x`);
+  const writtenAt = network.time.now;
+  for (let now = writtenAt; now <= writtenAt + BOUND_MS; now += 50) {
+    await network.time.runUntil(now);
+    for (const { told, provenAt } of network.nodes) {
+      assert.ok(told.includes(2) || provenAt <= writtenAt, `${provenAt} at ${now}`);
+    }
+  }
+});
+
 /** What strikes, by name; each gives what ends it. */
 const FAULTS: Readonly<
   Record<string, (network: ReaderNetwork, random: () => number) => () => void>
@@ -185,12 +263,43 @@
   }
 }
 
-test('under any faults each node is told every change, once, in order and in time', async () => {
+const ZONED_FAULTS: typeof FAULTS = {
+  ...FAULTS,
+  otherReaders: (network, random) => {
+    const left = ZONES.map(() => Math.floor(random() * NODES_PER_ZONE));
+    const named = network.nodes.filter(
+      (_, number) => left[Math.floor(number / NODES_PER_ZONE)] !== number % NODES_PER_ZONE,
+    );
+    nameReaders(
+      network,
+      named.map(({ place }) => place),
+    );
+    return () => {};
+  },
+};
+
+test('under any faults each node is told every change, once, in order and in time', () =>
+  playDays((random) => {
+    const network = networkOf(random);
+    nameReaders(network, places(network, [0, 1]));
+    return network;
+  }, FAULTS));
+
+test('the same in several zones, where readers of zones follow those of the store', () =>
+  playDays((random) => {
+    const network = zonedNetwork(random, random() < 0.5);
+    nameReaders(network, places(network, ZONE_READERS));
+    return network;
+  }, ZONED_FAULTS));
+
+async function playDays(
+  networkFor: (random: () => number) => ReaderNetwork,
+  faults: typeof FAULTS,
+): Promise<void> {
   for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
     const random = seededRandom(seed);
-    const network = networkOf(random);
+    const network = networkFor(random);
     const { store, time } = network;
-    nameReaders(network, places(network, [0, 1]));
     const served = new Served();
     const writtenAt = new Map<number, Milliseconds>();
     const log: string[] = [];
@@ -201,7 +310,7 @@
         writtenAt.set(store.revision, now);
       } else if (random() < 0.1) store.write('elsewhere');
       if (random() < 0.06 && now < DAY_MS - 2 * LONGEST_FAULT_MS) {
-        const [name, strike] = pick(Object.entries(FAULTS), random);
+        const [name, strike] = pick(Object.entries(faults), random);
         log.push(`${now} ${name}`);
         time.after(LONGEST_FAULT_MS * random(), strike(network, random));
       }
@@ -217,6 +326,6 @@
       assert.equal(told, inOrder, `seed ${seed}, ${place.nodeId}: ${log.join(', ')}`);
     }
   }
-});
+}
 
 test.run();
--- a/test/support/reader-network.ts
+++ b/test/support/reader-network.ts
@@ -154,6 +154,8 @@
   readonly told: number[] = [];
   /** Everything up to this revision is known to the watcher. */
   known = 0;
+  /** When the store surely had nothing that the watcher was not told. */
+  provenAt: Milliseconds = Number.NEGATIVE_INFINITY;
   isAlive = true;
   readonly counters = { eventsFromReaders: 0, fallbacks: 0, eventsPassed: 0, eventsTold: 0 };
 
@@ -165,6 +167,7 @@
     this.followed = new FollowedPrefix({
       prefix: PREFIX,
       maxAgeMs: MAX_AGE_MS,
+      passEveryMs: POLL_WAIT_MS / 2,
       isProof: network.isProof,
       openDirect: (from, handlers) => store.watch(place.nodeId, from, handlers),
       subscribe: (...asked) => network.subscribe(this, ...asked),
@@ -188,8 +191,9 @@
 
   #watch(): void {
     this.followed.watch(this.known + 1, {
-      onEvents: (events, revision) => {
+      onEvents: (events, revision, currentAt, provenAt = currentAt) => {
         this.told.push(...events.map(modRevisionOf));
+        this.provenAt = Math.max(this.provenAt, provenAt ?? this.provenAt);
         this.known = Math.max(this.known, revision);
       },
       onEnd: (_error, compacted) => {
--- a/test/unit/watch-readers.test.ts
+++ b/test/unit/watch-readers.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { READER_SILENCE_MS, ReaderEvidence } from '../../src/core/directory/reader-evidence.js';
+import { RelayedWord } from '../../src/core/directory/relayed-word.js';
 import { WatchHistory } from '../../src/core/directory/watch-history.js';
 import type { ReachableNode } from '../../src/core/ownership/owner-roster.js';
 import {
@@ -73,6 +74,39 @@
   assert.equal(readersOf(node('c', 0), readers), { type: 'others', readers: [] });
 });
 
+test('of all readers two of different zones follow the store, and the others these', () => {
+  const readers = nextReaders([], fleet(['c', 'a', 'b'], 12));
+  const ofStore = [node('a', 0), node('b', 0)];
+  for (const reader of ofStore) assert.equal(readersOf(reader, readers), { type: 'self' });
+  for (const relay of [node('a', 1), node('b', 1), node('c', 0), node('c', 1)]) {
+    assert.equal(readersOf(relay, readers), { type: 'relay', readers: ofStore });
+  }
+  const left = readers.filter(({ nodeId }) => nodeId !== 'a-0');
+  assert.equal(readersOf(node('a', 1), left), { type: 'self' });
+  assert.equal(readersOf(node('b', 0), left), { type: 'self' }, 'stays');
+  const oneZone = nextReaders([], fleet(['a'], 24));
+  for (const reader of oneZone) assert.equal(readersOf(reader, oneZone), { type: 'self' });
+});
+
+test('a relay passes on changes at once, and otherwise a word that is younger by some time', () => {
+  const word = new RelayedWord(400);
+  assert.not(word.takeNews(true));
+  word.note({ currentAt: 1000, provenAt: 900 });
+  assert.ok(word.takeNews(false));
+  word.note({ currentAt: 1300, provenAt: 1200 });
+  assert.not(word.takeNews(false));
+  assert.ok(word.takeNews(true));
+  word.note({ currentAt: 1100, provenAt: 1000 });
+  assert.equal(word.times, { currentAt: 1300, provenAt: 1200 });
+  word.note({ currentAt: 1700, provenAt: 1600 });
+  assert.ok(word.takeNews(false));
+  word.note({ currentAt: 1900, provenAt: Number.NEGATIVE_INFINITY });
+  assert.equal(word.times, { currentAt: 1700, provenAt: 1600 });
+  word.forget();
+  assert.is(word.times, undefined);
+  assert.not(word.takeNews(true));
+});
+
 test('a history tells what follows a revision, and nothing if it lacks a part', () => {
   const history = new WatchHistory();
   assert.is(history.since(0), undefined);
