A watch that is open serves those who join and know what it has told

Change: the poll that is out serves whoever knows all that it has told; the time at which it was asked is told with its answer, so that nobody takes it for younger.

--- a/src/platform/shared-watch.ts
+++ b/src/platform/shared-watch.ts
@@ -5,6 +5,7 @@
 import type { ResultAsync } from 'neverthrow';
 import { keyOf, revisionOf } from '../core/directory/watch-history.js';
 import type { MeadowstackError } from '../core/errors.js';
+import type { Milliseconds } from '../core/units.js';
 import type {
   RangeAnswer,
   RevisionCompare,
@@ -27,11 +28,17 @@
   readonly #subscribers = new Set<Subscriber>();
   #close: (() => void) | undefined;
   #isPlanned = false;
+  /** The watch that is open tells all changes after this revision. */
+  #toldTo = 0;
+  /** When the poll that is out was sent, or a little earlier. */
+  #sentAt: Milliseconds = 0;
 
   constructor(
     private readonly store: Store,
     /** Watches of prefixes that begin so share one. */
     private readonly sharedPrefix: string,
+    /** Monotonic time. */
+    private readonly now: () => Milliseconds,
   ) {}
 
   watch(prefix: string, fromRevision: number, handlers: WatchHandlers): () => void {
@@ -75,23 +82,37 @@
   }
 
   /**
-   * Whoever joins takes an answered poll for a sign that it was current when it joined. So the watch
-   * is opened anew then, from the earliest revision that anyone needs; those who join together share it.
+   * Those who join together share a new watch, from the earliest revision that anyone needs; one that is open already
+   * serves whoever knows all that it has told. What it answers may have been asked before they joined: the time of that
+   * is told with it.
    */
   #planOpening(): void {
     if (this.#isPlanned) return;
     this.#isPlanned = true;
     queueMicrotask(() => {
       this.#isPlanned = false;
+      if (this.#subscribers.size === 0 || this.#isServingAll()) return;
       this.#closeWatch();
-      if (this.#subscribers.size > 0) this.#open();
+      this.#open();
     });
   }
 
+  #isServingAll(): boolean {
+    if (this.#close === undefined) return false;
+    return [...this.#subscribers].every(({ told }) => told >= this.#toldTo);
+  }
+
   #open(): void {
     const told = [...this.#subscribers].map((subscriber) => subscriber.told);
-    this.#close = this.store.watch(this.sharedPrefix, Math.min(...told) + 1, {
-      onEvents: (events, revision, currentAt) => this.#tell(events, revision, currentAt),
+    this.#toldTo = Math.min(...told);
+    this.#sentAt = this.now();
+    this.#close = this.store.watch(this.sharedPrefix, this.#toldTo + 1, {
+      onEvents: (events, revision, currentAt = this.#sentAt) => {
+        this.#toldTo = Math.max(this.#toldTo, revision);
+        this.#tell(events, revision, currentAt);
+        // The next poll is sent after this returned.
+        this.#sentAt = this.now();
+      },
       onEnd: (error, compacted) => this.#end(error, compacted),
     });
   }
@@ -102,7 +123,7 @@
   }
 
   /** Also without events: the watch was current when its poll was sent. */
-  #tell(events: readonly WatchEvent[], revision: number, currentAt: number | undefined): void {
+  #tell(events: readonly WatchEvent[], revision: number, currentAt: Milliseconds): void {
     for (const subscriber of [...this.#subscribers]) {
       if (!this.#subscribers.has(subscriber)) continue;
       const { prefix, told, handlers } = subscriber;
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -45,6 +45,7 @@
   readonly applied: { readonly revision: number; readonly keys: readonly string[] }[] = [];
   readonly entries = new Map<string, KeyValue & { readonly leaseId: string | undefined }>();
   revision = 1;
+  watchesOpened = 0;
   #watchers = new Set<Watcher>();
   #leases = new Map<string, number>();
   #events: { readonly revision: number; readonly events: readonly WatchEvent[] }[] = [];
@@ -87,6 +88,7 @@
   watch(prefix: string, fromRevision: number, handlers: WatchHandlers): () => void {
     const watcher = { prefix, handlers };
     this.#watchers.add(watcher);
+    this.watchesOpened += 1;
     for (const { revision, events } of this.#events) {
       if (revision >= fromRevision) notify(watcher, events, revision);
     }
--- a/test/unit/platform/shared-watch.test.ts
+++ b/test/unit/platform/shared-watch.test.ts
@@ -10,8 +10,10 @@
 class Listener implements WatchHandlers {
   readonly heard: string[] = [];
   readonly ends: boolean[] = [];
+  currentAt: number | undefined;
 
-  onEvents(events: Parameters<WatchHandlers['onEvents']>[0]): void {
+  onEvents(...[events, _revision, currentAt]: Parameters<WatchHandlers['onEvents']>): void {
+    this.currentAt = currentAt;
     for (const event of events) this.heard.push(event.type === 'put' ? event.entry.key : event.key);
   }
 
@@ -20,6 +22,8 @@
   }
 }
 
+let now = 0;
+
 const put = async (store: MemoryStore, key: string): Promise<void> => {
   await store.transaction([], [{ type: 'put', key, value: '' }]);
 };
@@ -27,7 +31,7 @@
 
 test('two prefixes are followed by one watch, and a third that begins otherwise by its own', async () => {
   const store = new MemoryStore();
-  const shared = new SharedWatchStore(store, 'ab');
+  const shared = new SharedWatchStore(store, 'ab', () => now);
   const [first, second, other] = [new Listener(), new Listener(), new Listener()];
   shared.watch('ab1/', 2, first);
   shared.watch('ab2/', 2, second);
@@ -40,7 +44,7 @@
 
 test('one that joins from an earlier revision misses nothing, and nobody hears anything twice', async () => {
   const store = new MemoryStore();
-  const shared = new SharedWatchStore(store, 'ab');
+  const shared = new SharedWatchStore(store, 'ab', () => now);
   const [first, second] = [new Listener(), new Listener()];
   shared.watch('ab', 2, first);
   await joined();
@@ -54,9 +58,38 @@
   assert.equal(second.heard, ['ab2/y', 'ab2/z']);
 });
 
+test('one that joins and knows what was told shares the poll that is out, and its age', async () => {
+  const store = new MemoryStore();
+  const shared = new SharedWatchStore(store, 'ab', () => now);
+  const [first, second, third] = [new Listener(), new Listener(), new Listener()];
+  now = 1000;
+  shared.watch('ab1/', 2, first);
+  await joined();
+  now = 1500;
+  shared.watch('ab2/', 2, second);
+  await joined();
+  assert.is(store.watchesOpened, 1);
+  now = 1600;
+  await put(store, 'ab2/x');
+  assert.equal([second.heard, second.currentAt], [['ab2/x'], 1000], 'asked before it joined');
+  now = 1700;
+  await put(store, 'ab2/y');
+  assert.is(second.currentAt, 1600);
+  shared.watch('ab', 2, third);
+  await joined();
+  assert.is(store.watchesOpened, 2, 'it lacks what was told');
+  assert.equal(
+    [third.heard, second.heard],
+    [
+      ['ab2/x', 'ab2/y'],
+      ['ab2/x', 'ab2/y'],
+    ],
+  );
+});
+
 test('all are told when it ends, and the last one to leave closes it', async () => {
   const store = new MemoryStore();
-  const shared = new SharedWatchStore(store, 'ab');
+  const shared = new SharedWatchStore(store, 'ab', () => now);
   const [first, second] = [new Listener(), new Listener()];
   const watchBoth = () => [shared.watch('ab1/', 2, first), shared.watch('ab2/', 2, second)];
   watchBoth();
