A node that begins leaves its first polls to readers that it may hear of

Cause: at a start each node opened its watches before it had read the record that names readers, so that it polled the store whatever the record said; and in a first fleet the first record counted only the nodes that had registered by then, so that readers were named a second later, after two more polls of every node (trial with a log of calls by kind). Change: the first watch of the directory waits until the records are read (300 ms at most), that of the configuration for one wait of its polls, which the read before it vouches for; a reader that is not ready is asked again soon; the first fleet record of a first start is written 250 ms after the lead was taken.

--- a/src/core/promotion/leader.ts
+++ b/src/core/promotion/leader.ts
@@ -16,6 +16,11 @@
 
 /** The fleet is published at most this often. */
 const PUBLISH_EVERY_MS = 1000;
+/**
+ * The first fleet of all is counted once its nodes have registered: each record that names a part of them costs a poll of
+ * every node.
+ */
+const FIRST_PUBLICATION_MS = 250;
 /** A fleet with owners or quotas is looked at so often, also if nothing changes. */
 const LOOK_AGAIN_MS = 1000;
 
@@ -135,6 +140,11 @@
     });
   }
 
+  #firstPublicationAt(): Milliseconds {
+    const isFirst = this.runtime.options.isFirstStart && this.#store.publishedFleet() === undefined;
+    return isFirst ? this.#store.begunAt + FIRST_PUBLICATION_MS : Number.NEGATIVE_INFINITY;
+  }
+
   #publishFleet(): void {
     if (this.#publishing) return;
     if (!this.#fleet.isOutdated()) {
@@ -142,7 +152,8 @@
       return;
     }
     this.#publishing = true;
-    const waitMs = Math.max(0, this.#publishedAt + PUBLISH_EVERY_MS - this.runtime.now);
+    const mayPublishAt = Math.max(this.#publishedAt + PUBLISH_EVERY_MS, this.#firstPublicationAt());
+    const waitMs = Math.max(0, mayPublishAt - this.runtime.now);
     this.#scope.after(waitMs, () => {
       this.#publishedAt = this.runtime.now;
       const onDone = this.#scope.guard(() => {
--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -17,13 +17,15 @@
 /** That nothing has changed is passed on so often at most. */
 const UNCHANGED_EVERY_MS: Milliseconds = 1000;
 /**
- * The first watch of a node begins right after a read of everything: readers that it knows by then have so long to serve
- * it before the store itself is polled. A fleet that starts anew changes its own records several times in its first
- * second, and each change cost a poll of every node.
+ * The first watch of a node begins right after a read of everything: readers that it knows by then, or learns of, have so
+ * long to serve it before the store itself is polled. A fleet that starts anew changes its own records several times in its
+ * first second, and each change cost a poll of every node.
  */
 const FIRST_WATCH_GRACE_MS: Milliseconds = 500;
 /** A reader that was lost is asked again after half of this to all of it. */
 const ASK_AGAIN_MS: Milliseconds = 1200;
+/** The same while the first watch waits for readers, which may have begun with it. */
+const FIRST_ASK_AGAIN_MS: Milliseconds = 200;
 
 export interface FollowedPrefixOptions {
   readonly prefix: string;
@@ -33,6 +35,10 @@
   readonly maxAgeMs: Milliseconds;
   /** How often a relay passes on at once that nothing has changed. */
   readonly passEveryMs: Milliseconds;
+  /** The first watch waits so long to hear of readers. */
+  readonly firstPollMs: Milliseconds;
+  /** True while this node may yet hear for the first time who reads the store. */
+  readonly mayLearnReaders: () => boolean;
   /** Opens the store's own watch. */
   readonly openDirect: (fromRevision: number, handlers: WatchHandlers) => () => void;
   readonly subscribe: SubscribeToReader;
@@ -187,9 +193,14 @@
     const now = this.options.now();
     const isServed = this.#evidence.isServed(now, told);
     this.#wasServed ||= isServed;
-    const isFirst = now - (this.#firstWatchAt ?? now) < FIRST_WATCH_GRACE_MS;
-    const isAsking = isFirst && this.#subscriptions.size > 0;
-    return this.#role === 'self' || !(isServed || isAsking);
+    return this.#role === 'self' || !(isServed || this.#isFirstWatchWaiting(now));
+  }
+
+  #isFirstWatchWaiting(now: Milliseconds): boolean {
+    const { firstPollMs, mayLearnReaders } = this.options;
+    const waitedMs = now - (this.#firstWatchAt ?? now);
+    if (this.#subscriptions.size === 0) return waitedMs < firstPollMs && mayLearnReaders();
+    return waitedMs < Math.max(FIRST_WATCH_GRACE_MS, firstPollMs);
   }
 
   /** What this node knows already is told later in this turn, as the store would. */
@@ -297,8 +308,7 @@
         onTold: (told) => this.#noteTold(key, subscription, told),
         onLost: () => {
           subscription.close = undefined;
-          subscription.askAt =
-            this.options.now() + ASK_AGAIN_MS * (0.5 + this.options.random() / 2);
+          subscription.askAt = this.#nextAskAt();
           this.#evidence.noteLost(key);
           this.look();
         },
@@ -306,6 +316,12 @@
     );
   }
 
+  #nextAskAt(): Milliseconds {
+    const now = this.options.now();
+    const atMostMs = this.#isFirstWatchWaiting(now) ? FIRST_ASK_AGAIN_MS : ASK_AGAIN_MS;
+    return now + atMostMs * (0.5 + this.options.random() / 2);
+  }
+
   #noteTold(key: string, subscription: Subscription, told: ToldStretch): void {
     const { clock } = subscription;
     const { ageMs, clockMs, provenMs, ...stretch } = told;
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -23,8 +23,14 @@
 
 /** How often readers and their silence are looked at. */
 const LOOK_EVERY_MS: Milliseconds = 300;
-/** Of the looks, every second one tells followers that this node is there. */
-const LOOKS_PER_HEARTBEAT = 2;
+/** The same until this node has heard of readers, or may not hear of any soon. */
+const FIRST_LOOKS_EVERY_MS: Milliseconds = 30;
+/** A node that has heard of no reader for so long since it began is not likely to. */
+const READERS_NAMED_WITHIN_MS: Milliseconds = 1000;
+/** The records of the fleet are read within this, or are not to be had soon. */
+const FIRST_READ_MS: Milliseconds = 300;
+/** Followers are told so often that this node is there. */
+const HEARTBEAT_MS: Milliseconds = 600;
 
 /** A prefix that may be followed through readers. */
 export interface RelayedPrefix {
@@ -33,6 +39,8 @@
   readonly maxAgeMs: Milliseconds;
   /** How often a relay passes on at once that nothing has changed. */
   readonly passEveryMs: Milliseconds;
+  /** The first watch waits so long to hear of readers; if absent, until the records of the fleet are read. */
+  readonly firstPollMs?: Milliseconds;
   /** Followers are told each word of the store. */
   readonly isProof?: boolean;
 }
@@ -45,6 +53,8 @@
   readonly linkMbps?: number | undefined;
   /** The readers that the leader names now. */
   readonly readers: () => readonly ReachableNode[];
+  /** True once the record that names them was read, or is known not to be. */
+  readonly areReadersKnown: () => boolean;
   readonly now: () => Milliseconds;
   readonly random: () => number;
 }
@@ -62,13 +72,17 @@
   #transport: PeerTransport | undefined;
   #readers: readonly ReachableNode[] = [];
   #timer: NodeJS.Timeout | undefined;
-  #looks = 0;
+  #startedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  #toldAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: ReaderStoreOptions) {
     const { now, random, store, prefixes } = options;
-    const create = ({ prefix, ...bounds }: RelayedPrefix): FollowedPrefix =>
+    const create = ({ prefix, firstPollMs, ...bounds }: RelayedPrefix): FollowedPrefix =>
       new FollowedPrefix({
         ...{ prefix, ...bounds, now, random, counters: this.counters },
+        firstPollMs: firstPollMs ?? FIRST_READ_MS,
+        mayLearnReaders: () =>
+          this.#mayLearnReaders() && (firstPollMs !== undefined || !options.areReadersKnown()),
         openDirect: (fromRevision, handlers) => store.watch(prefix, fromRevision, handlers),
         subscribe: (reader, request, listener) => this.#subscribe(reader, request, listener),
       });
@@ -89,12 +103,12 @@
   /** Begins to follow readers over these links. */
   start(transport: PeerTransport): void {
     this.#transport = transport;
-    this.#timer = setInterval(() => this.#look(), LOOK_EVERY_MS);
-    this.#timer.unref();
+    this.#startedAt = this.options.now();
+    this.#lookLater();
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
     for (const followed of this.#prefixes.values()) followed.close();
   }
 
@@ -150,11 +164,28 @@
     for (const followed of this.#prefixes.values()) followed.setReaders(this.#readersOfNode);
   }
 
+  /** True in the first moments of this node, while nobody is named to read the store. */
+  #mayLearnReaders(): boolean {
+    const isEarly = this.options.now() - this.#startedAt < READERS_NAMED_WITHIN_MS;
+    return isEarly && this.options.readers().length === 0;
+  }
+
+  #lookLater(): void {
+    const everyMs = this.#mayLearnReaders() ? FIRST_LOOKS_EVERY_MS : LOOK_EVERY_MS;
+    this.#timer = setTimeout(() => {
+      this.#look();
+      this.#lookLater();
+    }, everyMs);
+    this.#timer.unref();
+  }
+
   #look(): void {
     this.#followReaders();
     for (const followed of this.#prefixes.values()) followed.look();
-    this.#looks += 1;
-    if (this.#looks % LOOKS_PER_HEARTBEAT === 0) this.#server.tellAll();
+    const now = this.options.now();
+    if (now - this.#toldAt < HEARTBEAT_MS - LOOK_EVERY_MS / 2) return;
+    this.#toldAt = now;
+    this.#server.tellAll();
   }
 
   #subscribe(...[reader, request, listener]: Parameters<SubscribeToReader>): () => void {
--- a/test/property/watch-readers.test.ts
+++ b/test/property/watch-readers.test.ts
@@ -131,6 +131,22 @@
   assert.ok(network.store.polls - before <= 4, `${network.store.polls - before} polls`);
 });
 
+test('nodes that begin leave their first poll to readers that are named soon, and wait no longer', async () => {
+  for (const isNamed of [true, false]) {
+    const network = new ReaderNetwork(seededRandom(12));
+    network.mayLearnReaders = true;
+    for (let number = 0; number < NODES; number += 1) network.add('a').follow();
+    network.store.write(`${PREFIX}/x`);
+    await network.time.runUntil(250);
+    assert.is(network.store.polls, 0);
+    if (isNamed) nameReaders(network, places(network, [0, 1]));
+    await network.time.runUntil(1500);
+    for (const { told } of network.nodes) assert.equal(told, [2]);
+    // Each poll is answered with the change, and followed by another one.
+    assert.is(network.store.polls, 2 * (isNamed ? 2 : NODES));
+  }
+});
+
 const ZONES = ['a', 'b', 'c'] as const;
 const NODES_PER_ZONE = 3;
 /** Two of each zone; the first ones of zones a and b follow the store. */
--- a/test/support/reader-network.ts
+++ b/test/support/reader-network.ts
@@ -14,6 +14,7 @@
 
 export const PREFIX = 'server';
 export const POLL_WAIT_MS: Milliseconds = 2500;
+const FIRST_POLL_MS: Milliseconds = 1000;
 const POLL_SLACK_MS: Milliseconds = 400;
 export const MAX_AGE_MS: Milliseconds = POLL_WAIT_MS + POLL_SLACK_MS + 1000;
 const STORE_DELAY_MS: Milliseconds = 4;
@@ -168,6 +169,8 @@
       prefix: PREFIX,
       maxAgeMs: MAX_AGE_MS,
       passEveryMs: POLL_WAIT_MS / 2,
+      firstPollMs: FIRST_POLL_MS,
+      mayLearnReaders: () => network.mayLearnReaders,
       isProof: network.isProof,
       openDirect: (from, handlers) => store.watch(place.nodeId, from, handlers),
       subscribe: (...asked) => network.subscribe(this, ...asked),
@@ -213,6 +216,8 @@
   readonly nodes: VirtualNode[] = [];
   /** Links that carry nothing, by the names of both ends. */
   readonly cutLinks = new Set<string>();
+  /** Nodes that begin may yet hear who reads the store. */
+  mayLearnReaders = false;
 
   constructor(
     readonly random: () => number,
