Members that were seen but not noted count, and those that were forgotten are watched

Change: a node keeps what it has seen and no record named (unlisted-members.ts); a leader counts that, and what nodes tell of it with their acknowledgements; the record of members that all nodes follow names the forgotten ones too, for reads; and the leader asks the forgotten ones once a second and takes back who answers.

--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -110,6 +110,18 @@
     return decodeRecord(record, membersForm)?.members ?? [];
   }
 
+  /** Members that nodes have seen and no record names, as told with their acknowledgements of the change under way. */
+  unlistedByNodes(service: string): readonly InstanceEntry[] {
+    const record = this.primaries.recordOf(service);
+    if (record?.phase !== 'changing') return [];
+    const told: InstanceEntry[] = [];
+    for (const entry of this.duty.under(acknowledgementPrefixOf(service))) {
+      const acknowledged = decodeRecord(entry, acknowledgementForm);
+      if (acknowledged?.change === record.change) told.push(...(acknowledged.unlisted ?? []));
+    }
+    return told;
+  }
+
   /** Nodes whose lease has not run out. */
   liveNodes(): number {
     return [...this.duty.under(NODE_PREFIX)].length;
@@ -215,11 +227,14 @@
   }
 
   /** The members of a note where all nodes hear of them; undefined if they have heard, or may hear later. */
-  #membersToPublish(service: string, { members }: DutyNote): Omit<Put, 'view'> | undefined {
+  #membersToPublish(service: string, note: DutyNote): Omit<Put, 'view'> | undefined {
+    const { members } = note;
     const key = membersKeyOf(service);
     const known = this.records.get(key);
     if (known === undefined && this.#mayTellLater(members)) return undefined;
-    const value = JSON.stringify({ members } satisfies MembersRecord);
+    const remembered = new Set(this.primaries.remembered(service).map(({ id }) => id));
+    const departed = note.departed.filter(({ id }) => remembered.has(id));
+    const value = JSON.stringify({ members, departed } satisfies MembersRecord);
     return value === known?.value ? undefined : { key, value };
   }
 
--- a/src/core/promotion/lost-records.ts
+++ b/src/core/promotion/lost-records.ts
@@ -2,6 +2,7 @@
  * Which records that a node knows hold though the store came back from a copy without them: what was acted on is never taken
  * back. Keys that hang on leases, and what the leader makes anew from these, are the store's alone.
  */
+import type { InstanceEntry } from '../../direct/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
 import type { Milliseconds } from '../units.js';
 import {
@@ -112,14 +113,22 @@
 
 /** Which of two lists is later can't be told over several returns: a member too many only has to answer once more. */
 function joinedMembers(known: KeyValue, stored: KeyValue | undefined): string | undefined {
-  const listed = decodeRecord(stored, membersForm)?.members;
+  const listed = decodeRecord(stored, membersForm);
   if (listed === undefined) return known.value;
+  const before = decodeRecord(known, membersForm);
+  const members = joined(listed.members, before?.members ?? []);
+  const departed = joined(listed.departed, before?.departed ?? []);
+  const isWhole =
+    members.length === listed.members.length && departed.length === listed.departed.length;
+  return isWhole ? undefined : JSON.stringify({ members, departed } satisfies MembersRecord);
+}
+
+function joined(
+  listed: readonly InstanceEntry[],
+  others: readonly InstanceEntry[],
+): readonly InstanceEntry[] {
   const ids = new Set(listed.map(({ id }) => id));
-  const lacking = (decodeRecord(known, membersForm)?.members ?? []).filter(
-    ({ id }) => !ids.has(id),
-  );
-  if (lacking.length === 0) return undefined;
-  return JSON.stringify({ members: [...listed, ...lacking] } satisfies MembersRecord);
+  return [...listed, ...others.filter(({ id }) => !ids.has(id))];
 }
 
 /** Changes are counted; each begins with one record and ends with the other. */
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -25,6 +25,7 @@
   PEERS_KEY,
   peersForm,
   RECORD_PREFIX,
+  serviceOfMembersKey,
   serviceOfPrimaryKey,
 } from './records.js';
 import { PromotionRuntime } from './runtime.js';
@@ -35,6 +36,7 @@
 
 const RELEASE_CHECK_MS = 50;
 const READ_WHEN_SUSPECT_MS = 1000;
+const NO_KEYS: ReadonlySet<string> = new Set();
 const NO_READERS: readonly ReachableNode[] = [];
 
 export class PromotionMachine {
@@ -61,13 +63,20 @@
     this.#records = new StoreView(runtime, RECORD_PREFIX);
     this.#primaries = new Primaries(this.#records, options.timings, () => this.#lease.troubleAt);
     const instanceOf = (id: string): InstanceEntry | undefined => this.#primaries.instance(id);
-    this.#participation = new Participation(runtime, this.#lease, this.#records, instanceOf);
+    const unlistedOf = (service: string): InstanceEntry[] => this.#primaries.unlisted(service);
+    this.#participation = new Participation(
+      runtime,
+      this.#lease,
+      this.#records,
+      instanceOf,
+      unlistedOf,
+    );
     this.#election = new Election(runtime, this.#lease, this.#participation, this.#records);
     this.#leader = new Leader(runtime, this.#election, this.#lease, this.#primaries, this.#records);
     this.#suspicions = new Suspicions(runtime, this.#lease);
     this.#lease.onGranted = (leaseId) => this.#participation.register(leaseId);
-    this.#participation.onRegistered = () => this.#noteRecords();
-    this.#records.onChange = () => this.#noteRecords();
+    this.#participation.onRegistered = () => this.#noteRecords(NO_KEYS);
+    this.#records.onChange = (keys) => this.#noteRecords(keys);
     this.#election.onChange = () => this.#leader.noteElection();
   }
 
@@ -267,10 +276,14 @@
     this.#leader.noteAlive(service, instance);
   }
 
-  #noteRecords(): void {
+  #noteRecords(keys: ReadonlySet<string>): void {
     const settled = decodeRecord(this.#records.get(ERA_KEY), eraForm);
     this.#runtime.era.noteRecorded(settled?.era);
     this.#tellChanges();
+    for (const key of keys) {
+      const service = serviceOfMembersKey(key);
+      if (service !== undefined) this.#primaries.noteMembersRecord(service, this.#runtime.now);
+    }
     for (const entry of this.#records.under(RECORD_PREFIX)) {
       const service = serviceOfPrimaryKey(entry.key);
       if (service === undefined) continue;
--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -37,7 +37,7 @@
   start(): void {
     this.#begunAt = this.runtime.now;
     this.update();
-    this.#scope.after(CHECK_EVERY_MS, () => this.#check());
+    this.#check();
   }
 
   stop(): void {
@@ -58,8 +58,14 @@
   #noted(): readonly InstanceEntry[] {
     const { members } = this.store.noteOf(this.service);
     const ids = new Set(members.map(({ id }) => id));
-    const others = this.store.membersBeyondNote(this.service).filter(({ id }) => !ids.has(id));
-    return others.length === 0 ? members : [...members, ...others];
+    const others = new Map<string, InstanceEntry>();
+    const sources = [
+      this.store.membersBeyondNote(this.service),
+      this.primaries.unlisted(this.service),
+      this.store.unlistedByNodes(this.service),
+    ];
+    for (const member of sources.flat()) if (!ids.has(member.id)) others.set(member.id, member);
+    return others.size === 0 ? members : [...members, ...others.values()];
   }
 
   /** Forgotten members that have no entry yet, should they come back. */
@@ -107,6 +113,7 @@
   #check(): void {
     this.#scope.after(CHECK_EVERY_MS, () => this.#check());
     this.update();
+    for (const member of this.departed()) this.#checkDeparted(member);
     const gone = this.current().filter(({ id }) => {
       const goneForMs = this.primaries.goneForMs(id, this.runtime.now);
       return goneForMs !== undefined && goneForMs >= GONE_BEFORE_CHECK_MS;
@@ -121,6 +128,23 @@
     for (const member of gone) if (member.id !== primaryId) this.#checkGone(member, primaryId);
   }
 
+  /** One that was forgotten and answers may count towards commits again, with or without an entry. */
+  #checkDeparted(member: InstanceEntry): void {
+    const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
+      if (answer === 'refused' || answer === 'silent') return;
+      this.#takeBack(member);
+    });
+    this.runtime.control('status', member, 0, onAnswer);
+  }
+
+  #takeBack(member: InstanceEntry): void {
+    const { members, departed, primary } = this.store.noteOf(this.service);
+    if (this.#writing || members.some(({ id }) => id === member.id)) return;
+    this.runtime.log('info', 'member is back', { service: this.service, member: member.id });
+    const others = departed.filter(({ id }) => id !== member.id);
+    this.#write([...members, member], primary, others);
+  }
+
   #checkGone(member: InstanceEntry, primaryId: string): void {
     const end = this.#endAfterDeath.get(member.id);
     if (end !== undefined) {
@@ -178,6 +202,7 @@
     if (members.length === note.members.length || this.primaries.isPresent(id)) return;
     if (this.primaries.primaryIdOf(this.service) === undefined) return;
     const member = note.members.filter((one) => one.id === id);
+    for (const one of member) this.primaries.noteDeparted(one, this.runtime.now);
     const departed = [...member, ...note.departed.filter((one) => one.id !== id)];
     const left = members.map((one) => one.id);
     this.runtime.log('info', 'member forgotten', { service: this.service, member: id, left });
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -46,6 +46,8 @@
     private readonly lease: NodeLease,
     private readonly records: StoreView,
     private readonly instanceOf: (id: string) => InstanceEntry | undefined,
+    /** Members that this node has seen and no record names. */
+    private readonly unlistedOf: (service: string) => readonly InstanceEntry[],
   ) {}
 
   /** True if no promotion can be called without this node's acknowledgement. */
@@ -159,7 +161,9 @@
     state.cancel = () => {};
     const { leaseId, change, end } = state;
     const key = acknowledgementKeyOf(service, this.runtime.options.nodeName);
-    const value = encodeAcknowledgement({ change, leaseId, end });
+    const seen = this.unlistedOf(service);
+    const unlisted = seen.length === 0 ? undefined : seen;
+    const value = encodeAcknowledgement({ change, leaseId, end, unlisted });
     const put = { type: 'put', key, value, leaseId } as const;
     this.runtime.transaction([{ key, modRevision: knownRevision }], [put], (answer) => {
       if (this.#acknowledgements.get(service) !== state) return;
--- a/src/core/promotion/primaries.ts
+++ b/src/core/promotion/primaries.ts
@@ -17,6 +17,7 @@
   primaryKeyOf,
 } from './records.js';
 import type { StoreView } from './store-view.js';
+import { UnlistedMembers } from './unlisted-members.js';
 
 interface DecodedRecord {
   readonly entry: KeyValue;
@@ -33,6 +34,7 @@
 const REMEMBERED_MS = 600_000;
 
 export class Primaries {
+  readonly #unlisted = new UnlistedMembers();
   readonly #instances = new Map<string, KnownInstance>();
   readonly #decoded = new Map<string, DecodedRecord>();
   /** Services whose members a peer has told. */
@@ -48,6 +50,11 @@
   ) {}
 
   noteInstances(entries: readonly InstanceEntry[], now: Milliseconds): void {
+    this.#unlisted.noteInstances(entries, now);
+    this.#noteEntries(entries, now);
+  }
+
+  #noteEntries(entries: readonly InstanceEntry[], now: Milliseconds): void {
     this.#claims.clear();
     const present = new Set(entries.map(({ id }) => id));
     for (const entry of entries) this.#instances.set(entry.id, { entry, goneAt: undefined });
@@ -109,10 +116,28 @@
 
   /** A peer that knows the records told these members, those too that were gone before this node began. */
   noteMembersTold(entries: readonly InstanceEntry[], now: Milliseconds): void {
-    this.noteInstances(entries, now);
+    this.#noteEntries(entries, now);
     for (const { service } of entries) this.#toldServices.add(service);
   }
 
+  /** The leader's word on the members of a service has changed. */
+  noteMembersRecord(service: string, now: Milliseconds): void {
+    const record = this.#membersRecordOf(service);
+    if (record === undefined) return;
+    this.#unlisted.noteRecord(service, record);
+    for (const entry of record.departed) this.noteDeparted(entry, now);
+  }
+
+  /** Counts one that has no entry for as long as if this node had seen it go. */
+  noteDeparted(entry: InstanceEntry, now: Milliseconds): void {
+    if (!this.#instances.has(entry.id)) this.#instances.set(entry.id, { entry, goneAt: now });
+  }
+
+  /** Members that this node has seen, that have no entry now, and that no record has named. */
+  unlisted(service: string): InstanceEntry[] {
+    return this.#unlisted.of(service);
+  }
+
   #membersRecordOf(service: string): MembersRecord | undefined {
     return decodeRecord(this.records.get(membersKeyOf(service)), membersForm);
   }
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -54,6 +54,11 @@
   return key.startsWith(MEMBERS_PREFIX);
 }
 
+/** Service that a key's members are of. */
+export function serviceOfMembersKey(key: string): string | undefined {
+  return isMembersKey(key) ? decode(key.slice(MEMBERS_PREFIX.length)) : undefined;
+}
+
 /** Whether a key holds what one leader leaves to the next. */
 export function isNoteKey(key: string): boolean {
   return key.startsWith(NOTE_PREFIX);
@@ -116,6 +121,8 @@
   readonly leaseId: string;
   /** End of the old primary's log, if this node demoted it. */
   readonly end: Position | undefined;
+  /** Members that this node has seen and no record names; absent if there are none. */
+  readonly unlisted?: readonly InstanceEntry[] | undefined;
 }
 
 /** A node can't reach a primary, or gets no commit acknowledged there. */
@@ -154,6 +161,8 @@
  */
 export interface MembersRecord {
   readonly members: readonly InstanceEntry[];
+  /** Members that were forgotten lately and may come back without an entry. */
+  readonly departed: readonly InstanceEntry[];
 }
 
 /** What one leader leaves to the next about a service. */
@@ -170,9 +179,10 @@
 }
 
 /** JSON has no form for a bigint. */
-export function encodeAcknowledgement({ change, leaseId, end }: AcknowledgementRecord): string {
+export function encodeAcknowledgement(record: AcknowledgementRecord): string {
+  const { change, leaseId, end, unlisted } = record;
   const text = end && { timeline: end.timeline, lsn: end.lsn.toString() };
-  return JSON.stringify({ change, leaseId, end: text });
+  return JSON.stringify({ change, leaseId, end: text, unlisted });
 }
 
 function positionForm({ timeline, lsn }: Fields): Position | undefined {
@@ -257,9 +267,10 @@
 }
 
 export function acknowledgementForm(fields: Fields): AcknowledgementRecord | undefined {
-  const { change, leaseId, end } = fields;
+  const { change, leaseId, end, unlisted } = fields;
   if (!isNumber(change) || !isText(leaseId)) return undefined;
-  return { change, leaseId, end: isFields(end) ? positionForm(end) : undefined };
+  const position = isFields(end) ? positionForm(end) : undefined;
+  return { change, leaseId, end: position, unlisted: instancesForm(unlisted) };
 }
 
 export function suspicionForm({ instance }: Fields): SuspicionRecord | undefined {
@@ -286,9 +297,11 @@
   return { host: value.host, port: value.port };
 }
 
-export function membersForm({ members }: Fields): MembersRecord | undefined {
+export function membersForm({ members, departed }: Fields): MembersRecord | undefined {
   const known = instancesForm(members);
-  return known === undefined ? undefined : { members: known };
+  if (known === undefined) return undefined;
+  // Records of older programs name none.
+  return { members: known, departed: instancesForm(departed) ?? [] };
 }
 
 export function dutyNoteForm(fields: Fields): DutyNote | undefined {
