What tests can switch off: members that no record names, and the watch of the forgotten ones

A leader asks the forgotten members at its start; members that are gone are asked a second later, as before.

--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -156,6 +156,10 @@
   | 'era-memory'
   /** After a return of the store a new leader waits for calls whose candidate no record names any more. */
   | 'unnamed-calls'
+  /** Members that nodes have seen and no record names count. */
+  | 'unlisted-members'
+  /** Forgotten members are told to all nodes, and watched. */
+  | 'forgotten-members'
   /** A node's permission ends with its lease, by its own clock. */
   | 'permission-lapse'
   /** A node without a lease writes only where all members vouch for it. */
--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -232,12 +232,18 @@
     const key = membersKeyOf(service);
     const known = this.records.get(key);
     if (known === undefined && this.#mayTellLater(members)) return undefined;
-    const remembered = new Set(this.primaries.remembered(service).map(({ id }) => id));
-    const departed = note.departed.filter(({ id }) => remembered.has(id));
+    const departed = this.#departedToPublish(service, note);
     const value = JSON.stringify({ members, departed } satisfies MembersRecord);
     return value === known?.value ? undefined : { key, value };
   }
 
+  /** Those that this leader counts no more, other nodes need not hear of. */
+  #departedToPublish(service: string, { departed }: DutyNote): readonly InstanceEntry[] {
+    if (departed.length === 0 || this.runtime.isDisabled('forgotten-members')) return [];
+    const remembered = new Set(this.primaries.remembered(service).map(({ id }) => id));
+    return departed.filter(({ id }) => remembered.has(id));
+  }
+
   /** Asked at every update of the leader: what looks at all nodes comes last. */
   #mayTellLater(members: readonly InstanceEntry[]): boolean {
     if (this.runtime.now - this.#begunAt >= FIRST_MEMBERS_MS) return false;
--- a/src/core/promotion/members.ts
+++ b/src/core/promotion/members.ts
@@ -37,7 +37,8 @@
   start(): void {
     this.#begunAt = this.runtime.now;
     this.update();
-    this.#check();
+    this.#watchDeparted();
+    this.#scope.after(CHECK_EVERY_MS, () => this.#check());
   }
 
   stop(): void {
@@ -59,15 +60,17 @@
     const { members } = this.store.noteOf(this.service);
     const ids = new Set(members.map(({ id }) => id));
     const others = new Map<string, InstanceEntry>();
-    const sources = [
-      this.store.membersBeyondNote(this.service),
-      this.primaries.unlisted(this.service),
-      this.store.unlistedByNodes(this.service),
-    ];
-    for (const member of sources.flat()) if (!ids.has(member.id)) others.set(member.id, member);
+    const beyond = [...this.store.membersBeyondNote(this.service), ...this.#unlisted()];
+    for (const member of beyond) if (!ids.has(member.id)) others.set(member.id, member);
     return others.size === 0 ? members : [...members, ...others.values()];
   }
 
+  /** What this node or, by their acknowledgements, others have seen and no record names. */
+  #unlisted(): readonly InstanceEntry[] {
+    if (this.runtime.isDisabled('unlisted-members')) return [];
+    return [...this.primaries.unlisted(this.service), ...this.store.unlistedByNodes(this.service)];
+  }
+
   /** Forgotten members that have no entry yet, should they come back. */
   departed(): InstanceEntry[] {
     const current = this.current();
@@ -113,7 +116,7 @@
   #check(): void {
     this.#scope.after(CHECK_EVERY_MS, () => this.#check());
     this.update();
-    for (const member of this.departed()) this.#checkDeparted(member);
+    this.#watchDeparted();
     const gone = this.current().filter(({ id }) => {
       const goneForMs = this.primaries.goneForMs(id, this.runtime.now);
       return goneForMs !== undefined && goneForMs >= GONE_BEFORE_CHECK_MS;
@@ -129,12 +132,14 @@
   }
 
   /** One that was forgotten and answers may count towards commits again, with or without an entry. */
-  #checkDeparted(member: InstanceEntry): void {
-    const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
-      if (answer === 'refused' || answer === 'silent') return;
-      this.#takeBack(member);
-    });
-    this.runtime.control('status', member, 0, onAnswer);
+  #watchDeparted(): void {
+    if (this.runtime.isDisabled('forgotten-members')) return;
+    for (const member of this.departed()) {
+      const onAnswer = this.#scope.guard((answer: InstanceStatus | ControlFailure) => {
+        if (answer !== 'refused' && answer !== 'silent') this.#takeBack(member);
+      });
+      this.runtime.control('status', member, 0, onAnswer);
+    }
   }
 
   #takeBack(member: InstanceEntry): void {
