A node that the store turns away hears readers of other zones

Cause: a node follows the readers of its own zone alone. Change: a node whose own poll fails while its readers don't serve asks two readers of other zones, and the store again 400 ms later, if they don't serve it; a reader of its zone that serves takes their place. Ages that are passed on are carried by the clocks of the readers, so that two who take each other for a reader of the store don't keep an old word young. What a node asks readers for is a module of its own now.

--- a/src/core/directory/relayed-word.ts
+++ b/src/core/directory/relayed-word.ts
@@ -4,7 +4,7 @@
  */
 import type { Milliseconds } from '../units.js';
 
-/** When the store had no more than was told: as far as can be judged, and no later than the truth. */
+/** When the store had no more than was told: as it answered, and as the poll was sent that it answered. */
 export interface WordTimes {
   readonly currentAt: Milliseconds;
   readonly provenAt: Milliseconds;
@@ -24,7 +24,7 @@
 
   /** All changes up to what is known here were told, and stood at these times. */
   note({ currentAt, provenAt }: WordTimes): void {
-    if (!Number.isFinite(provenAt)) return;
+    if (!Number.isFinite(currentAt) || !Number.isFinite(provenAt)) return;
     this.#times = {
       currentAt: Math.max(currentAt, this.#times?.currentAt ?? currentAt),
       provenAt: Math.max(provenAt, this.#times?.provenAt ?? provenAt),
--- a/src/core/ownership/watch-readers.ts
+++ b/src/core/ownership/watch-readers.ts
@@ -68,6 +68,16 @@
   return ofStore.some(isNode) ? { type: 'self' } : { type: 'relay', readers: ofStore };
 }
 
+/** The readers that a node may follow besides, while neither its own nor the store serve it. */
+export function furtherReadersOf(
+  node: Pick<ReachableNode, 'nodeId' | 'zone'>,
+  readers: readonly ReachableNode[],
+): readonly ReachableNode[] {
+  const own = readersOf(node, readers);
+  const followed = own.type === 'self' ? [] : own.readers;
+  return readers.filter((reader) => reader.nodeId !== node.nodeId && !followed.includes(reader));
+}
+
 /** One of each of the first zones by name, so that the loss of a reader moves no other; two where there is one zone. */
 function readersOfStore(readers: readonly ReachableNode[]): readonly ReachableNode[] {
   const zones = [...new Set(readers.map(({ zone }) => zone))].sort();
--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -2,7 +2,6 @@
  * One prefix of the store as this node follows it: by the store's own watch if it reads the store for others, or if its
  * readers don't serve it, and through them otherwise. Whoever watches sees one watch without gaps.
  */
-import { PeerClock } from '../../core/directory/peer-clock.js';
 import { ReaderEvidence } from '../../core/directory/reader-evidence.js';
 import { RelayedWord, type WordTimes } from '../../core/directory/relayed-word.js';
 import { revisionOf, WatchHistory, type WatchStretch } from '../../core/directory/watch-history.js';
@@ -13,6 +12,7 @@
 import type { WatchEvent, WatchHandlers } from '../../platform/contract.js';
 import { StoreCompactedError } from '../../platform/errors.js';
 import type { ReaderCounters, SubscribeToReader, ToldStretch } from './contract.js';
+import { ReaderSubscriptions, type Subscription } from './subscriptions.js';
 
 /** That nothing has changed is passed on so often at most. */
 const UNCHANGED_EVERY_MS: Milliseconds = 1000;
@@ -22,10 +22,8 @@
  * first second, and each change cost a poll of every node.
  */
 const FIRST_WATCH_GRACE_MS: Milliseconds = 500;
-/** A reader that was lost is asked again after half of this to all of it. */
-const ASK_AGAIN_MS: Milliseconds = 1200;
-/** The same while the first watch waits for readers, which may have begun with it. */
-const FIRST_ASK_AGAIN_MS: Milliseconds = 200;
+/** Further readers that a node asks, since the store turned it away, have so long to serve it before it tries again. */
+const FURTHER_GRACE_MS: Milliseconds = 400;
 
 export interface FollowedPrefixOptions {
   readonly prefix: string;
@@ -47,17 +45,6 @@
   readonly random: () => number;
 }
 
-interface Subscription {
-  readonly reader: ReachableNode;
-  /** Undefined while the reader is not asked. */
-  close: (() => void) | undefined;
-  askAt: Milliseconds;
-  /** The reader's clock; another with each question. */
-  clock: PeerClock;
-  /** It told of changes that it does not pass on, or that follow on others which are unknown here. */
-  hasGap: boolean;
-}
-
 interface Watcher {
   readonly handlers: WatchHandlers;
   /** Everything up to this revision was told. */
@@ -84,7 +71,7 @@
   onTellingEnded: () => void = () => {};
   readonly history = new WatchHistory();
   readonly #evidence: ReaderEvidence;
-  readonly #subscriptions = new Map<string, Subscription>();
+  readonly #subscriptions: ReaderSubscriptions;
   #role: ReadersOfNode['type'] = 'others';
   /** What a relay heard last. */
   readonly #relayed: RelayedWord;
@@ -94,10 +81,23 @@
   /** Readers have served this node: a watch of its own is a fallback from then on. */
   #wasServed = false;
   #direct: DirectWatch | undefined;
+  /** The store turned this node away: it is not asked before. */
+  #directAgainAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: FollowedPrefixOptions) {
     this.#evidence = new ReaderEvidence(options.maxAgeMs);
     this.#relayed = new RelayedWord(options.passEveryMs);
+    const { prefix, subscribe, now, random } = options;
+    this.#subscriptions = new ReaderSubscriptions({
+      ...{ prefix, subscribe, now, random },
+      isBeginning: () => this.#isFirstWatchWaiting(now()),
+      onTold: (key, subscription, told) => this.#noteTold(key, subscription, told),
+      onLost: (key) => {
+        this.#evidence.noteLost(key);
+        this.look();
+      },
+      onDropped: (key) => this.#evidence.noteLost(key),
+    });
   }
 
   get prefix(): string {
@@ -148,38 +148,19 @@
     watcher.handlers.onEnd(new StoreCompactedError(watcher.told), true);
   }
 
-  /** Takes the readers that the leader names now. */
-  setReaders(readers: ReadersOfNode): void {
+  /** Takes the readers that the leader names now; `further` are those that serve others. */
+  setReaders(readers: ReadersOfNode, further: readonly ReachableNode[] = []): void {
     this.#role = readers.type;
     if (this.#role === 'others') this.#forgetRelayed();
-    const named = new Map(
-      readers.type === 'self' ? [] : readers.readers.map((reader) => [keyOfNode(reader), reader]),
-    );
-    for (const [key, { close }] of this.#subscriptions) {
-      if (named.has(key)) continue;
-      close?.();
-      this.#evidence.noteLost(key);
-      this.#subscriptions.delete(key);
-    }
-    for (const [key, reader] of named) {
-      if (this.#subscriptions.has(key)) continue;
-      const askAt = this.options.now();
-      const clock = new PeerClock(askAt);
-      const subscription = { reader, close: undefined, askAt, clock, hasGap: false };
-      this.#subscriptions.set(key, subscription);
-    }
+    this.#subscriptions.setReaders(readers.type === 'self' ? [] : readers.readers, further);
   }
 
   /** Asks readers that are not asked, and the store if they don't serve. Called at least every second. */
   look(): void {
-    const now = this.options.now();
     if (this.#watcher === undefined) return;
-    for (const [key, subscription] of this.#subscriptions) {
-      const isDue = subscription.close === undefined && subscription.askAt <= now;
-      if (isDue) this.#ask(key, subscription, this.#watcher.told);
-    }
-    if (this.#direct === undefined && this.#wantsDirect(this.#watcher))
-      this.#openDirect(this.#watcher);
+    this.#subscriptions.askDue(this.#watcher.told);
+    if (this.#watcher === undefined || this.#direct !== undefined) return;
+    if (this.#wantsDirect(this.#watcher)) this.#openDirect(this.#watcher);
   }
 
   /** Ends everything; the watcher is not told. */
@@ -193,6 +174,7 @@
     const now = this.options.now();
     const isServed = this.#evidence.isServed(now, told);
     this.#wasServed ||= isServed;
+    if (now < this.#directAgainAt) return false;
     return this.#role === 'self' || !(isServed || this.#isFirstWatchWaiting(now));
   }
 
@@ -247,23 +229,11 @@
     // The next poll is sent after this returned.
     direct.sentAt = now();
     this.onAnswered();
-    this.#askAfterGaps(watcher);
+    // What a reader tells after a gap begins where it told last, which this answer may not reach while both cross.
+    if (this.#watcher === watcher) this.#subscriptions.askAfterGaps(watcher.told);
     if (!this.#wantsDirect(watcher)) this.#closeDirect();
   }
 
-  /**
-   * What a reader tells after a gap begins where it told last, which the store's own answer may not reach while words and
-   * answers cross: the reader is asked anew from there. A guard: no measured day was seen to need it.
-   */
-  #askAfterGaps(watcher: Watcher): void {
-    for (const [key, subscription] of this.#subscriptions) {
-      if (!subscription.hasGap || this.#watcher !== watcher) continue;
-      subscription.hasGap = false;
-      subscription.close?.();
-      this.#ask(key, subscription, watcher.told);
-    }
-  }
-
   /** Readers that serve make up for it; otherwise whoever watches decides what follows. */
   #directEnded(direct: DirectWatch, error: MeadowstackError, compacted: boolean): void {
     if (this.#direct !== direct) return;
@@ -273,6 +243,11 @@
     if (!isServed) this.#relayed.forget();
     if (this.answeredAt === undefined) this.onTellingEnded();
     if (watcher === undefined || isServed) return;
+    if (!compacted && this.#subscriptions.addFurther()) {
+      this.#directAgainAt = this.options.now() + FURTHER_GRACE_MS;
+      this.look();
+      return;
+    }
     this.#watcher = undefined;
     watcher.handlers.onEnd(error, compacted);
   }
@@ -297,31 +272,6 @@
     this.#closeDirect();
   }
 
-  #ask(key: string, subscription: Subscription, after: number): void {
-    const { subscribe, prefix } = this.options;
-    const clock = new PeerClock(this.options.now());
-    subscription.clock = clock;
-    subscription.close = subscribe(
-      subscription.reader,
-      { prefix, after },
-      {
-        onTold: (told) => this.#noteTold(key, subscription, told),
-        onLost: () => {
-          subscription.close = undefined;
-          subscription.askAt = this.#nextAskAt();
-          this.#evidence.noteLost(key);
-          this.look();
-        },
-      },
-    );
-  }
-
-  #nextAskAt(): Milliseconds {
-    const now = this.options.now();
-    const atMostMs = this.#isFirstWatchWaiting(now) ? FIRST_ASK_AGAIN_MS : ASK_AGAIN_MS;
-    return now + atMostMs * (0.5 + this.options.random() / 2);
-  }
-
   #noteTold(key: string, subscription: Subscription, told: ToldStretch): void {
     const { clock } = subscription;
     const { ageMs, clockMs, provenMs, ...stretch } = told;
@@ -334,13 +284,18 @@
     this.#evidence.noteTold(key, now, currentAt, isGap ? stretch.revision : 0);
     if (watcher === undefined) return;
     const provenAt = clock.earliest(provenMs) ?? Number.NEGATIVE_INFINITY;
-    if (!isGap) this.#tellFromReader(watcher, stretch, { currentAt, provenAt });
+    if (!isGap) {
+      // What is passed on must not grow younger with the hops that it takes.
+      const vouchedAt = clock.earliest(clockMs - ageMs) ?? Number.NEGATIVE_INFINITY;
+      if (this.#role === 'relay') this.#relayed.note({ currentAt: vouchedAt, provenAt });
+      if (!subscription.isFurther) this.#subscriptions.dropFurther();
+      this.#tellFromReader(watcher, stretch, { currentAt, provenAt });
+    }
     this.look();
   }
 
   #tellFromReader(watcher: Watcher, stretch: WatchStretch, at: WordTimes): void {
     const told = this.#advance(watcher, stretch);
-    if (this.#role === 'relay') this.#relayed.note(at);
     this.options.counters.eventsFromReaders += told.length;
     const isDue = this.isProof || this.options.now() - watcher.toldAt >= UNCHANGED_EVERY_MS;
     if (told.length > 0 || isDue) this.#tell(watcher, told, at.currentAt, at.provenAt);
@@ -373,7 +328,3 @@
 ): Milliseconds | undefined {
   return left === undefined || right === undefined ? (left ?? right) : Math.max(left, right);
 }
-
-function keyOfNode({ nodeId, host, port }: ReachableNode): string {
-  return `${nodeId}@${host}:${port}`;
-}
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -4,7 +4,11 @@
  */
 import type { ResultAsync } from 'neverthrow';
 import type { ReachableNode } from '../../core/ownership/owner-roster.js';
-import { type ReadersOfNode, readersOf } from '../../core/ownership/watch-readers.js';
+import {
+  furtherReadersOf,
+  type ReadersOfNode,
+  readersOf,
+} from '../../core/ownership/watch-readers.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerStream, PeerTransport, WireValue } from '../../peer/contract.js';
 import type {
@@ -161,7 +165,10 @@
     if (readers === this.#readers) return;
     this.#readers = readers;
     this.#readersOfNode = readersOf(this.options.node, readers);
-    for (const followed of this.#prefixes.values()) followed.setReaders(this.#readersOfNode);
+    const further = furtherReadersOf(this.options.node, readers);
+    for (const followed of this.#prefixes.values()) {
+      followed.setReaders(this.#readersOfNode, further);
+    }
   }
 
   /** True in the first moments of this node, while nobody is named to read the store. */
--- a/test/property/watch-readers.test.ts
+++ b/test/property/watch-readers.test.ts
@@ -5,7 +5,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { ReachableNode } from '../../src/core/ownership/owner-roster.js';
-import { readersOf } from '../../src/core/ownership/watch-readers.js';
+import { furtherReadersOf, readersOf } from '../../src/core/ownership/watch-readers.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import { seededRandom } from '../support/random.js';
 import { MAX_AGE_MS, PREFIX, ReaderNetwork, type VirtualNode } from '../support/reader-network.js';
@@ -22,7 +22,9 @@
 const LARGE_VALUE = 'x'.repeat(20_000);
 
 function nameReaders(network: ReaderNetwork, readers: readonly ReachableNode[]): void {
-  for (const { followed, place } of network.nodes) followed.setReaders(readersOf(place, readers));
+  for (const { followed, place } of network.nodes) {
+    followed.setReaders(readersOf(place, readers), furtherReadersOf(place, readers));
+  }
 }
 
 function networkOf(random: () => number, isProof = false, linkMbps = 0): ReaderNetwork {
@@ -225,6 +227,45 @@
   }
 });
 
+test('a zone that the store turns away hears readers of other zones, and asks the store seldom', async () => {
+  const network = zonedNetwork(seededRandom(13));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  const turnedAway = [0, 3, 6, 7, 8];
+  const atFirst = network.store.pollsOf('n8');
+  for (const { nodeId } of places(network, turnedAway)) network.store.refused.add(nodeId);
+  network.store.write(`${PREFIX}/x`);
+  await network.time.runUntil(9000);
+  for (const { told } of without(network, STORE_READERS)) assert.equal(told, [2]);
+  const before = network.store.pollsOf('n8');
+  assert.ok(before - atFirst <= 1, `${before - atFirst} polls`);
+  network.store.write(`${PREFIX}/y`);
+  await network.time.runUntil(9300);
+  for (const { told } of without(network, STORE_READERS)) assert.equal(told, [2, 3]);
+  await network.time.runUntil(19_000);
+  assert.is(network.store.pollsOf('n8') - before, 0);
+});
+
+test('readers that tell each other what is old grow no younger by that', async () => {
+  const network = zonedNetwork(seededRandom(14));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  for (const { place } of network.nodes) network.store.cutOff.add(place.nodeId);
+  // Each takes the other for a reader of the store.
+  const pair = places(network, [6, 7]);
+  for (const node of network.nodes.slice(6, 8)) {
+    const others = pair.filter(({ nodeId }) => nodeId !== node.place.nodeId);
+    node.followed.setReaders({ type: 'relay', readers: others });
+  }
+  await network.time.runUntil(6300);
+  const newest = (): Milliseconds =>
+    Math.max(...network.nodes.slice(6, 8).map(({ followed }) => followed.answeredAt ?? 0));
+  const before = newest();
+  assert.ok(before > 0);
+  await network.time.runUntil(6000 + MAX_AGE_MS / 2);
+  assert.ok(newest() <= before, `${newest()} after ${before}`);
+});
+
 /** What strikes, by name; each gives what ends it. */
 const FAULTS: Readonly<
   Record<string, (network: ReaderNetwork, random: () => number) => () => void>
--- a/test/support/reader-network.ts
+++ b/test/support/reader-network.ts
@@ -81,6 +81,7 @@
     let isOpen = true;
     const poll = (): void => {
       this.polls += 1;
+      this.#pollsBy.set(node, this.pollsOf(node) + 1);
       let isDone = false;
       const finish = (answer: () => void): void => {
         if (isDone) return;
@@ -130,6 +131,13 @@
     };
   }
 
+  readonly #pollsBy = new Map<string, number>();
+
+  /** Polls of one node. */
+  pollsOf(node: string): number {
+    return this.#pollsBy.get(node) ?? 0;
+  }
+
   readonly #polls = new WeakMap<WatchHandlers, number>();
 
   #notePoll(handlers: WatchHandlers): number {
