What readers tell a node that watches nothing leaves no gap for good

Change: with the next watch these readers are asked anew from there, and the store is left alone for 400 ms.

--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -22,8 +22,10 @@
  * first second, and each change cost a poll of every node.
  */
 const FIRST_WATCH_GRACE_MS: Milliseconds = 500;
-/** Further readers that a node asks, since the store turned it away, have so long to serve it before it tries again. */
-const FURTHER_GRACE_MS: Milliseconds = 400;
+/** So long after its first watch a node asks readers often: they may have begun with it. */
+const BEGINNING_MS: Milliseconds = 2000;
+/** Readers that are asked since the store's own watch has ended have so long to serve before the store is asked again. */
+const READER_GRACE_MS: Milliseconds = 400;
 
 export interface FollowedPrefixOptions {
   readonly prefix: string;
@@ -40,6 +42,8 @@
   /** Opens the store's own watch. */
   readonly openDirect: (fromRevision: number, handlers: WatchHandlers) => () => void;
   readonly subscribe: SubscribeToReader;
+  /** Takes the readers that are named now, which what was told may have changed. */
+  readonly refreshReaders: () => void;
   readonly counters: ReaderCounters;
   readonly now: () => Milliseconds;
   readonly random: () => number;
@@ -81,7 +85,7 @@
   /** Readers have served this node: a watch of its own is a fallback from then on. */
   #wasServed = false;
   #direct: DirectWatch | undefined;
-  /** The store turned this node away: it is not asked before. */
+  /** The store is not asked before. */
   #directAgainAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: FollowedPrefixOptions) {
@@ -90,7 +94,7 @@
     const { prefix, subscribe, now, random } = options;
     this.#subscriptions = new ReaderSubscriptions({
       ...{ prefix, subscribe, now, random },
-      isBeginning: () => this.#isFirstWatchWaiting(now()),
+      isBeginning: () => now() - (this.#firstWatchAt ?? now()) < BEGINNING_MS,
       onTold: (key, subscription, told) => this.#noteTold(key, subscription, told),
       onLost: (key) => {
         this.#evidence.noteLost(key);
@@ -131,6 +135,8 @@
     this.#watcher = watcher;
     this.#firstWatchAt ??= this.options.now();
     this.#catchUp(watcher);
+    // Readers may have told something while nobody listened.
+    if (this.#subscriptions.forgetGaps(watcher.told)) this.#leaveToReaders();
     this.look();
     return () => {
       if (this.#watcher !== watcher) return;
@@ -229,6 +235,7 @@
     // The next poll is sent after this returned.
     direct.sentAt = now();
     this.onAnswered();
+    this.options.refreshReaders();
     // What a reader tells after a gap begins where it told last, which this answer may not reach while both cross.
     if (this.#watcher === watcher) this.#subscriptions.askAfterGaps(watcher.told);
     if (!this.#wantsDirect(watcher)) this.#closeDirect();
@@ -244,7 +251,7 @@
     if (this.answeredAt === undefined) this.onTellingEnded();
     if (watcher === undefined || isServed) return;
     if (!compacted && this.#subscriptions.addFurther()) {
-      this.#directAgainAt = this.options.now() + FURTHER_GRACE_MS;
+      this.#leaveToReaders();
       this.look();
       return;
     }
@@ -252,6 +259,11 @@
     watcher.handlers.onEnd(error, compacted);
   }
 
+  /** The store is not asked for a moment. */
+  #leaveToReaders(): void {
+    this.#directAgainAt = this.options.now() + READER_GRACE_MS;
+  }
+
   #closeDirect(): void {
     const direct = this.#direct;
     if (direct === undefined) return;
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -27,8 +27,9 @@
 
 /** How often readers and their silence are looked at. */
 const LOOK_EVERY_MS: Milliseconds = 300;
-/** The same until this node has heard of readers, or may not hear of any soon. */
+/** The same in the first moments of this node. */
 const FIRST_LOOKS_EVERY_MS: Milliseconds = 30;
+const FIRST_MOMENTS_MS: Milliseconds = 2000;
 /** A node that has heard of no reader for so long since it began is not likely to. */
 const READERS_NAMED_WITHIN_MS: Milliseconds = 1000;
 /** The records of the fleet are read within this, or are not to be had soon. */
@@ -88,6 +89,7 @@
         mayLearnReaders: () =>
           this.#mayLearnReaders() && (firstPollMs !== undefined || !options.areReadersKnown()),
         openDirect: (fromRevision, handlers) => store.watch(prefix, fromRevision, handlers),
+        refreshReaders: () => this.#followReaders(),
         subscribe: (reader, request, listener) => this.#subscribe(reader, request, listener),
       });
     this.#prefixes = new Map(prefixes.map((relayed) => [relayed.prefix, create(relayed)]));
@@ -178,7 +180,8 @@
   }
 
   #lookLater(): void {
-    const everyMs = this.#mayLearnReaders() ? FIRST_LOOKS_EVERY_MS : LOOK_EVERY_MS;
+    const isEarly = this.options.now() - this.#startedAt < FIRST_MOMENTS_MS;
+    const everyMs = isEarly ? FIRST_LOOKS_EVERY_MS : LOOK_EVERY_MS;
     this.#timer = setTimeout(() => {
       this.#look();
       this.#lookLater();
--- a/src/direct/readers/subscriptions.ts
+++ b/src/direct/readers/subscriptions.ts
@@ -9,7 +9,7 @@
 
 /** A reader that was lost is asked again after half of this to all of it. */
 const ASK_AGAIN_MS: Milliseconds = 1200;
-/** The same while the first watch waits for readers, which may have begun with it. */
+/** The same right after this node's first watch. */
 const FIRST_ASK_AGAIN_MS: Milliseconds = 200;
 /** Further readers that are asked at once. */
 const FURTHER_ASKED = 2;
@@ -36,7 +36,7 @@
 export interface ReaderSubscriptionsOptions {
   readonly prefix: string;
   readonly subscribe: SubscribeToReader;
-  /** True while the first watch waits for readers. */
+  /** True right after this node's first watch. */
   readonly isBeginning: () => boolean;
   readonly onTold: (key: string, subscription: Subscription, told: ToldStretch) => void;
   /** A reader ended what it told. */
@@ -88,6 +88,17 @@
     }
   }
 
+  /**
+   * The same, where nobody else tells what they left out: what they told is not relied on until they have answered. True if
+   * any is asked.
+   */
+  forgetGaps(after: number): boolean {
+    const gaps = [...this.#entries].filter(([, { hasGap }]) => hasGap);
+    for (const [key] of gaps) this.options.onDropped(key);
+    this.askAfterGaps(after);
+    return gaps.length > 0;
+  }
+
   /** Neither the named readers nor the store serve: true if further readers are to be asked. */
   addFurther(): boolean {
     const now = this.options.now();
--- a/test/property/watch-readers.test.ts
+++ b/test/property/watch-readers.test.ts
@@ -246,6 +246,30 @@
   assert.is(network.store.pollsOf('n8') - before, 0);
 });
 
+test('what readers tell a node while it watches nothing is told once it watches again', async () => {
+  const network = zonedNetwork(seededRandom(15));
+  network.reconnectMs = 1000;
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  const [own, other] = places(network, [6, 7]) as [ReachableNode, ReachableNode];
+  // Its readers are away for a while in which the store turns it away, and then go on.
+  network.store.refused.add('n8');
+  for (const { nodeId } of [own, other]) network.cutLinks.add(`n8-${nodeId}`);
+  (network.nodes[8] as VirtualNode).followed.setReaders({ type: 'others', readers: [own, other] });
+  await network.time.runUntil(9000);
+  network.cutLinks.clear();
+  for (let now = 9000; now <= 14_000; now += 100) {
+    await network.time.runUntil(now);
+    network.store.write(now % 500 === 0 ? `${PREFIX}/${now}` : 'elsewhere');
+  }
+  await network.time.runUntil(14_500);
+  const before = network.store.pollsOf('n8');
+  const [first, last] = [network.nodes[0], network.nodes[8]] as [VirtualNode, VirtualNode];
+  assert.equal(last.told, first.told);
+  await network.time.runUntil(20_000);
+  assert.is(network.store.pollsOf('n8') - before, 0);
+});
+
 test('readers that tell each other what is old grow no younger by that', async () => {
   const network = zonedNetwork(seededRandom(14));
   nameReaders(network, places(network, ZONE_READERS));
--- a/test/support/reader-network.ts
+++ b/test/support/reader-network.ts
@@ -181,6 +181,7 @@
       mayLearnReaders: () => network.mayLearnReaders,
       isProof: network.isProof,
       openDirect: (from, handlers) => store.watch(place.nodeId, from, handlers),
+      refreshReaders: () => {},
       subscribe: (...asked) => network.subscribe(this, ...asked),
       counters: this.counters,
       now: () => time.now,
@@ -208,7 +209,7 @@
         this.known = Math.max(this.known, revision);
       },
       onEnd: (_error, compacted) => {
-        this.network.time.after(RECONNECT_MS, () => {
+        this.network.time.after(this.network.reconnectMs, () => {
           if (compacted) this.follow();
           else this.#watch();
         });
@@ -224,6 +225,8 @@
   readonly nodes: VirtualNode[] = [];
   /** Links that carry nothing, by the names of both ends. */
   readonly cutLinks = new Set<string>();
+  /** Who watches begins anew so long after its watch has ended. */
+  reconnectMs = RECONNECT_MS;
   /** Nodes that begin may yet hear who reads the store. */
   mayLearnReaders = false;
 
