--- a/test/support/reader-network.ts
+++ b/test/support/reader-network.ts
@@ -81,6 +81,7 @@
     let isOpen = true;
     const poll = (): void => {
       this.polls += 1;
+      this.#pollsBy.set(node, this.pollsOf(node) + 1);
       let isDone = false;
       const finish = (answer: () => void): void => {
         if (isDone) return;
@@ -130,6 +131,13 @@
     };
   }
 
+  readonly #pollsBy = new Map<string, number>();
+
+  /** Polls of one node. */
+  pollsOf(node: string): number {
+    return this.#pollsBy.get(node) ?? 0;
+  }
+
   readonly #polls = new WeakMap<WatchHandlers, number>();
 
   #notePoll(handlers: WatchHandlers): number {
@@ -173,6 +181,7 @@
       mayLearnReaders: () => network.mayLearnReaders,
       isProof: network.isProof,
       openDirect: (from, handlers) => store.watch(place.nodeId, from, handlers),
+      refreshReaders: () => {},
       subscribe: (...asked) => network.subscribe(this, ...asked),
       counters: this.counters,
       now: () => time.now,
@@ -200,7 +209,7 @@
         this.known = Math.max(this.known, revision);
       },
       onEnd: (_error, compacted) => {
-        this.network.time.after(RECONNECT_MS, () => {
+        this.network.time.after(this.network.reconnectMs, () => {
           if (compacted) this.follow();
           else this.#watch();
         });
@@ -216,6 +225,8 @@
   readonly nodes: VirtualNode[] = [];
   /** Links that carry nothing, by the names of both ends. */
   readonly cutLinks = new Set<string>();
+  /** Who watches begins anew so long after its watch has ended. */
+  reconnectMs = RECONNECT_MS;
   /** Nodes that begin may yet hear who reads the store. */
   mayLearnReaders = false;
 
