--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -110,6 +110,18 @@
     return decodeRecord(record, membersForm)?.members ?? [];
   }
 
+  /** Members that nodes have seen and no record names, as told with their acknowledgements of the change under way. */
+  unlistedByNodes(service: string): readonly InstanceEntry[] {
+    const record = this.primaries.recordOf(service);
+    if (record?.phase !== 'changing') return [];
+    const told: InstanceEntry[] = [];
+    for (const entry of this.duty.under(acknowledgementPrefixOf(service))) {
+      const acknowledged = decodeRecord(entry, acknowledgementForm);
+      if (acknowledged?.change === record.change) told.push(...(acknowledged.unlisted ?? []));
+    }
+    return told;
+  }
+
   /** Nodes whose lease has not run out. */
   liveNodes(): number {
     return [...this.duty.under(NODE_PREFIX)].length;
@@ -215,14 +227,23 @@
   }
 
   /** The members of a note where all nodes hear of them; undefined if they have heard, or may hear later. */
-  #membersToPublish(service: string, { members }: DutyNote): Omit<Put, 'view'> | undefined {
+  #membersToPublish(service: string, note: DutyNote): Omit<Put, 'view'> | undefined {
+    const { members } = note;
     const key = membersKeyOf(service);
     const known = this.records.get(key);
     if (known === undefined && this.#mayTellLater(members)) return undefined;
-    const value = JSON.stringify({ members } satisfies MembersRecord);
+    const departed = this.#departedToPublish(service, note);
+    const value = JSON.stringify({ members, departed } satisfies MembersRecord);
     return value === known?.value ? undefined : { key, value };
   }
 
+  /** Those that this leader counts no more, other nodes need not hear of. */
+  #departedToPublish(service: string, { departed }: DutyNote): readonly InstanceEntry[] {
+    if (departed.length === 0 || this.runtime.isDisabled('forgotten-members')) return [];
+    const remembered = new Set(this.primaries.remembered(service).map(({ id }) => id));
+    return departed.filter(({ id }) => remembered.has(id));
+  }
+
   /** Asked at every update of the leader: what looks at all nodes comes last. */
   #mayTellLater(members: readonly InstanceEntry[]): boolean {
     if (this.runtime.now - this.#begunAt >= FIRST_MEMBERS_MS) return false;
--- a/test/property/watch-readers.test.ts
+++ b/test/property/watch-readers.test.ts
@@ -5,7 +5,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { ReachableNode } from '../../src/core/ownership/owner-roster.js';
-import { readersOf } from '../../src/core/ownership/watch-readers.js';
+import { furtherReadersOf, readersOf } from '../../src/core/ownership/watch-readers.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import { seededRandom } from '../support/random.js';
 import { MAX_AGE_MS, PREFIX, ReaderNetwork, type VirtualNode } from '../support/reader-network.js';
@@ -22,7 +22,9 @@
 const LARGE_VALUE = 'x'.repeat(20_000);
 
 function nameReaders(network: ReaderNetwork, readers: readonly ReachableNode[]): void {
-  for (const { followed, place } of network.nodes) followed.setReaders(readersOf(place, readers));
+  for (const { followed, place } of network.nodes) {
+    followed.setReaders(readersOf(place, readers), furtherReadersOf(place, readers));
+  }
 }
 
 function networkOf(random: () => number, isProof = false, linkMbps = 0): ReaderNetwork {
@@ -131,6 +133,163 @@
   assert.ok(network.store.polls - before <= 4, `${network.store.polls - before} polls`);
 });
 
+test('nodes that begin leave their first poll to readers that are named soon, and wait no longer', async () => {
+  for (const isNamed of [true, false]) {
+    const network = new ReaderNetwork(seededRandom(12));
+    network.mayLearnReaders = true;
+    for (let number = 0; number < NODES; number += 1) network.add('a').follow();
+    network.store.write(`${PREFIX}/x`);
+    await network.time.runUntil(250);
+    assert.is(network.store.polls, 0);
+    if (isNamed) nameReaders(network, places(network, [0, 1]));
+    await network.time.runUntil(1500);
+    for (const { told } of network.nodes) assert.equal(told, [2]);
+    // Each poll is answered with the change, and followed by another one.
+    assert.is(network.store.polls, 2 * (isNamed ? 2 : NODES));
+  }
+});
+
+const ZONES = ['a', 'b', 'c'] as const;
+const NODES_PER_ZONE = 3;
+/** Two of each zone; the first ones of zones a and b follow the store. */
+const ZONE_READERS = [0, 1, 3, 4, 6, 7];
+const STORE_READERS = [0, 3];
+
+function zonedNetwork(random: () => number, isProof = false): ReaderNetwork {
+  const network = new ReaderNetwork(random, isProof);
+  for (const zone of ZONES) {
+    for (let number = 0; number < NODES_PER_ZONE; number += 1) network.add(zone).follow();
+  }
+  return network;
+}
+
+/** Nodes of this network, without those of these numbers. */
+function without(network: ReaderNetwork, numbers: readonly number[]): VirtualNode[] {
+  return network.nodes.filter((_, number) => !numbers.includes(number));
+}
+
+test('of the readers of several zones two ask the store, and all nodes are told', async () => {
+  for (const isProof of [false, true]) {
+    const network = zonedNetwork(seededRandom(8), isProof);
+    nameReaders(network, places(network, ZONE_READERS));
+    await network.time.runUntil(6000);
+    const before = network.store.polls;
+    network.store.write(`${PREFIX}/x`);
+    await network.time.runUntil(6200);
+    for (const { told } of network.nodes) assert.equal(told, [2]);
+    await network.time.runUntil(26_200);
+    // Two nodes, 20 s of polls of 2.5 s, and one poll more each for the change.
+    assert.ok(network.store.polls - before <= 20, `${network.store.polls - before} polls`);
+    for (const { counters } of network.nodes) assert.is(counters.fallbacks, 0);
+  }
+});
+
+test('a reader of the store that is lost delays no zone, and without both the others ask it', async () => {
+  const network = zonedNetwork(seededRandom(9));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  const [first, second] = STORE_READERS.map((number) => network.nodes[number] as VirtualNode);
+  if (first !== undefined) first.isAlive = false;
+  network.store.write(`${PREFIX}/x`);
+  await network.time.runUntil(6200);
+  for (const { told } of without(network, [0])) assert.equal(told, [2]);
+  if (second !== undefined) second.isAlive = false;
+  network.store.write(`${PREFIX}/y`);
+  await network.time.runUntil(8400);
+  for (const { told } of without(network, STORE_READERS)) assert.equal(told, [2, 3]);
+  // Zone c still has both its readers: its other node has no need of the store.
+  assert.is((network.nodes[8] as VirtualNode).counters.fallbacks, 0);
+});
+
+test('readers of the store that it ignores are not relied on for longer than a poll may take', async () => {
+  const network = zonedNetwork(seededRandom(10));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  for (const { nodeId } of places(network, STORE_READERS)) network.store.cutOff.add(nodeId);
+  network.store.write(`${PREFIX}/x`);
+  await network.time.runUntil(6000 + BOUND_MS);
+  for (const { told } of without(network, STORE_READERS)) assert.equal(told, [2]);
+});
+
+test('what a follower of a relay is proven is no younger than what the store told', async () => {
+  const network = zonedNetwork(seededRandom(11), true);
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  for (const { nodeId } of places(network, STORE_READERS)) network.store.cutOff.add(nodeId);
+  await network.time.runUntil(6100);
+  network.store.write(`${PREFIX}/x`);
+  const writtenAt = network.time.now;
+  for (let now = writtenAt; now <= writtenAt + BOUND_MS; now += 50) {
+    await network.time.runUntil(now);
+    for (const { told, provenAt } of network.nodes) {
+      assert.ok(told.includes(2) || provenAt <= writtenAt, `${provenAt} at ${now}`);
+    }
+  }
+});
+
+test('a zone that the store turns away hears readers of other zones, and asks the store seldom', async () => {
+  const network = zonedNetwork(seededRandom(13));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  const turnedAway = [0, 3, 6, 7, 8];
+  const atFirst = network.store.pollsOf('n8');
+  for (const { nodeId } of places(network, turnedAway)) network.store.refused.add(nodeId);
+  network.store.write(`${PREFIX}/x`);
+  await network.time.runUntil(9000);
+  for (const { told } of without(network, STORE_READERS)) assert.equal(told, [2]);
+  const before = network.store.pollsOf('n8');
+  assert.ok(before - atFirst <= 1, `${before - atFirst} polls`);
+  network.store.write(`${PREFIX}/y`);
+  await network.time.runUntil(9300);
+  for (const { told } of without(network, STORE_READERS)) assert.equal(told, [2, 3]);
+  await network.time.runUntil(19_000);
+  assert.is(network.store.pollsOf('n8') - before, 0);
+});
+
+test('what readers tell a node while it watches nothing is told once it watches again', async () => {
+  const network = zonedNetwork(seededRandom(15));
+  network.reconnectMs = 1000;
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  const [own, other] = places(network, [6, 7]) as [ReachableNode, ReachableNode];
+  // Its readers are away for a while in which the store turns it away, and then go on.
+  network.store.refused.add('n8');
+  for (const { nodeId } of [own, other]) network.cutLinks.add(`n8-${nodeId}`);
+  (network.nodes[8] as VirtualNode).followed.setReaders({ type: 'others', readers: [own, other] });
+  await network.time.runUntil(9000);
+  network.cutLinks.clear();
+  for (let now = 9000; now <= 14_000; now += 100) {
+    await network.time.runUntil(now);
+    network.store.write(now % 500 === 0 ? `${PREFIX}/${now}` : 'elsewhere');
+  }
+  await network.time.runUntil(14_500);
+  const before = network.store.pollsOf('n8');
+  const [first, last] = [network.nodes[0], network.nodes[8]] as [VirtualNode, VirtualNode];
+  assert.equal(last.told, first.told);
+  await network.time.runUntil(20_000);
+  assert.is(network.store.pollsOf('n8') - before, 0);
+});
+
+test('readers that tell each other what is old grow no younger by that', async () => {
+  const network = zonedNetwork(seededRandom(14));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  for (const { place } of network.nodes) network.store.cutOff.add(place.nodeId);
+  // Each takes the other for a reader of the store.
+  const pair = places(network, [6, 7]);
+  for (const node of network.nodes.slice(6, 8)) {
+    const others = pair.filter(({ nodeId }) => nodeId !== node.place.nodeId);
+    node.followed.setReaders({ type: 'relay', readers: others });
+  }
+  await network.time.runUntil(6300);
+  const newest = (): Milliseconds =>
+    Math.max(...network.nodes.slice(6, 8).map(({ followed }) => followed.answeredAt ?? 0));
+  const before = newest();
+  assert.ok(before > 0);
+  await network.time.runUntil(6000 + MAX_AGE_MS / 2);
+  assert.ok(newest() <= before, `${newest()} after ${before}`);
+});
+
 /** What strikes, by name; each gives what ends it. */
 const FAULTS: Readonly<
   Record<string, (network: ReaderNetwork, random: () => number) => () => void>
@@ -185,12 +344,43 @@
   }
 }
 
-test('under any faults each node is told every change, once, in order and in time', async () => {
+const ZONED_FAULTS: typeof FAULTS = {
+  ...FAULTS,
+  otherReaders: (network, random) => {
+    const left = ZONES.map(() => Math.floor(random() * NODES_PER_ZONE));
+    const named = network.nodes.filter(
+      (_, number) => left[Math.floor(number / NODES_PER_ZONE)] !== number % NODES_PER_ZONE,
+    );
+    nameReaders(
+      network,
+      named.map(({ place }) => place),
+    );
+    return () => {};
+  },
+};
+
+test('under any faults each node is told every change, once, in order and in time', () =>
+  playDays((random) => {
+    const network = networkOf(random);
+    nameReaders(network, places(network, [0, 1]));
+    return network;
+  }, FAULTS));
+
+test('the same in several zones, where readers of zones follow those of the store', () =>
+  playDays((random) => {
+    const network = zonedNetwork(random, random() < 0.5);
+    nameReaders(network, places(network, ZONE_READERS));
+    return network;
+  }, ZONED_FAULTS));
+
+async function playDays(
+  networkFor: (random: () => number) => ReaderNetwork,
+  faults: typeof FAULTS,
+): Promise<void> {
   for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed += 1) {
     const random = seededRandom(seed);
-    const network = networkOf(random);
+    const network = networkFor(random);
     const { store, time } = network;
-    nameReaders(network, places(network, [0, 1]));
     const served = new Served();
     const writtenAt = new Map<number, Milliseconds>();
     const log: string[] = [];
@@ -201,7 +391,7 @@
         writtenAt.set(store.revision, now);
       } else if (random() < 0.1) store.write('elsewhere');
       if (random() < 0.06 && now < DAY_MS - 2 * LONGEST_FAULT_MS) {
-        const [name, strike] = pick(Object.entries(FAULTS), random);
+        const [name, strike] = pick(Object.entries(faults), random);
         log.push(`${now} ${name}`);
         time.after(LONGEST_FAULT_MS * random(), strike(network, random));
       }
@@ -217,6 +407,6 @@
       assert.equal(told, inOrder, `seed ${seed}, ${place.nodeId}: ${log.join(', ')}`);
     }
   }
-});
+}
 
 test.run();
