While other readers begin, those from before serve on

Change: readers from before are kept until one that is named serves, and a node that is named tells what it heard as a follower, with its age.

--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -77,7 +77,7 @@
   readonly #evidence: ReaderEvidence;
   readonly #subscriptions: ReaderSubscriptions;
   #role: ReadersOfNode['type'] = 'others';
-  /** What a relay heard last. */
+  /** What readers told last; a node that is named tells it from then on. */
   readonly #relayed: RelayedWord;
   #watcher: Watcher | undefined;
   /** When this node first watched; undefined before that. */
@@ -115,12 +115,12 @@
 
   /** When the store last vouched for what followers may be told; undefined while there is nothing to tell. */
   get answeredAt(): Milliseconds | undefined {
-    return latest(this.#direct?.answeredAt, this.#relayed.times?.currentAt);
+    return latest(this.#direct?.answeredAt, this.#toldTimes?.currentAt);
   }
 
   /** No later than when the store had nothing newer than what is known; undefined as `answeredAt` is. */
   get provenAt(): Milliseconds | undefined {
-    return latest(this.#direct?.provenAt, this.#relayed.times?.provenAt);
+    return latest(this.#direct?.provenAt, this.#toldTimes?.provenAt);
   }
 
   /** True if followers are told each word of the store. */
@@ -156,8 +156,9 @@
 
   /** Takes the readers that the leader names now; `further` are those that serve others. */
   setReaders(readers: ReadersOfNode, further: readonly ReachableNode[] = []): void {
+    const wasTelling = this.answeredAt !== undefined;
     this.#role = readers.type;
-    if (this.#role === 'others') this.#forgetRelayed();
+    if (wasTelling && this.answeredAt === undefined) this.onTellingEnded();
     this.#subscriptions.setReaders(readers.type === 'self' ? [] : readers.readers, further);
   }
 
@@ -176,6 +177,11 @@
     this.setReaders({ type: 'others', readers: [] });
   }
 
+  /** What readers told this node, if it is to tell others. */
+  get #toldTimes(): WordTimes | undefined {
+    return this.#role === 'others' ? undefined : this.#relayed.times;
+  }
+
   #wantsDirect({ told }: Watcher): boolean {
     const now = this.options.now();
     const isServed = this.#evidence.isServed(now, told);
@@ -299,7 +305,7 @@
     if (!isGap) {
       // What is passed on must not grow younger with the hops that it takes.
       const vouchedAt = clock.earliest(clockMs - ageMs) ?? Number.NEGATIVE_INFINITY;
-      if (this.#role === 'relay') this.#relayed.note({ currentAt: vouchedAt, provenAt });
+      if (this.#role !== 'self') this.#relayed.note({ currentAt: vouchedAt, provenAt });
       if (!subscription.isFurther) this.#subscriptions.dropFurther();
       this.#tellFromReader(watcher, stretch, { currentAt, provenAt });
     }
@@ -311,7 +317,7 @@
     this.options.counters.eventsFromReaders += told.length;
     const isDue = this.isProof || this.options.now() - watcher.toldAt >= UNCHANGED_EVERY_MS;
     if (told.length > 0 || isDue) this.#tell(watcher, told, at.currentAt, at.provenAt);
-    if (this.#relayed.takeNews(told.length > 0)) this.onRelayed();
+    if (this.#role === 'relay' && this.#relayed.takeNews(told.length > 0)) this.onRelayed();
   }
 
   /** Takes a stretch that leaves no gap, and gives what of it is new. */
--- a/src/direct/readers/subscriptions.ts
+++ b/src/direct/readers/subscriptions.ts
@@ -19,7 +19,8 @@
 /** A reader that this node has asked, or will ask. */
 export interface Subscription {
   readonly reader: ReachableNode;
-  readonly isFurther: boolean;
+  /** It is not named for this node: given up once one that is serves. */
+  isFurther: boolean;
   /** The reader's clock; another with each question. */
   readonly clock: PeerClock;
   /** It told of changes that it does not pass on, or that follow on others which are unknown here. */
@@ -58,16 +59,17 @@
     return this.#entries.size;
   }
 
-  /** Takes the readers that are named now; further ones are kept until a named one serves. */
+  /** Takes the readers that are named now; those from before are kept until one of these serves. */
   setReaders(named: readonly ReachableNode[], further: readonly ReachableNode[]): void {
     this.#further = further;
-    const kept = new Set([...named, ...further].map(keyOfNode));
-    for (const key of [...this.#entries.keys()]) if (!kept.has(key)) this.#drop(key);
+    for (const entry of this.#entries.values()) entry.isFurther = true;
     for (const reader of named) {
       const key = keyOfNode(reader);
-      if (this.#entries.get(key)?.isFurther === true) this.#drop(key);
-      if (!this.#entries.has(key)) this.#add(key, reader, false);
+      const known = this.#entries.get(key);
+      if (known === undefined) this.#add(key, reader, false);
+      else known.isFurther = false;
     }
+    if (named.length === 0) this.dropFurther();
   }
 
   /** Asks those whose time has come for what follows a revision. */
--- a/test/property/watch-readers.test.ts
+++ b/test/property/watch-readers.test.ts
@@ -270,6 +270,22 @@
   assert.is(network.store.pollsOf('n8') - before, 0);
 });
 
+test('while other readers begin, those from before and what the new ones heard serve on', async () => {
+  const network = zonedNetwork(seededRandom(16));
+  nameReaders(network, places(network, ZONE_READERS));
+  await network.time.runUntil(6000);
+  const before = network.store.polls;
+  const others = [1, 2, 4, 5, 7, 8];
+  nameReaders(network, places(network, others));
+  await network.time.runUntil(6500);
+  network.store.write(`${PREFIX}/x`);
+  await network.time.runUntil(6800);
+  for (const { told } of network.nodes) assert.equal(told, [2]);
+  // Two that begin, and the change: the former two end with the polls that were out.
+  assert.ok(network.store.polls - before <= 4, `${network.store.polls - before} polls`);
+  for (const { counters } of network.nodes) assert.ok(counters.fallbacks <= 1);
+});
+
 test('readers that tell each other what is old grow no younger by that', async () => {
   const network = zonedNetwork(seededRandom(14));
   nameReaders(network, places(network, ZONE_READERS));
