--- /dev/null
+++ b/src/core/fleet/fleet-digests.ts
@@ -0,0 +1,173 @@
+/**
+ * Knowledge of instances over the fleet: what this node saw itself and what other nodes told, merged by the number of
+ * observations and their age. Answer times merge by a weighted median and each observer's weight is bounded, so that
+ * one node with a bad link, or one that lies, moves no instance. No I/O and no clock.
+ */
+import type { Milliseconds } from '../units.js';
+import {
+  type DigestRefusal,
+  type FleetView,
+  type InstanceDigest,
+  type InstanceObservation,
+  observationsOf,
+} from './instance-digest.js';
+import { OwnObservations } from './own-observations.js';
+import { weightedMedian } from './weighted-median.js';
+
+/** Older observations say nothing of now. */
+export const OLDEST_MS: Milliseconds = 2500;
+/** A node can't have waited longer for one answer: deadlines of callers are shorter. */
+const LONGEST_TIME_MS: Milliseconds = 60_000;
+/** Statements that one node sees at one instance within a second at most. */
+const MOST_PER_OBSERVER = 2000;
+/** Observers of one digest at most. */
+const MOST_OBSERVERS = 10_000;
+
+interface Told {
+  readonly digest: InstanceDigest;
+  readonly at: Milliseconds;
+}
+
+interface Source {
+  readonly digest: InstanceDigest;
+  /** 1 for observations of now, 0 for the oldest that count. */
+  readonly freshness: number;
+  /** Below 1 where one source alone would outweigh the others. */
+  readonly share: number;
+}
+
+export class FleetDigests {
+  readonly #own = new Map<string, { service: string; seen: OwnObservations }>();
+  /** By instance, then by who told. */
+  readonly #told = new Map<string, Map<string, Told>>();
+
+  /** Takes what this node itself saw. */
+  noteOwn(
+    service: string,
+    instanceId: string,
+    observation: InstanceObservation,
+    now: Milliseconds,
+  ): void {
+    let own = this.#own.get(instanceId);
+    if (own === undefined) {
+      own = { service, seen: new OwnObservations() };
+      this.#own.set(instanceId, own);
+    }
+    own.seen.note(observation, now);
+  }
+
+  /** Takes what another node told; gives why not if it says nothing. */
+  noteTold(digest: InstanceDigest, from: string, now: Milliseconds): DigestRefusal | undefined {
+    if (!isPlausible(digest)) return 'implausible';
+    if (digest.ageMs >= OLDEST_MS) return 'stale';
+    const tellers = this.#told.get(digest.instanceId) ?? new Map<string, Told>();
+    this.#told.set(digest.instanceId, tellers.set(from, { digest, at: now }));
+    return undefined;
+  }
+
+  /** Everything that is known of an instance now; undefined if nobody asked it lately. */
+  seenBy(instanceId: string, now: Milliseconds): FleetView | undefined {
+    const sources = this.#sources(instanceId, now);
+    return sources.length === 0 ? undefined : merge(sources, ({ freshness }) => freshness);
+  }
+
+  /** What this node itself saw of each instance lately. */
+  own(now: Milliseconds): readonly InstanceDigest[] {
+    return [...this.#own.keys()].flatMap((id) => this.#ownOf(id, now) ?? []);
+  }
+
+  /** What this node and those that told it know, without what `listener` told. */
+  toldTo(listener: string, now: Milliseconds): readonly InstanceDigest[] {
+    const ids = new Set([...this.#own.keys(), ...this.#told.keys()]);
+    return [...ids].flatMap((instanceId) => {
+      const sources = this.#sources(instanceId, now, listener);
+      const service = sources[0]?.digest.service;
+      if (service === undefined) return [];
+      // Who is told lets the counts shrink with their age.
+      return [{ service, instanceId, ...merge(sources, () => 1), ageMs: meanAge(sources) }];
+    });
+  }
+
+  /** Forgets instances that are not known any more, and what is too old. */
+  forget(isKnown: (instanceId: string) => boolean, now: Milliseconds): void {
+    for (const id of this.#own.keys()) if (!isKnown(id)) this.#own.delete(id);
+    for (const [id, tellers] of this.#told) {
+      for (const [from, { digest, at }] of tellers) {
+        if (ageOf(digest, at, now) >= OLDEST_MS) tellers.delete(from);
+      }
+      if (tellers.size === 0 || !isKnown(id)) this.#told.delete(id);
+    }
+  }
+
+  #ownOf(instanceId: string, now: Milliseconds): InstanceDigest | undefined {
+    const own = this.#own.get(instanceId);
+    const seen = own?.seen.digest(now);
+    return own && seen && { service: own.service, instanceId, ...seen };
+  }
+
+  #sources(instanceId: string, now: Milliseconds, without?: string): Source[] {
+    const own = this.#ownOf(instanceId, now);
+    const sources = own === undefined ? [] : [sourceOf(own, own.ageMs)];
+    for (const [from, { digest, at }] of this.#told.get(instanceId) ?? []) {
+      const ageMs = ageOf(digest, at, now);
+      if (from !== without && ageMs < OLDEST_MS) sources.push(sourceOf(digest, ageMs));
+    }
+    return bounded(sources);
+  }
+}
+
+function ageOf({ ageMs }: InstanceDigest, at: Milliseconds, now: Milliseconds): Milliseconds {
+  return ageMs + Math.max(0, now - at);
+}
+
+function sourceOf(digest: InstanceDigest, ageMs: Milliseconds): Source {
+  const freshness = Math.max(0, 1 - ageMs / OLDEST_MS);
+  return { digest: { ...digest, ageMs }, freshness, share: 1 };
+}
+
+function weightOf({ digest, freshness, share }: Source): number {
+  return observationsOf(digest) * freshness * share;
+}
+
+/** Beside two others or more, no source weighs more than all of them together. */
+function bounded(sources: readonly Source[]): Source[] {
+  if (sources.length < 3) return [...sources];
+  const total = sources.reduce((sum, source) => sum + weightOf(source), 0);
+  return sources.map((source) => {
+    const weight = weightOf(source);
+    const others = total - weight;
+    return weight <= others ? source : { ...source, share: others / weight };
+  });
+}
+
+function merge(sources: readonly Source[], part: (source: Source) => number): FleetView {
+  const sum = (field: 'answered' | 'refused' | 'failed'): number =>
+    sources.reduce((total, one) => total + one.digest[field] * part(one) * one.share, 0);
+  const median = (field: 'answerMs' | 'waitMs', used: readonly Source[]): Milliseconds =>
+    weightedMedian(used.map((one) => ({ value: one.digest[field], weight: weightOf(one) })));
+  const timed = sources.filter(({ digest }) => digest.answerMs > 0);
+  return {
+    observers: sources.reduce((total, { digest }) => total + digest.observers, 0),
+    answered: sum('answered'),
+    refused: sum('refused'),
+    failed: sum('failed'),
+    answerMs: median('answerMs', timed),
+    waitMs: median('waitMs', sources),
+  };
+}
+
+function meanAge(sources: readonly Source[]): Milliseconds {
+  const total = sources.reduce((sum, source) => sum + weightOf(source), 0);
+  if (total === 0) return OLDEST_MS;
+  const aged = sources.reduce((sum, source) => sum + source.digest.ageMs * weightOf(source), 0);
+  return aged / total;
+}
+
+function isPlausible(digest: InstanceDigest): boolean {
+  const { ageMs, observers, answered, refused, failed, answerMs, waitMs } = digest;
+  const isCounted = observers >= 1 && observers <= MOST_OBSERVERS;
+  const hasCounts = [answered, refused, failed].every((count) => count >= 0);
+  const isWithinBounds = observationsOf(digest) <= MOST_PER_OBSERVER * observers;
+  const hasTimes = [answerMs, waitMs].every((time) => time >= 0 && time <= LONGEST_TIME_MS);
+  return isCounted && ageMs >= 0 && hasCounts && isWithinBounds && hasTimes;
+}
