--- a/src/core/fleet/fleet-digests.ts
+++ b/src/core/fleet/fleet-digests.ts
@@ -121,7 +121,7 @@
 }
 
 function sourceOf(digest: InstanceDigest, ageMs: Milliseconds): Source {
-  const freshness = Math.max(0, 1 - ageMs / OLDEST_MS);
+  const freshness = 0.5 ** (ageMs / 500);
   return { digest: { ...digest, ageMs }, freshness, share: 1 };
 }
 
--- a/src/core/fleet/instance-digest.ts
+++ b/src/core/fleet/instance-digest.ts
@@ -46,8 +46,8 @@
   readonly waitMs: Milliseconds;
 }
 
-/** Why a digest was left out. */
-export type DigestRefusal = 'malformed' | 'unknown-instance' | 'stale' | 'implausible';
+/** Why a digest of another node says nothing. */
+export type DigestRefusal = 'stale' | 'implausible';
 
 /** Observations behind a digest or view. */
 export function observationsOf({
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -4,6 +4,7 @@
  */
 import type { ServiceTerm } from '../core/directory/snapshot.js';
 import { StartReadiness } from '../core/directory/start-readiness.js';
+import { FleetDigests } from '../core/fleet/fleet-digests.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Logger } from '../observability/logger.js';
 import { Admission, type AdmissionCounters } from './admission.js';
@@ -18,6 +19,7 @@
   TenantDescription,
 } from './contract.js';
 import type { DirectorySource } from './directory-follower.js';
+import { FleetPlacement, type PlacementCounters } from './fleet-placement.js';
 import { type InstancePool, ownRequest, type PoolCounters } from './instance-pool.js';
 import { createLatencies, RequestLatencies } from './latencies.js';
 import { endSessions } from './planned-stop.js';
@@ -58,6 +60,8 @@
   readonly configurationProvenAt?: () => Milliseconds | undefined;
   /** Positions by way of readers; without it each node asks the primaries. */
   readonly zone?: ZonePositions;
+  /** What nodes see of instances; this node's own sight alone by default. */
+  readonly digests?: FleetDigests;
   /** Counts operations of tenants; without it, no quota binds. */
   readonly quotas?: Pick<Quotas, 'spend'> | undefined;
   /** Takes lines about requests and beliefs; nothing is told without one. */
@@ -72,7 +76,8 @@
     ProverCounters,
     RelayCounters,
     SamplerCounters,
-    AdmissionCounters {}
+    AdmissionCounters,
+    PlacementCounters {}
 
 export class DirectGateway implements RouteLookup {
   readonly counters: DirectCounters = {
@@ -101,6 +106,8 @@
     quotaRefusals: 0,
     quotaUnknown: 0,
     quotaAsked: 0,
+    ejections: 0,
+    ejectionsEnded: 0,
   };
   readonly latencies = createLatencies();
   readonly #services = new Map<string, ServiceRuntime>();
@@ -122,6 +129,7 @@
   #stopped: Promise<void> | undefined;
   #checks: NodeJS.Timeout | undefined;
   readonly #sampler: PositionSampler;
+  readonly #placement: FleetPlacement;
   readonly #beliefs: BeliefLog | undefined;
   /** Pools whose first connection was asked for. */
   readonly #firstOpened = new WeakSet<InstancePool>();
@@ -146,7 +154,21 @@
       counters: this.counters,
       confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId),
     });
-    this.#runner = new StatementRunner({ wire, view, prover: this.#prover, now, random });
+    this.#placement = new FleetPlacement({
+      ...{ counters: this.counters, logger, now, random },
+      digests: options.digests ?? new FleetDigests(),
+      isFleetSeen: () => options.zone?.isFleetSeen() === true,
+      nodeCount: () => view.liveNodeCount(),
+    });
+    const placement = this.#placement;
+    this.#runner = new StatementRunner({
+      wire,
+      view,
+      prover: this.#prover,
+      placement,
+      now,
+      random,
+    });
     this.#sampler = new PositionSampler({
       ...{ wire, view, now, prover: this.#prover, runner: this.#runner },
       counters: this.counters,
@@ -225,12 +247,18 @@
     return this.#relay.lentCount;
   }
 
+  /** Instances that get no reads but those of their probation. */
+  get ejectedCount(): number {
+    return this.#placement.ejectedCount;
+  }
+
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
     this.#checks = setInterval(() => {
       this.#shareConnections();
       this.#relay.update(this.options.view.ownerRoster());
       this.#openFirst();
+      this.#placement.look(this.#services.values());
       const toSample = this.#servicesToSample();
       this.#sampler.sample(toSample);
       this.#beliefs?.look(this.#services.values(), toSample);
@@ -445,6 +473,7 @@
         now,
         random,
         counters: this.counters,
+        observe: (instance, observation) => this.#placement.observe(instance, observation),
       },
     });
     this.#services.set(name, service);
--- a/src/direct/instance-feedback.ts
+++ b/src/direct/instance-feedback.ts
@@ -68,6 +68,7 @@
   ): void {
     const { view, now } = this.options;
     instance.pool.health.avoidUntil = now() + AVOID_MS;
+    instance.pool.health.noteFailed();
     const primary = view.primaryOf(request.service.name);
     if (primary?.id !== instance.id) return;
     view.reportPrimaryFailure(request.service.name, now(), use, silentForMs);
--- a/src/direct/instance-health.ts
+++ b/src/direct/instance-health.ts
@@ -1,4 +1,5 @@
 /** What the answers of one instance tell: whether it answers at all, how fast, and at which pace it takes statements. */
+import type { InstanceObservation } from '../core/fleet/instance-digest.js';
 import type { Access } from '../core/request.js';
 import { BusyPace } from '../core/statements/busy-pace.js';
 import { StallDetector } from '../core/statements/stall.js';
@@ -20,6 +21,8 @@
 export interface InstanceHealthOptions {
   readonly now: () => Milliseconds;
   readonly latencies?: Pick<GatewayLatencies, 'instanceAnswers'>;
+  /** Takes what statements show of the instance. */
+  readonly observe?: (observation: InstanceObservation) => void;
 }
 
 export class InstanceHealth {
@@ -78,10 +81,18 @@
    * A statement that takes a slot was answered.
    * @param tookMs how long that took; left out where it says nothing of the next one
    */
-  noteOutcome(code: StatementErrorCode | undefined, tookMs?: Milliseconds): void {
+  noteOutcome(
+    code: StatementErrorCode | undefined,
+    tookMs?: Milliseconds,
+    access: Access = 'read',
+  ): void {
     if (code === 'busy') this.noteBusy();
+    if (code === 'failed') this.noteFailed();
     if (code !== undefined) return;
     this.noteServed();
+    // A write also waits for replicas.
+    const answerMs = access === 'read' ? tookMs : undefined;
+    this.options.observe?.({ type: 'answered', answerMs });
     if (tookMs === undefined) return;
     this.options.latencies?.instanceAnswers.observe(tookMs);
     this.answerMs += (tookMs - this.answerMs) * ANSWER_SMOOTHING;
@@ -95,5 +106,16 @@
   /** The instance refused since all its slots were busy. */
   noteBusy(): void {
     this.pace.noteBusy(this.options.now(), this.nodeCount);
+    this.options.observe?.({ type: 'refused' });
+  }
+
+  /** A statement got no answer, or an error of the instance's own. */
+  noteFailed(): void {
+    this.options.observe?.({ type: 'failed' });
+  }
+
+  /** A statement got its connection after so long. */
+  noteWait(waitMs: Milliseconds): void {
+    this.options.observe?.({ type: 'started', waitMs });
   }
 }
--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -4,6 +4,7 @@
  * connection is given to one statement or transaction at a time.
  */
 import { err, ok, type Result } from 'neverthrow';
+import type { InstanceObservation } from '../core/fleet/instance-digest.js';
 import { FairQueue, type QueuedRequest } from '../core/statements/fair-queue.js';
 import { synchronisationCost } from '../core/statements/session-values.js';
 import type { ConnectionPolicy } from '../core/tenancy/allowance.js';
@@ -36,6 +37,10 @@
   readonly random: () => number;
   readonly counters: PoolCounters;
   readonly latencies?: Pick<GatewayLatencies, 'connectionWaits' | 'instanceAnswers'>;
+  /** Takes what statements show of an instance. */
+  readonly observe?:
+    | ((instance: InstanceEntry, observation: InstanceObservation) => void)
+    | undefined;
 }
 
 /** Counted over all pools of the process. */
@@ -141,7 +146,9 @@
   ) {
     this.#limit = limit;
     this.#softLimit = limit;
-    this.health = new InstanceHealth(options);
+    const observe = (observation: InstanceObservation): void =>
+      options.observe?.(this.instance, observation);
+    this.health = new InstanceHealth({ ...options, observe });
     const { waiting } = this.#waiters;
     this.#holdings = new TenantHoldings(OWN_TENANT, () => this.#supply(), waiting, options.now);
   }
@@ -229,6 +236,7 @@
     const outcome = acquired.isOk() ? 'given' : 'none';
     const way = lessor === undefined ? 'own' : 'owner';
     latencies?.connectionWaits.observe(now() - askedAt, way, outcome);
+    if (acquired.isOk() && request.tenant !== OWN_TENANT) this.health.noteWait(now() - askedAt);
     return acquired;
   }
 
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -5,6 +5,7 @@
 import type { LatencyHistogram } from '../observability/latency-histogram.js';
 import type { DirectCounters, DirectGateway } from './gateway.js';
 import type { ReaderCounters } from './readers/contract.js';
+import type { DigestCounters } from './readers/digest-exchange.js';
 import type { ReaderStore } from './readers/reader-store.js';
 import type { PeerSnapshots, SnapshotCounters } from './snapshots/service.js';
 
@@ -36,6 +37,8 @@
   quotaRefusals: 'operations refused since their tenant has used up its quota',
   quotaUnknown: 'operations refused since no node could be asked for the quota of their tenant',
   quotaAsked: 'questions to other nodes for the quota of a tenant',
+  ejections: 'instances that this node took out of the choice for reads',
+  ejectionsEnded: 'instances that this node gives reads again after that',
 };
 
 const SNAPSHOT_HELP: Readonly<Record<keyof SnapshotCounters, string>> = {
@@ -52,6 +55,14 @@
   eventsTold: 'changes of the store told to other nodes',
 };
 
+const DIGEST_HELP: Readonly<Record<keyof DigestCounters, string>> = {
+  taken: 'digests of instances that other nodes told and that were taken',
+  malformed: 'messages with digests that had not their form',
+  unknownInstance: 'digests of instances that are not known, as of an earlier life',
+  stale: 'digests that were too old',
+  implausible: 'digests with impossible figures',
+};
+
 const PREFIX = 'meadowstack_direct_';
 
 /** Figures in the text form that Prometheus reads. */
@@ -76,6 +87,7 @@
   readonly gateway: DirectGateway;
   readonly snapshots?: PeerSnapshots | undefined;
   readonly readers?: ReaderStore | undefined;
+  readonly digests?: DigestCounters | undefined;
   readonly store?: StoreFigures | undefined;
   /** Lines of the log that nobody read in time. */
   readonly logLinesDropped: number;
@@ -83,7 +95,7 @@
 
 /** What the gateway has counted since it started, and what it holds now. */
 export async function exposeMetrics(sources: FigureSources): Promise<Exposition> {
-  const { gateway, snapshots, readers, store, logLinesDropped } = sources;
+  const { gateway, snapshots, readers, digests, store, logLinesDropped } = sources;
   const { Counter, Gauge, Registry } = await import('prom-client');
   const registry = new Registry();
   const registers = [registry];
@@ -106,6 +118,11 @@
       count(`readers_${name}`, help, readers.counters[name as keyof ReaderCounters]);
     }
   }
+  if (digests !== undefined) {
+    for (const [name, help] of Object.entries(DIGEST_HELP)) {
+      count(`digests_${name}`, help, digests[name as keyof DigestCounters]);
+    }
+  }
   if (store !== undefined) {
     count('store_returns', 'times that the store came back from a copy', store.returns);
     count('store_histories_gone', 'watches whose history the store had not', store.historiesGone);
@@ -124,6 +141,7 @@
   gauge('lent_connections', 'leases of other nodes at this one', gateway.lentCount);
   gauge('configuration_version', 'version in force, 0 before the first', gateway.version ?? 0);
   gauge('peers_known', 'other nodes that may be asked', snapshots?.peersKnown ?? 0);
+  gauge('instances_ejected', 'instances that get no reads now', gateway.ejectedCount);
   gauge('store_era', 'how often the store came back from a copy, by its own word', store?.era ?? 0);
   gauge('store_watches', 'prefixes watched at the store itself', readers?.directWatches ?? 0);
   gauge('ready', '1 if new connections are taken', gateway.ready ? 1 : 0);
--- a/src/direct/position-sampler.ts
+++ b/src/direct/position-sampler.ts
@@ -67,7 +67,7 @@
       if (!isOften && this.#asksZone(service, ageMs)) byZone.push(service);
       else void this.#samplePosition(service);
     }
-    if (byZone.length > 0) void this.#askZone(byZone);
+    if (byZone.length > 0 || zone?.tellsDigests === true) void this.#askZone(byZone);
   }
 
   #ageOf({ samples }: ServiceRuntime): Milliseconds {
--- a/src/direct/readers/zone-positions.ts
+++ b/src/direct/readers/zone-positions.ts
@@ -13,6 +13,7 @@
 import type { Milliseconds } from '../../core/units.js';
 import type { PeerTransport, WireValue } from '../../peer/contract.js';
 import { encodePosition, parsePosition } from '../position-form.js';
+import type { DigestExchange } from './digest-exchange.js';
 
 /** Asks for the newest positions of some services. */
 const POSITIONS_METHOD = 'direct/positions';
@@ -20,6 +21,8 @@
 const QUESTION_TIMEOUT_MS: Milliseconds = 200;
 /** A reader that did not answer is not asked for so long. */
 const AVOID_MS: Milliseconds = 1000;
+/** Without a reader's digests for so long, a node goes by its own sight. */
+const FLEET_SEEN_MS: Milliseconds = 2500;
 /** Services of one question. */
 const MAX_SERVICES = 64;
 
@@ -39,12 +42,17 @@
   readonly now: () => Milliseconds;
   /** A number in [0, 1): spreads the nodes of a zone over its readers. */
   readonly random: () => number;
+  /** What nodes see of instances passes with the question and its answer. */
+  readonly exchange?: DigestExchange | undefined;
 }
 
 export class ZonePositions {
   /** Until when a reader is not asked, by its name. */
   readonly #avoided = new Map<string, Milliseconds>();
   readonly #start: number;
+  /** Questions so far: with digests, each reader is asked in turn, so that both hear of the whole zone. */
+  #asked = 0;
+  #heardAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: ZonePositionsOptions) {
     this.#start = options.random();
@@ -60,21 +68,41 @@
     return this.options.transport() !== undefined && this.#reader() !== undefined;
   }
 
+  /** True while digests of other nodes come in: from a reader, or at one. */
+  isFleetSeen(): boolean {
+    const { exchange, now } = this.options;
+    if (exchange === undefined) return false;
+    return this.isReader || now() - this.#heardAt < FLEET_SEEN_MS;
+  }
+
+  /** Whether a reader is asked also where no position is needed. */
+  get tellsDigests(): boolean {
+    return this.options.exchange !== undefined && !this.isReader && this.isAvailable;
+  }
+
   /** What a reader knows of these services; nothing if it does not answer. */
   async ask(services: readonly string[]): Promise<readonly ToldPosition[]> {
+    const { exchange } = this.options;
     const reader = this.#reader();
     const transport = this.options.transport();
     if (reader === undefined || transport === undefined) return [];
     const { nodeId, host, port } = reader;
-    const question = { services: services.slice(0, MAX_SERVICES) };
+    this.#asked += 1;
+    const asked = { services: services.slice(0, MAX_SERVICES) };
+    const question = exchange === undefined ? asked : { ...asked, digests: exchange.own() };
     const answer = await transport.call(
       { host, port },
       POSITIONS_METHOD,
       question,
       QUESTION_TIMEOUT_MS,
     );
-    const told = answer.isOk() ? parseToldPositions(answer.value) : undefined;
+    const told = answer.isOk() ? parseToldPositions(positionsOf(answer.value)) : undefined;
     if (told === undefined) this.#avoided.set(nodeId, this.options.now() + AVOID_MS);
+    const digests = answer.isOk() ? fieldsOf(answer.value)?.digests : undefined;
+    if (exchange !== undefined && digests !== undefined) {
+      exchange.take(digests, nodeId);
+      this.#heardAt = this.options.now();
+    }
     return told ?? [];
   }
 
@@ -82,7 +110,9 @@
     const own = this.options.readers();
     if (own.type === 'self') return undefined;
     const now = this.options.now();
-    const first = Math.floor(this.#start * own.readers.length);
+    const turns = this.options.exchange === undefined ? 0 : this.#asked;
+    const count = Math.max(1, own.readers.length);
+    const first = (Math.floor(this.#start * count) + turns) % count;
     const inTurn = [...own.readers.slice(first), ...own.readers.slice(0, first)];
     return inTurn.find(({ nodeId }) => (this.#avoided.get(nodeId) ?? 0) <= now);
   }
@@ -93,10 +123,22 @@
   method: string,
   question: WireValue,
   newestOf: (services: readonly string[]) => readonly ToldPosition[],
+  digests?: { readonly exchange: DigestExchange; readonly asker: string },
 ): WireValue | undefined {
   if (method !== POSITIONS_METHOD) return undefined;
   const services = parsePositionsQuestion(question);
-  return services && encodeToldPositions(newestOf(services));
+  if (services === undefined) return undefined;
+  const positions = encodeToldPositions(newestOf(services));
+  const told = fieldsOf(question)?.digests;
+  // Nodes of an earlier version tell none, and know only the shorter answer.
+  if (digests === undefined || told === undefined) return positions;
+  const { exchange, asker } = digests;
+  exchange.take(told, asker);
+  return { positions, digests: exchange.seenWithout(asker) };
+}
+
+function positionsOf(answer: WireValue): WireValue {
+  return fieldsOf(answer)?.positions ?? answer;
 }
 
 /** The services that are asked for; undefined for what is not in its form. */
--- a/src/direct/request-trace.ts
+++ b/src/direct/request-trace.ts
@@ -16,6 +16,9 @@
       readonly isTrusted: boolean;
       readonly after: Position | undefined;
       readonly sampleAgeMs: Milliseconds | undefined;
+      /** Expected time of its answer, and of those that were passed by; where placement is by the fleet's view. */
+      readonly expectedMs?: Milliseconds | undefined;
+      readonly passedBy?: Readonly<Record<string, Milliseconds>> | undefined;
     }
   /** No instance may get it now. */
   | {
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -2,9 +2,10 @@
 import { connectionsPerOwner, RESERVED_CONNECTIONS } from '../core/ownership/connection-sharing.js';
 import type { OwnerRoster } from '../core/ownership/owner-roster.js';
 import { UNSETTLED_SHARE, unsettledConnections } from '../core/ownership/unsettled-share.js';
+import type { PlacedInstance } from '../core/placement/expected-time.js';
 import type { Position } from '../core/position.js';
 import { isOtherLife } from '../core/promotion/lives.js';
-import { type InstanceLoad, rankInstances } from '../core/statements/instance-choice.js';
+import { rankInstances } from '../core/statements/instance-choice.js';
 import { type PositionSample, PositionSamples } from '../core/statements/position-samples.js';
 import type { KnownPrimary } from '../core/statements/primary-evidence.js';
 import type { Milliseconds } from '../core/units.js';
@@ -67,7 +68,7 @@
 }
 
 /** One instance with its pool, as a candidate for reads. */
-export interface InstanceRuntime extends InstanceLoad {
+export interface InstanceRuntime extends PlacedInstance {
   readonly pool: InstancePool;
   /** Whether it may get new work. */
   isUsable(now: Milliseconds): boolean;
@@ -118,6 +119,10 @@
     return this.pool.health.answerMs;
   }
 
+  get slots(): number {
+    return this.pool.instance.slots;
+  }
+
   get avoidUntil(): Milliseconds {
     return this.pool.isUnreachable ? Number.POSITIVE_INFINITY : this.pool.health.avoidUntil;
   }
--- a/src/direct/snapshots/service.ts
+++ b/src/direct/snapshots/service.ts
@@ -71,8 +71,8 @@
   readonly node: SnapshotNode;
   /** A node wants to follow a prefix of the store through this one. */
   onStream(header: WireValue, stream: PeerStream): void;
-  /** Answers questions of other methods; undefined if it knows none of this name. */
-  onCall(method: string, body: WireValue): WireValue | undefined;
+  /** Answers a node's questions of other methods; undefined if it knows none of this name. */
+  onCall(method: string, body: WireValue, asker: string): WireValue | undefined;
   now(): Milliseconds;
   /** A number in [0, 1). */
   random(): number;
@@ -184,8 +184,8 @@
   #handlers(): PeerHandlers {
     return {
       onStream: (header, stream) => this.options.onStream(header, stream),
-      onCall: async (method, body) =>
-        this.options.onCall(method, body) ?? this.#answer(method, body),
+      onCall: async (method, body, { nodeId }) =>
+        this.options.onCall(method, body, nodeId) ?? this.#answer(method, body),
     };
   }
 
--- a/src/direct/statement-attempts.ts
+++ b/src/direct/statement-attempts.ts
@@ -178,7 +178,7 @@
   ): Attempt {
     const { now, targets } = this.options;
     if (after !== undefined) targets.noteAnswer(instance.id, after, answer.error?.code);
-    instance.pool.health.noteOutcome(answer.error?.code, now() - sentAt);
+    instance.pool.health.noteOutcome(answer.error?.code, now() - sentAt, request.access);
     if (answer.error === undefined) {
       request.service.noteAnswer(instance, sentAt, answer.position);
       if (instance.primary) this.options.feedback.noteSuccess(request.service, request.access);
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from '../core/units.js';
 import { Cancellation } from './cancellation.js';
 import { CommitTrust, WITHHELD } from './commit-trust.js';
+import type { FleetPlacement } from './fleet-placement.js';
 import { InstanceFeedback } from './instance-feedback.js';
 import type { PrimaryView } from './promotion/contract.js';
 import type { InstanceRuntime } from './service-runtime.js';
@@ -31,6 +32,7 @@
   readonly wire: StatementWire;
   readonly view: PrimaryView;
   readonly prover: TrustProver;
+  readonly placement?: FleetPlacement | undefined;
   readonly now: () => Milliseconds;
   readonly random: () => number;
 }
--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -6,8 +6,9 @@
 import type { StatementErrorCode } from '../core/statements/statement.js';
 import type { Milliseconds } from '../core/units.js';
 import type { RouteDescription } from './contract.js';
+import type { FleetPlacement } from './fleet-placement.js';
 import type { PrimaryView } from './promotion/contract.js';
-import type { RequestTrace } from './request-trace.js';
+import type { RequestTrace, TraceStep } from './request-trace.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import type { StatementsUnderWay } from './statements-under-way.js';
 import type { Tenant } from './tenant.js';
@@ -50,11 +51,15 @@
 export interface Target {
   readonly instance: InstanceRuntime;
   readonly after: Position | undefined;
+  /** Expected times of the instances it was chosen from, by their ids. */
+  readonly expected?: ReadonlyMap<string, Milliseconds> | undefined;
 }
 
 export interface TargetChooserOptions {
   readonly view: PrimaryView;
   readonly prover: TrustProver;
+  /** Orders the instances that may serve a read; without it each node ranks them by its own sight. */
+  readonly placement?: FleetPlacement | undefined;
   readonly now: () => Milliseconds;
 }
 
@@ -83,9 +88,10 @@
     }
     const sampledAt = service.samples.newestAt();
     const sampleAgeMs = sampledAt === undefined ? undefined : Math.round(now() - sampledAt);
-    const { instance, after } = target;
+    const { instance, after, expected } = target;
     const isPrimary = instance.id === primary;
-    trace.note({ step: 'chosen', instance: instance.id, isPrimary, isTrusted, after, sampleAgeMs });
+    const chosen = { step: 'chosen', instance: instance.id, isPrimary, isTrusted } as const;
+    trace.note({ ...chosen, after, sampleAgeMs, ...timesOf(instance.id, expected) });
   }
 
   #choose(placement: Placement, excluded: ReadonlySet<string>): Target | undefined {
@@ -94,9 +100,26 @@
     if (needsPrimary(placement, required)) return this.#primaryTarget(placement, required, now);
     const readable = placement.service.readable(now);
     const current = readable.filter(({ id }) => !this.lag.isBehind(id, required, now));
-    const ranked = rankInstances(current.length > 0 ? current : readable, now);
-    const instance = ranked.find((candidate) => !excluded.has(candidate.id)) ?? ranked[0];
-    return instance === undefined ? undefined : { instance, after: required };
+    const candidates = current.length > 0 ? current : readable;
+    const open = candidates.filter(({ id }) => !excluded.has(id));
+    const chosen = this.#first(placement, open.length > 0 ? open : candidates, excluded.size === 0);
+    return chosen && { ...chosen, after: required };
+  }
+
+  /** The one of these that a read goes to. */
+  #first(
+    { service }: Placement,
+    candidates: readonly InstanceRuntime[],
+    isFirstTry: boolean,
+  ): Pick<Target, 'instance' | 'expected'> | undefined {
+    const placed = this.options.placement?.rank(service.name, candidates, isFirstTry);
+    if (placed === undefined) {
+      const instance = rankInstances(candidates, this.options.now())[0];
+      return instance && { instance };
+    }
+    const instance = placed[0]?.candidate;
+    const expected = new Map(placed.map((one) => [one.candidate.id, one.expectedMs]));
+    return instance && { instance, expected };
   }
 
   /** Whether a target chosen some time ago may still be used, and the position it needs now. */
@@ -140,6 +163,17 @@
   }
 }
 
+/** What an instance was chosen by, and those that were passed by. */
+function timesOf(
+  chosenId: string,
+  expected: ReadonlyMap<string, Milliseconds> | undefined,
+): Pick<Extract<TraceStep, { step: 'chosen' }>, 'expectedMs' | 'passedBy'> {
+  if (expected === undefined) return {};
+  const others = [...expected].filter(([id]) => id !== chosenId);
+  const passedBy = Object.fromEntries(others.map(([id, time]) => [id, Math.round(time)]));
+  return { expectedMs: Math.round(expected.get(chosenId) ?? 0), passedBy };
+}
+
 function reads({ access, isTransaction }: Placement): boolean {
   return access === 'read' || isTransaction === true;
 }
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -246,7 +246,7 @@
         this.runner.feedback.noteNoAnswer({ request: this, instance, connection, answer, sentAt });
         return refuse('aborted', 'the connection to the instance ended');
       }
-      instance.pool.health.noteOutcome(answer.value.error?.code, now() - sentAt);
+      instance.pool.health.noteOutcome(answer.value.error?.code, now() - sentAt, request.access);
       if (!mayRepeat(answer.value) || now() >= request.deadline) {
         return { type: 'answered', answer: answer.value };
       }
