--- a/test/support/steady-health.ts
+++ b/test/support/steady-health.ts
@@ -14,5 +14,7 @@
     watchAnswer: () => () => {},
     noteOutcome: () => {},
     noteBusy: () => {},
+    noteFailed: () => {},
+    noteWait: () => {},
   };
 }
