--- a/src/core/fleet/fleet-digests.ts
+++ b/src/core/fleet/fleet-digests.ts
@@ -1,7 +1,7 @@
 /**
  * Knowledge of instances over the fleet: what this node saw itself and what other nodes told, merged by the number of
- * observations and their age. Answer times merge by a weighted median and each observer's weight is bounded, so that
- * one node with a bad link, or one that lies, moves no instance. No I/O and no clock.
+ * observations and their age. Observers merge by weighted medians and each one's weight is bounded, so that a few with
+ * bad links, or that lie, move no instance. No I/O and no clock.
  */
 import type { Milliseconds } from '../units.js';
 import {
@@ -16,10 +16,14 @@
 
 /** Older observations say nothing of now. */
 export const OLDEST_MS: Milliseconds = 2500;
+/** Load changes within a second: what is older by this weighs half. */
+const HALF_LIFE_MS: Milliseconds = 500;
 /** A node can't have waited longer for one answer: deadlines of callers are shorter. */
 const LONGEST_TIME_MS: Milliseconds = 60_000;
 /** Statements that one node sees at one instance within a second at most. */
 const MOST_PER_OBSERVER = 2000;
+/** So many times the weight of a usual source is the most that one may have. */
+const MOST_OF_USUAL_WEIGHT = 2;
 /** Observers of one digest at most. */
 const MOST_OBSERVERS = 10_000;
 
@@ -121,7 +125,7 @@
 }
 
 function sourceOf(digest: InstanceDigest, ageMs: Milliseconds): Source {
-  const freshness = 0.5 ** (ageMs / 500);
+  const freshness = 0.5 ** (ageMs / HALF_LIFE_MS);
   return { digest: { ...digest, ageMs }, freshness, share: 1 };
 }
 
@@ -129,30 +133,35 @@
   return observationsOf(digest) * freshness * share;
 }
 
-/** Beside two others or more, no source weighs more than all of them together. */
+/** Beside two others or more, no source weighs more than a few usual ones. */
 function bounded(sources: readonly Source[]): Source[] {
   if (sources.length < 3) return [...sources];
-  const total = sources.reduce((sum, source) => sum + weightOf(source), 0);
+  const weights = sources.map(weightOf).sort((left, right) => left - right);
+  const most = MOST_OF_USUAL_WEIGHT * (weights[Math.floor(weights.length / 2)] ?? 0);
   return sources.map((source) => {
     const weight = weightOf(source);
-    const others = total - weight;
-    return weight <= others ? source : { ...source, share: others / weight };
+    return weight <= most ? source : { ...source, share: most / weight };
   });
 }
 
+/** Medians, also of the parts that were refused or failed: no minority of the observers moves them far. */
 function merge(sources: readonly Source[], part: (source: Source) => number): FleetView {
-  const sum = (field: 'answered' | 'refused' | 'failed'): number =>
-    sources.reduce((total, one) => total + one.digest[field] * part(one) * one.share, 0);
-  const median = (field: 'answerMs' | 'waitMs', used: readonly Source[]): Milliseconds =>
-    weightedMedian(used.map((one) => ({ value: one.digest[field], weight: weightOf(one) })));
+  const observed = sources.reduce(
+    (total, one) => total + observationsOf(one.digest) * part(one) * one.share,
+    0,
+  );
+  const median = (measure: (digest: InstanceDigest) => number, used = sources): number =>
+    weightedMedian(used.map((one) => ({ value: measure(one.digest), weight: weightOf(one) })));
+  const refusedShare = median((digest) => digest.refused / observationsOf(digest));
+  const failedShare = median((digest) => digest.failed / observationsOf(digest));
   const timed = sources.filter(({ digest }) => digest.answerMs > 0);
   return {
     observers: sources.reduce((total, { digest }) => total + digest.observers, 0),
-    answered: sum('answered'),
-    refused: sum('refused'),
-    failed: sum('failed'),
-    answerMs: median('answerMs', timed),
-    waitMs: median('waitMs', sources),
+    answered: observed * Math.max(0, 1 - refusedShare - failedShare),
+    refused: observed * refusedShare,
+    failed: observed * failedShare,
+    answerMs: median(({ answerMs }) => answerMs, timed),
+    waitMs: median(({ waitMs }) => waitMs),
   };
 }
 
@@ -167,7 +176,8 @@
   const { ageMs, observers, answered, refused, failed, answerMs, waitMs } = digest;
   const isCounted = observers >= 1 && observers <= MOST_OBSERVERS;
   const hasCounts = [answered, refused, failed].every((count) => count >= 0);
-  const isWithinBounds = observationsOf(digest) <= MOST_PER_OBSERVER * observers;
+  const observed = observationsOf(digest);
+  const isWithinBounds = observed > 0 && observed <= MOST_PER_OBSERVER * observers;
   const hasTimes = [answerMs, waitMs].every((time) => time >= 0 && time <= LONGEST_TIME_MS);
   return isCounted && ageMs >= 0 && hasCounts && isWithinBounds && hasTimes;
 }
--- a/src/direct/readers/digest-messages.ts
+++ b/src/direct/readers/digest-messages.ts
@@ -5,7 +5,7 @@
 import type { WireValue } from '../../peer/contract.js';
 
 /** Rows of one message, some 20 bytes each. */
-const MAX_ROWS = 20;
+const MAX_ROWS = 18;
 /** Times travel in tenths of a millisecond. */
 const TIME_UNITS_PER_MS = 10;
 const ROW_LENGTH = 8;
--- /dev/null
+++ b/test/property/placement-fleet.test.ts
@@ -0,0 +1,202 @@
+/**
+ * Reads of whole fleets in virtual time, while one of a service's instances is slow, flaps, fails what it is asked, or
+ * one zone has twice the demand: placement by the fleet's view beside a choice that knows everything, and beside
+ * ranking by each node's own sight.
+ */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { InstanceDigest } from '../../src/core/fleet/instance-digest.js';
+import {
+  type Condition,
+  type FleetPlay,
+  type PlayedRead,
+  percentile,
+  playFleet,
+} from '../support/placement-fleet.js';
+
+const SEEDS = [7, 8, 9];
+const SIZES = [1, 36, 91];
+const SECONDS = 10;
+/** When an instance falls ill, and when that should have been learned. */
+const STEP_AT = 3000;
+const LEARNED_AT = STEP_AT + 1000;
+const ILL = 2;
+/** The letter's bounds. */
+const MOST_OF_BEST_P99 = 1.5;
+const MOST_AT_ILL = 0.02;
+const MOST_APART = 0.15;
+
+const EVEN = [200, 200, 200];
+/** So that the two others can take the whole of it. */
+const FOR_TWO = [150, 150, 150];
+const UNEVEN = [400, 200, 200];
+
+type Case = Pick<FleetPlay, 'perSecond' | 'condition' | 'passOn'>;
+
+function ill(condition: (now: number) => Condition): FleetPlay['condition'] {
+  return (_service, index, now) => (index === ILL && now >= STEP_AT ? condition(now) : {});
+}
+
+const SLOW: Case = { perSecond: FOR_TWO, condition: ill(() => ({ slowness: 7 })) };
+/** Down and up by turns of 1.4 s. */
+const FLAPPING: Case = {
+  perSecond: FOR_TWO,
+  condition: ill((now) => ({ isDown: Math.floor((now - STEP_AT) / 1400) % 2 === 0 })),
+};
+const FAILING: Case = { perSecond: FOR_TWO, condition: ill(() => ({ failing: 0.6 })) };
+
+function play(policy: FleetPlay['policy'], nodes: number, seed: number, one: Case, services = 1) {
+  const { reads, groups } = playFleet({
+    ...{ policy, nodes, services, seconds: SECONDS, seed, ...one },
+  });
+  const learned = reads.filter(({ at }) => at >= LEARNED_AT && at < SECONDS * 1000 - 500);
+  return { reads: learned, groups };
+}
+
+function shareAtIll(reads: readonly PlayedRead[]): number {
+  return reads.filter(({ first }) => first === ILL).length / reads.length;
+}
+
+function forEachFleet(check: (nodes: number, seed: number) => void, sizes = SIZES): void {
+  for (const nodes of sizes) for (const seed of SEEDS) check(nodes, seed);
+}
+
+/** The slowest hundredth of reads takes no more than half as long again as with the best choice. */
+function assertNearBest(one: Case): void {
+  forEachFleet((nodes, seed) => {
+    const best = percentile(play('all-knowing', nodes, seed, one).reads, 0.99);
+    const p99 = percentile(play('fleet', nodes, seed, one).reads, 0.99);
+    assert.ok(p99 <= MOST_OF_BEST_P99 * best, `${nodes} nodes, seed ${seed}: ${p99} of ${best}`);
+  });
+}
+
+test('reads are nearly as quick as by a choice that knows everything, with even demand', () => {
+  assertNearBest({ perSecond: EVEN });
+});
+
+test('the same while one zone has twice the demand', () => {
+  assertNearBest({ perSecond: UNEVEN });
+});
+
+test('the same a second after an instance became seven times slower, and while one flaps or fails', () => {
+  for (const one of [SLOW, FLAPPING, FAILING]) assertNearBest(one);
+});
+
+test('a second after it fell ill, an instance gets under 2 % of the reads', () => {
+  for (const one of [SLOW, FAILING]) {
+    forEachFleet((nodes, seed) => {
+      const share = shareAtIll(play('fleet', nodes, seed, one).reads);
+      assert.ok(share < MOST_AT_ILL, `${nodes} nodes, seed ${seed}: ${share}`);
+    });
+  }
+});
+
+test('by their own sight, the nodes of large fleets send an ill instance several times as much', () => {
+  const sizes = SIZES.filter((nodes) => nodes > 1);
+  forEachFleet((nodes, seed) => {
+    const own = shareAtIll(play('ranked', nodes, seed, SLOW).reads);
+    const fleet = shareAtIll(play('fleet', nodes, seed, SLOW).reads);
+    assert.ok(own > 3 * fleet, `${nodes} nodes, seed ${seed}: ${own} ${fleet}`);
+  }, sizes);
+});
+
+test('instances of equal speed are used alike', () => {
+  forEachFleet(
+    (nodes, seed) => {
+      const { groups } = play('fleet', nodes, seed, { perSecond: EVEN });
+      const busy = (groups[0] ?? []).map(({ busyMs }) =>
+        busyMs.slice(1, SECONDS - 1).reduce((sum, ms) => sum + ms, 0),
+      );
+      const apart = 1 - Math.min(...busy) / Math.max(...busy);
+      assert.ok(apart <= MOST_APART, `${nodes} nodes, seed ${seed}: ${apart}`);
+    },
+    SIZES.filter((nodes) => nodes > 1),
+  );
+});
+
+/** Part of the reads that each instance gets in slices as long as the time between exchanges. */
+function sharesBySlice(reads: readonly PlayedRead[]): number[][] {
+  const slices = new Map<number, number[]>();
+  for (const { at, first } of reads) {
+    const index = Math.floor(at / 400);
+    const counts = slices.get(index) ?? [0, 0, 0];
+    counts[first] = (counts[first] ?? 0) + 1;
+    slices.set(index, counts);
+  }
+  return [...slices.values()]
+    .map((counts) => ({ counts, total: counts.reduce((sum, count) => sum + count, 0) }))
+    .filter(({ total }) => total > 100)
+    .map(({ counts, total }) => counts.map((count) => count / total));
+}
+
+test('the fleet does not move to and fro between instances', () => {
+  for (const one of [{ perSecond: EVEN }, { perSecond: UNEVEN }, SLOW]) {
+    forEachFleet(
+      (nodes, seed) => {
+        const shares = sharesBySlice(play('fleet', nodes, seed, one).reads);
+        for (const index of [0, 1, 2]) {
+          const ofOne = shares.map((share) => share[index] ?? 0);
+          const swing = Math.max(...ofOne) - Math.min(...ofOne);
+          assert.ok(swing < 0.35, `${nodes} nodes, seed ${seed}, ${index}: ${swing}`);
+        }
+      },
+      SIZES.filter((nodes) => nodes > 1),
+    );
+  }
+});
+
+test('eighteen instances of six services: one that is slow is left alone, the others are not', () => {
+  const slow: Case = {
+    perSecond: [75, 75, 75],
+    condition: (service, index, now) =>
+      service === 4 && index === ILL && now >= STEP_AT ? { slowness: 7 } : {},
+  };
+  const { reads } = play('fleet', 36, SEEDS[0] ?? 1, slow, 6);
+  for (let service = 0; service < 6; service += 1) {
+    const share = shareAtIll(reads.filter((read) => read.service === service));
+    if (service === 4) assert.ok(share < MOST_AT_ILL, String(share));
+    else assert.ok(share > 0.2, `${service}: ${share}`);
+  }
+});
+
+const TROUBLED_MESSAGES: Readonly<Record<string, NonNullable<Case['passOn']>>> = {
+  lost: () => [],
+  late: (digests) => digests.map((digest) => ({ ...digest, ageMs: digest.ageMs + 1500 })),
+  'of an earlier life': (digests) =>
+    digests.map((digest) => ({ ...digest, instanceId: `${digest.instanceId}@0` })),
+  nonsense: (digests) =>
+    digests.map((digest) => ({ ...digest, answered: -1, answerMs: Number.NaN })),
+};
+
+test('with digests lost, late, of an earlier life or nonsense, nodes go by their own sight and reads are served', () => {
+  for (const [name, passOn] of Object.entries(TROUBLED_MESSAGES)) {
+    for (const seed of SEEDS) {
+      const fleet = play('fleet', 36, seed, { ...SLOW, passOn });
+      const ranked = play('ranked', 36, seed, SLOW);
+      const [p99, own] = [fleet.reads, ranked.reads].map((reads) => percentile(reads, 0.99));
+      assert.ok((p99 ?? 0) <= 1.5 * (own ?? 0), `${name}, seed ${seed}: ${p99} ${own}`);
+      assert.ok(fleet.reads.length > 0.97 * ranked.reads.length, name);
+    }
+  }
+});
+
+test('a few nodes that lie about every instance do not hide the slow one', () => {
+  let told = 0;
+  /** Each sixth message: the slow one is said to be quick, the others slow and failing, by many observations. */
+  const passOn = (digests: readonly InstanceDigest[]): readonly InstanceDigest[] => {
+    told += 1;
+    if (told % 6 !== 0) return digests;
+    return digests.map((digest) => {
+      const isIll = digest.instanceId.endsWith(`-${ILL}`);
+      const told = { answered: 900, failed: isIll ? 0 : 900, answerMs: isIll ? 1 : 300 };
+      return { ...digest, ...told };
+    });
+  };
+  for (const seed of SEEDS) {
+    const { reads } = play('fleet', 36, seed, { ...SLOW, passOn });
+    const share = shareAtIll(reads);
+    assert.ok(share < MOST_AT_ILL, `seed ${seed}: ${share}`);
+  }
+});
+
+test.run();
--- /dev/null
+++ b/test/unit/direct/digest-exchange.test.ts
@@ -0,0 +1,141 @@
+/** Digests between nodes: their form, their bound of bytes, and what is not understood. */
+import { okAsync } from 'neverthrow';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { FleetDigests } from '../../../src/core/fleet/fleet-digests.js';
+import type { InstanceDigest } from '../../../src/core/fleet/instance-digest.js';
+import { instanceKey } from '../../../src/core/fleet/instance-key.js';
+import type { ReadersOfNode } from '../../../src/core/ownership/watch-readers.js';
+import type { InstanceEntry } from '../../../src/direct/contract.js';
+import { DigestExchange } from '../../../src/direct/readers/digest-exchange.js';
+import { encodeDigests, parseDigests } from '../../../src/direct/readers/digest-messages.js';
+import { answerPositions, ZonePositions } from '../../../src/direct/readers/zone-positions.js';
+import { encodeValue } from '../../../src/peer/codec.js';
+import type { PeerTransport, WireValue } from '../../../src/peer/contract.js';
+
+const NOW = 50_000;
+const ASK_MS = 400;
+const MOST_BYTES_PER_SECOND = 1024;
+
+function entryOf(id: string): InstanceEntry {
+  return { id, service: 'ledger' } as InstanceEntry;
+}
+
+function digestOf(id: string, changes: Partial<InstanceDigest> = {}): InstanceDigest {
+  return {
+    ...{ service: 'ledger', instanceId: id, ageMs: 200, observers: 12 },
+    ...{ answered: 123, refused: 4, failed: 5, answerMs: 12.3, waitMs: 0.4 },
+    ...changes,
+  };
+}
+
+/** A node that knows these instances. */
+function nodeOf(ids: readonly string[]) {
+  const digests = new FleetDigests();
+  const instances = () => ids.map(entryOf);
+  return { digests, exchange: new DigestExchange({ digests, instances, now: () => NOW }) };
+}
+
+function rowOf(id: string, changes: Partial<InstanceDigest> = {}): number[] {
+  const [row] = encodeDigests([digestOf(id, changes)]) as number[][];
+  return row ?? [];
+}
+
+test('what is told is what is heard', () => {
+  const rows = parseDigests(encodeDigests([digestOf('i-1')]));
+  const { instanceId, service: _service, ...told } = digestOf('i-1');
+  assert.equal(rows, [{ key: instanceKey(instanceId), ...told }]);
+});
+
+test('a message stays below its bound of bytes, however many instances there are', () => {
+  for (const count of [18, 60, 300]) {
+    const ids = Array.from({ length: count }, (_, index) => `i-${index}@1780000000`);
+    const large = { ageMs: 2400, answered: 1900, answerMs: 1234.5, waitMs: 99.9 };
+    const message = encodeDigests(ids.map((id) => digestOf(id, large)));
+    const bytes = encodeValue(message, 1_000_000).length;
+    assert.ok((bytes * 1000) / ASK_MS < MOST_BYTES_PER_SECOND, `${count}: ${bytes}`);
+  }
+});
+
+test('nonsense is counted and left out, and so is what is old or of an earlier life', () => {
+  const { digests, exchange } = nodeOf(['i-1@2']);
+  for (const nonsense of [17, 'x', {}, [3], [['a']], [[1, 2, 3]], [rowOf('i-1@2').map(String)]]) {
+    exchange.take(nonsense, 'n1');
+  }
+  assert.is(exchange.counters.malformed, 7);
+  exchange.take([rowOf('i-1@1')], 'n1');
+  assert.is(exchange.counters.unknownInstance, 1);
+  exchange.take([rowOf('i-1@2', { ageMs: 9000 })], 'n1');
+  assert.is(exchange.counters.stale, 1);
+  exchange.take([rowOf('i-1@2', { answered: 99_000_000 })], 'n1');
+  assert.is(exchange.counters.implausible, 1);
+  assert.is(digests.seenBy('i-1@2', NOW), undefined);
+  exchange.take([[...rowOf('i-1@2'), 7, 'of a later version']], 'n1');
+  assert.is(exchange.counters.taken, 1);
+  assert.is(Math.round(digests.seenBy('i-1@2', NOW)?.answerMs ?? 0), 12);
+});
+
+/** A node and a reader of its zone that asks and answers as versions of this gateway do. */
+function zoneOf(reader: (question: WireValue) => WireValue | undefined) {
+  const node = nodeOf(['i-1', 'i-2']);
+  const world = { now: NOW, asked: [] as number[] };
+  const transport = {
+    call: ({ port }: { port: number }, method: string, question: WireValue) => {
+      world.asked.push(port);
+      assert.is(method, 'direct/positions');
+      return okAsync(reader(question));
+    },
+  } as unknown as PeerTransport;
+  const readers: ReadersOfNode = {
+    type: 'others',
+    readers: [1, 2].map((port) => ({ nodeId: `r${port}`, zone: 'a', host: '10.0.0.1', port })),
+  };
+  const zone = new ZonePositions({
+    ...{ transport: () => transport, readers: () => readers, now: () => world.now },
+    ...{ random: () => 0, exchange: node.exchange },
+  });
+  return { ...node, zone, world };
+}
+
+test('a node hears through its reader what another one saw, from each reader in turn', async () => {
+  const other = nodeOf(['i-1', 'i-2']);
+  other.digests.noteOwn('ledger', 'i-2', { type: 'answered', answerMs: 80 }, NOW);
+  const answer = (question: WireValue) =>
+    answerPositions('direct/positions', question, () => [], {
+      exchange: other.exchange,
+      asker: 'n1',
+    });
+  const { zone, digests, world } = zoneOf(answer);
+  digests.noteOwn('ledger', 'i-1', { type: 'failed' }, NOW);
+  assert.not(zone.isFleetSeen());
+  assert.ok(zone.tellsDigests);
+  await zone.ask([]);
+  await zone.ask([]);
+  assert.equal(world.asked, [1, 2]);
+  assert.ok(zone.isFleetSeen());
+  assert.is(digests.seenBy('i-2', NOW)?.answerMs, 80);
+  assert.ok((other.digests.seenBy('i-1', NOW)?.failed ?? 0) > 0);
+  world.now += 2500;
+  assert.not(zone.isFleetSeen());
+});
+
+test('a reader of an earlier version answers without digests, and its positions count as before', async () => {
+  const { zone } = zoneOf(() => [
+    { service: 'ledger', instanceId: 'i-1', position: { timeline: 3, lsn: '17' }, ageMs: 20 },
+  ]);
+  const told = await zone.ask(['ledger']);
+  assert.is(told.length, 1);
+  assert.not(zone.isFleetSeen());
+});
+
+test('a node of an earlier version gets the answer that it knows', () => {
+  const { exchange } = nodeOf(['i-1']);
+  const question = { services: ['ledger'] };
+  const digests = { exchange, asker: 'n1' };
+  assert.equal(
+    answerPositions('direct/positions', question, () => [], digests),
+    [],
+  );
+});
+
+test.run();
--- /dev/null
+++ b/test/unit/ejection.test.ts
@@ -0,0 +1,118 @@
+/** Which instances get no reads for a while, and how they come back. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { FleetView } from '../../src/core/fleet/instance-digest.js';
+import { Ejections, FIRST_PAUSE_MS } from '../../src/core/placement/ejection.js';
+
+const NODES = 10;
+/** A fleet of ten sends one request in so long to an instance in probation; each node a tenth of them. */
+const PROBE_INTERVAL_MS = 1000;
+
+function viewOf(changes: Partial<FleetView> = {}): FleetView {
+  return {
+    ...{ observers: 4, answered: 40, refused: 0, failed: 0, answerMs: 10, waitMs: 0 },
+    ...changes,
+  };
+}
+
+const WELL = viewOf();
+const SLOW = viewOf({ answerMs: 75 });
+const FAILING = viewOf({ answered: 10, failed: 10 });
+
+function ejections() {
+  return new Ejections({ nodeCount: () => NODES, random: () => 0 });
+}
+
+/** A service by what is seen of its instances, named in their order. */
+function serviceOf(...views: readonly (FleetView | undefined)[]) {
+  return views.map((seen, index) => ({ id: `i-${index}`, seen }));
+}
+
+function typesOf(events: readonly { readonly type: string; readonly instanceId: string }[]) {
+  return events.map(({ type, instanceId }) => `${instanceId} ${type}`);
+}
+
+test('an instance that is several times slower than the others is ejected, and so is one that fails', () => {
+  assert.equal(typesOf(ejections().evaluate(serviceOf(WELL, SLOW, WELL), 0)), ['i-1 ejected']);
+  const failing = ejections().evaluate(serviceOf(WELL, WELL, FAILING), 0);
+  assert.equal(typesOf(failing), ['i-2 ejected']);
+  assert.is(failing[0]?.reason, 'failing');
+});
+
+test('too little evidence, little difference, or nothing to compare with eject nobody', () => {
+  const cases = [
+    serviceOf(WELL, viewOf({ answerMs: 75, answered: 4 }), WELL),
+    serviceOf(WELL, viewOf({ answerMs: 25 }), WELL),
+    serviceOf(viewOf({ answerMs: 1 }), viewOf({ answerMs: 20 }), viewOf({ answerMs: 1 })),
+    serviceOf(undefined, SLOW, undefined),
+    serviceOf(SLOW),
+    serviceOf(WELL, undefined, WELL),
+  ];
+  for (const service of cases) assert.equal(ejections().evaluate(service, 0), []);
+});
+
+test('an illness that all instances share ejects nobody', () => {
+  assert.equal(ejections().evaluate(serviceOf(FAILING, FAILING, FAILING), 0), []);
+  assert.equal(ejections().evaluate(serviceOf(SLOW, SLOW, SLOW), 0), []);
+});
+
+test('a service keeps the most of its instances', () => {
+  const ejectedOf = (...views: readonly FleetView[]) => {
+    const group = ejections();
+    group.evaluate(serviceOf(...views), 0);
+    return group.count;
+  };
+  assert.is(ejectedOf(FAILING, WELL), 0);
+  assert.is(ejectedOf(FAILING, FAILING, WELL), 1);
+  assert.is(ejectedOf(SLOW, FAILING, WELL, WELL), 1);
+  assert.is(ejectedOf(FAILING, FAILING, FAILING, WELL, WELL), 2);
+});
+
+test('after its pause it gets few probes, and is back once they are answered well', () => {
+  const group = ejections();
+  group.evaluate(serviceOf(WELL, SLOW, WELL), 0);
+  assert.not(group.takeProbe('i-1', FIRST_PAUSE_MS - 1));
+  assert.equal(group.evaluate(serviceOf(WELL, undefined, WELL), FIRST_PAUSE_MS - 1), []);
+  const due = group.evaluate(serviceOf(WELL, undefined, WELL), FIRST_PAUSE_MS);
+  assert.equal(typesOf(due), ['i-1 probation']);
+  assert.ok(group.takeProbe('i-1', FIRST_PAUSE_MS));
+  assert.not(group.takeProbe('i-1', FIRST_PAUSE_MS + PROBE_INTERVAL_MS - 1));
+  assert.ok(group.takeProbe('i-1', FIRST_PAUSE_MS + PROBE_INTERVAL_MS));
+  const few = serviceOf(WELL, viewOf({ answered: 2 }), WELL);
+  assert.equal(group.evaluate(few, FIRST_PAUSE_MS + 1100), []);
+  assert.ok(group.isEjected('i-1'));
+  const enough = serviceOf(WELL, viewOf({ answered: 4 }), WELL);
+  assert.equal(typesOf(group.evaluate(enough, FIRST_PAUSE_MS + 1200)), ['i-1 returned']);
+  assert.not(group.isEjected('i-1'));
+});
+
+test('pauses double with each ejection, also over a flap, and are short again after a long time well', () => {
+  const group = ejections();
+  const service = serviceOf(WELL, FAILING, WELL);
+  let now = 0;
+  const pauses: number[] = [];
+  for (let round = 0; round < 4; round += 1) {
+    const [event] = group.evaluate(service, now);
+    pauses.push(event?.pauseMs ?? 0);
+    now += event?.pauseMs ?? 0;
+    group.evaluate(serviceOf(WELL, undefined, WELL), now);
+    // Every other time it passes its probation, and fails again a little later.
+    if (round % 2 === 0) continue;
+    now += 200;
+    group.evaluate(serviceOf(WELL, WELL, WELL), now);
+    now += 500;
+  }
+  const first = FIRST_PAUSE_MS;
+  assert.equal(pauses, [first, first * 2, first * 4, Math.min(20_000, first * 8)]);
+  group.evaluate(serviceOf(WELL, WELL, WELL), now);
+  assert.is(group.evaluate(service, now + 60_000)[0]?.pauseMs, first);
+});
+
+test('an instance that is gone is forgotten', () => {
+  const group = ejections();
+  group.evaluate(serviceOf(WELL, SLOW, WELL), 0);
+  group.evaluate([{ id: 'i-0', seen: WELL }], 100);
+  assert.is(group.count, 0);
+});
+
+test.run();
--- /dev/null
+++ b/test/unit/fleet-digests.test.ts
@@ -0,0 +1,117 @@
+/** What a node makes of observations, its own and told ones. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { FleetDigests, OLDEST_MS } from '../../src/core/fleet/fleet-digests.js';
+import type { InstanceDigest } from '../../src/core/fleet/instance-digest.js';
+import { weightedMedian } from '../../src/core/fleet/weighted-median.js';
+
+const NOW = 100_000;
+
+function digestOf(changes: Partial<InstanceDigest> = {}): InstanceDigest {
+  return {
+    ...{ service: 'ledger', instanceId: 'i-1', ageMs: 0, observers: 1 },
+    ...{ answered: 10, refused: 0, failed: 0, answerMs: 10, waitMs: 0 },
+    ...changes,
+  };
+}
+
+test('own observations make a digest, and are gone after little more than a second', () => {
+  const digests = new FleetDigests();
+  for (const answerMs of [8, 12, undefined]) {
+    digests.noteOwn('ledger', 'i-1', { type: 'answered', answerMs }, NOW);
+  }
+  digests.noteOwn('ledger', 'i-1', { type: 'refused' }, NOW + 300);
+  digests.noteOwn('ledger', 'i-1', { type: 'failed' }, NOW + 300);
+  digests.noteOwn('ledger', 'i-1', { type: 'started', waitMs: 4 }, NOW + 300);
+  const [digest] = digests.own(NOW + 400);
+  const { answered, refused, failed, answerMs, waitMs } = digest ?? digestOf({ answered: -1 });
+  const seen = { answered, refused, failed, answerMs, waitMs };
+  assert.equal(seen, { answered: 3, refused: 1, failed: 1, answerMs: 10, waitMs: 4 });
+  assert.is(digests.own(NOW + 1600).length, 0);
+  assert.is(digests.seenBy('i-1', NOW + 1600), undefined);
+});
+
+test('many weak observations outweigh a single strong one that differs', () => {
+  const digests = new FleetDigests();
+  for (let node = 0; node < 12; node += 1) {
+    digests.noteTold(digestOf({ answered: 4, answerMs: 70 }), `n${node}`, NOW);
+  }
+  digests.noteTold(digestOf({ answered: 1900, answerMs: 1 }), 'liar', NOW);
+  const view = digests.seenBy('i-1', NOW);
+  assert.ok((view?.answerMs ?? 0) > 30, JSON.stringify(view));
+  assert.ok((view?.answered ?? 0) <= 2 * 12 * 4, JSON.stringify(view));
+});
+
+test('a node that reports failures alone does not make an instance fail', () => {
+  const digests = new FleetDigests();
+  for (let node = 0; node < 11; node += 1) digests.noteTold(digestOf(), `n${node}`, NOW);
+  digests.noteTold(digestOf({ answered: 0, failed: 20, answerMs: 0 }), 'bad link', NOW);
+  const view = digests.seenBy('i-1', NOW);
+  assert.ok((view?.failed ?? 0) < 0.2 * (view?.answered ?? 0), JSON.stringify(view));
+});
+
+test('digests weigh less with age, and old ones nothing', () => {
+  const digests = new FleetDigests();
+  digests.noteTold(digestOf({ answerMs: 70, ageMs: 1500 }), 'late', NOW);
+  digests.noteTold(digestOf({ answerMs: 10 }), 'fresh', NOW);
+  assert.ok((digests.seenBy('i-1', NOW)?.answerMs ?? 100) < 30);
+  assert.is(digests.noteTold(digestOf({ ageMs: OLDEST_MS }), 'late', NOW), 'stale');
+  assert.is(digests.seenBy('i-1', NOW + OLDEST_MS), undefined);
+});
+
+test('impossible figures are refused', () => {
+  const digests = new FleetDigests();
+  const nonsense: Partial<InstanceDigest>[] = [
+    { ageMs: -1 },
+    { observers: 0 },
+    { answered: -5 },
+    { answered: 1e9 },
+    { answerMs: -3 },
+    { waitMs: 1e9 },
+    { observers: 1e9, answered: 1e9 },
+  ];
+  for (const changes of nonsense) {
+    assert.is(
+      digests.noteTold(digestOf(changes), 'n', NOW),
+      'implausible',
+      JSON.stringify(changes),
+    );
+  }
+  assert.is(digests.seenBy('i-1', NOW), undefined);
+});
+
+test('a node is told what others saw, and not its own part once more', () => {
+  const reader = new FleetDigests();
+  reader.noteOwn('ledger', 'i-1', { type: 'answered', answerMs: 10 }, NOW);
+  reader.noteTold(digestOf({ answered: 7 }), 'n1', NOW);
+  reader.noteTold(digestOf({ answered: 5, instanceId: 'i-2' }), 'n1', NOW);
+  const answeredOf = (listener: string) =>
+    reader.toldTo(listener, NOW).map(({ instanceId, answered }) => `${instanceId}: ${answered}`);
+  assert.equal(answeredOf('n1'), ['i-1: 1']);
+  assert.equal(answeredOf('n2'), ['i-1: 8', 'i-2: 5']);
+});
+
+test('told digests are the newest of each node, and gone instances are forgotten', () => {
+  const digests = new FleetDigests();
+  digests.noteTold(digestOf({ answered: 10 }), 'n1', NOW);
+  digests.noteTold(digestOf({ answered: 4 }), 'n1', NOW);
+  assert.is(digests.seenBy('i-1', NOW)?.answered, 4);
+  digests.forget(() => false, NOW);
+  assert.is(digests.seenBy('i-1', NOW), undefined);
+});
+
+test('a minority of the weight does not move a median far', () => {
+  assert.is(weightedMedian([]), 0);
+  assert.is(weightedMedian([{ value: 3, weight: 0.5 }]), 3);
+  assert.is(
+    weightedMedian([
+      { value: 9, weight: 1 },
+      { value: 1, weight: 1 },
+    ]),
+    5,
+  );
+  const most = { value: 10, weight: 8 };
+  assert.ok(weightedMedian([most, { value: 1000, weight: 1 }]) < 250);
+});
+
+test.run();
--- /dev/null
+++ b/test/unit/placement.test.ts
@@ -0,0 +1,122 @@
+/** Expected times, and which instance gets a read. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { FleetView } from '../../src/core/fleet/instance-digest.js';
+import { placeRead } from '../../src/core/placement/choice.js';
+import {
+  expectedMs,
+  type PlacedInstance,
+  usualAnswerMs,
+} from '../../src/core/placement/expected-time.js';
+import { ServicePlacement } from '../../src/core/placement/service-placement.js';
+import { seededRandom } from '../support/random.js';
+
+const NOW = 1000;
+const SAMPLES = 4000;
+
+function instanceOf(changes: Partial<PlacedInstance> = {}): PlacedInstance {
+  return {
+    ...{ id: 'i-1', sameZone: true, primary: false, slots: 4 },
+    ...{ outstanding: 0, answerMs: 10, avoidUntil: 0 },
+    ...changes,
+  };
+}
+
+function viewOf(changes: Partial<FleetView> = {}): FleetView {
+  return {
+    ...{ observers: 4, answered: 60, refused: 0, failed: 0, answerMs: 10, waitMs: 0 },
+    ...changes,
+  };
+}
+
+function timeOf(changes: Partial<PlacedInstance>, seen?: Partial<FleetView>): number {
+  return expectedMs(instanceOf(changes), seen && viewOf(seen), 10, NOW);
+}
+
+test('each thing that makes an answer later makes the expected time longer', () => {
+  const usual = timeOf({}, {});
+  assert.ok(timeOf({ outstanding: 1 }, {}) > usual);
+  assert.ok(timeOf({ sameZone: false }, {}) > usual);
+  assert.ok(timeOf({ primary: true }, {}) > usual);
+  assert.ok(timeOf({ avoidUntil: NOW + 1 }, {}) > usual);
+  for (const seen of [{ answerMs: 20 }, { waitMs: 5 }, { refused: 20 }, { failed: 20 }]) {
+    assert.ok(timeOf({}, seen) > usual, JSON.stringify(seen));
+  }
+});
+
+test('an instance of another zone is used once the own one answers half as late again, not 40 ms later', () => {
+  const elsewhere = timeOf({ sameZone: false }, { answerMs: 12 });
+  assert.ok(timeOf({}, { answerMs: 15 }) < elsewhere);
+  assert.ok(timeOf({}, { answerMs: 30 }) > elsewhere);
+});
+
+test('a primary costs more the more of its slots are in use', () => {
+  const idle = timeOf({ primary: true }, { answered: 4 });
+  assert.ok(timeOf({ primary: true }, { answered: 400 }) > 1.3 * idle);
+});
+
+test('what nobody asked lately is expected to be as quick as the best replica that is known', () => {
+  const instances = [
+    instanceOf({ id: 'slow', answerMs: 75 }),
+    instanceOf({ id: 'quick', answerMs: 25 }),
+    instanceOf({ id: 'primary', primary: true, answerMs: 3 }),
+  ];
+  const seenOf = new Map([['quick', viewOf({ answerMs: 11 })]]);
+  assert.is(usualAnswerMs(instances, seenOf), 11);
+  assert.is(expectedMs(instanceOf({ answerMs: 500 }), undefined, 11, NOW), 11);
+});
+
+/** How often each is chosen. */
+function sharesOf(times: readonly number[], zones: readonly boolean[], seed = 5): number[] {
+  const random = seededRandom(seed);
+  const candidates = times.map((time, index) => ({
+    candidate: { index, sameZone: zones[index] === true },
+    expectedMs: time,
+  }));
+  const counts = times.map(() => 0);
+  for (let read = 0; read < SAMPLES; read += 1) {
+    const index = placeRead(candidates, random)[0]?.candidate.index ?? 0;
+    counts[index] = (counts[index] ?? 0) + 1;
+  }
+  return counts.map((count) => count / SAMPLES);
+}
+
+test('equals share alike, so that a fleet that hears the same does not move at once', () => {
+  for (const share of sharesOf([10, 10, 10], [false, false, false])) {
+    assert.ok(share > 0.29 && share < 0.38, String(share));
+  }
+  const [quick = 0, slower = 0] = sharesOf([10, 11], [true, true]);
+  assert.ok(quick > slower && slower > 0.3, `${quick} ${slower}`);
+});
+
+test('one that is several times slower gets next to nothing', () => {
+  const [ill = 1] = sharesOf([75, 10, 10], [true, false, false]);
+  assert.ok(ill < 0.01, String(ill));
+});
+
+test('the zone is left to itself while its instance is as good as the others', () => {
+  const [near = 0] = sharesOf([10, 18, 18], [true, false, false]);
+  assert.ok(near > 0.95, String(near));
+});
+
+test('an ejected instance comes last, and stays the choice if it is the only one', () => {
+  const views = new Map([
+    ['i-0', viewOf()],
+    ['i-1', viewOf({ answerMs: 90 })],
+    ['i-2', viewOf()],
+  ]);
+  const placement = new ServicePlacement({
+    seenBy: (id) => views.get(id),
+    nodeCount: () => 1,
+    random: seededRandom(3),
+  });
+  const loads = ['i-1', 'i-0', 'i-2'].map((id) => instanceOf({ id, sameZone: id === 'i-1' }));
+  const [event] = placement.look(loads, 0);
+  assert.is(event?.type, 'ejected');
+  for (let read = 0; read < 100; read += 1) {
+    assert.is(placement.rank(loads, 1, true)[2]?.candidate.id, 'i-1');
+  }
+  assert.is(placement.rank(loads.slice(0, 1), 1, false)[0]?.candidate.id, 'i-1');
+});
+
+test.run();
