--- a/src/core/fleet/fleet-digests.ts
+++ b/src/core/fleet/fleet-digests.ts
@@ -17,7 +17,7 @@
 /** Older observations say nothing of now. */
 export const OLDEST_MS: Milliseconds = 2500;
 /** Load changes within a second: what is older by this weighs half. */
-const HALF_LIFE_MS: Milliseconds = 500;
+const HALF_LIFE_MS: Milliseconds = 250;
 /** A node can't have waited longer for one answer: deadlines of callers are shorter. */
 const LONGEST_TIME_MS: Milliseconds = 60_000;
 /** Statements that one node sees at one instance within a second at most. */
--- a/src/core/fleet/instance-digest.ts
+++ b/src/core/fleet/instance-digest.ts
@@ -1,4 +1,4 @@
-/** What one node, or several together, lately saw of an instance: a summary of about a second. */
+/** What one node, or several together, lately saw of an instance: a summary of half a second or a little more. */
 import type { Milliseconds } from '../units.js';
 
 /**
--- a/src/core/fleet/own-observations.ts
+++ b/src/core/fleet/own-observations.ts
@@ -1,9 +1,9 @@
-/** What this node saw of one instance in about the last second. No I/O and no clock. */
+/** What this node saw of one instance in little more than the last half second. No I/O and no clock. */
 import type { Milliseconds } from '../units.js';
 import type { InstanceDigest, InstanceObservation } from './instance-digest.js';
 
 const SLICE_MS: Milliseconds = 250;
-const SLICES = 4;
+const SLICES = 2;
 
 interface Slice {
   readonly index: number;
--- a/src/core/placement/choice.ts
+++ b/src/core/placement/choice.ts
@@ -10,8 +10,8 @@
   readonly expectedMs: Milliseconds;
 }
 
-/** How sharply a better instance is preferred: one of twice the time gets one read in 65. */
-const SHARPNESS = 6;
+/** How sharply a better instance is preferred: one of twice the time gets one read in 17. */
+const SHARPNESS = 4;
 
 /**
  * The candidates, the chosen one first, the others by their time.
--- a/src/core/placement/expected-time.ts
+++ b/src/core/placement/expected-time.ts
@@ -14,7 +14,7 @@
 
 export interface ExpectedTimeOptions {
   /** Traffic between zones is dear: how much sooner an instance of another zone has to answer. */
-  readonly otherZoneFactor: number;
+  readonly otherZoneFactor: 2;
   readonly otherZoneMs: Milliseconds;
   /** The same for a primary at rest, since some work can go nowhere else. */
   readonly primaryFactor: number;
@@ -31,7 +31,7 @@
 }
 
 export const DEFAULT_EXPECTED_TIME_OPTIONS: ExpectedTimeOptions = {
-  otherZoneFactor: 1.5,
+  otherZoneFactor: 2,
   otherZoneMs: 3,
   primaryFactor: 1.1,
   busyPrimaryFactor: 0.5,
