--- a/src/core/fleet/fleet-digests.ts
+++ b/src/core/fleet/fleet-digests.ts
@@ -22,6 +22,8 @@
 const LONGEST_TIME_MS: Milliseconds = 60_000;
 /** Statements that one node sees at one instance within a second at most. */
 const MOST_PER_OBSERVER = 2000;
+/** More observations of another node say no more, so that none can outweigh a fleet that sees little. */
+const MOST_TOLD_PER_OBSERVER = 5;
 /** So many times the weight of a usual source is the most that one may have. */
 const MOST_OF_USUAL_WEIGHT = 2;
 /** Observers of one digest at most. */
@@ -114,7 +116,9 @@
     const sources = own === undefined ? [] : [sourceOf(own, own.ageMs)];
     for (const [from, { digest, at }] of this.#told.get(instanceId) ?? []) {
       const ageMs = ageOf(digest, at, now);
-      if (from !== without && ageMs < OLDEST_MS) sources.push(sourceOf(digest, ageMs));
+      if (from === without || ageMs >= OLDEST_MS) continue;
+      const most = MOST_TOLD_PER_OBSERVER * digest.observers;
+      sources.push(sourceOf(digest, ageMs, Math.min(1, most / observationsOf(digest))));
     }
     return bounded(sources);
   }
@@ -124,9 +128,9 @@
   return ageMs + Math.max(0, now - at);
 }
 
-function sourceOf(digest: InstanceDigest, ageMs: Milliseconds): Source {
+function sourceOf(digest: InstanceDigest, ageMs: Milliseconds, share = 1): Source {
   const freshness = 0.5 ** (ageMs / HALF_LIFE_MS);
-  return { digest: { ...digest, ageMs }, freshness, share: 1 };
+  return { digest: { ...digest, ageMs }, freshness, share };
 }
 
 function weightOf({ digest, freshness, share }: Source): number {
@@ -140,7 +144,7 @@
   const most = MOST_OF_USUAL_WEIGHT * (weights[Math.floor(weights.length / 2)] ?? 0);
   return sources.map((source) => {
     const weight = weightOf(source);
-    return weight <= most ? source : { ...source, share: most / weight };
+    return weight <= most ? source : { ...source, share: (source.share * most) / weight };
   });
 }
 
--- a/src/core/placement/ejection.ts
+++ b/src/core/placement/ejection.ts
@@ -7,10 +7,10 @@
 import { weightedMedian } from '../fleet/weighted-median.js';
 import type { Milliseconds } from '../units.js';
 
-/** Fewer observations prove nothing: a few answers take several times the usual by nature. */
-const LEAST_OBSERVATIONS = 8;
+/** Fewer observations prove nothing: a few answers take several times the usual by nature. Counts shrink with age. */
+const LEAST_OBSERVATIONS = 6;
 /** In probation few requests are sent. */
-const LEAST_PROBES = 3;
+const LEAST_PROBES = 1;
 /** Callers try again at a loss of a few answers; from this part on most of them lose. */
 const FAILED_SHARE = 0.3;
 /** An instance is ill only beside others that fail less than this part of its own failures. */
@@ -24,12 +24,15 @@
 /** An instance that was well for so long has its next pause as if it were the first. */
 const MEMORY_MS: Milliseconds = 20_000;
 /** In probation the whole fleet sends one request in so long. */
-const PROBE_INTERVAL_MS: Milliseconds = 100;
+const PROBE_INTERVAL_MS: Milliseconds = 250;
 
 /** What a decision about an instance rests on. */
 export interface HealthEvidence {
   readonly id: string;
+  /** As of now: tells of a change at once. */
   readonly seen: FleetView | undefined;
+  /** Over the last seconds: tells of an instance that gets few requests. */
+  readonly recent: FleetView | undefined;
 }
 
 export type EjectionReason = 'failing' | 'slow';
@@ -109,19 +112,21 @@
     instanceCount: number,
     now: Milliseconds,
   ): EjectionEvent | undefined {
-    const { id, seen } = instance;
+    const { id } = instance;
     const ejected = this.#ejected.get(id);
-    const othersAnswerMs = answerMsOf(others);
-    const told = { instanceId: id, seen, othersAnswerMs };
+    const least = ejected === undefined ? LEAST_OBSERVATIONS : LEAST_PROBES;
+    const period = hasAtLeast(instance.seen, least) ? 'seen' : 'recent';
+    const seen = instance[period];
+    const known = others.map((other) => other[period]).filter(isCompared);
+    const told = { instanceId: id, seen, othersAnswerMs: answerMsOf(known) };
     if (ejected?.state === 'ejected') {
       if (now < ejected.endsAt) return undefined;
       ejected.state = 'probation';
       ejected.nextProbeAt = now + this.#probeIntervalMs() * this.options.random();
       return { type: 'probation', reason: ejected.reason, pauseMs: 0, ...told };
     }
-    const least = ejected === undefined ? LEAST_OBSERVATIONS : LEAST_PROBES;
-    if (seen === undefined || observationsOf(seen) < least) return undefined;
-    const reason = illnessOf(seen, others);
+    if (!hasAtLeast(seen, least)) return undefined;
+    const reason = illnessOf(seen, known);
     if (reason === undefined) {
       if (ejected === undefined) return undefined;
       this.#ejected.delete(id);
@@ -164,22 +169,30 @@
   }
 }
 
+function hasAtLeast(seen: FleetView | undefined, least: number): seen is FleetView {
+  return seen !== undefined && observationsOf(seen) >= least;
+}
+
+function isCompared(seen: FleetView | undefined): seen is FleetView {
+  return hasAtLeast(seen, LEAST_PROBES);
+}
+
 /** Why it is ill beside the others; undefined if it is not, or if there is nothing to compare it with. */
-function illnessOf(seen: FleetView, others: readonly HealthEvidence[]): EjectionReason | undefined {
-  const known = others.filter((other) => isCompared(other));
-  if (known.length === 0) return undefined;
+function illnessOf(seen: FleetView, others: readonly FleetView[]): EjectionReason | undefined {
+  if (others.length === 0) return undefined;
   const failedShare = failedShareOf([seen]);
-  const othersFailed = failedShareOf(known.flatMap((other) => other.seen ?? []));
-  if (failedShare >= FAILED_SHARE && othersFailed <= failedShare * OTHERS_FAILED_FACTOR) {
+  if (failedShare >= FAILED_SHARE && failedShareOf(others) <= failedShare * OTHERS_FAILED_FACTOR) {
     return 'failing';
   }
-  const othersMs = answerMsOf(known);
-  const isSlow = seen.answerMs >= othersMs * SLOW_FACTOR && seen.answerMs >= othersMs + SLOW_BY_MS;
-  return isSlow ? 'slow' : undefined;
+  return isSlow(seen, others) ? 'slow' : undefined;
 }
 
-function isCompared({ seen }: HealthEvidence): boolean {
-  return seen !== undefined && observationsOf(seen) >= LEAST_PROBES;
+/** One that answers more requests than any other is not ill, but has too many of them. */
+function isSlow(seen: FleetView, others: readonly FleetView[]): boolean {
+  const othersMs = answerMsOf(others);
+  const isLoaded = others.every(({ answered }) => answered < seen.answered);
+  const slowMs = Math.max(othersMs * SLOW_FACTOR, othersMs + SLOW_BY_MS);
+  return othersMs > 0 && seen.answerMs >= slowMs && !isLoaded;
 }
 
 function failedShareOf(views: readonly FleetView[]): number {
@@ -187,9 +200,7 @@
   return observed === 0 ? 0 : views.reduce((sum, { failed }) => sum + failed, 0) / observed;
 }
 
-function answerMsOf(instances: readonly HealthEvidence[]): Milliseconds {
-  const timed = instances.flatMap(({ seen }) =>
-    seen !== undefined && seen.answerMs > 0 ? [{ value: seen.answerMs, weight: 1 }] : [],
-  );
-  return weightedMedian(timed);
+function answerMsOf(views: readonly FleetView[]): Milliseconds {
+  const timed = views.filter(({ answerMs }) => answerMs > 0);
+  return weightedMedian(timed.map(({ answerMs }) => ({ value: answerMs, weight: 1 })));
 }
--- a/src/core/placement/expected-time.ts
+++ b/src/core/placement/expected-time.ts
@@ -64,29 +64,38 @@
 /**
  * Expected time with the price of its zone and role.
  * @param seen what the fleet lately saw of it; undefined if nobody asked it
- * @param usualMs what is expected of an instance that nobody asked
+ * @param priorMs what is expected of it without that
  */
 export function expectedMs(
   instance: PlacedInstance,
   seen: FleetView | undefined,
-  usualMs: Milliseconds,
+  priorMs: Milliseconds,
   now: Milliseconds,
   options = DEFAULT_EXPECTED_TIME_OPTIONS,
 ): Milliseconds {
   const { outstanding, sameZone, primary, slots, avoidUntil } = instance;
-  let time = answerMs(seen, usualMs) * (1 + outstanding * options.outstandingFactor);
-  if (seen !== undefined) time += troubleMs(seen, options);
+  let time = observedMs(seen, priorMs, options) * (1 + outstanding * options.outstandingFactor);
   if (primary) time *= options.primaryFactor + options.busyPrimaryFactor * busyShare(seen, slots);
   if (!sameZone) time = time * options.otherZoneFactor + options.otherZoneMs;
   if (avoidUntil > now) time += options.avoidedMs;
   return time;
 }
 
-/** Wait before the work, and what refusals and lost answers cost on average. */
-function troubleMs(seen: FleetView, options: ExpectedTimeOptions): Milliseconds {
-  const observed = observationsOf(seen) + PRIOR_OBSERVATIONS;
-  const { waitMs, refused, failed } = seen;
-  return waitMs + (refused * options.refusalMs + failed * options.failureMs) / observed;
+/**
+ * Time to an answer as it was seen, with what refusals and lost answers cost on average; drawn to what was expected while
+ * there are few observations.
+ */
+export function observedMs(
+  seen: FleetView | undefined,
+  priorMs: Milliseconds,
+  options = DEFAULT_EXPECTED_TIME_OPTIONS,
+): Milliseconds {
+  const observed = seen === undefined ? 0 : observationsOf(seen);
+  if (seen === undefined || observed === 0) return priorMs;
+  const { answerMs, waitMs, refused, failed } = seen;
+  const troubleMs = (refused * options.refusalMs + failed * options.failureMs) / observed;
+  const seenMs = (answerMs > 0 ? answerMs : priorMs) + waitMs + troubleMs;
+  return (seenMs * observed + priorMs * PRIOR_OBSERVATIONS) / (observed + PRIOR_OBSERVATIONS);
 }
 
 /** Part of its slots that the observers keep in use. */
@@ -95,12 +104,6 @@
   return Math.min(1, (seen.answered * seen.answerMs) / (slots * MILLISECONDS_PER_SECOND));
 }
 
-function answerMs(seen: FleetView | undefined, usualMs: Milliseconds): Milliseconds {
-  if (seen === undefined || seen.answerMs === 0) return usualMs;
-  const { answered, answerMs: seenMs } = seen;
-  return (seenMs * answered + usualMs * PRIOR_OBSERVATIONS) / (answered + PRIOR_OBSERVATIONS);
-}
-
 function isKnown(seen: FleetView | undefined): seen is FleetView {
   return seen !== undefined && seen.answerMs > 0 && seen.answered >= KNOWN_OBSERVATIONS;
 }
