--- a/src/core/fleet/fleet-digests.ts
+++ b/src/core/fleet/fleet-digests.ts
@@ -36,16 +36,26 @@
 
 interface Source {
   readonly digest: InstanceDigest;
-  /** 1 for observations of now, 0 for the oldest that count. */
+  readonly ageMs: Milliseconds;
+  /** 1 for observations of now, and half of that for each half-life. */
   readonly freshness: number;
-  /** Below 1 where one source alone would outweigh the others. */
-  readonly share: number;
+  /** Observations that it stands for. */
+  readonly observed: number;
+}
+
+/** What is merged is merged again after this: a reader tells it to its whole zone. */
+const MERGED_FOR_MS: Milliseconds = 100;
+
+interface Merged {
+  readonly digests: readonly InstanceDigest[];
+  readonly at: Milliseconds;
 }
 
 export class FleetDigests {
   readonly #own = new Map<string, { service: string; seen: OwnObservations }>();
   /** By instance, then by who told. */
   readonly #told = new Map<string, Map<string, Told>>();
+  #merged: Merged | undefined;
 
   /** Takes what this node itself saw. */
   noteOwn(
@@ -82,11 +92,19 @@
     return [...this.#own.keys()].flatMap((id) => this.#ownOf(id, now) ?? []);
   }
 
-  /** What this node and those that told it know, without what `listener` told. */
-  toldTo(listener: string, now: Milliseconds): readonly InstanceDigest[] {
+  /** What this node and those that told it know together. */
+  merged(now: Milliseconds): readonly InstanceDigest[] {
+    if (this.#merged === undefined || now - this.#merged.at >= MERGED_FOR_MS) {
+      this.#merged = { digests: this.#mergeAll(now), at: now };
+    }
+    const { digests, at } = this.#merged;
+    return digests.map((digest) => ({ ...digest, ageMs: digest.ageMs + now - at }));
+  }
+
+  #mergeAll(now: Milliseconds): readonly InstanceDigest[] {
     const ids = new Set([...this.#own.keys(), ...this.#told.keys()]);
     return [...ids].flatMap((instanceId) => {
-      const sources = this.#sources(instanceId, now, listener);
+      const sources = this.#sources(instanceId, now);
       const service = sources[0]?.digest.service;
       if (service === undefined) return [];
       // Who is told lets the counts shrink with their age.
@@ -99,7 +117,7 @@
     for (const id of this.#own.keys()) if (!isKnown(id)) this.#own.delete(id);
     for (const [id, tellers] of this.#told) {
       for (const [from, { digest, at }] of tellers) {
-        if (ageOf(digest, at, now) >= OLDEST_MS) tellers.delete(from);
+        if (digest.ageMs + now - at >= OLDEST_MS) tellers.delete(from);
       }
       if (tellers.size === 0 || !isKnown(id)) this.#told.delete(id);
     }
@@ -111,49 +129,41 @@
     return own && seen && { service: own.service, instanceId, ...seen };
   }
 
-  #sources(instanceId: string, now: Milliseconds, without?: string): Source[] {
+  #sources(instanceId: string, now: Milliseconds): readonly Source[] {
     const own = this.#ownOf(instanceId, now);
-    const sources = own === undefined ? [] : [sourceOf(own, own.ageMs)];
-    for (const [from, { digest, at }] of this.#told.get(instanceId) ?? []) {
-      const ageMs = ageOf(digest, at, now);
-      if (from === without || ageMs >= OLDEST_MS) continue;
+    const sources: Source[] = [];
+    if (own !== undefined) sources.push(sourceOf(own, own.ageMs, observationsOf(own)));
+    for (const { digest, at } of this.#told.get(instanceId)?.values() ?? []) {
+      const ageMs = digest.ageMs + Math.max(0, now - at);
+      if (ageMs >= OLDEST_MS) continue;
       const most = MOST_TOLD_PER_OBSERVER * digest.observers;
-      sources.push(sourceOf(digest, ageMs, Math.min(1, most / observationsOf(digest))));
+      sources.push(sourceOf(digest, ageMs, Math.min(most, observationsOf(digest))));
     }
     return bounded(sources);
   }
 }
 
-function ageOf({ ageMs }: InstanceDigest, at: Milliseconds, now: Milliseconds): Milliseconds {
-  return ageMs + Math.max(0, now - at);
-}
-
-function sourceOf(digest: InstanceDigest, ageMs: Milliseconds, share = 1): Source {
-  const freshness = 0.5 ** (ageMs / HALF_LIFE_MS);
-  return { digest: { ...digest, ageMs }, freshness, share };
+function sourceOf(digest: InstanceDigest, ageMs: Milliseconds, observed: number): Source {
+  return { digest, ageMs, freshness: 0.5 ** (ageMs / HALF_LIFE_MS), observed };
 }
 
-function weightOf({ digest, freshness, share }: Source): number {
-  return observationsOf(digest) * freshness * share;
+function weightOf({ observed, freshness }: Source): number {
+  return observed * freshness;
 }
 
 /** Beside two others or more, no source weighs more than a few usual ones. */
-function bounded(sources: readonly Source[]): Source[] {
-  if (sources.length < 3) return [...sources];
+function bounded(sources: readonly Source[]): readonly Source[] {
+  if (sources.length < 3) return sources;
   const weights = sources.map(weightOf).sort((left, right) => left - right);
   const most = MOST_OF_USUAL_WEIGHT * (weights[Math.floor(weights.length / 2)] ?? 0);
-  return sources.map((source) => {
-    const weight = weightOf(source);
-    return weight <= most ? source : { ...source, share: (source.share * most) / weight };
-  });
+  return sources.map((source) =>
+    weightOf(source) <= most ? source : { ...source, observed: most / source.freshness },
+  );
 }
 
 /** Medians, also of the parts that were refused or failed: no minority of the observers moves them far. */
 function merge(sources: readonly Source[], part: (source: Source) => number): FleetView {
-  const observed = sources.reduce(
-    (total, one) => total + observationsOf(one.digest) * part(one) * one.share,
-    0,
-  );
+  const observed = sources.reduce((total, one) => total + one.observed * part(one), 0);
   const median = (measure: (digest: InstanceDigest) => number, used = sources): number =>
     weightedMedian(used.map((one) => ({ value: measure(one.digest), weight: weightOf(one) })));
   const refusedShare = median((digest) => digest.refused / observationsOf(digest));
@@ -172,8 +182,7 @@
 function meanAge(sources: readonly Source[]): Milliseconds {
   const total = sources.reduce((sum, source) => sum + weightOf(source), 0);
   if (total === 0) return OLDEST_MS;
-  const aged = sources.reduce((sum, source) => sum + source.digest.ageMs * weightOf(source), 0);
-  return aged / total;
+  return sources.reduce((sum, source) => sum + source.ageMs * weightOf(source), 0) / total;
 }
 
 function isPlausible(digest: InstanceDigest): boolean {
--- a/src/core/fleet/weighted-median.ts
+++ b/src/core/fleet/weighted-median.ts
@@ -7,6 +7,7 @@
 
 /** Interpolated between the two values around the middle of the weight; 0 without any. */
 export function weightedMedian(values: readonly WeightedValue[]): number {
+  if (values.every(({ value }) => value === 0)) return 0;
   const ordered = values
     .filter(({ weight }) => weight > 0)
     .sort((left, right) => left.value - right.value);
--- a/src/direct/readers/digest-exchange.ts
+++ b/src/direct/readers/digest-exchange.ts
@@ -43,9 +43,9 @@
     return encodeDigests(this.options.digests.own(this.options.now()));
   }
 
-  /** What the zone saw, for a node that told its own part. */
-  seenWithout(listener: string): WireValue {
-    return encodeDigests(this.options.digests.toldTo(listener, this.options.now()));
+  /** What the zone saw, for a node of it. */
+  zone(): WireValue {
+    return encodeDigests(this.options.digests.merged(this.options.now()));
   }
 
   /** Takes what another node told. */
--- a/src/direct/readers/zone-positions.ts
+++ b/src/direct/readers/zone-positions.ts
@@ -134,7 +134,7 @@
   if (digests === undefined || told === undefined) return positions;
   const { exchange, asker } = digests;
   exchange.take(told, asker);
-  return { positions, digests: exchange.seenWithout(asker) };
+  return { positions, digests: exchange.zone() };
 }
 
 function positionsOf(answer: WireValue): WireValue {
