--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { AdmissionRules, AdmissionWork } from '../core/admission/instance-admission.js';
 import type { RoomState } from '../core/admission/instance-room.js';
+import type { InstanceObservation } from '../core/fleet/instance-digest.js';
 import { FairQueue, type QueuedRequest } from '../core/statements/fair-queue.js';
 import { synchronisationCost } from '../core/statements/session-values.js';
 import type { ConnectionPolicy } from '../core/tenancy/allowance.js';
@@ -49,6 +50,10 @@
   /** Undefined where callers don't compete by priorities; absent where that is never looked at. */
   readonly admissionRules?: () => AdmissionRules | undefined;
   readonly onAdmission?: (instance: InstanceEntry, state: RoomState) => void;
+  /** Takes what statements show of an instance. */
+  readonly observe?:
+    | ((instance: InstanceEntry, observation: InstanceObservation) => void)
+    | undefined;
 }
 
 /** Counted over all pools of the process. */
@@ -158,7 +163,9 @@
   ) {
     this.#limit = limit;
     this.#softLimit = limit;
-    this.health = new InstanceHealth(options);
+    const observe = (observation: InstanceObservation): void =>
+      options.observe?.(this.instance, observation);
+    this.health = new InstanceHealth({ ...options, observe });
     const { waiting } = this.#waiters;
     this.#holdings = new TenantHoldings(OWN_TENANT, () => this.#supply(), waiting, options.now);
     this.admission = new PoolAdmission({
@@ -256,6 +263,7 @@
     const outcome = acquired.isOk() ? 'given' : 'none';
     const way = lessor === undefined ? 'own' : 'owner';
     latencies?.connectionWaits.observe(now() - askedAt, way, outcome);
+    if (acquired.isOk() && request.tenant !== OWN_TENANT) this.health.noteWait(now() - askedAt);
     return acquired;
   }
 
