--- a/src/core/ownership/connection-sharing.ts
+++ b/src/core/ownership/connection-sharing.ts
@@ -1,6 +1,6 @@
 /**
  * How the nodes of a direct gateway share the connections that one instance takes. In a small fleet
- * every node connects to every instance by itself. Where an instance takes less than two connections for
+ * every node connects to every instance by itself. Where that would leave less than one connection for
  * each node, a few owners of each instance hold its connections, and the others reach it through them.
  *
  * The decision is made in one place, by the leader, and published with the owners: nodes that decided
@@ -25,12 +25,6 @@
  * be reached, and one for a node that still takes itself for an owner after another has replaced it.
  */
 const SPARE_SHARES = 2;
-/**
- * Connections that an instance takes for each node of a fleet that connects directly. The load: a fleet that lost power
- * comes back while the instance still counts the connections of the processes that are gone, so that with fewer some nodes
- * find none for seconds. In calm, a node with a single connection keeps callers waiting behind one resting transaction.
- */
-const CONNECTIONS_PER_DIRECT_NODE = 2;
 /** A fleet that has shrunk is believed to stay small after this. */
 const SMALL_FLEET_MEMORY_MS: Milliseconds = 30_000;
 
@@ -109,11 +103,11 @@
 }
 
 function enterAbove({ largestDirectFleet }: FleetSize, maxConnections: number): number {
-  return largestDirectFleet ?? Math.floor(maxConnections / CONNECTIONS_PER_DIRECT_NODE);
+  return largestDirectFleet ?? maxConnections;
 }
 
 function leaveAt({ largestDirectFleet }: FleetSize, maxConnections: number): number {
-  return largestDirectFleet ?? Math.floor(usable(maxConnections) / CONNECTIONS_PER_DIRECT_NODE);
+  return largestDirectFleet ?? usable(maxConnections);
 }
 
 function ownersFor(liveNodes: number, maxConnections: number): ConnectionSharing {
