Fleets that don't fit beside the connections they left have owners

Cause: after a loss of all power instances count the dead fleet's connections for some seconds. A mesh of 36 nodes before instances of 46 connections leaves 36 behind: 10 of 36 nodes find room at an instance, the others refuse their callers.

Ruled out: store, lease, trust in primaries (all there at the first look, 0.1 s after the start), processor time (0.002 cores a node).

Change: the leader names owners where the fleet does not fit twice beside the reserved connections, from 24 nodes on. Rule in core/return, decision and its memory unchanged.

--- a/src/core/promotion/fleet-publisher.ts
+++ b/src/core/promotion/fleet-publisher.ts
@@ -6,6 +6,7 @@
 import { type ConnectionSharing, SharingDecision } from '../ownership/connection-sharing.js';
 import { nextRoster, type ReachableNode, sameRoster } from '../ownership/owner-roster.js';
 import { nextReaders } from '../ownership/watch-readers.js';
+import { largestReturningMesh } from '../return/returning-fleet.js';
 import {
   FIRST_KEEPERS_MS,
   KEEPER_REPLACED_MS,
@@ -19,6 +20,12 @@
 import type { FleetRecord } from './records.js';
 import type { PromotionRuntime } from './runtime.js';
 
+/** What is read and written of the fleet in the store. */
+export type FleetStore = Pick<
+  DutyStore,
+  'begunAt' | 'liveNodes' | 'reachableNodes' | 'possibleReaders' | 'publishedFleet' | 'publishFleet'
+>;
+
 export class FleetPublisher {
   readonly #decision = new SharingDecision();
   /** Keepers without a lease, and since when. */
@@ -26,7 +33,7 @@
 
   constructor(
     private readonly runtime: PromotionRuntime,
-    private readonly store: DutyStore,
+    private readonly store: FleetStore,
     private readonly services: () => Iterable<ServiceDescription>,
   ) {}
 
@@ -114,8 +121,9 @@
 
   #sizeOf(liveNodes: number) {
     const limits = [...this.services()].map(({ maxConnections }) => maxConnections);
-    const maxConnections = limits.length === 0 ? undefined : Math.min(...limits);
-    const { largestDirectFleet } = this.runtime.options;
+    if (limits.length === 0) return { liveNodes, maxConnections: undefined };
+    const maxConnections = Math.min(...limits);
+    const { largestDirectFleet = largestReturningMesh(maxConnections) } = this.runtime.options;
     return { liveNodes, maxConnections, largestDirectFleet };
   }
 }
