Owners are followed with the primaries, and nothing is opened until they can be asked

Cause: a node that starts learned the primaries by an event and the owners at its next look, up to 100 ms later, and then loaded the links to them.

Change: owners and the number of nodes are followed when the primaries are told; while owners are named and can't be asked yet, no connection is opened and statements wait.

--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -160,7 +160,10 @@
       counters: this.counters,
       now,
     });
-    view.onChange = (service) => this.#services.get(service)?.notePrimaryChange();
+    view.onChange = (service) => {
+      this.#followFleet();
+      this.#services.get(service)?.notePrimaryChange();
+    };
     this.#relay.onChange = () => {
       for (const service of this.#services.values()) service.setOwners();
     };
@@ -228,8 +231,7 @@
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
     this.#checks = setInterval(() => {
-      this.#shareConnections();
-      this.#relay.update(this.options.view.ownerRoster());
+      this.#followFleet();
       this.#openFirst();
       const toSample = this.#servicesToSample();
       this.#sampler.sample(toSample);
@@ -388,6 +390,15 @@
     await this.#services.get(service)?.writesEnded();
   }
 
+  /**
+   * How many nodes there are, and who owns instances. Told with the primaries, it is followed before the statements that
+   * waited for these: they would open connections that are the owners'.
+   */
+  #followFleet(): void {
+    this.#shareConnections();
+    this.#relay.update(this.options.view.ownerRoster());
+  }
+
   /** Nodes that this one does not see any more may hold their connections still. */
   #shareConnections(): void {
     const now = this.options.now();
--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -164,6 +164,8 @@
 /** Tells who owns an instance in the roster that is in force. */
 export interface OwnershipView {
   readonly roster: OwnerRoster | undefined;
+  /** True while owners are named, and the links to them are being made ready; false by default. */
+  readonly isComing?: boolean;
   /** Undefined if this node is to connect by itself. */
   ownershipOf(instance: InstanceEntry): InstanceOwnership | undefined;
 }
--- a/src/direct/relay/relay-host.ts
+++ b/src/direct/relay/relay-host.ts
@@ -21,12 +21,18 @@
     return this.#roster;
   }
 
+  /** Owners are named, and this node can't ask them yet. */
+  get isComing(): boolean {
+    return this.#wanted !== undefined && this.#relay === undefined;
+  }
+
   /** Takes the roster that is published now. */
   update(roster: OwnerRoster | undefined): void {
     if (sameOwners(roster, this.#wanted)) return;
     this.#wanted = roster;
     if (roster === undefined || this.#relay !== undefined) this.#apply();
     else if (!this.#starting) void this.#start();
+    if (this.isComing) this.onChange();
   }
 
   /** Who owns an instance; undefined if this node is to connect by itself. */
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -211,10 +211,15 @@
       }
       const { slots } = state.pool.instance;
       const limit = isSettled ? settledLimit : unsettledConnections(settledLimit, { slots, nodes });
-      state.pool.setLimit(limit, softLimit, nodes);
+      state.pool.setLimit(this.#limitUntilOwners(state, limit), softLimit, nodes);
     }
   }
 
+  /** What all nodes opened until they can ask the owners would leave these no room. */
+  #limitUntilOwners({ pool }: InstanceState, limit: number): number {
+    return this.options.ownership.isComing === true ? Math.min(limit, pool.size) : limit;
+  }
+
   /** A process that replaces another may meet the connections that the other left behind. */
   #isSettled(): boolean {
     const { startedAt, isFirstStart = false, now } = this.options;
--- /dev/null
+++ b/test/unit/direct/relay-host.test.ts
@@ -0,0 +1,38 @@
+/** A node learns that its fleet has owners before it can ask them. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { lineWire } from '../../../platform/line-wire.js';
+import { RelayHost } from '../../../src/direct/relay/relay-host.js';
+import { until } from '../../support/until.js';
+
+const COUNTERS = {
+  ...{ leasesAsked: 0, leasesRefused: 0, leasesLost: 0, leasesGiven: 0 },
+  ...{ readsAsked: 0, readsRun: 0, positionsTold: 0 },
+};
+
+test('owners are told as coming from the moment that they are named until they can be asked', async () => {
+  const host = new RelayHost({
+    ...{ nodeName: 'n-1', listen: undefined, wire: lineWire, find: () => undefined },
+    ...{ counters: { ...COUNTERS }, now: () => 0 },
+  });
+  const told: boolean[] = [];
+  host.onChange = () => told.push(host.isComing);
+  assert.not(host.isComing);
+  const nodes = [{ nodeId: 'n-2', zone: 'a', host: '127.0.0.1', port: 1 }];
+  host.update({ ownersPerInstance: 2, nodes });
+  assert.equal([host.isComing, told], [true, [true]]);
+  await until('the relay', () => host.roster !== undefined);
+  assert.equal([host.isComing, told], [false, [true, false]]);
+  host.close();
+});
+
+test('a fleet without owners waits for none', () => {
+  const host = new RelayHost({
+    ...{ nodeName: 'n-1', listen: undefined, wire: lineWire, find: () => undefined },
+    ...{ counters: { ...COUNTERS }, now: () => 0 },
+  });
+  host.update(undefined);
+  assert.not(host.isComing);
+});
+
+test.run();
--- a/test/unit/direct/service-runtime.test.ts
+++ b/test/unit/direct/service-runtime.test.ts
@@ -150,6 +150,21 @@
   assert.is(limit(), 8);
 });
 
+test('nothing is opened while owners are named that this node can not ask yet', () => {
+  const { world, service } = setUp();
+  Object.assign(world.ownership, { isComing: true });
+  service.setInstances([entry('i-1')]);
+  service.setMaxConnections(39);
+  const pool = () => service.members()[0]?.pool;
+  assert.is(pool()?.limit, 0);
+  const nodes = [{ nodeId: 'n-1', zone: 'a', host: '10.0.0.9', port: 1 }];
+  const roster: OwnerRoster = { ownersPerInstance: 2, nodes };
+  const ownershipOf = () => ({ isOwned: true });
+  Object.assign(world.ownership, { isComing: false, roster, ownershipOf });
+  service.setOwners();
+  assert.is(pool()?.limit, 4);
+});
+
 for (const [name, start, atFirst] of [
   ['a node that replaces another takes half of its share at first', { startedAt: 0 }, 2],
   ['a node of a first start takes its whole share', { startedAt: 0, isFirstStart: true }, 4],
