--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -29,6 +29,7 @@
 import { RelayHost } from './relay/relay-host.js';
 import { RequestLogger, tellAll } from './request-log.js';
 import { ServiceRuntime } from './service-runtime.js';
+import { StartLog, type StartStep } from './start-log.js';
 import { StatementRunner } from './statement-runner.js';
 import { TenantTable } from './tenant-table.js';
 import { type ProverCounters, TrustProver } from './trust-prover.js';
@@ -123,6 +124,7 @@
   #checks: NodeJS.Timeout | undefined;
   readonly #sampler: PositionSampler;
   readonly #beliefs: BeliefLog | undefined;
+  readonly #starts: StartLog | undefined;
   /** Pools whose first connection was asked for. */
   readonly #firstOpened = new WeakSet<InstancePool>();
   readonly #firstConfiguration: Promise<true>;
@@ -163,11 +165,13 @@
     view.onChange = (service) => {
       this.#followFleet();
       this.#services.get(service)?.notePrimaryChange();
+      this.#starts?.look();
     };
     this.#relay.onChange = () => {
       for (const service of this.#services.values()) service.setOwners();
     };
     this.#beliefs = logger && new BeliefLog({ logger, view, isStoreWell, now });
+    this.#starts = logger && new StartLog({ logger, now, reached: () => this.#stepsReached() });
     this.#server = new CallerServer({
       wire,
       runner: this.#runner,
@@ -177,6 +181,7 @@
       requests: tellAll([
         new RequestLatencies(this.latencies.statements, now),
         ...(logger === undefined ? [] : [new RequestLogger(logger, now)]),
+        ...(this.#starts === undefined ? [] : [this.#starts]),
       ]),
     });
   }
@@ -205,6 +210,22 @@
     return true;
   }
 
+  #stepsReached(): StartStep[] {
+    const { view, now } = this.options;
+    const names = [...this.#services.keys()];
+    const hasPrimaries = names.length > 0 && this.#hasPrimaries();
+    const reached: Readonly<Record<StartStep, boolean>> = {
+      configuration: this.#configuration !== undefined,
+      instances: this.#instances.size > 0,
+      fleet: this.#nodeCountSeenAt !== undefined,
+      primaries: hasPrimaries,
+      trust: hasPrimaries && names.every((name) => view.mayTrustPrimary(name, now())),
+      connection: this.counters.connectionsOpened > 0,
+      ready: this.ready,
+    };
+    return (Object.keys(reached) as StartStep[]).filter((step) => reached[step]);
+  }
+
   get sessionCount(): number {
     return this.#server.sessionCount;
   }
@@ -237,6 +258,7 @@
       this.#sampler.sample(toSample);
       this.#beliefs?.look(this.#services.values(), toSample);
       for (const service of this.#services.values()) service.trim();
+      this.#starts?.look();
     }, CHECK_MS);
   }
 
@@ -282,6 +304,7 @@
     this.#dropServices(new Set(configuration.services.map(({ name }) => name)));
     this.setInstances(this.#instances, this.#instancesTold);
     this.#tellFirstConfiguration();
+    this.#starts?.look();
   }
 
   /** Sessions that still hold a service which has left the configuration end their work with it. */
@@ -305,6 +328,7 @@
       service.setInstances(entries, told);
     }
     this.#openFirst();
+    this.#starts?.look();
   }
 
   /**
