Nodes that come back reach instances through owners, and connect by themselves otherwise

Change: the leader names these owners apart; only a process that replaces another uses them, for 3.5 s and up to one more. The rule who has owners at all times is as before.

--- a/src/core/ownership/owner-roster.ts
+++ b/src/core/ownership/owner-roster.ts
@@ -55,6 +55,13 @@
   );
 }
 
+/** Whether both name the same owners; none is the same as none. */
+export function sameOwners(left: OwnerRoster | undefined, right: OwnerRoster | undefined): boolean {
+  if (left === undefined || right === undefined) return left === right;
+  const isSameCount = left.ownersPerInstance === right.ownersPerInstance;
+  return isSameCount && sameRoster(left.nodes, right.nodes);
+}
+
 function sameNode(left: ReachableNode | undefined, right: ReachableNode): boolean {
   if (left === undefined) return false;
   const isSamePlace = left.host === right.host && left.port === right.port;
--- a/src/core/promotion/fleet-publisher.ts
+++ b/src/core/promotion/fleet-publisher.ts
@@ -4,7 +4,13 @@
  */
 import type { ServiceDescription } from '../../direct/contract.js';
 import { type ConnectionSharing, SharingDecision } from '../ownership/connection-sharing.js';
-import { nextRoster, type ReachableNode, sameRoster } from '../ownership/owner-roster.js';
+import {
+  nextRoster,
+  type OwnerRoster,
+  type ReachableNode,
+  sameOwners,
+  sameRoster,
+} from '../ownership/owner-roster.js';
 import { nextReaders } from '../ownership/watch-readers.js';
 import { largestReturningMesh } from '../return/returning-fleet.js';
 import {
@@ -28,6 +34,7 @@
 
 export class FleetPublisher {
   readonly #decision = new SharingDecision();
+  readonly #returnDecision = new SharingDecision();
   /** Keepers without a lease, and since when. */
   readonly #missingSince = new Map<string, Milliseconds>();
 
@@ -50,7 +57,8 @@
 
   /** True while connections are shared through owners. */
   get hasOwners(): boolean {
-    return this.store.publishedFleet()?.owners !== undefined;
+    const published = this.store.publishedFleet();
+    return published?.owners !== undefined || published?.returnOwners !== undefined;
   }
 
   publish(onDone: () => void): void {
@@ -70,12 +78,14 @@
     const nodes = this.store.liveNodes();
     const readers = this.#readers(published);
     const sharing = this.#decision.decide(
-      sharingOf(published),
+      sharingBy(published?.owners),
       this.#sizeOf(nodes),
       this.runtime.now,
     );
     const keepers = this.#keepersAfter(published);
-    if (sharing.type === 'direct') return { nodes, readers, keepers };
+    if (sharing.type === 'direct') {
+      return { nodes, readers, keepers, returnOwners: this.#returnOwners(published, nodes) };
+    }
     const roster = nextRoster(published?.owners?.nodes ?? [], this.store.reachableNodes());
     // Without a node that others reach there is no other way than each for itself.
     if (roster.length === 0) return { nodes, readers, keepers };
@@ -83,6 +93,23 @@
     return { nodes, owners, readers, keepers };
   }
 
+  /** Owners for nodes that come back, in a fleet whose nodes connect by themselves otherwise. */
+  #returnOwners(published: FleetRecord | undefined, nodes: number): OwnerRoster | undefined {
+    const before = published?.returnOwners ?? published?.owners;
+    const { maxConnections } = this.#sizeOf(nodes);
+    const largestDirectFleet =
+      maxConnections === undefined ? undefined : largestReturningMesh(maxConnections);
+    const sharing = this.#returnDecision.decide(
+      sharingBy(before),
+      { liveNodes: nodes, maxConnections, largestDirectFleet },
+      this.runtime.now,
+    );
+    if (sharing.type === 'direct') return undefined;
+    const roster = nextRoster(before?.nodes ?? [], this.store.reachableNodes());
+    const { ownersPerInstance } = sharing;
+    return roster.length === 0 ? undefined : { ownersPerInstance, nodes: roster };
+  }
+
   #readers(published: FleetRecord | undefined): readonly ReachableNode[] | undefined {
     const { smallestReaderFleet } = this.runtime.options;
     const live = this.store.possibleReaders();
@@ -121,9 +148,8 @@
 
   #sizeOf(liveNodes: number) {
     const limits = [...this.services()].map(({ maxConnections }) => maxConnections);
-    if (limits.length === 0) return { liveNodes, maxConnections: undefined };
-    const maxConnections = Math.min(...limits);
-    const { largestDirectFleet = largestReturningMesh(maxConnections) } = this.runtime.options;
+    const maxConnections = limits.length === 0 ? undefined : Math.min(...limits);
+    const { largestDirectFleet } = this.runtime.options;
     return { liveNodes, maxConnections, largestDirectFleet };
   }
 }
@@ -135,8 +161,7 @@
   return [...new Set(gone.map(({ nodeId }) => nodeId))];
 }
 
-function sharingOf(published: FleetRecord | undefined): ConnectionSharing {
-  const owners = published?.owners;
+function sharingBy(owners: OwnerRoster | undefined): ConnectionSharing {
   if (owners === undefined) return { type: 'direct' };
   return { type: 'owners', ownersPerInstance: owners.ownersPerInstance };
 }
@@ -145,7 +170,5 @@
   if (left.nodes !== right.nodes) return false;
   if (!sameRoster(left.readers ?? [], right.readers ?? [])) return false;
   if (!sameKeepers(left.keepers, right.keepers)) return false;
-  if (left.owners === undefined || right.owners === undefined) return left.owners === right.owners;
-  const isSameCount = left.owners.ownersPerInstance === right.owners.ownersPerInstance;
-  return isSameCount && sameRoster(left.owners.nodes, right.owners.nodes);
+  return sameOwners(left.owners, right.owners) && sameOwners(left.returnOwners, right.returnOwners);
 }
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -127,6 +127,11 @@
     return this.#fleet()?.owners;
   }
 
+  /** The nodes that lend connections to those that come back, where all connect to all otherwise. */
+  returnRoster(): OwnerRoster | undefined {
+    return this.#fleet()?.returnOwners;
+  }
+
   /** The nodes that read the store for the others; the same list until the leader names another. */
   watchReaders(): readonly ReachableNode[] {
     return this.#fleet()?.readers ?? NO_READERS;
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -104,6 +104,8 @@
   readonly nodes: number;
   /** Absent while every node connects to every instance. */
   readonly owners?: OwnerRoster | undefined;
+  /** Nodes that lend connections to those that come back, while every node connects by itself otherwise. */
+  readonly returnOwners?: OwnerRoster | undefined;
   /** Nodes that read the store for the others; absent while each reads it by itself. */
   readonly readers?: readonly ReachableNode[] | undefined;
   /** Nodes that keep the tenants' quotas, by part; absent where tenants have none. */
@@ -224,11 +226,18 @@
   return { addresses: addresses.map(addressForm).filter((address) => address !== undefined) };
 }
 
-export function fleetForm({ nodes, owners, readers, keepers }: Fields): FleetRecord | undefined {
+export function fleetForm({
+  nodes,
+  owners,
+  returnOwners,
+  readers,
+  keepers,
+}: Fields): FleetRecord | undefined {
   if (!isNumber(nodes)) return undefined;
   return {
     nodes,
     owners: isFields(owners) ? rosterForm(owners) : undefined,
+    returnOwners: isFields(returnOwners) ? rosterForm(returnOwners) : undefined,
     readers: nodesForm(readers),
     keepers: nodesForm(keepers),
   };
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -4,6 +4,7 @@
  */
 import type { ServiceTerm } from '../core/directory/snapshot.js';
 import { StartReadiness } from '../core/directory/start-readiness.js';
+import { isReturning, type StartedProcess } from '../core/return/returning-fleet.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Logger } from '../observability/logger.js';
 import { Admission, type AdmissionCounters } from './admission.js';
@@ -118,6 +119,7 @@
   #nodeCount = ASSUMED_NODE_COUNT;
   #nodeCountSeenAt: Milliseconds | undefined;
   readonly #createdAt: Milliseconds;
+  readonly #process: StartedProcess;
   readonly #readiness = new StartReadiness();
   /** Set once a stop was asked for; settles when it is over. */
   #stopped: Promise<void> | undefined;
@@ -133,6 +135,8 @@
   constructor(private readonly options: DirectGatewayOptions) {
     const { wire, view, isStoreWell, logger, now, random } = options;
     this.#createdAt = now();
+    const { isFirstStart } = options.settings;
+    this.#process = { startedAt: this.#createdAt, isFirstStart, spread: random() };
     this.#firstConfiguration = new Promise((resolve) => {
       this.#tellFirstConfiguration = () => resolve(true);
     });
@@ -334,7 +338,7 @@
   /**
    * A connection to each new instance is opened at once: what a first statement would wait for happens
    * while a starting node waits for its lease. In a fleet of unknown size that could be more than the
-   * instance takes; and in a large one that starts at once, connections would take all slots, so that only
+   * instance takes, or be the owners' to open; and in a large one that starts at once, connections would take all slots, so that only
    * those instances are connected to that most statements go to.
    */
   #openFirst(): void {
@@ -342,7 +346,7 @@
     // A connection is of one tenant: none can be opened before one asks.
     if (this.#admission.asksForKeys) return;
     const isSettled = now() - this.#createdAt > FIRST_START_SETTLED_MS;
-    if (settings.isFirstStart && !isSettled) return;
+    if (!isSettled && (settings.isFirstStart || this.#nodeCountSeenAt === undefined)) return;
     for (const service of this.#services.values()) {
       const instances = this.#isFleetSmall ? service.readable(now()) : service.firstUsed(now());
       for (const { pool } of instances) {
@@ -420,7 +424,10 @@
    */
   #followFleet(): void {
     this.#shareConnections();
-    this.#relay.update(this.options.view.ownerRoster());
+    const { view, now } = this.options;
+    const owners = view.ownerRoster();
+    const isInForce = owners !== undefined || isReturning(this.#process, now());
+    this.#relay.update(owners ?? view.returnRoster?.(), isInForce);
   }
 
   /** Nodes that this one does not see any more may hold their connections still. */
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -62,6 +62,8 @@
   liveNodeCount(): number;
   /** The nodes that own instances; undefined while every node connects to every instance. */
   ownerRoster(): OwnerRoster | undefined;
+  /** The nodes that lend to those that come back, where every node connects by itself otherwise; none by default. */
+  returnRoster?(): OwnerRoster | undefined;
 }
 
 /**
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -278,6 +278,10 @@
     return this.#machine.ownerRoster();
   }
 
+  returnRoster(): OwnerRoster | undefined {
+    return this.#machine.returnRoster();
+  }
+
   get isLeader(): boolean {
     return this.#machine.isLeader;
   }
--- a/src/direct/relay/relay-host.ts
+++ b/src/direct/relay/relay-host.ts
@@ -1,5 +1,5 @@
 /** Starts the relay when the fleet gets owners, and tells who owns an instance. */
-import { type OwnerRoster, sameRoster } from '../../core/ownership/owner-roster.js';
+import { type OwnerRoster, sameOwners } from '../../core/ownership/owner-roster.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { InstanceEntry } from '../contract.js';
 import type { InstanceOwnership } from './contract.js';
@@ -9,6 +9,7 @@
   /** Called when the roster in force is another. */
   onChange: () => void = () => {};
   #wanted: OwnerRoster | undefined;
+  #isInForce = true;
   #roster: OwnerRoster | undefined;
   #relay: Relay | undefined;
   #starting = false;
@@ -23,13 +24,17 @@
 
   /** Owners are named, and this node can't ask them yet. */
   get isComing(): boolean {
-    return this.#wanted !== undefined && this.#relay === undefined;
+    return this.#wanted !== undefined && this.#isInForce && this.#relay === undefined;
   }
 
-  /** Takes the roster that is published now. */
-  update(roster: OwnerRoster | undefined): void {
-    if (sameOwners(roster, this.#wanted)) return;
+  /**
+   * Takes the roster that is published now.
+   * @param isInForce false if this node connects by itself, and lends to those that come back
+   */
+  update(roster: OwnerRoster | undefined, isInForce = true): void {
+    if (sameOwners(roster, this.#wanted) && isInForce === this.#isInForce) return;
     this.#wanted = roster;
+    this.#isInForce = isInForce;
     if (roster === undefined || this.#relay !== undefined) this.#apply();
     else if (!this.#starting) void this.#start();
     if (this.isComing) this.onChange();
@@ -70,13 +75,7 @@
   }
 
   #apply(): void {
-    this.#roster = this.#wanted;
+    this.#roster = this.#isInForce ? this.#wanted : undefined;
     this.onChange();
   }
 }
-
-function sameOwners(left: OwnerRoster | undefined, right: OwnerRoster | undefined): boolean {
-  if (left === undefined || right === undefined) return left === right;
-  const isSameCount = left.ownersPerInstance === right.ownersPerInstance;
-  return isSameCount && sameRoster(left.nodes, right.nodes);
-}
--- a/src/direct/snapshots/told-primaries.ts
+++ b/src/direct/snapshots/told-primaries.ts
@@ -121,6 +121,10 @@
     return this.recorded.ownerRoster();
   }
 
+  returnRoster(): OwnerRoster | undefined {
+    return this.recorded.returnRoster?.();
+  }
+
   /** The records bind a node that no promotion can pass by. */
   #newerThanRecords(service: string): PrimariesPart | undefined {
     const { recorded } = this;
--- a/test/property/return-of-fleet.test.ts
+++ b/test/property/return-of-fleet.test.ts
@@ -138,22 +138,23 @@
   readonly refused: number;
 }
 
-/** How many connections the fleet left behind, and who opens how many after the power is back. */
+/** Who opens how many connections after the power is back. */
 function holdersOf(sharing: ConnectionSharing) {
   if (sharing.type === 'direct') {
     const each = unsettledConnections(1, { slots: SLOTS, nodes: NODES });
-    return { left: NODES, holders: NODES, limit: each, hopMs: 0 };
+    return { holders: NODES, limit: each, hopMs: 0 };
   }
   const owners = sharing.ownersPerInstance;
   const share = connectionsPerOwner(owners, MAX_CONNECTIONS);
   const limit = Math.ceil(share * UNSETTLED_SHARE);
-  return { left: owners * share, holders: owners, limit, hopMs: HOP_MS };
+  return { holders: owners, limit, hopMs: HOP_MS };
 }
 
 function play(seed: number, sharing: ConnectionSharing): Return {
   const clock = new SimulatedClock(seed);
-  const { left, holders: count, limit, hopMs } = holdersOf(sharing);
-  const instance = new Instance(clock, left);
+  const { holders: count, limit, hopMs } = holdersOf(sharing);
+  // Each node had one of its own.
+  const instance = new Instance(clock, NODES);
   const holders = Array.from({ length: count }, () => new Holder(clock, instance, limit));
   let asked = 0;
   let inAim = 0;
--- a/test/unit/direct/relay-host.test.ts
+++ b/test/unit/direct/relay-host.test.ts
@@ -26,6 +26,28 @@
   host.close();
 });
 
+test('a node that connects by itself is ready to lend to those that come back', async () => {
+  const host = new RelayHost({
+    ...{ nodeName: 'n-1', listen: undefined, wire: lineWire, find: () => undefined },
+    ...{ counters: { ...COUNTERS }, now: () => 0 },
+  });
+  const nodes = [{ nodeId: 'n-2', zone: 'a', host: '127.0.0.1', port: 1 }];
+  const roster = { ownersPerInstance: 2, nodes };
+  let changes = 0;
+  host.onChange = () => {
+    changes += 1;
+  };
+  host.update(roster, false);
+  assert.not(host.isComing);
+  await until('the relay', () => changes > 0);
+  assert.is(host.roster, undefined);
+  host.update(roster, true);
+  assert.equal([host.isComing, host.roster], [false, roster]);
+  host.update(roster, false);
+  assert.is(host.roster, undefined);
+  host.close();
+});
+
 test('a fleet without owners waits for none', () => {
   const host = new RelayHost({
     ...{ nodeName: 'n-1', listen: undefined, wire: lineWire, find: () => undefined },
--- a/test/unit/return/returning-fleet.test.ts
+++ b/test/unit/return/returning-fleet.test.ts
@@ -1,13 +1,14 @@
-/** Which fleets connect to every instance by themselves, so that they fit beside the connections they left. */
+/** Which fleets fit beside the connections they left, and who comes back through owners. */
 import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { RESERVED_CONNECTIONS } from '../../../src/core/ownership/connection-sharing.js';
 import { FleetPublisher } from '../../../src/core/promotion/fleet-publisher.js';
 import { DEFAULT_PROMOTION_TIMINGS } from '../../../src/core/promotion/options.js';
-import type { FleetRecord } from '../../../src/core/promotion/records.js';
+import { decodeRecord, type FleetRecord, fleetForm } from '../../../src/core/promotion/records.js';
 import { PromotionRuntime } from '../../../src/core/promotion/runtime.js';
 import {
+  isReturning,
   LARGEST_FLEET_WITHOUT_OWNERS,
   largestReturningMesh,
 } from '../../../src/core/return/returning-fleet.js';
@@ -15,7 +16,7 @@
 const RUNS = { seed: 20261203, numRuns: 500 };
 const limits = fc.integer({ min: 1, max: 1000 });
 
-test('a mesh larger than a small fleet fits twice beside the reserved connections', () => {
+test('a mesh that comes back by itself, larger than a small fleet, fits twice beside the reserved connections', () => {
   fc.assert(
     fc.property(limits, (maxConnections) => {
       const nodes = largestReturningMesh(maxConnections);
@@ -50,7 +51,11 @@
 const MAX_CONNECTIONS = 46;
 
 /** What the leader of so many nodes publishes; `largestDirectFleet` as an operator sets it. */
-function publishedBy(nodes: number, largestDirectFleet?: number): FleetRecord | undefined {
+function publishedBy(
+  nodes: number,
+  largestDirectFleet?: number,
+  before?: FleetRecord,
+): FleetRecord | undefined {
   const runtime = new PromotionRuntime({
     ...{ nodeName: 'n0', incarnation: 'i', timings: DEFAULT_PROMOTION_TIMINGS },
     ...{ random: () => 0.5, largestDirectFleet },
@@ -58,11 +63,11 @@
   const live = Array.from({ length: nodes }, (_, index) => {
     return { nodeId: `n${index}`, zone: 'a', host: `10.0.0.${index}`, port: 7455, linkMbps: 10 };
   });
-  let published: FleetRecord | undefined;
+  let published = before;
   const store = {
     begunAt: 0,
     liveNodes: () => nodes,
-    reachableNodes: () => live,
+    reachableNodes: () => live.map(({ linkMbps: _linkMbps, ...node }) => node),
     possibleReaders: () => live,
     publishedFleet: () => published,
     publishFleet: (record: FleetRecord) => {
@@ -74,13 +79,39 @@
   return published;
 }
 
-test('the leader gives owners to a fleet that would not fit beside the connections it left', () => {
-  assert.is(publishedBy(LARGEST_FLEET_WITHOUT_OWNERS)?.owners, undefined);
-  assert.is(publishedBy(36)?.owners?.ownersPerInstance, 2);
+test('a fleet that would not fit beside the connections it left has owners for those that come back', () => {
+  assert.is(publishedBy(LARGEST_FLEET_WITHOUT_OWNERS)?.returnOwners, undefined);
+  const fleet = publishedBy(36);
+  assert.is(fleet?.owners, undefined);
+  assert.is(fleet?.returnOwners?.ownersPerInstance, 2);
+  assert.is(fleet?.returnOwners?.nodes.length, 36);
 });
 
-test('an operator who sets the size of a mesh is followed', () => {
-  assert.is(publishedBy(36, MAX_CONNECTIONS)?.owners, undefined);
+test('the owners stay named while the nodes that lost power are not counted', () => {
+  const before = publishedBy(36);
+  const after = publishedBy(4, undefined, before);
+  assert.is(after?.returnOwners?.ownersPerInstance, 2);
+});
+
+test('a fleet that always has owners comes back through them', () => {
+  const fleet = publishedBy(36, 23);
+  assert.is(fleet?.owners?.ownersPerInstance, 2);
+  assert.is(fleet?.returnOwners, undefined);
+});
+
+test('what the leader publishes is read as it was written', () => {
+  const fleet = publishedBy(36);
+  const entry = { key: 'k', value: JSON.stringify(fleet), createRevision: 1, modRevision: 1 };
+  assert.equal(decodeRecord(entry, fleetForm)?.returnOwners, fleet?.returnOwners);
+});
+
+test('a process that replaces another returns for as long as connections may be left, each for a little longer', () => {
+  const replacing = { startedAt: 1000, isFirstStart: false, spread: 0 };
+  assert.ok(isReturning(replacing, 4499));
+  assert.not(isReturning(replacing, 4500));
+  assert.ok(isReturning({ ...replacing, spread: 0.9 }, 5399));
+  assert.not(isReturning({ ...replacing, spread: 0.9 }, 5400));
+  assert.not(isReturning({ ...replacing, isFirstStart: true }, 1000));
 });
 
 test.run();
