--- /dev/null
+++ b/test/unit/return/returning-fleet.test.ts
@@ -0,0 +1,117 @@
+/** Which fleets fit beside the connections they left, and who comes back through owners. */
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { RESERVED_CONNECTIONS } from '../../../src/core/ownership/connection-sharing.js';
+import { FleetPublisher } from '../../../src/core/promotion/fleet-publisher.js';
+import { DEFAULT_PROMOTION_TIMINGS } from '../../../src/core/promotion/options.js';
+import { decodeRecord, type FleetRecord, fleetForm } from '../../../src/core/promotion/records.js';
+import { PromotionRuntime } from '../../../src/core/promotion/runtime.js';
+import {
+  isReturning,
+  LARGEST_FLEET_WITHOUT_OWNERS,
+  largestReturningMesh,
+} from '../../../src/core/return/returning-fleet.js';
+
+const RUNS = { seed: 20261203, numRuns: 500 };
+const limits = fc.integer({ min: 1, max: 1000 });
+
+test('a mesh that comes back by itself, larger than a small fleet, fits twice beside the reserved connections', () => {
+  fc.assert(
+    fc.property(limits, (maxConnections) => {
+      const nodes = largestReturningMesh(maxConnections);
+      const isSmall = nodes <= LARGEST_FLEET_WITHOUT_OWNERS;
+      assert.ok(isSmall || 2 * nodes + RESERVED_CONNECTIONS <= maxConnections);
+    }),
+    RUNS,
+  );
+});
+
+test('a mesh is never larger than the connections of an instance, and a small one only for their sake', () => {
+  fc.assert(
+    fc.property(limits, (maxConnections) => {
+      const nodes = largestReturningMesh(maxConnections);
+      assert.ok(nodes <= maxConnections);
+      assert.ok(nodes >= Math.min(maxConnections, LARGEST_FLEET_WITHOUT_OWNERS));
+    }),
+    RUNS,
+  );
+});
+
+test('no larger mesh fits twice', () => {
+  fc.assert(
+    fc.property(limits, (maxConnections) => {
+      const more = largestReturningMesh(maxConnections) + 1;
+      assert.ok(2 * more + RESERVED_CONNECTIONS > maxConnections);
+    }),
+    RUNS,
+  );
+});
+
+const MAX_CONNECTIONS = 46;
+
+/** What the leader of so many nodes publishes; `largestDirectFleet` as an operator sets it. */
+function publishedBy(
+  nodes: number,
+  largestDirectFleet?: number,
+  before?: FleetRecord,
+): FleetRecord | undefined {
+  const runtime = new PromotionRuntime({
+    ...{ nodeName: 'n0', incarnation: 'i', timings: DEFAULT_PROMOTION_TIMINGS },
+    ...{ random: () => 0.5, largestDirectFleet },
+  });
+  const live = Array.from({ length: nodes }, (_, index) => {
+    return { nodeId: `n${index}`, zone: 'a', host: `10.0.0.${index}`, port: 7455, linkMbps: 10 };
+  });
+  let published = before;
+  const store = {
+    begunAt: 0,
+    liveNodes: () => nodes,
+    reachableNodes: () => live.map(({ linkMbps: _linkMbps, ...node }) => node),
+    possibleReaders: () => live,
+    publishedFleet: () => published,
+    publishFleet: (record: FleetRecord) => {
+      published = record;
+    },
+  };
+  const services = [{ name: 'orders', maxConnections: MAX_CONNECTIONS, syncReplicas: 1 }];
+  new FleetPublisher(runtime, store, () => services).publish(() => {});
+  return published;
+}
+
+test('a fleet that would not fit beside the connections it left has owners for those that come back', () => {
+  assert.is(publishedBy(LARGEST_FLEET_WITHOUT_OWNERS)?.returnOwners, undefined);
+  const fleet = publishedBy(36);
+  assert.is(fleet?.owners, undefined);
+  assert.is(fleet?.returnOwners?.ownersPerInstance, 2);
+  assert.is(fleet?.returnOwners?.nodes.length, 36);
+});
+
+test('the owners stay named while the nodes that lost power are not counted', () => {
+  const before = publishedBy(36);
+  const after = publishedBy(4, undefined, before);
+  assert.is(after?.returnOwners?.ownersPerInstance, 2);
+});
+
+test('a fleet that always has owners comes back through them', () => {
+  const fleet = publishedBy(36, 23);
+  assert.is(fleet?.owners?.ownersPerInstance, 2);
+  assert.is(fleet?.returnOwners, undefined);
+});
+
+test('what the leader publishes is read as it was written', () => {
+  const fleet = publishedBy(36);
+  const entry = { key: 'k', value: JSON.stringify(fleet), createRevision: 1, modRevision: 1 };
+  assert.equal(decodeRecord(entry, fleetForm)?.returnOwners, fleet?.returnOwners);
+});
+
+test('a process that replaces another returns for as long as connections may be left, each for a little longer', () => {
+  const replacing = { startedAt: 1000, isFirstStart: false, spread: 0 };
+  assert.ok(isReturning(replacing, 4499));
+  assert.not(isReturning(replacing, 4500));
+  assert.ok(isReturning({ ...replacing, spread: 0.9 }, 5399));
+  assert.not(isReturning({ ...replacing, spread: 0.9 }, 5400));
+  assert.not(isReturning({ ...replacing, isFirstStart: true }, 1000));
+});
+
+test.run();
