--- a/test/property/watch-readers.test.ts
+++ b/test/property/watch-readers.test.ts
@@ -286,6 +286,17 @@
   for (const { counters } of network.nodes) assert.ok(counters.fallbacks <= 1);
 });
 
+test('nodes that are named in place of readers that died tell at once what these had told them', async () => {
+  const network = networkOf(seededRandom(17));
+  nameReaders(network, places(network, [0, 1]));
+  await network.time.runUntil(6000);
+  for (const node of network.nodes.slice(0, 2)) node.isAlive = false;
+  nameReaders(network, places(network, [2, 3]));
+  // Shorter than a poll of the store, longer than the silence that readers may keep.
+  await network.time.runUntil(8300);
+  for (const { counters } of network.nodes.slice(4)) assert.is(counters.fallbacks, 0);
+});
+
 test('readers that tell each other what is old grow no younger by that', async () => {
   const network = zonedNetwork(seededRandom(14));
   nameReaders(network, places(network, ZONE_READERS));
