--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -1,9 +1,9 @@
 /**
- * One prefix of the store as this node follows it: by the store's own watch if it is a reader, or if its
+ * One prefix of the store as this node follows it: by the store's own watch if it reads the store for others, or if its
  * readers don't serve it, and through them otherwise. Whoever watches sees one watch without gaps.
  */
-import { PeerClock } from '../../core/directory/peer-clock.js';
 import { ReaderEvidence } from '../../core/directory/reader-evidence.js';
+import { RelayedWord, type WordTimes } from '../../core/directory/relayed-word.js';
 import { revisionOf, WatchHistory, type WatchStretch } from '../../core/directory/watch-history.js';
 import type { MeadowstackError } from '../../core/errors.js';
 import type { ReachableNode } from '../../core/ownership/owner-roster.js';
@@ -12,17 +12,20 @@
 import type { WatchEvent, WatchHandlers } from '../../platform/contract.js';
 import { StoreCompactedError } from '../../platform/errors.js';
 import type { ReaderCounters, SubscribeToReader, ToldStretch } from './contract.js';
+import { ReaderSubscriptions, type Subscription } from './subscriptions.js';
 
 /** That nothing has changed is passed on so often at most. */
 const UNCHANGED_EVERY_MS: Milliseconds = 1000;
 /**
- * The first watch of a node begins right after a read of everything: readers that it knows by then have so long to serve
- * it before the store itself is polled. A fleet that starts anew changes its own records several times in its first
- * second, and each change cost a poll of every node.
+ * The first watch of a node begins right after a read of everything: readers that it knows by then, or learns of, have so
+ * long to serve it before the store itself is polled. A fleet that starts anew changes its own records several times in its
+ * first second, and each change cost a poll of every node.
  */
 const FIRST_WATCH_GRACE_MS: Milliseconds = 500;
-/** A reader that was lost is asked again after half of this to all of it. */
-const ASK_AGAIN_MS: Milliseconds = 1200;
+/** So long after its first watch a node asks readers often: they may have begun with it. */
+const BEGINNING_MS: Milliseconds = 2000;
+/** Readers that are asked since the store's own watch has ended have so long to serve before the store is asked again. */
+const READER_GRACE_MS: Milliseconds = 400;
 
 export interface FollowedPrefixOptions {
   readonly prefix: string;
@@ -30,31 +33,22 @@
   readonly isProof?: boolean | undefined;
   /** What readers tell is relied on until the store's word for it is so old. */
   readonly maxAgeMs: Milliseconds;
+  /** How often a relay passes on at once that nothing has changed. */
+  readonly passEveryMs: Milliseconds;
+  /** The first watch waits so long to hear of readers. */
+  readonly firstPollMs: Milliseconds;
+  /** True while this node may yet hear for the first time who reads the store. */
+  readonly mayLearnReaders: () => boolean;
   /** Opens the store's own watch. */
   readonly openDirect: (fromRevision: number, handlers: WatchHandlers) => () => void;
   readonly subscribe: SubscribeToReader;
+  /** Takes the readers that are named now, which what was told may have changed. */
+  readonly refreshReaders: () => void;
   readonly counters: ReaderCounters;
   readonly now: () => Milliseconds;
   readonly random: () => number;
 }
 
-interface Subscription {
-  readonly reader: ReachableNode;
-  /** Undefined while the reader is not asked. */
-  close: (() => void) | undefined;
-  askAt: Milliseconds;
-  /** The reader's clock; another with each question. */
-  clock: PeerClock;
-  /** It told of changes that it does not pass on, or that follow on others which are unknown here. */
-  hasGap: boolean;
-}
-
-/** When the store had no more than a reader told: as far as can be judged, and no later than the truth. */
-interface ToldTimes {
-  readonly currentAt: Milliseconds;
-  readonly provenAt: Milliseconds;
-}
-
 interface Watcher {
   readonly handlers: WatchHandlers;
   /** Everything up to this revision was told. */
@@ -75,21 +69,39 @@
 export class FollowedPrefix {
   /** Called when the store has told something, also that nothing has changed. */
   onAnswered: () => void = () => {};
-  /** Called when the store's own watch has ended. */
-  onDirectEnded: () => void = () => {};
+  /** Called when readers have told a relay what its own followers should hear at once. */
+  onRelayed: () => void = () => {};
+  /** Called when this node has nothing to tell followers any more. */
+  onTellingEnded: () => void = () => {};
   readonly history = new WatchHistory();
   readonly #evidence: ReaderEvidence;
-  readonly #subscriptions = new Map<string, Subscription>();
-  #isReader = false;
+  readonly #subscriptions: ReaderSubscriptions;
+  #role: ReadersOfNode['type'] = 'others';
+  /** What a relay heard last. */
+  readonly #relayed: RelayedWord;
   #watcher: Watcher | undefined;
   /** When this node first watched; undefined before that. */
   #firstWatchAt: Milliseconds | undefined;
   /** Readers have served this node: a watch of its own is a fallback from then on. */
   #wasServed = false;
   #direct: DirectWatch | undefined;
+  /** The store is not asked before. */
+  #directAgainAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: FollowedPrefixOptions) {
     this.#evidence = new ReaderEvidence(options.maxAgeMs);
+    this.#relayed = new RelayedWord(options.passEveryMs);
+    const { prefix, subscribe, now, random } = options;
+    this.#subscriptions = new ReaderSubscriptions({
+      ...{ prefix, subscribe, now, random },
+      isBeginning: () => now() - (this.#firstWatchAt ?? now()) < BEGINNING_MS,
+      onTold: (key, subscription, told) => this.#noteTold(key, subscription, told),
+      onLost: (key) => {
+        this.#evidence.noteLost(key);
+        this.look();
+      },
+      onDropped: (key) => this.#evidence.noteLost(key),
+    });
   }
 
   get prefix(): string {
@@ -101,14 +113,14 @@
     return this.#direct !== undefined;
   }
 
-  /** When the store last answered the watch that is open; undefined if none is, or has an answer. */
+  /** When the store last vouched for what followers may be told; undefined while there is nothing to tell. */
   get answeredAt(): Milliseconds | undefined {
-    return this.#direct?.answeredAt;
+    return latest(this.#direct?.answeredAt, this.#relayed.times?.currentAt);
   }
 
   /** No later than when the store had nothing newer than what is known; undefined as `answeredAt` is. */
   get provenAt(): Milliseconds | undefined {
-    return this.#direct?.provenAt;
+    return latest(this.#direct?.provenAt, this.#relayed.times?.provenAt);
   }
 
   /** True if followers are told each word of the store. */
@@ -118,16 +130,18 @@
 
   /** Follows from a revision on; there is one such watch at a time. The returned function ends it. */
   watch(fromRevision: number, handlers: WatchHandlers): () => void {
-    this.#closeDirect();
+    this.#endTelling();
     const watcher = { handlers, told: fromRevision - 1, toldAt: Number.NEGATIVE_INFINITY };
     this.#watcher = watcher;
     this.#firstWatchAt ??= this.options.now();
     this.#catchUp(watcher);
+    // Readers may have told something while nobody listened.
+    if (this.#subscriptions.forgetGaps(watcher.told)) this.#leaveToReaders();
     this.look();
     return () => {
       if (this.#watcher !== watcher) return;
       this.#watcher = undefined;
-      this.#closeDirect();
+      this.#endTelling();
     };
   }
 
@@ -136,47 +150,29 @@
     const watcher = this.#watcher;
     if (watcher === undefined) return;
     this.#watcher = undefined;
-    this.#closeDirect();
+    this.#endTelling();
     watcher.handlers.onEnd(new StoreCompactedError(watcher.told), true);
   }
 
-  /** Takes the readers that the leader names now. */
-  setReaders(readers: ReadersOfNode): void {
-    this.#isReader = readers.type === 'self';
-    const named = new Map(
-      readers.type === 'self' ? [] : readers.readers.map((reader) => [keyOfNode(reader), reader]),
-    );
-    for (const [key, { close }] of this.#subscriptions) {
-      if (named.has(key)) continue;
-      close?.();
-      this.#evidence.noteLost(key);
-      this.#subscriptions.delete(key);
-    }
-    for (const [key, reader] of named) {
-      if (this.#subscriptions.has(key)) continue;
-      const askAt = this.options.now();
-      const clock = new PeerClock(askAt);
-      const subscription = { reader, close: undefined, askAt, clock, hasGap: false };
-      this.#subscriptions.set(key, subscription);
-    }
+  /** Takes the readers that the leader names now; `further` are those that serve others. */
+  setReaders(readers: ReadersOfNode, further: readonly ReachableNode[] = []): void {
+    this.#role = readers.type;
+    if (this.#role === 'others') this.#forgetRelayed();
+    this.#subscriptions.setReaders(readers.type === 'self' ? [] : readers.readers, further);
   }
 
   /** Asks readers that are not asked, and the store if they don't serve. Called at least every second. */
   look(): void {
-    const now = this.options.now();
     if (this.#watcher === undefined) return;
-    for (const [key, subscription] of this.#subscriptions) {
-      const isDue = subscription.close === undefined && subscription.askAt <= now;
-      if (isDue) this.#ask(key, subscription, this.#watcher.told);
-    }
-    if (this.#direct === undefined && this.#wantsDirect(this.#watcher))
-      this.#openDirect(this.#watcher);
+    this.#subscriptions.askDue(this.#watcher.told);
+    if (this.#watcher === undefined || this.#direct !== undefined) return;
+    if (this.#wantsDirect(this.#watcher)) this.#openDirect(this.#watcher);
   }
 
   /** Ends everything; the watcher is not told. */
   close(): void {
     this.#watcher = undefined;
-    this.#closeDirect();
+    this.#endTelling();
     this.setReaders({ type: 'others', readers: [] });
   }
 
@@ -184,9 +180,15 @@
     const now = this.options.now();
     const isServed = this.#evidence.isServed(now, told);
     this.#wasServed ||= isServed;
-    const isFirst = now - (this.#firstWatchAt ?? now) < FIRST_WATCH_GRACE_MS;
-    const isAsking = isFirst && this.#subscriptions.size > 0;
-    return this.#isReader || !(isServed || isAsking);
+    if (now < this.#directAgainAt) return false;
+    return this.#role === 'self' || !(isServed || this.#isFirstWatchWaiting(now));
+  }
+
+  #isFirstWatchWaiting(now: Milliseconds): boolean {
+    const { firstPollMs, mayLearnReaders } = this.options;
+    const waitedMs = now - (this.#firstWatchAt ?? now);
+    if (this.#subscriptions.size === 0) return waitedMs < firstPollMs && mayLearnReaders();
+    return waitedMs < Math.max(FIRST_WATCH_GRACE_MS, firstPollMs);
   }
 
   /** What this node knows already is told later in this turn, as the store would. */
@@ -233,60 +235,53 @@
     // The next poll is sent after this returned.
     direct.sentAt = now();
     this.onAnswered();
-    this.#askAfterGaps(watcher);
+    this.options.refreshReaders();
+    // What a reader tells after a gap begins where it told last, which this answer may not reach while both cross.
+    if (this.#watcher === watcher) this.#subscriptions.askAfterGaps(watcher.told);
     if (!this.#wantsDirect(watcher)) this.#closeDirect();
   }
 
-  /**
-   * What a reader tells after a gap begins where it told last, which the store's own answer may not reach while words and
-   * answers cross: the reader is asked anew from there. A guard: no measured day was seen to need it.
-   */
-  #askAfterGaps(watcher: Watcher): void {
-    for (const [key, subscription] of this.#subscriptions) {
-      if (!subscription.hasGap || this.#watcher !== watcher) continue;
-      subscription.hasGap = false;
-      subscription.close?.();
-      this.#ask(key, subscription, watcher.told);
-    }
-  }
-
   /** Readers that serve make up for it; otherwise whoever watches decides what follows. */
   #directEnded(direct: DirectWatch, error: MeadowstackError, compacted: boolean): void {
     if (this.#direct !== direct) return;
     this.#direct = undefined;
-    this.onDirectEnded();
     const watcher = this.#watcher;
-    if (watcher === undefined || (!compacted && !this.#wantsDirect(watcher))) return;
+    const isServed = watcher !== undefined && !compacted && !this.#wantsDirect(watcher);
+    if (!isServed) this.#relayed.forget();
+    if (this.answeredAt === undefined) this.onTellingEnded();
+    if (watcher === undefined || isServed) return;
+    if (!compacted && this.#subscriptions.addFurther()) {
+      this.#leaveToReaders();
+      this.look();
+      return;
+    }
     this.#watcher = undefined;
     watcher.handlers.onEnd(error, compacted);
   }
 
+  /** The store is not asked for a moment. */
+  #leaveToReaders(): void {
+    this.#directAgainAt = this.options.now() + READER_GRACE_MS;
+  }
+
   #closeDirect(): void {
     const direct = this.#direct;
     if (direct === undefined) return;
     this.#direct = undefined;
     direct.close();
-    this.onDirectEnded();
+    if (this.answeredAt === undefined) this.onTellingEnded();
   }
 
-  #ask(key: string, subscription: Subscription, after: number): void {
-    const { subscribe, prefix } = this.options;
-    const clock = new PeerClock(this.options.now());
-    subscription.clock = clock;
-    subscription.close = subscribe(
-      subscription.reader,
-      { prefix, after },
-      {
-        onTold: (told) => this.#noteTold(key, subscription, told),
-        onLost: () => {
-          subscription.close = undefined;
-          subscription.askAt =
-            this.options.now() + ASK_AGAIN_MS * (0.5 + this.options.random() / 2);
-          this.#evidence.noteLost(key);
-          this.look();
-        },
-      },
-    );
+  #forgetRelayed(): void {
+    if (this.#relayed.times === undefined) return;
+    this.#relayed.forget();
+    if (this.answeredAt === undefined) this.onTellingEnded();
+  }
+
+  /** What was told is read anew, or nobody here follows it any more. */
+  #endTelling(): void {
+    this.#forgetRelayed();
+    this.#closeDirect();
   }
 
   #noteTold(key: string, subscription: Subscription, told: ToldStretch): void {
@@ -301,15 +296,22 @@
     this.#evidence.noteTold(key, now, currentAt, isGap ? stretch.revision : 0);
     if (watcher === undefined) return;
     const provenAt = clock.earliest(provenMs) ?? Number.NEGATIVE_INFINITY;
-    if (!isGap) this.#tellFromReader(watcher, stretch, { currentAt, provenAt });
+    if (!isGap) {
+      // What is passed on must not grow younger with the hops that it takes.
+      const vouchedAt = clock.earliest(clockMs - ageMs) ?? Number.NEGATIVE_INFINITY;
+      if (this.#role === 'relay') this.#relayed.note({ currentAt: vouchedAt, provenAt });
+      if (!subscription.isFurther) this.#subscriptions.dropFurther();
+      this.#tellFromReader(watcher, stretch, { currentAt, provenAt });
+    }
     this.look();
   }
 
-  #tellFromReader(watcher: Watcher, stretch: WatchStretch, at: ToldTimes): void {
+  #tellFromReader(watcher: Watcher, stretch: WatchStretch, at: WordTimes): void {
     const told = this.#advance(watcher, stretch);
     this.options.counters.eventsFromReaders += told.length;
     const isDue = this.isProof || this.options.now() - watcher.toldAt >= UNCHANGED_EVERY_MS;
     if (told.length > 0 || isDue) this.#tell(watcher, told, at.currentAt, at.provenAt);
+    if (this.#relayed.takeNews(told.length > 0)) this.onRelayed();
   }
 
   /** Takes a stretch that leaves no gap, and gives what of it is new. */
@@ -332,6 +334,9 @@
   }
 }
 
-function keyOfNode({ nodeId, host, port }: ReachableNode): string {
-  return `${nodeId}@${host}:${port}`;
+function latest(
+  left: Milliseconds | undefined,
+  right: Milliseconds | undefined,
+): Milliseconds | undefined {
+  return left === undefined || right === undefined ? (left ?? right) : Math.max(left, right);
 }
--- a/src/direct/readers/zone-positions.ts
+++ b/src/direct/readers/zone-positions.ts
@@ -60,7 +60,7 @@
 
   /** True if other nodes rely on the positions of this one. */
   get isReader(): boolean {
-    return this.options.readers().type === 'self';
+    return this.options.readers().type !== 'others';
   }
 
   /** True if a reader can be asked. */
@@ -108,7 +108,7 @@
 
   #reader(): ReachableNode | undefined {
     const own = this.options.readers();
-    if (own.type === 'self') return undefined;
+    if (own.type !== 'others') return undefined;
     const now = this.options.now();
     const turns = this.options.exchange === undefined ? 0 : this.#asked;
     const count = Math.max(1, own.readers.length);
--- a/test/support/reader-network.ts
+++ b/test/support/reader-network.ts
@@ -14,6 +14,7 @@
 
 export const PREFIX = 'server';
 export const POLL_WAIT_MS: Milliseconds = 2500;
+const FIRST_POLL_MS: Milliseconds = 1000;
 const POLL_SLACK_MS: Milliseconds = 400;
 export const MAX_AGE_MS: Milliseconds = POLL_WAIT_MS + POLL_SLACK_MS + 1000;
 const STORE_DELAY_MS: Milliseconds = 4;
@@ -80,6 +81,7 @@
     let isOpen = true;
     const poll = (): void => {
       this.polls += 1;
+      this.#pollsBy.set(node, this.pollsOf(node) + 1);
       let isDone = false;
       const finish = (answer: () => void): void => {
         if (isDone) return;
@@ -129,6 +131,13 @@
     };
   }
 
+  readonly #pollsBy = new Map<string, number>();
+
+  /** Polls of one node. */
+  pollsOf(node: string): number {
+    return this.#pollsBy.get(node) ?? 0;
+  }
+
   readonly #polls = new WeakMap<WatchHandlers, number>();
 
   #notePoll(handlers: WatchHandlers): number {
@@ -154,6 +163,8 @@
   readonly told: number[] = [];
   /** Everything up to this revision is known to the watcher. */
   known = 0;
+  /** When the store surely had nothing that the watcher was not told. */
+  provenAt: Milliseconds = Number.NEGATIVE_INFINITY;
   isAlive = true;
   readonly counters = { eventsFromReaders: 0, fallbacks: 0, eventsPassed: 0, eventsTold: 0 };
 
@@ -165,8 +176,12 @@
     this.followed = new FollowedPrefix({
       prefix: PREFIX,
       maxAgeMs: MAX_AGE_MS,
+      passEveryMs: POLL_WAIT_MS / 2,
+      firstPollMs: FIRST_POLL_MS,
+      mayLearnReaders: () => network.mayLearnReaders,
       isProof: network.isProof,
       openDirect: (from, handlers) => store.watch(place.nodeId, from, handlers),
+      refreshReaders: () => {},
       subscribe: (...asked) => network.subscribe(this, ...asked),
       counters: this.counters,
       now: () => time.now,
@@ -188,12 +203,13 @@
 
   #watch(): void {
     this.followed.watch(this.known + 1, {
-      onEvents: (events, revision) => {
+      onEvents: (events, revision, currentAt, provenAt = currentAt) => {
         this.told.push(...events.map(modRevisionOf));
+        this.provenAt = Math.max(this.provenAt, provenAt ?? this.provenAt);
         this.known = Math.max(this.known, revision);
       },
       onEnd: (_error, compacted) => {
-        this.network.time.after(RECONNECT_MS, () => {
+        this.network.time.after(this.network.reconnectMs, () => {
           if (compacted) this.follow();
           else this.#watch();
         });
@@ -209,6 +225,10 @@
   readonly nodes: VirtualNode[] = [];
   /** Links that carry nothing, by the names of both ends. */
   readonly cutLinks = new Set<string>();
+  /** Who watches begins anew so long after its watch has ended. */
+  reconnectMs = RECONNECT_MS;
+  /** Nodes that begin may yet hear who reads the store. */
+  mayLearnReaders = false;
 
   constructor(
     readonly random: () => number,
