--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -4,6 +4,7 @@
  */
 import { createHash } from 'node:crypto';
 import type { Position } from '../core/position.js';
+import { returnTime } from '../core/retry/return-time.js';
 import type { PreparedStatement } from '../core/statements/session-values.js';
 import { SessionVariables } from '../core/statements/session-variables.js';
 import type {
@@ -586,16 +587,19 @@
     const error = outcome.type === 'refused' ? outcome.refusal : outcome.answer.error;
     if (outcome.type === 'refused') counters.refused += 1;
     else counters.failed += 1;
-    const hint = error?.code === 'busy' ? `; ${this.#retryHint()}` : '';
+    const isShort = outcome.type === 'refused' && outcome.refusal.isForWantOfRoom === true;
+    const hint = error?.code === 'busy' ? `; ${this.#retryHint(isShort)}` : '';
     this.#refuse(error?.code ?? 'failed', `${error?.text ?? ''}${hint}`);
   }
 
   /** When it is worth asking again for what has not run. */
-  #retryHint(): string {
-    const service = this.#transaction?.service ?? this.#route()?.service;
-    const { view } = this.options.runner.options;
-    const isChanging = service !== undefined && view.isChanging(service.name);
-    return `retry after ${isChanging ? RETRY_AFTER_CHANGE_MS : RETRY_AFTER_MS} ms`;
+  #retryHint(isForWantOfRoom = false): string {
+    const place = this.#transaction ?? this.#route();
+    const { view, random } = this.options.runner.options;
+    const isChanging = place !== undefined && view.isChanging(place.service.name);
+    if (isChanging) return `retry after ${RETRY_AFTER_CHANGE_MS} ms`;
+    if (!isForWantOfRoom) return `retry after ${RETRY_AFTER_MS} ms`;
+    return `retry after ${returnTime(place?.tenant.policy.priority ?? 0, random())} ms`;
   }
 
   /** Nothing follows what ended the session. */
--- a/src/direct/statement-request.ts
+++ b/src/direct/statement-request.ts
@@ -24,6 +24,8 @@
 export interface Refusal {
   readonly code: StatementErrorCode;
   readonly text: string;
+  /** The instance has no room for it now. */
+  readonly isForWantOfRoom?: boolean;
 }
 
 export type StatementOutcome =
@@ -93,8 +95,9 @@
 
 /** What the caller is told if no connection was had. */
 export function refusalOf(error: AcquireError): Refusal {
-  const isOverLimit = error instanceof InstanceQueueFullError;
-  return { code: 'busy', text: isOverLimit ? 'too many statements wait' : 'no connection' };
+  return error instanceof InstanceQueueFullError
+    ? { code: 'busy', text: 'too many statements wait', isForWantOfRoom: true }
+    : { code: 'busy', text: 'no connection' };
 }
 
 /** An attempt that did not get as far as the instance. */
--- a/test/unit/direct/caller-session.test.ts
+++ b/test/unit/direct/caller-session.test.ts
@@ -54,6 +54,33 @@
   assert.equal(lines.slice(7), ['ERROR UNPREPARED s1', 'READY I -']);
 });
 
+test('what is refused for want of room comes back by its priority', async () => {
+  for (const [priority, told] of [
+    [0, 150],
+    [2, 450],
+  ] as const) {
+    const dependencies = sessionDependencies(tenantWith({ priority }));
+    const refusal = { code: 'busy', text: 'too many statements wait', isForWantOfRoom: true };
+    const runner = Object.assign(Object.create(dependencies.runner), {
+      run: async () => ({ type: 'refused', refusal }),
+    });
+    const lines: string[] = [];
+    const session = new CallerSession({
+      ...{ ...dependencies, runner, end: () => {} },
+      write: (text) => lines.push(...text.split('\r\n').filter((line) => line !== '')),
+    });
+    await new Promise<void>((resolve) => {
+      session.onRest = resolve;
+      session.receive(lineWire.decodeCallerMessage('START orders u1'));
+    });
+    await new Promise<void>((resolve) => {
+      session.onRest = resolve;
+      session.receive(lineWire.decodeCallerMessage('QUERY 1 READ key'));
+    });
+    assert.is(lines.at(-2), `ERROR BUSY too many statements wait; retry after ${told} ms`);
+  }
+});
+
 test('what has not run is refused with a time to ask again', async () => {
   const { lines, send } = startSession();
   await send('START orders u1');
