--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -154,6 +154,12 @@
   | 'lost-records'
   /** A process that has only heard of the present era relies on no record until that is settled. */
   | 'era-memory'
+  /** A node that was cut off when the store came back from a copy trusts no primary by its lease until that is settled. */
+  | 'era-coverage'
+  /** Of two records after a return of the store, the one of the later term holds, whatever number its change has. */
+  | 'later-term'
+  /** A group without a record in which nobody calls itself primary has the one that a leader noted last. */
+  | 'noted-primary'
   /** After a return of the store a new leader waits for calls whose candidate no record names any more. */
   | 'unnamed-calls'
   /** Members that nodes have seen and no record names count. */
--- a/src/core/promotion/duty-store.ts
+++ b/src/core/promotion/duty-store.ts
@@ -89,6 +89,19 @@
     this.#begunAt = this.runtime.now;
   }
 
+  /**
+   * The primary as all nodes know it. Before the first record, one that calls itself so; where nobody does, a change was
+   * begun whose record a return of the store took back, and it is whom a leader noted last.
+   */
+  primaryIdOf(service: string): string | undefined {
+    const known = this.primaries.primaryIdOf(service);
+    if (known !== undefined || this.runtime.isDisabled('noted-primary')) return known;
+    if (!this.records.isReady || this.primaries.recordOf(service) !== undefined) return undefined;
+    const present = this.primaries.present(service);
+    if (present.some(({ role }) => role === 'primary')) return undefined;
+    return this.noteOf(service).primary;
+  }
+
   noteOf(service: string): DutyNote {
     const entry = this.duty.get(noteKeyOf(service));
     if (entry === undefined) return EMPTY_NOTE;
--- a/src/core/promotion/era-settling.ts
+++ b/src/core/promotion/era-settling.ts
@@ -16,6 +16,9 @@
   /** This process has no memory of an era before, in which the store may have held more. */
   #isWithoutMemory = false;
 
+  /** It did not follow the store up to its return, and may have missed what the copy lacks. */
+  #mayHaveMissed = false;
+
   #hasRisen = false;
   /** The era in which the whole system started. */
   #firstOfAll: number | undefined;
@@ -26,9 +29,13 @@
     private readonly isFirstStart: boolean,
   ) {}
 
-  /** The store named its era for the first time, or one that is higher. */
-  note(era: number, now: Milliseconds): void {
+  /**
+   * The store named its era for the first time, or one that is higher.
+   * @param wasPermitted no change of primary can have ended before the return without this node's acknowledgement
+   */
+  note(era: number, now: Milliseconds, wasPermitted = true): void {
     const isFirst = this.#era === undefined;
+    this.#mayHaveMissed = !isFirst && (!wasPermitted || this.mayHaveMissedRecords(now));
     if (isFirst && this.isFirstStart) this.#firstOfAll = era;
     this.#isWithoutMemory = isFirst || !this.mayRelyOnRecords(now);
     this.#hasRisen ||= !isFirst;
@@ -77,6 +84,11 @@
     return this.unrecorded !== undefined && this.#firstOfAll !== this.#era;
   }
 
+  /** A record that the copy lacks, and that others are yet to write again, may name another primary than is known here. */
+  mayHaveMissedRecords(now: Milliseconds): boolean {
+    return this.#mayHaveMissed && !this.isSettled(now);
+  }
+
   /** What the store holds, with what this process remembers, is all that was acted on. */
   mayRelyOnRecords(now: Milliseconds): boolean {
     return !this.#isWithoutMemory || this.isSettled(now);
--- a/src/core/promotion/lost-records.ts
+++ b/src/core/promotion/lost-records.ts
@@ -54,7 +54,7 @@
   /** The store came back with this entry of a key, or with none. */
   noteReturn(known: KeyValue, stored: KeyValue | undefined): void {
     if (this.runtime.isDisabled('lost-records')) return;
-    const value = heldValue(this.#records.get(known.key) ?? known, stored);
+    const value = this.#heldValue(this.#records.get(known.key) ?? known, stored);
     if (value === undefined) return;
     this.#records.set(known.key, { ...known, value });
     this.#writeLater();
@@ -66,7 +66,7 @@
   heldOver(stored: KeyValue): KeyValue | undefined {
     const known = this.#records.get(stored.key);
     if (known === undefined) return undefined;
-    const value = heldValue(known, stored);
+    const value = this.#heldValue(known, stored);
     if (value === undefined) {
       this.#records.delete(stored.key);
       return undefined;
@@ -75,6 +75,19 @@
     return { ...known, value, modRevision: stored.modRevision };
   }
 
+  /** The value that holds of a key where it is not the store's own; undefined if it is. */
+  #heldValue(known: KeyValue, stored: KeyValue | undefined): string | undefined {
+    if (known.value === stored?.value) return undefined;
+    if (serviceOfPrimaryKey(known.key) !== undefined) {
+      const isLater = this.runtime.isDisabled('later-term') ? isLaterChange : isLaterRecord;
+      const record = decodeRecord(known, primaryForm);
+      return isLater(record, decodeRecord(stored, primaryForm)) ? known.value : undefined;
+    }
+    if (isMembersKey(known.key)) return joinedMembers(known, stored);
+    // The leader that lives on has written its notes alone.
+    return isNoteKey(known.key) ? known.value : undefined;
+  }
+
   #writeLater(): void {
     if (this.#records.size === 0 || this.#isPlanned) return;
     this.#isPlanned = true;
@@ -99,18 +112,6 @@
   }
 }
 
-/** The value that holds of a key where it is not the store's own; undefined if it is. */
-function heldValue(known: KeyValue, stored: KeyValue | undefined): string | undefined {
-  if (known.value === stored?.value) return undefined;
-  if (serviceOfPrimaryKey(known.key) !== undefined) {
-    const record = decodeRecord(known, primaryForm);
-    return isLaterRecord(record, decodeRecord(stored, primaryForm)) ? known.value : undefined;
-  }
-  if (isMembersKey(known.key)) return joinedMembers(known, stored);
-  // The leader that lives on has written its notes alone.
-  return isNoteKey(known.key) ? known.value : undefined;
-}
-
 /** Which of two lists is later can't be told over several returns: a member too many only has to answer once more. */
 function joinedMembers(known: KeyValue, stored: KeyValue | undefined): string | undefined {
   const listed = decodeRecord(stored, membersForm);
@@ -131,8 +132,19 @@
   return [...listed, ...others.filter(({ id }) => !ids.has(id))];
 }
 
-/** Changes are counted; each begins with one record and ends with the other. */
+/**
+ * Terms only grow, and are the instances' own. Changes are counted by the records, so that one that a copy lacks is counted
+ * once more: they tell only of records of one term. A change that begins comes after the primary of its term.
+ */
 function isLaterRecord(known: PrimaryRecord | undefined, stored: PrimaryRecord | undefined) {
+  if (known === undefined || stored === undefined) return known !== undefined;
+  if (known.term !== stored.term) return known.term > stored.term;
+  if (known.phase !== stored.phase) return known.phase === 'changing';
+  return known.change > stored.change;
+}
+
+/** Changes are counted; each begins with one record and ends with the other. */
+function isLaterChange(known: PrimaryRecord | undefined, stored: PrimaryRecord | undefined) {
   if (known === undefined || stored === undefined) return known !== undefined;
   if (known.change !== stored.change) return known.change > stored.change;
   return known.phase === 'serving' && stored.phase === 'changing';
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -103,6 +103,7 @@
   /** True if what the primary, or this instance, answers now is surely not of a deposed one. */
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
     if (!this.#participation.isPermitted(now) || !this.#mayRelyOnRecords(now)) return false;
+    if (this.#runtime.era.mayHaveMissedRecords(now)) return false;
     const primary = this.#primaries.primaryOf(service, now);
     return primary !== undefined && (instance === undefined || instance === primary.id);
   }
@@ -258,7 +259,10 @@
 
   /** Leases, registrations and what hangs on them may be gone, or back: each is shown or written anew before it counts. */
   #noteStoreEra(era: number): void {
-    this.#runtime.era.note(era, this.#runtime.now);
+    const { now } = this.#runtime;
+    const wasPermitted =
+      this.#participation.isPermitted(now) || this.#runtime.isDisabled('era-coverage');
+    this.#runtime.era.note(era, now, wasPermitted);
     if (this.#runtime.isDisabled('era-registration')) return;
     this.#lease.noteEra();
     this.#participation.noteEra();
--- a/src/core/promotion/service-duty.ts
+++ b/src/core/promotion/service-duty.ts
@@ -44,7 +44,13 @@
     this.#calls = new PromotionCalls(runtime, election, lease, service);
     this.#scope = new Scope(runtime);
     this.#members = new GroupMembers(runtime, primaries, store, service);
-    this.#monitor = new PrimaryMonitor(runtime, primaries, store, service, (id, reason) =>
+    const watched = {
+      goneForMs: (id: string, now: Milliseconds) => primaries.goneForMs(id, now),
+      instance: (id: string) => primaries.instance(id),
+      isPresent: (id: string) => primaries.isPresent(id),
+      primaryIdOf: (name: string) => store.primaryIdOf(name),
+    };
+    this.#monitor = new PrimaryMonitor(runtime, watched, store, service, (id, reason) =>
       this.#consider(id, reason),
     );
   }
@@ -181,7 +187,7 @@
       this.#logObstacle({ service: this.service, from: from.id, reason, said: result.said });
       this.#noteDeafness(result.heardAny);
     } else this.#deafLooks = 0;
-    const isStillPrimary = primaries.primaryIdOf(this.service) === from.id;
+    const isStillPrimary = store.primaryIdOf(this.service) === from.id;
     if (result.type === 'succeeded' && isStillPrimary && election.mayAct()) {
       this.#noteSuccession(from, result);
       return;
--- a/test/property/first-change-lost.test.ts
+++ b/test/property/first-change-lost.test.ts
@@ -7,7 +7,7 @@
  */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { playMix, STORE_RETURN_KINDS } from '../support/promotion/mix.js';
+import { playMix, RETURN_MECHANISMS, STORE_RETURN_KINDS } from '../support/promotion/mix.js';
 
 /** `RETURN_RUNS=1 RETURN_SEED=930270 node dist/test/property/store-return.test.js`, found among 930000 to 930599 */
 const SEED = 930270;
@@ -17,4 +17,9 @@
   assert.equal([violations, stopped], [[], []]);
 });
 
+test('without that, it has none for good', () => {
+  const { stopped } = playMix(SEED, STORE_RETURN_KINDS, RETURN_MECHANISMS);
+  assert.equal(stopped, ['group-1']);
+});
+
 test.run();
--- a/test/property/gone-candidate.test.ts
+++ b/test/property/gone-candidate.test.ts
@@ -12,7 +12,7 @@
 import {
   GONE_CANDIDATE_KINDS,
   isClean,
-  MEMBERSHIP_MECHANISMS,
+  LATER_MECHANISMS,
   MIXED_FAULT_KINDS,
   type MixOutcome,
   playMix,
@@ -28,7 +28,7 @@
 }
 
 test('a service whose named candidate is gone gets another one', () => {
-  for (const { violations, stopped, story } of [played(), played(MEMBERSHIP_MECHANISMS)]) {
+  for (const { violations, stopped, story } of [played(), played(LATER_MECHANISMS)]) {
     assert.equal([violations, stopped], [[], []]);
     const calls = story.match(/promotion called \{"service":"group-0"/g) ?? [];
     assert.ok(calls.length <= MOST_CALLS, `${calls.length} calls`);
@@ -36,7 +36,7 @@
 });
 
 test('without it the service has no primary for good', () => {
-  const { stopped } = played(['gone-candidates', ...MEMBERSHIP_MECHANISMS]);
+  const { stopped } = played(['gone-candidates', ...LATER_MECHANISMS]);
   assert.equal(stopped, ['group-0']);
 });
 
--- a/test/property/reused-change-number.test.ts
+++ b/test/property/reused-change-number.test.ts
@@ -7,7 +7,7 @@
  */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { playMix, STORE_RETURN_KINDS } from '../support/promotion/mix.js';
+import { playMix, RETURN_MECHANISMS, STORE_RETURN_KINDS } from '../support/promotion/mix.js';
 
 /** `RETURN_RUNS=1 RETURN_SEED=930569 node dist/test/property/store-return.test.js`, found among 930000 to 930599 */
 const SEED = 930569;
@@ -17,4 +17,11 @@
   assert.equal([violations, stopped], [[], []]);
 });
 
+test('without that, a read at a deposed primary is stale', () => {
+  const { violations } = playMix(SEED, STORE_RETURN_KINDS, RETURN_MECHANISMS);
+  assert.ok(
+    violations.some((violation) => violation.startsWith('STALE: read by node-1 at group-0-1')),
+  );
+});
+
 test.run();
--- a/test/support/promotion/mix.ts
+++ b/test/support/promotion/mix.ts
@@ -36,14 +36,22 @@
   'node kill',
 ];
 
+/** What nodes know of what a copy of the store lacks. */
+export const RETURN_MECHANISMS: readonly PromotionMechanism[] = [
+  'era-coverage',
+  'later-term',
+  'noted-primary',
+];
+
 /**
- * What nodes know of members beyond entries and notes. Each question and each read that it adds or spares changes the course of a seed: one
- * that was found before shows its story with these switched off.
+ * These, and what nodes know of members beyond entries and notes. Each question and read that they add or spare changes the course of a
+ * seed: one that was found before shows its story with them switched off.
  */
-export const MEMBERSHIP_MECHANISMS: readonly PromotionMechanism[] = [
+export const LATER_MECHANISMS: readonly PromotionMechanism[] = [
   'unlisted-members',
   'forgotten-members',
   'current-members',
+  ...RETURN_MECHANISMS,
 ];
 
 /** Returns of the store from a copy, beside all else. */
