--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -79,12 +79,12 @@
 
   /**
    * Instances that may serve a read, the chosen one first; ejected ones come last.
-   * @param isFirstTry whether the read may be the probe of an instance in probation
+   * @param mayProbe whether the read may be the probe of an instance in probation
    */
   rank<Load extends PlacedInstance>(
     loads: readonly Load[],
     now: Milliseconds,
-    isFirstTry: boolean,
+    mayProbe: boolean,
   ): Expected<Load>[] {
     const usualMs = usualAnswerMs(loads, this.#seen);
     const expected = loads.map((load) => ({
@@ -97,7 +97,7 @@
       expected.filter((one) => !isEjected(one)),
       this.options.random,
     );
-    const probe = isFirstTry
+    const probe = mayProbe
       ? ejected.find(({ candidate }) => this.#ejections.takeProbe(candidate.id, now))
       : undefined;
     const last = ejected.filter((one) => one !== probe);
--- a/src/direct/fleet-placement.ts
+++ b/src/direct/fleet-placement.ts
@@ -67,10 +67,10 @@
   rank(
     service: string,
     instances: readonly InstanceRuntime[],
-    isFirstTry: boolean,
+    mayProbe: boolean,
   ): Expected<InstanceRuntime>[] | undefined {
     if (!this.#isInEffect) return undefined;
-    return this.#placementOf(service).rank(instances, this.options.now(), isFirstTry);
+    return this.#placementOf(service).rank(instances, this.options.now(), mayProbe);
   }
 
   #placementOf(service: string): ServicePlacement {
--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -102,7 +102,9 @@
     const current = readable.filter(({ id }) => !this.lag.isBehind(id, required, now));
     const candidates = current.length > 0 ? current : readable;
     const open = candidates.filter(({ id }) => !excluded.has(id));
-    const chosen = this.#first(placement, open.length > 0 ? open : candidates, excluded.size === 0);
+    // What an ill instance does to a single read is mended by another one; a transaction would stay there.
+    const mayProbe = excluded.size === 0 && placement.isTransaction !== true;
+    const chosen = this.#first(placement, open.length > 0 ? open : candidates, mayProbe);
     return chosen && { ...chosen, after: required };
   }
 
@@ -110,9 +112,9 @@
   #first(
     { service }: Placement,
     candidates: readonly InstanceRuntime[],
-    isFirstTry: boolean,
+    mayProbe: boolean,
   ): Pick<Target, 'instance' | 'expected'> | undefined {
-    const placed = this.options.placement?.rank(service.name, candidates, isFirstTry);
+    const placed = this.options.placement?.rank(service.name, candidates, mayProbe);
     if (placed === undefined) {
       const instance = rankInstances(candidates, this.options.now())[0];
       return instance && { instance };
--- a/test/unit/direct/target-chooser.test.ts
+++ b/test/unit/direct/target-chooser.test.ts
@@ -3,7 +3,9 @@
 import * as assert from 'uvu/assert';
 import { PositionSamples } from '../../../src/core/statements/position-samples.js';
 import type { RouteDescription } from '../../../src/direct/contract.js';
+import type { FleetPlacement } from '../../../src/direct/fleet-placement.js';
 import type { PrimaryView } from '../../../src/direct/promotion/contract.js';
+import { RequestTrace } from '../../../src/direct/request-trace.js';
 import type { InstanceRuntime, ServiceRuntime } from '../../../src/direct/service-runtime.js';
 import { type Placement, TargetChooser } from '../../../src/direct/target-chooser.js';
 import type { TrustProver } from '../../../src/direct/trust-prover.js';
@@ -49,4 +51,87 @@
   assert.is(requiredOf([2600, 2450, 100]), 3n);
 });
 
+/** A service with a replica nearby, one elsewhere, and the primary; what a read of it or a transaction is sent to. */
+function chooserWith(placement: FleetPlacement | undefined) {
+  const samples = new PositionSamples();
+  samples.add({ sentAt: NOW - 2450, position: { timeline: 1, lsn: 4n } });
+  const instance = (id: string, changes: Partial<InstanceRuntime>) =>
+    ({
+      ...{ id, answerMs: 10, outstanding: 0, avoidUntil: 0, slots: 4 },
+      ...{ sameZone: false, primary: false, ...changes },
+    }) as InstanceRuntime;
+  const instances = [
+    instance('near', { sameZone: true }),
+    instance('far', {}),
+    instance('primary', { primary: true }),
+  ];
+  samples.add({ sentAt: NOW - 100, position: { timeline: 1, lsn: 5n } });
+  const view = {
+    ...{ mayTrustPrimary: () => true, isChanging: () => false },
+    primaryOf: () => ({ id: 'primary' }),
+  };
+  const chooser = new TargetChooser({
+    ...{ view: view as unknown as PrimaryView, prover: {} as TrustProver, now: () => NOW },
+    placement,
+  });
+  const service = { name: 'ledger', samples, readable: () => instances };
+  const trace = new RequestTrace(NOW, () => NOW);
+  const read = {
+    ...{ access: 'read', route: ROUTE, service: service as unknown as ServiceRuntime, trace },
+    session: { values: new Map(), lastWritten: undefined },
+  } as unknown as Placement;
+  return { chooser, read, trace };
+}
+
+/** Passes the instances on in this order, and notes what it was asked. */
+function placementOf(order: readonly string[]) {
+  const asked: { readonly ids: readonly string[]; readonly mayProbe: boolean }[] = [];
+  const rank = (_service: string, instances: readonly InstanceRuntime[], mayProbe: boolean) => {
+    asked.push({ ids: instances.map(({ id }) => id), mayProbe });
+    return instances
+      .map((candidate) => ({ candidate, expectedMs: 10 * (1 + order.indexOf(candidate.id)) }))
+      .sort((left, right) => left.expectedMs - right.expectedMs);
+  };
+  return { asked, placement: { rank } as unknown as FleetPlacement };
+}
+
+test('without the view of a fleet, instances are ranked by own sight', () => {
+  const absent = { rank: () => undefined } as unknown as FleetPlacement;
+  for (const placement of [undefined, absent]) {
+    const { chooser, read } = chooserWith(placement);
+    const target = chooser.choose(read, new Set());
+    assert.is(target?.instance.id, 'near');
+    assert.is(chooser.choose(read, new Set(['near']))?.instance.id, 'far');
+    assert.is(target?.expected, undefined);
+  }
+});
+
+test('the view of a fleet orders only what is safe, and the choice is told with its times', () => {
+  const { asked, placement } = placementOf(['far', 'primary', 'near']);
+  const { chooser, read, trace } = chooserWith(placement);
+  assert.is(chooser.choose(read, new Set())?.instance.id, 'far');
+  assert.is(chooser.choose(read, new Set(['far']))?.instance.id, 'primary');
+  chooser.noteAnswer('far', { timeline: 1, lsn: 4n }, 'lagging');
+  assert.is(chooser.choose(read, new Set())?.instance.id, 'primary');
+  assert.equal(
+    asked.map(({ ids }) => ids.join(' ')),
+    ['near far primary', 'near primary', 'near primary'],
+  );
+  const [step] = trace.steps;
+  assert.is(step?.step === 'chosen' && step.expectedMs, 10);
+  assert.equal(step?.step === 'chosen' && step.passedBy, { primary: 20, near: 30 });
+});
+
+test('only a first single read may try an instance in probation', () => {
+  const { asked, placement } = placementOf(['near', 'far', 'primary']);
+  const { chooser, read } = chooserWith(placement);
+  chooser.choose(read, new Set());
+  chooser.choose(read, new Set(['far']));
+  chooser.choose({ ...read, isTransaction: true }, new Set());
+  assert.equal(
+    asked.map(({ mayProbe }) => mayProbe),
+    [true, false, false],
+  );
+});
+
 test.run();
