--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -2,9 +2,12 @@
  * The direct gateway put together: routes and instances come in, callers are served, and a planned
  * stop ends it without cutting what runs.
  */
+
+import { type AdmissionRules, admissionRules } from '../core/admission/instance-admission.js';
 import type { ServiceTerm } from '../core/directory/snapshot.js';
 import { StartReadiness } from '../core/directory/start-readiness.js';
 import { FleetDigests } from '../core/fleet/fleet-digests.js';
+import { isReturning, type StartedProcess } from '../core/return/returning-fleet.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Logger } from '../observability/logger.js';
 import { Admission, type AdmissionCounters } from './admission.js';
@@ -31,6 +34,7 @@
 import { RelayHost } from './relay/relay-host.js';
 import { RequestLogger, tellAll } from './request-log.js';
 import { ServiceRuntime } from './service-runtime.js';
+import { StartLog, type StartStep } from './start-log.js';
 import { StatementRunner } from './statement-runner.js';
 import { TenantTable } from './tenant-table.js';
 import { type ProverCounters, TrustProver } from './trust-prover.js';
@@ -90,6 +94,8 @@
     connectFailures: 0,
     waitTimeouts: 0,
     queueRefusals: 0,
+    turnRefusals: 0,
+    untriedRefusals: 0,
     samplesAsked: 0,
     replicaRounds: 0,
     proofRounds: 0,
@@ -119,11 +125,13 @@
   readonly #admission: Admission;
   readonly #tenants = new TenantTable();
   #configuration: PublishedConfiguration | undefined;
+  #admissionRules: AdmissionRules | undefined;
   #instances: ReadonlyMap<string, InstanceEntry> = new Map();
   #instancesTold: DirectorySource = 'store';
   #nodeCount = ASSUMED_NODE_COUNT;
   #nodeCountSeenAt: Milliseconds | undefined;
   readonly #createdAt: Milliseconds;
+  readonly #process: StartedProcess;
   readonly #readiness = new StartReadiness();
   /** Set once a stop was asked for; settles when it is over. */
   #stopped: Promise<void> | undefined;
@@ -131,6 +139,7 @@
   readonly #sampler: PositionSampler;
   readonly #placement: FleetPlacement;
   readonly #beliefs: BeliefLog | undefined;
+  readonly #starts: StartLog | undefined;
   /** Pools whose first connection was asked for. */
   readonly #firstOpened = new WeakSet<InstancePool>();
   readonly #firstConfiguration: Promise<true>;
@@ -139,6 +148,8 @@
   constructor(private readonly options: DirectGatewayOptions) {
     const { wire, view, isStoreWell, logger, now, random } = options;
     this.#createdAt = now();
+    const { isFirstStart } = options.settings;
+    this.#process = { startedAt: this.#createdAt, isFirstStart, spread: random() };
     this.#firstConfiguration = new Promise((resolve) => {
       this.#tellFirstConfiguration = () => resolve(true);
     });
@@ -182,11 +193,16 @@
       counters: this.counters,
       now,
     });
-    view.onChange = (service) => this.#services.get(service)?.notePrimaryChange();
+    view.onChange = (service) => {
+      this.#followFleet();
+      this.#services.get(service)?.notePrimaryChange();
+      this.#starts?.look();
+    };
     this.#relay.onChange = () => {
       for (const service of this.#services.values()) service.setOwners();
     };
     this.#beliefs = logger && new BeliefLog({ logger, view, isStoreWell, now });
+    this.#starts = logger && new StartLog({ logger, now, reached: () => this.#stepsReached() });
     this.#server = new CallerServer({
       wire,
       runner: this.#runner,
@@ -196,6 +212,7 @@
       requests: tellAll([
         new RequestLatencies(this.latencies.statements, now),
         ...(logger === undefined ? [] : [new RequestLogger(logger, now)]),
+        ...(this.#starts === undefined ? [] : [this.#starts]),
       ]),
     });
   }
@@ -224,6 +241,22 @@
     return true;
   }
 
+  #stepsReached(): StartStep[] {
+    const { view, now } = this.options;
+    const names = [...this.#services.keys()];
+    const hasPrimaries = names.length > 0 && this.#hasPrimaries();
+    const reached: Readonly<Record<StartStep, boolean>> = {
+      configuration: this.#configuration !== undefined,
+      instances: this.#instances.size > 0,
+      fleet: this.#nodeCountSeenAt !== undefined,
+      primaries: hasPrimaries,
+      trust: hasPrimaries && names.every((name) => view.mayTrustPrimary(name, now())),
+      connection: this.counters.connectionsOpened > 0,
+      ready: this.ready,
+    };
+    return (Object.keys(reached) as StartStep[]).filter((step) => reached[step]);
+  }
+
   get sessionCount(): number {
     return this.#server.sessionCount;
   }
@@ -255,14 +288,14 @@
   async start(): Promise<void> {
     await this.#server.listen(this.options.settings.callers);
     this.#checks = setInterval(() => {
-      this.#shareConnections();
-      this.#relay.update(this.options.view.ownerRoster());
+      this.#followFleet();
       this.#openFirst();
       this.#placement.look(this.#services.values());
       const toSample = this.#servicesToSample();
       this.#sampler.sample(toSample);
       this.#beliefs?.look(this.#services.values(), toSample);
       for (const service of this.#services.values()) service.trim();
+      this.#starts?.look();
     }, CHECK_MS);
   }
 
@@ -302,12 +335,14 @@
     this.#routes = new Map(configuration.routes.map((route) => [route.database, route]));
     this.#tenants.setRoutes(configuration.routes);
     this.#admission.setConfiguration(configuration);
+    this.#admissionRules = admissionRules(configuration.routes);
     for (const description of configuration.services) {
       this.#service(description.name).setMaxConnections(description.maxConnections);
     }
     this.#dropServices(new Set(configuration.services.map(({ name }) => name)));
     this.setInstances(this.#instances, this.#instancesTold);
     this.#tellFirstConfiguration();
+    this.#starts?.look();
   }
 
   /** Sessions that still hold a service which has left the configuration end their work with it. */
@@ -331,12 +366,13 @@
       service.setInstances(entries, told);
     }
     this.#openFirst();
+    this.#starts?.look();
   }
 
   /**
    * A connection to each new instance is opened at once: what a first statement would wait for happens
    * while a starting node waits for its lease. In a fleet of unknown size that could be more than the
-   * instance takes; and in a large one that starts at once, connections would take all slots, so that only
+   * instance takes, or be the owners' to open; and in a large one that starts at once, connections would take all slots, so that only
    * those instances are connected to that most statements go to.
    */
   #openFirst(): void {
@@ -344,7 +380,7 @@
     // A connection is of one tenant: none can be opened before one asks.
     if (this.#admission.asksForKeys) return;
     const isSettled = now() - this.#createdAt > FIRST_START_SETTLED_MS;
-    if (settings.isFirstStart && !isSettled) return;
+    if (!isSettled && (settings.isFirstStart || this.#nodeCountSeenAt === undefined)) return;
     for (const service of this.#services.values()) {
       const instances = this.#isFleetSmall ? service.readable(now()) : service.firstUsed(now());
       for (const { pool } of instances) {
@@ -416,6 +452,18 @@
     await this.#services.get(service)?.writesEnded();
   }
 
+  /**
+   * How many nodes there are, and who owns instances. Told with the primaries, it is followed before the statements that
+   * waited for these: they would open connections that are the owners'.
+   */
+  #followFleet(): void {
+    this.#shareConnections();
+    const { view, now } = this.options;
+    const owners = view.ownerRoster();
+    const isInForce = owners !== undefined || isReturning(this.#process, now());
+    this.#relay.update(owners ?? view.returnRoster?.(), isInForce);
+  }
+
   /** Nodes that this one does not see any more may hold their connections still. */
   #shareConnections(): void {
     const now = this.options.now();
@@ -451,7 +499,7 @@
   #service(name: string): ServiceRuntime {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
-    const { settings, wire, view, isStoreWell, now, random } = this.options;
+    const { settings, wire, view, isStoreWell, logger, now, random } = this.options;
     const service = new ServiceRuntime(name, {
       nodeCount: this.#nodeCount,
       isNodeCountKnown: this.#nodeCountSeenAt !== undefined,
@@ -473,6 +521,14 @@
         now,
         random,
         counters: this.counters,
+        admissionRules: () => this.#admissionRules,
+        onAdmission: ({ service, id }, state) =>
+          logger?.info('admission changed', {
+            service,
+            instance: id,
+            room: state.room,
+            admitsBelow: state.level,
+          }),
         observe: (instance, observation) => this.#placement.observe(instance, observation),
       },
     });
--- a/src/direct/relay/contract.ts
+++ b/src/direct/relay/contract.ts
@@ -32,6 +32,10 @@
   readonly values: ValueList;
   /** How long a connection is waited for. */
   readonly waitMs: Milliseconds;
+  /** Time left until an answer is late; absent where the opener does not tell it. */
+  readonly aimMs?: Milliseconds | undefined;
+  /** The connection is kept between the statements of a transaction. */
+  readonly isTransaction?: true | undefined;
 }
 
 /** Opens a stream that is one lease. */
@@ -164,6 +168,8 @@
 /** Tells who owns an instance in the roster that is in force. */
 export interface OwnershipView {
   readonly roster: OwnerRoster | undefined;
+  /** True while owners are named, and the links to them are being made ready; false by default. */
+  readonly isComing?: boolean;
   /** Undefined if this node is to connect by itself. */
   ownershipOf(instance: InstanceEntry): InstanceOwnership | undefined;
 }
--- a/src/direct/statement-request.ts
+++ b/src/direct/statement-request.ts
@@ -24,6 +24,8 @@
 export interface Refusal {
   readonly code: StatementErrorCode;
   readonly text: string;
+  /** The instance has no room for it now. */
+  readonly isForWantOfRoom?: boolean;
 }
 
 export type StatementOutcome =
@@ -73,11 +75,14 @@
 
 /** Asks for a connection for this statement, within its tenant's policy. */
 export function connectionRequestOf(
-  request: Pick<StatementRequest, 'tenant' | 'account' | 'session' | 'deadline'>,
+  request: Pick<StatementRequest, 'tenant' | 'account' | 'session' | 'deadline' | 'beganAt'>,
   cancelledBy: readonly Cancellation[],
+  isTransaction = false,
 ): ConnectionRequest {
   const { name, policy } = request.tenant;
   return {
+    aimAt: request.beganAt + policy.targetLatencyMs,
+    isTransaction,
     tenant: name,
     account: request.account,
     priority: policy.priority,
@@ -90,8 +95,9 @@
 
 /** What the caller is told if no connection was had. */
 export function refusalOf(error: AcquireError): Refusal {
-  const isOverLimit = error instanceof InstanceQueueFullError;
-  return { code: 'busy', text: isOverLimit ? 'too many statements wait' : 'no connection' };
+  return error instanceof InstanceQueueFullError
+    ? { code: 'busy', text: 'too many statements wait', isForWantOfRoom: true }
+    : { code: 'busy', text: 'no connection' };
 }
 
 /** An attempt that did not get as far as the instance. */
