--- /dev/null
+++ b/test/unit/unlisted-members.test.ts
@@ -0,0 +1,64 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  acknowledgementForm,
+  decodeRecord,
+  encodeAcknowledgement,
+} from '../../src/core/promotion/records.js';
+import { UnlistedMembers } from '../../src/core/promotion/unlisted-members.js';
+import type { InstanceEntry } from '../../src/direct/contract.js';
+
+const SERVICE = 'orders';
+
+function entry(id: string, host = id): InstanceEntry {
+  const rest = { zone: 'a', slots: 3, draining: false, role: 'replica' } as const;
+  return { id, service: SERVICE, host, port: 1, ...rest };
+}
+
+function idsOf(unlisted: UnlistedMembers): string[] {
+  return unlisted.of(SERVICE).map(({ id }) => id);
+}
+
+test('one that came and went before a record named it counts, until one does', () => {
+  const unlisted = new UnlistedMembers();
+  unlisted.noteRecord(SERVICE, { members: [entry('first')], departed: [] });
+  unlisted.noteInstances([entry('first'), entry('late')], 0);
+  assert.equal(idsOf(unlisted), [], 'while it has an entry');
+  unlisted.noteInstances([], 100);
+  assert.equal(idsOf(unlisted), ['late']);
+  unlisted.noteRecord(SERVICE, { members: [entry('first'), entry('late')], departed: [] });
+  assert.equal(idsOf(unlisted), []);
+});
+
+test('one that was forgotten counts again only if it is seen again', () => {
+  const unlisted = new UnlistedMembers();
+  const forgotten = { members: [], departed: [entry('late')] };
+  unlisted.noteInstances([entry('late')], 0);
+  unlisted.noteInstances([], 100);
+  unlisted.noteRecord(SERVICE, forgotten);
+  assert.equal(idsOf(unlisted), []);
+  unlisted.noteInstances([entry('late')], 200);
+  unlisted.noteRecord(SERVICE, forgotten);
+  unlisted.noteInstances([], 300);
+  assert.equal(idsOf(unlisted), ['late'], 'the record may be older than its return');
+});
+
+test('one whose log has gone to a later instance at its address does not count', () => {
+  const unlisted = new UnlistedMembers();
+  unlisted.noteInstances([entry('late', 'place')], 0);
+  unlisted.noteInstances([entry('later', 'place')], 100);
+  assert.equal(idsOf(unlisted), []);
+  unlisted.noteInstances([], 200);
+  assert.equal(idsOf(unlisted), ['later']);
+});
+
+test('an acknowledgement tells of them, and one of an older program tells of none', () => {
+  const record = { change: 2, leaseId: '7', end: undefined };
+  const decode = (value: string) =>
+    decodeRecord({ key: 'k', value, createRevision: 1, modRevision: 1 }, acknowledgementForm);
+  const told = decode(encodeAcknowledgement({ ...record, unlisted: [entry('late')] }));
+  assert.equal(told?.unlisted, [entry('late')]);
+  assert.is(decode(encodeAcknowledgement(record))?.unlisted, undefined);
+});
+
+test.run();
