--- a/src/core/fleet/fleet-digests.ts
+++ b/src/core/fleet/fleet-digests.ts
@@ -24,6 +24,8 @@
 const MOST_PER_OBSERVER = 2000;
 /** More observations of another node say no more, so that none can outweigh a fleet that sees little. */
 const MOST_TOLD_PER_OBSERVER = 5;
+/** The newest of so many nodes say enough: what merging costs does not grow with a zone. */
+const MOST_TELLERS = 24;
 /** So many times the weight of a usual source is the most that one may have. */
 const MOST_OF_USUAL_WEIGHT = 2;
 /** Observers of one digest at most. */
@@ -77,6 +79,8 @@
     if (!isPlausible(digest)) return 'implausible';
     if (digest.ageMs >= OLDEST_MS) return 'stale';
     const tellers = this.#told.get(digest.instanceId) ?? new Map<string, Told>();
+    // The newest comes last.
+    tellers.delete(from);
     this.#told.set(digest.instanceId, tellers.set(from, { digest, at: now }));
     return undefined;
   }
@@ -133,7 +137,8 @@
     const own = this.#ownOf(instanceId, now);
     const sources: Source[] = [];
     if (own !== undefined) sources.push(sourceOf(own, own.ageMs, observationsOf(own)));
-    for (const { digest, at } of this.#told.get(instanceId)?.values() ?? []) {
+    const told = [...(this.#told.get(instanceId)?.values() ?? [])].slice(-MOST_TELLERS);
+    for (const { digest, at } of told) {
       const ageMs = digest.ageMs + Math.max(0, now - at);
       if (ageMs >= OLDEST_MS) continue;
       const most = MOST_TOLD_PER_OBSERVER * digest.observers;
