--- a/bench/soak/configuration.ts
+++ b/bench/soak/configuration.ts
@@ -25,6 +25,11 @@
   ...{ database: 'roam', service: SERVICE, routeType: 'primary', mayMove: true },
 };
 
+/** Callers compete, so that instances admit by priority. */
+const PRIORITIES: Readonly<Record<TestRoute['routeType'], number>> = {
+  ...{ primary: 0, read_your_writes: 1, bounded_staleness: 2 },
+};
+
 interface Wanted {
   readonly timeoutMs: Milliseconds;
   readonly hasArchive: boolean;
@@ -46,7 +51,10 @@
 function routesOf({ timeoutMs, hasArchive, roamAt, marks }: Wanted): readonly TestRoute[] {
   const marked = marks.map((database) => ({ ...ARCHIVE, database }));
   const routes = [...ROUTES, { ...ROAM, service: roamAt }, ...marked];
-  return [...routes, ...(hasArchive ? [ARCHIVE] : [])].map((route) => ({ ...route, timeoutMs }));
+  return [...routes, ...(hasArchive ? [ARCHIVE] : [])].map((route) => ({
+    ...{ ...route, timeoutMs },
+    priority: PRIORITIES[route.routeType],
+  }));
 }
 
 const FIRST: Wanted = {
--- a/test/support/direct-cluster.ts
+++ b/test/support/direct-cluster.ts
@@ -14,6 +14,8 @@
 const HOST = '127.0.0.1';
 
 export interface TestRoute {
+  /** 0 is the highest; 1 by default. */
+  readonly priority?: number | undefined;
   readonly database: string;
   readonly service: string;
   readonly routeType: RouteType;
@@ -68,7 +70,7 @@
       route_type: route.routeType,
       timeout_ms: route.timeoutMs ?? DEFAULT_TIMEOUT_MS,
       target_latency_ms: 250,
-      priority: 1,
+      priority: route.priority ?? 1,
       service: route.service,
       max_attempts: 2,
       ...(route.maxStalenessMs === undefined ? {} : { max_staleness_ms: route.maxStalenessMs }),
