--- a/src/core/promotion/evidence.ts
+++ b/src/core/promotion/evidence.ts
@@ -42,24 +42,17 @@
  * silent, one that has it answered. What calls itself primary counts as silent: its log may not be the group's. Its
  * position counts all the same, since it can only be too high: with it a commit is seen that a replica alone has which
  * has just joined and which nobody knows.
- *
- * @param areMembersCurrent whoever joined would be known; if not, one that has such a commit may not have been asked, and
- *   every member that is known has to answer, the primary too
  */
 export function acknowledgedPosition(
   answers: MemberAnswers,
   syncReplicas: number,
-  areMembersCurrent = true,
 ): Position | undefined {
   let position: Position | undefined;
   let silent = 0;
   for (const answer of answers.values()) {
     const isReplica = typeof answer === 'object' && answer.role === 'replica';
     if (!isReplica) silent += 1;
-    if (typeof answer === 'string') {
-      if (!areMembersCurrent) return undefined;
-      continue;
-    }
+    if (typeof answer === 'string') continue;
     position = laterPosition(position ?? answer.received, answer.received);
   }
   return silent <= syncReplicas ? position : undefined;
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -111,9 +111,8 @@
   /** The position that every commit acknowledged before this call is at or before, if enough members tell theirs. */
   async acknowledgedPosition(service: string): Promise<Position | undefined> {
     const syncReplicas = this.options.syncReplicasOf(service);
-    const areMembersCurrent = this.#areMembersCurrent(service);
     const answers = await this.#askAll(service);
-    return answers && acknowledgedPosition(answers, syncReplicas, areMembersCurrent);
+    return answers && acknowledgedPosition(answers, syncReplicas);
   }
 
   #nextRound(service: string): Promise<Round | undefined> {
