--- a/test/property/unheard-member.test.ts
+++ b/test/property/unheard-member.test.ts
@@ -6,8 +6,9 @@
  *
  * Cause: a round with one silent member is taken to prove the newest position, since one that has each commit must have answered. That holds among
  * all members; here the two that had it were the silent primary and one that this node had never heard of. Evidence, at the read: answers
- * "group-1-2 replica 635, group-1-1 none", while the group has group-1-0.2 at 655 and group-1-1 at 656. With the primary silent no list of
- * members that may be old proves anything: such a node has to have heard of the members lately.
+ * "group-1-2 replica 635, group-1-1 none", while the group has group-1-0.2 at 655 and group-1-1 at 656. The record
+ * that all nodes follow names forgotten members since, so that this node asks it. A newcomer of which no record tells is the matter of
+ * `unheard-newcomer`.
  */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
