Admission counts an instance's use once for all statements that wait

Cause: whether a statement may start was asked for each one that waits, and each time all connections that are held were counted anew, several times for each end, opening and timer of a pool: work that grows with the product of both at just the pools that are short. At a full pool with nothing at rest the order was worked out although nothing could give way. Change: PoolAdmission.startsNow counts once and decides for all; nothing gives way where nothing rests. Decisions are the same. Tests: unit/direct, property/admission, tenant-connections, tenancy, fair-queue, integration/direct/owners and tenants, 248 passed.

--- a/src/direct/instance-pool.ts
+++ b/src/direct/instance-pool.ts
@@ -274,7 +274,7 @@
     }
     this.#holdings.noteRequest(tenant, policy);
     const work = this.admission.workOf(request, policy.queueWeight);
-    const mayStart = this.#mayStart(tenant) && this.#hasRoom(work);
+    const mayStart = this.#mayStart(tenant) && this.#startsNow()(work);
     const idle = mayStart ? this.#takeIdle(request) : undefined;
     if (idle !== undefined) {
       this.#give(idle, request);
@@ -401,6 +401,7 @@
    */
   #yieldToHigher(): void {
     if (!this.admission.isInForce || this.size < this.#limit) return;
+    if (this.#idle.length === 0) return;
     const [first] = this.#inTurn();
     if (first === undefined || this.#idle.some((connection) => isFor(connection, first))) return;
     if ((this.#openingFor.get(first.account) ?? 0) > 0) return;
@@ -413,11 +414,12 @@
     this.#yieldToHigher();
     while (this.#idle.length > 0) {
       const { held } = this.#holdings;
+      const startsNow = this.#startsNow();
       const waiter = this.#waiters.takeNext(
         held,
         (tenant) => this.#mayStart(tenant),
         (request) =>
-          this.#idle.some((connection) => isFor(connection, request)) && this.#hasRoom(request),
+          this.#idle.some((connection) => isFor(connection, request)) && startsNow(request),
         this.admission.isInForce ? (waiting) => this.admission.next(waiting, held) : undefined,
       );
       const connection = waiter === undefined ? undefined : this.#takeIdle(waiter);
@@ -436,8 +438,9 @@
     return isInPace && this.#holdings.mayHoldMore(tenant);
   }
 
-  #hasRoom(work: AdmissionWork): boolean {
-    return work.tenant === OWN_TENANT || this.admission.mayStart(work);
+  #startsNow(): (work: AdmissionWork) => boolean {
+    const startsNow = this.admission.startsNow();
+    return (work) => work.tenant === OWN_TENANT || startsNow(work);
   }
 
   #give(connection: SocketConnection, request: ConnectionRequest): void {
@@ -574,8 +577,7 @@
   #inTurn(): readonly Waiter[] {
     const { requests } = this.#waiters;
     if (!this.admission.isInForce) return requests;
-    const mayStart = requests.filter((waiter) => this.#hasRoom(waiter));
-    return mayStart.sort((left, right) => left.priority - right.priority);
+    return requests.filter(this.#startsNow()).sort((left, right) => left.priority - right.priority);
   }
 
   #hasConnectionFor(account: string): boolean {
--- a/src/direct/pool-admission.ts
+++ b/src/direct/pool-admission.ts
@@ -80,8 +80,12 @@
     return { tenant, priority, weight, queuedAt, aimAt, deadline, startBy };
   }
 
-  mayStart(work: AdmissionWork): boolean {
-    return !this.isInForce || this.decisions.mayStart(work, this.#use(), this.options.now());
+  /** Tells of each statement whether it may start now; the use of the instance is counted once for all of them. */
+  startsNow(): (work: AdmissionWork) => boolean {
+    if (!this.isInForce) return () => true;
+    const use = this.#use();
+    const now = this.options.now();
+    return (work) => this.decisions.mayStart(work, use, now);
   }
 
   refusalOf(
