One FNV-1a for members, digests of instances and admission

Cause: membership had the hash; digests and the order of tenants at the level wrote it again. Change: src/core/hash-text.ts, with a salt for the order that changes by turns; the three call it, with the same results. Tests: property/membership, admission, unit/direct/digest-exchange (35).

--- a/src/core/admission/instance-admission.ts
+++ b/src/core/admission/instance-admission.ts
@@ -2,6 +2,7 @@
  * Decides for one instance, as one node sees it, who starts next, who waits, and who is refused at once. In force only
  * where callers compete by different priorities; without rules everything is let in. No I/O and no clock.
  */
+import { hashText } from '../hash-text.js';
 import type { Milliseconds } from '../units.js';
 import { InstanceRoom, type RoomOptions, type RoomState } from './instance-room.js';
 import {
@@ -194,10 +195,7 @@
 
 /** Place of a tenant among those of its priority, in [0, 1); another one from turn to turn. */
 export function spreadOf(tenant: string, now: Milliseconds): number {
-  let hash = 0x811c9dc5 ^ Math.floor(now / TURN_MS);
-  for (let index = 0; index < tenant.length; index += 1) {
-    hash = Math.imul(hash ^ tenant.charCodeAt(index), 0x01000193);
-  }
+  let hash = hashText(tenant, Math.floor(now / TURN_MS));
   hash = Math.imul(hash ^ (hash >>> 15), 0x85ebca6b);
   return ((hash ^ (hash >>> 13)) >>> 0) / 2 ** 32;
 }
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -1,7 +1,8 @@
 /** All members known, by node id, with one digest for each bucket of node ids. */
+import { hashText } from '../hash-text.js';
 import type { ZoneName } from '../request.js';
 import type { NodeAddress } from './contract.js';
-import { hashState, hashText, type MemberUpdate } from './member.js';
+import { hashState, type MemberUpdate } from './member.js';
 
 /** Buckets of the digests: at 4,600 members a bucket holds 18. */
 export const BUCKET_COUNT = 256;
--- a/src/core/membership/member.ts
+++ b/src/core/membership/member.ts
@@ -4,6 +4,7 @@
  * any order agree.
  */
 import type { ConfigurationRevision } from '../configuration/model.js';
+import { hashText } from '../hash-text.js';
 import type { ZoneName } from '../request.js';
 
 /** What probes say. `dead` is refuted by the member itself with a higher version. */
@@ -107,18 +108,6 @@
   return FIXED_UPDATE_BYTES + 3 * STRING_HEAD_BYTES + text;
 }
 
-const FNV_OFFSET_BASIS = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** 32-bit FNV-1a hash of a text, as an unsigned number. */
-export function hashText(text: string): number {
-  let hash = FNV_OFFSET_BASIS;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  return hash >>> 0;
-}
-
 /** Hash of a member's state without its attributes, for the digests of anti-entropy. */
 export function hashState(update: MemberUpdate): number {
   const { nodeId, incarnation, version, liveness, leaving } = update;
