One decaying rate for permits held ahead and for the reserve of priorities

Cause: PriorityReserve averaged demand as PermitHolder did, once more. Change: DecayingRate, with a floor where little counts as none; results are the same. The holder needs no time to begin with, so the test's call has none; its checks are untouched.

--- a/src/core/tenancy/permit-holder.ts
+++ b/src/core/tenancy/permit-holder.ts
@@ -3,6 +3,7 @@
  * question for more is answered, so that most operations wait for none. No I/O and no clock.
  */
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../units.js';
+import { DecayingRate } from './decaying-rate.js';
 import { PERMIT_LIFE_MS } from './quota-ledger.js';
 
 /** Demand is averaged over about this. */
@@ -19,13 +20,7 @@
 
 export class PermitHolder {
   #batches: PermitBatch[] = [];
-  /** Operations a second, averaged. */
-  #demand = 0;
-  #demandAt: Milliseconds;
-
-  constructor(now: Milliseconds) {
-    this.#demandAt = now;
-  }
+  readonly #demand = new DecayingRate(DEMAND_MEMORY_MS);
 
   /** Takes one of the permits that are held, if there is one. */
   take(now: Milliseconds): boolean {
@@ -49,18 +44,13 @@
 
   /** How many permits to hold ahead; none where operations are rarer than permits last. */
   wanted(now: Milliseconds): number {
-    const demand = this.#demand * this.#decay(now);
+    const demand = this.#demand.perSecond(now);
     return Math.min(MOST_AHEAD, Math.round((demand * AHEAD_MS) / MILLISECONDS_PER_SECOND));
   }
 
   /** An operation asks. */
   noteDemand(now: Milliseconds): void {
-    this.#demand = this.#demand * this.#decay(now) + MILLISECONDS_PER_SECOND / DEMAND_MEMORY_MS;
-    this.#demandAt = now;
-  }
-
-  #decay(now: Milliseconds): number {
-    return Math.exp(-Math.max(0, now - this.#demandAt) / DEMAND_MEMORY_MS);
+    this.#demand.note(1, now);
   }
 
   #forgetVoid(now: Milliseconds): void {
--- a/src/core/tenancy/priority-reserve.ts
+++ b/src/core/tenancy/priority-reserve.ts
@@ -4,6 +4,7 @@
  * is kept while the tenant asks for no more than its quota. No I/O and no clock.
  */
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../units.js';
+import { DecayingRate } from './decaying-rate.js';
 
 /** Demand is averaged over about this: a caller that was refused has come back within it. */
 const DEMAND_MEMORY_MS: Milliseconds = 1000;
@@ -18,7 +19,7 @@
 const LEAST_DEMAND_PER_S = 0.1;
 
 interface Demand {
-  perSecond: number;
+  readonly rate: DecayingRate;
   at: Milliseconds;
   /** What of its least part this priority has not used, one operation at most. */
   least: number;
@@ -37,15 +38,12 @@
 
   /** Operations ask; 0 is the highest priority. */
   noteDemand(priority: number, count: number, ratePerSecond: number, now: Milliseconds): void {
-    const known = this.#demands.get(priority) ?? { perSecond: 0, at: now, least: 0 };
+    const demand = this.#demandOf(priority, now);
     const earned =
-      (Math.max(0, now - known.at) * ratePerSecond * LEAST_SHARE) / MILLISECONDS_PER_SECOND;
-    const added = (count * MILLISECONDS_PER_SECOND) / DEMAND_MEMORY_MS;
-    this.#demands.set(priority, {
-      perSecond: perSecondAt(known, now) + added,
-      at: now,
-      least: Math.min(1, known.least + earned),
-    });
+      (Math.max(0, now - demand.at) * ratePerSecond * LEAST_SHARE) / MILLISECONDS_PER_SECOND;
+    demand.rate.note(count, now);
+    demand.at = now;
+    demand.least = Math.min(1, demand.least + earned);
   }
 
   /** How much of what a quota holds is out of reach of this priority now. */
@@ -58,7 +56,7 @@
     let all = 0;
     let leastOfLower = 0;
     for (const [known, demand] of this.#demands) {
-      const perSecond = perSecondAt(demand, now);
+      const perSecond = demand.rate.perSecond(now);
       all += perSecond;
       if (known < priority) higher += perSecond;
       if (known > priority && perSecond > 0) leastOfLower += demand.least;
@@ -73,9 +71,13 @@
     const demand = this.#demands.get(priority);
     if (demand !== undefined) demand.least = Math.max(0, demand.least - count);
   }
-}
 
-function perSecondAt({ perSecond, at }: Demand, now: Milliseconds): number {
-  const left = perSecond * Math.exp(-Math.max(0, now - at) / DEMAND_MEMORY_MS);
-  return left < LEAST_DEMAND_PER_S ? 0 : left;
+  #demandOf(priority: number, now: Milliseconds): Demand {
+    const known = this.#demands.get(priority);
+    if (known !== undefined) return known;
+    const rate = new DecayingRate(DEMAND_MEMORY_MS, LEAST_DEMAND_PER_S);
+    const demand: Demand = { rate, at: now, least: 0 };
+    this.#demands.set(priority, demand);
+    return demand;
+  }
 }
--- a/src/direct/quota/quotas.ts
+++ b/src/direct/quota/quotas.ts
@@ -83,7 +83,7 @@
     if (known !== undefined) return known;
     const hash = createHash('sha256').update(tenant).digest().readUInt32BE();
     const state: TenantState = {
-      holder: new PermitHolder(this.options.now()),
+      holder: new PermitHolder(),
       parts: partsOf(hash),
       emptyUntil: new Map(),
       waiting: [],
--- a/test/property/quota.test.ts
+++ b/test/property/quota.test.ts
@@ -52,7 +52,7 @@
   const quota: Quota = { ratePerSecond, burst: ratePerSecond * (0.5 + random()) };
   const perStep = (ratePerSecond * loadShare * STEP_MS) / 1000;
   const ledgers = Array.from({ length: PARTS_PER_TENANT }, () => ledger(-60_000, 'none'));
-  const holders = Array.from({ length: NODES }, () => new PermitHolder(0));
+  const holders = Array.from({ length: NODES }, () => new PermitHolder());
   const backs = new Array<number>(NODES).fill(0);
   const grants: Grant[] = [];
   const ran: number[] = [];
