--- a/src/core/statements/fair-queue.ts
+++ b/src/core/statements/fair-queue.ts
@@ -103,6 +103,10 @@
   return loadOf(left, held) < loadOf(right, held);
 }
 
-function loadOf({ tenant, weight }: QueuedRequest, held: ReadonlyMap<string, number>): number {
+/** What a tenant holds, for its weight. */
+export function loadOf(
+  { tenant, weight }: Pick<QueuedRequest, 'tenant' | 'weight'>,
+  held: ReadonlyMap<string, number>,
+): number {
   return (held.get(tenant) ?? 0) / weight;
 }
