--- a/src/direct/readers/subscriptions.ts
+++ b/src/direct/readers/subscriptions.ts
@@ -105,7 +105,7 @@
   addFurther(): boolean {
     const now = this.options.now();
     if (now - this.#furtherAskedAt < FURTHER_EVERY_MS) return false;
-    for (const [key, { isFurther }] of [...this.#entries]) if (isFurther) this.#drop(key);
+    this.dropFurther();
     const left = this.#further.filter((reader) => !this.#entries.has(keyOfNode(reader)));
     if (left.length === 0) return false;
     this.#furtherAskedAt = now;
@@ -115,7 +115,7 @@
     return true;
   }
 
-  /** A named reader serves again. */
+  /** Gives up those that are not named: one that is serves again, or others are to be asked. */
   dropFurther(): void {
     for (const [key, { isFurther }] of [...this.#entries]) if (isFurther) this.#drop(key);
   }
