A primary of the stand-in that gave its vote commits nothing more

Cause: a primary that granted a candidate its binding vote stayed writable until the candidate's first heartbeat. A replica that the vote request had not reached yet received its commits, so that old primary and replica were a majority that held them and showed timeline 1. The elected candidate lacked them.

Ruled out: recordRefusal. Replicas refused commits after their vote already. Not closed: an instance that starts again has forgotten its vote.

Change: a binding vote demotes a primary.

--- a/bench/simulation/group-run.ts
+++ b/bench/simulation/group-run.ts
@@ -41,10 +41,19 @@
   readonly durationMs: number;
 }
 
+/** Replaces the live primary by an instance, which does nothing if that one leads already. */
+export interface Handover {
+  readonly candidate: 0 | 1 | 2;
+  readonly at: number;
+}
+
 /** Inputs of a run. */
 export interface RunPlan {
   readonly seed: number;
   readonly faults: readonly Fault[];
+  readonly handovers?: readonly Handover[];
+  /** Primaries that voted go on committing. */
+  readonly votersKeepWriting?: boolean;
   readonly mode: ConfirmationMode;
   readonly votersReportTimeline: boolean;
   readonly disabledMechanisms?: ReadonlySet<Mechanism>;
@@ -79,6 +88,8 @@
   const group = new SimulatedGroup(clock, {
     electionTimeoutMs: clock.between(60, 200),
     votersReportTimeline: plan.votersReportTimeline,
+    votersKeepWriting: plan.votersKeepWriting ?? false,
+    handoverSeed: plan.seed,
   });
   const owner = new SimulatedOwner(clock, group, {
     group: 'orders',
@@ -107,6 +118,10 @@
       }),
     );
   }
+  for (const { candidate, at } of plan.handovers ?? []) {
+    const instance = group.instances[candidate];
+    if (instance !== undefined) clock.after(at, () => group.handOver(instance));
+  }
   startSessions(clock, owner);
   clock.runUntil(LOAD_MS + SETTLING_MS);
   owner.history.finalLog = group.latestPrimary()?.log ?? [];
--- a/bench/simulation/group-scenario.ts
+++ b/bench/simulation/group-scenario.ts
@@ -1,6 +1,6 @@
 /** Scenario `group`: one owner's state machine with one database group under faults. */
 import { ALL_MECHANISMS, type Mechanism } from '../../src/core/group/options.js';
-import { FAULT_NAMES, type Fault, type RunPlan, simulate } from './group-run.js';
+import { FAULT_NAMES, type Fault, type Handover, type RunPlan, simulate } from './group-run.js';
 import type { RequestRecord } from './history.js';
 import { findViolations } from './history-checks.js';
 import { SeededRandom } from './random.js';
@@ -11,6 +11,9 @@
 const MAX_FAULT_START_MS = 1300;
 const MIN_FAULT_DURATION_MS = 20;
 const MAX_FAULT_DURATION_MS = 900;
+const MAX_HANDOVERS = 2;
+/** Handovers have random numbers of their own, so that they change no fault of a seed. */
+const HANDOVER_SEED_OFFSET = 1_000_000_007;
 const MAX_SUMMARY_LINES = 12;
 
 /**
@@ -24,12 +27,14 @@
 
 export const GROUP_SCENARIO: Scenario = {
   name: 'group',
-  summary: 'one owner, one database group: crashes, cuts, pauses, lag, leaving instances',
+  summary:
+    'one owner, one database group: crashes, cuts, pauses, lag, leaving instances, handovers',
   mechanisms: OWNER_MECHANISMS,
   plan(seed, disabledMechanisms) {
     const random = new SeededRandom(seed);
     const faults = drawFaults(random);
-    const plan: Omit<RunPlan, 'faults'> = {
+    const handovers = drawHandovers(new SeededRandom(seed + HANDOVER_SEED_OFFSET));
+    const plan: Omit<RunPlan, 'faults' | 'handovers'> = {
       seed,
       mode: 'received',
       votersReportTimeline: random.chance(0.5),
@@ -38,8 +43,13 @@
       ),
     };
     return {
-      events: faults.map(describeFault),
-      run: (kept) => run({ ...plan, faults: faults.filter((_, index) => kept.has(index)) }),
+      events: [...faults.map(describeFault), ...handovers.map(describeHandover)],
+      run: (kept) =>
+        run({
+          ...plan,
+          faults: faults.filter((_, index) => kept.has(index)),
+          handovers: handovers.filter((_, index) => kept.has(faults.length + index)),
+        }),
     };
   },
 };
@@ -49,6 +59,14 @@
   return faults.sort((left, right) => left.at - right.at);
 }
 
+function drawHandovers(random: SeededRandom): Handover[] {
+  const handovers = Array.from({ length: random.integer(0, MAX_HANDOVERS) }, () => ({
+    candidate: random.pick<Handover['candidate']>([0, 1, 2]),
+    at: random.integer(MIN_FAULT_START_MS, MAX_FAULT_START_MS),
+  }));
+  return handovers.sort((left, right) => left.at - right.at);
+}
+
 function drawFault(random: SeededRandom): Fault {
   return {
     name: FAULT_NAMES[random.integer(0, FAULT_NAMES.length - 1)] ?? 'crash',
@@ -58,6 +76,10 @@
   };
 }
 
+function describeHandover({ candidate, at }: Handover): string {
+  return `${at} ms: handover to instance ${'abc'[candidate]}`;
+}
+
 function describeFault({ name, target, at, durationMs }: Fault): string {
   const targetText = target === 'primary' ? 'the primary' : `instance ${'abc'[target] ?? target}`;
   return `${at} ms: ${name} of ${targetText} for ${durationMs} ms`;
--- a/bench/simulation/group.ts
+++ b/bench/simulation/group.ts
@@ -5,6 +5,7 @@
 import type { InstanceState } from '../../src/core/group/contract.js';
 import type { Position } from '../../src/core/position.js';
 import type { SimulatedClock } from './clock.js';
+import { SeededRandom } from './random.js';
 
 /** One committed write. */
 export interface LogEntry {
@@ -60,6 +61,10 @@
   readonly electionTimeoutMs: number;
   /** Voters report the new timeline from the vote on; otherwise from when they replicate it. */
   readonly votersReportTimeline: boolean;
+  /** A primary that voted goes on committing until the elected one reaches it, which a group must not do. */
+  readonly votersKeepWriting?: boolean;
+  /** Seed of the delays of handovers, which draw nothing from the clock's randomness. */
+  readonly handoverSeed?: number;
 }
 
 export const LOSS_PROBABILITY = 0.01;
@@ -67,6 +72,19 @@
 const REPLICATION_PERIOD_MS = 2;
 const ELECTION_CHECK_PERIOD_MS = 5;
 const FIRST_TIMELINE = 1;
+/** Range of the delay of a message of a handover. */
+const HANDOVER_DELAY_MS = [0.5, 60] as const;
+/** Delay until a candidate that lacks a commit of the primary tries again. */
+const HANDOVER_RETRY_MS = 5;
+/** A handover that is not decided by then ends with an election among the reachable instances. */
+const HANDOVER_TIMEOUT_MS = 250;
+
+/** One binding round of votes. */
+interface HandoverRound {
+  readonly candidate: SimulatedInstance;
+  readonly timeline: number;
+  readonly voters: Set<SimulatedInstance>;
+}
 
 /** A group of three instances. */
 export class SimulatedGroup {
@@ -74,11 +92,13 @@
   readonly commits: SimulatedCommit[] = [];
   readonly elections: SimulatedElection[] = [];
   private primaryMissingSince: number | undefined;
+  private readonly handoverRandom: SeededRandom;
 
   constructor(
     private readonly clock: SimulatedClock,
     private readonly options: SimulatedGroupOptions,
   ) {
+    this.handoverRandom = new SeededRandom(options.handoverSeed ?? 0);
     this.instances = ['a', 'b', 'c'].map((name) => createInstance(name));
     this.scheduleReplication();
     this.scheduleElection();
@@ -142,6 +162,62 @@
     if (!instance.writable) instance.replayedLength = Math.floor(instance.replayedLength / 2);
   }
 
+  /** Replaces the live primary by this replica; each vote request and vote takes its own time. */
+  handOver(
+    candidate: SimulatedInstance,
+    untilMs: number = this.clock.now + HANDOVER_TIMEOUT_MS,
+  ): void {
+    const primary = this.latestPrimary();
+    if (primary === undefined || primary === candidate || this.clock.now >= untilMs) return;
+    const isUpToDate = commonPrefixLength(candidate.log, primary.log) === primary.log.length;
+    if (!isUpToDate || !this.canReachPeers(candidate)) {
+      this.clock.after(HANDOVER_RETRY_MS, () => this.handOver(candidate, untilMs));
+      return;
+    }
+    const timeline = this.nextTimeline();
+    candidate.votedTimeline = timeline;
+    const round = { candidate, timeline, voters: new Set([candidate]) };
+    for (const voter of this.instances) {
+      if (voter !== candidate) this.afterHandoverDelay(() => this.vote(voter, round));
+    }
+    this.clock.after(HANDOVER_TIMEOUT_MS, () => this.endHandover(round));
+  }
+
+  private afterHandoverDelay(action: () => void): void {
+    this.clock.after(this.handoverRandom.between(...HANDOVER_DELAY_MS), action);
+  }
+
+  private vote(voter: SimulatedInstance, round: HandoverRound): void {
+    const { candidate, timeline } = round;
+    if (!this.canReachPeers(voter) || !this.canReachPeers(candidate)) return;
+    if (voter.votedTimeline >= timeline || isAhead(voter, candidate)) return;
+    voter.votedTimeline = timeline;
+    if (this.options.votersReportTimeline) voter.timeline = timeline;
+    if (voter.writable && this.options.votersKeepWriting !== true) {
+      voter.writable = false;
+      breakConnections(voter);
+    }
+    this.afterHandoverDelay(() => this.countVote(voter, round));
+  }
+
+  private countVote(
+    voter: SimulatedInstance,
+    { candidate, timeline, voters }: HandoverRound,
+  ): void {
+    if (!this.canReachPeers(candidate) || candidate.votedTimeline !== timeline) return;
+    voters.add(voter);
+    if (voters.size * 2 <= this.instances.length || candidate.timeline === timeline) return;
+    this.lead(candidate, timeline);
+  }
+
+  /** Without a decision, the instances that refused and those that voted need a later timeline. */
+  private endHandover({ timeline }: HandoverRound): void {
+    if (this.instances.some((instance) => instance.timeline >= timeline && instance.writable))
+      return;
+    const reachable = this.instances.filter((instance) => this.canReachPeers(instance));
+    if (reachable.length * 2 > this.instances.length) this.promote(reachable);
+  }
+
   private canReachPeers(instance: SimulatedInstance): boolean {
     return instance.isUp && !instance.isCutFromPeers && !this.isPaused(instance);
   }
@@ -190,8 +266,7 @@
   }
 
   private promote(voters: readonly SimulatedInstance[]): void {
-    const timelines = this.instances.map((one) => Math.max(one.timeline, one.votedTimeline));
-    const timeline = Math.max(...timelines) + 1;
+    const timeline = this.nextTimeline();
     const [winner] = [...voters].sort((left, right) => {
       const byTimeline = lastTimeline(right) - lastTimeline(left);
       return byTimeline !== 0 ? byTimeline : right.log.length - left.log.length;
@@ -202,6 +277,15 @@
       voter.writable = false;
       if (this.options.votersReportTimeline && voter !== winner) voter.timeline = timeline;
     }
+    this.lead(winner, timeline);
+  }
+
+  private nextTimeline(): number {
+    const timelines = this.instances.map((one) => Math.max(one.timeline, one.votedTimeline));
+    return Math.max(...timelines) + 1;
+  }
+
+  private lead(winner: SimulatedInstance, timeline: number): void {
     winner.timeline = timeline;
     winner.writable = true;
     winner.replayedLength = winner.log.length;
@@ -235,6 +319,12 @@
   };
 }
 
+/** True if the first log is later than the second: a voter compares the last entries. */
+function isAhead(voter: SimulatedInstance, candidate: SimulatedInstance): boolean {
+  const byTimeline = lastTimeline(voter) - lastTimeline(candidate);
+  return byTimeline !== 0 ? byTimeline > 0 : voter.log.length > candidate.log.length;
+}
+
 function lastTimeline(instance: SimulatedInstance): number {
   return instance.log[instance.log.length - 1]?.timeline ?? 0;
 }
--- a/bench/simulation/scenario.ts
+++ b/bench/simulation/scenario.ts
@@ -13,7 +13,7 @@
 
 /** The events of one run. */
 export interface ScenarioPlan {
-  /** Descriptions of faults and other events, in order of time. */
+  /** Descriptions of faults and other events; each kind in order of time. */
   readonly events: readonly string[];
   /** Runs only the events with these indexes; the outcome depends on the indexes alone. */
   run(kept: ReadonlySet<number>): ScenarioOutcome;
--- a/standins/database/replication/election.ts
+++ b/standins/database/replication/election.ts
@@ -1,7 +1,7 @@
 /**
  * Election of a group's primary by majority vote. No I/O and no timers; the caller passes time and
  * randomness. A voter rejects a candidate whose log is behind its own, and after a vote accepts no
- * primary of an older timeline.
+ * primary of an older timeline, itself included.
  */
 import type { PeerMessage, Vote, VoteRequest } from './messages.js';
 
@@ -166,10 +166,12 @@
     this.countVotes();
   }
 
-  onVoteRequest(request: VoteRequest, nowMs: number): void {
+  /** Answers a request; true if this member gave its binding vote. */
+  onVoteRequest(request: VoteRequest, nowMs: number): boolean {
     const granted = this.shouldGrant(request, nowMs);
     const { timeline, preliminary, from } = request;
-    if (granted && !preliminary) {
+    const isBinding = granted && !preliminary;
+    if (isBinding) {
       this.promisedTimeline = timeline;
       this.votedFor = from;
       this.candidacy = undefined;
@@ -186,6 +188,7 @@
       promisedTimeline,
     };
     this.options.send(from, vote);
+    return isBinding;
   }
 
   private shouldGrant(request: VoteRequest, nowMs: number): boolean {
--- a/standins/database/replication/member.ts
+++ b/standins/database/replication/member.ts
@@ -17,6 +17,7 @@
   type Snapshot,
   type StalePrimary,
   type SyncRequest,
+  type VoteRequest,
 } from './messages.js';
 
 export type Role = 'primary' | 'replica';
@@ -154,7 +155,7 @@
         this.onSnapshot(message);
         break;
       case 'vote-request':
-        this.election.onVoteRequest(message, nowMs);
+        this.onVoteRequest(message, nowMs);
         break;
       case 'vote':
         this.election.onVote(message);
@@ -165,6 +166,12 @@
     }
   }
 
+  private onVoteRequest(request: VoteRequest, nowMs: number): void {
+    const isBinding = this.election.onVoteRequest(request, nowMs);
+    // The candidate may be elected without a member that still accepts this primary's commits.
+    if (isBinding && this.role === 'primary') this.demote(request.timeline);
+  }
+
   private onHeartbeat(heartbeat: Heartbeat, nowMs: number): void {
     const { from, timeline, lsn } = heartbeat;
     if (timeline < this.election.promisedTimeline || this.leadsSameOrLaterTimeline(timeline)) {
