Positions proven by members cover only what the member list covers

Cause: acknowledgedPosition needs a complete list of members, and nothing told up to which time the list was complete. The earlier rule (a peer's list of at most 2 s) ended all reads of some age during an outage of the store.

Change: a sample is as old as the proof that all members are known: an own read of the registrations before each round, a peer's with its age, or, for an outage of all, the reports of two peers (of the only one) that have no store while no list of the last second is known. Reads at a primary without a lease no longer rest on a report of up to 2 s. Peers without the store are rotated. New metric replica_rounds_unproven.

--- a/src/core/directory/snapshot.ts
+++ b/src/core/directory/snapshot.ts
@@ -36,6 +36,15 @@
   readonly service: string;
 }
 
+/** How current the responding peer's list of members is, and those of its members that are not registered. */
+export interface MemberListPart<Instance> {
+  /** The peer holds a lease at the store. */
+  readonly hasStore: boolean;
+  /** Time since which the list may lack a member; undefined if it was never known to be complete. */
+  readonly listAgeMs: number | undefined;
+  readonly departed: readonly Instance[];
+}
+
 /** A peer's response. Parts that the peer lacks, or that are not newer than requested, are absent. */
 export interface DirectorySnapshot<Instance> {
   readonly configuration: ConfigurationPart | undefined;
@@ -46,6 +55,8 @@
   readonly ageMs: number;
   /** Time since the store provably had no newer configuration than the responding peer; absent without proof. */
   readonly configurationAgeMs?: number | undefined;
+  /** Absent if the peer tracks no primaries. */
+  readonly members?: MemberListPart<Instance> | undefined;
 }
 
 /** Versions and revisions of the parts that a node knows; 0 for a part that it lacks. */
--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -16,6 +16,7 @@
   WatchEvent,
 } from '../../platform/contract.js';
 import type { Milliseconds } from '../units.js';
+import type { PeerListReport } from './member-list-proof.js';
 
 /** A call to the store. */
 export type StoreRequest =
@@ -95,6 +96,14 @@
   | { readonly type: 'instances-changed'; readonly entries: readonly InstanceEntry[] }
   /** A peer reported all members, including those that are gone and still count. */
   | { readonly type: 'members-told'; readonly entries: readonly InstanceEntry[] }
+  /** All registrations were read from the store, by a call sent at this time, and passed on. */
+  | { readonly type: 'member-list-read'; readonly sentAt: Milliseconds }
+  /** A peer reported how current its list of members is; `departed`: its members that are not registered. */
+  | {
+      readonly type: 'member-list-reported';
+      readonly report: PeerListReport;
+      readonly departed: readonly InstanceEntry[];
+    }
   | { readonly type: 'services-changed'; readonly services: readonly ServiceDescription[] }
   | {
       readonly type: 'primary-failed';
@@ -166,7 +175,7 @@
   | 'unlisted-members'
   /** Departed members are reported to all nodes and watched. */
   | 'forgotten-members'
-  /** A node whose member list may be outdated relies on no query round in which a member did not respond. */
+  /** What a query round proves is no newer than the proof that the node knows every member. */
   | 'current-members'
   /** A node's write permission ends with its lease, by its own clock. */
   | 'permission-lapse'
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -12,6 +12,7 @@
 import { Election } from './election.js';
 import { Leader } from './leader.js';
 import { NodeLease } from './lease.js';
+import { MemberListProof } from './member-list-proof.js';
 import type { PromotionOptions } from './options.js';
 import { Participation } from './participation.js';
 import { Primaries } from './primaries.js';
@@ -38,11 +39,6 @@
 const RELEASE_CHECK_PERIOD_MS = 50;
 /** Minimum period between reads of the records because the primary is suspected. */
 const SUSPICION_REREAD_PERIOD_MS = 1000;
-/**
- * Maximum age of a peer's report of the members that counts as current: during an outage of the store, peers are
- * polled more often than this.
- */
-const REPORTED_MEMBERS_MAX_AGE_MS: Milliseconds = 2000;
 const NO_KEYS: ReadonlySet<string> = new Set();
 const NO_READERS: readonly ReachableNode[] = [];
 
@@ -55,6 +51,7 @@
   readonly #election: Election;
   readonly #leader: Leader;
   readonly #suspicions: Suspicions;
+  readonly #memberListProof = new MemberListProof();
   /** Primary of each service as it was last announced. */
   readonly #announced = new Map<string, string | undefined>();
   #services: readonly string[] = [];
@@ -135,12 +132,28 @@
   }
 
   /**
-   * Whether this node would know of recently joined members: from the store, or from a peer that has read the
-   * records.
+   * Time up to which this node knows every member of the groups; an instance may have joined since.
+   * @param peersKnown other nodes that this node knows of, also before the leader has counted the fleet
    */
-  areMembersCurrent(service: string, now: Milliseconds): boolean {
-    if (this.#runtime.isDisabled('current-members') || this.#lease.isValid(now)) return true;
-    return now - this.#primaries.membersReportedAt(service) <= REPORTED_MEMBERS_MAX_AGE_MS;
+  membersCompleteAsOf(now: Milliseconds, peersKnown = 0): Milliseconds {
+    if (this.#runtime.isDisabled('current-members')) return now;
+    const otherNodes = Math.max(this.liveNodeCount() - 1, peersKnown);
+    return this.#memberListProof.completeAsOf({ now, hasStore: this.hasStore(now), otherNodes });
+  }
+
+  /** Whether this node knows every member that has joined until now. */
+  areMembersCurrent(now: Milliseconds): boolean {
+    return this.#runtime.isDisabled('current-members') || this.#lease.isValid(now);
+  }
+
+  /** When this node's list of members was last read from the store, by itself or by a peer. */
+  get memberListProvenAt(): Milliseconds {
+    return this.#memberListProof.provenAt;
+  }
+
+  /** Whether this node holds a lease at the store. */
+  hasStore(now: Milliseconds): boolean {
+    return this.#lease.isValid(now);
   }
 
   /** False while the store may have lost records that were acted on, and this process remembers none of them. */
@@ -242,6 +255,13 @@
       case 'members-told':
         this.#primaries.setReportedMembers(event.entries, this.#runtime.now);
         return;
+      case 'member-list-read':
+        this.#memberListProof.recordRead(event.sentAt);
+        return;
+      case 'member-list-reported':
+        for (const entry of event.departed) this.#primaries.addDeparted(entry, this.#runtime.now);
+        this.#memberListProof.record(event.report);
+        return;
       case 'services-changed':
         this.#services = event.services.map(({ name }) => name);
         this.#announcePrimaryChanges();
--- a/src/core/promotion/primaries.ts
+++ b/src/core/promotion/primaries.ts
@@ -37,8 +37,8 @@
   readonly #unlisted = new UnlistedMembers();
   readonly #instances = new Map<string, KnownInstance>();
   readonly #decoded = new Map<string, DecodedRecord>();
-  /** Time at which a peer last reported the members of a service. */
-  readonly #membersReportedAt = new Map<string, Milliseconds>();
+  /** Services whose members a peer that has read the records reported. */
+  readonly #reportedServices = new Set<string>();
   /** Instance that declares itself primary, by service; cleared when the instances change. */
   readonly #claimants = new Map<string, string | undefined>();
 
@@ -108,7 +108,7 @@
    * peer have reported which members there may be.
    */
   membersWithoutAddress(service: string): string[] | undefined {
-    const areReported = this.#membersReportedAt.has(service);
+    const areReported = this.#reportedServices.has(service);
     if (!areReported && this.#membersRecordOf(service) === undefined) return undefined;
     const candidates = this.countedMembers(service);
     const record = this.recordOf(service);
@@ -122,12 +122,7 @@
    */
   setReportedMembers(entries: readonly InstanceEntry[], now: Milliseconds): void {
     this.#updateEntries(entries, now);
-    for (const { service } of entries) this.#membersReportedAt.set(service, now);
-  }
-
-  /** Time at which a peer that has read the records last reported the members. */
-  membersReportedAt(service: string): Milliseconds {
-    return this.#membersReportedAt.get(service) ?? Number.NEGATIVE_INFINITY;
+    for (const { service } of entries) this.#reportedServices.add(service);
   }
 
   /** Applies the leader's record of a service's members after a change. */
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -37,6 +37,10 @@
 
   async acknowledgedPosition(): Promise<undefined> {}
 
+  async confirmMembers(): Promise<number> {
+    return Number.NEGATIVE_INFINITY;
+  }
+
   isChanging(): boolean {
     return false;
   }
--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -23,7 +23,7 @@
  * A store that was restored from a backup may lack the newest configuration until the operator has written it again,
  * which may take as long as the instances need to write their registrations again.
  */
-const CONFIGURATION_REWRITE_MS: Milliseconds = 2500;
+const REWRITE_MS: Milliseconds = 2500;
 
 /** The maximum delay is short enough that a bound of a few seconds on the data's age still holds. */
 const BACKOFF: BackoffPolicy = { baseMs: 50, maximumMs: 1000 };
@@ -105,6 +105,8 @@
   #restoredAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #provenBeforeRestore: Milliseconds = Number.NEGATIVE_INFINITY;
   #instancesRead = false;
+  /** A read of the registrations in flight, which serves all calls. */
+  #confirmingInstances: Promise<Milliseconds | undefined> | undefined;
   /** The instances that a peer reported; used until the store responds. */
   #adoptedInstances: InstancesPart<InstanceEntry> | undefined;
 
@@ -212,8 +214,26 @@
 
   #provenByStoreAt(): Milliseconds {
     const provenAt = this.#configurationReader.lastProvenAt() ?? Number.NEGATIVE_INFINITY;
-    const isTooSoonAfterRestore = provenAt < this.#restoredAt + CONFIGURATION_REWRITE_MS;
-    return isTooSoonAfterRestore ? this.#provenBeforeRestore : provenAt;
+    return this.#isTooSoonAfterRestore(provenAt) ? this.#provenBeforeRestore : provenAt;
+  }
+
+  /** What the backup lacks may not have been written again by then. */
+  #isTooSoonAfterRestore(provenAt: Milliseconds): boolean {
+    return provenAt < this.#restoredAt + REWRITE_MS;
+  }
+
+  /** Last time at which the store provably had no registration unknown here; undefined if nothing is proven. */
+  instancesProvenAt(): Milliseconds | undefined {
+    const provenAt = this.#instanceReader.lastProvenAt();
+    return provenAt === undefined || this.#isTooSoonAfterRestore(provenAt) ? undefined : provenAt;
+  }
+
+  /** Reads all registrations from the store; resolves to the time of which they are, if the store answers. */
+  async confirmInstances(): Promise<Milliseconds | undefined> {
+    this.#confirmingInstances ??= this.#instanceReader.confirm();
+    const sentAt = await this.#confirmingInstances;
+    this.#confirmingInstances = undefined;
+    return sentAt === undefined || this.#isTooSoonAfterRestore(sentAt) ? undefined : sentAt;
   }
 
   /** Records a peer's proof that at `provenAt` the store had no newer configuration than the current one. */
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -97,6 +97,7 @@
     untriedRefusals: 0,
     samplesAsked: 0,
     replicaRounds: 0,
+    replicaRoundsUnproven: 0,
     proofRounds: 0,
     proofsFailed: 0,
     leasesAsked: 0,
--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -26,6 +26,8 @@
     'statements refused because they had waited for half of their time without an attempt',
   samplesAsked: 'queries to primaries for their log position',
   replicaRounds: 'rounds of position queries to replicas while the primary was unavailable',
+  replicaRoundsUnproven:
+    'rounds of position queries to replicas without effect, since this node may not know all members',
   proofRounds: 'rounds of queries to all members of a group to prove its primary',
   proofsFailed: 'rounds of queries to all members of a group that proved nothing',
   leasesAsked: 'connections requested from the owners of instances',
--- a/src/direct/prefix-reader.ts
+++ b/src/direct/prefix-reader.ts
@@ -61,6 +61,20 @@
     return this.#provenAt;
   }
 
+  /**
+   * Reads the prefix beside the watch, which may not have noticed that it is cut off. Resolves to the time at which the
+   * call was sent, or undefined if the store did not answer.
+   */
+  async confirm(): Promise<Milliseconds | undefined> {
+    const sentAt = this.options.clock();
+    const answer = await this.options.store.range(this.options.prefix);
+    if (this.#stopped || answer.isErr()) return undefined;
+    this.#recordProven(sentAt);
+    // An older answer would bring back what the watch has seen removed.
+    if (answer.value.revision >= this.highestRevision) this.options.onRange(answer.value);
+    return sentAt;
+  }
+
   /** Store revision up to which all changes were received; 0 before the first read. */
   get highestRevision(): number {
     return this.#follower.highestRevision;
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -44,6 +44,11 @@
    * slot at every member.
    */
   acknowledgedPosition(service: string): Promise<Position | undefined>;
+  /**
+   * Reads the registrations, if the store is available. Resolves to the time up to which this node knows every member of
+   * the groups: a position derived from the members covers only commits acknowledged before it.
+   */
+  confirmMembers(): Promise<Milliseconds>;
   /** True while the primary is being replaced; a new one is expected soon. */
   isChanging(service: string): boolean;
   /** Called when the primary of a service has changed or its replacement has begun. */
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -11,6 +11,7 @@
   PromotionRequest,
 } from '../../core/promotion/contract.js';
 import { PromotionStateMachine } from '../../core/promotion/machine.js';
+import type { PeerListReport } from '../../core/promotion/member-list-proof.js';
 import { DEFAULT_PROMOTION_TIMINGS, type PromotionTimings } from '../../core/promotion/options.js';
 import type { PeerLocation } from '../../core/promotion/records.js';
 import type { QuotaKeepers } from '../../core/tenancy/quota-keepers.js';
@@ -19,6 +20,8 @@
 import type { PeerAddress } from '../../peer/contract.js';
 import type { Store } from '../../platform/contract.js';
 import type { InstanceControl, InstanceEntry, PublishedConfiguration } from '../contract.js';
+import type { DirectoryFollower } from '../directory-follower.js';
+import { firstWithin } from '../within.js';
 import type { BoundedPromotionCaller, EndPrimaryUse, PrimaryUse, PrimaryView } from './contract.js';
 import { type ClassifyControlFailure, classifyBySystemCall } from './control-failure.js';
 import { rejectReplacedIncarnations } from './incarnation-guard.js';
@@ -26,6 +29,8 @@
 import { TermConfirmation } from './term-confirmation.js';
 
 const MIN_CONFIRMATION_INTERVAL_MS = 60;
+/** Far above the store's usual response time, and short enough for the next round of queries to be on time. */
+const CONFIRM_MEMBERS_TIMEOUT_MS: Milliseconds = 150;
 
 export interface PromotionServiceOptions {
   readonly nodeName: string;
@@ -48,6 +53,12 @@
   /** Whether this node may open connections to an instance; true by default. */
   readonly mayConnect?: (instance: InstanceEntry) => boolean;
   readonly store: Store;
+  /** The registrations as read from the store; without it, only peers' reports show that no member is unknown. */
+  readonly instances?:
+    | Pick<DirectoryFollower, 'instancesProvenAt' | 'confirmInstances'>
+    | undefined;
+  /** Number of other nodes that this node knows of. */
+  readonly peersKnown?: () => number;
   readonly control: InstanceControl;
   /** Queries members whether any is the primary of a later term; `control` by default. */
   readonly status?: Pick<InstanceControl, 'status'>;
@@ -112,7 +123,7 @@
       onHeld: (primary, term) => this.#demote(control, primary, term, timings.controlTimeoutMs),
       membersOf: (service) => this.#machine.membersOf(service),
       membersWithoutAddressOf: (service) => this.#machine.membersWithoutAddress(service),
-      areMembersCurrent: (service) => this.#machine.areMembersCurrent(service, this.#now()),
+      areMembersCurrent: () => this.#machine.areMembersCurrent(this.#now()),
       syncReplicasOf: (service) => this.#syncReplicas.get(service) ?? 0,
       now: this.#now,
       minRoundIntervalMs: MIN_CONFIRMATION_INTERVAL_MS,
@@ -163,6 +174,32 @@
     this.#handle({ type: 'members-told', entries });
   }
 
+  /** How current this node's list of members is, for peers. */
+  describeMemberList(): {
+    readonly hasStore: boolean;
+    readonly listAgeMs: Milliseconds | undefined;
+  } {
+    const now = this.#now();
+    const watchedAt = this.options.instances?.instancesProvenAt() ?? Number.NEGATIVE_INFINITY;
+    const provenAt = Math.max(this.#machine.memberListProvenAt, watchedAt);
+    const listAgeMs = Number.isFinite(provenAt) ? Math.max(0, now - provenAt) : undefined;
+    return { hasStore: this.#machine.hasStore(now), listAgeMs };
+  }
+
+  /** Applies a peer's report on its list of members. */
+  recordMemberList(report: PeerListReport, departed: readonly InstanceEntry[]): void {
+    this.#handle({ type: 'member-list-reported', report, departed });
+  }
+
+  async confirmMembers(): Promise<Milliseconds> {
+    const { instances } = this.options;
+    if (instances !== undefined && this.#machine.hasStore(this.#now())) {
+      const sentAt = await firstWithin([instances.confirmInstances()], CONFIRM_MEMBERS_TIMEOUT_MS);
+      if (sentAt !== undefined) this.#handle({ type: 'member-list-read', sentAt });
+    }
+    return this.#machine.membersCompleteAsOf(this.#now(), this.options.peersKnown?.() ?? 0);
+  }
+
   /** Members of all services, whether or not they are registered in the store. */
   countedMembers(): InstanceEntry[] {
     return [...this.#syncReplicas.keys()].flatMap((service) => this.#machine.membersOf(service));
--- a/src/direct/promotion/term-confirmation.ts
+++ b/src/direct/promotion/term-confirmation.ts
@@ -43,8 +43,8 @@
    * members: then nothing is proven.
    */
   readonly membersWithoutAddressOf: (service: string) => readonly string[] | undefined;
-  /** Whether this node would know of a member that joined recently; true by default. */
-  readonly areMembersCurrent?: (service: string) => boolean;
+  /** Whether this node knows every member that has joined until now; true by default. */
+  readonly areMembersCurrent?: () => boolean;
   readonly syncReplicasOf: (service: string) => number;
   readonly now: () => Milliseconds;
   /** Minimum interval between rounds of one service, since each takes a slot at every member. */
@@ -141,7 +141,7 @@
     const sentAt = this.options.now();
     this.#lastSentAt.set(service, sentAt);
     const syncReplicas = this.options.syncReplicasOf(service);
-    const areMembersCurrent = this.#areMembersCurrent(service);
+    const areMembersCurrent = this.options.areMembersCurrent?.() ?? true;
     const responses = await this.#queryAll(service);
     this.#scheduled.delete(service);
     const endedAt = this.options.now();
@@ -151,10 +151,6 @@
     if (this.#waiting.has(service)) this.#scheduleRound(service);
   }
 
-  #areMembersCurrent(service: string): boolean {
-    return this.options.areMembersCurrent?.(service) ?? true;
-  }
-
   async #queryAll(service: string): Promise<MemberResponses | undefined> {
     const members = this.options.membersOf(service);
     const withoutAddress = this.options.membersWithoutAddressOf(service);
--- a/src/direct/replica-sampler.ts
+++ b/src/direct/replica-sampler.ts
@@ -12,6 +12,8 @@
 
 export interface ReplicaSamplerCounters {
   replicaRounds: number;
+  /** Rounds without effect, since members may be unknown to this node. */
+  replicaRoundsUnproven: number;
 }
 
 export interface ReplicaSamplerOptions {
@@ -45,10 +47,13 @@
   }
 
   async #query(service: ServiceRuntime): Promise<void> {
-    const { view, now, counters } = this.options;
-    const sentAt = now();
+    const { view, counters } = this.options;
+    // An unknown member may hold a later commit: the position covers only what was acknowledged before it could join.
+    const asOf = await view.confirmMembers();
     counters.replicaRounds += 1;
     const position = await view.acknowledgedPosition(service.name);
-    if (position !== undefined) service.recordAcknowledged(sentAt, position);
+    if (position === undefined) return;
+    if (Number.isFinite(asOf)) service.recordAcknowledged(asOf, position);
+    else counters.replicaRoundsUnproven += 1;
   }
 }
--- a/src/direct/snapshots/messages.ts
+++ b/src/direct/snapshots/messages.ts
@@ -6,6 +6,7 @@
   DirectorySnapshot,
   DirectoryVersions,
   InstancesPart,
+  MemberListPart,
   PrimariesPart,
   ServicePrimary,
   ServiceTerm,
@@ -47,15 +48,19 @@
   const instances = parseOptional(value.instances, parseInstances);
   const primaries = parseOptional(value.primaries, parsePrimaries);
   const terms = parseList(value.terms, parseTerm);
+  const members = parseOptional(value.members, parseMembers);
   const { ageMs, configurationAgeMs: proofAge } = value;
   if (configuration === null) return malformed('configuration');
   if (instances === null) return malformed('instances');
   if (primaries === null) return malformed('primaries');
   if (terms === undefined) return malformed('terms');
+  if (members === null) return malformed('members');
   if (typeof ageMs !== 'number' || !Number.isFinite(ageMs) || ageMs < 0) return malformed('age');
-  const snapshot = { configuration, instances, primaries, terms, ageMs };
-  const hasProofAge = typeof proofAge === 'number' && Number.isFinite(proofAge) && proofAge >= 0;
-  return ok(hasProofAge ? { ...snapshot, configurationAgeMs: proofAge } : snapshot);
+  const snapshot = {
+    ...{ configuration, instances, primaries, terms, ageMs },
+    ...(members !== undefined && { members }),
+  };
+  return ok(isAge(proofAge) ? { ...snapshot, configurationAgeMs: proofAge } : snapshot);
 }
 
 function malformed(part: string): Result<never, SnapshotFormError> {
@@ -83,6 +88,15 @@
   return { revision, instances, departed };
 }
 
+function parseMembers(fields: UncheckedFields): MemberListPart<InstanceEntry> | undefined {
+  const { hasStore, listAgeMs } = fields;
+  const departed = parseList(fields.departed, parseReachableInstance);
+  const hasAge = listAgeMs !== undefined && listAgeMs !== null;
+  if (typeof hasStore !== 'boolean' || departed === undefined) return undefined;
+  if (hasAge && !isAge(listAgeMs)) return undefined;
+  return { hasStore, departed, listAgeMs: hasAge ? (listAgeMs as number) : undefined };
+}
+
 /** Parses an instance with a valid port and slot count. */
 function parseReachableInstance(value: unknown): InstanceEntry | undefined {
   const entry = parseInstanceEntry(value);
@@ -133,6 +147,10 @@
   return isCount(value) && value > 0 && value <= MAX_PORT;
 }
 
+function isAge(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
 function isCount(value: unknown): value is number {
   return typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
 }
--- a/src/direct/snapshots/node-directory.ts
+++ b/src/direct/snapshots/node-directory.ts
@@ -2,8 +2,10 @@
 import {
   type DirectoryVersions,
   type InstancesPart,
+  type MemberListPart,
   selectNewerParts,
 } from '../../core/directory/snapshot.js';
+import type { PeerListReport } from '../../core/promotion/member-list-proof.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
 import type { PeerAddress } from '../../peer/contract.js';
@@ -14,6 +16,13 @@
 import type { ReportedPrimaries } from './reported-primaries.js';
 import type { SnapshotNode } from './service.js';
 
+/** How current this node's list of members is. */
+export interface MemberList {
+  describe(): Pick<MemberListPart<InstanceEntry>, 'hasStore' | 'listAgeMs'>;
+  /** Applies a peer's report; `departed`: its members that are not registered. */
+  record(report: PeerListReport, departed: readonly InstanceEntry[]): void;
+}
+
 export interface NodeDirectoryOptions {
   readonly follower: DirectoryFollower;
   readonly gateway: DirectGateway;
@@ -32,6 +41,8 @@
    * `isComplete` if the peer has read the records, which list the members that had departed before it started.
    */
   setReportedMembers(members: readonly InstanceEntry[], isComplete: boolean): void;
+  /** Absent if this node tracks no primaries. */
+  readonly memberList?: MemberList | undefined;
   now(): Milliseconds;
 }
 
@@ -82,9 +93,22 @@
       terms: this.options.gateway.primaryTerms(),
       ageMs: Math.max(0, now() - confirmedAt),
       ...this.#configurationAge(),
+      ...this.#memberListPart(),
     });
   }
 
+  #memberListPart(): Pick<InstanceSnapshot, 'members'> {
+    const { memberList } = this.options;
+    if (memberList === undefined) return {};
+    return { members: { ...memberList.describe(), departed: this.#departedMembers() } };
+  }
+
+  recordMemberList(peer: string, { members }: InstanceSnapshot, requestedAt: Milliseconds): void {
+    if (members === undefined) return;
+    const { hasStore, listAgeMs, departed } = members;
+    this.options.memberList?.record({ peer, requestedAt, hasStore, listAgeMs }, departed);
+  }
+
   /** Applies the configuration first, since the other parts refer to its services. */
   adopt(snapshot: InstanceSnapshot, requestedAt: Milliseconds): void {
     const { follower, gateway, primaries, logger, now } = this.options;
--- a/src/direct/snapshots/reported-primaries.ts
+++ b/src/direct/snapshots/reported-primaries.ts
@@ -95,6 +95,10 @@
     return this.recorded.acknowledgedPosition(service);
   }
 
+  confirmMembers(): Promise<Milliseconds> {
+    return this.recorded.confirmMembers();
+  }
+
   isChanging(service: string): boolean {
     return this.recorded.isChanging(service);
   }
--- a/src/direct/snapshots/service.ts
+++ b/src/direct/snapshots/service.ts
@@ -64,8 +64,18 @@
   describe(known: DirectoryVersions): InstanceSnapshot | undefined;
   /** Applies a peer's response to a request sent at `requestedAt`. */
   adopt(snapshot: InstanceSnapshot, requestedAt: Milliseconds): void;
+  /** Records how current the peer's list of members is, after its instances have been adopted. */
+  recordMemberList(peer: string, snapshot: InstanceSnapshot, requestedAt: Milliseconds): void;
 }
 
+/** What a peer responded to a request: whether it has a directory, and whether it follows the store. */
+interface PeerResponse {
+  readonly hasDirectory: boolean;
+  readonly hasStore: boolean;
+}
+
+const NO_RESPONSE: PeerResponse = { hasDirectory: false, hasStore: false };
+
 export interface PeerSnapshotsOptions {
   readonly nodeName: string;
   /** Address on which this node accepts links. */
@@ -159,31 +169,37 @@
     const responses = await Promise.all(
       this.#peers.select(count, this.#startFraction).map((peer) => this.#requestFrom(peer)),
     );
-    // Peers that responded get the next requests too, over the open links.
-    if (!responses.includes(true)) this.#startFraction = random();
+    // Peers that responded get the next requests too, over the open links. Without the store they can't report new
+    // members, so that others are asked, which may follow it.
+    const isUseful = node.needsSnapshot()
+      ? responses.some(({ hasStore }) => hasStore)
+      : responses.some(({ hasDirectory }) => hasDirectory);
+    if (!isUseful) this.#startFraction = random();
     const pauseMs = isEmpty ? EMPTY_PAUSE_MS : REFRESH_PAUSE_MS;
     this.#scheduleRequest(pauseMs * (0.5 + random()));
   }
 
-  /** Adopts each response as it arrives, since the first one lets this node serve. True if the peer has a directory. */
-  async #requestFrom(peer: PeerAddress): Promise<boolean> {
+  /** Adopts each response as it arrives, since the first one lets this node serve. */
+  async #requestFrom(peer: PeerAddress): Promise<PeerResponse> {
     const { node, own } = this.options;
     this.counters.asked += 1;
     const requestedAt = this.options.now();
     const request = { known: node.knownVersions(), from: own };
     const response = await this.transport.call(peer, SNAPSHOT_METHOD, request, REQUEST_TIMEOUT_MS);
-    if (this.#isStopped || response.isErr() || response.value === null) return false;
-    if (!node.needsSnapshot()) return true;
-    parseSnapshot(response.value).match(
+    if (this.#isStopped || response.isErr() || response.value === null) return NO_RESPONSE;
+    if (!node.needsSnapshot()) return { hasDirectory: true, hasStore: false };
+    return parseSnapshot(response.value).match(
       (snapshot) => {
         this.counters.adopted += 1;
         node.adopt(snapshot, requestedAt);
+        node.recordMemberList(`${peer.host}:${peer.port}`, snapshot, requestedAt);
+        return { hasDirectory: true, hasStore: snapshot.members?.hasStore === true };
       },
       () => {
         this.counters.malformed += 1;
+        return { hasDirectory: true, hasStore: false };
       },
     );
-    return true;
   }
 
   #handlers(): PeerHandlers {
--- a/test/property/directory-snapshot.test.ts
+++ b/test/property/directory-snapshot.test.ts
@@ -132,6 +132,10 @@
     { primaries: { revision: 1.5, primaries: [] } },
     { terms: undefined },
     { terms: [{ service: 's', instanceId: 'i', term: Number.NaN }] },
+    { members: { hasStore: 'yes', listAgeMs: 4, departed: [] } },
+    { members: { hasStore: true, listAgeMs: -4, departed: [] } },
+    { members: { hasStore: true, listAgeMs: 4, departed: [badEntry] } },
+    { members: { hasStore: true, listAgeMs: 4 } },
     { ageMs: -1 },
     { ageMs: Number.POSITIVE_INFINITY },
   ];
--- a/test/unit/direct/reported-primaries.test.ts
+++ b/test/unit/direct/reported-primaries.test.ts
@@ -27,6 +27,7 @@
     judgeCommits: async () => undefined,
     judgeWrite: async () => 'unknown' as const,
     acknowledgedPosition: () => Promise.resolve(undefined),
+    confirmMembers: () => Promise.resolve(Number.NEGATIVE_INFINITY),
     isChanging: () => false,
     reportPrimaryFailure: () => {},
     reportPrimarySuccess: () => {},
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -55,6 +55,7 @@
     judgeCommits: async () => undefined,
     judgeWrite: async () => 'unknown' as const,
     acknowledgedPosition: () => Promise.resolve(undefined),
+    confirmMembers: () => Promise.resolve(Number.NEGATIVE_INFINITY),
     isChanging: () => !isTrusted,
     onChange: () => {},
     reportPrimaryFailure: () => {},
--- a/test/unit/platform/directory-follower.test.ts
+++ b/test/unit/platform/directory-follower.test.ts
@@ -388,4 +388,48 @@
   assert.is(answerAt(7500), 7500);
 });
 
+test('a read beside the watch finds registrations that the watch has not reported', async () => {
+  const setup = await started((one) => {
+    one.ranges.set(INSTANCE_KEY_PREFIX, {
+      revision: 9,
+      entries: [item('servers/i-1', entry(), 5)],
+    });
+  });
+  const { store, follower } = setup;
+  const both = [item('servers/i-1', entry(), 5), item('servers/i-2', entry(), 11)];
+  store.ranges.set(INSTANCE_KEY_PREFIX, { revision: 12, entries: both });
+  setup.now = 700;
+  assert.is(await follower.confirmInstances(), 700);
+  assert.equal([...follower.instances().keys()], ['i-1', 'i-2']);
+  assert.is(follower.instancesProvenAt(), 700);
+  store.ranges.set(INSTANCE_KEY_PREFIX, new StoreUnavailableError('down'));
+  setup.now = 900;
+  assert.is(await follower.confirmInstances(), undefined);
+  assert.is(follower.instancesProvenAt(), 700);
+});
+
+test('a read that is older than the watch does not bring back what was removed', async () => {
+  const { store, follower } = await started((one) => {
+    one.ranges.set(INSTANCE_KEY_PREFIX, {
+      revision: 9,
+      entries: [item('servers/i-1', entry(), 5)],
+    });
+  });
+  const removal: WatchEvent = { type: 'delete', key: 'servers/i-1', modRevision: 14 };
+  store.last(INSTANCE_KEY_PREFIX).handlers.onEvents([removal], 14);
+  await follower.confirmInstances();
+  assert.equal([...follower.instances().keys()], []);
+});
+
+test('a read right after a restore of the store from a backup proves nothing', async () => {
+  const setup = await started(() => undefined);
+  const { follower } = setup;
+  setup.now = 5000;
+  follower.handleStoreRestore();
+  setup.now = 7400;
+  assert.is(await follower.confirmInstances(), undefined);
+  setup.now = 7500;
+  assert.is(await follower.confirmInstances(), 7500);
+});
+
 test.run();
