Nodes of another fleet are refused at the first message of a link

Symptom: integration/cluster/departures, test 3: two plays failed at the same moment; requests that one acknowledged and lost had run in the other. Callers saw lost writes, sessions behind their own writes, refused requests that ran.

Cause: addresses are reused and no identity was checked. A proxy of another fleet at the address and under the id of a stopped one counted as that node started again; members, machine lists and configuration were exchanged, and requests went to its owners.

Change: HELLO carries a tag for each session key. Without a common one nothing is sent, the node counts as failed, its datagrams and updates about it are ignored; typed error, log line, metric. Hellos without tags (earlier releases) are accepted. In harness and tests every process has passwords of its own: callers that reconnect to a reused port are refused.

Ruled out: an id kept in the store, since a node must start while the store is down; tags in datagrams, since earlier releases can't read them; deriving peer.secretHex from the session keys, since it would split a fleet during an upgrade.

Seen on the way, not changed: after the kill of a proxy right after the start of a small fleet, tenants get no new connection for 20 s ("no connection left"), with and without a foreign node.

--- a/bench/harness/cluster.ts
+++ b/bench/harness/cluster.ts
@@ -26,8 +26,14 @@
 
 const LOOPBACK = '127.0.0.1';
 const SECRET_BYTES = 32;
+const PROCESS_SECRET_BYTES = 8;
+/**
+ * Part of all passwords, different in each process: a port that a cluster has given up may be bound by one of another
+ * process, whose callers and proxies must not be served there.
+ */
+export const PROCESS_SECRET = randomBytes(PROCESS_SECRET_BYTES).toString('hex');
 /** Password of all roles on the back ends. */
-export const BACKEND_PASSWORD = 'backend-password';
+export const BACKEND_PASSWORD = `backend-${PROCESS_SECRET}`;
 
 /** The cluster could not be started, or has no part with a given name. */
 export class ClusterError extends MeadowstackError {
@@ -55,6 +61,8 @@
 export interface ClusterProxy {
   readonly nodeId: string;
   readonly zone: string;
+  /** Port for the links of other proxies; by default one that the system chooses. */
+  readonly peerPort?: number;
 }
 
 /** Address at which callers reach a proxy. */
--- a/bench/harness/proxy-process.ts
+++ b/bench/harness/proxy-process.ts
@@ -13,6 +13,8 @@
 export interface ProxyFlags {
   readonly nodeId: string;
   readonly zone: string;
+  /** Port for the links of other proxies; by default one that the system chooses. */
+  readonly peerPort?: number;
   readonly storePort: number;
   readonly machinesPort: number;
   readonly sessionKeyHex: string;
@@ -49,7 +51,7 @@
       `--node-id=${flags.nodeId}`,
       `--zone=${flags.zone}`,
       '--callers-port=0',
-      '--peer-port=0',
+      `--peer-port=${flags.peerPort ?? 0}`,
       '--admin-port=0',
       `--store-endpoints=http://${LOOPBACK}:${flags.storePort}`,
       `--machines-endpoint=http://${LOOPBACK}:${flags.machinesPort}`,
--- a/bench/run/deployment-cluster.ts
+++ b/bench/run/deployment-cluster.ts
@@ -13,6 +13,7 @@
   type ClusterOptions,
   type ClusterProxy,
   type ClusterTenant,
+  PROCESS_SECRET,
 } from '../harness/cluster.js';
 import type { DatabaseGroup } from '../harness/database-group.js';
 import type { Credentials } from '../load/caller-session.js';
@@ -146,7 +147,7 @@
 }
 
 function passwordOf(deployment: Deployment): string {
-  return `${deployment.tenant}-password`;
+  return `${deployment.tenant}-${PROCESS_SECRET}`;
 }
 
 /**
--- a/src/node/membership/service.ts
+++ b/src/node/membership/service.ts
@@ -18,7 +18,7 @@
 } from '../../core/membership/contract.js';
 import { MembershipStateMachine, type OwnMember } from '../../core/membership/machine.js';
 import type { Member } from '../../core/membership/member.js';
-import type { PeerTransport, WireValue } from '../../peer/contract.js';
+import type { NodeIdentity, PeerTransport, WireValue } from '../../peer/contract.js';
 import { PeerListenError, PeerProtocolError } from '../../peer/errors.js';
 import { monotonicNow } from '../clock.js';
 import {
@@ -38,6 +38,7 @@
 /** Second step of a sync: sends the requester's members of the differing buckets to the responder. */
 export const SYNC_PUSH_METHOD = 'membership.push';
 const SYNC_TIMEOUT_MS = 2000;
+const MAX_FOREIGN_NODES = 1024;
 
 /** Options and dependencies of the membership service. */
 export interface MembershipServiceOptions {
@@ -55,6 +56,8 @@
   readonly datagramsSent: number;
   readonly datagramsReceived: number;
   readonly datagramsMalformed: number;
+  /** Datagrams of nodes that turned out to be of another fleet. */
+  readonly datagramsForeign: number;
   /** Messages not sent because they were too large, which is a bug of this program. */
   readonly datagramsOversized: number;
   /** Payload bytes of datagrams, without IP and UDP headers. */
@@ -78,6 +81,8 @@
   readonly #address: NodeAddress;
   readonly #secret: Buffer | undefined;
   readonly #counters = zeroCounters();
+  /** Nodes of other fleets, by id and incarnation; the latest ones. */
+  readonly #foreign = new Set<string>();
   /** Response to the sync request that is being handled. */
   #syncReply: SyncResponse | undefined;
   #socket: Socket | undefined;
@@ -122,6 +127,18 @@
     this.#handle({ type: 'link-lost', nodeId });
   }
 
+  /**
+   * Takes a node that turned out to be of another fleet for failed, and ignores what it sends and what others tell of it.
+   * False if that was known already.
+   */
+  excludeForeign(identity: NodeIdentity): boolean {
+    const key = foreignKey(identity);
+    if (this.#foreign.has(key)) return false;
+    this.#foreign.add(key);
+    if (this.#foreign.size > MAX_FOREIGN_NODES) this.#foreign.delete(firstOf(this.#foreign));
+    return true;
+  }
+
   setConfigurationRevision(configurationRevision: number): void {
     this.#handle({ type: 'revision-changed', configurationRevision });
   }
@@ -147,11 +164,16 @@
 
   /** All other known members, including dead ones. */
   members(): Member[] {
-    return this.#machine.members();
+    return this.#machine.members().map((member) => this.#failedIfForeign(member));
   }
 
   member(nodeId: string): Member | undefined {
-    return this.#machine.member(nodeId);
+    const member = this.#machine.member(nodeId);
+    return member && this.#failedIfForeign(member);
+  }
+
+  #failedIfForeign(member: Member): Member {
+    return this.#foreign.has(foreignKey(member)) ? { ...member, status: 'dead' } : member;
   }
 
   get isJoined(): boolean {
@@ -241,7 +263,13 @@
     this.#counters.datagramsReceived += 1;
     this.#counters.bytesReceived += datagram.length;
     const message = this.#decode(datagram);
-    if (message !== undefined) this.#handle({ type: 'message', message });
+    if (message === undefined) return;
+    if (this.#foreign.has(foreignKey(message.sender))) {
+      this.#counters.datagramsForeign += 1;
+      return;
+    }
+    const updates = message.updates.filter((update) => !this.#foreign.has(foreignKey(update)));
+    this.#handle({ type: 'message', message: { ...message, updates } });
   }
 
   #decode(datagram: Buffer): MembershipMessage | undefined {
@@ -277,6 +305,15 @@
   }
 }
 
+function foreignKey({ nodeId, incarnation }: NodeIdentity): string {
+  return `${nodeId} ${incarnation}`;
+}
+
+function firstOf(values: ReadonlySet<string>): string {
+  const [first = ''] = values;
+  return first;
+}
+
 function parseSyncResponse(value: WireValue): Result<SyncResponse, MeadowstackError> {
   try {
     return ok(syncResponseFromWire(value));
@@ -291,6 +328,7 @@
     datagramsSent: 0,
     datagramsReceived: 0,
     datagramsMalformed: 0,
+    datagramsForeign: 0,
     datagramsOversized: 0,
     bytesSent: 0,
     bytesReceived: 0,
--- a/src/node/node-links.ts
+++ b/src/node/node-links.ts
@@ -9,7 +9,7 @@
 import type { FleetNode } from './fleet-view.js';
 import { PeerRouter } from './peer-router.js';
 import type { Settings } from './settings.js';
-import { clusterSecretOf } from './settings-values.js';
+import { clusterSecretOf, fleetTagsOf } from './settings-values.js';
 
 /** The open links of a node, with the identity, address and hash that its services need. */
 export interface NodeLinks {
@@ -31,7 +31,11 @@
     // Only links with calls or streams in progress are checked; after three heartbeat periods
     // without a byte, a hung owner counts as lost.
     limits: { heartbeatPeriodMs: settings.peer.heartbeatMs },
-    events: { onLinkDown: (peer) => router.handleLinkDown(peer) },
+    fleet: fleetTagsOf(settings),
+    events: {
+      onLinkDown: (peer) => router.handleLinkDown(peer),
+      onForeignFleet: (identity, peer) => router.handleForeignFleet(identity, peer),
+    },
     ...(clusterSecret === undefined ? {} : { clusterSecret }),
   });
   const [listening, hash] = await Promise.all([transport.listen(settings.peer), loadHash64()]);
--- a/src/node/node-metrics.ts
+++ b/src/node/node-metrics.ts
@@ -82,6 +82,7 @@
     totals.protocolViolations(backend.protocolViolations);
     totals.linksOpened(peers.linksOpened);
     totals.linksLost(peers.linksLost);
+    totals.foreignFleets(peers.foreignFleets);
     totals.framesDropped(peers.framesDropped);
     totals.framesMalformed(peers.framesMalformed);
     totals.bytesSent(peers.bytesSent);
@@ -124,6 +125,7 @@
     protocolViolations: syncCounter(metrics.protocolViolations, {}),
     linksOpened: syncCounter(metrics.peerLinks, { event: 'opened' }),
     linksLost: syncCounter(metrics.peerLinks, { event: 'lost' }),
+    foreignFleets: syncCounter(metrics.peerLinks, { event: 'foreign-fleet' }),
     framesDropped: syncCounter(metrics.peerFrames, { fault: 'dropped' }),
     framesMalformed: syncCounter(metrics.peerFrames, { fault: 'malformed' }),
     bytesSent: syncCounter(metrics.peerBytes, { direction: 'sent' }),
--- a/src/node/peer-router.ts
+++ b/src/node/peer-router.ts
@@ -29,6 +29,13 @@
     this.onLinkDown?.(peer);
   }
 
+  /** Called when a node of another fleet was found; `peer`: the address at which it listens, if this node dialled it. */
+  onForeignFleet: ((identity: NodeIdentity, peer: PeerAddress | undefined) => void) | undefined;
+
+  handleForeignFleet(identity: NodeIdentity, peer: PeerAddress | undefined): void {
+    this.onForeignFleet?.(identity, peer);
+  }
+
   add(service: CallService): void {
     this.#services.push(service);
   }
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -296,6 +296,7 @@
   #registerServices(router: PeerRouter): void {
     router.acceptStreams((header, stream) => this.#ownerService.accept(header, stream));
     router.onLinkDown = (peer) => this.#onLinkDown(peer);
+    router.onForeignFleet = (identity, peer) => this.#onForeignFleet(identity, peer);
     router.add(this.#configuration);
     router.add(this.#machineList);
     router.add(this.#gateway.homeNodeDirectory);
@@ -323,6 +324,15 @@
     this.#pendingFleetChange ??= setImmediate(() => this.#onFleetChanged());
   }
 
+  /** A node of another fleet counts as failed, wherever it was heard of: its address may have been one of this fleet. */
+  #onForeignFleet(identity: NodeIdentity, peer: PeerAddress | undefined): void {
+    if (!this.#membership.excludeForeign(identity)) return;
+    const address = peer === undefined ? undefined : `${peer.host}:${peer.port}`;
+    this.#logger.warn('node of another fleet refused', { node: identity.nodeId, address });
+    this.#fleetView.membersChanged();
+    this.#onFleetChanged();
+  }
+
   /** Reports a lost link to the membership, which probes the node at the other end at once. */
   #onLinkDown(peer: PeerAddress): void {
     const member = this.#membership
--- a/src/node/settings-values.ts
+++ b/src/node/settings-values.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from 'node:fs';
 import type { GroupTiming } from '../core/group/options.js';
 import type { SessionKeys } from '../core/session/index.js';
+import { createFleetTags } from '../peer/fleet-tags.js';
 import {
   DEFAULT_MACHINE_LIST_OPTIONS,
   MachineListClient,
@@ -65,6 +66,11 @@
   return secretHex === undefined ? undefined : Buffer.from(secretHex, 'hex');
 }
 
+/** Empty if the settings have no session keys: nodes of other fleets are then not recognized. */
+export function fleetTagsOf(settings: Settings): readonly string[] {
+  return createFleetTags(settings.session.keys.map((key) => Buffer.from(key.secretHex, 'hex')));
+}
+
 /** TLS options for callers' connections; undefined if the settings have none. */
 export function callerTlsOf(settings: Settings): CallerTlsOptions | undefined {
   const { tls } = settings.callers;
--- a/src/peer/contract.ts
+++ b/src/peer/contract.ts
@@ -80,6 +80,8 @@
 export interface PeerCounters {
   readonly linksOpened: number;
   readonly linksLost: number;
+  /** Handshakes with nodes of another fleet. */
+  readonly foreignFleets: number;
   readonly framesDropped: number;
   readonly framesMalformed: number;
   readonly bytesSent: number;
--- a/src/peer/counters.ts
+++ b/src/peer/counters.ts
@@ -24,6 +24,7 @@
     bytesSent: 0,
     bytesReceived: 0,
     handshakesRefused: 0,
+    foreignFleets: 0,
     streamsOpened: 0,
     callsSent: 0,
     callsAnswered: 0,
--- a/src/peer/errors.ts
+++ b/src/peer/errors.ts
@@ -1,5 +1,6 @@
 /** Failures of the links between proxies. */
 import { type ErrorLabel, MeadowstackError } from '../core/errors.js';
+import type { NodeIdentity } from './contract.js';
 
 /** Base class of the errors that end a stream or a call. */
 export abstract class PeerError extends MeadowstackError {
@@ -98,10 +99,19 @@
 
 /** The other side did not prove that it knows the cluster secret, or speaks another version. */
 export class PeerHandshakeError extends MeadowstackError {
-  readonly code = 'MS-PEER-HANDSHAKE';
+  readonly code: string = 'MS-PEER-HANDSHAKE';
   override readonly labels: ReadonlySet<ErrorLabel> = new Set(['security']);
 }
 
+/** The node at this address belongs to another fleet; nothing was sent to it. */
+export class PeerForeignFleetError extends PeerHandshakeError {
+  override readonly code = 'MS-PEER-FOREIGN-FLEET';
+
+  constructor(identity: NodeIdentity) {
+    super(`node ${identity.nodeId} (incarnation ${identity.incarnation}) is of another fleet`);
+  }
+}
+
 /** No service of this node is registered for the method, or not yet. */
 export class UnknownMethodError extends MeadowstackError {
   readonly code = 'MS-PEER-METHOD';
--- a/src/peer/handshake.ts
+++ b/src/peer/handshake.ts
@@ -8,12 +8,14 @@
  *                      <-  HELLO nonce, proof
  *     PROOF            ->
  *
- * The dialler may send its first frames directly after PROOF.
+ * The dialler may send its first frames directly after PROOF. Each HELLO also carries the tags of the fleet: a dialler
+ * sends nothing to a node of another fleet, and an acceptor answers so that the dialler learns of it.
  */
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
 import { decodeValue, encodeValue } from './codec.js';
 import type { NodeIdentity } from './contract.js';
-import { PeerHandshakeError, PeerProtocolError } from './errors.js';
+import { PeerForeignFleetError, PeerHandshakeError, PeerProtocolError } from './errors.js';
+import { mayBeSameFleet } from './fleet-tags.js';
 import {
   encodeFrame,
   FrameType,
@@ -44,12 +46,26 @@
   readonly #identity: NodeIdentity;
   readonly #secret: Buffer | undefined;
   readonly #nonce = randomBytes(NONCE_BYTES);
+  readonly #fleet: readonly string[];
   #remote: Hello | undefined;
 
-  constructor(role: HandshakeRole, identity: NodeIdentity, secret: Buffer | undefined) {
+  constructor(
+    role: HandshakeRole,
+    identity: NodeIdentity,
+    secret: Buffer | undefined,
+    fleet: readonly string[] = [],
+  ) {
     this.#role = role;
     this.#identity = identity;
     this.#secret = secret;
+    this.#fleet = fleet;
+  }
+
+  /** Identity of the other side if it belongs to another fleet. */
+  get foreignIdentity(): NodeIdentity | undefined {
+    const remote = this.#remote;
+    if (remote === undefined || mayBeSameFleet(this.#fleet, remote.fleet)) return undefined;
+    return identityOf(remote);
   }
 
   /** Returns the dialler's first frame. */
@@ -74,6 +90,7 @@
         identity: undefined,
       };
     }
+    this.#refuseForeign();
     this.#verifyProof(remote.proof, this.#computeProof('acceptor', remote));
     const proof = this.#computeProof('dialler', remote);
     return { send: encodeFrame(FrameType.PROOF, 0, proof), identity: identityOf(remote) };
@@ -81,10 +98,16 @@
 
   #onProof(proof: Buffer): HandshakeStep {
     const remote = this.#remote as Hello;
+    this.#refuseForeign();
     this.#verifyProof(proof, this.#computeProof('dialler', remote));
     return { send: undefined, identity: identityOf(remote) };
   }
 
+  #refuseForeign(): void {
+    const { foreignIdentity } = this;
+    if (foreignIdentity !== undefined) throw new PeerForeignFleetError(foreignIdentity);
+  }
+
   #encodeHello(proof: Buffer): Buffer {
     const hello: Hello = {
       protocol: PROTOCOL_NAME,
@@ -93,6 +116,7 @@
       incarnation: this.#identity.incarnation,
       nonce: new Uint8Array(this.#nonce),
       proof: new Uint8Array(proof),
+      fleet: this.#fleet,
     };
     return encodeFrame(FrameType.HELLO, 0, encodeValue(hello, MAX_HANDSHAKE_PAYLOAD_BYTES));
   }
--- a/src/peer/link-messages.ts
+++ b/src/peer/link-messages.ts
@@ -3,6 +3,7 @@
  * schema library, because loading it takes a starting process longer than all its other modules.
  */
 import { isObject } from '../core/fields.js';
+import { MAX_FLEET_TAGS } from './fleet-tags.js';
 
 /** Identity, version, nonce and proof of one side; the proof is empty in the dialler's hello. */
 export interface Hello {
@@ -12,6 +13,8 @@
   readonly incarnation: number;
   readonly nonce: Uint8Array;
   readonly proof: Uint8Array;
+  /** Tags of the fleet; empty if unknown, as in releases without them. */
+  readonly fleet: readonly string[];
 }
 
 /** A call of a method. */
@@ -28,19 +31,21 @@
 
 export const NONCE_BYTES = 32;
 const MAX_NODE_ID_LENGTH = 128;
+const MAX_TAG_LENGTH = 64;
 const MAX_METHOD_LENGTH = 64;
 const PAIR_LENGTH = 2;
 
 /** Parses a decoded payload as a hello; undefined if it is malformed. */
 export function parseHello(value: unknown): Hello | undefined {
   if (!isObject(value)) return undefined;
-  const { protocol, version, nodeId, incarnation, nonce, proof } = value;
+  const { protocol, version, nodeId, incarnation, nonce, proof, fleet = [] } = value;
   if (typeof protocol !== 'string' || !isSafeInteger(version) || !isSafeInteger(incarnation))
     return undefined;
   if (incarnation < 0 || !isNodeId(nodeId)) return undefined;
   if (!(nonce instanceof Uint8Array) || nonce.length !== NONCE_BYTES) return undefined;
   if (!(proof instanceof Uint8Array)) return undefined;
-  return { protocol, version, nodeId, incarnation, nonce, proof };
+  if (!areFleetTags(fleet)) return undefined;
+  return { protocol, version, nodeId, incarnation, nonce, proof, fleet };
 }
 
 /** Parses a decoded payload as a call; undefined if it is malformed. */
@@ -63,6 +68,14 @@
   return typeof value === 'string' && value.length > 0 && value.length <= MAX_NODE_ID_LENGTH;
 }
 
+function areFleetTags(value: unknown): value is readonly string[] {
+  return (
+    Array.isArray(value) &&
+    value.length <= MAX_FLEET_TAGS &&
+    value.every((tag) => typeof tag === 'string' && tag.length <= MAX_TAG_LENGTH)
+  );
+}
+
 function isSafeInteger(value: unknown): value is number {
   return Number.isSafeInteger(value);
 }
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -22,7 +22,7 @@
   type FrameTypeCode,
   MAX_HANDSHAKE_PAYLOAD_BYTES,
 } from './frame.js';
-import { Handshake, type HandshakeRole } from './handshake.js';
+import { Handshake, type HandshakeRole, type HandshakeStep } from './handshake.js';
 import { LinkCalls } from './link-calls.js';
 import { LinkHeartbeat } from './link-heartbeat.js';
 import { LinkWriter } from './link-writer.js';
@@ -41,11 +41,14 @@
   readonly peerName: string;
   readonly identity: NodeIdentity;
   readonly secret: Buffer | undefined;
+  readonly fleet: readonly string[];
   readonly handlers: PeerHandlers;
   readonly limits: PeerLinkLimits;
   readonly counters: MutableCounters;
   /** The handshake succeeded. */
   onReady(link: PeerLink, remote: NodeIdentity): void;
+  /** The other side belongs to another fleet: the link will not become ready. */
+  onForeignFleet(remote: NodeIdentity): void;
   /** The other side accepts no new streams; those that it has accepted continue. */
   onGoAway(link: PeerLink): void;
   /** Called once, whether or not the link was ever ready. */
@@ -73,6 +76,7 @@
   #remote: NodeIdentity | undefined;
   /** The accepting side is stopping: no more streams are opened. */
   #isGoingAway = false;
+  #isForeignFleetReported = false;
   /**
    * Streams and calls have separate, rising numbers, because a call may be sent before a stream that
    * was opened earlier.
@@ -88,7 +92,7 @@
     this.limits = parts.limits;
     this.#socket = parts.socket;
     this.#counters = parts.counters;
-    this.#handshake = new Handshake(parts.role, parts.identity, parts.secret);
+    this.#handshake = new Handshake(parts.role, parts.identity, parts.secret, parts.fleet);
     this.#decoder = new FrameDecoder(
       (type, stream, payload) => this.#onFrame(type, stream, payload),
       MAX_HANDSHAKE_PAYLOAD_BYTES,
@@ -244,11 +248,27 @@
   }
 
   #onHandshakeFrame(type: FrameTypeCode, payload: Buffer): void {
-    const step = this.#handshake.receive(type, payload);
+    const step = this.#receiveHandshake(type, payload);
     if (step.send !== undefined) this.#writer.writeNow(step.send);
     if (step.identity !== undefined) this.#becomeReady(step.identity);
   }
 
+  #receiveHandshake(type: FrameTypeCode, payload: Buffer): HandshakeStep {
+    try {
+      return this.#handshake.receive(type, payload);
+    } finally {
+      const { foreignIdentity } = this.#handshake;
+      if (foreignIdentity !== undefined) this.#reportForeignFleet(foreignIdentity);
+    }
+  }
+
+  #reportForeignFleet(remote: NodeIdentity): void {
+    if (this.#isForeignFleetReported) return;
+    this.#isForeignFleetReported = true;
+    this.#counters.foreignFleets += 1;
+    this.#parts.onForeignFleet(remote);
+  }
+
   #becomeReady(remote: NodeIdentity): void {
     this.#state = 'ready';
     this.#remote = remote;
--- a/src/peer/options.ts
+++ b/src/peer/options.ts
@@ -8,6 +8,8 @@
   onLinkUp?(peer: PeerAddress, identity: NodeIdentity): void;
   /** The link was lost, or its other side is stopping. */
   onLinkDown?(peer: PeerAddress, error: MeadowstackError): void;
+  /** A node of another fleet dialled this one, or listens at the dialled address (`peer`). */
+  onForeignFleet?(identity: NodeIdentity, peer: PeerAddress | undefined): void;
   /** The node at this address has another node id or incarnation than before. */
   onIdentityChanged?(peer: PeerAddress, previous: NodeIdentity, identity: NodeIdentity): void;
 }
@@ -62,6 +64,8 @@
   readonly handlers: PeerHandlers;
   /** Secret shared by all nodes; without it, any process that can connect may open links. */
   readonly clusterSecret?: Buffer;
+  /** Tags of this node's fleet, see `fleet-tags.ts`; without them, nodes of other fleets are not recognized. */
+  readonly fleet?: readonly string[];
   readonly limits?: Partial<PeerLinkLimits>;
   readonly events?: PeerLinkEvents;
   /** Returns uniformly distributed numbers in [0, 1), as jitter for reconnects. Default: Math.random. */
--- a/src/peer/transport.ts
+++ b/src/peer/transport.ts
@@ -207,6 +207,7 @@
       peerName,
       identity: this.#options.identity,
       secret: this.#options.clusterSecret,
+      fleet: this.#options.fleet ?? [],
       handlers: this.#options.handlers,
       limits: this.#limits,
       counters: this.#counters,
@@ -216,6 +217,7 @@
         if (peer === undefined) this.#pendingHandshakes -= 1;
         else this.#onDialled(peer, remote);
       },
+      onForeignFleet: (remote) => this.#options.events?.onForeignFleet?.(remote, peer?.address),
       onGoAway: (link) => this.#onGoAway(link, peer),
       onClosed: (link, error) => {
         if (ready && !(error instanceof PeerLinkIdleError)) this.#counters.linksLost += 1;
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -1,12 +1,12 @@
 /** Small clusters of real processes for integration tests, and callers that keep their session token. */
 import pg from 'pg';
 import * as assert from 'uvu/assert';
-import { Cluster, type ClusterOptions } from '../../bench/harness/cluster.js';
+import { Cluster, type ClusterOptions, PROCESS_SECRET } from '../../bench/harness/cluster.js';
 import type { NodeStatus } from '../../src/node/node-status.js';
 import { until, WAIT_TIMEOUT_MS } from './until.js';
 
 export const GROUP = 'orders';
-export const TENANT = { name: 'bureau', password: 'a long password' };
+export const TENANT = { name: 'bureau', password: `bureau-${PROCESS_SECRET}` };
 
 const ELECTION_TIMEOUT_MS = 1500;
 
--- a/test/unit/peer-link-messages.test.ts
+++ b/test/unit/peer-link-messages.test.ts
@@ -7,7 +7,7 @@
 const SETTINGS = { seed: 20261202, numRuns: 500 };
 const HELLO = {
   ...{ protocol: 'p', version: 1, nodeId: 'node-1', incarnation: 5 },
-  ...{ nonce: new Uint8Array(32), proof: new Uint8Array(0) },
+  ...{ nonce: new Uint8Array(32), proof: new Uint8Array(0), fleet: ['tag'] },
 };
 
 test('a hello with a missing or malformed field is rejected', () => {
@@ -23,10 +23,19 @@
     { nonce: new Uint8Array(31) },
     { nonce: 'x'.repeat(32) },
     { proof: null },
+    { fleet: 'tag' },
+    { fleet: [7] },
+    { fleet: new Array(17).fill('tag') },
+    { fleet: ['x'.repeat(65)] },
   ];
   for (const fault of faults) assert.is(parseHello({ ...HELLO, ...fault }), undefined);
 });
 
+test('the hello of a release without fleet tags is accepted', () => {
+  const { fleet: _fleet, ...earlier } = HELLO;
+  assert.equal(parseHello(earlier), { ...HELLO, fleet: [] });
+});
+
 test('a call consists of a method and a body, its error of a code and a reason', () => {
   assert.equal(parseCall(['m', { a: 1 }]), { method: 'm', body: { a: 1 } });
   for (const fault of [['m'], ['m', 1, 2], [1, 2], ['m'.repeat(65), 1], { 0: 'm', 1: 2 }]) {
