The runner passes over exactly the tests that KNOWN-RED.txt names

Change: an entry names a test. A file is passed over only if each of its failures is of a listed test; a failed hook, a signal, a missing or unnamed failure is not. A listed test that passes is printed. An entry without a test's name is an error with its line.

--- a/test/run.ts
+++ b/test/run.ts
@@ -1,12 +1,19 @@
 /**
  * Test runner: runs each `*.test.js` file under uvu in its own process, several at a time. Arguments are substrings of
- * the file paths to run; without arguments all files run. Files in KNOWN-RED.txt are run and printed, but do not change
- * the exit code.
+ * the file paths to run; without arguments all files run. Tests that KNOWN-RED.txt names are run and printed, but their
+ * failures do not change the exit code; those of any other test in the same file do.
  */
 import { spawn } from 'node:child_process';
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
 import { dirname, join, relative } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import {
+  type FileOutcome,
+  type FileVerdict,
+  judgeFile,
+  type KnownRedTest,
+  parseKnownRed,
+} from './support/known-red.js';
 
 const MAX_CONCURRENT_FILES = 4;
 /** Kills files that hang. The longest one uses 80 s of CPU time, which may take five minutes on a busy machine. */
@@ -23,15 +30,9 @@
 ];
 const repositoryRoot = join(testRoot, '..', '..');
 
-interface FileResult {
+interface FileResult extends FileOutcome {
   readonly file: string;
-  /** Undefined if a signal ended the process. */
-  readonly exitCode: number | undefined;
-  readonly signal: NodeJS.Signals | undefined;
   readonly tookMs: number;
-  readonly passed: number;
-  readonly total: number;
-  readonly output: string;
 }
 
 function listTestFiles(filters: readonly string[]): string[] {
@@ -42,14 +43,9 @@
   return files.filter((file) => filters.some((filter) => file.includes(filter)));
 }
 
-/** Known failures, one line each: `<test file>: <cause> (<issue>)`. At most three. */
-function readKnownRed(): string[] {
+function readKnownRed(): readonly KnownRedTest[] {
   const path = join(repositoryRoot, 'KNOWN-RED.txt');
-  if (!existsSync(path)) return [];
-  return readFileSync(path, 'utf8')
-    .split('\n')
-    .map((line) => line.split(':')[0]?.trim() ?? '')
-    .filter((name) => name.length > 0);
+  return existsSync(path) ? parseKnownRed(readFileSync(path, 'utf8')) : [];
 }
 
 function parseCount(output: string, label: string): number {
@@ -90,12 +86,19 @@
   });
 }
 
-function printResult(result: FileResult, isKnownRed: boolean): void {
-  const failed = isFailed(result);
-  const verdict = failed ? (isKnownRed ? 'KNOWN RED' : 'FAILED') : 'ok';
+const VERDICT_TEXTS: Readonly<Record<FileVerdict['state'], string>> = {
+  ok: 'ok',
+  'known-red': 'KNOWN RED',
+  failed: 'FAILED',
+};
+
+function printResult(result: FileResult, verdict: FileVerdict): void {
   const source = relative(repositoryRoot, join(testRoot, result.file));
-  console.log(`${verdict}  ${source}  ${result.passed}/${result.total}`);
-  if (!failed) return;
+  console.log(`${VERDICT_TEXTS[verdict.state]}  ${source}  ${result.passed}/${result.total}`);
+  for (const name of verdict.passedListed) {
+    console.log(`LISTED AS KNOWN RED, BUT PASSED  ${source}  "${name}"`);
+  }
+  if (verdict.state === 'ok') return;
   const seconds = (result.tookMs / MS_PER_SECOND).toFixed(1);
   console.log(`${result.output}\nended after ${seconds} s with ${describeExit(result)}`);
   if (result.exitCode === 0) console.log(UNNAMED_FAILURE_HINT);
@@ -105,8 +108,9 @@
   return signal === undefined ? `exit code ${exitCode}` : `signal ${signal}`;
 }
 
-function isFailed(result: FileResult): boolean {
-  return result.exitCode !== 0 || result.total === 0 || result.passed !== result.total;
+function listedNames(knownRed: readonly KnownRedTest[], file: string): readonly string[] {
+  const path = file.replace(/\.test\.js$/, '');
+  return knownRed.filter((listed) => listed.file === path).map(({ name }) => name);
 }
 
 async function main(): Promise<void> {
@@ -115,18 +119,22 @@
   let passed = 0;
   let failed = 0;
   let failedFiles = 0;
+  let knownRedTests = 0;
   const worker = async (): Promise<void> => {
     for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
       const result = await runFile(file);
-      const isKnownRed = knownRed.some((name) => result.file.includes(name.replace(/\.ts$/, '')));
-      printResult(result, isKnownRed);
+      const verdict = judgeFile(result, listedNames(knownRed, file));
+      printResult(result, verdict);
       passed += result.passed;
-      if (!isKnownRed) failed += result.total - result.passed;
-      if (!isKnownRed && isFailed(result)) failedFiles += 1;
+      if (verdict.state === 'known-red') knownRedTests += verdict.failedNames.length;
+      if (verdict.state !== 'failed') continue;
+      failed += result.total - result.passed;
+      failedFiles += 1;
     }
   };
   await Promise.all(Array.from({ length: MAX_CONCURRENT_FILES }, worker));
-  console.log(`${passed} passed, ${Math.max(failed, failedFiles)} failed`);
+  const knownRedText = knownRedTests === 0 ? '' : `, ${knownRedTests} known red`;
+  console.log(`${passed} passed, ${Math.max(failed, failedFiles)} failed${knownRedText}`);
   process.exitCode = failedFiles > 0 || passed === 0 ? 1 : 0;
 }
 
