--- a/test/support/promotion/mix.ts
+++ b/test/support/promotion/mix.ts
@@ -37,7 +37,7 @@
 ];
 
 /** Mechanisms by which nodes keep facts that a restored store lacks. */
-export const STORE_RESTORE_MECHANISMS: readonly PromotionMechanism[] = [
+const STORE_RESTORE_MECHANISMS: readonly PromotionMechanism[] = [
   'era-coverage',
   'later-term',
   'noted-primary',
