An instance of another database system is refused before any statement

Symptom and class: as, at the link from proxy to instance: whatever accepted the password at an instance's address was taken for that instance.

Evidence: integration/cluster/foreign-fleet, second test: the primary's address is listed as that of another group's primary.

Change: each new connection is asked for its system identifier (pg_control_system, as PostgreSQL publishes it) before anything else. A group is the system that a majority of its listed instances first showed, for the life of the process. Typed errors, one log line per instance and system, a metric. The stand-in shows an identifier; the harness draws one per group.

Ruled out: adopting a later majority, since with all addresses of a group reused that is the case to be refused.

--- a/bench/harness/database-group.ts
+++ b/bench/harness/database-group.ts
@@ -3,6 +3,7 @@
  * when their standard input closes, so that none outlives this process.
  */
 import { type ChildProcess, spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { once } from 'node:events';
 import { createInterface } from 'node:readline';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -15,6 +16,7 @@
 
 const MAIN_PATH = fileURLToPath(new URL('../../standins/database/main.js', import.meta.url));
 const POLL_PERIOD_MS = 10;
+const MAX_SYSTEM_IDENTIFIER = 2 ** 47;
 const START_TIMEOUT_MS = 30_000;
 
 export class DatabaseGroupError extends MeadowstackError {
@@ -205,8 +207,14 @@
   await gone;
 }
 
+/** Identifiers differ between groups and between processes, like those of real database systems. */
+function createSystemIdentifier(): number {
+  return randomInt(1, MAX_SYSTEM_IDENTIFIER);
+}
+
 function buildArguments(
   options: DatabaseGroupOptions,
+  systemIdentifier: number,
   group: string,
   names: readonly string[],
   position: number,
@@ -224,6 +232,7 @@
     'heartbeat-ms': options.heartbeatMs,
     'initial-primary': names[0],
     seed: (options.seed ?? 1) + position,
+    'system-identifier': systemIdentifier,
     user: options.user,
     password: options.password,
     'tls-key': options.tls?.keyFile,
@@ -263,9 +272,10 @@
   const group = options.group ?? 'group';
   const zones = zonesOf(options);
   const names = zones.map((zone) => `${group}-${zone}`);
+  const systemIdentifier = createSystemIdentifier();
   const started = await Promise.allSettled(
     zones.map((zone, position) =>
-      startInstance(buildArguments(options, group, names, position), zone),
+      startInstance(buildArguments(options, systemIdentifier, group, names, position), zone),
     ),
   );
   const running = started.flatMap((one) => (one.status === 'fulfilled' ? [one.value] : []));
--- a/src/node/node-metrics.ts
+++ b/src/node/node-metrics.ts
@@ -80,6 +80,7 @@
     totals.cancels(backend.cancelsSent);
     totals.notificationsDropped(backend.notificationsDropped);
     totals.protocolViolations(backend.protocolViolations);
+    totals.foreignInstances(backend.foreignInstances);
     totals.linksOpened(peers.linksOpened);
     totals.linksLost(peers.linksLost);
     totals.foreignFleets(peers.foreignFleets);
@@ -123,6 +124,7 @@
     cancels: syncCounter(metrics.cancelsSent, {}),
     notificationsDropped: syncCounter(metrics.notificationsDropped, {}),
     protocolViolations: syncCounter(metrics.protocolViolations, {}),
+    foreignInstances: syncCounter(metrics.foreignInstances, {}),
     linksOpened: syncCounter(metrics.peerLinks, { event: 'opened' }),
     linksLost: syncCounter(metrics.peerLinks, { event: 'lost' }),
     foreignFleets: syncCounter(metrics.peerLinks, { event: 'foreign-fleet' }),
--- a/src/node/owner/backend-connector.ts
+++ b/src/node/owner/backend-connector.ts
@@ -4,12 +4,14 @@
  */
 import { errAsync, type ResultAsync } from 'neverthrow';
 import { MeadowstackError } from '../../core/errors.js';
-import type { DatabaseRole, InstanceName } from '../../core/request.js';
+import type { DatabaseRole, GroupName, InstanceName } from '../../core/request.js';
+import type { Logger } from '../../observability/logger.js';
 import type { DatabaseMachine } from '../../platform/contract.js';
 import { connectBackend } from '../../postgres/backend/connect.js';
 import { type BackendTlsOptions, createBackendCounters } from '../../postgres/backend/options.js';
 import type { BackendConnection } from '../../postgres/contract.js';
 import type { Settings } from '../settings.js';
+import { type ForeignInstanceError, InstanceIdentity } from './instance-identity.js';
 
 type BackendSettings = Settings['backend'];
 
@@ -31,10 +33,18 @@
   readonly #settings: BackendSettings;
   #machines: ReadonlyMap<InstanceName, DatabaseMachine> = new Map();
   readonly counters = createBackendCounters();
+  readonly #identity: InstanceIdentity;
+  /** Messages about instances of other systems that were logged. */
+  readonly #logged = new Set<string>();
   #attemptCount = 0;
 
-  constructor(settings: BackendSettings) {
+  constructor(settings: BackendSettings, logger?: Pick<Logger, 'warn'>) {
     this.#settings = settings;
+    this.#identity = new InstanceIdentity({
+      instancesOf: (group) => this.#instancesOf(group),
+      timeoutMs: settings.connectTimeoutMs,
+      onForeign: (error) => this.#handleForeign(error, logger),
+    });
   }
 
   /** Sets the addresses of the instances. */
@@ -82,9 +92,32 @@
       counters: this.counters,
       startupParameters: { application_name: 'meadowstack' },
       tls: tlsOptionsOf(this.#settings),
-    }).mapErr(
-      (error) => new ConnectFailedError(error.message, error.failure === 'refused-by-limit', error),
-    );
+    })
+      .mapErr(
+        (error) =>
+          new ConnectFailedError(error.message, error.failure === 'refused-by-limit', error),
+      )
+      .andThen((connection) =>
+        this.#identity
+          .verify(connection, machine)
+          .mapErr((error) => new ConnectFailedError(error.message, false, error)),
+      );
+  }
+
+  #instancesOf(group: GroupName): readonly InstanceName[] {
+    const machines = [...this.#machines.values()];
+    return machines.filter((machine) => machine.group === group).map(({ name }) => name);
+  }
+
+  /** Logs each instance and system once, however often it is tried. */
+  #handleForeign(error: ForeignInstanceError, logger: Pick<Logger, 'warn'> | undefined): void {
+    this.counters.foreignInstances += 1;
+    if (this.#logged.has(error.message)) return;
+    this.#logged.add(error.message);
+    logger?.warn('instance of another database system refused', {
+      code: error.code,
+      reason: error.message,
+    });
   }
 
   #passwordOf(role: DatabaseRole): string | undefined {
--- a/src/node/proxy-node.ts
+++ b/src/node/proxy-node.ts
@@ -112,7 +112,7 @@
     this.#store = createStore(settings);
     this.#machineList = this.#createMachineList(self, links);
     this.#ownerDirectory = this.#createOwnerDirectory(links);
-    this.#backendConnector = new BackendConnector(settings.backend);
+    this.#backendConnector = new BackendConnector(settings.backend, options.logger);
     this.#ownerService = this.#createOwnerService();
     this.#gateway = new GatewayService({
       ...options,
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -33,6 +33,7 @@
   readonly cancelsSent: Counter;
   readonly notificationsDropped: Counter;
   readonly protocolViolations: Counter;
+  readonly foreignInstances: Counter;
   readonly peerLinks: Counter<'event'>;
   readonly peerFrames: Counter<'fault'>;
   readonly peerBytes: Counter<'direction'>;
@@ -104,6 +105,10 @@
     groupTimeline: gauge('group_timeline', 'Timeline adopted', ['group']),
     cancelsSent: counter('cancels_total', 'CancelRequests sent to back ends'),
     notificationsDropped: counter('notifications_dropped_total', 'NotificationResponse dropped'),
+    foreignInstances: counter(
+      'backend_foreign_instances_total',
+      'Connections refused because the instance belongs to another database system than its group',
+    ),
     protocolViolations: counter(
       'backend_protocol_violations_total',
       'Back-end connections closed over unlawful messages',
--- a/src/postgres/backend/options.ts
+++ b/src/postgres/backend/options.ts
@@ -41,6 +41,8 @@
   notificationsDropped: number;
   /** Connections closed because the back end violated the protocol. */
   protocolViolations: number;
+  /** Connections refused because the instance belongs to another database system than its group. */
+  foreignInstances: number;
   cancelsSent: number;
   statementsPrepared: number;
 }
@@ -52,6 +54,7 @@
   return {
     notificationsDropped: 0,
     protocolViolations: 0,
+    foreignInstances: 0,
     cancelsSent: 0,
     statementsPrepared: 0,
   };
--- a/standins/database/instance.ts
+++ b/standins/database/instance.ts
@@ -112,6 +112,7 @@
       functions: {
         isInRecovery: () => member.role === 'replica',
         timeline: () => member.log.timeline,
+        systemIdentifier: () => options['system-identifier'],
         currentLsn: () => this.currentLsn(),
         receivedLsn: () => (member.wasReplica ? formatPosition(member.log.lsn) : null),
         replayedLsn: () => (member.wasReplica ? formatPosition(member.replayedLsn) : null),
--- a/standins/database/options.ts
+++ b/standins/database/options.ts
@@ -19,6 +19,7 @@
   --election-timeout-ms N  time without heartbeat before election [300]
   --heartbeat-ms N         interval of the primary's heartbeats   [50]
   --initial-primary NAME   instance that is primary of timeline 1 without election
+  --system-identifier N    identifier of the database system, the same for all instances of a group [1]
   --seed N                 seed of the election's random timeouts [1]
   --user LIST              roles that may log in; empty = any
   --password TEXT          SCRAM-SHA-256 password; empty = trust
@@ -44,6 +45,7 @@
   'election-timeout-ms': nonNegativeInteger.min(20).default(300),
   'heartbeat-ms': nonNegativeInteger.min(5).default(50),
   'initial-primary': z.string().optional(),
+  'system-identifier': nonNegativeInteger.default(1),
   seed: z.coerce.number().int().default(1),
   user: z.string().default(''),
   password: z.string().default(''),
--- a/standins/database/sql/evaluation.ts
+++ b/standins/database/sql/evaluation.ts
@@ -6,6 +6,7 @@
 export interface InstanceFunctions {
   isInRecovery(): boolean;
   timeline(): number;
+  systemIdentifier(): number;
   /** @throws ServerError 55000 in recovery. */
   currentLsn(): string;
   receivedLsn(): string | null;
--- a/standins/database/sql/functions.ts
+++ b/standins/database/sql/functions.ts
@@ -19,6 +19,7 @@
   'pg_last_wal_replay_lsn',
   'pg_last_wal_receive_lsn',
   'pg_control_checkpoint',
+  'pg_control_system',
   'pg_walfile_name',
 ]);
 
--- a/standins/database/sql/source.ts
+++ b/standins/database/sql/source.ts
@@ -56,6 +56,11 @@
     const generate: Source['generate'] = ({ instance }) => [[instance.timeline()]];
     return { name: alias ?? node.function.name, columns, table: undefined, generate };
   }
+  if (node.function.name === 'pg_control_system') {
+    const columns = [{ name: 'system_identifier', type: 'int8' as const }];
+    const generate: Source['generate'] = ({ instance }) => [[instance.systemIdentifier()]];
+    return { name: alias ?? node.function.name, columns, table: undefined, generate };
+  }
   if (node.function.name !== 'generate_series')
     throw unsupportedError(`${node.function.name} in FROM`);
   const columnName = node.alias?.columns?.[0]?.name ?? alias ?? 'generate_series';
--- a/test/integration/cluster/foreign-fleet.test.ts
+++ b/test/integration/cluster/foreign-fleet.test.ts
@@ -17,6 +17,7 @@
 import { until } from '../../support/until.js';
 
 const WRITES = 30;
+const ATTEMPTS = 10;
 
 let clusters: Cluster[] = [];
 test.after.each(async () => {
@@ -74,11 +75,39 @@
   });
 });
 
+test('an instance of another database system at the address of the primary gets no statement', async () => {
+  const [own, other] = await startTwo();
+  const { name } = await own.group(GROUP).waitForPrimary();
+  const foreign = await other.group(GROUP).waitForPrimary();
+  const { client: caller } = await connectCaller(own, 'proxy-1');
+  try {
+    await write(caller, 'own-0');
+    const { actual } = await own.machines.state();
+    const listed = actual.find((machine) => machine.role === 'database' && machine.name === name);
+    assert.ok(listed?.role === 'database');
+    await own.faults.removeRoute(name);
+    await own.machines.upsert({ ...listed, host: foreign.host, port: foreign.pgPort });
+    await until('the other instance is refused', async () => {
+      await caller.query(insertText('own-1')).catch(() => undefined);
+      return (await countForeignInstances(own)) > 0;
+    });
+    for (let index = 2; index < ATTEMPTS; index += 1) {
+      await caller.query(insertText(`own-${index}`)).catch(() => undefined);
+    }
+    assert.equal(await runOnPrimary(other, 'SELECT text FROM notes'), []);
+  } finally {
+    await caller.end();
+  }
+});
+
+function insertText(note: string): string {
+  return `INSERT INTO notes VALUES ('${note}') ON CONFLICT DO NOTHING /*meadowstack_deadline_ms='500'*/`;
+}
+
 /** Retries until the write is done: the remaining proxy takes the group over. */
 function write(caller: pg.Client, note: string): Promise<void> {
-  const text = `INSERT INTO notes VALUES ('${note}') ON CONFLICT DO NOTHING /*meadowstack_deadline_ms='500'*/`;
   return until('the write is done', () =>
-    caller.query(text).then(
+    caller.query(insertText(note)).then(
       () => true,
       () => false,
     ),
@@ -95,4 +124,11 @@
   return (await statusOf(cluster, gateway)).peers.foreignFleets;
 }
 
+async function countForeignInstances(cluster: Cluster): Promise<number> {
+  const statuses = await Promise.all(
+    [...cluster.proxies.keys()].map((nodeId) => statusOf(cluster, nodeId)),
+  );
+  return statuses.reduce((sum, { backend }) => sum + backend.foreignInstances, 0);
+}
+
 test.run();
--- a/test/unit/database-sql.test.ts
+++ b/test/unit/database-sql.test.ts
@@ -16,6 +16,7 @@
 const functions: InstanceFunctions = {
   isInRecovery: () => true,
   timeline: () => 7,
+  systemIdentifier: () => 1,
   currentLsn: () => '0/1',
   receivedLsn: () => '0/3',
   replayedLsn: () => '0/2',
--- a/test/unit/node-metrics.test.ts
+++ b/test/unit/node-metrics.test.ts
@@ -36,7 +36,12 @@
     configuration: { revision: 12 },
     members: [{ nodeId: 'other', zone: 'a', status: 'alive' }],
     groups: [group],
-    backend: { cancelsSent: 1, notificationsDropped: 0, protocolViolations: 0 },
+    backend: {
+      cancelsSent: 1,
+      notificationsDropped: 0,
+      protocolViolations: 0,
+      foreignInstances: 0,
+    },
     peers: { linksOpened: 2, linksLost: 1, bytesSent: 100, bytesReceived: 50 },
     backendConnectionsOpened: 8,
     storeRequests: 10,
