--- a/standins/direct/kv-store.ts
+++ b/standins/direct/kv-store.ts
@@ -128,6 +128,12 @@
     return this.engine.range({ key, rangeEnd: '', revision: 0, limit: 1 }).entries[0]?.value;
   }
 
+  /** All keys and their values, also while the store is down. */
+  values(): Readonly<Record<string, string>> {
+    const { entries } = this.engine.range({ key: '\0', rangeEnd: '\0', revision: 0, limit: 0 });
+    return Object.fromEntries(entries.map(({ key, value }) => [key, value]));
+  }
+
   /** Takes the backup for a restore without `ageMs`. */
   takeBackup(): void {
     this.#requestedBackup = this.engine.createBackup(this.leaseNow);
--- a/standins/direct/main.ts
+++ b/standins/direct/main.ts
@@ -135,6 +135,7 @@
   controlRoute('GET', '/log', emptyBody, readLog),
   controlRoute('POST', '/config', z.looseObject({}), putConfiguration),
   controlRoute('GET', '/store/counts', emptyBody, () => store.counts),
+  controlRoute('GET', '/store/values', emptyBody, () => ({ values: store.values() })),
   controlRoute('POST', '/store/faults', kvFaultSettings, (body) => store.applyFaults(body)),
   controlRoute('POST', '/store/cut-watches', emptyBody, () => store.cutWatches()),
   controlRoute('POST', '/store/compact', emptyBody, () =>
--- a/test/support/direct-platform.ts
+++ b/test/support/direct-platform.ts
@@ -2,6 +2,11 @@
 import { z } from 'zod';
 import { type StartedChild, startChild } from '../../bench/harness/child-process.js';
 import { ControlClient } from '../../bench/harness/control-client.js';
+import {
+  decodeRecord,
+  parsePrimaryRecord,
+  serviceOfPrimaryKey,
+} from '../../src/core/promotion/records.js';
 import { type DirectLog, logSchema } from '../../standins/direct/run-log.js';
 import { until } from './until.js';
 
@@ -14,6 +19,7 @@
   ...{ received: z.string(), applied: z.string(), slotsInUse: z.int() },
 });
 const stateSchema = z.object({ instances: z.array(instanceSchema), leases: z.array(z.string()) });
+const storeValuesSchema = z.object({ values: z.record(z.string(), z.string()) });
 const announcementSchema = z.object({
   ...{ storePort: z.int(), promotionPort: z.int(), controlPort: z.int() },
   instances: z.array(instanceSchema),
@@ -73,6 +79,29 @@
     return found;
   }
 
+  /** Takes the store down while no primary is being replaced: such a change could not end without it. */
+  async stopStoreOutsideChanges(faults: {
+    readonly down: 'silent' | 'unavailable';
+    readonly leasesWait: boolean;
+  }): Promise<void> {
+    await until('the store is down outside a change of primary', async () => {
+      await this.set('/store/faults', faults);
+      if (!(await this.isChangingPrimary())) return true;
+      await this.set('/store/faults', { down: 'no' });
+      return false;
+    });
+  }
+
+  /** Whether the records in the store name a change of primary that has not ended. */
+  private async isChangingPrimary(): Promise<boolean> {
+    const { values } = await this.control.call('GET', '/store/values', storeValuesSchema);
+    return Object.entries(values).some(([key, value]) => {
+      const service = serviceOfPrimaryKey(key);
+      const entry = { key, value, createRevision: 0, modRevision: 0 };
+      return service !== undefined && decodeRecord(entry, parsePrimaryRecord)?.phase === 'changing';
+    });
+  }
+
   log(): Promise<DirectLog> {
     return this.control.call('GET', '/log', logSchema);
   }
