--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -194,8 +194,11 @@
   async confirmMembers(): Promise<Milliseconds> {
     const { instances } = this.options;
     if (instances !== undefined && this.#machine.hasStore(this.#now())) {
-      const sentAt = await firstWithin([instances.confirmInstances()], CONFIRM_MEMBERS_TIMEOUT_MS);
-      if (sentAt !== undefined) this.#handle({ type: 'member-list-read', sentAt });
+      // A slow store's answer still counts for the next round.
+      const reading = instances.confirmInstances().then((sentAt) => {
+        if (sentAt !== undefined) this.#handle({ type: 'member-list-read', sentAt });
+      });
+      await firstWithin([reading], CONFIRM_MEMBERS_TIMEOUT_MS);
     }
     return this.#machine.membersCompleteAsOf(this.#now(), this.options.peersKnown?.() ?? 0);
   }
--- a/src/node/membership/service.ts
+++ b/src/node/membership/service.ts
@@ -173,7 +173,11 @@
   }
 
   #failedIfForeign(member: Member): Member {
-    return this.#foreign.has(foreignKey(member)) ? { ...member, status: 'dead' } : member;
+    return this.#isForeign(member) ? { ...member, status: 'dead' } : member;
+  }
+
+  #isForeign(identity: NodeIdentity): boolean {
+    return this.#foreign.size > 0 && this.#foreign.has(foreignKey(identity));
   }
 
   get isJoined(): boolean {
@@ -264,11 +268,11 @@
     this.#counters.bytesReceived += datagram.length;
     const message = this.#decode(datagram);
     if (message === undefined) return;
-    if (this.#foreign.has(foreignKey(message.sender))) {
+    if (this.#isForeign(message.sender)) {
       this.#counters.datagramsForeign += 1;
       return;
     }
-    const updates = message.updates.filter((update) => !this.#foreign.has(foreignKey(update)));
+    const updates = message.updates.filter((update) => !this.#isForeign(update));
     this.#handle({ type: 'message', message: { ...message, updates } });
   }
 
--- a/src/node/owner/instance-identity.ts
+++ b/src/node/owner/instance-identity.ts
@@ -63,7 +63,9 @@
     if (shown === undefined) {
       return errAsync(new UnknownInstanceIdentityError(`instance ${instance} shows no system`));
     }
-    this.#identities.record(group, instance, shown, this.options.instancesOf(group));
+    if (this.#identities.of(group) === undefined) {
+      this.#identities.record(group, instance, shown, this.options.instancesOf(group));
+    }
     if (this.#identities.judge(group, shown) === 'unknown') {
       return ResultAsync.fromSafePromise(this.#majority(group)).andThen(() =>
         this.#judge(group, instance, shown),
