An instance that hangs while it is identified is given up in time

Cause: the query for the system identifier had no time limit: an instance that accepted a connection and then hung held the attempt, and its share of the connection budget, for good.

Change: the answer has the connect time-out, after which the connection is closed.

--- a/src/node/owner/instance-identity.ts
+++ b/src/node/owner/instance-identity.ts
@@ -26,7 +26,7 @@
 export interface InstanceIdentityOptions {
   /** Names of the listed instances of a group. */
   readonly instancesOf: (group: GroupName) => readonly InstanceName[];
-  /** Maximum wait for a majority of a group's instances to show their system. */
+  /** Maximum wait for an instance's answer, and then for a majority of its group to show their system. */
   readonly timeoutMs: Milliseconds;
   /** Called at each connection to an instance of another system. */
   readonly onForeign: (error: ForeignInstanceError) => void;
@@ -44,11 +44,17 @@
     connection: BackendConnection,
     { group, name }: DatabaseMachine,
   ): ResultAsync<BackendConnection, MeadowstackError> {
+    // An instance that accepts connections and then hangs must not hold the attempt up.
+    const timer = setTimeout(() => connection.close(), this.options.timeoutMs);
     return connection
       .query(IDENTITY_QUERY)
-      .andThen((rows) => this.#compare(group, name, rows[0]?.[0] ?? undefined))
+      .andThen((rows) => {
+        clearTimeout(timer);
+        return this.#compare(group, name, rows[0]?.[0] ?? undefined);
+      })
       .map(() => connection)
       .mapErr((error) => {
+        clearTimeout(timer);
         connection.close();
         if (error instanceof ForeignInstanceError) this.options.onForeign(error);
         return error;
