--- a/src/direct/snapshots/node-directory.ts
+++ b/src/direct/snapshots/node-directory.ts
@@ -82,25 +82,25 @@
     const confirmedAt = follower.lastConfirmedAt() ?? this.#adoptedConfirmedAt;
     const configuration = follower.configurationPart();
     if (confirmedAt === undefined || configuration === undefined) return undefined;
+    const departed = this.#departedMembers();
     return selectNewerParts(known, {
       configuration,
       instances: {
         revision: follower.instancesRevision(),
         instances: [...follower.instances().values()],
-        departed: this.#departedMembers(),
+        departed,
       },
       primaries: primaries.describe(this.#services()),
       terms: this.options.gateway.primaryTerms(),
       ageMs: Math.max(0, now() - confirmedAt),
       ...this.#configurationAge(),
-      ...this.#memberListPart(),
+      ...this.#memberListPart(departed),
     });
   }
 
-  #memberListPart(): Pick<InstanceSnapshot, 'members'> {
+  #memberListPart(departed: readonly InstanceEntry[]): Pick<InstanceSnapshot, 'members'> {
     const { memberList } = this.options;
-    if (memberList === undefined) return {};
-    return { members: { ...memberList.describe(), departed: this.#departedMembers() } };
+    return memberList === undefined ? {} : { members: { ...memberList.describe(), departed } };
   }
 
   recordMemberList(peer: string, { members }: InstanceSnapshot, requestedAt: Milliseconds): void {
