An outage of the store is concluded from reports of every node

Callers saw reads of some age at replicas that missed commits acknowledged longer ago than that age, while the store turned some nodes away and served instances and other nodes.

Cause: two peers without the store stood for the whole fleet (member-list-proof, rule 3). With 8 of 9 nodes turned away most pairs of peers lack it, so that a node claimed an outage that others could contradict.

Ruled out: more peers (still a sample); the age of the newest list alone (says how old the news is, not that there is none: 2 to 5 s until it is everywhere at 9 to 195 nodes); reports in requests as well (one delayed on its way looks newer than it is).

Change: nodes report that the store responds to none of their calls and pass on such reports with their ages; an outage is concluded as of the earliest report of all counted nodes. A response of the store contradicts it, also a refusal (StoreError.hasResponded). Without a peer that has the store, four peers are asked every 0.3 s. Fields that older versions don't send are optional.

Simulated peers ask as the gateway does.

--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -69,6 +69,8 @@
       readonly type: 'store-failed';
       /** The store reported that the lease no longer exists. */
       readonly isLeaseGone: boolean;
+      /** False if there was no response, or none that shows that the store runs. */
+      readonly hasResponded: boolean;
       readonly retryAfterMs: Milliseconds | undefined;
     }
   | { readonly type: 'status'; readonly status: InstanceStatus }
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -7,13 +7,14 @@
 import type { KeyValue } from '../../platform/contract.js';
 import type { OwnerRoster, ReachableNode } from '../ownership/owner-roster.js';
 import { KEEPER_GRACE_MS, type QuotaKeepers } from '../tenancy/quota-keepers.js';
-import type { Milliseconds } from '../units.js';
+import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../units.js';
 import type { PrimaryUse, PromotionEffect, PromotionEvent } from './contract.js';
 import { Election } from './election.js';
 import { Leader } from './leader.js';
 import { NodeLease } from './lease.js';
 import { MemberListProof } from './member-list-proof.js';
 import type { PromotionOptions } from './options.js';
+import type { NodeOutage } from './outage-reports.js';
 import { Participation } from './participation.js';
 import { Primaries } from './primaries.js';
 import {
@@ -51,7 +52,7 @@
   readonly #election: Election;
   readonly #leader: Leader;
   readonly #suspicions: Suspicions;
-  readonly #memberListProof = new MemberListProof();
+  readonly #memberListProof: MemberListProof;
   /** Primary of each service as it was last announced. */
   readonly #announced = new Map<string, string | undefined>();
   #services: readonly string[] = [];
@@ -63,6 +64,7 @@
   constructor(options: PromotionOptions) {
     const runtime = new PromotionRuntime(options);
     this.#runtime = runtime;
+    this.#memberListProof = new MemberListProof(options.nodeName);
     this.#lease = new NodeLease(runtime);
     this.#records = new StoreView(runtime, RECORD_PREFIX);
     this.#primaries = new Primaries(
@@ -137,8 +139,13 @@
    */
   membersCompleteAsOf(now: Milliseconds, peersKnown = 0): Milliseconds {
     if (this.#runtime.isDisabled('current-members')) return now;
-    const otherNodes = Math.max(this.liveNodeCount() - 1, peersKnown);
-    return this.#memberListProof.completeAsOf({ now, hasStore: this.hasStore(now), otherNodes });
+    const counted = this.liveNodeCount();
+    return this.#memberListProof.completeAsOf({
+      now,
+      isStoreResponding: this.#isStoreResponding(now),
+      countedNodes: counted > 1 ? counted : undefined,
+      knownNodes: peersKnown + 1,
+    });
   }
 
   /** Whether this node knows every member that has joined until now. */
@@ -151,11 +158,23 @@
     return this.#memberListProof.provenAt;
   }
 
+  /** Nodes to which the store responds neither with success nor with a refusal, by their own reports. */
+  storeOutages(now: Milliseconds): NodeOutage[] {
+    return this.#memberListProof.outages({ now, isStoreResponding: this.#isStoreResponding(now) });
+  }
+
   /** Whether this node holds a lease at the store. */
   hasStore(now: Milliseconds): boolean {
     return this.#lease.isValid(now);
   }
 
+  /** A store that refuses this node's calls runs, and may serve instances and other nodes. */
+  #isStoreResponding(now: Milliseconds): boolean {
+    const { respondedAt, timings } = this.#runtime;
+    const leaseMs = timings.leaseSeconds * MILLISECONDS_PER_SECOND - timings.leaseSafetyMarginMs;
+    return this.hasStore(now) || now - respondedAt < leaseMs;
+  }
+
   /** False while the store may have lost records that were acted on, and this process remembers none of them. */
   #mayRelyOnRecords(now: Milliseconds): boolean {
     return this.#runtime.era.mayRelyOnRecords(now) || this.#runtime.isDisabled('era-memory');
--- a/src/core/promotion/member-list-proof.ts
+++ b/src/core/promotion/member-list-proof.ts
@@ -5,41 +5,49 @@
  *
  * - The node read all registrations from the store: as of the time at which it sent the call.
  * - A peer reported its list, with the age of such a read by itself or by one of its own peers.
- * - Peers report that they can't read the store either, and none has told of a list that was read recently: the store is
- *   unavailable to all, so that no instance can register and become known. A node whose peers do follow the store, or
- *   that reaches none of them, can't conclude that. A node that knows of no other one takes its own outage for this.
+ * - Every node of the fleet reports that the store responds to nothing, and none has told of a list that was read
+ *   recently: the store is unavailable to all, so that no instance can register and become known. Reports of some nodes
+ *   don't suffice, since the store may turn these away while it serves instances. A node that knows of no other one takes
+ *   its own outage for this.
  */
 import type { Milliseconds } from '../units.js';
+import { type NodeOutage, OutageReports } from './outage-reports.js';
 
 /** What a peer reported about its list of members. */
 export interface PeerListReport {
-  readonly peer: string;
   /** When the peer was asked, by this node's clock. */
   readonly requestedAt: Milliseconds;
   /** Time since which the peer's list may lack a member; undefined if it was never known to be complete. */
   readonly listAgeMs: Milliseconds | undefined;
-  /** The peer holds a lease at the store. */
-  readonly hasStore: boolean;
+  /** Nodes that got no response from the store, among them the peer itself. */
+  readonly outages: readonly NodeOutage[];
+  /** Nodes in the fleet by the leader's count, 1 if the peer does not know it. */
+  readonly fleetNodes: number;
 }
 
 /** What this node knows of its own access to the store and of the fleet. */
 export interface FleetState {
   readonly now: Milliseconds;
-  /** This node holds a lease at the store. */
-  readonly hasStore: boolean;
-  /** Other nodes that it knows of. */
-  readonly otherNodes: number;
+  /** The store responds to this node, if only by refusing its calls. */
+  readonly isStoreResponding: boolean;
+  /** Nodes in the fleet by the leader's count; undefined if it is unknown, or counts this node only. */
+  readonly countedNodes: number | undefined;
+  /** Nodes whose addresses this node knows, and itself. */
+  readonly knownNodes: number;
 }
 
-/** Different peers that must report that the store is unavailable, unless the fleet has fewer. */
-const OUTAGE_REPORTS = 2;
 /** A list read more recently than this shows that some node still followed the store. */
 const RECENT_LIST_MS: Milliseconds = 1000;
 
 export class MemberListProof {
+  readonly #outages: OutageReports;
   #provenAt: Milliseconds = Number.NEGATIVE_INFINITY;
-  /** The latest report of each of the peers asked last, newest first. */
-  #reports: readonly PeerListReport[] = [];
+  /** Largest fleet that a peer reported. */
+  #reportedNodes = 1;
+
+  constructor(private readonly ownNode: string) {
+    this.#outages = new OutageReports(ownNode);
+  }
 
   /** Records that all registrations were read from the store by a call sent at this time. */
   recordRead(sentAt: Milliseconds): void {
@@ -47,12 +55,10 @@
   }
 
   /** Records a peer's report, once its members are known here. */
-  record(report: PeerListReport): void {
-    const { peer, requestedAt, listAgeMs } = report;
+  record({ requestedAt, listAgeMs, outages, fleetNodes }: PeerListReport): void {
     if (listAgeMs !== undefined) this.recordRead(requestedAt - listAgeMs);
-    this.#reports = [report, ...this.#reports.filter((other) => other.peer !== peer)]
-      .sort((left, right) => right.requestedAt - left.requestedAt)
-      .slice(0, OUTAGE_REPORTS);
+    this.#outages.record(outages, requestedAt);
+    this.#reportedNodes = Math.max(this.#reportedNodes, fleetNodes);
   }
 
   /** Time up to which every member is known. */
@@ -65,14 +71,19 @@
     return this.#provenAt;
   }
 
-  #outageAsOf({ now, hasStore, otherNodes }: FleetState): Milliseconds {
-    if (hasStore) return Number.NEGATIVE_INFINITY;
+  /** Nodes that got no response from the store, for peers. */
+  outages({ now, isStoreResponding }: Pick<FleetState, 'now' | 'isStoreResponding'>): NodeOutage[] {
+    const others = this.#outages.describe(now);
+    return isStoreResponding ? others : [...others, { node: this.ownNode, ageMs: 0 }];
+  }
+
+  #outageAsOf({ now, isStoreResponding, ...fleet }: FleetState): Milliseconds {
+    if (isStoreResponding) return Number.NEGATIVE_INFINITY;
+    const nodes = fleet.countedNodes ?? Math.max(fleet.knownNodes, this.#reportedNodes);
+    const otherNodes = nodes - 1;
     if (otherNodes === 0) return now;
-    const needed = Math.min(OUTAGE_REPORTS, otherNodes);
-    const reports = this.#reports.slice(0, needed);
-    const asOf = reports.at(-1)?.requestedAt ?? Number.NEGATIVE_INFINITY;
-    const isOutage = reports.length === needed && !reports.some((report) => report.hasStore);
+    const asOf = this.#outages.asOf(otherNodes);
     const hasRecentList = asOf - this.#provenAt < RECENT_LIST_MS;
-    return isOutage && !hasRecentList ? asOf : Number.NEGATIVE_INFINITY;
+    return hasRecentList ? Number.NEGATIVE_INFINITY : asOf;
   }
 }
--- a/src/core/promotion/runtime.ts
+++ b/src/core/promotion/runtime.ts
@@ -29,6 +29,13 @@
   readonly retryAfterMs: Milliseconds;
 }
 
+const STORE_RESPONSES: ReadonlySet<RequestAnswer['type']> = new Set([
+  'range',
+  'transaction',
+  'lease',
+  'done',
+]);
+
 const NO_RESPONSE: StoreCallError = { isLeaseGone: false, retryAfterMs: 0 };
 
 interface PendingRequest {
@@ -39,6 +46,8 @@
 
 export class PromotionRuntime {
   now: Milliseconds = 0;
+  /** Last time at which the store responded to a call, also with a refusal. */
+  respondedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   readonly timers = new TimerQueue();
   readonly era: EraSettling;
   #effects: PromotionEffect[] = [];
@@ -88,6 +97,7 @@
 
   handleAnswer(request: number, answer: RequestAnswer): void {
     const pending = this.#pending.get(request);
+    if (isStoreResponse(answer)) this.respondedAt = this.now;
     if (pending === undefined) return;
     this.#pending.delete(request);
     pending.cancelTimeout();
@@ -177,6 +187,11 @@
   return typeof answer === 'object' && answer !== null && 'isLeaseGone' in answer;
 }
 
+function isStoreResponse(answer: RequestAnswer): boolean {
+  if (answer.type === 'store-failed') return answer.hasResponded;
+  return STORE_RESPONSES.has(answer.type);
+}
+
 function toStoreCallError(answer: RequestAnswer | undefined): StoreCallError {
   if (answer?.type !== 'store-failed') return NO_RESPONSE;
   return { isLeaseGone: answer.isLeaseGone, retryAfterMs: answer.retryAfterMs ?? 0 };
--- a/src/direct/promotion/request-runner.ts
+++ b/src/direct/promotion/request-runner.ts
@@ -81,13 +81,14 @@
 /** The renewal of an expired lease may succeed with a time to live of 0. */
 function toRenewalAnswer(seconds: number): RequestAnswer {
   if (seconds > 0) return { type: 'done' };
-  return { type: 'store-failed', isLeaseGone: true, retryAfterMs: undefined };
+  return { type: 'store-failed', isLeaseGone: true, hasResponded: true, retryAfterMs: undefined };
 }
 
 function toStoreFailure(error: StoreError): RequestAnswer {
   return {
     type: 'store-failed',
     isLeaseGone: error instanceof StoreLeaseNotFoundError,
+    hasResponded: error.hasResponded,
     retryAfterMs: error.retryAfterMs,
   };
 }
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -2,6 +2,7 @@
  * Runs the promotion state machine of one node with the store, the instances and a timer. The owner starts it, passes on
  * changes of the instances and services, releases leadership before a planned stop, and then stops it.
  */
+import type { MemberListState } from '../../core/directory/snapshot.js';
 import type { OwnerRoster, ReachableNode } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
 import type { CommitVerdict } from '../../core/promotion/commit-verdict.js';
@@ -175,15 +176,17 @@
   }
 
   /** How current this node's list of members is, for peers. */
-  describeMemberList(): {
-    readonly hasStore: boolean;
-    readonly listAgeMs: Milliseconds | undefined;
-  } {
+  describeMemberList(): MemberListState {
     const now = this.#now();
     const watchedAt = this.options.instances?.instancesProvenAt() ?? Number.NEGATIVE_INFINITY;
     const provenAt = Math.max(this.#machine.memberListProvenAt, watchedAt);
     const listAgeMs = Number.isFinite(provenAt) ? Math.max(0, now - provenAt) : undefined;
-    return { hasStore: this.#machine.hasStore(now), listAgeMs };
+    return {
+      hasStore: this.#machine.hasStore(now),
+      listAgeMs,
+      outages: this.#machine.storeOutages(now),
+      fleetNodes: this.#machine.liveNodeCount(),
+    };
   }
 
   /** Applies a peer's report on its list of members. */
--- a/src/direct/snapshots/messages.ts
+++ b/src/direct/snapshots/messages.ts
@@ -12,6 +12,7 @@
   ServiceTerm,
 } from '../../core/directory/snapshot.js';
 import { isObject, type UncheckedFields } from '../../core/fields.js';
+import type { NodeOutage } from '../../core/promotion/outage-reports.js';
 import { parseInstanceEntry, parseNodeAddress } from '../../core/promotion/records.js';
 import type { PeerAddress, WireValue } from '../../peer/contract.js';
 import type { InstanceEntry } from '../contract.js';
@@ -89,12 +90,22 @@
 }
 
 function parseMembers(fields: UncheckedFields): MemberListPart<InstanceEntry> | undefined {
-  const { hasStore, listAgeMs } = fields;
+  // Older versions report neither outages nor the size of the fleet.
+  const { hasStore, listAgeMs, fleetNodes = 1 } = fields;
   const departed = parseList(fields.departed, parseReachableInstance);
+  const outages = parseList(fields.outages ?? [], parseOutage);
   const hasAge = listAgeMs !== undefined && listAgeMs !== null;
   if (typeof hasStore !== 'boolean' || departed === undefined) return undefined;
+  if (outages === undefined || !isCount(fleetNodes)) return undefined;
   if (hasAge && !isAge(listAgeMs)) return undefined;
-  return { hasStore, departed, listAgeMs: hasAge ? (listAgeMs as number) : undefined };
+  const age = hasAge ? (listAgeMs as number) : undefined;
+  return { hasStore, departed, outages, fleetNodes, listAgeMs: age };
+}
+
+function parseOutage(value: unknown): NodeOutage | undefined {
+  if (!isObject(value)) return undefined;
+  const { node, ageMs } = value;
+  return isNonEmptyString(node) && isAge(ageMs) ? { node, ageMs } : undefined;
 }
 
 /** Parses an instance with a valid port and slot count. */
--- a/src/direct/snapshots/node-directory.ts
+++ b/src/direct/snapshots/node-directory.ts
@@ -2,7 +2,7 @@
 import {
   type DirectoryVersions,
   type InstancesPart,
-  type MemberListPart,
+  type MemberListState,
   selectNewerParts,
 } from '../../core/directory/snapshot.js';
 import type { PeerListReport } from '../../core/promotion/member-list-proof.js';
@@ -18,7 +18,7 @@
 
 /** How current this node's list of members is. */
 export interface MemberList {
-  describe(): Pick<MemberListPart<InstanceEntry>, 'hasStore' | 'listAgeMs'>;
+  describe(): MemberListState;
   /** Applies a peer's report; `departed`: its members that are not registered. */
   record(report: PeerListReport, departed: readonly InstanceEntry[]): void;
 }
@@ -103,10 +103,10 @@
     return memberList === undefined ? {} : { members: { ...memberList.describe(), departed } };
   }
 
-  recordMemberList(peer: string, { members }: InstanceSnapshot, requestedAt: Milliseconds): void {
+  recordMemberList({ members }: InstanceSnapshot, requestedAt: Milliseconds): void {
     if (members === undefined) return;
-    const { hasStore, listAgeMs, departed } = members;
-    this.options.memberList?.record({ peer, requestedAt, hasStore, listAgeMs }, departed);
+    const { listAgeMs, outages, fleetNodes, departed } = members;
+    this.options.memberList?.record({ requestedAt, listAgeMs, outages, fleetNodes }, departed);
   }
 
   /** Applies the configuration first, since the other parts refer to its services. */
--- a/src/direct/snapshots/service.ts
+++ b/src/direct/snapshots/service.ts
@@ -38,6 +38,12 @@
  * took 62 (nodes cut off) and 65 (other nodes) ms of processor time per second, against 52 and 56 with two; 38 is normal.
  */
 const MAX_PEERS_ON_REFRESH = 2;
+/**
+ * The same while no peer that responded has the store. Only reports of all nodes prove that it is unavailable to all, and
+ * with four peers every 0.3 s those of 195 nodes are at most 1.5 s old.
+ */
+const MAX_PEERS_WITHOUT_STORE = 4;
+const PAUSE_WITHOUT_STORE_MS = 300;
 /** Limit of this node's responses: burst and rate. */
 const RESPONSE_BUCKET = { capacity: 20, tokensPerSecond: 20 } as const;
 /** The store limits a configuration to 1 MiB; the entries of some hundred instances are added to it. */
@@ -65,7 +71,7 @@
   /** Applies a peer's response to a request sent at `requestedAt`. */
   adopt(snapshot: InstanceSnapshot, requestedAt: Milliseconds): void;
   /** Records how current the peer's list of members is, after its instances have been adopted. */
-  recordMemberList(peer: string, snapshot: InstanceSnapshot, requestedAt: Milliseconds): void;
+  recordMemberList(snapshot: InstanceSnapshot, requestedAt: Milliseconds): void;
 }
 
 /** What a peer responded to a request: whether it has a directory, and whether it follows the store. */
@@ -111,6 +117,8 @@
   #timer: NodeJS.Timeout | undefined;
   /** Fraction of the peer list at which the selection for requests starts, in [0, 1). */
   #startFraction = 0;
+  /** None of the peers that were asked last has the store. */
+  #areAllWithoutStore = false;
   #isStopped = false;
 
   constructor(private readonly options: PeerSnapshotsOptions) {
@@ -163,8 +171,7 @@
     for (const peer of node.peers()) this.#peers.add(peer);
     const isGreeting = !node.needsSnapshot() && random() < GREETING_PROBABILITY;
     const isEmpty = node.knownVersions().instancesRevision === 0;
-    const maxPeers = isEmpty ? MAX_PEERS_WHILE_EMPTY : MAX_PEERS_ON_REFRESH;
-    const count = node.needsSnapshot() ? maxPeers : Number(isGreeting);
+    const count = node.needsSnapshot() ? this.#maxPeers(isEmpty) : Number(isGreeting);
     if (isEmpty || isGreeting) this.#startFraction = random();
     const responses = await Promise.all(
       this.#peers.select(count, this.#startFraction).map((peer) => this.#requestFrom(peer)),
@@ -175,8 +182,18 @@
       ? responses.some(({ hasStore }) => hasStore)
       : responses.some(({ hasDirectory }) => hasDirectory);
     if (!isUseful) this.#startFraction = random();
-    const pauseMs = isEmpty ? EMPTY_PAUSE_MS : REFRESH_PAUSE_MS;
-    this.#scheduleRequest(pauseMs * (0.5 + random()));
+    this.#areAllWithoutStore = node.needsSnapshot() && !isUseful;
+    this.#scheduleRequest(this.#pauseMs(isEmpty) * (0.5 + random()));
+  }
+
+  #maxPeers(isEmpty: boolean): number {
+    if (isEmpty) return MAX_PEERS_WHILE_EMPTY;
+    return this.#areAllWithoutStore ? MAX_PEERS_WITHOUT_STORE : MAX_PEERS_ON_REFRESH;
+  }
+
+  #pauseMs(isEmpty: boolean): Milliseconds {
+    if (isEmpty) return EMPTY_PAUSE_MS;
+    return this.#areAllWithoutStore ? PAUSE_WITHOUT_STORE_MS : REFRESH_PAUSE_MS;
   }
 
   /** Adopts each response as it arrives, since the first one lets this node serve. */
@@ -192,7 +209,7 @@
       (snapshot) => {
         this.counters.adopted += 1;
         node.adopt(snapshot, requestedAt);
-        node.recordMemberList(`${peer.host}:${peer.port}`, snapshot, requestedAt);
+        node.recordMemberList(snapshot, requestedAt);
         return { hasDirectory: true, hasStore: snapshot.members?.hasStore === true };
       },
       () => {
--- a/src/platform/contract.ts
+++ b/src/platform/contract.ts
@@ -90,6 +90,8 @@
 export interface StoreError extends MeadowstackError {
   /** True if the request may have taken effect (its response was lost or late). */
   readonly outcomeUnknown: boolean;
+  /** True if the store responded, so that it runs, though it may refuse this node's requests. */
+  readonly hasResponded: boolean;
   readonly retryAfterMs: number | undefined;
 }
 
--- a/src/platform/errors.ts
+++ b/src/platform/errors.ts
@@ -9,6 +9,7 @@
 /** Base class of all failures of the store. */
 export abstract class StoreFailure extends MeadowstackError implements StoreError {
   readonly outcomeUnknown: boolean = false;
+  readonly hasResponded: boolean = false;
   readonly retryAfterMs: Milliseconds | undefined = undefined;
 }
 
@@ -16,12 +17,22 @@
 export class StoreUnavailableError extends StoreFailure {
   readonly code = 'MS-STORE-UNAVAILABLE';
   override readonly labels = RETRYABLE;
+
+  constructor(
+    message: string,
+    options?: ErrorOptions,
+    /** The store refused the request, for example with HTTP status 503. */
+    override readonly hasResponded = false,
+  ) {
+    super(message, options);
+  }
 }
 
 /** The store refused the request because of its rate limit; nothing took effect. */
 export class StoreRateLimitedError extends StoreFailure {
   readonly code = 'MS-STORE-RATE-LIMITED';
   override readonly labels = RETRYABLE;
+  override readonly hasResponded = true;
 
   constructor(override readonly retryAfterMs: Milliseconds | undefined) {
     super('the store refused the request because of its rate limit');
@@ -32,12 +43,22 @@
 export class StoreAnswerLostError extends StoreFailure {
   readonly code = 'MS-STORE-ANSWER-LOST';
   override readonly outcomeUnknown = true;
+
+  constructor(
+    message: string,
+    options?: ErrorOptions,
+    /** The store responded with an error that leaves the outcome open. */
+    override readonly hasResponded = false,
+  ) {
+    super(message, options);
+  }
 }
 
 /** The store's response violates its protocol. */
 export class StoreProtocolError extends StoreFailure {
   readonly code = 'MS-STORE-PROTOCOL';
   override readonly labels = PROTOCOL_VIOLATION;
+  override readonly hasResponded = true;
 
   constructor(
     message: string,
@@ -50,6 +71,7 @@
 /** The store rejected the request as invalid; nothing took effect and a retry makes no sense. */
 export class StoreRequestRejectedError extends StoreFailure {
   readonly code = 'MS-STORE-REJECTED';
+  override readonly hasResponded = true;
 
   constructor(
     /** The gRPC status code if etcd reports one, else the HTTP status. */
@@ -67,6 +89,7 @@
 export class StoreEraError extends StoreFailure {
   readonly code = 'MS-STORE-ERA';
   override readonly labels = PROTOCOL_VIOLATION;
+  override readonly hasResponded = true;
 
   constructor(
     reason: string,
@@ -79,6 +102,7 @@
 /** The lease has expired or was revoked. */
 export class StoreLeaseNotFoundError extends StoreFailure {
   readonly code = 'MS-STORE-LEASE-NOT-FOUND';
+  override readonly hasResponded = true;
 
   constructor(readonly leaseId: string) {
     super(`the store has no lease ${leaseId}`);
@@ -88,6 +112,7 @@
 /** The store has discarded the history that a watch requested; the caller must read the range again. */
 export class StoreCompactedError extends StoreFailure {
   readonly code = 'MS-STORE-COMPACTED';
+  override readonly hasResponded = true;
 
   constructor(
     /** Earliest revision from which the store still has the history. */
--- a/test/support/memory-store.ts
+++ b/test/support/memory-store.ts
@@ -19,6 +19,7 @@
 /** The only error of this store. */
 export class MemoryStoreError extends MeadowstackError implements StoreError {
   readonly code = 'MS-TEST-STORE';
+  readonly hasResponded = false;
   readonly retryAfterMs = undefined;
 
   constructor(readonly outcomeUnknown: boolean) {
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -24,7 +24,7 @@
 import type { InstanceEntry } from '../../../src/direct/contract.js';
 import type { SimulatedGroup } from './group.js';
 import type { SimulatedNetwork } from './network.js';
-import type { MemberListResponse, SimulatedPeer, SimulatedPeers } from './peers.js';
+import type { MemberListResponse, PeerAccess, SimulatedPeer, SimulatedPeers } from './peers.js';
 import type { SimulatedPlatform } from './platform.js';
 import type { SimulatedStore } from './store.js';
 
@@ -69,6 +69,8 @@
   /** The registrations known here, and when they were read from the store. */
   #registrations: readonly InstanceEntry[] = [];
   #registrationsReadAt = Number.NEGATIVE_INFINITY;
+  /** Whether a peer that responded to the last requests has the store. */
+  #peerAccess: PeerAccess = 'withoutStore';
   readonly #offset: number;
   readonly #rate: number;
 
@@ -258,13 +260,16 @@
   #requestMemberListsPeriodically(life: number): void {
     const { peers, disabledMechanisms } = this.world;
     if (life !== this.#incarnation || disabledMechanisms.has('current-members')) return;
-    if (!this.isFrozen && this.machine?.hasStore(this.now) === false) {
+    const access = this.#peerAccess;
+    if (this.machine?.hasStore(this.now) === true) this.#peerAccess = 'withoutStore';
+    else if (!this.isFrozen) {
       const requestedAt = this.now;
-      peers.request(this.name, (peer, response) =>
-        this.#runWhenResumed(life, () => this.#adoptMemberList(peer, response, requestedAt)),
+      this.#peerAccess = 'withoutStore';
+      peers.request(this.name, access, (response) =>
+        this.#runWhenResumed(life, () => this.#adoptMemberList(response, requestedAt)),
       );
     }
-    this.#clock.after(peers.nextPauseMs(), () => this.#requestMemberListsPeriodically(life));
+    this.#clock.after(peers.nextPauseMs(access), () => this.#requestMemberListsPeriodically(life));
   }
 
   describeMembers(onResponse: (response: MemberListResponse) => void): void {
@@ -280,13 +285,16 @@
         departed: members.filter(({ id }) => !ids.has(id)),
         listAgeMs: Number.isFinite(provenAt) ? now - provenAt : undefined,
         hasStore: machine.hasStore(now),
+        outages: machine.storeOutages(now),
+        fleetNodes: machine.liveNodeCount(),
       });
     });
   }
 
   /** Adopts the registrations only if they are newer, as the gateway does. */
-  #adoptMemberList(peer: string, response: MemberListResponse, requestedAt: number): void {
-    const { registered, departed, readAt, listAgeMs, hasStore } = response;
+  #adoptMemberList(response: MemberListResponse, requestedAt: number): void {
+    const { registered, departed, readAt, hasStore, ...report } = response;
+    if (hasStore) this.#peerAccess = 'withStore';
     const isChanged = JSON.stringify(registered) !== JSON.stringify(this.#registrations);
     if (isChanged && readAt > this.#registrationsReadAt) {
       this.#registrations = registered;
@@ -294,8 +302,11 @@
       this.handle({ type: 'members-told', entries: [...departed, ...registered] });
       this.handle({ type: 'instances-changed', entries: registered });
     }
-    const report = { peer, requestedAt, listAgeMs, hasStore };
-    this.handle({ type: 'member-list-reported', report, departed });
+    this.handle({
+      type: 'member-list-reported',
+      report: { ...report, requestedAt },
+      departed,
+    });
   }
 
   /** Sends a read or a write to the primary, again and again. */
--- a/test/support/promotion/peers.ts
+++ b/test/support/promotion/peers.ts
@@ -8,20 +8,25 @@
 import type { SimulatedNetwork } from './network.js';
 import { type SimulatedStore, STORE } from './store.js';
 
-const REQUEST_PERIOD_MS = 600;
-const PEERS_PER_REQUEST = 2;
+/** As in the gateway, by whether a peer that responded has the store. */
+const REQUEST_PERIOD_MS = { withStore: 600, withoutStore: 300 } as const;
+const PEERS_PER_REQUEST = { withStore: 2, withoutStore: 4 } as const;
 const MIN_DELAY_MS = 0.5;
 const MAX_DELAY_MS = 4;
 const SEED_OFFSET = 77_000_003;
 
 /** A node's response; times are ages, since each node has a clock of its own. */
-export interface MemberListResponse extends Omit<PeerListReport, 'peer' | 'requestedAt'> {
+export interface MemberListResponse extends Omit<PeerListReport, 'requestedAt'> {
   /** When its registrations were read from the store, in simulated time. */
   readonly readAt: number;
+  readonly hasStore: boolean;
   readonly registered: readonly InstanceEntry[];
   readonly departed: readonly InstanceEntry[];
 }
 
+/** Whether a peer that responded last has the store. */
+export type PeerAccess = keyof typeof REQUEST_PERIOD_MS;
+
 export interface SimulatedPeer {
   readonly name: string;
   /** Calls back with the response once the node runs; never if it doesn't. */
@@ -44,8 +49,8 @@
   }
 
   /** Pause before a node's next requests. */
-  nextPauseMs(): number {
-    return REQUEST_PERIOD_MS * (0.5 + this.#random());
+  nextPauseMs(peers: PeerAccess): number {
+    return REQUEST_PERIOD_MS[peers] * (0.5 + this.#random());
   }
 
   /** Reads the registrations from the store; calls back only if it answers. */
@@ -63,15 +68,20 @@
   }
 
   /** Requests the lists of a few other nodes. */
-  request(from: string, onResponse: (peer: string, response: MemberListResponse) => void): void {
+  request(
+    from: string,
+    peers: PeerAccess,
+    onResponse: (response: MemberListResponse) => void,
+  ): void {
     const others = this.#peers.filter(({ name }) => name !== from);
     const start = Math.floor(this.#random() * others.length);
-    const chosen = [...others.slice(start), ...others.slice(0, start)].slice(0, PEERS_PER_REQUEST);
+    const chosen = [...others.slice(start), ...others.slice(0, start)].slice(
+      0,
+      PEERS_PER_REQUEST[peers],
+    );
     for (const peer of chosen) {
       this.#send(from, peer.name, () =>
-        peer.describeMembers((response) =>
-          this.#send(peer.name, from, () => onResponse(peer.name, response)),
-        ),
+        peer.describeMembers((response) => this.#send(peer.name, from, () => onResponse(response))),
       );
     }
   }
--- a/test/support/promotion/store.ts
+++ b/test/support/promotion/store.ts
@@ -20,9 +20,11 @@
 const FAILED: RequestAnswer = {
   type: 'store-failed',
   isLeaseGone: false,
+  hasResponded: false,
   retryAfterMs: undefined,
 };
-const LEASE_GONE: RequestAnswer = { ...FAILED, isLeaseGone: true };
+const REFUSED: RequestAnswer = { ...FAILED, hasResponded: true };
+const LEASE_GONE: RequestAnswer = { ...REFUSED, isLeaseGone: true };
 
 interface StoredEntry extends KeyValue {
   readonly leaseId: string | undefined;
@@ -216,7 +218,7 @@
     };
     network.send(machine, STORE, () => {
       if (this.isDown || this.isRefused(machine)) {
-        if (this.#clock.chance(0.5)) sendResponse(FAILED);
+        if (this.#clock.chance(0.5)) sendResponse(this.isDown ? FAILED : REFUSED);
         return;
       }
       const slowness = this.#clock.now < this.slowUntil ? this.#clock.between(100, 400) : 0;
--- a/test/unit/direct/node-directory.test.ts
+++ b/test/unit/direct/node-directory.test.ts
@@ -78,15 +78,20 @@
 test("a peer's report on its members is passed on with those that are not registered", () => {
   const reports: object[] = [];
   const { directory } = nodeWith(['left-before'], {
-    describe: () => ({ hasStore: true, listAgeMs: 20 }),
+    describe: () => ({
+      hasStore: true,
+      listAgeMs: 20,
+      outages: [{ node: 'a', ageMs: 5 }],
+      fleetNodes: 4,
+    }),
     record: (report, departed) => reports.push({ ...report, ids: departed.map(({ id }) => id) }),
   });
   const described = directory.describe(NO_VERSIONS);
   assert.is(described?.members?.listAgeMs, 20);
-  if (described !== undefined) directory.recordMemberList('10.0.0.9:1', described, 150);
+  if (described !== undefined) directory.recordMemberList(described, 150);
   const ids = ['left-before', 'used-once'];
   assert.equal(reports, [
-    { peer: '10.0.0.9:1', requestedAt: 150, hasStore: true, listAgeMs: 20, ids },
+    { requestedAt: 150, listAgeMs: 20, outages: [{ node: 'a', ageMs: 5 }], fleetNodes: 4, ids },
   ]);
 });
 
--- a/test/unit/store-return.test.ts
+++ b/test/unit/store-return.test.ts
@@ -35,7 +35,7 @@
     random: () => 0.5,
   });
   const refuse = (): RequestAnswer => ({
-    ...{ type: 'store-failed', isLeaseGone: false, retryAfterMs: undefined },
+    ...{ type: 'store-failed', isLeaseGone: false, hasResponded: false, retryAfterMs: undefined },
   });
   const requestTypesAfter = (event: PromotionEvent, at: number): string[] =>
     handleEvents(machine, [event], at, refuse).map(({ type }) => type);
