Suspicions from a moment when all members were silent no longer replace a sound primary

Callers lost seconds of writes, and got unknown outcomes, to a change of primary that nothing called for: after the machine of all instances had stood still, the leader replaced the primary as 'suspected', 12 ms after it had its lease again.

Cause: a suspicion outlives the moment it is from. Nodes withdrew one no sooner than 1 s after writing it; a leader counted suspicions from its first moment on; the check before a change did not wait for the old primary once the others had responded.

Change: withdrawals at once; suspicions count 0.4 s after a leader's start, a failed probe or too few responses; a primary that the leader has not reached since then has 50 ms more to respond.

New mechanism switch 'fresh-suspicions'; controls that replay old courses ('later-term', 'demotion-by-any', and the mixes by LATER_MECHANISMS) switch it off too, so that their seeds stay as they are. promotion-mechanisms: two seeds more for 'permission-lapse', since its six show no violation in the new courses.

--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -177,6 +177,8 @@
   | 'unlisted-members'
   /** Departed members are reported to all nodes and watched. */
   | 'forgotten-members'
+  /** Suspicions from a moment at which members were silent, or from before the leader led, don't count at once. */
+  | 'fresh-suspicions'
   /** What a query round proves is no newer than the proof that the node knows every member. */
   | 'current-members'
   /** A node's write permission ends with its lease, by its own clock. */
--- a/src/core/promotion/monitor.ts
+++ b/src/core/promotion/monitor.ts
@@ -34,7 +34,9 @@
 export class PrimaryMonitor {
   readonly #scope: Scope;
   #cancelProbe = (): void => {};
+  #cancelEvaluation = (): void => {};
   #isProbing = false;
+  #hasResponded = false;
   #aliveAt: Milliseconds = Number.NEGATIVE_INFINITY;
   #refused = 0;
   #unanswered = 0;
@@ -61,6 +63,7 @@
    */
   start(): void {
     this.#trackPrimary();
+    this.#awaitFreshSuspicions();
     this.#aliveAt = this.runtime.now + FIRST_PROBE_DELAY_MS - this.runtime.timings.probePeriodMs;
     this.#probeIfNeeded();
   }
@@ -72,6 +75,7 @@
   /** Records a response of the primary to this node. */
   recordAlive(instance: string): void {
     if (instance !== this.#primaryId) return;
+    this.#hasResponded = true;
     this.#aliveAt = this.runtime.now;
     this.#unanswered = 0;
     this.#refused = 0;
@@ -89,6 +93,30 @@
     this.#suspicionsIgnoredUntil = this.runtime.now + this.runtime.timings.suspicionCooldownMs;
   }
 
+  /** Records that too few members respond to this leader, so that the primary's silence may not be its own fault. */
+  recordSilentMembers(): void {
+    this.#hasResponded = false;
+    this.#awaitFreshSuspicions();
+  }
+
+  /** Whether this leader has had a response of the primary since it last found too few members responding. */
+  get hasResponded(): boolean {
+    return this.#hasResponded || this.runtime.isDisabled('fresh-suspicions');
+  }
+
+  /**
+   * Ignores suspicions until nodes have had the time to withdraw them: those from a moment at which members were silent, or
+   * from before this node led, may have outlived their cause.
+   */
+  #awaitFreshSuspicions(): void {
+    if (this.runtime.isDisabled('fresh-suspicions')) return;
+    const { suspectAfterMs } = this.runtime.timings;
+    const until = this.runtime.now + suspectAfterMs;
+    this.#suspicionsIgnoredUntil = Math.max(this.#suspicionsIgnoredUntil, until);
+    this.#cancelEvaluation();
+    this.#cancelEvaluation = this.#scope.after(suspectAfterMs, () => this.evaluate());
+  }
+
   /** Reports a reason for replacement that is known without a probe. */
   evaluate(): void {
     const id = this.#trackPrimary();
@@ -123,6 +151,7 @@
     const id = this.primaries.primaryIdOf(this.service);
     if (id !== this.#primaryId) {
       this.#primaryId = id;
+      this.#hasResponded = false;
       this.#unanswered = 0;
       this.#refused = 0;
       this.#replicaResponses = 0;
@@ -165,14 +194,13 @@
   }
 
   #recordProbe(answer: InstanceStatus | ControlFailure): void {
-    if (answer === 'refused') {
-      this.#refused += 1;
-      return;
-    }
-    if (answer === 'silent') {
-      this.#unanswered += 1;
+    if (answer === 'refused' || answer === 'silent') {
+      if (answer === 'refused') this.#refused += 1;
+      else this.#unanswered += 1;
+      this.#awaitFreshSuspicions();
       return;
     }
+    this.#hasResponded = true;
     this.#aliveAt = this.runtime.now;
     this.#unanswered = 0;
     this.#refused = 0;
--- a/src/core/promotion/preflight.ts
+++ b/src/core/promotion/preflight.ts
@@ -4,6 +4,7 @@
  */
 import type { InstanceEntry, InstanceStatus } from '../../direct/contract.js';
 import { comparePositions } from '../position.js';
+import type { Milliseconds } from '../units.js';
 import type { ControlFailure } from './contract.js';
 import type { ChangeReason } from './monitor.js';
 import type { PromotionRuntime } from './runtime.js';
@@ -15,6 +16,8 @@
   readonly reason: ChangeReason;
   readonly syncReplicas: number;
   readonly isRegistered: (id: string) => boolean;
+  /** Time for which a dead or suspected primary may still respond after all others have. */
+  readonly oldPrimaryWaitMs: Milliseconds;
 }
 
 export type PreflightResult =
@@ -43,26 +46,31 @@
   const members = [options.oldPrimary, ...options.others];
   const responses = new Map<string, StatusResponse>();
   let isDecided = false;
+  const finish = (): void => {
+    if (isDecided) return;
+    isDecided = true;
+    onResult(decide(options, responses));
+  };
   for (const member of members) {
     const onResponse = scope.guard((response: StatusResponse) => {
       responses.set(member.id, response);
-      if (isDecided || !hasEnoughResponses(options, responses)) return;
-      isDecided = true;
-      onResult(decide(options, responses));
+      if (responses.size === members.length) finish();
+      else if (hasEnoughResponses(options, responses)) {
+        scope.after(options.oldPrimaryWaitMs, finish);
+      }
     });
     runtime.control('status', member, 0, onResponse);
   }
 }
 
 /**
- * A primary that was found dead or that many nodes suspect is not waited for: it will probably not respond, and the
- * other members are enough for a change.
+ * A primary that was found dead or that many nodes suspect will probably not respond, and the other members are enough for a
+ * change.
  */
 function hasEnoughResponses(
   { oldPrimary, others, reason }: PreflightOptions,
   responses: ReadonlyMap<string, StatusResponse>,
 ): boolean {
-  if (responses.size === others.length + 1) return true;
   if (responses.has(oldPrimary.id) || (reason !== 'dead' && reason !== 'suspected')) return false;
   return others.every(({ id }) => hasResponded(responses.get(id)));
 }
--- a/src/core/promotion/service-leader.ts
+++ b/src/core/promotion/service-leader.ts
@@ -20,6 +20,8 @@
  * checks.
  */
 const UNANSWERED_PREFLIGHTS_UNTIL_RESIGNING = 3;
+/** A sound primary's response arrives this soon after the other members', when all become reachable again. */
+const UNREACHED_PRIMARY_WAIT_MS = 50;
 
 type PreflightOf<Type extends PreflightResult['type']> = Extract<PreflightResult, { type: Type }>;
 
@@ -177,6 +179,7 @@
       reason,
       syncReplicas: this.context.syncReplicasOf(this.service),
       isRegistered: (id: string) => primaries.isRegistered(id),
+      oldPrimaryWaitMs: this.#monitor.hasResponded ? 0 : UNREACHED_PRIMARY_WAIT_MS,
     };
     runPreflight(runtime, this.#scope, options, (result) => {
       this.#isBusy = false;
@@ -207,6 +210,7 @@
         reason,
         said: result.responses,
       });
+      this.#monitor.recordSilentMembers();
       this.#resignIfUnanswered(result.anyResponded);
     } else this.#unansweredPreflights = 0;
     const isStillPrimary = store.primaryIdOf(this.service) === oldPrimary.id;
--- a/src/core/promotion/suspicion.ts
+++ b/src/core/promotion/suspicion.ts
@@ -25,7 +25,10 @@
   instance: string | undefined;
   isBusy: boolean;
   revision: number;
-  nextWriteAt: Milliseconds;
+  /** Earliest time of the next write, after a failed one. */
+  retryAt: Milliseconds;
+  /** Earliest time of the next suspicion; a withdrawal does not wait, since the leader may act on what is written. */
+  nextSuspicionAt: Milliseconds;
   leaseId: string | undefined;
 }
 
@@ -109,9 +112,11 @@
     // A key under an earlier lease is gone, or will be.
     const known = written.leaseId === leaseId ? written.instance : undefined;
     if (suspect === known) return;
-    if (this.runtime.now < written.nextWriteAt) {
+    const isImmediate = suspect === undefined && !this.runtime.isDisabled('fresh-suspicions');
+    const earliestAt = isImmediate ? written.retryAt : written.nextSuspicionAt;
+    if (this.runtime.now < earliestAt) {
       written.isBusy = true;
-      this.runtime.after(written.nextWriteAt - this.runtime.now, () => {
+      this.runtime.after(earliestAt - this.runtime.now, () => {
         written.isBusy = false;
         this.#update(service);
       });
@@ -140,7 +145,8 @@
       instance: undefined,
       isBusy: false,
       revision: 0,
-      nextWriteAt: 0,
+      retryAt: 0,
+      nextSuspicionAt: 0,
       leaseId: undefined,
     };
     this.#written.set(service, written);
@@ -155,7 +161,9 @@
   ): void {
     const key = suspicionKeyOf(service, this.runtime.options.nodeName);
     written.isBusy = true;
-    written.nextWriteAt = this.runtime.now + this.runtime.timings.suspicionPeriodMs;
+    if (instance !== undefined || this.runtime.isDisabled('fresh-suspicions')) {
+      written.nextSuspicionAt = this.runtime.now + this.runtime.timings.suspicionPeriodMs;
+    }
     const operation =
       instance === undefined
         ? ({ type: 'delete', key } as const)
@@ -172,7 +180,8 @@
         // Nothing was written, so the minimum period between suspicions does not apply.
         const { storeRetryDelayMs } = this.runtime.timings;
         const delayMs = Math.max(answer.retryAfterMs, this.runtime.jittered(storeRetryDelayMs));
-        written.nextWriteAt = this.runtime.now + delayMs;
+        written.retryAt = this.runtime.now + delayMs;
+        written.nextSuspicionAt = written.retryAt;
       } else {
         const currentRevision = answer.current.find((entry) => entry.key === key)?.modRevision;
         if (answer.succeeded) {
@@ -181,7 +190,7 @@
           written.revision = instance === undefined ? 0 : answer.revision;
         } else {
           written.revision = currentRevision ?? 0;
-          written.nextWriteAt = this.runtime.now;
+          written.nextSuspicionAt = this.runtime.now;
         }
       }
       this.#update(service);
--- a/test/property/joining-members.test.ts
+++ b/test/property/joining-members.test.ts
@@ -32,7 +32,7 @@
   test(`without ${mechanism} there is a violation`, () => {
     assert.ok(
       SEEDS_WITHOUT_MECHANISM.some(
-        (seed) => simulateJoins(seed, [mechanism]).violations.length > 0,
+        (seed) => simulateJoins(seed, [mechanism, 'fresh-suspicions']).violations.length > 0,
       ),
     );
   });
--- a/test/property/promotion-mechanisms.test.ts
+++ b/test/property/promotion-mechanisms.test.ts
@@ -53,7 +53,7 @@
   {
     mechanism: 'permission-lapse',
     expectedViolation: /^STALE/,
-    seeds: [2, 9, 26, 35, 46, 71],
+    seeds: [2, 9, 26, 35, 46, 71, 88, 90],
     injectFaults: randomFaults(),
   },
   {
--- a/test/property/reused-change-number.test.ts
+++ b/test/property/reused-change-number.test.ts
@@ -70,7 +70,7 @@
 
 test('without `later-term`, reads at the deposed primary in that schedule are stale', () => {
   for (const seed of SCHEDULE_SEEDS) {
-    const { violations } = play(seed, ['later-term']);
+    const { violations } = play(seed, ['later-term', 'fresh-suspicions']);
     assert.ok(
       violations.some((violation) => violation.startsWith('STALE')),
       `seed ${seed}`,
--- a/test/support/promotion/mix.ts
+++ b/test/support/promotion/mix.ts
@@ -51,6 +51,7 @@
   'unlisted-members',
   'forgotten-members',
   'current-members',
+  'fresh-suspicions',
   ...STORE_RESTORE_MECHANISMS,
 ];
 
--- a/test/unit/preflight.test.ts
+++ b/test/unit/preflight.test.ts
@@ -49,6 +49,7 @@
       syncReplicas: 1,
     },
     isRegistered: (id: string) => id !== OLD_PRIMARY.id && id !== LOST.id,
+    oldPrimaryWaitMs: 0,
   };
   runPreflight(runtime, scope, options, (outcome) => {
     result = outcome;
