The readers' test excludes the two courses that it does not mean, and each has a test

integration/direct/readers, test 1, was wrong as it stood: it demanded that every gateway but the readers receives a change from readers, whatever happened meanwhile. Metrics could not tell 'subscribed'.

Change: metric reader_prefixes, prefixes that readers serve now. The test publishes once every gateway but the readers is served, and again if one has fallen back to the store or the readers have changed meanwhile, seven times at most; then its check is as it was: changes from readers at exactly those that are none. Two tests more: readers that stand still (SIGSTOP) lead to a counted fallback, the version from the store, and readers again; a gateway that is restarted beside a publication comes to the version and is served.

--- a/src/direct/metrics.ts
+++ b/src/direct/metrics.ts
@@ -168,6 +168,7 @@
   gauge('instances_ejected', 'instances that currently get no reads', gateway.ejectedCount);
   gauge('store_era', 'restores from a backup as counted by the store', store?.era ?? 0);
   gauge('store_watches', 'prefixes watched at the store directly', readers?.directWatches ?? 0);
+  gauge('reader_prefixes', 'prefixes that readers serve now', readers?.servedPrefixes ?? 0);
   gauge('ready', '1 if new connections are accepted', gateway.ready ? 1 : 0);
   const histograms = Object.values<LatencyHistogram>({ ...gateway.latencies });
   const text = histograms.map((histogram) => histogram.expose(PREFIX));
--- a/src/direct/readers/followed-prefix.ts
+++ b/src/direct/readers/followed-prefix.ts
@@ -113,6 +113,13 @@
     return this.#direct !== undefined;
   }
 
+  /** True while this node relies on readers for its watch. */
+  get isServedByReaders(): boolean {
+    const watcher = this.#watcher;
+    if (watcher === undefined || this.isDirect) return false;
+    return this.#evidence.isServedByReaders(this.options.now(), watcher.knownRevision);
+  }
+
   /** When the store last confirmed what this node may relay; undefined while there is nothing to relay. */
   get confirmedAt(): Milliseconds | undefined {
     return latest(this.#direct?.respondedAt, this.#relayedTimes?.currentAsOf);
--- a/src/direct/readers/reader-store.ts
+++ b/src/direct/readers/reader-store.ts
@@ -101,6 +101,11 @@
     return [...this.#prefixes.values()].filter(({ isDirect }) => isDirect).length;
   }
 
+  /** Number of the prefixes that readers serve now. */
+  get servedPrefixes(): number {
+    return [...this.#prefixes.values()].filter(({ isServedByReaders }) => isServedByReaders).length;
+  }
+
   /** The readers through which this node watches the store. */
   get readersOfNode(): ReadersOfNode {
     return this.#readersOfNode;
--- a/test/integration/direct/readers.test.ts
+++ b/test/integration/direct/readers.test.ts
@@ -9,6 +9,10 @@
 /** Watched prefixes: the configuration and the directory. */
 const PREFIXES = 2;
 const WATCHES_METRIC = 'store_watches';
+const SERVED_METRIC = 'reader_prefixes';
+const MAX_PUBLISHED_VERSION = 8;
+const FALLBACKS_METRIC = 'readers_fallbacks_total';
+const RECEIVED_METRIC = 'readers_events_from_readers_total';
 const VERSION_METRIC = 'configuration_version';
 
 let cluster: DirectCluster;
@@ -19,7 +23,10 @@
   await until('readers', async () => (await listWatchers()).length === READERS);
 }
 
-test.after.each(() => cluster.stop());
+test.after.each(async () => {
+  for (const index of listRunning()) cluster.gateway(index).process.kill('SIGCONT');
+  await cluster.stop();
+});
 
 const listRunning = (): number[] =>
   [...cluster.gateways.entries()]
@@ -47,25 +54,93 @@
   }
 }
 
+const listFollowers = (readers: readonly number[]): number[] =>
+  listRunning().filter((index) => !readers.includes(index));
+
+async function awaitServed(followers: readonly number[]): Promise<void> {
+  for (const index of followers) {
+    await until(
+      `gateway ${index} served by readers`,
+      async () => (await cluster.metric(index, SERVED_METRIC)) === PREFIXES,
+    );
+  }
+}
+
+async function metrics(name: string): Promise<readonly number[]> {
+  return Promise.all(listRunning().map((index) => cluster.metric(index, name)));
+}
+
+/**
+ * Publishes until no gateway has read the store itself meanwhile, which is what it does while its readers stand still, and
+ * returns how many changes each received from readers then. Every gateway that is no reader is served before.
+ */
+async function publishWithoutFallback(
+  readers: readonly number[],
+  version = 2,
+): Promise<readonly number[]> {
+  assert.ok(version <= MAX_PUBLISHED_VERSION, 'readers stand still all the time');
+  await awaitServed(listFollowers(readers));
+  const fallbacks = await metrics(FALLBACKS_METRIC);
+  const received = await metrics(RECEIVED_METRIC);
+  await cluster.publish(ROUTES);
+  await awaitInForce(version);
+  const isCalm = (await metrics(FALLBACKS_METRIC)).join() === fallbacks.join();
+  if (!isCalm || (await listWatchers()).join() !== readers.join()) {
+    return publishWithoutFallback(await listWatchers(), version + 1);
+  }
+  const now = await metrics(RECEIVED_METRIC);
+  return now.map((count, index) => count - (received[index] ?? 0));
+}
+
 test('two nodes watch the store, and all others receive changes from them', async () => {
   await start();
+  const received = await publishWithoutFallback(await listWatchers());
   const readers = await listWatchers();
-  await cluster.publish(ROUTES);
-  await awaitInForce(2);
+  assert.is(readers.length, READERS);
   for (const index of listRunning()) {
-    const isReader = readers.includes(index);
-    const received = await cluster.metric(index, 'readers_events_from_readers_total');
-    assert.is(received > 0, !isReader, `gateway ${index}`);
+    assert.is((received[index] ?? 0) > 0, !readers.includes(index), `gateway ${index}`);
   }
-  const session = await cluster.open(
-    'intake',
-    listRunning().find((index) => !readers.includes(index)),
-  );
+  const session = await cluster.open('intake', listFollowers(readers)[0]);
   await session.succeed(() => session.write('a', 'one'));
   session.close();
   assert.equal(await cluster.violations(), []);
 });
 
+test('a node whose readers stand still reads the store itself, and is served again when they go on', async () => {
+  await start();
+  const readers = await listWatchers();
+  const followers = listFollowers(readers);
+  await awaitServed(followers);
+  const [follower = 0] = followers;
+  const fallbacks = await cluster.metric(follower, FALLBACKS_METRIC);
+  for (const index of readers) cluster.gateway(index).process.kill('SIGSTOP');
+  await until('a fallback', async () => {
+    return (await cluster.metric(follower, FALLBACKS_METRIC)) > fallbacks;
+  });
+  await cluster.publish(ROUTES);
+  await until('version 2 from the store', async () => {
+    return (await cluster.metric(follower, VERSION_METRIC)) >= 2;
+  });
+  for (const index of readers) cluster.gateway(index).process.kill('SIGCONT');
+  await until('readers again', async () => (await listWatchers()).length === READERS);
+  await awaitServed(listFollowers(await listWatchers()));
+  await awaitInForce(2);
+});
+
+test('a node that is not yet subscribed comes to the newest version, and its readers serve it', async () => {
+  await start();
+  const [follower = 0] = listFollowers(await listWatchers());
+  await cluster.kill(follower);
+  cluster.restart(follower);
+  await cluster.publish(ROUTES);
+  await cluster.ready(cluster.gateway(follower));
+  await awaitInForce(2);
+  await until('readers', async () => (await listWatchers()).length === READERS);
+  await awaitServed(listFollowers(await listWatchers()));
+  await cluster.publish(ROUTES);
+  await awaitInForce(3);
+});
+
 test('a killed reader is replaced, and no configuration is missed meanwhile', async () => {
   await start();
   const [first] = await listWatchers();
