--- a/test/integration/direct/readers.test.ts
+++ b/test/integration/direct/readers.test.ts
@@ -70,14 +70,20 @@
   return Promise.all(listRunning().map((index) => cluster.metric(index, name)));
 }
 
+interface CalmPublication {
+  readonly readers: readonly number[];
+  /** Changes that each gateway received from readers meanwhile. */
+  readonly received: readonly number[];
+}
+
 /**
- * Publishes until no gateway has read the store itself meanwhile, which is what it does while its readers stand still, and
- * returns how many changes each received from readers then. Every gateway that is no reader is served before.
+ * Publishes until no gateway has read the store itself meanwhile, which is what it does while its readers stand still. Every
+ * gateway that is no reader is served before.
  */
 async function publishWithoutFallback(
   readers: readonly number[],
   version = 2,
-): Promise<readonly number[]> {
+): Promise<CalmPublication> {
   assert.ok(version <= MAX_PUBLISHED_VERSION, 'readers stand still all the time');
   await awaitServed(listFollowers(readers));
   const fallbacks = await metrics(FALLBACKS_METRIC);
@@ -89,13 +95,12 @@
     return publishWithoutFallback(await listWatchers(), version + 1);
   }
   const now = await metrics(RECEIVED_METRIC);
-  return now.map((count, index) => count - (received[index] ?? 0));
+  return { readers, received: now.map((count, index) => count - (received[index] ?? 0)) };
 }
 
 test('two nodes watch the store, and all others receive changes from them', async () => {
   await start();
-  const received = await publishWithoutFallback(await listWatchers());
-  const readers = await listWatchers();
+  const { readers, received } = await publishWithoutFallback(await listWatchers());
   assert.is(readers.length, READERS);
   for (const index of listRunning()) {
     assert.is((received[index] ?? 0) > 0, !readers.includes(index), `gateway ${index}`);
