Store failures say whether the store has responded, by a named option

Reading the diff: a third positional boolean did not say what it means. The etcd client tells error statuses apart from silence too. Tests: silence and a cut against 403, 429, 500 and 503 at the real client; malformed outage reports are rejected.

--- a/src/platform/errors.ts
+++ b/src/platform/errors.ts
@@ -6,6 +6,11 @@
 const RETRYABLE: ReadonlySet<ErrorLabel> = new Set(['retryable']);
 const PROTOCOL_VIOLATION: ReadonlySet<ErrorLabel> = new Set(['protocol-violation']);
 
+export interface StoreFailureOptions extends ErrorOptions {
+  /** The store responded with an error, for example HTTP status 503; false by default. */
+  readonly hasResponded?: boolean;
+}
+
 /** Base class of all failures of the store. */
 export abstract class StoreFailure extends MeadowstackError implements StoreError {
   readonly outcomeUnknown: boolean = false;
@@ -17,14 +22,11 @@
 export class StoreUnavailableError extends StoreFailure {
   readonly code = 'MS-STORE-UNAVAILABLE';
   override readonly labels = RETRYABLE;
+  override readonly hasResponded: boolean;
 
-  constructor(
-    message: string,
-    options?: ErrorOptions,
-    /** The store refused the request, for example with HTTP status 503. */
-    override readonly hasResponded = false,
-  ) {
+  constructor(message: string, options: StoreFailureOptions = {}) {
     super(message, options);
+    this.hasResponded = options.hasResponded ?? false;
   }
 }
 
@@ -43,14 +45,11 @@
 export class StoreAnswerLostError extends StoreFailure {
   readonly code = 'MS-STORE-ANSWER-LOST';
   override readonly outcomeUnknown = true;
+  override readonly hasResponded: boolean;
 
-  constructor(
-    message: string,
-    options?: ErrorOptions,
-    /** The store responded with an error that leaves the outcome open. */
-    override readonly hasResponded = false,
-  ) {
+  constructor(message: string, options: StoreFailureOptions = {}) {
     super(message, options);
+    this.hasResponded = options.hasResponded ?? false;
   }
 }
 
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -276,7 +276,8 @@
     return new StoreRateLimitedError(response.retryAfterMs);
   }
   if (response.status >= HTTP_SERVER_ERROR) {
-    return changesState ? new StoreAnswerLostError(message) : new StoreUnavailableError(message);
+    const Failure = changesState ? StoreAnswerLostError : StoreUnavailableError;
+    return new Failure(message, { hasResponded: true });
   }
   if (grpcCode !== undefined) return new StoreRequestRejectedError(grpcCode, message);
   return new StoreProtocolError(message, changesState);
--- a/test/property/directory-snapshot.test.ts
+++ b/test/property/directory-snapshot.test.ts
@@ -136,6 +136,10 @@
     { members: { hasStore: true, listAgeMs: -4, departed: [] } },
     { members: { hasStore: true, listAgeMs: 4, departed: [badEntry] } },
     { members: { hasStore: true, listAgeMs: 4 } },
+    {
+      members: { hasStore: true, listAgeMs: 4, departed: [], outages: [{ node: 'n', ageMs: -1 }] },
+    },
+    { members: { hasStore: true, listAgeMs: 4, departed: [], outages: [], fleetNodes: 1.5 } },
     { ageMs: -1 },
     { ageMs: Number.POSITIVE_INFINITY },
   ];
--- a/test/unit/platform/store.test.ts
+++ b/test/unit/platform/store.test.ts
@@ -169,6 +169,30 @@
   }
 });
 
+test('a refusal shows that the store runs; silence and a lost connection do not', async () => {
+  const cases: [ScriptedResponse, boolean][] = [
+    ['silent', false],
+    ['cut', false],
+    [{ status: 503 }, true],
+    [{ status: 500 }, true],
+    [{ status: 429 }, true],
+    [{ status: 403 }, true],
+  ];
+  for (const [answer, hasResponded] of cases) {
+    await withStore(
+      () => answer,
+      async (store) => {
+        const calls = [store.range('my/'), store.transaction([], PUT)];
+        for (const call of calls) {
+          const failure = (await call)._unsafeUnwrapErr();
+          assert.is(failure.hasResponded, hasResponded, JSON.stringify(answer));
+        }
+      },
+      timeoutFor(answer),
+    );
+  }
+});
+
 test('malformed items are a protocol error', async () => {
   const good = storeItem('my/a', 'a', 3);
   const malformed = [
