The readers' tests wait until two nodes watch and all others are served, in one observation

Cause: the lists of readers and of those that they serve were taken one after the other. At a start, and after a change of readers, two other nodes may watch the store for a while; a named reader is then waited for as one to be served, and never is.

--- a/test/integration/direct/readers.test.ts
+++ b/test/integration/direct/readers.test.ts
@@ -57,13 +57,19 @@
 const listFollowers = (readers: readonly number[]): number[] =>
   listRunning().filter((index) => !readers.includes(index));
 
-async function awaitServed(followers: readonly number[]): Promise<void> {
-  for (const index of followers) {
-    await until(
-      `gateway ${index} served by readers`,
-      async () => (await cluster.metric(index, SERVED_METRIC)) === PREFIXES,
-    );
-  }
+/**
+ * Waits until two nodes watch the store and all others are served by readers, and returns the two. Others may watch it for a
+ * while at a start, or after a change of readers.
+ */
+async function awaitSettled(): Promise<readonly number[]> {
+  let readers: readonly number[] = [];
+  await until('two readers that serve all others', async () => {
+    readers = await listWatchers();
+    const served = await metrics(SERVED_METRIC);
+    const isServed = listFollowers(readers).every((index) => served[index] === PREFIXES);
+    return readers.length === READERS && isServed;
+  });
+  return readers;
 }
 
 async function metrics(name: string): Promise<readonly number[]> {
@@ -80,19 +86,16 @@
  * Publishes until no gateway has read the store itself meanwhile, which is what it does while its readers stand still. Every
  * gateway that is no reader is served before.
  */
-async function publishWithoutFallback(
-  readers: readonly number[],
-  version = 2,
-): Promise<CalmPublication> {
+async function publishWithoutFallback(version = 2): Promise<CalmPublication> {
   assert.ok(version <= MAX_PUBLISHED_VERSION, 'readers stand still all the time');
-  await awaitServed(listFollowers(readers));
+  const readers = await awaitSettled();
   const fallbacks = await metrics(FALLBACKS_METRIC);
   const received = await metrics(RECEIVED_METRIC);
   await cluster.publish(ROUTES);
   await awaitInForce(version);
   const isCalm = (await metrics(FALLBACKS_METRIC)).join() === fallbacks.join();
   if (!isCalm || (await listWatchers()).join() !== readers.join()) {
-    return publishWithoutFallback(await listWatchers(), version + 1);
+    return publishWithoutFallback(version + 1);
   }
   const now = await metrics(RECEIVED_METRIC);
   return { readers, received: now.map((count, index) => count - (received[index] ?? 0)) };
@@ -100,7 +103,7 @@
 
 test('two nodes watch the store, and all others receive changes from them', async () => {
   await start();
-  const { readers, received } = await publishWithoutFallback(await listWatchers());
+  const { readers, received } = await publishWithoutFallback();
   assert.is(readers.length, READERS);
   for (const index of listRunning()) {
     assert.is((received[index] ?? 0) > 0, !readers.includes(index), `gateway ${index}`);
@@ -113,10 +116,8 @@
 
 test('a node whose readers stand still reads the store itself, and is served again when they go on', async () => {
   await start();
-  const readers = await listWatchers();
-  const followers = listFollowers(readers);
-  await awaitServed(followers);
-  const [follower = 0] = followers;
+  const readers = await awaitSettled();
+  const [follower = 0] = listFollowers(readers);
   const fallbacks = await cluster.metric(follower, FALLBACKS_METRIC);
   for (const index of readers) cluster.gateway(index).process.kill('SIGSTOP');
   await until('a fallback', async () => {
@@ -127,21 +128,19 @@
     return (await cluster.metric(follower, VERSION_METRIC)) >= 2;
   });
   for (const index of readers) cluster.gateway(index).process.kill('SIGCONT');
-  await until('readers again', async () => (await listWatchers()).length === READERS);
-  await awaitServed(listFollowers(await listWatchers()));
+  await awaitSettled();
   await awaitInForce(2);
 });
 
 test('a node that is not yet subscribed comes to the newest version, and its readers serve it', async () => {
   await start();
-  const [follower = 0] = listFollowers(await listWatchers());
+  const [follower = 0] = listFollowers(await awaitSettled());
   await cluster.kill(follower);
   cluster.restart(follower);
   await cluster.publish(ROUTES);
   await cluster.ready(cluster.gateway(follower));
   await awaitInForce(2);
-  await until('readers', async () => (await listWatchers()).length === READERS);
-  await awaitServed(listFollowers(await listWatchers()));
+  await awaitSettled();
   await cluster.publish(ROUTES);
   await awaitInForce(3);
 });
