Old outage reports leave a node's responses when it asks no more peers

Found by reading the change: reports were dropped only when new ones were recorded, which ends with the outage. A node that has the store again went on sending one entry for each node of the fleet in every response to its peers, with ever higher ages; receivers dropped them. What is proven does not change. The new unit test fails without the drop.

--- a/src/core/promotion/outage-reports.ts
+++ b/src/core/promotion/outage-reports.ts
@@ -22,9 +22,7 @@
       const asOf = requestedAt - ageMs;
       if (node !== this.ownNode) this.#asOf.set(node, Math.max(asOf, this.#asOfNode(node)));
     }
-    for (const [node, asOf] of this.#asOf) {
-      if (requestedAt - asOf > MAX_AGE_MS) this.#asOf.delete(node);
-    }
+    this.#dropOld(requestedAt);
   }
 
   /** Time as of which this many nodes have reported an outage. */
@@ -35,9 +33,14 @@
 
   /** The reports about other nodes, for peers. */
   describe(now: Milliseconds): NodeOutage[] {
+    this.#dropOld(now);
     return [...this.#asOf].map(([node, asOf]) => ({ node, ageMs: Math.max(0, now - asOf) }));
   }
 
+  #dropOld(now: Milliseconds): void {
+    for (const [node, asOf] of this.#asOf) if (now - asOf > MAX_AGE_MS) this.#asOf.delete(node);
+  }
+
   #asOfNode(node: string): Milliseconds {
     return this.#asOf.get(node) ?? Number.NEGATIVE_INFINITY;
   }
--- a/test/unit/member-list-proof.test.ts
+++ b/test/unit/member-list-proof.test.ts
@@ -114,6 +114,12 @@
   assert.equal(proof.outages({ now: 11_000, isStoreResponding: true }), [{ node: 'b', ageMs: 0 }]);
 });
 
+test('a node that asks no more peers passes on nothing of long ago', () => {
+  const proof = proofOf(outageOf('a', { requestedAt: 1000 }));
+  assert.is(proof.outages({ now: 11_000, isStoreResponding: true }).length, 1);
+  assert.equal(proof.outages({ now: 11_001, isStoreResponding: true }), []);
+});
+
 test('a list read a moment ago by any node contradicts an outage', () => {
   const outages = ['a', 'b', 'c'].map((node) => ({ node, ageMs: 0 }));
   assert.is(proofOf(report({ outages, listAgeMs: 600 })).completeAsOf(FLEET), 9400);
