One expiry of a lease, one type of a node's member list, one constructor of store failures

Found by reading the change; behaviour as before. - The machine computed for how long a response of the store counts, as NodeLease does for a lease: the lease does both. - MemberListState and PeerListReport listed the same three fields; the report derives from the state, and so does the simulation's. - StoreUnavailableError and StoreAnswerLostError had the same constructor: it stands in StoreFailure. - The monitor set the end of ignored suspicions in two ways: one method. - A comment was not wrapped; another told how a value was chosen (that is in docs/incidents/partial-store-outage.md).

--- a/src/core/directory/snapshot.ts
+++ b/src/core/directory/snapshot.ts
@@ -3,7 +3,7 @@
  * instances, and the primary of each service. Each part carries a version or revision of the store's
  * history, and the part with the highest one is used. No I/O and no clock.
  */
-import type { NodeOutage } from '../promotion/outage-reports.js';
+import type { MemberListState } from '../promotion/member-list-proof.js';
 import type { KnownPrimary } from '../statements/primary-evidence.js';
 
 /** The operator's configuration, in the text form kept in the store. */
@@ -37,18 +37,6 @@
   readonly service: string;
 }
 
-/** How current a node's list of members is. */
-export interface MemberListState {
-  /** The node holds a lease at the store. */
-  readonly hasStore: boolean;
-  /** Time since which the list may lack a member; undefined if it was never known to be complete. */
-  readonly listAgeMs: number | undefined;
-  /** Nodes that got no response from the store, the responding one among them if it is one. */
-  readonly outages: readonly NodeOutage[];
-  /** Nodes in the fleet by the leader's count; 1 if the node does not know it. */
-  readonly fleetNodes: number;
-}
-
 /** How current the responding peer's list of members is, and those of its members that are not registered. */
 export interface MemberListPart<Instance> extends MemberListState {
   readonly departed: readonly Instance[];
--- a/src/core/promotion/evidence.ts
+++ b/src/core/promotion/evidence.ts
@@ -43,9 +43,9 @@
 
 /**
  * Position that no commit acknowledged before the round was sent exceeds, provided that all members at that time were
- * queried (see `member-list-proof.ts`); undefined if too few responded. Such a commit is on its primary and on `syncReplicas` replicas: if at most `syncReplicas` members fail to respond, at
- * least one member that has it responded. A member that reports itself as primary counts as unresponsive, because its
- * log may not be the group's. Its position is included all the same, since that can only make the result too high, and
+ * queried (see `member-list-proof.ts`); undefined if too few responded. Such a commit is on its primary and on
+ * `syncReplicas` replicas: if at most `syncReplicas` members fail to respond, at least one member that has it responded. A
+ * member that reports itself as primary counts as unresponsive, because its log may not be the group's. Its position is included all the same, since that can only make the result too high, and
  * it covers a commit whose only other copy is on a replica that has just joined and is not known yet.
  */
 export function acknowledgedPosition(
--- a/src/core/promotion/lease.ts
+++ b/src/core/promotion/lease.ts
@@ -48,6 +48,14 @@
     return !this.#isStopped && this.#leaseId !== undefined && now < this.#validUntil;
   }
 
+  /**
+   * Whether the store responded for as long as a lease counts. A store that only refuses this node's calls runs, and may
+   * serve instances and other nodes.
+   */
+  isStoreResponding(now: Milliseconds): boolean {
+    return this.isValid(now) || now < this.#expiryOf(this.runtime.respondedAt);
+  }
+
   start(): void {
     const { leaseSeconds } = this.runtime.timings;
     const sentAt = this.runtime.now;
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -7,7 +7,7 @@
 import type { KeyValue } from '../../platform/contract.js';
 import type { OwnerRoster, ReachableNode } from '../ownership/owner-roster.js';
 import { KEEPER_GRACE_MS, type QuotaKeepers } from '../tenancy/quota-keepers.js';
-import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../units.js';
+import type { Milliseconds } from '../units.js';
 import type { PrimaryUse, PromotionEffect, PromotionEvent } from './contract.js';
 import { Election } from './election.js';
 import { Leader } from './leader.js';
@@ -142,7 +142,7 @@
     const counted = this.liveNodeCount();
     return this.#memberListProof.completeAsOf({
       now,
-      isStoreResponding: this.#isStoreResponding(now),
+      isStoreResponding: this.#lease.isStoreResponding(now),
       countedNodes: counted > 1 ? counted : undefined,
       knownNodes: peersKnown + 1,
     });
@@ -160,7 +160,10 @@
 
   /** Nodes to which the store responds neither with success nor with a refusal, by their own reports. */
   storeOutages(now: Milliseconds): NodeOutage[] {
-    return this.#memberListProof.outages({ now, isStoreResponding: this.#isStoreResponding(now) });
+    return this.#memberListProof.outages({
+      now,
+      isStoreResponding: this.#lease.isStoreResponding(now),
+    });
   }
 
   /** Whether this node holds a lease at the store. */
@@ -168,13 +171,6 @@
     return this.#lease.isValid(now);
   }
 
-  /** A store that refuses this node's calls runs, and may serve instances and other nodes. */
-  #isStoreResponding(now: Milliseconds): boolean {
-    const { respondedAt, timings } = this.#runtime;
-    const leaseMs = timings.leaseSeconds * MILLISECONDS_PER_SECOND - timings.leaseSafetyMarginMs;
-    return this.hasStore(now) || now - respondedAt < leaseMs;
-  }
-
   /** False while the store may have lost records that were acted on, and this process remembers none of them. */
   #mayRelyOnRecords(now: Milliseconds): boolean {
     return this.#runtime.era.mayRelyOnRecords(now) || this.#runtime.isDisabled('era-memory');
--- a/src/core/promotion/member-list-proof.ts
+++ b/src/core/promotion/member-list-proof.ts
@@ -13,18 +13,24 @@
 import type { Milliseconds } from '../units.js';
 import { type NodeOutage, OutageReports } from './outage-reports.js';
 
-/** What a peer reported about its list of members. */
-export interface PeerListReport {
-  /** When the peer was asked, by this node's clock. */
-  readonly requestedAt: Milliseconds;
-  /** Time since which the peer's list may lack a member; undefined if it was never known to be complete. */
+/** How current a node's list of members is. */
+export interface MemberListState {
+  /** The node holds a lease at the store. */
+  readonly hasStore: boolean;
+  /** Time since which the list may lack a member; undefined if it was never known to be complete. */
   readonly listAgeMs: Milliseconds | undefined;
-  /** Nodes that got no response from the store, among them the peer itself. */
+  /** Nodes that got no response from the store, this node among them if it is one. */
   readonly outages: readonly NodeOutage[];
-  /** Nodes in the fleet by the leader's count, 1 if the peer does not know it. */
+  /** Nodes in the fleet by the leader's count; 1 if the node does not know it. */
   readonly fleetNodes: number;
 }
 
+/** What a peer reported about its list of members. */
+export interface PeerListReport extends Omit<MemberListState, 'hasStore'> {
+  /** When the peer was asked, by this node's clock. */
+  readonly requestedAt: Milliseconds;
+}
+
 /** What this node knows of its own access to the store and of the fleet. */
 export interface FleetState {
   readonly now: Milliseconds;
--- a/src/core/promotion/monitor.ts
+++ b/src/core/promotion/monitor.ts
@@ -90,7 +90,7 @@
 
   /** Ignores suspicions for a while after a primary change. */
   startSuspicionCooldown(): void {
-    this.#suspicionsIgnoredUntil = this.runtime.now + this.runtime.timings.suspicionCooldownMs;
+    this.#ignoreSuspicionsFor(this.runtime.timings.suspicionCooldownMs);
   }
 
   /** Records that too few members respond to this leader, so that the primary's silence may not be its own fault. */
@@ -111,12 +111,16 @@
   #awaitFreshSuspicions(): void {
     if (this.runtime.isDisabled('fresh-suspicions')) return;
     const { suspectAfterMs } = this.runtime.timings;
-    const until = this.runtime.now + suspectAfterMs;
-    this.#suspicionsIgnoredUntil = Math.max(this.#suspicionsIgnoredUntil, until);
+    this.#ignoreSuspicionsFor(suspectAfterMs);
     this.#cancelEvaluation();
     this.#cancelEvaluation = this.#scope.after(suspectAfterMs, () => this.evaluate());
   }
 
+  #ignoreSuspicionsFor(durationMs: Milliseconds): void {
+    const until = this.runtime.now + durationMs;
+    this.#suspicionsIgnoredUntil = Math.max(this.#suspicionsIgnoredUntil, until);
+  }
+
   /** Reports a reason for replacement that is known without a probe. */
   evaluate(): void {
     const id = this.#trackPrimary();
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -2,7 +2,6 @@
  * Runs the promotion state machine of one node with the store, the instances and a timer. The owner starts it, passes on
  * changes of the instances and services, releases leadership before a planned stop, and then stops it.
  */
-import type { MemberListState } from '../../core/directory/snapshot.js';
 import type { OwnerRoster, ReachableNode } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
 import type { CommitVerdict } from '../../core/promotion/commit-verdict.js';
@@ -12,7 +11,7 @@
   PromotionRequest,
 } from '../../core/promotion/contract.js';
 import { PromotionStateMachine } from '../../core/promotion/machine.js';
-import type { PeerListReport } from '../../core/promotion/member-list-proof.js';
+import type { MemberListState, PeerListReport } from '../../core/promotion/member-list-proof.js';
 import { DEFAULT_PROMOTION_TIMINGS, type PromotionTimings } from '../../core/promotion/options.js';
 import type { PeerLocation } from '../../core/promotion/records.js';
 import type { QuotaKeepers } from '../../core/tenancy/quota-keepers.js';
--- a/src/direct/snapshots/node-directory.ts
+++ b/src/direct/snapshots/node-directory.ts
@@ -2,10 +2,9 @@
 import {
   type DirectoryVersions,
   type InstancesPart,
-  type MemberListState,
   selectNewerParts,
 } from '../../core/directory/snapshot.js';
-import type { PeerListReport } from '../../core/promotion/member-list-proof.js';
+import type { MemberListState, PeerListReport } from '../../core/promotion/member-list-proof.js';
 import type { Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
 import type { PeerAddress } from '../../peer/contract.js';
--- a/src/direct/snapshots/service.ts
+++ b/src/direct/snapshots/service.ts
@@ -38,10 +38,7 @@
  * took 62 (nodes cut off) and 65 (other nodes) ms of processor time per second, against 52 and 56 with two; 38 is normal.
  */
 const MAX_PEERS_ON_REFRESH = 2;
-/**
- * The same while no peer that responded has the store. Only reports of all nodes prove that it is unavailable to all, and
- * with four peers every 0.3 s those of 195 nodes are at most 1.5 s old.
- */
+/** While no peer that responded has the store: only recent reports of all nodes prove that it is unavailable to all. */
 const MAX_PEERS_WITHOUT_STORE = 4;
 const PAUSE_WITHOUT_STORE_MS = 300;
 /** Limit of this node's responses: burst and rate. */
--- a/src/platform/errors.ts
+++ b/src/platform/errors.ts
@@ -14,20 +14,19 @@
 /** Base class of all failures of the store. */
 export abstract class StoreFailure extends MeadowstackError implements StoreError {
   readonly outcomeUnknown: boolean = false;
-  readonly hasResponded: boolean = false;
+  readonly hasResponded: boolean;
   readonly retryAfterMs: Milliseconds | undefined = undefined;
+
+  constructor(message: string, options: StoreFailureOptions = {}) {
+    super(message, options);
+    this.hasResponded = options.hasResponded ?? false;
+  }
 }
 
 /** The store did not accept the request, or a read-only request got no response. */
 export class StoreUnavailableError extends StoreFailure {
   readonly code = 'MS-STORE-UNAVAILABLE';
   override readonly labels = RETRYABLE;
-  override readonly hasResponded: boolean;
-
-  constructor(message: string, options: StoreFailureOptions = {}) {
-    super(message, options);
-    this.hasResponded = options.hasResponded ?? false;
-  }
 }
 
 /** The store refused the request because of its rate limit; nothing took effect. */
@@ -45,12 +44,6 @@
 export class StoreAnswerLostError extends StoreFailure {
   readonly code = 'MS-STORE-ANSWER-LOST';
   override readonly outcomeUnknown = true;
-  override readonly hasResponded: boolean;
-
-  constructor(message: string, options: StoreFailureOptions = {}) {
-    super(message, options);
-    this.hasResponded = options.hasResponded ?? false;
-  }
 }
 
 /** The store's response violates its protocol. */
--- a/test/support/promotion/peers.ts
+++ b/test/support/promotion/peers.ts
@@ -2,7 +2,7 @@
  * How nodes learn whether they know all members: by reads of the registrations, and without a lease by requests to other
  * nodes. Delays and choices have random numbers of their own, so that these messages change no other one of a seed.
  */
-import type { PeerListReport } from '../../../src/core/promotion/member-list-proof.js';
+import type { MemberListState } from '../../../src/core/promotion/member-list-proof.js';
 import type { InstanceEntry } from '../../../src/direct/contract.js';
 import { seededRandom } from '../random.js';
 import type { SimulatedNetwork } from './network.js';
@@ -16,10 +16,9 @@
 const SEED_OFFSET = 77_000_003;
 
 /** A node's response; times are ages, since each node has a clock of its own. */
-export interface MemberListResponse extends Omit<PeerListReport, 'requestedAt'> {
+export interface MemberListResponse extends MemberListState {
   /** When its registrations were read from the store, in simulated time. */
   readonly readAt: number;
-  readonly hasStore: boolean;
   readonly registered: readonly InstanceEntry[];
   readonly departed: readonly InstanceEntry[];
 }
