--- a/test/property/database-group.property.test.ts
+++ b/test/property/database-group.property.test.ts
@@ -1,23 +1,14 @@
 import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import {
-  FAULT_NAMES,
-  type Fault,
-  type RunPlan,
-  simulate,
-} from '../../bench/simulation/group-run.js';
+import { type RunPlan, simulate } from '../../bench/simulation/group-run.js';
 import { findViolations } from '../../bench/simulation/history-checks.js';
+import { faultOn } from '../support/group-plans.js';
 
 const FAST_CHECK_SEED = 20_261_202;
 const RUNS = 100;
 
-const fault: fc.Arbitrary<Fault> = fc.record({
-  name: fc.constantFrom(...FAULT_NAMES),
-  target: fc.constantFrom<Fault['target'][]>(0, 1, 2, 'primary', 'primary', 'primary'),
-  at: fc.integer({ min: 50, max: 1300 }),
-  durationMs: fc.integer({ min: 20, max: 900 }),
-});
+const fault = faultOn(0, 1, 2, 'primary', 'primary', 'primary');
 
 const plan: fc.Arbitrary<RunPlan> = fc.record({
   seed: fc.integer({ min: 1, max: 1_000_000 }),
--- a/test/property/handover.property.test.ts
+++ b/test/property/handover.property.test.ts
@@ -5,29 +5,19 @@
 import fc from 'fast-check';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import {
-  FAULT_NAMES,
-  type Fault,
-  type Handover,
-  type RunPlan,
-  simulate,
-} from '../../bench/simulation/group-run.js';
+import { type Handover, type RunPlan, simulate } from '../../bench/simulation/group-run.js';
 import { findViolations } from '../../bench/simulation/history-checks.js';
+import { faultOn, startMs } from '../support/group-plans.js';
 
 const FAST_CHECK_SEED = 20_261_203;
 const RUNS = 100;
 
 const handover: fc.Arbitrary<Handover> = fc.record({
   candidate: fc.constantFrom<Handover['candidate'][]>(0, 1, 2),
-  at: fc.integer({ min: 50, max: 1300 }),
+  at: startMs,
 });
 
-const fault: fc.Arbitrary<Fault> = fc.record({
-  name: fc.constantFrom(...FAULT_NAMES),
-  target: fc.constantFrom<Fault['target'][]>(0, 1, 2, 'primary'),
-  at: fc.integer({ min: 50, max: 1300 }),
-  durationMs: fc.integer({ min: 20, max: 900 }),
-});
+const fault = faultOn(0, 1, 2, 'primary');
 
 const plan: fc.Arbitrary<RunPlan> = fc.record({
   seed: fc.integer({ min: 1, max: 1_000_000 }),
--- a/test/property/members-heard-again.test.ts
+++ b/test/property/members-heard-again.test.ts
@@ -15,6 +15,13 @@
 /** For how long the store is silent too; leases last 2 s. */
 const STORE_SILENCE_MS = [0, 1000, 1500, 2000, 2300] as const;
 
+/** No node reaches a member for `SILENCE_MS`. */
+function silenceMembers({ nodes, network, group }: PromotionSimulation): void {
+  for (const { name } of nodes) {
+    for (const { address } of group.instances) network.cut(name, address, SILENCE_MS);
+  }
+}
+
 /** No node reaches a member for a while; returns whether the primary was replaced afterwards. */
 function isReplaced(
   seed: number,
@@ -26,10 +33,8 @@
   const { network, group } = simulation;
   simulation.run(WARM_UP_MS);
   const before = group.primary;
-  for (const { name } of simulation.nodes) {
-    for (const { address } of group.instances) network.cut(name, address, SILENCE_MS);
-    network.cut(name, STORE, storeSilenceMs);
-  }
+  silenceMembers(simulation);
+  for (const { name } of simulation.nodes) network.cut(name, STORE, storeSilenceMs);
   simulation.run(SILENCE_MS + AFTERMATH_MS);
   assert.equal(simulation.violations, []);
   return group.primary !== before;
@@ -53,12 +58,10 @@
 test('a primary that ends while all members are silent is replaced once the others respond', () => {
   for (const seed of SEEDS) {
     const simulation = new PromotionSimulation({ seed, services: 1 });
-    const { network, group } = simulation;
+    const { group } = simulation;
     simulation.run(WARM_UP_MS);
     const before = group.primary;
-    for (const { name } of simulation.nodes) {
-      for (const { address } of group.instances) network.cut(name, address, SILENCE_MS);
-    }
+    silenceMembers(simulation);
     simulation.run(SILENCE_MS / 2);
     group.crash(before);
     simulation.run(SILENCE_MS / 2);
--- a/test/property/partial-store-outage.test.ts
+++ b/test/property/partial-store-outage.test.ts
@@ -59,6 +59,11 @@
   group.join();
 }
 
+/** Age of the state up to which the node knows all members. */
+function proofAgeMs({ machine, now }: SimulatedNode): number {
+  return now - (machine?.membersCompleteAsOf(now) ?? 0);
+}
+
 /** The nodes without the store lose the primary too, after an instance has joined. */
 function staleReads(
   seed: number,
@@ -127,7 +132,7 @@
     const readsBefore = reader.readsAtReplicas;
     for (let steps = 0; steps < 100; steps += 1) {
       simulation.run(50);
-      const ageMs = reader.now - (reader.machine?.membersCompleteAsOf(reader.now) ?? 0);
+      const ageMs = proofAgeMs(reader);
       assert.ok(ageMs <= STALENESS_MS, `seed ${seed}: ${ageMs}`);
     }
     assert.ok(reader.readsAtReplicas > readsBefore + 20, `seed ${seed}`);
@@ -149,7 +154,7 @@
     const provenAt = reader.machine?.membersCompleteAsOf(reader.now) ?? 0;
     assert.ok(provenAt - startedAt < 100, `seed ${seed}: ${provenAt - startedAt}`);
     simulation.run(2000);
-    const ageMs = reader.now - (reader.machine?.membersCompleteAsOf(reader.now) ?? 0);
+    const ageMs = proofAgeMs(reader);
     assert.ok(ageMs <= STALENESS_MS, `seed ${seed}: ${ageMs}`);
   }
 });
