--- a/src/core/promotion/leader-store.ts
+++ b/src/core/promotion/leader-store.ts
@@ -18,6 +18,7 @@
   type FleetRecord,
   type HandoverRecord,
   handoverKeyOf,
+  isSameRecord,
   LEADER_KEY,
   LEADER_WATCH_PREFIX,
   type MembersRecord,
@@ -257,7 +258,7 @@
     if (known === undefined && this.#mayPublishLater(members)) return undefined;
     const departed = this.#departedToPublish(service, handover);
     const value = JSON.stringify({ members, departed } satisfies MembersRecord);
-    return value === known?.value ? undefined : { key, value };
+    return isSameRecord(known?.value, value, parseMembersRecord) ? undefined : { key, value };
   }
 
   /** Departed members that this leader still tracks; the other nodes need not know of any others. */
--- a/src/core/promotion/lost-records.ts
+++ b/src/core/promotion/lost-records.ts
@@ -10,8 +10,10 @@
   decodeRecord,
   isHandoverKey,
   isMembersKey,
+  isSameRecord,
   type MembersRecord,
   type PrimaryRecord,
+  parseHandoverRecord,
   parseMembersRecord,
   parsePrimaryRecord,
   serviceOfPrimaryKey,
@@ -89,8 +91,9 @@
       return isLater(record, decodeRecord(stored, parsePrimaryRecord)) ? known.value : undefined;
     }
     if (isMembersKey(known.key)) return mergeMembers(known, stored);
+    if (!isHandoverKey(known.key)) return undefined;
     // Only leaders write handover records: one that leads before and after the restore wrote the latest one itself.
-    return isHandoverKey(known.key) ? known.value : undefined;
+    return isSameRecord(known.value, stored?.value, parseHandoverRecord) ? undefined : known.value;
   }
 
   #scheduleWrites(): void {
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -4,6 +4,7 @@
  * with the square of the number of nodes.
  */
 
+import { isDeepStrictEqual } from 'node:util';
 import type { InstanceEntry, InstanceRole } from '../../direct/contract.js';
 import type { PeerAddress } from '../../peer/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
@@ -216,6 +217,28 @@
   return isObject(value) ? form(value) : undefined;
 }
 
+/**
+ * Whether two stored values hold the same record. Texts are not compared: writers may order fields differently, or add
+ * fields that this version does not know.
+ */
+export function isSameRecord<Form>(
+  left: string | undefined,
+  right: string | undefined,
+  form: (value: UncheckedFields) => Form | undefined,
+): boolean {
+  if (left === right) return true;
+  const [first, second] = [left, right].map((text) => decodeText(text, form));
+  return first !== undefined && isDeepStrictEqual(first, second);
+}
+
+function decodeText<Form>(
+  text: string | undefined,
+  form: (value: UncheckedFields) => Form | undefined,
+): Form | undefined {
+  const value = text === undefined ? undefined : parseJson(text);
+  return isObject(value) ? form(value) : undefined;
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/test/support/promotion/group.ts
+++ b/test/support/promotion/group.ts
@@ -41,13 +41,22 @@
   readonly address: string;
   /** Incarnations at this address so far. */
   incarnationCount = 1;
+  id: string;
+  /** Id in its registration; differs from its own until a new incarnation has registered. */
+  registeredId: string;
+  /** Ids of earlier incarnations that had the same platform id: calls for them reach this one. */
+  readonly earlierIds: string[] = [];
 
   constructor(
-    public id: string,
+    platformId: string,
     role: 'primary' | 'replica',
     readonly index: number,
+    /** Whether its registration tells its incarnation. */
+    readonly hasIncarnations = false,
   ) {
-    this.address = id;
+    this.address = platformId;
+    this.id = hasIncarnations ? `${platformId}@1` : platformId;
+    this.registeredId = this.id;
     this.role = role;
   }
 }
@@ -85,13 +94,11 @@
     readonly service: string,
     private readonly network: SimulatedNetwork,
     size: number,
+    private readonly hasIncarnations = false,
   ) {
     this.instances = Array.from({ length: size }, (_, index) => {
-      return new SimulatedInstance(
-        `${service}-${index}`,
-        index === 0 ? 'primary' : 'replica',
-        index,
-      );
+      const role = index === 0 ? 'primary' : 'replica';
+      return new SimulatedInstance(`${service}-${index}`, role, index, hasIncarnations);
     });
     this.#nextIndex = size;
     const [first] = this.instances;
@@ -104,9 +111,11 @@
     return this.network.clock;
   }
 
-  /** The instance with this id; undefined if it has ended or a successor has its address. */
+  /** The instance that responds under this id; undefined if it has ended or a successor has its address. */
   #instanceOf(id: string): SimulatedInstance | undefined {
-    return this.instances.find((instance) => instance.id === id);
+    return this.instances.find(
+      (instance) => instance.id === id || instance.earlierIds.includes(id),
+    );
   }
 
   #addressOf(id: string): string {
@@ -118,8 +127,9 @@
   registrations(): InstanceEntry[] {
     return this.instances
       .filter(({ isRegistered, isRunning }) => isRegistered && isRunning)
-      .map(({ id, address, role, draining, index }) => ({
-        id,
+      .map(({ registeredId, address, role, draining, index, hasIncarnations }) => ({
+        id: registeredId,
+        ...(hasIncarnations ? { lifeOf: address } : {}),
         service: this.service,
         host: address,
         port: 1,
@@ -147,9 +157,28 @@
     this.#formerAddresses.set(instance.id, instance.address);
     instance.incarnationCount += 1;
     instance.id = `${instance.address}.${instance.incarnationCount}`;
+    instance.registeredId = instance.id;
     this.restart(instance);
   }
 
+  /**
+   * Starts an instance again under its platform id, without its log and its term. Until `register` is called, the store
+   * has the registration of its last incarnation.
+   */
+  startNewIncarnation(instance: SimulatedInstance): void {
+    this.crash(instance);
+    instance.earlierIds.push(instance.id);
+    instance.incarnationCount += 1;
+    instance.id = `${instance.address}@${instance.incarnationCount}`;
+    Object.assign(instance, { log: [], term: 0, heldTerm: 0, role: 'replica', isRunning: true });
+  }
+
+  /** Writes the registration of an instance's present incarnation. */
+  register(instance: SimulatedInstance): void {
+    instance.registeredId = instance.id;
+    instance.isRegistered = true;
+  }
+
   /** Ends an instance for good, with its log. */
   remove(instance: SimulatedInstance): void {
     this.crash(instance);
@@ -163,6 +192,7 @@
       `${this.service}-${this.#nextIndex}`,
       'replica',
       this.#nextIndex,
+      this.hasIncarnations,
     );
     instance.term = 0;
     this.#nextIndex += 1;
--- a/test/support/promotion/simulation.ts
+++ b/test/support/promotion/simulation.ts
@@ -75,6 +75,8 @@
   readonly disabledMechanisms?: readonly PromotionMechanism[];
   /** Nodes also read at replicas, assuming that this many replicas received each commit. */
   readonly assumedSyncReplicas?: number;
+  /** Registrations tell the instances' incarnations. */
+  readonly hasIncarnations?: boolean;
 }
 
 export class PromotionSimulation {
@@ -93,7 +95,8 @@
     this.platform = new SimulatedPlatform(this.network, this.groups);
     for (let index = 0; index < (options.services ?? 2); index += 1) {
       const service = `group-${index}`;
-      const group = new SimulatedGroup(service, this.network, options.instances ?? 3);
+      const size = options.instances ?? 3;
+      const group = new SimulatedGroup(service, this.network, size, options.hasIncarnations);
       this.groups.set(service, group);
     }
     const { network, store, platform, groups } = this;
--- a/test/support/promotion/steps.ts
+++ b/test/support/promotion/steps.ts
@@ -6,7 +6,7 @@
 import { primaryKeyOf } from '../../../src/core/promotion/records.js';
 import type { SimulatedInstance } from './group.js';
 import type { SimulatedNode } from './node.js';
-import { PromotionSimulation } from './simulation.js';
+import { PromotionSimulation, type SimulationOptions } from './simulation.js';
 import { STORE } from './store.js';
 
 const STEP_MS = 5;
@@ -22,8 +22,15 @@
 export class Steps {
   readonly simulation: PromotionSimulation;
 
-  constructor(seed: number, disabledMechanisms: readonly PromotionMechanism[]) {
-    this.simulation = new PromotionSimulation({ seed, services: 1, disabledMechanisms });
+  constructor(
+    seed: number,
+    disabledMechanisms: readonly PromotionMechanism[] = [],
+    options: Pick<SimulationOptions, 'hasIncarnations'> = {},
+  ) {
+    this.simulation = new PromotionSimulation({
+      ...{ seed, services: 1, disabledMechanisms },
+      ...options,
+    });
     this.simulation.store.takeBackups();
     this.simulation.run(WARM_UP_MS);
     this.until('a leader', () => this.simulation.leader !== undefined);
