The platform stand-in tells `born`, and its instances can start again without their logs; the soak draws that

One a round: of two, some commits may have no other copy. Stored seeds keep their schedules. What is sent to an earlier incarnation of a simulated instance is lost with its connection.

--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -46,7 +46,7 @@
     'replica-deaf': allGateways,
     'replica-behind': allGateways,
   },
-  'replica-fails': allGateways,
+  ...{ 'replica-fails': allGateways, 'instance-starts-again': allGateways },
   // Replacing an instance is planned work.
   'primary-drain': () => 'none',
 };
@@ -153,6 +153,15 @@
       this.#setReplicaFault(instance, { lagMs: REPLICA_LAG_MS }, { lagMs: 0 }),
     'replica-fails': ({ instance }) =>
       this.#setReplicaFault(instance, { failNext: FAILED_STATEMENTS }, { failNext: 0 }),
+    'instance-starts-again': async ({ instance, isCutFromStore }) => {
+      const instances = await this.#instances();
+      const path = `/instances/${instances[instance % instances.length]?.id}`;
+      const cut = (isSilentToStore: boolean): Promise<void> =>
+        this.#callPlatform(`${path}/faults`, { isSilentToStore });
+      if (isCutFromStore) await cut(true);
+      await this.#callPlatform(`${path}/start-again`, {});
+      return () => cut(false);
+    },
     'publish-kill-all': async () => {
       const missing = await this.configuration.publishThen(async () => {
         const allIndexes = [...this.cluster.gateways.keys()];
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -11,7 +11,14 @@
 import { renderSoakPage } from './page.js';
 import { REGRESSIONS } from './regressions.js';
 import { FAULT_SPAN_MS, type Finding, type RoundResult, runRound } from './round.js';
-import { drawSchedule, type PlannedFault, type Schedule, withStoreReturns } from './schedule.js';
+import {
+  type DisruptionKind,
+  drawSchedule,
+  type PlannedFault,
+  type Schedule,
+  withNewIncarnation,
+  withStoreReturns,
+} from './schedule.js';
 
 const USAGE = `npm run soak -- [options]
   --minutes N     runs rounds with new seeds for this time (default 5)
@@ -19,6 +26,7 @@
   --replay S      runs the round of one seed
   --regressions   runs all seeds that failed in the past
   --store-returns restores the store from a backup once or twice in each round
+  --new-incarnations  starts one instance again without its log in each round
   --gateways N    gateways of each round, at most 40 (default 5)
   --json FILE     writes the result of each round
   --html FILE     writes a page: all rounds, and plots of those with the most failures
@@ -43,6 +51,7 @@
   replay: z.coerce.number().int().min(0).optional(),
   regressions: z.boolean().default(false),
   'store-returns': z.boolean().default(false),
+  'new-incarnations': z.boolean().default(false),
   gateways: z.coerce.number().int().min(1).max(MAX_GATEWAYS).optional(),
   json: z.string().optional(),
   html: z.string().optional(),
@@ -56,6 +65,7 @@
       ...{
         regressions: { type: 'boolean' },
         'store-returns': { type: 'boolean' },
+        'new-incarnations': { type: 'boolean' },
         gateways: { type: 'string' },
         json: { type: 'string' },
         html: { type: 'string' },
@@ -102,8 +112,10 @@
 
 function createSchedule(seed: number, options: SoakOptions): Schedule {
   const draw = seededRandom(seed);
-  const schedule = drawSchedule(seed, draw, FAULT_SPAN_MS);
-  return options['store-returns'] ? withStoreReturns(schedule, draw, FAULT_SPAN_MS) : schedule;
+  let schedule = drawSchedule(seed, draw, FAULT_SPAN_MS);
+  if (options['store-returns']) schedule = withStoreReturns(schedule, draw, FAULT_SPAN_MS);
+  if (options['new-incarnations']) schedule = withNewIncarnation(schedule, draw, FAULT_SPAN_MS);
+  return schedule;
 }
 
 function report({ schedule, findings, late, statements, failed, tookMs }: RoundResult): void {
@@ -139,8 +151,10 @@
 
 /** Flags that run a schedule again. */
 function replayFlags({ seed, faults }: Schedule): string {
-  const hasStoreReturns = faults.some(({ fault }) => fault.kind === 'store-returns');
-  return `--replay ${seed}${hasStoreReturns ? ' --store-returns' : ''}`;
+  const flagOf = (kind: DisruptionKind, flag: string): string =>
+    faults.some(({ fault }) => fault.kind === kind) ? ` ${flag}` : '';
+  const returns = flagOf('store-returns', '--store-returns');
+  return `--replay ${seed}${returns}${flagOf('instance-starts-again', '--new-incarnations')}`;
 }
 
 function showFindings({ schedule, findings, logs }: RoundResult): void {
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -16,6 +16,13 @@
   | { readonly kind: 'store-returns'; readonly ageMs: Milliseconds; readonly awayMs: Milliseconds }
   | { readonly kind: 'primary-crash' | 'primary-dark' | 'primary-drain' | 'primary-cut' }
   | { readonly kind: 'primary-loses-answers'; readonly count: number }
+  /** An instance ends and starts again under its id, without its log. */
+  | {
+      readonly kind: 'instance-starts-again';
+      readonly instance: number;
+      /** Whether the store learns of it only when the fault ends. */
+      readonly isCutFromStore: boolean;
+    }
   | {
       readonly kind: 'replica-deaf' | 'replica-behind' | 'replica-fails';
       readonly instance: number;
@@ -60,7 +67,7 @@
 const MAX_FAULT_DURATION_MS: Milliseconds = 3500;
 
 /** Kinds that are drawn only on request, so that schedules of stored seeds stay the same. */
-type OptInKind = 'store-returns';
+type OptInKind = 'store-returns' | 'instance-starts-again';
 
 /** Draws faults of each other kind. Stored seeds depend on the order of the keys. */
 const DISRUPTION_GENERATORS: {
@@ -141,6 +148,16 @@
   return { ...schedule, faults: faults.sort((left, right) => left.atMs - right.atMs) };
 }
 
+/** Adds a start of an instance without its log: of two, some commits may have had no other copy. */
+export function withNewIncarnation(schedule: Schedule, draw: Draw, spanMs: Milliseconds): Schedule {
+  const fault: Disruption = {
+    ...{ kind: 'instance-starts-again', instance: drawInteger(draw) },
+    isCutFromStore: draw() < 0.5,
+  };
+  const faults = [...schedule.faults, placeInTime(draw, fault, spanMs)];
+  return { ...schedule, faults: faults.sort((left, right) => left.atMs - right.atMs) };
+}
+
 function drawBetween(draw: Draw, { min, max }: { min: number; max: number }): number {
   return min + drawInteger(draw, max - min + 1);
 }
--- a/standins/direct/group.ts
+++ b/standins/direct/group.ts
@@ -42,6 +42,8 @@
   readonly #acknowledgedPositions = new Map<Member, Map<Member, LogPosition>>();
   readonly #newerPrimarySeenSince = new Map<Member, Milliseconds>();
   #syncWaits: SyncWait[] = [];
+  /** Highest term of any primary so far, also of one that has started without its log. */
+  #highestTerm = 0;
   /** Called after each change of a member's role. */
   onRoleChange: ((member: Member) => void) | undefined;
 
@@ -101,7 +103,8 @@
     if (!member.isRunning || member.isDark || member === this.newestPrimary) return;
     const { term, number } = member.received;
     this.#acknowledgedPositions.delete(member);
-    member.becomePrimary(this.newestTerm + 1);
+    this.#highestTerm = Math.max(this.#highestTerm, this.newestTerm) + 1;
+    member.becomePrimary(this.#highestTerm);
     const { service } = this.options;
     const at = monotonicMs();
     this.onPromotion({ service, id: member.id, leads: member.term, term, number, at });
@@ -126,6 +129,15 @@
     this.onRoleChange?.(member);
   }
 
+  /** Restarts a member without its log. */
+  restartEmpty(member: Member): void {
+    this.#highestTerm = Math.max(this.#highestTerm, this.newestTerm);
+    for (const positions of this.#acknowledgedPositions.values()) positions.delete(member);
+    this.#acknowledgedPositions.delete(member);
+    member.startEmpty();
+    this.restart(member);
+  }
+
   #endSyncWaits(member: Member): void {
     const ended = this.#syncWaits.filter((wait) => wait.member === member);
     this.#syncWaits = this.#syncWaits.filter((wait) => wait.member !== member);
--- a/standins/direct/instance.ts
+++ b/standins/direct/instance.ts
@@ -31,6 +31,8 @@
   readonly syncTimeoutMs: Milliseconds;
   readonly heartbeatMs: Milliseconds;
   readonly drainTimeoutMs: Milliseconds;
+  /** Whether its registration tells when it started; false by default. */
+  readonly reportsStartTime?: boolean;
 }
 
 /** A planned shutdown. */
@@ -48,6 +50,8 @@
   readonly #connections = new Set<InstanceConnection>();
   #server: Server = createServer();
   #port = 0;
+  /** Unix time of its start, a whole number of milliseconds. */
+  #startedAt = 0;
   #isDraining = false;
   #sequence = 0;
   /** The registration last written (`value`), and the same without its sequence (`text`). */
@@ -74,13 +78,24 @@
     return this.#connections.size;
   }
 
+  /** Unix time of the start of this incarnation. */
+  get startedAt(): Milliseconds {
+    return this.#startedAt;
+  }
+
   async start(): Promise<void> {
+    this.#beginIncarnation();
     this.#server = this.#createServer();
     this.#port = await listen(this.#server, this.options.host, 0);
     this.register();
     setInterval(() => this.#sendHeartbeat(), this.options.heartbeatMs).unref();
   }
 
+  #beginIncarnation(): void {
+    this.#startedAt = Math.max(Date.now(), this.#startedAt + 1);
+    this.#sequence = 0;
+  }
+
   #createServer(): Server {
     return createServer((socket: Socket) => {
       const connection = new InstanceConnection(socket, this);
@@ -105,7 +120,7 @@
   register(): void {
     const { id, role, isRunning, isDark } = this.member;
     if (!isRunning || isDark || this.faults.isSilentToStore) return;
-    const { service, zone, slots } = this.options;
+    const { service, zone, slots, reportsStartTime } = this.options;
     const key = `servers/${id}`;
     const entry = {
       service,
@@ -116,6 +131,7 @@
       state: this.#isDraining ? 'draining' : 'ready',
       cold_remaining_ms: 0,
       database_role: role,
+      ...(reportsStartTime === true ? { born: this.#startedAt } : {}),
     };
     const text = JSON.stringify(entry);
     // A registration that a restore of the store has reverted is written again.
@@ -178,6 +194,24 @@
     this.register();
   }
 
+  /**
+   * Stops at once, and starts again after a delay under its id, without its log: a new incarnation. Its registration is
+   * written when it reaches the store.
+   */
+  startAgain(afterMs: Milliseconds): void {
+    if (!this.member.isRunning || this.#isDraining) return;
+    this.crash();
+    setTimeout(() => void this.#startIncarnation(), afterMs);
+  }
+
+  async #startIncarnation(): Promise<void> {
+    this.#beginIncarnation();
+    this.#server = this.#createServer();
+    await listenAgain(this.#server, this.options.host, this.#port);
+    this.group.restartEmpty(this.member);
+    this.register();
+  }
+
   /** Registers as `draining`; once the store has that, serves for the drain timeout and stops. */
   drain(plan: DrainPlan): void {
     this.#isDraining = true;
@@ -193,6 +227,7 @@
     if (replaceAfterMs === undefined) return;
     setTimeout(() => {
       this.member.id = replacementId;
+      this.#beginIncarnation();
       this.#isDraining = false;
       void this.return();
     }, replaceAfterMs);
--- a/standins/direct/main.ts
+++ b/standins/direct/main.ts
@@ -68,6 +68,7 @@
     syncTimeoutMs: flags['sync-timeout-ms'],
     heartbeatMs: flags['heartbeat-ms'],
     drainTimeoutMs: flags['drain-timeout-ms'],
+    reportsStartTime: flags.born === 'true',
   };
 }
 
@@ -85,11 +86,13 @@
   return found;
 }
 
-function describeInstance({ member, options, address, connectionCount, slots }: Instance) {
+function describeInstance(instance: Instance) {
+  const { member, options, address, connectionCount, slots, startedAt } = instance;
   const { id, role, term, heldTerm, isRunning, isDark } = member;
   const { service, zone } = options;
   return {
     ...{ id, service, zone, address, role, term, heldTerm, isRunning, isDark, connectionCount },
+    born: startedAt,
     received: formatPosition(member.received),
     applied: formatPosition(member.applied(monotonicMs())),
     slotsInUse: slots.inUse,
@@ -119,6 +122,7 @@
   awayMs: z.number().min(0).default(0),
   rewriteMs: z.number().min(0).default(0),
 });
+const startPlan = z.object({ afterMs: z.number().min(0).default(100) });
 const drainPlan = z.object({
   extraMs: z.number().min(0).default(0),
   /** Null: no new instance starts at the address. */
@@ -166,6 +170,9 @@
   controlRoute('POST', '/instances/:id/return', emptyBody, (_body, { id }) =>
     findInstance(id).return(),
   ),
+  controlRoute('POST', '/instances/:id/start-again', startPlan, ({ afterMs }, { id }) => {
+    findInstance(id).startAgain(afterMs);
+  }),
   controlRoute('POST', '/instances/:id/drain', drainPlan, (body, { id }) => {
     findInstance(id).drain({ ...body, replaceAfterMs: body.replaceAfterMs ?? undefined });
   }),
--- a/standins/direct/member.ts
+++ b/standins/direct/member.ts
@@ -122,6 +122,12 @@
     this.isStalled = false;
   }
 
+  /** Starts without anything it had: the log, the term and the role are those of a new replica. */
+  startEmpty(): void {
+    this.#truncate(0);
+    Object.assign(this, { role: 'replica', term: FIRST_TERM, heldTerm: 0, busyUntil: 0 });
+  }
+
   #appendReceived(entry: LogEntry, now: Milliseconds): void {
     this.#entries.push(entry);
     this.#receivedAt.push(now);
--- a/standins/direct/options.ts
+++ b/standins/direct/options.ts
@@ -34,6 +34,7 @@
   'value-bytes': count(1_048_576),
   'duty-per-s': count(50),
   'fencing-enforced': z.enum(['true', 'false']).default('false'),
+  born: z.enum(['true', 'false']).default('true'),
 });
 export type DirectOptions = z.output<typeof directOptions>;
 
@@ -63,6 +64,7 @@
     'min-ttl-ms': flag('MS', 'shortest lease (1000)'),
     'value-bytes': flag('N', 'longest value in the store (1048576)'),
     'duty-per-s': flag('N', 'promotion calls per second; further ones get 429 (50)'),
+    born: flag('BOOLEAN', 'whether registrations tell when an instance started (true)'),
     'fencing-enforced': flag('BOOLEAN', 'whether a lower fencing token is rejected (false)'),
   },
   examples: ['node dist/standins/direct/main.js --service orders=3 --service ledger=3'],
--- a/test/support/promotion/group.ts
+++ b/test/support/promotion/group.ts
@@ -200,7 +200,11 @@
   }
 
   /** Sends a write; the commit gets its number on arrival. */
-  write(machine: string, id: string, onAcknowledged: (reportToCaller: () => void) => void): void {
+  write(
+    machine: string,
+    id: string,
+    onAcknowledged: (reportToCaller: () => void, position: Position) => void,
+  ): void {
     const address = this.#addressOf(id);
     this.network.send(machine, address, () => {
       const instance = this.#instanceOf(id);
@@ -209,6 +213,7 @@
       this.#nextCommit += 1;
       instance.log.push({ term: instance.term, id: commit });
       const index = instance.log.length - 1;
+      const { term } = instance;
       const acknowledge = (): void => {
         // A commit at a replaced primary is lost; the node must not acknowledge it to its caller.
         const isDeposed = this.primary !== instance;
@@ -224,7 +229,8 @@
           const at = this.#clock.now.toFixed(0);
           this.violations.push(`ONE: commit ${commit} at deposed ${id}, by ${machine} at ${at}`);
         };
-        this.network.send(address, machine, () => onAcknowledged(reportToCaller));
+        const position = { timeline: term, lsn: BigInt(index + 1) };
+        this.network.send(address, machine, () => onAcknowledged(reportToCaller, position));
       };
       instance.pending.push({ index, id: commit, onAcknowledged: acknowledge });
       this.#ship(instance);
@@ -381,8 +387,10 @@
     const length = log.length;
     for (const replica of this.instances) {
       if (replica === primary) continue;
+      const restarts = replica.earlierIds.length;
       this.network.send(primary.address, replica.address, () => {
-        if (!this.#receives(replica, term)) return;
+        // What was sent to an earlier incarnation went with its connection.
+        if (replica.earlierIds.length > restarts || !this.#receives(replica, term)) return;
         if (replica.term === term && replica.log.length >= length) {
           this.#confirmReceived(primary, replica, term, length);
           return;
