An answer of a new incarnation doesn't count as the last one's: a replica that is behind is not promoted on its word

Cause: until the store has the registration of the new incarnation, whoever answers at the address under the platform id was taken for the incarnation that counts. An empty log that is held then proved that no other log is longer. Ruled out: reading the registration again before a promotion (the new incarnation can't change it), and positions sampled at the primary as a bound (they cover commits that nobody has received; a partition of the primary would hold each change up). Change: nodes tell with their acknowledgement of a change the position of the latest commit that they have confirmed to a caller. A proof by members' logs that ends before it holds only once their registrations have outlived their answers. An answer behind what the incarnation had reported before (term, or log of that term) counts as a refusal. A new incarnation at the old primary's address is no successor of it. A leader that waits for registrations does not resign meanwhile, and says why it waits. Conclusion: the first sign that is there decides; where none is, the change waits.

--- a/src/core/promotion/candidate.ts
+++ b/src/core/promotion/candidate.ts
@@ -8,6 +8,10 @@
  *   received as much as the successor.
  * - Fewer replicas are not held than a commit needs, so at least one held replica has received every acknowledged
  *   commit, and no held replica has received more than the instance.
+ *
+ * Each rests on responses of some members, and a new incarnation of a member responds without the log of the last one.
+ * The end of the log that they show must therefore cover every commit that a node has confirmed to a caller, unless
+ * each of these responses is proven to come from the incarnation that counts.
  */
 import type { InstanceEntry } from '../../direct/contract.js';
 import { comparePositions, type Position } from '../position.js';
@@ -23,6 +27,8 @@
   readonly isRegistered: boolean;
   /** Whether this node can reach it. */
   readonly isReachable: boolean;
+  /** Its responses are proven to come from this incarnation, not from a later one under the same platform id. */
+  readonly isConfirmed: boolean;
 }
 
 export interface CandidateInput {
@@ -33,6 +39,8 @@
   /** Member with the old primary's address and log, if the old primary was replaced in place. */
   readonly successor?: MemberObservation | undefined;
   readonly syncReplicas: number;
+  /** Latest commit that a node has confirmed to a caller; undefined if none is known. */
+  readonly acknowledged?: Position | undefined;
   /** Whether a draining instance or the old primary itself is acceptable if there is no better candidate. */
   readonly acceptsAny: boolean;
   /** Accepts any member that has responded; a test has disabled the proof. */
@@ -55,11 +63,14 @@
   const responsive = replicas.filter(({ received }) => received !== undefined);
   if (input.isProofDisabled) return responsive;
   const complete: MemberObservation[] = [];
-  const isOldLogEndKnown = oldPrimary?.isStopped === true && oldPrimary.received !== undefined;
+  const isOldLogEndKnown =
+    oldPrimary?.isStopped === true &&
+    oldPrimary.received !== undefined &&
+    coversAcknowledged(input, oldPrimary.received, [oldPrimary]);
   if (isOldLogEndKnown) complete.push(oldPrimary);
   const knownEnds = [
     isOldLogEndKnown ? oldPrimary.received : undefined,
-    successor && inheritedLogEnd(successor, responsive),
+    successor && inheritedLogEnd(input, successor, responsive),
   ];
   for (const end of knownEnds) {
     if (end !== undefined)
@@ -73,20 +84,38 @@
   if (held.length > 0 && isEndProven) {
     const ends = held.flatMap(({ received }) => received ?? []);
     const end = ends.reduce((left, right) => (comparePositions(left, right) >= 0 ? left : right));
-    complete.push(...held.filter((member) => hasReceived(member, end)));
+    if (coversAcknowledged(input, end, held)) {
+      complete.push(...held.filter((member) => hasReceived(member, end)));
+    }
   }
   return [...new Set(complete)];
 }
 
+/**
+ * Whether the end of the log that these members show can be relied on: it covers every commit known to be acknowledged,
+ * or the members are proven to be the incarnations that received them.
+ */
+function coversAcknowledged(
+  { acknowledged, syncReplicas }: CandidateInput,
+  end: Position,
+  members: readonly MemberObservation[],
+): boolean {
+  if (acknowledged === undefined || syncReplicas === 0) return true;
+  return hasReceived({ received: end }, acknowledged) || members.every((one) => one.isConfirmed);
+}
+
 /**
  * End of the log that a successor at the old primary's address took over. Undefined while that log may still grow, or
  * if another member has received more: then the successor started without the log.
  */
 function inheritedLogEnd(
-  { received, isStopped }: MemberObservation,
+  input: CandidateInput,
+  successor: MemberObservation,
   responsive: readonly MemberObservation[],
 ): Position | undefined {
+  const { received, isStopped } = successor;
   if (!isStopped || received === undefined) return undefined;
+  if (!coversAcknowledged(input, received, [successor])) return undefined;
   const isBehind = responsive.some(
     (member) => member.received !== undefined && !hasReceived({ received }, member.received),
   );
--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -3,6 +3,7 @@
  * Every step can be repeated: a later leader starts again from the records in the store.
  */
 import type { InstanceEntry, InstanceStatus } from '../../direct/contract.js';
+import type { Position } from '../position.js';
 import type { Milliseconds } from '../units.js';
 import type { PromotionCalls } from './calls.js';
 import {
@@ -14,6 +15,7 @@
 import type { ControlFailure } from './contract.js';
 import type { Election } from './election.js';
 import { GroupHold } from './hold.js';
+import { isOtherIncarnation } from './incarnations.js';
 import type { LeaderStore } from './leader-store.js';
 import type { Primaries } from './primaries.js';
 import { addressOfInstance, type ChangingRecord } from './records.js';
@@ -43,6 +45,8 @@
   #isOldPrimaryUnused: boolean;
   #newPrimary: { readonly instance: InstanceEntry; readonly term: number } | undefined;
   #isWriting = false;
+  /** Time since which the only candidates lack commits that were acknowledged. */
+  #withheldSince: Milliseconds | undefined;
   #cancelCandidateCheck = (): void => {};
   #lastProgressAt: Milliseconds;
   #leaderKeysReadAt: Milliseconds;
@@ -70,6 +74,7 @@
       replicas: members.filter(({ id }) => id !== record.from),
       term: record.term,
       isPresent: (id) => primaries.isRegistered(id),
+      isConfirmed: (entry, since) => primaries.isIncarnationConfirmed(entry, since, runtime.now),
       mayAct: () => context.election.mayAct(),
       onResponse: () => this.step(),
     });
@@ -167,11 +172,18 @@
       oldPrimary: this.#oldPrimaryObservation(),
       successor: this.#successorObservation(),
       syncReplicas: this.context.syncReplicasOf(this.service),
+      acknowledged: this.#acknowledgedPosition(),
       acceptsAny: runtime.now - this.#startedAt >= runtime.timings.betterCandidateWaitMs,
       isProofDisabled: runtime.isDisabled('hold'),
     };
   }
 
+  #acknowledgedPosition(): Position | undefined {
+    const { runtime, store } = this.context;
+    if (runtime.isDisabled('acknowledged-commits')) return undefined;
+    return store.acknowledgedPosition(this.service, this.record);
+  }
+
   /** Observed by this leader, or else reported by a node that demoted the old primary. */
   #oldPrimaryObservation(): MemberObservation | undefined {
     const own = this.#hold.observationOf(this.record.from);
@@ -183,8 +195,11 @@
   /** Another instance at the old primary's address: the old primary has stopped and this one took over its log. */
   #successorObservation(): MemberObservation | undefined {
     const { at } = this.record;
-    const successor = this.#replicas().find(({ host, port }) => {
-      return at !== undefined && host === at.host && port === at.port;
+    const oldPrimary = this.#entryOf(this.record.from);
+    const successor = this.#replicas().find((entry) => {
+      const isAtAddress = at !== undefined && entry.host === at.host && entry.port === at.port;
+      // A new incarnation of the old primary itself has none of its log.
+      return isAtAddress && !(oldPrimary !== undefined && isOtherIncarnation(oldPrimary, entry));
     });
     return successor && this.#hold.observationOf(successor.id);
   }
@@ -196,8 +211,30 @@
   }
 
   #recordCandidate(): void {
-    const candidate = chooseCandidate(this.#candidateInput());
+    const input = this.#candidateInput();
+    const candidate = chooseCandidate(input);
     if (candidate !== undefined) this.#writeCandidate(candidate.id);
+    else this.#awaitConfirmation(input);
+  }
+
+  /**
+   * If only the proof is missing that the members are the incarnations that count, it is there once their registrations
+   * have outlived their responses. Another leader would have to wait as long.
+   */
+  #awaitConfirmation(input: CandidateInput): void {
+    const withoutProof = chooseCandidate({ ...input, acknowledged: undefined });
+    if (withoutProof === undefined) return;
+    const { runtime } = this.context;
+    if (this.#withheldSince === undefined) {
+      this.#withheldSince = runtime.now;
+      runtime.log('warn', 'candidate withheld: it lacks acknowledged commits', {
+        ...{ service: this.service, change: this.record.change, candidate: withoutProof.id },
+        timeline: input.acknowledged?.timeline,
+        lsn: input.acknowledged?.lsn.toString(),
+      });
+    }
+    const waitedMs = runtime.now - this.#withheldSince;
+    if (waitedMs < runtime.timings.registrationExpiryMs) this.#lastProgressAt = runtime.now;
   }
 
   #writeCandidate(candidate: string | undefined): void {
@@ -347,5 +384,8 @@
 }
 
 function unobserved(entry: InstanceEntry) {
-  return { entry, received: undefined, isStopped: false, isRegistered: false, isReachable: false };
+  return {
+    ...{ entry, received: undefined, isStopped: false, isRegistered: false },
+    ...{ isReachable: false, isConfirmed: false },
+  };
 }
--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -179,6 +179,8 @@
   | 'forgotten-members'
   /** Suspicions from a moment at which members were silent, or from before the leader led, don't count at once. */
   | 'fresh-suspicions'
+  /** A candidate has every commit that a node has confirmed to a caller, or the members' incarnations are proven. */
+  | 'acknowledged-commits'
   /** What a query round proves is no newer than the proof that the node knows every member. */
   | 'current-members'
   /** A node's write permission ends with its lease, by its own clock. */
--- a/src/core/promotion/hold.ts
+++ b/src/core/promotion/hold.ts
@@ -15,6 +15,8 @@
 interface MemberState {
   readonly entry: InstanceEntry;
   status: InstanceStatus | undefined;
+  /** Time of the first status. */
+  respondingSince: Milliseconds;
   /** Time at which the call that returned this status was sent: a stalled process may read the response much later. */
   sentAt: Milliseconds;
   action: ControlAction;
@@ -30,6 +32,8 @@
   /** Highest known term. */
   readonly term: number;
   readonly isPresent: (id: string) => boolean;
+  /** Whether responses since then are proven to come from this incarnation of the instance. */
+  readonly isConfirmed: (entry: InstanceEntry, respondingSince: Milliseconds) => boolean;
   /** Whether this node is still the leader: a former leader would hold replicas that the next one has resumed. */
   readonly mayAct: () => boolean;
   /** Called after each response or failure. */
@@ -109,6 +113,7 @@
       isStopped: recent !== undefined && this.#isStopped(member, recent),
       isRegistered: this.options.isPresent(id),
       isReachable: recent !== undefined,
+      isConfirmed: this.options.isConfirmed(entry, member.respondingSince),
     };
   }
 
@@ -177,6 +182,7 @@
     if (answer === 'rejected') member.action = 'status';
     if (typeof answer === 'string') return;
     this.#lastResponseAt = this.runtime.now;
+    if (member.status === undefined) member.respondingSince = this.#lastResponseAt;
     if (sentAt < member.sentAt) return;
     // A primary's term is not adopted: a later primary is the new one, and the others are about to follow it.
     if (answer.role === 'replica') this.#term = Math.max(this.#term, answer.term);
@@ -193,5 +199,8 @@
 
 function memberState(entry: InstanceEntry, action: ControlAction): MemberState {
   const never = Number.NEGATIVE_INFINITY;
-  return { entry, status: undefined, sentAt: never, lastCallEndedAt: never, action, callCount: 0 };
+  return {
+    ...{ entry, action, status: undefined, respondingSince: Number.POSITIVE_INFINITY },
+    ...{ sentAt: never, lastCallEndedAt: never, callCount: 0 },
+  };
 }
--- a/src/core/promotion/leader-store.ts
+++ b/src/core/promotion/leader-store.ts
@@ -11,6 +11,7 @@
 import type { Election } from './election.js';
 import type { Primaries } from './primaries.js';
 import {
+  type AcknowledgementRecord,
   acknowledgementKeyOf,
   acknowledgementPrefixOf,
   decodeRecord,
@@ -201,11 +202,26 @@
 
   /** End of the old primary's log, as reported by the nodes that demoted it. */
   demotedLogEnd(service: string, { change }: PrimaryRecord): Position | undefined {
+    return this.#latestAcknowledged(service, change, ({ end }) => end);
+  }
+
+  /** Latest commit of the old primary that any node has confirmed to a caller. */
+  acknowledgedPosition(service: string, { change }: PrimaryRecord): Position | undefined {
+    return this.#latestAcknowledged(service, change, ({ acknowledged }) => acknowledged);
+  }
+
+  /** Latest of the positions that the nodes report with their acknowledgements of a change. */
+  #latestAcknowledged(
+    service: string,
+    change: number,
+    positionOf: (record: AcknowledgementRecord) => Position | undefined,
+  ): Position | undefined {
     let latest: Position | undefined;
     for (const entry of this.leaderView.entriesUnder(acknowledgementPrefixOf(service))) {
       const record = decodeRecord(entry, parseAcknowledgementRecord);
-      if (record?.change !== change || record.end === undefined) continue;
-      latest = latest === undefined ? record.end : laterPosition(latest, record.end);
+      const position = record?.change === change ? positionOf(record) : undefined;
+      if (position === undefined) continue;
+      latest = latest === undefined ? position : laterPosition(latest, position);
     }
     return latest;
   }
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -6,8 +6,10 @@
 import type { PeerAddress } from '../../peer/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
 import type { OwnerRoster, ReachableNode } from '../ownership/owner-roster.js';
+import type { Position } from '../position.js';
 import { KEEPER_GRACE_MS, type QuotaKeepers } from '../tenancy/quota-keepers.js';
 import type { Milliseconds } from '../units.js';
+import { AcknowledgedCommits } from './acknowledged-commits.js';
 import type { PrimaryUse, PromotionEffect, PromotionEvent } from './contract.js';
 import { Election } from './election.js';
 import { Leader } from './leader.js';
@@ -52,6 +54,7 @@
   readonly #election: Election;
   readonly #leader: Leader;
   readonly #suspicions: Suspicions;
+  readonly #commits = new AcknowledgedCommits();
   readonly #memberListProof: MemberListProof;
   /** Primary of each service as it was last announced. */
   readonly #announced = new Map<string, string | undefined>();
@@ -80,6 +83,7 @@
       this.#records,
       instanceOf,
       unlistedOf,
+      this.#commits,
     );
     this.#election = new Election(runtime, this.#lease, this.#participation, this.#records);
     this.#leader = new Leader(runtime, this.#election, this.#lease, this.#primaries, this.#records);
@@ -221,6 +225,11 @@
     return decodeRecord(this.#records.get(PEERS_KEY), parsePeersRecord)?.addresses ?? [];
   }
 
+  /** Notes a commit that is confirmed to its caller: no promotion may lose it. */
+  recordCommit(service: string, instance: string, position: Position): void {
+    this.#commits.record(service, instance, position);
+  }
+
   /** True if a success at the primary need not be reported, because nothing depends on it. */
   canIgnoreSuccess(service: string): boolean {
     return this.#election.fencingToken === undefined && this.#suspicions.isHealthy(service);
--- a/src/core/promotion/options.ts
+++ b/src/core/promotion/options.ts
@@ -42,6 +42,8 @@
    * which may be half a second after the last failed call.
    */
   readonly missingEntryReplaceAfterMs: Milliseconds;
+  /** Time without a heartbeat after which the registration of an instance has certainly expired. */
+  readonly registrationExpiryMs: Milliseconds;
   /** Time for which an instance whose registration is gone, with the store available, is still used. */
   readonly missingEntryUsableMs: Milliseconds;
   /** Time after which a member that is not registered and does not respond counts as dead. */
@@ -97,6 +99,7 @@
   suspicionPeriodMs: 1000,
   suspicionCooldownMs: 3000,
   missingEntryReplaceAfterMs: 2600,
+  registrationExpiryMs: 4600,
   missingEntryUsableMs: 5000,
   memberDeadAfterMs: 15_000,
   holdRetryPeriodMs: 150,
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -6,6 +6,7 @@
 import type { InstanceEntry } from '../../direct/contract.js';
 import type { Position } from '../position.js';
 import type { Milliseconds } from '../units.js';
+import type { AcknowledgedCommits } from './acknowledged-commits.js';
 import type { NodeLease } from './lease.js';
 import {
   acknowledgementKeyOf,
@@ -49,6 +50,7 @@
     private readonly instanceOf: (id: string) => InstanceEntry | undefined,
     /** Members that this node has seen and no record lists. */
     private readonly unlistedOf: (service: string) => readonly InstanceEntry[],
+    private readonly commits: AcknowledgedCommits,
   ) {}
 
   /** True if no promotion can be called without this node's acknowledgement. */
@@ -168,7 +170,8 @@
     const key = acknowledgementKeyOf(service, this.runtime.options.nodeName);
     const unlistedMembers = this.unlistedOf(service);
     const unlisted = unlistedMembers.length === 0 ? undefined : unlistedMembers;
-    const value = encodeAcknowledgement({ change, leaseId, end, unlisted });
+    const acknowledged = this.commits.latestAt(service, state.record.from);
+    const value = encodeAcknowledgement({ change, leaseId, end, acknowledged, unlisted });
     const put = { type: 'put', key, value, leaseId } as const;
     this.runtime.transaction([{ key, modRevision: knownRevision }], [put], (answer) => {
       if (this.#acknowledgements.get(service) !== state) return;
--- a/src/core/promotion/preflight.ts
+++ b/src/core/promotion/preflight.ts
@@ -6,6 +6,7 @@
 import { comparePositions } from '../position.js';
 import type { Milliseconds } from '../units.js';
 import type { ControlFailure } from './contract.js';
+import { isOtherIncarnation } from './incarnations.js';
 import type { ChangeReason } from './monitor.js';
 import type { PromotionRuntime } from './runtime.js';
 import type { Scope } from './scope.js';
@@ -113,10 +114,10 @@
   responses: ReadonlyMap<string, StatusResponse>,
 ): PreflightResult | undefined {
   if (responses.get(oldPrimary.id) !== 'refused') return undefined;
-  const successor = others.find(
-    ({ id, host, port }) =>
-      isRegistered(id) && host === oldPrimary.host && port === oldPrimary.port,
-  );
+  const successor = others.find((other) => {
+    const isAtAddress = other.host === oldPrimary.host && other.port === oldPrimary.port;
+    return isAtAddress && isRegistered(other.id) && !isOtherIncarnation(oldPrimary, other);
+  });
   const status = successor === undefined ? undefined : responses.get(successor.id);
   if (successor === undefined || typeof status !== 'object' || status.role !== 'primary') {
     return undefined;
--- a/src/core/promotion/primaries.ts
+++ b/src/core/promotion/primaries.ts
@@ -78,6 +78,20 @@
     );
   }
 
+  /**
+   * Whether a process that has responded for an instance since then is of this incarnation: the registration would have
+   * expired, or would name another one.
+   */
+  isIncarnationConfirmed(
+    { id, lifeOf }: InstanceEntry,
+    respondingSince: Milliseconds,
+    now: Milliseconds,
+  ): boolean {
+    if (lifeOf === undefined) return true;
+    const observedMs = now - Math.max(respondingSince, this.lastStoreFailureAt());
+    return this.isRegistered(id) && observedMs >= this.timings.registrationExpiryMs;
+  }
+
   /** Instances of a service that are registered now. */
   registeredInstances(service: string): InstanceEntry[] {
     return [...this.#instances.values()]
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -134,6 +134,8 @@
   readonly leaseId: string;
   /** End of the old primary's log, if this node demoted it. */
   readonly end: Position | undefined;
+  /** Latest commit of the old primary that this node has confirmed to a caller. */
+  readonly acknowledged?: Position | undefined;
   /** Members that this node has seen and no record lists; absent if there are none. */
   readonly unlisted?: readonly InstanceEntry[] | undefined;
 }
@@ -191,14 +193,20 @@
   readonly change: number;
 }
 
-/** Writes the log position as text, since JSON can't represent a bigint. */
 export function encodeAcknowledgement(record: AcknowledgementRecord): string {
-  const { change, leaseId, end, unlisted } = record;
-  const text = end && { timeline: end.timeline, lsn: end.lsn.toString() };
-  return JSON.stringify({ change, leaseId, end: text, unlisted });
+  const { end, acknowledged, ...rest } = record;
+  const positions = { end: encodePosition(end), acknowledged: encodePosition(acknowledged) };
+  return JSON.stringify({ ...rest, ...positions });
 }
 
-function parsePosition({ timeline, lsn }: UncheckedFields): Position | undefined {
+/** The number is written as text, since JSON can't represent a bigint. */
+function encodePosition(position: Position | undefined): object | undefined {
+  return position && { timeline: position.timeline, lsn: position.lsn.toString() };
+}
+
+function parsePosition(value: unknown): Position | undefined {
+  if (!isObject(value)) return undefined;
+  const { timeline, lsn } = value;
   if (!isNumber(timeline) || !isString(lsn) || !/^\d+$/.test(lsn)) return undefined;
   return { timeline, lsn: BigInt(lsn) };
 }
@@ -315,10 +323,12 @@
 export function parseAcknowledgementRecord(
   fields: UncheckedFields,
 ): AcknowledgementRecord | undefined {
-  const { change, leaseId, end, unlisted } = fields;
+  const { change, leaseId, end, acknowledged, unlisted } = fields;
   if (!isNumber(change) || !isString(leaseId)) return undefined;
-  const position = isObject(end) ? parsePosition(end) : undefined;
-  return { change, leaseId, end: position, unlisted: parseInstanceEntries(unlisted) };
+  return {
+    ...{ change, leaseId, end: parsePosition(end), acknowledged: parsePosition(acknowledged) },
+    unlisted: parseInstanceEntries(unlisted),
+  };
 }
 
 export function parseSuspicionRecord({ instance }: UncheckedFields): SuspicionRecord | undefined {
--- /dev/null
+++ b/src/core/promotion/reported-states.ts
@@ -0,0 +1,50 @@
+/**
+ * Latest state that each incarnation of an instance has reported to this node. A term never falls, and a log that has
+ * entries of its term loses none of them in that term. An answer that is behind was therefore given by a later
+ * incarnation, which responds under the same platform id before the store has its registration.
+ */
+import type { InstanceEntry, InstanceStatus } from '../../direct/contract.js';
+import { comparePositions, type Position } from '../position.js';
+
+export type ReportedState = Pick<InstanceStatus, 'term' | 'received'>;
+
+/** Instances that are remembered; the least recently added are dropped first. */
+const MAX_INSTANCES = 512;
+
+export class ReportedStates {
+  readonly #latest = new Map<string, ReportedState>();
+
+  latestOf({ id }: Pick<InstanceEntry, 'id'>): ReportedState | undefined {
+    return this.#latest.get(id);
+  }
+
+  /** Records an instance's status. */
+  record({ id, lifeOf }: Pick<InstanceEntry, 'id' | 'lifeOf'>, state: ReportedState): void {
+    if (lifeOf === undefined) return;
+    const known = this.#latest.get(id);
+    if (known !== undefined && state.term < known.term) return;
+    if (known === undefined && this.#latest.size >= MAX_INSTANCES) {
+      const [oldest] = this.#latest.keys();
+      if (oldest !== undefined) this.#latest.delete(oldest);
+    }
+    this.#latest.set(id, { term: state.term, received: state.received });
+  }
+
+  /** Records a position that the instance's log has reached: its term is at least that of the entry. */
+  recordPosition(instance: Pick<InstanceEntry, 'id' | 'lifeOf'>, position: Position): void {
+    const known = this.#latest.get(instance.id);
+    if (known !== undefined && comparePositions(known.received, position) >= 0) return;
+    const term = Math.max(known?.term ?? 0, position.timeline);
+    this.record(instance, { term, received: position });
+  }
+}
+
+/**
+ * Whether a state can't follow the one that the incarnation reported earlier. Entries of earlier terms may be rolled
+ * back, so that only the entries of the present term count.
+ */
+export function isBehind(state: ReportedState, earlier: ReportedState): boolean {
+  if (state.term !== earlier.term) return state.term < earlier.term;
+  if (earlier.received.timeline !== earlier.term) return false;
+  return comparePositions(state.received, earlier.received) < 0;
+}
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -49,6 +49,10 @@
 
   reportPrimarySuccess(): void {}
 
+  recordCommit(): void {}
+
+  recordPosition(): void {}
+
   liveNodeCount(): number {
     return 1;
   }
--- a/src/direct/commit-trust.ts
+++ b/src/direct/commit-trust.ts
@@ -74,12 +74,17 @@
   ): Promise<StatementOutcome> {
     const { view, now } = this.options;
     if (outcome.type !== 'answered' || outcome.answer.error !== undefined) return outcome;
-    if (view.mayTrustPrimary(service.name, now(), instance.id)) return outcome;
     const { position } = outcome.answer;
+    if (view.mayTrustPrimary(service.name, now(), instance.id)) {
+      if (position !== undefined) view.recordCommit(service.name, instance.id, position);
+      return outcome;
+    }
     const judged = await view.judgeCommits(service.name, instance.id, position);
     const verdict = judged ?? (await this.#judgeByReplication(service, instance, position));
     trace?.record({ step: 'commit-confirmed', verdict });
-    return verdict === 'safe' ? outcome : refuse('in-doubt', IN_DOUBT_TEXTS[verdict]);
+    if (verdict !== 'safe') return refuse('in-doubt', IN_DOUBT_TEXTS[verdict]);
+    if (position !== undefined) view.recordCommit(service.name, instance.id, position);
+    return outcome;
   }
 
   async #judgeByPositions(service: ServiceRuntime): Promise<CommitVerdict> {
--- a/src/direct/contract.ts
+++ b/src/direct/contract.ts
@@ -181,6 +181,8 @@
   readonly promotion: { readonly host: string; readonly port: number } | undefined;
   /** Bandwidth of this node's network link, if known. */
   readonly linkMbps?: number | undefined;
+  /** Time without a heartbeat after which the registration of an instance expires, if known. */
+  readonly registrationExpiryMs?: Milliseconds | undefined;
   /** The whole system starts for the first time: the store holds no record of the fleet yet. */
   readonly isFirstStart: boolean;
   /**
--- a/src/direct/promotion/incarnation-guard.ts
+++ b/src/direct/promotion/incarnation-guard.ts
@@ -1,24 +1,44 @@
 /** Limits control calls to one incarnation: a restarted instance must not respond for its predecessor. */
-import { errAsync } from 'neverthrow';
-import type { InstanceControl, InstanceEntry } from '../contract.js';
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+import type { MeadowstackError } from '../../core/errors.js';
+import { isBehind, type ReportedStates } from '../../core/promotion/reported-states.js';
+import type { InstanceControl, InstanceEntry, InstanceStatus } from '../contract.js';
 import { InstanceControlError } from '../errors.js';
 
-/** @param isReplaced whether a later incarnation of the instance has taken its place */
+type StatusResult = ResultAsync<InstanceStatus, MeadowstackError>;
+
+export interface IncarnationGuardOptions {
+  /** Whether a later incarnation of the instance is registered. */
+  readonly isReplaced: (instance: InstanceEntry) => boolean;
+  /** What the incarnations have reported so far; an answer that is behind is not theirs. */
+  readonly reported: ReportedStates;
+}
+
 export function rejectReplacedIncarnations(
   control: InstanceControl,
-  isReplaced: (instance: InstanceEntry) => boolean,
+  { isReplaced, reported }: IncarnationGuardOptions,
 ): InstanceControl {
-  const rejectReplaced = ({ id }: InstanceEntry) =>
-    errAsync(new InstanceControlError(`${id}: the instance has restarted since`, 'misrouted'));
+  const guard = (instance: InstanceEntry, call: () => StatusResult): StatusResult => {
+    if (isReplaced(instance)) return errAsync(hasRestarted(instance));
+    // Taken before the call: answers may arrive in another order.
+    const earlier = reported.latestOf(instance);
+    return call().andThen((status) => {
+      if (earlier !== undefined && isBehind(status, earlier)) {
+        return errAsync(hasRestarted(instance));
+      }
+      reported.record(instance, status);
+      return okAsync(status);
+    });
+  };
   return {
-    status: (instance, ...rest) =>
-      isReplaced(instance) ? rejectReplaced(instance) : control.status(instance, ...rest),
-    pause: (instance, ...rest) =>
-      isReplaced(instance) ? rejectReplaced(instance) : control.pause(instance, ...rest),
-    resume: (instance, ...rest) =>
-      isReplaced(instance) ? rejectReplaced(instance) : control.resume(instance, ...rest),
-    demote: (instance, ...rest) =>
-      isReplaced(instance) ? rejectReplaced(instance) : control.demote(instance, ...rest),
+    status: (instance, ...rest) => guard(instance, () => control.status(instance, ...rest)),
+    pause: (instance, ...rest) => guard(instance, () => control.pause(instance, ...rest)),
+    resume: (instance, ...rest) => guard(instance, () => control.resume(instance, ...rest)),
+    demote: (instance, ...rest) => guard(instance, () => control.demote(instance, ...rest)),
     close: () => control.close(),
   };
 }
+
+function hasRestarted({ id }: InstanceEntry): InstanceControlError {
+  return new InstanceControlError(`${id}: the instance has restarted since`, 'misrouted');
+}
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -14,6 +14,7 @@
 import type { MemberListState, PeerListReport } from '../../core/promotion/member-list-proof.js';
 import { DEFAULT_PROMOTION_TIMINGS, type PromotionTimings } from '../../core/promotion/options.js';
 import type { PeerLocation } from '../../core/promotion/records.js';
+import { ReportedStates } from '../../core/promotion/reported-states.js';
 import type { QuotaKeepers } from '../../core/tenancy/quota-keepers.js';
 import { MILLISECONDS_PER_SECOND, type Milliseconds } from '../../core/units.js';
 import type { Logger } from '../../observability/logger.js';
@@ -28,6 +29,8 @@
 import { RequestRunner } from './request-runner.js';
 import { TermConfirmation } from './term-confirmation.js';
 
+/** Time in which this node learns from the store that a registration has expired. */
+const REGISTRATION_DELAY_MS: Milliseconds = 1000;
 const MIN_CONFIRMATION_INTERVAL_MS = 60;
 /** Far above the store's usual response time, and short enough for the next round of queries to be on time. */
 const CONFIRM_MEMBERS_TIMEOUT_MS: Milliseconds = 150;
@@ -50,6 +53,8 @@
   /** Tenants have quotas, for which the leader names keepers. */
   readonly hasQuotas?: boolean | undefined;
   readonly isFirstStart?: boolean | undefined;
+  /** Time without a heartbeat after which the registration of an instance expires, if known. */
+  readonly registrationExpiryMs?: Milliseconds | undefined;
   /** Whether this node may open connections to an instance; true by default. */
   readonly mayConnect?: (instance: InstanceEntry) => boolean;
   readonly store: Store;
@@ -79,6 +84,7 @@
   readonly #runner: RequestRunner;
   readonly #confirmation: TermConfirmation;
   readonly #now: () => Milliseconds;
+  readonly #reportedStates = new ReportedStates();
   readonly #watches = new Map<number, () => void>();
   readonly #releaseWaiters: (() => void)[] = [];
   readonly #stopWaiters: (() => void)[] = [];
@@ -93,11 +99,12 @@
     const { nodeName, incarnation, store, promotion } = options;
     const isReplaced = (instance: InstanceEntry): boolean =>
       this.#machine.hasNewIncarnation(instance);
-    const control = rejectReplacedIncarnations(options.control, isReplaced);
+    const guard = { isReplaced, reported: this.#reportedStates };
+    const control = rejectReplacedIncarnations(options.control, guard);
     const statusControl =
       options.status &&
-      rejectReplacedIncarnations({ ...control, ...bindStatus(options.status) }, isReplaced);
-    const timings = { ...DEFAULT_PROMOTION_TIMINGS, ...options.timings };
+      rejectReplacedIncarnations({ ...options.control, ...bindStatus(options.status) }, guard);
+    const timings = { ...DEFAULT_PROMOTION_TIMINGS, ...expiryOf(options), ...options.timings };
     const minimumSeconds = Math.ceil(options.minimumLeaseMs / MILLISECONDS_PER_SECOND);
     const leaseSeconds = Math.max(timings.leaseSeconds, minimumSeconds);
     this.#now = options.now ?? (() => performance.now());
@@ -277,6 +284,14 @@
     return this.#machine.isChanging(service);
   }
 
+  recordCommit(service: string, instance: string, position: Position): void {
+    this.#machine.recordCommit(service, instance, position);
+  }
+
+  recordPosition(instance: InstanceEntry, position: Position): void {
+    this.#reportedStates.recordPosition(instance, position);
+  }
+
   reportPrimaryFailure(
     service: string,
     _now: Milliseconds,
@@ -425,3 +440,10 @@
 function bindStatus(status: Pick<InstanceControl, 'status'>): Pick<InstanceControl, 'status'> {
   return { status: (instance, timeoutMs) => status.status(instance, timeoutMs) };
 }
+
+function expiryOf({
+  registrationExpiryMs,
+}: Pick<PromotionServiceOptions, 'registrationExpiryMs'>): Partial<PromotionTimings> {
+  if (registrationExpiryMs === undefined) return {};
+  return { registrationExpiryMs: registrationExpiryMs + REGISTRATION_DELAY_MS };
+}
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -391,6 +391,7 @@
   ): void {
     const { view, now } = this.options;
     if (position === undefined) return;
+    view.recordPosition(instance.pool.instance, position);
     if (view.primaryOf(this.name)?.id !== instance.id) return;
     const isTrusted = view.mayTrustPrimary(this.name, now());
     if (!isProven && !isTrusted) return;
--- a/src/direct/snapshots/reported-primaries.ts
+++ b/src/direct/snapshots/reported-primaries.ts
@@ -116,6 +116,14 @@
     this.recorded.reportPrimarySuccess(service, now, use);
   }
 
+  recordCommit(service: string, instance: string, position: Position): void {
+    this.recorded.recordCommit(service, instance, position);
+  }
+
+  recordPosition(instance: InstanceEntry, position: Position): void {
+    this.recorded.recordPosition(instance, position);
+  }
+
   liveNodeCount(): number {
     return this.recorded.liveNodeCount();
   }
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -239,6 +239,10 @@
       const isPending = (): boolean => life === this.#incarnation && this.now < request.endsAt;
       platform.promote(this.name, this.name, request, isPending, onAnswer);
     } else if (request.type === 'control') {
+      if (this.machine?.hasNewIncarnation(request.instance)) {
+        this.#clock.after(0, () => onAnswer({ type: 'control-failed', failure: 'refused' }));
+        return;
+      }
       groups.get(request.instance.service)?.control(this.name, request, onAnswer);
     } else {
       store.request(this.name, request, onAnswer);
@@ -354,13 +358,14 @@
     const life = this.#incarnation;
     const write = { service, isGivenUp: false };
     this.#writes.add(write);
-    this.world.groups.get(service)?.write(this.name, primary, (reportToCaller) =>
+    this.world.groups.get(service)?.write(this.name, primary, (reportToCaller, position) =>
       this.#runWhenResumed(life, () => {
         this.#writes.delete(write);
         finish();
         this.#runIfTrusted(service, primary, 'commit', () => {
           if (write.isGivenUp) return;
           this.writesAcknowledged += 1;
+          this.machine?.recordCommit(service, primary, position);
           reportToCaller();
         });
       }),
--- a/test/unit/candidate.test.ts
+++ b/test/unit/candidate.test.ts
@@ -9,9 +9,13 @@
 interface Observed {
   readonly lsn?: bigint;
   readonly stopped?: boolean;
+  readonly confirmed?: boolean;
 }
 
-function observation(id: string, { lsn, stopped = true }: Observed): MemberObservation {
+function observation(
+  id: string,
+  { lsn, stopped = true, confirmed = false }: Observed,
+): MemberObservation {
   const place = { host: '10.0.0.1', port: 5000, zone: 'a' };
   return {
     entry: { id, service: 'orders', ...place, slots: 3, draining: false, role: 'replica' },
@@ -19,6 +23,7 @@
     isStopped: lsn !== undefined && stopped,
     isRegistered: true,
     isReachable: lsn !== undefined,
+    isConfirmed: confirmed,
   };
 }
 
@@ -27,10 +32,12 @@
 function provenIds(
   replicas: readonly MemberObservation[],
   successor?: MemberObservation,
+  { lsn, oldPrimary }: { lsn?: bigint; oldPrimary?: MemberObservation } = {},
 ): string[] {
   const question = {
-    oldPrimary: undefined,
+    oldPrimary,
     successor,
+    acknowledged: lsn === undefined ? undefined : { timeline: 4, lsn },
     syncReplicas: 1,
     acceptsAny: false,
     isProofDisabled: false,
@@ -60,4 +67,25 @@
   assert.equal(provenIds([empty, observation('held', { lsn: 9n }), SILENT], empty), []);
 });
 
+test('held members that lack an acknowledged commit prove nothing until all are confirmed', () => {
+  const empty = observation('empty', { lsn: 0n });
+  const behind = observation('behind', { lsn: 8n });
+  assert.equal(provenIds([empty, behind], undefined, { lsn: 9n }), []);
+  assert.equal(provenIds([empty, behind], undefined, { lsn: 8n }), ['behind']);
+  const confirmed = observation('empty', { lsn: 0n, confirmed: true });
+  assert.equal(provenIds([confirmed, behind], undefined, { lsn: 9n }), []);
+  const all = [confirmed, observation('behind', { lsn: 8n, confirmed: true })];
+  assert.equal(provenIds(all, undefined, { lsn: 9n }), ['behind']);
+});
+
+test('the end of a log that lacks an acknowledged commit is not that of the old primary', () => {
+  const replica = observation('replica', { lsn: 8n });
+  const empty = { oldPrimary: observation('old', { lsn: 0n }), lsn: 8n };
+  assert.equal(provenIds([replica, SILENT], undefined, empty), []);
+  const whole = { oldPrimary: observation('old', { lsn: 8n }), lsn: 8n };
+  assert.equal(provenIds([replica, SILENT], undefined, whole), ['old', 'replica']);
+  const successor = observation('successor', { lsn: 7n });
+  assert.equal(provenIds([successor, SILENT], successor, { lsn: 8n }), []);
+});
+
 test.run();
--- a/test/unit/direct/commit-trust.test.ts
+++ b/test/unit/direct/commit-trust.test.ts
@@ -32,6 +32,7 @@
 
 function trust({ trusted, ahead, commits, positions = 'unknown', answers = [] }: TrustScenario) {
   const queries: unknown[] = [];
+  const recorded: unknown[] = [];
   let time = 0;
   const nextAnswers = () => (answers.length > 1 ? answers.shift() : answers[0]) ?? [];
   const view = {
@@ -41,6 +42,7 @@
       queries.push(query);
       return Promise.resolve(commits);
     },
+    recordCommit: (...commit: unknown[]) => recorded.push(commit),
   } as unknown as PrimaryView;
   const prover = {
     examine: () => Promise.resolve(positions),
@@ -51,7 +53,7 @@
     time += 50;
     return time;
   };
-  return { commits: new CommitTrust({ view, prover, now }), queries };
+  return { commits: new CommitTrust({ view, prover, now }), queries, recorded };
 }
 
 function codeOf(outcome: StatementOutcome): string {
@@ -65,6 +67,19 @@
   assert.equal(queries, []);
 });
 
+test('commits that are confirmed to their callers are recorded, and no others', async () => {
+  for (const [situation, isConfirmed] of [
+    [{ trusted: PRIMARY.id }, true],
+    [{ commits: 'safe' }, true],
+    [{ commits: 'held' }, false],
+    [{ commits: 'unknown' }, false],
+  ] as const) {
+    const { commits, recorded } = trust(situation);
+    await commits.confirm(SERVICE, PRIMARY, DONE);
+    assert.equal(recorded, isConfirmed ? [[SERVICE.name, PRIMARY.id, POSITION]] : []);
+  }
+});
+
 test('a write that the members do not confirm is withheld, and the request trace records the verdict', async () => {
   for (const ahead of ['held', 'deposed', 'unknown'] as const) {
     const trace = new RequestTrace(0, () => 0);
--- a/test/unit/direct/reported-primaries.test.ts
+++ b/test/unit/direct/reported-primaries.test.ts
@@ -31,6 +31,8 @@
     isChanging: () => false,
     reportPrimaryFailure: () => {},
     reportPrimarySuccess: () => {},
+    recordCommit: () => {},
+    recordPosition: () => {},
     liveNodeCount: () => 1,
     ownerRoster: () => undefined,
   };
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -60,6 +60,8 @@
     onChange: () => {},
     reportPrimaryFailure: () => {},
     reportPrimarySuccess: () => {},
+    recordCommit: () => {},
+    recordPosition: () => {},
     liveNodeCount: () => 1,
     ownerRoster: () => undefined,
   };
--- a/test/unit/lives.test.ts
+++ b/test/unit/lives.test.ts
@@ -11,6 +11,7 @@
 import { DEFAULT_PROMOTION_TIMINGS } from '../../src/core/promotion/options.js';
 import { Primaries } from '../../src/core/promotion/primaries.js';
 import { parseInstanceEntry } from '../../src/core/promotion/records.js';
+import { ReportedStates } from '../../src/core/promotion/reported-states.js';
 import type { StoreView } from '../../src/core/promotion/store-view.js';
 import type { InstanceControl, InstanceEntry, InstanceStatus } from '../../src/direct/contract.js';
 import { classifyControlFailure } from '../../src/direct/instance-control.js';
@@ -32,6 +33,10 @@
   ...{ lagMs: 0, busySlots: 0, connections: 0 },
 };
 
+function stateOf(term: number, timeline: number, lsn: bigint): InstanceStatus {
+  return { ...STATUS, term, received: { timeline, lsn } };
+}
+
 test('two incarnations of one instance differ, and are not compared with those of another instance', () => {
   assert.ok(isOtherIncarnation(FIRST, SECOND));
   assert.not(isOtherIncarnation(FIRST, FIRST));
@@ -70,7 +75,10 @@
   const control: InstanceControl = {
     ...{ status: answer, pause: answer, resume: answer, demote: answer, close: () => {} },
   };
-  const checked = rejectReplacedIncarnations(control, ({ id }) => id === FIRST.id);
+  const checked = rejectReplacedIncarnations(control, {
+    isReplaced: ({ id }) => id === FIRST.id,
+    reported: new ReportedStates(),
+  });
   for (const call of [
     checked.status(FIRST, 100),
     checked.pause(FIRST, 4, 100),
@@ -85,4 +93,48 @@
   assert.equal((await checked.status(SECOND, 100))._unsafeUnwrap(), STATUS);
 });
 
+test('a response that is behind what the incarnation has reported is refused', async () => {
+  const reported = new ReportedStates();
+  let status = stateOf(3, 3, 40n);
+  const answer = () => okAsync(status);
+  const control: InstanceControl = {
+    ...{ status: answer, pause: answer, resume: answer, demote: answer, close: () => {} },
+  };
+  const checked = rejectReplacedIncarnations(control, { isReplaced: () => false, reported });
+  const isRefused = async (next: InstanceStatus): Promise<boolean> => {
+    status = next;
+    const failure = await checked.status(FIRST, 100).match(
+      () => undefined,
+      (cause) => classifyControlFailure(cause),
+    );
+    return failure === 'refused';
+  };
+  assert.not(await isRefused(stateOf(3, 3, 40n)));
+  assert.ok(await isRefused(stateOf(3, 0, 0n)), 'an empty log in the same term');
+  assert.ok(await isRefused(stateOf(0, 0, 0n)), 'an earlier term');
+  assert.not(await isRefused(stateOf(3, 3, 41n)), 'the incarnation itself');
+  assert.not(await isRefused(stateOf(4, 3, 35n)), 'rolled back by a later primary');
+  assert.not(await isRefused(stateOf(4, 3, 30n)), 'entries of an earlier term may be rolled back');
+  reported.recordPosition(FIRST, { timeline: 4, lsn: 50n });
+  assert.ok(await isRefused(stateOf(4, 4, 49n)), 'behind the position of a statement');
+  assert.not(await isRefused(stateOf(4, 4, 50n)));
+  const { lifeOf: _, ...withoutIncarnation } = FIRST;
+  reported.record(withoutIncarnation, stateOf(9, 9, 9n));
+  assert.not(await isRefused(stateOf(4, 4, 51n)), 'an id without incarnations has one');
+});
+
+test('an answer counts by what was reported before its call', async () => {
+  const reported = new ReportedStates();
+  const answers = [stateOf(3, 3, 41n), stateOf(3, 3, 40n)].map((status) => okAsync(status));
+  const answer = () => answers.pop() ?? okAsync(STATUS);
+  const control: InstanceControl = {
+    ...{ status: answer, pause: answer, resume: answer, demote: answer, close: () => {} },
+  };
+  const checked = rejectReplacedIncarnations(control, { isReplaced: () => false, reported });
+  const earlier = checked.status(FIRST, 100);
+  const later = checked.status(FIRST, 100);
+  assert.ok((await later).isOk());
+  assert.ok((await earlier).isOk(), 'a response that was overtaken');
+});
+
 test.run();
--- a/test/unit/platform/settings.test.ts
+++ b/test/unit/platform/settings.test.ts
@@ -38,6 +38,7 @@
     store: { host: '10.200.1.7', port: 8783, minimumLeaseMs: 1000 },
     promotion: { host: '10.200.0.160', port: 8783 },
     linkMbps: undefined,
+    registrationExpiryMs: undefined,
     isFirstStart: false,
     gracePeriodMs: 6000,
     drainTimeoutMs: 7000,
@@ -47,6 +48,12 @@
   });
 });
 
+test('a registration expires after three heartbeats', () => {
+  const { registrationExpiryMs } = settingsOf({ heartbeat_interval_ms: 1200 })._unsafeUnwrap();
+  assert.is(registrationExpiryMs, 3600);
+  assert.equal(fieldsOf({ heartbeat_interval_ms: 'soon' }), ['heartbeat_interval_ms']);
+});
+
 test('the revocation bound applies only if revocation is strict, and quotas only if the contract lists them', () => {
   const bounds = { grace_period_s: 6, drain_timeout_ms: 7000, contact_timeout_ms: 4000 };
   const strict = { ...bounds, strict_revocation: true, revoke_timeout_ms: 5000, quota_slack: 20 };
