A read at a primary requires the position that it has reported: one that started again without its log refuses it

What callers would see: reads on `primary` routes that miss every commit, for seconds, after a primary started again under its id without its log and cut off from the store. Found by a test that sought other places where a new incarnation counts as the last. Cause: a read at the primary named no position, since a primary has every commit by definition; the new incarnation, a replica until it is known, refuses writes but runs reads on its empty log. Change: reads at a primary whose registration tells its start are sent with the newest position that it has reported; a new incarnation answers LAGGING, and nothing runs.

--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -161,10 +161,24 @@
       this.options.view.mayTrustPrimary(service.name, now) ||
       this.options.prover.covers(service, instance.id, beganAt);
     if (includesReads(placement) && !isTrusted) return undefined;
-    return { instance, after: access === 'read' ? after : undefined };
+    if (access !== 'read') return { instance, after: undefined };
+    return { instance, after: after ?? positionReportedBy(instance, service) };
   }
 }
 
+/**
+ * The newest position that the primary has reported: a new incarnation, which responds under the same platform id and
+ * has none of its log, refuses a read that requires it.
+ */
+function positionReportedBy(
+  { id, pool }: InstanceRuntime,
+  service: ServiceRuntime,
+): Position | undefined {
+  if (pool.instance.lifeOf === undefined) return undefined;
+  const sample = service.newestSample();
+  return sample?.instanceId === id ? sample.position : undefined;
+}
+
 /** The expected response times of the chosen instance and of the others, for the trace. */
 function expectedTimesOf(
   chosenId: string,
--- a/test/integration/direct/new-incarnation.test.ts
+++ b/test/integration/direct/new-incarnation.test.ts
@@ -6,6 +6,7 @@
 import { LoadClient } from '../../support/direct-load.js';
 import { until } from '../../support/until.js';
 
+const SERVICE = 'orders';
 const PRIMARY = 'i-orders-1';
 const CURRENT_REPLICA = 'i-orders-2';
 const STALLED_REPLICA = 'i-orders-3';
@@ -62,6 +63,16 @@
   await stopAndCheckViolations();
 });
 
+test('a primary that starts again without its log is replaced, and serves no read from its empty log', async () => {
+  await cluster.platform.set(`/instances/${PRIMARY}/faults`, { isSilentToStore: true });
+  await startAgain(PRIMARY);
+  await cluster.platform.waitForNewPrimary(SERVICE, PRIMARY);
+  await awaitWrites(10);
+  await cluster.platform.set(`/instances/${PRIMARY}/faults`, { isSilentToStore: false });
+  await awaitWrites(10);
+  await stopAndCheckViolations();
+});
+
 test('a replica that starts again without its log joins as a new member', async () => {
   await startAgain(CURRENT_REPLICA);
   await awaitWrites(10);
