The latest confirmed commit of a service counts whichever primary acknowledged it

After a change of primary and one back, with no commit of its own at the first one since, it told no position, though a candidate must have the commits of both.

--- a/src/core/promotion/leader-store.ts
+++ b/src/core/promotion/leader-store.ts
@@ -205,7 +205,7 @@
     return this.#latestAcknowledged(service, change, ({ end }) => end);
   }
 
-  /** Latest commit of the old primary that any node has confirmed to a caller. */
+  /** Latest commit of the service that a node has confirmed to a caller. */
   acknowledgedPosition(service: string, { change }: PrimaryRecord): Position | undefined {
     return this.#latestAcknowledged(service, change, ({ acknowledged }) => acknowledged);
   }
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -226,8 +226,8 @@
   }
 
   /** Notes a commit that is confirmed to its caller: no promotion may lose it. */
-  recordCommit(service: string, instance: string, position: Position): void {
-    this.#commits.record(service, instance, position);
+  recordCommit(service: string, position: Position): void {
+    this.#commits.record(service, position);
   }
 
   /** True if a success at the primary need not be reported, because nothing depends on it. */
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -170,7 +170,7 @@
     const key = acknowledgementKeyOf(service, this.runtime.options.nodeName);
     const unlistedMembers = this.unlistedOf(service);
     const unlisted = unlistedMembers.length === 0 ? undefined : unlistedMembers;
-    const acknowledged = this.commits.latestAt(service, state.record.from);
+    const acknowledged = this.commits.latestOf(service);
     const value = encodeAcknowledgement({ change, leaseId, end, acknowledged, unlisted });
     const put = { type: 'put', key, value, leaseId } as const;
     this.runtime.transaction([{ key, modRevision: knownRevision }], [put], (answer) => {
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -134,7 +134,7 @@
   readonly leaseId: string;
   /** End of the old primary's log, if this node demoted it. */
   readonly end: Position | undefined;
-  /** Latest commit of the old primary that this node has confirmed to a caller. */
+  /** Latest commit of the service that this node has confirmed to a caller. */
   readonly acknowledged?: Position | undefined;
   /** Members that this node has seen and no record lists; absent if there are none. */
   readonly unlisted?: readonly InstanceEntry[] | undefined;
--- a/src/direct/commit-trust.ts
+++ b/src/direct/commit-trust.ts
@@ -76,14 +76,14 @@
     if (outcome.type !== 'answered' || outcome.answer.error !== undefined) return outcome;
     const { position } = outcome.answer;
     if (view.mayTrustPrimary(service.name, now(), instance.id)) {
-      if (position !== undefined) view.recordCommit(service.name, instance.id, position);
+      if (position !== undefined) view.recordCommit(service.name, position);
       return outcome;
     }
     const judged = await view.judgeCommits(service.name, instance.id, position);
     const verdict = judged ?? (await this.#judgeByReplication(service, instance, position));
     trace?.record({ step: 'commit-confirmed', verdict });
     if (verdict !== 'safe') return refuse('in-doubt', IN_DOUBT_TEXTS[verdict]);
-    if (position !== undefined) view.recordCommit(service.name, instance.id, position);
+    if (position !== undefined) view.recordCommit(service.name, position);
     return outcome;
   }
 
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -66,7 +66,7 @@
   /** Reports that the primary responded or, with `commit`, that it acknowledged a commit. */
   reportPrimarySuccess(service: string, now: Milliseconds, use?: PrimaryUse): void;
   /** Notes a commit that is about to be confirmed to its caller: no promotion may lose it. */
-  recordCommit(service: string, instance: string, position: Position): void;
+  recordCommit(service: string, position: Position): void;
   /** Notes a position that the log of an instance has reached. */
   recordPosition(instance: InstanceEntry, position: Position): void;
   /** True while this node is the one that detects failed primaries. */
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -284,8 +284,8 @@
     return this.#machine.isChanging(service);
   }
 
-  recordCommit(service: string, instance: string, position: Position): void {
-    this.#machine.recordCommit(service, instance, position);
+  recordCommit(service: string, position: Position): void {
+    this.#machine.recordCommit(service, position);
   }
 
   recordPosition(instance: InstanceEntry, position: Position): void {
--- a/src/direct/snapshots/reported-primaries.ts
+++ b/src/direct/snapshots/reported-primaries.ts
@@ -116,8 +116,8 @@
     this.recorded.reportPrimarySuccess(service, now, use);
   }
 
-  recordCommit(service: string, instance: string, position: Position): void {
-    this.recorded.recordCommit(service, instance, position);
+  recordCommit(service: string, position: Position): void {
+    this.recorded.recordCommit(service, position);
   }
 
   recordPosition(instance: InstanceEntry, position: Position): void {
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -365,7 +365,7 @@
         this.#runIfTrusted(service, primary, 'commit', () => {
           if (write.isGivenUp) return;
           this.writesAcknowledged += 1;
-          this.machine?.recordCommit(service, primary, position);
+          this.machine?.recordCommit(service, position);
           reportToCaller();
         });
       }),
--- a/test/unit/direct/commit-trust.test.ts
+++ b/test/unit/direct/commit-trust.test.ts
@@ -76,7 +76,7 @@
   ] as const) {
     const { commits, recorded } = trust(situation);
     await commits.confirm(SERVICE, PRIMARY, DONE);
-    assert.equal(recorded, isConfirmed ? [[SERVICE.name, PRIMARY.id, POSITION]] : []);
+    assert.equal(recorded, isConfirmed ? [[SERVICE.name, POSITION]] : []);
   }
 });
 
