A session keeps the position of its last write for each service: it reads its own commits after its route has moved and come back

Cause: CallerSession kept the last position for one service; a write at a second one replaced it. Ruled out: keeping positions by route (a route's name may go and come back), and dropping those of services that the configuration no longer has (they may return). Change: the SessionState of the PostgreSQL gateway, limited to the 16 services used last; the others are unknown, and an unknown position is read at the primary, as is one after an acknowledged write without a position, which was forgotten before.

--- a/src/core/session/state.ts
+++ b/src/core/session/state.ts
@@ -26,7 +26,8 @@
   | 'unconfirmed';
 
 const UNKNOWN_REQUIREMENT: SessionRequirement = { type: 'unknown' };
-const UNTOUCHED_REQUIREMENT: SessionRequirement = { type: 'known', position: ZERO_POSITION };
+/** Requirement of a session that has not accessed a group. */
+export const UNTOUCHED_REQUIREMENT: SessionRequirement = { type: 'known', position: ZERO_POSITION };
 
 /** State of a new session: the caller sent neither a token nor a session id. */
 export function freshSession(): SessionState {
@@ -73,6 +74,13 @@
   return withGroup(state, group, UNKNOWN_REQUIREMENT);
 }
 
+/** Drops the least recently used groups beyond `maxGroups`: what the session knew of them is unknown from then on. */
+export function limitGroups(state: SessionState, maxGroups: number): SessionState {
+  const excess = state.groups.size - maxGroups;
+  if (excess <= 0) return state;
+  return { groups: new Map([...state.groups].slice(excess)), unlistedGroups: 'unknown' };
+}
+
 /**
  * Merges two states of the same session, such as those from its token and its home nodes. Positions
  * known to both are valid, so the later one is used. A group that either side does not know stays
--- a/src/direct/caller-session.ts
+++ b/src/direct/caller-session.ts
@@ -6,6 +6,13 @@
 import { createHash } from 'node:crypto';
 import type { Position } from '../core/position.js';
 import { refusalRetryDelay } from '../core/retry/refusal-retry-delay.js';
+import {
+  freshSession,
+  limitGroups,
+  markUnknown,
+  observe,
+  requirementFor,
+} from '../core/session/state.js';
 import type { PreparedStatement } from '../core/statements/session-values.js';
 import { SessionVariables } from '../core/statements/session-variables.js';
 import type {
@@ -34,6 +41,8 @@
 import { timeoutAfterInput } from './within.js';
 
 const SHARED_NAME_LENGTH = 16;
+/** Services whose last write a session remembers; in others that it may have written to, only the primary serves it. */
+const MAX_WRITTEN_SERVICES = 16;
 /** Retry delay suggested to callers while the primary is being replaced; longer than the usual one. */
 const RETRY_DURING_PRIMARY_CHANGE_MS = 500;
 /** Maximum number of pipelined messages of a caller. */
@@ -105,8 +114,8 @@
   readonly #variables = new SessionVariables(sharedNameOf, () => this.#maxEntries());
   #transaction: Transaction | undefined;
   #state: TransactionState = 'idle';
-  #lastWritten: Position | undefined;
-  #writtenService: string | undefined;
+  /** Positions of the session's last writes, by service: its route may move to another one and back. */
+  #writes = freshSession();
   readonly #inFlight = new InFlightStatements();
   readonly #queue: CallerMessage[] = [];
   #busy = false;
@@ -560,9 +569,9 @@
 
   #request({ route, service, tenant, account }: ResolvedRoute): RequestBase {
     const now = this.options.now();
-    const lastWritten = this.#writtenService === service.name ? this.#lastWritten : undefined;
+    const requirement = requirementFor(this.#writes, service.name);
     return {
-      session: { values: this.#variables.values, lastWritten, inFlight: this.#inFlight },
+      session: { values: this.#variables.values, requirement, inFlight: this.#inFlight },
       tenant,
       account,
       beganAt: now,
@@ -573,8 +582,12 @@
 
   #recordWritten(outcome: StatementOutcome, service: ServiceRuntime): void {
     if (outcome.type !== 'answered' || outcome.answer.error !== undefined) return;
-    this.#lastWritten = outcome.answer.position;
-    this.#writtenService = service.name;
+    const { position } = outcome.answer;
+    const written =
+      position === undefined
+        ? markUnknown(this.#writes, service.name)
+        : observe(this.#writes, service.name, position, 'confirmed-primary');
+    this.#writes = limitGroups(written, MAX_WRITTEN_SERVICES);
   }
 
   #answer(outcome: StatementOutcome): void {
--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -1,6 +1,6 @@
 /** Chooses the instance for a statement or transaction, and the log position that it requires there. */
 import { laterPosition, type Position } from '../core/position.js';
-import type { Access } from '../core/request.js';
+import type { Access, SessionRequirement } from '../core/request.js';
 import { rankInstances } from '../core/statements/instance-choice.js';
 import { LaggingReplicas } from '../core/statements/lagging-replicas.js';
 import type { StatementErrorCode } from '../core/statements/statement.js';
@@ -24,8 +24,8 @@
 /** The state of a session that its statements depend on. */
 export interface SessionContext {
   readonly values: ReadonlyMap<string, string>;
-  /** Position of the session's last write in the service's log. */
-  readonly lastWritten: Position | undefined;
+  /** The session's last write in the service's log, for routes on which its reads must see it. */
+  readonly requirement: SessionRequirement;
   /** Statements of the session that an instance may still run, even after their caller got a response or a timeout. */
   readonly inFlight: InFlightStatements;
 }
@@ -202,7 +202,7 @@
 function requiredPosition(placement: Placement, now: Milliseconds): Position | undefined {
   const { route, service, session } = placement;
   const required = service.samples.requiredAt(now, route.maxStalenessMs - STALENESS_MARGIN_MS);
-  const { lastWritten } = session;
-  if (required === undefined || lastWritten === undefined) return required;
-  return route.consistency === 'read-your-writes' ? laterPosition(required, lastWritten) : required;
+  if (required === undefined || route.consistency !== 'read-your-writes') return required;
+  const { requirement } = session;
+  return requirement.type === 'known' ? laterPosition(required, requirement.position) : undefined;
 }
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
+import { UNTOUCHED_REQUIREMENT } from '../../../src/core/session/state.js';
 import { resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
 import { Cancellation, listenToAll } from '../../../src/direct/cancellation.js';
 import type { RouteDescription } from '../../../src/direct/contract.js';
@@ -90,7 +91,11 @@
     beganAt: 0,
     route: ROUTE,
     tenant: newTenant(),
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
   } as unknown as Placement;
   return { runner, placement, proofs: () => proofs };
 }
@@ -141,7 +146,11 @@
     deadline: DEADLINE_MS,
     route: ROUTE,
     tenant: newTenant(),
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
   } as unknown as StatementRequest);
   assert.is(outcome.type, 'refused');
   assert.ok(connectAttempts < TARGET_LATENCY_MS);
@@ -220,7 +229,11 @@
   const outcome = await runner.run({
     ...{ access: 'write', service, beganAt, deadline: beganAt + LONG_MS, tenant: newTenant() },
     ...{ route: ROUTE, prepared: undefined },
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
     encode: () => lineWire.encodeStatement('s1', 'WRITE k v', undefined),
   });
   return { outcome, sent };
@@ -293,7 +306,11 @@
   const outcome = await runner.run({
     ...{ access: 'read', service, beganAt: 0, deadline: LONG_MS, tenant: newTenant(), route },
     prepared: undefined,
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
     encode: () => lineWire.encodeStatement('s1', 'READ k', undefined),
   });
   assert.is(outcome.type, 'answered');
@@ -354,7 +371,7 @@
   const outcome = await runner.run({
     ...{ access: 'read', service, beganAt, deadline: beganAt + LONG_MS, tenant: newTenant() },
     route: { ...ROUTE, consistency: 'bounded-staleness', maxStalenessMs: 1500 },
-    session: { values: new Map(), lastWritten: undefined, inFlight },
+    session: { values: new Map(), requirement: UNTOUCHED_REQUIREMENT, inFlight },
     prepared: undefined,
     encode: () => lineWire.encodeStatement('s1', 'READ k', undefined),
   });
@@ -410,7 +427,11 @@
   const outcome = await runner.run({
     ...{ access: 'write', service, beganAt: 0, deadline: DEADLINE_MS, tenant: newTenant() },
     ...{ route: ROUTE, prepared: undefined },
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
     encode: () => lineWire.encodeStatement('s1', 'WRITE k v', undefined),
   });
   return { outcome, sent };
@@ -459,7 +480,11 @@
   const outcome = await runner.run({
     ...{ access: 'write', service, beganAt: 0, deadline: DEADLINE_MS, tenant },
     ...{ route: ROUTE, prepared: undefined },
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
     encode: () => lineWire.encodeStatement('s1', 'WRITE k v', undefined),
   });
   assert.is(outcome.type === 'refused' && outcome.refusal.code, 'busy');
@@ -510,7 +535,11 @@
   await runner.run({
     ...{ access: 'write', service, beganAt, deadline: beganAt + SHORT_WAIT_MS },
     ...{ route: ROUTE, tenant: newTenant(), prepared: undefined, encode: () => '' },
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
   } as unknown as StatementRequest);
   return reports;
 }
--- a/test/unit/direct/target-chooser.test.ts
+++ b/test/unit/direct/target-chooser.test.ts
@@ -1,6 +1,8 @@
 /** The log position that a read requires, and the instance chosen for it. */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import type { SessionRequirement } from '../../../src/core/request.js';
+import { UNTOUCHED_REQUIREMENT } from '../../../src/core/session/state.js';
 import { PositionSamples } from '../../../src/core/statements/position-samples.js';
 import type { RouteDescription } from '../../../src/direct/contract.js';
 import type { FleetPlacement } from '../../../src/direct/fleet-placement.js';
@@ -38,7 +40,7 @@
       service: service as unknown as ServiceRuntime,
       beganAt: NOW,
     },
-    session: { values: new Map(), lastWritten: undefined },
+    session: { values: new Map(), requirement: UNTOUCHED_REQUIREMENT },
   } as unknown as Placement;
   return chooser.choose(placement, new Set())?.after?.lsn;
 }
@@ -51,6 +53,21 @@
   assert.is(requiredOf([2600, 2450, 100]), 3n);
 });
 
+test('a session that may have written to the service beyond what is remembered reads at the primary', () => {
+  const { chooser, read } = chooserWith(undefined);
+  const primary = { id: 'primary', pool: { health: { isStalled: () => false }, instance: {} } };
+  const service = { ...read.service, primary: () => primary } as unknown as ServiceRuntime;
+  const route = { ...ROUTE, consistency: 'read-your-writes' as const };
+  const targetFor = (requirement: SessionRequirement) => {
+    const session = { ...read.session, requirement };
+    return chooser.choose({ ...read, route, service, session }, new Set());
+  };
+  assert.is(targetFor({ type: 'unknown' })?.instance.id, 'primary');
+  const known = targetFor({ type: 'known', position: { timeline: 1, lsn: 9n } });
+  assert.is(known?.instance.id, 'near');
+  assert.is(known?.after?.lsn, 9n);
+});
+
 /** A chooser and a read for a service with a replica in this zone, a replica in another zone, and the primary. */
 function chooserWith(placement: FleetPlacement | undefined) {
   const samples = new PositionSamples();
@@ -78,7 +95,7 @@
   const trace = new RequestTrace(NOW, () => NOW);
   const read = {
     ...{ access: 'read', route: ROUTE, service: service as unknown as ServiceRuntime, trace },
-    session: { values: new Map(), lastWritten: undefined },
+    session: { values: new Map(), requirement: UNTOUCHED_REQUIREMENT },
   } as unknown as Placement;
   return { chooser, read, trace };
 }
--- a/test/unit/direct/tenant.test.ts
+++ b/test/unit/direct/tenant.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
+import { UNTOUCHED_REQUIREMENT } from '../../../src/core/session/state.js';
 import { type RoutePolicy, resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
 import { AnnouncedPrimaryView } from '../../../src/direct/announced-primary-view.js';
 import type { InstanceEntry, RouteDescription } from '../../../src/direct/contract.js';
@@ -94,7 +95,11 @@
   const trace = new RequestTrace(beganAt, now);
   const outcome = await runner.run({
     ...{ access: 'write', route: ROUTE, service, tenant, prepared: undefined },
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
     ...{ beganAt, trace },
     deadline: beganAt + ROUTE.timeoutMs,
     encode: () => '',
--- a/test/unit/direct/transaction.test.ts
+++ b/test/unit/direct/transaction.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { lineWire } from '../../../platform/line-wire.js';
+import { UNTOUCHED_REQUIREMENT } from '../../../src/core/session/state.js';
 import type { StatementAnswer } from '../../../src/core/statements/statement.js';
 import { resolveRoutePolicy } from '../../../src/core/tenancy/route-template.js';
 import type { RouteDescription } from '../../../src/direct/contract.js';
@@ -75,7 +76,11 @@
   const beganAt = now();
   const req: TransactionRequest = {
     ...{ access: 'read', tenant, prepared: undefined, beganAt, deadline: beganAt + DEADLINE_MS },
-    session: { values: new Map(), lastWritten: undefined, inFlight: new InFlightStatements() },
+    session: {
+      values: new Map(),
+      requirement: UNTOUCHED_REQUIREMENT,
+      inFlight: new InFlightStatements(),
+    },
     encode: () => lineWire.encodeStatement('s1', 'READ k', undefined),
   };
   return { run: () => transaction.run(req), usedInstances };
--- a/test/unit/session.test.ts
+++ b/test/unit/session.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import type { Position } from '../../src/core/position.js';
 import {
   checkPosition,
   combineAnswers,
@@ -9,6 +10,7 @@
   type HomeNodeAnswer,
   homeNodesOf,
   isRecorded,
+  limitGroups,
   MAX_TOKEN_BYTES,
   markUnknown,
   mergeSessions,
@@ -163,4 +165,19 @@
   assert.not(isRecorded(0, 0));
 });
 
+test('beyond the limit the least recently used groups are unknown, not untouched', () => {
+  const written = ['orders', 'ledger', 'stock', 'orders'].reduce(
+    (state, group, index) =>
+      observe(state, group, { timeline: 1, lsn: BigInt(index + 1) }, 'confirmed-primary'),
+    freshSession(),
+  );
+  assert.is(limitGroups(written, 3), written);
+  const limited = limitGroups(written, 2);
+  assert.equal([...limited.groups.keys()], ['stock', 'orders']);
+  assert.equal(requirementFor(limited, 'ledger'), { type: 'unknown' });
+  assert.equal(requirementFor(limited, 'never used'), { type: 'unknown' });
+  const { position } = requirementFor(limited, 'orders') as { position: Position };
+  assert.equal(position, { timeline: 1, lsn: 4n });
+});
+
 test.run();
