A node relies on a primary only once that incarnation has reported itself as primary

What callers would see: stale reads on all routes, for seconds, at a node that started after a primary had lost its log (started again under its id, cut off from the store), until the primary is replaced. A node that has just started has none; it took the position of the empty log for the primary's. Change: where registrations tell incarnations apart, a node asks for the role when it first relies on a primary. Until then the proofs by the members apply, as without a lease. An answer behind the primary's newest one before it was sent ends the trust, and positions alone prove no primary whose role is unknown.

--- a/src/core/promotion/reported-states.ts
+++ b/src/core/promotion/reported-states.ts
@@ -13,19 +13,36 @@
 
 export class ReportedStates {
   readonly #latest = new Map<string, ReportedState>();
+  /** Ids of incarnations that have reported themselves as primary. */
+  readonly #primaries = new Set<string>();
 
   latestOf({ id }: Pick<InstanceEntry, 'id'>): ReportedState | undefined {
     return this.#latest.get(id);
   }
 
+  /** Whether the incarnation has reported itself as primary; a later one starts as a replica. */
+  hasBeenPrimary({ id, lifeOf }: Pick<InstanceEntry, 'id' | 'lifeOf'>): boolean {
+    return lifeOf === undefined || this.#primaries.has(id);
+  }
+
+  /** Notes that a later incarnation responds for this one. */
+  recordRestart({ id }: Pick<InstanceEntry, 'id'>): void {
+    this.#primaries.delete(id);
+  }
+
   /** Records an instance's status. */
-  record({ id, lifeOf }: Pick<InstanceEntry, 'id' | 'lifeOf'>, state: ReportedState): void {
+  recordStatus(instance: Pick<InstanceEntry, 'id' | 'lifeOf'>, status: InstanceStatus): void {
+    if (status.role === 'primary') this.#primaries.add(instance.id);
+    this.#record(instance, status);
+  }
+
+  #record({ id, lifeOf }: Pick<InstanceEntry, 'id' | 'lifeOf'>, state: ReportedState): void {
     if (lifeOf === undefined) return;
     const known = this.#latest.get(id);
     if (known !== undefined && state.term < known.term) return;
     if (known === undefined && this.#latest.size >= MAX_INSTANCES) {
       const [oldest] = this.#latest.keys();
-      if (oldest !== undefined) this.#latest.delete(oldest);
+      if (oldest !== undefined) this.#forget(oldest);
     }
     this.#latest.set(id, { term: state.term, received: state.received });
   }
@@ -35,7 +52,12 @@
     const known = this.#latest.get(instance.id);
     if (known !== undefined && comparePositions(known.received, position) >= 0) return;
     const term = Math.max(known?.term ?? 0, position.timeline);
-    this.record(instance, { term, received: position });
+    this.#record(instance, { term, received: position });
+  }
+
+  #forget(id: string): void {
+    this.#latest.delete(id);
+    this.#primaries.delete(id);
   }
 }
 
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -53,6 +53,12 @@
 
   recordPosition(): void {}
 
+  recordRestart(): void {}
+
+  hasBeenPrimary(): boolean {
+    return true;
+  }
+
   liveNodeCount(): number {
     return 1;
   }
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -164,6 +164,7 @@
       now,
       counters: this.counters,
       confirmPrimary: (service, instanceId) => view.confirmPrimary(service, instanceId),
+      hasBeenPrimary: (instance) => view.hasBeenPrimary(instance),
     });
     this.#placement = new FleetPlacement({
       ...{ counters: this.counters, logger, now, random },
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -69,6 +69,10 @@
   recordCommit(service: string, position: Position): void;
   /** Notes a position that the log of an instance has reached. */
   recordPosition(instance: InstanceEntry, position: Position): void;
+  /** Notes that a later incarnation responds for an instance: it is no longer trusted. */
+  recordRestart(instance: InstanceEntry): void;
+  /** Whether this incarnation has told this node that it is primary, if its registration tells incarnations apart. */
+  hasBeenPrimary(instance: InstanceEntry): boolean;
   /** True while this node is the one that detects failed primaries. */
   readonly watchesPrimaries: boolean;
   /** Number of live nodes, including this one. */
--- a/src/direct/promotion/incarnation-guard.ts
+++ b/src/direct/promotion/incarnation-guard.ts
@@ -24,9 +24,10 @@
     const earlier = reported.latestOf(instance);
     return call().andThen((status) => {
       if (earlier !== undefined && isBehind(status, earlier)) {
+        reported.recordRestart(instance);
         return errAsync(hasRestarted(instance));
       }
-      reported.record(instance, status);
+      reported.recordStatus(instance, status);
       return okAsync(status);
     });
   };
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -31,6 +31,8 @@
 
 /** Time in which this node learns from the store that a registration has expired. */
 const REGISTRATION_DELAY_MS: Milliseconds = 1000;
+const ROLE_QUERY_INTERVAL_MS: Milliseconds = 100;
+const ROLE_QUERY_TIMEOUT_MS: Milliseconds = 300;
 const MIN_CONFIRMATION_INTERVAL_MS = 60;
 /** Far above the store's usual response time, and short enough for the next round of queries to be on time. */
 const CONFIRM_MEMBERS_TIMEOUT_MS: Milliseconds = 150;
@@ -85,6 +87,9 @@
   readonly #confirmation: TermConfirmation;
   readonly #now: () => Milliseconds;
   readonly #reportedStates = new ReportedStates();
+  readonly #statusControl: Pick<InstanceControl, 'status'>;
+  /** Time of the last query for the role of a service's primary. */
+  readonly #roleQueriedAt = new Map<string, Milliseconds>();
   readonly #watches = new Map<number, () => void>();
   readonly #releaseWaiters: (() => void)[] = [];
   readonly #stopWaiters: (() => void)[] = [];
@@ -101,9 +106,11 @@
       this.#machine.hasNewIncarnation(instance);
     const guard = { isReplaced, reported: this.#reportedStates };
     const control = rejectReplacedIncarnations(options.control, guard);
-    const statusControl =
-      options.status &&
-      rejectReplacedIncarnations({ ...options.control, ...bindStatus(options.status) }, guard);
+    const { status } = options;
+    this.#statusControl =
+      status === undefined
+        ? control
+        : rejectReplacedIncarnations({ ...options.control, ...bindStatus(status) }, guard);
     const timings = { ...DEFAULT_PROMOTION_TIMINGS, ...expiryOf(options), ...options.timings };
     const minimumSeconds = Math.ceil(options.minimumLeaseMs / MILLISECONDS_PER_SECOND);
     const leaseSeconds = Math.max(timings.leaseSeconds, minimumSeconds);
@@ -125,7 +132,7 @@
     const classifyFailure = options.classifyFailure ?? classifyBySystemCall;
     this.#runner = new RequestRunner({ store, control, promotion, classifyFailure, nodeName });
     this.#confirmation = new TermConfirmation({
-      control: statusControl ?? control,
+      control: this.#statusControl,
       classifyFailure,
       onHeld: (primary, term) => this.#demote(control, primary, term, timings.controlTimeoutMs),
       membersOf: (service) => this.#machine.membersOf(service),
@@ -227,7 +234,34 @@
   }
 
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
-    return this.#machine.mayTrustPrimary(service, now, instance);
+    if (!this.#machine.mayTrustPrimary(service, now, instance)) return false;
+    const primary = this.#machine.primaryOf(service, now);
+    return primary !== undefined && this.hasBeenPrimary(primary);
+  }
+
+  /** Where owners hold the instance's connections, this node can't query it and relies on the records. */
+  hasBeenPrimary(instance: InstanceEntry): boolean {
+    if (this.#reportedStates.hasBeenPrimary(instance)) return true;
+    if (this.options.mayConnect?.(instance) === false) return true;
+    this.#queryRole(instance);
+    return false;
+  }
+
+  /** The guard records what the instance responds. */
+  #queryRole(instance: InstanceEntry): void {
+    const now = this.#now();
+    const queriedAt = this.#roleQueriedAt.get(instance.service) ?? Number.NEGATIVE_INFINITY;
+    if (now - queriedAt < ROLE_QUERY_INTERVAL_MS) return;
+    this.#roleQueriedAt.set(instance.service, now);
+    const { logger } = this.options;
+    void this.#statusControl.status(instance, ROLE_QUERY_TIMEOUT_MS).match(
+      ({ role }) => logger.debug('role of a primary', () => ({ instance: instance.id, role })),
+      ({ code }) => logger.debug('role unknown', () => ({ instance: instance.id, code })),
+    );
+  }
+
+  recordRestart(instance: InstanceEntry): void {
+    this.#reportedStates.recordRestart(instance);
   }
 
   confirmPrimary(service: string, instance: string): Promise<boolean> {
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -3,7 +3,7 @@
 import type { OwnerRoster } from '../core/ownership/owner-roster.js';
 import { UNSETTLED_FRACTION, unsettledConnections } from '../core/ownership/unsettled-share.js';
 import type { ReadCandidate } from '../core/placement/expected-time.js';
-import type { Position } from '../core/position.js';
+import { comparePositions, type Position } from '../core/position.js';
 import { isOtherIncarnation } from '../core/promotion/incarnations.js';
 import { rankInstances } from '../core/statements/instance-choice.js';
 import { type PositionSample, PositionSamples } from '../core/statements/position-samples.js';
@@ -44,6 +44,12 @@
 /** Used as instance id of a position that was derived from the replicas' responses together. */
 export const REPORTED_BY_REPLICAS = '';
 
+interface PrimaryAnswer {
+  readonly instanceId: string;
+  readonly position: Position;
+  readonly answeredAt: Milliseconds;
+}
+
 export interface ServiceRuntimeOptions {
   readonly zone: string;
   /** Initial number of nodes that share the instances' connections. */
@@ -143,6 +149,8 @@
   #nodeCount: number;
   #isNodeCountKnown: boolean;
   #samplesSource: string | undefined;
+  /** Highest position that the primary has reported to this node. */
+  #newestAnswer: PrimaryAnswer | undefined;
   /** Whether the limits of settled operation were applied. */
   #hasSettled = false;
   #trustedPrimary: KnownPrimary | undefined;
@@ -395,12 +403,30 @@
     if (view.primaryOf(this.name)?.id !== instance.id) return;
     const isTrusted = view.mayTrustPrimary(this.name, now());
     if (!isProven && !isTrusted) return;
+    if (this.#isFromLaterIncarnation(instance, sentAt, position)) {
+      view.recordRestart(instance.pool.instance);
+      return;
+    }
     if (isTrusted) this.#trustedPrimary = { instanceId: instance.id, term: position.timeline };
     if (this.#samplesSource !== instance.id) this.samples.clear();
     this.#samplesSource = instance.id;
     this.samples.add({ sentAt, position });
   }
 
+  /** Whether a primary's log is behind what it was before the message was sent: then a later incarnation responds. */
+  #isFromLaterIncarnation(
+    { id, pool }: InstanceRuntime,
+    sentAt: Milliseconds,
+    position: Position,
+  ): boolean {
+    if (pool.instance.lifeOf === undefined) return false;
+    const newest = this.#newestAnswer;
+    if (newest?.instanceId === id && comparePositions(position, newest.position) < 0)
+      return sentAt > newest.answeredAt;
+    this.#newestAnswer = { instanceId: id, position, answeredAt: this.options.now() };
+    return false;
+  }
+
   /** True if no primary is usable, or a statement of this node failed at it recently. */
   isPrimaryAway(now: Milliseconds): boolean {
     const primary = this.primary(now);
--- a/src/direct/snapshots/reported-primaries.ts
+++ b/src/direct/snapshots/reported-primaries.ts
@@ -124,6 +124,14 @@
     this.recorded.recordPosition(instance, position);
   }
 
+  recordRestart(instance: InstanceEntry): void {
+    this.recorded.recordRestart(instance);
+  }
+
+  hasBeenPrimary(instance: InstanceEntry): boolean {
+    return this.recorded.hasBeenPrimary(instance);
+  }
+
   liveNodeCount(): number {
     return this.recorded.liveNodeCount();
   }
--- a/src/direct/trust-prover.ts
+++ b/src/direct/trust-prover.ts
@@ -9,6 +9,7 @@
   showsLaterTerm,
 } from '../core/statements/primary-evidence.js';
 import type { Milliseconds } from '../core/units.js';
+import type { InstanceEntry } from './contract.js';
 import { queryPosition } from './position-query.js';
 import type { InstanceRuntime, ServiceRuntime } from './service-runtime.js';
 import type { StatementWire } from './wire.js';
@@ -26,6 +27,8 @@
    * suffice. True if the instance was the primary at the time of the call.
    */
   confirmPrimary(service: string, instanceId: string): Promise<boolean>;
+  /** Whether the process that responds for the instance is known to be primary: its position alone does not show it. */
+  hasBeenPrimary(instance: InstanceEntry): boolean;
 }
 
 export interface ProverCounters {
@@ -110,7 +113,8 @@
     const primary = service.primary(sentAt);
     if (primary === undefined) return NO_QUERY_SENT;
     counters.proofRounds += 1;
-    const term = service.trustedTermOf(primary.id);
+    const isKnown = this.options.hasBeenPrimary(primary.pool.instance);
+    const term = isKnown ? service.trustedTermOf(primary.id) : undefined;
     // A node that has just started can't tell from positions alone which primary a term belongs to.
     if (term === undefined) {
       return { verdict: await this.#confirm(service, primary, sentAt, evidence), answers: [] };
--- a/test/integration/direct/new-incarnation.test.ts
+++ b/test/integration/direct/new-incarnation.test.ts
@@ -73,6 +73,19 @@
   await stopAndCheckViolations();
 });
 
+test('gateways that start after a primary has lost its log serve no read from it', async () => {
+  await cluster.platform.set(`/instances/${PRIMARY}/faults`, { isSilentToStore: true });
+  const gateways = [...cluster.gateways.keys()];
+  await Promise.all(gateways.map((gateway) => cluster.kill(gateway)));
+  await startAgain(PRIMARY);
+  await Promise.all(gateways.map((gateway) => cluster.restart(gateway)));
+  await cluster.platform.waitForNewPrimary(SERVICE, PRIMARY);
+  await awaitWrites(10);
+  await cluster.platform.set(`/instances/${PRIMARY}/faults`, { isSilentToStore: false });
+  await awaitWrites(10);
+  await stopAndCheckViolations();
+});
+
 test('a replica that starts again without its log joins as a new member', async () => {
   await startAgain(CURRENT_REPLICA);
   await awaitWrites(10);
--- a/test/support/caller-session-fixture.ts
+++ b/test/support/caller-session-fixture.ts
@@ -70,6 +70,7 @@
     now,
     counters: { proofRounds: 0, proofsFailed: 0 },
     confirmPrimary: async () => false,
+    hasBeenPrimary: () => true,
   });
   return {
     wire: lineWire,
--- a/test/unit/direct/reported-primaries.test.ts
+++ b/test/unit/direct/reported-primaries.test.ts
@@ -33,6 +33,8 @@
     reportPrimarySuccess: () => {},
     recordCommit: () => {},
     recordPosition: () => {},
+    recordRestart: () => {},
+    hasBeenPrimary: () => true,
     liveNodeCount: () => 1,
     ownerRoster: () => undefined,
   };
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -63,6 +63,8 @@
     reportPrimarySuccess: () => {},
     recordCommit: () => {},
     recordPosition: () => {},
+    recordRestart: () => {},
+    hasBeenPrimary: () => true,
     liveNodeCount: () => 1,
     ownerRoster: () => undefined,
   };
--- a/test/unit/direct/tenant.test.ts
+++ b/test/unit/direct/tenant.test.ts
@@ -89,6 +89,7 @@
     now,
     counters,
     confirmPrimary: async () => false,
+    hasBeenPrimary: () => true,
   });
   const runner = new StatementRunner({ wire: lineWire, view, prover, now, random });
   const beganAt = now();
--- a/test/unit/lives.test.ts
+++ b/test/unit/lives.test.ts
@@ -119,7 +119,7 @@
   assert.ok(await isRefused(stateOf(4, 4, 49n)), 'behind the position of a statement');
   assert.not(await isRefused(stateOf(4, 4, 50n)));
   const { lifeOf: _, ...withoutIncarnation } = FIRST;
-  reported.record(withoutIncarnation, stateOf(9, 9, 9n));
+  reported.recordStatus(withoutIncarnation, stateOf(9, 9, 9n));
   assert.not(await isRefused(stateOf(4, 4, 51n)), 'an id without incarnations has one');
 });
 
