A primary that has restarted is told apart from one that a change has rolled back; lines for operators

Found by reading the diff: a node kept the highest position that a primary had reported over a change of primary. An instance that led, was rolled back and led again would have counted as restarted until its first commit. The position is dropped when a change starts or ends. Instances whose entries don't tell `born` were kept in a set that nothing emptied: they are not kept any more.

--- a/src/core/promotion/reported-states.ts
+++ b/src/core/promotion/reported-states.ts
@@ -7,6 +7,7 @@
 import { comparePositions, type Position } from '../position.js';
 
 export type ReportedState = Pick<InstanceStatus, 'term' | 'received'>;
+type IncarnationId = Pick<InstanceEntry, 'id' | 'lifeOf'>;
 
 /** Instances that are remembered; the least recently added are dropped first. */
 const MAX_INSTANCES = 512;
@@ -16,28 +17,28 @@
   /** Ids of incarnations that have reported themselves as primary. */
   readonly #primaries = new Set<string>();
 
-  latestOf({ id }: Pick<InstanceEntry, 'id'>): ReportedState | undefined {
+  latestOf({ id }: IncarnationId): ReportedState | undefined {
     return this.#latest.get(id);
   }
 
   /** Whether the incarnation has reported itself as primary; a later one starts as a replica. */
-  hasBeenPrimary({ id, lifeOf }: Pick<InstanceEntry, 'id' | 'lifeOf'>): boolean {
+  hasBeenPrimary({ id, lifeOf }: IncarnationId): boolean {
     return lifeOf === undefined || this.#primaries.has(id);
   }
 
   /** Notes that a later incarnation responds for this one. */
-  recordRestart({ id }: Pick<InstanceEntry, 'id'>): void {
+  recordRestart({ id }: IncarnationId): void {
     this.#primaries.delete(id);
   }
 
-  /** Records an instance's status. */
-  recordStatus(instance: Pick<InstanceEntry, 'id' | 'lifeOf'>, status: InstanceStatus): void {
-    if (status.role === 'primary') this.#primaries.add(instance.id);
-    this.#record(instance, status);
+  /** Records an instance's status. Instances whose registrations don't tell incarnations apart are not remembered. */
+  recordStatus({ id, lifeOf }: IncarnationId, status: InstanceStatus): void {
+    if (lifeOf === undefined) return;
+    if (status.role === 'primary') this.#primaries.add(id);
+    this.#record(id, status);
   }
 
-  #record({ id, lifeOf }: Pick<InstanceEntry, 'id' | 'lifeOf'>, state: ReportedState): void {
-    if (lifeOf === undefined) return;
+  #record(id: string, state: ReportedState): void {
     const known = this.#latest.get(id);
     if (known !== undefined && state.term < known.term) return;
     if (known === undefined && this.#latest.size >= MAX_INSTANCES) {
@@ -48,11 +49,12 @@
   }
 
   /** Records a position that the instance's log has reached: its term is at least that of the entry. */
-  recordPosition(instance: Pick<InstanceEntry, 'id' | 'lifeOf'>, position: Position): void {
-    const known = this.#latest.get(instance.id);
+  recordPosition({ id, lifeOf }: IncarnationId, position: Position): void {
+    if (lifeOf === undefined) return;
+    const known = this.#latest.get(id);
     if (known !== undefined && comparePositions(known.received, position) >= 0) return;
     const term = Math.max(known?.term ?? 0, position.timeline);
-    this.#record(instance, { term, received: position });
+    this.#record(id, { term, received: position });
   }
 
   #forget(id: string): void {
--- a/src/direct/announced-primary-view.ts
+++ b/src/direct/announced-primary-view.ts
@@ -53,7 +53,7 @@
 
   recordPosition(): void {}
 
-  recordRestart(): void {}
+  recordRestart(_instance: InstanceEntry): void {}
 
   hasBeenPrimary(): boolean {
     return true;
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -239,7 +239,10 @@
     return primary !== undefined && this.hasBeenPrimary(primary);
   }
 
-  /** Where owners hold the instance's connections, this node can't query it and relies on the records. */
+  /**
+   * Sends a query for the role if it is not known. Where owners hold the instance's connections, this node can't query it
+   * and relies on the records.
+   */
   hasBeenPrimary(instance: InstanceEntry): boolean {
     if (this.#reportedStates.hasBeenPrimary(instance)) return true;
     if (this.options.mayConnect?.(instance) === false) return true;
@@ -247,7 +250,7 @@
     return false;
   }
 
-  /** The guard records what the instance responds. */
+  /** The guard of the control calls records the response. */
   #queryRole(instance: InstanceEntry): void {
     const now = this.#now();
     const queriedAt = this.#roleQueriedAt.get(instance.service) ?? Number.NEGATIVE_INFINITY;
@@ -261,7 +264,10 @@
   }
 
   recordRestart(instance: InstanceEntry): void {
+    if (!this.#reportedStates.hasBeenPrimary(instance)) return;
     this.#reportedStates.recordRestart(instance);
+    const { id, service } = instance;
+    this.options.logger.warn('primary has restarted without its log', { service, instance: id });
   }
 
   confirmPrimary(service: string, instance: string): Promise<boolean> {
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -356,6 +356,8 @@
   /** Called when a primary change has started or ended. */
   handlePrimaryChange(): void {
     this.#measureChange();
+    // A change may roll back what the same instance had reported before.
+    this.#newestAnswer = undefined;
     const before = this.#changeOfPrimary;
     this.#changeOfPrimary = new Cancellation();
     before.cancel();
--- a/test/unit/direct/service-runtime.test.ts
+++ b/test/unit/direct/service-runtime.test.ts
@@ -26,12 +26,13 @@
     turnRefusals: 0,
     untriedRefusals: 0,
   };
+  const view = new AnnouncedPrimaryView();
   const service = new ServiceRuntime('orders', {
     zone: 'a',
     nodeCount: 1,
     ownership,
     drainTimeoutMs: DRAIN_MS,
-    view: new AnnouncedPrimaryView(),
+    view,
     isStoreHealthy: () => world.isWell,
     ...start,
     now: () => world.now,
@@ -46,7 +47,7 @@
       .filter((member) => member.isUsable(world.now))
       .map(({ id }) => id);
   const members = (): string[] => service.members().map(({ id }) => id);
-  return { world, service, usable, members };
+  return { world, service, view, usable, members };
 }
 
 test('an instance that a peer reported and the store does not list is used for only a part of the drain timeout', () => {
@@ -212,4 +213,27 @@
   assert.equal([service.trustedTermOf('i-1'), service.trustedTermOf('i-2')], [undefined, 4]);
 });
 
+test('a primary whose log is behind what it was before the message was sent has started again, unless it was replaced', () => {
+  const { world, service, view } = setUp();
+  const primary: InstanceEntry = { ...entry('i-1@100'), lifeOf: 'i-1', role: 'primary' };
+  const restarted: string[] = [];
+  view.recordRestart = ({ id }: InstanceEntry) => void restarted.push(id);
+  view.setInstances(new Map([[primary.id, primary]]));
+  service.setInstances([primary]);
+  const [instance] = service.members();
+  const report = (sentAt: number, lsn: bigint): bigint | undefined => {
+    world.now = sentAt + 5;
+    if (instance !== undefined) service.recordPosition(instance, sentAt, { timeline: 1, lsn });
+    return service.newestSample()?.position.lsn;
+  };
+  assert.is(report(0, 40n), 40n);
+  assert.is(report(4, 39n), 39n, 'sent before the answer that it is behind of');
+  assert.equal(restarted, []);
+  assert.is(report(10, 0n), 39n);
+  assert.equal(restarted, [primary.id]);
+  service.handlePrimaryChange();
+  assert.is(report(20, 30n), 30n);
+  assert.equal(restarted, [primary.id], 'a change may roll back');
+});
+
 test.run();
