--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -117,10 +117,19 @@
    * from a replaced primary.
    */
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
-    if (!this.#participation.isPermitted(now) || !this.#mayRelyOnRecords(now)) return false;
-    if (this.#runtime.era.mayHaveMissedRecords(now)) return false;
+    return this.trustedPrimaryOf(service, now, instance) !== undefined;
+  }
+
+  /** The primary if `mayTrustPrimary` holds for it. */
+  trustedPrimaryOf(
+    service: string,
+    now: Milliseconds,
+    instance?: string,
+  ): InstanceEntry | undefined {
+    if (!this.#participation.isPermitted(now) || !this.#mayRelyOnRecords(now)) return undefined;
+    if (this.#runtime.era.mayHaveMissedRecords(now)) return undefined;
     const primary = this.#primaries.primaryOf(service, now);
-    return primary !== undefined && (instance === undefined || instance === primary.id);
+    return instance === undefined || instance === primary?.id ? primary : undefined;
   }
 
   /** Members of a service that this node has seen recently or that the leader counts, registered or not. */
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -234,8 +234,7 @@
   }
 
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
-    if (!this.#machine.mayTrustPrimary(service, now, instance)) return false;
-    const primary = this.#machine.primaryOf(service, now);
+    const primary = this.#machine.trustedPrimaryOf(service, now, instance);
     return primary !== undefined && this.hasBeenPrimary(primary);
   }
 
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -401,12 +401,13 @@
   ): void {
     const { view, now } = this.options;
     if (position === undefined) return;
-    view.recordPosition(instance.pool.instance, position);
+    const { instance: entry } = instance.pool;
+    if (entry.lifeOf !== undefined) view.recordPosition(entry, position);
     if (view.primaryOf(this.name)?.id !== instance.id) return;
     const isTrusted = view.mayTrustPrimary(this.name, now());
     if (!isProven && !isTrusted) return;
     if (this.#isFromLaterIncarnation(instance, sentAt, position)) {
-      view.recordRestart(instance.pool.instance);
+      view.recordRestart(entry);
       return;
     }
     if (isTrusted) this.#trustedPrimary = { instanceId: instance.id, term: position.timeline };
