Better candidates are awaited for longer while they are withheld

Cause, read and not traced: the answer to a commit may name a position that no replica has. With `born` the replicas are withheld, and after 0.7 s the old primary is promoted again, cut off as it is.

--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -173,11 +173,17 @@
       successor: this.#successorObservation(),
       syncReplicas: this.context.syncReplicasOf(this.service),
       acknowledged: this.#acknowledgedPosition(),
-      acceptsAny: runtime.now - this.#startedAt >= runtime.timings.betterCandidateWaitMs,
+      acceptsAny: runtime.now - this.#startedAt >= this.#betterCandidateWaitMs,
       isProofDisabled: runtime.isDisabled('hold'),
     };
   }
 
+  /** Longer while better candidates are withheld: their registrations may yet prove them. */
+  get #betterCandidateWaitMs(): Milliseconds {
+    const { betterCandidateWaitMs, registrationExpiryMs } = this.context.runtime.timings;
+    return betterCandidateWaitMs + (this.#withheldSince === undefined ? 0 : registrationExpiryMs);
+  }
+
   #acknowledgedPosition(): Position | undefined {
     const { runtime, store } = this.context;
     if (runtime.isDisabled('acknowledged-commits')) return undefined;
