Tests read the store's values, and soak schedules take further faults, in one place each

Found by reading the change: new-incarnation had its own schema of the store's values beside DirectPlatform's, and two functions of the soak sorted faults into a schedule. Behaviour as before.

--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -144,8 +144,7 @@
       return { atMs, forMs, fault: { kind: 'store-returns', ageMs, awayMs } };
     },
   );
-  const faults = [...schedule.faults, ...returns];
-  return { ...schedule, faults: faults.sort((left, right) => left.atMs - right.atMs) };
+  return withFaults(schedule, returns);
 }
 
 /** Adds a start of an instance without its log: of two, some commits may have had no other copy. */
@@ -154,7 +153,11 @@
     ...{ kind: 'instance-starts-again', instance: drawInteger(draw) },
     isCutFromStore: draw() < 0.5,
   };
-  const faults = [...schedule.faults, placeInTime(draw, fault, spanMs)];
+  return withFaults(schedule, [placeInTime(draw, fault, spanMs)]);
+}
+
+function withFaults(schedule: Schedule, added: readonly PlannedFault[]): Schedule {
+  const faults = [...schedule.faults, ...added];
   return { ...schedule, faults: faults.sort((left, right) => left.atMs - right.atMs) };
 }
 
--- a/test/integration/direct/new-incarnation.test.ts
+++ b/test/integration/direct/new-incarnation.test.ts
@@ -1,7 +1,6 @@
 /** Instances that start again under their ids, without their logs, under load through two direct gateways. */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { z } from 'zod';
 import { DirectCluster } from '../../support/direct-cluster.js';
 import { LoadClient } from '../../support/direct-load.js';
 import { until } from '../../support/until.js';
@@ -10,7 +9,6 @@
 const PRIMARY = 'i-orders-1';
 const CURRENT_REPLICA = 'i-orders-2';
 const STALLED_REPLICA = 'i-orders-3';
-const storeValues = z.object({ values: z.record(z.string(), z.string()) });
 
 let cluster: DirectCluster;
 let clients: LoadClient[] = [];
@@ -39,8 +37,7 @@
 }
 
 async function isRegistered(id: string): Promise<boolean> {
-  const { values } = await cluster.platform.control.call('GET', '/store/values', storeValues);
-  return values[`servers/${id}`] !== undefined;
+  return (await cluster.platform.storeValues())[`servers/${id}`] !== undefined;
 }
 
 async function startAgain(id: string): Promise<void> {
--- a/test/support/direct-platform.ts
+++ b/test/support/direct-platform.ts
@@ -94,14 +94,18 @@
 
   /** Whether the records in the store name a change of primary that has not ended. */
   private async isChangingPrimary(): Promise<boolean> {
-    const { values } = await this.control.call('GET', '/store/values', storeValuesSchema);
-    return Object.entries(values).some(([key, value]) => {
+    return Object.entries(await this.storeValues()).some(([key, value]) => {
       const service = serviceOfPrimaryKey(key);
       const entry = { key, value, createRevision: 0, modRevision: 0 };
       return service !== undefined && decodeRecord(entry, parsePrimaryRecord)?.phase === 'changing';
     });
   }
 
+  /** All keys of the store with their values. */
+  async storeValues(): Promise<Readonly<Record<string, string>>> {
+    return (await this.control.call('GET', '/store/values', storeValuesSchema)).values;
+  }
+
   log(): Promise<DirectLog> {
     return this.control.call('GET', '/log', logSchema);
   }
