Writes don't wait until a node knows the role of a primary; only what reads rely on does

Cause: since a primary was trusted for nothing until its role was known, also for writes; if the members' answers did not make up for it, the write was refused. A later incarnation refuses writes by itself, so that they need no role. Change: mayTrustPrimary is again about the lease and the records only, as before; reads, positions and proofs ask for the role. A node queries the role when a primary becomes known, not only at the first request.

--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -117,19 +117,10 @@
    * from a replaced primary.
    */
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
-    return this.trustedPrimaryOf(service, now, instance) !== undefined;
-  }
-
-  /** The primary if `mayTrustPrimary` holds for it. */
-  trustedPrimaryOf(
-    service: string,
-    now: Milliseconds,
-    instance?: string,
-  ): InstanceEntry | undefined {
-    if (!this.#participation.isPermitted(now) || !this.#mayRelyOnRecords(now)) return undefined;
-    if (this.#runtime.era.mayHaveMissedRecords(now)) return undefined;
+    if (!this.#participation.isPermitted(now) || !this.#mayRelyOnRecords(now)) return false;
+    if (this.#runtime.era.mayHaveMissedRecords(now)) return false;
     const primary = this.#primaries.primaryOf(service, now);
-    return instance === undefined || instance === primary?.id ? primary : undefined;
+    return primary !== undefined && (instance === undefined || instance === primary.id);
   }
 
   /** Members of a service that this node has seen recently or that the leader counts, registered or not. */
--- a/src/direct/position-sampler.ts
+++ b/src/direct/position-sampler.ts
@@ -160,7 +160,8 @@
     position: Position | undefined,
   ): Promise<void> {
     const { now, view } = this.options;
-    const isTrusted = view.mayTrustPrimary(service.name, now());
+    const hasRole = view.hasBeenPrimary(primary.pool.instance);
+    const isTrusted = hasRole && view.mayTrustPrimary(service.name, now());
     const isProven = !isTrusted && (await this.options.prover.prove(service));
     service.recordPosition(primary, sentAt, position, isProven);
     view.reportPrimarySuccess(service.name, now());
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -71,7 +71,10 @@
   recordPosition(instance: InstanceEntry, position: Position): void;
   /** Notes that a later incarnation responds for an instance: it is no longer trusted. */
   recordRestart(instance: InstanceEntry): void;
-  /** Whether this incarnation has told this node that it is primary, if its registration tells incarnations apart. */
+  /**
+   * Whether this incarnation has told this node that it is primary, if its registration tells incarnations apart. Until
+   * then a read must not rely on it: a later incarnation may respond, which refuses writes and runs reads on an empty log.
+   */
   hasBeenPrimary(instance: InstanceEntry): boolean;
   /** True while this node is the one that detects failed primaries. */
   readonly watchesPrimaries: boolean;
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -234,8 +234,7 @@
   }
 
   mayTrustPrimary(service: string, now: Milliseconds, instance?: string): boolean {
-    const primary = this.#machine.trustedPrimaryOf(service, now, instance);
-    return primary !== undefined && this.hasBeenPrimary(primary);
+    return this.#machine.mayTrustPrimary(service, now, instance);
   }
 
   /**
@@ -428,7 +427,7 @@
         this.#watches.delete(effect.id);
         return;
       case 'primary-changed':
-        this.onChange(effect.service);
+        this.#handlePrimaryChanged(effect.service);
         return;
       case 'end-use':
         void this.#endUse(effect.service, effect.change);
@@ -444,6 +443,13 @@
     }
   }
 
+  #handlePrimaryChanged(service: string): void {
+    this.onChange(service);
+    const primary = this.primaryOf(service);
+    // Reads there need to know its role.
+    if (primary !== undefined) this.hasBeenPrimary(primary);
+  }
+
   async #runRequest(requestId: number, request: PromotionRequest): Promise<void> {
     const answer = await this.#runner.run(request);
     this.#handle({ type: 'answer', request: requestId, answer });
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -404,7 +404,7 @@
     const { instance: entry } = instance.pool;
     if (entry.lifeOf !== undefined) view.recordPosition(entry, position);
     if (view.primaryOf(this.name)?.id !== instance.id) return;
-    const isTrusted = view.mayTrustPrimary(this.name, now());
+    const isTrusted = view.mayTrustPrimary(this.name, now()) && view.hasBeenPrimary(entry);
     if (!isProven && !isTrusted) return;
     if (this.#isFromLaterIncarnation(instance, sentAt, position)) {
       view.recordRestart(entry);
--- a/src/direct/target-chooser.ts
+++ b/src/direct/target-chooser.ts
@@ -142,11 +142,16 @@
 
   /** True if the primary is known and responds, and only the proof that it has not been replaced is missing. */
   lacksTrust(placement: Placement): boolean {
-    const { view, now } = this.options;
+    const { now } = this.options;
     const { service, access } = placement;
     const primary = service.primary(now());
     if (primary === undefined || primary.pool.health.isUnresponsive(access)) return false;
-    return includesReads(placement) && !view.mayTrustPrimary(service.name, now());
+    return includesReads(placement) && !this.#mayRelyOn(primary, service, now());
+  }
+
+  #mayRelyOn(primary: InstanceRuntime, service: ServiceRuntime, now: Milliseconds): boolean {
+    const { view } = this.options;
+    return view.mayTrustPrimary(service.name, now) && view.hasBeenPrimary(primary.pool.instance);
   }
 
   #primaryTarget(
@@ -158,7 +163,7 @@
     const instance = service.primary(now);
     if (instance === undefined || instance.pool.health.isStalled(access)) return undefined;
     const isTrusted =
-      this.options.view.mayTrustPrimary(service.name, now) ||
+      this.#mayRelyOn(instance, service, now) ||
       this.options.prover.covers(service, instance.id, beganAt);
     if (includesReads(placement) && !isTrusted) return undefined;
     if (access !== 'read') return { instance, after: undefined };
--- a/test/unit/direct/target-chooser.test.ts
+++ b/test/unit/direct/target-chooser.test.ts
@@ -84,7 +84,7 @@
   ];
   samples.add({ sentAt: NOW - 100, position: { timeline: 1, lsn: 5n } });
   const view = {
-    ...{ mayTrustPrimary: () => true, isChanging: () => false },
+    ...{ mayTrustPrimary: () => true, hasBeenPrimary: () => true, isChanging: () => false },
     primaryOf: () => ({ id: 'primary' }),
   };
   const chooser = new TargetChooser({
