--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -21,6 +21,7 @@
 
 const started = performance.now();
 const children = new Set();
+let isFinished = false;
 const directory = mkdtempSync(join(tmpdir(), 'review-'));
 
 export { pause };
@@ -180,10 +181,10 @@
         this.output = (this.output + chunk).slice(-20_000);
       });
     this.child.on('exit', (code, signal) => {
-      if (this.#isStopped) return;
+      if (this.#isStopped || isFinished) return;
       this.record(`${this.name}: the process ended, ${code ?? signal}`);
       this.ends.push({ code, signal });
-      setTimeout(() => this.#isStopped || this.#start(false), RESTART_DELAY_MS);
+      setTimeout(() => this.#isStopped || isFinished || this.#start(false), RESTART_DELAY_MS);
     });
   }
 
@@ -290,6 +291,7 @@
 
 /** Ends all processes; the exit code says whether the rule was broken. */
 function finish(code) {
+  isFinished = true;
   for (const child of children) child.kill('SIGKILL');
   rmSync(directory, { recursive: true, force: true });
   setTimeout(() => process.exit(code), 300);
