--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -167,7 +167,8 @@
   /** @param linkToStore opens a link of this machine to the store's port, and returns the port to use instead */
   static async create(index, platform, record, linkToStore) {
     const zone = `zone-${'abc'[index % 3]}`;
-    const storePort = (await linkToStore?.(index, platform.storePort)) ?? platform.storePort;
+    const storePort =
+      (await linkToStore?.(index, platform.storePort, platform)) ?? platform.storePort;
     const place = { ...platform, storePort };
     return new Machine(`frontend-${zone}-${index + 1}`, zone, await freePorts(5), place, record);
   }
