Review, case 6: a run without the flood that the stand-in survives

With TROUBLE=0 the stand-in of the instances kept every statement and ran out of memory after some 16 s, which the script did not notice.

--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -65,7 +65,13 @@
 
 /** The stand-in for the platform: store, three instances of the service `orders`, promotion. */
 export async function startPlatform(flags = []) {
-  const child = startProcess(['target/review-2/direct.mjs', '--heartbeat-ms', '1200', ...flags]);
+  const child = startProcess([
+    '--max-old-space-size=4096',
+    'target/review-2/direct.mjs',
+    '--heartbeat-ms',
+    '1200',
+    ...flags,
+  ]);
   let text = '';
   const announced = await new Promise((resolve, reject) => {
     child.stdout.on('data', (chunk) => {
@@ -75,6 +81,8 @@
     child.stderr.on('data', (chunk) => process.stderr.write(chunk));
     child.on('exit', () => reject(new Error('the platform stand-in ended')));
   });
+  // A case without its platform shows nothing.
+  child.on('exit', () => isFinished || finish(EXIT_NOT_RUN));
   const call = async (method, path, body) => {
     const answer = await fetch(`http://${HOST}:${announced.controlPort}${path}`, {
       method,
