--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -13,6 +13,8 @@
 const [PRIMARY, DEAF, RETURNING] = ['i-orders-1', 'i-orders-2', 'i-orders-3'];
 /** The replica is down for this long; the primary is dark or down for up to 7 s in the site file. */
 const DOWN_MS = 7000;
+/** The cut lasts as long as `fleetbench kinds` says where a day says nothing. */
+const CUT_MS = 5000;
 const WRITE_PERIOD_MS = 10;
 
 /** The way of one machine to an instance, by which the machine can be cut off from it. */
@@ -49,6 +51,11 @@
     this.#isCut = true;
   }
 
+  heal() {
+    this.#isCut = false;
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
   /** Nothing listens at the address of an instance that is down. */
   refuse() {
     this.server.close();
@@ -153,6 +160,11 @@
   if (hasTrouble) {
     await post(`/instances/${RETURNING}/faults`, { isSilentToStore: true });
     linkTo(leader, RETURNING).cut();
+    setTimeout(async () => {
+      linkTo(leader, RETURNING).heal();
+      await post(`/instances/${RETURNING}/faults`, { isSilentToStore: false });
+      record(`${RETURNING} is no longer cut off`);
+    }, CUT_MS);
     record(`${RETURNING} is cut off from the store and from ${machines[leader].name}`);
   }
   await up(RETURNING);
