A candidate has every commit that replicas have certainly received, also those of a departed member that the leader can't reach

A replica crashed, was removed from the members, and came back where its primary and three of four machines reach it, but not the store and not the leader. Its primary counted it. The other replica received nothing, the primary crashed, and the leader promoted the other replica.

Cause: `PrimaryChange.#candidateInput` leaves out a departed member that does not respond to this leader; the proof by held replicas is then made without it. The nodes' reports of the end of the log at their latest confirmed commit can't decide: they are upper bounds, 1 or 2 beyond both held replicas after an ordinary crash under load (docs/incidents/slow-change-after-a-crash.md), and are passed over once the members' incarnations are proven.

Ruled out: that the leader would have to count every departed member (after each release there are some on machines that are gone, so that each crash would wait); that `born` matters (the loss is the same with and without it in the simulation).

Change: a node notes the end of the log that it knows before it sends a commit. The commit comes after that, so some replica has received the log up to there. Nodes report this lower bound with their acknowledgement; no candidate is proven by a log that ends before it.

Conclusion: the commits are kept where a node that confirmed them is alive. Left: nodes killed with the primary report nothing.

--- a/src/core/promotion/candidate.ts
+++ b/src/core/promotion/candidate.ts
@@ -12,6 +12,10 @@
  * Each rests on responses of some members, and a new incarnation of a member responds without the log of the last one.
  * The end of the log that they show must therefore cover every commit that a node has confirmed to a caller, unless
  * each of these responses is proven to come from the incarnation that counts.
+ *
+ * A replica that is not among the members may have counted towards a commit as well: one that had departed and is back
+ * where only its primary reaches it. So the end must in any case cover the position that replicas are known to have
+ * received.
  */
 import type { InstanceEntry } from '../../direct/contract.js';
 import { comparePositions, type Position } from '../position.js';
@@ -39,8 +43,10 @@
   /** Member with the old primary's address and log, if the old primary was replaced in place. */
   readonly successor?: MemberObservation | undefined;
   readonly syncReplicas: number;
-  /** Latest commit that a node has confirmed to a caller; undefined if none is known. */
+  /** End of the log at the latest commit that a node has confirmed to a caller; undefined if none is known. */
   readonly acknowledged?: Position | undefined;
+  /** Position that replicas had received when nodes confirmed commits; undefined if none is known. */
+  readonly replicated?: Position | undefined;
   /** Whether a draining instance or the old primary itself is acceptable if there is no better candidate. */
   readonly acceptsAny: boolean;
   /** Accepts any member that has responded; a test has disabled the proof. */
@@ -92,15 +98,18 @@
 }
 
 /**
- * Whether the end of the log that these members show can be relied on: it covers every commit known to be acknowledged,
- * or the members are proven to be the incarnations that received them.
+ * Whether the end of the log that these members show can be relied on: it covers what replicas have received for
+ * certain, and either every commit that may have been acknowledged or the members are proven to be the incarnations that
+ * received them.
  */
 function coversAcknowledged(
-  { acknowledged, syncReplicas }: CandidateInput,
+  { acknowledged, replicated, syncReplicas }: CandidateInput,
   end: Position,
   members: readonly MemberObservation[],
 ): boolean {
-  if (acknowledged === undefined || syncReplicas === 0) return true;
+  if (syncReplicas === 0) return true;
+  if (replicated !== undefined && !hasReceived({ received: end }, replicated)) return false;
+  if (acknowledged === undefined) return true;
   return hasReceived({ received: end }, acknowledged) || members.every((one) => one.isConfirmed);
 }
 
--- a/src/core/promotion/change.ts
+++ b/src/core/promotion/change.ts
@@ -45,8 +45,10 @@
   #isOldPrimaryUnused: boolean;
   #newPrimary: { readonly instance: InstanceEntry; readonly term: number } | undefined;
   #isWriting = false;
-  /** Time since which the only candidates lack commits that were acknowledged. */
+  /** Time since which the only candidates are not proven to have every acknowledged commit. */
   #withheldSince: Milliseconds | undefined;
+  /** The log has said that commits are missing, or that they are given up. */
+  #loggedLoss: 'missing' | 'given-up' | undefined;
   #cancelCandidateCheck = (): void => {};
   #lastProgressAt: Milliseconds;
   #leaderKeysReadAt: Milliseconds;
@@ -174,6 +176,7 @@
       successor: this.#successorObservation(),
       syncReplicas: this.context.syncReplicasOf(this.service),
       acknowledged: this.#acknowledgedPosition(),
+      replicated: this.#mayGiveUpCommits ? undefined : this.#replicatedPosition(),
       acceptsAny: runtime.now - this.#startedAt >= this.#betterCandidateWaitMs,
       isProofDisabled: runtime.isDisabled('hold'),
     };
@@ -191,6 +194,22 @@
     return store.acknowledgedPosition(this.service, this.record);
   }
 
+  #replicatedPosition(): Position | undefined {
+    const { runtime, store } = this.context;
+    if (runtime.isDisabled('replicated-commits')) return undefined;
+    return store.replicatedPosition(this.service, this.record);
+  }
+
+  /**
+   * Whether an instance that has the missing commits would have responded by now. Counted from the record of the change,
+   * since leaders that find no candidate resign.
+   */
+  get #mayGiveUpCommits(): boolean {
+    const { runtime, primaries } = this.context;
+    const changingForMs = primaries.recordKnownForMs(this.service, runtime.now);
+    return changingForMs >= runtime.timings.memberDeadAfterMs;
+  }
+
   /** Observed by this leader, or else reported by a node that demoted the old primary. */
   #oldPrimaryObservation(): MemberObservation | undefined {
     const own = this.#hold.observationOf(this.record.from);
@@ -220,8 +239,33 @@
   #recordCandidate(): void {
     const input = this.#candidateInput();
     const candidate = chooseCandidate(input);
-    if (candidate !== undefined) this.#writeCandidate(candidate.id);
-    else this.#awaitConfirmation(input);
+    if (candidate !== undefined) {
+      if (this.#mayGiveUpCommits) this.#logLoss('given-up', input);
+      this.#writeCandidate(candidate.id);
+      return;
+    }
+    this.#logLoss('missing', input);
+    this.#awaitConfirmation(input);
+  }
+
+  /** Logs once each that the observed logs lack commits that a replica has received. */
+  #logLoss(state: 'missing' | 'given-up', input: CandidateInput): void {
+    const { runtime } = this.context;
+    const replicated = this.#replicatedPosition();
+    if (this.#loggedLoss === state || replicated === undefined) return;
+    const isComplete = chooseCandidate({ ...input, replicated }) !== undefined;
+    if (isComplete || chooseCandidate({ ...input, replicated: undefined }) === undefined) return;
+    this.#loggedLoss = state;
+    const event =
+      state === 'missing'
+        ? 'no candidate has the commits that replicas have received'
+        : 'promoting without commits that replicas have received';
+    runtime.log('warn', event, {
+      ...{ service: this.service, change: this.record.change },
+      ...{ timeline: replicated.timeline, lsn: replicated.lsn.toString() },
+      members: input.replicas.map(describeMember),
+      departed: this.context.departedOf(this.service).map(({ id }) => id),
+    });
   }
 
   /**
--- a/src/core/promotion/contract.ts
+++ b/src/core/promotion/contract.ts
@@ -183,6 +183,8 @@
   | 'fresh-suspicions'
   /** A candidate has every commit that a node has confirmed to a caller, or the members' incarnations are proven. */
   | 'acknowledged-commits'
+  /** No candidate is chosen while a commit is missing that some replica has received, for a limited time. */
+  | 'replicated-commits'
   /** What a query round proves is no newer than the proof that the node knows every member. */
   | 'current-members'
   /** A node's write permission ends with its lease, by its own clock. */
--- a/src/core/promotion/leader-store.ts
+++ b/src/core/promotion/leader-store.ts
@@ -205,11 +205,16 @@
     return this.#latestAcknowledged(service, change, ({ end }) => end);
   }
 
-  /** Latest commit of the service that a node has confirmed to a caller. */
+  /** End of the log at the latest commit of the service that a node has confirmed to a caller. */
   acknowledgedPosition(service: string, { change }: PrimaryRecord): Position | undefined {
     return this.#latestAcknowledged(service, change, ({ acknowledged }) => acknowledged);
   }
 
+  /** Position that replicas had received when nodes confirmed commits of the service to callers. */
+  replicatedPosition(service: string, { change }: PrimaryRecord): Position | undefined {
+    return this.#latestAcknowledged(service, change, ({ replicated }) => replicated);
+  }
+
   /** Latest of the positions that the nodes report with their acknowledgements of a change. */
   #latestAcknowledged(
     service: string,
--- a/src/core/promotion/machine.ts
+++ b/src/core/promotion/machine.ts
@@ -6,10 +6,9 @@
 import type { PeerAddress } from '../../peer/contract.js';
 import type { KeyValue } from '../../platform/contract.js';
 import type { OwnerRoster, ReachableNode } from '../ownership/owner-roster.js';
-import type { Position } from '../position.js';
 import { KEEPER_GRACE_MS, type QuotaKeepers } from '../tenancy/quota-keepers.js';
 import type { Milliseconds } from '../units.js';
-import { AcknowledgedCommits } from './acknowledged-commits.js';
+import { type AcknowledgedCommit, AcknowledgedCommits } from './acknowledged-commits.js';
 import type { PrimaryUse, PromotionEffect, PromotionEvent } from './contract.js';
 import { Election } from './election.js';
 import { Leader } from './leader.js';
@@ -231,8 +230,8 @@
   }
 
   /** Notes a commit that is confirmed to its caller: no promotion may lose it. */
-  recordCommit(service: string, position: Position): void {
-    this.#commits.record(service, position);
+  recordCommit(service: string, commit: AcknowledgedCommit): void {
+    this.#commits.record(service, commit);
   }
 
   /** True if a success at the primary need not be reported, because nothing depends on it. */
@@ -375,6 +374,7 @@
     for (const entry of this.#records.entriesUnder(RECORD_PREFIX)) {
       const service = serviceOfPrimaryKey(entry.key);
       if (service === undefined) continue;
+      this.#primaries.noteRecord(service, this.#runtime.now);
       this.#participation.handleRecord(service, this.#primaries.recordOf(service));
     }
     this.#election.update();
--- a/src/core/promotion/participation.ts
+++ b/src/core/promotion/participation.ts
@@ -171,7 +171,9 @@
     const unlistedMembers = this.unlistedOf(service);
     const unlisted = unlistedMembers.length === 0 ? undefined : unlistedMembers;
     const acknowledged = this.commits.latestOf(service);
-    const value = encodeAcknowledgement({ change, leaseId, end, acknowledged, unlisted });
+    const replicated = this.commits.replicatedOf(service);
+    const positions = { end, acknowledged, replicated };
+    const value = encodeAcknowledgement({ change, leaseId, ...positions, unlisted });
     const put = { type: 'put', key, value, leaseId } as const;
     this.runtime.transaction([{ key, modRevision: knownRevision }], [put], (answer) => {
       if (this.#acknowledgements.get(service) !== state) return;
--- a/src/core/promotion/primaries.ts
+++ b/src/core/promotion/primaries.ts
@@ -223,6 +223,16 @@
       .map(({ id }) => ({ id, isRegistered: this.isRegistered(id) }));
   }
 
+  /** Called when the service's record may have changed. */
+  noteRecord(service: string, now: Milliseconds): void {
+    this.#recordSeenAt(service, now);
+  }
+
+  /** Time for which this node has known the present record of the service while the store was available. */
+  recordKnownForMs(service: string, now: Milliseconds): Milliseconds {
+    return now - Math.max(this.#recordSeenAt(service, now), this.lastStoreFailureAt());
+  }
+
   /** Time at which this node first saw the present record of the service. */
   #recordSeenAt(service: string, now: Milliseconds): Milliseconds {
     const revision = this.recordRevisionOf(service);
--- a/src/core/promotion/records.ts
+++ b/src/core/promotion/records.ts
@@ -135,8 +135,10 @@
   readonly leaseId: string;
   /** End of the old primary's log, if this node demoted it. */
   readonly end: Position | undefined;
-  /** Latest commit of the service that this node has confirmed to a caller. */
+  /** End of the log at the latest commit of the service that this node has confirmed to a caller. */
   readonly acknowledged?: Position | undefined;
+  /** Position that replicas had received when those commits were acknowledged. */
+  readonly replicated?: Position | undefined;
   /** Members that this node has seen and no record lists; absent if there are none. */
   readonly unlisted?: readonly InstanceEntry[] | undefined;
 }
@@ -199,9 +201,13 @@
 }
 
 export function encodeAcknowledgement(record: AcknowledgementRecord): string {
-  const { end, acknowledged, ...rest } = record;
-  const positions = { end: encodePosition(end), acknowledged: encodePosition(acknowledged) };
-  return JSON.stringify({ ...rest, ...positions });
+  const { end, acknowledged, replicated, ...rest } = record;
+  return JSON.stringify({
+    ...rest,
+    end: encodePosition(end),
+    acknowledged: encodePosition(acknowledged),
+    replicated: encodePosition(replicated),
+  });
 }
 
 /** The number is written as text, since JSON can't represent a bigint. */
@@ -328,10 +334,12 @@
 export function parseAcknowledgementRecord(
   fields: UncheckedFields,
 ): AcknowledgementRecord | undefined {
-  const { change, leaseId, end, acknowledged, unlisted } = fields;
+  const { change, leaseId, end, acknowledged, replicated, unlisted } = fields;
   if (!isNumber(change) || !isString(leaseId)) return undefined;
   return {
-    ...{ change, leaseId, end: parsePosition(end), acknowledged: parsePosition(acknowledged) },
+    ...{ change, leaseId, end: parsePosition(end) },
+    acknowledged: parsePosition(acknowledged),
+    replicated: parsePosition(replicated),
     unlisted: parseInstanceEntries(unlisted),
   };
 }
--- a/src/direct/commit-trust.ts
+++ b/src/direct/commit-trust.ts
@@ -49,7 +49,10 @@
 }
 
 /** The request to which a commit belongs. */
-export type CommitRequest = Pick<StatementRequest, 'deadline' | 'trace'>;
+export interface CommitRequest extends Pick<StatementRequest, 'deadline' | 'trace'> {
+  /** End of the primary's log as known before the commit was sent. */
+  readonly logEndBefore?: Position | undefined;
+}
 
 export class CommitTrust {
   constructor(private readonly options: CommitTrustOptions) {}
@@ -86,7 +89,7 @@
     service: ServiceRuntime,
     instance: InstanceRuntime,
     outcome: StatementOutcome,
-    { deadline, trace }: CommitRequest,
+    { deadline, trace, logEndBefore }: CommitRequest,
   ): Promise<StatementOutcome> {
     const { view, unsettledLogs, now } = this.options;
     if (outcome.type !== 'answered' || outcome.answer.error !== undefined) return outcome;
@@ -96,14 +99,15 @@
       return refuse('in-doubt', 'an instance that may still be promoted lacks the commit');
     }
     if (view.mayTrustPrimary(service.name, now(), instance.id)) {
-      if (position !== undefined) view.recordCommit(service.name, position);
+      if (position !== undefined)
+        view.recordCommit(service.name, { logEnd: position, logEndBefore });
       return outcome;
     }
     const judged = await view.judgeCommits(service.name, instance.id, position);
     const verdict = judged ?? (await this.#judgeByReplication(service, instance, position));
     trace?.record({ step: 'commit-confirmed', verdict });
     if (verdict !== 'safe') return refuse('in-doubt', IN_DOUBT_TEXTS[verdict]);
-    if (position !== undefined) view.recordCommit(service.name, position);
+    if (position !== undefined) view.recordCommit(service.name, { logEnd: position, logEndBefore });
     return outcome;
   }
 
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -1,6 +1,8 @@
 /** Interface between a node's data path and the component that tracks the primaries. */
+
 import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
+import type { AcknowledgedCommit } from '../../core/promotion/acknowledged-commits.js';
 import type { CommitVerdict } from '../../core/promotion/commit-verdict.js';
 import type { PrimaryUse } from '../../core/promotion/contract.js';
 import type { UnsettledInstance } from '../../core/promotion/primaries.js';
@@ -72,7 +74,7 @@
   /** Reports that the primary responded or, with `commit`, that it acknowledged a commit. */
   reportPrimarySuccess(service: string, now: Milliseconds, use?: PrimaryUse): void;
   /** Notes a commit that is about to be confirmed to its caller: no promotion may lose it. */
-  recordCommit(service: string, position: Position): void;
+  recordCommit(service: string, commit: AcknowledgedCommit): void;
   /** Notes a position that the log of an instance has reached. */
   recordPosition(instance: InstanceEntry, position: Position): void;
   /** Notes that a later incarnation responds for an instance: it is no longer trusted. */
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -2,8 +2,10 @@
  * Runs the promotion state machine of one node with the store, the instances and a timer. The owner starts it, passes on
  * changes of the instances and services, releases leadership before a planned stop, and then stops it.
  */
+
 import type { OwnerRoster, ReachableNode } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
+import type { AcknowledgedCommit } from '../../core/promotion/acknowledged-commits.js';
 import type { CommitVerdict } from '../../core/promotion/commit-verdict.js';
 import type {
   PromotionEffect,
@@ -331,8 +333,8 @@
     return this.#machine.isChanging(service);
   }
 
-  recordCommit(service: string, position: Position): void {
-    this.#machine.recordCommit(service, position);
+  recordCommit(service: string, commit: AcknowledgedCommit): void {
+    this.#machine.recordCommit(service, commit);
   }
 
   recordPosition(instance: InstanceEntry, position: Position): void {
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -73,6 +73,13 @@
   readonly now: () => Milliseconds;
 }
 
+/** A write or commit that is being sent or not answered yet. */
+export interface InFlightWrite {
+  /** End of the primary's log as last reported before the write was sent; undefined if unknown. */
+  readonly logEndBefore: Position | undefined;
+  end(): void;
+}
+
 /** An instance with its pool, as a candidate for reads. */
 export interface InstanceRuntime extends ReadCandidate {
   readonly pool: InstancePool;
@@ -454,14 +461,16 @@
     return sample && instanceId !== undefined ? { ...sample, instanceId } : undefined;
   }
 
-  /** Counts a write or commit as in flight to the primary until the returned function is called. */
-  beginWrite(): () => void {
+  /** Counts a write or commit, which is about to be sent to the primary, as in flight until its `end` is called. */
+  beginWrite(): InFlightWrite {
     this.#writes += 1;
-    return () => {
-      this.#writes -= 1;
-      if (this.#writes > 0) return;
-      for (const settle of this.#writeWaiters.splice(0)) settle();
-    };
+    return { logEndBefore: this.samples.newest()?.position, end: () => this.#endWrite() };
+  }
+
+  #endWrite(): void {
+    this.#writes -= 1;
+    if (this.#writes > 0) return;
+    for (const settle of this.#writeWaiters.splice(0)) settle();
   }
 
   /** Resolves when no write is in flight; at once if an instance recently failed to answer. */
--- a/src/direct/snapshots/reported-primaries.ts
+++ b/src/direct/snapshots/reported-primaries.ts
@@ -3,9 +3,11 @@
  * the records known to this node. It never makes an instance trusted: without a lease, a read there needs
  * the proof by the members' positions.
  */
+
 import type { PrimariesPart } from '../../core/directory/snapshot.js';
 import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
+import type { AcknowledgedCommit } from '../../core/promotion/acknowledged-commits.js';
 import type { CommitVerdict } from '../../core/promotion/commit-verdict.js';
 import type { UnsettledInstance } from '../../core/promotion/primaries.js';
 import type { Milliseconds } from '../../core/units.js';
@@ -121,8 +123,8 @@
     this.recorded.reportPrimarySuccess(service, now, use);
   }
 
-  recordCommit(service: string, position: Position): void {
-    this.recorded.recordCommit(service, position);
+  recordCommit(service: string, commit: AcknowledgedCommit): void {
+    this.recorded.recordCommit(service, commit);
   }
 
   recordPosition(instance: InstanceEntry, position: Position): void {
--- a/src/direct/statement-runner.ts
+++ b/src/direct/statement-runner.ts
@@ -105,11 +105,13 @@
       } else if (target !== undefined) {
         if (!tryUseAttempt(request, attempts)) break;
         attempts += 1;
-        const endWrite = request.service.beginWrite();
+        const write = request.service.beginWrite();
         const attempt = await this.attempts.run(request, target);
-        endWrite();
+        write.end();
         if (attempt.type === 'answered') {
-          return this.commits.confirm(request.service, attempt.instance, attempt, request);
+          const { service, deadline, trace } = request;
+          const commit = { deadline, trace, logEndBefore: write.logEndBefore };
+          return this.commits.confirm(service, attempt.instance, attempt, commit);
         }
         if (attempt.type === 'unknown') return refuse('in-doubt', 'no answer to a write');
         refusal = attempt.refusal;
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -117,7 +117,7 @@
       return refuse('aborted', `${WRITE_WITHHELD.text}; rolled back`);
     }
     const sentAt = now();
-    const endWrite = this.service.beginWrite();
+    const write = this.service.beginWrite();
     request.trace?.record({
       step: 'sent',
       instance: instance.id,
@@ -133,7 +133,7 @@
     const isSilentCommit = answer === undefined && this.#wrote;
     const silentForMs = instance.pool.health.silenceMs(isSilentCommit ? 'write' : 'read');
     endWatch(answer?.isOk() === true);
-    endWrite();
+    write.end();
     if (answer === undefined || answer.isErr()) {
       const lost = { request: this, instance, connection, answer, sentAt };
       this.runner.feedback.recordNoAnswer(lost, isSilentCommit ? 'commit' : 'reach', silentForMs);
@@ -157,7 +157,8 @@
     request.trace?.record({ step: 'answered', instance: instance.id, code: error?.code });
     const outcome = { type: 'answered' as const, answer: answer.value };
     if (!this.#wrote) return outcome;
-    return this.runner.commits.confirm(this.service, instance, outcome, request);
+    const commit = { deadline, trace: request.trace, logEndBefore: write.logEndBefore };
+    return this.runner.commits.confirm(this.service, instance, outcome, commit);
   }
 
   #maySend(request: TransactionRequest, instance: InstanceRuntime): Promise<boolean> {
--- a/test/property/replaced-incarnation.test.ts
+++ b/test/property/replaced-incarnation.test.ts
@@ -84,9 +84,22 @@
   }
 });
 
-test('without the positions of acknowledged commits they are lost', () => {
-  const outcomes = SEEDS.map((seed) => play(seed, { startsAgain: true }, ['acknowledged-commits']));
-  assert.ok(outcomes.every(({ violations }) => violations.length > 0));
+/** The simulation knows each commit's own position, so that each mechanism suffices; gateways know only bounds of it. */
+test('each position that nodes report of acknowledged commits keeps them, and without both they are lost', () => {
+  const lossesWithout = (seed: number, disabled: readonly PromotionMechanism[]): number =>
+    play(seed, { startsAgain: true }, disabled).violations.length;
+  for (const seed of SEEDS) {
+    assert.is(
+      lossesWithout(seed, ['acknowledged-commits']),
+      0,
+      `seed ${seed}: the replicated position`,
+    );
+    assert.is(lossesWithout(seed, ['replicated-commits']), 0, `seed ${seed}: the end of the log`);
+    assert.ok(
+      lossesWithout(seed, ['acknowledged-commits', 'replicated-commits']) > 0,
+      `seed ${seed}`,
+    );
+  }
 });
 
 test.run();
--- a/test/property/withheld-candidates.test.ts
+++ b/test/property/withheld-candidates.test.ts
@@ -17,7 +17,7 @@
     const { group, network, nodes } = simulation;
     const { primary } = group;
     const beyond = { timeline: primary.term, lsn: BigInt(primary.log.length + 1000) };
-    for (const node of nodes) node.machine?.recordCommit(group.service, beyond);
+    for (const node of nodes) node.machine?.recordCommit(group.service, { logEnd: beyond });
     for (const { address } of group.instances) {
       if (address !== primary.address) network.cut(primary.address, address, LONG_MS);
     }
--- a/test/support/promotion/node.ts
+++ b/test/support/promotion/node.ts
@@ -368,7 +368,8 @@
           this.#runIfTrusted(service, primary, 'commit', () => {
             if (write.isGivenUp) return;
             this.writesAcknowledged += 1;
-            this.machine?.recordCommit(service, position);
+            const logEndBefore = { ...position, lsn: position.lsn - 1n };
+            this.machine?.recordCommit(service, { logEnd: position, logEndBefore });
             reportToCaller();
           });
         this.#awaitUnsettled(service, position, this.#clock.now + CONFIRM_TIMEOUT_MS, confirm);
--- a/test/support/promotion/steps.ts
+++ b/test/support/promotion/steps.ts
@@ -3,7 +3,12 @@
  * or less on the way does not change what is played.
  */
 import type { PromotionMechanism } from '../../../src/core/promotion/contract.js';
-import { primaryKeyOf } from '../../../src/core/promotion/records.js';
+import {
+  decodeRecord,
+  handoverKeyOf,
+  parseHandoverRecord,
+  primaryKeyOf,
+} from '../../../src/core/promotion/records.js';
 import type { SimulatedInstance } from './group.js';
 import type { SimulatedNode } from './node.js';
 import { PromotionSimulation, type SimulationOptions } from './simulation.js';
@@ -56,6 +61,14 @@
     return node.machine?.hasStore(node.now) === true;
   }
 
+  /** Whether the leader has removed an instance from the members. */
+  hasDeparted({ id }: SimulatedInstance): boolean {
+    const { store, group } = this.simulation;
+    const entry = store.entries.get(handoverKeyOf(group.service));
+    const departed = decodeRecord(entry, parseHandoverRecord)?.departed ?? [];
+    return departed.some((member) => member.id === id);
+  }
+
   /** The group's primary as a node knows it. */
   primaryIdAt(node: SimulatedNode): string | undefined {
     return node.machine?.primaryOf(this.simulation.group.service, node.now)?.id;
--- a/test/unit/candidate.test.ts
+++ b/test/unit/candidate.test.ts
@@ -12,6 +12,14 @@
   readonly confirmed?: boolean;
 }
 
+interface KnownPositions {
+  /** End of the log at the latest acknowledged commit. */
+  readonly lsn?: bigint;
+  /** Position that replicas have received for certain. */
+  readonly replicatedLsn?: bigint;
+  readonly oldPrimary?: MemberObservation;
+}
+
 function observation(
   id: string,
   { lsn, stopped = true, confirmed = false }: Observed,
@@ -32,12 +40,13 @@
 function provenIds(
   replicas: readonly MemberObservation[],
   successor?: MemberObservation,
-  { lsn, oldPrimary }: { lsn?: bigint; oldPrimary?: MemberObservation } = {},
+  { lsn, replicatedLsn, oldPrimary }: KnownPositions = {},
 ): string[] {
   const question = {
     oldPrimary,
     successor,
     acknowledged: lsn === undefined ? undefined : { timeline: 4, lsn },
+    replicated: replicatedLsn === undefined ? undefined : { timeline: 4, lsn: replicatedLsn },
     syncReplicas: 1,
     acceptsAny: false,
     isProofDisabled: false,
@@ -88,4 +97,16 @@
   assert.equal(provenIds([successor, SILENT], successor, { lsn: 8n }), []);
 });
 
+/** A departed member that is back, and that this leader can't reach, may have counted towards that commit. */
+test('members that lack a position that replicas have received prove nothing, however well confirmed', () => {
+  const replicas = [
+    observation('first', { lsn: 7n, confirmed: true }),
+    observation('second', { lsn: 6n, confirmed: true }),
+  ];
+  assert.equal(provenIds(replicas, undefined, { lsn: 9n, replicatedLsn: 8n }), []);
+  assert.equal(provenIds(replicas, undefined, { lsn: 9n, replicatedLsn: 7n }), ['first']);
+  const oldPrimary = observation('old', { lsn: 7n, confirmed: true });
+  assert.equal(provenIds(replicas, undefined, { replicatedLsn: 8n, oldPrimary }), []);
+});
+
 test.run();
--- a/test/unit/direct/commit-trust.test.ts
+++ b/test/unit/direct/commit-trust.test.ts
@@ -12,6 +12,7 @@
 const SERVICE = { name: 'orders' } as ServiceRuntime;
 const PRIMARY = { id: 'primary' } as InstanceRuntime;
 const POSITION = { timeline: 4, lsn: 9n };
+const BEFORE = { timeline: 4, lsn: 7n };
 const DONE = {
   type: 'answered',
   answer: { payload: '', state: 'idle', position: POSITION, error: undefined },
@@ -100,8 +101,11 @@
     [{ commits: 'unknown' }, false],
   ] as const) {
     const { commits, recorded } = trust(situation);
-    await commits.confirm(SERVICE, PRIMARY, DONE, REQUEST);
-    assert.equal(recorded, isConfirmed ? [[SERVICE.name, POSITION]] : []);
+    await commits.confirm(SERVICE, PRIMARY, DONE, { ...REQUEST, logEndBefore: BEFORE });
+    assert.equal(
+      recorded,
+      isConfirmed ? [[SERVICE.name, { logEnd: POSITION, logEndBefore: BEFORE }]] : [],
+    );
   }
 });
 
--- a/test/unit/direct/statement-runner.test.ts
+++ b/test/unit/direct/statement-runner.test.ts
@@ -216,7 +216,7 @@
     get changeOfPrimary() {
       return changeOfPrimary;
     },
-    beginWrite: () => () => {},
+    beginWrite: () => ({ logEndBefore: undefined, end: () => {} }),
     recordPosition: () => {},
     samples: { requiredAt: () => undefined },
   } as unknown as ServiceRuntime;
@@ -419,7 +419,7 @@
   const service = {
     name: 'ledger',
     primary: () => primary,
-    beginWrite: () => () => {},
+    beginWrite: () => ({ logEndBefore: undefined, end: () => {} }),
     recordPosition: () => {},
     samples: { requiredAt: () => undefined },
   } as unknown as ServiceRuntime;
@@ -460,7 +460,11 @@
   };
   const primary = { id: 'primary', pool, isUsable: () => true } as unknown as InstanceRuntime;
   const service = {
-    ...{ name: 'ledger', primary: () => primary, beginWrite: () => () => {} },
+    ...{
+      name: 'ledger',
+      primary: () => primary,
+      beginWrite: () => ({ logEndBefore: undefined, end: () => {} }),
+    },
     samples: { requiredAt: () => undefined },
   } as unknown as ServiceRuntime;
   const view = {
@@ -520,7 +524,7 @@
   const service = {
     name: 'ledger',
     primary: () => primary,
-    beginWrite: () => () => {},
+    beginWrite: () => ({ logEndBefore: undefined, end: () => {} }),
     samples: { requiredAt: () => undefined },
   } as unknown as ServiceRuntime;
   const now = () => performance.now();
