A departed member that responds that it is busy counts in a change of primary

Cause: `GroupHold.isUnresponsive` takes every call without a status for no response, also `busy` and `rejected`, which only a running instance can give. Until the leader has recorded it as a member again (it asks once a second), the member is left out of the proof.

Change: only a call that ended `refused` or `silent` makes a member unresponsive.

Conclusion: any response keeps the member in the proof; a member that stays busy delays the change as any other member does.

--- a/src/core/promotion/hold.ts
+++ b/src/core/promotion/hold.ts
@@ -24,6 +24,8 @@
   callCount: number;
   /** Time at which the latest call succeeded or failed. */
   lastCallEndedAt: Milliseconds;
+  /** Whether the latest call got a response; also true if the member was busy or did not carry the call out. */
+  hasResponded: boolean;
 }
 
 export interface HoldOptions {
@@ -117,13 +119,13 @@
     };
   }
 
-  /** Whether a member was called recently and has not responded. */
+  /** Whether the latest call to a member ended recently and got no response of any kind. */
   isUnresponsive(id: string): boolean {
     const member = this.#members.find(({ entry }) => entry.id === id);
     const { now, timings } = this.runtime;
     if (member === undefined || now - member.lastCallEndedAt > timings.evidenceMaxAgeMs)
       return false;
-    return !this.#isRecent(member);
+    return !member.hasResponded && !this.#isRecent(member);
   }
 
   #isRecent({ sentAt }: MemberState): boolean {
@@ -163,6 +165,7 @@
       this.#recordResponse(member, answer, sentAt);
       if (call === member.callCount) {
         member.lastCallEndedAt = this.runtime.now;
+        member.hasResponded = answer !== 'refused' && answer !== 'silent';
         const waitMs = answer === 'busy' ? BUSY_RETRY_DELAY_MS : holdRetryPeriodMs;
         this.#scope.after(waitMs, () => {
           if (call === member.callCount) this.#callMember(member);
@@ -202,6 +205,6 @@
   const never = Number.NEGATIVE_INFINITY;
   return {
     ...{ entry, action, status: undefined, respondingSince: Number.POSITIVE_INFINITY },
-    ...{ sentAt: never, lastCallEndedAt: never, callCount: 0 },
+    ...{ sentAt: never, lastCallEndedAt: never, hasResponded: false, callCount: 0 },
   };
 }
--- a/test/unit/hold.test.ts
+++ b/test/unit/hold.test.ts
@@ -1,6 +1,7 @@
 /** What a hold of replicas reports about them. */
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import type { ControlFailure } from '../../src/core/promotion/contract.js';
 import { GroupHold } from '../../src/core/promotion/hold.js';
 import { DEFAULT_PROMOTION_TIMINGS } from '../../src/core/promotion/options.js';
 import { PromotionRuntime } from '../../src/core/promotion/runtime.js';
@@ -18,22 +19,27 @@
   return { role: 'replica', term: 1, received, ...rest, connectedSince };
 }
 
-/** Since when the replica counts as responding, after pauses with these responses. */
-function respondingSince(...responses: readonly InstanceStatus[]): number | undefined {
+function startHold(isConfirmed: (since: number) => boolean = () => true) {
   const runtime = new PromotionRuntime({
     ...{ nodeName: 'n', incarnation: 'n-1', timings: DEFAULT_PROMOTION_TIMINGS, random: () => 0 },
   });
-  let since: number | undefined;
   const hold = new GroupHold(runtime, {
     ...{ oldPrimary: undefined, replicas: [REPLICA], term: 1, isPresent: () => true },
     ...{ mayAct: () => true, onResponse: () => {} },
-    isConfirmed: (_entry, respondingSince) => {
-      since = respondingSince;
-      return false;
-    },
+    isConfirmed: (_entry, respondingSince) => isConfirmed(respondingSince),
   });
   runtime.now = NOW;
   hold.start();
+  return { runtime, hold };
+}
+
+/** Since when the replica counts as responding, after pauses with these responses. */
+function respondingSince(...responses: readonly InstanceStatus[]): number | undefined {
+  let since: number | undefined;
+  const { runtime, hold } = startHold((respondingSince) => {
+    since = respondingSince;
+    return false;
+  });
   for (const status of responses) {
     for (const effect of runtime.takeEffects()) {
       if (effect.type === 'request') runtime.handleAnswer(effect.id, { type: 'status', status });
@@ -56,4 +62,22 @@
   assert.is(respondingSince(statusOf(undefined), statusOf(since)), since);
 });
 
+/** Whether the replica counts as unresponsive after a call that failed like this. */
+function isUnresponsiveAfter(failure: ControlFailure): boolean {
+  const { runtime, hold } = startHold();
+  for (const effect of runtime.takeEffects()) {
+    if (effect.type !== 'request') continue;
+    runtime.handleAnswer(effect.id, { type: 'control-failed', failure });
+  }
+  return hold.isUnresponsive(REPLICA.id);
+}
+
+/** Otherwise a departed member that is back and busy is left out, and its commits are lost at the promotion of another. */
+test('a member that responds that it is busy, or that it did not carry out the call, is not unresponsive', () => {
+  assert.not(isUnresponsiveAfter('busy'));
+  assert.not(isUnresponsiveAfter('rejected'));
+  assert.ok(isUnresponsiveAfter('refused'));
+  assert.ok(isUnresponsiveAfter('silent'));
+});
+
 test.run();
