An instance whose registration went from a healthy store is gone for good; only an outage of their own watch makes registrations uncertain

Cause, three of one class: whether a missing registration may merely have expired was asked of the store's present state each time, also for one that had gone long before, from a healthy store (`InstanceState.isUsable`); any problem, also a cut poll of the configuration or a document that can't be parsed, made the registrations count as out of date (`PlatformProcess.#isStoreWell`); and a cut poll counted as an outage until a poll that waits up to half of the drain timeout was answered.

Ruled out: only the first or only the second as the cause. With the first alone mended, a cut of the list's own watch shortly before the drain timeout would still lengthen the use by up to 3.5 s; with the second alone, any real outage would bring back every instance that had left.

Change: the runtime decides when a registration goes (healthy for 2.3 s: it has left), or once the store has been healthy for 2.3 s after it. `StoreHealth` follows the registrations' own watch; a failure followed by a success within 300 ms is no outage.

In unit/platform/store the poll after a lost one is now expected not to wait and the one after it to wait half the time (the check of the halved wait stays). The fixtures pass the time since which the store has been healthy in place of a flag.

Conclusion: the drain timeout holds whatever the store does afterwards. Not run: an entry of another writer that is rewritten every second, with processes.

--- a/src/core/directory/store-outage-detector.ts
+++ b/src/core/directory/store-outage-detector.ts
@@ -6,7 +6,7 @@
 import type { Milliseconds } from '../units.js';
 
 /** If any call succeeded within this time, there was no outage: other calls failed for other reasons. */
-const MIN_OUTAGE_MS: Milliseconds = 300;
+export const MIN_OUTAGE_MS: Milliseconds = 300;
 
 export class StoreOutageDetector {
   #lastSuccessAt: Milliseconds = Number.NEGATIVE_INFINITY;
--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -241,6 +241,20 @@
     this.#provenByPeerAt = Math.max(this.#provenByPeerAt, provenAt);
   }
 
+  /**
+   * Time since which the store has kept the registrations current without an outage; undefined while they may be out of
+   * date. Neither the configuration nor an entry that can't be parsed has an effect on it.
+   */
+  instancesHealthySince(): Milliseconds | undefined {
+    return this.#instanceReader.healthySince();
+  }
+
+  /** Whether the store keeps both the configuration and the registrations current. */
+  isHealthy(): boolean {
+    const readers = [this.#configurationReader, this.#instanceReader];
+    return readers.every((reader) => reader.healthySince() !== undefined);
+  }
+
   /** As `lastConfirmedAt`, for the configuration alone. */
   configurationConfirmedAt(): Milliseconds | undefined {
     return this.#configurationReader.lastConfirmedAt();
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -58,7 +58,8 @@
   readonly wire: StatementWire;
   readonly view: PrimaryView;
   /** False while the instance list that the store last sent may be outdated. */
-  readonly isStoreHealthy: () => boolean;
+  /** Time since which the registrations have been current; undefined while they may be out of date. */
+  readonly registrationsHealthySince: () => Milliseconds | undefined;
   /** Latest time at which the store is proven to have had no newer configuration; absent where not needed. */
   readonly configurationProvenAt?: () => Milliseconds | undefined;
   /** Log positions distributed by readers; without it each node queries the primaries itself. */
@@ -146,7 +147,8 @@
   #resolveFirstConfiguration: () => void = () => {};
 
   constructor(private readonly options: DirectGatewayOptions) {
-    const { wire, view, isStoreHealthy, logger, now, random } = options;
+    const { wire, view, registrationsHealthySince, logger, now, random } = options;
+    const isStoreHealthy = (): boolean => registrationsHealthySince() !== undefined;
     this.#createdAt = now();
     const { isFirstStart } = options.settings;
     this.#process = { startedAt: this.#createdAt, isFirstStart, jitter: random() };
@@ -510,7 +512,7 @@
   #service(name: string): ServiceRuntime {
     const known = this.#services.get(name);
     if (known !== undefined) return known;
-    const { settings, wire, view, isStoreHealthy, logger, now, random } = this.options;
+    const { settings, wire, view, registrationsHealthySince, logger, now, random } = this.options;
     const service = new ServiceRuntime(name, {
       nodeCount: this.#nodeCount,
       isNodeCountKnown: this.#nodeCountSeenAt !== undefined,
@@ -521,7 +523,7 @@
       isByTenant: () => this.#admission.requiresKeys,
       drainTimeoutMs: settings.drainTimeoutMs,
       view,
-      isStoreHealthy,
+      registrationsHealthySince,
       now,
       changes: this.latencies.primaryChanges,
       pool: {
--- a/src/direct/prefix-reader.ts
+++ b/src/direct/prefix-reader.ts
@@ -1,5 +1,7 @@
 /** Reads and watches one prefix of the store, as its `PrefixFollower` state machine decides. */
+
 import { type PrefixWatchEvent, PrefixWatchStateMachine } from '../core/directory/prefix-watch.js';
+import { StoreHealth } from '../core/directory/store-health.js';
 import type { MeadowstackError } from '../core/errors.js';
 import type { BackoffPolicy } from '../core/retry/backoff.js';
 import type { Milliseconds } from '../core/units.js';
@@ -20,6 +22,7 @@
 
 export class PrefixReader {
   readonly #follower: PrefixWatchStateMachine;
+  readonly #health = new StoreHealth();
   /** Ends the current watch or pause. */
   #cancel: (() => void) | undefined;
   #isPausing = false;
@@ -56,6 +59,11 @@
     return this.#confirmedAt;
   }
 
+  /** Time since which the store has kept the prefix current without an outage; undefined while it may be out of date. */
+  healthySince(): Milliseconds | undefined {
+    return this.#health.healthySince(this.options.clock());
+  }
+
   /** Last time at which the store provably had nothing that wasn't received here; undefined if nothing is proven. */
   lastProvenAt(): Milliseconds | undefined {
     return this.#provenAt;
@@ -105,7 +113,7 @@
     void this.options.store.range(this.options.prefix).match(
       (answer) => {
         if (this.#stopped) return;
-        this.#confirmedAt = this.#sentAt;
+        this.#recordConfirmed(this.#sentAt);
         this.#recordProven(this.#sentAt);
         this.options.onRange(answer);
         this.#handle({ type: 'range-read', revision: answer.revision });
@@ -121,7 +129,7 @@
       onEvents: (events, revision, currentAt = this.#sentAt, provenAt = currentAt) => {
         if (this.#stopped) return;
         this.#recordProven(provenAt);
-        this.#confirmedAt = Math.max(this.#confirmedAt ?? currentAt, currentAt);
+        this.#recordConfirmed(currentAt);
         // The watch sends its next poll after this handler returns, so this time is a lower bound.
         this.#sentAt = this.options.clock();
         this.options.onEvents(events);
@@ -135,12 +143,18 @@
     });
   }
 
+  #recordConfirmed(sentAt: Milliseconds): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt ?? sentAt, sentAt);
+    this.#health.recordSuccess(sentAt, this.options.clock());
+  }
+
   #recordProven(at: Milliseconds): void {
     this.#provenAt = Math.max(this.#provenAt ?? at, at);
   }
 
   #handleFailure(error: MeadowstackError, event: PrefixWatchEvent): void {
     if (this.#stopped) return;
+    this.#health.recordFailure(this.options.clock());
     this.options.onProblem(error);
     this.#handle(event);
   }
--- a/src/direct/service-runtime.ts
+++ b/src/direct/service-runtime.ts
@@ -66,8 +66,11 @@
   readonly ownership: OwnershipView;
   /** Whether each connection is bound to one tenant; false by default. */
   readonly isByTenant?: () => boolean;
-  /** False while the registrations last received from the store may be out of date. */
-  readonly isStoreHealthy: () => boolean;
+  /**
+   * Time since which the store has kept the registrations current without an outage; undefined while they may be out of
+   * date.
+   */
+  readonly registrationsHealthySince: () => Milliseconds | undefined;
   /** Records the duration of primary changes. */
   readonly changes?: LatencyHistogram;
   readonly now: () => Milliseconds;
@@ -94,6 +97,8 @@
   isLeaving = false;
   /** Its registration is gone without an announced stop. */
   hasVanished = false;
+  /** Its registration may be gone only because it could not be renewed during an outage of the store. */
+  mayHaveExpired = false;
   primary = false;
   /** The store itself has listed it, not only a peer. */
   isConfirmed = false;
@@ -119,9 +124,9 @@
     return this.ownership?.isOwned === true;
   }
 
-  /** A missing registration ends use only while the store is healthy: in an outage it may merely have expired. */
+  /** A registration that may merely have expired ends use only while the store is healthy. */
   isUsable(now: Milliseconds): boolean {
-    return now < this.usableUntil || (this.hasVanished && !this.isStoreHealthy());
+    return now < this.usableUntil || (this.mayHaveExpired && !this.isStoreHealthy());
   }
 
   get outstanding(): number {
@@ -151,8 +156,6 @@
   readonly samples = new PositionSamples();
   readonly #instances = new Map<string, InstanceState>();
   #maxConnections = 0;
-  /** Time since which the store has been healthy; undefined while it isn't. */
-  #storeHealthySince: Milliseconds | undefined;
   #nodeCount: number;
   #isNodeCountKnown: boolean;
   #samplesSource: string | undefined;
@@ -188,7 +191,10 @@
       if (present.has(id)) continue;
       if (entries.some((entry) => isOtherIncarnation(state.pool.instance, entry)))
         this.#endUse(state, now);
-      if (!state.isLeaving) state.hasVanished = true;
+      if (!state.isLeaving) {
+        state.hasVanished = true;
+        state.mayHaveExpired = !this.#isStoreSettled(now);
+      }
       this.#startLeaving(state, now);
     }
     this.#removeAbsent(now, present);
@@ -298,6 +304,7 @@
 
   /** Called periodically: closes surplus connections, and raises the limits to the full share once settled. */
   trim(): void {
+    this.#confirmRemovals(this.options.now());
     if (!this.#hasSettled && this.#isSettled()) {
       this.#hasSettled = true;
       this.#updateLimits();
@@ -317,10 +324,10 @@
   readable(now: Milliseconds): InstanceRuntime[] {
     const primaryId = this.options.view.primaryOf(this.name)?.id;
     const usable: InstanceState[] = [];
-    const isSettled = this.#isStoreSettled(now);
+    this.#confirmRemovals(now);
     for (const state of this.#instances.values()) {
       state.primary = state.id === primaryId;
-      const isAvailable = !state.isLeaving || (state.hasVanished && !isSettled);
+      const isAvailable = !state.isLeaving || state.mayHaveExpired;
       if (isAvailable && state.isUsable(now)) usable.push(state);
     }
     return usable;
@@ -336,14 +343,23 @@
     return [...readable.filter(({ primary }) => primary), ...replica];
   }
 
-  /** True if the store has been healthy long enough for expired registrations to be back. */
+  /** Whether the store has been healthy long enough for registrations that expired in an outage to be back. */
   #isStoreSettled(now: Milliseconds): boolean {
-    if (!this.options.isStoreHealthy()) this.#storeHealthySince = undefined;
-    else this.#storeHealthySince ??= now;
-    return (
-      this.#storeHealthySince !== undefined &&
-      now - this.#storeHealthySince >= REGISTRATIONS_BACK_MS
-    );
+    const healthySince = this.options.registrationsHealthySince();
+    return healthySince !== undefined && now - healthySince >= REGISTRATIONS_BACK_MS;
+  }
+
+  /**
+   * Once the store has been healthy for long enough, registrations that are still missing are gone: a later outage is no
+   * reason to use their instances again.
+   */
+  #confirmRemovals(now: Milliseconds): void {
+    if (!this.#isStoreSettled(now)) return;
+    for (const state of this.#instances.values()) state.mayHaveExpired = false;
+  }
+
+  #isStoreHealthy(): boolean {
+    return this.options.registrationsHealthySince() !== undefined;
   }
 
   /** The primary, if it is known and may get new work. */
@@ -490,7 +506,7 @@
     if (known === undefined) {
       const pool = new InstancePool(entry, MIN_CONNECTIONS, this.options.pool);
       const sameZone = entry.zone === this.options.zone;
-      const state = new InstanceState(entry.id, sameZone, pool, this.options.isStoreHealthy);
+      const state = new InstanceState(entry.id, sameZone, pool, () => this.#isStoreHealthy());
       if (entry.draining) {
         // It is unknown how long it has been leaving, so it gets no work.
         state.isLeaving = true;
@@ -501,6 +517,7 @@
     }
     known.pool.instance = entry;
     known.hasVanished = false;
+    known.mayHaveExpired = false;
     if (entry.draining) this.#startLeaving(known, now);
     else if (known.isLeaving) {
       known.isLeaving = false;
@@ -513,6 +530,7 @@
   #endUse(state: InstanceState, now: Milliseconds): void {
     state.isLeaving = true;
     state.hasVanished = false;
+    state.mayHaveExpired = false;
     state.usableUntil = now;
     state.pool.destroy();
   }
@@ -534,7 +552,7 @@
     for (const [id, state] of this.#instances) {
       if (present.has(id) || state.isUsable(now)) continue;
       // The store may still list it; a confirmation of the primary without this instance's response would be invalid.
-      if (!state.isConfirmed && !this.options.isStoreHealthy()) continue;
+      if (!state.isConfirmed && !this.#isStoreHealthy()) continue;
       state.pool.close();
       this.#instances.delete(id);
     }
--- a/test/support/caller-session-fixture.ts
+++ b/test/support/caller-session-fixture.ts
@@ -54,7 +54,7 @@
     drainTimeoutMs: 7000,
     ownership: { roster: undefined, ownershipOf: () => undefined },
     view,
-    isStoreHealthy: () => true,
+    registrationsHealthySince: () => 0,
     now,
     pool: {
       wire: lineWire,
--- a/test/unit/direct/instance-pool.test.ts
+++ b/test/unit/direct/instance-pool.test.ts
@@ -248,7 +248,11 @@
     ...{ zone: 'a', nodeCount: 8, isNodeCountKnown: false, drainTimeoutMs: 7000 },
     ownership: { roster: undefined, ownershipOf: () => undefined },
     view: new AnnouncedPrimaryView(),
-    ...{ isStoreHealthy: () => true, now: () => 0, pool: { ...POOL_OPTIONS, now: () => 0 } },
+    ...{
+      registrationsHealthySince: () => 0,
+      now: () => 0,
+      pool: { ...POOL_OPTIONS, now: () => 0 },
+    },
   });
   const place = { service: 'orders', host: '10.0.0.1', port: 80, zone: 'a', slots: 3 };
   service.setInstances([{ id: 'i-1', ...place, draining: false, role: 'replica' }]);
--- a/test/unit/direct/service-runtime.test.ts
+++ b/test/unit/direct/service-runtime.test.ts
@@ -15,9 +15,16 @@
   return { id, ...place, draining, role: 'replica' };
 }
 
+interface World {
+  now: number;
+  /** Time since which the store has been healthy. */
+  healthySince: number | undefined;
+  readonly ownership: OwnershipView;
+}
+
 function setUp(start: { readonly startedAt?: number; readonly isFirstStart?: boolean } = {}) {
   const ownership: OwnershipView = { roster: undefined, ownershipOf: () => undefined };
-  const world = { now: 0, isWell: false, ownership };
+  const world: World = { now: 0, healthySince: undefined, ownership };
   const counters = {
     connectionsOpened: 0,
     connectFailures: 0,
@@ -33,7 +40,7 @@
     ownership,
     drainTimeoutMs: DRAIN_MS,
     view,
-    isStoreHealthy: () => world.isWell,
+    registrationsHealthySince: () => world.healthySince,
     ...start,
     now: () => world.now,
     pool: {
@@ -54,7 +61,7 @@
   const { world, service, usable } = setUp();
   service.setInstances([entry('i-1'), entry('i-2')], 'peer');
   assert.equal(usable(), ['i-1', 'i-2']);
-  world.isWell = true;
+  world.healthySince = world.now;
   service.setInstances([entry('i-1')]);
   assert.equal(usable(), ['i-1', 'i-2']);
   world.now = 2500;
@@ -63,7 +70,7 @@
 
 test('an instance that the store listed before is used for the drain timeout less a margin', () => {
   const { world, service, usable } = setUp();
-  world.isWell = true;
+  world.healthySince = world.now;
   service.setInstances([entry('i-1'), entry('i-2')]);
   service.setInstances([entry('i-1')]);
   world.now = DRAIN_MS - 1501;
@@ -76,10 +83,10 @@
   const { world, service, usable } = setUp();
   const first = { ...entry('i-1@100'), lifeOf: 'i-1' };
   const second = { ...entry('i-1@200'), lifeOf: 'i-1' };
-  world.isWell = true;
+  world.healthySince = world.now;
   service.setInstances([first, entry('i-2')]);
   service.setInstances([entry('i-2')]);
-  world.isWell = false;
+  world.healthySince = undefined;
   assert.equal(usable(), ['i-1@100', 'i-2'], 'its registration may have expired');
   service.setInstances([second, entry('i-2')]);
   assert.equal(usable(), ['i-2', 'i-1@200']);
@@ -90,14 +97,14 @@
 test('a replica whose registration expired while the store was unreachable is read until it could have registered again', () => {
   const { world, service } = setUp();
   const readable = (): string[] => service.readable(world.now).map(({ id }) => id);
-  world.isWell = true;
+  world.healthySince = world.now;
   service.setInstances([entry('i-1'), entry('i-2')]);
   assert.equal(readable(), ['i-1', 'i-2']);
   world.now = 10_000;
-  world.isWell = false;
+  world.healthySince = undefined;
   assert.equal(readable(), ['i-1', 'i-2']);
   world.now = 20_000;
-  world.isWell = true;
+  world.healthySince = world.now;
   service.setInstances([entry('i-1')]);
   assert.equal(readable(), ['i-1', 'i-2']);
   world.now = 22_299;
@@ -108,7 +115,7 @@
 
 test('a replica whose registration is removed while the store is reachable is no longer read', () => {
   const { world, service } = setUp();
-  world.isWell = true;
+  world.healthySince = world.now;
   service.setInstances([entry('i-1'), entry('i-2')]);
   service.readable(0);
   world.now = 10_000;
@@ -119,10 +126,41 @@
   );
 });
 
+/** Otherwise it is sent work again long after its drain timeout: the node may lose the store for a moment at any time. */
+test('an instance whose registration is removed while the store is healthy is not used again in an outage', () => {
+  const { world, service, usable } = setUp();
+  const readable = (): string[] => service.readable(world.now).map(({ id }) => id);
+  world.healthySince = world.now;
+  service.setInstances([entry('i-1'), entry('i-2')]);
+  world.now = 10_000;
+  service.setInstances([entry('i-1')]);
+  world.now += 1000;
+  world.healthySince = undefined;
+  assert.equal([usable(), readable()], [['i-1', 'i-2'], ['i-1']], 'within the drain timeout');
+  world.now = 10_000 + DRAIN_MS;
+  assert.equal([usable(), readable()], [['i-1'], ['i-1']]);
+});
+
+test('an instance whose registration does not return after an outage is not used again in the next one', () => {
+  const { world, service, usable } = setUp();
+  service.setInstances([entry('i-1'), entry('i-2')]);
+  world.now = 10_000;
+  world.healthySince = world.now;
+  service.setInstances([entry('i-1')]);
+  world.healthySince = undefined;
+  world.now = 10_000 + DRAIN_MS;
+  assert.equal(usable(), ['i-1', 'i-2'], 'its registration may have expired');
+  world.healthySince = world.now;
+  world.now += 2300;
+  service.trim();
+  world.healthySince = undefined;
+  assert.equal(usable(), ['i-1']);
+});
+
 test('an instance that turns out to be draining gets no more work, since the start of its draining is unknown', () => {
   const { world, service, usable } = setUp();
   service.setInstances([entry('i-1'), entry('i-2')], 'peer');
-  world.isWell = true;
+  world.healthySince = world.now;
   service.setInstances([entry('i-1'), entry('i-2', true)]);
   assert.equal(usable(), ['i-1']);
 });
@@ -132,7 +170,7 @@
   service.addDeparted([entry('i-9')]);
   service.setInstances([entry('i-1')], 'peer');
   assert.equal([usable(), members()], [['i-1'], ['i-9', 'i-1']]);
-  world.isWell = true;
+  world.healthySince = world.now;
   service.setInstances([entry('i-1')]);
   assert.equal(members(), ['i-1']);
 });
--- a/test/unit/direct/tenant.test.ts
+++ b/test/unit/direct/tenant.test.ts
@@ -76,7 +76,7 @@
       nodeCount: 1,
       drainTimeoutMs: 7000,
       view,
-      isStoreHealthy: () => true,
+      registrationsHealthySince: () => 0,
       now,
       pool,
     },
--- a/test/unit/platform/directory-follower.test.ts
+++ b/test/unit/platform/directory-follower.test.ts
@@ -316,6 +316,29 @@
   assert.is(setup.follower.configurationConfirmedAt(), 2000, 'a lost poll confirms nothing');
 });
 
+/** Otherwise an instance that has left is used again after each cut of a watch, or for as long as an invalid entry is rewritten. */
+test('only an outage of their own watch makes the registrations out of date', async () => {
+  const setup = setUp();
+  const { store, follower } = setup;
+  setup.now = 100;
+  follower.start();
+  await settle();
+  store.last(CONFIGURATION_KEY).handlers.onEnd(new StoreWatchEndedError('cut'), false);
+  store.last(CONFIGURATION_KEY).handlers.onEnd(new StoreWatchEndedError('cut'), false);
+  store.last(INSTANCE_KEY_PREFIX).handlers.onEvents([put('servers/i-9', 'not JSON', 20)], 20);
+  setup.now = 10_000;
+  assert.is(follower.instancesHealthySince(), 100);
+  assert.not(follower.isHealthy(), 'the configuration may be out of date');
+  store.last(INSTANCE_KEY_PREFIX).handlers.onEnd(new StoreWatchEndedError('cut'), false);
+  setup.now = 10_010;
+  store.last(INSTANCE_KEY_PREFIX).handlers.onEvents([], 21);
+  setup.now = 20_000;
+  assert.is(follower.instancesHealthySince(), 100, 'the watch was open again at once');
+  store.last(INSTANCE_KEY_PREFIX).handlers.onEnd(new StoreWatchEndedError('lost'), false);
+  setup.now = 21_000;
+  assert.is(follower.instancesHealthySince(), undefined);
+});
+
 test('a stopped follower reports nothing and has no open watch', async () => {
   const { store, notifications, follower } = await started(() => undefined);
   notifications.length = 0;
--- a/test/unit/platform/store.test.ts
+++ b/test/unit/platform/store.test.ts
@@ -297,7 +297,7 @@
   }
 });
 
-test('the poll after a lost one waits half the time at the store', async () => {
+test('the poll after a lost one does not wait at the store, and the next one waits half the time', async () => {
   const server = await startScriptedServer((_request, earlier) =>
     earlier === 0 ? 'cut' : { status: 200, json: { events: [], at_revision: 1 } },
   );
@@ -307,9 +307,9 @@
     watchWaitMs: () => 4000,
   });
   await watched(store, 1, 1);
-  await watched(store, 1, 2);
+  await watched(store, 1, 3);
   const waits = server.requests.map(({ query }) => Number(query.get('wait_ms')));
-  assert.equal(waits.slice(0, 3), [4000, 2000, 4000]);
+  assert.equal(waits.slice(0, 4), [4000, 1, 2000, 4000]);
   store.close();
   await server.close();
 });
