--- a/test/property/foreign-documents.test.ts
+++ b/test/property/foreign-documents.test.ts
@@ -37,7 +37,18 @@
 ];
 const LEAVES = fc.oneof(
   ...[fc.string(), fc.double(), fc.integer(), fc.boolean(), fc.constant(null)],
-  ...[fc.constantFrom('ready', 'draining', 'primary', 'replica', 'put', 'delete', '10.0.0.1:80')],
+  ...[
+    fc.constantFrom(
+      'ready',
+      'draining',
+      'primary',
+      'replica',
+      'put',
+      'delete',
+      '10.0.0.1:80',
+      '10.0.0.1:0',
+    ),
+  ],
 );
 const { value: anything } = fc.letrec((tie) => ({
   value: fc.oneof(
@@ -72,7 +83,9 @@
       const entry = parsed.value;
       assert.equal(parseInstanceEntry(JSON.parse(JSON.stringify(entry))), entry);
       assert.ok(Number.isSafeInteger(entry.slots) && entry.slots >= 0);
-      assert.ok(entry.port >= 0 && entry.port <= 65_535);
+      assert.ok(entry.port > 0 && entry.port <= 65_535);
+      const instances = { revision: 1, instances: [entry], departed: [] };
+      assert.ok(parseSnapshot({ instances, terms: [], ageMs: 0 } as never).isOk(), 'by a peer');
       assert.ok(entry.id === 'i-1' || entry.lifeOf === 'i-1');
     }),
     SETTINGS,
