Peer transport test: the partition ends only once the link has read the reset

Cause: an order in the test. Link and node share one process: the stream ends when the node resets its socket, and the test healed the partition in the same turn of the event loop, before the link had read the reset, so that the link still held what it would have discarded.

Ruled out: a product that does not reset (the reset arrives in every play, or the new wait would end the test).

Change: the link counts the resets that it has read; the test waits for the first before it heals. The check that only "before" arrives is unchanged; a node that closes its connection in order would fail at the wait.

Conclusion: the test's fault, not the product's; src/ is unchanged.

--- a/test/integration/peer-transport.test.ts
+++ b/test/integration/peer-transport.test.ts
@@ -437,6 +437,8 @@
   assert.instance(await closed(stream), PeerLinkLostError);
   assert.ok(accepted);
   const ended = closed(accepted);
+  // The link discards what it holds up only once it has read the reset.
+  await until(() => partitioned.resetCount > 0);
   partitioned.heal();
   await ended;
   assert.equal(received, ['before']);
--- a/test/support/partitionable-link.ts
+++ b/test/support/partitionable-link.ts
@@ -16,6 +16,7 @@
   readonly #sockets = new Set<Socket>();
   #held: (() => void)[] = [];
   #isCut = false;
+  #resetCount = 0;
 
   private constructor(private readonly targetPort: number) {}
 
@@ -30,6 +31,11 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Number of connections of which a reset has arrived here. */
+  get resetCount(): number {
+    return this.#resetCount;
+  }
+
   cut(): void {
     this.#isCut = true;
   }
@@ -73,6 +79,7 @@
     from.on('end', () => pass(() => to.end()));
     from.on('error', () => {
       isReset = true;
+      this.#resetCount += 1;
       this.#pass(() => {
         if (!to.destroyed) to.resetAndDestroy();
       });
