--- a/src/direct/directory-follower.ts
+++ b/src/direct/directory-follower.ts
@@ -260,11 +260,6 @@
     return this.#configurationReader.lastConfirmedAt();
   }
 
-  /** As `lastConfirmedAt`, for the instances alone. */
-  instancesConfirmedAt(): Milliseconds | undefined {
-    return this.#instanceReader.lastConfirmedAt();
-  }
-
   /** Parses only the newest text, since it replaces the earlier ones. */
   #applyConfigurations(entries: readonly KeyValue[]): void {
     const { configurationKey } = this.options.prefixes;
--- a/src/direct/gateway.ts
+++ b/src/direct/gateway.ts
@@ -57,7 +57,6 @@
   readonly settings: DirectSettings;
   readonly wire: StatementWire;
   readonly view: PrimaryView;
-  /** False while the instance list that the store last sent may be outdated. */
   /** Time since which the registrations have been current; undefined while they may be out of date. */
   readonly registrationsHealthySince: () => Milliseconds | undefined;
   /** Latest time at which the store is proven to have had no newer configuration; absent where not needed. */
--- a/src/direct/prefix-reader.ts
+++ b/src/direct/prefix-reader.ts
@@ -1,5 +1,4 @@
 /** Reads and watches one prefix of the store, as its `PrefixFollower` state machine decides. */
-
 import { type PrefixWatchEvent, PrefixWatchStateMachine } from '../core/directory/prefix-watch.js';
 import { StoreHealth } from '../core/directory/store-health.js';
 import type { MeadowstackError } from '../core/errors.js';
--- a/src/direct/promotion/contract.ts
+++ b/src/direct/promotion/contract.ts
@@ -1,5 +1,4 @@
 /** Interface between a node's data path and the component that tracks the primaries. */
-
 import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
 import type { AcknowledgedCommit } from '../../core/promotion/acknowledged-commits.js';
--- a/src/direct/promotion/service.ts
+++ b/src/direct/promotion/service.ts
@@ -2,7 +2,6 @@
  * Runs the promotion state machine of one node with the store, the instances and a timer. The owner starts it, passes on
  * changes of the instances and services, releases leadership before a planned stop, and then stops it.
  */
-
 import type { OwnerRoster, ReachableNode } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
 import type { AcknowledgedCommit } from '../../core/promotion/acknowledged-commits.js';
--- a/src/direct/snapshots/reported-primaries.ts
+++ b/src/direct/snapshots/reported-primaries.ts
@@ -3,7 +3,6 @@
  * the records known to this node. It never makes an instance trusted: without a lease, a read there needs
  * the proof by the members' positions.
  */
-
 import type { PrimariesPart } from '../../core/directory/snapshot.js';
 import type { OwnerRoster } from '../../core/ownership/owner-roster.js';
 import type { Position } from '../../core/position.js';
--- a/test/integration/direct/held-up-promotion.test.ts
+++ b/test/integration/direct/held-up-promotion.test.ts
@@ -5,7 +5,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { DirectCluster } from '../../support/direct-cluster.js';
-import { LoadClient } from '../../support/direct-load.js';
+import { type LoadClient, startWriters } from '../../support/direct-load.js';
 import { until } from '../../support/until.js';
 
 const SERVICE = 'orders';
@@ -21,10 +21,7 @@
 
 test.before.each(async () => {
   cluster = await DirectCluster.start({ gateways: 3, hasPromotionLinks: true });
-  clients = [0, 1, 2, 0, 1, 2].map(
-    (gateway, index) =>
-      new LoadClient(cluster, { database: 'intake', gateway, seed: index + 1, writes: 1 }),
-  );
+  clients = startWriters(cluster);
   await Promise.all(clients.map((client) => client.waitForWrites(5)));
 });
 
--- a/test/support/direct-load.ts
+++ b/test/support/direct-load.ts
@@ -32,6 +32,14 @@
   readonly transactionPauseMs?: number;
 }
 
+/** Starts two clients at each of three gateways whose operations all write. */
+export function startWriters(cluster: DirectCluster): LoadClient[] {
+  return [0, 1, 2, 0, 1, 2].map(
+    (gateway, index) =>
+      new LoadClient(cluster, { database: 'intake', gateway, seed: index + 1, writes: 1 }),
+  );
+}
+
 /** A client that runs one operation after the other until it is stopped. */
 export class LoadClient {
   /** Numbers of successful operations, and of errors by code. */
--- a/test/unit/platform/directory-follower.test.ts
+++ b/test/unit/platform/directory-follower.test.ts
@@ -404,7 +404,7 @@
   notifications.length = 0;
   follower.adoptInstances(fromPeer(20, ['i-2', 'i-3']));
   assert.equal(notifications.splice(0), ['instances i-2,i-3 changed i-2,i-3']);
-  assert.is(follower.instancesConfirmedAt(), undefined);
+  assert.is(follower.instancesHealthySince(), undefined);
   store.ranges.set(INSTANCE_KEY_PREFIX, {
     revision: 22,
     entries: [item('servers/i-1', entry(), 5)],
