--- a/standins/direct/main.ts
+++ b/standins/direct/main.ts
@@ -116,6 +116,8 @@
 }
 
 const emptyBody = z.object({});
+/** An entry of a writer that is neither an instance nor a node. */
+const storeEntry = z.object({ key: z.string().min(1), text: z.string() });
 const pairs = z.object({ pairs: z.array(z.tuple([z.string(), z.string()])) });
 const restorePlan = z.object({
   ageMs: z.number().min(0).optional(),
@@ -141,6 +143,9 @@
   controlRoute('GET', '/store/counts', emptyBody, () => store.counts),
   controlRoute('GET', '/store/values', emptyBody, () => ({ values: store.values() })),
   controlRoute('POST', '/store/faults', kvFaultSettings, (body) => store.applyFaults(body)),
+  controlRoute('POST', '/store/entries', storeEntry, ({ key, text }) => {
+    store.put(key, text);
+  }),
   controlRoute('POST', '/store/cut-watches', emptyBody, () => store.cutWatches()),
   controlRoute('POST', '/store/compact', emptyBody, () =>
     store.engine.compact(store.engine.revision),
